Keep what is known of each engine in one registry without I/O

Cause: a decision needs each engine's life, health and queue as of now, from reports that lag, refusals, answers and signs that arrive in any order. Ruled out: reading a report for every decision (a round trip in front of each first token), and letting any answer set the incarnation (a late answer of a dead life would drop the beliefs about the new one; a test shows it refused).

--- /dev/null
+++ b/internal/endpoint/registry.go
@@ -0,0 +1,354 @@
+// Package endpoint keeps what one router knows of the engines of the fleet
+// file: which process life (incarnation) each is in, whether it is alive or
+// leaving, what it has loaded, and how long its queue is by now.
+//
+// Registry is a state machine without I/O: inputs are events and a time.
+// Poller is the shell that reads load reports from the engines.
+package endpoint
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/fieldpond/fieldpond/internal/engine/protocol"
+	"github.com/fieldpond/fieldpond/internal/ident"
+	"github.com/fieldpond/fieldpond/internal/routing/framework"
+)
+
+// failuresUntilDead is the number of consecutive failed reports after which an
+// engine is believed dead. One lost report must not empty a cache belief.
+const failuresUntilDead = 3
+
+// leavingMemory is how long a sign of leaving outlives a lack of reports that
+// confirm it. A new incarnation ends it at once.
+const leavingMemory = 2 * time.Minute
+
+// retiredMemory is the number of past incarnations whose late answers are
+// recognised, so that they cannot pass for a new life.
+const retiredMemory = 8
+
+// Target is an engine as the fleet file states it.
+type Target struct {
+	Engine  ident.Engine
+	Address string
+	Zone    ident.Zone
+	// Leaving is true when the file takes the engine out of service.
+	Leaving bool
+	// PrefillPerToken is assumed until the engine has reported its own.
+	PrefillPerToken time.Duration
+}
+
+// ChangeKind names what changed about an engine.
+type ChangeKind int
+
+const (
+	// ChangeIncarnation means the engine is in a new life, with an empty cache.
+	ChangeIncarnation ChangeKind = iota
+	// ChangeDead means the engine is believed dead.
+	ChangeDead
+	// ChangeLeaving means the first sign that the engine is leaving.
+	ChangeLeaving
+	// ChangeLoaded means the set of loaded model versions changed.
+	ChangeLoaded
+	// ChangeRemoved means the engine is no longer in the fleet file.
+	ChangeRemoved
+)
+
+// Change is one change of state, for beliefs, logs and gossip.
+type Change struct {
+	Kind        ChangeKind
+	Engine      ident.Engine
+	Incarnation ident.Incarnation
+}
+
+// Registry is the state machine. It is used by one goroutine.
+type Registry struct {
+	engines map[ident.Engine]*state
+	order   []*state
+	scratch []framework.Endpoint
+}
+
+// state is what is known of one engine.
+type state struct {
+	target        Target
+	incarnation   ident.Incarnation
+	retired       []ident.Incarnation
+	reported      bool
+	alive         bool
+	failures      int
+	leavingUntil  time.Time
+	report        protocol.LoadReport
+	reportTrueAt  time.Time
+	loaded        []framework.LoadedModel
+	attempts      map[AttemptKey]*attempt
+	ownInFlight   int
+	limit         int
+	lastCandidate time.Time
+	lastAsked     time.Time
+}
+
+// AttemptKey identifies one attempt of one request.
+type AttemptKey struct {
+	Request ident.Request
+	Attempt ident.Attempt
+}
+
+// attempt is one of this router's own attempts on an engine.
+type attempt struct {
+	sentAt        time.Time
+	prefillTokens float64
+	prefilled     bool
+}
+
+// NewRegistry returns a registry that knows no engine.
+func NewRegistry() *Registry {
+	return &Registry{engines: make(map[ident.Engine]*state)}
+}
+
+// Configure takes over the engines of a fleet file. What is known of engines
+// that stay at the same address is kept.
+func (r *Registry) Configure(targets []Target) []Change {
+	var changes []Change
+	next := make(map[ident.Engine]*state, len(targets))
+	for _, target := range targets {
+		known := r.engines[target.Engine]
+		if known == nil || known.target.Address != target.Address {
+			known = &state{attempts: make(map[AttemptKey]*attempt)}
+		}
+		known.target = target
+		next[target.Engine] = known
+	}
+	for name, previous := range r.engines {
+		if next[name] != previous {
+			changes = append(changes, Change{ChangeRemoved, name, previous.incarnation})
+		}
+	}
+	r.engines = next
+	r.order = r.order[:0]
+	for _, known := range next {
+		r.order = append(r.order, known)
+	}
+	slices.SortFunc(r.order, func(a, b *state) int { return cmp.Compare(a.target.Engine, b.target.Engine) })
+	slices.SortFunc(changes, func(a, b Change) int { return cmp.Compare(a.Engine, b.Engine) })
+	return changes
+}
+
+// Reported takes in a load report that arrived at now.
+func (r *Registry) Reported(now time.Time, engine ident.Engine, report protocol.LoadReport) []Change {
+	known := r.engines[engine]
+	if known == nil {
+		return nil
+	}
+	if slices.Contains(known.retired, report.Incarnation) {
+		return nil
+	}
+	changes := known.live(engine, report.Incarnation)
+	trueAt := now.Add(-time.Duration(report.AgeMillis) * time.Millisecond)
+	loaded := convertLoaded(report.Loaded)
+	if !equalLoaded(loaded, known.loaded) {
+		changes = append(changes, Change{ChangeLoaded, engine, report.Incarnation})
+	}
+	known.loaded = loaded
+	known.report = report
+	known.reported = true
+	known.reportTrueAt = trueAt
+	if report.Leaving {
+		changes = append(changes, known.leaving(now, engine)...)
+	}
+	return changes
+}
+
+// ReportFailed takes in that a report could not be read.
+func (r *Registry) ReportFailed(engine ident.Engine) []Change {
+	known := r.engines[engine]
+	if known == nil {
+		return nil
+	}
+	known.failures++
+	if known.failures < failuresUntilDead {
+		return nil
+	}
+	return known.dead(engine)
+}
+
+// Unreachable takes in that a connection to the engine was refused or reset
+// before a byte was exchanged. It is believed dead until its next report.
+func (r *Registry) Unreachable(engine ident.Engine) []Change {
+	known := r.engines[engine]
+	if known == nil {
+		return nil
+	}
+	return known.dead(engine)
+}
+
+// SeenIncarnation takes in the incarnation that an answer or a refusal of the
+// engine carried.
+func (r *Registry) SeenIncarnation(engine ident.Engine, incarnation ident.Incarnation) []Change {
+	known := r.engines[engine]
+	if known == nil || incarnation == "" || slices.Contains(known.retired, incarnation) {
+		return nil
+	}
+	return known.live(engine, incarnation)
+}
+
+// LeavingSeen takes in a sign that the engine is leaving: its own refusal, the
+// machine list, or another router's word. An incarnation other than the
+// engine's known one makes the sign void; an empty one always counts.
+func (r *Registry) LeavingSeen(now time.Time, engine ident.Engine, incarnation ident.Incarnation) []Change {
+	known := r.engines[engine]
+	if known == nil {
+		return nil
+	}
+	if incarnation != "" && known.incarnation != "" && incarnation != known.incarnation {
+		return nil
+	}
+	return known.leaving(now, engine)
+}
+
+// SetLimit sets the limit on this router's own attempts on the engine.
+func (r *Registry) SetLimit(engine ident.Engine, limit int) {
+	if known := r.engines[engine]; known != nil {
+		known.limit = limit
+	}
+}
+
+// Sent takes in that an attempt with so many tokens to prefill left for the engine.
+func (r *Registry) Sent(now time.Time, engine ident.Engine, key AttemptKey, prefillTokens float64) {
+	known := r.engines[engine]
+	if known == nil {
+		return
+	}
+	known.attempts[key] = &attempt{sentAt: now, prefillTokens: prefillTokens}
+	known.ownInFlight++
+}
+
+// FirstToken takes in that the engine has prefilled the attempt's prompt.
+func (r *Registry) FirstToken(engine ident.Engine, key AttemptKey) {
+	known := r.engines[engine]
+	if known == nil {
+		return
+	}
+	if own := known.attempts[key]; own != nil {
+		own.prefilled = true
+	}
+}
+
+// Ended takes in that an attempt is over, however it ended.
+func (r *Registry) Ended(engine ident.Engine, key AttemptKey) {
+	known := r.engines[engine]
+	if known == nil || known.attempts[key] == nil {
+		return
+	}
+	delete(known.attempts, key)
+	known.ownInFlight--
+}
+
+// Incarnation returns the engine's known incarnation, empty when unknown.
+func (r *Registry) Incarnation(engine ident.Engine) ident.Incarnation {
+	if known := r.engines[engine]; known != nil {
+		return known.incarnation
+	}
+	return ""
+}
+
+// InFlight returns the number of this router's own attempts on the engine.
+func (r *Registry) InFlight(engine ident.Engine) int {
+	if known := r.engines[engine]; known != nil {
+		return known.ownInFlight
+	}
+	return 0
+}
+
+// Endpoints returns what is known of every engine at the given time, sorted by
+// name. The slice is reused by the next call.
+func (r *Registry) Endpoints(now time.Time) []framework.Endpoint {
+	r.scratch = r.scratch[:0]
+	for _, known := range r.order {
+		r.scratch = append(r.scratch, known.endpoint(now))
+	}
+	return r.scratch
+}
+
+// live records that the engine answered in the given incarnation.
+func (s *state) live(engine ident.Engine, incarnation ident.Incarnation) []Change {
+	s.failures = 0
+	s.alive = true
+	if incarnation == s.incarnation {
+		return nil
+	}
+	s.retire()
+	s.incarnation = incarnation
+	s.leavingUntil = time.Time{}
+	s.reported = false
+	s.loaded = nil
+	s.report = protocol.LoadReport{}
+	s.attempts = make(map[AttemptKey]*attempt)
+	s.ownInFlight = 0
+	return []Change{{ChangeIncarnation, engine, incarnation}}
+}
+
+// retire remembers the incarnation that has just been replaced.
+func (s *state) retire() {
+	if s.incarnation == "" {
+		return
+	}
+	s.retired = append(s.retired, s.incarnation)
+	if len(s.retired) > retiredMemory {
+		s.retired = s.retired[1:]
+	}
+}
+
+func (s *state) dead(engine ident.Engine) []Change {
+	if !s.alive {
+		return nil
+	}
+	s.alive = false
+	return []Change{{ChangeDead, engine, s.incarnation}}
+}
+
+func (s *state) leaving(now time.Time, engine ident.Engine) []Change {
+	already := now.Before(s.leavingUntil)
+	s.leavingUntil = now.Add(leavingMemory)
+	if already {
+		return nil
+	}
+	return []Change{{ChangeLeaving, engine, s.incarnation}}
+}
+
+func (s *state) endpoint(now time.Time) framework.Endpoint {
+	role := s.report.Role
+	if role == "" {
+		role = roleMixed
+	}
+	return framework.Endpoint{
+		Engine:      s.target.Engine,
+		Address:     s.target.Address,
+		Zone:        s.target.Zone,
+		Incarnation: s.incarnation,
+		Alive:       s.alive && s.reported,
+		Leaving:     s.target.Leaving || now.Before(s.leavingUntil),
+		Role:        role,
+		Loaded:      s.loaded,
+		Load:        s.load(now),
+	}
+}
+
+// roleMixed is the role of an engine that both prefills and decodes.
+const roleMixed = "mixed"
+
+func convertLoaded(reported []protocol.LoadedModel) []framework.LoadedModel {
+	loaded := make([]framework.LoadedModel, 0, len(reported))
+	for _, model := range reported {
+		loaded = append(loaded, framework.LoadedModel{
+			Model: model.Model, Version: model.Version, Adapters: model.Adapters,
+		})
+	}
+	return loaded
+}
+
+func equalLoaded(a, b []framework.LoadedModel) bool {
+	return slices.EqualFunc(a, b, func(x, y framework.LoadedModel) bool {
+		return x.Model == y.Model && x.Version == y.Version && slices.Equal(x.Adapters, y.Adapters)
+	})
+}
--- /dev/null
+++ b/internal/endpoint/registry_test.go
@@ -0,0 +1,143 @@
+package endpoint
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/fieldpond/fieldpond/internal/engine/protocol"
+	"github.com/fieldpond/fieldpond/internal/ident"
+)
+
+var start = time.Date(2026, 3, 2, 8, 0, 0, 0, time.UTC)
+
+// report returns a report of one running request and 1000 queued tokens.
+func report(incarnation string) protocol.LoadReport {
+	return protocol.LoadReport{
+		Incarnation: ident.Incarnation("life-" + incarnation), Running: 1, MaxRunning: 4,
+		QueuedPrefillTokens: 1000, PrefillMicrosPerToken: 100,
+		Loaded: []protocol.LoadedModel{{Model: "m", Version: "v1"}},
+	}
+}
+
+func newTestRegistry(engines ...string) *Registry {
+	registry := NewRegistry()
+	var targets []Target
+	for _, name := range engines {
+		targets = append(targets, Target{Engine: ident.Engine(name), Address: name + ":1", Zone: "z"})
+	}
+	registry.Configure(targets)
+	return registry
+}
+
+func kinds(changes []Change) []ChangeKind {
+	found := make([]ChangeKind, 0, len(changes))
+	for _, change := range changes {
+		found = append(found, change.Kind)
+	}
+	return found
+}
+
+func TestLifeOfAnEngine(t *testing.T) {
+	type step struct {
+		name    string
+		do      func(r *Registry) []Change
+		want    []ChangeKind
+		alive   bool
+		leaving bool
+	}
+	steps := []step{
+		{"first report", func(r *Registry) []Change { return r.Reported(start, "e", report("1")) },
+			[]ChangeKind{ChangeIncarnation, ChangeLoaded}, true, false},
+		{"one lost report is no death", func(r *Registry) []Change { return r.ReportFailed("e") },
+			[]ChangeKind{}, true, false},
+		{"second", func(r *Registry) []Change { return r.ReportFailed("e") }, []ChangeKind{}, true, false},
+		{"third is", func(r *Registry) []Change { return r.ReportFailed("e") }, []ChangeKind{ChangeDead}, false, false},
+		{"back in the same life", func(r *Registry) []Change { return r.Reported(start, "e", report("1")) },
+			[]ChangeKind{}, true, false},
+		{"connection refused", func(r *Registry) []Change { return r.Unreachable("e") },
+			[]ChangeKind{ChangeDead}, false, false},
+		{"a refusal shows a new life, nothing reported yet", func(r *Registry) []Change { return r.SeenIncarnation("e", "life-2") },
+			[]ChangeKind{ChangeIncarnation}, false, false},
+		{"its first report", func(r *Registry) []Change { return r.Reported(start, "e", report("2")) },
+			[]ChangeKind{ChangeLoaded}, true, false},
+		{"a late answer of the old life", func(r *Registry) []Change { return r.SeenIncarnation("e", "life-1") },
+			[]ChangeKind{}, true, false},
+		{"a late report of the old life", func(r *Registry) []Change { return r.Reported(start, "e", report("1")) },
+			[]ChangeKind{}, true, false},
+		{"a leaving sign of the old life is void", func(r *Registry) []Change { return r.LeavingSeen(start, "e", "life-1") },
+			[]ChangeKind{}, true, false},
+		{"a leaving sign", func(r *Registry) []Change { return r.LeavingSeen(start, "e", "life-2") },
+			[]ChangeKind{ChangeLeaving}, true, true},
+		{"repeated", func(r *Registry) []Change { return r.LeavingSeen(start, "e", "") }, []ChangeKind{}, true, true},
+		{"the next life is not leaving", func(r *Registry) []Change { return r.Reported(start, "e", report("3")) },
+			[]ChangeKind{ChangeIncarnation, ChangeLoaded}, true, false},
+	}
+	registry := newTestRegistry("e")
+	for _, step := range steps {
+		t.Run(step.name, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(kinds(step.do(registry)), step.want)
+			endpoint := registry.Endpoints(start)[0]
+			is.Equal(endpoint.Alive, step.alive)
+			is.Equal(endpoint.Leaving, step.leaving)
+		})
+	}
+}
+
+func TestLoadIsAgedAndOwnAttemptsAreAdded(t *testing.T) {
+	is := is.New(t)
+	registry := newTestRegistry("e")
+	lagged := report("1")
+	lagged.AgeMillis = 50
+	registry.Sent(start.Add(-time.Second), "e", AttemptKey{"old", 1}, 500)
+	registry.Reported(start, "e", lagged)
+	registry.Sent(start.Add(-20*time.Millisecond), "e", AttemptKey{"new", 1}, 300)
+
+	load := registry.Endpoints(start.Add(10 * time.Millisecond))[0].Load
+	is.Equal(load.ReportAge, 60*time.Millisecond)
+	is.Equal(load.QueuedPrefillTokens, 1000.0-600+300) // 60 ms at 100 us a token are done
+	is.Equal(load.Running, 2)
+
+	registry.FirstToken("e", AttemptKey{"new", 1})
+	is.Equal(registry.Endpoints(start.Add(10 * time.Millisecond))[0].Load.QueuedPrefillTokens, 400.0)
+	registry.Ended("e", AttemptKey{"new", 1})
+	registry.Ended("e", AttemptKey{"new", 1})
+	is.Equal(registry.InFlight("e"), 0)
+}
+
+func TestAttemptsOfADeadLifeDoNotCount(t *testing.T) {
+	is := is.New(t)
+	registry := newTestRegistry("e")
+	registry.Reported(start, "e", report("1"))
+	registry.Sent(start, "e", AttemptKey{"r", 1}, 300)
+	registry.SeenIncarnation("e", "life-2")
+	is.Equal(registry.InFlight("e"), 0)
+	registry.Ended("e", AttemptKey{"r", 1})
+	is.Equal(registry.InFlight("e"), 0)
+}
+
+func TestDueKeepsToItsBudgetAndServesEnginesInUseFirst(t *testing.T) {
+	is := is.New(t)
+	registry := newTestRegistry("a", "b", "c", "d")
+	for _, name := range []string{"a", "b", "c", "d"} {
+		registry.Reported(start, ident.Engine(name), report("1"))
+	}
+	is.Equal(len(registry.Due(start, time.Second, 3)), 3)
+	is.Equal(registry.Due(start, time.Second, 3)[0].Engine, ident.Engine("d"))
+	registry.Considered(start, "c")
+	later := start.Add(time.Second)
+	is.Equal(registry.Due(later, time.Second, 3), []Question{{"c", "c:1"}})
+	is.Equal(len(registry.Due(start.Add(time.Minute), time.Second, 10)), 4)
+}
+
+func TestConfigureKeepsEnginesAtTheSameAddress(t *testing.T) {
+	is := is.New(t)
+	registry := newTestRegistry("a", "b")
+	registry.Reported(start, "a", report("1"))
+	changes := registry.Configure([]Target{{Engine: "a", Address: "a:1", Zone: "z", Leaving: true}, {Engine: "b", Address: "b:2"}})
+	is.Equal(kinds(changes), []ChangeKind{ChangeRemoved})
+	is.Equal(registry.Incarnation("a"), report("1").Incarnation)
+	is.True(registry.Endpoints(start)[0].Leaving)
+}
