Build the endpoint view once in 5 ms and whole tokens only

Cause: at 860 engines every decision would copy every endpoint, and a float sum over a map differs in its last bits from run to run. Ruled out: a view for each request's model (the shortlist needs stable positions). Change: Endpoints reuses its view for 5 ms except for engines that changed; own attempts are counted in whole tokens; Generation names the positions.

--- a/internal/endpoint/load.go
+++ b/internal/endpoint/load.go
@@ -22,7 +22,7 @@
 		ConcurrencyLimit: s.limit,
 	}
 	reported := float64(s.report.QueuedPrefillTokens)
-	unreported := 0.0
+	unreported := 0 // whole tokens, so that the order of the map does not matter
 	for _, own := range s.attempts {
 		if own.sentAt.Before(s.reportTrueAt) {
 			continue
@@ -36,7 +36,7 @@
 	if perToken > 0 {
 		drained = float64(age) / float64(perToken)
 	}
-	load.QueuedPrefillTokens = max(0, reported-drained) + unreported
+	load.QueuedPrefillTokens = max(0, reported-drained) + float64(unreported)
 	if load.MaxRunning > 0 && load.Running > load.MaxRunning {
 		load.Waiting += load.Running - load.MaxRunning
 		load.Running = load.MaxRunning
--- a/internal/endpoint/registry.go
+++ b/internal/endpoint/registry.go
@@ -28,6 +28,12 @@
 // recognised, so that they cannot pass for a new life.
 const retiredMemory = 8
 
+// viewMaxAge is how long a whole view of the endpoints is used again. Loads
+// age by at most this much less than they should, which is far below the lag of
+// the reports, and a node with hundreds of engines need not go through them
+// all for each decision.
+const viewMaxAge = 5 * time.Millisecond
+
 // Target is an engine as the fleet file states it.
 type Target struct {
 	Engine  ident.Engine
@@ -66,12 +72,17 @@
 type Registry struct {
 	engines map[ident.Engine]*state
 	order   []*state
-	scratch []framework.Endpoint
+	// view is the result of Endpoints, worked out anew once viewMaxAge has
+	// gone by; entries marked stale are worked out on the next call.
+	view       []framework.Endpoint
+	viewAt     time.Time
+	generation uint64
 }
 
 // state is what is known of one engine.
 type state struct {
 	target        Target
+	stale         bool
 	incarnation   ident.Incarnation
 	retired       []ident.Incarnation
 	reported      bool
@@ -97,7 +108,7 @@
 // attempt is one of this router's own attempts on an engine.
 type attempt struct {
 	sentAt        time.Time
-	prefillTokens float64
+	prefillTokens int
 	prefilled     bool
 }
 
@@ -131,12 +142,27 @@
 	}
 	slices.SortFunc(r.order, func(a, b *state) int { return cmp.Compare(a.target.Engine, b.target.Engine) })
 	slices.SortFunc(changes, func(a, b Change) int { return cmp.Compare(a.Engine, b.Engine) })
+	r.generation++
+	r.view = r.view[:0]
 	return changes
 }
 
+// Generation changes whenever the positions of engines in Endpoints may have
+// changed. It is zero before the first Configure.
+func (r *Registry) Generation() uint64 { return r.generation }
+
+// find returns the state of an engine that is about to change, or nil.
+func (r *Registry) find(engine ident.Engine) *state {
+	known := r.engines[engine]
+	if known != nil {
+		known.stale = true
+	}
+	return known
+}
+
 // Reported takes in a load report that arrived at now.
 func (r *Registry) Reported(now time.Time, engine ident.Engine, report protocol.LoadReport) []Change {
-	known := r.engines[engine]
+	known := r.find(engine)
 	if known == nil {
 		return nil
 	}
@@ -161,7 +187,7 @@
 
 // ReportFailed takes in that a report could not be read.
 func (r *Registry) ReportFailed(engine ident.Engine) []Change {
-	known := r.engines[engine]
+	known := r.find(engine)
 	if known == nil {
 		return nil
 	}
@@ -175,7 +201,7 @@
 // Unreachable takes in that a connection to the engine was refused or reset
 // before a byte was exchanged. It is believed dead until its next report.
 func (r *Registry) Unreachable(engine ident.Engine) []Change {
-	known := r.engines[engine]
+	known := r.find(engine)
 	if known == nil {
 		return nil
 	}
@@ -185,7 +211,7 @@
 // SeenIncarnation takes in the incarnation that an answer or a refusal of the
 // engine carried.
 func (r *Registry) SeenIncarnation(engine ident.Engine, incarnation ident.Incarnation) []Change {
-	known := r.engines[engine]
+	known := r.find(engine)
 	if known == nil || incarnation == "" || slices.Contains(known.retired, incarnation) {
 		return nil
 	}
@@ -196,7 +222,7 @@
 // machine list, or another router's word. An incarnation other than the
 // engine's known one makes the sign void; an empty one always counts.
 func (r *Registry) LeavingSeen(now time.Time, engine ident.Engine, incarnation ident.Incarnation) []Change {
-	known := r.engines[engine]
+	known := r.find(engine)
 	if known == nil {
 		return nil
 	}
@@ -214,8 +240,8 @@
 }
 
 // Sent takes in that an attempt with so many tokens to prefill left for the engine.
-func (r *Registry) Sent(now time.Time, engine ident.Engine, key AttemptKey, prefillTokens float64) {
-	known := r.engines[engine]
+func (r *Registry) Sent(now time.Time, engine ident.Engine, key AttemptKey, prefillTokens int) {
+	known := r.find(engine)
 	if known == nil {
 		return
 	}
@@ -225,7 +251,7 @@
 
 // FirstToken takes in that the engine has prefilled the attempt's prompt.
 func (r *Registry) FirstToken(engine ident.Engine, key AttemptKey) {
-	known := r.engines[engine]
+	known := r.find(engine)
 	if known == nil {
 		return
 	}
@@ -236,7 +262,7 @@
 
 // Ended takes in that an attempt is over, however it ended.
 func (r *Registry) Ended(engine ident.Engine, key AttemptKey) {
-	known := r.engines[engine]
+	known := r.find(engine)
 	if known == nil || known.attempts[key] == nil {
 		return
 	}
@@ -263,11 +289,18 @@
 // Endpoints returns what is known of every engine at the given time, sorted by
 // name. The slice is reused by the next call.
 func (r *Registry) Endpoints(now time.Time) []framework.Endpoint {
-	r.scratch = r.scratch[:0]
-	for _, known := range r.order {
-		r.scratch = append(r.scratch, known.endpoint(now))
+	whole := len(r.view) != len(r.order) || now.Sub(r.viewAt) > viewMaxAge || now.Before(r.viewAt)
+	if whole {
+		r.view = slices.Grow(r.view[:0], len(r.order))[:len(r.order)]
+		r.viewAt = now
+	}
+	for index, known := range r.order {
+		if whole || known.stale {
+			r.view[index] = known.endpoint(now)
+			known.stale = false
+		}
 	}
-	return r.scratch
+	return r.view
 }
 
 // live records that the engine answered in the given incarnation.
