Interpret the state charts of a request and of a router

Cause: the request's promises ("not run" is true, one terminal state, no second attempt after an unclear one) must be readable in one file and enforced by code, not spread over the dispatch code.

Ruled out: only an ignore list. It would let a programming error, such as sending an attempt before the claim, pass in silence; a forbid list beside it makes that a typed, counted EventError. Guards as functions: a fixed set of fulfilled guards for each instance is enough and cannot change under way.

Conclusion: the charts stand; dispatch can build on them.

--- /dev/null
+++ b/internal/statechart/chart_test.go
@@ -0,0 +1,141 @@
+package statechart
+
+import (
+	"os"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+	"pgregory.net/rapid"
+)
+
+func TestGeneratedNamesAreCurrent(t *testing.T) {
+	is := is.New(t)
+	want, err := GenerateNames()
+	is.NoErr(err)
+	got, err := os.ReadFile("names_generated.go")
+	is.NoErr(err)
+	is.Equal(string(got), string(want)) // run go generate ./internal/statechart
+}
+
+const twoStates = `
+name: test
+initial: a
+guards: [g]
+events: [{name: go}, {name: stay}]
+states:
+  - {name: a, ignore: [stay]}
+  - {name: b, terminal: true}
+transitions:
+  - {from: [a], event: go, to: b}
+`
+
+func TestParseRefuses(t *testing.T) {
+	cases := []struct{ name, replace, by, want string }{
+		{"unknown key", "initial:", "start: a\ninitial:", "field start not found"},
+		{"unknown initial", "initial: a", "initial: x", `unknown initial state "x"`},
+		{"unknown target", "to: b", "to: x", `unknown state "x"`},
+		{"unknown source", "from: [a]", "from: [a, x]", `from unknown state "x"`},
+		{"unknown event", "event: go", "event: x", `unknown event "x"`},
+		{"unknown guard", "to: b}", "to: b, guard: x}", `unknown guard "x"`},
+		{"unreachable", "to: b", "to: a", `state "b" cannot be reached`},
+		{"terminal with exit", "from: [a]", "from: [a, b]", `terminal state "b" has an exit`},
+		{"event unhandled", ", ignore: [stay]", "", `state "a" does not handle event "stay"`},
+		{"handled twice", "[stay]", "[stay, go]", `in more than one way`},
+		{"never taken", "to: b}", "to: b}\n  - {from: [a], event: go, to: a}", "can never be taken"},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			_, err := Parse([]byte(strings.Replace(twoStates, test.replace, test.by, 1)))
+			is.True(err != nil)
+			is.True(strings.Contains(err.Error(), test.want))
+		})
+	}
+}
+
+// TestExploration fires random events at every chart and judges the promises
+// of the charts: each event is stated, and nothing follows a terminal state.
+func TestExploration(t *testing.T) {
+	for _, name := range Names() {
+		t.Run(name, func(t *testing.T) {
+			chart, err := Load(name)
+			is.New(t).NoErr(err)
+			rapid.Check(t, func(t *rapid.T) { explore(t, chart) })
+		})
+	}
+}
+
+func explore(t *rapid.T, chart *Chart) {
+	repeatable := rapid.Bool().Draw(t, "repeatable")
+	instance := chart.New()
+	if repeatable {
+		instance = chart.New(Allow(RequestGuardRepeatable))
+	}
+	sent, unclear, terminals := 0, false, 0
+	for range rapid.IntRange(1, 60).Draw(t, "steps") {
+		event := rapid.SampledFrom(chart.definition.Events).Draw(t, "event").Name
+		before, ended := instance.State(), instance.Terminal()
+		after, err := instance.Fire(event)
+		var refused *EventError
+		if errors.As(err, &refused) {
+			if refused.Reason == ReasonUnknown || after != before || ended != (refused.Reason == ReasonTerminal) {
+				t.Fatalf("event %s in %s: %v", event, before, err)
+			}
+			continue
+		}
+		if ended {
+			t.Fatalf("event %s taken after the end in %s", event, before)
+		}
+		if instance.Terminal() {
+			terminals++
+		}
+		if event == RequestEventAttemptSent {
+			if unclear && !repeatable {
+				t.Fatalf("second attempt after an unclear one")
+			}
+			sent++
+		}
+		unclear = unclear || event == RequestEventAttemptLost || event == RequestEventStreamStarted
+		if after == RequestStateRefusedNotRun && (unclear || before == RequestStateDispatched) {
+			t.Fatalf("%d attempts, one unclear, called not run", sent)
+		}
+	}
+	if terminals > 1 {
+		t.Fatalf("%d terminal states reached", terminals)
+	}
+}
+
+type countingObserver struct{ taken, ignored, refused int }
+
+func (o *countingObserver) Transition(string, State, Event, State) { o.taken++ }
+func (o *countingObserver) Ignored(string, State, Event)           { o.ignored++ }
+func (o *countingObserver) NotTaken(string, State, Event, Reason)  { o.refused++ }
+
+func TestClaimedRequestRunsOnce(t *testing.T) {
+	is := is.New(t)
+	chart, err := Load(RequestChart)
+	is.NoErr(err)
+	observer := &countingObserver{}
+	instance := chart.New(Observe(observer))
+	fire := func(events ...Event) error {
+		var last error
+		for _, event := range events {
+			_, last = instance.Fire(event)
+		}
+		return last
+	}
+	is.NoErr(fire(RequestEventCheckPassed, RequestEventAdmitted))
+	var refused *EventError
+	is.True(errors.As(fire(RequestEventAttemptSent), &refused)) // no claim yet
+	is.Equal(refused.Reason, ReasonGuard)
+	is.NoErr(fire(RequestEventClaimWon, RequestEventAttemptSent, RequestEventAttemptLost, RequestEventAttemptRefused))
+	is.True(fire(RequestEventAttemptSent) != nil) // fate unknown: never again
+	is.NoErr(fire(RequestEventGaveUp))
+	is.Equal(instance.State(), RequestStateOutcomeUnknown)
+	is.Equal(*observer, countingObserver{taken: 6, ignored: 1, refused: 2})
+	is.Equal(instance.NotTaken(), uint64(2))
+	is.True(slices.Contains(Names(), RouterChart))
+}
--- /dev/null
+++ b/internal/statechart/definition.go
@@ -0,0 +1,204 @@
+package statechart
+
+import (
+	"bytes"
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/pkg/errors"
+	"gopkg.in/yaml.v3"
+)
+
+// Definition is a chart as written in its file.
+type Definition struct {
+	// Name of the chart; the file is charts/<name>.yaml.
+	Name string `yaml:"name"`
+	// Doc says what the chart describes.
+	Doc string `yaml:"doc"`
+	// Initial is the state of a new instance.
+	Initial State `yaml:"initial"`
+	// Guards lists every guard a transition may name.
+	Guards []Guard `yaml:"guards"`
+	// Events lists every event.
+	Events []EventDefinition `yaml:"events"`
+	// States lists every state.
+	States []StateDefinition `yaml:"states"`
+	// Transitions lists every change of state; of several with the same from
+	// and event, the first whose guard is fulfilled is taken.
+	Transitions []Transition `yaml:"transitions"`
+}
+
+// EventDefinition is one event of a chart.
+type EventDefinition struct {
+	Name Event  `yaml:"name"`
+	Doc  string `yaml:"doc"`
+}
+
+// StateDefinition is one state of a chart.
+type StateDefinition struct {
+	Name     State  `yaml:"name"`
+	Doc      string `yaml:"doc"`
+	Terminal bool   `yaml:"terminal"`
+	// Ignore lists events that change nothing in this state.
+	Ignore []Event `yaml:"ignore"`
+	// Forbid lists events that must not be fired in this state.
+	Forbid []Event `yaml:"forbid"`
+}
+
+// Transition is one change of state.
+type Transition struct {
+	From  []State `yaml:"from"`
+	Event Event   `yaml:"event"`
+	To    State   `yaml:"to"`
+	// Guard must be fulfilled for the transition; empty means always.
+	Guard Guard `yaml:"guard"`
+}
+
+// Parse reads and checks a chart. The error lists every problem found.
+func Parse(source []byte) (*Chart, error) {
+	decoder := yaml.NewDecoder(bytes.NewReader(source))
+	decoder.KnownFields(true)
+	var definition Definition
+	if err := decoder.Decode(&definition); err != nil {
+		return nil, errors.Wrap(err, "decoding YAML")
+	}
+	chart := &Chart{
+		definition:  definition,
+		states:      map[State]StateDefinition{},
+		transitions: map[key][]Transition{},
+		forbidden:   map[key]bool{},
+		ignored:     map[key]bool{},
+	}
+	checker := &checker{chart: chart}
+	checker.check()
+	if len(checker.problems) > 0 {
+		return nil, errors.Errorf("state chart %q: %s", definition.Name, strings.Join(checker.problems, "; "))
+	}
+	return chart, nil
+}
+
+type checker struct {
+	chart    *Chart
+	problems []string
+}
+
+func (c *checker) problem(format string, arguments ...any) {
+	c.problems = append(c.problems, fmt.Sprintf(format, arguments...))
+}
+
+func (c *checker) check() {
+	c.indexStates()
+	c.indexTransitions()
+	for _, state := range c.chart.definition.States {
+		c.checkComplete(state)
+	}
+	c.checkReachable()
+}
+
+func (c *checker) hasEvent(event Event) bool {
+	return slices.ContainsFunc(c.chart.definition.Events, func(e EventDefinition) bool { return e.Name == event })
+}
+
+func (c *checker) indexStates() {
+	definition := c.chart.definition
+	for _, state := range definition.States {
+		if _, twice := c.chart.states[state.Name]; twice {
+			c.problem("state %q stands twice", state.Name)
+		}
+		c.chart.states[state.Name] = state
+		c.indexList(state, state.Ignore, c.chart.ignored)
+		c.indexList(state, state.Forbid, c.chart.forbidden)
+	}
+	if _, known := c.chart.states[definition.Initial]; !known {
+		c.problem("unknown initial state %q", definition.Initial)
+	}
+}
+
+func (c *checker) indexList(state StateDefinition, events []Event, index map[key]bool) {
+	for _, event := range events {
+		if !c.hasEvent(event) {
+			c.problem("state %q lists unknown event %q", state.Name, event)
+		}
+		index[key{state.Name, event}] = true
+	}
+}
+
+func (c *checker) indexTransitions() {
+	for _, transition := range c.chart.definition.Transitions {
+		if !c.hasEvent(transition.Event) {
+			c.problem("transition on unknown event %q", transition.Event)
+		}
+		if _, known := c.chart.states[transition.To]; !known {
+			c.problem("transition on %q to unknown state %q", transition.Event, transition.To)
+		}
+		if transition.Guard != "" && !slices.Contains(c.chart.definition.Guards, transition.Guard) {
+			c.problem("transition on %q has unknown guard %q", transition.Event, transition.Guard)
+		}
+		for _, from := range transition.From {
+			c.indexTransition(from, transition)
+		}
+	}
+}
+
+func (c *checker) indexTransition(from State, transition Transition) {
+	state, known := c.chart.states[from]
+	if !known {
+		c.problem("transition on %q from unknown state %q", transition.Event, from)
+	}
+	if state.Terminal {
+		c.problem("terminal state %q has an exit on %q", from, transition.Event)
+	}
+	at := key{from, transition.Event}
+	for _, earlier := range c.chart.transitions[at] {
+		if earlier.Guard == "" || earlier.Guard == transition.Guard {
+			c.problem("transition from %q on %q can never be taken", from, transition.Event)
+		}
+	}
+	c.chart.transitions[at] = append(c.chart.transitions[at], transition)
+}
+
+// checkComplete sees to it that each event is named exactly once for a state
+// that is not terminal.
+func (c *checker) checkComplete(state StateDefinition) {
+	if state.Terminal {
+		if len(state.Ignore)+len(state.Forbid) > 0 {
+			c.problem("terminal state %q lists events", state.Name)
+		}
+		return
+	}
+	for _, event := range c.chart.definition.Events {
+		at := key{state.Name, event.Name}
+		ways := 0
+		for _, stated := range []bool{len(c.chart.transitions[at]) > 0, c.chart.ignored[at], c.chart.forbidden[at]} {
+			if stated {
+				ways++
+			}
+		}
+		if ways == 0 {
+			c.problem("state %q does not handle event %q", state.Name, event.Name)
+		}
+		if ways > 1 {
+			c.problem("state %q handles event %q in more than one way", state.Name, event.Name)
+		}
+	}
+}
+
+func (c *checker) checkReachable() {
+	reached := map[State]bool{c.chart.definition.Initial: true}
+	for grown := true; grown; {
+		grown = false
+		for _, transition := range c.chart.definition.Transitions {
+			from := slices.ContainsFunc(transition.From, func(state State) bool { return reached[state] })
+			if from && !reached[transition.To] {
+				reached[transition.To] = true
+				grown = true
+			}
+		}
+	}
+	for _, state := range c.chart.definition.States {
+		if !reached[state.Name] {
+			c.problem("state %q cannot be reached", state.Name)
+		}
+	}
+}
