--- /dev/null
+++ b/internal/settings/secret.go
@@ -0,0 +1,43 @@
+package settings
+
+import "fmt"
+
+const redacted = "[redacted]"
+
+// Secret is a value that never shows in logs, errors or encoded documents. It
+// prints as "[redacted]" in every fmt verb, JSON, YAML and text encoding. The
+// value stands behind a function, so that even fmt's reflection over
+// unexported fields cannot reach it.
+type Secret struct {
+	reveal func() []byte
+}
+
+// NewSecret returns a Secret with a copy of value.
+func NewSecret(value []byte) Secret {
+	kept := append([]byte(nil), value...)
+	return Secret{reveal: func() []byte { return append([]byte(nil), kept...) }}
+}
+
+// Reveal returns a copy of the value; it is empty for the zero Secret. Use it
+// only where the value is used, never to print or store it.
+func (s Secret) Reveal() []byte {
+	if s.reveal == nil {
+		return nil
+	}
+	return s.reveal()
+}
+
+// Format implements fmt.Formatter for every verb.
+func (s Secret) Format(state fmt.State, _ rune) { _, _ = state.Write([]byte(redacted)) }
+
+// String implements fmt.Stringer.
+func (s Secret) String() string { return redacted }
+
+// MarshalText implements encoding.TextMarshaler, which JSON and others use.
+func (s Secret) MarshalText() ([]byte, error) { return []byte(redacted), nil }
+
+// MarshalYAML implements yaml.Marshaler.
+func (s Secret) MarshalYAML() (any, error) { return redacted, nil }
+
+// MarshalBinary implements encoding.BinaryMarshaler, which CBOR uses.
+func (s Secret) MarshalBinary() ([]byte, error) { return []byte(redacted), nil }
