Read and write server-sent events with bounded memory

Cause: the API, the back-end client and the stand-ins all speak event streams, and a peer must not be able to grow memory without limit. Ruled out: bufio.Scanner, which hides a stream cut inside an event behind a clean end; a missing end must be seen.

--- /dev/null
+++ b/internal/sse/event.go
@@ -0,0 +1,13 @@
+// Package sse reads and writes server-sent events (the WHATWG event stream
+// format) with bounded memory. Lines end in LF or CRLF.
+package sse
+
+// Event is one server-sent event.
+type Event struct {
+	// ID is the "id" field; a caller that reconnects sends the last one back.
+	ID string
+	// Name is the "event" field; empty means "message".
+	Name string
+	// Data is the "data" field, lines joined by LF.
+	Data []byte
+}
