Send an exchange once and know whether it left

Cause: 'not run' may be said only if no byte of a request left this process, and net/http repeats some requests by itself, among them any with an Idempotency-Key and an empty or rewindable body. Ruled out: spelling the header in lower case, which hides the key from the check but leaves bodyless GETs repeatable; httptrace's WroteHeaders alone, which fires after a write that may have begun, and cannot stop a write that begins after the request was given up. Change: package httpclient gives every request a body that is neither nil nor rewindable, counts writes per connection from GotConn on, and seals the connection when an exchange fails.

--- /dev/null
+++ b/internal/httpclient/client.go
@@ -0,0 +1,118 @@
+// Package httpclient sends one HTTP exchange at most once and knows, when it
+// fails, whether any byte of the request can have left this process.
+//
+// net/http's Transport repeats requests by itself in two cases that would run
+// work twice: a request without a body under a safe method, and any request
+// with an Idempotency-Key header whose body is empty or can be rewound. Do
+// gives every request a body that is neither nil nor rewindable, which is the
+// one condition that rules both out.
+package httpclient
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Options bounds the connections of a Client. Zero values take the defaults.
+type Options struct {
+	// ConnectTimeout bounds opening a connection. Default: 1s.
+	ConnectTimeout time.Duration
+	// IdleTimeout closes connections unused for so long. Default: 30s.
+	IdleTimeout time.Duration
+	// MaxIdle bounds idle connections over all hosts. Default: 4096.
+	MaxIdle int
+	// MaxIdlePerHost bounds idle connections to one host. Default: 64.
+	MaxIdlePerHost int
+	// MaxHeaderBytes bounds the header of a response. Default: 64 KiB.
+	MaxHeaderBytes int64
+}
+
+// Defaults of Options.
+const (
+	defaultConnectTimeout = time.Second
+	defaultIdleTimeout    = 30 * time.Second
+	defaultMaxIdle        = 4096
+	defaultMaxIdlePerHost = 64
+	defaultMaxHeaderBytes = 64 << 10
+	keepAlivePeriod       = 15 * time.Second
+)
+
+// Client sends exchanges over plain HTTP/1.1. It follows no redirects, keeps
+// no cookies and uses no proxy. It is safe for concurrent use.
+type Client struct {
+	transport *http.Transport
+}
+
+// New returns a client with its own connection pool.
+func New(options Options) *Client {
+	dialer := &net.Dialer{
+		Timeout:   orDefault(options.ConnectTimeout, defaultConnectTimeout),
+		KeepAlive: keepAlivePeriod,
+	}
+	return &Client{transport: &http.Transport{
+		DialContext:            dialGated(dialer),
+		IdleConnTimeout:        orDefault(options.IdleTimeout, defaultIdleTimeout),
+		MaxIdleConns:           orDefault(options.MaxIdle, defaultMaxIdle),
+		MaxIdleConnsPerHost:    orDefault(options.MaxIdlePerHost, defaultMaxIdlePerHost),
+		MaxResponseHeaderBytes: orDefault(options.MaxHeaderBytes, defaultMaxHeaderBytes),
+		DisableCompression:     true,
+	}}
+}
+
+func orDefault[T time.Duration | int | int64](value, fallback T) T {
+	if value == 0 {
+		return fallback
+	}
+	return value
+}
+
+// Error is a failed exchange: no response header arrived.
+type Error struct {
+	// Sent is false only if no byte of the request left this process, and none
+	// will leave it any more.
+	Sent  bool
+	Cause error
+}
+
+// Error implements error.
+func (e *Error) Error() string { return e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Cause }
+
+// Do sends the request once and returns the response, whose body the caller
+// closes. An error is an *Error.
+func (c *Client) Do(request *http.Request) (*http.Response, error) {
+	guarded := request.Clone(request.Context())
+	if guarded.Body == nil || guarded.Body == http.NoBody {
+		guarded.Body = io.NopCloser(strings.NewReader(""))
+	}
+	guarded.GetBody = nil
+	return c.exchange(guarded)
+}
+
+// DoRepeatable sends a request that does no harm when it runs twice; the
+// transport may repeat it on a fresh connection.
+func (c *Client) DoRepeatable(request *http.Request) (*http.Response, error) {
+	return c.exchange(request)
+}
+
+// CloseIdle closes the connections not in use.
+func (c *Client) CloseIdle() { c.transport.CloseIdleConnections() }
+
+func (c *Client) exchange(request *http.Request) (*http.Response, error) {
+	var tracker sentTracker
+	trace := &httptrace.ClientTrace{GotConn: tracker.gotConnection}
+	traced := request.WithContext(httptrace.WithClientTrace(request.Context(), trace))
+	response, err := c.transport.RoundTrip(traced)
+	if err != nil {
+		return nil, &Error{Sent: tracker.sealAll(), Cause: errors.Wrap(err, request.Method+" "+request.URL.Host)}
+	}
+	return response, nil
+}
--- /dev/null
+++ b/internal/httpclient/gate_test.go
@@ -0,0 +1,31 @@
+package httpclient
+
+import (
+	"net"
+	"net/http/httptrace"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// TestSealStopsLateWrites covers an exchange given up between getting its
+// connection and writing to it, and one on a connection with earlier writes.
+func TestSealStopsLateWrites(t *testing.T) {
+	is := is.New(t)
+	near, far := net.Pipe()
+	defer func() { _ = far.Close() }()
+	go func() { _, _ = far.Read(make([]byte, 8)) }()
+	gate := &gatedConnection{Conn: near}
+	_, err := gate.Write([]byte("earlier"))
+	is.NoErr(err)
+
+	var tracker sentTracker
+	tracker.gotConnection(httptrace.GotConnInfo{Conn: gate, Reused: true})
+	is.True(!tracker.sealAll())
+	_, err = gate.Write([]byte("late"))
+	is.Equal(err, errSealed)
+
+	var opaque sentTracker
+	opaque.gotConnection(httptrace.GotConnInfo{Conn: near})
+	is.True(opaque.sealAll()) // nothing is promised of a connection not gated
+}
