--- /dev/null
+++ b/internal/engine/refusal.go
@@ -0,0 +1,42 @@
+package engine
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/fieldpond/fieldpond/internal/engine/protocol"
+	"github.com/fieldpond/fieldpond/internal/fault"
+)
+
+// refusalFault reports whether a response is an explicit refusal before
+// execution, and returns its fault. Status, header and body must all say so:
+// a proxy's or a half-broken back end's 503 never counts as "not run".
+func refusalFault(response *http.Response, body []byte) (*fault.Fault, bool) {
+	switch response.StatusCode {
+	case http.StatusConflict, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+	default:
+		return nil, false
+	}
+	if response.Header.Get(protocol.HeaderRan) != string(fault.RanNo) {
+		return nil, false
+	}
+	var refusal protocol.Refusal
+	if json.Unmarshal(body, &refusal) != nil || refusal.Kind == "" || refusal.Ran != fault.RanNo {
+		return nil, false
+	}
+	kind := fault.BackendRefused
+	if refusal.Kind == protocol.RefusalStaleFence {
+		kind = fault.StaleFence
+	}
+	refused := fault.Wrap(&RefusedError{Refusal: refusal}, kind, "back end refused before execution (%s)", refusal.Kind)
+	return refused.WithRetryAfter(time.Duration(max(refusal.RetryAfterMillis, 0)) * time.Millisecond), true
+}
+
+// refusedBecause reports whether a fault is a refusal of the given kind.
+func refusedBecause(refused *fault.Fault, kind protocol.RefusalKind) bool {
+	var cause *RefusedError
+	return errors.As(refused, &cause) && cause.Refusal.Kind == kind
+}
