--- /dev/null
+++ b/standin/engine/model/cache.go
@@ -0,0 +1,125 @@
+package model
+
+import (
+	"container/list"
+	"sort"
+
+	"github.com/fieldpond/fieldpond/internal/prefix"
+)
+
+// blockKey finds a block. The chain hash is seeded by the salt already; the
+// salt is kept so that no hash collision can cross namespaces.
+type blockKey struct {
+	salt prefix.Salt
+	hash prefix.Hash
+}
+
+// block is one cached block. A pinned block is used by a running generation
+// and is not on the eviction list.
+type block struct {
+	key   blockKey
+	owner prefix.Namespace
+	pins  int
+	place *list.Element
+}
+
+// blockCache holds at most capacity blocks and evicts the least recently used
+// one that is not pinned.
+type blockCache struct {
+	capacity int
+	blocks   map[blockKey]*block
+	// idle lists the unpinned blocks, the next one to evict in front.
+	idle *list.List
+}
+
+func newBlockCache(capacity int) *blockCache {
+	return &blockCache{capacity: capacity, blocks: map[blockKey]*block{}, idle: list.New()}
+}
+
+// held returns how many leading blocks of the chain are held.
+func (c *blockCache) held(salt prefix.Salt, chain prefix.Chain) int {
+	for index, hash := range chain {
+		if c.blocks[blockKey{salt, hash}] == nil {
+			return index
+		}
+	}
+	return len(chain)
+}
+
+func (c *blockCache) pin(found *block) {
+	if found.pins == 0 && found.place != nil {
+		c.idle.Remove(found.place)
+		found.place = nil
+	}
+	found.pins++
+}
+
+// unpin releases pinned blocks, the last of the chain first, so that leaves are
+// evicted before the shared blocks they hang on.
+func (c *blockCache) unpin(pinned []*block) {
+	for index := len(pinned) - 1; index >= 0; index-- {
+		released := pinned[index]
+		released.pins--
+		if released.pins == 0 && c.blocks[released.key] == released {
+			released.place = c.idle.PushBack(released)
+		}
+	}
+}
+
+// storePinned holds the block and pins it. It returns nil if every block is
+// pinned, the evicted block if one had to go, and whether the block is new.
+func (c *blockCache) storePinned(key blockKey, owner prefix.Namespace) (stored, evicted *block, isNew bool) {
+	if found := c.blocks[key]; found != nil {
+		c.pin(found)
+		return found, nil, false
+	}
+	if len(c.blocks) >= c.capacity {
+		oldest := c.idle.Front()
+		if oldest == nil {
+			return nil, nil, false
+		}
+		evicted = oldest.Value.(*block)
+		c.remove(evicted)
+	}
+	stored = &block{key: key, owner: owner, pins: 1}
+	c.blocks[key] = stored
+	return stored, evicted, true
+}
+
+func (c *blockCache) remove(gone *block) {
+	if gone.place != nil {
+		c.idle.Remove(gone.place)
+		gone.place = nil
+	}
+	delete(c.blocks, gone.key)
+}
+
+// removeOwned drops every block whose owner matches, in a fixed order.
+func (c *blockCache) removeOwned(matches func(prefix.Namespace) bool) []*block {
+	var gone []*block
+	for _, held := range c.blocks {
+		if matches(held.owner) {
+			gone = append(gone, held)
+		}
+	}
+	sort.Slice(gone, func(i, j int) bool {
+		if gone[i].key.salt != gone[j].key.salt {
+			return gone[i].key.salt < gone[j].key.salt
+		}
+		return gone[i].key.hash < gone[j].key.hash
+	})
+	for _, dropped := range gone {
+		c.remove(dropped)
+	}
+	return gone
+}
+
+// hashes returns every hash held, in ascending order.
+func (c *blockCache) hashes() prefix.Chain {
+	all := make(prefix.Chain, 0, len(c.blocks))
+	for key := range c.blocks {
+		all = append(all, key.hash)
+	}
+	sort.Slice(all, func(i, j int) bool { return all[i] < all[j] })
+	return all
+}
--- /dev/null
+++ b/standin/engine/model/engine.go
@@ -0,0 +1,260 @@
+package model
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/fieldpond/fieldpond/internal/engine/protocol"
+	"github.com/fieldpond/fieldpond/internal/fault"
+	"github.com/fieldpond/fieldpond/internal/ident"
+	"github.com/fieldpond/fieldpond/internal/prefix"
+	"github.com/fieldpond/fieldpond/standin/truth"
+)
+
+// Output is one thing an engine says or does. Exactly one of Event, Batch,
+// Fetch and Truth is set.
+type Output struct {
+	Time time.Time
+	// Event belongs to the stream named in it.
+	Event *protocol.StreamEvent
+	// Batch is a published cache event batch.
+	Batch *protocol.CacheEventBatch
+	// Fetch is an order whose weights the driver must fetch (ExternalWeights).
+	Fetch *protocol.Order
+	// Truth is a record for the truth log.
+	Truth *truth.Record
+}
+
+// retryHint is the come-back hint of a full engine.
+const retryHint = 200 * time.Millisecond
+
+// Engine is the model of one engine through all its lives.
+type Engine struct {
+	config      Config
+	random      *rand.Rand
+	incarnation ident.Incarnation
+	alive       bool
+	leaving     bool
+	conditions  Conditions
+	now         time.Time
+	outbox      []Output
+
+	blocks   *blockCache
+	waiting  []*generation
+	running  []*generation
+	streams  map[ident.Stream]*generation
+	arrivals uint64
+	step     *step
+	feed     eventFeed
+	orders   orderBook
+	reports  reportHistory
+}
+
+// New returns a living engine with an empty cache. The config must be valid.
+func New(config Config, incarnation ident.Incarnation, random *rand.Rand, start time.Time) *Engine {
+	engine := &Engine{config: config, random: random, conditions: config.Conditions()}
+	engine.Restart(start, incarnation)
+	return engine
+}
+
+// Restart begins a new life with an empty cache and the models of the config.
+func (e *Engine) Restart(now time.Time, incarnation ident.Incarnation) {
+	e.now = now
+	e.incarnation = incarnation
+	e.alive = true
+	e.leaving = false
+	e.blocks = newBlockCache(e.config.CacheBlocks)
+	e.waiting, e.running, e.step = nil, nil, nil
+	e.streams = map[ident.Stream]*generation{}
+	e.feed = eventFeed{}
+	e.orders = newOrderBook(e.config)
+	e.reports = reportHistory{}
+	e.changed()
+	e.record(truth.Record{Kind: truth.Life})
+}
+
+// Crash ends the life: streams, cache, orders and unpublished events are gone.
+// Until Restart the engine refuses everything; a driver that models the network
+// should refuse connections instead.
+func (e *Engine) Crash(now time.Time) {
+	if !e.alive {
+		return
+	}
+	e.progress(now)
+	for _, queue := range [][]*generation{e.running, e.waiting} {
+		for _, lost := range queue {
+			e.recordGeneration(truth.Lost, lost)
+		}
+	}
+	e.record(truth.Record{Kind: truth.Crashed})
+	e.alive = false
+	e.waiting, e.running, e.step = nil, nil, nil
+	e.streams = map[ident.Stream]*generation{}
+	e.feed.pending = nil
+	e.orders.loads = nil
+	e.blocks = newBlockCache(e.config.CacheBlocks)
+}
+
+// Alive says whether the engine is between Restart and Crash.
+func (e *Engine) Alive() bool { return e.alive }
+
+// Incarnation returns the current or last life.
+func (e *Engine) Incarnation() ident.Incarnation { return e.incarnation }
+
+// Idle says that no generation is waiting or running.
+func (e *Engine) Idle() bool { return len(e.waiting) == 0 && len(e.running) == 0 }
+
+// Held returns how many leading blocks of a chain the cache truly holds.
+func (e *Engine) Held(salt prefix.Salt, chain prefix.Chain) int { return e.blocks.held(salt, chain) }
+
+// Leave makes the engine refuse new work for the rest of its life.
+func (e *Engine) Leave(now time.Time) {
+	e.progress(now)
+	e.leaving = true
+	e.changed()
+}
+
+// SetConditions changes the circumstances, for example when a fault begins.
+func (e *Engine) SetConditions(now time.Time, conditions Conditions) {
+	e.progress(now)
+	if conditions == e.conditions {
+		return
+	}
+	wasStalled := e.conditions.Stalled
+	e.conditions = conditions
+	if e.step != nil && wasStalled && !conditions.Stalled {
+		e.step.end = now.Add(e.step.left)
+	}
+	if e.step != nil && !wasStalled && conditions.Stalled {
+		e.step.left = e.step.end.Sub(now)
+	}
+	e.startStep(now)
+	e.changed()
+}
+
+// Submit offers a request. It is refused before anything ran, or accepted: then
+// its start event is in the next outputs. The cached tokens of the start event
+// are those held at acceptance; the end event tells what was truly reused.
+func (e *Engine) Submit(now time.Time, request protocol.GenerateRequest) (ident.Stream, *protocol.Refusal) {
+	e.progress(now)
+	if refusal := e.check(request); refusal != nil {
+		return "", refusal
+	}
+	e.arrivals++
+	accepted := newGeneration(request, e.config.BlockTokens)
+	accepted.arrival = e.arrivals
+	accepted.stream = ident.Stream(fmt.Sprintf("%s-%06d", e.incarnation, e.arrivals))
+	e.streams[accepted.stream] = accepted
+	e.waiting = insertOrdered(e.waiting, accepted)
+	cached := e.usableTokens(accepted, e.blocks.held(request.Salt, accepted.chain))
+	e.emit(accepted, protocol.StreamEvent{
+		Kind:  protocol.EventStart,
+		Usage: &protocol.Usage{PromptTokens: accepted.promptTokens, CachedTokens: cached},
+	})
+	e.startStep(now)
+	e.changed()
+	return accepted.stream, nil
+}
+
+// Cancel stops a generation; a stream that is not live is no error.
+func (e *Engine) Cancel(now time.Time, stream ident.Stream) {
+	e.progress(now)
+	cancelled := e.streams[stream]
+	if cancelled == nil {
+		return
+	}
+	e.emit(cancelled, protocol.StreamEvent{Kind: protocol.EventError, Message: "generation was cancelled"})
+	e.recordGeneration(truth.Cancelled, cancelled)
+	e.close(cancelled)
+	e.changed()
+}
+
+// check refuses what must not run.
+func (e *Engine) check(request protocol.GenerateRequest) *protocol.Refusal {
+	namespace := prefix.Namespace{
+		Tenant: request.Tenant, Model: request.Model,
+		Version: request.Version, Adapter: request.Adapter,
+	}
+	switch {
+	case !e.alive:
+		return e.refuse(protocol.RefusalLeaving, "the engine is down")
+	case request.ExpectedIncarnation != e.incarnation:
+		return e.refuse(protocol.RefusalMismatch, "another incarnation is in force")
+	case e.leaving || e.conditions.Leaving:
+		return e.refuse(protocol.RefusalLeaving, "the engine is stopping")
+	case request.Prompt == "" || request.MaxTokens <= 0 || request.RequestID == "":
+		return e.refuse(protocol.RefusalBadRequest, "request_id, prompt and max_tokens must be set")
+	case prefix.Tokens(request.Prompt)+prefix.Tokens(request.Continued) > e.config.MaxPromptTokens,
+		request.MaxTokens > e.config.MaxOutputTokens:
+		return e.refuse(protocol.RefusalBadRequest, "prompt or max_tokens is above the engine's limit")
+	case !e.orders.serves(request.Model, request.Version, request.Adapter):
+		return e.refuse(protocol.RefusalMismatch, "model, version or adapter is not loaded")
+	case request.Salt != namespace.Salt():
+		return e.refuse(protocol.RefusalMismatch, "the salt is not that of tenant, model, version and adapter")
+	case e.conditions.RefuseFull || len(e.waiting) >= e.config.MaxWaiting:
+		refusal := e.refuse(protocol.RefusalFull, "the waiting queue is full")
+		refusal.RetryAfterMillis = retryHint.Milliseconds()
+		return refusal
+	}
+	return nil
+}
+
+func (e *Engine) refuse(kind protocol.RefusalKind, message string) *protocol.Refusal {
+	return &protocol.Refusal{Kind: kind, Message: message, Ran: fault.RanNo, Incarnation: e.incarnation}
+}
+
+// close ends a generation and releases what it holds.
+func (e *Engine) close(ended *generation) {
+	ended.over = true
+	delete(e.streams, ended.stream)
+	e.blocks.unpin(ended.pinned)
+	ended.pinned = nil
+	if ended.running {
+		e.running = without(e.running, ended)
+	} else {
+		e.waiting = without(e.waiting, ended)
+	}
+}
+
+func (e *Engine) emit(owner *generation, event protocol.StreamEvent) {
+	event.RequestID = owner.request.RequestID
+	event.Attempt = owner.request.Attempt
+	event.Incarnation = e.incarnation
+	event.Stream = owner.stream
+	event.Sequence = owner.sequence
+	owner.sequence++
+	e.outbox = append(e.outbox, Output{Time: e.now, Event: &event})
+}
+
+func (e *Engine) record(record truth.Record) {
+	record.Time = e.now
+	record.Engine = e.config.Name
+	record.Zone = e.config.Zone
+	record.Incarnation = e.incarnation
+	e.outbox = append(e.outbox, Output{Time: e.now, Truth: &record})
+}
+
+func (e *Engine) recordGeneration(kind truth.Kind, about *generation) {
+	record := truth.Record{
+		Kind:            kind,
+		RequestID:       about.request.RequestID,
+		Attempt:         about.request.Attempt,
+		Stream:          about.stream,
+		Tenant:          about.request.Tenant,
+		Model:           about.request.Model,
+		Version:         about.request.Version,
+		Adapter:         about.request.Adapter,
+		Ran:             about.running,
+		PromptTokens:    about.promptTokens,
+		CachedTokens:    about.cachedTokens,
+		PrefilledTokens: about.prefilled,
+		GeneratedTokens: about.emitted,
+		Reused:          about.reused,
+	}
+	if kind == truth.Started && e.config.TruthBlocks {
+		record.Salt = about.request.Salt
+		record.Hashes = append(prefix.Chain(nil), about.chain...)
+	}
+	e.record(record)
+}
--- /dev/null
+++ b/standin/engine/model/events.go
@@ -0,0 +1,80 @@
+package model
+
+import (
+	"time"
+
+	"github.com/fieldpond/fieldpond/internal/engine/protocol"
+	"github.com/fieldpond/fieldpond/internal/prefix"
+	"github.com/fieldpond/fieldpond/standin/truth"
+)
+
+// eventFeed publishes cache events late and with gaps.
+type eventFeed struct {
+	sequence uint64
+	pending  []pendingEvent
+}
+
+type pendingEvent struct {
+	due   time.Time
+	event protocol.CacheEvent
+}
+
+// announce numbers an event and queues it, unless it is lost on the way.
+func (e *Engine) announce(event protocol.CacheEvent) {
+	if len(event.Hashes) == 0 && event.Kind != protocol.CacheCleared {
+		return
+	}
+	e.feed.sequence++
+	event.Sequence = e.feed.sequence
+	if e.config.TruthBlocks {
+		kind := truth.CacheStored
+		if event.Kind == protocol.CacheRemoved {
+			kind = truth.CacheRemoved
+		}
+		e.record(truth.Record{Kind: kind, Salt: event.Salt, Hashes: event.Hashes})
+	}
+	if e.random.Float64() < e.conditions.EventLoss {
+		return
+	}
+	due := e.now.Add(e.conditions.EventDelay)
+	if count := len(e.feed.pending); count > 0 && due.Before(e.feed.pending[count-1].due) {
+		due = e.feed.pending[count-1].due
+	}
+	e.feed.pending = append(e.feed.pending, pendingEvent{due: due, event: event})
+}
+
+// announceRemoved announces removed blocks, one event for each run of one salt.
+func (e *Engine) announceRemoved(gone []*block) {
+	for start := 0; start < len(gone); {
+		salt := gone[start].key.salt
+		var hashes prefix.Chain
+		for start < len(gone) && gone[start].key.salt == salt {
+			hashes = append(hashes, gone[start].key.hash)
+			start++
+		}
+		e.announce(protocol.CacheEvent{Kind: protocol.CacheRemoved, Salt: salt, Hashes: hashes})
+	}
+}
+
+// publishDue publishes the events that are due, as one batch.
+func (e *Engine) publishDue(now time.Time) {
+	batch := &protocol.CacheEventBatch{Incarnation: e.incarnation}
+	count := 0
+	for count < len(e.feed.pending) && !e.feed.pending[count].due.After(now) {
+		batch.Events = append(batch.Events, e.feed.pending[count].event)
+		count++
+	}
+	e.feed.pending = e.feed.pending[count:]
+	e.outbox = append(e.outbox, Output{Time: e.now, Batch: batch})
+}
+
+// Snapshot returns every block held now, with the number of the last event,
+// published or not.
+func (e *Engine) Snapshot(now time.Time) protocol.CacheSnapshot {
+	e.progress(now)
+	return protocol.CacheSnapshot{
+		Incarnation: e.incarnation,
+		Sequence:    e.feed.sequence,
+		Hashes:      e.blocks.hashes(),
+	}
+}
--- /dev/null
+++ b/standin/engine/model/generation.go
@@ -0,0 +1,139 @@
+package model
+
+import (
+	"github.com/fieldpond/fieldpond/internal/engine/protocol"
+	"github.com/fieldpond/fieldpond/internal/ident"
+	"github.com/fieldpond/fieldpond/internal/prefix"
+	"github.com/fieldpond/fieldpond/standin/truth"
+)
+
+// Finish reasons of an end event.
+const (
+	finishStop   = "stop"
+	finishLength = "length"
+)
+
+// generation is one accepted request.
+type generation struct {
+	request   protocol.GenerateRequest
+	stream    ident.Stream
+	namespace prefix.Namespace
+	arrival   uint64
+
+	source textSource
+	// offset is the position in the answer at which this attempt begins.
+	offset int
+	// limit is the number of tokens this attempt emits.
+	limit int
+
+	// chain covers prompt, continued text and, as it grows, emitted text; tail
+	// is the text after its last whole block.
+	chain prefix.Chain
+	tail  string
+	// pinned are the blocks of the chain held for this generation, from the first.
+	pinned []*block
+	// uncacheable says that the cache had no room for the next block.
+	uncacheable bool
+
+	promptTokens int
+	cachedTokens int
+	prefilled    int
+	emitted      int
+	sequence     uint64
+	reused       []truth.Reuse
+	// running says that it left the waiting queue; over that it has ended.
+	running bool
+	over    bool
+}
+
+func newGeneration(request protocol.GenerateRequest, blockTokens int) *generation {
+	text := request.Prompt + request.Continued
+	source := newTextSource(request.Prompt)
+	offset := prefix.Tokens(request.Continued)
+	chain := prefix.ChainOf(request.Salt, text, blockTokens)
+	return &generation{
+		request: request,
+		namespace: prefix.Namespace{
+			Tenant: request.Tenant, Model: request.Model,
+			Version: request.Version, Adapter: request.Adapter,
+		},
+		source:       source,
+		offset:       offset,
+		limit:        max(min(request.MaxTokens, source.natural-offset), 0),
+		chain:        chain,
+		tail:         text[len(chain)*blockTokens*prefix.BytesPerToken:],
+		promptTokens: prefix.Tokens(text),
+	}
+}
+
+// prefillLeft is the number of prompt tokens still to compute.
+func (g *generation) prefillLeft() int { return g.promptTokens - g.cachedTokens - g.prefilled }
+
+// before orders generations: urgent first, then by arrival.
+func (g *generation) before(other *generation) bool {
+	if g.request.Priority != other.request.Priority {
+		return g.request.Priority < other.request.Priority
+	}
+	return g.arrival < other.arrival
+}
+
+// finishReason says why the answer is whole.
+func (g *generation) finishReason() string {
+	if g.offset+g.limit >= g.source.natural {
+		return finishStop
+	}
+	return finishLength
+}
+
+// extend adds emitted text to the chain.
+func (g *generation) extend(text string, blockTokens int) {
+	g.tail += text
+	blockBytes := blockTokens * prefix.BytesPerToken
+	if len(g.tail) < blockBytes {
+		return
+	}
+	seed := g.request.Salt
+	if len(g.chain) > 0 {
+		seed = prefix.Salt(g.chain[len(g.chain)-1])
+	}
+	g.chain = append(g.chain, prefix.ChainOf(seed, g.tail[:blockBytes], blockTokens)...)
+	g.tail = g.tail[blockBytes:]
+}
+
+// addReuse records whose block was reused.
+func (g *generation) addReuse(owner prefix.Namespace, incarnation ident.Incarnation, tokens int) {
+	for index := range g.reused {
+		known := &g.reused[index]
+		if known.Tenant == owner.Tenant && known.Model == owner.Model &&
+			known.Version == owner.Version && known.Adapter == owner.Adapter {
+			known.Tokens += tokens
+			return
+		}
+	}
+	g.reused = append(g.reused, truth.Reuse{
+		Tenant: owner.Tenant, Model: owner.Model, Version: owner.Version,
+		Adapter: owner.Adapter, Incarnation: incarnation, Tokens: tokens,
+	})
+}
+
+// insertOrdered adds a generation to an ordered queue.
+func insertOrdered(queue []*generation, added *generation) []*generation {
+	place := len(queue)
+	for place > 0 && added.before(queue[place-1]) {
+		place--
+	}
+	queue = append(queue, nil)
+	copy(queue[place+1:], queue[place:])
+	queue[place] = added
+	return queue
+}
+
+// without returns the queue without the generation.
+func without(queue []*generation, gone *generation) []*generation {
+	for index, entry := range queue {
+		if entry == gone {
+			return append(queue[:index], queue[index+1:]...)
+		}
+	}
+	return queue
+}
--- /dev/null
+++ b/standin/engine/model/orders.go
@@ -0,0 +1,191 @@
+package model
+
+import (
+	"slices"
+	"time"
+
+	"github.com/fieldpond/fieldpond/internal/engine/protocol"
+	"github.com/fieldpond/fieldpond/internal/ident"
+	"github.com/fieldpond/fieldpond/internal/prefix"
+	"github.com/fieldpond/fieldpond/standin/truth"
+)
+
+// maxRememberedOrders bounds the order ids kept to recognise repeats.
+const maxRememberedOrders = 4096
+
+// orderBook holds what fenced orders have made of the engine.
+type orderBook struct {
+	fence  uint64
+	role   string
+	loaded []protocol.LoadedModel
+	loads  []pendingLoad
+	// taken and takenIDs remember order ids, the oldest first.
+	taken    map[string]protocol.OrderResult
+	takenIDs []string
+}
+
+// pendingLoad is a load under way; due counts once the weights are there.
+type pendingLoad struct {
+	order        protocol.Order
+	weightsThere bool
+	due          time.Time
+}
+
+func newOrderBook(config Config) orderBook {
+	book := orderBook{role: config.Role, taken: map[string]protocol.OrderResult{}}
+	for _, model := range config.Models {
+		model.Adapters = slices.Clone(model.Adapters)
+		book.loaded = append(book.loaded, model)
+	}
+	return book
+}
+
+// serves says whether a version and adapter are ready.
+func (b *orderBook) serves(model ident.Model, version ident.ModelVersion, adapter ident.Adapter) bool {
+	for _, loaded := range b.loaded {
+		if loaded.Model == model && loaded.Version == version {
+			return adapter == "" || slices.Contains(loaded.Adapters, adapter)
+		}
+	}
+	return false
+}
+
+func (b *orderBook) list() []protocol.LoadedModel {
+	list := make([]protocol.LoadedModel, len(b.loaded))
+	for index, loaded := range b.loaded {
+		loaded.Adapters = slices.Clone(loaded.Adapters)
+		list[index] = loaded
+	}
+	return list
+}
+
+func (b *orderBook) remember(result protocol.OrderResult) {
+	if len(b.takenIDs) == maxRememberedOrders {
+		delete(b.taken, b.takenIDs[0])
+		b.takenIDs = b.takenIDs[1:]
+	}
+	b.takenIDs = append(b.takenIDs, result.OrderID)
+	b.taken[result.OrderID] = result
+}
+
+// Order takes a fenced order, or refuses it. A repeat of an order that was
+// taken is confirmed again and has no second effect.
+func (e *Engine) Order(now time.Time, order protocol.Order) (protocol.OrderResult, *protocol.Refusal) {
+	e.progress(now)
+	if refusal := e.checkOrder(order); refusal != nil {
+		return protocol.OrderResult{}, refusal
+	}
+	if result, repeated := e.orders.taken[order.OrderID]; repeated {
+		return result, nil
+	}
+	if order.Fence < e.orders.fence {
+		return protocol.OrderResult{}, e.refuse(protocol.RefusalStaleFence, "an order with a newer fence was taken")
+	}
+	e.orders.fence = order.Fence
+	result := protocol.OrderResult{OrderID: order.OrderID, Fence: order.Fence}
+	e.orders.remember(result)
+	e.record(truth.Record{
+		Kind: truth.OrderTaken, OrderID: order.OrderID, OrderKind: string(order.Kind),
+		Fence: order.Fence, Model: order.Model, Version: order.Version,
+	})
+	switch order.Kind {
+	case protocol.OrderLoad:
+		e.beginLoad(order)
+	case protocol.OrderUnload:
+		e.unload(order)
+	case protocol.OrderRole:
+		e.orders.role = order.Role
+	}
+	e.changed()
+	return result, nil
+}
+
+func (e *Engine) checkOrder(order protocol.Order) *protocol.Refusal {
+	needsModel := order.Kind == protocol.OrderLoad || order.Kind == protocol.OrderUnload
+	switch {
+	case !e.alive:
+		return e.refuse(protocol.RefusalLeaving, "the engine is down")
+	case order.ExpectedIncarnation != e.incarnation:
+		return e.refuse(protocol.RefusalMismatch, "another incarnation is in force")
+	case order.OrderID == "":
+		return e.refuse(protocol.RefusalBadRequest, "order_id must be set")
+	case needsModel && (order.Model == "" || order.Version == ""):
+		return e.refuse(protocol.RefusalBadRequest, "model and version must be set")
+	case order.Kind == protocol.OrderRole && !knownRole(order.Role):
+		return e.refuse(protocol.RefusalBadRequest, "role must be mixed, prefill or decode")
+	case !needsModel && order.Kind != protocol.OrderRole:
+		return e.refuse(protocol.RefusalBadRequest, "unknown order kind")
+	}
+	return nil
+}
+
+func (e *Engine) beginLoad(order protocol.Order) {
+	if e.config.ExternalWeights {
+		e.orders.loads = append(e.orders.loads, pendingLoad{order: order})
+		e.outbox = append(e.outbox, Output{Time: e.now, Fetch: &order})
+		return
+	}
+	due := e.now.Add(e.config.LoadDuration)
+	e.orders.loads = append(e.orders.loads, pendingLoad{order: order, weightsThere: true, due: due})
+}
+
+// WeightsArrived tells that the weights of a load order were fetched; the load
+// is done after LoadDuration. An order that is no longer pending is ignored.
+func (e *Engine) WeightsArrived(now time.Time, orderID string) {
+	e.progress(now)
+	for index := range e.orders.loads {
+		load := &e.orders.loads[index]
+		if load.order.OrderID == orderID && !load.weightsThere {
+			load.weightsThere = true
+			load.due = now.Add(e.config.LoadDuration)
+		}
+	}
+}
+
+// LoadPending says whether the load order still waits for its weights.
+func (e *Engine) LoadPending(orderID string) bool {
+	return slices.ContainsFunc(e.orders.loads, func(load pendingLoad) bool {
+		return load.order.OrderID == orderID && !load.weightsThere
+	})
+}
+
+// finishLoads makes the loads that are due ready to serve.
+func (e *Engine) finishLoads(now time.Time) {
+	var left []pendingLoad
+	for _, load := range e.orders.loads {
+		if !load.weightsThere || load.due.After(now) {
+			left = append(left, load)
+			continue
+		}
+		e.orders.add(load.order)
+		e.record(truth.Record{Kind: truth.Loaded, Model: load.order.Model, Version: load.order.Version, OrderID: load.order.OrderID})
+	}
+	e.orders.loads = left
+	e.changed()
+}
+
+// add makes a version ready, or replaces the adapters of one that is.
+func (b *orderBook) add(order protocol.Order) {
+	b.drop(order.Model, order.Version)
+	b.loaded = append(b.loaded, protocol.LoadedModel{
+		Model: order.Model, Version: order.Version, Adapters: slices.Clone(order.Adapters),
+	})
+}
+
+func (b *orderBook) drop(model ident.Model, version ident.ModelVersion) {
+	b.loaded = slices.DeleteFunc(b.loaded, func(loaded protocol.LoadedModel) bool {
+		return loaded.Model == model && loaded.Version == version
+	})
+}
+
+// unload drops a version and its blocks. Generations that were accepted before
+// run to their end without using or filling the cache any further.
+func (e *Engine) unload(order protocol.Order) {
+	e.orders.drop(order.Model, order.Version)
+	e.orders.loads = slices.DeleteFunc(e.orders.loads, func(load pendingLoad) bool {
+		return load.order.Model == order.Model && load.order.Version == order.Version
+	})
+	e.announceRemoved(e.blocks.removeOwned(func(owner prefix.Namespace) bool {
+		return owner.Model == order.Model && owner.Version == order.Version
+	}))
+}
--- /dev/null
+++ b/standin/engine/model/report.go
@@ -0,0 +1,76 @@
+package model
+
+import (
+	"sort"
+	"time"
+
+	"github.com/fieldpond/fieldpond/internal/engine/protocol"
+)
+
+// sampleInterval is the least time between two kept samples of the load; only
+// the newest sample may follow sooner.
+const sampleInterval = 10 * time.Millisecond
+
+// reportHistory keeps past load figures, oldest first, so that reports can lag.
+// The last sample always holds the current figures.
+type reportHistory struct {
+	samples []protocol.LoadReport
+}
+
+// changed notes that the load figures may have changed now.
+func (e *Engine) changed() {
+	samples := e.reports.samples
+	count := len(samples)
+	if count > 1 && samples[count-1].MeasuredAt.Sub(samples[count-2].MeasuredAt) < sampleInterval {
+		samples[count-1] = e.currentLoad()
+		return
+	}
+	first := max(e.reports.asOf(e.now.Add(-e.conditions.LoadLag)), 0)
+	e.reports.samples = append(samples[first:], e.currentLoad())
+}
+
+// asOf returns the index of the newest sample that was true at the time, or -1.
+func (h *reportHistory) asOf(at time.Time) int {
+	return sort.Search(len(h.samples), func(i int) bool { return h.samples[i].MeasuredAt.After(at) }) - 1
+}
+
+// LoadReport returns the load figures as they were LoadLag ago, or the first
+// ones of this life if it is younger.
+func (e *Engine) LoadReport(now time.Time) protocol.LoadReport {
+	e.progress(now)
+	at := now.Add(-e.conditions.LoadLag)
+	index := e.reports.asOf(at)
+	report := e.reports.samples[max(index, 0)]
+	if index == len(e.reports.samples)-1 {
+		report.MeasuredAt = at
+	}
+	report.AgeMillis = now.Sub(report.MeasuredAt).Milliseconds()
+	return report
+}
+
+func (e *Engine) currentLoad() protocol.LoadReport {
+	queued := 0
+	for _, member := range e.running {
+		queued += member.prefillLeft()
+	}
+	for _, member := range e.waiting {
+		queued += member.prefillLeft()
+	}
+	slope := float64(e.config.PrefillPerToken) / float64(time.Microsecond)
+	return protocol.LoadReport{
+		Incarnation:           e.incarnation,
+		MeasuredAt:            e.now,
+		Leaving:               e.leaving || e.conditions.Leaving,
+		Running:               len(e.running),
+		Waiting:               len(e.waiting),
+		MaxRunning:            e.config.MaxRunning,
+		QueuedPrefillTokens:   queued,
+		PrefillMicrosPerToken: slope * max(e.conditions.SlowFactor, 1),
+		CacheBlocks:           len(e.blocks.blocks),
+		CacheCapacityBlocks:   e.config.CacheBlocks,
+		BlockTokens:           e.config.BlockTokens,
+		Role:                  e.orders.role,
+		Fence:                 e.orders.fence,
+		Loaded:                e.orders.list(),
+	}
+}
--- /dev/null
+++ b/standin/engine/model/step.go
@@ -0,0 +1,258 @@
+package model
+
+import (
+	"time"
+
+	"github.com/fieldpond/fieldpond/internal/engine/protocol"
+	"github.com/fieldpond/fieldpond/internal/prefix"
+	"github.com/fieldpond/fieldpond/standin/truth"
+)
+
+// Shares of the prefill budget by role.
+const (
+	prefillRoleGain   = 2
+	decodeRoleDivisor = 4
+)
+
+// prefillShare is one request's part of a step's prefill budget.
+type prefillShare struct {
+	owner  *generation
+	tokens int
+}
+
+// step is one pass of the batch: a prefill chunk and one token for each
+// decoding request.
+type step struct {
+	end time.Time
+	// left is the duration that remains while the engine is stalled.
+	left    time.Duration
+	prefill []prefillShare
+	decode  []*generation
+}
+
+// Advance brings the engine to now and returns everything it said and did since
+// the last call, in order of time.
+func (e *Engine) Advance(now time.Time) []Output {
+	e.progress(now)
+	drained := e.outbox
+	e.outbox = nil
+	return drained
+}
+
+// NextTime returns when something happens next without further input. The
+// outbox, filled by any method, counts as happening now.
+func (e *Engine) NextTime() (time.Time, bool) {
+	if len(e.outbox) > 0 {
+		return e.now, true
+	}
+	next, found := e.nextInternal()
+	return next, found
+}
+
+func (e *Engine) nextInternal() (next time.Time, found bool) {
+	consider := func(candidate time.Time) {
+		if !found || candidate.Before(next) {
+			next, found = candidate, true
+		}
+	}
+	if !e.alive {
+		return next, false
+	}
+	if e.step != nil && !e.conditions.Stalled {
+		consider(e.step.end)
+	}
+	if len(e.feed.pending) > 0 {
+		consider(e.feed.pending[0].due)
+	}
+	for _, load := range e.orders.loads {
+		if load.weightsThere {
+			consider(load.due)
+		}
+	}
+	return next, found
+}
+
+// progress runs everything due up to now, in order of time.
+func (e *Engine) progress(now time.Time) {
+	for {
+		next, found := e.nextInternal()
+		if !found || next.After(now) {
+			break
+		}
+		if next.After(e.now) {
+			e.now = next
+		}
+		switch {
+		case len(e.feed.pending) > 0 && !e.feed.pending[0].due.After(next):
+			e.publishDue(next)
+		case e.step != nil && !e.conditions.Stalled && !e.step.end.After(next):
+			e.finishStep()
+		default:
+			e.finishLoads(next)
+		}
+	}
+	if now.After(e.now) {
+		e.now = now
+	}
+}
+
+// startStep begins the next step if none is under way and there is work.
+func (e *Engine) startStep(now time.Time) {
+	if e.step != nil || e.conditions.Stalled || !e.alive {
+		return
+	}
+	e.admit()
+	if len(e.running) == 0 {
+		return
+	}
+	started := &step{}
+	budget := e.prefillBudget()
+	for _, member := range e.running {
+		if left := member.prefillLeft(); left > 0 {
+			tokens := min(left, budget)
+			budget -= tokens
+			if tokens > 0 {
+				started.prefill = append(started.prefill, prefillShare{member, tokens})
+			}
+			continue
+		}
+		started.decode = append(started.decode, member)
+	}
+	started.end = now.Add(e.stepDuration(started))
+	e.step = started
+}
+
+func (e *Engine) prefillBudget() int {
+	switch e.orders.role {
+	case RolePrefill:
+		return e.config.PrefillChunkTokens * prefillRoleGain
+	case RoleDecode:
+		return max(e.config.PrefillChunkTokens/decodeRoleDivisor, 1)
+	}
+	return e.config.PrefillChunkTokens
+}
+
+func (e *Engine) stepDuration(started *step) time.Duration {
+	tokens := 0
+	for _, share := range started.prefill {
+		tokens += share.tokens
+	}
+	duration := float64(tokens) * float64(e.config.PrefillPerToken)
+	if others := len(started.decode) - 1; others >= 0 {
+		duration += float64(e.config.DecodePerToken) * (1 + e.config.DecodeGrowth*float64(others))
+	}
+	return time.Duration(duration * max(e.conditions.SlowFactor, 1))
+}
+
+// admit moves waiting requests into the batch and looks up their prefix.
+func (e *Engine) admit() {
+	for len(e.running) < e.config.MaxRunning && len(e.waiting) > 0 {
+		admitted := e.waiting[0]
+		e.waiting = e.waiting[1:]
+		admitted.running = true
+		e.running = insertOrdered(e.running, admitted)
+		e.lookUp(admitted)
+		e.recordGeneration(truth.Started, admitted)
+	}
+}
+
+// lookUp pins the cached prefix and counts what it saves. The last token of a
+// prompt is always computed.
+func (e *Engine) lookUp(admitted *generation) {
+	salt := admitted.request.Salt
+	held := e.blocks.held(salt, admitted.chain)
+	admitted.cachedTokens = e.usableTokens(admitted, held)
+	left := admitted.cachedTokens
+	for _, hash := range admitted.chain[:held] {
+		found := e.blocks.blocks[blockKey{salt, hash}]
+		e.blocks.pin(found)
+		admitted.pinned = append(admitted.pinned, found)
+		used := min(left, e.config.BlockTokens)
+		left -= used
+		admitted.addReuse(found.owner, e.incarnation, used)
+	}
+}
+
+func (e *Engine) usableTokens(about *generation, heldBlocks int) int {
+	return min(heldBlocks*e.config.BlockTokens, about.promptTokens-1)
+}
+
+// finishStep applies the effects of the step under way and begins the next.
+func (e *Engine) finishStep() {
+	finished := e.step
+	e.step = nil
+	for _, share := range finished.prefill {
+		if share.owner.over {
+			continue
+		}
+		share.owner.prefilled += share.tokens
+		e.storeBlocks(share.owner)
+		if share.owner.prefillLeft() == 0 {
+			e.emitToken(share.owner)
+		}
+	}
+	for _, member := range finished.decode {
+		if !member.over {
+			e.emitToken(member)
+		}
+	}
+	e.startStep(e.now)
+	e.changed()
+}
+
+// emitToken emits the next token and, after the last one, the end event.
+func (e *Engine) emitToken(owner *generation) {
+	if owner.emitted < owner.limit {
+		text := owner.source.token(owner.offset + owner.emitted)
+		owner.emitted++
+		e.emit(owner, protocol.StreamEvent{Kind: protocol.EventChunk, Text: text, Tokens: 1})
+		owner.extend(text, e.config.BlockTokens)
+		e.storeBlocks(owner)
+	}
+	if owner.emitted < owner.limit {
+		return
+	}
+	e.emit(owner, protocol.StreamEvent{
+		Kind:         protocol.EventEnd,
+		FinishReason: owner.finishReason(),
+		Usage: &protocol.Usage{
+			PromptTokens:     owner.promptTokens,
+			CachedTokens:     owner.cachedTokens,
+			CompletionTokens: owner.emitted,
+		},
+	})
+	e.recordGeneration(truth.Finished, owner)
+	e.close(owner)
+}
+
+// storeBlocks caches the blocks that prefill or decode has passed, as long as
+// the version is still loaded and the cache has room.
+func (e *Engine) storeBlocks(owner *generation) {
+	if owner.uncacheable || !e.orders.serves(owner.request.Model, owner.request.Version, owner.request.Adapter) {
+		owner.uncacheable = true
+		return
+	}
+	passed := len(owner.chain)
+	if owner.prefillLeft() > 0 {
+		passed = min(passed, (owner.cachedTokens+owner.prefilled)/e.config.BlockTokens)
+	}
+	var stored prefix.Chain
+	var evicted []*block
+	for len(owner.pinned) < passed {
+		hash := owner.chain[len(owner.pinned)]
+		held, gone, isNew := e.blocks.storePinned(blockKey{owner.request.Salt, hash}, owner.namespace)
+		if held == nil {
+			owner.uncacheable = true
+			break
+		}
+		owner.pinned = append(owner.pinned, held)
+		if gone != nil {
+			evicted = append(evicted, gone)
+		}
+		if isNew {
+			stored = append(stored, hash)
+		}
+	}
+	e.announceRemoved(evicted)
+	e.announce(protocol.CacheEvent{Kind: protocol.CacheStored, Salt: owner.request.Salt, Hashes: stored})
+}
--- /dev/null
+++ b/standin/engine/model/transfer.go
@@ -0,0 +1,78 @@
+package model
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/fieldpond/fieldpond/internal/engine/protocol"
+	"github.com/fieldpond/fieldpond/internal/prefix"
+)
+
+// exportedBlocks is the content of an opaque export. The owner travels with the
+// blocks, so that an import under another namespace is refused.
+type exportedBlocks struct {
+	Owner  prefix.Namespace `json:"owner"`
+	Hashes prefix.Chain     `json:"hashes"`
+}
+
+// Export returns those of the named blocks that are held, in the order asked.
+func (e *Engine) Export(now time.Time, request protocol.TransferRequest) ([]byte, int, *protocol.Refusal) {
+	e.progress(now)
+	if !e.alive || request.ExpectedIncarnation != e.incarnation {
+		return nil, 0, e.refuse(protocol.RefusalMismatch, "another incarnation is in force")
+	}
+	exported := exportedBlocks{Hashes: prefix.Chain{}}
+	for _, hash := range request.Hashes {
+		if held := e.blocks.blocks[blockKey{request.Salt, hash}]; held != nil {
+			exported.Owner = held.owner
+			exported.Hashes = append(exported.Hashes, hash)
+		}
+	}
+	content, err := json.Marshal(exported)
+	if err != nil {
+		return nil, 0, e.refuse(protocol.RefusalBadRequest, "the blocks cannot be written: "+err.Error())
+	}
+	return content, len(exported.Hashes), nil
+}
+
+// Import holds exported blocks under the salt. Blocks of another namespace or
+// of a version that is not loaded are refused as a mismatch.
+func (e *Engine) Import(now time.Time, salt prefix.Salt, content []byte) (protocol.TransferResult, *protocol.Refusal) {
+	e.progress(now)
+	result := protocol.TransferResult{Incarnation: e.incarnation}
+	var imported exportedBlocks
+	if err := json.Unmarshal(content, &imported); err != nil {
+		return result, e.refuse(protocol.RefusalBadRequest, "the body is no export of an engine")
+	}
+	if !e.alive || e.leaving || e.conditions.Leaving {
+		return result, e.refuse(protocol.RefusalLeaving, "the engine is stopping")
+	}
+	if len(imported.Hashes) == 0 {
+		return result, nil
+	}
+	owner := imported.Owner
+	if owner.Salt() != salt || !e.orders.serves(owner.Model, owner.Version, owner.Adapter) {
+		return result, e.refuse(protocol.RefusalMismatch, "the blocks are of another salt or of a version that is not loaded")
+	}
+	var stored prefix.Chain
+	var pinned, evicted []*block
+	for _, hash := range imported.Hashes {
+		held, gone, isNew := e.blocks.storePinned(blockKey{salt, hash}, owner)
+		if held == nil {
+			break
+		}
+		pinned = append(pinned, held)
+		if gone != nil {
+			evicted = append(evicted, gone)
+		}
+		if isNew {
+			stored = append(stored, hash)
+		}
+	}
+	e.blocks.unpin(pinned)
+	e.announceRemoved(evicted)
+	e.announce(protocol.CacheEvent{Kind: protocol.CacheStored, Salt: salt, Hashes: stored})
+	e.changed()
+	result.Imported = len(pinned)
+	return result, nil
+}
--- /dev/null
+++ b/standin/engine/server.go
@@ -0,0 +1,300 @@
+// Package engine is the HTTP shell around the engine model: it speaks the
+// published engine protocol (see internal/engine/protocol) in real time, acts
+// out faults on its connections and keeps the truth log.
+//
+// Beside the protocol it serves the rehearsal kit:
+//
+//	POST /rehearsal/faults   FaultRequest  injects a fault now
+//	GET  /rehearsal/truth    truth records as JSON lines
+//
+// Duties: the model duty alone touches the model and the fault plan; the
+// network duty opens and closes the listener; the weights duty fetches weights;
+// handlers reach the model duty through a bounded ring of commands.
+package engine
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/fieldpond/fieldpond/internal/engine/protocol"
+	"github.com/fieldpond/fieldpond/internal/fault"
+	"github.com/fieldpond/fieldpond/internal/ident"
+	"github.com/fieldpond/fieldpond/internal/ring"
+	"github.com/fieldpond/fieldpond/standin/engine/model"
+	"github.com/fieldpond/fieldpond/standin/faultplan"
+	"github.com/fieldpond/fieldpond/standin/truth"
+)
+
+// Capacities of the rings between duties.
+const (
+	commandCapacity = 1024
+	networkCapacity = 64
+	fetchCapacity   = 64
+)
+
+// Options fix one engine process.
+type Options struct {
+	// Model is the behaviour; its ExternalWeights is set by the shell.
+	Model model.Config
+	// Plan is the fault schedule; nil means none. Times count from New.
+	Plan *faultplan.Plan
+	// Seed feeds the random choices. A plan's own seed goes first.
+	Seed int64
+	// Weights is the base URL of the weight store; empty loads without fetching.
+	Weights string
+	// TruthWriter also receives the truth records as JSON lines; nil means none.
+	TruthWriter io.Writer
+	// Grace is how long a generation goes on without a connected reader;
+	// default 5 s.
+	Grace time.Duration
+	// Retention is how long an ended stream can still be resumed; default 30 s.
+	Retention time.Duration
+	// LeaveTimeout bounds the wait for streams to end on a stop; default 60 s.
+	LeaveTimeout time.Duration
+	// Logger receives changes of state; default the global logger.
+	Logger log.Interface
+}
+
+func (o Options) withDefaults() Options {
+	if o.Plan == nil {
+		o.Plan = &faultplan.Plan{}
+	}
+	if o.Plan.Seed != 0 {
+		o.Seed = o.Plan.Seed
+	}
+	if o.Grace <= 0 {
+		o.Grace = 5 * time.Second
+	}
+	if o.Retention <= 0 {
+		o.Retention = 30 * time.Second
+	}
+	if o.LeaveTimeout <= 0 {
+		o.LeaveTimeout = 60 * time.Second
+	}
+	if o.Logger == nil {
+		o.Logger = log.Log
+	}
+	o.Weights = strings.TrimSuffix(o.Weights, "/")
+	o.Model.ExternalWeights = o.Weights != ""
+	return o
+}
+
+// Server is one engine process.
+type Server struct {
+	options Options
+	name    string
+	started time.Time
+	truth   *truth.Log
+
+	// model, plan, lastCut and lastSweep belong to the model duty.
+	model   *model.Engine
+	plan    *faultplan.Plan
+	lastCut faultplan.Duration
+	// lastSweep is when streams were last looked through.
+	lastSweep time.Time
+
+	commands *ring.Ring[command]
+	network  *ring.Ring[networkState]
+	fetches  *ring.Ring[protocol.Order]
+
+	life        atomic.Pointer[life]
+	distortions atomic.Pointer[distortions]
+	cuts        broadcast
+	// stopping is closed when the process has no more work; stopped when the
+	// model duty has ended.
+	stopping chan struct{}
+	stopped  chan struct{}
+}
+
+// New returns a server whose model is alive and waits for Run.
+func New(options Options) (*Server, error) {
+	options = options.withDefaults()
+	if err := options.Model.Validate(); err != nil {
+		return nil, err
+	}
+	if options.Model.Name == "" {
+		return nil, fault.New(fault.InvalidSettings, "the engine has no name").WithRemedy("give --name")
+	}
+	now := time.Now()
+	incarnation := ident.Incarnation(ident.NewUnique())
+	random := rand.New(rand.NewPCG(uint64(options.Seed), seedOf(string(options.Model.Name))))
+	server := &Server{
+		options:  options,
+		name:     string(options.Model.Name),
+		started:  now,
+		truth:    truth.NewLog(truth.DefaultCapacity, options.TruthWriter),
+		model:    model.New(options.Model, incarnation, random, now),
+		plan:     options.Plan,
+		lastCut:  -1,
+		commands: ring.New[command]("engine-commands", commandCapacity, ring.RefuseNew),
+		network:  ring.New[networkState]("engine-network", networkCapacity, ring.RefuseNew),
+		fetches:  ring.New[protocol.Order]("engine-fetches", fetchCapacity, ring.RefuseNew),
+		stopping: make(chan struct{}),
+		stopped:  make(chan struct{}),
+	}
+	server.life.Store(newLife(incarnation))
+	server.distortions.Store(&distortions{})
+	return server, nil
+}
+
+// Run serves on the listener until the context ends; then the engine says that
+// it is leaving, finishes its streams and returns. Run may be called once.
+func (s *Server) Run(ctx context.Context, listener net.Listener) error {
+	inner, stop := context.WithCancel(context.Background())
+	defer stop()
+	var duties errgroup.Group
+	duties.Go(func() error { s.runModel(inner); return nil })
+	duties.Go(func() error { s.runWeights(inner); return nil })
+	networkDone := make(chan error, 1)
+	go func() { networkDone <- s.runNetwork(inner, listener) }()
+	var err error
+	select {
+	case <-ctx.Done():
+		s.leave()
+		close(s.stopping)
+		err = <-networkDone
+	case err = <-networkDone:
+	}
+	stop()
+	_ = duties.Wait()
+	if err == nil {
+		err = s.truth.Err()
+	}
+	return err
+}
+
+// leave refuses new work and waits until the model is idle, within the timeout.
+func (s *Server) leave() {
+	ctx, cancel := context.WithTimeout(context.Background(), s.options.LeaveTimeout)
+	defer cancel()
+	s.options.Logger.WithField("engine", s.name).Info("engine is leaving")
+	idle := false
+	for first := true; !idle; first = false {
+		err := s.do(ctx, func(now time.Time) {
+			if first {
+				s.model.Leave(now)
+			}
+			idle = s.model.Idle()
+		})
+		if err != nil {
+			s.options.Logger.WithField("engine", s.name).Error("engine left before its streams ended")
+			return
+		}
+		if !idle {
+			sleep(ctx, maxPause)
+		}
+	}
+}
+
+type networkState int
+
+const (
+	networkDown networkState = iota
+	networkUp
+)
+
+// Pauses of the network duty.
+const (
+	relistenPause   = 100 * time.Millisecond
+	shutdownTimeout = 10 * time.Second
+	headerTimeout   = 10 * time.Second
+)
+
+// runNetwork serves the listener. While the engine is down nothing listens, so
+// that connections are refused; then it listens at the same address again.
+func (s *Server) runNetwork(ctx context.Context, listener net.Listener) error {
+	address := listener.Addr().String()
+	for {
+		server := &http.Server{Handler: s.Handler(), ReadHeaderTimeout: headerTimeout}
+		served := make(chan error, 1)
+		go func() { served <- server.Serve(listener) }()
+		state, err := s.awaitNetwork(ctx, served, networkDown)
+		if err != nil {
+			return err
+		}
+		if state != networkDown {
+			return s.shutDown(server)
+		}
+		_ = server.Close()
+		<-served
+		if state, err = s.awaitNetwork(ctx, nil, networkUp); err != nil || state != networkUp {
+			return err
+		}
+		if listener, err = s.relisten(ctx, address); err != nil || listener == nil {
+			return err
+		}
+	}
+}
+
+// awaitNetwork waits for the wanted state; it returns the other one when the
+// process stops first.
+func (s *Server) awaitNetwork(ctx context.Context, served <-chan error, wanted networkState) (networkState, error) {
+	other := networkDown + networkUp - wanted
+	for {
+		select {
+		case <-s.network.Ready():
+			for state, ok := s.network.Pop(); ok; state, ok = s.network.Pop() {
+				if state == wanted {
+					return wanted, nil
+				}
+			}
+		case err := <-served:
+			return other, errors.Wrap(err, "serve engine protocol")
+		case <-s.stopping:
+			return other, nil
+		case <-ctx.Done():
+			return other, nil
+		}
+	}
+}
+
+func (s *Server) shutDown(server *http.Server) error {
+	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+	defer cancel()
+	if err := server.Shutdown(ctx); err != nil {
+		_ = server.Close()
+		return errors.Wrap(err, "finish open connections")
+	}
+	return nil
+}
+
+// relisten listens at the address again. It returns nil when the process stops.
+func (s *Server) relisten(ctx context.Context, address string) (net.Listener, error) {
+	for {
+		listener, err := net.Listen("tcp", address)
+		if err == nil {
+			return listener, nil
+		}
+		s.options.Logger.WithError(err).WithField("engine", s.name).Warn("engine cannot listen again yet")
+		if !sleep(ctx, relistenPause) {
+			return nil, errors.Wrap(err, "listen again")
+		}
+		select {
+		case <-s.stopping:
+			return nil, nil
+		default:
+		}
+	}
+}
+
+// sleep waits and reports whether the context is still alive.
+func sleep(ctx context.Context, pause time.Duration) bool {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/standin/engine/streams.go
@@ -0,0 +1,170 @@
+package engine
+
+import (
+	"maps"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/fieldpond/fieldpond/internal/engine/protocol"
+	"github.com/fieldpond/fieldpond/internal/ident"
+)
+
+// maxFeedEvents bounds the cache events kept for late readers; a reader that
+// asks for older ones sees a gap in the numbers.
+const maxFeedEvents = 65536
+
+// life is what one incarnation keeps for its readers. ended is closed by the
+// model duty when the incarnation crashes.
+type life struct {
+	incarnation ident.Incarnation
+	ended       chan struct{}
+	feed        *feed
+	mutex       sync.Mutex
+	streams     map[ident.Stream]*streamLog
+}
+
+func newLife(incarnation ident.Incarnation) *life {
+	return &life{
+		incarnation: incarnation,
+		ended:       make(chan struct{}),
+		feed:        &feed{},
+		streams:     map[ident.Stream]*streamLog{},
+	}
+}
+
+// stream returns the log of a stream, or nil.
+func (l *life) stream(name ident.Stream) *streamLog {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.streams[name]
+}
+
+func (l *life) streamFor(name ident.Stream, now time.Time) *streamLog {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if l.streams[name] == nil {
+		l.streams[name] = &streamLog{quietSince: now}
+	}
+	return l.streams[name]
+}
+
+func (l *life) list() map[ident.Stream]*streamLog {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return maps.Clone(l.streams)
+}
+
+func (l *life) forget(name ident.Stream) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	delete(l.streams, name)
+}
+
+// broadcast wakes every waiter at once. Its zero value is ready.
+type broadcast struct {
+	mutex   sync.Mutex
+	channel chan struct{}
+}
+
+// wait returns a channel that is closed by the next wake.
+func (b *broadcast) wait() <-chan struct{} {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	if b.channel == nil {
+		b.channel = make(chan struct{})
+	}
+	return b.channel
+}
+
+func (b *broadcast) wake() {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	if b.channel != nil {
+		close(b.channel)
+		b.channel = nil
+	}
+}
+
+// streamLog keeps all events of one stream for its readers and for resume. Its
+// length is bounded by the model's output limit.
+type streamLog struct {
+	changed    broadcast
+	mutex      sync.Mutex
+	events     []protocol.StreamEvent
+	ended      bool
+	readers    int
+	quietSince time.Time
+}
+
+func (s *streamLog) append(event protocol.StreamEvent, now time.Time) {
+	s.mutex.Lock()
+	s.events = append(s.events, event)
+	if event.Kind == protocol.EventEnd || event.Kind == protocol.EventError {
+		s.ended = true
+		s.quietSince = now
+	}
+	s.mutex.Unlock()
+	s.changed.wake()
+}
+
+// from returns the events from a sequence number on, and whether the last of
+// them is the last of the stream.
+func (s *streamLog) from(sequence uint64) ([]protocol.StreamEvent, bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if sequence >= uint64(len(s.events)) {
+		return nil, s.ended
+	}
+	return s.events[sequence:len(s.events):len(s.events)], s.ended
+}
+
+// attach and detach count connected readers.
+func (s *streamLog) attach() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.readers++
+}
+
+func (s *streamLog) detach(now time.Time) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.readers--
+	s.quietSince = now
+}
+
+// quietFor tells whether the stream has ended and how long nobody has read it.
+func (s *streamLog) quietFor(now time.Time) (ended bool, quiet time.Duration) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.readers > 0 {
+		return s.ended, 0
+	}
+	return s.ended, now.Sub(s.quietSince)
+}
+
+// feed keeps the newest published cache events.
+type feed struct {
+	changed broadcast
+	mutex   sync.Mutex
+	events  []protocol.CacheEvent
+}
+
+func (f *feed) append(events []protocol.CacheEvent) {
+	f.mutex.Lock()
+	f.events = append(f.events, events...)
+	if excess := len(f.events) - maxFeedEvents; excess > 0 {
+		f.events = f.events[excess:]
+	}
+	f.mutex.Unlock()
+	f.changed.wake()
+}
+
+// after returns at most limit events with numbers above sequence.
+func (f *feed) after(sequence uint64, limit int) []protocol.CacheEvent {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	first := sort.Search(len(f.events), func(i int) bool { return f.events[i].Sequence > sequence })
+	last := min(first+limit, len(f.events))
+	return append([]protocol.CacheEvent(nil), f.events[first:last]...)
+}
--- /dev/null
+++ b/standin/faultplan/faultplan.go
@@ -0,0 +1,214 @@
+// Package faultplan declares the schedule of faults that drives the stand-ins:
+// a YAML file with a seed and a list of faults, each with a time, a duration, a
+// target, a kind and typed parameters.
+//
+//	seed: 7
+//	faults:
+//	  - {at: 10s, duration: 5s, target: engine-1, kind: crash}
+//	  - {at: 20s, duration: 30s, target: "engine-*", kind: event_loss, parameters: {probability: 0.2}}
+//
+// Kinds are open: each stand-in acts on those it knows and ignores the rest.
+package faultplan
+
+import (
+	"bytes"
+	"io"
+	"os"
+	"path"
+	"sort"
+	"time"
+
+	"github.com/pkg/errors"
+	"gopkg.in/yaml.v3"
+
+	"github.com/fieldpond/fieldpond/internal/fault"
+)
+
+// Kind names a kind of fault.
+type Kind string
+
+// Kinds of faults of engines and applications.
+const (
+	// Crash ends the process; it returns empty, as a new incarnation at the
+	// same address, after the duration.
+	Crash Kind = "crash"
+	// Stall stops all progress; connections stay open.
+	Stall Kind = "stall"
+	// Cut breaks the open stream connections when it begins and, if Events is
+	// set, each later one after that many events.
+	Cut Kind = "cut"
+	// EventLoss loses cache events with Probability.
+	EventLoss Kind = "event_loss"
+	// EventDelay publishes cache events after Delay.
+	EventDelay Kind = "event_delay"
+	// LoadLag makes load reports Delay old.
+	LoadLag Kind = "load_lag"
+	// DuplicateChunks sends every chunk twice.
+	DuplicateChunks Kind = "duplicate_chunks"
+	// SwapChunks sends chunks in swapped pairs.
+	SwapChunks Kind = "swap_chunks"
+	// LoseEnd closes the stream in place of its end event.
+	LoseEnd Kind = "lose_end"
+	// Slow multiplies all durations by Factor, or adds Delay to each answer.
+	Slow Kind = "slow"
+	// RefuseFull refuses all new work as if the queue were full.
+	RefuseFull Kind = "refuse_full"
+	// Leave makes the back end say that it is leaving.
+	Leave Kind = "leave"
+)
+
+// Kinds of faults of the platform; Slow counts for it too.
+const (
+	// Outage answers nothing.
+	Outage Kind = "outage"
+	// LoseAnswer breaks the connection after the action has taken effect, with
+	// Probability (1 when not set).
+	LoseAnswer Kind = "lose_answer"
+	// Rate changes the rate limit to Rate a second.
+	Rate Kind = "rate"
+)
+
+// AnyTarget is the target of a fault that hits every stand-in.
+const AnyTarget = "*"
+
+// Parameters are the typed parameters of a fault; each kind says which it uses.
+type Parameters struct {
+	// Probability is a share from 0 to 1.
+	Probability float64 `yaml:"probability" json:"probability,omitempty"`
+	// Delay is a duration, such as "250ms".
+	Delay Duration `yaml:"delay" json:"delay,omitempty"`
+	// Factor multiplies durations; at least 1.
+	Factor float64 `yaml:"factor" json:"factor,omitempty"`
+	// Rate is a number of operations a second.
+	Rate float64 `yaml:"rate" json:"rate,omitempty"`
+	// Events counts stream events.
+	Events int `yaml:"events" json:"events,omitempty"`
+}
+
+// Fault is one entry of the schedule.
+type Fault struct {
+	// At is when the fault begins, counted from the start of the stand-in.
+	At Duration `yaml:"at" json:"at"`
+	// Duration is how long it lasts; zero means until the end of the run.
+	Duration Duration `yaml:"duration" json:"duration"`
+	// Target is a stand-in's name or a pattern such as "engine-*".
+	Target     string     `yaml:"target" json:"target"`
+	Kind       Kind       `yaml:"kind" json:"kind"`
+	Parameters Parameters `yaml:"parameters" json:"parameters"`
+}
+
+// Plan is a whole schedule. It is not safe for concurrent changes.
+type Plan struct {
+	// Seed feeds every random choice of the stand-ins; zero leaves it to flags.
+	Seed   int64   `yaml:"seed" json:"seed"`
+	Faults []Fault `yaml:"faults" json:"faults"`
+}
+
+// Load reads and checks a plan file.
+func Load(file string) (*Plan, error) {
+	content, err := os.ReadFile(file)
+	if err != nil {
+		return nil, fault.Wrap(err, fault.InvalidSettings, "fault plan %q cannot be read", file).
+			WithRemedy("give the path of a readable fault plan file")
+	}
+	return Parse(content)
+}
+
+// Parse reads and checks a plan. Unknown fields are faults.
+func Parse(content []byte) (*Plan, error) {
+	decoder := yaml.NewDecoder(bytes.NewReader(content))
+	decoder.KnownFields(true)
+	plan := &Plan{}
+	if err := decoder.Decode(plan); err != nil && !errors.Is(err, io.EOF) {
+		return nil, invalid(err, "fault plan is no valid YAML of the schema")
+	}
+	for index := range plan.Faults {
+		if err := plan.Faults[index].Validate(); err != nil {
+			return nil, invalid(err, "fault %d of the plan is invalid", index+1)
+		}
+	}
+	return plan, nil
+}
+
+func invalid(cause error, format string, arguments ...any) error {
+	return fault.Wrap(cause, fault.InvalidSettings, format, arguments...).
+		WithRemedy("correct the fault plan as the cause says; the schema stands in package faultplan")
+}
+
+// Validate checks the entry's ranges.
+func (f Fault) Validate() error {
+	switch {
+	case f.Kind == "":
+		return errors.New("kind is empty")
+	case f.Target == "":
+		return errors.New("target is empty; use \"*\" for all")
+	case f.At < 0 || f.Duration < 0 || f.Parameters.Delay < 0:
+		return errors.New("at, duration and delay must not be negative")
+	case !(f.Parameters.Probability >= 0 && f.Parameters.Probability <= 1):
+		return errors.New("probability must be from 0 to 1")
+	case f.Parameters.Factor != 0 && !(f.Parameters.Factor >= 1):
+		return errors.New("factor must be at least 1")
+	case !(f.Parameters.Rate >= 0) || f.Parameters.Events < 0:
+		return errors.New("rate and events must not be negative")
+	}
+	_, err := path.Match(f.Target, "")
+	return errors.Wrap(err, "target pattern")
+}
+
+// Add adds a fault, for example one injected at run time.
+func (p *Plan) Add(added Fault) { p.Faults = append(p.Faults, added) }
+
+// Prune forgets the faults that ended before elapsed.
+func (p *Plan) Prune(elapsed time.Duration) {
+	kept := p.Faults[:0]
+	for _, entry := range p.Faults {
+		if entry.Duration == 0 || elapsed < entry.end() {
+			kept = append(kept, entry)
+		}
+	}
+	p.Faults = kept
+}
+
+// Active returns the fault of the kind that is in force for the target at
+// elapsed; of several, the one that began last.
+func (p *Plan) Active(target string, kind Kind, elapsed time.Duration) (Fault, bool) {
+	var found Fault
+	active := false
+	for _, entry := range p.Faults {
+		if entry.Kind != kind || !entry.covers(elapsed) || !entry.hits(target) {
+			continue
+		}
+		if !active || entry.At >= found.At {
+			found, active = entry, true
+		}
+	}
+	return found, active
+}
+
+// Edges returns, in order, the times at which a fault of the target begins or
+// ends, so that a virtual-time driver knows when to look.
+func (p *Plan) Edges(target string) []time.Duration {
+	var edges []time.Duration
+	for _, entry := range p.Faults {
+		if !entry.hits(target) {
+			continue
+		}
+		edges = append(edges, time.Duration(entry.At))
+		if entry.Duration > 0 {
+			edges = append(edges, entry.end())
+		}
+	}
+	sort.Slice(edges, func(i, j int) bool { return edges[i] < edges[j] })
+	return edges
+}
+
+func (f Fault) end() time.Duration { return time.Duration(f.At + f.Duration) }
+
+func (f Fault) covers(elapsed time.Duration) bool {
+	return elapsed >= time.Duration(f.At) && (f.Duration == 0 || elapsed < f.end())
+}
+
+func (f Fault) hits(target string) bool {
+	matched, err := path.Match(f.Target, target)
+	return err == nil && matched
+}
