--- /dev/null
+++ b/internal/dispatch/dispatcher.go
@@ -0,0 +1,189 @@
+package dispatch
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/fieldpond/fieldpond/internal/claim"
+	"github.com/fieldpond/fieldpond/internal/engine"
+	"github.com/fieldpond/fieldpond/internal/ident"
+)
+
+// Config bounds attempts, streams and waits. Zero fields take the defaults.
+type Config struct {
+	// StartTimeout bounds the wait for the answer to a generate, resume or
+	// cancel call. Default: 10s.
+	StartTimeout time.Duration
+	// StallTimeout bounds the wait between two accepted events. Default: 10s.
+	StallTimeout time.Duration
+	// ResumeTries bounds the resumes in a row that bring no event. Default: 3.
+	ResumeTries int
+	// ResumePause is waited before each resume after the first. Default: 50ms.
+	ResumePause time.Duration
+	// MaxAttempts bounds the attempts of one request. Default: 6.
+	MaxAttempts int
+	// ContinueHold bounds the wait for an engine that continues a broken
+	// answer. Default: 5s.
+	ContinueHold time.Duration
+	// ResumeGrace is how long a generation whose caller left runs on, so that
+	// the caller can resume it. Default: 15s.
+	ResumeGrace time.Duration
+	// ApplicationTimeout bounds one application call. Default: 30s.
+	ApplicationTimeout time.Duration
+	// SettleTimeout bounds the recording of a claimed outcome. Default: 20s.
+	SettleTimeout time.Duration
+	// RetryAfter is told to callers when nothing better is known. Default: 1s.
+	RetryAfter time.Duration
+	// RetainedAnswers and RetainedBytes bound the answers kept in memory for
+	// repeats under an idempotency key. Defaults: 1024 and 16 MiB.
+	RetainedAnswers, RetainedBytes int
+}
+
+// The defaults of Config.
+const (
+	defaultStartTimeout       = 10 * time.Second
+	defaultStallTimeout       = 10 * time.Second
+	defaultResumeTries        = 3
+	defaultResumePause        = 50 * time.Millisecond
+	defaultMaxAttempts        = 6
+	defaultContinueHold       = 5 * time.Second
+	defaultResumeGrace        = 15 * time.Second
+	defaultApplicationTimeout = 30 * time.Second
+	defaultSettleTimeout      = 20 * time.Second
+	defaultRetryAfter         = time.Second
+	defaultRetainedAnswers    = 1024
+	defaultRetainedBytes      = 16 << 20
+)
+
+func orDefault[T int | time.Duration](value *T, fallback T) {
+	if *value == 0 {
+		*value = fallback
+	}
+}
+
+func (c Config) withDefaults() Config {
+	orDefault(&c.StartTimeout, defaultStartTimeout)
+	orDefault(&c.StallTimeout, defaultStallTimeout)
+	orDefault(&c.ResumeTries, defaultResumeTries)
+	orDefault(&c.ResumePause, defaultResumePause)
+	orDefault(&c.MaxAttempts, defaultMaxAttempts)
+	orDefault(&c.ContinueHold, defaultContinueHold)
+	orDefault(&c.ResumeGrace, defaultResumeGrace)
+	orDefault(&c.ApplicationTimeout, defaultApplicationTimeout)
+	orDefault(&c.SettleTimeout, defaultSettleTimeout)
+	orDefault(&c.RetryAfter, defaultRetryAfter)
+	orDefault(&c.RetainedAnswers, defaultRetainedAnswers)
+	orDefault(&c.RetainedBytes, defaultRetainedBytes)
+	return c
+}
+
+// Dependencies are what a Dispatcher works with. All are required, except
+// that Claimer, Applications, ApplicationPlacer and Answers are needed only
+// for application requests.
+type Dependencies struct {
+	Engines           engine.Generator
+	Placer            Placer
+	Budget            RetryBudget
+	NewChart          func(repeatable bool) Chart
+	Applications      engine.ApplicationCaller
+	ApplicationPlacer ApplicationPlacer
+	Claimer           claim.Claimer
+	Answers           AnswerStore
+}
+
+// Counters counts what dispatch dropped, resumed and retried.
+type Counters struct {
+	Crossed, Late, Repeated, Gaps              atomic.Uint64
+	Stalls, Resumes, Attempts, Retries         atomic.Uint64
+	Continued, Regenerated, Cancelled          atomic.Uint64
+	BudgetRefused, Attached, Retained, Unsaved atomic.Uint64
+}
+
+// Dispatcher runs requests. It is safe for concurrent use.
+type Dispatcher struct {
+	Dependencies
+	// Counters may be read at any time.
+	Counters Counters
+
+	config  Config
+	mutex   sync.Mutex
+	pending map[ident.Stream]*time.Timer
+	runs    *runRegistry
+	work    sync.WaitGroup
+	closed  bool
+}
+
+// New returns a Dispatcher.
+func New(config Config, dependencies Dependencies) *Dispatcher {
+	config = config.withDefaults()
+	return &Dispatcher{
+		Dependencies: dependencies,
+		config:       config,
+		pending:      map[ident.Stream]*time.Timer{},
+		runs:         newRunRegistry(config.RetainedAnswers, config.RetainedBytes),
+	}
+}
+
+// Close drops the pending cancels, so that another router may still resume
+// those streams, and waits until every claimed outcome is recorded and every
+// cancel is sent.
+func (d *Dispatcher) Close() {
+	d.mutex.Lock()
+	d.closed = true
+	for stream, timer := range d.pending {
+		timer.Stop()
+		delete(d.pending, stream)
+	}
+	d.mutex.Unlock()
+	d.work.Wait()
+}
+
+// abandon cancels a stream at its engine, at once or after a grace in which
+// the caller may resume it.
+func (d *Dispatcher) abandon(address string, stream ident.Stream, grace time.Duration) {
+	if stream == "" {
+		return
+	}
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if grace == 0 {
+		d.startCancel(address, stream)
+		return
+	}
+	if d.closed {
+		return
+	}
+	d.pending[stream] = time.AfterFunc(grace, func() {
+		d.mutex.Lock()
+		defer d.mutex.Unlock()
+		if _, still := d.pending[stream]; !still {
+			return
+		}
+		delete(d.pending, stream)
+		d.startCancel(address, stream)
+	})
+}
+
+// startCancel sends one cancel; the caller holds the mutex.
+func (d *Dispatcher) startCancel(address string, stream ident.Stream) {
+	d.Counters.Cancelled.Add(1)
+	d.work.Go(func() {
+		ctx, stop := context.WithTimeout(context.Background(), d.config.StartTimeout)
+		defer stop()
+		// A lost cancel only costs the engine the rest of a bounded generation.
+		_ = d.Engines.Cancel(ctx, address, stream)
+	})
+}
+
+// KeepStream drops the pending cancel of a stream, because its caller resumed
+// it here or at another router.
+func (d *Dispatcher) KeepStream(stream ident.Stream) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if timer, found := d.pending[stream]; found {
+		timer.Stop()
+		delete(d.pending, stream)
+	}
+}
--- /dev/null
+++ b/internal/dispatch/registry.go
@@ -0,0 +1,86 @@
+package dispatch
+
+import (
+	"container/list"
+	"sync"
+
+	"github.com/fieldpond/fieldpond/internal/claim"
+	"github.com/fieldpond/fieldpond/internal/fault"
+)
+
+// claimedRun is one run under an idempotency key. Answer and failure are
+// written once, before done is closed.
+type claimedRun struct {
+	digest  claim.Digest
+	done    chan struct{}
+	answer  Answer
+	failure *fault.Fault
+}
+
+// runRegistry holds the claimed runs that go on in this process, and the last
+// answers, within bounds. It saves store traffic and joins repeats; the claim
+// in the table alone decides who may run.
+type runRegistry struct {
+	mutex      sync.Mutex
+	runs       map[claim.Key]*claimedRun
+	retained   *list.List
+	bytes      int
+	maxAnswers int
+	maxBytes   int
+}
+
+type retainedRun struct {
+	key  claim.Key
+	run  *claimedRun
+	size int
+}
+
+func newRunRegistry(maxAnswers, maxBytes int) *runRegistry {
+	return &runRegistry{runs: map[claim.Key]*claimedRun{}, retained: list.New(), maxAnswers: maxAnswers, maxBytes: maxBytes}
+}
+
+// join returns the run under the key, and whether the caller has to run it.
+func (r *runRegistry) join(key claim.Key, digest claim.Digest) (run *claimedRun, first bool) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if known, found := r.runs[key]; found {
+		return known, false
+	}
+	run = &claimedRun{digest: digest, done: make(chan struct{})}
+	r.runs[key] = run
+	return run, true
+}
+
+// publish gives the outcome to everyone who waits.
+func (r *runRegistry) publish(run *claimedRun, answer Answer, failure *fault.Fault) {
+	run.answer = answer
+	run.failure = failure
+	close(run.done)
+}
+
+// settle retains an answered run and forgets any other; the next repeat of
+// those asks the table.
+func (r *runRegistry) settle(key claim.Key, run *claimedRun) {
+	if run.failure != nil {
+		r.forget(key, run)
+		return
+	}
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	kept := retainedRun{key: key, run: run, size: len(run.answer.Body) + len(key.IdempotencyKey)}
+	r.retained.PushBack(kept)
+	r.bytes += kept.size
+	for r.retained.Len() > r.maxAnswers || r.bytes > r.maxBytes {
+		oldest := r.retained.Remove(r.retained.Front()).(retainedRun)
+		r.bytes -= oldest.size
+		delete(r.runs, oldest.key)
+	}
+}
+
+func (r *runRegistry) forget(key claim.Key, run *claimedRun) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if r.runs[key] == run {
+		delete(r.runs, key)
+	}
+}
--- /dev/null
+++ b/internal/dispatch/sequencer.go
@@ -0,0 +1,105 @@
+package dispatch
+
+import (
+	"github.com/fieldpond/fieldpond/internal/engine/protocol"
+	"github.com/fieldpond/fieldpond/internal/ident"
+)
+
+// Verdict is what a Sequencer says of one event.
+type Verdict string
+
+const (
+	// Accepted is the next event of the stream being read.
+	Accepted Verdict = "accepted"
+	// Crossed belongs to another request, incarnation or stream.
+	Crossed Verdict = "crossed"
+	// Late belongs to another attempt of the same request.
+	Late Verdict = "late"
+	// Repeated was accepted before, or comes after the end.
+	Repeated Verdict = "repeated"
+	// Gap shows that the next event was lost or overtaken; the stream must be
+	// resumed from Next.
+	Gap Verdict = "gap"
+)
+
+// Sequencer accepts exactly the events of one stream, each once, in order. It
+// learns the stream, and the incarnation if none was expected, from the first
+// event that carries the request and the attempt.
+type Sequencer struct {
+	request     ident.Request
+	attempt     ident.Attempt
+	incarnation ident.Incarnation
+	stream      ident.Stream
+	next        uint64
+	ended       bool
+}
+
+// NewSequencer returns a Sequencer for a generation about to start.
+func NewSequencer(request ident.Request, attempt ident.Attempt, incarnation ident.Incarnation) *Sequencer {
+	return &Sequencer{request: request, attempt: attempt, incarnation: incarnation}
+}
+
+// ResumeSequencer returns a Sequencer that goes on at a position.
+func ResumeSequencer(position Position) *Sequencer {
+	return &Sequencer{
+		request:     position.Request,
+		attempt:     position.Attempt,
+		incarnation: position.Incarnation,
+		stream:      position.Stream,
+		next:        position.Next,
+	}
+}
+
+// Check judges one event and, if it is accepted, moves on.
+func (s *Sequencer) Check(event *protocol.StreamEvent) Verdict {
+	if event.RequestID != s.request {
+		return Crossed
+	}
+	if event.Attempt != s.attempt {
+		return Late
+	}
+	if !s.belongs(event) {
+		return Crossed
+	}
+	s.incarnation = event.Incarnation
+	s.stream = event.Stream
+	return s.order(event)
+}
+
+// belongs reports whether incarnation and stream match what is known of them.
+func (s *Sequencer) belongs(event *protocol.StreamEvent) bool {
+	if event.Incarnation == "" || event.Stream == "" {
+		return false
+	}
+	if s.incarnation != "" && event.Incarnation != s.incarnation {
+		return false
+	}
+	return s.stream == "" || event.Stream == s.stream
+}
+
+func (s *Sequencer) order(event *protocol.StreamEvent) Verdict {
+	if s.ended || event.Sequence < s.next {
+		return Repeated
+	}
+	if event.Sequence > s.next {
+		return Gap
+	}
+	s.next++
+	s.ended = event.Kind == protocol.EventEnd || event.Kind == protocol.EventError
+	return Accepted
+}
+
+// Next returns the sequence number of the next event wanted.
+func (s *Sequencer) Next() uint64 { return s.next }
+
+// Ended reports whether the end or error event was accepted.
+func (s *Sequencer) Ended() bool { return s.ended }
+
+// Bound reports whether the stream is known, so that it can be resumed.
+func (s *Sequencer) Bound() bool { return s.stream != "" }
+
+// Stream returns the stream, or "" before the first event.
+func (s *Sequencer) Stream() ident.Stream { return s.stream }
+
+// Incarnation returns the incarnation, or "" if it is not known yet.
+func (s *Sequencer) Incarnation() ident.Incarnation { return s.incarnation }
