Add the caller API, and the fault tables of model requests

A start event's text can no longer reach the caller (the table showed it).

Measured: go test -race of dispatch and resume passes; linters clean. The API itself is compiled but not yet tested.

Conclusion: ready to be wired; API and application tests follow.

--- /dev/null
+++ b/internal/api/completions.go
@@ -0,0 +1,157 @@
+package api
+
+import (
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/fieldpond/fieldpond/internal/dispatch"
+	"github.com/fieldpond/fieldpond/internal/fault"
+	"github.com/fieldpond/fieldpond/internal/fleet"
+	"github.com/fieldpond/fieldpond/internal/ident"
+	"github.com/fieldpond/fieldpond/internal/resume"
+)
+
+// The headers of resumption and identification.
+const (
+	headerLastEventID = "Last-Event-ID"
+	headerRequest     = "X-Request-Id"
+)
+
+func (e *exchange) chatCompletions() error { return e.complete(e.decodeChat) }
+
+func (e *exchange) completions() error { return e.complete(e.decodeCompletion) }
+
+// complete serves a chat or completions request.
+func (e *exchange) complete(decode func() (call, error)) error {
+	asked, err := decode()
+	if err != nil {
+		return err
+	}
+	job, err := e.job(asked)
+	if err != nil {
+		return err
+	}
+	answer := form{chat: asked.chat, request: job.ID, service: job.Service, created: time.Now().Unix()}
+	if !asked.stream {
+		return e.completeWhole(job, answer)
+	}
+	token, resuming, err := e.token()
+	if err != nil {
+		return err
+	}
+	if resuming && (token.Service != job.Service || token.Chat != asked.chat) {
+		return fault.New(fault.InvalidToken, "the token is that of another service or form")
+	}
+	if resuming {
+		err := e.resume(token)
+		// Without text the caller has nothing of the answer yet, and a fresh
+		// run cannot contradict what it has.
+		if err == nil || token.Position.EmittedBytes > 0 {
+			return err
+		}
+	}
+	e.writer.Header().Set(headerRequest, string(job.ID))
+	sink := e.newStreamSink(answer)
+	completion, err := e.server.runner.Run(e.request.Context(), job, sink)
+	return sink.finish(completion, err)
+}
+
+// wholeSink collects an answer; its length is bounded by max_tokens.
+type wholeSink struct{ text strings.Builder }
+
+// Chunk implements dispatch.Sink.
+func (s *wholeSink) Chunk(chunk dispatch.Chunk) error {
+	s.text.WriteString(chunk.Text)
+	return nil
+}
+
+func (e *exchange) completeWhole(job *dispatch.Job, answer form) error {
+	e.writer.Header().Set(headerRequest, string(job.ID))
+	var sink wholeSink
+	completion, err := e.server.runner.Run(e.request.Context(), job, &sink)
+	if err != nil {
+		return err
+	}
+	e.allowWrite()
+	writeJSON(e.writer, http.StatusOK, answer.whole(sink.text.String(), completion))
+	return nil
+}
+
+// allowWrite bounds the writing of a whole answer.
+func (e *exchange) allowWrite() {
+	_ = http.NewResponseController(e.writer).SetWriteDeadline(time.Now().Add(e.server.config.WriteTimeout))
+}
+
+// token opens the Last-Event-ID header, if there is one.
+func (e *exchange) token() (token resume.Token, found bool, err error) {
+	values := e.request.Header.Values(headerLastEventID)
+	if len(values) == 0 {
+		return resume.Token{}, false, nil
+	}
+	if len(values) > 1 {
+		return resume.Token{}, false, fault.New(fault.InvalidToken, "the %s header stands more than once", headerLastEventID)
+	}
+	token, err = e.server.tokens.Open(values[0], e.tenant)
+	return token, err == nil, err
+}
+
+// streams serves GET /v1/streams: the rest of a stream from Last-Event-ID.
+func (s *Server) streams(e *exchange) error {
+	token, found, err := e.token()
+	if err != nil {
+		return err
+	}
+	if !found {
+		return fault.New(fault.BadRequest, "the %s header is missing", headerLastEventID).
+			WithRemedy("send the last event id that was received as %s", headerLastEventID)
+	}
+	return e.resume(token)
+}
+
+// resume gives the rest of a stream, if the tenant may still use the service
+// and its data may still be where the engine is.
+func (e *exchange) resume(token resume.Token) error {
+	if _, err := e.service(token.Service, fleet.ServiceModel); err != nil {
+		return fault.From(err).WithRan(fault.RanYes)
+	}
+	engine, known := e.catalog.Engine(token.Position.Engine)
+	if !known || !e.catalog.Zones(e.tenant)[engine.Zone] {
+		return fault.New(fault.StreamBroken, "the stream's engine is no longer in the tenant's places").WithRan(fault.RanYes)
+	}
+	e.writer.Header().Set(headerRequest, string(token.Position.Request))
+	answer := form{chat: token.Chat, request: token.Position.Request, service: token.Service, created: token.Created}
+	sink := e.newStreamSink(answer)
+	sink.named = true
+	sink.lastID = e.request.Header.Get(headerLastEventID)
+	job := dispatch.ResumeJob{Position: token.Position, Address: engine.Address}
+	completion, err := e.server.runner.Resume(e.request.Context(), job, sink)
+	return sink.finish(completion, err)
+}
+
+// modelList is the JSON of GET /v1/models.
+type modelList struct {
+	Object string       `json:"object"`
+	Data   []modelEntry `json:"data"`
+}
+
+type modelEntry struct {
+	ID      ident.Service `json:"id"`
+	Object  string        `json:"object"`
+	Created int64         `json:"created"`
+	OwnedBy string        `json:"owned_by"`
+}
+
+// models lists the model services that the tenant may use.
+func (s *Server) models(e *exchange) error {
+	list := modelList{Object: "list", Data: []modelEntry{}}
+	tenant, _ := e.catalog.Tenant(e.tenant)
+	for _, name := range tenant.Services {
+		service, known := e.catalog.Service(name)
+		if known && service.Kind == fleet.ServiceModel {
+			list.Data = append(list.Data, modelEntry{ID: name, Object: "model", OwnedBy: string(service.Model)})
+		}
+	}
+	writeJSON(e.writer, http.StatusOK, list)
+	return nil
+}
--- /dev/null
+++ b/internal/api/server.go
@@ -0,0 +1,268 @@
+// Package api is the HTTP interface to callers: the usual chat and completions
+// API with server-sent events, resumption of streams, application services and
+// health.
+//
+// Errors are JSON {"error": {kind, message, remedy, ran, retry_after_millis}}
+// with the HTTP status of the kind. An answer that breaks off mid-stream ends
+// with an "error" event that carries the same JSON, and without [DONE].
+package api
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"github.com/fieldpond/fieldpond/internal/dispatch"
+	"github.com/fieldpond/fieldpond/internal/fault"
+	"github.com/fieldpond/fieldpond/internal/fleet"
+	"github.com/fieldpond/fieldpond/internal/ident"
+	"github.com/fieldpond/fieldpond/internal/resume"
+)
+
+// Fleet gives the fleet file in force.
+type Fleet interface {
+	// Current returns the catalog in force, or false if there is none yet.
+	Current() (Catalog, bool)
+}
+
+// Catalog is one fleet file in force. It does not change.
+type Catalog interface {
+	// Authenticate returns the tenant of a bearer key.
+	Authenticate(key string) (ident.Tenant, bool)
+	// Tenant returns a tenant's entry.
+	Tenant(name ident.Tenant) (fleet.Tenant, bool)
+	// Zones returns the zones that the tenant's data may be in.
+	Zones(name ident.Tenant) map[ident.Zone]bool
+	// Service returns a service's entry.
+	Service(name ident.Service) (fleet.Service, bool)
+	// Class returns a class's entry, with its defaults filled in.
+	Class(name ident.Class) (fleet.Class, bool)
+	// Versions returns the permitted versions of a model, preferred first.
+	Versions(model ident.Model) []ident.ModelVersion
+	// Engine returns an engine's entry.
+	Engine(name ident.Engine) (fleet.Engine, bool)
+}
+
+// Runner runs requests; *dispatch.Dispatcher implements it.
+type Runner interface {
+	// Run runs a model request.
+	Run(ctx context.Context, job *dispatch.Job, sink dispatch.Sink) (dispatch.Completion, error)
+	// Resume gives the rest of a stream.
+	Resume(ctx context.Context, job dispatch.ResumeJob, sink dispatch.Sink) (dispatch.Completion, error)
+	// RunApplication runs an application request.
+	RunApplication(ctx context.Context, job *dispatch.ApplicationJob) (dispatch.Answer, error)
+}
+
+// State is what the router says of itself on /readyz.
+type State string
+
+const (
+	// StateStarting means: no fleet file is in force yet.
+	StateStarting State = "starting"
+	// StateServing means: requests are taken.
+	StateServing State = "serving"
+	// StateLeaving means: open requests are finished, then the process ends.
+	StateLeaving State = "leaving"
+)
+
+// Config bounds what callers may send and how slowly they may read. Zero
+// fields take the defaults.
+type Config struct {
+	// MaxBodyBytes bounds a request body. Default: 4 MiB.
+	MaxBodyBytes int64
+	// MaxHeaderBytes bounds a request's headers. Default: 32 KiB.
+	MaxHeaderBytes int
+	// MaxPromptTokens bounds a rendered prompt. Default: 262144.
+	MaxPromptTokens int
+	// MaxTokens bounds max_tokens. Default: 16384.
+	MaxTokens int
+	// DefaultMaxTokens is used if a request names none. Default: 1024.
+	DefaultMaxTokens int
+	// BodyTimeout bounds the reading of a request body. Default: 30s.
+	BodyTimeout time.Duration
+	// WriteTimeout bounds the wait for a slow reader. Default: 15s.
+	WriteTimeout time.Duration
+	// BufferedChunks bounds the chunks waiting for a slow reader. Default: 256.
+	BufferedChunks int
+	// RetryAfter is told to callers when nothing better is known. Default: 1s.
+	RetryAfter time.Duration
+}
+
+// The defaults of Config, and the fixed bounds of the HTTP server.
+const (
+	defaultMaxBodyBytes     = 4 << 20
+	defaultMaxHeaderBytes   = 32 << 10
+	defaultMaxPromptTokens  = 262144
+	defaultMaxTokens        = 16384
+	defaultDefaultMaxTokens = 1024
+	defaultBodyTimeout      = 30 * time.Second
+	defaultWriteTimeout     = 15 * time.Second
+	defaultBufferedChunks   = 256
+	defaultRetryAfter       = time.Second
+	readHeaderTimeout       = 10 * time.Second
+	idleTimeout             = 2 * time.Minute
+	// fallbackHold is the hold time of a class that the catalog left without one.
+	fallbackHold = 2 * time.Second
+)
+
+func orDefault[T int | int64 | time.Duration](value *T, fallback T) {
+	if *value == 0 {
+		*value = fallback
+	}
+}
+
+func (c Config) withDefaults() Config {
+	orDefault(&c.MaxBodyBytes, defaultMaxBodyBytes)
+	orDefault(&c.MaxHeaderBytes, defaultMaxHeaderBytes)
+	orDefault(&c.MaxPromptTokens, defaultMaxPromptTokens)
+	orDefault(&c.MaxTokens, defaultMaxTokens)
+	orDefault(&c.DefaultMaxTokens, defaultDefaultMaxTokens)
+	orDefault(&c.BodyTimeout, defaultBodyTimeout)
+	orDefault(&c.WriteTimeout, defaultWriteTimeout)
+	orDefault(&c.BufferedChunks, defaultBufferedChunks)
+	orDefault(&c.RetryAfter, defaultRetryAfter)
+	return c
+}
+
+// Server serves callers. It is safe for concurrent use.
+type Server struct {
+	config Config
+	fleet  Fleet
+	runner Runner
+	tokens *resume.Sealer
+	state  func() State
+}
+
+// NewServer returns a Server; state is asked on every request.
+func NewServer(config Config, catalogs Fleet, runner Runner, tokens *resume.Sealer, state func() State) *Server {
+	return &Server{config: config.withDefaults(), fleet: catalogs, runner: runner, tokens: tokens, state: state}
+}
+
+// Handler returns the handler of every caller route.
+func (s *Server) Handler() http.Handler {
+	router := mux.NewRouter().SkipClean(true)
+	router.HandleFunc("/healthz", s.health).Methods(http.MethodGet)
+	router.HandleFunc("/readyz", s.ready).Methods(http.MethodGet)
+	router.HandleFunc("/v1/models", s.guarded(s.models)).Methods(http.MethodGet)
+	router.HandleFunc("/v1/chat/completions", s.guarded((*exchange).chatCompletions)).Methods(http.MethodPost)
+	router.HandleFunc("/v1/completions", s.guarded((*exchange).completions)).Methods(http.MethodPost)
+	router.HandleFunc("/v1/streams", s.guarded(s.streams)).Methods(http.MethodGet)
+	router.PathPrefix("/v1/services/").HandlerFunc(s.guarded(s.application))
+	router.NotFoundHandler = http.HandlerFunc(s.unknownRoute)
+	router.MethodNotAllowedHandler = http.HandlerFunc(s.unknownRoute)
+	return router
+}
+
+// NewHTTPServer returns an http.Server for the handler with bounded headers
+// and idle times. Bodies and answers are bounded by the handlers themselves.
+func (s *Server) NewHTTPServer() *http.Server {
+	return &http.Server{
+		Handler:           s.Handler(),
+		MaxHeaderBytes:    s.config.MaxHeaderBytes,
+		ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout:       idleTimeout,
+	}
+}
+
+// exchange is one authenticated request.
+type exchange struct {
+	server  *Server
+	catalog Catalog
+	tenant  ident.Tenant
+	writer  http.ResponseWriter
+	request *http.Request
+}
+
+// guarded authenticates a request, runs the handler and writes its fault. A
+// handler returns a fault only if it has written nothing.
+func (s *Server) guarded(handler func(*exchange) error) http.HandlerFunc {
+	return func(writer http.ResponseWriter, request *http.Request) {
+		if s.state() == StateLeaving {
+			writer.Header().Set("Connection", "close")
+		}
+		opened, err := s.authenticate(writer, request)
+		if err == nil {
+			err = handler(opened)
+		}
+		if err != nil {
+			s.writeFault(writer, fault.From(err))
+		}
+	}
+}
+
+func (s *Server) authenticate(writer http.ResponseWriter, request *http.Request) (*exchange, error) {
+	catalog, inForce := s.fleet.Current()
+	if !inForce {
+		return nil, fault.New(fault.NotReady, "this router has no fleet file yet")
+	}
+	key, found := bearerKey(request.Header.Values("Authorization"))
+	if !found {
+		return nil, fault.New(fault.Unauthorized, "the request has no bearer key, or more than one")
+	}
+	tenant, known := catalog.Authenticate(key)
+	if !known {
+		return nil, fault.New(fault.Unauthorized, "the bearer key is not known")
+	}
+	return &exchange{server: s, catalog: catalog, tenant: tenant, writer: writer, request: request}, nil
+}
+
+func (s *Server) unknownRoute(writer http.ResponseWriter, request *http.Request) {
+	s.writeFault(writer, fault.New(fault.UnknownRoute, "there is no route for this method (%.10q) and path", request.Method))
+}
+
+// service returns a service of the wanted kind that the tenant may use.
+func (e *exchange) service(name ident.Service, kind fleet.ServiceKind) (fleet.Service, error) {
+	service, known := e.catalog.Service(name)
+	if !known || service.Kind != kind {
+		return fleet.Service{}, fault.New(fault.UnknownService, "there is no %s service %.80q", kind, string(name))
+	}
+	if !e.mayUse(name) {
+		return fleet.Service{}, fault.New(fault.Forbidden, "the tenant may not use service %q", string(name))
+	}
+	return service, nil
+}
+
+func (e *exchange) mayUse(name ident.Service) bool {
+	tenant, known := e.catalog.Tenant(e.tenant)
+	if !known {
+		return false
+	}
+	for _, permitted := range tenant.Services {
+		if permitted == name {
+			return true
+		}
+	}
+	return false
+}
+
+// headerClass names the header that asks for a priority class.
+const headerClass = "X-Class"
+
+// class returns the class asked for, or the first one of the service.
+func (e *exchange) class(service fleet.Service) (fleet.Class, error) {
+	asked := e.request.Header.Values(headerClass)
+	if len(asked) > 1 {
+		return fleet.Class{}, fault.New(fault.BadRequest, "the %s header stands more than once", headerClass)
+	}
+	if len(service.Classes) == 0 {
+		return fleet.Class{}, fault.New(fault.Internal, "service %q has no class", string(service.Name))
+	}
+	name := service.Classes[0]
+	if len(asked) == 1 {
+		name = ident.Class(asked[0])
+	}
+	for _, permitted := range service.Classes {
+		if permitted != name {
+			continue
+		}
+		class, known := e.catalog.Class(name)
+		if !known {
+			return fleet.Class{}, fault.New(fault.Internal, "class %q is not in the fleet file", string(name))
+		}
+		orDefault(&class.MaxHold, fallbackHold)
+		return class, nil
+	}
+	return fleet.Class{}, fault.New(fault.Forbidden, "class %.80q is not one of service %q", string(name), string(service.Name))
+}
--- /dev/null
+++ b/internal/api/stream.go
@@ -0,0 +1,164 @@
+package api
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/fieldpond/fieldpond/internal/dispatch"
+	"github.com/fieldpond/fieldpond/internal/fault"
+	"github.com/fieldpond/fieldpond/internal/ident"
+	"github.com/fieldpond/fieldpond/internal/resume"
+)
+
+// doneData is the data of the event that ends a whole stream.
+const doneData = "[DONE]"
+
+// errSlowReader cuts a caller that reads too slowly; the stream stays resumable.
+var errSlowReader = errors.New("the caller reads too slowly")
+
+// streamSink writes an answer as server-sent events. Chunks wait for the
+// caller in a bounded buffer, which one goroutine writes out.
+type streamSink struct {
+	server *Server
+	form   form
+	tenant ident.Tenant
+	writer http.ResponseWriter
+
+	started bool
+	// named says that the caller knows the role of the answer.
+	named   bool
+	lastID  string
+	frames  chan []byte
+	failed  chan struct{}
+	written sync.WaitGroup
+}
+
+func (e *exchange) newStreamSink(answer form) *streamSink {
+	return &streamSink{
+		server: e.server,
+		form:   answer,
+		tenant: e.tenant,
+		writer: e.writer,
+		frames: make(chan []byte, e.server.config.BufferedChunks),
+		failed: make(chan struct{}),
+	}
+}
+
+// Chunk implements dispatch.Sink.
+func (s *streamSink) Chunk(chunk dispatch.Chunk) error {
+	if !s.started {
+		s.start()
+	}
+	id, err := s.server.tokens.Seal(resume.Token{
+		Tenant:   s.tenant,
+		Service:  s.form.service,
+		Chat:     s.form.chat,
+		Created:  s.form.created,
+		Position: chunk.Position,
+	})
+	if err != nil {
+		return err
+	}
+	s.lastID = id
+	naming := !s.named
+	s.named = true
+	return s.push(frame("", id, s.form.chunk(chunk.Text, chunk.Position.Version, naming)))
+}
+
+// start sends the headers and starts the writing goroutine.
+func (s *streamSink) start() {
+	s.started = true
+	header := s.writer.Header()
+	header.Set("Content-Type", "text/event-stream")
+	header.Set("Cache-Control", "no-store")
+	s.writer.WriteHeader(http.StatusOK)
+	s.written.Go(s.write)
+}
+
+// write writes frames until the buffer is closed. After a failure it only
+// drains, so that nobody blocks on it.
+func (s *streamSink) write() {
+	control := http.NewResponseController(s.writer)
+	broken := false
+	for next := range s.frames {
+		if broken {
+			continue
+		}
+		// A writer without deadlines (as in tests) writes without a time limit.
+		_ = control.SetWriteDeadline(time.Now().Add(s.server.config.WriteTimeout))
+		_, err := s.writer.Write(next)
+		if err == nil && len(s.frames) == 0 {
+			err = control.Flush()
+		}
+		if err != nil {
+			broken = true
+			close(s.failed)
+		}
+	}
+}
+
+// push hands a frame to the writing goroutine, or tells that the caller is
+// gone or too slow.
+func (s *streamSink) push(next []byte) error {
+	select {
+	case <-s.failed:
+		return errSlowReader
+	default:
+	}
+	select {
+	case s.frames <- next:
+		return nil
+	default:
+	}
+	timer := time.NewTimer(s.server.config.WriteTimeout)
+	defer timer.Stop()
+	select {
+	case s.frames <- next:
+		return nil
+	case <-s.failed:
+		return errSlowReader
+	case <-timer.C:
+		return errSlowReader
+	}
+}
+
+// finish ends the stream: with the last chunk and [DONE] if the answer is
+// whole, else with an error event. It returns the fault if nothing was written.
+func (s *streamSink) finish(completion dispatch.Completion, err error) error {
+	if !s.started {
+		if err != nil {
+			return err
+		}
+		s.start()
+	}
+	if err != nil {
+		_ = s.push(frame("error", "", s.server.errorBody(fault.From(err))))
+	} else {
+		// The id is that of the last chunk: resuming there brings the end again.
+		_ = s.push(append(frame("", s.lastID, s.form.last(completion)), "data: "+doneData+"\n\n"...))
+	}
+	close(s.frames)
+	s.written.Wait()
+	return nil
+}
+
+// frame renders one server-sent event whose data is JSON, hence one line.
+func frame(event, id string, data any) []byte {
+	var text bytes.Buffer
+	if event != "" {
+		text.WriteString("event: " + event + "\n")
+	}
+	if id != "" {
+		text.WriteString("id: " + id + "\n")
+	}
+	text.WriteString("data: ")
+	// The types of this package always encode.
+	_ = json.NewEncoder(&text).Encode(data)
+	text.WriteString("\n")
+	return text.Bytes()
+}
--- a/internal/dispatch/generation.go
+++ b/internal/dispatch/generation.go
@@ -250,6 +250,7 @@
 	if event.Usage != nil && event.Kind == protocol.EventStart && g.usage.PromptTokens == 0 {
 		g.usage = *event.Usage
 	}
+	text := ""
 	switch event.Kind {
 	case protocol.EventStart:
 		a.result.Usage = event.Usage
@@ -260,12 +261,13 @@
 		if a.result.TimeToFirstToken == 0 {
 			a.result.TimeToFirstToken = time.Since(a.sentAt)
 		}
-		g.emitted.WriteString(event.Text)
+		text = event.Text
+		g.emitted.WriteString(text)
 		g.tokens += event.Tokens
 	default:
 		return nil
 	}
-	return g.sink.Chunk(Chunk{Text: event.Text, Position: a.position()})
+	return g.sink.Chunk(Chunk{Text: text, Position: a.position()})
 }
 
 // onStarted records that the engine executes the request.
--- /dev/null
+++ b/internal/dispatch/generation_test.go
@@ -0,0 +1,166 @@
+package dispatch
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/fieldpond/fieldpond/internal/engine/protocol"
+	"github.com/fieldpond/fieldpond/internal/fault"
+	"github.com/fieldpond/fieldpond/internal/ident"
+)
+
+// Every kind of damage at every event of the stream: the caller gets the whole
+// answer, in order, exactly once.
+func TestAnswerIsWholeWhateverBreaksWhereverItBreaks(t *testing.T) {
+	kinds := []string{"none", "cut", "gone", "stall", "lost", "swap", "repeat", "crossed request", "late attempt", "crossed incarnation", "crossed stream", "engine error"}
+	for _, kind := range kinds {
+		for at := uint64(0); at <= answerChunks+1; at++ {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				r := newRig(damage{kind, at}, "a", "b")
+				var sink textSink
+				completion, err := r.Run(t.Context(), testJob(), &sink)
+				r.Close()
+				if err != nil || sink.text.String() != wholeAnswer() {
+					t.Fatalf("%s at %d: %q, %v", kind, at, sink.text.String(), err)
+				}
+				is.Equal(completion.FinishReason, "stop")
+				is.Equal(completion.Usage, protocol.Usage{PromptTokens: 8, CachedTokens: 4, CompletionTokens: answerChunks})
+				is.Equal(r.chart.ends, 1)
+				is.Equal(len(r.placer.released), len(r.engines.generated))
+				for _, request := range r.engines.generated {
+					is.Equal(request.Version, ident.ModelVersion("v2"))
+				}
+			})
+		}
+	}
+}
+
+// If no way is left, the caller is told so and never gets an end; what ran is
+// told truly; text given is a prefix of the answer.
+func TestBrokenAnswerNeverEndsAsWhole(t *testing.T) {
+	cases := map[string]struct {
+		damage damage
+		budget int
+		maxTok int
+		kind   fault.Kind
+		ran    fault.Ran
+	}{
+		"gone at start":           {damage{"gone", 0}, 9, 50, fault.NoPermittedEngine, fault.RanUnknown},
+		"gone after start":        {damage{"gone", 1}, 9, 50, fault.NoPermittedEngine, fault.RanYes},
+		"gone after text":         {damage{"gone", 3}, 9, 50, fault.StreamBroken, fault.RanYes},
+		"stalls for ever":         {damage{"stall", 3}, 9, 50, fault.StreamBroken, fault.RanYes},
+		"no budget":               {damage{"engine error", 3}, 0, 50, fault.StreamBroken, fault.RanYes},
+		"only the end is missing": {damage{"gone", answerChunks + 1}, 9, answerChunks, fault.StreamBroken, fault.RanYes},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				r := newRig(c.damage, "a")
+				r.engines.always = true
+				r.Budget = &fakeBudget{retries: c.budget}
+				job := testJob()
+				job.MaxTokens = c.maxTok
+				var sink textSink
+				_, err := r.Run(t.Context(), job, &sink)
+				r.Close()
+				is.True(fault.Is(err, c.kind))
+				is.Equal(fault.From(err).Ran, c.ran)
+				is.True(fault.From(err).RetryAfter > 0)
+				is.Equal(sink.text.String(), wholeAnswer()[:sink.text.Len()])
+				is.Equal(r.chart.ends, 1)
+			})
+		})
+	}
+}
+
+func TestRefusedBeforeExecutionGoesElsewhereOrIsTrulyNotRun(t *testing.T) {
+	unreachable := fault.New(fault.BackendLost, "no byte left")
+	lost := fault.New(fault.BackendLost, "broke").WithRan(fault.RanUnknown)
+	cases := map[string]struct {
+		a, b error
+		kind fault.Kind
+		ran  fault.Ran
+	}{
+		"full, then taken":   {refusal(protocol.RefusalFull, "a0"), nil, "", ""},
+		"leaving, unreach":   {refusal(protocol.RefusalLeaving, "a0"), unreachable, fault.NoPermittedEngine, fault.RanNo},
+		"refused, then lost": {refusal(protocol.RefusalFull, "a0"), lost, fault.NoPermittedEngine, fault.RanUnknown},
+		"lost, then refused": {lost, refusal(protocol.RefusalFull, "b0"), fault.NoPermittedEngine, fault.RanUnknown},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			r := newRig(damage{}, "a", "b")
+			r.engines.refuse = map[string]error{"a": c.a, "b": c.b}
+			var sink textSink
+			_, err := r.Run(t.Context(), testJob(), &sink)
+			r.Close()
+			if c.kind == "" {
+				is.NoErr(err)
+				is.Equal(r.placer.released[0].Refusal, protocol.RefusalFull)
+				return
+			}
+			is.True(fault.Is(err, c.kind))
+			is.Equal(fault.From(err).Ran, c.ran)
+		})
+	}
+}
+
+func TestCallerGoneLeavesTheStreamResumableForAGrace(t *testing.T) {
+	for _, resumed := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			r := newRig(damage{}, "a")
+			sink := textSink{failAt: 4}
+			_, err := r.Run(t.Context(), testJob(), &sink)
+			is.True(fault.Is(err, fault.StreamBroken))
+			is.Equal(r.placer.released[0].Outcome, OutcomeAbandoned)
+			time.Sleep(defaultResumeGrace - time.Second)
+			is.Equal(r.engines.cancels(), 0)
+			if resumed {
+				completion, err := r.Resume(t.Context(), ResumeJob{Position: sink.last, Address: "a"}, &sink)
+				is.NoErr(err)
+				is.Equal(sink.text.String(), wholeAnswer())
+				is.Equal(completion.Usage, protocol.Usage{PromptTokens: 8, CachedTokens: 4, CompletionTokens: answerChunks})
+			}
+			time.Sleep(time.Minute)
+			r.Close()
+			is.Equal(r.engines.cancels() == 0, resumed)
+		})
+	}
+}
+
+func TestResumeOnAnotherLifeIsBrokenNotInvented(t *testing.T) {
+	is := is.New(t)
+	r := newRig(damage{}, "a")
+	sink := textSink{failAt: 4}
+	_, _ = r.Run(t.Context(), testJob(), &sink)
+	r.engines.lives["a"]++
+	given := sink.text.String()
+	_, err := r.Resume(t.Context(), ResumeJob{Position: sink.last, Address: "a"}, &sink)
+	r.Close()
+	is.True(fault.Is(err, fault.StreamBroken))
+	is.Equal(fault.From(err).Ran, fault.RanYes)
+	is.Equal(sink.text.String(), given)
+}
+
+func TestCallerLeavingWhileStreamStallsIsCancelled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := newRig(damage{"stall", 2}, "a")
+		ctx, leave := context.WithTimeout(t.Context(), time.Second)
+		defer leave()
+		job := testJob()
+		job.Resumable = false
+		_, err := r.Run(ctx, job, &textSink{})
+		r.Close()
+		is.True(fault.Is(err, fault.StreamBroken))
+		is.Equal(r.engines.cancels(), 1)
+		is.Equal(r.chart.ends, 1)
+	})
+}
