--- /dev/null
+++ b/internal/fleet/adopter.go
@@ -0,0 +1,350 @@
+package fleet
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// oftenInterval is how often the few pollers of each zone read the head.
+	oftenInterval = 1500 * time.Millisecond
+	// rareInterval is the least time between two reads by any other node.
+	rareInterval = 30 * time.Second
+	// rareIntervalPerMember stretches rareInterval in large fleets, so that all
+	// nodes together read the head four times a second at most.
+	rareIntervalPerMember = 250 * time.Millisecond
+	// startAnswerLimit is how long a starting node waits for the table before
+	// it takes the word of its peers.
+	startAnswerLimit = time.Second
+	// maxStartPeers is how many peers a starting node asks.
+	maxStartPeers = 5
+	// maxPeerSources is how many peers are asked for a body before the table is.
+	maxPeerSources = 3
+	// fetchRetryDelay doubles with each round of failed fetches up to
+	// maxFetchRetryDelay.
+	fetchRetryDelay    = 250 * time.Millisecond
+	maxFetchRetryDelay = 10 * time.Second
+	// askAgainInterval is how often a node without a file asks its peers again.
+	askAgainInterval = time.Second
+)
+
+// Peer is another router that can be asked for a file.
+type Peer struct {
+	// Address is host:port of its HTTP listener.
+	Address string
+	// SameZone says that it is in this node's zone.
+	SameZone bool
+	// Poller says that it reads the table often.
+	Poller bool
+}
+
+// Surroundings is what the Adopter knows of the other routers.
+type Surroundings struct {
+	// Poller says that this node is one of the few that read the table often.
+	Poller bool
+	// Members counts the routers, this one included.
+	Members int
+	// Peers lists the live routers without this one.
+	Peers []Peer
+}
+
+// AdoptActionKind names what the Adopter wants done.
+type AdoptActionKind uint8
+
+const (
+	// ActionPollTable asks for HeadPolled or PollFailed.
+	ActionPollTable AdoptActionKind = iota
+	// ActionAskPeer asks Address for its head: PeerAnswered or PeerFailed.
+	ActionAskPeer
+	// ActionFetchBody asks Address, or the table when it is empty, for the body
+	// of Pair: BodyReceived or FetchFailed.
+	ActionFetchBody
+	// ActionAdopt says that Document is now the file in force here.
+	ActionAdopt
+)
+
+// AdoptAction is one output of the Adopter.
+type AdoptAction struct {
+	Kind     AdoptActionKind
+	Address  string
+	Pair     Pair
+	Document *Document
+	Body     []byte
+}
+
+// AdopterCounters count what the Adopter met.
+type AdopterCounters struct {
+	// Adopted counts files put in force, Disputed pairs that contradicted
+	// another digest of the same version, TableBehind table reads below the
+	// version in force, BadBodies bodies that failed verification.
+	Adopted, Disputed, TableBehind, BadBodies uint64
+}
+
+// candidate is the file that is to be adopted next.
+type candidate struct {
+	pair Pair
+	// fromTable says that the table has named the pair.
+	fromTable bool
+	// disputed says that two digests were heard for the version; only the table
+	// can settle which is the file.
+	disputed bool
+	// claimed lists the peers that said they have it, tried those that failed.
+	claimed []string
+	tried   map[string]bool
+}
+
+// Adopter decides which fleet file is in force on one node, without I/O.
+// Invariants: the version in force never falls; a file is put in force only
+// after its body has matched its digest and passed its checks; at an equal
+// version the table's word alone replaces the digest. It is used by one
+// goroutine.
+type Adopter struct {
+	around   Surroundings
+	jitter   func() float64
+	current  Pair
+	target   candidate
+	counters AdopterCounters
+
+	starting   bool
+	startUntil time.Time
+	polling    bool
+	nextPoll   time.Time
+	// pollWanted asks for a read before nextPoll, but never before pollNotBefore,
+	// which paces this node, nor before retryNotBefore, which the table set.
+	pollWanted     bool
+	pollNotBefore  time.Time
+	retryNotBefore time.Time
+	asked          map[string]bool
+	nextAsk        time.Time
+	fetching       bool
+	fetchSource    string
+	fetchPair      Pair
+	fetchRounds    int
+	nextFetch      time.Time
+	// dropped is a pair that only peers named and nobody could show. It is not
+	// taken up again before droppedUntil.
+	dropped      Pair
+	droppedUntil time.Time
+}
+
+// NewAdopter returns the machine of a node that has no file yet. jitter returns
+// numbers from [0,1) and spreads the reads of many nodes.
+func NewAdopter(now time.Time, jitter func() float64) *Adopter {
+	return &Adopter{
+		jitter: jitter, starting: true, startUntil: now.Add(startAnswerLimit),
+		nextPoll: now, nextAsk: now, nextFetch: now, asked: map[string]bool{},
+	}
+}
+
+// Current returns the file in force; its version is zero when there is none.
+func (a *Adopter) Current() Pair { return a.current }
+
+// Counters returns the counters.
+func (a *Adopter) Counters() AdopterCounters { return a.counters }
+
+// SetSurroundings replaces what is known of the other routers.
+func (a *Adopter) SetSurroundings(now time.Time, around Surroundings) {
+	if around.Poller && !a.around.Poller {
+		soon := now.Add(a.scaled(oftenInterval))
+		a.nextPoll, a.pollNotBefore = earlier(a.nextPoll, soon), earlier(a.pollNotBefore, soon)
+	}
+	a.around = around
+}
+
+// Heard takes in a pair that a peer says it has in force.
+func (a *Adopter) Heard(now time.Time, pair Pair, address string) {
+	if pair.Version == 0 || (pair == a.dropped && now.Before(a.droppedUntil)) {
+		return
+	}
+	a.offer(pair, address, false)
+}
+
+// PeerAnswered takes in a peer's answer to ActionAskPeer.
+func (a *Adopter) PeerAnswered(now time.Time, address string, pair Pair) {
+	delete(a.asked, address)
+	a.Heard(now, pair, address)
+}
+
+// PeerFailed says that a peer did not answer ActionAskPeer.
+func (a *Adopter) PeerFailed(address string) { delete(a.asked, address) }
+
+// HeadPolled takes in a read of the head row.
+func (a *Adopter) HeadPolled(now time.Time, pair Pair, found bool) {
+	a.pollEnded(now)
+	if found {
+		a.offer(pair, "", true)
+	}
+}
+
+// PollFailed says that the table did not answer.
+func (a *Adopter) PollFailed(now time.Time, retryAfter time.Duration) {
+	a.pollEnded(now)
+	a.retryNotBefore = now.Add(retryAfter)
+}
+
+// pollEnded plans the next read. Pollers read often. All others together read
+// at a rate that does not grow with their number, even while they have no file
+// or a dispute to settle: then they hear of the table through the pollers.
+func (a *Adopter) pollEnded(now time.Time) {
+	a.polling, a.starting = false, false
+	soonest, usual := oftenInterval, oftenInterval
+	if !a.around.Poller {
+		soonest = max(oftenInterval, time.Duration(a.around.Members)*rareIntervalPerMember)
+		usual = max(rareInterval, soonest)
+	}
+	if a.current.Version == 0 {
+		usual = soonest
+	}
+	a.pollNotBefore = now.Add(a.scaled(soonest))
+	a.nextPoll = later(a.pollNotBefore, now.Add(a.scaled(usual)))
+}
+
+// pollDue returns when the head is to be read next.
+func (a *Adopter) pollDue() time.Time {
+	due := later(a.pollNotBefore, a.retryNotBefore)
+	if a.pollWanted {
+		return due
+	}
+	return later(a.nextPoll, due)
+}
+
+// scaled returns the interval with up to a fifth more or less.
+func (a *Adopter) scaled(interval time.Duration) time.Duration {
+	const spread = 0.4
+	return time.Duration(float64(interval) * (1 + spread*(a.jitter()-0.5)))
+}
+
+// offer weighs a pair against the version in force and the current candidate.
+func (a *Adopter) offer(pair Pair, address string, fromTable bool) {
+	switch {
+	case pair.Version < a.current.Version:
+		if fromTable {
+			a.counters.TableBehind++
+		}
+	case pair == a.current:
+	case pair.Version == a.current.Version && !fromTable:
+		a.counters.Disputed++
+		a.pollWanted = true
+	case pair.Version == a.target.pair.Version:
+		a.offerSameVersion(pair, address, fromTable)
+	case pair.Version > a.target.pair.Version, fromTable && a.target.disputed:
+		a.setTarget(pair, address, fromTable)
+	}
+}
+
+// offerSameVersion weighs a pair against a candidate of the same version.
+func (a *Adopter) offerSameVersion(pair Pair, address string, fromTable bool) {
+	switch {
+	case fromTable && pair.Digest != a.target.pair.Digest:
+		a.counters.Disputed++
+		a.setTarget(pair, "", true)
+	case fromTable:
+		a.target.fromTable, a.target.disputed = true, false
+	case pair.Digest == a.target.pair.Digest:
+		if !slices.Contains(a.target.claimed, address) && len(a.target.claimed) < maxStartPeers {
+			a.target.claimed = append(a.target.claimed, address)
+		}
+	case !a.target.fromTable:
+		a.counters.Disputed++
+		a.target.disputed, a.pollWanted = true, true
+	default:
+		a.counters.Disputed++
+	}
+}
+
+func (a *Adopter) setTarget(pair Pair, address string, fromTable bool) {
+	a.target = candidate{pair: pair, fromTable: fromTable, tried: map[string]bool{}}
+	if address != "" {
+		a.target.claimed = []string{address}
+	}
+	if pair != a.dropped {
+		a.fetchRounds, a.nextFetch = 0, time.Time{}
+	}
+}
+
+// Tick returns what is to be done now. Call it after every event and when
+// NextTick has come.
+func (a *Adopter) Tick(now time.Time) []AdoptAction {
+	var actions []AdoptAction
+	if !a.polling && !now.Before(a.pollDue()) {
+		a.polling, a.pollWanted = true, false
+		actions = append(actions, AdoptAction{Kind: ActionPollTable})
+	}
+	if a.current.Version == 0 && !now.Before(a.nextAsk) {
+		actions = append(actions, a.askPeers(now)...)
+	}
+	if fetch, wanted := a.planFetch(now); wanted {
+		actions = append(actions, fetch)
+	}
+	return actions
+}
+
+// askPeers asks some peers for their heads, because this node has no file.
+func (a *Adopter) askPeers(now time.Time) []AdoptAction {
+	var actions []AdoptAction
+	for _, peer := range a.peersBestFirst() {
+		if len(actions) == maxStartPeers {
+			break
+		}
+		if !a.asked[peer.Address] {
+			a.asked[peer.Address] = true
+			actions = append(actions, AdoptAction{Kind: ActionAskPeer, Address: peer.Address})
+		}
+	}
+	if len(actions) > 0 {
+		a.nextAsk = now.Add(a.scaled(askAgainInterval))
+	}
+	return actions
+}
+
+// peersBestFirst returns the peers of this zone, pollers first, then the rest.
+func (a *Adopter) peersBestFirst() []Peer {
+	peers := slices.Clone(a.around.Peers)
+	rank := func(peer Peer) int {
+		switch {
+		case peer.SameZone && peer.Poller:
+			return 0
+		case peer.SameZone:
+			return 1
+		case peer.Poller:
+			return 2
+		}
+		return 3
+	}
+	slices.SortStableFunc(peers, func(x, y Peer) int { return cmp.Compare(rank(x), rank(y)) })
+	return peers
+}
+
+// NextTick returns when Tick must be called at the latest.
+func (a *Adopter) NextTick(now time.Time) time.Time {
+	next := now.Add(rareInterval)
+	if !a.polling {
+		next = earlier(next, a.pollDue())
+	}
+	if a.current.Version == 0 {
+		next = earlier(next, later(a.nextAsk, now.Add(fetchRetryDelay)))
+	}
+	if !a.fetching && a.target.pair.Version > 0 && !a.target.disputed {
+		wait := a.nextFetch
+		if a.starting && !a.target.fromTable {
+			wait = later(wait, a.startUntil)
+		}
+		next = earlier(next, wait)
+	}
+	return next
+}
+
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
--- /dev/null
+++ b/internal/fleet/applier.go
@@ -0,0 +1,324 @@
+package fleet
+
+import (
+	"time"
+
+	"github.com/fieldpond/fieldpond/internal/fault"
+	"github.com/fieldpond/fieldpond/internal/platform/protocol"
+)
+
+// ApplyStepKind names what the Applier wants done next.
+type ApplyStepKind uint8
+
+const (
+	// StepReadHead asks for HeadRead or Failed.
+	StepReadHead ApplyStepKind = iota
+	// StepCommitChunk asks for Transaction, then ChunkCommitted or Failed.
+	StepCommitChunk
+	// StepCommitHead asks for Transaction, then HeadCommitted or Failed.
+	StepCommitHead
+	// StepDone means that Result holds the outcome.
+	StepDone
+)
+
+// ApplyStep is one request of the Applier.
+type ApplyStep struct {
+	Kind ApplyStepKind
+	// Delay is how long to wait before the request.
+	Delay time.Duration
+	// Transaction is what to commit.
+	Transaction protocol.Transaction
+}
+
+const (
+	// firstRetryDelay doubles with each failure in a row up to maxRetryDelay.
+	firstRetryDelay = 100 * time.Millisecond
+	maxRetryDelay   = 2 * time.Second
+	// maxFailuresInRow is how many failures in a row an apply outlasts.
+	maxFailuresInRow = 10
+	// maxDelayShift keeps the doubling from overflowing.
+	maxDelayShift = 6
+)
+
+// ApplyOptions are the operator's choices.
+type ApplyOptions struct {
+	// Base, when not nil, is the version the file was edited from; an apply on
+	// any other version is a conflict. Zero means "no file yet". Without it the
+	// base is the version in force when the apply starts.
+	Base *Version
+	// ApplyID is unique to one apply. It settles lost answers.
+	ApplyID string
+	// AppliedAt is recorded for people.
+	AppliedAt time.Time
+}
+
+// Applied is the outcome of a successful apply.
+type Applied struct {
+	Version Version `json:"version"`
+	Digest  Digest  `json:"digest"`
+	// ApplyID is the apply that brought the version about; another operator's
+	// when Unchanged.
+	ApplyID string `json:"apply_id"`
+	// Unchanged says that the file was in force already and nothing was done.
+	Unchanged bool `json:"unchanged"`
+	// SupersededBy is the version that has replaced this one since, or 0.
+	SupersededBy Version `json:"superseded_by,omitempty"`
+}
+
+// Applier is the state machine of one apply, without I/O. The caller does what
+// Step says, reports the outcome by one of the event methods, and repeats until
+// StepDone. Invariants: the body's rows are written after the head was read and
+// before the head is, and the head is written only on the very row version that
+// was read, so that every version has exactly one file and versions increase.
+// Once a commit of the head may have been sent, only a later read or commit
+// answer settles the outcome; giving up before that says so (Ran "unknown").
+type Applier struct {
+	body    []byte
+	digest  Digest
+	options ApplyOptions
+
+	kind      ApplyStepKind
+	delay     time.Duration
+	failures  int
+	chunk     int
+	head      Head
+	headFound bool
+	// rowVersion of the head row that the commit is conditional on.
+	rowVersion uint64
+	// intended is the version that a commit would create.
+	intended    Version
+	transaction protocol.Transaction
+	inDoubt     bool
+	applied     Applied
+	err         error
+}
+
+// NewApplier returns the machine that applies body, which Parse has accepted.
+func NewApplier(body []byte, options ApplyOptions) *Applier {
+	return &Applier{body: body, digest: DigestOf(body), options: options, kind: StepReadHead}
+}
+
+// Step returns what to do now.
+func (a *Applier) Step() ApplyStep {
+	step := ApplyStep{Kind: a.kind, Delay: a.delay}
+	switch a.kind {
+	case StepCommitChunk:
+		step.Transaction = chunkWrite(a.digest, a.body, a.chunk)
+	case StepCommitHead:
+		step.Transaction = a.transaction
+	}
+	return step
+}
+
+// Result returns the outcome after StepDone; the error is a *fault.Fault.
+func (a *Applier) Result() (Applied, error) { return a.applied, a.err }
+
+// HeadRead reports the head row; found is false when it does not exist.
+func (a *Applier) HeadRead(row protocol.Row, found bool) {
+	a.succeeded()
+	head, err := readHeadRow(row, found)
+	if err != nil {
+		a.finish(Applied{}, a.qualify(fault.From(err)))
+		return
+	}
+	if a.inDoubt {
+		a.settle(row, found, head)
+		return
+	}
+	a.begin(row, found, head)
+}
+
+// begin decides on the first sight of the head.
+func (a *Applier) begin(row protocol.Row, found bool, head Head) {
+	a.head, a.headFound, a.rowVersion, a.intended = head, found, row.Version, 1
+	if found {
+		a.intended = head.Pair().Version + 1
+		if head.Pair().Digest == a.digest {
+			a.finishUnchanged(head)
+			return
+		}
+	}
+	if a.options.Base != nil && *a.options.Base != a.intended-1 {
+		a.finish(Applied{}, a.conflict(head, found))
+		return
+	}
+	if err := a.prepareCommit(); err != nil {
+		a.finish(Applied{}, fault.From(err))
+		return
+	}
+	a.kind = StepCommitChunk
+}
+
+// prepareCommit builds the transaction that makes this file the head. It also
+// deletes the body that the history forgets, in the same transaction: another
+// apply that counts on that body read an older head and so loses.
+func (a *Applier) prepareCommit() error {
+	entry := HistoryEntry{Pair: Pair{Version: a.intended, Digest: a.digest}, ApplyID: a.options.ApplyID, Size: len(a.body)}
+	next, forgotten := a.head.successor(entry, a.options.AppliedAt)
+	value, err := encodeHead(next)
+	if err != nil {
+		return err
+	}
+	a.transaction = protocol.Transaction{
+		Conditions: []protocol.Condition{{Key: HeadKey, Version: a.rowVersion}},
+		Writes:     []protocol.Write{{Key: HeadKey, Value: value}},
+	}
+	kept := map[Digest]bool{}
+	for _, remembered := range next.History {
+		kept[remembered.Pair.Digest] = true
+	}
+	for _, old := range forgotten {
+		for index := 0; index < chunkCount(old.Size) && !kept[old.Pair.Digest]; index++ {
+			a.transaction.Writes = append(a.transaction.Writes, protocol.Write{Key: chunkKey(old.Pair.Digest, index), Delete: true})
+		}
+	}
+	return nil
+}
+
+// settle decides on a sight of the head after a commit whose answer was lost.
+func (a *Applier) settle(row protocol.Row, found bool, head Head) {
+	if found {
+		if entry, ours := head.find(a.options.ApplyID); ours {
+			a.finishApplied(entry, head)
+			return
+		}
+	}
+	if found == a.headFound && row.Version == a.rowVersion {
+		// Not committed so far, but it may still be on its way. The same
+		// transaction again can commit at most once: both need this row version.
+		a.kind = StepCommitHead
+		return
+	}
+	a.lost(head, found)
+}
+
+// lost ends an apply whose row version is gone. Ours can be among the applies
+// that the history has forgotten only if that many versions came since.
+func (a *Applier) lost(head Head, found bool) {
+	if a.inDoubt && found && head.Pair().Version >= a.intended+historyLength {
+		a.finish(Applied{}, fault.New(fault.StoreUnavailable, "the answer to this apply was lost and %d versions came since; version %d may have been this file", head.Pair().Version-a.intended, a.intended).
+			WithRan(fault.RanUnknown).WithRemedy("run 'fieldpond diff' against version %d, then apply again if it differs", head.Pair().Version))
+		return
+	}
+	if found && head.Pair().Digest == a.digest {
+		a.finishUnchanged(head)
+		return
+	}
+	a.finish(Applied{}, a.conflict(head, found))
+}
+
+// ChunkCommitted reports that the chunk's transaction committed.
+func (a *Applier) ChunkCommitted() {
+	a.succeeded()
+	a.chunk++
+	if a.chunk >= chunkCount(len(a.body)) {
+		a.kind = StepCommitHead
+	}
+}
+
+// HeadCommitted reports the answer to the head's transaction.
+func (a *Applier) HeadCommitted(result protocol.TransactionResult) {
+	a.succeeded()
+	if result.Committed {
+		a.finish(Applied{Version: a.intended, Digest: a.digest, ApplyID: a.options.ApplyID}, nil)
+		return
+	}
+	// Refused: somebody else won, or an earlier try of ours did.
+	if len(result.Rows) == 0 || result.Rows[0].Version == a.rowVersion {
+		a.Failed(fault.New(fault.StoreUnavailable, "the table refused the commit without naming the row that forbids it"))
+		return
+	}
+	row := result.Rows[0]
+	head, err := readHeadRow(row, row.Version != 0)
+	if err != nil {
+		a.finish(Applied{}, a.qualify(fault.From(err)))
+		return
+	}
+	a.settle(row, row.Version != 0, head)
+}
+
+// readHeadRow returns the head in a row, empty when the row does not exist.
+func readHeadRow(row protocol.Row, found bool) (Head, error) {
+	if !found {
+		return Head{}, nil
+	}
+	return decodeHead(row.Value)
+}
+
+// Failed reports that the step's request failed. A failure with Ran other than
+// "no" may have taken effect.
+func (a *Applier) Failed(failure *fault.Fault) {
+	if a.kind == StepCommitHead && failure.Ran != fault.RanNo {
+		a.inDoubt = true
+	}
+	a.failures++
+	if a.failures >= maxFailuresInRow || !retryable(failure) {
+		a.finish(Applied{}, a.qualify(failure))
+		return
+	}
+	a.delay = max(failure.RetryAfter, min(maxRetryDelay, firstRetryDelay<<min(a.failures-1, maxDelayShift)))
+	if a.kind == StepCommitHead && a.inDoubt {
+		a.kind = StepReadHead
+	}
+}
+
+// Abandon ends the apply because its time is up.
+func (a *Applier) Abandon(cause error) {
+	a.finish(Applied{}, a.qualify(fault.Wrap(cause, fault.Timeout, "the apply did not end in time")))
+}
+
+func retryable(failure *fault.Fault) bool {
+	return failure.Kind == fault.StoreUnavailable || failure.Kind == fault.RateLimited
+}
+
+// qualify states what an apply that gives up knows of its own effect.
+func (a *Applier) qualify(failure *fault.Fault) *fault.Fault {
+	qualified := *failure
+	if a.inDoubt {
+		return qualified.WithRan(fault.RanUnknown).
+			WithRemedy("apply the same file again once the table answers: if version %d is this file already, that changes nothing", a.intended)
+	}
+	if failure.Remedy != "" {
+		return qualified.WithRan(fault.RanNo)
+	}
+	return qualified.WithRan(fault.RanNo).
+		WithRemedy("nothing was changed; apply again once the platform's table service answers")
+}
+
+func (a *Applier) conflict(head Head, found bool) *fault.Fault {
+	if !found {
+		return fault.New(fault.Conflict, "no fleet file is in force, so there is no version to build on").
+			WithRemedy("apply without --base")
+	}
+	winner := head.Pair().Version
+	return fault.New(fault.Conflict, "version %d, from another apply, is in force; this file was not applied", winner).
+		WithRemedy("run 'fieldpond diff' against version %d, take over its changes, then 'fieldpond apply --base %d'", winner, winner)
+}
+
+// succeeded ends a row of failures. While a commit is in doubt the row goes on,
+// so that commits whose answers are always lost come to an end.
+func (a *Applier) succeeded() {
+	a.delay = 0
+	if !a.inDoubt {
+		a.failures = 0
+	}
+}
+
+func (a *Applier) finishUnchanged(head Head) {
+	a.finish(Applied{Version: head.Pair().Version, Digest: a.digest, ApplyID: head.History[0].ApplyID, Unchanged: true}, nil)
+}
+
+func (a *Applier) finishApplied(entry HistoryEntry, head Head) {
+	applied := Applied{Version: entry.Pair.Version, Digest: entry.Pair.Digest, ApplyID: entry.ApplyID}
+	if head.Pair().Version > entry.Pair.Version {
+		applied.SupersededBy = head.Pair().Version
+	}
+	a.finish(applied, nil)
+}
+
+func (a *Applier) finish(applied Applied, failure *fault.Fault) {
+	a.kind, a.delay, a.applied = StepDone, 0, applied
+	if failure != nil {
+		a.err = failure
+	}
+}
--- /dev/null
+++ b/internal/fleet/apply.go
@@ -0,0 +1,81 @@
+package fleet
+
+import (
+	"context"
+	"time"
+
+	"github.com/fieldpond/fieldpond/internal/fault"
+	"github.com/fieldpond/fieldpond/internal/ident"
+	"github.com/fieldpond/fieldpond/internal/platform"
+)
+
+// attemptTimeout bounds one exchange with the table.
+const attemptTimeout = 5 * time.Second
+
+// Apply makes body the fleet file in force, by compare-and-swap in the table.
+// It refuses a body that Parse finds errors in. options.ApplyID and AppliedAt
+// are filled in when empty. Errors are *fault.Fault: InvalidFleet, Conflict
+// (naming the winning version), StoreUnavailable or Timeout, whose Ran says
+// whether the file may nevertheless be in force.
+func Apply(ctx context.Context, table platform.Table, body []byte, options ApplyOptions) (Applied, error) {
+	if _, problems := Parse(body, "the file"); problems.Err() != nil {
+		return Applied{}, problems.Err()
+	}
+	if options.ApplyID == "" {
+		options.ApplyID = ident.NewUnique()
+	}
+	if options.AppliedAt.IsZero() {
+		options.AppliedAt = time.Now().UTC()
+	}
+	applier := NewApplier(body, options)
+	for {
+		step := applier.Step()
+		if step.Kind == StepDone {
+			return applier.Result()
+		}
+		if err := pause(ctx, step.Delay); err != nil {
+			applier.Abandon(err)
+			continue
+		}
+		runApplyStep(ctx, table, applier, step)
+	}
+}
+
+// runApplyStep does one step and reports its outcome to the machine.
+func runApplyStep(ctx context.Context, table platform.Table, applier *Applier, step ApplyStep) {
+	attempt, cancel := context.WithTimeout(ctx, attemptTimeout)
+	defer cancel()
+	if step.Kind == StepReadHead {
+		row, found, err := table.Read(attempt, HeadKey)
+		if err != nil {
+			applier.Failed(fault.From(err))
+			return
+		}
+		applier.HeadRead(row, found)
+		return
+	}
+	result, err := table.Commit(attempt, step.Transaction)
+	switch {
+	case err != nil:
+		applier.Failed(fault.From(err))
+	case step.Kind == StepCommitHead:
+		applier.HeadCommitted(result)
+	default:
+		applier.ChunkCommitted()
+	}
+}
+
+// pause waits, or returns the context's error when its time is up.
+func pause(ctx context.Context, delay time.Duration) error {
+	if err := ctx.Err(); err != nil || delay <= 0 {
+		return err
+	}
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/internal/fleet/keeper.go
@@ -0,0 +1,299 @@
+package fleet
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/fieldpond/fieldpond/internal/fault"
+	"github.com/fieldpond/fieldpond/internal/ident"
+	"github.com/fieldpond/fieldpond/internal/membership"
+	"github.com/fieldpond/fieldpond/internal/platform"
+	"github.com/fieldpond/fieldpond/internal/ring"
+)
+
+const (
+	// pollersPerZone is how many routers of a zone read the table often: one,
+	// and one more for the time in which the first one's death is not known.
+	pollersPerZone = 2
+	// heardCapacity and resultCapacity bound the Keeper's rings. Heard pairs
+	// are replaced by later ones. Results are bounded by the requests that are
+	// open at once: one poll, one fetch and a few questions to peers.
+	heardCapacity  = 256
+	resultCapacity = 256
+	// headTimeout and bodyTimeout bound one exchange with a peer or the table.
+	headTimeout = 2 * time.Second
+	bodyTimeout = 15 * time.Second
+)
+
+// PeerFetcher asks other routers for what they have in force.
+type PeerFetcher interface {
+	// FetchHead returns the pair that the router at address has in force; a
+	// zero version when it has none.
+	FetchHead(ctx context.Context, address string) (Pair, error)
+	// FetchBody returns the body with the given digest. It need not verify it.
+	FetchBody(ctx context.Context, address string, digest Digest) ([]byte, error)
+}
+
+// KeeperOptions is what a Keeper works with. All fields are required.
+type KeeperOptions struct {
+	// Self and Zone are this router's.
+	Self ident.Node
+	Zone ident.Zone
+	// Table is the platform's table service.
+	Table platform.Table
+	// Peers asks other routers.
+	Peers PeerFetcher
+	// View returns the current membership.
+	View func() membership.View
+}
+
+// Keeper is the duty that keeps the newest accepted fleet file in force on
+// this router. It is the shell of an Adopter.
+type Keeper struct {
+	options  KeeperOptions
+	inForce  atomic.Pointer[inForce]
+	counters atomic.Pointer[AdopterCounters]
+	heard    *ring.Ring[heardPair]
+	results  *ring.Ring[keeperResult]
+	requests sync.WaitGroup
+
+	mutex     sync.Mutex
+	listeners []func(*Compiled)
+}
+
+// inForce is a compiled file with its bytes, which peers may ask for.
+type inForce struct {
+	compiled *Compiled
+	body     []byte
+}
+
+type heardPair struct {
+	pair    Pair
+	address string
+}
+
+// keeperResult is the outcome of one request.
+type keeperResult struct {
+	action AdoptAction
+	pair   Pair
+	found  bool
+	body   []byte
+	err    error
+}
+
+// NewKeeper returns a Keeper that has no file yet. Run starts it.
+func NewKeeper(options KeeperOptions) *Keeper {
+	keeper := &Keeper{
+		options: options,
+		heard:   ring.New[heardPair]("fleet-heard", heardCapacity, ring.DropOldest),
+		results: ring.New[keeperResult]("fleet-results", resultCapacity, ring.RefuseNew),
+	}
+	keeper.counters.Store(&AdopterCounters{})
+	return keeper
+}
+
+// Current returns the file in force, or nil when there is none yet.
+func (k *Keeper) Current() *Compiled {
+	if file := k.inForce.Load(); file != nil {
+		return file.compiled
+	}
+	return nil
+}
+
+// Ready returns the file in force, or a NotReady fault.
+func (k *Keeper) Ready() (*Compiled, error) {
+	if compiled := k.Current(); compiled != nil {
+		return compiled, nil
+	}
+	return nil, fault.New(fault.NotReady, "this router has no fleet file yet").WithRetryAfter(time.Second)
+}
+
+// Pair returns the pair in force, for gossip and for peers that ask.
+func (k *Keeper) Pair() Pair {
+	if compiled := k.Current(); compiled != nil {
+		return Pair{Version: compiled.Version, Digest: compiled.Digest}
+	}
+	return Pair{}
+}
+
+// Body returns the bytes of the file in force if it has this digest, for peers
+// that ask. They must not be changed.
+func (k *Keeper) Body(digest Digest) ([]byte, bool) {
+	file := k.inForce.Load()
+	if file == nil || file.compiled.Digest != digest {
+		return nil, false
+	}
+	return file.body, true
+}
+
+// Counters returns what the Keeper has met so far.
+func (k *Keeper) Counters() AdopterCounters { return *k.counters.Load() }
+
+// Rings returns the counters of the Keeper's rings.
+func (k *Keeper) Rings() []ring.Counters {
+	return []ring.Counters{k.heard.Counters(), k.results.Counters()}
+}
+
+// OnAdopt adds a function that is called, on the Keeper's goroutine and after
+// Current has changed, with each file put in force. It must not block.
+func (k *Keeper) OnAdopt(listener func(*Compiled)) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	k.listeners = append(k.listeners, listener)
+}
+
+// HeadHeard takes in a pair that the router at address has in force. It never
+// blocks and may be called by any goroutine, for every gossip message.
+func (k *Keeper) HeadHeard(version Version, digest Digest, address string) {
+	pair := Pair{Version: version, Digest: digest}
+	current := k.Pair()
+	if version >= current.Version && pair != current {
+		k.heard.Push(heardPair{pair: pair, address: address})
+	}
+}
+
+// Run keeps the file until ctx ends, and returns after every request it made
+// has ended.
+func (k *Keeper) Run(ctx context.Context) {
+	defer k.requests.Wait()
+	random := rand.New(rand.NewPCG(xxhash.Sum64String(string(k.options.Self)), 0))
+	adopter := NewAdopter(time.Now(), random.Float64)
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+		case <-k.heard.Ready():
+		case <-k.results.Ready():
+		}
+		now := time.Now()
+		adopter.SetSurroundings(now, k.surroundings())
+		k.takeIn(adopter, now)
+		for _, action := range adopter.Tick(now) {
+			k.start(ctx, action)
+		}
+		counters := adopter.Counters()
+		k.counters.Store(&counters)
+		timer.Reset(min(time.Until(adopter.NextTick(now)), time.Second))
+	}
+}
+
+// takeIn gives every waiting event to the machine.
+func (k *Keeper) takeIn(adopter *Adopter, now time.Time) {
+	for heard, ok := k.heard.Pop(); ok; heard, ok = k.heard.Pop() {
+		adopter.Heard(now, heard.pair, heard.address)
+	}
+	for result, ok := k.results.Pop(); ok; result, ok = k.results.Pop() {
+		k.takeInResult(adopter, now, result)
+	}
+}
+
+func (k *Keeper) takeInResult(adopter *Adopter, now time.Time, result keeperResult) {
+	switch result.action.Kind {
+	case ActionPollTable:
+		if result.err != nil {
+			adopter.PollFailed(now, fault.From(result.err).RetryAfter)
+			return
+		}
+		adopter.HeadPolled(now, result.pair, result.found)
+	case ActionAskPeer:
+		if result.err != nil {
+			adopter.PeerFailed(result.action.Address)
+			return
+		}
+		adopter.PeerAnswered(now, result.action.Address, result.pair)
+	case ActionFetchBody:
+		if result.err != nil {
+			adopter.FetchFailed(now)
+			return
+		}
+		for _, action := range adopter.BodyReceived(now, result.body) {
+			k.adopt(action)
+		}
+	}
+}
+
+// adopt puts a file in force and tells the listeners.
+func (k *Keeper) adopt(action AdoptAction) {
+	compiled := Compile(action.Document, action.Pair.Version, action.Pair.Digest)
+	k.inForce.Store(&inForce{compiled: compiled, body: action.Body})
+	log.WithFields(log.Fields{"version": compiled.Version, "digest": compiled.Digest}).Info("fleet file in force")
+	k.mutex.Lock()
+	listeners := k.listeners
+	k.mutex.Unlock()
+	for _, listener := range listeners {
+		listener(compiled)
+	}
+}
+
+// start makes one request in a goroutine of its own; its outcome comes back
+// through the ring.
+func (k *Keeper) start(ctx context.Context, action AdoptAction) {
+	k.requests.Add(1)
+	go func() {
+		defer k.requests.Done()
+		k.results.Push(k.request(ctx, action))
+	}()
+}
+
+func (k *Keeper) request(ctx context.Context, action AdoptAction) keeperResult {
+	timeout := headTimeout
+	if action.Kind == ActionFetchBody {
+		timeout = bodyTimeout
+	}
+	bounded, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	result := keeperResult{action: action}
+	switch {
+	case action.Kind == ActionPollTable:
+		var head Head
+		head, result.found, result.err = ReadHead(bounded, k.options.Table)
+		if result.found {
+			result.pair = head.Pair()
+		}
+	case action.Kind == ActionAskPeer:
+		result.pair, result.err = k.options.Peers.FetchHead(bounded, action.Address)
+	case action.Address == "":
+		result.body, result.err = ReadBody(bounded, k.options.Table, action.Pair.Digest)
+	default:
+		result.body, result.err = k.options.Peers.FetchBody(bounded, action.Address, action.Pair.Digest)
+	}
+	return result
+}
+
+// surroundings derives from the membership who polls and who can be asked.
+func (k *Keeper) surroundings() Surroundings {
+	view := k.options.View()
+	zones := map[ident.Zone][]membership.Member{}
+	around := Surroundings{}
+	for _, member := range view.Members {
+		if member.State == membership.Alive || member.State == membership.Suspect {
+			zones[member.Zone] = append(zones[member.Zone], member)
+			around.Members++
+		}
+	}
+	pollers := map[ident.Node]bool{}
+	for zone, members := range zones {
+		for _, owner := range (membership.View{Members: members}).Owners("fleet/poll/"+string(zone), pollersPerZone) {
+			pollers[owner.Node] = true
+		}
+	}
+	for _, member := range view.Members {
+		if member.State > membership.Leaving || member.Node == k.options.Self {
+			continue
+		}
+		around.Peers = append(around.Peers, Peer{
+			Address: member.HTTPAddress, SameZone: member.Zone == k.options.Zone, Poller: pollers[member.Node],
+		})
+	}
+	around.Poller = pollers[k.options.Self] || len(zones) == 0
+	return around
+}
--- /dev/null
+++ b/internal/fleet/normalise.go
@@ -0,0 +1,59 @@
+package fleet
+
+import (
+	"strings"
+	"time"
+
+	"github.com/fieldpond/fieldpond/internal/prefix"
+)
+
+// The defaults of the schema.
+const (
+	// DefaultMaxHold is Class.MaxHold when the file does not give it.
+	DefaultMaxHold = 2 * time.Second
+	// DefaultDeadline is Class.Deadline when the file does not give it.
+	DefaultDeadline = 30 * time.Second
+	// DefaultPrefillMicrosPerToken is Model.PrefillMicrosPerToken likewise.
+	DefaultPrefillMicrosPerToken = 100
+	// DefaultShare is Tenant.Share likewise.
+	DefaultShare = 1
+	// DefaultRole is Engine.Role likewise.
+	DefaultRole = "mixed"
+)
+
+// Normalise fills in the defaults of a document in place, and lower-cases its
+// key hashes. It changes nothing the second time.
+func Normalise(document *Document) {
+	for index := range document.Models {
+		model := &document.Models[index]
+		setDefault(&model.BlockTokens, prefix.DefaultBlockTokens)
+		setDefault(&model.PrefillMicrosPerToken, DefaultPrefillMicrosPerToken)
+	}
+	for index := range document.Classes {
+		class := &document.Classes[index]
+		setDefault(&class.MaxHold, DefaultMaxHold)
+		setDefault(&class.Deadline, DefaultDeadline)
+	}
+	for index := range document.Engines {
+		engine := &document.Engines[index]
+		setDefault(&engine.Role, DefaultRole)
+		setDefault(&engine.State, BackendActive)
+	}
+	for index := range document.Applications {
+		setDefault(&document.Applications[index].State, BackendActive)
+	}
+	for index := range document.Tenants {
+		tenant := &document.Tenants[index]
+		setDefault(&tenant.Share, DefaultShare)
+		for position, hash := range tenant.KeyHashes {
+			tenant.KeyHashes[position] = strings.ToLower(hash)
+		}
+	}
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
--- /dev/null
+++ b/internal/fleet/storage.go
@@ -0,0 +1,174 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/fieldpond/fieldpond/internal/fault"
+	"github.com/fieldpond/fieldpond/internal/platform"
+	"github.com/fieldpond/fieldpond/internal/platform/protocol"
+)
+
+const (
+	// HeadKey is the table row that names the file in force.
+	HeadKey = "fleet/head"
+	// bodyPrefix starts the keys of the rows that hold bodies.
+	bodyPrefix = "fleet/body/"
+	// chunkBytes is the most of a body that one row holds, in bytes.
+	chunkBytes = 512 << 10
+	// historyLength is how many applies the head row remembers, the one in
+	// force included. An operator whose answer was lost finds the apply among
+	// them.
+	historyLength = 32
+	// headSchema is the value of Head.Schema that this program reads.
+	headSchema = 1
+)
+
+// Pair names one accepted fleet file.
+type Pair struct {
+	Version Version `cbor:"1,keyasint"`
+	Digest  Digest  `cbor:"2,keyasint"`
+}
+
+// HistoryEntry is one accepted apply.
+type HistoryEntry struct {
+	Pair    Pair   `cbor:"1,keyasint"`
+	ApplyID string `cbor:"2,keyasint"`
+	// Size of the body in bytes.
+	Size int `cbor:"3,keyasint"`
+}
+
+// Head is the value of the head row. History holds the last applies, the one
+// in force first, and is never empty.
+type Head struct {
+	Schema  int            `cbor:"1,keyasint"`
+	History []HistoryEntry `cbor:"2,keyasint"`
+	// AppliedAt is the operator's clock, for people only.
+	AppliedAt time.Time `cbor:"3,keyasint"`
+}
+
+// Pair returns the file in force.
+func (h Head) Pair() Pair { return h.History[0].Pair }
+
+// find returns the accepted apply with the given identifier.
+func (h Head) find(applyID string) (HistoryEntry, bool) {
+	for _, entry := range h.History {
+		if entry.ApplyID == applyID {
+			return entry, true
+		}
+	}
+	return HistoryEntry{}, false
+}
+
+// successor returns the head after one more apply, and the entry it forgets.
+func (h Head) successor(entry HistoryEntry, appliedAt time.Time) (next Head, forgotten []HistoryEntry) {
+	history := append([]HistoryEntry{entry}, h.History...)
+	if len(history) > historyLength {
+		history, forgotten = history[:historyLength], history[historyLength:]
+	}
+	return Head{Schema: headSchema, History: history, AppliedAt: appliedAt}, forgotten
+}
+
+// maxHeadEntries bounds the history that a head row is read with.
+const maxHeadEntries = 1024
+
+var headDecoding = mustDecMode()
+
+func mustDecMode() cbor.DecMode {
+	mode, err := cbor.DecOptions{MaxArrayElements: maxHeadEntries, MaxNestedLevels: 8, DupMapKey: cbor.DupMapKeyEnforcedAPF}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+func encodeHead(head Head) ([]byte, error) {
+	value, err := cbor.Marshal(head)
+	if err != nil {
+		return nil, fault.Wrap(err, fault.Internal, "writing the fleet's head row")
+	}
+	return value, nil
+}
+
+func decodeHead(value []byte) (Head, error) {
+	var head Head
+	if err := headDecoding.Unmarshal(value, &head); err != nil {
+		return Head{}, fault.Wrap(err, fault.Internal, "the table row %s is not a fleet head", HeadKey).
+			WithRemedy("restore the row from the platform's backup")
+	}
+	if head.Schema != headSchema || len(head.History) == 0 || head.Pair().Version == 0 {
+		return Head{}, fault.New(fault.Internal, "the table row %s has schema %d, this program reads %d", HeadKey, head.Schema, headSchema).
+			WithRemedy("use the fieldpond release that wrote the row, or a newer one")
+	}
+	return head, nil
+}
+
+// chunkKey returns the key of the row that holds chunk index of a body. The
+// index has a fixed width, so that keys sort in the order of the body.
+func chunkKey(digest Digest, index int) string {
+	return fmt.Sprintf("%s%s/%04d", bodyPrefix, digest, index)
+}
+
+func chunkCount(size int) int { return (size + chunkBytes - 1) / chunkBytes }
+
+// ReadHead reads the head row; found is false when no file was ever accepted.
+func ReadHead(ctx context.Context, table platform.Table) (head Head, found bool, err error) {
+	row, found, err := table.Read(ctx, HeadKey)
+	if err != nil || !found {
+		return Head{}, false, err
+	}
+	head, err = decodeHead(row.Value)
+	return head, err == nil, err
+}
+
+// ReadBody reads a body from the table and verifies its digest.
+func ReadBody(ctx context.Context, table platform.Table, digest Digest) ([]byte, error) {
+	var body []byte
+	for index := 0; index < chunkCount(MaxFileBytes); index++ {
+		row, found, err := table.Read(ctx, chunkKey(digest, index))
+		if err != nil {
+			return nil, err
+		}
+		if !found {
+			break
+		}
+		body = append(body, row.Value...)
+		if len(row.Value) < chunkBytes {
+			break
+		}
+	}
+	if DigestOf(body) != digest {
+		return nil, fault.New(fault.Internal, "the table holds no whole body for fleet digest %s", digest).
+			WithRemedy("it may have been superseded: read the head again; if it lasts, apply the file again")
+	}
+	return body, nil
+}
+
+// Stored is the file in force as read from the table.
+type Stored struct {
+	Head     Head
+	Body     []byte
+	Document *Document
+}
+
+// ReadStored reads the file in force; found is false when there is none.
+func ReadStored(ctx context.Context, table platform.Table) (stored Stored, found bool, err error) {
+	head, found, err := ReadHead(ctx, table)
+	if err != nil || !found {
+		return Stored{}, false, err
+	}
+	body, err := ReadBody(ctx, table, head.Pair().Digest)
+	if err != nil {
+		return Stored{}, false, err
+	}
+	document, problems := Parse(body, fmt.Sprintf("version %d", head.Pair().Version))
+	return Stored{Head: head, Body: body, Document: document}, document != nil, problems.Err()
+}
+
+func chunkWrite(digest Digest, body []byte, index int) protocol.Transaction {
+	end := min(len(body), (index+1)*chunkBytes)
+	return protocol.Transaction{Writes: []protocol.Write{{Key: chunkKey(digest, index), Value: body[index*chunkBytes : end]}}}
+}
