Add the routing pipeline, its plug-ins and the baselines

Cause: a request has to be placed by where its data may live, by predicted time to first token and by recomputation, the same way at every router.

Change: Filter, Scorer and Picker plug-ins, one a file; Pipeline composes them and widens beyond the window when it is full or its queues are long.

Baselines: round robin, least load, prefix hash, oracle.

Tests shown failing first by breaking the guard: places, alive, version, role in shortlists, shortlist length, widening, recomputation weight, tie tolerance, move, import fence.

--- /dev/null
+++ b/internal/routing/config.go
@@ -0,0 +1,83 @@
+package routing
+
+import (
+	"time"
+
+	"github.com/fieldpond/fieldpond/internal/fault"
+	"github.com/fieldpond/fieldpond/internal/routing/rendezvous"
+)
+
+// Config sets the predictive scheduler. A zero field takes its default.
+type Config struct {
+	// DefaultPrefillPerToken is the prefill slope of an engine that has not
+	// told its own. Default: 100us.
+	DefaultPrefillPerToken time.Duration
+	// RequestDuration is the assumed time that a running request keeps its
+	// batch slot; it prices waiting behind a full batch. Default: 2s.
+	RequestDuration time.Duration
+	// TieTolerance is the difference of cost that counts as a tie. It should
+	// exceed the difference of hops between zones. Default: 5ms.
+	TieTolerance time.Duration
+	// TieShare widens the tolerance to this share of the time to prefill the
+	// whole prompt. Default: 0.05.
+	TieShare float64
+	// Window is the number of candidates that are scored, the highest ranking
+	// ones for the prompt's leading blocks; at most 128. Default: 32.
+	Window int
+	// TransferPerToken is the assumed time to export one token's cache from an
+	// engine, and again to import it into another. Default: 0, never move.
+	TransferPerToken time.Duration
+	// MinMoveTokens is the smallest gain in cached tokens worth a move. Default: 512.
+	MinMoveTokens int
+}
+
+const (
+	defaultPrefillPerToken = 100 * time.Microsecond
+	defaultRequestDuration = 2 * time.Second
+	defaultTieTolerance    = 5 * time.Millisecond
+	defaultTieShare        = 0.05
+	defaultWindow          = 32
+	defaultMinMoveTokens   = 512
+)
+
+// shortlistFactor is the length of a shortlist in windows: up to half of a
+// shortlist may be dead, leaving or excluded before all endpoints are looked at.
+const shortlistFactor = 2
+
+const maxWindow = rendezvous.MaxTop / shortlistFactor
+
+func withDefaults(config Config) Config {
+	if config.DefaultPrefillPerToken == 0 {
+		config.DefaultPrefillPerToken = defaultPrefillPerToken
+	}
+	if config.RequestDuration == 0 {
+		config.RequestDuration = defaultRequestDuration
+	}
+	if config.TieTolerance == 0 {
+		config.TieTolerance = defaultTieTolerance
+	}
+	if config.TieShare == 0 {
+		config.TieShare = defaultTieShare
+	}
+	if config.Window == 0 {
+		config.Window = defaultWindow
+	}
+	if config.MinMoveTokens == 0 {
+		config.MinMoveTokens = defaultMinMoveTokens
+	}
+	return config
+}
+
+// Validate returns a *fault.Fault of kind InvalidSettings for a value outside
+// its range.
+func (c Config) Validate() error {
+	switch {
+	case c.Window < 0 || c.Window > maxWindow:
+		return fault.New(fault.InvalidSettings, "routing window %d is outside 0 to %d", c.Window, maxWindow)
+	case c.TieShare < 0 || c.TieShare > 1:
+		return fault.New(fault.InvalidSettings, "routing tie share %g is outside 0 to 1", c.TieShare)
+	case c.DefaultPrefillPerToken < 0 || c.RequestDuration < 0 || c.TieTolerance < 0 || c.TransferPerToken < 0 || c.MinMoveTokens < 0:
+		return fault.New(fault.InvalidSettings, "a routing time or token count is negative")
+	}
+	return nil
+}
--- a/internal/routing/framework/framework.go
+++ b/internal/routing/framework/framework.go
@@ -95,9 +95,15 @@
 
 // Snapshot is the state a decision is taken over. It is not changed by it.
 type Snapshot struct {
-	Now       time.Time
+	Now time.Time
+	// Endpoints lists the engines that may matter; at best those of the
+	// request's model, grouped by zone.
 	Endpoints []Endpoint
-	Credits   Credits
+	// Generation identifies the engines of Endpoints with their zones and
+	// order, and the fleet version. Equal generations let a scheduler reuse
+	// what it worked out from these alone; zero means not known.
+	Generation uint64
+	Credits    Credits
 	// Hop is the one-way network time to an endpoint of the given zone.
 	Hop func(zone ident.Zone) time.Duration
 }
--- /dev/null
+++ b/internal/routing/rendezvous/rendezvous.go
@@ -0,0 +1,56 @@
+// Package rendezvous ranks engines for a prompt by highest-random-weight
+// hashing of the prompt's leading blocks, so that routers agree on an engine
+// without talking and a fresh router agrees with the others at once.
+package rendezvous
+
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/fieldpond/fieldpond/internal/ident"
+	"github.com/fieldpond/fieldpond/internal/prefix"
+	"github.com/fieldpond/fieldpond/internal/routing/framework"
+)
+
+// RootBlock is the index of the block whose chain hash stands for the leading
+// blocks of a prompt. A shorter chain is ranked by its last block.
+const RootBlock = 3
+
+// Root returns the chain hash that stands for the leading blocks of a chain;
+// ok is false for a chain without a whole block.
+func Root(chain prefix.Chain) (root prefix.Hash, ok bool) {
+	if len(chain) == 0 {
+		return 0, false
+	}
+	return chain[min(RootBlock, len(chain)-1)], true
+}
+
+// Key returns the ranking key of a request: the leading blocks under its
+// preferred version. A prompt without a whole block has nothing to reuse and is
+// spread by its identifier; shared is then false.
+func Key(request *framework.Request) (key uint64, shared bool) {
+	if len(request.Versions) > 0 {
+		if root, ok := Root(request.Chains[request.Versions[0]]); ok {
+			return uint64(root), true
+		}
+	}
+	return xxhash.Sum64String(string(request.ID)), false
+}
+
+// Score returns the weight of an engine for a key; the highest one is home.
+func Score(key uint64, engine ident.Engine) uint64 {
+	mixed := xxhash.Sum64String(string(engine)) ^ key
+	mixed ^= mixed >> 30
+	mixed *= 0xbf58476d1ce4e5b9
+	mixed ^= mixed >> 27
+	mixed *= 0x94d049bb133111eb
+	return mixed ^ mixed>>31
+}
+
+// Better reports whether the first engine ranks above the second; names break
+// equal scores, so the order of the input never matters.
+func Better(firstScore uint64, first ident.Engine, secondScore uint64, second ident.Engine) bool {
+	if firstScore != secondScore {
+		return firstScore > secondScore
+	}
+	return first < second
+}
--- /dev/null
+++ b/internal/routing/scorer/recomputation.go
@@ -0,0 +1,35 @@
+package scorer
+
+import (
+	"time"
+
+	"github.com/fieldpond/fieldpond/internal/routing/framework"
+)
+
+// Recomputation adds the service's weight times the time an endpoint would
+// spend on tokens that the best permitted candidate is believed to hold. The
+// cost runs from 0 (the best holder) to weight times the whole prefill.
+type Recomputation struct {
+	// DefaultPrefillPerToken is the slope of an engine that has not told its own.
+	DefaultPrefillPerToken time.Duration
+}
+
+// Name implements framework.Scorer.
+func (Recomputation) Name() string { return "recomputation" }
+
+// Score implements framework.Scorer.
+func (s Recomputation) Score(request *framework.Request, _ *framework.Snapshot, candidates []framework.Candidate) {
+	if request.RecomputationWeight <= 0 {
+		return
+	}
+	best := 0.0
+	for index := range candidates {
+		best = max(best, candidates[index].CreditTokens)
+	}
+	for index := range candidates {
+		candidate := &candidates[index]
+		slope := Slope(&candidate.Endpoint.Load, s.DefaultPrefillPerToken)
+		wasted := (best - candidate.CreditTokens) * float64(slope)
+		candidate.Cost += time.Duration(request.RecomputationWeight * wasted)
+	}
+}
