Add beliefs about the blocks that engine incarnations hold

Cause: a decision needs the expected number of cached leading blocks on each engine, in bounded memory, dropped at once with a crash, new weights or death.

Ruled out: a list per engine with its own cap (the sum over the fleet is no bound); deleting a dead engine's blocks one by one (a new seed makes them unreachable in constant time, the table forgets them as the oldest); looking up each block of a chain (checkpoints on a ladder common to all chains and a binary search instead).

Change: prefix.Checkpoint*, Chain.Root; beliefs.Store with answers, events,

measured per engine, and a View that implements framework.Credits.

--- /dev/null
+++ b/internal/prefix/beliefs/credit.go
@@ -0,0 +1,130 @@
+package beliefs
+
+import (
+	"math"
+	"time"
+
+	"github.com/fieldpond/fieldpond/internal/ident"
+	"github.com/fieldpond/fieldpond/internal/prefix"
+)
+
+// source says how a block came to be believed; it sets the probability.
+type source uint8
+
+const (
+	// sourceNone marks a block known only by an expectation.
+	sourceNone source = iota
+	// sourceTold is an answer of the directory.
+	sourceTold
+	// sourceAnswer is an engine's own answer to this router.
+	sourceAnswer
+	// sourceEvent is the engine's event stream.
+	sourceEvent
+	// sourceSnapshot is a snapshot: held, but since when is not known.
+	sourceSnapshot
+)
+
+const (
+	// toldProbability is the prior of what the directory told.
+	toldProbability = 0.95
+	// expectedProbability is the prior of a block being filled by a dispatch.
+	expectedProbability = 0.9
+	// gapFactor is what one gap in the events leaves of the trust in them.
+	gapFactor = 0.5
+	// presenceFloor is the probability below which a block counts as absent.
+	presenceFloor = 0.05
+	// creditSamples bounds the checkpoints at which probabilities are read.
+	creditSamples = 4
+)
+
+// View is a Store at one time; it implements framework.Credits.
+type View struct {
+	store *Store
+	now   stamp
+}
+
+// At returns the beliefs as of now.
+func (s *Store) At(now time.Time) *View { return &View{store: s, now: s.stamp(now)} }
+
+// Credit returns the number of leading blocks of chain that the incarnation is
+// expected to hold. It looks at checkpoints only: a binary search finds the
+// deepest one believed held, and a few above it give the probabilities, so a
+// call costs about ten look-ups however long the chain is.
+func (v *View) Credit(engine ident.Engine, incarnation ident.Incarnation, chain prefix.Chain) float64 {
+	known := v.store.current(engine, incarnation)
+	if known == nil || len(chain) == 0 {
+		return 0
+	}
+	deepest := v.deepest(known, chain)
+	if deepest < 0 {
+		return 0
+	}
+	expected, lowest, counted := 0.0, 1.0, 0
+	steps := min(creditSamples, deepest+1)
+	for step := 1; step <= steps; step++ {
+		position := prefix.CheckpointAt((deepest+1)*step/steps-1, len(chain))
+		lowest = min(lowest, v.probability(known, chain[position]))
+		expected += lowest * float64(position+1-counted)
+		counted = position + 1
+	}
+	return expected
+}
+
+// deepest returns the deepest checkpoint believed held, or -1.
+func (v *View) deepest(known *life, chain prefix.Chain) int {
+	low, high := 0, prefix.CheckpointCount(len(chain))
+	if v.probability(known, chain[prefix.CheckpointAt(0, len(chain))]) < presenceFloor {
+		return -1
+	}
+	for high-low > 1 {
+		middle := (low + high) / 2
+		if v.probability(known, chain[prefix.CheckpointAt(middle, len(chain))]) >= presenceFloor {
+			low = middle
+		} else {
+			high = middle
+		}
+	}
+	return low
+}
+
+func (v *View) probability(known *life, hash prefix.Hash) float64 {
+	block := v.store.blocks.find(known.key(hash))
+	if block == nil {
+		return 0
+	}
+	probability := v.observed(known, block)
+	if block.expected > 0 && block.expected.age(v.now) < v.store.config.ExpectationLifetime {
+		probability = max(probability, expectedProbability)
+	}
+	return probability
+}
+
+// observed is the probability from observations alone. A block known by events
+// does not fade while its stream is heard: its eviction would be told.
+func (v *View) observed(known *life, block *slot) float64 {
+	prior, since := 1.0, block.seen
+	switch block.source {
+	case sourceNone:
+		return 0
+	case sourceTold:
+		prior = toldProbability
+	case sourceAnswer:
+	case sourceEvent, sourceSnapshot:
+		if missed := known.gaps - block.gaps; missed > 0 {
+			prior = math.Pow(gapFactor, float64(missed))
+		}
+		since = max(since, known.heard)
+	}
+	return prior * math.Exp(-float64(since.age(v.now))/float64(known.lifetime))
+}
+
+// Holds reports whether the incarnation holds the block according to its event
+// stream; known is false if the stream does not settle it.
+func (s *Store) Holds(engine ident.Engine, incarnation ident.Incarnation, hash prefix.Hash) (held, known bool) {
+	current := s.current(engine, incarnation)
+	if current == nil || !current.synced || current.snapshotWanted {
+		return false, false
+	}
+	block := s.blocks.find(current.key(hash))
+	return block != nil && block.source >= sourceEvent, true
+}
--- /dev/null
+++ b/internal/prefix/beliefs/store.go
@@ -0,0 +1,209 @@
+// Package beliefs holds what one router believes of the blocks that each
+// engine incarnation has cached. It is a state machine without I/O; the time
+// is passed in.
+//
+// Sources, best first: the cached-token counts in engines' answers, cache
+// events and snapshots of engines whose streams this router reads, what the
+// directory told, and own dispatches. Beliefs fade with the block lifetime
+// measured on each engine. A new incarnation, changed weights or a dead engine
+// drop them at once. A belief that is wrong costs time and never correctness:
+// the engine itself looks up what it holds under the tenant's salt.
+//
+// A Store is written by one goroutine at a time; Credit and Holds only read.
+package beliefs
+
+import (
+	"time"
+
+	"github.com/fieldpond/fieldpond/internal/fault"
+	"github.com/fieldpond/fieldpond/internal/ident"
+	"github.com/fieldpond/fieldpond/internal/prefix"
+)
+
+// Config sets a Store. A zero field takes its default.
+type Config struct {
+	// MaxBlocks is the number of blocks remembered over all engines; the least
+	// recently confirmed go first. Default: 262144.
+	MaxBlocks int
+	// DefaultLifetime is the block lifetime assumed of an engine until it has
+	// been measured. Default: 30s.
+	DefaultLifetime time.Duration
+	// ExpectationLifetime is how long a dispatch that was never answered
+	// counts as a promise of cached blocks. Default: 10s.
+	ExpectationLifetime time.Duration
+	// SnapshotInterval is the least time between two snapshots of one engine.
+	// Default: 5s.
+	SnapshotInterval time.Duration
+}
+
+const (
+	defaultMaxBlocks           = 1 << 18
+	defaultLifetime            = 30 * time.Second
+	defaultExpectationLifetime = 10 * time.Second
+	defaultSnapshotInterval    = 5 * time.Second
+)
+
+// Counters counts what a Store was told. All only grow, except Blocks.
+type Counters struct {
+	// Blocks is the number of blocks remembered now.
+	Blocks int
+	// Evicted counts blocks forgotten for lack of room.
+	Evicted uint64
+	// Stale counts observations of an incarnation that is not the current one.
+	Stale uint64
+	// Gaps counts gaps in event sequences.
+	Gaps uint64
+	// Dropped counts lives whose beliefs were dropped as a whole.
+	Dropped uint64
+}
+
+// life is what is known of one engine and its present incarnation.
+type life struct {
+	incarnation ident.Incarnation
+	// active is false from Forget until Incarnation is told again.
+	active bool
+	// seed keeps the blocks of different lives apart in the table.
+	seed uint64
+	// lifetime is the measured time from a block's last use to its eviction.
+	// It outlives incarnations: it follows from the engine's cache size.
+	lifetime time.Duration
+	// synced is true once events or a snapshot gave the whole state.
+	synced   bool
+	sequence uint64
+	gaps     uint8
+	// heard is when the event stream was last heard.
+	heard          stamp
+	snapshotWanted bool
+	nextSnapshot   stamp
+}
+
+// Store holds one router's beliefs.
+type Store struct {
+	config   Config
+	start    time.Time
+	lives    map[ident.Engine]*life
+	blocks   *table
+	nextSeed uint64
+	counters Counters
+}
+
+// New returns an empty Store; start is any time not after those passed later.
+func New(config Config, start time.Time) (*Store, error) {
+	if config.MaxBlocks < 0 || config.DefaultLifetime < 0 || config.ExpectationLifetime < 0 || config.SnapshotInterval < 0 {
+		return nil, fault.New(fault.InvalidSettings, "a setting of the cache beliefs is negative")
+	}
+	config = withDefaults(config)
+	return &Store{config: config, start: start, lives: make(map[ident.Engine]*life), blocks: newTable(config.MaxBlocks)}, nil
+}
+
+func withDefaults(config Config) Config {
+	if config.MaxBlocks == 0 {
+		config.MaxBlocks = defaultMaxBlocks
+	}
+	if config.DefaultLifetime == 0 {
+		config.DefaultLifetime = defaultLifetime
+	}
+	if config.ExpectationLifetime == 0 {
+		config.ExpectationLifetime = defaultExpectationLifetime
+	}
+	if config.SnapshotInterval == 0 {
+		config.SnapshotInterval = defaultSnapshotInterval
+	}
+	return config
+}
+
+// Incarnation tells which incarnation of an engine is alive. Beliefs about any
+// other one are dropped at once. Observations never do this by themselves: a
+// late answer of an earlier life must not bring its beliefs back.
+func (s *Store) Incarnation(engine ident.Engine, incarnation ident.Incarnation) {
+	known := s.lives[engine]
+	if known == nil {
+		known = &life{lifetime: s.config.DefaultLifetime}
+		s.lives[engine] = known
+	}
+	if known.active && known.incarnation == incarnation {
+		return
+	}
+	known.incarnation, known.active = incarnation, incarnation != ""
+	s.drop(known)
+	known.synced, known.sequence, known.snapshotWanted = false, 0, false
+}
+
+// Forget drops every belief about an engine that is believed dead.
+func (s *Store) Forget(engine ident.Engine) {
+	if known := s.lives[engine]; known != nil {
+		known.active = false
+		s.drop(known)
+	}
+}
+
+// Remove forgets an engine that the fleet no longer has.
+func (s *Store) Remove(engine ident.Engine) {
+	s.Forget(engine)
+	delete(s.lives, engine)
+}
+
+// WeightsChanged drops every belief about an engine whose loaded versions or
+// adapters changed; the incarnation stays.
+func (s *Store) WeightsChanged(engine ident.Engine) {
+	if known := s.lives[engine]; known != nil {
+		s.drop(known)
+		known.snapshotWanted = known.synced
+	}
+}
+
+// Counters returns the counters.
+func (s *Store) Counters() Counters {
+	counters := s.counters
+	counters.Blocks = len(s.blocks.index)
+	counters.Evicted = s.blocks.evicted
+	return counters
+}
+
+// Lifetime returns the block lifetime measured on an engine, or the default.
+func (s *Store) Lifetime(engine ident.Engine) time.Duration {
+	if known := s.lives[engine]; known != nil {
+		return known.lifetime
+	}
+	return s.config.DefaultLifetime
+}
+
+// drop makes every block of a life unreachable in constant time; the table
+// forgets them as the least recently written ones.
+func (s *Store) drop(known *life) {
+	s.nextSeed++
+	known.seed = s.nextSeed * 0x9e3779b97f4a7c15
+	s.counters.Dropped++
+}
+
+// current returns the engine's life if the incarnation is its present one.
+func (s *Store) current(engine ident.Engine, incarnation ident.Incarnation) *life {
+	known := s.lives[engine]
+	if known == nil || !known.active || known.incarnation != incarnation {
+		return nil
+	}
+	return known
+}
+
+// key spreads a block's hash by the seed of the life that holds it.
+func (l *life) key(hash prefix.Hash) uint64 {
+	mixed := (uint64(hash) ^ l.seed) * 0xff51afd7ed558ccd
+	return mixed ^ mixed>>32
+}
+
+// stamp is a time in hundredths of a second since the Store's start, plus one;
+// zero means never.
+type stamp uint32
+
+const stampUnit = 10 * time.Millisecond
+
+func (s *Store) stamp(now time.Time) stamp {
+	return stamp(max(0, now.Sub(s.start))/stampUnit) + 1
+}
+
+func (t stamp) age(now stamp) time.Duration {
+	if t >= now {
+		return 0
+	}
+	return time.Duration(now-t) * stampUnit
+}
--- /dev/null
+++ b/internal/prefix/beliefs/store_test.go
@@ -0,0 +1,233 @@
+package beliefs_test
+
+import (
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/fieldpond/fieldpond/internal/engine/protocol"
+	"github.com/fieldpond/fieldpond/internal/fault"
+	"github.com/fieldpond/fieldpond/internal/ident"
+	"github.com/fieldpond/fieldpond/internal/prefix"
+	"github.com/fieldpond/fieldpond/internal/prefix/beliefs"
+)
+
+const engine, first, second = ident.Engine("e"), ident.Incarnation("i1"), ident.Incarnation("i2")
+
+var start = time.Date(2026, 3, 2, 8, 0, 0, 0, time.UTC)
+
+func newStore(t testing.TB, config beliefs.Config) *beliefs.Store {
+	store, err := beliefs.New(config, start)
+	is.New(t).NoErr(err)
+	store.Incarnation(engine, first)
+	return store
+}
+
+func chainOf(tenant ident.Tenant, blocks int) prefix.Chain {
+	salt := prefix.Namespace{Tenant: tenant, Model: "m", Version: "v"}.Salt()
+	return prefix.ChainOf(salt, strings.Repeat("order book ", blocks*6)[:blocks*64], prefix.DefaultBlockTokens)
+}
+
+func stored(sequence uint64, hashes prefix.Chain) protocol.CacheEvent {
+	return protocol.CacheEvent{Sequence: sequence, Kind: protocol.CacheStored, Hashes: hashes}
+}
+
+func batch(events ...protocol.CacheEvent) protocol.CacheEventBatch {
+	return protocol.CacheEventBatch{Incarnation: first, Events: events}
+}
+
+// Each case starts from a chain of 40 blocks known by an answer and says what
+// is left of the credit afterwards.
+func TestWhatDropsBeliefs(t *testing.T) {
+	chain := chainOf("t", 40)
+	cases := []struct {
+		name        string
+		happens     func(*beliefs.Store)
+		incarnation ident.Incarnation
+		want        float64
+	}{
+		{"nothing", func(*beliefs.Store) {}, first, 40},
+		{"same incarnation again", func(s *beliefs.Store) { s.Incarnation(engine, first) }, first, 40},
+		{"asked about another incarnation", func(*beliefs.Store) {}, second, 0},
+		{"crash: new incarnation", func(s *beliefs.Store) { s.Incarnation(engine, second) }, second, 0},
+		{"crash: late answer of the old life", func(s *beliefs.Store) {
+			s.Incarnation(engine, second)
+			s.Answered(start, engine, first, chain, 40)
+		}, second, 0},
+		{"back to the old name of a life", func(s *beliefs.Store) {
+			s.Incarnation(engine, second)
+			s.Incarnation(engine, first)
+		}, first, 0},
+		{"believed dead", func(s *beliefs.Store) { s.Forget(engine) }, first, 0},
+		{"believed dead, then a late answer", func(s *beliefs.Store) {
+			s.Forget(engine)
+			s.Answered(start, engine, first, chain, 40)
+		}, first, 0},
+		{"believed dead, then found alive", func(s *beliefs.Store) {
+			s.Forget(engine)
+			s.Incarnation(engine, first)
+		}, first, 0},
+		{"weights changed", func(s *beliefs.Store) { s.WeightsChanged(engine) }, first, 0},
+		{"cache cleared", func(s *beliefs.Store) {
+			s.Events(start, engine, batch(protocol.CacheEvent{Sequence: 1, Kind: protocol.CacheCleared}))
+		}, first, 0},
+		{"deep blocks evicted", func(s *beliefs.Store) {
+			s.Events(start, engine, batch(protocol.CacheEvent{Sequence: 1, Kind: protocol.CacheRemoved, Hashes: chain[20:]}))
+		}, first, 16}, // the deepest checkpoint inside 20 blocks
+		{"unknown incarnation", func(s *beliefs.Store) { s.Incarnation(engine, "") }, "", 0},
+		{"engine removed from the fleet", func(s *beliefs.Store) { s.Remove(engine) }, first, 0},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			store := newStore(t, beliefs.Config{})
+			store.Answered(start, engine, first, chain, 0)
+			test.happens(store)
+			is.New(t).Equal(store.At(start).Credit(engine, test.incarnation, chain), test.want)
+		})
+	}
+}
+
+func TestGapHalvesTrustAndAsksForSnapshots(t *testing.T) {
+	is := is.New(t)
+	chain, other := chainOf("t", 64), chainOf("u", 64)
+	store := newStore(t, beliefs.Config{})
+	store.Events(start, engine, batch(stored(1, chain)))
+	held, known := store.Holds(engine, first, chain[63])
+	is.True(held && known)
+	is.True(!store.SnapshotWanted(start, engine))
+
+	store.Events(start, engine, batch(stored(3, other))) // 2 was lost
+	view := store.At(start)
+	is.Equal(view.Credit(engine, first, chain), 32.0)
+	is.Equal(view.Credit(engine, first, other), 64.0) // told after the gap
+	_, known = store.Holds(engine, first, chain[63])
+	is.True(!known)
+	is.True(store.SnapshotWanted(start, engine))
+	is.True(!store.SnapshotWanted(start.Add(4*time.Second), engine)) // bounded rate
+	is.True(store.SnapshotWanted(start.Add(5*time.Second), engine))
+
+	snapshot := protocol.CacheSnapshot{Incarnation: first, Sequence: 9, Hashes: chain[:32]}
+	store.Snapshot(start, engine, snapshot)
+	store.Events(start, engine, batch(stored(8, other))) // older than the snapshot
+	view = store.At(start)
+	is.Equal(view.Credit(engine, first, chain), 32.0)
+	is.Equal(view.Credit(engine, first, other), 0.0)
+	is.Equal(store.Counters().Gaps, uint64(1))
+}
+
+func TestTenantSaltsNeverMeet(t *testing.T) {
+	store := newStore(t, beliefs.Config{})
+	store.Answered(start, engine, first, chainOf("t", 40), 0)
+	is.New(t).Equal(store.At(start).Credit(engine, first, chainOf("u", 40)), 0.0)
+}
+
+func TestBeliefsFadeWithTheMeasuredLifetime(t *testing.T) {
+	is := is.New(t)
+	chain := chainOf("t", 40)
+	later := start.Add(20 * time.Second)
+	store := newStore(t, beliefs.Config{ExpectationLifetime: 10 * time.Second})
+	store.Dispatched(start, engine, first, chain)
+	is.Equal(store.At(start).Credit(engine, first, chain), 36.0) // expected soon
+	is.Equal(store.At(later).Credit(engine, first, chain), 0.0)  // and never answered
+
+	store.Answered(start, engine, first, chain, 0)
+	before := store.At(later).Credit(engine, first, chain)
+	is.True(before > 10 && before < 40)
+	for sequence := uint64(1); sequence < 60; sequence += 2 { // blocks live 2 s
+		at := start.Add(time.Duration(sequence) * time.Second)
+		brief := chainOf("brief", 8)
+		store.Events(at, engine, batch(stored(sequence, brief)))
+		store.Events(at.Add(2*time.Second), engine, batch(protocol.CacheEvent{Sequence: sequence + 1, Kind: protocol.CacheRemoved, Hashes: brief}))
+	}
+	is.True(store.Lifetime(engine) < 4*time.Second)
+	is.Equal(store.At(later).Credit(engine, first, chain), 0.0)
+
+	// An engine that still holds what was long out of sight has a longer one.
+	measured := store.Lifetime(engine)
+	store.Answered(start.Add(time.Minute), engine, first, chain, 40)
+	is.True(store.Lifetime(engine) > measured)
+}
+
+// The credit of a chain whose first blocks are held never exceeds them and
+// falls short by less than the distance between checkpoints.
+func TestCreditIsCloseBelowTheTruth(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		length := rapid.IntRange(1, 3000).Draw(t, "length")
+		shared := rapid.IntRange(0, length).Draw(t, "shared")
+		held, asked := make(prefix.Chain, length), make(prefix.Chain, length)
+		for index := range length {
+			held[index] = prefix.Hash(index + 1)
+			asked[index] = held[index]
+			if index >= shared {
+				asked[index] = prefix.Hash(index + 1_000_000)
+			}
+		}
+		store := newStore(&testing.T{}, beliefs.Config{})
+		store.Answered(start, engine, first, held, 0)
+		credit := int(store.At(start).Credit(engine, first, asked))
+		slack := 8
+		if shared > 256 {
+			slack = 64
+		}
+		if shared > 2048 {
+			slack = 2048
+		}
+		if credit > shared || credit <= shared-slack && credit < shared {
+			t.Fatalf("credit %d of %d shared blocks of %d", credit, shared, length)
+		}
+	})
+}
+
+func TestMemoryIsBounded(t *testing.T) {
+	is := is.New(t)
+	store := newStore(t, beliefs.Config{MaxBlocks: 100})
+	recent := chainOf("t", 40)
+	store.Answered(start, engine, first, recent, 0)
+	for sequence := range uint64(50) {
+		store.Events(start, engine, batch(stored(sequence+1, chainOf(ident.Tenant(rune('a'+sequence)), 30))))
+		is.Equal(store.At(start).Credit(engine, first, recent), 40.0) // recently confirmed ones stay
+		store.Answered(start, engine, first, recent, 0)
+	}
+	is.Equal(store.Counters().Blocks, 100)
+	_, err := beliefs.New(beliefs.Config{MaxBlocks: -1}, start)
+	is.True(fault.Is(err, fault.InvalidSettings))
+}
+
+func BenchmarkCredit(b *testing.B) {
+	store := newStore(b, beliefs.Config{})
+	chain := chainOf("t", 300)
+	store.Answered(start, engine, first, chain, 0)
+	view := store.At(start)
+	b.ReportAllocs()
+	for b.Loop() {
+		view.Credit(engine, first, chain)
+	}
+}
+
+// BenchmarkMemory fills a store with a node's share of the fleet's blocks, the
+// standby's included, and reports the heap that one block takes.
+func BenchmarkMemory(b *testing.B) {
+	const blocks = 251_000
+	for b.Loop() {
+		var before, after runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		store := newStore(b, beliefs.Config{})
+		for sequence := range uint64(blocks / 100) {
+			hashes := make(prefix.Chain, 100)
+			for index := range hashes {
+				hashes[index] = prefix.Hash(sequence*100 + uint64(index))
+			}
+			store.Events(start, engine, batch(stored(sequence+1, hashes)))
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/blocks, "B/block")
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/1e6, "MB")
+		runtime.KeepAlive(store)
+	}
+}
--- a/internal/routing/rendezvous/rendezvous.go
+++ b/internal/routing/rendezvous/rendezvous.go
@@ -7,29 +7,15 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/fieldpond/fieldpond/internal/ident"
-	"github.com/fieldpond/fieldpond/internal/prefix"
 	"github.com/fieldpond/fieldpond/internal/routing/framework"
 )
 
-// RootBlock is the index of the block whose chain hash stands for the leading
-// blocks of a prompt. A shorter chain is ranked by its last block.
-const RootBlock = 3
-
-// Root returns the chain hash that stands for the leading blocks of a chain;
-// ok is false for a chain without a whole block.
-func Root(chain prefix.Chain) (root prefix.Hash, ok bool) {
-	if len(chain) == 0 {
-		return 0, false
-	}
-	return chain[min(RootBlock, len(chain)-1)], true
-}
-
 // Key returns the ranking key of a request: the leading blocks under its
 // preferred version. A prompt without a whole block has nothing to reuse and is
 // spread by its identifier; shared is then false.
 func Key(request *framework.Request) (key uint64, shared bool) {
 	if len(request.Versions) > 0 {
-		if root, ok := Root(request.Chains[request.Versions[0]]); ok {
+		if root, ok := request.Chains[request.Versions[0]].Root(); ok {
 			return uint64(root), true
 		}
 	}
