Claim non-repeatable requests at most once in the table

Cause: nothing implemented claim.Claimer.

Ruled out: settling a lost answer by a separate read. The same conditional insert sent again settles it as well, because its condition fails and the result shows the row's claim id; and it stays grouped with other operations. Ruled out: leaving a given-up claim to a poll for a slow insert. The release is written under the condition of the insert itself, so the insert can no longer commit once the release has.

Change: a Core without I/O groups claims and outcomes into transactions, paces them, and releases claims it gave up; a Keeper is its shell.

--- /dev/null
+++ b/internal/claim/keeper.go
@@ -0,0 +1,228 @@
+package claim
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/fieldpond/fieldpond/internal/fault"
+	"github.com/fieldpond/fieldpond/internal/ident"
+	"github.com/fieldpond/fieldpond/internal/platform"
+)
+
+// drainTimeouts bounds the drain at a stop, in claim timeouts.
+const drainTimeouts = 2
+
+// Keeper is the shell around a Core: it sends the transactions and wakes the
+// callers. It implements Claimer. Run must be running for calls to end by
+// anything but their deadline.
+type Keeper struct {
+	table  platform.Table
+	config Config
+	mutex  sync.Mutex
+	core   *Core
+	// claimWaiters and recordWaiters hold the callers by claim id.
+	claimWaiters  map[string]chan Answer
+	recordWaiters map[string]chan Answer
+	changed       chan struct{}
+	stopping      bool
+	stopped       chan struct{}
+	sending       sync.WaitGroup
+}
+
+var _ Claimer = (*Keeper)(nil)
+
+// NewKeeper returns a Keeper of the given router over the table.
+func NewKeeper(table platform.Table, holder ident.Node, config Config) *Keeper {
+	config = config.withDefaults()
+	return &Keeper{
+		table:         table,
+		config:        config,
+		core:          NewCore(holder, config),
+		claimWaiters:  make(map[string]chan Answer),
+		recordWaiters: make(map[string]chan Answer),
+		changed:       make(chan struct{}, 1),
+		stopped:       make(chan struct{}),
+	}
+}
+
+// Run is the duty that advances the core until ctx ends. It then refuses new
+// claims, records what waits to be recorded, and returns when nothing waits
+// any more or after drainTimeouts times Config.Timeout.
+func (k *Keeper) Run(ctx context.Context) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	defer close(k.stopped)
+	defer k.sending.Wait()
+	ended := ctx.Done()
+	var drained <-chan time.Time
+	for !k.idle() {
+		select {
+		case <-ended:
+			ended = nil
+			drained = time.After(drainTimeouts * k.config.Timeout)
+			k.stop()
+		case <-drained:
+			return
+		case <-timer.C:
+		case <-k.changed:
+		}
+		wake, some := k.advance(ctx)
+		if some {
+			timer.Reset(wake)
+		} else {
+			timer.Stop()
+		}
+	}
+}
+
+// Claim implements Claimer.
+func (k *Keeper) Claim(ctx context.Context, key Key, digest Digest) (Grant, error) {
+	claimID := ident.NewUnique()
+	now := time.Now()
+	deadline := now.Add(k.config.Timeout)
+	if limit, limited := ctx.Deadline(); limited && limit.Before(deadline) {
+		deadline = limit
+	}
+	answered := make(chan Answer, 1)
+	k.mutex.Lock()
+	if k.stopping {
+		k.mutex.Unlock()
+		return Grant{}, fault.New(fault.Leaving, "this router is stopping")
+	}
+	k.claimWaiters[claimID] = answered
+	k.core.Submit(now, claimID, key, digest, deadline)
+	k.deliver()
+	k.mutex.Unlock()
+	k.signal()
+	select {
+	case answer := <-answered:
+		return answer.Grant, answer.asError()
+	case <-ctx.Done():
+	case <-k.stopped:
+	}
+	return k.abandon(claimID)
+}
+
+// abandon ends a claim whose caller left. Whatever the core answers from now
+// on reaches nobody, so the claim is released and truly not run.
+func (k *Keeper) abandon(claimID string) (Grant, error) {
+	k.mutex.Lock()
+	delete(k.claimWaiters, claimID)
+	k.core.Abandon(time.Now(), claimID)
+	k.mutex.Unlock()
+	k.signal()
+	problem := fault.New(fault.StoreUnavailable, "the caller's time ended before the table answered the claim")
+	return Grant{}, problem.WithRetryAfter(k.config.Timeout)
+}
+
+// Finish implements Claimer. When ctx ends first, the recording goes on in
+// the background and the error says that the store did not answer in time.
+func (k *Keeper) Finish(ctx context.Context, _ Key, claimID string, outcome Outcome) error {
+	answered := make(chan Answer, 1)
+	k.mutex.Lock()
+	if _, waiting := k.recordWaiters[claimID]; waiting {
+		k.mutex.Unlock()
+		return fault.New(fault.Conflict, "claim %s is being finished already", claimID).WithRan(outcome.Ran)
+	}
+	k.recordWaiters[claimID] = answered
+	k.core.Settle(time.Now(), claimID, outcome)
+	k.deliver()
+	k.mutex.Unlock()
+	k.signal()
+	select {
+	case answer := <-answered:
+		return answer.asError()
+	case <-ctx.Done():
+	case <-k.stopped:
+	}
+	k.mutex.Lock()
+	delete(k.recordWaiters, claimID)
+	k.mutex.Unlock()
+	return fault.New(fault.StoreUnavailable, "the outcome is not recorded yet").WithRan(outcome.Ran)
+}
+
+// stop refuses further claims.
+func (k *Keeper) stop() {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	k.stopping = true
+}
+
+// idle reports whether the keeper is stopping and has nothing left to do.
+func (k *Keeper) idle() bool {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	counters := k.core.Counters()
+	return k.stopping && counters.Waiting+counters.Background == 0
+}
+
+// Counters returns the core's counters.
+func (k *Keeper) Counters() Counters {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	return k.core.Counters()
+}
+
+// Holds reports whether this process still holds the claim: its request may
+// be running here, or its outcome is not yet settled by the caller.
+func (k *Keeper) Holds(claimID string) bool {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	_, held := k.core.held[claimID]
+	return held
+}
+
+func (k *Keeper) advance(ctx context.Context) (time.Duration, bool) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	now := time.Now()
+	for _, batch := range k.core.Advance(now) {
+		k.sending.Add(1)
+		go k.send(ctx, batch)
+	}
+	k.deliver()
+	wake, some := k.core.NextWake(now)
+	return wake.Sub(now), some
+}
+
+// send runs one transaction; there are at most Config.MaxInFlight of them.
+func (k *Keeper) send(ctx context.Context, batch Batch) {
+	defer k.sending.Done()
+	bounded, cancel := context.WithTimeout(context.WithoutCancel(ctx), k.config.CommitTimeout)
+	defer cancel()
+	result, err := k.table.Commit(bounded, batch.Transaction)
+	k.mutex.Lock()
+	k.core.Completed(time.Now(), batch.ID, result, err)
+	k.deliver()
+	k.mutex.Unlock()
+	k.signal()
+}
+
+// deliver hands out the core's answers; the mutex is held.
+func (k *Keeper) deliver() {
+	for _, answer := range k.core.Answers() {
+		waiters := k.claimWaiters
+		if answer.Recorded {
+			waiters = k.recordWaiters
+		}
+		if waiter, waiting := waiters[answer.ClaimID]; waiting {
+			waiter <- answer
+			delete(waiters, answer.ClaimID)
+		}
+	}
+}
+
+func (k *Keeper) signal() {
+	select {
+	case k.changed <- struct{}{}:
+	default:
+	}
+}
+
+func (a Answer) asError() error {
+	if a.Fault == nil {
+		return nil
+	}
+	return a.Fault
+}
--- /dev/null
+++ b/internal/claim/keeper_test.go
@@ -0,0 +1,140 @@
+package claim
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/fieldpond/fieldpond/internal/fault"
+)
+
+var booking = Key{Tenant: "muldenring", Service: "dispatch", IdempotencyKey: "order-17"}
+
+// withKeepers runs the check in virtual time over two keepers of one table.
+func withKeepers(t *testing.T, table *faultyTable, check func(is *is.I, first, second *Keeper)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer synctest.Wait()
+		defer cancel()
+		first, second := NewKeeper(table, "router-1", Config{}), NewKeeper(table, "router-2", Config{})
+		go first.Run(ctx)
+		go second.Run(ctx)
+		check(is.New(t), first, second)
+	})
+}
+
+func TestClaimUnderFaults(t *testing.T) {
+	cases := []struct {
+		name   string
+		script []exchange
+		kind   fault.Kind
+		after  State
+	}{
+		{"all well", nil, "", StateClaimed},
+		{"answer lost after commit", []exchange{lostAfterCommit}, "", StateClaimed},
+		{"answer lost before commit", []exchange{lostBeforeCommit}, "", StateClaimed},
+		{"two answers lost", []exchange{lostBeforeCommit, lostAfterCommit}, "", StateClaimed},
+		{"short outage", []exchange{outage, outage}, "", StateClaimed},
+		{"rate limited", []exchange{rateLimited, rateLimited}, "", StateClaimed},
+		{"first insert commits late", []exchange{commitsLate}, "", StateClaimed},
+		{"long outage", repeated(outage, 40), fault.StoreUnavailable, ""},
+		{"answers lost for long, first committed", append([]exchange{lostAfterCommit}, repeated(outage, 40)...),
+			fault.StoreUnavailable, StateNotRun},
+		{"insert commits after the claim was given up", append([]exchange{commitsLate}, repeated(outage, 8)...),
+			fault.StoreUnavailable, StateNotRun},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			table := newFaultyTable(test.script...)
+			withKeepers(t, table, func(is *is.I, first, second *Keeper) {
+				grant, err := first.Claim(context.Background(), booking, "digest")
+				is.Equal(grant.Mine, err == nil)
+				if test.kind != "" {
+					is.True(fault.Is(err, test.kind))
+					is.Equal(fault.From(err).Ran, fault.RanNo)
+				}
+				time.Sleep(20 * time.Second)
+				is.Equal(table.heal(booking), test.after)
+				repeat, err := second.Claim(context.Background(), booking, "digest")
+				is.NoErr(err)
+				is.Equal(repeat.Mine, test.kind != "") // what never ran can be claimed anew
+			})
+		})
+	}
+}
+
+func repeated(one exchange, times int) []exchange {
+	script := make([]exchange, times)
+	for index := range script {
+		script[index] = one
+	}
+	return script
+}
+
+func TestRepeatsAreJudgedByTheRecord(t *testing.T) {
+	otherTenant := booking
+	otherTenant.Tenant = "rival"
+	cases := []struct {
+		name    string
+		outcome fault.Ran
+		key     Key
+		digest  Digest
+		mine    bool
+		kind    fault.Kind
+		state   State
+	}{
+		{"claimed", "", booking, "digest", false, "", StateClaimed},
+		{"ran", fault.RanYes, booking, "digest", false, "", StateRan},
+		{"unknown", fault.RanUnknown, booking, "digest", false, "", StateUnknown},
+		{"not run", fault.RanNo, booking, "digest", true, "", StateClaimed},
+		{"another body", fault.RanYes, booking, "other", false, fault.KeyReused, ""},
+		{"another tenant's key", fault.RanYes, otherTenant, "other", true, "", StateClaimed},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			withKeepers(t, newFaultyTable(), func(is *is.I, first, second *Keeper) {
+				grant, err := first.Claim(context.Background(), booking, "digest")
+				is.NoErr(err)
+				if test.outcome != "" {
+					is.NoErr(first.Finish(context.Background(), booking, grant.Record.ClaimID, Outcome{Ran: test.outcome, Status: 201}))
+				}
+				repeat, err := second.Claim(context.Background(), test.key, test.digest)
+				is.True(test.kind == "" && err == nil || fault.Is(err, test.kind))
+				is.Equal(repeat.Mine, test.mine)
+				is.Equal(repeat.Record.State, test.state)
+			})
+		})
+	}
+}
+
+func TestFinishIsForTheHolderAndSurvivesFaults(t *testing.T) {
+	table := newFaultyTable(append([]exchange{goesWell, lostAfterCommit}, repeated(outage, 5)...)...)
+	withKeepers(t, table, func(is *is.I, first, second *Keeper) {
+		grant, err := first.Claim(context.Background(), booking, "digest")
+		is.NoErr(err)
+		is.True(fault.Is(second.Finish(context.Background(), booking, grant.Record.ClaimID, Outcome{Ran: fault.RanNo}), fault.Conflict))
+		time.Sleep(24 * time.Hour) // a frozen holder: nobody took its claim over
+		repeat, err := second.Claim(context.Background(), booking, "digest")
+		is.NoErr(err)
+		is.True(!repeat.Mine)
+		is.NoErr(first.Finish(context.Background(), booking, grant.Record.ClaimID, Outcome{Ran: fault.RanYes, Status: 200}))
+		is.Equal(table.heal(booking), StateRan)
+	})
+}
+
+func TestCallersThatLeaveFreeTheirKey(t *testing.T) {
+	table := newFaultyTable()
+	withKeepers(t, table, func(is *is.I, first, second *Keeper) {
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		_, err := first.Claim(ctx, booking, "digest")
+		is.True(fault.Is(err, fault.StoreUnavailable))
+		time.Sleep(time.Second)
+		repeat, err := second.Claim(context.Background(), booking, "digest")
+		is.NoErr(err)
+		is.True(repeat.Mine)
+	})
+}
