Send workloads as proper callers do, and judge every answer

Cause: hit rate, waits, waste and the promises about streams must be measured from the callers' side, under a load that does not slow down with the system.

Ruled out: a closed loop, which hides waits (waits count from the planned arrival here). Taking a closed connection for an end: only [DONE] with a finish reason, usage and, where wired, the right text counts as whole.

Found on the way: net/http sends a request by itself a second time when a reused connection breaks, if it carries an Idempotency-Key and its body can be replayed (GetBody set, or no body). The load's callers switch that off, so that every attempt is counted. Any client that must not send twice has to.

Change: standin/load with resume, retry and restart; recomputation waste from the engines' truth logs; "rehearse load".

Measured: go test -race passes (three runs). Shown failing: without resume by Last-Event-ID, with half an event taken as one, with crashed engines kept as holders, and without the replay switched off, the tests for these fail.

Conclusion: the load generator works against a scripted router.

--- /dev/null
+++ b/cmd/rehearse/load.go
@@ -0,0 +1,115 @@
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/fieldpond/fieldpond/internal/fault"
+	"github.com/fieldpond/fieldpond/standin/load"
+	"github.com/fieldpond/fieldpond/standin/workload"
+)
+
+// expectedText returns the right answer of the stand-in engines to a prompt.
+// While it is nil, texts are not checked and the report says so.
+var expectedText func(prompt string, maxTokens int) string
+
+// loadOptions are the flags of "rehearse load".
+type loadOptions struct {
+	targets, truth []string
+	schedule       string
+	seed           uint64
+	duration       time.Duration
+	rate           float64
+	format         string
+	allowLost      int
+	maxInFlight    int
+	patience       time.Duration
+}
+
+func newLoadCommand() *cobra.Command {
+	options := &loadOptions{}
+	command := &cobra.Command{
+		Use:   "load --target URL --schedule FILE",
+		Short: "Send a workload to routers as their callers would, and judge every answer",
+		Args:  cobra.NoArgs,
+		RunE: func(command *cobra.Command, _ []string) error {
+			return runLoad(command, options)
+		},
+	}
+	flags := command.Flags()
+	flags.StringArrayVar(&options.targets, "target", nil, "base URL of a router; repeat for several")
+	flags.StringArrayVar(&options.truth, "truth", nil, "base URL of a stand-in engine whose truth log is read at the end; repeat for several")
+	flags.StringVar(&options.schedule, "schedule", "", "load schedule (YAML)")
+	flags.Uint64Var(&options.seed, "seed", 1, "seed of the load")
+	flags.DurationVar(&options.duration, "duration", 0, "how long arrivals go on (default: as the schedule says)")
+	flags.Float64Var(&options.rate, "rate", 0, "mean arrivals a second (default: as the schedule says)")
+	flags.StringVar(&options.format, "format", "table", "form of the report: table or json")
+	flags.IntVar(&options.allowLost, "allow-lost", 0, "lost requests that still count as success")
+	flags.IntVar(&options.maxInFlight, "max-in-flight", 0, "most requests open at one time (default 2048)")
+	flags.DurationVar(&options.patience, "patience", 0, "the longest a caller waits for one request (default 2m)")
+	return command
+}
+
+func runLoad(command *cobra.Command, options *loadOptions) error {
+	config, err := options.config()
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(command.Context(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	report, err := load.Run(ctx, config)
+	if report == nil {
+		return err
+	}
+	write := report.WriteTable
+	if options.format == "json" {
+		write = report.WriteJSON
+	}
+	if writeError := write(command.OutOrStdout()); writeError != nil {
+		return writeError
+	}
+	if err != nil {
+		return err
+	}
+	return report.Verdict(options.allowLost)
+}
+
+func (o *loadOptions) config() (load.Config, error) {
+	if len(o.targets) == 0 || o.schedule == "" {
+		return load.Config{}, fault.New(fault.BadRequest, "--target and --schedule are needed")
+	}
+	if o.format != "table" && o.format != "json" {
+		return load.Config{}, fault.New(fault.BadRequest, "--format %q is neither table nor json", o.format)
+	}
+	if o.rate < 0 || o.duration < 0 || o.maxInFlight < 0 || o.patience < 0 {
+		return load.Config{}, fault.New(fault.BadRequest, "--rate, --duration, --max-in-flight and --patience must not be negative")
+	}
+	spec, err := workload.Load(o.schedule)
+	if err != nil {
+		return load.Config{}, fault.Wrap(err, fault.BadRequest, "the load schedule cannot be used").
+			WithRemedy("correct the schedule; examples/muldenring/load.yaml is one that works")
+	}
+	if o.rate > 0 {
+		spec.Rate = o.rate
+	}
+	if o.duration > 0 {
+		spec.Duration = o.duration
+	}
+	config := load.Config{
+		Targets: o.targets, Spec: spec, Seed: o.seed, ExpectedText: expectedText,
+		MaxInFlight: o.maxInFlight, Patience: o.patience,
+	}
+	if len(o.truth) > 0 {
+		config.ReadWaste = func(ctx context.Context) (load.Waste, error) {
+			waste, err := load.ReadWaste(ctx, o.truth)
+			return waste, errors.Wrap(err, "wasted recomputation")
+		}
+	}
+	return config, nil
+}
--- /dev/null
+++ b/standin/load/load_test.go
@@ -0,0 +1,211 @@
+package load
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/fieldpond/fieldpond/standin/workload"
+)
+
+// step is what the fake router does with one exchange.
+type step string
+
+const (
+	answer       step = "answer"
+	breakEarly   step = "break before the answer"
+	breakMiddle  step = "break in the middle"
+	breakAtEnd   step = "break before the end marker"
+	noFinish     step = "end marker without a finish reason"
+	wrongText    step = "wrong text"
+	errorEvent   step = "error event"
+	leaving      step = "503 leaving"
+	overloaded   step = "429 overloaded"
+	badRequest   step = "400"
+	unknownFate  step = "502 fate unknown"
+	invalidToken step = "400 on resume"
+)
+
+var words = []string{"one ", "two ", "three ", "four"}
+
+// fakeRouter plays its script, then answers.
+type fakeRouter struct {
+	mutex  sync.Mutex
+	script []step
+	keys   []string
+}
+
+func (f *fakeRouter) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	f.mutex.Lock()
+	next := answer
+	if len(f.script) > 0 {
+		next, f.script = f.script[0], f.script[1:]
+	}
+	f.keys = append(f.keys, request.Header.Get("Idempotency-Key"))
+	f.mutex.Unlock()
+	switch next {
+	case leaving:
+		refuse(writer, 503, "leaving", "no", 60000)
+	case overloaded:
+		refuse(writer, 429, "overloaded", "no", 1)
+	case badRequest, invalidToken:
+		refuse(writer, 400, "bad_request", "no", 0)
+	case unknownFate:
+		refuse(writer, 502, "outcome_unknown", "unknown", 1)
+	case breakEarly:
+		panic(http.ErrAbortHandler)
+	default:
+		if strings.HasPrefix(request.URL.Path, "/v1/services/") {
+			fmt.Fprint(writer, `{}`)
+			return
+		}
+		writeStream(writer, request, next)
+	}
+}
+
+func refuse(writer http.ResponseWriter, status int, kind, ran string, after int) {
+	writer.WriteHeader(status)
+	fmt.Fprintf(writer, `{"error":{"kind":%q,"message":"m","remedy":"r","ran":%q,"retry_after_millis":%d}}`, kind, ran, after)
+}
+
+// writeStream writes the words from the one after Last-Event-ID on.
+func writeStream(writer http.ResponseWriter, request *http.Request, how step) {
+	from := 0
+	if token := request.Header.Get("Last-Event-ID"); token != "" {
+		from, _ = strconv.Atoi(token)
+	}
+	for index := from; index < len(words); index++ {
+		if index == 2 && how == breakMiddle {
+			// Half an event must not count.
+			fmt.Fprintf(writer, "id: 9\ndata: {\"choices\":[{\"delta\":{\"content\":\"half")
+			abort(writer)
+		}
+		if index == 2 && how == errorEvent {
+			fmt.Fprint(writer, "event: error\ndata: {\"error\":{\"kind\":\"stream_broken\",\"ran\":\"yes\"}}\n\n")
+			return
+		}
+		text := words[index]
+		if how == wrongText {
+			text = "other "
+		}
+		fmt.Fprintf(writer, "id: %d\ndata: {\"choices\":[{\"delta\":{\"content\":%q}}]}\n\n", index+1, text)
+	}
+	if how != noFinish {
+		fmt.Fprintf(writer, "id: %d\ndata: {\"choices\":[{\"delta\":{},\"finish_reason\":\"stop\"}],"+
+			"\"usage\":{\"prompt_tokens\":10,\"completion_tokens\":4,\"prompt_tokens_details\":{\"cached_tokens\":6}}}\n\n", len(words))
+	}
+	if how == breakAtEnd {
+		abort(writer)
+	}
+	fmt.Fprint(writer, "data: [DONE]\n\n")
+}
+
+func abort(writer http.ResponseWriter) {
+	if flusher, canFlush := writer.(http.Flusher); canFlush {
+		flusher.Flush()
+	}
+	panic(http.ErrAbortHandler)
+}
+
+func testConfig(targets ...string) *Config {
+	config := &Config{
+		Targets: targets, MinWait: time.Millisecond, MaxAttempts: 4,
+		ExpectedText: func(string, int) string { return strings.Join(words, "") },
+	}
+	config.fillDefaults()
+	return config
+}
+
+func TestCallerIsAProperClient(t *testing.T) {
+	model := workload.Arrival{Tenant: "t", Service: "s", Messages: []workload.Message{{Role: "user", Content: "c"}}}
+	booking := workload.Arrival{Tenant: "t", Service: "a", Application: true, Method: "POST", Path: "/bookings", Body: "{}", IdempotencyKey: "k"}
+	cases := []struct {
+		name    string
+		arrival workload.Arrival
+		script  []step
+		want    Result
+	}{
+		{"whole", model, nil, Result{Outcome: OutcomeAnswered}},
+		{"leaving router passed by", model, []step{leaving}, Result{Outcome: OutcomeAnswered, Retries: 1}},
+		{"overloaded, later answered", model, []step{overloaded, overloaded}, Result{Outcome: OutcomeAnswered, Retries: 2}},
+		{"never admitted", model, []step{overloaded, overloaded, overloaded, overloaded}, Result{Outcome: OutcomeRefused, Retries: 3}},
+		{"not repeated", model, []step{badRequest}, Result{Outcome: OutcomeRefused}},
+		{"connection broke", model, []step{breakEarly}, Result{Outcome: OutcomeAnswered, Retries: 1, Breaks: 1}},
+		{"resumed", model, []step{breakMiddle}, Result{Outcome: OutcomeAnswered, Resumes: 1, Breaks: 1}},
+		{"resumed past a leaving router", model, []step{breakMiddle, leaving}, Result{Outcome: OutcomeAnswered, Resumes: 2, Breaks: 1}},
+		{"end marker resumed", model, []step{breakAtEnd}, Result{Outcome: OutcomeAnswered, Resumes: 1, Breaks: 1}},
+		{"resume refused, begun anew", model, []step{breakMiddle, invalidToken}, Result{Outcome: OutcomeAnswered, Resumes: 1, Retries: 1, Restarts: 1, Breaks: 1}},
+		{"error event, begun anew", model, []step{errorEvent}, Result{Outcome: OutcomeAnswered, Retries: 1, Restarts: 1}},
+		{"never whole", model, []step{errorEvent, errorEvent, errorEvent, errorEvent}, Result{Outcome: OutcomeLost, Retries: 3, Restarts: 4}},
+		{"no finish reason", model, []step{noFinish}, Result{Outcome: OutcomeCorrupt}},
+		{"wrong text", model, []step{wrongText}, Result{Outcome: OutcomeCorrupt}},
+		{"booking repeated with its key", booking, []step{breakEarly, unknownFate}, Result{Outcome: OutcomeAnswered, Retries: 2, Breaks: 1}},
+		{"booking of unknown fate", booking, []step{unknownFate, unknownFate, unknownFate, unknownFate}, Result{Outcome: OutcomeUnknown, Retries: 3}},
+		{"booking lost", booking, []step{overloaded, breakEarly, breakEarly, breakEarly}, Result{Outcome: OutcomeLost, Retries: 3, Breaks: 3}},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			router := &fakeRouter{script: test.script}
+			one, two := httptest.NewServer(router), httptest.NewServer(router)
+			defer one.Close()
+			defer two.Close()
+			caller := &caller{config: testConfig(one.URL, two.URL), client: one.Client()}
+			got := caller.call(context.Background(), test.arrival, time.Now())
+			is.Equal(got.Outcome, test.want.Outcome)
+			is.Equal([]int{got.Retries, got.Resumes, got.Restarts, got.Breaks},
+				[]int{test.want.Retries, test.want.Resumes, test.want.Restarts, test.want.Breaks}) // retries, resumes, restarts, breaks
+			for _, key := range router.seenKeys() {
+				is.Equal(key, test.arrival.IdempotencyKey)
+			}
+		})
+	}
+}
+
+func TestRunReports(t *testing.T) {
+	is := is.New(t)
+	spec, err := workload.Parse([]byte("{name: w, rate: 2000, arrivals: uniform, duration: 20ms, vocabulary: parking, tenants: [{name: a, weight: 1}], " +
+		"classes: [{name: c, service: s, weight: 1, tailTokens: 1, minTokens: 1, maxTokens: 1}], calls: [{service: b, method: POST, path: /b, weight: 1}]}"))
+	is.NoErr(err)
+	server := httptest.NewServer(&fakeRouter{script: []step{breakEarly, breakEarly}})
+	defer server.Close()
+	config := *testConfig(server.URL)
+	config.Spec = spec
+	config.ReadWaste = func(context.Context) (Waste, error) {
+		return Waste{PromptTokens: 10, RecomputedTokens: 2, DiscardedTokens: 3}, nil
+	}
+	report, err := Run(context.Background(), config)
+	is.NoErr(err)
+	is.Equal(report.Sent, 39)
+	is.Equal(report.Outcomes, map[Outcome]int{OutcomeAnswered: 39})
+	is.Equal(report.HitRate, 0.6)
+	is.Equal(report.Waste.Share, 0.5)
+	is.Equal(report.Breaks, 2)
+	is.Equal(len(report.Kinds), 2)
+	is.NoErr(report.Verdict(0))
+	report.Outcomes[OutcomeLost] = 2
+	is.NoErr(report.Verdict(2))
+	is.True(report.Verdict(1) != nil)
+	var table, document bytes.Buffer
+	is.NoErr(report.WriteTable(&table))
+	is.True(strings.Contains(table.String(), "hit rate 0.6000"))
+	is.NoErr(report.WriteJSON(&document))
+	is.True(json.Valid(document.Bytes()))
+}
+
+// seenKeys returns the idempotency key of every exchange so far.
+func (f *fakeRouter) seenKeys() []string {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return append([]string(nil), f.keys...)
+}
--- /dev/null
+++ b/standin/load/model.go
@@ -0,0 +1,215 @@
+package load
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/fieldpond/fieldpond/standin/workload"
+)
+
+// stream is what a caller holds of one answer.
+type stream struct {
+	text         strings.Builder
+	lastID       string
+	finishReason string
+	usage        *usage
+	done         bool
+	firstText    time.Time
+}
+
+// restart forgets the answer so far, but not when its first text came.
+func (s *stream) restart() { *s = stream{firstText: s.firstText} }
+
+// ending is how one exchange of a model request ended: stated is a refusal or
+// an error event, broken a connection that broke; neither is a whole stream.
+type ending struct {
+	stated *refusal
+	// inStream says that stated came as an event of the stream.
+	inStream bool
+	broken   bool
+	corrupt  string
+}
+
+// callModel sends one model request and reads its stream to the end, resuming
+// it at another router when a connection breaks.
+func (c *caller) callModel(ctx context.Context, planned time.Time, result *Result) {
+	answer := &stream{}
+	for attempt := range c.config.MaxAttempts {
+		resuming := answer.lastID != ""
+		if attempt > 0 {
+			countAttempt(result, resuming)
+		}
+		end := c.exchange(ctx, attempt, result.Arrival, answer)
+		if end.corrupt != "" {
+			result.Outcome, result.Detail = OutcomeCorrupt, end.corrupt
+			return
+		}
+		if end.stated == nil && !end.broken {
+			c.judge(answer, planned, result)
+			return
+		}
+		if !c.goOn(ctx, end, resuming, answer, result) {
+			return
+		}
+	}
+}
+
+func countAttempt(result *Result, resuming bool) {
+	if resuming {
+		result.Resumes++
+		return
+	}
+	result.Retries++
+}
+
+// goOn notes an ending that is not whole and reports whether to try again.
+func (c *caller) goOn(ctx context.Context, end ending, resuming bool, answer *stream, result *Result) bool {
+	if end.broken {
+		result.Outcome, result.Detail = OutcomeLost, "the stream broke"
+		if answer.lastID == "" && answer.text.Len() > 0 {
+			answer.restart()
+			result.Restarts++
+		}
+		return c.broke(ctx, result)
+	}
+	stated := *end.stated
+	if end.inStream || (resuming && !resumableLater(stated)) {
+		// The stream cannot be continued; a model request may be sent again.
+		answer.restart()
+		result.Restarts++
+		stated.status = http.StatusServiceUnavailable
+	}
+	again := c.refused(ctx, stated, result)
+	if end.inStream || resuming {
+		result.Outcome, result.Detail = OutcomeLost, "the stream ended with "+string(stated.Kind)
+	}
+	return again
+}
+
+// resumableLater reports whether the same resume may succeed elsewhere.
+func resumableLater(stated refusal) bool {
+	return stated.status == http.StatusServiceUnavailable || stated.status == http.StatusTooManyRequests
+}
+
+// exchange opens or resumes the stream and reads it as far as it goes.
+func (c *caller) exchange(ctx context.Context, attempt int, arrival workload.Arrival, answer *stream) ending {
+	request, err := c.modelRequest(ctx, c.target(arrival, attempt), arrival, answer.lastID)
+	if err != nil {
+		return ending{corrupt: err.Error()}
+	}
+	response, err := c.client.Do(request)
+	if err != nil {
+		return ending{broken: true}
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		stated := refusalOf(response)
+		return ending{stated: &stated}
+	}
+	events := newEventReader(response.Body)
+	for !answer.done {
+		next, err := events.next()
+		if err != nil {
+			return ending{broken: true}
+		}
+		if next.name == "error" {
+			stated := parseRefusal([]byte(next.data))
+			return ending{stated: &stated, inStream: true}
+		}
+		if err := answer.take(next); err != nil {
+			return ending{corrupt: err.Error()}
+		}
+	}
+	return ending{}
+}
+
+func (c *caller) modelRequest(ctx context.Context, target string, arrival workload.Arrival, lastID string) (*http.Request, error) {
+	if lastID != "" {
+		request, err := http.NewRequestWithContext(ctx, http.MethodGet, target+"/v1/streams", nil)
+		if err != nil {
+			return nil, errors.Wrap(err, "building a resume request")
+		}
+		c.setHeaders(request, arrival)
+		request.Header.Set("Last-Event-ID", lastID)
+		return request, nil
+	}
+	body := generateBody{Model: string(arrival.Service), Stream: true, MaxTokens: arrival.MaxTokens}
+	path := "/v1/chat/completions"
+	if body.Messages = arrival.Messages; len(arrival.Messages) == 0 {
+		path, body.Prompt = "/v1/completions", arrival.Prompt
+	}
+	content, err := json.Marshal(body)
+	if err != nil {
+		return nil, errors.Wrap(err, "encoding a model request")
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, target+path, bytes.NewReader(content))
+	if err != nil {
+		return nil, errors.Wrap(err, "building a model request")
+	}
+	c.setHeaders(request, arrival)
+	return request, nil
+}
+
+// take adds one event to the answer.
+func (s *stream) take(next event) error {
+	if next.data == doneData {
+		s.done = true
+		return nil
+	}
+	if next.data == "" {
+		return nil
+	}
+	var part chunk
+	if err := json.Unmarshal([]byte(next.data), &part); err != nil {
+		return errors.Wrap(err, "decoding a chunk")
+	}
+	if next.id != "" {
+		s.lastID = next.id
+	}
+	if part.Usage != nil {
+		s.usage = part.Usage
+	}
+	for _, choice := range part.Choices {
+		text := choice.Delta.Content + choice.Text
+		if text != "" && s.finishReason != "" {
+			return errors.New("text after the finish reason")
+		}
+		if text != "" && s.firstText.IsZero() {
+			s.firstText = time.Now()
+		}
+		s.text.WriteString(text)
+		if choice.FinishReason != "" {
+			s.finishReason = choice.FinishReason
+		}
+	}
+	return nil
+}
+
+// judge decides whether a closed stream is whole and right.
+func (c *caller) judge(answer *stream, planned time.Time, result *Result) {
+	result.Outcome = OutcomeCorrupt
+	switch {
+	case answer.finishReason == "":
+		result.Detail = "closed without a finish reason"
+		return
+	case answer.usage == nil:
+		result.Detail = "closed without usage"
+		return
+	case c.config.ExpectedText != nil:
+		if answer.text.String() != c.config.ExpectedText(result.Arrival.Prompt, result.Arrival.MaxTokens) {
+			result.Detail = "the text is not the answer to this prompt"
+			return
+		}
+	}
+	result.Outcome, result.Detail = OutcomeAnswered, ""
+	result.FirstToken = answer.firstText.Sub(planned)
+	result.PromptTokens = answer.usage.PromptTokens
+	result.CachedTokens = answer.usage.PromptTokensDetails.CachedTokens
+	result.CompletionTokens = answer.usage.CompletionTokens
+}
--- /dev/null
+++ b/standin/load/protocol.go
@@ -0,0 +1,111 @@
+package load
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/fieldpond/fieldpond/internal/fault"
+	"github.com/fieldpond/fieldpond/standin/workload"
+)
+
+// doneData closes a whole stream.
+const doneData = "[DONE]"
+
+// maxErrorBody bounds what is read of an error answer, in bytes.
+const maxErrorBody = 64 << 10
+
+type generateBody struct {
+	Model     string             `json:"model"`
+	Messages  []workload.Message `json:"messages,omitempty"`
+	Prompt    string             `json:"prompt,omitempty"`
+	Stream    bool               `json:"stream"`
+	MaxTokens int                `json:"max_tokens"`
+}
+
+// chunk is the data of one event of a chat or completion stream.
+type chunk struct {
+	Choices []struct {
+		Delta struct {
+			Content string `json:"content"`
+		} `json:"delta"`
+		Text         string `json:"text"`
+		FinishReason string `json:"finish_reason"`
+	} `json:"choices"`
+	Usage *usage `json:"usage"`
+}
+
+type usage struct {
+	PromptTokens        int `json:"prompt_tokens"`
+	CompletionTokens    int `json:"completion_tokens"`
+	PromptTokensDetails struct {
+		CachedTokens int `json:"cached_tokens"`
+	} `json:"prompt_tokens_details"`
+}
+
+// refusal is an error that a router stated, in an answer or in a stream.
+type refusal struct {
+	status           int
+	Kind             fault.Kind `json:"kind"`
+	Message          string     `json:"message"`
+	Ran              fault.Ran  `json:"ran"`
+	RetryAfterMillis int64      `json:"retry_after_millis"`
+}
+
+type errorBody struct {
+	Error refusal `json:"error"`
+}
+
+// refusalOf reads the error answer of a router. An answer that states no kind
+// has the kind "http_<status>" and an unknown fate.
+func refusalOf(response *http.Response) refusal {
+	content, _ := io.ReadAll(io.LimitReader(response.Body, maxErrorBody))
+	stated := parseRefusal(content)
+	stated.status = response.StatusCode
+	if stated.Kind == "" {
+		stated.Kind = fault.Kind("http_" + strconv.Itoa(response.StatusCode))
+	}
+	if seconds, err := strconv.Atoi(response.Header.Get("Retry-After")); err == nil && stated.RetryAfterMillis == 0 {
+		stated.RetryAfterMillis = int64(seconds) * int64(time.Second/time.Millisecond)
+	}
+	return stated
+}
+
+func parseRefusal(content []byte) refusal {
+	var body errorBody
+	if err := json.Unmarshal(content, &body); err != nil {
+		body = errorBody{}
+	}
+	if body.Error.Ran == "" {
+		body.Error.Ran = fault.RanUnknown
+	}
+	return body.Error
+}
+
+// worthRepeating reports whether a proper client tries the request again.
+func (r refusal) worthRepeating() bool {
+	return r.status >= http.StatusInternalServerError || r.status == http.StatusTooManyRequests
+}
+
+// outcome returns what the refusal, as the last word, means for the request.
+func (r refusal) outcome() Outcome {
+	switch r.Ran {
+	case fault.RanNo:
+		return OutcomeRefused
+	case fault.RanYes:
+		return OutcomeFailed
+	default:
+		return OutcomeUnknown
+	}
+}
+
+// wait returns how long to wait before the next attempt. A router that is
+// leaving is passed by at once.
+func (r refusal) wait(longest time.Duration) time.Duration {
+	if r.Kind == fault.Leaving {
+		return 0
+	}
+	return min(time.Duration(r.RetryAfterMillis)*time.Millisecond, longest)
+}
--- /dev/null
+++ b/standin/load/runner.go
@@ -0,0 +1,124 @@
+// Package load sends a workload to routers as their callers would, and judges
+// every answer.
+//
+// The loop is open: arrivals come at their planned times whether or not
+// earlier ones were answered. Waits are measured from the planned time.
+package load
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/fieldpond/fieldpond/internal/ident"
+	"github.com/fieldpond/fieldpond/standin/workload"
+)
+
+// Config says what to send, where to, and how patient callers are.
+type Config struct {
+	// Targets are the base URLs of the routers, for example http://127.0.0.1:8080.
+	Targets []string
+	// Spec and Seed determine the arrivals; the spec's rate and duration hold.
+	Spec *workload.Spec
+	Seed uint64
+	// Key returns a tenant's API key. Default: "key-" and the tenant's name.
+	Key func(ident.Tenant) string
+	// MaxInFlight bounds the open requests; arrivals beyond are counted as not
+	// sent. Default: 2048.
+	MaxInFlight int
+	// MaxAttempts bounds the exchanges of one request. Default: 12.
+	MaxAttempts int
+	// Patience bounds the time of one request. Default: 2m.
+	Patience time.Duration
+	// MaxWait bounds how long a Retry-After is honoured; MinWait is the
+	// pause before any further attempt. Defaults: 5s and 20ms.
+	MaxWait, MinWait time.Duration
+	// ExpectedText returns the right answer to a prompt; nil switches this
+	// check off, and the report says so.
+	ExpectedText func(prompt string, maxTokens int) string
+	// ReadWaste reads the recomputation waste from the stand-ins' truth logs
+	// at the end; nil leaves it out of the report.
+	ReadWaste func(ctx context.Context) (Waste, error)
+}
+
+func (c *Config) fillDefaults() {
+	if c.Key == nil {
+		c.Key = func(tenant ident.Tenant) string { return "key-" + string(tenant) }
+	}
+	setDefault(&c.MaxInFlight, 2048)
+	setDefault(&c.MaxAttempts, 12)
+	setDefault(&c.Patience, 2*time.Minute)
+	setDefault(&c.MaxWait, 5*time.Second)
+	setDefault(&c.MinWait, 20*time.Millisecond)
+}
+
+func setDefault[T comparable](target *T, value T) {
+	var zero T
+	if *target == zero {
+		*target = value
+	}
+}
+
+// Run sends the load and returns its report once every request has ended. A
+// context that ends stops new arrivals and breaks off the open ones.
+func Run(ctx context.Context, config Config) (*Report, error) {
+	if len(config.Targets) == 0 {
+		return nil, errors.New("at least one target is needed")
+	}
+	config.fillDefaults()
+	transport := &http.Transport{MaxIdleConnsPerHost: config.MaxInFlight}
+	defer transport.CloseIdleConnections()
+	run := &runner{
+		config:   &config,
+		caller:   &caller{config: &config, client: &http.Client{Transport: transport}},
+		recorder: newRecorder(),
+		slots:    make(chan struct{}, config.MaxInFlight),
+	}
+	run.sendAll(ctx)
+	run.open.Wait()
+	report := run.recorder.report(&config)
+	if config.ReadWaste != nil {
+		waste, err := config.ReadWaste(ctx)
+		if err != nil {
+			return report, errors.Wrap(err, "reading the truth logs")
+		}
+		waste.fillShare()
+		report.Waste = &waste
+	}
+	return report, nil
+}
+
+type runner struct {
+	config   *Config
+	caller   *caller
+	recorder *recorder
+	slots    chan struct{}
+	open     sync.WaitGroup
+}
+
+func (r *runner) sendAll(ctx context.Context) {
+	generator := workload.NewGenerator(r.config.Spec, r.config.Seed)
+	start := time.Now()
+	for {
+		arrival := generator.Next()
+		if arrival.At >= r.config.Spec.Duration {
+			return
+		}
+		planned := start.Add(arrival.At)
+		if !pause(ctx, time.Until(planned)) {
+			return
+		}
+		select {
+		case r.slots <- struct{}{}:
+			r.open.Go(func() {
+				r.recorder.add(r.caller.call(ctx, arrival, planned))
+				<-r.slots
+			})
+		default:
+			r.recorder.notSent()
+		}
+	}
+}
