Remove a ring from the counters when its duty ends

Cause: duties for an engine come and go with the fleet file; a collector that keeps their rings would hold memory for ever.

Change: RegisterRing returns remove; totals of removed rings are kept, since counters must not go down.

Measured: go test -race passes; without the kept totals TestHandlerServesCounters fails.

--- a/internal/telemetry/rings.go
+++ b/internal/telemetry/rings.go
@@ -1,6 +1,7 @@
 package telemetry
 
 import (
+	"maps"
 	"sync"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -22,31 +23,51 @@
 // ringCollector reads the rings' counters when the counters are asked for.
 type ringCollector struct {
 	mutex sync.Mutex
-	rings []func() ring.Counters
+	rings map[int]func() ring.Counters
+	next  int
+	// removed holds the totals of removed rings by name, since counters must
+	// not go down.
+	removed map[string]ring.Counters
+}
+
+func newRingCollector() *ringCollector {
+	return &ringCollector{rings: map[int]func() ring.Counters{}, removed: map[string]ring.Counters{}}
 }
 
 // RegisterRing adds a ring by its Counters method. Rings of the same name,
-// such as those of one duty for each engine, are added up.
-func (r *Registry) RegisterRing(counters func() ring.Counters) {
-	r.rings.mutex.Lock()
-	defer r.rings.mutex.Unlock()
-	r.rings.rings = append(r.rings.rings, counters)
+// such as those of one duty for each engine, are added up. The duty calls
+// remove when it ends; what it counted stays in the totals.
+func (r *Registry) RegisterRing(counters func() ring.Counters) (remove func()) {
+	c := r.rings
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	number := c.next
+	c.next++
+	c.rings[number] = counters
+	return func() { c.remove(number) }
 }
 
-// Describe implements prometheus.Collector.
-func (c *ringCollector) Describe(descriptions chan<- *prometheus.Desc) {
-	for _, description := range []*prometheus.Desc{ringDepth, ringCapacity, ringPushed, ringDropped} {
-		descriptions <- description
+func (c *ringCollector) remove(number int) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	read, known := c.rings[number]
+	if !known {
+		return
 	}
+	delete(c.rings, number)
+	last := read()
+	sum := c.removed[last.Name]
+	sum.Pushed += last.Pushed
+	sum.Dropped += last.Dropped
+	c.removed[last.Name] = sum
 }
 
-// Collect implements prometheus.Collector.
-func (c *ringCollector) Collect(metrics chan<- prometheus.Metric) {
+// sums returns the counters of all rings, added up by name.
+func (c *ringCollector) sums() map[string]ring.Counters {
 	c.mutex.Lock()
-	rings := append([]func() ring.Counters(nil), c.rings...)
-	c.mutex.Unlock()
-	sums := map[string]ring.Counters{}
-	for _, read := range rings {
+	defer c.mutex.Unlock()
+	sums := maps.Clone(c.removed)
+	for _, read := range c.rings {
 		counters := read()
 		sum := sums[counters.Name]
 		sum.Depth += counters.Depth
@@ -55,7 +76,19 @@
 		sum.Dropped += counters.Dropped
 		sums[counters.Name] = sum
 	}
-	for name, sum := range sums {
+	return sums
+}
+
+// Describe implements prometheus.Collector.
+func (c *ringCollector) Describe(descriptions chan<- *prometheus.Desc) {
+	for _, description := range []*prometheus.Desc{ringDepth, ringCapacity, ringPushed, ringDropped} {
+		descriptions <- description
+	}
+}
+
+// Collect implements prometheus.Collector.
+func (c *ringCollector) Collect(metrics chan<- prometheus.Metric) {
+	for name, sum := range c.sums() {
 		metrics <- prometheus.MustNewConstMetric(ringDepth, prometheus.GaugeValue, float64(sum.Depth), name)
 		metrics <- prometheus.MustNewConstMetric(ringCapacity, prometheus.GaugeValue, float64(sum.Capacity), name)
 		metrics <- prometheus.MustNewConstMetric(ringPushed, prometheus.CounterValue, float64(sum.Pushed), name)
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -48,7 +48,7 @@
 func New() *Registry {
 	r := &Registry{
 		registry: prometheus.NewRegistry(),
-		rings:    &ringCollector{},
+		rings:    newRingCollector(),
 	}
 	r.registry.MustRegister(
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -18,11 +18,15 @@
 func TestHandlerServesCounters(t *testing.T) {
 	is := is.New(t)
 	registry := New()
-	for range 2 {
+	for _, ended := range []bool{false, true, false} {
 		queue := ring.New[int]("events", 1, ring.RefuseNew)
-		registry.RegisterRing(queue.Counters)
+		remove := registry.RegisterRing(queue.Counters)
 		queue.Push(1)
 		queue.Push(2)
+		if ended {
+			remove()
+			remove()
+		}
 	}
 	chart, err := statechart.Load(statechart.RouterChart)
 	is.NoErr(err)
@@ -37,7 +41,7 @@
 	registry.Handler().ServeHTTP(answer, httptest.NewRequest("GET", "/metrics", nil))
 	for _, want := range []string{
 		`fieldpond_ring_depth{ring="events"} 2`,
-		`fieldpond_ring_dropped_total{ring="events"} 2`,
+		`fieldpond_ring_dropped_total{ring="events"} 3`,
 		`fieldpond_chart_transitions_total{chart="router",event="ready",from="starting",to="serving"} 1`,
 		`fieldpond_chart_not_taken_total{chart="router",event="drained",reason="forbidden",state="serving"} 1`,
 		`fieldpond_refusals_total{kind="overloaded",ran="no"} 1`,
