--- a/cmd/rehearse/subcommands.go
+++ b/cmd/rehearse/subcommands.go
@@ -6,5 +6,6 @@
 func subcommands() []*cobra.Command {
 	return []*cobra.Command{
 		newEngineCommand(),
+		newLoadCommand(),
 	}
 }
