--- a/internal/api/server.go
+++ b/internal/api/server.go
@@ -55,6 +55,8 @@
 	RunApplication(ctx context.Context, job *dispatch.ApplicationJob) (dispatch.Answer, error)
 }
 
+var _ Runner = (*dispatch.Dispatcher)(nil)
+
 // State is what the router says of itself on /readyz.
 type State string
 
--- /dev/null
+++ b/internal/dispatch/application_test.go
@@ -0,0 +1,275 @@
+package dispatch
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/fieldpond/fieldpond/internal/claim"
+	"github.com/fieldpond/fieldpond/internal/engine"
+	"github.com/fieldpond/fieldpond/internal/engine/protocol"
+	"github.com/fieldpond/fieldpond/internal/fault"
+	"github.com/fieldpond/fieldpond/internal/ident"
+)
+
+// fakeTable is a Claimer and an AnswerStore that several routers share.
+type fakeTable struct {
+	mutex   sync.Mutex
+	records map[claim.Key]claim.Record
+	answers map[string]Answer
+	down    bool
+}
+
+func (f *fakeTable) Claim(_ context.Context, key claim.Key, digest claim.Digest) (claim.Grant, error) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if f.down {
+		return claim.Grant{}, fault.New(fault.StoreUnavailable, "down")
+	}
+	record, found := f.records[key]
+	if found && record.Digest != digest {
+		return claim.Grant{}, fault.New(fault.KeyReused, "another request")
+	}
+	if found && record.State != claim.StateNotRun {
+		return claim.Grant{Record: record}, nil
+	}
+	record = claim.Record{ClaimID: ident.NewUnique(), State: claim.StateClaimed, Digest: digest}
+	f.records[key] = record
+	return claim.Grant{Mine: true, Record: record}, nil
+}
+
+func (f *fakeTable) Finish(_ context.Context, key claim.Key, claimID string, outcome claim.Outcome) error {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	record := f.records[key]
+	if record.ClaimID != claimID {
+		return fault.New(fault.Conflict, "another claim")
+	}
+	record.State = map[fault.Ran]claim.State{fault.RanNo: claim.StateNotRun, fault.RanYes: claim.StateRan, fault.RanUnknown: claim.StateUnknown}[outcome.Ran]
+	record.Status, record.AnswerZone, record.AnswerKey = outcome.Status, outcome.AnswerZone, outcome.AnswerKey
+	f.records[key] = record
+	return nil
+}
+
+func (f *fakeTable) Save(_ context.Context, _ ident.Zone, claimID string, answer Answer) (string, error) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.answers[claimID] = answer
+	return claimID, nil
+}
+
+func (f *fakeTable) Load(_ context.Context, _ ident.Zone, key string) (Answer, bool, error) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	answer, found := f.answers[key]
+	return answer, found, nil
+}
+
+// fakeApplications runs requests at addresses "a" and "b"; the script says, call
+// by call, how one ends: "ok", "lost" (executed, answer lost), "refused", "unreachable".
+type fakeApplications struct {
+	mutex    sync.Mutex
+	script   []string
+	executed int
+}
+
+func (f *fakeApplications) Call(ctx context.Context, _ string, request engine.ApplicationRequest) (engine.ApplicationResponse, error) {
+	f.mutex.Lock()
+	step := "ok"
+	if len(f.script) > 0 {
+		step, f.script = f.script[0], f.script[1:]
+	}
+	if step == "ok" || step == "lost" {
+		f.executed++
+	}
+	f.mutex.Unlock()
+	if !pause(ctx, time.Second) {
+		return engine.ApplicationResponse{}, fault.New(fault.BackendLost, "cancelled").WithRan(fault.RanUnknown)
+	}
+	switch step {
+	case "lost":
+		return engine.ApplicationResponse{}, fault.New(fault.BackendLost, "cut").WithRan(fault.RanUnknown)
+	case "refused":
+		return engine.ApplicationResponse{}, refusal(protocol.RefusalFull, "a0")
+	case "unreachable":
+		return engine.ApplicationResponse{}, fault.New(fault.BackendLost, "no byte left")
+	}
+	return engine.ApplicationResponse{Status: http.StatusCreated, Body: append([]byte("done "), request.Body...)}, nil
+}
+
+func (f *fakeApplications) PlaceApplication(_ context.Context, job *ApplicationJob) (ApplicationPlacement, error) {
+	for _, name := range []ident.Application{"a", "b"} {
+		if !job.Excluded[name] {
+			return ApplicationPlacement{Application: name, Address: string(name), Zone: "z"}, nil
+		}
+	}
+	return ApplicationPlacement{}, fault.New(fault.NoPermittedEngine, "none left")
+}
+
+func newRouters(count int, script ...string) ([]*Dispatcher, *fakeApplications, *fakeTable) {
+	applications := &fakeApplications{script: script}
+	table := &fakeTable{records: map[claim.Key]claim.Record{}, answers: map[string]Answer{}}
+	var routers []*Dispatcher
+	for range count {
+		routers = append(routers, New(Config{}, Dependencies{
+			Applications: applications, ApplicationPlacer: applications, Claimer: table, Answers: table,
+			Budget: &fakeBudget{retries: 10}, NewChart: func(bool) Chart { return &fakeChart{} },
+		}))
+	}
+	return routers, applications, table
+}
+
+func booking() *ApplicationJob {
+	return &ApplicationJob{ID: "r", Tenant: "graz", Service: "bay", IdempotencyKey: "k", Method: "POST", Path: "/book", Body: []byte("bay 7"), Zones: map[ident.Zone]bool{"z": true}}
+}
+
+// Many sendings at two routers: at most one runs, and each caller is told the
+// same answer or the truth. The judge is the application's own count.
+func TestBookingRunsAtMostOnce(t *testing.T) {
+	cases := map[string]struct {
+		script   []string
+		executed int
+		status   int
+		ran      fault.Ran
+	}{
+		"answered":               {[]string{"ok"}, 1, http.StatusCreated, fault.RanYes},
+		"answer lost":            {[]string{"lost"}, 1, 0, fault.RanUnknown},
+		"refused, then answered": {[]string{"refused"}, 1, http.StatusCreated, fault.RanYes},
+		"refused, then lost":     {[]string{"refused", "lost"}, 1, 0, fault.RanUnknown},
+		"refused everywhere":     {[]string{"refused", "unreachable"}, 0, 0, fault.RanNo},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				routers, applications, _ := newRouters(2, c.script...)
+				var group sync.WaitGroup
+				for sending := range 10 {
+					group.Go(func() {
+						answer, err := routers[sending%2].RunApplication(t.Context(), booking())
+						switch {
+						case err == nil:
+							is.Equal(answer.Status, c.status)
+						case fault.Is(err, fault.AlreadyClaimed): // the other router's run goes on
+							is.Equal(fault.From(err).Ran, fault.RanUnknown)
+						default:
+							is.Equal(fault.From(err).Ran, c.ran)
+						}
+					})
+				}
+				group.Wait()
+				for _, router := range routers {
+					router.Close()
+				}
+				is.Equal(applications.executed, c.executed)
+				if c.ran == fault.RanNo {
+					return // the key is free again
+				}
+				for _, router := range routers {
+					answer, err := router.RunApplication(t.Context(), booking())
+					if c.status != 0 {
+						is.NoErr(err)
+						is.Equal(string(answer.Body), "done bay 7")
+						is.True(answer.Repeated)
+					} else {
+						is.True(fault.Is(err, fault.OutcomeUnknown))
+						is.Equal(fault.From(err).Ran, fault.RanUnknown)
+					}
+					router.Close()
+				}
+				is.Equal(applications.executed, c.executed)
+			})
+		})
+	}
+}
+
+func TestBookingGoesOnWhenItsCallerLeaves(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		routers, applications, _ := newRouters(1)
+		ctx, leave := context.WithTimeout(t.Context(), time.Millisecond)
+		defer leave()
+		_, err := routers[0].RunApplication(ctx, booking())
+		is.True(fault.Is(err, fault.AlreadyClaimed))
+		is.Equal(fault.From(err).Ran, fault.RanUnknown)
+		answer, err := routers[0].RunApplication(t.Context(), booking())
+		is.NoErr(err)
+		is.Equal(string(answer.Body), "done bay 7")
+		routers[0].Close()
+		is.Equal(applications.executed, 1)
+	})
+}
+
+func TestBookingIsRefusedNotRun(t *testing.T) {
+	cases := map[string]struct {
+		change func(*ApplicationJob, *fakeTable)
+		kind   fault.Kind
+	}{
+		"no key":          {func(job *ApplicationJob, _ *fakeTable) { job.IdempotencyKey = "" }, fault.MissingIdempotencyKey},
+		"store down":      {func(_ *ApplicationJob, table *fakeTable) { table.down = true }, fault.StoreUnavailable},
+		"key reused":      {func(job *ApplicationJob, _ *fakeTable) { job.Body = []byte("bay 8") }, fault.KeyReused},
+		"key, other path": {func(job *ApplicationJob, _ *fakeTable) { job.Path = "/charge" }, fault.KeyReused},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				routers, applications, table := newRouters(2)
+				if c.kind == fault.KeyReused {
+					_, err := routers[0].RunApplication(t.Context(), booking())
+					is.NoErr(err)
+				}
+				before := applications.executed
+				job := booking()
+				c.change(job, table)
+				for _, router := range routers {
+					_, err := router.RunApplication(t.Context(), job)
+					is.True(fault.Is(err, c.kind))
+					is.Equal(fault.From(err).Ran, fault.RanNo)
+					router.Close()
+				}
+				is.Equal(applications.executed, before)
+			})
+		})
+	}
+}
+
+// An answer whose zone the tenant may no longer use is not read from there.
+func TestRetainedAnswerStaysInPermittedZones(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		routers, applications, _ := newRouters(2)
+		_, err := routers[0].RunApplication(t.Context(), booking())
+		is.NoErr(err)
+		routers[0].Close()
+		job := booking()
+		job.Zones = map[ident.Zone]bool{"elsewhere": true}
+		for _, router := range routers {
+			_, err = router.RunApplication(t.Context(), job)
+			is.True(fault.Is(err, fault.AlreadyClaimed))
+			is.Equal(fault.From(err).Ran, fault.RanYes)
+			router.Close()
+		}
+		is.Equal(applications.executed, 1)
+	})
+}
+
+func TestRepeatableApplicationRequestIsRetriedAfterALostAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		routers, applications, _ := newRouters(1, "lost", "ok", "lost", "lost")
+		job := booking()
+		job.Repeatable, job.IdempotencyKey = true, ""
+		answer, err := routers[0].RunApplication(t.Context(), job)
+		is.NoErr(err)
+		is.Equal(answer.Status, http.StatusCreated)
+		_, err = routers[0].RunApplication(t.Context(), job)
+		is.Equal(fault.From(err).Ran, fault.RanUnknown)
+		is.Equal(applications.executed, 4)
+	})
+}
--- a/internal/dispatch/claimed.go
+++ b/internal/dispatch/claimed.go
@@ -55,6 +55,9 @@
 		return Answer{}, run.failure
 	}
 	answer := run.answer
+	if !job.Zones[answer.Zone] {
+		return Answer{}, fault.New(fault.AlreadyClaimed, "the request ran, and its answer is in a place the tenant may no longer use").WithRan(fault.RanYes)
+	}
 	answer.Repeated = answer.Repeated || !first
 	return answer, nil
 }
--- a/internal/dispatch/fake_test.go
+++ b/internal/dispatch/fake_test.go
@@ -197,7 +197,8 @@
 
 func (s *fakeStream) Close() { s.once.Do(func() { close(s.closed) }) }
 
-// fakePlacer offers the engines "a" and "b", in order, unless excluded.
+// fakePlacer offers engines in order, unless excluded; "a" serves the last of
+// the permitted versions, any other the first.
 type fakePlacer struct {
 	engines  *fakeEngines
 	offered  []ident.Engine
@@ -211,9 +212,13 @@
 		}
 		p.engines.mutex.Lock()
 		defer p.engines.mutex.Unlock()
+		version := job.Versions[0]
+		if name == "a" {
+			version = job.Versions[len(job.Versions)-1]
+		}
 		return Placement{
 			Engine: name, Address: string(name), Incarnation: p.engines.incarnation(string(name)),
-			Model: job.Model, Version: job.Versions[0],
+			Model: job.Model, Version: version,
 			Release: func(result Result) { p.released = append(p.released, result) },
 		}, nil
 	}
--- a/internal/dispatch/generation_test.go
+++ b/internal/dispatch/generation_test.go
@@ -33,7 +33,9 @@
 				is.Equal(r.chart.ends, 1)
 				is.Equal(len(r.placer.released), len(r.engines.generated))
 				for _, request := range r.engines.generated {
-					is.Equal(request.Version, ident.ModelVersion("v2"))
+					if request.Continued != "" {
+						is.Equal(request.Version, ident.ModelVersion("v1")) // the version that began the answer
+					}
 				}
 			})
 		}
@@ -147,6 +149,7 @@
 	is.True(fault.Is(err, fault.StreamBroken))
 	is.Equal(fault.From(err).Ran, fault.RanYes)
 	is.Equal(sink.text.String(), given)
+	is.Equal(r.Counters.Resumes.Load(), uint64(1)) // an explicit refusal is not tried again
 }
 
 func TestCallerLeavingWhileStreamStallsIsCancelled(t *testing.T) {
