--- /dev/null
+++ b/internal/fleet/keeper_test.go
@@ -0,0 +1,158 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/fieldpond/fieldpond/internal/fault"
+	"github.com/fieldpond/fieldpond/internal/ident"
+	"github.com/fieldpond/fieldpond/internal/membership"
+)
+
+// cluster joins Keepers as the routers' peer protocol and gossip would.
+type cluster struct {
+	table   *fakeTable
+	members []membership.Member
+	mutex   sync.Mutex
+	keepers map[string]*Keeper
+}
+
+func newCluster(nodes int) *cluster {
+	c := &cluster{table: newFakeTable(), keepers: map[string]*Keeper{}}
+	for index := range nodes {
+		name := fmt.Sprint("node-", index)
+		c.members = append(c.members, membership.Member{Node: ident.Node(name), Zone: ident.Zone(fmt.Sprint("zone-", index%3)), HTTPAddress: name})
+	}
+	return c
+}
+
+// start runs a Keeper for the member and returns it.
+func (c *cluster) start(ctx context.Context, member membership.Member) *Keeper {
+	keeper := NewKeeper(KeeperOptions{
+		Self: member.Node, Zone: member.Zone, Table: c.table, Peers: c,
+		View: func() membership.View { return membership.View{Self: member.Node, Members: c.members} },
+	})
+	c.mutex.Lock()
+	c.keepers[member.HTTPAddress] = keeper
+	c.mutex.Unlock()
+	keeper.OnAdopt(func(compiled *Compiled) {
+		c.mutex.Lock()
+		defer c.mutex.Unlock()
+		for _, other := range c.keepers {
+			other.HeadHeard(compiled.Version, compiled.Digest, member.HTTPAddress)
+		}
+	})
+	go keeper.Run(ctx)
+	return keeper
+}
+
+func (c *cluster) at(address string) (*Keeper, error) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if keeper := c.keepers[address]; keeper != nil {
+		return keeper, nil
+	}
+	return nil, fault.New(fault.BackendLost, "%s does not run", address)
+}
+
+func (c *cluster) FetchHead(_ context.Context, address string) (Pair, error) {
+	keeper, err := c.at(address)
+	if err != nil {
+		return Pair{}, err
+	}
+	return keeper.Pair(), nil
+}
+
+func (c *cluster) FetchBody(_ context.Context, address string, digest Digest) ([]byte, error) {
+	keeper, err := c.at(address)
+	if err != nil {
+		return nil, err
+	}
+	if body, found := keeper.Body(digest); found {
+		return body, nil
+	}
+	return nil, fault.New(fault.BackendLost, "%s does not have it", address)
+}
+
+func (c *cluster) countInForce(version Version) int {
+	count := 0
+	for _, keeper := range c.keepers {
+		if keeper.Pair().Version == version {
+			count++
+		}
+	}
+	return count
+}
+
+func (c *cluster) apply(t *testing.T, name string) {
+	t.Helper()
+	if _, err := Apply(t.Context(), c.table, smallFile(name), ApplyOptions{}); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func TestAppliedFileIsInForceEverywhere(t *testing.T) {
+	const nodes, readsPerSecond, quietSeconds = 90, 9, 120
+	synctest.Test(t, func(t *testing.T) {
+		check := is.New(t)
+		c := newCluster(nodes)
+		c.apply(t, "one")
+		for _, member := range c.members {
+			c.start(t.Context(), member)
+		}
+		time.Sleep(5 * time.Second)
+		check.Equal(c.countInForce(1), nodes)
+		c.apply(t, "two")
+		time.Sleep(5 * time.Second)
+		check.Equal(c.countInForce(2), nodes)
+		readsBefore := c.table.countReads()
+		time.Sleep(quietSeconds * time.Second)
+		reads := c.table.countReads() - readsBefore
+		if reads > quietSeconds*readsPerSecond || reads < quietSeconds {
+			t.Errorf("%d reads of the table in %d seconds", reads, quietSeconds)
+		}
+	})
+}
+
+func TestStartWithoutTheTable(t *testing.T) {
+	for _, mode := range []faultMode{down, hangs} {
+		synctest.Test(t, func(t *testing.T) {
+			check := is.New(t)
+			c := newCluster(6)
+			c.apply(t, "one")
+			for _, member := range c.members[:5] {
+				c.start(t.Context(), member)
+			}
+			time.Sleep(5 * time.Second)
+			c.table.setMode(mode)
+			restarted := c.start(t.Context(), c.members[5])
+			time.Sleep(3 * time.Second)
+			check.Equal(restarted.Pair().Version, Version(1)) // peers have it
+		})
+	}
+}
+
+func TestHerdRestartWithoutTheTable(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		check := is.New(t)
+		c := newCluster(6)
+		c.apply(t, "one")
+		c.table.setMode(down)
+		for _, member := range c.members {
+			c.start(t.Context(), member)
+		}
+		time.Sleep(time.Minute)
+		check.Equal(c.countInForce(0), 6)
+		_, err := c.keepers["node-0"].Ready()
+		check.True(fault.Is(err, fault.NotReady)) // refuses rather than guesses
+		c.table.setMode(works)
+		time.Sleep(5 * time.Second)
+		check.Equal(c.countInForce(1), 6)
+	})
+}
--- /dev/null
+++ b/internal/fleet/table_test.go
@@ -0,0 +1,149 @@
+package fleet
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/fieldpond/fieldpond/internal/fault"
+	"github.com/fieldpond/fieldpond/internal/platform/protocol"
+)
+
+// tableModel is the table service: rows, and the truth log of accepted heads.
+type tableModel struct {
+	rows     map[string]protocol.Row
+	versions map[string]uint64
+	heads    []HistoryEntry
+}
+
+func newTableModel() *tableModel {
+	return &tableModel{rows: map[string]protocol.Row{}, versions: map[string]uint64{}}
+}
+
+func (m *tableModel) commit(transaction protocol.Transaction) protocol.TransactionResult {
+	result := protocol.TransactionResult{Committed: true}
+	for _, condition := range transaction.Conditions {
+		row := m.rows[condition.Key]
+		result.Rows = append(result.Rows, row)
+		result.Committed = result.Committed && row.Version == condition.Version
+	}
+	if !result.Committed {
+		return result
+	}
+	result.Rows = nil
+	for _, write := range transaction.Writes {
+		m.versions[write.Key]++
+		row := protocol.Row{Key: write.Key, Value: slices.Clone(write.Value), Version: m.versions[write.Key]}
+		m.rows[write.Key] = row
+		if write.Delete {
+			delete(m.rows, write.Key)
+		}
+		if write.Key == HeadKey {
+			head, err := decodeHead(write.Value)
+			if err != nil {
+				panic(err)
+			}
+			m.heads = append(m.heads, head.History[0])
+		}
+		result.Rows = append(result.Rows, row)
+	}
+	return result
+}
+
+// faultMode is what happens to an exchange with the fake table.
+type faultMode int
+
+const (
+	works faultMode = iota
+	// lostAfter loses the answer after the effect, lostBefore the request.
+	lostAfter
+	lostBefore
+	// down refuses the connection, limited answers 429; nothing is done.
+	down
+	limited
+	// hangs answers only when the context has ended.
+	hangs
+	modeCount
+)
+
+// fakeTable is platform.Table over a tableModel, with faults by request.
+type fakeTable struct {
+	mutex sync.Mutex
+	model *tableModel
+	// mode chooses the fault of each request; nil means none.
+	mode  func(key string, write bool) faultMode
+	reads int
+}
+
+func newFakeTable() *fakeTable { return &fakeTable{model: newTableModel()} }
+
+func (f *fakeTable) setMode(mode faultMode) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.mode = func(string, bool) faultMode { return mode }
+}
+
+func (f *fakeTable) countReads() int {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.reads
+}
+
+// exchange runs one request under the chosen fault.
+func (f *fakeTable) exchange(ctx context.Context, key string, write bool, run func()) error {
+	f.mutex.Lock()
+	mode := works
+	if f.mode != nil {
+		mode = f.mode(key, write)
+	}
+	if !write {
+		f.reads++
+	}
+	if mode == works || mode == lostAfter {
+		run()
+	}
+	f.mutex.Unlock()
+	if mode == hangs {
+		<-ctx.Done()
+	}
+	return faultOf(mode)
+}
+
+func faultOf(mode faultMode) error {
+	switch mode {
+	case works:
+		return nil
+	case down:
+		return fault.New(fault.StoreUnavailable, "connection refused")
+	case limited:
+		return fault.New(fault.RateLimited, "slow down").WithRetryAfter(700 * time.Millisecond)
+	}
+	return fault.New(fault.StoreUnavailable, "no answer").WithRan(fault.RanUnknown)
+}
+
+func (f *fakeTable) Commit(ctx context.Context, transaction protocol.Transaction) (result protocol.TransactionResult, err error) {
+	err = f.exchange(ctx, transaction.Writes[0].Key, true, func() { result = f.model.commit(transaction) })
+	if err != nil {
+		return protocol.TransactionResult{}, err
+	}
+	return result, nil
+}
+
+func (f *fakeTable) Read(ctx context.Context, key string) (row protocol.Row, found bool, err error) {
+	err = f.exchange(ctx, key, false, func() { row, found = f.model.rows[key] })
+	return row, found, err
+}
+
+func (f *fakeTable) List(ctx context.Context, prefix string, limit int) (list protocol.RowList, err error) {
+	err = f.exchange(ctx, prefix, false, func() {
+		for key, row := range f.model.rows {
+			if strings.HasPrefix(key, prefix) {
+				list.Rows = append(list.Rows, row)
+			}
+		}
+	})
+	list.Rows = list.Rows[:min(len(list.Rows), limit)]
+	return list, err
+}
