--- /dev/null
+++ b/cmd/fieldpond/apply.go
@@ -0,0 +1,137 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/fieldpond/fieldpond/internal/fault"
+	"github.com/fieldpond/fieldpond/internal/fleet"
+)
+
+// defaultApplyTimeout bounds an apply together with its wait.
+const defaultApplyTimeout = 18 * time.Second
+
+// applyChoices holds the flags of apply.
+type applyChoices struct {
+	path    string
+	url     string
+	base    uint64
+	wait    bool
+	routers []string
+	timeout time.Duration
+	output  outputFormat
+}
+
+// applyReport is the JSON output of apply.
+type applyReport struct {
+	fleet.Applied
+	// InForceOn counts the live members seen with the version in force, when
+	// the command waited.
+	InForceOn int `json:"in_force_on,omitempty"`
+}
+
+func newApplyCommand() *cobra.Command {
+	choices := &applyChoices{}
+	command := &cobra.Command{
+		Use:   "apply -f FILE --platform URL",
+		Short: "Put a fleet file in force",
+		Long: `Apply checks a fleet file and puts it in force as a whole, under the next
+version number. Either the whole file is accepted or nothing changes. Applying
+the file in force again changes nothing and reports its version, so an apply
+whose answer was lost can simply be repeated.
+
+If another operator applied a file in between, the apply fails with a conflict
+(exit code 4) that names the winning version. With --base, the conflict is
+raised for any change since the version you looked at; without it, only for one
+during the apply itself.
+
+With --wait, the command returns once every live router has the version in
+force, and otherwise says which ones lag (exit code 6). The file is accepted in
+either case.`,
+		Example: `  # Put a file in force.
+  fieldpond apply -f fleet.yaml --platform http://127.0.0.1:7000
+
+  # Only if version 17 is still in force, and wait for every router.
+  fieldpond apply -f fleet.yaml --platform http://127.0.0.1:7000 --base 17 \
+      --wait --routers 127.0.0.1:7501,127.0.0.1:7502
+
+  # Drain an engine: set 'state: leaving' in its entry and apply the file.`,
+		Args: cobra.NoArgs,
+		RunE: func(command *cobra.Command, _ []string) error { return runApply(command, choices) },
+	}
+	addFileFlag(command, &choices.path)
+	addPlatformFlag(command, &choices.url)
+	addOutputFlag(command, &choices.output)
+	command.Flags().Uint64Var(&choices.base, "base", 0, "apply only if this version is in force; 0 means no file yet")
+	command.Flags().BoolVar(&choices.wait, "wait", false, "wait until every live router has the version in force")
+	command.Flags().StringSliceVar(&choices.routers, "routers", nil, "host:port of routers to ask with --wait; one is enough, more outlast the loss of one")
+	command.Flags().DurationVar(&choices.timeout, "timeout", defaultApplyTimeout, "longest time for the apply and its wait together")
+	command.MarkFlagsRequiredTogether("wait", "routers")
+	return command
+}
+
+func runApply(command *cobra.Command, choices *applyChoices) error {
+	if choices.timeout <= 0 {
+		return fault.New(fault.InvalidSettings, "--timeout is %s", choices.timeout).WithRemedy("give a positive duration such as 18s")
+	}
+	body, err := readFleetFile(command, choices.path)
+	if err != nil {
+		return err
+	}
+	if _, err := parseFleetFile(command, body, choices.path); err != nil {
+		return err
+	}
+	table, err := openTable(choices.url)
+	if err != nil {
+		return err
+	}
+	options := fleet.ApplyOptions{}
+	if command.Flags().Changed("base") {
+		base := fleet.Version(choices.base)
+		options.Base = &base
+	}
+	ctx, cancel := context.WithTimeout(command.Context(), choices.timeout)
+	defer cancel()
+	applied, err := fleet.Apply(ctx, table, body, options)
+	if err != nil {
+		return err
+	}
+	return reportApply(ctx, command, choices, applied)
+}
+
+// reportApply prints the outcome after waiting, if asked to. The outcome of the
+// apply is printed also when the wait fails.
+func reportApply(ctx context.Context, command *cobra.Command, choices *applyChoices, applied fleet.Applied) error {
+	report := applyReport{Applied: applied}
+	var waitErr error
+	if choices.wait {
+		report.InForceOn, waitErr = newStatusWaiter(choices.routers).wait(ctx, max(applied.Version, applied.SupersededBy))
+	}
+	if choices.output == outputJSON {
+		if err := writeJSON(command.OutOrStdout(), report); err != nil {
+			return err
+		}
+		return waitErr
+	}
+	if _, err := fmt.Fprintln(command.OutOrStdout(), describeApplied(report)); err != nil {
+		return err
+	}
+	return waitErr
+}
+
+func describeApplied(report applyReport) string {
+	text := fmt.Sprintf("version %d accepted (digest %s, apply %s)", report.Version, report.Digest, report.ApplyID)
+	if report.Unchanged {
+		text = fmt.Sprintf("version %d already is this file; nothing changed", report.Version)
+	}
+	if report.SupersededBy > 0 {
+		text += fmt.Sprintf("; version %d has replaced it since", report.SupersededBy)
+	}
+	if report.InForceOn > 0 {
+		text += fmt.Sprintf("; in force on %d routers", report.InForceOn)
+	}
+	return text
+}
--- /dev/null
+++ b/cmd/fieldpond/fleetcommand.go
@@ -0,0 +1,101 @@
+package main
+
+import (
+	"encoding/json"
+	"io"
+	"os"
+
+	"github.com/pkg/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/fieldpond/fieldpond/internal/fault"
+	"github.com/fieldpond/fieldpond/internal/fleet"
+	"github.com/fieldpond/fieldpond/internal/platform"
+)
+
+// openTable returns the client of the platform's table service at a URL. It is
+// the one place in which the fleet commands meet the platform.
+var openTable = func(url string) (platform.Table, error) {
+	return nil, fault.New(fault.InvalidSettings, "this build has no platform client for %s", url).
+		WithRemedy("use a release build of fieldpond")
+}
+
+// outputFormat is the value of the --output flag.
+type outputFormat string
+
+const (
+	outputTable outputFormat = "table"
+	outputJSON  outputFormat = "json"
+)
+
+func addOutputFlag(command *cobra.Command, format *outputFormat) {
+	*format = outputTable
+	command.Flags().VarP(format, "output", "o", "table for people, json for scripts")
+}
+
+// String implements pflag.Value.
+func (f *outputFormat) String() string { return string(*f) }
+
+// Set implements pflag.Value.
+func (f *outputFormat) Set(value string) error {
+	switch format := outputFormat(value); format {
+	case outputTable, outputJSON:
+		*f = format
+		return nil
+	}
+	return errors.Errorf("%q is neither table nor json", value)
+}
+
+// Type implements pflag.Value.
+func (f *outputFormat) Type() string { return "format" }
+
+func writeJSON(writer io.Writer, value any) error {
+	encoder := json.NewEncoder(writer)
+	encoder.SetIndent("", "  ")
+	return encoder.Encode(value)
+}
+
+func addFileFlag(command *cobra.Command, path *string) {
+	command.Flags().StringVarP(path, "file", "f", "", "the fleet file, or - for standard input")
+	_ = command.MarkFlagRequired("file")
+}
+
+func addPlatformFlag(command *cobra.Command, url *string) {
+	command.Flags().StringVar(url, "platform", "", "base URL of the platform's services, for example http://127.0.0.1:7000")
+	_ = command.MarkFlagRequired("platform")
+}
+
+// readFleetFile reads at most one byte more than a fleet file may have.
+func readFleetFile(command *cobra.Command, path string) ([]byte, error) {
+	var source = command.InOrStdin()
+	if path != "-" {
+		file, err := os.Open(path)
+		if err != nil {
+			return nil, fault.Wrap(err, fault.InvalidFleet, "the fleet file cannot be read").WithRemedy("give the path of a readable file with -f")
+		}
+		defer func() { _ = file.Close() }()
+		source = file
+	}
+	body, err := io.ReadAll(io.LimitReader(source, fleet.MaxFileBytes+1))
+	if err != nil {
+		return nil, fault.Wrap(err, fault.InvalidFleet, "the fleet file cannot be read").WithRemedy("give the path of a readable file with -f")
+	}
+	return body, nil
+}
+
+// parseFleetFile parses the file and prints its problems to the error output.
+func parseFleetFile(command *cobra.Command, body []byte, path string) (*fleet.Document, error) {
+	document, problems := fleet.Parse(body, path)
+	for _, problem := range problems {
+		command.PrintErrln(problem)
+	}
+	return document, summarise(problems)
+}
+
+// summarise returns the fault of a list whose lines have been printed already.
+func summarise(problems fleet.Problems) error {
+	if found := len(problems.Errors()); found > 0 {
+		return fault.New(fault.InvalidFleet, "%d errors in %s", found, problems[0].File)
+	}
+	return nil
+}
--- a/internal/fleet/adopter_test.go
+++ b/internal/fleet/adopter_test.go
@@ -30,95 +30,133 @@
 	return Pair{Version: version, Digest: DigestOf(w.accepted[version-1])}
 }
 
+// adopterRun is one Adopter among answers that may be true, stale, false or
+// broken. It checks every adoption.
+type adopterRun struct {
+	t       *rapid.T
+	world   *adopterWorld
+	adopter *Adopter
+	now     time.Time
+	// tableVersion is the version in force; tabled are the pairs the table named.
+	tableVersion Version
+	tabled       map[Pair]bool
+	open         []AdoptAction
+	last         Pair
+}
+
+func (r *adopterRun) observe(actions []AdoptAction) {
+	for _, action := range actions {
+		switch {
+		case action.Kind != ActionAdopt:
+			r.open = append(r.open, action)
+			continue
+		case action.Pair.Version < r.last.Version:
+			r.t.Fatalf("reverted from %v to %v", r.last, action.Pair)
+		case action.Pair.Version == r.last.Version && !r.tabled[action.Pair]:
+			r.t.Fatalf("replaced %v by %v without the table's word", r.last, action.Pair)
+		case DigestOf(action.Body) != action.Pair.Digest:
+			r.t.Fatalf("adopted a body that is not %v", action.Pair)
+		}
+		r.last = action.Pair
+	}
+}
+
+// answer answers a request; one that is not honest may fail, lag or lie.
+func (r *adopterRun) answer(action AdoptAction, honest bool) {
+	version, fails := r.tableVersion, false
+	if !honest {
+		version = Version(rapid.IntRange(1, int(r.tableVersion)).Draw(r.t, "answer"))
+		fails = rapid.IntRange(0, 2).Draw(r.t, "fails") == 0
+	}
+	switch action.Kind {
+	case ActionPollTable:
+		if fails {
+			r.adopter.PollFailed(r.now, 0)
+			return
+		}
+		r.tabled[r.world.pair(version)] = true // a late answer may be an old one
+		r.adopter.HeadPolled(r.now, r.world.pair(version), true)
+	case ActionAskPeer:
+		if fails {
+			r.adopter.PeerFailed(action.Address)
+			return
+		}
+		r.adopter.PeerAnswered(r.now, action.Address, r.world.pair(version))
+	case ActionFetchBody:
+		r.answerBody(action, honest, fails)
+	}
+}
+
+func (r *adopterRun) answerBody(action AdoptAction, honest, fails bool) {
+	body := r.world.byDigest[action.Pair.Digest]
+	if !honest && rapid.IntRange(0, 3).Draw(r.t, "wrong") == 0 {
+		body = rapid.SampledFrom([][]byte{{}, []byte("x"), r.world.never[0]}).Draw(r.t, "body")
+	}
+	if fails || body == nil {
+		r.adopter.FetchFailed(r.now)
+		return
+	}
+	r.observe(r.adopter.BodyReceived(r.now, body))
+}
+
+// step lets time pass and one thing happen.
+func (r *adopterRun) step() {
+	r.now = r.now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(r.t, "milliseconds")) * time.Millisecond)
+	version := Version(rapid.IntRange(1, int(r.tableVersion)).Draw(r.t, "version"))
+	switch rapid.IntRange(0, 6).Draw(r.t, "event") {
+	case 0:
+		r.tableVersion = min(r.tableVersion+1, Version(len(r.world.accepted)))
+	case 1:
+		r.adopter.Heard(r.now, r.world.pair(version), "p1")
+	case 2:
+		r.adopter.Heard(r.now, Pair{Version: version, Digest: DigestOf(r.world.never[version-1])}, "p2")
+	case 3:
+		r.adopter.Heard(r.now, Pair{Version: r.tableVersion + 5, Digest: "nobody has this"}, "p2")
+	default:
+		if len(r.open) > 0 {
+			index := rapid.IntRange(0, len(r.open)-1).Draw(r.t, "open")
+			action := r.open[index]
+			r.open = append(r.open[:index:index], r.open[index+1:]...)
+			r.answer(action, false)
+		}
+	}
+	r.observe(r.adopter.Tick(r.now))
+}
+
+// settle lets everything be answered truly.
+func (r *adopterRun) settle() {
+	const rounds = 400
+	for range rounds {
+		answering := r.open
+		r.open = nil
+		for _, action := range answering {
+			r.answer(action, true)
+		}
+		r.observe(r.adopter.Tick(r.now))
+		r.now = later(r.now, r.adopter.NextTick(r.now))
+	}
+}
+
 // TestAdopterNeverReverts feeds the machine true, stale, false and broken
 // answers in any order, then lets the table and peers answer truly.
 func TestAdopterNeverReverts(t *testing.T) {
 	world := newAdopterWorld(6)
 	rapid.Check(t, func(t *rapid.T) {
 		now := time.Unix(1000, 0)
-		adopter := NewAdopter(now, func() float64 { return 0.5 })
-		adopter.SetSurroundings(now, Surroundings{
+		run := &adopterRun{
+			t: t, world: world, now: now, tableVersion: 1, tabled: map[Pair]bool{},
+			adopter: NewAdopter(now, func() float64 { return 0.5 }),
+		}
+		run.adopter.SetSurroundings(now, Surroundings{
 			Poller: rapid.Bool().Draw(t, "poller"), Members: rapid.SampledFrom([]int{3, 100}).Draw(t, "members"),
 			Peers: []Peer{{Address: "p1", SameZone: true, Poller: true}, {Address: "p2"}},
 		})
-		tableVersion := Version(1)
-		var open []AdoptAction
-		tabled := map[Pair]bool{}
-		last := Pair{}
-		observe := func(actions []AdoptAction) {
-			for _, action := range actions {
-				if action.Kind != ActionAdopt {
-					open = append(open, action)
-					continue
-				}
-				if action.Pair.Version < last.Version {
-					t.Fatalf("reverted from %v to %v", last, action.Pair)
-				}
-				if action.Pair.Version == last.Version && !tabled[action.Pair] {
-					t.Fatalf("replaced %v by %v without the table's word", last, action.Pair)
-				}
-				if DigestOf(action.Body) != action.Pair.Digest {
-					t.Fatalf("adopted a body that is not %v", action.Pair)
-				}
-				last = action.Pair
-			}
-		}
-		answer := func(action AdoptAction, honest bool) {
-			version := Version(rapid.IntRange(1, int(tableVersion)).Draw(t, "answer"))
-			if honest {
-				version = tableVersion
-			}
-			fails := !honest && rapid.IntRange(0, 2).Draw(t, "fails") == 0
-			switch {
-			case action.Kind == ActionPollTable && fails:
-				adopter.PollFailed(now, 0)
-			case action.Kind == ActionPollTable:
-				tabled[world.pair(version)] = true // a late answer may be an old one
-				adopter.HeadPolled(now, world.pair(version), true)
-			case action.Kind == ActionAskPeer && fails:
-				adopter.PeerFailed(action.Address)
-			case action.Kind == ActionAskPeer:
-				adopter.PeerAnswered(now, action.Address, world.pair(version))
-			case fails || world.byDigest[action.Pair.Digest] == nil:
-				adopter.FetchFailed(now)
-			case !honest && rapid.IntRange(0, 3).Draw(t, "wrong") == 0:
-				observe(adopter.BodyReceived(now, rapid.SampledFrom([][]byte{nil, []byte("x"), world.never[0]}).Draw(t, "body")))
-			default:
-				observe(adopter.BodyReceived(now, world.byDigest[action.Pair.Digest]))
-			}
-		}
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
-			now = now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "milliseconds")) * time.Millisecond)
-			version := Version(rapid.IntRange(1, int(tableVersion)).Draw(t, "version"))
-			switch rapid.IntRange(0, 6).Draw(t, "event") {
-			case 0:
-				tableVersion = min(tableVersion+1, Version(len(world.accepted)))
-			case 1:
-				adopter.Heard(now, world.pair(version), "p1")
-			case 2:
-				adopter.Heard(now, Pair{Version: version, Digest: DigestOf(world.never[version-1])}, "p2")
-			case 3:
-				adopter.Heard(now, Pair{Version: tableVersion + 5, Digest: "nobody has this"}, "p2")
-			default:
-				if len(open) > 0 {
-					index := rapid.IntRange(0, len(open)-1).Draw(t, "open")
-					action := open[index]
-					open = append(open[:index:index], open[index+1:]...)
-					answer(action, false)
-				}
-			}
-			observe(adopter.Tick(now))
-		}
-		for range 400 {
-			for _, action := range append([]AdoptAction(nil), open...) {
-				open = open[1:]
-				answer(action, true)
-			}
-			observe(adopter.Tick(now))
-			now = later(now, adopter.NextTick(now))
+			run.step()
 		}
-		if adopter.Current() != world.pair(tableVersion) {
-			t.Fatalf("in force %v, accepted %v", adopter.Current(), world.pair(tableVersion))
+		run.settle()
+		if run.adopter.Current() != world.pair(run.tableVersion) {
+			t.Fatalf("in force %v, accepted %v", run.adopter.Current(), world.pair(run.tableVersion))
 		}
 	})
 }
--- a/internal/fleet/check.go
+++ b/internal/fleet/check.go
@@ -71,7 +71,7 @@
 	case "len", "hexadecimal":
 		return notAHash, hashRemedy
 	}
-	return "fails the rule " + violation.Tag(), "see docs/reference/fleet-file.md"
+	return "fails the rule " + violation.Tag(), "compare with examples/muldenring/fleet.yaml"
 }
 
 // validName reports whether a name is safe in URLs, table keys and metrics.
