Add the platform client and the platform stand-in

Cause: claims, the fleet file and the machine list need the platform's services, and the proofs need a store that can be down, slow, over its limit, or lose an answer after the effect. Ruled out: stopping a slow write when its client gives up (the store's real danger is the write that lands later); versions that restart after a delete (an old condition could hold again). Change: internal/platform.HTTPClient; standin/platform with a pure table and machine log, rate limits, and a truth log of commits; standin/ faultboard with seeded draws; standin/serve; 'rehearse platform'. The contract test of client and stand-in stands with the stand-in, because internal/ never imports standin/. Conclusion: lost answers are visible to the caller as 'unknown' and to the proofs in the truth log.

--- /dev/null
+++ b/cmd/rehearse/platform.go
@@ -0,0 +1,51 @@
+package main
+
+import (
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/fieldpond/fieldpond/standin/platform"
+	"github.com/fieldpond/fieldpond/standin/serve"
+)
+
+// platformGrace bounds the wait for running exchanges when the stand-in stops.
+const platformGrace = 10 * time.Second
+
+func newPlatformCommand() *cobra.Command {
+	var options platform.Options
+	var listen, machines string
+	command := &cobra.Command{
+		Use:   "platform",
+		Short: "Run the stand-in for the platform's table, objects, weights and machine list",
+		Args:  cobra.NoArgs,
+		RunE: func(command *cobra.Command, _ []string) error {
+			if machines != "" {
+				list, err := platform.ReadMachines(machines)
+				if err != nil {
+					return err
+				}
+				options.Machines = list
+			}
+			ctx, stop := signal.NotifyContext(command.Context(), syscall.SIGTERM, syscall.SIGINT)
+			defer stop()
+			return serve.Run(ctx, platform.NewServer(options), serve.Options{
+				Name: "platform stand-in", Listen: listen, Grace: platformGrace,
+			})
+		},
+	}
+	flags := command.Flags()
+	flags.StringVar(&listen, "listen", "127.0.0.1:7000", "address to listen on")
+	flags.Float64Var(&options.TableRate, "table-rate", 500, "table requests a second; 0 is no limit")
+	flags.Float64Var(&options.ObjectRate, "object-rate", 200, "object requests a second; 0 is no limit")
+	flags.Float64Var(&options.WeightRate, "weight-rate", 1, "weight fetches begun a second; 0 is no limit")
+	flags.Float64Var(&options.MachineRate, "machine-rate", 100, "machine list requests a second; 0 is no limit")
+	flags.Float64Var(&options.WeightGigabytes, "weight-gigabytes", 8, "simulated size of one model version")
+	flags.Float64Var(&options.WeightGigabytesPerSecond, "weight-gigabytes-per-second", 4, "simulated speed of one fetch; 0 is no delay")
+	flags.DurationVar(&options.Lag, "lag", 5*time.Second, "how late a change of the machine list shows")
+	flags.Uint64Var(&options.Seed, "seed", 1, "seed of the fault draws")
+	flags.StringVar(&machines, "machines", "", "YAML file of the machine list shown at once")
+	return command
+}
--- a/cmd/rehearse/subcommands.go
+++ b/cmd/rehearse/subcommands.go
@@ -4,5 +4,7 @@
 
 // subcommands returns every subcommand, one constructor a line.
 func subcommands() []*cobra.Command {
-	return []*cobra.Command{}
+	return []*cobra.Command{
+		newPlatformCommand(),
+	}
 }
--- /dev/null
+++ b/internal/platform/objects.go
@@ -0,0 +1,38 @@
+package platform
+
+import (
+	"context"
+	"net/http"
+	"net/url"
+
+	"github.com/fieldpond/fieldpond/internal/ident"
+)
+
+const (
+	pathObjects = "/objects/v1/"
+	pathWeights = "/weights/v1/"
+)
+
+// Put implements Objects.
+func (c *HTTPClient) Put(ctx context.Context, zone ident.Zone, key string, data []byte) error {
+	_, err := c.do(ctx, call{what: "writing an object", method: http.MethodPut, path: objectPath(zone, key), body: data})
+	return err
+}
+
+// Get implements Objects.
+func (c *HTTPClient) Get(ctx context.Context, zone ident.Zone, key string) ([]byte, bool, error) {
+	answered, err := c.do(ctx, call{what: "reading an object", method: http.MethodGet, path: objectPath(zone, key), missingIsAnswer: true})
+	return answered.body, answered.found, err
+}
+
+// FetchWeights returns the weights of a model version. It is slow by nature;
+// engines, not routers, call it.
+func (c *HTTPClient) FetchWeights(ctx context.Context, model ident.Model, version ident.ModelVersion) ([]byte, error) {
+	path := pathWeights + url.PathEscape(string(model)) + "/" + url.PathEscape(string(version))
+	answered, err := c.do(ctx, call{what: "fetching weights", method: http.MethodGet, path: path})
+	return answered.body, err
+}
+
+func objectPath(zone ident.Zone, key string) string {
+	return pathObjects + url.PathEscape(string(zone)) + "/" + url.PathEscape(key)
+}
--- /dev/null
+++ b/standin/platform/server.go
@@ -0,0 +1,171 @@
+package platform
+
+import (
+	"io"
+	"math"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/gorilla/mux"
+	"golang.org/x/time/rate"
+
+	"github.com/fieldpond/fieldpond/internal/platform/protocol"
+	"github.com/fieldpond/fieldpond/standin/faultboard"
+)
+
+// Services that faults may name.
+const (
+	ServiceTable    = "table"
+	ServiceObjects  = "objects"
+	ServiceWeights  = "weights"
+	ServiceMachines = "machines"
+)
+
+// Kinds of faults.
+const (
+	// FaultOutage cuts the connection without doing anything.
+	FaultOutage = "outage"
+	// FaultSlow waits before the action; it goes on when the client gives up.
+	FaultSlow = "slow"
+	// FaultLoseAnswer acts, then cuts the connection without an answer.
+	FaultLoseAnswer = "lose_answer"
+	// FaultRate answers as if the rate limit were used up.
+	FaultRate = "rate"
+)
+
+// maxBodyBytes bounds the body of a request.
+const maxBodyBytes = 64 << 20
+
+// retryAfterSeconds is told with every refusal for rate.
+const retryAfterSeconds = 1
+
+// burstShare is the share of a second's requests that may come at once.
+const burstShare = 0.1
+
+// Options configures a Server. Rates are requests per second; 0 is no limit.
+type Options struct {
+	TableRate, ObjectRate, WeightRate, MachineRate float64
+	// Lag is how late a change of the machine list shows.
+	Lag time.Duration
+	// Machines is the list shown at once.
+	Machines []protocol.Machine
+	// WeightGigabytes is the simulated size of one model version, and
+	// WeightGigabytesPerSecond the simulated speed of fetching it; 0 is no delay.
+	WeightGigabytes, WeightGigabytesPerSecond float64
+	// Seed seeds the draws of faults.
+	Seed uint64
+}
+
+// Server is the stand-in. It is safe for concurrent use.
+type Server struct {
+	options Options
+	board   *faultboard.Board
+	router  *mux.Router
+
+	mutex    sync.Mutex
+	table    *Table
+	history  history
+	machines *MachineLog
+	objects  map[objectName][]byte
+}
+
+type objectName struct{ zone, key string }
+
+// NewServer returns a stand-in with empty stores.
+func NewServer(options Options) *Server {
+	server := &Server{
+		options: options,
+		board: faultboard.New(options.Seed,
+			[]string{FaultOutage, FaultSlow, FaultLoseAnswer, FaultRate},
+			[]string{ServiceTable, ServiceObjects, ServiceWeights, ServiceMachines}),
+		router:   mux.NewRouter().UseEncodedPath().SkipClean(true),
+		table:    NewTable(),
+		machines: NewMachineLog(options.Lag, options.Machines),
+		objects:  map[objectName][]byte{},
+	}
+	server.routes()
+	return server
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.router.ServeHTTP(w, r) }
+
+func (s *Server) routes() {
+	table := s.guard(ServiceTable, s.options.TableRate)
+	objects := s.guard(ServiceObjects, s.options.ObjectRate)
+	weights := s.guard(ServiceWeights, s.options.WeightRate)
+	machines := s.guard(ServiceMachines, s.options.MachineRate)
+	s.router.HandleFunc("/table/v1/transactions", table(s.commit)).Methods(http.MethodPost)
+	s.router.HandleFunc("/table/v1/rows", table(s.listRows)).Methods(http.MethodGet)
+	s.router.HandleFunc("/table/v1/rows/{key}", table(s.readRow)).Methods(http.MethodGet)
+	s.router.HandleFunc("/objects/v1/{zone}/{key}", objects(s.putObject)).Methods(http.MethodPut)
+	s.router.HandleFunc("/objects/v1/{zone}/{key}", objects(s.getObject)).Methods(http.MethodGet)
+	s.router.HandleFunc("/weights/v1/{model}/{version}", weights(s.fetchWeights)).Methods(http.MethodGet)
+	s.router.HandleFunc("/machines/v1/list", machines(s.listMachines)).Methods(http.MethodGet)
+	s.router.HandleFunc("/rehearsal/machines", s.replaceMachines).Methods(http.MethodPut)
+	s.router.HandleFunc("/rehearsal/history", s.serveHistory).Methods(http.MethodGet)
+	s.board.Register(s.router)
+}
+
+// action does the work of one request whose body was read whole.
+type action func(r *http.Request, body []byte) reply
+
+// reply is a whole answer.
+type reply struct {
+	status      int
+	contentType string
+	body        []byte
+}
+
+// guard returns a wrapper that puts the service's rate limit and faults around
+// an action.
+func (s *Server) guard(service string, perSecond float64) func(action) http.HandlerFunc {
+	limiter := newLimiter(perSecond)
+	return func(act action) http.HandlerFunc {
+		return func(w http.ResponseWriter, r *http.Request) {
+			drawn := s.board.Draw(service, r.Method != http.MethodGet, time.Now())
+			if drawn.Has(FaultOutage) {
+				panic(http.ErrAbortHandler)
+			}
+			if drawn.Has(FaultRate) || !limiter.Allow() {
+				refuseForRate(w)
+				return
+			}
+			body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+			if err != nil {
+				http.Error(w, "the body broke off or is too large", http.StatusRequestEntityTooLarge)
+				return
+			}
+			// A client that gives up does not stop the action: it may still
+			// take effect after its time.
+			time.Sleep(drawn.Delay(FaultSlow))
+			answered := act(r, body)
+			if drawn.Has(FaultLoseAnswer) {
+				panic(http.ErrAbortHandler)
+			}
+			answered.send(w)
+		}
+	}
+}
+
+func newLimiter(perSecond float64) *rate.Limiter {
+	if perSecond <= 0 {
+		return rate.NewLimiter(rate.Inf, 1)
+	}
+	return rate.NewLimiter(rate.Limit(perSecond), max(1, int(math.Ceil(perSecond*burstShare))))
+}
+
+func refuseForRate(w http.ResponseWriter) {
+	w.Header().Set("Retry-After", strconv.Itoa(retryAfterSeconds))
+	http.Error(w, "over the rate limit; nothing was done", http.StatusTooManyRequests)
+}
+
+func (a reply) send(w http.ResponseWriter) {
+	if a.contentType != "" {
+		w.Header().Set("Content-Type", a.contentType)
+	}
+	w.WriteHeader(a.status)
+	_, _ = w.Write(a.body)
+}
