Add the application stand-in

Cause: proofs of at most once need a back end that runs whatever reaches it and keeps the truth of it. Ruled out: deduplicating by idempotency key in the stand-in, which would hide the double runs that the proofs look for. Change: standin/application with a truth log, answers that echo a digest of tenant, key and body, faults before and after execution, refusal while leaving; 'rehearse application'.

--- /dev/null
+++ b/cmd/rehearse/application.go
@@ -0,0 +1,48 @@
+package main
+
+import (
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/fieldpond/fieldpond/internal/ident"
+	"github.com/fieldpond/fieldpond/standin/application"
+	"github.com/fieldpond/fieldpond/standin/serve"
+)
+
+func newApplicationCommand() *cobra.Command {
+	var options application.Options
+	var listen, incarnation string
+	var executeMillis int
+	var notice, grace time.Duration
+	command := &cobra.Command{
+		Use:   "application",
+		Short: "Run the stand-in for an application back end",
+		Args:  cobra.NoArgs,
+		RunE: func(command *cobra.Command, _ []string) error {
+			options.Incarnation = ident.Incarnation(incarnation)
+			options.ExecutionTime = time.Duration(executeMillis) * time.Millisecond
+			server := application.NewServer(options)
+			ctx, stop := signal.NotifyContext(command.Context(), syscall.SIGTERM, syscall.SIGINT)
+			defer stop()
+			return serve.Run(ctx, server, serve.Options{
+				Name: "application stand-in", Listen: listen, Grace: grace,
+				BeforeStop: func() {
+					server.Leave()
+					time.Sleep(notice)
+				},
+			})
+		},
+	}
+	flags := command.Flags()
+	flags.StringVar(&listen, "listen", "127.0.0.1:7200", "address to listen on")
+	flags.StringVar(&incarnation, "incarnation", "", "name of this life; empty takes a fresh one")
+	flags.IntVar(&executeMillis, "execute-millis", 20, "how long one execution takes")
+	flags.IntVar(&options.MaxRunning, "max-running", 0, "refuse requests above this number; 0 is no limit")
+	flags.Uint64Var(&options.Seed, "seed", 1, "seed of the fault draws")
+	flags.DurationVar(&notice, "notice", time.Second, "how long to go on refusing as leaving before the listener closes")
+	flags.DurationVar(&grace, "grace", 30*time.Second, "longest wait for running executions after that")
+	return command
+}
--- a/cmd/rehearse/subcommands.go
+++ b/cmd/rehearse/subcommands.go
@@ -5,6 +5,7 @@
 // subcommands returns every subcommand, one constructor a line.
 func subcommands() []*cobra.Command {
 	return []*cobra.Command{
+		newApplicationCommand(),
 		newPlatformCommand(),
 	}
 }
--- /dev/null
+++ b/standin/application/server.go
@@ -0,0 +1,161 @@
+package application
+
+import (
+	"encoding/json"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"github.com/fieldpond/fieldpond/internal/engine/protocol"
+	"github.com/fieldpond/fieldpond/internal/fault"
+	"github.com/fieldpond/fieldpond/internal/ident"
+	"github.com/fieldpond/fieldpond/standin/faultboard"
+)
+
+// Kinds of faults. The service of all is ServiceApplication.
+const (
+	// FaultRefuseFull refuses before execution.
+	FaultRefuseFull = "refuse_full"
+	// FaultRunThenCut executes, then cuts the connection without an answer.
+	FaultRunThenCut = "run_then_cut"
+	// FaultCutBefore reads the body, then cuts without executing.
+	FaultCutBefore = "cut_before"
+	// FaultStall holds the request without executing, for delay_millis or, if
+	// that is 0, until the client leaves; then it cuts the connection.
+	FaultStall = "stall"
+	// FaultSlow adds delay_millis to the execution time.
+	FaultSlow = "slow"
+)
+
+// ServiceApplication is the only service that faults may name.
+const ServiceApplication = "application"
+
+// TruthPath serves the truth log as JSON lines.
+const TruthPath = "/rehearsal/truth"
+
+// maxBodyBytes bounds the body of a request.
+const maxBodyBytes = 16 << 20
+
+// retryAfterMillis is told with a refusal.
+const retryAfterMillis = 200
+
+// Options configures a Server.
+type Options struct {
+	// Incarnation of this life; empty takes a fresh one.
+	Incarnation ident.Incarnation
+	// ExecutionTime is how long one execution takes.
+	ExecutionTime time.Duration
+	// MaxRunning refuses requests above it; 0 is no limit.
+	MaxRunning int
+	// Seed seeds the draws of faults.
+	Seed uint64
+}
+
+// Server is the stand-in. It is safe for concurrent use.
+type Server struct {
+	options Options
+	board   *faultboard.Board
+	router  *mux.Router
+	truth   truthLog
+
+	mutex   sync.Mutex
+	running int
+	leaving bool
+}
+
+// NewServer returns a stand-in that has executed nothing.
+func NewServer(options Options) *Server {
+	if options.Incarnation == "" {
+		options.Incarnation = ident.Incarnation(ident.NewUnique())
+	}
+	server := &Server{
+		options: options,
+		board: faultboard.New(options.Seed,
+			[]string{FaultRefuseFull, FaultRunThenCut, FaultCutBefore, FaultStall, FaultSlow},
+			[]string{ServiceApplication}),
+		router: mux.NewRouter().UseEncodedPath().SkipClean(true),
+		truth:  truthLog{timesRun: map[scope]int{}},
+	}
+	server.router.HandleFunc("/v1/services/{service}{path:.*}", server.serveRequest)
+	server.router.HandleFunc("/v1/load", server.serveLoad).Methods(http.MethodGet)
+	server.router.HandleFunc(TruthPath, server.serveTruth).Methods(http.MethodGet)
+	server.board.Register(server.router)
+	return server
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(protocol.HeaderIncarnation, string(s.options.Incarnation))
+	s.router.ServeHTTP(w, r)
+}
+
+// Leave makes the stand-in refuse all new work from now on.
+func (s *Server) Leave() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.leaving = true
+}
+
+// Executions returns the truth log.
+func (s *Server) Executions() []Execution { return s.truth.all() }
+
+// enter takes a place for one execution, or returns why it is refused.
+func (s *Server) enter() (refused protocol.RefusalKind) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.leaving {
+		return protocol.RefusalLeaving
+	}
+	if s.options.MaxRunning > 0 && s.running >= s.options.MaxRunning {
+		return protocol.RefusalFull
+	}
+	s.running++
+	return ""
+}
+
+func (s *Server) exit() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.running--
+}
+
+// refuse answers that nothing was executed.
+func (s *Server) refuse(w http.ResponseWriter, kind protocol.RefusalKind) {
+	status := http.StatusTooManyRequests
+	if kind == protocol.RefusalLeaving {
+		status = http.StatusServiceUnavailable
+	}
+	w.Header().Set(protocol.HeaderRan, string(fault.RanNo))
+	writeJSON(w, status, protocol.Refusal{
+		Kind: kind, Message: "refused before execution", Ran: fault.RanNo,
+		Incarnation: s.options.Incarnation, RetryAfterMillis: retryAfterMillis,
+	})
+}
+
+func (s *Server) serveLoad(w http.ResponseWriter, _ *http.Request) {
+	s.mutex.Lock()
+	report := protocol.LoadReport{
+		Incarnation: s.options.Incarnation, MeasuredAt: time.Now(), Leaving: s.leaving,
+		Running: s.running, MaxRunning: s.options.MaxRunning,
+	}
+	s.mutex.Unlock()
+	writeJSON(w, http.StatusOK, report)
+}
+
+func (s *Server) serveTruth(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/x-ndjson")
+	encoder := json.NewEncoder(w)
+	for _, execution := range s.truth.all() {
+		if encoder.Encode(execution) != nil {
+			return
+		}
+	}
+}
+
+func writeJSON(w http.ResponseWriter, status int, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(value)
+}
