--- a/cmd/rehearse/application.go
+++ b/cmd/rehearse/application.go
@@ -24,6 +24,9 @@
 		RunE: func(command *cobra.Command, _ []string) error {
 			options.Incarnation = ident.Incarnation(incarnation)
 			options.ExecutionTime = time.Duration(executeMillis) * time.Millisecond
+			if err := options.Validate(); err != nil {
+				return err
+			}
 			server := application.NewServer(options)
 			ctx, stop := signal.NotifyContext(command.Context(), syscall.SIGTERM, syscall.SIGINT)
 			defer stop()
--- a/cmd/rehearse/platform.go
+++ b/cmd/rehearse/platform.go
@@ -22,6 +22,9 @@
 		Short: "Run the stand-in for the platform's table, objects, weights and machine list",
 		Args:  cobra.NoArgs,
 		RunE: func(command *cobra.Command, _ []string) error {
+			if err := options.Validate(); err != nil {
+				return err
+			}
 			if machines != "" {
 				list, err := platform.ReadMachines(machines)
 				if err != nil {
--- a/internal/httpclient/gate_test.go
+++ b/internal/httpclient/gate_test.go
@@ -1,6 +1,7 @@
 package httpclient
 
 import (
+	"io"
 	"net"
 	"net/http/httptrace"
 	"testing"
@@ -14,7 +15,7 @@
 	is := is.New(t)
 	near, far := net.Pipe()
 	defer func() { _ = far.Close() }()
-	go func() { _, _ = far.Read(make([]byte, 8)) }()
+	go func() { _, _ = io.Copy(io.Discard, far) }()
 	gate := &gatedConnection{Conn: near}
 	_, err := gate.Write([]byte("earlier"))
 	is.NoErr(err)
--- a/standin/application/server.go
+++ b/standin/application/server.go
@@ -53,6 +53,15 @@
 	Seed uint64
 }
 
+// Validate checks the ranges of the options.
+func (o Options) Validate() error {
+	if o.ExecutionTime < 0 || o.MaxRunning < 0 {
+		return fault.New(fault.InvalidSettings, "the execution time or the limit of the application stand-in is negative").
+			WithRemedy("give 0 or more")
+	}
+	return nil
+}
+
 // Server is the stand-in. It is safe for concurrent use.
 type Server struct {
 	options Options
--- a/standin/platform/server.go
+++ b/standin/platform/server.go
@@ -11,6 +11,7 @@
 	"github.com/gorilla/mux"
 	"golang.org/x/time/rate"
 
+	"github.com/fieldpond/fieldpond/internal/fault"
 	"github.com/fieldpond/fieldpond/internal/platform/protocol"
 	"github.com/fieldpond/fieldpond/standin/faultboard"
 )
@@ -58,6 +59,15 @@
 	Seed uint64
 }
 
+// Validate checks the ranges of the options.
+func (o Options) Validate() error {
+	if min(o.TableRate, o.ObjectRate, o.WeightRate, o.MachineRate, o.WeightGigabytes, o.WeightGigabytesPerSecond) < 0 || o.Lag < 0 {
+		return fault.New(fault.InvalidSettings, "a rate, size or lag of the platform stand-in is negative").
+			WithRemedy("give 0 or more; a rate of 0 is no limit")
+	}
+	return nil
+}
+
 // Server is the stand-in. It is safe for concurrent use.
 type Server struct {
 	options Options
--- a/standin/serve/serve.go
+++ b/standin/serve/serve.go
@@ -36,6 +36,11 @@
 		return fault.Wrap(err, fault.InvalidSettings, "cannot listen on %q", options.Listen).
 			WithRemedy("choose a free address with --listen")
 	}
+	return Serve(ctx, listener, handler, options)
+}
+
+// Serve is Run on a listener that is already open, and closes it.
+func Serve(ctx context.Context, listener net.Listener, handler http.Handler, options Options) error {
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout}
 	log.WithField("address", listener.Addr().String()).Info(options.Name + " listening")
 	served := make(chan error, 1)
