--- a/cmd/rehearse/subcommands.go
+++ b/cmd/rehearse/subcommands.go
@@ -7,5 +7,7 @@
 	return []*cobra.Command{
 		newEngineCommand(),
 		newLoadCommand(),
+		newApplicationCommand(),
+		newPlatformCommand(),
 	}
 }
