--- /dev/null
+++ b/internal/admission/drain.go
@@ -0,0 +1,187 @@
+package admission
+
+import (
+	"math"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/fieldpond/fieldpond/internal/ident"
+)
+
+const (
+	// drainMemory is the time constant of the drain rate.
+	drainMemory = 2 * time.Second
+	// drainMinimumBusy and drainMinimumServed are the least observation that
+	// a rate is stated from, both after decay.
+	drainMinimumBusy   = 250 * time.Millisecond
+	drainMinimumServed = 3
+	// maxDrains bounds the pools remembered though nothing of theirs waits.
+	maxDrains = 1024
+	// unknownWait is stated when no drain rate is known.
+	unknownWait = time.Second
+	// minRetryAfter and maxRetryAfter bound what callers are told.
+	minRetryAfter = 100 * time.Millisecond
+	maxRetryAfter = time.Minute
+)
+
+// drain estimates how fast the waiting items of a pool are served: tokens and
+// items dispatched over the time that items waited, all decaying alike.
+type drain struct {
+	waiting int
+	updated time.Time
+	busy    float64
+	cost    float64
+	items   float64
+}
+
+func (d *drain) advance(now time.Time) {
+	elapsed := now.Sub(d.updated)
+	if elapsed <= 0 {
+		return
+	}
+	d.updated = now
+	decay := math.Exp(-elapsed.Seconds() / drainMemory.Seconds())
+	d.busy *= decay
+	d.cost *= decay
+	d.items *= decay
+	if d.waiting > 0 {
+		d.busy += drainMemory.Seconds() * (1 - decay)
+	}
+}
+
+func (d *drain) enter(now time.Time) {
+	d.advance(now)
+	d.waiting++
+}
+
+func (d *drain) leave(now time.Time) {
+	d.advance(now)
+	d.waiting--
+}
+
+// served counts a dispatch. One at the moment the pool began to wait says
+// nothing of its rate, since no busy time stands against it.
+func (d *drain) served(now time.Time, cost float64) {
+	d.advance(now)
+	if d.busy > 0 {
+		d.cost += cost
+		d.items++
+	}
+}
+
+// rates returns tokens and items a second, if known.
+func (d *drain) rates(now time.Time) (cost, items float64, known bool) {
+	d.advance(now)
+	if d.busy < drainMinimumBusy.Seconds() || d.items < drainMinimumServed {
+		return 0, 0, false
+	}
+	return d.cost / d.busy, d.items / d.busy, true
+}
+
+func (q *Queue) drain(now time.Time, key PoolKey) *drain {
+	if known, found := q.drains[key]; found {
+		return known
+	}
+	if len(q.drains) >= maxDrains {
+		for other, forgotten := range q.drains {
+			if forgotten.waiting == 0 {
+				delete(q.drains, other)
+			}
+		}
+	}
+	created := &drain{updated: now}
+	q.drains[key] = created
+	return created
+}
+
+// predictedWait is the shortest wait to be expected of a new item; zero if
+// nothing is known. It errs towards holding: of strict order and the
+// starvation bound it takes the sooner, and of the fair order and first in,
+// first out as well.
+func (q *Queue) predictedWait(now time.Time, item Item) time.Duration {
+	watched, waits := q.drains[item.Pool]
+	if !waits || watched.waiting == 0 {
+		return 0
+	}
+	costRate, itemRate, known := watched.rates(now)
+	if !known {
+		return 0
+	}
+	urgent, fairCost, fairItems := q.ahead(item)
+	strict := (urgent + fairCost) / costRate
+	aged := (fairItems + 1) * float64(agingInterval+agedSpacing*q.poolCount()) / itemRate
+	if urgent == 0 {
+		return seconds(strict)
+	}
+	return seconds(min(strict, aged))
+}
+
+// ahead returns the cost of more urgent items of the pool, and cost and
+// number of the items of the same class that go first in fair order.
+func (q *Queue) ahead(item Item) (urgent, fairCost, fairItems float64) {
+	for _, candidate := range q.levels {
+		same, waits := candidate.pools[item.Pool]
+		if !waits || candidate.priority > item.Priority {
+			continue
+		}
+		if candidate.priority < item.Priority {
+			urgent += same.cost
+			continue
+		}
+		share, known := candidate.tenants[item.Tenant]
+		if !known {
+			continue
+		}
+		for _, line := range share.flows {
+			if line.pool == same {
+				others := candidate.weight / share.weight
+				fairCost = min(same.cost, line.cost*others)
+				fairItems = min(float64(same.count), float64(line.count)*others)
+			}
+		}
+	}
+	return urgent, fairCost, fairItems
+}
+
+func (q *Queue) poolCount() int {
+	count := 0
+	for _, candidate := range q.levels {
+		count += len(candidate.pools)
+	}
+	return count
+}
+
+// timeToDrain is the time until everything of the item's class and above that
+// waits for its pool now would be served.
+func (q *Queue) timeToDrain(now time.Time, item Item) time.Duration {
+	watched, found := q.drains[item.Pool]
+	if !found {
+		return unknownWait
+	}
+	rate, _, known := watched.rates(now)
+	if !known {
+		return unknownWait
+	}
+	waiting := 0.0
+	for _, candidate := range q.levels {
+		if same, waits := candidate.pools[item.Pool]; waits && candidate.priority <= item.Priority {
+			waiting += same.cost
+		}
+	}
+	return seconds(waiting / rate)
+}
+
+// seconds converts, bounding what a Duration cannot hold.
+func seconds(value float64) time.Duration {
+	return time.Duration(min(value, math.MaxInt32) * float64(time.Second))
+}
+
+// EstimateRetryAfter returns when to come back after a wait was predicted. Up
+// to half of it is added by a hash of the request id, so that callers refused
+// together do not come back together. It is within 100 ms and one minute.
+func EstimateRetryAfter(wait time.Duration, id ident.Request) time.Duration {
+	base := min(max(wait, minRetryAfter), maxRetryAfter*2/3)
+	jitter := float64(xxhash.Sum64String(string(id))>>11) / (1 << 53)
+	return base + time.Duration(jitter*float64(base)/2)
+}
