Prove the engine stand-in: shell, truth log and fault plan tests

Ruled out: timed assertions. The shell tests stall the engine by an injected fault where a stream must not end before the next step, so that a busy machine cannot change the verdict; DELETE /rehearsal/faults ends the stall.

Change: tests of resume after cuts, crash and return, stop, dropped reader, weight fetch, cache events, distorted streams and invalid input; tests of the plan and the log. An injected fault is in force before its answer (a crash after it); unknown kinds are refused. Exports and imports take time for each block. The server copies its plan.

Dropping the new cache at Restart survives, since Crash empties the cache too.

Conclusion: the stand-in can carry the thin path and the fault tests.

--- a/standin/engine/duty.go
+++ b/standin/engine/duty.go
@@ -22,6 +22,9 @@
 	sweepPause = 100 * time.Millisecond
 )
 
+// maxFaults bounds the faults that may be planned and injected at once.
+const maxFaults = 1024
+
 // command is a piece of work for the model duty.
 type command struct {
 	run  func(now time.Time)
@@ -186,13 +189,17 @@
 	s.options.Logger.WithField("engine", s.name).Warn("engine is back, empty")
 }
 
-// inject adds a fault that begins now.
-func (s *Server) inject(now time.Time, added faultplan.Fault) {
+// inject adds a fault that begins now. It returns false if there are too many.
+func (s *Server) inject(now time.Time, added faultplan.Fault) bool {
 	elapsed := now.Sub(s.started)
 	added.At = faultplan.Duration(elapsed)
 	s.plan.Prune(elapsed)
+	if len(s.plan.Faults) >= maxFaults {
+		return false
+	}
 	s.plan.Add(added)
 	s.applyFaults(now)
+	return true
 }
 
 // Truth returns the truth log.
--- a/standin/engine/handlers.go
+++ b/standin/engine/handlers.go
@@ -34,6 +34,7 @@
 	router.HandleFunc("/v1/cache/import", s.cacheImport).Methods(http.MethodPost)
 	router.HandleFunc("/v1/orders", s.order).Methods(http.MethodPost)
 	router.HandleFunc("/rehearsal/faults", s.injectFault).Methods(http.MethodPost)
+	router.HandleFunc("/rehearsal/faults", s.clearFaults).Methods(http.MethodDelete)
 	router.HandleFunc("/rehearsal/truth", s.writeTruth).Methods(http.MethodGet)
 	return router
 }
--- a/standin/engine/model/config.go
+++ b/standin/engine/model/config.go
@@ -56,6 +56,9 @@
 	LoadDuration time.Duration
 	// ExternalWeights makes every load wait for WeightsArrived.
 	ExternalWeights bool
+	// TransferPerBlock is the time to export or import one block, acted out by
+	// the driver; default 100 µs.
+	TransferPerBlock time.Duration
 	// MaxPromptTokens and MaxOutputTokens bound one request; defaults 262144
 	// and 8192.
 	MaxPromptTokens int
@@ -87,6 +90,7 @@
 		DecodePerToken:     10 * time.Millisecond,
 		DecodeGrowth:       0.02,
 		LoadDuration:       2 * time.Second,
+		TransferPerBlock:   100 * time.Microsecond,
 		MaxPromptTokens:    262144,
 		MaxOutputTokens:    8192,
 		EventDelay:         200 * time.Millisecond,
@@ -116,8 +120,8 @@
 			return invalidConfig("%s must be above zero", setting.name)
 		}
 	}
-	if c.DecodeGrowth < 0 || c.LoadDuration < 0 || c.EventDelay < 0 || c.LoadLag < 0 {
-		return invalidConfig("growth, load duration, event delay and load lag must not be negative")
+	if c.DecodeGrowth < 0 || c.LoadDuration < 0 || c.TransferPerBlock < 0 || c.EventDelay < 0 || c.LoadLag < 0 {
+		return invalidConfig("growth, load and transfer durations, event delay and load lag must not be negative")
 	}
 	if !(c.EventLoss >= 0 && c.EventLoss <= 1) {
 		return invalidConfig("event loss must be from 0 to 1")
--- a/standin/engine/model/model_test.go
+++ b/standin/engine/model/model_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -87,6 +89,21 @@
 	return strings.Repeat(name+"----------------", tokens)[:tokens*prefix.BytesPerToken]
 }
 
+// replay returns the blocks held according to the published events.
+func (r *rig) replay() prefix.Chain {
+	held := map[prefix.Hash]bool{}
+	for _, event := range r.cache {
+		for _, hash := range event.Hashes {
+			if event.Kind == protocol.CacheStored {
+				held[hash] = true
+			} else {
+				delete(held, hash)
+			}
+		}
+	}
+	return prefix.Chain(slices.Sorted(maps.Keys(held)))
+}
+
 // firstTokenAfter returns the time from submission to the first chunk.
 func (r *rig) firstTokenAfter(stream ident.Stream) time.Duration {
 	return r.times[stream][1].Sub(r.times[stream][0])
@@ -146,19 +163,7 @@
 		is.Equal(usage.CachedTokens, step.cached)
 		is.True(len(rig.engine.Snapshot(rig.now).Hashes) <= 25)
 	}
-	held := map[prefix.Hash]bool{}
-	for _, event := range rig.cache {
-		for _, hash := range event.Hashes {
-			held[hash] = event.Kind == protocol.CacheStored
-		}
-	}
-	count := 0
-	for _, stored := range held {
-		if stored {
-			count++
-		}
-	}
-	is.Equal(count, len(rig.engine.Snapshot(rig.now).Hashes)) // events replay to the truth
+	is.Equal(rig.replay(), rig.engine.Snapshot(rig.now).Hashes)
 }
 
 func TestContinuedGoesOnExactlyWhereTheTextStopped(t *testing.T) {
--- a/standin/engine/server.go
+++ b/standin/engine/server.go
@@ -5,6 +5,7 @@
 // Beside the protocol it serves the rehearsal kit:
 //
 //	POST /rehearsal/faults   FaultRequest  injects a fault now
+//	DELETE /rehearsal/faults               ends every fault
 //	GET  /rehearsal/truth    truth records as JSON lines
 //
 // Duties: the model duty alone touches the model and the fault plan; the
@@ -18,6 +19,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -66,9 +68,12 @@
 }
 
 func (o Options) withDefaults() Options {
-	if o.Plan == nil {
-		o.Plan = &faultplan.Plan{}
+	plan := faultplan.Plan{}
+	if o.Plan != nil {
+		plan = *o.Plan
+		plan.Faults = slices.Clone(plan.Faults)
 	}
+	o.Plan = &plan
 	if o.Plan.Seed != 0 {
 		o.Seed = o.Plan.Seed
 	}
--- a/standin/engine/state.go
+++ b/standin/engine/state.go
@@ -1,9 +1,11 @@
 package engine
 
 import (
+	"context"
 	"encoding/json"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -77,9 +79,10 @@
 		return
 	}
 	var content []byte
+	var count int
 	var refusal *protocol.Refusal
-	err := s.do(r.Context(), func(now time.Time) { content, _, refusal = s.model.Export(now, request) })
-	if s.answerFailure(w, err, refusal) {
+	err := s.do(r.Context(), func(now time.Time) { content, count, refusal = s.model.Export(now, request) })
+	if s.answerFailure(w, err, refusal) || !s.transfer(r.Context(), count) {
 		return
 	}
 	w.Header().Set("Content-Type", "application/octet-stream")
@@ -101,11 +104,16 @@
 	var result protocol.TransferResult
 	var refusal *protocol.Refusal
 	err = s.do(r.Context(), func(now time.Time) { result, refusal = s.model.Import(now, prefix.Salt(salt), content) })
-	if !s.answerFailure(w, err, refusal) {
+	if !s.answerFailure(w, err, refusal) && s.transfer(r.Context(), result.Imported) {
 		s.writeJSON(w, result)
 	}
 }
 
+// transfer takes the time that moving blocks takes.
+func (s *Server) transfer(ctx context.Context, blocks int) bool {
+	return sleep(ctx, time.Duration(blocks)*s.options.Model.TransferPerBlock)
+}
+
 func (s *Server) order(w http.ResponseWriter, r *http.Request) {
 	var order protocol.Order
 	if !s.readJSON(w, r, &order) {
@@ -119,6 +127,13 @@
 	}
 }
 
+// engineFaults are the kinds of faults that an engine acts out.
+var engineFaults = []faultplan.Kind{
+	faultplan.Crash, faultplan.Stall, faultplan.Cut, faultplan.EventLoss, faultplan.EventDelay,
+	faultplan.LoadLag, faultplan.DuplicateChunks, faultplan.SwapChunks, faultplan.LoseEnd,
+	faultplan.Slow, faultplan.RefuseFull, faultplan.Leave,
+}
+
 // FaultRequest is the body of POST /rehearsal/faults.
 type FaultRequest struct {
 	Kind       faultplan.Kind       `json:"kind"`
@@ -134,14 +149,41 @@
 	added := faultplan.Fault{
 		Duration: request.Duration, Target: s.name, Kind: request.Kind, Parameters: request.Parameters,
 	}
+	if !slices.Contains(engineFaults, added.Kind) {
+		s.writeRefusal(w, s.refuse(protocol.RefusalBadRequest, "fault kind is none that an engine acts out"))
+		return
+	}
 	if err := added.Validate(); err != nil {
 		s.writeRefusal(w, s.refuse(protocol.RefusalBadRequest, "fault is invalid: "+err.Error()))
 		return
 	}
-	// A crash closes this connection too, so the answer goes out first.
-	w.WriteHeader(http.StatusNoContent)
-	_ = http.NewResponseController(w).Flush()
-	_ = s.do(r.Context(), func(now time.Time) { s.inject(now, added) })
+	if added.Kind == faultplan.Crash {
+		// A crash closes this connection too, so the answer goes out first.
+		w.WriteHeader(http.StatusNoContent)
+		_ = http.NewResponseController(w).Flush()
+		_ = s.do(r.Context(), func(now time.Time) { s.inject(now, added) })
+		return
+	}
+	taken := false
+	err := s.do(r.Context(), func(now time.Time) { taken = s.inject(now, added) })
+	var refusal *protocol.Refusal
+	if !taken {
+		refusal = s.refuse(protocol.RefusalFull, "too many faults are in force; clear them first")
+	}
+	if !s.answerFailure(w, err, refusal) {
+		w.WriteHeader(http.StatusNoContent)
+	}
+}
+
+// clearFaults ends every fault, planned ones included.
+func (s *Server) clearFaults(w http.ResponseWriter, r *http.Request) {
+	err := s.do(r.Context(), func(now time.Time) {
+		s.plan.Faults = nil
+		s.applyFaults(now)
+	})
+	if !s.answerFailure(w, err, nil) {
+		w.WriteHeader(http.StatusNoContent)
+	}
 }
 
 func (s *Server) writeTruth(w http.ResponseWriter, _ *http.Request) {
