Add the sharded directory of cached prefixes as a pure machine

Cause: a router reads the events of the engines it owns and learns from its own answers; what other routers know has to reach it within 2 KB a second and 128 MB at 390 routers and 860 engines.

Ruled out: forwarding all events (260,000 a second over 390 nodes at 16 B are 10.7 KB/s for each node); answers for one exact chain (the unique tail of each request would defeat the cache, so an answer covers a whole root); all checkpoints of a chain in messages (16 landmarks of 4 B instead); a fixed lifetime of answers (at 390 askers a second of one root the shard would send 100 KB/s, so the shard stretches it); reporting whole chains on every answer (unique tails crowd the shared prefix out of the shard).

A shard registers interest with the engine's owner, is told of evictions, and hands its roots over when the view moves them.

Conclusion: messages of a router follow what it is asked for, not the fleet.

--- /dev/null
+++ b/internal/prefix/directory/asker.go
@@ -0,0 +1,244 @@
+package directory
+
+import (
+	"time"
+
+	"github.com/fieldpond/fieldpond/internal/ident"
+	"github.com/fieldpond/fieldpond/internal/prefix"
+)
+
+// cachedAnswer is what this node was told about the chains of one root.
+type cachedAnswer struct {
+	answer Answer
+	// goodUntil is when the answer runs out; asked is when it was asked for last.
+	goodUntil, asked time.Time
+	// uses counts lookups since the answer; it tells the hot prefixes.
+	uses int
+}
+
+// HeldBy says how much of one chain an engine holds.
+type HeldBy struct {
+	Engine ident.Engine
+	// Life is to be compared with the LifeDigest of the present incarnation.
+	Life uint32
+	// Blocks is the number of leading blocks held.
+	Blocks int
+}
+
+// reportKey names a report for the sake of not repeating it.
+type reportKey struct {
+	engine      ident.Engine
+	incarnation ident.Incarnation
+	deepest     prefix.Hash
+}
+
+// pendingHolding is a holding that waits for the next Tick.
+type pendingHolding struct {
+	root    prefix.Hash
+	holding Holding
+}
+
+// LookupResult is what Node.Lookup found.
+type LookupResult struct {
+	// Holders lists engines that hold a part of the chain, each once.
+	Holders []HeldBy
+	// Known is false if the shard has not been heard in time; the reply to
+	// Ask, if any, makes it known.
+	Known bool
+	// Ask is a message to send, if not nil.
+	Ask *Envelope
+}
+
+// Lookup returns which engines hold the leading blocks of a chain. An answer
+// that has run out is given once more while a new one is asked for.
+func (n *Node) Lookup(now time.Time, chain prefix.Chain) LookupResult {
+	root, ok := chain.Root()
+	if !ok {
+		return LookupResult{Known: true}
+	}
+	n.counters.Lookups++
+	owner := n.owner(root)
+	switch owner {
+	case n.view.Self:
+		n.counters.LocalAnswers++
+		answer := n.answer(now, root)
+		return LookupResult{Holders: answer.heldBy(chain), Known: true}
+	case "":
+		return LookupResult{Known: true}
+	}
+	cached, found := n.cache.get(root)
+	if !found {
+		cached = &cachedAnswer{}
+		n.cache.put(root, cached)
+	}
+	cached.uses++
+	result := LookupResult{Holders: cached.answer.heldBy(chain), Known: now.Before(cached.goodUntil)}
+	if result.Known {
+		n.counters.CachedAnswers++
+		return result
+	}
+	if now.Sub(cached.asked) >= n.config.CacheLifetime { // else the reply is on its way
+		ask := n.ask(now, owner, root, cached)
+		result.Ask = &ask
+	}
+	return result
+}
+
+func (n *Node) ask(now time.Time, owner ident.Node, root prefix.Hash, cached *cachedAnswer) Envelope {
+	n.counters.RemoteLookups++
+	cached.asked = now
+	return Envelope{To: owner, Message: Message{Lookup: &Lookup{Root: root, Tag: cached.answer.Tag}}}
+}
+
+// handleAnswer keeps an answer to a root that was asked for.
+func (n *Node) handleAnswer(now time.Time, answer *Answer) {
+	cached, found := n.cache.get(answer.Root)
+	if !found || !answer.valid() {
+		n.counters.Malformed++
+		return
+	}
+	if answer.Tag != cached.answer.Tag {
+		cached.answer = *answer
+	}
+	goodFor := min(time.Duration(answer.GoodForMillis)*time.Millisecond, maxStretch*n.config.CacheLifetime)
+	cached.goodUntil, cached.uses = now.Add(goodFor), 0
+}
+
+func (a *Answer) valid() bool {
+	if len(a.Holders) > maxHoldings || len(a.Paths) > maxHoldings {
+		return false
+	}
+	for index := range a.Holders {
+		if path := a.Holders[index].Path; path < 0 || path >= len(a.Paths) {
+			return false
+		}
+	}
+	for _, path := range a.Paths {
+		if !wellFormed(path, markBytes) {
+			return false
+		}
+	}
+	return true
+}
+
+// heldBy returns how much of a chain each holder of the answer has.
+func (a *Answer) heldBy(chain prefix.Chain) []HeldBy {
+	if len(a.Holders) == 0 {
+		return nil
+	}
+	marks := marksOf(chain)
+	held := make([]HeldBy, 0, len(a.Holders))
+	for _, holder := range a.Holders {
+		landmark := min(sharedLandmarks(a.Paths[holder.Path], marks), holder.Landmarks)
+		if landmark <= 0 {
+			continue
+		}
+		held = deepest(held, HeldBy{holder.Engine, holder.Life, landmarkAt(landmark-1, len(chain)) + 1})
+	}
+	return held
+}
+
+// deepest keeps one entry for each engine, the one with the most blocks.
+func deepest(list []HeldBy, added HeldBy) []HeldBy {
+	for index := range list {
+		if list[index].Engine == added.Engine && list[index].Life == added.Life {
+			list[index].Blocks = max(list[index].Blocks, added.Blocks)
+			return list
+		}
+	}
+	return append(list, added)
+}
+
+// Observed records an engine's own answer: the incarnation held the first held
+// blocks of the chain when it took the request and has computed the rest. The
+// next Tick reports to the chain's shard the part that was held, since two
+// requests shared it, or for a new prefix the whole chain. What the shard is
+// known to know already is not reported.
+func (n *Node) Observed(now time.Time, engine ident.Engine, incarnation ident.Incarnation, chain prefix.Chain, held int) {
+	root, rooted := chain.Root()
+	holding, shared := holdingOf(engine, incarnation, chain, held)
+	if !shared {
+		holding, _ = holdingOf(engine, incarnation, chain, len(chain))
+	}
+	if !rooted || n.shardKnows(now, root, &holding) {
+		return
+	}
+	key := reportKey{engine, incarnation, hashAt(holding.Hashes, len(holding.Hashes)/hashBytes-1)}
+	if last, found := n.reported.get(key); found && now.Sub(last) < n.config.ReportInterval {
+		return
+	}
+	if n.enqueue(root, holding) {
+		n.reported.put(key, now)
+	}
+}
+
+// shardKnows reports whether the shard's last answer has the holding.
+func (n *Node) shardKnows(now time.Time, root prefix.Hash, holding *Holding) bool {
+	cached, found := n.cache.get(root)
+	if !found || !now.Before(cached.goodUntil) {
+		return false
+	}
+	marks, life := holding.marks(), LifeDigest(holding.Incarnation)
+	for _, holder := range cached.answer.Holders {
+		known := min(sharedLandmarks(cached.answer.Paths[holder.Path], marks), holder.Landmarks)
+		if holder.Engine == holding.Engine && holder.Life == life && known*markBytes == len(marks) {
+			return true
+		}
+	}
+	return false
+}
+
+func (n *Node) enqueue(root prefix.Hash, holding Holding) bool {
+	if len(n.outbox) >= maxOutbox {
+		n.counters.Overflow++
+		return false
+	}
+	n.outbox = append(n.outbox, pendingHolding{root, holding})
+	return true
+}
+
+// flush groups the waiting holdings by shard, in the order they came.
+func (n *Node) flush(now time.Time) []Envelope {
+	var envelopes []Envelope
+	open := make(map[ident.Node]int)
+	waiting := n.outbox
+	n.outbox = nil
+	for _, pending := range waiting {
+		owner := n.owner(pending.root)
+		if owner == n.view.Self {
+			envelopes = append(envelopes, n.store(now, pending.holding)...)
+			continue
+		}
+		if owner == "" {
+			continue
+		}
+		n.counters.Reports++
+		if index, found := open[owner]; found {
+			report := envelopes[index].Message.Report
+			if len(report.Holdings) < maxReportHoldings {
+				report.Holdings = append(report.Holdings, pending.holding)
+				continue
+			}
+		}
+		open[owner] = len(envelopes)
+		report := &Report{Holdings: []Holding{pending.holding}}
+		envelopes = append(envelopes, Envelope{To: owner, Message: Message{Report: report}})
+	}
+	return envelopes
+}
+
+// renewHot asks again for the most used answers before they run out, so that
+// requests for a hot prefix never wait for a shard.
+func (n *Node) renewHot(now time.Time) []Envelope {
+	var envelopes []Envelope
+	const hotUses = 2
+	n.cache.each(func(root prefix.Hash, cached *cachedAnswer) bool {
+		due := cached.goodUntil.Sub(now) <= n.config.CacheLifetime/2 && now.Sub(cached.asked) >= n.config.CacheLifetime/2
+		owner := n.owner(root)
+		if cached.uses >= hotUses && due && owner != n.view.Self && owner != "" {
+			envelopes = append(envelopes, n.ask(now, owner, root, cached))
+		}
+		return len(envelopes) < n.config.HotPrefixes
+	})
+	return envelopes
+}
--- /dev/null
+++ b/internal/prefix/directory/messages.go
@@ -0,0 +1,200 @@
+package directory
+
+import (
+	"bytes"
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/fieldpond/fieldpond/internal/fault"
+	"github.com/fieldpond/fieldpond/internal/ident"
+	"github.com/fieldpond/fieldpond/internal/prefix"
+)
+
+// Message is one message between directory nodes; exactly one field is set.
+type Message struct {
+	Lookup *Lookup `cbor:"1,keyasint,omitempty"`
+	Answer *Answer `cbor:"2,keyasint,omitempty"`
+	Report *Report `cbor:"3,keyasint,omitempty"`
+	Watch  *Watch  `cbor:"4,keyasint,omitempty"`
+	Notice *Notice `cbor:"5,keyasint,omitempty"`
+}
+
+// Lookup asks a root's shard which engines hold chains of that root.
+type Lookup struct {
+	Root prefix.Hash `cbor:"1,keyasint"`
+	// Tag is that of the answer the asker has; zero for none.
+	Tag uint32 `cbor:"2,keyasint,omitempty"`
+}
+
+// Answer is the reply to a Lookup. It holds for every chain of the root, so
+// that one answer serves all requests that share a prefix.
+type Answer struct {
+	Root prefix.Hash `cbor:"1,keyasint"`
+	// Tag names the content. An answer with the Tag of the Lookup has no
+	// content: what the asker has still stands.
+	Tag uint32 `cbor:"2,keyasint"`
+	// GoodForMillis is how long the asker may use the answer.
+	GoodForMillis uint32 `cbor:"3,keyasint"`
+	// Paths lists the chains held, each as the low 4 bytes of its landmarks'
+	// hashes, big-endian. Within one root that tells chains apart.
+	Paths   [][]byte `cbor:"4,keyasint,omitempty"`
+	Holders []Holder `cbor:"5,keyasint,omitempty"`
+}
+
+// Holder says how much of a path an engine holds.
+type Holder struct {
+	Engine ident.Engine `cbor:"1,keyasint"`
+	// Life is the LifeDigest of the incarnation.
+	Life uint32 `cbor:"2,keyasint"`
+	// Path is the index of the path in Answer.Paths.
+	Path int `cbor:"3,keyasint"`
+	// Landmarks is the number of landmarks of the path that are held.
+	Landmarks int `cbor:"4,keyasint"`
+}
+
+// Report tells a shard what engines hold.
+type Report struct {
+	Holdings []Holding `cbor:"1,keyasint"`
+}
+
+// Holding is one engine incarnation holding the leading blocks of a chain.
+type Holding struct {
+	Engine      ident.Engine      `cbor:"1,keyasint"`
+	Incarnation ident.Incarnation `cbor:"2,keyasint"`
+	// Hashes holds the landmarks held, 8 bytes each, big-endian, the root first.
+	Hashes []byte `cbor:"3,keyasint"`
+}
+
+// Watch asks the owner of an engine's event stream to check blocks of one
+// chain, the root first, and to tell when one of them is evicted.
+type Watch struct {
+	Engine      ident.Engine      `cbor:"1,keyasint"`
+	Incarnation ident.Incarnation `cbor:"2,keyasint"`
+	Hashes      []byte            `cbor:"3,keyasint"`
+}
+
+// Notice is what the owner of an engine's event stream tells a shard.
+type Notice struct {
+	Engine      ident.Engine      `cbor:"1,keyasint"`
+	Incarnation ident.Incarnation `cbor:"2,keyasint"`
+	// Lost lists blocks that are not held: pairs of root and hash, 8 bytes each.
+	Lost []byte `cbor:"3,keyasint,omitempty"`
+	// Checked lists roots whose watched blocks were checked just now: those
+	// not among Lost are held.
+	Checked []byte `cbor:"4,keyasint,omitempty"`
+	// Cleared says that the incarnation holds nothing any more.
+	Cleared bool `cbor:"5,keyasint,omitempty"`
+}
+
+// Envelope is a message to be sent.
+type Envelope struct {
+	To      ident.Node
+	Message Message
+}
+
+// Encode returns the message in CBOR.
+func Encode(message Message) ([]byte, error) {
+	encoded, err := cbor.Marshal(message)
+	if err != nil {
+		return nil, fault.Wrap(err, fault.Internal, "encoding a directory message")
+	}
+	return encoded, nil
+}
+
+// Decode reads a message; a malformed one is a *fault.Fault of kind BadRequest.
+func Decode(encoded []byte) (Message, error) {
+	var message Message
+	if err := cbor.Unmarshal(encoded, &message); err != nil {
+		return Message{}, fault.Wrap(err, fault.BadRequest, "decoding a directory message")
+	}
+	return message, nil
+}
+
+// LifeDigest shortens an incarnation for answers. Two lives of one engine
+// share a digest once in four billion; then a belief is wrong, which the
+// engine's own check of the incarnation makes harmless.
+func LifeDigest(incarnation ident.Incarnation) uint32 {
+	return uint32(xxhash.Sum64String(string(incarnation)))
+}
+
+const (
+	markBytes = 4
+	hashBytes = 8
+	// maxLandmarks bounds the landmarks of a chain.
+	maxLandmarks = 16
+)
+
+// landmarks are the block indices of a chain that the directory knows. They
+// are checkpoints of package prefix, thinned out so that a lookup stays small.
+var landmarks = [...]int{3, 7, 15, 23, 31, 47, 63, 95, 127, 191, 255, 383, 511, 1023, 2047, 4095}
+
+// landmarkCount returns how many landmarks a chain of this many blocks has.
+func landmarkCount(blocks int) int {
+	count := 0
+	for count < len(landmarks) && landmarks[count] < blocks {
+		count++
+	}
+	if count == 0 && blocks > 0 {
+		return 1
+	}
+	return count
+}
+
+// landmarkAt returns the block index of a landmark; a chain without a whole
+// set of root blocks has its last block as the only one.
+func landmarkAt(landmark, blocks int) int { return min(landmarks[landmark], blocks-1) }
+
+func marksOf(chain prefix.Chain) []byte {
+	count := landmarkCount(len(chain))
+	marks := make([]byte, 0, count*markBytes)
+	for landmark := range count {
+		marks = binary.BigEndian.AppendUint32(marks, uint32(chain[landmarkAt(landmark, len(chain))]))
+	}
+	return marks
+}
+
+// holdingOf describes the first blocks blocks of a chain; ok is false if that
+// is less than the root.
+func holdingOf(engine ident.Engine, incarnation ident.Incarnation, chain prefix.Chain, blocks int) (holding Holding, ok bool) {
+	holding = Holding{Engine: engine, Incarnation: incarnation}
+	for landmark := range landmarkCount(len(chain)) {
+		index := landmarkAt(landmark, len(chain))
+		if index >= blocks {
+			break
+		}
+		holding.Hashes = binary.BigEndian.AppendUint64(holding.Hashes, uint64(chain[index]))
+	}
+	return holding, len(holding.Hashes) > 0
+}
+
+// marks returns the marks of the holding's hashes.
+func (h *Holding) marks() []byte {
+	marks := make([]byte, 0, len(h.Hashes)/hashBytes*markBytes)
+	for landmark := range len(h.Hashes) / hashBytes {
+		marks = binary.BigEndian.AppendUint32(marks, uint32(hashAt(h.Hashes, landmark)))
+	}
+	return marks
+}
+
+// sharedLandmarks returns how many leading marks two paths share.
+func sharedLandmarks(first, second []byte) int {
+	shared := 0
+	for end := markBytes; end <= min(len(first), len(second)); end += markBytes {
+		if !bytes.Equal(first[end-markBytes:end], second[end-markBytes:end]) {
+			break
+		}
+		shared++
+	}
+	return shared
+}
+
+func hashAt(hashes []byte, landmark int) prefix.Hash {
+	return prefix.Hash(binary.BigEndian.Uint64(hashes[landmark*hashBytes:]))
+}
+
+// wellFormed reports whether a list of hashes or marks has a valid length.
+func wellFormed(list []byte, width int) bool {
+	return len(list) > 0 && len(list)%width == 0 && len(list)/width <= maxLandmarks
+}
--- /dev/null
+++ b/internal/prefix/directory/node.go
@@ -0,0 +1,228 @@
+// Package directory spreads knowledge of cached prefixes over the routers, so
+// that the memory and the messages of one router do not grow with the fleet.
+//
+// Each prefix root has a shard: the router that owns the root by rendezvous
+// hashing. Routers report to it what engines' answers taught them, ask it
+// which engines hold a chain, and keep the reply for about a second. The shard
+// registers its interest in the blocks with the router that owns the engine's
+// event stream, which tells it of evictions. Only what is asked for travels.
+//
+// Node is a state machine without I/O: messages and the time go in, envelopes
+// come out. It is used by one goroutine at a time. Losing a shard, a message
+// or the whole directory costs recomputation and never correctness.
+package directory
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/fieldpond/fieldpond/internal/fault"
+	"github.com/fieldpond/fieldpond/internal/ident"
+	"github.com/fieldpond/fieldpond/internal/membership"
+	"github.com/fieldpond/fieldpond/internal/prefix"
+)
+
+// Config sets a Node. A zero field takes its default.
+type Config struct {
+	// CacheLifetime is how long an answer of a shard is used; the shard of a
+	// root that many ask for stretches it. Default: 1s.
+	CacheLifetime time.Duration
+	// HoldingLifetime is how long a shard believes a report that neither a
+	// router repeats nor the engine's owner confirms. Default: 60s.
+	HoldingLifetime time.Duration
+	// ReportInterval is the least time between two equal reports. Default: 10s.
+	ReportInterval time.Duration
+	// HotPrefixes is the number of most used answers that are asked for again
+	// before they run out. Default: 16.
+	HotPrefixes int
+	// MaxRoots bounds the roots of a shard, and the answers kept. Default: 4096.
+	MaxRoots int
+	// MaxWatches bounds the blocks watched for other routers. Default: 65536.
+	MaxWatches int
+}
+
+const (
+	defaultCacheLifetime   = time.Second
+	defaultHoldingLifetime = time.Minute
+	defaultReportInterval  = 10 * time.Second
+	defaultHotPrefixes     = 16
+	defaultMaxRoots        = 4096
+	defaultMaxWatches      = 65536
+	// maxHoldings bounds the holdings of one root.
+	maxHoldings = 16
+	// maxReportHoldings bounds the holdings of one message.
+	maxReportHoldings = 32
+	// maxStretch bounds the lifetime of an answer, in CacheLifetimes.
+	maxStretch = 30
+	// lookupsPerLifetime is the number of lookups of one root in a
+	// CacheLifetime above which a shard stretches the lifetime of its answers.
+	lookupsPerLifetime = 4
+	// maxOutbox bounds the holdings waiting to be reported.
+	maxOutbox = 1024
+)
+
+// Counters counts what a Node did. All only grow, except the last three.
+type Counters struct {
+	Lookups, LocalAnswers, CachedAnswers, RemoteLookups uint64
+	Reports, Watches, Evictions                         uint64
+	// Malformed counts messages ignored because of their form, Misdirected
+	// those for a shard that this node does not own, Overflow what was
+	// forgotten for lack of room.
+	Malformed, Misdirected, Overflow uint64
+	// Roots, CachedRoots and WatchedBlocks are held now.
+	Roots, CachedRoots, WatchedBlocks int
+}
+
+// BlockHolder answers from an engine's own event stream; *beliefs.Store is one.
+type BlockHolder interface {
+	// Holds reports whether an incarnation holds a block; known is false if
+	// this router does not read the engine's events or has lost some.
+	Holds(engine ident.Engine, incarnation ident.Incarnation, hash prefix.Hash) (held, known bool)
+}
+
+// Node is one router's part of the directory.
+type Node struct {
+	config   Config
+	view     membership.View
+	holder   BlockHolder
+	owners   map[prefix.Hash]ident.Node
+	lives    map[ident.Engine]ident.Incarnation
+	shard    *lru[prefix.Hash, *rootEntry]
+	cache    *lru[prefix.Hash, *cachedAnswer]
+	reported *lru[reportKey, time.Time]
+	watches  *lru[watchKey, watcher]
+	outbox   []pendingHolding
+	counters Counters
+}
+
+// New returns a Node without members; holder answers for the engines whose
+// events this router reads.
+func New(config Config, holder BlockHolder) (*Node, error) {
+	if config.CacheLifetime < 0 || config.HoldingLifetime < 0 || config.ReportInterval < 0 ||
+		config.HotPrefixes < 0 || config.MaxRoots < 0 || config.MaxWatches < 0 {
+		return nil, fault.New(fault.InvalidSettings, "a setting of the prefix directory is negative")
+	}
+	config = withDefaults(config)
+	return &Node{
+		config:   config,
+		holder:   holder,
+		owners:   make(map[prefix.Hash]ident.Node),
+		lives:    make(map[ident.Engine]ident.Incarnation),
+		shard:    newLRU[prefix.Hash, *rootEntry](config.MaxRoots),
+		cache:    newLRU[prefix.Hash, *cachedAnswer](config.MaxRoots),
+		reported: newLRU[reportKey, time.Time](config.MaxRoots),
+		watches:  newLRU[watchKey, watcher](config.MaxWatches),
+	}, nil
+}
+
+func withDefaults(config Config) Config {
+	setDefault(&config.CacheLifetime, defaultCacheLifetime)
+	setDefault(&config.HoldingLifetime, defaultHoldingLifetime)
+	setDefault(&config.ReportInterval, defaultReportInterval)
+	setDefault(&config.HotPrefixes, defaultHotPrefixes)
+	setDefault(&config.MaxRoots, defaultMaxRoots)
+	setDefault(&config.MaxWatches, defaultMaxWatches)
+	return config
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+// EngineOwners returns the routers that read an engine's event stream: the
+// owner, which answers for it, and a standby.
+func EngineOwners(view membership.View, engine ident.Engine) []membership.Member {
+	const ownerAndStandby = 2
+	return view.Owners("engine/"+string(engine), ownerAndStandby)
+}
+
+// SetView adopts a membership view. Roots that moved to another owner are
+// handed over by the next Ticks; a leaving router owns none.
+func (n *Node) SetView(view membership.View) {
+	n.view = view
+	clear(n.owners)
+	n.shard.each(func(root prefix.Hash, entry *rootEntry) bool {
+		if n.owner(root) != n.view.Self {
+			for _, held := range entry.holdings {
+				n.enqueue(root, held.Holding)
+			}
+			n.shard.delete(root)
+		}
+		return true
+	})
+}
+
+// Incarnation tells which incarnation of an engine is alive; the empty one
+// means that it is believed dead. Holdings of other lives are not told on.
+func (n *Node) Incarnation(engine ident.Engine, incarnation ident.Incarnation) {
+	n.lives[engine] = incarnation
+}
+
+// Remove forgets an engine that the fleet no longer has.
+func (n *Node) Remove(engine ident.Engine) { delete(n.lives, engine) }
+
+// Handle takes one message of another node and returns those to send.
+func (n *Node) Handle(now time.Time, from ident.Node, message Message) []Envelope {
+	switch {
+	case message.Lookup != nil:
+		return n.handleLookup(now, from, message.Lookup)
+	case message.Answer != nil:
+		n.handleAnswer(now, message.Answer)
+	case message.Report != nil:
+		return n.handleReport(now, message.Report)
+	case message.Watch != nil:
+		if notice := n.handleWatch(from, message.Watch); notice != nil {
+			return []Envelope{{To: from, Message: Message{Notice: notice}}}
+		}
+	case message.Notice != nil:
+		n.handleNotice(now, message.Notice)
+	default:
+		n.counters.Malformed++
+	}
+	return nil
+}
+
+// Tick sends the reports that wait, drops what is old and renews the hottest
+// answers. Call it every half of a CacheLifetime.
+func (n *Node) Tick(now time.Time) []Envelope {
+	envelopes := n.flush(now)
+	envelopes = append(envelopes, n.renewHoldings(now)...)
+	return append(envelopes, n.renewHot(now)...)
+}
+
+// Counters returns the counters.
+func (n *Node) Counters() Counters {
+	counters := n.counters
+	counters.Overflow += n.shard.evicted + n.cache.evicted + n.watches.evicted
+	counters.Roots, counters.CachedRoots, counters.WatchedBlocks = len(n.shard.items), len(n.cache.items), len(n.watches.items)
+	return counters
+}
+
+// owner returns the router that holds a root's shard, remembering it for the
+// present view: ranking all members for each request would cost more than the
+// rest of the lookup.
+func (n *Node) owner(root prefix.Hash) ident.Node {
+	if owner, found := n.owners[root]; found {
+		return owner
+	}
+	if len(n.owners) >= n.config.MaxRoots {
+		clear(n.owners)
+	}
+	var owner ident.Node
+	const hexadecimal = 16
+	if found := n.view.Owners("prefix/"+strconv.FormatUint(uint64(root), hexadecimal), 1); len(found) > 0 {
+		owner = found[0].Node
+	}
+	n.owners[root] = owner
+	return owner
+}
+
+func (n *Node) engineOwner(engine ident.Engine) ident.Node {
+	if found := EngineOwners(n.view, engine); len(found) > 0 {
+		return found[0].Node
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/prefix/directory/shard.go
@@ -0,0 +1,283 @@
+package directory
+
+import (
+	"bytes"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/fieldpond/fieldpond/internal/ident"
+	"github.com/fieldpond/fieldpond/internal/prefix"
+)
+
+// rootEntry is what a shard knows of the chains that share one root.
+type rootEntry struct {
+	holdings []shardHolding
+	// stretch is the lifetime of answers in CacheLifetimes, at least 1.
+	stretch float64
+	// asked is when a lookup came last, from this node or another.
+	asked time.Time
+	// lookups counts those of other nodes since windowStart.
+	lookups     int
+	windowStart time.Time
+}
+
+type shardHolding struct {
+	Holding
+	// seen is when the holding was last reported or confirmed.
+	seen time.Time
+	// renewed is when the engine's owner was last asked to check it.
+	renewed time.Time
+}
+
+func (n *Node) handleLookup(now time.Time, from ident.Node, lookup *Lookup) []Envelope {
+	if n.owner(lookup.Root) != n.view.Self {
+		n.counters.Misdirected++ // views differ for a moment; an empty answer is safe
+	}
+	answer := n.answer(now, lookup.Root)
+	if entry, found := n.shard.get(lookup.Root); found {
+		entry.adapt(now, n.config.CacheLifetime)
+		answer.GoodForMillis = uint32(entry.stretch * float64(n.config.CacheLifetime/time.Millisecond))
+	}
+	if answer.Tag == lookup.Tag {
+		answer.Paths, answer.Holders = nil, nil
+	}
+	return []Envelope{{To: from, Message: Message{Answer: &answer}}}
+}
+
+// adapt stretches the lifetime of answers while more lookups come than a shard
+// can bear, and shortens it again: the traffic of a root does not grow with
+// the number of routers that ask for it. Routers learn of such a root from
+// their own answers anyway.
+func (e *rootEntry) adapt(now time.Time, window time.Duration) {
+	const step = 1.5
+	e.stretch = max(e.stretch, 1)
+	if now.Sub(e.windowStart) >= window {
+		if e.lookups < lookupsPerLifetime/2 {
+			e.stretch = max(1, e.stretch/step)
+		}
+		e.windowStart, e.lookups = now, 0
+	}
+	e.lookups++
+	if e.lookups > lookupsPerLifetime {
+		e.stretch, e.lookups = min(maxStretch, e.stretch*step), 0
+	}
+}
+
+// answer describes all holdings of a root. Its tag depends on the content only.
+func (n *Node) answer(now time.Time, root prefix.Hash) Answer {
+	answer := Answer{Root: root, GoodForMillis: uint32(n.config.CacheLifetime / time.Millisecond)}
+	entry, found := n.shard.get(root)
+	if !found {
+		return answer
+	}
+	entry.asked = now
+	digest := xxhash.New()
+	for index := range entry.holdings {
+		held := &entry.holdings[index]
+		if now.Sub(held.seen) >= n.config.HoldingLifetime || !n.alive(held.Engine, held.Incarnation) {
+			continue
+		}
+		marks := held.marks()
+		answer.Holders = append(answer.Holders, Holder{
+			Engine: held.Engine, Life: LifeDigest(held.Incarnation), Path: answer.path(marks), Landmarks: len(marks) / markBytes,
+		})
+		_, _ = digest.WriteString(string(held.Engine) + "/" + string(held.Incarnation) + "/")
+		_, _ = digest.Write(marks)
+	}
+	if len(answer.Holders) > 0 {
+		answer.Tag = uint32(digest.Sum64()) | 1 // zero stands for no content
+	}
+	return answer
+}
+
+// path returns the index of a path that begins with the marks, adding one or
+// extending a shorter one if needed: engines that hold more or less of the same
+// prefix share one path.
+func (a *Answer) path(marks []byte) int {
+	for index, path := range a.Paths {
+		if bytes.HasPrefix(path, marks) {
+			return index
+		}
+		if bytes.HasPrefix(marks, path) {
+			a.Paths[index] = marks
+			return index
+		}
+	}
+	a.Paths = append(a.Paths, marks)
+	return len(a.Paths) - 1
+}
+
+// alive is true unless another incarnation of the engine is known to be.
+func (n *Node) alive(engine ident.Engine, incarnation ident.Incarnation) bool {
+	present, known := n.lives[engine]
+	return !known || present == incarnation
+}
+
+func (n *Node) handleReport(now time.Time, report *Report) []Envelope {
+	if len(report.Holdings) > maxReportHoldings {
+		n.counters.Malformed++
+		return nil
+	}
+	var envelopes []Envelope
+	for _, holding := range report.Holdings {
+		if !wellFormed(holding.Hashes, hashBytes) {
+			n.counters.Malformed++
+			continue
+		}
+		if n.owner(hashAt(holding.Hashes, 0)) != n.view.Self {
+			n.counters.Misdirected++
+		}
+		envelopes = append(envelopes, n.store(now, holding)...)
+	}
+	return envelopes
+}
+
+// store adds a holding to its root and returns the registration of interest in
+// its blocks with the engine's owner.
+func (n *Node) store(now time.Time, holding Holding) []Envelope {
+	root := hashAt(holding.Hashes, 0)
+	entry, found := n.shard.get(root)
+	if !found {
+		entry = &rootEntry{}
+		n.shard.put(root, entry)
+	}
+	entry.add(shardHolding{Holding: holding, seen: now, renewed: now})
+	return n.watch(now, holding)
+}
+
+// watch registers interest in a holding's blocks with the engine's owner.
+func (n *Node) watch(now time.Time, holding Holding) []Envelope {
+	watch := &Watch{Engine: holding.Engine, Incarnation: holding.Incarnation, Hashes: holding.Hashes}
+	switch owner := n.engineOwner(holding.Engine); owner {
+	case "":
+		return nil
+	case n.view.Self:
+		if notice := n.handleWatch(owner, watch); notice != nil {
+			n.handleNotice(now, notice)
+		}
+		return nil
+	default:
+		return []Envelope{{To: owner, Message: Message{Watch: watch}}}
+	}
+}
+
+// add puts a holding in the place of one that it extends or repeats, else in a
+// free place, else in that of the one not seen for longest.
+func (e *rootEntry) add(added shardHolding) {
+	oldest := 0
+	for index := range e.holdings {
+		held := &e.holdings[index]
+		if held.Engine == added.Engine && (held.Incarnation != added.Incarnation || related(held.Hashes, added.Hashes)) {
+			if held.Incarnation == added.Incarnation && len(held.Hashes) > len(added.Hashes) {
+				held.seen = added.seen
+				return
+			}
+			e.holdings[index] = added
+			return
+		}
+		if held.seen.Before(e.holdings[oldest].seen) {
+			oldest = index
+		}
+	}
+	if len(e.holdings) < maxHoldings {
+		e.holdings = append(e.holdings, added)
+		return
+	}
+	e.holdings[oldest] = added
+}
+
+// related reports whether one list of hashes is the beginning of the other.
+func related(first, second []byte) bool {
+	return bytes.HasPrefix(first, second) || bytes.HasPrefix(second, first)
+}
+
+// handleNotice takes what the owner of an engine's events knows: blocks that
+// are not held cut holdings short, checked ones confirm them.
+func (n *Node) handleNotice(now time.Time, notice *Notice) {
+	const pair = 2 * hashBytes
+	if len(notice.Lost)%pair != 0 || len(notice.Checked)%hashBytes != 0 {
+		n.counters.Malformed++
+		return
+	}
+	if notice.Cleared {
+		n.dropAll(notice)
+		return
+	}
+	for start := 0; start < len(notice.Lost); start += pair {
+		root, gone := hashAt(notice.Lost[start:], 0), hashAt(notice.Lost[start:], 1)
+		n.eachHolding(root, notice, func(held *shardHolding) { held.cut(gone) })
+	}
+	for index := range len(notice.Checked) / hashBytes {
+		n.eachHolding(hashAt(notice.Checked, index), notice, func(held *shardHolding) { held.seen = now })
+	}
+}
+
+// eachHolding visits the holdings of one root on the notice's engine life and
+// drops those left empty.
+func (n *Node) eachHolding(root prefix.Hash, notice *Notice, visit func(*shardHolding)) {
+	entry, found := n.shard.get(root)
+	if !found {
+		return
+	}
+	for index := range entry.holdings {
+		if held := &entry.holdings[index]; held.Engine == notice.Engine && held.Incarnation == notice.Incarnation {
+			visit(held)
+		}
+	}
+	n.prune(root, entry, func(*shardHolding) bool { return false })
+}
+
+func (n *Node) dropAll(notice *Notice) {
+	n.shard.each(func(root prefix.Hash, entry *rootEntry) bool {
+		n.prune(root, entry, func(held *shardHolding) bool {
+			return held.Engine == notice.Engine && held.Incarnation == notice.Incarnation
+		})
+		return true
+	})
+}
+
+// cut shortens a holding to the landmarks before the one gone.
+func (h *shardHolding) cut(gone prefix.Hash) {
+	for landmark := range len(h.Hashes) / hashBytes {
+		if hashAt(h.Hashes, landmark) == gone {
+			h.Hashes = slices.Clone(h.Hashes[:landmark*hashBytes])
+			return
+		}
+	}
+}
+
+// prune drops the empty and the unwanted holdings of a root, and a root
+// without any.
+func (n *Node) prune(root prefix.Hash, entry *rootEntry, unwanted func(*shardHolding) bool) {
+	entry.holdings = slices.DeleteFunc(entry.holdings, func(held shardHolding) bool {
+		return len(held.Hashes) == 0 || unwanted(&held)
+	})
+	if len(entry.holdings) == 0 {
+		n.shard.delete(root)
+	}
+}
+
+// renewHoldings drops holdings that are too old and asks the engines' owners
+// to check those that soon will be. Only roots still asked for are renewed.
+func (n *Node) renewHoldings(now time.Time) []Envelope {
+	var envelopes []Envelope
+	half := n.config.HoldingLifetime / 2
+	n.shard.each(func(root prefix.Hash, entry *rootEntry) bool {
+		n.prune(root, entry, func(held *shardHolding) bool {
+			return now.Sub(held.seen) >= n.config.HoldingLifetime || !n.alive(held.Engine, held.Incarnation)
+		})
+		if now.Sub(entry.asked) >= n.config.HoldingLifetime {
+			return true
+		}
+		for index := 0; index < len(entry.holdings); index++ {
+			if held := &entry.holdings[index]; now.Sub(held.seen) >= half && now.Sub(held.renewed) >= half/2 {
+				held.renewed = now
+				envelopes = append(envelopes, n.watch(now, held.Holding)...)
+			}
+		}
+		return true
+	})
+	return envelopes
+}
