--- a/internal/api/completions.go
+++ b/internal/api/completions.go
@@ -119,6 +119,9 @@
 	if !known || !e.catalog.Zones(e.tenant)[engine.Zone] {
 		return fault.New(fault.StreamBroken, "the stream's engine is no longer in the tenant's places").WithRan(fault.RanYes)
 	}
+	if config := &e.server.config; token.Node != config.Node && config.KeepStream != nil {
+		config.KeepStream(token.Node, token.Position.Stream)
+	}
 	e.writer.Header().Set(headerRequest, string(token.Position.Request))
 	answer := form{chat: token.Chat, request: token.Position.Request, service: token.Service, created: token.Created}
 	sink := e.newStreamSink(answer)
--- a/internal/api/server.go
+++ b/internal/api/server.go
@@ -90,6 +90,12 @@
 	BufferedChunks int
 	// RetryAfter is told to callers when nothing better is known. Default: 1s.
 	RetryAfter time.Duration
+	// Node is this router.
+	Node ident.Node
+	// KeepStream tells another router that the caller of one of its streams has
+	// resumed it here, so that it drops the pending cancel. It must not block.
+	// Default: nobody is told.
+	KeepStream func(node ident.Node, stream ident.Stream)
 }
 
 // The defaults of Config, and the fixed bounds of the HTTP server.
--- a/internal/api/server_test.go
+++ b/internal/api/server_test.go
@@ -113,7 +113,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	config := Config{MaxBodyBytes: 2000, MaxPromptTokens: 100, MaxTokens: 64, DefaultMaxTokens: 16, BufferedChunks: 2}
+	config := Config{Node: "n1", MaxBodyBytes: 2000, MaxPromptTokens: 100, MaxTokens: 64, DefaultMaxTokens: 16, BufferedChunks: 2}
 	return NewServer(config, fakeCatalog{}, runner, sealer, func() State { return StateServing })
 }
 
@@ -193,7 +193,12 @@
 		for _, method := range []string{"GET", "POST"} {
 			path := map[string]string{"GET": "/v1/streams", "POST": "/v1/chat/completions"}[method]
 			other := &fakeRunner{chunks: []string{"rest"}}
-			answer := exchangeWith(newTestServer(t, other), method, path, streamBody, "Last-Event-ID: "+next.id)
+			router := newTestServer(t, other)
+			var told ident.Node
+			router.config.Node = "n2"
+			router.config.KeepStream = func(node ident.Node, _ ident.Stream) { told = node }
+			answer := exchangeWith(router, method, path, streamBody, "Last-Event-ID: "+next.id)
+			is.Equal(told, ident.Node("n1")) // it must not cancel what is read here
 			is.Equal(answer.Code, http.StatusOK)
 			is.Equal(other.resumed.Position.Next, uint64(min(index+2, 3)))
 			is.Equal(other.resumed.Address, "127.0.0.1:1")
@@ -201,6 +206,13 @@
 			is.Equal(decode[Answer](t, events(answer.Body.String())[0].data).ID, last.ID)
 		}
 	}
+	// The tenant's data may no longer be where the engine is.
+	moved, err := server.tokens.Seal(resume.Token{Tenant: "linz", Service: "chat"})
+	is.NoErr(err)
+	outside := &fakeRunner{}
+	refused := exchangeWith(newTestServer(t, outside), "GET", "/v1/streams", "", "Last-Event-ID: "+moved, "Authorization: Bearer key-linz")
+	is.Equal(decode[ErrorBody](t, refused.Body.String()).Error.Kind, fault.StreamBroken)
+	is.True(outside.resumed == nil)
 	foreign := exchangeWith(server, "GET", "/v1/streams", "", "Last-Event-ID: "+list[1].id, "Authorization: Bearer key-linz")
 	is.Equal(decode[ErrorBody](t, foreign.Body.String()).Error.Kind, fault.InvalidToken)
 }
--- a/internal/api/stream.go
+++ b/internal/api/stream.go
@@ -57,6 +57,7 @@
 	id, err := s.server.tokens.Seal(resume.Token{
 		Tenant:   s.tenant,
 		Service:  s.form.service,
+		Node:     s.server.config.Node,
 		Chat:     s.form.chat,
 		Created:  s.form.created,
 		Position: chunk.Position,
--- a/internal/dispatch/application_test.go
+++ b/internal/dispatch/application_test.go
@@ -23,6 +23,7 @@
 	records map[claim.Key]claim.Record
 	answers map[string]Answer
 	down    bool
+	loads   int
 }
 
 func (f *fakeTable) Claim(_ context.Context, key claim.Key, digest claim.Digest) (claim.Grant, error) {
@@ -66,6 +67,7 @@
 func (f *fakeTable) Load(_ context.Context, _ ident.Zone, key string) (Answer, bool, error) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
+	f.loads++
 	answer, found := f.answers[key]
 	return answer, found, nil
 }
@@ -128,15 +130,52 @@
 	return &ApplicationJob{ID: "r", Tenant: "graz", Service: "bay", IdempotencyKey: "k", Method: "POST", Path: "/book", Body: []byte("bay 7"), Zones: map[ident.Zone]bool{"z": true}}
 }
 
+// bookingCase is one script, and what the callers must be told in the end.
+type bookingCase struct {
+	script   []string
+	executed int
+	status   int
+	ran      fault.Ran
+}
+
+// sendMany sends one booking ten times at once, in turn to the routers.
+func (c bookingCase) sendMany(t *testing.T, routers []*Dispatcher) {
+	is := is.NewRelaxed(t)
+	var group sync.WaitGroup
+	for sending := range 10 {
+		group.Go(func() {
+			answer, err := routers[sending%len(routers)].RunApplication(t.Context(), booking())
+			switch {
+			case err == nil:
+				is.Equal(answer.Status, c.status)
+			case fault.Is(err, fault.AlreadyClaimed): // the other router's run goes on
+				is.Equal(fault.From(err).Ran, fault.RanUnknown)
+			default:
+				is.Equal(fault.From(err).Ran, c.ran)
+			}
+		})
+	}
+	group.Wait()
+}
+
+// repeat sends the booking again after it is settled.
+func (c bookingCase) repeat(t *testing.T, router *Dispatcher) {
+	is := is.New(t)
+	answer, err := router.RunApplication(t.Context(), booking())
+	if c.status == 0 {
+		is.True(fault.Is(err, fault.OutcomeUnknown))
+		is.Equal(fault.From(err).Ran, fault.RanUnknown)
+		return
+	}
+	is.NoErr(err)
+	is.Equal(string(answer.Body), "done bay 7")
+	is.True(answer.Repeated)
+}
+
 // Many sendings at two routers: at most one runs, and each caller is told the
 // same answer or the truth. The judge is the application's own count.
 func TestBookingRunsAtMostOnce(t *testing.T) {
-	cases := map[string]struct {
-		script   []string
-		executed int
-		status   int
-		ran      fault.Ran
-	}{
+	cases := map[string]bookingCase{
 		"answered":               {[]string{"ok"}, 1, http.StatusCreated, fault.RanYes},
 		"answer lost":            {[]string{"lost"}, 1, 0, fault.RanUnknown},
 		"refused, then answered": {[]string{"refused"}, 1, http.StatusCreated, fault.RanYes},
@@ -148,21 +187,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				routers, applications, _ := newRouters(2, c.script...)
-				var group sync.WaitGroup
-				for sending := range 10 {
-					group.Go(func() {
-						answer, err := routers[sending%2].RunApplication(t.Context(), booking())
-						switch {
-						case err == nil:
-							is.Equal(answer.Status, c.status)
-						case fault.Is(err, fault.AlreadyClaimed): // the other router's run goes on
-							is.Equal(fault.From(err).Ran, fault.RanUnknown)
-						default:
-							is.Equal(fault.From(err).Ran, c.ran)
-						}
-					})
-				}
-				group.Wait()
+				c.sendMany(t, routers)
 				for _, router := range routers {
 					router.Close()
 				}
@@ -171,15 +196,7 @@
 					return // the key is free again
 				}
 				for _, router := range routers {
-					answer, err := router.RunApplication(t.Context(), booking())
-					if c.status != 0 {
-						is.NoErr(err)
-						is.Equal(string(answer.Body), "done bay 7")
-						is.True(answer.Repeated)
-					} else {
-						is.True(fault.Is(err, fault.OutcomeUnknown))
-						is.Equal(fault.From(err).Ran, fault.RanUnknown)
-					}
+					c.repeat(t, router)
 					router.Close()
 				}
 				is.Equal(applications.executed, c.executed)
@@ -243,7 +260,7 @@
 func TestRetainedAnswerStaysInPermittedZones(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		routers, applications, _ := newRouters(2)
+		routers, applications, table := newRouters(2)
 		_, err := routers[0].RunApplication(t.Context(), booking())
 		is.NoErr(err)
 		routers[0].Close()
@@ -255,6 +272,7 @@
 			is.Equal(fault.From(err).Ran, fault.RanYes)
 			router.Close()
 		}
+		is.Equal(table.loads, 0)
 		is.Equal(applications.executed, 1)
 	})
 }
--- a/internal/resume/token.go
+++ b/internal/resume/token.go
@@ -44,6 +44,8 @@
 type Token struct {
 	Tenant  ident.Tenant
 	Service ident.Service
+	// Node is the router that gave the event out; it may have a cancel pending.
+	Node ident.Node
 	// Chat says that the caller asked for chat completions, not completions.
 	Chat bool
 	// Created is the Unix time of the request, repeated in every chunk.
@@ -68,6 +70,7 @@
 	EmittedTokens int                `cbor:"13,keyasint,omitempty"`
 	PromptTokens  int                `cbor:"14,keyasint,omitempty"`
 	CachedTokens  int                `cbor:"15,keyasint,omitempty"`
+	Node          ident.Node         `cbor:"16,keyasint,omitempty"`
 }
 
 // Sealer seals and opens tokens. It is safe for concurrent use.
@@ -119,7 +122,7 @@
 func (s *Sealer) Seal(token Token) (string, error) {
 	position := token.Position
 	plain, err := cbor.Marshal(sealed{
-		Tenant: token.Tenant, Service: token.Service, Chat: token.Chat, Created: token.Created,
+		Tenant: token.Tenant, Service: token.Service, Node: token.Node, Chat: token.Chat, Created: token.Created,
 		Request: position.Request, Attempt: position.Attempt, Engine: position.Engine,
 		Incarnation: position.Incarnation, Stream: position.Stream, Version: position.Version,
 		Next: position.Next, EmittedBytes: position.EmittedBytes, EmittedTokens: position.EmittedTokens,
@@ -150,7 +153,7 @@
 		return Token{}, fault.New(fault.InvalidToken, "the resume token is not one of this cluster for this tenant")
 	}
 	return Token{
-		Tenant: wire.Tenant, Service: wire.Service, Chat: wire.Chat, Created: wire.Created,
+		Tenant: wire.Tenant, Service: wire.Service, Node: wire.Node, Chat: wire.Chat, Created: wire.Created,
 		Position: dispatch.Position{
 			Request: wire.Request, Attempt: wire.Attempt, Engine: wire.Engine,
 			Incarnation: wire.Incarnation, Stream: wire.Stream, Version: wire.Version,
--- a/internal/resume/token_test.go
+++ b/internal/resume/token_test.go
@@ -22,7 +22,7 @@
 }
 
 func testToken() Token {
-	return Token{Tenant: "graz", Service: "dispatch-chat", Chat: true, Created: 1, Position: dispatch.Position{
+	return Token{Tenant: "graz", Service: "dispatch-chat", Node: "n1", Chat: true, Created: 1, Position: dispatch.Position{
 		Request: "r", Attempt: 2, Engine: "e", Incarnation: "i", Stream: "s", Version: "v",
 		Next: 7, EmittedBytes: 20, EmittedTokens: 5, PromptTokens: 100, CachedTokens: 96,
 	}}
