Join queue, beliefs, scheduler and limits in one placement core

Cause: deciding where and when a request runs needs the queue, the registry, the beliefs and the scheduler at one moment; spread over goroutines they would need locks and could not be replayed. Dispatch reports the engine's own token count when a stream starts.

--- a/internal/dispatch/generation.go
+++ b/internal/dispatch/generation.go
@@ -254,6 +254,7 @@
 	switch event.Kind {
 	case protocol.EventStart:
 		a.result.Usage = event.Usage
+		a.reportStart(event)
 		if g.emitted.Len() > 0 {
 			return nil
 		}
@@ -270,6 +271,13 @@
 	return g.sink.Chunk(Chunk{Text: text, Position: a.position()})
 }
 
+// reportStart hands the engine's own count to whoever placed the attempt.
+func (a *attempt) reportStart(event *protocol.StreamEvent) {
+	if a.placement.Started != nil && event.Usage != nil {
+		a.placement.Started(event.Incarnation, *event.Usage)
+	}
+}
+
 // onStarted records that the engine executes the request.
 func (a *attempt) onStarted() {
 	g := a.generation
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -61,6 +61,9 @@
 	Salt        prefix.Salt
 	// CreditTokens is the number of prompt tokens believed to be cached.
 	CreditTokens float64
+	// Started is called once if the engine accepted the attempt, with its own
+	// count of prompt and cached tokens. It may be nil and must not block.
+	Started func(incarnation ident.Incarnation, usage protocol.Usage)
 	// Release is called exactly once, when the attempt is over. It may be nil.
 	Release func(Result)
 }
--- /dev/null
+++ b/internal/endpoint/poller.go
@@ -0,0 +1,91 @@
+package endpoint
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/fieldpond/fieldpond/internal/engine"
+	"github.com/fieldpond/fieldpond/internal/engine/protocol"
+	"github.com/fieldpond/fieldpond/internal/ident"
+	"github.com/fieldpond/fieldpond/internal/ring"
+)
+
+// Answer is what came of one Question.
+type Answer struct {
+	Engine  ident.Engine
+	Address string
+	Report  protocol.LoadReport
+	// Err is not nil when no report could be read.
+	Err error
+}
+
+// Poller reads load reports with a fixed number of goroutines. Questions and
+// answers pass through bounded rings: a question that finds its ring full is
+// dropped and will fall due again; an answer replaces older ones.
+type Poller struct {
+	observer  engine.Observer
+	timeout   time.Duration
+	questions *ring.Ring[Question]
+	answers   *ring.Ring[Answer]
+	workers   sync.WaitGroup
+}
+
+// NewPoller returns a poller whose reads each take at most timeout. The rings
+// hold at most capacity items.
+func NewPoller(observer engine.Observer, timeout time.Duration, capacity int) *Poller {
+	return &Poller{
+		observer:  observer,
+		timeout:   timeout,
+		questions: ring.New[Question]("load-questions", capacity, ring.RefuseNew),
+		answers:   ring.New[Answer]("load-answers", capacity, ring.DropOldest),
+	}
+}
+
+// Start runs so many workers until ctx ends.
+func (p *Poller) Start(ctx context.Context, workers int) {
+	for range workers {
+		p.workers.Go(func() { p.work(ctx) })
+	}
+}
+
+// Wait returns when every worker has ended.
+func (p *Poller) Wait() { p.workers.Wait() }
+
+// Ask queues questions.
+func (p *Poller) Ask(questions []Question) {
+	for _, question := range questions {
+		p.questions.Push(question)
+	}
+}
+
+// Answers returns the ring of answers.
+func (p *Poller) Answers() *ring.Ring[Answer] { return p.answers }
+
+// Rings returns the counters of both rings.
+func (p *Poller) Rings() []func() ring.Counters {
+	return []func() ring.Counters{p.questions.Counters, p.answers.Counters}
+}
+
+func (p *Poller) work(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-p.questions.Ready():
+		}
+		for question, ok := p.questions.Pop(); ok; question, ok = p.questions.Pop() {
+			p.read(ctx, question)
+		}
+	}
+}
+
+func (p *Poller) read(ctx context.Context, question Question) {
+	bounded, cancel := context.WithTimeout(ctx, p.timeout)
+	defer cancel()
+	report, err := p.observer.Load(bounded, question.Address)
+	if ctx.Err() != nil {
+		return
+	}
+	p.answers.Push(Answer{Engine: question.Engine, Address: question.Address, Report: report, Err: err})
+}
--- a/internal/endpoint/registry.go
+++ b/internal/endpoint/registry.go
@@ -51,6 +51,8 @@
 const (
 	// ChangeIncarnation means the engine is in a new life, with an empty cache.
 	ChangeIncarnation ChangeKind = iota
+	// ChangeRevived means an engine believed dead answers again in the same life.
+	ChangeRevived
 	// ChangeDead means the engine is believed dead.
 	ChangeDead
 	// ChangeLeaving means the first sign that the engine is leaving.
@@ -305,8 +307,12 @@
 
 // live records that the engine answered in the given incarnation.
 func (s *state) live(engine ident.Engine, incarnation ident.Incarnation) []Change {
+	revived := !s.alive
 	s.failures = 0
 	s.alive = true
+	if incarnation == s.incarnation && revived {
+		return []Change{{ChangeRevived, engine, incarnation}}
+	}
 	if incarnation == s.incarnation {
 		return nil
 	}
--- a/internal/endpoint/registry_test.go
+++ b/internal/endpoint/registry_test.go
@@ -55,7 +55,7 @@
 		{"second", func(r *Registry) []Change { return r.ReportFailed("e") }, []ChangeKind{}, true, false},
 		{"third is", func(r *Registry) []Change { return r.ReportFailed("e") }, []ChangeKind{ChangeDead}, false, false},
 		{"back in the same life", func(r *Registry) []Change { return r.Reported(start, "e", report("1")) },
-			[]ChangeKind{}, true, false},
+			[]ChangeKind{ChangeRevived}, true, false},
 		{"connection refused", func(r *Registry) []Change { return r.Unreachable("e") },
 			[]ChangeKind{ChangeDead}, false, false},
 		{"a refusal shows a new life, nothing reported yet", func(r *Registry) []Change { return r.SeenIncarnation("e", "life-2") },
--- /dev/null
+++ b/internal/placement/core.go
@@ -0,0 +1,238 @@
+// Package placement decides where and when each model request of one router
+// runs. It joins the pure parts: the admission queue, the endpoint registry,
+// the beliefs about caches, the scheduler and the concurrency limits.
+//
+// Core is a state machine without I/O. Its inputs are requests, ends of
+// attempts, load reports, cache events and a time; its outputs are Effects.
+// Duty is the shell that runs a Core in one goroutine. The virtual-time
+// experiment drives the same Core.
+package placement
+
+import (
+	"time"
+
+	"github.com/fieldpond/fieldpond/internal/admission"
+	"github.com/fieldpond/fieldpond/internal/endpoint"
+	"github.com/fieldpond/fieldpond/internal/engine/protocol"
+	"github.com/fieldpond/fieldpond/internal/fault"
+	"github.com/fieldpond/fieldpond/internal/ident"
+	"github.com/fieldpond/fieldpond/internal/prefix/beliefs"
+	"github.com/fieldpond/fieldpond/internal/routing/framework"
+)
+
+// Config sets the fixed parts of a core.
+type Config struct {
+	// Scheduler decides about each request.
+	Scheduler framework.Scheduler
+	// Beliefs holds the beliefs about caches.
+	Beliefs *beliefs.Store
+	// Queue bounds and orders waiting requests.
+	Queue *admission.Queue
+	// NewLimiter returns the concurrency limiter of one engine; nil means none.
+	NewLimiter func() admission.Limiter
+	// Hop returns the one-way network time to a zone.
+	Hop func(zone ident.Zone) time.Duration
+}
+
+// Job is one attempt that wants a place.
+type Job struct {
+	// Key names the request and the attempt.
+	Key endpoint.AttemptKey
+	// Request is what the scheduler needs to know.
+	Request framework.Request
+	// Weight is the tenant's share.
+	Weight float64
+	// MaxHold is the longest the job may wait.
+	MaxHold time.Duration
+}
+
+// Placed is a job that was given a place.
+type Placed struct {
+	Job *Job
+	// Candidate is the chosen engine with what was predicted; its Endpoint is a copy.
+	Candidate framework.Candidate
+	// MoveFrom names an engine to export the prefix from first, or is empty.
+	MoveFrom ident.Engine
+}
+
+// Refused is a job that was given up, not run.
+type Refused struct {
+	Key   endpoint.AttemptKey
+	Fault *fault.Fault
+}
+
+// Effects are the outputs of one input.
+type Effects struct {
+	Placed  []Placed
+	Refused []Refused
+	Changes []endpoint.Change
+}
+
+// flight is one attempt on an engine.
+type flight struct {
+	job         *Job
+	engine      ident.Engine
+	incarnation ident.Incarnation
+	version     ident.ModelVersion
+	// credit is the number of prompt tokens believed cached at dispatch.
+	credit float64
+}
+
+// Core is the state machine. It is used by one goroutine.
+type Core struct {
+	config   Config
+	registry *endpoint.Registry
+	limiters map[ident.Engine]admission.Limiter
+	waiting  map[ident.Request]*Job
+	flights  map[endpoint.AttemptKey]*flight
+	snapshot framework.Snapshot
+	effects  Effects
+	// Counters counts decisions; read it from the goroutine of the core.
+	Counters Counters
+}
+
+// Counters counts what the core decided and how beliefs turned out.
+type Counters struct {
+	// Placed, Refused and Held count decisions.
+	Placed, Refused, Held uint64
+	// PromptTokens, CreditedTokens and CachedTokens add up what answered
+	// attempts asked for, were believed to find cached, and found.
+	PromptTokens, CreditedTokens, CachedTokens uint64
+	// BeliefHigh counts answers that found fewer cached tokens than believed,
+	// by more than one block; BeliefLow those that found more.
+	BeliefHigh, BeliefLow uint64
+}
+
+// New returns a core that knows no engine.
+func New(config Config) *Core {
+	return &Core{
+		config:   config,
+		registry: endpoint.NewRegistry(),
+		limiters: make(map[ident.Engine]admission.Limiter),
+		waiting:  make(map[ident.Request]*Job),
+		flights:  make(map[endpoint.AttemptKey]*flight),
+	}
+}
+
+// Registry returns the endpoint registry, for reading and for its schedule.
+func (c *Core) Registry() *endpoint.Registry { return c.registry }
+
+// Waiting returns the number of jobs that wait for a place.
+func (c *Core) Waiting() int { return len(c.waiting) }
+
+// InFlight returns the number of attempts that have a place.
+func (c *Core) InFlight() int { return len(c.flights) }
+
+// Configure takes over the engines of a fleet file.
+func (c *Core) Configure(now time.Time, targets []endpoint.Target) Effects {
+	c.changed(c.registry.Configure(targets))
+	return c.pump(now)
+}
+
+// Offer takes in a job. It is placed, held or refused.
+func (c *Core) Offer(now time.Time, job *Job) Effects {
+	c.waiting[job.Request.ID] = job
+	c.refuse(c.config.Queue.Offer(now, admission.Item{
+		ID:       job.Request.ID,
+		Tenant:   job.Request.Tenant,
+		Priority: job.Request.Priority,
+		Weight:   job.Weight,
+		Cost:     float64(job.Request.PromptTokens),
+		Pool:     poolOf(&job.Request),
+		MaxHold:  job.MaxHold,
+	}))
+	return c.pump(now)
+}
+
+// Withdraw takes in that the caller of a waiting job is gone.
+func (c *Core) Withdraw(now time.Time, id ident.Request) {
+	if c.waiting[id] != nil {
+		c.config.Queue.Remove(now, id)
+		delete(c.waiting, id)
+	}
+}
+
+// Tick gives up jobs whose hold is over and places what can be placed.
+func (c *Core) Tick(now time.Time) Effects { return c.pump(now) }
+
+// NextTick returns when Tick has something to do, if ever.
+func (c *Core) NextTick() (time.Time, bool) { return c.config.Queue.NextExpiry() }
+
+// Reported takes in a load report.
+func (c *Core) Reported(now time.Time, engine ident.Engine, report protocol.LoadReport) Effects {
+	c.changed(c.registry.Reported(now, engine, report))
+	return c.pump(now)
+}
+
+// ReportFailed takes in that a load report could not be read.
+func (c *Core) ReportFailed(now time.Time, engine ident.Engine) Effects {
+	c.changed(c.registry.ReportFailed(engine))
+	return c.pump(now)
+}
+
+// LeavingSeen takes in a sign that an engine is leaving.
+func (c *Core) LeavingSeen(now time.Time, engine ident.Engine, incarnation ident.Incarnation) Effects {
+	c.changed(c.registry.LeavingSeen(now, engine, incarnation))
+	return c.pump(now)
+}
+
+// CacheEvents takes in a batch of cache events.
+func (c *Core) CacheEvents(now time.Time, engine ident.Engine, batch protocol.CacheEventBatch) {
+	c.changed(c.registry.SeenIncarnation(engine, batch.Incarnation))
+	c.config.Beliefs.Events(now, engine, batch)
+}
+
+// CacheSnapshot takes in the whole state of an engine's cache.
+func (c *Core) CacheSnapshot(now time.Time, engine ident.Engine, snapshot protocol.CacheSnapshot) {
+	c.changed(c.registry.SeenIncarnation(engine, snapshot.Incarnation))
+	c.config.Beliefs.Snapshot(now, engine, snapshot)
+}
+
+// SnapshotWanted reports whether a snapshot of the engine is to be read now.
+func (c *Core) SnapshotWanted(now time.Time, engine ident.Engine) bool {
+	return c.config.Beliefs.SnapshotWanted(now, engine)
+}
+
+// changed acts on changes of the registry and reports them.
+func (c *Core) changed(changes []endpoint.Change) {
+	for _, change := range changes {
+		switch change.Kind {
+		case endpoint.ChangeIncarnation, endpoint.ChangeRevived:
+			c.config.Beliefs.Incarnation(change.Engine, change.Incarnation)
+			delete(c.limiters, change.Engine)
+		case endpoint.ChangeDead:
+			c.config.Beliefs.Forget(change.Engine)
+		case endpoint.ChangeRemoved:
+			c.config.Beliefs.Remove(change.Engine)
+			delete(c.limiters, change.Engine)
+		case endpoint.ChangeLoaded:
+			c.config.Beliefs.WeightsChanged(change.Engine)
+		case endpoint.ChangeLeaving:
+			// A leaving engine keeps its cache and gets no new work.
+		}
+	}
+	c.effects.Changes = append(c.effects.Changes, changes...)
+}
+
+// pump gives up and places waiting jobs, and hands out the effects.
+func (c *Core) pump(now time.Time) Effects {
+	c.refuse(c.config.Queue.Expire(now))
+	if len(c.waiting) > 0 {
+		c.setLimits(now)
+		c.refuse(c.config.Queue.Pump(now, func(item *admission.Item) admission.Verdict {
+			return c.decide(now, c.waiting[item.ID])
+		}))
+	}
+	effects := c.effects
+	c.effects = Effects{}
+	return effects
+}
+
+func (c *Core) refuse(refused []admission.Refused) {
+	for _, given := range refused {
+		job := c.waiting[given.Item.ID]
+		delete(c.waiting, given.Item.ID)
+		c.Counters.Refused++
+		c.effects.Refused = append(c.effects.Refused, Refused{Key: job.Key, Fault: given.Fault})
+	}
+}
--- /dev/null
+++ b/internal/placement/decide.go
@@ -0,0 +1,184 @@
+package placement
+
+import (
+	"hash/fnv"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/fieldpond/fieldpond/internal/admission"
+	"github.com/fieldpond/fieldpond/internal/endpoint"
+	"github.com/fieldpond/fieldpond/internal/engine/protocol"
+	"github.com/fieldpond/fieldpond/internal/fault"
+	"github.com/fieldpond/fieldpond/internal/ident"
+	"github.com/fieldpond/fieldpond/internal/routing/framework"
+)
+
+// noEngineRetryAfter is told to callers when no permitted engine is alive: an
+// engine that crashed is back, or replaced in the fleet file, within seconds.
+const noEngineRetryAfter = 2 * time.Second
+
+// decide asks the scheduler about one waiting job.
+func (c *Core) decide(now time.Time, job *Job) admission.Verdict {
+	c.snapshot.Now = now
+	c.snapshot.Endpoints = c.registry.Endpoints(now)
+	c.snapshot.Generation = c.registry.Generation()
+	c.snapshot.Credits = c.config.Beliefs.At(now)
+	c.snapshot.Hop = c.config.Hop
+	decision := c.config.Scheduler.Schedule(&job.Request, &c.snapshot)
+	switch decision.Action {
+	case framework.Dispatch:
+		c.place(now, job, decision)
+		return admission.Verdict{Action: admission.Dispatched}
+	case framework.Hold:
+		c.Counters.Held++
+		return admission.Verdict{Action: c.heldAction(job)}
+	default:
+		return admission.Verdict{Action: admission.Rejected, Fault: fault.New(fault.NoPermittedEngine,
+			"no engine is left for service %q (filter %s)", job.Request.Service, decision.Reason).
+			WithRetryAfter(noEngineRetryAfter)}
+	}
+}
+
+// heldAction says how much of the queue a held job speaks for. A job that has
+// excluded engines of its own does not speak for its pool.
+func (c *Core) heldAction(job *Job) admission.Action {
+	if len(job.Request.Excluded) > 0 {
+		return admission.ItemBlocked
+	}
+	return admission.PoolBlocked
+}
+
+func (c *Core) place(now time.Time, job *Job, decision framework.Decision) {
+	chosen := decision.Chosen
+	copied := *chosen.Endpoint
+	chosen.Endpoint = &copied
+	delete(c.waiting, job.Request.ID)
+	c.flights[job.Key] = &flight{
+		job: job, engine: copied.Engine, incarnation: copied.Incarnation,
+		version: chosen.Version, credit: chosen.CreditTokens,
+	}
+	uncached := max(0, job.Request.PromptTokens-int(chosen.CreditTokens))
+	c.registry.Sent(now, copied.Engine, job.Key, uncached)
+	c.registry.Considered(now, copied.Engine)
+	c.config.Beliefs.Dispatched(now, copied.Engine, copied.Incarnation, job.Request.Chains[chosen.Version])
+	if limiter := c.limiter(copied.Engine); limiter != nil {
+		limiter.Started(now)
+	}
+	c.Counters.Placed++
+	c.effects.Placed = append(c.effects.Placed, Placed{Job: job, Candidate: chosen, MoveFrom: decision.MoveFrom})
+}
+
+// Started takes in that an engine accepted an attempt and counted its tokens.
+func (c *Core) Started(now time.Time, key endpoint.AttemptKey, incarnation ident.Incarnation, usage protocol.Usage) {
+	flight := c.flights[key]
+	if flight == nil || flight.incarnation != incarnation {
+		return
+	}
+	request := &flight.job.Request
+	chain := request.Chains[flight.version]
+	if request.BlockTokens > 0 {
+		c.config.Beliefs.Answered(now, flight.engine, incarnation, chain, usage.CachedTokens/request.BlockTokens)
+	}
+	c.count(flight, usage)
+}
+
+// count compares what was believed cached with what the engine found.
+func (c *Core) count(flight *flight, usage protocol.Usage) {
+	c.Counters.PromptTokens += uint64(usage.PromptTokens)
+	c.Counters.CachedTokens += uint64(usage.CachedTokens)
+	c.Counters.CreditedTokens += uint64(flight.credit)
+	tolerance := float64(flight.job.Request.BlockTokens)
+	switch difference := flight.credit - float64(usage.CachedTokens); {
+	case difference > tolerance:
+		c.Counters.BeliefHigh++
+	case difference < -tolerance:
+		c.Counters.BeliefLow++
+	}
+}
+
+// Result is how an attempt ended, as the registry and the limits see it.
+type Result struct {
+	// Incarnation is the one that answered or refused; empty if none did.
+	Incarnation ident.Incarnation
+	// Refusal is set if the engine refused before execution.
+	Refusal protocol.RefusalKind
+	// Unreachable is true if no byte of the attempt left.
+	Unreachable bool
+	// Broken is true if the attempt broke after it left.
+	Broken bool
+	// TimeToFirstToken is zero if no token came.
+	TimeToFirstToken time.Duration
+	// Duration is the time the attempt held the engine.
+	Duration time.Duration
+}
+
+// Ended takes in the end of an attempt.
+func (c *Core) Ended(now time.Time, key endpoint.AttemptKey, result Result) Effects {
+	flight := c.flights[key]
+	if flight == nil {
+		return c.pump(now)
+	}
+	delete(c.flights, key)
+	c.registry.Ended(flight.engine, key)
+	c.changed(c.registry.SeenIncarnation(flight.engine, result.Incarnation))
+	if limiter := c.limiters[flight.engine]; limiter != nil {
+		limiter.Finished(now, sampleOf(result))
+	}
+	switch {
+	case result.Unreachable:
+		c.changed(c.registry.Unreachable(flight.engine))
+	case result.Refusal == protocol.RefusalLeaving:
+		c.changed(c.registry.LeavingSeen(now, flight.engine, result.Incarnation))
+	}
+	return c.pump(now)
+}
+
+func (c *Core) limiter(engine ident.Engine) admission.Limiter {
+	if c.config.NewLimiter == nil {
+		return nil
+	}
+	if c.limiters[engine] == nil {
+		c.limiters[engine] = c.config.NewLimiter()
+	}
+	return c.limiters[engine]
+}
+
+// setLimits hands the current limits to the registry.
+func (c *Core) setLimits(now time.Time) {
+	for engine, limiter := range c.limiters {
+		c.registry.SetLimit(engine, limiter.Limit(now))
+	}
+}
+
+// poolOf names the set of engines that may serve the request.
+func poolOf(request *framework.Request) admission.PoolKey {
+	zones := make([]string, 0, len(request.Zones))
+	for zone := range request.Zones {
+		zones = append(zones, string(zone))
+	}
+	slices.Sort(zones)
+	digest := fnv.New64a()
+	for _, part := range zones {
+		_, _ = digest.Write([]byte(part))
+		_, _ = digest.Write([]byte{0})
+	}
+	return admission.PoolKey(string(request.Service) + "/" + strconv.FormatUint(digest.Sum64(), 36))
+}
+
+// AttemptKeyOf builds the key of an attempt.
+func AttemptKeyOf(request ident.Request, attempt ident.Attempt) endpoint.AttemptKey {
+	return endpoint.AttemptKey{Request: request, Attempt: attempt}
+}
+
+// sampleOf says what the end of an attempt tells about the engine's load.
+func sampleOf(result Result) admission.Sample {
+	sample := admission.Sample{TimeToFirstToken: result.TimeToFirstToken, ServiceTime: result.Duration}
+	switch {
+	case result.Refusal == protocol.RefusalFull:
+		sample.Outcome = admission.SampleRefused
+	case result.Refusal != "" || result.Unreachable || result.Broken || result.TimeToFirstToken == 0:
+		sample.Outcome = admission.SampleIgnored
+	}
+	return sample
+}
--- /dev/null
+++ b/internal/placement/duty.go
@@ -0,0 +1,245 @@
+package placement
+
+import (
+	"context"
+	"time"
+
+	"github.com/fieldpond/fieldpond/internal/endpoint"
+	"github.com/fieldpond/fieldpond/internal/engine/protocol"
+	"github.com/fieldpond/fieldpond/internal/fault"
+	"github.com/fieldpond/fieldpond/internal/ident"
+	"github.com/fieldpond/fieldpond/internal/ring"
+)
+
+// DutyConfig sets the shell of a core.
+type DutyConfig struct {
+	// MaxOpen bounds the jobs that wait or run at one time.
+	MaxOpen int
+	// PollInterval is the time between two load reports of an engine in use.
+	PollInterval time.Duration
+	// PollsPerTick bounds the load reports asked for in one PollTick.
+	PollsPerTick int
+	// PollTick is the time between two looks at which reports are due.
+	PollTick time.Duration
+	// OnChange is called, in the goroutine of the duty, for every change of an
+	// engine's state. It must not block.
+	OnChange func(endpoint.Change)
+	// OnSnapshotWanted is called, in the goroutine of the duty, when a cache
+	// snapshot of an engine is to be read. It must not block.
+	OnSnapshotWanted func(ident.Engine)
+}
+
+// overloadedRetryAfter is told to callers when the duty's ring is full.
+const overloadedRetryAfter = time.Second
+
+// command is one input of the core, to be run in the goroutine of the duty.
+type command func(now time.Time) Effects
+
+// Duty runs a Core in one goroutine. Inputs that must not be lost (jobs, ends
+// of attempts, changes of the fleet file) and inputs that a later one replaces
+// (cache events) come through separate bounded rings.
+type Duty struct {
+	config   DutyConfig
+	core     *Core
+	poller   *endpoint.Poller
+	commands *ring.Ring[command]
+	news     *ring.Ring[command]
+	// replies is used by the goroutine of the duty only.
+	replies map[endpoint.AttemptKey]chan reply
+	done    chan struct{}
+}
+
+// reply is the final word on one job.
+type reply struct {
+	placed Placed
+	fault  *fault.Fault
+}
+
+// newsPerOpen is the capacity of the ring of replaceable inputs.
+const newsCapacity = 4096
+
+// commandsPerJob is how many commands one open job may have waiting: offer,
+// withdraw, started and ended.
+const commandsPerJob = 4
+
+// spareCommands leaves room for inputs that belong to no job.
+const spareCommands = 1024
+
+// NewDuty returns a duty that runs core and reads load reports with poller.
+func NewDuty(config DutyConfig, core *Core, poller *endpoint.Poller) *Duty {
+	return &Duty{
+		config:   config,
+		core:     core,
+		poller:   poller,
+		commands: ring.New[command]("placement-commands", commandsPerJob*config.MaxOpen+spareCommands, ring.RefuseNew),
+		news:     ring.New[command]("placement-news", newsCapacity, ring.DropOldest),
+		replies:  make(map[endpoint.AttemptKey]chan reply),
+		done:     make(chan struct{}),
+	}
+}
+
+// Rings returns the counters of the duty's rings.
+func (d *Duty) Rings() []func() ring.Counters {
+	return append(d.poller.Rings(), d.commands.Counters, d.news.Counters)
+}
+
+// Run runs the core until ctx ends.
+func (d *Duty) Run(ctx context.Context) {
+	defer close(d.done)
+	polls := time.NewTicker(d.config.PollTick)
+	defer polls.Stop()
+	wake := time.NewTimer(d.config.PollTick)
+	defer wake.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-d.commands.Ready():
+		case <-d.news.Ready():
+		case <-d.poller.Answers().Ready():
+		case <-polls.C:
+			d.poll(time.Now())
+		case <-wake.C:
+			d.apply(d.core.Tick(time.Now()))
+		}
+		d.drain()
+		if next, waits := d.core.NextTick(); waits {
+			wake.Reset(max(0, time.Until(next)))
+		}
+	}
+}
+
+// drain runs every waiting input, those that must not be lost first.
+func (d *Duty) drain() {
+	for run, ok := d.commands.Pop(); ok; run, ok = d.commands.Pop() {
+		d.apply(run(time.Now()))
+	}
+	for answer, ok := d.poller.Answers().Pop(); ok; answer, ok = d.poller.Answers().Pop() {
+		if answer.Err != nil {
+			d.apply(d.core.ReportFailed(time.Now(), answer.Engine))
+			continue
+		}
+		d.apply(d.core.Reported(time.Now(), answer.Engine, answer.Report))
+	}
+	for run, ok := d.news.Pop(); ok; run, ok = d.news.Pop() {
+		d.apply(run(time.Now()))
+	}
+}
+
+func (d *Duty) poll(now time.Time) {
+	d.poller.Ask(d.core.Registry().Due(now, d.config.PollInterval, d.config.PollsPerTick))
+	d.apply(d.core.Tick(now))
+}
+
+func (d *Duty) apply(effects Effects) {
+	for _, placed := range effects.Placed {
+		d.reply(placed.Job.Key, reply{placed: placed})
+	}
+	for _, refused := range effects.Refused {
+		d.reply(refused.Key, reply{fault: refused.Fault})
+	}
+	for _, change := range effects.Changes {
+		d.config.OnChange(change)
+	}
+}
+
+func (d *Duty) reply(key endpoint.AttemptKey, word reply) {
+	if waiting := d.replies[key]; waiting != nil {
+		delete(d.replies, key)
+		waiting <- word
+	}
+}
+
+// Place waits until the job has a place or is given up. When ctx ends first
+// the job is withdrawn, and a place that was given meanwhile is handed back.
+func (d *Duty) Place(ctx context.Context, job *Job) (Placed, error) {
+	waiting := make(chan reply, 1)
+	offered := d.commands.Push(func(now time.Time) Effects {
+		d.replies[job.Key] = waiting
+		return d.core.Offer(now, job)
+	})
+	if !offered {
+		return Placed{}, fault.New(fault.Overloaded, "this router has too many open requests").
+			WithRetryAfter(overloadedRetryAfter)
+	}
+	select {
+	case word := <-waiting:
+		if word.fault != nil {
+			return Placed{}, word.fault
+		}
+		return word.placed, nil
+	case <-ctx.Done():
+		d.withdraw(job)
+		return Placed{}, fault.Wrap(ctx.Err(), fault.DeadlineExceeded, "the caller left while the request waited")
+	case <-d.done:
+		return Placed{}, fault.New(fault.Leaving, "this router has stopped")
+	}
+}
+
+func (d *Duty) withdraw(job *Job) {
+	d.commands.Push(func(now time.Time) Effects {
+		delete(d.replies, job.Key)
+		d.core.Withdraw(now, job.Request.ID)
+		return d.core.Ended(now, job.Key, Result{})
+	})
+}
+
+// Started reports that an engine accepted an attempt.
+func (d *Duty) Started(key endpoint.AttemptKey, incarnation ident.Incarnation, usage protocol.Usage) {
+	d.news.Push(func(now time.Time) Effects {
+		d.core.Started(now, key, incarnation, usage)
+		return Effects{}
+	})
+}
+
+// Ended reports the end of an attempt; it is called exactly once for each place.
+func (d *Duty) Ended(key endpoint.AttemptKey, result Result) {
+	d.commands.Push(func(now time.Time) Effects { return d.core.Ended(now, key, result) })
+}
+
+// Configure takes over the engines of a fleet file.
+func (d *Duty) Configure(targets []endpoint.Target) {
+	d.commands.Push(func(now time.Time) Effects { return d.core.Configure(now, targets) })
+}
+
+// LeavingSeen reports a sign that an engine is leaving.
+func (d *Duty) LeavingSeen(engine ident.Engine, incarnation ident.Incarnation) {
+	d.commands.Push(func(now time.Time) Effects { return d.core.LeavingSeen(now, engine, incarnation) })
+}
+
+// CacheEvents reports a batch of cache events.
+func (d *Duty) CacheEvents(engine ident.Engine, batch protocol.CacheEventBatch) {
+	d.news.Push(func(now time.Time) Effects {
+		d.core.CacheEvents(now, engine, batch)
+		if d.core.SnapshotWanted(now, engine) {
+			d.config.OnSnapshotWanted(engine)
+		}
+		return Effects{}
+	})
+}
+
+// CacheSnapshot reports the whole state of an engine's cache.
+func (d *Duty) CacheSnapshot(engine ident.Engine, snapshot protocol.CacheSnapshot) {
+	d.news.Push(func(now time.Time) Effects {
+		d.core.CacheSnapshot(now, engine, snapshot)
+		return Effects{}
+	})
+}
+
+// Inspect runs read in the goroutine of the duty and waits for it.
+func (d *Duty) Inspect(ctx context.Context, read func(now time.Time, core *Core)) error {
+	finished := make(chan struct{})
+	d.commands.Push(func(now time.Time) Effects {
+		read(now, d.core)
+		close(finished)
+		return Effects{}
+	})
+	select {
+	case <-finished:
+		return nil
+	case <-ctx.Done():
+		return fault.Wrap(ctx.Err(), fault.Timeout, "the placement duty did not answer")
+	case <-d.done:
+		return fault.New(fault.Leaving, "this router has stopped")
+	}
+}
--- /dev/null
+++ b/internal/status/status.go
@@ -0,0 +1,75 @@
+// Package status declares what a router tells operators on /status.json. It
+// is read only: there is no command to a single machine.
+package status
+
+import "github.com/fieldpond/fieldpond/internal/ident"
+
+// Router is the state of one router and its view of the others.
+type Router struct {
+	Node ident.Node `json:"node"`
+	Zone ident.Zone `json:"zone"`
+	// State is "starting", "serving" or "leaving".
+	State        string    `json:"state"`
+	FleetVersion uint64    `json:"fleet_version"`
+	FleetDigest  string    `json:"fleet_digest"`
+	Members      []Member  `json:"members"`
+	Engines      []Engine  `json:"engines"`
+	Queue        Queue     `json:"queue"`
+	Decisions    Decisions `json:"decisions"`
+}
+
+// Member is another router as this one sees it.
+type Member struct {
+	Node    ident.Node `json:"node"`
+	Zone    ident.Zone `json:"zone"`
+	Address string     `json:"address"`
+	// State is "alive", "suspect", "leaving" or "dead".
+	State        string `json:"state"`
+	FleetVersion uint64 `json:"fleet_version"`
+}
+
+// Engine is an engine as this router sees it.
+type Engine struct {
+	Engine      ident.Engine      `json:"engine"`
+	Zone        ident.Zone        `json:"zone"`
+	Incarnation ident.Incarnation `json:"incarnation"`
+	Alive       bool              `json:"alive"`
+	Leaving     bool              `json:"leaving"`
+	// Running and Waiting count requests on the engine.
+	Running             int `json:"running"`
+	Waiting             int `json:"waiting"`
+	QueuedPrefillTokens int `json:"queued_prefill_tokens"`
+	// OwnInFlight counts this router's attempts, ConcurrencyLimit bounds them.
+	OwnInFlight      int      `json:"own_in_flight"`
+	ConcurrencyLimit int      `json:"concurrency_limit"`
+	Loaded           []Loaded `json:"loaded"`
+}
+
+// Loaded is a model version that an engine can serve.
+type Loaded struct {
+	Model   ident.Model        `json:"model"`
+	Version ident.ModelVersion `json:"version"`
+}
+
+// Queue counts requests in the router.
+type Queue struct {
+	// Waiting requests have no place yet; InFlight ones are on an engine.
+	Waiting  int `json:"waiting"`
+	InFlight int `json:"in_flight"`
+}
+
+// Decisions counts what the router decided since it started.
+type Decisions struct {
+	Placed  uint64 `json:"placed"`
+	Refused uint64 `json:"refused"`
+	Held    uint64 `json:"held"`
+	// PromptTokens and CachedTokens add up what engines answered with,
+	// CreditedTokens what was believed.
+	PromptTokens   uint64 `json:"prompt_tokens"`
+	CreditedTokens uint64 `json:"credited_tokens"`
+	CachedTokens   uint64 `json:"cached_tokens"`
+	// BeliefHigh counts answers with fewer cached tokens than believed,
+	// BeliefLow those with more.
+	BeliefHigh uint64 `json:"belief_high"`
+	BeliefLow  uint64 `json:"belief_low"`
+}
