Compare placement policies over simulated deployments in virtual time

Ruled out: real processes for the comparison (hours a run, other verdict each time; the load generator judges those), simulated routers of their own kind (they would measure themselves): a simulation drives placement.Core and model.Engine as they are.

Tables with the spread over seeds, JSON and PNG plots.

--- /dev/null
+++ b/cmd/rehearse/experiment.go
@@ -0,0 +1,98 @@
+package main
+
+import (
+	"os"
+
+	"github.com/spf13/cobra"
+
+	"github.com/fieldpond/fieldpond/internal/fault"
+	"github.com/fieldpond/fieldpond/standin/experiment"
+)
+
+// defaultParallel is the number of simulations run at one time.
+const defaultParallel = 6
+
+// experimentOptions are the flags of "rehearse experiment".
+type experimentOptions struct {
+	scenarios, policies []string
+	files               []string
+	seeds, parallel     int
+	format, plots       string
+}
+
+func newExperimentCommand() *cobra.Command {
+	options := &experimentOptions{}
+	command := &cobra.Command{
+		Use:   "experiment",
+		Short: "Compare placement policies over simulated deployments in virtual time",
+		Long: `Compare placement policies over simulated deployments in virtual time.
+
+Every policy meets the same arrivals and the same faults for each seed. The
+measures are judged on what the simulated engines truly held and did. A whole
+comparison takes seconds to minutes and gives the same figures on every run.`,
+		Args: cobra.NoArgs,
+		RunE: func(command *cobra.Command, _ []string) error { return runExperiment(command, options) },
+	}
+	flags := command.Flags()
+	flags.StringSliceVar(&options.scenarios, "scenario", []string{"muldenring-steady", "parking-steady"}, "scenarios to run, or all")
+	flags.StringArrayVar(&options.files, "scenario-file", nil, "scenario file (YAML) to run besides; repeat for several")
+	flags.StringSliceVar(&options.policies, "policy", experiment.DefaultPolicies(), "policies to compare, or all")
+	flags.IntVar(&options.seeds, "seeds", 5, "number of seeds, from 1 on")
+	flags.IntVar(&options.parallel, "parallel", defaultParallel, "most simulations at one time")
+	flags.StringVar(&options.format, "format", "table", "form of the results: table or json")
+	flags.StringVar(&options.plots, "plots", "", "directory to write plots (PNG) to")
+	return command
+}
+
+func runExperiment(command *cobra.Command, options *experimentOptions) error {
+	plan, err := options.plan()
+	if err != nil {
+		return err
+	}
+	runs, err := experiment.Execute(plan)
+	if err != nil {
+		return err
+	}
+	rows := experiment.Summarise(runs)
+	write := experiment.WriteTable
+	if options.format == "json" {
+		write = experiment.WriteJSON
+	}
+	if err := write(command.OutOrStdout(), rows); err != nil {
+		return err
+	}
+	if options.plots == "" {
+		return nil
+	}
+	return experiment.WritePlots(options.plots, rows)
+}
+
+func (o *experimentOptions) plan() (experiment.Plan, error) {
+	plan := experiment.Plan{Parallel: o.parallel}
+	switch {
+	case o.seeds < 1 || o.parallel < 1:
+		return plan, fault.New(fault.BadRequest, "--seeds and --parallel must be at least 1")
+	case o.format != "table" && o.format != "json":
+		return plan, fault.New(fault.BadRequest, "--format %q is neither table nor json", o.format)
+	}
+	for seed := range o.seeds {
+		plan.Seeds = append(plan.Seeds, uint64(seed+1))
+	}
+	var err error
+	if plan.Scenarios, err = experiment.ScenariosByName(o.scenarios); err != nil {
+		return plan, err
+	}
+	for _, file := range o.files {
+		source, err := os.ReadFile(file)
+		if err != nil {
+			return plan, fault.Wrap(err, fault.BadRequest, "the scenario file cannot be read")
+		}
+		scenario, err := experiment.ParseScenario(source)
+		if err != nil {
+			return plan, err
+		}
+		plan.Scenarios = append(plan.Scenarios, scenario)
+	}
+	plan.Policies, err = experiment.PoliciesByName(o.policies)
+	return plan, err
+}
--- a/cmd/rehearse/subcommands.go
+++ b/cmd/rehearse/subcommands.go
@@ -9,5 +9,6 @@
 		newLoadCommand(),
 		newApplicationCommand(),
 		newPlatformCommand(),
+		newExperimentCommand(),
 	}
 }
--- /dev/null
+++ b/standin/experiment/engines.go
@@ -0,0 +1,204 @@
+package experiment
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/fieldpond/fieldpond/internal/endpoint"
+	"github.com/fieldpond/fieldpond/internal/engine/protocol"
+	"github.com/fieldpond/fieldpond/internal/fleet"
+	"github.com/fieldpond/fieldpond/internal/ident"
+	"github.com/fieldpond/fieldpond/internal/prefix"
+	"github.com/fieldpond/fieldpond/standin/engine/model"
+	"github.com/fieldpond/fieldpond/standin/truth"
+)
+
+// engineNode drives one engine model and takes in what it says.
+type engineNode struct {
+	simulation *simulation
+	name       ident.Engine
+	zone       ident.Zone
+	model      *model.Engine
+	lives      int
+	// wakeAt is the earliest wake-up already scheduled, if any.
+	wakeAt   time.Time
+	attempts map[endpoint.AttemptKey]*attempt
+	// order lists the attempts as they were accepted, for a fixed order.
+	order []*attempt
+}
+
+func newEngineNode(s *simulation, config model.Config, random *rand.Rand) *engineNode {
+	node := &engineNode{
+		simulation: s, name: config.Name, zone: config.Zone,
+		attempts: make(map[endpoint.AttemptKey]*attempt),
+	}
+	node.model = model.New(config, node.nextLife(), random, s.start)
+	return node
+}
+
+func modelsOf(file *fleet.Compiled, configured *fleet.Engine) []protocol.LoadedModel {
+	var loaded []protocol.LoadedModel
+	for _, name := range configured.Models {
+		if known, found := file.Model(name); found {
+			loaded = append(loaded, protocol.LoadedModel{Model: known.Name, Version: known.Version, Adapters: known.Adapters})
+		}
+	}
+	return loaded
+}
+
+func (n *engineNode) nextLife() ident.Incarnation {
+	n.lives++
+	return ident.Incarnation(fmt.Sprintf("%s-life-%d", n.name, n.lives))
+}
+
+// poke takes in the engine's outputs and schedules its next wake-up. It
+// follows every call of the model.
+func (n *engineNode) poke() {
+	now := n.simulation.clock.now
+	for _, output := range n.model.Advance(now) {
+		switch {
+		case output.Event != nil:
+			n.streamed(output.Event)
+		case output.Batch != nil:
+			n.simulation.deliverEvents(n, *output.Batch)
+		case output.Truth != nil:
+			n.judge(output.Truth)
+		}
+	}
+	next, found := n.model.NextTime()
+	if !found || (n.wakeAt.After(now) && !next.Before(n.wakeAt)) {
+		return
+	}
+	n.wakeAt = next
+	n.simulation.clock.at(next, func() {
+		if n.wakeAt.Equal(next) {
+			n.wakeAt = time.Time{}
+		}
+		n.poke()
+	})
+}
+
+// submit offers an attempt to the engine.
+func (n *engineNode) submit(sent *attempt) {
+	if !n.model.Alive() {
+		sent.answer(func() { sent.unreachable() })
+		return
+	}
+	_, refusal := n.model.Submit(n.simulation.clock.now, sent.request())
+	if refusal != nil {
+		sent.answer(func() { sent.refused(refusal) })
+		return
+	}
+	n.attempts[sent.key] = sent
+	n.order = append(n.order, sent)
+	n.poke()
+}
+
+// streamed takes in an event of a stream.
+func (n *engineNode) streamed(event *protocol.StreamEvent) {
+	about := n.attempts[endpoint.AttemptKey{Request: event.RequestID, Attempt: event.Attempt}]
+	if about == nil {
+		return
+	}
+	about.stream = event.Stream
+	switch event.Kind {
+	case protocol.EventStart:
+		usage, incarnation := *event.Usage, event.Incarnation
+		about.answer(func() { about.accepted(incarnation, usage) })
+	case protocol.EventChunk:
+		about.chunk(event.Text, event.Tokens)
+	case protocol.EventEnd:
+		n.forget(about)
+		about.answer(about.completed)
+	}
+}
+
+func (n *engineNode) forget(gone *attempt) {
+	delete(n.attempts, gone.key)
+	for index, known := range n.order {
+		if known == gone {
+			n.order = append(n.order[:index], n.order[index+1:]...)
+			return
+		}
+	}
+}
+
+// judge reads the truth about an attempt.
+func (n *engineNode) judge(record *truth.Record) {
+	about := n.attempts[endpoint.AttemptKey{Request: record.RequestID, Attempt: record.Attempt}]
+	if about == nil || !about.exchange.measured {
+		return
+	}
+	switch record.Kind {
+	case truth.Started:
+		n.simulation.measures.started(about, record)
+	case truth.Lost, truth.Cancelled:
+		n.simulation.measures.discarded += int64(record.PrefilledTokens + record.GeneratedTokens)
+	}
+}
+
+// crash ends the engine's life and breaks its streams.
+func (n *engineNode) crash() {
+	n.model.Crash(n.simulation.clock.now)
+	n.poke()
+	broken := n.order
+	n.attempts, n.order = make(map[endpoint.AttemptKey]*attempt), nil
+	for _, lost := range broken {
+		lost.answer(lost.broken)
+	}
+}
+
+func (n *engineNode) restart() {
+	n.model.Restart(n.simulation.clock.now, n.nextLife())
+	n.poke()
+}
+
+func (n *engineNode) cancel(unwanted *attempt) {
+	if n.attempts[unwanted.key] == unwanted {
+		n.model.Cancel(n.simulation.clock.now, unwanted.stream)
+		n.poke()
+		n.forget(unwanted)
+	}
+}
+
+// exactCredits tells what every cache truly holds, or is about to hold once
+// the prompts that its engine has accepted are computed.
+type exactCredits struct {
+	simulation *simulation
+	// salts finds the salt of a chain by its first hash.
+	salts map[uint64]uint64
+}
+
+func (e *exactCredits) learn(salt prefix.Salt, chain prefix.Chain) {
+	if len(chain) > 0 {
+		e.salts[uint64(chain[0])] = uint64(salt)
+	}
+}
+
+// Credit implements framework.Credits.
+func (e *exactCredits) Credit(engine ident.Engine, incarnation ident.Incarnation, chain prefix.Chain) float64 {
+	node := e.simulation.byName[engine]
+	if node == nil || len(chain) == 0 || node.model.Incarnation() != incarnation || !node.model.Alive() {
+		return 0
+	}
+	held := node.model.Held(prefix.Salt(e.salts[uint64(chain[0])]), chain)
+	for _, coming := range node.order {
+		held = max(held, common(chain, coming.chain))
+	}
+	return float64(held)
+}
+
+// common returns the number of leading blocks that two chains share.
+func common(a, b prefix.Chain) int {
+	low, high := 0, min(len(a), len(b))
+	for low < high {
+		middle := (low + high + 1) / 2
+		if a[middle-1] == b[middle-1] {
+			low = middle
+		} else {
+			high = middle - 1
+		}
+	}
+	return low
+}
--- /dev/null
+++ b/standin/experiment/exchange.go
@@ -0,0 +1,209 @@
+package experiment
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/fieldpond/fieldpond/internal/engine/protocol"
+	"github.com/fieldpond/fieldpond/internal/fault"
+	"github.com/fieldpond/fieldpond/internal/fleet"
+	"github.com/fieldpond/fieldpond/internal/ident"
+	"github.com/fieldpond/fieldpond/internal/placement"
+	"github.com/fieldpond/fieldpond/internal/prefix"
+	"github.com/fieldpond/fieldpond/internal/routing/framework"
+	"github.com/fieldpond/fieldpond/standin/workload"
+)
+
+// The bounds of the dispatcher of the router process.
+const (
+	maxAttempts  = 6
+	continueHold = 5 * time.Second
+)
+
+// clientTries is how often a caller looks for a live router.
+const clientTries = 50
+
+// exchange is one request of a caller from its arrival to its end.
+type exchange struct {
+	simulation *simulation
+	arrival    workload.Arrival
+	id         ident.Request
+	number     int
+	tenant     *fleet.TenantEntry
+	service    *fleet.ServiceEntry
+	class      *fleet.Class
+	salt       prefix.Salt
+	measured   bool
+	arrivedAt  time.Time
+	holdUntil  time.Time
+	tries      int
+	attempts   int
+	text       strings.Builder
+	tokens     int
+	started    bool
+	excluded   map[ident.Engine]bool
+	relearned  map[ident.Engine]bool
+	firstToken time.Duration
+	ended      bool
+}
+
+// arrive takes in a request that its caller sends now.
+func (s *simulation) arrive(arrival workload.Arrival, source string) {
+	tenant, known := s.situation.fleet.Tenant(arrival.Tenant)
+	service, offered := s.situation.fleet.Service(arrival.Service)
+	if !known || !offered || service.Model == nil {
+		s.fail("the fleet file lacks tenant %q or model service %q", arrival.Tenant, arrival.Service)
+		return
+	}
+	class, found := service.Class(arrival.Class)
+	if !found {
+		s.fail("service %q has no class %q", arrival.Service, arrival.Class)
+		return
+	}
+	namespace := prefix.Namespace{Tenant: tenant.Name, Model: service.Model.Name, Version: service.Model.Version}
+	s.measures.arrivals++
+	s.open++
+	arrived := &exchange{
+		simulation: s, arrival: arrival, number: s.measures.arrivals,
+		id:     ident.Request(fmt.Sprintf("%s-%06d", source, arrival.Number)),
+		tenant: tenant, service: service, class: class, salt: namespace.Salt(),
+		measured:  arrival.At >= s.situation.scenario.Warmup,
+		arrivedAt: s.clock.now,
+		holdUntil: s.clock.now.Add(hopToClient + class.MaxHold),
+		excluded:  make(map[ident.Engine]bool),
+		relearned: make(map[ident.Engine]bool),
+	}
+	if arrived.measured {
+		s.measures.offered++
+	}
+	s.clock.after(hopToClient, arrived.receive)
+}
+
+// receive lets a live router take the request, one in the tenant's places if
+// there is any.
+func (x *exchange) receive() {
+	s := x.simulation
+	var near, far []*routerNode
+	for _, router := range s.routers {
+		switch {
+		case !router.alive:
+		case x.tenant.Zones.Has(router.zone):
+			near = append(near, router)
+		default:
+			far = append(far, router)
+		}
+	}
+	if len(near) == 0 {
+		near = far
+	}
+	x.tries++
+	if len(near) == 0 && x.tries < clientTries {
+		s.clock.after(clientRetry, x.receive)
+		return
+	}
+	if len(near) == 0 {
+		x.end(OutcomeUnreachable)
+		return
+	}
+	x.offer(near[s.random.IntN(len(near))])
+}
+
+// offer asks a router for a place.
+func (x *exchange) offer(router *routerNode) {
+	now := x.simulation.clock.now
+	text := x.arrival.Prompt + x.text.String()
+	chain := prefix.ChainOf(x.salt, text, prefix.DefaultBlockTokens)
+	x.simulation.exact.learn(x.salt, chain)
+	zones := make(map[ident.Zone]bool)
+	for _, zone := range x.tenant.Zones.List() {
+		zones[zone] = true
+	}
+	version := x.service.Model.Version
+	router.waiting[x.id] = x
+	router.apply(router.core.Offer(now, &placement.Job{
+		Key:     placement.AttemptKeyOf(x.id, ident.Attempt(x.attempts+1)),
+		Weight:  x.tenant.Share,
+		MaxHold: max(0, x.holdUntil.Sub(now)),
+		Request: framework.Request{
+			ID: x.id, Tenant: x.tenant.Name, Service: x.service.Name,
+			Class: x.class.Name, Priority: x.class.Priority,
+			Model: x.service.Model.Name, Versions: []ident.ModelVersion{version},
+			Zones: zones, Chains: map[ident.ModelVersion]prefix.Chain{version: chain},
+			BlockTokens: prefix.DefaultBlockTokens, PromptTokens: prefix.Tokens(text),
+			RecomputationWeight: x.service.Objective.RecomputationWeight,
+			Excluded:            x.excluded, HomeZone: router.zone,
+		},
+	}))
+}
+
+// end ends the request, exactly once.
+func (x *exchange) end(outcome Outcome) {
+	if x.ended {
+		x.simulation.fail("request %s ended twice", x.id)
+		return
+	}
+	x.ended = true
+	x.simulation.open--
+	x.simulation.measures.ended(x, outcome)
+}
+
+// retry offers the request again after an attempt that failed, or ends it.
+func (x *exchange) retry(failed *attempt, refusal *protocol.Refusal, outcome Outcome) {
+	now := x.simulation.clock.now
+	lastOnly := x.tokens > 0 && x.tokens >= x.arrival.MaxTokens
+	if x.attempts >= maxAttempts || lastOnly || !failed.router.budget.Allow(now) {
+		x.end(outcome)
+		return
+	}
+	newLife := refusal != nil && refusal.Incarnation != "" && refusal.Incarnation != failed.incarnation
+	if newLife && !x.relearned[failed.engine.name] {
+		x.relearned[failed.engine.name] = true
+	} else {
+		x.excluded[failed.engine.name] = true
+	}
+	if x.started {
+		x.holdUntil = maxTime(x.holdUntil, now.Add(continueHold))
+	}
+	x.offer(failed.router)
+}
+
+func maxTime(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+func sortExchanges(all []*exchange) {
+	slices.SortFunc(all, func(a, b *exchange) int { return a.number - b.number })
+}
+
+// heldAnywhere returns the most leading blocks of a chain that any engine in
+// the tenant's places truly holds now.
+func (x *exchange) heldAnywhere(chain prefix.Chain) int {
+	best := 0
+	for _, engine := range x.simulation.engines {
+		if engine.model.Alive() && x.tenant.Zones.Has(engine.zone) {
+			best = max(best, engine.model.Held(x.salt, chain))
+		}
+	}
+	return best
+}
+
+// Outcome is how a request ended: answered, or why not.
+type Outcome string
+
+const (
+	// OutcomeAnswered is a whole answer.
+	OutcomeAnswered Outcome = "answered"
+	// OutcomeUnreachable is a caller that found no live router.
+	OutcomeUnreachable Outcome = "no_router"
+	// OutcomeLost is a last attempt whose engine went away.
+	OutcomeLost Outcome = Outcome(fault.BackendLost)
+	// OutcomeBackendRefused is a last attempt that its engine refused.
+	OutcomeBackendRefused Outcome = Outcome(fault.BackendRefused)
+	// OutcomeLate is a last attempt without a first token in time.
+	OutcomeLate Outcome = Outcome(fault.DeadlineExceeded)
+)
--- /dev/null
+++ b/standin/experiment/faults.go
@@ -0,0 +1,58 @@
+package experiment
+
+// scheduleFaults lets the scenario's faults happen at their times.
+func (s *simulation) scheduleFaults() {
+	for _, given := range s.situation.scenario.Faults {
+		at := s.start.Add(given.At)
+		switch given.Kind {
+		case FaultCrash:
+			engine := s.byName[given.Engine]
+			if engine == nil {
+				s.fail("the fleet file has no engine %q", given.Engine)
+				return
+			}
+			s.clock.at(at, engine.crash)
+			s.clock.at(at.Add(given.For), engine.restart)
+		case FaultZoneLost:
+			s.clock.at(at, func() { s.loseZone(given) })
+			s.clock.at(at.Add(given.For), func() { s.returnZone(given) })
+		case FaultRestartRouters:
+			s.clock.at(at, func() {
+				for _, router := range s.routers {
+					router.restart()
+				}
+			})
+		}
+	}
+}
+
+// loseZone ends every router and engine of a zone.
+func (s *simulation) loseZone(given Fault) {
+	var waiting []*exchange
+	for _, router := range s.routers {
+		if router.zone == given.Zone {
+			waiting = append(waiting, router.stop()...)
+		}
+	}
+	for _, engine := range s.engines {
+		if engine.zone == given.Zone {
+			engine.crash()
+		}
+	}
+	s.comeBack(waiting)
+}
+
+func (s *simulation) returnZone(given Fault) {
+	for _, engine := range s.engines {
+		if engine.zone == given.Zone {
+			engine.restart()
+		}
+	}
+	for _, router := range s.routers {
+		if router.zone == given.Zone {
+			if err := router.begin(); err != nil {
+				s.fail("a router could not restart: %s", err)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/standin/experiment/measure.go
@@ -0,0 +1,189 @@
+package experiment
+
+import (
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/fieldpond/fieldpond/internal/ident"
+	"github.com/fieldpond/fieldpond/standin/truth"
+)
+
+// Range and precision of the histograms, in microseconds and digits.
+const (
+	histogramLowest  = 100
+	histogramHighest = int64(10 * time.Minute / time.Microsecond)
+	histogramDigits  = 3
+)
+
+// Tail holds percentiles of the time to first token, in seconds, as callers
+// see it, over the answers whose first token came.
+type Tail struct {
+	Count int64   `json:"count"`
+	P50   float64 `json:"p50"`
+	P95   float64 `json:"p95"`
+	P99   float64 `json:"p99"`
+}
+
+// Measures is what one run showed. Requests that arrived in the warmup are
+// left out, Arrivals and Ended excepted.
+type Measures struct {
+	// Arrivals counts every request, Ended every end of one; Offered those
+	// after the warmup.
+	Arrivals int `json:"arrivals"`
+	Ended    int `json:"ended"`
+	Offered  int `json:"offered"`
+	// Outcomes counts how requests ended.
+	Outcomes map[Outcome]int `json:"outcomes"`
+	// Refused counts by class the requests that got no whole answer.
+	Refused map[ident.Class]int `json:"refused"`
+	// PromptTokens, CachedTokens, RecomputedTokens and DiscardedTokens are sums
+	// over the attempts that ran: tokens asked for, found cached, computed
+	// although a permitted engine held them at dispatch, and computed by
+	// attempts that were lost or cancelled.
+	PromptTokens     int64 `json:"prompt_tokens"`
+	CachedTokens     int64 `json:"cached_tokens"`
+	RecomputedTokens int64 `json:"recomputed_tokens"`
+	DiscardedTokens  int64 `json:"discarded_tokens"`
+	// HitRate is cached over prompt tokens, Wasted recomputed and discarded
+	// over prompt tokens.
+	HitRate float64 `json:"hit_rate"`
+	Wasted  float64 `json:"wasted"`
+	// Goodput is the number of whole answers a second whose first token came
+	// within the deadline of their class.
+	Goodput float64 `json:"goodput"`
+	// Busy is the share of time that engines had work.
+	Busy float64 `json:"busy"`
+	// Classes holds the tails by class.
+	Classes map[ident.Class]Tail `json:"classes"`
+	// Quiet and Focus are the protected class's tails before and inside the
+	// scenario's focus.
+	Quiet *Tail `json:"quiet,omitempty"`
+	Focus *Tail `json:"focus,omitempty"`
+}
+
+// collector gathers the measures of one simulation.
+type collector struct {
+	situation    *situation
+	arrivals     int
+	ends         int
+	neverEnded   int
+	offered      int
+	good         int
+	outcomes     map[Outcome]int
+	refused      map[ident.Class]int
+	prompt       int64
+	cached       int64
+	recomputed   int64
+	discarded    int64
+	samples      int
+	busy         int
+	tails        map[ident.Class]*hdrhistogram.Histogram
+	quiet, focus *hdrhistogram.Histogram
+}
+
+func newHistogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(histogramLowest, histogramHighest, histogramDigits)
+}
+
+func newCollector(from *situation) *collector {
+	return &collector{
+		situation: from,
+		outcomes:  make(map[Outcome]int),
+		refused:   make(map[ident.Class]int),
+		tails:     make(map[ident.Class]*hdrhistogram.Histogram),
+		quiet:     newHistogram(),
+		focus:     newHistogram(),
+	}
+}
+
+// started takes in the truth about an attempt that began to run.
+func (c *collector) started(about *attempt, record *truth.Record) {
+	c.prompt += int64(record.PromptTokens)
+	c.cached += int64(record.CachedTokens)
+	c.recomputed += int64(max(0, about.heldTokens-record.CachedTokens))
+}
+
+// ended takes in the end of a request.
+func (c *collector) ended(x *exchange, outcome Outcome) {
+	c.ends++
+	if !x.measured {
+		return
+	}
+	c.outcomes[outcome]++
+	if outcome != OutcomeAnswered {
+		c.refused[x.class.Name]++
+	} else if x.firstToken <= x.class.Deadline {
+		c.good++
+	}
+	if x.firstToken > 0 {
+		c.tail(x)
+	}
+}
+
+func (c *collector) tail(x *exchange) {
+	micros := min(x.firstToken.Microseconds(), histogramHighest)
+	tail := c.tails[x.class.Name]
+	if tail == nil {
+		tail = newHistogram()
+		c.tails[x.class.Name] = tail
+	}
+	// The value is within the histogram's range, so no error can come.
+	_ = tail.RecordValue(micros)
+	focus := c.situation.scenario.Focus
+	if focus == nil || x.class.Name != c.situation.scenario.Protected || c.surging(x.tenant.Name) {
+		return
+	}
+	switch at := x.arrival.At; {
+	case at < focus.At:
+		_ = c.quiet.RecordValue(micros)
+	case at < focus.At+focus.For:
+		_ = c.focus.RecordValue(micros)
+	}
+}
+
+// surging reports whether the tenant is the cause of a surge and so not among
+// those to be protected from it.
+func (c *collector) surging(tenant ident.Tenant) bool {
+	for _, surge := range c.situation.scenario.Surges {
+		if surge.Tenant == tenant {
+			return true
+		}
+	}
+	return false
+}
+
+func tailOf(histogram *hdrhistogram.Histogram) Tail {
+	seconds := func(quantile float64) float64 {
+		return (time.Duration(histogram.ValueAtQuantile(quantile)) * time.Microsecond).Seconds()
+	}
+	return Tail{Count: histogram.TotalCount(), P50: seconds(50), P95: seconds(95), P99: seconds(99)}
+}
+
+func share(part, whole int64) float64 {
+	if whole == 0 {
+		return 0
+	}
+	return float64(part) / float64(whole)
+}
+
+func (c *collector) result(s *simulation) Measures {
+	scenario := &s.situation.scenario
+	measures := Measures{
+		Arrivals: c.arrivals, Ended: c.ends, Offered: c.offered, Outcomes: c.outcomes, Refused: c.refused,
+		PromptTokens: c.prompt, CachedTokens: c.cached, RecomputedTokens: c.recomputed, DiscardedTokens: c.discarded,
+		HitRate: share(c.cached, c.prompt),
+		Wasted:  share(c.recomputed+c.discarded, c.prompt),
+		Goodput: float64(c.good) / (scenario.Duration - scenario.Warmup).Seconds(),
+		Busy:    share(int64(c.busy), int64(c.samples)),
+		Classes: make(map[ident.Class]Tail),
+	}
+	for class, histogram := range c.tails {
+		measures.Classes[class] = tailOf(histogram)
+	}
+	if scenario.Focus != nil {
+		quiet, focus := tailOf(c.quiet), tailOf(c.focus)
+		measures.Quiet, measures.Focus = &quiet, &focus
+	}
+	return measures
+}
--- /dev/null
+++ b/standin/experiment/policies.go
@@ -0,0 +1,121 @@
+package experiment
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/fieldpond/fieldpond/internal/admission"
+	"github.com/fieldpond/fieldpond/internal/fault"
+	"github.com/fieldpond/fieldpond/internal/ident"
+	"github.com/fieldpond/fieldpond/internal/prefix"
+	"github.com/fieldpond/fieldpond/internal/prefix/beliefs"
+	"github.com/fieldpond/fieldpond/internal/routing"
+	"github.com/fieldpond/fieldpond/internal/routing/framework"
+)
+
+// Policy is one way to place requests. Whatever it leaves out is the same for
+// every policy: the queue, the retry budget and the default limiter.
+type Policy struct {
+	Name string
+	// Baseline says that the policy is one to be beaten.
+	Baseline bool
+	// NewScheduler returns the scheduler of one router. exact tells what every
+	// cache truly holds, for the oracle only.
+	NewScheduler func(exact framework.Credits) (framework.Scheduler, error)
+	// NewLimiter returns the limiter of one engine at one router; nil means none.
+	NewLimiter func() admission.Limiter
+	// Beliefs sets the beliefs of one router.
+	Beliefs beliefs.Config
+}
+
+func predictive(config routing.Config) func(framework.Credits) (framework.Scheduler, error) {
+	return func(framework.Credits) (framework.Scheduler, error) { return routing.NewPredictive(config) }
+}
+
+func plain(newScheduler func() *routing.Pipeline) func(framework.Credits) (framework.Scheduler, error) {
+	return func(framework.Credits) (framework.Scheduler, error) { return newScheduler(), nil }
+}
+
+func oracle(exact framework.Credits) (framework.Scheduler, error) {
+	return routing.NewOracle(routing.Config{}, exact)
+}
+
+func gradientLimiter() admission.Limiter {
+	return admission.NewGradientLimiter(admission.LimitBounds{})
+}
+
+func rateLimiter() admission.Limiter { return admission.NewRateTimesService(admission.LimitBounds{}) }
+
+// fixedLimit is the limit of one router on one engine in the variant with a
+// fixed limit.
+const fixedLimit = 8
+
+func fixedLimiter() admission.Limiter { return admission.NewFixedLimiter(fixedLimit) }
+
+// Policies returns every policy, the baselines first.
+func Policies() []Policy {
+	return []Policy{
+		{Name: "round-robin", Baseline: true, NewScheduler: plain(routing.NewRoundRobin), NewLimiter: gradientLimiter},
+		{Name: "least-load", Baseline: true, NewScheduler: plain(routing.NewLeastLoad), NewLimiter: gradientLimiter},
+		{Name: "prefix-hash", Baseline: true, NewScheduler: plain(routing.NewPrefixHash), NewLimiter: gradientLimiter},
+		{Name: "prefix-hash-deep", Baseline: true, NewScheduler: deepPrefixHash, NewLimiter: gradientLimiter},
+		{Name: "predictive", NewScheduler: predictive(routing.Config{}), NewLimiter: gradientLimiter},
+		{Name: "oracle", NewScheduler: oracle, NewLimiter: gradientLimiter},
+		{Name: "predictive-fixed", NewScheduler: predictive(routing.Config{}), NewLimiter: fixedLimiter},
+		{Name: "predictive-rate", NewScheduler: predictive(routing.Config{}), NewLimiter: rateLimiter},
+		{Name: "predictive-unlimited", NewScheduler: predictive(routing.Config{})},
+	}
+}
+
+// DefaultPolicies names the policies that are compared unless others are asked for.
+func DefaultPolicies() []string {
+	return []string{"round-robin", "least-load", "prefix-hash", "prefix-hash-deep", "predictive", "oracle"}
+}
+
+// PoliciesByName returns the named policies, or every one for "all".
+func PoliciesByName(names []string) ([]Policy, error) {
+	all := Policies()
+	if slices.Contains(names, nameOfAll) {
+		return all, nil
+	}
+	var known []string
+	for _, policy := range all {
+		known = append(known, policy.Name)
+	}
+	var chosen []Policy
+	for _, name := range names {
+		position := slices.Index(known, name)
+		if position < 0 {
+			return nil, fault.New(fault.BadRequest, "no policy is named %q", name).
+				WithRemedy("name one of: %s, or all", strings.Join(known, ", "))
+		}
+		chosen = append(chosen, all[position])
+	}
+	return chosen, nil
+}
+
+// deepBlocks is the number of leading blocks, 2048 tokens, that the deep
+// prefix hash tells prompts apart by. In both deployments that reaches into
+// the second of the nested layers, where the first differs by tenant only.
+const deepBlocks = 128
+
+// deepHash is the prefix hash policy over more of the prompt's leading blocks.
+type deepHash struct{ pipeline *routing.Pipeline }
+
+func deepPrefixHash(framework.Credits) (framework.Scheduler, error) {
+	return deepHash{routing.NewPrefixHash()}, nil
+}
+
+// Name implements framework.Scheduler.
+func (deepHash) Name() string { return "prefix-hash-deep" }
+
+// Schedule implements framework.Scheduler.
+func (d deepHash) Schedule(request *framework.Request, snapshot *framework.Snapshot) framework.Decision {
+	deep := *request
+	deep.Chains = make(map[ident.ModelVersion]prefix.Chain, len(request.Chains))
+	for version, chain := range request.Chains {
+		// The rank of a chain follows from its block RootBlock.
+		deep.Chains[version] = chain[max(0, min(deepBlocks, len(chain))-prefix.RootBlock-1):]
+	}
+	return d.pipeline.Schedule(&deep, snapshot)
+}
--- /dev/null
+++ b/standin/experiment/routers.go
@@ -0,0 +1,190 @@
+package experiment
+
+import (
+	"time"
+
+	"github.com/fieldpond/fieldpond/internal/admission"
+	"github.com/fieldpond/fieldpond/internal/engine/protocol"
+	"github.com/fieldpond/fieldpond/internal/ident"
+	"github.com/fieldpond/fieldpond/internal/placement"
+	"github.com/fieldpond/fieldpond/internal/prefix/beliefs"
+)
+
+// The pace of load reports, as in the router process.
+const (
+	pollTick     = 50 * time.Millisecond
+	pollInterval = 250 * time.Millisecond
+	pollsPerTick = 8
+)
+
+// routerNode drives the placement core of one router.
+type routerNode struct {
+	simulation *simulation
+	zone       ident.Zone
+	index      int
+	alive      bool
+	// life counts the cores that this router has had.
+	life   int
+	core   *placement.Core
+	budget *admission.RetryBudget
+	// waiting lists the exchanges that wait for a place, by request.
+	waiting map[ident.Request]*exchange
+	tickAt  time.Time
+}
+
+// begin starts the router with a core that knows nothing.
+func (r *routerNode) begin() error {
+	s := r.simulation
+	scheduler, err := s.policy.NewScheduler(s.exact)
+	if err != nil {
+		return err
+	}
+	store, err := beliefs.New(s.policy.Beliefs, s.start)
+	if err != nil {
+		return err
+	}
+	r.life++
+	r.alive = true
+	r.waiting = make(map[ident.Request]*exchange)
+	r.budget = admission.NewRetryBudget(admission.RetryConfig{})
+	r.core = placement.New(placement.Config{
+		Scheduler:  scheduler,
+		Beliefs:    store,
+		Queue:      admission.NewQueue(admission.Config{}),
+		NewLimiter: s.policy.NewLimiter,
+		Hop:        func(zone ident.Zone) time.Duration { return s.hop(r.zone, zone) },
+	})
+	r.apply(r.core.Configure(s.clock.now, s.targets()))
+	return nil
+}
+
+// apply carries out the effects of one input of the core.
+func (r *routerNode) apply(effects placement.Effects) {
+	for _, placed := range effects.Placed {
+		waiting := r.waiting[placed.Job.Key.Request]
+		delete(r.waiting, placed.Job.Key.Request)
+		waiting.send(r, placed)
+	}
+	for _, refused := range effects.Refused {
+		waiting := r.waiting[refused.Key.Request]
+		delete(r.waiting, refused.Key.Request)
+		waiting.end(Outcome(refused.Fault.Kind))
+	}
+	r.scheduleTick()
+}
+
+// scheduleTick wakes the core when the next hold ends.
+func (r *routerNode) scheduleTick() {
+	next, waits := r.core.NextTick()
+	if !waits || (r.tickAt.After(r.simulation.clock.now) && !next.Before(r.tickAt)) {
+		return
+	}
+	r.tickAt = next
+	life := r.life
+	r.simulation.clock.at(next, func() {
+		if r.alive && r.life == life {
+			r.tickAt = time.Time{}
+			r.apply(r.core.Tick(r.simulation.clock.now))
+		}
+	})
+}
+
+// schedulePoll starts the polling of load reports after a delay.
+func (r *routerNode) schedulePoll(delay time.Duration) {
+	r.simulation.clock.after(delay, func() {
+		if r.alive {
+			r.poll()
+		}
+		r.schedulePoll(pollTick)
+	})
+}
+
+func (r *routerNode) poll() {
+	now := r.simulation.clock.now
+	for _, question := range r.core.Registry().Due(now, pollInterval, pollsPerTick) {
+		r.ask(r.simulation.byName[question.Engine])
+	}
+	r.apply(r.core.Tick(now))
+}
+
+// ask reads one engine's load report.
+func (r *routerNode) ask(engine *engineNode) {
+	hop := r.simulation.hop(r.zone, engine.zone)
+	r.simulation.clock.after(hop, func() {
+		if !engine.model.Alive() {
+			r.later(hop, func(now time.Time) { r.apply(r.core.ReportFailed(now, engine.name)) })
+			return
+		}
+		report := engine.model.LoadReport(r.simulation.clock.now)
+		engine.poke()
+		r.later(hop, func(now time.Time) { r.apply(r.core.Reported(now, engine.name, report)) })
+	})
+}
+
+// later runs an input of the router's present core after a delay.
+func (r *routerNode) later(delay time.Duration, run func(now time.Time)) {
+	life := r.life
+	r.simulation.clock.after(delay, func() {
+		if r.alive && r.life == life {
+			run(r.simulation.clock.now)
+		}
+	})
+}
+
+// deliverEvents brings a batch of cache events to every router: in fleets of
+// this size each router reads every engine's events.
+func (s *simulation) deliverEvents(engine *engineNode, batch protocol.CacheEventBatch) {
+	for _, router := range s.routers {
+		if !router.alive {
+			continue
+		}
+		router.later(s.hop(engine.zone, router.zone), func(now time.Time) {
+			router.core.CacheEvents(now, engine.name, batch)
+			if router.core.SnapshotWanted(now, engine.name) {
+				router.readSnapshot(engine)
+			}
+		})
+	}
+}
+
+func (r *routerNode) readSnapshot(engine *engineNode) {
+	hop := r.simulation.hop(r.zone, engine.zone)
+	r.later(hop, func(now time.Time) {
+		if !engine.model.Alive() {
+			return
+		}
+		snapshot := engine.model.Snapshot(now)
+		engine.poke()
+		r.later(hop, func(now time.Time) { r.core.CacheSnapshot(now, engine.name, snapshot) })
+	})
+}
+
+// restart replaces the core by one that knows nothing. What waited is offered
+// again by its callers; streams go on, since callers resume them by token.
+func (r *routerNode) restart() {
+	waiting := r.stop()
+	if err := r.begin(); err != nil {
+		r.simulation.fail("a router could not restart: %s", err)
+	}
+	r.simulation.comeBack(waiting)
+}
+
+// stop ends the router and returns what waited, in a fixed order.
+func (r *routerNode) stop() []*exchange {
+	r.alive = false
+	r.tickAt = time.Time{}
+	var waiting []*exchange
+	for _, waits := range r.waiting {
+		waiting = append(waiting, waits)
+	}
+	sortExchanges(waiting)
+	r.waiting = make(map[ident.Request]*exchange)
+	return waiting
+}
+
+// comeBack lets callers whose router went away try again.
+func (s *simulation) comeBack(waiting []*exchange) {
+	for _, again := range waiting {
+		s.clock.after(clientRetry, again.receive)
+	}
+}
--- /dev/null
+++ b/standin/experiment/simulation.go
@@ -0,0 +1,193 @@
+package experiment
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/fieldpond/fieldpond/internal/endpoint"
+	"github.com/fieldpond/fieldpond/internal/fault"
+	"github.com/fieldpond/fieldpond/internal/ident"
+	"github.com/fieldpond/fieldpond/standin/engine/model"
+	"github.com/fieldpond/fieldpond/standin/workload"
+)
+
+// The network of both deployments, one way.
+const (
+	hopWithinZone   = 100 * time.Microsecond
+	hopBetweenZones = 1500 * time.Microsecond
+	hopToClient     = time.Millisecond
+)
+
+const (
+	// clientRetry is how long a caller takes to try another router after the
+	// connection to its own broke.
+	clientRetry = 100 * time.Millisecond
+	// afterLast is how long after its last arrival a simulation may go on; what
+	// is open then counts as never ended.
+	afterLast = 5 * time.Minute
+	// busySample is the time between two looks at which engines are busy.
+	busySample = 50 * time.Millisecond
+)
+
+// simulation is one run of a situation under one policy and seed. All of it
+// happens in one goroutine, in virtual time.
+type simulation struct {
+	situation *situation
+	policy    Policy
+	seed      uint64
+	clock     clock
+	start     time.Time
+	random    *rand.Rand
+	engines   []*engineNode
+	byName    map[ident.Engine]*engineNode
+	routers   []*routerNode
+	exact     *exactCredits
+	measures  *collector
+	open      int
+	arriving  int
+	failure   error
+}
+
+func newSimulation(from *situation, policy Policy, seed uint64) (*simulation, error) {
+	start := time.Date(2026, 3, 2, 8, 0, 0, 0, time.UTC)
+	s := &simulation{
+		situation: from, policy: policy, seed: seed, start: start,
+		clock:  clock{now: start},
+		random: rand.New(rand.NewPCG(seed, xxhash.Sum64String("callers"))),
+		byName: make(map[ident.Engine]*engineNode),
+	}
+	s.exact = &exactCredits{simulation: s, salts: make(map[uint64]uint64)}
+	s.measures = newCollector(from)
+	if err := s.addEngines(); err != nil {
+		return nil, err
+	}
+	if err := s.addRouters(); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+func (s *simulation) addEngines() error {
+	scenario := &s.situation.scenario
+	for _, configured := range s.situation.fleet.Engines() {
+		config := model.DefaultConfig()
+		config.Name, config.Zone = configured.Name, configured.Zone
+		config.CacheBlocks, config.EventLoss = scenario.CacheBlocks, scenario.EventLoss
+		if scenario.LoadLag > 0 {
+			config.LoadLag = scenario.LoadLag
+		}
+		config.Models = modelsOf(s.situation.fleet, configured)
+		if err := config.Validate(); err != nil {
+			return err
+		}
+		random := rand.New(rand.NewPCG(s.seed, xxhash.Sum64String(string(configured.Name))))
+		node := newEngineNode(s, config, random)
+		s.engines = append(s.engines, node)
+		s.byName[configured.Name] = node
+	}
+	return nil
+}
+
+// addRouters adds one router for each zone.
+func (s *simulation) addRouters() error {
+	for _, region := range s.situation.fleet.Document.Regions {
+		for _, zone := range region.Zones {
+			router := &routerNode{simulation: s, zone: zone, index: len(s.routers)}
+			if err := router.begin(); err != nil {
+				return err
+			}
+			s.routers = append(s.routers, router)
+			router.schedulePoll(pollTick * time.Duration(router.index) / time.Duration(len(s.engines)))
+		}
+	}
+	return nil
+}
+
+// run runs the scenario until every request has ended.
+func (s *simulation) run() (Measures, error) {
+	s.scheduleFaults()
+	s.scheduleArrivals()
+	s.sampleBusy()
+	limit := s.start.Add(s.situation.scenario.Duration + afterLast)
+	for (s.open > 0 || s.arriving > 0) && s.failure == nil && s.clock.now.Before(limit) {
+		s.clock.step()
+	}
+	s.measures.neverEnded = s.open
+	return s.measures.result(s), s.failure
+}
+
+// scheduleArrivals starts the load schedule and each surge.
+func (s *simulation) scheduleArrivals() {
+	scenario := &s.situation.scenario
+	s.feed(workload.NewGenerator(s.situation.load, s.seed), "load", 0, scenario.Duration)
+	for _, surge := range scenario.Surges {
+		spec := *s.situation.load
+		spec.Name += "-surge-" + string(surge.Tenant)
+		spec.Rate = surge.Rate
+		spec.Tenants = []workload.Tenant{{Name: surge.Tenant, Weight: 1}}
+		s.feed(workload.NewGenerator(&spec, s.seed), "surge", surge.At, surge.At+surge.For)
+	}
+}
+
+// feed lets the arrivals of one generator between two times come in. The next
+// one is generated when the previous one has come, to bound memory.
+func (s *simulation) feed(generator *workload.Generator, source string, from, until time.Duration) {
+	s.arriving++
+	var next func()
+	next = func() {
+		arrival := generator.Next()
+		for arrival.Application || arrival.At < from {
+			arrival = generator.Next()
+		}
+		if arrival.At >= until {
+			s.arriving--
+			return
+		}
+		s.clock.at(s.start.Add(arrival.At), func() {
+			s.arrive(arrival, source)
+			next()
+		})
+	}
+	next()
+}
+
+func (s *simulation) hop(from, to ident.Zone) time.Duration {
+	if from == to {
+		return hopWithinZone
+	}
+	return hopBetweenZones
+}
+
+// sampleBusy counts, at intervals, the engines that have work.
+func (s *simulation) sampleBusy() {
+	at := s.clock.now.Sub(s.start)
+	if at >= s.situation.scenario.Warmup && at < s.situation.scenario.Duration {
+		for _, engine := range s.engines {
+			s.measures.samples++
+			if !engine.model.Idle() {
+				s.measures.busy++
+			}
+		}
+	}
+	s.clock.after(busySample, s.sampleBusy)
+}
+
+func (s *simulation) targets() []endpoint.Target {
+	var targets []endpoint.Target
+	for _, engine := range s.engines {
+		targets = append(targets, endpoint.Target{
+			Engine: engine.name, Address: string(engine.name), Zone: engine.zone,
+			PrefillPerToken: model.DefaultConfig().PrefillPerToken,
+		})
+	}
+	return targets
+}
+
+// fail ends the simulation with an error of the experiment itself.
+func (s *simulation) fail(format string, arguments ...any) {
+	if s.failure == nil {
+		s.failure = fault.New(fault.Internal, format, arguments...)
+	}
+}
