Give a silent engine up soon, and a bad request at once

Cause: a stream that stalls before its first token was resumed three times with the whole first-token timeout each, two minutes with the defaults; and an engine's refusal as bad request was tried at five more engines.

Ruled out: shortening the first-token timeout itself; it is the class's.

Change: after a resume the next event is waited for ResumeStall (2s); a bad request goes back to the caller at once, not run and without Retry-After.

--- a/internal/dispatch/application.go
+++ b/internal/dispatch/application.go
@@ -107,20 +107,17 @@
 		r.dispatcher.Budget.Success(r.job.Service)
 		return answer, nil
 	}
-	final := *fault.From(err)
-	final.Ran = r.ledger.Ran()
-	if !r.job.Repeatable && final.Ran != fault.RanNo {
-		final = *fault.Wrap(err, fault.OutcomeUnknown, "the application's answer was lost").WithRan(final.Ran)
-	}
-	if final.RetryAfter == 0 {
-		final.RetryAfter = r.dispatcher.config.RetryAfter
+	ran := r.ledger.Ran()
+	if !r.job.Repeatable && ran != fault.RanNo {
+		err = fault.Wrap(err, fault.OutcomeUnknown, "the application's answer was lost")
 	}
+	final := r.dispatcher.withRetryAfter(err).WithRan(ran)
 	if ctx.Err() != nil && r.job.Repeatable {
 		r.chart.Fire(EventCallerGone)
 	} else {
-		r.chart.Fire(finalEvent(&final))
+		r.chart.Fire(finalEvent(final))
 	}
-	return Answer{}, &final
+	return Answer{}, final
 }
 
 func (r *applicationRun) attemptAll(ctx context.Context) (Answer, error) {
@@ -137,6 +134,9 @@
 		if err == nil {
 			return answer, nil
 		}
+		if misunderstood(err) {
+			return Answer{}, asBadRequest(err)
+		}
 		if !r.mayRetry(ctx, err) {
 			return Answer{}, err
 		}
--- a/internal/dispatch/claimed.go
+++ b/internal/dispatch/claimed.go
@@ -103,14 +103,6 @@
 	return hold + d.config.ApplicationTimeout + d.config.SettleTimeout
 }
 
-func (d *Dispatcher) withRetryAfter(err error) *fault.Fault {
-	failure := *fault.From(err)
-	if failure.RetryAfter == 0 {
-		failure.RetryAfter = d.config.RetryAfter
-	}
-	return &failure
-}
-
 // answerOf turns another call's claim into what its repeat is told.
 func (d *Dispatcher) answerOf(ctx context.Context, job *ApplicationJob, record claim.Record) (Answer, *fault.Fault) {
 	switch record.State {
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/fieldpond/fieldpond/internal/claim"
 	"github.com/fieldpond/fieldpond/internal/engine"
+	"github.com/fieldpond/fieldpond/internal/fault"
 	"github.com/fieldpond/fieldpond/internal/ident"
 )
 
@@ -22,6 +24,8 @@
 	ResumeTries int
 	// ResumePause is waited before each resume after the first. Default: 50ms.
 	ResumePause time.Duration
+	// ResumeStall bounds the wait for the first event after a resume. Default: 2s.
+	ResumeStall time.Duration
 	// MaxAttempts bounds the attempts of one request. Default: 6.
 	MaxAttempts int
 	// ContinueHold bounds the wait for an engine that continues a broken
@@ -47,6 +51,7 @@
 	defaultStallTimeout       = 10 * time.Second
 	defaultResumeTries        = 3
 	defaultResumePause        = 50 * time.Millisecond
+	defaultResumeStall        = 2 * time.Second
 	defaultMaxAttempts        = 6
 	defaultContinueHold       = 5 * time.Second
 	defaultResumeGrace        = 15 * time.Second
@@ -68,6 +73,7 @@
 	orDefault(&c.StallTimeout, defaultStallTimeout)
 	orDefault(&c.ResumeTries, defaultResumeTries)
 	orDefault(&c.ResumePause, defaultResumePause)
+	orDefault(&c.ResumeStall, defaultResumeStall)
 	orDefault(&c.MaxAttempts, defaultMaxAttempts)
 	orDefault(&c.ContinueHold, defaultContinueHold)
 	orDefault(&c.ResumeGrace, defaultResumeGrace)
@@ -140,6 +146,18 @@
 	d.work.Wait()
 }
 
+// withRetryAfter returns a copy of the fault that says when to come back,
+// unless the request itself is at fault.
+func (d *Dispatcher) withRetryAfter(err error) *fault.Fault {
+	failure := *fault.From(err)
+	status := failure.Kind.Status()
+	passes := status >= http.StatusInternalServerError || status == http.StatusTooManyRequests || status == http.StatusConflict
+	if passes && failure.RetryAfter == 0 {
+		failure.RetryAfter = d.config.RetryAfter
+	}
+	return &failure
+}
+
 // abandon cancels a stream at its engine, at once or after a grace in which
 // the caller may resume it.
 func (d *Dispatcher) abandon(address string, stream ident.Stream, grace time.Duration) {
--- a/internal/dispatch/fake_test.go
+++ b/internal/dispatch/fake_test.go
@@ -126,6 +126,9 @@
 
 // strike applies the damage to a connection's events.
 func (f *fakeEngines) strike(address string, connection *fakeStream, events []protocol.StreamEvent) []protocol.StreamEvent {
+	if f.damage.kind == "one event a connection" {
+		return events[:1]
+	}
 	for index, event := range events {
 		if event.Sequence != f.damage.at {
 			continue
--- a/internal/dispatch/flow.go
+++ b/internal/dispatch/flow.go
@@ -28,14 +28,14 @@
 	// broken is called when the stream breaks, once for every connection.
 	broken func()
 	chunks int
+	// idle counts the resumes in a row that brought no event.
+	idle int
 }
 
 // run returns the end event. Its error is errCallerGone, or a *fault.Fault if
 // the stream cannot be read further on this incarnation.
 func (f *flow) run(ctx context.Context, stream engine.EventStream) (*protocol.StreamEvent, error) {
-	idle := 0
 	for {
-		before := f.sequencer.Next()
 		end, err := f.consume(ctx, stream)
 		stream.Close()
 		if end != nil || errors.Is(err, errCallerGone) {
@@ -44,14 +44,11 @@
 		if ctx.Err() != nil {
 			return nil, errCallerGone
 		}
-		if f.sequencer.Next() > before {
-			idle = 0
-		}
 		f.broken()
 		if !f.sequencer.Bound() || f.sequencer.Ended() {
 			return nil, err
 		}
-		stream, err = f.reopen(ctx, &idle)
+		stream, err = f.reopen(ctx)
 		if err != nil {
 			return nil, err
 		}
@@ -86,6 +83,7 @@
 			continue
 		}
 		timer.Stop()
+		f.idle = 0
 		end, err := f.take(&event)
 		if end != nil || err != nil {
 			return end, err
@@ -111,7 +109,12 @@
 	return nil, nil
 }
 
+// timeout bounds the wait for the next event. After a resume it is short: what
+// the engine has already made comes at once.
 func (f *flow) timeout() time.Duration {
+	if f.idle > 0 {
+		return f.dispatcher.config.ResumeStall
+	}
 	if f.chunks == 0 && f.firstTimeout > 0 {
 		return f.firstTimeout
 	}
@@ -129,15 +132,15 @@
 
 // reopen resumes the stream, with a bounded number of tries in a row that
 // bring no event. Its fault says that the incarnation is gone for this stream.
-func (f *flow) reopen(ctx context.Context, idle *int) (engine.EventStream, error) {
+func (f *flow) reopen(ctx context.Context) (engine.EventStream, error) {
 	for {
-		if *idle >= f.dispatcher.config.ResumeTries {
+		if f.idle >= f.dispatcher.config.ResumeTries {
 			return nil, fault.New(fault.BackendLost, "the stream could not be resumed").WithRan(fault.RanUnknown)
 		}
-		if *idle > 0 && !pause(ctx, f.dispatcher.config.ResumePause) {
+		if f.idle > 0 && !pause(ctx, f.dispatcher.config.ResumePause) {
 			return nil, errCallerGone
 		}
-		*idle++
+		f.idle++
 		f.dispatcher.Counters.Resumes.Add(1)
 		stream, err := f.dispatcher.open(ctx, func(ctx context.Context) (engine.EventStream, error) {
 			return f.dispatcher.Engines.Resume(ctx, f.address, engine.ResumeTarget{
@@ -209,6 +212,19 @@
 	return nil
 }
 
+// misunderstood reports whether a back end refused the request itself, as all
+// others of its kind will.
+func misunderstood(err error) bool {
+	refusal := refusalOf(err)
+	return refusal != nil && refusal.Kind == protocol.RefusalBadRequest
+}
+
+// asBadRequest tells the caller that its request, not the back end, is at fault.
+func asBadRequest(err error) *fault.Fault {
+	return fault.Wrap(err, fault.BadRequest, "the back end cannot take the request").
+		WithRemedy("shorten the prompt or max_tokens, or correct the body; the back end's limits bind")
+}
+
 // pause waits, and reports whether the context is still open.
 func pause(ctx context.Context, duration time.Duration) bool {
 	timer := time.NewTimer(duration)
--- a/internal/dispatch/generation.go
+++ b/internal/dispatch/generation.go
@@ -58,20 +58,16 @@
 		g.chart.Fire(EventCallerGone)
 		return fault.Wrap(err, fault.StreamBroken, "the caller left before the end of the answer").WithRan(ran)
 	}
-	final := *fault.From(err)
 	if g.emitted.Len() > 0 {
-		final = *fault.Wrap(err, fault.StreamBroken, "the answer broke off and no way to go on was found")
-	}
-	final.Ran = ran
-	if final.RetryAfter == 0 {
-		final.RetryAfter = g.dispatcher.config.RetryAfter
+		err = fault.Wrap(err, fault.StreamBroken, "the answer broke off and no way to go on was found")
 	}
+	final := g.dispatcher.withRetryAfter(err).WithRan(ran)
 	if ran == fault.RanYes && g.started {
 		g.chart.Fire(EventGaveUp)
 	} else {
-		g.chart.Fire(finalEvent(&final))
+		g.chart.Fire(finalEvent(final))
 	}
-	return &final
+	return final
 }
 
 func (g *generation) run(ctx context.Context) (Completion, error) {
@@ -103,6 +99,9 @@
 	if g.attempts >= g.dispatcher.config.MaxAttempts {
 		return cause
 	}
+	if misunderstood(cause) {
+		return asBadRequest(cause)
+	}
 	if g.tokens > 0 && g.tokens >= g.job.MaxTokens {
 		// Only the end is missing, and nobody can prove it any more.
 		return cause
--- a/internal/dispatch/generation_test.go
+++ b/internal/dispatch/generation_test.go
@@ -69,18 +69,35 @@
 				job := testJob()
 				job.MaxTokens = c.maxTok
 				var sink textSink
+				began := time.Now()
 				_, err := r.Run(t.Context(), job, &sink)
 				r.Close()
 				is.True(fault.Is(err, c.kind))
 				is.Equal(fault.From(err).Ran, c.ran)
 				is.True(fault.From(err).RetryAfter > 0)
 				is.Equal(sink.text.String(), wholeAnswer()[:sink.text.Len()])
+				is.True(time.Since(began) < 20*time.Second) // virtual: a stall is given up soon
 				is.Equal(r.chart.ends, 1)
 			})
 		})
 	}
 }
 
+// Only resumes that bring nothing count against their bound.
+func TestAnswerIsWholeWhenEveryConnectionBreaksAfterOneEvent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := newRig(damage{kind: "one event a connection"}, "a")
+		r.engines.always = true
+		var sink textSink
+		_, err := r.Run(t.Context(), testJob(), &sink)
+		r.Close()
+		is.NoErr(err)
+		is.Equal(sink.text.String(), wholeAnswer())
+		is.Equal(len(r.engines.generated), 1)
+	})
+}
+
 func TestRefusedBeforeExecutionGoesElsewhereOrIsTrulyNotRun(t *testing.T) {
 	unreachable := fault.New(fault.BackendLost, "no byte left")
 	lost := fault.New(fault.BackendLost, "broke").WithRan(fault.RanUnknown)
@@ -92,6 +109,7 @@
 		"full, then taken":   {refusal(protocol.RefusalFull, "a0"), nil, "", ""},
 		"leaving, unreach":   {refusal(protocol.RefusalLeaving, "a0"), unreachable, fault.NoPermittedEngine, fault.RanNo},
 		"refused, then lost": {refusal(protocol.RefusalFull, "a0"), lost, fault.NoPermittedEngine, fault.RanUnknown},
+		"not understood":     {refusal(protocol.RefusalBadRequest, "a0"), nil, fault.BadRequest, fault.RanNo},
 		"lost, then refused": {lost, refusal(protocol.RefusalFull, "b0"), fault.NoPermittedEngine, fault.RanUnknown},
 	}
 	for name, c := range cases {
@@ -109,6 +127,7 @@
 			}
 			is.True(fault.Is(err, c.kind))
 			is.Equal(fault.From(err).Ran, c.ran)
+			is.Equal(fault.From(err).RetryAfter > 0, c.kind != fault.BadRequest)
 		})
 	}
 }
--- a/internal/dispatch/resume.go
+++ b/internal/dispatch/resume.go
@@ -60,10 +60,11 @@
 }
 
 func (d *Dispatcher) resumeAndRead(ctx context.Context, reader *flow) (*protocol.StreamEvent, error) {
-	idle := 0
-	stream, err := reader.reopen(ctx, &idle)
+	stream, err := reader.reopen(ctx)
 	if err != nil {
 		return nil, err
 	}
+	// The generation may still wait for its first token.
+	reader.idle = 0
 	return reader.run(ctx, stream)
 }
