Test the API over real connections

Measured: go test -race -count=5 of internal/api passes; a header above the limit is answered with 431 by net/http itself, without the JSON error body.

--- a/internal/api/server_test.go
+++ b/internal/api/server_test.go
@@ -378,3 +378,30 @@
 		is.Equal(time.Since(began), defaultWriteTimeout)
 	})
 }
+
+// Over real connections: deadlines of a stream do not outlive it on a
+// connection that is used again, and headers are bounded.
+func TestServerOverTCP(t *testing.T) {
+	is := is.New(t)
+	server := newTestServer(t, &fakeRunner{chunks: []string{"", "Hello"}})
+	listening := httptest.NewUnstartedServer(nil)
+	listening.Config = server.NewHTTPServer()
+	listening.Start()
+	defer listening.Close()
+	for _, extra := range []string{"", "", strings.Repeat("x", 2*defaultMaxHeaderBytes)} {
+		request, err := http.NewRequestWithContext(t.Context(), "POST", listening.URL+"/v1/chat/completions", strings.NewReader(streamBody))
+		is.NoErr(err)
+		request.Header.Set("Authorization", "Bearer key-graz")
+		request.Header.Set("X-Extra", extra)
+		answer, err := listening.Client().Do(request)
+		is.NoErr(err)
+		body, err := io.ReadAll(answer.Body)
+		is.NoErr(err)
+		is.NoErr(answer.Body.Close())
+		if extra != "" {
+			is.Equal(answer.StatusCode, http.StatusRequestHeaderFieldsTooLarge)
+			continue
+		}
+		is.True(strings.HasSuffix(string(body), "data: [DONE]\n\n"))
+	}
+}
