Bound the work of a Pump whose items are held one by one

Ruled out: ending the Pump early and starting anew, which would try the same lines for ever and starve those behind them.

Change: a Pump ends after MaxHeldPerPump (128) such decisions and the next one goes on with the lines not tried yet.

--- a/internal/admission/config.go
+++ b/internal/admission/config.go
@@ -7,10 +7,14 @@
 	// MaxWaitingPerTenant is the most items of one tenant that wait.
 	// Default: a quarter of MaxWaiting, at least 1.
 	MaxWaitingPerTenant int
+	// MaxHeldPerPump is the most items that one Pump finds to be held by
+	// themselves (ItemBlocked) before it ends early. Default: 128.
+	MaxHeldPerPump int
 }
 
 const (
-	defaultMaxWaiting = 8192
+	defaultMaxWaiting     = 8192
+	defaultMaxHeldPerPump = 128
 	// tenantPart is the part of MaxWaiting that one tenant may fill.
 	tenantPart = 4
 	// agingInterval is how often a pool of a class is passed over by
@@ -31,5 +35,8 @@
 	if c.MaxWaitingPerTenant <= 0 {
 		c.MaxWaitingPerTenant = max(1, c.MaxWaiting/tenantPart)
 	}
+	if c.MaxHeldPerPump <= 0 {
+		c.MaxHeldPerPump = defaultMaxHeldPerPump
+	}
 	return c
 }
--- a/internal/admission/item.go
+++ b/internal/admission/item.go
@@ -47,7 +47,7 @@
 	// and no other item of its pool is tried in this Pump.
 	PoolBlocked
 	// ItemBlocked means this one item is held: it stays, and no other item of
-	// its tenant, class and pool is tried in this Pump.
+	// its tenant, class and pool is tried in this round of Pumps.
 	ItemBlocked
 	// Rejected means the item is refused with the verdict's fault.
 	Rejected
--- a/internal/admission/pump.go
+++ b/internal/admission/pump.go
@@ -9,11 +9,13 @@
 //
 // Each pool is tried until its first PoolBlocked, each line of a tenant until
 // its first ItemBlocked, so a Pump without capacity costs one decision a pool.
+// After Config.MaxHeldPerPump times ItemBlocked the Pump ends early, Unfinished
+// is true, and the next Pump goes on with the lines not tried yet.
 func (q *Queue) Pump(now time.Time, decide func(*Item) Verdict) []Refused {
 	refused := q.expire(now, func(expires time.Time) bool { return expires.Before(now) })
 	var blocked []PoolKey
-	var aside []*flow
-	for {
+	held := 0
+	for held < q.config.MaxHeldPerPump {
 		tried, aged := q.next()
 		if tried == nil {
 			break
@@ -26,7 +28,8 @@
 			blocked = append(blocked, tried.item.Pool)
 			q.setBlocked(tried.item.Pool, true)
 		case ItemBlocked:
-			aside = append(aside, tried.flow)
+			held++
+			q.aside = append(q.aside, tried.flow)
 			tried.flow.pool.flows.remove(tried.flow)
 			tried.flow.pool.level.refresh(tried.flow.pool)
 		default:
@@ -38,12 +41,27 @@
 	for _, key := range blocked {
 		q.setBlocked(key, false)
 	}
-	for _, line := range aside {
-		line.pool.level.activate(line)
+	q.unfinished = held == q.config.MaxHeldPerPump
+	if !q.unfinished {
+		q.restoreAside()
 	}
 	return append(refused, q.Expire(now)...)
 }
 
+// Unfinished reports whether the last Pump ended before every line was tried.
+func (q *Queue) Unfinished() bool { return q.unfinished }
+
+// restoreAside puts the lines that were set aside, and still wait, back.
+func (q *Queue) restoreAside() {
+	for _, line := range q.aside {
+		if line.count > 0 {
+			line.pool.level.activate(line)
+		}
+	}
+	clear(q.aside)
+	q.aside = q.aside[:0]
+}
+
 // next returns the item whose turn it is, and whether it is out of turn for
 // the starvation bound.
 func (q *Queue) next() (*entry, bool) {
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -49,7 +49,10 @@
 	sequence  uint64
 	// sinceAged counts dispatches since the last out of turn.
 	sinceAged int
-	counters  Counters
+	// aside holds the lines set aside by the current round of Pumps.
+	aside      []*flow
+	unfinished bool
+	counters   Counters
 }
 
 // NewQueue returns an empty queue.
