Test that a stopping keeper records what waits

Cause: the drain at a stop was not tested.

Change: one test: an outcome that could not be recorded before the stop is recorded after it in spite of an outage, and new claims are refused.

Measured: fails when Run ends with its context, passes as it stands.

--- a/internal/claim/keeper_test.go
+++ b/internal/claim/keeper_test.go
@@ -196,3 +196,26 @@
 	is.Equal(answers[0].Fault.Kind, fault.StoreUnavailable)
 	is.Equal(answers[0].Fault.RetryAfter, time.Minute)
 }
+
+func TestStopRecordsWhatWaitsAndRefusesTheRest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		table := newFaultyTable(append([]exchange{goesWell}, repeated(outage, 4)...)...)
+		keeper := NewKeeper(table, "router-1", Config{})
+		ctx, cancel := context.WithCancel(context.Background())
+		go keeper.Run(ctx)
+		grant, err := keeper.Claim(ctx, booking, "digest")
+		is.NoErr(err)
+		brief, stopWaiting := context.WithTimeout(ctx, time.Millisecond)
+		defer stopWaiting()
+		err = keeper.Finish(brief, booking, grant.Record.ClaimID, Outcome{Ran: fault.RanYes, Status: 200})
+		is.True(fault.Is(err, fault.StoreUnavailable))
+		is.Equal(fault.From(err).Ran, fault.RanYes)
+		cancel()
+		synctest.Wait()
+		_, err = keeper.Claim(context.Background(), booking, "digest")
+		is.True(fault.Is(err, fault.Leaving))
+		time.Sleep(time.Minute)
+		is.Equal(table.heal(booking), StateRan) // recorded after the stop, in spite of the outage
+	})
+}
