Prove that disputes are settled by the table, and the bounds of hostile files

Cause: two guards could be taken out without a test failing: the dispute of two digests heard for one version, and the bound on YAML nodes. Change: a table of disputes; hostile files must be refused for the stated reason.

--- a/internal/fleet/adopter_test.go
+++ b/internal/fleet/adopter_test.go
@@ -196,3 +196,45 @@
 		}
 	}
 }
+
+// TestTheTableSettlesDisputes: of two digests heard for one version, neither is
+// taken before the table has named one; and if the wrong one is in force
+// already, the table's replaces it.
+func TestTheTableSettlesDisputes(t *testing.T) {
+	world := newAdopterWorld(2)
+	truth, other := world.pair(2), Pair{Version: 2, Digest: DigestOf(world.never[1])}
+	cases := []struct {
+		name  string
+		heard []Pair
+		want  Pair
+	}{
+		{"heard together", []Pair{other, truth}, Pair{}},
+		{"wrong one alone", []Pair{other}, other},
+		{"right one alone", []Pair{truth}, truth},
+	}
+	for _, test := range cases {
+		now := time.Unix(1000, 0)
+		adopter := NewAdopter(now, func() float64 { return 0.5 })
+		adopter.SetSurroundings(now, Surroundings{Members: 3, Peers: []Peer{{Address: "p1"}, {Address: "p2"}}})
+		run := func() {
+			for _, action := range adopter.Tick(now) {
+				if action.Kind == ActionFetchBody {
+					adopter.BodyReceived(now, world.byDigest[action.Pair.Digest])
+				}
+			}
+		}
+		adopter.PollFailed(now, 0)
+		for index, pair := range test.heard {
+			adopter.Heard(now, pair, fmt.Sprint("p", index+1))
+		}
+		run()
+		if adopter.Current() != test.want {
+			t.Errorf("%s: in force %v before the table answered, want %v", test.name, adopter.Current(), test.want)
+		}
+		adopter.HeadPolled(now, truth, true)
+		run()
+		if adopter.Current() != truth {
+			t.Errorf("%s: in force %v after the table answered, want %v", test.name, adopter.Current(), truth)
+		}
+	}
+}
--- a/internal/fleet/parse_test.go
+++ b/internal/fleet/parse_test.go
@@ -131,15 +131,16 @@
 	bomb := "schema: fieldpond/v1\nname: &n [" + strings.Repeat("a,", 3000) + "]\ntenants:\n  - &t {places: *n}\n" + strings.Repeat("  - *t\n", 3000)
 	cases := map[string]string{
 		"empty": "", "comment": "# nothing", "not YAML": "a: [", "scalar": "7", "two documents": "a: 1\n---\nb: 2\n",
-		"cycle": "tenants: &a\n  - *a\n", "nodes": strings.Repeat("- ", 3<<20), "aliases": bomb, "large": strings.Repeat(" ", MaxFileBytes+1),
+		"cycle": "tenants: &a\n  - *a\n", "nodes": "a: [" + strings.Repeat("b,", maxStructure) + "]", "depth": strings.Repeat("- ", 1<<20), "aliases": bomb, "large": strings.Repeat(" ", MaxFileBytes+1),
 	}
+	messages := map[string]string{"aliases": "unfolds into too many nodes", "nodes": "too many YAML nodes", "large": "above the limit"}
 	for name, text := range cases {
 		document, problems := Parse([]byte(text), name)
 		if document != nil || len(problems.Errors()) == 0 {
 			t.Errorf("%s: accepted", name)
 		}
-		if name == "aliases" && !strings.Contains(problems.Err().Error(), "unfolds into too many nodes") {
-			t.Errorf("aliases are not bounded: %v", problems.Err())
+		if want := messages[name]; !strings.Contains(problems.Err().Error(), want) {
+			t.Errorf("%s: %v does not say %q", name, problems.Err(), want)
 		}
 	}
 }
