--- a/internal/prefix/beliefs/credit.go
+++ b/internal/prefix/beliefs/credit.go
@@ -28,7 +28,7 @@
 	// toldProbability is the prior of what the directory told.
 	toldProbability = 0.95
 	// expectedProbability is the prior of a block being filled by a dispatch.
-	expectedProbability = 0.9
+	expectedProbability = 0.98
 	// gapFactor is what one gap in the events leaves of the trust in them.
 	gapFactor = 0.5
 	// presenceFloor is the probability below which a block counts as absent.
--- a/internal/prefix/beliefs/store_test.go
+++ b/internal/prefix/beliefs/store_test.go
@@ -131,7 +131,7 @@
 	later := start.Add(20 * time.Second)
 	store := newStore(t, beliefs.Config{ExpectationLifetime: 10 * time.Second})
 	store.Dispatched(start, engine, first, chain)
-	is.Equal(store.At(start).Credit(engine, first, chain), 36.0) // expected soon
+	is.Equal(store.At(start).Credit(engine, first, chain), 39.2) // expected soon
 	is.Equal(store.At(later).Credit(engine, first, chain), 0.0)  // and never answered
 
 	store.Answered(start, engine, first, chain, 0)
--- a/internal/routing/bench_test.go
+++ b/internal/routing/bench_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/fieldpond/fieldpond/internal/ident"
 	"github.com/fieldpond/fieldpond/internal/prefix"
+	"github.com/fieldpond/fieldpond/internal/prefix/beliefs"
 	"github.com/fieldpond/fieldpond/internal/routing"
 	"github.com/fieldpond/fieldpond/internal/routing/framework"
 )
@@ -56,3 +57,37 @@
 	}
 	return request, snapshot
 }
+
+// BenchmarkScheduleWithBeliefs measures one decision with credits out of a
+// store of beliefs in which every eighth engine holds the prefix.
+func BenchmarkScheduleWithBeliefs(b *testing.B) {
+	for _, engines := range []int{12, 100, 860} {
+		b.Run(fmt.Sprint("engines=", engines), func(b *testing.B) {
+			request, snapshot := benchCase(engines)
+			snapshot.Generation = 1
+			now := time.Date(2026, 3, 2, 8, 0, 0, 0, time.UTC)
+			store, err := beliefs.New(beliefs.Config{}, now)
+			if err != nil {
+				b.Fatal(err)
+			}
+			for index := range snapshot.Endpoints {
+				endpoint := &snapshot.Endpoints[index]
+				store.Incarnation(endpoint.Engine, endpoint.Incarnation)
+				if index%8 == 0 {
+					store.Answered(now, endpoint.Engine, endpoint.Incarnation, request.Chains["v"], 0)
+				}
+			}
+			scheduler, err := routing.NewPredictive(routing.Config{})
+			if err != nil {
+				b.Fatal(err)
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				snapshot.Credits = store.At(now)
+				if decision := scheduler.Schedule(request, snapshot); decision.Action != framework.Dispatch {
+					b.Fatal(decision)
+				}
+			}
+		})
+	}
+}
--- a/internal/routing/config.go
+++ b/internal/routing/config.go
@@ -21,6 +21,10 @@
 	// TieShare widens the tolerance to this share of the time to prefill the
 	// whole prompt. Default: 0.05.
 	TieShare float64
+	// RecomputationFloor is the recomputation weight of services that ask for
+	// less: without one, a burst for a new prefix is recomputed on every idle
+	// engine, which delays others. Default: 0.25.
+	RecomputationFloor float64
 	// Window is the number of candidates that are scored, the highest ranking
 	// ones for the prompt's leading blocks; at most 128. Default: 32.
 	Window int
@@ -36,6 +40,7 @@
 	defaultRequestDuration = 2 * time.Second
 	defaultTieTolerance    = 5 * time.Millisecond
 	defaultTieShare        = 0.05
+	defaultFloor           = 0.25
 	defaultWindow          = 32
 	defaultMinMoveTokens   = 512
 )
@@ -44,6 +49,8 @@
 // shortlist may be dead, leaving or excluded before all endpoints are looked at.
 const shortlistFactor = 2
 
+const maxFloor = 100
+
 const maxWindow = rendezvous.MaxTop / shortlistFactor
 
 func withDefaults(config Config) Config {
@@ -59,6 +66,9 @@
 	if config.TieShare == 0 {
 		config.TieShare = defaultTieShare
 	}
+	if config.RecomputationFloor == 0 {
+		config.RecomputationFloor = defaultFloor
+	}
 	if config.Window == 0 {
 		config.Window = defaultWindow
 	}
@@ -76,6 +86,8 @@
 		return fault.New(fault.InvalidSettings, "routing window %d is outside 0 to %d", c.Window, maxWindow)
 	case c.TieShare < 0 || c.TieShare > 1:
 		return fault.New(fault.InvalidSettings, "routing tie share %g is outside 0 to 1", c.TieShare)
+	case c.RecomputationFloor < 0 || c.RecomputationFloor > maxFloor:
+		return fault.New(fault.InvalidSettings, "routing recomputation floor %g is outside 0 to %d", c.RecomputationFloor, maxFloor)
 	case c.DefaultPrefillPerToken < 0 || c.RequestDuration < 0 || c.TieTolerance < 0 || c.TransferPerToken < 0 || c.MinMoveTokens < 0:
 		return fault.New(fault.InvalidSettings, "a routing time or token count is negative")
 	}
--- /dev/null
+++ b/internal/routing/load/tracker.go
@@ -0,0 +1,173 @@
+// Package load estimates an engine's queue at the time of a decision from its
+// last, lagging report and from this router's own dispatches since.
+package load
+
+import (
+	"slices"
+	"time"
+
+	"github.com/fieldpond/fieldpond/internal/engine/protocol"
+	"github.com/fieldpond/fieldpond/internal/ident"
+	"github.com/fieldpond/fieldpond/internal/routing/framework"
+)
+
+// maxFinishedAge is how long an ended attempt is remembered while no report
+// says that it is accounted for.
+const maxFinishedAge = 30 * time.Second
+
+// Attempt names one attempt of a request.
+type Attempt struct {
+	Request ident.Request
+	Number  ident.Attempt
+}
+
+// Tracker follows one incarnation of one engine. A new incarnation gets a new
+// Tracker. It is used by one goroutine at a time.
+type Tracker struct {
+	// defaultPrefill is the slope until the engine has told its own.
+	defaultPrefill time.Duration
+	report         protocol.LoadReport
+	// measured is when the report was true, on this router's clock; zero
+	// before the first report.
+	measured time.Time
+	// own lists this router's attempts in the order of their dispatch.
+	own []attempt
+}
+
+type attempt struct {
+	key        Attempt
+	tokens     float64
+	dispatched time.Time
+	// prefilled and finished are zero until the first token and the end.
+	prefilled, finished time.Time
+}
+
+// NewTracker returns a Tracker that assumes the given prefill time per token
+// until the engine has told its own.
+func NewTracker(defaultPrefillPerToken time.Duration) *Tracker {
+	return &Tracker{defaultPrefill: defaultPrefillPerToken}
+}
+
+// Report takes a load report received now. One that is older than the last is
+// ignored.
+func (t *Tracker) Report(now time.Time, report protocol.LoadReport) {
+	measured := now.Add(-time.Duration(max(0, report.AgeMillis)) * time.Millisecond)
+	if measured.Before(t.measured) {
+		return
+	}
+	t.report, t.measured = report, measured
+	t.forget(measured)
+}
+
+// Dispatched records an attempt sent now with the prompt tokens that the
+// engine is expected to prefill: those not credited.
+func (t *Tracker) Dispatched(now time.Time, key Attempt, tokens float64) {
+	t.forget(now.Add(-maxFinishedAge))
+	t.own = append(t.own, attempt{key: key, tokens: max(0, tokens), dispatched: now})
+}
+
+// FirstToken records that an attempt's prefill is done.
+func (t *Tracker) FirstToken(now time.Time, key Attempt) {
+	if own := t.find(key); own != nil && own.prefilled.IsZero() {
+		own.prefilled = now
+	}
+}
+
+// Finished records the end of an attempt, however it ended.
+func (t *Tracker) Finished(now time.Time, key Attempt) {
+	if own := t.find(key); own != nil && own.finished.IsZero() {
+		own.finished = now
+	}
+}
+
+// Load returns the estimate as of now. ConcurrencyLimit is left zero.
+func (t *Tracker) Load(now time.Time) framework.Load {
+	estimate := framework.Load{
+		MaxRunning:          t.report.MaxRunning,
+		PrefillPerToken:     t.slope(),
+		QueuedPrefillTokens: t.queued(now),
+	}
+	if !t.measured.IsZero() {
+		estimate.ReportAge = now.Sub(t.measured)
+	}
+	requests := t.report.Running + t.report.Waiting
+	for index := range t.own {
+		own := &t.own[index]
+		reported := !t.measured.IsZero() && !own.dispatched.After(t.measured)
+		switch {
+		case own.finished.IsZero():
+			estimate.OwnInFlight++
+			if !reported {
+				requests++
+			}
+		case reported && own.finished.After(t.measured):
+			requests--
+		}
+	}
+	estimate.Running = max(0, requests)
+	if limit := t.report.MaxRunning; limit > 0 && requests > limit {
+		estimate.Running, estimate.Waiting = limit, requests-limit
+	}
+	return estimate
+}
+
+// queued plays the engine's prefill queue forward: it drains at the slope from
+// what was reported and grows with each dispatch since. An attempt that has
+// had its first token proves that all before it is done.
+func (t *Tracker) queued(now time.Time) float64 {
+	tokens, at := float64(t.report.QueuedPrefillTokens), t.measured
+	for index := range t.own {
+		own := &t.own[index]
+		if !own.dispatched.After(t.measured) {
+			continue
+		}
+		if !own.prefilled.IsZero() {
+			tokens, at = 0, own.prefilled
+			continue
+		}
+		if !own.finished.IsZero() {
+			continue
+		}
+		tokens = t.drained(tokens, own.dispatched.Sub(at)) + own.tokens
+		at = later(at, own.dispatched)
+	}
+	return t.drained(tokens, now.Sub(at))
+}
+
+func (t *Tracker) drained(tokens float64, elapsed time.Duration) float64 {
+	slope := t.slope()
+	if elapsed <= 0 || slope <= 0 || tokens <= 0 {
+		return max(0, tokens)
+	}
+	return max(0, tokens-float64(elapsed)/float64(slope))
+}
+
+func (t *Tracker) slope() time.Duration {
+	if t.report.PrefillMicrosPerToken > 0 {
+		return time.Duration(t.report.PrefillMicrosPerToken * float64(time.Microsecond))
+	}
+	return t.defaultPrefill
+}
+
+func (t *Tracker) find(key Attempt) *attempt {
+	for index := range t.own {
+		if t.own[index].key == key {
+			return &t.own[index]
+		}
+	}
+	return nil
+}
+
+// forget drops attempts that ended before a time.
+func (t *Tracker) forget(before time.Time) {
+	t.own = slices.DeleteFunc(t.own, func(own attempt) bool {
+		return !own.finished.IsZero() && own.finished.Before(before)
+	})
+}
+
+func later(first, second time.Time) time.Time {
+	if first.After(second) {
+		return first
+	}
+	return second
+}
--- a/internal/routing/policies.go
+++ b/internal/routing/policies.go
@@ -18,7 +18,7 @@
 	pipeline := newPipeline("predictive",
 		picker.LowestCost{Tolerance: config.TieTolerance, ToleranceShare: config.TieShare, DefaultPrefillPerToken: slope},
 		scorer.TimeToFirstToken{DefaultPrefillPerToken: slope, RequestDuration: config.RequestDuration},
-		scorer.Recomputation{DefaultPrefillPerToken: slope})
+		scorer.Recomputation{DefaultPrefillPerToken: slope, Floor: config.RecomputationFloor})
 	pipeline.window = filter.Window{Size: config.Window}
 	pipeline.shortlists.size = shortlistFactor * config.Window
 	pipeline.credits = true
--- a/internal/routing/policies_test.go
+++ b/internal/routing/policies_test.go
@@ -181,7 +181,8 @@
 		want   ident.Engine
 	}{
 		{"short wait", 1000, 0, "home"},
-		{"wait above one recomputation", held + 100, 0, "second"},
+		{"wait of one recomputation", held + 100, 0, "home"},
+		{"wait above one and a quarter", 1.25*held + 100, 0, "second"},
 		{"the weight keeps it home", held + 100, 1, "home"},
 		{"a long wait beats the weight", 2*held + 100, 1, "second"},
 	}
@@ -236,7 +237,7 @@
 }
 
 func TestConfigIsChecked(t *testing.T) {
-	for _, config := range []routing.Config{{Window: -1}, {Window: 999}, {TieShare: 2}, {TransferPerToken: -1}} {
+	for _, config := range []routing.Config{{Window: -1}, {Window: 999}, {RecomputationFloor: -1}, {TieShare: 2}, {TransferPerToken: -1}} {
 		_, err := routing.NewPredictive(config)
 		is.New(t).True(fault.Is(err, fault.InvalidSettings))
 	}
--- a/internal/routing/scorer/recomputation.go
+++ b/internal/routing/scorer/recomputation.go
@@ -12,6 +12,9 @@
 type Recomputation struct {
 	// DefaultPrefillPerToken is the slope of an engine that has not told its own.
 	DefaultPrefillPerToken time.Duration
+	// Floor is the weight of services that ask for less. Recomputing takes
+	// engine time from other requests, so it is never free.
+	Floor float64
 }
 
 // Name implements framework.Scorer.
@@ -19,7 +22,8 @@
 
 // Score implements framework.Scorer.
 func (s Recomputation) Score(request *framework.Request, _ *framework.Snapshot, candidates []framework.Candidate) {
-	if request.RecomputationWeight <= 0 {
+	weight := max(request.RecomputationWeight, s.Floor)
+	if weight <= 0 {
 		return
 	}
 	best := 0.0
@@ -30,6 +34,6 @@
 		candidate := &candidates[index]
 		slope := Slope(&candidate.Endpoint.Load, s.DefaultPrefillPerToken)
 		wasted := (best - candidate.CreditTokens) * float64(slope)
-		candidate.Cost += time.Duration(request.RecomputationWeight * wasted)
+		candidate.Cost += time.Duration(weight * wasted)
 	}
 }
--- a/internal/routing/scorer/scorer_test.go
+++ b/internal/routing/scorer/scorer_test.go
@@ -47,4 +47,7 @@
 	plugin.Score(&framework.Request{RecomputationWeight: 1.5}, nil, list)
 	is.Equal(list[0].Cost, time.Duration(0))
 	is.Equal(list[1].Cost, 750*ms)
+	plugin.Floor = 2
+	plugin.Score(&framework.Request{RecomputationWeight: 1.5}, nil, list)
+	is.Equal(list[1].Cost, 1750*ms)
 }
