Add membership by gossip as a machine without I/O

Cause: every router must know who is alive, leaving or dead, and must hear of a leaving back end within 3 s, at 390 nodes and within 2 KB/s a node.

Change: a SWIM-style machine (probes near and far, indirect probes, suspicion, refutation, leaving), piggybacked rumours, signs and fleet head, anti-entropy by 64 salted bucket digests, an authenticated CBOR datagram, and a simulated network of virtual time.

Ruled out: full-state push-pull (35 KB an exchange at 390 members); believing accusations found by a sync (after a healed split whole regions would stand accused and refute against the clock); such an accusation is now put to the accused by the next probe.

--- /dev/null
+++ b/internal/membership/machine.go
@@ -0,0 +1,300 @@
+package membership
+
+import (
+	"math"
+	"math/rand"
+	"slices"
+	"time"
+
+	"github.com/fieldpond/fieldpond/internal/fault"
+	"github.com/fieldpond/fieldpond/internal/ident"
+)
+
+// Timing holds the periods of the protocol. The zero value of a field means
+// its default.
+type Timing struct {
+	// ProbePeriod is the time between two probes of this router (1 s).
+	ProbePeriod time.Duration
+	// ProbeTimeout is how long a direct probe waits before others are asked (400 ms).
+	ProbeTimeout time.Duration
+	// SyncPeriod is the time between two anti-entropy exchanges (10 s).
+	SyncPeriod time.Duration
+	// ReconnectPeriod is the time between two tries to reach a dead or unknown
+	// seed or member (15 s).
+	ReconnectPeriod time.Duration
+	// DeadRetention is how long a dead member is remembered (15 min).
+	DeadRetention time.Duration
+	// SignRetention is how long a sign is remembered (60 s).
+	SignRetention time.Duration
+}
+
+func (t Timing) withDefaults() Timing {
+	orDefault := func(value *time.Duration, usual time.Duration) {
+		if *value <= 0 {
+			*value = usual
+		}
+	}
+	orDefault(&t.ProbePeriod, time.Second)
+	orDefault(&t.ProbeTimeout, 400*time.Millisecond)
+	orDefault(&t.SyncPeriod, 10*time.Second)
+	orDefault(&t.ReconnectPeriod, 15*time.Second)
+	orDefault(&t.DeadRetention, 15*time.Minute)
+	orDefault(&t.SignRetention, time.Minute)
+	return t
+}
+
+const (
+	// suspicionMultiplier scales the suspicion timeout with log10(members).
+	suspicionMultiplier = 4
+	// briefMultiplier and fullMultiplier scale how often a rumour is sent with
+	// log10(members).
+	briefMultiplier = 3
+	fullMultiplier  = 1
+	// maxMembers and maxSeeds bound the machine's memory.
+	maxMembers = 4096
+	maxSeeds   = 1024
+	// stallPeriods is how many probe periods without a tick mean that this
+	// process itself was paused, so that nobody else is to blame.
+	stallPeriods = 3
+	// joinPeriods is how many probe periods a router counts as joining at most.
+	joinPeriods = 10
+)
+
+// record is a member with this router's own timers about it.
+type record struct {
+	Member
+	// changed is when State was last set.
+	changed time.Time
+	// condemnedAt is when a suspicion turns into death; zero means none runs.
+	condemnedAt time.Time
+}
+
+// Machine is the membership protocol without I/O: inputs are messages and
+// times, outputs are read by Ready. It is not safe for concurrent use. With
+// the same inputs and the same random source it gives the same outputs.
+type Machine struct {
+	timing Timing
+	random *rand.Rand
+	now    time.Time
+	// records is sorted by node name and contains this router itself.
+	records []*record
+	self    *record
+	seeds   []string
+	head    FleetHead
+	left    bool
+	joined  bool
+	started time.Time
+	// nextSweep is when the timers of all records are looked at again.
+	nextSweep time.Time
+
+	probing probing
+	gossip  gossip
+	syncing syncing
+	output  Output
+}
+
+// Output is what a shell must do after each input.
+type Output struct {
+	Messages []Envelope
+	Events   []Event
+}
+
+// NewMachine returns the machine of a router that knows only itself. The
+// incarnation of self must exceed that of its former lives; its start time in
+// milliseconds does.
+func NewMachine(now time.Time, self Member, timing Timing, random *rand.Rand) (*Machine, error) {
+	rumour := Rumour(self)
+	if !rumour.sound() || self.GossipAddress == "" {
+		return nil, fault.New(fault.InvalidSettings, "the router's name %q, zone or addresses are empty or too long", self.Node).
+			WithRemedy("set node, zone and addresses in the settings file")
+	}
+	self.State = Alive
+	machine := &Machine{timing: timing.withDefaults(), random: random, now: now, started: now}
+	machine.self = &record{Member: self, changed: now}
+	machine.records = []*record{machine.self}
+	period := machine.timing.ProbePeriod
+	machine.probing.next = now.Add(time.Duration(random.Int63n(int64(period))))
+	machine.probing.relays = map[uint64]relay{}
+	machine.probing.sequence = random.Uint64() >> 32
+	machine.gossip.signs = map[signKey]*heldSign{}
+	machine.gossip.urgentTokens = urgentBurst
+	machine.syncing.tokens = syncBurst
+	machine.syncing.next = now.Add(period)
+	machine.syncing.interval = period
+	machine.syncing.nextReconnect = now
+	machine.enqueue(machine.self, false)
+	return machine, nil
+}
+
+// Ready returns and clears what the inputs since the last call ask for.
+func (m *Machine) Ready() Output {
+	output := m.output
+	m.output = Output{}
+	return output
+}
+
+// View returns a snapshot of the members, dead ones included while remembered.
+func (m *Machine) View() View {
+	view := View{Self: m.self.Node, Members: make([]Member, len(m.records))}
+	for i, each := range m.records {
+		view.Members[i] = each.Member
+	}
+	return view
+}
+
+// Head returns the newest fleet version known of.
+func (m *Machine) Head() FleetHead { return m.head }
+
+// AddSeeds adds gossip addresses at which other routers may be found.
+func (m *Machine) AddSeeds(addresses []string) {
+	for _, address := range addresses {
+		known := address == "" || len(address) > maxAddress || address == m.self.GossipAddress || slices.Contains(m.seeds, address)
+		if known {
+			continue
+		}
+		if len(m.seeds) == maxSeeds {
+			m.seeds = slices.Delete(m.seeds, 0, 1)
+		}
+		m.seeds = append(m.seeds, address)
+	}
+}
+
+// SetFleetVersion records the fleet version that this router has in force.
+// Lower versions than the present one are ignored.
+func (m *Machine) SetFleetVersion(now time.Time, version uint64, digest string) {
+	m.advance(now)
+	if version <= m.self.FleetVersion {
+		return
+	}
+	m.self.FleetVersion = version
+	m.enqueue(m.self, true)
+	m.event(Event{Kind: MemberChanged, Member: m.self.Member})
+	m.raiseHead(FleetHead{Version: version, Digest: digest, Holder: m.self.Node})
+}
+
+// Leave announces that this router stops. It keeps answering until Depart.
+func (m *Machine) Leave(now time.Time) {
+	m.advance(now)
+	if m.self.State != Alive {
+		return
+	}
+	m.self.State = Leaving
+	m.renew(m.self.Incarnation)
+	m.spreadNow()
+}
+
+// Depart tells a few members that this router is gone. It is the last input.
+func (m *Machine) Depart(now time.Time) {
+	m.advance(now)
+	m.left = true
+	m.self.State = Dead
+	m.renew(m.self.Incarnation)
+	m.spreadNow()
+}
+
+// Tick advances the timers. Call it at least four times a probe period.
+func (m *Machine) Tick(now time.Time) {
+	if m.left {
+		return
+	}
+	gap := now.Sub(m.now)
+	m.advance(now)
+	if gap > stallPeriods*m.timing.ProbePeriod {
+		m.forgive(gap)
+	}
+	m.checkProbes()
+	if !now.Before(m.nextSweep) {
+		m.nextSweep = now.Add(m.timing.ProbePeriod)
+		m.condemn()
+		m.forget()
+		m.expireSigns()
+	}
+	if !now.Before(m.probing.next) {
+		m.probing.next = now.Add(m.timing.ProbePeriod)
+		m.probeRound()
+	}
+	m.syncRound()
+}
+
+// Step takes one message that came from the given source address.
+func (m *Machine) Step(now time.Time, source string, message *Message) {
+	m.advance(now)
+	if m.left || message.From == m.self.Node {
+		return
+	}
+	hearsay := message.Kind == KindMembers
+	for i := range message.Rumours {
+		m.merge(message.Rumours[i], hearsay)
+	}
+	m.takeSigns(message.Signs)
+	if message.Head != nil {
+		m.raiseHead(*message.Head)
+	}
+	switch message.Kind {
+	case KindPing:
+		m.answerPing(source, message)
+	case KindAck:
+		m.takeAck(message)
+	case KindPingRequest:
+		m.relayProbe(source, message)
+	case KindSync, KindSyncAnswer:
+		m.answerSync(source, message)
+	}
+	settled := message.Kind == KindSyncAnswer || message.Kind == KindMembers
+	m.joined = m.joined || (settled && !message.Joining)
+}
+
+// joining says that this router has not met a router that knows the cluster.
+// When all start at once nobody does, so it ends after a time by itself.
+func (m *Machine) joining() bool {
+	return !m.joined && m.now.Sub(m.started) < joinPeriods*m.timing.ProbePeriod
+}
+
+// advance moves the clock, which never runs backwards.
+func (m *Machine) advance(now time.Time) {
+	if now.After(m.now) {
+		m.refill(now.Sub(m.now))
+		m.now = now
+	}
+}
+
+// forgive drops what a pause of this process made look like others' silence.
+func (m *Machine) forgive(gap time.Duration) {
+	m.probing.pending = nil
+	for _, each := range m.records {
+		if !each.condemnedAt.IsZero() {
+			each.condemnedAt = each.condemnedAt.Add(gap)
+		}
+	}
+}
+
+func (m *Machine) find(node ident.Node) *record {
+	index, found := m.search(node)
+	if !found {
+		return nil
+	}
+	return m.records[index]
+}
+
+func (m *Machine) search(node ident.Node) (int, bool) {
+	return slices.BinarySearchFunc(m.records, node, func(each *record, name ident.Node) int {
+		switch {
+		case each.Node < name:
+			return -1
+		case each.Node > name:
+			return 1
+		}
+		return 0
+	})
+}
+
+func (m *Machine) event(event Event) { m.output.Events = append(m.output.Events, event) }
+
+// scale is the logarithmic factor of the timeouts and retransmissions.
+func (m *Machine) scale() float64 {
+	return max(1, math.Log10(float64(len(m.records)+1)))
+}
+
+func (m *Machine) suspicionTimeout() time.Duration {
+	return time.Duration(suspicionMultiplier * m.scale() * float64(m.timing.ProbePeriod))
+}
--- /dev/null
+++ b/internal/membership/probe.go
@@ -0,0 +1,227 @@
+package membership
+
+import (
+	"slices"
+	"time"
+
+	"github.com/fieldpond/fieldpond/internal/ident"
+)
+
+const (
+	// indirectProbes is how many others are asked to probe a silent member.
+	indirectProbes = 3
+	// ownZoneShare of roundsOf probe rounds go to the router's own zone.
+	ownZoneShare = 3
+	roundsOf     = 4
+	// doubtsPerRound bounds the extra probes of accused members.
+	doubtsPerRound = 3
+	maxDoubts      = 512
+	maxRelays      = 256
+	// verdictTimeouts is after how many probe timeouts a probe has failed.
+	verdictTimeouts = 3
+)
+
+// probing is the part of the machine that finds out who answers.
+type probing struct {
+	next     time.Time
+	sequence uint64
+	round    int
+	// near and far are the random permutations still to be probed.
+	near, far []ident.Node
+	pending   []probe
+	doubts    []Rumour
+	relays    map[uint64]relay
+}
+
+type probe struct {
+	target   ident.Node
+	sequence uint64
+	sent     time.Time
+	indirect bool
+}
+
+type relay struct {
+	source   string
+	sequence uint64
+	expires  time.Time
+}
+
+// probeRound sends the probes of one period.
+func (m *Machine) probeRound() {
+	m.probing.round++
+	if target := m.nextTarget(m.probing.round%roundsOf < ownZoneShare); target != nil {
+		m.probe(target)
+	}
+	for range doubtsPerRound {
+		if len(m.probing.doubts) == 0 {
+			return
+		}
+		accusation := m.probing.doubts[0]
+		m.probing.doubts = m.probing.doubts[1:]
+		held := m.find(accusation.Node)
+		if held == nil || held.State == Dead || held.Incarnation > accusation.Incarnation {
+			continue
+		}
+		m.probe(held, accusation)
+	}
+}
+
+// nextTarget takes the next member of the near or far permutation, or of the
+// other one when that has none.
+func (m *Machine) nextTarget(near bool) *record {
+	for range 2 {
+		pool := &m.probing.far
+		if near {
+			pool = &m.probing.near
+		}
+		if target := m.takeFrom(pool); target != nil {
+			return target
+		}
+		*pool = m.permutation(near)
+		if target := m.takeFrom(pool); target != nil {
+			return target
+		}
+		near = !near
+	}
+	return nil
+}
+
+func (m *Machine) takeFrom(pool *[]ident.Node) *record {
+	for len(*pool) > 0 {
+		target := m.find((*pool)[0])
+		*pool = (*pool)[1:]
+		if target != nil && target.State != Dead {
+			return target
+		}
+	}
+	return nil
+}
+
+func (m *Machine) permutation(near bool) []ident.Node {
+	var names []ident.Node
+	for _, each := range m.records {
+		if each != m.self && each.State != Dead && (each.Zone == m.self.Zone) == near {
+			names = append(names, each.Node)
+		}
+	}
+	m.random.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
+	return names
+}
+
+// probe pings a member. Accusations against it come first in the message, so
+// that the member can refute them.
+func (m *Machine) probe(target *record, accusations ...Rumour) {
+	if target.State == Suspect {
+		accusations = append(accusations, compact(target.Member))
+	}
+	m.probing.sequence++
+	m.probing.pending = append(m.probing.pending, probe{target: target.Node, sequence: m.probing.sequence, sent: m.now})
+	m.send(target.GossipAddress, Message{
+		Kind: KindPing, Sequence: m.probing.sequence, Target: target.Node, Rumours: accusations,
+	})
+}
+
+// doubt puts a member first in line for a probe with the accusation in it.
+func (m *Machine) doubt(accusation Rumour) {
+	known := slices.ContainsFunc(m.probing.doubts, func(each Rumour) bool { return each.Node == accusation.Node })
+	if known || len(m.probing.doubts) >= maxDoubts {
+		return
+	}
+	m.probing.doubts = append(m.probing.doubts, accusation)
+}
+
+// checkProbes asks others about silent members and suspects those that no one
+// could reach.
+func (m *Machine) checkProbes() {
+	kept := m.probing.pending[:0]
+	for _, each := range m.probing.pending {
+		target := m.find(each.target)
+		waited := m.now.Sub(each.sent)
+		if target == nil || target.State == Dead {
+			continue
+		}
+		if waited >= verdictTimeouts*m.timing.ProbeTimeout {
+			m.suspect(target)
+			continue
+		}
+		if !each.indirect && waited >= m.timing.ProbeTimeout {
+			each.indirect = true
+			m.askOthers(target, each.sequence)
+		}
+		kept = append(kept, each)
+	}
+	m.probing.pending = kept
+	for sequence, each := range m.probing.relays {
+		if m.now.After(each.expires) {
+			delete(m.probing.relays, sequence)
+		}
+	}
+}
+
+func (m *Machine) askOthers(target *record, sequence uint64) {
+	for _, helper := range m.sample(indirectProbes, target.Node) {
+		m.send(helper.GossipAddress, Message{
+			Kind: KindPingRequest, Sequence: sequence, Target: target.Node, TargetAddress: target.GossipAddress,
+		})
+	}
+}
+
+// sample returns up to count random members that are not dead, without this
+// router and the one excepted.
+func (m *Machine) sample(count int, except ident.Node) []*record {
+	var candidates []*record
+	for _, each := range m.records {
+		if each != m.self && each.State != Dead && each.Node != except {
+			candidates = append(candidates, each)
+		}
+	}
+	m.random.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
+	return candidates[:min(count, len(candidates))]
+}
+
+func (m *Machine) answerPing(source string, message *Message) {
+	if message.Target != m.self.Node {
+		return
+	}
+	m.send(source, Message{Kind: KindAck, Sequence: message.Sequence, Rumours: m.accusations(message), Head: m.headFor(message)})
+	if m.find(message.From) == nil {
+		m.startSync(source)
+	}
+}
+
+// accusations tells a sender what is held against its present life.
+func (m *Machine) accusations(message *Message) []Rumour {
+	held := m.find(message.From)
+	if held == nil || held.Incarnation < message.Incarnation || held.State == Alive || held.State == Leaving {
+		return nil
+	}
+	return []Rumour{compact(held.Member)}
+}
+
+func (m *Machine) relayProbe(source string, message *Message) {
+	if message.Target == m.self.Node || len(m.probing.relays) >= maxRelays || message.TargetAddress == "" {
+		return
+	}
+	m.probing.sequence++
+	m.probing.relays[m.probing.sequence] = relay{
+		source: source, sequence: message.Sequence, expires: m.now.Add(verdictTimeouts * m.timing.ProbeTimeout),
+	}
+	m.send(message.TargetAddress, Message{Kind: KindPing, Sequence: m.probing.sequence, Target: message.Target})
+}
+
+func (m *Machine) takeAck(message *Message) {
+	if asked, found := m.probing.relays[message.Sequence]; found {
+		delete(m.probing.relays, message.Sequence)
+		m.send(asked.source, Message{Kind: KindAck, Sequence: asked.sequence})
+		return
+	}
+	m.probing.pending = slices.DeleteFunc(m.probing.pending, func(each probe) bool {
+		if each.sequence != message.Sequence {
+			return false
+		}
+		if held := m.find(each.target); held != nil && held.State == Leaving {
+			held.condemnedAt = time.Time{}
+		}
+		return true
+	})
+}
--- /dev/null
+++ b/internal/membership/simnet/simnet.go
@@ -0,0 +1,264 @@
+// Package simnet runs many membership machines in one process over a network
+// of virtual time with seeded delay, loss and partitions. The tests of the
+// protocol and the scale run use it. Two runs with the same seed and the same
+// calls are equal.
+package simnet
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand"
+	"time"
+
+	"github.com/fieldpond/fieldpond/internal/ident"
+	"github.com/fieldpond/fieldpond/internal/membership"
+)
+
+// datagramOverhead is the size of the IPv4 and UDP headers in bytes.
+const datagramOverhead = 28
+
+// Config describes a simulated network.
+type Config struct {
+	// Seed feeds every random choice.
+	Seed int64
+	// Loss is the share of datagrams lost, 0 to 1.
+	Loss float64
+	// MinDelay and MaxDelay bound the uniformly spread one-way delay.
+	MinDelay, MaxDelay time.Duration
+	// Tick is the time between two ticks of a machine (200 ms).
+	Tick time.Duration
+	// Timing is given to every machine.
+	Timing membership.Timing
+	// Encode sends every message through the wire format and counts its bytes.
+	Encode bool
+}
+
+// Node is one simulated router.
+type Node struct {
+	// Machine is replaced when the node restarts.
+	Machine *membership.Machine
+	// Member is the node's own record at its last start.
+	Member membership.Member
+	// Events holds the events since the last call of TakeEvents.
+	Events []membership.Event
+	// BytesSent and MessagesSent count datagrams, IP and UDP headers included.
+	BytesSent, MessagesSent uint64
+	up                      bool
+	life                    uint64
+}
+
+// Up says whether the node runs.
+func (n *Node) Up() bool { return n.up }
+
+// TakeEvents returns and clears the node's events.
+func (n *Node) TakeEvents() []membership.Event {
+	events := n.Events
+	n.Events = nil
+	return events
+}
+
+// Network is the simulated network. It is not safe for concurrent use.
+type Network struct {
+	// Cut reports whether datagrams from one node to another are lost; nil
+	// means none. It may be replaced between calls of Run.
+	Cut func(from, to *Node) bool
+	// Nodes are in the order of their start.
+	Nodes []*Node
+
+	config    Config
+	random    *rand.Rand
+	codec     *membership.Codec
+	now       time.Time
+	agenda    agenda
+	byAddress map[string]*Node
+	order     uint64
+}
+
+// New returns an empty network at a fixed start time.
+func New(config Config) (*Network, error) {
+	if config.Tick <= 0 {
+		config.Tick = 200 * time.Millisecond
+	}
+	codec, err := membership.NewCodec([]byte("simulated cluster key"))
+	if err != nil {
+		return nil, err
+	}
+	return &Network{
+		config:    config,
+		random:    rand.New(rand.NewSource(config.Seed)),
+		codec:     codec,
+		now:       time.UnixMilli(1_700_000_000_000),
+		byAddress: map[string]*Node{},
+	}, nil
+}
+
+// Now returns the virtual time.
+func (n *Network) Now() time.Time { return n.now }
+
+// Start adds a node with the given number, zone and seeds and starts it.
+func (n *Network) Start(number int, zone ident.Zone, seeds []string) (*Node, error) {
+	node := &Node{Member: membership.Member{
+		Node:          ident.Node(fmt.Sprintf("router-%03d", number)),
+		Zone:          zone,
+		HTTPAddress:   fmt.Sprintf("10.0.%d.%d:8080", number/256, number%256),
+		GossipAddress: Address(number),
+	}}
+	n.Nodes = append(n.Nodes, node)
+	n.byAddress[node.Member.GossipAddress] = node
+	return node, n.Restart(node, seeds)
+}
+
+// Address returns the gossip address of the node with the given number.
+func Address(number int) string { return fmt.Sprintf("10.0.%d.%d:7946", number/256, number%256) }
+
+// Restart stops a node if it runs and starts it anew, with nothing remembered.
+func (n *Network) Restart(node *Node, seeds []string) error {
+	node.Member.Incarnation = uint64(n.now.UnixMilli())
+	random := rand.New(rand.NewSource(n.random.Int63()))
+	machine, err := membership.NewMachine(n.now, node.Member, n.config.Timing, random)
+	if err != nil {
+		return err
+	}
+	machine.AddSeeds(seeds)
+	node.Machine, node.Events, node.up = machine, nil, true
+	node.life++
+	n.after(time.Duration(n.random.Int63n(int64(n.config.Tick))), action{node: node, life: node.life})
+	return nil
+}
+
+// Stop ends or pauses a node without a word.
+func (n *Network) Stop(node *Node) { node.up = false }
+
+// Resume continues a stopped node with what it remembered, as after a pause.
+func (n *Network) Resume(node *Node) {
+	node.up = true
+	node.life++
+	n.after(0, action{node: node, life: node.life})
+}
+
+// Introduce tells every running node of every other at once, which spares the
+// minute that a large cluster needs to find itself. Nothing is sent for it.
+func (n *Network) Introduce() {
+	for _, from := range n.Nodes {
+		rumours := []membership.Rumour{membership.Rumour(from.Member)}
+		introduction := &membership.Message{
+			Kind: membership.KindMembers, From: from.Member.Node, Incarnation: from.Member.Incarnation, Rumours: rumours,
+		}
+		for _, to := range n.Nodes {
+			if to.up {
+				to.Machine.Step(n.now, from.Member.GossipAddress, introduction)
+				to.Events = append(to.Events, to.Machine.Ready().Events...)
+			}
+		}
+	}
+}
+
+// Do gives a node an input and sends what it asks for.
+func (n *Network) Do(node *Node, input func(machine *membership.Machine, now time.Time)) {
+	input(node.Machine, n.now)
+	n.collect(node)
+}
+
+// Run advances virtual time.
+func (n *Network) Run(duration time.Duration) {
+	end := n.now.Add(duration)
+	for len(n.agenda) > 0 && !n.agenda[0].at.After(end) {
+		next := heap.Pop(&n.agenda).(action)
+		n.now = next.at
+		n.perform(next)
+	}
+	n.now = end
+}
+
+func (n *Network) perform(next action) {
+	if !next.node.up {
+		return
+	}
+	if next.message != nil {
+		next.node.Machine.Step(n.now, next.source, next.message)
+		n.collect(next.node)
+		return
+	}
+	if next.life != next.node.life {
+		return
+	}
+	next.node.Machine.Tick(n.now)
+	n.collect(next.node)
+	n.after(n.config.Tick, next)
+}
+
+func (n *Network) collect(node *Node) {
+	output := node.Machine.Ready()
+	node.Events = append(node.Events, output.Events...)
+	for i := range output.Messages {
+		n.transmit(node, output.Messages[i])
+	}
+}
+
+func (n *Network) transmit(from *Node, envelope membership.Envelope) {
+	message := &envelope.Message
+	if n.config.Encode {
+		datagram, err := n.codec.Seal(message)
+		if err != nil {
+			panic(err)
+		}
+		from.BytesSent += uint64(len(datagram) + datagramOverhead)
+		from.MessagesSent++
+		if message, err = n.codec.Open(datagram); err != nil {
+			panic(err)
+		}
+	}
+	to := n.byAddress[envelope.To]
+	lost := n.random.Float64() < n.config.Loss
+	if to == nil || lost || (n.Cut != nil && n.Cut(from, to)) {
+		return
+	}
+	delay := n.config.MinDelay
+	if spread := n.config.MaxDelay - n.config.MinDelay; spread > 0 {
+		delay += time.Duration(n.random.Int63n(int64(spread)))
+	}
+	n.after(delay, action{node: to, message: message, source: from.Member.GossipAddress})
+}
+
+func (n *Network) after(delay time.Duration, what action) {
+	n.order++
+	what.at, what.order = n.now.Add(delay), n.order
+	heap.Push(&n.agenda, what)
+}
+
+// action is a tick, or the arrival of a message, at a virtual time.
+type action struct {
+	at      time.Time
+	order   uint64
+	node    *Node
+	life    uint64
+	message *membership.Message
+	source  string
+}
+
+type agenda []action
+
+// Len implements heap.Interface.
+func (a agenda) Len() int { return len(a) }
+
+// Less implements heap.Interface: by time, then in the order of scheduling.
+func (a agenda) Less(i, j int) bool {
+	if a[i].at.Equal(a[j].at) {
+		return a[i].order < a[j].order
+	}
+	return a[i].at.Before(a[j].at)
+}
+
+// Swap implements heap.Interface.
+func (a agenda) Swap(i, j int) { a[i], a[j] = a[j], a[i] }
+
+// Push implements heap.Interface.
+func (a *agenda) Push(item any) { *a = append(*a, item.(action)) }
+
+// Pop implements heap.Interface.
+func (a *agenda) Pop() any {
+	last := len(*a) - 1
+	item := (*a)[last]
+	*a = (*a)[:last]
+	return item
+}
--- /dev/null
+++ b/internal/membership/sync.go
@@ -0,0 +1,163 @@
+package membership
+
+import (
+	"encoding/binary"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/fieldpond/fieldpond/internal/ident"
+)
+
+const (
+	// bucketCount is into how many groups members are hashed for a sync, and
+	// bucketBytes the size of a group's digest.
+	bucketCount = 64
+	bucketBytes = 4
+	// syncBurst and syncPerSecond bound the bytes of records sent by syncs.
+	syncBurst     = 48 << 10
+	syncPerSecond = 900
+	// joinContacts is how many seeds a router that knows nobody asks at a time.
+	joinContacts = 3
+)
+
+// syncing is the part of the machine that repairs what gossip has missed.
+type syncing struct {
+	next          time.Time
+	interval      time.Duration
+	nextReconnect time.Time
+	tokens        float64
+}
+
+// syncRound opens the exchanges that are due.
+func (m *Machine) syncRound() {
+	if !m.now.Before(m.syncing.next) {
+		if partners := m.sample(1, ""); len(partners) == 1 {
+			m.startSync(partners[0].GossipAddress)
+		}
+		// A young router syncs more often; the jitter keeps herds apart.
+		m.syncing.interval = min(2*m.syncing.interval, m.timing.SyncPeriod)
+		m.syncing.next = m.now.Add(m.jittered(m.syncing.interval))
+	}
+	if !m.now.Before(m.syncing.nextReconnect) {
+		m.reconnect()
+	}
+}
+
+func (m *Machine) jittered(interval time.Duration) time.Duration {
+	return interval*3/4 + time.Duration(m.random.Int63n(int64(interval)/2+1))
+}
+
+// reconnect tries seeds and members that are not believed alive, so that
+// regions which lost each other merge again.
+func (m *Machine) reconnect() {
+	reached := map[string]bool{}
+	alone := true
+	var lost []string
+	for _, each := range m.records {
+		switch {
+		case each.State != Dead:
+			reached[each.GossipAddress] = true
+			alone = alone && each == m.self
+		default:
+			lost = append(lost, each.GossipAddress)
+		}
+	}
+	for _, seed := range m.seeds {
+		if !reached[seed] && !slices.Contains(lost, seed) {
+			lost = append(lost, seed)
+		}
+	}
+	m.random.Shuffle(len(lost), func(i, j int) { lost[i], lost[j] = lost[j], lost[i] })
+	contacts, wait := 1, m.jittered(m.timing.ReconnectPeriod)
+	if alone || m.joining() {
+		contacts, wait = joinContacts, m.jittered(m.timing.ProbePeriod)
+	}
+	for _, address := range lost[:min(contacts, len(lost))] {
+		m.startSync(address)
+	}
+	m.syncing.nextReconnect = m.now.Add(wait)
+}
+
+func (m *Machine) startSync(address string) {
+	salt := m.random.Uint64()
+	m.send(address, Message{
+		Kind: KindSync, Salt: salt, Buckets: m.digests(salt),
+		Rumours: []Rumour{Rumour(m.self.Member)}, Head: m.wholeHead(),
+	})
+}
+
+func (m *Machine) wholeHead() *FleetHead {
+	return m.headFor(&Message{})
+}
+
+// answerSync sends the records of the groups that differ, and the own digests
+// if the other side has not seen them yet.
+func (m *Machine) answerSync(source string, message *Message) {
+	digests := m.digests(message.Salt)
+	var differing [bucketCount]bool
+	equal := true
+	for i := range bucketCount {
+		from, to := i*bucketBytes, (i+1)*bucketBytes
+		differing[i] = string(digests[from:to]) != string(message.Buckets[from:to])
+		equal = equal && !differing[i]
+	}
+	if message.Kind == KindSync && (!equal || message.Joining) {
+		m.send(source, Message{
+			Kind: KindSyncAnswer, Salt: message.Salt, Buckets: digests, Head: m.headFor(message),
+			Rumours: append(m.accusations(message), Rumour(m.self.Member)),
+		})
+	}
+	if !equal {
+		m.sendRecords(source, differing, message.Joining)
+	}
+}
+
+// sendRecords sends the differing groups in random order, in chunks that fit a
+// datagram, until the allowance is used up; the first chunk always goes.
+func (m *Machine) sendRecords(address string, differing [bucketCount]bool, joining bool) {
+	var rumours []Rumour
+	for _, each := range m.records {
+		if differing[bucketOf(each.Node)] && !(joining && each.State == Dead) {
+			rumours = append(rumours, Rumour(each.Member))
+		}
+	}
+	m.random.Shuffle(len(rumours), func(i, j int) { rumours[i], rumours[j] = rumours[j], rumours[i] })
+	for first := true; len(rumours) > 0 && (first || m.syncing.tokens > 0); first = false {
+		chunk := Message{Kind: KindMembers}
+		size := fixedCost
+		for len(rumours) > 0 && size+cost(rumours[0]) <= messageBudget {
+			size += cost(rumours[0])
+			chunk.Rumours = append(chunk.Rumours, rumours[0])
+			rumours = rumours[1:]
+		}
+		m.complete(&chunk)
+		m.syncing.tokens -= float64(size)
+		m.output.Messages = append(m.output.Messages, Envelope{To: address, Message: chunk})
+	}
+}
+
+func bucketOf(node ident.Node) int { return int(xxhash.Sum64String(string(node)) % bucketCount) }
+
+// digests sums up each group of members. The dead are left out: routers forget
+// them at different times, which is no difference worth a repair.
+func (m *Machine) digests(salt uint64) []byte {
+	var sums [bucketCount]uint32
+	var buffer []byte
+	for _, each := range m.records {
+		if each.State == Dead {
+			continue
+		}
+		buffer = binary.BigEndian.AppendUint64(buffer[:0], salt)
+		buffer = binary.BigEndian.AppendUint64(buffer, each.Incarnation)
+		buffer = binary.BigEndian.AppendUint64(buffer, each.FleetVersion)
+		buffer = append(append(buffer, byte(each.State)), each.Node...)
+		sums[bucketOf(each.Node)] ^= uint32(xxhash.Sum64(buffer))
+	}
+	digests := make([]byte, 0, bucketCount*bucketBytes)
+	for _, sum := range sums {
+		digests = binary.BigEndian.AppendUint32(digests, sum)
+	}
+	return digests
+}
