Serve a request end to end as separate processes

Cause: the parts stood alone; nothing joined them into a process that callers reach over a socket. Errors of cobra exit with the code of bad usage.

--- a/cmd/fieldpond/fleetcommand.go
+++ b/cmd/fieldpond/fleetcommand.go
@@ -13,11 +13,10 @@
 	"github.com/fieldpond/fieldpond/internal/platform"
 )
 
-// openTable returns the client of the platform's table service at a URL. It is
-// the one place in which the fleet commands meet the platform.
+// openTable returns the client of the platform's table service at a URL. Tests
+// replace it by a table in memory.
 var openTable = func(url string) (platform.Table, error) {
-	return nil, fault.New(fault.InvalidSettings, "this build has no platform client for %s", url).
-		WithRemedy("use a release build of fieldpond")
+	return platform.NewHTTPClient(url, platform.Options{})
 }
 
 // outputFormat is the value of the --output flag.
--- a/cmd/fieldpond/main.go
+++ b/cmd/fieldpond/main.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 
+	"github.com/pkg/errors"
 	"github.com/spf13/cobra"
 
 	"github.com/fieldpond/fieldpond/internal/fault"
@@ -17,10 +18,14 @@
 	}
 }
 
-// exitCode returns the exit code of a fault's kind, and 2 (usage) for the
-// errors that cobra raises itself, such as an unknown flag.
+// exitCode returns the exit code of a fault's kind, and that of a bad request
+// for the errors that cobra raises itself, such as an unknown flag.
 func exitCode(err error) int {
-	return fault.From(err).Kind.ExitCode()
+	var raised *fault.Fault
+	if errors.As(err, &raised) {
+		return raised.Kind.ExitCode()
+	}
+	return fault.BadRequest.ExitCode()
 }
 
 func newRootCommand() *cobra.Command {
--- /dev/null
+++ b/cmd/fieldpond/router.go
@@ -0,0 +1,51 @@
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/spf13/cobra"
+
+	"github.com/fieldpond/fieldpond/internal/fault"
+	"github.com/fieldpond/fieldpond/internal/router"
+	"github.com/fieldpond/fieldpond/internal/settings"
+	"github.com/fieldpond/fieldpond/internal/telemetry"
+)
+
+func newRouterCommand() *cobra.Command {
+	var file string
+	command := &cobra.Command{
+		Use:   "router",
+		Short: "Run one router",
+		Long: `Run one router until it is told to stop.
+
+A router learns its name, zone and addresses from a settings file or flags,
+and everything else from the fleet file that operators apply. It keeps nothing:
+any number of routers may be started, stopped and replaced at any time.
+
+SIGTERM and SIGINT stop it as planned: it takes no new work, finishes every
+open request and stream, and then ends.`,
+		Example: `  fieldpond router --settings router.yaml
+  FIELDPOND_KEY=... fieldpond router --node router-1 --zone wien-halle \
+    --listen 127.0.0.1:7001 --gossip-listen 127.0.0.1:7002 \
+    --platform http://127.0.0.1:7000 --cluster-key-environment FIELDPOND_KEY`,
+		Args: cobra.NoArgs,
+		RunE: func(command *cobra.Command, _ []string) error {
+			configured, err := settings.Load(file, command.Flags())
+			if err != nil {
+				return err
+			}
+			if err := telemetry.SetUpLogging(os.Stderr, configured.LogLevel); err != nil {
+				return fault.Wrap(err, fault.InvalidSettings, "setting up the log")
+			}
+			ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+			defer stop()
+			return router.Run(ctx, configured)
+		},
+	}
+	command.Flags().StringVar(&file, "settings", "", "settings file (YAML); docs/reference/settings.md lists its keys")
+	settings.RegisterFlags(command.Flags())
+	return command
+}
--- a/cmd/fieldpond/subcommands.go
+++ b/cmd/fieldpond/subcommands.go
@@ -8,5 +8,6 @@
 		newCheckCommand(),
 		newDiffCommand(),
 		newApplyCommand(),
+		newRouterCommand(),
 	}
 }
--- a/cmd/rehearse/load.go
+++ b/cmd/rehearse/load.go
@@ -11,14 +11,11 @@
 	"github.com/spf13/cobra"
 
 	"github.com/fieldpond/fieldpond/internal/fault"
+	"github.com/fieldpond/fieldpond/standin/engine/model"
 	"github.com/fieldpond/fieldpond/standin/load"
 	"github.com/fieldpond/fieldpond/standin/workload"
 )
 
-// expectedText returns the right answer of the stand-in engines to a prompt.
-// While it is nil, texts are not checked and the report says so.
-var expectedText func(prompt string, maxTokens int) string
-
 // loadOptions are the flags of "rehearse load".
 type loadOptions struct {
 	targets, truth []string
@@ -102,7 +99,7 @@
 		spec.Duration = o.duration
 	}
 	config := load.Config{
-		Targets: o.targets, Spec: spec, Seed: o.seed, ExpectedText: expectedText,
+		Targets: o.targets, Spec: spec, Seed: o.seed, ExpectedText: model.ExpectedText,
 		MaxInFlight: o.maxInFlight, Patience: o.patience,
 	}
 	if len(o.truth) > 0 {
--- a/internal/endpoint/registry.go
+++ b/internal/endpoint/registry.go
@@ -280,6 +280,18 @@
 	return ""
 }
 
+// Undecided reports whether an engine in one of the zones has neither reported
+// yet nor failed to often enough to count as dead. A router that has just
+// started holds requests until it knows, instead of refusing them.
+func (r *Registry) Undecided(zones map[ident.Zone]bool) bool {
+	for _, known := range r.order {
+		if zones[known.target.Zone] && !known.reported && known.failures < failuresUntilDead {
+			return true
+		}
+	}
+	return false
+}
+
 // InFlight returns the number of this router's own attempts on the engine.
 func (r *Registry) InFlight(engine ident.Engine) int {
 	if known := r.engines[engine]; known != nil {
--- a/internal/membership/member.go
+++ b/internal/membership/member.go
@@ -25,6 +25,22 @@
 	Dead
 )
 
+// String returns the state's name in lower case.
+func (s State) String() string {
+	switch s {
+	case Alive:
+		return "alive"
+	case Suspect:
+		return "suspect"
+	case Leaving:
+		return "leaving"
+	case Dead:
+		return "dead"
+	default:
+		return "unknown"
+	}
+}
+
 // Member is one router as seen by another.
 type Member struct {
 	Node          ident.Node `cbor:"1,keyasint"`
--- a/internal/placement/core.go
+++ b/internal/placement/core.go
@@ -155,8 +155,14 @@
 // Tick gives up jobs whose hold is over and places what can be placed.
 func (c *Core) Tick(now time.Time) Effects { return c.pump(now) }
 
-// NextTick returns when Tick has something to do, if ever.
-func (c *Core) NextTick() (time.Time, bool) { return c.config.Queue.NextExpiry() }
+// NextTick returns when Tick has something to do, if ever. The zero time means
+// at once: the last look through the queue was cut short to bound its cost.
+func (c *Core) NextTick() (time.Time, bool) {
+	if c.config.Queue.Unfinished() {
+		return time.Time{}, true
+	}
+	return c.config.Queue.NextExpiry()
+}
 
 // Reported takes in a load report.
 func (c *Core) Reported(now time.Time, engine ident.Engine, report protocol.LoadReport) Effects {
--- a/internal/placement/decide.go
+++ b/internal/placement/decide.go
@@ -34,6 +34,10 @@
 		c.Counters.Held++
 		return admission.Verdict{Action: c.heldAction(job)}
 	default:
+		if c.registry.Undecided(job.Request.Zones) {
+			c.Counters.Held++
+			return admission.Verdict{Action: admission.ItemBlocked}
+		}
 		return admission.Verdict{Action: admission.Rejected, Fault: fault.New(fault.NoPermittedEngine,
 			"no engine is left for service %q (filter %s)", job.Request.Service, decision.Reason).
 			WithRetryAfter(noEngineRetryAfter)}
--- /dev/null
+++ b/internal/router/applications.go
@@ -0,0 +1,160 @@
+package router
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/fieldpond/fieldpond/internal/dispatch"
+	"github.com/fieldpond/fieldpond/internal/endpoint"
+	"github.com/fieldpond/fieldpond/internal/engine/protocol"
+	"github.com/fieldpond/fieldpond/internal/fault"
+	"github.com/fieldpond/fieldpond/internal/fleet"
+	"github.com/fieldpond/fieldpond/internal/ident"
+)
+
+const (
+	// applicationConcurrency bounds this router's own calls to one application.
+	applicationConcurrency = 64
+	// applicationRetryAfter is told when no application may be called.
+	applicationRetryAfter = time.Second
+)
+
+// applicationPlacer implements dispatch.ApplicationPlacer: the permitted, live
+// application with the fewest own calls, those of the router's zone first.
+// Applications are few and hold no cache, so there is no queue before them:
+// whoever finds all of them at their limit is refused at once, not run.
+type applicationPlacer struct {
+	current  func() *fleet.Compiled
+	homeZone ident.Zone
+	mutex    sync.Mutex
+	// health is keyed by application name; see backendName.
+	health *endpoint.Registry
+	calls  map[ident.Application]int
+}
+
+func newApplicationPlacer(current func() *fleet.Compiled, homeZone ident.Zone) *applicationPlacer {
+	return &applicationPlacer{
+		current:  current,
+		homeZone: homeZone,
+		health:   endpoint.NewRegistry(),
+		calls:    make(map[ident.Application]int),
+	}
+}
+
+// backendName is the name under which the endpoint registry keeps an
+// application: it tells back ends apart by name only, whatever their kind.
+func backendName(name ident.Application) ident.Engine { return ident.Engine(name) }
+
+// PlaceApplication implements dispatch.ApplicationPlacer.
+func (p *applicationPlacer) PlaceApplication(_ context.Context, job *dispatch.ApplicationJob) (dispatch.ApplicationPlacement, error) {
+	compiled := p.current()
+	if compiled == nil {
+		return dispatch.ApplicationPlacement{}, fault.New(fault.NotReady, "this router has no fleet file yet")
+	}
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	candidates := p.permitted(compiled, job)
+	if len(candidates) == 0 {
+		return dispatch.ApplicationPlacement{}, fault.New(fault.NoPermittedEngine,
+			"no application is left for service %q", job.Service).WithRetryAfter(applicationRetryAfter)
+	}
+	chosen := slices.MinFunc(candidates, p.compare)
+	if p.calls[chosen.Name] >= applicationConcurrency {
+		return dispatch.ApplicationPlacement{}, fault.New(fault.Overloaded,
+			"every application of service %q is at its limit", job.Service).WithRetryAfter(applicationRetryAfter)
+	}
+	p.calls[chosen.Name]++
+	return dispatch.ApplicationPlacement{
+		Application: chosen.Name,
+		Address:     chosen.Address,
+		Zone:        chosen.Zone,
+		Release:     func(result dispatch.Result) { p.release(chosen.Name, result) },
+	}, nil
+}
+
+// permitted returns the applications that may get the job. One that has never
+// reported may be tried: a router that has just started serves at once.
+func (p *applicationPlacer) permitted(compiled *fleet.Compiled, job *dispatch.ApplicationJob) []*fleet.Application {
+	service, known := compiled.Service(job.Service)
+	if !known {
+		return nil
+	}
+	unfit := make(map[ident.Engine]bool)
+	for _, backend := range p.health.Endpoints(time.Now()) {
+		unfit[backend.Engine] = backend.Leaving || (backend.Incarnation != "" && !backend.Alive)
+	}
+	zones := compiled.PermittedZones(job.Tenant)
+	var permitted []*fleet.Application
+	for _, application := range service.Applications {
+		if zones.Has(application.Zone) && !job.Excluded[application.Name] && !unfit[backendName(application.Name)] {
+			permitted = append(permitted, application)
+		}
+	}
+	return permitted
+}
+
+func (p *applicationPlacer) compare(a, b *fleet.Application) int {
+	return cmp.Or(
+		cmp.Compare(p.zoneRank(a.Zone), p.zoneRank(b.Zone)),
+		cmp.Compare(p.calls[a.Name], p.calls[b.Name]),
+		cmp.Compare(a.Name, b.Name))
+}
+
+func (p *applicationPlacer) zoneRank(zone ident.Zone) int {
+	if zone == p.homeZone {
+		return 0
+	}
+	return 1
+}
+
+func (p *applicationPlacer) release(name ident.Application, result dispatch.Result) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.calls[name]--
+	p.health.SeenIncarnation(backendName(name), result.Incarnation)
+	switch {
+	case result.Outcome == dispatch.OutcomeUnreachable:
+		p.health.Unreachable(backendName(name))
+	case result.Refusal == protocol.RefusalLeaving:
+		p.health.LeavingSeen(time.Now(), backendName(name), result.Incarnation)
+	}
+}
+
+// configure takes over the applications of a fleet file.
+func (p *applicationPlacer) configure(compiled *fleet.Compiled) {
+	targets := make([]endpoint.Target, 0, len(compiled.Document.Applications))
+	for _, application := range compiled.Document.Applications {
+		targets = append(targets, endpoint.Target{
+			Engine: backendName(application.Name), Address: application.Address, Zone: application.Zone,
+			Leaving: application.State == fleet.BackendLeaving,
+		})
+	}
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.health.Configure(targets)
+}
+
+// leavingSeen takes in a sign that an application is leaving.
+func (p *applicationPlacer) leavingSeen(name ident.Application, incarnation ident.Incarnation) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.health.LeavingSeen(time.Now(), backendName(name), incarnation)
+}
+
+// poll asks for the reports that are due and takes in those that came.
+func (p *applicationPlacer) poll(poller *endpoint.Poller, interval time.Duration, budget int) {
+	now := time.Now()
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	for answer, ok := poller.Answers().Pop(); ok; answer, ok = poller.Answers().Pop() {
+		if answer.Err != nil {
+			p.health.ReportFailed(answer.Engine)
+			continue
+		}
+		p.health.Reported(now, answer.Engine, answer.Report)
+	}
+	poller.Ask(p.health.Due(now, interval, budget))
+}
--- /dev/null
+++ b/internal/router/machines.go
@@ -0,0 +1,39 @@
+package router
+
+import (
+	"context"
+
+	"github.com/fieldpond/fieldpond/internal/ident"
+	"github.com/fieldpond/fieldpond/internal/platform/protocol"
+)
+
+// watchMachines reads the platform's machine list until ctx ends. The list
+// lags, so it is only ever a source of seeds and of signs that something is
+// leaving; a machine that is missing from it is not thereby gone.
+func (r *Router) watchMachines(ctx context.Context) {
+	for ctx.Err() == nil {
+		bounded, cancel := context.WithTimeout(ctx, r.settings.Table.Timeout)
+		list, err := r.platform.ListMachines(bounded)
+		cancel()
+		if err == nil {
+			r.takeMachines(ctx, list)
+		}
+		sleep(ctx, r.settings.Intervals.MachinePoll)
+	}
+}
+
+func (r *Router) takeMachines(ctx context.Context, list protocol.MachineList) {
+	var seeds []string
+	for _, machine := range list.Machines {
+		leaving := machine.State == protocol.MachineLeaving
+		switch {
+		case machine.Kind == protocol.MachineRouter && machine.GossipAddress != "" && !leaving:
+			seeds = append(seeds, machine.GossipAddress)
+		case machine.Kind == protocol.MachineEngine && leaving:
+			r.duty.LeavingSeen(ident.Engine(machine.Name), "")
+		case machine.Kind == protocol.MachineApplication && leaving:
+			r.apps.leavingSeen(ident.Application(machine.Name), "")
+		}
+	}
+	r.addSeeds(ctx, seeds)
+}
--- /dev/null
+++ b/internal/router/members.go
@@ -0,0 +1,120 @@
+package router
+
+import (
+	"context"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/fieldpond/fieldpond/internal/fleet"
+	"github.com/fieldpond/fieldpond/internal/ident"
+	"github.com/fieldpond/fieldpond/internal/membership"
+)
+
+// membershipTimeout bounds one input to the membership duty.
+const membershipTimeout = 2 * time.Second
+
+// view returns this router's view of the others; before the start it is empty.
+func (r *Router) view() membership.View {
+	if r.members == nil {
+		return membership.View{}
+	}
+	return r.members.View()
+}
+
+// owns reports whether this router is among the owners.
+func (r *Router) owns(owners []membership.Member) bool {
+	for _, owner := range owners {
+		if string(owner.Node) == r.settings.Node {
+			return true
+		}
+	}
+	return false
+}
+
+func (r *Router) startMembership(ctx context.Context) error {
+	node, err := membership.Start(ctx, membership.Config{
+		Self: membership.Member{
+			Node:          ident.Node(r.settings.Node),
+			Zone:          ident.Zone(r.settings.Zone),
+			HTTPAddress:   r.settings.Advertise,
+			GossipAddress: r.settings.GossipAdvertise,
+		},
+		Listen:     r.settings.GossipListen,
+		ClusterKey: r.settings.Key().Reveal(),
+		Seeds:      r.settings.Seeds,
+		Timing:     membership.Timing{ProbePeriod: r.settings.Intervals.GossipProbe},
+	})
+	r.members = node
+	return err
+}
+
+// watchMembers takes in what gossip brings until ctx ends.
+func (r *Router) watchMembers(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-r.members.Events().Ready():
+		}
+		for event, ok := r.members.Events().Pop(); ok; event, ok = r.members.Events().Pop() {
+			r.takeEvent(ctx, event)
+		}
+	}
+}
+
+func (r *Router) takeEvent(ctx context.Context, event membership.Event) {
+	switch event.Kind {
+	case membership.SignReceived:
+		if event.Sign.Kind == membership.SignLeaving {
+			r.duty.LeavingSeen(ident.Engine(event.Sign.Backend), event.Sign.Incarnation)
+			r.apps.leavingSeen(ident.Application(event.Sign.Backend), event.Sign.Incarnation)
+		}
+	case membership.FleetHeadRaised:
+		r.headHeard(event.Head)
+	case membership.MemberChanged, membership.MemberForgotten:
+		if compiled := r.keeper.Current(); compiled != nil {
+			r.streams.Set(ctx, r.ownStreams(compiled))
+		}
+	}
+}
+
+// headHeard tells the fleet keeper of a version that another router has.
+func (r *Router) headHeard(head membership.FleetHead) {
+	for _, member := range r.view().Members {
+		if member.Node == head.Holder {
+			r.keeper.HeadHeard(fleet.Version(head.Version), fleet.Digest(head.Digest), member.HTTPAddress)
+			return
+		}
+	}
+}
+
+// broadcastLeaving tells the other routers that a back end is leaving.
+func (r *Router) broadcastLeaving(backend string, incarnation ident.Incarnation) {
+	r.work.Go(func() {
+		bounded, cancel := context.WithTimeout(context.Background(), membershipTimeout)
+		defer cancel()
+		// A sign that is not taken costs the others a refusal each, no more.
+		_ = r.members.Broadcast(bounded, membership.BackendSign{
+			Backend: backend, Incarnation: incarnation, Kind: membership.SignLeaving,
+			Observer: ident.Node(r.settings.Node), ObservedAt: time.Now().UnixMilli(),
+		})
+	})
+}
+
+// addSeeds hands gossip addresses from the machine list to membership.
+func (r *Router) addSeeds(ctx context.Context, addresses []string) {
+	bounded, cancel := context.WithTimeout(ctx, membershipTimeout)
+	defer cancel()
+	// The list is read again in a moment, and the seeds with it.
+	_ = r.members.AddSeeds(bounded, addresses)
+}
+
+// announceFleet tells the other routers which fleet file is in force here.
+func (r *Router) announceFleet(ctx context.Context, compiled *fleet.Compiled) {
+	bounded, cancel := context.WithTimeout(ctx, membershipTimeout)
+	defer cancel()
+	if err := r.members.SetFleetVersion(bounded, uint64(compiled.Version), string(compiled.Digest)); err != nil {
+		log.WithError(err).Warn("fleet version not announced")
+	}
+}
--- /dev/null
+++ b/internal/router/placer.go
@@ -0,0 +1,146 @@
+package router
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/fieldpond/fieldpond/internal/dispatch"
+	"github.com/fieldpond/fieldpond/internal/engine"
+	"github.com/fieldpond/fieldpond/internal/engine/protocol"
+	"github.com/fieldpond/fieldpond/internal/fault"
+	"github.com/fieldpond/fieldpond/internal/fleet"
+	"github.com/fieldpond/fieldpond/internal/ident"
+	"github.com/fieldpond/fieldpond/internal/placement"
+	"github.com/fieldpond/fieldpond/internal/prefix"
+	"github.com/fieldpond/fieldpond/internal/routing/framework"
+)
+
+// transferTimeout bounds one move of cached blocks between engines. A move
+// that takes longer saves nothing over the recomputation.
+const transferTimeout = 2 * time.Second
+
+// placer implements dispatch.Placer over the placement duty.
+type placer struct {
+	duty      *placement.Duty
+	transfers engine.Transferer
+	current   func() *fleet.Compiled
+	homeZone  ident.Zone
+	// sequence numbers the calls of Place, so that each has a key of its own.
+	sequence atomic.Uint32
+}
+
+// Place implements dispatch.Placer.
+func (p *placer) Place(ctx context.Context, job *dispatch.Job) (dispatch.Placement, error) {
+	compiled := p.current()
+	if compiled == nil {
+		return dispatch.Placement{}, fault.New(fault.NotReady, "this router has no fleet file yet")
+	}
+	blockTokens := prefix.DefaultBlockTokens
+	if model, known := compiled.Model(job.Model); known {
+		blockTokens = model.BlockTokens
+	}
+	wanted := p.job(job, compiled, blockTokens)
+	placed, err := p.duty.Place(ctx, wanted)
+	if err != nil {
+		return dispatch.Placement{}, err
+	}
+	p.move(ctx, wanted, placed, compiled)
+	return p.placement(job, wanted, placed), nil
+}
+
+// job builds what the placement duty needs to know. Zones are read from the
+// fleet file in force now, not from the one in force when the request came:
+// a place that was withdrawn meanwhile binds a waiting request too.
+func (p *placer) job(job *dispatch.Job, compiled *fleet.Compiled, blockTokens int) *placement.Job {
+	prompt := job.Prompt + job.Continued
+	chains := make(map[ident.ModelVersion]prefix.Chain, len(job.Versions))
+	for _, version := range job.Versions {
+		namespace := prefix.Namespace{Tenant: job.Tenant, Model: job.Model, Version: version, Adapter: job.Adapter}
+		chains[version] = prefix.ChainOf(namespace.Salt(), prompt, blockTokens)
+	}
+	return &placement.Job{
+		Key:     placement.AttemptKeyOf(job.ID, ident.Attempt(p.sequence.Add(1))),
+		Weight:  shareOf(compiled, job.Tenant),
+		MaxHold: max(0, time.Until(job.HoldUntil)),
+		Request: framework.Request{
+			ID:                  job.ID,
+			Tenant:              job.Tenant,
+			Service:             job.Service,
+			Class:               job.Class,
+			Priority:            job.Priority,
+			Model:               job.Model,
+			Versions:            job.Versions,
+			Adapter:             job.Adapter,
+			Zones:               catalog{compiled}.Zones(job.Tenant),
+			Chains:              chains,
+			BlockTokens:         blockTokens,
+			PromptTokens:        prefix.Tokens(prompt),
+			RecomputationWeight: job.RecomputationWeight,
+			Excluded:            job.Excluded,
+			HomeZone:            p.homeZone,
+		},
+	}
+}
+
+func shareOf(compiled *fleet.Compiled, tenant ident.Tenant) float64 {
+	entry, known := compiled.Tenant(tenant)
+	if !known {
+		return 1
+	}
+	return entry.Share
+}
+
+func (p *placer) placement(job *dispatch.Job, wanted *placement.Job, placed placement.Placed) dispatch.Placement {
+	chosen := placed.Candidate
+	key := wanted.Key
+	namespace := prefix.Namespace{Tenant: job.Tenant, Model: job.Model, Version: chosen.Version, Adapter: job.Adapter}
+	return dispatch.Placement{
+		Engine:       chosen.Endpoint.Engine,
+		Address:      chosen.Endpoint.Address,
+		Incarnation:  chosen.Endpoint.Incarnation,
+		Zone:         chosen.Endpoint.Zone,
+		Model:        job.Model,
+		Version:      chosen.Version,
+		Adapter:      job.Adapter,
+		Salt:         namespace.Salt(),
+		CreditTokens: chosen.CreditTokens,
+		Started: func(incarnation ident.Incarnation, usage protocol.Usage) {
+			p.duty.Started(key, incarnation, usage)
+		},
+		Release: func(result dispatch.Result) { p.duty.Ended(key, resultOf(result)) },
+	}
+}
+
+func resultOf(result dispatch.Result) placement.Result {
+	return placement.Result{
+		Incarnation:      result.Incarnation,
+		Refusal:          result.Refusal,
+		Unreachable:      result.Outcome == dispatch.OutcomeUnreachable,
+		Broken:           result.Outcome == dispatch.OutcomeBroken,
+		TimeToFirstToken: result.TimeToFirstToken,
+		Duration:         result.Duration,
+	}
+}
+
+// move exports the prompt's cached blocks from the engine that holds them and
+// imports them into the chosen one. A failed move costs a recomputation only.
+func (p *placer) move(ctx context.Context, wanted *placement.Job, placed placement.Placed, compiled *fleet.Compiled) {
+	source, known := compiled.Engine(placed.MoveFrom)
+	if !known || !wanted.Request.Zones[source.Zone] {
+		return
+	}
+	bounded, cancel := context.WithTimeout(ctx, transferTimeout)
+	defer cancel()
+	request := &wanted.Request
+	namespace := prefix.Namespace{
+		Tenant: request.Tenant, Model: request.Model, Version: placed.Candidate.Version, Adapter: request.Adapter,
+	}
+	transfer := protocol.TransferRequest{Salt: namespace.Salt(), Hashes: request.Chains[placed.Candidate.Version]}
+	blocks, err := p.transfers.Export(bounded, source.Address, transfer)
+	if err != nil {
+		return
+	}
+	transfer.ExpectedIncarnation = placed.Candidate.Endpoint.Incarnation
+	_, _ = p.transfers.Import(bounded, placed.Candidate.Endpoint.Address, transfer, blocks)
+}
--- /dev/null
+++ b/internal/router/router.go
@@ -0,0 +1,300 @@
+package router
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/pkg/errors"
+
+	"github.com/fieldpond/fieldpond/internal/admission"
+	"github.com/fieldpond/fieldpond/internal/api"
+	"github.com/fieldpond/fieldpond/internal/claim"
+	"github.com/fieldpond/fieldpond/internal/dispatch"
+	"github.com/fieldpond/fieldpond/internal/endpoint"
+	"github.com/fieldpond/fieldpond/internal/engine"
+	"github.com/fieldpond/fieldpond/internal/fault"
+	"github.com/fieldpond/fieldpond/internal/fleet"
+	"github.com/fieldpond/fieldpond/internal/ident"
+	"github.com/fieldpond/fieldpond/internal/membership"
+	"github.com/fieldpond/fieldpond/internal/peer"
+	"github.com/fieldpond/fieldpond/internal/placement"
+	"github.com/fieldpond/fieldpond/internal/platform"
+	"github.com/fieldpond/fieldpond/internal/prefix/beliefs"
+	"github.com/fieldpond/fieldpond/internal/resume"
+	"github.com/fieldpond/fieldpond/internal/routing"
+	"github.com/fieldpond/fieldpond/internal/settings"
+	"github.com/fieldpond/fieldpond/internal/statechart"
+	"github.com/fieldpond/fieldpond/internal/telemetry"
+)
+
+const (
+	// pollTick is the time between two looks at which load reports are due.
+	pollTick = 50 * time.Millisecond
+	// pollsPerTick bounds the load reports asked for in one pollTick.
+	pollsPerTick = 8
+	// pollWorkers is the number of goroutines that read load reports.
+	pollWorkers = 8
+	// pollTimeout bounds one read of a load report.
+	pollTimeout = time.Second
+	// pollRing is the capacity of the rings between placement and its poller.
+	pollRing = 1024
+	// lingerBeforeShutdown is how long a leaving router still answers on open
+	// connections, telling each to close, before idle ones are cut.
+	lingerBeforeShutdown = 300 * time.Millisecond
+	// maxPeerBytes bounds the body of a call between routers; a fleet file of
+	// the largest size fits.
+	maxPeerBytes = 64 << 20
+)
+
+// Router is one router process.
+type Router struct {
+	settings  *settings.Settings
+	telemetry *telemetry.Registry
+	life      *statechart.Instance
+	platform  *platform.HTTPClient
+	engines   *engine.HTTPClient
+	members   *membership.Node
+	peers     *peer.Client
+	keeper    *fleet.Keeper
+	claims    *claim.Keeper
+	duty      *placement.Duty
+	placer    *placer
+	apps      *applicationPlacer
+	appPoller *endpoint.Poller
+	poller    *endpoint.Poller
+	streams   *streamReaders
+	dispatch  *dispatch.Dispatcher
+	api       *api.Server
+	work      sync.WaitGroup
+}
+
+// Run runs a router until ctx ends, then stops it as planned: no new work,
+// every open request finished, every duty ended. It returns a *fault.Fault
+// when the router could not start or a stop ran into its grace period.
+func Run(ctx context.Context, configured *settings.Settings) error {
+	router, err := build(configured)
+	if err != nil {
+		return err
+	}
+	return router.run(ctx)
+}
+
+// build creates every part; nothing runs and no socket is open yet.
+func build(configured *settings.Settings) (*Router, error) {
+	r := &Router{settings: configured, telemetry: telemetry.New()}
+	chart, err := statechart.Load("router")
+	if err != nil {
+		return nil, errors.Wrap(err, "loading the router chart")
+	}
+	r.life = chart.New(statechart.Observe(r.telemetry.ChartObserver()))
+	r.platform, err = platform.NewHTTPClient(configured.Platform, platform.Options{
+		RequestsPerSecond: configured.Table.RequestsPerSecond,
+		Burst:             max(1, int(configured.Table.RequestsPerSecond)),
+	})
+	if err != nil {
+		return nil, err
+	}
+	r.engines = engine.NewHTTPClient(engine.Options{})
+	r.peers, err = peer.NewClient(configured.Key().Reveal(), maxPeerBytes)
+	if err != nil {
+		return nil, err
+	}
+	r.keeper = fleet.NewKeeper(fleet.KeeperOptions{
+		Self:  ident.Node(configured.Node),
+		Zone:  ident.Zone(configured.Zone),
+		Table: r.platform,
+		Peers: peerFetcher{r.peers},
+		View:  r.view,
+	})
+	r.claims = claim.NewKeeper(r.platform, ident.Node(configured.Node), claim.Config{
+		Timeout:               configured.Table.ClaimTimeout,
+		TransactionsPerSecond: configured.Table.RequestsPerSecond,
+		CommitTimeout:         configured.Table.Timeout,
+	})
+	if err := r.buildPlacement(); err != nil {
+		return nil, err
+	}
+	return r, r.buildDispatch()
+}
+
+// buildPlacement creates the parts that choose engines and applications.
+func (r *Router) buildPlacement() error {
+	scheduler, err := routing.NewPredictive(routing.Config{})
+	if err != nil {
+		return err
+	}
+	believed, err := beliefs.New(beliefs.Config{}, time.Now())
+	if err != nil {
+		return err
+	}
+	home := ident.Zone(r.settings.Zone)
+	core := placement.New(placement.Config{
+		Scheduler:  scheduler,
+		Beliefs:    believed,
+		Queue:      admission.NewQueue(admission.Config{}),
+		NewLimiter: func() admission.Limiter { return admission.NewGradientLimiter(admission.LimitBounds{}) },
+		Hop:        hopFrom(home),
+	})
+	r.poller = endpoint.NewPoller(r.engines, pollTimeout, pollRing)
+	r.duty = placement.NewDuty(placement.DutyConfig{
+		MaxOpen:          r.settings.Limits.MaxOpenRequests,
+		PollInterval:     r.settings.Intervals.LoadPoll,
+		PollsPerTick:     pollsPerTick,
+		PollTick:         pollTick,
+		OnChange:         r.engineChanged,
+		OnSnapshotWanted: r.snapshotWanted,
+	}, core, r.poller)
+	r.streams = newStreamReaders(r.engines, r.duty)
+	r.apps = newApplicationPlacer(r.keeper.Current, home)
+	r.appPoller = endpoint.NewPoller(r.engines, pollTimeout, pollRing)
+	r.placer = &placer{duty: r.duty, transfers: r.engines, current: r.keeper.Current, homeZone: home}
+	return nil
+}
+
+// buildDispatch creates the parts that face the callers.
+func (r *Router) buildDispatch() error {
+	request, err := statechart.Load("request")
+	if err != nil {
+		return errors.Wrap(err, "loading the request chart")
+	}
+	sealer, err := resume.NewSealer(r.settings.Key().Reveal())
+	if err != nil {
+		return err
+	}
+	r.dispatch = dispatch.New(dispatch.Config{}, dispatch.Dependencies{
+		Engines:           r.engines,
+		Placer:            r.placer,
+		Budget:            newRetryBudgets(),
+		NewChart:          newRequestCharts(request, r.telemetry.ChartObserver()),
+		Applications:      r.engines,
+		ApplicationPlacer: r.apps,
+		Claimer:           r.claims,
+		Answers:           answerStore{r.platform},
+	})
+	r.api = api.NewServer(api.Config{
+		MaxBodyBytes:   r.settings.Limits.MaxBodyBytes,
+		MaxHeaderBytes: r.settings.Limits.MaxHeaderBytes,
+		Node:           ident.Node(r.settings.Node),
+		KeepStream:     r.keepStream,
+	}, catalogs{r.keeper.Current}, &runner{r.dispatch, newTenantRates(r.keeper.Current), r.telemetry}, sealer, r.state)
+	return nil
+}
+
+// run opens the sockets, runs the duties and stops them in order.
+func (r *Router) run(ctx context.Context) error {
+	routes, err := r.handler()
+	if err != nil {
+		return err
+	}
+	listener, err := net.Listen("tcp", r.settings.Listen)
+	if err != nil {
+		return fault.Wrap(err, fault.InvalidSettings, "opening the listener %s", r.settings.Listen)
+	}
+	duties, endDuties := context.WithCancel(context.Background())
+	defer endDuties()
+	if err := r.startMembership(duties); err != nil {
+		_ = listener.Close()
+		return err
+	}
+	r.startDuties(duties)
+	server := r.api.NewHTTPServer()
+	server.Handler = routes
+	served := make(chan error, 1)
+	go func() { served <- server.Serve(listener) }()
+	log.WithField("listen", listener.Addr().String()).WithField("node", r.settings.Node).Info("router started")
+
+	select {
+	case <-ctx.Done():
+		err = r.stop(server)
+	case err = <-served:
+		err = fault.Wrap(err, fault.Internal, "the HTTP listener ended")
+	}
+	endDuties()
+	r.members.Stop()
+	r.work.Wait()
+	log.Info("router stopped")
+	return err
+}
+
+// stop ends the caller side: nothing new, everything open finished.
+func (r *Router) stop(server *http.Server) error {
+	r.fire(statechart.RouterEventStopRequested)
+	log.Info("router leaving")
+	r.leave()
+	time.Sleep(lingerBeforeShutdown)
+	bounded, cancel := context.WithTimeout(context.Background(), r.settings.StopGrace)
+	defer cancel()
+	err := server.Shutdown(bounded)
+	r.dispatch.Close()
+	if err != nil {
+		r.fire(statechart.RouterEventGraceOver)
+		return fault.Wrap(err, fault.Timeout, "open requests outlasted the stop grace of %s", r.settings.StopGrace).
+			WithRemedy("raise stopGrace above the longest stream")
+	}
+	r.fire(statechart.RouterEventDrained)
+	return nil
+}
+
+// leave announces the stop to the other routers, so that they take over what
+// this one owns before it is gone.
+func (r *Router) leave() {
+	bounded, cancel := context.WithTimeout(context.Background(), membershipTimeout)
+	defer cancel()
+	if err := r.members.Leave(bounded); err != nil {
+		log.WithError(err).Warn("leaving was not announced")
+	}
+}
+
+// startDuties starts every goroutine of the router. They end with ctx.
+func (r *Router) startDuties(ctx context.Context) {
+	r.keeper.OnAdopt(func(compiled *fleet.Compiled) { r.adopt(ctx, compiled) })
+	r.poller.Start(ctx, pollWorkers)
+	r.appPoller.Start(ctx, pollWorkers)
+	r.work.Go(func() { r.duty.Run(ctx) })
+	r.work.Go(func() { r.keeper.Run(ctx) })
+	r.work.Go(func() { r.claims.Run(ctx) })
+	r.work.Go(func() { r.pollApplications(ctx) })
+	r.work.Go(func() { r.watchMachines(ctx) })
+	r.work.Go(func() { r.watchMembers(ctx) })
+	r.work.Go(r.poller.Wait)
+	r.work.Go(r.appPoller.Wait)
+	r.registerMetrics()
+}
+
+// adopt puts a fleet file in force.
+func (r *Router) adopt(ctx context.Context, compiled *fleet.Compiled) {
+	r.duty.Configure(engineTargets(compiled))
+	r.apps.configure(compiled)
+	r.streams.Set(ctx, r.ownStreams(compiled))
+	r.announceFleet(ctx, compiled)
+	r.fire(statechart.RouterEventReady)
+	log.WithField("version", compiled.Version).Info("fleet file in force")
+}
+
+// pollApplications reads the load reports of applications until ctx ends.
+func (r *Router) pollApplications(ctx context.Context) {
+	for ctx.Err() == nil {
+		r.apps.poll(r.appPoller, r.settings.Intervals.LoadPoll, pollsPerTick)
+		sleep(ctx, pollTick)
+	}
+}
+
+// fire moves the router's own chart; an event that it does not take is counted
+// by the chart's observer.
+func (r *Router) fire(event statechart.Event) { _, _ = r.life.Fire(event) }
+
+// state says what the API tells of this router.
+func (r *Router) state() api.State {
+	switch r.life.State() {
+	case statechart.RouterStateServing:
+		return api.StateServing
+	case statechart.RouterStateStarting:
+		return api.StateStarting
+	default:
+		return api.StateLeaving
+	}
+}
--- /dev/null
+++ b/internal/router/streams.go
@@ -0,0 +1,117 @@
+package router
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/fieldpond/fieldpond/internal/engine"
+	"github.com/fieldpond/fieldpond/internal/ident"
+	"github.com/fieldpond/fieldpond/internal/placement"
+)
+
+const (
+	// smallFleet is the number of engines up to which every router reads every
+	// cache event stream. Beyond it a router reads only the streams it owns.
+	smallFleet = 32
+	// streamOwners is the number of routers that read the events of an engine
+	// of a large fleet: the owner and one standby.
+	streamOwners = 2
+	// streamPause is the pause before a broken event stream is opened anew.
+	streamPause = 500 * time.Millisecond
+	// snapshotTimeout bounds the read of a cache snapshot.
+	snapshotTimeout = 5 * time.Second
+)
+
+// streamSource is an engine whose cache events are to be read.
+type streamSource struct {
+	Engine  ident.Engine
+	Address string
+}
+
+// streamReaders runs one goroutine for each cache event stream that this
+// router reads, and one for each snapshot being read.
+type streamReaders struct {
+	observer engine.Observer
+	duty     *placement.Duty
+	mutex    sync.Mutex
+	running  map[streamSource]context.CancelFunc
+	work     sync.WaitGroup
+}
+
+func newStreamReaders(observer engine.Observer, duty *placement.Duty) *streamReaders {
+	return &streamReaders{observer: observer, duty: duty, running: make(map[streamSource]context.CancelFunc)}
+}
+
+// Set makes the wanted streams, and no others, be read until ctx ends.
+func (s *streamReaders) Set(ctx context.Context, wanted []streamSource) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	keep := make(map[streamSource]bool, len(wanted))
+	for _, source := range wanted {
+		keep[source] = true
+		if s.running[source] == nil {
+			s.start(ctx, source)
+		}
+	}
+	for source, stop := range s.running {
+		if !keep[source] {
+			stop()
+			delete(s.running, source)
+		}
+	}
+}
+
+// Wait returns when every goroutine has ended.
+func (s *streamReaders) Wait() { s.work.Wait() }
+
+func (s *streamReaders) start(ctx context.Context, source streamSource) {
+	bounded, stop := context.WithCancel(ctx)
+	s.running[source] = stop
+	s.work.Go(func() {
+		for bounded.Err() == nil {
+			s.read(bounded, source)
+			sleep(bounded, streamPause)
+		}
+	})
+}
+
+// read takes batches from one connection until it breaks.
+func (s *streamReaders) read(ctx context.Context, source streamSource) {
+	var after uint64
+	stream, err := s.observer.CacheEvents(ctx, source.Address, after)
+	if err != nil {
+		return
+	}
+	defer stream.Close()
+	defer context.AfterFunc(ctx, stream.Close)()
+	for {
+		batch, err := stream.Next()
+		if err != nil {
+			return
+		}
+		s.duty.CacheEvents(source.Engine, batch)
+	}
+}
+
+// Snapshot reads the whole state of an engine's cache in the background.
+func (s *streamReaders) Snapshot(ctx context.Context, source streamSource) {
+	s.work.Go(func() {
+		bounded, cancel := context.WithTimeout(ctx, snapshotTimeout)
+		defer cancel()
+		snapshot, err := s.observer.CacheSnapshot(bounded, source.Address)
+		if err == nil {
+			s.duty.CacheSnapshot(source.Engine, snapshot)
+		}
+	})
+}
+
+// sleep waits for the duration or until ctx ends.
+func sleep(ctx context.Context, duration time.Duration) {
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
