Ask the prefix directory in fleets too large to read every event stream

Cause: beyond 32 engines a router reads only the event streams it owns, so it knew nothing of prefixes that other routers had filled. Ruled out: holding the request in its own goroutine for the look-up (the beliefs and the directory are written by the placement goroutine alone), and waiting for a silent shard (10 ms at most, then the request goes by rendezvous). Change: placement.Core parks a job for the shard's answer, takes it in as beliefs, reports what engines answered, and carries the messages as effects; internal/router sends them to the other routers over the peer transport. Measured: placement tests, the first of which fails when the answer is not taken in (credit 0 instead of over 200 tokens).

--- a/internal/placement/core.go
+++ b/internal/placement/core.go
@@ -17,6 +17,7 @@
 	"github.com/fieldpond/fieldpond/internal/fault"
 	"github.com/fieldpond/fieldpond/internal/ident"
 	"github.com/fieldpond/fieldpond/internal/prefix/beliefs"
+	"github.com/fieldpond/fieldpond/internal/prefix/directory"
 	"github.com/fieldpond/fieldpond/internal/routing/framework"
 )
 
@@ -26,6 +27,12 @@
 	Scheduler framework.Scheduler
 	// Beliefs holds the beliefs about caches.
 	Beliefs *beliefs.Store
+	// Directory is this router's part of the directory of cached prefixes. It
+	// is used while the fleet has more than SmallFleet engines; in a smaller one
+	// every router reads every engine's events itself. Nil means never.
+	Directory *directory.Node
+	// SmallFleet is the number of engines up to which Directory is not used.
+	SmallFleet int
 	// Queue bounds and orders waiting requests.
 	Queue *admission.Queue
 	// NewLimiter returns the concurrency limiter of one engine; nil means none.
@@ -66,6 +73,8 @@
 	Placed  []Placed
 	Refused []Refused
 	Changes []endpoint.Change
+	// Messages go to the directories of other routers.
+	Messages []directory.Envelope
 }
 
 // flight is one attempt on an engine.
@@ -85,8 +94,13 @@
 	limiters map[ident.Engine]admission.Limiter
 	waiting  map[ident.Request]*Job
 	flights  map[endpoint.AttemptKey]*flight
-	snapshot framework.Snapshot
-	effects  Effects
+	// parked holds jobs that wait for the directory, in order of time.
+	parked          []parkedJob
+	directoryTicked time.Time
+	// directory is Config.Directory while it is used, else nil.
+	directory *directory.Node
+	snapshot  framework.Snapshot
+	effects   Effects
 	// Counters counts decisions; read it from the goroutine of the core.
 	Counters Counters
 }
@@ -95,6 +109,8 @@
 type Counters struct {
 	// Placed, Refused and Held count decisions.
 	Placed, Refused, Held uint64
+	// Parked counts jobs that waited for the directory.
+	Parked uint64
 	// PromptTokens, CreditedTokens and CachedTokens add up what answered
 	// attempts asked for, were believed to find cached, and found.
 	PromptTokens, CreditedTokens, CachedTokens uint64
@@ -125,6 +141,10 @@
 
 // Configure takes over the engines of a fleet file.
 func (c *Core) Configure(now time.Time, targets []endpoint.Target) Effects {
+	c.directory = nil
+	if len(targets) > c.config.SmallFleet {
+		c.directory = c.config.Directory
+	}
 	c.changed(c.registry.Configure(targets))
 	return c.pump(now)
 }
@@ -132,6 +152,19 @@
 // Offer takes in a job. It is placed, held or refused.
 func (c *Core) Offer(now time.Time, job *Job) Effects {
 	c.waiting[job.Request.ID] = job
+	if c.directory != nil && c.lookUp(now, job) {
+		c.park(now, job)
+	} else {
+		c.enqueue(now, job)
+	}
+	return c.pump(now)
+}
+
+// enqueue hands a job to the queue, unless its caller has left meanwhile.
+func (c *Core) enqueue(now time.Time, job *Job) {
+	if c.waiting[job.Request.ID] != job {
+		return
+	}
 	c.refuse(c.config.Queue.Offer(now, admission.Item{
 		ID:       job.Request.ID,
 		Tenant:   job.Request.Tenant,
@@ -141,7 +174,6 @@
 		Pool:     poolOf(&job.Request),
 		MaxHold:  job.MaxHold,
 	}))
-	return c.pump(now)
 }
 
 // Withdraw takes in that the caller of a waiting job is gone.
@@ -161,7 +193,11 @@
 	if c.config.Queue.Unfinished() {
 		return time.Time{}, true
 	}
-	return c.config.Queue.NextExpiry()
+	expiry, waits := c.config.Queue.NextExpiry()
+	if unpark, parked := c.nextUnpark(); parked && (!waits || unpark.Before(expiry)) {
+		return unpark, true
+	}
+	return expiry, waits
 }
 
 // Reported takes in a load report.
@@ -202,6 +238,7 @@
 // changed acts on changes of the registry and reports them.
 func (c *Core) changed(changes []endpoint.Change) {
 	for _, change := range changes {
+		c.tellDirectory(change)
 		switch change.Kind {
 		case endpoint.ChangeIncarnation, endpoint.ChangeRevived:
 			c.config.Beliefs.Incarnation(change.Engine, change.Incarnation)
@@ -222,6 +259,7 @@
 
 // pump gives up and places waiting jobs, and hands out the effects.
 func (c *Core) pump(now time.Time) Effects {
+	c.tickDirectory(now)
 	c.refuse(c.config.Queue.Expire(now))
 	if len(c.waiting) > 0 {
 		c.setLimits(now)
--- a/internal/placement/decide.go
+++ b/internal/placement/decide.go
@@ -82,7 +82,11 @@
 	request := &flight.job.Request
 	chain := request.Chains[flight.version]
 	if request.BlockTokens > 0 {
-		c.config.Beliefs.Answered(now, flight.engine, incarnation, chain, usage.CachedTokens/request.BlockTokens)
+		held := usage.CachedTokens / request.BlockTokens
+		c.config.Beliefs.Answered(now, flight.engine, incarnation, chain, held)
+		if c.directory != nil {
+			c.directory.Observed(now, flight.engine, incarnation, chain, held)
+		}
 	}
 	c.count(flight, usage)
 }
--- /dev/null
+++ b/internal/placement/directory_test.go
@@ -0,0 +1,114 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/fieldpond/fieldpond/internal/admission"
+	"github.com/fieldpond/fieldpond/internal/endpoint"
+	"github.com/fieldpond/fieldpond/internal/engine/protocol"
+	"github.com/fieldpond/fieldpond/internal/ident"
+	"github.com/fieldpond/fieldpond/internal/membership"
+	"github.com/fieldpond/fieldpond/internal/prefix/beliefs"
+	"github.com/fieldpond/fieldpond/internal/prefix/directory"
+	"github.com/fieldpond/fieldpond/internal/routing"
+)
+
+// network holds the cores of several routers and carries their directory
+// messages, losing those that lose says.
+type network struct {
+	cores map[ident.Node]*Core
+	lose  bool
+}
+
+func newNetwork(t *testing.T, nodes ...ident.Node) *network {
+	t.Helper()
+	is := is.New(t)
+	view := membership.View{}
+	for _, node := range nodes {
+		view.Members = append(view.Members, membership.Member{Node: node, Zone: zone})
+	}
+	made := &network{cores: make(map[ident.Node]*Core)}
+	for _, node := range nodes {
+		scheduler, err := routing.NewPredictive(routing.Config{})
+		is.NoErr(err)
+		believed, err := beliefs.New(beliefs.Config{}, start)
+		is.NoErr(err)
+		prefixes, err := directory.New(directory.Config{}, believed)
+		is.NoErr(err)
+		core := New(Config{
+			Scheduler: scheduler, Beliefs: believed, Directory: prefixes, Queue: admission.NewQueue(admission.Config{}),
+			Hop: func(ident.Zone) time.Duration { return 0 },
+		})
+		view.Self = node
+		core.SetView(view)
+		var targets []endpoint.Target
+		for index := range 8 {
+			name := fmt.Sprintf("engine-%d", index)
+			targets = append(targets, endpoint.Target{Engine: ident.Engine(name), Address: name + ":1", Zone: zone})
+		}
+		core.Configure(start, targets)
+		for _, target := range targets {
+			core.Reported(start, target.Engine, reportOf(ident.Incarnation(target.Engine)+"-life"))
+		}
+		made.cores[node] = core
+	}
+	return made
+}
+
+// settle delivers messages until none is left and returns every placement.
+func (n *network) settle(now time.Time, from ident.Node, effects Effects) []Placed {
+	placed := effects.Placed
+	for _, envelope := range effects.Messages {
+		if n.lose {
+			continue
+		}
+		answer := n.cores[envelope.To].DirectoryMessage(now, from, envelope.Message)
+		placed = append(placed, n.settle(now, envelope.To, answer)...)
+	}
+	return placed
+}
+
+func TestARouterLearnsFromTheDirectoryWhatAnotherOneFilled(t *testing.T) {
+	is := is.New(t)
+	net := newNetwork(t, "router-1", "router-2", "router-3")
+	now := start
+
+	first := net.settle(now, "router-1", net.cores["router-1"].Offer(now, jobOf("r1", time.Second)))
+	is.Equal(len(first), 1)
+	// The engine that got it is not the one that rendezvous would choose now.
+	filled := first[0].Candidate.Endpoint
+	net.cores["router-1"].Started(now, AttemptKeyOf("r1", 1), filled.Incarnation, protocol.Usage{PromptTokens: 256})
+	now = now.Add(time.Second)
+	net.settle(now, "router-1", net.cores["router-1"].Tick(now))
+
+	for _, node := range []ident.Node{"router-2", "router-3"} {
+		job := jobOf("again-"+string(node), time.Second)
+		placed := net.settle(now, node, net.cores[node].Offer(now, job))
+		is.Equal(len(placed), 1)
+		is.True(placed[0].Candidate.CreditTokens > 200) // known although this router never dispatched it
+		is.Equal(placed[0].Candidate.Endpoint.Engine, filled.Engine)
+	}
+}
+
+func TestAJobDoesNotWaitForADirectoryThatIsSilent(t *testing.T) {
+	is := is.New(t)
+	net := newNetwork(t, "router-1", "router-2", "router-3")
+	net.lose = true
+	parked := 0
+	for node, core := range net.cores {
+		effects := core.Offer(start, jobOf("r-"+string(node), time.Second))
+		if len(effects.Placed) == 1 {
+			continue // this router owns the shard itself
+		}
+		parked++
+		next, waits := core.NextTick()
+		is.True(waits)
+		is.Equal(next, start.Add(lookupPatience))
+		is.Equal(len(core.Tick(next).Placed), 1)
+	}
+	is.Equal(parked, 2)
+}
--- a/internal/placement/duty.go
+++ b/internal/placement/duty.go
@@ -8,6 +8,8 @@
 	"github.com/fieldpond/fieldpond/internal/engine/protocol"
 	"github.com/fieldpond/fieldpond/internal/fault"
 	"github.com/fieldpond/fieldpond/internal/ident"
+	"github.com/fieldpond/fieldpond/internal/membership"
+	"github.com/fieldpond/fieldpond/internal/prefix/directory"
 	"github.com/fieldpond/fieldpond/internal/ring"
 )
 
@@ -27,6 +29,9 @@
 	// OnSnapshotWanted is called, in the goroutine of the duty, when a cache
 	// snapshot of an engine is to be read. It must not block.
 	OnSnapshotWanted func(ident.Engine)
+	// OnMessage is called, in the goroutine of the duty, for every message to
+	// another router's directory. It must not block.
+	OnMessage func(directory.Envelope)
 }
 
 // overloadedRetryAfter is told to callers when the duty's ring is full.
@@ -55,7 +60,7 @@
 	fault  *fault.Fault
 }
 
-// newsPerOpen is the capacity of the ring of replaceable inputs.
+// newsCapacity is the capacity of the ring of replaceable inputs.
 const newsCapacity = 4096
 
 // commandsPerJob is how many commands one open job may have waiting: offer,
@@ -141,6 +146,9 @@
 	for _, change := range effects.Changes {
 		d.config.OnChange(change)
 	}
+	for _, message := range effects.Messages {
+		d.config.OnMessage(message)
+	}
 }
 
 func (d *Duty) reply(key endpoint.AttemptKey, word reply) {
@@ -207,6 +215,19 @@
 	d.commands.Push(func(now time.Time) Effects { return d.core.LeavingSeen(now, engine, incarnation) })
 }
 
+// DirectoryMessage reports a message of another router's directory.
+func (d *Duty) DirectoryMessage(from ident.Node, message directory.Message) {
+	d.news.Push(func(now time.Time) Effects { return d.core.DirectoryMessage(now, from, message) })
+}
+
+// SetView reports which routers there are.
+func (d *Duty) SetView(view membership.View) {
+	d.commands.Push(func(time.Time) Effects {
+		d.core.SetView(view)
+		return Effects{}
+	})
+}
+
 // CacheEvents reports a batch of cache events.
 func (d *Duty) CacheEvents(engine ident.Engine, batch protocol.CacheEventBatch) {
 	d.news.Push(func(now time.Time) Effects {
--- a/internal/router/members.go
+++ b/internal/router/members.go
@@ -73,6 +73,7 @@
 	case membership.FleetHeadRaised:
 		r.headHeard(event.Head)
 	case membership.MemberChanged, membership.MemberForgotten:
+		r.duty.SetView(r.view())
 		if compiled := r.keeper.Current(); compiled != nil {
 			r.streams.Set(ctx, r.ownStreams(compiled))
 		}
--- a/internal/router/peers.go
+++ b/internal/router/peers.go
@@ -79,6 +79,9 @@
 	if err := peer.Handle(server, methodFleetBody, r.serveBody); err != nil {
 		return nil, err
 	}
+	if err := peer.Handle(server, methodDirectory, r.serveDirectory); err != nil {
+		return nil, err
+	}
 	return server, peer.Handle(server, methodStreamKeep, r.serveKeep)
 }
 
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -24,6 +24,7 @@
 	"github.com/fieldpond/fieldpond/internal/placement"
 	"github.com/fieldpond/fieldpond/internal/platform"
 	"github.com/fieldpond/fieldpond/internal/prefix/beliefs"
+	"github.com/fieldpond/fieldpond/internal/prefix/directory"
 	"github.com/fieldpond/fieldpond/internal/resume"
 	"github.com/fieldpond/fieldpond/internal/routing"
 	"github.com/fieldpond/fieldpond/internal/settings"
@@ -67,9 +68,11 @@
 	appPoller *endpoint.Poller
 	poller    *endpoint.Poller
 	streams   *streamReaders
-	dispatch  *dispatch.Dispatcher
-	api       *api.Server
-	work      sync.WaitGroup
+	// directoryMessages are on their way to other routers.
+	directoryMessages *directorySender
+	dispatch          *dispatch.Dispatcher
+	api               *api.Server
+	work              sync.WaitGroup
 }
 
 // Run runs a router until ctx ends, then stops it as planned: no new work,
@@ -131,14 +134,21 @@
 	if err != nil {
 		return err
 	}
+	prefixes, err := directory.New(directory.Config{}, believed)
+	if err != nil {
+		return err
+	}
 	home := ident.Zone(r.settings.Zone)
 	core := placement.New(placement.Config{
 		Scheduler:  scheduler,
 		Beliefs:    believed,
+		Directory:  prefixes,
+		SmallFleet: smallFleet,
 		Queue:      admission.NewQueue(admission.Config{}),
 		NewLimiter: func() admission.Limiter { return admission.NewGradientLimiter(admission.LimitBounds{}) },
 		Hop:        hopFrom(home),
 	})
+	r.directoryMessages = newDirectorySender(r.peers, ident.Node(r.settings.Node), r.view)
 	r.poller = endpoint.NewPoller(r.engines, pollTimeout, pollRing)
 	r.duty = placement.NewDuty(placement.DutyConfig{
 		MaxOpen:          r.settings.Limits.MaxOpenRequests,
@@ -147,6 +157,7 @@
 		PollTick:         pollTick,
 		OnChange:         r.engineChanged,
 		OnSnapshotWanted: r.snapshotWanted,
+		OnMessage:        r.directoryMessages.push,
 	}, core, r.poller)
 	r.streams = newStreamReaders(r.engines, r.duty)
 	r.apps = newApplicationPlacer(r.keeper.Current, home)
@@ -201,6 +212,7 @@
 		return err
 	}
 	r.startDuties(duties)
+	r.duty.SetView(r.view())
 	server := r.api.NewHTTPServer()
 	server.Handler = routes
 	served := make(chan error, 1)
@@ -255,6 +267,9 @@
 	r.poller.Start(ctx, pollWorkers)
 	r.appPoller.Start(ctx, pollWorkers)
 	r.work.Go(func() { r.duty.Run(ctx) })
+	for range directorySenders {
+		r.work.Go(func() { r.directoryMessages.run(ctx) })
+	}
 	r.work.Go(func() { r.keeper.Run(ctx) })
 	r.work.Go(func() { r.claims.Run(ctx) })
 	r.work.Go(func() { r.pollApplications(ctx) })
--- a/internal/status/status.go
+++ b/internal/status/status.go
@@ -63,6 +63,8 @@
 	Placed  uint64 `json:"placed"`
 	Refused uint64 `json:"refused"`
 	Held    uint64 `json:"held"`
+	// Parked counts requests that waited for the prefix directory.
+	Parked uint64 `json:"parked"`
 	// PromptTokens and CachedTokens add up what engines answered with,
 	// CreditedTokens what was believed.
 	PromptTokens   uint64 `json:"prompt_tokens"`
