--- a/internal/fleet/keeper_test.go
+++ b/internal/fleet/keeper_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -156,3 +157,26 @@
 		check.Equal(c.countInForce(1), 6)
 	})
 }
+
+// TestBodyOutlastsRateLimits: a body of several rows, of which every second
+// read is refused, can only be had by going on where the limit struck.
+func TestBodyOutlastsRateLimits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		check := is.New(t)
+		c := newCluster(1)
+		body := append(smallFile("one"), "# "+strings.Repeat("x", 2*chunkBytes)+"\n"...)
+		_, err := Apply(t.Context(), c.table, body, ApplyOptions{})
+		check.NoErr(err)
+		turn := 0
+		c.table.mode = func(key string, _ bool) faultMode {
+			if key == HeadKey {
+				return works
+			}
+			turn++
+			return []faultMode{works, limited}[turn%2]
+		}
+		keeper := c.start(t.Context(), c.members[0])
+		time.Sleep(8 * time.Second)
+		check.Equal(keeper.Pair().Version, Version(1))
+	})
+}
--- a/internal/fleet/parse.go
+++ b/internal/fleet/parse.go
@@ -16,11 +16,11 @@
 
 const (
 	// MaxFileBytes is the largest fleet file that is read, in bytes. A file of
-	// 23,000 tenants takes about a fifth of it.
+	// 23,000 tenants takes about an eighth of it.
 	MaxFileBytes = 32 << 20
 	// maxStructure bounds the characters of a file that can open a YAML node,
 	// and so the memory that parsing takes.
-	maxStructure = 4 << 20
+	maxStructure = 2 << 20
 	// maxNodes bounds the nodes read after aliases are followed, so that a
 	// short file cannot unfold into a huge one.
 	maxNodes = 2 << 20
--- a/internal/fleet/storage.go
+++ b/internal/fleet/storage.go
@@ -124,11 +124,25 @@
 	return head, err == nil, err
 }
 
+// readChunk reads one row of a body. It waits out rate limits until ctx ends,
+// because starting the whole body again would ask for more, not less.
+func readChunk(ctx context.Context, table platform.Table, key string) (protocol.Row, bool, error) {
+	for {
+		row, found, err := table.Read(ctx, key)
+		if !fault.Is(err, fault.RateLimited) {
+			return row, found, err
+		}
+		if pauseErr := pause(ctx, max(firstRetryDelay, fault.From(err).RetryAfter)); pauseErr != nil {
+			return protocol.Row{}, false, err
+		}
+	}
+}
+
 // ReadBody reads a body from the table and verifies its digest.
 func ReadBody(ctx context.Context, table platform.Table, digest Digest) ([]byte, error) {
 	var body []byte
 	for index := 0; index < chunkCount(MaxFileBytes); index++ {
-		row, found, err := table.Read(ctx, chunkKey(digest, index))
+		row, found, err := readChunk(ctx, table, chunkKey(digest, index))
 		if err != nil {
 			return nil, err
 		}
