--- a/internal/membership/gossip.go
+++ b/internal/membership/gossip.go
@@ -22,6 +22,9 @@
 	// urgentBurst and urgentPerSecond bound the datagrams sent at once.
 	urgentBurst     = 40
 	urgentPerSecond = 8
+	// rumourBurst and rumourPerSecond bound the bytes of piggybacked rumours.
+	rumourBurst     = 8 << 10
+	rumourPerSecond = 700
 	// signTransmissions is how often a sign is sent besides that.
 	signTransmissions = 10
 	maxSigns          = 512
@@ -38,6 +41,8 @@
 	signOrder    []*heldSign
 	headSends    int
 	urgentTokens float64
+	// rumourTokens is the allowance of bytes for piggybacked rumours.
+	rumourTokens float64
 }
 
 // queued is a member whose record has changed; the record is read when sent.
@@ -149,10 +154,11 @@
 			rumour = compact(each.held.Member)
 		}
 		size := cost(rumour)
-		if size > *budget {
+		if size > *budget || m.gossip.rumourTokens < float64(size) {
 			break
 		}
 		*budget -= size
+		m.gossip.rumourTokens -= float64(size)
 		each.sends++
 		message.Rumours = append(message.Rumours, rumour)
 	}
@@ -174,6 +180,7 @@
 // refill restores the bounded rates after a time.
 func (m *Machine) refill(passed time.Duration) {
 	m.gossip.urgentTokens = min(urgentBurst, m.gossip.urgentTokens+urgentPerSecond*passed.Seconds())
+	m.gossip.rumourTokens = min(rumourBurst, m.gossip.rumourTokens+rumourPerSecond*passed.Seconds())
 	m.syncing.tokens = min(syncBurst, m.syncing.tokens+syncPerSecond*passed.Seconds())
 }
 
--- a/internal/membership/machine.go
+++ b/internal/membership/machine.go
@@ -48,7 +48,7 @@
 	suspicionMultiplier = 4
 	// briefMultiplier and fullMultiplier scale how often a rumour is sent with
 	// log10(members).
-	briefMultiplier = 3
+	briefMultiplier = 4
 	fullMultiplier  = 1
 	// maxMembers and maxSeeds bound the machine's memory.
 	maxMembers = 4096
@@ -118,6 +118,7 @@
 	machine.probing.sequence = random.Uint64() >> 32
 	machine.gossip.signs = map[signKey]*heldSign{}
 	machine.gossip.urgentTokens = urgentBurst
+	machine.gossip.rumourTokens = rumourBurst
 	machine.syncing.tokens = syncBurst
 	machine.syncing.next = now.Add(period)
 	machine.syncing.interval = period
--- a/internal/membership/merge.go
+++ b/internal/membership/merge.go
@@ -15,7 +15,7 @@
 	}
 	held := m.find(rumour.Node)
 	if held == nil {
-		m.admit(rumour)
+		m.admit(rumour, hearsay)
 		return
 	}
 	newer := rumour.Incarnation > held.Incarnation ||
@@ -30,7 +30,7 @@
 		m.doubt(rumour)
 		return
 	}
-	if rumour.State == Dead && held.State == Alive {
+	if rumour.State == Dead && held.State == Alive && rumour.Incarnation == held.Incarnation {
 		// The suspicion was missed: give the member its chance to refute it.
 		rumour.State = Suspect
 	}
@@ -49,8 +49,9 @@
 }
 
 // admit adds a member not known before. The dead are not: whoever forgot them
-// must not learn them again.
-func (m *Machine) admit(rumour Rumour) {
+// must not learn them again. Members found by a sync are not gossiped on: their
+// own rumour is under way, and further syncs spread the rest more cheaply.
+func (m *Machine) admit(rumour Rumour, hearsay bool) {
 	if rumour.State == Dead || rumour.GossipAddress == "" || len(m.records) >= maxMembers {
 		return
 	}
@@ -61,7 +62,9 @@
 	added := &record{Member: Member(rumour), changed: m.now}
 	index, _ := m.search(rumour.Node)
 	m.records = slices.Insert(m.records, index, added)
-	m.enqueue(added, false)
+	if !hearsay {
+		m.enqueue(added, false)
+	}
 	m.event(Event{Kind: MemberChanged, Member: added.Member})
 	if suspected {
 		rumour.State = Suspect
--- /dev/null
+++ b/internal/membership/node.go
@@ -0,0 +1,361 @@
+package membership
+
+import (
+	"context"
+	"math/rand"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/fieldpond/fieldpond/internal/fault"
+	"github.com/fieldpond/fieldpond/internal/ring"
+)
+
+const (
+	// tickPeriod is how often the machine's timers are looked at; the probe
+	// period must be at least four times as long.
+	tickPeriod = 100 * time.Millisecond
+	// Capacities of the rings between the duties.
+	inboundCapacity  = 1024
+	outboundCapacity = 1024
+	commandCapacity  = 256
+	eventCapacity    = 4096
+)
+
+// Config is what a membership node needs to start.
+type Config struct {
+	// Self is this router's record. A zero Incarnation is replaced by the
+	// start time in milliseconds.
+	Self Member
+	// Listen is the UDP address to listen on; empty means Self.GossipAddress.
+	// With port 0 the system chooses, and Self.GossipAddress takes the outcome.
+	Listen string
+	// ClusterKey authenticates datagrams; at least MinKey bytes.
+	ClusterKey []byte
+	// Seeds are gossip addresses of other routers; AddSeeds adds more.
+	Seeds []string
+	// RandomSeed feeds the protocol's choices; zero takes the start time.
+	RandomSeed int64
+	// Timing overrides the periods; zero fields keep their defaults.
+	Timing Timing
+}
+
+// Counters is a snapshot of a node's counters.
+type Counters struct {
+	// DatagramsSent, DatagramsReceived, BytesSent and BytesReceived count UDP
+	// payloads.
+	DatagramsSent, DatagramsReceived, BytesSent, BytesReceived uint64
+	// Refused counts datagrams that failed the checks of Codec.Open.
+	Refused uint64
+	// Unsent counts datagrams that could not be encoded, resolved or written.
+	Unsent uint64
+	// Rings are the counters of the rings between the duties.
+	Rings []ring.Counters
+}
+
+// Node runs a Machine over UDP. Its duties are a receiver, a keeper, which
+// alone touches the machine, and a sender. All methods are safe for concurrent
+// use.
+type Node struct {
+	connection *net.UDPConn
+	codec      *Codec
+	view       atomic.Pointer[View]
+	head       atomic.Pointer[FleetHead]
+	inbound    *ring.Ring[arrival]
+	outbound   *ring.Ring[Envelope]
+	commands   *ring.Ring[command]
+	events     *ring.Ring[Event]
+
+	datagramsSent, datagramsReceived, bytesSent, bytesReceived, refused, unsent atomic.Uint64
+
+	stopping  chan struct{}
+	stopOnce  sync.Once
+	departing sync.WaitGroup
+	duties    sync.WaitGroup
+}
+
+type arrival struct {
+	source  string
+	message *Message
+}
+
+type command struct {
+	run  func(machine *Machine, now time.Time)
+	done chan struct{}
+}
+
+// Start listens and joins. The node runs until Stop is called or the context
+// ends.
+func Start(ctx context.Context, config Config) (*Node, error) {
+	codec, err := NewCodec(config.ClusterKey)
+	if err != nil {
+		return nil, err
+	}
+	connection, self, err := listen(config)
+	if err != nil {
+		return nil, err
+	}
+	now := time.Now()
+	if self.Incarnation == 0 {
+		self.Incarnation = uint64(now.UnixMilli())
+	}
+	if config.RandomSeed == 0 {
+		config.RandomSeed = now.UnixNano()
+	}
+	machine, err := NewMachine(now, self, config.Timing, rand.New(rand.NewSource(config.RandomSeed)))
+	if err != nil {
+		_ = connection.Close()
+		return nil, err
+	}
+	machine.AddSeeds(config.Seeds)
+	node := &Node{
+		connection: connection,
+		codec:      codec,
+		inbound:    ring.New[arrival]("membership inbound", inboundCapacity, ring.DropOldest),
+		outbound:   ring.New[Envelope]("membership outbound", outboundCapacity, ring.DropOldest),
+		commands:   ring.New[command]("membership commands", commandCapacity, ring.RefuseNew),
+		events:     ring.New[Event]("membership events", eventCapacity, ring.DropOldest),
+		stopping:   make(chan struct{}),
+	}
+	node.publish(machine)
+	node.departing.Add(1)
+	node.duties.Add(3)
+	go node.receive()
+	go node.keep(ctx, machine)
+	go node.send()
+	return node, nil
+}
+
+func listen(config Config) (*net.UDPConn, Member, error) {
+	self := config.Self
+	address := config.Listen
+	if address == "" {
+		address = self.GossipAddress
+	}
+	wanted, err := net.ResolveUDPAddr("udp", address)
+	if err != nil {
+		return nil, self, fault.Wrap(err, fault.InvalidSettings, "the gossip address %q cannot be resolved", address).
+			WithRemedy("give the gossip address as HOST:PORT")
+	}
+	connection, err := net.ListenUDP("udp", wanted)
+	if err != nil {
+		return nil, self, fault.Wrap(err, fault.InvalidSettings, "cannot listen on gossip address %q", address).
+			WithRemedy("choose an address of this machine and a free UDP port")
+	}
+	if wanted.Port == 0 {
+		self.GossipAddress = connection.LocalAddr().String()
+	}
+	return connection, self, nil
+}
+
+// View returns the present view of the members.
+func (n *Node) View() View { return *n.view.Load() }
+
+// Head returns the newest fleet version known of.
+func (n *Node) Head() FleetHead { return *n.head.Load() }
+
+// Events returns the ring of changes. It has one consumer; when that is slow
+// the oldest events are dropped and counted, and View tells the present state.
+func (n *Node) Events() *ring.Ring[Event] { return n.events }
+
+// AddSeeds adds gossip addresses at which other routers may be found.
+func (n *Node) AddSeeds(ctx context.Context, addresses []string) error {
+	return n.command(ctx, func(machine *Machine, _ time.Time) { machine.AddSeeds(addresses) })
+}
+
+// SetFleetVersion announces the fleet version that this router has in force.
+func (n *Node) SetFleetVersion(ctx context.Context, version uint64, digest string) error {
+	return n.command(ctx, func(machine *Machine, now time.Time) { machine.SetFleetVersion(now, version, digest) })
+}
+
+// Broadcast spreads a sign that this router has observed itself. Observer and
+// time are filled in.
+func (n *Node) Broadcast(ctx context.Context, sign BackendSign) error {
+	var refusal error
+	err := n.command(ctx, func(machine *Machine, now time.Time) { refusal = machine.Broadcast(now, sign) })
+	if err != nil {
+		return err
+	}
+	return refusal
+}
+
+// Leave announces that this router stops. The node keeps answering until Stop.
+func (n *Node) Leave(ctx context.Context) error {
+	return n.command(ctx, func(machine *Machine, now time.Time) { machine.Leave(now) })
+}
+
+// Stop tells a few members that this router is gone and ends the duties.
+func (n *Node) Stop() {
+	n.stopOnce.Do(func() { close(n.stopping) })
+	n.duties.Wait()
+}
+
+// Counters returns the node's counters.
+func (n *Node) Counters() Counters {
+	return Counters{
+		DatagramsSent:     n.datagramsSent.Load(),
+		DatagramsReceived: n.datagramsReceived.Load(),
+		BytesSent:         n.bytesSent.Load(),
+		BytesReceived:     n.bytesReceived.Load(),
+		Refused:           n.refused.Load(),
+		Unsent:            n.unsent.Load(),
+		Rings: []ring.Counters{
+			n.inbound.Counters(), n.outbound.Counters(), n.commands.Counters(), n.events.Counters(),
+		},
+	}
+}
+
+// command runs an input in the keeper and waits for it.
+func (n *Node) command(ctx context.Context, run func(machine *Machine, now time.Time)) error {
+	wanted := command{run: run, done: make(chan struct{})}
+	if !n.commands.Push(wanted) {
+		return fault.New(fault.Overloaded, "the membership duty has %d inputs waiting", commandCapacity)
+	}
+	select {
+	case <-wanted.done:
+		return nil
+	case <-n.stopping:
+		return fault.New(fault.Leaving, "the membership node has stopped")
+	case <-ctx.Done():
+		return fault.Wrap(ctx.Err(), fault.Timeout, "waiting for the membership duty")
+	}
+}
+
+// keep is the duty that owns the machine.
+func (n *Node) keep(ctx context.Context, machine *Machine) {
+	defer n.duties.Done()
+	defer n.departing.Done()
+	ticker := time.NewTicker(tickPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			n.stopOnce.Do(func() { close(n.stopping) })
+		case <-n.stopping:
+		case <-ticker.C:
+			machine.Tick(time.Now())
+		case <-n.inbound.Ready():
+			n.drainInbound(machine)
+		case <-n.commands.Ready():
+			n.drainCommands(machine)
+		}
+		select {
+		case <-n.stopping:
+			machine.Depart(time.Now())
+			n.perform(machine)
+			return
+		default:
+			n.perform(machine)
+		}
+	}
+}
+
+func (n *Node) drainInbound(machine *Machine) {
+	for next, ok := n.inbound.Pop(); ok; next, ok = n.inbound.Pop() {
+		machine.Step(time.Now(), next.source, next.message)
+	}
+}
+
+func (n *Node) drainCommands(machine *Machine) {
+	for next, ok := n.commands.Pop(); ok; next, ok = n.commands.Pop() {
+		next.run(machine, time.Now())
+		n.perform(machine)
+		close(next.done)
+	}
+}
+
+// perform does what the machine asks for.
+func (n *Node) perform(machine *Machine) {
+	output := machine.Ready()
+	if len(output.Events) > 0 {
+		n.publish(machine)
+	}
+	for _, event := range output.Events {
+		n.events.Push(event)
+	}
+	for _, envelope := range output.Messages {
+		n.outbound.Push(envelope)
+	}
+}
+
+func (n *Node) publish(machine *Machine) {
+	view, head := machine.View(), machine.Head()
+	n.view.Store(&view)
+	n.head.Store(&head)
+}
+
+// receive is the duty that reads datagrams until the connection is closed.
+func (n *Node) receive() {
+	defer n.duties.Done()
+	buffer := make([]byte, MaxDatagram+1)
+	for {
+		length, source, err := n.connection.ReadFromUDPAddrPort(buffer)
+		select {
+		case <-n.stopping:
+			return
+		default:
+		}
+		if err != nil {
+			n.refused.Add(1)
+			continue
+		}
+		n.datagramsReceived.Add(1)
+		n.bytesReceived.Add(uint64(length))
+		message, err := n.codec.Open(buffer[:length])
+		if err != nil {
+			n.refused.Add(1)
+			continue
+		}
+		unmapped := netip.AddrPortFrom(source.Addr().Unmap(), source.Port())
+		n.inbound.Push(arrival{source: unmapped.String(), message: message})
+	}
+}
+
+// send is the duty that writes datagrams; it alone may wait for a name to be
+// resolved. After the keeper has ended it sends what is left and closes the
+// connection, which ends the receiver.
+func (n *Node) send() {
+	defer n.duties.Done()
+	for {
+		select {
+		case <-n.outbound.Ready():
+			n.drainOutbound()
+		case <-n.stopping:
+			n.departing.Wait()
+			n.drainOutbound()
+			_ = n.connection.Close()
+			return
+		}
+	}
+}
+
+func (n *Node) drainOutbound() {
+	for next, ok := n.outbound.Pop(); ok; next, ok = n.outbound.Pop() {
+		if !n.transmit(next) {
+			n.unsent.Add(1)
+		}
+	}
+}
+
+func (n *Node) transmit(envelope Envelope) bool {
+	datagram, err := n.codec.Seal(&envelope.Message)
+	if err != nil {
+		return false
+	}
+	address, err := netip.ParseAddrPort(envelope.To)
+	if err != nil {
+		resolved, err := net.ResolveUDPAddr("udp", envelope.To)
+		if err != nil {
+			return false
+		}
+		address = resolved.AddrPort()
+	}
+	if _, err := n.connection.WriteToUDPAddrPort(datagram, address); err != nil {
+		return false
+	}
+	n.datagramsSent.Add(1)
+	n.bytesSent.Add(uint64(len(datagram)))
+	return true
+}
--- /dev/null
+++ b/internal/membership/node_test.go
@@ -0,0 +1,68 @@
+package membership
+
+import (
+	"context"
+	"net"
+	"testing"
+
+	"github.com/matryer/is"
+	"go.uber.org/goleak"
+
+	"github.com/fieldpond/fieldpond/internal/fault"
+	"github.com/fieldpond/fieldpond/internal/ident"
+)
+
+// TestNodesOverLoopback waits for events, never for a time.
+func TestNodesOverLoopback(t *testing.T) {
+	defer goleak.VerifyNone(t, goleak.IgnoreCurrent())
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	start := func(name ident.Node, seeds ...string) *Node {
+		node, err := Start(ctx, Config{
+			Self: Member{Node: name, Zone: "zone"}, Listen: "127.0.0.1:0", ClusterKey: testKey, Seeds: seeds,
+		})
+		is.NoErr(err)
+		return node
+	}
+	first := start("first")
+	address := first.View().Members[0].GossipAddress
+	second := start("second", address)
+	await(first, func(event Event) bool { return event.Member.Node == "second" && event.Member.State == Alive })
+	await(second, func(event Event) bool { return event.Member.Node == "first" })
+	is.Equal(len(second.View().Members), 2)
+
+	is.NoErr(first.SetFleetVersion(ctx, 4, "digest"))
+	is.NoErr(first.Broadcast(ctx, BackendSign{Backend: "engine", Kind: SignDead}))
+	await(second, func(event Event) bool { return event.Kind == SignReceived && event.Sign.Observer == "first" })
+	is.True(fault.Is(first.Broadcast(ctx, BackendSign{}), fault.BadRequest))
+
+	stranger, err := net.Dial("udp", address)
+	is.NoErr(err)
+	_, err = stranger.Write([]byte("not a datagram of this cluster"))
+	is.NoErr(err)
+	is.NoErr(stranger.Close())
+	is.NoErr(second.Leave(ctx))
+	await(first, func(event Event) bool { return event.Member.Node == "second" && event.Member.State == Leaving })
+	is.Equal(len(first.View().Owners("key", 2)), 1)
+	second.Stop()
+	await(first, func(event Event) bool { return event.Member.Node == "second" && event.Member.State == Dead })
+	is.Equal(first.Counters().Refused, uint64(1))
+	is.True(fault.Is(second.Leave(ctx), fault.Leaving))
+	cancel() // the context ends a node as well
+	first.Stop()
+	_, err = Start(context.Background(), Config{Self: Member{Node: "x"}, Listen: "nowhere", ClusterKey: testKey})
+	is.True(fault.Is(err, fault.InvalidSettings))
+	is.True(first.Counters().BytesSent > 0)
+}
+
+func await(node *Node, wanted func(event Event) bool) {
+	for {
+		for event, ok := node.Events().Pop(); ok; event, ok = node.Events().Pop() {
+			if wanted(event) {
+				return
+			}
+		}
+		<-node.Events().Ready()
+	}
+}
--- a/internal/membership/sync.go
+++ b/internal/membership/sync.go
@@ -17,7 +17,7 @@
 	bucketBytes = 4
 	// syncBurst and syncPerSecond bound the bytes of records sent by syncs.
 	syncBurst     = 48 << 10
-	syncPerSecond = 900
+	syncPerSecond = 1000
 	// joinContacts is how many seeds a router that knows nobody asks at a time.
 	joinContacts = 3
 )
