Late cache events do not revive a dead engine

Cause: a batch of cache events was taken as a sign of life. Events are late by nature, so one of a life that was over revived the dead engine at the router, brought its cache beliefs back, and requests were placed on it until the connection was refused. Ruled out: the beliefs themselves; they drop a dead life and refuse another.

--- a/internal/placement/core.go
+++ b/internal/placement/core.go
@@ -178,16 +178,25 @@
 
 // CacheEvents takes in a batch of cache events.
 func (c *Core) CacheEvents(now time.Time, engine ident.Engine, batch protocol.CacheEventBatch) {
-	c.changed(c.registry.SeenIncarnation(engine, batch.Incarnation))
+	c.heard(engine, batch.Incarnation)
 	c.config.Beliefs.Events(now, engine, batch)
 }
 
 // CacheSnapshot takes in the whole state of an engine's cache.
 func (c *Core) CacheSnapshot(now time.Time, engine ident.Engine, snapshot protocol.CacheSnapshot) {
-	c.changed(c.registry.SeenIncarnation(engine, snapshot.Incarnation))
+	c.heard(engine, snapshot.Incarnation)
 	c.config.Beliefs.Snapshot(now, engine, snapshot)
 }
 
+// heard takes in the incarnation of cache events or of a snapshot. They come
+// late: they may tell the first life of an engine that has not reported yet,
+// but never that a dead engine lives or that a life has been replaced.
+func (c *Core) heard(engine ident.Engine, incarnation ident.Incarnation) {
+	if c.registry.Incarnation(engine) == "" {
+		c.changed(c.registry.SeenIncarnation(engine, incarnation))
+	}
+}
+
 // SnapshotWanted reports whether a snapshot of the engine is to be read now.
 func (c *Core) SnapshotWanted(now time.Time, engine ident.Engine) bool {
 	return c.config.Beliefs.SnapshotWanted(now, engine)
--- /dev/null
+++ b/proofs/simulatedtraffic_test.go
@@ -0,0 +1,198 @@
+package proofs
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/fieldpond/fieldpond/internal/engine/protocol"
+	"github.com/fieldpond/fieldpond/internal/ident"
+	"github.com/fieldpond/fieldpond/internal/placement"
+	"github.com/fieldpond/fieldpond/internal/prefix"
+	"github.com/fieldpond/fieldpond/internal/routing/framework"
+)
+
+// wanted is what one caller asks for.
+type wanted struct {
+	tenant   ident.Tenant
+	zones    []ident.Zone
+	versions []ident.ModelVersion
+	prompt   string
+}
+
+// openRequest is a request between its offer and its end.
+type openRequest struct {
+	wanted
+	router   *simulatedRouter
+	attempts ident.Attempt
+	excluded map[ident.Engine]bool
+}
+
+// flight is one attempt on its way to, or on, an engine.
+type flight struct {
+	request *openRequest
+	placed  placement.Placed
+	sentAt  time.Time
+	first   time.Duration
+}
+
+// dispatched is one decision of a core.
+type dispatched struct {
+	at      time.Time
+	attempt attemptName
+	router  string
+	engine  ident.Engine
+	version ident.ModelVersion
+	// credited is the number of prompt tokens that the decision took to be cached.
+	credited float64
+	// groundless is true if the life that the decision expects is not the
+	// engine's present one, or never held the first block of the prompt and was
+	// never sent it.
+	groundless bool
+	// overFor is how long ago the life that the decision expects ended.
+	overFor time.Duration
+}
+
+// attemptName is how the truth records name an attempt.
+type attemptName struct {
+	request ident.Request
+	number  ident.Attempt
+}
+
+// sentBlock is a block of a chain that was dispatched to one life.
+type sentBlock struct {
+	incarnation ident.Incarnation
+	hash        prefix.Hash
+}
+
+// sharedPrompt returns a prompt with a long shared part and a short end.
+func sharedPrompt(shared string, end int) string {
+	const sharedTokens, bytes = 512, prefix.BytesPerToken
+	text := strings.Repeat(shared+" firm policy and regional rules. ", sharedTokens)[:sharedTokens*bytes]
+	return text + fmt.Sprintf(" order number %d", end)
+}
+
+// offer hands a request to a router.
+func (s *simulation) offer(router *simulatedRouter, want wanted) {
+	s.offered++
+	id := ident.Request(fmt.Sprintf("r-%06d", s.offered))
+	s.open[id] = &openRequest{wanted: want, router: router, excluded: map[ident.Engine]bool{}}
+	s.place(id)
+}
+
+// place asks the router for a place for the request's next attempt.
+func (s *simulation) place(id ident.Request) {
+	open := s.open[id]
+	open.attempts++
+	request := framework.Request{
+		ID: id, Tenant: open.tenant, Service: "s", Model: "m", Versions: open.versions, Excluded: open.excluded,
+		Zones: map[ident.Zone]bool{}, Chains: map[ident.ModelVersion]prefix.Chain{},
+		BlockTokens: prefix.DefaultBlockTokens, PromptTokens: prefix.Tokens(open.prompt), RecomputationWeight: 1,
+	}
+	for _, zone := range open.zones {
+		request.Zones[zone] = true
+	}
+	for _, version := range open.versions {
+		request.Chains[version] = prefix.ChainOf(open.salt(version), open.prompt, prefix.DefaultBlockTokens)
+	}
+	s.take(open.router, open.router.core.Offer(s.now, &placement.Job{
+		Key: placement.AttemptKeyOf(id, open.attempts), Request: request, Weight: 1, MaxHold: virtualMaxHold,
+	}))
+}
+
+func (w *wanted) salt(version ident.ModelVersion) prefix.Salt {
+	return prefix.Namespace{Tenant: w.tenant, Model: "m", Version: version}.Salt()
+}
+
+// take acts on the effects of one input of a core.
+func (s *simulation) take(router *simulatedRouter, effects placement.Effects) {
+	for _, change := range effects.Changes {
+		router.onChange(change)
+	}
+	for _, refused := range effects.Refused {
+		delete(s.open, refused.Key.Request)
+		s.refused = append(s.refused, refused)
+	}
+	for _, placed := range effects.Placed {
+		s.dispatch(router, placed)
+	}
+}
+
+// dispatch records a decision and sends the attempt on its way.
+func (s *simulation) dispatch(router *simulatedRouter, placed placement.Placed) {
+	chosen := placed.Candidate
+	chain := placed.Job.Request.Chains[chosen.Version]
+	life := chosen.Endpoint.Incarnation
+	engine := s.engine(chosen.Endpoint.Engine)
+	present := engine.Alive() && engine.Incarnation() == life
+	grounded := present && (engine.stored[chain[0]] || router.sent[sentBlock{life, chain[0]}])
+	overFor := time.Duration(0)
+	if !present {
+		overFor = s.now.Sub(engine.endedAt)
+	}
+	s.placed = append(s.placed, dispatched{
+		at: s.now, attempt: attemptName{placed.Job.Request.ID, placed.Job.Key.Attempt}, router: router.name, engine: engine.name, version: chosen.Version,
+		credited: chosen.CreditTokens, groundless: chosen.CreditTokens >= 1 && !grounded, overFor: overFor,
+	})
+	for _, hash := range chain {
+		router.sent[sentBlock{life, hash}] = true
+	}
+	started := &flight{request: s.open[placed.Job.Request.ID], placed: placed, sentAt: s.now}
+	s.after(router.travel, func() { s.arrive(started) })
+}
+
+// arrive offers an attempt to its engine, as the published protocol says.
+func (s *simulation) arrive(arrived *flight) {
+	chosen, request := arrived.placed.Candidate, arrived.request
+	engine := s.engine(chosen.Endpoint.Engine)
+	if !engine.Alive() {
+		request.excluded[engine.name] = true
+		s.finish(arrived, placement.Result{Unreachable: true})
+		return
+	}
+	stream, refusal := engine.Submit(s.now, protocol.GenerateRequest{
+		RequestID: arrived.placed.Job.Request.ID, Attempt: arrived.placed.Job.Key.Attempt,
+		ExpectedIncarnation: chosen.Endpoint.Incarnation, Tenant: request.tenant, Model: "m",
+		Version: chosen.Version, Salt: request.salt(chosen.Version), Prompt: request.prompt, MaxTokens: 2,
+	})
+	if refusal != nil {
+		request.excluded[engine.name] = refusal.Incarnation == chosen.Endpoint.Incarnation
+		s.finish(arrived, placement.Result{Refusal: refusal.Kind, Incarnation: refusal.Incarnation})
+		return
+	}
+	request.router.flights[stream] = arrived
+}
+
+// takeEvent hands an event of a stream to the router that reads it.
+func (s *simulation) takeEvent(event *protocol.StreamEvent) {
+	for _, router := range s.routers {
+		reader := router.flights[event.Stream]
+		if reader == nil {
+			continue
+		}
+		if event.Kind == protocol.EventStart {
+			router.core.Started(s.now, reader.placed.Job.Key, event.Incarnation, *event.Usage)
+		}
+		if event.Kind == protocol.EventChunk && reader.first == 0 {
+			reader.first = s.now.Sub(reader.sentAt)
+		}
+		if event.Kind == protocol.EventEnd {
+			delete(router.flights, event.Stream)
+			s.answered++
+			s.finish(reader, placement.Result{Incarnation: event.Incarnation, TimeToFirstToken: reader.first})
+		}
+	}
+}
+
+// finish ends an attempt and, unless it was answered, begins the next one.
+func (s *simulation) finish(over *flight, result placement.Result) {
+	id := over.placed.Job.Request.ID
+	router := over.request.router
+	s.take(router, router.core.Ended(s.now, over.placed.Job.Key, result))
+	answered := result.Refusal == "" && !result.Unreachable && !result.Broken
+	if answered || over.request.attempts == virtualAttempts {
+		delete(s.open, id)
+		return
+	}
+	s.place(id)
+}
--- /dev/null
+++ b/proofs/simulation_test.go
@@ -0,0 +1,258 @@
+package proofs
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/fieldpond/fieldpond/internal/admission"
+	"github.com/fieldpond/fieldpond/internal/endpoint"
+	"github.com/fieldpond/fieldpond/internal/engine/protocol"
+	"github.com/fieldpond/fieldpond/internal/ident"
+	"github.com/fieldpond/fieldpond/internal/placement"
+	"github.com/fieldpond/fieldpond/internal/prefix"
+	"github.com/fieldpond/fieldpond/internal/prefix/beliefs"
+	"github.com/fieldpond/fieldpond/internal/routing"
+	"github.com/fieldpond/fieldpond/standin/engine/model"
+	"github.com/fieldpond/fieldpond/standin/truth"
+)
+
+// The pace of a simulation. The values are those of the router's settings.
+const (
+	virtualStep     = 5 * time.Millisecond
+	reportInterval  = 250 * time.Millisecond
+	virtualMaxHold  = 5 * time.Second
+	virtualAttempts = 4
+)
+
+var virtualStart = time.Date(2026, 3, 2, 8, 0, 0, 0, time.UTC)
+
+// simulation runs placement cores against engine models in virtual time. Its
+// verdicts come from the engines' truth records and from the engines' own
+// caches, never from what a core counts.
+type simulation struct {
+	t       *testing.T
+	now     time.Time
+	engines []*simulatedEngine
+	routers []*simulatedRouter
+	later   []delayed
+	truth   []truth.Record
+	// placed is every decision to dispatch, in order.
+	placed  []dispatched
+	refused []placement.Refused
+	open    map[ident.Request]*openRequest
+	offered int
+	// answered counts requests that got their whole answer.
+	answered int
+}
+
+// delayed is something that happens later.
+type delayed struct {
+	at time.Time
+	do func()
+}
+
+// simulatedEngine is one engine model with the network before it.
+type simulatedEngine struct {
+	*model.Engine
+	name  ident.Engine
+	zone  ident.Zone
+	lives int
+	// endedAt is when the last life ended.
+	endedAt time.Time
+	// stored holds the blocks that the present life holds.
+	stored map[prefix.Hash]bool
+}
+
+// simulatedRouter is one core with the network around it.
+type simulatedRouter struct {
+	name string
+	core *placement.Core
+	// deaf routers get no load reports, gapped ones lose every second batch of
+	// cache events, and eventless ones lose all.
+	deaf, gapped, eventless bool
+	batches      int
+	// travel is how long a dispatch is on its way.
+	travel  time.Duration
+	flights map[ident.Stream]*flight
+	// sent holds the blocks of every chain that was dispatched to a life.
+	sent map[sentBlock]bool
+	// onChange sees every change of an engine's state.
+	onChange func(endpoint.Change)
+}
+
+func newSimulation(t *testing.T) *simulation {
+	return &simulation{t: t, now: virtualStart, open: map[ident.Request]*openRequest{}}
+}
+
+// addEngine adds an engine that has the versions of model "m" loaded.
+func (s *simulation) addEngine(name ident.Engine, zone ident.Zone, versions ...ident.ModelVersion) *simulatedEngine {
+	config := model.DefaultConfig()
+	config.Name, config.Zone, config.TruthBlocks = name, zone, true
+	for _, version := range versions {
+		config.Models = append(config.Models, protocol.LoadedModel{Model: "m", Version: version})
+	}
+	added := &simulatedEngine{name: name, zone: zone, lives: 1, stored: map[prefix.Hash]bool{}}
+	added.Engine = model.New(config, ident.Incarnation(name)+"-life-1", rand.New(rand.NewPCG(3, uint64(len(s.engines)))), s.now)
+	s.engines = append(s.engines, added)
+	return added
+}
+
+// targets lists the engines as a fleet file would.
+func (s *simulation) targets() []endpoint.Target {
+	var targets []endpoint.Target
+	for _, engine := range s.engines {
+		targets = append(targets, endpoint.Target{
+			Engine: engine.name, Address: string(engine.name) + ":1", Zone: engine.zone,
+			PrefillPerToken: 100 * time.Microsecond,
+		})
+	}
+	return targets
+}
+
+// addRouter adds a router that has just adopted the fleet file.
+func (s *simulation) addRouter(name string) *simulatedRouter {
+	scheduler, err := routing.NewPredictive(routing.Config{})
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	believed, err := beliefs.New(beliefs.Config{}, s.now)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	added := &simulatedRouter{
+		name: name, travel: 2 * time.Millisecond, onChange: func(endpoint.Change) {},
+		flights: map[ident.Stream]*flight{}, sent: map[sentBlock]bool{},
+	}
+	added.core = placement.New(placement.Config{
+		Scheduler: scheduler, Beliefs: believed, Queue: admission.NewQueue(admission.Config{}),
+		Hop: func(ident.Zone) time.Duration { return time.Millisecond },
+	})
+	s.routers = append(s.routers, added)
+	s.take(added, added.core.Configure(s.now, s.targets()))
+	return added
+}
+
+// after plans something.
+func (s *simulation) after(delay time.Duration, do func()) {
+	s.later = append(s.later, delayed{s.now.Add(delay), do})
+}
+
+// run lets so much time pass.
+func (s *simulation) run(duration time.Duration) {
+	for end := s.now.Add(duration); s.now.Before(end); {
+		s.now = s.now.Add(virtualStep)
+		s.runDue()
+		for _, engine := range s.engines {
+			s.drain(engine)
+		}
+		if s.now.Sub(virtualStart)%reportInterval == 0 {
+			s.report()
+		}
+		for _, router := range s.routers {
+			s.take(router, router.core.Tick(s.now))
+		}
+	}
+}
+
+func (s *simulation) runDue() {
+	var due []delayed
+	s.later = slices.DeleteFunc(s.later, func(planned delayed) bool {
+		if planned.at.After(s.now) {
+			return false
+		}
+		due = append(due, planned)
+		return true
+	})
+	for _, planned := range due {
+		planned.do()
+	}
+}
+
+// report gives every router the load reports of all engines.
+func (s *simulation) report() {
+	for _, router := range s.routers {
+		for _, engine := range s.engines {
+			switch {
+			case router.deaf:
+			case engine.Alive():
+				s.take(router, router.core.Reported(s.now, engine.name, engine.LoadReport(s.now)))
+			default:
+				s.take(router, router.core.ReportFailed(s.now, engine.name))
+			}
+		}
+	}
+}
+
+// drain takes in what an engine said and did.
+func (s *simulation) drain(engine *simulatedEngine) {
+	for _, output := range engine.Advance(s.now) {
+		switch {
+		case output.Event != nil:
+			s.takeEvent(output.Event)
+		case output.Batch != nil:
+			for _, router := range s.routers {
+				router.takeBatch(s, engine, *output.Batch)
+			}
+		case output.Truth != nil:
+			s.takeTruth(engine, *output.Truth)
+		}
+	}
+}
+
+// takeTruth keeps a truth record and what the engine's present life holds.
+func (s *simulation) takeTruth(engine *simulatedEngine, record truth.Record) {
+	s.truth = append(s.truth, record)
+	for _, hash := range record.Hashes {
+		switch record.Kind {
+		case truth.CacheStored:
+			engine.stored[hash] = true
+		case truth.CacheRemoved:
+			delete(engine.stored, hash)
+			for _, router := range s.routers {
+				delete(router.sent, sentBlock{record.Incarnation, hash})
+			}
+		}
+	}
+}
+
+func (r *simulatedRouter) takeBatch(s *simulation, engine *simulatedEngine, batch protocol.CacheEventBatch) {
+	r.batches++
+	if r.eventless || r.gapped && r.batches%2 == 0 {
+		return
+	}
+	r.core.CacheEvents(s.now, engine.name, batch)
+	if r.core.SnapshotWanted(s.now, engine.name) && engine.Alive() {
+		snapshot := engine.Snapshot(s.now)
+		s.after(reportInterval, func() { r.core.CacheSnapshot(s.now, engine.name, snapshot) })
+	}
+}
+
+// crash ends the engine's life. Open attempts break.
+func (s *simulation) crash(engine *simulatedEngine) {
+	engine.Crash(s.now)
+	engine.endedAt = s.now
+	s.drain(engine)
+	for _, router := range s.routers {
+		for stream, broken := range router.flights {
+			if broken.placed.Candidate.Endpoint.Engine == engine.name {
+				delete(router.flights, stream)
+				s.finish(broken, placement.Result{Broken: true})
+			}
+		}
+	}
+}
+
+// revive begins the engine's next life, at the same address.
+func (s *simulation) revive(engine *simulatedEngine) {
+	engine.lives++
+	engine.stored = map[prefix.Hash]bool{}
+	engine.Restart(s.now, ident.Incarnation(fmt.Sprintf("%s-life-%d", engine.name, engine.lives)))
+}
+
+func (s *simulation) engine(name ident.Engine) *simulatedEngine {
+	index := slices.IndexFunc(s.engines, func(engine *simulatedEngine) bool { return engine.name == name })
+	return s.engines[index]
+}
