--- a/proofs/cache_test.go
+++ b/proofs/cache_test.go
@@ -122,6 +122,7 @@
 			}
 			w.order(protocol.OrderUnload, "v2")
 			w.after(time.Second, func() { w.order(protocol.OrderLoad, "v2") })
+			w.after(4*time.Second, func() { w.crash(w.engines[1]) }) // all must go to the first engine
 		}},
 		{"crash and return with a dispatch on its way", func(w *cacheWorld) {
 			for _, router := range w.routers {
--- a/proofs/simulation_test.go
+++ b/proofs/simulation_test.go
@@ -73,7 +73,7 @@
 	// deaf routers get no load reports, gapped ones lose every second batch of
 	// cache events, and eventless ones lose all.
 	deaf, gapped, eventless bool
-	batches      int
+	batches                 int
 	// travel is how long a dispatch is on its way.
 	travel  time.Duration
 	flights map[ident.Stream]*flight
