A refused dispatch is no promise of cached blocks

Cause: a dispatch makes the router expect its blocks on the engine for ten seconds. When the engine refused it, or could not be reached, the expectation stayed, and later requests were sent there for blocks that nobody computed. Change: the end of an attempt that did not run takes the expectation back. Measured: proofs/TestNoRelianceOnForeignOrDeadCaches, case 'dispatches with a new prompt are refused for a while': one request relied on 502 tokens that the engine did not hold before, none after.

--- a/internal/placement/decide.go
+++ b/internal/placement/decide.go
@@ -125,6 +125,10 @@
 	if limiter := c.limiters[flight.engine]; limiter != nil {
 		limiter.Finished(now, sampleOf(result))
 	}
+	if result.Unreachable || result.Refusal != "" {
+		chain := flight.job.Request.Chains[flight.version]
+		c.config.Beliefs.Refused(flight.engine, flight.incarnation, chain)
+	}
 	switch {
 	case result.Unreachable:
 		c.changed(c.registry.Unreachable(flight.engine))
--- a/internal/prefix/beliefs/learn.go
+++ b/internal/prefix/beliefs/learn.go
@@ -29,6 +29,21 @@
 	}
 }
 
+// Refused tells that the engine refused a request of which Dispatched was told:
+// it will not hold the chain because of it.
+func (s *Store) Refused(engine ident.Engine, incarnation ident.Incarnation, chain prefix.Chain) {
+	known := s.current(engine, incarnation)
+	if known == nil {
+		return
+	}
+	for checkpoint := range prefix.CheckpointCount(len(chain)) {
+		key := known.key(chain[prefix.CheckpointAt(checkpoint, len(chain))])
+		if block := s.blocks.find(key); block != nil {
+			block.expected = 0
+		}
+	}
+}
+
 // Answered tells an engine's own count: it held the first held blocks of the
 // chain when it took the request, and has computed the rest.
 func (s *Store) Answered(now time.Time, engine ident.Engine, incarnation ident.Incarnation, chain prefix.Chain, held int) {
--- a/proofs/cache_test.go
+++ b/proofs/cache_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/fieldpond/fieldpond/internal/engine/protocol"
 	"github.com/fieldpond/fieldpond/internal/ident"
+	"github.com/fieldpond/fieldpond/standin/engine/model"
 	"github.com/fieldpond/fieldpond/standin/truth"
 )
 
@@ -20,10 +21,12 @@
 type cacheWorld struct {
 	*simulation
 	broken *simulatedEngine
+	// shared names the long shared prompts of the callers.
+	shared []string
 }
 
 func newCacheWorld(t *testing.T) *cacheWorld {
-	world := &cacheWorld{simulation: newSimulation(t)}
+	world := &cacheWorld{simulation: newSimulation(t), shared: []string{"graz", "linz", "wien"}}
 	world.broken = world.addEngine("e-1", "z", "v1", "v2")
 	world.addEngine("e-2", "z", "v1", "v2")
 	for _, name := range []string{"router-1", "router-2", "router-3"} {
@@ -40,7 +43,7 @@
 		number := w.offered
 		w.offer(w.routers[number%len(w.routers)], wanted{
 			tenant: tenants[number/2%len(tenants)], zones: []ident.Zone{"z"},
-			versions: []ident.ModelVersion{"v2", "v1"}, prompt: sharedPrompt([]string{"graz", "linz", "wien"}[number%3], number),
+			versions: []ident.ModelVersion{"v2", "v1"}, prompt: sharedPrompt(w.shared[number%len(w.shared)], number),
 		})
 	}
 }
@@ -71,68 +74,78 @@
 	return batch
 }
 
+// cacheFaults are the faults of TestNoRelianceOnForeignOrDeadCaches.
+var cacheFaults = []struct {
+	name  string
+	fault func(w *cacheWorld)
+}{
+	{"two tenants with the same prompts", func(*cacheWorld) {}},
+	{"crash and quick return at the same address", func(w *cacheWorld) {
+		w.crash(w.broken)
+		w.after(100*time.Millisecond, func() { w.revive(w.broken) })
+	}},
+	{"crash and quick return, twice", func(w *cacheWorld) {
+		for _, delay := range []time.Duration{0, time.Second} {
+			w.after(delay, func() { w.crash(w.broken) })
+			w.after(delay+50*time.Millisecond, func() { w.revive(w.broken) })
+		}
+	}},
+	{"crash and late return", func(w *cacheWorld) {
+		w.crash(w.broken)
+		w.after(3*time.Second, func() { w.revive(w.broken) })
+	}},
+	{"crash with an event gap across it", func(w *cacheWorld) {
+		for _, router := range w.routers {
+			router.gapped = true
+		}
+		w.crash(w.broken)
+		w.after(300*time.Millisecond, func() { w.revive(w.broken) })
+	}},
+	{"events of the dead life come after its death", func(w *cacheWorld) {
+		late := w.stalledEvents()
+		w.crash(w.broken)
+		w.after(2*time.Second, func() { w.lateEvents(late) })
+		w.after(3*time.Second, func() { w.revive(w.broken) })
+		w.after(3500*time.Millisecond, func() { w.lateEvents(late) })
+	}},
+	{"weights unloaded while dispatches are on their way", func(w *cacheWorld) {
+		for _, router := range w.routers {
+			router.travel = 300 * time.Millisecond
+		}
+		w.order(protocol.OrderUnload, "v2")
+		w.after(time.Second, func() { w.order(protocol.OrderLoad, "v2") })
+	}},
+	{"weights unloaded and loaded again, events lost", func(w *cacheWorld) {
+		for _, router := range w.routers {
+			router.eventless = true
+		}
+		w.order(protocol.OrderUnload, "v2")
+		w.after(time.Second, func() { w.order(protocol.OrderLoad, "v2") })
+		w.after(4*time.Second, func() { w.crash(w.engines[1]) }) // all must go to the first engine
+	}},
+	{"dispatches with a new prompt are refused for a while", func(w *cacheWorld) {
+		w.shared = []string{"ruling", "charter", "tariff"}
+		usual := model.DefaultConfig().Conditions()
+		full := usual
+		full.RefuseFull = true
+		w.broken.SetConditions(w.now, full)
+		w.after(time.Second, func() { w.broken.SetConditions(w.now, usual) })
+	}},
+	{"crash and return with a dispatch on its way", func(w *cacheWorld) {
+		for _, router := range w.routers {
+			router.travel = 200 * time.Millisecond
+		}
+		w.crash(w.broken)
+		w.after(50*time.Millisecond, func() { w.revive(w.broken) })
+	}},
+}
+
 // TestNoRelianceOnForeignOrDeadCaches judges every run by the engines' truth
 // records and their real caches: what ran reused blocks of its own tenant,
 // version and engine life only, and was not sent there for blocks which that
 // life never held.
 func TestNoRelianceOnForeignOrDeadCaches(t *testing.T) {
-	cases := []struct {
-		name  string
-		fault func(w *cacheWorld)
-	}{
-		{"two tenants with the same prompts", func(*cacheWorld) {}},
-		{"crash and quick return at the same address", func(w *cacheWorld) {
-			w.crash(w.broken)
-			w.after(100*time.Millisecond, func() { w.revive(w.broken) })
-		}},
-		{"crash and quick return, twice", func(w *cacheWorld) {
-			for _, delay := range []time.Duration{0, time.Second} {
-				w.after(delay, func() { w.crash(w.broken) })
-				w.after(delay+50*time.Millisecond, func() { w.revive(w.broken) })
-			}
-		}},
-		{"crash and late return", func(w *cacheWorld) {
-			w.crash(w.broken)
-			w.after(3*time.Second, func() { w.revive(w.broken) })
-		}},
-		{"crash with an event gap across it", func(w *cacheWorld) {
-			for _, router := range w.routers {
-				router.gapped = true
-			}
-			w.crash(w.broken)
-			w.after(300*time.Millisecond, func() { w.revive(w.broken) })
-		}},
-		{"events of the dead life come after its death", func(w *cacheWorld) {
-			late := w.stalledEvents()
-			w.crash(w.broken)
-			w.after(2*time.Second, func() { w.lateEvents(late) })
-			w.after(3*time.Second, func() { w.revive(w.broken) })
-			w.after(3500*time.Millisecond, func() { w.lateEvents(late) })
-		}},
-		{"weights unloaded while dispatches are on their way", func(w *cacheWorld) {
-			for _, router := range w.routers {
-				router.travel = 300 * time.Millisecond
-			}
-			w.order(protocol.OrderUnload, "v2")
-			w.after(time.Second, func() { w.order(protocol.OrderLoad, "v2") })
-		}},
-		{"weights unloaded and loaded again, events lost", func(w *cacheWorld) {
-			for _, router := range w.routers {
-				router.eventless = true
-			}
-			w.order(protocol.OrderUnload, "v2")
-			w.after(time.Second, func() { w.order(protocol.OrderLoad, "v2") })
-			w.after(4*time.Second, func() { w.crash(w.engines[1]) }) // all must go to the first engine
-		}},
-		{"crash and return with a dispatch on its way", func(w *cacheWorld) {
-			for _, router := range w.routers {
-				router.travel = 200 * time.Millisecond
-			}
-			w.crash(w.broken)
-			w.after(50*time.Millisecond, func() { w.revive(w.broken) })
-		}},
-	}
-	for _, test := range cases {
+	for _, test := range cacheFaults {
 		t.Run(test.name, func(t *testing.T) {
 			check := is.New(t)
 			world := newCacheWorld(t)
@@ -186,8 +199,8 @@
 	}
 	for _, decision := range world.placed {
 		if decision.groundless && (ran[decision.attempt] || decision.overFor > detection) {
-			t.Errorf("%v after the end of the life %s relied on %.0f tokens of %s",
-				decision.overFor, decision.router, decision.credited, decision.engine)
+			t.Errorf("%s relied on %.0f tokens that %s did not hold (its life was over for %v)",
+				decision.router, decision.credited, decision.engine, decision.overFor)
 		}
 	}
 }
--- a/proofs/simulatedtraffic_test.go
+++ b/proofs/simulatedtraffic_test.go
@@ -156,6 +156,7 @@
 		Version: chosen.Version, Salt: request.salt(chosen.Version), Prompt: request.prompt, MaxTokens: 2,
 	})
 	if refusal != nil {
+		request.router.unsend(arrived)
 		request.excluded[engine.name] = refusal.Incarnation == chosen.Endpoint.Incarnation
 		s.finish(arrived, placement.Result{Refusal: refusal.Kind, Incarnation: refusal.Incarnation})
 		return
@@ -163,6 +164,14 @@
 	request.router.flights[stream] = arrived
 }
 
+// unsend records that a life refused a dispatch and will not hold its blocks.
+func (r *simulatedRouter) unsend(refused *flight) {
+	chosen := refused.placed.Candidate
+	for _, hash := range refused.placed.Job.Request.Chains[chosen.Version] {
+		delete(r.sent, sentBlock{chosen.Endpoint.Incarnation, hash})
+	}
+}
+
 // takeEvent hands an event of a stream to the router that reads it.
 func (s *simulation) takeEvent(event *protocol.StreamEvent) {
 	for _, router := range s.routers {
