Keep a leaving machine out through crashes, and tell of applications

Cause, three faults found by the leaving and restart proofs: 1. The machine list's word that a machine is leaving was kept with the engine's life. An engine that crashed and returned on a leaving machine got new work until the list was read again. 2. A sign that an application is leaving was not gossiped, so a list that only one router could read left the others calling it. 3. An application that answered before its first load report counted as unfit until that report: a router that had just started refused the next calls. Ruled out: letting a list that says 'live' end a sign; it lags. Change: the registry keeps the list's word for itself, which the list alone takes back; the first sign about an application is broadcast; only a back end that is believed dead is unfit.

--- a/internal/endpoint/registry.go
+++ b/internal/endpoint/registry.go
@@ -91,6 +91,7 @@
 	alive         bool
 	failures      int
 	leavingUntil  time.Time
+	listedLeaving bool
 	report        protocol.LoadReport
 	reportTrueAt  time.Time
 	loaded        []framework.LoadedModel
@@ -234,6 +235,32 @@
 	return known.leaving(now, engine)
 }
 
+// Listed takes in a machine list: for each engine on it, whether its machine is
+// leaving. The list speaks of machines, whatever life the engine on one is in,
+// and it lags: it takes back its own word only, never another sign.
+func (r *Registry) Listed(now time.Time, leaving map[ident.Engine]bool) []Change {
+	var changes []Change
+	for _, known := range r.order {
+		name := known.target.Engine
+		listed, found := leaving[name]
+		if !found {
+			continue
+		}
+		known.stale = known.stale || known.listedLeaving != listed
+		known.listedLeaving = listed
+		if listed {
+			changes = append(changes, known.leaving(now, name)...)
+		}
+	}
+	return changes
+}
+
+// Dead reports whether the engine answered once and is believed dead now.
+func (r *Registry) Dead(engine ident.Engine) bool {
+	known := r.engines[engine]
+	return known != nil && known.incarnation != "" && !known.alive
+}
+
 // SetLimit sets the limit on this router's own attempts on the engine.
 func (r *Registry) SetLimit(engine ident.Engine, limit int) {
 	if known := r.engines[engine]; known != nil {
@@ -378,7 +405,7 @@
 		Zone:        s.target.Zone,
 		Incarnation: s.incarnation,
 		Alive:       s.alive && s.reported,
-		Leaving:     s.target.Leaving || now.Before(s.leavingUntil),
+		Leaving:     s.target.Leaving || s.listedLeaving || now.Before(s.leavingUntil),
 		Role:        role,
 		Loaded:      s.loaded,
 		Load:        s.load(now),
--- a/internal/placement/core.go
+++ b/internal/placement/core.go
@@ -182,6 +182,12 @@
 	return c.pump(now)
 }
 
+// Listed takes in a machine list: for each engine, whether its machine leaves.
+func (c *Core) Listed(now time.Time, leaving map[ident.Engine]bool) Effects {
+	c.changed(c.registry.Listed(now, leaving))
+	return c.pump(now)
+}
+
 // CacheEvents takes in a batch of cache events.
 func (c *Core) CacheEvents(now time.Time, engine ident.Engine, batch protocol.CacheEventBatch) {
 	c.heard(engine, batch.Incarnation)
--- a/internal/placement/duty.go
+++ b/internal/placement/duty.go
@@ -207,6 +207,12 @@
 	d.commands.Push(func(now time.Time) Effects { return d.core.LeavingSeen(now, engine, incarnation) })
 }
 
+// Listed reports a machine list: for each engine, whether its machine leaves.
+// The map must not be changed afterwards.
+func (d *Duty) Listed(leaving map[ident.Engine]bool) {
+	d.commands.Push(func(now time.Time) Effects { return d.core.Listed(now, leaving) })
+}
+
 // CacheEvents reports a batch of cache events.
 func (d *Duty) CacheEvents(engine ident.Engine, batch protocol.CacheEventBatch) {
 	d.news.Push(func(now time.Time) Effects {
--- a/internal/router/applications.go
+++ b/internal/router/applications.go
@@ -29,7 +29,10 @@
 type applicationPlacer struct {
 	current  func() *fleet.Compiled
 	homeZone ident.Zone
-	mutex    sync.Mutex
+	// onLeaving is told the first sign that an application is leaving. It is
+	// called with the mutex held and must not block.
+	onLeaving func(name ident.Application, incarnation ident.Incarnation)
+	mutex     sync.Mutex
 	// health is keyed by application name; see backendName.
 	health *endpoint.Registry
 	calls  map[ident.Application]int
@@ -37,10 +40,11 @@
 
 func newApplicationPlacer(current func() *fleet.Compiled, homeZone ident.Zone) *applicationPlacer {
 	return &applicationPlacer{
-		current:  current,
-		homeZone: homeZone,
-		health:   endpoint.NewRegistry(),
-		calls:    make(map[ident.Application]int),
+		current:   current,
+		homeZone:  homeZone,
+		onLeaving: func(ident.Application, ident.Incarnation) {},
+		health:    endpoint.NewRegistry(),
+		calls:     make(map[ident.Application]int),
 	}
 }
 
@@ -75,8 +79,8 @@
 	}, nil
 }
 
-// permitted returns the applications that may get the job. One that has never
-// reported may be tried: a router that has just started serves at once.
+// permitted returns the applications that may get the job. One that has not
+// reported yet may be tried: a router that has just started serves at once.
 func (p *applicationPlacer) permitted(compiled *fleet.Compiled, job *dispatch.ApplicationJob) []*fleet.Application {
 	service, known := compiled.Service(job.Service)
 	if !known {
@@ -84,7 +88,7 @@
 	}
 	unfit := make(map[ident.Engine]bool)
 	for _, backend := range p.health.Endpoints(time.Now()) {
-		unfit[backend.Engine] = backend.Leaving || (backend.Incarnation != "" && !backend.Alive)
+		unfit[backend.Engine] = backend.Leaving || p.health.Dead(backend.Engine)
 	}
 	zones := compiled.PermittedZones(job.Tenant)
 	var permitted []*fleet.Application
@@ -119,7 +123,7 @@
 	case result.Outcome == dispatch.OutcomeUnreachable:
 		p.health.Unreachable(backendName(name))
 	case result.Refusal == protocol.RefusalLeaving:
-		p.health.LeavingSeen(time.Now(), backendName(name), result.Incarnation)
+		p.changed(p.health.LeavingSeen(time.Now(), backendName(name), result.Incarnation))
 	}
 }
 
@@ -141,7 +145,28 @@
 func (p *applicationPlacer) leavingSeen(name ident.Application, incarnation ident.Incarnation) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	p.health.LeavingSeen(time.Now(), backendName(name), incarnation)
+	p.changed(p.health.LeavingSeen(time.Now(), backendName(name), incarnation))
+}
+
+// listed takes in a machine list: for each application, whether its machine
+// leaves.
+func (p *applicationPlacer) listed(leaving map[ident.Application]bool) {
+	named := make(map[ident.Engine]bool, len(leaving))
+	for name, leaves := range leaving {
+		named[backendName(name)] = leaves
+	}
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.changed(p.health.Listed(time.Now(), named))
+}
+
+// changed tells the first sign that an application is leaving to onLeaving.
+func (p *applicationPlacer) changed(changes []endpoint.Change) {
+	for _, change := range changes {
+		if change.Kind == endpoint.ChangeLeaving {
+			p.onLeaving(ident.Application(change.Engine), change.Incarnation)
+		}
+	}
 }
 
 // poll asks for the reports that are due and takes in those that came.
@@ -154,7 +179,7 @@
 			p.health.ReportFailed(answer.Engine)
 			continue
 		}
-		p.health.Reported(now, answer.Engine, answer.Report)
+		p.changed(p.health.Reported(now, answer.Engine, answer.Report))
 	}
 	poller.Ask(p.health.Due(now, interval, budget))
 }
--- a/internal/router/machines.go
+++ b/internal/router/machines.go
@@ -24,16 +24,20 @@
 
 func (r *Router) takeMachines(ctx context.Context, list protocol.MachineList) {
 	var seeds []string
+	engines := make(map[ident.Engine]bool)
+	applications := make(map[ident.Application]bool)
 	for _, machine := range list.Machines {
 		leaving := machine.State == protocol.MachineLeaving
 		switch {
 		case machine.Kind == protocol.MachineRouter && machine.GossipAddress != "" && !leaving:
 			seeds = append(seeds, machine.GossipAddress)
-		case machine.Kind == protocol.MachineEngine && leaving:
-			r.duty.LeavingSeen(ident.Engine(machine.Name), "")
-		case machine.Kind == protocol.MachineApplication && leaving:
-			r.apps.leavingSeen(ident.Application(machine.Name), "")
+		case machine.Kind == protocol.MachineEngine:
+			engines[ident.Engine(machine.Name)] = leaving
+		case machine.Kind == protocol.MachineApplication:
+			applications[ident.Application(machine.Name)] = leaving
 		}
 	}
+	r.duty.Listed(engines)
+	r.apps.listed(applications)
 	r.addSeeds(ctx, seeds)
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -150,6 +150,9 @@
 	}, core, r.poller)
 	r.streams = newStreamReaders(r.engines, r.duty)
 	r.apps = newApplicationPlacer(r.keeper.Current, home)
+	r.apps.onLeaving = func(name ident.Application, incarnation ident.Incarnation) {
+		r.broadcastLeaving(string(name), incarnation)
+	}
 	r.appPoller = endpoint.NewPoller(r.engines, pollTimeout, pollRing)
 	r.placer = &placer{duty: r.duty, transfers: r.engines, current: r.keeper.Current, homeZone: home}
 	return nil
--- a/proofs/cache_test.go
+++ b/proofs/cache_test.go
@@ -21,12 +21,10 @@
 type cacheWorld struct {
 	*simulation
 	broken *simulatedEngine
-	// shared names the long shared prompts of the callers.
-	shared []string
 }
 
 func newCacheWorld(t *testing.T) *cacheWorld {
-	world := &cacheWorld{simulation: newSimulation(t), shared: []string{"graz", "linz", "wien"}}
+	world := &cacheWorld{simulation: newSimulation(t)}
 	world.broken = world.addEngine("e-1", "z", "v1", "v2")
 	world.addEngine("e-2", "z", "v1", "v2")
 	for _, name := range []string{"router-1", "router-2", "router-3"} {
@@ -35,19 +33,6 @@
 	return world
 }
 
-// load lets callers ask for a while.
-func (w *cacheWorld) load(duration time.Duration) {
-	const pause = 20 * time.Millisecond
-	tenants := []ident.Tenant{"haulier-1", "haulier-2"}
-	for end := w.now.Add(duration); w.now.Before(end); w.run(pause) {
-		number := w.offered
-		w.offer(w.routers[number%len(w.routers)], wanted{
-			tenant: tenants[number/2%len(tenants)], zones: []ident.Zone{"z"},
-			versions: []ident.ModelVersion{"v2", "v1"}, prompt: sharedPrompt(w.shared[number%len(w.shared)], number),
-		})
-	}
-}
-
 // lateEvents tells every router of the blocks of a life that is over.
 func (w *cacheWorld) lateEvents(batch protocol.CacheEventBatch) {
 	for _, router := range w.routers {
--- a/proofs/simulatedtraffic_test.go
+++ b/proofs/simulatedtraffic_test.go
@@ -53,6 +53,12 @@
 	overFor time.Duration
 }
 
+// arrival is an attempt that reached an engine, whatever the engine said.
+type arrival struct {
+	at     time.Time
+	engine ident.Engine
+}
+
 // attemptName is how the truth records name an attempt.
 type attemptName struct {
 	request ident.Request
@@ -72,6 +78,19 @@
 	return text + fmt.Sprintf(" order number %d", end)
 }
 
+// load lets callers of two tenants ask for a while, in turn at every router.
+func (s *simulation) load(duration time.Duration) {
+	const pause = 20 * time.Millisecond
+	tenants := []ident.Tenant{"haulier-1", "haulier-2"}
+	for end := s.now.Add(duration); s.now.Before(end); s.run(pause) {
+		number := s.offered
+		s.offer(s.routers[number%len(s.routers)], wanted{
+			tenant: tenants[number/2%len(tenants)], zones: []ident.Zone{"z"},
+			versions: []ident.ModelVersion{"v2", "v1"}, prompt: sharedPrompt(s.shared[number%len(s.shared)], number),
+		})
+	}
+}
+
 // offer hands a request to a router.
 func (s *simulation) offer(router *simulatedRouter, want wanted) {
 	s.offered++
@@ -150,6 +169,7 @@
 		s.finish(arrived, placement.Result{Unreachable: true})
 		return
 	}
+	s.arrivals = append(s.arrivals, arrival{s.now, engine.name})
 	stream, refusal := engine.Submit(s.now, protocol.GenerateRequest{
 		RequestID: arrived.placed.Job.Request.ID, Attempt: arrived.placed.Job.Key.Attempt,
 		ExpectedIncarnation: chosen.Endpoint.Incarnation, Tenant: request.tenant, Model: "m",
--- a/proofs/simulation_test.go
+++ b/proofs/simulation_test.go
@@ -38,14 +38,20 @@
 	engines []*simulatedEngine
 	routers []*simulatedRouter
 	later   []delayed
-	truth   []truth.Record
+	// eachStep runs at every step, before the engines are asked.
+	eachStep func()
+	truth    []truth.Record
 	// placed is every decision to dispatch, in order.
 	placed  []dispatched
 	refused []placement.Refused
 	open    map[ident.Request]*openRequest
+	// shared names the long shared prompts of the callers.
+	shared  []string
 	offered int
 	// answered counts requests that got their whole answer.
 	answered int
+	// arrivals is every attempt that reached an engine.
+	arrivals []arrival
 }
 
 // delayed is something that happens later.
@@ -84,7 +90,7 @@
 }
 
 func newSimulation(t *testing.T) *simulation {
-	return &simulation{t: t, now: virtualStart, open: map[ident.Request]*openRequest{}}
+	return &simulation{t: t, now: virtualStart, eachStep: func() {}, open: map[ident.Request]*openRequest{}, shared: []string{"graz", "linz", "wien"}}
 }
 
 // addEngine adds an engine that has the versions of model "m" loaded.
@@ -145,6 +151,7 @@
 	for end := s.now.Add(duration); s.now.Before(end); {
 		s.now = s.now.Add(virtualStep)
 		s.runDue()
+		s.eachStep()
 		for _, engine := range s.engines {
 			s.drain(engine)
 		}
