Add the harness that the proofs run real processes with

Change: package proofs/harness builds the two programs once, starts them from a deployment plan with a fleet file of its own, waits on conditions, offers kill, terminate, freeze, restart, fault injection, truth logs, an operator's apply, a TCP relay that cuts at a byte, and a caller that records its history.

--- /dev/null
+++ b/proofs/harness/caller.go
@@ -0,0 +1,181 @@
+package harness
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/fieldpond/fieldpond/internal/api"
+	"github.com/fieldpond/fieldpond/internal/fault"
+	"github.com/fieldpond/fieldpond/internal/ident"
+	"github.com/fieldpond/fieldpond/standin/application"
+)
+
+// callTimeout bounds one exchange of a caller, far above every limit of a router.
+const callTimeout = 60 * time.Second
+
+// maxAnswerBytes bounds what a caller reads of an answer that is no stream.
+const maxAnswerBytes = 1 << 20
+
+// Told is what a caller sent and what it was told: one entry of its history.
+type Told struct {
+	Began, Ended time.Time
+	Router       string
+	Tenant       ident.Tenant
+	// Key and Body are those of an application request.
+	Key, Body string
+
+	// Broken says that the connection broke before a whole answer; nothing
+	// below is set then, but for the text of a stream.
+	Broken bool
+	Status int
+	// RequestID is the router's name for the request.
+	RequestID ident.Request
+	// Refusal is set if the router stated a fault, in an answer or an event.
+	Refusal *api.ErrorDetail
+	// RetryAfter is the header of that name, in seconds; empty if it is missing.
+	RetryAfter string
+	// Answer is the application's, and Replayed says that it is an earlier one's.
+	Answer   application.Answer
+	Replayed bool
+
+	// Text, Finish and Done are what a stream brought: its text so far, its
+	// finish reason, and whether its end marker arrived.
+	Text, Finish string
+	Done         bool
+	// LastID is the last event id, to resume from.
+	LastID string
+	// Usage is that of the end of the stream.
+	Usage *api.Usage
+}
+
+// Answered reports whether a whole answer came.
+func (t Told) Answered() bool {
+	return !t.Broken && t.Refusal == nil && t.Status >= 200 && t.Status < 300
+}
+
+// Ran returns what the caller was told of execution: "yes" with an answer,
+// the word of a stated fault, and "unknown" when the connection broke.
+func (t Told) Ran() fault.Ran {
+	switch {
+	case t.Broken:
+		return fault.RanUnknown
+	case t.Refusal != nil:
+		return t.Refusal.Ran
+	default:
+		return fault.RanYes
+	}
+}
+
+// Kind returns the kind of the stated fault, or "".
+func (t Told) Kind() fault.Kind {
+	if t.Refusal == nil {
+		return ""
+	}
+	return t.Refusal.Kind
+}
+
+// Caller is one client of the routers. It keeps the history of all it was
+// told. It is safe for concurrent use.
+type Caller struct {
+	Tenant  ident.Tenant
+	client  *http.Client
+	mutex   sync.Mutex
+	history []Told
+}
+
+// NewCaller returns a caller of a tenant with connections of its own.
+func (c *Cluster) NewCaller(tenant ident.Tenant) *Caller {
+	transport := &http.Transport{MaxIdleConnsPerHost: 64}
+	c.tb.Cleanup(transport.CloseIdleConnections)
+	return &Caller{Tenant: tenant, client: &http.Client{Transport: transport}}
+}
+
+// History returns what the caller was told so far, in the order of the ends.
+func (c *Caller) History() []Told {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return append([]Told(nil), c.history...)
+}
+
+func (c *Caller) note(told *Told) {
+	told.Ended = time.Now()
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.history = append(c.history, *told)
+}
+
+// Book sends one request to the route that may run only once.
+func (c *Caller) Book(ctx context.Context, router, key, body string) Told {
+	return c.Call(ctx, http.MethodPost, router, Book, key, body)
+}
+
+// Call sends one request to a route of the application service.
+func (c *Caller) Call(ctx context.Context, method, router, path, key, body string) Told {
+	told := Told{Began: time.Now(), Router: router, Tenant: c.Tenant, Key: key, Body: body}
+	defer c.note(&told)
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	url := router + "/v1/services/" + string(Bookings) + path
+	request, err := c.request(ctx, method, url, body)
+	if err != nil {
+		told.Broken = true
+		return told
+	}
+	if key != "" {
+		request.Header.Set("Idempotency-Key", key)
+	}
+	response, err := c.client.Do(request)
+	if err != nil {
+		told.Broken = true
+		return told
+	}
+	defer func() { _ = response.Body.Close() }()
+	content, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	if err != nil {
+		told.Broken = true
+		return told
+	}
+	told.takeHeader(response)
+	if response.StatusCode >= http.StatusBadRequest {
+		told.takeRefusal(content)
+		return told
+	}
+	told.Replayed = response.Header.Get("Idempotency-Replayed") != ""
+	told.Broken = json.Unmarshal(content, &told.Answer) != nil
+	return told
+}
+
+func (c *Caller) request(ctx context.Context, method, url, body string) (*http.Request, error) {
+	request, err := http.NewRequestWithContext(ctx, method, url, strings.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	// net/http would send a request with an idempotency key again by itself,
+	// and that sending would be missing from the history.
+	request.GetBody = nil
+	request.Header.Set("Authorization", "Bearer "+KeyOf(c.Tenant))
+	request.Header.Set("Content-Type", "application/json")
+	return request, nil
+}
+
+func (t *Told) takeHeader(response *http.Response) {
+	t.Status = response.StatusCode
+	t.RequestID = ident.Request(response.Header.Get("X-Request-Id"))
+	t.RetryAfter = response.Header.Get("Retry-After")
+}
+
+// takeRefusal reads a stated fault. A body that states none leaves its fate open.
+func (t *Told) takeRefusal(content []byte) {
+	var body api.ErrorBody
+	if json.Unmarshal(content, &body) != nil || body.Error.Ran == "" {
+		body.Error.Ran = fault.RanUnknown
+		body.Error.Kind = fault.Kind("http_" + strconv.Itoa(t.Status))
+	}
+	t.Refusal = &body.Error
+}
--- /dev/null
+++ b/proofs/harness/inspect.go
@@ -0,0 +1,121 @@
+package harness
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"os"
+
+	"github.com/fieldpond/fieldpond/standin/application"
+	"github.com/fieldpond/fieldpond/standin/faultboard"
+	"github.com/fieldpond/fieldpond/standin/platform"
+	"github.com/fieldpond/fieldpond/standin/truth"
+)
+
+// pathHistory is where the platform serves the truth log of its table.
+const pathHistory = "/rehearsal/history"
+
+// Inject puts a fault into a stand-in: a faultboard.Fault for the platform and
+// applications, an engine.FaultRequest for engines.
+func (c *Cluster) Inject(name string, fault any) {
+	c.tb.Helper()
+	content, err := json.Marshal(fault)
+	if err != nil {
+		c.tb.Fatalf("encoding a fault for %s: %v", name, err)
+	}
+	c.faults(name, http.MethodPost, content)
+}
+
+// ClearFaults takes back every fault of a stand-in.
+func (c *Cluster) ClearFaults(name string) {
+	c.tb.Helper()
+	c.faults(name, http.MethodDelete, nil)
+}
+
+func (c *Cluster) faults(name, method string, content []byte) {
+	c.tb.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, method, c.URL(name)+faultboard.Path, bytes.NewReader(content))
+	if err != nil {
+		c.tb.Fatalf("faults of %s: %v", name, err)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		c.tb.Fatalf("faults of %s: %v", name, err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode >= http.StatusBadRequest {
+		said, _ := io.ReadAll(response.Body)
+		c.tb.Fatalf("faults of %s: status %d: %s", name, response.StatusCode, said)
+	}
+}
+
+// Truth returns the truth log of an engine over all its lives.
+func (c *Cluster) Truth(engine string) []truth.Record {
+	c.tb.Helper()
+	content, err := os.ReadFile(c.truthFile(engine))
+	if err != nil {
+		c.tb.Fatalf("truth log of %s: %v", engine, err)
+	}
+	// A life that was killed may have left a line half written.
+	content = content[:bytes.LastIndexByte(content, '\n')+1]
+	records, err := truth.Read(bytes.NewReader(content))
+	if err != nil {
+		c.tb.Fatalf("truth log of %s: %v", engine, err)
+	}
+	return records
+}
+
+// Executions returns the truth log of an application's present life.
+func (c *Cluster) Executions(name string) []application.Execution {
+	c.tb.Helper()
+	return readLines[application.Execution](c, name, application.TruthPath)
+}
+
+// AllExecutions returns the truth logs of all applications.
+func (c *Cluster) AllExecutions() []application.Execution {
+	c.tb.Helper()
+	var all []application.Execution
+	for _, name := range c.Applications {
+		all = append(all, c.Executions(name)...)
+	}
+	return all
+}
+
+// History returns every transaction that the platform's table committed.
+func (c *Cluster) History() []platform.Commit {
+	c.tb.Helper()
+	return readLines[platform.Commit](c, Platform, pathHistory)
+}
+
+// readLines reads JSON lines from a stand-in.
+func readLines[T any](c *Cluster, name, path string) []T {
+	c.tb.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), WaitLimit)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, c.URL(name)+path, nil)
+	if err != nil {
+		c.tb.Fatalf("reading %s of %s: %v", path, name, err)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		c.tb.Fatalf("reading %s of %s: %v", path, name, err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	var lines []T
+	decoder := json.NewDecoder(response.Body)
+	for {
+		var line T
+		err := decoder.Decode(&line)
+		if err == io.EOF {
+			return lines
+		}
+		if err != nil {
+			c.tb.Fatalf("reading %s of %s: %v", path, name, err)
+		}
+		lines = append(lines, line)
+	}
+}
--- /dev/null
+++ b/proofs/harness/process.go
@@ -0,0 +1,115 @@
+package harness
+
+import (
+	"bytes"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"runtime"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/fieldpond/fieldpond/standin/deployment"
+)
+
+// tailBytes is how much of a log is shown when a test fails.
+const tailBytes = 3000
+
+// process is one process of the rehearsal, over all its lives.
+type process struct {
+	deployment.Process
+	log     string
+	mutex   sync.Mutex
+	command *exec.Cmd
+	// ended is closed when the present life has ended.
+	ended chan struct{}
+}
+
+// starts runs on one OS thread for as long as the test program lives: the
+// kernel ends a child when the thread that started it ends.
+var starts = make(chan func())
+
+func init() {
+	go func() {
+		runtime.LockOSThread()
+		for start := range starts {
+			start()
+		}
+	}()
+}
+
+// start begins a life of the process. Its log is appended to.
+func (p *process) start(tb testing.TB) {
+	tb.Helper()
+	log, err := os.OpenFile(p.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		tb.Fatalf("opening the log of %s: %v", p.Name, err)
+	}
+	defer func() { _ = log.Close() }()
+	command := exec.Command(pathOf(p.Program), p.Args...)
+	command.Stdout, command.Stderr = log, log
+	command.SysProcAttr = childAttributes()
+	failed := make(chan error)
+	starts <- func() { failed <- command.Start() }
+	if err := <-failed; err != nil {
+		tb.Fatalf("starting %s: %v", p.Name, err)
+	}
+	ended := make(chan struct{})
+	go func() {
+		_ = command.Wait()
+		close(ended)
+	}()
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.command, p.ended = command, ended
+}
+
+// life returns the present life.
+func (p *process) life() (*exec.Cmd, chan struct{}) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.command, p.ended
+}
+
+// signal sends a signal to the present life; one that has ended takes none.
+func (p *process) signal(signal syscall.Signal) {
+	if command, _ := p.life(); command != nil {
+		_ = command.Process.Signal(signal)
+	}
+}
+
+// kill ends the present life at once and waits for its end.
+func (p *process) kill() {
+	command, ended := p.life()
+	if command == nil {
+		return
+	}
+	_ = command.Process.Kill()
+	<-ended
+}
+
+// wait returns the exit code, or false if the process outlives the limit.
+func (p *process) wait(limit time.Duration) (int, bool) {
+	command, ended := p.life()
+	select {
+	case <-ended:
+		return command.ProcessState.ExitCode(), true
+	case <-time.After(limit):
+		return 0, false
+	}
+}
+
+// tail returns the end of the log.
+func (p *process) tail() string {
+	content, err := os.ReadFile(filepath.Clean(p.log))
+	if err != nil {
+		return err.Error()
+	}
+	if len(content) > tailBytes {
+		content = content[len(content)-tailBytes:]
+		content = content[bytes.IndexByte(content, '\n')+1:]
+	}
+	return string(content)
+}
--- /dev/null
+++ b/proofs/harness/relay.go
@@ -0,0 +1,291 @@
+package harness
+
+import (
+	"bytes"
+	"net"
+	"sync"
+	"testing"
+)
+
+// Direction names one half of a relayed connection.
+type Direction int
+
+const (
+	// ToBackend is the half that carries requests.
+	ToBackend Direction = iota
+	// ToRouter is the half that carries answers.
+	ToRouter
+)
+
+// Action is what a relay does to a connection.
+type Action int
+
+const (
+	// Close closes both halves, as a process that ends does.
+	Close Action = iota
+	// Reset sends a TCP reset both ways, as a crashed machine's peer sees it.
+	Reset
+	// Stall forwards nothing more; the connection stays open.
+	Stall
+)
+
+// Cut breaks connections at a byte. It strikes a connection once Match has
+// passed towards the back end.
+type Cut struct {
+	// Match is a text of the request: of its first line, or of its body.
+	Match string
+	// Before cuts before the first byte of Match; After and Direction do not
+	// count then.
+	Before bool
+	// Direction and After say where else: after so many further bytes in that
+	// direction, counted from the end of Match.
+	Direction Direction
+	After     int
+	Action    Action
+	// Times bounds how many connections are struck. Default: 1.
+	Times int
+}
+
+// Relay passes TCP connections through to a back end and breaks them as told.
+// It is a fixture of the proofs only.
+type Relay struct {
+	address  string
+	target   string
+	listener net.Listener
+
+	mutex       sync.Mutex
+	cut         Cut
+	left        int
+	struck      int
+	connections map[*relayed]bool
+	closed      bool
+}
+
+func newRelay(tb testing.TB, address, target string) *Relay {
+	tb.Helper()
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		tb.Fatalf("opening a relay: %v", err)
+	}
+	r := &Relay{address: address, target: target, listener: listener, connections: map[*relayed]bool{}}
+	tb.Cleanup(r.close)
+	go r.accept()
+	return r
+}
+
+// Arm puts a cut in force in place of the one before.
+func (r *Relay) Arm(cut Cut) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.cut = cut
+	r.left = max(cut.Times, 1)
+}
+
+// Disarm takes the cut back; stalled connections stay stalled.
+func (r *Relay) Disarm() {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.left = 0
+}
+
+// Struck returns how many connections were cut so far.
+func (r *Relay) Struck() int {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.struck
+}
+
+// armed returns the cut in force, if any.
+func (r *Relay) armed() (Cut, bool) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.cut, r.left > 0
+}
+
+// claim takes one of the cut's strikes.
+func (r *Relay) claim() bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if r.left == 0 {
+		return false
+	}
+	r.left--
+	return true
+}
+
+func (r *Relay) noteStruck() {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.struck++
+}
+
+func (r *Relay) accept() {
+	for {
+		near, err := r.listener.Accept()
+		if err != nil {
+			return
+		}
+		far, err := net.Dial("tcp", r.target)
+		if err != nil {
+			// The back end refused, so the router must see a break at once.
+			abort(near)
+			continue
+		}
+		connection := &relayed{relay: r, near: near, far: far}
+		r.mutex.Lock()
+		r.connections[connection] = true
+		closed := r.closed
+		r.mutex.Unlock()
+		if closed {
+			connection.end(Close)
+			return
+		}
+		go connection.pump(ToBackend)
+		go connection.pump(ToRouter)
+	}
+}
+
+func (r *Relay) close() {
+	_ = r.listener.Close()
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.closed = true
+	for connection := range r.connections {
+		connection.end(Close)
+	}
+}
+
+func (r *Relay) forget(connection *relayed) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	delete(r.connections, connection)
+}
+
+// relayed is one connection through a relay.
+type relayed struct {
+	relay     *Relay
+	near, far net.Conn
+
+	mutex sync.Mutex
+	// matched says that the cut holds for this connection; left counts the
+	// bytes that still pass in its direction.
+	matched bool
+	stalled bool
+	cut     Cut
+	left    int
+}
+
+const relayBufferBytes = 32 << 10
+
+// pump forwards one half until it ends or is cut.
+func (c *relayed) pump(direction Direction) {
+	source, sink := c.near, c.far
+	if direction == ToRouter {
+		source, sink = c.far, c.near
+	}
+	buffer := make([]byte, relayBufferBytes)
+	for {
+		count, err := source.Read(buffer)
+		pass, cut := c.admit(direction, buffer[:count])
+		if len(pass) > 0 {
+			if _, err := sink.Write(pass); err != nil {
+				c.finish()
+				return
+			}
+		}
+		if cut {
+			c.strike()
+			return
+		}
+		if err != nil {
+			c.finish()
+			return
+		}
+	}
+}
+
+// admit returns the bytes that pass, and whether the connection is cut then.
+func (c *relayed) admit(direction Direction, data []byte) ([]byte, bool) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.stalled {
+		return nil, false
+	}
+	passed := 0
+	if !c.matched && direction == ToBackend {
+		start, end := c.match(data)
+		if !c.matched {
+			return data, false
+		}
+		if c.cut.Before {
+			return data[:start], true
+		}
+		passed = end
+	}
+	if !c.matched || direction != c.cut.Direction {
+		return data, false
+	}
+	if len(data)-passed < c.left {
+		c.left -= len(data) - passed
+		return data, false
+	}
+	return data[:passed+c.left], true
+}
+
+// match looks for the armed cut's text and returns where it begins and ends.
+// A text that two reads share is not found: requests of the proofs are small.
+func (c *relayed) match(data []byte) (start, end int) {
+	cut, armed := c.relay.armed()
+	if !armed {
+		return 0, 0
+	}
+	start = bytes.Index(data, []byte(cut.Match))
+	if start < 0 || !c.relay.claim() {
+		return 0, 0
+	}
+	c.matched, c.cut, c.left = true, cut, cut.After
+	return start, start + len(cut.Match)
+}
+
+func (c *relayed) strike() {
+	action := c.cut.Action
+	if action == Stall {
+		c.mutex.Lock()
+		c.stalled = true
+		c.mutex.Unlock()
+	} else {
+		c.end(action)
+		c.relay.forget(c)
+	}
+	c.relay.noteStruck()
+}
+
+// finish passes the end of one half on, unless the connection is stalled.
+func (c *relayed) finish() {
+	c.mutex.Lock()
+	stalled := c.stalled
+	c.mutex.Unlock()
+	if stalled {
+		return
+	}
+	c.end(Close)
+	c.relay.forget(c)
+}
+
+func (c *relayed) end(action Action) {
+	if action == Reset {
+		abort(c.near)
+		abort(c.far)
+		return
+	}
+	_ = c.near.Close()
+	_ = c.far.Close()
+}
+
+// abort closes a connection with a TCP reset.
+func abort(connection net.Conn) {
+	if tcp, isTCP := connection.(*net.TCPConn); isTCP {
+		_ = tcp.SetLinger(0)
+	}
+	_ = connection.Close()
+}
