Go on with a broken answer without the retry budget

Ruled out: a larger budget at the start, since a herd restart is what the small one is for; counting the retry but not asking, since it would starve others.

Change: an answer that has begun goes on, and the one try after a refusal that names a new life is made, whatever the budget says; both stay bounded by the attempts and the hold time. Going on costs less than the repeat that the caller would be told to make. The test case 'no budget' had an engine error with no second engine, which ends alike now; it stays, and a case before the first text, where the budget still binds, and a table of the new rule join it.

--- a/internal/dispatch/generation.go
+++ b/internal/dispatch/generation.go
@@ -106,11 +106,14 @@
 		// Only the end is missing, and nobody can prove it any more.
 		return cause
 	}
-	if !g.dispatcher.Budget.Allow(g.job.Service) {
+	relearned := g.exclude(placement, refusalOf(cause))
+	// The budget bounds the load that retries add. Going on with an answer adds
+	// less than the repeat that the caller would be told to make, and a refusal
+	// that names a new life cost its engine nothing.
+	if !g.started && !relearned && !g.dispatcher.Budget.Allow(g.job.Service) {
 		g.dispatcher.Counters.BudgetRefused.Add(1)
 		return cause
 	}
-	g.exclude(placement, refusalOf(cause))
 	g.dispatcher.Counters.Retries.Add(1)
 	if !g.started {
 		return nil
@@ -129,14 +132,16 @@
 }
 
 // exclude bars the engine for the rest of the request, unless it just told
-// that it lives a new life: then it may be tried once more.
-func (g *generation) exclude(placement Placement, refusal *protocol.Refusal) {
+// that it lives a new life: then it may be tried once more, and exclude
+// returns true.
+func (g *generation) exclude(placement Placement, refusal *protocol.Refusal) (relearned bool) {
 	newLife := refusal != nil && refusal.Incarnation != "" && refusal.Incarnation != placement.Incarnation
 	if newLife && !g.relearned[placement.Engine] {
 		g.relearned[placement.Engine] = true
-		return
+		return true
 	}
 	g.job.Excluded[placement.Engine] = true
+	return false
 }
 
 // attempt runs one attempt to its end and releases the placement.
--- a/internal/dispatch/generation_test.go
+++ b/internal/dispatch/generation_test.go
@@ -56,7 +56,8 @@
 		"gone after start":        {damage{"gone", 1}, 9, 50, fault.NoPermittedEngine, fault.RanYes},
 		"gone after text":         {damage{"gone", 3}, 9, 50, fault.StreamBroken, fault.RanYes},
 		"stalls for ever":         {damage{"stall", 3}, 9, 50, fault.StreamBroken, fault.RanYes},
-		"no budget":               {damage{"engine error", 3}, 0, 50, fault.StreamBroken, fault.RanYes},
+		"no budget before text":   {damage{"gone", 0}, 0, 50, fault.BackendLost, fault.RanUnknown},
+		"no budget, no engine":    {damage{"engine error", 3}, 0, 50, fault.StreamBroken, fault.RanYes},
 		"only the end is missing": {damage{"gone", answerChunks + 1}, 9, answerChunks, fault.StreamBroken, fault.RanYes},
 	}
 	for name, c := range cases {
@@ -83,6 +84,42 @@
 	}
 }
 
+// A budget that is used up stops neither an answer that has begun nor the
+// second try at an engine that named its new life.
+func TestRetriesThatAddNoLoadNeedNoBudget(t *testing.T) {
+	cases := map[string]struct {
+		damage damage
+		refuse error
+	}{
+		"broken after text":  {damage{"engine error", 3}, nil},
+		"broken before text": {damage{"gone", 1}, nil},
+		"new life":           {damage{}, refusal(protocol.RefusalMismatch, "a1")},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				r := newRig(c.damage, "a", "b")
+				r.Budget = &fakeBudget{}
+				if c.refuse != nil {
+					r.engines.refuse = map[string]error{"a": c.refuse}
+				}
+				var sink textSink
+				_, err := r.Run(t.Context(), testJob(), &sink)
+				r.Close()
+				if c.refuse != nil {
+					// The fake refuses for ever; the one free try was made.
+					is.True(fault.Is(err, fault.BackendRefused))
+					is.Equal(len(r.engines.generated), 2)
+					return
+				}
+				is.NoErr(err)
+				is.Equal(sink.text.String(), wholeAnswer())
+			})
+		})
+	}
+}
+
 // Only resumes that bring nothing count against their bound.
 func TestAnswerIsWholeWhenEveryConnectionBreaksAfterOneEvent(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
