Prove streams complete and in order on real sockets

Five tests over real processes, judged on the text each prompt must give and on the engines' truth logs: ten faults of engines and connections, engines killed in the middle three times, a router killed with its callers resuming at the other, no way left, a slow reader.

--- a/proofs/harness/caller.go
+++ b/proofs/harness/caller.go
@@ -4,10 +4,12 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/fieldpond/fieldpond/internal/api"
@@ -96,6 +98,27 @@
 	return &Caller{Tenant: tenant, client: &http.Client{Transport: transport}}
 }
 
+// slowBufferBytes is the receive buffer of a slow caller: far less than a long
+// stream, so that the router is the one that has to wait.
+const slowBufferBytes = 4 << 10
+
+// NewSlowCaller returns a caller whose connections buffer next to nothing.
+func (c *Cluster) NewSlowCaller(tenant ident.Tenant) *Caller {
+	dialer := &net.Dialer{Control: func(_, _ string, raw syscall.RawConn) error {
+		var failed error
+		err := raw.Control(func(descriptor uintptr) {
+			failed = syscall.SetsockoptInt(int(descriptor), syscall.SOL_SOCKET, syscall.SO_RCVBUF, slowBufferBytes)
+		})
+		if err != nil {
+			return err
+		}
+		return failed
+	}}
+	transport := &http.Transport{DialContext: dialer.DialContext}
+	c.tb.Cleanup(transport.CloseIdleConnections)
+	return &Caller{Tenant: tenant, client: &http.Client{Transport: transport}}
+}
+
 // History returns what the caller was told so far, in the order of the ends.
 func (c *Caller) History() []Told {
 	c.mutex.Lock()
--- /dev/null
+++ b/proofs/streams_test.go
@@ -0,0 +1,236 @@
+package proofs
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/fieldpond/fieldpond/internal/ident"
+	"github.com/fieldpond/fieldpond/proofs/harness"
+	"github.com/fieldpond/fieldpond/standin/engine"
+	"github.com/fieldpond/fieldpond/standin/faultplan"
+	"github.com/fieldpond/fieldpond/standin/truth"
+)
+
+// Streams of the cases below.
+const (
+	streamsPerCase = 6
+	streamTokens   = 60
+)
+
+// Promise 1: whatever engines or connections do to a stream, its caller gets
+// the whole answer in order, as long as one sound engine is left; and with none
+// left it gets a true beginning and an error.
+func TestStreamsAreWholeUnderFaults(t *testing.T) {
+	t.Parallel()
+	c := harness.Start(t, harness.Shape{Relayed: true})
+	faulty := func(kind faultplan.Kind, parameters faultplan.Parameters, engines int) func() {
+		return func() {
+			for _, name := range c.Engines[:engines] {
+				c.Inject(name, engine.FaultRequest{Kind: kind, Duration: faultplan.Duration(time.Minute), Parameters: parameters})
+			}
+		}
+	}
+	relayed := func(action harness.Action, after int) func() {
+		return func() {
+			for _, name := range c.Engines[:2] {
+				c.Relay(name).Arm(harness.Cut{
+					Match: "POST /v1/generate", Direction: harness.ToRouter, After: after, Action: action, Times: 2,
+				})
+			}
+		}
+	}
+	all := len(c.Engines)
+	cases := []struct {
+		name string
+		// noWay says that no engine is sound.
+		noWay bool
+		begin func()
+	}{
+		{"chunks sent twice", false, faulty(faultplan.DuplicateChunks, faultplan.Parameters{}, all)},
+		{"cut after every few events", false, faulty(faultplan.Cut, faultplan.Parameters{Events: 7}, all)},
+		{"chunks swapped by two engines", false, faulty(faultplan.SwapChunks, faultplan.Parameters{}, 2)},
+		{"chunks swapped by all", true, faulty(faultplan.SwapChunks, faultplan.Parameters{}, all)},
+		{"end event lost by all", true, faulty(faultplan.LoseEnd, faultplan.Parameters{}, all)},
+		{"two engines crash", false, func() {
+			for _, name := range c.Engines[:2] {
+				c.Inject(name, engine.FaultRequest{Kind: faultplan.Crash, Duration: faultplan.Duration(300 * time.Millisecond)})
+			}
+		}},
+		{"closed before the answer", false, relayed(harness.Close, 0)},
+		{"closed within the answer", false, relayed(harness.Close, 3000)},
+		{"reset within the answer", false, relayed(harness.Reset, 5000)},
+		{"reset near the end", false, relayed(harness.Reset, 15000)},
+	}
+	for number, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			test.begin()
+			askTogether(t, c, fmt.Sprintf("case %d", number), test.noWay)
+			for _, name := range c.Engines {
+				c.AwaitUp(name)
+				c.ClearFaults(name)
+				c.Relay(name).Disarm()
+			}
+		})
+	}
+	struck := 0
+	for _, name := range c.Engines {
+		struck += c.Relay(name).Struck()
+	}
+	is.New(t).True(struck >= 4) // the cuts did take place
+}
+
+// askTogether sends several requests at once and requires every answer whole
+// or, without a way, a true beginning and an error.
+func askTogether(t *testing.T, c *harness.Cluster, label string, noWay bool) {
+	t.Helper()
+	caller := c.NewCaller(harness.TenantA)
+	together(streamsPerCase, func(number int) {
+		ask := harness.Ask{Prompt: prompt(label, number), MaxTokens: streamTokens}
+		told := caller.Stream(t.Context(), c.RouterURLs()[number%2], ask)
+		requireHonest(t, ask, told)
+		if told.Broken || told.Done == noWay {
+			t.Errorf("broken %v, whole %v, refusal %+v, %d bytes", told.Broken, told.Done, told.Refusal, len(told.Text))
+		}
+	})
+}
+
+// Promise 1: an engine that is killed in the middle of its streams, again and
+// again, costs no caller a part of its answer.
+func TestStreamsAreWholeWhenEnginesAreKilled(t *testing.T) {
+	t.Parallel()
+	c := harness.Start(t, harness.Shape{})
+	caller := c.NewCaller(harness.TenantA)
+	lost := 0
+	for round := range 3 {
+		var once sync.Once
+		killed := ""
+		together(streamsPerCase, func(number int) {
+			ask := longAsk(fmt.Sprintf("round %d stream %d", round, number), 64)
+			ask.OnText = func(bytes int) {
+				if bytes > 40*(round+1) {
+					once.Do(func() { killed = killBusy(c) })
+				}
+			}
+			told := caller.Stream(t.Context(), c.RouterURLs()[number%2], ask)
+			requireWhole(t, ask, told)
+		})
+		if killed == "" {
+			t.Fatal("no engine was busy when it was to be killed")
+		}
+		lost += unfinished(c.Truth(killed))
+		c.Restart(killed)
+		c.AwaitServing(c.Routers...)
+	}
+	is.New(t).True(lost >= 3) // each kill did strike a running generation
+}
+
+// killBusy kills an engine with a generation that has begun and not ended.
+func killBusy(c *harness.Cluster) string {
+	for _, name := range c.Engines {
+		before := len(c.Truth(name))
+		if unfinished(c.Truth(name)) > 0 && before > 0 {
+			c.Kill(name)
+			return name
+		}
+	}
+	return ""
+}
+
+// unfinished counts the generations that the engine's last life began and did
+// not end.
+func unfinished(records []truth.Record) int {
+	open := map[ident.Stream]bool{}
+	for _, record := range records {
+		switch record.Kind {
+		case truth.Life:
+			clear(open)
+		case truth.Started:
+			open[record.Stream] = true
+		case truth.Finished, truth.Cancelled, truth.Lost:
+			delete(open, record.Stream)
+		}
+	}
+	return len(open)
+}
+
+// Promise 1: a caller whose router is killed resumes its stream at the other
+// one, from its last event, and has the whole answer with no part twice.
+func TestStreamsGoOnAtAnotherRouterWhenTheirsIsKilled(t *testing.T) {
+	t.Parallel()
+	c := harness.Start(t, harness.Shape{})
+	caller := c.NewCaller(harness.TenantA)
+	var once sync.Once
+	together(streamsPerCase, func(number int) {
+		ask := longAsk(fmt.Sprintf("stream %d", number), 64+10*number)
+		ask.OnText = func(bytes int) {
+			if number == 0 && bytes > 60 {
+				once.Do(func() { c.Kill(c.Routers[0]) })
+			}
+		}
+		requireWhole(t, ask, caller.AskAll(t.Context(), c.RouterURLs(), ask, 5))
+	})
+	resumed := 0
+	for _, told := range caller.History() {
+		if told.Broken && told.Text != "" {
+			resumed++
+		}
+	}
+	is.New(t).True(resumed > 0) // the kill did break streams that had text
+	// Each answer was generated once: the resumed streams went on, none anew.
+	started := 0
+	for _, record := range allTruth(c) {
+		if record.Kind == truth.Started {
+			started++
+		}
+	}
+	is.New(t).Equal(started, streamsPerCase)
+}
+
+// Promise 1: with the router and the engine of a stream gone, no way is left;
+// the caller is told so, and what it has is a true beginning.
+func TestStreamWithoutAWayEndsWithAnError(t *testing.T) {
+	t.Parallel()
+	c := harness.Start(t, harness.Shape{Engines: 1})
+	caller := c.NewCaller(harness.TenantA)
+	ask := longAsk("no way", 200)
+	var once sync.Once
+	ask.OnText = func(bytes int) {
+		if bytes > 60 {
+			once.Do(func() {
+				c.Kill(c.Routers[0])
+				c.Kill(c.Engines[0])
+			})
+		}
+	}
+	told := caller.AskAll(t.Context(), c.RouterURLs(), ask, 4)
+	requireHonest(t, ask, told)
+	is := is.New(t)
+	is.True(!told.Done)
+	is.True(told.Refusal != nil)
+	is.True(len(told.Text) > 60)
+	is.True(told.RetryAfter != "" || told.Refusal.RetryAfterMillis > 0)
+}
+
+// Promise 1: a caller that stops reading for a while loses nothing, and one
+// connection of a router that does not read does not hold the others up.
+func TestSlowReaderLosesNothing(t *testing.T) {
+	t.Parallel()
+	c := harness.Start(t, harness.Shape{Routers: 1, Engines: 1, EngineArgs: []string{"--token-millis", "2"}})
+	caller := c.NewSlowCaller(harness.TenantA)
+	router := c.RouterURLs()[0]
+	slow, quick := longAsk("slow", 1000), longAsk("quick", 64)
+	var once sync.Once
+	slow.OnText = func(bytes int) {
+		if bytes > 100 {
+			once.Do(func() {
+				requireWhole(t, quick, c.NewCaller(harness.TenantB).Stream(t.Context(), router, quick))
+				time.Sleep(3 * time.Second)
+			})
+		}
+	}
+	requireWhole(t, slow, caller.AskAll(t.Context(), []string{router}, slow, 3))
+}
