--- a/internal/dispatch/generation.go
+++ b/internal/dispatch/generation.go
@@ -58,20 +58,16 @@
 		g.chart.Fire(EventCallerGone)
 		return fault.Wrap(err, fault.StreamBroken, "the caller left before the end of the answer").WithRan(ran)
 	}
-	final := *fault.From(err)
 	if g.emitted.Len() > 0 {
-		final = *fault.Wrap(err, fault.StreamBroken, "the answer broke off and no way to go on was found")
-	}
-	final.Ran = ran
-	if final.RetryAfter == 0 {
-		final.RetryAfter = g.dispatcher.config.RetryAfter
+		err = fault.Wrap(err, fault.StreamBroken, "the answer broke off and no way to go on was found")
 	}
+	final := g.dispatcher.withRetryAfter(err).WithRan(ran)
 	if ran == fault.RanYes && g.started {
 		g.chart.Fire(EventGaveUp)
 	} else {
-		g.chart.Fire(finalEvent(&final))
+		g.chart.Fire(finalEvent(final))
 	}
-	return &final
+	return final
 }
 
 func (g *generation) run(ctx context.Context) (Completion, error) {
@@ -103,15 +99,21 @@
 	if g.attempts >= g.dispatcher.config.MaxAttempts {
 		return cause
 	}
+	if misunderstood(cause) {
+		return asBadRequest(cause)
+	}
 	if g.tokens > 0 && g.tokens >= g.job.MaxTokens {
 		// Only the end is missing, and nobody can prove it any more.
 		return cause
 	}
-	if !g.dispatcher.Budget.Allow(g.job.Service) {
+	relearned := g.exclude(placement, refusalOf(cause))
+	// The budget bounds the load that retries add. Going on with an answer adds
+	// less than the repeat that the caller would be told to make, and a refusal
+	// that names a new life cost its engine nothing.
+	if !g.started && !relearned && !g.dispatcher.Budget.Allow(g.job.Service) {
 		g.dispatcher.Counters.BudgetRefused.Add(1)
 		return cause
 	}
-	g.exclude(placement, refusalOf(cause))
 	g.dispatcher.Counters.Retries.Add(1)
 	if !g.started {
 		return nil
@@ -130,14 +132,16 @@
 }
 
 // exclude bars the engine for the rest of the request, unless it just told
-// that it lives a new life: then it may be tried once more.
-func (g *generation) exclude(placement Placement, refusal *protocol.Refusal) {
+// that it lives a new life: then it may be tried once more, and exclude
+// returns true.
+func (g *generation) exclude(placement Placement, refusal *protocol.Refusal) (relearned bool) {
 	newLife := refusal != nil && refusal.Incarnation != "" && refusal.Incarnation != placement.Incarnation
 	if newLife && !g.relearned[placement.Engine] {
 		g.relearned[placement.Engine] = true
-		return
+		return true
 	}
 	g.job.Excluded[placement.Engine] = true
+	return false
 }
 
 // attempt runs one attempt to its end and releases the placement.
--- a/internal/placement/decide.go
+++ b/internal/placement/decide.go
@@ -34,6 +34,10 @@
 		c.Counters.Held++
 		return admission.Verdict{Action: c.heldAction(job)}
 	default:
+		if c.registry.Undecided(job.Request.Zones) {
+			c.Counters.Held++
+			return admission.Verdict{Action: admission.ItemBlocked}
+		}
 		return admission.Verdict{Action: admission.Rejected, Fault: fault.New(fault.NoPermittedEngine,
 			"no engine is left for service %q (filter %s)", job.Request.Service, decision.Reason).
 			WithRetryAfter(noEngineRetryAfter)}
@@ -78,7 +82,11 @@
 	request := &flight.job.Request
 	chain := request.Chains[flight.version]
 	if request.BlockTokens > 0 {
-		c.config.Beliefs.Answered(now, flight.engine, incarnation, chain, usage.CachedTokens/request.BlockTokens)
+		held := usage.CachedTokens / request.BlockTokens
+		c.config.Beliefs.Answered(now, flight.engine, incarnation, chain, held)
+		if c.directory != nil {
+			c.directory.Observed(now, flight.engine, incarnation, chain, held)
+		}
 	}
 	c.count(flight, usage)
 }
@@ -125,6 +133,10 @@
 	if limiter := c.limiters[flight.engine]; limiter != nil {
 		limiter.Finished(now, sampleOf(result))
 	}
+	if result.Unreachable || result.Refusal != "" {
+		chain := flight.job.Request.Chains[flight.version]
+		c.config.Beliefs.Refused(flight.engine, flight.incarnation, chain)
+	}
 	switch {
 	case result.Unreachable:
 		c.changed(c.registry.Unreachable(flight.engine))
