Limit attempts by the engine's batch, not by latency

Cause: the gradient limiter lowers its limit to a quarter, down to 2, while it looks for the latency floor, and the rate x service time limiter sits near the few attempts that run at a time. Both push requests away from the engine that holds their prefix: all of the wasted recomputation came from engines chosen although another one held more, none from evictions while queued.

Ruled out: beliefs (the oracle wastes as much under the same limiter).

Change: routers use a fixed limit of 16, an engine's batch; the experiment runs every policy with every limiter, and "predictive-v1" keeps the earlier state. Wasted tokens are told apart by cause.

--- a/internal/admission/limiter.go
+++ b/internal/admission/limiter.go
@@ -80,6 +80,16 @@
 // Limit implements Limiter.
 func (f *FixedLimiter) Limit(time.Time) int { return f.limit }
 
+// batchLimit is the batch size of the usual engine. One router alone can fill
+// it; what several routers send beyond waits at the engine, which orders it by
+// priority too.
+const batchLimit = 16
+
+// NewDefaultLimiter returns the limiter that routers use: a fixed one as large
+// as an engine's batch. Limits that adapt below it push requests away from
+// where their prefix is cached; docs/design/admission.md has the figures.
+func NewDefaultLimiter() Limiter { return NewFixedLimiter(batchLimit) }
+
 // Started implements Limiter.
 func (f *FixedLimiter) Started(time.Time) {}
 
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -145,7 +145,7 @@
 		Directory:  prefixes,
 		SmallFleet: smallFleet,
 		Queue:      admission.NewQueue(admission.Config{}),
-		NewLimiter: func() admission.Limiter { return admission.NewGradientLimiter(admission.LimitBounds{}) },
+		NewLimiter: admission.NewDefaultLimiter,
 		Hop:        hopFrom(home),
 	})
 	r.directoryMessages = newDirectorySender(r.peers, ident.Node(r.settings.Node), r.view)
--- a/standin/experiment/attempt.go
+++ b/standin/experiment/attempt.go
@@ -24,7 +24,9 @@
 	// heldTokens is the most of the prompt that any permitted engine truly held
 	// at dispatch.
 	heldTokens int
-	over       bool
+	// ownTokens is what the chosen engine itself truly held at dispatch.
+	ownTokens int
+	over      bool
 }
 
 // send sends the request to the engine it was given a place on.
@@ -36,6 +38,7 @@
 	sent := &attempt{
 		exchange: x, router: router, engine: s.byName[chosen.Endpoint.Engine],
 		incarnation: chosen.Endpoint.Incarnation, key: placed.Job.Key, chain: chain, sentAt: s.clock.now,
+		ownTokens:  s.byName[chosen.Endpoint.Engine].model.Held(x.salt, chain) * prefix.DefaultBlockTokens,
 		heldTokens: min(x.heldAnywhere(chain)*prefix.DefaultBlockTokens, placed.Job.Request.PromptTokens-1),
 	}
 	s.clock.after(s.hop(router.zone, sent.engine.zone), func() { sent.engine.submit(sent) })
--- a/standin/experiment/measure.go
+++ b/standin/experiment/measure.go
@@ -45,6 +45,9 @@
 	CachedTokens     int64 `json:"cached_tokens"`
 	RecomputedTokens int64 `json:"recomputed_tokens"`
 	DiscardedTokens  int64 `json:"discarded_tokens"`
+	// EvictedTokens are those of RecomputedTokens that the chosen engine itself
+	// held at dispatch and evicted before the attempt began to run.
+	EvictedTokens int64 `json:"evicted_tokens"`
 	// HitRate is cached over prompt tokens, Wasted recomputed and discarded
 	// over prompt tokens.
 	HitRate float64 `json:"hit_rate"`
@@ -76,6 +79,7 @@
 	cached       int64
 	recomputed   int64
 	discarded    int64
+	evicted      int64
 	samples      int
 	busy         int
 	tails        map[ident.Class]*hdrhistogram.Histogram
@@ -102,6 +106,7 @@
 	c.prompt += int64(record.PromptTokens)
 	c.cached += int64(record.CachedTokens)
 	c.recomputed += int64(max(0, about.heldTokens-record.CachedTokens))
+	c.evicted += int64(max(0, min(about.ownTokens, about.heldTokens)-record.CachedTokens))
 }
 
 // ended takes in the end of a request.
@@ -171,7 +176,7 @@
 	scenario := &s.situation.scenario
 	measures := Measures{
 		Arrivals: c.arrivals, Ended: c.ends, Offered: c.offered, Outcomes: c.outcomes, Refused: c.refused,
-		PromptTokens: c.prompt, CachedTokens: c.cached, RecomputedTokens: c.recomputed, DiscardedTokens: c.discarded,
+		PromptTokens: c.prompt, CachedTokens: c.cached, RecomputedTokens: c.recomputed, DiscardedTokens: c.discarded, EvictedTokens: c.evicted,
 		HitRate: share(c.cached, c.prompt),
 		Wasted:  share(c.recomputed+c.discarded, c.prompt),
 		Goodput: float64(c.good) / (scenario.Duration - scenario.Warmup).Seconds(),
--- a/standin/experiment/policies.go
+++ b/standin/experiment/policies.go
@@ -46,24 +46,53 @@
 
 func rateLimiter() admission.Limiter { return admission.NewRateTimesService(admission.LimitBounds{}) }
 
-// fixedLimit is the limit of one router on one engine in the variant with a
-// fixed limit.
-const fixedLimit = 8
-
-func fixedLimiter() admission.Limiter { return admission.NewFixedLimiter(fixedLimit) }
+// lowLimit is the limit of one router on one engine in the variant with a
+// fixed limit below the engine's batch.
+const lowLimit = 4
+
+func lowLimiter() admission.Limiter { return admission.NewFixedLimiter(lowLimit) }
+
+// limiters are the ways to limit the attempts of one router on one engine, by
+// the suffix that a policy's name takes.
+var limiters = []struct {
+	suffix     string
+	newLimiter func() admission.Limiter
+}{
+	{"", admission.NewDefaultLimiter}, // as in the router process
+	{"-low", lowLimiter},
+	{"-gradient", gradientLimiter},
+	{"-rate", rateLimiter},
+	{"-unlimited", nil},
+}
 
-// Policies returns every policy, the baselines first.
+// Policies returns every policy, the baselines first: each way to choose an
+// engine with each limiter.
 func Policies() []Policy {
+	schedulers := []Policy{
+		{Name: "round-robin", Baseline: true, NewScheduler: plain(routing.NewRoundRobin)},
+		{Name: "least-load", Baseline: true, NewScheduler: plain(routing.NewLeastLoad)},
+		{Name: "prefix-hash", Baseline: true, NewScheduler: plain(routing.NewPrefixHash)},
+		{Name: "prefix-hash-deep", Baseline: true, NewScheduler: deepPrefixHash},
+		{Name: "predictive", NewScheduler: predictive(routing.Config{})},
+		{Name: "oracle", NewScheduler: oracle},
+	}
+	var all []Policy
+	for _, policy := range schedulers {
+		for _, limiter := range limiters {
+			variant := policy
+			variant.Name += limiter.suffix
+			variant.NewLimiter = limiter.newLimiter
+			all = append(all, variant)
+		}
+	}
+	return append(all, previous()...)
+}
+
+// previous returns earlier states of the predictive policy, to be compared
+// with the present one.
+func previous() []Policy {
 	return []Policy{
-		{Name: "round-robin", Baseline: true, NewScheduler: plain(routing.NewRoundRobin), NewLimiter: gradientLimiter},
-		{Name: "least-load", Baseline: true, NewScheduler: plain(routing.NewLeastLoad), NewLimiter: gradientLimiter},
-		{Name: "prefix-hash", Baseline: true, NewScheduler: plain(routing.NewPrefixHash), NewLimiter: gradientLimiter},
-		{Name: "prefix-hash-deep", Baseline: true, NewScheduler: deepPrefixHash, NewLimiter: gradientLimiter},
-		{Name: "predictive", NewScheduler: predictive(routing.Config{}), NewLimiter: gradientLimiter},
-		{Name: "oracle", NewScheduler: oracle, NewLimiter: gradientLimiter},
-		{Name: "predictive-fixed", NewScheduler: predictive(routing.Config{}), NewLimiter: fixedLimiter},
-		{Name: "predictive-rate", NewScheduler: predictive(routing.Config{}), NewLimiter: rateLimiter},
-		{Name: "predictive-unlimited", NewScheduler: predictive(routing.Config{})},
+		{Name: "predictive-v1", NewScheduler: predictive(routing.Config{}), NewLimiter: gradientLimiter},
 	}
 }
 
--- a/standin/experiment/table.go
+++ b/standin/experiment/table.go
@@ -44,11 +44,15 @@
 	Policy   string `json:"policy"`
 	Baseline bool   `json:"baseline"`
 	// Protected is the class whose tail matters most in the scenario.
-	Protected ident.Class                `json:"protected"`
-	Seeds     int                        `json:"seeds"`
-	HitRate   Spread                     `json:"hit_rate"`
-	Wasted    Spread                     `json:"wasted"`
-	Goodput   Spread                     `json:"goodput"`
+	Protected ident.Class `json:"protected"`
+	Seeds     int         `json:"seeds"`
+	HitRate   Spread      `json:"hit_rate"`
+	Wasted    Spread      `json:"wasted"`
+	Goodput   Spread      `json:"goodput"`
+	// Evicted is the part of Wasted that the chosen engine held at dispatch,
+	// Discarded that of lost and cancelled attempts.
+	Evicted   Spread                     `json:"evicted"`
+	Discarded Spread                     `json:"discarded"`
 	Busy      Spread                     `json:"busy"`
 	Refused   Spread                     `json:"refused_share"`
 	Outcomes  map[Outcome]Spread         `json:"outcomes"`
@@ -89,6 +93,8 @@
 		Scenario: first.Scenario, Policy: first.Policy, Baseline: first.Baseline, Protected: first.Protected, Seeds: len(runs),
 		HitRate:        figure(func(m *Measures) float64 { return m.HitRate }),
 		Wasted:         figure(func(m *Measures) float64 { return m.Wasted }),
+		Evicted:        figure(func(m *Measures) float64 { return share(m.EvictedTokens, m.PromptTokens) }),
+		Discarded:      figure(func(m *Measures) float64 { return share(m.DiscardedTokens, m.PromptTokens) }),
 		Goodput:        figure(func(m *Measures) float64 { return m.Goodput }),
 		Busy:           figure(func(m *Measures) float64 { return m.Busy }),
 		Refused:        figure(refusedShare),
@@ -165,7 +171,7 @@
 		return err
 	}
 	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-	header := "policy\thit %\twasted %\tgoodput/s\tbusy %\trefused %"
+	header := "policy\thit %\twasted %\tof it evicted, discarded %\tgoodput/s\tbusy %\trefused %"
 	for _, class := range names {
 		header += "\t" + string(class)
 	}
@@ -189,8 +195,8 @@
 
 // line is the row of the table.
 func (r *Row) line(classes []ident.Class) string {
-	line := fmt.Sprintf("%s\t%s\t%s\t%.2f\t%.0f\t%.2f", r.Policy, percent(r.HitRate), percent(r.Wasted),
-		r.Goodput.Median, 100*r.Busy.Median, 100*r.Refused.Median)
+	line := fmt.Sprintf("%s\t%s\t%s\t%.2f, %.2f\t%.2f\t%.0f\t%.2f", r.Policy, percent(r.HitRate), percent(r.Wasted),
+		100*r.Evicted.Median, 100*r.Discarded.Median, r.Goodput.Median, 100*r.Busy.Median, 100*r.Refused.Median)
 	for _, class := range classes {
 		tail := r.Classes[class]
 		line += fmt.Sprintf("\t%.0f/%.0f/%.0f[%.0f..%.0f], %.2f%%", 1000*tail.P50.Median, 1000*tail.P95.Median,
