Weigh gaps in cache events by what the lost events may have removed

Cause: every gap halved the trust in all that an engine had told. With a fifth of the events lost there are several gaps a second, so nothing was believed for longer than a second. And a lost "stored" event left a hole in a chain, behind which the search for the deepest block held did not look.

Change: trust falls with the number of lost events times the share of the blocks held that one event removes, measured from the events that arrive. In a stream with gaps the search looks two checkpoints beyond a missing one, and a block that is held proves those before it.

--- a/internal/prefix/beliefs/credit.go
+++ b/internal/prefix/beliefs/credit.go
@@ -29,8 +29,12 @@
 	toldProbability = 0.95
 	// expectedProbability is the prior of a block being filled by a dispatch.
 	expectedProbability = 0.98
-	// gapFactor is what one gap in the events leaves of the trust in them.
-	gapFactor = 0.5
+	// minRemovalShare is the share of an engine's blocks that a lost event is
+	// taken to have removed at least.
+	minRemovalShare = 0.001
+	// holeSteps is how many checkpoints beyond one that is not believed held
+	// are looked at in a stream with gaps: the event that stored it may be lost.
+	holeSteps = 2
 	// presenceFloor is the probability below which a block counts as absent.
 	presenceFloor = 0.05
 	// creditSamples bounds the checkpoints at which probabilities are read.
@@ -59,13 +63,20 @@
 	if deepest < 0 {
 		return 0
 	}
-	expected, lowest, counted := 0.0, 1.0, 0
+	// What holds a block holds all before it: of a chain, engines evict the
+	// last blocks first. So the probability does not rise with the depth.
+	expected, atLeast := 0.0, 0.0
 	steps := min(creditSamples, deepest+1)
-	for step := 1; step <= steps; step++ {
+	above := prefix.CheckpointAt(deepest, len(chain)) + 1
+	for step := steps; step >= 1; step-- {
 		position := prefix.CheckpointAt((deepest+1)*step/steps-1, len(chain))
-		lowest = min(lowest, v.probability(known, chain[position]))
-		expected += lowest * float64(position+1-counted)
-		counted = position + 1
+		next := 0
+		if step > 1 {
+			next = prefix.CheckpointAt((deepest+1)*(step-1)/steps-1, len(chain)) + 1
+		}
+		atLeast = max(atLeast, v.probability(known, chain[position]))
+		expected += atLeast * float64(above-next)
+		above = next
 	}
 	return expected
 }
@@ -73,13 +84,13 @@
 // deepest returns the deepest checkpoint believed held, or -1.
 func (v *View) deepest(known *life, chain prefix.Chain) int {
 	low, high := 0, prefix.CheckpointCount(len(chain))
-	if v.probability(known, chain[prefix.CheckpointAt(0, len(chain))]) < presenceFloor {
+	if low = v.present(known, chain, 0); low < 0 {
 		return -1
 	}
 	for high-low > 1 {
 		middle := (low + high) / 2
-		if v.probability(known, chain[prefix.CheckpointAt(middle, len(chain))]) >= presenceFloor {
-			low = middle
+		if found := v.present(known, chain, middle); found >= 0 {
+			low = found
 		} else {
 			high = middle
 		}
@@ -87,6 +98,21 @@
 	return low
 }
 
+// present returns the first checkpoint from the given one on that is believed
+// held, or -1. Only a stream with gaps makes it look beyond that one.
+func (v *View) present(known *life, chain prefix.Chain, checkpoint int) int {
+	last := checkpoint
+	if known.lost > 0 {
+		last = min(checkpoint+holeSteps, prefix.CheckpointCount(len(chain))-1)
+	}
+	for ; checkpoint <= last; checkpoint++ {
+		if v.probability(known, chain[prefix.CheckpointAt(checkpoint, len(chain))]) >= presenceFloor {
+			return checkpoint
+		}
+	}
+	return -1
+}
+
 func (v *View) probability(known *life, hash prefix.Hash) float64 {
 	block := v.store.blocks.find(known.key(hash))
 	if block == nil {
@@ -110,14 +136,19 @@
 		prior = toldProbability
 	case sourceAnswer:
 	case sourceEvent, sourceSnapshot:
-		if missed := known.gaps - block.gaps; missed > 0 {
-			prior = math.Pow(gapFactor, float64(missed))
+		if missed := known.lost - block.lost; missed > 0 {
+			prior = math.Exp(-float64(missed) * known.removalShare())
 		}
 		since = max(since, known.heard)
 	}
 	return prior * math.Exp(-float64(since.age(v.now))/float64(known.lifetime))
 }
 
+// removalShare is the share of the blocks held that one event removes.
+func (l *life) removalShare() float64 {
+	return max(minRemovalShare, l.removedPerEvent/float64(max(1, l.held)))
+}
+
 // Holds reports whether the incarnation holds the block according to its event
 // stream; known is false if the stream does not settle it.
 func (s *Store) Holds(engine ident.Engine, incarnation ident.Incarnation, hash prefix.Hash) (held, known bool) {
--- a/internal/prefix/beliefs/learn.go
+++ b/internal/prefix/beliefs/learn.go
@@ -13,6 +13,10 @@
 	lifetimeGain = 0.125
 	minLifetime  = 500 * time.Millisecond
 	maxLifetime  = 10 * time.Minute
+	// removalGain is the weight of one event in the measured removals.
+	removalGain = 0.02
+	// maxLost bounds what one gap adds to the count of lost events.
+	maxLost = 1 << 12
 )
 
 // Dispatched tells that a request with this chain was just sent to an engine,
@@ -106,7 +110,8 @@
 }
 
 // Events applies a batch of an engine's event stream. A gap in the sequence
-// halves the trust in what events gave so far and asks for a snapshot.
+// lessens the trust in what events gave so far, by the blocks that the lost
+// events may have removed, and asks for a snapshot.
 func (s *Store) Events(now time.Time, engine ident.Engine, batch protocol.CacheEventBatch) {
 	known := s.observe(engine, batch.Incarnation)
 	if known == nil {
@@ -119,7 +124,7 @@
 		}
 		if event.Sequence != known.sequence+1 {
 			s.counters.Gaps++
-			known.gaps++
+			known.lose(event.Sequence - known.sequence - 1)
 			known.snapshotWanted = true
 		}
 		known.sequence, known.synced = event.Sequence, true
@@ -127,14 +132,27 @@
 	}
 }
 
+// lose counts events that did not arrive. One gap counts for at most maxLost,
+// which leaves no trust and keeps the counter from going all the way round.
+func (l *life) lose(events uint64) { l.lost += uint16(min(events, maxLost)) }
+
+// removed takes in how many blocks one event removed.
+func (l *life) removed(blocks int) {
+	l.held = max(0, l.held-blocks)
+	l.removedPerEvent += removalGain * (float64(blocks) - l.removedPerEvent)
+}
+
 func (s *Store) apply(now time.Time, known *life, event protocol.CacheEvent) {
 	switch event.Kind {
 	case protocol.CacheStored:
+		known.held += len(event.Hashes)
+		known.removed(0)
 		for _, hash := range event.Hashes {
 			block, _ := s.blocks.write(known.key(hash))
 			s.confirm(now, known, block, sourceEvent)
 		}
 	case protocol.CacheRemoved:
+		known.removed(len(event.Hashes))
 		for _, hash := range event.Hashes {
 			key := known.key(hash)
 			if block := s.blocks.find(key); block != nil && (block.source == sourceEvent || block.source == sourceAnswer) {
@@ -160,7 +178,7 @@
 	}
 	s.drop(known)
 	known.sequence, known.synced, known.snapshotWanted = snapshot.Sequence, true, false
-	known.heard = s.stamp(now)
+	known.heard, known.held = s.stamp(now), len(snapshot.Hashes)
 	for _, hash := range snapshot.Hashes {
 		block, _ := s.blocks.write(known.key(hash))
 		s.confirm(now, known, block, sourceSnapshot)
@@ -190,10 +208,10 @@
 // confirm records that a block is held now. An engine's events stay the source
 // of a block that they gave: they will also tell its eviction.
 func (s *Store) confirm(now time.Time, known *life, block *slot, from source) {
-	if block.source < from || block.gaps != known.gaps {
+	if block.source < from || block.lost != known.lost {
 		block.source = from
 	}
-	block.seen, block.gaps, block.expected = s.stamp(now), known.gaps, 0
+	block.seen, block.lost, block.expected = s.stamp(now), known.lost, 0
 }
 
 func (l *life) measure(sample time.Duration) {
--- a/internal/prefix/beliefs/store.go
+++ b/internal/prefix/beliefs/store.go
@@ -70,7 +70,12 @@
 	// synced is true once events or a snapshot gave the whole state.
 	synced   bool
 	sequence uint64
-	gaps     uint8
+	// lost counts the events that did not arrive.
+	lost uint16
+	// held is about how many blocks are held, and removedPerEvent the mean
+	// number of blocks that one event removes.
+	held            int
+	removedPerEvent float64
 	// heard is when the event stream was last heard.
 	heard          stamp
 	snapshotWanted bool
@@ -127,6 +132,7 @@
 	known.incarnation, known.active = incarnation, incarnation != ""
 	s.drop(known)
 	known.synced, known.sequence, known.snapshotWanted = false, 0, false
+	known.removedPerEvent = 0
 }
 
 // Forget drops every belief about an engine that is believed dead.
@@ -173,6 +179,7 @@
 func (s *Store) drop(known *life) {
 	s.nextSeed++
 	known.seed = s.nextSeed * 0x9e3779b97f4a7c15
+	known.held = 0
 	s.counters.Dropped++
 }
 
--- a/internal/prefix/beliefs/table.go
+++ b/internal/prefix/beliefs/table.go
@@ -12,8 +12,9 @@
 	// expected is when a request that will fill the block was dispatched.
 	expected stamp
 	source   source
-	// gaps is the life's count of gaps when the block was last known to be held.
-	gaps uint8
+	// lost is the life's count of lost events when the block was last known to
+	// be held.
+	lost uint16
 }
 
 // table maps keys to slots, forgets the least recently written ones beyond its
