Hold waiting requests to the fleet file in force

Cause: zones and model versions of a request were read when it began to wait. A file adopted meanwhile did not bind it: it was dispatched to a withdrawn place, or with weights that the file had replaced. The list of engines went to the placement duty through a ring that refuses when full, so an adopted file could have been lost there for good. Ruled out: changing waiting jobs inside the placement core; it would have to know tenants and chains. Change: a place chosen under an earlier file is checked against the one in force, before and after blocks are moved, and is handed back unused if it is not permitted any more; the request is placed anew under the new file. An answer that has begun keeps its version. The newest list of engines is kept beside the ring and cannot be lost. Measured: router/TestWaitingRequestObeysTheFileInForce, in virtual time: the cases 'place withdrawn, another permitted' and 'weights replaced' went to e-1 and v1 before, to e-2 and v2 after.

--- a/internal/placement/decide.go
+++ b/internal/placement/decide.go
@@ -117,7 +117,8 @@
 	Duration time.Duration
 }
 
-// Ended takes in the end of an attempt.
+// Ended takes in the end of an attempt. The zero Result is a place that was
+// handed back unused.
 func (c *Core) Ended(now time.Time, key endpoint.AttemptKey, result Result) Effects {
 	flight := c.flights[key]
 	if flight == nil {
@@ -129,7 +130,7 @@
 	if limiter := c.limiters[flight.engine]; limiter != nil {
 		limiter.Finished(now, sampleOf(result))
 	}
-	if result.Unreachable || result.Refusal != "" {
+	if result.Unreachable || result.Refusal != "" || result == (Result{}) {
 		chain := flight.job.Request.Chains[flight.version]
 		c.config.Beliefs.Refused(flight.engine, flight.incarnation, chain)
 	}
--- a/internal/placement/duty.go
+++ b/internal/placement/duty.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/fieldpond/fieldpond/internal/endpoint"
@@ -42,6 +43,9 @@
 	config   DutyConfig
 	core     *Core
 	poller   *endpoint.Poller
+	// targets is the newest fleet file's list until it is taken in. It must not
+	// be lost, however full the rings are.
+	targets  atomic.Pointer[[]endpoint.Target]
 	commands *ring.Ring[command]
 	news     *ring.Ring[command]
 	// replies is used by the goroutine of the duty only.
@@ -111,6 +115,9 @@
 
 // drain runs every waiting input, those that must not be lost first.
 func (d *Duty) drain() {
+	if targets := d.targets.Swap(nil); targets != nil {
+		d.apply(d.core.Configure(time.Now(), *targets))
+	}
 	for run, ok := d.commands.Pop(); ok; run, ok = d.commands.Pop() {
 		d.apply(run(time.Now()))
 	}
@@ -199,7 +206,9 @@
 
 // Configure takes over the engines of a fleet file.
 func (d *Duty) Configure(targets []endpoint.Target) {
-	d.commands.Push(func(now time.Time) Effects { return d.core.Configure(now, targets) })
+	d.targets.Store(&targets)
+	// A full ring refuses this, and then has enough in it to wake the duty.
+	d.commands.Push(func(time.Time) Effects { return Effects{} })
 }
 
 // LeavingSeen reports a sign that an engine is leaving.
--- a/internal/router/placer.go
+++ b/internal/router/placer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -32,30 +33,53 @@
 
 // Place implements dispatch.Placer.
 func (p *placer) Place(ctx context.Context, job *dispatch.Job) (dispatch.Placement, error) {
+	for {
+		compiled := p.current()
+		if compiled == nil {
+			return dispatch.Placement{}, fault.New(fault.NotReady, "this router has no fleet file yet")
+		}
+		wanted := p.job(job, compiled)
+		placed, err := p.duty.Place(ctx, wanted)
+		if err != nil {
+			return dispatch.Placement{}, err
+		}
+		if p.permits(job, compiled, placed) {
+			p.move(ctx, wanted, placed, compiled)
+		}
+		if p.permits(job, compiled, placed) {
+			return p.placement(job, wanted, placed), nil
+		}
+		// A fleet file adopted while the job waited forbids the place.
+		p.duty.Ended(wanted.Key, placement.Result{})
+	}
+}
+
+// permits reports whether the fleet file in force now still permits a place
+// that was chosen under an earlier one.
+func (p *placer) permits(job *dispatch.Job, earlier *fleet.Compiled, placed placement.Placed) bool {
 	compiled := p.current()
-	if compiled == nil {
-		return dispatch.Placement{}, fault.New(fault.NotReady, "this router has no fleet file yet")
+	if compiled == earlier {
+		return true
 	}
+	chosen := placed.Candidate
+	engine, known := compiled.Engine(chosen.Endpoint.Engine)
+	return known && engine.Address == chosen.Endpoint.Address && engine.State != fleet.BackendLeaving &&
+		compiled.PermittedZones(job.Tenant).Has(engine.Zone) &&
+		slices.Contains(versionsFor(job, compiled), chosen.Version)
+}
+
+// job builds what the placement duty needs to know. Zones and versions are read
+// from the fleet file in force now, not from the one in force when the request
+// came: what was withdrawn meanwhile binds a waiting request too.
+func (p *placer) job(job *dispatch.Job, compiled *fleet.Compiled) *placement.Job {
 	blockTokens := prefix.DefaultBlockTokens
 	if model, known := compiled.Model(job.Model); known {
 		blockTokens = model.BlockTokens
 	}
-	wanted := p.job(job, compiled, blockTokens)
-	placed, err := p.duty.Place(ctx, wanted)
-	if err != nil {
-		return dispatch.Placement{}, err
-	}
-	p.move(ctx, wanted, placed, compiled)
-	return p.placement(job, wanted, placed), nil
-}
-
-// job builds what the placement duty needs to know. Zones are read from the
-// fleet file in force now, not from the one in force when the request came:
-// a place that was withdrawn meanwhile binds a waiting request too.
-func (p *placer) job(job *dispatch.Job, compiled *fleet.Compiled, blockTokens int) *placement.Job {
 	prompt := job.Prompt + job.Continued
-	chains := make(map[ident.ModelVersion]prefix.Chain, len(job.Versions))
-	for _, version := range job.Versions {
+	versions := versionsFor(job, compiled)
+	chains := make(map[ident.ModelVersion]prefix.Chain, len(versions))
+	for _, version := range versions {
 		namespace := prefix.Namespace{Tenant: job.Tenant, Model: job.Model, Version: version, Adapter: job.Adapter}
 		chains[version] = prefix.ChainOf(namespace.Salt(), prompt, blockTokens)
 	}
@@ -70,7 +94,7 @@
 			Class:               job.Class,
 			Priority:            job.Priority,
 			Model:               job.Model,
-			Versions:            job.Versions,
+			Versions:            versions,
 			Adapter:             job.Adapter,
 			Zones:               catalog{compiled}.Zones(job.Tenant),
 			Chains:              chains,
@@ -83,6 +107,16 @@
 	}
 }
 
+// versionsFor returns the versions that may serve the job. An answer that has
+// begun goes on with the version that began it, whatever the file says now: no
+// answer has text of two versions.
+func versionsFor(job *dispatch.Job, compiled *fleet.Compiled) []ident.ModelVersion {
+	if job.Continued != "" {
+		return job.Versions
+	}
+	return catalog{compiled}.Versions(job.Model)
+}
+
 func shareOf(compiled *fleet.Compiled, tenant ident.Tenant) float64 {
 	entry, known := compiled.Tenant(tenant)
 	if !known {
--- /dev/null
+++ b/internal/router/placer_test.go
@@ -0,0 +1,137 @@
+package router
+
+import (
+	"context"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/fieldpond/fieldpond/internal/admission"
+	"github.com/fieldpond/fieldpond/internal/dispatch"
+	"github.com/fieldpond/fieldpond/internal/endpoint"
+	"github.com/fieldpond/fieldpond/internal/engine"
+	"github.com/fieldpond/fieldpond/internal/engine/protocol"
+	"github.com/fieldpond/fieldpond/internal/fault"
+	"github.com/fieldpond/fieldpond/internal/fleet"
+	"github.com/fieldpond/fieldpond/internal/ident"
+	"github.com/fieldpond/fieldpond/internal/placement"
+	"github.com/fieldpond/fieldpond/internal/prefix/beliefs"
+	"github.com/fieldpond/fieldpond/internal/routing"
+)
+
+// twoPlaces is a fleet file whose tenant may use the first of two regions.
+const twoPlaces = `schema: fieldpond/v1
+name: test
+regions: [{name: here, zones: [z-1]}, {name: there, zones: [z-2]}]
+classes: [{name: c}]
+models: [{name: m, version: v1}]
+services: [{name: s, kind: model, model: m, classes: [c]}]
+engines:
+  - {name: e-1, address: '127.0.0.1:7001', zone: z-1, models: [m]}
+  - {name: e-2, address: '127.0.0.1:7002', zone: z-2, models: [m]}
+tenants:
+  - {name: t, keyHashes: [e3b0c44298fc1c149afbf4c8996fb92427ae41e4649b934ca495991b7852b855], places: [here], services: [s]}
+`
+
+func compile(t *testing.T, file string, version fleet.Version) *fleet.Compiled {
+	t.Helper()
+	document, problems := fleet.Parse([]byte(file), "test")
+	if err := problems.Err(); err != nil {
+		t.Fatal(err)
+	}
+	return fleet.Compile(document, version, "digest")
+}
+
+// lateObserver answers load reports only after a time. Every engine has loaded
+// two versions.
+type lateObserver struct {
+	engine.Observer
+	after time.Time
+}
+
+func (o lateObserver) Load(ctx context.Context, address string) (protocol.LoadReport, error) {
+	if time.Now().Before(o.after) {
+		return protocol.LoadReport{}, fault.Wrap(context.DeadlineExceeded, fault.Timeout, "no report yet")
+	}
+	return protocol.LoadReport{
+		Incarnation: ident.Incarnation(address), MaxRunning: 4,
+		Loaded: []protocol.LoadedModel{{Model: "m", Version: "v1"}, {Model: "m", Version: "v2"}},
+	}, ctx.Err()
+}
+
+func newTestDuty(t *testing.T, observer engine.Observer) *placement.Duty {
+	t.Helper()
+	scheduler, err := routing.NewPredictive(routing.Config{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	believed, err := beliefs.New(beliefs.Config{}, time.Now())
+	if err != nil {
+		t.Fatal(err)
+	}
+	poller := endpoint.NewPoller(observer, time.Second, 64)
+	poller.Start(t.Context(), 1)
+	duty := placement.NewDuty(placement.DutyConfig{
+		MaxOpen: 16, PollInterval: 250 * time.Millisecond, PollsPerTick: 8, PollTick: 50 * time.Millisecond,
+		OnChange: func(endpoint.Change) {}, OnSnapshotWanted: func(ident.Engine) {},
+	}, placement.New(placement.Config{
+		Scheduler: scheduler, Beliefs: believed, Queue: admission.NewQueue(admission.Config{}), Hop: hopFrom("z-1"),
+	}), poller)
+	go duty.Run(t.Context())
+	return duty
+}
+
+// TestWaitingRequestObeysTheFileInForce adopts a file while a request waits for
+// the first load report.
+func TestWaitingRequestObeysTheFileInForce(t *testing.T) {
+	begun := func(job *dispatch.Job) { job.Continued = "text of the old version" }
+	cases := []struct {
+		name, old, replacement string
+		prepare                func(job *dispatch.Job)
+		engine                 ident.Engine
+		version                ident.ModelVersion
+	}{
+		{"nothing changed", "name: test", "name: changed", nil, "e-1", "v1"},
+		{"place withdrawn, another permitted", "places: [here]", "places: [there]", nil, "e-2", "v1"},
+		{"place withdrawn, none left", "zone: z-1", "zone: z-2", nil, "", ""},
+		{"weights replaced", "version: v1", "version: v2", nil, "e-1", "v2"},
+		{"weights replaced under an answer that has begun", "version: v1", "version: v2", begun, "e-1", "v1"},
+		{"engine leaving", "zone: z-1,", "zone: z-1, state: leaving,", nil, "", ""},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				check := is.New(t)
+				var current atomic.Pointer[fleet.Compiled]
+				current.Store(compile(t, twoPlaces, 1))
+				const reports, adoption = 500 * time.Millisecond, 400 * time.Millisecond
+				duty := newTestDuty(t, lateObserver{after: time.Now().Add(reports)})
+				duty.Configure(engineTargets(current.Load()))
+				placer := &placer{duty: duty, current: current.Load, homeZone: "z-1"}
+				time.AfterFunc(adoption, func() {
+					current.Store(compile(t, strings.Replace(twoPlaces, test.old, test.replacement, 1), 2))
+					duty.Configure(engineTargets(current.Load()))
+				})
+				job := &dispatch.Job{
+					ID: "r", Tenant: "t", Service: "s", Model: "m", Versions: []ident.ModelVersion{"v1"},
+					Prompt: strings.Repeat("long shared prompt ", 20), HoldUntil: time.Now().Add(5 * time.Second),
+				}
+				if test.prepare != nil {
+					test.prepare(job)
+				}
+				placed, err := placer.Place(t.Context(), job)
+				check.Equal(placed.Engine, test.engine)
+				check.Equal(placed.Version, test.version)
+				if test.engine == "" {
+					check.True(fault.Is(err, fault.NoPermittedEngine))
+					check.Equal(fault.From(err).Ran, fault.RanNo)
+					check.True(fault.From(err).RetryAfter > 0)
+				}
+			})
+		})
+	}
+}
