What is heard from another process does not hide an engine

Cause: the end of an attempt, or a load report, from an address that the fleet file had replaced told the router an incarnation. It took it for a new life, retired the present one, and from then on ignored every report of it: the engine was lost to that router until the router's restart. Two lives heard of in the wrong order did the same. Change: what comes from an address that the file has replaced is not taken in; three reports in a row of a past incarnation, with none of the present one between them, make it the present one. Measured: placement/TestWhatIsHeardOfAnotherProcessDoesNotHideAnEngine: the first case fails without the address check, the third without the count.

--- a/internal/endpoint/registry.go
+++ b/internal/endpoint/registry.go
@@ -20,10 +20,6 @@
 // engine is believed dead. One lost report must not empty a cache belief.
 const failuresUntilDead = 3
 
-// leavingMemory is how long a sign of leaving outlives a lack of reports that
-// confirm it. A new incarnation ends it at once.
-const leavingMemory = 2 * time.Minute
-
 // retiredMemory is the number of past incarnations whose late answers are
 // recognised, so that they cannot pass for a new life.
 const retiredMemory = 8
@@ -83,23 +79,26 @@
 
 // state is what is known of one engine.
 type state struct {
-	target        Target
-	stale         bool
-	incarnation   ident.Incarnation
-	retired       []ident.Incarnation
-	reported      bool
-	alive         bool
-	failures      int
-	leavingUntil  time.Time
-	listedLeaving bool
-	report        protocol.LoadReport
-	reportTrueAt  time.Time
-	loaded        []framework.LoadedModel
-	attempts      map[AttemptKey]*attempt
-	ownInFlight   int
-	limit         int
-	lastCandidate time.Time
-	lastAsked     time.Time
+	target      Target
+	stale       bool
+	incarnation ident.Incarnation
+	retired     []ident.Incarnation
+	// retiredReports counts reports of past incarnations since the last of the
+	// present one.
+	retiredReports int
+	reported       bool
+	alive          bool
+	failures       int
+	leavingUntil   time.Time
+	listedLeaving  bool
+	report         protocol.LoadReport
+	reportTrueAt   time.Time
+	loaded         []framework.LoadedModel
+	attempts       map[AttemptKey]*attempt
+	ownInFlight    int
+	limit          int
+	lastCandidate  time.Time
+	lastAsked      time.Time
 }
 
 // AttemptKey identifies one attempt of one request.
@@ -169,9 +168,10 @@
 	if known == nil {
 		return nil
 	}
-	if slices.Contains(known.retired, report.Incarnation) {
+	if slices.Contains(known.retired, report.Incarnation) && !known.returned() {
 		return nil
 	}
+	known.retiredReports = 0
 	changes := known.live(engine, report.Incarnation)
 	trueAt := now.Add(-time.Duration(report.AgeMillis) * time.Millisecond)
 	loaded := convertLoaded(report.Loaded)
@@ -221,40 +221,6 @@
 	return known.live(engine, incarnation)
 }
 
-// LeavingSeen takes in a sign that the engine is leaving: its own refusal, the
-// machine list, or another router's word. An incarnation other than the
-// engine's known one makes the sign void; an empty one always counts.
-func (r *Registry) LeavingSeen(now time.Time, engine ident.Engine, incarnation ident.Incarnation) []Change {
-	known := r.find(engine)
-	if known == nil {
-		return nil
-	}
-	if incarnation != "" && known.incarnation != "" && incarnation != known.incarnation {
-		return nil
-	}
-	return known.leaving(now, engine)
-}
-
-// Listed takes in a machine list: for each engine on it, whether its machine is
-// leaving. The list speaks of machines, whatever life the engine on one is in,
-// and it lags: it takes back its own word only, never another sign.
-func (r *Registry) Listed(now time.Time, leaving map[ident.Engine]bool) []Change {
-	var changes []Change
-	for _, known := range r.order {
-		name := known.target.Engine
-		listed, found := leaving[name]
-		if !found {
-			continue
-		}
-		known.stale = known.stale || known.listedLeaving != listed
-		known.listedLeaving = listed
-		if listed {
-			changes = append(changes, known.leaving(now, name)...)
-		}
-	}
-	return changes
-}
-
 // Dead reports whether the engine answered once and is believed dead now.
 func (r *Registry) Dead(engine ident.Engine) bool {
 	known := r.engines[engine]
@@ -299,6 +265,13 @@
 	known.ownInFlight--
 }
 
+// At reports whether the fleet file in force has the engine at this address.
+// What is heard from another one tells nothing about the engine.
+func (r *Registry) At(engine ident.Engine, address string) bool {
+	known := r.engines[engine]
+	return known != nil && known.target.Address == address
+}
+
 // Incarnation returns the engine's known incarnation, empty when unknown.
 func (r *Registry) Incarnation(engine ident.Engine) ident.Incarnation {
 	if known := r.engines[engine]; known != nil {
@@ -377,6 +350,18 @@
 	}
 }
 
+// returned counts a report of a past incarnation, and reports whether there
+// were so many in a row that it is the present one after all: two lives were
+// heard of in the wrong order. Without this the engine would be lost for good.
+func (s *state) returned() bool {
+	s.retiredReports++
+	if s.retiredReports < failuresUntilDead {
+		return false
+	}
+	s.retired = nil
+	return true
+}
+
 func (s *state) dead(engine ident.Engine) []Change {
 	if !s.alive {
 		return nil
@@ -385,15 +370,6 @@
 	return []Change{{ChangeDead, engine, s.incarnation}}
 }
 
-func (s *state) leaving(now time.Time, engine ident.Engine) []Change {
-	already := now.Before(s.leavingUntil)
-	s.leavingUntil = now.Add(leavingMemory)
-	if already {
-		return nil
-	}
-	return []Change{{ChangeLeaving, engine, s.incarnation}}
-}
-
 func (s *state) endpoint(now time.Time) framework.Endpoint {
 	role := s.report.Role
 	if role == "" {
--- a/internal/placement/core.go
+++ b/internal/placement/core.go
@@ -72,6 +72,7 @@
 type flight struct {
 	job         *Job
 	engine      ident.Engine
+	address     string
 	incarnation ident.Incarnation
 	version     ident.ModelVersion
 	// credit is the number of prompt tokens believed cached at dispatch.
--- a/internal/placement/core_test.go
+++ b/internal/placement/core_test.go
@@ -140,3 +140,45 @@
 	is.Equal(core.config.Beliefs.At(start).Credit("a", "a1", chain), 0.0)
 	is.Equal(core.config.Beliefs.At(start).Credit("a", "a2", chain), 0.0)
 }
+
+// TestWhatIsHeardOfAnotherProcessDoesNotHideAnEngine: what is heard late, of an
+// earlier life or from an earlier address, must not make the router take the
+// present life for a past one.
+func TestWhatIsHeardOfAnotherProcessDoesNotHideAnEngine(t *testing.T) {
+	cases := []struct {
+		name string
+		do   func(core *Core)
+		// reports is how many more reports are needed until all is right.
+		reports int
+	}{
+		{"an attempt ends at the address that the file has replaced", func(core *Core) {
+			core.Offer(start, jobOf("r0", time.Second))
+			core.Configure(start, []endpoint.Target{{Engine: "a", Address: "a:2", Zone: zone}})
+			core.Reported(start, "a", reportOf("a2"))
+			core.Ended(start, AttemptKeyOf("r0", 1), Result{Incarnation: "a1", TimeToFirstToken: time.Millisecond})
+		}, 0},
+		{"a report of the life before comes late", func(core *Core) {
+			core.Reported(start, "a", reportOf("a2"))
+			core.Reported(start, "a", reportOf("a1"))
+		}, 0},
+		{"a report of the life before, never heard of, comes late", func(core *Core) {
+			core.Reported(start, "a", reportOf("a2"))
+			core.Reported(start, "a", reportOf("a1b"))
+		}, 3},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			core := newTestCore(t, 8)
+			core.Configure(start, []endpoint.Target{{Engine: "a", Address: "a:1", Zone: zone}})
+			core.Reported(start, "a", reportOf("a1"))
+			test.do(core)
+			for range test.reports {
+				core.Reported(start.Add(time.Second), "a", reportOf("a2"))
+			}
+			effects := core.Offer(start.Add(time.Second), jobOf("r1", time.Second))
+			is.Equal(len(effects.Placed), 1)
+			is.Equal(effects.Placed[0].Candidate.Endpoint.Incarnation, ident.Incarnation("a2"))
+		})
+	}
+}
--- a/internal/placement/decide.go
+++ b/internal/placement/decide.go
@@ -59,7 +59,7 @@
 	chosen.Endpoint = &copied
 	delete(c.waiting, job.Request.ID)
 	c.flights[job.Key] = &flight{
-		job: job, engine: copied.Engine, incarnation: copied.Incarnation,
+		job: job, engine: copied.Engine, address: copied.Address, incarnation: copied.Incarnation,
 		version: chosen.Version, credit: chosen.CreditTokens,
 	}
 	uncached := max(0, job.Request.PromptTokens-int(chosen.CreditTokens))
@@ -125,6 +125,9 @@
 		return c.pump(now)
 	}
 	delete(c.flights, key)
+	if !c.registry.At(flight.engine, flight.address) {
+		return c.pump(now)
+	}
 	c.registry.Ended(flight.engine, key)
 	c.changed(c.registry.SeenIncarnation(flight.engine, result.Incarnation))
 	if limiter := c.limiters[flight.engine]; limiter != nil {
--- a/internal/placement/duty.go
+++ b/internal/placement/duty.go
@@ -40,9 +40,9 @@
 // of attempts, changes of the fleet file) and inputs that a later one replaces
 // (cache events) come through separate bounded rings.
 type Duty struct {
-	config   DutyConfig
-	core     *Core
-	poller   *endpoint.Poller
+	config DutyConfig
+	core   *Core
+	poller *endpoint.Poller
 	// targets is the newest fleet file's list until it is taken in. It must not
 	// be lost, however full the rings are.
 	targets  atomic.Pointer[[]endpoint.Target]
@@ -122,6 +122,9 @@
 		d.apply(run(time.Now()))
 	}
 	for answer, ok := d.poller.Answers().Pop(); ok; answer, ok = d.poller.Answers().Pop() {
+		if !d.core.Registry().At(answer.Engine, answer.Address) {
+			continue
+		}
 		if answer.Err != nil {
 			d.apply(d.core.ReportFailed(time.Now(), answer.Engine))
 			continue
--- a/internal/router/applications.go
+++ b/internal/router/applications.go
@@ -175,6 +175,9 @@
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	for answer, ok := poller.Answers().Pop(); ok; answer, ok = poller.Answers().Pop() {
+		if !p.health.At(answer.Engine, answer.Address) {
+			continue
+		}
 		if answer.Err != nil {
 			p.health.ReportFailed(answer.Engine)
 			continue
