--- a/internal/placement/decide.go
+++ b/internal/placement/decide.go
@@ -59,7 +59,7 @@
 	chosen.Endpoint = &copied
 	delete(c.waiting, job.Request.ID)
 	c.flights[job.Key] = &flight{
-		job: job, engine: copied.Engine, incarnation: copied.Incarnation,
+		job: job, engine: copied.Engine, address: copied.Address, incarnation: copied.Incarnation,
 		version: chosen.Version, credit: chosen.CreditTokens,
 	}
 	uncached := max(0, job.Request.PromptTokens-int(chosen.CreditTokens))
@@ -121,19 +121,23 @@
 	Duration time.Duration
 }
 
-// Ended takes in the end of an attempt.
+// Ended takes in the end of an attempt. The zero Result is a place that was
+// handed back unused.
 func (c *Core) Ended(now time.Time, key endpoint.AttemptKey, result Result) Effects {
 	flight := c.flights[key]
 	if flight == nil {
 		return c.pump(now)
 	}
 	delete(c.flights, key)
+	if !c.registry.At(flight.engine, flight.address) {
+		return c.pump(now)
+	}
 	c.registry.Ended(flight.engine, key)
 	c.changed(c.registry.SeenIncarnation(flight.engine, result.Incarnation))
 	if limiter := c.limiters[flight.engine]; limiter != nil {
 		limiter.Finished(now, sampleOf(result))
 	}
-	if result.Unreachable || result.Refusal != "" {
+	if result.Unreachable || result.Refusal != "" || result == (Result{}) {
 		chain := flight.job.Request.Chains[flight.version]
 		c.config.Beliefs.Refused(flight.engine, flight.incarnation, chain)
 	}
