--- a/cmd/fieldpond/apply.go
+++ b/cmd/fieldpond/apply.go
@@ -7,6 +7,7 @@
 
 	"github.com/spf13/cobra"
 
+	"github.com/fieldpond/fieldpond/internal/commandline"
 	"github.com/fieldpond/fieldpond/internal/fault"
 	"github.com/fieldpond/fieldpond/internal/fleet"
 )
@@ -22,7 +23,7 @@
 	wait    bool
 	routers []string
 	timeout time.Duration
-	output  outputFormat
+	output  commandline.Format
 }
 
 // applyReport is the JSON output of apply.
@@ -49,8 +50,8 @@
 during the apply itself.
 
 With --wait, the command returns once every live router has the version in
-force, and otherwise says which ones lag (exit code 6). The file is accepted in
-either case.`,
+force. Meanwhile it says on the error output who lags, and when the time is over
+it ends with exit code 6. The file is accepted in either case.`,
 		Example: `  # Put a file in force.
   fieldpond apply -f fleet.yaml --platform http://127.0.0.1:7000
 
@@ -64,7 +65,7 @@
 	}
 	addFileFlag(command, &choices.path)
 	addPlatformFlag(command, &choices.url)
-	addOutputFlag(command, &choices.output)
+	commandline.AddOutputFlag(command, &choices.output)
 	command.Flags().Uint64Var(&choices.base, "base", 0, "apply only if this version is in force; 0 means no file yet")
 	command.Flags().BoolVar(&choices.wait, "wait", false, "wait until every live router has the version in force")
 	command.Flags().StringSliceVar(&choices.routers, "routers", nil, "host:port of routers to ask with --wait; one is enough, more outlast the loss of one")
@@ -108,10 +109,11 @@
 	report := applyReport{Applied: applied}
 	var waitErr error
 	if choices.wait {
-		report.InForceOn, waitErr = newStatusWaiter(choices.routers).wait(ctx, max(applied.Version, applied.SupersededBy))
+		waiter := &statusWaiter{newRoutersClient(choices.routers), func(line string) { command.PrintErrln(line) }}
+		report.InForceOn, waitErr = waiter.wait(ctx, max(applied.Version, applied.SupersededBy))
 	}
-	if choices.output == outputJSON {
-		if err := writeJSON(command.OutOrStdout(), report); err != nil {
+	if choices.output == commandline.FormatJSON {
+		if err := commandline.WriteJSON(command.OutOrStdout(), report); err != nil {
 			return err
 		}
 		return waitErr
--- a/cmd/fieldpond/check.go
+++ b/cmd/fieldpond/check.go
@@ -5,6 +5,7 @@
 
 	"github.com/spf13/cobra"
 
+	"github.com/fieldpond/fieldpond/internal/commandline"
 	"github.com/fieldpond/fieldpond/internal/fleet"
 )
 
@@ -18,7 +19,7 @@
 
 func newCheckCommand() *cobra.Command {
 	var path string
-	var output outputFormat
+	var output commandline.Format
 	command := &cobra.Command{
 		Use:   "check -f FILE",
 		Short: "Check a fleet file without applying it",
@@ -42,15 +43,15 @@
 		},
 	}
 	addFileFlag(command, &path)
-	addOutputFlag(command, &output)
+	commandline.AddOutputFlag(command, &output)
 	return command
 }
 
-func runCheck(command *cobra.Command, body []byte, path string, output outputFormat) error {
-	if output == outputJSON {
+func runCheck(command *cobra.Command, body []byte, path string, output commandline.Format) error {
+	if output == commandline.FormatJSON {
 		document, problems := fleet.Parse(body, path)
 		report := checkReport{File: path, Digest: fleet.DigestOf(body), Valid: document != nil, Problems: append(fleet.Problems{}, problems...)}
-		if err := writeJSON(command.OutOrStdout(), report); err != nil {
+		if err := commandline.WriteJSON(command.OutOrStdout(), report); err != nil {
 			return err
 		}
 		return summarise(problems)
--- a/cmd/fieldpond/diff.go
+++ b/cmd/fieldpond/diff.go
@@ -7,6 +7,7 @@
 
 	"github.com/spf13/cobra"
 
+	"github.com/fieldpond/fieldpond/internal/commandline"
 	"github.com/fieldpond/fieldpond/internal/fleet"
 )
 
@@ -22,7 +23,7 @@
 
 func newDiffCommand() *cobra.Command {
 	var path, url string
-	var output outputFormat
+	var output commandline.Format
 	command := &cobra.Command{
 		Use:   "diff -f FILE --platform URL",
 		Short: "Show what applying a fleet file would change",
@@ -50,11 +51,11 @@
 	}
 	addFileFlag(command, &path)
 	addPlatformFlag(command, &url)
-	addOutputFlag(command, &output)
+	commandline.AddOutputFlag(command, &output)
 	return command
 }
 
-func runDiff(command *cobra.Command, document *fleet.Document, url string, output outputFormat) error {
+func runDiff(command *cobra.Command, document *fleet.Document, url string, output commandline.Format) error {
 	table, err := openTable(url)
 	if err != nil {
 		return err
@@ -71,8 +72,8 @@
 	}
 	difference := fleet.Compare(stored.Document, document)
 	report.Changes = difference.Changes
-	if output == outputJSON {
-		return writeJSON(command.OutOrStdout(), report)
+	if output == commandline.FormatJSON {
+		return commandline.WriteJSON(command.OutOrStdout(), report)
 	}
 	if _, err := fmt.Fprintf(command.OutOrStdout(), "against version %d\n", report.InForce); err != nil {
 		return err
--- a/cmd/fieldpond/fleetcommand.go
+++ b/cmd/fieldpond/fleetcommand.go
@@ -1,11 +1,9 @@
 package main
 
 import (
-	"encoding/json"
 	"io"
 	"os"
 
-	"github.com/pkg/errors"
 	"github.com/spf13/cobra"
 
 	"github.com/fieldpond/fieldpond/internal/fault"
@@ -19,41 +17,6 @@
 	return platform.NewHTTPClient(url, platform.Options{})
 }
 
-// outputFormat is the value of the --output flag.
-type outputFormat string
-
-const (
-	outputTable outputFormat = "table"
-	outputJSON  outputFormat = "json"
-)
-
-func addOutputFlag(command *cobra.Command, format *outputFormat) {
-	*format = outputTable
-	command.Flags().VarP(format, "output", "o", "table for people, json for scripts")
-}
-
-// String implements pflag.Value.
-func (f *outputFormat) String() string { return string(*f) }
-
-// Set implements pflag.Value.
-func (f *outputFormat) Set(value string) error {
-	switch format := outputFormat(value); format {
-	case outputTable, outputJSON:
-		*f = format
-		return nil
-	}
-	return errors.Errorf("%q is neither table nor json", value)
-}
-
-// Type implements pflag.Value.
-func (f *outputFormat) Type() string { return "format" }
-
-func writeJSON(writer io.Writer, value any) error {
-	encoder := json.NewEncoder(writer)
-	encoder.SetIndent("", "  ")
-	return encoder.Encode(value)
-}
-
 func addFileFlag(command *cobra.Command, path *string) {
 	command.Flags().StringVarP(path, "file", "f", "", "the fleet file, or - for standard input")
 	_ = command.MarkFlagRequired("file")
--- a/cmd/fieldpond/main.go
+++ b/cmd/fieldpond/main.go
@@ -2,39 +2,33 @@
 package main
 
 import (
-	"fmt"
 	"os"
 
-	"github.com/pkg/errors"
 	"github.com/spf13/cobra"
 
-	"github.com/fieldpond/fieldpond/internal/fault"
+	"github.com/fieldpond/fieldpond/internal/commandline"
 )
 
-func main() {
-	if err := newRootCommand().Execute(); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(exitCode(err))
-	}
-}
+func main() { os.Exit(commandline.Run(newRootCommand())) }
 
-// exitCode returns the exit code of a fault's kind, and that of a bad request
-// for the errors that cobra raises itself, such as an unknown flag.
-func exitCode(err error) int {
-	var raised *fault.Fault
-	if errors.As(err, &raised) {
-		return raised.Kind.ExitCode()
-	}
-	return fault.BadRequest.ExitCode()
-}
+const rootLong = `fieldpond routes language-model traffic with long shared prompts to the engines
+that a fleet file lists, and runs non-repeatable requests at most once.
+
+Operators change a deployment in one way: they edit the fleet file, check it,
+look at the difference and apply it. There is no command to a single machine.
+
+Exit codes: 0 done; 1 a fault of fieldpond itself; 2 the command line or a
+request is wrong; 3 a file is invalid; 4 another operator was faster; 5 a
+service did not answer or refused; 6 a wait ran out; 7 access denied.
+docs/reference/errors.md lists them by error kind.`
+
+const rootExample = `  # From an edited file to a file in force everywhere.
+  fieldpond check -f fleet.yaml
+  fieldpond diff -f fleet.yaml --platform http://127.0.0.1:7000
+  fieldpond apply -f fleet.yaml --platform http://127.0.0.1:7000 \
+      --wait --routers 127.0.0.1:7001,127.0.0.1:7003
+  fieldpond status --routers 127.0.0.1:7001`
 
 func newRootCommand() *cobra.Command {
-	root := &cobra.Command{
-		Use:           "fieldpond",
-		Short:         "Route language-model traffic with long shared prompts",
-		SilenceUsage:  true,
-		SilenceErrors: true,
-	}
-	root.AddCommand(subcommands()...)
-	return root
+	return commandline.NewRoot("fieldpond", "Route language-model traffic with long shared prompts", rootLong, rootExample, subcommands()...)
 }
--- a/cmd/fieldpond/router.go
+++ b/cmd/fieldpond/router.go
@@ -1,8 +1,6 @@
 package main
 
 import (
-	"context"
-	"os"
 	"os/signal"
 	"syscall"
 
@@ -37,10 +35,10 @@
 			if err != nil {
 				return err
 			}
-			if err := telemetry.SetUpLogging(os.Stderr, configured.LogLevel); err != nil {
+			if err := telemetry.SetUpLogging(command.ErrOrStderr(), configured.LogLevel); err != nil {
 				return fault.Wrap(err, fault.InvalidSettings, "setting up the log")
 			}
-			ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+			ctx, stop := signal.NotifyContext(command.Context(), syscall.SIGTERM, syscall.SIGINT)
 			defer stop()
 			return router.Run(ctx, configured)
 		},
--- /dev/null
+++ b/cmd/fieldpond/status.go
@@ -0,0 +1,87 @@
+package main
+
+import (
+	"context"
+	"io"
+
+	"github.com/spf13/cobra"
+
+	"github.com/fieldpond/fieldpond/internal/commandline"
+	"github.com/fieldpond/fieldpond/internal/fault"
+	"github.com/fieldpond/fieldpond/internal/status"
+)
+
+// statusReport is the JSON output of status.
+type statusReport struct {
+	// FleetVersion is the highest version heard of; Lagging names the live
+	// routers below it.
+	FleetVersion uint64   `json:"fleet_version"`
+	Live         int      `json:"live_routers"`
+	Lagging      []string `json:"lagging"`
+	// Unanswered says which of the routers asked did not answer, and why.
+	Unanswered []string `json:"unanswered"`
+	// Routers holds the answers as /status.json gives them.
+	Routers []status.Router `json:"routers"`
+}
+
+func newStatusCommand() *cobra.Command {
+	var addresses []string
+	var output commandline.Format
+	command := &cobra.Command{
+		Use:   "status --routers HOST:PORT[,HOST:PORT...]",
+		Short: "Show members, engines, queues and decisions as routers see them",
+		Long: `Status asks routers for their state and shows it: which routers are alive and
+which fleet version each has in force, the engines with their load and what they
+have loaded, and for each router asked its queue, its decisions, how much of the
+prompts was believed and found cached, its claims and its gossip.
+
+It reads only. Each router tells of all members, so one address is enough for
+members and engines; queues and decisions are shown of the routers asked. A
+router that does not answer is named, and the exit code is 6.`,
+		Example: `  # Everything one router knows.
+  fieldpond status --routers 127.0.0.1:7001
+
+  # Queues and decisions of three routers.
+  fieldpond status --routers 127.0.0.1:7001,127.0.0.1:7003,127.0.0.1:7005
+
+  # In a script: engines that the first router believes dead.
+  fieldpond status --routers 127.0.0.1:7001 -o json | jq -r '.routers[0].engines[] | select(.alive | not) | .engine'`,
+		Args: cobra.NoArgs,
+		RunE: func(command *cobra.Command, _ []string) error {
+			return runStatus(command.Context(), command.OutOrStdout(), newRoutersClient(addresses), output)
+		},
+	}
+	command.Flags().StringSliceVar(&addresses, "routers", nil, "host:port of the routers to ask")
+	_ = command.MarkFlagRequired("routers")
+	commandline.AddOutputFlag(command, &output)
+	return command
+}
+
+func runStatus(ctx context.Context, writer io.Writer, routers *routersClient, output commandline.Format) error {
+	answers := routers.ask(ctx)
+	seen := versionsOf(answers)
+	report := statusReport{
+		FleetVersion: seen.newest(),
+		Live:         len(seen),
+		Lagging:      append([]string{}, seen.lagging(seen.newest())...),
+		Unanswered:   append([]string{}, failuresOf(answers)...),
+		Routers:      []status.Router{},
+	}
+	for _, answer := range answers {
+		if answer.err == nil {
+			report.Routers = append(report.Routers, answer.status)
+		}
+	}
+	write := report.writeTable
+	if output == commandline.FormatJSON {
+		write = func(writer io.Writer) error { return commandline.WriteJSON(writer, report) }
+	}
+	if err := write(writer); err != nil {
+		return err
+	}
+	if missing := len(report.Unanswered); missing > 0 {
+		return fault.New(fault.Timeout, "%d of %d routers gave no status", missing, len(answers)).
+			WithRemedy("check the addresses with --routers, and whether those routers run")
+	}
+	return nil
+}
--- a/cmd/fieldpond/subcommands.go
+++ b/cmd/fieldpond/subcommands.go
@@ -8,6 +8,7 @@
 		newCheckCommand(),
 		newDiffCommand(),
 		newApplyCommand(),
+		newStatusCommand(),
 		newRouterCommand(),
 	}
 }
--- a/cmd/rehearse/application.go
+++ b/cmd/rehearse/application.go
@@ -20,7 +20,14 @@
 	command := &cobra.Command{
 		Use:   "application",
 		Short: "Run the stand-in for an application back end",
-		Args:  cobra.NoArgs,
+		Long: `Run a process that behaves like an application back end: it executes every
+request it accepts, takes its time for it, and keeps a truth log of what it
+executed, from which a test can tell whether anything ran twice.
+
+SIGTERM stops it as planned: it refuses new work as leaving, for the time of
+--notice, and finishes what runs.`,
+		Example: `  rehearse application --listen 127.0.0.1:7201 --execute-millis 50`,
+		Args:    cobra.NoArgs,
 		RunE: func(command *cobra.Command, _ []string) error {
 			options.Incarnation = ident.Incarnation(incarnation)
 			options.ExecutionTime = time.Duration(executeMillis) * time.Millisecond
--- a/cmd/rehearse/engine.go
+++ b/cmd/rehearse/engine.go
@@ -42,8 +42,21 @@
 	command := &cobra.Command{
 		Use:   "engine",
 		Short: "Run a model engine stand-in",
-		Args:  cobra.NoArgs,
-		RunE:  func(*cobra.Command, []string) error { return runEngine(flags) },
+		Long: `Run a process that behaves like a model engine with continuous batching and a
+prefix cache: it serves the engine protocol, takes its time for prefill and
+decoding, and can act out faults, at set times or when told to. It computes no
+model: its answers follow from the prompt, so that a caller can check them.
+
+SIGTERM stops it as planned: it announces that it leaves and ends its streams.`,
+		Example: `  # An engine that serves one model version from the start.
+  rehearse engine --name wien-1 --zone wien-halle --listen 127.0.0.1:7101 \
+      --model dispatch-llm:2026-11
+
+  # Slower, with a small cache.
+  rehearse engine --name wien-2 --zone wien-halle --listen 127.0.0.1:7102 \
+      --model dispatch-llm:2026-11 --prefill-micros 300 --cache-blocks 2000`,
+		Args: cobra.NoArgs,
+		RunE: func(command *cobra.Command, _ []string) error { return runEngine(command.Context(), flags) },
 	}
 	set := command.Flags()
 	set.StringVar(&flags.listen, "listen", "127.0.0.1:7100", "host:port to listen on")
@@ -68,7 +81,7 @@
 	return command
 }
 
-func runEngine(flags *engineFlags) error {
+func runEngine(ctx context.Context, flags *engineFlags) error {
 	options, err := flags.options()
 	if err != nil {
 		return err
@@ -89,7 +102,7 @@
 	if err != nil {
 		return fault.Wrap(err, fault.InvalidSettings, "cannot listen on %q", flags.listen).WithRemedy("give --listen a free host:port")
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	return server.Run(ctx, listener)
 }
--- a/cmd/rehearse/load.go
+++ b/cmd/rehearse/load.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 	"github.com/spf13/cobra"
 
+	"github.com/fieldpond/fieldpond/internal/commandline"
 	"github.com/fieldpond/fieldpond/internal/fault"
 	"github.com/fieldpond/fieldpond/standin/engine/model"
 	"github.com/fieldpond/fieldpond/standin/load"
@@ -23,7 +24,7 @@
 	seed           uint64
 	duration       time.Duration
 	rate           float64
-	format         string
+	output         commandline.Format
 	allowLost      int
 	maxInFlight    int
 	patience       time.Duration
@@ -34,7 +35,22 @@
 	command := &cobra.Command{
 		Use:   "load --target URL --schedule FILE",
 		Short: "Send a workload to routers as their callers would, and judge every answer",
-		Args:  cobra.NoArgs,
+		Long: `Send a workload to routers, open loop, as its callers would, and judge every
+answer: whole and correct, refused and not run, or lost. The text of an answer
+is compared with what the stand-in engines must produce. With --truth, the truth
+logs of the engines tell how many tokens were recomputed although a permitted
+engine held them.
+
+The exit code is not 0 if more than --allow-lost requests were lost.`,
+		Example: `  # The load of an example for 10 seconds, with the engines' truth.
+  rehearse load --schedule examples/muldenring/load.yaml --duration 10s \
+      --target http://127.0.0.1:7001 --target http://127.0.0.1:7003 \
+      --truth http://127.0.0.1:7101
+
+  # Twice the rate, as JSON.
+  rehearse load --schedule examples/muldenring/load.yaml --rate 24 \
+      --target http://127.0.0.1:7001 --output json`,
+		Args: cobra.NoArgs,
 		RunE: func(command *cobra.Command, _ []string) error {
 			return runLoad(command, options)
 		},
@@ -46,7 +62,7 @@
 	flags.Uint64Var(&options.seed, "seed", 1, "seed of the load")
 	flags.DurationVar(&options.duration, "duration", 0, "how long arrivals go on (default: as the schedule says)")
 	flags.Float64Var(&options.rate, "rate", 0, "mean arrivals a second (default: as the schedule says)")
-	flags.StringVar(&options.format, "format", "table", "form of the report: table or json")
+	commandline.AddOutputFlag(command, &options.output)
 	flags.IntVar(&options.allowLost, "allow-lost", 0, "lost requests that still count as success")
 	flags.IntVar(&options.maxInFlight, "max-in-flight", 0, "most requests open at one time (default 2048)")
 	flags.DurationVar(&options.patience, "patience", 0, "the longest a caller waits for one request (default 2m)")
@@ -65,7 +81,7 @@
 		return err
 	}
 	write := report.WriteTable
-	if options.format == "json" {
+	if options.output == commandline.FormatJSON {
 		write = report.WriteJSON
 	}
 	if writeError := write(command.OutOrStdout()); writeError != nil {
@@ -81,9 +97,6 @@
 	if len(o.targets) == 0 || o.schedule == "" {
 		return load.Config{}, fault.New(fault.BadRequest, "--target and --schedule are needed")
 	}
-	if o.format != "table" && o.format != "json" {
-		return load.Config{}, fault.New(fault.BadRequest, "--format %q is neither table nor json", o.format)
-	}
 	if o.rate < 0 || o.duration < 0 || o.maxInFlight < 0 || o.patience < 0 {
 		return load.Config{}, fault.New(fault.BadRequest, "--rate, --duration, --max-in-flight and --patience must not be negative")
 	}
--- a/cmd/rehearse/main.go
+++ b/cmd/rehearse/main.go
@@ -2,39 +2,25 @@
 package main
 
 import (
-	"fmt"
 	"os"
 
-	"github.com/pkg/errors"
 	"github.com/spf13/cobra"
 
-	"github.com/fieldpond/fieldpond/internal/fault"
+	"github.com/fieldpond/fieldpond/internal/commandline"
 )
 
-func main() {
-	if err := newRootCommand().Execute(); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(exitCode(err))
-	}
-}
+func main() { os.Exit(commandline.Run(newRootCommand())) }
 
-// exitCode returns the exit code of a fault's kind, and that of a bad request
-// for the errors that cobra raises itself, such as an unknown flag.
-func exitCode(err error) int {
-	var raised *fault.Fault
-	if errors.As(err, &raised) {
-		return raised.Kind.ExitCode()
-	}
-	return fault.BadRequest.ExitCode()
-}
+const rootLong = `rehearse runs a fieldpond deployment on one machine: stand-ins for the engines,
+the applications and the platform, a load of callers that judge every answer,
+and experiments. It listens on loopback addresses and is not for production.
+
+Exit codes are those of fieldpond: 'fieldpond --help' lists them.`
+
+const rootExample = `  # The files and processes that a rehearsal of a fleet file needs.
+  mkdir -p out/demo
+  rehearse plan --fleet examples/muldenring/fleet.yaml --directory out/demo`
 
 func newRootCommand() *cobra.Command {
-	root := &cobra.Command{
-		Use:           "rehearse",
-		Short:         "Rehearse a fieldpond deployment on stand-ins",
-		SilenceUsage:  true,
-		SilenceErrors: true,
-	}
-	root.AddCommand(subcommands()...)
-	return root
+	return commandline.NewRoot("rehearse", "Rehearse a fieldpond deployment on stand-ins", rootLong, rootExample, subcommands()...)
 }
--- a/cmd/rehearse/plan.go
+++ b/cmd/rehearse/plan.go
@@ -25,8 +25,10 @@
 of a fleet file into a directory, and print one line for each process in the
 order of starting: its name, its HTTP address, its program and its arguments,
 separated by tabs. The command starts nothing.`,
-		Example: `  rehearse plan --fleet examples/muldenring/fleet.yaml --directory out/demo --routers 3`,
-		Args:    cobra.NoArgs,
+		Example: `  # 'scripts/up' does this and starts the processes.
+  mkdir -p out/demo
+  rehearse plan --fleet examples/muldenring/fleet.yaml --directory out/demo --routers 3`,
+		Args: cobra.NoArgs,
 		RunE: func(command *cobra.Command, _ []string) error {
 			plan, err := planFor(fleetFile, options)
 			if err != nil {
--- a/cmd/rehearse/platform.go
+++ b/cmd/rehearse/platform.go
@@ -20,7 +20,14 @@
 	command := &cobra.Command{
 		Use:   "platform",
 		Short: "Run the stand-in for the platform's table, objects, weights and machine list",
-		Args:  cobra.NoArgs,
+		Long: `Run one process that stands in for the platform: the table service with its
+conditional transactions, the object and weight stores and the list of machines,
+each with its rate limit. It keeps everything in memory.`,
+		Example: `  rehearse platform --listen 127.0.0.1:7000
+
+  # A table that admits 20 requests a second, a machine list 30 seconds late.
+  rehearse platform --listen 127.0.0.1:7000 --table-rate 20 --lag 30s`,
+		Args: cobra.NoArgs,
 		RunE: func(command *cobra.Command, _ []string) error {
 			if err := options.Validate(); err != nil {
 				return err
--- /dev/null
+++ b/internal/commandline/examples.go
@@ -0,0 +1,88 @@
+package commandline
+
+import (
+	"strings"
+
+	"github.com/pkg/errors"
+	"github.com/spf13/cobra"
+)
+
+// CheckHelp returns an error for each command of a program whose help has no
+// example, or has one that the program would not understand.
+func CheckHelp(root *cobra.Command) []error {
+	var problems []error
+	for _, command := range root.Commands() {
+		if command.Name() == "completion" || command.Name() == "help" {
+			continue
+		}
+		lines := CommandLines(root.Name(), command.Example)
+		if len(lines) == 0 {
+			problems = append(problems, errors.Errorf("%s: the help has no example", command.Name()))
+		}
+		for _, line := range lines {
+			problems = appendProblem(problems, CheckLine(root, line))
+		}
+	}
+	return problems
+}
+
+func appendProblem(problems []error, problem error) []error {
+	if problem == nil {
+		return problems
+	}
+	return append(problems, problem)
+}
+
+// CommandLines returns the command lines of a program that a text shows,
+// with lines joined that end with a backslash. A command line starts with the
+// program's name, perhaps after settings of the environment and bin/.
+func CommandLines(program, text string) []string {
+	var lines []string
+	for line := range strings.Lines(strings.ReplaceAll(text, "\\\n", " ")) {
+		words := strings.Fields(line)
+		for len(words) > 0 && (words[0] == "$" || isAssignment(words[0])) {
+			words = words[1:]
+		}
+		if len(words) > 1 && strings.TrimPrefix(words[0], "bin/") == program {
+			lines = append(lines, strings.Join(words, " "))
+		}
+	}
+	return lines
+}
+
+// isAssignment reports whether a word sets an environment variable.
+func isAssignment(word string) bool {
+	name, _, found := strings.Cut(word, "=")
+	return found && name != "" && name == strings.ToUpper(name)
+}
+
+// CheckLine says why a program would not understand a command line. Flags are
+// read, arguments and required flags checked; nothing is run. The part from a
+// shell operator on is not looked at.
+func CheckLine(root *cobra.Command, line string) error {
+	words := strings.Fields(line)[1:]
+	for index, word := range words {
+		if strings.HasPrefix(word, "|") || strings.HasPrefix(word, ">") || strings.HasPrefix(word, "#") || word == "&" {
+			words = words[:index]
+			break
+		}
+	}
+	command, arguments, err := root.Find(words)
+	if err != nil {
+		return errors.Wrapf(err, "%q", line)
+	}
+	if command == root && len(arguments) > 0 && !strings.HasPrefix(arguments[0], "-") {
+		return errors.Errorf("%q: there is no such command", line)
+	}
+	command.InitDefaultHelpFlag()
+	if err := command.ParseFlags(arguments); err != nil {
+		return errors.Wrapf(err, "%q", line)
+	}
+	if err := command.ValidateArgs(command.Flags().Args()); err != nil {
+		return errors.Wrapf(err, "%q", line)
+	}
+	if command.Flags().Changed("help") {
+		return nil
+	}
+	return errors.Wrapf(command.ValidateRequiredFlags(), "%q", line)
+}
--- /dev/null
+++ b/internal/commandline/version.go
@@ -0,0 +1,76 @@
+package commandline
+
+import (
+	"fmt"
+	"runtime/debug"
+
+	"github.com/spf13/cobra"
+)
+
+// Build says which source a program was built from.
+type Build struct {
+	Program string `json:"program"`
+	// Version is the module's version; "(devel)" for a build from a work tree.
+	Version string `json:"version"`
+	// Revision is the commit, empty if the build did not record it.
+	Revision string `json:"revision,omitempty"`
+	// Time is the time of that commit.
+	Time string `json:"time,omitempty"`
+	// Modified is true if the work tree had changes beyond the commit.
+	Modified bool   `json:"modified"`
+	Go       string `json:"go"`
+}
+
+// buildOf reads what the Go tool recorded in the running program.
+func buildOf(program string) Build {
+	build := Build{Program: program, Version: "unknown"}
+	info, recorded := debug.ReadBuildInfo()
+	if !recorded {
+		return build
+	}
+	build.Version, build.Go = info.Main.Version, info.GoVersion
+	for _, setting := range info.Settings {
+		switch setting.Key {
+		case "vcs.revision":
+			build.Revision = setting.Value
+		case "vcs.time":
+			build.Time = setting.Value
+		case "vcs.modified":
+			build.Modified = setting.Value == "true"
+		}
+	}
+	return build
+}
+
+func (b Build) String() string {
+	text := fmt.Sprintf("%s %s (%s)", b.Program, b.Version, b.Go)
+	if b.Revision != "" {
+		text += fmt.Sprintf(", commit %s of %s", b.Revision, b.Time)
+	}
+	if b.Modified {
+		text += ", with changes beyond it"
+	}
+	return text
+}
+
+func newVersionCommand(program string) *cobra.Command {
+	var output Format
+	command := &cobra.Command{
+		Use:   "version",
+		Short: "Say which source this program was built from",
+		Long: `Version prints what the Go tool recorded when it built this program: the
+module's version, the commit, and whether the work tree had changes beyond it.`,
+		Example: fmt.Sprintf("  %[1]s version\n  %[1]s version -o json", program),
+		Args:    cobra.NoArgs,
+		RunE: func(command *cobra.Command, _ []string) error {
+			build := buildOf(program)
+			if output == FormatJSON {
+				return WriteJSON(command.OutOrStdout(), build)
+			}
+			_, err := fmt.Fprintln(command.OutOrStdout(), build)
+			return err
+		},
+	}
+	AddOutputFlag(command, &output)
+	return command
+}
--- a/internal/placement/core.go
+++ b/internal/placement/core.go
@@ -99,8 +99,9 @@
 	// attempts asked for, were believed to find cached, and found.
 	PromptTokens, CreditedTokens, CachedTokens uint64
 	// BeliefHigh counts answers that found fewer cached tokens than believed,
-	// by more than one block; BeliefLow those that found more.
-	BeliefHigh, BeliefLow uint64
+	// by more than one block; BeliefLow those that found more; BeliefRight the
+	// others.
+	BeliefHigh, BeliefLow, BeliefRight uint64
 }
 
 // New returns a core that knows no engine.
--- a/internal/placement/decide.go
+++ b/internal/placement/decide.go
@@ -98,6 +98,8 @@
 		c.Counters.BeliefHigh++
 	case difference < -tolerance:
 		c.Counters.BeliefLow++
+	default:
+		c.Counters.BeliefRight++
 	}
 }
 
--- a/internal/placement/duty.go
+++ b/internal/placement/duty.go
@@ -55,7 +55,7 @@
 	fault  *fault.Fault
 }
 
-// newsPerOpen is the capacity of the ring of replaceable inputs.
+// newsCapacity is the capacity of the ring of replaceable inputs.
 const newsCapacity = 4096
 
 // commandsPerJob is how many commands one open job may have waiting: offer,
@@ -226,20 +226,25 @@
 	})
 }
 
-// Inspect runs read in the goroutine of the duty and waits for it.
-func (d *Duty) Inspect(ctx context.Context, read func(now time.Time, core *Core)) error {
-	finished := make(chan struct{})
-	d.commands.Push(func(now time.Time) Effects {
-		read(now, d.core)
-		close(finished)
+// Read returns the state of the core. It waits for the goroutine of the duty,
+// at most until ctx ends.
+func (d *Duty) Read(ctx context.Context) (Reading, error) {
+	// The buffer lets the duty go on when the reader has left.
+	answer := make(chan Reading, 1)
+	asked := d.commands.Push(func(now time.Time) Effects {
+		answer <- d.core.Read(now)
 		return Effects{}
 	})
+	if !asked {
+		return Reading{}, fault.New(fault.Overloaded, "the placement duty has too many inputs waiting").
+			WithRetryAfter(overloadedRetryAfter)
+	}
 	select {
-	case <-finished:
-		return nil
+	case reading := <-answer:
+		return reading, nil
 	case <-ctx.Done():
-		return fault.Wrap(ctx.Err(), fault.Timeout, "the placement duty did not answer")
+		return Reading{}, fault.Wrap(ctx.Err(), fault.Timeout, "the placement duty did not answer")
 	case <-d.done:
-		return fault.New(fault.Leaving, "this router has stopped")
+		return Reading{}, fault.New(fault.Leaving, "this router has stopped")
 	}
 }
--- /dev/null
+++ b/internal/placement/reading.go
@@ -0,0 +1,40 @@
+package placement
+
+import (
+	"slices"
+	"time"
+
+	"github.com/fieldpond/fieldpond/internal/admission"
+	"github.com/fieldpond/fieldpond/internal/prefix/beliefs"
+	"github.com/fieldpond/fieldpond/internal/routing/framework"
+)
+
+// Reading is the state of a core at one moment, for operators.
+type Reading struct {
+	// Endpoints are copies of the engines in the order of the registry.
+	Endpoints []framework.Endpoint
+	// Waiting counts the jobs without a place by priority; InFlight those on
+	// an engine.
+	Waiting  map[int]int
+	InFlight int
+	// Decisions, Queue and Beliefs are the counters of the parts.
+	Decisions Counters
+	Queue     admission.Counters
+	Beliefs   beliefs.Counters
+}
+
+// Read returns the core's state.
+func (c *Core) Read(now time.Time) Reading {
+	reading := Reading{
+		Endpoints: slices.Clone(c.registry.Endpoints(now)),
+		Waiting:   make(map[int]int),
+		InFlight:  len(c.flights),
+		Decisions: c.Counters,
+		Queue:     c.config.Queue.Counters(),
+		Beliefs:   c.config.Beliefs.Counters(),
+	}
+	for _, job := range c.waiting {
+		reading.Waiting[job.Request.Priority]++
+	}
+	return reading
+}
--- a/internal/router/metrics.go
+++ b/internal/router/metrics.go
@@ -1,43 +1,188 @@
 package router
 
 import (
-	"sync/atomic"
-
-	"github.com/prometheus/client_golang/prometheus"
+	"context"
+	"strconv"
 
+	"github.com/fieldpond/fieldpond/internal/claim"
+	"github.com/fieldpond/fieldpond/internal/dispatch"
+	"github.com/fieldpond/fieldpond/internal/fleet"
+	"github.com/fieldpond/fieldpond/internal/membership"
+	"github.com/fieldpond/fieldpond/internal/placement"
+	"github.com/fieldpond/fieldpond/internal/ring"
 	"github.com/fieldpond/fieldpond/internal/telemetry"
 )
 
+//go:generate go run ./gen
+
+// MetricsReference returns the reference page of every metric of a router.
+func MetricsReference() []byte {
+	// Metrics read the router's parts only when they are asked for.
+	described := &Router{telemetry: telemetry.New()}
+	described.registerMetrics()
+	return described.telemetry.Reference()
+}
+
 // registerMetrics exports the counters of the parts that count for themselves.
 func (r *Router) registerMetrics() {
-	for _, counters := range r.duty.Rings() {
-		r.telemetry.RegisterRing(counters)
+	r.registerPlacement()
+	r.registerBeliefs()
+	r.registerDispatch()
+	r.registerClaims()
+	r.registerMembership()
+	r.registerFleet()
+}
+
+// rings returns the counters of the rings between the duties. Rings of the
+// same name are told apart by nobody; /metrics adds them up.
+func (r *Router) rings() []func() ring.Counters {
+	rings := append(r.duty.Rings(), r.appPoller.Rings()...)
+	return append(append(rings, each(r.keeper.Rings)...), each(func() []ring.Counters { return r.members.Counters().Rings })...)
+}
+
+// each splits a reading of several rings, always in the same order, into one
+// reading for each.
+func each(read func() []ring.Counters) []func() ring.Counters {
+	var rings []func() ring.Counters
+	for index := range read() {
+		rings = append(rings, func() ring.Counters { return read()[index] })
 	}
-	for _, counters := range r.appPoller.Rings() {
-		r.telemetry.RegisterRing(counters)
+	return rings
+}
+
+// readPlacement reads the placement duty within a bounded time.
+func (r *Router) readPlacement() (placement.Reading, bool) {
+	bounded, cancel := context.WithTimeout(context.Background(), statusTimeout)
+	defer cancel()
+	reading, err := r.duty.Read(bounded)
+	return reading, err == nil
+}
+
+func (r *Router) registerPlacement() {
+	group := telemetry.NewGroup(r.telemetry, r.readPlacement)
+	group.Counter("placement_placed_total", "Attempts given an engine.", func(p placement.Reading) uint64 { return p.Decisions.Placed })
+	group.Counter("placement_held_total", "Decisions to let a request wait.", func(p placement.Reading) uint64 { return p.Decisions.Held })
+	group.Counter("placement_refused_total", "Requests given up before any attempt of theirs was placed, or between two.", func(p placement.Reading) uint64 { return p.Decisions.Refused })
+	group.Gauge("placement_in_flight", "Attempts on an engine now.", func(p placement.Reading) int { return p.InFlight })
+	group.Labelled(telemetry.KindGauge, "queue_waiting", "Requests waiting for a place now, by priority; 0 is the most urgent.", "priority", func(p placement.Reading) map[string]float64 {
+		waiting := map[string]float64{"0": 0}
+		for priority, count := range p.Waiting {
+			waiting[strconv.Itoa(priority)] = float64(count)
+		}
+		return waiting
+	})
+	group.Counter("admission_offered_total", "Requests offered to the queue.", func(p placement.Reading) uint64 { return p.Queue.Offered })
+	group.Counter("admission_dispatched_total", "Requests that left the queue for an engine.", func(p placement.Reading) uint64 { return p.Queue.Dispatched })
+	group.Counter("admission_aged_total", "Dispatches out of turn for the starvation bound.", func(p placement.Reading) uint64 { return p.Queue.Aged })
+	group.Counter("admission_withdrawn_total", "Requests whose caller left while they waited.", func(p placement.Reading) uint64 { return p.Queue.Removed })
+	group.Labelled(telemetry.KindCounter, "admission_refused_total",
+		"Requests refused by the queue: full, hopeless (predicted wait above the hold time), displaced by another, expired, or rejected for want of an engine.", "reason", refusedByQueue)
+	group.Labelled(telemetry.KindGauge, "engines", "Engines of the fleet file by state as this router sees them: alive, leaving or dead.", "state", enginesByState)
+	group.Register()
+}
+
+func refusedByQueue(p placement.Reading) map[string]float64 {
+	return map[string]float64{
+		"full": float64(p.Queue.Full), "hopeless": float64(p.Queue.Hopeless), "displaced": float64(p.Queue.Displaced),
+		"expired": float64(p.Queue.Expired), "rejected": float64(p.Queue.Rejected),
 	}
-	dropped := &r.dispatch.Counters
-	r.count("stream_events_crossed_total", "Events of another request, attempt, incarnation or stream; dropped.", &dropped.Crossed)
-	r.count("stream_events_late_total", "Events of an attempt that was over; dropped.", &dropped.Late)
-	r.count("stream_events_repeated_total", "Events that had been taken before; dropped.", &dropped.Repeated)
-	r.count("stream_gaps_total", "Breaks because an event of a stream was missing.", &dropped.Gaps)
-	r.count("stream_stalls_total", "Breaks because no event came in time.", &dropped.Stalls)
-	r.count("stream_resumes_total", "Streams resumed on the same incarnation.", &dropped.Resumes)
-	r.count("streams_continued_total", "Streams continued on another engine after text was emitted.", &dropped.Continued)
-	r.count("streams_regenerated_total", "Streams begun anew before any text was emitted.", &dropped.Regenerated)
-	r.count("streams_cancelled_total", "Generations cancelled at their engine.", &dropped.Cancelled)
-	r.count("attempts_total", "Attempts sent to engines.", &dropped.Attempts)
-	r.count("retries_total", "Attempts after the first of a request.", &dropped.Retries)
-	r.count("retries_refused_total", "Retries not made because the budget was used up.", &dropped.BudgetRefused)
-	r.count("claims_attached_total", "Repeats that waited for the running first sending.", &dropped.Attached)
-	r.count("answers_retained_total", "Repeats answered with the retained answer.", &dropped.Retained)
-	r.count("answers_unsaved_total", "Answers of claimed requests that could not be retained.", &dropped.Unsaved)
-}
-
-// count exports one counter.
-func (r *Router) count(name, help string, value *atomic.Uint64) {
-	options := prometheus.CounterOpts{Namespace: telemetry.Namespace, Name: name, Help: help}
-	r.telemetry.Registerer().MustRegister(prometheus.NewCounterFunc(options, func() float64 {
-		return float64(value.Load())
-	}))
+}
+
+func enginesByState(p placement.Reading) map[string]float64 {
+	states := map[string]float64{"alive": 0, "leaving": 0, "dead": 0}
+	for _, endpoint := range p.Endpoints {
+		switch {
+		case !endpoint.Alive:
+			states["dead"]++
+		case endpoint.Leaving:
+			states["leaving"]++
+		default:
+			states["alive"]++
+		}
+	}
+	return states
+}
+
+func (r *Router) registerBeliefs() {
+	group := telemetry.NewGroup(r.telemetry, r.readPlacement)
+	group.Counter("prompt_tokens_total", "Prompt tokens of answered attempts.", func(p placement.Reading) uint64 { return p.Decisions.PromptTokens })
+	group.Counter("believed_cached_tokens_total", "Prompt tokens of answered attempts that were believed cached when the engine was chosen.", func(p placement.Reading) uint64 { return p.Decisions.CreditedTokens })
+	group.Counter("cached_tokens_total", "Prompt tokens of answered attempts that the engine found cached.", func(p placement.Reading) uint64 { return p.Decisions.CachedTokens })
+	group.Counter("beliefs_high_total", "Answered attempts that found fewer tokens cached than believed, by more than one block.", func(p placement.Reading) uint64 { return p.Decisions.BeliefHigh })
+	group.Counter("beliefs_low_total", "Answered attempts that found more tokens cached than believed, by more than one block.", func(p placement.Reading) uint64 { return p.Decisions.BeliefLow })
+	group.Counter("beliefs_right_total", "Answered attempts that found as many tokens cached as believed, within one block.", func(p placement.Reading) uint64 { return p.Decisions.BeliefRight })
+	group.Gauge("belief_blocks", "Cache blocks remembered now.", func(p placement.Reading) int { return p.Beliefs.Blocks })
+	group.Counter("belief_blocks_evicted_total", "Cache blocks forgotten for lack of room in the router.", func(p placement.Reading) uint64 { return p.Beliefs.Evicted })
+	group.Counter("cache_event_gaps_total", "Gaps in the sequences of cache events.", func(p placement.Reading) uint64 { return p.Beliefs.Gaps })
+	group.Counter("cache_events_stale_total", "Observations of an incarnation that is no longer the engine's; dropped.", func(p placement.Reading) uint64 { return p.Beliefs.Stale })
+	group.Counter("beliefs_dropped_total", "Times that all beliefs about an engine were dropped: new incarnation, weights or death.", func(p placement.Reading) uint64 { return p.Beliefs.Dropped })
+	group.Register()
+}
+
+func (r *Router) registerDispatch() {
+	group := telemetry.NewGroup(r.telemetry, func() (*dispatch.Counters, bool) { return &r.dispatch.Counters, true })
+	group.Counter("stream_events_crossed_total", "Events of another request, attempt, incarnation or stream; dropped.", func(c *dispatch.Counters) uint64 { return c.Crossed.Load() })
+	group.Counter("stream_events_late_total", "Events of an attempt that was over; dropped.", func(c *dispatch.Counters) uint64 { return c.Late.Load() })
+	group.Counter("stream_events_repeated_total", "Events that had been taken before; dropped.", func(c *dispatch.Counters) uint64 { return c.Repeated.Load() })
+	group.Counter("stream_gaps_total", "Breaks because an event of a stream was missing.", func(c *dispatch.Counters) uint64 { return c.Gaps.Load() })
+	group.Counter("stream_stalls_total", "Breaks because no event came in time.", func(c *dispatch.Counters) uint64 { return c.Stalls.Load() })
+	group.Counter("stream_resumes_total", "Streams resumed on the same incarnation.", func(c *dispatch.Counters) uint64 { return c.Resumes.Load() })
+	group.Counter("streams_continued_total", "Streams continued on another engine after text was emitted.", func(c *dispatch.Counters) uint64 { return c.Continued.Load() })
+	group.Counter("streams_regenerated_total", "Streams begun anew before any text was emitted.", func(c *dispatch.Counters) uint64 { return c.Regenerated.Load() })
+	group.Counter("streams_cancelled_total", "Generations cancelled at their engine.", func(c *dispatch.Counters) uint64 { return c.Cancelled.Load() })
+	group.Counter("attempts_total", "Attempts sent to engines.", func(c *dispatch.Counters) uint64 { return c.Attempts.Load() })
+	group.Counter("retries_total", "Attempts after the first of a request.", func(c *dispatch.Counters) uint64 { return c.Retries.Load() })
+	group.Counter("retries_refused_total", "Retries not made because the budget was used up.", func(c *dispatch.Counters) uint64 { return c.BudgetRefused.Load() })
+	group.Counter("claims_attached_total", "Repeats that waited for the running first sending.", func(c *dispatch.Counters) uint64 { return c.Attached.Load() })
+	group.Counter("answers_retained_total", "Repeats answered with the retained answer.", func(c *dispatch.Counters) uint64 { return c.Retained.Load() })
+	group.Counter("answers_unsaved_total", "Answers of claimed requests that could not be retained.", func(c *dispatch.Counters) uint64 { return c.Unsaved.Load() })
+	group.Register()
+}
+
+func (r *Router) registerClaims() {
+	group := telemetry.NewGroup(r.telemetry, func() (claim.Counters, bool) { return r.claims.Counters(), true })
+	group.Counter("claims_granted_total", "Claims won by this router.", func(c claim.Counters) uint64 { return c.Granted })
+	group.Counter("claims_shown_total", "Claims that stood already: a repeat, or another router's.", func(c claim.Counters) uint64 { return c.Shown })
+	group.Counter("claims_refused_total", "Claims without an answer of the table in time; their requests did not run.", func(c claim.Counters) uint64 { return c.Refused })
+	group.Counter("claims_released_total", "Claims given up after they may have reached the table.", func(c claim.Counters) uint64 { return c.Released })
+	group.Counter("claim_outcomes_dropped_total", "Outcomes not recorded because too many waited for the table.", func(c claim.Counters) uint64 { return c.Dropped })
+	group.Counter("claim_transactions_total", "Transactions sent to the table for claims and outcomes.", func(c claim.Counters) uint64 { return c.Transactions })
+	group.Counter("claim_transactions_unsettled_total", "Transactions for claims and outcomes without an answer of the table.", func(c claim.Counters) uint64 { return c.Unsettled })
+	group.Gauge("claims_waiting", "Claims queued or in flight now.", func(c claim.Counters) int { return c.Waiting })
+	group.Gauge("claim_outcomes_waiting", "Outcomes queued or in flight now.", func(c claim.Counters) int { return c.Background })
+	group.Register()
+}
+
+func (r *Router) registerMembership() {
+	group := telemetry.NewGroup(r.telemetry, func() (membership.Counters, bool) { return r.members.Counters(), true })
+	group.Counter("gossip_sent_bytes_total", "Bytes of gossip datagrams sent, without headers of the network.", func(c membership.Counters) uint64 { return c.BytesSent })
+	group.Counter("gossip_received_bytes_total", "Bytes of gossip datagrams received, without headers of the network.", func(c membership.Counters) uint64 { return c.BytesReceived })
+	group.Counter("gossip_sent_datagrams_total", "Gossip datagrams sent.", func(c membership.Counters) uint64 { return c.DatagramsSent })
+	group.Counter("gossip_received_datagrams_total", "Gossip datagrams received.", func(c membership.Counters) uint64 { return c.DatagramsReceived })
+	group.Counter("gossip_refused_total", "Gossip datagrams refused: not authentic, too old or malformed.", func(c membership.Counters) uint64 { return c.Refused })
+	group.Counter("gossip_unsent_total", "Gossip datagrams that could not be sent.", func(c membership.Counters) uint64 { return c.Unsent })
+	group.Labelled(telemetry.KindGauge, "members", "Routers by state as this router sees them, itself included.", "state", func(membership.Counters) map[string]float64 {
+		states := make(map[string]float64)
+		for _, state := range []membership.State{membership.Alive, membership.Suspect, membership.Leaving, membership.Dead} {
+			states[state.String()] = 0
+		}
+		for _, member := range r.view().Members {
+			states[member.State.String()]++
+		}
+		return states
+	})
+	group.Register()
+}
+
+func (r *Router) registerFleet() {
+	group := telemetry.NewGroup(r.telemetry, func() (fleet.AdopterCounters, bool) { return r.keeper.Counters(), true })
+	group.Gauge("fleet_version", "Fleet version in force here; 0 is none yet.", func(fleet.AdopterCounters) int { return int(r.keeper.Pair().Version) })
+	group.Gauge("fleet_versions_behind", "Fleet versions between the one in force here and the newest heard of.", func(fleet.AdopterCounters) int {
+		return max(0, int(r.members.Head().Version)-int(r.keeper.Pair().Version))
+	})
+	group.Counter("fleet_adopted_total", "Fleet files put in force.", func(c fleet.AdopterCounters) uint64 { return c.Adopted })
+	group.Counter("fleet_disputed_total", "Fleet files heard of that contradict another of the same version.", func(c fleet.AdopterCounters) uint64 { return c.Disputed })
+	group.Counter("fleet_table_behind_total", "Reads of the table that showed an older version than the one in force.", func(c fleet.AdopterCounters) uint64 { return c.TableBehind })
+	group.Counter("fleet_bad_bodies_total", "Fleet files that did not match their digest or failed their checks.", func(c fleet.AdopterCounters) uint64 { return c.BadBodies })
+	group.Register()
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -263,6 +263,9 @@
 	r.work.Go(r.poller.Wait)
 	r.work.Go(r.appPoller.Wait)
 	r.registerMetrics()
+	for _, read := range r.rings() {
+		r.telemetry.RegisterRing(read)
+	}
 }
 
 // adopt puts a fleet file in force.
--- a/internal/router/status.go
+++ b/internal/router/status.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/gorilla/mux"
@@ -11,6 +13,7 @@
 	"github.com/fieldpond/fieldpond/internal/ident"
 	"github.com/fieldpond/fieldpond/internal/membership"
 	"github.com/fieldpond/fieldpond/internal/placement"
+	"github.com/fieldpond/fieldpond/internal/routing/framework"
 	"github.com/fieldpond/fieldpond/internal/status"
 )
 
@@ -25,7 +28,7 @@
 		return nil, err
 	}
 	routes := mux.NewRouter().SkipClean(true)
-	routes.HandleFunc("/status.json", r.serveStatus).Methods(http.MethodGet)
+	routes.HandleFunc(status.Path, r.serveStatus).Methods(http.MethodGet)
 	routes.Handle("/metrics", r.telemetry.Handler()).Methods(http.MethodGet)
 	routes.PathPrefix("/peer/v1/").Handler(peers)
 	routes.PathPrefix("/").Handler(r.api.Handler())
@@ -35,23 +38,52 @@
 func (r *Router) serveStatus(writer http.ResponseWriter, request *http.Request) {
 	bounded, cancel := context.WithTimeout(request.Context(), statusTimeout)
 	defer cancel()
+	writer.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(writer).Encode(r.status(bounded))
+}
+
+// status collects what every part tells of itself. A placement duty that does
+// not answer in time leaves its parts of the report empty.
+func (r *Router) status(ctx context.Context) status.Router {
+	pair := r.keeper.Pair()
 	report := status.Router{
 		Node:         ident.Node(r.settings.Node),
 		Zone:         ident.Zone(r.settings.Zone),
 		State:        string(r.state()),
-		FleetVersion: uint64(r.keeper.Pair().Version),
-		FleetDigest:  string(r.keeper.Pair().Digest),
+		FleetVersion: uint64(pair.Version),
+		FleetDigest:  string(pair.Digest),
 	}
 	for _, member := range r.view().Members {
 		report.Members = append(report.Members, statusMember(member))
 	}
-	_ = r.duty.Inspect(bounded, func(now time.Time, core *placement.Core) {
-		report.Engines = statusEngines(now, core)
-		report.Queue = status.Queue{Waiting: core.Waiting(), InFlight: core.InFlight()}
-		report.Decisions = status.Decisions(core.Counters)
-	})
-	writer.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(writer).Encode(report)
+	if reading, err := r.duty.Read(ctx); err == nil {
+		report.Engines = statusEngines(reading.Endpoints)
+		report.Queue = statusQueue(reading)
+		report.Decisions = status.Decisions(reading.Decisions)
+	}
+	claims := r.claims.Counters()
+	report.Claims = status.Claims{Granted: claims.Granted, Shown: claims.Shown, Refused: claims.Refused, Waiting: claims.Waiting}
+	gossip := r.members.Counters()
+	report.Gossip = status.Gossip{
+		BytesSent: gossip.BytesSent, BytesReceived: gossip.BytesReceived, Refused: gossip.Refused, Unsent: gossip.Unsent,
+	}
+	for _, read := range r.rings() {
+		counted := read()
+		report.Rings = append(report.Rings, status.Ring{
+			Name: counted.Name, Depth: counted.Depth, Capacity: counted.Capacity, Dropped: counted.Dropped,
+		})
+	}
+	return report
+}
+
+func statusQueue(reading placement.Reading) status.Queue {
+	queue := status.Queue{InFlight: reading.InFlight}
+	for _, priority := range slices.Sorted(maps.Keys(reading.Waiting)) {
+		waiting := reading.Waiting[priority]
+		queue.Waiting += waiting
+		queue.ByPriority = append(queue.ByPriority, status.PriorityDepth{Priority: priority, Waiting: waiting})
+	}
+	return queue
 }
 
 func statusMember(member membership.Member) status.Member {
@@ -61,9 +93,9 @@
 	}
 }
 
-func statusEngines(now time.Time, core *placement.Core) []status.Engine {
+func statusEngines(endpoints []framework.Endpoint) []status.Engine {
 	var engines []status.Engine
-	for _, endpoint := range core.Registry().Endpoints(now) {
+	for _, endpoint := range endpoints {
 		shown := status.Engine{
 			Engine: endpoint.Engine, Zone: endpoint.Zone, Incarnation: endpoint.Incarnation,
 			Alive: endpoint.Alive, Leaving: endpoint.Leaving,
--- a/internal/status/status.go
+++ b/internal/status/status.go
@@ -16,9 +16,22 @@
 	Engines      []Engine  `json:"engines"`
 	Queue        Queue     `json:"queue"`
 	Decisions    Decisions `json:"decisions"`
+	Claims       Claims    `json:"claims"`
+	Gossip       Gossip    `json:"gossip"`
+	// Rings are the bounded queues between the duties of the process.
+	Rings []Ring `json:"rings"`
 }
 
-// Member is another router as this one sees it.
+// Path is where a router serves its state.
+const Path = "/status.json"
+
+// The states of a member, as membership names them.
+const (
+	MemberAlive   = "alive"
+	MemberSuspect = "suspect"
+)
+
+// Member is a router as the answering one sees it; itself is among them.
 type Member struct {
 	Node    ident.Node `json:"node"`
 	Zone    ident.Zone `json:"zone"`
@@ -56,6 +69,45 @@
 	// Waiting requests have no place yet; InFlight ones are on an engine.
 	Waiting  int `json:"waiting"`
 	InFlight int `json:"in_flight"`
+	// ByPriority splits Waiting, the most urgent priority first. Priorities
+	// without a waiting request are left out.
+	ByPriority []PriorityDepth `json:"by_priority"`
+}
+
+// PriorityDepth counts the waiting requests of one priority.
+type PriorityDepth struct {
+	Priority int `json:"priority"`
+	Waiting  int `json:"waiting"`
+}
+
+// Claims counts the claims of non-repeatable requests since the start.
+type Claims struct {
+	// Granted were won by this router, Shown were another's or an earlier
+	// sending's, Refused ended without an answer of the table.
+	Granted uint64 `json:"granted"`
+	Shown   uint64 `json:"shown"`
+	Refused uint64 `json:"refused"`
+	// Waiting claims have no answer of the table yet.
+	Waiting int `json:"waiting"`
+}
+
+// Gossip counts the datagrams between routers since the start.
+type Gossip struct {
+	BytesSent     uint64 `json:"bytes_sent"`
+	BytesReceived uint64 `json:"bytes_received"`
+	// Refused datagrams were not authentic or malformed; Unsent ones could not
+	// be sent.
+	Refused uint64 `json:"refused"`
+	Unsent  uint64 `json:"unsent"`
+}
+
+// Ring is one bounded queue between two duties.
+type Ring struct {
+	Name     string `json:"name"`
+	Depth    int    `json:"depth"`
+	Capacity int    `json:"capacity"`
+	// Dropped counts items lost because the ring was full.
+	Dropped uint64 `json:"dropped"`
 }
 
 // Decisions counts what the router decided since it started.
@@ -69,7 +121,8 @@
 	CreditedTokens uint64 `json:"credited_tokens"`
 	CachedTokens   uint64 `json:"cached_tokens"`
 	// BeliefHigh counts answers with fewer cached tokens than believed,
-	// BeliefLow those with more.
-	BeliefHigh uint64 `json:"belief_high"`
-	BeliefLow  uint64 `json:"belief_low"`
+	// BeliefLow those with more, BeliefRight the others.
+	BeliefHigh  uint64 `json:"belief_high"`
+	BeliefLow   uint64 `json:"belief_low"`
+	BeliefRight uint64 `json:"belief_right"`
 }
--- a/internal/telemetry/rings.go
+++ b/internal/telemetry/rings.go
@@ -9,15 +9,31 @@
 	"github.com/fieldpond/fieldpond/internal/ring"
 )
 
+const (
+	ringDepthHelp    = "Items waiting in a ring."
+	ringCapacityHelp = "The most items a ring can hold."
+	ringPushedHelp   = "Items accepted by a ring."
+	ringDroppedHelp  = "Items refused or dropped by a full ring."
+	ringLabel        = "ring"
+)
+
 var (
-	ringDepth    = ringDescription("depth", "Items waiting in a ring.")
-	ringCapacity = ringDescription("capacity", "The most items a ring can hold.")
-	ringPushed   = ringDescription("pushed_total", "Items accepted by a ring.")
-	ringDropped  = ringDescription("dropped_total", "Items refused or dropped by a full ring.")
+	ringDepth    = ringDescription("ring_depth", ringDepthHelp)
+	ringCapacity = ringDescription("ring_capacity", ringCapacityHelp)
+	ringPushed   = ringDescription("ring_pushed_total", ringPushedHelp)
+	ringDropped  = ringDescription("ring_dropped_total", ringDroppedHelp)
 )
 
 func ringDescription(name, help string) *prometheus.Desc {
-	return prometheus.NewDesc(prometheus.BuildFQName(Namespace, "ring", name), help, []string{"ring"}, nil)
+	return prometheus.NewDesc(prometheus.BuildFQName(Namespace, "", name), help, []string{ringLabel}, nil)
+}
+
+// describe notes the collector's metrics in the registry.
+func (c *ringCollector) describe(registry *Registry) {
+	registry.described(KindGauge, "ring_depth", ringDepthHelp, ringLabel)
+	registry.described(KindGauge, "ring_capacity", ringCapacityHelp, ringLabel)
+	registry.described(KindCounter, "ring_pushed_total", ringPushedHelp, ringLabel)
+	registry.described(KindCounter, "ring_dropped_total", ringDroppedHelp, ringLabel)
 }
 
 // ringCollector reads the rings' counters when the counters are asked for.
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -38,6 +38,7 @@
 // Registry holds the counters of one process.
 type Registry struct {
 	registry *prometheus.Registry
+	metrics  []Metric
 	rings    *ringCollector
 	charts   *chartObserver
 	refusals *prometheus.CounterVec
@@ -55,6 +56,7 @@
 		collectors.NewGoCollector(),
 		r.rings,
 	)
+	r.rings.describe(r)
 	r.charts = &chartObserver{
 		transitions: r.Counter("chart_transitions_total", "Events taken by state charts.", "chart", "from", "event", "to"),
 		ignored:     r.Counter("chart_ignored_total", "Events that the state of a chart ignores.", "chart", "state", "event"),
@@ -67,6 +69,7 @@
 // Counter registers and returns a counter; its name gets the namespace. A
 // name that is registered twice is a fault of the program and panics.
 func (r *Registry) Counter(name, help string, labels ...string) *prometheus.CounterVec {
+	r.described(KindCounter, name, help, labels...)
 	vector := prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: Namespace, Name: name, Help: help}, labels)
 	r.registry.MustRegister(vector)
 	return vector
@@ -74,6 +77,7 @@
 
 // Gauge registers and returns a gauge, as Counter does.
 func (r *Registry) Gauge(name, help string, labels ...string) *prometheus.GaugeVec {
+	r.described(KindGauge, name, help, labels...)
 	vector := prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: Namespace, Name: name, Help: help}, labels)
 	r.registry.MustRegister(vector)
 	return vector
@@ -81,6 +85,7 @@
 
 // Histogram registers and returns a histogram, as Counter does.
 func (r *Registry) Histogram(name, help string, buckets []float64, labels ...string) *prometheus.HistogramVec {
+	r.described(KindHistogram, name, help, labels...)
 	options := prometheus.HistogramOpts{Namespace: Namespace, Name: name, Help: help, Buckets: buckets}
 	vector := prometheus.NewHistogramVec(options, labels)
 	r.registry.MustRegister(vector)
@@ -92,9 +97,6 @@
 	r.refusals.WithLabelValues(string(refusal.Kind), string(refusal.Ran)).Inc()
 }
 
-// Registerer takes collectors of other packages.
-func (r *Registry) Registerer() prometheus.Registerer { return r.registry }
-
 // Handler serves the counters in the Prometheus text form.
 func (r *Registry) Handler() http.Handler {
 	return promhttp.HandlerFor(r.registry, promhttp.HandlerOpts{})
