--- a/cmd/fieldpond/statuswait.go
+++ b/cmd/fieldpond/statuswait.go
@@ -21,9 +21,10 @@
 }
 
 // wait returns the number of live routers once each has version or a later one
-// in force, or a Timeout fault that names those that lag.
+// in force, or a Timeout fault that names those that lagged in the last round
+// that was answered; the end of ctx may cut the very last one short.
 func (w *statusWaiter) wait(ctx context.Context, version fleet.Version) (int, error) {
-	var told string
+	var lacking string
 	for {
 		answers := w.routers.ask(ctx)
 		seen := versionsOf(answers)
@@ -31,17 +32,15 @@
 		if len(seen) > 0 && len(lagging) == 0 {
 			return len(seen), nil
 		}
-		line := fmt.Sprintf("waiting: version %d in force on %d of %d live routers", version, len(seen)-len(lagging), len(seen)) +
-			whoLacks(lagging, failuresOf(answers))
-		if line != told && ctx.Err() == nil {
-			w.progress(line)
-			told = line
+		if now := whoLacks(lagging, failuresOf(answers)); ctx.Err() == nil && now != lacking {
+			lacking = now
+			w.progress(fmt.Sprintf("waiting for version %d on %d live routers%s", version, len(seen), lacking))
 		}
 		select {
 		case <-time.After(waitInterval):
 		case <-ctx.Done():
-			return 0, fault.New(fault.Timeout, "version %d is accepted, but not yet known to be in force everywhere%s",
-				version, whoLacks(lagging, failuresOf(answers))).WithRan(fault.RanYes)
+			return 0, fault.New(fault.Timeout, "version %d is accepted, but not yet known to be in force everywhere%s", version, lacking).
+				WithRan(fault.RanYes)
 		}
 	}
 }
--- a/internal/status/status.go
+++ b/internal/status/status.go
@@ -4,6 +4,9 @@
 
 import "github.com/fieldpond/fieldpond/internal/ident"
 
+// Path is where a router serves its state.
+const Path = "/status.json"
+
 // Router is the state of one router and its view of the others.
 type Router struct {
 	Node ident.Node `json:"node"`
@@ -22,9 +25,6 @@
 	Rings []Ring `json:"rings"`
 }
 
-// Path is where a router serves its state.
-const Path = "/status.json"
-
 // The states of a member, as membership names them.
 const (
 	MemberAlive   = "alive"
@@ -115,6 +115,8 @@
 	Placed  uint64 `json:"placed"`
 	Refused uint64 `json:"refused"`
 	Held    uint64 `json:"held"`
+	// Parked counts requests that waited for the prefix directory.
+	Parked uint64 `json:"parked"`
 	// PromptTokens and CachedTokens add up what engines answered with,
 	// CreditedTokens what was believed.
 	PromptTokens   uint64 `json:"prompt_tokens"`
