--- a/cmd/rehearse/experiment.go
+++ b/cmd/rehearse/experiment.go
@@ -30,6 +30,8 @@
 Every policy meets the same arrivals and the same faults for each seed. The
 measures are judged on what the simulated engines truly held and did. A whole
 comparison takes seconds to minutes and gives the same figures on every run.`,
+		Example: `  rehearse experiment --scenario muldenring-steady,parking-steady --seeds 5
+  rehearse experiment --scenario all --policy all --format json`,
 		Args: cobra.NoArgs,
 		RunE: func(command *cobra.Command, _ []string) error { return runExperiment(command, options) },
 	}
