--- a/internal/prefix/directory/node_test.go
+++ b/internal/prefix/directory/node_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -303,3 +304,33 @@
 		b.ReportMetric(float64(c.count)/seconds, "msgs/s")
 	}
 }
+
+// BenchmarkMemory fills a shard, the answers kept and the watches of one node
+// to their bounds and reports the heap that they take.
+func BenchmarkMemory(b *testing.B) {
+	for b.Loop() {
+		var before, after runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		node, err := directory.New(directory.Config{}, &heldBlocks{})
+		is.New(b).NoErr(err)
+		node.SetView(membership.View{Self: "a", Members: []membership.Member{{Node: "a"}}})
+		for root := range 4096 {
+			for branch := range 16 {
+				chain := make(prefix.Chain, 512)
+				for index := range chain {
+					chain[index] = prefix.Hash(root<<32 | index<<8)
+				}
+				holder := ident.Engine(fmt.Sprintf("engine-%03d", branch))
+				node.Observed(start, holder, first, chain, 512)
+			}
+			if root%32 == 31 {
+				node.Tick(start)
+			}
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/1e6, "MB")
+		runtime.KeepAlive(node)
+	}
+}
--- a/internal/routing/policies_test.go
+++ b/internal/routing/policies_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"golang.org/x/sync/errgroup"
 	"pgregory.net/rapid"
 
 	"github.com/fieldpond/fieldpond/internal/fault"
@@ -236,6 +237,27 @@
 	}
 }
 
+// Many goroutines share a scheduler; the race detector judges.
+func TestSchedulerIsSharedByGoroutines(t *testing.T) {
+	scheduler, err := routing.NewPredictive(routing.Config{Window: 4})
+	is.New(t).NoErr(err)
+	var group errgroup.Group
+	for worker := range 8 {
+		group.Go(func() error {
+			request, snapshot := benchCase(40)
+			for round := range 200 {
+				request.Chains["v"] = prefix.Chain{1, 2, 3, prefix.Hash(round)}
+				snapshot.Generation = uint64(round/50 + worker%2)
+				if decision := scheduler.Schedule(request, snapshot); decision.Action != framework.Dispatch {
+					return fmt.Errorf("worker %d: %v", worker, decision)
+				}
+			}
+			return nil
+		})
+	}
+	is.New(t).NoErr(group.Wait())
+}
+
 func TestConfigIsChecked(t *testing.T) {
 	for _, config := range []routing.Config{{Window: -1}, {Window: 999}, {RecomputationFloor: -1}, {TieShare: 2}, {TransferPerToken: -1}} {
 		_, err := routing.NewPredictive(config)
