Estimate an engine's queue in one place

Ruled out: keeping the registry's, since it overstates by up to the report's lag plus the polling interval. Change: the registry uses load.Tracker, one for each life; dispatch reports the first token, which proves that all the engine had to prefill before is done. Also: rehearse overhead compares the time to the first text through a router and straight from an engine; cache events reach the directory's watches, and a dead engine is dead to the directory too.

--- a/cmd/rehearse/subcommands.go
+++ b/cmd/rehearse/subcommands.go
@@ -8,6 +8,7 @@
 		newEngineCommand(),
 		newLoadCommand(),
 		newPlanCommand(),
+		newOverheadCommand(),
 		newApplicationCommand(),
 		newPlatformCommand(),
 		newExperimentCommand(),
--- a/internal/dispatch/generation.go
+++ b/internal/dispatch/generation.go
@@ -265,6 +265,7 @@
 	case protocol.EventChunk:
 		if a.result.TimeToFirstToken == 0 {
 			a.result.TimeToFirstToken = time.Since(a.sentAt)
+			a.reportFirstToken()
 		}
 		text = event.Text
 		g.emitted.WriteString(text)
@@ -282,6 +283,13 @@
 	}
 }
 
+// reportFirstToken tells whoever placed the attempt that its prefill is done.
+func (a *attempt) reportFirstToken() {
+	if a.placement.FirstToken != nil {
+		a.placement.FirstToken()
+	}
+}
+
 // onStarted records that the engine executes the request.
 func (a *attempt) onStarted() {
 	g := a.generation
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -64,6 +64,9 @@
 	// Started is called once if the engine accepted the attempt, with its own
 	// count of prompt and cached tokens. It may be nil and must not block.
 	Started func(incarnation ident.Incarnation, usage protocol.Usage)
+	// FirstToken is called once if the attempt gave a first chunk. It may be
+	// nil and must not block.
+	FirstToken func()
 	// Release is called exactly once, when the attempt is over. It may be nil.
 	Release func(Result)
 }
--- a/internal/endpoint/registry.go
+++ b/internal/endpoint/registry.go
@@ -14,6 +14,7 @@
 	"github.com/fieldpond/fieldpond/internal/engine/protocol"
 	"github.com/fieldpond/fieldpond/internal/ident"
 	"github.com/fieldpond/fieldpond/internal/routing/framework"
+	"github.com/fieldpond/fieldpond/internal/routing/load"
 )
 
 // failuresUntilDead is the number of consecutive failed reports after which an
@@ -91,28 +92,17 @@
 	failures       int
 	leavingUntil   time.Time
 	listedLeaving  bool
-	report         protocol.LoadReport
-	reportTrueAt   time.Time
+	role           string
 	loaded         []framework.LoadedModel
-	attempts       map[AttemptKey]*attempt
-	ownInFlight    int
-	limit          int
-	lastCandidate  time.Time
-	lastAsked      time.Time
+	// queue estimates the engine's queue; a new life starts with a new one.
+	queue         *load.Tracker
+	limit         int
+	lastCandidate time.Time
+	lastAsked     time.Time
 }
 
 // AttemptKey identifies one attempt of one request.
-type AttemptKey struct {
-	Request ident.Request
-	Attempt ident.Attempt
-}
-
-// attempt is one of this router's own attempts on an engine.
-type attempt struct {
-	sentAt        time.Time
-	prefillTokens int
-	prefilled     bool
-}
+type AttemptKey = load.AttemptKey
 
 // NewRegistry returns a registry that knows no engine.
 func NewRegistry() *Registry {
@@ -127,7 +117,7 @@
 	for _, target := range targets {
 		known := r.engines[target.Engine]
 		if known == nil || known.target.Address != target.Address {
-			known = &state{attempts: make(map[AttemptKey]*attempt)}
+			known = &state{queue: load.NewTracker(target.PrefillPerToken)}
 		}
 		known.target = target
 		next[target.Engine] = known
@@ -173,15 +163,14 @@
 	}
 	known.retiredReports = 0
 	changes := known.live(engine, report.Incarnation)
-	trueAt := now.Add(-time.Duration(report.AgeMillis) * time.Millisecond)
 	loaded := convertLoaded(report.Loaded)
 	if !equalLoaded(loaded, known.loaded) {
 		changes = append(changes, Change{ChangeLoaded, engine, report.Incarnation})
 	}
 	known.loaded = loaded
-	known.report = report
+	known.role = report.Role
+	known.queue.Report(now, report)
 	known.reported = true
-	known.reportTrueAt = trueAt
 	if report.Leaving {
 		changes = append(changes, known.leaving(now, engine)...)
 	}
@@ -240,29 +229,21 @@
 	if known == nil {
 		return
 	}
-	known.attempts[key] = &attempt{sentAt: now, prefillTokens: prefillTokens}
-	known.ownInFlight++
+	known.queue.Dispatched(now, key, float64(prefillTokens))
 }
 
 // FirstToken takes in that the engine has prefilled the attempt's prompt.
-func (r *Registry) FirstToken(engine ident.Engine, key AttemptKey) {
-	known := r.find(engine)
-	if known == nil {
-		return
-	}
-	if own := known.attempts[key]; own != nil {
-		own.prefilled = true
+func (r *Registry) FirstToken(now time.Time, engine ident.Engine, key AttemptKey) {
+	if known := r.find(engine); known != nil {
+		known.queue.FirstToken(now, key)
 	}
 }
 
 // Ended takes in that an attempt is over, however it ended.
-func (r *Registry) Ended(engine ident.Engine, key AttemptKey) {
-	known := r.find(engine)
-	if known == nil || known.attempts[key] == nil {
-		return
+func (r *Registry) Ended(now time.Time, engine ident.Engine, key AttemptKey) {
+	if known := r.find(engine); known != nil {
+		known.queue.Finished(now, key)
 	}
-	delete(known.attempts, key)
-	known.ownInFlight--
 }
 
 // At reports whether the fleet file in force has the engine at this address.
@@ -295,7 +276,7 @@
 // InFlight returns the number of this router's own attempts on the engine.
 func (r *Registry) InFlight(engine ident.Engine) int {
 	if known := r.engines[engine]; known != nil {
-		return known.ownInFlight
+		return known.queue.InFlight()
 	}
 	return 0
 }
@@ -333,9 +314,8 @@
 	s.leavingUntil = time.Time{}
 	s.reported = false
 	s.loaded = nil
-	s.report = protocol.LoadReport{}
-	s.attempts = make(map[AttemptKey]*attempt)
-	s.ownInFlight = 0
+	s.role = ""
+	s.queue = load.NewTracker(s.target.PrefillPerToken)
 	return []Change{{ChangeIncarnation, engine, incarnation}}
 }
 
@@ -371,7 +351,7 @@
 }
 
 func (s *state) endpoint(now time.Time) framework.Endpoint {
-	role := s.report.Role
+	role := s.role
 	if role == "" {
 		role = roleMixed
 	}
@@ -388,6 +368,13 @@
 	}
 }
 
+// load estimates the engine's queue as of now.
+func (s *state) load(now time.Time) framework.Load {
+	estimate := s.queue.Load(now)
+	estimate.ConcurrencyLimit = s.limit
+	return estimate
+}
+
 // roleMixed is the role of an engine that both prefills and decodes.
 const roleMixed = "mixed"
 
--- a/internal/placement/core.go
+++ b/internal/placement/core.go
@@ -230,6 +230,9 @@
 func (c *Core) CacheEvents(now time.Time, engine ident.Engine, batch protocol.CacheEventBatch) {
 	c.heard(engine, batch.Incarnation)
 	c.config.Beliefs.Events(now, engine, batch)
+	if c.directory != nil {
+		c.effects.Messages = append(c.effects.Messages, c.directory.Events(now, engine, batch)...)
+	}
 }
 
 // CacheSnapshot takes in the whole state of an engine's cache.
--- a/internal/placement/decide.go
+++ b/internal/placement/decide.go
@@ -107,6 +107,14 @@
 	}
 }
 
+// FirstToken takes in that an engine has prefilled an attempt's prompt: it
+// proves that all the engine had to prefill before is done as well.
+func (c *Core) FirstToken(now time.Time, key endpoint.AttemptKey) {
+	if flight := c.flights[key]; flight != nil {
+		c.registry.FirstToken(now, flight.engine, key)
+	}
+}
+
 // Result is how an attempt ended, as the registry and the limits see it.
 type Result struct {
 	// Incarnation is the one that answered or refused; empty if none did.
@@ -134,7 +142,7 @@
 	if !c.registry.At(flight.engine, flight.address) {
 		return c.pump(now)
 	}
-	c.registry.Ended(flight.engine, key)
+	c.registry.Ended(now, flight.engine, key)
 	c.changed(c.registry.SeenIncarnation(flight.engine, result.Incarnation))
 	if limiter := c.limiters[flight.engine]; limiter != nil {
 		limiter.Finished(now, sampleOf(result))
--- a/internal/placement/directory.go
+++ b/internal/placement/directory.go
@@ -17,7 +17,7 @@
 const lookupPatience = 10 * time.Millisecond
 
 // directoryPeriod is the time between two ticks of the directory.
-const directoryPeriod = 200 * time.Millisecond
+const directoryPeriod = 500 * time.Millisecond
 
 // parkedJob is a job that waits for the directory's answer.
 type parkedJob struct {
@@ -125,7 +125,9 @@
 	switch change.Kind {
 	case endpoint.ChangeIncarnation, endpoint.ChangeRevived:
 		c.config.Directory.Incarnation(change.Engine, change.Incarnation)
-	case endpoint.ChangeDead, endpoint.ChangeRemoved:
+	case endpoint.ChangeDead:
+		c.config.Directory.Incarnation(change.Engine, "")
+	case endpoint.ChangeRemoved:
 		c.config.Directory.Remove(change.Engine)
 	case endpoint.ChangeLeaving, endpoint.ChangeLoaded:
 		// Neither moves a block: versions are part of the block hashes.
--- a/internal/placement/duty.go
+++ b/internal/placement/duty.go
@@ -210,6 +210,14 @@
 	})
 }
 
+// FirstToken reports that an engine has prefilled an attempt's prompt.
+func (d *Duty) FirstToken(key endpoint.AttemptKey) {
+	d.news.Push(func(now time.Time) Effects {
+		d.core.FirstToken(now, key)
+		return Effects{}
+	})
+}
+
 // Ended reports the end of an attempt; it is called exactly once for each place.
 func (d *Duty) Ended(key endpoint.AttemptKey, result Result) {
 	d.commands.Push(func(now time.Time) Effects { return d.core.Ended(now, key, result) })
--- a/internal/router/placer.go
+++ b/internal/router/placer.go
@@ -142,7 +142,8 @@
 		Started: func(incarnation ident.Incarnation, usage protocol.Usage) {
 			p.duty.Started(key, incarnation, usage)
 		},
-		Release: func(result dispatch.Result) { p.duty.Ended(key, resultOf(result)) },
+		FirstToken: func() { p.duty.FirstToken(key) },
+		Release:    func(result dispatch.Result) { p.duty.Ended(key, resultOf(result)) },
 	}
 }
 
--- a/internal/routing/load/tracker.go
+++ b/internal/routing/load/tracker.go
@@ -15,10 +15,10 @@
 // says that it is accounted for.
 const maxFinishedAge = 30 * time.Second
 
-// Attempt names one attempt of a request.
-type Attempt struct {
+// AttemptKey names one attempt of a request.
+type AttemptKey struct {
 	Request ident.Request
-	Number  ident.Attempt
+	Attempt ident.Attempt
 }
 
 // Tracker follows one incarnation of one engine. A new incarnation gets a new
@@ -35,7 +35,7 @@
 }
 
 type attempt struct {
-	key        Attempt
+	key        AttemptKey
 	tokens     float64
 	dispatched time.Time
 	// prefilled and finished are zero until the first token and the end.
@@ -61,25 +61,36 @@
 
 // Dispatched records an attempt sent now with the prompt tokens that the
 // engine is expected to prefill: those not credited.
-func (t *Tracker) Dispatched(now time.Time, key Attempt, tokens float64) {
+func (t *Tracker) Dispatched(now time.Time, key AttemptKey, tokens float64) {
 	t.forget(now.Add(-maxFinishedAge))
 	t.own = append(t.own, attempt{key: key, tokens: max(0, tokens), dispatched: now})
 }
 
 // FirstToken records that an attempt's prefill is done.
-func (t *Tracker) FirstToken(now time.Time, key Attempt) {
+func (t *Tracker) FirstToken(now time.Time, key AttemptKey) {
 	if own := t.find(key); own != nil && own.prefilled.IsZero() {
 		own.prefilled = now
 	}
 }
 
 // Finished records the end of an attempt, however it ended.
-func (t *Tracker) Finished(now time.Time, key Attempt) {
+func (t *Tracker) Finished(now time.Time, key AttemptKey) {
 	if own := t.find(key); own != nil && own.finished.IsZero() {
 		own.finished = now
 	}
 }
 
+// InFlight returns the number of this router's attempts that have not ended.
+func (t *Tracker) InFlight() int {
+	count := 0
+	for index := range t.own {
+		if t.own[index].finished.IsZero() {
+			count++
+		}
+	}
+	return count
+}
+
 // Load returns the estimate as of now. ConcurrencyLimit is left zero.
 func (t *Tracker) Load(now time.Time) framework.Load {
 	estimate := framework.Load{
@@ -149,7 +160,7 @@
 	return t.defaultPrefill
 }
 
-func (t *Tracker) find(key Attempt) *attempt {
+func (t *Tracker) find(key AttemptKey) *attempt {
 	for index := range t.own {
 		if t.own[index].key == key {
 			return &t.own[index]
--- a/standin/experiment/attempt.go
+++ b/standin/experiment/attempt.go
@@ -91,6 +91,7 @@
 		return
 	}
 	a.firstAt = x.simulation.clock.now.Add(x.simulation.hop(a.router.zone, a.engine.zone))
+	a.answer(func() { a.router.core.FirstToken(x.simulation.clock.now, a.key) })
 	if x.firstToken == 0 {
 		x.firstToken = a.firstAt.Add(hopToClient).Sub(x.arrivedAt)
 	}
--- /dev/null
+++ b/standin/overhead/overhead.go
@@ -0,0 +1,191 @@
+// Package overhead measures what a router adds to a model request: the same
+// kind of request goes to a router and straight to an engine in turn, one at a
+// time, and the times to the first text are compared.
+package overhead
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/fieldpond/fieldpond/internal/engine/protocol"
+	"github.com/fieldpond/fieldpond/internal/fault"
+	"github.com/fieldpond/fieldpond/internal/ident"
+	"github.com/fieldpond/fieldpond/internal/prefix"
+)
+
+// Config says what to measure.
+type Config struct {
+	// Router and Engine are base URLs. For a fair comparison the engine should
+	// be the only one that the router may use.
+	Router, Engine string
+	// Key is the tenant's API key, Service the model service at the router.
+	Key     string
+	Service ident.Service
+	// Tenant, Model and Version go to the engine.
+	Tenant  ident.Tenant
+	Model   ident.Model
+	Version ident.ModelVersion
+	// Requests is the number of requests each way.
+	Requests int
+	// PromptBytes is the length of each prompt; no two prompts share a block.
+	PromptBytes int
+}
+
+// Times are quantiles of the time to the first text, in microseconds.
+type Times struct {
+	P50 int64 `json:"p50_micros"`
+	P99 int64 `json:"p99_micros"`
+}
+
+// Report compares both ways.
+type Report struct {
+	Requests int   `json:"requests"`
+	Direct   Times `json:"direct"`
+	Routed   Times `json:"routed"`
+}
+
+// The range of the histograms, in microseconds, and their precision.
+const (
+	lowest    = 1
+	highest   = 60_000_000
+	precision = 3
+)
+
+// Run measures until every request is answered or ctx ends.
+func Run(ctx context.Context, config Config) (*Report, error) {
+	probe := &probe{config: config, client: &http.Client{}}
+	incarnation, err := probe.incarnation(ctx)
+	if err != nil {
+		return nil, err
+	}
+	direct := hdrhistogram.New(lowest, highest, precision)
+	routed := hdrhistogram.New(lowest, highest, precision)
+	for number := range config.Requests {
+		if err := probe.measure(direct, func() (*http.Request, error) {
+			return probe.direct(ctx, incarnation, number)
+		}); err != nil {
+			return nil, err
+		}
+		if err := probe.measure(routed, func() (*http.Request, error) { return probe.routed(ctx, number) }); err != nil {
+			return nil, err
+		}
+	}
+	return &Report{Requests: config.Requests, Direct: timesOf(direct), Routed: timesOf(routed)}, nil
+}
+
+func timesOf(times *hdrhistogram.Histogram) Times {
+	const half, almostAll = 50, 99
+	return Times{P50: times.ValueAtQuantile(half), P99: times.ValueAtQuantile(almostAll)}
+}
+
+// probe sends single requests.
+type probe struct {
+	config Config
+	client *http.Client
+}
+
+func (p *probe) incarnation(ctx context.Context) (ident.Incarnation, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, p.config.Engine+"/v1/load", nil)
+	if err != nil {
+		return "", fault.Wrap(err, fault.BadRequest, "the engine's URL %q", p.config.Engine)
+	}
+	response, err := p.client.Do(request)
+	if err != nil {
+		return "", fault.Wrap(err, fault.BackendLost, "reading the engine's load")
+	}
+	defer func() { _ = response.Body.Close() }()
+	var report protocol.LoadReport
+	if err := json.NewDecoder(response.Body).Decode(&report); err != nil {
+		return "", fault.Wrap(err, fault.BackendLost, "decoding the engine's load")
+	}
+	return report.Incarnation, nil
+}
+
+// prompt returns a prompt whose first block is unique to the way and number.
+func (p *probe) prompt(way string, number int) string {
+	start := fmt.Sprintf("%s request %08d ", way, number)
+	return start + strings.Repeat("x", max(0, p.config.PromptBytes-len(start)))
+}
+
+func (p *probe) direct(ctx context.Context, incarnation ident.Incarnation, number int) (*http.Request, error) {
+	namespace := prefix.Namespace{Tenant: p.config.Tenant, Model: p.config.Model, Version: p.config.Version}
+	return post(ctx, p.config.Engine+"/v1/generate", protocol.GenerateRequest{
+		RequestID: ident.NewRequest(), Attempt: 1, ExpectedIncarnation: incarnation,
+		Tenant: p.config.Tenant, Model: p.config.Model, Version: p.config.Version,
+		Salt: namespace.Salt(), Prompt: p.prompt("direct", number), MaxTokens: 1,
+	})
+}
+
+// completion is the body of a completions request.
+type completion struct {
+	Model     ident.Service `json:"model"`
+	Prompt    string        `json:"prompt"`
+	Stream    bool          `json:"stream"`
+	MaxTokens int           `json:"max_tokens"`
+}
+
+func (p *probe) routed(ctx context.Context, number int) (*http.Request, error) {
+	request, err := post(ctx, p.config.Router+"/v1/completions",
+		completion{p.config.Service, p.prompt("routed", number), true, 1})
+	if err == nil {
+		request.Header.Set("Authorization", "Bearer "+p.config.Key)
+	}
+	return request, err
+}
+
+func post(ctx context.Context, url string, body any) (*http.Request, error) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return nil, fault.Wrap(err, fault.Internal, "encoding a request")
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(data))
+	if err != nil {
+		return nil, fault.Wrap(err, fault.BadRequest, "the URL %q", url)
+	}
+	request.Header.Set("Content-Type", "application/json")
+	return request, nil
+}
+
+// measure sends one request, records the time until its first text and reads
+// the answer to its end.
+func (p *probe) measure(times *hdrhistogram.Histogram, build func() (*http.Request, error)) error {
+	request, err := build()
+	if err != nil {
+		return err
+	}
+	begun := time.Now()
+	response, err := p.client.Do(request)
+	if err != nil {
+		return fault.Wrap(err, fault.BackendLost, "sending a request")
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return fault.New(fault.BackendRefused, "%s answered with status %d", request.URL.Host, response.StatusCode)
+	}
+	taken, found, err := firstText(response, begun)
+	if err != nil || !found {
+		return fault.Wrap(err, fault.StreamBroken, "no text came from %s", request.URL.Host)
+	}
+	return times.RecordValue(max(lowest, taken.Microseconds()))
+}
+
+// firstText reads a whole stream and returns when its first text came. Both
+// protocols carry it in a non-empty JSON field "text".
+func firstText(response *http.Response, begun time.Time) (taken time.Duration, found bool, err error) {
+	lines := bufio.NewScanner(response.Body)
+	for lines.Scan() {
+		line := lines.Text()
+		if !found && strings.Contains(line, `"text":"`) && !strings.Contains(line, `"text":""`) {
+			taken, found = time.Since(begun), true
+		}
+	}
+	return taken, found, lines.Err()
+}
