Give a frozen engine up in seconds when its stream is resumed

Ruled out: fewer tries (a broken connection deserves them), and a shorter start timeout (a generate call may wait for its place on the engine).

Change: the answer to a resume is waited for as long as the first event after it, 2 s, since what the engine has already made comes at once.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -15,8 +15,8 @@
 
 // Config bounds attempts, streams and waits. Zero fields take the defaults.
 type Config struct {
-	// StartTimeout bounds the wait for the answer to a generate, resume or
-	// cancel call. Default: 10s.
+	// StartTimeout bounds the wait for the answer to a generate or cancel call.
+	// Default: 10s.
 	StartTimeout time.Duration
 	// StallTimeout bounds the wait between two accepted events. Default: 10s.
 	StallTimeout time.Duration
@@ -24,7 +24,8 @@
 	ResumeTries int
 	// ResumePause is waited before each resume after the first. Default: 50ms.
 	ResumePause time.Duration
-	// ResumeStall bounds the wait for the first event after a resume. Default: 2s.
+	// ResumeStall bounds the wait for the answer to a resume call, and the one
+	// for the first event after it. Default: 2s.
 	ResumeStall time.Duration
 	// MaxAttempts bounds the attempts of one request. Default: 6.
 	MaxAttempts int
--- a/internal/dispatch/fake_test.go
+++ b/internal/dispatch/fake_test.go
@@ -49,6 +49,8 @@
 	generated   []protocol.GenerateRequest
 	cancelled   []ident.Stream
 	refuse      map[string]error
+	// frozen is the address of an engine that takes connections and says nothing.
+	frozen string
 }
 
 func newFakeEngines(d damage) *fakeEngines {
@@ -92,6 +94,12 @@
 func (f *fakeEngines) Resume(ctx context.Context, address string, target engine.ResumeTarget) (engine.EventStream, error) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
+	if f.frozen == address {
+		f.mutex.Unlock()
+		<-ctx.Done()
+		f.mutex.Lock()
+		return nil, fault.Wrap(ctx.Err(), fault.BackendLost, "no answer").WithRan(fault.RanUnknown)
+	}
 	events, known := f.streams[target.Stream]
 	if !known || target.Incarnation != f.incarnation(address) {
 		return nil, refusal(protocol.RefusalUnknownStream, f.incarnation(address))
@@ -145,7 +153,10 @@
 				f.lives[address]++
 			}
 			return before
-		case "stall":
+		case "stall", "frozen":
+			if f.damage.kind == "frozen" {
+				f.frozen = address
+			}
 			connection.stalls = true
 			return before
 		case "lost":
--- a/internal/dispatch/flow.go
+++ b/internal/dispatch/flow.go
@@ -142,7 +142,7 @@
 		}
 		f.idle++
 		f.dispatcher.Counters.Resumes.Add(1)
-		stream, err := f.dispatcher.open(ctx, func(ctx context.Context) (engine.EventStream, error) {
+		stream, err := f.dispatcher.open(ctx, f.dispatcher.config.ResumeStall, func(ctx context.Context) (engine.EventStream, error) {
 			return f.dispatcher.Engines.Resume(ctx, f.address, engine.ResumeTarget{
 				Incarnation: f.sequencer.Incarnation(),
 				Stream:      f.sequencer.Stream(),
@@ -161,11 +161,11 @@
 	}
 }
 
-// open bounds the opening of a stream by StartTimeout; the stream itself lives
-// as long as ctx or until it is closed.
-func (d *Dispatcher) open(ctx context.Context, call func(context.Context) (engine.EventStream, error)) (engine.EventStream, error) {
+// open bounds the opening of a stream by limit; the stream itself lives as long
+// as ctx or until it is closed.
+func (d *Dispatcher) open(ctx context.Context, limit time.Duration, call func(context.Context) (engine.EventStream, error)) (engine.EventStream, error) {
 	streamContext, cancel := context.WithCancel(ctx)
-	timer := time.AfterFunc(d.config.StartTimeout, cancel)
+	timer := time.AfterFunc(limit, cancel)
 	stream, err := call(streamContext)
 	if err != nil {
 		timer.Stop()
--- a/internal/dispatch/generation.go
+++ b/internal/dispatch/generation.go
@@ -178,7 +178,7 @@
 	g.ledger.Left()
 	g.chart.Fire(EventAttemptSent)
 	g.dispatcher.Counters.Attempts.Add(1)
-	stream, err := g.dispatcher.open(ctx, func(ctx context.Context) (engine.EventStream, error) {
+	stream, err := g.dispatcher.open(ctx, g.dispatcher.config.StartTimeout, func(ctx context.Context) (engine.EventStream, error) {
 		return g.dispatcher.Engines.Generate(ctx, a.placement.Address, a.request())
 	})
 	if err != nil {
--- a/internal/dispatch/generation_test.go
+++ b/internal/dispatch/generation_test.go
@@ -16,7 +16,7 @@
 // Every kind of damage at every event of the stream: the caller gets the whole
 // answer, in order, exactly once.
 func TestAnswerIsWholeWhateverBreaksWhereverItBreaks(t *testing.T) {
-	kinds := []string{"none", "cut", "gone", "stall", "lost", "swap", "repeat", "crossed request", "late attempt", "crossed incarnation", "crossed stream", "engine error"}
+	kinds := []string{"none", "cut", "gone", "stall", "frozen", "lost", "swap", "repeat", "crossed request", "late attempt", "crossed incarnation", "crossed stream", "engine error"}
 	for _, kind := range kinds {
 		for at := uint64(0); at <= answerChunks+1; at++ {
 			synctest.Test(t, func(t *testing.T) {
@@ -56,6 +56,7 @@
 		"gone after start":        {damage{"gone", 1}, 9, 50, fault.NoPermittedEngine, fault.RanYes},
 		"gone after text":         {damage{"gone", 3}, 9, 50, fault.StreamBroken, fault.RanYes},
 		"stalls for ever":         {damage{"stall", 3}, 9, 50, fault.StreamBroken, fault.RanYes},
+		"frozen":                  {damage{"frozen", 3}, 9, 50, fault.StreamBroken, fault.RanYes},
 		"no budget before text":   {damage{"gone", 0}, 0, 50, fault.BackendLost, fault.RanUnknown},
 		"no budget, no engine":    {damage{"engine error", 3}, 0, 50, fault.StreamBroken, fault.RanYes},
 		"only the end is missing": {damage{"gone", answerChunks + 1}, 9, answerChunks, fault.StreamBroken, fault.RanYes},
