--- /dev/null
+++ b/proofs/answers_test.go
@@ -0,0 +1,122 @@
+package proofs
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/fieldpond/fieldpond/internal/fault"
+	"github.com/fieldpond/fieldpond/internal/ident"
+	"github.com/fieldpond/fieldpond/proofs/harness"
+	"github.com/fieldpond/fieldpond/standin/application"
+	"github.com/fieldpond/fieldpond/standin/faultboard"
+	"github.com/fieldpond/fieldpond/standin/truth"
+)
+
+// Promise 2: two tenants use the same keys with the same body, answers come
+// late and out of order, and callers leave and come back for theirs.
+func TestSameKeyOfTwoTenants(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	c := harness.Start(t, harness.Shape{})
+	for _, name := range c.Applications {
+		c.Inject(name, faultboard.Fault{Kind: application.FaultSlow, DurationMillis: lastingMillis, DelayMillis: 250, Probability: 0.5})
+	}
+	callers := []*harness.Caller{c.NewCaller(harness.TenantA), c.NewCaller(harness.TenantB)}
+	const keys = 12
+	together(2*keys, func(number int) {
+		caller, key := callers[number%2], fmt.Sprintf("key-%d", number/2)
+		if number%3 == 0 {
+			impatient, leave := context.WithTimeout(t.Context(), 60*time.Millisecond)
+			caller.Book(impatient, c.RouterURLs()[0], key, "{}")
+			leave()
+		}
+		is.True(bookUntilAnswered(t.Context(), caller, c.RouterURLs(), key, "{}", bookingTries).Answered())
+	})
+	executions := c.AllExecutions()
+	is.Equal(len(executions), 2*keys) // one for each tenant's key
+	requireAtMostOnce(t, executions, callers...)
+	// A key with another body is another request: refused, and not run.
+	reused := callers[0].Book(t.Context(), c.RouterURLs()[1], "key-0", `{"other": 1}`)
+	is.Equal(reused.Kind(), fault.KeyReused)
+	is.Equal(reused.Ran(), fault.RanNo)
+	is.Equal(len(c.AllExecutions()), 2*keys)
+}
+
+// Promise 2: two tenants send the same prompts at the same instant while
+// connections break; every generation was run for the tenant that asked, and
+// every answer is whole.
+func TestSamePromptOfTwoTenants(t *testing.T) {
+	t.Parallel()
+	c := harness.Start(t, harness.Shape{Relayed: true})
+	for _, name := range c.Engines[:2] {
+		c.Relay(name).Arm(harness.Cut{
+			Match: "POST /v1/generate", Direction: harness.ToRouter, After: 4000, Action: harness.Reset, Times: 3,
+		})
+	}
+	callers := []*harness.Caller{c.NewCaller(harness.TenantA), c.NewCaller(harness.TenantB)}
+	together(16, func(number int) {
+		ask := harness.Ask{Prompt: prompt("same", number/2), MaxTokens: streamTokens}
+		requireWhole(t, ask, callers[number%2].Stream(t.Context(), c.RouterURLs()[number/2%2], ask))
+	})
+	owner := map[ident.Request]ident.Tenant{}
+	for _, caller := range callers {
+		for _, told := range caller.History() {
+			owner[told.RequestID] = caller.Tenant
+		}
+	}
+	is := is.New(t)
+	is.Equal(len(owner), 16)
+	for _, record := range allTruth(c) {
+		if record.Kind != truth.Started {
+			continue
+		}
+		is.Equal(record.Tenant, owner[record.RequestID])
+		for _, reused := range record.Reused {
+			is.Equal(reused.Tenant, record.Tenant)
+		}
+	}
+}
+
+// Promise 2: an engine frozen in the middle of its streams is given up; when it
+// awakes, what it still has to say reaches nobody.
+func TestLateAnswersOfAFrozenEngineReachNobody(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	c := harness.Start(t, harness.Shape{Engines: 2})
+	caller := c.NewCaller(harness.TenantA)
+	var once sync.Once
+	frozen := ""
+	began := time.Now()
+	together(4, func(number int) {
+		ask := longAsk(fmt.Sprintf("frozen %d", number), 100)
+		ask.OnText = func(bytes int) {
+			if bytes > 60 {
+				once.Do(func() { frozen = freezeBusy(c) })
+			}
+		}
+		requireWhole(t, ask, caller.Stream(t.Context(), c.RouterURLs()[number%2], ask))
+	})
+	is.True(frozen != "")
+	t.Logf("every answer was whole %s after the start", time.Since(began).Round(time.Second))
+	c.Resume(frozen)
+	together(8, func(number int) {
+		ask := harness.Ask{Prompt: prompt("after", number), MaxTokens: streamTokens}
+		requireWhole(t, ask, caller.Stream(t.Context(), c.RouterURLs()[number%2], ask))
+	})
+}
+
+// freezeBusy freezes an engine with a generation that has begun and not ended.
+func freezeBusy(c *harness.Cluster) string {
+	for _, name := range c.Engines {
+		if unfinished(c.Truth(name)) > 0 {
+			c.Freeze(name)
+			return name
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/proofs/plannedstop_test.go
@@ -0,0 +1,131 @@
+package proofs
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/fieldpond/fieldpond/internal/fault"
+	"github.com/fieldpond/fieldpond/proofs/harness"
+	"github.com/fieldpond/fieldpond/standin/truth"
+)
+
+// usualGraceTokens makes a stream longer than the ten seconds that process
+// supervisors usually grant before they kill.
+const usualGraceTokens = 900
+
+// Promise 5: routers are stopped and replaced one by one under load, while
+// streams longer than the usual grace run on each; no request is cut.
+func TestPlannedStopOfRoutersCutsNoRequest(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	c := harness.Start(t, harness.Shape{Routers: 3, Engines: 4, EngineArgs: []string{"--token-millis", "13"}})
+	callers := []*harness.Caller{c.NewCaller(harness.TenantA), c.NewCaller(harness.TenantB)}
+	var work sync.WaitGroup
+	running := make(chan struct{}, len(c.Routers))
+	for number, router := range c.RouterURLs() {
+		ask := longAsk(fmt.Sprintf("long %d", number), usualGraceTokens)
+		var begun sync.Once
+		ask.OnText = func(int) { begun.Do(func() { running <- struct{}{} }) }
+		work.Go(func() { requireWhole(t, ask, callers[0].Stream(t.Context(), router, ask)) })
+	}
+	for range c.Routers {
+		<-running
+	}
+	load, endLoad := context.WithCancel(t.Context())
+	for worker := range 6 {
+		work.Go(func() { keepAsking(load, t, c, callers[worker%2], worker) })
+	}
+	for _, router := range c.Routers {
+		is.Equal(c.Terminate(router), 0)
+		c.Restart(router)
+		c.AwaitServing(router)
+	}
+	endLoad()
+	work.Wait()
+	answered := requireUncut(t, callers...)
+	is.True(answered > 100)
+	requireAtMostOnce(t, c.AllExecutions(), callers...)
+}
+
+// keepAsking streams and books in turn until the load ends; a router that
+// takes no connection or is not ready is passed by, as a proper caller does.
+func keepAsking(load context.Context, t *testing.T, c *harness.Cluster, caller *harness.Caller, worker int) {
+	routers := c.RouterURLs()
+	for number := 0; load.Err() == nil; number++ {
+		router := routers[(worker+number)%len(routers)]
+		if number%2 == 0 {
+			caller.Book(t.Context(), router, fmt.Sprintf("key-%d-%d", worker, number), "{}")
+			continue
+		}
+		ask := harness.Ask{Prompt: prompt(fmt.Sprintf("worker %d", worker), number), MaxTokens: 12}
+		requireHonest(t, ask, caller.Stream(t.Context(), router, ask))
+	}
+}
+
+// requireUncut fails for every request that was taken and not answered whole;
+// it returns the number of whole answers.
+func requireUncut(t *testing.T, callers ...*harness.Caller) (answered int) {
+	t.Helper()
+	for _, caller := range callers {
+		for _, told := range caller.History() {
+			switch {
+			case told.Answered():
+				answered++
+			case told.Unsent:
+			case told.Broken:
+				t.Errorf("a request to %s was cut: key %q, %d bytes of text", told.Router, told.Key, len(told.Text))
+			case told.Ran() != fault.RanNo:
+				t.Errorf("a request to %s ended with %s, ran %s", told.Router, told.Kind(), told.Ran())
+			}
+		}
+	}
+	return answered
+}
+
+// Promise 5: an engine and an application are stopped with work running; the
+// work is finished where it runs, and what comes meanwhile goes elsewhere.
+func TestPlannedStopOfBackendsCutsNoRequest(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	c := harness.Start(t, harness.Shape{ApplicationArgs: []string{"--execute-millis", "300"}})
+	caller := c.NewCaller(harness.TenantA)
+	var work sync.WaitGroup
+	begun := make(chan struct{}, 9)
+	for number := range 9 {
+		ask := longAsk(fmt.Sprintf("long %d", number), 200)
+		var once sync.Once
+		ask.OnText = func(int) { once.Do(func() { begun <- struct{}{} }) }
+		work.Go(func() { requireWhole(t, ask, caller.Stream(t.Context(), c.RouterURLs()[number%2], ask)) })
+	}
+	for range 9 {
+		<-begun
+	}
+	stopping := c.Engines[0]
+	for _, name := range c.Engines {
+		if unfinished(c.Truth(name)) > unfinished(c.Truth(stopping)) {
+			stopping = name
+		}
+	}
+	is.True(unfinished(c.Truth(stopping)) > 0)
+	load, endLoad := context.WithCancel(t.Context())
+	for worker := range 4 {
+		work.Go(func() { keepAsking(load, t, c, caller, worker) })
+	}
+	var codes [2]int
+	together(2, func(number int) { codes[number] = c.Terminate([]string{stopping, c.Applications[0]}[number]) })
+	endLoad()
+	work.Wait()
+	is.Equal(codes, [2]int{0, 0})
+	is.True(requireUncut(t, caller) > 20)
+	ends := map[truth.Kind]int{}
+	for _, record := range c.Truth(stopping) {
+		ends[record.Kind]++
+	}
+	is.Equal(ends[truth.Finished], ends[truth.Started])
+	is.Equal(ends[truth.Lost]+ends[truth.Cancelled], 0)
+	requireAtMostOnce(t, c.AllExecutions(), caller)
+}
