Prove that an accepted file is in force and never reverts

Judged by the table's list of accepted heads and by what every life of every router put in force, in virtual time: two operators racing over a slow table, and over one that then goes down; the store down after an apply; every router replaced during applies; a router cut off across three versions; a peer that offers an old file as the newest. With the table answering, not even a restart brings an older version back. Seen failing on a scratch copy with the version check of offers removed (routers went from 3 to 2) and with the digest check of bodies removed. The wait of a starting router for the table's word is proved by TestStartTakesTheTablesWordFirst, not here. Found: a file accepted in the instant before the store goes down, which no router has read, is in force only after the store is back. That is no fault of the code: nobody knows of the file.

--- a/internal/fleet/keeper_test.go
+++ b/internal/fleet/keeper_test.go
@@ -22,10 +22,18 @@
 	members []membership.Member
 	mutex   sync.Mutex
 	keepers map[string]*Keeper
+	// stale is a router that offers an old file as the newest; empty for none.
+	stale     string
+	staleBody []byte
+	// cutOff is a router that neither hears nor is heard; empty for none.
+	cutOff string
+	// adopted holds what each router put in force, by life and in order; the
+	// digest is that of the body.
+	adopted map[string][][]Pair
 }
 
 func newCluster(nodes int) *cluster {
-	c := &cluster{table: newFakeTable(), keepers: map[string]*Keeper{}}
+	c := &cluster{table: newFakeTable(), keepers: map[string]*Keeper{}, adopted: map[string][][]Pair{}}
 	for index := range nodes {
 		name := fmt.Sprint("node-", index)
 		c.members = append(c.members, membership.Member{Node: ident.Node(name), Zone: ident.Zone(fmt.Sprint("zone-", index%3)), HTTPAddress: name})
@@ -40,13 +48,19 @@
 		View: func() membership.View { return membership.View{Self: member.Node, Members: c.members} },
 	})
 	c.mutex.Lock()
-	c.keepers[member.HTTPAddress] = keeper
+	address, life := member.HTTPAddress, len(c.adopted[member.HTTPAddress])
+	c.keepers[address] = keeper
+	c.adopted[address] = append(c.adopted[address], nil)
 	c.mutex.Unlock()
 	keeper.OnAdopt(func(compiled *Compiled) {
 		c.mutex.Lock()
 		defer c.mutex.Unlock()
-		for _, other := range c.keepers {
-			other.HeadHeard(compiled.Version, compiled.Digest, member.HTTPAddress)
+		body, _ := keeper.Body(compiled.Digest)
+		c.adopted[address][life] = append(c.adopted[address][life], Pair{compiled.Version, DigestOf(body)})
+		for heard, other := range c.keepers {
+			if c.cutOff == "" || (heard != c.cutOff && address != c.cutOff) {
+				other.HeadHeard(compiled.Version, compiled.Digest, member.HTTPAddress)
+			}
 		}
 	})
 	go keeper.Run(ctx)
@@ -56,17 +70,26 @@
 func (c *cluster) at(address string) (*Keeper, error) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if keeper := c.keepers[address]; keeper != nil {
+	if keeper := c.keepers[address]; keeper != nil && address != c.cutOff {
 		return keeper, nil
 	}
 	return nil, fault.New(fault.BackendLost, "%s does not run", address)
 }
 
+func (c *cluster) isStale(address string) bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return address == c.stale
+}
+
 func (c *cluster) FetchHead(_ context.Context, address string) (Pair, error) {
 	keeper, err := c.at(address)
 	if err != nil {
 		return Pair{}, err
 	}
+	if c.isStale(address) {
+		return Pair{Version: 1, Digest: DigestOf(c.staleBody)}, nil
+	}
 	return keeper.Pair(), nil
 }
 
@@ -75,6 +98,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if c.isStale(address) {
+		return c.staleBody, nil
+	}
 	if body, found := keeper.Body(digest); found {
 		return body, nil
 	}
--- a/internal/fleet/table_test.go
+++ b/internal/fleet/table_test.go
@@ -75,6 +75,8 @@
 	// mode chooses the fault of each request; nil means none.
 	mode  func(key string, write bool) faultMode
 	reads int
+	// delay is how long each request takes until it has its effect.
+	delay time.Duration
 }
 
 func newFakeTable() *fakeTable { return &fakeTable{model: newTableModel()} }
@@ -94,6 +96,15 @@
 // exchange runs one request under the chosen fault.
 func (f *fakeTable) exchange(ctx context.Context, key string, write bool, run func()) error {
 	f.mutex.Lock()
+	if delay := f.delay; delay > 0 {
+		f.mutex.Unlock()
+		select {
+		case <-ctx.Done():
+			return faultOf(lostBefore)
+		case <-time.After(delay):
+		}
+		f.mutex.Lock()
+	}
 	mode := works
 	if f.mode != nil {
 		mode = f.mode(key, write)
