--- a/cmd/rehearse/subcommands.go
+++ b/cmd/rehearse/subcommands.go
@@ -10,5 +10,6 @@
 		newPlanCommand(),
 		newApplicationCommand(),
 		newPlatformCommand(),
+		newExperimentCommand(),
 	}
 }
