Test that secrets never show, and count every refusal

Cause: nothing proved that keys, prompts and answers stay out of what operators see. The first run of the test found that refusals before dispatch (unknown key, bad body) were not counted at all, since only the runner counted.

Change: a test runs a whole deployment in one process, the real router command with debug logs, and looks for six secrets in its log, /metrics, /status.json, 'fieldpond status', claim rows, refusals and progress lines. The API tells of every fault it answers with (Config.OnFault), so refusals_total is complete, errors inside streams included.

--- a/cmd/fieldpond/routers.go
+++ b/cmd/fieldpond/routers.go
@@ -95,8 +95,12 @@
 // Versions only rise, so the highest of several accounts is the newest.
 type versionsSeen map[ident.Node]uint64
 
-// versionsOf joins the accounts of all routers that answered. A suspected
-// member may be alive, so it counts as live.
+// isLive reports whether a member may be serving: a suspected one may be alive.
+func isLive(member status.Member) bool {
+	return member.State == status.MemberAlive || member.State == status.MemberSuspect
+}
+
+// versionsOf joins the accounts of all routers that answered.
 func versionsOf(answers []routerAnswer) versionsSeen {
 	seen := versionsSeen{}
 	for _, answer := range answers {
@@ -105,7 +109,7 @@
 		}
 		seen[answer.status.Node] = max(seen[answer.status.Node], answer.status.FleetVersion)
 		for _, member := range answer.status.Members {
-			if member.State == status.MemberAlive || member.State == status.MemberSuspect {
+			if isLive(member) {
 				seen[member.Node] = max(seen[member.Node], member.FleetVersion)
 			}
 		}
--- /dev/null
+++ b/cmd/fieldpond/secrets_test.go
@@ -0,0 +1,242 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/matryer/is"
+
+	"github.com/fieldpond/fieldpond/internal/engine/protocol"
+	"github.com/fieldpond/fieldpond/internal/platform"
+	"github.com/fieldpond/fieldpond/standin/application"
+	"github.com/fieldpond/fieldpond/standin/engine"
+	"github.com/fieldpond/fieldpond/standin/engine/model"
+	standinplatform "github.com/fieldpond/fieldpond/standin/platform"
+)
+
+// What must not show. Every one is sent to the router or given to it.
+const (
+	secretCluster = "cluster-key-4f1c9a-4f1c9a-4f1c9a-4f1c9a"
+	secretKey     = "tenant-key-83b2d7"
+	secretWrong   = "mistyped-key-5e60c1"
+	secretPrompt  = "prompt-text-19d4ae"
+	secretBooking = "booking-text-77c03f"
+)
+
+const secretsFleet = `schema: fieldpond/v1
+name: secrets
+regions: [{name: all, zones: [z1]}]
+models: [{name: m1, version: v1}]
+classes: [{name: usual, maxHold: 10s}]
+services:
+  - {name: chat, kind: model, model: m1, classes: [usual]}
+  - {name: bookings, kind: application, classes: [usual], routes: [{method: POST, path: /bookings}]}
+engines: [{name: e1, address: "%s", zone: z1, models: [m1]}]
+applications: [{name: a1, address: "%s", zone: z1, services: [bookings]}]
+tenants: [{name: t1, keyHashes: [%x], places: [all], services: [chat, bookings]}]
+`
+
+// lockedBuffer is written by the log and read by the test.
+type lockedBuffer struct {
+	mutex sync.Mutex
+	text  bytes.Buffer
+}
+
+func (b *lockedBuffer) Write(data []byte) (int, error) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.text.Write(data)
+}
+
+func (b *lockedBuffer) String() string {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.text.String()
+}
+
+// deployment is a whole deployment in this process.
+type deployment struct {
+	platform, router string
+	log              *lockedBuffer
+}
+
+// startBackEnds starts the stand-ins and returns the fleet file that names them.
+func startBackEnds(t *testing.T) string {
+	t.Helper()
+	quiet := &log.Logger{Handler: discard.New(), Level: log.ErrorLevel}
+	config := model.DefaultConfig()
+	config.Name, config.Zone, config.DecodePerToken = "e1", "z1", time.Millisecond
+	config.Models = []protocol.LoadedModel{{Model: "m1", Version: "v1"}}
+	server, err := engine.New(engine.Options{Model: config, Logger: quiet})
+	if err != nil {
+		t.Fatal(err)
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	background(t, func(ctx context.Context) error { return server.Run(ctx, listener) })
+	bookings := httptest.NewServer(application.NewServer(application.Options{}))
+	t.Cleanup(bookings.Close)
+	text := fmt.Sprintf(secretsFleet, listener.Addr(), bookings.Listener.Addr(), sha256.Sum256([]byte(secretKey)))
+	path := filepath.Join(t.TempDir(), "fleet.yaml")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+// background runs a function until the test ends, and then waits for its end.
+func background(t *testing.T, run func(context.Context) error) {
+	t.Helper()
+	ctx, stop := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- run(ctx) }()
+	t.Cleanup(func() {
+		stop()
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+	})
+}
+
+// startRouter runs the router command, with every log line, on ports that the
+// system chose a moment before.
+func startRouter(t *testing.T) *deployment {
+	t.Helper()
+	t.Setenv("FIELDPOND_SECRETS_TEST", secretCluster)
+	store := httptest.NewServer(standinplatform.NewServer(standinplatform.Options{}))
+	t.Cleanup(store.Close)
+	started := &deployment{platform: store.URL, router: freeAddress(t), log: &lockedBuffer{}}
+	root := newRootCommand()
+	root.SetErr(started.log)
+	root.SetArgs([]string{
+		"router", "--node", "n1", "--zone", "z1", "--listen", started.router, "--gossip-listen", started.router,
+		"--platform", store.URL, "--cluster-key-environment", "FIELDPOND_SECRETS_TEST", "--log-level", "debug",
+	})
+	background(t, root.ExecuteContext)
+	return started
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String()
+}
+
+// ask sends a request and returns status and body.
+func (d *deployment) ask(t *testing.T, method, path, key, body string) (int, string) {
+	t.Helper()
+	request, err := http.NewRequest(method, "http://"+d.router+path, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	request.Header.Set("Authorization", "Bearer "+key)
+	request.Header.Set("Idempotency-Key", "once")
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return 0, ""
+	}
+	defer func() { _ = response.Body.Close() }()
+	answer, err := io.ReadAll(response.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return response.StatusCode, string(answer)
+}
+
+// waitFor asks until the path answers 200.
+func (d *deployment) waitFor(t *testing.T, path string) {
+	t.Helper()
+	for range 1000 {
+		if code, _ := d.ask(t, http.MethodGet, path, "", ""); code == http.StatusOK {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatal(path, "did not answer: ", d.log.String())
+}
+
+// shown returns everything that the deployment shows to operators, and the
+// rows it has written into the table.
+func (d *deployment) shown(t *testing.T) map[string]string {
+	t.Helper()
+	table, _, err := run("status", "--routers", d.router)
+	if err != nil {
+		t.Fatal(err)
+	}
+	client, err := platform.NewHTTPClient(d.platform, platform.Options{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	rows, err := client.List(context.Background(), "claim", 100)
+	if err != nil {
+		t.Fatal(err)
+	}
+	claims := fmt.Sprintf("%d rows", len(rows.Rows))
+	for _, row := range rows.Rows {
+		claims += " " + row.Key + " " + string(row.Value)
+	}
+	_, metrics := d.ask(t, http.MethodGet, "/metrics", "", "")
+	_, statusJSON := d.ask(t, http.MethodGet, "/status.json", "", "")
+	return map[string]string{"log": d.log.String(), "metrics": metrics, "status.json": statusJSON, "status": table, "claims": claims}
+}
+
+func TestSecretsNeverShow(t *testing.T) {
+	is := is.New(t)
+	file := startBackEnds(t)
+	deployed := startRouter(t)
+	deployed.waitFor(t, "/healthz")
+	_, progress, err := run("apply", "-f", file, "--platform", deployed.platform, "--wait", "--routers", deployed.router)
+	is.NoErr(err)
+	deployed.waitFor(t, "/readyz")
+
+	chat := `{"model":"chat","max_tokens":12,"messages":[{"role":"user","content":"` + secretPrompt + `"}]}`
+	code, whole := deployed.ask(t, http.MethodPost, "/v1/chat/completions", secretKey, chat)
+	is.Equal(code, http.StatusOK)
+	var answered struct {
+		Choices []struct{ Message struct{ Content string } }
+	}
+	is.NoErr(json.Unmarshal([]byte(whole), &answered))
+	secretAnswer := answered.Choices[0].Message.Content
+	is.True(len(secretAnswer) > 0)
+	code, _ = deployed.ask(t, http.MethodPost, "/v1/services/bookings/bookings", secretKey, secretBooking)
+	is.Equal(code, http.StatusOK)
+
+	// What is refused must not show either, not even in the refusal.
+	_, wrongKey := deployed.ask(t, http.MethodPost, "/v1/chat/completions", secretWrong, chat)
+	_, wrongForm := deployed.ask(t, http.MethodPost, "/v1/chat/completions", secretKey, `{"model":"`+secretPrompt)
+
+	shown := deployed.shown(t)
+	shown["refusals"], shown["progress"] = wrongKey+wrongForm, progress
+	is.True(strings.Contains(shown["log"], "router started"))
+	is.True(strings.Contains(shown["metrics"], `fieldpond_refusals_total{kind="unauthorized",ran="no"} 1`) && strings.Contains(shown["metrics"], "fieldpond_placement_placed_total 1"))
+	is.True(strings.Contains(shown["status"], "n1") && strings.Contains(shown["claims"], "1 rows"))
+	for _, secret := range []string{secretCluster, secretKey, secretWrong, secretPrompt, secretBooking, secretAnswer} {
+		for place, text := range shown {
+			if strings.Contains(text, secret) || strings.Contains(text, hex.EncodeToString([]byte(secret))) {
+				t.Errorf("%q shows in %s", secret, place)
+			}
+		}
+	}
+}
--- a/cmd/fieldpond/statustable.go
+++ b/cmd/fieldpond/statustable.go
@@ -60,7 +60,7 @@
 	t.row("\nMEMBER", "ZONE", "STATE", "VERSION", "ADDRESS")
 	for _, member := range report.Routers[0].Members {
 		version := fmt.Sprint(member.FleetVersion)
-		if member.FleetVersion < report.FleetVersion {
+		if isLive(member) && member.FleetVersion < report.FleetVersion {
 			version += " (lags)"
 		}
 		t.row(member.Node, member.Zone, member.State, version, member.Address)
--- a/internal/api/errors.go
+++ b/internal/api/errors.go
@@ -58,6 +58,7 @@
 		seconds := int64((after + time.Second - 1) / time.Second)
 		writer.Header().Set("Retry-After", strconv.FormatInt(seconds, 10))
 	}
+	s.config.OnFault(failure)
 	writeJSON(writer, failure.Kind.Status(), s.errorBody(failure))
 }
 
--- a/internal/api/server.go
+++ b/internal/api/server.go
@@ -90,6 +90,9 @@
 	BufferedChunks int
 	// RetryAfter is told to callers when nothing better is known. Default: 1s.
 	RetryAfter time.Duration
+	// OnFault is told of every fault that a caller was answered with. It must not
+	// block. Default: nobody is told.
+	OnFault func(*fault.Fault)
 	// Node is this router.
 	Node ident.Node
 	// KeepStream tells another router that the caller of one of its streams has
@@ -131,6 +134,9 @@
 	orDefault(&c.WriteTimeout, defaultWriteTimeout)
 	orDefault(&c.BufferedChunks, defaultBufferedChunks)
 	orDefault(&c.RetryAfter, defaultRetryAfter)
+	if c.OnFault == nil {
+		c.OnFault = func(*fault.Fault) {}
+	}
 	return c
 }
 
--- a/internal/api/stream.go
+++ b/internal/api/stream.go
@@ -138,6 +138,7 @@
 		s.start()
 	}
 	if err != nil {
+		s.server.config.OnFault(fault.From(err))
 		_ = s.push(frame("error", "", s.server.errorBody(fault.From(err))))
 	} else {
 		// The id is that of the last chunk: resuming there brings the end again.
--- a/internal/placement/reading.go
+++ b/internal/placement/reading.go
@@ -6,6 +6,7 @@
 
 	"github.com/fieldpond/fieldpond/internal/admission"
 	"github.com/fieldpond/fieldpond/internal/prefix/beliefs"
+	"github.com/fieldpond/fieldpond/internal/prefix/directory"
 	"github.com/fieldpond/fieldpond/internal/routing/framework"
 )
 
@@ -21,6 +22,8 @@
 	Decisions Counters
 	Queue     admission.Counters
 	Beliefs   beliefs.Counters
+	// Directory is zero while the fleet is small enough to do without.
+	Directory directory.Counters
 }
 
 // Read returns the core's state.
@@ -33,6 +36,9 @@
 		Queue:     c.config.Queue.Counters(),
 		Beliefs:   c.config.Beliefs.Counters(),
 	}
+	if c.directory != nil {
+		reading.Directory = c.directory.Counters()
+	}
 	for _, job := range c.waiting {
 		reading.Waiting[job.Request.Priority]++
 	}
--- a/internal/router/peers.go
+++ b/internal/router/peers.go
@@ -73,6 +73,7 @@
 	if err != nil {
 		return nil, err
 	}
+	r.peerServer = server
 	if err := peer.Handle(server, methodFleetHead, r.serveHead); err != nil {
 		return nil, err
 	}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -53,21 +53,22 @@
 
 // Router is one router process.
 type Router struct {
-	settings  *settings.Settings
-	telemetry *telemetry.Registry
-	life      *statechart.Instance
-	platform  *platform.HTTPClient
-	engines   *engine.HTTPClient
-	members   *membership.Node
-	peers     *peer.Client
-	keeper    *fleet.Keeper
-	claims    *claim.Keeper
-	duty      *placement.Duty
-	placer    *placer
-	apps      *applicationPlacer
-	appPoller *endpoint.Poller
-	poller    *endpoint.Poller
-	streams   *streamReaders
+	settings   *settings.Settings
+	telemetry  *telemetry.Registry
+	life       *statechart.Instance
+	platform   *platform.HTTPClient
+	engines    *engine.HTTPClient
+	members    *membership.Node
+	peers      *peer.Client
+	peerServer *peer.Server
+	keeper     *fleet.Keeper
+	claims     *claim.Keeper
+	duty       *placement.Duty
+	placer     *placer
+	apps       *applicationPlacer
+	appPoller  *endpoint.Poller
+	poller     *endpoint.Poller
+	streams    *streamReaders
 	// directoryMessages are on their way to other routers.
 	directoryMessages *directorySender
 	dispatch          *dispatch.Dispatcher
@@ -194,7 +195,8 @@
 		MaxHeaderBytes: r.settings.Limits.MaxHeaderBytes,
 		Node:           ident.Node(r.settings.Node),
 		KeepStream:     r.keepStream,
-	}, catalogs{r.keeper.Current}, &runner{r.dispatch, newTenantRates(r.keeper.Current), r.telemetry}, sealer, r.state)
+		OnFault:        r.telemetry.Refused,
+	}, catalogs{r.keeper.Current}, &runner{r.dispatch, newTenantRates(r.keeper.Current)}, sealer, r.state)
 	return nil
 }
 
--- a/internal/router/runner.go
+++ b/internal/router/runner.go
@@ -7,50 +7,31 @@
 
 	"github.com/fieldpond/fieldpond/internal/admission"
 	"github.com/fieldpond/fieldpond/internal/dispatch"
-	"github.com/fieldpond/fieldpond/internal/fault"
 	"github.com/fieldpond/fieldpond/internal/fleet"
 	"github.com/fieldpond/fieldpond/internal/ident"
-	"github.com/fieldpond/fieldpond/internal/telemetry"
 )
 
-// runner implements api.Runner: it keeps each tenant to its rate, counts every
-// fault by kind, and leaves the rest to dispatch.
+// runner implements api.Runner: it keeps each tenant to its rate and leaves the
+// rest to dispatch.
 type runner struct {
 	*dispatch.Dispatcher
-	rates     *tenantRates
-	telemetry *telemetry.Registry
+	rates *tenantRates
 }
 
 // Run implements api.Runner.
 func (r *runner) Run(ctx context.Context, job *dispatch.Job, sink dispatch.Sink) (dispatch.Completion, error) {
 	if refusal := r.rates.admit(job.Tenant, job.ID); refusal != nil {
-		return dispatch.Completion{}, r.counted(refusal)
+		return dispatch.Completion{}, refusal
 	}
-	completion, err := r.Dispatcher.Run(ctx, job, sink)
-	return completion, r.counted(err)
-}
-
-// Resume implements api.Runner.
-func (r *runner) Resume(ctx context.Context, job dispatch.ResumeJob, sink dispatch.Sink) (dispatch.Completion, error) {
-	completion, err := r.Dispatcher.Resume(ctx, job, sink)
-	return completion, r.counted(err)
+	return r.Dispatcher.Run(ctx, job, sink)
 }
 
 // RunApplication implements api.Runner.
 func (r *runner) RunApplication(ctx context.Context, job *dispatch.ApplicationJob) (dispatch.Answer, error) {
 	if refusal := r.rates.admit(job.Tenant, job.ID); refusal != nil {
-		return dispatch.Answer{}, r.counted(refusal)
-	}
-	answer, err := r.Dispatcher.RunApplication(ctx, job)
-	return answer, r.counted(err)
-}
-
-func (r *runner) counted(err error) error {
-	if err == nil {
-		return nil
+		return dispatch.Answer{}, refusal
 	}
-	r.telemetry.Refused(fault.From(err))
-	return err
+	return r.Dispatcher.RunApplication(ctx, job)
 }
 
 // tenantRates keeps one rate limiter for each tenant that has a limit.
