--- a/cmd/fieldpond/statustable.go
+++ b/cmd/fieldpond/statustable.go
@@ -12,8 +12,8 @@
 )
 
 const (
-	// shownIncarnation is how much of an incarnation the table shows; the rest
-	// only serves to make it unique.
+	// shownIncarnation is how many characters of an incarnation the table shows:
+	// the last ones, since it begins with the time of the start.
 	shownIncarnation = 8
 	// nothing stands for an empty cell.
 	nothing = "-"
@@ -101,7 +101,7 @@
 	if incarnation == "" {
 		return nothing
 	}
-	return incarnation[:min(len(incarnation), shownIncarnation)]
+	return incarnation[max(0, len(incarnation)-shownIncarnation):]
 }
 
 func limitText(limit int) string {
--- a/internal/api/errors.go
+++ b/internal/api/errors.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"net/http"
 	"strconv"
@@ -53,12 +54,20 @@
 	return 0
 }
 
-func (s *Server) writeFault(writer http.ResponseWriter, failure *fault.Fault) {
+// tell reports a fault that a caller is answered with. One who has left is not
+// answered: what was cut short for that is no refusal.
+func (s *Server) tell(caller context.Context, failure *fault.Fault) {
+	if caller.Err() == nil {
+		s.config.OnFault(failure)
+	}
+}
+
+func (s *Server) writeFault(writer http.ResponseWriter, request *http.Request, failure *fault.Fault) {
 	if after := s.retryAfter(failure); after > 0 {
 		seconds := int64((after + time.Second - 1) / time.Second)
 		writer.Header().Set("Retry-After", strconv.FormatInt(seconds, 10))
 	}
-	s.config.OnFault(failure)
+	s.tell(request.Context(), failure)
 	writeJSON(writer, failure.Kind.Status(), s.errorBody(failure))
 }
 
--- a/internal/api/server.go
+++ b/internal/api/server.go
@@ -201,7 +201,7 @@
 			err = handler(opened)
 		}
 		if err != nil {
-			s.writeFault(writer, fault.From(err))
+			s.writeFault(writer, request, fault.From(err))
 		}
 	}
 }
@@ -223,7 +223,7 @@
 }
 
 func (s *Server) unknownRoute(writer http.ResponseWriter, request *http.Request) {
-	s.writeFault(writer, fault.New(fault.UnknownRoute, "there is no route for this method (%.10q) and path", request.Method))
+	s.writeFault(writer, request, fault.New(fault.UnknownRoute, "there is no route for this method (%.10q) and path", request.Method))
 }
 
 // service returns a service of the wanted kind that the tenant may use.
--- a/internal/api/stream.go
+++ b/internal/api/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"net/http"
 	"sync"
@@ -28,6 +29,8 @@
 	form   form
 	tenant ident.Tenant
 	writer http.ResponseWriter
+	// caller ends when the caller leaves.
+	caller context.Context
 
 	started bool
 	// named says that the caller knows the role of the answer.
@@ -44,6 +47,7 @@
 		form:   answer,
 		tenant: e.tenant,
 		writer: e.writer,
+		caller: e.request.Context(),
 		frames: make(chan []byte, e.server.config.BufferedChunks),
 		failed: make(chan struct{}),
 	}
@@ -138,7 +142,7 @@
 		s.start()
 	}
 	if err != nil {
-		s.server.config.OnFault(fault.From(err))
+		s.server.tell(s.caller, fault.From(err))
 		_ = s.push(frame("error", "", s.server.errorBody(fault.From(err))))
 	} else {
 		// The id is that of the last chunk: resuming there brings the end again.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -295,7 +295,6 @@
 	r.streams.Set(ctx, r.ownStreams(compiled))
 	r.announceFleet(ctx, compiled)
 	r.fire(statechart.RouterEventReady)
-	log.WithField("version", compiled.Version).Info("fleet file in force")
 }
 
 // pollApplications reads the load reports of applications until ctx ends.
