--- a/internal/placement/duty.go
+++ b/internal/placement/duty.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/fieldpond/fieldpond/internal/endpoint"
@@ -44,9 +45,12 @@
 // of attempts, changes of the fleet file) and inputs that a later one replaces
 // (cache events) come through separate bounded rings.
 type Duty struct {
-	config   DutyConfig
-	core     *Core
-	poller   *endpoint.Poller
+	config DutyConfig
+	core   *Core
+	poller *endpoint.Poller
+	// targets is the newest fleet file's list until it is taken in. It must not
+	// be lost, however full the rings are.
+	targets  atomic.Pointer[[]endpoint.Target]
 	commands *ring.Ring[command]
 	news     *ring.Ring[command]
 	// replies is used by the goroutine of the duty only.
@@ -116,10 +120,16 @@
 
 // drain runs every waiting input, those that must not be lost first.
 func (d *Duty) drain() {
+	if targets := d.targets.Swap(nil); targets != nil {
+		d.apply(d.core.Configure(time.Now(), *targets))
+	}
 	for run, ok := d.commands.Pop(); ok; run, ok = d.commands.Pop() {
 		d.apply(run(time.Now()))
 	}
 	for answer, ok := d.poller.Answers().Pop(); ok; answer, ok = d.poller.Answers().Pop() {
+		if !d.core.Registry().At(answer.Engine, answer.Address) {
+			continue
+		}
 		if answer.Err != nil {
 			d.apply(d.core.ReportFailed(time.Now(), answer.Engine))
 			continue
@@ -200,6 +210,14 @@
 	})
 }
 
+// FirstToken reports that an engine has prefilled an attempt's prompt.
+func (d *Duty) FirstToken(key endpoint.AttemptKey) {
+	d.news.Push(func(now time.Time) Effects {
+		d.core.FirstToken(now, key)
+		return Effects{}
+	})
+}
+
 // Ended reports the end of an attempt; it is called exactly once for each place.
 func (d *Duty) Ended(key endpoint.AttemptKey, result Result) {
 	d.commands.Push(func(now time.Time) Effects { return d.core.Ended(now, key, result) })
@@ -207,7 +225,9 @@
 
 // Configure takes over the engines of a fleet file.
 func (d *Duty) Configure(targets []endpoint.Target) {
-	d.commands.Push(func(now time.Time) Effects { return d.core.Configure(now, targets) })
+	d.targets.Store(&targets)
+	// A full ring refuses this, and then has enough in it to wake the duty.
+	d.commands.Push(func(time.Time) Effects { return Effects{} })
 }
 
 // LeavingSeen reports a sign that an engine is leaving.
