--- a/cmd/fieldpond/statustable.go
+++ b/cmd/fieldpond/statustable.go
@@ -12,8 +12,8 @@
 )
 
 const (
-	// shownIncarnation is how much of an incarnation the table shows; the rest
-	// only serves to make it unique.
+	// shownIncarnation is how many characters of an incarnation the table shows:
+	// the last ones, since it begins with the time of the start.
 	shownIncarnation = 8
 	// nothing stands for an empty cell.
 	nothing = "-"
@@ -60,7 +60,7 @@
 	t.row("\nMEMBER", "ZONE", "STATE", "VERSION", "ADDRESS")
 	for _, member := range report.Routers[0].Members {
 		version := fmt.Sprint(member.FleetVersion)
-		if member.FleetVersion < report.FleetVersion {
+		if isLive(member) && member.FleetVersion < report.FleetVersion {
 			version += " (lags)"
 		}
 		t.row(member.Node, member.Zone, member.State, version, member.Address)
@@ -101,7 +101,7 @@
 	if incarnation == "" {
 		return nothing
 	}
-	return incarnation[:min(len(incarnation), shownIncarnation)]
+	return incarnation[max(0, len(incarnation)-shownIncarnation):]
 }
 
 func limitText(limit int) string {
