--- a/internal/dispatch/generation.go
+++ b/internal/dispatch/generation.go
@@ -178,7 +178,7 @@
 	g.ledger.Left()
 	g.chart.Fire(EventAttemptSent)
 	g.dispatcher.Counters.Attempts.Add(1)
-	stream, err := g.dispatcher.open(ctx, func(ctx context.Context) (engine.EventStream, error) {
+	stream, err := g.dispatcher.open(ctx, g.dispatcher.config.StartTimeout, func(ctx context.Context) (engine.EventStream, error) {
 		return g.dispatcher.Engines.Generate(ctx, a.placement.Address, a.request())
 	})
 	if err != nil {
@@ -265,6 +265,7 @@
 	case protocol.EventChunk:
 		if a.result.TimeToFirstToken == 0 {
 			a.result.TimeToFirstToken = time.Since(a.sentAt)
+			a.reportFirstToken()
 		}
 		text = event.Text
 		g.emitted.WriteString(text)
@@ -282,6 +283,13 @@
 	}
 }
 
+// reportFirstToken tells whoever placed the attempt that its prefill is done.
+func (a *attempt) reportFirstToken() {
+	if a.placement.FirstToken != nil {
+		a.placement.FirstToken()
+	}
+}
+
 // onStarted records that the engine executes the request.
 func (a *attempt) onStarted() {
 	g := a.generation
--- a/internal/placement/core.go
+++ b/internal/placement/core.go
@@ -81,6 +81,7 @@
 type flight struct {
 	job         *Job
 	engine      ident.Engine
+	address     string
 	incarnation ident.Incarnation
 	version     ident.ModelVersion
 	// credit is the number of prompt tokens believed cached at dispatch.
@@ -115,8 +116,9 @@
 	// attempts asked for, were believed to find cached, and found.
 	PromptTokens, CreditedTokens, CachedTokens uint64
 	// BeliefHigh counts answers that found fewer cached tokens than believed,
-	// by more than one block; BeliefLow those that found more.
-	BeliefHigh, BeliefLow uint64
+	// by more than one block; BeliefLow those that found more; BeliefRight the
+	// others.
+	BeliefHigh, BeliefLow, BeliefRight uint64
 }
 
 // New returns a core that knows no engine.
@@ -228,6 +230,9 @@
 func (c *Core) CacheEvents(now time.Time, engine ident.Engine, batch protocol.CacheEventBatch) {
 	c.heard(engine, batch.Incarnation)
 	c.config.Beliefs.Events(now, engine, batch)
+	if c.directory != nil {
+		c.effects.Messages = append(c.effects.Messages, c.directory.Events(now, engine, batch)...)
+	}
 }
 
 // CacheSnapshot takes in the whole state of an engine's cache.
--- a/internal/placement/decide.go
+++ b/internal/placement/decide.go
@@ -59,7 +59,7 @@
 	chosen.Endpoint = &copied
 	delete(c.waiting, job.Request.ID)
 	c.flights[job.Key] = &flight{
-		job: job, engine: copied.Engine, incarnation: copied.Incarnation,
+		job: job, engine: copied.Engine, address: copied.Address, incarnation: copied.Incarnation,
 		version: chosen.Version, credit: chosen.CreditTokens,
 	}
 	uncached := max(0, job.Request.PromptTokens-int(chosen.CreditTokens))
@@ -102,6 +102,16 @@
 		c.Counters.BeliefHigh++
 	case difference < -tolerance:
 		c.Counters.BeliefLow++
+	default:
+		c.Counters.BeliefRight++
+	}
+}
+
+// FirstToken takes in that an engine has prefilled an attempt's prompt: it
+// proves that all the engine had to prefill before is done as well.
+func (c *Core) FirstToken(now time.Time, key endpoint.AttemptKey) {
+	if flight := c.flights[key]; flight != nil {
+		c.registry.FirstToken(now, flight.engine, key)
 	}
 }
 
@@ -121,19 +131,23 @@
 	Duration time.Duration
 }
 
-// Ended takes in the end of an attempt.
+// Ended takes in the end of an attempt. The zero Result is a place that was
+// handed back unused.
 func (c *Core) Ended(now time.Time, key endpoint.AttemptKey, result Result) Effects {
 	flight := c.flights[key]
 	if flight == nil {
 		return c.pump(now)
 	}
 	delete(c.flights, key)
-	c.registry.Ended(flight.engine, key)
+	if !c.registry.At(flight.engine, flight.address) {
+		return c.pump(now)
+	}
+	c.registry.Ended(now, flight.engine, key)
 	c.changed(c.registry.SeenIncarnation(flight.engine, result.Incarnation))
 	if limiter := c.limiters[flight.engine]; limiter != nil {
 		limiter.Finished(now, sampleOf(result))
 	}
-	if result.Unreachable || result.Refusal != "" {
+	if result.Unreachable || result.Refusal != "" || result == (Result{}) {
 		chain := flight.job.Request.Chains[flight.version]
 		c.config.Beliefs.Refused(flight.engine, flight.incarnation, chain)
 	}
