--- a/proofs/notrun_test.go
+++ b/proofs/notrun_test.go
@@ -150,7 +150,7 @@
 	t.Parallel()
 	is := is.New(t)
 	c := harness.Start(t, harness.Shape{
-		Engines: 2, EngineArgs: []string{"--max-running", "1", "--max-waiting", "1", "--token-millis", "5"},
+		Engines: 2, Relayed: true, EngineArgs: []string{"--max-running", "1", "--max-waiting", "1", "--token-millis", "5"},
 		Edit: func(document *fleet.Document) { document.Classes[0].MaxHold = 400 * time.Millisecond },
 	})
 	caller := c.NewCaller(harness.TenantA)
@@ -166,6 +166,15 @@
 		told := caller.Stream(t.Context(), c.RouterURLs()[number%2], harness.Ask{Prompt: prompt("full", number), MaxTokens: 40})
 		is.Equal(told.Ran(), fault.RanNo)
 	})
+	// The generation begins, and its first word is lost on the way.
+	for _, name := range c.Engines {
+		c.ClearFaults(name)
+		c.Relay(name).Arm(harness.Cut{Match: "POST /v1/generate", Direction: harness.ToRouter, Action: harness.Reset, Times: 100})
+	}
+	together(6, func(number int) {
+		told := caller.Stream(t.Context(), c.RouterURLs()[number%2], harness.Ask{Prompt: prompt("cut", number), MaxTokens: 40})
+		is.True(told.Refusal != nil)
+	})
 	began := map[ident.Request]bool{}
 	for _, record := range allTruth(c) {
 		if record.Kind == truth.Started {
