--- a/cmd/rehearse/subcommands.go
+++ b/cmd/rehearse/subcommands.go
@@ -8,7 +8,9 @@
 		newEngineCommand(),
 		newLoadCommand(),
 		newPlanCommand(),
+		newOverheadCommand(),
 		newApplicationCommand(),
 		newPlatformCommand(),
+		newExperimentCommand(),
 	}
 }
--- a/internal/endpoint/registry.go
+++ b/internal/endpoint/registry.go
@@ -14,16 +14,13 @@
 	"github.com/fieldpond/fieldpond/internal/engine/protocol"
 	"github.com/fieldpond/fieldpond/internal/ident"
 	"github.com/fieldpond/fieldpond/internal/routing/framework"
+	"github.com/fieldpond/fieldpond/internal/routing/load"
 )
 
 // failuresUntilDead is the number of consecutive failed reports after which an
 // engine is believed dead. One lost report must not empty a cache belief.
 const failuresUntilDead = 3
 
-// leavingMemory is how long a sign of leaving outlives a lack of reports that
-// confirm it. A new incarnation ends it at once.
-const leavingMemory = 2 * time.Minute
-
 // retiredMemory is the number of past incarnations whose late answers are
 // recognised, so that they cannot pass for a new life.
 const retiredMemory = 8
@@ -83,36 +80,29 @@
 
 // state is what is known of one engine.
 type state struct {
-	target        Target
-	stale         bool
-	incarnation   ident.Incarnation
-	retired       []ident.Incarnation
-	reported      bool
-	alive         bool
-	failures      int
-	leavingUntil  time.Time
-	report        protocol.LoadReport
-	reportTrueAt  time.Time
-	loaded        []framework.LoadedModel
-	attempts      map[AttemptKey]*attempt
-	ownInFlight   int
+	target      Target
+	stale       bool
+	incarnation ident.Incarnation
+	retired     []ident.Incarnation
+	// retiredReports counts reports of past incarnations since the last of the
+	// present one.
+	retiredReports int
+	reported       bool
+	alive          bool
+	failures       int
+	leavingUntil   time.Time
+	listedLeaving  bool
+	role           string
+	loaded         []framework.LoadedModel
+	// queue estimates the engine's queue; a new life starts with a new one.
+	queue         *load.Tracker
 	limit         int
 	lastCandidate time.Time
 	lastAsked     time.Time
 }
 
 // AttemptKey identifies one attempt of one request.
-type AttemptKey struct {
-	Request ident.Request
-	Attempt ident.Attempt
-}
-
-// attempt is one of this router's own attempts on an engine.
-type attempt struct {
-	sentAt        time.Time
-	prefillTokens int
-	prefilled     bool
-}
+type AttemptKey = load.AttemptKey
 
 // NewRegistry returns a registry that knows no engine.
 func NewRegistry() *Registry {
@@ -127,7 +117,7 @@
 	for _, target := range targets {
 		known := r.engines[target.Engine]
 		if known == nil || known.target.Address != target.Address {
-			known = &state{attempts: make(map[AttemptKey]*attempt)}
+			known = &state{queue: load.NewTracker(target.PrefillPerToken)}
 		}
 		known.target = target
 		next[target.Engine] = known
@@ -168,19 +158,19 @@
 	if known == nil {
 		return nil
 	}
-	if slices.Contains(known.retired, report.Incarnation) {
+	if slices.Contains(known.retired, report.Incarnation) && !known.returned() {
 		return nil
 	}
+	known.retiredReports = 0
 	changes := known.live(engine, report.Incarnation)
-	trueAt := now.Add(-time.Duration(report.AgeMillis) * time.Millisecond)
 	loaded := convertLoaded(report.Loaded)
 	if !equalLoaded(loaded, known.loaded) {
 		changes = append(changes, Change{ChangeLoaded, engine, report.Incarnation})
 	}
 	known.loaded = loaded
-	known.report = report
+	known.role = report.Role
+	known.queue.Report(now, report)
 	known.reported = true
-	known.reportTrueAt = trueAt
 	if report.Leaving {
 		changes = append(changes, known.leaving(now, engine)...)
 	}
@@ -220,18 +210,10 @@
 	return known.live(engine, incarnation)
 }
 
-// LeavingSeen takes in a sign that the engine is leaving: its own refusal, the
-// machine list, or another router's word. An incarnation other than the
-// engine's known one makes the sign void; an empty one always counts.
-func (r *Registry) LeavingSeen(now time.Time, engine ident.Engine, incarnation ident.Incarnation) []Change {
-	known := r.find(engine)
-	if known == nil {
-		return nil
-	}
-	if incarnation != "" && known.incarnation != "" && incarnation != known.incarnation {
-		return nil
-	}
-	return known.leaving(now, engine)
+// Dead reports whether the engine answered once and is believed dead now.
+func (r *Registry) Dead(engine ident.Engine) bool {
+	known := r.engines[engine]
+	return known != nil && known.incarnation != "" && !known.alive
 }
 
 // SetLimit sets the limit on this router's own attempts on the engine.
@@ -247,29 +229,28 @@
 	if known == nil {
 		return
 	}
-	known.attempts[key] = &attempt{sentAt: now, prefillTokens: prefillTokens}
-	known.ownInFlight++
+	known.queue.Dispatched(now, key, float64(prefillTokens))
 }
 
 // FirstToken takes in that the engine has prefilled the attempt's prompt.
-func (r *Registry) FirstToken(engine ident.Engine, key AttemptKey) {
-	known := r.find(engine)
-	if known == nil {
-		return
-	}
-	if own := known.attempts[key]; own != nil {
-		own.prefilled = true
+func (r *Registry) FirstToken(now time.Time, engine ident.Engine, key AttemptKey) {
+	if known := r.find(engine); known != nil {
+		known.queue.FirstToken(now, key)
 	}
 }
 
 // Ended takes in that an attempt is over, however it ended.
-func (r *Registry) Ended(engine ident.Engine, key AttemptKey) {
-	known := r.find(engine)
-	if known == nil || known.attempts[key] == nil {
-		return
+func (r *Registry) Ended(now time.Time, engine ident.Engine, key AttemptKey) {
+	if known := r.find(engine); known != nil {
+		known.queue.Finished(now, key)
 	}
-	delete(known.attempts, key)
-	known.ownInFlight--
+}
+
+// At reports whether the fleet file in force has the engine at this address.
+// What is heard from another one tells nothing about the engine.
+func (r *Registry) At(engine ident.Engine, address string) bool {
+	known := r.engines[engine]
+	return known != nil && known.target.Address == address
 }
 
 // Incarnation returns the engine's known incarnation, empty when unknown.
@@ -295,7 +276,7 @@
 // InFlight returns the number of this router's own attempts on the engine.
 func (r *Registry) InFlight(engine ident.Engine) int {
 	if known := r.engines[engine]; known != nil {
-		return known.ownInFlight
+		return known.queue.InFlight()
 	}
 	return 0
 }
@@ -333,9 +314,8 @@
 	s.leavingUntil = time.Time{}
 	s.reported = false
 	s.loaded = nil
-	s.report = protocol.LoadReport{}
-	s.attempts = make(map[AttemptKey]*attempt)
-	s.ownInFlight = 0
+	s.role = ""
+	s.queue = load.NewTracker(s.target.PrefillPerToken)
 	return []Change{{ChangeIncarnation, engine, incarnation}}
 }
 
@@ -350,6 +330,18 @@
 	}
 }
 
+// returned counts a report of a past incarnation, and reports whether there
+// were so many in a row that it is the present one after all: two lives were
+// heard of in the wrong order. Without this the engine would be lost for good.
+func (s *state) returned() bool {
+	s.retiredReports++
+	if s.retiredReports < failuresUntilDead {
+		return false
+	}
+	s.retired = nil
+	return true
+}
+
 func (s *state) dead(engine ident.Engine) []Change {
 	if !s.alive {
 		return nil
@@ -358,17 +350,8 @@
 	return []Change{{ChangeDead, engine, s.incarnation}}
 }
 
-func (s *state) leaving(now time.Time, engine ident.Engine) []Change {
-	already := now.Before(s.leavingUntil)
-	s.leavingUntil = now.Add(leavingMemory)
-	if already {
-		return nil
-	}
-	return []Change{{ChangeLeaving, engine, s.incarnation}}
-}
-
 func (s *state) endpoint(now time.Time) framework.Endpoint {
-	role := s.report.Role
+	role := s.role
 	if role == "" {
 		role = roleMixed
 	}
@@ -378,13 +361,20 @@
 		Zone:        s.target.Zone,
 		Incarnation: s.incarnation,
 		Alive:       s.alive && s.reported,
-		Leaving:     s.target.Leaving || now.Before(s.leavingUntil),
+		Leaving:     s.target.Leaving || s.listedLeaving || now.Before(s.leavingUntil),
 		Role:        role,
 		Loaded:      s.loaded,
 		Load:        s.load(now),
 	}
 }
 
+// load estimates the engine's queue as of now.
+func (s *state) load(now time.Time) framework.Load {
+	estimate := s.queue.Load(now)
+	estimate.ConcurrencyLimit = s.limit
+	return estimate
+}
+
 // roleMixed is the role of an engine that both prefills and decodes.
 const roleMixed = "mixed"
 
--- a/internal/placement/duty.go
+++ b/internal/placement/duty.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/fieldpond/fieldpond/internal/endpoint"
 	"github.com/fieldpond/fieldpond/internal/engine/protocol"
 	"github.com/fieldpond/fieldpond/internal/fault"
 	"github.com/fieldpond/fieldpond/internal/ident"
+	"github.com/fieldpond/fieldpond/internal/membership"
+	"github.com/fieldpond/fieldpond/internal/prefix/directory"
 	"github.com/fieldpond/fieldpond/internal/ring"
 )
 
@@ -27,6 +30,9 @@
 	// OnSnapshotWanted is called, in the goroutine of the duty, when a cache
 	// snapshot of an engine is to be read. It must not block.
 	OnSnapshotWanted func(ident.Engine)
+	// OnMessage is called, in the goroutine of the duty, for every message to
+	// another router's directory. It must not block.
+	OnMessage func(directory.Envelope)
 }
 
 // overloadedRetryAfter is told to callers when the duty's ring is full.
@@ -39,9 +45,12 @@
 // of attempts, changes of the fleet file) and inputs that a later one replaces
 // (cache events) come through separate bounded rings.
 type Duty struct {
-	config   DutyConfig
-	core     *Core
-	poller   *endpoint.Poller
+	config DutyConfig
+	core   *Core
+	poller *endpoint.Poller
+	// targets is the newest fleet file's list until it is taken in. It must not
+	// be lost, however full the rings are.
+	targets  atomic.Pointer[[]endpoint.Target]
 	commands *ring.Ring[command]
 	news     *ring.Ring[command]
 	// replies is used by the goroutine of the duty only.
@@ -55,7 +64,7 @@
 	fault  *fault.Fault
 }
 
-// newsPerOpen is the capacity of the ring of replaceable inputs.
+// newsCapacity is the capacity of the ring of replaceable inputs.
 const newsCapacity = 4096
 
 // commandsPerJob is how many commands one open job may have waiting: offer,
@@ -111,10 +120,16 @@
 
 // drain runs every waiting input, those that must not be lost first.
 func (d *Duty) drain() {
+	if targets := d.targets.Swap(nil); targets != nil {
+		d.apply(d.core.Configure(time.Now(), *targets))
+	}
 	for run, ok := d.commands.Pop(); ok; run, ok = d.commands.Pop() {
 		d.apply(run(time.Now()))
 	}
 	for answer, ok := d.poller.Answers().Pop(); ok; answer, ok = d.poller.Answers().Pop() {
+		if !d.core.Registry().At(answer.Engine, answer.Address) {
+			continue
+		}
 		if answer.Err != nil {
 			d.apply(d.core.ReportFailed(time.Now(), answer.Engine))
 			continue
@@ -141,6 +156,9 @@
 	for _, change := range effects.Changes {
 		d.config.OnChange(change)
 	}
+	for _, message := range effects.Messages {
+		d.config.OnMessage(message)
+	}
 }
 
 func (d *Duty) reply(key endpoint.AttemptKey, word reply) {
@@ -192,6 +210,14 @@
 	})
 }
 
+// FirstToken reports that an engine has prefilled an attempt's prompt.
+func (d *Duty) FirstToken(key endpoint.AttemptKey) {
+	d.news.Push(func(now time.Time) Effects {
+		d.core.FirstToken(now, key)
+		return Effects{}
+	})
+}
+
 // Ended reports the end of an attempt; it is called exactly once for each place.
 func (d *Duty) Ended(key endpoint.AttemptKey, result Result) {
 	d.commands.Push(func(now time.Time) Effects { return d.core.Ended(now, key, result) })
@@ -199,7 +225,9 @@
 
 // Configure takes over the engines of a fleet file.
 func (d *Duty) Configure(targets []endpoint.Target) {
-	d.commands.Push(func(now time.Time) Effects { return d.core.Configure(now, targets) })
+	d.targets.Store(&targets)
+	// A full ring refuses this, and then has enough in it to wake the duty.
+	d.commands.Push(func(time.Time) Effects { return Effects{} })
 }
 
 // LeavingSeen reports a sign that an engine is leaving.
@@ -207,6 +235,25 @@
 	d.commands.Push(func(now time.Time) Effects { return d.core.LeavingSeen(now, engine, incarnation) })
 }
 
+// DirectoryMessage reports a message of another router's directory.
+func (d *Duty) DirectoryMessage(from ident.Node, message directory.Message) {
+	d.news.Push(func(now time.Time) Effects { return d.core.DirectoryMessage(now, from, message) })
+}
+
+// SetView reports which routers there are.
+func (d *Duty) SetView(view membership.View) {
+	d.commands.Push(func(time.Time) Effects {
+		d.core.SetView(view)
+		return Effects{}
+	})
+}
+
+// Listed reports a machine list: for each engine, whether its machine leaves.
+// The map must not be changed afterwards.
+func (d *Duty) Listed(leaving map[ident.Engine]bool) {
+	d.commands.Push(func(now time.Time) Effects { return d.core.Listed(now, leaving) })
+}
+
 // CacheEvents reports a batch of cache events.
 func (d *Duty) CacheEvents(engine ident.Engine, batch protocol.CacheEventBatch) {
 	d.news.Push(func(now time.Time) Effects {
@@ -226,20 +273,25 @@
 	})
 }
 
-// Inspect runs read in the goroutine of the duty and waits for it.
-func (d *Duty) Inspect(ctx context.Context, read func(now time.Time, core *Core)) error {
-	finished := make(chan struct{})
-	d.commands.Push(func(now time.Time) Effects {
-		read(now, d.core)
-		close(finished)
+// Read returns the state of the core. It waits for the goroutine of the duty,
+// at most until ctx ends.
+func (d *Duty) Read(ctx context.Context) (Reading, error) {
+	// The buffer lets the duty go on when the reader has left.
+	answer := make(chan Reading, 1)
+	asked := d.commands.Push(func(now time.Time) Effects {
+		answer <- d.core.Read(now)
 		return Effects{}
 	})
+	if !asked {
+		return Reading{}, fault.New(fault.Overloaded, "the placement duty has too many inputs waiting").
+			WithRetryAfter(overloadedRetryAfter)
+	}
 	select {
-	case <-finished:
-		return nil
+	case reading := <-answer:
+		return reading, nil
 	case <-ctx.Done():
-		return fault.Wrap(ctx.Err(), fault.Timeout, "the placement duty did not answer")
+		return Reading{}, fault.Wrap(ctx.Err(), fault.Timeout, "the placement duty did not answer")
 	case <-d.done:
-		return fault.New(fault.Leaving, "this router has stopped")
+		return Reading{}, fault.New(fault.Leaving, "this router has stopped")
 	}
 }
--- a/internal/router/peers.go
+++ b/internal/router/peers.go
@@ -73,12 +73,16 @@
 	if err != nil {
 		return nil, err
 	}
+	r.peerServer = server
 	if err := peer.Handle(server, methodFleetHead, r.serveHead); err != nil {
 		return nil, err
 	}
 	if err := peer.Handle(server, methodFleetBody, r.serveBody); err != nil {
 		return nil, err
 	}
+	if err := peer.Handle(server, methodDirectory, r.serveDirectory); err != nil {
+		return nil, err
+	}
 	return server, peer.Handle(server, methodStreamKeep, r.serveKeep)
 }
 
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -24,6 +24,7 @@
 	"github.com/fieldpond/fieldpond/internal/placement"
 	"github.com/fieldpond/fieldpond/internal/platform"
 	"github.com/fieldpond/fieldpond/internal/prefix/beliefs"
+	"github.com/fieldpond/fieldpond/internal/prefix/directory"
 	"github.com/fieldpond/fieldpond/internal/resume"
 	"github.com/fieldpond/fieldpond/internal/routing"
 	"github.com/fieldpond/fieldpond/internal/settings"
@@ -52,24 +53,27 @@
 
 // Router is one router process.
 type Router struct {
-	settings  *settings.Settings
-	telemetry *telemetry.Registry
-	life      *statechart.Instance
-	platform  *platform.HTTPClient
-	engines   *engine.HTTPClient
-	members   *membership.Node
-	peers     *peer.Client
-	keeper    *fleet.Keeper
-	claims    *claim.Keeper
-	duty      *placement.Duty
-	placer    *placer
-	apps      *applicationPlacer
-	appPoller *endpoint.Poller
-	poller    *endpoint.Poller
-	streams   *streamReaders
-	dispatch  *dispatch.Dispatcher
-	api       *api.Server
-	work      sync.WaitGroup
+	settings   *settings.Settings
+	telemetry  *telemetry.Registry
+	life       *statechart.Instance
+	platform   *platform.HTTPClient
+	engines    *engine.HTTPClient
+	members    *membership.Node
+	peers      *peer.Client
+	peerServer *peer.Server
+	keeper     *fleet.Keeper
+	claims     *claim.Keeper
+	duty       *placement.Duty
+	placer     *placer
+	apps       *applicationPlacer
+	appPoller  *endpoint.Poller
+	poller     *endpoint.Poller
+	streams    *streamReaders
+	// directoryMessages are on their way to other routers.
+	directoryMessages *directorySender
+	dispatch          *dispatch.Dispatcher
+	api               *api.Server
+	work              sync.WaitGroup
 }
 
 // Run runs a router until ctx ends, then stops it as planned: no new work,
@@ -131,14 +135,21 @@
 	if err != nil {
 		return err
 	}
+	prefixes, err := directory.New(directory.Config{}, believed)
+	if err != nil {
+		return err
+	}
 	home := ident.Zone(r.settings.Zone)
 	core := placement.New(placement.Config{
 		Scheduler:  scheduler,
 		Beliefs:    believed,
+		Directory:  prefixes,
+		SmallFleet: smallFleet,
 		Queue:      admission.NewQueue(admission.Config{}),
 		NewLimiter: func() admission.Limiter { return admission.NewGradientLimiter(admission.LimitBounds{}) },
 		Hop:        hopFrom(home),
 	})
+	r.directoryMessages = newDirectorySender(r.peers, ident.Node(r.settings.Node), r.view)
 	r.poller = endpoint.NewPoller(r.engines, pollTimeout, pollRing)
 	r.duty = placement.NewDuty(placement.DutyConfig{
 		MaxOpen:          r.settings.Limits.MaxOpenRequests,
@@ -147,9 +158,13 @@
 		PollTick:         pollTick,
 		OnChange:         r.engineChanged,
 		OnSnapshotWanted: r.snapshotWanted,
+		OnMessage:        r.directoryMessages.push,
 	}, core, r.poller)
 	r.streams = newStreamReaders(r.engines, r.duty)
 	r.apps = newApplicationPlacer(r.keeper.Current, home)
+	r.apps.onLeaving = func(name ident.Application, incarnation ident.Incarnation) {
+		r.broadcastLeaving(string(name), incarnation)
+	}
 	r.appPoller = endpoint.NewPoller(r.engines, pollTimeout, pollRing)
 	r.placer = &placer{duty: r.duty, transfers: r.engines, current: r.keeper.Current, homeZone: home}
 	return nil
@@ -180,7 +195,8 @@
 		MaxHeaderBytes: r.settings.Limits.MaxHeaderBytes,
 		Node:           ident.Node(r.settings.Node),
 		KeepStream:     r.keepStream,
-	}, catalogs{r.keeper.Current}, &runner{r.dispatch, newTenantRates(r.keeper.Current), r.telemetry}, sealer, r.state)
+		OnFault:        r.telemetry.Refused,
+	}, catalogs{r.keeper.Current}, &runner{r.dispatch, newTenantRates(r.keeper.Current)}, sealer, r.state)
 	return nil
 }
 
@@ -201,6 +217,7 @@
 		return err
 	}
 	r.startDuties(duties)
+	r.duty.SetView(r.view())
 	server := r.api.NewHTTPServer()
 	server.Handler = routes
 	served := make(chan error, 1)
@@ -255,6 +272,9 @@
 	r.poller.Start(ctx, pollWorkers)
 	r.appPoller.Start(ctx, pollWorkers)
 	r.work.Go(func() { r.duty.Run(ctx) })
+	for range directorySenders {
+		r.work.Go(func() { r.directoryMessages.run(ctx) })
+	}
 	r.work.Go(func() { r.keeper.Run(ctx) })
 	r.work.Go(func() { r.claims.Run(ctx) })
 	r.work.Go(func() { r.pollApplications(ctx) })
@@ -263,6 +283,9 @@
 	r.work.Go(r.poller.Wait)
 	r.work.Go(r.appPoller.Wait)
 	r.registerMetrics()
+	for _, read := range r.rings() {
+		r.telemetry.RegisterRing(read)
+	}
 }
 
 // adopt puts a fleet file in force.
@@ -272,7 +295,6 @@
 	r.streams.Set(ctx, r.ownStreams(compiled))
 	r.announceFleet(ctx, compiled)
 	r.fire(statechart.RouterEventReady)
-	log.WithField("version", compiled.Version).Info("fleet file in force")
 }
 
 // pollApplications reads the load reports of applications until ctx ends.
