--- a/proofs/harness/caller.go
+++ b/proofs/harness/caller.go
@@ -101,9 +101,13 @@
 	return &Caller{Tenant: tenant, client: &http.Client{Transport: transport}}
 }
 
-// slowBufferBytes is the receive buffer of a slow caller: far less than a long
-// stream, so that the router is the one that has to wait.
-const slowBufferBytes = 4 << 10
+// The receive buffer and the segments of a slow caller are far smaller than a
+// long stream, which keeps the send buffer at the router's end small as well:
+// so the router is the one that has to wait.
+const (
+	slowBufferBytes  = 4 << 10
+	slowSegmentBytes = 536
+)
 
 // NewSlowCaller returns a caller whose connections buffer next to nothing.
 func (c *Cluster) NewSlowCaller(tenant ident.Tenant) *Caller {
@@ -111,6 +115,9 @@
 		var failed error
 		err := raw.Control(func(descriptor uintptr) {
 			failed = syscall.SetsockoptInt(int(descriptor), syscall.SOL_SOCKET, syscall.SO_RCVBUF, slowBufferBytes)
+			if failed == nil {
+				failed = syscall.SetsockoptInt(int(descriptor), syscall.IPPROTO_TCP, syscall.TCP_MAXSEG, slowSegmentBytes)
+			}
 		})
 		if err != nil {
 			return err
