--- a/proofs/harness/fleetfile.go
+++ b/proofs/harness/fleetfile.go
@@ -69,7 +69,7 @@
 				{Method: "POST", Path: Book}, {Method: "GET", Path: Slots, Repeatable: true},
 			}},
 		},
-		Tenants: []fleet.Tenant{newTenant(TenantA), newTenant(TenantB)},
+		Tenants: []fleet.Tenant{NewTenant(TenantA), NewTenant(TenantB)},
 	}
 	for index := range shape.Engines {
 		document.Engines = append(document.Engines, fleet.Engine{
@@ -88,7 +88,9 @@
 
 func zoneOf(index int) ident.Zone { return []ident.Zone{ZoneA, ZoneB}[index%2] }
 
-func newTenant(name ident.Tenant) fleet.Tenant {
+// NewTenant returns a tenant with the key KeyOf, both services and the whole
+// region.
+func NewTenant(name ident.Tenant) fleet.Tenant {
 	digest := sha256.Sum256([]byte(KeyOf(name)))
 	return fleet.Tenant{
 		Name: name, KeyHashes: []string{hex.EncodeToString(digest[:])},
--- a/proofs/streams_test.go
+++ b/proofs/streams_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"fmt"
+	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"github.com/fieldpond/fieldpond/internal/fleet"
 	"github.com/fieldpond/fieldpond/internal/ident"
 	"github.com/fieldpond/fieldpond/proofs/harness"
 	"github.com/fieldpond/fieldpond/standin/engine"
@@ -215,20 +217,26 @@
 	is.True(told.RetryAfter != "" || told.Refusal.RetryAfterMillis > 0)
 }
 
-// Promise 1: a caller that stops reading for a while loses nothing, and one
-// connection of a router that does not read does not hold the others up.
+// Promise 1: a caller that stops reading for a while loses nothing, and the
+// connection that its router cannot write to does not hold the others up. The
+// name of the tenant stands in every event id: it makes the stream larger than
+// all buffers on its way.
 func TestSlowReaderLosesNothing(t *testing.T) {
 	t.Parallel()
-	c := harness.Start(t, harness.Shape{Routers: 1, Engines: 1, EngineArgs: []string{"--token-millis", "2"}})
-	caller := c.NewSlowCaller(harness.TenantA)
+	verbose := ident.Tenant(strings.Repeat("long-name-", 20))
+	c := harness.Start(t, harness.Shape{
+		Routers: 1, Engines: 1, EngineArgs: []string{"--token-millis", "4"},
+		Edit: func(document *fleet.Document) { document.Tenants = append(document.Tenants, harness.NewTenant(verbose)) },
+	})
+	caller := c.NewSlowCaller(verbose)
 	router := c.RouterURLs()[0]
 	slow, quick := longAsk("slow", 1000), longAsk("quick", 64)
 	var once sync.Once
 	slow.OnText = func(bytes int) {
 		if bytes > 100 {
 			once.Do(func() {
+				time.Sleep(3 * time.Second) // long enough to fill the buffers, not a condition
 				requireWhole(t, quick, c.NewCaller(harness.TenantB).Stream(t.Context(), router, quick))
-				time.Sleep(3 * time.Second)
 			})
 		}
 	}
