Prove the spread of fleet files on real processes

Two operators race, with the store slow and with answers lost; the store is down; a router is frozen across three versions; every router is killed and replaced during applies. Judged by the table's history and by what each router shows, which never falls, restarts included.

--- /dev/null
+++ b/proofs/configuration_test.go
@@ -0,0 +1,188 @@
+package proofs
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/fieldpond/fieldpond/internal/fleet"
+	"github.com/fieldpond/fieldpond/proofs/harness"
+	"github.com/fieldpond/fieldpond/standin/faultboard"
+	"github.com/fieldpond/fieldpond/standin/platform"
+)
+
+// versionWatch notes which versions each router says it has in force.
+type versionWatch struct {
+	t     *testing.T
+	c     *harness.Cluster
+	mutex sync.Mutex
+	last  map[string]uint64
+}
+
+// watchVersions looks at every router until the test ends and fails it when a
+// version falls, be it by a restart.
+func watchVersions(t *testing.T, c *harness.Cluster) *versionWatch {
+	watch := &versionWatch{t: t, c: c, last: map[string]uint64{}}
+	ctx, stop := context.WithCancel(t.Context())
+	var work sync.WaitGroup
+	for _, router := range c.Routers {
+		work.Go(func() {
+			for ; ctx.Err() == nil; time.Sleep(10 * time.Millisecond) {
+				if seen, answered := statusOf(ctx, c, router); answered && seen.FleetVersion > 0 {
+					watch.see(router, seen.FleetVersion)
+				}
+			}
+		})
+	}
+	t.Cleanup(func() {
+		stop()
+		work.Wait()
+	})
+	return watch
+}
+
+func (w *versionWatch) see(router string, version uint64) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	if version < w.last[router] {
+		w.t.Errorf("%s went from version %d to %d", router, w.last[router], version)
+	}
+	w.last[router] = version
+}
+
+// await waits until every router has shown the version or a newer one.
+func (w *versionWatch) await(version uint64) {
+	w.t.Helper()
+	w.c.Await(fmt.Sprintf("version %d is in force everywhere", version), func() bool {
+		w.mutex.Lock()
+		defer w.mutex.Unlock()
+		for _, router := range w.c.Routers {
+			if w.last[router] < version {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// operators apply files and count what they were told.
+type operators struct {
+	t     *testing.T
+	c     *harness.Cluster
+	mutex sync.Mutex
+	// accepted holds the versions that were told as accepted; open counts
+	// applies that ended without a word on the outcome.
+	accepted map[uint64]string
+	open     int
+}
+
+// apply applies a file of the given name once, and reports whether it was told
+// to be accepted.
+func (o *operators) apply(name string) bool {
+	document := *o.c.Document
+	document.Name = name
+	output, err := o.c.RunApply(&document, "--output", "json", "--timeout", "5s")
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	var applied struct {
+		Version uint64 `json:"version"`
+	}
+	if err != nil || json.Unmarshal([]byte(output), &applied) != nil {
+		o.open++
+		return false
+	}
+	if other, taken := o.accepted[applied.Version]; taken {
+		o.t.Errorf("%s and %s were both told to be version %d", name, other, applied.Version)
+	}
+	o.accepted[applied.Version] = name
+	return true
+}
+
+// race lets two operators apply at the same time until each was accepted.
+func (o *operators) race(label string) {
+	together(2, func(number int) {
+		for try := 0; try < 20 && !o.apply(fmt.Sprintf("%s-%d-%d", label, number, try)); try++ {
+		}
+	})
+}
+
+// headCommits returns how many files the table's truth log accepted.
+func headCommits(c *harness.Cluster) uint64 {
+	count := uint64(0)
+	for _, commit := range c.History() {
+		for _, write := range commit.Writes {
+			if write.Key == fleet.HeadKey {
+				count++
+			}
+		}
+	}
+	return count
+}
+
+// Promise 9: an accepted file is in force on every router and never reverts,
+// whatever happens to operators, store and routers at that moment.
+func TestAcceptedFilesNeverRevertOnRealRouters(t *testing.T) {
+	t.Parallel()
+	c := harness.Start(t, harness.Shape{Routers: 3, Engines: 1, Applications: 1})
+	watch := watchVersions(t, c)
+	team := &operators{t: t, c: c, accepted: map[uint64]string{1: "proofs"}}
+	slow := faultboard.Fault{Service: platform.ServiceTable, Kind: platform.FaultSlow, DurationMillis: lastingMillis, DelayMillis: 200}
+	lossy := faultboard.Fault{
+		Service: platform.ServiceTable, Kind: platform.FaultLoseAnswer, DurationMillis: lastingMillis, Probability: 0.5, OnlyWrites: true,
+	}
+	steps := []struct {
+		name string
+		run  func(t *testing.T)
+	}{
+		{"two operators race", func(*testing.T) { team.race("race") }},
+		{"two operators race, the store slow", func(*testing.T) {
+			c.Inject(harness.Platform, slow)
+			team.race("slow")
+		}},
+		{"answers of applies lost", func(*testing.T) {
+			c.Inject(harness.Platform, lossy)
+			team.race("lossy")
+		}},
+		{"the store down", func(t *testing.T) {
+			c.Inject(harness.Platform, lasting(platform.ServiceTable, platform.FaultOutage))
+			is.New(t).True(!team.apply("down"))
+		}},
+		{"a router frozen across three versions", func(*testing.T) {
+			c.Freeze(c.Routers[1])
+			for version := range 3 {
+				team.race(fmt.Sprint("frozen", version))
+			}
+			c.Resume(c.Routers[1])
+		}},
+		{"every router replaced during applies", func(*testing.T) {
+			for index, router := range c.Routers {
+				var work sync.WaitGroup
+				work.Go(func() { team.race(fmt.Sprint("rolling", index)) })
+				c.Kill(router)
+				c.Restart(router)
+				work.Wait()
+			}
+		}},
+	}
+	for _, step := range steps {
+		t.Run(step.name, func(t *testing.T) {
+			step.run(t)
+			c.ClearFaults(harness.Platform)
+			watch.await(headCommits(c))
+		})
+	}
+	check := is.New(t)
+	accepted := headCommits(c)
+	told := uint64(len(team.accepted))
+	check.True(told <= accepted)                   // nobody was told of a file that was not accepted
+	check.True(accepted <= told+uint64(team.open)) // and no file was accepted that nobody applied
+	check.True(accepted > 12)                      // the races took place
+	for version := range team.accepted {
+		check.True(version <= accepted)
+	}
+}
--- /dev/null
+++ b/proofs/observe_test.go
@@ -0,0 +1,171 @@
+package proofs
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/fieldpond/fieldpond/internal/ident"
+	"github.com/fieldpond/fieldpond/internal/platform/protocol"
+	"github.com/fieldpond/fieldpond/internal/status"
+	"github.com/fieldpond/fieldpond/proofs/harness"
+	"github.com/fieldpond/fieldpond/standin/truth"
+)
+
+// observeTimeout bounds one exchange of the helpers below.
+const observeTimeout = 2 * time.Second
+
+// exchange sends JSON, or nothing, and decodes the JSON answer if into is set.
+// It reports whether the answer was a success.
+func exchange(ctx context.Context, method, url string, body, into any) bool {
+	ctx, cancel := context.WithTimeout(ctx, observeTimeout)
+	defer cancel()
+	content, err := json.Marshal(body)
+	if err != nil {
+		return false
+	}
+	request, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(content))
+	if err != nil {
+		return false
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return false
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode >= http.StatusBadRequest {
+		return false
+	}
+	return into == nil || json.NewDecoder(response.Body).Decode(into) == nil
+}
+
+// statusOf returns what a router says of itself, if it answers.
+func statusOf(ctx context.Context, c *harness.Cluster, router string) (seen status.Router, answered bool) {
+	answered = exchange(ctx, http.MethodGet, c.URL(router)+status.Path, nil, &seen)
+	return seen, answered
+}
+
+// awaitEngines waits until every router believes what is wanted of its engines.
+func awaitEngines(t *testing.T, c *harness.Cluster, what string, wanted func(engine status.Engine) bool) {
+	t.Helper()
+	for _, router := range c.Routers {
+		c.Await(router+" sees that "+what, func() bool {
+			seen, answered := statusOf(t.Context(), c, router)
+			return answered && len(seen.Engines) > 0 && !slices.ContainsFunc(seen.Engines, func(engine status.Engine) bool { return !wanted(engine) })
+		})
+	}
+}
+
+// listMachines makes the platform's machine list say that some are leaving.
+func listMachines(t *testing.T, c *harness.Cluster, leaving ...string) {
+	t.Helper()
+	var list protocol.MachineList
+	if !exchange(t.Context(), http.MethodGet, c.URL(harness.Platform)+"/machines/v1/list", nil, &list) {
+		t.Fatal("the machine list could not be read")
+	}
+	for index := range list.Machines {
+		list.Machines[index].State = protocol.MachineLive
+		if slices.Contains(leaving, list.Machines[index].Name) {
+			list.Machines[index].State = protocol.MachineLeaving
+		}
+	}
+	if !exchange(t.Context(), http.MethodPut, c.URL(harness.Platform)+"/rehearsal/machines", list, nil) {
+		t.Fatal("the machine list could not be replaced")
+	}
+}
+
+// traffic is callers of both tenants who ask, with the same shared prompts, in
+// turn at every router until they are told to stop.
+type traffic struct {
+	callers []*harness.Caller
+	stop    context.CancelFunc
+	work    sync.WaitGroup
+}
+
+// Size of the traffic.
+const (
+	trafficCallers = 6
+	trafficTokens  = 4
+	trafficTries   = 100
+)
+
+func startTraffic(t *testing.T, c *harness.Cluster) *traffic {
+	ctx, stop := context.WithCancel(t.Context())
+	running := &traffic{stop: stop}
+	t.Cleanup(running.end)
+	routers := c.RouterURLs()
+	for number := range trafficCallers {
+		caller := c.NewCaller([]ident.Tenant{harness.TenantA, harness.TenantB}[number%2])
+		running.callers = append(running.callers, caller)
+		running.work.Go(func() {
+			for turn := 0; ctx.Err() == nil; turn++ {
+				first := (number + turn) % len(routers)
+				ask := harness.Ask{Prompt: sharedPrompt([]string{"graz", "linz", "wien"}[turn%3], turn), MaxTokens: trafficTokens}
+				caller.AskAll(ctx, append(routers[first:len(routers):len(routers)], routers[:first]...), ask, trafficTries)
+			}
+		})
+	}
+	return running
+}
+
+// end stops the callers and waits for their last answers.
+func (r *traffic) end() {
+	r.stop()
+	r.work.Wait()
+}
+
+// answered counts whole answers so far.
+func (r *traffic) answered() int {
+	count := 0
+	for _, caller := range r.callers {
+		for _, told := range caller.History() {
+			if told.Done {
+				count++
+			}
+		}
+	}
+	return count
+}
+
+// awaitAnswers waits for so many more whole answers.
+func (r *traffic) awaitAnswers(c *harness.Cluster, more int) {
+	before := r.answered()
+	c.Await("the callers have more answers", func() bool { return r.answered() >= before+more })
+}
+
+// begunAfter returns the names of requests that were sent after a time.
+func (r *traffic) begunAfter(after time.Time) map[ident.Request]bool {
+	names := map[ident.Request]bool{}
+	for _, caller := range r.callers {
+		for _, told := range caller.History() {
+			if told.RequestID != "" && told.Began.After(after) {
+				names[told.RequestID] = true
+			}
+		}
+	}
+	return names
+}
+
+// requireNoStart fails if one of the requests began to run where it must not,
+// and if none of them ran anywhere.
+func requireNoStart(t *testing.T, records []truth.Record, requests map[ident.Request]bool, forbidden func(record truth.Record) bool) {
+	t.Helper()
+	started := 0
+	for _, record := range records {
+		if record.Kind != truth.Started || !requests[record.RequestID] {
+			continue
+		}
+		started++
+		if forbidden(record) {
+			t.Errorf("request %s of %s ran on %s in %s with version %s", record.RequestID, record.Tenant, record.Engine, record.Zone, record.Version)
+		}
+	}
+	if started == 0 {
+		t.Error("none of the requests ran")
+	}
+}
