Generate the pages of error kinds and of the fleet file from the code

Cause: nothing kept a page of error kinds or of the fleet file true.

Change: package doccomment reads doc comments (the settings' generator uses it too now), package reference writes both pages, and a test compares them with the code and refuses rows with an empty or a borrowed cell. Some doc comments of the schema say more plainly what a key is.

Measured: the tests pass; they fail when a doc comment changes alone and when a kind has no row in the table of kinds (both tried and restored).

--- a/internal/fault/kinds.go
+++ b/internal/fault/kinds.go
@@ -26,13 +26,14 @@
 	// AlreadyClaimed is a repeat of a non-repeatable request whose first run
 	// is still going on or whose answer is no longer retained.
 	AlreadyClaimed Kind = "already_claimed"
-	// NoPermittedEngine means no live back end in the tenant's places serves it.
+	// NoPermittedEngine is a service that no live back end in the tenant's places
+	// serves.
 	NoPermittedEngine Kind = "no_permitted_engine"
 	// Overloaded is a refusal by admission: queue full or share used up.
 	Overloaded Kind = "overloaded"
 	// DeadlineExceeded is a request that waited as long as its class allows.
 	DeadlineExceeded Kind = "deadline_exceeded"
-	// StoreUnavailable means the platform's table or object store did not
+	// StoreUnavailable is a table or object store of the platform that did not
 	// answer in time.
 	StoreUnavailable Kind = "store_unavailable"
 	// BackendLost is a back end that broke off after the attempt left.
--- a/internal/fleet/schema.go
+++ b/internal/fleet/schema.go
@@ -41,7 +41,7 @@
 
 // Region is a named group of zones.
 type Region struct {
-	// Name is used in Tenant.Places.
+	// Name is what the places of a tenant call the region.
 	Name ident.Region `yaml:"name" validate:"required"`
 	// Zones lists the zones of the region.
 	Zones []ident.Zone `yaml:"zones" validate:"required,min=1"`
@@ -49,7 +49,7 @@
 
 // Model is one language model.
 type Model struct {
-	// Name of the model.
+	// Name is the model's name.
 	Name ident.Model `yaml:"name" validate:"required"`
 	// Version is the one engines shall load and serve.
 	Version ident.ModelVersion `yaml:"version" validate:"required"`
@@ -93,7 +93,7 @@
 type Service struct {
 	// Name is given by callers as "model" or in the path.
 	Name ident.Service `yaml:"name" validate:"required"`
-	// Kind is "model" or "application".
+	// Kind says what serves it: engines or applications.
 	Kind ServiceKind `yaml:"kind" validate:"required,oneof=model application"`
 	// Model is the model of a model service.
 	Model ident.Model `yaml:"model"`
@@ -118,9 +118,9 @@
 
 // Route is one method and path of an application service.
 type Route struct {
-	// Method is an HTTP method.
+	// Method is the HTTP method.
 	Method string `yaml:"method" validate:"required,oneof=GET POST PUT PATCH DELETE"`
-	// Path starts with "/" and is matched exactly, below /v1/services/{service}.
+	// Path is matched exactly, below /v1/services/{service}; it starts with "/".
 	Path string `yaml:"path" validate:"required,startswith=/"`
 	// Repeatable says that running a request twice does no harm. A route that
 	// is not repeatable needs an Idempotency-Key. Default: false.
@@ -139,37 +139,37 @@
 
 // Engine is one model engine.
 type Engine struct {
-	// Name of the engine; it outlives restarts.
+	// Name is the engine's name; it outlives restarts.
 	Name ident.Engine `yaml:"name" validate:"required"`
-	// Address is host:port, the host an IP number.
+	// Address is the HTTP address, as host:port with an IP number.
 	Address string `yaml:"address" validate:"required"`
 	// Zone is where the engine, and so its cache, is.
 	Zone ident.Zone `yaml:"zone" validate:"required"`
 	// Models lists the models the engine shall serve.
 	Models []ident.Model `yaml:"models" validate:"required,min=1"`
-	// Role is "mixed", "prefill" or "decode". Default: mixed.
+	// Role is what the engine is for. Default: mixed.
 	Role string `yaml:"role" validate:"omitempty,oneof=mixed prefill decode"`
-	// State is "active" or "leaving". Default: active.
+	// State says whether it gets new work: a leaving one finishes what it has. Default: active.
 	State BackendState `yaml:"state" validate:"omitempty,oneof=active leaving"`
 }
 
 // Application is one application back end.
 type Application struct {
-	// Name of the application back end.
+	// Name is the back end's name; it outlives restarts.
 	Name ident.Application `yaml:"name" validate:"required"`
-	// Address is host:port, the host an IP number.
+	// Address is the HTTP address, as host:port with an IP number.
 	Address string `yaml:"address" validate:"required"`
-	// Zone is where it is.
+	// Zone is where the back end is.
 	Zone ident.Zone `yaml:"zone" validate:"required"`
 	// Services lists the application services it serves.
 	Services []ident.Service `yaml:"services" validate:"required,min=1"`
-	// State is "active" or "leaving". Default: active.
+	// State says whether it gets new work: a leaving one finishes what it has. Default: active.
 	State BackendState `yaml:"state" validate:"omitempty,oneof=active leaving"`
 }
 
 // Tenant is one customer.
 type Tenant struct {
-	// Name of the tenant.
+	// Name is the tenant's name.
 	Name ident.Tenant `yaml:"name" validate:"required"`
 	// KeyHashes lists the SHA-256 hashes, in hex, of the tenant's API keys.
 	KeyHashes []string `yaml:"keyHashes" validate:"required,min=1,dive,len=64,hexadecimal"`
--- /dev/null
+++ b/internal/reference/errors.go
@@ -0,0 +1,65 @@
+// Package reference generates pages of docs/reference from the code: the error
+// kinds and the fleet file. The settings and the metrics have generators of
+// their own, beside what they describe.
+package reference
+
+//go:generate go run ./gen
+
+import (
+	"bytes"
+	"fmt"
+
+	"github.com/fieldpond/fieldpond/internal/doccomment"
+	"github.com/fieldpond/fieldpond/internal/fault"
+)
+
+const errorsHeader = `# Error kinds
+
+Generated from internal/fault by "go generate ./internal/reference".
+
+Callers get an error as JSON with the HTTP status of its kind; docs/reference/api.md
+shows the form. The command lines print kind, message and remedy in one line and
+end with the exit code. A message may name a remedy that fits better than the
+usual one below.
+
+What ran is stated in every error as "ran":
+
+- "no": no back end executed any part of the request. It may be sent again.
+- "yes": a back end executed it, wholly or in part.
+- "unknown": it may or may not have been executed. A repeatable request may be
+  sent again; any other only with the same Idempotency-Key.
+
+"ran" speaks of the whole request: a refusal of a second attempt does not say
+"no" if the first attempt was lost.
+
+| Exit code | Meaning |
+|---|---|
+| 0 | done |
+| 1 | a fault of fieldpond itself |
+| 2 | the command line or the request is wrong |
+| 3 | a file is invalid |
+| 4 | another was faster: conflict, claim or fence |
+| 5 | a service did not answer, refused, or is not there |
+| 6 | a wait ran out |
+| 7 | access denied |
+
+| Kind | Meaning | HTTP status | Exit code | Remedy |
+|---|---|---|---|---|
+`
+
+// Errors returns the page of the error kinds. The meanings come from the doc
+// comments in source, the text of internal/fault/kinds.go.
+func Errors(source []byte) ([]byte, error) {
+	parsed, err := doccomment.Parse(source)
+	if err != nil {
+		return nil, err
+	}
+	var page bytes.Buffer
+	page.WriteString(errorsHeader)
+	for _, constant := range parsed.Constants {
+		if kind := fault.Kind(constant.Value); constant.Type == "Kind" {
+			fmt.Fprintf(&page, "| `%s` | %s | %d | %d | %s |\n", kind, constant.Doc, kind.Status(), kind.ExitCode(), kind.Remedy())
+		}
+	}
+	return page.Bytes(), nil
+}
--- /dev/null
+++ b/internal/reference/reference_test.go
@@ -0,0 +1,44 @@
+package reference
+
+import (
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/fieldpond/fieldpond/internal/fault"
+)
+
+func TestPagesAreCurrent(t *testing.T) {
+	for _, page := range Pages() {
+		t.Run(page.Path, func(t *testing.T) {
+			is := is.New(t)
+			source, err := os.ReadFile(page.Source)
+			is.NoErr(err)
+			wanted, err := page.Generate(source)
+			is.NoErr(err)
+			found, err := os.ReadFile(page.Path)
+			is.NoErr(err)
+			is.Equal(string(found), string(wanted)) // run "go generate ./internal/reference"
+		})
+	}
+}
+
+// Every row must say everything: a kind without an entry in the table of kinds,
+// or anything without a doc comment, would leave a cell empty or borrowed.
+func TestRowsAreWhole(t *testing.T) {
+	is := is.New(t)
+	for _, page := range Pages() {
+		text, err := os.ReadFile(page.Path)
+		is.NoErr(err)
+		for row := range strings.Lines(string(text)) {
+			if strings.Contains(row, "|  |") {
+				t.Errorf("%s: an empty cell in %s", page.Path, row)
+			}
+			if strings.Contains(row, fault.Internal.Remedy()) && !strings.Contains(row, string(fault.Internal)) {
+				t.Errorf("%s: a kind without status, exit code and remedy of its own: %s", page.Path, row)
+			}
+		}
+	}
+}
--- a/internal/settings/reference.go
+++ b/internal/settings/reference.go
@@ -3,15 +3,13 @@
 import (
 	"bytes"
 	"fmt"
-	"go/ast"
 	"go/format"
-	"go/parser"
-	"go/token"
 	"reflect"
 	"strconv"
-	"strings"
 
 	"github.com/pkg/errors"
+
+	"github.com/fieldpond/fieldpond/internal/doccomment"
 )
 
 const referenceHeader = `# Settings of a router
@@ -55,49 +53,29 @@
 	return fmt.Sprintf("`%v`", leaf.Interface())
 }
 
-// fieldComments returns the doc comment of every setting by its path, with
-// the Go name of the field left out.
+// fieldComments returns the doc comment of every setting by its path.
 func fieldComments(source []byte) (map[string]string, error) {
-	file, err := parser.ParseFile(token.NewFileSet(), "settings.go", source, parser.ParseComments)
+	parsed, err := doccomment.Parse(source)
 	if err != nil {
-		return nil, errors.Wrap(err, "parsing settings.go")
+		return nil, err
 	}
-	structs := map[string]*ast.StructType{}
-	ast.Inspect(file, func(node ast.Node) bool {
-		if spec, isType := node.(*ast.TypeSpec); isType {
-			if structure, isStruct := spec.Type.(*ast.StructType); isStruct {
-				structs[spec.Name.Name] = structure
-			}
-		}
-		return true
-	})
 	comments := map[string]string{}
-	collectComments("", structs["Settings"], structs, comments)
+	collectComments("", "Settings", parsed, comments)
 	return comments, nil
 }
 
-func collectComments(path string, structure *ast.StructType, structs map[string]*ast.StructType, comments map[string]string) {
-	for _, field := range structure.Fields.List {
-		if field.Tag == nil {
+func collectComments(path, name string, source *doccomment.Source, comments map[string]string) {
+	structure, _ := source.Struct(name)
+	for _, field := range structure.Fields {
+		tag := field.Tag.Get("yaml")
+		if tag == "" {
 			continue
 		}
-		tag := reflect.StructTag(strings.Trim(field.Tag.Value, "`")).Get("yaml")
 		child := joinPath(path, tag)
-		if name, isName := field.Type.(*ast.Ident); isName && structs[name.Name] != nil {
-			collectComments(child, structs[name.Name], structs, comments)
+		if _, isStruct := source.Struct(field.Type); isStruct {
+			collectComments(child, field.Type, source, comments)
 			continue
 		}
-		comments[child] = meaningOf(field)
-	}
-}
-
-// meaningOf turns "Zone is the zone ..." into "The zone ...".
-func meaningOf(field *ast.Field) string {
-	text := strings.Join(strings.Fields(field.Doc.Text()), " ")
-	text = strings.TrimPrefix(text, field.Names[0].Name+" ")
-	text = strings.TrimPrefix(text, "is ")
-	if text == "" {
-		return text
+		comments[child] = field.Doc
 	}
-	return strings.ToUpper(text[:1]) + text[1:]
 }
