--- a/internal/commandline/examples.go
+++ b/internal/commandline/examples.go
@@ -7,6 +7,9 @@
 	"github.com/spf13/cobra"
 )
 
+// indent starts every line of an example.
+const indent = "  "
+
 // CheckHelp returns an error for each command of a program whose help has no
 // example, or has one that the program would not understand.
 func CheckHelp(root *cobra.Command) []error {
@@ -15,32 +18,38 @@
 		if command.Name() == "completion" || command.Name() == "help" {
 			continue
 		}
-		lines := CommandLines(root.Name(), command.Example)
-		if len(lines) == 0 {
+		if len(CommandLines(root.Name(), command.Example)) == 0 {
 			problems = append(problems, errors.Errorf("%s: the help has no example", command.Name()))
 		}
-		for _, line := range lines {
-			problems = appendProblem(problems, CheckLine(root, line))
-		}
+		problems = append(problems, CheckText(root, command.Example)...)
 	}
 	return problems
 }
 
-func appendProblem(problems []error, problem error) []error {
-	if problem == nil {
-		return problems
+// CheckText returns an error for each command line shown in a text that the
+// program would not understand.
+func CheckText(root *cobra.Command, text string) []error {
+	var problems []error
+	for _, line := range CommandLines(root.Name(), text) {
+		if problem := CheckLine(root, line); problem != nil {
+			problems = append(problems, problem)
+		}
 	}
-	return append(problems, problem)
+	return problems
 }
 
 // CommandLines returns the command lines of a program that a text shows,
-// with lines joined that end with a backslash. A command line starts with the
-// program's name, perhaps after settings of the environment and bin/.
+// with lines joined that end with a backslash. A command line is indented and
+// starts with the program's name, perhaps after settings of the environment
+// and bin/.
 func CommandLines(program, text string) []string {
 	var lines []string
 	for line := range strings.Lines(strings.ReplaceAll(text, "\\\n", " ")) {
+		if !strings.HasPrefix(line, indent) {
+			continue
+		}
 		words := strings.Fields(line)
-		for len(words) > 0 && (words[0] == "$" || isAssignment(words[0])) {
+		for len(words) > 0 && isAssignment(words[0]) {
 			words = words[1:]
 		}
 		if len(words) > 1 && strings.TrimPrefix(words[0], "bin/") == program {
