--- a/proofs/streams_test.go
+++ b/proofs/streams_test.go
@@ -223,10 +223,12 @@
 // all buffers on its way.
 func TestSlowReaderLosesNothing(t *testing.T) {
 	t.Parallel()
-	verbose := ident.Tenant(strings.Repeat("long-name-", 20))
+	verbose := ident.Tenant(strings.Repeat("long-name-", 12))
 	c := harness.Start(t, harness.Shape{
 		Routers: 1, Engines: 1, EngineArgs: []string{"--token-millis", "4"},
-		Edit: func(document *fleet.Document) { document.Tenants = append(document.Tenants, harness.NewTenant(verbose)) },
+		Edit: func(document *fleet.Document) {
+			document.Tenants = append(document.Tenants, harness.NewTenant(verbose))
+		},
 	})
 	caller := c.NewSlowCaller(verbose)
 	router := c.RouterURLs()[0]
