--- a/internal/membership/machine_test.go
+++ b/internal/membership/machine_test.go
@@ -125,10 +125,11 @@
 		func(network *simnet.Network) {
 			network.Cut = func(from, to *simnet.Node) bool { return inFirstRegion(from) != inFirstRegion(to) }
 			network.Run(4 * time.Minute)
+			deaths(network)
 			network.Cut = nil
 			network.Run(time.Minute)
 		},
-		allAlive,
+		func(network *simnet.Network) bool { return deaths(network) == 0 && allAlive(network) },
 	},
 	"a herd of half the nodes restarts": {
 		func(network *simnet.Network) {
@@ -207,15 +208,32 @@
 	is := is.New(t)
 	network := cluster(t, 64, simnet.Config{Seed: 3, Loss: 0.01})
 	network.Run(10 * time.Minute)
-	deaths := 0
+	is.Equal(deaths(network), 0)
+	is.True(allAlive(network))
+}
+
+// deaths counts and clears the events that called a member dead.
+func deaths(network *simnet.Network) int {
+	count := 0
 	for _, node := range network.Nodes {
 		for _, event := range node.TakeEvents() {
 			if event.Kind == membership.MemberChanged && event.Member.State == membership.Dead {
-				deaths++
+				count++
 			}
 		}
 	}
-	is.Equal(deaths, 0)
+	return count
+}
+
+func TestRegionsMergeAfterForgetting(t *testing.T) {
+	is := is.New(t)
+	network := cluster(t, 18, simnet.Config{Seed: 4, Timing: membership.Timing{DeadRetention: time.Minute}})
+	network.Run(20 * time.Second)
+	network.Cut = func(from, to *simnet.Node) bool { return inFirstRegion(from) != inFirstRegion(to) }
+	network.Run(4 * time.Minute)
+	is.Equal(len(network.Nodes[0].Machine.View().Members), 6) // the others are forgotten
+	network.Cut = nil
+	network.Run(time.Minute)
 	is.True(allAlive(network))
 }
 
@@ -279,6 +297,32 @@
 	}
 }
 
+// BenchmarkRegionSplit cuts a third of the zones off for four minutes and
+// reports traffic and the time until all believe all alive again.
+func BenchmarkRegionSplit(b *testing.B) {
+	network := cluster(b, 390, simnet.Config{Seed: 1, Loss: 0.01, Encode: true})
+	network.Introduce()
+	network.Run(30 * time.Second)
+	for range b.N {
+		takeBytes(network)
+		network.Cut = func(from, to *simnet.Node) bool { return inFirstRegion(from) != inFirstRegion(to) }
+		network.Run(4 * time.Minute)
+		b.ReportMetric(takeBytes(network)/240, "split-B/s/node")
+		deaths(network)
+		network.Cut = nil
+		seconds := 0.0
+		for ; !allAlive(network); seconds++ {
+			if seconds == 300 {
+				b.Fatal("the regions did not merge in time")
+			}
+			network.Run(time.Second)
+		}
+		b.ReportMetric(takeBytes(network)/seconds, "heal-B/s/node")
+		b.ReportMetric(seconds, "heal-s")
+		b.ReportMetric(float64(deaths(network)), "deaths-in-heal")
+	}
+}
+
 // takeBytes returns and clears the mean bytes sent by a node.
 func takeBytes(network *simnet.Network) float64 {
 	var total uint64
--- a/internal/membership/node_test.go
+++ b/internal/membership/node_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"go.uber.org/goleak"
@@ -16,7 +17,8 @@
 func TestNodesOverLoopback(t *testing.T) {
 	defer goleak.VerifyNone(t, goleak.IgnoreCurrent())
 	is := is.New(t)
-	ctx, cancel := context.WithCancel(context.Background())
+	// The limit only ends a broken run; no outcome depends on it.
+	ctx, cancel := context.WithTimeout(context.Background(), hangLimit)
 	defer cancel()
 	start := func(name ident.Node, seeds ...string) *Node {
 		node, err := Start(ctx, Config{
@@ -28,13 +30,13 @@
 	first := start("first")
 	address := first.View().Members[0].GossipAddress
 	second := start("second", address)
-	await(first, func(event Event) bool { return event.Member.Node == "second" && event.Member.State == Alive })
-	await(second, func(event Event) bool { return event.Member.Node == "first" })
+	await(ctx, t, first, func(event Event) bool { return event.Member.Node == "second" && event.Member.State == Alive })
+	await(ctx, t, second, func(event Event) bool { return event.Member.Node == "first" })
 	is.Equal(len(second.View().Members), 2)
 
 	is.NoErr(first.SetFleetVersion(ctx, 4, "digest"))
 	is.NoErr(first.Broadcast(ctx, BackendSign{Backend: "engine", Kind: SignDead}))
-	await(second, func(event Event) bool { return event.Kind == SignReceived && event.Sign.Observer == "first" })
+	await(ctx, t, second, func(event Event) bool { return event.Kind == SignReceived && event.Sign.Observer == "first" })
 	is.True(fault.Is(first.Broadcast(ctx, BackendSign{}), fault.BadRequest))
 
 	stranger, err := net.Dial("udp", address)
@@ -43,10 +45,10 @@
 	is.NoErr(err)
 	is.NoErr(stranger.Close())
 	is.NoErr(second.Leave(ctx))
-	await(first, func(event Event) bool { return event.Member.Node == "second" && event.Member.State == Leaving })
+	await(ctx, t, first, func(event Event) bool { return event.Member.Node == "second" && event.Member.State == Leaving })
 	is.Equal(len(first.View().Owners("key", 2)), 1)
 	second.Stop()
-	await(first, func(event Event) bool { return event.Member.Node == "second" && event.Member.State == Dead })
+	await(ctx, t, first, func(event Event) bool { return event.Member.Node == "second" && event.Member.State == Dead })
 	is.Equal(first.Counters().Refused, uint64(1))
 	is.True(fault.Is(second.Leave(ctx), fault.Leaving))
 	cancel() // the context ends a node as well
@@ -56,13 +58,20 @@
 	is.True(first.Counters().BytesSent > 0)
 }
 
-func await(node *Node, wanted func(event Event) bool) {
+// hangLimit ends a run in which an awaited event never comes.
+const hangLimit = time.Minute
+
+func await(ctx context.Context, t *testing.T, node *Node, wanted func(event Event) bool) {
 	for {
 		for event, ok := node.Events().Pop(); ok; event, ok = node.Events().Pop() {
 			if wanted(event) {
 				return
 			}
 		}
-		<-node.Events().Ready()
+		select {
+		case <-node.Events().Ready():
+		case <-ctx.Done():
+			t.Fatal("the awaited event did not come")
+		}
 	}
 }
