--- a/cmd/fieldpond/help_test.go
+++ b/cmd/fieldpond/help_test.go
@@ -29,7 +29,7 @@
 		}
 	}
 	check("../../README.md")
-	is.NoErr(filepath.WalkDir("../../docs", func(path string, entry fs.DirEntry, err error) error {
+	is.NoErr(filepath.WalkDir("../../docs", func(path string, _ fs.DirEntry, err error) error {
 		if err == nil && filepath.Ext(path) == ".md" {
 			check(path)
 		}
