--- a/cmd/fieldpond/router.go
+++ b/cmd/fieldpond/router.go
@@ -1,11 +1,9 @@
 package main
 
 import (
-	"os/signal"
-	"syscall"
-
 	"github.com/spf13/cobra"
 
+	"github.com/fieldpond/fieldpond/internal/commandline"
 	"github.com/fieldpond/fieldpond/internal/fault"
 	"github.com/fieldpond/fieldpond/internal/router"
 	"github.com/fieldpond/fieldpond/internal/settings"
@@ -38,7 +36,7 @@
 			if err := telemetry.SetUpLogging(command.ErrOrStderr(), configured.LogLevel); err != nil {
 				return fault.Wrap(err, fault.InvalidSettings, "setting up the log")
 			}
-			ctx, stop := signal.NotifyContext(command.Context(), syscall.SIGTERM, syscall.SIGINT)
+			ctx, stop := commandline.UntilStopped(command)
 			defer stop()
 			return router.Run(ctx, configured)
 		},
--- a/cmd/fieldpond/status.go
+++ b/cmd/fieldpond/status.go
@@ -22,6 +22,8 @@
 	Unanswered []string `json:"unanswered"`
 	// Routers holds the answers as /status.json gives them.
 	Routers []status.Router `json:"routers"`
+
+	seen versionsSeen
 }
 
 func newStatusCommand() *cobra.Command {
@@ -66,6 +68,7 @@
 		Lagging:      append([]string{}, seen.lagging(seen.newest())...),
 		Unanswered:   append([]string{}, failuresOf(answers)...),
 		Routers:      []status.Router{},
+		seen:         seen,
 	}
 	for _, answer := range answers {
 		if answer.err == nil {
--- a/cmd/fieldpond/status_test.go
+++ b/cmd/fieldpond/status_test.go
@@ -29,7 +29,7 @@
 
 const firstStatus = `{"node":"n1","zone":"z1","state":"serving","fleet_version":3,
  "members":[{"node":"n1","zone":"z1","address":"10.0.0.1:1","state":"alive","fleet_version":3},
-            {"node":"n2","zone":"z2","address":"10.0.0.2:1","state":"suspect","fleet_version":2},
+            {"node":"n2","zone":"z2","address":"10.0.0.2:1","state":"suspect","fleet_version":1},
             {"node":"n3","zone":"z2","address":"10.0.0.3:1","state":"dead","fleet_version":1}],
  "engines":[{"engine":"e1","zone":"z1","incarnation":"0123456789abcdef","alive":true,"running":3,"waiting":1,"queued_prefill_tokens":900,
              "own_in_flight":2,"concurrency_limit":8,"loaded":[{"model":"m","version":"v2"},{"model":"m","version":"v1"}]},
--- a/cmd/fieldpond/statustable.go
+++ b/cmd/fieldpond/statustable.go
@@ -56,11 +56,14 @@
 	_, _ = fmt.Fprintln(t, text+whoLacks(report.Lagging, report.Unanswered))
 }
 
+// members prints the members as the first router sees them, each with the
+// newest version that any router told of it.
 func (t *statusTable) members(report *statusReport) {
 	t.row("\nMEMBER", "ZONE", "STATE", "VERSION", "ADDRESS")
 	for _, member := range report.Routers[0].Members {
-		version := fmt.Sprint(member.FleetVersion)
-		if isLive(member) && member.FleetVersion < report.FleetVersion {
+		newest := max(member.FleetVersion, report.seen[member.Node])
+		version := fmt.Sprint(newest)
+		if isLive(member) && newest < report.FleetVersion {
 			version += " (lags)"
 		}
 		t.row(member.Node, member.Zone, member.State, version, member.Address)
--- a/cmd/rehearse/application.go
+++ b/cmd/rehearse/application.go
@@ -2,12 +2,11 @@
 
 import (
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/spf13/cobra"
 
+	"github.com/fieldpond/fieldpond/internal/commandline"
 	"github.com/fieldpond/fieldpond/internal/fault"
 	"github.com/fieldpond/fieldpond/internal/ident"
 	"github.com/fieldpond/fieldpond/standin/application"
@@ -45,7 +44,7 @@
 				options.TruthWriter = file
 			}
 			server := application.NewServer(options)
-			ctx, stop := signal.NotifyContext(command.Context(), syscall.SIGTERM, syscall.SIGINT)
+			ctx, stop := commandline.UntilStopped(command)
 			defer stop()
 			return serve.Run(ctx, server, serve.Options{
 				Name: "application stand-in", Listen: listen, Grace: grace,
--- a/cmd/rehearse/engine.go
+++ b/cmd/rehearse/engine.go
@@ -1,16 +1,14 @@
 package main
 
 import (
-	"context"
 	"net"
 	"os"
-	"os/signal"
 	"strings"
-	"syscall"
 	"time"
 
 	"github.com/spf13/cobra"
 
+	"github.com/fieldpond/fieldpond/internal/commandline"
 	"github.com/fieldpond/fieldpond/internal/engine/protocol"
 	"github.com/fieldpond/fieldpond/internal/fault"
 	"github.com/fieldpond/fieldpond/internal/ident"
@@ -56,7 +54,7 @@
   rehearse engine --name wien-2 --zone wien-halle --listen 127.0.0.1:7102 \
       --model dispatch-llm:2026-11 --prefill-micros 300 --cache-blocks 2000`,
 		Args: cobra.NoArgs,
-		RunE: func(command *cobra.Command, _ []string) error { return runEngine(command.Context(), flags) },
+		RunE: func(command *cobra.Command, _ []string) error { return runEngine(command, flags) },
 	}
 	set := command.Flags()
 	set.StringVar(&flags.listen, "listen", "127.0.0.1:7100", "host:port to listen on")
@@ -81,7 +79,7 @@
 	return command
 }
 
-func runEngine(ctx context.Context, flags *engineFlags) error {
+func runEngine(command *cobra.Command, flags *engineFlags) error {
 	options, err := flags.options()
 	if err != nil {
 		return err
@@ -102,7 +100,7 @@
 	if err != nil {
 		return fault.Wrap(err, fault.InvalidSettings, "cannot listen on %q", flags.listen).WithRemedy("give --listen a free host:port")
 	}
-	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
+	ctx, stop := commandline.UntilStopped(command)
 	defer stop()
 	return server.Run(ctx, listener)
 }
--- a/cmd/rehearse/experiment.go
+++ b/cmd/rehearse/experiment.go
@@ -2,9 +2,11 @@
 
 import (
 	"os"
+	"time"
 
 	"github.com/spf13/cobra"
 
+	"github.com/fieldpond/fieldpond/internal/commandline"
 	"github.com/fieldpond/fieldpond/internal/fault"
 	"github.com/fieldpond/fieldpond/standin/experiment"
 )
@@ -17,7 +19,8 @@
 	scenarios, policies []string
 	files               []string
 	seeds, parallel     int
-	format, plots       string
+	plots               string
+	output              commandline.Format
 }
 
 func newExperimentCommand() *cobra.Command {
@@ -31,7 +34,7 @@
 measures are judged on what the simulated engines truly held and did. A whole
 comparison takes seconds to minutes and gives the same figures on every run.`,
 		Example: `  rehearse experiment --scenario muldenring-steady,parking-steady --seeds 5
-  rehearse experiment --scenario all --policy all --format json`,
+  rehearse experiment --scenario all --policy all --output json`,
 		Args: cobra.NoArgs,
 		RunE: func(command *cobra.Command, _ []string) error { return runExperiment(command, options) },
 	}
@@ -41,8 +44,8 @@
 	flags.StringSliceVar(&options.policies, "policy", experiment.DefaultPolicies(), "policies to compare, or all")
 	flags.IntVar(&options.seeds, "seeds", 5, "number of seeds, from 1 on")
 	flags.IntVar(&options.parallel, "parallel", defaultParallel, "most simulations at one time")
-	flags.StringVar(&options.format, "format", "table", "form of the results: table or json")
 	flags.StringVar(&options.plots, "plots", "", "directory to write plots (PNG) to")
+	commandline.AddOutputFlag(command, &options.output)
 	return command
 }
 
@@ -51,13 +54,14 @@
 	if err != nil {
 		return err
 	}
+	plan.Progress = progressLines(command)
 	runs, err := experiment.Execute(plan)
 	if err != nil {
 		return err
 	}
 	rows := experiment.Summarise(runs)
 	write := experiment.WriteTable
-	if options.format == "json" {
+	if options.output == commandline.FormatJSON {
 		write = experiment.WriteJSON
 	}
 	if err := write(command.OutOrStdout(), rows); err != nil {
@@ -69,13 +73,25 @@
 	return experiment.WritePlots(options.plots, rows)
 }
 
+// progressInterval is the least time between two lines of progress.
+const progressInterval = 2 * time.Second
+
+// progressLines tells on the error output, now and then, how far a long
+// comparison has come.
+func progressLines(command *cobra.Command) func(begun, all int) {
+	told := time.Now()
+	return func(begun, all int) {
+		if time.Since(told) >= progressInterval {
+			told = time.Now()
+			command.PrintErrf("%d of %d simulations begun\n", begun, all)
+		}
+	}
+}
+
 func (o *experimentOptions) plan() (experiment.Plan, error) {
 	plan := experiment.Plan{Parallel: o.parallel}
-	switch {
-	case o.seeds < 1 || o.parallel < 1:
+	if o.seeds < 1 || o.parallel < 1 {
 		return plan, fault.New(fault.BadRequest, "--seeds and --parallel must be at least 1")
-	case o.format != "table" && o.format != "json":
-		return plan, fault.New(fault.BadRequest, "--format %q is neither table nor json", o.format)
 	}
 	for seed := range o.seeds {
 		plan.Seeds = append(plan.Seeds, uint64(seed+1))
--- a/cmd/rehearse/load.go
+++ b/cmd/rehearse/load.go
@@ -2,9 +2,6 @@
 
 import (
 	"context"
-	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -74,8 +71,9 @@
 	if err != nil {
 		return err
 	}
-	ctx, stop := signal.NotifyContext(command.Context(), os.Interrupt, syscall.SIGTERM)
+	ctx, stop := commandline.UntilStopped(command)
 	defer stop()
+	command.PrintErrf("sending for %s to %d routers, then waiting for the answers\n", config.Spec.Duration, len(config.Targets))
 	report, err := load.Run(ctx, config)
 	if report == nil {
 		return err
--- a/cmd/rehearse/overhead.go
+++ b/cmd/rehearse/overhead.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"encoding/json"
 	"fmt"
 
 	"github.com/spf13/cobra"
@@ -29,7 +28,7 @@
 				return err
 			}
 			if output == commandline.FormatJSON {
-				return json.NewEncoder(command.OutOrStdout()).Encode(report)
+				return commandline.WriteJSON(command.OutOrStdout(), report)
 			}
 			_, err = fmt.Fprintf(command.OutOrStdout(),
 				"requests each way %d\ndirect  p50 %d us  p99 %d us\nrouted  p50 %d us  p99 %d us\n",
--- a/cmd/rehearse/platform.go
+++ b/cmd/rehearse/platform.go
@@ -1,12 +1,11 @@
 package main
 
 import (
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/spf13/cobra"
 
+	"github.com/fieldpond/fieldpond/internal/commandline"
 	"github.com/fieldpond/fieldpond/standin/platform"
 	"github.com/fieldpond/fieldpond/standin/serve"
 )
@@ -39,7 +38,7 @@
 				}
 				options.Machines = list
 			}
-			ctx, stop := signal.NotifyContext(command.Context(), syscall.SIGTERM, syscall.SIGINT)
+			ctx, stop := commandline.UntilStopped(command)
 			defer stop()
 			return serve.Run(ctx, platform.NewServer(options), serve.Options{
 				Name: "platform stand-in", Listen: listen, Grace: platformGrace,
--- a/internal/commandline/commandline.go
+++ b/internal/commandline/commandline.go
@@ -4,9 +4,13 @@
 package commandline
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
+	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/pkg/errors"
 	"github.com/spf13/cobra"
@@ -36,6 +40,13 @@
 	return fault.New(fault.BadRequest, "%s", err.Error()).WithRemedy("'%s COMMAND --help' shows flags and examples", root.Name())
 }
 
+// UntilStopped returns a context that ends when the process is told to stop, by
+// SIGTERM or Ctrl-C, for a command that then ends in its planned way. Commands
+// without one end at once.
+func UntilStopped(command *cobra.Command) (context.Context, context.CancelFunc) {
+	return signal.NotifyContext(command.Context(), syscall.SIGTERM, os.Interrupt)
+}
+
 // NewRoot returns the root command of a program with its subcommands, its
 // version command; cobra adds help and shell completion.
 func NewRoot(name, short, long, example string, subcommands ...*cobra.Command) *cobra.Command {
--- a/internal/commandline/examples.go
+++ b/internal/commandline/examples.go
@@ -1,6 +1,8 @@
 package commandline
 
 import (
+	"io/fs"
+	"path/filepath"
 	"strings"
 
 	"github.com/pkg/errors"
@@ -38,6 +40,29 @@
 	return problems
 }
 
+// CheckPages returns an error for each command line shown on a page (*.md) under
+// the given paths that the program would not understand, and how many it looked
+// at.
+func CheckPages(root *cobra.Command, files fs.FS, paths ...string) (shown int, problems []error) {
+	for _, path := range paths {
+		err := fs.WalkDir(files, path, func(name string, _ fs.DirEntry, err error) error {
+			if err != nil || filepath.Ext(name) != ".md" {
+				return err
+			}
+			text, err := fs.ReadFile(files, name)
+			shown += len(CommandLines(root.Name(), string(text)))
+			for _, problem := range CheckText(root, string(text)) {
+				problems = append(problems, errors.Wrap(problem, name))
+			}
+			return err
+		})
+		if err != nil {
+			problems = append(problems, err)
+		}
+	}
+	return shown, problems
+}
+
 // CommandLines returns the command lines of a program that a text shows,
 // with lines joined that end with a backslash. A command line is indented and
 // starts with the program's name, perhaps after settings of the environment
--- a/standin/experiment/run.go
+++ b/standin/experiment/run.go
@@ -25,6 +25,9 @@
 	// Parallel bounds the simulations that run at one time; zero means the
 	// processors there are.
 	Parallel int
+	// Progress, if set, is told before each simulation is begun, by one goroutine:
+	// how many were begun before it, and how many there are.
+	Progress func(begun, all int)
 }
 
 // Run is one finished simulation.
@@ -74,6 +77,9 @@
 		})
 	}
 	for index := range tasks {
+		if plan.Progress != nil {
+			plan.Progress(index, len(tasks))
+		}
 		next <- index
 	}
 	close(next)
