Keep a part of every batch from less urgent classes

Cause: in a flood of summaries or rulings all batch slots of an engine fill with long answers, which priorities at the engine cannot take back, and their blocks push out the prefixes of urgent requests.

Change: requests of priority 2 and above get no more places on an engine whose batch is half full, those of priority 1 none beyond three quarters; the load reports and the router's own attempts tell. What is held for one class no longer blocks another: the class is part of the pool key. One request a second of each class and router passes the reserve, so none starves.

The tests were written with the change; that of the pools failed with the class left out of the key.

--- a/internal/placement/core.go
+++ b/internal/placement/core.go
@@ -100,8 +100,10 @@
 	directoryTicked time.Time
 	// directory is Config.Directory while it is used, else nil.
 	directory *directory.Node
-	snapshot  framework.Snapshot
-	effects   Effects
+	// passed tells by priority when a request last passed the reserve.
+	passed   map[int]time.Time
+	snapshot framework.Snapshot
+	effects  Effects
 	// Counters counts decisions; read it from the goroutine of the core.
 	Counters Counters
 }
@@ -129,6 +131,7 @@
 		limiters: make(map[ident.Engine]admission.Limiter),
 		waiting:  make(map[ident.Request]*Job),
 		flights:  make(map[endpoint.AttemptKey]*flight),
+		passed:   make(map[int]time.Time),
 	}
 }
 
--- a/internal/placement/core_test.go
+++ b/internal/placement/core_test.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -182,3 +183,32 @@
 		})
 	}
 }
+
+// Less urgent requests leave a reserve of every batch, which urgent ones use
+// while they wait; one of them a second may use it too, so none starves.
+func TestLessUrgentRequestsLeaveAReserve(t *testing.T) {
+	is := is.New(t)
+	core := newTestCore(t, 8)
+	core.Reported(start, "a", reportOf("a1"))
+	core.Reported(start, "b", reportOf("b1"))
+	later := start.Add(time.Millisecond)
+	offer := func(id string, priority int) int {
+		job := jobOf(id, time.Minute)
+		job.Request.Priority = priority
+		return len(core.Offer(later, job).Placed)
+	}
+	placed := 0
+	for index := range 12 {
+		placed += offer(fmt.Sprint("summary-", index), 2)
+	}
+	is.Equal(placed, 4+4+1) // half of both batches, and one that passed the reserve
+	is.Equal(core.Waiting(), 3)
+	for index := range 40 { // also when a summary's turn has come, which it cannot take
+		id := fmt.Sprint("order-", index)
+		is.Equal(offer(id, 0), 1)
+		core.Ended(later, AttemptKeyOf(ident.Request(id), 1), Result{})
+	}
+	is.Equal(len(core.Tick(later.Add(999*time.Millisecond)).Placed), 0)
+	is.Equal(len(core.Tick(later.Add(time.Second)).Placed), 1)
+	is.Equal(core.Waiting(), 2)
+}
--- a/internal/placement/decide.go
+++ b/internal/placement/decide.go
@@ -26,6 +26,9 @@
 	c.snapshot.Credits = c.config.Beliefs.At(now)
 	c.snapshot.Hop = c.config.Hop
 	decision := c.config.Scheduler.Schedule(&job.Request, &c.snapshot)
+	if decision.Action == framework.Hold && c.mayPassReserve(now, job) {
+		decision = c.passReserve(now, job)
+	}
 	switch decision.Action {
 	case framework.Dispatch:
 		c.place(now, job, decision)
@@ -44,6 +47,26 @@
 	}
 }
 
+// reservePause is the time between two requests of one priority that this
+// router lets use what is kept for more urgent ones. It is the bound on
+// starvation by the reserve: a class gets at least one place in it.
+const reservePause = time.Second
+
+func (c *Core) mayPassReserve(now time.Time, job *Job) bool {
+	return job.Request.Priority > 0 && now.Sub(c.passed[job.Request.Priority]) >= reservePause
+}
+
+// passReserve decides again about a held job, without the reserve.
+func (c *Core) passReserve(now time.Time, job *Job) framework.Decision {
+	job.Request.PassReserve = true
+	decision := c.config.Scheduler.Schedule(&job.Request, &c.snapshot)
+	job.Request.PassReserve = false
+	if decision.Action == framework.Dispatch {
+		c.passed[job.Request.Priority] = now
+	}
+	return decision
+}
+
 // heldAction says how much of the queue a held job speaks for. A job that has
 // excluded engines of its own does not speak for its pool.
 func (c *Core) heldAction(job *Job) admission.Action {
@@ -177,7 +200,8 @@
 	}
 }
 
-// poolOf names the set of engines that may serve the request.
+// poolOf names the set of engines that may serve the request, and how much of
+// them it may fill: what is held for one class may go for another.
 func poolOf(request *framework.Request) admission.PoolKey {
 	zones := make([]string, 0, len(request.Zones))
 	for zone := range request.Zones {
@@ -189,7 +213,8 @@
 		_, _ = digest.Write([]byte(part))
 		_, _ = digest.Write([]byte{0})
 	}
-	return admission.PoolKey(string(request.Service) + "/" + strconv.FormatUint(digest.Sum64(), 36))
+	return admission.PoolKey(string(request.Service) + "/" + strconv.FormatUint(digest.Sum64(), 36) +
+		"/" + strconv.Itoa(request.Priority))
 }
 
 // AttemptKeyOf builds the key of an attempt.
--- a/internal/routing/config.go
+++ b/internal/routing/config.go
@@ -25,6 +25,10 @@
 	// less: without one, a burst for a new prefix is recomputed on every idle
 	// engine, which delays others. Default: 0.25.
 	RecomputationFloor float64
+	// UrgentReserve is the part of an engine's batch that is kept from classes
+	// of priority 2 and above; those of priority 1 are kept from half of it.
+	// Below zero means none. Default: 0.5.
+	UrgentReserve float64
 	// Window is the number of candidates that are scored, the highest ranking
 	// ones for the prompt's leading blocks; at most 128. Default: 32.
 	Window int
@@ -41,6 +45,7 @@
 	defaultTieTolerance    = 5 * time.Millisecond
 	defaultTieShare        = 0.05
 	defaultFloor           = 0.25
+	defaultReserve         = 0.5
 	defaultWindow          = 32
 	defaultMinMoveTokens   = 512
 )
@@ -51,6 +56,9 @@
 
 const maxFloor = 100
 
+// maxReserve leaves less urgent classes a part of every batch.
+const maxReserve = 0.95
+
 const maxWindow = rendezvous.MaxTop / shortlistFactor
 
 func withDefaults(config Config) Config {
@@ -69,6 +77,10 @@
 	if config.RecomputationFloor == 0 {
 		config.RecomputationFloor = defaultFloor
 	}
+	if config.UrgentReserve == 0 {
+		config.UrgentReserve = defaultReserve
+	}
+	config.UrgentReserve = max(0, config.UrgentReserve)
 	if config.Window == 0 {
 		config.Window = defaultWindow
 	}
@@ -86,6 +98,8 @@
 		return fault.New(fault.InvalidSettings, "routing window %d is outside 0 to %d", c.Window, maxWindow)
 	case c.TieShare < 0 || c.TieShare > 1:
 		return fault.New(fault.InvalidSettings, "routing tie share %g is outside 0 to 1", c.TieShare)
+	case c.UrgentReserve > maxReserve:
+		return fault.New(fault.InvalidSettings, "routing urgent reserve %g is above %g", c.UrgentReserve, maxReserve)
 	case c.RecomputationFloor < 0 || c.RecomputationFloor > maxFloor:
 		return fault.New(fault.InvalidSettings, "routing recomputation floor %g is outside 0 to %d", c.RecomputationFloor, maxFloor)
 	case c.DefaultPrefillPerToken < 0 || c.RequestDuration < 0 || c.TieTolerance < 0 || c.TransferPerToken < 0 || c.MinMoveTokens < 0:
--- a/internal/routing/filter/capacity.go
+++ b/internal/routing/filter/capacity.go
@@ -2,17 +2,44 @@
 
 import "github.com/fieldpond/fieldpond/internal/routing/framework"
 
-// Capacity keeps endpoints below their adaptive limit of this router's
-// unanswered attempts. When it leaves none the request is held, not refused.
-type Capacity struct{}
+// Capacity keeps endpoints below their limit of this router's unanswered
+// attempts and, for classes that are not the most urgent, below the part of
+// the engine's batch that they may fill. When it leaves none the request is
+// held, not refused.
+//
+// The reserve keeps batch slots and cache room for urgent requests: an engine
+// can order what waits by priority, but it cannot take back a slot or the
+// blocks of a running request.
+type Capacity struct {
+	// Reserve is the part of an engine's batch, from 0 to 1, that is kept from
+	// classes of priority 2 and above; those of priority 1 are kept from half
+	// of it.
+	Reserve float64
+}
 
 // Name implements framework.Filter.
 func (Capacity) Name() string { return "capacity" }
 
 // Filter implements framework.Filter.
-func (Capacity) Filter(_ *framework.Request, _ *framework.Snapshot, candidates []framework.Candidate) []framework.Candidate {
+func (c Capacity) Filter(request *framework.Request, _ *framework.Snapshot, candidates []framework.Candidate) []framework.Candidate {
+	share := c.share(request)
 	return keep(candidates, func(candidate *framework.Candidate) bool {
 		load := &candidate.Endpoint.Load
-		return load.ConcurrencyLimit <= 0 || load.OwnInFlight < load.ConcurrencyLimit
+		if load.ConcurrencyLimit > 0 && load.OwnInFlight >= load.ConcurrencyLimit {
+			return false
+		}
+		return share >= 1 || load.MaxRunning <= 0 || float64(load.Running+load.Waiting) < share*float64(load.MaxRunning)
 	})
 }
+
+// share is the part of an engine's batch that the request may help to fill.
+func (c Capacity) share(request *framework.Request) float64 {
+	switch {
+	case request.Priority <= 0 || request.PassReserve:
+		return 1
+	case request.Priority == 1:
+		return 1 - c.Reserve/2
+	default:
+		return 1 - c.Reserve
+	}
+}
--- a/internal/routing/filter/filter_test.go
+++ b/internal/routing/filter/filter_test.go
@@ -58,6 +58,24 @@
 	}
 }
 
+func TestReserveByPriority(t *testing.T) {
+	load := framework.Load{Running: 7, Waiting: 1, MaxRunning: 16}
+	for _, test := range []struct {
+		reserve  float64
+		priority int
+		pass     bool
+		kept     string
+	}{
+		{0.5, 0, false, "ab"}, {0.5, 1, false, "ab"}, {0.5, 2, false, "b"}, {0.5, 9, false, "b"},
+		{0.5, 9, true, "ab"}, {0.4, 9, false, "ab"}, {0, 9, false, "ab"}, {1, 1, false, "b"},
+	} {
+		request := &framework.Request{Priority: test.priority, PassReserve: test.pass}
+		endpoints := []framework.Endpoint{{Engine: "a", Load: load}, {Engine: "b", Load: framework.Load{Running: 99}}} // b tells no limit
+		kept := filter.Capacity{Reserve: test.reserve}.Filter(request, nil, candidates(endpoints))
+		is.New(t).Equal(names(kept), test.kept)
+	}
+}
+
 // The window keeps the same engines whatever the order of its input, and a
 // larger window contains a smaller one.
 func TestWindowIsOrderFreeAndNested(t *testing.T) {
--- a/internal/routing/framework/framework.go
+++ b/internal/routing/framework/framework.go
@@ -81,6 +81,8 @@
 	RecomputationWeight float64
 	// Excluded lists engines that already refused or failed this request.
 	Excluded map[ident.Engine]bool
+	// PassReserve lets the request use what is kept for more urgent classes.
+	PassReserve bool
 	// HomeZone is the zone of the deciding router.
 	HomeZone ident.Zone
 }
--- a/internal/routing/policies.go
+++ b/internal/routing/policies.go
@@ -21,6 +21,7 @@
 		scorer.Recomputation{DefaultPrefillPerToken: slope, Floor: config.RecomputationFloor})
 	pipeline.window = filter.Window{Size: config.Window}
 	pipeline.shortlists.size = shortlistFactor * config.Window
+	pipeline.capacity = filter.Capacity{Reserve: config.UrgentReserve}
 	pipeline.credits = true
 	pipeline.mover = mover{perToken: config.TransferPerToken, minTokens: float64(config.MinMoveTokens), fallback: slope}
 	return pipeline, nil
--- a/standin/experiment/policies.go
+++ b/standin/experiment/policies.go
@@ -92,7 +92,8 @@
 // with the present one.
 func previous() []Policy {
 	return []Policy{
-		{Name: "predictive-v1", NewScheduler: predictive(routing.Config{}), NewLimiter: gradientLimiter},
+		{Name: "predictive-v1", NewScheduler: predictive(routing.Config{UrgentReserve: -1}), NewLimiter: gradientLimiter},
+		{Name: "predictive-v2", NewScheduler: predictive(routing.Config{UrgentReserve: -1}), NewLimiter: admission.NewDefaultLimiter},
 	}
 }
 
