Rank owners without sorting every member

Cause: View.Owners copied and sorted all members to return one or two. A router needs the owners of every engine again when the membership changes, 860 at the size designed for, and those of each prefix it meets. Ruled out: remembering owners in the view; it is an immutable value, and the directory remembers those of prefixes already. Change: keep the best few while scanning. The test compares with a whole ranking and fails when the comparison is turned round.

--- a/internal/membership/member.go
+++ b/internal/membership/member.go
@@ -3,7 +3,6 @@
 package membership
 
 import (
-	"cmp"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -65,26 +64,40 @@
 // hashing over the members that are alive or suspect. Every router with the
 // same view gets the same answer; a member's change moves only its own keys.
 func (v View) Owners(key string, count int) []Member {
-	type scored struct {
-		member Member
-		score  uint64
-	}
-	candidates := make([]scored, 0, len(v.Members))
-	for _, member := range v.Members {
-		if member.State == Alive || member.State == Suspect {
-			candidates = append(candidates, scored{member, RendezvousScore(key, string(member.Node))})
+	count = max(0, min(count, len(v.Members)))
+	best := make([]scored, 0, count+1)
+	for index := range v.Members {
+		member := &v.Members[index]
+		if member.State != Alive && member.State != Suspect {
+			continue
+		}
+		candidate := scored{member, RendezvousScore(key, string(member.Node))}
+		position := len(best)
+		for position > 0 && candidate.before(best[position-1]) {
+			position--
+		}
+		if position < count {
+			best = slices.Insert(best, position, candidate)[:min(len(best)+1, count)]
 		}
 	}
-	slices.SortFunc(candidates, func(a, b scored) int {
-		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.member.Node, b.member.Node))
-	})
-	owners := make([]Member, 0, min(count, len(candidates)))
-	for _, candidate := range candidates[:min(count, len(candidates))] {
-		owners = append(owners, candidate.member)
+	owners := make([]Member, 0, len(best))
+	for _, candidate := range best {
+		owners = append(owners, *candidate.member)
 	}
 	return owners
 }
 
+// scored is a member with its weight for a key.
+type scored struct {
+	member *Member
+	score  uint64
+}
+
+// before orders by weight, the higher first, then by name.
+func (s scored) before(other scored) bool {
+	return s.score > other.score || (s.score == other.score && s.member.Node < other.member.Node)
+}
+
 // RendezvousScore is the weight of a node for a key; the highest score owns it.
 func RendezvousScore(key, node string) uint64 {
 	var digest xxhash.Digest
--- /dev/null
+++ b/internal/membership/member_test.go
@@ -0,0 +1,37 @@
+package membership_test
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/fieldpond/fieldpond/internal/ident"
+	"github.com/fieldpond/fieldpond/internal/membership"
+)
+
+// TestOwnersAreTheHighestScores compares the owners with a whole ranking.
+func TestOwnersAreTheHighestScores(t *testing.T) {
+	is := is.New(t)
+	view := membership.View{}
+	for index := range 40 {
+		view.Members = append(view.Members, membership.Member{
+			Node: ident.Node(fmt.Sprintf("router-%02d", index)), State: membership.State(index % 5 % 4),
+		})
+	}
+	for key := range 50 {
+		name := fmt.Sprint("key-", key)
+		ranked := slices.DeleteFunc(slices.Clone(view.Members), func(member membership.Member) bool {
+			return member.State == membership.Leaving || member.State == membership.Dead
+		})
+		slices.SortFunc(ranked, func(a, b membership.Member) int {
+			return cmp.Compare(membership.RendezvousScore(name, string(b.Node)), membership.RendezvousScore(name, string(a.Node)))
+		})
+		for _, count := range []int{0, 1, 2, 3, len(ranked), 1000} {
+			is.Equal(view.Owners(name, count), ranked[:min(count, len(ranked))])
+		}
+	}
+	is.Equal(len(membership.View{}.Owners("key", 2)), 0)
+}
