Tell a member's fleet version apart from a change of owners

Cause: each member's new fleet version raised MemberChanged at every router, and a router works out the owners of every engine anew for each of those. Ruled out: leaving the version out of the events; a shell may want to show it. Change: MemberAdvanced reports a change of the fleet version alone. Routers do not act on it. The test fails if the merge raises MemberChanged again.

--- a/internal/membership/machine.go
+++ b/internal/membership/machine.go
@@ -169,7 +169,7 @@
 	}
 	m.self.FleetVersion = version
 	m.enqueue(m.self, true)
-	m.event(Event{Kind: MemberChanged, Member: m.self.Member})
+	m.event(Event{Kind: MemberAdvanced, Member: m.self.Member})
 	m.raiseHead(FleetHead{Version: version, Digest: digest, Holder: m.self.Node})
 }
 
--- a/internal/membership/member_test.go
+++ b/internal/membership/member_test.go
@@ -5,11 +5,13 @@
 	"fmt"
 	"slices"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
 	"github.com/fieldpond/fieldpond/internal/ident"
 	"github.com/fieldpond/fieldpond/internal/membership"
+	"github.com/fieldpond/fieldpond/internal/membership/simnet"
 )
 
 // TestOwnersAreTheHighestScores compares the owners with a whole ranking.
@@ -35,3 +37,28 @@
 	}
 	is.Equal(len(membership.View{}.Owners("key", 2)), 0)
 }
+
+// TestAFleetVersionIsNoChangeOfOwners puts a new fleet version in force on every
+// router of a settled cluster: each must hear of it from each other one, as
+// news that leaves the owners as they are.
+func TestAFleetVersionIsNoChangeOfOwners(t *testing.T) {
+	is := is.New(t)
+	network := cluster(t, 8, simnet.Config{Seed: 1})
+	network.Run(time.Minute)
+	for _, node := range network.Nodes {
+		node.TakeEvents()
+		network.Do(node, func(machine *membership.Machine, now time.Time) { machine.SetFleetVersion(now, 3, "sha256-abc") })
+	}
+	network.Run(time.Minute)
+	for _, node := range network.Nodes {
+		advanced := map[ident.Node]int{}
+		for _, event := range node.TakeEvents() {
+			is.True(event.Kind != membership.MemberChanged)
+			if event.Kind == membership.MemberAdvanced {
+				is.Equal(event.Member.FleetVersion, uint64(3))
+				advanced[event.Member.Node]++
+			}
+		}
+		is.Equal(len(advanced), len(network.Nodes))
+	}
+}
--- a/internal/membership/merge.go
+++ b/internal/membership/merge.go
@@ -45,7 +45,7 @@
 	}
 	held.FleetVersion = rumour.FleetVersion
 	m.enqueue(held, true)
-	m.event(Event{Kind: MemberChanged, Member: held.Member})
+	m.event(Event{Kind: MemberAdvanced, Member: held.Member})
 }
 
 // admit adds a member not known before. The dead are not: whoever forgot them
--- a/internal/membership/message.go
+++ b/internal/membership/message.go
@@ -114,6 +114,10 @@
 	FleetHeadRaised
 	// MemberForgotten reports a dead member dropped from the view.
 	MemberForgotten
+	// MemberAdvanced reports in Event.Member that only the fleet version that a
+	// member has in force changed. It says nothing about who owns what: each
+	// change of the fleet file raises it once for every member.
+	MemberAdvanced
 )
 
 // Event is one change of what this router believes.
