Measure routers at scale with hollow ones

Change: rehearse scale runs membership, placement, directory, beliefs, registry and fleet adopter of every router in one process over simnet, which gains zones, call-backs and a hook around a node's work. The keeper's derivation of pollers is exported for it, unchanged.

--- a/cmd/rehearse/subcommands.go
+++ b/cmd/rehearse/subcommands.go
@@ -7,6 +7,7 @@
 	return []*cobra.Command{
 		newEngineCommand(),
 		newLoadCommand(),
+		newScaleCommand(),
 		newPlanCommand(),
 		newApplicationCommand(),
 		newPlatformCommand(),
--- a/internal/fleet/keeper.go
+++ b/internal/fleet/keeper.go
@@ -271,7 +271,12 @@
 
 // surroundings derives from the membership who polls and who can be asked.
 func (k *Keeper) surroundings() Surroundings {
-	view := k.options.View()
+	return SurroundingsOf(k.options.View(), k.options.Self, k.options.Zone)
+}
+
+// SurroundingsOf derives from a view of the membership who polls and whom the
+// router self in the given zone can ask.
+func SurroundingsOf(view membership.View, self ident.Node, zone ident.Zone) Surroundings {
 	zones := map[ident.Zone][]membership.Member{}
 	around := Surroundings{}
 	for _, member := range view.Members {
@@ -287,13 +292,13 @@
 		}
 	}
 	for _, member := range view.Members {
-		if member.State > membership.Leaving || member.Node == k.options.Self {
+		if member.State > membership.Leaving || member.Node == self {
 			continue
 		}
 		around.Peers = append(around.Peers, Peer{
-			Address: member.HTTPAddress, SameZone: member.Zone == k.options.Zone, Poller: pollers[member.Node],
+			Address: member.HTTPAddress, SameZone: member.Zone == zone, Poller: pollers[member.Node],
 		})
 	}
-	around.Poller = pollers[k.options.Self] || len(zones) == 0
+	around.Poller = pollers[self] || len(zones) == 0
 	return around
 }
--- a/internal/membership/simnet/simnet.go
+++ b/internal/membership/simnet/simnet.go
@@ -31,6 +31,15 @@
 	Timing membership.Timing
 	// Encode sends every message through the wire format and counts its bytes.
 	Encode bool
+	// Delay, if not nil, returns the one-way delay between two nodes, to which
+	// the random share between MinDelay and MaxDelay is added.
+	Delay func(from, to *Node) time.Duration
+	// Around, if not nil, is called with every piece of a node's own work, which
+	// it must run; a caller may measure the time it takes.
+	Around func(node *Node, work func())
+	// OnEvents, if not nil, is called with each batch of a node's events in
+	// place of their being kept in Node.Events.
+	OnEvents func(node *Node, events []membership.Event)
 }
 
 // Node is one simulated router.
@@ -43,8 +52,12 @@
 	Events []membership.Event
 	// BytesSent and MessagesSent count datagrams, IP and UDP headers included.
 	BytesSent, MessagesSent uint64
-	up                      bool
-	life                    uint64
+	// BytesReceived and MessagesReceived count what arrived.
+	BytesReceived, MessagesReceived uint64
+	// SentByKind splits BytesSent by the kind of message.
+	SentByKind [membership.KindGossip + 1]uint64
+	up         bool
+	life       uint64
 }
 
 // Up says whether the node runs.
@@ -159,6 +172,9 @@
 	n.collect(node)
 }
 
+// After runs what at a virtual time from now, within a later call of Run.
+func (n *Network) After(delay time.Duration, what func()) { n.after(delay, action{call: what}) }
+
 // Run advances virtual time.
 func (n *Network) Run(duration time.Duration) {
 	end := n.now.Add(duration)
@@ -171,42 +187,68 @@
 }
 
 func (n *Network) perform(next action) {
-	if !next.node.up {
-		return
-	}
-	if next.message != nil {
-		next.node.Machine.Step(n.now, next.source, next.message)
+	switch {
+	case next.call != nil:
+		next.call()
+	case !next.node.up:
+	case next.message != nil:
+		n.deliver(next)
+	case next.life == next.node.life:
+		n.around(next.node, func() { next.node.Machine.Tick(n.now) })
 		n.collect(next.node)
-		return
+		n.after(n.config.Tick, next)
+	}
+}
+
+func (n *Network) deliver(next action) {
+	next.node.BytesReceived += uint64(next.size)
+	next.node.MessagesReceived++
+	n.around(next.node, func() {
+		message := next.message
+		if next.datagram != nil {
+			message = n.open(next.datagram)
+		}
+		next.node.Machine.Step(n.now, next.source, message)
+	})
+	n.collect(next.node)
+}
+
+func (n *Network) open(datagram []byte) *membership.Message {
+	message, err := n.codec.Open(datagram)
+	if err != nil {
+		panic(err)
 	}
-	if next.life != next.node.life {
+	return message
+}
+
+func (n *Network) around(node *Node, work func()) {
+	if n.config.Around == nil {
+		work()
 		return
 	}
-	next.node.Machine.Tick(n.now)
-	n.collect(next.node)
-	n.after(n.config.Tick, next)
+	n.config.Around(node, work)
 }
 
 func (n *Network) collect(node *Node) {
 	output := node.Machine.Ready()
-	node.Events = append(node.Events, output.Events...)
+	if n.config.OnEvents == nil {
+		node.Events = append(node.Events, output.Events...)
+	} else if len(output.Events) > 0 {
+		n.config.OnEvents(node, output.Events)
+	}
 	for i := range output.Messages {
 		n.transmit(node, output.Messages[i])
 	}
 }
 
 func (n *Network) transmit(from *Node, envelope membership.Envelope) {
-	message := &envelope.Message
+	arrival := action{message: &envelope.Message, source: from.Member.GossipAddress}
 	if n.config.Encode {
-		datagram, err := n.codec.Seal(message)
-		if err != nil {
-			panic(err)
-		}
-		from.BytesSent += uint64(len(datagram) + datagramOverhead)
+		n.around(from, func() { arrival.datagram = n.seal(&envelope.Message) })
+		arrival.size = len(arrival.datagram) + datagramOverhead
+		from.BytesSent += uint64(arrival.size)
+		from.SentByKind[envelope.Message.Kind] += uint64(arrival.size)
 		from.MessagesSent++
-		if message, err = n.codec.Open(datagram); err != nil {
-			panic(err)
-		}
 	}
 	to := n.byAddress[envelope.To]
 	lost := n.random.Float64() < n.config.Loss
@@ -217,7 +259,19 @@
 	if spread := n.config.MaxDelay - n.config.MinDelay; spread > 0 {
 		delay += time.Duration(n.random.Int63n(int64(spread)))
 	}
-	n.after(delay, action{node: to, message: message, source: from.Member.GossipAddress})
+	if n.config.Delay != nil {
+		delay += n.config.Delay(from, to)
+	}
+	arrival.node = to
+	n.after(delay, arrival)
+}
+
+func (n *Network) seal(message *membership.Message) []byte {
+	datagram, err := n.codec.Seal(message)
+	if err != nil {
+		panic(err)
+	}
+	return datagram
 }
 
 func (n *Network) after(delay time.Duration, what action) {
@@ -226,14 +280,19 @@
 	heap.Push(&n.agenda, what)
 }
 
-// action is a tick, or the arrival of a message, at a virtual time.
+// action is a call, a tick, or the arrival of a message, at a virtual time.
 type action struct {
 	at      time.Time
 	order   uint64
+	call    func()
 	node    *Node
 	life    uint64
 	message *membership.Message
-	source  string
+	// datagram is the sealed message, if messages go through the wire format,
+	// and size what it took on the wire.
+	datagram []byte
+	size     int
+	source   string
 }
 
 type agenda []action
