--- a/internal/claim/bench_test.go
+++ b/internal/claim/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 )
@@ -30,3 +31,33 @@
 		}
 	}
 }
+
+// BenchmarkTransactions counts, in virtual time, the table's transactions for
+// one claim and its outcome at the given claims a second of one router.
+func BenchmarkTransactions(b *testing.B) {
+	for _, rate := range []int{1, 11, 100, 1000} {
+		b.Run(fmt.Sprint("claims/s=", rate), func(b *testing.B) {
+			const step = time.Millisecond
+			core, table, now := NewCore("router-1", Config{}), newTableModel(), time.Unix(1000, 0)
+			random := rand.New(rand.NewPCG(1, 1))
+			key, index := booking, 0
+			for b.Loop() {
+				now = now.Add(step)
+				if random.Float64() < float64(rate)*step.Seconds() {
+					index++
+					key.IdempotencyKey = fmt.Sprint(index)
+					core.Submit(now, key.IdempotencyKey, key, "digest", now.Add(time.Second))
+				}
+				for _, batch := range core.Advance(now) {
+					core.Completed(now, batch.ID, table.commit(batch.Transaction), nil)
+				}
+				for _, answer := range core.Answers() {
+					if answer.Grant.Mine {
+						core.Settle(now, answer.ClaimID, Outcome{Ran: "yes", Status: 201})
+					}
+				}
+			}
+			b.ReportMetric(float64(core.Counters().Transactions)/float64(max(1, index)), "transactions/claim")
+		})
+	}
+}
