Add leases with fences in the table service

Cause: orders to engines need one doer at a time, whose pauses do no harm. Ruled out: expiry times in rows (needs synchronised clocks); one counter for each lease (a changed lease name would begin again below the engines' fences). Change: a pure lease machine, watched by row version; fences from one counter row, raised in the transaction that takes a lease; a shell over the table.

--- /dev/null
+++ b/internal/lease/keeper_test.go
@@ -0,0 +1,68 @@
+package lease
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/fieldpond/fieldpond/internal/ident"
+)
+
+func TestHandoverTakeoverAndOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		table := &fakeTable{model: newTableModel()}
+		start := func(name ident.Node) (*Keeper, context.CancelFunc) {
+			ctx, cancel := context.WithCancel(t.Context())
+			keeper := NewKeeper(table, Config{Duration: duration}, "x", name)
+			keeper.Contend(true)
+			go keeper.Run(ctx)
+			synctest.Wait()
+			return keeper, cancel
+		}
+		keepers := []*Keeper{}
+		stops := []context.CancelFunc{}
+		holders := func() (holding []int) {
+			for index, keeper := range keepers {
+				if _, err := keeper.Held(); err == nil {
+					holding = append(holding, index)
+				}
+			}
+			return holding
+		}
+		for _, name := range []ident.Node{"first", "second", "third"} {
+			keeper, stop := start(name)
+			keepers, stops = append(keepers, keeper), append(stops, stop)
+		}
+		is.Equal(holders(), []int{0})
+		requests := table.countOver(time.Minute)
+		t.Logf("%d table requests a minute for one holder and two contenders", requests)
+		is.True(requests <= 65) // one a second
+
+		stops[0]() // a planned stop hands over at the next look of a contender
+		time.Sleep(duration / renewals)
+		synctest.Wait()
+		is.Equal(len(holders()), 1)
+		holder := keepers[holders()[0]]
+		grant, err := holder.Held()
+		is.NoErr(err)
+		is.Equal(grant.Fence, uint64(2))
+
+		table.setDown(true) // the holder steps down when it cannot renew
+		time.Sleep(duration)
+		is.Equal(len(holders()), 0)
+		is.Equal(holder.Counters().Lapsed, uint64(1))
+		table.setDown(false)
+		time.Sleep(2 * duration)
+		is.Equal(len(holders()), 1)
+
+		for _, stop := range stops {
+			stop()
+		}
+		time.Sleep(duration)
+		is.Equal(len(holders()), 0)
+	})
+}
--- /dev/null
+++ b/internal/lease/machine.go
@@ -0,0 +1,300 @@
+package lease
+
+import (
+	"time"
+
+	"github.com/fieldpond/fieldpond/internal/fault"
+	"github.com/fieldpond/fieldpond/internal/ident"
+	"github.com/fieldpond/fieldpond/internal/platform/protocol"
+)
+
+// Kind names what an Exchange does.
+type Kind uint8
+
+const (
+	// Observe reads the lease row.
+	Observe Kind = iota + 1
+	// Acquire takes the lease with a new fence.
+	Acquire
+	// Renew writes the holder's row anew.
+	Renew
+	// Release gives the lease up, for the next holder to take at once.
+	Release
+)
+
+// Exchange is one request to the table that the shell is to make.
+type Exchange struct {
+	Kind Kind
+	// Key is the row to read (Observe).
+	Key string
+	// Transaction is what to commit (all others).
+	Transaction protocol.Transaction
+	// SentAt is when the machine handed the exchange out.
+	SentAt time.Time
+}
+
+// Outcome is what came of an Exchange.
+type Outcome struct {
+	Committed bool
+	// Rows are the rows of the TransactionResult, or the one row read; a row
+	// that does not exist has version 0.
+	Rows []protocol.Row
+	// Fault is not nil when no answer came.
+	Fault *fault.Fault
+}
+
+// Machine contends for one lease. It is a state machine without I/O or clock
+// and is not safe for concurrent use. Times must carry monotonic readings or
+// come from one source that never goes back.
+//
+// Invariants: at most one exchange is in flight; Held is true only while a
+// write of this session, sent less than the duration ago, is confirmed; a
+// fence belongs to one session for ever.
+type Machine struct {
+	config  Config
+	name    string
+	node    ident.Node
+	session string
+
+	contends bool
+	floor    uint64
+
+	observed bool
+	row      protocol.Row
+	record   Record
+	seenAt   time.Time
+	counter  protocol.Row
+
+	held     bool
+	until    time.Time
+	inFlight *Exchange
+	nextAt   time.Time
+	counters Counters
+}
+
+// NewMachine returns a machine that does not contend yet. The session must
+// never have been used before by any process.
+func NewMachine(config Config, name string, node ident.Node, session string) *Machine {
+	return &Machine{config: config.withDefaults(), name: name, node: node, session: session}
+}
+
+// Contend says whether this node shall try to hold the lease. A holder that
+// stops contending counts as not holding at once, and releases the lease.
+func (m *Machine) Contend(now time.Time, wanted bool) {
+	if m.contends == wanted {
+		return
+	}
+	m.contends = wanted
+	m.nextAt = now
+	m.held = m.held && wanted
+}
+
+// StepDown ends the holding because a fence was seen that is newer than or
+// equal to what may be used; the lease is taken again only with a fence above
+// the floor.
+func (m *Machine) StepDown(now time.Time, floor uint64) {
+	if floor > m.floor {
+		m.floor = floor
+		m.counters.StaleFences++
+	}
+	if m.held && m.record.Fence <= m.floor {
+		m.held = false
+		m.nextAt = now
+	}
+}
+
+// Held returns the grant if the lease is held now.
+func (m *Machine) Held(now time.Time) (Grant, error) {
+	if !m.held || !now.Before(m.until) {
+		return Grant{}, ErrNotHeld
+	}
+	return Grant{Fence: m.record.Fence, Until: m.until}, nil
+}
+
+// Counters returns what was counted so far.
+func (m *Machine) Counters() Counters { return m.counters }
+
+// Idle reports that nothing is in flight and nothing is to be done unless the
+// node contends.
+func (m *Machine) Idle() bool { return m.inFlight == nil && !m.busy() }
+
+// busy reports whether there is a reason to talk to the table: the node
+// contends, holds the row, or has a write of its own to settle.
+func (m *Machine) busy() bool {
+	settling := !m.observed && m.row.Version > 0
+	return m.contends || m.mine() || settling
+}
+
+// Next returns when Advance is to be called again; false means after the
+// exchange in flight or the next Contend.
+func (m *Machine) Next() (time.Time, bool) {
+	if m.inFlight != nil || !m.busy() {
+		return time.Time{}, false
+	}
+	return m.nextAt, true
+}
+
+// Advance returns the exchange that is due, if any. Its outcome must be
+// reported by Done.
+func (m *Machine) Advance(now time.Time) (Exchange, bool) {
+	if m.held && !now.Before(m.until) {
+		m.held = false
+		m.counters.Lapsed++
+	}
+	next, pending := m.Next()
+	if !pending || now.Before(next) {
+		return Exchange{}, false
+	}
+	exchange := m.choose(now)
+	exchange.SentAt = now
+	m.inFlight = &exchange
+	if exchange.Kind == Observe {
+		m.counters.Reads++
+	} else {
+		m.counters.Transactions++
+	}
+	return exchange, true
+}
+
+func (m *Machine) choose(now time.Time) Exchange {
+	switch {
+	case !m.observed:
+		return m.observe()
+	case m.mine() && !m.contends:
+		return m.write(Release, Record{Fence: m.record.Fence, Duration: m.config.Duration})
+	case m.mine() && m.record.Fence > m.floor:
+		renewed := m.record
+		renewed.Duration = m.config.Duration
+		renewed.Renewals++
+		return m.write(Renew, renewed)
+	case m.mine() || m.free() || !now.Before(m.seenAt.Add(m.record.Duration)):
+		return m.acquire()
+	}
+	return m.observe()
+}
+
+func (m *Machine) observe() Exchange { return Exchange{Kind: Observe, Key: RowKey(m.name)} }
+
+func (m *Machine) write(kind Kind, record Record) Exchange {
+	return Exchange{Kind: kind, Transaction: protocol.Transaction{
+		Conditions: []protocol.Condition{{Key: RowKey(m.name), Version: m.row.Version}},
+		Writes:     []protocol.Write{{Key: RowKey(m.name), Value: encode(record)}},
+	}}
+}
+
+// acquire builds the transaction that raises the fence counter and takes the
+// lease, both or neither. With an outdated view of the counter it fails and
+// brings back the current one.
+func (m *Machine) acquire() Exchange {
+	fence := max(decodeCounter(m.counter.Value), m.record.Fence, m.floor) + 1
+	record := Record{Node: m.node, Session: m.session, Fence: fence, Duration: m.config.Duration}
+	exchange := m.write(Acquire, record)
+	transaction := &exchange.Transaction
+	transaction.Conditions = append(transaction.Conditions, protocol.Condition{Key: CounterKey, Version: m.counter.Version})
+	transaction.Writes = append(transaction.Writes, protocol.Write{Key: CounterKey, Value: encode(counterRecord{Fence: fence})})
+	return exchange
+}
+
+// mine reports whether the row last seen names this session as the holder.
+func (m *Machine) mine() bool { return m.observed && m.record.Session == m.session }
+
+// free reports whether the row last seen names no holder.
+func (m *Machine) free() bool { return m.row.Version == 0 || m.record.Session == "" }
+
+// Done takes in the outcome of the exchange in flight.
+func (m *Machine) Done(now time.Time, outcome Outcome) {
+	if m.inFlight == nil {
+		return
+	}
+	sent := *m.inFlight
+	m.inFlight = nil
+	switch {
+	case outcome.Fault != nil:
+		m.failed(now, sent, outcome.Fault)
+	case sent.Kind == Observe:
+		m.saw(now, outcome.Rows[0])
+	case outcome.Committed:
+		m.committed(now, sent, outcome.Rows)
+	default:
+		m.saw(now, outcome.Rows[0])
+		if sent.Kind == Acquire {
+			m.counter = outcome.Rows[1]
+			m.nextAt = now
+		}
+	}
+}
+
+// failed settles a write that may have taken effect by reading the row back.
+// The read-back never extends the lease: it only finds the row version with
+// which the next renewal can.
+func (m *Machine) failed(now time.Time, sent Exchange, problem *fault.Fault) {
+	m.nextAt = now.Add(max(m.config.RetryPause, problem.RetryAfter))
+	if sent.Kind != Observe && problem.Ran != fault.RanNo {
+		m.observed = false
+		m.counters.Unsettled++
+	}
+}
+
+// saw takes in the row as it was at some moment before now.
+func (m *Machine) saw(now time.Time, row protocol.Row) {
+	if !m.observed || row.Version != m.row.Version {
+		m.adopt(now, row)
+	}
+	m.observed = true
+	if m.held && !m.mine() {
+		m.held = false
+		m.counters.Lost++
+	}
+	m.nextAt = now
+	if !m.mine() && !m.free() {
+		takeover := m.seenAt.Add(m.record.Duration)
+		watch := now.Add(m.config.Duration / renewals)
+		m.nextAt = earlier(takeover, watch)
+	}
+}
+
+// adopt replaces the row seen. An unchanged version keeps the time of its
+// first sight even if an exchange in between was lost.
+func (m *Machine) adopt(now time.Time, row protocol.Row) {
+	if row.Version != m.row.Version || m.seenAt.IsZero() {
+		m.seenAt = now
+	}
+	m.row = row
+	record, err := DecodeRecord(row.Value)
+	if err != nil && row.Version > 0 {
+		record = Record{Session: "malformed", Duration: m.config.Duration, Fence: m.record.Fence}
+	}
+	m.record = record
+}
+
+// committed takes in a confirmed write: the lease counts from the moment
+// before it was sent.
+func (m *Machine) committed(now time.Time, sent Exchange, rows []protocol.Row) {
+	m.adopt(now, rows[0])
+	m.observed = true
+	m.nextAt = now
+	switch sent.Kind {
+	case Release:
+		m.counters.Released++
+		m.nextAt = now.Add(m.config.Duration / renewals)
+		return
+	case Acquire:
+		m.counter = rows[1]
+		m.counters.Acquired++
+	default:
+		m.counters.Renewed++
+	}
+	margin := time.Duration(m.config.DriftMargin * float64(m.config.Duration))
+	m.until = sent.SentAt.Add(m.config.Duration - margin)
+	m.held = m.contends && m.record.Fence > m.floor
+	if m.held {
+		m.nextAt = sent.SentAt.Add(m.config.Duration / renewals)
+	}
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
--- /dev/null
+++ b/internal/lease/table_test.go
@@ -0,0 +1,98 @@
+package lease
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/fieldpond/fieldpond/internal/fault"
+	"github.com/fieldpond/fieldpond/internal/platform/protocol"
+)
+
+// tableModel is the table's truth: rows and versions, without any transport.
+type tableModel struct {
+	rows     map[string]protocol.Row
+	versions map[string]uint64
+}
+
+func newTableModel() *tableModel {
+	return &tableModel{rows: map[string]protocol.Row{}, versions: map[string]uint64{}}
+}
+
+func (m *tableModel) run(exchange Exchange) Outcome {
+	if exchange.Kind == Observe {
+		return Outcome{Rows: []protocol.Row{m.rows[exchange.Key]}}
+	}
+	result := m.commit(exchange.Transaction)
+	return Outcome{Committed: result.Committed, Rows: result.Rows}
+}
+
+func (m *tableModel) commit(transaction protocol.Transaction) protocol.TransactionResult {
+	result := protocol.TransactionResult{Committed: true}
+	for _, condition := range transaction.Conditions {
+		row := m.rows[condition.Key]
+		result.Rows = append(result.Rows, row)
+		result.Committed = result.Committed && row.Version == condition.Version
+	}
+	if !result.Committed {
+		return result
+	}
+	result.Rows = nil
+	for _, write := range transaction.Writes {
+		m.versions[write.Key]++
+		row := protocol.Row{Key: write.Key, Value: write.Value, Version: m.versions[write.Key]}
+		m.rows[write.Key] = row
+		result.Rows = append(result.Rows, row)
+	}
+	return result
+}
+
+// fakeTable is a platform.Table over a tableModel that can be down.
+type fakeTable struct {
+	mutex    sync.Mutex
+	model    *tableModel
+	down     bool
+	requests int
+}
+
+func (f *fakeTable) do(run func()) error {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.requests++
+	if f.down {
+		return fault.New(fault.StoreUnavailable, "no answer").WithRan(fault.RanUnknown)
+	}
+	run()
+	return nil
+}
+
+func (f *fakeTable) setDown(down bool) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.down = down
+}
+
+// countOver returns the requests made in the coming span of time.
+func (f *fakeTable) countOver(span time.Duration) int {
+	f.mutex.Lock()
+	before := f.requests
+	f.mutex.Unlock()
+	time.Sleep(span)
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.requests - before
+}
+
+func (f *fakeTable) Commit(_ context.Context, transaction protocol.Transaction) (result protocol.TransactionResult, err error) {
+	err = f.do(func() { result = f.model.commit(transaction) })
+	return result, err
+}
+
+func (f *fakeTable) Read(_ context.Context, key string) (row protocol.Row, found bool, err error) {
+	err = f.do(func() { row, found = f.model.rows[key] })
+	return row, found, err
+}
+
+func (f *fakeTable) List(context.Context, string, int) (protocol.RowList, error) {
+	return protocol.RowList{}, fault.New(fault.Internal, "not used")
+}
