Issue fenced orders by one lease holder for each group of engines

Cause: the fleet file's versions, adapters and roles have to reach engines without a command to a machine. Ruled out: a lease for each service. Services may share engines, an engine knows one fence, and two holders would refuse each other without end. Services whose engines overlap share a lease, named after the first of them. Change: a pure planner (orders paced by rate and zone, the same id after a lost answer, every engine fenced before it counts as warm, an unload only while all tenants of the zone keep a warm engine) and a duty over leases and engines.

--- /dev/null
+++ b/internal/control/enginestate.go
@@ -0,0 +1,124 @@
+package control
+
+import (
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/fieldpond/fieldpond/internal/engine"
+	"github.com/fieldpond/fieldpond/internal/engine/protocol"
+	"github.com/fieldpond/fieldpond/internal/fault"
+	"github.com/fieldpond/fieldpond/internal/fleet"
+	"github.com/fieldpond/fieldpond/internal/ident"
+)
+
+// engineState is what a planner knows of one engine.
+type engineState struct {
+	target    *fleet.Engine
+	reachable bool
+	report    protocol.LoadReport
+	// trueAt is a time at which the report was certainly not yet older than
+	// the engine's state: when it was asked for, less its age.
+	trueAt  time.Time
+	askedAt time.Time
+	// pending is the order without a final answer.
+	pending *pendingOrder
+	// settledAt is when the last order was answered; only a report that is true
+	// later shows its effect. unloaded is what that order took away.
+	settledAt time.Time
+	unloaded  protocol.Order
+	retryAt   time.Time
+	loading   *loadUnderWay
+	// noRoom means: the engine refused to load a version beside the old one.
+	noRoom bool
+}
+
+type pendingOrder struct {
+	order    protocol.Order
+	inFlight bool
+	failures int
+	retryAt  time.Time
+}
+
+type loadUnderWay struct {
+	model *fleet.Model
+	since time.Time
+}
+
+// reported keeps the report unless it is older than the one known. A new life
+// has no part in what was ordered before it.
+func (s *engineState) reported(askedAt time.Time, report protocol.LoadReport) {
+	if askedAt.Before(s.askedAt) {
+		return
+	}
+	s.reachable = true
+	trueAt := askedAt.Add(-time.Duration(report.AgeMillis+1) * time.Millisecond)
+	if report.Incarnation != s.report.Incarnation {
+		*s = engineState{target: s.target, reachable: true}
+	} else if trueAt.Before(s.trueAt) {
+		return
+	}
+	s.report, s.trueAt, s.askedAt = report, trueAt, askedAt
+}
+
+// asWanted reports whether the wanted version is loaded with just its adapters.
+func (s *engineState) asWanted(model *fleet.Model) bool {
+	return slices.ContainsFunc(s.report.Loaded, func(loaded protocol.LoadedModel) bool {
+		return loaded.Model == model.Name && loaded.Version == model.Version && sameAdapters(loaded.Adapters, model.Adapters)
+	})
+}
+
+func sameAdapters(a, b []ident.Adapter) bool {
+	return slices.Equal(slices.Sorted(slices.Values(a)), slices.Sorted(slices.Values(b)))
+}
+
+// noteLoaded ends a load that shows in the report, or that takes too long.
+func (s *engineState) noteLoaded(now time.Time, timeout time.Duration) {
+	if s.loading != nil && (s.asWanted(s.loading.model) || now.Sub(s.loading.since) > timeout) {
+		s.loading = nil
+	}
+}
+
+// mayHaveUnloaded reports whether an unload was sent that the report need not
+// show yet.
+func (s *engineState) mayHaveUnloaded(loaded protocol.LoadedModel) bool {
+	names := func(order protocol.Order) bool {
+		return order.Kind == protocol.OrderUnload && order.Model == loaded.Model && order.Version == loaded.Version
+	}
+	return s.pending != nil && names(s.pending.order) || !s.trueAt.After(s.settledAt) && names(s.unloaded)
+}
+
+// Ordered takes in the answer to an order; err is nil when it was taken.
+func (p *Planner) Ordered(now time.Time, name ident.Engine, orderID string, err error) {
+	state := p.engines[name]
+	if state == nil || state.pending == nil || state.pending.order.OrderID != orderID {
+		return
+	}
+	pending := state.pending
+	pending.inFlight = false
+	problem := fault.From(err)
+	var refused *engine.RefusedError
+	if problem != nil && problem.Kind != fault.StaleFence && !errors.As(err, &refused) {
+		pending.failures++
+		pending.retryAt = now.Add(max(p.config.backoff(pending.failures), problem.RetryAfter))
+		return
+	}
+	state.pending = nil
+	state.settledAt, state.unloaded = now, pending.order
+	if problem == nil {
+		state.noRoom = state.noRoom && pending.order.Kind != protocol.OrderUnload
+		return
+	}
+	p.counters.Refused++
+	state.unloaded = protocol.Order{}
+	state.retryAt = now.Add(max(p.config.RetryPause, problem.RetryAfter))
+	if pending.order.Kind == protocol.OrderLoad {
+		state.loading = nil
+		state.noRoom = refused != nil && refused.Refusal.Kind == protocol.RefusalFull
+	}
+	if problem.Kind == fault.StaleFence {
+		p.floor = max(p.floor, pending.order.Fence)
+		p.counters.StaleFences++
+	}
+}
--- /dev/null
+++ b/internal/control/planner_test.go
@@ -0,0 +1,282 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/fieldpond/fieldpond/internal/engine"
+	"github.com/fieldpond/fieldpond/internal/engine/protocol"
+	"github.com/fieldpond/fieldpond/internal/fault"
+	"github.com/fieldpond/fieldpond/internal/fleet"
+	"github.com/fieldpond/fieldpond/internal/ident"
+	"github.com/fieldpond/fieldpond/internal/lease"
+)
+
+var epoch = time.Date(2026, 3, 1, 0, 0, 0, 0, time.UTC)
+
+// compiled returns a fleet of engines a1, a2, ... in zone a and so on, with a
+// tenant in each zone.
+func compiled(perZone int, zones string, version ident.ModelVersion, accepted ...ident.ModelVersion) *fleet.Compiled {
+	document := &fleet.Document{
+		Models:   []fleet.Model{{Name: "m", Version: version, AcceptVersions: accepted}},
+		Services: []fleet.Service{{Name: "s", Kind: fleet.ServiceModel, Model: "m"}},
+	}
+	for _, zone := range zones {
+		name := string(zone)
+		document.Tenants = append(document.Tenants, fleet.Tenant{
+			Name: ident.Tenant(name), Places: []string{name}, Services: []ident.Service{"s"},
+		})
+		document.Regions = append(document.Regions, fleet.Region{Name: ident.Region("r" + name), Zones: []ident.Zone{ident.Zone(name)}})
+		for index := range perZone {
+			engine := fmt.Sprint(name, index+1)
+			document.Engines = append(document.Engines, fleet.Engine{
+				Name: ident.Engine(engine), Address: engine, Zone: ident.Zone(name), Models: []ident.Model{"m"},
+			})
+		}
+	}
+	fleet.Normalise(document)
+	return fleet.Compile(document, 1, "d")
+}
+
+// rig drives a planner with reports that it writes by hand.
+type rig struct {
+	planner *Planner
+	now     time.Time
+	grant   lease.Grant
+	reports map[ident.Engine]protocol.LoadReport
+}
+
+func newRig(file *fleet.Compiled) *rig {
+	r := &rig{planner: NewPlanner(Config{}, "x"), now: epoch, grant: lease.Grant{Fence: 7}, reports: map[ident.Engine]protocol.LoadReport{}}
+	r.use(file)
+	return r
+}
+
+func (r *rig) use(file *fleet.Compiled) { r.planner.SetFleet(file, GroupsOf(file)[0], 1) }
+
+// report sets what an engine of the fence reports: its life and versions.
+func (r *rig) report(name ident.Engine, fence uint64, life ident.Incarnation, versions ...ident.ModelVersion) {
+	report := protocol.LoadReport{Incarnation: life, Role: "mixed", Fence: fence}
+	for _, version := range versions {
+		report.Loaded = append(report.Loaded, protocol.LoadedModel{Model: "m", Version: version})
+	}
+	r.reports[name] = report
+}
+
+// plan moves time on, brings the reports in and lists the orders.
+func (r *rig) plan(step time.Duration) []Order {
+	r.now = r.now.Add(step)
+	for name, report := range r.reports {
+		r.planner.Reported(r.now, name, report)
+	}
+	return r.planner.Plan(r.now, r.grant)
+}
+
+func (r *rig) answer(order Order, err error) {
+	r.planner.Ordered(r.now, order.Engine, order.Order.OrderID, err)
+}
+
+// words writes orders as "engine kind version".
+func words(orders []Order) (list []string) {
+	for _, one := range orders {
+		list = append(list, fmt.Sprint(one.Engine, " ", one.Order.Kind, " ", one.Order.Version))
+	}
+	return list
+}
+
+func refusal(kind protocol.RefusalKind, as fault.Kind) error {
+	return fault.Wrap(&engine.RefusedError{Refusal: protocol.Refusal{Kind: kind}}, as, "refused")
+}
+
+func TestOneDecision(t *testing.T) {
+	type setting = func(r *rig)
+	loaded := func(name ident.Engine, fence uint64, versions ...ident.ModelVersion) setting {
+		return func(r *rig) { r.report(name, fence, "life", versions...) }
+	}
+	leaving := func(name ident.Engine) setting {
+		return func(r *rig) {
+			report := r.reports[name]
+			report.Leaving = true
+			r.reports[name] = report
+		}
+	}
+	cases := []struct {
+		name     string
+		file     *fleet.Compiled
+		settings []setting
+		wanted   []string
+	}{
+		{"a new holder fences first", compiled(1, "a", "v2"), []setting{loaded("a1", 6, "v1")}, []string{"a1 role "}},
+		{"new beside old", compiled(1, "a", "v2", "v1"), []setting{loaded("a1", 7, "v1")}, []string{"a1 load v2"}},
+		{"accepted stays", compiled(1, "a", "v2", "v1"), []setting{loaded("a1", 7, "v1", "v2")}, nil},
+		{"withdrawn goes", compiled(1, "a", "v2"), []setting{loaded("a1", 7, "v1", "v2")}, []string{"a1 unload v1"}},
+		{"withdrawn stays until the new one serves", compiled(1, "a", "v2"), []setting{func(r *rig) {
+			r.planner.nextLoad = r.now.Add(time.Hour)
+		}, loaded("a1", 7, "v1")}, nil},
+		{"one load a zone, one a pace", compiled(2, "ab", "v2"), []setting{
+			loaded("a1", 7), loaded("a2", 7), loaded("b1", 7), loaded("b2", 7),
+		}, []string{"a1 load v2"}},
+		{"unreported engines get nothing", compiled(2, "a", "v2"), nil, nil},
+		{"leaving engines get nothing", compiled(1, "a", "v2"), []setting{loaded("a1", 7, "v1"), leaving("a1")}, nil},
+		{"a newer fence silences", compiled(2, "a", "v2"), []setting{loaded("a1", 7, "v1"), loaded("a2", 9, "v1")}, nil},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			r := newRig(test.file)
+			for _, set := range test.settings {
+				set(r)
+			}
+			is.Equal(words(r.plan(time.Second)), test.wanted)
+		})
+	}
+}
+
+// TestLastWarmEngineStays lets engines refuse to load beside the old version:
+// the old one makes room only where another engine surely serves the tenants.
+func TestLastWarmEngineStays(t *testing.T) {
+	cases := []struct {
+		name   string
+		other  func(r *rig)
+		wanted []string
+	}{
+		{"no other", func(*rig) {}, nil},
+		{"other is warm", func(r *rig) { r.report("a2", 7, "life", "v1") }, []string{"a1 unload v1"}},
+		{"other may take stale orders", func(r *rig) { r.report("a2", 6, "life", "v1") }, []string{"a2 role "}},
+		{"other is in another zone", func(r *rig) { r.report("b1", 7, "life", "v1") }, nil},
+		{"other serves a withdrawn version", func(r *rig) { r.report("a2", 7, "life", "v0") }, nil},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			r := newRig(compiled(2, "ab", "v2", "v1"))
+			r.report("a1", 7, "life", "v1")
+			first := r.plan(time.Second)
+			is.Equal(words(first), []string{"a1 load v2"})
+			r.answer(first[0], refusal(protocol.RefusalFull, fault.BackendRefused))
+			test.other(r)
+			r.planner.nextLoad = r.now.Add(time.Hour)
+			is.Equal(words(r.plan(time.Second)), test.wanted)
+		})
+	}
+}
+
+func TestOneLoadInAZoneAtOnce(t *testing.T) {
+	is := is.New(t)
+	r := newRig(compiled(2, "ab", "v2"))
+	for _, name := range []ident.Engine{"a1", "a2", "b1", "b2"} {
+		r.report(name, 7, "life")
+	}
+	started := r.plan(time.Second)
+	r.answer(started[0], nil)
+	started = append(started, r.plan(5*time.Second)...)
+	r.answer(started[1], nil)
+	is.Equal(words(started), []string{"a1 load v2", "b1 load v2"})
+	is.Equal(len(r.plan(5*time.Second)), 0)
+	r.report("a1", 7, "life", "v2")
+	is.Equal(words(r.plan(5*time.Second)), []string{"a2 load v2"})
+}
+
+// countingEngines counts the orders that reach the engines.
+type countingEngines struct {
+	Engines
+	orders int
+}
+
+func (c *countingEngines) Order(context.Context, string, protocol.Order) (protocol.OrderResult, error) {
+	c.orders++
+	return protocol.OrderResult{}, nil
+}
+
+// TestOrderIsNotSentAfterTheLeaseIsGone covers a holder that was paused between
+// its decision and the request.
+func TestOrderIsNotSentAfterTheLeaseIsGone(t *testing.T) {
+	is := is.New(t)
+	engines := &countingEngines{}
+	duty := NewDuty(Options{Engines: engines})
+	one := &runner{keeper: lease.NewKeeper(nil, lease.Config{}, "x", "n")}
+	made := duty.request(t.Context(), call{runner: one, order: &protocol.Order{Fence: 7}})
+	is.Equal(made.err, lease.ErrNotHeld)
+	is.Equal(engines.orders, 0)
+}
+
+func TestTwoEnginesNeverMakeRoomForEachOther(t *testing.T) {
+	is := is.New(t)
+	r := newRig(compiled(2, "a", "v2", "v1"))
+	r.planner.config.MaxLoadsPerZone = 2
+	for _, name := range []ident.Engine{"a1", "a2"} {
+		r.report(name, 7, "life", "v1")
+		for _, order := range r.plan(5 * time.Second) {
+			r.answer(order, refusal(protocol.RefusalFull, fault.BackendRefused))
+		}
+	}
+	r.planner.nextLoad = r.now.Add(time.Hour)
+	is.Equal(len(r.plan(5*time.Second)), 1)
+	is.Equal(len(r.plan(5*time.Second)), 0)
+}
+
+func TestLostAnswersCrashesAndStaleFences(t *testing.T) {
+	is := is.New(t)
+	r := newRig(compiled(1, "a", "v2"))
+	lost := fault.New(fault.BackendLost, "no answer").WithRan(fault.RanUnknown)
+	r.report("a1", 7, "life-1")
+	first := r.plan(time.Second)
+	r.answer(first[0], lost)
+	is.Equal(len(r.plan(100*time.Millisecond)), 0) // backoff
+	again := r.plan(time.Second)
+	is.Equal(again, first) // the very same order
+	r.answer(again[0], nil)
+	is.Equal(len(r.plan(time.Minute)), 0) // it loads
+
+	r.report("a1", 0, "life-2") // crashed during the load
+	fenced := r.plan(time.Second)
+	is.Equal(words(fenced), []string{"a1 role "})
+	r.answer(fenced[0], nil)
+	r.report("a1", 7, "life-2")
+	reload := r.plan(time.Second)
+	is.Equal(words(reload), []string{"a1 load v2"})
+	is.Equal(reload[0].Order.ExpectedIncarnation, ident.Incarnation("life-2"))
+	is.True(reload[0].Order.OrderID != first[0].Order.OrderID)
+
+	r.answer(reload[0], refusal(protocol.RefusalStaleFence, fault.StaleFence))
+	is.Equal(r.planner.Floor(), uint64(7)) // the shell steps down with it
+	is.Equal(len(r.plan(time.Minute)), 0)
+	r.grant.Fence = 12
+	is.Equal(words(r.plan(time.Second)), []string{"a1 role "})
+}
+
+// TestLostUnloadIsMadeVoid covers an unload that may still arrive after it has
+// ceased to be permitted.
+func TestLostUnloadIsMadeVoid(t *testing.T) {
+	is := is.New(t)
+	r := newRig(compiled(1, "a", "v2"))
+	r.report("a1", 7, "life", "v1", "v2")
+	orders := r.plan(time.Second)
+	is.Equal(words(orders), []string{"a1 unload v1"})
+	r.answer(orders[0], fault.New(fault.BackendLost, "no answer").WithRan(fault.RanUnknown))
+	r.use(compiled(1, "a", "v1"))
+	is.Equal(len(r.plan(time.Second)), 0)
+	is.Equal(r.planner.Floor(), uint64(7))
+}
+
+func TestEnginesSharedByServicesHaveOneLease(t *testing.T) {
+	is := is.New(t)
+	document := &fleet.Document{
+		Models: []fleet.Model{{Name: "m", Version: "1"}, {Name: "n", Version: "1"}, {Name: "o", Version: "1"}},
+		Services: []fleet.Service{
+			{Name: "first", Kind: fleet.ServiceModel, Model: "m"}, {Name: "second", Kind: fleet.ServiceModel, Model: "n"},
+		},
+		Engines: []fleet.Engine{
+			{Name: "e1", Models: []ident.Model{"n"}}, {Name: "e2", Models: []ident.Model{"m", "n"}}, {Name: "e3", Models: []ident.Model{"o"}},
+		},
+	}
+	groups := GroupsOf(fleet.Compile(document, 1, "d"))
+	is.Equal(len(groups), 2)
+	is.Equal(groups[0].LeaseName(), "control/first")
+	is.Equal(len(groups[0].Engines), 2)
+	is.Equal(groups[1].LeaseName(), "control/o")
+}
--- a/internal/lease/errors.go
+++ b/internal/lease/errors.go
@@ -5,7 +5,7 @@
 // The sentinel errors of this package.
 var (
 	// ErrNotHeld means: this holder does not hold the lease, or not any more.
-	ErrNotHeld = fault.New(fault.StaleFence, "the lease is not held").
+	ErrNotHeld = fault.New(fault.Conflict, "the lease is not held").
 			WithRemedy("stop acting; the lease is contended for again by itself")
 	// ErrMalformedRow means: the lease row was not written by this program.
 	ErrMalformedRow = fault.New(fault.Internal, "the lease row cannot be read").
