--- a/internal/control/rolling_test.go
+++ b/internal/control/rolling_test.go
@@ -19,6 +19,7 @@
 	"github.com/fieldpond/fieldpond/internal/fault"
 	"github.com/fieldpond/fieldpond/internal/fleet"
 	"github.com/fieldpond/fieldpond/internal/ident"
+	"github.com/fieldpond/fieldpond/internal/lease"
 	"github.com/fieldpond/fieldpond/internal/membership"
 	platform "github.com/fieldpond/fieldpond/internal/platform/protocol"
 	"github.com/fieldpond/fieldpond/standin/engine/model"
@@ -91,7 +92,11 @@
 	result, refusal := e.models[address].Order(time.Now(), order)
 	e.drain(address)
 	if refusal != nil {
-		return result, fault.Wrap(&engine.RefusedError{Refusal: *refusal}, fault.BackendRefused, "refused")
+		kind := fault.BackendRefused
+		if refusal.Kind == protocol.RefusalStaleFence {
+			kind = fault.StaleFence
+		}
+		return result, fault.Wrap(&engine.RefusedError{Refusal: *refusal}, kind, "refused")
 	}
 	if e.orders%3 == 0 {
 		return result, fault.New(fault.BackendLost, "no answer").WithRan(fault.RanUnknown)
@@ -282,3 +287,42 @@
 		r.running.Wait()
 	})
 }
+
+// TestPausedHolderOrdersNothing freezes a holder between its decision to
+// unload and the request, while another holder takes over.
+func TestPausedHolderOrdersNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		before, after := file(1, "v2", "v1"), file(2, "v2")
+		models := newEngines(before)
+		frozen, successor := control.NewPlanner(control.Config{}, "x"), control.NewPlanner(control.Config{}, "x")
+		// look lets a planner read every report and decide.
+		look := func(planner *control.Planner, compiled *fleet.Compiled, fence uint64) []control.Order {
+			time.Sleep(3 * time.Second)
+			planner.SetFleet(compiled, control.GroupsOf(compiled)[0], 1)
+			for _, target := range compiled.Engines() {
+				report, err := models.Load(t.Context(), target.Address)
+				is.NoErr(err)
+				planner.Reported(time.Now(), target.Name, report)
+			}
+			return planner.Plan(time.Now(), lease.Grant{Fence: fence})
+		}
+		send := func(planner *control.Planner, orders []control.Order) {
+			for _, order := range orders {
+				_, err := models.Order(t.Context(), order.Address, order.Order)
+				planner.Ordered(time.Now(), order.Engine, order.Order.OrderID, err)
+			}
+		}
+		for models.warm("a", "v2")+models.warm("b", "v2") < len(models.models) {
+			send(frozen, look(frozen, before, 1))
+		}
+		stale := look(frozen, after, 1)
+		is.True(len(stale) > 0)
+		is.Equal(stale[0].Order.Kind, protocol.OrderUnload)
+		send(successor, look(successor, before, 2)) // fences every engine
+		send(frozen, stale)                         // the holder wakes up
+		is.Equal(models.warm("a", "v1")+models.warm("b", "v1"), len(models.models))
+		is.Equal(frozen.Floor(), uint64(1)) // it steps down
+		is.Equal(len(look(frozen, after, 1)), 0)
+	})
+}
--- a/internal/lease/keeper_test.go
+++ b/internal/lease/keeper_test.go
@@ -11,13 +11,17 @@
 	"github.com/fieldpond/fieldpond/internal/ident"
 )
 
+// sample is how often the holders are looked at.
+const sample = 10 * time.Millisecond
+
 func TestHandoverTakeoverAndOutage(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
+		links := []*link{}
 		is := is.New(t)
 		table := &fakeTable{model: newTableModel()}
 		start := func(name ident.Node) (*Keeper, context.CancelFunc) {
 			ctx, cancel := context.WithCancel(t.Context())
-			keeper := NewKeeper(table, Config{Duration: duration}, "x", name)
+			keeper := NewKeeper(links[len(links)-1], Config{Duration: duration}, "x", name)
 			keeper.Contend(true)
 			go keeper.Run(ctx)
 			synctest.Wait()
@@ -34,6 +38,7 @@
 			return holding
 		}
 		for _, name := range []ident.Node{"first", "second", "third"} {
+			links = append(links, &link{fakeTable: table})
 			keeper, stop := start(name)
 			keepers, stops = append(keepers, keeper), append(stops, stop)
 		}
@@ -59,6 +64,20 @@
 		time.Sleep(2 * duration)
 		is.Equal(len(holders()), 1)
 
+		cut := holders()[0] // a holder that is cut off lapses before the takeover
+		links[cut].cut.Store(true)
+		began, lapsed := time.Now(), time.Duration(0)
+		for len(holders()) == 0 || holders()[0] == cut {
+			time.Sleep(sample)
+			if len(holders()) == 0 && lapsed == 0 {
+				lapsed = time.Since(began)
+			}
+		}
+		took := time.Since(began)
+		t.Logf("cut off, the holder lapsed after %v and another took over after %v", lapsed, took)
+		is.True(lapsed > 0 && lapsed < took)
+		is.True(took <= duration+duration/renewals+sample)
+
 		for _, stop := range stops {
 			stop()
 		}
--- a/internal/lease/table_test.go
+++ b/internal/lease/table_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/fieldpond/fieldpond/internal/fault"
@@ -96,3 +97,16 @@
 func (f *fakeTable) List(context.Context, string, int) (protocol.RowList, error) {
 	return protocol.RowList{}, fault.New(fault.Internal, "not used")
 }
+
+// link is one node's way to the table, which can be cut.
+type link struct {
+	*fakeTable
+	cut atomic.Bool
+}
+
+func (l *link) Commit(ctx context.Context, transaction protocol.Transaction) (protocol.TransactionResult, error) {
+	if l.cut.Load() {
+		return protocol.TransactionResult{}, fault.New(fault.StoreUnavailable, "cut off")
+	}
+	return l.fakeTable.Commit(ctx, transaction)
+}
