--- a/cmd/fieldpond/fleetcommand.go
+++ b/cmd/fieldpond/fleetcommand.go
@@ -1,11 +1,9 @@
 package main
 
 import (
-	"encoding/json"
 	"io"
 	"os"
 
-	"github.com/pkg/errors"
 	"github.com/spf13/cobra"
 
 	"github.com/fieldpond/fieldpond/internal/fault"
@@ -13,46 +11,10 @@
 	"github.com/fieldpond/fieldpond/internal/platform"
 )
 
-// openTable returns the client of the platform's table service at a URL. It is
-// the one place in which the fleet commands meet the platform.
+// openTable returns the client of the platform's table service at a URL. Tests
+// replace it by a table in memory.
 var openTable = func(url string) (platform.Table, error) {
-	return nil, fault.New(fault.InvalidSettings, "this build has no platform client for %s", url).
-		WithRemedy("use a release build of fieldpond")
-}
-
-// outputFormat is the value of the --output flag.
-type outputFormat string
-
-const (
-	outputTable outputFormat = "table"
-	outputJSON  outputFormat = "json"
-)
-
-func addOutputFlag(command *cobra.Command, format *outputFormat) {
-	*format = outputTable
-	command.Flags().VarP(format, "output", "o", "table for people, json for scripts")
-}
-
-// String implements pflag.Value.
-func (f *outputFormat) String() string { return string(*f) }
-
-// Set implements pflag.Value.
-func (f *outputFormat) Set(value string) error {
-	switch format := outputFormat(value); format {
-	case outputTable, outputJSON:
-		*f = format
-		return nil
-	}
-	return errors.Errorf("%q is neither table nor json", value)
-}
-
-// Type implements pflag.Value.
-func (f *outputFormat) Type() string { return "format" }
-
-func writeJSON(writer io.Writer, value any) error {
-	encoder := json.NewEncoder(writer)
-	encoder.SetIndent("", "  ")
-	return encoder.Encode(value)
+	return platform.NewHTTPClient(url, platform.Options{})
 }
 
 func addFileFlag(command *cobra.Command, path *string) {
--- a/cmd/fieldpond/subcommands.go
+++ b/cmd/fieldpond/subcommands.go
@@ -8,5 +8,7 @@
 		newCheckCommand(),
 		newDiffCommand(),
 		newApplyCommand(),
+		newStatusCommand(),
+		newRouterCommand(),
 	}
 }
--- a/cmd/rehearse/load.go
+++ b/cmd/rehearse/load.go
@@ -2,23 +2,18 @@
 
 import (
 	"context"
-	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
 	"github.com/spf13/cobra"
 
+	"github.com/fieldpond/fieldpond/internal/commandline"
 	"github.com/fieldpond/fieldpond/internal/fault"
+	"github.com/fieldpond/fieldpond/standin/engine/model"
 	"github.com/fieldpond/fieldpond/standin/load"
 	"github.com/fieldpond/fieldpond/standin/workload"
 )
 
-// expectedText returns the right answer of the stand-in engines to a prompt.
-// While it is nil, texts are not checked and the report says so.
-var expectedText func(prompt string, maxTokens int) string
-
 // loadOptions are the flags of "rehearse load".
 type loadOptions struct {
 	targets, truth []string
@@ -26,7 +21,7 @@
 	seed           uint64
 	duration       time.Duration
 	rate           float64
-	format         string
+	output         commandline.Format
 	allowLost      int
 	maxInFlight    int
 	patience       time.Duration
@@ -37,7 +32,22 @@
 	command := &cobra.Command{
 		Use:   "load --target URL --schedule FILE",
 		Short: "Send a workload to routers as their callers would, and judge every answer",
-		Args:  cobra.NoArgs,
+		Long: `Send a workload to routers, open loop, as its callers would, and judge every
+answer: whole and correct, refused and not run, or lost. The text of an answer
+is compared with what the stand-in engines must produce. With --truth, the truth
+logs of the engines tell how many tokens were recomputed although a permitted
+engine held them.
+
+The exit code is not 0 if more than --allow-lost requests were lost.`,
+		Example: `  # The load of an example for 10 seconds, with the engines' truth.
+  rehearse load --schedule examples/muldenring/load.yaml --duration 10s \
+      --target http://127.0.0.1:7001 --target http://127.0.0.1:7003 \
+      --truth http://127.0.0.1:7101
+
+  # Twice the rate, as JSON.
+  rehearse load --schedule examples/muldenring/load.yaml --rate 24 \
+      --target http://127.0.0.1:7001 --output json`,
+		Args: cobra.NoArgs,
 		RunE: func(command *cobra.Command, _ []string) error {
 			return runLoad(command, options)
 		},
@@ -49,7 +59,7 @@
 	flags.Uint64Var(&options.seed, "seed", 1, "seed of the load")
 	flags.DurationVar(&options.duration, "duration", 0, "how long arrivals go on (default: as the schedule says)")
 	flags.Float64Var(&options.rate, "rate", 0, "mean arrivals a second (default: as the schedule says)")
-	flags.StringVar(&options.format, "format", "table", "form of the report: table or json")
+	commandline.AddOutputFlag(command, &options.output)
 	flags.IntVar(&options.allowLost, "allow-lost", 0, "lost requests that still count as success")
 	flags.IntVar(&options.maxInFlight, "max-in-flight", 0, "most requests open at one time (default 2048)")
 	flags.DurationVar(&options.patience, "patience", 0, "the longest a caller waits for one request (default 2m)")
@@ -61,14 +71,15 @@
 	if err != nil {
 		return err
 	}
-	ctx, stop := signal.NotifyContext(command.Context(), os.Interrupt, syscall.SIGTERM)
+	ctx, stop := commandline.UntilStopped(command)
 	defer stop()
+	command.PrintErrf("sending for %s to %d routers, then waiting for the answers\n", config.Spec.Duration, len(config.Targets))
 	report, err := load.Run(ctx, config)
 	if report == nil {
 		return err
 	}
 	write := report.WriteTable
-	if options.format == "json" {
+	if options.output == commandline.FormatJSON {
 		write = report.WriteJSON
 	}
 	if writeError := write(command.OutOrStdout()); writeError != nil {
@@ -84,9 +95,6 @@
 	if len(o.targets) == 0 || o.schedule == "" {
 		return load.Config{}, fault.New(fault.BadRequest, "--target and --schedule are needed")
 	}
-	if o.format != "table" && o.format != "json" {
-		return load.Config{}, fault.New(fault.BadRequest, "--format %q is neither table nor json", o.format)
-	}
 	if o.rate < 0 || o.duration < 0 || o.maxInFlight < 0 || o.patience < 0 {
 		return load.Config{}, fault.New(fault.BadRequest, "--rate, --duration, --max-in-flight and --patience must not be negative")
 	}
@@ -102,7 +110,7 @@
 		spec.Duration = o.duration
 	}
 	config := load.Config{
-		Targets: o.targets, Spec: spec, Seed: o.seed, ExpectedText: expectedText,
+		Targets: o.targets, Spec: spec, Seed: o.seed, ExpectedText: model.ExpectedText,
 		MaxInFlight: o.maxInFlight, Patience: o.patience,
 	}
 	if len(o.truth) > 0 {
--- a/cmd/rehearse/subcommands.go
+++ b/cmd/rehearse/subcommands.go
@@ -7,7 +7,11 @@
 	return []*cobra.Command{
 		newEngineCommand(),
 		newLoadCommand(),
+		newScaleCommand(),
+		newPlanCommand(),
+		newOverheadCommand(),
 		newApplicationCommand(),
 		newPlatformCommand(),
+		newExperimentCommand(),
 	}
 }
--- a/internal/api/server.go
+++ b/internal/api/server.go
@@ -90,6 +90,9 @@
 	BufferedChunks int
 	// RetryAfter is told to callers when nothing better is known. Default: 1s.
 	RetryAfter time.Duration
+	// OnFault is told of every fault that a caller was answered with. It must not
+	// block. Default: nobody is told.
+	OnFault func(*fault.Fault)
 	// Node is this router.
 	Node ident.Node
 	// KeepStream tells another router that the caller of one of its streams has
@@ -131,6 +134,9 @@
 	orDefault(&c.WriteTimeout, defaultWriteTimeout)
 	orDefault(&c.BufferedChunks, defaultBufferedChunks)
 	orDefault(&c.RetryAfter, defaultRetryAfter)
+	if c.OnFault == nil {
+		c.OnFault = func(*fault.Fault) {}
+	}
 	return c
 }
 
@@ -195,7 +201,7 @@
 			err = handler(opened)
 		}
 		if err != nil {
-			s.writeFault(writer, fault.From(err))
+			s.writeFault(writer, request, fault.From(err))
 		}
 	}
 }
@@ -217,7 +223,7 @@
 }
 
 func (s *Server) unknownRoute(writer http.ResponseWriter, request *http.Request) {
-	s.writeFault(writer, fault.New(fault.UnknownRoute, "there is no route for this method (%.10q) and path", request.Method))
+	s.writeFault(writer, request, fault.New(fault.UnknownRoute, "there is no route for this method (%.10q) and path", request.Method))
 }
 
 // service returns a service of the wanted kind that the tenant may use.
--- a/internal/dispatch/generation_test.go
+++ b/internal/dispatch/generation_test.go
@@ -16,7 +16,7 @@
 // Every kind of damage at every event of the stream: the caller gets the whole
 // answer, in order, exactly once.
 func TestAnswerIsWholeWhateverBreaksWhereverItBreaks(t *testing.T) {
-	kinds := []string{"none", "cut", "gone", "stall", "lost", "swap", "repeat", "crossed request", "late attempt", "crossed incarnation", "crossed stream", "engine error"}
+	kinds := []string{"none", "cut", "gone", "stall", "frozen", "lost", "swap", "repeat", "crossed request", "late attempt", "crossed incarnation", "crossed stream", "engine error"}
 	for _, kind := range kinds {
 		for at := uint64(0); at <= answerChunks+1; at++ {
 			synctest.Test(t, func(t *testing.T) {
@@ -56,7 +56,9 @@
 		"gone after start":        {damage{"gone", 1}, 9, 50, fault.NoPermittedEngine, fault.RanYes},
 		"gone after text":         {damage{"gone", 3}, 9, 50, fault.StreamBroken, fault.RanYes},
 		"stalls for ever":         {damage{"stall", 3}, 9, 50, fault.StreamBroken, fault.RanYes},
-		"no budget":               {damage{"engine error", 3}, 0, 50, fault.StreamBroken, fault.RanYes},
+		"frozen":                  {damage{"frozen", 3}, 9, 50, fault.StreamBroken, fault.RanYes},
+		"no budget before text":   {damage{"gone", 0}, 0, 50, fault.BackendLost, fault.RanUnknown},
+		"no budget, no engine":    {damage{"engine error", 3}, 0, 50, fault.StreamBroken, fault.RanYes},
 		"only the end is missing": {damage{"gone", answerChunks + 1}, 9, answerChunks, fault.StreamBroken, fault.RanYes},
 	}
 	for name, c := range cases {
@@ -69,18 +71,71 @@
 				job := testJob()
 				job.MaxTokens = c.maxTok
 				var sink textSink
+				began := time.Now()
 				_, err := r.Run(t.Context(), job, &sink)
 				r.Close()
 				is.True(fault.Is(err, c.kind))
 				is.Equal(fault.From(err).Ran, c.ran)
 				is.True(fault.From(err).RetryAfter > 0)
 				is.Equal(sink.text.String(), wholeAnswer()[:sink.text.Len()])
+				is.True(time.Since(began) < 20*time.Second) // virtual: a stall is given up soon
 				is.Equal(r.chart.ends, 1)
 			})
 		})
 	}
 }
 
+// A budget that is used up stops neither an answer that has begun nor the
+// second try at an engine that named its new life.
+func TestRetriesThatAddNoLoadNeedNoBudget(t *testing.T) {
+	cases := map[string]struct {
+		damage damage
+		refuse error
+	}{
+		"broken after text":  {damage{"engine error", 3}, nil},
+		"broken before text": {damage{"gone", 1}, nil},
+		"new life":           {damage{}, refusal(protocol.RefusalMismatch, "a1")},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				r := newRig(c.damage, "a", "b")
+				r.Budget = &fakeBudget{}
+				if c.refuse != nil {
+					r.engines.refuse = map[string]error{"a": c.refuse}
+				}
+				var sink textSink
+				_, err := r.Run(t.Context(), testJob(), &sink)
+				r.Close()
+				if c.refuse != nil {
+					// The fake refuses for ever; the one free try was made.
+					is.True(fault.Is(err, fault.BackendRefused))
+					is.Equal(len(r.engines.generated), 2)
+					return
+				}
+				is.NoErr(err)
+				is.Equal(sink.text.String(), wholeAnswer())
+			})
+		})
+	}
+}
+
+// Only resumes that bring nothing count against their bound.
+func TestAnswerIsWholeWhenEveryConnectionBreaksAfterOneEvent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := newRig(damage{kind: "one event a connection"}, "a")
+		r.engines.always = true
+		var sink textSink
+		_, err := r.Run(t.Context(), testJob(), &sink)
+		r.Close()
+		is.NoErr(err)
+		is.Equal(sink.text.String(), wholeAnswer())
+		is.Equal(len(r.engines.generated), 1)
+	})
+}
+
 func TestRefusedBeforeExecutionGoesElsewhereOrIsTrulyNotRun(t *testing.T) {
 	unreachable := fault.New(fault.BackendLost, "no byte left")
 	lost := fault.New(fault.BackendLost, "broke").WithRan(fault.RanUnknown)
@@ -92,6 +147,7 @@
 		"full, then taken":   {refusal(protocol.RefusalFull, "a0"), nil, "", ""},
 		"leaving, unreach":   {refusal(protocol.RefusalLeaving, "a0"), unreachable, fault.NoPermittedEngine, fault.RanNo},
 		"refused, then lost": {refusal(protocol.RefusalFull, "a0"), lost, fault.NoPermittedEngine, fault.RanUnknown},
+		"not understood":     {refusal(protocol.RefusalBadRequest, "a0"), nil, fault.BadRequest, fault.RanNo},
 		"lost, then refused": {lost, refusal(protocol.RefusalFull, "b0"), fault.NoPermittedEngine, fault.RanUnknown},
 	}
 	for name, c := range cases {
@@ -109,6 +165,7 @@
 			}
 			is.True(fault.Is(err, c.kind))
 			is.Equal(fault.From(err).Ran, c.ran)
+			is.Equal(fault.From(err).RetryAfter > 0, c.kind != fault.BadRequest)
 		})
 	}
 }
--- a/internal/placement/core.go
+++ b/internal/placement/core.go
@@ -17,6 +17,7 @@
 	"github.com/fieldpond/fieldpond/internal/fault"
 	"github.com/fieldpond/fieldpond/internal/ident"
 	"github.com/fieldpond/fieldpond/internal/prefix/beliefs"
+	"github.com/fieldpond/fieldpond/internal/prefix/directory"
 	"github.com/fieldpond/fieldpond/internal/routing/framework"
 )
 
@@ -26,6 +27,12 @@
 	Scheduler framework.Scheduler
 	// Beliefs holds the beliefs about caches.
 	Beliefs *beliefs.Store
+	// Directory is this router's part of the directory of cached prefixes. It
+	// is used while the fleet has more than SmallFleet engines; in a smaller one
+	// every router reads every engine's events itself. Nil means never.
+	Directory *directory.Node
+	// SmallFleet is the number of engines up to which Directory is not used.
+	SmallFleet int
 	// Queue bounds and orders waiting requests.
 	Queue *admission.Queue
 	// NewLimiter returns the concurrency limiter of one engine; nil means none.
@@ -66,12 +73,15 @@
 	Placed  []Placed
 	Refused []Refused
 	Changes []endpoint.Change
+	// Messages go to the directories of other routers.
+	Messages []directory.Envelope
 }
 
 // flight is one attempt on an engine.
 type flight struct {
 	job         *Job
 	engine      ident.Engine
+	address     string
 	incarnation ident.Incarnation
 	version     ident.ModelVersion
 	// credit is the number of prompt tokens believed cached at dispatch.
@@ -85,6 +95,13 @@
 	limiters map[ident.Engine]admission.Limiter
 	waiting  map[ident.Request]*Job
 	flights  map[endpoint.AttemptKey]*flight
+	// parked holds jobs that wait for the directory, in order of time.
+	parked          []parkedJob
+	directoryTicked time.Time
+	// directory is Config.Directory while it is used, else nil.
+	directory *directory.Node
+	// passed tells by priority when a request last passed the reserve.
+	passed   map[int]time.Time
 	snapshot framework.Snapshot
 	effects  Effects
 	// Counters counts decisions; read it from the goroutine of the core.
@@ -95,12 +112,15 @@
 type Counters struct {
 	// Placed, Refused and Held count decisions.
 	Placed, Refused, Held uint64
+	// Parked counts jobs that waited for the directory.
+	Parked uint64
 	// PromptTokens, CreditedTokens and CachedTokens add up what answered
 	// attempts asked for, were believed to find cached, and found.
 	PromptTokens, CreditedTokens, CachedTokens uint64
 	// BeliefHigh counts answers that found fewer cached tokens than believed,
-	// by more than one block; BeliefLow those that found more.
-	BeliefHigh, BeliefLow uint64
+	// by more than one block; BeliefLow those that found more; BeliefRight the
+	// others.
+	BeliefHigh, BeliefLow, BeliefRight uint64
 }
 
 // New returns a core that knows no engine.
@@ -111,6 +131,7 @@
 		limiters: make(map[ident.Engine]admission.Limiter),
 		waiting:  make(map[ident.Request]*Job),
 		flights:  make(map[endpoint.AttemptKey]*flight),
+		passed:   make(map[int]time.Time),
 	}
 }
 
@@ -125,6 +146,10 @@
 
 // Configure takes over the engines of a fleet file.
 func (c *Core) Configure(now time.Time, targets []endpoint.Target) Effects {
+	c.directory = nil
+	if len(targets) > c.config.SmallFleet {
+		c.directory = c.config.Directory
+	}
 	c.changed(c.registry.Configure(targets))
 	return c.pump(now)
 }
@@ -132,6 +157,19 @@
 // Offer takes in a job. It is placed, held or refused.
 func (c *Core) Offer(now time.Time, job *Job) Effects {
 	c.waiting[job.Request.ID] = job
+	if c.directory != nil && c.lookUp(now, job) {
+		c.park(now, job)
+	} else {
+		c.enqueue(now, job)
+	}
+	return c.pump(now)
+}
+
+// enqueue hands a job to the queue, unless its caller has left meanwhile.
+func (c *Core) enqueue(now time.Time, job *Job) {
+	if c.waiting[job.Request.ID] != job {
+		return
+	}
 	c.refuse(c.config.Queue.Offer(now, admission.Item{
 		ID:       job.Request.ID,
 		Tenant:   job.Request.Tenant,
@@ -141,7 +179,6 @@
 		Pool:     poolOf(&job.Request),
 		MaxHold:  job.MaxHold,
 	}))
-	return c.pump(now)
 }
 
 // Withdraw takes in that the caller of a waiting job is gone.
@@ -155,8 +192,18 @@
 // Tick gives up jobs whose hold is over and places what can be placed.
 func (c *Core) Tick(now time.Time) Effects { return c.pump(now) }
 
-// NextTick returns when Tick has something to do, if ever.
-func (c *Core) NextTick() (time.Time, bool) { return c.config.Queue.NextExpiry() }
+// NextTick returns when Tick has something to do, if ever. The zero time means
+// at once: the last look through the queue was cut short to bound its cost.
+func (c *Core) NextTick() (time.Time, bool) {
+	if c.config.Queue.Unfinished() {
+		return time.Time{}, true
+	}
+	expiry, waits := c.config.Queue.NextExpiry()
+	if unpark, parked := c.nextUnpark(); parked && (!waits || unpark.Before(expiry)) {
+		return unpark, true
+	}
+	return expiry, waits
+}
 
 // Reported takes in a load report.
 func (c *Core) Reported(now time.Time, engine ident.Engine, report protocol.LoadReport) Effects {
@@ -176,18 +223,36 @@
 	return c.pump(now)
 }
 
+// Listed takes in a machine list: for each engine, whether its machine leaves.
+func (c *Core) Listed(now time.Time, leaving map[ident.Engine]bool) Effects {
+	c.changed(c.registry.Listed(now, leaving))
+	return c.pump(now)
+}
+
 // CacheEvents takes in a batch of cache events.
 func (c *Core) CacheEvents(now time.Time, engine ident.Engine, batch protocol.CacheEventBatch) {
-	c.changed(c.registry.SeenIncarnation(engine, batch.Incarnation))
+	c.heard(engine, batch.Incarnation)
 	c.config.Beliefs.Events(now, engine, batch)
+	if c.directory != nil {
+		c.effects.Messages = append(c.effects.Messages, c.directory.Events(now, engine, batch)...)
+	}
 }
 
 // CacheSnapshot takes in the whole state of an engine's cache.
 func (c *Core) CacheSnapshot(now time.Time, engine ident.Engine, snapshot protocol.CacheSnapshot) {
-	c.changed(c.registry.SeenIncarnation(engine, snapshot.Incarnation))
+	c.heard(engine, snapshot.Incarnation)
 	c.config.Beliefs.Snapshot(now, engine, snapshot)
 }
 
+// heard takes in the incarnation of cache events or of a snapshot. They come
+// late: they may tell the first life of an engine that has not reported yet,
+// but never that a dead engine lives or that a life has been replaced.
+func (c *Core) heard(engine ident.Engine, incarnation ident.Incarnation) {
+	if c.registry.Incarnation(engine) == "" {
+		c.changed(c.registry.SeenIncarnation(engine, incarnation))
+	}
+}
+
 // SnapshotWanted reports whether a snapshot of the engine is to be read now.
 func (c *Core) SnapshotWanted(now time.Time, engine ident.Engine) bool {
 	return c.config.Beliefs.SnapshotWanted(now, engine)
@@ -196,6 +261,7 @@
 // changed acts on changes of the registry and reports them.
 func (c *Core) changed(changes []endpoint.Change) {
 	for _, change := range changes {
+		c.tellDirectory(change)
 		switch change.Kind {
 		case endpoint.ChangeIncarnation, endpoint.ChangeRevived:
 			c.config.Beliefs.Incarnation(change.Engine, change.Incarnation)
@@ -216,6 +282,7 @@
 
 // pump gives up and places waiting jobs, and hands out the effects.
 func (c *Core) pump(now time.Time) Effects {
+	c.tickDirectory(now)
 	c.refuse(c.config.Queue.Expire(now))
 	if len(c.waiting) > 0 {
 		c.setLimits(now)
--- a/internal/placement/decide.go
+++ b/internal/placement/decide.go
@@ -26,6 +26,9 @@
 	c.snapshot.Credits = c.config.Beliefs.At(now)
 	c.snapshot.Hop = c.config.Hop
 	decision := c.config.Scheduler.Schedule(&job.Request, &c.snapshot)
+	if decision.Action == framework.Hold && c.mayPassReserve(now, job) {
+		decision = c.passReserve(now, job)
+	}
 	switch decision.Action {
 	case framework.Dispatch:
 		c.place(now, job, decision)
@@ -34,12 +37,36 @@
 		c.Counters.Held++
 		return admission.Verdict{Action: c.heldAction(job)}
 	default:
+		if c.registry.Undecided(job.Request.Zones) {
+			c.Counters.Held++
+			return admission.Verdict{Action: admission.ItemBlocked}
+		}
 		return admission.Verdict{Action: admission.Rejected, Fault: fault.New(fault.NoPermittedEngine,
 			"no engine is left for service %q (filter %s)", job.Request.Service, decision.Reason).
 			WithRetryAfter(noEngineRetryAfter)}
 	}
 }
 
+// reservePause is the time between two requests of one priority that this
+// router lets use what is kept for more urgent ones. It is the bound on
+// starvation by the reserve: a class gets at least one place in it.
+const reservePause = time.Second
+
+func (c *Core) mayPassReserve(now time.Time, job *Job) bool {
+	return job.Request.Priority > 0 && now.Sub(c.passed[job.Request.Priority]) >= reservePause
+}
+
+// passReserve decides again about a held job, without the reserve.
+func (c *Core) passReserve(now time.Time, job *Job) framework.Decision {
+	job.Request.PassReserve = true
+	decision := c.config.Scheduler.Schedule(&job.Request, &c.snapshot)
+	job.Request.PassReserve = false
+	if decision.Action == framework.Dispatch {
+		c.passed[job.Request.Priority] = now
+	}
+	return decision
+}
+
 // heldAction says how much of the queue a held job speaks for. A job that has
 // excluded engines of its own does not speak for its pool.
 func (c *Core) heldAction(job *Job) admission.Action {
@@ -55,7 +82,7 @@
 	chosen.Endpoint = &copied
 	delete(c.waiting, job.Request.ID)
 	c.flights[job.Key] = &flight{
-		job: job, engine: copied.Engine, incarnation: copied.Incarnation,
+		job: job, engine: copied.Engine, address: copied.Address, incarnation: copied.Incarnation,
 		version: chosen.Version, credit: chosen.CreditTokens,
 	}
 	uncached := max(0, job.Request.PromptTokens-int(chosen.CreditTokens))
@@ -78,7 +105,11 @@
 	request := &flight.job.Request
 	chain := request.Chains[flight.version]
 	if request.BlockTokens > 0 {
-		c.config.Beliefs.Answered(now, flight.engine, incarnation, chain, usage.CachedTokens/request.BlockTokens)
+		held := usage.CachedTokens / request.BlockTokens
+		c.config.Beliefs.Answered(now, flight.engine, incarnation, chain, held)
+		if c.directory != nil {
+			c.directory.Observed(now, flight.engine, incarnation, chain, held)
+		}
 	}
 	c.count(flight, usage)
 }
@@ -94,6 +125,16 @@
 		c.Counters.BeliefHigh++
 	case difference < -tolerance:
 		c.Counters.BeliefLow++
+	default:
+		c.Counters.BeliefRight++
+	}
+}
+
+// FirstToken takes in that an engine has prefilled an attempt's prompt: it
+// proves that all the engine had to prefill before is done as well.
+func (c *Core) FirstToken(now time.Time, key endpoint.AttemptKey) {
+	if flight := c.flights[key]; flight != nil {
+		c.registry.FirstToken(now, flight.engine, key)
 	}
 }
 
@@ -113,18 +154,26 @@
 	Duration time.Duration
 }
 
-// Ended takes in the end of an attempt.
+// Ended takes in the end of an attempt. The zero Result is a place that was
+// handed back unused.
 func (c *Core) Ended(now time.Time, key endpoint.AttemptKey, result Result) Effects {
 	flight := c.flights[key]
 	if flight == nil {
 		return c.pump(now)
 	}
 	delete(c.flights, key)
-	c.registry.Ended(flight.engine, key)
+	if !c.registry.At(flight.engine, flight.address) {
+		return c.pump(now)
+	}
+	c.registry.Ended(now, flight.engine, key)
 	c.changed(c.registry.SeenIncarnation(flight.engine, result.Incarnation))
 	if limiter := c.limiters[flight.engine]; limiter != nil {
 		limiter.Finished(now, sampleOf(result))
 	}
+	if result.Unreachable || result.Refusal != "" || result == (Result{}) {
+		chain := flight.job.Request.Chains[flight.version]
+		c.config.Beliefs.Refused(flight.engine, flight.incarnation, chain)
+	}
 	switch {
 	case result.Unreachable:
 		c.changed(c.registry.Unreachable(flight.engine))
@@ -151,7 +200,8 @@
 	}
 }
 
-// poolOf names the set of engines that may serve the request.
+// poolOf names the set of engines that may serve the request, and how much of
+// them it may fill: what is held for one class may go for another.
 func poolOf(request *framework.Request) admission.PoolKey {
 	zones := make([]string, 0, len(request.Zones))
 	for zone := range request.Zones {
@@ -163,7 +213,8 @@
 		_, _ = digest.Write([]byte(part))
 		_, _ = digest.Write([]byte{0})
 	}
-	return admission.PoolKey(string(request.Service) + "/" + strconv.FormatUint(digest.Sum64(), 36))
+	return admission.PoolKey(string(request.Service) + "/" + strconv.FormatUint(digest.Sum64(), 36) +
+		"/" + strconv.Itoa(request.Priority))
 }
 
 // AttemptKeyOf builds the key of an attempt.
--- /dev/null
+++ b/internal/router/status.go
@@ -0,0 +1,112 @@
+package router
+
+import (
+	"context"
+	"encoding/json"
+	"maps"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"github.com/fieldpond/fieldpond/internal/ident"
+	"github.com/fieldpond/fieldpond/internal/membership"
+	"github.com/fieldpond/fieldpond/internal/placement"
+	"github.com/fieldpond/fieldpond/internal/routing/framework"
+	"github.com/fieldpond/fieldpond/internal/status"
+)
+
+// statusTimeout bounds the time until the placement duty tells its state.
+const statusTimeout = 2 * time.Second
+
+// handler returns the handler of every route of the process: callers,
+// operators (read only) and other routers.
+func (r *Router) handler() (http.Handler, error) {
+	peers, err := r.peerHandler()
+	if err != nil {
+		return nil, err
+	}
+	routes := mux.NewRouter().SkipClean(true)
+	routes.HandleFunc(status.Path, r.serveStatus).Methods(http.MethodGet)
+	routes.Handle("/metrics", r.telemetry.Handler()).Methods(http.MethodGet)
+	routes.PathPrefix("/peer/v1/").Handler(peers)
+	routes.PathPrefix("/").Handler(r.api.Handler())
+	return routes, nil
+}
+
+func (r *Router) serveStatus(writer http.ResponseWriter, request *http.Request) {
+	bounded, cancel := context.WithTimeout(request.Context(), statusTimeout)
+	defer cancel()
+	writer.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(writer).Encode(r.status(bounded))
+}
+
+// status collects what every part tells of itself. A placement duty that does
+// not answer in time leaves its parts of the report empty.
+func (r *Router) status(ctx context.Context) status.Router {
+	pair := r.keeper.Pair()
+	report := status.Router{
+		Node:         ident.Node(r.settings.Node),
+		Zone:         ident.Zone(r.settings.Zone),
+		State:        string(r.state()),
+		FleetVersion: uint64(pair.Version),
+		FleetDigest:  string(pair.Digest),
+	}
+	for _, member := range r.view().Members {
+		report.Members = append(report.Members, statusMember(member))
+	}
+	if reading, err := r.duty.Read(ctx); err == nil {
+		report.Engines = statusEngines(reading.Endpoints)
+		report.Queue = statusQueue(reading)
+		report.Decisions = status.Decisions(reading.Decisions)
+	}
+	claims := r.claims.Counters()
+	report.Claims = status.Claims{Granted: claims.Granted, Shown: claims.Shown, Refused: claims.Refused, Waiting: claims.Waiting}
+	gossip := r.members.Counters()
+	report.Gossip = status.Gossip{
+		BytesSent: gossip.BytesSent, BytesReceived: gossip.BytesReceived, Refused: gossip.Refused, Unsent: gossip.Unsent,
+	}
+	for _, read := range r.rings() {
+		counted := read()
+		report.Rings = append(report.Rings, status.Ring{
+			Name: counted.Name, Depth: counted.Depth, Capacity: counted.Capacity, Dropped: counted.Dropped,
+		})
+	}
+	return report
+}
+
+func statusQueue(reading placement.Reading) status.Queue {
+	queue := status.Queue{InFlight: reading.InFlight}
+	for _, priority := range slices.Sorted(maps.Keys(reading.Waiting)) {
+		waiting := reading.Waiting[priority]
+		queue.Waiting += waiting
+		queue.ByPriority = append(queue.ByPriority, status.PriorityDepth{Priority: priority, Waiting: waiting})
+	}
+	return queue
+}
+
+func statusMember(member membership.Member) status.Member {
+	return status.Member{
+		Node: member.Node, Zone: member.Zone, Address: member.HTTPAddress,
+		State: member.State.String(), FleetVersion: member.FleetVersion,
+	}
+}
+
+func statusEngines(endpoints []framework.Endpoint) []status.Engine {
+	var engines []status.Engine
+	for _, endpoint := range endpoints {
+		shown := status.Engine{
+			Engine: endpoint.Engine, Zone: endpoint.Zone, Incarnation: endpoint.Incarnation,
+			Alive: endpoint.Alive, Leaving: endpoint.Leaving,
+			Running: endpoint.Load.Running, Waiting: endpoint.Load.Waiting,
+			QueuedPrefillTokens: int(endpoint.Load.QueuedPrefillTokens),
+			OwnInFlight:         endpoint.Load.OwnInFlight, ConcurrencyLimit: endpoint.Load.ConcurrencyLimit,
+		}
+		for _, loaded := range endpoint.Loaded {
+			shown.Loaded = append(shown.Loaded, status.Loaded{Model: loaded.Model, Version: loaded.Version})
+		}
+		engines = append(engines, shown)
+	}
+	return engines
+}
