Let the rolling test use the stand-in's table and one fleet builder

Cause: the test had a table and a fleet builder of its own beside existing ones. Change: it uses the stand-in's table and the planner tests' builder.

--- a/internal/control/rolling_test.go
+++ b/internal/control/rolling_test.go
@@ -1,8 +1,7 @@
-package control_test
+package control
 
 import (
 	"context"
-	"fmt"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -13,7 +12,6 @@
 
 	"github.com/matryer/is"
 
-	"github.com/fieldpond/fieldpond/internal/control"
 	"github.com/fieldpond/fieldpond/internal/engine"
 	"github.com/fieldpond/fieldpond/internal/engine/protocol"
 	"github.com/fieldpond/fieldpond/internal/fault"
@@ -23,38 +21,26 @@
 	"github.com/fieldpond/fieldpond/internal/membership"
 	platform "github.com/fieldpond/fieldpond/internal/platform/protocol"
 	"github.com/fieldpond/fieldpond/standin/engine/model"
+	tables "github.com/fieldpond/fieldpond/standin/platform"
 	"github.com/fieldpond/fieldpond/standin/truth"
 )
 
-// memoryTable is a platform.Table that always works.
+// memoryTable is a platform.Table over the stand-in's table that always works.
 type memoryTable struct {
 	mutex sync.Mutex
-	rows  map[string]platform.Row
+	table *tables.Table
 }
 
 func (m *memoryTable) Commit(_ context.Context, transaction platform.Transaction) (platform.TransactionResult, error) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	result := platform.TransactionResult{Committed: true}
-	for _, condition := range transaction.Conditions {
-		result.Rows = append(result.Rows, m.rows[condition.Key])
-		result.Committed = result.Committed && m.rows[condition.Key].Version == condition.Version
-	}
-	if !result.Committed {
-		return result, nil
-	}
-	result.Rows = nil
-	for _, write := range transaction.Writes {
-		m.rows[write.Key] = platform.Row{Key: write.Key, Value: write.Value, Version: m.rows[write.Key].Version + 1}
-		result.Rows = append(result.Rows, m.rows[write.Key])
-	}
-	return result, nil
+	return m.table.Apply(transaction)
 }
 
 func (m *memoryTable) Read(_ context.Context, key string) (platform.Row, bool, error) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	row, found := m.rows[key]
+	row, found := m.table.Read(key)
 	return row, found, nil
 }
 
@@ -155,30 +141,9 @@
 	})
 }
 
-// file returns a fleet of three engines in each of two zones, each zone with
-// a tenant that may not leave it.
-func file(version fleet.Version, weights ident.ModelVersion, accepted ...ident.ModelVersion) *fleet.Compiled {
-	document := &fleet.Document{
-		Models:   []fleet.Model{{Name: "m", Version: weights, AcceptVersions: accepted}},
-		Services: []fleet.Service{{Name: "s", Kind: fleet.ServiceModel, Model: "m"}},
-	}
-	for _, zone := range []string{"a", "b"} {
-		document.Tenants = append(document.Tenants, fleet.Tenant{Name: ident.Tenant(zone), Places: []string{zone}, Services: []ident.Service{"s"}})
-		document.Regions = append(document.Regions, fleet.Region{Name: ident.Region("r" + zone), Zones: []ident.Zone{ident.Zone(zone)}})
-		for index := range 3 {
-			name := fmt.Sprint(zone, index+1)
-			document.Engines = append(document.Engines, fleet.Engine{
-				Name: ident.Engine(name), Address: name, Zone: ident.Zone(zone), Models: []ident.Model{"m"},
-			})
-		}
-	}
-	fleet.Normalise(document)
-	return fleet.Compile(document, version, "d")
-}
-
-func newEngines(compiled *fleet.Compiled) *engines {
+func newEngines(file *fleet.Compiled) *engines {
 	e := &engines{models: map[string]*model.Engine{}, taken: map[string]int{}, loading: map[string]int{}}
-	for index, target := range compiled.Engines() {
+	for index, target := range file.Engines() {
 		config := model.DefaultConfig()
 		config.Name, config.Zone = target.Name, target.Zone
 		config.Models = []protocol.LoadedModel{{Model: "m", Version: "v1"}}
@@ -192,20 +157,20 @@
 	t       *testing.T
 	inForce atomic.Pointer[fleet.Compiled]
 	models  *engines
-	duties  map[ident.Node]*control.Duty
+	duties  map[ident.Node]*Duty
 	stops   map[ident.Node]context.CancelFunc
 	running sync.WaitGroup
 }
 
 func newRollout(t *testing.T) *rollout {
-	r := &rollout{t: t, duties: map[ident.Node]*control.Duty{}, stops: map[ident.Node]context.CancelFunc{}}
-	r.inForce.Store(file(1, "v1"))
+	r := &rollout{t: t, duties: map[ident.Node]*Duty{}, stops: map[ident.Node]context.CancelFunc{}}
+	r.inForce.Store(compiled(3, "ab", "v1"))
 	r.models = newEngines(r.inForce.Load())
-	table := &memoryTable{rows: map[string]platform.Row{}}
+	table := &memoryTable{table: tables.NewTable()}
 	view := membership.View{Members: []membership.Member{{Node: "n1"}, {Node: "n2"}}}
 	for _, member := range view.Members {
 		ctx, stop := context.WithCancel(t.Context())
-		duty := control.NewDuty(control.Options{
+		duty := NewDuty(Options{
 			Node: member.Node, Table: table, Engines: r.models, Fleet: r.inForce.Load,
 			View: func() membership.View { return view },
 		})
@@ -255,7 +220,7 @@
 		is := is.New(t)
 		r := newRollout(t)
 		r.watch(10*time.Second, "v1")
-		r.inForce.Store(file(2, "v2", "v1"))
+		r.inForce.Store(compiled(3, "ab", "v2", "v1"))
 		r.watch(6*time.Second, "v1", "v2")
 		r.models.crash("a2", 5*time.Second) // returns with v1 alone
 		r.watch(4*time.Second, "v1", "v2")
@@ -265,10 +230,10 @@
 		is.True(took > 0)
 		is.True(r.holder() != first)
 		t.Logf("all engines changed %v after the holder's stop", took)
-		r.inForce.Store(file(3, "v2"))
+		r.inForce.Store(compiled(3, "ab", "v2"))
 		r.watch(time.Minute, "v2")
 		is.Equal(r.holding("v1"), 0)
-		r.inForce.Store(file(4, "v3"))
+		r.inForce.Store(compiled(3, "ab", "v3"))
 		is.True(r.watch(2*time.Minute, "v2", "v3") > 0)
 		is.Equal(r.holding("v2"), 0)
 
@@ -293,21 +258,21 @@
 func TestPausedHolderOrdersNothing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		before, after := file(1, "v2", "v1"), file(2, "v2")
+		before, after := compiled(3, "ab", "v2", "v1"), compiled(3, "ab", "v2")
 		models := newEngines(before)
-		frozen, successor := control.NewPlanner(control.Config{}, "x"), control.NewPlanner(control.Config{}, "x")
+		frozen, successor := NewPlanner(Config{}, "x"), NewPlanner(Config{}, "x")
 		// look lets a planner read every report and decide.
-		look := func(planner *control.Planner, compiled *fleet.Compiled, fence uint64) []control.Order {
+		look := func(planner *Planner, file *fleet.Compiled, fence uint64) []Order {
 			time.Sleep(3 * time.Second)
-			planner.SetFleet(compiled, control.GroupsOf(compiled)[0], 1)
-			for _, target := range compiled.Engines() {
+			planner.SetFleet(file, GroupsOf(file)[0], 1)
+			for _, target := range file.Engines() {
 				report, err := models.Load(t.Context(), target.Address)
 				is.NoErr(err)
 				planner.Reported(time.Now(), target.Name, report)
 			}
 			return planner.Plan(time.Now(), lease.Grant{Fence: fence})
 		}
-		send := func(planner *control.Planner, orders []control.Order) {
+		send := func(planner *Planner, orders []Order) {
 			for _, order := range orders {
 				_, err := models.Order(t.Context(), order.Address, order.Order)
 				planner.Ordered(time.Now(), order.Engine, order.Order.OrderID, err)
