Let the slow reader pause before its first event, so that its router's buffers fill

Cause: the kernel grew the send buffer with every byte read before the pause (tb 919296, seen with ss), and the router never had to wait: the proof passed with a router that drops chunks when its buffer is full.

Change: no byte is read before the pause, whose length comes from the pace of a quick stream measured before.

--- a/proofs/streams_test.go
+++ b/proofs/streams_test.go
@@ -232,15 +232,18 @@
 	})
 	caller := c.NewSlowCaller(verbose)
 	router := c.RouterURLs()[0]
-	slow, quick := longAsk("slow", 1000), longAsk("quick", 64)
+	slow, quick := longAsk("slow", 1000), longAsk("quick", 100)
+	others := c.NewCaller(harness.TenantB)
+	began := time.Now()
+	requireWhole(t, quick, others.Stream(t.Context(), router, quick))
+	tenth := time.Since(began)
 	var once sync.Once
-	slow.OnText = func(bytes int) {
-		if bytes > 100 {
-			once.Do(func() {
-				time.Sleep(3 * time.Second) // long enough to fill the buffers, not a condition
-				requireWhole(t, quick, c.NewCaller(harness.TenantB).Stream(t.Context(), router, quick))
-			})
-		}
+	slow.OnText = func(int) {
+		once.Do(func() {
+			// Not a condition: eight tenths of the stream fill the buffers.
+			time.Sleep(8 * tenth)
+			requireWhole(t, quick, others.Stream(t.Context(), router, quick))
+		})
 	}
 	requireWhole(t, slow, caller.AskAll(t.Context(), []string{router}, slow, 3))
 }
