--- a/internal/endpoint/registry_test.go
+++ b/internal/endpoint/registry_test.go
@@ -142,3 +142,26 @@
 	is.Equal(registry.Incarnation("a"), report("1").Incarnation)
 	is.True(registry.Endpoints(start)[0].Leaving)
 }
+
+func TestDueAsksTheOneAskedLongestAgo(t *testing.T) {
+	is := is.New(t)
+	registry := newTestRegistry("a", "b", "c", "d", "e")
+	for _, name := range []ident.Engine{"a", "b", "c", "d", "e"} {
+		registry.Reported(start, name, report("1"))
+	}
+	var asked []ident.Engine
+	ask := func(round, budget int) {
+		for _, question := range registry.Due(start.Add(time.Duration(round)*time.Minute), time.Second, budget) {
+			asked = append(asked, question.Engine)
+		}
+	}
+	ask(0, 0)
+	for round := range 7 {
+		ask(round, 1)
+	}
+	for round := 7; round < 10; round++ {
+		registry.Considered(start.Add(time.Duration(round)*time.Minute), "e") // in use: it goes first
+		ask(round, 2)
+	}
+	is.Equal(asked, []ident.Engine{"a", "b", "c", "d", "e", "a", "b", "e", "c", "e", "d", "e", "a"})
+}
