Let the routers issue fenced orders to engines

Cause: leases and control stood alone; a new model version in the fleet file was not loaded by anyone. Ruled out: a place for control of its own (no machine is set aside for it). Change: every router runs the control duty, paced by two new settings, with its metrics.

--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -32,8 +32,8 @@
 	Detail string
 	// Remedy overrides the kind's usual remedy when not empty.
 	Remedy string
-	// Ran is what is known about execution. The zero value reads as RanNo only
-	// for kinds that are raised before any attempt; see EffectiveRan.
+	// Ran is what is known about execution; New and Wrap set RanNo, since most
+	// kinds are raised before any attempt.
 	Ran Ran
 	// RetryAfter tells the caller when to come back; zero means not stated.
 	RetryAfter time.Duration
--- a/internal/router/metrics.go
+++ b/internal/router/metrics.go
@@ -30,6 +30,7 @@
 	r.registerMembership()
 	r.registerFleet()
 	r.registerPeers()
+	r.registerControl()
 }
 
 // rings returns the counters of the rings between the duties. Rings of one name
@@ -37,6 +38,7 @@
 func (r *Router) rings() []func() ring.Counters {
 	rings := append(r.duty.Rings(), r.appPoller.Rings()...)
 	rings = append(rings, r.directoryMessages.messages.Counters)
+	rings = append(rings, r.control.Rings()...)
 	rings = append(rings, each(r.keeper.Rings)...)
 	return append(rings, each(func() []ring.Counters { return r.members.Counters().Rings })...)
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -13,6 +13,7 @@
 	"github.com/fieldpond/fieldpond/internal/admission"
 	"github.com/fieldpond/fieldpond/internal/api"
 	"github.com/fieldpond/fieldpond/internal/claim"
+	"github.com/fieldpond/fieldpond/internal/control"
 	"github.com/fieldpond/fieldpond/internal/dispatch"
 	"github.com/fieldpond/fieldpond/internal/endpoint"
 	"github.com/fieldpond/fieldpond/internal/engine"
@@ -63,6 +64,7 @@
 	peerServer *peer.Server
 	keeper     *fleet.Keeper
 	claims     *claim.Keeper
+	control    *control.Duty
 	duty       *placement.Duty
 	placer     *placer
 	apps       *applicationPlacer
@@ -119,6 +121,17 @@
 		TransactionsPerSecond: configured.Table.RequestsPerSecond,
 		CommitTimeout:         configured.Table.Timeout,
 	})
+	r.control = control.NewDuty(control.Options{
+		Node:    ident.Node(configured.Node),
+		Table:   r.platform,
+		Engines: r.engines,
+		View:    r.view,
+		Fleet:   r.keeper.Current,
+		Config: control.Config{
+			LoadsPerSecond:  configured.Control.LoadsPerSecond,
+			MaxLoadsPerZone: configured.Control.MaxLoadsPerZone,
+		},
+	})
 	if err := r.buildPlacement(); err != nil {
 		return nil, err
 	}
@@ -233,6 +246,7 @@
 	endDuties()
 	r.members.Stop()
 	r.work.Wait()
+	r.streams.Wait()
 	log.Info("router stopped")
 	return err
 }
@@ -277,6 +291,7 @@
 	}
 	r.work.Go(func() { r.keeper.Run(ctx) })
 	r.work.Go(func() { r.claims.Run(ctx) })
+	r.work.Go(func() { r.control.Run(ctx) })
 	r.work.Go(func() { r.pollApplications(ctx) })
 	r.work.Go(func() { r.watchMachines(ctx) })
 	r.work.Go(func() { r.watchMembers(ctx) })
