Stop a router without cutting connections that just came

Cause: TestPlannedStopOfRoutersCutsNoRequest was red at times on a busy machine: a request on a fresh connection met EOF. A connection that the kernel had taken, or that Accept had returned but the server had not yet recorded, was lost when Shutdown closed the listener and the process ended. A client trace showed that no failing connection had been used before. Change: a stop closes connections from before it by their next answer or after two idle seconds; then waits for a pause between arrivals, takes what the kernel holds, shuts the listener in the same moment, waits until the server knows all of it, and only then shuts the server down.

--- /dev/null
+++ b/internal/router/connections_test.go
@@ -0,0 +1,61 @@
+package router
+
+import (
+	"net"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func TestDrainWaitsForOpenConnections(t *testing.T) {
+	cases := []struct {
+		name string
+		// live brings the connection through its states, from the begin of the drain.
+		live func(callers *connections, conn net.Conn)
+		// closedAfter is when the drain may end.
+		closedAfter time.Duration
+	}{
+		{"idle all the time", func(*connections, net.Conn) {}, idleBeforeClose},
+		{"used once more, and closed by its answer", func(callers *connections, conn net.Conn) {
+			time.Sleep(time.Second)
+			callers.changed(conn, http.StateActive)
+			time.Sleep(3 * time.Second)
+			callers.changed(conn, http.StateClosed)
+		}, 4 * time.Second},
+		{"a stream that began before, then idle", func(callers *connections, conn net.Conn) {
+			callers.changed(conn, http.StateActive)
+			time.Sleep(time.Minute)
+			callers.changed(conn, http.StateIdle)
+		}, time.Minute + idleBeforeClose},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				callers := newConnections()
+				conn, peer := net.Pipe()
+				defer func() { _ = peer.Close() }()
+				callers.changed(conn, http.StateNew)
+				callers.changed(conn, http.StateIdle)
+				begun := time.Now()
+				go test.live(callers, conn)
+				callers.drain(t.Context())
+				is.True(time.Since(begun) >= test.closedAfter)
+				is.True(time.Since(begun) <= test.closedAfter+2*drainLook)
+			})
+		})
+	}
+}
+
+func TestDrainDoesNotWaitForConnectionsThatCameLater(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		callers := newConnections()
+		begun := time.Now()
+		callers.drain(t.Context())
+		is.Equal(time.Since(begun), time.Duration(0))
+	})
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"net"
-	"net/http"
 	"sync"
 	"time"
 
@@ -44,9 +42,6 @@
 	pollTimeout = time.Second
 	// pollRing is the capacity of the rings between placement and its poller.
 	pollRing = 1024
-	// lingerBeforeShutdown is how long a leaving router still answers on open
-	// connections, telling each to close, before idle ones are cut.
-	lingerBeforeShutdown = 300 * time.Millisecond
 	// maxPeerBytes bounds the body of a call between routers; a fleet file of
 	// the largest size fits.
 	maxPeerBytes = 64 << 20
@@ -219,28 +214,27 @@
 	if err != nil {
 		return err
 	}
-	listener, err := net.Listen("tcp", r.settings.Listen)
+	server := r.api.NewHTTPServer()
+	server.Handler = routes
+	callers, err := listenForCallers(r.settings.Listen, server)
 	if err != nil {
-		return fault.Wrap(err, fault.InvalidSettings, "opening the listener %s", r.settings.Listen)
+		return err
 	}
 	duties, endDuties := context.WithCancel(context.Background())
 	defer endDuties()
 	if err := r.startMembership(duties); err != nil {
-		_ = listener.Close()
+		_ = callers.listener.Close()
 		return err
 	}
 	r.startDuties(duties)
 	r.duty.SetView(r.view())
-	server := r.api.NewHTTPServer()
-	server.Handler = routes
-	served := make(chan error, 1)
-	go func() { served <- server.Serve(listener) }()
-	log.WithField("listen", listener.Addr().String()).WithField("node", r.settings.Node).Info("router started")
+	callers.serve()
+	log.WithField("listen", callers.listener.Addr().String()).WithField("node", r.settings.Node).Info("router started")
 
 	select {
 	case <-ctx.Done():
-		err = r.stop(server)
-	case err = <-served:
+		err = r.stop(callers)
+	case err = <-callers.served:
 		err = fault.Wrap(err, fault.Internal, "the HTTP listener ended")
 	}
 	endDuties()
@@ -252,14 +246,13 @@
 }
 
 // stop ends the caller side: nothing new, everything open finished.
-func (r *Router) stop(server *http.Server) error {
+func (r *Router) stop(callers *callerServer) error {
 	r.fire(statechart.RouterEventStopRequested)
 	log.Info("router leaving")
 	r.leave()
-	time.Sleep(lingerBeforeShutdown)
 	bounded, cancel := context.WithTimeout(context.Background(), r.settings.StopGrace)
 	defer cancel()
-	err := server.Shutdown(bounded)
+	err := callers.stop(bounded)
 	r.dispatch.Close()
 	if err != nil {
 		r.fire(statechart.RouterEventGraceOver)
