Tell no later sending that an earlier one did not run

Cause: a claimed run that was refused stayed in the registry until its outcome was recorded, up to 20 s under a bad store. Recording frees the key; if the answer to the recording is lost, another router may run the request, while repeats at the first still joined the old run and were told 'not run'.

Ruled out: recording before answering, since a request that is given up on is answered at once.

Change: a failed run leaves the registry before its failure is told. A repeat asks the table, which knows.

Measured: TestRefusalIsNotRepeatedOnceTheKeyIsFree fails without the change and passes with it.

The two proofs with everything failing at once join the others; a failed history is printed key by key.

--- a/internal/dispatch/application_test.go
+++ b/internal/dispatch/application_test.go
@@ -24,6 +24,8 @@
 	answers map[string]Answer
 	down    bool
 	loads   int
+	// lostFinishes counts the coming outcomes that are recorded without an answer.
+	lostFinishes int
 }
 
 func (f *fakeTable) Claim(_ context.Context, key claim.Key, digest claim.Digest) (claim.Grant, error) {
@@ -54,6 +56,10 @@
 	record.State = map[fault.Ran]claim.State{fault.RanNo: claim.StateNotRun, fault.RanYes: claim.StateRan, fault.RanUnknown: claim.StateUnknown}[outcome.Ran]
 	record.Status, record.AnswerZone, record.AnswerKey = outcome.Status, outcome.AnswerZone, outcome.AnswerKey
 	f.records[key] = record
+	if f.lostFinishes > 0 {
+		f.lostFinishes--
+		return fault.New(fault.StoreUnavailable, "no answer")
+	}
 	return nil
 }
 
@@ -205,6 +211,28 @@
 	}
 }
 
+// A refusal is true of the sendings that waited for it, and of no later one:
+// once the key is free again, another router may run the request.
+func TestRefusalIsNotRepeatedOnceTheKeyIsFree(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		routers, applications, table := newRouters(2, "refused", "refused")
+		table.lostFinishes = 1
+		_, err := routers[0].RunApplication(t.Context(), booking())
+		is.Equal(fault.From(err).Ran, fault.RanNo)
+		synctest.Wait() // the key is free, and the first router does not know yet
+		_, err = routers[1].RunApplication(t.Context(), booking())
+		is.NoErr(err)
+		answer, err := routers[0].RunApplication(t.Context(), booking())
+		is.NoErr(err) // in place of the old "not run"
+		is.True(answer.Repeated)
+		for _, router := range routers {
+			router.Close()
+		}
+		is.Equal(applications.executed, 1)
+	})
+}
+
 func TestBookingGoesOnWhenItsCallerLeaves(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/internal/dispatch/claimed.go
+++ b/internal/dispatch/claimed.go
@@ -74,8 +74,8 @@
 	grant, err := d.Claimer.Claim(runContext, key, run.digest)
 	if err != nil {
 		application.chart.Fire(EventClaimFailed)
-		d.runs.publish(run, Answer{}, d.withRetryAfter(err))
 		d.runs.forget(key, run)
+		d.runs.publish(run, Answer{}, d.withRetryAfter(err))
 		return
 	}
 	if !grant.Mine {
@@ -92,6 +92,11 @@
 	}
 	application.chart.Fire(EventClaimWon)
 	answer, failure := application.run(runContext)
+	if failure != nil {
+		// It is true of those who wait, and of no later sending: recording it
+		// frees the key, maybe long before this router learns that it did.
+		d.runs.forget(key, run)
+	}
 	d.runs.publish(run, answer, failure)
 	d.record(ctx, key, grant.Record.ClaimID, answer, failure)
 	d.runs.settle(key, run)
--- /dev/null
+++ b/proofs/chaos_test.go
@@ -0,0 +1,148 @@
+package proofs
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/fieldpond/fieldpond/proofs/harness"
+	"github.com/fieldpond/fieldpond/standin/application"
+	"github.com/fieldpond/fieldpond/standin/engine"
+	"github.com/fieldpond/fieldpond/standin/faultboard"
+	"github.com/fieldpond/fieldpond/standin/faultplan"
+	"github.com/fieldpond/fieldpond/standin/platform"
+)
+
+// chaosRounds is the number of disturbances; their seed is fixed.
+const (
+	chaosRounds = 12
+	chaosSeed   = 20
+)
+
+// disturb kills, restarts, freezes and resumes routers in turn, until all the
+// rounds are over; then every router serves again.
+func disturb(c *harness.Cluster, random *rand.Rand) {
+	for range chaosRounds {
+		router := c.Routers[random.IntN(len(c.Routers))]
+		pause := time.Duration(100+random.IntN(500)) * time.Millisecond
+		if random.IntN(2) == 0 {
+			c.Kill(router)
+			time.Sleep(pause / 4)
+			c.Launch(router)
+		} else {
+			c.Freeze(router)
+			time.Sleep(pause)
+			c.Resume(router)
+		}
+		time.Sleep(pause / 2)
+	}
+	c.AwaitServing(c.Routers...)
+}
+
+// Promises 3, 4 and 6 with everything at once: routers die and freeze under
+// bookings, while the table is slow, loses answers and goes down, and the
+// applications refuse, cut and run without an answer.
+func TestBookingsWhileEverythingFails(t *testing.T) {
+	t.Parallel()
+	c := harness.Start(t, harness.Shape{Routers: 3, RouterSettings: shortClaims})
+	for _, name := range c.Applications {
+		for kind, probability := range map[string]float64{
+			application.FaultRefuseFull: 0.15, application.FaultRunThenCut: 0.1, application.FaultCutBefore: 0.1, application.FaultSlow: 0.5,
+		} {
+			c.Inject(name, faultboard.Fault{Kind: kind, DurationMillis: lastingMillis, Probability: probability, DelayMillis: 200})
+		}
+	}
+	for kind, probability := range map[string]float64{platform.FaultLoseAnswer: 0.2, platform.FaultSlow: 0.2, platform.FaultOutage: 0.1} {
+		c.Inject(harness.Platform, faultboard.Fault{
+			Service: platform.ServiceTable, Kind: kind, DurationMillis: lastingMillis, Probability: probability, DelayMillis: 500,
+		})
+	}
+	callers := []*harness.Caller{c.NewCaller(harness.TenantA), c.NewCaller(harness.TenantB)}
+	load, endLoad := context.WithCancel(t.Context())
+	var work sync.WaitGroup
+	for worker := range 16 {
+		work.Go(func() {
+			// Pairs of workers share their keys and begin at different routers.
+			for number := 0; load.Err() == nil; number++ {
+				key := fmt.Sprintf("key-%d-%d", worker/4, number)
+				routers := c.RouterURLs()
+				first := (worker + number) % len(routers)
+				bookUntilAnswered(t.Context(), callers[worker%2], append(routers[first:], routers[:first]...), key, "{}", 5)
+			}
+		})
+	}
+	disturb(c, rand.New(rand.NewPCG(chaosSeed, 1)))
+	endLoad()
+	work.Wait()
+	c.ClearFaults(harness.Platform)
+	for _, name := range c.Applications {
+		c.ClearFaults(name)
+	}
+	requireRepeatsOfNotRunSucceed(t, c, callers...)
+	c.Await("every execution has ended", c.Idle)
+	executions := c.AllExecutions()
+	requireAtMostOnce(t, executions, callers...)
+	t.Logf("%d executions", len(executions))
+	is.New(t).True(len(executions) > 20)
+}
+
+// Promise 1 with everything at once: routers die and freeze, engines crash and
+// lose events, connections are cut and chunks come twice.
+func TestStreamsWhileEverythingFails(t *testing.T) {
+	t.Parallel()
+	plan := filepath.Join(t.TempDir(), "faults.yaml")
+	is := is.New(t)
+	is.NoErr(os.WriteFile(plan, crashPlan(20, 700*time.Millisecond), 0o600))
+	c := harness.Start(t, harness.Shape{Routers: 3, Relayed: true, EngineArgs: []string{"--event-loss", "0.3", "--faults", plan}})
+	for number, name := range c.Engines {
+		c.Relay(name).Arm(harness.Cut{
+			Match: "POST /v1/generate", Direction: harness.ToRouter, After: 3000 + 2000*number, Action: harness.Reset, Times: 10,
+		})
+		c.Inject(name, engine.FaultRequest{Kind: faultplan.DuplicateChunks, Duration: faultplan.Duration(time.Minute)})
+	}
+	caller := c.NewCaller(harness.TenantA)
+	load, endLoad := context.WithCancel(t.Context())
+	var work sync.WaitGroup
+	var mutex sync.Mutex
+	whole, all := 0, 0
+	for worker := range 9 {
+		work.Go(func() {
+			for number := 0; load.Err() == nil; number++ {
+				ask := harness.Ask{Prompt: prompt(fmt.Sprintf("worker %d", worker), number), MaxTokens: streamTokens}
+				routers := c.RouterURLs()
+				first := (worker + number) % len(routers)
+				told := caller.AskAll(t.Context(), append(routers[first:], routers[:first]...), ask, 8)
+				requireHonest(t, ask, told)
+				mutex.Lock()
+				all++
+				if told.Done {
+					whole++
+				}
+				mutex.Unlock()
+			}
+		})
+	}
+	disturb(c, rand.New(rand.NewPCG(chaosSeed, 2)))
+	endLoad()
+	work.Wait()
+	t.Logf("%d of %d answers were whole, the others ended with an error", whole, all)
+	is.True(whole > all/2)
+}
+
+// crashPlan returns a fault plan in which the three engines crash in turn, each
+// to come back empty at once.
+func crashPlan(crashes int, every time.Duration) []byte {
+	plan := "faults:\n"
+	for number := 1; number <= crashes; number++ {
+		at := time.Duration(number) * every
+		plan += fmt.Sprintf("  - {at: %s, duration: 200ms, target: engine-%d, kind: crash}\n", at, number%3+1)
+	}
+	return []byte(plan)
+}
--- a/proofs/history_test.go
+++ b/proofs/history_test.go
@@ -1,9 +1,13 @@
 package proofs
 
 import (
+	"cmp"
 	"fmt"
 	"math"
+	"slices"
+	"strings"
 	"testing"
+	"time"
 
 	"github.com/anishathalye/porcupine"
 
@@ -37,6 +41,8 @@
 	key     string
 	word    word
 	booking string
+	// said is the kind of a refusal, for the reader of a failed history.
+	said fault.Kind
 }
 
 // bookingRegister is the model; its state is the booking, or "".
@@ -73,7 +79,7 @@
 // accessOf returns what a caller's word says of the register. A refusal before
 // the claim was read speaks of this one sending only.
 func accessOf(told harness.Told) access {
-	read := access{key: registerKey(told.Tenant, told.Key), word: wordOpen}
+	read := access{key: registerKey(told.Tenant, told.Key), word: wordOpen, said: told.Kind()}
 	switch {
 	case told.Answered():
 		read.word, read.booking = wordAnswered, told.Answer.Booking
@@ -124,9 +130,22 @@
 			operations = append(operations, operation)
 		}
 	}
-	if !porcupine.CheckOperations(bookingRegister, operations) {
-		t.Error("the history of a key is none of a register that is written at most once")
+	for _, part := range bookingRegister.Partition(operations) {
+		if !porcupine.CheckOperations(bookingRegister, part) {
+			t.Errorf("the history of a key is none of a register that is written at most once:\n%s", describe(part))
+		}
+	}
+}
+
+// describe lists the operations of one key in the order of their beginnings.
+func describe(part []porcupine.Operation) string {
+	slices.SortFunc(part, func(a, b porcupine.Operation) int { return cmp.Compare(a.Call, b.Call) })
+	var text strings.Builder
+	for _, operation := range part {
+		first, last := time.Duration(operation.Call-part[0].Call), time.Duration(operation.Return-part[0].Call)
+		fmt.Fprintf(&text, "  %s to %s: %+v\n", first, last, operation.Input)
 	}
+	return text.String()
 }
 
 // requireOwnAnswer fails if an answer is that of another tenant, key or body,
