Prove on real processes that caches are not shared

Two tenants ask with the very same prompts while an engine is killed and comes back at its address, events are lost, an engine crashes, weights are replaced by orders under load and in the middle of answers, and a place is withdrawn. Judged by the engines' truth logs: reuse within tenant, version and life only, one version an answer, and after the adoption of a file no run of old weights or in a withdrawn place. One version an answer is also proved by dispatch/TestAnswerIsWholeWhateverBreaksWhereverItBreaks.

--- /dev/null
+++ b/proofs/cacheprocess_test.go
@@ -0,0 +1,170 @@
+package proofs
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/fieldpond/fieldpond/internal/engine/protocol"
+	"github.com/fieldpond/fieldpond/internal/fleet"
+	"github.com/fieldpond/fieldpond/internal/ident"
+	"github.com/fieldpond/fieldpond/internal/status"
+	"github.com/fieldpond/fieldpond/proofs/harness"
+	"github.com/fieldpond/fieldpond/standin/engine"
+	"github.com/fieldpond/fieldpond/standin/faultplan"
+	"github.com/fieldpond/fieldpond/standin/truth"
+)
+
+// newWeights is the version that replaces harness.ModelVersion.
+const newWeights ident.ModelVersion = "v2"
+
+// cacheRun is a rehearsal with traffic of two tenants who share prompts.
+type cacheRun struct {
+	*harness.Cluster
+	t       *testing.T
+	callers *traffic
+	fence   uint64
+}
+
+// order gives an engine an order, as a control duty would.
+func (r *cacheRun) order(name string, kind protocol.OrderKind, version ident.ModelVersion) {
+	r.t.Helper()
+	var load protocol.LoadReport
+	r.fence++
+	r.Await(name+" takes an order", func() bool {
+		return exchange(r.t.Context(), http.MethodGet, r.URL(name)+"/v1/load", nil, &load) &&
+			exchange(r.t.Context(), http.MethodPost, r.URL(name)+"/v1/orders", protocol.Order{
+				OrderID: fmt.Sprint("order-", r.fence), Fence: r.fence, ExpectedIncarnation: load.Incarnation,
+				Kind: kind, Model: harness.Model, Version: version,
+			}, nil)
+	})
+}
+
+// apply changes the fleet file in force, on every router.
+func (r *cacheRun) apply(change func(document *fleet.Document)) {
+	r.t.Helper()
+	document := *r.Document
+	document.Models = slices.Clone(document.Models)
+	document.Tenants = slices.Clone(document.Tenants)
+	change(&document)
+	if output, err := r.Apply(&document); err != nil {
+		r.t.Fatalf("applying: %v\n%s", err, output)
+	}
+	r.Document = &document
+}
+
+// streamAcross runs long streams and calls disturb once some have text. Each
+// answer must come whole.
+func (r *cacheRun) streamAcross(disturb func()) {
+	r.t.Helper()
+	caller := r.NewCaller(harness.TenantA)
+	var once sync.Once
+	together(6, func(number int) {
+		ask := longAsk(fmt.Sprint("long ", number), 120)
+		ask.OnText = func(bytes int) {
+			if bytes > 40 {
+				once.Do(disturb)
+			}
+		}
+		told := caller.Stream(r.t.Context(), r.RouterURLs()[number%2], ask)
+		requireHonest(r.t, ask, told)
+	})
+}
+
+// Promise 4: on real sockets, what runs reuses blocks of its own tenant, version
+// and engine life only; and files that replace weights or withdraw places bind
+// what begins after their adoption.
+func TestCachesAreNotSharedOnRealSockets(t *testing.T) {
+	t.Parallel()
+	c := harness.Start(t, harness.Shape{PlatformArgs: []string{"--weight-rate", "0", "--weight-gigabytes-per-second", "0"}})
+	r := &cacheRun{Cluster: c, t: t, callers: startTraffic(t, c)}
+	r.callers.awaitAnswers(c, 60)
+
+	for _, name := range c.Engines { // a crash and a gap in its events
+		c.Inject(name, engine.FaultRequest{
+			Kind: faultplan.EventLoss, Duration: faultplan.Duration(time.Minute), Parameters: faultplan.Parameters{Probability: 0.5},
+		})
+	}
+	c.Kill(c.Engines[0])
+	c.Restart(c.Engines[0])
+	r.callers.awaitAnswers(c, 60)
+	c.Inject(c.Engines[1], engine.FaultRequest{Kind: faultplan.Crash, Duration: faultplan.Duration(100 * time.Millisecond)})
+	r.callers.awaitAnswers(c, 60)
+
+	r.replaceWeights()
+	r.withdrawPlace()
+	r.callers.end()
+	records := allTruth(c)
+	judgeReuse(t, records)
+	judgeVersions(t, records)
+	is.New(t).True(reusedTokens(records) > 50000) // the caches were truly in use
+}
+
+// replaceWeights loads new weights, puts them in force while streams of the old
+// ones run, and takes the old ones away under load.
+func (r *cacheRun) replaceWeights() {
+	r.t.Helper()
+	for _, name := range r.Engines {
+		r.order(name, protocol.OrderLoad, newWeights)
+	}
+	loaded := func(engine status.Engine) bool {
+		return slices.ContainsFunc(engine.Loaded, func(loaded status.Loaded) bool { return loaded.Version == newWeights })
+	}
+	awaitEngines(r.t, r.Cluster, "every engine has the new weights", loaded)
+	r.streamAcross(func() {
+		r.apply(func(document *fleet.Document) {
+			document.Models[0].Version, document.Models[0].AcceptVersions = newWeights, []ident.ModelVersion{harness.ModelVersion}
+		})
+		r.Inject(r.Engines[2], engine.FaultRequest{Kind: faultplan.Crash, Duration: faultplan.Duration(100 * time.Millisecond)})
+	})
+	r.AwaitUp(r.Engines[2])
+	r.order(r.Engines[2], protocol.OrderLoad, newWeights) // its new life began with the old weights
+	r.order(r.Engines[0], protocol.OrderUnload, harness.ModelVersion)
+	r.callers.awaitAnswers(r.Cluster, 30)
+	r.apply(func(document *fleet.Document) { document.Models[0].AcceptVersions = nil })
+	adopted := time.Now()
+	r.callers.awaitAnswers(r.Cluster, 60)
+	requireNoStart(r.t, allTruth(r.Cluster), r.callers.begunAfter(adopted), func(record truth.Record) bool {
+		return record.Version != newWeights
+	})
+}
+
+// withdrawPlace takes one of two zones away from a tenant.
+func (r *cacheRun) withdrawPlace() {
+	r.t.Helper()
+	r.apply(func(document *fleet.Document) { document.Tenants[0].Places = []string{string(harness.ZoneA)} })
+	adopted := time.Now()
+	r.callers.awaitAnswers(r.Cluster, 60)
+	requireNoStart(r.t, allTruth(r.Cluster), r.callers.begunAfter(adopted), func(record truth.Record) bool {
+		return record.Tenant == r.Document.Tenants[0].Name && record.Zone != harness.ZoneA
+	})
+}
+
+// judgeVersions requires that all attempts of a request that emitted text had
+// the same version.
+func judgeVersions(t *testing.T, records []truth.Record) {
+	t.Helper()
+	emitted := map[ident.Request]ident.ModelVersion{}
+	continued := 0
+	for _, record := range records {
+		if record.GeneratedTokens == 0 {
+			continue
+		}
+		before, known := emitted[record.RequestID]
+		if known && before != record.Version {
+			t.Errorf("the answer to %s has text of %s and of %s", record.RequestID, before, record.Version)
+		}
+		if known {
+			continued++
+		}
+		emitted[record.RequestID] = record.Version
+	}
+	if continued == 0 {
+		t.Log("no answer was continued by another attempt")
+	}
+}
