Try a peer's file again soon when nobody could show it

Cause: a pair that only peers had named was set aside for ten seconds as soon as one round of fetches ended at the table without a body, also when the table was merely down. A router that restarted with the platform down and failed one fetch (a member is heard of before its address is, and then the table was asked in its place) stood without a file, refusing everything, for ten seconds. Ruled out: gossip; the router knew its peers within a second. Change: the time grows from 250 ms with each failed round, up to ten seconds; members without a known address are not asked.

--- a/internal/fleet/adopter_test.go
+++ b/internal/fleet/adopter_test.go
@@ -238,3 +238,35 @@
 		}
 	}
 }
+
+// TestStartIsNotHeldUpByOneFailedFetch: with the table down, a node that has no
+// file yet tries the word of its peers again soon after nobody could show the
+// body.
+func TestStartIsNotHeldUpByOneFailedFetch(t *testing.T) {
+	const failures, limit = 3, 5 * time.Second
+	world := newAdopterWorld(1)
+	now := time.Unix(1000, 0)
+	adopter := NewAdopter(now, func() float64 { return 0.5 })
+	adopter.SetSurroundings(now, Surroundings{Poller: true, Members: 2, Peers: []Peer{{Address: "p1", SameZone: true}}})
+	fetches := 0
+	for end := now.Add(limit); now.Before(end) && adopter.Current().Version == 0; now = later(now.Add(time.Millisecond), adopter.NextTick(now)) {
+		for _, action := range adopter.Tick(now) {
+			switch action.Kind {
+			case ActionPollTable:
+				adopter.PollFailed(now, 0)
+			case ActionAskPeer:
+				adopter.PeerAnswered(now, action.Address, world.pair(1))
+			case ActionFetchBody:
+				fetches++
+				if action.Address == "" || fetches <= failures {
+					adopter.FetchFailed(now)
+					continue
+				}
+				adopter.BodyReceived(now, world.byDigest[action.Pair.Digest])
+			}
+		}
+	}
+	if adopter.Current() != world.pair(1) {
+		t.Errorf("no file after %v and %d fetches", limit, fetches)
+	}
+}
--- a/internal/fleet/adopterfetch.go
+++ b/internal/fleet/adopterfetch.go
@@ -62,15 +62,16 @@
 }
 
 // endRound waits before the sources are tried again. A pair that only peers
-// have named, and not even the table can show, is dropped for a while: a lower
-// pair, of which the table knows, must not starve behind it.
+// have named, and not even the table could show, is dropped for as long: a lower
+// pair, of which the table knows, must not starve behind it. The wait grows with
+// each round, because the table may just be down.
 func (a *Adopter) endRound(now time.Time, triedTable bool) {
 	delay := min(maxFetchRetryDelay, fetchRetryDelay<<min(a.fetchRounds, maxDelayShift))
 	a.fetchRounds++
 	a.nextFetch = now.Add(a.scaled(delay))
 	a.target.tried = map[string]bool{}
 	if triedTable && !a.target.fromTable {
-		a.dropped, a.droppedUntil = a.target.pair, now.Add(a.scaled(maxFetchRetryDelay))
+		a.dropped, a.droppedUntil = a.target.pair, now.Add(a.scaled(delay))
 		a.target = candidate{}
 		a.pollWanted = true
 	}
--- a/internal/fleet/keeper.go
+++ b/internal/fleet/keeper.go
@@ -287,7 +287,8 @@
 		}
 	}
 	for _, member := range view.Members {
-		if member.State > membership.Leaving || member.Node == k.options.Self {
+		// A member may be heard of before its address is.
+		if member.State > membership.Leaving || member.Node == k.options.Self || member.HTTPAddress == "" {
 			continue
 		}
 		around.Peers = append(around.Peers, Peer{
