Prove and measure restarts on real processes

One router and all at the same instant, with the platform up, slow and down, under load. Until a restarted router answers, it may only say that it is not ready, not run, with Retry-After. With the platform down a router gets the file from a peer; when all restart at once then, nobody knows the file: every request is refused as not_ready, none runs, and they serve when the platform is back.

--- a/proofs/observe_test.go
+++ b/proofs/observe_test.go
@@ -94,10 +94,10 @@
 	trafficTries   = 100
 )
 
-func startTraffic(t *testing.T, c *harness.Cluster) *traffic {
-	ctx, stop := context.WithCancel(t.Context())
+func startTraffic(tb testing.TB, c *harness.Cluster) *traffic {
+	ctx, stop := context.WithCancel(tb.Context())
 	running := &traffic{stop: stop}
-	t.Cleanup(running.end)
+	tb.Cleanup(running.end)
 	routers := c.RouterURLs()
 	for number := range trafficCallers {
 		caller := c.NewCaller([]ident.Tenant{harness.TenantA, harness.TenantB}[number%2])
--- /dev/null
+++ b/proofs/restart_test.go
@@ -0,0 +1,172 @@
+package proofs
+
+import (
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/fieldpond/fieldpond/internal/fault"
+	"github.com/fieldpond/fieldpond/proofs/harness"
+	"github.com/fieldpond/fieldpond/standin/faultboard"
+	"github.com/fieldpond/fieldpond/standin/platform"
+	"github.com/fieldpond/fieldpond/standin/truth"
+)
+
+// slowPlatform delays everything that the platform does.
+var slowPlatform = faultboard.Fault{Kind: platform.FaultSlow, DurationMillis: lastingMillis, DelayMillis: 800}
+
+// platformDown cuts every exchange with the platform.
+var platformDown = lasting("", platform.FaultOutage)
+
+// firstAnswer asks a router that listens until it answers, and returns how long
+// that took. Until then it may only say that it is not ready, and when to come
+// back, and that must be true.
+func firstAnswer(tb testing.TB, c *harness.Cluster, router, label string) time.Duration {
+	tb.Helper()
+	caller := c.NewCaller(harness.TenantA)
+	began := time.Now()
+	for number := 0; time.Since(began) < harness.WaitLimit; number++ {
+		told := caller.Stream(tb.Context(), c.URL(router), harness.Ask{Prompt: prompt(label, number), MaxTokens: 1})
+		if told.Done {
+			return time.Since(began)
+		}
+		requireNotReady(tb, told)
+		time.Sleep(10 * time.Millisecond)
+	}
+	tb.Fatalf("%s never answered", router)
+	return 0
+}
+
+func requireNotReady(tb testing.TB, told harness.Told) {
+	tb.Helper()
+	if told.Broken || told.Kind() != fault.NotReady || told.Ran() != fault.RanNo || told.RetryAfter == "" {
+		tb.Errorf("broken %v, told %+v, Retry-After %q", told.Broken, told.Refusal, told.RetryAfter)
+	}
+}
+
+// restart kills routers, starts them at the same instant, and returns the
+// longest time from listening to the first answer.
+func restart(tb testing.TB, c *harness.Cluster, label string, routers ...string) time.Duration {
+	tb.Helper()
+	for _, router := range routers {
+		c.Kill(router)
+	}
+	for _, router := range routers {
+		c.Launch(router)
+	}
+	var mutex sync.Mutex
+	longest := time.Duration(0)
+	together(len(routers), func(number int) {
+		c.AwaitUp(routers[number])
+		took := firstAnswer(tb, c, routers[number], fmt.Sprint(label, number))
+		mutex.Lock()
+		defer mutex.Unlock()
+		longest = max(longest, took)
+	})
+	return longest
+}
+
+// hitRate returns the share of prompt tokens that came from caches, over at
+// most the last count of the long prompts that ended before a time.
+func hitRate(records []truth.Record, from, until time.Time, count int) float64 {
+	records = slices.SortedFunc(slices.Values(records), func(a, b truth.Record) int { return a.Time.Compare(b.Time) })
+	cached, all := 0, 0
+	for index := len(records) - 1; index >= 0 && count > 0; index-- {
+		record := records[index]
+		if record.Kind == truth.Finished && record.PromptTokens > 512 && record.Time.After(from) && record.Time.Before(until) {
+			cached += record.CachedTokens
+			all += record.PromptTokens
+			count--
+		}
+	}
+	return float64(cached) / float64(max(1, all))
+}
+
+// Promise 2: routers that restart serve at once: with the platform up, slow or
+// down as long as one router that knows the file lives. When none does, with
+// the platform down, they refuse truly and say when to come back.
+func TestRestartedRoutersServeAtOnce(t *testing.T) {
+	t.Parallel()
+	c := harness.Start(t, harness.Shape{Routers: 3})
+	callers := startTraffic(t, c)
+	callers.awaitAnswers(c, 60)
+	cases := []struct {
+		name     string
+		platform *faultboard.Fault
+		routers  []string
+	}{
+		{"one router", nil, c.Routers[:1]},
+		{"one router, the platform slow", &slowPlatform, c.Routers[:1]},
+		{"one router, the platform down", &platformDown, c.Routers[:1]},
+		{"all at the same instant", nil, c.Routers},
+		{"all at the same instant, the platform slow", &slowPlatform, c.Routers},
+	}
+	for number, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			if test.platform != nil {
+				c.Inject(harness.Platform, *test.platform)
+			}
+			before := hitRate(allTruth(c), time.Time{}, time.Now(), 60)
+			began := time.Now()
+			restart(t, c, fmt.Sprint("restart ", number), test.routers...)
+			callers.awaitAnswers(c, 60)
+			after := hitRate(allTruth(c), began, time.Now(), 1000)
+			is.New(t).True(after >= before/2) // engines' caches outlive routers, and are found again
+			c.ClearFaults(harness.Platform)
+			for _, router := range c.Routers {
+				firstAnswer(t, c, router, fmt.Sprint("again ", number)) // the others went on serving
+			}
+		})
+	}
+	callers.end()
+	requireTrueRefusals(t, callers)
+	t.Run("all at the same instant, the platform down", func(t *testing.T) { herdWithoutPlatform(t, c) })
+}
+
+// herdWithoutPlatform restarts every router with the platform down: nobody
+// knows in which places a tenant's data may be.
+func herdWithoutPlatform(t *testing.T, c *harness.Cluster) {
+	c.Inject(harness.Platform, platformDown)
+	for _, router := range c.Routers {
+		c.Kill(router)
+	}
+	for _, router := range c.Routers {
+		c.Launch(router)
+	}
+	starts := len(allTruth(c))
+	caller := c.NewCaller(harness.TenantA)
+	for _, router := range c.Routers {
+		c.AwaitUp(router)
+		for number := range 20 {
+			requireNotReady(t, caller.Stream(t.Context(), c.URL(router), harness.Ask{Prompt: prompt("herd", number), MaxTokens: 1}))
+			requireNotReady(t, caller.Book(t.Context(), c.URL(router), fmt.Sprintf("herd-%d", number), "x"))
+		}
+	}
+	is.New(t).Equal(len(allTruth(c)), starts) // none of it ran
+	for _, told := range caller.History() {
+		if told.Key != "" && executionsOf(c.AllExecutions(), told) > 0 {
+			t.Errorf("%s was told not ready and ran", told.Key)
+		}
+	}
+	c.ClearFaults(harness.Platform)
+	for _, router := range c.Routers {
+		firstAnswer(t, c, router, "platform is back")
+	}
+}
+
+// requireTrueRefusals fails if a caller met a refusal other than of a router
+// that was not ready.
+func requireTrueRefusals(t *testing.T, callers *traffic) {
+	t.Helper()
+	for _, caller := range callers.callers {
+		for _, told := range caller.History() {
+			if told.Refusal != nil {
+				requireNotReady(t, told)
+			}
+		}
+	}
+}
