--- a/internal/router/placer_test.go
+++ b/internal/router/placer_test.go
@@ -19,8 +19,10 @@
 	"github.com/fieldpond/fieldpond/internal/fleet"
 	"github.com/fieldpond/fieldpond/internal/ident"
 	"github.com/fieldpond/fieldpond/internal/placement"
+	"github.com/fieldpond/fieldpond/internal/prefix"
 	"github.com/fieldpond/fieldpond/internal/prefix/beliefs"
 	"github.com/fieldpond/fieldpond/internal/routing"
+	"github.com/fieldpond/fieldpond/internal/routing/framework"
 )
 
 // twoPlaces is a fleet file whose tenant may use the first of two regions.
@@ -135,3 +137,40 @@
 		})
 	}
 }
+
+// transferLog is an engine.Transferer that notes what it was asked.
+type transferLog struct{ exports, imports []protocol.TransferRequest }
+
+func (l *transferLog) Export(_ context.Context, _ string, request protocol.TransferRequest) ([]byte, error) {
+	l.exports = append(l.exports, request)
+	return []byte("blocks"), nil
+}
+
+func (l *transferLog) Import(_ context.Context, _ string, request protocol.TransferRequest, _ []byte) (protocol.TransferResult, error) {
+	l.imports = append(l.imports, request)
+	return protocol.TransferResult{}, nil
+}
+
+// TestMovedBlocksStayWithTheirTenantAndPlace: blocks are exported from permitted
+// places only, under the salt of the request's tenant and version, and imported
+// into the life that was chosen only.
+func TestMovedBlocksStayWithTheirTenantAndPlace(t *testing.T) {
+	compiled := compile(t, twoPlaces, 1)
+	for source, moves := range map[ident.Engine]int{"e-1": 1, "e-2": 0, "e-9": 0, "": 0} {
+		check := is.New(t)
+		log := &transferLog{}
+		placer := &placer{transfers: log, current: func() *fleet.Compiled { return compiled }, homeZone: "z-1"}
+		wanted := placer.job(&dispatch.Job{ID: "r", Tenant: "t", Model: "m", Prompt: strings.Repeat("long shared prompt ", 20)}, compiled)
+		chosen := framework.Candidate{Endpoint: &framework.Endpoint{Engine: "e-3", Incarnation: "life-3"}, Version: "v1"}
+		placer.move(t.Context(), wanted, placement.Placed{Job: wanted, Candidate: chosen, MoveFrom: source}, compiled)
+		check.Equal(len(log.exports), moves)
+		check.Equal(len(log.imports), moves)
+		if moves > 0 {
+			salt := prefix.Namespace{Tenant: "t", Model: "m", Version: "v1"}.Salt()
+			check.Equal(log.exports[0].Salt, salt)
+			check.Equal(log.imports[0].Salt, salt)
+			check.Equal(log.exports[0].Hashes, wanted.Request.Chains["v1"])
+			check.Equal(log.imports[0].ExpectedIncarnation, ident.Incarnation("life-3"))
+		}
+	}
+}
