Name the engine's life when blocks are exported

Cause: an export named no incarnation, which an engine refuses as a mismatch, so no move would have succeeded; and without it blocks of a later life could have been meant. Moves are off by default (TransferPerToken 0), so nothing showed it. Change: a placement tells the life of the engine to move from. Measured: router/TestMovedBlocksStayWithTheirTenantAndPlace, the line on the export's incarnation fails before.

--- a/internal/placement/core.go
+++ b/internal/placement/core.go
@@ -60,6 +60,8 @@
 	Candidate framework.Candidate
 	// MoveFrom names an engine to export the prefix from first, or is empty.
 	MoveFrom ident.Engine
+	// MoveFromIncarnation is the life of MoveFrom that is believed to hold it.
+	MoveFromIncarnation ident.Incarnation
 }
 
 // Refused is a job that was given up, not run.
--- a/internal/router/placer.go
+++ b/internal/router/placer.go
@@ -171,7 +171,11 @@
 	namespace := prefix.Namespace{
 		Tenant: request.Tenant, Model: request.Model, Version: placed.Candidate.Version, Adapter: request.Adapter,
 	}
-	transfer := protocol.TransferRequest{Salt: namespace.Salt(), Hashes: request.Chains[placed.Candidate.Version]}
+	transfer := protocol.TransferRequest{
+		ExpectedIncarnation: placed.MoveFromIncarnation,
+		Salt:                namespace.Salt(),
+		Hashes:              request.Chains[placed.Candidate.Version],
+	}
 	blocks, err := p.transfers.Export(bounded, source.Address, transfer)
 	if err != nil {
 		return
--- a/internal/router/placer_test.go
+++ b/internal/router/placer_test.go
@@ -152,8 +152,8 @@
 }
 
 // TestMovedBlocksStayWithTheirTenantAndPlace: blocks are exported from permitted
-// places only, under the salt of the request's tenant and version, and imported
-// into the life that was chosen only.
+// places only, from the life believed to hold them, under the salt of the
+// request's tenant and version, and imported into the life that was chosen.
 func TestMovedBlocksStayWithTheirTenantAndPlace(t *testing.T) {
 	compiled := compile(t, twoPlaces, 1)
 	for source, moves := range map[ident.Engine]int{"e-1": 1, "e-2": 0, "e-9": 0, "": 0} {
@@ -162,12 +162,13 @@
 		placer := &placer{transfers: log, current: func() *fleet.Compiled { return compiled }, homeZone: "z-1"}
 		wanted := placer.job(&dispatch.Job{ID: "r", Tenant: "t", Model: "m", Prompt: strings.Repeat("long shared prompt ", 20)}, compiled)
 		chosen := framework.Candidate{Endpoint: &framework.Endpoint{Engine: "e-3", Incarnation: "life-3"}, Version: "v1"}
-		placer.move(t.Context(), wanted, placement.Placed{Job: wanted, Candidate: chosen, MoveFrom: source}, compiled)
+		placer.move(t.Context(), wanted, placement.Placed{Job: wanted, Candidate: chosen, MoveFrom: source, MoveFromIncarnation: "life-1"}, compiled)
 		check.Equal(len(log.exports), moves)
 		check.Equal(len(log.imports), moves)
 		if moves > 0 {
 			salt := prefix.Namespace{Tenant: "t", Model: "m", Version: "v1"}.Salt()
 			check.Equal(log.exports[0].Salt, salt)
+			check.Equal(log.exports[0].ExpectedIncarnation, ident.Incarnation("life-1"))
 			check.Equal(log.imports[0].Salt, salt)
 			check.Equal(log.exports[0].Hashes, wanted.Request.Chains["v1"])
 			check.Equal(log.imports[0].ExpectedIncarnation, ident.Incarnation("life-3"))
