Let the routers' own orders replace the weights in the proof of caches

The control duty now turns the file into fenced orders, so the proof no longer gives orders of its own.

--- a/internal/fleet/rolling_test.go
+++ b/internal/fleet/rolling_test.go
@@ -149,8 +149,9 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	accepted := map[Pair]bool{}
-	for _, entry := range r.table.model.heads {
+	for index, entry := range r.table.model.heads {
 		accepted[entry.Pair] = true
+		check.Equal(entry.Pair.Version, Version(index+1)) // each version is one file
 	}
 	last := r.table.model.heads[len(r.table.model.heads)-1].Pair
 	check.True(len(r.table.model.heads) > 1)
--- a/proofs/cacheprocess_test.go
+++ b/proofs/cacheprocess_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net/http"
 	"slices"
 	"sync"
 	"testing"
@@ -10,7 +9,6 @@
 
 	"github.com/matryer/is"
 
-	"github.com/fieldpond/fieldpond/internal/engine/protocol"
 	"github.com/fieldpond/fieldpond/internal/fleet"
 	"github.com/fieldpond/fieldpond/internal/ident"
 	"github.com/fieldpond/fieldpond/internal/status"
@@ -28,21 +26,6 @@
 	*harness.Cluster
 	t       *testing.T
 	callers *traffic
-	fence   uint64
-}
-
-// order gives an engine an order, as a control duty would.
-func (r *cacheRun) order(name string, kind protocol.OrderKind, version ident.ModelVersion) {
-	r.t.Helper()
-	var load protocol.LoadReport
-	r.fence++
-	r.Await(name+" takes an order", func() bool {
-		return exchange(r.t.Context(), http.MethodGet, r.URL(name)+"/v1/load", nil, &load) &&
-			exchange(r.t.Context(), http.MethodPost, r.URL(name)+"/v1/orders", protocol.Order{
-				OrderID: fmt.Sprint("order-", r.fence), Fence: r.fence, ExpectedIncarnation: load.Incarnation,
-				Kind: kind, Model: harness.Model, Version: version,
-			}, nil)
-	})
 }
 
 // apply changes the fleet file in force, on every router.
@@ -105,35 +88,35 @@
 	is.New(t).True(reusedTokens(records) > 50000) // the caches were truly in use
 }
 
-// replaceWeights loads new weights, puts them in force while streams of the old
-// ones run, and takes the old ones away under load.
+// replaceWeights puts new weights in force, which the routers order the engines
+// to load, and crashes an engine while streams of the old ones run; then it takes
+// the old ones away, which the routers order the engines to unload, under load.
 func (r *cacheRun) replaceWeights() {
 	r.t.Helper()
-	for _, name := range r.Engines {
-		r.order(name, protocol.OrderLoad, newWeights)
-	}
-	loaded := func(engine status.Engine) bool {
-		return slices.ContainsFunc(engine.Loaded, func(loaded status.Loaded) bool { return loaded.Version == newWeights })
-	}
-	awaitEngines(r.t, r.Cluster, "every engine has the new weights", loaded)
 	r.streamAcross(func() {
 		r.apply(func(document *fleet.Document) {
 			document.Models[0].Version, document.Models[0].AcceptVersions = newWeights, []ident.ModelVersion{harness.ModelVersion}
 		})
 		r.Inject(r.Engines[2], engine.FaultRequest{Kind: faultplan.Crash, Duration: faultplan.Duration(100 * time.Millisecond)})
 	})
-	r.AwaitUp(r.Engines[2])
-	r.order(r.Engines[2], protocol.OrderLoad, newWeights) // its new life began with the old weights
-	r.order(r.Engines[0], protocol.OrderUnload, harness.ModelVersion)
+	awaitEngines(r.t, r.Cluster, "every engine has the new weights", has(newWeights))
 	r.callers.awaitAnswers(r.Cluster, 30)
 	r.apply(func(document *fleet.Document) { document.Models[0].AcceptVersions = nil })
 	adopted := time.Now()
+	awaitEngines(r.t, r.Cluster, "no engine has the old weights", func(engine status.Engine) bool { return !has(harness.ModelVersion)(engine) })
 	r.callers.awaitAnswers(r.Cluster, 60)
 	requireNoStart(r.t, allTruth(r.Cluster), r.callers.begunAfter(adopted), func(record truth.Record) bool {
 		return record.Version != newWeights
 	})
 }
 
+// has returns a condition on engines that have loaded a version.
+func has(version ident.ModelVersion) func(engine status.Engine) bool {
+	return func(engine status.Engine) bool {
+		return slices.ContainsFunc(engine.Loaded, func(loaded status.Loaded) bool { return loaded.Version == version })
+	}
+}
+
 // withdrawPlace takes one of two zones away from a tenant.
 func (r *cacheRun) withdrawPlace() {
 	r.t.Helper()
