Hold requests that come before the list of engines

Cause: a router lets callers in as soon as a fleet file is in force, a moment before the list of its engines reaches the placement core. In that moment the core knew no engine and refused with no_permitted_engine. Found by proofs/TestRestartedRoutersServeAtOnce in one of three runs of the whole package at a load of 60 to 76 on 12 cores; it told 'filter places'. Change: a core that has had no list yet holds. Measured: placement/TestARequestBeforeTheFirstFileIsHeld fails before.

--- a/internal/endpoint/registry.go
+++ b/internal/endpoint/registry.go
@@ -261,10 +261,14 @@
 	return ""
 }
 
-// Undecided reports whether an engine in one of the zones has neither reported
-// yet nor failed to often enough to count as dead. A router that has just
-// started holds requests until it knows, instead of refusing them.
+// Undecided reports whether no fleet file has come yet, or an engine in one of
+// the zones has neither reported yet nor failed to often enough to count as
+// dead. A router that has just started holds requests until it knows, instead of
+// refusing them.
 func (r *Registry) Undecided(zones map[ident.Zone]bool) bool {
+	if r.generation == 0 {
+		return true
+	}
 	for _, known := range r.order {
 		if zones[known.target.Zone] && !known.reported && known.failures < failuresUntilDead {
 			return true
--- a/internal/placement/core_test.go
+++ b/internal/placement/core_test.go
@@ -68,6 +68,17 @@
 	is.Equal(effects.Placed[0].Candidate.Endpoint.Incarnation, ident.Incarnation("a1"))
 }
 
+// TestARequestBeforeTheFirstFileIsHeld: callers may be let in a moment before
+// the list of engines reaches the core.
+func TestARequestBeforeTheFirstFileIsHeld(t *testing.T) {
+	is := is.New(t)
+	core := New(newTestCore(t, 8).config)
+	effects := core.Offer(start, jobOf("r1", time.Second))
+	is.Equal(len(effects.Refused), 0)
+	core.Configure(start, []endpoint.Target{{Engine: "a", Address: "a:1", Zone: zone}})
+	is.Equal(len(core.Reported(start, "a", reportOf("a1")).Placed), 1)
+}
+
 func TestARequestIsRefusedAtOnceWhenEveryEngineIsDead(t *testing.T) {
 	is := is.New(t)
 	core := newTestCore(t, 8)
