--- /dev/null
+++ b/proofs/cacheprocess_test.go
@@ -0,0 +1,153 @@
+package proofs
+
+import (
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/fieldpond/fieldpond/internal/fleet"
+	"github.com/fieldpond/fieldpond/internal/ident"
+	"github.com/fieldpond/fieldpond/internal/status"
+	"github.com/fieldpond/fieldpond/proofs/harness"
+	"github.com/fieldpond/fieldpond/standin/engine"
+	"github.com/fieldpond/fieldpond/standin/faultplan"
+	"github.com/fieldpond/fieldpond/standin/truth"
+)
+
+// newWeights is the version that replaces harness.ModelVersion.
+const newWeights ident.ModelVersion = "v2"
+
+// cacheRun is a rehearsal with traffic of two tenants who share prompts.
+type cacheRun struct {
+	*harness.Cluster
+	t       *testing.T
+	callers *traffic
+}
+
+// apply changes the fleet file in force, on every router.
+func (r *cacheRun) apply(change func(document *fleet.Document)) {
+	r.t.Helper()
+	document := *r.Document
+	document.Models = slices.Clone(document.Models)
+	document.Tenants = slices.Clone(document.Tenants)
+	change(&document)
+	if output, err := r.Apply(&document); err != nil {
+		r.t.Fatalf("applying: %v\n%s", err, output)
+	}
+	r.Document = &document
+}
+
+// streamAcross runs long streams and calls disturb once some have text. Each
+// answer must come whole.
+func (r *cacheRun) streamAcross(disturb func()) {
+	r.t.Helper()
+	caller := r.NewCaller(harness.TenantA)
+	var once sync.Once
+	together(6, func(number int) {
+		ask := longAsk(fmt.Sprint("long ", number), 120)
+		ask.OnText = func(bytes int) {
+			if bytes > 40 {
+				once.Do(disturb)
+			}
+		}
+		told := caller.Stream(r.t.Context(), r.RouterURLs()[number%2], ask)
+		requireHonest(r.t, ask, told)
+	})
+}
+
+// Promise 4: on real sockets, what runs reuses blocks of its own tenant, version
+// and engine life only; and files that replace weights or withdraw places bind
+// what begins after their adoption.
+func TestCachesAreNotSharedOnRealSockets(t *testing.T) {
+	t.Parallel()
+	c := harness.Start(t, harness.Shape{PlatformArgs: []string{"--weight-rate", "0", "--weight-gigabytes-per-second", "0"}})
+	r := &cacheRun{Cluster: c, t: t, callers: startTraffic(t, c)}
+	r.callers.awaitAnswers(c, 60)
+
+	for _, name := range c.Engines { // a crash and a gap in its events
+		c.Inject(name, engine.FaultRequest{
+			Kind: faultplan.EventLoss, Duration: faultplan.Duration(time.Minute), Parameters: faultplan.Parameters{Probability: 0.5},
+		})
+	}
+	c.Kill(c.Engines[0])
+	c.Restart(c.Engines[0])
+	r.callers.awaitAnswers(c, 60)
+	c.Inject(c.Engines[1], engine.FaultRequest{Kind: faultplan.Crash, Duration: faultplan.Duration(100 * time.Millisecond)})
+	r.callers.awaitAnswers(c, 60)
+
+	r.replaceWeights()
+	r.withdrawPlace()
+	r.callers.end()
+	records := allTruth(c)
+	judgeReuse(t, records)
+	judgeVersions(t, records)
+	is.New(t).True(reusedTokens(records) > 50000) // the caches were truly in use
+}
+
+// replaceWeights puts new weights in force, which the routers order the engines
+// to load, and crashes an engine while streams of the old ones run; then it takes
+// the old ones away, which the routers order the engines to unload, under load.
+func (r *cacheRun) replaceWeights() {
+	r.t.Helper()
+	r.streamAcross(func() {
+		r.apply(func(document *fleet.Document) {
+			document.Models[0].Version, document.Models[0].AcceptVersions = newWeights, []ident.ModelVersion{harness.ModelVersion}
+		})
+		r.Inject(r.Engines[2], engine.FaultRequest{Kind: faultplan.Crash, Duration: faultplan.Duration(100 * time.Millisecond)})
+	})
+	awaitEngines(r.t, r.Cluster, "every engine has the new weights", has(newWeights))
+	r.callers.awaitAnswers(r.Cluster, 30)
+	r.apply(func(document *fleet.Document) { document.Models[0].AcceptVersions = nil })
+	adopted := time.Now()
+	awaitEngines(r.t, r.Cluster, "no engine has the old weights", func(engine status.Engine) bool { return !has(harness.ModelVersion)(engine) })
+	r.callers.awaitAnswers(r.Cluster, 60)
+	requireNoStart(r.t, allTruth(r.Cluster), r.callers.begunAfter(adopted), func(record truth.Record) bool {
+		return record.Version != newWeights
+	})
+}
+
+// has returns a condition on engines that have loaded a version.
+func has(version ident.ModelVersion) func(engine status.Engine) bool {
+	return func(engine status.Engine) bool {
+		return slices.ContainsFunc(engine.Loaded, func(loaded status.Loaded) bool { return loaded.Version == version })
+	}
+}
+
+// withdrawPlace takes one of two zones away from a tenant.
+func (r *cacheRun) withdrawPlace() {
+	r.t.Helper()
+	r.apply(func(document *fleet.Document) { document.Tenants[0].Places = []string{string(harness.ZoneA)} })
+	adopted := time.Now()
+	r.callers.awaitAnswers(r.Cluster, 60)
+	requireNoStart(r.t, allTruth(r.Cluster), r.callers.begunAfter(adopted), func(record truth.Record) bool {
+		return record.Tenant == r.Document.Tenants[0].Name && record.Zone != harness.ZoneA
+	})
+}
+
+// judgeVersions requires that all attempts of a request that emitted text had
+// the same version.
+func judgeVersions(t *testing.T, records []truth.Record) {
+	t.Helper()
+	emitted := map[ident.Request]ident.ModelVersion{}
+	continued := 0
+	for _, record := range records {
+		if record.GeneratedTokens == 0 {
+			continue
+		}
+		before, known := emitted[record.RequestID]
+		if known && before != record.Version {
+			t.Errorf("the answer to %s has text of %s and of %s", record.RequestID, before, record.Version)
+		}
+		if known {
+			continued++
+		}
+		emitted[record.RequestID] = record.Version
+	}
+	if continued == 0 {
+		t.Log("no answer was continued by another attempt")
+	}
+}
