Remove two settings without effect, and show applications

Cause: table.answerRetention and intervals.fleetPoll were checked and documented, but nothing read them: retained answers cannot be deleted from the object store, and the fleet keeper paces its own reads (1.5 s for pollers). Applications were in neither /status.json nor /metrics.

Ruled out: wiring fleetPoll, since the pace of a node is scaled by the number of members and a setting would break that bound.

Change: both settings are gone, and a test looks that the router or its command reads every setting. Applications stand in /status.json, 'fieldpond status' and fieldpond_applications.

--- a/cmd/fieldpond/status_test.go
+++ b/cmd/fieldpond/status_test.go
@@ -35,13 +35,14 @@
              "own_in_flight":2,"concurrency_limit":8,"loaded":[{"model":"m","version":"v2"},{"model":"m","version":"v1"}]},
             {"engine":"e2","zone":"z2","alive":false},
             {"engine":"e3","zone":"z2","incarnation":"ab","alive":true,"leaving":true}],
+ "applications":[{"application":"a1","zone":"z1","incarnation":"cd","alive":true,"running":4,"own_in_flight":1}],
  "queue":{"waiting":5,"in_flight":2,"by_priority":[{"priority":0,"waiting":2},{"priority":3,"waiting":3}]},
  "decisions":{"placed":40,"held":7,"refused":1,"prompt_tokens":1000,"credited_tokens":620,"cached_tokens":615,"belief_high":2,"belief_right":37,"belief_low":1},
  "claims":{"granted":9,"shown":4,"refused":1,"waiting":2},
  "gossip":{"bytes_sent":4096,"bytes_received":100,"refused":6},
  "rings":[{"name":"quiet","capacity":8},{"name":"full","depth":8,"capacity":8,"dropped":11}]}`
 
-const secondStatus = `{"node":"n2","zone":"z2","state":"starting","fleet_version":2,"engines":[{"engine":"e1","zone":"z1"}]}`
+const secondStatus = `{"node":"n2","zone":"z2","state":"starting","fleet_version":2,"engines":[{"engine":"e1","zone":"z1"}],"applications":[{"application":"a1","own_in_flight":2}]}`
 
 // squeezed returns the lines of a table with runs of blanks made one.
 func squeezed(text string) string {
@@ -64,6 +65,9 @@
 e2 z2 dead 0 of 2 - 0 0 0 0 of no limit -
 e3 z2 leaving 1 of 2 ab 0 0 0 0 of no limit -
 
+APPLICATION ZONE STATE ALIVE TO INCARNATION RUNNING IN FLIGHT
+a1 z1 alive 1 of 2 cd 4 3
+
 ROUTER STATE WAITING IN FLIGHT PLACED HELD REFUSED BELIEVED FOUND TOO HIGH RIGHT TOO LOW
 n1 serving 5 (p0:2 p3:3) 2 40 7 1 62.0 % 61.5 % 2 37 1
 n2 starting 0 0 0 0 0 - - 0 0 0
--- a/cmd/fieldpond/statustable.go
+++ b/cmd/fieldpond/statustable.go
@@ -28,6 +28,7 @@
 	if len(r.Routers) > 0 {
 		table.members(r)
 		table.engines(r.Routers)
+		table.applications(r.Routers)
 		table.routers(r.Routers)
 		table.exchanges(r.Routers)
 	}
@@ -83,17 +84,37 @@
 	}
 	t.row("\nENGINE", "ZONE", "STATE", "ALIVE TO", "INCARNATION", "RUNNING", "WAITING", "PREFILL QUEUE", "LIMIT", "LOADED")
 	for _, engine := range routers[0].Engines {
-		t.row(engine.Engine, engine.Zone, engineState(engine), fmt.Sprintf("%d of %d", alive[engine.Engine], len(routers)),
+		t.row(engine.Engine, engine.Zone, backendState(engine.Alive, engine.Leaving), fmt.Sprintf("%d of %d", alive[engine.Engine], len(routers)),
 			shorten(string(engine.Incarnation)), engine.Running, engine.Waiting, engine.QueuedPrefillTokens,
 			fmt.Sprintf("%d of %s", engine.OwnInFlight, limitText(engine.ConcurrencyLimit)), loadedText(engine.Loaded))
 	}
 }
 
-func engineState(engine status.Engine) string {
+// applications prints the applications as the first router sees them, and how
+// many requests all routers asked have on each.
+func (t *statusTable) applications(routers []status.Router) {
+	alive, calls := map[ident.Application]int{}, map[ident.Application]int{}
+	for _, router := range routers {
+		for _, application := range router.Applications {
+			calls[application.Application] += application.OwnInFlight
+			if application.Alive {
+				alive[application.Application]++
+			}
+		}
+	}
+	t.row("\nAPPLICATION", "ZONE", "STATE", "ALIVE TO", "INCARNATION", "RUNNING", "IN FLIGHT")
+	for _, application := range routers[0].Applications {
+		t.row(application.Application, application.Zone, backendState(application.Alive, application.Leaving),
+			fmt.Sprintf("%d of %d", alive[application.Application], len(routers)), shorten(string(application.Incarnation)),
+			application.Running, calls[application.Application])
+	}
+}
+
+func backendState(alive, leaving bool) string {
 	switch {
-	case !engine.Alive:
+	case !alive:
 		return "dead"
-	case engine.Leaving:
+	case leaving:
 		return "leaving"
 	default:
 		return "alive"
--- a/internal/router/applications.go
+++ b/internal/router/applications.go
@@ -13,6 +13,7 @@
 	"github.com/fieldpond/fieldpond/internal/fault"
 	"github.com/fieldpond/fieldpond/internal/fleet"
 	"github.com/fieldpond/fieldpond/internal/ident"
+	"github.com/fieldpond/fieldpond/internal/status"
 )
 
 const (
@@ -186,3 +187,18 @@
 	}
 	poller.Ask(p.health.Due(now, interval, budget))
 }
+
+// status returns what is known of every application.
+func (p *applicationPlacer) status(now time.Time) []status.Application {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	var applications []status.Application
+	for _, backend := range p.health.Endpoints(now) {
+		name := ident.Application(backend.Engine)
+		applications = append(applications, status.Application{
+			Application: name, Zone: backend.Zone, Incarnation: backend.Incarnation,
+			Alive: backend.Alive, Leaving: backend.Leaving, Running: backend.Load.Running, OwnInFlight: p.calls[name],
+		})
+	}
+	return applications
+}
--- a/internal/router/metrics.go
+++ b/internal/router/metrics.go
@@ -25,6 +25,7 @@
 	r.registerPlacement()
 	r.registerBeliefs()
 	r.registerDirectory()
+	r.registerApplications()
 	r.registerDispatch()
 	r.registerClaims()
 	r.registerMembership()
--- a/internal/router/metricsplacement.go
+++ b/internal/router/metricsplacement.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"strconv"
+	"time"
 
 	"github.com/fieldpond/fieldpond/internal/placement"
+	"github.com/fieldpond/fieldpond/internal/status"
 	"github.com/fieldpond/fieldpond/internal/telemetry"
 )
 
@@ -47,20 +49,46 @@
 }
 
 func enginesByState(p placement.Reading) map[string]float64 {
-	states := map[string]float64{"alive": 0, "leaving": 0, "dead": 0}
+	states := backendStates{"alive": 0, "leaving": 0, "dead": 0}
 	for _, endpoint := range p.Endpoints {
-		switch {
-		case !endpoint.Alive:
-			states["dead"]++
-		case endpoint.Leaving:
-			states["leaving"]++
-		default:
-			states["alive"]++
-		}
+		states.count(endpoint.Alive, endpoint.Leaving)
 	}
 	return states
 }
 
+// backendStates counts back ends by state.
+type backendStates map[string]float64
+
+func (s backendStates) count(alive, leaving bool) {
+	switch {
+	case !alive:
+		s["dead"]++
+	case leaving:
+		s["leaving"]++
+	default:
+		s["alive"]++
+	}
+}
+
+func (r *Router) registerApplications() {
+	group := telemetry.NewGroup(r.telemetry, func() ([]status.Application, bool) { return r.apps.status(time.Now()), true })
+	group.Labelled(telemetry.KindGauge, "applications", "Applications of the fleet file by state as this router sees them: alive, leaving or dead.", "state", func(applications []status.Application) map[string]float64 {
+		states := backendStates{"alive": 0, "leaving": 0, "dead": 0}
+		for _, application := range applications {
+			states.count(application.Alive, application.Leaving)
+		}
+		return states
+	})
+	group.Gauge("application_calls_in_flight", "Requests of this router on applications now.", func(applications []status.Application) int {
+		calls := 0
+		for _, application := range applications {
+			calls += application.OwnInFlight
+		}
+		return calls
+	})
+	group.Register()
+}
+
 func (r *Router) registerBeliefs() {
 	group := telemetry.NewGroup(r.telemetry, r.readPlacement)
 	group.Counter("prompt_tokens_total", "Prompt tokens of answered attempts.", func(p placement.Reading) uint64 { return p.Decisions.PromptTokens })
--- a/internal/router/status.go
+++ b/internal/router/status.go
@@ -61,6 +61,7 @@
 		report.Queue = statusQueue(reading)
 		report.Decisions = status.Decisions(reading.Decisions)
 	}
+	report.Applications = r.apps.status(time.Now())
 	claims := r.claims.Counters()
 	report.Claims = status.Claims{Granted: claims.Granted, Shown: claims.Shown, Refused: claims.Refused, Waiting: claims.Waiting}
 	gossip := r.members.Counters()
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -67,16 +67,12 @@
 	Timeout time.Duration `yaml:"timeout"`
 	// ClaimTimeout is the longest a request that may not be repeated waits for its claim before it is refused, not run.
 	ClaimTimeout time.Duration `yaml:"claimTimeout"`
-	// AnswerRetention is how long the answer to a request that may not be repeated is kept for repeats of the caller.
-	AnswerRetention time.Duration `yaml:"answerRetention"`
 }
 
 // Intervals says how often the router looks at what others say.
 type Intervals struct {
 	// LoadPoll is the time between two reads of a back end's load report.
 	LoadPoll time.Duration `yaml:"loadPoll"`
-	// FleetPoll is the time between two looks for a newer fleet file in the table, for a router that is a poller of its zone.
-	FleetPoll time.Duration `yaml:"fleetPoll"`
 	// MachinePoll is the time between two reads of the platform's machine list.
 	MachinePoll time.Duration `yaml:"machinePoll"`
 	// GossipProbe is the time between two gossip probes.
@@ -94,11 +90,9 @@
 			RequestsPerSecond: 50,
 			Timeout:           time.Second,
 			ClaimTimeout:      2 * time.Second,
-			AnswerRetention:   10 * time.Minute,
 		},
 		Intervals: Intervals{
 			LoadPoll:    250 * time.Millisecond,
-			FleetPoll:   time.Second,
 			MachinePoll: 2 * time.Second,
 			GossipProbe: 500 * time.Millisecond,
 		},
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"reflect"
 	"strings"
 	"testing"
 	"time"
@@ -111,6 +112,32 @@
 	is.Equal(fmt.Sprintf("%d %x %#v", secret, secret, secret), "[redacted] [redacted] [redacted]")
 }
 
+// A setting that nothing reads would be a promise without effect. The router and
+// its command read the settings; this package itself reads where the cluster key
+// stands, as the other tests show.
+func TestEverySettingIsRead(t *testing.T) {
+	is := is.New(t)
+	var readers []string
+	for _, pattern := range []string{"../router/*.go", "../../cmd/fieldpond/*.go"} {
+		found, err := filepath.Glob(pattern)
+		is.NoErr(err)
+		readers = append(readers, found...)
+	}
+	var code strings.Builder
+	for _, path := range readers {
+		text, err := os.ReadFile(path)
+		is.NoErr(err)
+		code.Write(text)
+	}
+	defaults := Default()
+	eachLeaf("", reflect.ValueOf(&defaults).Elem(), func(path string, _ reflect.Value) {
+		name := path[strings.LastIndex(path, ".")+1:]
+		if !strings.HasPrefix(path, "clusterKey.") && !strings.Contains(code.String(), "."+strings.ToUpper(name[:1])+name[1:]) {
+			t.Errorf("nothing reads the setting %s", path)
+		}
+	})
+}
+
 func TestReferenceIsCurrent(t *testing.T) {
 	is := is.New(t)
 	source, err := os.ReadFile("settings.go")
--- a/internal/settings/usages_generated.go
+++ b/internal/settings/usages_generated.go
@@ -22,9 +22,7 @@
 	"table.requestsPerSecond": "This router's share of the table service's rate limit, in requests a second.",
 	"table.timeout":           "The longest wait for one answer of the table service.",
 	"table.claimTimeout":      "The longest a request that may not be repeated waits for its claim before it is refused, not run.",
-	"table.answerRetention":   "How long the answer to a request that may not be repeated is kept for repeats of the caller.",
 	"intervals.loadPoll":      "The time between two reads of a back end's load report.",
-	"intervals.fleetPoll":     "The time between two looks for a newer fleet file in the table, for a router that is a poller of its zone.",
 	"intervals.machinePoll":   "The time between two reads of the platform's machine list.",
 	"intervals.gossipProbe":   "The time between two gossip probes.",
 }
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -51,9 +51,7 @@
 	r.lasting("stopGrace", s.StopGrace, time.Second, 24*time.Hour)
 	r.lasting("table.timeout", s.Table.Timeout, time.Millisecond, time.Minute)
 	r.lasting("table.claimTimeout", s.Table.ClaimTimeout, time.Millisecond, time.Minute)
-	r.lasting("table.answerRetention", s.Table.AnswerRetention, time.Second, 7*24*time.Hour)
 	r.lasting("intervals.loadPoll", s.Intervals.LoadPoll, 10*time.Millisecond, time.Minute)
-	r.lasting("intervals.fleetPoll", s.Intervals.FleetPoll, 10*time.Millisecond, time.Minute)
 	r.lasting("intervals.machinePoll", s.Intervals.MachinePoll, 10*time.Millisecond, time.Minute)
 	r.lasting("intervals.gossipProbe", s.Intervals.GossipProbe, 10*time.Millisecond, time.Minute)
 }
--- a/internal/status/status.go
+++ b/internal/status/status.go
@@ -12,15 +12,17 @@
 	Node ident.Node `json:"node"`
 	Zone ident.Zone `json:"zone"`
 	// State is "starting", "serving" or "leaving".
-	State        string    `json:"state"`
-	FleetVersion uint64    `json:"fleet_version"`
-	FleetDigest  string    `json:"fleet_digest"`
-	Members      []Member  `json:"members"`
-	Engines      []Engine  `json:"engines"`
-	Queue        Queue     `json:"queue"`
-	Decisions    Decisions `json:"decisions"`
-	Claims       Claims    `json:"claims"`
-	Gossip       Gossip    `json:"gossip"`
+	State        string   `json:"state"`
+	FleetVersion uint64   `json:"fleet_version"`
+	FleetDigest  string   `json:"fleet_digest"`
+	Members      []Member `json:"members"`
+	Engines      []Engine `json:"engines"`
+	// Applications are the application back ends of the fleet file.
+	Applications []Application `json:"applications"`
+	Queue        Queue         `json:"queue"`
+	Decisions    Decisions     `json:"decisions"`
+	Claims       Claims        `json:"claims"`
+	Gossip       Gossip        `json:"gossip"`
 	// Rings are the bounded queues between the duties of the process.
 	Rings []Ring `json:"rings"`
 }
@@ -58,6 +60,18 @@
 	Loaded           []Loaded `json:"loaded"`
 }
 
+// Application is an application back end as this router sees it.
+type Application struct {
+	Application ident.Application `json:"application"`
+	Zone        ident.Zone        `json:"zone"`
+	Incarnation ident.Incarnation `json:"incarnation"`
+	Alive       bool              `json:"alive"`
+	Leaving     bool              `json:"leaving"`
+	// Running counts requests on the application, OwnInFlight this router's.
+	Running     int `json:"running"`
+	OwnInFlight int `json:"own_in_flight"`
+}
+
 // Loaded is a model version that an engine can serve.
 type Loaded struct {
 	Model   ident.Model        `json:"model"`
