--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -37,6 +37,8 @@
 	Table Table `yaml:"table"`
 	// Intervals says how often the router looks at what others say.
 	Intervals Intervals `yaml:"intervals"`
+	// Control paces the orders to engines while this router is in charge of them.
+	Control Control `yaml:"control"`
 
 	clusterKey Secret
 }
@@ -79,6 +81,14 @@
 	GossipProbe time.Duration `yaml:"gossipProbe"`
 }
 
+// Control paces the orders to engines while this router is in charge of them.
+type Control struct {
+	// LoadsPerSecond is how many loads of model weights are ordered a second for each group of engines; keep it below the weight store's limit.
+	LoadsPerSecond float64 `yaml:"loadsPerSecond"`
+	// MaxLoadsPerZone is the most engines of a zone that load weights at one time.
+	MaxLoadsPerZone int `yaml:"maxLoadsPerZone"`
+}
+
 // Default returns the settings that hold where nothing else is set. It lacks
 // the required ones.
 func Default() Settings {
@@ -96,6 +106,7 @@
 			MachinePoll: 2 * time.Second,
 			GossipProbe: 500 * time.Millisecond,
 		},
+		Control: Control{LoadsPerSecond: 0.5, MaxLoadsPerZone: 1},
 	}
 }
 
--- a/internal/settings/usages_generated.go
+++ b/internal/settings/usages_generated.go
@@ -25,4 +25,6 @@
 	"intervals.loadPoll":      "The time between two reads of a back end's load report.",
 	"intervals.machinePoll":   "The time between two reads of the platform's machine list.",
 	"intervals.gossipProbe":   "The time between two gossip probes.",
+	"control.loadsPerSecond":  "How many loads of model weights are ordered a second for each group of engines; keep it below the weight store's limit.",
+	"control.maxLoadsPerZone": "The most engines of a zone that load weights at one time.",
 }
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -48,6 +48,8 @@
 	r.between("limits.maxHeaderBytes", float64(s.Limits.MaxHeaderBytes), 1<<10, 1<<20)
 	r.between("limits.maxOpenRequests", float64(s.Limits.MaxOpenRequests), 1, 1<<20)
 	r.between("table.requestsPerSecond", s.Table.RequestsPerSecond, 0.1, 1e6)
+	r.between("control.loadsPerSecond", s.Control.LoadsPerSecond, 0.001, 1000)
+	r.between("control.maxLoadsPerZone", float64(s.Control.MaxLoadsPerZone), 1, 1000)
 	r.lasting("stopGrace", s.StopGrace, time.Second, 24*time.Hour)
 	r.lasting("table.timeout", s.Table.Timeout, time.Millisecond, time.Minute)
 	r.lasting("table.claimTimeout", s.Table.ClaimTimeout, time.Millisecond, time.Minute)
