--- a/cmd/fieldpond/status_test.go
+++ b/cmd/fieldpond/status_test.go
@@ -40,6 +40,7 @@
  "decisions":{"placed":40,"held":7,"refused":1,"prompt_tokens":1000,"credited_tokens":620,"cached_tokens":615,"belief_high":2,"belief_right":37,"belief_low":1},
  "claims":{"granted":9,"shown":4,"refused":1,"waiting":2},
  "gossip":{"bytes_sent":4096,"bytes_received":100,"refused":6},
+ "control":[{"lease":"control/chat","held":true,"fence":7,"orders":12,"loading":1},{"lease":"control/other","held":false}],
  "rings":[{"name":"quiet","capacity":8},{"name":"full","depth":8,"capacity":8,"dropped":11}]}`
 
 const secondStatus = `{"node":"n2","zone":"z2","state":"starting","fleet_version":2,"engines":[{"engine":"e1","zone":"z1"}],"applications":[{"application":"a1","own_in_flight":2}]}`
@@ -74,7 +75,10 @@
 
 ROUTER CLAIMS GRANTED SHOWN REFUSED WAITING GOSSIP OUT GOSSIP IN GOSSIP REFUSED RING ITEMS DROPPED
 n1 9 4 1 2 4 KiB 100 B 6 full: 11
-n2 0 0 0 0 0 B 0 B 0 none`
+n2 0 0 0 0 0 B 0 B 0 none
+
+LEASE HOLDER FENCE ORDERS REFUSED LOADING
+control/chat n1 7 12 0 1`
 
 func TestStatusTable(t *testing.T) {
 	is := is.New(t)
--- a/cmd/fieldpond/statustable.go
+++ b/cmd/fieldpond/statustable.go
@@ -31,6 +31,7 @@
 		table.applications(r.Routers)
 		table.routers(r.Routers)
 		table.exchanges(r.Routers)
+		table.control(r.Routers)
 	}
 	return table.Flush()
 }
@@ -190,6 +191,18 @@
 	}
 }
 
+// control prints which of the routers asked is in charge of a group of engines.
+func (t *statusTable) control(routers []status.Router) {
+	t.row("\nLEASE", "HOLDER", "FENCE", "ORDERS", "REFUSED", "LOADING")
+	for _, router := range routers {
+		for _, group := range router.Control {
+			if group.Held {
+				t.row(group.Lease, router.Node, group.Fence, group.Orders, group.Refused, group.Loading)
+			}
+		}
+	}
+}
+
 func byteText(bytes uint64) string {
 	const kibibyte = 1024
 	if bytes < kibibyte {
--- a/internal/router/status.go
+++ b/internal/router/status.go
@@ -68,6 +68,12 @@
 	report.Gossip = status.Gossip{
 		BytesSent: gossip.BytesSent, BytesReceived: gossip.BytesReceived, Refused: gossip.Refused, Unsent: gossip.Unsent,
 	}
+	for _, group := range r.control.Status() {
+		report.Control = append(report.Control, status.Control{
+			Lease: group.Lease, Held: group.Held, Fence: group.Fence,
+			Loading: group.Counters.Loading, Orders: group.Counters.Orders, Refused: group.Counters.Refused,
+		})
+	}
 	for _, read := range r.rings() {
 		counted := read()
 		report.Rings = append(report.Rings, status.Ring{
--- a/internal/status/status.go
+++ b/internal/status/status.go
@@ -23,6 +23,8 @@
 	Decisions    Decisions     `json:"decisions"`
 	Claims       Claims        `json:"claims"`
 	Gossip       Gossip        `json:"gossip"`
+	// Control lists the groups of engines whose lease this router contends for.
+	Control []Control `json:"control"`
 	// Rings are the bounded queues between the duties of the process.
 	Rings []Ring `json:"rings"`
 }
@@ -115,6 +117,18 @@
 	Unsent  uint64 `json:"unsent"`
 }
 
+// Control is one group of engines and the lease that says who orders it.
+type Control struct {
+	Lease string `json:"lease"`
+	// Held says whether the router is in charge; Fence is its fence then.
+	Held  bool   `json:"held"`
+	Fence uint64 `json:"fence"`
+	// Loading is the number of loads of weights under way.
+	Loading int    `json:"loading"`
+	Orders  uint64 `json:"orders"`
+	Refused uint64 `json:"refused"`
+}
+
 // Ring is one bounded queue between two duties.
 type Ring struct {
 	Name     string `json:"name"`
