--- a/internal/router/status.go
+++ b/internal/router/status.go
@@ -61,12 +61,19 @@
 		report.Queue = statusQueue(reading)
 		report.Decisions = status.Decisions(reading.Decisions)
 	}
+	report.Applications = r.apps.status(time.Now())
 	claims := r.claims.Counters()
 	report.Claims = status.Claims{Granted: claims.Granted, Shown: claims.Shown, Refused: claims.Refused, Waiting: claims.Waiting}
 	gossip := r.members.Counters()
 	report.Gossip = status.Gossip{
 		BytesSent: gossip.BytesSent, BytesReceived: gossip.BytesReceived, Refused: gossip.Refused, Unsent: gossip.Unsent,
 	}
+	for _, group := range r.control.Status() {
+		report.Control = append(report.Control, status.Control{
+			Lease: group.Lease, Held: group.Held, Fence: group.Fence,
+			Loading: group.Counters.Loading, Orders: group.Counters.Orders, Refused: group.Counters.Refused,
+		})
+	}
 	for _, read := range r.rings() {
 		counted := read()
 		report.Rings = append(report.Rings, status.Ring{
