Hold a request for its home while that beats recomputing

Change: if the cheapest engine has no room, the request is held while a slot's wait of 100 ms and the time it has waited so far cost less than the best engine with room. So the wait is bounded by what the recomputation costs, weight included. Such a request does not block its pool.

The test was seen to fail with the hold left out.

--- a/internal/placement/core.go
+++ b/internal/placement/core.go
@@ -51,6 +51,8 @@
 	Weight float64
 	// MaxHold is the longest the job may wait.
 	MaxHold time.Duration
+	// offered is when the core took the job in.
+	offered time.Time
 }
 
 // Placed is a job that was given a place.
@@ -156,6 +158,7 @@
 
 // Offer takes in a job. It is placed, held or refused.
 func (c *Core) Offer(now time.Time, job *Job) Effects {
+	job.offered = now
 	c.waiting[job.Request.ID] = job
 	if c.directory != nil && c.lookUp(now, job) {
 		c.park(now, job)
--- a/internal/placement/decide.go
+++ b/internal/placement/decide.go
@@ -25,6 +25,7 @@
 	c.snapshot.Generation = c.registry.Generation()
 	c.snapshot.Credits = c.config.Beliefs.At(now)
 	c.snapshot.Hop = c.config.Hop
+	job.Request.Waited = now.Sub(job.offered)
 	decision := c.config.Scheduler.Schedule(&job.Request, &c.snapshot)
 	if decision.Action == framework.Hold && c.mayPassReserve(now, job) {
 		decision = c.passReserve(now, job)
@@ -35,7 +36,7 @@
 		return admission.Verdict{Action: admission.Dispatched}
 	case framework.Hold:
 		c.Counters.Held++
-		return admission.Verdict{Action: c.heldAction(job)}
+		return admission.Verdict{Action: c.heldAction(job, decision.Reason)}
 	default:
 		if c.registry.Undecided(job.Request.Zones) {
 			c.Counters.Held++
@@ -68,9 +69,10 @@
 }
 
 // heldAction says how much of the queue a held job speaks for. A job that has
-// excluded engines of its own does not speak for its pool.
-func (c *Core) heldAction(job *Job) admission.Action {
-	if len(job.Request.Excluded) > 0 {
+// excluded engines of its own, or that waits for the engines that hold its
+// prefix, does not speak for its pool.
+func (c *Core) heldAction(job *Job, reason string) admission.Action {
+	if len(job.Request.Excluded) > 0 || reason == framework.ReasonHome {
 		return admission.ItemBlocked
 	}
 	return admission.PoolBlocked
--- a/internal/routing/config.go
+++ b/internal/routing/config.go
@@ -29,6 +29,11 @@
 	// of priority 2 and above; those of priority 1 are kept from half of it.
 	// Below zero means none. Default: 0.5.
 	UrgentReserve float64
+	// SlotWait is the assumed wait for room on an engine that has none for the
+	// request's class. A request is held for an engine that has its prefix
+	// while this and the time it has been held cost less than recomputing
+	// elsewhere. Below zero means never. Default: 100ms.
+	SlotWait time.Duration
 	// Window is the number of candidates that are scored, the highest ranking
 	// ones for the prompt's leading blocks; at most 128. Default: 32.
 	Window int
@@ -46,6 +51,7 @@
 	defaultTieShare        = 0.05
 	defaultFloor           = 0.25
 	defaultReserve         = 0.5
+	defaultSlotWait        = 100 * time.Millisecond
 	defaultWindow          = 32
 	defaultMinMoveTokens   = 512
 )
@@ -80,6 +86,9 @@
 	if config.UrgentReserve == 0 {
 		config.UrgentReserve = defaultReserve
 	}
+	if config.SlotWait == 0 {
+		config.SlotWait = defaultSlotWait
+	}
 	config.UrgentReserve = max(0, config.UrgentReserve)
 	if config.Window == 0 {
 		config.Window = defaultWindow
--- a/internal/routing/framework/framework.go
+++ b/internal/routing/framework/framework.go
@@ -81,6 +81,8 @@
 	RecomputationWeight float64
 	// Excluded lists engines that already refused or failed this request.
 	Excluded map[ident.Engine]bool
+	// Waited is how long the request has been held.
+	Waited time.Duration
 	// PassReserve lets the request use what is kept for more urgent classes.
 	PassReserve bool
 	// HomeZone is the zone of the deciding router.
@@ -162,13 +164,17 @@
 	Refuse
 )
 
+// ReasonHome is the reason of a Hold though an engine is open: waiting for one
+// that holds the prefix costs less than recomputing it.
+const ReasonHome = "home"
+
 // Decision is the result of scheduling one request.
 type Decision struct {
 	Action Action
 	// Chosen is set for Dispatch.
 	Chosen Candidate
 	// Reason is a short machine-readable reason for Hold and Refuse, such as
-	// the name of the filter that left no candidate.
+	// the name of the filter that left no candidate, or ReasonHome.
 	Reason string
 	// BestCreditTokens is the largest credit among permitted candidates.
 	BestCreditTokens float64
--- a/internal/routing/pipeline.go
+++ b/internal/routing/pipeline.go
@@ -30,7 +30,12 @@
 	// credits is true if the policy looks at cached prefixes.
 	credits bool
 	mover   mover
-	scratch sync.Pool
+	// slotWait is the least wait for room on an engine without any. A request
+	// that is not of the most urgent class is held for the cheapest engine
+	// while that, and as long again as it has been held so far, costs less than
+	// the best engine with room. Zero never holds for this.
+	slotWait time.Duration
+	scratch  sync.Pool
 }
 
 // scratch holds the slices of one decision, reused by later ones.
@@ -126,14 +131,18 @@
 		best = creditAll(request, snapshot, permitted)
 	}
 	buffers.scored = append(buffers.scored[:0], permitted...)
+	for _, scorer := range p.scorers {
+		scorer.Score(request, snapshot, buffers.scored)
+	}
+	cheapest := cheapestOf(buffers.scored)
 	open := p.capacity.Filter(request, snapshot, buffers.scored)
 	if len(open) == 0 {
 		return framework.Decision{Action: framework.Hold, Reason: p.capacity.Name(), BestCreditTokens: best}
 	}
-	for _, scorer := range p.scorers {
-		scorer.Score(request, snapshot, open)
-	}
 	chosen := open[p.picker.Pick(request, snapshot, open)]
+	if p.slotWait > 0 && request.Priority > 0 && cheapest+p.slotWait+request.Waited < chosen.Cost {
+		return framework.Decision{Action: framework.Hold, Reason: framework.ReasonHome, BestCreditTokens: best}
+	}
 	return framework.Decision{
 		Action:           framework.Dispatch,
 		Chosen:           chosen,
@@ -142,6 +151,15 @@
 	}
 }
 
+// cheapestOf returns the lowest cost, of endpoints without room as well.
+func cheapestOf(candidates []framework.Candidate) time.Duration {
+	cheapest := candidates[0].Cost
+	for index := range candidates {
+		cheapest = min(cheapest, candidates[index].Cost)
+	}
+	return cheapest
+}
+
 // creditAll sets each candidate's credit and returns the largest one. A credit
 // never exceeds the prompt.
 func creditAll(request *framework.Request, snapshot *framework.Snapshot, candidates []framework.Candidate) float64 {
--- a/internal/routing/policies.go
+++ b/internal/routing/policies.go
@@ -22,6 +22,7 @@
 	pipeline.window = filter.Window{Size: config.Window}
 	pipeline.shortlists.size = shortlistFactor * config.Window
 	pipeline.capacity = filter.Capacity{Reserve: config.UrgentReserve}
+	pipeline.slotWait = max(0, config.SlotWait)
 	pipeline.credits = true
 	pipeline.mover = mover{perToken: config.TransferPerToken, minTokens: float64(config.MinMoveTokens), fallback: slope}
 	return pipeline, nil
--- a/internal/routing/policies_test.go
+++ b/internal/routing/policies_test.go
@@ -264,3 +264,47 @@
 		is.New(t).True(fault.Is(err, fault.InvalidSettings))
 	}
 }
+
+// A request waits for room where its prefix is only while that is cheaper
+// than recomputing the prefix on an engine that has room.
+func TestHoldForAHomeIsBoundedByItsGain(t *testing.T) {
+	const held = 1520 // tokens, 152 ms of prefill
+	for _, test := range []struct {
+		name     string
+		priority int
+		waited   time.Duration
+		weight   float64
+		want     ident.Engine // empty: held
+	}{
+		{"a short wait beats recomputing", 2, 0, 0.1, ""},
+		{"not for longer than that", 2, 80 * time.Millisecond, 0.1, "second"},
+		{"the weight lengthens it", 2, 80 * time.Millisecond, 1, ""},
+		{"an urgent request has room at home", 0, 0, 0.1, "home"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			request := &framework.Request{
+				Model: "m", Versions: []ident.ModelVersion{"v"}, Zones: map[ident.Zone]bool{"z": true}, Priority: test.priority,
+				BlockTokens: blockTokens, PromptTokens: 1600, RecomputationWeight: test.weight, Waited: test.waited,
+				Chains: map[ident.ModelVersion]prefix.Chain{"v": make(prefix.Chain, 100)},
+			}
+			snapshot := &framework.Snapshot{Credits: fixedCredits{"home": held / blockTokens}}
+			for _, engine := range []ident.Engine{"home", "second"} {
+				snapshot.Endpoints = append(snapshot.Endpoints, framework.Endpoint{
+					Engine: engine, Zone: "z", Alive: true, Incarnation: "i", Loaded: []framework.LoadedModel{{Model: "m", Version: "v"}},
+					Load: framework.Load{MaxRunning: 16},
+				})
+			}
+			snapshot.Endpoints[0].Load.Running = 15
+			scheduler, err := routing.NewPredictive(routing.Config{TieShare: 0.001, RecomputationFloor: 0.01, UrgentReserve: 0.5, SlotWait: 100 * time.Millisecond})
+			is.NoErr(err)
+			decision := scheduler.Schedule(request, snapshot)
+			if test.want == "" {
+				is.Equal(decision.Reason, framework.ReasonHome)
+				return
+			}
+			is.Equal(decision.Action, framework.Dispatch)
+			is.Equal(decision.Chosen.Endpoint.Engine, test.want)
+		})
+	}
+}
--- a/standin/experiment/policies.go
+++ b/standin/experiment/policies.go
@@ -92,8 +92,9 @@
 // with the present one.
 func previous() []Policy {
 	return []Policy{
-		{Name: "predictive-v1", NewScheduler: predictive(routing.Config{UrgentReserve: -1}), NewLimiter: gradientLimiter},
-		{Name: "predictive-v2", NewScheduler: predictive(routing.Config{UrgentReserve: -1}), NewLimiter: admission.NewDefaultLimiter},
+		{Name: "predictive-v1", NewScheduler: predictive(routing.Config{UrgentReserve: -1, SlotWait: -1}), NewLimiter: gradientLimiter},
+		{Name: "predictive-v2", NewScheduler: predictive(routing.Config{UrgentReserve: -1, SlotWait: -1}), NewLimiter: admission.NewDefaultLimiter},
+		{Name: "predictive-v3", NewScheduler: predictive(routing.Config{UrgentReserve: 0.5, SlotWait: -1}), NewLimiter: admission.NewDefaultLimiter},
 	}
 }
 
