Move cached prefixes to the chosen engine by default

Cause: what waste was left came from requests that rightly left a loaded home and computed again what it held, most of all in floods. Moves were off, and the router's export did not name the source's life, so every engine would have refused it.

Change: a move of 256 tokens or more is made where the chosen engine lacks what another permitted one holds, at an assumed 7 us a token and leg; the choice itself is as before. The source's life goes with the move. A router waits 250 ms for a move instead of 2 s: later it saves nothing. The simulation makes moves over its network with the engine model's time per block. Transfers take no compute from the engines of the model.

--- a/internal/placement/core.go
+++ b/internal/placement/core.go
@@ -62,6 +62,8 @@
 	Candidate framework.Candidate
 	// MoveFrom names an engine to export the prefix from first, or is empty.
 	MoveFrom ident.Engine
+	// MoveIncarnation is the life of MoveFrom that holds the prefix.
+	MoveIncarnation ident.Incarnation
 }
 
 // Refused is a job that was given up, not run.
--- a/internal/placement/decide.go
+++ b/internal/placement/decide.go
@@ -95,7 +95,10 @@
 		limiter.Started(now)
 	}
 	c.Counters.Placed++
-	c.effects.Placed = append(c.effects.Placed, Placed{Job: job, Candidate: chosen, MoveFrom: decision.MoveFrom})
+	c.effects.Placed = append(c.effects.Placed, Placed{
+		Job: job, Candidate: chosen,
+		MoveFrom: decision.MoveFrom, MoveIncarnation: c.registry.Incarnation(decision.MoveFrom),
+	})
 }
 
 // Started takes in that an engine accepted an attempt and counted its tokens.
--- a/internal/router/placer.go
+++ b/internal/router/placer.go
@@ -19,7 +19,7 @@
 
 // transferTimeout bounds one move of cached blocks between engines. A move
 // that takes longer saves nothing over the recomputation.
-const transferTimeout = 2 * time.Second
+const transferTimeout = 250 * time.Millisecond
 
 // placer implements dispatch.Placer over the placement duty.
 type placer struct {
@@ -171,7 +171,9 @@
 	namespace := prefix.Namespace{
 		Tenant: request.Tenant, Model: request.Model, Version: placed.Candidate.Version, Adapter: request.Adapter,
 	}
-	transfer := protocol.TransferRequest{Salt: namespace.Salt(), Hashes: request.Chains[placed.Candidate.Version]}
+	transfer := protocol.TransferRequest{
+		Salt: namespace.Salt(), Hashes: request.Chains[placed.Candidate.Version], ExpectedIncarnation: placed.MoveIncarnation,
+	}
 	blocks, err := p.transfers.Export(bounded, source.Address, transfer)
 	if err != nil {
 		return
--- a/internal/router/placer_test.go
+++ b/internal/router/placer_test.go
@@ -21,6 +21,7 @@
 	"github.com/fieldpond/fieldpond/internal/placement"
 	"github.com/fieldpond/fieldpond/internal/prefix/beliefs"
 	"github.com/fieldpond/fieldpond/internal/routing"
+	"github.com/fieldpond/fieldpond/internal/routing/framework"
 )
 
 // twoPlaces is a fleet file whose tenant may use the first of two regions.
@@ -135,3 +136,46 @@
 		})
 	}
 }
+
+// strictTransferer refuses transfers that name another life than its engine's,
+// as engines do, and counts what it imports.
+type strictTransferer struct{ imported int }
+
+func (s *strictTransferer) Export(_ context.Context, address string, request protocol.TransferRequest) ([]byte, error) {
+	if request.ExpectedIncarnation != ident.Incarnation(address+" life") {
+		return nil, fault.New(fault.BackendRefused, "another incarnation is in force")
+	}
+	return []byte("blocks"), nil
+}
+
+func (s *strictTransferer) Import(
+	_ context.Context, address string, request protocol.TransferRequest, blocks []byte,
+) (protocol.TransferResult, error) {
+	if request.ExpectedIncarnation == ident.Incarnation(address+" life") && string(blocks) == "blocks" {
+		s.imported++
+	}
+	return protocol.TransferResult{}, nil
+}
+
+// A move names the lives of both engines, and never leaves the tenant's places.
+func TestMoveNamesBothLivesAndStaysInPlaces(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		zones    map[ident.Zone]bool
+		life     ident.Incarnation
+		imported int
+	}{
+		{"permitted", map[ident.Zone]bool{"z-1": true, "z-2": true}, "127.0.0.1:7002 life", 1},
+		{"source in a forbidden place", map[ident.Zone]bool{"z-1": true}, "127.0.0.1:7002 life", 0},
+		{"source in another life", map[ident.Zone]bool{"z-1": true, "z-2": true}, "earlier", 0},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			transfers := &strictTransferer{}
+			placed := placement.Placed{MoveFrom: "e-2", MoveIncarnation: test.life}
+			placed.Candidate.Endpoint = &framework.Endpoint{Engine: "e-1", Address: "127.0.0.1:7001", Incarnation: "127.0.0.1:7001 life"}
+			wanted := &placement.Job{Request: framework.Request{Tenant: "t", Zones: test.zones}}
+			(&placer{transfers: transfers}).move(t.Context(), wanted, placed, compile(t, twoPlaces, 1))
+			is.New(t).Equal(transfers.imported, test.imported)
+		})
+	}
+}
--- a/internal/routing/config.go
+++ b/internal/routing/config.go
@@ -38,9 +38,10 @@
 	// ones for the prompt's leading blocks; at most 128. Default: 32.
 	Window int
 	// TransferPerToken is the assumed time to export one token's cache from an
-	// engine, and again to import it into another. Default: 0, never move.
+	// engine, and again to import it into another. Default: 7us.
 	TransferPerToken time.Duration
-	// MinMoveTokens is the smallest gain in cached tokens worth a move. Default: 512.
+	// MinMoveTokens is the smallest gain in cached tokens worth a move; NeverMove
+	// turns moves off. Default: 256.
 	MinMoveTokens int
 }
 
@@ -53,9 +54,13 @@
 	defaultReserve         = 0.75
 	defaultSlotWait        = 100 * time.Millisecond
 	defaultWindow          = 32
-	defaultMinMoveTokens   = 512
+	defaultTransfer        = 7 * time.Microsecond
+	defaultMinMoveTokens   = 256
 )
 
+// NeverMove is a MinMoveTokens beyond every prompt.
+const NeverMove = 1 << 30
+
 // shortlistFactor is the length of a shortlist in windows: up to half of a
 // shortlist may be dead, leaving or excluded before all endpoints are looked at.
 const shortlistFactor = 2
@@ -93,6 +98,9 @@
 	if config.Window == 0 {
 		config.Window = defaultWindow
 	}
+	if config.TransferPerToken == 0 {
+		config.TransferPerToken = defaultTransfer
+	}
 	if config.MinMoveTokens == 0 {
 		config.MinMoveTokens = defaultMinMoveTokens
 	}
--- a/standin/experiment/attempt.go
+++ b/standin/experiment/attempt.go
@@ -41,7 +41,14 @@
 		ownTokens:  s.byName[chosen.Endpoint.Engine].model.Held(x.salt, chain) * prefix.DefaultBlockTokens,
 		heldTokens: min(x.heldAnywhere(chain)*prefix.DefaultBlockTokens, placed.Job.Request.PromptTokens-1),
 	}
-	s.clock.after(s.hop(router.zone, sent.engine.zone), func() { sent.engine.submit(sent) })
+	deliver := func() {
+		s.clock.after(s.hop(router.zone, sent.engine.zone), func() { sent.engine.submit(sent) })
+	}
+	if placed.MoveFrom == "" {
+		deliver()
+	} else {
+		sent.move(s.byName[placed.MoveFrom], placed.MoveIncarnation, deliver)
+	}
 	s.clock.after(x.class.Deadline, sent.deadline)
 }
 
--- a/standin/experiment/engines.go
+++ b/standin/experiment/engines.go
@@ -81,6 +81,9 @@
 
 // submit offers an attempt to the engine.
 func (n *engineNode) submit(sent *attempt) {
+	if sent.over {
+		return
+	}
 	if !n.model.Alive() {
 		sent.answer(func() { sent.unreachable() })
 		return
--- a/standin/experiment/policies.go
+++ b/standin/experiment/policies.go
@@ -1,6 +1,7 @@
 package experiment
 
 import (
+	"fmt"
 	"slices"
 	"strings"
 
@@ -91,12 +92,22 @@
 // previous returns earlier states of the predictive policy, the oldest first,
 // to be compared with the present one; the last goes by "previous" as well.
 func previous() []Policy {
-	versions := []Policy{
-		{Name: "predictive-v1", NewScheduler: predictive(routing.Config{UrgentReserve: -1, SlotWait: -1}), NewLimiter: gradientLimiter},
-		{Name: "predictive-v2", NewScheduler: predictive(routing.Config{UrgentReserve: -1, SlotWait: -1}), NewLimiter: admission.NewDefaultLimiter},
-		{Name: "predictive-v3", NewScheduler: predictive(routing.Config{UrgentReserve: 0.5, SlotWait: -1}), NewLimiter: admission.NewDefaultLimiter},
-		{Name: "predictive-v4", NewScheduler: predictive(routing.Config{UrgentReserve: 0.5}), NewLimiter: admission.NewDefaultLimiter},
+	const never = routing.NeverMove
+	configs := []routing.Config{
+		{UrgentReserve: -1, SlotWait: -1, MinMoveTokens: never},
+		{UrgentReserve: -1, SlotWait: -1, MinMoveTokens: never},
+		{UrgentReserve: 0.5, SlotWait: -1, MinMoveTokens: never},
+		{UrgentReserve: 0.5, MinMoveTokens: never},
+		{MinMoveTokens: never},
 	}
+	var versions []Policy
+	for index, config := range configs {
+		versions = append(versions, Policy{
+			Name:         fmt.Sprintf("predictive-v%d", index+1),
+			NewScheduler: predictive(config), NewLimiter: admission.NewDefaultLimiter,
+		})
+	}
+	versions[0].NewLimiter = gradientLimiter
 	last := versions[len(versions)-1]
 	last.Name = "previous"
 	return append(versions, last)
