--- a/cmd/rehearse/scale.go
+++ b/cmd/rehearse/scale.go
@@ -28,11 +28,7 @@
 				sized := config
 				sized.Nodes = count
 				began := time.Now()
-				result, err := scale.Run(sized)
-				if err != nil {
-					return err
-				}
-				if err := result.Write(command.OutOrStdout()); err != nil {
+				if _, err := scale.Run(sized, command.OutOrStdout()); err != nil {
 					return err
 				}
 				fmt.Fprintf(command.OutOrStdout(), "measured in %s\n\n", time.Since(began).Round(time.Second))
--- a/standin/scale/measure.go
+++ b/standin/scale/measure.go
@@ -1,6 +1,7 @@
 package scale
 
 import (
+	"io"
 	"runtime"
 	"slices"
 	"sync"
@@ -69,8 +70,9 @@
 	Spreads                  []Spread
 }
 
-// Run measures a cluster.
-func Run(config Config) (*Result, error) {
+// Run measures routers under load, and then how a configuration spreads. It
+// writes each part as soon as it is measured, for people.
+func Run(config Config, out io.Writer) (*Result, error) {
 	if err := config.Validate(); err != nil {
 		return nil, err
 	}
@@ -79,6 +81,9 @@
 		return nil, err
 	}
 	result := &Result{Nodes: config.Nodes, Engines: config.engines(), Prefixes: config.prefixes(), Steady: steady}
+	if err := result.writeSteady(out); err != nil {
+		return nil, err
+	}
 	for _, each := range faultCases {
 		spreads, err := measureSpreads(config, each)
 		if err != nil {
@@ -86,7 +91,7 @@
 		}
 		result.Spreads = append(result.Spreads, spreads...)
 	}
-	return result, nil
+	return result, result.writeSpreads(out)
 }
 
 func heap() float64 {
--- a/standin/scale/scale_test.go
+++ b/standin/scale/scale_test.go
@@ -1,6 +1,7 @@
 package scale
 
 import (
+	"io"
 	"reflect"
 	"strings"
 	"testing"
@@ -76,7 +77,8 @@
 
 func TestAConfigurationComesIntoForceInEveryCase(t *testing.T) {
 	is := is.New(t)
-	result, err := Run(smallConfig(1))
+	var text strings.Builder
+	result, err := Run(smallConfig(1), &text)
 	is.NoErr(err)
 	for _, spread := range result.Spreads {
 		is.Equal(spread.Missing, 0)
@@ -84,8 +86,6 @@
 		is.True(spread.Median > 0 && spread.Max >= spread.Median)
 		is.True(spread.Max < 18*time.Second)
 	}
-	var text strings.Builder
-	is.NoErr(result.Write(&text))
 	is.True(strings.Contains(text.String(), "load reports"))
 }
 
@@ -114,7 +114,7 @@
 		t.Run(name, func(t *testing.T) {
 			config := smallConfig(1)
 			change(&config)
-			_, err := Run(config)
+			_, err := Run(config, io.Discard)
 			is.New(t).True(fault.Is(err, fault.BadRequest))
 		})
 	}
