Stop reports of a prefix whose shard is full

Cause: a root remembers 16 engines. When more hold a prefix, a router that used one of the others found it missing in the shard's answer and reported it, and each report made the shard watch its blocks with the engine's owner; both at every router and for ever, all at one shard. Change: a holding is not reported while the shard's present answer is full of engines that hold as much of the chain. One that holds more is reported, and so is any once an engine of the answer is gone. Measured: the test counts reports and fails without the change.

--- a/internal/prefix/directory/asker.go
+++ b/internal/prefix/directory/asker.go
@@ -172,20 +172,28 @@
 	}
 }
 
-// shardKnows reports whether the shard's last answer has the holding.
+// shardKnows reports whether the shard's last answer has the holding, or has no
+// room for it among as many engines that hold as much of the chain. Without the
+// second, every router goes on reporting each engine of a prefix that more
+// engines hold than a root remembers, all to one shard.
 func (n *Node) shardKnows(now time.Time, root prefix.Hash, holding *Holding) bool {
 	cached, found := n.cache.get(root)
 	if !found || !now.Before(cached.goodUntil) {
 		return false
 	}
 	marks, life := holding.marks(), LifeDigest(holding.Incarnation)
+	holdAsMuch := 0
 	for _, holder := range cached.answer.Holders {
 		known := min(sharedLandmarks(cached.answer.Paths[holder.Path], marks), holder.Landmarks)
-		if holder.Engine == holding.Engine && holder.Life == life && known*markBytes == len(marks) {
+		if known*markBytes != len(marks) {
+			continue
+		}
+		if holder.Engine == holding.Engine && holder.Life == life {
 			return true
 		}
+		holdAsMuch++
 	}
-	return false
+	return holdAsMuch >= maxHoldings
 }
 
 func (n *Node) enqueue(root prefix.Hash, holding Holding) bool {
--- /dev/null
+++ b/internal/prefix/directory/hot_test.go
@@ -0,0 +1,49 @@
+package directory_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/fieldpond/fieldpond/internal/ident"
+)
+
+// TestAFullRootIsNotReportedFurther lets more engines hold a prefix than a shard
+// remembers: once a router knows that the shard is full of engines that hold as
+// much, it reports no more of them, but still one that holds more, and one that
+// takes the place of an engine that died.
+func TestAFullRootIsNotReportedFurther(t *testing.T) {
+	is := is.New(t)
+	const places = 16
+	chain := chainOf("open order book ", "a")[:128]
+	c := newCluster(t, 6)
+	shard, other, another := c.owner(chain)
+	name := func(index int) ident.Engine { return ident.Engine(fmt.Sprintf("holder-%02d", index)) }
+	reports := func(at ident.Node) int {
+		before := c.nodes[at].Counters().Reports
+		c.tick()
+		return int(c.nodes[at].Counters().Reports - before)
+	}
+	for index := range places - 1 {
+		c.nodes[other].Observed(c.now, name(index), first, chain, 64)
+	}
+	is.Equal(reports(other), places-1)
+	c.blocks(another, first, chain)
+	c.nodes[another].Observed(c.now, name(places-1), first, chain, 64) // the last free place
+	is.Equal(reports(another), 1)
+
+	c.blocks(other, first, chain)
+	c.nodes[other].Observed(c.now, name(places), first, chain, 64)
+	is.Equal(reports(other), 0)
+	c.nodes[other].Observed(c.now, name(places), first, chain, 128) // it holds more
+	is.Equal(reports(other), 1)
+
+	c.nodes[shard].Incarnation(name(3), "")
+	c.tick()
+	c.now = c.now.Add(2 * time.Second)
+	c.blocks(another, first, chain)
+	c.nodes[another].Observed(c.now, name(places+1), first, chain, 64)
+	is.Equal(reports(another), 1)
+}
