Keep the blocks that requests store in the scale run's engines

Cause: a hollow engine removed a prompt's blocks from its events after 5 s and went on to report them as cached in its answers. The owners of its events then told the shards that they were lost, and routers reported them again. Change: only filling blocks are removed. A test compares the events with what the engine says it holds; it fails with the former code.

--- a/standin/scale/engines.go
+++ b/standin/scale/engines.go
@@ -98,18 +98,20 @@
 }
 
 // batch returns the next batch of events: what requests have stored, filled up
-// to the rate of the target, and as many blocks removed.
+// to the rate of the target, and filling blocks removed. What requests have
+// stored stays: its lifetime is longer than a run.
 func (e *engineTruth) batch() protocol.CacheEventBatch {
-	fill := e.pending
+	stored := e.pending
 	e.pending = nil
-	const stored = targetEvents / targetEngines / 2 * int(batchPeriod) / int(time.Second)
-	for len(fill) < stored {
+	const wanted = targetEvents / targetEngines / 2 * int(batchPeriod) / int(time.Second)
+	var fill prefix.Chain
+	for len(stored)+len(fill) < wanted {
 		e.nextFill++
 		fill = append(fill, prefix.Hash(e.nextFill*0x9e3779b97f4a7c15))
 	}
 	e.recent = append(e.recent, fill)
 	e.sequence++
-	events := []protocol.CacheEvent{{Sequence: e.sequence, Kind: protocol.CacheStored, Hashes: fill}}
+	events := []protocol.CacheEvent{{Sequence: e.sequence, Kind: protocol.CacheStored, Hashes: append(stored, fill...)}}
 	if len(e.recent) > storedFor {
 		e.sequence++
 		events = append(events, protocol.CacheEvent{Sequence: e.sequence, Kind: protocol.CacheRemoved, Hashes: e.recent[0]})
--- a/standin/scale/scale_test.go
+++ b/standin/scale/scale_test.go
@@ -9,7 +9,9 @@
 
 	"github.com/matryer/is"
 
+	"github.com/fieldpond/fieldpond/internal/engine/protocol"
 	"github.com/fieldpond/fieldpond/internal/fault"
+	"github.com/fieldpond/fieldpond/internal/prefix"
 )
 
 func smallConfig(seed int64) Config {
@@ -120,3 +122,36 @@
 		})
 	}
 }
+
+// TestEventsAgreeWithWhatEnginesHold lets an engine store a prompt's blocks: its
+// events must name each once and never remove one, since the engine goes on
+// saying that it holds them.
+func TestEventsAgreeWithWhatEnginesHold(t *testing.T) {
+	is := is.New(t)
+	engine := &engineTruth{used: map[int]time.Time{}}
+	request := &job{prefix: 1, chain: make(prefix.Chain, sharedBlocks+ownBlocks)}
+	for index := range request.chain {
+		request.chain[index] = prefix.Hash(index + 1)
+	}
+	now := time.Unix(1000, 0)
+	is.Equal(engine.accept(now, request), 0)
+	is.Equal(engine.accept(now, request), sharedBlocks)
+	counts := map[protocol.CacheEventKind]map[prefix.Hash]int{protocol.CacheStored: {}, protocol.CacheRemoved: {}}
+	sequence := uint64(0)
+	for range 3 * storedFor {
+		for _, event := range engine.batch().Events {
+			sequence++
+			is.Equal(event.Sequence, sequence)
+			for _, hash := range event.Hashes {
+				counts[event.Kind][hash]++
+			}
+		}
+	}
+	for index, hash := range request.chain {
+		is.Equal(counts[protocol.CacheRemoved][hash], 0)
+		is.True(counts[protocol.CacheStored][hash] == 1 || index >= sharedBlocks)
+	}
+	for hash, count := range counts[protocol.CacheRemoved] {
+		is.Equal(count, counts[protocol.CacheStored][hash])
+	}
+}
