Prove a rolling version change and a frozen control holder on real processes

Change: proofs/versionchange_test.go changes v1 to v2 by two applies under streams and bookings that are asked once each, with the answer to one order of each engine lost and an engine crashing while it generates with v1; and freezes the holder of the control lease past its lease with an order on its way, which the relay (new action Hold) delivers after the next holder fenced the engine. Judged on the truth logs.

--- a/proofs/harness/relay.go
+++ b/proofs/harness/relay.go
@@ -27,6 +27,10 @@
 	Reset
 	// Stall forwards nothing more; the connection stays open.
 	Stall
+	// Hold keeps back the request until Release. It then reaches the back end,
+	// over a new connection, whether or not the router still waits. It is for
+	// requests without further bytes, and needs Before.
+	Hold
 )
 
 // Cut breaks connections at a byte. It strikes a connection once Match has
@@ -59,6 +63,10 @@
 	struck      int
 	connections map[*relayed]bool
 	closed      bool
+	// released ends every Hold.
+	released chan struct{}
+	// late holds the beginnings of the answers to what was held back.
+	late []string
 }
 
 func newRelay(tb testing.TB, address, target string) *Relay {
@@ -67,7 +75,7 @@
 	if err != nil {
 		tb.Fatalf("opening a relay: %v", err)
 	}
-	r := &Relay{address: address, target: target, listener: listener, connections: map[*relayed]bool{}}
+	r := &Relay{address: address, target: target, listener: listener, connections: map[*relayed]bool{}, released: make(chan struct{})}
 	tb.Cleanup(r.close)
 	go r.accept()
 	return r
@@ -95,6 +103,38 @@
 	return r.struck
 }
 
+// Release passes on what Hold kept back; nothing can be held after it.
+func (r *Relay) Release() {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	select {
+	case <-r.released:
+	default:
+		close(r.released)
+	}
+}
+
+// LateAnswers returns the beginnings of what the back end answered to requests
+// that were held back and released.
+func (r *Relay) LateAnswers() []string {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return append([]string(nil), r.late...)
+}
+
+// ended reports whether the test is over.
+func (r *Relay) ended() bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.closed
+}
+
+func (r *Relay) noteLate(answer []byte) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.late = append(r.late, string(answer))
+}
+
 // armed returns the cut in force, if any.
 func (r *Relay) armed() (Cut, bool) {
 	r.mutex.Lock()
@@ -147,6 +187,7 @@
 
 func (r *Relay) close() {
 	_ = r.listener.Close()
+	defer r.Release()
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	r.closed = true
@@ -194,7 +235,7 @@
 			}
 		}
 		if cut {
-			c.strike()
+			c.strike(buffer[len(pass):count])
 			return
 		}
 		if err != nil {
@@ -204,6 +245,25 @@
 	}
 }
 
+// hold keeps a request back until the release and delivers it then.
+func (c *relayed) hold(kept []byte) {
+	<-c.relay.released
+	if c.relay.ended() {
+		return
+	}
+	far, err := net.Dial("tcp", c.relay.target)
+	if err != nil {
+		return
+	}
+	defer func() { _ = far.Close() }()
+	if _, err := far.Write(kept); err != nil {
+		return
+	}
+	answer := make([]byte, relayBufferBytes)
+	count, _ := far.Read(answer)
+	c.relay.noteLate(answer[:count])
+}
+
 // admit returns the bytes that pass, and whether the connection is cut then.
 func (c *relayed) admit(direction Direction, data []byte) ([]byte, bool) {
 	c.mutex.Lock()
@@ -247,17 +307,21 @@
 	return start, start + len(cut.Match)
 }
 
-func (c *relayed) strike() {
-	action := c.cut.Action
-	if action == Stall {
+// strike does to the connection as the cut says; kept is what does not pass.
+func (c *relayed) strike(kept []byte) {
+	switch action := c.cut.Action; action {
+	case Stall, Hold:
 		c.mutex.Lock()
 		c.stalled = true
 		c.mutex.Unlock()
-	} else {
+	default:
 		c.end(action)
 		c.relay.forget(c)
 	}
 	c.relay.noteStruck()
+	if c.cut.Action == Hold {
+		c.hold(kept)
+	}
 }
 
 // finish passes the end of one half on, unless the connection is stalled.
--- /dev/null
+++ b/proofs/versionchange_test.go
@@ -0,0 +1,367 @@
+package proofs
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/url"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/fieldpond/fieldpond/internal/engine/protocol"
+	"github.com/fieldpond/fieldpond/internal/fleet"
+	"github.com/fieldpond/fieldpond/internal/ident"
+	"github.com/fieldpond/fieldpond/internal/lease"
+	platformprotocol "github.com/fieldpond/fieldpond/internal/platform/protocol"
+	"github.com/fieldpond/fieldpond/proofs/harness"
+	"github.com/fieldpond/fieldpond/standin/engine"
+	"github.com/fieldpond/fieldpond/standin/faultplan"
+	"github.com/fieldpond/fieldpond/standin/truth"
+)
+
+const (
+	nextVersion ident.ModelVersion = "v2"
+	// controlLease is the lease of the only group of engines.
+	controlLease = "control/" + string(harness.Assistant)
+	// ordersPath begins every request with an order.
+	ordersPath = "POST /v1/orders"
+	// enduringTokens makes a stream outlast the first loads of a change.
+	enduringTokens = 1000
+	enduring       = 9
+)
+
+// changeShape is a cluster whose loads are short; the third engine shares the
+// first one's zone.
+func changeShape() harness.Shape {
+	return harness.Shape{
+		Routers: 3, Engines: 3, Relayed: true,
+		RouterSettings: "control:\n  loadsPerSecond: 5\n",
+		PlatformArgs:   []string{"--weight-rate", "5", "--weight-gigabytes", "0.1"},
+		EngineArgs:     []string{"--load-duration", "300ms", "--token-millis", "10"},
+	}
+}
+
+// edited returns the fleet file with another version of the model.
+func edited(c *harness.Cluster, version ident.ModelVersion, accepted ...ident.ModelVersion) *fleet.Document {
+	document := *c.Document
+	document.Models = slices.Clone(document.Models)
+	document.Models[0].Version, document.Models[0].AcceptVersions = version, accepted
+	return &document
+}
+
+func requireApplied(t *testing.T, c *harness.Cluster, document *fleet.Document) {
+	t.Helper()
+	if output, err := c.Apply(document); err != nil {
+		t.Fatalf("applying: %v\n%s", err, output)
+	}
+}
+
+// served returns the versions that an engine serves, by the records of its
+// truth log so far.
+func served(records []truth.Record) map[ident.ModelVersion]bool {
+	versions := map[ident.ModelVersion]bool{}
+	for _, record := range records {
+		switch {
+		case record.Kind == truth.Life:
+			versions = map[ident.ModelVersion]bool{harness.ModelVersion: true}
+		case record.Kind == truth.Crashed:
+			clear(versions)
+		case record.Kind == truth.Loaded:
+			versions[record.Version] = true
+		case record.Kind == truth.OrderTaken && record.OrderKind == string(protocol.OrderUnload):
+			delete(versions, record.Version)
+		}
+	}
+	return versions
+}
+
+// awaitServed waits until each engine serves just these versions.
+func awaitServed(c *harness.Cluster, versions ...ident.ModelVersion) {
+	for _, name := range c.Engines {
+		c.Await(fmt.Sprintf("%s serves %v", name, versions), func() bool {
+			now := served(c.Truth(name))
+			return len(now) == len(versions) && !slices.ContainsFunc(versions, func(version ident.ModelVersion) bool { return !now[version] })
+		})
+	}
+}
+
+// awaitFence waits until the last order that each engine took has the fence.
+func awaitFence(c *harness.Cluster, fence uint64) {
+	for _, name := range c.Engines {
+		c.Await(fmt.Sprintf("%s has taken an order with fence %d", name, fence), func() bool {
+			return slices.ContainsFunc(c.Truth(name), func(record truth.Record) bool { return record.Fence == fence })
+		})
+	}
+}
+
+// changeLoad is callers who stream and book at some routers without a pause
+// and never ask twice: each request must be answered whole at once.
+type changeLoad struct {
+	callers []*harness.Caller
+	stop    context.CancelFunc
+	work    sync.WaitGroup
+}
+
+func startChangeLoad(t *testing.T, c *harness.Cluster, routers []string) *changeLoad {
+	ctx, stop := context.WithCancel(t.Context())
+	load := &changeLoad{stop: stop}
+	t.Cleanup(load.end)
+	for number, tenant := range []ident.Tenant{harness.TenantA, harness.TenantB, harness.TenantA, harness.TenantB} {
+		caller := c.NewCaller(tenant)
+		load.callers = append(load.callers, caller)
+		load.work.Go(func() {
+			for turn := 0; ctx.Err() == nil; turn++ {
+				router := routers[(number+turn)%len(routers)]
+				ask := harness.Ask{Prompt: sharedPrompt([]string{"graz", "linz"}[turn%2], turn), MaxTokens: streamTokens}
+				requireWhole(t, ask, caller.Stream(t.Context(), router, ask))
+				if told := caller.Book(t.Context(), router, fmt.Sprintf("key-%d-%d", number, turn), "{}"); !told.Answered() {
+					t.Errorf("a booking was not answered: broken %v, %+v", told.Broken, told.Refusal)
+				}
+			}
+		})
+	}
+	return load
+}
+
+func (l *changeLoad) end() {
+	l.stop()
+	l.work.Wait()
+}
+
+// endure starts streams that outlast the first loads, and waits until each has
+// begun. The function that it returns waits for their ends.
+func endure(t *testing.T, c *harness.Cluster) (wait func()) {
+	var work sync.WaitGroup
+	begun := make(chan struct{}, enduring)
+	caller := c.NewCaller(harness.TenantA)
+	for number := range enduring {
+		ask := longAsk(fmt.Sprintf("enduring %d", number), enduringTokens)
+		var once sync.Once
+		ask.OnText = func(int) { once.Do(func() { begun <- struct{}{} }) }
+		work.Go(func() {
+			requireWhole(t, ask, caller.Stream(t.Context(), c.RouterURLs()[number%len(c.Routers)], ask))
+			once.Do(func() { begun <- struct{}{} })
+		})
+	}
+	for range enduring {
+		<-begun
+	}
+	return work.Wait
+}
+
+// crashBusyOld crashes an engine that generates with the old version while
+// another one serves the next version already.
+func crashBusyOld(t *testing.T, c *harness.Cluster) {
+	t.Helper()
+	victim := ""
+	c.Await("one engine has the next version and another is busy with the old one", func() bool {
+		for index, name := range c.Engines {
+			other := c.Engines[(index+1)%len(c.Engines)]
+			if served(c.Truth(name))[nextVersion] && !served(c.Truth(other))[nextVersion] && unfinished(c.Truth(other)) > 0 {
+				victim = other
+			}
+		}
+		return victim != ""
+	})
+	c.Inject(victim, engine.FaultRequest{Kind: faultplan.Crash, Duration: faultplan.Duration(300 * time.Millisecond)})
+}
+
+// Issue 6, point 4: a rolling change of the model version under load, by two
+// applies, with answers to orders lost and one engine crashing meanwhile.
+func TestVersionChangeUnderLoad(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	c := harness.Start(t, changeShape())
+	awaitFence(c, 1)
+	load := startChangeLoad(t, c, c.RouterURLs())
+	ended := endure(t, c)
+	for _, name := range c.Engines { // the answer to each engine's next order is lost
+		c.Relay(name).Arm(harness.Cut{Match: ordersPath, Direction: harness.ToRouter, Action: harness.Close})
+	}
+	requireApplied(t, c, edited(c, nextVersion, harness.ModelVersion))
+	crashBusyOld(t, c)
+	awaitServed(c, harness.ModelVersion, nextVersion)
+	ended()
+	withdrawn := time.Now()
+	requireApplied(t, c, edited(c, nextVersion))
+	awaitServed(c, nextVersion)
+	load.end()
+
+	records := allTruth(c)
+	judgeReuse(t, records)
+	judgeOneVersion(t, records)
+	judgeOrders(t, c)
+	judgePace(t, c)
+	judgeServing(t, records, withdrawn)
+	reused := map[ident.ModelVersion]int{}
+	kinds := map[truth.Kind]int{}
+	for _, record := range records {
+		reused[record.Version] += record.CachedTokens
+		kinds[record.Kind]++
+	}
+	is.True(reused[harness.ModelVersion] > 0 && reused[nextVersion] > 0) // the caches of both were in use
+	is.True(kinds[truth.Lost] > 0)                                       // the crash struck generations
+	for _, name := range c.Engines {
+		is.Equal(c.Relay(name).Struck(), 1) // the answer was lost
+	}
+	requireAtMostOnce(t, c.AllExecutions(), load.callers...)
+}
+
+// judgeOneVersion fails for a request whose text came from two versions.
+func judgeOneVersion(t *testing.T, records []truth.Record) {
+	t.Helper()
+	versions := map[ident.Request]ident.ModelVersion{}
+	for _, record := range records {
+		if record.GeneratedTokens == 0 || record.Kind == truth.Started {
+			continue
+		}
+		if before, known := versions[record.RequestID]; known && before != record.Version {
+			t.Errorf("the answer to %s has text of %s and of %s", record.RequestID, before, record.Version)
+		}
+		versions[record.RequestID] = record.Version
+	}
+}
+
+// judgeOrders fails if an order took effect twice, or after one with a newer
+// fence, or changed in one life of an engine what one had changed before.
+func judgeOrders(t *testing.T, c *harness.Cluster) {
+	t.Helper()
+	for _, name := range c.Engines {
+		fence, taken, changes := uint64(0), map[string]bool{}, map[string]bool{}
+		for _, record := range c.Truth(name) {
+			if record.Kind != truth.OrderTaken {
+				continue
+			}
+			if record.Fence < fence {
+				t.Errorf("%s took %s with fence %d after fence %d", name, record.OrderID, record.Fence, fence)
+			}
+			fence = record.Fence
+			change := fmt.Sprint(record.Incarnation, record.Fence, record.OrderKind, record.Version)
+			if taken[record.OrderID] || changes[change] {
+				t.Errorf("%s took order %s, %s %s, twice", name, record.OrderID, record.OrderKind, record.Version)
+			}
+			taken[record.OrderID], changes[change] = true, true
+		}
+		if len(taken) == 0 {
+			t.Errorf("%s took no order", name)
+		}
+	}
+}
+
+// inOrder returns the records of all engines in the order of their times.
+func inOrder(records []truth.Record) []truth.Record {
+	records = slices.Clone(records)
+	slices.SortStableFunc(records, func(a, b truth.Record) int { return a.Time.Compare(b.Time) })
+	return records
+}
+
+// judgePace fails if two engines of a zone loaded weights at one time.
+func judgePace(t *testing.T, c *harness.Cluster) {
+	t.Helper()
+	loading := map[ident.Zone]ident.Engine{}
+	loads := 0
+	for _, record := range inOrder(allTruth(c)) {
+		switch {
+		case record.Kind == truth.OrderTaken && record.OrderKind == string(protocol.OrderLoad):
+			if other := loading[record.Zone]; other != "" {
+				t.Errorf("%s was told to load while %s of the same zone loaded", record.Engine, other)
+			}
+			loading[record.Zone] = record.Engine
+			loads++
+		case (record.Kind == truth.Loaded || record.Kind == truth.Crashed) && loading[record.Zone] == record.Engine:
+			delete(loading, record.Zone)
+		}
+	}
+	if loads < len(c.Engines) {
+		t.Errorf("%d loads were ordered", loads)
+	}
+}
+
+// judgeServing fails for a moment at which no engine served a version that the
+// file in force accepted. From withdrawn on, the old one does not count.
+func judgeServing(t *testing.T, records []truth.Record, withdrawn time.Time) {
+	t.Helper()
+	so := map[ident.Engine][]truth.Record{}
+	began := map[ident.Engine]bool{}
+	for _, record := range inOrder(records) {
+		so[record.Engine] = append(so[record.Engine], record)
+		began[record.Engine] = true
+		if !slices.Contains([]truth.Kind{truth.Crashed, truth.OrderTaken}, record.Kind) {
+			continue
+		}
+		able := 0
+		for name := range began {
+			versions := served(so[name])
+			if versions[nextVersion] || versions[harness.ModelVersion] && record.Time.Before(withdrawn) {
+				able++
+			}
+		}
+		if able == 0 {
+			t.Errorf("no engine could serve after %s of %s", record.Kind, record.Engine)
+		}
+	}
+}
+
+// holderOf returns the lease row as it stands in the table.
+func holderOf(t *testing.T, c *harness.Cluster) (record lease.Record, known bool) {
+	var row platformprotocol.Row
+	path := "/table/v1/rows/" + url.PathEscape(lease.RowKey(controlLease))
+	if !exchange(t.Context(), http.MethodGet, c.URL(harness.Platform)+path, nil, &row) {
+		return record, false
+	}
+	record, err := lease.DecodeRecord(row.Value)
+	return record, err == nil && record.Node != ""
+}
+
+// Issue 6, point 4: the holder of the control lease is frozen past its lease
+// with an order on its way. Both come back during the change, after another
+// holder has fenced the engines.
+func TestFrozenHolderOfTheControlLease(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	c := harness.Start(t, changeShape())
+	awaitFence(c, 1)
+	first, known := holderOf(t, c)
+	is.True(known)
+	held := c.Relay(c.Engines[0])
+	held.Arm(harness.Cut{Match: ordersPath, Before: true, Action: harness.Hold})
+	requireApplied(t, c, edited(c, nextVersion, harness.ModelVersion))
+	c.Await("an order is on its way", func() bool { return held.Struck() == 1 })
+	c.Freeze(string(first.Node))
+	var others []string
+	for _, router := range c.Routers {
+		if router != string(first.Node) {
+			others = append(others, c.URL(router))
+		}
+	}
+	load := startChangeLoad(t, c, others)
+	var second lease.Record
+	c.Await("another router holds the lease", func() bool {
+		second, known = holderOf(t, c)
+		return known && second.Node != first.Node
+	})
+	is.True(second.Fence > first.Fence)
+	awaitFence(c, second.Fence)
+	c.Resume(string(first.Node))
+	held.Release()
+	c.Await("the engine has answered the late order", func() bool { return len(held.LateAnswers()) > 0 })
+	is.True(strings.Contains(held.LateAnswers()[0], string(protocol.RefusalStaleFence)))
+	awaitServed(c, harness.ModelVersion, nextVersion)
+	withdrawn := time.Now()
+	requireApplied(t, c, edited(c, nextVersion))
+	awaitServed(c, nextVersion)
+	load.end()
+
+	records := allTruth(c)
+	judgeReuse(t, records)
+	judgeOneVersion(t, records)
+	judgeOrders(t, c)
+	judgePace(t, c)
+	judgeServing(t, records, withdrawn)
+	requireAtMostOnce(t, c.AllExecutions(), load.callers...)
+}
