Show the control leases in the status of a router

Cause: status and /status.json said nothing of who orders a group of engines, so an operator saw a version change only by the engines' loaded versions.

Change: /status.json lists each group's lease, whether this router holds it and with which fence, the holder as last seen, the contenders, loads under way, orders, repeats, refusals and unloads put off. The table shows each lease once, from its holder if that was asked, else with the router to ask.

--- a/cmd/fieldpond/statustable.go
+++ b/cmd/fieldpond/statustable.go
@@ -29,6 +29,7 @@
 		table.members(r)
 		table.engines(r.Routers)
 		table.routers(r.Routers)
+		table.control(r.Routers)
 		table.exchanges(r.Routers)
 	}
 	return table.Flush()
@@ -158,6 +159,46 @@
 	return fmt.Sprintf("%.1f %%", percent*float64(part)/float64(whole))
 }
 
+// control prints each lease over a group of engines once: with what its holder
+// tells if that router was asked, else with who is to be asked.
+func (t *statusTable) control(routers []status.Router) {
+	t.row("\nCONTROL LEASE", "HOLDER", "FENCE", "LOADING", "ORDERS", "REPEATED", "REFUSED", "UNLOADS PUT OFF", "STALE FENCES")
+	shown := map[string]bool{}
+	for _, router := range routers {
+		for _, group := range router.Control {
+			if group.Held && !shown[group.Lease] {
+				shown[group.Lease] = true
+				t.row(group.Lease, router.Node, group.Fence, group.Loading, group.Orders, group.Repeated, group.Refused, group.PutOff, group.StaleFences)
+			}
+		}
+	}
+	for _, router := range routers {
+		for _, group := range router.Control {
+			if !shown[group.Lease] {
+				shown[group.Lease] = true
+				t.row(group.Lease, holderText(group, routers), nothing, nothing, nothing, nothing, nothing, nothing, nothing)
+			}
+		}
+	}
+}
+
+// holderText says who is in charge of a group, or who contends for it, if none
+// of the routers asked says that it is.
+func holderText(group status.ControlGroup, routers []status.Router) string {
+	for _, router := range routers {
+		for _, seen := range router.Control {
+			if seen.Lease == group.Lease && seen.Holder != "" {
+				return fmt.Sprintf("%s (ask it)", seen.Holder)
+			}
+		}
+	}
+	var names []string
+	for _, node := range group.Contenders {
+		names = append(names, string(node))
+	}
+	return fmt.Sprintf("not seen (contenders: %s)", strings.Join(names, ", "))
+}
+
 // exchanges prints what each router asked exchanged with the table and with
 // other routers, and what its rings lost.
 func (t *statusTable) exchanges(routers []status.Router) {
--- a/internal/control/duty.go
+++ b/internal/control/duty.go
@@ -49,8 +49,13 @@
 type GroupStatus struct {
 	Lease string
 	// Held says whether this router is in charge; Fence is its fence then.
-	Held     bool
-	Fence    uint64
+	Held  bool
+	Fence uint64
+	// Holder is the node in charge as last seen, "" if this router does not
+	// contend; Contenders are those that do.
+	Holder     ident.Node
+	Contenders []ident.Node
+	// Counters has no loads under way unless this router is in charge.
 	Counters Counters
 	Leases   lease.Counters
 }
@@ -162,10 +167,7 @@
 		if err == nil {
 			d.lead(one, grant)
 		}
-		status = append(status, GroupStatus{
-			Lease: name, Held: err == nil, Fence: grant.Fence,
-			Counters: one.planner.Counters(), Leases: one.keeper.Counters(),
-		})
+		status = append(status, one.status(name, owners, grant))
 	}
 	slices.SortFunc(status, func(a, b GroupStatus) int {
 		if a.Lease < b.Lease {
@@ -176,6 +178,21 @@
 	d.publish(status)
 }
 
+// status tells of a group; a grant without a fence is none.
+func (r *runner) status(name string, owners []membership.Member, grant lease.Grant) GroupStatus {
+	told := GroupStatus{
+		Lease: name, Held: grant.Fence > 0, Fence: grant.Fence, Holder: r.keeper.Holder(),
+		Counters: r.planner.Counters(), Leases: r.keeper.Counters(),
+	}
+	for _, owner := range owners {
+		told.Contenders = append(told.Contenders, owner.Node)
+	}
+	if !told.Held {
+		told.Counters.Loading = 0 // what an earlier holding knew is out of date
+	}
+	return told
+}
+
 func (d *Duty) publish(status []GroupStatus) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
--- a/internal/lease/keeper.go
+++ b/internal/lease/keeper.go
@@ -58,6 +58,13 @@
 	return k.machine.Held(time.Now())
 }
 
+// Holder returns the holder as last seen; see Machine.Holder.
+func (k *Keeper) Holder() ident.Node {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	return k.machine.Holder()
+}
+
 // Counters returns what was counted so far.
 func (k *Keeper) Counters() Counters {
 	k.mutex.Lock()
--- a/internal/lease/machine.go
+++ b/internal/lease/machine.go
@@ -111,6 +111,16 @@
 	return Grant{Fence: m.record.Fence, Until: m.until}, nil
 }
 
+// Holder returns the node that the row last seen names as holder, or "". Only
+// one that contends looks at the row, and may see a change late by the time
+// between two looks.
+func (m *Machine) Holder() ident.Node {
+	if !m.contends || !m.observed {
+		return ""
+	}
+	return m.record.Node
+}
+
 // Counters returns what was counted so far.
 func (m *Machine) Counters() Counters { return m.counters }
 
--- a/internal/router/status.go
+++ b/internal/router/status.go
@@ -10,6 +10,7 @@
 
 	"github.com/gorilla/mux"
 
+	"github.com/fieldpond/fieldpond/internal/control"
 	"github.com/fieldpond/fieldpond/internal/ident"
 	"github.com/fieldpond/fieldpond/internal/membership"
 	"github.com/fieldpond/fieldpond/internal/placement"
@@ -67,6 +68,7 @@
 	report.Gossip = status.Gossip{
 		BytesSent: gossip.BytesSent, BytesReceived: gossip.BytesReceived, Refused: gossip.Refused, Unsent: gossip.Unsent,
 	}
+	report.Control = statusControl(r.control.Status())
 	for _, read := range r.rings() {
 		counted := read()
 		report.Rings = append(report.Rings, status.Ring{
@@ -86,6 +88,19 @@
 	return queue
 }
 
+func statusControl(groups []control.GroupStatus) []status.ControlGroup {
+	var shown []status.ControlGroup
+	for _, group := range groups {
+		shown = append(shown, status.ControlGroup{
+			Lease: group.Lease, Held: group.Held, Fence: group.Fence, Holder: group.Holder, Contenders: group.Contenders,
+			Loading: group.Counters.Loading, Orders: group.Counters.Orders, Repeated: group.Counters.Repeats,
+			Refused: group.Counters.Refused, PutOff: group.Counters.Guarded,
+			StaleFences: group.Counters.StaleFences + group.Leases.StaleFences,
+		})
+	}
+	return shown
+}
+
 func statusMember(member membership.Member) status.Member {
 	return status.Member{
 		Node: member.Node, Zone: member.Zone, Address: member.HTTPAddress,
--- a/internal/status/status.go
+++ b/internal/status/status.go
@@ -21,6 +21,8 @@
 	Decisions    Decisions `json:"decisions"`
 	Claims       Claims    `json:"claims"`
 	Gossip       Gossip    `json:"gossip"`
+	// Control tells of each group of engines that is ordered under one lease.
+	Control []ControlGroup `json:"control"`
 	// Rings are the bounded queues between the duties of the process.
 	Rings []Ring `json:"rings"`
 }
@@ -101,6 +103,30 @@
 	Unsent  uint64 `json:"unsent"`
 }
 
+// ControlGroup is a group of engines whose versions, adapters and roles one
+// router at a time, the holder of the lease, brings into line with the file.
+type ControlGroup struct {
+	Lease string `json:"lease"`
+	// Held says whether this router is the holder; Fence is its fence then.
+	Held  bool   `json:"held"`
+	Fence uint64 `json:"fence"`
+	// Holder is the holder as this router last saw it, some seconds late at
+	// most; empty if nobody holds the lease or this router is no contender.
+	Holder     ident.Node   `json:"holder"`
+	Contenders []ident.Node `json:"contenders"`
+	// Loading counts loads of weights under way; it is known to the holder only.
+	Loading int `json:"loading"`
+	// Orders were issued by this router, Repeated are those issued again after a
+	// lost answer, Refused those that an engine refused.
+	Orders   uint64 `json:"orders"`
+	Repeated uint64 `json:"repeated"`
+	Refused  uint64 `json:"refused"`
+	// PutOff counts looks at unloads that would have taken the last warm engine
+	// away, StaleFences times a newer fence than this router's was met.
+	PutOff      uint64 `json:"put_off"`
+	StaleFences uint64 `json:"stale_fences"`
+}
+
 // Ring is one bounded queue between two duties.
 type Ring struct {
 	Name     string `json:"name"`
