Tell callers to stay away before a stopping router closes its listener

Ruled out: serving to the very end (that is what was done), and shortening the moment further. Change: after its open connections are drained, a stopping router refuses new requests as leaving, not run, with Retry-After 1, and closes at a pause of 300 ms between arrivals.

--- a/internal/api/server.go
+++ b/internal/api/server.go
@@ -10,6 +10,7 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/gorilla/mux"
@@ -140,8 +141,13 @@
 	return c
 }
 
+// closingRetryAfter is how long callers shall stay away from a router that is
+// about to close its listener. It is gone, or replaced, by then.
+const closingRetryAfter = time.Second
+
 // Server serves callers. It is safe for concurrent use.
 type Server struct {
+	closing atomic.Bool
 	config Config
 	fleet  Fleet
 	runner Runner
@@ -189,6 +195,12 @@
 	request *http.Request
 }
 
+// RefuseNew makes the server refuse every new request, not run, and tell its
+// caller when to come back, while the open ones go on. A listener cannot be
+// closed without meeting a connection that is just being opened, so callers
+// are first told to go to another router.
+func (s *Server) RefuseNew() { s.closing.Store(true) }
+
 // guarded authenticates a request, runs the handler and writes its fault. A
 // handler returns a fault only if it has written nothing.
 func (s *Server) guarded(handler func(*exchange) error) http.HandlerFunc {
@@ -196,6 +208,10 @@
 		if s.state() == StateLeaving {
 			writer.Header().Set("Connection", "close")
 		}
+		if s.closing.Load() {
+			s.writeFault(writer, request, fault.New(fault.Leaving, "this router is stopping").WithRetryAfter(closingRetryAfter))
+			return
+		}
 		opened, err := s.authenticate(writer, request)
 		if err == nil {
 			err = handler(opened)
--- a/internal/router/callerserver.go
+++ b/internal/router/callerserver.go
@@ -16,12 +16,14 @@
 	server   *http.Server
 	listener *drainingListener
 	open     *connections
+	// refuseNew makes the handler refuse every new request, not run.
+	refuseNew func()
 	// served receives the error with which serving ended.
 	served chan error
 }
 
 // listenForCallers opens the listener; serve has to be called next.
-func listenForCallers(address string, server *http.Server) (*callerServer, error) {
+func listenForCallers(address string, server *http.Server, refuseNew func()) (*callerServer, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, fault.Wrap(err, fault.InvalidSettings, "opening the listener %s", address)
@@ -29,10 +31,11 @@
 	open := newConnections()
 	server.ConnState = open.changed
 	return &callerServer{
-		server:   server,
-		listener: &drainingListener{TCPListener: listener.(*net.TCPListener)},
-		open:     open,
-		served:   make(chan error, 1),
+		server:    server,
+		listener:  &drainingListener{TCPListener: listener.(*net.TCPListener)},
+		open:      open,
+		refuseNew: refuseNew,
+		served:    make(chan error, 1),
 	}, nil
 }
 
@@ -42,11 +45,13 @@
 }
 
 // stop ends in this order, so that no request is cut: connections from before
-// the stop are closed by an answer or when idle; the listener closes at a
-// pause between arrivals; what it accepted last is known to the server; and
-// every open request is answered. It returns early if ctx ends.
+// the stop are closed by an answer or when idle; callers that still come are
+// refused, not run, so that they stay away; the listener closes at a pause
+// between arrivals; what it accepted last is known to the server; and every
+// open request is answered. It returns early if ctx ends.
 func (c *callerServer) stop(ctx context.Context) error {
 	c.open.drain(ctx)
+	c.refuseNew()
 	if err := c.listener.finish(); err != nil {
 		return errors.Wrap(err, "ending the listener")
 	}
--- a/internal/router/listener.go
+++ b/internal/router/listener.go
@@ -13,7 +13,7 @@
 	// quietBeforeClose is how long no new connection may come before a leaving
 	// router closes its listener: those that wait in the kernel at that moment
 	// would be reset although their callers may have sent a request.
-	quietBeforeClose = 100 * time.Millisecond
+	quietBeforeClose = 300 * time.Millisecond
 	// longestQuietWait bounds the wait for such a pause under steady arrivals.
 	longestQuietWait = 5 * time.Second
 )
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -216,7 +216,7 @@
 	}
 	server := r.api.NewHTTPServer()
 	server.Handler = routes
-	callers, err := listenForCallers(r.settings.Listen, server)
+	callers, err := listenForCallers(r.settings.Listen, server, r.api.RefuseNew)
 	if err != nil {
 		return err
 	}
