--- a/cmd/fieldpond/statustable.go
+++ b/cmd/fieldpond/statustable.go
@@ -28,7 +28,9 @@
 	if len(r.Routers) > 0 {
 		table.members(r)
 		table.engines(r.Routers)
+		table.applications(r.Routers)
 		table.routers(r.Routers)
+		table.control(r.Routers)
 		table.exchanges(r.Routers)
 	}
 	return table.Flush()
@@ -83,17 +85,37 @@
 	}
 	t.row("\nENGINE", "ZONE", "STATE", "ALIVE TO", "INCARNATION", "RUNNING", "WAITING", "PREFILL QUEUE", "LIMIT", "LOADED")
 	for _, engine := range routers[0].Engines {
-		t.row(engine.Engine, engine.Zone, engineState(engine), fmt.Sprintf("%d of %d", alive[engine.Engine], len(routers)),
+		t.row(engine.Engine, engine.Zone, backendState(engine.Alive, engine.Leaving), fmt.Sprintf("%d of %d", alive[engine.Engine], len(routers)),
 			shorten(string(engine.Incarnation)), engine.Running, engine.Waiting, engine.QueuedPrefillTokens,
 			fmt.Sprintf("%d of %s", engine.OwnInFlight, limitText(engine.ConcurrencyLimit)), loadedText(engine.Loaded))
 	}
 }
 
-func engineState(engine status.Engine) string {
+// applications prints the applications as the first router sees them, and how
+// many requests all routers asked have on each.
+func (t *statusTable) applications(routers []status.Router) {
+	alive, calls := map[ident.Application]int{}, map[ident.Application]int{}
+	for _, router := range routers {
+		for _, application := range router.Applications {
+			calls[application.Application] += application.OwnInFlight
+			if application.Alive {
+				alive[application.Application]++
+			}
+		}
+	}
+	t.row("\nAPPLICATION", "ZONE", "STATE", "ALIVE TO", "INCARNATION", "RUNNING", "IN FLIGHT")
+	for _, application := range routers[0].Applications {
+		t.row(application.Application, application.Zone, backendState(application.Alive, application.Leaving),
+			fmt.Sprintf("%d of %d", alive[application.Application], len(routers)), shorten(string(application.Incarnation)),
+			application.Running, calls[application.Application])
+	}
+}
+
+func backendState(alive, leaving bool) string {
 	switch {
-	case !engine.Alive:
+	case !alive:
 		return "dead"
-	case engine.Leaving:
+	case leaving:
 		return "leaving"
 	default:
 		return "alive"
@@ -158,6 +180,47 @@
 	return fmt.Sprintf("%.1f %%", percent*float64(part)/float64(whole))
 }
 
+// control prints each lease over a group of engines once: with what its holder
+// tells if that router was asked, else with who is to be asked.
+func (t *statusTable) control(routers []status.Router) {
+	t.row("\nCONTROL LEASE", "HOLDER", "FENCE", "SETTLED", "LOADING", "ORDERS", "REPEATED", "REFUSED", "UNLOADS PUT OFF", "STALE FENCES")
+	shown := map[string]bool{}
+	for _, router := range routers {
+		for _, group := range router.Control {
+			if group.Held && !shown[group.Lease] {
+				shown[group.Lease] = true
+				t.row(group.Lease, router.Node, group.Fence, fmt.Sprintf("%d of %d", group.Settled, group.Engines),
+					group.Loading, group.Orders, group.Repeated, group.Refused, group.PutOff, group.StaleFences)
+			}
+		}
+	}
+	for _, router := range routers {
+		for _, group := range router.Control {
+			if !shown[group.Lease] {
+				shown[group.Lease] = true
+				t.row(group.Lease, holderText(group, routers), nothing, nothing, nothing, nothing, nothing, nothing, nothing, nothing)
+			}
+		}
+	}
+}
+
+// holderText says who is in charge of a group, or who contends for it, if none
+// of the routers asked says that it is.
+func holderText(group status.ControlGroup, routers []status.Router) string {
+	for _, router := range routers {
+		for _, seen := range router.Control {
+			if seen.Lease == group.Lease && seen.Holder != "" {
+				return fmt.Sprintf("%s (ask it)", seen.Holder)
+			}
+		}
+	}
+	var names []string
+	for _, node := range group.Contenders {
+		names = append(names, string(node))
+	}
+	return fmt.Sprintf("not seen (contenders: %s)", strings.Join(names, ", "))
+}
+
 // exchanges prints what each router asked exchanged with the table and with
 // other routers, and what its rings lost.
 func (t *statusTable) exchanges(routers []status.Router) {
