Make a file's back ends known before it is in force

Cause: callers were judged by a new fleet file a moment before its list of engines reached placement. A request that only new engines may serve was refused in that moment. Change: the keeper prepares a file, which hands the lists of engines and applications on, just before it puts it in force. Measured: the virtual clusters of internal/fleet panic with the order reversed.

--- a/internal/fleet/keeper.go
+++ b/internal/fleet/keeper.go
@@ -64,6 +64,7 @@
 	requests sync.WaitGroup
 
 	mutex     sync.Mutex
+	preparers []func(*Compiled)
 	listeners []func(*Compiled)
 }
 
@@ -140,6 +141,15 @@
 	return []ring.Counters{k.heard.Counters(), k.results.Counters()}
 }
 
+// OnPrepare adds a function that is called, on the Keeper's goroutine, with each
+// file just before Current changes to it: whoever reads Current then finds the
+// file's back ends known. It must not block.
+func (k *Keeper) OnPrepare(preparer func(*Compiled)) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	k.preparers = append(k.preparers, preparer)
+}
+
 // OnAdopt adds a function that is called, on the Keeper's goroutine and after
 // Current has changed, with each file put in force. It must not block.
 func (k *Keeper) OnAdopt(listener func(*Compiled)) {
@@ -224,11 +234,14 @@
 // adopt puts a file in force and tells the listeners.
 func (k *Keeper) adopt(action AdoptAction) {
 	compiled := Compile(action.Document, action.Pair.Version, action.Pair.Digest)
-	k.inForce.Store(&inForce{compiled: compiled, body: action.Body})
-	log.WithFields(log.Fields{"version": compiled.Version, "digest": compiled.Digest}).Info("fleet file in force")
 	k.mutex.Lock()
-	listeners := k.listeners
+	preparers, listeners := k.preparers, k.listeners
 	k.mutex.Unlock()
+	for _, preparer := range preparers {
+		preparer(compiled)
+	}
+	k.inForce.Store(&inForce{compiled: compiled, body: action.Body})
+	log.WithFields(log.Fields{"version": compiled.Version, "digest": compiled.Digest}).Info("fleet file in force")
 	for _, listener := range listeners {
 		listener(compiled)
 	}
--- a/internal/fleet/keeper_test.go
+++ b/internal/fleet/keeper_test.go
@@ -52,7 +52,16 @@
 	c.keepers[address] = keeper
 	c.adopted[address] = append(c.adopted[address], nil)
 	c.mutex.Unlock()
+	prepared := Version(0)
+	keeper.OnPrepare(func(compiled *Compiled) {
+		if keeper.Pair().Version < compiled.Version {
+			prepared = compiled.Version
+		}
+	})
 	keeper.OnAdopt(func(compiled *Compiled) {
+		if prepared != compiled.Version {
+			panic("a file was adopted before it was prepared")
+		}
 		c.mutex.Lock()
 		defer c.mutex.Unlock()
 		body, _ := keeper.Body(compiled.Digest)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -282,6 +282,10 @@
 
 // startDuties starts every goroutine of the router. They end with ctx.
 func (r *Router) startDuties(ctx context.Context) {
+	r.keeper.OnPrepare(func(compiled *fleet.Compiled) {
+		r.duty.Configure(engineTargets(compiled))
+		r.apps.configure(compiled)
+	})
 	r.keeper.OnAdopt(func(compiled *fleet.Compiled) { r.adopt(ctx, compiled) })
 	r.poller.Start(ctx, pollWorkers)
 	r.appPoller.Start(ctx, pollWorkers)
@@ -303,10 +307,9 @@
 	}
 }
 
-// adopt puts a fleet file in force.
+// adopt acts on a fleet file that is now in force; its back ends are known since
+// it was prepared.
 func (r *Router) adopt(ctx context.Context, compiled *fleet.Compiled) {
-	r.duty.Configure(engineTargets(compiled))
-	r.apps.configure(compiled)
 	r.streams.Set(ctx, r.ownStreams(compiled))
 	r.announceFleet(ctx, compiled)
 	r.fire(statechart.RouterEventReady)
