--- a/internal/router/placer.go
+++ b/internal/router/placer.go
@@ -19,7 +19,7 @@
 
 // transferTimeout bounds one move of cached blocks between engines. A move
 // that takes longer saves nothing over the recomputation.
-const transferTimeout = 2 * time.Second
+const transferTimeout = 250 * time.Millisecond
 
 // placer implements dispatch.Placer over the placement duty.
 type placer struct {
