Delete claim rows once their retention has passed

Cause: the table grew by one row for each idempotency key, for ever.

Rows without a recorded outcome are kept four times as long.

--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -52,6 +52,9 @@
 	// AnswerZone and AnswerKey locate the retained answer in the object store.
 	AnswerZone ident.Zone `cbor:"6,keyasint,omitempty"`
 	AnswerKey  string     `cbor:"7,keyasint,omitempty"`
+	// ClaimedAt is when the claim was made, by the holder's wall clock, in
+	// seconds since 1970. It says only when the row may be deleted.
+	ClaimedAt int64 `cbor:"8,keyasint,omitempty"`
 }
 
 // Grant is the answer to Claim.
--- a/internal/claim/core.go
+++ b/internal/claim/core.go
@@ -93,7 +93,7 @@
 	c.claims = append(c.claims, &operation{
 		kind:     operationClaim,
 		row:      RowKey(key),
-		record:   Record{ClaimID: claimID, State: StateClaimed, Digest: digest, Holder: c.holder},
+		record:   Record{ClaimID: claimID, State: StateClaimed, Digest: digest, Holder: c.holder, ClaimedAt: now.Unix()},
 		queued:   now,
 		deadline: deadline,
 		awaited:  true,
--- a/internal/claim/fence_test.go
+++ b/internal/claim/fence_test.go
@@ -10,7 +10,7 @@
 
 func TestCoreHasNoClockSocketOrGoroutine(t *testing.T) {
 	is := is.New(t)
-	for _, file := range []string{"core.go", "batch.go", "operation.go", "pace.go", "row.go"} {
+	for _, file := range []string{"core.go", "batch.go", "operation.go", "pace.go", "row.go", "sweep.go"} {
 		source, err := os.ReadFile(file)
 		is.NoErr(err)
 		for _, banned := range []string{"net/http", "time.Now", "time.After", "go func", "\tgo ", "math/rand", "sync"} {
--- a/internal/claim/row.go
+++ b/internal/claim/row.go
@@ -14,6 +14,9 @@
 // RowPrefix starts the table key of every claim.
 const RowPrefix = "claim/"
 
+// hashDigits is the length of the hash that ends a row's key.
+const hashDigits = 2 * sha256.Size
+
 // RowKey returns the table key of a claim.
 //
 // Tenant and service are path-escaped, so that no choice of names can make
--- /dev/null
+++ b/internal/claim/sweeper.go
@@ -0,0 +1,118 @@
+package claim
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/fieldpond/fieldpond/internal/fault"
+	"github.com/fieldpond/fieldpond/internal/ident"
+	"github.com/fieldpond/fieldpond/internal/lease"
+	"github.com/fieldpond/fieldpond/internal/platform"
+)
+
+const (
+	// SweepLease is the name of the lease of the one router that sweeps, and
+	// the key by which contenders are chosen.
+	SweepLease = "claims/sweep"
+	// sweepLeaseDuration is long: nothing waits for a sweep.
+	sweepLeaseDuration = time.Minute
+	// sweepTick is how often the sweeper looks whether a request is due.
+	sweepTick = 250 * time.Millisecond
+	// sweepTimeout bounds one request.
+	sweepTimeout = 5 * time.Second
+)
+
+// SweeperOptions joins a Sweeper to the rest of a router.
+type SweeperOptions struct {
+	Node  ident.Node
+	Table platform.Table
+	// Contends says whether this router shall try to hold the lease.
+	Contends func() bool
+	// Prefixes returns the prefixes of all rows, by SweepPrefix.
+	Prefixes func() []string
+	Config   SweepConfig
+}
+
+// Sweeper is the shell around a Sweep: while it holds the lease SweepLease it
+// makes the sweep's requests. Run it once.
+type Sweeper struct {
+	options SweeperOptions
+	keeper  *lease.Keeper
+	mutex   sync.Mutex
+	sweep   *Sweep
+	held    bool
+}
+
+// NewSweeper returns a sweeper that does nothing until Run.
+func NewSweeper(options SweeperOptions) *Sweeper {
+	config := lease.Config{Duration: sweepLeaseDuration}
+	return &Sweeper{
+		options: options, sweep: NewSweep(options.Config),
+		keeper: lease.NewKeeper(options.Table, config, SweepLease, options.Node),
+	}
+}
+
+// Held reports whether this router is the one that sweeps.
+func (s *Sweeper) Held() bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.held
+}
+
+// Counters returns what was counted so far.
+func (s *Sweeper) Counters() SweepCounters {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.sweep.Counters()
+}
+
+// Run is the duty that sweeps until ctx ends; it then hands the lease over.
+func (s *Sweeper) Run(ctx context.Context) {
+	var duties sync.WaitGroup
+	duties.Go(func() { s.keeper.Run(ctx) })
+	defer duties.Wait()
+	ticker := time.NewTicker(sweepTick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			s.keeper.Contend(s.options.Contends())
+			if request, due := s.next(); due {
+				s.make(ctx, request)
+			}
+		}
+	}
+}
+
+// next returns the request that is due. Losing the lease ends a pass.
+func (s *Sweeper) next() (SweepRequest, bool) {
+	_, err := s.keeper.Held()
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.held = err == nil
+	if !s.held {
+		s.sweep.Reset()
+		return SweepRequest{}, false
+	}
+	return s.sweep.Next(time.Now(), s.options.Prefixes())
+}
+
+// make makes one request and tells the sweep of its end.
+func (s *Sweeper) make(ctx context.Context, request SweepRequest) {
+	ctx, cancel := context.WithTimeout(ctx, sweepTimeout)
+	defer cancel()
+	if request.Prefix != "" {
+		list, err := s.options.Table.List(ctx, request.Prefix, request.Limit)
+		s.mutex.Lock()
+		defer s.mutex.Unlock()
+		s.sweep.Listed(time.Now(), list, fault.From(err))
+		return
+	}
+	result, err := s.options.Table.Commit(ctx, request.Transaction)
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.sweep.Deleted(time.Now(), result, fault.From(err))
+}
--- a/internal/claim/table_test.go
+++ b/internal/claim/table_test.go
@@ -34,6 +34,11 @@
 	var written []protocol.Row
 	for _, write := range transaction.Writes {
 		t.versions[write.Key]++
+		if write.Delete {
+			delete(t.rows, write.Key)
+			written = append(written, protocol.Row{Key: write.Key})
+			continue
+		}
 		t.rows[write.Key] = protocol.Row{Key: write.Key, Value: write.Value, Version: t.versions[write.Key]}
 		written = append(written, t.rows[write.Key])
 	}
