--- a/internal/fleet/keeper.go
+++ b/internal/fleet/keeper.go
@@ -292,7 +292,8 @@
 		}
 	}
 	for _, member := range view.Members {
-		if member.State > membership.Leaving || member.Node == self {
+		// A member may be heard of before its address is.
+		if member.State > membership.Leaving || member.Node == self || member.HTTPAddress == "" {
 			continue
 		}
 		around.Peers = append(around.Peers, Peer{
--- a/internal/router/status.go
+++ b/internal/router/status.go
@@ -62,6 +62,7 @@
 		report.Queue = statusQueue(reading)
 		report.Decisions = status.Decisions(reading.Decisions)
 	}
+	report.Applications = r.apps.status(time.Now())
 	claims := r.claims.Counters()
 	report.Claims = status.Claims{Granted: claims.Granted, Shown: claims.Shown, Refused: claims.Refused, Waiting: claims.Waiting}
 	gossip := r.members.Counters()
@@ -88,10 +89,10 @@
 	return queue
 }
 
-func statusControl(groups []control.GroupStatus) []status.ControlGroup {
-	var shown []status.ControlGroup
+func statusControl(groups []control.GroupStatus) []status.Control {
+	var shown []status.Control
 	for _, group := range groups {
-		shown = append(shown, status.ControlGroup{
+		shown = append(shown, status.Control{
 			Lease: group.Lease, Held: group.Held, Fence: group.Fence, Holder: group.Holder, Contenders: group.Contenders,
 			Engines: group.Counters.Engines, Settled: group.Counters.Settled,
 			Loading: group.Counters.Loading, Orders: group.Counters.Orders, Repeated: group.Counters.Repeats,
--- a/internal/routing/config.go
+++ b/internal/routing/config.go
@@ -27,15 +27,21 @@
 	RecomputationFloor float64
 	// UrgentReserve is the part of an engine's batch that is kept from classes
 	// of priority 2 and above; those of priority 1 are kept from half of it.
-	// Below zero means none. Default: 0.5.
+	// Below zero means none. Default: 0.75.
 	UrgentReserve float64
+	// SlotWait is the assumed wait for room on an engine that has none for the
+	// request's class. A request is held for an engine that has its prefix
+	// while this and the time it has been held cost less than recomputing
+	// elsewhere. Below zero means never. Default: 100ms.
+	SlotWait time.Duration
 	// Window is the number of candidates that are scored, the highest ranking
 	// ones for the prompt's leading blocks; at most 128. Default: 32.
 	Window int
 	// TransferPerToken is the assumed time to export one token's cache from an
-	// engine, and again to import it into another. Default: 0, never move.
+	// engine, and again to import it into another. Default: 7us.
 	TransferPerToken time.Duration
-	// MinMoveTokens is the smallest gain in cached tokens worth a move. Default: 512.
+	// MinMoveTokens is the smallest gain in cached tokens worth a move; NeverMove
+	// turns moves off. Default: 256.
 	MinMoveTokens int
 }
 
@@ -45,11 +51,16 @@
 	defaultTieTolerance    = 5 * time.Millisecond
 	defaultTieShare        = 0.05
 	defaultFloor           = 0.25
-	defaultReserve         = 0.5
+	defaultReserve         = 0.75
+	defaultSlotWait        = 100 * time.Millisecond
 	defaultWindow          = 32
-	defaultMinMoveTokens   = 512
+	defaultTransfer        = 7 * time.Microsecond
+	defaultMinMoveTokens   = 256
 )
 
+// NeverMove is a MinMoveTokens beyond every prompt.
+const NeverMove = 1 << 30
+
 // shortlistFactor is the length of a shortlist in windows: up to half of a
 // shortlist may be dead, leaving or excluded before all endpoints are looked at.
 const shortlistFactor = 2
@@ -80,10 +91,16 @@
 	if config.UrgentReserve == 0 {
 		config.UrgentReserve = defaultReserve
 	}
+	if config.SlotWait == 0 {
+		config.SlotWait = defaultSlotWait
+	}
 	config.UrgentReserve = max(0, config.UrgentReserve)
 	if config.Window == 0 {
 		config.Window = defaultWindow
 	}
+	if config.TransferPerToken == 0 {
+		config.TransferPerToken = defaultTransfer
+	}
 	if config.MinMoveTokens == 0 {
 		config.MinMoveTokens = defaultMinMoveTokens
 	}
--- a/internal/status/status.go
+++ b/internal/status/status.go
@@ -12,17 +12,19 @@
 	Node ident.Node `json:"node"`
 	Zone ident.Zone `json:"zone"`
 	// State is "starting", "serving" or "leaving".
-	State        string    `json:"state"`
-	FleetVersion uint64    `json:"fleet_version"`
-	FleetDigest  string    `json:"fleet_digest"`
-	Members      []Member  `json:"members"`
-	Engines      []Engine  `json:"engines"`
-	Queue        Queue     `json:"queue"`
-	Decisions    Decisions `json:"decisions"`
-	Claims       Claims    `json:"claims"`
-	Gossip       Gossip    `json:"gossip"`
+	State        string   `json:"state"`
+	FleetVersion uint64   `json:"fleet_version"`
+	FleetDigest  string   `json:"fleet_digest"`
+	Members      []Member `json:"members"`
+	Engines      []Engine `json:"engines"`
+	// Applications are the application back ends of the fleet file.
+	Applications []Application `json:"applications"`
+	Queue        Queue         `json:"queue"`
+	Decisions    Decisions     `json:"decisions"`
+	Claims       Claims        `json:"claims"`
+	Gossip       Gossip        `json:"gossip"`
 	// Control tells of each group of engines that is ordered under one lease.
-	Control []ControlGroup `json:"control"`
+	Control []Control `json:"control"`
 	// Rings are the bounded queues between the duties of the process.
 	Rings []Ring `json:"rings"`
 }
@@ -60,6 +62,18 @@
 	Loaded           []Loaded `json:"loaded"`
 }
 
+// Application is an application back end as this router sees it.
+type Application struct {
+	Application ident.Application `json:"application"`
+	Zone        ident.Zone        `json:"zone"`
+	Incarnation ident.Incarnation `json:"incarnation"`
+	Alive       bool              `json:"alive"`
+	Leaving     bool              `json:"leaving"`
+	// Running counts requests on the application, OwnInFlight this router's.
+	Running     int `json:"running"`
+	OwnInFlight int `json:"own_in_flight"`
+}
+
 // Loaded is a model version that an engine can serve.
 type Loaded struct {
 	Model   ident.Model        `json:"model"`
@@ -103,9 +117,9 @@
 	Unsent  uint64 `json:"unsent"`
 }
 
-// ControlGroup is a group of engines whose versions, adapters and roles one
+// Control is a group of engines whose versions, adapters and roles one
 // router at a time, the holder of the lease, brings into line with the file.
-type ControlGroup struct {
+type Control struct {
 	Lease string `json:"lease"`
 	// Held says whether this router is the holder; Fence is its fence then.
 	Held  bool   `json:"held"`
