--- a/cmd/fieldpond/statustable.go
+++ b/cmd/fieldpond/statustable.go
@@ -30,8 +30,8 @@
 		table.engines(r.Routers)
 		table.applications(r.Routers)
 		table.routers(r.Routers)
-		table.exchanges(r.Routers)
 		table.control(r.Routers)
+		table.exchanges(r.Routers)
 	}
 	return table.Flush()
 }
@@ -206,7 +206,7 @@
 
 // holderText says who is in charge of a group, or who contends for it, if none
 // of the routers asked says that it is.
-func holderText(group status.Control, routers []status.Router) string {
+func holderText(group status.ControlGroup, routers []status.Router) string {
 	for _, router := range routers {
 		for _, seen := range router.Control {
 			if seen.Lease == group.Lease && seen.Holder != "" {
--- a/internal/router/status.go
+++ b/internal/router/status.go
@@ -89,10 +89,10 @@
 	return queue
 }
 
-func statusControl(groups []control.GroupStatus) []status.Control {
-	var shown []status.Control
+func statusControl(groups []control.GroupStatus) []status.ControlGroup {
+	var shown []status.ControlGroup
 	for _, group := range groups {
-		shown = append(shown, status.Control{
+		shown = append(shown, status.ControlGroup{
 			Lease: group.Lease, Held: group.Held, Fence: group.Fence, Holder: group.Holder, Contenders: group.Contenders,
 			Engines: group.Counters.Engines, Settled: group.Counters.Settled,
 			Loading: group.Counters.Loading, Orders: group.Counters.Orders, Repeated: group.Counters.Repeats,
--- a/internal/status/status.go
+++ b/internal/status/status.go
@@ -24,7 +24,7 @@
 	Claims       Claims        `json:"claims"`
 	Gossip       Gossip        `json:"gossip"`
 	// Control tells of each group of engines that is ordered under one lease.
-	Control []Control `json:"control"`
+	Control []ControlGroup `json:"control"`
 	// Rings are the bounded queues between the duties of the process.
 	Rings []Ring `json:"rings"`
 }
@@ -117,9 +117,9 @@
 	Unsent  uint64 `json:"unsent"`
 }
 
-// Control is a group of engines whose versions, adapters and roles one
+// ControlGroup is a group of engines whose versions, adapters and roles one
 // router at a time, the holder of the lease, brings into line with the file.
-type Control struct {
+type ControlGroup struct {
 	Lease string `json:"lease"`
 	// Held says whether this router is the holder; Fence is its fence then.
 	Held  bool   `json:"held"`
