--- a/internal/claim/sweeper.go
+++ b/internal/claim/sweeper.go
@@ -15,8 +15,6 @@
 	// SweepLease is the name of the lease of the one router that sweeps, and
 	// the key by which contenders are chosen.
 	SweepLease = "claims/sweep"
-	// sweepLeaseDuration is long: nothing waits for a sweep.
-	sweepLeaseDuration = time.Minute
 	// sweepTick is how often the sweeper looks whether a request is due.
 	sweepTick = 250 * time.Millisecond
 	// sweepTimeout bounds one request.
@@ -46,10 +44,9 @@
 
 // NewSweeper returns a sweeper that does nothing until Run.
 func NewSweeper(options SweeperOptions) *Sweeper {
-	config := lease.Config{Duration: sweepLeaseDuration}
 	return &Sweeper{
 		options: options, sweep: NewSweep(options.Config),
-		keeper: lease.NewKeeper(options.Table, config, SweepLease, options.Node),
+		keeper: lease.NewKeeper(options.Table, lease.Config{}, SweepLease, options.Node),
 	}
 }
 
--- a/internal/router/metrics.go
+++ b/internal/router/metrics.go
@@ -28,6 +28,7 @@
 	r.registerApplications()
 	r.registerDispatch()
 	r.registerClaims()
+	r.registerSweep()
 	r.registerMembership()
 	r.registerFleet()
 	r.registerPeers()
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -59,6 +59,7 @@
 	peerServer *peer.Server
 	keeper     *fleet.Keeper
 	claims     *claim.Keeper
+	sweeper    *claim.Sweeper
 	control    *control.Duty
 	duty       *placement.Duty
 	placer     *placer
@@ -116,6 +117,7 @@
 		TransactionsPerSecond: configured.Table.RequestsPerSecond,
 		CommitTimeout:         configured.Table.Timeout,
 	})
+	r.sweeper = r.newSweeper()
 	r.control = control.NewDuty(control.Options{
 		Node:    ident.Node(configured.Node),
 		Table:   r.platform,
@@ -284,6 +286,7 @@
 	}
 	r.work.Go(func() { r.keeper.Run(ctx) })
 	r.work.Go(func() { r.claims.Run(ctx) })
+	r.work.Go(func() { r.sweeper.Run(ctx) })
 	r.work.Go(func() { r.control.Run(ctx) })
 	r.work.Go(func() { r.pollApplications(ctx) })
 	r.work.Go(func() { r.watchMachines(ctx) })
--- /dev/null
+++ b/internal/router/sweeping.go
@@ -0,0 +1,77 @@
+package router
+
+import (
+	"github.com/fieldpond/fieldpond/internal/claim"
+	"github.com/fieldpond/fieldpond/internal/fleet"
+	"github.com/fieldpond/fieldpond/internal/ident"
+	"github.com/fieldpond/fieldpond/internal/telemetry"
+)
+
+const (
+	// sweepContenders is how many routers contend for the lease of the sweep.
+	sweepContenders = 3
+	// sweepRate is the most requests a second of a sweep, and sweepShare the
+	// most of this router's share of the table's rate limit.
+	sweepRate  = 2
+	sweepShare = 0.1
+)
+
+// newSweeper returns the duty that deletes old claims while this router holds
+// the lease for it.
+func (r *Router) newSweeper() *claim.Sweeper {
+	return claim.NewSweeper(claim.SweeperOptions{
+		Node:  ident.Node(r.settings.Node),
+		Table: r.platform,
+		Contends: func() bool {
+			return r.keeper.Current() != nil && r.owns(r.view().Owners(claim.SweepLease, sweepContenders))
+		},
+		Prefixes: func() []string { return claimPrefixes(r.keeper.Current()) },
+		Config: claim.SweepConfig{
+			Retention:         r.settings.Table.ClaimRetention,
+			RequestsPerSecond: min(sweepRate, sweepShare*r.settings.Table.RequestsPerSecond),
+		},
+	})
+}
+
+// claimPrefixes returns the prefixes of the claims of every tenant and
+// application service of the file. It does not matter whether the tenant may
+// use the service now: it may have been allowed to.
+func claimPrefixes(compiled *fleet.Compiled) []string {
+	if compiled == nil {
+		return nil
+	}
+	var prefixes []string
+	for _, service := range compiled.Document.Services {
+		if service.Kind != fleet.ServiceApplication {
+			continue
+		}
+		for _, tenant := range compiled.Document.Tenants {
+			prefixes = append(prefixes, claim.SweepPrefix(claim.Key{Tenant: tenant.Name, Service: service.Name}))
+		}
+	}
+	return prefixes
+}
+
+// sweepReading is what the sweep tells of itself.
+type sweepReading struct {
+	held     bool
+	counters claim.SweepCounters
+}
+
+func (r *Router) registerSweep() {
+	group := telemetry.NewGroup(r.telemetry, func() (sweepReading, bool) {
+		return sweepReading{r.sweeper.Held(), r.sweeper.Counters()}, true
+	})
+	group.Gauge("claim_sweep_lease_held", "1 on the router that deletes old claims, 0 on the others.", func(s sweepReading) int {
+		if s.held {
+			return 1
+		}
+		return 0
+	})
+	group.Counter("claims_swept_total", "Claim rows deleted since their retention had passed.", func(s sweepReading) uint64 { return s.counters.Deleted })
+	group.Counter("claim_sweep_rows_read_total", "Claim rows read to see whether their retention has passed.", func(s sweepReading) uint64 { return s.counters.Read })
+	group.Counter("claim_sweep_rows_changed_total", "Claim rows left alone since they had changed after they were read.", func(s sweepReading) uint64 { return s.counters.Changed })
+	group.Counter("claim_sweep_failures_total", "Requests of the sweep without an answer of the table; they are made again.", func(s sweepReading) uint64 { return s.counters.Failed })
+	group.Counter("claim_sweep_passes_total", "Whole passes over all claim rows.", func(s sweepReading) uint64 { return s.counters.Passes })
+	group.Register()
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -69,6 +69,8 @@
 	Timeout time.Duration `yaml:"timeout"`
 	// ClaimTimeout is the longest a request that may not be repeated waits for its claim before it is refused, not run.
 	ClaimTimeout time.Duration `yaml:"claimTimeout"`
+	// ClaimRetention is how long an idempotency key is remembered after its request came; at least 1h. A key that comes back later counts as new. Set it alike on all routers.
+	ClaimRetention time.Duration `yaml:"claimRetention"`
 }
 
 // Intervals says how often the router looks at what others say.
@@ -100,6 +102,7 @@
 			RequestsPerSecond: 50,
 			Timeout:           time.Second,
 			ClaimTimeout:      2 * time.Second,
+			ClaimRetention:    48 * time.Hour,
 		},
 		Intervals: Intervals{
 			LoadPoll:    250 * time.Millisecond,
--- a/internal/settings/usages_generated.go
+++ b/internal/settings/usages_generated.go
@@ -22,6 +22,7 @@
 	"table.requestsPerSecond": "This router's share of the table service's rate limit, in requests a second.",
 	"table.timeout":           "The longest wait for one answer of the table service.",
 	"table.claimTimeout":      "The longest a request that may not be repeated waits for its claim before it is refused, not run.",
+	"table.claimRetention":    "How long an idempotency key is remembered after its request came; at least 1h. A key that comes back later counts as new. Set it alike on all routers.",
 	"intervals.loadPoll":      "The time between two reads of a back end's load report.",
 	"intervals.machinePoll":   "The time between two reads of the platform's machine list.",
 	"intervals.gossipProbe":   "The time between two gossip probes.",
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -43,6 +43,9 @@
 	r.validateNumbers(s)
 }
 
+// maxClaimRetention bounds the retention of claims to a year.
+const maxClaimRetention = 366 * 24 * time.Hour
+
 func (r *reader) validateNumbers(s *Settings) {
 	r.between("limits.maxBodyBytes", float64(s.Limits.MaxBodyBytes), 1<<10, 1<<30)
 	r.between("limits.maxHeaderBytes", float64(s.Limits.MaxHeaderBytes), 1<<10, 1<<20)
@@ -53,6 +56,7 @@
 	r.lasting("stopGrace", s.StopGrace, time.Second, 24*time.Hour)
 	r.lasting("table.timeout", s.Table.Timeout, time.Millisecond, time.Minute)
 	r.lasting("table.claimTimeout", s.Table.ClaimTimeout, time.Millisecond, time.Minute)
+	r.lasting("table.claimRetention", s.Table.ClaimRetention, time.Hour, maxClaimRetention)
 	r.lasting("intervals.loadPoll", s.Intervals.LoadPoll, 10*time.Millisecond, time.Minute)
 	r.lasting("intervals.machinePoll", s.Intervals.MachinePoll, 10*time.Millisecond, time.Minute)
 	r.lasting("intervals.gossipProbe", s.Intervals.GossipProbe, 10*time.Millisecond, time.Minute)
