Let no timer of the fleet keeper run out before it is waited for

Cause: 'make test' in a fresh clone died in internal/fleet with a segmentation fault inside the Go runtime (timer.maybeRunChan, from a select in a synctest bubble, race detector on). Once a timer has run out before anybody waits for it, the select itself runs it, and in a bubble all goroutines share one context of the race detector for that; two at one time corrupt it. It needs a timer of zero or less, which the keeper sets whenever something is due.

Ruled out: a race in our code; the race detector names none, it fails its own checks ('ThreadSanitizer: CHECK failed: tsan_rtl.cpp') or crashes.

Change: the keeper waits at least one millisecond between two looks, which also keeps a machine that is due from spinning. No test is changed.

The claim and the lease keepers set timers of zero too; they were not seen to fail.

--- a/internal/fleet/keeper.go
+++ b/internal/fleet/keeper.go
@@ -29,6 +29,11 @@
 	// headTimeout and bodyTimeout bound one exchange with a peer or the table.
 	headTimeout = 2 * time.Second
 	bodyTimeout = 15 * time.Second
+	// minWait is the shortest wait between two looks of the Keeper. Above zero it
+	// keeps a machine that is due from spinning, and timers from having run out
+	// before anybody waits for them: under the race detector, Go 1.26 crashes when
+	// several goroutines of one synctest bubble meet such timers at one time.
+	minWait = time.Millisecond
 )
 
 // PeerFetcher asks other routers for what they have in force.
@@ -164,7 +169,7 @@
 	defer k.requests.Wait()
 	random := rand.New(rand.NewPCG(xxhash.Sum64String(string(k.options.Self)), 0))
 	adopter := NewAdopter(time.Now(), random.Float64)
-	timer := time.NewTimer(0)
+	timer := time.NewTimer(minWait)
 	defer timer.Stop()
 	for {
 		select {
@@ -182,7 +187,7 @@
 		}
 		counters := adopter.Counters()
 		k.counters.Store(&counters)
-		timer.Reset(min(time.Until(adopter.NextTick(now)), time.Second))
+		timer.Reset(max(minWait, min(time.Until(adopter.NextTick(now)), time.Second)))
 	}
 }
 
