--- a/internal/placement/core.go
+++ b/internal/placement/core.go
@@ -51,6 +51,8 @@
 	Weight float64
 	// MaxHold is the longest the job may wait.
 	MaxHold time.Duration
+	// offered is when the core took the job in.
+	offered time.Time
 }
 
 // Placed is a job that was given a place.
@@ -60,6 +62,8 @@
 	Candidate framework.Candidate
 	// MoveFrom names an engine to export the prefix from first, or is empty.
 	MoveFrom ident.Engine
+	// MoveFromIncarnation is the life of MoveFrom that is believed to hold it.
+	MoveFromIncarnation ident.Incarnation
 }
 
 // Refused is a job that was given up, not run.
@@ -156,6 +160,7 @@
 
 // Offer takes in a job. It is placed, held or refused.
 func (c *Core) Offer(now time.Time, job *Job) Effects {
+	job.offered = now
 	c.waiting[job.Request.ID] = job
 	if c.directory != nil && c.lookUp(now, job) {
 		c.park(now, job)
--- a/internal/router/placer_test.go
+++ b/internal/router/placer_test.go
@@ -19,8 +19,10 @@
 	"github.com/fieldpond/fieldpond/internal/fleet"
 	"github.com/fieldpond/fieldpond/internal/ident"
 	"github.com/fieldpond/fieldpond/internal/placement"
+	"github.com/fieldpond/fieldpond/internal/prefix"
 	"github.com/fieldpond/fieldpond/internal/prefix/beliefs"
 	"github.com/fieldpond/fieldpond/internal/routing"
+	"github.com/fieldpond/fieldpond/internal/routing/framework"
 )
 
 // twoPlaces is a fleet file whose tenant may use the first of two regions.
@@ -135,3 +137,84 @@
 		})
 	}
 }
+
+// transferLog is an engine.Transferer that notes what it was asked.
+type transferLog struct{ exports, imports []protocol.TransferRequest }
+
+func (l *transferLog) Export(_ context.Context, _ string, request protocol.TransferRequest) ([]byte, error) {
+	l.exports = append(l.exports, request)
+	return []byte("blocks"), nil
+}
+
+func (l *transferLog) Import(_ context.Context, _ string, request protocol.TransferRequest, _ []byte) (protocol.TransferResult, error) {
+	l.imports = append(l.imports, request)
+	return protocol.TransferResult{}, nil
+}
+
+// TestMovedBlocksStayWithTheirTenantAndPlace: blocks are exported from permitted
+// places only, from the life believed to hold them, under the salt of the
+// request's tenant and version, and imported into the life that was chosen.
+func TestMovedBlocksStayWithTheirTenantAndPlace(t *testing.T) {
+	compiled := compile(t, twoPlaces, 1)
+	for source, moves := range map[ident.Engine]int{"e-1": 1, "e-2": 0, "e-9": 0, "": 0} {
+		check := is.New(t)
+		log := &transferLog{}
+		placer := &placer{transfers: log, current: func() *fleet.Compiled { return compiled }, homeZone: "z-1"}
+		wanted := placer.job(&dispatch.Job{ID: "r", Tenant: "t", Model: "m", Prompt: strings.Repeat("long shared prompt ", 20)}, compiled)
+		chosen := framework.Candidate{Endpoint: &framework.Endpoint{Engine: "e-3", Incarnation: "life-3"}, Version: "v1"}
+		placer.move(t.Context(), wanted, placement.Placed{Job: wanted, Candidate: chosen, MoveFrom: source, MoveFromIncarnation: "life-1"}, compiled)
+		check.Equal(len(log.exports), moves)
+		check.Equal(len(log.imports), moves)
+		if moves > 0 {
+			salt := prefix.Namespace{Tenant: "t", Model: "m", Version: "v1"}.Salt()
+			check.Equal(log.exports[0].Salt, salt)
+			check.Equal(log.exports[0].ExpectedIncarnation, ident.Incarnation("life-1"))
+			check.Equal(log.imports[0].Salt, salt)
+			check.Equal(log.exports[0].Hashes, wanted.Request.Chains["v1"])
+			check.Equal(log.imports[0].ExpectedIncarnation, ident.Incarnation("life-3"))
+		}
+	}
+}
+
+// strictTransferer refuses transfers that name another life than its engine's,
+// as engines do, and counts what it imports.
+type strictTransferer struct{ imported int }
+
+func (s *strictTransferer) Export(_ context.Context, address string, request protocol.TransferRequest) ([]byte, error) {
+	if request.ExpectedIncarnation != ident.Incarnation(address+" life") {
+		return nil, fault.New(fault.BackendRefused, "another incarnation is in force")
+	}
+	return []byte("blocks"), nil
+}
+
+func (s *strictTransferer) Import(
+	_ context.Context, address string, request protocol.TransferRequest, blocks []byte,
+) (protocol.TransferResult, error) {
+	if request.ExpectedIncarnation == ident.Incarnation(address+" life") && string(blocks) == "blocks" {
+		s.imported++
+	}
+	return protocol.TransferResult{}, nil
+}
+
+// A move names the lives of both engines, and never leaves the tenant's places.
+func TestMoveNamesBothLivesAndStaysInPlaces(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		zones    map[ident.Zone]bool
+		life     ident.Incarnation
+		imported int
+	}{
+		{"permitted", map[ident.Zone]bool{"z-1": true, "z-2": true}, "127.0.0.1:7002 life", 1},
+		{"source in a forbidden place", map[ident.Zone]bool{"z-1": true}, "127.0.0.1:7002 life", 0},
+		{"source in another life", map[ident.Zone]bool{"z-1": true, "z-2": true}, "earlier", 0},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			transfers := &strictTransferer{}
+			placed := placement.Placed{MoveFrom: "e-2", MoveFromIncarnation: test.life}
+			placed.Candidate.Endpoint = &framework.Endpoint{Engine: "e-1", Address: "127.0.0.1:7001", Incarnation: "127.0.0.1:7001 life"}
+			wanted := &placement.Job{Request: framework.Request{Tenant: "t", Zones: test.zones}}
+			(&placer{transfers: transfers}).move(t.Context(), wanted, placed, compile(t, twoPlaces, 1))
+			is.New(t).Equal(transfers.imported, test.imported)
+		})
+	}
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"net"
-	"net/http"
 	"sync"
 	"time"
 
@@ -44,9 +42,6 @@
 	pollTimeout = time.Second
 	// pollRing is the capacity of the rings between placement and its poller.
 	pollRing = 1024
-	// lingerBeforeShutdown is how long a leaving router still answers on open
-	// connections, telling each to close, before idle ones are cut.
-	lingerBeforeShutdown = 300 * time.Millisecond
 	// maxPeerBytes bounds the body of a call between routers; a fleet file of
 	// the largest size fits.
 	maxPeerBytes = 64 << 20
@@ -64,6 +59,7 @@
 	peerServer *peer.Server
 	keeper     *fleet.Keeper
 	claims     *claim.Keeper
+	sweeper    *claim.Sweeper
 	control    *control.Duty
 	duty       *placement.Duty
 	placer     *placer
@@ -121,6 +117,7 @@
 		TransactionsPerSecond: configured.Table.RequestsPerSecond,
 		CommitTimeout:         configured.Table.Timeout,
 	})
+	r.sweeper = r.newSweeper()
 	r.control = control.NewDuty(control.Options{
 		Node:    ident.Node(configured.Node),
 		Table:   r.platform,
@@ -219,28 +216,27 @@
 	if err != nil {
 		return err
 	}
-	listener, err := net.Listen("tcp", r.settings.Listen)
+	server := r.api.NewHTTPServer()
+	server.Handler = routes
+	callers, err := listenForCallers(r.settings.Listen, server, r.api.RefuseNew)
 	if err != nil {
-		return fault.Wrap(err, fault.InvalidSettings, "opening the listener %s", r.settings.Listen)
+		return err
 	}
 	duties, endDuties := context.WithCancel(context.Background())
 	defer endDuties()
 	if err := r.startMembership(duties); err != nil {
-		_ = listener.Close()
+		_ = callers.listener.Close()
 		return err
 	}
 	r.startDuties(duties)
 	r.duty.SetView(r.view())
-	server := r.api.NewHTTPServer()
-	server.Handler = routes
-	served := make(chan error, 1)
-	go func() { served <- server.Serve(listener) }()
-	log.WithField("listen", listener.Addr().String()).WithField("node", r.settings.Node).Info("router started")
+	callers.serve()
+	log.WithField("listen", callers.listener.Addr().String()).WithField("node", r.settings.Node).Info("router started")
 
 	select {
 	case <-ctx.Done():
-		err = r.stop(server)
-	case err = <-served:
+		err = r.stop(callers)
+	case err = <-callers.served:
 		err = fault.Wrap(err, fault.Internal, "the HTTP listener ended")
 	}
 	endDuties()
@@ -252,14 +248,13 @@
 }
 
 // stop ends the caller side: nothing new, everything open finished.
-func (r *Router) stop(server *http.Server) error {
+func (r *Router) stop(callers *callerServer) error {
 	r.fire(statechart.RouterEventStopRequested)
 	log.Info("router leaving")
 	r.leave()
-	time.Sleep(lingerBeforeShutdown)
 	bounded, cancel := context.WithTimeout(context.Background(), r.settings.StopGrace)
 	defer cancel()
-	err := server.Shutdown(bounded)
+	err := callers.stop(bounded)
 	r.dispatch.Close()
 	if err != nil {
 		r.fire(statechart.RouterEventGraceOver)
@@ -282,6 +277,10 @@
 
 // startDuties starts every goroutine of the router. They end with ctx.
 func (r *Router) startDuties(ctx context.Context) {
+	r.keeper.OnPrepare(func(compiled *fleet.Compiled) {
+		r.duty.Configure(engineTargets(compiled))
+		r.apps.configure(compiled)
+	})
 	r.keeper.OnAdopt(func(compiled *fleet.Compiled) { r.adopt(ctx, compiled) })
 	r.poller.Start(ctx, pollWorkers)
 	r.appPoller.Start(ctx, pollWorkers)
@@ -291,6 +290,7 @@
 	}
 	r.work.Go(func() { r.keeper.Run(ctx) })
 	r.work.Go(func() { r.claims.Run(ctx) })
+	r.work.Go(func() { r.sweeper.Run(ctx) })
 	r.work.Go(func() { r.control.Run(ctx) })
 	r.work.Go(func() { r.pollApplications(ctx) })
 	r.work.Go(func() { r.watchMachines(ctx) })
@@ -303,10 +303,9 @@
 	}
 }
 
-// adopt puts a fleet file in force.
+// adopt acts on a fleet file that is now in force; its back ends are known since
+// it was prepared.
 func (r *Router) adopt(ctx context.Context, compiled *fleet.Compiled) {
-	r.duty.Configure(engineTargets(compiled))
-	r.apps.configure(compiled)
 	r.streams.Set(ctx, r.ownStreams(compiled))
 	r.announceFleet(ctx, compiled)
 	r.fire(statechart.RouterEventReady)
--- a/standin/scale/scale_test.go
+++ b/standin/scale/scale_test.go
@@ -1,6 +1,7 @@
 package scale
 
 import (
+	"io"
 	"reflect"
 	"strings"
 	"testing"
@@ -8,7 +9,9 @@
 
 	"github.com/matryer/is"
 
+	"github.com/fieldpond/fieldpond/internal/engine/protocol"
 	"github.com/fieldpond/fieldpond/internal/fault"
+	"github.com/fieldpond/fieldpond/internal/prefix"
 )
 
 func smallConfig(seed int64) Config {
@@ -77,7 +80,8 @@
 
 func TestAConfigurationComesIntoForceInEveryCase(t *testing.T) {
 	is := is.New(t)
-	result, err := Run(smallConfig(1))
+	var text strings.Builder
+	result, err := Run(smallConfig(1), &text)
 	is.NoErr(err)
 	for _, spread := range result.Spreads {
 		is.Equal(spread.Missing, 0)
@@ -85,8 +89,6 @@
 		is.True(spread.Median > 0 && spread.Max >= spread.Median)
 		is.True(spread.Max < 18*time.Second)
 	}
-	var text strings.Builder
-	is.NoErr(result.Write(&text))
 	is.True(strings.Contains(text.String(), "load reports"))
 }
 
@@ -115,8 +117,41 @@
 		t.Run(name, func(t *testing.T) {
 			config := smallConfig(1)
 			change(&config)
-			_, err := Run(config)
+			_, err := Run(config, io.Discard)
 			is.New(t).True(fault.Is(err, fault.BadRequest))
 		})
 	}
 }
+
+// TestEventsAgreeWithWhatEnginesHold lets an engine store a prompt's blocks: its
+// events must name each once and never remove one, since the engine goes on
+// saying that it holds them.
+func TestEventsAgreeWithWhatEnginesHold(t *testing.T) {
+	is := is.New(t)
+	engine := &engineTruth{used: map[int]time.Time{}}
+	request := &job{prefix: 1, chain: make(prefix.Chain, sharedBlocks+ownBlocks)}
+	for index := range request.chain {
+		request.chain[index] = prefix.Hash(index + 1)
+	}
+	now := time.Unix(1000, 0)
+	is.Equal(engine.accept(now, request), 0)
+	is.Equal(engine.accept(now, request), sharedBlocks)
+	counts := map[protocol.CacheEventKind]map[prefix.Hash]int{protocol.CacheStored: {}, protocol.CacheRemoved: {}}
+	sequence := uint64(0)
+	for range 3 * storedFor {
+		for _, event := range engine.batch().Events {
+			sequence++
+			is.Equal(event.Sequence, sequence)
+			for _, hash := range event.Hashes {
+				counts[event.Kind][hash]++
+			}
+		}
+	}
+	for index, hash := range request.chain {
+		is.Equal(counts[protocol.CacheRemoved][hash], 0)
+		is.True(counts[protocol.CacheStored][hash] == 1 || index >= sharedBlocks)
+	}
+	for hash, count := range counts[protocol.CacheRemoved] {
+		is.Equal(count, counts[protocol.CacheStored][hash])
+	}
+}
