--- a/internal/api/server.go
+++ b/internal/api/server.go
@@ -148,11 +148,11 @@
 // Server serves callers. It is safe for concurrent use.
 type Server struct {
 	closing atomic.Bool
-	config Config
-	fleet  Fleet
-	runner Runner
-	tokens *resume.Sealer
-	state  func() State
+	config  Config
+	fleet   Fleet
+	runner  Runner
+	tokens  *resume.Sealer
+	state   func() State
 }
 
 // NewServer returns a Server; state is asked on every request.
