Put the chunks sent twice into the engines' fault plan

Cause: in make test, under load, the fault was injected over HTTP at the moment the engine's plan had it crash, and the proof failed in its own preparation.

Change: the plan holds both.

--- a/proofs/chaos_test.go
+++ b/proofs/chaos_test.go
@@ -14,9 +14,7 @@
 
 	"github.com/fieldpond/fieldpond/proofs/harness"
 	"github.com/fieldpond/fieldpond/standin/application"
-	"github.com/fieldpond/fieldpond/standin/engine"
 	"github.com/fieldpond/fieldpond/standin/faultboard"
-	"github.com/fieldpond/fieldpond/standin/faultplan"
 	"github.com/fieldpond/fieldpond/standin/platform"
 )
 
@@ -105,7 +103,6 @@
 		c.Relay(name).Arm(harness.Cut{
 			Match: "POST /v1/generate", Direction: harness.ToRouter, After: 3000 + 2000*number, Action: harness.Reset, Times: 10,
 		})
-		c.Inject(name, engine.FaultRequest{Kind: faultplan.DuplicateChunks, Duration: faultplan.Duration(time.Minute)})
 	}
 	caller := c.NewCaller(harness.TenantA)
 	load, endLoad := context.WithCancel(t.Context())
@@ -136,10 +133,10 @@
 	is.True(whole > all/2)
 }
 
-// crashPlan returns a fault plan in which the three engines crash in turn, each
-// to come back empty at once.
+// crashPlan returns a fault plan in which every engine sends its chunks twice
+// and the three crash in turn, each to come back empty at once.
 func crashPlan(crashes int, every time.Duration) []byte {
-	plan := "faults:\n"
+	plan := "faults:\n  - {at: 0s, target: \"engine-*\", kind: duplicate_chunks}\n"
 	for number := 1; number <= crashes; number++ {
 		at := time.Duration(number) * every
 		plan += fmt.Sprintf("  - {at: %s, duration: 200ms, target: engine-%d, kind: crash}\n", at, number%3+1)
