--- a/proofs/versionchange_test.go
+++ b/proofs/versionchange_test.go
@@ -91,7 +91,7 @@
 	}
 }
 
-// awaitFence waits until the last order that each engine took has the fence.
+// awaitFence waits until each engine has taken an order with the fence.
 func awaitFence(c *harness.Cluster, fence uint64) {
 	for _, name := range c.Engines {
 		c.Await(fmt.Sprintf("%s has taken an order with fence %d", name, fence), func() bool {
@@ -245,7 +245,8 @@
 }
 
 // judgeOrders fails if an order took effect twice, or after one with a newer
-// fence, or changed in one life of an engine what one had changed before.
+// fence, or did once more in one life of an engine, under one fence, what another
+// had done.
 func judgeOrders(t *testing.T, c *harness.Cluster) {
 	t.Helper()
 	for _, name := range c.Engines {
