--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -59,6 +59,7 @@
 	peerServer *peer.Server
 	keeper     *fleet.Keeper
 	claims     *claim.Keeper
+	sweeper    *claim.Sweeper
 	control    *control.Duty
 	duty       *placement.Duty
 	placer     *placer
@@ -116,6 +117,7 @@
 		TransactionsPerSecond: configured.Table.RequestsPerSecond,
 		CommitTimeout:         configured.Table.Timeout,
 	})
+	r.sweeper = r.newSweeper()
 	r.control = control.NewDuty(control.Options{
 		Node:    ident.Node(configured.Node),
 		Table:   r.platform,
@@ -216,7 +218,7 @@
 	}
 	server := r.api.NewHTTPServer()
 	server.Handler = routes
-	callers, err := listenForCallers(r.settings.Listen, server)
+	callers, err := listenForCallers(r.settings.Listen, server, r.api.RefuseNew)
 	if err != nil {
 		return err
 	}
@@ -275,6 +277,10 @@
 
 // startDuties starts every goroutine of the router. They end with ctx.
 func (r *Router) startDuties(ctx context.Context) {
+	r.keeper.OnPrepare(func(compiled *fleet.Compiled) {
+		r.duty.Configure(engineTargets(compiled))
+		r.apps.configure(compiled)
+	})
 	r.keeper.OnAdopt(func(compiled *fleet.Compiled) { r.adopt(ctx, compiled) })
 	r.poller.Start(ctx, pollWorkers)
 	r.appPoller.Start(ctx, pollWorkers)
@@ -284,6 +290,7 @@
 	}
 	r.work.Go(func() { r.keeper.Run(ctx) })
 	r.work.Go(func() { r.claims.Run(ctx) })
+	r.work.Go(func() { r.sweeper.Run(ctx) })
 	r.work.Go(func() { r.control.Run(ctx) })
 	r.work.Go(func() { r.pollApplications(ctx) })
 	r.work.Go(func() { r.watchMachines(ctx) })
@@ -296,10 +303,9 @@
 	}
 }
 
-// adopt puts a fleet file in force.
+// adopt acts on a fleet file that is now in force; its back ends are known since
+// it was prepared.
 func (r *Router) adopt(ctx context.Context, compiled *fleet.Compiled) {
-	r.duty.Configure(engineTargets(compiled))
-	r.apps.configure(compiled)
 	r.streams.Set(ctx, r.ownStreams(compiled))
 	r.announceFleet(ctx, compiled)
 	r.fire(statechart.RouterEventReady)
