Take in every waiting change of members before acting on them

Ruled out: a duty of its own for signs (one more goroutine and ring for what an order of taking in mends). Change: the duty drains its ring, signs at once, and then acts on the view once; it writes a line when a router is in another state.

--- a/Makefile
+++ b/Makefile
@@ -14,6 +14,15 @@
 test:
 	$(GO) test -race -count=1 ./...
 
+# Looks for inputs that break a parser of outside bytes, FUZZTIME for each.
+FUZZTIME ?= 20s
+FUZZ := ./internal/api:FuzzCallerBody ./internal/fleet:FuzzParse ./internal/membership:FuzzDecodeDatagram \
+	./internal/prefix/directory:FuzzDecode ./internal/resume:FuzzOpen ./internal/sse:FuzzReader
+fuzz:
+	@set -e; for target in $(FUZZ); do \
+		$(GO) test -run '^$$' -fuzz "^$${target##*:}$$" -fuzztime $(FUZZTIME) -fuzzminimizetime 1x "$${target%%:*}"; \
+	done
+
 lint:
 	@unformatted=$$(gofmt -l $$(git ls-files '*.go')); if [ -n "$$unformatted" ]; then echo "gofmt differs: $$unformatted"; exit 1; fi
 	$(GO) vet ./...
--- /dev/null
+++ b/internal/api/fuzz_test.go
@@ -0,0 +1,44 @@
+package api
+
+import (
+	"encoding/json"
+	"net/http"
+	"testing"
+
+	"github.com/fieldpond/fieldpond/internal/fault"
+)
+
+// Whatever bytes a caller sends as a body, it gets a whole answer or a typed
+// fault with a remedy, and nothing that was refused here reaches the runner.
+func FuzzCallerBody(f *testing.F) {
+	for _, seed := range []string{
+		`{"model":"chat","messages":[{"role":"user","content":"hi"}]}`,
+		`{"model":"chat","prompt":["hi"],"max_tokens":3,"stream":true}`,
+		`{"model":"chat","messages":[{"role":"user","content":[{"type":"text","text":"x"}]}],"n":1}`,
+		`{"model":`, `[]`, `null`, `{"messages":null}`, "\x00", `{"max_tokens":-1}`, `{} {}`,
+	} {
+		f.Add(seed, true)
+		f.Add(seed, false)
+	}
+	f.Fuzz(func(t *testing.T, body string, chat bool) {
+		path := "/v1/completions"
+		if chat {
+			path = "/v1/chat/completions"
+		}
+		runner := &fakeRunner{chunks: []string{"a"}}
+		answer := exchangeWith(newTestServer(t, runner), http.MethodPost, path, body)
+		if answer.Code == http.StatusOK {
+			return
+		}
+		var told ErrorBody
+		if err := json.Unmarshal(answer.Body.Bytes(), &told); err != nil {
+			t.Fatalf("status %d without a JSON fault: %q", answer.Code, answer.Body.String())
+		}
+		if told.Error.Kind == fault.Internal || told.Error.Remedy == "" || told.Error.Ran != fault.RanNo {
+			t.Fatalf("a bad body was answered with %+v", told.Error)
+		}
+		if runner.job != nil {
+			t.Fatal("a refused request reached the runner")
+		}
+	})
+}
--- a/internal/claim/keeper.go
+++ b/internal/claim/keeper.go
@@ -46,11 +46,15 @@
 	}
 }
 
+// minWait is the shortest wait between two looks. Above zero it keeps timers
+// from having run out before anybody waits for them; see fleet.Keeper.
+const minWait = time.Millisecond
+
 // Run is the duty that advances the core until ctx ends. It then refuses new
 // claims, records what waits to be recorded, and returns when nothing waits
 // any more or after drainTimeouts times Config.Timeout.
 func (k *Keeper) Run(ctx context.Context) {
-	timer := time.NewTimer(0)
+	timer := time.NewTimer(minWait)
 	defer timer.Stop()
 	defer close(k.stopped)
 	defer k.sending.Wait()
@@ -69,7 +73,7 @@
 		}
 		wake, some := k.advance(ctx)
 		if some {
-			timer.Reset(wake)
+			timer.Reset(max(minWait, wake))
 		} else {
 			timer.Stop()
 		}
--- a/internal/endpoint/poller.go
+++ b/internal/endpoint/poller.go
@@ -5,7 +5,6 @@
 	"sync"
 	"time"
 
-	"github.com/fieldpond/fieldpond/internal/engine"
 	"github.com/fieldpond/fieldpond/internal/engine/protocol"
 	"github.com/fieldpond/fieldpond/internal/ident"
 	"github.com/fieldpond/fieldpond/internal/ring"
@@ -20,11 +19,16 @@
 	Err error
 }
 
+// LoadReader reads the load report of one back end; engine.Observer is one.
+type LoadReader interface {
+	Load(ctx context.Context, address string) (protocol.LoadReport, error)
+}
+
 // Poller reads load reports with a fixed number of goroutines. Questions and
 // answers pass through bounded rings: a question that finds its ring full is
 // dropped and will fall due again; an answer replaces older ones.
 type Poller struct {
-	observer  engine.Observer
+	reader    LoadReader
 	timeout   time.Duration
 	questions *ring.Ring[Question]
 	answers   *ring.Ring[Answer]
@@ -33,9 +37,9 @@
 
 // NewPoller returns a poller whose reads each take at most timeout. The rings
 // hold at most capacity items.
-func NewPoller(observer engine.Observer, timeout time.Duration, capacity int) *Poller {
+func NewPoller(reader LoadReader, timeout time.Duration, capacity int) *Poller {
 	return &Poller{
-		observer:  observer,
+		reader:    reader,
 		timeout:   timeout,
 		questions: ring.New[Question]("load-questions", capacity, ring.RefuseNew),
 		answers:   ring.New[Answer]("load-answers", capacity, ring.DropOldest),
@@ -83,7 +87,7 @@
 func (p *Poller) read(ctx context.Context, question Question) {
 	bounded, cancel := context.WithTimeout(ctx, p.timeout)
 	defer cancel()
-	report, err := p.observer.Load(bounded, question.Address)
+	report, err := p.reader.Load(bounded, question.Address)
 	if ctx.Err() != nil {
 		return
 	}
--- a/internal/lease/keeper.go
+++ b/internal/lease/keeper.go
@@ -85,13 +85,18 @@
 // Run is the duty that keeps the lease until ctx ends. It then hands the lease
 // over, for which it takes at most a third of the lease's duration.
 func (k *Keeper) Run(ctx context.Context) {
-	timer := time.NewTimer(0)
+	timer := time.NewTimer(k.release)
 	defer timer.Stop()
 	for ctx.Err() == nil {
 		wait, pending := k.step(ctx)
-		if !pending {
+		switch {
+		case !pending:
 			timer.Stop()
-		} else {
+		case wait <= 0:
+			// No timer of zero: it would have run out before anybody waits
+			// for it; see minWait of fleet.Keeper.
+			continue
+		default:
 			timer.Reset(wait)
 		}
 		select {
@@ -113,6 +118,9 @@
 		if !pending {
 			return
 		}
+		if wait <= 0 {
+			continue
+		}
 		select {
 		case <-ctx.Done():
 		case <-time.After(wait):
--- a/internal/placement/duty.go
+++ b/internal/placement/duty.go
@@ -71,6 +71,10 @@
 // withdraw, started and ended.
 const commandsPerJob = 4
 
+// minWait is the shortest wait between two looks. Above zero it keeps timers
+// from having run out before anybody waits for them; see fleet.Keeper.
+const minWait = time.Millisecond
+
 // spareCommands leaves room for inputs that belong to no job.
 const spareCommands = 1024
 
@@ -113,7 +117,7 @@
 		}
 		d.drain()
 		if next, waits := d.core.NextTick(); waits {
-			wake.Reset(max(0, time.Until(next)))
+			wake.Reset(max(minWait, time.Until(next)))
 		}
 	}
 }
--- a/internal/router/members.go
+++ b/internal/router/members.go
@@ -49,34 +49,64 @@
 	return err
 }
 
-// watchMembers takes in what gossip brings until ctx ends.
+// watchMembers takes in what gossip brings until ctx ends. Signs of back ends
+// that leave go first: what follows from a changed view costs time with each
+// engine, and is worked out once for all changes that are waiting.
 func (r *Router) watchMembers(ctx context.Context) {
+	states := make(map[ident.Node]membership.State)
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-r.members.Events().Ready():
 		}
+		changed := false
 		for event, ok := r.members.Events().Pop(); ok; event, ok = r.members.Events().Pop() {
-			r.takeEvent(ctx, event)
+			changed = r.takeEvent(event, states) || changed
+		}
+		if changed {
+			r.viewChanged(ctx)
 		}
 	}
 }
 
-func (r *Router) takeEvent(ctx context.Context, event membership.Event) {
+// takeEvent takes in one event and reports whether the view has changed.
+func (r *Router) takeEvent(event membership.Event, states map[ident.Node]membership.State) (changed bool) {
 	switch event.Kind {
 	case membership.SignReceived:
 		if event.Sign.Kind == membership.SignLeaving {
 			r.duty.LeavingSeen(ident.Engine(event.Sign.Backend), event.Sign.Incarnation)
 			r.apps.leavingSeen(ident.Application(event.Sign.Backend), event.Sign.Incarnation)
 		}
+		return false
 	case membership.FleetHeadRaised:
 		r.headHeard(event.Head)
-	case membership.MemberChanged, membership.MemberForgotten:
-		r.duty.SetView(r.view())
-		if compiled := r.keeper.Current(); compiled != nil {
-			r.streams.Set(ctx, r.ownStreams(compiled))
-		}
+		return false
+	case membership.MemberForgotten:
+		delete(states, event.Member.Node)
+		return true
+	case membership.MemberChanged:
+		logState(event.Member, states)
+		return true
+	default:
+		return false
+	}
+}
+
+// logState writes a line when the state of another router is a new one.
+func logState(member membership.Member, states map[ident.Node]membership.State) {
+	if known, found := states[member.Node]; found && known == member.State {
+		return
+	}
+	states[member.Node] = member.State
+	log.WithField("router", member.Node).WithField("state", member.State.String()).Info("router in another state")
+}
+
+// viewChanged acts on a change of the membership.
+func (r *Router) viewChanged(ctx context.Context) {
+	r.duty.SetView(r.view())
+	if compiled := r.keeper.Current(); compiled != nil {
+		r.streams.Set(ctx, r.ownStreams(compiled))
 	}
 }
 
