Let the fake of the placement duty's test be read while it changes

Change: an atomic bool; the assertions stay. Measured: go test -race -count=20 ./internal/placement passes.

--- a/internal/placement/duty_test.go
+++ b/internal/placement/duty_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -16,11 +17,11 @@
 	"github.com/fieldpond/fieldpond/internal/prefix/directory"
 )
 
-// loads is an engine.Observer whose engines report when they are told to.
-type loads struct{ answers bool }
+// loads is an endpoint.LoadReader whose engines report when they are told to.
+type loads struct{ answers atomic.Bool }
 
 func (l *loads) Load(_ context.Context, _ string) (protocol.LoadReport, error) {
-	if !l.answers {
+	if !l.answers.Load() {
 		return protocol.LoadReport{}, errors.New("no answer")
 	}
 	return reportOf("life"), nil
@@ -48,7 +49,9 @@
 func TestDutyPlacesAndTakesBack(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		duty := startDuty(t, &loads{answers: true}, 16)
+		observer := &loads{}
+		observer.answers.Store(true)
+		duty := startDuty(t, observer, 16)
 		first, err := duty.Place(t.Context(), jobOf("r1", time.Second))
 		is.NoErr(err)
 		second, err := duty.Place(t.Context(), jobOf("r2", time.Second))
@@ -77,7 +80,7 @@
 		_, err := duty.Place(leaving, jobOf("r1", time.Minute))
 		is.True(fault.Is(err, fault.DeadlineExceeded))
 		is.Equal(fault.From(err).Ran, fault.RanNo)
-		observer.answers = true
+		observer.answers.Store(true)
 		time.Sleep(time.Second)
 		_, err = duty.Place(t.Context(), jobOf("r2", time.Second))
 		is.NoErr(err)
