--- a/internal/fleet/keeper.go
+++ b/internal/fleet/keeper.go
@@ -29,6 +29,11 @@
 	// headTimeout and bodyTimeout bound one exchange with a peer or the table.
 	headTimeout = 2 * time.Second
 	bodyTimeout = 15 * time.Second
+	// minWait is the shortest wait between two looks of the Keeper. Above zero it
+	// keeps a machine that is due from spinning, and timers from having run out
+	// before anybody waits for them: under the race detector, Go 1.26 crashes when
+	// several goroutines of one synctest bubble meet such timers at one time.
+	minWait = time.Millisecond
 )
 
 // PeerFetcher asks other routers for what they have in force.
@@ -64,6 +69,7 @@
 	requests sync.WaitGroup
 
 	mutex     sync.Mutex
+	preparers []func(*Compiled)
 	listeners []func(*Compiled)
 }
 
@@ -140,6 +146,15 @@
 	return []ring.Counters{k.heard.Counters(), k.results.Counters()}
 }
 
+// OnPrepare adds a function that is called, on the Keeper's goroutine, with each
+// file just before Current changes to it: whoever reads Current then finds the
+// file's back ends known. It must not block.
+func (k *Keeper) OnPrepare(preparer func(*Compiled)) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	k.preparers = append(k.preparers, preparer)
+}
+
 // OnAdopt adds a function that is called, on the Keeper's goroutine and after
 // Current has changed, with each file put in force. It must not block.
 func (k *Keeper) OnAdopt(listener func(*Compiled)) {
@@ -164,7 +179,7 @@
 	defer k.requests.Wait()
 	random := rand.New(rand.NewPCG(xxhash.Sum64String(string(k.options.Self)), 0))
 	adopter := NewAdopter(time.Now(), random.Float64)
-	timer := time.NewTimer(0)
+	timer := time.NewTimer(minWait)
 	defer timer.Stop()
 	for {
 		select {
@@ -182,7 +197,7 @@
 		}
 		counters := adopter.Counters()
 		k.counters.Store(&counters)
-		timer.Reset(min(time.Until(adopter.NextTick(now)), time.Second))
+		timer.Reset(max(minWait, min(time.Until(adopter.NextTick(now)), time.Second)))
 	}
 }
 
@@ -224,11 +239,14 @@
 // adopt puts a file in force and tells the listeners.
 func (k *Keeper) adopt(action AdoptAction) {
 	compiled := Compile(action.Document, action.Pair.Version, action.Pair.Digest)
-	k.inForce.Store(&inForce{compiled: compiled, body: action.Body})
-	log.WithFields(log.Fields{"version": compiled.Version, "digest": compiled.Digest}).Info("fleet file in force")
 	k.mutex.Lock()
-	listeners := k.listeners
+	preparers, listeners := k.preparers, k.listeners
 	k.mutex.Unlock()
+	for _, preparer := range preparers {
+		preparer(compiled)
+	}
+	k.inForce.Store(&inForce{compiled: compiled, body: action.Body})
+	log.WithFields(log.Fields{"version": compiled.Version, "digest": compiled.Digest}).Info("fleet file in force")
 	for _, listener := range listeners {
 		listener(compiled)
 	}
