--- a/standin/experiment/plots.go
+++ b/standin/experiment/plots.go
@@ -20,6 +20,8 @@
 	plotBarWidth  = 28
 	plotDirectory = 0o755
 	labelAngle    = 0.5
+	// barMargin is the room beside the first and last bar, in bars.
+	barMargin = 0.5
 )
 
 // panel is one measure that is plotted for every scenario.
@@ -105,6 +107,7 @@
 	}
 	drawn.Add(chart, whiskers)
 	drawn.NominalX(names...)
+	drawn.X.Min, drawn.X.Max = -barMargin, float64(len(bars)-1)+barMargin
 	drawn.X.Tick.Label.Rotation = labelAngle
 	drawn.X.Tick.Label.XAlign, drawn.X.Tick.Label.YAlign = -1, -1
 	path := filepath.Join(directory, rows[0].Scenario+"-"+p.file+".png")
