Take defaults of configurations by the standard library

Ruled out: a package for it; cmp.Or of the standard library is that function. Change: cmp.Or, with max(0, value) where negative values count as unset. Measured: make lint and go test -race ./... pass.

--- a/internal/admission/limiter_gradient.go
+++ b/internal/admission/limiter_gradient.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"cmp"
 	"math"
 	"time"
 )
@@ -62,9 +63,7 @@
 func (g *GradientLimiter) observe(now time.Time, sample Sample) {
 	latency := sample.TimeToFirstToken.Seconds()
 	g.floor.observe(now, sample)
-	if g.short == 0 {
-		g.short = latency
-	}
+	g.short = cmp.Or(g.short, latency)
 	if !g.floor.probing() {
 		g.short += gradientShortWeight * (latency - g.short)
 	}
--- a/internal/api/server.go
+++ b/internal/api/server.go
@@ -8,6 +8,7 @@
 package api
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"sync/atomic"
@@ -119,22 +120,16 @@
 	fallbackHold = 2 * time.Second
 )
 
-func orDefault[T int | int64 | time.Duration](value *T, fallback T) {
-	if *value == 0 {
-		*value = fallback
-	}
-}
-
 func (c Config) withDefaults() Config {
-	orDefault(&c.MaxBodyBytes, defaultMaxBodyBytes)
-	orDefault(&c.MaxHeaderBytes, defaultMaxHeaderBytes)
-	orDefault(&c.MaxPromptTokens, defaultMaxPromptTokens)
-	orDefault(&c.MaxTokens, defaultMaxTokens)
-	orDefault(&c.DefaultMaxTokens, defaultDefaultMaxTokens)
-	orDefault(&c.BodyTimeout, defaultBodyTimeout)
-	orDefault(&c.WriteTimeout, defaultWriteTimeout)
-	orDefault(&c.BufferedChunks, defaultBufferedChunks)
-	orDefault(&c.RetryAfter, defaultRetryAfter)
+	c.MaxBodyBytes = cmp.Or(c.MaxBodyBytes, defaultMaxBodyBytes)
+	c.MaxHeaderBytes = cmp.Or(c.MaxHeaderBytes, defaultMaxHeaderBytes)
+	c.MaxPromptTokens = cmp.Or(c.MaxPromptTokens, defaultMaxPromptTokens)
+	c.MaxTokens = cmp.Or(c.MaxTokens, defaultMaxTokens)
+	c.DefaultMaxTokens = cmp.Or(c.DefaultMaxTokens, defaultDefaultMaxTokens)
+	c.BodyTimeout = cmp.Or(c.BodyTimeout, defaultBodyTimeout)
+	c.WriteTimeout = cmp.Or(c.WriteTimeout, defaultWriteTimeout)
+	c.BufferedChunks = cmp.Or(c.BufferedChunks, defaultBufferedChunks)
+	c.RetryAfter = cmp.Or(c.RetryAfter, defaultRetryAfter)
 	if c.OnFault == nil {
 		c.OnFault = func(*fault.Fault) {}
 	}
@@ -291,7 +286,7 @@
 		if !known {
 			return fleet.Class{}, fault.New(fault.Internal, "class %q is not in the fleet file", string(name))
 		}
-		orDefault(&class.MaxHold, fallbackHold)
+		class.MaxHold = cmp.Or(class.MaxHold, fallbackHold)
 		return class, nil
 	}
 	return fleet.Class{}, fault.New(fault.Forbidden, "class %.80q is not one of service %q", string(name), string(service.Name))
--- a/internal/claim/config.go
+++ b/internal/claim/config.go
@@ -1,6 +1,9 @@
 package claim
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // Config bounds the work of a Core and its Keeper.
 type Config struct {
@@ -36,21 +39,14 @@
 	defaultTransactionsPerSecond = 50
 )
 
-func orDefault[T int | float64 | time.Duration](value, fallback T) T {
-	if value <= 0 {
-		return fallback
-	}
-	return value
-}
-
 func (c Config) withDefaults() Config {
-	c.Timeout = orDefault(c.Timeout, defaultTimeout)
-	c.Window = orDefault(c.Window, defaultWindow)
-	c.MaxBatch = orDefault(c.MaxBatch, defaultMaxBatch)
-	c.MaxInFlight = orDefault(c.MaxInFlight, defaultMaxInFlight)
-	c.MaxWaiting = orDefault(c.MaxWaiting, defaultMaxWaiting)
-	c.MaxBackground = orDefault(c.MaxBackground, defaultMaxBackground)
-	c.TransactionsPerSecond = orDefault(c.TransactionsPerSecond, defaultTransactionsPerSecond)
-	c.CommitTimeout = orDefault(c.CommitTimeout, c.Timeout/2)
+	c.Timeout = cmp.Or(max(0, c.Timeout), defaultTimeout)
+	c.Window = cmp.Or(max(0, c.Window), defaultWindow)
+	c.MaxBatch = cmp.Or(max(0, c.MaxBatch), defaultMaxBatch)
+	c.MaxInFlight = cmp.Or(max(0, c.MaxInFlight), defaultMaxInFlight)
+	c.MaxWaiting = cmp.Or(max(0, c.MaxWaiting), defaultMaxWaiting)
+	c.MaxBackground = cmp.Or(max(0, c.MaxBackground), defaultMaxBackground)
+	c.TransactionsPerSecond = cmp.Or(max(0, c.TransactionsPerSecond), defaultTransactionsPerSecond)
+	c.CommitTimeout = cmp.Or(max(0, c.CommitTimeout), c.Timeout/2)
 	return c
 }
--- a/internal/claim/sweep.go
+++ b/internal/claim/sweep.go
@@ -1,6 +1,7 @@
 package claim
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -51,12 +52,12 @@
 )
 
 func (c SweepConfig) withDefaults() SweepConfig {
-	c.Retention = max(orDefault(c.Retention, defaultRetention), MinRetention)
-	c.PassPause = orDefault(c.PassPause, c.Retention/passesPerRetention)
-	c.RequestsPerSecond = orDefault(c.RequestsPerSecond, defaultSweepRate)
-	c.PageRows = orDefault(c.PageRows, defaultPageRows)
-	c.MaxBatch = orDefault(c.MaxBatch, defaultMaxBatch)
-	c.FailurePause = orDefault(c.FailurePause, defaultSweepFailurePause)
+	c.Retention = max(cmp.Or(max(0, c.Retention), defaultRetention), MinRetention)
+	c.PassPause = cmp.Or(max(0, c.PassPause), c.Retention/passesPerRetention)
+	c.RequestsPerSecond = cmp.Or(max(0, c.RequestsPerSecond), defaultSweepRate)
+	c.PageRows = cmp.Or(max(0, c.PageRows), defaultPageRows)
+	c.MaxBatch = cmp.Or(max(0, c.MaxBatch), defaultMaxBatch)
+	c.FailurePause = cmp.Or(max(0, c.FailurePause), defaultSweepFailurePause)
 	return c
 }
 
--- a/internal/control/config.go
+++ b/internal/control/config.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/fieldpond/fieldpond/internal/lease"
@@ -53,23 +54,16 @@
 	readsPerMaxAge = 4
 )
 
-func orDefault[T int | float64 | time.Duration](value, fallback T) T {
-	if value <= 0 {
-		return fallback
-	}
-	return value
-}
-
 func (c Config) withDefaults() Config {
-	c.LoadsPerSecond = orDefault(c.LoadsPerSecond, defaultLoadsPerSecond)
-	c.MaxLoadsPerZone = orDefault(c.MaxLoadsPerZone, defaultLoadsPerZone)
-	c.LoadTimeout = orDefault(c.LoadTimeout, defaultLoadTimeout)
-	c.ReportInterval = orDefault(c.ReportInterval, defaultReportInterval)
-	c.MaxReportAge = orDefault(c.MaxReportAge, defaultMaxReportAge)
-	c.RetryPause = orDefault(c.RetryPause, defaultRetryPause)
-	c.MaxRetryPause = orDefault(c.MaxRetryPause, defaultMaxRetryPause)
-	c.RequestTimeout = orDefault(c.RequestTimeout, defaultRequestTimeout)
-	c.Workers = orDefault(c.Workers, defaultWorkers)
+	c.LoadsPerSecond = cmp.Or(max(0, c.LoadsPerSecond), defaultLoadsPerSecond)
+	c.MaxLoadsPerZone = cmp.Or(max(0, c.MaxLoadsPerZone), defaultLoadsPerZone)
+	c.LoadTimeout = cmp.Or(max(0, c.LoadTimeout), defaultLoadTimeout)
+	c.ReportInterval = cmp.Or(max(0, c.ReportInterval), defaultReportInterval)
+	c.MaxReportAge = cmp.Or(max(0, c.MaxReportAge), defaultMaxReportAge)
+	c.RetryPause = cmp.Or(max(0, c.RetryPause), defaultRetryPause)
+	c.MaxRetryPause = cmp.Or(max(0, c.MaxRetryPause), defaultMaxRetryPause)
+	c.RequestTimeout = cmp.Or(max(0, c.RequestTimeout), defaultRequestTimeout)
+	c.Workers = cmp.Or(max(0, c.Workers), defaultWorkers)
 	return c
 }
 
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"sync"
@@ -63,26 +64,20 @@
 	defaultRetainedBytes      = 16 << 20
 )
 
-func orDefault[T int | time.Duration](value *T, fallback T) {
-	if *value == 0 {
-		*value = fallback
-	}
-}
-
 func (c Config) withDefaults() Config {
-	orDefault(&c.StartTimeout, defaultStartTimeout)
-	orDefault(&c.StallTimeout, defaultStallTimeout)
-	orDefault(&c.ResumeTries, defaultResumeTries)
-	orDefault(&c.ResumePause, defaultResumePause)
-	orDefault(&c.ResumeStall, defaultResumeStall)
-	orDefault(&c.MaxAttempts, defaultMaxAttempts)
-	orDefault(&c.ContinueHold, defaultContinueHold)
-	orDefault(&c.ResumeGrace, defaultResumeGrace)
-	orDefault(&c.ApplicationTimeout, defaultApplicationTimeout)
-	orDefault(&c.SettleTimeout, defaultSettleTimeout)
-	orDefault(&c.RetryAfter, defaultRetryAfter)
-	orDefault(&c.RetainedAnswers, defaultRetainedAnswers)
-	orDefault(&c.RetainedBytes, defaultRetainedBytes)
+	c.StartTimeout = cmp.Or(c.StartTimeout, defaultStartTimeout)
+	c.StallTimeout = cmp.Or(c.StallTimeout, defaultStallTimeout)
+	c.ResumeTries = cmp.Or(c.ResumeTries, defaultResumeTries)
+	c.ResumePause = cmp.Or(c.ResumePause, defaultResumePause)
+	c.ResumeStall = cmp.Or(c.ResumeStall, defaultResumeStall)
+	c.MaxAttempts = cmp.Or(c.MaxAttempts, defaultMaxAttempts)
+	c.ContinueHold = cmp.Or(c.ContinueHold, defaultContinueHold)
+	c.ResumeGrace = cmp.Or(c.ResumeGrace, defaultResumeGrace)
+	c.ApplicationTimeout = cmp.Or(c.ApplicationTimeout, defaultApplicationTimeout)
+	c.SettleTimeout = cmp.Or(c.SettleTimeout, defaultSettleTimeout)
+	c.RetryAfter = cmp.Or(c.RetryAfter, defaultRetryAfter)
+	c.RetainedAnswers = cmp.Or(c.RetainedAnswers, defaultRetainedAnswers)
+	c.RetainedBytes = cmp.Or(c.RetainedBytes, defaultRetainedBytes)
 	return c
 }
 
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"net/http"
@@ -53,15 +54,9 @@
 // NewHTTPClient returns a client with its own connection pool, sized for
 // hundreds of back ends.
 func NewHTTPClient(options Options) *HTTPClient {
-	if options.MaxEventBytes == 0 {
-		options.MaxEventBytes = defaultMaxEventBytes
-	}
-	if options.MaxAnswerBytes == 0 {
-		options.MaxAnswerBytes = defaultMaxAnswerBytes
-	}
-	if options.MaxExportBytes == 0 {
-		options.MaxExportBytes = defaultMaxExportBytes
-	}
+	options.MaxEventBytes = cmp.Or(options.MaxEventBytes, defaultMaxEventBytes)
+	options.MaxAnswerBytes = cmp.Or(options.MaxAnswerBytes, defaultMaxAnswerBytes)
+	options.MaxExportBytes = cmp.Or(options.MaxExportBytes, defaultMaxExportBytes)
 	exchanges := httpclient.New(httpclient.Options{ConnectTimeout: options.ConnectTimeout})
 	return &HTTPClient{exchanges: exchanges, options: options}
 }
--- a/internal/fleet/normalise.go
+++ b/internal/fleet/normalise.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"cmp"
 	"strings"
 	"time"
 
@@ -26,34 +27,27 @@
 func Normalise(document *Document) {
 	for index := range document.Models {
 		model := &document.Models[index]
-		setDefault(&model.BlockTokens, prefix.DefaultBlockTokens)
-		setDefault(&model.PrefillMicrosPerToken, DefaultPrefillMicrosPerToken)
+		model.BlockTokens = cmp.Or(model.BlockTokens, prefix.DefaultBlockTokens)
+		model.PrefillMicrosPerToken = cmp.Or(model.PrefillMicrosPerToken, DefaultPrefillMicrosPerToken)
 	}
 	for index := range document.Classes {
 		class := &document.Classes[index]
-		setDefault(&class.MaxHold, DefaultMaxHold)
-		setDefault(&class.Deadline, DefaultDeadline)
+		class.MaxHold = cmp.Or(class.MaxHold, DefaultMaxHold)
+		class.Deadline = cmp.Or(class.Deadline, DefaultDeadline)
 	}
 	for index := range document.Engines {
 		engine := &document.Engines[index]
-		setDefault(&engine.Role, DefaultRole)
-		setDefault(&engine.State, BackendActive)
+		engine.Role = cmp.Or(engine.Role, DefaultRole)
+		engine.State = cmp.Or(engine.State, BackendActive)
 	}
 	for index := range document.Applications {
-		setDefault(&document.Applications[index].State, BackendActive)
+		document.Applications[index].State = cmp.Or(document.Applications[index].State, BackendActive)
 	}
 	for index := range document.Tenants {
 		tenant := &document.Tenants[index]
-		setDefault(&tenant.Share, DefaultShare)
+		tenant.Share = cmp.Or(tenant.Share, DefaultShare)
 		for position, hash := range tenant.KeyHashes {
 			tenant.KeyHashes[position] = strings.ToLower(hash)
 		}
 	}
 }
-
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
--- a/internal/httpclient/client.go
+++ b/internal/httpclient/client.go
@@ -9,6 +9,7 @@
 package httpclient
 
 import (
+	"cmp"
 	"io"
 	"net"
 	"net/http"
@@ -52,26 +53,19 @@
 // New returns a client with its own connection pool.
 func New(options Options) *Client {
 	dialer := &net.Dialer{
-		Timeout:   orDefault(options.ConnectTimeout, defaultConnectTimeout),
+		Timeout:   cmp.Or(options.ConnectTimeout, defaultConnectTimeout),
 		KeepAlive: keepAlivePeriod,
 	}
 	return &Client{transport: &http.Transport{
 		DialContext:            dialGated(dialer),
-		IdleConnTimeout:        orDefault(options.IdleTimeout, defaultIdleTimeout),
-		MaxIdleConns:           orDefault(options.MaxIdle, defaultMaxIdle),
-		MaxIdleConnsPerHost:    orDefault(options.MaxIdlePerHost, defaultMaxIdlePerHost),
-		MaxResponseHeaderBytes: orDefault(options.MaxHeaderBytes, defaultMaxHeaderBytes),
+		IdleConnTimeout:        cmp.Or(options.IdleTimeout, defaultIdleTimeout),
+		MaxIdleConns:           cmp.Or(options.MaxIdle, defaultMaxIdle),
+		MaxIdleConnsPerHost:    cmp.Or(options.MaxIdlePerHost, defaultMaxIdlePerHost),
+		MaxResponseHeaderBytes: cmp.Or(options.MaxHeaderBytes, defaultMaxHeaderBytes),
 		DisableCompression:     true,
 	}}
 }
 
-func orDefault[T time.Duration | int | int64](value, fallback T) T {
-	if value == 0 {
-		return fallback
-	}
-	return value
-}
-
 // Error is a failed exchange: no response header arrived.
 type Error struct {
 	// Sent is false only if no byte of the request left this process, and none
--- a/internal/membership/machine.go
+++ b/internal/membership/machine.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"cmp"
 	"math"
 	"math/rand"
 	"slices"
@@ -29,17 +30,12 @@
 }
 
 func (t Timing) withDefaults() Timing {
-	orDefault := func(value *time.Duration, usual time.Duration) {
-		if *value <= 0 {
-			*value = usual
-		}
-	}
-	orDefault(&t.ProbePeriod, time.Second)
-	orDefault(&t.ProbeTimeout, 400*time.Millisecond)
-	orDefault(&t.SyncPeriod, 10*time.Second)
-	orDefault(&t.ReconnectPeriod, 15*time.Second)
-	orDefault(&t.DeadRetention, 15*time.Minute)
-	orDefault(&t.SignRetention, time.Minute)
+	t.ProbePeriod = cmp.Or(max(0, t.ProbePeriod), time.Second)
+	t.ProbeTimeout = cmp.Or(max(0, t.ProbeTimeout), 400*time.Millisecond)
+	t.SyncPeriod = cmp.Or(max(0, t.SyncPeriod), 10*time.Second)
+	t.ReconnectPeriod = cmp.Or(max(0, t.ReconnectPeriod), 15*time.Second)
+	t.DeadRetention = cmp.Or(max(0, t.DeadRetention), 15*time.Minute)
+	t.SignRetention = cmp.Or(max(0, t.SignRetention), time.Minute)
 	return t
 }
 
--- a/internal/platform/http.go
+++ b/internal/platform/http.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"net/http"
@@ -60,9 +61,7 @@
 		exchanges: httpclient.New(httpclient.Options{ConnectTimeout: options.ConnectTimeout}),
 		maxBody:   options.MaxBodyBytes,
 	}
-	if client.maxBody == 0 {
-		client.maxBody = defaultMaxBodyBytes
-	}
+	client.maxBody = cmp.Or(client.maxBody, defaultMaxBodyBytes)
 	if options.RequestsPerSecond > 0 {
 		client.limiter = rate.NewLimiter(rate.Limit(options.RequestsPerSecond), max(options.Burst, 1))
 	}
--- a/internal/prefix/beliefs/store.go
+++ b/internal/prefix/beliefs/store.go
@@ -13,6 +13,7 @@
 package beliefs
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/fieldpond/fieldpond/internal/fault"
@@ -102,18 +103,10 @@
 }
 
 func withDefaults(config Config) Config {
-	if config.MaxBlocks == 0 {
-		config.MaxBlocks = defaultMaxBlocks
-	}
-	if config.DefaultLifetime == 0 {
-		config.DefaultLifetime = defaultLifetime
-	}
-	if config.ExpectationLifetime == 0 {
-		config.ExpectationLifetime = defaultExpectationLifetime
-	}
-	if config.SnapshotInterval == 0 {
-		config.SnapshotInterval = defaultSnapshotInterval
-	}
+	config.MaxBlocks = cmp.Or(config.MaxBlocks, defaultMaxBlocks)
+	config.DefaultLifetime = cmp.Or(config.DefaultLifetime, defaultLifetime)
+	config.ExpectationLifetime = cmp.Or(config.ExpectationLifetime, defaultExpectationLifetime)
+	config.SnapshotInterval = cmp.Or(config.SnapshotInterval, defaultSnapshotInterval)
 	return config
 }
 
--- a/internal/prefix/directory/node.go
+++ b/internal/prefix/directory/node.go
@@ -13,6 +13,7 @@
 package directory
 
 import (
+	"cmp"
 	"strconv"
 	"time"
 
@@ -116,22 +117,15 @@
 }
 
 func withDefaults(config Config) Config {
-	setDefault(&config.CacheLifetime, defaultCacheLifetime)
-	setDefault(&config.HoldingLifetime, defaultHoldingLifetime)
-	setDefault(&config.ReportInterval, defaultReportInterval)
-	setDefault(&config.HotPrefixes, defaultHotPrefixes)
-	setDefault(&config.MaxRoots, defaultMaxRoots)
-	setDefault(&config.MaxWatches, defaultMaxWatches)
+	config.CacheLifetime = cmp.Or(config.CacheLifetime, defaultCacheLifetime)
+	config.HoldingLifetime = cmp.Or(config.HoldingLifetime, defaultHoldingLifetime)
+	config.ReportInterval = cmp.Or(config.ReportInterval, defaultReportInterval)
+	config.HotPrefixes = cmp.Or(config.HotPrefixes, defaultHotPrefixes)
+	config.MaxRoots = cmp.Or(config.MaxRoots, defaultMaxRoots)
+	config.MaxWatches = cmp.Or(config.MaxWatches, defaultMaxWatches)
 	return config
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // EngineOwners returns the routers that read an engine's event stream: the
 // owner, which answers for it, and a standby.
 func EngineOwners(view membership.View, engine ident.Engine) []membership.Member {
--- a/internal/routing/config.go
+++ b/internal/routing/config.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/fieldpond/fieldpond/internal/fault"
@@ -73,37 +74,17 @@
 const maxWindow = rendezvous.MaxTop / shortlistFactor
 
 func withDefaults(config Config) Config {
-	if config.DefaultPrefillPerToken == 0 {
-		config.DefaultPrefillPerToken = defaultPrefillPerToken
-	}
-	if config.RequestDuration == 0 {
-		config.RequestDuration = defaultRequestDuration
-	}
-	if config.TieTolerance == 0 {
-		config.TieTolerance = defaultTieTolerance
-	}
-	if config.TieShare == 0 {
-		config.TieShare = defaultTieShare
-	}
-	if config.RecomputationFloor == 0 {
-		config.RecomputationFloor = defaultFloor
-	}
-	if config.UrgentReserve == 0 {
-		config.UrgentReserve = defaultReserve
-	}
-	if config.SlotWait == 0 {
-		config.SlotWait = defaultSlotWait
-	}
+	config.DefaultPrefillPerToken = cmp.Or(config.DefaultPrefillPerToken, defaultPrefillPerToken)
+	config.RequestDuration = cmp.Or(config.RequestDuration, defaultRequestDuration)
+	config.TieTolerance = cmp.Or(config.TieTolerance, defaultTieTolerance)
+	config.TieShare = cmp.Or(config.TieShare, defaultTieShare)
+	config.RecomputationFloor = cmp.Or(config.RecomputationFloor, defaultFloor)
+	config.UrgentReserve = cmp.Or(config.UrgentReserve, defaultReserve)
+	config.SlotWait = cmp.Or(config.SlotWait, defaultSlotWait)
 	config.UrgentReserve = max(0, config.UrgentReserve)
-	if config.Window == 0 {
-		config.Window = defaultWindow
-	}
-	if config.TransferPerToken == 0 {
-		config.TransferPerToken = defaultTransfer
-	}
-	if config.MinMoveTokens == 0 {
-		config.MinMoveTokens = defaultMinMoveTokens
-	}
+	config.Window = cmp.Or(config.Window, defaultWindow)
+	config.TransferPerToken = cmp.Or(config.TransferPerToken, defaultTransfer)
+	config.MinMoveTokens = cmp.Or(config.MinMoveTokens, defaultMinMoveTokens)
 	return config
 }
 
--- a/standin/faultboard/board.go
+++ b/standin/faultboard/board.go
@@ -3,6 +3,7 @@
 package faultboard
 
 import (
+	"cmp"
 	"encoding/json"
 	"math/rand/v2"
 	"net/http"
@@ -63,9 +64,7 @@
 	if injected.Service == "" {
 		injected.Service = AllServices
 	}
-	if injected.Probability == 0 {
-		injected.Probability = 1
-	}
+	injected.Probability = cmp.Or(injected.Probability, 1)
 	if !slices.Contains(b.kinds, injected.Kind) {
 		return fault.New(fault.BadRequest, "unknown fault kind %q", injected.Kind).WithRemedy("use one of %v", b.kinds)
 	}
--- a/standin/load/runner.go
+++ b/standin/load/runner.go
@@ -6,6 +6,7 @@
 package load
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"sync"
@@ -48,18 +49,11 @@
 	if c.Key == nil {
 		c.Key = func(tenant ident.Tenant) string { return "key-" + string(tenant) }
 	}
-	setDefault(&c.MaxInFlight, 2048)
-	setDefault(&c.MaxAttempts, 12)
-	setDefault(&c.Patience, 2*time.Minute)
-	setDefault(&c.MaxWait, 5*time.Second)
-	setDefault(&c.MinWait, 20*time.Millisecond)
-}
-
-func setDefault[T comparable](target *T, value T) {
-	var zero T
-	if *target == zero {
-		*target = value
-	}
+	c.MaxInFlight = cmp.Or(c.MaxInFlight, 2048)
+	c.MaxAttempts = cmp.Or(c.MaxAttempts, 12)
+	c.Patience = cmp.Or(c.Patience, 2*time.Minute)
+	c.MaxWait = cmp.Or(c.MaxWait, 5*time.Second)
+	c.MinWait = cmp.Or(c.MinWait, 20*time.Millisecond)
 }
 
 // Run sends the load and returns its report once every request has ended. A
