Test the refusal of a router that is about to close

Cause: the refusal that keeps callers away before the listener closes had no test of its own; only the proof of planned stops on real processes used it. Measured: the test fails with the refusal taken out and passes with it, under the race detector.

--- a/internal/api/server_test.go
+++ b/internal/api/server_test.go
@@ -405,3 +405,22 @@
 		is.True(strings.HasSuffix(string(body), "data: [DONE]\n\n"))
 	}
 }
+
+func TestARouterAboutToCloseRefusesWhatComesAndSaysWhenToComeBack(t *testing.T) {
+	is := is.New(t)
+	runner := &fakeRunner{chunks: []string{"a"}}
+	server := newTestServer(t, runner)
+	const body = `{"model":"chat","prompt":"hi"}`
+	is.Equal(exchangeWith(server, http.MethodPost, "/v1/completions", body).Code, http.StatusOK)
+
+	runner.job = nil
+	server.RefuseNew()
+	answer := exchangeWith(server, http.MethodPost, "/v1/completions", body)
+	told := decode[ErrorBody](t, answer.Body.String())
+	is.Equal(answer.Code, http.StatusServiceUnavailable)
+	is.Equal(answer.Header().Get("Retry-After"), "1")
+	is.Equal(told.Error.Kind, fault.Leaving)
+	is.Equal(told.Error.Ran, fault.RanNo)
+	is.True(runner.job == nil) // nothing ran
+	is.Equal(exchangeWith(server, http.MethodGet, "/healthz", "").Code, http.StatusOK)
+}
