--- /dev/null
+++ b/internal/backend/registry_test.go
@@ -0,0 +1,209 @@
+package backend_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/fieldpond/fieldpond/internal/backend"
+	"github.com/fieldpond/fieldpond/internal/ident"
+)
+
+const model = ident.Model("m")
+
+var start = time.Unix(1000, 0)
+
+func engine(name ident.Incarnation, version int) backend.Record {
+	return backend.Record{
+		Instance: name, Service: "s", Address: "10.0.0.1:1", Zone: "z", Slots: 8, Revision: 1,
+		Models: map[ident.Model]int{model: version},
+	}
+}
+
+func registry(records ...backend.Record) *backend.Registry {
+	known := backend.NewRegistry(backend.Config{Zone: "z"})
+	known.Update(start, records)
+	return known
+}
+
+func query() *backend.Query {
+	return &backend.Query{Service: "s", Model: model, HomeKey: 42, SharedTokens: 6000, OwnTokens: 100}
+}
+
+func pick(t *testing.T, known *backend.Registry, now time.Time, wanted *backend.Query) (backend.Choice, *backend.Flight) {
+	t.Helper()
+	choice, flight, found := known.Pick(now, wanted)
+	if !found {
+		t.Fatal("no back end was chosen")
+	}
+	return choice, flight
+}
+
+func TestRoutersAgreeOnTheHomeOfAPrompt(t *testing.T) {
+	is := is.New(t)
+	one := registry(engine("a", 1), engine("b", 1), engine("c", 1))
+	other := registry(engine("c", 1), engine("a", 1), engine("b", 1))
+	first, _ := pick(t, one, start, query())
+	second, _ := pick(t, other, start, query())
+	is.Equal(first.Instance, second.Instance)
+	is.True(first.Home)
+}
+
+func TestALoadedHomeIsPassedBy(t *testing.T) {
+	is := is.New(t)
+	known := registry(engine("a", 1), engine("b", 1))
+	home, _ := pick(t, known, start, query())
+	long := query()
+	long.OwnTokens = 40_000
+	pick(t, known, start, long)
+	next, _ := pick(t, known, start, query())
+	is.True(next.Instance != home.Instance)
+}
+
+func TestWhoGetsNoWork(t *testing.T) {
+	draining := engine("a", 1)
+	draining.Draining = true
+	otherModel := engine("a", 1)
+	otherModel.Models = map[ident.Model]int{"other": 1}
+	expired := query()
+	expired.Expiries = []backend.Expiry{{Version: 2, At: start}}
+	excluded := query()
+	excluded.Excluded = []ident.Incarnation{"a"}
+	otherService := query()
+	otherService.Service = "none"
+	cases := []struct {
+		name   string
+		record backend.Record
+		query  *backend.Query
+	}{
+		{"draining", draining, query()},
+		{"without the model", otherModel, query()},
+		{"tried before", engine("a", 1), excluded},
+		{"with expired weights", engine("a", 1), expired},
+		{"of another service", engine("a", 1), otherService},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			_, _, found := registry(c.record).Pick(start, c.query)
+			is.New(t).True(!found)
+		})
+	}
+}
+
+func TestWeightsExpireByWhenTheRequestIsExpectedToBegin(t *testing.T) {
+	is := is.New(t)
+	known := registry(engine("a", 1))
+	wanted := query()
+	wanted.OwnTokens = 10_000 // 260ms of reading
+	wanted.Expiries = []backend.Expiry{{Version: 2, At: start.Add(400 * time.Millisecond)}}
+	_, _, found := known.Pick(start, wanted)
+	is.True(!found)
+	_, _, found = known.Pick(start.Add(-time.Second), wanted)
+	is.True(found)
+}
+
+func TestUncertainWeightsAreALastResort(t *testing.T) {
+	is := is.New(t)
+	known := registry(engine("a", 1), engine("b", 1), engine("c", 2))
+	wanted := query()
+	wanted.Expiries = []backend.Expiry{{Version: 2, At: start.Add(time.Hour), Uncertain: true}}
+	choice, _ := pick(t, known, start, wanted)
+	is.Equal(choice.Instance, ident.Incarnation("c"))
+	wanted.Excluded = []ident.Incarnation{"c"}
+	choice, _ = pick(t, known, start, wanted)
+	is.Equal(choice.Version, 1)
+}
+
+func TestAVersionSeenCountsAtOnce(t *testing.T) {
+	is := is.New(t)
+	known := registry(engine("a", 1))
+	known.VersionSeen("a", model, 3)
+	choice, _ := pick(t, known, start, query())
+	is.Equal(choice.Version, 3)
+	known.VersionSeen("a", model, 2) // older news changes nothing
+	choice, _ = pick(t, known, start, query())
+	is.Equal(choice.Version, 3)
+}
+
+func TestOutcomesKeepWorkAway(t *testing.T) {
+	cases := []struct {
+		outcome backend.Outcome
+		away    bool
+	}{
+		{backend.Answered, false},
+		{backend.Abandoned, false},
+		{backend.Unreachable, true},
+		{backend.Misdirected, true},
+		{backend.Refused, true},
+		{backend.WrongVersion, true},
+		{backend.Broken, true},
+		{backend.Silent, true},
+	}
+	for _, c := range cases {
+		t.Run(c.outcome.String(), func(t *testing.T) {
+			is := is.New(t)
+			known := registry(engine("a", 1), engine("b", 1))
+			first, flight := pick(t, known, start, query())
+			flight.Ended(start, c.outcome)
+			next, other := pick(t, known, start, query())
+			is.Equal(next.Instance != first.Instance, c.away)
+			other.Ended(start, backend.Answered)
+			later, _ := pick(t, known, start.Add(time.Minute), query())
+			is.Equal(later.Instance, first.Instance) // nothing is held against it for ever
+		})
+	}
+}
+
+func TestASilentBackEndGetsNoNewWork(t *testing.T) {
+	is := is.New(t)
+	known := registry(engine("a", 1), engine("b", 1))
+	home, flight := pick(t, known, start, query())
+	later := start.Add(2 * time.Second)
+	next, other := pick(t, known, later, query())
+	is.True(next.Instance != home.Instance)
+	other.Ended(later, backend.Answered)
+	flight.Heard(later)
+	flight.Ended(later, backend.Answered)
+	// The lateness is forgotten too.
+	again, _ := pick(t, known, later.Add(time.Minute), query())
+	is.Equal(again.Instance, home.Instance)
+}
+
+func TestAnOlderListChangesNothing(t *testing.T) {
+	is := is.New(t)
+	known := registry(engine("a", 1))
+	is.Equal(len(known.Update(start.Add(-time.Second), nil)), 0)
+	pick(t, known, start, query())
+	stale := engine("a", 1)
+	stale.Revision = 0
+	stale.Draining = true
+	known.Update(start.Add(time.Second), []backend.Record{stale})
+	pick(t, known, start, query())
+}
+
+func TestChangesOfTheListAreTold(t *testing.T) {
+	is := is.New(t)
+	known := registry(engine("a", 1), engine("b", 1))
+	reloaded := engine("a", 2)
+	reloaded.Revision = 2
+	changes := known.Update(start.Add(time.Second), []backend.Record{reloaded, engine("c", 1)})
+	kinds := map[ident.Incarnation]backend.ChangeKind{}
+	for _, change := range changes {
+		kinds[change.Record.Instance] = change.Kind
+	}
+	is.Equal(kinds, map[ident.Incarnation]backend.ChangeKind{
+		"a": backend.Reloaded, "b": backend.Gone, "c": backend.Appeared,
+	})
+}
+
+func TestAnEndAfterTheBackEndIsGoneDoesNoHarm(t *testing.T) {
+	is := is.New(t)
+	known := registry(engine("a", 1))
+	_, flight := pick(t, known, start, query())
+	is.Equal(known.InFlight(), 1)
+	known.Update(start.Add(time.Second), nil)
+	is.Equal(known.InFlight(), 0)
+	flight.Heard(start)
+	flight.Ended(start, backend.Broken)
+}
--- /dev/null
+++ b/internal/catalog/catalog_test.go
@@ -0,0 +1,111 @@
+package catalog_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/fieldpond/fieldpond/internal/catalog"
+	"github.com/fieldpond/fieldpond/internal/ident"
+)
+
+func snapshot(version uint64) *catalog.Snapshot {
+	return catalog.NewSnapshot(catalog.Content{
+		Version: version,
+		Routes: []catalog.Route{
+			{Name: "short", Host: "a.example", PathPrefix: "/x/", Kind: catalog.Safe},
+			{Name: "long", Host: "a.example", PathPrefix: "/x/y/", Kind: catalog.Unsafe},
+			{Name: "other", Host: "b.example", PathPrefix: "/", Kind: catalog.Streaming, Resumable: true},
+		},
+		Keys: map[string]*catalog.Tenant{"key": {Name: "tenant"}},
+	})
+}
+
+func TestTheLongestPrefixOfTheHostWins(t *testing.T) {
+	cases := []struct{ host, path, route string }{
+		{"a.example", "/x/1", "short"},
+		{"a.example", "/x/y/1", "long"},
+		{"a.example", "/x/yz/1", "short"},
+		{"b.example", "/x/y/1", "other"},
+		{"a.example", "/z", ""},
+		{"c.example", "/x/1", ""},
+	}
+	for _, c := range cases {
+		t.Run(c.host+c.path, func(t *testing.T) {
+			is := is.New(t)
+			route := snapshot(1).Match(c.host, c.path)
+			if c.route == "" {
+				is.True(route == nil)
+				return
+			}
+			is.Equal(route.Name, c.route)
+		})
+	}
+}
+
+func TestOnlySafeAndResumableRequestsRunAgain(t *testing.T) {
+	cases := []struct {
+		route catalog.Route
+		want  bool
+	}{
+		{catalog.Route{Kind: catalog.Safe}, true},
+		{catalog.Route{Kind: catalog.Unsafe}, false},
+		{catalog.Route{Kind: catalog.Unsafe, Resumable: true}, false},
+		{catalog.Route{Kind: catalog.Streaming}, false},
+		{catalog.Route{Kind: catalog.Streaming, Resumable: true}, true},
+	}
+	for _, c := range cases {
+		is.New(t).Equal(c.route.Repeatable(), c.want)
+	}
+}
+
+func TestVersionsOnlyRise(t *testing.T) {
+	is := is.New(t)
+	var holder catalog.Holder
+	start := time.Now()
+	is.True(holder.Adopt(snapshot(5), start))
+	is.True(!holder.Adopt(snapshot(3), start.Add(time.Second))) // an old one is not taken
+	is.Equal(holder.View().Snapshot.Version, uint64(5))
+	is.Equal(holder.View().ConfirmedAt, start) // and confirms nothing
+	is.True(!holder.Adopt(snapshot(5), start.Add(2*time.Second)))
+	is.Equal(holder.View().Age(start.Add(3*time.Second)), time.Second)
+	is.True(!holder.Adopt(snapshot(5), start)) // a late answer makes nothing older
+	is.Equal(holder.View().ConfirmedAt, start.Add(2*time.Second))
+	is.True(holder.Adopt(snapshot(9), start.Add(2*time.Second)))
+}
+
+func TestNamedVersionsOnlyRise(t *testing.T) {
+	is := is.New(t)
+	var holder catalog.Holder
+	model := ident.Model("m")
+	is.True(holder.Named(model, catalog.Naming{Version: 2}))
+	is.True(!holder.Named(model, catalog.Naming{Version: 2}))
+	is.True(!holder.Named(model, catalog.Naming{Version: 1}))
+	before := holder.View()
+	is.True(holder.Named(model, catalog.Naming{Version: 4}))
+	is.Equal(before.Models[model].Version, 2) // a view never changes
+	is.Equal(holder.View().Models[model].Version, 4)
+	is.Equal(len(holder.View().Models[model].Named), 2)
+}
+
+func TestSharesAreMetByAnyShortRun(t *testing.T) {
+	is := is.New(t)
+	splitter := catalog.NewSplitter()
+	route := &catalog.Route{Name: "r", Split: []catalog.Share{{Service: "a", Weight: 9}, {Service: "b", Weight: 1}, {Service: "c"}}}
+	for range 5 {
+		count := map[ident.Service]int{}
+		for range 10 {
+			service, found := splitter.Next(route)
+			is.True(found)
+			count[service]++
+		}
+		is.Equal(count, map[ident.Service]int{"a": 9, "b": 1})
+	}
+	changed := &catalog.Route{Name: "r", Split: []catalog.Share{{Service: "b", Weight: 1}, {Service: "c", Weight: 0}}}
+	service, found := splitter.Next(changed)
+	is.True(found)
+	is.Equal(service, ident.Service("b"))
+	_, found = splitter.Next(&catalog.Route{Name: "none", Split: []catalog.Share{{Service: "a"}, {Service: "b"}}})
+	is.True(!found)
+}
--- /dev/null
+++ b/internal/exchange/exchange_test.go
@@ -0,0 +1,320 @@
+package exchange_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+	"go.uber.org/goleak"
+
+	"github.com/fieldpond/fieldpond/internal/exchange"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// backEnd answers each connection by a function of its own.
+type backEnd struct {
+	listener net.Listener
+	accepted atomic.Int64
+}
+
+func listen(t *testing.T, serve func(connection net.Conn, reader *bufio.Reader)) *backEnd {
+	t.Helper()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &backEnd{listener: listener}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for {
+			connection, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			server.accepted.Add(1)
+			go func() {
+				defer func() { _ = connection.Close() }()
+				serve(connection, bufio.NewReader(connection))
+			}()
+		}
+	}()
+	t.Cleanup(func() {
+		_ = listener.Close()
+		<-done
+	})
+	return server
+}
+
+func (b *backEnd) address() string { return b.listener.Addr().String() }
+
+// readRequest reads one request and its body.
+func readRequest(reader *bufio.Reader) (*http.Request, string, error) {
+	request, err := http.ReadRequest(reader)
+	if err != nil {
+		return nil, "", err
+	}
+	body, err := io.ReadAll(request.Body)
+	return request, string(body), err
+}
+
+// answering sends the same bytes for each request until the client closes.
+func answering(answer string) func(net.Conn, *bufio.Reader) {
+	return func(connection net.Conn, reader *bufio.Reader) {
+		for {
+			if _, _, err := readRequest(reader); err != nil {
+				return
+			}
+			if _, err := io.WriteString(connection, answer); err != nil {
+				return
+			}
+		}
+	}
+}
+
+func ask(id string) *exchange.Request {
+	return &exchange.Request{
+		Method: http.MethodPost, Target: "/a?b=c", Host: "h.example", Body: []byte("body"),
+		Header: http.Header{"Id": {id}, "Connection": {"close"}},
+		Due:    func(header http.Header) bool { return header.Get("Id") == id },
+	}
+}
+
+const whole = "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 2\r\n\r\nok"
+
+func TestAWholeAnswerKeepsItsConnection(t *testing.T) {
+	is := is.New(t)
+	server := listen(t, answering(whole))
+	pool := exchange.NewPool(exchange.Options{})
+	defer pool.CloseIdle(true)
+	for range 3 {
+		response, err := pool.Do(t.Context(), server.address(), ask("1"))
+		is.NoErr(err)
+		body, err := io.ReadAll(response.Body)
+		is.NoErr(err)
+		is.Equal(string(body), "ok")
+		is.NoErr(response.Body.Close())
+	}
+	is.Equal(pool.Opened(), uint64(1))
+}
+
+func TestTheRequestIsWrittenAsGiven(t *testing.T) {
+	is := is.New(t)
+	seen := make(chan *http.Request, 1)
+	server := listen(t, func(connection net.Conn, reader *bufio.Reader) {
+		request, body, err := readRequest(reader)
+		if err != nil || body != "body" {
+			return
+		}
+		seen <- request
+		_, _ = io.WriteString(connection, whole)
+	})
+	pool := exchange.NewPool(exchange.Options{})
+	defer pool.CloseIdle(true)
+	response, err := pool.Do(t.Context(), server.address(), ask("1"))
+	is.NoErr(err)
+	is.NoErr(response.Body.Close())
+	request := <-seen
+	is.Equal(request.RequestURI, "/a?b=c")
+	is.Equal(request.Host, "h.example")
+	is.True(!request.Close) // a header of the other connection is not passed on
+}
+
+func TestAnswersThatMayNotBeTaken(t *testing.T) {
+	cases := []struct{ name, answer string }{
+		{"no answer", ""},
+		{"bytes that are no answer", "garbage\r\n\r\n"},
+		{"cut in the head", "HTTP/1.1 200 OK\r\nId: 1\r\n"},
+		{"cut in the body", "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 9\r\n\r\nok"},
+		{"cut in a chunk", "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nok"},
+		{"chunks without an end", "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n"},
+		{"only answers to others", "HTTP/1.1 200 OK\r\nId: 7\r\nContent-Length: 2\r\n\r\nno"},
+		{"another's answer without a length", "HTTP/1.1 200 OK\r\nId: 7\r\n\r\nno"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			server := listen(t, func(connection net.Conn, reader *bufio.Reader) {
+				_, _, _ = readRequest(reader)
+				_, _ = io.WriteString(connection, c.answer)
+			})
+			pool := exchange.NewPool(exchange.Options{})
+			defer pool.CloseIdle(true)
+			response, err := pool.Do(t.Context(), server.address(), ask("1"))
+			if err == nil {
+				_, err = io.ReadAll(response.Body)
+				_ = response.Body.Close()
+			} else {
+				var failed *exchange.Error
+				is.True(errors.As(err, &failed))
+				is.True(failed.Sent)
+			}
+			is.True(err != nil)
+		})
+	}
+}
+
+func TestTheDueAnswerIsFoundBehindOneInExcess(t *testing.T) {
+	is := is.New(t)
+	server := listen(t, answering("HTTP/1.1 200 OK\r\nId: 7\r\nContent-Length: 2\r\n\r\nno"+whole))
+	pool := exchange.NewPool(exchange.Options{})
+	defer pool.CloseIdle(true)
+	for range 2 {
+		response, err := pool.Do(t.Context(), server.address(), ask("1"))
+		is.NoErr(err)
+		body, err := io.ReadAll(response.Body)
+		is.NoErr(err)
+		is.Equal(string(body), "ok")
+		is.NoErr(response.Body.Close())
+	}
+	is.Equal(pool.Opened(), uint64(2)) // such a connection is not used again
+}
+
+func TestAConnectionWithStrayBytesIsNotReused(t *testing.T) {
+	is := is.New(t)
+	stray := make(chan struct{})
+	server := listen(t, func(connection net.Conn, reader *bufio.Reader) {
+		if _, _, err := readRequest(reader); err != nil {
+			return
+		}
+		_, _ = io.WriteString(connection, whole)
+		time.Sleep(5 * time.Millisecond)
+		_, _ = io.WriteString(connection, whole)
+		stray <- struct{}{}
+		_, _, _ = readRequest(reader)
+	})
+	pool := exchange.NewPool(exchange.Options{})
+	defer pool.CloseIdle(true)
+	for range 2 {
+		response, err := pool.Do(t.Context(), server.address(), ask("1"))
+		is.NoErr(err)
+		_, err = io.ReadAll(response.Body)
+		is.NoErr(err)
+		is.NoErr(response.Body.Close())
+		<-stray
+	}
+	is.Equal(pool.Opened(), uint64(2))
+}
+
+func TestAnEarlyAnswerEndsItsConnection(t *testing.T) {
+	is := is.New(t)
+	server := listen(t, func(connection net.Conn, reader *bufio.Reader) {
+		if _, err := http.ReadRequest(reader); err != nil {
+			return
+		}
+		_, _ = io.WriteString(connection, whole)
+		_, _ = io.Copy(io.Discard, reader)
+	})
+	pool := exchange.NewPool(exchange.Options{})
+	defer pool.CloseIdle(true)
+	long := ask("1")
+	long.Body = []byte(strings.Repeat("x", 32<<20)) // more than the sockets hold
+	for range 2 {
+		response, err := pool.Do(t.Context(), server.address(), long)
+		is.NoErr(err)
+		_, err = io.ReadAll(response.Body)
+		is.NoErr(err)
+		is.NoErr(response.Body.Close())
+	}
+	is.Equal(pool.Opened(), uint64(2))
+}
+
+func TestWhatNeverLeftIsSaid(t *testing.T) {
+	is := is.New(t)
+	server := listen(t, answering(whole))
+	address := server.address()
+	_ = server.listener.Close()
+	_, err := exchange.NewPool(exchange.Options{}).Do(t.Context(), address, ask("1"))
+	var failed *exchange.Error
+	is.True(errors.As(err, &failed))
+	is.True(!failed.Sent)
+}
+
+func TestConnectionsToAnAddressAreBounded(t *testing.T) {
+	is := is.New(t)
+	server := listen(t, answering(whole))
+	pool := exchange.NewPool(exchange.Options{})
+	defer pool.CloseIdle(true)
+	bounded := ask("1")
+	bounded.MaxConnections = 1
+	first, err := pool.Do(t.Context(), server.address(), bounded)
+	is.NoErr(err)
+	_, err = pool.Do(t.Context(), server.address(), bounded)
+	is.True(errors.Is(err, exchange.ErrConnectionLimit))
+	is.NoErr(first.Body.Close())
+	second, err := pool.Do(t.Context(), server.address(), bounded)
+	is.NoErr(err)
+	is.NoErr(second.Body.Close())
+}
+
+func TestAGivenUpExchangeEndsTheConnection(t *testing.T) {
+	is := is.New(t)
+	closed := make(chan struct{})
+	server := listen(t, func(connection net.Conn, reader *bufio.Reader) {
+		_, _, _ = readRequest(reader)
+		_, _ = io.WriteString(connection, "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 9\r\n\r\nok")
+		_, _ = reader.ReadByte()
+		close(closed)
+	})
+	pool := exchange.NewPool(exchange.Options{})
+	ctx, cancel := context.WithCancel(t.Context())
+	response, err := pool.Do(ctx, server.address(), ask("1"))
+	is.NoErr(err)
+	cancel()
+	<-closed
+	_, err = io.ReadAll(response.Body)
+	is.True(err != nil)
+	_ = response.Body.Close()
+}
+
+func TestAnAnswerEndedByItsConnection(t *testing.T) {
+	cases := []struct {
+		name  string
+		reset bool
+	}{{"closed", false}, {"reset", true}}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			server := listen(t, func(connection net.Conn, reader *bufio.Reader) {
+				_, _, _ = readRequest(reader)
+				_, _ = io.WriteString(connection, "HTTP/1.1 200 OK\r\nId: 1\r\n\r\nok")
+				if c.reset {
+					time.Sleep(5 * time.Millisecond)
+					_ = connection.(*net.TCPConn).SetLinger(0)
+				}
+			})
+			pool := exchange.NewPool(exchange.Options{})
+			response, err := pool.Do(t.Context(), server.address(), ask("1"))
+			is.NoErr(err)
+			body, err := io.ReadAll(response.Body)
+			is.Equal(string(body), "ok")
+			is.Equal(err != nil, c.reset) // a reset proves no end
+			is.NoErr(response.Body.Close())
+		})
+	}
+}
+
+func TestRestingConnectionsAreDroppedBeforeTheirPeerDoes(t *testing.T) {
+	is := is.New(t)
+	server := listen(t, answering("HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 2\r\nKeep-Alive: timeout=1\r\n\r\nok"))
+	pool := exchange.NewPool(exchange.Options{})
+	response, err := pool.Do(t.Context(), server.address(), ask("1"))
+	is.NoErr(err)
+	_, err = io.ReadAll(response.Body)
+	is.NoErr(err)
+	is.NoErr(response.Body.Close())
+	time.Sleep(850 * time.Millisecond) // past the margin before the second told
+	response, err = pool.Do(t.Context(), server.address(), ask("1"))
+	is.NoErr(err)
+	is.NoErr(response.Body.Close())
+	is.Equal(pool.Opened(), uint64(2))
+}
--- /dev/null
+++ b/internal/forward/forwarder_test.go
@@ -0,0 +1,291 @@
+package forward_test
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/fieldpond/fieldpond/internal/backend"
+	"github.com/fieldpond/fieldpond/internal/catalog"
+	"github.com/fieldpond/fieldpond/internal/fault"
+	"github.com/fieldpond/fieldpond/internal/forward"
+	"github.com/fieldpond/fieldpond/internal/ident"
+)
+
+func TestRequestsThatAreRefusedUnsent(t *testing.T) {
+	cases := []struct {
+		name    string
+		change  func(b *bench, wanted *forward.Request)
+		age     time.Duration
+		kind    fault.Kind
+		returns bool
+	}{
+		{"no route", func(_ *bench, wanted *forward.Request) { wanted.Path = "/none/" }, 0, fault.UnknownRoute, false},
+		{"no route, as far as an old configuration tells", func(_ *bench, wanted *forward.Request) { wanted.Path = "/none/" }, 2 * time.Second, fault.NotReady, true},
+		{"unknown key", func(_ *bench, wanted *forward.Request) { wanted.Key = "x" }, 0, fault.Unauthorized, false},
+		{"no key", func(_ *bench, wanted *forward.Request) { wanted.Key = "" }, 0, fault.Unauthorized, false},
+		{"unknown key, as far as an old configuration tells", func(_ *bench, wanted *forward.Request) { wanted.Key = "x" }, 2 * time.Second, fault.NotReady, true},
+		{"a known key that may have been revoked", func(*bench, *forward.Request) {}, 5 * time.Second, fault.NotReady, true},
+		{"no back end", func(b *bench, _ *forward.Request) { b.backends.Update(time.Now(), nil) }, 0, fault.NoPermittedEngine, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				b := newBench(genuine(200, "ok"))
+				time.Sleep(c.age)
+				wanted := request("safe")
+				c.change(b, wanted)
+				sink := b.forward(t, wanted)
+				is.True(sink.refusal != nil)
+				is.Equal(sink.refusal.Kind, c.kind)
+				is.Equal(sink.refusal.Ran, fault.RanNo)
+				is.Equal(sink.refusal.RetryAfter > 0, c.returns)
+				is.Equal(len(b.caller.sent()), 0)
+				is.True(sink.at.Sub(wanted.ReceivedAt) <= 100*time.Millisecond) // given up at once
+			})
+		})
+	}
+}
+
+func TestNothingIsKnownBeforeTheFirstConfiguration(t *testing.T) {
+	is := is.New(t)
+	forwarder := forward.New(forward.Config{}, forward.Dependencies{
+		Holder: &catalog.Holder{}, Backends: backend.NewRegistry(backend.Config{}),
+		Caller: &fakeCaller{}, Record: func(forward.Step) {},
+	})
+	sink := &fakeSink{}
+	forwarder.Forward(t.Context(), request("safe"), sink)
+	is.Equal(sink.refusal.Kind, fault.NotReady)
+}
+
+func TestPublicRoutesNeedNoFreshKey(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := newBench(genuine(200, "ok"))
+		time.Sleep(time.Minute)
+		wanted := request("public")
+		wanted.Key = ""
+		is.Equal(b.forward(t, wanted).status, 200)
+		is.Equal(b.caller.sent()[0].Tenant, ident.Tenant(""))
+	})
+}
+
+// A key that is taken away while its request waits is not used any more.
+func TestAKeyIsConfirmedBeforeEachAttempt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var b *bench
+		b = newBench(func(ctx context.Context, attempt *forward.Attempt) (*forward.Reply, error) {
+			without := configuration
+			without.Version++
+			without.Keys = map[string]*catalog.Tenant{}
+			b.holder.Adopt(catalog.NewSnapshot(without), time.Now())
+			return failing(true)(ctx, attempt)
+		}, genuine(200, "ok"))
+		sink := b.forward(t, request("safe"))
+		is.True(sink.refusal != nil)
+		is.Equal(len(b.caller.sent()), 1)
+	})
+}
+
+func TestWhatBecomesOfAttempts(t *testing.T) {
+	cases := []struct {
+		name    string
+		route   string
+		answers []answer
+		sends   int
+		// status is that of the final answer; kind that of a refusal.
+		status int
+		kind   fault.Kind
+		ran    fault.Ran
+	}{
+		{"answered", "unsafe", []answer{genuine(200, "ok")}, 1, 200, "", ""},
+		{"a failure of the back end is passed on", "unsafe", []answer{genuine(500, "no")}, 1, 500, "", ""},
+		{"a client's mistake is passed on", "safe", []answer{genuine(409, "no")}, 1, 409, "", ""},
+		{"a safe request is tried elsewhere after a failure", "safe", []answer{genuine(500, "no"), genuine(200, "ok")}, 2, 200, "", ""},
+		{"both fail", "safe", []answer{genuine(500, "no"), genuine(501, "no")}, 2, 501, "", ""},
+		{"an unsafe request never runs twice", "unsafe", []answer{failing(true), genuine(200, "ok")}, 1, 0, fault.OutcomeUnknown, fault.RanUnknown},
+		{"an unsafe answer that breaks off", "unsafe", []answer{breaking("half")}, 1, 0, fault.OutcomeUnknown, fault.RanUnknown},
+		{"an unsafe answer that is unsound", "unsafe", []answer{refusing(forward.Unsound)}, 1, 0, fault.OutcomeUnknown, fault.RanUnknown},
+		{"an unsafe request that did not leave", "unsafe", []answer{failing(false), genuine(200, "ok")}, 2, 200, "", ""},
+		{"an unsafe request that was refused", "unsafe", []answer{refusing(forward.NotExecuted), genuine(200, "ok")}, 2, 200, "", ""},
+		{"another instance has the address", "unsafe", []answer{refusing(forward.OtherInstance), genuine(200, "ok")}, 2, 200, "", ""},
+		{"the weights are others", "unsafe", []answer{refusing(forward.OtherVersion), genuine(200, "ok")}, 2, 200, "", ""},
+		{"all refuse", "unsafe", []answer{refusing(forward.NotExecuted)}, 3, 0, fault.NoPermittedEngine, fault.RanNo},
+		{"a safe answer that breaks off", "safe", []answer{breaking("half"), genuine(200, "ok")}, 2, 200, "", ""},
+		{"a safe request runs on two back ends at most", "safe", []answer{failing(true)}, 2, 0, fault.BackendLost, fault.RanUnknown},
+		{"refused after it may have run", "safe", []answer{failing(true), refusing(forward.NotExecuted)}, 3, 0, fault.BackendLost, fault.RanUnknown},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				b := newBench(c.answers...)
+				wanted := request(c.route)
+				sink := b.forward(t, wanted)
+				is.Equal(len(b.caller.sent()), c.sends)
+				if c.kind == "" {
+					is.Equal(sink.status, c.status)
+					is.True(sink.refusal == nil)
+					return
+				}
+				is.True(sink.refusal != nil)
+				is.Equal(sink.refusal.Kind, c.kind)
+				is.Equal(sink.refusal.Ran, c.ran)
+				if c.ran != fault.RanNo {
+					status := c.kind.Status()
+					is.True(status != http.StatusServiceUnavailable && status != http.StatusTooManyRequests)
+				}
+			})
+		})
+	}
+}
+
+func TestNoBackEndGetsARequestTwice(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := newBench(refusing(forward.NotExecuted))
+		b.forward(t, request("safe"))
+		tried := map[ident.Incarnation]bool{}
+		for _, attempt := range b.caller.sent() {
+			is.True(!tried[attempt.Target.Instance])
+			tried[attempt.Target.Instance] = true
+		}
+	})
+}
+
+func TestAMuteBackEndIsGivenUpForAnother(t *testing.T) {
+	cases := []struct {
+		route  string
+		sends  int
+		status int
+		within time.Duration
+	}{
+		{"safe", 2, 200, 300 * time.Millisecond},
+		{"resumable", 2, 200, time.Second},
+		{"unsafe", 1, 0, 2*time.Second + time.Millisecond},
+		{"stream", 1, 0, 5*time.Second + time.Millisecond},
+	}
+	for _, c := range cases {
+		t.Run(c.route, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				b := newBench(hanging(""), genuine(200, "id: 1\n\n"))
+				begun := time.Now()
+				sink := b.forward(t, request(c.route))
+				is.Equal(sink.status, c.status)
+				is.Equal(len(b.caller.sent()), c.sends)
+				is.True(time.Since(begun) <= c.within)
+				if c.status == 0 {
+					is.Equal(sink.refusal.Kind, fault.Timeout) // no promise that it did not run
+				}
+			})
+		})
+	}
+}
+
+// An attempt is not cut off for a repeat that the budget does not grant.
+func TestAnAttemptIsKeptWhileNoRepeatIsLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := newBench(func(ctx context.Context, attempt *forward.Attempt) (*forward.Reply, error) {
+			time.Sleep(time.Second)
+			if ctx.Err() != nil {
+				return hanging("")(ctx, attempt)
+			}
+			return genuine(200, "ok")(ctx, attempt)
+		})
+		exhaust(t, b)
+		sink := b.forward(t, request("safe"))
+		is.Equal(sink.status, 200)
+		is.Equal(len(b.caller.sent()), 1)
+	})
+}
+
+// exhaust uses up the repeats of the service.
+func exhaust(t *testing.T, b *bench) {
+	t.Helper()
+	kept := b.caller.answers
+	b.caller.answers = []answer{refusing(forward.NotExecuted)}
+	for range 10 {
+		b.forward(t, request("unsafe"))
+		time.Sleep(500 * time.Millisecond)
+		b.holder.Adopt(b.holder.View().Snapshot, time.Now())
+	}
+	b.caller.answers = kept
+	b.caller.attempts = nil
+}
+
+func TestRepeatsStayInTheBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := newBench(refusing(forward.NotExecuted))
+		const requests = 50
+		for number := range requests {
+			wanted := request("unsafe")
+			wanted.ID = ident.Request(strconv.Itoa(number))
+			b.forward(t, wanted)
+		}
+		sends := map[ident.Request]int{}
+		repeats := 0
+		for _, attempt := range b.caller.sent() {
+			if sends[attempt.Request.ID]++; sends[attempt.Request.ID] > 1 {
+				repeats++
+			}
+		}
+		is.True(repeats <= requests/5+5)
+		is.True(repeats > 0)
+	})
+}
+
+func TestAClientThatLeftEndsTheAttempt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := newBench(hanging(""))
+		ctx, leave := context.WithCancel(t.Context())
+		time.AfterFunc(50*time.Millisecond, leave)
+		sink := &fakeSink{}
+		begun := time.Now()
+		b.forwarder.Forward(ctx, request("safe"), sink)
+		is.True(sink.aborted)
+		is.Equal(sink.finals, 0)
+		is.Equal(time.Since(begun), 50*time.Millisecond)
+		is.Equal(len(b.caller.sent()), 1)
+		is.Equal(b.backends.InFlight(), 0)
+	})
+}
+
+func TestWhatAnAttemptCarries(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := newBench(genuine(200, "id: 1\n\n"))
+		prompt := &forward.Prompt{Model: "m", Parts: []forward.Part{{ID: "x", Tokens: 10}, {ID: "y", Tokens: 20}, {ID: "z", Tokens: 5}}}
+		send := func(key string, wait time.Duration) forward.Attempt {
+			wanted := request("resumable")
+			wanted.Key, wanted.Prompt, wanted.Wait = key, prompt, wait
+			b.forward(t, wanted)
+			sent := b.caller.sent()
+			return sent[len(sent)-1]
+		}
+		first := send("key", 3*time.Second)
+		is.Equal(first.Remaining, 3*time.Second)
+		is.Equal(first.Version, 2)
+		is.Equal(first.FetchFrom, "10.9.9.9:1")
+		is.Equal(first.SaveTo, "10.9.9.9:1")
+		is.Equal(first.Tenant, ident.Tenant("tenant"))
+		is.Equal(first.Priority, 3)
+		second := send("key", time.Hour)
+		is.Equal(second.Remaining, 9*time.Second) // the route's own time binds
+		is.Equal(second.SaveTo, "")               // saved by the first
+		is.Equal(second.Target.Instance, first.Target.Instance)
+		walled := send("walled", time.Second)
+		is.True(walled.Salt != first.Salt)
+		is.Equal(walled.SaveTo, "10.9.9.9:1")
+	})
+}
--- /dev/null
+++ b/internal/rollout/planner_test.go
@@ -0,0 +1,206 @@
+package rollout_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/fieldpond/fieldpond/internal/backend"
+	"github.com/fieldpond/fieldpond/internal/catalog"
+	"github.com/fieldpond/fieldpond/internal/ident"
+	"github.com/fieldpond/fieldpond/internal/rollout"
+)
+
+const model = ident.Model("m")
+
+var (
+	start  = time.Unix(1000, 0)
+	config = rollout.Config{Deadline: 8 * time.Second, LoadTime: time.Second, Parallel: 2, Margin: time.Second}
+)
+
+// fleet models engines that take orders as the planner is told they do.
+type fleet struct {
+	versions map[ident.Incarnation]int
+	orders   map[ident.Incarnation]uint64
+	loads    int
+	fences   []uint64
+}
+
+func newFleet(count int) *fleet {
+	engines := &fleet{versions: map[ident.Incarnation]int{}, orders: map[ident.Incarnation]uint64{}}
+	for index := range count {
+		engines.versions[ident.Incarnation(fmt.Sprintf("i-%02d", index))] = 1
+	}
+	return engines
+}
+
+func (f *fleet) records() []backend.Record {
+	var records []backend.Record
+	for name, version := range f.versions {
+		records = append(records, backend.Record{Instance: name, Models: map[ident.Model]int{model: version}})
+	}
+	return records
+}
+
+// take carries out an order if its sequence number is the engine's.
+func (f *fleet) take(order *rollout.Order) rollout.Result {
+	name := order.Target.Instance
+	if order.Sequence != f.orders[name] {
+		return rollout.Conflicting
+	}
+	f.orders[name]++
+	f.versions[name] = order.Version
+	f.loads++
+	f.fences = append(f.fences, order.Fence)
+	return rollout.Accepted
+}
+
+func (f *fleet) report(name ident.Incarnation) *rollout.Report {
+	return &rollout.Report{Versions: map[ident.Model]int{model: f.versions[name]}, Sequence: f.orders[name]}
+}
+
+func named(namings ...catalog.Naming) map[ident.Model]catalog.NamedVersion {
+	return map[ident.Model]catalog.NamedVersion{model: {Version: namings[len(namings)-1].Version, Named: namings}}
+}
+
+// play runs the planner against the fleet in steps of 100ms.
+func play(planner *rollout.Planner, engines *fleet, models map[ident.Model]catalog.NamedVersion, from, to time.Duration) {
+	for at := from; at < to; at += 100 * time.Millisecond {
+		now := start.Add(at)
+		planner.Observe(engines.records(), models)
+		for _, action := range planner.Plan(now, 7) {
+			if action.Order == nil {
+				planner.Reported(now, action.Target.Instance, engines.report(action.Target.Instance))
+				continue
+			}
+			planner.Ordered(now, action.Order, engines.take(action.Order))
+		}
+	}
+}
+
+func TestEveryEngineIsBroughtToTheNewestVersionInTime(t *testing.T) {
+	is := is.New(t)
+	engines := newFleet(6)
+	planner := rollout.NewPlanner(config)
+	play(planner, engines, named(catalog.Naming{Version: 2, SeenAt: start}), 0, 8*time.Second)
+	for _, version := range engines.versions {
+		is.Equal(version, 2)
+	}
+	is.Equal(engines.loads, 6)
+}
+
+func TestVersionsThatComeFastAreTakenInOneLoad(t *testing.T) {
+	is := is.New(t)
+	engines := newFleet(2)
+	planner := rollout.NewPlanner(config)
+	models := named(
+		catalog.Naming{Version: 2, SeenAt: start},
+		catalog.Naming{Version: 3, SeenAt: start.Add(time.Second)},
+		catalog.Naming{Version: 5, SeenAt: start.Add(2 * time.Second)},
+	)
+	play(planner, engines, models, 2*time.Second, 8*time.Second)
+	is.Equal(engines.loads, 2)
+	is.Equal(engines.versions["i-00"], 5)
+}
+
+func TestNothingIsOrderedBeforeTheDeadlineCallsForIt(t *testing.T) {
+	is := is.New(t)
+	engines := newFleet(2)
+	planner := rollout.NewPlanner(config)
+	models := named(catalog.Naming{Version: 2, SeenAt: start})
+	play(planner, engines, models, 0, 5*time.Second)
+	is.Equal(engines.loads, 0) // one round and the margin need 2s of 8s
+	play(planner, engines, models, 5*time.Second, 8*time.Second)
+	is.Equal(engines.loads, 2)
+}
+
+func TestNoMoreEnginesAreChangedAtOnceThanAllowed(t *testing.T) {
+	is := is.New(t)
+	engines := newFleet(6)
+	planner := rollout.NewPlanner(config)
+	planner.Observe(engines.records(), named(catalog.Naming{Version: 2, SeenAt: start}))
+	late := start.Add(7 * time.Second)
+	actions := planner.Plan(late, 7)
+	is.Equal(len(actions), 2)
+	is.Equal(len(planner.Plan(late, 7)), 0) // none is asked twice at a time
+}
+
+// An order without an answer may be carried out seconds later. Its sequence
+// number makes sure that of it and its repeat only one is.
+func TestAnUnansweredOrderIsSettledByTheReport(t *testing.T) {
+	is := is.New(t)
+	engines := newFleet(1)
+	planner := rollout.NewPlanner(config)
+	models := named(catalog.Naming{Version: 2, SeenAt: start.Add(-7 * time.Second)})
+	var lost *rollout.Order
+	repeats := 0
+	for at := time.Duration(0); at < 4*time.Second; at += 100 * time.Millisecond {
+		now := start.Add(at)
+		planner.Observe(engines.records(), models)
+		for _, action := range planner.Plan(now, 7) {
+			switch {
+			case action.Order == nil:
+				planner.Reported(now, action.Target.Instance, engines.report(action.Target.Instance))
+			case lost == nil:
+				lost = action.Order
+				planner.Ordered(now, lost, rollout.Unanswered)
+			default:
+				repeats++
+				planner.Ordered(now, action.Order, engines.take(action.Order))
+			}
+		}
+	}
+	is.Equal(repeats, 1)
+	is.Equal(engines.versions["i-00"], 2)
+	is.Equal(engines.take(lost), rollout.Conflicting) // the late one does nothing
+	is.Equal(engines.loads, 1)
+}
+
+func TestResultsOfOrders(t *testing.T) {
+	cases := []struct {
+		result rollout.Result
+		again  time.Duration
+	}{
+		{rollout.Conflicting, time.Second},
+		{rollout.Outdated, time.Second},
+		{rollout.NotSent, time.Second},
+		{rollout.Gone, time.Second},
+		{rollout.Unanswered, 2 * time.Second},
+	}
+	for _, c := range cases {
+		t.Run(fmt.Sprint(c.result), func(t *testing.T) {
+			is := is.New(t)
+			engines := newFleet(1)
+			planner := rollout.NewPlanner(config)
+			models := named(catalog.Naming{Version: 2, SeenAt: start.Add(-8 * time.Second)})
+			failed := false
+			for at := time.Duration(0); at <= c.again+300*time.Millisecond; at += 100 * time.Millisecond {
+				now := start.Add(at)
+				planner.Observe(engines.records(), models)
+				for _, action := range planner.Plan(now, 7) {
+					switch {
+					case action.Order == nil:
+						planner.Reported(now, action.Target.Instance, engines.report(action.Target.Instance))
+					case !failed:
+						failed = true
+						planner.Ordered(now, action.Order, c.result)
+					default:
+						planner.Ordered(now, action.Order, engines.take(action.Order))
+					}
+				}
+			}
+			is.Equal(engines.versions["i-00"], 2) // the engine is tried again
+		})
+	}
+}
+
+func TestEnginesThatLeaveAreNotChanged(t *testing.T) {
+	is := is.New(t)
+	planner := rollout.NewPlanner(config)
+	records := newFleet(1).records()
+	records[0].Draining = true
+	planner.Observe(records, named(catalog.Naming{Version: 2, SeenAt: start}))
+	is.Equal(len(planner.Plan(start.Add(7*time.Second), 7)), 0)
+}
