Keep the time of namings in the store, and hand a lease over without a needless wait

Change: the first router to see a version keeps the store's time of it in a row of its own, read once at a start; a release tells what is left of the quiet time; a stopping router releases the lease at once.

--- a/internal/lease/keeper.go
+++ b/internal/lease/keeper.go
@@ -58,6 +58,18 @@
 	return k.machine.Held(time.Now())
 }
 
+// Use returns the grant like Held, and takes in that the holder acts now.
+func (k *Keeper) Use() (Grant, error) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	now := time.Now()
+	grant, err := k.machine.Held(now)
+	if err == nil {
+		k.machine.Used(now)
+	}
+	return grant, err
+}
+
 // Holder returns the holder as last seen; see Machine.Holder.
 func (k *Keeper) Holder() ident.Node {
 	k.mutex.Lock()
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -46,6 +46,9 @@
 	RetryPause time.Duration
 	// ExchangeTimeout bounds one exchange with the table. Default: Duration / 6.
 	ExchangeTimeout time.Duration
+	// Quiet is how long after the last action of one holder the next one may
+	// act first. Default: 0.
+	Quiet time.Duration
 }
 
 const (
@@ -82,6 +85,8 @@
 	Fence uint64
 	// Until is when the holder counts itself lapsed unless renewed by then.
 	Until time.Time
+	// QuietUntil is when the holder may act first; see Config.Quiet.
+	QuietUntil time.Time
 }
 
 // Counters counts what a Machine did.
@@ -108,6 +113,8 @@
 	Duration time.Duration `cbor:"4,keyasint"`
 	// Renewals counts the renewals under this fence.
 	Renewals uint64 `cbor:"5,keyasint"`
+	// Quiet is what was left of Config.Quiet when the holder released the lease.
+	Quiet time.Duration `cbor:"6,keyasint,omitempty"`
 }
 
 // counterRecord is the value of the counter row.
--- a/internal/lease/machine.go
+++ b/internal/lease/machine.go
@@ -65,11 +65,14 @@
 	seenAt   time.Time
 	counter  protocol.Row
 
-	held     bool
-	until    time.Time
-	inFlight *Exchange
-	nextAt   time.Time
-	counters Counters
+	held  bool
+	until time.Time
+	// quietUntil ends the wait after the last holder's actions, usedAt is when
+	// this session last acted.
+	quietUntil, usedAt time.Time
+	inFlight           *Exchange
+	nextAt             time.Time
+	counters           Counters
 }
 
 // NewMachine returns a machine that does not contend yet. The session must
@@ -108,7 +111,33 @@
 	if !m.held || !now.Before(m.until) {
 		return Grant{}, ErrNotHeld
 	}
-	return Grant{Fence: m.record.Fence, Until: m.until}, nil
+	return Grant{Fence: m.record.Fence, Until: m.until, QuietUntil: m.quietUntil}, nil
+}
+
+// Used takes in that the holder acts at a time under its grant.
+func (m *Machine) Used(now time.Time) { m.usedAt = now }
+
+// quietLeft returns how long the next holder has to wait after a release now.
+func (m *Machine) quietLeft(now time.Time) time.Duration {
+	left := m.quietUntil
+	if used := m.usedAt.Add(m.config.Quiet); !m.usedAt.IsZero() && used.After(left) {
+		left = used
+	}
+	return max(left.Sub(now), 0)
+}
+
+// quietAfter returns until when the actions of the holder last seen forbid
+// others: a row that names no holder says it itself; one that ran out may have
+// been acted under until now.
+func (m *Machine) quietAfter(now time.Time) time.Time {
+	switch {
+	case m.row.Version == 0:
+		return now
+	case m.free():
+		return m.seenAt.Add(m.record.Quiet)
+	default:
+		return now.Add(m.config.Quiet)
+	}
 }
 
 // Holder returns the node that the row last seen names as holder, or "". Only
@@ -171,13 +200,14 @@
 	case !m.observed:
 		return m.observe()
 	case m.mine() && !m.contends:
-		return m.write(Release, Record{Fence: m.record.Fence, Duration: m.config.Duration})
+		return m.write(Release, Record{Fence: m.record.Fence, Duration: m.config.Duration, Quiet: m.quietLeft(now)})
 	case m.mine() && m.record.Fence > m.floor:
 		renewed := m.record
 		renewed.Duration = m.config.Duration
 		renewed.Renewals++
 		return m.write(Renew, renewed)
 	case m.mine() || m.free() || !now.Before(m.seenAt.Add(m.record.Duration)):
+		m.quietUntil = m.quietAfter(now)
 		return m.acquire()
 	}
 	return m.observe()
--- a/internal/lease/machine_test.go
+++ b/internal/lease/machine_test.go
@@ -28,6 +28,9 @@
 	ticks    = 400
 	timeout  = 1500 * time.Millisecond
 	duration = 9 * time.Second
+	quiet    = 3 * time.Second
+	// slowest is the rate of the slowest clock, by which a wait may be shorter.
+	slowest = 0.9
 )
 
 // call is one exchange under way. Its effect may come after the caller has
@@ -66,13 +69,17 @@
 	engine   uint64
 	executed []uint64
 	deletes  bool
+	// actedAt and actedFence are those of the last order decided.
+	actedAt    time.Time
+	actedFence uint64
+	turns      int
 }
 
 func newWorld(t *rapid.T) *world {
 	w := &world{t: t, now: epoch, table: newTableModel(), owners: map[uint64]int{}, deletes: rapid.Bool().Draw(t, "deletes")}
 	for index := range 3 {
 		one := &node{rate: rapid.Float64Range(0.95, 1.05).Draw(t, "rate")}
-		one.machine = NewMachine(Config{Duration: duration}, "x", ident.Node(fmt.Sprint(index)), fmt.Sprint("session-", index))
+		one.machine = NewMachine(Config{Duration: duration, Quiet: quiet}, "x", ident.Node(fmt.Sprint(index)), fmt.Sprint("session-", index))
 		one.machine.Contend(w.local(one), true)
 		w.nodes = append(w.nodes, one)
 	}
@@ -160,11 +167,25 @@
 		w.t.Fatalf("fence %d is held by nodes %d and %d", grant.Fence, owner, index)
 	}
 	w.owners[grant.Fence] = index
-	if w.oneIn("order", 4) {
+	if w.oneIn("order", 4) && !w.local(one).Before(grant.QuietUntil) {
+		one.machine.Used(w.local(one))
+		w.act(grant.Fence)
 		w.orders = append(w.orders, order{grant.Fence, w.after("arrives", 25*time.Second)})
 	}
 }
 
+// act checks that the orders of two holders are the quiet time apart.
+func (w *world) act(fence uint64) {
+	if fence != w.actedFence && !w.actedAt.IsZero() {
+		w.turns++
+		apart := w.now.Sub(w.actedAt)
+		if least := time.Duration(slowest * float64(quiet)); apart < least && !w.deletes {
+			w.t.Fatalf("fence %d acts %v after fence %d", fence, apart, w.actedFence)
+		}
+	}
+	w.actedAt, w.actedFence = w.now, fence
+}
+
 // arrive brings orders to an engine that refuses older fences.
 func (w *world) arrive() {
 	for _, sent := range w.orders {
@@ -202,7 +223,7 @@
 }
 
 func TestOneHolderAndRisingFencesInAnyHistory(t *testing.T) {
-	acquired, refused := 0, 0
+	acquired, refused, turns := 0, 0, 0
 	rapid.Check(t, func(t *rapid.T) {
 		w := newWorld(t)
 		for range ticks {
@@ -210,9 +231,11 @@
 		}
 		acquired += len(w.taken)
 		refused += len(w.orders) - len(w.executed)
+		turns += w.turns
 	})
 	t.Logf("%d acquisitions, %d orders refused or under way", acquired, refused)
-	if acquired < 1000 || refused < 1000 {
+	t.Logf("%d times another holder ordered next", turns)
+	if acquired < 1000 || refused < 1000 || turns < 1000 {
 		t.Fatal("the histories hardly change holders or refuse no order: the test sees nothing")
 	}
 }
@@ -239,3 +262,51 @@
 		t.Fatalf("fence %d, wanted 42 (%v)", grant.Fence, err)
 	}
 }
+
+// An idle holder that hands over leaves nothing to wait for; one that has just
+// acted leaves the rest of the quiet time.
+func TestAReleaseTellsWhatIsLeftOfTheQuietTime(t *testing.T) {
+	cases := []struct {
+		name   string
+		idle   time.Duration
+		waited time.Duration
+	}{
+		{"never acted", -1, 0},
+		{"acted long ago", 5 * time.Second, 0},
+		{"acted just now", time.Second, 2 * time.Second},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			table := newTableModel()
+			config := Config{Duration: duration, Quiet: quiet}
+			first := NewMachine(config, "x", "a", "s1")
+			second := NewMachine(config, "x", "b", "s2")
+			settle := func(machine *Machine, now time.Time) {
+				for range 5 {
+					if exchange, due := machine.Advance(now); due {
+						machine.Done(now, table.run(exchange))
+					}
+				}
+			}
+			first.Contend(epoch, true)
+			settle(first, epoch)
+			now := epoch
+			if c.idle >= 0 {
+				first.Used(now)
+				now = now.Add(c.idle)
+				settle(first, now)
+			}
+			first.Contend(now, false)
+			settle(first, now)
+			second.Contend(now, true)
+			settle(second, now)
+			grant, err := second.Held(now)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if waited := max(grant.QuietUntil.Sub(now), 0); waited != c.waited {
+				t.Fatalf("waits %v, wanted %v", waited, c.waited)
+			}
+		})
+	}
+}
--- a/internal/node/follower.go
+++ b/internal/node/follower.go
@@ -8,6 +8,7 @@
 
 	"github.com/fieldpond/fieldpond/internal/backend"
 	"github.com/fieldpond/fieldpond/internal/catalog"
+	"github.com/fieldpond/fieldpond/internal/ident"
 )
 
 // follower keeps the configuration and the list of back ends up to date, by
@@ -19,6 +20,7 @@
 	holder   *catalog.Holder
 	backends *backend.Registry
 	config   FollowConfig
+	namings  *namings
 	// revision is that of the configuration last decoded.
 	revision uint64
 	// looked is true after the first read of the configuration.
@@ -76,13 +78,7 @@
 	if err != nil {
 		return err
 	}
-	for model, version := range reading.Models {
-		naming := catalog.Naming{Version: version, SeenAt: time.Now(), Met: !f.looked}
-		if f.holder.Named(model, naming) {
-			log.WithFields(log.Fields{"model": model, "version": version, "met": naming.Met}).Info("version_named")
-		}
-	}
-	f.looked = true
+	f.readNamings(ctx, askedAt, &reading)
 	if reading.Revision == 0 {
 		return nil
 	}
@@ -103,6 +99,41 @@
 	return nil
 }
 
+// readNamings takes in the versions of weights that are named. One that is
+// there at the first look may have been named long before.
+func (f *follower) readNamings(ctx context.Context, askedAt time.Time, reading *Reading) {
+	for model, version := range reading.Models {
+		if !f.looked {
+			f.recallNamings(ctx, askedAt, reading.StoreTime, model)
+		}
+		naming := catalog.Naming{Version: version, SeenAt: time.Now(), Met: !f.looked}
+		if !f.holder.Named(model, naming) {
+			continue
+		}
+		log.WithFields(log.Fields{"model": model, "version": version, "met": naming.Met}).Info("version_named")
+		if f.looked {
+			go f.namings.keep(ctx, model, version, reading.StoreTime)
+		}
+	}
+	f.looked = true
+}
+
+// recallNamings takes in what other routers kept of the versions of a model.
+func (f *follower) recallNamings(ctx context.Context, askedAt time.Time, storeTime time.Duration, model ident.Model) {
+	kept, err := f.namings.find(ctx, model, storeTime, askedAt)
+	if err != nil {
+		log.WithFields(log.Fields{"model": model, "cause": err.Error()}).Warn("namings_not_found")
+		return
+	}
+	for _, naming := range kept {
+		if f.holder.Named(model, naming) {
+			log.WithFields(log.Fields{
+				"model": model, "version": naming.Version, "age_ms": time.Since(naming.SeenAt).Milliseconds(),
+			}).Info("version_recalled")
+		}
+	}
+}
+
 // followBackends is the duty that reads the list of back ends until ctx ends.
 func (f *follower) followBackends(ctx context.Context) {
 	seen := &dependency{name: "backends"}
--- /dev/null
+++ b/internal/node/follower_test.go
@@ -0,0 +1,238 @@
+package node
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/fieldpond/fieldpond/internal/backend"
+	"github.com/fieldpond/fieldpond/internal/catalog"
+	"github.com/fieldpond/fieldpond/internal/fault"
+	"github.com/fieldpond/fieldpond/internal/ident"
+	"github.com/fieldpond/fieldpond/internal/platform/protocol"
+)
+
+const model = ident.Model("m")
+
+// fakeStore is a store with a configuration, a list and own rows.
+type fakeStore struct {
+	mutex    sync.Mutex
+	reading  Reading
+	records  []backend.Record
+	rows     map[string]protocol.Row
+	started  time.Time
+	down     bool
+	delay    time.Duration
+	decoded  int
+	snapshot catalog.Content
+}
+
+func newFakeStore() *fakeStore {
+	return &fakeStore{rows: map[string]protocol.Row{}, started: time.Now(), snapshot: catalog.Content{Version: 1}}
+}
+
+func (s *fakeStore) change(change func()) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	change()
+}
+
+// answer waits as long as the store takes, and says whether it is down.
+func (s *fakeStore) answer(ctx context.Context) error {
+	s.mutex.Lock()
+	delay, down := s.delay, s.down
+	s.mutex.Unlock()
+	if down {
+		return fault.New(fault.StoreUnavailable, "down")
+	}
+	select {
+	case <-ctx.Done():
+		return fault.New(fault.StoreUnavailable, "no answer")
+	case <-time.After(delay):
+		return nil
+	}
+}
+
+// Configuration implements Source.
+func (s *fakeStore) Configuration(ctx context.Context) (Reading, error) {
+	if err := s.answer(ctx); err != nil {
+		return Reading{}, err
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	reading := s.reading
+	reading.Models = map[ident.Model]int{}
+	for name, version := range s.reading.Models {
+		reading.Models[name] = version
+	}
+	reading.StoreTime = time.Since(s.started)
+	return reading, nil
+}
+
+// Decode implements Source.
+func (s *fakeStore) Decode([]byte) (*catalog.Snapshot, error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.decoded++
+	return catalog.NewSnapshot(s.snapshot), nil
+}
+
+// Backends implements Source.
+func (s *fakeStore) Backends(ctx context.Context) ([]backend.Record, error) {
+	if err := s.answer(ctx); err != nil {
+		return nil, err
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.records, nil
+}
+
+// Commit implements platform.Table.
+func (s *fakeStore) Commit(_ context.Context, transaction protocol.Transaction) (protocol.TransactionResult, error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for _, condition := range transaction.Conditions {
+		if s.rows[condition.Key].Version != condition.Version {
+			return protocol.TransactionResult{}, nil
+		}
+	}
+	for _, write := range transaction.Writes {
+		s.rows[write.Key] = protocol.Row{Key: write.Key, Value: write.Value, Version: 1}
+	}
+	return protocol.TransactionResult{Committed: true}, nil
+}
+
+// Read implements platform.Table.
+func (s *fakeStore) Read(context.Context, string) (protocol.Row, bool, error) {
+	return protocol.Row{}, false, nil
+}
+
+// List implements platform.Table.
+func (s *fakeStore) List(_ context.Context, _ string, _ int) (protocol.RowList, error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	var list protocol.RowList
+	for _, row := range s.rows {
+		list.Rows = append(list.Rows, row)
+	}
+	return list, nil
+}
+
+func newFollower(store *fakeStore) *follower {
+	return &follower{
+		source: store, holder: &catalog.Holder{}, backends: backend.NewRegistry(backend.Config{}),
+		namings: &namings{table: store, timeout: time.Second},
+		config: FollowConfig{
+			ConfigurationInterval: 600 * time.Millisecond, BackendInterval: 500 * time.Millisecond,
+			ReadTimeout: time.Second, RetryPause: 100 * time.Millisecond,
+		},
+	}
+}
+
+func TestAConfigurationIsAdoptedWithinTheInterval(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := newFakeStore()
+		store.reading.Revision = 1
+		follower := newFollower(store)
+		go follower.followConfiguration(t.Context())
+		time.Sleep(10 * time.Millisecond)
+		is.Equal(follower.holder.View().Snapshot.Version, uint64(1))
+		store.change(func() { store.reading.Revision, store.snapshot.Version = 2, 5 })
+		time.Sleep(600 * time.Millisecond)
+		is.Equal(follower.holder.View().Snapshot.Version, uint64(5))
+		time.Sleep(time.Minute)
+		is.Equal(store.decoded, 2) // an unchanged row is not read again
+		is.True(follower.holder.View().Age(time.Now()) <= 600*time.Millisecond)
+	})
+}
+
+// A slow answer confirms the configuration only as of when it was asked for.
+func TestASlowStoreDoesNotMakeOldNewsLookNew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := newFakeStore()
+		store.reading.Revision = 1
+		store.delay = 900 * time.Millisecond
+		follower := newFollower(store)
+		begun := time.Now()
+		go follower.followConfiguration(t.Context())
+		time.Sleep(950 * time.Millisecond)
+		is.Equal(follower.holder.View().ConfirmedAt, begun)
+	})
+}
+
+func TestAStoreThatIsDownIsAskedAgainSoon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := newFakeStore()
+		store.reading.Revision = 1
+		store.down = true
+		follower := newFollower(store)
+		go follower.followConfiguration(t.Context())
+		go follower.followBackends(t.Context())
+		time.Sleep(time.Minute)
+		is.True(follower.holder.View().Snapshot == nil)
+		store.change(func() { store.down = false })
+		time.Sleep(150 * time.Millisecond)
+		is.True(follower.holder.View().Snapshot != nil)
+		is.True(!follower.backends.ListedAt().IsZero())
+	})
+}
+
+// Losing the store is no reason to drop back ends.
+func TestBackEndsOutliveTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := newFakeStore()
+		store.records = []backend.Record{{Instance: "a", Service: "s"}}
+		follower := newFollower(store)
+		go follower.followBackends(t.Context())
+		time.Sleep(10 * time.Millisecond)
+		store.change(func() { store.down = true })
+		time.Sleep(time.Minute)
+		is.Equal(len(follower.backends.Records()), 1)
+	})
+}
+
+// A router that starts after a version was named learns from the others how
+// long ago that was.
+func TestTheAgeOfAVersionOutlivesARouter(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := newFakeStore()
+		store.reading.Revision = 1
+		first := newFollower(store)
+		go first.followConfiguration(t.Context())
+		time.Sleep(time.Second)
+		store.change(func() { store.reading.Models = map[ident.Model]int{model: 2} })
+		time.Sleep(time.Second)
+		is.True(!first.holder.View().Models[model].Named[0].Met)
+		time.Sleep(5 * time.Second)
+		second := newFollower(store)
+		go second.followConfiguration(t.Context())
+		time.Sleep(10 * time.Millisecond)
+		named := second.holder.View().Models[model]
+		is.Equal(named.Version, 2)
+		is.True(!named.Named[0].Met)
+		is.True(time.Since(named.Named[0].SeenAt) >= 5*time.Second)
+		is.True(time.Since(named.Named[0].SeenAt) <= 7*time.Second)
+	})
+}
+
+func TestAVersionThatNobodySawBeingNamedIsUncertain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := newFakeStore()
+		store.reading.Models = map[ident.Model]int{model: 2}
+		follower := newFollower(store)
+		go follower.followConfiguration(t.Context())
+		time.Sleep(time.Second)
+		is.True(follower.holder.View().Models[model].Named[0].Met)
+		is.Equal(len(store.rows), 0) // its time is not claimed to be known
+	})
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -118,7 +118,10 @@
 
 // duties are the goroutines that run as long as the node.
 func (n *Node) duties() []func(context.Context) {
-	follower := &follower{source: n.ports.Source, holder: n.holder, backends: n.backends, config: n.config.Follow}
+	follower := &follower{
+		source: n.ports.Source, holder: n.holder, backends: n.backends, config: n.config.Follow,
+		namings: &namings{table: n.ports.Table, timeout: n.config.Follow.ReadTimeout},
+	}
 	config := n.config.Rollout
 	config.OnOrder = logOrder
 	controller := rollout.NewController(config, n.lease, n.ports.Engines, n.holder, n.backends)
@@ -187,6 +190,7 @@
 func (n *Node) stop(servers servers) {
 	killAt := time.Now().Add(n.config.Grace - closeMargin)
 	n.stopping.Store(true)
+	n.lease.Contend(false)
 	log.WithFields(log.Fields{"in_flight": n.backends.InFlight()}).Info("stopping")
 	time.Sleep(n.config.Unready)
 	ctx, cancel := context.WithDeadline(context.Background(), killAt)
--- a/internal/node/source.go
+++ b/internal/node/source.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/fieldpond/fieldpond/internal/backend"
 	"github.com/fieldpond/fieldpond/internal/catalog"
@@ -20,6 +21,8 @@
 	Body     []byte
 	// Models holds the newest named version of each model's weights.
 	Models map[ident.Model]int
+	// StoreTime is the store's own steady time at the read.
+	StoreTime time.Duration
 }
 
 // Source is where the configuration and the list of back ends are read. Each
--- a/internal/rollout/controller.go
+++ b/internal/rollout/controller.go
@@ -19,16 +19,16 @@
 
 // Lease grants the right to order to one router at a time.
 type Lease interface {
+	// Held returns the grant, if there is one.
 	Held() (lease.Grant, error)
+	// Use returns it for an order that leaves now.
+	Use() (lease.Grant, error)
 	StepDown(floor uint64)
 }
 
 // ControllerConfig sets the shell of a Planner.
 type ControllerConfig struct {
 	Planner Config
-	// Quiet is how long a new holder waits before its first order, so that the
-	// orders of two holders never take turns. Default: 3s.
-	Quiet time.Duration
 	// Tick is the time between two looks. Default: 100ms.
 	Tick time.Duration
 	// ExchangeTimeout bounds one order or report. Default: 1s.
@@ -38,14 +38,10 @@
 }
 
 const (
-	defaultQuiet           = 3 * time.Second
 	defaultTick            = 100 * time.Millisecond
 	defaultExchangeTimeout = time.Second
 	// resultCapacity holds the results of all exchanges that can be under way.
 	resultCapacity = 1024
-	// firstFence is the fence of the first holder ever; nobody can have
-	// ordered anything before it.
-	firstFence = 1
 )
 
 // Controller runs a Planner while the lease is held.
@@ -58,14 +54,10 @@
 	backends *backend.Registry
 	results  chan func(now time.Time)
 	fence    uint64
-	quietTo  time.Time
 }
 
 // NewController returns a controller; Run runs it.
 func NewController(config ControllerConfig, held Lease, engines Engines, holder *catalog.Holder, backends *backend.Registry) *Controller {
-	if config.Quiet <= 0 {
-		config.Quiet = defaultQuiet
-	}
 	if config.Tick <= 0 {
 		config.Tick = defaultTick
 	}
@@ -101,13 +93,10 @@
 	}
 	if grant.Fence != c.fence {
 		c.fence = grant.Fence
-		c.quietTo = now
-		if grant.Fence != firstFence {
-			c.quietTo = now.Add(c.config.Quiet)
-		}
 		c.planner.Forget()
 	}
-	if now.Before(c.quietTo) {
+	// Orders of two holders must never take turns.
+	if now.Before(grant.QuietUntil) {
 		return
 	}
 	c.planner.Observe(c.backends.Records(), c.holder.View().Models)
@@ -133,7 +122,7 @@
 	}
 	// The lease is asked once more right before the order leaves.
 	result := NotSent
-	if grant, err := c.lease.Held(); err == nil && grant.Fence == fence {
+	if grant, err := c.lease.Use(); err == nil && grant.Fence == fence {
 		result = c.engines.Order(ctx, action.Order)
 	}
 	c.results <- func(now time.Time) {
