--- a/internal/rollout/controller.go
+++ b/internal/rollout/controller.go
@@ -31,7 +31,7 @@
 	Planner Config
 	// Tick is the time between two looks. Default: 100ms.
 	Tick time.Duration
-	// ExchangeTimeout bounds one order or report. Default: 1s.
+	// ExchangeTimeout bounds one order or report. Default: 600ms.
 	ExchangeTimeout time.Duration
 	// OnOrder is told each order with its result. It must not block.
 	OnOrder func(order *Order, result Result)
@@ -39,7 +39,7 @@
 
 const (
 	defaultTick            = 100 * time.Millisecond
-	defaultExchangeTimeout = time.Second
+	defaultExchangeTimeout = 600 * time.Millisecond
 	// resultCapacity holds the results of all exchanges that can be under way.
 	resultCapacity = 1024
 )
--- a/internal/rollout/planner.go
+++ b/internal/rollout/planner.go
@@ -19,9 +19,11 @@
 	// Deadline is how long after a version was named no request may begin on an
 	// older one. Default: 8s.
 	Deadline time.Duration
-	// LoadTime is the usual time from an order to its end. Default: 1.3s.
+	// LoadTime is the usual time from the decision to change an engine until its
+	// report shows the change. Default: 1s.
 	LoadTime time.Duration
-	// Parallel is the most engines that are changed at one time. Default: 3.
+	// Parallel is the least number of engines that may be changed at one time;
+	// there are more if the deadline could not be kept otherwise. Default: 3.
 	Parallel int
 	// Margin is the time kept before the deadline for orders that are lost and
 	// holders that change. Default: 2s.
@@ -30,7 +32,7 @@
 
 const (
 	defaultDeadline = 8 * time.Second
-	defaultLoadTime = 1300 * time.Millisecond
+	defaultLoadTime = time.Second
 	defaultParallel = 3
 	defaultMargin   = 2 * time.Second
 	// reportPause is the time between two reports of an engine that changes.
@@ -43,6 +45,13 @@
 	preparedFor = time.Second
 	// refusedPause is the pause after an engine refused an order.
 	refusedPause = 300 * time.Millisecond
+	// leastServing keeps all but one in so many engines serving while others
+	// change, whatever the deadline.
+	leastServing = 3
+	// silentPause and maxSilentPause bound the pause after a report that did not
+	// come; it doubles with each one in a row.
+	silentPause    = 300 * time.Millisecond
+	maxSilentPause = 2 * time.Second
 )
 
 func (c Config) withDefaults() Config {
@@ -114,6 +123,9 @@
 	// asking is true while an order or a report is under way.
 	asking bool
 	notNow time.Time
+	// silent is the last pause after a report that did not come, 0 after one
+	// that came.
+	silent time.Duration
 	// reportAt is when the next report is due, reportedAt when the last one
 	// that came was asked for.
 	reportAt, reportedAt time.Time
@@ -188,7 +200,10 @@
 	for _, engine := range p.engines {
 		p.settle(engine)
 		if engine.ordered > 0 || engine.asking {
-			active++
+			// An engine that does not answer must not keep others waiting.
+			if engine.silent == 0 {
+				active++
+			}
 			if action, due := p.follow(now, engine); due {
 				actions = append(actions, action)
 			}
@@ -207,14 +222,17 @@
 	if now.Before(needs[0].deadline.Add(-p.lead(len(needs)))) {
 		return actions
 	}
+	most := p.parallel(len(needs)+active, needs[0].deadline.Sub(now)-p.config.Margin)
 	for _, wanted := range needs {
-		if active >= p.config.Parallel {
-			break
-		}
 		if now.Before(wanted.engine.notNow) {
 			continue
 		}
-		active++
+		if wanted.engine.silent == 0 {
+			if active >= most {
+				continue
+			}
+			active++
+		}
 		if now.Sub(wanted.engine.reportedAt) > preparedFor {
 			if action, due := p.follow(now, wanted.engine); due {
 				actions = append(actions, action)
@@ -226,10 +244,19 @@
 	return actions
 }
 
+// parallel is how many of count engines are changed at one time, so that all are
+// within a span if most engines can go on serving meanwhile.
+func (p *Planner) parallel(count int, span time.Duration) int {
+	span = max(span, p.config.LoadTime)
+	needed := (time.Duration(count)*p.config.LoadTime + span - 1) / span
+	return max(p.config.Parallel, min(int(needed), len(p.engines)/leastServing))
+}
+
 // lead is how long before the first deadline the change of count engines has
 // to begin.
 func (p *Planner) lead(count int) time.Duration {
-	rounds := (count + p.config.Parallel - 1) / p.config.Parallel
+	parallel := p.parallel(count, p.config.Deadline-p.config.Margin-p.config.LoadTime)
+	rounds := (count + parallel - 1) / parallel
 	return time.Duration(rounds)*p.config.LoadTime + p.config.Margin
 }
 
@@ -320,8 +347,12 @@
 	engine.asking = false
 	engine.reportAt = askedAt.Add(reportPause)
 	if report == nil {
+		engine.silent = min(max(2*engine.silent, silentPause), maxSilentPause)
+		engine.notNow = askedAt.Add(engine.silent)
+		engine.reportAt = engine.notNow
 		return
 	}
+	engine.silent = 0
 	engine.learn(report.Versions)
 	engine.reportedAt = askedAt
 	engine.sequence = report.Sequence
--- a/internal/rollout/planner_test.go
+++ b/internal/rollout/planner_test.go
@@ -123,7 +123,7 @@
 	planner.Observe(engines.records(), named(catalog.Naming{Version: 2, SeenAt: start}))
 	late := start.Add(7 * time.Second)
 	actions := planner.Plan(late, 7)
-	is.Equal(len(actions), 2)
+	is.Equal(len(actions), 2)               // six rounds of one second fit into what the margin leaves
 	is.Equal(len(planner.Plan(late, 7)), 0) // none is asked twice at a time
 }
 
@@ -204,3 +204,72 @@
 	planner.Observe(records, named(catalog.Naming{Version: 2, SeenAt: start}))
 	is.Equal(len(planner.Plan(start.Add(7*time.Second), 7)), 0)
 }
+
+// Engines that do not answer keep no other engine waiting.
+func TestSilentEnginesDoNotHoldUpTheOthers(t *testing.T) {
+	is := is.New(t)
+	engines := newFleet(8)
+	silent := map[ident.Incarnation]bool{"i-00": true, "i-01": true, "i-02": true}
+	planner := rollout.NewPlanner(config)
+	models := named(catalog.Naming{Version: 2, SeenAt: start})
+	asked := 0
+	for at := time.Duration(0); at < 8*time.Second; at += 100 * time.Millisecond {
+		now := start.Add(at)
+		planner.Observe(engines.records(), models)
+		for _, action := range planner.Plan(now, 7) {
+			name := action.Target.Instance
+			switch {
+			case silent[name]:
+				asked++
+				planner.Reported(now, name, nil)
+			case action.Order == nil:
+				planner.Reported(now, name, engines.report(name))
+			default:
+				planner.Ordered(now, action.Order, engines.take(action.Order))
+			}
+		}
+	}
+	for name, version := range engines.versions {
+		is.Equal(version == 2, !silent[name])
+	}
+	is.True(asked < 3*12) // and they are not asked all the time
+}
+
+// Many engines are changed faster, so that the deadline is kept.
+func TestTheDeadlineSetsThePace(t *testing.T) {
+	is := is.New(t)
+	engines := newFleet(40)
+	planner := rollout.NewPlanner(config)
+	type change struct {
+		order *rollout.Order
+		done  time.Duration
+	}
+	var running []change // a load takes 0.6s of the second that is planned for
+	models := named(catalog.Naming{Version: 2, SeenAt: start})
+	for at := time.Duration(0); at < 8*time.Second; at += 100 * time.Millisecond {
+		now := start.Add(at)
+		kept := running[:0]
+		for _, current := range running {
+			if current.done > at {
+				kept = append(kept, current)
+				continue
+			}
+			engines.take(current.order)
+		}
+		running = kept
+		planner.Observe(engines.records(), models)
+		for _, action := range planner.Plan(now, 7) {
+			if action.Order == nil {
+				report := engines.report(action.Target.Instance)
+				report.Busy = true
+				planner.Reported(now, action.Target.Instance, report)
+				continue
+			}
+			running = append(running, change{action.Order, at + 600*time.Millisecond})
+			planner.Ordered(now, action.Order, rollout.Accepted)
+		}
+	}
+	for _, version := range engines.versions {
+		is.Equal(version, 2)
+	}
+}
