--- a/internal/backend/registry.go
+++ b/internal/backend/registry.go
@@ -44,7 +44,11 @@
 	// firstRefusal and maxRefusal bound how long a back end that was full gets
 	// no new work; the pause doubles with each refusal in a row.
 	firstRefusal = 60 * time.Millisecond
-	maxRefusal   = 400 * time.Millisecond
+	maxRefusal   = 800 * time.Millisecond
+	// firstEngineRefusal is the first pause of an engine that runs models: it
+	// mostly refuses because it takes new weights, which is soon known but not
+	// soon over.
+	firstEngineRefusal = 250 * time.Millisecond
 	// beginFactor times the predicted wait may pass until a request begins.
 	beginFactor = 2
 	// uncertainPenalty is the price of weights that may have expired.
@@ -449,7 +453,11 @@
 		target.pause = min(max(2*target.pause, firstPause), maxPause)
 		target.pausedUntil = now.Add(target.pause)
 	case Refused:
-		target.pause = min(max(2*target.pause, firstRefusal), maxRefusal)
+		first := firstRefusal
+		if len(target.record.Models) > 0 {
+			first = firstEngineRefusal
+		}
+		target.pause = min(max(2*target.pause, first), maxRefusal)
 		target.pausedUntil = now.Add(target.pause)
 	case WrongVersion:
 		target.pausedUntil = now.Add(versionPause)
