Serve metrics and describe every log event of a platform router

Cause: on-call engineers have only logs and metrics. Change: counters and histograms on the port of deploy/system.toml, gauges of beliefs; every event stands in one table, from which docs/reference/log-events.md is generated; tests fail for an event that is logged but not described and the reverse, and for pages that are not current. Node start, readiness and planned stop have tests.

--- a/cmd/fieldpond/edge.go
+++ b/cmd/fieldpond/edge.go
@@ -13,7 +13,8 @@
 )
 
 func newEdgeCommand() *cobra.Command {
-	return &cobra.Command{
+	options := platform.Options{}
+	command := &cobra.Command{
 		Use:   "edge",
 		Short: "Run one router on the users' platform",
 		Long: `Run one router on the users' platform until it is told to stop.
@@ -34,9 +35,12 @@
 			ctx, stop := commandline.UntilStopped(command)
 			defer stop()
 			watchReload()
-			return platform.Run(ctx, settings, command.OutOrStdout())
+			return platform.Run(ctx, settings, options, command.OutOrStdout())
 		},
 	}
+	command.Flags().IntVar(&options.MetricsPort, "metrics-port", 0, "port to serve metrics on; 0 means none")
+	command.Flags().StringVar(&options.MetricsPath, "metrics-path", "/metrics", "path to serve metrics under")
+	return command
 }
 
 // watchReload checks the settings file anew on SIGHUP. What is in it is fixed
--- /dev/null
+++ b/internal/node/events.go
@@ -0,0 +1,80 @@
+package node
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+)
+
+// EventDescription describes one event of a node's log.
+type EventDescription struct {
+	Name    string
+	Fields  []string
+	Meaning string
+}
+
+// The fields that every event about a request has, and those of an attempt.
+var (
+	requestFields = []string{"request", "elapsed_ms", "route", "config_version", "config_age_ms"}
+	attemptFields = []string{"attempt", "instance", "record_revision", "home", "predicted_ms", "candidates", "weights"}
+)
+
+func with(fields []string, more ...string) []string {
+	return append(append([]string(nil), fields...), more...)
+}
+
+// Events returns every event of a node's log.
+func Events() []EventDescription {
+	return []EventDescription{
+		{"started", []string{"zone", "front"}, "The process listens."},
+		{"stopping", []string{"in_flight"}, "The process was told to stop; it is unready from now on."},
+		{"stop_cut_requests", []string{"in_flight", "cause"}, "The grace period ended with requests open."},
+		{"stopped", nil, "The process ends."},
+		{"reloaded", nil, "SIGHUP: the settings file is sound; nothing changes."},
+		{"reload_refused", []string{"cause"}, "SIGHUP: the settings file is not sound; nothing changes."},
+		{"dependency_lost", []string{"dependency", "cause"}, "Reads of a dependency begin to fail."},
+		{"dependency_regained", []string{"dependency", "lost_ms"}, "Reads work again."},
+		{"configuration_adopted", []string{"version", "routes", "revision", "read_ms"}, "A newer configuration is in force here."},
+		{"backend_changed", []string{"instance", "service", "address", "change", "revision", "models"}, "The list of back ends differs: appeared, draining, gone or reloaded."},
+		{"version_named", []string{"model", "version", "met"}, "A version of weights was named; met: it was there at the first look."},
+		{"version_recalled", []string{"model", "version", "age_ms"}, "The age of a version was learnt from what other routers kept."},
+		{"naming_not_kept", []string{"model", "version", "cause"}, "The time of a naming could not be written."},
+		{"namings_not_found", []string{"model", "cause"}, "The times of namings could not be read."},
+		{"lease is held", []string{"lease", "fence"}, "This router may order from now on."},
+		{"lease is not held any more", []string{"lease", "fence"}, "This router may not order any more."},
+		{"order", []string{"instance", "model", "version", "fence", "sequence", "result"}, "An order was sent to an engine."},
+		{"sent", with(requestFields, attemptFields...), "An attempt leaves for a back end; predicted_ms is the expected time to its first byte."},
+		{"attempt_ended", with(requestFields, append(attemptFields, "outcome", "cause")...), "An attempt is over."},
+		{"answered", with(requestFields, "status", "events", "cause"), "The whole answer was passed on."},
+		{"refused", with(requestFields, "fault", "detail", "ran", "cause"), "The final answer is the router's own; ran says whether the request may have run."},
+		{"broken", with(requestFields, "events", "fault", "detail", "ran"), "An answer broke off after a part of it was passed on."},
+		{"client_gone", with(requestFields, "events", "cause"), "The client left."},
+		{"log_lines_dropped", []string{"count"}, "Lines were dropped because the reader is slow."},
+	}
+}
+
+const eventsHeader = `# Events of a router's log
+
+Generated from the code by "go generate ./internal/node".
+
+Each line is one JSON object with the fields at (time of day, UTC), level, event
+and node, and those below. Fields that end in _ms are milliseconds. No field
+holds a key, or text of a prompt or an answer.
+
+| Event | Fields | Meaning |
+|---|---|---|
+`
+
+// EventsReference returns the reference page of the log events.
+func EventsReference() []byte {
+	var page bytes.Buffer
+	page.WriteString(eventsHeader)
+	for _, event := range Events() {
+		fields := "none"
+		if len(event.Fields) > 0 {
+			fields = "`" + strings.Join(event.Fields, "`, `") + "`"
+		}
+		fmt.Fprintf(&page, "| `%s` | %s | %s |\n", event.Name, fields, event.Meaning)
+	}
+	return page.Bytes()
+}
--- a/internal/node/follower.go
+++ b/internal/node/follower.go
@@ -21,6 +21,8 @@
 	backends *backend.Registry
 	config   FollowConfig
 	namings  *namings
+	// lost is called each time a dependency is lost.
+	lost func(name string)
 	// revision is that of the configuration last decoded.
 	revision uint64
 	// looked is true after the first read of the configuration.
@@ -42,7 +44,9 @@
 // dependency logs when reads begin to fail and when they work again.
 type dependency struct {
 	name string
-	lost bool
+	// count is called each time the dependency is lost.
+	count func(name string)
+	lost  bool
 	// lostAt is when the first read in a row failed.
 	lostAt time.Time
 }
@@ -51,6 +55,7 @@
 	switch {
 	case err != nil && !d.lost:
 		d.lost, d.lostAt = true, time.Now()
+		d.count(d.name)
 		log.WithFields(log.Fields{"dependency": d.name, "cause": err.Error()}).Warn("dependency_lost")
 	case err == nil && d.lost:
 		d.lost = false
@@ -60,7 +65,7 @@
 
 // followConfiguration is the duty that reads the configuration until ctx ends.
 func (f *follower) followConfiguration(ctx context.Context) {
-	seen := &dependency{name: "configuration"}
+	seen := &dependency{name: "configuration", count: f.lost}
 	repeat(ctx, f.config.ConfigurationInterval, f.config.RetryPause, func() error {
 		err := f.readConfiguration(ctx)
 		if ctx.Err() == nil {
@@ -136,7 +141,7 @@
 
 // followBackends is the duty that reads the list of back ends until ctx ends.
 func (f *follower) followBackends(ctx context.Context) {
-	seen := &dependency{name: "backends"}
+	seen := &dependency{name: "backends", count: f.lost}
 	repeat(ctx, f.config.BackendInterval, f.config.RetryPause, func() error {
 		askedAt := time.Now()
 		bounded, cancel := context.WithTimeout(ctx, f.config.ReadTimeout)
--- a/internal/node/follower_test.go
+++ b/internal/node/follower_test.go
@@ -95,20 +95,30 @@
 func (s *fakeStore) Commit(_ context.Context, transaction protocol.Transaction) (protocol.TransactionResult, error) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	var result protocol.TransactionResult
+	holds := true
 	for _, condition := range transaction.Conditions {
-		if s.rows[condition.Key].Version != condition.Version {
-			return protocol.TransactionResult{}, nil
-		}
+		holds = holds && s.rows[condition.Key].Version == condition.Version
+		result.Rows = append(result.Rows, s.rows[condition.Key])
 	}
+	if !holds {
+		return result, nil
+	}
+	result = protocol.TransactionResult{Committed: true}
 	for _, write := range transaction.Writes {
-		s.rows[write.Key] = protocol.Row{Key: write.Key, Value: write.Value, Version: 1}
+		row := protocol.Row{Key: write.Key, Value: write.Value, Version: s.rows[write.Key].Version + 1}
+		s.rows[write.Key] = row
+		result.Rows = append(result.Rows, row)
 	}
-	return protocol.TransactionResult{Committed: true}, nil
+	return result, nil
 }
 
 // Read implements platform.Table.
-func (s *fakeStore) Read(context.Context, string) (protocol.Row, bool, error) {
-	return protocol.Row{}, false, nil
+func (s *fakeStore) Read(_ context.Context, key string) (protocol.Row, bool, error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	row, found := s.rows[key]
+	return row, found, nil
 }
 
 // List implements platform.Table.
@@ -126,6 +136,7 @@
 	return &follower{
 		source: store, holder: &catalog.Holder{}, backends: backend.NewRegistry(backend.Config{}),
 		namings: &namings{table: store, timeout: time.Second},
+		lost:    func(string) {},
 		config: FollowConfig{
 			ConfigurationInterval: 600 * time.Millisecond, BackendInterval: 500 * time.Millisecond,
 			ReadTimeout: time.Second, RetryPause: 100 * time.Millisecond,
--- a/internal/node/log.go
+++ b/internal/node/log.go
@@ -12,8 +12,16 @@
 // quietLog drops what net/http logs of connections that clients broke off.
 var quietLog = stdlog.New(io.Discard, "", 0)
 
-// recordStep logs one decision about a request.
-func recordStep(step forward.Step) {
+// recordTo returns what counts and logs each decision about a request.
+func recordTo(counters *metrics) func(forward.Step) {
+	return func(step forward.Step) {
+		counters.step(&step)
+		logStep(&step)
+	}
+}
+
+// logStep logs one decision about a request.
+func logStep(step *forward.Step) {
 	fields := log.Fields{"request": step.Request, "elapsed_ms": step.Elapsed.Milliseconds()}
 	if step.Route != "" {
 		fields["route"] = step.Route
--- /dev/null
+++ b/internal/node/metrics.go
@@ -0,0 +1,106 @@
+package node
+
+//go:generate go run ./gen
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/fieldpond/fieldpond/internal/forward"
+	"github.com/fieldpond/fieldpond/internal/rollout"
+	"github.com/fieldpond/fieldpond/internal/telemetry"
+)
+
+const metricsHeader = `# Metrics of a router on the users' platform
+
+Generated from the code by "go generate ./internal/node".
+
+A router serves these in the Prometheus text form on the port and path that
+deploy/system.toml names. Counters start at zero with each process. No label
+holds a key, a request identifier, or text of a prompt or an answer.
+docs/OPERATIONS.md says which of them to watch, and what to do.
+
+| Metric | Kind | Labels | Meaning |
+|---|---|---|---|
+`
+
+// answerBuckets are the bounds, in seconds, of the time to a final answer.
+var answerBuckets = []float64{0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8}
+
+// metrics are the counters of one node.
+type metrics struct {
+	registry     *telemetry.Registry
+	requests     *prometheus.CounterVec
+	attempts     *prometheus.CounterVec
+	refusals     *prometheus.CounterVec
+	answerTime   *prometheus.HistogramVec
+	orders       *prometheus.CounterVec
+	dependencies *prometheus.CounterVec
+}
+
+// reading is the state of a node at one moment.
+type reading struct {
+	configurationVersion uint64
+	configurationAge     time.Duration
+	backends, inFlight   int
+	leaseHeld            bool
+	linesDropped         uint64
+}
+
+func newMetrics(read func() reading) *metrics {
+	registry := telemetry.NewLean()
+	m := &metrics{
+		registry:     registry,
+		requests:     registry.Counter("edge_requests_total", "Requests by their end: answered, refused, broken or client_gone.", "end"),
+		attempts:     registry.Counter("edge_attempts_total", "Attempts at back ends, by outcome.", "outcome"),
+		refusals:     registry.Counter("edge_refusals_total", "Final answers of the router's own, by kind and by what ran.", "kind", "ran"),
+		answerTime:   registry.Histogram("edge_answer_seconds", "Time from the arrival of a request to the end of its answer, in seconds.", answerBuckets, "end"),
+		orders:       registry.Counter("edge_orders_total", "Orders to engines, by result.", "result"),
+		dependencies: registry.Counter("edge_dependency_lost_total", "Times that reads of a dependency began to fail.", "dependency"),
+	}
+	group := telemetry.NewGroup(registry, func() (reading, bool) { return read(), true })
+	group.Gauge("edge_configuration_version", "Version of the configuration in force, 0 for none.", func(r reading) int { return int(r.configurationVersion) })
+	group.Gauge("edge_configuration_age_milliseconds", "Time since the configuration was last confirmed, in milliseconds.", func(r reading) int { return int(r.configurationAge.Milliseconds()) })
+	group.Gauge("edge_backends", "Back ends in the list.", func(r reading) int { return r.backends })
+	group.Gauge("edge_attempts_in_flight", "Attempts under way.", func(r reading) int { return r.inFlight })
+	group.Gauge("edge_lease_held", "1 while this router holds the rollout lease.", func(r reading) int {
+		if r.leaseHeld {
+			return 1
+		}
+		return 0
+	})
+	group.Counter("edge_log_lines_dropped_total", "Log lines that were not written.", func(r reading) uint64 { return r.linesDropped })
+	group.Register()
+	return m
+}
+
+// ends are the steps that end a request.
+var ends = map[forward.StepKind]bool{
+	forward.StepAnswered: true, forward.StepRefused: true, forward.StepBroken: true, forward.StepClientGone: true,
+}
+
+// step counts a decision about a request.
+func (m *metrics) step(step *forward.Step) {
+	if step.Kind == forward.StepAttemptEnded {
+		m.attempts.WithLabelValues(step.Outcome.String()).Inc()
+	}
+	if !ends[step.Kind] {
+		return
+	}
+	m.requests.WithLabelValues(string(step.Kind)).Inc()
+	m.answerTime.WithLabelValues(string(step.Kind)).Observe(step.Elapsed.Seconds())
+	if step.Fault != nil {
+		m.refusals.WithLabelValues(string(step.Fault.Kind), string(step.Fault.Ran)).Inc()
+	}
+}
+
+func (m *metrics) order(result rollout.Result) { m.orders.WithLabelValues(result.String()).Inc() }
+
+func (m *metrics) handler() http.Handler { return m.registry.Handler() }
+
+// MetricsReference returns the reference page of a node's metrics.
+func MetricsReference() []byte {
+	return newMetrics(func() reading { return reading{} }).registry.ReferenceUnder(metricsHeader)
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -2,14 +2,12 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
-	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/fieldpond/fieldpond/internal/backend"
@@ -30,10 +28,13 @@
 	FrontAddress, ReadyAddress string
 	// ReadyPath is the path of the readiness check.
 	ReadyPath string
-	Follow    FollowConfig
-	Forward   forward.Config
-	Lease     lease.Config
-	Rollout   rollout.ControllerConfig
+	// MetricsAddress (host:port) and MetricsPath are where the metrics are
+	// served; an empty address means nowhere.
+	MetricsAddress, MetricsPath string
+	Follow                      FollowConfig
+	Forward                     forward.Config
+	Lease                       lease.Config
+	Rollout                     rollout.ControllerConfig
 	// Grace is the time from the request to stop until the process is killed.
 	Grace time.Duration
 	// Unready is how long a stopping node still takes new connections, until
@@ -52,6 +53,8 @@
 	Front func(forwarder *forward.Forwarder, holder *catalog.Holder, closing func() bool) http.Handler
 	// Duties run until the node has stopped.
 	Duties []func(ctx context.Context)
+	// LinesDropped returns the number of log lines dropped; it may be nil.
+	LinesDropped func() uint64
 }
 
 // rolloutLease names the lease under which one node changes engines.
@@ -64,31 +67,45 @@
 	holder   *catalog.Holder
 	backends *backend.Registry
 	lease    *lease.Keeper
+	metrics  *metrics
 	stopping atomic.Bool
 }
 
 // New returns a node that has not started.
 func New(config Config, ports Ports) *Node {
-	return &Node{
+	n := &Node{
 		config:   config,
 		ports:    ports,
 		holder:   &catalog.Holder{},
 		backends: backend.NewRegistry(backend.Config{Zone: config.Zone}),
 		lease:    lease.NewKeeper(ports.Table, config.Lease, rolloutLease, config.Node),
 	}
+	n.metrics = newMetrics(n.read)
+	return n
+}
+
+// read returns what the gauges show.
+func (n *Node) read() reading {
+	view := n.holder.View()
+	now := reading{backends: len(n.backends.Records()), inFlight: n.backends.InFlight()}
+	if view.Snapshot != nil {
+		now.configurationVersion = view.Snapshot.Version
+		now.configurationAge = view.Age(time.Now())
+	}
+	_, err := n.lease.Held()
+	now.leaseHeld = err == nil
+	if n.ports.LinesDropped != nil {
+		now.linesDropped = n.ports.LinesDropped()
+	}
+	return now
 }
 
 // Run runs the node until ctx ends, and then stops it: it turns unready, goes
 // on serving until that was noticed, and finishes the open requests.
 func (n *Node) Run(ctx context.Context) error {
-	front, err := net.Listen("tcp4", n.config.FrontAddress)
-	if err != nil {
-		return errors.Wrap(err, "listen for clients")
-	}
-	ready, err := net.Listen("tcp4", n.config.ReadyAddress)
-	if err != nil {
-		_ = front.Close()
-		return errors.Wrap(err, "listen for readiness checks")
+	servers := n.servers()
+	if err := servers.listen(); err != nil {
+		return err
 	}
 	log.WithFields(log.Fields{"zone": n.config.Zone, "front": n.config.FrontAddress}).Info("started")
 	work, stopWork := context.WithCancel(context.WithoutCancel(ctx))
@@ -97,10 +114,10 @@
 	for _, duty := range n.duties() {
 		duties.Go(func() { duty(work) })
 	}
-	servers := n.servers()
 	group, failed := errgroup.WithContext(ctx)
-	group.Go(func() error { return serve(servers.front, front) })
-	group.Go(func() error { return serve(servers.ready, ready) })
+	for _, server := range servers {
+		group.Go(server.serve)
+	}
 	<-failed.Done()
 	n.stop(servers)
 	stopWork()
@@ -109,21 +126,18 @@
 	return group.Wait()
 }
 
-func serve(server *http.Server, listener net.Listener) error {
-	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-		return errors.Wrap(err, "serve")
-	}
-	return nil
-}
-
 // duties are the goroutines that run as long as the node.
 func (n *Node) duties() []func(context.Context) {
 	follower := &follower{
 		source: n.ports.Source, holder: n.holder, backends: n.backends, config: n.config.Follow,
 		namings: &namings{table: n.ports.Table, timeout: n.config.Follow.ReadTimeout},
+		lost:    func(name string) { n.metrics.dependencies.WithLabelValues(name).Inc() },
 	}
 	config := n.config.Rollout
-	config.OnOrder = logOrder
+	config.OnOrder = func(order *rollout.Order, result rollout.Result) {
+		n.metrics.order(result)
+		logOrder(order, result)
+	}
 	controller := rollout.NewController(config, n.lease, n.ports.Engines, n.holder, n.backends)
 	n.lease.Contend(true)
 	duties := []func(context.Context){
@@ -135,35 +149,10 @@
 func logOrder(order *rollout.Order, result rollout.Result) {
 	log.WithFields(log.Fields{
 		"instance": order.Target.Instance, "model": order.Model, "version": order.Version, "fence": order.Fence,
-		"sequence": order.Sequence, "result": result,
+		"sequence": order.Sequence, "result": result.String(),
 	}).Info("order")
 }
 
-const (
-	// idleTimeout is how long a resting connection of a client is kept. It is
-	// longer than any client lets one rest.
-	idleTimeout = 2 * time.Minute
-	// headerTimeout bounds the reading of a request's header.
-	headerTimeout = 30 * time.Second
-)
-
-// servers are the two HTTP servers of a node.
-type servers struct{ front, ready *http.Server }
-
-func (n *Node) servers() servers {
-	forwarder := forward.New(n.config.Forward, forward.Dependencies{
-		Holder: n.holder, Backends: n.backends, Caller: n.ports.Caller, Record: recordStep,
-	})
-	return servers{
-		front: &http.Server{
-			Handler:           n.ports.Front(forwarder, n.holder, n.stopping.Load),
-			ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-			ErrorLog: quietLog,
-		},
-		ready: &http.Server{Handler: http.HandlerFunc(n.answerReady), ErrorLog: quietLog},
-	}
-}
-
 // Ready reports whether the node can serve: it knows a configuration that may
 // still be acted on and a list of back ends, and is not stopping.
 func (n *Node) Ready() bool {
@@ -186,7 +175,7 @@
 // closeMargin is kept before the end of the grace period.
 const closeMargin = 500 * time.Millisecond
 
-// stop ends both servers as planned.
+// stop ends the servers as planned.
 func (n *Node) stop(servers servers) {
 	killAt := time.Now().Add(n.config.Grace - closeMargin)
 	n.stopping.Store(true)
@@ -195,9 +184,10 @@
 	time.Sleep(n.config.Unready)
 	ctx, cancel := context.WithDeadline(context.Background(), killAt)
 	defer cancel()
-	if err := servers.front.Shutdown(ctx); err != nil {
+	if err := servers[0].Shutdown(ctx); err != nil {
 		log.WithFields(log.Fields{"in_flight": n.backends.InFlight(), "cause": err.Error()}).Warn("stop_cut_requests")
-		_ = servers.front.Close()
 	}
-	_ = servers.ready.Close()
+	for _, server := range servers {
+		_ = server.Close()
+	}
 }
--- /dev/null
+++ b/internal/node/node_test.go
@@ -0,0 +1,158 @@
+package node
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/fieldpond/fieldpond/internal/backend"
+	"github.com/fieldpond/fieldpond/internal/catalog"
+	"github.com/fieldpond/fieldpond/internal/forward"
+	"github.com/fieldpond/fieldpond/internal/rollout"
+)
+
+func gather(t *testing.T, counters *metrics) string {
+	t.Helper()
+	recorder := httptest.NewRecorder()
+	counters.handler().ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, "/", nil))
+	return recorder.Body.String()
+}
+
+// idleEngines never has anything to order.
+type idleEngines struct{}
+
+// Order implements rollout.Engines.
+func (idleEngines) Order(context.Context, *rollout.Order) rollout.Result { return rollout.NotSent }
+
+// Report implements rollout.Engines.
+func (idleEngines) Report(context.Context, backend.Record) (*rollout.Report, error) {
+	return &rollout.Report{}, nil
+}
+
+// freeAddress returns an address that nothing listens on.
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String()
+}
+
+// startNode runs a node whose front answers after a pause.
+func startNode(t *testing.T, store *fakeStore, pause time.Duration) (config Config, stop func(), ended chan error) {
+	t.Helper()
+	config = Config{
+		Node: "n", Zone: "z", FrontAddress: freeAddress(t), ReadyAddress: freeAddress(t), ReadyPath: "/ready",
+		MetricsAddress: freeAddress(t), MetricsPath: "/metrics",
+		Follow: FollowConfig{
+			ConfigurationInterval: 20 * time.Millisecond, BackendInterval: 20 * time.Millisecond,
+			ReadTimeout: time.Second, RetryPause: 10 * time.Millisecond,
+		},
+		Forward: forward.Config{Freshness: catalog.Freshness{Keyed: time.Minute}},
+		Grace:   5 * time.Second, Unready: 150 * time.Millisecond,
+	}
+	running := New(config, Ports{
+		Source: store, Table: store, Engines: idleEngines{},
+		Front: func(_ *forward.Forwarder, _ *catalog.Holder, closing func() bool) http.Handler {
+			return http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+				time.Sleep(pause)
+				if closing() {
+					writer.Header().Set("Connection", "close")
+				}
+				_, _ = io.WriteString(writer, "ok")
+			})
+		},
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	ended = make(chan error, 1)
+	go func() { ended <- running.Run(ctx) }()
+	return config, cancel, ended
+}
+
+// status asks an address until it answers.
+func status(t *testing.T, address, path string) int {
+	t.Helper()
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	for range 200 {
+		response, err := client.Get("http://" + address + path)
+		if err == nil {
+			_ = response.Body.Close()
+			return response.StatusCode
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	t.Fatal("no answer")
+	return 0
+}
+
+// becomes waits until the readiness check answers with a status.
+func becomes(t *testing.T, config Config, wanted int) {
+	t.Helper()
+	for range 400 {
+		if status(t, config.ReadyAddress, config.ReadyPath) == wanted {
+			return
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	t.Fatalf("the readiness check never answered %d", wanted)
+}
+
+func TestANodeIsReadyOnceItKnowsEnough(t *testing.T) {
+	is := is.New(t)
+	store := newFakeStore()
+	store.down = true
+	config, stop, ended := startNode(t, store, 0)
+	is.Equal(status(t, config.ReadyAddress, config.ReadyPath), http.StatusServiceUnavailable)
+	is.Equal(status(t, config.ReadyAddress, "/other"), http.StatusNotFound)
+	store.change(func() { store.down, store.reading.Revision = false, 1 })
+	becomes(t, config, http.StatusOK)
+	is.Equal(status(t, config.MetricsAddress, config.MetricsPath), http.StatusOK)
+	stop()
+	is.NoErr(<-ended)
+}
+
+// A planned stop turns the node unready first, still takes new connections for
+// a while, and finishes what is open.
+func TestAPlannedStopCutsNoRequest(t *testing.T) {
+	is := is.New(t)
+	store := newFakeStore()
+	store.reading.Revision = 1
+	config, stop, ended := startNode(t, store, 300*time.Millisecond)
+	becomes(t, config, http.StatusOK)
+	answers := make(chan error, 2)
+	ask := func() {
+		response, err := http.Get("http://" + config.FrontAddress + "/")
+		if err == nil {
+			_, err = io.ReadAll(response.Body)
+			_ = response.Body.Close()
+		}
+		answers <- err
+	}
+	go ask()
+	time.Sleep(50 * time.Millisecond)
+	stop()
+	becomes(t, config, http.StatusServiceUnavailable)
+	go ask() // the entry has not noticed yet
+	is.NoErr(<-answers)
+	is.NoErr(<-answers)
+	is.NoErr(<-ended)
+}
+
+func TestAnAddressInUseIsAnError(t *testing.T) {
+	is := is.New(t)
+	taken, err := net.Listen("tcp4", "127.0.0.1:0")
+	is.NoErr(err)
+	defer func() { _ = taken.Close() }()
+	store := newFakeStore()
+	config := Config{Node: "n", FrontAddress: taken.Addr().String(), ReadyAddress: freeAddress(t)}
+	err = New(config, Ports{Source: store, Table: store, Engines: idleEngines{}}).Run(t.Context())
+	is.True(err != nil)
+}
--- /dev/null
+++ b/internal/node/reference_test.go
@@ -0,0 +1,111 @@
+package node
+
+import (
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/memory"
+	"github.com/matryer/is"
+
+	"github.com/fieldpond/fieldpond/internal/backend"
+	"github.com/fieldpond/fieldpond/internal/fault"
+	"github.com/fieldpond/fieldpond/internal/forward"
+)
+
+func TestReferencePagesAreCurrent(t *testing.T) {
+	pages := map[string][]byte{"edge-metrics.md": MetricsReference(), "log-events.md": EventsReference()}
+	for name, expected := range pages {
+		is := is.New(t)
+		page, err := os.ReadFile(filepath.Join("../../docs/reference", name))
+		is.NoErr(err)
+		is.Equal(string(page), string(expected)) // run "go generate ./internal/node"
+	}
+}
+
+// Every event that the code logs is described, and every described one logged.
+func TestEventsAreDescribed(t *testing.T) {
+	is := is.New(t)
+	described := map[string]bool{}
+	for _, event := range Events() {
+		described[event.Name] = true
+	}
+	logged := map[string]bool{"log_lines_dropped": true}
+	for _, kind := range []forward.StepKind{
+		forward.StepRefused, forward.StepSent, forward.StepAttemptEnded, forward.StepAnswered, forward.StepBroken, forward.StepClientGone,
+	} {
+		logged[string(kind)] = true
+	}
+	for _, pattern := range []string{"*.go", "../lease/*.go", "../../cmd/fieldpond/edge.go"} {
+		paths, err := filepath.Glob(pattern)
+		is.NoErr(err)
+		for _, path := range paths {
+			if !strings.HasSuffix(path, "_test.go") {
+				collectEvents(t, path, logged)
+			}
+		}
+	}
+	for name := range logged {
+		if !described[name] {
+			t.Errorf("the event %q is not described", name)
+		}
+	}
+	for name := range described {
+		if !logged[name] {
+			t.Errorf("the event %q is described but never logged", name)
+		}
+	}
+}
+
+// collectEvents notes the texts given to Info and Warn.
+func collectEvents(t *testing.T, path string, logged map[string]bool) {
+	t.Helper()
+	file, err := parser.ParseFile(token.NewFileSet(), path, nil, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ast.Inspect(file, func(node ast.Node) bool {
+		call, ok := node.(*ast.CallExpr)
+		if !ok || len(call.Args) != 1 {
+			return true
+		}
+		selector, ok := call.Fun.(*ast.SelectorExpr)
+		literal, isLiteral := call.Args[0].(*ast.BasicLit)
+		if ok && isLiteral && (selector.Sel.Name == "Info" || selector.Sel.Name == "Warn") {
+			text, _ := strconv.Unquote(literal.Value)
+			logged[text] = true
+		}
+		return true
+	})
+}
+
+func TestStepsAreCountedAndLogged(t *testing.T) {
+	is := is.New(t)
+	kept := memory.New()
+	log.SetHandler(kept)
+	defer log.SetHandler(log.HandlerFunc(func(*log.Entry) error { return nil }))
+	counters := newMetrics(func() reading { return reading{} })
+	step := forward.Step{
+		Kind: forward.StepAttemptEnded, Request: "r", Route: "route", ConfigurationVersion: 3, ConfigurationAge: time.Second,
+		Choice: backend.Choice{Record: backend.Record{Instance: "i"}}, Outcome: backend.Silent, Attempt: 2,
+	}
+	recorder := recordTo(counters)
+	recorder(step)
+	recorder(forward.Step{Kind: forward.StepRefused, Request: "r", Fault: fault.New(fault.NotReady, "x")})
+	is.Equal(len(kept.Entries), 2)
+	is.Equal(kept.Entries[0].Message, "attempt_ended")
+	is.Equal(kept.Entries[0].Fields["outcome"], "silent")
+	is.Equal(kept.Entries[0].Fields["config_age_ms"], int64(1000))
+	is.Equal(kept.Entries[1].Fields["ran"], fault.RanNo)
+	gathered := gather(t, counters)
+	is.True(strings.Contains(gathered, `fieldpond_edge_attempts_total{outcome="silent"} 1`))
+	is.True(strings.Contains(gathered, `fieldpond_edge_refusals_total{kind="not_ready",ran="no"} 1`))
+	is.True(strings.Contains(gathered, `fieldpond_edge_requests_total{end="refused"} 1`))
+}
--- a/internal/rollout/planner.go
+++ b/internal/rollout/planner.go
@@ -90,6 +90,15 @@
 	NotSent
 )
 
+// resultNames are the names of results in logs and metrics.
+var resultNames = map[Result]string{
+	Accepted: "accepted", Conflicting: "conflicting", Outdated: "outdated", Gone: "gone",
+	Unanswered: "unanswered", NotSent: "not_sent",
+}
+
+// String implements fmt.Stringer.
+func (r Result) String() string { return resultNames[r] }
+
 // Report is what an engine told about itself.
 type Report struct {
 	Versions map[ident.Model]int
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -66,6 +66,10 @@
 	return r
 }
 
+// NewLean returns a registry that holds nothing of its own, for processes whose
+// memory is dear.
+func NewLean() *Registry { return &Registry{registry: prometheus.NewRegistry()} }
+
 // Counter registers and returns a counter; its name gets the namespace. A
 // name that is registered twice is a fault of the program and panics.
 func (r *Registry) Counter(name, help string, labels ...string) *prometheus.CounterVec {
