--- a/cmd/fieldpond/subcommands.go
+++ b/cmd/fieldpond/subcommands.go
@@ -11,5 +11,6 @@
 		newStatusCommand(),
 		newRouterCommand(),
 		newEdgeCommand(),
+		newExplainCommand(),
 	}
 }
--- /dev/null
+++ b/internal/eventlog/trail.go
@@ -0,0 +1,101 @@
+package eventlog
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+)
+
+// Filter says which lines a Trail keeps. One of the fields is set.
+type Filter struct {
+	// Request keeps the lines about one request.
+	Request string
+	// Instance keeps the lines about one back end, but not those about requests
+	// sent to it.
+	Instance string
+	// Configuration keeps the lines about configurations and versions.
+	Configuration bool
+}
+
+// configurationEvents are the events about configurations and versions.
+var configurationEvents = map[string]bool{
+	"configuration_adopted": true, "version_named": true, "version_recalled": true,
+	"dependency_lost": true, "dependency_regained": true,
+}
+
+func (f Filter) keeps(line map[string]any) bool {
+	switch {
+	case f.Request != "":
+		return line["request"] == f.Request
+	case f.Instance != "":
+		return line["instance"] == f.Instance && line["request"] == nil
+	default:
+		event, _ := line["event"].(string)
+		return configurationEvents[event]
+	}
+}
+
+// Trail collects the lines of many logs that are about one thing.
+type Trail struct {
+	filter Filter
+	lines  []map[string]any
+}
+
+// NewTrail returns an empty trail.
+func NewTrail(filter Filter) *Trail { return &Trail{filter: filter} }
+
+// maxLine bounds one line of a log.
+const maxLine = 1 << 20
+
+// Read takes in one log. Lines that hold no JSON object are skipped.
+func (t *Trail) Read(log io.Reader) error {
+	scanner := bufio.NewScanner(log)
+	scanner.Buffer(nil, maxLine)
+	for scanner.Scan() {
+		text := scanner.Bytes()
+		begin := bytes.IndexByte(text, '{')
+		if begin < 0 {
+			continue
+		}
+		var line map[string]any
+		if json.Unmarshal(text[begin:], &line) == nil && t.filter.keeps(line) {
+			t.lines = append(t.lines, line)
+		}
+	}
+	return scanner.Err()
+}
+
+// leading are the fields that stand first, in this order.
+var leading = []string{"at", "node", "event"}
+
+// Lines returns the lines as text, in order of time. Times of several routers
+// are those of their own clocks.
+func (t *Trail) Lines() []string {
+	slices.SortStableFunc(t.lines, func(a, b map[string]any) int {
+		return strings.Compare(fmt.Sprint(a["at"]), fmt.Sprint(b["at"]))
+	})
+	texts := make([]string, 0, len(t.lines))
+	for _, line := range t.lines {
+		texts = append(texts, lineText(line))
+	}
+	return texts
+}
+
+func lineText(line map[string]any) string {
+	var text strings.Builder
+	for _, name := range leading {
+		fmt.Fprintf(&text, "%v  ", line[name])
+	}
+	for _, name := range slices.Sorted(maps.Keys(line)) {
+		if slices.Contains(leading, name) || name == "level" || name == "request" {
+			continue
+		}
+		fmt.Fprintf(&text, "%s=%v ", name, line[name])
+	}
+	return strings.TrimRight(text.String(), " ")
+}
--- a/internal/rollout/planner.go
+++ b/internal/rollout/planner.go
@@ -203,32 +203,8 @@
 // Plan returns what to do now under a fence. Each order must be answered by
 // Ordered, each report by Reported.
 func (p *Planner) Plan(now time.Time, fence uint64) []Action {
-	var actions []Action
-	active := 0
-	var needs []need
-	for _, engine := range p.engines {
-		p.settle(engine)
-		if engine.ordered > 0 || engine.asking {
-			// An engine that does not answer must not keep others waiting.
-			if engine.silent == 0 {
-				active++
-			}
-			if action, due := p.follow(now, engine); due {
-				actions = append(actions, action)
-			}
-			continue
-		}
-		if wanted, behind := p.needOf(engine); behind {
-			needs = append(needs, wanted)
-		}
-	}
-	if len(needs) == 0 {
-		return actions
-	}
-	slices.SortFunc(needs, func(a, b need) int {
-		return cmp.Or(a.deadline.Compare(b.deadline), cmp.Compare(a.engine.record.Instance, b.engine.record.Instance))
-	})
-	if now.Before(needs[0].deadline.Add(-p.lead(len(needs)))) {
+	actions, active, needs := p.survey(now)
+	if len(needs) == 0 || now.Before(needs[0].deadline.Add(-p.lead(len(needs)))) {
 		return actions
 	}
 	most := p.parallel(len(needs)+active, needs[0].deadline.Sub(now)-p.config.Margin)
@@ -236,21 +212,50 @@
 		if now.Before(wanted.engine.notNow) {
 			continue
 		}
+		// An engine that does not answer must not keep others waiting.
 		if wanted.engine.silent == 0 {
 			if active >= most {
 				continue
 			}
 			active++
 		}
-		if now.Sub(wanted.engine.reportedAt) > preparedFor {
-			if action, due := p.follow(now, wanted.engine); due {
-				actions = append(actions, action)
+		if action, due := p.change(now, wanted, fence); due {
+			actions = append(actions, action)
+		}
+	}
+	return actions
+}
+
+// survey follows the engines that change, counts those of them that answer,
+// and returns the others that are behind, the most urgent first.
+func (p *Planner) survey(now time.Time) (actions []Action, active int, needs []need) {
+	for _, engine := range p.engines {
+		p.settle(engine)
+		if engine.ordered == 0 && !engine.asking {
+			if wanted, behind := p.needOf(engine); behind {
+				needs = append(needs, wanted)
 			}
 			continue
 		}
-		actions = append(actions, p.order(now, wanted, fence))
+		if engine.silent == 0 {
+			active++
+		}
+		if action, due := p.follow(now, engine); due {
+			actions = append(actions, action)
+		}
 	}
-	return actions
+	slices.SortFunc(needs, func(a, b need) int {
+		return cmp.Or(a.deadline.Compare(b.deadline), cmp.Compare(a.engine.record.Instance, b.engine.record.Instance))
+	})
+	return actions, active, needs
+}
+
+// change orders an engine whose report was read right before, or reads it.
+func (p *Planner) change(now time.Time, wanted need, fence uint64) (Action, bool) {
+	if now.Sub(wanted.engine.reportedAt) > preparedFor {
+		return p.follow(now, wanted.engine)
+	}
+	return p.order(now, wanted, fence), true
 }
 
 // parallel is how many of count engines are changed at one time, so that all are
