--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -37,6 +37,8 @@
 
 	// sends counts all sendings, ran the engines that may have run the request.
 	sends, ran int
+	// noRepeat says why the request is not sent once more.
+	noRepeat string
 	// unproven is true once an attempt was sent whose fate no answer has told.
 	unproven bool
 	excluded []ident.Incarnation
@@ -105,17 +107,22 @@
 // repeat out of the budget.
 func (r *run) mayRepeat(failed *failure) bool {
 	if r.sends >= maxSends {
+		r.noRepeat = "it was sent as often as any request may be"
 		return false
 	}
-	if failed.ran != fault.RanNo {
-		if !r.route.Repeatable() || r.ran >= max(r.route.MaxAttempts, 1) {
-			return false
-		}
+	if failed.ran != fault.RanNo && !r.route.Repeatable() {
+		r.noRepeat = "it may not run twice"
+		return false
+	}
+	if failed.ran != fault.RanNo && r.ran >= max(r.route.MaxAttempts, 1) {
+		r.noRepeat = "it may have run on as many back ends as its route allows"
+		return false
 	}
 	// A silent attempt was given up only after its repeat was granted.
 	if failed.outcome == backend.Unreachable || failed.outcome == backend.Silent {
 		return true
 	}
+	r.noRepeat = "no repeat is left in the budget"
 	return r.forwarder.allowRepeat(r.service)
 }
 
@@ -127,11 +134,12 @@
 	}
 	switch {
 	case r.unproven && !r.route.Repeatable():
-		return fault.New(fault.OutcomeUnknown, "the back end's answer was lost: %v", failed.cause).WithRan(fault.RanUnknown)
+		return fault.New(fault.OutcomeUnknown, "the back end's answer was lost: %v; %s", failed.cause, r.noRepeat).WithRan(fault.RanUnknown)
 	case r.unproven:
-		return fault.New(fault.BackendLost, "no back end gave a whole answer: %v", failed.cause).WithRan(fault.RanUnknown)
+		return fault.New(fault.BackendLost, "no back end gave a whole answer: %v; %s", failed.cause, r.noRepeat).WithRan(fault.RanUnknown)
 	default:
-		return fault.New(fault.BackendRefused, "the back ends refused the request").WithRetryAfter(r.forwarder.config.RetryAfter)
+		return fault.New(fault.BackendRefused, "the back ends refused the request, and %s", r.noRepeat).
+			WithRetryAfter(r.forwarder.config.RetryAfter)
 	}
 }
 
