--- a/internal/lease/keeper.go
+++ b/internal/lease/keeper.go
@@ -58,16 +58,11 @@
 	return k.machine.Held(time.Now())
 }
 
-// Use returns the grant like Held, and takes in that the holder acts now.
-func (k *Keeper) Use() (Grant, error) {
+// Act returns the grant for an action that begins now; see Machine.Act.
+func (k *Keeper) Act() (Grant, error) {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
-	now := time.Now()
-	grant, err := k.machine.Held(now)
-	if err == nil {
-		k.machine.Used(now)
-	}
-	return grant, err
+	return k.machine.Act(time.Now())
 }
 
 // Holder returns the holder as last seen; see Machine.Holder.
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -49,6 +49,10 @@
 	// Quiet is how long after the last action of one holder the next one may
 	// act first. Default: 0.
 	Quiet time.Duration
+	// ActWindow is how long after its last confirmed write was sent a holder may
+	// begin to act. Below Duration it shortens what the next holder has to wait
+	// beyond Duration. Default: Duration.
+	ActWindow time.Duration
 }
 
 const (
@@ -77,6 +81,9 @@
 	if c.ExchangeTimeout <= 0 {
 		c.ExchangeTimeout = c.Duration / timeouts
 	}
+	if c.ActWindow <= 0 || c.ActWindow > c.Duration {
+		c.ActWindow = c.Duration
+	}
 	return c
 }
 
@@ -87,6 +94,9 @@
 	Until time.Time
 	// QuietUntil is when the holder may act first; see Config.Quiet.
 	QuietUntil time.Time
+	// ActUntil is when the holder must stop to act unless renewed by then; see
+	// Config.ActWindow.
+	ActUntil time.Time
 }
 
 // Counters counts what a Machine did.
--- a/internal/lease/machine.go
+++ b/internal/lease/machine.go
@@ -67,6 +67,8 @@
 
 	held  bool
 	until time.Time
+	// actUntil ends the time in which actions may begin.
+	actUntil time.Time
 	// quietUntil ends the wait after the last holder's actions, usedAt is when
 	// this session last acted.
 	quietUntil, usedAt time.Time
@@ -111,11 +113,21 @@
 	if !m.held || !now.Before(m.until) {
 		return Grant{}, ErrNotHeld
 	}
-	return Grant{Fence: m.record.Fence, Until: m.until, QuietUntil: m.quietUntil}, nil
+	return Grant{Fence: m.record.Fence, Until: m.until, QuietUntil: m.quietUntil, ActUntil: m.actUntil}, nil
 }
 
-// Used takes in that the holder acts at a time under its grant.
-func (m *Machine) Used(now time.Time) { m.usedAt = now }
+// Act returns the grant for an action that begins now, and takes it in.
+func (m *Machine) Act(now time.Time) (Grant, error) {
+	grant, err := m.Held(now)
+	if err != nil {
+		return Grant{}, err
+	}
+	if now.Before(grant.QuietUntil) || !now.Before(grant.ActUntil) {
+		return Grant{}, ErrNotNow
+	}
+	m.usedAt = now
+	return grant, nil
+}
 
 // quietLeft returns how long the next holder has to wait after a release now.
 func (m *Machine) quietLeft(now time.Time) time.Duration {
@@ -127,8 +139,8 @@
 }
 
 // quietAfter returns until when the actions of the holder last seen forbid
-// others: a row that names no holder says it itself; one that ran out may have
-// been acted under until now.
+// others: a row that names no holder says it itself; under one that ran out
+// actions may have begun for the whole act window after it was written.
 func (m *Machine) quietAfter(now time.Time) time.Time {
 	switch {
 	case m.row.Version == 0:
@@ -136,7 +148,8 @@
 	case m.free():
 		return m.seenAt.Add(m.record.Quiet)
 	default:
-		return now.Add(m.config.Quiet)
+		drift := time.Duration(m.config.DriftMargin * float64(m.config.ActWindow))
+		return m.seenAt.Add(m.config.ActWindow + drift + m.config.Quiet)
 	}
 }
 
@@ -326,6 +339,7 @@
 	}
 	margin := time.Duration(m.config.DriftMargin * float64(m.config.Duration))
 	m.until = sent.SentAt.Add(m.config.Duration - margin)
+	m.actUntil = sent.SentAt.Add(m.config.ActWindow)
 	m.held = m.contends && m.record.Fence > m.floor
 	if m.held {
 		m.nextAt = sent.SentAt.Add(m.config.Duration / renewals)
--- a/internal/lease/machine_test.go
+++ b/internal/lease/machine_test.go
@@ -29,6 +29,8 @@
 	timeout  = 1500 * time.Millisecond
 	duration = 9 * time.Second
 	quiet    = 3 * time.Second
+	// actWindow is long enough for a look at the next tick after a renewal.
+	actWindow = 4 * time.Second
 	// slowest is the rate of the slowest clock, by which a wait may be shorter.
 	slowest = 0.9
 )
@@ -79,7 +81,7 @@
 	w := &world{t: t, now: epoch, table: newTableModel(), owners: map[uint64]int{}, deletes: rapid.Bool().Draw(t, "deletes")}
 	for index := range 3 {
 		one := &node{rate: rapid.Float64Range(0.95, 1.05).Draw(t, "rate")}
-		one.machine = NewMachine(Config{Duration: duration, Quiet: quiet}, "x", ident.Node(fmt.Sprint(index)), fmt.Sprint("session-", index))
+		one.machine = NewMachine(Config{Duration: duration, Quiet: quiet, ActWindow: actWindow}, "x", ident.Node(fmt.Sprint(index)), fmt.Sprint("session-", index))
 		one.machine.Contend(w.local(one), true)
 		w.nodes = append(w.nodes, one)
 	}
@@ -167,8 +169,10 @@
 		w.t.Fatalf("fence %d is held by nodes %d and %d", grant.Fence, owner, index)
 	}
 	w.owners[grant.Fence] = index
-	if w.oneIn("order", 4) && !w.local(one).Before(grant.QuietUntil) {
-		one.machine.Used(w.local(one))
+	if !w.oneIn("order", 4) {
+		return
+	}
+	if _, err := one.machine.Act(w.local(one)); err == nil {
 		w.act(grant.Fence)
 		w.orders = append(w.orders, order{grant.Fence, w.after("arrives", 25*time.Second)})
 	}
@@ -292,7 +296,9 @@
 			settle(first, epoch)
 			now := epoch
 			if c.idle >= 0 {
-				first.Used(now)
+				if _, err := first.Act(now); err != nil {
+					t.Fatal(err)
+				}
 				now = now.Add(c.idle)
 				settle(first, now)
 			}
--- a/internal/rollout/controller.go
+++ b/internal/rollout/controller.go
@@ -21,8 +21,8 @@
 type Lease interface {
 	// Held returns the grant, if there is one.
 	Held() (lease.Grant, error)
-	// Use returns it for an order that leaves now.
-	Use() (lease.Grant, error)
+	// Act returns it for an order that leaves now.
+	Act() (lease.Grant, error)
 	StepDown(floor uint64)
 }
 
@@ -96,7 +96,7 @@
 		c.planner.Forget()
 	}
 	// Orders of two holders must never take turns.
-	if now.Before(grant.QuietUntil) {
+	if now.Before(grant.QuietUntil) || !now.Before(grant.ActUntil) {
 		return
 	}
 	c.planner.Observe(c.backends.Records(), c.holder.View().Models)
@@ -122,7 +122,7 @@
 	}
 	// The lease is asked once more right before the order leaves.
 	result := NotSent
-	if grant, err := c.lease.Use(); err == nil && grant.Fence == fence {
+	if grant, err := c.lease.Act(); err == nil && grant.Fence == fence {
 		result = c.engines.Order(ctx, action.Order)
 	}
 	c.results <- func(now time.Time) {
