--- a/internal/lease/machine_test.go
+++ b/internal/lease/machine_test.go
@@ -267,17 +267,27 @@
 	}
 }
 
+// settleAt makes the exchanges that a machine asks for at one moment.
+func settleAt(table *tableModel, machine *Machine, now time.Time) {
+	for range 5 {
+		if exchange, due := machine.Advance(now); due {
+			machine.Done(now, table.run(exchange))
+		}
+	}
+}
+
 // An idle holder that hands over leaves nothing to wait for; one that has just
 // acted leaves the rest of the quiet time.
 func TestAReleaseTellsWhatIsLeftOfTheQuietTime(t *testing.T) {
 	cases := []struct {
 		name   string
+		acts   bool
 		idle   time.Duration
 		waited time.Duration
 	}{
-		{"never acted", -1, 0},
-		{"acted long ago", 5 * time.Second, 0},
-		{"acted just now", time.Second, 2 * time.Second},
+		{"never acted", false, 0, 0},
+		{"acted long ago", true, 5 * time.Second, 0},
+		{"acted just now", true, time.Second, 2 * time.Second},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -285,27 +295,19 @@
 			config := Config{Duration: duration, Quiet: quiet}
 			first := NewMachine(config, "x", "a", "s1")
 			second := NewMachine(config, "x", "b", "s2")
-			settle := func(machine *Machine, now time.Time) {
-				for range 5 {
-					if exchange, due := machine.Advance(now); due {
-						machine.Done(now, table.run(exchange))
-					}
-				}
-			}
 			first.Contend(epoch, true)
-			settle(first, epoch)
-			now := epoch
-			if c.idle >= 0 {
-				if _, err := first.Act(now); err != nil {
+			settleAt(table, first, epoch)
+			if c.acts {
+				if _, err := first.Act(epoch); err != nil {
 					t.Fatal(err)
 				}
-				now = now.Add(c.idle)
-				settle(first, now)
 			}
+			now := epoch.Add(c.idle)
+			settleAt(table, first, now)
 			first.Contend(now, false)
-			settle(first, now)
+			settleAt(table, first, now)
 			second.Contend(now, true)
-			settle(second, now)
+			settleAt(table, second, now)
 			grant, err := second.Held(now)
 			if err != nil {
 				t.Fatal(err)
