Believe the newest weights of an engine that refuses for its version

Cause: the list tells versions up to 1.7 s late; engines that had taken new weights refused requests meant for the old ones and were left out for 200 ms and for the rest of the request. Ruled out: learning the version from the refusal; it tells none (55 of 55). Change: such an engine is taken to have the newest named version and may be asked again under it; every attempt names its version, so a wrong guess costs one more refusal.

--- a/internal/backend/registry.go
+++ b/internal/backend/registry.go
@@ -250,9 +250,12 @@
 	registry *Registry
 	target   *state
 	tokens   int
-	sentAt   time.Time
-	dueAt    time.Time
-	first    bool
+	model    ident.Model
+	// version is that of the model's weights when the back end was chosen.
+	version int
+	sentAt  time.Time
+	dueAt   time.Time
+	first   bool
 }
 
 // Pick chooses the back end with the least expected time for an attempt and
@@ -280,7 +283,10 @@
 		return Choice{}, nil, false
 	}
 	predicted := r.predict(best, query, best == home)
-	flight := &Flight{registry: r, target: best, sentAt: now, dueAt: now.Add(predicted)}
+	flight := &Flight{
+		registry: r, target: best, sentAt: now, dueAt: now.Add(predicted),
+		model: query.Model, version: best.record.Models[query.Model],
+	}
 	flight.tokens = query.OwnTokens
 	if best != home {
 		flight.tokens += query.SharedTokens
@@ -460,7 +466,9 @@
 		target.pause = min(max(2*target.pause, first), maxRefusal)
 		target.pausedUntil = now.Add(target.pause)
 	case WrongVersion:
-		target.pausedUntil = now.Add(versionPause)
+		if target.record.Models[f.model] == f.version {
+			target.pausedUntil = now.Add(versionPause)
+		}
 	case Abandoned:
 	}
 }
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -72,7 +72,10 @@
 			failed.outcome = a.interrupted(failed.outcome)
 		}
 		outcome = failed.outcome
-		a.excluded = append(a.excluded, a.choice.Instance)
+		// A back end with newer weights can serve under them.
+		if !failed.newVersion {
+			a.excluded = append(a.excluded, a.choice.Instance)
+		}
 		if failed.ran != fault.RanNo {
 			a.ran++
 		}
@@ -153,7 +156,27 @@
 // refused reads past the body of a refusal, so that the connection is kept.
 func (a *attempt) refused(reply *Reply, outcome backend.Outcome) *failure {
 	_, _ = io.Copy(io.Discard, io.LimitReader(reply.Body, maxBufferedBytes))
-	return &failure{ran: fault.RanNo, outcome: outcome, cause: errors.Errorf("refused with status %d", reply.Status)}
+	return &failure{
+		ran: fault.RanNo, outcome: outcome, newVersion: outcome == backend.WrongVersion && a.assumeNewest(),
+		cause: errors.Errorf("refused with status %d", reply.Status),
+	}
+}
+
+// assumeNewest takes a back end that refused because of its version to have
+// the newest one that was named: the list tells versions late. It reports
+// whether that is newer than what was believed. An attempt names the version it
+// is meant for, so that a wrong guess costs one more refusal.
+func (a *attempt) assumeNewest() bool {
+	if a.request.Prompt == nil {
+		return false
+	}
+	model := a.request.Prompt.Model
+	newest := a.forwarder.Holder.View().Models[model].Version
+	if newest <= a.choice.Version {
+		return false
+	}
+	a.forwarder.Backends.VersionSeen(a.choice.Instance, model, newest)
+	return true
 }
 
 // whole reads a whole answer before any of it is passed on, so that an answer
--- a/internal/forward/forwarder_test.go
+++ b/internal/forward/forwarder_test.go
@@ -289,3 +289,22 @@
 		is.Equal(walled.SaveTo, "10.9.9.9:1")
 	})
 }
+
+// A back end that has taken newer weights than the list tells is asked again
+// under those.
+func TestABackEndIsAskedAgainUnderItsNewWeights(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := newBench(refusing(forward.OtherVersion), genuine(200, one))
+		b.holder.Named("m", catalog.Naming{Version: 5, SeenAt: time.Now()})
+		wanted := request("stream")
+		wanted.Prompt = &forward.Prompt{Model: "m", Parts: []forward.Part{{ID: "x", Tokens: 10}, {ID: "y", Tokens: 20}}}
+		is.Equal(b.forward(t, wanted).status, 200)
+		sent := b.caller.sent()
+		is.Equal(len(sent), 2)
+		is.Equal(sent[0].Version, 2)
+		is.Equal(sent[1].Version, 5)
+		is.Equal(sent[1].Target.Instance, sent[0].Target.Instance)
+		is.True(sent[0].Salt != sent[1].Salt)
+	})
+}
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -98,6 +98,9 @@
 	ran     fault.Ran
 	outcome backend.Outcome
 	cause   error
+	// newVersion says that the back end refused because of its version, and is
+	// now believed to have a newer one.
+	newVersion bool
 	// reply is an answer of the back end that may be passed on when nothing
 	// better comes; its body is open.
 	reply *bufferedReply
