Price a fetched token at 40 us; fetching from the home engine was tried and reverted

Ruled out: the store's link as the bottleneck (moves went down, reads did not). Conclusion: 40 us kept.

--- a/internal/backend/registry.go
+++ b/internal/backend/registry.go
@@ -21,7 +21,7 @@
 	// Default: 26µs.
 	ReadPerToken time.Duration
 	// FetchPerToken is the time to fetch one token's cache from a store of
-	// kept caches, with what it costs besides. Default: 12µs.
+	// kept caches, with what it costs besides. Default: 40µs.
 	FetchPerToken time.Duration
 	// SilentAfter is how long a back end with open attempts may be silent,
 	// beyond what was predicted, before it gets no new work. Default: 500ms.
@@ -31,7 +31,7 @@
 const (
 	defaultZoneHop       = 3 * time.Millisecond
 	defaultReadPerToken  = 26 * time.Microsecond
-	defaultFetchPerToken = 12 * time.Microsecond
+	defaultFetchPerToken = 40 * time.Microsecond
 	defaultSilentAfter   = 500 * time.Millisecond
 	// failureHalfLife is how fast a failure is forgotten.
 	failureHalfLife = 2 * time.Second
