--- a/internal/claim/sweeper.go
+++ b/internal/claim/sweeper.go
@@ -9,6 +9,7 @@
 	"github.com/fieldpond/fieldpond/internal/ident"
 	"github.com/fieldpond/fieldpond/internal/lease"
 	"github.com/fieldpond/fieldpond/internal/platform"
+	"github.com/fieldpond/fieldpond/internal/wait"
 )
 
 const (
@@ -36,7 +37,7 @@
 // makes the sweep's requests. Run it once.
 type Sweeper struct {
 	options SweeperOptions
-	keeper  *lease.Keeper
+	keeper  *lease.Elector
 	mutex   sync.Mutex
 	sweep   *Sweep
 	held    bool
@@ -46,7 +47,7 @@
 func NewSweeper(options SweeperOptions) *Sweeper {
 	return &Sweeper{
 		options: options, sweep: NewSweep(options.Config),
-		keeper: lease.NewKeeper(options.Table, lease.Config{}, SweepLease, options.Node),
+		keeper: lease.NewElector(options.Table, lease.Config{}, SweepLease, options.Node),
 	}
 }
 
@@ -69,19 +70,12 @@
 	var duties sync.WaitGroup
 	duties.Go(func() { s.keeper.Run(ctx) })
 	defer duties.Wait()
-	ticker := time.NewTicker(sweepTick)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			s.keeper.Contend(s.options.Contends())
-			if request, due := s.next(); due {
-				s.make(ctx, request)
-			}
+	wait.Every(ctx, sweepTick, func() {
+		s.keeper.Contend(s.options.Contends())
+		if request, due := s.next(); due {
+			s.make(ctx, request)
 		}
-	}
+	})
 }
 
 // next returns the request that is due. Losing the lease ends a pass.
--- a/internal/control/duty.go
+++ b/internal/control/duty.go
@@ -82,7 +82,7 @@
 type runner struct {
 	group   Group
 	planner *Planner
-	keeper  *lease.Keeper
+	keeper  *lease.Elector
 	stop    context.CancelFunc
 	// askedAt is when each engine's report was last asked for; reading marks
 	// those without an answer yet.
@@ -229,7 +229,7 @@
 	kept, stop := context.WithCancel(context.WithoutCancel(ctx))
 	one := &runner{
 		planner: NewPlanner(d.options.Config, name), stop: stop,
-		keeper:  lease.NewKeeper(d.options.Table, d.options.Config.Lease, name, d.options.Node),
+		keeper:  lease.NewElector(d.options.Table, d.options.Config.Lease, name, d.options.Node),
 		askedAt: map[ident.Engine]time.Time{}, reading: map[ident.Engine]bool{},
 	}
 	d.keepers.Go(func() { one.keeper.Run(kept) })
--- a/internal/dispatch/application_test.go
+++ b/internal/dispatch/application_test.go
@@ -15,6 +15,7 @@
 	"github.com/fieldpond/fieldpond/internal/engine/protocol"
 	"github.com/fieldpond/fieldpond/internal/fault"
 	"github.com/fieldpond/fieldpond/internal/ident"
+	"github.com/fieldpond/fieldpond/internal/wait"
 )
 
 // fakeTable is a Claimer and an AnswerStore that several routers share.
@@ -96,7 +97,7 @@
 		f.executed++
 	}
 	f.mutex.Unlock()
-	if !pause(ctx, time.Second) {
+	if !wait.For(ctx, time.Second) {
 		return engine.ApplicationResponse{}, fault.New(fault.BackendLost, "cancelled").WithRan(fault.RanUnknown)
 	}
 	switch step {
--- a/internal/dispatch/claimed.go
+++ b/internal/dispatch/claimed.go
@@ -9,6 +9,7 @@
 
 	"github.com/fieldpond/fieldpond/internal/claim"
 	"github.com/fieldpond/fieldpond/internal/fault"
+	"github.com/fieldpond/fieldpond/internal/wait"
 )
 
 // settleTries bounds the tries to record the outcome of a claim.
@@ -157,7 +158,7 @@
 		if d.Claimer.Finish(ctx, key, claimID, outcome) == nil {
 			return
 		}
-		if !pause(ctx, d.config.RetryAfter<<try) {
+		if !wait.For(ctx, d.config.RetryAfter<<try) {
 			break
 		}
 	}
--- a/internal/dispatch/flow.go
+++ b/internal/dispatch/flow.go
@@ -11,6 +11,7 @@
 	"github.com/fieldpond/fieldpond/internal/engine"
 	"github.com/fieldpond/fieldpond/internal/engine/protocol"
 	"github.com/fieldpond/fieldpond/internal/fault"
+	"github.com/fieldpond/fieldpond/internal/wait"
 )
 
 // errCallerGone says that the caller left or was too slow; it is never sent.
@@ -137,7 +138,7 @@
 		if f.idle >= f.dispatcher.config.ResumeTries {
 			return nil, fault.New(fault.BackendLost, "the stream could not be resumed").WithRan(fault.RanUnknown)
 		}
-		if f.idle > 0 && !pause(ctx, f.dispatcher.config.ResumePause) {
+		if f.idle > 0 && !wait.For(ctx, f.dispatcher.config.ResumePause) {
 			return nil, errCallerGone
 		}
 		f.idle++
@@ -224,15 +225,3 @@
 	return fault.Wrap(err, fault.BadRequest, "the back end cannot take the request").
 		WithRemedy("shorten the prompt or max_tokens, or correct the body; the back end's limits bind")
 }
-
-// pause waits, and reports whether the context is still open.
-func pause(ctx context.Context, duration time.Duration) bool {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -16,6 +16,7 @@
 	"github.com/apex/log"
 
 	"github.com/fieldpond/fieldpond/internal/ring"
+	"github.com/fieldpond/fieldpond/internal/wait"
 )
 
 const (
@@ -66,17 +67,8 @@
 
 // Run writes entries until ctx ends, and then what still waits.
 func (l *Log) Run(ctx context.Context) {
-	ticker := time.NewTicker(flushPause)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			l.flush()
-			return
-		case <-ticker.C:
-			l.flush()
-		}
-	}
+	wait.Every(ctx, flushPause, l.flush)
+	l.flush()
 }
 
 // flush writes all entries that wait.
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -13,6 +13,7 @@
 	"github.com/fieldpond/fieldpond/internal/exchange"
 	"github.com/fieldpond/fieldpond/internal/fault"
 	"github.com/fieldpond/fieldpond/internal/ident"
+	"github.com/fieldpond/fieldpond/internal/wait"
 )
 
 var (
@@ -200,7 +201,7 @@
 		if choice, flight, found := r.forwarder.Backends.Pick(now, &query); found {
 			return choice, flight, nil
 		}
-		if !now.Before(heldUntil) || !pause(ctx, placePause) {
+		if !now.Before(heldUntil) || !wait.For(ctx, placePause) {
 			return backend.Choice{}, nil, r.unplaced()
 		}
 	}
@@ -322,15 +323,3 @@
 	}
 	return fault.RanUnknown, backend.Broken
 }
-
-// pause waits, and reports whether the context is still open.
-func pause(ctx context.Context, duration time.Duration) bool {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/lease/keeper.go
+++ b/internal/lease/elector.go
@@ -13,9 +13,9 @@
 	"github.com/fieldpond/fieldpond/internal/platform/protocol"
 )
 
-// Keeper is the shell around a Machine: it makes the exchanges with the table.
+// Elector is the shell around a Machine: it makes the exchanges with the table.
 // Its methods may be called by any goroutine; Run must be running.
-type Keeper struct {
+type Elector struct {
 	table   platform.Table
 	name    string
 	timeout time.Duration
@@ -27,10 +27,10 @@
 	was     bool
 }
 
-// NewKeeper returns a keeper of the named lease for one life of a node.
-func NewKeeper(table platform.Table, config Config, name string, node ident.Node) *Keeper {
+// NewElector returns an elector of the named lease for one life of a node.
+func NewElector(table platform.Table, config Config, name string, node ident.Node) *Elector {
 	config = config.withDefaults()
-	return &Keeper{
+	return &Elector{
 		table: table, name: name,
 		timeout: config.ExchangeTimeout,
 		release: config.Duration / renewals,
@@ -41,61 +41,61 @@
 
 // Contend says whether this node shall try to hold the lease. A holder that
 // stops contending may not act any more and hands the lease over.
-func (k *Keeper) Contend(wanted bool) {
-	k.update(func(now time.Time) { k.machine.Contend(now, wanted) })
+func (e *Elector) Contend(wanted bool) {
+	e.update(func(now time.Time) { e.machine.Contend(now, wanted) })
 }
 
 // StepDown ends the holding after a fence was met that is newer; see
 // Machine.StepDown.
-func (k *Keeper) StepDown(floor uint64) {
-	k.update(func(now time.Time) { k.machine.StepDown(now, floor) })
+func (e *Elector) StepDown(floor uint64) {
+	e.update(func(now time.Time) { e.machine.StepDown(now, floor) })
 }
 
 // Held returns the grant, or ErrNotHeld. Ask it right before each action.
-func (k *Keeper) Held() (Grant, error) {
-	k.mutex.Lock()
-	defer k.mutex.Unlock()
-	return k.machine.Held(time.Now())
+func (e *Elector) Held() (Grant, error) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return e.machine.Held(time.Now())
 }
 
 // Act returns the grant for an action that begins now; see Machine.Act.
-func (k *Keeper) Act() (Grant, error) {
-	k.mutex.Lock()
-	defer k.mutex.Unlock()
-	return k.machine.Act(time.Now())
+func (e *Elector) Act() (Grant, error) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return e.machine.Act(time.Now())
 }
 
 // Holder returns the holder as last seen; see Machine.Holder.
-func (k *Keeper) Holder() ident.Node {
-	k.mutex.Lock()
-	defer k.mutex.Unlock()
-	return k.machine.Holder()
+func (e *Elector) Holder() ident.Node {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return e.machine.Holder()
 }
 
 // Counters returns what was counted so far.
-func (k *Keeper) Counters() Counters {
-	k.mutex.Lock()
-	defer k.mutex.Unlock()
-	return k.machine.Counters()
+func (e *Elector) Counters() Counters {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return e.machine.Counters()
 }
 
-func (k *Keeper) update(change func(now time.Time)) {
-	k.mutex.Lock()
+func (e *Elector) update(change func(now time.Time)) {
+	e.mutex.Lock()
 	change(time.Now())
-	k.mutex.Unlock()
+	e.mutex.Unlock()
 	select {
-	case k.changed <- struct{}{}:
+	case e.changed <- struct{}{}:
 	default:
 	}
 }
 
 // Run is the duty that keeps the lease until ctx ends. It then hands the lease
 // over, for which it takes at most a third of the lease's duration.
-func (k *Keeper) Run(ctx context.Context) {
-	timer := time.NewTimer(k.release)
+func (e *Elector) Run(ctx context.Context) {
+	timer := time.NewTimer(e.release)
 	defer timer.Stop()
 	for ctx.Err() == nil {
-		wait, pending := k.step(ctx)
+		wait, pending := e.step(ctx)
 		switch {
 		case !pending:
 			timer.Stop()
@@ -108,20 +108,20 @@
 		}
 		select {
 		case <-ctx.Done():
-		case <-k.changed:
+		case <-e.changed:
 		case <-timer.C:
 		}
 	}
-	k.handOver(context.WithoutCancel(ctx))
+	e.handOver(context.WithoutCancel(ctx))
 }
 
 // handOver releases the lease, if it is held, in a bounded time.
-func (k *Keeper) handOver(ctx context.Context) {
-	k.Contend(false)
-	ctx, cancel := context.WithTimeout(ctx, k.release)
+func (e *Elector) handOver(ctx context.Context) {
+	e.Contend(false)
+	ctx, cancel := context.WithTimeout(ctx, e.release)
 	defer cancel()
 	for ctx.Err() == nil {
-		wait, pending := k.step(ctx)
+		wait, pending := e.step(ctx)
 		if !pending {
 			return
 		}
@@ -136,42 +136,42 @@
 }
 
 // step makes the exchange that is due, if any, and returns how long to wait.
-func (k *Keeper) step(ctx context.Context) (time.Duration, bool) {
-	k.mutex.Lock()
-	defer k.mutex.Unlock()
-	exchange, due := k.machine.Advance(time.Now())
+func (e *Elector) step(ctx context.Context) (time.Duration, bool) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	exchange, due := e.machine.Advance(time.Now())
 	if due {
-		k.mutex.Unlock()
-		outcome := k.execute(ctx, exchange)
-		k.mutex.Lock()
-		k.machine.Done(time.Now(), outcome)
+		e.mutex.Unlock()
+		outcome := e.execute(ctx, exchange)
+		e.mutex.Lock()
+		e.machine.Done(time.Now(), outcome)
 	}
-	k.logChange()
-	next, pending := k.machine.Next()
+	e.logChange()
+	next, pending := e.machine.Next()
 	return max(time.Until(next), 0), pending
 }
 
 // execute makes one exchange.
-func (k *Keeper) execute(ctx context.Context, exchange Exchange) Outcome {
-	ctx, cancel := context.WithTimeout(ctx, k.timeout)
+func (e *Elector) execute(ctx context.Context, exchange Exchange) Outcome {
+	ctx, cancel := context.WithTimeout(ctx, e.timeout)
 	defer cancel()
 	if exchange.Kind == Observe {
-		row, _, err := k.table.Read(ctx, exchange.Key)
+		row, _, err := e.table.Read(ctx, exchange.Key)
 		return Outcome{Rows: []protocol.Row{row}, Fault: fault.From(err)}
 	}
-	result, err := k.table.Commit(ctx, exchange.Transaction)
+	result, err := e.table.Commit(ctx, exchange.Transaction)
 	return Outcome{Committed: result.Committed, Rows: result.Rows, Fault: fault.From(err)}
 }
 
 // logChange writes a line when the lease was gained or given up.
-func (k *Keeper) logChange() {
-	grant, err := k.machine.Held(time.Now())
+func (e *Elector) logChange() {
+	grant, err := e.machine.Held(time.Now())
 	holds := err == nil
-	if holds == k.was {
+	if holds == e.was {
 		return
 	}
-	k.was = holds
-	entry := log.WithFields(log.Fields{"lease": k.name, "fence": grant.Fence})
+	e.was = holds
+	entry := log.WithFields(log.Fields{"lease": e.name, "fence": grant.Fence})
 	if holds {
 		entry.Info("lease is held")
 		return
--- a/internal/lease/keeper_test.go
+++ b/internal/lease/elector_test.go
@@ -19,19 +19,19 @@
 		links := []*link{}
 		is := is.New(t)
 		table := &fakeTable{model: newTableModel()}
-		start := func(name ident.Node) (*Keeper, context.CancelFunc) {
+		start := func(name ident.Node) (*Elector, context.CancelFunc) {
 			ctx, cancel := context.WithCancel(t.Context())
-			keeper := NewKeeper(links[len(links)-1], Config{Duration: duration}, "x", name)
-			keeper.Contend(true)
-			go keeper.Run(ctx)
+			elector := NewElector(links[len(links)-1], Config{Duration: duration}, "x", name)
+			elector.Contend(true)
+			go elector.Run(ctx)
 			synctest.Wait()
-			return keeper, cancel
+			return elector, cancel
 		}
-		keepers := []*Keeper{}
+		electors := []*Elector{}
 		stops := []context.CancelFunc{}
 		holders := func() (holding []int) {
-			for index, keeper := range keepers {
-				if _, err := keeper.Held(); err == nil {
+			for index, elector := range electors {
+				if _, err := elector.Held(); err == nil {
 					holding = append(holding, index)
 				}
 			}
@@ -39,8 +39,8 @@
 		}
 		for _, name := range []ident.Node{"first", "second", "third"} {
 			links = append(links, &link{fakeTable: table})
-			keeper, stop := start(name)
-			keepers, stops = append(keepers, keeper), append(stops, stop)
+			elector, stop := start(name)
+			electors, stops = append(electors, elector), append(stops, stop)
 		}
 		is.Equal(holders(), []int{0})
 		requests := table.countOver(time.Minute)
@@ -51,7 +51,7 @@
 		time.Sleep(duration / renewals)
 		synctest.Wait()
 		is.Equal(len(holders()), 1)
-		holder := keepers[holders()[0]]
+		holder := electors[holders()[0]]
 		grant, err := holder.Held()
 		is.NoErr(err)
 		is.Equal(grant.Fence, uint64(2))
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -17,7 +17,7 @@
 // row for all leases, raised in the same transaction that takes a lease. Fences
 // are therefore unique and rise over all leases, whatever becomes of one row.
 //
-// Machine holds the logic without I/O or clock; Keeper is the shell around it.
+// Machine holds the logic without I/O or clock; Elector is the shell around it.
 package lease
 
 import (
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -66,7 +66,7 @@
 	ports    Ports
 	holder   *catalog.Holder
 	backends *backend.Registry
-	lease    *lease.Keeper
+	lease    *lease.Elector
 	metrics  *metrics
 	stopping atomic.Bool
 }
@@ -78,7 +78,7 @@
 		ports:    ports,
 		holder:   &catalog.Holder{},
 		backends: backend.NewRegistry(backend.Config{Zone: config.Zone}),
-		lease:    lease.NewKeeper(ports.Table, config.Lease, rolloutLease, config.Node),
+		lease:    lease.NewElector(ports.Table, config.Lease, rolloutLease, config.Node),
 	}
 	n.metrics = newMetrics(n.read)
 	return n
--- /dev/null
+++ b/internal/wait/wait.go
@@ -0,0 +1,33 @@
+// Package wait holds the pauses that end early with their context.
+package wait
+
+import (
+	"context"
+	"time"
+)
+
+// For waits for a duration, and reports whether the context is still open.
+func For(ctx context.Context, duration time.Duration) bool {
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+// Every calls work once in each interval until the context ends.
+func Every(ctx context.Context, interval time.Duration, work func()) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			work()
+		}
+	}
+}
