Keep what is assumed of an engine's weights apart from what is known

An engine that refused for its version was taken to have the newest one, and the registry told that guess to the rollout, which never lets a version fall: three engines were left behind for 19 s. Ruled out: the lease (held), the store's Retry-After (no 429 or 503 in the play), engines out of reach (they answered requests meanwhile). Change: an assumption lasts 2 s, serves the choice of attempts only, and is dropped when it proves wrong.

--- a/internal/backend/registry.go
+++ b/internal/backend/registry.go
@@ -57,6 +57,8 @@
 	// excessHalfLife how fast the mean is forgotten.
 	excessWeight   = 0.3
 	excessHalfLife = time.Second
+	// assumedFor is how long an assumed version stands: the list lags by less.
+	assumedFor = 2 * time.Second
 	// versionPause is how long a back end whose version was not as believed
 	// rests, unless the list tells a newer one before.
 	versionPause = 200 * time.Millisecond
@@ -96,6 +98,20 @@
 	// predicted, as of excessOf. It shows the load that other routers make.
 	excess   time.Duration
 	excessOf time.Time
+	// assumed is a version of a model's weights that the back end is taken to
+	// have until assumedUntil, ahead of the list.
+	assumed      int
+	assumedModel ident.Model
+	assumedUntil time.Time
+}
+
+// version returns the version of a model's weights that an attempt is meant for.
+func (s *state) version(now time.Time, model ident.Model) int {
+	version := s.record.Models[model]
+	if model == s.assumedModel && now.Before(s.assumedUntil) {
+		version = max(version, s.assumed)
+	}
+	return version
 }
 
 // excessAt returns the mean excess, as far as it is not forgotten.
@@ -245,6 +261,18 @@
 	known.pausedUntil = time.Time{}
 }
 
+// AssumeVersion takes a back end to have a version of a model's weights until
+// the list must have told it. It decides where attempts go and is no fact:
+// Records does not tell it.
+func (r *Registry) AssumeVersion(now time.Time, instance ident.Incarnation, model ident.Model, version int) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if known := r.byID[instance]; known != nil {
+		known.assumed, known.assumedModel = version, model
+		known.assumedUntil = now.Add(assumedFor)
+	}
+}
+
 // Flight is one attempt under way. Its methods are safe for concurrent use.
 type Flight struct {
 	registry *Registry
@@ -285,7 +313,7 @@
 	predicted := r.predict(best, query, best == home)
 	flight := &Flight{
 		registry: r, target: best, sentAt: now, dueAt: now.Add(predicted),
-		model: query.Model, version: best.record.Models[query.Model],
+		model: query.Model, version: best.version(now, query.Model),
 	}
 	flight.tokens = query.OwnTokens
 	if best != home {
@@ -293,7 +321,7 @@
 	}
 	best.flights[flight] = struct{}{}
 	return Choice{
-		Record: best.record, Version: best.record.Models[query.Model], Home: best == home,
+		Record: best.record, Version: flight.version, Home: best == home,
 		Predicted: predicted, Candidates: candidates,
 	}, flight, true
 }
@@ -313,7 +341,7 @@
 // versionRisk says whether the attempt may begin on the back end's weights
 // before they expire, given the time it is expected to wait.
 func (s *state) versionRisk(now time.Time, query *Query, predicted time.Duration) versionRisk {
-	version := s.record.Models[query.Model]
+	version := s.version(now, query.Model)
 	for _, expiry := range query.Expiries {
 		if expiry.Version <= version {
 			continue
@@ -466,7 +494,10 @@
 		target.pause = min(max(2*target.pause, first), maxRefusal)
 		target.pausedUntil = now.Add(target.pause)
 	case WrongVersion:
-		if target.record.Models[f.model] == f.version {
+		if target.assumed == f.version {
+			target.assumedUntil = time.Time{}
+		}
+		if target.version(now, f.model) <= f.version {
 			target.pausedUntil = now.Add(versionPause)
 		}
 	case Abandoned:
--- a/internal/backend/registry_test.go
+++ b/internal/backend/registry_test.go
@@ -207,3 +207,26 @@
 	flight.Heard(start)
 	flight.Ended(start, backend.Broken)
 }
+
+// What is only assumed of a back end decides where attempts go, but is not told
+// to those who change its weights: they would leave it behind for ever.
+func TestAnAssumedVersionIsNoFact(t *testing.T) {
+	is := is.New(t)
+	known := registry(engine("a", 4))
+	known.AssumeVersion(start, "a", model, 5)
+	choice, _ := pick(t, known, start, query())
+	is.Equal(choice.Version, 5)
+	is.Equal(known.Records()[0].Models[model], 4)
+	later, _ := pick(t, known, start.Add(time.Minute), query())
+	is.Equal(later.Version, 4) // the list would have told it by then
+}
+
+func TestAWrongAssumptionIsDropped(t *testing.T) {
+	is := is.New(t)
+	known := registry(engine("a", 4))
+	known.AssumeVersion(start, "a", model, 5)
+	_, flight := pick(t, known, start, query())
+	flight.Ended(start, backend.WrongVersion)
+	choice, _ := pick(t, known, start.Add(time.Second), query())
+	is.Equal(choice.Version, 4)
+}
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -175,7 +175,7 @@
 	if newest <= a.choice.Version {
 		return false
 	}
-	a.forwarder.Backends.VersionSeen(a.choice.Instance, model, newest)
+	a.forwarder.Backends.AssumeVersion(time.Now(), a.choice.Instance, model, newest)
 	return true
 }
 
