--- a/cmd/fieldpond/fleetcommand.go
+++ b/cmd/fieldpond/fleetcommand.go
@@ -8,13 +8,13 @@
 
 	"github.com/fieldpond/fieldpond/internal/fault"
 	"github.com/fieldpond/fieldpond/internal/fleet"
-	"github.com/fieldpond/fieldpond/internal/platform"
+	"github.com/fieldpond/fieldpond/internal/store"
 )
 
 // openTable returns the client of the platform's table service at a URL. Tests
 // replace it by a table in memory.
-var openTable = func(url string) (platform.Table, error) {
-	return platform.NewHTTPClient(url, platform.Options{})
+var openTable = func(url string) (store.Table, error) {
+	return store.NewHTTPClient(url, store.Options{})
 }
 
 func addFileFlag(command *cobra.Command, path *string) {
--- a/cmd/fieldpond/fleetcommand_test.go
+++ b/cmd/fieldpond/fleetcommand_test.go
@@ -15,8 +15,8 @@
 	"github.com/matryer/is"
 
 	"github.com/fieldpond/fieldpond/internal/fault"
-	"github.com/fieldpond/fieldpond/internal/platform"
-	"github.com/fieldpond/fieldpond/internal/platform/protocol"
+	"github.com/fieldpond/fieldpond/internal/store"
+	"github.com/fieldpond/fieldpond/internal/store/protocol"
 )
 
 // memoryTable is a table service without faults, for one goroutine.
@@ -47,7 +47,7 @@
 
 func useMemoryTable(t *testing.T) {
 	before, table := openTable, memoryTable{}
-	openTable = func(string) (platform.Table, error) { return table, nil }
+	openTable = func(string) (store.Table, error) { return table, nil }
 	t.Cleanup(func() { openTable = before })
 }
 
--- a/cmd/fieldpond/secrets_test.go
+++ b/cmd/fieldpond/secrets_test.go
@@ -23,7 +23,7 @@
 	"github.com/matryer/is"
 
 	"github.com/fieldpond/fieldpond/internal/engine/protocol"
-	"github.com/fieldpond/fieldpond/internal/platform"
+	"github.com/fieldpond/fieldpond/internal/store"
 	"github.com/fieldpond/fieldpond/standin/application"
 	"github.com/fieldpond/fieldpond/standin/engine"
 	"github.com/fieldpond/fieldpond/standin/engine/model"
@@ -185,7 +185,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	client, err := platform.NewHTTPClient(d.platform, platform.Options{})
+	client, err := store.NewHTTPClient(d.platform, store.Options{})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/claim/batch.go
+++ b/internal/claim/batch.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"github.com/fieldpond/fieldpond/internal/fault"
-	"github.com/fieldpond/fieldpond/internal/platform/protocol"
+	"github.com/fieldpond/fieldpond/internal/store/protocol"
 )
 
 // claimShare is the part of a batch, in quarters, that claims may fill while
--- a/internal/claim/keeper.go
+++ b/internal/claim/keeper.go
@@ -7,7 +7,7 @@
 
 	"github.com/fieldpond/fieldpond/internal/fault"
 	"github.com/fieldpond/fieldpond/internal/ident"
-	"github.com/fieldpond/fieldpond/internal/platform"
+	"github.com/fieldpond/fieldpond/internal/store"
 )
 
 // drainTimeouts bounds the drain at a stop, in claim timeouts.
@@ -17,7 +17,7 @@
 // callers. It implements Claimer. Run must be running for calls to end by
 // anything but their deadline.
 type Keeper struct {
-	table  platform.Table
+	table  store.Table
 	config Config
 	mutex  sync.Mutex
 	core   *Core
@@ -33,7 +33,7 @@
 var _ Claimer = (*Keeper)(nil)
 
 // NewKeeper returns a Keeper of the given router over the table.
-func NewKeeper(table platform.Table, holder ident.Node, config Config) *Keeper {
+func NewKeeper(table store.Table, holder ident.Node, config Config) *Keeper {
 	config = config.withDefaults()
 	return &Keeper{
 		table:         table,
--- a/internal/claim/operation.go
+++ b/internal/claim/operation.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/fieldpond/fieldpond/internal/platform/protocol"
+	"github.com/fieldpond/fieldpond/internal/store/protocol"
 )
 
 // operationKind tells a claim from the recording of an outcome.
--- a/internal/claim/row.go
+++ b/internal/claim/row.go
@@ -8,7 +8,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/fieldpond/fieldpond/internal/fault"
-	"github.com/fieldpond/fieldpond/internal/platform/protocol"
+	"github.com/fieldpond/fieldpond/internal/store/protocol"
 )
 
 // RowPrefix starts the table key of every claim.
--- a/internal/claim/sweep_test.go
+++ b/internal/claim/sweep_test.go
@@ -12,7 +12,7 @@
 
 	"github.com/fieldpond/fieldpond/internal/fault"
 	"github.com/fieldpond/fieldpond/internal/ident"
-	"github.com/fieldpond/fieldpond/internal/platform/protocol"
+	"github.com/fieldpond/fieldpond/internal/store/protocol"
 )
 
 const (
--- a/internal/claim/sweeper.go
+++ b/internal/claim/sweeper.go
@@ -8,7 +8,7 @@
 	"github.com/fieldpond/fieldpond/internal/fault"
 	"github.com/fieldpond/fieldpond/internal/ident"
 	"github.com/fieldpond/fieldpond/internal/lease"
-	"github.com/fieldpond/fieldpond/internal/platform"
+	"github.com/fieldpond/fieldpond/internal/store"
 	"github.com/fieldpond/fieldpond/internal/wait"
 )
 
@@ -25,7 +25,7 @@
 // SweeperOptions joins a Sweeper to the rest of a router.
 type SweeperOptions struct {
 	Node  ident.Node
-	Table platform.Table
+	Table store.Table
 	// Contends says whether this router shall try to hold the lease.
 	Contends func() bool
 	// Prefixes returns the prefixes of all rows, by SweepPrefix.
--- a/internal/control/duty.go
+++ b/internal/control/duty.go
@@ -13,8 +13,8 @@
 	"github.com/fieldpond/fieldpond/internal/ident"
 	"github.com/fieldpond/fieldpond/internal/lease"
 	"github.com/fieldpond/fieldpond/internal/membership"
-	"github.com/fieldpond/fieldpond/internal/platform"
 	"github.com/fieldpond/fieldpond/internal/ring"
+	"github.com/fieldpond/fieldpond/internal/store"
 )
 
 const (
@@ -36,7 +36,7 @@
 // Options joins a Duty to the rest of a router.
 type Options struct {
 	Node    ident.Node
-	Table   platform.Table
+	Table   store.Table
 	Engines Engines
 	// View returns the membership as this router sees it.
 	View func() membership.View
--- a/internal/control/rolling_test.go
+++ b/internal/control/rolling_test.go
@@ -19,7 +19,7 @@
 	"github.com/fieldpond/fieldpond/internal/ident"
 	"github.com/fieldpond/fieldpond/internal/lease"
 	"github.com/fieldpond/fieldpond/internal/membership"
-	platform "github.com/fieldpond/fieldpond/internal/platform/protocol"
+	platform "github.com/fieldpond/fieldpond/internal/store/protocol"
 	"github.com/fieldpond/fieldpond/standin/engine/model"
 	tables "github.com/fieldpond/fieldpond/standin/platform"
 	"github.com/fieldpond/fieldpond/standin/truth"
--- a/internal/fleet/applier.go
+++ b/internal/fleet/applier.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"github.com/fieldpond/fieldpond/internal/fault"
-	"github.com/fieldpond/fieldpond/internal/platform/protocol"
+	"github.com/fieldpond/fieldpond/internal/store/protocol"
 )
 
 // ApplyStepKind names what the Applier wants done next.
--- a/internal/fleet/apply.go
+++ b/internal/fleet/apply.go
@@ -6,7 +6,7 @@
 
 	"github.com/fieldpond/fieldpond/internal/fault"
 	"github.com/fieldpond/fieldpond/internal/ident"
-	"github.com/fieldpond/fieldpond/internal/platform"
+	"github.com/fieldpond/fieldpond/internal/store"
 )
 
 // attemptTimeout bounds one exchange with the table.
@@ -17,7 +17,7 @@
 // are filled in when empty. Errors are *fault.Fault: InvalidFleet, Conflict
 // (naming the winning version), StoreUnavailable or Timeout, whose Ran says
 // whether the file may nevertheless be in force.
-func Apply(ctx context.Context, table platform.Table, body []byte, options ApplyOptions) (Applied, error) {
+func Apply(ctx context.Context, table store.Table, body []byte, options ApplyOptions) (Applied, error) {
 	if _, problems := Parse(body, "the file"); problems.Err() != nil {
 		return Applied{}, problems.Err()
 	}
@@ -42,7 +42,7 @@
 }
 
 // runApplyStep does one step and reports its outcome to the machine.
-func runApplyStep(ctx context.Context, table platform.Table, applier *Applier, step ApplyStep) {
+func runApplyStep(ctx context.Context, table store.Table, applier *Applier, step ApplyStep) {
 	attempt, cancel := context.WithTimeout(ctx, attemptTimeout)
 	defer cancel()
 	if step.Kind == StepReadHead {
--- a/internal/fleet/apply_test.go
+++ b/internal/fleet/apply_test.go
@@ -12,7 +12,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/fieldpond/fieldpond/internal/fault"
-	"github.com/fieldpond/fieldpond/internal/platform/protocol"
+	"github.com/fieldpond/fieldpond/internal/store/protocol"
 )
 
 // smallFile returns a sound fleet file that differs by name.
--- a/internal/fleet/keeper.go
+++ b/internal/fleet/keeper.go
@@ -13,8 +13,8 @@
 	"github.com/fieldpond/fieldpond/internal/fault"
 	"github.com/fieldpond/fieldpond/internal/ident"
 	"github.com/fieldpond/fieldpond/internal/membership"
-	"github.com/fieldpond/fieldpond/internal/platform"
 	"github.com/fieldpond/fieldpond/internal/ring"
+	"github.com/fieldpond/fieldpond/internal/store"
 )
 
 const (
@@ -51,7 +51,7 @@
 	Self ident.Node
 	Zone ident.Zone
 	// Table is the platform's table service.
-	Table platform.Table
+	Table store.Table
 	// Peers asks other routers.
 	Peers PeerFetcher
 	// View returns the current membership.
--- a/internal/fleet/storage.go
+++ b/internal/fleet/storage.go
@@ -8,8 +8,8 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/fieldpond/fieldpond/internal/fault"
-	"github.com/fieldpond/fieldpond/internal/platform"
-	"github.com/fieldpond/fieldpond/internal/platform/protocol"
+	"github.com/fieldpond/fieldpond/internal/store"
+	"github.com/fieldpond/fieldpond/internal/store/protocol"
 )
 
 const (
@@ -115,7 +115,7 @@
 func chunkCount(size int) int { return (size + chunkBytes - 1) / chunkBytes }
 
 // ReadHead reads the head row; found is false when no file was ever accepted.
-func ReadHead(ctx context.Context, table platform.Table) (head Head, found bool, err error) {
+func ReadHead(ctx context.Context, table store.Table) (head Head, found bool, err error) {
 	row, found, err := table.Read(ctx, HeadKey)
 	if err != nil || !found {
 		return Head{}, false, err
@@ -126,7 +126,7 @@
 
 // readChunk reads one row of a body. It waits out rate limits until ctx ends,
 // because starting the whole body again would ask for more, not less.
-func readChunk(ctx context.Context, table platform.Table, key string) (protocol.Row, bool, error) {
+func readChunk(ctx context.Context, table store.Table, key string) (protocol.Row, bool, error) {
 	for {
 		row, found, err := table.Read(ctx, key)
 		if !fault.Is(err, fault.RateLimited) {
@@ -139,7 +139,7 @@
 }
 
 // ReadBody reads a body from the table and verifies its digest.
-func ReadBody(ctx context.Context, table platform.Table, digest Digest) ([]byte, error) {
+func ReadBody(ctx context.Context, table store.Table, digest Digest) ([]byte, error) {
 	var body []byte
 	for index := 0; index < chunkCount(MaxFileBytes); index++ {
 		row, found, err := readChunk(ctx, table, chunkKey(digest, index))
@@ -169,7 +169,7 @@
 }
 
 // ReadStored reads the file in force; found is false when there is none.
-func ReadStored(ctx context.Context, table platform.Table) (stored Stored, found bool, err error) {
+func ReadStored(ctx context.Context, table store.Table) (stored Stored, found bool, err error) {
 	head, found, err := ReadHead(ctx, table)
 	if err != nil || !found {
 		return Stored{}, false, err
--- a/internal/fleet/table_test.go
+++ b/internal/fleet/table_test.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"github.com/fieldpond/fieldpond/internal/fault"
-	"github.com/fieldpond/fieldpond/internal/platform/protocol"
+	"github.com/fieldpond/fieldpond/internal/store/protocol"
 )
 
 // tableModel is the table service: rows, and the truth log of accepted heads.
--- a/internal/lease/elector.go
+++ b/internal/lease/elector.go
@@ -9,14 +9,14 @@
 
 	"github.com/fieldpond/fieldpond/internal/fault"
 	"github.com/fieldpond/fieldpond/internal/ident"
-	"github.com/fieldpond/fieldpond/internal/platform"
-	"github.com/fieldpond/fieldpond/internal/platform/protocol"
+	"github.com/fieldpond/fieldpond/internal/store"
+	"github.com/fieldpond/fieldpond/internal/store/protocol"
 )
 
 // Elector is the shell around a Machine: it makes the exchanges with the table.
 // Its methods may be called by any goroutine; Run must be running.
 type Elector struct {
-	table   platform.Table
+	table   store.Table
 	name    string
 	timeout time.Duration
 	release time.Duration
@@ -28,7 +28,7 @@
 }
 
 // NewElector returns an elector of the named lease for one life of a node.
-func NewElector(table platform.Table, config Config, name string, node ident.Node) *Elector {
+func NewElector(table store.Table, config Config, name string, node ident.Node) *Elector {
 	config = config.withDefaults()
 	return &Elector{
 		table: table, name: name,
--- a/internal/lease/machine.go
+++ b/internal/lease/machine.go
@@ -5,7 +5,7 @@
 
 	"github.com/fieldpond/fieldpond/internal/fault"
 	"github.com/fieldpond/fieldpond/internal/ident"
-	"github.com/fieldpond/fieldpond/internal/platform/protocol"
+	"github.com/fieldpond/fieldpond/internal/store/protocol"
 )
 
 // Kind names what an Exchange does.
--- a/internal/lease/table_test.go
+++ b/internal/lease/table_test.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/fieldpond/fieldpond/internal/fault"
-	"github.com/fieldpond/fieldpond/internal/platform/protocol"
+	"github.com/fieldpond/fieldpond/internal/store/protocol"
 )
 
 // tableModel is the table's truth: rows and versions, without any transport.
--- a/internal/node/follower_test.go
+++ b/internal/node/follower_test.go
@@ -13,7 +13,7 @@
 	"github.com/fieldpond/fieldpond/internal/catalog"
 	"github.com/fieldpond/fieldpond/internal/fault"
 	"github.com/fieldpond/fieldpond/internal/ident"
-	"github.com/fieldpond/fieldpond/internal/platform/protocol"
+	"github.com/fieldpond/fieldpond/internal/store/protocol"
 )
 
 const model = ident.Model("m")
--- a/internal/node/namings.go
+++ b/internal/node/namings.go
@@ -13,8 +13,8 @@
 
 	"github.com/fieldpond/fieldpond/internal/catalog"
 	"github.com/fieldpond/fieldpond/internal/ident"
-	"github.com/fieldpond/fieldpond/internal/platform"
-	"github.com/fieldpond/fieldpond/internal/platform/protocol"
+	"github.com/fieldpond/fieldpond/internal/store"
+	"github.com/fieldpond/fieldpond/internal/store/protocol"
 )
 
 // namingPrefix is the begin of the keys of naming rows. There is one row for
@@ -38,7 +38,7 @@
 
 // namings keeps and finds the times at which versions were named.
 type namings struct {
-	table   platform.Table
+	table   store.Table
 	timeout time.Duration
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -15,8 +15,8 @@
 	"github.com/fieldpond/fieldpond/internal/forward"
 	"github.com/fieldpond/fieldpond/internal/ident"
 	"github.com/fieldpond/fieldpond/internal/lease"
-	"github.com/fieldpond/fieldpond/internal/platform"
 	"github.com/fieldpond/fieldpond/internal/rollout"
+	"github.com/fieldpond/fieldpond/internal/store"
 )
 
 // Config sets one node.
@@ -45,7 +45,7 @@
 // Ports are what a node needs of the outside.
 type Ports struct {
 	Source  Source
-	Table   platform.Table
+	Table   store.Table
 	Caller  forward.Caller
 	Engines rollout.Engines
 	// Front returns the handler of client requests. closing reports whether
--- a/internal/router/answers.go
+++ b/internal/router/answers.go
@@ -8,7 +8,7 @@
 	"github.com/fieldpond/fieldpond/internal/dispatch"
 	"github.com/fieldpond/fieldpond/internal/fault"
 	"github.com/fieldpond/fieldpond/internal/ident"
-	"github.com/fieldpond/fieldpond/internal/platform"
+	"github.com/fieldpond/fieldpond/internal/store"
 )
 
 // answersPrefix is the object key prefix of retained answers.
@@ -17,7 +17,7 @@
 // answerStore implements dispatch.AnswerStore over the platform's object
 // store. An answer stays in the zone of the application that gave it.
 type answerStore struct {
-	objects platform.Objects
+	objects store.Objects
 }
 
 // Save implements dispatch.AnswerStore.
--- a/internal/router/machines.go
+++ b/internal/router/machines.go
@@ -4,7 +4,7 @@
 	"context"
 
 	"github.com/fieldpond/fieldpond/internal/ident"
-	"github.com/fieldpond/fieldpond/internal/platform/protocol"
+	"github.com/fieldpond/fieldpond/internal/store/protocol"
 )
 
 // watchMachines reads the platform's machine list until ctx ends. The list
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -21,13 +21,13 @@
 	"github.com/fieldpond/fieldpond/internal/membership"
 	"github.com/fieldpond/fieldpond/internal/peer"
 	"github.com/fieldpond/fieldpond/internal/placement"
-	"github.com/fieldpond/fieldpond/internal/platform"
 	"github.com/fieldpond/fieldpond/internal/prefix/beliefs"
 	"github.com/fieldpond/fieldpond/internal/prefix/directory"
 	"github.com/fieldpond/fieldpond/internal/resume"
 	"github.com/fieldpond/fieldpond/internal/routing"
 	"github.com/fieldpond/fieldpond/internal/settings"
 	"github.com/fieldpond/fieldpond/internal/statechart"
+	"github.com/fieldpond/fieldpond/internal/store"
 	"github.com/fieldpond/fieldpond/internal/telemetry"
 )
 
@@ -52,7 +52,7 @@
 	settings   *settings.Settings
 	telemetry  *telemetry.Registry
 	life       *statechart.Instance
-	platform   *platform.HTTPClient
+	platform   *store.HTTPClient
 	engines    *engine.HTTPClient
 	members    *membership.Node
 	peers      *peer.Client
@@ -93,7 +93,7 @@
 		return nil, errors.Wrap(err, "loading the router chart")
 	}
 	r.life = chart.New(statechart.Observe(r.telemetry.ChartObserver()))
-	r.platform, err = platform.NewHTTPClient(configured.Platform, platform.Options{
+	r.platform, err = store.NewHTTPClient(configured.Platform, store.Options{
 		RequestsPerSecond: configured.Table.RequestsPerSecond,
 		Burst:             max(1, int(configured.Table.RequestsPerSecond)),
 	})
--- a/internal/platform/bench_test.go
+++ b/internal/store/bench_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package store_test
 
 import (
 	"context"
@@ -12,8 +12,8 @@
 	"github.com/matryer/is"
 
 	"github.com/fieldpond/fieldpond/internal/ident"
-	"github.com/fieldpond/fieldpond/internal/platform"
-	"github.com/fieldpond/fieldpond/internal/platform/protocol"
+	"github.com/fieldpond/fieldpond/internal/store"
+	"github.com/fieldpond/fieldpond/internal/store/protocol"
 )
 
 // BenchmarkMachineList reads the machine list of the size designed for: 390
@@ -42,7 +42,7 @@
 		_, _ = writer.Write(body)
 	}))
 	defer server.Close()
-	client, err := platform.NewHTTPClient(server.URL, platform.Options{})
+	client, err := store.NewHTTPClient(server.URL, store.Options{})
 	is.NoErr(err)
 	for b.Loop() {
 		read, err := client.ListMachines(context.Background())
--- a/internal/platform/http.go
+++ b/internal/store/http.go
@@ -1,4 +1,4 @@
-package platform
+package store
 
 import (
 	"bytes"
--- a/internal/platform/http_test.go
+++ b/internal/store/http_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package store_test
 
 import (
 	"context"
@@ -12,8 +12,8 @@
 	"github.com/matryer/is"
 
 	"github.com/fieldpond/fieldpond/internal/fault"
-	"github.com/fieldpond/fieldpond/internal/platform"
-	"github.com/fieldpond/fieldpond/internal/platform/protocol"
+	"github.com/fieldpond/fieldpond/internal/store"
+	"github.com/fieldpond/fieldpond/internal/store/protocol"
 )
 
 const testLimit = 128
@@ -49,7 +49,7 @@
 			is := is.New(t)
 			server := httptest.NewServer(c.handle)
 			defer server.Close()
-			client, err := platform.NewHTTPClient(server.URL, platform.Options{MaxBodyBytes: testLimit})
+			client, err := store.NewHTTPClient(server.URL, store.Options{MaxBodyBytes: testLimit})
 			is.NoErr(err)
 			_, err = client.Commit(t.Context(), transaction)
 			is.Equal(fault.From(err).Kind, c.kind)
@@ -61,7 +61,7 @@
 func TestOwnLimitAndDeadPlatformDoNothing(t *testing.T) {
 	is := is.New(t)
 	server := httptest.NewServer(http.NotFoundHandler())
-	client, err := platform.NewHTTPClient(server.URL, platform.Options{RequestsPerSecond: 0.001})
+	client, err := store.NewHTTPClient(server.URL, store.Options{RequestsPerSecond: 0.001})
 	is.NoErr(err)
 	_, found, err := client.Read(t.Context(), "a")
 	is.NoErr(err)
@@ -72,11 +72,11 @@
 	is.True(fault.Is(err, fault.RateLimited))
 
 	server.Close()
-	unlimited, err := platform.NewHTTPClient(server.URL, platform.Options{})
+	unlimited, err := store.NewHTTPClient(server.URL, store.Options{})
 	is.NoErr(err)
 	err = unlimited.Put(t.Context(), "cok", "a", nil)
 	is.True(fault.Is(err, fault.StoreUnavailable))
 	is.Equal(fault.From(err).Ran, fault.RanNo)
-	_, err = platform.NewHTTPClient("ftp://x", platform.Options{})
+	_, err = store.NewHTTPClient("ftp://x", store.Options{})
 	is.True(fault.Is(err, fault.InvalidSettings))
 }
--- a/internal/platform/leak_test.go
+++ b/internal/store/leak_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package store_test
 
 import (
 	"testing"
--- a/internal/platform/platform.go
+++ b/internal/store/platform.go
@@ -1,4 +1,4 @@
-// Package platform holds the clients of the platform's services. The
+// Package store holds the clients of the platform's services. The
 // interfaces here are what the rest of fieldpond depends on; http.go
 // implements them over the published protocol.
 //
@@ -6,13 +6,13 @@
 // are *fault.Fault: RateLimited (nothing was done), StoreUnavailable with Ran
 // "no" when the request was certainly not executed, and StoreUnavailable with
 // Ran "unknown" when a write may have taken effect although no answer came.
-package platform
+package store
 
 import (
 	"context"
 
 	"github.com/fieldpond/fieldpond/internal/ident"
-	"github.com/fieldpond/fieldpond/internal/platform/protocol"
+	"github.com/fieldpond/fieldpond/internal/store/protocol"
 )
 
 // Table is the transactional table service.
--- a/internal/platform/table.go
+++ b/internal/store/table.go
@@ -1,4 +1,4 @@
-package platform
+package store
 
 import (
 	"context"
@@ -8,7 +8,7 @@
 	"strconv"
 
 	"github.com/fieldpond/fieldpond/internal/fault"
-	"github.com/fieldpond/fieldpond/internal/platform/protocol"
+	"github.com/fieldpond/fieldpond/internal/store/protocol"
 )
 
 const (
--- a/proofs/observe_test.go
+++ b/proofs/observe_test.go
@@ -11,8 +11,8 @@
 	"time"
 
 	"github.com/fieldpond/fieldpond/internal/ident"
-	"github.com/fieldpond/fieldpond/internal/platform/protocol"
 	"github.com/fieldpond/fieldpond/internal/status"
+	"github.com/fieldpond/fieldpond/internal/store/protocol"
 	"github.com/fieldpond/fieldpond/proofs/harness"
 	"github.com/fieldpond/fieldpond/standin/truth"
 )
--- a/standin/deployment/deployment.go
+++ b/standin/deployment/deployment.go
@@ -14,7 +14,7 @@
 	"github.com/fieldpond/fieldpond/internal/fault"
 	"github.com/fieldpond/fieldpond/internal/fleet"
 	"github.com/fieldpond/fieldpond/internal/ident"
-	"github.com/fieldpond/fieldpond/internal/platform/protocol"
+	"github.com/fieldpond/fieldpond/internal/store/protocol"
 )
 
 // Options sets what the fleet file does not say.
--- a/standin/platform/contract_test.go
+++ b/standin/platform/contract_test.go
@@ -13,7 +13,7 @@
 	"github.com/matryer/is"
 
 	"github.com/fieldpond/fieldpond/internal/fault"
-	client "github.com/fieldpond/fieldpond/internal/platform"
+	client "github.com/fieldpond/fieldpond/internal/store"
 	"github.com/fieldpond/fieldpond/standin/faultboard"
 	"github.com/fieldpond/fieldpond/standin/platform"
 )
--- a/standin/platform/core_test.go
+++ b/standin/platform/core_test.go
@@ -7,7 +7,7 @@
 	"github.com/matryer/is"
 
 	"github.com/fieldpond/fieldpond/internal/fault"
-	"github.com/fieldpond/fieldpond/internal/platform/protocol"
+	"github.com/fieldpond/fieldpond/internal/store/protocol"
 	"github.com/fieldpond/fieldpond/standin/platform"
 )
 
--- a/standin/platform/handlers.go
+++ b/standin/platform/handlers.go
@@ -11,7 +11,7 @@
 
 	"github.com/gorilla/mux"
 
-	"github.com/fieldpond/fieldpond/internal/platform/protocol"
+	"github.com/fieldpond/fieldpond/internal/store/protocol"
 )
 
 const (
--- a/standin/platform/history.go
+++ b/standin/platform/history.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/fieldpond/fieldpond/internal/platform/protocol"
+	"github.com/fieldpond/fieldpond/internal/store/protocol"
 )
 
 // Commit is one transaction that truly committed: the table's truth log.
--- a/standin/platform/machines.go
+++ b/standin/platform/machines.go
@@ -9,7 +9,7 @@
 	"gopkg.in/yaml.v3"
 
 	"github.com/fieldpond/fieldpond/internal/fault"
-	"github.com/fieldpond/fieldpond/internal/platform/protocol"
+	"github.com/fieldpond/fieldpond/internal/store/protocol"
 )
 
 // MachineLog is the core of the machine list: a change shows only after the
--- a/standin/platform/server.go
+++ b/standin/platform/server.go
@@ -12,7 +12,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/fieldpond/fieldpond/internal/fault"
-	"github.com/fieldpond/fieldpond/internal/platform/protocol"
+	"github.com/fieldpond/fieldpond/internal/store/protocol"
 	"github.com/fieldpond/fieldpond/standin/faultboard"
 )
 
--- a/standin/platform/table.go
+++ b/standin/platform/table.go
@@ -8,7 +8,7 @@
 	"strings"
 
 	"github.com/fieldpond/fieldpond/internal/fault"
-	"github.com/fieldpond/fieldpond/internal/platform/protocol"
+	"github.com/fieldpond/fieldpond/internal/store/protocol"
 )
 
 // Table is the core of the transactional table. It does no I/O, reads no clock
