--- /dev/null
+++ b/internal/backend/flight.go
@@ -0,0 +1,71 @@
+package backend
+
+import (
+	"time"
+
+	"github.com/fieldpond/fieldpond/internal/ident"
+)
+
+// Flight is one attempt under way. Its methods are safe for concurrent use.
+type Flight struct {
+	registry *Registry
+	target   *state
+	tokens   int
+	model    ident.Model
+	// version is that of the model's weights when the back end was chosen.
+	version int
+	sentAt  time.Time
+	dueAt   time.Time
+	first   bool
+}
+
+// Heard takes in that bytes of the attempt's answer came.
+func (f *Flight) Heard(now time.Time) {
+	f.registry.mutex.Lock()
+	defer f.registry.mutex.Unlock()
+	if !f.first {
+		f.target.observe(now, now.Sub(f.dueAt))
+	}
+	f.first = true
+	f.target.heardAt = now
+}
+
+// Ended takes in the end of the attempt; it is called exactly once.
+func (f *Flight) Ended(now time.Time, outcome Outcome) {
+	f.registry.mutex.Lock()
+	defer f.registry.mutex.Unlock()
+	target := f.target
+	delete(target.flights, f)
+	target.decay(now)
+	switch outcome {
+	case Answered:
+		target.tried++
+		target.pause = 0
+	case Failed:
+		target.tried++
+		target.failed += 0.5
+	case Broken, Silent:
+		target.tried++
+		target.failed++
+	case Unreachable, Misdirected:
+		target.tried++
+		target.failed++
+		target.pause = min(max(2*target.pause, firstPause), maxPause)
+		target.pausedUntil = now.Add(target.pause)
+	case Refused:
+		first := firstRefusal
+		if len(target.record.Models) > 0 {
+			first = firstEngineRefusal
+		}
+		target.pause = min(max(2*target.pause, first), maxRefusal)
+		target.pausedUntil = now.Add(target.pause)
+	case WrongVersion:
+		if target.assumed == f.version {
+			target.assumedUntil = time.Time{}
+		}
+		if target.version(now, f.model) <= f.version {
+			target.pausedUntil = now.Add(versionPause)
+		}
+	case Abandoned:
+	}
+}
--- a/internal/backend/registry.go
+++ b/internal/backend/registry.go
@@ -80,56 +80,6 @@
 	return c
 }
 
-// state is what is believed of one back end.
-type state struct {
-	record Record
-	// flights are the attempts under way.
-	flights map[*Flight]struct{}
-	// heardAt is when a byte of any attempt last came.
-	heardAt time.Time
-	// pausedUntil ends the rest after a failure or a refusal; pause is the
-	// length of the last one after a failure.
-	pausedUntil time.Time
-	pause       time.Duration
-	// tried and failed count recent attempts, halved every failureHalfLife.
-	tried, failed float64
-	decayedAt     time.Time
-	// excess is the mean time by which answers lately came later than
-	// predicted, as of excessOf. It shows the load that other routers make.
-	excess   time.Duration
-	excessOf time.Time
-	// assumed is a version of a model's weights that the back end is taken to
-	// have until assumedUntil, ahead of the list.
-	assumed      int
-	assumedModel ident.Model
-	assumedUntil time.Time
-}
-
-// version returns the version of a model's weights that an attempt is meant for.
-func (s *state) version(now time.Time, model ident.Model) int {
-	version := s.record.Models[model]
-	if model == s.assumedModel && now.Before(s.assumedUntil) {
-		version = max(version, s.assumed)
-	}
-	return version
-}
-
-// excessAt returns the mean excess, as far as it is not forgotten.
-func (s *state) excessAt(now time.Time) time.Duration {
-	if s.excess == 0 {
-		return 0
-	}
-	age := now.Sub(s.excessOf).Seconds() / excessHalfLife.Seconds()
-	return time.Duration(float64(s.excess) * math.Exp2(-age))
-}
-
-// observe takes in by how much an answer came later than predicted.
-func (s *state) observe(now time.Time, late time.Duration) {
-	mean := s.excessAt(now)
-	s.excess = mean + time.Duration(excessWeight*float64(max(late, 0)-mean))
-	s.excessOf = now
-}
-
 // Registry believes the newest list of back ends and chooses among them.
 type Registry struct {
 	config Config
@@ -273,19 +223,6 @@
 	}
 }
 
-// Flight is one attempt under way. Its methods are safe for concurrent use.
-type Flight struct {
-	registry *Registry
-	target   *state
-	tokens   int
-	model    ident.Model
-	// version is that of the model's weights when the back end was chosen.
-	version int
-	sentAt  time.Time
-	dueAt   time.Time
-	first   bool
-}
-
 // Pick chooses the back end with the least expected time for an attempt and
 // counts the attempt against it. It returns false if no back end may be used.
 func (r *Registry) Pick(now time.Time, query *Query) (Choice, *Flight, bool) {
@@ -326,45 +263,6 @@
 	}, flight, true
 }
 
-// eligible reports whether the back end may get the attempt.
-func (s *state) eligible(now time.Time, query *Query) bool {
-	if s.record.Draining || query.excludes(s.record.Instance) || now.Before(s.pausedUntil) {
-		return false
-	}
-	if query.Model == "" {
-		return true
-	}
-	_, holds := s.record.Models[query.Model]
-	return holds
-}
-
-// versionRisk says whether the attempt may begin on the back end's weights
-// before they expire, given the time it is expected to wait.
-func (s *state) versionRisk(now time.Time, query *Query, predicted time.Duration) versionRisk {
-	version := s.version(now, query.Model)
-	for _, expiry := range query.Expiries {
-		if expiry.Version <= version {
-			continue
-		}
-		if now.Add(beginFactor*predicted + s.excessAt(now)).After(expiry.At) {
-			return versionExpired
-		}
-		if expiry.Uncertain {
-			return versionUncertain
-		}
-	}
-	return versionSound
-}
-
-// versionRisk is what is known of the age of a back end's weights.
-type versionRisk uint8
-
-const (
-	versionSound versionRisk = iota
-	versionUncertain
-	versionExpired
-)
-
 // home returns the back end that ranks first for the shared part of the
 // prompt among all that serve it, whether it is usable now or not.
 func (r *Registry) home(query *Query) *state {
@@ -428,82 +326,6 @@
 	return cost
 }
 
-// silence returns for how long the back end owes a byte.
-func (s *state) silence(now time.Time) time.Duration {
-	longest := time.Duration(0)
-	for flight := range s.flights {
-		since := flight.dueAt
-		if s.heardAt.After(since) {
-			since = s.heardAt
-		}
-		if !flight.first {
-			longest = max(longest, now.Sub(since))
-		}
-	}
-	return longest
-}
-
-func (s *state) decay(now time.Time) {
-	if s.decayedAt.IsZero() {
-		s.decayedAt = now
-	}
-	factor := math.Exp2(-now.Sub(s.decayedAt).Seconds() / failureHalfLife.Seconds())
-	s.tried *= factor
-	s.failed *= factor
-	s.decayedAt = now
-}
-
-// Heard takes in that bytes of the attempt's answer came.
-func (f *Flight) Heard(now time.Time) {
-	f.registry.mutex.Lock()
-	defer f.registry.mutex.Unlock()
-	if !f.first {
-		f.target.observe(now, now.Sub(f.dueAt))
-	}
-	f.first = true
-	f.target.heardAt = now
-}
-
-// Ended takes in the end of the attempt; it is called exactly once.
-func (f *Flight) Ended(now time.Time, outcome Outcome) {
-	f.registry.mutex.Lock()
-	defer f.registry.mutex.Unlock()
-	target := f.target
-	delete(target.flights, f)
-	target.decay(now)
-	switch outcome {
-	case Answered:
-		target.tried++
-		target.pause = 0
-	case Failed:
-		target.tried++
-		target.failed += 0.5
-	case Broken, Silent:
-		target.tried++
-		target.failed++
-	case Unreachable, Misdirected:
-		target.tried++
-		target.failed++
-		target.pause = min(max(2*target.pause, firstPause), maxPause)
-		target.pausedUntil = now.Add(target.pause)
-	case Refused:
-		first := firstRefusal
-		if len(target.record.Models) > 0 {
-			first = firstEngineRefusal
-		}
-		target.pause = min(max(2*target.pause, first), maxRefusal)
-		target.pausedUntil = now.Add(target.pause)
-	case WrongVersion:
-		if target.assumed == f.version {
-			target.assumedUntil = time.Time{}
-		}
-		if target.version(now, f.model) <= f.version {
-			target.pausedUntil = now.Add(versionPause)
-		}
-	case Abandoned:
-	}
-}
-
 // InFlight returns the number of attempts under way at all back ends.
 func (r *Registry) InFlight() int {
 	r.mutex.Lock()
