--- a/internal/backend/flight.go
+++ b/internal/backend/flight.go
@@ -14,7 +14,6 @@
 	model    ident.Model
 	// version is that of the model's weights when the back end was chosen.
 	version int
-	sentAt  time.Time
 	dueAt   time.Time
 	first   bool
 }
--- a/internal/backend/registry.go
+++ b/internal/backend/registry.go
@@ -249,7 +249,7 @@
 	}
 	predicted := r.predict(best, query, best == home)
 	flight := &Flight{
-		registry: r, target: best, sentAt: now, dueAt: now.Add(predicted),
+		registry: r, target: best, dueAt: now.Add(predicted),
 		model: query.Model, version: best.version(now, query.Model),
 	}
 	flight.tokens = query.OwnTokens
--- a/internal/exchange/connection.go
+++ b/internal/exchange/connection.go
@@ -24,10 +24,8 @@
 	net.Conn
 	address string
 	reader  *bufio.Reader
-	// idleSince and idleUntil bound the rest between two exchanges.
-	idleSince, idleUntil time.Time
-	// used tells that an exchange was made before.
-	used bool
+	// idleUntil ends the rest between two exchanges.
+	idleUntil time.Time
 }
 
 // setUserTimeout makes the kernel give up a connection whose peer does not
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -154,9 +154,7 @@
 		p.drop(used)
 		return
 	}
-	now := time.Now()
-	used.used = true
-	used.idleSince, used.idleUntil = now, now.Add(keep-idleMargin)
+	used.idleUntil = time.Now().Add(keep - idleMargin)
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	known := p.targets[used.address]
