--- a/internal/admission/windowbudget.go
+++ b/internal/admission/windowbudget.go
@@ -9,8 +9,6 @@
 	Window time.Duration
 	// Share of the window's requests that may be repeated.
 	Share float64
-	// Slack is granted in each window without any request.
-	Slack int
 }
 
 // windowSlots is the number of pieces a window is counted in. One piece more
@@ -38,8 +36,10 @@
 	b.requests[b.current%(windowSlots+1)]++
 }
 
-// Allow reports whether a repeat may leave now, and if so counts it.
-func (b *WindowBudget) Allow(now time.Time) bool {
+// Allow reports whether a repeat may leave now, and if so counts it. slack is
+// the number of repeats granted in each window without any request; it may be a
+// fraction, and may change from call to call.
+func (b *WindowBudget) Allow(now time.Time, slack float64) bool {
 	b.advance(now)
 	requests, repeats := 0, 0
 	oldest := (b.current + 1) % (windowSlots + 1)
@@ -49,7 +49,7 @@
 		}
 		repeats += b.repeats[slot]
 	}
-	if float64(repeats+1) > b.config.Share*float64(requests)+float64(b.config.Slack) {
+	if float64(repeats+1) > b.config.Share*float64(requests)+slack {
 		return false
 	}
 	b.repeats[b.current%(windowSlots+1)]++
--- a/internal/admission/windowbudget_test.go
+++ b/internal/admission/windowbudget_test.go
@@ -11,18 +11,33 @@
 	"github.com/fieldpond/fieldpond/internal/admission"
 )
 
-var window = admission.WindowConfig{Window: 10 * time.Second, Share: 0.2, Slack: 3}
+var window = admission.WindowConfig{Window: 10 * time.Second, Share: 0.2}
+
+// slack is granted to every window of the tests.
+const slack = 3
 
 func TestOnlyTheSlackIsGrantedWithoutRequests(t *testing.T) {
 	is := is.New(t)
 	budget := admission.NewWindowBudget(window)
 	start := time.Unix(1000, 0)
 	for range 3 {
-		is.True(budget.Allow(start))
+		is.True(budget.Allow(start, slack))
 	}
-	is.True(!budget.Allow(start))
-	is.True(!budget.Allow(start.Add(10 * time.Second)))
-	is.True(budget.Allow(start.Add(11 * time.Second)))
+	is.True(!budget.Allow(start, slack))
+	is.True(!budget.Allow(start.Add(10*time.Second), slack))
+	is.True(budget.Allow(start.Add(11*time.Second), slack))
+}
+
+// A fraction of a repeat is granted only together with requests.
+func TestAFractionOfSlackIsNoRepeat(t *testing.T) {
+	is := is.New(t)
+	budget := admission.NewWindowBudget(window)
+	start := time.Unix(1000, 0)
+	is.True(!budget.Allow(start, 0.6))
+	budget.Requested(start)
+	budget.Requested(start)
+	is.True(budget.Allow(start, 0.6))
+	is.True(!budget.Allow(start, 0.6))
 }
 
 // Whatever the traffic, no sliding window holds more repeats than the share of
@@ -40,7 +55,7 @@
 		}
 		budget.Requested(now)
 		requests = append(requests, now)
-		for random.IntN(2) == 0 && budget.Allow(now) {
+		for random.IntN(2) == 0 && budget.Allow(now, slack) {
 			repeats = append(repeats, now)
 		}
 	}
@@ -54,7 +69,7 @@
 		begin := end.Add(-window.Window)
 		own := within(requests, begin, end)
 		earlier := within(requests, begin.Add(-window.Window), begin)
-		most := window.Share*float64(max(own, earlier)) + float64(window.Slack)
+		most := window.Share*float64(max(own, earlier)) + slack
 		if count := within(repeats, begin, end); float64(count) > most {
 			t.Fatalf("%d repeats in the window before %v, at most %g", count, end, most)
 		}
--- a/internal/backend/registry.go
+++ b/internal/backend/registry.go
@@ -172,6 +172,15 @@
 	return changes
 }
 
+// Confirm takes in that the newest list still held at a time.
+func (r *Registry) Confirm(listedAt time.Time) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if listedAt.After(r.listedAt) {
+		r.listedAt = listedAt
+	}
+}
+
 // listed takes in one record and tells what changed, if anything.
 func (r *Registry) listed(record Record) (*state, ChangeKind) {
 	known := r.byID[record.Instance]
--- a/internal/forward/fake_test.go
+++ b/internal/forward/fake_test.go
@@ -153,7 +153,10 @@
 	backends  *backend.Registry
 	forwarder *forward.Forwarder
 	steps     []forward.Step
-	mutex     sync.Mutex
+	// routers is the number of routers that the forwarder is told, lists the
+	// number of lists made by relist.
+	routers, lists int
+	mutex          sync.Mutex
 }
 
 var configuration = catalog.Content{
@@ -173,7 +176,7 @@
 }
 
 func newBench(answers ...answer) *bench {
-	b := &bench{caller: &fakeCaller{answers: answers}, holder: &catalog.Holder{}, backends: backend.NewRegistry(backend.Config{Zone: "z"})}
+	b := &bench{routers: 1, caller: &fakeCaller{answers: answers}, holder: &catalog.Holder{}, backends: backend.NewRegistry(backend.Config{Zone: "z"})}
 	b.holder.Adopt(catalog.NewSnapshot(configuration), time.Now())
 	var records []backend.Record
 	for _, name := range []ident.Incarnation{"a", "b", "c"} {
@@ -184,11 +187,30 @@
 	b.backends.Update(time.Now(), records)
 	b.forwarder = forward.New(forward.Config{
 		Freshness: catalog.Freshness{Keyed: 4 * time.Second, Denial: time.Second},
-		Repeats:   admission.WindowConfig{Window: 10 * time.Second, Share: 0.2, Slack: 5},
-	}, forward.Dependencies{Holder: b.holder, Backends: b.backends, Caller: b.caller, Record: b.record})
+		Repeats:   admission.WindowConfig{Window: 10 * time.Second, Share: 0.2},
+		Slack:     benchSlack,
+	}, forward.Dependencies{
+		Holder: b.holder, Backends: b.backends, Caller: b.caller, Record: b.record, Routers: func() int { return b.routers },
+	})
 	return b
 }
 
+// benchSlack is granted to all routers of a bench together.
+const benchSlack = 10
+
+// relist lists other back ends than those that rest after refusals.
+func (b *bench) relist() {
+	b.lists++
+	var records []backend.Record
+	for index := range 3 {
+		records = append(records, backend.Record{
+			Instance: ident.Incarnation(fmt.Sprint("list-", b.lists, "-", index)), Service: "s", Zone: "z", Slots: 4,
+			Address: "10.0.0.1:1", Models: map[ident.Model]int{"m": 2},
+		})
+	}
+	b.backends.Update(time.Now(), records)
+}
+
 func (b *bench) record(step forward.Step) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -22,17 +22,20 @@
 	VersionGrace time.Duration
 	// Repeats bounds repeated attempts of each service.
 	Repeats admission.WindowConfig
-	// Routers is the number of routers that share each back end's connections.
-	// Default: 10.
-	Routers int
+	// Slack is the number of repeats that all routers together may make of each
+	// service in a window without any request. Default: 0.
+	Slack int
 	// RetryAfter is told with refusals. Default: 300ms.
 	RetryAfter time.Duration
 }
 
 const (
 	defaultVersionGrace = 7 * time.Second
-	defaultRouters      = 10
-	defaultRetryAfter   = 300 * time.Millisecond
+	// unknownRouters is taken as the number of routers while it is not known.
+	unknownRouters = 100
+	// spareRouters, in tenths, are the routers that may start between two counts.
+	spareRouters      = 1
+	defaultRetryAfter = 300 * time.Millisecond
 	// defaultWait is how long a client waits that does not say.
 	defaultWait = 30 * time.Second
 	// maxSends bounds the sendings of one request, those that were refused or
@@ -42,7 +45,6 @@
 
 func (c Config) withDefaults() Config {
 	c.VersionGrace = cmp.Or(c.VersionGrace, defaultVersionGrace)
-	c.Routers = cmp.Or(c.Routers, defaultRouters)
 	c.RetryAfter = cmp.Or(c.RetryAfter, defaultRetryAfter)
 	return c
 }
@@ -52,6 +54,9 @@
 	Holder   *catalog.Holder
 	Backends *backend.Registry
 	Caller   Caller
+	// Routers returns the number of routers that share bounds of the whole
+	// system, 0 if it is not known.
+	Routers func() int
 	// Record takes in what was decided about requests. It must not block.
 	Record func(Step)
 }
@@ -140,10 +145,21 @@
 // allowRepeat takes one repeat out of the budget of a service.
 func (f *Forwarder) allowRepeat(service ident.Service) bool {
 	allowed := false
-	f.withBudget(service, func(budget *admission.WindowBudget) { allowed = budget.Allow(time.Now()) })
+	slack := float64(f.config.Slack) / float64(f.sharers())
+	f.withBudget(service, func(budget *admission.WindowBudget) { allowed = budget.Allow(time.Now(), slack) })
 	return allowed
 }
 
+// sharers returns the number of routers by which a bound of the whole system is
+// divided.
+func (f *Forwarder) sharers() int {
+	routers := f.Routers()
+	if routers <= 0 {
+		return unknownRouters
+	}
+	return routers + (spareRouters*routers+9)/10
+}
+
 func (f *Forwarder) withBudget(service ident.Service, use func(*admission.WindowBudget)) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -277,7 +277,7 @@
 		attempt.Tenant = r.tenant.Name
 	}
 	if service := r.view.Snapshot.Service(r.service); service != nil && service.MaxConnections > 0 {
-		attempt.MaxConnections = max(service.MaxConnections/r.forwarder.config.Routers, 1)
+		attempt.MaxConnections = max(service.MaxConnections/r.forwarder.sharers(), 1)
 	}
 	if r.request.Prompt == nil {
 		return attempt
--- a/internal/node/follower.go
+++ b/internal/node/follower.go
@@ -2,31 +2,37 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
 
-	"github.com/fieldpond/fieldpond/internal/backend"
 	"github.com/fieldpond/fieldpond/internal/catalog"
 	"github.com/fieldpond/fieldpond/internal/ident"
+	"github.com/fieldpond/fieldpond/internal/upstream"
+	"github.com/fieldpond/fieldpond/internal/wait"
 )
 
-// follower keeps the configuration and the list of back ends up to date, by
-// reading them again and again. A read counts from the moment it was asked
-// for, so that neither a pause of the process nor a slow answer makes old news
-// look new.
+// follower keeps the replica up to date: it reads the store as often as this
+// router's place in the chain asks for, and else pulls from a peer. A read counts
+// from the moment it was asked for, so that neither a pause of the process nor a
+// slow answer makes old news look new.
 type follower struct {
-	source   Source
-	holder   *catalog.Holder
-	backends *backend.Registry
-	config   FollowConfig
-	namings  *namings
+	source  Source
+	replica *replica
+	config  FollowConfig
+	namings *namings
+	roster  *roster
+	client  puller
+	chain   *chainGuard
 	// lost is called each time a dependency is lost.
 	lost func(name string)
-	// revision is that of the configuration last decoded.
-	revision uint64
+	// pulled is called with the result of each pull.
+	pulled func(result string)
+	// startedAt is when this router began to follow.
+	startedAt time.Time
 	// looked is true after the first read of the configuration.
-	looked bool
+	looked atomic.Bool
 }
 
 // FollowConfig fixes how often the store is read.
@@ -37,8 +43,13 @@
 	BackendInterval time.Duration
 	// ReadTimeout bounds one read.
 	ReadTimeout time.Duration
-	// RetryPause is waited after a failed read.
+	// RetryPause is waited after a failed read. It doubles with each one in a
+	// row, up to the interval, at routers that do not read for their zone.
 	RetryPause time.Duration
+	// RosterInterval is the time between two counts of the routers.
+	RosterInterval time.Duration
+	// Chain orders the routers of a zone.
+	Chain upstream.Config
 }
 
 // dependency logs when reads begin to fail and when they work again.
@@ -63,10 +74,17 @@
 	}
 }
 
-// followConfiguration is the duty that reads the configuration until ctx ends.
+// followConfiguration reads the configuration from the store until ctx ends.
 func (f *follower) followConfiguration(ctx context.Context) {
 	seen := &dependency{name: "configuration", count: f.lost}
-	repeat(ctx, f.config.ConfigurationInterval, f.config.RetryPause, func() error {
+	due := func(now time.Time) time.Duration {
+		confirmedAt := f.startedAt
+		if view := f.replica.holder.View(); view.Snapshot != nil {
+			confirmedAt = view.ConfirmedAt
+		}
+		return f.chain.due(f.config.ConfigurationInterval) - now.Sub(confirmedAt)
+	}
+	f.poll(ctx, f.config.ConfigurationInterval, due, func() error {
 		err := f.readConfiguration(ctx)
 		if ctx.Err() == nil {
 			seen.saw(err)
@@ -84,43 +102,26 @@
 		return err
 	}
 	f.readNamings(ctx, askedAt, &reading)
-	if reading.Revision == 0 {
-		return nil
-	}
-	snapshot := f.holder.View().Snapshot
-	if reading.Revision != f.revision {
-		snapshot, err = f.source.Decode(reading.Body)
-		if err != nil {
-			return err
-		}
-		f.revision = reading.Revision
-	}
-	if f.holder.Adopt(snapshot, askedAt) {
-		log.WithFields(log.Fields{
-			"version": snapshot.Version, "routes": snapshot.RouteCount(), "revision": reading.Revision,
-			"read_ms": time.Since(askedAt).Milliseconds(),
-		}).Info("configuration_adopted")
-	}
-	return nil
+	return f.replica.takeConfiguration(f.replica.node, askedAt, reading.Revision, reading.Body)
 }
 
 // readNamings takes in the versions of weights that are named. One that is
 // there at the first look may have been named long before.
 func (f *follower) readNamings(ctx context.Context, askedAt time.Time, reading *Reading) {
+	looked := f.looked.Swap(true)
 	for model, version := range reading.Models {
-		if !f.looked {
+		if !looked {
 			f.recallNamings(ctx, askedAt, reading.StoreTime, model)
 		}
-		naming := catalog.Naming{Version: version, SeenAt: time.Now(), Met: !f.looked}
-		if !f.holder.Named(model, naming) {
+		naming := catalog.Naming{Version: version, SeenAt: time.Now(), Met: !looked}
+		if !f.replica.holder.Named(model, naming) {
 			continue
 		}
 		log.WithFields(log.Fields{"model": model, "version": version, "met": naming.Met}).Info("version_named")
-		if f.looked {
+		if looked {
 			go f.namings.keep(ctx, model, version, reading.StoreTime)
 		}
 	}
-	f.looked = true
 }
 
 // recallNamings takes in what other routers kept of the versions of a model.
@@ -131,7 +132,7 @@
 		return
 	}
 	for _, naming := range kept {
-		if f.holder.Named(model, naming) {
+		if f.replica.holder.Named(model, naming) {
 			log.WithFields(log.Fields{
 				"model": model, "version": naming.Version, "age_ms": time.Since(naming.SeenAt).Milliseconds(),
 			}).Info("version_recalled")
@@ -139,10 +140,13 @@
 	}
 }
 
-// followBackends is the duty that reads the list of back ends until ctx ends.
+// followBackends reads the list of back ends from the store until ctx ends.
 func (f *follower) followBackends(ctx context.Context) {
 	seen := &dependency{name: "backends", count: f.lost}
-	repeat(ctx, f.config.BackendInterval, f.config.RetryPause, func() error {
+	due := func(now time.Time) time.Duration {
+		return f.chain.due(f.config.BackendInterval) - f.replica.listAge(now, f.startedAt)
+	}
+	f.poll(ctx, f.config.BackendInterval, due, func() error {
 		askedAt := time.Now()
 		bounded, cancel := context.WithTimeout(ctx, f.config.ReadTimeout)
 		defer cancel()
@@ -153,33 +157,52 @@
 		if err != nil {
 			return err
 		}
-		for _, change := range f.backends.Update(askedAt, records) {
-			log.WithFields(log.Fields{
-				"instance": change.Record.Instance, "service": change.Record.Service, "address": change.Record.Address,
-				"change": change.Kind, "revision": change.Record.Revision, "models": change.Record.Models,
-			}).Info("backend_changed")
-		}
+		f.replica.takeList(f.replica.node, askedAt, &upstream.List{Digest: digestOf(records), Told: true, Records: records})
 		return nil
 	})
 }
 
-// repeat calls work until ctx ends: an interval after the begin of the last
-// call, or a pause after one that failed.
-func repeat(ctx context.Context, interval, retryPause time.Duration, work func() error) {
-	timer := time.NewTimer(interval)
-	defer timer.Stop()
+// poll calls read at once, and then whenever due says that no time is left,
+// until ctx ends. After a failed read it pauses, longer each time.
+func (f *follower) poll(ctx context.Context, interval time.Duration, due func(now time.Time) time.Duration, read func() error) {
+	pause := time.Duration(0)
 	for ctx.Err() == nil {
 		begun := time.Now()
-		wait := interval
-		if work() != nil {
-			wait = retryPause
+		if read() == nil {
+			pause = 0
 		} else {
-			wait -= time.Since(begun)
+			pause = f.retryPause(pause, interval)
+		}
+		least := pause
+		if pause == 0 {
+			least = interval - time.Since(begun)
+		}
+		if !rest(ctx, least, due) {
+			return
+		}
+	}
+}
+
+// retryPause returns the pause after a failed read, given the one before. Only
+// the router that reads for its zone tries again at the same pace.
+func (f *follower) retryPause(pause, interval time.Duration) time.Duration {
+	if f.chain.reads() {
+		return f.config.RetryPause
+	}
+	return min(max(2*pause, f.config.RetryPause), interval)
+}
+
+// rest waits for a time at least, and then until a read is due; it reports
+// whether ctx is still open. What a peer supplies puts the read off.
+func rest(ctx context.Context, least time.Duration, due func(now time.Time) time.Duration) bool {
+	left := least
+	for {
+		if !wait.For(ctx, max(left, time.Millisecond)) {
+			return false
 		}
-		timer.Reset(max(wait, time.Millisecond))
-		select {
-		case <-ctx.Done():
-		case <-timer.C:
+		left = due(time.Now())
+		if left <= 0 {
+			return true
 		}
 	}
 }
--- a/internal/node/follower_test.go
+++ b/internal/node/follower_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -14,6 +15,7 @@
 	"github.com/fieldpond/fieldpond/internal/fault"
 	"github.com/fieldpond/fieldpond/internal/ident"
 	"github.com/fieldpond/fieldpond/internal/store/protocol"
+	"github.com/fieldpond/fieldpond/internal/upstream"
 )
 
 const model = ident.Model("m")
@@ -24,6 +26,7 @@
 	reading  Reading
 	records  []backend.Record
 	rows     map[string]protocol.Row
+	version  uint64
 	started  time.Time
 	down     bool
 	delay    time.Duration
@@ -32,7 +35,7 @@
 }
 
 func newFakeStore() *fakeStore {
-	return &fakeStore{rows: map[string]protocol.Row{}, started: time.Now(), snapshot: catalog.Content{Version: 1}}
+	return &fakeStore{reading: Reading{Body: []byte("body")}, rows: map[string]protocol.Row{}, started: time.Now(), snapshot: catalog.Content{Version: 1}}
 }
 
 func (s *fakeStore) change(change func()) {
@@ -105,8 +108,13 @@
 		return result, nil
 	}
 	result = protocol.TransactionResult{Committed: true}
+	s.version++
 	for _, write := range transaction.Writes {
-		row := protocol.Row{Key: write.Key, Value: write.Value, Version: s.rows[write.Key].Version + 1}
+		if write.Delete {
+			delete(s.rows, write.Key)
+			continue
+		}
+		row := protocol.Row{Key: write.Key, Value: write.Value, Version: s.version}
 		s.rows[write.Key] = row
 		result.Rows = append(result.Rows, row)
 	}
@@ -122,21 +130,30 @@
 }
 
 // List implements platform.Table.
-func (s *fakeStore) List(_ context.Context, _ string, _ int) (protocol.RowList, error) {
+func (s *fakeStore) List(_ context.Context, prefix string, _ int) (protocol.RowList, error) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	var list protocol.RowList
 	for _, row := range s.rows {
-		list.Rows = append(list.Rows, row)
+		if strings.HasPrefix(row.Key, prefix) {
+			list.Rows = append(list.Rows, row)
+		}
 	}
 	return list, nil
 }
 
+// newFollower returns the follower of a router that is the first of its zone.
 func newFollower(store *fakeStore) *follower {
+	chain := newChainGuard(upstream.Config{})
+	chain.use(func(chain *upstream.Chain) { chain.Join(upstream.Peer{Node: "n", Revision: 1}, nil) })
 	return &follower{
-		source: store, holder: &catalog.Holder{}, backends: backend.NewRegistry(backend.Config{}),
-		namings: &namings{table: store, timeout: time.Second},
-		lost:    func(string) {},
+		source:    store,
+		replica:   newReplica("n", &catalog.Holder{}, backend.NewRegistry(backend.Config{}), store.Decode),
+		namings:   &namings{table: store, timeout: time.Second},
+		chain:     chain,
+		lost:      func(string) {},
+		pulled:    func(string) {},
+		startedAt: time.Now(),
 		config: FollowConfig{
 			ConfigurationInterval: 600 * time.Millisecond, BackendInterval: 500 * time.Millisecond,
 			ReadTimeout: time.Second, RetryPause: 100 * time.Millisecond,
@@ -152,13 +169,13 @@
 		follower := newFollower(store)
 		go follower.followConfiguration(t.Context())
 		time.Sleep(10 * time.Millisecond)
-		is.Equal(follower.holder.View().Snapshot.Version, uint64(1))
+		is.Equal(follower.replica.holder.View().Snapshot.Version, uint64(1))
 		store.change(func() { store.reading.Revision, store.snapshot.Version = 2, 5 })
 		time.Sleep(600 * time.Millisecond)
-		is.Equal(follower.holder.View().Snapshot.Version, uint64(5))
+		is.Equal(follower.replica.holder.View().Snapshot.Version, uint64(5))
 		time.Sleep(time.Minute)
 		is.Equal(store.decoded, 2) // an unchanged row is not read again
-		is.True(follower.holder.View().Age(time.Now()) <= 600*time.Millisecond)
+		is.True(follower.replica.holder.View().Age(time.Now()) <= 600*time.Millisecond)
 	})
 }
 
@@ -173,7 +190,7 @@
 		begun := time.Now()
 		go follower.followConfiguration(t.Context())
 		time.Sleep(950 * time.Millisecond)
-		is.Equal(follower.holder.View().ConfirmedAt, begun)
+		is.Equal(follower.replica.holder.View().ConfirmedAt, begun)
 	})
 }
 
@@ -187,11 +204,11 @@
 		go follower.followConfiguration(t.Context())
 		go follower.followBackends(t.Context())
 		time.Sleep(time.Minute)
-		is.True(follower.holder.View().Snapshot == nil)
+		is.True(follower.replica.holder.View().Snapshot == nil)
 		store.change(func() { store.down = false })
 		time.Sleep(150 * time.Millisecond)
-		is.True(follower.holder.View().Snapshot != nil)
-		is.True(!follower.backends.ListedAt().IsZero())
+		is.True(follower.replica.holder.View().Snapshot != nil)
+		is.True(!follower.replica.backends.ListedAt().IsZero())
 	})
 }
 
@@ -206,7 +223,7 @@
 		time.Sleep(10 * time.Millisecond)
 		store.change(func() { store.down = true })
 		time.Sleep(time.Minute)
-		is.Equal(len(follower.backends.Records()), 1)
+		is.Equal(len(follower.replica.backends.Records()), 1)
 	})
 }
 
@@ -222,12 +239,12 @@
 		time.Sleep(time.Second)
 		store.change(func() { store.reading.Models = map[ident.Model]int{model: 2} })
 		time.Sleep(time.Second)
-		is.True(!first.holder.View().Models[model].Named[0].Met)
+		is.True(!first.replica.holder.View().Models[model].Named[0].Met)
 		time.Sleep(5 * time.Second)
 		second := newFollower(store)
 		go second.followConfiguration(t.Context())
 		time.Sleep(10 * time.Millisecond)
-		named := second.holder.View().Models[model]
+		named := second.replica.holder.View().Models[model]
 		is.Equal(named.Version, 2)
 		is.True(!named.Named[0].Met)
 		is.True(time.Since(named.Named[0].SeenAt) >= 5*time.Second)
@@ -243,7 +260,7 @@
 		follower := newFollower(store)
 		go follower.followConfiguration(t.Context())
 		time.Sleep(time.Second)
-		is.True(follower.holder.View().Models[model].Named[0].Met)
+		is.True(follower.replica.holder.View().Models[model].Named[0].Met)
 		is.Equal(len(store.rows), 0) // its time is not claimed to be known
 	})
 }
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -38,6 +38,7 @@
 	answerTime   *prometheus.HistogramVec
 	orders       *prometheus.CounterVec
 	dependencies *prometheus.CounterVec
+	pulls        *prometheus.CounterVec
 }
 
 // reading is the state of a node at one moment.
@@ -46,6 +47,8 @@
 	configurationAge     time.Duration
 	backends, inFlight   int
 	leaseHeld            bool
+	readsStore           bool
+	routers              int
 	linesDropped         uint64
 }
 
@@ -59,23 +62,28 @@
 		answerTime:   registry.Histogram("edge_answer_seconds", "Time from the arrival of a request to the end of its answer, in seconds.", answerBuckets, "end"),
 		orders:       registry.Counter("edge_orders_total", "Orders to engines, by result.", "result"),
 		dependencies: registry.Counter("edge_dependency_lost_total", "Times that reads of a dependency began to fail.", "dependency"),
+		pulls:        registry.Counter("edge_pulls_total", "Pulls of the shared state from other routers, by result.", "result"),
 	}
 	group := telemetry.NewGroup(registry, func() (reading, bool) { return read(), true })
 	group.Gauge("edge_configuration_version", "Version of the configuration in force, 0 for none.", func(r reading) int { return int(r.configurationVersion) })
 	group.Gauge("edge_configuration_age_milliseconds", "Time since the configuration was last confirmed, in milliseconds.", func(r reading) int { return int(r.configurationAge.Milliseconds()) })
 	group.Gauge("edge_backends", "Back ends in the list.", func(r reading) int { return r.backends })
 	group.Gauge("edge_attempts_in_flight", "Attempts under way.", func(r reading) int { return r.inFlight })
-	group.Gauge("edge_lease_held", "1 while this router holds the rollout lease.", func(r reading) int {
-		if r.leaseHeld {
-			return 1
-		}
-		return 0
-	})
+	group.Gauge("edge_lease_held", "1 while this router holds the rollout lease.", func(r reading) int { return oneIf(r.leaseHeld) })
+	group.Gauge("edge_reads_store", "1 while this router reads the store for its zone.", func(r reading) int { return oneIf(r.readsStore) })
+	group.Gauge("edge_routers", "Routers in all zones, as counted last; 0 for not known.", func(r reading) int { return r.routers })
 	group.Counter("edge_log_lines_dropped_total", "Log lines that were not written.", func(r reading) uint64 { return r.linesDropped })
 	group.Register()
 	return m
 }
 
+func oneIf(condition bool) int {
+	if condition {
+		return 1
+	}
+	return 0
+}
+
 // ends are the steps that end a request.
 var ends = map[forward.StepKind]bool{
 	forward.StepAnswered: true, forward.StepRefused: true, forward.StepBroken: true, forward.StepClientGone: true,
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -17,6 +18,8 @@
 	"github.com/fieldpond/fieldpond/internal/lease"
 	"github.com/fieldpond/fieldpond/internal/rollout"
 	"github.com/fieldpond/fieldpond/internal/store"
+	"github.com/fieldpond/fieldpond/internal/upstream"
+	"github.com/fieldpond/fieldpond/internal/wait"
 )
 
 // Config sets one node.
@@ -31,10 +34,12 @@
 	// MetricsAddress (host:port) and MetricsPath are where the metrics are
 	// served; an empty address means nowhere.
 	MetricsAddress, MetricsPath string
-	Follow                      FollowConfig
-	Forward                     forward.Config
-	Lease                       lease.Config
-	Rollout                     rollout.ControllerConfig
+	// PeerAddr is where other routers pull the shared state.
+	PeerAddr netip.AddrPort
+	Follow   FollowConfig
+	Forward  forward.Config
+	Lease    lease.Config
+	Rollout  rollout.ControllerConfig
 	// Grace is the time from the request to stop until the process is killed.
 	Grace time.Duration
 	// Unready is how long a stopping node still takes new connections, until
@@ -44,7 +49,8 @@
 
 // Ports are what a node needs of the outside.
 type Ports struct {
-	Source  Source
+	Source Source
+	// Table's row versions rise with every transaction, over all keys.
 	Table   store.Table
 	Caller  forward.Caller
 	Engines rollout.Engines
@@ -68,6 +74,7 @@
 	backends *backend.Registry
 	lease    *lease.Elector
 	metrics  *metrics
+	follower *follower
 	stopping atomic.Bool
 }
 
@@ -81,9 +88,29 @@
 		lease:    lease.NewElector(ports.Table, config.Lease, rolloutLease, config.Node),
 	}
 	n.metrics = newMetrics(n.read)
+	n.follower = n.newFollower()
 	return n
 }
 
+func (n *Node) newFollower() *follower {
+	follow := n.config.Follow
+	return &follower{
+		source:  n.ports.Source,
+		replica: newReplica(n.config.Node, n.holder, n.backends, n.ports.Source.Decode),
+		config:  follow,
+		namings: &namings{table: n.ports.Table, timeout: follow.ReadTimeout},
+		roster: &roster{
+			table: n.ports.Table, timeout: follow.ReadTimeout,
+			node: n.config.Node, zone: n.config.Zone, addr: n.config.PeerAddr, life: ident.NewUnique(),
+		},
+		client:    upstream.NewClient(),
+		chain:     newChainGuard(follow.Chain),
+		lost:      func(name string) { n.metrics.dependencies.WithLabelValues(name).Inc() },
+		pulled:    func(result string) { n.metrics.pulls.WithLabelValues(result).Inc() },
+		startedAt: time.Now(),
+	}
+}
+
 // read returns what the gauges show.
 func (n *Node) read() reading {
 	view := n.holder.View()
@@ -94,6 +121,8 @@
 	}
 	_, err := n.lease.Held()
 	now.leaseHeld = err == nil
+	now.readsStore = n.follower.chain.reads()
+	now.routers = n.follower.replica.Routers()
 	if n.ports.LinesDropped != nil {
 		now.linesDropped = n.ports.LinesDropped()
 	}
@@ -128,24 +157,33 @@
 
 // duties are the goroutines that run as long as the node.
 func (n *Node) duties() []func(context.Context) {
-	follower := &follower{
-		source: n.ports.Source, holder: n.holder, backends: n.backends, config: n.config.Follow,
-		namings: &namings{table: n.ports.Table, timeout: n.config.Follow.ReadTimeout},
-		lost:    func(name string) { n.metrics.dependencies.WithLabelValues(name).Inc() },
-	}
 	config := n.config.Rollout
 	config.OnOrder = func(order *rollout.Order, result rollout.Result) {
 		n.metrics.order(result)
 		logOrder(order, result)
 	}
 	controller := rollout.NewController(config, n.lease, n.ports.Engines, n.holder, n.backends)
-	n.lease.Contend(true)
+	follower := n.follower
 	duties := []func(context.Context){
-		follower.followConfiguration, follower.followBackends, n.lease.Run, controller.Run,
+		follower.followConfiguration, follower.followBackends, follower.followPeers, follower.countRouters,
+		n.contend, n.lease.Run, controller.Run,
 	}
 	return append(duties, n.ports.Duties...)
 }
 
+// contendInterval is the time between two decisions to contend for the lease.
+const contendInterval = 200 * time.Millisecond
+
+// contend lets this router contend for the lease while it reads the store for
+// its zone: a few routers are enough, and each contender costs calls. A holder
+// goes on, so that the lease does not change hands without need.
+func (n *Node) contend(ctx context.Context) {
+	wait.Every(ctx, contendInterval, func() {
+		_, err := n.lease.Held()
+		n.lease.Contend(!n.stopping.Load() && (err == nil || n.follower.chain.reads()))
+	})
+}
+
 func logOrder(order *rollout.Order, result rollout.Result) {
 	log.WithFields(log.Fields{
 		"instance": order.Target.Instance, "model": order.Model, "version": order.Version, "fence": order.Fence,
@@ -180,6 +218,9 @@
 	killAt := time.Now().Add(n.config.Grace - closeMargin)
 	n.stopping.Store(true)
 	n.lease.Contend(false)
+	leave, cancelLeave := context.WithTimeout(context.Background(), n.config.Follow.ReadTimeout)
+	defer cancelLeave()
+	n.follower.roster.leave(leave)
 	log.WithFields(log.Fields{"in_flight": n.backends.InFlight()}).Info("stopping")
 	time.Sleep(n.config.Unready)
 	ctx, cancel := context.WithDeadline(context.Background(), killAt)
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -54,7 +54,7 @@
 		MetricsAddress: freeAddress(t), MetricsPath: "/metrics",
 		Follow: FollowConfig{
 			ConfigurationInterval: 20 * time.Millisecond, BackendInterval: 20 * time.Millisecond,
-			ReadTimeout: time.Second, RetryPause: 10 * time.Millisecond,
+			ReadTimeout: time.Second, RetryPause: 10 * time.Millisecond, RosterInterval: time.Second,
 		},
 		Forward: forward.Config{Freshness: catalog.Freshness{Keyed: time.Minute}},
 		Grace:   5 * time.Second, Unready: 150 * time.Millisecond,
--- /dev/null
+++ b/internal/node/pull.go
@@ -0,0 +1,215 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/fieldpond/fieldpond/internal/catalog"
+	"github.com/fieldpond/fieldpond/internal/upstream"
+	"github.com/fieldpond/fieldpond/internal/wait"
+)
+
+// puller asks a peer for its state.
+type puller interface {
+	Pull(ctx context.Context, peer upstream.Peer, pull *upstream.Pull) (*upstream.Update, time.Time, error)
+}
+
+// chainGuard makes a Chain safe for concurrent use.
+type chainGuard struct {
+	mu    sync.Mutex
+	chain *upstream.Chain
+}
+
+func newChainGuard(cfg upstream.Config) *chainGuard {
+	return &chainGuard{chain: upstream.NewChain(cfg)}
+}
+
+func (g *chainGuard) use(use func(*upstream.Chain)) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	use(g.chain)
+}
+
+func (g *chainGuard) due(interval time.Duration) (due time.Duration) {
+	g.use(func(chain *upstream.Chain) { due = chain.Due(interval) })
+	return due
+}
+
+// reads reports whether this router reads the store for its zone.
+func (g *chainGuard) reads() (reads bool) {
+	g.use(func(chain *upstream.Chain) { reads = chain.Joined() && chain.Rank() == 0 })
+	return reads
+}
+
+// followed takes in that a peer pulls from this router.
+func (g *chainGuard) followed(peer upstream.Peer) {
+	g.use(func(chain *upstream.Chain) { chain.Followed(peer) })
+}
+
+const (
+	// joinPause is the time between two tries to write this router's row.
+	joinPause = 500 * time.Millisecond
+	// chainPause bounds the time between two looks at the chain.
+	chainPause = 500 * time.Millisecond
+	// leastPull is the least time between two pulls, whatever the peer answers.
+	leastPull = 20 * time.Millisecond
+)
+
+// followPeers joins the routers of the zone and pulls from the peers that the
+// chain names, until ctx ends.
+func (f *follower) followPeers(ctx context.Context) {
+	if !f.join(ctx) {
+		return
+	}
+	source := upstream.Source(upstream.Store{})
+	confirmation := uint64(0)
+	for ctx.Err() == nil {
+		next := f.next(time.Now())
+		if !sameSource(next, source) {
+			logSource(next)
+			confirmation = 0
+		}
+		source = next
+		switch next := next.(type) {
+		case upstream.Peer:
+			begun := time.Now()
+			confirmation = f.pull(ctx, next, confirmation)
+			wait.For(ctx, max(leastPull-time.Since(begun), time.Millisecond))
+		case upstream.Store:
+			wait.For(ctx, min(max(time.Until(next.RetryAt), leastPull), chainPause))
+		}
+	}
+}
+
+// sameSource reports whether two sources are the same peer, or both the store.
+func sameSource(a, b upstream.Source) bool {
+	first, peer := a.(upstream.Peer)
+	second, other := b.(upstream.Peer)
+	return peer == other && first.Node == second.Node
+}
+
+func logSource(source upstream.Source) {
+	switch source := source.(type) {
+	case upstream.Peer:
+		log.WithFields(log.Fields{"peer": source.Node, "address": source.Addr.String()}).Info("state_from_peer")
+	case upstream.Store:
+		log.Info("state_from_store")
+	}
+}
+
+// join writes this router's row, and reports whether ctx is still open.
+func (f *follower) join(ctx context.Context) bool {
+	for ctx.Err() == nil {
+		self, peers, routers, err := f.roster.join(ctx)
+		if err == nil {
+			f.replica.joined(self)
+			f.replica.counted(routers)
+			f.chain.use(func(chain *upstream.Chain) { chain.Join(self, peers) })
+			log.WithFields(log.Fields{"revision": self.Revision, "peers": len(peers), "routers": routers}).Info("joined")
+			return true
+		}
+		log.WithFields(log.Fields{"cause": err.Error()}).Warn("join_failed")
+		wait.For(ctx, joinPause)
+	}
+	return false
+}
+
+func (f *follower) next(now time.Time) (next upstream.Source) {
+	age := max(f.replica.holder.View().Age(now), f.replica.listAge(now, f.startedAt))
+	f.chain.use(func(chain *upstream.Chain) { next = chain.Next(now, age) })
+	return next
+}
+
+// pull asks a peer once, takes in what it answers, and returns the number of
+// its confirmation.
+func (f *follower) pull(ctx context.Context, peer upstream.Peer, confirmation uint64) uint64 {
+	pull := &upstream.Pull{Confirmation: confirmation}
+	pull.Configuration, pull.List = f.replica.holds()
+	f.chain.use(func(chain *upstream.Chain) { pull.From = chain.Self() })
+	update, at, err := f.client.Pull(ctx, peer, pull)
+	if ctx.Err() != nil {
+		return 0
+	}
+	result := f.judge(peer, update, err)
+	if _, fresh := result.(upstream.Fresh); fresh {
+		err = f.take(update, at)
+	}
+	f.pulled(resultName(result))
+	if err != nil {
+		log.WithFields(log.Fields{"peer": peer.Node, "cause": err.Error()}).Warn("pull_failed")
+		result = upstream.Failed{}
+	}
+	f.chain.use(func(chain *upstream.Chain) { chain.Pulled(time.Now(), peer.Node, result) })
+	if update == nil {
+		return 0
+	}
+	return update.Confirmation
+}
+
+// resultName is the name of a result in metrics.
+func resultName(result upstream.Result) string {
+	return strings.ToLower(strings.TrimPrefix(fmt.Sprintf("%T", result), "upstream."))
+}
+
+// judge says what came of a pull.
+func (f *follower) judge(peer upstream.Peer, update *upstream.Update, err error) (result upstream.Result) {
+	switch {
+	case err != nil:
+		return upstream.Failed{}
+	case update.Revision != peer.Revision:
+		return upstream.Restarted{Revision: update.Revision}
+	case update.Configuration.Revision == 0 || update.List.Digest == 0:
+		return upstream.Stale{}
+	}
+	age := max(update.Configuration.Age, update.List.Age)
+	f.chain.use(func(chain *upstream.Chain) { result = chain.Judge(update.Origin, age) })
+	return result
+}
+
+// take takes in the state of a peer as of a time.
+func (f *follower) take(update *upstream.Update, at time.Time) error {
+	f.looked.Store(true)
+	for _, naming := range update.Configuration.Namings {
+		f.takeNaming(&naming, at)
+	}
+	configuration := &update.Configuration
+	err := f.replica.takeConfiguration(update.Origin, at.Add(-configuration.Age), configuration.Revision, configuration.Body)
+	if err != nil {
+		return err
+	}
+	f.replica.takeList(update.Origin, at.Add(-update.List.Age), &update.List)
+	if update.Routers > 0 {
+		f.replica.counted(update.Routers)
+	}
+	return nil
+}
+
+func (f *follower) takeNaming(told *upstream.Naming, at time.Time) {
+	naming := catalog.Naming{Version: told.Version, SeenAt: at.Add(-told.Age), Met: told.Met}
+	if f.replica.holder.Named(told.Model, naming) {
+		log.WithFields(log.Fields{
+			"model": told.Model, "version": told.Version, "age_ms": told.Age.Milliseconds(), "met": told.Met,
+		}).Info("version_named")
+	}
+}
+
+// countRouters keeps the number of routers up to date while this router reads
+// the store for its zone, until ctx ends.
+func (f *follower) countRouters(ctx context.Context) {
+	wait.Every(ctx, f.config.RosterInterval, func() {
+		if !f.chain.reads() {
+			return
+		}
+		_, routers, err := f.roster.read(ctx)
+		if err != nil {
+			log.WithFields(log.Fields{"cause": err.Error()}).Warn("routers_not_counted")
+			return
+		}
+		f.replica.counted(routers)
+	})
+}
--- /dev/null
+++ b/internal/node/replica.go
@@ -0,0 +1,228 @@
+package node
+
+import (
+	"encoding/binary"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/fieldpond/fieldpond/internal/backend"
+	"github.com/fieldpond/fieldpond/internal/catalog"
+	"github.com/fieldpond/fieldpond/internal/ident"
+	"github.com/fieldpond/fieldpond/internal/upstream"
+)
+
+// replica is this router's copy of the shared state: the configuration and the
+// list of back ends, from whichever of the store and the peers told it last. It
+// tells peers what it holds. It is safe for concurrent use.
+type replica struct {
+	node     ident.Node
+	holder   *catalog.Holder
+	backends *backend.Registry
+	decode   func(body []byte) (*catalog.Snapshot, error)
+
+	mu           sync.Mutex
+	self         upstream.Peer
+	confirmation uint64
+	changed      chan struct{}
+	// origin is the router that read the store for the newest confirmation.
+	origin ident.Node
+	// revision and body are those of the configuration in force.
+	revision uint64
+	body     []byte
+	// digest names the content of records, which were read at listedAt.
+	digest   uint64
+	records  []backend.Record
+	listedAt time.Time
+	// routers is the number of routers in all zones, 0 if not known.
+	routers int
+}
+
+func newReplica(node ident.Node, holder *catalog.Holder, backends *backend.Registry, decode func([]byte) (*catalog.Snapshot, error)) *replica {
+	return &replica{node: node, holder: holder, backends: backends, decode: decode, changed: make(chan struct{})}
+}
+
+// Confirmation implements upstream.State.
+func (r *replica) Confirmation() (uint64, <-chan struct{}) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.confirmation, r.changed
+}
+
+// Update implements upstream.State.
+func (r *replica) Update(now time.Time, pull *upstream.Pull) *upstream.Update {
+	view := r.holder.View()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	update := &upstream.Update{
+		Revision: r.self.Revision, Confirmation: r.confirmation, Origin: r.origin, Routers: r.routers,
+		Configuration: upstream.Configuration{Revision: r.revision},
+		List:          upstream.List{Digest: r.digest},
+	}
+	if r.revision != 0 {
+		update.Configuration.Age = view.Age(now)
+		update.Configuration.Namings = toldNamings(now, view)
+	}
+	if r.revision != pull.Configuration {
+		update.Configuration.Body = r.body
+	}
+	if r.digest != 0 {
+		update.List.Age = now.Sub(r.listedAt)
+	}
+	if r.digest != pull.List {
+		update.List.Told, update.List.Records = true, r.records
+	}
+	return update
+}
+
+func toldNamings(now time.Time, view catalog.View) []upstream.Naming {
+	var told []upstream.Naming
+	for _, model := range slices.Sorted(maps.Keys(view.Models)) {
+		for _, naming := range view.Models[model].Named {
+			told = append(told, upstream.Naming{
+				Model: model, Version: naming.Version, Age: now.Sub(naming.SeenAt), Met: naming.Met,
+			})
+		}
+	}
+	return told
+}
+
+// holds returns the names of the copies held here, for a pull.
+func (r *replica) holds() (configuration, list uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.revision, r.digest
+}
+
+// joined takes in this router's own row.
+func (r *replica) joined(self upstream.Peer) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.self = self
+}
+
+// counted takes in the number of routers in all zones.
+func (r *replica) counted(routers int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.routers = routers
+}
+
+// Routers returns the number of routers in all zones, 0 if not known.
+func (r *replica) Routers() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.routers
+}
+
+// takeConfiguration takes in a configuration that was the newest at
+// confirmedAt, as a router read it. An empty body stands for the one held.
+func (r *replica) takeConfiguration(origin ident.Node, confirmedAt time.Time, revision uint64, body []byte) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if revision == 0 || revision < r.revision || (revision > r.revision && len(body) == 0) {
+		return nil
+	}
+	view := r.holder.View()
+	snapshot := view.Snapshot
+	if revision != r.revision {
+		decoded, err := r.decode(body)
+		if err != nil {
+			return err
+		}
+		snapshot = decoded
+		r.revision, r.body = revision, body
+	}
+	adopted := r.holder.Adopt(snapshot, confirmedAt)
+	if adopted {
+		log.WithFields(log.Fields{
+			"version": snapshot.Version, "routes": snapshot.RouteCount(), "revision": revision,
+			"read_ms": time.Since(confirmedAt).Milliseconds(), "origin": origin,
+		}).Info("configuration_adopted")
+	}
+	if adopted || confirmedAt.After(view.ConfirmedAt) {
+		r.confirmed(origin)
+	}
+	return nil
+}
+
+// takeList takes in the list of back ends as a router read it at a time.
+func (r *replica) takeList(origin ident.Node, listedAt time.Time, list *upstream.List) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !listedAt.After(r.listedAt) || (list.Digest != r.digest && !list.Told) {
+		return
+	}
+	if list.Digest == r.digest {
+		r.backends.Confirm(listedAt)
+	} else {
+		for _, change := range r.backends.Update(listedAt, list.Records) {
+			logBackend(change)
+		}
+		r.digest, r.records = list.Digest, list.Records
+	}
+	r.listedAt = listedAt
+	r.confirmed(origin)
+}
+
+// confirmed tells the peers that wait; the caller holds the mutex.
+func (r *replica) confirmed(origin ident.Node) {
+	r.origin = origin
+	r.confirmation++
+	close(r.changed)
+	r.changed = make(chan struct{})
+}
+
+// listAge returns the age of the list of back ends, or of the process.
+func (r *replica) listAge(now, startedAt time.Time) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.listedAt.IsZero() {
+		return now.Sub(startedAt)
+	}
+	return now.Sub(r.listedAt)
+}
+
+func logBackend(change backend.Change) {
+	log.WithFields(log.Fields{
+		"instance": change.Record.Instance, "service": change.Record.Service, "address": change.Record.Address,
+		"change": change.Kind, "revision": change.Record.Revision, "models": change.Record.Models,
+	}).Info("backend_changed")
+}
+
+// digestOf names the content of a list, apart from the revisions of its rows,
+// which rise with each heartbeat. It is never 0.
+func digestOf(records []backend.Record) uint64 {
+	digest := xxhash.New()
+	text := func(value string) {
+		var length [4]byte
+		binary.LittleEndian.PutUint32(length[:], uint32(len(value)))
+		_, _ = digest.Write(length[:])
+		_, _ = digest.WriteString(value)
+	}
+	number := func(value int) {
+		var bytes [8]byte
+		binary.LittleEndian.PutUint64(bytes[:], uint64(value))
+		_, _ = digest.Write(bytes[:])
+	}
+	for _, record := range records {
+		text(string(record.Instance))
+		text(string(record.Service))
+		text(record.Address)
+		text(string(record.Zone))
+		number(record.Slots)
+		if record.Draining {
+			text("draining")
+		}
+		number(len(record.Models))
+		for _, model := range slices.Sorted(maps.Keys(record.Models)) {
+			text(string(model))
+			number(record.Models[model])
+		}
+	}
+	return max(digest.Sum64(), 1)
+}
--- /dev/null
+++ b/internal/node/roster.go
@@ -0,0 +1,110 @@
+package node
+
+import (
+	"context"
+	"net/netip"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+
+	"github.com/fieldpond/fieldpond/internal/ident"
+	"github.com/fieldpond/fieldpond/internal/store"
+	"github.com/fieldpond/fieldpond/internal/store/protocol"
+	"github.com/fieldpond/fieldpond/internal/upstream"
+)
+
+// routerPrefix is the begin of the keys of the routers' rows, which go on with
+// the zone and the name: each router writes its own at its start, and removes it
+// at a planned stop.
+const routerPrefix = "router/"
+
+// maxRouters bounds the rows of routers that are read.
+const maxRouters = 4000
+
+// routerRow is the value of a router's row.
+type routerRow struct {
+	// Addr is where the router takes pulls.
+	Addr netip.AddrPort `cbor:"1,keyasint"`
+	// Life tells the lives of one router apart.
+	Life string `cbor:"2,keyasint"`
+}
+
+// roster keeps this router's row, and reads those of the others.
+type roster struct {
+	table   store.Table
+	timeout time.Duration
+	node    ident.Node
+	zone    ident.Zone
+	addr    netip.AddrPort
+	life    string
+
+	mu  sync.Mutex
+	row protocol.Row
+}
+
+func (r *roster) key() string { return routerPrefix + string(r.zone) + "/" + string(r.node) }
+
+// join writes this router's row and returns it with the rows of its zone and
+// the number of routers in all zones, read after the write.
+func (r *roster) join(ctx context.Context) (self upstream.Peer, peers []upstream.Peer, routers int, err error) {
+	value, err := cbor.Marshal(routerRow{Addr: r.addr, Life: r.life})
+	if err != nil {
+		return self, nil, 0, errors.Wrap(err, "encode the row of this router")
+	}
+	bounded, cancel := context.WithTimeout(ctx, r.timeout)
+	defer cancel()
+	write := protocol.Transaction{Writes: []protocol.Write{{Key: r.key(), Value: value}}}
+	written, err := r.table.Commit(bounded, write)
+	if err != nil {
+		return self, nil, 0, err
+	}
+	r.mu.Lock()
+	r.row = written.Rows[0]
+	r.mu.Unlock()
+	self = upstream.Peer{Node: r.node, Addr: r.addr, Revision: written.Rows[0].Version}
+	peers, routers, err = r.read(ctx)
+	return self, peers, routers, err
+}
+
+// read returns the routers of this zone and the number of those in all zones.
+func (r *roster) read(ctx context.Context) (peers []upstream.Peer, routers int, err error) {
+	bounded, cancel := context.WithTimeout(ctx, r.timeout)
+	defer cancel()
+	list, err := r.table.List(bounded, routerPrefix, maxRouters)
+	if err != nil {
+		return nil, 0, err
+	}
+	zone := routerPrefix + string(r.zone) + "/"
+	for _, row := range list.Rows {
+		name, inZone := strings.CutPrefix(row.Key, zone)
+		var read routerRow
+		if !inZone || cbor.Unmarshal(row.Value, &read) != nil {
+			continue
+		}
+		peers = append(peers, upstream.Peer{Node: ident.Node(name), Addr: read.Addr, Revision: row.Version})
+	}
+	return peers, len(list.Rows), nil
+}
+
+// leave removes this router's row, unless a later life has written it anew.
+func (r *roster) leave(ctx context.Context) {
+	r.mu.Lock()
+	row := r.row
+	r.mu.Unlock()
+	if row.Version == 0 {
+		return
+	}
+	bounded, cancel := context.WithTimeout(ctx, r.timeout)
+	defer cancel()
+	_, err := r.table.Commit(bounded, protocol.Transaction{
+		Conditions: []protocol.Condition{{Key: row.Key, Version: row.Version}},
+		Writes:     []protocol.Write{{Key: row.Key, Delete: true}},
+	})
+	if err != nil {
+		log.WithFields(log.Fields{"cause": err.Error()}).Warn("router_row_not_removed")
+	}
+}
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/fieldpond/fieldpond/internal/forward"
+	"github.com/fieldpond/fieldpond/internal/upstream"
 )
 
 const (
@@ -31,6 +32,7 @@
 func (n *Node) servers() servers {
 	forwarder := forward.New(n.config.Forward, forward.Dependencies{
 		Holder: n.holder, Backends: n.backends, Caller: n.ports.Caller, Record: recordTo(n.metrics),
+		Routers: n.follower.replica.Routers,
 	})
 	var front http.Handler
 	if n.ports.Front != nil {
@@ -40,6 +42,10 @@
 		newServer("client requests", n.config.FrontAddress, front),
 		newServer("readiness checks", n.config.ReadyAddress, http.HandlerFunc(n.answerReady)),
 	}
+	if n.config.PeerAddr.IsValid() {
+		peers := upstream.NewServer(n.follower.replica, n.follower.chain.followed)
+		all = append(all, newServer("pulls of other routers", n.config.PeerAddr.String(), peers))
+	}
 	if n.config.MetricsAddress != "" {
 		mux := http.NewServeMux()
 		mux.Handle("GET "+n.config.MetricsPath, n.metrics.handler())
--- /dev/null
+++ b/internal/upstream/chain_test.go
@@ -0,0 +1,159 @@
+package upstream_test
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/fieldpond/fieldpond/internal/ident"
+	"github.com/fieldpond/fieldpond/internal/upstream"
+)
+
+var (
+	start = time.Unix(1000, 0)
+	addr  = netip.MustParseAddrPort("10.0.0.1:7340")
+)
+
+func peer(revision uint64) upstream.Peer {
+	return upstream.Peer{Node: ident.Node(fmt.Sprint("n", revision)), Addr: addr, Revision: revision}
+}
+
+// chain returns the chain of the router of a revision among peers.
+func chain(self uint64, peers ...uint64) *upstream.Chain {
+	joined := upstream.NewChain(upstream.Config{Stagger: time.Second, StaleAfter: 2 * time.Second})
+	var rows []upstream.Peer
+	for _, revision := range peers {
+		rows = append(rows, peer(revision))
+	}
+	joined.Join(peer(self), rows)
+	return joined
+}
+
+func TestTheFirstUsablePeerBeforeIsAsked(t *testing.T) {
+	type pulled struct {
+		node   ident.Node
+		result upstream.Result
+	}
+	tests := []struct {
+		name   string
+		pulled []pulled
+		after  time.Duration
+		want   upstream.Source
+	}{
+		{"nothing known", nil, 0, peer(1)},
+		{"first failed", []pulled{{"n1", upstream.Failed{}}}, 0, peer(2)},
+		{"first stale", []pulled{{"n1", upstream.Stale{}}}, 0, peer(2)},
+		{"first failed long ago", []pulled{{"n1", upstream.Failed{}}}, time.Second, peer(1)},
+		{"first failed twice", []pulled{{"n1", upstream.Failed{}}, {"n1", upstream.Failed{}}}, time.Second, peer(2)},
+		{"first restarted", []pulled{{"n1", upstream.Restarted{Revision: 9}}}, time.Hour, peer(2)},
+		{"failed, then fresh", []pulled{{"n1", upstream.Failed{}}, {"n1", upstream.Fresh{}}}, 0, peer(1)},
+		{"all failed", []pulled{{"n1", upstream.Failed{}}, {"n2", upstream.Failed{}}}, 0, upstream.Store{RetryAt: start.Add(time.Second)}},
+		{"unknown peer", []pulled{{"n7", upstream.Failed{}}}, 0, peer(1)},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := chain(3, 2, 4, 1, 3)
+			for _, p := range tt.pulled {
+				c.Pulled(start, p.node, p.result)
+			}
+			is.New(t).Equal(c.Next(start.Add(tt.after), 0), tt.want)
+		})
+	}
+}
+
+// In any state of the links there is one reader at least: following never goes
+// in a circle among routers whose state is fresh.
+func TestFollowingHasNoCircle(t *testing.T) {
+	is := is.New(t)
+	const routers = 6
+	for failures := range 1 << routers {
+		var revisions []uint64
+		for revision := range uint64(routers) {
+			revisions = append(revisions, revision+1)
+		}
+		readers := 0
+		for _, self := range revisions {
+			c := chain(self, revisions...)
+			for node := range routers {
+				if failures&(1<<node) != 0 {
+					c.Pulled(start, peer(uint64(node+1)).Node, upstream.Failed{})
+				}
+			}
+			switch next := c.Next(start, 0).(type) {
+			case upstream.Peer:
+				is.True(next.Revision < self)
+			case upstream.Store:
+				readers++
+				is.Equal(c.Rank(), 0)
+			}
+		}
+		is.True(readers >= 1)
+	}
+}
+
+func TestAnUnsuppliedRouterAsksItsFollowers(t *testing.T) {
+	is := is.New(t)
+	c := chain(1, 2, 3)
+	is.Equal(c.Next(start, time.Minute), upstream.Store{}) // nobody followed yet
+	c.Followed(peer(2))
+	c.Followed(peer(2))
+	c.Followed(peer(1)) // itself
+	is.Equal(c.Next(start, time.Second), upstream.Store{RetryAt: start.Add(time.Second)})
+	is.Equal(c.Next(start, 3*time.Second), peer(2))
+	c.Pulled(start, "n2", upstream.Stale{})
+	is.Equal(c.Next(start, 3*time.Second), upstream.Store{RetryAt: start.Add(time.Second)})
+}
+
+func TestStateIsJudgedByAgeAndOrigin(t *testing.T) {
+	tests := []struct {
+		name   string
+		origin ident.Node
+		age    time.Duration
+		want   upstream.Result
+	}{
+		{"young", "n1", time.Second, upstream.Fresh{}},
+		{"old", "n1", 3 * time.Second, upstream.Stale{}},
+		{"this router's own", "n3", time.Second, upstream.Stale{}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is.New(t).Equal(chain(3, 1, 2).Judge(tt.origin, tt.age), tt.want)
+		})
+	}
+}
+
+// When peers supply nothing, the routers of a zone begin to read one after the
+// other, and the last of them within the stagger.
+func TestReadsOfTheStoreAreStaggered(t *testing.T) {
+	is := is.New(t)
+	const interval = time.Second
+	is.Equal(chain(1, 2, 3).Due(interval), interval)
+	previous := interval
+	for self := uint64(2); self <= 20; self++ {
+		var peers []uint64
+		for revision := uint64(1); revision < self; revision++ {
+			peers = append(peers, revision)
+		}
+		due := chain(self, peers...).Due(interval)
+		is.True(due > interval)
+		is.True(due <= 2300*time.Millisecond)
+		previous = due
+	}
+	is.True(previous > interval)
+	c := chain(3, 1, 2)
+	c.Pulled(start, "n1", upstream.Failed{})
+	c.Pulled(start, "n2", upstream.Failed{})
+	is.Equal(c.Due(interval), interval) // all before it are down
+}
+
+func TestARouterWithoutARowReadsTheStore(t *testing.T) {
+	is := is.New(t)
+	c := upstream.NewChain(upstream.Config{})
+	is.True(!c.Joined())
+	is.Equal(c.Rank(), 0)
+	is.Equal(c.Next(start, 0), upstream.Store{RetryAt: start.Add(2 * time.Second)})
+	is.Equal(c.Due(time.Second), time.Second)
+}
--- /dev/null
+++ b/internal/upstream/update.go
@@ -0,0 +1,68 @@
+package upstream
+
+import (
+	"time"
+
+	"github.com/fieldpond/fieldpond/internal/backend"
+	"github.com/fieldpond/fieldpond/internal/ident"
+)
+
+// Pull asks a peer for what changed since the last pull. Pull and Update are
+// CBOR on the wire.
+type Pull struct {
+	// From is the router that pulls.
+	From Peer `cbor:"1,keyasint"`
+	// Confirmation is that of the last Update from this life of the peer, or 0.
+	Confirmation uint64 `cbor:"2,keyasint,omitempty"`
+	// Configuration and List name the copies that the asker holds, 0 for none.
+	Configuration uint64 `cbor:"3,keyasint,omitempty"`
+	List          uint64 `cbor:"4,keyasint,omitempty"`
+}
+
+// Update is the state of a peer. Ages count up to the moment it was answered.
+type Update struct {
+	// Revision is that of the answering router's row.
+	Revision uint64 `cbor:"1,keyasint"`
+	// Confirmation rises each time the state is confirmed by the store.
+	Confirmation uint64 `cbor:"2,keyasint"`
+	// Origin is the router that read the store.
+	Origin ident.Node `cbor:"3,keyasint"`
+	// Held is how long the answer was held back for something new.
+	Held          time.Duration `cbor:"4,keyasint"`
+	Configuration Configuration `cbor:"5,keyasint"`
+	List          List          `cbor:"6,keyasint"`
+	// Routers is the number of routers in all zones, 0 if not known.
+	Routers int `cbor:"7,keyasint"`
+}
+
+// Configuration is a configuration with the time since it was confirmed.
+type Configuration struct {
+	// Revision is that of the store's row, 0 if none is known.
+	Revision uint64 `cbor:"1,keyasint"`
+	// Body is empty if the asker holds this revision.
+	Body []byte        `cbor:"2,keyasint,omitempty"`
+	Age  time.Duration `cbor:"3,keyasint"`
+	// Namings are the versions of weights that were named, oldest first for
+	// each model.
+	Namings []Naming `cbor:"4,keyasint,omitempty"`
+}
+
+// Naming is a named version of a model's weights.
+type Naming struct {
+	Model   ident.Model   `cbor:"1,keyasint"`
+	Version int           `cbor:"2,keyasint"`
+	Age     time.Duration `cbor:"3,keyasint"`
+	// Met says that the version may be older than Age.
+	Met bool `cbor:"4,keyasint,omitempty"`
+}
+
+// List is the list of back ends with the time since it was read.
+type List struct {
+	// Digest names the content, 0 if none is known.
+	Digest uint64 `cbor:"1,keyasint"`
+	// Told says that Records holds the content; it is false if the asker named
+	// this digest.
+	Told    bool             `cbor:"4,keyasint,omitempty"`
+	Records []backend.Record `cbor:"2,keyasint,omitempty"`
+	Age     time.Duration    `cbor:"3,keyasint"`
+}
