Let back ends of equal cost share the work by the prompt

Cause: among engines that cost the same, the first of the list was taken, which is the one with the lowest name at every router, and the planner changes engines in that same order: work went to just those that were taking new weights.

Ruled out: the tokens that engines are believed to read (a router of 79 sees only its own attempts, so most engines cost it the same).

Change: costs within 2 ms count as equal, and the rendezvous order of the prompt's shared part (else of the request) decides among equals.

--- a/internal/backend/registry.go
+++ b/internal/backend/registry.go
@@ -51,6 +51,8 @@
 	firstEngineRefusal = 250 * time.Millisecond
 	// beginFactor times the predicted wait may pass until a request begins.
 	beginFactor = 2
+	// costGrain is the difference in cost below which back ends count as equal.
+	costGrain = 2 * time.Millisecond
 	// uncertainPenalty is the price of weights that may have expired.
 	uncertainPenalty = 5 * time.Second
 	// excessWeight is the part of a new observation in the mean excess, and
@@ -237,22 +239,8 @@
 func (r *Registry) Pick(now time.Time, query *Query) (Choice, *Flight, bool) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	var best *state
-	bestCost := math.Inf(1)
 	home := r.home(query)
-	candidates := 0
-	for _, candidate := range r.services[query.Service] {
-		if !candidate.eligible(now, query) {
-			continue
-		}
-		cost := r.cost(now, candidate, query, candidate == home)
-		if !math.IsInf(cost, 1) {
-			candidates++
-		}
-		if cost < bestCost {
-			best, bestCost = candidate, cost
-		}
-	}
+	best, candidates := r.cheapest(now, query, home)
 	if best == nil {
 		return Choice{}, nil, false
 	}
@@ -272,6 +260,30 @@
 	}, flight, true
 }
 
+// cheapest returns the back end of the least cost, or nil, and the number of
+// those that may be used. Among equals the query's own order decides, so that
+// they share the work and routers agree on who stands in for a home.
+func (r *Registry) cheapest(now time.Time, query *Query, home *state) (best *state, candidates int) {
+	bestCost := math.Inf(1)
+	var bestScore uint64
+	for _, candidate := range r.services[query.Service] {
+		if !candidate.eligible(now, query) {
+			continue
+		}
+		cost := r.cost(now, candidate, query, candidate == home)
+		if math.IsInf(cost, 1) {
+			continue
+		}
+		candidates++
+		cost = math.Floor(cost / costGrain.Seconds())
+		score := rendezvous.Score(query.SpreadKey, ident.Engine(candidate.record.Instance))
+		if cost < bestCost || (cost == bestCost && score > bestScore) {
+			best, bestCost, bestScore = candidate, cost, score
+		}
+	}
+	return best, candidates
+}
+
 // home returns the back end that ranks first for the shared part of the
 // prompt among all that serve it, whether it is usable now or not.
 func (r *Registry) home(query *Query) *state {
--- a/internal/backend/registry_test.go
+++ b/internal/backend/registry_test.go
@@ -1,6 +1,7 @@
 package backend_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -230,3 +231,33 @@
 	choice, _ := pick(t, known, start.Add(time.Second), query())
 	is.Equal(choice.Version, 4)
 }
+
+// Where back ends cost the same, prompts spread over them: an engine that is
+// first in the list is no better than another, and each prompt has its own order
+// in which the engines stand in for its home.
+func TestEqualBackEndsShareTheWork(t *testing.T) {
+	is := is.New(t)
+	const engines, prompts = 20, 400
+	var records []backend.Record
+	for index := range engines {
+		records = append(records, engine(ident.Incarnation(fmt.Sprintf("e%02d", index)), 1))
+	}
+	chosen := map[ident.Incarnation]int{}
+	for key := range uint64(prompts) {
+		wanted := query()
+		wanted.HomeKey, wanted.SpreadKey = key+1, key+1
+		home, flight := pick(t, registry(records...), start, wanted)
+		flight.Ended(start, backend.Answered)
+		wanted.Excluded = []ident.Incarnation{home.Instance}
+		second, _ := pick(t, registry(records...), start, wanted)
+		again, _ := pick(t, registry(records...), start, wanted)
+		is.Equal(second.Instance, again.Instance) // at every router
+		chosen[second.Instance]++
+	}
+	for instance, count := range chosen {
+		if count > 3*prompts/engines {
+			t.Errorf("%s stands in for %d of %d prompts", instance, count, prompts)
+		}
+	}
+	is.Equal(len(chosen), engines)
+}
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -234,7 +234,10 @@
 const usualWork = 4
 
 func (r *run) query() backend.Query {
-	query := backend.Query{Service: r.service, Excluded: r.excluded, Expected: r.route.Target / usualWork}
+	query := backend.Query{
+		Service: r.service, Excluded: r.excluded, Expected: r.route.Target / usualWork,
+		SpreadKey: xxhash.Sum64String(string(r.request.ID)),
+	}
 	prompt := r.request.Prompt
 	if prompt == nil {
 		return query
@@ -255,6 +258,7 @@
 	}
 	if last > 0 {
 		query.HomeKey = xxhash.Sum64String(r.wall() + prompt.Parts[last-1].ID)
+		query.SpreadKey = query.HomeKey
 	}
 	return query
 }
