Let the stores of prompt caches share the prompts

Cause: the grown sites have three stores, one a zone, and all prompts went to the one that the configuration names last: 2,430 GB moved over its link of 410 Gbit/s in 50 s, and a move that would wait two seconds is not begun.

Change: the rendezvous order of the prompt's longest shared part picks the store.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/fieldpond/fieldpond/internal/ident"
+	"github.com/fieldpond/fieldpond/internal/routing/rendezvous"
 )
 
 // Kind says what may be done with a request of a route.
@@ -118,7 +119,8 @@
 	services map[ident.Service]*Service
 	// routes holds the routes of each host, longest prefix first.
 	routes map[string][]*Route
-	store  *Service
+	// stores are the services that keep prompt caches.
+	stores []*Service
 }
 
 // NewSnapshot indexes a configuration.
@@ -134,7 +136,7 @@
 		service := &content.Services[index]
 		snapshot.services[service.Name] = service
 		if service.CacheStore != "" {
-			snapshot.store = service
+			snapshot.stores = append(snapshot.stores, service)
 		}
 	}
 	for index := range content.Routes {
@@ -168,8 +170,21 @@
 // Service returns a service, or nil.
 func (s *Snapshot) Service(name ident.Service) *Service { return s.services[name] }
 
-// CacheStore returns the service that keeps prompt caches, or nil.
-func (s *Snapshot) CacheStore() *Service { return s.store }
+// CacheStore returns the service that keeps the caches of the prompts with a
+// key, the same at every router, or nil if there is none. Several stores share
+// the prompts, and so the load on their links.
+func (s *Snapshot) CacheStore(key uint64) *Service {
+	var best *Service
+	var bestScore uint64
+	for _, store := range s.stores {
+		name := ident.Engine(store.Name)
+		score := rendezvous.Score(key, name)
+		if best == nil || rendezvous.Better(score, name, bestScore, ident.Engine(best.Name)) {
+			best, bestScore = store, score
+		}
+	}
+	return best
+}
 
 // RouteCount returns the number of routes.
 func (s *Snapshot) RouteCount() int {
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -109,3 +109,32 @@
 	_, found = splitter.Next(&catalog.Route{Name: "none", Split: []catalog.Share{{Service: "a"}, {Service: "b"}}})
 	is.True(!found)
 }
+
+// Several stores of prompt caches share the prompts evenly, the same at every
+// router; a prompt keeps its store when another one goes.
+func TestStoresOfPromptCachesShareThePrompts(t *testing.T) {
+	is := is.New(t)
+	store := func(name ident.Service) catalog.Service {
+		return catalog.Service{Name: name, CacheStore: string(name) + ":1"}
+	}
+	of := func(services ...catalog.Service) *catalog.Snapshot {
+		return catalog.NewSnapshot(catalog.Content{Version: 1, Services: services})
+	}
+	three := of(store("a"), catalog.Service{Name: "engines"}, store("b"), store("c"))
+	other := of(store("c"), store("b"), store("a"))
+	two := of(store("a"), store("b"))
+	const prompts = 3000
+	counts := map[ident.Service]int{}
+	for key := range uint64(prompts) {
+		name := three.CacheStore(key).Name
+		counts[name]++
+		is.Equal(other.CacheStore(key).Name, name)
+		if name != "c" {
+			is.Equal(two.CacheStore(key).Name, name)
+		}
+	}
+	for _, name := range []ident.Service{"a", "b", "c"} {
+		is.True(counts[name] > prompts/4)
+	}
+	is.True(of(catalog.Service{Name: "engines"}).CacheStore(1) == nil)
+}
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -256,9 +256,8 @@
 			query.SharedTokens += part.Tokens
 		}
 	}
-	if last > 0 {
-		query.HomeKey = xxhash.Sum64String(r.wall() + prompt.Parts[last-1].ID)
-		query.SpreadKey = query.HomeKey
+	if key, shared := r.homeKey(); shared {
+		query.HomeKey, query.SpreadKey = key, key
 	}
 	return query
 }
@@ -288,18 +287,38 @@
 	}
 	attempt.Priority = r.priority()
 	attempt.Salt = r.wall() + "v" + strconv.Itoa(choice.Version)
-	if store := r.view.Snapshot.CacheStore(); store != nil {
-		attempt.FetchFrom = store.CacheStore
-		if last := len(r.request.Prompt.Parts) - 2; last >= 0 {
-			part := attempt.Salt + "/" + r.request.Prompt.Parts[last].ID
-			if !r.forwarder.recent.use(time.Now(), part) {
-				attempt.SaveTo = store.CacheStore
-			}
-		}
-	}
+	r.describeCache(attempt)
 	return attempt
 }
 
+// describeCache names the store of kept prompt caches that the attempt uses.
+func (r *run) describeCache(attempt *Attempt) {
+	key, shared := r.homeKey()
+	store := r.view.Snapshot.CacheStore(key)
+	if store == nil {
+		return
+	}
+	attempt.FetchFrom = store.CacheStore
+	if !shared {
+		return
+	}
+	parts := r.request.Prompt.Parts
+	part := attempt.Salt + "/" + parts[len(parts)-2].ID
+	if !r.forwarder.recent.use(time.Now(), part) {
+		attempt.SaveTo = store.CacheStore
+	}
+}
+
+// homeKey names the longest shared part of the prompt, if there is one, apart
+// from those of isolated tenants.
+func (r *run) homeKey() (key uint64, shared bool) {
+	last := len(r.request.Prompt.Parts) - 2
+	if last < 0 {
+		return 0, false
+	}
+	return xxhash.Sum64String(r.wall() + r.request.Prompt.Parts[last].ID), true
+}
+
 const (
 	// priorityStep leaves room for the route's priority under the tenant's.
 	priorityStep = 3
