Keep the caches of a prompt in its home engine's zone

Cause: the three stores' links were still full (6,032 GB in 50 s; moves between zones take twice as long), so moves were not begun and parts were read again.

Change: a store in the zone of the prompt's home engine goes first.

--- a/internal/backend/record.go
+++ b/internal/backend/record.go
@@ -40,6 +40,9 @@
 	Version int
 	// Home says that the back end ranks first for the prompt.
 	Home bool
+	// HomeZone is the zone of the back end that does, whichever was chosen; it is
+	// empty if the prompt has no home.
+	HomeZone ident.Zone
 	// Predicted is the expected time to the first byte of the answer.
 	Predicted time.Duration
 	// Candidates is the number of back ends that were compared.
--- a/internal/backend/registry.go
+++ b/internal/backend/registry.go
@@ -254,10 +254,14 @@
 		flight.tokens += query.SharedTokens
 	}
 	best.flights[flight] = struct{}{}
-	return Choice{
+	choice := Choice{
 		Record: best.record, Version: flight.version, Home: best == home,
 		Predicted: predicted, Candidates: candidates,
-	}, flight, true
+	}
+	if home != nil {
+		choice.HomeZone = home.record.Zone
+	}
+	return choice, flight, true
 }
 
 // cheapest returns the back end of the least cost, or nil, and the number of
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -171,17 +171,24 @@
 func (s *Snapshot) Service(name ident.Service) *Service { return s.services[name] }
 
 // CacheStore returns the service that keeps the caches of the prompts with a
-// key, the same at every router, or nil if there is none. Several stores share
-// the prompts, and so the load on their links.
-func (s *Snapshot) CacheStore(key uint64) *Service {
+// key, the same at every router, or nil if there is none. Stores in the zone of
+// the prompt's home engine go first, since moves between zones take longer;
+// several stores share the prompts, and so the load on their links.
+func (s *Snapshot) CacheStore(zone ident.Zone, key uint64) *Service {
 	var best *Service
 	var bestScore uint64
 	for _, store := range s.stores {
 		name := ident.Engine(store.Name)
 		score := rendezvous.Score(key, name)
-		if best == nil || rendezvous.Better(score, name, bestScore, ident.Engine(best.Name)) {
-			best, bestScore = store, score
+		near := store.Zone == zone
+		switch {
+		case best == nil || (near && best.Zone != zone):
+		case !near && best.Zone == zone:
+			continue
+		case !rendezvous.Better(score, name, bestScore, ident.Engine(best.Name)):
+			continue
 		}
+		best, bestScore = store, score
 	}
 	return best
 }
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -126,15 +126,45 @@
 	const prompts = 3000
 	counts := map[ident.Service]int{}
 	for key := range uint64(prompts) {
-		name := three.CacheStore(key).Name
+		name := three.CacheStore("", key).Name
 		counts[name]++
-		is.Equal(other.CacheStore(key).Name, name)
+		is.Equal(other.CacheStore("", key).Name, name)
 		if name != "c" {
-			is.Equal(two.CacheStore(key).Name, name)
+			is.Equal(two.CacheStore("", key).Name, name)
 		}
 	}
 	for _, name := range []ident.Service{"a", "b", "c"} {
 		is.True(counts[name] > prompts/4)
 	}
-	is.True(of(catalog.Service{Name: "engines"}).CacheStore(1) == nil)
+	is.True(of(catalog.Service{Name: "engines"}).CacheStore("", 1) == nil)
+}
+
+func TestAStoreInTheHomeZoneGoesFirst(t *testing.T) {
+	store := func(name ident.Service, zone ident.Zone) catalog.Service {
+		return catalog.Service{Name: name, CacheStore: string(name) + ":1", Zone: zone}
+	}
+	snapshot := catalog.NewSnapshot(catalog.Content{
+		Version: 1, Services: []catalog.Service{store("a", "x"), store("b", "y"), store("c", "y")},
+	})
+	tests := []struct {
+		zone ident.Zone
+		want []ident.Service
+	}{
+		{"x", []ident.Service{"a"}},
+		{"y", []ident.Service{"b", "c"}},
+		{"z", []ident.Service{"a", "b", "c"}},
+	}
+	for _, tt := range tests {
+		t.Run(string(tt.zone), func(t *testing.T) {
+			is := is.New(t)
+			used := map[ident.Service]bool{}
+			for key := range uint64(100) {
+				used[snapshot.CacheStore(tt.zone, key).Name] = true
+			}
+			is.Equal(len(used), len(tt.want))
+			for _, name := range tt.want {
+				is.True(used[name])
+			}
+		})
+	}
 }
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -287,14 +287,14 @@
 	}
 	attempt.Priority = r.priority()
 	attempt.Salt = r.wall() + "v" + strconv.Itoa(choice.Version)
-	r.describeCache(attempt)
+	r.describeCache(attempt, choice.HomeZone)
 	return attempt
 }
 
 // describeCache names the store of kept prompt caches that the attempt uses.
-func (r *run) describeCache(attempt *Attempt) {
+func (r *run) describeCache(attempt *Attempt, homeZone ident.Zone) {
 	key, shared := r.homeKey()
-	store := r.view.Snapshot.CacheStore(key)
+	store := r.view.Snapshot.CacheStore(homeZone, key)
 	if store == nil {
 		return
 	}
