Let one router read the store for all zones; supply a zone over a tree, with changes of the list

Change: the first router of a zone pulls from the first of all; a router supplies eight others of its zone; the list travels as changes of the copy that the asker holds, checked by its digest. A router that supplies itself because its peers cannot goes on at the pace of the first. Found by the tests on the way: an update could carry a confirmation newer than its own configuration, and a router that had once read the store went on reading it for ever.

--- a/internal/node/follower.go
+++ b/internal/node/follower.go
@@ -82,7 +82,7 @@
 		if view := f.replica.holder.View(); view.Snapshot != nil {
 			confirmedAt = view.ConfirmedAt
 		}
-		return f.chain.due(f.config.ConfigurationInterval) - now.Sub(confirmedAt)
+		return f.due(f.config.ConfigurationInterval) - now.Sub(confirmedAt)
 	}
 	f.poll(ctx, f.config.ConfigurationInterval, due, func() error {
 		err := f.readConfiguration(ctx)
@@ -144,7 +144,7 @@
 func (f *follower) followBackends(ctx context.Context) {
 	seen := &dependency{name: "backends", count: f.lost}
 	due := func(now time.Time) time.Duration {
-		return f.chain.due(f.config.BackendInterval) - f.replica.listAge(now, f.startedAt)
+		return f.due(f.config.BackendInterval) - f.replica.listAge(now, f.startedAt)
 	}
 	f.poll(ctx, f.config.BackendInterval, due, func() error {
 		askedAt := time.Now()
@@ -157,11 +157,18 @@
 		if err != nil {
 			return err
 		}
-		f.replica.takeList(f.replica.node, askedAt, &upstream.List{Digest: digestOf(records), Told: true, Records: records})
+		f.replica.takeList(f.replica.node, askedAt, wholeList(records))
 		return nil
 	})
 }
 
+// due returns the age at which this router reads the store itself.
+func (f *follower) due(interval time.Duration) (due time.Duration) {
+	own := f.replica.ownOrigin()
+	f.chain.use(func(chain *upstream.Chain) { due = chain.Due(interval, own) })
+	return due
+}
+
 // poll calls read at once, and then whenever due says that no time is left,
 // until ctx ends. After a failed read it pauses, longer each time.
 func (f *follower) poll(ctx context.Context, interval time.Duration, due func(now time.Time) time.Duration, read func() error) {
--- a/internal/node/follower_test.go
+++ b/internal/node/follower_test.go
@@ -16,6 +16,7 @@
 	"github.com/fieldpond/fieldpond/internal/ident"
 	"github.com/fieldpond/fieldpond/internal/store/protocol"
 	"github.com/fieldpond/fieldpond/internal/upstream"
+	"github.com/fieldpond/fieldpond/internal/wait"
 )
 
 const model = ident.Model("m")
@@ -52,12 +53,11 @@
 	if down {
 		return fault.New(fault.StoreUnavailable, "down")
 	}
-	select {
-	case <-ctx.Done():
+	// No timer of zero: see minWait of fleet.Keeper.
+	if delay > 0 && !wait.For(ctx, delay) {
 		return fault.New(fault.StoreUnavailable, "no answer")
-	case <-time.After(delay):
-		return nil
 	}
+	return nil
 }
 
 // Configuration implements Source.
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -70,7 +70,7 @@
 	group.Gauge("edge_backends", "Back ends in the list.", func(r reading) int { return r.backends })
 	group.Gauge("edge_attempts_in_flight", "Attempts under way.", func(r reading) int { return r.inFlight })
 	group.Gauge("edge_lease_held", "1 while this router holds the rollout lease.", func(r reading) int { return oneIf(r.leaseHeld) })
-	group.Gauge("edge_reads_store", "1 while this router reads the store for its zone.", func(r reading) int { return oneIf(r.readsStore) })
+	group.Gauge("edge_reads_store", "1 while this router reads the store for all.", func(r reading) int { return oneIf(r.readsStore) })
 	group.Gauge("edge_routers", "Routers in all zones, as counted last; 0 for not known.", func(r reading) int { return r.routers })
 	group.Counter("edge_log_lines_dropped_total", "Log lines that were not written.", func(r reading) uint64 { return r.linesDropped })
 	group.Register()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -174,13 +174,13 @@
 // contendInterval is the time between two decisions to contend for the lease.
 const contendInterval = 200 * time.Millisecond
 
-// contend lets this router contend for the lease while it reads the store for
-// its zone: a few routers are enough, and each contender costs calls. A holder
-// goes on, so that the lease does not change hands without need.
+// contend lets this router contend for the lease while it is the first of its
+// zone: a few routers are enough, and each contender costs calls. A holder goes
+// on, so that the lease does not change hands without need.
 func (n *Node) contend(ctx context.Context) {
 	wait.Every(ctx, contendInterval, func() {
 		_, err := n.lease.Held()
-		n.lease.Contend(!n.stopping.Load() && (err == nil || n.follower.chain.reads()))
+		n.lease.Contend(!n.stopping.Load() && (err == nil || n.follower.chain.leads()))
 	})
 }
 
--- a/internal/node/pull.go
+++ b/internal/node/pull.go
@@ -35,17 +35,18 @@
 	use(g.chain)
 }
 
-func (g *chainGuard) due(interval time.Duration) (due time.Duration) {
-	g.use(func(chain *upstream.Chain) { due = chain.Due(interval) })
-	return due
-}
-
-// reads reports whether this router reads the store for its zone.
+// reads reports whether this router reads the store for all.
 func (g *chainGuard) reads() (reads bool) {
-	g.use(func(chain *upstream.Chain) { reads = chain.Joined() && chain.Rank() == 0 })
+	g.use(func(chain *upstream.Chain) { reads = chain.Joined() && chain.First() })
 	return reads
 }
 
+// leads reports whether this router is the first of its zone.
+func (g *chainGuard) leads() (leads bool) {
+	g.use(func(chain *upstream.Chain) { leads = chain.Joined() && chain.Rank() == 0 })
+	return leads
+}
+
 // followed takes in that a peer pulls from this router.
 func (g *chainGuard) followed(peer upstream.Peer) {
 	g.use(func(chain *upstream.Chain) { chain.Followed(peer) })
@@ -199,7 +200,7 @@
 }
 
 // countRouters keeps the number of routers up to date while this router reads
-// the store for its zone, until ctx ends.
+// the store for all, until ctx ends.
 func (f *follower) countRouters(ctx context.Context) {
 	wait.Every(ctx, f.config.RosterInterval, func() {
 		if !f.chain.reads() {
--- a/internal/node/pull_test.go
+++ b/internal/node/pull_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/netip"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -17,6 +18,7 @@
 	"github.com/fieldpond/fieldpond/internal/ident"
 	"github.com/fieldpond/fieldpond/internal/store"
 	"github.com/fieldpond/fieldpond/internal/upstream"
+	"github.com/fieldpond/fieldpond/internal/wait"
 )
 
 // zone is a group of routers before one store, in virtual time. Pulls are
@@ -46,8 +48,10 @@
 	return z
 }
 
-// start starts a life of a router.
+// start starts a life of a router; its zone is named by the first letter after a
+// dash, if there is one.
 func (z *zone) start(ctx context.Context, node ident.Node) *zoneRouter {
+	_, place, _ := strings.Cut(string(node), "-")
 	running := &zoneRouter{zone: z, node: node}
 	ctx, running.stop = context.WithCancel(ctx)
 	running.follower = &follower{
@@ -55,7 +59,7 @@
 		replica: newReplica(node, &catalog.Holder{}, backend.NewRegistry(backend.Config{}), z.store.Decode),
 		namings: &namings{table: z.store, timeout: time.Second},
 		roster: &roster{
-			table: z.store, timeout: time.Second, node: node, zone: "z",
+			table: z.store, timeout: time.Second, node: node, zone: ident.Zone("z" + place),
 			addr: netip.MustParseAddrPort("10.0.0.1:1"), life: fmt.Sprint(time.Now()),
 		},
 		client:    running,
@@ -141,13 +145,13 @@
 	dead := asked == nil || asked.dead
 	r.zone.mu.Unlock()
 	if dead {
-		time.Sleep(10 * time.Millisecond)
+		wait.For(ctx, 10*time.Millisecond)
 		return nil, time.Time{}, errors.New("refused")
 	}
 	askedAt := time.Now()
 	asked.follower.chain.followed(pull.From)
 	newest, changed := asked.follower.replica.Confirmation()
-	if newest == pull.Confirmation {
+	if pull.Confirmation != 0 && newest == pull.Confirmation {
 		select {
 		case <-changed:
 		case <-time.After(time.Second):
@@ -225,6 +229,28 @@
 	})
 }
 
+func TestOneRouterReadsTheStoreForAllZones(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		z := startZone(t, "a-x", "b-y", "c-x", "d-y", "e-z")
+		time.Sleep(10 * time.Second)
+		total, by := z.reads()
+		is.Equal(by["a-x"], total)
+		z.adopt(5)
+		time.Sleep(750 * time.Millisecond)
+		z.adopted(t, 5)
+		z.kill("a-x")
+		time.Sleep(3 * time.Second)
+		z.reads()
+		z.adopt(6)
+		time.Sleep(1500 * time.Millisecond)
+		z.adopted(t, 6)
+		time.Sleep(10 * time.Second)
+		total, by = z.reads()
+		is.Equal(by["b-y"], total)
+	})
+}
+
 // What a follower believes is never dated later than the read it comes from.
 func TestPulledStateKeepsItsAge(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/node/replica.go
+++ b/internal/node/replica.go
@@ -1,14 +1,12 @@
 package node
 
 import (
-	"encoding/binary"
 	"maps"
 	"slices"
 	"sync"
 	"time"
 
 	"github.com/apex/log"
-	"github.com/cespare/xxhash/v2"
 
 	"github.com/fieldpond/fieldpond/internal/backend"
 	"github.com/fieldpond/fieldpond/internal/catalog"
@@ -34,9 +32,8 @@
 	// revision and body are those of the configuration in force.
 	revision uint64
 	body     []byte
-	// digest names the content of records, which were read at listedAt.
-	digest   uint64
-	records  []backend.Record
+	// list was read at listedAt.
+	list     recordList
 	listedAt time.Time
 	// routers is the number of routers in all zones, 0 if not known.
 	routers int
@@ -55,13 +52,14 @@
 
 // Update implements upstream.State.
 func (r *replica) Update(now time.Time, pull *upstream.Pull) *upstream.Update {
-	view := r.holder.View()
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	// The view must not be older than the confirmation that it is told with.
+	view := r.holder.View()
 	update := &upstream.Update{
 		Revision: r.self.Revision, Confirmation: r.confirmation, Origin: r.origin, Routers: r.routers,
 		Configuration: upstream.Configuration{Revision: r.revision},
-		List:          upstream.List{Digest: r.digest},
+		List:          upstream.List{Digest: r.list.digest},
 	}
 	if r.revision != 0 {
 		update.Configuration.Age = view.Age(now)
@@ -70,11 +68,12 @@
 	if r.revision != pull.Configuration {
 		update.Configuration.Body = r.body
 	}
-	if r.digest != 0 {
+	if r.list.digest != 0 {
 		update.List.Age = now.Sub(r.listedAt)
 	}
-	if r.digest != pull.List {
-		update.List.Told, update.List.Records = true, r.records
+	if r.list.digest != pull.List {
+		update.List.Told = true
+		update.List.Base, update.List.Records, update.List.Removed = r.list.since(pull.List)
 	}
 	return update
 }
@@ -95,7 +94,7 @@
 func (r *replica) holds() (configuration, list uint64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.revision, r.digest
+	return r.revision, r.list.digest
 }
 
 // joined takes in this router's own row.
@@ -105,6 +104,13 @@
 	r.self = self
 }
 
+// ownOrigin reports whether the newest confirmation was read by this router.
+func (r *replica) ownOrigin() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.origin == r.node
+}
+
 // counted takes in the number of routers in all zones.
 func (r *replica) counted(routers int) {
 	r.mu.Lock()
@@ -154,16 +160,18 @@
 func (r *replica) takeList(origin ident.Node, listedAt time.Time, list *upstream.List) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !listedAt.After(r.listedAt) || (list.Digest != r.digest && !list.Told) {
+	if !listedAt.After(r.listedAt) {
 		return
 	}
-	if list.Digest == r.digest {
+	switch {
+	case list.Digest == r.list.digest:
 		r.backends.Confirm(listedAt)
-	} else {
-		for _, change := range r.backends.Update(listedAt, list.Records) {
+	case !list.Told || !r.list.take(list):
+		return
+	default:
+		for _, change := range r.backends.Update(listedAt, r.list.records) {
 			logBackend(change)
 		}
-		r.digest, r.records = list.Digest, list.Records
 	}
 	r.listedAt = listedAt
 	r.confirmed(origin)
@@ -193,36 +201,3 @@
 		"change": change.Kind, "revision": change.Record.Revision, "models": change.Record.Models,
 	}).Info("backend_changed")
 }
-
-// digestOf names the content of a list, apart from the revisions of its rows,
-// which rise with each heartbeat. It is never 0.
-func digestOf(records []backend.Record) uint64 {
-	digest := xxhash.New()
-	text := func(value string) {
-		var length [4]byte
-		binary.LittleEndian.PutUint32(length[:], uint32(len(value)))
-		_, _ = digest.Write(length[:])
-		_, _ = digest.WriteString(value)
-	}
-	number := func(value int) {
-		var bytes [8]byte
-		binary.LittleEndian.PutUint64(bytes[:], uint64(value))
-		_, _ = digest.Write(bytes[:])
-	}
-	for _, record := range records {
-		text(string(record.Instance))
-		text(string(record.Service))
-		text(record.Address)
-		text(string(record.Zone))
-		number(record.Slots)
-		if record.Draining {
-			text("draining")
-		}
-		number(len(record.Models))
-		for _, model := range slices.Sorted(maps.Keys(record.Models)) {
-			text(string(model))
-			number(record.Models[model])
-		}
-	}
-	return max(digest.Sum64(), 1)
-}
--- a/internal/node/roster.go
+++ b/internal/node/roster.go
@@ -48,8 +48,8 @@
 
 func (r *roster) key() string { return routerPrefix + string(r.zone) + "/" + string(r.node) }
 
-// join writes this router's row and returns it with the rows of its zone and
-// the number of routers in all zones, read after the write.
+// join writes this router's row and returns it with those of all routers and
+// their number, read after the write.
 func (r *roster) join(ctx context.Context) (self upstream.Peer, peers []upstream.Peer, routers int, err error) {
 	value, err := cbor.Marshal(routerRow{Addr: r.addr, Life: r.life})
 	if err != nil {
@@ -65,12 +65,13 @@
 	r.mu.Lock()
 	r.row = written.Rows[0]
 	r.mu.Unlock()
-	self = upstream.Peer{Node: r.node, Addr: r.addr, Revision: written.Rows[0].Version}
+	self = upstream.Peer{Node: r.node, Zone: r.zone, Addr: r.addr, Revision: written.Rows[0].Version}
 	peers, routers, err = r.read(ctx)
 	return self, peers, routers, err
 }
 
-// read returns the routers of this zone and the number of those in all zones.
+// read returns the routers of all zones whose rows are sound, and the number of
+// rows.
 func (r *roster) read(ctx context.Context) (peers []upstream.Peer, routers int, err error) {
 	bounded, cancel := context.WithTimeout(ctx, r.timeout)
 	defer cancel()
@@ -78,14 +79,15 @@
 	if err != nil {
 		return nil, 0, err
 	}
-	zone := routerPrefix + string(r.zone) + "/"
 	for _, row := range list.Rows {
-		name, inZone := strings.CutPrefix(row.Key, zone)
+		zone, name, named := strings.Cut(strings.TrimPrefix(row.Key, routerPrefix), "/")
 		var read routerRow
-		if !inZone || cbor.Unmarshal(row.Value, &read) != nil {
+		if !named || cbor.Unmarshal(row.Value, &read) != nil {
 			continue
 		}
-		peers = append(peers, upstream.Peer{Node: ident.Node(name), Addr: read.Addr, Revision: row.Version})
+		peers = append(peers, upstream.Peer{
+			Node: ident.Node(name), Zone: ident.Zone(zone), Addr: read.Addr, Revision: row.Version,
+		})
 	}
 	return peers, len(list.Rows), nil
 }
--- a/internal/upstream/chain.go
+++ b/internal/upstream/chain.go
@@ -1,15 +1,17 @@
-// Package upstream lets the routers of one zone share their reads of the store.
+// Package upstream lets routers share their reads of the store.
 //
 // Each router has a row in the store, and the revisions of these rows order the
-// routers, the longest running first. A router pulls the shared state from the
-// first peer before it that is alive and has fresh state; the one that has no
-// such peer reads the store. State travels with its age, so that it is never
+// routers, the longest running first. A router pulls the shared state from a peer
+// before it that is alive and has fresh state; the one that has no such peer reads
+// the store. The routers of a zone form a tree under its first one, which pulls
+// from the first router of all. State travels with its age, so that it is never
 // taken for newer than it is, however many peers it came through.
 //
 // Chain decides without I/O or clock; Client and Server carry the pulls.
 package upstream
 
 import (
+	"cmp"
 	"net/netip"
 	"slices"
 	"time"
@@ -17,9 +19,10 @@
 	"github.com/fieldpond/fieldpond/internal/ident"
 )
 
-// Peer is a router of the same zone, as its row in the store tells.
+// Peer is a router, as its row in the store tells.
 type Peer struct {
 	Node ident.Node
+	Zone ident.Zone
 	Addr netip.AddrPort
 	// Revision is that of the row; a peer that restarts gets a higher one.
 	Revision uint64
@@ -81,6 +84,8 @@
 	staleFor = time.Second
 	// maxFollowers bounds the followers that are remembered.
 	maxFollowers = 4
+	// fanout is the number of peers of its zone that a router supplies.
+	fanout = 8
 )
 
 // link is what is believed of one peer.
@@ -97,11 +102,15 @@
 // Invariant: a peer before this router has a lower revision. A follower is asked
 // only by a router that no peer before it and no store supplies.
 type Chain struct {
-	cfg       Config
-	self      Peer
-	joined    bool
-	before    []*link
+	cfg    Config
+	self   Peer
+	joined bool
+	// near are the peers of this zone before this router, far those of other
+	// zones, each by revision.
+	near, far []*link
 	followers []*link
+	// supplied is true if the last pull brought fresh state.
+	supplied bool
 }
 
 // NewChain returns the chain of a router that has no row yet.
@@ -119,20 +128,22 @@
 // written.
 func (c *Chain) Join(self Peer, peers []Peer) {
 	c.self, c.joined = self, true
-	c.before = c.before[:0]
+	c.near, c.far = nil, nil
 	for _, peer := range peers {
-		if peer.Revision < self.Revision && peer.Node != self.Node {
-			c.before = append(c.before, &link{peer: peer})
+		switch {
+		case peer.Revision >= self.Revision || peer.Node == self.Node:
+		case peer.Zone == self.Zone:
+			c.near = append(c.near, &link{peer: peer})
+		default:
+			c.far = append(c.far, &link{peer: peer})
 		}
 	}
-	slices.SortFunc(c.before, func(a, b *link) int {
-		if a.peer.Revision < b.peer.Revision {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(c.near, byRevision)
+	slices.SortFunc(c.far, byRevision)
 }
 
+func byRevision(a, b *link) int { return cmp.Compare(a.peer.Revision, b.peer.Revision) }
+
 // Self returns this router's own row; its revision is 0 before Join.
 func (c *Chain) Self() Peer { return c.self }
 
@@ -154,23 +165,40 @@
 
 // Next returns where to read the shared state, whose present copy has an age.
 func (c *Chain) Next(now time.Time, age time.Duration) Source {
-	retryAt := time.Time{}
-	for _, known := range c.before {
-		if !now.Before(known.retryAt) {
-			return known.peer
+	usable := func(known *link) bool { return !now.Before(known.retryAt) }
+	for _, group := range [][]*link{c.ancestors(), c.near, c.far} {
+		if index := slices.IndexFunc(group, usable); index >= 0 {
+			return group[index].peer
 		}
-		retryAt = earliest(retryAt, known.retryAt)
 	}
+	retryAt := soonest(soonest(time.Time{}, c.near), c.far)
 	if age <= c.cfg.StaleAfter {
 		return Store{RetryAt: earliest(retryAt, now.Add(c.cfg.StaleAfter-age))}
 	}
-	for _, known := range c.followers {
-		if !now.Before(known.retryAt) {
-			return known.peer
-		}
-		retryAt = earliest(retryAt, known.retryAt)
+	if index := slices.IndexFunc(c.followers, usable); index >= 0 {
+		return c.followers[index].peer
+	}
+	return Store{RetryAt: soonest(retryAt, c.followers)}
+}
+
+// ancestors returns the peers that supply this router in the tree of its zone,
+// the nearest first.
+func (c *Chain) ancestors() []*link {
+	var path []*link
+	for place := len(c.near); place > 0; {
+		place = (place - 1) / fanout
+		path = append(path, c.near[place])
+	}
+	return path
+}
+
+// soonest returns the first time at which one of the links may be asked, or a
+// time known before.
+func soonest(known time.Time, links []*link) time.Time {
+	for _, link := range links {
+		known = earliest(known, link.retryAt)
 	}
-	return Store{RetryAt: retryAt}
+	return known
 }
 
 func earliest(a, b time.Time) time.Time {
@@ -194,6 +222,7 @@
 	if known == nil {
 		return
 	}
+	_, c.supplied = result.(Fresh)
 	switch result := result.(type) {
 	case Fresh:
 		known.down, known.retryAt = 0, time.Time{}
@@ -213,12 +242,13 @@
 	if revision <= c.self.Revision {
 		return
 	}
-	c.before = slices.DeleteFunc(c.before, func(other *link) bool { return other == known })
+	other := func(link *link) bool { return link == known }
+	c.near, c.far = slices.DeleteFunc(c.near, other), slices.DeleteFunc(c.far, other)
 	c.Followed(known.peer)
 }
 
 func (c *Chain) find(node ident.Node) *link {
-	for _, links := range [][]*link{c.before, c.followers} {
+	for _, links := range [][]*link{c.near, c.far, c.followers} {
 		for _, known := range links {
 			if known.peer.Node == node {
 				return known
@@ -228,28 +258,34 @@
 	return nil
 }
 
-// Rank returns the number of peers before this router that are not known to be
-// down. The router of rank 0 reads the store for its zone.
-func (c *Chain) Rank() int {
-	rank := 0
-	for _, known := range c.before {
+// Rank returns the number of peers of this zone before this router that are not
+// known to be down. The router of rank 0 speaks for its zone.
+func (c *Chain) Rank() int { return alive(c.near) }
+
+// First reports whether no peer before this router is known to be up: it reads
+// the store for all.
+func (c *Chain) First() bool { return alive(c.near) == 0 && alive(c.far) == 0 }
+
+func alive(links []*link) int {
+	count := 0
+	for _, known := range links {
 		if known.down == 0 {
-			rank++
+			count++
 		}
 	}
-	return rank
+	return count
 }
 
 // Joined reports whether this router has a row.
 func (c *Chain) Joined() bool { return c.joined }
 
 // Due returns the age at which state that is read from the store once in an
-// interval is to be read by this router itself.
-func (c *Chain) Due(interval time.Duration) time.Duration {
-	rank := c.Rank()
-	if rank == 0 {
+// interval is to be read by this router itself. own says that its present copy
+// is such a read: without a peer that does better, it goes on like the first.
+func (c *Chain) Due(interval time.Duration, own bool) time.Duration {
+	if c.First() || (own && !c.supplied) {
 		return interval
 	}
 	late := time.Duration(slack * float64(interval))
-	return interval + late + time.Duration(rank)*c.cfg.Stagger/time.Duration(len(c.before))
+	return interval + late + time.Duration(c.Rank())*c.cfg.Stagger/time.Duration(len(c.near)+1)
 }
--- a/internal/upstream/chain_test.go
+++ b/internal/upstream/chain_test.go
@@ -18,7 +18,13 @@
 )
 
 func peer(revision uint64) upstream.Peer {
-	return upstream.Peer{Node: ident.Node(fmt.Sprint("n", revision)), Addr: addr, Revision: revision}
+	return upstream.Peer{Node: ident.Node(fmt.Sprint("n", revision)), Zone: "near", Addr: addr, Revision: revision}
+}
+
+func farPeer(revision uint64) upstream.Peer {
+	far := peer(revision)
+	far.Zone = "far"
+	return far
 }
 
 // chain returns the chain of the router of a revision among peers.
@@ -94,6 +100,53 @@
 	}
 }
 
+// A zone is supplied over a tree: no router has more than a few children, all of
+// its own zone, and only the first one pulls from another zone.
+func TestAZoneIsATreeUnderItsFirstRouter(t *testing.T) {
+	is := is.New(t)
+	const routers = 120
+	rows := []upstream.Peer{farPeer(1), farPeer(2)}
+	for revision := uint64(3); revision < 3+routers; revision++ {
+		rows = append(rows, peer(revision))
+	}
+	children := map[ident.Node]int{}
+	depth := map[ident.Node]int{}
+	for _, self := range rows[2:] {
+		c := upstream.NewChain(upstream.Config{})
+		c.Join(self, rows)
+		parent := c.Next(start, 0).(upstream.Peer)
+		children[parent.Node]++
+		if self.Revision == 3 {
+			is.Equal(parent, farPeer(1))
+			is.Equal(c.Rank(), 0)
+			is.True(!c.First())
+			continue
+		}
+		is.Equal(parent.Zone, self.Zone)
+		depth[self.Node] = depth[parent.Node] + 1
+		is.True(depth[self.Node] <= 3)
+	}
+	for node, count := range children {
+		if count > 8 {
+			t.Errorf("%s supplies %d routers", node, count)
+		}
+	}
+}
+
+func TestAnotherZoneSuppliesARouterWhoseOwnCannot(t *testing.T) {
+	is := is.New(t)
+	c := upstream.NewChain(upstream.Config{})
+	c.Join(peer(5), []upstream.Peer{farPeer(1), peer(2), farPeer(3), peer(4)})
+	want := []upstream.Peer{peer(2), peer(4), farPeer(1), farPeer(3)}
+	for _, next := range want {
+		is.True(!c.First())
+		is.Equal(c.Next(start, 0), next)
+		c.Pulled(start, next.Node, upstream.Failed{})
+	}
+	is.True(c.First())
+	is.Equal(c.Next(start, 0), upstream.Store{RetryAt: start.Add(time.Second)})
+}
+
 func TestAnUnsuppliedRouterAsksItsFollowers(t *testing.T) {
 	is := is.New(t)
 	c := chain(1, 2, 3)
@@ -130,14 +183,14 @@
 func TestReadsOfTheStoreAreStaggered(t *testing.T) {
 	is := is.New(t)
 	const interval = time.Second
-	is.Equal(chain(1, 2, 3).Due(interval), interval)
+	is.Equal(chain(1, 2, 3).Due(interval, false), interval)
 	previous := interval
 	for self := uint64(2); self <= 20; self++ {
 		var peers []uint64
 		for revision := uint64(1); revision < self; revision++ {
 			peers = append(peers, revision)
 		}
-		due := chain(self, peers...).Due(interval)
+		due := chain(self, peers...).Due(interval, false)
 		is.True(due > interval)
 		is.True(due <= 2300*time.Millisecond)
 		previous = due
@@ -146,7 +199,20 @@
 	c := chain(3, 1, 2)
 	c.Pulled(start, "n1", upstream.Failed{})
 	c.Pulled(start, "n2", upstream.Failed{})
-	is.Equal(c.Due(interval), interval) // all before it are down
+	is.Equal(c.Due(interval, false), interval) // all before it are down
+}
+
+// A router that supplies itself reads at the pace of the first, until a peer does
+// better; one that never succeeded does not.
+func TestARouterThatSuppliesItselfKeepsThePace(t *testing.T) {
+	is := is.New(t)
+	const interval = time.Second
+	c := chain(3, 1, 2)
+	c.Pulled(start, "n1", upstream.Stale{})
+	is.True(c.Due(interval, false) > interval)
+	is.Equal(c.Due(interval, true), interval)
+	c.Pulled(start, "n2", upstream.Fresh{})
+	is.True(c.Due(interval, true) > interval)
 }
 
 func TestARouterWithoutARowReadsTheStore(t *testing.T) {
@@ -155,5 +221,5 @@
 	is.True(!c.Joined())
 	is.Equal(c.Rank(), 0)
 	is.Equal(c.Next(start, 0), upstream.Store{RetryAt: start.Add(2 * time.Second)})
-	is.Equal(c.Due(time.Second), time.Second)
+	is.Equal(c.Due(time.Second, false), time.Second)
 }
--- a/internal/upstream/server.go
+++ b/internal/upstream/server.go
@@ -72,7 +72,7 @@
 // hold waits for news, and reports whether the asker is still there.
 func (s *Server) hold(r *http.Request, pull *Pull) bool {
 	newest, changed := s.state.Confirmation()
-	if newest != pull.Confirmation {
+	if pull.Confirmation == 0 || newest != pull.Confirmation {
 		return true
 	}
 	timer := time.NewTimer(holdFor)
--- a/internal/upstream/update.go
+++ b/internal/upstream/update.go
@@ -12,7 +12,8 @@
 type Pull struct {
 	// From is the router that pulls.
 	From Peer `cbor:"1,keyasint"`
-	// Confirmation is that of the last Update from this life of the peer, or 0.
+	// Confirmation is that of the last Update from this life of the peer; 0 asks
+	// for an answer at once.
 	Confirmation uint64 `cbor:"2,keyasint,omitempty"`
 	// Configuration and List name the copies that the asker holds, 0 for none.
 	Configuration uint64 `cbor:"3,keyasint,omitempty"`
@@ -56,13 +57,17 @@
 	Met bool `cbor:"4,keyasint,omitempty"`
 }
 
-// List is the list of back ends with the time since it was read.
+// List is the list of back ends with the time since it was read. It is told
+// whole, as changes of a copy that the asker holds, or not at all.
 type List struct {
 	// Digest names the content, 0 if none is known.
 	Digest uint64 `cbor:"1,keyasint"`
-	// Told says that Records holds the content; it is false if the asker named
-	// this digest.
-	Told    bool             `cbor:"4,keyasint,omitempty"`
-	Records []backend.Record `cbor:"2,keyasint,omitempty"`
-	Age     time.Duration    `cbor:"3,keyasint"`
+	// Told says that the content follows; it is false if the asker named Digest.
+	Told bool `cbor:"4,keyasint,omitempty"`
+	// Base is the digest of the copy that Records and Removed change, 0 if
+	// Records is the whole list.
+	Base    uint64              `cbor:"5,keyasint,omitempty"`
+	Records []backend.Record    `cbor:"2,keyasint,omitempty"`
+	Removed []ident.Incarnation `cbor:"6,keyasint,omitempty"`
+	Age     time.Duration       `cbor:"3,keyasint"`
 }
