Let a lease row tell how long it has been there

Change: the holder writes the store's own time by which the row was sent at the latest; a contender dates its first sight back by what has passed since. The property test over all histories now draws tables that tell their time; dating back by more than the drift allows, or forgetting the time since the answer, fails it. Tries to join are shorter.

--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -10,6 +10,10 @@
 // clocks that run at different rates. So it has lapsed in its own eyes before
 // any other may take over.
 //
+// A table that tells its own steady time shortens the wait: the holder writes the
+// table's time by which the row was sent at the latest, so that a contender knows
+// at the first sight for how long at least the row has been there.
+//
 // A paused holder cannot know that it was paused. It must ask Held before each
 // action; and since it may be paused between asking and acting, every action
 // carries the fence of the lease, and whoever executes actions refuses those
@@ -125,6 +129,9 @@
 	Renewals uint64 `cbor:"5,keyasint"`
 	// Quiet is what was left of Config.Quiet when the holder released the lease.
 	Quiet time.Duration `cbor:"6,keyasint,omitempty"`
+	// SentBy is the table's own time by which the row had been sent, 0 if the
+	// writer did not know it.
+	SentBy time.Duration `cbor:"7,keyasint,omitempty"`
 }
 
 // counterRecord is the value of the counter row.
--- a/internal/lease/machine.go
+++ b/internal/lease/machine.go
@@ -75,6 +75,7 @@
 	inFlight           *Exchange
 	nextAt             time.Time
 	counters           Counters
+	clock              storeClock
 }
 
 // NewMachine returns a machine that does not contend yet. The session must
@@ -213,22 +214,23 @@
 	case !m.observed:
 		return m.observe()
 	case m.mine() && !m.contends:
-		return m.write(Release, Record{Fence: m.record.Fence, Duration: m.config.Duration, Quiet: m.quietLeft(now)})
+		return m.write(now, Release, Record{Fence: m.record.Fence, Duration: m.config.Duration, Quiet: m.quietLeft(now)})
 	case m.mine() && m.record.Fence > m.floor:
 		renewed := m.record
 		renewed.Duration = m.config.Duration
 		renewed.Renewals++
-		return m.write(Renew, renewed)
+		return m.write(now, Renew, renewed)
 	case m.mine() || m.free() || !now.Before(m.seenAt.Add(m.record.Duration)):
 		m.quietUntil = m.quietAfter(now)
-		return m.acquire()
+		return m.acquire(now)
 	}
 	return m.observe()
 }
 
 func (m *Machine) observe() Exchange { return Exchange{Kind: Observe, Key: RowKey(m.name)} }
 
-func (m *Machine) write(kind Kind, record Record) Exchange {
+func (m *Machine) write(now time.Time, kind Kind, record Record) Exchange {
+	record.SentBy = m.clock.latest(now, m.config.DriftMargin)
 	return Exchange{Kind: kind, Transaction: protocol.Transaction{
 		Conditions: []protocol.Condition{{Key: RowKey(m.name), Version: m.row.Version}},
 		Writes:     []protocol.Write{{Key: RowKey(m.name), Value: encode(record)}},
@@ -238,10 +240,10 @@
 // acquire builds the transaction that raises the fence counter and takes the
 // lease, both or neither. With an outdated view of the counter it fails and
 // brings back the current one.
-func (m *Machine) acquire() Exchange {
+func (m *Machine) acquire(now time.Time) Exchange {
 	fence := max(decodeCounter(m.counter.Value), m.record.Fence, m.floor) + 1
 	record := Record{Node: m.node, Session: m.session, Fence: fence, Duration: m.config.Duration}
-	exchange := m.write(Acquire, record)
+	exchange := m.write(now, Acquire, record)
 	transaction := &exchange.Transaction
 	transaction.Conditions = append(transaction.Conditions, protocol.Condition{Key: CounterKey, Version: m.counter.Version})
 	transaction.Writes = append(transaction.Writes, protocol.Write{Key: CounterKey, Value: encode(counterRecord{Fence: fence})})
@@ -261,6 +263,9 @@
 	}
 	sent := *m.inFlight
 	m.inFlight = nil
+	if len(outcome.Rows) > 0 {
+		m.clock.saw(sent.SentAt, outcome.Rows[0].StoreTime)
+	}
 	switch {
 	case outcome.Fault != nil:
 		m.failed(now, sent, outcome.Fault)
@@ -309,7 +314,8 @@
 // adopt replaces the row seen. An unchanged version keeps the time of its
 // first sight even if an exchange in between was lost.
 func (m *Machine) adopt(now time.Time, row protocol.Row) {
-	if row.Version != m.row.Version || m.seenAt.IsZero() {
+	first := row.Version != m.row.Version || m.seenAt.IsZero()
+	if first {
 		m.seenAt = now
 	}
 	m.row = row
@@ -318,6 +324,10 @@
 		record = Record{Session: "malformed", Duration: m.config.Duration, Fence: m.record.Fence}
 	}
 	m.record = record
+	if age := row.StoreTime - record.SentBy; first && record.SentBy > 0 && age > 0 {
+		// The row was sent this long ago, at least, by the slowest clock.
+		m.seenAt = now.Add(-time.Duration((1 - m.config.DriftMargin) * float64(age)))
+	}
 }
 
 // committed takes in a confirmed write: the lease counts from the moment
--- a/internal/lease/machine_test.go
+++ b/internal/lease/machine_test.go
@@ -71,6 +71,8 @@
 	engine   uint64
 	executed []uint64
 	deletes  bool
+	// tellsTime says that the table tells its own time.
+	tellsTime bool
 	// actedAt and actedFence are those of the last order decided.
 	actedAt    time.Time
 	actedFence uint64
@@ -79,6 +81,7 @@
 
 func newWorld(t *rapid.T) *world {
 	w := &world{t: t, now: epoch, table: newTableModel(), owners: map[uint64]int{}, deletes: rapid.Bool().Draw(t, "deletes")}
+	w.tellsTime = rapid.Bool().Draw(t, "tells time")
 	for index := range 3 {
 		one := &node{rate: rapid.Float64Range(0.95, 1.05).Draw(t, "rate")}
 		one.machine = NewMachine(Config{Duration: duration, Quiet: quiet, ActWindow: actWindow}, "x", ident.Node(fmt.Sprint(index)), fmt.Sprint("session-", index))
@@ -106,6 +109,9 @@
 
 func (w *world) step() {
 	w.now = w.now.Add(tick)
+	if w.tellsTime {
+		w.table.now = time.Hour + w.now.Sub(epoch)
+	}
 	for _, pending := range w.late {
 		w.effect(pending)
 	}
@@ -318,3 +324,47 @@
 		})
 	}
 }
+
+// A contender that comes late does not wait for a lease that ran out before, if
+// the table tells its time; it waits for what is left of one that did not.
+func TestALateContenderDoesNotWaitForADeadHolder(t *testing.T) {
+	tests := []struct {
+		name   string
+		tells  bool
+		after  time.Duration
+		waited time.Duration
+	}{
+		{"time told, long ago", true, time.Minute, 0},
+		{"time told, just now", true, 0, duration},
+		{"time told, in between", true, 5 * time.Second, 4500 * time.Millisecond},
+		{"no time told", false, time.Minute, duration},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			table := newTableModel()
+			at := func(now time.Time) time.Time {
+				if tt.tells {
+					table.now = time.Hour + now.Sub(epoch)
+				}
+				return now
+			}
+			dead := NewMachine(Config{Duration: duration}, "x", "a", "s1")
+			dead.Contend(epoch, true)
+			settleAt(table, dead, at(epoch))
+			begun := at(epoch.Add(tt.after))
+			second := NewMachine(Config{Duration: duration}, "x", "b", "s2")
+			second.Contend(begun, true)
+			now := begun
+			for {
+				settleAt(table, second, at(now))
+				if _, err := second.Held(now); err == nil {
+					break
+				}
+				now = now.Add(100 * time.Millisecond)
+			}
+			if waited := now.Sub(begun); waited != tt.waited {
+				t.Fatalf("waited %v, wanted %v", waited, tt.waited)
+			}
+		})
+	}
+}
--- a/internal/lease/table_test.go
+++ b/internal/lease/table_test.go
@@ -14,6 +14,8 @@
 type tableModel struct {
 	rows     map[string]protocol.Row
 	versions map[string]uint64
+	// now is the table's own time, 0 if it tells none.
+	now time.Duration
 }
 
 func newTableModel() *tableModel {
@@ -21,11 +23,17 @@
 }
 
 func (m *tableModel) run(exchange Exchange) Outcome {
+	outcome := Outcome{}
 	if exchange.Kind == Observe {
-		return Outcome{Rows: []protocol.Row{m.rows[exchange.Key]}}
+		outcome.Rows = []protocol.Row{m.rows[exchange.Key]}
+	} else {
+		result := m.commit(exchange.Transaction)
+		outcome.Committed, outcome.Rows = result.Committed, result.Rows
 	}
-	result := m.commit(exchange.Transaction)
-	return Outcome{Committed: result.Committed, Rows: result.Rows}
+	for index := range outcome.Rows {
+		outcome.Rows[index].StoreTime = m.now
+	}
+	return outcome
 }
 
 func (m *tableModel) commit(transaction protocol.Transaction) protocol.TransactionResult {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -100,7 +100,7 @@
 		config:  follow,
 		namings: &namings{table: n.ports.Table, timeout: follow.ReadTimeout},
 		roster: &roster{
-			table: n.ports.Table, timeout: follow.ReadTimeout,
+			table: n.ports.Table, timeout: follow.ReadTimeout / 2,
 			node: n.config.Node, zone: n.config.Zone, addr: n.config.PeerAddr, life: ident.NewUnique(),
 		},
 		client:    upstream.NewClient(),
--- a/internal/node/pull.go
+++ b/internal/node/pull.go
@@ -54,7 +54,7 @@
 
 const (
 	// joinPause is the time between two tries to write this router's row.
-	joinPause = 500 * time.Millisecond
+	joinPause = 250 * time.Millisecond
 	// chainPause bounds the time between two looks at the chain.
 	chainPause = 500 * time.Millisecond
 	// leastPull is the least time between two pulls, whatever the peer answers.
--- a/internal/store/protocol/protocol.go
+++ b/internal/store/protocol/protocol.go
@@ -28,6 +28,9 @@
 	// Version counts the writes to this key, starting at 1. It goes on
 	// counting when a deleted key is written again.
 	Version uint64 `json:"version"`
+	// StoreTime is the table's own steady time when it answered, 0 if it tells
+	// none. It is not part of the row, and no time of day.
+	StoreTime time.Duration `json:"-"`
 }
 
 // Condition must hold for a transaction to commit.
