--- a/cmd/rehearse/subcommands.go
+++ b/cmd/rehearse/subcommands.go
@@ -7,7 +7,6 @@
 	return []*cobra.Command{
 		newEngineCommand(),
 		newLoadCommand(),
-		newScaleCommand(),
 		newPlanCommand(),
 		newOverheadCommand(),
 		newApplicationCommand(),
--- a/internal/membership/simnet/simnet.go
+++ b/internal/membership/simnet/simnet.go
@@ -1,6 +1,6 @@
 // Package simnet runs many membership machines in one process over a network
 // of virtual time with seeded delay, loss and partitions. The tests of the
-// protocol and the scale run use it. Two runs with the same seed and the same
+// protocol use it. Two runs with the same seed and the same
 // calls are equal.
 package simnet
 
