Tell routers which engines are about to change, and which have changed

The list told a version a second late, and took back what answers had proved.

Ruled out: notices through the store (two calls a wave for each reader, 10 ms), through the tree of pulls (the holder need not be its root).

Change: the holder of the lease sends a datagram to every router 30 ms before its orders, and one when an engine has its version. Such an engine gets no work of that model for 1.5 s at most. The list no longer takes back a version that was seen.

--- a/internal/backend/registry.go
+++ b/internal/backend/registry.go
@@ -61,6 +61,9 @@
 	excessHalfLife = time.Second
 	// assumedFor is how long an assumed version stands: the list lags by less.
 	assumedFor = 2 * time.Second
+	// loadingFor bounds the time for which a back end gets no work because it
+	// was said to take new weights.
+	loadingFor = 1500 * time.Millisecond
 	// versionPause is how long a back end whose version was not as believed
 	// rests, unless the list tells a newer one before.
 	versionPause = 200 * time.Millisecond
@@ -193,6 +196,7 @@
 		return known, ""
 	}
 	var change ChangeKind
+	record.Models = newestOf(known.record.Models, record.Models)
 	for model, version := range record.Models {
 		if known.record.Models[model] != version {
 			change = Reloaded
@@ -206,6 +210,17 @@
 	return known, change
 }
 
+// newestOf returns the versions that a list tells, but for those of which newer
+// ones were seen before: a back end never goes back within one life, and the list
+// lags.
+func newestOf(seen, told map[ident.Model]int) map[ident.Model]int {
+	newest := maps.Clone(told)
+	for model, version := range told {
+		newest[model] = max(version, seen[model])
+	}
+	return newest
+}
+
 // VersionSeen takes in that a back end was seen at a version of a model's
 // weights, by an answer or a report newer than the list.
 func (r *Registry) VersionSeen(instance ident.Incarnation, model ident.Model, version int) {
@@ -234,6 +249,17 @@
 	}
 }
 
+// Loading takes in that a back end is about to take a version of a model's
+// weights. It gets no work of that model until it has it, or for a bounded time.
+func (r *Registry) Loading(now time.Time, instance ident.Incarnation, model ident.Model, version int) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if known := r.byID[instance]; known != nil {
+		known.loading, known.loadingModel = version, model
+		known.loadingUntil = now.Add(loadingFor)
+	}
+}
+
 // Pick chooses the back end with the least expected time for an attempt and
 // counts the attempt against it. It returns false if no back end may be used.
 func (r *Registry) Pick(now time.Time, query *Query) (Choice, *Flight, bool) {
--- a/internal/backend/registry_test.go
+++ b/internal/backend/registry_test.go
@@ -261,3 +261,45 @@
 	}
 	is.Equal(len(chosen), engines)
 }
+
+// The list lags behind what answers prove; a back end never goes back.
+func TestTheListDoesNotTakeBackAVersionThatWasSeen(t *testing.T) {
+	is := is.New(t)
+	known := registry(engine("a", 1))
+	known.VersionSeen("a", model, 3)
+	later := engine("a", 1)
+	later.Revision = 2
+	known.Update(start.Add(time.Second), []backend.Record{later})
+	choice, _ := pick(t, known, start, query())
+	is.Equal(choice.Version, 3)
+	newer := engine("a", 4)
+	newer.Revision = 3
+	known.Update(start.Add(2*time.Second), []backend.Record{newer})
+	choice, _ = pick(t, known, start, query())
+	is.Equal(choice.Version, 4)
+}
+
+func TestABackEndThatTakesWeightsGetsNoWork(t *testing.T) {
+	tests := []struct {
+		name  string
+		after func(known *backend.Registry)
+		at    time.Duration
+		away  bool
+	}{
+		{"at once", func(*backend.Registry) {}, 0, true},
+		{"a second later", func(*backend.Registry) {}, time.Second, true},
+		{"much later", func(*backend.Registry) {}, 2 * time.Second, false},
+		{"once it has them", func(known *backend.Registry) { known.VersionSeen("a", model, 2) }, 0, false},
+		{"for another model", func(known *backend.Registry) { known.Loading(start, "a", "other", 2) }, 0, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			known := registry(engine("a", 1))
+			known.Loading(start, "a", model, 2)
+			known.Loading(start, "unknown", model, 2)
+			tt.after(known)
+			_, _, found := known.Pick(start.Add(tt.at), query())
+			is.New(t).Equal(found, !tt.away)
+		})
+	}
+}
--- a/internal/backend/state.go
+++ b/internal/backend/state.go
@@ -30,6 +30,17 @@
 	assumed      int
 	assumedModel ident.Model
 	assumedUntil time.Time
+	// loading is the version of a model's weights that the back end is taking,
+	// and refuses work of that model for, until loadingUntil at the latest.
+	loading      int
+	loadingModel ident.Model
+	loadingUntil time.Time
+}
+
+// takesWeights reports whether the back end refuses work of a model because it
+// takes new weights.
+func (s *state) takesWeights(now time.Time, model ident.Model) bool {
+	return model == s.loadingModel && now.Before(s.loadingUntil) && s.record.Models[model] < s.loading
 }
 
 // version returns the version of a model's weights that an attempt is meant for.
@@ -66,7 +77,7 @@
 		return true
 	}
 	_, holds := s.record.Models[query.Model]
-	return holds
+	return holds && !s.takesWeights(now, query.Model)
 }
 
 // versionRisk says whether the attempt may begin on the back end's weights
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -119,8 +119,7 @@
 		now.configurationVersion = view.Snapshot.Version
 		now.configurationAge = view.Age(time.Now())
 	}
-	_, err := n.lease.Held()
-	now.leaseHeld = err == nil
+	now.leaseHeld = n.holdsLease()
 	now.readsStore = n.follower.chain.reads()
 	now.routers = n.follower.replica.Routers()
 	if n.ports.LinesDropped != nil {
@@ -137,10 +136,15 @@
 		return err
 	}
 	log.WithFields(log.Fields{"zone": n.config.Zone, "front": n.config.FrontAddress}).Info("started")
+	announcer, err := n.listenNotices()
+	if err != nil {
+		servers.close()
+		return err
+	}
 	work, stopWork := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopWork()
 	var duties sync.WaitGroup
-	for _, duty := range n.duties() {
+	for _, duty := range n.duties(announcer) {
 		duties.Go(func() { duty(work) })
 	}
 	group, failed := errgroup.WithContext(ctx)
@@ -156,17 +160,22 @@
 }
 
 // duties are the goroutines that run as long as the node.
-func (n *Node) duties() []func(context.Context) {
+func (n *Node) duties(announcer *notices) []func(context.Context) {
 	config := n.config.Rollout
 	config.OnOrder = func(order *rollout.Order, result rollout.Result) {
 		n.metrics.order(result)
 		logOrder(order, result)
 	}
+	listen := func(context.Context) {}
+	if announcer != nil {
+		config.Announcer = announcer
+		listen = announcer.listen
+	}
 	controller := rollout.NewController(config, n.lease, n.ports.Engines, n.holder, n.backends)
 	follower := n.follower
 	duties := []func(context.Context){
-		follower.followConfiguration, follower.followBackends, follower.followPeers, follower.countRouters,
-		n.contend, n.lease.Run, controller.Run,
+		follower.followConfiguration, follower.followBackends, follower.followPeers,
+		func(ctx context.Context) { follower.countRouters(ctx, n.holdsLease) }, listen, n.contend, n.lease.Run, controller.Run,
 	}
 	return append(duties, n.ports.Duties...)
 }
@@ -179,11 +188,24 @@
 // on, so that the lease does not change hands without need.
 func (n *Node) contend(ctx context.Context) {
 	wait.Every(ctx, contendInterval, func() {
-		_, err := n.lease.Held()
-		n.lease.Contend(!n.stopping.Load() && (err == nil || n.follower.chain.leads()))
+		n.lease.Contend(!n.stopping.Load() && (n.holdsLease() || n.follower.chain.leads()))
 	})
 }
 
+func (n *Node) holdsLease() bool {
+	_, err := n.lease.Held()
+	return err == nil
+}
+
+// listenNotices opens the socket for notices, if this node has an address for
+// what routers tell each other.
+func (n *Node) listenNotices() (*notices, error) {
+	if !n.config.PeerAddr.IsValid() {
+		return nil, nil
+	}
+	return listenNotices(n.config.PeerAddr, n.backends, n.follower.roster.others)
+}
+
 func logOrder(order *rollout.Order, result rollout.Result) {
 	log.WithFields(log.Fields{
 		"instance": order.Target.Instance, "model": order.Model, "version": order.Version, "fence": order.Fence,
--- /dev/null
+++ b/internal/node/notices_test.go
@@ -0,0 +1,93 @@
+package node
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/fieldpond/fieldpond/internal/backend"
+	"github.com/fieldpond/fieldpond/internal/ident"
+	"github.com/fieldpond/fieldpond/internal/rollout"
+)
+
+func TestNoticesReachTheOtherRouters(t *testing.T) {
+	is := is.New(t)
+	listed := func() *backend.Registry {
+		known := backend.NewRegistry(backend.Config{})
+		var records []backend.Record
+		for index := range 100 {
+			records = append(records, backend.Record{
+				Instance: ident.Incarnation(fmt.Sprintf("i-%03d", index)), Service: "s", Models: map[ident.Model]int{model: 1},
+			})
+		}
+		known.Update(time.Now(), records)
+		return known
+	}
+	open := func(known *backend.Registry, peers ...netip.AddrPort) *notices {
+		opened, err := listenNotices(netip.MustParseAddrPort("127.0.0.1:0"), known, func() []netip.AddrPort { return peers })
+		is.NoErr(err)
+		go opened.listen(t.Context())
+		return opened
+	}
+	other := listed()
+	addr := open(other).socket.LocalAddr().(interface{ AddrPort() netip.AddrPort }).AddrPort()
+	own := listed()
+	holder := open(own, addr)
+	_, err := holder.socket.WriteToUDPAddrPort([]byte("no notice"), addr)
+	is.NoErr(err)
+	notice := rollout.Notice{Model: model, Version: 2}
+	for _, record := range own.Records() {
+		notice.Loading = append(notice.Loading, record.Instance)
+	}
+	holder.Announce(notice)
+	query := &backend.Query{Service: "s", Model: model}
+	for _, known := range []*backend.Registry{own, other} {
+		eventually(t, func() bool {
+			_, flight, found := known.Pick(time.Now(), query)
+			if found {
+				flight.Ended(time.Now(), backend.Abandoned)
+			}
+			return !found
+		})
+	}
+	holder.Announce(rollout.Notice{Model: model, Version: 2, Loaded: []ident.Incarnation{"i-007"}})
+	eventually(t, func() bool {
+		choice, _, found := other.Pick(time.Now(), query)
+		return found && choice.Instance == "i-007" && choice.Version == 2
+	})
+}
+
+// eventually waits until a condition holds.
+func eventually(t *testing.T, holds func() bool) {
+	t.Helper()
+	for range 400 {
+		if holds() {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+	t.Fatal("it never came true")
+}
+
+func TestALongNoticeIsSplit(t *testing.T) {
+	is := is.New(t)
+	notice := rollout.Notice{Model: model, Version: 2}
+	for index := range 95 {
+		notice.Loading = append(notice.Loading, ident.Incarnation(fmt.Sprint("l", index)))
+	}
+	for index := range 50 {
+		notice.Loaded = append(notice.Loaded, ident.Incarnation(fmt.Sprint("d", index)))
+	}
+	var joined rollout.Notice
+	for _, part := range splitNotice(notice) {
+		is.True(len(part.Loading)+len(part.Loaded) <= noticeEngines)
+		joined.Loading = append(joined.Loading, part.Loading...)
+		joined.Loaded = append(joined.Loaded, part.Loaded...)
+	}
+	is.Equal(joined.Loading, notice.Loading)
+	is.Equal(joined.Loaded, notice.Loaded)
+	is.Equal(len(splitNotice(rollout.Notice{})), 0)
+}
--- a/internal/node/pull.go
+++ b/internal/node/pull.go
@@ -109,6 +109,7 @@
 		self, peers, routers, err := f.roster.join(ctx)
 		if err == nil {
 			f.replica.joined(self)
+			f.roster.know(peers)
 			f.replica.counted(routers)
 			f.chain.use(func(chain *upstream.Chain) { chain.Join(self, peers) })
 			log.WithFields(log.Fields{"revision": self.Revision, "peers": len(peers), "routers": routers}).Info("joined")
@@ -199,18 +200,19 @@
 	}
 }
 
-// countRouters keeps the number of routers up to date while this router reads
-// the store for all, until ctx ends.
-func (f *follower) countRouters(ctx context.Context) {
+// countRouters keeps the rows of the routers up to date while this router reads
+// the store for all, or holds the lease, until ctx ends.
+func (f *follower) countRouters(ctx context.Context, holds func() bool) {
 	wait.Every(ctx, f.config.RosterInterval, func() {
-		if !f.chain.reads() {
+		if !f.chain.reads() && !holds() {
 			return
 		}
-		_, routers, err := f.roster.read(ctx)
+		peers, routers, err := f.roster.read(ctx)
 		if err != nil {
 			log.WithFields(log.Fields{"cause": err.Error()}).Warn("routers_not_counted")
 			return
 		}
 		f.replica.counted(routers)
+		f.roster.know(peers)
 	})
 }
--- a/internal/node/pull_test.go
+++ b/internal/node/pull_test.go
@@ -78,7 +78,7 @@
 	go running.follower.followConfiguration(ctx)
 	go running.follower.followBackends(ctx)
 	go running.follower.followPeers(ctx)
-	go running.follower.countRouters(ctx)
+	go running.follower.countRouters(ctx, func() bool { return false })
 	return running
 }
 
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -65,9 +65,7 @@
 	for index, opening := range s {
 		listener, err := net.Listen("tcp4", opening.Addr)
 		if err != nil {
-			for _, opened := range s[:index] {
-				_ = opened.listener.Close()
-			}
+			s[:index].close()
 			return errors.Wrap(err, "listen for "+opening.purpose)
 		}
 		opening.listener = listener
@@ -75,6 +73,13 @@
 	return nil
 }
 
+// close closes the listeners of servers that do not serve yet.
+func (s servers) close() {
+	for _, opened := range s {
+		_ = opened.listener.Close()
+	}
+}
+
 func (s *server) serve() error {
 	if err := s.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
 		return errors.Wrap(err, "serve "+s.purpose)
--- a/internal/rollout/controller.go
+++ b/internal/rollout/controller.go
@@ -7,6 +7,7 @@
 	"github.com/fieldpond/fieldpond/internal/backend"
 	"github.com/fieldpond/fieldpond/internal/catalog"
 	"github.com/fieldpond/fieldpond/internal/lease"
+	"github.com/fieldpond/fieldpond/internal/wait"
 )
 
 // Engines carries out what a Planner decided.
@@ -35,11 +36,17 @@
 	ExchangeTimeout time.Duration
 	// OnOrder is told each order with its result. It must not block.
 	OnOrder func(order *Order, result Result)
+	// Announcer tells other routers which engines are about to change; nil tells
+	// nobody.
+	Announcer Announcer
 }
 
 const (
 	defaultTick            = 100 * time.Millisecond
 	defaultExchangeTimeout = 600 * time.Millisecond
+	// announcePause is the time between the notice of an order and the order, for
+	// the notice to arrive and for work under way to reach its engine.
+	announcePause = 30 * time.Millisecond
 	// resultCapacity holds the results of all exchanges that can be under way.
 	resultCapacity = 1024
 )
@@ -100,11 +107,29 @@
 		return
 	}
 	c.planner.Observe(c.backends.Records(), c.holder.View().Models)
-	for _, action := range c.planner.Plan(now, grant.Fence) {
+	actions := c.planner.Plan(now, grant.Fence)
+	c.announce(actions)
+	for _, action := range actions {
 		go c.execute(ctx, now, action, grant.Fence)
 	}
 }
 
+// announce tells the engines that the actions change, and those that have their
+// version since the last look.
+func (c *Controller) announce(actions []Action) {
+	loaded := c.planner.Loaded()
+	if c.config.Announcer == nil {
+		return
+	}
+	var gathered notices
+	gathered.loading(actions)
+	for _, engine := range loaded {
+		notice := gathered.of(engine.Model, engine.Version)
+		notice.Loaded = append(notice.Loaded, engine.Instance)
+	}
+	gathered.announce(c.config.Announcer)
+}
+
 // execute makes one exchange and hands its result to the goroutine of Run.
 func (c *Controller) execute(ctx context.Context, askedAt time.Time, action Action, fence uint64) {
 	ctx, cancel := context.WithTimeout(ctx, c.config.ExchangeTimeout)
@@ -120,6 +145,9 @@
 		}
 		return
 	}
+	if c.config.Announcer != nil {
+		wait.For(ctx, announcePause)
+	}
 	// The lease is asked once more right before the order leaves.
 	result := NotSent
 	if grant, err := c.lease.Act(); err == nil && grant.Fence == fence {
--- /dev/null
+++ b/internal/rollout/controller_test.go
@@ -0,0 +1,88 @@
+package rollout_test
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/fieldpond/fieldpond/internal/backend"
+	"github.com/fieldpond/fieldpond/internal/catalog"
+	"github.com/fieldpond/fieldpond/internal/ident"
+	"github.com/fieldpond/fieldpond/internal/lease"
+	"github.com/fieldpond/fieldpond/internal/rollout"
+)
+
+// heldLease is a lease that is always held.
+type heldLease struct{}
+
+func (heldLease) Held() (lease.Grant, error) {
+	return lease.Grant{Fence: 1, Until: time.Now().Add(time.Hour), ActUntil: time.Now().Add(time.Hour)}, nil
+}
+func (h heldLease) Act() (lease.Grant, error) { return h.Held() }
+func (heldLease) StepDown(uint64)             {}
+
+// fleetEngines takes orders as a fleet does, and notes them together with the
+// notices.
+type fleetEngines struct {
+	mu      sync.Mutex
+	fleet   *fleet
+	history []string
+}
+
+func (e *fleetEngines) Order(_ context.Context, order *rollout.Order) rollout.Result {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.history = append(e.history, "order "+string(order.Target.Instance))
+	return e.fleet.take(order)
+}
+
+func (e *fleetEngines) Report(_ context.Context, target backend.Record) (*rollout.Report, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.fleet.report(target.Instance), nil
+}
+
+func (e *fleetEngines) Announce(notice rollout.Notice) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, instance := range notice.Loading {
+		e.history = append(e.history, "loading "+string(instance))
+	}
+	for _, instance := range notice.Loaded {
+		e.history = append(e.history, "loaded "+string(instance))
+	}
+}
+
+// Each engine is announced before its order leaves, and again once it has the
+// version.
+func TestEnginesAreAnnouncedBeforeTheyChange(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		engines := &fleetEngines{fleet: newFleet(7)}
+		holder := &catalog.Holder{}
+		holder.Named(model, catalog.Naming{Version: 2, SeenAt: time.Now()})
+		known := backend.NewRegistry(backend.Config{})
+		known.Update(time.Now(), engines.fleet.records())
+		controller := rollout.NewController(rollout.ControllerConfig{
+			Planner: config, Announcer: engines, OnOrder: func(*rollout.Order, rollout.Result) {},
+		}, heldLease{}, engines, holder, known)
+		go controller.Run(t.Context())
+		time.Sleep(20 * time.Second)
+		engines.mu.Lock()
+		defer engines.mu.Unlock()
+		is.Equal(engines.fleet.loads, 7)
+		for instance := range engines.fleet.versions {
+			place := func(event string, instance ident.Incarnation) int {
+				return slices.Index(engines.history, event+" "+string(instance))
+			}
+			is.True(place("loading", instance) >= 0)
+			is.True(place("loading", instance) < place("order", instance))
+			is.True(place("order", instance) < place("loaded", instance))
+		}
+	})
+}
--- /dev/null
+++ b/internal/rollout/notice.go
@@ -0,0 +1,61 @@
+package rollout
+
+import (
+	"github.com/fieldpond/fieldpond/internal/ident"
+)
+
+// Notice tells other routers what becomes of engines, ahead of the list of back
+// ends. It decides nothing: a notice that is lost costs a refusal.
+type Notice struct {
+	Model   ident.Model `cbor:"1,keyasint"`
+	Version int         `cbor:"2,keyasint"`
+	// Loading are about to take the version, and refuse work until they have it.
+	Loading []ident.Incarnation `cbor:"3,keyasint,omitempty"`
+	// Loaded have it.
+	Loaded []ident.Incarnation `cbor:"4,keyasint,omitempty"`
+}
+
+// Announcer tells notices to all routers, this one included. It must not block.
+type Announcer interface {
+	Announce(notice Notice)
+}
+
+// notices gathers what is to be told, one notice a version.
+type notices struct {
+	order []noticeKey
+	by    map[noticeKey]*Notice
+}
+
+type noticeKey struct {
+	model   ident.Model
+	version int
+}
+
+func (n *notices) of(model ident.Model, version int) *Notice {
+	key := noticeKey{model, version}
+	if n.by == nil {
+		n.by = make(map[noticeKey]*Notice)
+	}
+	if n.by[key] == nil {
+		n.by[key] = &Notice{Model: model, Version: version}
+		n.order = append(n.order, key)
+	}
+	return n.by[key]
+}
+
+// loading gathers the engines of orders that are about to leave.
+func (n *notices) loading(actions []Action) {
+	for _, action := range actions {
+		if order := action.Order; order != nil {
+			notice := n.of(order.Model, order.Version)
+			notice.Loading = append(notice.Loading, order.Target.Instance)
+		}
+	}
+}
+
+// announce tells what was gathered.
+func (n *notices) announce(to Announcer) {
+	for _, key := range n.order {
+		to.Announce(*n.by[key])
+	}
+}
--- a/internal/rollout/planner.go
+++ b/internal/rollout/planner.go
@@ -150,6 +150,15 @@
 	engines  map[ident.Incarnation]*progress
 	models   map[ident.Model]catalog.NamedVersion
 	counters Counters
+	// loaded are the engines whose orders were settled since the last Loaded.
+	loaded []Loaded
+}
+
+// Loaded is an engine that has the version it was ordered to take.
+type Loaded struct {
+	Instance ident.Incarnation
+	Model    ident.Model
+	Version  int
 }
 
 // NewPlanner returns a planner that knows no engine.
@@ -276,9 +285,20 @@
 
 // settle closes an order whose version the engine has.
 func (p *Planner) settle(engine *progress) {
-	if engine.versions[engine.orderedModel] >= engine.ordered {
-		engine.ordered = 0
+	version := engine.versions[engine.orderedModel]
+	if engine.ordered == 0 || version < engine.ordered {
+		return
 	}
+	engine.ordered = 0
+	p.loaded = append(p.loaded, Loaded{Instance: engine.record.Instance, Model: engine.orderedModel, Version: version})
+}
+
+// Loaded returns the engines that have had the version of their order since the
+// last call.
+func (p *Planner) Loaded() []Loaded {
+	loaded := p.loaded
+	p.loaded = nil
+	return loaded
 }
 
 // follow reads the report of an engine that changes.
