Try an engine again when it usually has its new weights

Change: after 0.7 s the engine is taken to have the version, and attempts say that they are meant for it; one that has not is found out by a refusal.

--- a/internal/backend/flight.go
+++ b/internal/backend/flight.go
@@ -62,6 +62,9 @@
 		if target.assumed == f.version {
 			target.assumedUntil = time.Time{}
 		}
+		if target.loading == f.version {
+			target.loadingUntil = time.Time{}
+		}
 		if target.version(now, f.model) <= f.version {
 			target.pausedUntil = now.Add(versionPause)
 		}
--- a/internal/backend/registry.go
+++ b/internal/backend/registry.go
@@ -61,9 +61,9 @@
 	excessHalfLife = time.Second
 	// assumedFor is how long an assumed version stands: the list lags by less.
 	assumedFor = 2 * time.Second
-	// loadingFor bounds the time for which a back end gets no work because it
-	// was said to take new weights.
-	loadingFor = 1500 * time.Millisecond
+	// loadingFor is how long a back end gets no work after it was said to take
+	// new weights, unless it is known to have them before.
+	loadingFor = 700 * time.Millisecond
 	// versionPause is how long a back end whose version was not as believed
 	// rests, unless the list tells a newer one before.
 	versionPause = 200 * time.Millisecond
@@ -250,7 +250,8 @@
 }
 
 // Loading takes in that a back end is about to take a version of a model's
-// weights. It gets no work of that model until it has it, or for a bounded time.
+// weights. It gets no work of that model for the usual time of that, and is then
+// taken to have the version, until the list must have told it.
 func (r *Registry) Loading(now time.Time, instance ident.Incarnation, model ident.Model, version int) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
--- a/internal/backend/registry_test.go
+++ b/internal/backend/registry_test.go
@@ -280,17 +280,24 @@
 }
 
 func TestABackEndThatTakesWeightsGetsNoWork(t *testing.T) {
+	nothing := func(*backend.Registry) {}
 	tests := []struct {
 		name  string
 		after func(known *backend.Registry)
 		at    time.Duration
-		away  bool
+		// version is that of the attempt, 0 for none.
+		version int
 	}{
-		{"at once", func(*backend.Registry) {}, 0, true},
-		{"a second later", func(*backend.Registry) {}, time.Second, true},
-		{"much later", func(*backend.Registry) {}, 2 * time.Second, false},
-		{"once it has them", func(known *backend.Registry) { known.VersionSeen("a", model, 2) }, 0, false},
-		{"for another model", func(known *backend.Registry) { known.Loading(start, "a", "other", 2) }, 0, false},
+		{"at once", nothing, 0, 0},
+		{"half a second later", nothing, 500 * time.Millisecond, 0},
+		{"when it usually has them", nothing, 800 * time.Millisecond, 2},
+		{"when the list would have told it", nothing, time.Minute, 1},
+		{"once it has them", func(known *backend.Registry) { known.VersionSeen("a", model, 2) }, 0, 2},
+		{"for another model", func(known *backend.Registry) { known.Loading(start, "a", "other", 2) }, 0, 1},
+		{"after it proved not to have them", func(known *backend.Registry) {
+			_, flight, _ := known.Pick(start.Add(time.Second), query())
+			flight.Ended(start.Add(time.Second), backend.WrongVersion)
+		}, 1300 * time.Millisecond, 1},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -298,8 +305,8 @@
 			known.Loading(start, "a", model, 2)
 			known.Loading(start, "unknown", model, 2)
 			tt.after(known)
-			_, _, found := known.Pick(start.Add(tt.at), query())
-			is.New(t).Equal(found, !tt.away)
+			choice, _, _ := known.Pick(start.Add(tt.at), query())
+			is.New(t).Equal(choice.Version, tt.version)
 		})
 	}
 }
--- a/internal/backend/state.go
+++ b/internal/backend/state.go
@@ -30,8 +30,9 @@
 	assumed      int
 	assumedModel ident.Model
 	assumedUntil time.Time
-	// loading is the version of a model's weights that the back end is taking,
-	// and refuses work of that model for, until loadingUntil at the latest.
+	// loading is the version of a model's weights that the back end is taking; it
+	// is thought to refuse work of that model until loadingUntil, and to have the
+	// version from then on.
 	loading      int
 	loadingModel ident.Model
 	loadingUntil time.Time
@@ -49,6 +50,10 @@
 	if model == s.assumedModel && now.Before(s.assumedUntil) {
 		version = max(version, s.assumed)
 	}
+	loaded := !now.Before(s.loadingUntil) && now.Before(s.loadingUntil.Add(assumedFor))
+	if model == s.loadingModel && loaded {
+		version = max(version, s.loading)
+	}
 	return version
 }
 
