Take a notice back whose order was not answered

Change: the holder tells the result of an order that was not accepted, and such an engine goes on under the version known of it.

--- a/internal/backend/registry.go
+++ b/internal/backend/registry.go
@@ -261,6 +261,16 @@
 	}
 }
 
+// NotLoading takes back that a back end is about to take a version.
+func (r *Registry) NotLoading(instance ident.Incarnation, model ident.Model, version int) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	known := r.byID[instance]
+	if known != nil && known.loadingModel == model && known.loading == version {
+		known.loadingUntil = time.Time{}
+	}
+}
+
 // Pick chooses the back end with the least expected time for an attempt and
 // counts the attempt against it. It returns false if no back end may be used.
 func (r *Registry) Pick(now time.Time, query *Query) (Choice, *Flight, bool) {
--- a/internal/backend/registry_test.go
+++ b/internal/backend/registry_test.go
@@ -293,6 +293,8 @@
 		{"when it usually has them", nothing, 800 * time.Millisecond, 2},
 		{"when the list would have told it", nothing, time.Minute, 1},
 		{"once it has them", func(known *backend.Registry) { known.VersionSeen("a", model, 2) }, 0, 2},
+		{"once that was taken back", func(known *backend.Registry) { known.NotLoading("a", model, 2) }, 0, 1},
+		{"once an older notice was taken back", func(known *backend.Registry) { known.NotLoading("a", model, 1) }, 0, 0},
 		{"for another model", func(known *backend.Registry) { known.Loading(start, "a", "other", 2) }, 0, 1},
 		{"after it proved not to have them", func(known *backend.Registry) {
 			_, flight, _ := known.Pick(start.Add(time.Second), query())
--- a/internal/node/notices.go
+++ b/internal/node/notices.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/fieldpond/fieldpond/internal/backend"
+	"github.com/fieldpond/fieldpond/internal/ident"
 	"github.com/fieldpond/fieldpond/internal/rollout"
 )
 
@@ -59,17 +60,23 @@
 // splitNotice returns notices that fit into a datagram each.
 func splitNotice(notice rollout.Notice) []rollout.Notice {
 	var parts []rollout.Notice
-	for len(notice.Loading) > 0 || len(notice.Loaded) > 0 {
+	for len(notice.Loading)+len(notice.Loaded)+len(notice.Unsettled) > 0 {
 		part := rollout.Notice{Model: notice.Model, Version: notice.Version}
-		loading := min(len(notice.Loading), noticeEngines)
-		part.Loading, notice.Loading = notice.Loading[:loading], notice.Loading[loading:]
-		loaded := min(len(notice.Loaded), noticeEngines-loading)
-		part.Loaded, notice.Loaded = notice.Loaded[:loaded], notice.Loaded[loaded:]
+		room := noticeEngines
+		part.Loading, notice.Loading, room = take(notice.Loading, room)
+		part.Loaded, notice.Loaded, room = take(notice.Loaded, room)
+		part.Unsettled, notice.Unsettled, _ = take(notice.Unsettled, room)
 		parts = append(parts, part)
 	}
 	return parts
 }
 
+// take splits off what there is room for, and returns the room that is left.
+func take(instances []ident.Incarnation, room int) (taken, rest []ident.Incarnation, left int) {
+	count := min(len(instances), room)
+	return instances[:count], instances[count:], room - count
+}
+
 // listen takes in notices until ctx ends.
 func (n *notices) listen(ctx context.Context) {
 	stop := context.AfterFunc(ctx, func() { _ = n.socket.Close() })
@@ -99,7 +106,11 @@
 	for _, instance := range notice.Loaded {
 		n.backends.VersionSeen(instance, notice.Model, notice.Version)
 	}
+	for _, instance := range notice.Unsettled {
+		n.backends.NotLoading(instance, notice.Model, notice.Version)
+	}
 	log.WithFields(log.Fields{
 		"model": notice.Model, "version": notice.Version, "loading": notice.Loading, "loaded": notice.Loaded,
+		"unsettled": notice.Unsettled,
 	}).Info("engines_change")
 }
--- a/internal/node/notices_test.go
+++ b/internal/node/notices_test.go
@@ -55,9 +55,18 @@
 	}
 	holder.Announce(rollout.Notice{Model: model, Version: 2, Loaded: []ident.Incarnation{"i-007"}})
 	eventually(t, func() bool {
-		choice, _, found := other.Pick(time.Now(), query)
+		choice, flight, found := other.Pick(time.Now(), query)
+		if found {
+			flight.Ended(time.Now(), backend.Abandoned)
+		}
 		return found && choice.Instance == "i-007" && choice.Version == 2
 	})
+	holder.Announce(rollout.Notice{Model: model, Version: 2, Unsettled: []ident.Incarnation{"i-009"}})
+	query.Excluded = []ident.Incarnation{"i-007"}
+	eventually(t, func() bool {
+		choice, _, found := other.Pick(time.Now(), query)
+		return found && choice.Instance == "i-009" && choice.Version == 1
+	})
 }
 
 // eventually waits until a condition holds.
@@ -81,13 +90,18 @@
 	for index := range 50 {
 		notice.Loaded = append(notice.Loaded, ident.Incarnation(fmt.Sprint("d", index)))
 	}
+	for index := range 45 {
+		notice.Unsettled = append(notice.Unsettled, ident.Incarnation(fmt.Sprint("u", index)))
+	}
 	var joined rollout.Notice
 	for _, part := range splitNotice(notice) {
-		is.True(len(part.Loading)+len(part.Loaded) <= noticeEngines)
+		is.True(len(part.Loading)+len(part.Loaded)+len(part.Unsettled) <= noticeEngines)
+		joined.Unsettled = append(joined.Unsettled, part.Unsettled...)
 		joined.Loading = append(joined.Loading, part.Loading...)
 		joined.Loaded = append(joined.Loaded, part.Loaded...)
 	}
 	is.Equal(joined.Loading, notice.Loading)
 	is.Equal(joined.Loaded, notice.Loaded)
+	is.Equal(joined.Unsettled, notice.Unsettled)
 	is.Equal(len(splitNotice(rollout.Notice{})), 0)
 }
--- a/internal/rollout/controller.go
+++ b/internal/rollout/controller.go
@@ -6,6 +6,7 @@
 
 	"github.com/fieldpond/fieldpond/internal/backend"
 	"github.com/fieldpond/fieldpond/internal/catalog"
+	"github.com/fieldpond/fieldpond/internal/ident"
 	"github.com/fieldpond/fieldpond/internal/lease"
 	"github.com/fieldpond/fieldpond/internal/wait"
 )
@@ -130,6 +131,16 @@
 	gathered.announce(c.config.Announcer)
 }
 
+// announceResult takes a notice back whose order may not have been taken.
+func (c *Controller) announceResult(order *Order, result Result) {
+	if c.config.Announcer == nil || result == Accepted {
+		return
+	}
+	c.config.Announcer.Announce(Notice{
+		Model: order.Model, Version: order.Version, Unsettled: []ident.Incarnation{order.Target.Instance},
+	})
+}
+
 // execute makes one exchange and hands its result to the goroutine of Run.
 func (c *Controller) execute(ctx context.Context, askedAt time.Time, action Action, fence uint64) {
 	ctx, cancel := context.WithTimeout(ctx, c.config.ExchangeTimeout)
@@ -156,6 +167,7 @@
 	c.results <- func(now time.Time) {
 		c.planner.Ordered(now, action.Order, result)
 		c.config.OnOrder(action.Order, result)
+		c.announceResult(action.Order, result)
 		if result == Outdated {
 			c.lease.StepDown(fence)
 		}
--- a/internal/rollout/controller_test.go
+++ b/internal/rollout/controller_test.go
@@ -32,12 +32,18 @@
 	mu      sync.Mutex
 	fleet   *fleet
 	history []string
+	// silent leaves its first order unanswered.
+	silent ident.Incarnation
 }
 
 func (e *fleetEngines) Order(_ context.Context, order *rollout.Order) rollout.Result {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.history = append(e.history, "order "+string(order.Target.Instance))
+	if order.Target.Instance == e.silent {
+		e.silent = ""
+		return rollout.Unanswered
+	}
 	return e.fleet.take(order)
 }
 
@@ -53,6 +59,9 @@
 	for _, instance := range notice.Loading {
 		e.history = append(e.history, "loading "+string(instance))
 	}
+	for _, instance := range notice.Unsettled {
+		e.history = append(e.history, "unsettled "+string(instance))
+	}
 	for _, instance := range notice.Loaded {
 		e.history = append(e.history, "loaded "+string(instance))
 	}
@@ -63,7 +72,7 @@
 func TestEnginesAreAnnouncedBeforeTheyChange(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		engines := &fleetEngines{fleet: newFleet(7)}
+		engines := &fleetEngines{fleet: newFleet(7), silent: "i-03"}
 		holder := &catalog.Holder{}
 		holder.Named(model, catalog.Naming{Version: 2, SeenAt: time.Now()})
 		known := backend.NewRegistry(backend.Config{})
@@ -83,6 +92,7 @@
 			is.True(place("loading", instance) >= 0)
 			is.True(place("loading", instance) < place("order", instance))
 			is.True(place("order", instance) < place("loaded", instance))
+			is.Equal(place("unsettled", instance) >= 0, instance == "i-03")
 		}
 	})
 }
--- a/internal/rollout/notice.go
+++ b/internal/rollout/notice.go
@@ -13,6 +13,9 @@
 	Loading []ident.Incarnation `cbor:"3,keyasint,omitempty"`
 	// Loaded have it.
 	Loaded []ident.Incarnation `cbor:"4,keyasint,omitempty"`
+	// Unsettled did not say that they take it: they go on as before, as far as is
+	// known.
+	Unsettled []ident.Incarnation `cbor:"5,keyasint,omitempty"`
 }
 
 // Announcer tells notices to all routers, this one included. It must not block.
