--- a/internal/claim/config.go
+++ b/internal/claim/config.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// Config bounds the work of a Core and its Keeper.
+// Config bounds the work of a Core and its Manager.
 type Config struct {
 	// Timeout is the longest a claim waits for the table. Default: 1s.
 	Timeout time.Duration
--- a/internal/claim/keeper.go
+++ b/internal/claim/manager.go
@@ -13,10 +13,10 @@
 // drainTimeouts bounds the drain at a stop, in claim timeouts.
 const drainTimeouts = 2
 
-// Keeper is the shell around a Core: it sends the transactions and wakes the
+// Manager is the shell around a Core: it sends the transactions and wakes the
 // callers. It implements Claimer. Run must be running for calls to end by
 // anything but their deadline.
-type Keeper struct {
+type Manager struct {
 	table  store.Table
 	config Config
 	mutex  sync.Mutex
@@ -30,12 +30,12 @@
 	sending       sync.WaitGroup
 }
 
-var _ Claimer = (*Keeper)(nil)
+var _ Claimer = (*Manager)(nil)
 
-// NewKeeper returns a Keeper of the given router over the table.
-func NewKeeper(table store.Table, holder ident.Node, config Config) *Keeper {
+// NewManager returns a Manager of the given router over the table.
+func NewManager(table store.Table, holder ident.Node, config Config) *Manager {
 	config = config.withDefaults()
-	return &Keeper{
+	return &Manager{
 		table:         table,
 		config:        config,
 		core:          NewCore(holder, config),
@@ -47,13 +47,13 @@
 }
 
 // minWait is the shortest wait between two looks. Above zero it keeps timers
-// from having run out before anybody waits for them; see fleet.Keeper.
+// from having run out before anybody waits for them; see fleet.Syncer.
 const minWait = time.Millisecond
 
 // Run is the duty that advances the core until ctx ends. It then refuses new
 // claims, records what waits to be recorded, and returns when nothing waits
 // any more or after drainTimeouts times Config.Timeout.
-func (k *Keeper) Run(ctx context.Context) {
+func (k *Manager) Run(ctx context.Context) {
 	timer := time.NewTimer(minWait)
 	defer timer.Stop()
 	defer close(k.stopped)
@@ -81,7 +81,7 @@
 }
 
 // Claim implements Claimer.
-func (k *Keeper) Claim(ctx context.Context, key Key, digest Digest) (Grant, error) {
+func (k *Manager) Claim(ctx context.Context, key Key, digest Digest) (Grant, error) {
 	claimID := ident.NewUnique()
 	now := time.Now()
 	deadline := now.Add(k.config.Timeout)
@@ -110,7 +110,7 @@
 
 // abandon ends a claim whose caller left. Whatever the core answers from now
 // on reaches nobody, so the claim is released and truly not run.
-func (k *Keeper) abandon(claimID string) (Grant, error) {
+func (k *Manager) abandon(claimID string) (Grant, error) {
 	k.mutex.Lock()
 	delete(k.claimWaiters, claimID)
 	k.core.Abandon(time.Now(), claimID)
@@ -122,7 +122,7 @@
 
 // Finish implements Claimer. When ctx ends first, the recording goes on in
 // the background and the error says that the store did not answer in time.
-func (k *Keeper) Finish(ctx context.Context, _ Key, claimID string, outcome Outcome) error {
+func (k *Manager) Finish(ctx context.Context, _ Key, claimID string, outcome Outcome) error {
 	answered := make(chan Answer, 1)
 	k.mutex.Lock()
 	if _, waiting := k.recordWaiters[claimID]; waiting {
@@ -147,14 +147,14 @@
 }
 
 // stop refuses further claims.
-func (k *Keeper) stop() {
+func (k *Manager) stop() {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
 	k.stopping = true
 }
 
-// idle reports whether the keeper is stopping and has nothing left to do.
-func (k *Keeper) idle() bool {
+// idle reports whether the manager is stopping and has nothing left to do.
+func (k *Manager) idle() bool {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
 	counters := k.core.Counters()
@@ -162,7 +162,7 @@
 }
 
 // Counters returns the core's counters.
-func (k *Keeper) Counters() Counters {
+func (k *Manager) Counters() Counters {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
 	return k.core.Counters()
@@ -170,14 +170,14 @@
 
 // Holds reports whether this process still holds the claim: its request may
 // be running here, or its outcome is not yet settled by the caller.
-func (k *Keeper) Holds(claimID string) bool {
+func (k *Manager) Holds(claimID string) bool {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
 	_, held := k.core.held[claimID]
 	return held
 }
 
-func (k *Keeper) advance(ctx context.Context) (time.Duration, bool) {
+func (k *Manager) advance(ctx context.Context) (time.Duration, bool) {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
 	now := time.Now()
@@ -191,7 +191,7 @@
 }
 
 // send runs one transaction; there are at most Config.MaxInFlight of them.
-func (k *Keeper) send(ctx context.Context, batch Batch) {
+func (k *Manager) send(ctx context.Context, batch Batch) {
 	defer k.sending.Done()
 	bounded, cancel := context.WithTimeout(context.WithoutCancel(ctx), k.config.CommitTimeout)
 	defer cancel()
@@ -204,7 +204,7 @@
 }
 
 // deliver hands out the core's answers; the mutex is held.
-func (k *Keeper) deliver() {
+func (k *Manager) deliver() {
 	for _, answer := range k.core.Answers() {
 		waiters := k.claimWaiters
 		if answer.Recorded {
@@ -217,7 +217,7 @@
 	}
 }
 
-func (k *Keeper) signal() {
+func (k *Manager) signal() {
 	select {
 	case k.changed <- struct{}{}:
 	default:
--- a/internal/claim/keeper_test.go
+++ b/internal/claim/manager_test.go
@@ -24,13 +24,13 @@
 	os.Exit(m.Run())
 }
 
-// withKeepers runs the check in virtual time over two keepers of one table.
-func withKeepers(t *testing.T, table *faultyTable, check func(is *is.I, first, second *Keeper)) {
+// withManagers runs the check in virtual time over two keepers of one table.
+func withManagers(t *testing.T, table *faultyTable, check func(is *is.I, first, second *Manager)) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
 		defer synctest.Wait()
 		defer cancel()
-		first, second := NewKeeper(table, "router-1", Config{}), NewKeeper(table, "router-2", Config{})
+		first, second := NewManager(table, "router-1", Config{}), NewManager(table, "router-2", Config{})
 		go first.Run(ctx)
 		go second.Run(ctx)
 		check(is.New(t), first, second)
@@ -60,7 +60,7 @@
 	for _, test := range cases {
 		t.Run(test.name, func(t *testing.T) {
 			table := newFaultyTable(test.script...)
-			withKeepers(t, table, func(is *is.I, first, second *Keeper) {
+			withManagers(t, table, func(is *is.I, first, second *Manager) {
 				grant, err := first.Claim(context.Background(), booking, "digest")
 				is.Equal(grant.Mine, err == nil)
 				if test.kind != "" {
@@ -106,7 +106,7 @@
 	}
 	for _, test := range cases {
 		t.Run(test.name, func(t *testing.T) {
-			withKeepers(t, newFaultyTable(), func(is *is.I, first, second *Keeper) {
+			withManagers(t, newFaultyTable(), func(is *is.I, first, second *Manager) {
 				grant, err := first.Claim(context.Background(), booking, "digest")
 				is.NoErr(err)
 				if test.outcome != "" {
@@ -123,7 +123,7 @@
 
 func TestFinishIsForTheHolderAndSurvivesFaults(t *testing.T) {
 	table := newFaultyTable(append([]exchange{goesWell, lostAfterCommit}, repeated(outage, 5)...)...)
-	withKeepers(t, table, func(is *is.I, first, second *Keeper) {
+	withManagers(t, table, func(is *is.I, first, second *Manager) {
 		grant, err := first.Claim(context.Background(), booking, "digest")
 		is.NoErr(err)
 		is.True(fault.Is(second.Finish(context.Background(), booking, grant.Record.ClaimID, Outcome{Ran: fault.RanNo}), fault.Conflict))
@@ -201,19 +201,19 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		table := newFaultyTable(append([]exchange{goesWell}, repeated(outage, 4)...)...)
-		keeper := NewKeeper(table, "router-1", Config{})
+		manager := NewManager(table, "router-1", Config{})
 		ctx, cancel := context.WithCancel(context.Background())
-		go keeper.Run(ctx)
-		grant, err := keeper.Claim(ctx, booking, "digest")
+		go manager.Run(ctx)
+		grant, err := manager.Claim(ctx, booking, "digest")
 		is.NoErr(err)
 		brief, stopWaiting := context.WithTimeout(ctx, time.Millisecond)
 		defer stopWaiting()
-		err = keeper.Finish(brief, booking, grant.Record.ClaimID, Outcome{Ran: fault.RanYes, Status: 200})
+		err = manager.Finish(brief, booking, grant.Record.ClaimID, Outcome{Ran: fault.RanYes, Status: 200})
 		is.True(fault.Is(err, fault.StoreUnavailable))
 		is.Equal(fault.From(err).Ran, fault.RanYes)
 		cancel()
 		synctest.Wait()
-		_, err = keeper.Claim(context.Background(), booking, "digest")
+		_, err = manager.Claim(context.Background(), booking, "digest")
 		is.True(fault.Is(err, fault.Leaving))
 		time.Sleep(time.Minute)
 		is.Equal(table.heal(booking), StateRan) // recorded after the stop, in spite of the outage
--- a/internal/claim/sweeper.go
+++ b/internal/claim/sweeper.go
@@ -37,7 +37,7 @@
 // makes the sweep's requests. Run it once.
 type Sweeper struct {
 	options SweeperOptions
-	keeper  *lease.Elector
+	elector *lease.Elector
 	mutex   sync.Mutex
 	sweep   *Sweep
 	held    bool
@@ -47,7 +47,7 @@
 func NewSweeper(options SweeperOptions) *Sweeper {
 	return &Sweeper{
 		options: options, sweep: NewSweep(options.Config),
-		keeper: lease.NewElector(options.Table, lease.Config{}, SweepLease, options.Node),
+		elector: lease.NewElector(options.Table, lease.Config{}, SweepLease, options.Node),
 	}
 }
 
@@ -68,10 +68,10 @@
 // Run is the duty that sweeps until ctx ends; it then hands the lease over.
 func (s *Sweeper) Run(ctx context.Context) {
 	var duties sync.WaitGroup
-	duties.Go(func() { s.keeper.Run(ctx) })
+	duties.Go(func() { s.elector.Run(ctx) })
 	defer duties.Wait()
 	wait.Every(ctx, sweepTick, func() {
-		s.keeper.Contend(s.options.Contends())
+		s.elector.Contend(s.options.Contends())
 		if request, due := s.next(); due {
 			s.make(ctx, request)
 		}
@@ -80,7 +80,7 @@
 
 // next returns the request that is due. Losing the lease ends a pass.
 func (s *Sweeper) next() (SweepRequest, bool) {
-	_, err := s.keeper.Held()
+	_, err := s.elector.Held()
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.held = err == nil
--- a/internal/control/duty.go
+++ b/internal/control/controller.go
@@ -33,7 +33,7 @@
 	Order(ctx context.Context, address string, order protocol.Order) (protocol.OrderResult, error)
 }
 
-// Options joins a Duty to the rest of a router.
+// Options joins a Controller to the rest of a router.
 type Options struct {
 	Node    ident.Node
 	Table   store.Table
@@ -61,9 +61,9 @@
 	Leases   lease.Counters
 }
 
-// Duty contends for the leases of the groups that rendezvous assigns to this
+// Controller contends for the leases of the groups that rendezvous assigns to this
 // router and issues the orders of those it holds. Run it once.
-type Duty struct {
+type Controller struct {
 	options Options
 	calls   *ring.Ring[call]
 	answers *ring.Ring[answer]
@@ -82,7 +82,7 @@
 type runner struct {
 	group   Group
 	planner *Planner
-	keeper  *lease.Elector
+	elector *lease.Elector
 	stop    context.CancelFunc
 	// askedAt is when each engine's report was last asked for; reading marks
 	// those without an answer yet.
@@ -106,10 +106,10 @@
 	err     error
 }
 
-// NewDuty returns a duty that does nothing until Run.
-func NewDuty(options Options) *Duty {
+// New returns a duty that does nothing until Run.
+func New(options Options) *Controller {
 	options.Config = options.Config.withDefaults()
-	return &Duty{
+	return &Controller{
 		options: options,
 		calls:   ring.New[call]("control-calls", maxCalls, ring.RefuseNew),
 		answers: ring.New[answer]("control-answers", maxCalls, ring.RefuseNew),
@@ -118,12 +118,12 @@
 }
 
 // Rings returns the counters of the duty's rings.
-func (d *Duty) Rings() []func() ring.Counters {
+func (d *Controller) Rings() []func() ring.Counters {
 	return []func() ring.Counters{d.calls.Counters, d.answers.Counters}
 }
 
 // Status returns the state of every group, as of the last tick.
-func (d *Duty) Status() []GroupStatus {
+func (d *Controller) Status() []GroupStatus {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	return slices.Clone(d.status)
@@ -131,7 +131,7 @@
 
 // Run works until ctx ends. It then waits for requests under way and hands its
 // leases over, both in bounded time.
-func (d *Duty) Run(ctx context.Context) {
+func (d *Controller) Run(ctx context.Context) {
 	var workers sync.WaitGroup
 	for range d.options.Config.Workers {
 		workers.Go(func() { d.work(ctx) })
@@ -154,7 +154,7 @@
 	d.publish(nil)
 }
 
-func (d *Duty) tick(ctx context.Context) {
+func (d *Controller) tick(ctx context.Context) {
 	d.takeIn()
 	if compiled := d.options.Fleet(); compiled != d.compiled && compiled != nil {
 		d.adopt(ctx, compiled)
@@ -163,8 +163,8 @@
 	status := make([]GroupStatus, 0, len(d.runners))
 	for name, one := range d.runners {
 		owners := view.Owners(name, contenders)
-		one.keeper.Contend(slices.ContainsFunc(owners, func(owner membership.Member) bool { return owner.Node == d.options.Node }))
-		grant, err := one.keeper.Held()
+		one.elector.Contend(slices.ContainsFunc(owners, func(owner membership.Member) bool { return owner.Node == d.options.Node }))
+		grant, err := one.elector.Held()
 		if err == nil {
 			d.lead(one, grant)
 		}
@@ -182,8 +182,8 @@
 // status tells of a group; a grant without a fence is none.
 func (r *runner) status(name string, owners []membership.Member, grant lease.Grant) GroupStatus {
 	told := GroupStatus{
-		Lease: name, Held: grant.Fence > 0, Fence: grant.Fence, Holder: r.keeper.Holder(),
-		Counters: r.planner.Counters(), Leases: r.keeper.Counters(),
+		Lease: name, Held: grant.Fence > 0, Fence: grant.Fence, Holder: r.elector.Holder(),
+		Counters: r.planner.Counters(), Leases: r.elector.Counters(),
 	}
 	for _, owner := range owners {
 		told.Contenders = append(told.Contenders, owner.Node)
@@ -194,7 +194,7 @@
 	return told
 }
 
-func (d *Duty) publish(status []GroupStatus) {
+func (d *Controller) publish(status []GroupStatus) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	d.status = status
@@ -202,7 +202,7 @@
 
 // adopt changes over to the groups of another fleet file. A group that is gone
 // is stopped, which hands its lease over.
-func (d *Duty) adopt(ctx context.Context, compiled *fleet.Compiled) {
+func (d *Controller) adopt(ctx context.Context, compiled *fleet.Compiled) {
 	d.compiled = compiled
 	groups := GroupsOf(compiled)
 	kept := map[string]*runner{}
@@ -225,19 +225,19 @@
 
 // startRunner starts the lease's duty. It outlives ctx until Run has seen the
 // last request end, so that no order is under way when the lease is released.
-func (d *Duty) startRunner(ctx context.Context, name string) *runner {
+func (d *Controller) startRunner(ctx context.Context, name string) *runner {
 	kept, stop := context.WithCancel(context.WithoutCancel(ctx))
 	one := &runner{
 		planner: NewPlanner(d.options.Config, name), stop: stop,
-		keeper:  lease.NewElector(d.options.Table, d.options.Config.Lease, name, d.options.Node),
+		elector: lease.NewElector(d.options.Table, d.options.Config.Lease, name, d.options.Node),
 		askedAt: map[ident.Engine]time.Time{}, reading: map[ident.Engine]bool{},
 	}
-	d.keepers.Go(func() { one.keeper.Run(kept) })
+	d.keepers.Go(func() { one.elector.Run(kept) })
 	return one
 }
 
 // lead reads reports and issues orders under a grant.
-func (d *Duty) lead(one *runner, grant lease.Grant) {
+func (d *Controller) lead(one *runner, grant lease.Grant) {
 	now := time.Now()
 	for _, order := range one.planner.Plan(now, grant) {
 		if !d.submit(call{runner: one, engine: order.Engine, address: order.Address, order: &order.Order}) {
@@ -246,7 +246,7 @@
 	}
 	if floor := one.planner.Floor(); floor >= grant.Fence {
 		log.WithFields(log.Fields{"lease": one.group.LeaseName(), "fence": grant.Fence, "seen": floor}).Info("a newer fence is needed, stepping down")
-		one.keeper.StepDown(floor)
+		one.elector.StepDown(floor)
 		return
 	}
 	for _, target := range one.group.Engines {
@@ -260,7 +260,7 @@
 	}
 }
 
-func (d *Duty) submit(asked call) bool {
+func (d *Controller) submit(asked call) bool {
 	if d.outstanding >= maxCalls {
 		return false
 	}
@@ -269,7 +269,7 @@
 }
 
 // takeIn hands the answers to their planners.
-func (d *Duty) takeIn() {
+func (d *Controller) takeIn() {
 	for got, ok := d.answers.Pop(); ok; got, ok = d.answers.Pop() {
 		d.outstanding--
 		asked := got.call
@@ -287,7 +287,7 @@
 }
 
 // work is a duty that makes requests to engines.
-func (d *Duty) work(ctx context.Context) {
+func (d *Controller) work(ctx context.Context) {
 	for {
 		select {
 		case <-ctx.Done():
@@ -302,7 +302,7 @@
 
 // request makes one request. The lease is checked again right before an order
 // leaves, since the call may have waited or the process may have been paused.
-func (d *Duty) request(ctx context.Context, asked call) answer {
+func (d *Controller) request(ctx context.Context, asked call) answer {
 	ctx, cancel := context.WithTimeout(ctx, d.options.Config.RequestTimeout)
 	defer cancel()
 	made := answer{call: asked, askedAt: time.Now()}
@@ -310,7 +310,7 @@
 		made.report, made.err = d.options.Engines.Load(ctx, asked.address)
 		return made
 	}
-	grant, err := asked.runner.keeper.Held()
+	grant, err := asked.runner.elector.Held()
 	if err != nil || grant.Fence != asked.order.Fence {
 		made.err = lease.ErrNotHeld
 		return made
--- a/internal/control/planner.go
+++ b/internal/control/planner.go
@@ -2,7 +2,7 @@
 // into fenced orders to engines, by one lease holder at a time for each group
 // of engines.
 //
-// Planner decides without I/O or clock; Duty is the shell around it.
+// Planner decides without I/O or clock; Controller is the shell around it.
 package control
 
 import (
--- a/internal/control/planner_test.go
+++ b/internal/control/planner_test.go
@@ -197,8 +197,8 @@
 func TestOrderIsNotSentAfterTheLeaseIsGone(t *testing.T) {
 	is := is.New(t)
 	engines := &countingEngines{}
-	duty := NewDuty(Options{Engines: engines})
-	one := &runner{keeper: lease.NewElector(nil, lease.Config{}, "x", "n")}
+	duty := New(Options{Engines: engines})
+	one := &runner{elector: lease.NewElector(nil, lease.Config{}, "x", "n")}
 	made := duty.request(t.Context(), call{runner: one, order: &protocol.Order{Fence: 7}})
 	is.Equal(made.err, lease.ErrNotHeld)
 	is.Equal(engines.orders, 0)
--- a/internal/control/rolling_test.go
+++ b/internal/control/rolling_test.go
@@ -157,20 +157,20 @@
 	t       *testing.T
 	inForce atomic.Pointer[fleet.Compiled]
 	models  *engines
-	duties  map[ident.Node]*Duty
+	duties  map[ident.Node]*Controller
 	stops   map[ident.Node]context.CancelFunc
 	running sync.WaitGroup
 }
 
 func newRollout(t *testing.T) *rollout {
-	r := &rollout{t: t, duties: map[ident.Node]*Duty{}, stops: map[ident.Node]context.CancelFunc{}}
+	r := &rollout{t: t, duties: map[ident.Node]*Controller{}, stops: map[ident.Node]context.CancelFunc{}}
 	r.inForce.Store(compiled(3, "ab", "v1"))
 	r.models = newEngines(r.inForce.Load())
 	table := &memoryTable{table: tables.NewTable()}
 	view := membership.View{Members: []membership.Member{{Node: "n1"}, {Node: "n2"}}}
 	for _, member := range view.Members {
 		ctx, stop := context.WithCancel(t.Context())
-		duty := NewDuty(Options{
+		duty := New(Options{
 			Node: member.Node, Table: table, Engines: r.models, Fleet: r.inForce.Load,
 			View: func() membership.View { return view },
 		})
--- a/internal/fleet/rolling_test.go
+++ b/internal/fleet/rolling_test.go
@@ -155,9 +155,9 @@
 	}
 	last := r.table.model.heads[len(r.table.model.heads)-1].Pair
 	check.True(len(r.table.model.heads) > 1)
-	for address, keeper := range r.keepers {
-		if keeper.Pair() != last {
-			r.t.Errorf("%s has %v in force, accepted last was %v", address, keeper.Pair(), last)
+	for address, syncer := range r.keepers {
+		if syncer.Pair() != last {
+			r.t.Errorf("%s has %v in force, accepted last was %v", address, syncer.Pair(), last)
 		}
 	}
 	for address, lives := range r.adopted {
--- a/internal/fleet/keeper.go
+++ b/internal/fleet/syncer.go
@@ -21,7 +21,7 @@
 	// pollersPerZone is how many routers of a zone read the table often: one,
 	// and one more for the time in which the first one's death is not known.
 	pollersPerZone = 2
-	// heardCapacity and resultCapacity bound the Keeper's rings. Heard pairs
+	// heardCapacity and resultCapacity bound the Syncer's rings. Heard pairs
 	// are replaced by later ones. Results are bounded by the requests that are
 	// open at once: one poll, one fetch and a few questions to peers.
 	heardCapacity  = 256
@@ -29,7 +29,7 @@
 	// headTimeout and bodyTimeout bound one exchange with a peer or the table.
 	headTimeout = 2 * time.Second
 	bodyTimeout = 15 * time.Second
-	// minWait is the shortest wait between two looks of the Keeper. Above zero it
+	// minWait is the shortest wait between two looks of the Syncer. Above zero it
 	// keeps a machine that is due from spinning, and timers from having run out
 	// before anybody waits for them: under the race detector, Go 1.26 crashes when
 	// several goroutines of one synctest bubble meet such timers at one time.
@@ -45,8 +45,8 @@
 	FetchBody(ctx context.Context, address string, digest Digest) ([]byte, error)
 }
 
-// KeeperOptions is what a Keeper works with. All fields are required.
-type KeeperOptions struct {
+// SyncerOptions is what a Syncer works with. All fields are required.
+type SyncerOptions struct {
 	// Self and Zone are this router's.
 	Self ident.Node
 	Zone ident.Zone
@@ -58,10 +58,10 @@
 	View func() membership.View
 }
 
-// Keeper is the duty that keeps the newest accepted fleet file in force on
+// Syncer is the duty that keeps the newest accepted fleet file in force on
 // this router. It is the shell of an Adopter.
-type Keeper struct {
-	options  KeeperOptions
+type Syncer struct {
+	options  SyncerOptions
 	inForce  atomic.Pointer[inForce]
 	counters atomic.Pointer[AdopterCounters]
 	heard    *ring.Ring[heardPair]
@@ -93,19 +93,19 @@
 	err    error
 }
 
-// NewKeeper returns a Keeper that has no file yet. Run starts it.
-func NewKeeper(options KeeperOptions) *Keeper {
-	keeper := &Keeper{
+// NewSyncer returns a Syncer that has no file yet. Run starts it.
+func NewSyncer(options SyncerOptions) *Syncer {
+	syncer := &Syncer{
 		options: options,
 		heard:   ring.New[heardPair]("fleet-heard", heardCapacity, ring.DropOldest),
 		results: ring.New[keeperResult]("fleet-results", resultCapacity, ring.RefuseNew),
 	}
-	keeper.counters.Store(&AdopterCounters{})
-	return keeper
+	syncer.counters.Store(&AdopterCounters{})
+	return syncer
 }
 
 // Current returns the file in force, or nil when there is none yet.
-func (k *Keeper) Current() *Compiled {
+func (k *Syncer) Current() *Compiled {
 	if file := k.inForce.Load(); file != nil {
 		return file.compiled
 	}
@@ -113,7 +113,7 @@
 }
 
 // Ready returns the file in force, or a NotReady fault.
-func (k *Keeper) Ready() (*Compiled, error) {
+func (k *Syncer) Ready() (*Compiled, error) {
 	if compiled := k.Current(); compiled != nil {
 		return compiled, nil
 	}
@@ -121,7 +121,7 @@
 }
 
 // Pair returns the pair in force, for gossip and for peers that ask.
-func (k *Keeper) Pair() Pair {
+func (k *Syncer) Pair() Pair {
 	if compiled := k.Current(); compiled != nil {
 		return Pair{Version: compiled.Version, Digest: compiled.Digest}
 	}
@@ -130,7 +130,7 @@
 
 // Body returns the bytes of the file in force if it has this digest, for peers
 // that ask. They must not be changed.
-func (k *Keeper) Body(digest Digest) ([]byte, bool) {
+func (k *Syncer) Body(digest Digest) ([]byte, bool) {
 	file := k.inForce.Load()
 	if file == nil || file.compiled.Digest != digest {
 		return nil, false
@@ -138,26 +138,26 @@
 	return file.body, true
 }
 
-// Counters returns what the Keeper has met so far.
-func (k *Keeper) Counters() AdopterCounters { return *k.counters.Load() }
+// Counters returns what the Syncer has met so far.
+func (k *Syncer) Counters() AdopterCounters { return *k.counters.Load() }
 
-// Rings returns the counters of the Keeper's rings.
-func (k *Keeper) Rings() []ring.Counters {
+// Rings returns the counters of the Syncer's rings.
+func (k *Syncer) Rings() []ring.Counters {
 	return []ring.Counters{k.heard.Counters(), k.results.Counters()}
 }
 
-// OnPrepare adds a function that is called, on the Keeper's goroutine, with each
+// OnPrepare adds a function that is called, on the Syncer's goroutine, with each
 // file just before Current changes to it: whoever reads Current then finds the
 // file's back ends known. It must not block.
-func (k *Keeper) OnPrepare(preparer func(*Compiled)) {
+func (k *Syncer) OnPrepare(preparer func(*Compiled)) {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
 	k.preparers = append(k.preparers, preparer)
 }
 
-// OnAdopt adds a function that is called, on the Keeper's goroutine and after
+// OnAdopt adds a function that is called, on the Syncer's goroutine and after
 // Current has changed, with each file put in force. It must not block.
-func (k *Keeper) OnAdopt(listener func(*Compiled)) {
+func (k *Syncer) OnAdopt(listener func(*Compiled)) {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
 	k.listeners = append(k.listeners, listener)
@@ -165,7 +165,7 @@
 
 // HeadHeard takes in a pair that the router at address has in force. It never
 // blocks and may be called by any goroutine, for every gossip message.
-func (k *Keeper) HeadHeard(version Version, digest Digest, address string) {
+func (k *Syncer) HeadHeard(version Version, digest Digest, address string) {
 	pair := Pair{Version: version, Digest: digest}
 	current := k.Pair()
 	if version >= current.Version && pair != current {
@@ -175,7 +175,7 @@
 
 // Run keeps the file until ctx ends, and returns after every request it made
 // has ended.
-func (k *Keeper) Run(ctx context.Context) {
+func (k *Syncer) Run(ctx context.Context) {
 	defer k.requests.Wait()
 	random := rand.New(rand.NewPCG(xxhash.Sum64String(string(k.options.Self)), 0))
 	adopter := NewAdopter(time.Now(), random.Float64)
@@ -202,7 +202,7 @@
 }
 
 // takeIn gives every waiting event to the machine.
-func (k *Keeper) takeIn(adopter *Adopter, now time.Time) {
+func (k *Syncer) takeIn(adopter *Adopter, now time.Time) {
 	for heard, ok := k.heard.Pop(); ok; heard, ok = k.heard.Pop() {
 		adopter.Heard(now, heard.pair, heard.address)
 	}
@@ -211,7 +211,7 @@
 	}
 }
 
-func (k *Keeper) takeInResult(adopter *Adopter, now time.Time, result keeperResult) {
+func (k *Syncer) takeInResult(adopter *Adopter, now time.Time, result keeperResult) {
 	switch result.action.Kind {
 	case ActionPollTable:
 		if result.err != nil {
@@ -237,7 +237,7 @@
 }
 
 // adopt puts a file in force and tells the listeners.
-func (k *Keeper) adopt(action AdoptAction) {
+func (k *Syncer) adopt(action AdoptAction) {
 	compiled := Compile(action.Document, action.Pair.Version, action.Pair.Digest)
 	k.mutex.Lock()
 	preparers, listeners := k.preparers, k.listeners
@@ -254,7 +254,7 @@
 
 // start makes one request in a goroutine of its own; its outcome comes back
 // through the ring.
-func (k *Keeper) start(ctx context.Context, action AdoptAction) {
+func (k *Syncer) start(ctx context.Context, action AdoptAction) {
 	k.requests.Add(1)
 	go func() {
 		defer k.requests.Done()
@@ -262,7 +262,7 @@
 	}()
 }
 
-func (k *Keeper) request(ctx context.Context, action AdoptAction) keeperResult {
+func (k *Syncer) request(ctx context.Context, action AdoptAction) keeperResult {
 	timeout := headTimeout
 	if action.Kind == ActionFetchBody {
 		timeout = bodyTimeout
@@ -288,7 +288,7 @@
 }
 
 // surroundings derives from the membership who polls and who can be asked.
-func (k *Keeper) surroundings() Surroundings {
+func (k *Syncer) surroundings() Surroundings {
 	return SurroundingsOf(k.options.View(), k.options.Self, k.options.Zone)
 }
 
--- a/internal/fleet/keeper_test.go
+++ b/internal/fleet/syncer_test.go
@@ -16,12 +16,12 @@
 	"github.com/fieldpond/fieldpond/internal/membership"
 )
 
-// cluster joins Keepers as the routers' peer protocol and gossip would.
+// cluster joins Syncers as the routers' peer protocol and gossip would.
 type cluster struct {
 	table   *fakeTable
 	members []membership.Member
 	mutex   sync.Mutex
-	keepers map[string]*Keeper
+	keepers map[string]*Syncer
 	// stale is a router that offers an old file as the newest; empty for none.
 	stale     string
 	staleBody []byte
@@ -33,7 +33,7 @@
 }
 
 func newCluster(nodes int) *cluster {
-	c := &cluster{table: newFakeTable(), keepers: map[string]*Keeper{}, adopted: map[string][][]Pair{}}
+	c := &cluster{table: newFakeTable(), keepers: map[string]*Syncer{}, adopted: map[string][][]Pair{}}
 	for index := range nodes {
 		name := fmt.Sprint("node-", index)
 		c.members = append(c.members, membership.Member{Node: ident.Node(name), Zone: ident.Zone(fmt.Sprint("zone-", index%3)), HTTPAddress: name})
@@ -41,30 +41,30 @@
 	return c
 }
 
-// start runs a Keeper for the member and returns it.
-func (c *cluster) start(ctx context.Context, member membership.Member) *Keeper {
-	keeper := NewKeeper(KeeperOptions{
+// start runs a Syncer for the member and returns it.
+func (c *cluster) start(ctx context.Context, member membership.Member) *Syncer {
+	syncer := NewSyncer(SyncerOptions{
 		Self: member.Node, Zone: member.Zone, Table: c.table, Peers: c,
 		View: func() membership.View { return membership.View{Self: member.Node, Members: c.members} },
 	})
 	c.mutex.Lock()
 	address, life := member.HTTPAddress, len(c.adopted[member.HTTPAddress])
-	c.keepers[address] = keeper
+	c.keepers[address] = syncer
 	c.adopted[address] = append(c.adopted[address], nil)
 	c.mutex.Unlock()
 	prepared := Version(0)
-	keeper.OnPrepare(func(compiled *Compiled) {
-		if keeper.Pair().Version < compiled.Version {
+	syncer.OnPrepare(func(compiled *Compiled) {
+		if syncer.Pair().Version < compiled.Version {
 			prepared = compiled.Version
 		}
 	})
-	keeper.OnAdopt(func(compiled *Compiled) {
+	syncer.OnAdopt(func(compiled *Compiled) {
 		if prepared != compiled.Version {
 			panic("a file was adopted before it was prepared")
 		}
 		c.mutex.Lock()
 		defer c.mutex.Unlock()
-		body, _ := keeper.Body(compiled.Digest)
+		body, _ := syncer.Body(compiled.Digest)
 		c.adopted[address][life] = append(c.adopted[address][life], Pair{compiled.Version, DigestOf(body)})
 		for heard, other := range c.keepers {
 			if c.cutOff == "" || (heard != c.cutOff && address != c.cutOff) {
@@ -72,15 +72,15 @@
 			}
 		}
 	})
-	go keeper.Run(ctx)
-	return keeper
+	go syncer.Run(ctx)
+	return syncer
 }
 
-func (c *cluster) at(address string) (*Keeper, error) {
+func (c *cluster) at(address string) (*Syncer, error) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if keeper := c.keepers[address]; keeper != nil && address != c.cutOff {
-		return keeper, nil
+	if syncer := c.keepers[address]; syncer != nil && address != c.cutOff {
+		return syncer, nil
 	}
 	return nil, fault.New(fault.BackendLost, "%s does not run", address)
 }
@@ -92,25 +92,25 @@
 }
 
 func (c *cluster) FetchHead(_ context.Context, address string) (Pair, error) {
-	keeper, err := c.at(address)
+	syncer, err := c.at(address)
 	if err != nil {
 		return Pair{}, err
 	}
 	if c.isStale(address) {
 		return Pair{Version: 1, Digest: DigestOf(c.staleBody)}, nil
 	}
-	return keeper.Pair(), nil
+	return syncer.Pair(), nil
 }
 
 func (c *cluster) FetchBody(_ context.Context, address string, digest Digest) ([]byte, error) {
-	keeper, err := c.at(address)
+	syncer, err := c.at(address)
 	if err != nil {
 		return nil, err
 	}
 	if c.isStale(address) {
 		return c.staleBody, nil
 	}
-	if body, found := keeper.Body(digest); found {
+	if body, found := syncer.Body(digest); found {
 		return body, nil
 	}
 	return nil, fault.New(fault.BackendLost, "%s does not have it", address)
@@ -118,8 +118,8 @@
 
 func (c *cluster) countInForce(version Version) int {
 	count := 0
-	for _, keeper := range c.keepers {
-		if keeper.Pair().Version == version {
+	for _, syncer := range c.keepers {
+		if syncer.Pair().Version == version {
 			count++
 		}
 	}
@@ -210,8 +210,8 @@
 			turn++
 			return []faultMode{works, limited}[turn%2]
 		}
-		keeper := c.start(t.Context(), c.members[0])
+		syncer := c.start(t.Context(), c.members[0])
 		time.Sleep(8 * time.Second)
-		check.Equal(keeper.Pair().Version, Version(1))
+		check.Equal(syncer.Pair().Version, Version(1))
 	})
 }
--- a/internal/lease/elector.go
+++ b/internal/lease/elector.go
@@ -89,7 +89,7 @@
 	}
 }
 
-// Run is the duty that keeps the lease until ctx ends. It then hands the lease
+// Run keeps the lease until ctx ends. It then hands the lease
 // over, for which it takes at most a third of the lease's duration.
 func (e *Elector) Run(ctx context.Context) {
 	timer := time.NewTimer(e.release)
@@ -101,7 +101,7 @@
 			timer.Stop()
 		case wait <= 0:
 			// No timer of zero: it would have run out before anybody waits
-			// for it; see minWait of fleet.Keeper.
+			// for it; see minWait of fleet.Syncer.
 			continue
 		default:
 			timer.Reset(wait)
--- a/internal/node/follower_test.go
+++ b/internal/node/follower_test.go
@@ -53,7 +53,7 @@
 	if down {
 		return fault.New(fault.StoreUnavailable, "down")
 	}
-	// No timer of zero: see minWait of fleet.Keeper.
+	// No timer of zero: see minWait of fleet.Syncer.
 	if delay > 0 && !wait.For(ctx, delay) {
 		return fault.New(fault.StoreUnavailable, "no answer")
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -57,8 +57,8 @@
 	// Front returns the handler of client requests. closing reports whether
 	// connections are to end after their answer.
 	Front func(forwarder *forward.Forwarder, holder *catalog.Holder, closing func() bool) http.Handler
-	// Duties run until the node has stopped.
-	Duties []func(ctx context.Context)
+	// Loops run until the node has stopped.
+	Loops []func(ctx context.Context)
 	// LinesDropped returns the number of log lines dropped; it may be nil.
 	LinesDropped func() uint64
 }
@@ -143,9 +143,9 @@
 	}
 	work, stopWork := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopWork()
-	var duties sync.WaitGroup
-	for _, duty := range n.duties(announcer) {
-		duties.Go(func() { duty(work) })
+	var loops sync.WaitGroup
+	for _, loop := range n.loops(announcer) {
+		loops.Go(func() { loop(work) })
 	}
 	group, failed := errgroup.WithContext(ctx)
 	for _, server := range servers {
@@ -154,13 +154,13 @@
 	<-failed.Done()
 	n.stop(servers)
 	stopWork()
-	duties.Wait()
+	loops.Wait()
 	log.Info("stopped")
 	return group.Wait()
 }
 
-// duties are the goroutines that run as long as the node.
-func (n *Node) duties(announcer *notices) []func(context.Context) {
+// loops are the goroutines that run as long as the node.
+func (n *Node) loops(announcer *notices) []func(context.Context) {
 	config := n.config.Rollout
 	config.OnOrder = func(order *rollout.Order, result rollout.Result) {
 		n.metrics.order(result)
@@ -173,11 +173,11 @@
 	}
 	controller := rollout.NewController(config, n.lease, n.ports.Engines, n.holder, n.backends)
 	follower := n.follower
-	duties := []func(context.Context){
+	loops := []func(context.Context){
 		follower.followConfiguration, follower.followBackends, follower.followPeers,
 		func(ctx context.Context) { follower.countRouters(ctx, n.holdsLease) }, listen, n.contend, n.lease.Run, controller.Run,
 	}
-	return append(duties, n.ports.Duties...)
+	return append(loops, n.ports.Loops...)
 }
 
 // contendInterval is the time between two decisions to contend for the lease.
--- a/internal/placement/core.go
+++ b/internal/placement/core.go
@@ -4,7 +4,7 @@
 //
 // Core is a state machine without I/O. Its inputs are requests, ends of
 // attempts, load reports, cache events and a time; its outputs are Effects.
-// Duty is the shell that runs a Core in one goroutine. The virtual-time
+// Runner is the shell that runs a Core in one goroutine. The virtual-time
 // experiment drives the same Core.
 package placement
 
--- a/internal/placement/duty.go
+++ b/internal/placement/runner.go
@@ -14,8 +14,8 @@
 	"github.com/fieldpond/fieldpond/internal/ring"
 )
 
-// DutyConfig sets the shell of a core.
-type DutyConfig struct {
+// RunnerConfig sets the shell of a core.
+type RunnerConfig struct {
 	// MaxOpen bounds the jobs that wait or run at one time.
 	MaxOpen int
 	// PollInterval is the time between two load reports of an engine in use.
@@ -41,11 +41,11 @@
 // command is one input of the core, to be run in the goroutine of the duty.
 type command func(now time.Time) Effects
 
-// Duty runs a Core in one goroutine. Inputs that must not be lost (jobs, ends
+// Runner runs a Core in one goroutine. Inputs that must not be lost (jobs, ends
 // of attempts, changes of the fleet file) and inputs that a later one replaces
 // (cache events) come through separate bounded rings.
-type Duty struct {
-	config DutyConfig
+type Runner struct {
+	config RunnerConfig
 	core   *Core
 	poller *endpoint.Poller
 	// targets is the newest fleet file's list until it is taken in. It must not
@@ -72,15 +72,15 @@
 const commandsPerJob = 4
 
 // minWait is the shortest wait between two looks. Above zero it keeps timers
-// from having run out before anybody waits for them; see fleet.Keeper.
+// from having run out before anybody waits for them; see fleet.Syncer.
 const minWait = time.Millisecond
 
 // spareCommands leaves room for inputs that belong to no job.
 const spareCommands = 1024
 
-// NewDuty returns a duty that runs core and reads load reports with poller.
-func NewDuty(config DutyConfig, core *Core, poller *endpoint.Poller) *Duty {
-	return &Duty{
+// NewRunner returns a duty that runs core and reads load reports with poller.
+func NewRunner(config RunnerConfig, core *Core, poller *endpoint.Poller) *Runner {
+	return &Runner{
 		config:   config,
 		core:     core,
 		poller:   poller,
@@ -92,12 +92,12 @@
 }
 
 // Rings returns the counters of the duty's rings.
-func (d *Duty) Rings() []func() ring.Counters {
+func (d *Runner) Rings() []func() ring.Counters {
 	return append(d.poller.Rings(), d.commands.Counters, d.news.Counters)
 }
 
 // Run runs the core until ctx ends.
-func (d *Duty) Run(ctx context.Context) {
+func (d *Runner) Run(ctx context.Context) {
 	defer close(d.done)
 	polls := time.NewTicker(d.config.PollTick)
 	defer polls.Stop()
@@ -123,7 +123,7 @@
 }
 
 // drain runs every waiting input, those that must not be lost first.
-func (d *Duty) drain() {
+func (d *Runner) drain() {
 	if targets := d.targets.Swap(nil); targets != nil {
 		d.apply(d.core.Configure(time.Now(), *targets))
 	}
@@ -145,12 +145,12 @@
 	}
 }
 
-func (d *Duty) poll(now time.Time) {
+func (d *Runner) poll(now time.Time) {
 	d.poller.Ask(d.core.Registry().Due(now, d.config.PollInterval, d.config.PollsPerTick))
 	d.apply(d.core.Tick(now))
 }
 
-func (d *Duty) apply(effects Effects) {
+func (d *Runner) apply(effects Effects) {
 	for _, placed := range effects.Placed {
 		d.reply(placed.Job.Key, reply{placed: placed})
 	}
@@ -165,7 +165,7 @@
 	}
 }
 
-func (d *Duty) reply(key endpoint.AttemptKey, word reply) {
+func (d *Runner) reply(key endpoint.AttemptKey, word reply) {
 	if waiting := d.replies[key]; waiting != nil {
 		delete(d.replies, key)
 		waiting <- word
@@ -174,7 +174,7 @@
 
 // Place waits until the job has a place or is given up. When ctx ends first
 // the job is withdrawn, and a place that was given meanwhile is handed back.
-func (d *Duty) Place(ctx context.Context, job *Job) (Placed, error) {
+func (d *Runner) Place(ctx context.Context, job *Job) (Placed, error) {
 	waiting := make(chan reply, 1)
 	offered := d.commands.Push(func(now time.Time) Effects {
 		d.replies[job.Key] = waiting
@@ -198,7 +198,7 @@
 	}
 }
 
-func (d *Duty) withdraw(job *Job) {
+func (d *Runner) withdraw(job *Job) {
 	d.commands.Push(func(now time.Time) Effects {
 		delete(d.replies, job.Key)
 		d.core.Withdraw(now, job.Request.ID)
@@ -207,7 +207,7 @@
 }
 
 // Started reports that an engine accepted an attempt.
-func (d *Duty) Started(key endpoint.AttemptKey, incarnation ident.Incarnation, usage protocol.Usage) {
+func (d *Runner) Started(key endpoint.AttemptKey, incarnation ident.Incarnation, usage protocol.Usage) {
 	d.news.Push(func(now time.Time) Effects {
 		d.core.Started(now, key, incarnation, usage)
 		return Effects{}
@@ -215,7 +215,7 @@
 }
 
 // FirstToken reports that an engine has prefilled an attempt's prompt.
-func (d *Duty) FirstToken(key endpoint.AttemptKey) {
+func (d *Runner) FirstToken(key endpoint.AttemptKey) {
 	d.news.Push(func(now time.Time) Effects {
 		d.core.FirstToken(now, key)
 		return Effects{}
@@ -223,29 +223,29 @@
 }
 
 // Ended reports the end of an attempt; it is called exactly once for each place.
-func (d *Duty) Ended(key endpoint.AttemptKey, result Result) {
+func (d *Runner) Ended(key endpoint.AttemptKey, result Result) {
 	d.commands.Push(func(now time.Time) Effects { return d.core.Ended(now, key, result) })
 }
 
 // Configure takes over the engines of a fleet file.
-func (d *Duty) Configure(targets []endpoint.Target) {
+func (d *Runner) Configure(targets []endpoint.Target) {
 	d.targets.Store(&targets)
 	// A full ring refuses this, and then has enough in it to wake the duty.
 	d.commands.Push(func(time.Time) Effects { return Effects{} })
 }
 
 // LeavingSeen reports a sign that an engine is leaving.
-func (d *Duty) LeavingSeen(engine ident.Engine, incarnation ident.Incarnation) {
+func (d *Runner) LeavingSeen(engine ident.Engine, incarnation ident.Incarnation) {
 	d.commands.Push(func(now time.Time) Effects { return d.core.LeavingSeen(now, engine, incarnation) })
 }
 
 // DirectoryMessage reports a message of another router's directory.
-func (d *Duty) DirectoryMessage(from ident.Node, message directory.Message) {
+func (d *Runner) DirectoryMessage(from ident.Node, message directory.Message) {
 	d.news.Push(func(now time.Time) Effects { return d.core.DirectoryMessage(now, from, message) })
 }
 
 // SetView reports which routers there are.
-func (d *Duty) SetView(view membership.View) {
+func (d *Runner) SetView(view membership.View) {
 	d.commands.Push(func(time.Time) Effects {
 		d.core.SetView(view)
 		return Effects{}
@@ -254,12 +254,12 @@
 
 // Listed reports a machine list: for each engine, whether its machine leaves.
 // The map must not be changed afterwards.
-func (d *Duty) Listed(leaving map[ident.Engine]bool) {
+func (d *Runner) Listed(leaving map[ident.Engine]bool) {
 	d.commands.Push(func(now time.Time) Effects { return d.core.Listed(now, leaving) })
 }
 
 // CacheEvents reports a batch of cache events.
-func (d *Duty) CacheEvents(engine ident.Engine, batch protocol.CacheEventBatch) {
+func (d *Runner) CacheEvents(engine ident.Engine, batch protocol.CacheEventBatch) {
 	d.news.Push(func(now time.Time) Effects {
 		d.core.CacheEvents(now, engine, batch)
 		if d.core.SnapshotWanted(now, engine) {
@@ -270,7 +270,7 @@
 }
 
 // CacheSnapshot reports the whole state of an engine's cache.
-func (d *Duty) CacheSnapshot(engine ident.Engine, snapshot protocol.CacheSnapshot) {
+func (d *Runner) CacheSnapshot(engine ident.Engine, snapshot protocol.CacheSnapshot) {
 	d.news.Push(func(now time.Time) Effects {
 		d.core.CacheSnapshot(now, engine, snapshot)
 		return Effects{}
@@ -279,7 +279,7 @@
 
 // Read returns the state of the core. It waits for the goroutine of the duty,
 // at most until ctx ends.
-func (d *Duty) Read(ctx context.Context) (Reading, error) {
+func (d *Runner) Read(ctx context.Context) (Reading, error) {
 	// The buffer lets the duty go on when the reader has left.
 	answer := make(chan Reading, 1)
 	asked := d.commands.Push(func(now time.Time) Effects {
--- a/internal/placement/duty_test.go
+++ b/internal/placement/runner_test.go
@@ -27,13 +27,13 @@
 	return reportOf("life"), nil
 }
 
-// startDuty runs a duty over two engines until the test ends. Inside a
+// startRunner runs a duty over two engines until the test ends. Inside a
 // synctest bubble a goroutine that does not end fails the test.
-func startDuty(t *testing.T, observer *loads, maxOpen int) *Duty {
+func startRunner(t *testing.T, observer *loads, maxOpen int) *Runner {
 	t.Helper()
 	ctx, stop := context.WithCancel(context.Background())
 	poller := endpoint.NewPoller(observer, time.Second, 16)
-	duty := NewDuty(DutyConfig{
+	duty := NewRunner(RunnerConfig{
 		MaxOpen: maxOpen, PollInterval: 250 * time.Millisecond, PollsPerTick: 8, PollTick: 50 * time.Millisecond,
 		OnChange: func(endpoint.Change) {}, OnSnapshotWanted: func(ident.Engine) {}, OnMessage: func(directory.Envelope) {},
 	}, newTestCore(t, 1), poller)
@@ -46,12 +46,12 @@
 	return duty
 }
 
-func TestDutyPlacesAndTakesBack(t *testing.T) {
+func TestRunnerPlacesAndTakesBack(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		observer := &loads{}
 		observer.answers.Store(true)
-		duty := startDuty(t, observer, 16)
+		duty := startRunner(t, observer, 16)
 		first, err := duty.Place(t.Context(), jobOf("r1", time.Second))
 		is.NoErr(err)
 		second, err := duty.Place(t.Context(), jobOf("r2", time.Second))
@@ -71,7 +71,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		observer := &loads{}
-		duty := startDuty(t, observer, 16)
+		duty := startRunner(t, observer, 16)
 		leaving, leave := context.WithCancel(t.Context())
 		go func() {
 			time.Sleep(20 * time.Millisecond)
--- a/internal/router/engines.go
+++ b/internal/router/engines.go
@@ -90,7 +90,7 @@
 
 // snapshotWanted starts the read of an engine's cache snapshot.
 func (r *Router) snapshotWanted(name ident.Engine) {
-	compiled := r.keeper.Current()
+	compiled := r.syncer.Current()
 	if compiled == nil {
 		return
 	}
--- a/internal/router/members.go
+++ b/internal/router/members.go
@@ -105,16 +105,16 @@
 // viewChanged acts on a change of the membership.
 func (r *Router) viewChanged(ctx context.Context) {
 	r.duty.SetView(r.view())
-	if compiled := r.keeper.Current(); compiled != nil {
+	if compiled := r.syncer.Current(); compiled != nil {
 		r.streams.Set(ctx, r.ownStreams(compiled))
 	}
 }
 
-// headHeard tells the fleet keeper of a version that another router has.
+// headHeard tells the fleet syncer of a version that another router has.
 func (r *Router) headHeard(head membership.FleetHead) {
 	for _, member := range r.view().Members {
 		if member.Node == head.Holder {
-			r.keeper.HeadHeard(fleet.Version(head.Version), fleet.Digest(head.Digest), member.HTTPAddress)
+			r.syncer.HeadHeard(fleet.Version(head.Version), fleet.Digest(head.Digest), member.HTTPAddress)
 			return
 		}
 	}
--- a/internal/router/peers.go
+++ b/internal/router/peers.go
@@ -87,12 +87,12 @@
 }
 
 func (r *Router) serveHead(context.Context, headRequest) (headResponse, error) {
-	pair := r.keeper.Pair()
+	pair := r.syncer.Pair()
 	return headResponse{uint64(pair.Version), string(pair.Digest)}, nil
 }
 
 func (r *Router) serveBody(_ context.Context, request bodyRequest) (bodyResponse, error) {
-	body, found := r.keeper.Body(fleet.Digest(request.Digest))
+	body, found := r.syncer.Body(fleet.Digest(request.Digest))
 	if !found {
 		return bodyResponse{}, fault.New(fault.NotReady, "this router does not hold the fleet file asked for")
 	}
--- a/internal/router/placer.go
+++ b/internal/router/placer.go
@@ -23,7 +23,7 @@
 
 // placer implements dispatch.Placer over the placement duty.
 type placer struct {
-	duty      *placement.Duty
+	duty      *placement.Runner
 	transfers engine.Transferer
 	current   func() *fleet.Compiled
 	homeZone  ident.Zone
--- a/internal/router/placer_test.go
+++ b/internal/router/placer_test.go
@@ -65,7 +65,7 @@
 	}, ctx.Err()
 }
 
-func newTestDuty(t *testing.T, observer engine.Observer) *placement.Duty {
+func newTestDuty(t *testing.T, observer engine.Observer) *placement.Runner {
 	t.Helper()
 	scheduler, err := routing.NewPredictive(routing.Config{})
 	if err != nil {
@@ -77,7 +77,7 @@
 	}
 	poller := endpoint.NewPoller(observer, time.Second, 64)
 	poller.Start(t.Context(), 1)
-	duty := placement.NewDuty(placement.DutyConfig{
+	duty := placement.NewRunner(placement.RunnerConfig{
 		MaxOpen: 16, PollInterval: 250 * time.Millisecond, PollsPerTick: 8, PollTick: 50 * time.Millisecond,
 		OnChange: func(endpoint.Change) {}, OnSnapshotWanted: func(ident.Engine) {},
 	}, placement.New(placement.Config{
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -57,11 +57,11 @@
 	members    *membership.Node
 	peers      *peer.Client
 	peerServer *peer.Server
-	keeper     *fleet.Keeper
-	claims     *claim.Keeper
+	syncer     *fleet.Syncer
+	claims     *claim.Manager
 	sweeper    *claim.Sweeper
-	control    *control.Duty
-	duty       *placement.Duty
+	control    *control.Controller
+	duty       *placement.Runner
 	placer     *placer
 	apps       *applicationPlacer
 	appPoller  *endpoint.Poller
@@ -105,25 +105,25 @@
 	if err != nil {
 		return nil, err
 	}
-	r.keeper = fleet.NewKeeper(fleet.KeeperOptions{
+	r.syncer = fleet.NewSyncer(fleet.SyncerOptions{
 		Self:  ident.Node(configured.Node),
 		Zone:  ident.Zone(configured.Zone),
 		Table: r.platform,
 		Peers: peerFetcher{r.peers},
 		View:  r.view,
 	})
-	r.claims = claim.NewKeeper(r.platform, ident.Node(configured.Node), claim.Config{
+	r.claims = claim.NewManager(r.platform, ident.Node(configured.Node), claim.Config{
 		Timeout:               configured.Table.ClaimTimeout,
 		TransactionsPerSecond: configured.Table.RequestsPerSecond,
 		CommitTimeout:         configured.Table.Timeout,
 	})
 	r.sweeper = r.newSweeper()
-	r.control = control.NewDuty(control.Options{
+	r.control = control.New(control.Options{
 		Node:    ident.Node(configured.Node),
 		Table:   r.platform,
 		Engines: r.engines,
 		View:    r.view,
-		Fleet:   r.keeper.Current,
+		Fleet:   r.syncer.Current,
 		Config: control.Config{
 			LoadsPerSecond:  configured.Control.LoadsPerSecond,
 			MaxLoadsPerZone: configured.Control.MaxLoadsPerZone,
@@ -161,7 +161,7 @@
 	})
 	r.directoryMessages = newDirectorySender(r.peers, ident.Node(r.settings.Node), r.view)
 	r.poller = endpoint.NewPoller(r.engines, pollTimeout, pollRing)
-	r.duty = placement.NewDuty(placement.DutyConfig{
+	r.duty = placement.NewRunner(placement.RunnerConfig{
 		MaxOpen:          r.settings.Limits.MaxOpenRequests,
 		PollInterval:     r.settings.Intervals.LoadPoll,
 		PollsPerTick:     pollsPerTick,
@@ -171,12 +171,12 @@
 		OnMessage:        r.directoryMessages.push,
 	}, core, r.poller)
 	r.streams = newStreamReaders(r.engines, r.duty)
-	r.apps = newApplicationPlacer(r.keeper.Current, home)
+	r.apps = newApplicationPlacer(r.syncer.Current, home)
 	r.apps.onLeaving = func(name ident.Application, incarnation ident.Incarnation) {
 		r.broadcastLeaving(string(name), incarnation)
 	}
 	r.appPoller = endpoint.NewPoller(r.engines, pollTimeout, pollRing)
-	r.placer = &placer{duty: r.duty, transfers: r.engines, current: r.keeper.Current, homeZone: home}
+	r.placer = &placer{duty: r.duty, transfers: r.engines, current: r.syncer.Current, homeZone: home}
 	return nil
 }
 
@@ -206,7 +206,7 @@
 		Node:           ident.Node(r.settings.Node),
 		KeepStream:     r.keepStream,
 		OnFault:        r.telemetry.Refused,
-	}, catalogs{r.keeper.Current}, &runner{r.dispatch, newTenantRates(r.keeper.Current)}, sealer, r.state)
+	}, catalogs{r.syncer.Current}, &runner{r.dispatch, newTenantRates(r.syncer.Current)}, sealer, r.state)
 	return nil
 }
 
@@ -277,18 +277,18 @@
 
 // startDuties starts every goroutine of the router. They end with ctx.
 func (r *Router) startDuties(ctx context.Context) {
-	r.keeper.OnPrepare(func(compiled *fleet.Compiled) {
+	r.syncer.OnPrepare(func(compiled *fleet.Compiled) {
 		r.duty.Configure(engineTargets(compiled))
 		r.apps.configure(compiled)
 	})
-	r.keeper.OnAdopt(func(compiled *fleet.Compiled) { r.adopt(ctx, compiled) })
+	r.syncer.OnAdopt(func(compiled *fleet.Compiled) { r.adopt(ctx, compiled) })
 	r.poller.Start(ctx, pollWorkers)
 	r.appPoller.Start(ctx, pollWorkers)
 	r.work.Go(func() { r.duty.Run(ctx) })
 	for range directorySenders {
 		r.work.Go(func() { r.directoryMessages.run(ctx) })
 	}
-	r.work.Go(func() { r.keeper.Run(ctx) })
+	r.work.Go(func() { r.syncer.Run(ctx) })
 	r.work.Go(func() { r.claims.Run(ctx) })
 	r.work.Go(func() { r.sweeper.Run(ctx) })
 	r.work.Go(func() { r.control.Run(ctx) })
--- a/internal/router/streams.go
+++ b/internal/router/streams.go
@@ -33,13 +33,13 @@
 // router reads, and one for each snapshot being read.
 type streamReaders struct {
 	observer engine.Observer
-	duty     *placement.Duty
+	duty     *placement.Runner
 	mutex    sync.Mutex
 	running  map[streamSource]context.CancelFunc
 	work     sync.WaitGroup
 }
 
-func newStreamReaders(observer engine.Observer, duty *placement.Duty) *streamReaders {
+func newStreamReaders(observer engine.Observer, duty *placement.Runner) *streamReaders {
 	return &streamReaders{observer: observer, duty: duty, running: make(map[streamSource]context.CancelFunc)}
 }
 
--- a/internal/router/sweeping.go
+++ b/internal/router/sweeping.go
@@ -23,9 +23,9 @@
 		Node:  ident.Node(r.settings.Node),
 		Table: r.platform,
 		Contends: func() bool {
-			return r.keeper.Current() != nil && r.owns(r.view().Owners(claim.SweepLease, sweepContenders))
+			return r.syncer.Current() != nil && r.owns(r.view().Owners(claim.SweepLease, sweepContenders))
 		},
-		Prefixes: func() []string { return claimPrefixes(r.keeper.Current()) },
+		Prefixes: func() []string { return claimPrefixes(r.syncer.Current()) },
 		Config: claim.SweepConfig{
 			Retention:         r.settings.Table.ClaimRetention,
 			RequestsPerSecond: min(sweepRate, sweepShare*r.settings.Table.RequestsPerSecond),
--- a/internal/upstream/pull_test.go
+++ b/internal/upstream/pull_test.go
@@ -87,11 +87,10 @@
 func TestAHeldAnswerKeepsItsTime(t *testing.T) {
 	is := is.New(t)
 	state := newFakeState()
-	peer := serve(t, upstream.NewServer(state, func(upstream.Peer) {}))
-	go func() {
-		time.Sleep(50 * time.Millisecond)
-		state.confirm()
-	}()
+	// The confirmation comes a while after the pull, however slow the machine is.
+	peer := serve(t, upstream.NewServer(state, func(upstream.Peer) {
+		time.AfterFunc(50*time.Millisecond, state.confirm)
+	}))
 	update, at, err := upstream.NewClient().Pull(t.Context(), peer, &upstream.Pull{Confirmation: 1})
 	is.NoErr(err)
 	is.Equal(update.Confirmation, uint64(2))
