--- a/internal/node/events.go
+++ b/internal/node/events.go
@@ -37,7 +37,6 @@
 		{"configuration_adopted", []string{"version", "routes", "revision", "read_ms", "origin"}, "A newer configuration is in force here; origin is the router that read it from the store."},
 		{"backend_changed", []string{"instance", "service", "address", "change", "revision", "models"}, "The list of back ends differs: appeared, draining, gone or reloaded."},
 		{"joined", []string{"revision", "peers", "routers"}, "This router has a row in the store; peers are the routers whose rows are sound."},
-		{"join_failed", []string{"cause"}, "The row could not be written; it is tried again."},
 		{"router_row_not_removed", []string{"cause"}, "The row could not be removed at a planned stop."},
 		{"routers_not_counted", []string{"cause"}, "The routers' rows could not be read."},
 		{"state_from_peer", []string{"peer", "address"}, "From now on the shared state is pulled from this peer."},
--- a/internal/node/pull.go
+++ b/internal/node/pull.go
@@ -105,8 +105,10 @@
 
 // join writes this router's row, and reports whether ctx is still open.
 func (f *follower) join(ctx context.Context) bool {
+	seen := &dependency{name: "router row", count: f.lost}
 	for ctx.Err() == nil {
 		self, peers, routers, err := f.roster.join(ctx)
+		seen.saw(err)
 		if err == nil {
 			f.replica.joined(self)
 			f.roster.know(peers)
@@ -115,7 +117,6 @@
 			log.WithFields(log.Fields{"revision": self.Revision, "peers": len(peers), "routers": routers}).Info("joined")
 			return true
 		}
-		log.WithFields(log.Fields{"cause": err.Error()}).Warn("join_failed")
 		wait.For(ctx, joinPause)
 	}
 	return false
