--- a/internal/node/notices.go
+++ b/internal/node/notices.go
@@ -63,16 +63,16 @@
 	for len(notice.Loading)+len(notice.Loaded)+len(notice.Unsettled) > 0 {
 		part := rollout.Notice{Model: notice.Model, Version: notice.Version}
 		room := noticeEngines
-		part.Loading, notice.Loading, room = take(notice.Loading, room)
-		part.Loaded, notice.Loaded, room = take(notice.Loaded, room)
-		part.Unsettled, notice.Unsettled, _ = take(notice.Unsettled, room)
+		part.Loading, notice.Loading, room = splitOff(notice.Loading, room)
+		part.Loaded, notice.Loaded, room = splitOff(notice.Loaded, room)
+		part.Unsettled, notice.Unsettled, _ = splitOff(notice.Unsettled, room)
 		parts = append(parts, part)
 	}
 	return parts
 }
 
-// take splits off what there is room for, and returns the room that is left.
-func take(instances []ident.Incarnation, room int) (taken, rest []ident.Incarnation, left int) {
+// splitOff takes what there is room for, and returns the room that is left.
+func splitOff(instances []ident.Incarnation, room int) (taken, rest []ident.Incarnation, left int) {
 	count := min(len(instances), room)
 	return instances[:count], instances[count:], room - count
 }
