Save a prompt part to the store of caches only when it is missing there

Cause: each router remembered by itself which parts it had lately seen, and asked for a save of any other. With eight routers nearly every request carried a save, which sends its own part as well, so that the store was overwritten in about the ten seconds in which a part read again is priced. Ruled out: the link of the store alone (fewer saves did not help by themselves). Change: each router reads the changes that a store tells twice a second, and asks for a save of a part that is missing there, once. An unknown store falls back to what was done before. Addresses of stores are netip values now.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -8,6 +8,7 @@
 
 import (
 	"cmp"
+	"net/netip"
 	"slices"
 	"strings"
 	"time"
@@ -81,7 +82,7 @@
 	Engine *EngineProfile
 	// CacheStore is the address of a store of kept prompt caches, if the
 	// service is one; such a service has no back ends.
-	CacheStore string
+	CacheStore netip.AddrPort
 	// Zone is where a store of kept prompt caches is.
 	Zone ident.Zone
 }
@@ -135,7 +136,7 @@
 	for index := range content.Services {
 		service := &content.Services[index]
 		snapshot.services[service.Name] = service
-		if service.CacheStore != "" {
+		if service.CacheStore.IsValid() {
 			snapshot.stores = append(snapshot.stores, service)
 		}
 	}
@@ -193,6 +194,15 @@
 	return best
 }
 
+// CacheStores returns the addresses of all stores of kept prompt caches.
+func (s *Snapshot) CacheStores() []netip.AddrPort {
+	addrs := make([]netip.AddrPort, 0, len(s.stores))
+	for _, store := range s.stores {
+		addrs = append(addrs, store.CacheStore)
+	}
+	return addrs
+}
+
 // RouteCount returns the number of routes.
 func (s *Snapshot) RouteCount() int {
 	count := 0
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -1,6 +1,7 @@
 package catalog_test
 
 import (
+	"net/netip"
 	"testing"
 	"time"
 
@@ -115,7 +116,7 @@
 func TestStoresOfPromptCachesShareThePrompts(t *testing.T) {
 	is := is.New(t)
 	store := func(name ident.Service) catalog.Service {
-		return catalog.Service{Name: name, CacheStore: string(name) + ":1"}
+		return catalog.Service{Name: name, CacheStore: netip.MustParseAddrPort("10.0.0.1:1")}
 	}
 	of := func(services ...catalog.Service) *catalog.Snapshot {
 		return catalog.NewSnapshot(catalog.Content{Version: 1, Services: services})
@@ -141,7 +142,7 @@
 
 func TestAStoreInTheHomeZoneGoesFirst(t *testing.T) {
 	store := func(name ident.Service, zone ident.Zone) catalog.Service {
-		return catalog.Service{Name: name, CacheStore: string(name) + ":1", Zone: zone}
+		return catalog.Service{Name: name, CacheStore: netip.MustParseAddrPort("10.0.0.1:1"), Zone: zone}
 	}
 	snapshot := catalog.NewSnapshot(catalog.Content{
 		Version: 1, Services: []catalog.Service{store("a", "x"), store("b", "y"), store("c", "y")},
--- a/internal/forward/fake_test.go
+++ b/internal/forward/fake_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/netip"
 	"strings"
 	"sync"
 	"testing"
@@ -20,6 +21,7 @@
 	"github.com/fieldpond/fieldpond/internal/fault"
 	"github.com/fieldpond/fieldpond/internal/forward"
 	"github.com/fieldpond/fieldpond/internal/ident"
+	"github.com/fieldpond/fieldpond/internal/promptcache"
 )
 
 // answer is what the fake caller does with one attempt.
@@ -151,6 +153,7 @@
 	caller    *fakeCaller
 	holder    *catalog.Holder
 	backends  *backend.Registry
+	caches    *promptcache.Index
 	forwarder *forward.Forwarder
 	steps     []forward.Step
 	// routers is the number of routers that the forwarder is told, lists the
@@ -159,6 +162,9 @@
 	mutex          sync.Mutex
 }
 
+// cacheStore is the store of kept prompt caches of the configuration.
+var cacheStore = netip.MustParseAddrPort("10.9.9.9:1")
+
 var configuration = catalog.Content{
 	Version: 3,
 	Routes: []catalog.Route{
@@ -168,7 +174,7 @@
 		{Name: "resumable", Host: "h", PathPrefix: "/resumable/", Kind: catalog.Streaming, Resumable: true, MaxAttempts: 2, Timeout: 9 * time.Second, Target: 300 * time.Millisecond, GapTarget: 500 * time.Millisecond, Split: []catalog.Share{{Service: "s", Weight: 1}}},
 		{Name: "public", Host: "h", PathPrefix: "/public/", Kind: catalog.Safe, Public: true, MaxAttempts: 2, Timeout: time.Second, Target: 300 * time.Millisecond, Split: []catalog.Share{{Service: "s", Weight: 1}}},
 	},
-	Services: []catalog.Service{{Name: "s", MaxConnections: 100}, {Name: "store", CacheStore: "10.9.9.9:1"}},
+	Services: []catalog.Service{{Name: "s", MaxConnections: 100}, {Name: "store", CacheStore: cacheStore}},
 	Keys: map[string]*catalog.Tenant{
 		"key":    {Name: "tenant", Priority: 1},
 		"walled": {Name: "isolated", Isolated: true},
@@ -176,7 +182,7 @@
 }
 
 func newBench(answers ...answer) *bench {
-	b := &bench{routers: 1, caller: &fakeCaller{answers: answers}, holder: &catalog.Holder{}, backends: backend.NewRegistry(backend.Config{Zone: "z"})}
+	b := &bench{routers: 1, caches: promptcache.NewIndex(), caller: &fakeCaller{answers: answers}, holder: &catalog.Holder{}, backends: backend.NewRegistry(backend.Config{Zone: "z"})}
 	b.holder.Adopt(catalog.NewSnapshot(configuration), time.Now())
 	var records []backend.Record
 	for _, name := range []ident.Incarnation{"a", "b", "c"} {
@@ -190,7 +196,7 @@
 		Repeats:   admission.WindowConfig{Window: 10 * time.Second, Share: 0.2},
 		Slack:     benchSlack,
 	}, forward.Dependencies{
-		Holder: b.holder, Backends: b.backends, Caller: b.caller, Record: b.record, Routers: func() int { return b.routers },
+		Holder: b.holder, Backends: b.backends, Caller: b.caller, Record: b.record, Routers: func() int { return b.routers }, Caches: b.caches,
 	})
 	return b
 }
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -11,6 +11,7 @@
 	"github.com/fieldpond/fieldpond/internal/catalog"
 	"github.com/fieldpond/fieldpond/internal/fault"
 	"github.com/fieldpond/fieldpond/internal/ident"
+	"github.com/fieldpond/fieldpond/internal/promptcache"
 )
 
 // Config bounds what a Forwarder does. Zero fields take the defaults.
@@ -57,6 +58,8 @@
 	// Routers returns the number of routers that share bounds of the whole
 	// system, 0 if it is not known.
 	Routers func() int
+	// Caches tells what stores of kept prompt caches hold.
+	Caches *promptcache.Index
 	// Record takes in what was decided about requests. It must not block.
 	Record func(Step)
 }
--- a/internal/forward/forwarder_test.go
+++ b/internal/forward/forwarder_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"net/netip"
 	"strconv"
 	"testing"
 	"testing/synctest"
@@ -15,6 +16,7 @@
 	"github.com/fieldpond/fieldpond/internal/fault"
 	"github.com/fieldpond/fieldpond/internal/forward"
 	"github.com/fieldpond/fieldpond/internal/ident"
+	"github.com/fieldpond/fieldpond/internal/promptcache"
 )
 
 func TestRequestsThatAreRefusedUnsent(t *testing.T) {
@@ -276,20 +278,51 @@
 		first := send("key", 3*time.Second)
 		is.Equal(first.Remaining, 3*time.Second)
 		is.Equal(first.Version, 2)
-		is.Equal(first.FetchFrom, "10.9.9.9:1")
-		is.Equal(first.SaveTo, "10.9.9.9:1")
+		is.Equal(first.FetchFrom, cacheStore)
+		is.Equal(first.SaveTo, cacheStore)
 		is.Equal(first.Tenant, ident.Tenant("tenant"))
 		is.Equal(first.Priority, 3)
 		second := send("key", time.Hour)
 		is.Equal(second.Remaining, 9*time.Second) // the route's own time binds
-		is.Equal(second.SaveTo, "")               // saved by the first
+		is.Equal(second.SaveTo, netip.AddrPort{}) // saved by the first
 		is.Equal(second.Target.Instance, first.Target.Instance)
 		walled := send("walled", time.Second)
 		is.True(walled.Salt != first.Salt)
-		is.Equal(walled.SaveTo, "10.9.9.9:1")
+		is.Equal(walled.SaveTo, cacheStore)
 	})
 }
 
+// Once a router knows what the store of prompt caches holds, it has just the
+// missing parts saved, each once.
+func TestOnlyMissingPartsAreSaved(t *testing.T) {
+	part := promptcache.Part{Salt: "v2", ID: "y"}
+	tests := []struct {
+		name string
+		held []promptcache.Change
+		want []netip.AddrPort
+	}{
+		{"missing", nil, []netip.AddrPort{cacheStore, {}}},
+		{"held", []promptcache.Change{{Part: part, Tokens: 20}}, []netip.AddrPort{{}, {}}},
+		{"partly held", []promptcache.Change{{Part: part, Tokens: 4}}, []netip.AddrPort{cacheStore, {}}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				b := newBench(genuine(200, "id: 1\n\n"))
+				b.caches.Replace(time.Now(), cacheStore, &promptcache.Listing{Epoch: 1, Held: tt.held})
+				for _, want := range tt.want {
+					wanted := request("resumable")
+					wanted.Prompt = &forward.Prompt{Model: "m", Parts: []forward.Part{{ID: "x", Tokens: 10}, {ID: "y", Tokens: 20}, {ID: "z", Tokens: 5}}}
+					b.forward(t, wanted)
+					sent := b.caller.sent()
+					is.Equal(sent[len(sent)-1].SaveTo, want)
+				}
+			})
+		})
+	}
+}
+
 // A back end that has taken newer weights than the list tells is asked again
 // under those.
 func TestABackEndIsAskedAgainUnderItsNewWeights(t *testing.T) {
--- a/internal/forward/recent.go
+++ b/internal/forward/recent.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/fieldpond/fieldpond/internal/promptcache"
 )
 
 const (
@@ -18,15 +20,15 @@
 // every request. It is safe for concurrent use.
 type recentPrompts struct {
 	mutex  sync.Mutex
-	usedAt map[string]time.Time
+	usedAt map[promptcache.Part]time.Time
 }
 
 func newRecentPrompts() *recentPrompts {
-	return &recentPrompts{usedAt: make(map[string]time.Time)}
+	return &recentPrompts{usedAt: make(map[promptcache.Part]time.Time)}
 }
 
 // use notes a use of the part and reports whether it was used lately before.
-func (p *recentPrompts) use(now time.Time, part string) bool {
+func (p *recentPrompts) use(now time.Time, part promptcache.Part) bool {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	usedAt, known := p.usedAt[part]
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -11,6 +11,7 @@
 	"context"
 	"io"
 	"net/http"
+	"net/netip"
 	"time"
 
 	"github.com/fieldpond/fieldpond/internal/backend"
@@ -63,8 +64,8 @@
 	Priority int
 	// Salt separates cached prompts of different weights and isolated tenants.
 	Salt string
-	// FetchFrom and SaveTo are addresses of caches, or empty.
-	FetchFrom, SaveTo string
+	// FetchFrom and SaveTo are addresses of caches; the zero value means none.
+	FetchFrom, SaveTo netip.AddrPort
 	// Version is the version of the weights the attempt is meant for; 0 if it
 	// runs no model.
 	Version int
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"strconv"
 	"time"
 
@@ -13,6 +14,7 @@
 	"github.com/fieldpond/fieldpond/internal/exchange"
 	"github.com/fieldpond/fieldpond/internal/fault"
 	"github.com/fieldpond/fieldpond/internal/ident"
+	"github.com/fieldpond/fieldpond/internal/promptcache"
 	"github.com/fieldpond/fieldpond/internal/wait"
 )
 
@@ -303,12 +305,28 @@
 		return
 	}
 	parts := r.request.Prompt.Parts
-	part := attempt.Salt + "/" + parts[len(parts)-2].ID
-	if !r.forwarder.recent.use(time.Now(), part) {
+	last := parts[len(parts)-2]
+	if r.wantsSave(store.CacheStore, promptcache.Part{Salt: attempt.Salt, ID: last.ID}, last.Tokens) {
 		attempt.SaveTo = store.CacheStore
 	}
 }
 
+// wantsSave reports whether a shared part is to be saved to a store of kept
+// prompt caches. A save sends the whole prompt, so that saving what is there
+// already drives out other parts.
+func (r *run) wantsSave(store netip.AddrPort, part promptcache.Part, tokens int) bool {
+	now := time.Now()
+	unseen := !r.forwarder.recent.use(now, part)
+	switch r.forwarder.Caches.Holds(now, store, part, tokens) {
+	case promptcache.Held:
+		return false
+	case promptcache.Missing:
+		return r.forwarder.Caches.Reserve(now, store, part)
+	default:
+		return unseen
+	}
+}
+
 // homeKey names the longest shared part of the prompt, if there is one, apart
 // from those of isolated tenants.
 func (r *run) homeKey() (key uint64, shared bool) {
--- /dev/null
+++ b/internal/node/caches.go
@@ -0,0 +1,66 @@
+package node
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/fieldpond/fieldpond/internal/catalog"
+	"github.com/fieldpond/fieldpond/internal/promptcache"
+	"github.com/fieldpond/fieldpond/internal/wait"
+)
+
+// CacheReader reads what stores of kept prompt caches hold.
+type CacheReader interface {
+	// Changes returns what changed in a store since a position in its history.
+	Changes(ctx context.Context, store netip.AddrPort, since uint64) (*promptcache.Changes, error)
+	// List returns all that a store holds.
+	List(ctx context.Context, store netip.AddrPort) (*promptcache.Listing, error)
+}
+
+const (
+	// cacheInterval is the time between two reads of a store's changes.
+	cacheInterval = 500 * time.Millisecond
+	// cacheTimeout bounds one read.
+	cacheTimeout = 300 * time.Millisecond
+)
+
+// cacheFollower keeps the beliefs about the stores of kept prompt caches. A store
+// that cannot be read is taken for unknown after a while.
+type cacheFollower struct {
+	reader CacheReader
+	index  *promptcache.Index
+	holder *catalog.Holder
+}
+
+// run reads all stores of the configuration in force until ctx ends.
+func (f *cacheFollower) run(ctx context.Context) {
+	wait.Every(ctx, cacheInterval, func() {
+		view := f.holder.View()
+		if view.Snapshot == nil {
+			return
+		}
+		stores := view.Snapshot.CacheStores()
+		f.index.Retain(stores)
+		for _, store := range stores {
+			f.read(ctx, store)
+		}
+	})
+}
+
+// read takes in what became of one store since the last look.
+func (f *cacheFollower) read(ctx context.Context, store netip.AddrPort) {
+	ctx, cancel := context.WithTimeout(ctx, cacheTimeout)
+	defer cancel()
+	askedAt := time.Now()
+	since, known := f.index.Position(store)
+	if !known {
+		if listing, err := f.reader.List(ctx, store); err == nil {
+			f.index.Replace(askedAt, store, listing)
+		}
+		return
+	}
+	if changes, err := f.reader.Changes(ctx, store, since); err == nil {
+		f.index.Apply(askedAt, store, changes)
+	}
+}
--- /dev/null
+++ b/internal/node/caches_test.go
@@ -0,0 +1,75 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"net/netip"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/fieldpond/fieldpond/internal/catalog"
+	"github.com/fieldpond/fieldpond/internal/promptcache"
+)
+
+// fakeCaches is one store of prompt caches that holds a part and may be dark.
+type fakeCaches struct {
+	lists, changes int
+	lost, dark     bool
+}
+
+var keptPart = promptcache.Change{Part: promptcache.Part{Salt: "v1", ID: "p"}, Tokens: 100}
+
+// List implements CacheReader.
+func (c *fakeCaches) List(context.Context, netip.AddrPort) (*promptcache.Listing, error) {
+	c.lists++
+	if c.dark {
+		return nil, errors.New("dark")
+	}
+	return &promptcache.Listing{Epoch: 1, Next: 1, Held: []promptcache.Change{keptPart}}, nil
+}
+
+// Changes implements CacheReader.
+func (c *fakeCaches) Changes(context.Context, netip.AddrPort, uint64) (*promptcache.Changes, error) {
+	c.changes++
+	if c.dark {
+		return nil, errors.New("dark")
+	}
+	return &promptcache.Changes{Epoch: 1, Next: 1, Lost: c.lost}, nil
+}
+
+func TestStoresOfCachesAreFollowed(t *testing.T) {
+	store := netip.MustParseAddrPort("10.0.0.1:1")
+	snapshot := catalog.NewSnapshot(catalog.Content{
+		Version: 1, Services: []catalog.Service{{Name: "kept", CacheStore: store}},
+	})
+	tests := []struct {
+		name           string
+		reader         fakeCaches
+		lists, changes int
+		want           promptcache.Belief
+	}{
+		{name: "listed once, then followed", lists: 1, changes: 9, want: promptcache.Held},
+		{name: "listed anew after a gap", reader: fakeCaches{lost: true}, lists: 5, changes: 5, want: promptcache.Unknown},
+		{name: "dark", reader: fakeCaches{dark: true}, lists: 10, want: promptcache.Unknown},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				holder := &catalog.Holder{}
+				holder.Adopt(snapshot, time.Now())
+				index := promptcache.NewIndex()
+				follower := &cacheFollower{reader: &tt.reader, index: index, holder: holder}
+				ctx, cancel := context.WithTimeout(t.Context(), 10*cacheInterval+cacheInterval/2)
+				defer cancel()
+				follower.run(ctx)
+				is.Equal(tt.reader.lists, tt.lists)
+				is.Equal(tt.reader.changes, tt.changes)
+				is.Equal(index.Holds(time.Now(), store, keptPart.Part, 100), tt.want)
+			})
+		})
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -16,6 +16,7 @@
 	"github.com/fieldpond/fieldpond/internal/forward"
 	"github.com/fieldpond/fieldpond/internal/ident"
 	"github.com/fieldpond/fieldpond/internal/lease"
+	"github.com/fieldpond/fieldpond/internal/promptcache"
 	"github.com/fieldpond/fieldpond/internal/rollout"
 	"github.com/fieldpond/fieldpond/internal/store"
 	"github.com/fieldpond/fieldpond/internal/upstream"
@@ -54,6 +55,8 @@
 	Table   store.Table
 	Caller  forward.Caller
 	Engines rollout.Engines
+	// Caches may be nil: what the stores of kept prompt caches hold is unknown then.
+	Caches CacheReader
 	// Front returns the handler of client requests. closing reports whether
 	// connections are to end after their answer.
 	Front func(forwarder *forward.Forwarder, holder *catalog.Holder, closing func() bool) http.Handler
@@ -75,6 +78,7 @@
 	lease    *lease.Elector
 	metrics  *metrics
 	follower *follower
+	caches   *promptcache.Index
 	stopping atomic.Bool
 }
 
@@ -88,6 +92,7 @@
 		lease:    lease.NewElector(ports.Table, config.Lease, rolloutLease, config.Node),
 	}
 	n.metrics = newMetrics(n.read)
+	n.caches = promptcache.NewIndex()
 	n.follower = n.newFollower()
 	return n
 }
@@ -177,6 +182,10 @@
 		follower.followConfiguration, follower.followBackends, follower.followPeers,
 		func(ctx context.Context) { follower.countRouters(ctx, n.holdsLease) }, listen, n.contend, n.lease.Run, controller.Run,
 	}
+	if n.ports.Caches != nil {
+		caches := &cacheFollower{reader: n.ports.Caches, index: n.caches, holder: n.holder}
+		loops = append(loops, caches.run)
+	}
 	return append(loops, n.ports.Loops...)
 }
 
