Save only prompts that are mostly shared to the store of caches

Cause: a save sends the unshared part of a prompt as well. Change: a prompt whose own part is longer than its shared parts is not saved.

--- a/internal/forward/forwarder_test.go
+++ b/internal/forward/forwarder_test.go
@@ -323,6 +323,35 @@
 	}
 }
 
+// A save keeps the whole prompt. One that is mostly of its own would drive out
+// more shared parts than it keeps.
+func TestPromptsOfMostlyOwnTokensAreNotSaved(t *testing.T) {
+	tests := []struct {
+		name        string
+		shared, own int
+		want        netip.AddrPort
+	}{
+		{"mostly shared", 20, 19, cacheStore},
+		{"even", 20, 20, cacheStore},
+		{"mostly own", 20, 21, netip.AddrPort{}},
+		{"nothing of its own", 20, 0, cacheStore},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				b := newBench(genuine(200, "id: 1\n\n"))
+				b.caches.Replace(time.Now(), cacheStore, &promptcache.Listing{Epoch: 1})
+				wanted := request("resumable")
+				wanted.Prompt = &forward.Prompt{Model: "m", Parts: []forward.Part{{ID: "y", Tokens: tt.shared}, {ID: "z", Tokens: tt.own}}}
+				b.forward(t, wanted)
+				is.Equal(b.caller.sent()[0].SaveTo, tt.want)
+				is.Equal(b.caller.sent()[0].FetchFrom, cacheStore)
+			})
+		})
+	}
+}
+
 // A back end that has taken newer weights than the list tells is asked again
 // under those.
 func TestABackEndIsAskedAgainUnderItsNewWeights(t *testing.T) {
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -53,6 +53,26 @@
 	Parts []Part
 }
 
+// lengths returns the tokens of the shared and of the unshared parts.
+func (p *Prompt) lengths() (shared, own int) {
+	last := len(p.Parts) - 1
+	for index, part := range p.Parts {
+		if index == last {
+			own = part.Tokens
+		} else {
+			shared += part.Tokens
+		}
+	}
+	return shared, own
+}
+
+// mostlyShared reports whether a save of the prompt to a store of caches would
+// keep more tokens that others can use than tokens that nobody else asks for.
+func (p *Prompt) mostlyShared() bool {
+	shared, own := p.lengths()
+	return own <= shared
+}
+
 // Attempt is one sending of a request to a back end.
 type Attempt struct {
 	Request *Request
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -250,14 +250,7 @@
 			Version: naming.Version, At: naming.SeenAt.Add(r.forwarder.config.VersionGrace), Uncertain: naming.Met,
 		})
 	}
-	last := len(prompt.Parts) - 1
-	for index, part := range prompt.Parts {
-		if index == last {
-			query.OwnTokens = part.Tokens
-		} else {
-			query.SharedTokens += part.Tokens
-		}
-	}
+	query.SharedTokens, query.OwnTokens = prompt.lengths()
 	if key, shared := r.homeKey(); shared {
 		query.HomeKey, query.SpreadKey = key, key
 	}
@@ -304,6 +297,9 @@
 	if !shared {
 		return
 	}
+	if !r.request.Prompt.mostlyShared() {
+		return
+	}
 	parts := r.request.Prompt.Parts
 	last := parts[len(parts)-2]
 	if r.wantsSave(store.CacheStore, promptcache.Part{Salt: attempt.Salt, ID: last.ID}, last.Tokens) {
