Keep connections to engines for as long as their peers bear it

Change: such a rest lasts up to 15 s; a rest that a peer ended shortens the limit to seven tenths of it (a second at least), long rests that were borne let it grow. 64 connections rest to an address; each router's share of maxConns still binds.

--- a/internal/exchange/connection.go
+++ b/internal/exchange/connection.go
@@ -24,8 +24,10 @@
 	net.Conn
 	address string
 	reader  *bufio.Reader
-	// idleUntil ends the rest between two exchanges.
-	idleUntil time.Time
+	// idleSince and idleUntil bound the rest between two exchanges; told says
+	// that the peer named the time.
+	idleSince, idleUntil time.Time
+	told                 bool
 }
 
 // setUserTimeout makes the kernel give up a connection whose peer does not
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -17,21 +17,22 @@
 	ConnectTimeout time.Duration
 	// UserTimeout is how long sent bytes may stay unacknowledged. Default: 3s.
 	UserTimeout time.Duration
-	// IdleTimeout is how long a connection rests whose peer told no time.
-	// Default: 1s.
+	// IdleTimeout is how long a connection rests at most whose peer told no
+	// time; it rests shorter once peers were seen to end such rests.
+	// Default: 15s.
 	IdleTimeout time.Duration
 	// MaxHeaderBytes bounds the header of an answer. Default: 64 KiB.
 	MaxHeaderBytes int
-	// MaxIdlePerAddress bounds resting connections to one address. Default: 8.
+	// MaxIdlePerAddress bounds resting connections to one address. Default: 64.
 	MaxIdlePerAddress int
 }
 
 const (
 	defaultConnectTimeout = 300 * time.Millisecond
 	defaultUserTimeout    = 3 * time.Second
-	defaultIdleTimeout    = time.Second
+	defaultIdleTimeout    = 15 * time.Second
 	defaultMaxHeaderBytes = 64 << 10
-	defaultMaxIdle        = 8
+	defaultMaxIdle        = 64
 	// readerBytes is the size of a connection's read buffer.
 	readerBytes = 2 << 10
 	// idleMargin is how long before the peer's own time a resting connection
@@ -50,6 +51,8 @@
 	mutex   sync.Mutex
 	targets map[string]*target
 	opened  uint64
+	// idle bounds rests that no peer bounds.
+	idle idleLimit
 }
 
 // target is the state of the connections to one address.
@@ -72,6 +75,7 @@
 			Control: setUserTimeout(options.UserTimeout),
 		},
 		targets: make(map[string]*target),
+		idle:    newIdleLimit(options.IdleTimeout),
 	}
 }
 
@@ -93,13 +97,30 @@
 		if resting == nil {
 			return p.dial(ctx, address)
 		}
-		if resting.quiet() {
+		quiet := resting.quiet()
+		p.rested(resting, quiet)
+		if quiet {
 			return resting, nil
 		}
 		p.drop(resting)
 	}
 }
 
+// rested takes in whether a connection was still open after its rest.
+func (p *Pool) rested(used *connection, open bool) {
+	if used.told {
+		return
+	}
+	rest := time.Since(used.idleSince)
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if open {
+		p.idle.borne(rest)
+	} else {
+		p.idle.ended(rest)
+	}
+}
+
 // take returns a resting connection, or nil after counting a new one.
 func (p *Pool) take(address string, limit int) (resting *connection, full bool) {
 	now := time.Now()
@@ -149,14 +170,18 @@
 // put takes back a connection whose exchange is whole. keep is how long the
 // peer keeps it open, 0 if it told nothing.
 func (p *Pool) put(used *connection, keep time.Duration) {
-	keep = cmp.Or(keep, p.options.IdleTimeout)
-	if keep <= idleMargin {
+	used.told = keep > 0
+	if used.told && keep <= idleMargin {
 		p.drop(used)
 		return
 	}
-	used.idleUntil = time.Now().Add(keep - idleMargin)
+	used.idleSince = time.Now()
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
+	if !used.told {
+		keep = p.idle.current
+	}
+	used.idleUntil = used.idleSince.Add(keep - idleMargin)
 	known := p.targets[used.address]
 	if known == nil || len(known.idle) >= p.options.MaxIdlePerAddress {
 		_ = used.Close()
