Order new weights when they are seen, one engine in five at a time

Cause: orders were put off for as long as the deadline allowed, so that quick versions take one load. Change: orders leave when the version is seen, one in five engines at a time and more if the deadline asks for it; Patient keeps the former way.

--- a/internal/rollout/planner.go
+++ b/internal/rollout/planner.go
@@ -23,8 +23,14 @@
 	// report shows the change. Default: 1s.
 	LoadTime time.Duration
 	// Parallel is the least number of engines that may be changed at one time;
-	// there are more if the deadline could not be kept otherwise. Default: 3.
+	// there are more if the deadline could not be kept otherwise. Default: one in
+	// five of those there are.
 	Parallel int
+	// Patient puts orders off for as long as the deadline allows, so that versions
+	// which are named in quick succession are taken in one load. Default: each
+	// version is ordered when it is seen, since runs on replaced weights are worth
+	// less.
+	Patient bool
 	// Margin is the time kept before the deadline for orders that are lost and
 	// holders that change. Default: 2s.
 	Margin time.Duration
@@ -33,7 +39,6 @@
 const (
 	defaultDeadline = 8 * time.Second
 	defaultLoadTime = time.Second
-	defaultParallel = 3
 	defaultMargin   = 2 * time.Second
 	// reportPause is the time between two reports of an engine that changes.
 	reportPause = 250 * time.Millisecond
@@ -45,6 +50,9 @@
 	preparedFor = time.Second
 	// refusedPause is the pause after an engine refused an order.
 	refusedPause = 300 * time.Millisecond
+	// parallelShare changes one in so many engines at one time, rounded to the
+	// nearest number.
+	parallelShare = 5
 	// leastServing keeps all but one in so many engines serving while others
 	// change, whatever the deadline.
 	leastServing = 3
@@ -57,7 +65,6 @@
 func (c Config) withDefaults() Config {
 	c.Deadline = cmp.Or(c.Deadline, defaultDeadline)
 	c.LoadTime = cmp.Or(c.LoadTime, defaultLoadTime)
-	c.Parallel = cmp.Or(c.Parallel, defaultParallel)
 	c.Margin = cmp.Or(c.Margin, defaultMargin)
 	return c
 }
@@ -213,7 +220,7 @@
 // Ordered, each report by Reported.
 func (p *Planner) Plan(now time.Time, fence uint64) []Action {
 	actions, active, needs := p.survey(now)
-	if len(needs) == 0 || now.Before(needs[0].deadline.Add(-p.lead(len(needs)))) {
+	if len(needs) == 0 || !p.due(now, needs) {
 		return actions
 	}
 	most := p.parallel(len(needs)+active, needs[0].deadline.Sub(now)-p.config.Margin)
@@ -235,6 +242,11 @@
 	return actions
 }
 
+// due reports whether orders may leave by now.
+func (p *Planner) due(now time.Time, needs []need) bool {
+	return !p.config.Patient || !now.Before(needs[0].deadline.Add(-p.lead(len(needs))))
+}
+
 // survey follows the engines that change, counts those of them that answer,
 // and returns the others that are behind, the most urgent first.
 func (p *Planner) survey(now time.Time) (actions []Action, active int, needs []need) {
@@ -272,7 +284,8 @@
 func (p *Planner) parallel(count int, span time.Duration) int {
 	span = max(span, p.config.LoadTime)
 	needed := (time.Duration(count)*p.config.LoadTime + span - 1) / span
-	return max(p.config.Parallel, min(int(needed), len(p.engines)/leastServing))
+	usual := cmp.Or(p.config.Parallel, max((len(p.engines)+parallelShare/2)/parallelShare, 1))
+	return max(usual, min(int(needed), len(p.engines)/leastServing))
 }
 
 // lead is how long before the first deadline the change of count engines has
