Learn how fast engines read, keep prompts at home and refuse early under overload

Cause: constants of the first engines. Change: the reading rate of a service is a low quantile of what its answers need; the price of a spill grows with the mean lateness of the service; patience and silence allow for a back end's usual lateness; and while answers come late on the mean, a prompt that would wait a sixteenth of its time is refused at once, with when to come back.

--- a/internal/backend/flight.go
+++ b/internal/backend/flight.go
@@ -15,7 +15,10 @@
 	// version is that of the model's weights when the back end was chosen.
 	version int
 	dueAt   time.Time
-	first   bool
+	// sentAt is set if the answer tells how fast the engine reads: no other attempt
+	// of this router waits there, and the engine is the prompt's home.
+	sentAt time.Time
+	first  bool
 }
 
 // Heard takes in that bytes of the attempt's answer came.
@@ -24,6 +27,9 @@
 	defer f.registry.mutex.Unlock()
 	if !f.first {
 		f.target.observe(now, now.Sub(f.dueAt))
+		if !f.sentAt.IsZero() {
+			f.registry.reading(f.target.record.Service).observe(f.tokens, now.Sub(f.sentAt))
+		}
 	}
 	f.first = true
 	f.target.heardAt = now
--- a/internal/backend/record.go
+++ b/internal/backend/record.go
@@ -45,10 +45,34 @@
 	HomeZone ident.Zone
 	// Predicted is the expected time to the first byte of the answer.
 	Predicted time.Duration
+	// Late is by how much answers of the back end lately came later than predicted.
+	Late time.Duration
+	// Congestion is by how much answers of the whole service come late on the mean,
+	// in units of 100 ms; a few at most.
+	Congestion float64
 	// Candidates is the number of back ends that were compared.
 	Candidates int
 }
 
+const (
+	// overloadedFrom is the congestion from which requests are refused that would
+	// wait for long.
+	overloadedFrom = 1
+	// overloadedPart is the part of the time left that a request may then be
+	// expected to wait, as a divisor.
+	overloadedPart = 16
+)
+
+// Overloaded reports whether a request that has some time left should rather be
+// refused than sent: its service answers late on the whole, and even the best back
+// end would let it wait for a good part of that time. Under overload such requests
+// are mostly given up by their clients after an engine has read their prompts, and
+// that work delays all others. Requests with little time go first, as they are the
+// first to be given up.
+func (c *Choice) Overloaded(left time.Duration) bool {
+	return c.Congestion >= overloadedFrom && (c.Predicted+c.Late)*overloadedPart > left
+}
+
 // Expiry is the time after which no request may begin on a version older than
 // Version.
 type Expiry struct {
--- a/internal/backend/registry.go
+++ b/internal/backend/registry.go
@@ -17,22 +17,27 @@
 	Zone ident.Zone
 	// ZoneHop is the price of a back end in another zone. Default: 3ms.
 	ZoneHop time.Duration
-	// ReadPerToken is the time an engine takes to read one token of a prompt.
-	// Default: 26µs.
+	// ReadPerToken is the time an engine is taken to need for one token of a
+	// prompt until its service was seen to need another. Default: 26µs.
 	ReadPerToken time.Duration
-	// FetchPerToken is the time to fetch one token's cache from a store of
-	// kept caches, with what it costs besides. Default: 40µs.
-	FetchPerToken time.Duration
 	// SilentAfter is how long a back end with open attempts may be silent,
 	// beyond what was predicted, before it gets no new work. Default: 500ms.
 	SilentAfter time.Duration
 }
 
 const (
-	defaultZoneHop       = 3 * time.Millisecond
-	defaultReadPerToken  = 26 * time.Microsecond
-	defaultFetchPerToken = 40 * time.Microsecond
-	defaultSilentAfter   = 500 * time.Millisecond
+	defaultZoneHop      = 3 * time.Millisecond
+	defaultReadPerToken = 26 * time.Microsecond
+	defaultSilentAfter  = 500 * time.Millisecond
+	// spillPrice is the price of a shared part at an engine that is not the home
+	// of its prompt, in times that it takes to read it there: it may have to be
+	// fetched or read again.
+	spillPrice = 1.6
+	// congestedAt is the mean lateness of a service's answers at which that price
+	// is doubled, as work done twice delays all others; mostCongested bounds by how
+	// many times it grows.
+	congestedAt   = 100 * time.Millisecond
+	mostCongested = 6
 	// failureHalfLife is how fast a failure is forgotten.
 	failureHalfLife = 2 * time.Second
 	// failurePenalty is the price of a back end all of whose attempts fail.
@@ -49,6 +54,9 @@
 	// mostly refuses because it takes new weights, which is soon known but not
 	// soon over.
 	firstEngineRefusal = 250 * time.Millisecond
+	// lateFactor times the usual lateness of a back end may pass before its silence
+	// is a bad sign.
+	lateFactor = 3
 	// beginFactor times the predicted wait may pass until a request begins.
 	beginFactor = 2
 	// costGrain is the difference in cost below which back ends count as equal.
@@ -76,9 +84,6 @@
 	if c.ReadPerToken <= 0 {
 		c.ReadPerToken = defaultReadPerToken
 	}
-	if c.FetchPerToken <= 0 {
-		c.FetchPerToken = defaultFetchPerToken
-	}
 	if c.SilentAfter <= 0 {
 		c.SilentAfter = defaultSilentAfter
 	}
@@ -91,6 +96,7 @@
 
 	mutex    sync.Mutex
 	services map[ident.Service][]*state
+	readings map[ident.Service]*reading
 	byID     map[ident.Incarnation]*state
 	listedAt time.Time
 }
@@ -100,6 +106,7 @@
 	return &Registry{
 		config:   config.withDefaults(),
 		services: make(map[ident.Service][]*state),
+		readings: make(map[ident.Service]*reading),
 		byID:     make(map[ident.Incarnation]*state),
 	}
 }
@@ -289,11 +296,13 @@
 	flight.tokens = query.OwnTokens
 	if best != home {
 		flight.tokens += query.SharedTokens
+	} else if best.waitingTokens() == 0 {
+		flight.sentAt = now
 	}
 	best.flights[flight] = struct{}{}
 	choice := Choice{
 		Record: best.record, Version: flight.version, Home: best == home,
-		Predicted: predicted, Candidates: candidates,
+		Predicted: predicted, Late: best.excessAt(now), Congestion: r.congestion(now, query.Service), Candidates: candidates,
 	}
 	if home != nil {
 		choice.HomeZone = home.record.Zone
@@ -352,19 +361,37 @@
 		ahead := float64(len(candidate.flights)) / float64(max(candidate.record.Slots, 1))
 		return query.Expected + time.Duration(ahead*float64(query.Expected))
 	}
-	waiting := 0
-	for flight := range candidate.flights {
-		if !flight.first {
-			waiting += flight.tokens
-		}
-	}
-	predicted := time.Duration(waiting+query.OwnTokens) * r.config.ReadPerToken
+	learned := r.reading(query.Service)
+	predicted := learned.of(candidate.waitingTokens() + query.OwnTokens)
 	if !home {
-		predicted += time.Duration(query.SharedTokens) * r.config.FetchPerToken
+		predicted += time.Duration(spillPrice * float64(learned.of(query.SharedTokens)))
 	}
 	return predicted
 }
 
+// reading returns what is learned of the reading rate of a service's engines.
+func (r *Registry) reading(service ident.Service) *reading {
+	learned := r.readings[service]
+	if learned == nil {
+		fresh := newReading(r.config.ReadPerToken)
+		learned = &fresh
+		r.readings[service] = learned
+	}
+	return learned
+}
+
+// congestion returns by how much answers of a service come late on the mean of its
+// back ends, in units of congestedAt.
+func (r *Registry) congestion(now time.Time, service ident.Service) float64 {
+	var late time.Duration
+	all := r.services[service]
+	for _, known := range all {
+		late += known.excessAt(now)
+	}
+	mean := late.Seconds() / float64(max(len(all), 1))
+	return min(mean/congestedAt.Seconds(), mostCongested)
+}
+
 // cost returns the expected time, in seconds, with the risks of the back end
 // added to it.
 func (r *Registry) cost(now time.Time, candidate *state, query *Query, home bool) float64 {
@@ -382,7 +409,12 @@
 	candidate.decay(now)
 	// One failure in few attempts says less than many in a row.
 	cost += candidate.failed / (candidate.tried + 2) * failurePenalty.Seconds()
-	if silence := candidate.silence(now); silence > r.config.SilentAfter {
+	if query.Model != "" && !home {
+		spill := spillPrice * r.reading(query.Service).of(query.SharedTokens).Seconds()
+		cost += r.congestion(now, query.Service) * spill
+	}
+	silentAfter := r.config.SilentAfter + lateFactor*candidate.excessAt(now)
+	if silence := candidate.silence(now); silence > silentAfter {
 		cost += failurePenalty.Seconds()
 	}
 	return cost
--- a/internal/backend/registry_test.go
+++ b/internal/backend/registry_test.go
@@ -312,3 +312,93 @@
 		})
 	}
 }
+
+// late lets a prompt be answered at an engine so much later than predicted.
+func late(t *testing.T, known *backend.Registry, now time.Time, by time.Duration, key uint64) {
+	t.Helper()
+	wanted := query()
+	wanted.HomeKey = key
+	choice, flight := pick(t, known, now, wanted)
+	answered := now.Add(choice.Predicted + by)
+	flight.Heard(answered)
+	flight.Ended(answered, backend.Answered)
+}
+
+// While answers come late on the mean, prompts stay with their home for longer.
+func TestASpillIsDearerUnderCongestion(t *testing.T) {
+	tests := []struct {
+		name string
+		late time.Duration
+		stay bool
+	}{
+		{"calm", 0, false},
+		{"congested", 3 * time.Second, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			known := registry(engine("a", 1), engine("b", 1), engine("c", 1))
+			for key := range uint64(30) {
+				late(t, known, start, tt.late, key)
+			}
+			// The times of those answers lie up to some seconds ahead.
+			now := start.Add(4 * time.Second)
+			home, _ := pick(t, known, now, query())
+			is.True(home.Home)
+			busy := query()
+			busy.OwnTokens = 12_000
+			pick(t, known, now, busy)
+			next, _ := pick(t, known, now, query())
+			is.Equal(next.Instance == home.Instance, tt.stay)
+		})
+	}
+}
+
+func TestWhoIsRefusedUnderOverload(t *testing.T) {
+	tests := []struct {
+		name   string
+		choice backend.Choice
+		left   time.Duration
+		want   bool
+	}{
+		{"calm", backend.Choice{Predicted: time.Second}, time.Second, false},
+		{"one engine late", backend.Choice{Predicted: time.Second, Late: time.Second, Congestion: 0.9}, time.Second, false},
+		{"a short wait", backend.Choice{Predicted: 100 * time.Millisecond, Late: 100 * time.Millisecond, Congestion: 2}, 4 * time.Second, false},
+		{"a long wait", backend.Choice{Predicted: 100 * time.Millisecond, Late: 200 * time.Millisecond, Congestion: 2}, 4 * time.Second, true},
+		{"much time left", backend.Choice{Predicted: 100 * time.Millisecond, Late: 200 * time.Millisecond, Congestion: 2}, 12 * time.Second, false},
+		{"no time left", backend.Choice{Predicted: time.Millisecond, Congestion: 2}, 0, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(tt.choice.Overloaded(tt.left), tt.want)
+		})
+	}
+}
+
+// The wait that is predicted follows what engines are seen to need.
+func TestPredictionsFollowTheReadingRate(t *testing.T) {
+	tests := []struct {
+		name string
+		rate time.Duration
+	}{{"slower than the prior", 80 * time.Microsecond}, {"faster", 8 * time.Microsecond}}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			known := registry(engine("a", 1))
+			now := start
+			wanted := query()
+			wanted.OwnTokens = 4000
+			for range 60 {
+				now = now.Add(5 * time.Second)
+				_, flight := pick(t, known, now, wanted)
+				answered := now.Add(15*time.Millisecond + 4000*tt.rate)
+				flight.Heard(answered)
+				flight.Ended(answered, backend.Answered)
+			}
+			choice, _ := pick(t, known, now.Add(5*time.Second), wanted)
+			is.True(choice.Predicted > 4000*tt.rate*8/10)
+			is.True(choice.Predicted < 4000*tt.rate*12/10)
+		})
+	}
+}
--- a/internal/backend/state.go
+++ b/internal/backend/state.go
@@ -112,6 +112,18 @@
 	versionExpired
 )
 
+// waitingTokens returns the tokens of this router's attempts that are still to be
+// read.
+func (s *state) waitingTokens() int {
+	waiting := 0
+	for flight := range s.flights {
+		if !flight.first {
+			waiting += flight.tokens
+		}
+	}
+	return waiting
+}
+
 // silence returns for how long the back end owes a byte.
 func (s *state) silence(now time.Time) time.Duration {
 	longest := time.Duration(0)
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -111,7 +111,8 @@
 	// to give one up throws away what its engine has read of a long prompt.
 	patientTenths       = 7
 	streamPatientTenths = 15
-	// patientFactor times the predicted wait is waited besides.
+	// patientFactor times the predicted wait, and the usual lateness of the back
+	// end, is waited besides.
 	patientFactor = 3
 )
 
@@ -122,7 +123,7 @@
 		return 0
 	}
 	if r.route.Kind == catalog.Streaming {
-		return r.route.Target*streamPatientTenths/10 + patientFactor*choice.Predicted
+		return r.route.Target*streamPatientTenths/10 + patientFactor*(choice.Predicted+choice.Late)
 	}
 	return max(r.route.Target*patientTenths/10, patientFactor*choice.Predicted)
 }
--- a/internal/forward/fake_test.go
+++ b/internal/forward/fake_test.go
@@ -201,6 +201,20 @@
 	return b
 }
 
+// lateEngines lets the registry see answers of all engines that come later than
+// predicted.
+func (b *bench) lateEngines(by time.Duration) {
+	now := time.Now()
+	for key := range uint64(60) {
+		choice, flight, found := b.backends.Pick(now, &backend.Query{Service: "s", Model: "m", HomeKey: key, OwnTokens: 1})
+		if !found {
+			continue
+		}
+		flight.Heard(now.Add(choice.Predicted + by))
+		flight.Ended(now, backend.Answered)
+	}
+}
+
 // benchSlack is granted to all routers of a bench together.
 const benchSlack = 10
 
--- a/internal/forward/forwarder_test.go
+++ b/internal/forward/forwarder_test.go
@@ -323,6 +323,40 @@
 	}
 }
 
+// While all engines answer late, a prompt with little time is refused at once,
+// before any engine has it, with when to come back; others are still sent.
+func TestOverloadRefusesWhatWouldWaitTooLong(t *testing.T) {
+	tests := []struct {
+		name string
+		wait time.Duration
+		sent bool
+	}{
+		{"little time", 2 * time.Second, false},
+		{"much time", 9 * time.Second, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				b := newBench(genuine(200, "id: 1\n\n"))
+				b.lateEngines(400 * time.Millisecond)
+				wanted := request("resumable")
+				wanted.Wait = tt.wait
+				wanted.Prompt = &forward.Prompt{Model: "m", Parts: []forward.Part{{ID: "y", Tokens: 20}, {ID: "z", Tokens: 5}}}
+				sink := b.forward(t, wanted)
+				is.Equal(len(b.caller.sent()) > 0, tt.sent)
+				is.Equal(b.backends.InFlight(), 0)
+				is.Equal(sink.refusal == nil, tt.sent)
+				if !tt.sent {
+					is.Equal(sink.refusal.Kind, fault.Overloaded)
+					is.Equal(sink.refusal.Ran, fault.RanNo)
+					is.True(sink.refusal.RetryAfter > 0)
+				}
+			})
+		})
+	}
+}
+
 // A save keeps the whole prompt. One that is mostly of its own would drive out
 // more shared parts than it keeps.
 func TestPromptsOfMostlyOwnTokensAreNotSaved(t *testing.T) {
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -201,6 +201,10 @@
 		}
 		query := r.query()
 		if choice, flight, found := r.forwarder.Backends.Pick(now, &query); found {
+			if r.sends == 0 && r.request.Prompt != nil && choice.Overloaded(r.endsAt.Sub(now)) {
+				flight.Ended(now, backend.Abandoned)
+				return backend.Choice{}, nil, r.overloaded()
+			}
 			return choice, flight, nil
 		}
 		if !now.Before(heldUntil) || !wait.For(ctx, placePause) {
@@ -209,6 +213,12 @@
 	}
 }
 
+// overloaded is the fault of a request that would wait for too long.
+func (r *run) overloaded() *fault.Fault {
+	return fault.New(fault.Overloaded, "the engines answer late, and the request would wait for a good part of its time").
+		WithRetryAfter(r.forwarder.config.RetryAfter)
+}
+
 // unplaced is the fault of a request for which no back end is left.
 func (r *run) unplaced() *fault.Fault {
 	if r.unproven {
