Give entries that lapsed in an outage of the list two seconds to come back

The registry dropped them at once. Now a list that was not read for 2.4 s (two beats of an entry) has an outage behind it, and what is missing from it counts as gone from two seconds after its return.

--- /dev/null
+++ b/internal/backend/config.go
@@ -0,0 +1,86 @@
+package backend
+
+import (
+	"time"
+
+	"github.com/fieldpond/fieldpond/internal/ident"
+)
+
+// Config holds the constants of the choice. Zero fields take the defaults.
+type Config struct {
+	// Zone is where this router is.
+	Zone ident.Zone
+	// ZoneHop is the price of a back end in another zone. Default: 3ms.
+	ZoneHop time.Duration
+	// ReadPerToken is the time an engine is taken to need for one token of a
+	// prompt until its service was seen to need another. Default: 26µs.
+	ReadPerToken time.Duration
+	// SilentAfter is how long a back end with open attempts may be silent,
+	// beyond what was predicted, before it gets no new work. Default: 500ms.
+	SilentAfter time.Duration
+}
+
+const (
+	defaultZoneHop      = 3 * time.Millisecond
+	defaultReadPerToken = 26 * time.Microsecond
+	defaultSilentAfter  = 500 * time.Millisecond
+	// spillPrice is the price of a shared part at an engine that is not the home
+	// of its prompt, in times that it takes to read it there: it may have to be
+	// fetched or read again.
+	spillPrice = 1.6
+	// congestedAt is the mean lateness of a service's answers at which that price
+	// is doubled, as work done twice delays all others; mostCongested bounds by how
+	// many times it grows.
+	congestedAt   = 100 * time.Millisecond
+	mostCongested = 6
+	// failureHalfLife is how fast a failure is forgotten.
+	failureHalfLife = 2 * time.Second
+	// failurePenalty is the price of a back end all of whose attempts fail.
+	failurePenalty = 3 * time.Second
+	// firstPause and maxPause bound how long a back end rests after a failure
+	// to reach it; the pause doubles with each one in a row.
+	firstPause = 250 * time.Millisecond
+	maxPause   = 2 * time.Second
+	// firstRefusal and maxRefusal bound how long a back end that was full gets
+	// no new work; the pause doubles with each refusal in a row.
+	firstRefusal = 60 * time.Millisecond
+	maxRefusal   = 800 * time.Millisecond
+	// firstEngineRefusal is the first pause of an engine that runs models: it
+	// mostly refuses because it takes new weights, which is soon known but not
+	// soon over.
+	firstEngineRefusal = 250 * time.Millisecond
+	// lateFactor times the usual lateness of a back end may pass before its silence
+	// is a bad sign.
+	lateFactor = 3
+	// beginFactor times the predicted wait may pass until a request begins.
+	beginFactor = 2
+	// costGrain is the difference in cost below which back ends count as equal.
+	costGrain = 2 * time.Millisecond
+	// uncertainPenalty is the price of weights that may have expired.
+	uncertainPenalty = 5 * time.Second
+	// excessWeight is the part of a new observation in the mean excess, and
+	// excessHalfLife how fast the mean is forgotten.
+	excessWeight   = 0.3
+	excessHalfLife = time.Second
+	// assumedFor is how long an assumed version stands: the list lags by less.
+	assumedFor = 2 * time.Second
+	// loadingFor is how long a back end gets no work after it was said to take
+	// new weights, unless it is known to have them before.
+	loadingFor = 700 * time.Millisecond
+	// versionPause is how long a back end whose version was not as believed
+	// rests, unless the list tells a newer one before.
+	versionPause = 200 * time.Millisecond
+)
+
+func (c Config) withDefaults() Config {
+	if c.ZoneHop <= 0 {
+		c.ZoneHop = defaultZoneHop
+	}
+	if c.ReadPerToken <= 0 {
+		c.ReadPerToken = defaultReadPerToken
+	}
+	if c.SilentAfter <= 0 {
+		c.SilentAfter = defaultSilentAfter
+	}
+	return c
+}
--- a/internal/backend/registry.go
+++ b/internal/backend/registry.go
@@ -2,94 +2,13 @@
 
 import (
 	"maps"
-	"math"
 	"slices"
 	"sync"
 	"time"
 
 	"github.com/fieldpond/fieldpond/internal/ident"
-	"github.com/fieldpond/fieldpond/internal/routing/rendezvous"
 )
 
-// Config holds the constants of the choice. Zero fields take the defaults.
-type Config struct {
-	// Zone is where this router is.
-	Zone ident.Zone
-	// ZoneHop is the price of a back end in another zone. Default: 3ms.
-	ZoneHop time.Duration
-	// ReadPerToken is the time an engine is taken to need for one token of a
-	// prompt until its service was seen to need another. Default: 26µs.
-	ReadPerToken time.Duration
-	// SilentAfter is how long a back end with open attempts may be silent,
-	// beyond what was predicted, before it gets no new work. Default: 500ms.
-	SilentAfter time.Duration
-}
-
-const (
-	defaultZoneHop      = 3 * time.Millisecond
-	defaultReadPerToken = 26 * time.Microsecond
-	defaultSilentAfter  = 500 * time.Millisecond
-	// spillPrice is the price of a shared part at an engine that is not the home
-	// of its prompt, in times that it takes to read it there: it may have to be
-	// fetched or read again.
-	spillPrice = 1.6
-	// congestedAt is the mean lateness of a service's answers at which that price
-	// is doubled, as work done twice delays all others; mostCongested bounds by how
-	// many times it grows.
-	congestedAt   = 100 * time.Millisecond
-	mostCongested = 6
-	// failureHalfLife is how fast a failure is forgotten.
-	failureHalfLife = 2 * time.Second
-	// failurePenalty is the price of a back end all of whose attempts fail.
-	failurePenalty = 3 * time.Second
-	// firstPause and maxPause bound how long a back end rests after a failure
-	// to reach it; the pause doubles with each one in a row.
-	firstPause = 250 * time.Millisecond
-	maxPause   = 2 * time.Second
-	// firstRefusal and maxRefusal bound how long a back end that was full gets
-	// no new work; the pause doubles with each refusal in a row.
-	firstRefusal = 60 * time.Millisecond
-	maxRefusal   = 800 * time.Millisecond
-	// firstEngineRefusal is the first pause of an engine that runs models: it
-	// mostly refuses because it takes new weights, which is soon known but not
-	// soon over.
-	firstEngineRefusal = 250 * time.Millisecond
-	// lateFactor times the usual lateness of a back end may pass before its silence
-	// is a bad sign.
-	lateFactor = 3
-	// beginFactor times the predicted wait may pass until a request begins.
-	beginFactor = 2
-	// costGrain is the difference in cost below which back ends count as equal.
-	costGrain = 2 * time.Millisecond
-	// uncertainPenalty is the price of weights that may have expired.
-	uncertainPenalty = 5 * time.Second
-	// excessWeight is the part of a new observation in the mean excess, and
-	// excessHalfLife how fast the mean is forgotten.
-	excessWeight   = 0.3
-	excessHalfLife = time.Second
-	// assumedFor is how long an assumed version stands: the list lags by less.
-	assumedFor = 2 * time.Second
-	// loadingFor is how long a back end gets no work after it was said to take
-	// new weights, unless it is known to have them before.
-	loadingFor = 700 * time.Millisecond
-	// versionPause is how long a back end whose version was not as believed
-	// rests, unless the list tells a newer one before.
-	versionPause = 200 * time.Millisecond
-)
-
-func (c Config) withDefaults() Config {
-	if c.ZoneHop <= 0 {
-		c.ZoneHop = defaultZoneHop
-	}
-	if c.ReadPerToken <= 0 {
-		c.ReadPerToken = defaultReadPerToken
-	}
-	if c.SilentAfter <= 0 {
-		c.SilentAfter = defaultSilentAfter
-	}
-	return c
-}
-
 // Registry believes the newest list of back ends and chooses among them.
 type Registry struct {
 	config Config
@@ -99,6 +18,7 @@
 	readings map[ident.Service]*reading
 	byID     map[ident.Incarnation]*state
 	listedAt time.Time
+	lapses   lapses
 }
 
 // NewRegistry returns a registry that knows no back end.
@@ -163,6 +83,7 @@
 	if listedAt.Before(r.listedAt) {
 		return nil
 	}
+	r.lapses.read(r.listedAt, listedAt)
 	r.listedAt = listedAt
 	var changes []Change
 	listed := make(map[ident.Incarnation]*state, len(records))
@@ -176,7 +97,13 @@
 		services[record.Service] = append(services[record.Service], known)
 	}
 	for instance, known := range r.byID {
-		if listed[instance] == nil {
+		switch {
+		case listed[instance] != nil:
+		case r.lapses.mayReturn(listedAt):
+			known.missing = true
+			listed[instance] = known
+			services[known.record.Service] = append(services[known.record.Service], known)
+		default:
 			changes = append(changes, Change{Kind: Gone, Record: known.record})
 		}
 	}
@@ -184,18 +111,43 @@
 	return changes
 }
 
-// Confirm takes in that the newest list still held at a time.
-func (r *Registry) Confirm(listedAt time.Time) {
+// Confirm takes in that the newest list still held at a time. It returns what
+// changed: back ends that did not come back after an outage.
+func (r *Registry) Confirm(listedAt time.Time) []Change {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	if listedAt.After(r.listedAt) {
-		r.listedAt = listedAt
+	if !listedAt.After(r.listedAt) {
+		return nil
+	}
+	r.lapses.read(r.listedAt, listedAt)
+	r.listedAt = listedAt
+	if r.lapses.mayReturn(listedAt) {
+		return nil
 	}
+	return r.dropMissing()
+}
+
+// dropMissing drops the back ends that the list lacks.
+func (r *Registry) dropMissing() []Change {
+	var changes []Change
+	for instance, known := range r.byID {
+		if !known.missing {
+			continue
+		}
+		delete(r.byID, instance)
+		service := known.record.Service
+		r.services[service] = slices.DeleteFunc(r.services[service], func(other *state) bool { return other == known })
+		changes = append(changes, Change{Kind: Gone, Record: known.record})
+	}
+	return changes
 }
 
 // listed takes in one record and tells what changed, if anything.
 func (r *Registry) listed(record Record) (*state, ChangeKind) {
 	known := r.byID[record.Instance]
+	if known != nil {
+		known.missing = false
+	}
 	if known == nil {
 		return &state{record: record, flights: make(map[*Flight]struct{})}, Appeared
 	}
@@ -278,148 +230,6 @@
 	}
 }
 
-// Pick chooses the back end with the least expected time for an attempt and
-// counts the attempt against it. It returns false if no back end may be used.
-func (r *Registry) Pick(now time.Time, query *Query) (Choice, *Flight, bool) {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	home := r.home(query)
-	best, candidates := r.cheapest(now, query, home)
-	if best == nil {
-		return Choice{}, nil, false
-	}
-	predicted := r.predict(best, query, best == home)
-	flight := &Flight{
-		registry: r, target: best, dueAt: now.Add(predicted),
-		model: query.Model, version: best.version(now, query.Model),
-	}
-	flight.tokens = query.OwnTokens
-	if best != home {
-		flight.tokens += query.SharedTokens
-	} else if best.waitingTokens() == 0 {
-		flight.sentAt = now
-	}
-	best.flights[flight] = struct{}{}
-	choice := Choice{
-		Record: best.record, Version: flight.version, Home: best == home,
-		Predicted: predicted, Late: best.excessAt(now), Congestion: r.congestion(now, query.Service), Candidates: candidates,
-	}
-	if home != nil {
-		choice.HomeZone = home.record.Zone
-	}
-	return choice, flight, true
-}
-
-// cheapest returns the back end of the least cost, or nil, and the number of
-// those that may be used. Among equals the query's own order decides, so that
-// they share the work and routers agree on who stands in for a home.
-func (r *Registry) cheapest(now time.Time, query *Query, home *state) (best *state, candidates int) {
-	bestCost := math.Inf(1)
-	var bestScore uint64
-	for _, candidate := range r.services[query.Service] {
-		if !candidate.eligible(now, query) {
-			continue
-		}
-		cost := r.cost(now, candidate, query, candidate == home)
-		if math.IsInf(cost, 1) {
-			continue
-		}
-		candidates++
-		cost = math.Floor(cost / costGrain.Seconds())
-		score := rendezvous.Score(query.SpreadKey, ident.Engine(candidate.record.Instance))
-		if cost < bestCost || (cost == bestCost && score > bestScore) {
-			best, bestCost, bestScore = candidate, cost, score
-		}
-	}
-	return best, candidates
-}
-
-// home returns the back end that ranks first for the shared part of the
-// prompt among all that serve it, whether it is usable now or not.
-func (r *Registry) home(query *Query) *state {
-	if query.HomeKey == 0 {
-		return nil
-	}
-	var best *state
-	var bestScore uint64
-	for _, candidate := range r.services[query.Service] {
-		if candidate.record.Draining {
-			continue
-		}
-		name := ident.Engine(candidate.record.Instance)
-		score := rendezvous.Score(query.HomeKey, name)
-		if best == nil || rendezvous.Better(score, name, bestScore, ident.Engine(best.record.Instance)) {
-			best, bestScore = candidate, score
-		}
-	}
-	return best
-}
-
-// predict returns the expected time to the first byte of the answer.
-func (r *Registry) predict(candidate *state, query *Query, home bool) time.Duration {
-	if query.Model == "" {
-		ahead := float64(len(candidate.flights)) / float64(max(candidate.record.Slots, 1))
-		return query.Expected + time.Duration(ahead*float64(query.Expected))
-	}
-	learned := r.reading(query.Service)
-	predicted := learned.of(candidate.waitingTokens() + query.OwnTokens)
-	if !home {
-		predicted += time.Duration(spillPrice * float64(learned.of(query.SharedTokens)))
-	}
-	return predicted
-}
-
-// reading returns what is learned of the reading rate of a service's engines.
-func (r *Registry) reading(service ident.Service) *reading {
-	learned := r.readings[service]
-	if learned == nil {
-		fresh := newReading(r.config.ReadPerToken)
-		learned = &fresh
-		r.readings[service] = learned
-	}
-	return learned
-}
-
-// congestion returns by how much answers of a service come late on the mean of its
-// back ends, in units of congestedAt.
-func (r *Registry) congestion(now time.Time, service ident.Service) float64 {
-	var late time.Duration
-	all := r.services[service]
-	for _, known := range all {
-		late += known.excessAt(now)
-	}
-	mean := late.Seconds() / float64(max(len(all), 1))
-	return min(mean/congestedAt.Seconds(), mostCongested)
-}
-
-// cost returns the expected time, in seconds, with the risks of the back end
-// added to it.
-func (r *Registry) cost(now time.Time, candidate *state, query *Query, home bool) float64 {
-	predicted := r.predict(candidate, query, home)
-	cost := (predicted + candidate.excessAt(now)).Seconds()
-	switch candidate.versionRisk(now, query, predicted) {
-	case versionExpired:
-		return math.Inf(1)
-	case versionUncertain:
-		cost += uncertainPenalty.Seconds()
-	}
-	if candidate.record.Zone != r.config.Zone {
-		cost += r.config.ZoneHop.Seconds()
-	}
-	candidate.decay(now)
-	// One failure in few attempts says less than many in a row.
-	cost += candidate.failed / (candidate.tried + 2) * failurePenalty.Seconds()
-	if query.Model != "" && !home {
-		spill := spillPrice * r.reading(query.Service).of(query.SharedTokens).Seconds()
-		cost += r.congestion(now, query.Service) * spill
-	}
-	silentAfter := r.config.SilentAfter + lateFactor*candidate.excessAt(now)
-	if silence := candidate.silence(now); silence > silentAfter {
-		cost += failurePenalty.Seconds()
-	}
-	return cost
-}
-
 // InFlight returns the number of attempts under way at all back ends.
 func (r *Registry) InFlight() int {
 	r.mutex.Lock()
--- a/internal/backend/state.go
+++ b/internal/backend/state.go
@@ -10,6 +10,8 @@
 // state is what is believed of one back end.
 type state struct {
 	record Record
+	// missing says that the newest list lacks the back end, which may come back.
+	missing bool
 	// flights are the attempts under way.
 	flights map[*Flight]struct{}
 	// heardAt is when a byte of any attempt last came.
--- a/internal/node/replica.go
+++ b/internal/node/replica.go
@@ -165,13 +165,11 @@
 	}
 	switch {
 	case list.Digest == r.list.digest:
-		r.backends.Confirm(listedAt)
+		logBackends(r.backends.Confirm(listedAt))
 	case !list.Told || !r.list.take(list):
 		return
 	default:
-		for _, change := range r.backends.Update(listedAt, r.list.records) {
-			logBackend(change)
-		}
+		logBackends(r.backends.Update(listedAt, r.list.records))
 	}
 	r.listedAt = listedAt
 	r.confirmed(origin)
@@ -195,9 +193,11 @@
 	return now.Sub(r.listedAt)
 }
 
-func logBackend(change backend.Change) {
-	log.WithFields(log.Fields{
-		"instance": change.Record.Instance, "service": change.Record.Service, "address": change.Record.Address,
-		"change": change.Kind, "revision": change.Record.Revision, "models": change.Record.Models,
-	}).Info("backend_changed")
+func logBackends(changes []backend.Change) {
+	for _, change := range changes {
+		log.WithFields(log.Fields{
+			"instance": change.Record.Instance, "service": change.Record.Service, "address": change.Record.Address,
+			"change": change.Kind, "revision": change.Record.Revision, "models": change.Record.Models,
+		}).Info("backend_changed")
+	}
 }
