--- a/cmd/fieldpond/edge.go
+++ b/cmd/fieldpond/edge.go
@@ -9,11 +9,13 @@
 	"github.com/spf13/cobra"
 
 	"github.com/fieldpond/fieldpond/internal/commandline"
+	"github.com/fieldpond/fieldpond/internal/mechanism"
 	"github.com/fieldpond/fieldpond/platform"
 )
 
 func newEdgeCommand() *cobra.Command {
 	options := platform.Options{}
+	var without []string
 	command := &cobra.Command{
 		Use:   "edge",
 		Short: "Run one router on the users' platform",
@@ -32,6 +34,9 @@
 			if err != nil {
 				return err
 			}
+			if options.Without, err = mechanism.Without(without); err != nil {
+				return err
+			}
 			ctx, stop := commandline.UntilStopped(command)
 			defer stop()
 			watchReload()
@@ -40,6 +45,7 @@
 	}
 	command.Flags().IntVar(&options.MetricsPort, "metrics-port", 0, "port to serve metrics on; 0 means none")
 	command.Flags().StringVar(&options.MetricsPath, "metrics-path", "/metrics", "path to serve metrics under")
+	command.Flags().StringSliceVar(&without, "without", nil, "mechanisms to switch off, to measure what they are worth")
 	return command
 }
 
--- a/internal/backend/choose.go
+++ b/internal/backend/choose.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/fieldpond/fieldpond/internal/ident"
+	"github.com/fieldpond/fieldpond/internal/mechanism"
 	"github.com/fieldpond/fieldpond/internal/routing/rendezvous"
 )
 
@@ -32,7 +33,7 @@
 	best.flights[flight] = struct{}{}
 	choice := Choice{
 		Record: best.record, Version: flight.version, Home: best == home,
-		Predicted: predicted, Late: best.excessAt(now), Congestion: r.congestion(now, query.Service), Candidates: candidates,
+		Predicted: predicted, Late: r.usualLateness(now, best), Congestion: r.congestion(now, query.Service), Candidates: candidates,
 	}
 	if home != nil {
 		choice.HomeZone = home.record.Zone
@@ -67,7 +68,7 @@
 // home returns the back end that ranks first for the shared part of the
 // prompt among all that serve it, whether it is usable now or not.
 func (r *Registry) home(query *Query) *state {
-	if query.HomeKey == 0 {
+	if query.HomeKey == 0 || !r.config.Off.On(mechanism.HomeEngines) {
 		return nil
 	}
 	var best *state
@@ -110,6 +111,15 @@
 	return learned
 }
 
+// usualLateness returns by how much answers of a back end lately came later than
+// predicted.
+func (r *Registry) usualLateness(now time.Time, known *state) time.Duration {
+	if !r.config.Off.On(mechanism.LatePatience) {
+		return 0
+	}
+	return known.excessAt(now)
+}
+
 // congestion returns by how much answers of a service come late on the mean of its
 // back ends, in units of congestedAt.
 func (r *Registry) congestion(now time.Time, service ident.Service) float64 {
@@ -139,11 +149,11 @@
 	candidate.decay(now)
 	// One failure in few attempts says less than many in a row.
 	cost += candidate.failed / (candidate.tried + 2) * failurePenalty.Seconds()
-	if query.Model != "" && !home {
+	if query.Model != "" && !home && r.config.Off.On(mechanism.CongestionPrice) {
 		spill := spillPrice * r.reading(query.Service).of(query.SharedTokens).Seconds()
 		cost += r.congestion(now, query.Service) * spill
 	}
-	silentAfter := r.config.SilentAfter + lateFactor*candidate.excessAt(now)
+	silentAfter := r.config.SilentAfter + lateFactor*r.usualLateness(now, candidate)
 	if silence := candidate.silence(now); silence > silentAfter {
 		cost += failurePenalty.Seconds()
 	}
--- a/internal/backend/config.go
+++ b/internal/backend/config.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/fieldpond/fieldpond/internal/ident"
+	"github.com/fieldpond/fieldpond/internal/mechanism"
 )
 
 // Config holds the constants of the choice. Zero fields take the defaults.
@@ -15,6 +16,8 @@
 	// ReadPerToken is the time an engine is taken to need for one token of a
 	// prompt until its service was seen to need another. Default: 26µs.
 	ReadPerToken time.Duration
+	// Off are the mechanisms that are switched off. Default: none.
+	Off mechanism.Off
 	// SilentAfter is how long a back end with open attempts may be silent,
 	// beyond what was predicted, before it gets no new work. Default: 500ms.
 	SilentAfter time.Duration
--- a/internal/backend/flight.go
+++ b/internal/backend/flight.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/fieldpond/fieldpond/internal/ident"
+	"github.com/fieldpond/fieldpond/internal/mechanism"
 )
 
 // Flight is one attempt under way. Its methods are safe for concurrent use.
@@ -27,7 +28,7 @@
 	defer f.registry.mutex.Unlock()
 	if !f.first {
 		f.target.observe(now, now.Sub(f.dueAt))
-		if !f.sentAt.IsZero() {
+		if !f.sentAt.IsZero() && f.registry.config.Off.On(mechanism.ReadingRate) {
 			f.registry.reading(f.target.record.Service).observe(f.tokens, now.Sub(f.sentAt))
 		}
 	}
--- a/internal/backend/registry.go
+++ b/internal/backend/registry.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/fieldpond/fieldpond/internal/ident"
+	"github.com/fieldpond/fieldpond/internal/mechanism"
 )
 
 // Registry believes the newest list of back ends and chooses among them.
@@ -99,7 +100,7 @@
 	for instance, known := range r.byID {
 		switch {
 		case listed[instance] != nil:
-		case r.lapses.mayReturn(listedAt):
+		case r.lapses.mayReturn(listedAt) && r.config.Off.On(mechanism.LapseGrace):
 			known.missing = true
 			listed[instance] = known
 			services[known.record.Service] = append(services[known.record.Service], known)
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -11,6 +11,7 @@
 	"github.com/fieldpond/fieldpond/internal/catalog"
 	"github.com/fieldpond/fieldpond/internal/fault"
 	"github.com/fieldpond/fieldpond/internal/ident"
+	"github.com/fieldpond/fieldpond/internal/mechanism"
 	"github.com/fieldpond/fieldpond/internal/promptcache"
 )
 
@@ -26,6 +27,8 @@
 	// Slack is the number of repeats that all routers together may make of each
 	// service in a window without any request. Default: 0.
 	Slack int
+	// Off are the mechanisms that are switched off. Default: none.
+	Off mechanism.Off
 	// RetryAfter is told with refusals. Default: 300ms.
 	RetryAfter time.Duration
 }
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -14,6 +14,7 @@
 	"github.com/fieldpond/fieldpond/internal/exchange"
 	"github.com/fieldpond/fieldpond/internal/fault"
 	"github.com/fieldpond/fieldpond/internal/ident"
+	"github.com/fieldpond/fieldpond/internal/mechanism"
 	"github.com/fieldpond/fieldpond/internal/promptcache"
 	"github.com/fieldpond/fieldpond/internal/wait"
 )
@@ -201,7 +202,7 @@
 		}
 		query := r.query()
 		if choice, flight, found := r.forwarder.Backends.Pick(now, &query); found {
-			if r.sends == 0 && r.request.Prompt != nil && choice.Overloaded(r.endsAt.Sub(now)) {
+			if r.overloadedBy(&choice, now) {
 				flight.Ended(now, backend.Abandoned)
 				return backend.Choice{}, nil, r.overloaded()
 			}
@@ -213,6 +214,13 @@
 	}
 }
 
+// overloadedBy reports whether the request is refused rather than sent to the best
+// back end there is.
+func (r *run) overloadedBy(choice *backend.Choice, now time.Time) bool {
+	return r.sends == 0 && r.request.Prompt != nil && r.forwarder.config.Off.On(mechanism.EarlyRefusal) &&
+		choice.Overloaded(r.endsAt.Sub(now))
+}
+
 // overloaded is the fault of a request that would wait for too long.
 func (r *run) overloaded() *fault.Fault {
 	return fault.New(fault.Overloaded, "the engines answer late, and the request would wait for a good part of its time").
@@ -300,14 +308,14 @@
 func (r *run) describeCache(attempt *Attempt, homeZone ident.Zone) {
 	key, shared := r.homeKey()
 	store := r.view.Snapshot.CacheStore(homeZone, key)
-	if store == nil {
+	if store == nil || !r.forwarder.config.Off.On(mechanism.CacheStore) {
 		return
 	}
 	attempt.FetchFrom = store.CacheStore
 	if !shared {
 		return
 	}
-	if !r.request.Prompt.mostlyShared() {
+	if !r.request.Prompt.mostlyShared() && r.forwarder.config.Off.On(mechanism.SharedSaves) {
 		return
 	}
 	parts := r.request.Prompt.Parts
--- /dev/null
+++ b/internal/mechanism/mechanism.go
@@ -0,0 +1,77 @@
+// Package mechanism names the policies of a router that can be switched off one by
+// one, so that what each is worth can be measured.
+package mechanism
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/fieldpond/fieldpond/internal/fault"
+)
+
+// Name names a mechanism.
+type Name string
+
+// The mechanisms.
+const (
+	// HomeEngines sends prompts with the same shared part to the same engine.
+	HomeEngines Name = "home-engines"
+	// CacheStore fetches prompts from stores of kept caches, and saves them there.
+	CacheStore Name = "cache-store"
+	// CacheIndex reads what the stores of kept caches hold, and saves what is missing.
+	CacheIndex Name = "cache-index"
+	// SharedSaves saves only prompts that are mostly shared.
+	SharedSaves Name = "shared-saves"
+	// LongIdle keeps connections whose peers tell no time for longer than a second.
+	LongIdle Name = "long-idle"
+	// EarlyOrders orders new weights as soon as their version is seen.
+	EarlyOrders Name = "early-orders"
+	// Notices tells routers ahead of the list which engines change.
+	Notices Name = "notices"
+	// ReadingRate learns how fast engines read prompts.
+	ReadingRate Name = "reading-rate"
+	// CongestionPrice keeps prompts at their home for longer under congestion.
+	CongestionPrice Name = "congestion-price"
+	// EarlyRefusal refuses prompts under overload that would wait for too long.
+	EarlyRefusal Name = "early-refusal"
+	// LatePatience allows for the usual lateness of a back end before an attempt
+	// is given up as silent.
+	LatePatience Name = "late-patience"
+	// LapseGrace keeps entries for a while that lapsed in an outage of the list.
+	LapseGrace Name = "lapse-grace"
+)
+
+// All returns every mechanism.
+func All() []Name {
+	return []Name{
+		HomeEngines, CacheStore, CacheIndex, SharedSaves, LongIdle, EarlyOrders, Notices, ReadingRate,
+		CongestionPrice, EarlyRefusal, LatePatience, LapseGrace,
+	}
+}
+
+// Off is a set of mechanisms that are switched off; the zero value leaves all on.
+type Off struct{ names []Name }
+
+// Without reads a set from names of mechanisms. Its error names those there are.
+func Without(names []string) (Off, error) {
+	var off Off
+	for _, name := range names {
+		if !slices.Contains(All(), Name(name)) {
+			return Off{}, fault.New(fault.InvalidSettings, "there is no mechanism %q; there are %s", name, list())
+		}
+		off.names = append(off.names, Name(name))
+	}
+	return off, nil
+}
+
+// On reports whether a mechanism is on.
+func (o Off) On(name Name) bool { return !slices.Contains(o.names, name) }
+
+// list returns the names of all mechanisms for a message.
+func list() string {
+	var names []string
+	for _, name := range All() {
+		names = append(names, string(name))
+	}
+	return strings.Join(names, ", ")
+}
--- /dev/null
+++ b/internal/mechanism/mechanism_test.go
@@ -0,0 +1,43 @@
+package mechanism_test
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/fieldpond/fieldpond/internal/mechanism"
+)
+
+func TestMechanismsAreSwitchedOffByName(t *testing.T) {
+	is := is.New(t)
+	var none mechanism.Off
+	for _, name := range mechanism.All() {
+		is.True(none.On(name))
+		off, err := mechanism.Without([]string{string(name)})
+		is.NoErr(err)
+		for _, other := range mechanism.All() {
+			is.Equal(off.On(other), other != name)
+		}
+	}
+}
+
+func TestAnUnknownMechanismIsRefused(t *testing.T) {
+	tests := []struct {
+		name  string
+		names []string
+	}{
+		{"unknown", []string{"telepathy"}},
+		{"empty", []string{""}},
+		{"one of two", []string{string(mechanism.Notices), "Notices"}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			off, err := mechanism.Without(tt.names)
+			is.True(err != nil)
+			is.True(strings.Contains(err.Error(), string(mechanism.EarlyRefusal))) // the remedy
+			is.True(off.On(mechanism.Notices))
+		})
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -16,6 +16,7 @@
 	"github.com/fieldpond/fieldpond/internal/forward"
 	"github.com/fieldpond/fieldpond/internal/ident"
 	"github.com/fieldpond/fieldpond/internal/lease"
+	"github.com/fieldpond/fieldpond/internal/mechanism"
 	"github.com/fieldpond/fieldpond/internal/promptcache"
 	"github.com/fieldpond/fieldpond/internal/rollout"
 	"github.com/fieldpond/fieldpond/internal/store"
@@ -39,8 +40,10 @@
 	PeerAddr netip.AddrPort
 	Follow   FollowConfig
 	Forward  forward.Config
-	Lease    lease.Config
-	Rollout  rollout.ControllerConfig
+	// Off are the mechanisms that are switched off.
+	Off     mechanism.Off
+	Lease   lease.Config
+	Rollout rollout.ControllerConfig
 	// Grace is the time from the request to stop until the process is killed.
 	Grace time.Duration
 	// Unready is how long a stopping node still takes new connections, until
@@ -88,7 +91,7 @@
 		config:   config,
 		ports:    ports,
 		holder:   &catalog.Holder{},
-		backends: backend.NewRegistry(backend.Config{Zone: config.Zone}),
+		backends: backend.NewRegistry(backend.Config{Zone: config.Zone, Off: config.Off}),
 		lease:    lease.NewElector(ports.Table, config.Lease, rolloutLease, config.Node),
 	}
 	n.metrics = newMetrics(n.read)
@@ -172,7 +175,7 @@
 		logOrder(order, result)
 	}
 	listen := func(context.Context) {}
-	if announcer != nil {
+	if announcer != nil && n.config.Off.On(mechanism.Notices) {
 		config.Announcer = announcer
 		listen = announcer.listen
 	}
@@ -182,7 +185,7 @@
 		follower.followConfiguration, follower.followBackends, follower.followPeers,
 		func(ctx context.Context) { follower.countRouters(ctx, n.holdsLease) }, listen, n.contend, n.lease.Run, controller.Run,
 	}
-	if n.ports.Caches != nil {
+	if n.ports.Caches != nil && n.config.Off.On(mechanism.CacheIndex) {
 		caches := &cacheFollower{reader: n.ports.Caches, index: n.caches, holder: n.holder}
 		loops = append(loops, caches.run)
 	}
