--- a/internal/backend/lapses_test.go
+++ b/internal/backend/lapses_test.go
@@ -7,8 +7,24 @@
 	"github.com/matryer/is"
 
 	"github.com/fieldpond/fieldpond/internal/backend"
+	"github.com/fieldpond/fieldpond/internal/ident"
 )
 
+// usable returns 1 if an engine may get work, else 0. The others are those of the
+// tests of this file.
+func usable(known *backend.Registry, name ident.Incarnation) int {
+	wanted := query()
+	for _, other := range []ident.Incarnation{"a", "b"} {
+		if other != name {
+			wanted.Excluded = append(wanted.Excluded, other)
+		}
+	}
+	if _, _, found := known.Pick(start.Add(time.Minute), wanted); found {
+		return 1
+	}
+	return 0
+}
+
 // Entries that lapsed while the list could not be read have two seconds after its
 // return to come back; then, and at any other time, a missing one is gone.
 func TestEntriesThatLapsedInAnOutageMayReturn(t *testing.T) {
@@ -37,34 +53,20 @@
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
 			known := registry(both...)
-			gone := 0
+			var gone []backend.Change
 			for _, seen := range tt.reads {
-				var changes []backend.Change
 				if seen.list == nil {
-					changes = known.Confirm(start.Add(seen.at))
+					gone = append(gone, known.Confirm(start.Add(seen.at))...)
 				} else {
-					changes = known.Update(start.Add(seen.at), seen.list)
-				}
-				for _, change := range changes {
-					is.Equal(change.Kind, backend.Gone)
-					gone++
+					gone = append(gone, known.Update(start.Add(seen.at), seen.list)...)
 				}
 			}
-			is.Equal(len(known.Records()), tt.want)
-			is.Equal(gone, tt.gone)
-			usable := 0
-			for _, name := range []backend.Record{both[0], both[1]} {
-				wanted := query()
-				for _, other := range both {
-					if other.Instance != name.Instance {
-						wanted.Excluded = append(wanted.Excluded, other.Instance)
-					}
-				}
-				if _, _, found := known.Pick(start.Add(time.Minute), wanted); found {
-					usable++
-				}
+			is.Equal(len(gone), tt.gone)
+			for _, change := range gone {
+				is.Equal(change.Kind, backend.Gone)
 			}
-			is.Equal(usable, tt.want)
+			is.Equal(len(known.Records()), tt.want)
+			is.Equal(usable(known, "a")+usable(known, "b"), tt.want)
 		})
 	}
 }
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -204,7 +204,7 @@
 		if choice, flight, found := r.forwarder.Backends.Pick(now, &query); found {
 			if r.overloadedBy(&choice, now) {
 				flight.Ended(now, backend.Abandoned)
-				return backend.Choice{}, nil, r.overloaded()
+				return backend.Choice{}, nil, r.overloaded(&choice, now)
 			}
 			return choice, flight, nil
 		}
@@ -222,9 +222,11 @@
 }
 
 // overloaded is the fault of a request that would wait for too long.
-func (r *run) overloaded() *fault.Fault {
-	return fault.New(fault.Overloaded, "the engines answer late, and the request would wait for a good part of its time").
-		WithRetryAfter(r.forwarder.config.RetryAfter)
+func (r *run) overloaded(best *backend.Choice, now time.Time) *fault.Fault {
+	return fault.New(
+		fault.Overloaded, "engines answer late (congestion %.1f); the best would begin after %v of the %v left",
+		best.Congestion, (best.Predicted + best.Late).Round(time.Millisecond), r.endsAt.Sub(now).Round(time.Millisecond),
+	).WithRetryAfter(r.forwarder.config.RetryAfter)
 }
 
 // unplaced is the fault of a request for which no back end is left.
