--- a/internal/node/caches.go
+++ b/internal/node/caches.go
@@ -20,7 +20,7 @@
 
 const (
 	// cacheInterval is the time between two reads of a store's changes.
-	cacheInterval = 500 * time.Millisecond
+	cacheInterval = time.Second
 	// cacheTimeout bounds one read.
 	cacheTimeout = 300 * time.Millisecond
 )
