Refuse early by the wait alone, so that long prompts fare like short ones

Cause: an early refusal counted the reading of the prompt itself, so that long prompts were refused first.

--- a/internal/backend/choose.go
+++ b/internal/backend/choose.go
@@ -19,7 +19,7 @@
 	if best == nil {
 		return Choice{}, nil, false
 	}
-	predicted := r.predict(best, query, best == home)
+	predicted, queued := r.predict(best, query, best == home), r.queued(best, query)
 	flight := &Flight{
 		registry: r, target: best, dueAt: now.Add(predicted),
 		model: query.Model, version: best.version(now, query.Model),
@@ -33,7 +33,7 @@
 	best.flights[flight] = struct{}{}
 	choice := Choice{
 		Record: best.record, Version: flight.version, Home: best == home,
-		Predicted: predicted, Late: r.usualLateness(now, best), Congestion: r.congestion(now, query.Service), Candidates: candidates,
+		Predicted: predicted, Queued: queued, Late: r.usualLateness(now, best), Congestion: r.congestion(now, query.Service), Candidates: candidates,
 	}
 	if home != nil {
 		choice.HomeZone = home.record.Zone
@@ -100,6 +100,15 @@
 	return predicted
 }
 
+// queued returns the time for which the prompts of this router's other attempts keep
+// an engine busy; it is 0 for back ends that run no model.
+func (r *Registry) queued(candidate *state, query *Query) time.Duration {
+	if query.Model == "" {
+		return 0
+	}
+	return r.reading(query.Service).of(candidate.waitingTokens())
+}
+
 // reading returns what is learned of the reading rate of a service's engines.
 func (r *Registry) reading(service ident.Service) *reading {
 	learned := r.readings[service]
--- a/internal/backend/record.go
+++ b/internal/backend/record.go
@@ -45,6 +45,8 @@
 	HomeZone ident.Zone
 	// Predicted is the expected time to the first byte of the answer.
 	Predicted time.Duration
+	// Queued is the part of Predicted that is due to other attempts of this router.
+	Queued time.Duration
 	// Late is by how much answers of the back end lately came later than predicted.
 	Late time.Duration
 	// Congestion is by how much answers of the whole service come late on the mean,
@@ -57,20 +59,24 @@
 const (
 	// overloadedFrom is the congestion from which requests are refused that would
 	// wait for long.
-	overloadedFrom = 1
+	overloadedFrom = 0.7
 	// overloadedPart is the part of the time left that a request may then be
 	// expected to wait, as a divisor.
-	overloadedPart = 16
+	overloadedPart = 40
 )
 
+// Wait returns the expected time until the back end begins to read the prompt.
+func (c *Choice) Wait() time.Duration { return c.Queued + c.Late }
+
 // Overloaded reports whether a request that has some time left should rather be
 // refused than sent: its service answers late on the whole, and even the best back
 // end would let it wait for a good part of that time. Under overload such requests
 // are mostly given up by their clients after an engine has read their prompts, and
 // that work delays all others. Requests with little time go first, as they are the
-// first to be given up.
+// first to be given up; the length of a prompt does not count, so that long ones are
+// served as often as short ones.
 func (c *Choice) Overloaded(left time.Duration) bool {
-	return c.Congestion >= overloadedFrom && (c.Predicted+c.Late)*overloadedPart > left
+	return c.Congestion >= overloadedFrom && c.Wait()*overloadedPart > left
 }
 
 // Expiry is the time after which no request may begin on a version older than
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -225,7 +225,7 @@
 func (r *run) overloaded(best *backend.Choice, now time.Time) *fault.Fault {
 	return fault.New(
 		fault.Overloaded, "engines answer late (congestion %.1f); the best would begin after %v of the %v left",
-		best.Congestion, (best.Predicted + best.Late).Round(time.Millisecond), r.endsAt.Sub(now).Round(time.Millisecond),
+		best.Congestion, best.Wait().Round(time.Millisecond), r.endsAt.Sub(now).Round(time.Millisecond),
 	).WithRetryAfter(r.forwarder.config.RetryAfter)
 }
 
