--- a/internal/backend/choose.go
+++ b/internal/backend/choose.go
@@ -15,7 +15,8 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	home := r.home(query)
-	best, candidates := r.cheapest(now, query, home)
+	congestion := r.congestion(now, query.Service)
+	best, candidates := r.cheapest(now, query, home, congestion)
 	if best == nil {
 		return Choice{}, nil, false
 	}
@@ -33,7 +34,8 @@
 	best.flights[flight] = struct{}{}
 	choice := Choice{
 		Record: best.record, Version: flight.version, Home: best == home,
-		Predicted: predicted, Queued: queued, Late: r.usualLateness(now, best), Congestion: r.congestion(now, query.Service), Candidates: candidates,
+		Predicted: predicted, Queued: queued, Late: r.usualLateness(now, best), Congestion: congestion,
+		Candidates: candidates,
 	}
 	if home != nil {
 		choice.HomeZone = home.record.Zone
@@ -44,7 +46,7 @@
 // cheapest returns the back end of the least cost, or nil, and the number of
 // those that may be used. Among equals the query's own order decides, so that
 // they share the work and routers agree on who stands in for a home.
-func (r *Registry) cheapest(now time.Time, query *Query, home *state) (best *state, candidates int) {
+func (r *Registry) cheapest(now time.Time, query *Query, home *state, congestion float64) (best *state, candidates int) {
 	bestCost := math.Inf(1)
 	var bestScore uint64
 	for _, candidate := range r.services[query.Service] {
@@ -52,6 +54,9 @@
 			continue
 		}
 		cost := r.cost(now, candidate, query, candidate == home)
+		if candidate != home && r.config.Off.On(mechanism.CongestionPrice) {
+			cost += congestion * r.spill(query).Seconds()
+		}
 		if math.IsInf(cost, 1) {
 			continue
 		}
@@ -95,11 +100,20 @@
 	learned := r.reading(query.Service)
 	predicted := learned.of(candidate.waitingTokens() + query.OwnTokens)
 	if !home {
-		predicted += time.Duration(spillPrice * float64(learned.of(query.SharedTokens)))
+		predicted += r.spill(query)
 	}
 	return predicted
 }
 
+// spill returns the price of the shared part of a prompt at an engine that is not
+// its home.
+func (r *Registry) spill(query *Query) time.Duration {
+	if query.Model == "" {
+		return 0
+	}
+	return time.Duration(spillPrice * float64(r.reading(query.Service).of(query.SharedTokens)))
+}
+
 // queued returns the time for which the prompts of this router's other attempts keep
 // an engine busy; it is 0 for back ends that run no model.
 func (r *Registry) queued(candidate *state, query *Query) time.Duration {
@@ -158,10 +172,6 @@
 	candidate.decay(now)
 	// One failure in few attempts says less than many in a row.
 	cost += candidate.failed / (candidate.tried + 2) * failurePenalty.Seconds()
-	if query.Model != "" && !home && r.config.Off.On(mechanism.CongestionPrice) {
-		spill := spillPrice * r.reading(query.Service).of(query.SharedTokens).Seconds()
-		cost += r.congestion(now, query.Service) * spill
-	}
 	silentAfter := r.config.SilentAfter + lateFactor*r.usualLateness(now, candidate)
 	if silence := candidate.silence(now); silence > silentAfter {
 		cost += failurePenalty.Seconds()
