--- a/internal/backend/choose.go
+++ b/internal/backend/choose.go
@@ -15,8 +15,7 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	home := r.home(query)
-	congestion := r.congestion(now, query.Service)
-	best, candidates := r.cheapest(now, query, home, congestion)
+	best, candidates := r.cheapest(now, query, home)
 	if best == nil {
 		return Choice{}, nil, false
 	}
@@ -34,8 +33,8 @@
 	best.flights[flight] = struct{}{}
 	choice := Choice{
 		Record: best.record, Version: flight.version, Home: best == home,
-		Predicted: predicted, Queued: queued, Late: r.usualLateness(now, best), Congestion: congestion,
-		Candidates: candidates,
+		Predicted: predicted, Queued: queued, Late: r.usualLateness(now, best),
+		Congestion: r.congestion(now, query.Service), Candidates: candidates,
 	}
 	if home != nil {
 		choice.HomeZone = home.record.Zone
@@ -46,7 +45,7 @@
 // cheapest returns the back end of the least cost, or nil, and the number of
 // those that may be used. Among equals the query's own order decides, so that
 // they share the work and routers agree on who stands in for a home.
-func (r *Registry) cheapest(now time.Time, query *Query, home *state, congestion float64) (best *state, candidates int) {
+func (r *Registry) cheapest(now time.Time, query *Query, home *state) (best *state, candidates int) {
 	bestCost := math.Inf(1)
 	var bestScore uint64
 	for _, candidate := range r.services[query.Service] {
@@ -54,9 +53,6 @@
 			continue
 		}
 		cost := r.cost(now, candidate, query, candidate == home)
-		if candidate != home && r.config.Off.On(mechanism.CongestionPrice) {
-			cost += congestion * r.spill(query).Seconds()
-		}
 		if math.IsInf(cost, 1) {
 			continue
 		}
@@ -100,20 +96,11 @@
 	learned := r.reading(query.Service)
 	predicted := learned.of(candidate.waitingTokens() + query.OwnTokens)
 	if !home {
-		predicted += r.spill(query)
+		predicted += time.Duration(spillPrice * float64(learned.of(query.SharedTokens)))
 	}
 	return predicted
 }
 
-// spill returns the price of the shared part of a prompt at an engine that is not
-// its home.
-func (r *Registry) spill(query *Query) time.Duration {
-	if query.Model == "" {
-		return 0
-	}
-	return time.Duration(spillPrice * float64(r.reading(query.Service).of(query.SharedTokens)))
-}
-
 // queued returns the time for which the prompts of this router's other attempts keep
 // an engine busy; it is 0 for back ends that run no model.
 func (r *Registry) queued(candidate *state, query *Query) time.Duration {
@@ -151,8 +138,7 @@
 	for _, known := range all {
 		late += known.excessAt(now)
 	}
-	mean := late.Seconds() / float64(max(len(all), 1))
-	return min(mean/congestedAt.Seconds(), mostCongested)
+	return late.Seconds() / float64(max(len(all), 1)) / congestedAt.Seconds()
 }
 
 // cost returns the expected time, in seconds, with the risks of the back end
--- a/internal/backend/config.go
+++ b/internal/backend/config.go
@@ -31,11 +31,9 @@
 	// of its prompt, in times that it takes to read it there: it may have to be
 	// fetched or read again.
 	spillPrice = 1.6
-	// congestedAt is the mean lateness of a service's answers at which that price
-	// is doubled, as work done twice delays all others; mostCongested bounds by how
-	// many times it grows.
-	congestedAt   = 100 * time.Millisecond
-	mostCongested = 6
+	// congestedAt is the mean lateness of a service's answers at which its
+	// congestion is 1.
+	congestedAt = 100 * time.Millisecond
 	// failureHalfLife is how fast a failure is forgotten.
 	failureHalfLife = 2 * time.Second
 	// failurePenalty is the price of a back end all of whose attempts fail.
--- a/internal/backend/record.go
+++ b/internal/backend/record.go
@@ -50,7 +50,7 @@
 	// Late is by how much answers of the back end lately came later than predicted.
 	Late time.Duration
 	// Congestion is by how much answers of the whole service come late on the mean,
-	// in units of 100 ms; a few at most.
+	// in units of 100 ms.
 	Congestion float64
 	// Candidates is the number of back ends that were compared.
 	Candidates int
--- a/internal/mechanism/mechanism.go
+++ b/internal/mechanism/mechanism.go
@@ -30,8 +30,6 @@
 	Notices Name = "notices"
 	// ReadingRate learns how fast engines read prompts.
 	ReadingRate Name = "reading-rate"
-	// CongestionPrice keeps prompts at their home for longer under congestion.
-	CongestionPrice Name = "congestion-price"
 	// EarlyRefusal refuses prompts under overload that would wait for too long.
 	EarlyRefusal Name = "early-refusal"
 	// LatePatience allows for the usual lateness of a back end before an attempt
@@ -45,7 +43,7 @@
 func All() []Name {
 	return []Name{
 		HomeEngines, CacheStore, CacheIndex, SharedSaves, LongIdle, EarlyOrders, Notices, ReadingRate,
-		CongestionPrice, EarlyRefusal, LatePatience, LapseGrace,
+		EarlyRefusal, LatePatience, LapseGrace,
 	}
 }
 
