--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -25,8 +25,8 @@
 	// Repeats bounds repeated attempts of each service.
 	Repeats admission.WindowConfig
 	// Slack is the number of repeats that all routers together may make of each
-	// service in a window without any request. Default: 0.
-	Slack int
+	// service in a window without any request; it may be a fraction. Default: 0.
+	Slack float64
 	// Off are the mechanisms that are switched off. Default: none.
 	Off mechanism.Off
 	// RetryAfter is told with refusals. Default: 300ms.
@@ -151,7 +151,7 @@
 // allowRepeat takes one repeat out of the budget of a service.
 func (f *Forwarder) allowRepeat(service ident.Service) bool {
 	allowed := false
-	slack := float64(f.config.Slack) / float64(f.sharers())
+	slack := f.config.Slack / float64(f.sharers())
 	f.withBudget(service, func(budget *admission.WindowBudget) { allowed = budget.Allow(time.Now(), slack) })
 	return allowed
 }
