Let routers start from their peers' state, and the first of them alone from the store's

Change: a starting router waits up to 0.2 to 0.6 s, apart by its name, for peers to supply it; the first of all reads at once. A router that knows nothing holds those behind it for 150 ms instead of sending them on their way, and a router that knows nothing takes the state of any peer, also of one that restarted.

--- a/internal/node/follower.go
+++ b/internal/node/follower.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/apex/log"
+	"github.com/cespare/xxhash/v2"
 
 	"github.com/fieldpond/fieldpond/internal/catalog"
 	"github.com/fieldpond/fieldpond/internal/ident"
@@ -169,10 +170,38 @@
 	return due
 }
 
-// poll calls read at once, and then whenever due says that no time is left,
-// until ctx ends. After a failed read it pauses, longer each time.
+const (
+	// startPatience is how long a starting router waits for its peers to supply it
+	// before it reads the store itself: some hops of a few ms each, and a late row.
+	startPatience = 200 * time.Millisecond
+	// startStagger is the span over which routers that nobody supplied then begin
+	// to read, so that the first of them can supply the others.
+	startStagger = 400 * time.Millisecond
+	// startPause is the time between two looks at what a starting router has.
+	startPause = 10 * time.Millisecond
+)
+
+// awaitPeers lets peers supply a starting router, and reports whether ctx is still
+// open. The first router of all does not wait.
+func (f *follower) awaitPeers(ctx context.Context) bool {
+	part := xxhash.Sum64String(string(f.replica.node)) % uint64(startStagger)
+	readAt := f.startedAt.Add(startPatience + time.Duration(part))
+	for time.Now().Before(readAt) && !f.chain.reads() && !f.replica.knows() {
+		if !wait.For(ctx, startPause) {
+			return false
+		}
+	}
+	return true
+}
+
+// poll calls read whenever due says that no time is left, until ctx ends; the first
+// time at once, unless peers supply this router. After a failed read it pauses,
+// longer each time.
 func (f *follower) poll(ctx context.Context, interval time.Duration, due func(now time.Time) time.Duration, read func() error) {
 	pause := time.Duration(0)
+	if !f.awaitPeers(ctx) || (f.replica.knows() && !f.chain.reads() && !rest(ctx, 0, due)) {
+		return
+	}
 	for ctx.Err() == nil {
 		begun := time.Now()
 		if read() == nil {
--- a/internal/node/pull.go
+++ b/internal/node/pull.go
@@ -139,7 +139,7 @@
 		return 0
 	}
 	result := f.judge(peer, update, err)
-	if _, fresh := result.(upstream.Fresh); fresh {
+	if f.wants(update, result) {
 		err = f.take(update, at)
 	}
 	f.pulled(resultName(result))
@@ -154,6 +154,15 @@
 	return update.Confirmation
 }
 
+// wants reports whether an update is to be taken in. A router that knows nothing
+// yet takes the state of any peer; ages and revisions guard what is believed.
+func (f *follower) wants(update *upstream.Update, result upstream.Result) bool {
+	if _, fresh := result.(upstream.Fresh); fresh {
+		return true
+	}
+	return update != nil && update.Complete() && !f.replica.knows()
+}
+
 // resultName is the name of a result in metrics.
 func resultName(result upstream.Result) string {
 	return strings.ToLower(strings.TrimPrefix(fmt.Sprintf("%T", result), "upstream."))
@@ -166,7 +175,7 @@
 		return upstream.Failed{}
 	case update.Revision != peer.Revision:
 		return upstream.Restarted{Revision: update.Revision}
-	case update.Configuration.Revision == 0 || update.List.Digest == 0:
+	case !update.Complete():
 		return upstream.Stale{}
 	}
 	age := max(update.Configuration.Age, update.List.Age)
--- a/internal/node/pull_test.go
+++ b/internal/node/pull_test.go
@@ -150,14 +150,8 @@
 	}
 	askedAt := time.Now()
 	asked.follower.chain.followed(pull.From)
-	newest, changed := asked.follower.replica.Confirmation()
-	if pull.Confirmation != 0 && newest == pull.Confirmation {
-		select {
-		case <-changed:
-		case <-time.After(time.Second):
-		case <-ctx.Done():
-			return nil, time.Time{}, ctx.Err()
-		}
+	if !upstream.Hold(ctx, asked.follower.replica, pull) {
+		return nil, time.Time{}, ctx.Err()
 	}
 	now := time.Now()
 	update := asked.follower.replica.Update(now, pull)
@@ -251,6 +245,50 @@
 	})
 }
 
+// Routers that start together are supplied by the first of them, and so are those
+// that start again together, whose rows of former lives are still there.
+func TestAStartOfAllRoutersIsNoStorm(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		z := newZone()
+		const routers = 60
+		name := func(i int) ident.Node { return ident.Node(fmt.Sprintf("r%02d-%d", i, i%3)) }
+		startAll := func() {
+			for i := range routers {
+				z.start(t.Context(), name(i))
+				time.Sleep(2 * time.Millisecond)
+			}
+		}
+		startAll()
+		time.Sleep(time.Second)
+		z.adopted(t, 1)
+		total, _ := z.reads()
+		is.True(total <= 3*2) // the first of each zone, if at all
+		for i := range routers {
+			z.kill(name(i))
+		}
+		startAll()
+		time.Sleep(time.Second)
+		z.adopted(t, 1)
+		total, _ = z.reads()
+		t.Logf("%d reads after the restart", total)
+		is.True(total <= routers/2)
+	})
+}
+
+// A router whose peers know nothing reads the store soon.
+func TestAStartingRouterDoesNotWaitForDeadPeers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		z := startZone(t, "a", "b", "c")
+		for _, node := range []ident.Node{"a", "b", "c"} {
+			z.kill(node)
+		}
+		z.start(t.Context(), "d")
+		time.Sleep(startPatience + startStagger + startPause)
+		z.adopted(t, 1)
+	})
+}
+
 // What a follower believes is never dated later than the read it comes from.
 func TestPulledStateKeepsItsAge(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/node/replica.go
+++ b/internal/node/replica.go
@@ -47,9 +47,30 @@
 func (r *replica) Confirmation() (uint64, <-chan struct{}) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if !r.known() {
+		return 0, r.changed
+	}
 	return r.confirmation, r.changed
 }
 
+// Revision implements upstream.State.
+func (r *replica) Revision() uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.self.Revision
+}
+
+// known reports whether both the configuration and the list of back ends are held
+// here; the caller holds the mutex.
+func (r *replica) known() bool { return r.revision != 0 && r.list.digest != 0 }
+
+// knows reports whether both the configuration and the list of back ends are held.
+func (r *replica) knows() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.known()
+}
+
 // Update implements upstream.State.
 func (r *replica) Update(now time.Time, pull *upstream.Pull) *upstream.Update {
 	r.mu.Lock()
--- a/internal/upstream/pull_test.go
+++ b/internal/upstream/pull_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -44,11 +45,16 @@
 	return s.confirmation, s.changed
 }
 
+func (s *fakeState) Revision() uint64 { return fakeRevision }
+
+// fakeRevision is the revision of the router that has a fakeState.
+const fakeRevision = 7
+
 func (s *fakeState) Update(now time.Time, pull *upstream.Pull) *upstream.Update {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	update := &upstream.Update{
-		Revision: 7, Confirmation: s.confirmation, Origin: "reader", Routers: 3,
+		Revision: fakeRevision, Confirmation: s.confirmation, Origin: "reader", Routers: 3,
 		Configuration: upstream.Configuration{Revision: 5, Age: now.Sub(s.readAt)},
 		List:          upstream.List{Digest: 9, Age: now.Sub(s.readAt)},
 	}
@@ -143,3 +149,31 @@
 		})
 	}
 }
+
+// A router that knows nothing yet holds back those behind it, not those before it.
+func TestARouterWithoutStateHoldsThoseBehindIt(t *testing.T) {
+	tests := []struct {
+		name         string
+		from         uint64
+		confirmation uint64
+		held         bool
+	}{
+		{"behind", fakeRevision + 1, 0, true},
+		{"before", fakeRevision - 1, 0, false},
+		{"behind, with state of a former life", fakeRevision + 1, 3, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				state := newFakeState()
+				state.confirmation = 0
+				begun := time.Now()
+				time.AfterFunc(30*time.Millisecond, state.confirm)
+				pull := &upstream.Pull{From: upstream.Peer{Node: "asker", Revision: tt.from}, Confirmation: tt.confirmation}
+				is.True(upstream.Hold(t.Context(), state, pull))
+				is.Equal(time.Since(begun) > 0, tt.held)
+			})
+		})
+	}
+}
--- a/internal/upstream/server.go
+++ b/internal/upstream/server.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"time"
@@ -17,6 +18,9 @@
 	maxUpdate = 8 << 20
 	// holdFor bounds how long an answer is held back for something new.
 	holdFor = 1200 * time.Millisecond
+	// holdUnsupplied bounds how long a router that knows nothing yet holds those
+	// behind it: about the time in which the first router of all is supplied.
+	holdUnsupplied = 150 * time.Millisecond
 	// keepAlive is told to peers in seconds, so that they keep connections
 	// between two pulls.
 	keepAlive = "timeout=30"
@@ -26,9 +30,11 @@
 type State interface {
 	// Update returns what the asker lacks.
 	Update(now time.Time, pull *Pull) *Update
-	// Confirmation returns the number of the newest confirmation, and a channel
-	// that is closed at the next one.
+	// Confirmation returns the number of the newest confirmation, 0 while the state
+	// is not known in whole, and a channel that is closed at the next one.
 	Confirmation() (uint64, <-chan struct{})
+	// Revision returns the revision of this router's row, 0 if it has none yet.
+	Revision() uint64
 }
 
 // Server answers pulls.
@@ -54,7 +60,7 @@
 		return
 	}
 	s.followed(pull.From)
-	if !s.hold(r, &pull) {
+	if !Hold(r.Context(), s.state, &pull) {
 		return
 	}
 	now := time.Now()
@@ -69,19 +75,36 @@
 	_, _ = w.Write(encoded)
 }
 
-// hold waits for news, and reports whether the asker is still there.
-func (s *Server) hold(r *http.Request, pull *Pull) bool {
-	newest, changed := s.state.Confirmation()
-	if pull.Confirmation == 0 || newest != pull.Confirmation {
-		return true
+// Hold waits until there is news for the asker, for a bounded time, and reports
+// whether ctx is still open.
+//
+// A router that knows nothing yet lets those behind it wait as well: it is about to
+// be supplied itself. One before it must not wait, since each of two restarted
+// routers may take the other for the one that supplies it.
+func Hold(ctx context.Context, state State, pull *Pull) bool {
+	bound := holdFor
+	if newest, _ := state.Confirmation(); newest == 0 {
+		bound = holdUnsupplied
 	}
-	timer := time.NewTimer(holdFor)
+	timer := time.NewTimer(bound)
 	defer timer.Stop()
-	select {
-	case <-changed:
-	case <-timer.C:
-	case <-r.Context().Done():
-		return false
+	for {
+		newest, changed := state.Confirmation()
+		if newest != pull.Confirmation || (newest == 0 && !behind(state, pull)) {
+			return true
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return true
+		case <-ctx.Done():
+			return false
+		}
 	}
-	return true
+}
+
+// behind reports whether the asker comes after the router that it asks.
+func behind(state State, pull *Pull) bool {
+	own := state.Revision()
+	return own != 0 && pull.From.Revision > own
 }
--- a/internal/upstream/update.go
+++ b/internal/upstream/update.go
@@ -36,6 +36,9 @@
 	Routers int `cbor:"7,keyasint"`
 }
 
+// Complete reports whether the peer knows both the configuration and the list.
+func (u *Update) Complete() bool { return u.Configuration.Revision != 0 && u.List.Digest != 0 }
+
 // Configuration is a configuration with the time since it was confirmed.
 type Configuration struct {
 	// Revision is that of the store's row, 0 if none is known.
