Let one router of each zone read the stores of prompt caches

Change: the first router of a zone reads; the others pull what it learns over the tree that carries the configuration, as changes of the copy that they hold. Parts go by a name of 64 bits, which makes the copies small in memory and on the wire.

--- a/internal/node/caches.go
+++ b/internal/node/caches.go
@@ -25,15 +25,19 @@
 	cacheTimeout = 300 * time.Millisecond
 )
 
-// cacheFollower keeps the beliefs about the stores of kept prompt caches. A store
-// that cannot be read is taken for unknown after a while.
+// cacheFollower reads the stores of kept prompt caches for all routers of its zone,
+// which pull what it learns. A store that cannot be read is taken for unknown after a
+// while.
 type cacheFollower struct {
+	// reads reports whether this router reads for its zone.
+	reads  func() bool
 	reader CacheReader
 	index  *promptcache.Index
 	holder *catalog.Holder
 }
 
-// run reads all stores of the configuration in force until ctx ends.
+// run reads all stores of the configuration in force, while that is this router's
+// duty, until ctx ends.
 func (f *cacheFollower) run(ctx context.Context) {
 	wait.Every(ctx, cacheInterval, func() {
 		view := f.holder.View()
@@ -42,6 +46,9 @@
 		}
 		stores := view.Snapshot.CacheStores()
 		f.index.Retain(stores)
+		if !f.reads() {
+			return
+		}
 		for _, store := range stores {
 			f.read(ctx, store)
 		}
--- a/internal/node/caches_test.go
+++ b/internal/node/caches_test.go
@@ -48,11 +48,13 @@
 	tests := []struct {
 		name           string
 		reader         fakeCaches
+		follows        bool
 		lists, changes int
 		want           promptcache.Belief
 	}{
 		{name: "listed once, then followed", lists: 1, changes: 9, want: promptcache.Held},
 		{name: "listed anew after a gap", reader: fakeCaches{lost: true}, lists: 5, changes: 5, want: promptcache.Unknown},
+		{name: "read by another router of the zone", follows: true, want: promptcache.Unknown},
 		{name: "dark", reader: fakeCaches{dark: true}, lists: 10, want: promptcache.Unknown},
 	}
 	for _, tt := range tests {
@@ -62,7 +64,9 @@
 				holder := &catalog.Holder{}
 				holder.Adopt(snapshot, time.Now())
 				index := promptcache.NewIndex()
-				follower := &cacheFollower{reader: &tt.reader, index: index, holder: holder}
+				follower := &cacheFollower{
+					reads: func() bool { return !tt.follows }, reader: &tt.reader, index: index, holder: holder,
+				}
 				ctx, cancel := context.WithTimeout(t.Context(), 10*cacheInterval+cacheInterval/2)
 				defer cancel()
 				follower.run(ctx)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -17,7 +17,6 @@
 	"github.com/fieldpond/fieldpond/internal/ident"
 	"github.com/fieldpond/fieldpond/internal/lease"
 	"github.com/fieldpond/fieldpond/internal/mechanism"
-	"github.com/fieldpond/fieldpond/internal/promptcache"
 	"github.com/fieldpond/fieldpond/internal/rollout"
 	"github.com/fieldpond/fieldpond/internal/store"
 	"github.com/fieldpond/fieldpond/internal/upstream"
@@ -81,7 +80,6 @@
 	lease    *lease.Elector
 	metrics  *metrics
 	follower *follower
-	caches   *promptcache.Index
 	stopping atomic.Bool
 }
 
@@ -95,7 +93,6 @@
 		lease:    lease.NewElector(ports.Table, config.Lease, rolloutLease, config.Node),
 	}
 	n.metrics = newMetrics(n.read)
-	n.caches = promptcache.NewIndex()
 	n.follower = n.newFollower()
 	return n
 }
@@ -186,7 +183,7 @@
 		func(ctx context.Context) { follower.countRouters(ctx, n.holdsLease) }, listen, n.contend, n.lease.Run, controller.Run,
 	}
 	if n.ports.Caches != nil && n.config.Off.On(mechanism.CacheIndex) {
-		caches := &cacheFollower{reader: n.ports.Caches, index: n.caches, holder: n.holder}
+		caches := &cacheFollower{reads: follower.chain.leads, reader: n.ports.Caches, index: follower.replica.caches, holder: n.holder}
 		loops = append(loops, caches.run)
 	}
 	return append(loops, n.ports.Loops...)
--- a/internal/node/pull.go
+++ b/internal/node/pull.go
@@ -133,6 +133,10 @@
 func (f *follower) pull(ctx context.Context, peer upstream.Peer, confirmation uint64) uint64 {
 	pull := &upstream.Pull{Confirmation: confirmation}
 	pull.Configuration, pull.List = f.replica.holds()
+	// What caches hold can wait until this router can serve.
+	if f.replica.knows() {
+		pull.Caches, pull.CacheHeld = true, f.replica.caches.Positions()
+	}
 	f.chain.use(func(chain *upstream.Chain) { pull.From = chain.Self() })
 	update, at, err := f.client.Pull(ctx, peer, pull)
 	if ctx.Err() != nil {
@@ -195,6 +199,7 @@
 		return err
 	}
 	f.replica.takeList(update.Origin, at.Add(-update.List.Age), &update.List)
+	f.replica.caches.Take(at, update.Caches)
 	if update.Routers > 0 {
 		f.replica.counted(update.Routers)
 	}
--- a/internal/node/pull_test.go
+++ b/internal/node/pull_test.go
@@ -16,6 +16,7 @@
 	"github.com/fieldpond/fieldpond/internal/backend"
 	"github.com/fieldpond/fieldpond/internal/catalog"
 	"github.com/fieldpond/fieldpond/internal/ident"
+	"github.com/fieldpond/fieldpond/internal/promptcache"
 	"github.com/fieldpond/fieldpond/internal/store"
 	"github.com/fieldpond/fieldpond/internal/upstream"
 	"github.com/fieldpond/fieldpond/internal/wait"
@@ -276,6 +277,29 @@
 	})
 }
 
+// What one router reads of a store of prompt caches, all others of the zone learn.
+func TestWhatCachesHoldIsPulled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		z := startZone(t, "a", "b", "c", "d", "e", "f", "g", "h", "i", "j", "k", "l")
+		store := netip.MustParseAddrPort("10.0.0.9:1")
+		part := promptcache.Part{Salt: "v1", ID: "p"}
+		caches := func(node ident.Node) *promptcache.Index { return z.routers[node].follower.replica.caches }
+		caches("a").Replace(time.Now(), store, &promptcache.Listing{Epoch: 1, Next: 5})
+		time.Sleep(1500 * time.Millisecond)
+		is.Equal(caches("l").Holds(time.Now(), store, part, 100), promptcache.Missing)
+		caches("a").Apply(time.Now(), store, &promptcache.Changes{
+			Epoch: 1, Next: 6, Changes: []promptcache.Change{{Part: part, Tokens: 100}},
+		})
+		time.Sleep(1500 * time.Millisecond)
+		for node := range z.routers {
+			is.Equal(caches(node).Holds(time.Now(), store, part, 100), promptcache.Held)
+		}
+		time.Sleep(5 * time.Second) // the reader hears nothing more of the store
+		is.Equal(caches("l").Holds(time.Now(), store, part, 100), promptcache.Unknown)
+	})
+}
+
 // A router whose peers know nothing reads the store soon.
 func TestAStartingRouterDoesNotWaitForDeadPeers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/node/replica.go
+++ b/internal/node/replica.go
@@ -11,6 +11,7 @@
 	"github.com/fieldpond/fieldpond/internal/backend"
 	"github.com/fieldpond/fieldpond/internal/catalog"
 	"github.com/fieldpond/fieldpond/internal/ident"
+	"github.com/fieldpond/fieldpond/internal/promptcache"
 	"github.com/fieldpond/fieldpond/internal/upstream"
 )
 
@@ -22,6 +23,8 @@
 	holder   *catalog.Holder
 	backends *backend.Registry
 	decode   func(body []byte) (*catalog.Snapshot, error)
+	// caches is what stores of prompt caches hold; it is passed on, not read here.
+	caches *promptcache.Index
 
 	mu           sync.Mutex
 	self         upstream.Peer
@@ -40,7 +43,10 @@
 }
 
 func newReplica(node ident.Node, holder *catalog.Holder, backends *backend.Registry, decode func([]byte) (*catalog.Snapshot, error)) *replica {
-	return &replica{node: node, holder: holder, backends: backends, decode: decode, changed: make(chan struct{})}
+	return &replica{
+		node: node, holder: holder, backends: backends, decode: decode,
+		caches: promptcache.NewIndex(), changed: make(chan struct{}),
+	}
 }
 
 // Confirmation implements upstream.State.
@@ -96,6 +102,9 @@
 		update.List.Told = true
 		update.List.Base, update.List.Records, update.List.Removed = r.list.since(pull.List)
 	}
+	if pull.Caches {
+		update.Caches = r.caches.Updates(now, pull.CacheHeld)
+	}
 	return update
 }
 
--- /dev/null
+++ b/internal/promptcache/copy.go
@@ -0,0 +1,147 @@
+package promptcache
+
+import (
+	"net/netip"
+	"time"
+)
+
+// Entry is how much of the cache of a part a store holds, under a short name of the
+// part. It is an array of two on the wire.
+type Entry struct {
+	_ struct{} `cbor:",toarray"`
+	// Key is that of Part.Key.
+	Key uint64
+	// Tokens is 0 if nothing is left.
+	Tokens int
+}
+
+// Position names a copy of what a store held.
+type Position struct {
+	Store netip.AddrPort `cbor:"1,keyasint"`
+	// Epoch and Next are those of the newest changes that the copy has.
+	Epoch uint64 `cbor:"2,keyasint"`
+	Next  uint64 `cbor:"3,keyasint"`
+}
+
+// Update brings a copy of another router up to date.
+type Update struct {
+	// Position names the copy that comes out.
+	Position Position `cbor:"1,keyasint"`
+	// Whole says that Entries are all that the store holds; else they change the
+	// copy of the same epoch that ends at Since.
+	Whole   bool    `cbor:"2,keyasint,omitempty"`
+	Since   uint64  `cbor:"3,keyasint,omitempty"`
+	Entries []Entry `cbor:"4,keyasint,omitempty"`
+	// Age is the time since the store was asked.
+	Age time.Duration `cbor:"5,keyasint"`
+}
+
+const (
+	// maxBatches and maxLogged bound the changes that are kept for other routers, as
+	// answers of a store and as entries. Who lacks older ones is told everything.
+	maxBatches = 32
+	maxLogged  = 4096
+)
+
+// batch holds the changes of one answer of a store.
+type batch struct {
+	// since is the position that the answer begins at.
+	since   uint64
+	entries []Entry
+}
+
+// Positions names the copies held here.
+func (x *Index) Positions() []Position {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	positions := make([]Position, 0, len(x.stores))
+	for store, found := range x.stores {
+		positions = append(positions, Position{Store: store, Epoch: found.epoch, Next: found.next})
+	}
+	return positions
+}
+
+// Updates returns what brings the copies of another router up to date. Stores that
+// were not heard of lately are left out.
+func (x *Index) Updates(now time.Time, held []Position) []Update {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	copies := make(map[netip.AddrPort]Position, len(held))
+	for _, position := range held {
+		copies[position.Store] = position
+	}
+	var updates []Update
+	for store, found := range x.stores {
+		age := now.Sub(found.heardAt)
+		if age > staleAfter {
+			continue
+		}
+		update := found.since(copies[store])
+		update.Position = Position{Store: store, Epoch: found.epoch, Next: found.next}
+		update.Age = age
+		updates = append(updates, update)
+	}
+	return updates
+}
+
+// Take takes in updates of another router, whose ages count up to a time. Those that
+// are not newer than the copies held here, or do not fit them, change nothing.
+func (x *Index) Take(at time.Time, updates []Update) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	for _, update := range updates {
+		x.take(at.Add(-update.Age), &update)
+	}
+}
+
+func (x *Index) take(heardAt time.Time, update *Update) {
+	position := &update.Position
+	found := x.stores[position.Store]
+	switch {
+	case found != nil && !heardAt.After(found.heardAt):
+		return
+	case update.Whole:
+		found = newContents(position.Epoch, position.Next, found)
+		x.stores[position.Store] = found
+	case found == nil || found.epoch != position.Epoch || found.next != update.Since:
+		return
+	default:
+		found.log(update.Entries)
+		found.next = position.Next
+	}
+	found.heardAt = heardAt
+	found.take(update.Entries)
+	found.settle(heardAt)
+}
+
+// since returns the changes since another router's copy, or everything.
+func (c *contents) since(held Position) Update {
+	if held.Epoch == c.epoch && held.Next == c.next {
+		return Update{Since: c.next}
+	}
+	for index, kept := range c.batches {
+		if held.Epoch != c.epoch || kept.since != held.Next {
+			continue
+		}
+		update := Update{Since: held.Next}
+		for _, later := range c.batches[index:] {
+			update.Entries = append(update.Entries, later.entries...)
+		}
+		return update
+	}
+	update := Update{Whole: true, Entries: make([]Entry, 0, len(c.held))}
+	for key, tokens := range c.held {
+		update.Entries = append(update.Entries, Entry{Key: key, Tokens: tokens})
+	}
+	return update
+}
+
+// log keeps changes from the present position on for other routers.
+func (c *contents) log(entries []Entry) {
+	c.batches = append(c.batches, batch{since: c.next, entries: entries})
+	c.logged += len(entries)
+	for len(c.batches) > maxBatches || c.logged > maxLogged {
+		c.logged -= len(c.batches[0].entries)
+		c.batches = c.batches[1:]
+	}
+}
--- a/internal/promptcache/index.go
+++ b/internal/promptcache/index.go
@@ -9,6 +9,8 @@
 	"net/netip"
 	"sync"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Part names the cache of one part of a prompt.
@@ -18,6 +20,11 @@
 	ID   string
 }
 
+// Key is a short name of the part: 64 bits, so that beliefs about thousands of parts
+// take little memory and few bytes between routers. Two parts of the same name would
+// be taken for one, at the price of one save too few.
+func (p Part) Key() uint64 { return xxhash.Sum64String(p.Salt + "\x00" + p.ID) }
+
 // Change says how much of a part's cache a store holds from now on.
 type Change struct {
 	Part
@@ -77,9 +84,23 @@
 type contents struct {
 	epoch, next uint64
 	heardAt     time.Time
-	held        map[Part]int
+	// held are the tokens kept of each part, by the part's key.
+	held map[uint64]int
 	// saving holds when the save of a part was asked for by this router.
-	saving map[Part]time.Time
+	saving map[uint64]time.Time
+	// batches are the newest changes, for other routers; logged counts their entries.
+	batches []batch
+	logged  int
+}
+
+// newContents returns contents that are empty but for the saves that a former copy of
+// the store waits for.
+func newContents(epoch, next uint64, former *contents) *contents {
+	fresh := &contents{epoch: epoch, next: next, held: make(map[uint64]int), saving: make(map[uint64]time.Time)}
+	if former != nil {
+		fresh.saving = former.saving
+	}
+	return fresh
 }
 
 // NewIndex returns an index that knows no store.
@@ -103,11 +124,9 @@
 func (x *Index) Replace(askedAt time.Time, store netip.AddrPort, listing *Listing) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	found := &contents{
-		epoch: listing.Epoch, next: listing.Next, heardAt: askedAt,
-		held: make(map[Part]int, len(listing.Held)), saving: make(map[Part]time.Time),
-	}
-	found.take(listing.Held)
+	found := newContents(listing.Epoch, listing.Next, nil)
+	found.heardAt = askedAt
+	found.take(entries(listing.Held))
 	x.stores[store] = found
 }
 
@@ -124,8 +143,10 @@
 		delete(x.stores, store)
 		return
 	}
+	changed := entries(changes.Changes)
+	found.log(changed)
 	found.next, found.heardAt = changes.Next, askedAt
-	found.take(changes.Changes)
+	found.take(changed)
 	found.settle(askedAt)
 }
 
@@ -150,7 +171,7 @@
 	switch {
 	case found == nil || now.Sub(found.heardAt) > staleAfter:
 		return Unknown
-	case found.held[part]*10 >= tokens*heldPart && tokens > 0:
+	case found.held[part.Key()]*10 >= tokens*heldPart && tokens > 0:
 		return Held
 	}
 	return Missing
@@ -165,31 +186,41 @@
 	if found == nil {
 		return false
 	}
-	if askedAt, asked := found.saving[part]; asked && now.Sub(askedAt) < savedWithin {
+	key := part.Key()
+	if askedAt, asked := found.saving[key]; asked && now.Sub(askedAt) < savedWithin {
 		return false
 	}
-	found.saving[part] = now
+	found.saving[key] = now
 	return true
 }
 
+// entries names the parts of changes by their keys.
+func entries(changes []Change) []Entry {
+	named := make([]Entry, 0, len(changes))
+	for _, change := range changes {
+		named = append(named, Entry{Key: change.Part.Key(), Tokens: change.Tokens})
+	}
+	return named
+}
+
 // take takes in changes; parts beyond the bound are taken for missing.
-func (c *contents) take(changes []Change) {
+func (c *contents) take(changes []Entry) {
 	for _, change := range changes {
 		if change.Tokens <= 0 {
-			delete(c.held, change.Part)
+			delete(c.held, change.Key)
 			continue
 		}
-		if _, known := c.held[change.Part]; known || len(c.held) < maxParts {
-			c.held[change.Part] = change.Tokens
+		if _, known := c.held[change.Key]; known || len(c.held) < maxParts {
+			c.held[change.Key] = change.Tokens
 		}
 	}
 }
 
 // settle forgets the saves that must have shown by now.
 func (c *contents) settle(now time.Time) {
-	for part, askedAt := range c.saving {
+	for key, askedAt := range c.saving {
 		if now.Sub(askedAt) >= savedWithin {
-			delete(c.saving, part)
+			delete(c.saving, key)
 		}
 	}
 }
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -73,5 +73,10 @@
 			return errors.New("the peer's times are not possible")
 		}
 	}
+	for _, cache := range u.Caches {
+		if cache.Age < 0 {
+			return errors.New("the peer's times are not possible")
+		}
+	}
 	return nil
 }
--- a/internal/upstream/update.go
+++ b/internal/upstream/update.go
@@ -5,6 +5,7 @@
 
 	"github.com/fieldpond/fieldpond/internal/backend"
 	"github.com/fieldpond/fieldpond/internal/ident"
+	"github.com/fieldpond/fieldpond/internal/promptcache"
 )
 
 // Pull asks a peer for what changed since the last pull. Pull and Update are
@@ -18,6 +19,9 @@
 	// Configuration and List name the copies that the asker holds, 0 for none.
 	Configuration uint64 `cbor:"3,keyasint,omitempty"`
 	List          uint64 `cbor:"4,keyasint,omitempty"`
+	// Caches asks for what stores of prompt caches hold, beyond the copies named.
+	Caches    bool                   `cbor:"5,keyasint,omitempty"`
+	CacheHeld []promptcache.Position `cbor:"6,keyasint,omitempty"`
 }
 
 // Update is the state of a peer. Ages count up to the moment it was answered.
@@ -34,6 +38,8 @@
 	List          List          `cbor:"6,keyasint"`
 	// Routers is the number of routers in all zones, 0 if not known.
 	Routers int `cbor:"7,keyasint"`
+	// Caches tell what stores of prompt caches hold, to those who asked.
+	Caches []promptcache.Update `cbor:"8,keyasint,omitempty"`
 }
 
 // Complete reports whether the peer knows both the configuration and the list.
