--- a/internal/health/tracker.go
+++ b/internal/health/tracker.go
@@ -31,8 +31,10 @@
 	// silentMisses is the number of checks in a row without an answer after which an
 	// engine counts as silent: one may be a lost packet.
 	silentMisses = 2
-	// doubtfulShare is the least part of the engines, as a divisor, whose silence
-	// rather shows that this router is cut off or was frozen.
+	// overdue is how long a check may be under way before it is a sign of silence.
+	overdue = 100 * time.Millisecond
+	// doubtfulShare is the part of the engines, as a divisor, of which more may not show
+	// signs of silence: that rather says that this router is cut off or was frozen.
 	doubtfulShare = 2
 )
 
@@ -41,6 +43,7 @@
 	record  backend.Record
 	misses  int
 	asking  bool
+	askedAt time.Time
 	checkAt time.Time
 	// waiting is the number of requests that waited there at the last check, told
 	// the number in the last notice.
@@ -85,7 +88,7 @@
 		if known.asking || now.Before(known.checkAt) {
 			continue
 		}
-		known.asking = true
+		known.asking, known.askedAt = true, now
 		due = append(due, known.record)
 	}
 	return due
@@ -130,16 +133,20 @@
 	return queues
 }
 
-// Silent returns the engines that count as silent, by instance. It returns none if
-// they are so many that this router itself is in doubt.
-func (t *Tracker) Silent() []ident.Incarnation {
+// Silent returns the engines that count as silent, by instance. It returns none if so
+// many show signs of silence that this router itself is in doubt.
+func (t *Tracker) Silent(now time.Time) []ident.Incarnation {
 	var silent []ident.Incarnation
+	signs := 0
 	for instance, known := range t.engines {
+		if known.misses > 0 || (known.asking && now.Sub(known.askedAt) >= overdue) {
+			signs++
+		}
 		if known.misses >= silentMisses {
 			silent = append(silent, instance)
 		}
 	}
-	if len(silent)*doubtfulShare > len(t.engines) {
+	if signs*doubtfulShare > len(t.engines) {
 		return nil
 	}
 	slices.Sort(silent)
--- /dev/null
+++ b/internal/health/tracker_test.go
@@ -0,0 +1,128 @@
+package health_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/fieldpond/fieldpond/internal/backend"
+	"github.com/fieldpond/fieldpond/internal/health"
+	"github.com/fieldpond/fieldpond/internal/ident"
+)
+
+var start = time.Unix(1000, 0)
+
+const watched = 6
+
+func name(index int) ident.Incarnation { return ident.Incarnation(fmt.Sprintf("i-%d", index)) }
+
+func tracker() *health.Tracker {
+	var records []backend.Record
+	for index := range watched {
+		records = append(records, backend.Record{Instance: name(index)})
+	}
+	tracked := health.NewTracker(health.Config{})
+	tracked.Watch(start, records)
+	return tracked
+}
+
+// timeout is how long a check of an engine that does not answer takes.
+const timeout = 300 * time.Millisecond
+
+// play checks engines for a time; answers says whether an engine answers at a time
+// after the start. It returns the time at which each engine was first silent.
+func play(tracked *health.Tracker, last time.Duration, answers func(index int, after time.Duration) bool) map[ident.Incarnation]time.Duration {
+	first := make(map[ident.Incarnation]time.Duration)
+	missedAt := make(map[ident.Incarnation]time.Duration)
+	for after := time.Duration(0); after <= last; after += 10 * time.Millisecond {
+		now := start.Add(after)
+		for instance, at := range missedAt {
+			if after >= at {
+				tracked.Missed(now, instance)
+				delete(missedAt, instance)
+			}
+		}
+		for _, record := range tracked.Due(now) {
+			var index int
+			_, _ = fmt.Sscanf(string(record.Instance), "i-%d", &index)
+			if answers(index, after) {
+				tracked.Answered(now, record.Instance, 0)
+			} else {
+				missedAt[record.Instance] = after + timeout
+			}
+		}
+		for _, instance := range tracked.Silent(now) {
+			if _, known := first[instance]; !known {
+				first[instance] = after
+			}
+		}
+	}
+	return first
+}
+
+func TestSilentEngines(t *testing.T) {
+	const dies = time.Second
+	tests := []struct {
+		name    string
+		answers func(index int, after time.Duration) bool
+		silent  int
+	}{
+		{"all answer", func(int, time.Duration) bool { return true }, 0},
+		{"one dies", func(index int, after time.Duration) bool { return index != 2 || after < dies }, 1},
+		{"half of them die", func(index int, after time.Duration) bool { return index >= watched/2 || after < dies }, watched / 2},
+		{"this router is cut off", func(_ int, after time.Duration) bool { return after < dies }, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			tracked := tracker()
+			first := play(tracked, 3*dies, tt.answers)
+			is.Equal(len(first), tt.silent)
+			for _, silentFrom := range first {
+				is.True(silentFrom >= dies)
+				is.True(silentFrom <= dies+1200*time.Millisecond)
+			}
+		})
+	}
+}
+
+func TestOneLostCheckIsNoSilence(t *testing.T) {
+	is := is.New(t)
+	checks := 0
+	first := play(tracker(), 5*time.Second, func(index int, _ time.Duration) bool {
+		if index == 1 {
+			checks++
+		}
+		return index != 1 || checks%2 == 0
+	})
+	is.Equal(len(first), 0)
+}
+
+func TestASilentEngineThatAnswersIsToldOnce(t *testing.T) {
+	is := is.New(t)
+	tracked := tracker()
+	play(tracked, time.Second, func(index int, _ time.Duration) bool { return index != 3 })
+	now := start.Add(time.Second)
+	before := tracked.Silent(now)
+	is.Equal(before, []ident.Incarnation{name(3)})
+	tracked.Answered(now, name(3), 0)
+	is.Equal(health.Since(before, tracked.Silent(now)), health.Notice{Answering: []ident.Incarnation{name(3)}})
+	is.Equal(health.Since(nil, before), health.Notice{Silent: before})
+	tracked.Missed(start, "gone")
+	tracked.Answered(start, "gone", 4)
+	is.Equal(len(tracked.Queues()), 0)
+}
+
+func TestQueuesAreToldUntilTheyEnd(t *testing.T) {
+	is := is.New(t)
+	tracked := tracker()
+	tracked.Answered(start, name(4), 7)
+	tracked.Answered(start, name(1), 2)
+	is.Equal(tracked.Queues(), []health.Queue{{Instance: name(1), Waiting: 2}, {Instance: name(4), Waiting: 7}})
+	tracked.Answered(start, name(4), 0)
+	tracked.Missed(start, name(1))
+	is.Equal(tracked.Queues(), []health.Queue{{Instance: name(1)}, {Instance: name(4)}})
+	is.Equal(len(tracked.Queues()), 0)
+}
--- a/internal/node/health.go
+++ b/internal/node/health.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/apex/log"
@@ -38,6 +39,7 @@
 
 	tracker   *health.Tracker
 	results   chan checkResult
+	checks    sync.WaitGroup
 	watchedAt time.Time
 	silent    []ident.Incarnation
 	toldAt    time.Time
@@ -57,6 +59,7 @@
 	w.tracker = health.NewTracker(health.Config{})
 	ticker := time.NewTicker(healthTick)
 	defer ticker.Stop()
+	defer w.checks.Wait()
 	for {
 		select {
 		case <-ctx.Done():
@@ -76,7 +79,7 @@
 		w.tracker.Watch(now, w.watched())
 	}
 	for _, record := range w.tracker.Due(now) {
-		go w.check(ctx, record)
+		w.checks.Go(func() { w.check(ctx, record) })
 	}
 	w.announce(now)
 	w.announceQueues(now)
@@ -119,7 +122,7 @@
 // announce tells which engines are silent when that changes, and again while there
 // are any.
 func (w *healthWatcher) announce(now time.Time) {
-	silent := w.tracker.Silent()
+	silent := w.tracker.Silent(now)
 	changed := !slices.Equal(silent, w.silent)
 	if !changed && (len(silent) == 0 || now.Sub(w.toldAt) < toldAgain) {
 		return
--- /dev/null
+++ b/internal/node/health_test.go
@@ -0,0 +1,121 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/fieldpond/fieldpond/internal/backend"
+	"github.com/fieldpond/fieldpond/internal/health"
+	"github.com/fieldpond/fieldpond/internal/ident"
+	"github.com/fieldpond/fieldpond/internal/rollout"
+)
+
+// checkedEngines report how many requests wait; those that are dark answer nothing.
+type checkedEngines struct {
+	idleEngines
+
+	mu     sync.Mutex
+	dark   map[ident.Incarnation]bool
+	queued map[ident.Incarnation]int
+	checks map[ident.Incarnation]int
+}
+
+// Report implements rollout.Engines.
+func (e *checkedEngines) Report(ctx context.Context, target backend.Record) (*rollout.Report, error) {
+	e.mu.Lock()
+	e.checks[target.Instance]++
+	dark, queued := e.dark[target.Instance], e.queued[target.Instance]
+	e.mu.Unlock()
+	if dark {
+		<-ctx.Done()
+		return nil, errors.New("no answer")
+	}
+	return &rollout.Report{Queued: queued}, nil
+}
+
+// checkedRecords are engines of two zones, one that leaves, and an application.
+func checkedRecords() []backend.Record {
+	models := map[ident.Model]int{model: 1}
+	return []backend.Record{
+		{Instance: "a", Service: "s", Zone: "z", Models: models}, {Instance: "b", Service: "s", Zone: "z", Models: models},
+		{Instance: "c", Service: "s", Zone: "z", Models: models}, {Instance: "far", Service: "s", Zone: "y", Models: models},
+		{Instance: "leaving", Service: "s", Zone: "z", Models: models, Draining: true}, {Instance: "app", Service: "t", Zone: "z"},
+	}
+}
+
+// watchFor runs a watcher of zone z for a time, and returns the newest notices.
+func watchFor(t *testing.T, span time.Duration, engines *checkedEngines, leads bool) (silent []ident.Incarnation, queues []health.Queue) {
+	t.Helper()
+	known := backend.NewRegistry(backend.Config{})
+	known.Update(time.Now(), checkedRecords())
+	watcher := &healthWatcher{
+		zone: "z", leads: func() bool { return leads }, engines: engines, backends: known,
+		tell: func(notice health.Notice) {
+			if notice.Silent != nil {
+				silent = notice.Silent
+			}
+			if notice.Queues != nil {
+				queues = notice.Queues
+			}
+		},
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), span)
+	defer cancel()
+	watcher.run(ctx)
+	return silent, queues
+}
+
+func TestTheFirstOfAZoneTellsWhatBecomesOfItsEngines(t *testing.T) {
+	tests := []struct {
+		name   string
+		leads  bool
+		dark   []ident.Incarnation
+		silent []ident.Incarnation
+		queues []health.Queue
+	}{
+		{name: "first of the zone", leads: true, dark: []ident.Incarnation{"b", "far"}, silent: []ident.Incarnation{"b"}, queues: []health.Queue{{Instance: "a", Waiting: 3}}},
+		{name: "not the first", dark: []ident.Incarnation{"b"}},
+		{name: "cut off itself", leads: true, dark: []ident.Incarnation{"a", "b", "c"}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				engines := &checkedEngines{
+					dark: map[ident.Incarnation]bool{}, queued: map[ident.Incarnation]int{"a": 3}, checks: map[ident.Incarnation]int{},
+				}
+				for _, instance := range tt.dark {
+					engines.dark[instance] = true
+				}
+				silent, queues := watchFor(t, 3*time.Second, engines, tt.leads)
+				is.Equal(silent, tt.silent)
+				is.Equal(queues, tt.queues)
+				for _, instance := range []ident.Incarnation{"far", "leaving", "app"} {
+					is.Equal(engines.checks[instance], 0)
+				}
+			})
+		})
+	}
+}
+
+func TestALongNoticeOfQueuesIsSplit(t *testing.T) {
+	is := is.New(t)
+	notice := health.Notice{Silent: []ident.Incarnation{"s"}, Answering: []ident.Incarnation{"t"}}
+	for range 3 * noticeEngines {
+		notice.Queues = append(notice.Queues, health.Queue{Instance: "i", Waiting: 1})
+	}
+	var joined health.Notice
+	for _, part := range splitHealth(notice) {
+		is.True(len(part.Silent)+len(part.Answering)+len(part.Queues) <= noticeEngines)
+		joined.Silent = append(joined.Silent, part.Silent...)
+		joined.Answering = append(joined.Answering, part.Answering...)
+		joined.Queues = append(joined.Queues, part.Queues...)
+	}
+	is.Equal(joined, notice)
+}
--- a/internal/node/notices_test.go
+++ b/internal/node/notices_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 
 	"github.com/fieldpond/fieldpond/internal/backend"
+	"github.com/fieldpond/fieldpond/internal/health"
 	"github.com/fieldpond/fieldpond/internal/ident"
 	"github.com/fieldpond/fieldpond/internal/rollout"
 )
@@ -69,6 +70,47 @@
 	})
 }
 
+func TestWhatChecksFindReachesTheOtherRouters(t *testing.T) {
+	is := is.New(t)
+	listed := func() *backend.Registry {
+		known := backend.NewRegistry(backend.Config{})
+		known.Update(time.Now(), []backend.Record{
+			{Instance: "a", Service: "s", Models: map[ident.Model]int{model: 1}},
+			{Instance: "b", Service: "s", Models: map[ident.Model]int{model: 1}},
+		})
+		return known
+	}
+	other, err := listenNotices(netip.MustParseAddrPort("127.0.0.1:0"), listed(), func() []netip.AddrPort { return nil })
+	is.NoErr(err)
+	go other.listen(t.Context())
+	addr := other.socket.LocalAddr().(interface{ AddrPort() netip.AddrPort }).AddrPort()
+	teller, err := listenNotices(netip.MustParseAddrPort("127.0.0.1:0"), listed(), func() []netip.AddrPort { return []netip.AddrPort{addr} })
+	is.NoErr(err)
+	defer func() { _ = teller.socket.Close() }()
+	tests := []struct {
+		name   string
+		notice health.Notice
+		want   ident.Incarnation
+	}{
+		{"a silent engine", health.Notice{Silent: []ident.Incarnation{"a"}}, "b"},
+		{"one that answers, and a queue at the other", health.Notice{
+			Answering: []ident.Incarnation{"a"}, Queues: []health.Queue{{Instance: "b", Waiting: 9}},
+		}, "a"},
+	}
+	for _, tt := range tests {
+		teller.tellHealth(tt.notice)
+		for _, known := range []*backend.Registry{teller.backends, other.backends} {
+			eventually(t, func() bool {
+				choice, flight, found := known.Pick(time.Now(), &backend.Query{Service: "s", Model: model})
+				if found {
+					flight.Ended(time.Now(), backend.Abandoned)
+				}
+				return found && choice.Instance == tt.want
+			})
+		}
+	}
+}
+
 // eventually waits until a condition holds.
 func eventually(t *testing.T, holds func() bool) {
 	t.Helper()
