Test what routers tell each other over the wire, and fuzz their datagrams

Pulls of what caches hold were tested without the wire only, and datagrams by one unsound sample. No product code changes.

--- /dev/null
+++ b/internal/node/fuzz_test.go
@@ -0,0 +1,50 @@
+package node
+
+import (
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/fieldpond/fieldpond/internal/backend"
+	"github.com/fieldpond/fieldpond/internal/health"
+	"github.com/fieldpond/fieldpond/internal/ident"
+	"github.com/fieldpond/fieldpond/internal/rollout"
+)
+
+// Whatever comes as a datagram breaks nothing; unless it tells of new weights, engines
+// that were listed may still be chosen.
+func FuzzDatagram(f *testing.F) {
+	seeds := []datagram{
+		{Health: &health.Notice{Silent: []ident.Incarnation{"a"}, Answering: []ident.Incarnation{"b"}}},
+		{Health: &health.Notice{Queues: []health.Queue{{Instance: "a", Waiting: -1}, {Instance: "b", Waiting: 1 << 62}}}},
+		{Rollout: &rollout.Notice{Model: model, Version: 2, Loaded: []ident.Incarnation{"x"}}},
+		{},
+	}
+	for _, seed := range seeds {
+		encoded, err := cbor.Marshal(seed)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(encoded)
+	}
+	f.Add([]byte("no notice"))
+	f.Fuzz(func(t *testing.T, encoded []byte) {
+		now := time.Now()
+		known := backend.NewRegistry(backend.Config{})
+		models := map[ident.Model]int{model: 1}
+		known.Update(now, []backend.Record{
+			{Instance: "a", Service: "s", Models: models}, {Instance: "b", Service: "s", Models: models},
+		})
+		(&notices{backends: known}).receive(encoded)
+		_, flight, found := known.Pick(now, &backend.Query{Service: "s", Model: model})
+		if found {
+			flight.Ended(now, backend.Abandoned)
+			return
+		}
+		var told datagram
+		if cbor.Unmarshal(encoded, &told) != nil || told.Rollout == nil {
+			t.Fatal("a datagram shut all engines out")
+		}
+	})
+}
--- a/internal/upstream/pull_test.go
+++ b/internal/upstream/pull_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/fieldpond/fieldpond/internal/backend"
 	"github.com/fieldpond/fieldpond/internal/ident"
+	"github.com/fieldpond/fieldpond/internal/promptcache"
 	"github.com/fieldpond/fieldpond/internal/upstream"
 )
 
@@ -24,6 +25,9 @@
 	confirmation uint64
 	changed      chan struct{}
 	readAt       time.Time
+	// caches are told to those who ask, held is what the last asker has.
+	caches []promptcache.Update
+	held   []promptcache.Position
 }
 
 func newFakeState() *fakeState {
@@ -58,6 +62,9 @@
 		Configuration: upstream.Configuration{Revision: 5, Age: now.Sub(s.readAt)},
 		List:          upstream.List{Digest: 9, Age: now.Sub(s.readAt)},
 	}
+	if pull.Caches {
+		update.Caches, s.held = s.caches, pull.CacheHeld
+	}
 	if pull.List != 9 {
 		update.List.Records = []backend.Record{{Instance: "i", Models: map[ident.Model]int{"m": 2}}}
 	}
@@ -90,6 +97,23 @@
 
 // An answer that was held back for a confirmation is not taken for older, nor
 // for newer, than it is.
+// What stores of prompt caches hold comes over the wire as it was told.
+func TestAPullBringsWhatCachesHold(t *testing.T) {
+	is := is.New(t)
+	told := []promptcache.Update{{
+		Position: promptcache.Position{Store: addr, Epoch: 3, Next: 9}, Since: 7, Age: time.Second,
+		Entries: []promptcache.Entry{{Key: 1 << 63, Tokens: 800}, {Key: 5}},
+	}}
+	state := newFakeState()
+	state.caches = told
+	peer := serve(t, upstream.NewServer(state, func(upstream.Peer) {}))
+	held := []promptcache.Position{{Store: addr, Epoch: 3, Next: 7}}
+	update, _, err := upstream.NewClient().Pull(t.Context(), peer, &upstream.Pull{Caches: true, CacheHeld: held})
+	is.NoErr(err)
+	is.Equal(update.Caches, told)
+	is.Equal(state.held, held)
+}
+
 func TestAHeldAnswerKeepsItsTime(t *testing.T) {
 	is := is.New(t)
 	state := newFakeState()
