Let the tests of leases and of fleet files share one table

The same conditional transaction stood in two test files. It stands in storetest now; the fleet's one keeps its log of heads. No assertion and no product code changes.

--- a/internal/fleet/apply_test.go
+++ b/internal/fleet/apply_test.go
@@ -96,7 +96,7 @@
 	}
 	switch step.Kind {
 	case StepReadHead:
-		row, found := table.rows[HeadKey]
+		row, found := table.Current[HeadKey]
 		machine.HeadRead(row, found)
 	case StepCommitChunk:
 		machine.ChunkCommitted()
@@ -115,7 +115,7 @@
 	}
 	if len(table.heads) > 0 {
 		last := table.heads[len(table.heads)-1]
-		if _, found := table.rows[chunkKey(last.Pair.Digest, 0)]; !found {
+		if _, found := table.Current[chunkKey(last.Pair.Digest, 0)]; !found {
 			t.Fatalf("version %d has no body", last.Pair.Version)
 		}
 	}
--- a/internal/fleet/table_test.go
+++ b/internal/fleet/table_test.go
@@ -2,52 +2,37 @@
 
 import (
 	"context"
-	"slices"
 	"strings"
 	"sync"
 	"time"
 
 	"github.com/fieldpond/fieldpond/internal/fault"
 	"github.com/fieldpond/fieldpond/internal/store/protocol"
+	"github.com/fieldpond/fieldpond/internal/store/storetest"
 )
 
 // tableModel is the table service: rows, and the truth log of accepted heads.
 type tableModel struct {
-	rows     map[string]protocol.Row
-	versions map[string]uint64
-	heads    []HistoryEntry
+	*storetest.Rows
+	heads []HistoryEntry
 }
 
-func newTableModel() *tableModel {
-	return &tableModel{rows: map[string]protocol.Row{}, versions: map[string]uint64{}}
-}
+func newTableModel() *tableModel { return &tableModel{Rows: storetest.NewRows()} }
 
 func (m *tableModel) commit(transaction protocol.Transaction) protocol.TransactionResult {
-	result := protocol.TransactionResult{Committed: true}
-	for _, condition := range transaction.Conditions {
-		row := m.rows[condition.Key]
-		result.Rows = append(result.Rows, row)
-		result.Committed = result.Committed && row.Version == condition.Version
-	}
+	result := m.Commit(transaction)
 	if !result.Committed {
 		return result
 	}
-	result.Rows = nil
 	for _, write := range transaction.Writes {
-		m.versions[write.Key]++
-		row := protocol.Row{Key: write.Key, Value: slices.Clone(write.Value), Version: m.versions[write.Key]}
-		m.rows[write.Key] = row
-		if write.Delete {
-			delete(m.rows, write.Key)
+		if write.Key != HeadKey {
+			continue
 		}
-		if write.Key == HeadKey {
-			head, err := decodeHead(write.Value)
-			if err != nil {
-				panic(err)
-			}
-			m.heads = append(m.heads, head.History[0])
+		head, err := decodeHead(write.Value)
+		if err != nil {
+			panic(err)
 		}
-		result.Rows = append(result.Rows, row)
+		m.heads = append(m.heads, head.History[0])
 	}
 	return result
 }
@@ -143,13 +128,13 @@
 }
 
 func (f *fakeTable) Read(ctx context.Context, key string) (row protocol.Row, found bool, err error) {
-	err = f.exchange(ctx, key, false, func() { row, found = f.model.rows[key] })
+	err = f.exchange(ctx, key, false, func() { row, found = f.model.Current[key] })
 	return row, found, err
 }
 
 func (f *fakeTable) List(ctx context.Context, prefix string, limit int) (list protocol.RowList, err error) {
 	err = f.exchange(ctx, prefix, false, func() {
-		for key, row := range f.model.rows {
+		for key, row := range f.model.Current {
 			if strings.HasPrefix(key, prefix) {
 				list.Rows = append(list.Rows, row)
 			}
--- a/internal/lease/machine_test.go
+++ b/internal/lease/machine_test.go
@@ -128,7 +128,7 @@
 	}
 	w.arrive()
 	if w.deletes && w.oneIn("delete", 100) {
-		delete(w.table.rows, RowKey("x"))
+		delete(w.table.Current, RowKey("x"))
 	}
 	w.check()
 }
--- a/internal/lease/table_test.go
+++ b/internal/lease/table_test.go
@@ -8,26 +8,24 @@
 
 	"github.com/fieldpond/fieldpond/internal/fault"
 	"github.com/fieldpond/fieldpond/internal/store/protocol"
+	"github.com/fieldpond/fieldpond/internal/store/storetest"
 )
 
 // tableModel is the table's truth: rows and versions, without any transport.
 type tableModel struct {
-	rows     map[string]protocol.Row
-	versions map[string]uint64
+	*storetest.Rows
 	// now is the table's own time, 0 if it tells none.
 	now time.Duration
 }
 
-func newTableModel() *tableModel {
-	return &tableModel{rows: map[string]protocol.Row{}, versions: map[string]uint64{}}
-}
+func newTableModel() *tableModel { return &tableModel{Rows: storetest.NewRows()} }
 
 func (m *tableModel) run(exchange Exchange) Outcome {
 	outcome := Outcome{}
 	if exchange.Kind == Observe {
-		outcome.Rows = []protocol.Row{m.rows[exchange.Key]}
+		outcome.Rows = []protocol.Row{m.Current[exchange.Key]}
 	} else {
-		result := m.commit(exchange.Transaction)
+		result := m.Commit(exchange.Transaction)
 		outcome.Committed, outcome.Rows = result.Committed, result.Rows
 	}
 	for index := range outcome.Rows {
@@ -36,26 +34,6 @@
 	return outcome
 }
 
-func (m *tableModel) commit(transaction protocol.Transaction) protocol.TransactionResult {
-	result := protocol.TransactionResult{Committed: true}
-	for _, condition := range transaction.Conditions {
-		row := m.rows[condition.Key]
-		result.Rows = append(result.Rows, row)
-		result.Committed = result.Committed && row.Version == condition.Version
-	}
-	if !result.Committed {
-		return result
-	}
-	result.Rows = nil
-	for _, write := range transaction.Writes {
-		m.versions[write.Key]++
-		row := protocol.Row{Key: write.Key, Value: write.Value, Version: m.versions[write.Key]}
-		m.rows[write.Key] = row
-		result.Rows = append(result.Rows, row)
-	}
-	return result
-}
-
 // fakeTable is a platform.Table over a tableModel that can be down.
 type fakeTable struct {
 	mutex    sync.Mutex
@@ -93,12 +71,12 @@
 }
 
 func (f *fakeTable) Commit(_ context.Context, transaction protocol.Transaction) (result protocol.TransactionResult, err error) {
-	err = f.do(func() { result = f.model.commit(transaction) })
+	err = f.do(func() { result = f.model.Commit(transaction) })
 	return result, err
 }
 
 func (f *fakeTable) Read(_ context.Context, key string) (row protocol.Row, found bool, err error) {
-	err = f.do(func() { row, found = f.model.rows[key] })
+	err = f.do(func() { row, found = f.model.Current[key] })
 	return row, found, err
 }
 
--- /dev/null
+++ b/internal/store/storetest/rows.go
@@ -0,0 +1,48 @@
+// Package storetest holds the rows that tests of the table's clients run against.
+package storetest
+
+import (
+	"slices"
+
+	"github.com/fieldpond/fieldpond/internal/store/protocol"
+)
+
+// Rows are the rows of a table without transport or faults. They are not safe for
+// concurrent use.
+type Rows struct {
+	// Current are the rows that there are, by key.
+	Current map[string]protocol.Row
+
+	// versions outlive the rows, as they do at the table.
+	versions map[string]uint64
+}
+
+// NewRows returns no rows.
+func NewRows() *Rows {
+	return &Rows{Current: make(map[string]protocol.Row), versions: make(map[string]uint64)}
+}
+
+// Commit carries a transaction out, or none of it if a condition does not hold; the
+// result has the rows of the conditions then.
+func (r *Rows) Commit(transaction protocol.Transaction) protocol.TransactionResult {
+	result := protocol.TransactionResult{Committed: true}
+	for _, condition := range transaction.Conditions {
+		row := r.Current[condition.Key]
+		result.Rows = append(result.Rows, row)
+		result.Committed = result.Committed && row.Version == condition.Version
+	}
+	if !result.Committed {
+		return result
+	}
+	result.Rows = nil
+	for _, write := range transaction.Writes {
+		r.versions[write.Key]++
+		row := protocol.Row{Key: write.Key, Value: slices.Clone(write.Value), Version: r.versions[write.Key]}
+		r.Current[write.Key] = row
+		if write.Delete {
+			delete(r.Current, write.Key)
+		}
+		result.Rows = append(result.Rows, row)
+	}
+	return result
+}
