--- a/internal/backend/record.go
+++ b/internal/backend/record.go
@@ -22,6 +22,8 @@
 	// Address is host:port.
 	Address string
 	Zone    ident.Zone
+	// Release is the version of its software, empty if it tells none.
+	Release ident.Release
 	// Slots is the number of requests worked on at once.
 	Slots int
 	// Draining back ends get no new work.
--- a/internal/ident/ident.go
+++ b/internal/ident/ident.go
@@ -28,6 +28,10 @@
 // ModelVersion names one immutable set of weights of a Model.
 type ModelVersion string
 
+// Release names one version of a back end's software. It says nothing of the weights
+// that an engine serves.
+type Release string
+
 // Adapter names a fine-tuned adapter loaded beside a model; empty means none.
 type Adapter string
 
