--- a/internal/backend/choose.go
+++ b/internal/backend/choose.go
@@ -73,7 +73,7 @@
 	if query.HomeKey == 0 || !r.config.Off.On(mechanism.HomeEngines) {
 		return nil
 	}
-	heard := func(known *state) bool { return !known.record.Draining && !known.toldSilent(now) }
+	heard := func(known *state) bool { return !known.record.Draining && !known.toldSilent(now) && !known.gone(now) }
 	if best := r.firstRanked(query, heard); best != nil {
 		return best
 	}
--- a/internal/backend/flight.go
+++ b/internal/backend/flight.go
@@ -62,7 +62,9 @@
 	case Broken, Silent:
 		target.tried++
 		target.failed++
-	case Unreachable, Misdirected:
+	case Misdirected:
+		f.registry.sawGone(now, target)
+	case Unreachable:
 		target.tried++
 		target.failed++
 		target.pause = min(max(2*target.pause, firstPause), maxPause)
--- a/internal/backend/registry.go
+++ b/internal/backend/registry.go
@@ -22,6 +22,8 @@
 	byID       map[ident.Incarnation]*state
 	listedAt   time.Time
 	lapses     lapses
+	// newlyGone are the back ends that this router found gone and has not told yet.
+	newlyGone []ident.Incarnation
 }
 
 // NewRegistry returns a registry that knows no back end.
--- a/internal/backend/state.go
+++ b/internal/backend/state.go
@@ -23,6 +23,8 @@
 	// silentFrom and silentUntil bound the time for which other routers told that
 	// the back end does not answer.
 	silentFrom, silentUntil time.Time
+	// goneUntil ends the time for which another back end was found at the address.
+	goneUntil time.Time
 	// told is the queue that another router saw there.
 	told queue
 	// tried and failed count recent attempts, halved every failureHalfLife.
@@ -68,7 +70,7 @@
 
 // eligible reports whether the back end may get the attempt.
 func (s *state) eligible(now time.Time, query *Query) bool {
-	if s.record.Draining || query.excludes(s.record.Instance) || now.Before(s.pausedUntil) {
+	if s.record.Draining || query.excludes(s.record.Instance) || now.Before(s.pausedUntil) || s.gone(now) {
 		return false
 	}
 	if query.Model == "" {
--- a/internal/health/tracker.go
+++ b/internal/health/tracker.go
@@ -161,13 +161,15 @@
 	Waiting  int
 }
 
-// Notice tells other routers what becomes of engines. It decides nothing: it makes
-// engines dearer for a short time.
+// Notice tells other routers what becomes of engines. It makes engines dearer for a short
+// time, and keeps work from those that are gone.
 type Notice struct {
 	// Silent engines do not answer, Answering ones do again.
 	Silent    []ident.Incarnation `cbor:"1,keyasint,omitempty"`
 	Answering []ident.Incarnation `cbor:"2,keyasint,omitempty"`
 	Queues    []Queue             `cbor:"3,keyasint,omitempty"`
+	// Gone back ends have ended: another one answers at their address.
+	Gone []ident.Incarnation `cbor:"4,keyasint,omitempty"`
 }
 
 // Since returns the notice of what changed from one set of silent engines to
--- a/internal/node/events.go
+++ b/internal/node/events.go
@@ -49,6 +49,7 @@
 		{"lease is held", []string{"lease", "fence"}, "This router may order from now on."},
 		{"lease is not held any more", []string{"lease", "fence"}, "This router may not order any more."},
 		{"engines_silent", []string{"silent", "answering"}, "The first router of a zone told which of its engines do not answer its checks, and which do again."},
+		{"engines_gone", []string{"gone"}, "Requests or checks of this router found other back ends at the addresses of these, which have ended; the other routers are told."},
 		{"notice_not_sent", []string{"cause"}, "A notice could not be encoded; the other routers learn of the engines from the list."},
 		{"engines_change", []string{"model", "version", "loading", "loaded", "unsettled"}, "The holder of the lease told which engines are about to take a version, which have it, and which did not say that they take it."},
 		{"quota_leader_changed", []string{"from", "to"}, "Another router grants what tenants with limits may use here; from and to are addresses, to is this router's own if it reaches no older one."},
--- a/internal/node/health.go
+++ b/internal/node/health.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/apex/log"
+	"github.com/pkg/errors"
 
 	"github.com/fieldpond/fieldpond/internal/backend"
 	"github.com/fieldpond/fieldpond/internal/health"
@@ -51,6 +52,8 @@
 	instance ident.Incarnation
 	// report is nil if none came.
 	report *rollout.Report
+	// gone says that another back end answered.
+	gone bool
 }
 
 // run checks engines until ctx ends.
@@ -83,10 +86,14 @@
 	}
 	w.announce(now)
 	w.announceQueues(now)
+	w.announceGone()
 }
 
 // take takes in what came of a check.
 func (w *healthWatcher) take(now time.Time, result checkResult) {
+	if result.gone {
+		w.backends.SawGone(now, result.instance)
+	}
 	if result.report == nil {
 		w.tracker.Missed(now, result.instance)
 		return
@@ -114,7 +121,7 @@
 		report = nil
 	}
 	select {
-	case w.results <- checkResult{instance: record.Instance, report: report}:
+	case w.results <- checkResult{instance: record.Instance, report: report, gone: errors.Is(err, rollout.ErrOtherInstance)}:
 	case <-ctx.Done():
 	}
 }
@@ -145,3 +152,13 @@
 		w.tell(health.Notice{Queues: queues})
 	}
 }
+
+// announceGone tells which back ends this router found gone, by checks or by requests.
+func (w *healthWatcher) announceGone() {
+	gone := w.backends.NewlyGone()
+	if len(gone) == 0 {
+		return
+	}
+	log.WithFields(log.Fields{"gone": gone}).Info("engines_gone")
+	w.tell(health.Notice{Gone: gone})
+}
--- a/internal/node/health_test.go
+++ b/internal/node/health_test.go
@@ -20,7 +20,9 @@
 type checkedEngines struct {
 	idleEngines
 
-	mu     sync.Mutex
+	mu sync.Mutex
+	// ended engines have another one at their address.
+	ended  ident.Incarnation
 	dark   map[ident.Incarnation]bool
 	queued map[ident.Incarnation]int
 	checks map[ident.Incarnation]int
@@ -32,6 +34,9 @@
 	e.checks[target.Instance]++
 	dark, queued := e.dark[target.Instance], e.queued[target.Instance]
 	e.mu.Unlock()
+	if target.Instance == e.ended {
+		return nil, rollout.ErrOtherInstance
+	}
 	if dark {
 		<-ctx.Done()
 		return nil, errors.New("no answer")
@@ -104,15 +109,35 @@
 	}
 }
 
+func TestAWatcherTellsWhichEnginesAreGone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		known := backend.NewRegistry(backend.Config{})
+		known.Update(time.Now(), checkedRecords())
+		var gone []ident.Incarnation
+		watcher := &healthWatcher{
+			zone: "z", leads: func() bool { return true }, backends: known,
+			engines: &checkedEngines{ended: "b", checks: map[ident.Incarnation]int{}},
+			tell:    func(notice health.Notice) { gone = append(gone, notice.Gone...) },
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+		defer cancel()
+		watcher.run(ctx)
+		is.Equal(gone, []ident.Incarnation{"b"}) // once
+	})
+}
+
 func TestALongNoticeOfQueuesIsSplit(t *testing.T) {
 	is := is.New(t)
 	notice := health.Notice{Silent: []ident.Incarnation{"s"}, Answering: []ident.Incarnation{"t"}}
 	for range 3 * noticeEngines {
 		notice.Queues = append(notice.Queues, health.Queue{Instance: "i", Waiting: 1})
+		notice.Gone = append(notice.Gone, "g")
 	}
 	var joined health.Notice
 	for _, part := range splitHealth(notice) {
-		is.True(len(part.Silent)+len(part.Answering)+len(part.Queues) <= noticeEngines)
+		is.True(len(part.Silent)+len(part.Answering)+len(part.Queues)+len(part.Gone) <= noticeEngines)
+		joined.Gone = append(joined.Gone, part.Gone...)
 		joined.Silent = append(joined.Silent, part.Silent...)
 		joined.Answering = append(joined.Answering, part.Answering...)
 		joined.Queues = append(joined.Queues, part.Queues...)
--- a/internal/node/notices.go
+++ b/internal/node/notices.go
@@ -96,12 +96,13 @@
 // splitHealth returns notices that fit into a datagram each.
 func splitHealth(notice health.Notice) []health.Notice {
 	var parts []health.Notice
-	for len(notice.Silent)+len(notice.Answering)+len(notice.Queues) > 0 {
+	for len(notice.Silent)+len(notice.Answering)+len(notice.Queues)+len(notice.Gone) > 0 {
 		var part health.Notice
 		room := noticeEngines
 		part.Silent, notice.Silent, room = splitOff(notice.Silent, room)
 		part.Answering, notice.Answering, room = splitOff(notice.Answering, room)
-		part.Queues, notice.Queues, _ = splitOff(notice.Queues, room)
+		part.Queues, notice.Queues, room = splitOff(notice.Queues, room)
+		part.Gone, notice.Gone, _ = splitOff(notice.Gone, room)
 		parts = append(parts, part)
 	}
 	return parts
@@ -168,6 +169,7 @@
 	now := time.Now()
 	n.backends.ToldSilent(now, notice.Silent)
 	n.backends.ToldAnswering(notice.Answering)
+	n.backends.ToldGone(now, notice.Gone)
 	for _, queue := range notice.Queues {
 		n.backends.ToldQueue(now, queue.Instance, queue.Waiting)
 	}
--- a/internal/node/notices_test.go
+++ b/internal/node/notices_test.go
@@ -96,6 +96,7 @@
 		{"one that answers, and a queue at the other", health.Notice{
 			Answering: []ident.Incarnation{"a"}, Queues: []health.Queue{{Instance: "b", Waiting: 9}},
 		}, "a"},
+		{"a back end that is gone", health.Notice{Gone: []ident.Incarnation{"a"}}, "b"},
 	}
 	for _, tt := range tests {
 		teller.tellHealth(tt.notice)
--- a/internal/rollout/planner.go
+++ b/internal/rollout/planner.go
@@ -9,6 +9,8 @@
 	"slices"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/fieldpond/fieldpond/internal/backend"
 	"github.com/fieldpond/fieldpond/internal/catalog"
 	"github.com/fieldpond/fieldpond/internal/ident"
@@ -106,6 +108,10 @@
 // String implements fmt.Stringer.
 func (r Result) String() string { return resultNames[r] }
 
+// ErrOtherInstance says that another engine answered at the address of the one asked for,
+// which has therefore ended.
+var ErrOtherInstance = errors.New("another engine answers at the address")
+
 // Report is what an engine told about itself.
 type Report struct {
 	Versions map[ident.Model]int
