--- a/internal/forward/start.go
+++ b/internal/forward/start.go
@@ -36,11 +36,15 @@
 		until = earlier(until, request.ReceivedAt.Add(request.Wait/startHoldPart))
 	}
 	until = earlier(until, f.startedAt.Add(startingFor))
-	if f.held.Add(1) <= startHeld {
-		for f.Holder.View().Snapshot == nil && time.Now().Before(until) && wait.For(ctx, placePause) {
+	defer f.held.Add(-1)
+	if f.held.Add(1) > startHeld {
+		return
+	}
+	for f.Holder.View().Snapshot == nil && time.Now().Before(until) {
+		if !wait.For(ctx, placePause) {
+			return
 		}
 	}
-	f.held.Add(-1)
 }
 
 func earlier(a, b time.Time) time.Time {
