--- /dev/null
+++ b/internal/canary/gate.go
@@ -0,0 +1,226 @@
+package canary
+
+import (
+	"slices"
+	"time"
+
+	"github.com/fieldpond/fieldpond/internal/backend"
+	"github.com/fieldpond/fieldpond/internal/ident"
+)
+
+// GateConfig is what a Gate is made with.
+type GateConfig struct {
+	// Life names this life of the router. It differs from that of every other life of
+	// any router, so that a permit for an earlier one allows nothing.
+	Life   uint64
+	Bounds Bounds
+}
+
+// Gate is one router's view of all rollouts. It tells where attempts may go, and counts
+// what comes of them. It is not safe for concurrent use: its owner guards it by a mutex.
+type Gate struct {
+	cfg GateConfig
+	// epoch is the begin of the gate's own clock.
+	epoch time.Time
+	// confirmedAt is the time at which the orders that are known were the newest ones.
+	confirmedAt time.Time
+	services    map[ident.Service]*traffic
+	// bound is the number of services of which a release must not be used, or is bound.
+	bound int
+	hooks hooks
+}
+
+// hooks switch guards off in tests, which show that each of them is needed.
+type hooks struct {
+	ignoreClock, ignoreFence, ignoreLife, ignoreCeiling bool
+}
+
+// NewGate returns a gate that knows of nothing.
+func NewGate(cfg GateConfig) *Gate {
+	return &Gate{cfg: cfg, services: map[ident.Service]*traffic{}}
+}
+
+// Know takes in what the store tells, as it was read at confirmedAt.
+func (g *Gate) Know(now, confirmedAt time.Time, known Known) {
+	if !g.cfg.Bounds.Enabled() {
+		return
+	}
+	g.start(now)
+	if confirmedAt.After(g.confirmedAt) {
+		g.confirmedAt = confirmedAt
+	}
+	for _, order := range known.Orders {
+		g.guard(order)
+	}
+	for index := range known.States {
+		state := &known.States[index]
+		if guard := g.guard(state.Order); guard != nil {
+			guard.learn(state.Phase, state.Proved)
+		}
+	}
+	g.countBound()
+}
+
+// start begins the gate's clock.
+func (g *Gate) start(now time.Time) {
+	if g.epoch.IsZero() {
+		g.epoch = now
+	}
+}
+
+// guard returns the guard of an order, which replaces that of an older one; it is nil if
+// a newer order is known.
+func (g *Gate) guard(order Order) *guard {
+	traffic := g.traffic(order.Service)
+	known := traffic.guard
+	switch {
+	case known == nil || known.order.Revision < order.Revision:
+		traffic.begin(order)
+	case known.order.Revision > order.Revision:
+		return nil
+	}
+	return traffic.guard
+}
+
+// traffic returns what is known of a service.
+func (g *Gate) traffic(service ident.Service) *traffic {
+	known := g.services[service]
+	if known == nil {
+		known = &traffic{}
+		g.services[service] = known
+	}
+	return known
+}
+
+// Listed takes in the releases of all back ends of a service that are listed.
+func (g *Gate) Listed(now time.Time, service ident.Service, releases []ident.Release) {
+	if !g.cfg.Bounds.Enabled() {
+		return
+	}
+	g.start(now)
+	g.traffic(service).list(now, releases)
+	g.countBound()
+}
+
+// countBound counts the services for which Choose has to be asked.
+func (g *Gate) countBound() {
+	g.bound = 0
+	for _, traffic := range g.services {
+		traffic.settle(g.confirmedAt)
+		if traffic.binding() {
+			g.bound++
+		}
+	}
+}
+
+// Active reports whether any service is bound: if not, Choose need not be asked.
+func (g *Gate) Active() bool { return g.bound > 0 }
+
+// Choose returns where an attempt may go. If it names the only release allowed and no
+// back end of that can be used, the caller says so by Declined and asks again, with First
+// unset.
+func (g *Gate) Choose(now time.Time, ask Ask) backend.Releases {
+	traffic := g.services[ask.Service]
+	if traffic == nil {
+		return backend.Releases{}
+	}
+	if traffic.guard == nil {
+		return backend.Releases{Not: traffic.unconfirmed}
+	}
+	return traffic.guard.releases(now, ask)
+}
+
+// Declined says that a request for which Choose named only the target of a rollout will
+// not be sent there after all.
+func (g *Gate) Declined(service ident.Service) {
+	if traffic := g.services[service]; traffic != nil && traffic.guard != nil && traffic.guard.pending > 0 {
+		traffic.guard.pending--
+	}
+}
+
+// Sent counts an attempt that is sent to a back end. Every attempt is told, whether
+// Choose was asked or not: runs that began before an order are waited for, too.
+func (g *Gate) Sent(_ time.Time, service ident.Service, to backend.Record) Run {
+	if !g.cfg.Bounds.Enabled() {
+		return Run{}
+	}
+	traffic := g.traffic(service)
+	traffic.presence(to.Release).running++
+	run := Run{service: service, release: to.Release, counted: true}
+	if traffic.guard == nil {
+		return run
+	}
+	run.revision = traffic.guard.order.Revision
+	if to.Release == traffic.guard.order.Target {
+		run.part = partOf(to.Instance)
+		traffic.guard.sending()
+	}
+	return run
+}
+
+// Ended takes in what came of an attempt.
+func (g *Gate) Ended(_ time.Time, run Run, sample Sample) {
+	if !run.counted {
+		return
+	}
+	traffic := g.services[run.service]
+	traffic.presence(run.release).running--
+	if traffic.guard != nil && traffic.guard.order.Revision == run.revision {
+		traffic.guard.count(run.part, &sample)
+	}
+}
+
+// Permitted takes in a permit, which may also tell a final phase or an order that was not
+// known.
+func (g *Gate) Permitted(now time.Time, permit *Permit) {
+	if !g.cfg.Bounds.Enabled() || !permit.sound() {
+		return
+	}
+	g.start(now)
+	guard := g.guard(permit.Order)
+	if guard == nil || (permit.Fence < guard.fence && !g.hooks.ignoreFence) {
+		return
+	}
+	guard.fence = max(guard.fence, permit.Fence)
+	guard.learn(permit.Phase, permit.Proved)
+	if permit.Life == g.cfg.Life || g.hooks.ignoreLife {
+		g.permit(now, guard, permit)
+	}
+	g.countBound()
+}
+
+// permit makes a permit for this life the one that holds, unless it is older than that.
+func (g *Gate) permit(now time.Time, guard *guard, permit *Permit) {
+	newer := permit.Fence > guard.permit.Fence || permit.Clock >= guard.permit.Clock
+	if !newer && !g.hooks.ignoreFence {
+		return
+	}
+	guard.permit = *permit
+	guard.until = g.epoch.Add(permit.Clock + permitFor)
+	if g.hooks.ignoreClock {
+		guard.until = now.Add(permitFor)
+	}
+}
+
+// Report returns what the holder is to know of a service, or nil if no order for it is
+// known.
+func (g *Gate) Report(now time.Time, service ident.Service) *Report {
+	traffic := g.services[service]
+	if traffic == nil || traffic.guard == nil {
+		return nil
+	}
+	g.start(now)
+	guard := traffic.guard
+	report := &Report{
+		Service: service, Revision: guard.order.Revision, Life: g.cfg.Life, Clock: now.Sub(g.epoch),
+		Phase: guard.acts(now), Requests: guard.requests, Sent: guard.sent,
+		Others: traffic.runningElsewhere(guard.order.Target), Tallies: slices.Clone(guard.tallies),
+	}
+	for index := range report.Tallies {
+		report.Tallies[index].Times = slices.Clone(report.Tallies[index].Times)
+	}
+	if guard.permitted(now) {
+		report.Left = guard.until.Sub(now)
+	}
+	return report
+}
--- /dev/null
+++ b/internal/canary/guard.go
@@ -0,0 +1,145 @@
+package canary
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/fieldpond/fieldpond/internal/backend"
+	"github.com/fieldpond/fieldpond/internal/ident"
+)
+
+const (
+	// permitFor is the time for which a permit is valid, from the moment at which the
+	// router sent the report whose clock it carries. It is four permits long, so that
+	// two of them in a row may be lost, and a fifth of the time that the users allow for
+	// stopping after the 50th bad answer.
+	permitFor = time.Second
+	// fewParts is the number of parts into which back ends of the target are put together
+	// once half of the tallies of a report are taken.
+	fewParts = 8
+)
+
+// guard is what a Gate knows and counts of one rollout.
+type guard struct {
+	order Order
+	phase Phase
+	// others are the releases that served before the target, notTarget is the target.
+	others, notTarget []ident.Release
+	// fence is the highest that a permit or state has carried.
+	fence  uint64
+	permit Permit
+	// until is the time to which the permit is valid.
+	until time.Time
+	// requests, sent and pending count requests for the service, attempts sent to the
+	// target, and requests that were told to go there and are not yet sent.
+	requests, sent, pending uint64
+	tallies                 []Tally
+}
+
+// newGuard returns the guard of an order of which no state is known.
+func newGuard(order Order) *guard {
+	return &guard{order: order, notTarget: []ident.Release{order.Target}}
+}
+
+// learn takes in a phase and its releases; a final phase stays.
+func (g *guard) learn(phase Phase, proved []ident.Release) {
+	if g.phase.Final() {
+		return
+	}
+	if phase > g.phase {
+		g.phase = phase
+	}
+	if !slices.Equal(g.others, proved) {
+		g.others = slices.Clone(proved)
+	}
+}
+
+// releases returns where an attempt may go.
+func (g *guard) releases(now time.Time, ask Ask) backend.Releases {
+	if ask.First {
+		g.requests++
+	}
+	switch {
+	case g.phase == Succeeded:
+		return backend.Releases{Not: g.others}
+	case g.phase == RolledBack || !g.permitted(now):
+		return backend.Releases{Not: g.notTarget}
+	case g.permit.Phase == Promoting:
+		return backend.Releases{Only: g.order.Target}
+	case !ask.First || g.sent+g.pending >= g.permit.Sends:
+		return backend.Releases{Not: g.notTarget}
+	}
+	g.pending++
+	return backend.Releases{Only: g.order.Target, Among: g.permit.Among, Seed: g.permit.Seed}
+}
+
+// forbids reports whether a final phase forbids a release.
+func (g *guard) forbids(release ident.Release) bool {
+	if g.phase == Succeeded {
+		return slices.Contains(g.others, release)
+	}
+	return g.phase == RolledBack && release == g.order.Target
+}
+
+// permitted reports whether there is a permit that is still valid.
+func (g *guard) permitted(now time.Time) bool { return !g.permit.Halted && now.Before(g.until) }
+
+// sending counts an attempt that goes to the target.
+func (g *guard) sending() {
+	g.sent++
+	if g.pending > 0 {
+		g.pending--
+	}
+}
+
+// count adds the answer of a run.
+func (g *guard) count(part uint32, sample *Sample) {
+	if sample.Outcome != Answered && sample.Outcome != Failed {
+		return
+	}
+	tally := g.tally(sample.Route, part)
+	if tally == nil {
+		return
+	}
+	tally.Answers++
+	if sample.Outcome == Failed {
+		tally.Failures++
+		return
+	}
+	tally.Times.add(sample.Elapsed, sample.Predicted)
+}
+
+// tally returns the tally of a route and part, or nil if there are too many.
+func (g *guard) tally(route string, part uint32) *Tally {
+	if part != 0 && len(g.tallies) >= maxTallies/2 {
+		part = 1 + part%fewParts
+	}
+	for index := range g.tallies {
+		if g.tallies[index].Part == part && g.tallies[index].Route == route {
+			return &g.tallies[index]
+		}
+	}
+	if len(g.tallies) == maxTallies {
+		return nil
+	}
+	g.tallies = append(g.tallies, Tally{Route: route, Part: part})
+	return &g.tallies[len(g.tallies)-1]
+}
+
+// partOf returns the part that stands for a back end of the target, which is never 0.
+func partOf(instance ident.Incarnation) uint32 {
+	return uint32(xxhash.Sum64String(string(instance))) | 1
+}
+
+// acts returns the phase that the router acts upon.
+func (g *guard) acts(now time.Time) Phase {
+	if g.phase.Final() {
+		return g.phase
+	}
+	if g.permitted(now) && g.permit.Phase == Promoting {
+		return Promoting
+	}
+	return Observing
+}
--- /dev/null
+++ b/internal/canary/traffic.go
@@ -0,0 +1,120 @@
+package canary
+
+import (
+	"slices"
+	"time"
+
+	"github.com/fieldpond/fieldpond/internal/ident"
+)
+
+// traffic is what a Gate knows of one service: its releases, what runs on each, and the
+// guard of its newest order.
+type traffic struct {
+	// present are the releases that are listed or have runs under way. There are few, so
+	// that they are searched one by one.
+	present []presence
+	// unconfirmed are listed releases for which an order may be on its way.
+	unconfirmed []ident.Release
+	guard       *guard
+}
+
+// presence is one release of a service.
+type presence struct {
+	release ident.Release
+	listed  bool
+	// listedAt is the time at which it was listed for the first time.
+	listedAt time.Time
+	// settled says that no order for it was on its way when it was listed.
+	settled bool
+	// running is the number of attempts that are under way there.
+	running int
+}
+
+// presence returns the entry of a release.
+func (t *traffic) presence(release ident.Release) *presence {
+	for index := range t.present {
+		if t.present[index].release == release {
+			return &t.present[index]
+		}
+	}
+	t.present = append(t.present, presence{release: release})
+	return &t.present[len(t.present)-1]
+}
+
+// list takes in which releases are listed. One that comes alone has nothing beside it
+// that could serve in its place, and is used at once.
+func (t *traffic) list(now time.Time, releases []ident.Release) {
+	for index := range t.present {
+		t.present[index].listed = slices.Contains(releases, t.present[index].release)
+	}
+	for _, release := range releases {
+		known := t.presence(release)
+		if known.listedAt.IsZero() {
+			known.listedAt = now
+			known.settled = len(releases) == 1
+		}
+		known.listed = true
+	}
+	t.present = slices.DeleteFunc(t.present, func(known presence) bool {
+		return !known.listed && known.running == 0
+	})
+}
+
+// settle marks the releases that were listed before the orders were confirmed.
+func (t *traffic) settle(confirmedAt time.Time) {
+	t.unconfirmed = nil
+	for index := range t.present {
+		known := &t.present[index]
+		if known.listedAt.Before(confirmedAt) {
+			known.settled = true
+		}
+		if known.listed && !known.settled {
+			t.unconfirmed = append(t.unconfirmed, known.release)
+		}
+	}
+}
+
+// begin makes an order the newest one of the service.
+func (t *traffic) begin(order Order) {
+	begun := newGuard(order)
+	for index := range t.present {
+		// Releases that are listed beside the target when the order is learned can
+		// have served before it.
+		if release := t.present[index].release; t.present[index].listed && release != order.Target {
+			begun.others = append(begun.others, release)
+		}
+	}
+	if last := t.guard; last != nil && last.phase == RolledBack && last.order.Target != order.Target {
+		// The target that proved bad gets nothing while its back ends drain.
+		begun.notTarget = append(begun.notTarget, last.order.Target)
+	}
+	t.guard = begun
+}
+
+// binding reports whether any listed release must not be used, or is bound.
+func (t *traffic) binding() bool {
+	if t.guard == nil {
+		return len(t.unconfirmed) > 0
+	}
+	if !t.guard.phase.Final() {
+		return true
+	}
+	for index := range t.present {
+		if t.present[index].listed && t.guard.forbids(t.present[index].release) {
+			return true
+		}
+	}
+	return false
+}
+
+// runningElsewhere returns the number of attempts under way on releases other than the
+// target.
+func (t *traffic) runningElsewhere(target ident.Release) uint64 {
+	sum := 0
+	for index := range t.present {
+		if t.present[index].release != target {
+			sum += t.present[index].running
+		}
+	}
+	return uint64(max(sum, 0))
+}
