Read orders and bounds of rollouts, tell the operator, and choose among releases

Cause: orders, the bounds of exposure and a back end's release were not read, and no choice of a back end asked for its release. A query bounds the releases that are allowed, for prompt homes and repeats as well; what a release on trial answers late counts neither as congestion of its service nor as its engines' pace. The list's digest knows releases. Ruled out: a call of its own for the orders, which come with the table that is read anyway.

--- a/internal/backend/choose.go
+++ b/internal/backend/choose.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/fieldpond/fieldpond/internal/ident"
@@ -14,8 +15,9 @@
 func (r *Registry) Pick(now time.Time, query *Query) (Choice, *Flight, bool) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	home := r.home(now, query)
-	best, candidates := r.cheapest(now, query, home)
+	allowed := r.allowed(query)
+	home := r.home(now, query, allowed)
+	best, candidates := r.cheapest(now, query, home, allowed)
 	if best == nil {
 		return Choice{}, nil, false
 	}
@@ -24,6 +26,7 @@
 		registry: r, target: best, dueAt: now.Add(predicted),
 		model: query.Model, version: best.version(now, query.Model),
 	}
+	flight.trial = query.Releases.Among > 0
 	flight.tokens = query.OwnTokens
 	if best != home {
 		flight.tokens += query.SharedTokens
@@ -35,6 +38,7 @@
 		Record: best.record, Version: flight.version, Home: best == home,
 		Predicted: predicted, Queued: queued, Late: r.usualLateness(now, best),
 		Told: best.told.wait(now), Congestion: r.congestion(now, query.Service), Candidates: candidates,
+		Uncached: r.uncached(query), Releases: query.Releases,
 	}
 	if home != nil {
 		choice.HomeZone = home.record.Zone
@@ -42,13 +46,44 @@
 	return choice, flight, true
 }
 
+// allowed returns the back ends of the service whose releases the query allows.
+func (r *Registry) allowed(query *Query) []*state {
+	all := r.services[query.Service]
+	if !query.Releases.Bounded() {
+		return all
+	}
+	var allowed []*state
+	for _, known := range all {
+		if query.Releases.Allows(known.record.Release) {
+			allowed = append(allowed, known)
+		}
+	}
+	if query.Releases.Among <= 0 {
+		return allowed
+	}
+	return narrowed(allowed, &query.Releases)
+}
+
+// narrowed returns those back ends of one release that may be used. Back ends that leave
+// the service don't count, so that as many others are used in their place.
+func narrowed(allowed []*state, releases *Releases) []*state {
+	var staying []ident.Incarnation
+	for _, known := range allowed {
+		if !known.record.Draining {
+			staying = append(staying, known.record.Instance)
+		}
+	}
+	used := releases.Narrow(staying)
+	return slices.DeleteFunc(allowed, func(known *state) bool { return !slices.Contains(used, known.record.Instance) })
+}
+
 // cheapest returns the back end of the least cost, or nil, and the number of
 // those that may be used. Among equals the query's own order decides, so that
 // they share the work and routers agree on who stands in for a home.
-func (r *Registry) cheapest(now time.Time, query *Query, home *state) (best *state, candidates int) {
+func (r *Registry) cheapest(now time.Time, query *Query, home *state, allowed []*state) (best *state, candidates int) {
 	bestCost := math.Inf(1)
 	var bestScore uint64
-	for _, candidate := range r.services[query.Service] {
+	for _, candidate := range allowed {
 		if !candidate.eligible(now, query) {
 			continue
 		}
@@ -67,25 +102,25 @@
 }
 
 // home returns the back end that ranks first for the shared part of the prompt among
-// all that serve it, whether it is usable now or not. One that was told silent is passed
+// those allowed, whether it is usable now or not. One that was told silent is passed
 // over: as all routers are told so, they agree on the next one.
-func (r *Registry) home(now time.Time, query *Query) *state {
+func (r *Registry) home(now time.Time, query *Query, allowed []*state) *state {
 	if query.HomeKey == 0 || !r.config.Off.On(mechanism.HomeEngines) {
 		return nil
 	}
 	heard := func(known *state) bool { return !known.record.Draining && !known.toldSilent(now) }
-	if best := r.firstRanked(query, heard); best != nil {
+	if best := firstRanked(query, allowed, heard); best != nil {
 		return best
 	}
-	return r.firstRanked(query, func(known *state) bool { return !known.record.Draining })
+	return firstRanked(query, allowed, func(known *state) bool { return !known.record.Draining })
 }
 
 // firstRanked returns the back end that ranks first for the shared part of the prompt
 // among those that fit, or nil.
-func (r *Registry) firstRanked(query *Query, fits func(*state) bool) *state {
+func firstRanked(query *Query, allowed []*state, fits func(*state) bool) *state {
 	var best *state
 	var bestScore uint64
-	for _, candidate := range r.services[query.Service] {
+	for _, candidate := range allowed {
 		if !fits(candidate) {
 			continue
 		}
@@ -112,6 +147,15 @@
 	return predicted
 }
 
+// uncached returns the expected time to the first byte of the answer of a back end that
+// is idle and has nothing of the prompt cached.
+func (r *Registry) uncached(query *Query) time.Duration {
+	if query.Model == "" {
+		return query.Expected
+	}
+	return r.reading(query.Service).of(query.SharedTokens + query.OwnTokens)
+}
+
 // queued returns the time for which the prompts of this router's other attempts keep
 // an engine busy; it is 0 for back ends that run no model.
 func (r *Registry) queued(candidate *state, query *Query) time.Duration {
--- a/internal/backend/flight.go
+++ b/internal/backend/flight.go
@@ -20,6 +20,9 @@
 	// of this router waits there, and the engine is the prompt's home.
 	sentAt time.Time
 	first  bool
+	// trial says that the back end is one of a few of a release that is being tried: how
+	// fast it answers tells nothing of the service's other back ends.
+	trial bool
 }
 
 // Heard takes in that bytes of the attempt's answer came.
@@ -28,15 +31,25 @@
 	defer f.registry.mutex.Unlock()
 	if !f.first {
 		f.target.late.observe(now, now.Sub(f.dueAt))
-		f.registry.lateness(f.target.record.Service).observe(now, now.Sub(f.dueAt))
-		if !f.sentAt.IsZero() && f.registry.config.Off.On(mechanism.ReadingRate) {
-			f.registry.reading(f.target.record.Service).observe(f.tokens, now.Sub(f.sentAt))
-		}
+		f.learn(now)
 	}
 	f.first = true
 	f.target.heardAt = now
 }
 
+// learn takes in what the first byte tells of the whole service. A release that is being
+// tried and answers late would have requests refused that other back ends could serve.
+func (f *Flight) learn(now time.Time) {
+	if f.trial {
+		return
+	}
+	service := f.target.record.Service
+	f.registry.lateness(service).observe(now, now.Sub(f.dueAt))
+	if !f.sentAt.IsZero() && f.registry.config.Off.On(mechanism.ReadingRate) {
+		f.registry.reading(service).observe(f.tokens, now.Sub(f.sentAt))
+	}
+}
+
 // ToldBusy reports whether another router lately found that the back end answers and
 // that requests wait there.
 func (f *Flight) ToldBusy(now time.Time) bool {
--- a/internal/backend/record.go
+++ b/internal/backend/record.go
@@ -59,6 +59,11 @@
 	Congestion float64
 	// Candidates is the number of back ends that were compared.
 	Candidates int
+	// Uncached is the expected time to the first byte of the answer of a back end that is
+	// idle and has nothing of the prompt cached.
+	Uncached time.Duration
+	// Releases are those that the query allowed.
+	Releases Releases
 }
 
 const (
@@ -115,6 +120,9 @@
 	// Expected is the usual time for the work of the request, used for
 	// requests that run no model.
 	Expected time.Duration
+	// Releases bounds where the attempt may go while a service is moved to another
+	// release.
+	Releases Releases
 }
 
 func (q *Query) excludes(instance ident.Incarnation) bool {
--- a/internal/canary/canary.go
+++ b/internal/canary/canary.go
@@ -44,7 +44,7 @@
 
 // phaseNames are the names of phases in logs and metrics.
 var phaseNames = map[Phase]string{
-	Observing: "observing", Promoting: "promoting", Succeeded: "succeeded", RolledBack: "rolled_back",
+	Observing: "observing", Promoting: "promoting", Succeeded: "succeeded", RolledBack: "rolled back",
 }
 
 // String implements fmt.Stringer.
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/fieldpond/fieldpond/internal/backend"
+	"github.com/fieldpond/fieldpond/internal/canary"
 	"github.com/fieldpond/fieldpond/internal/catalog"
 	"github.com/fieldpond/fieldpond/internal/fault"
 )
@@ -35,6 +36,11 @@
 	patience *time.Timer
 	// heldUntil ends the patience with a back end that is known to be busy.
 	heldUntil time.Time
+	// sentAt is when the request was sent, heardAt when the first byte of the answer was
+	// there; it is zero before.
+	sentAt, heardAt time.Time
+	// counted is the attempt as the guard of releases counts it.
+	counted canary.Run
 }
 
 // attempt sends the request to the chosen back end. It returns true if the
@@ -43,7 +49,8 @@
 	described := r.describe(&choice)
 	attemptContext, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	current := &attempt{run: r, choice: choice, flight: flight, ctx: attemptContext, cancel: cancel}
+	current := &attempt{run: r, choice: choice, flight: flight, ctx: attemptContext, cancel: cancel, sentAt: time.Now()}
+	current.count()
 	r.note(StepSent, func(step *Step) { step.Choice = choice })
 	if patience := r.patience(&choice); patience > 0 {
 		current.heldUntil = time.Now().Add(busyFactor * patience)
@@ -93,6 +100,7 @@
 		}
 	}
 	a.flight.Ended(time.Now(), outcome)
+	a.settle(outcome)
 	a.note(StepAttemptEnded, func(step *Step) {
 		step.Choice, step.Outcome = a.choice, outcome
 		if failed != nil {
@@ -205,7 +213,7 @@
 	if err != nil {
 		return &failure{ran: fault.RanUnknown, outcome: backend.Broken, cause: err}
 	}
-	a.flight.Heard(time.Now())
+	a.heard()
 	buffered := &bufferedReply{status: reply.Status, header: reply.Header, body: body}
 	if len(body) > maxBufferedBytes {
 		return a.long(reply, buffered)
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -53,7 +53,7 @@
 	return c
 }
 
-// Dependencies are what a Forwarder works with; all but Quotas are required.
+// Dependencies are what a Forwarder works with; all but Quotas and Releases are required.
 type Dependencies struct {
 	Holder   *catalog.Holder
 	Backends *backend.Registry
@@ -65,6 +65,9 @@
 	Caches *promptcache.Index
 	// Quotas keeps tenants within their limits; it may be nil where none has one.
 	Quotas Quotas
+	// Releases bounds the releases that attempts may go to; it may be nil where no service
+	// is moved to another release under guard.
+	Releases Releases
 	// Record takes in what was decided about requests. It must not block.
 	Record func(Step)
 }
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -47,6 +47,8 @@
 	// unproven is true once an attempt was sent whose fate no answer has told.
 	unproven bool
 	excluded []ident.Incarnation
+	// asked is true once the request was counted for its service.
+	asked bool
 	// grant allows the next attempt, if the tenant has a limit; it is nil before it was
 	// granted, and once a back end may have run the request.
 	grant *quota.Grant
@@ -213,10 +215,9 @@
 		if refusal := r.confirm(now); refusal != nil {
 			return backend.Choice{}, nil, refusal
 		}
-		query := r.query()
-		if choice, flight, found := r.forwarder.Backends.Pick(now, &query); found {
+		if choice, flight, found := r.pick(now); found {
 			if r.overloadedBy(&choice, now) {
-				flight.Ended(now, backend.Abandoned)
+				r.decline(now, &choice, flight)
 				return backend.Choice{}, nil, r.overloaded(&choice, now)
 			}
 			return choice, flight, nil
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -30,7 +30,7 @@
 		if err != nil {
 			return a.streamFailure(err)
 		}
-		a.flight.Heard(time.Now())
+		a.heard()
 		a.rearm(stall)
 		if next.hasID && a.hasLast {
 			if next.id <= a.lastID {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -12,6 +12,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/fieldpond/fieldpond/internal/backend"
+	"github.com/fieldpond/fieldpond/internal/canary"
 	"github.com/fieldpond/fieldpond/internal/catalog"
 	"github.com/fieldpond/fieldpond/internal/forward"
 	"github.com/fieldpond/fieldpond/internal/ident"
@@ -44,6 +45,9 @@
 	Off     mechanism.Off
 	Lease   lease.Config
 	Rollout rollout.ControllerConfig
+	// Canary bounds what a release that is being tried may get; the zero value means that
+	// no service is moved to another release under guard.
+	Canary canary.Bounds
 	// Quota says by how much tenants may be above their limits.
 	Quota quota.Bounds
 	// Grace is the time from the request to stop until the process is killed.
--- a/internal/node/recordlist.go
+++ b/internal/node/recordlist.go
@@ -134,7 +134,7 @@
 // each heartbeat.
 func sameContent(a, b *backend.Record) bool {
 	return a.Instance == b.Instance && a.Service == b.Service && a.Address == b.Address && a.Zone == b.Zone &&
-		a.Slots == b.Slots && a.Draining == b.Draining && maps.Equal(a.Models, b.Models)
+		a.Release == b.Release && a.Slots == b.Slots && a.Draining == b.Draining && maps.Equal(a.Models, b.Models)
 }
 
 // digestOf names the content of a list ordered by instance, apart from the
@@ -155,6 +155,7 @@
 		text(string(record.Service))
 		text(record.Address)
 		text(string(record.Zone))
+		text(string(record.Release))
 		number(record.Slots)
 		if record.Draining {
 			text("draining")
--- a/internal/node/source.go
+++ b/internal/node/source.go
@@ -9,8 +9,10 @@
 	"time"
 
 	"github.com/fieldpond/fieldpond/internal/backend"
+	"github.com/fieldpond/fieldpond/internal/canary"
 	"github.com/fieldpond/fieldpond/internal/catalog"
 	"github.com/fieldpond/fieldpond/internal/ident"
+	"github.com/fieldpond/fieldpond/internal/store/protocol"
 )
 
 // Reading is the configuration as it lies in the store.
@@ -21,6 +23,8 @@
 	Body     []byte
 	// Models holds the newest named version of each model's weights.
 	Models map[ident.Model]int
+	// Orders are the operator's orders to move services to other releases.
+	Orders []canary.Order
 	// StoreTime is the store's own steady time at the read.
 	StoreTime time.Duration
 }
@@ -34,3 +38,10 @@
 	Decode(body []byte) (*catalog.Snapshot, error)
 	Backends(ctx context.Context) ([]backend.Record, error)
 }
+
+// RolloutStore writes how rollouts stand.
+type RolloutStore interface {
+	// CommitRollout commits a transaction on this system's own rows, and with it tells the
+	// operator of a state. Its result and errors are those of store.Table.
+	CommitRollout(ctx context.Context, transaction protocol.Transaction, told *canary.State) (protocol.TransactionResult, error)
+}
--- a/internal/upstream/update.go
+++ b/internal/upstream/update.go
@@ -1,9 +1,11 @@
 package upstream
 
 import (
+	"slices"
 	"time"
 
 	"github.com/fieldpond/fieldpond/internal/backend"
+	"github.com/fieldpond/fieldpond/internal/canary"
 	"github.com/fieldpond/fieldpond/internal/ident"
 	"github.com/fieldpond/fieldpond/internal/promptcache"
 )
@@ -55,6 +57,27 @@
 	// Namings are the versions of weights that were named, oldest first for
 	// each model.
 	Namings []Naming `cbor:"4,keyasint,omitempty"`
+	// Rollouts is nil where no service is being moved to another release, or was.
+	Rollouts *Rollouts `cbor:"5,keyasint,omitempty"`
+}
+
+// Rollouts is what the store tells of rollouts, as it was read with a configuration.
+type Rollouts struct {
+	Known canary.Known `cbor:"1,keyasint"`
+	// StoreTime is the store's own steady time at the read of the orders.
+	StoreTime time.Duration `cbor:"2,keyasint"`
+	// Age is the time since the orders were read, StatesAge since the states were.
+	Age       time.Duration `cbor:"3,keyasint"`
+	StatesAge time.Duration `cbor:"4,keyasint"`
+}
+
+// Pending reports whether an order has no final state yet.
+func (r *Rollouts) Pending() bool {
+	return slices.ContainsFunc(r.Known.Orders, func(order canary.Order) bool {
+		return !slices.ContainsFunc(r.Known.States, func(state canary.State) bool {
+			return state.Phase.Final() && state.Order.Service == order.Service && state.Order.Revision >= order.Revision
+		})
+	})
 }
 
 // Naming is a named version of a model's weights.
