Guard the releases of each attempt, and carry orders and states to all routers

Cause: nothing asked a gate where an attempt may go, and orders went no further than the router that reads the store. Change: the forwarder asks before each attempt, tells what was sent and what came of it; a request that finds no back end of the target goes to the others, never to a forbidden release. Orders and states join the shared state, only where there is an order; states are read only until a final one is known. The holder of the lease runs the director; permits and reports pass in datagrams between routers of the roster. An attempt without an answer in time counts as an answer that took at least so long: else a release that is slow beyond its callers' patience would leave no trace.

--- a/cmd/fieldpond/explain.go
+++ b/cmd/fieldpond/explain.go
@@ -12,24 +12,25 @@
 )
 
 func newExplainCommand() *cobra.Command {
-	var instance string
+	var instance, rollout string
 	var configuration bool
 	command := &cobra.Command{
 		Use:   "explain [REQUEST-ID] [LOG-FILE...]",
 		Short: "Print what the routers' logs say of one request",
 		Long: `Print, in order of time, every line that the logs of any number of routers hold
-of one request, of one back end (--instance) or of the configuration
-(--configuration). Without a file, the logs are read from standard input. Text
-before the JSON object of a line is skipped.`,
+of one request, of one back end (--instance), of moving a service to another
+release (--rollout) or of the configuration (--configuration). Without a file, the
+logs are read from standard input. Text before the JSON object of a line is skipped.`,
 		Example: `  fieldpond explain 9c41d07be2a35f68 router-1.log router-2.log
   fieldpond explain --instance i-7f3a91c2 router-1.log
+  fieldpond explain --rollout lm-pool router-1.log router-2.log
   fieldpond explain --configuration router-1.log`,
 		RunE: func(command *cobra.Command, arguments []string) error {
-			filter := eventlog.Filter{Instance: instance, Configuration: configuration}
-			if instance == "" && !configuration {
+			filter := eventlog.Filter{Instance: instance, Rollout: rollout, Configuration: configuration}
+			if instance == "" && rollout == "" && !configuration {
 				if len(arguments) == 0 {
 					return fault.New(fault.BadRequest, "no request is named").
-						WithRemedy("give a request's id, --instance or --configuration")
+						WithRemedy("give a request's id, --instance, --rollout or --configuration")
 				}
 				filter.Request, arguments = arguments[0], arguments[1:]
 			}
@@ -37,6 +38,7 @@
 		},
 	}
 	command.Flags().StringVar(&instance, "instance", "", "print the history of this back end")
+	command.Flags().StringVar(&rollout, "rollout", "", "print the history of moving this service to another release")
 	command.Flags().BoolVar(&configuration, "configuration", false, "print the history of the configuration")
 	return command
 }
--- a/internal/eventlog/trail.go
+++ b/internal/eventlog/trail.go
@@ -20,8 +20,13 @@
 	Instance string
 	// Configuration keeps the lines about configurations and versions.
 	Configuration bool
+	// Rollout keeps the lines about moving this service to another release.
+	Rollout string
 }
 
+// rolloutEvents begin the names of the events about rollouts.
+const rolloutEvents = "rollout_"
+
 // configurationEvents are the events about configurations and versions.
 var configurationEvents = map[string]bool{
 	"configuration_adopted": true, "version_named": true, "version_recalled": true,
@@ -34,6 +39,9 @@
 		return line["request"] == f.Request
 	case f.Instance != "":
 		return line["instance"] == f.Instance && line["request"] == nil
+	case f.Rollout != "":
+		event, _ := line["event"].(string)
+		return strings.HasPrefix(event, rolloutEvents) && line["service"] == f.Rollout
 	default:
 		event, _ := line["event"].(string)
 		return configurationEvents[event]
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -142,7 +142,9 @@
 // patience returns how long the first byte of an answer is awaited before the
 // request is sent elsewhere; 0 means until its time is over.
 func (r *run) patience(choice *backend.Choice) time.Duration {
-	if !r.route.Repeatable() || r.ran+1 >= r.route.MaxAttempts || choice.Candidates < 2 {
+	// A release on trial has other back ends beside it that were not compared.
+	alone := choice.Candidates < 2 && choice.Releases.Among == 0
+	if !r.route.Repeatable() || r.ran+1 >= r.route.MaxAttempts || alone {
 		return 0
 	}
 	if r.route.Kind == catalog.Streaming {
--- /dev/null
+++ b/internal/forward/releases_test.go
@@ -0,0 +1,209 @@
+package forward_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/fieldpond/fieldpond/internal/admission"
+	"github.com/fieldpond/fieldpond/internal/backend"
+	"github.com/fieldpond/fieldpond/internal/canary"
+	"github.com/fieldpond/fieldpond/internal/catalog"
+	"github.com/fieldpond/fieldpond/internal/forward"
+	"github.com/fieldpond/fieldpond/internal/ident"
+)
+
+// fakeReleases allows first asks one release, and later ones all but that.
+type fakeReleases struct {
+	mutex    sync.Mutex
+	first    backend.Releases
+	later    backend.Releases
+	asks     []canary.Ask
+	declined int
+	sent     []ident.Release
+	samples  []canary.Sample
+}
+
+// Choose implements forward.Releases.
+func (f *fakeReleases) Choose(_ time.Time, ask canary.Ask) backend.Releases {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.asks = append(f.asks, ask)
+	if ask.First {
+		return f.first
+	}
+	return f.later
+}
+
+// Declined implements forward.Releases.
+func (f *fakeReleases) Declined(ident.Service) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.declined++
+}
+
+// Sent implements forward.Releases.
+func (f *fakeReleases) Sent(_ time.Time, _ ident.Service, to backend.Record) canary.Run {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.sent = append(f.sent, to.Release)
+	return canary.Run{}
+}
+
+// Ended implements forward.Releases.
+func (f *fakeReleases) Ended(_ time.Time, _ canary.Run, sample canary.Sample) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.samples = append(f.samples, sample)
+}
+
+// newReleaseBench returns a bench with three engines of an old release and, unless none is
+// to be there, one of a new one.
+func newReleaseBench(releases *fakeReleases, target bool, answers ...answer) *bench {
+	b := newBench(answers...)
+	records := b.backends.Records()
+	for index := range records {
+		records[index].Release = "v1"
+	}
+	if target {
+		added := records[0]
+		added.Instance, added.Release = "new", "v2"
+		records = append(records, added)
+	}
+	b.backends.Update(time.Now(), records)
+	b.forwarder = forward.New(forward.Config{
+		Freshness: catalog.Freshness{Keyed: 4 * time.Second, Denial: time.Second}, Slack: benchSlack,
+		Repeats: admission.WindowConfig{Window: 10 * time.Second, Share: 0.2},
+	}, forward.Dependencies{
+		Holder: b.holder, Backends: b.backends, Caller: b.caller, Record: b.record, Routers: func() int { return 1 },
+		Caches: b.caches, Releases: releases,
+	})
+	return b
+}
+
+var (
+	onlyNew = backend.Releases{Only: "v2", Among: 1}
+	notNew  = backend.Releases{Not: []ident.Release{"v2"}}
+)
+
+// Each attempt goes where it may go: the first to the release that it is to try, a repeat
+// by the rule of repeats, and one that finds no back end of the target to the others.
+func TestAttemptsKeepToTheReleases(t *testing.T) {
+	tests := []struct {
+		name         string
+		target       bool
+		first, later backend.Releases
+		answers      []answer
+		sent         []ident.Release
+		asks         []canary.Ask
+		declined     int
+		status       int
+	}{
+		{
+			"the target answers", true, onlyNew, notNew, []answer{genuine(200, "ok")},
+			[]ident.Release{"v2"}, []canary.Ask{{Service: "s", Route: "safe", First: true}}, 0, 200,
+		},
+		{
+			"the target fails, and the repeat goes elsewhere", true, onlyNew, notNew,
+			[]answer{genuine(500, "no"), genuine(200, "ok")}, []ident.Release{"v2", "v1"},
+			[]canary.Ask{{Service: "s", Route: "safe", First: true}, {Service: "s", Route: "safe", Excluded: 1}}, 0, 200,
+		},
+		{
+			"no back end of the target is there", false, onlyNew, notNew, []answer{genuine(200, "ok")},
+			[]ident.Release{"v1"}, []canary.Ask{{Service: "s", Route: "safe", First: true}, {Service: "s", Route: "safe"}}, 1, 200,
+		},
+		{
+			"the target is forbidden", true, notNew, notNew, []answer{genuine(200, "ok")},
+			[]ident.Release{"v1"}, []canary.Ask{{Service: "s", Route: "safe", First: true}}, 0, 200,
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			releases := &fakeReleases{first: tt.first, later: tt.later}
+			b := newReleaseBench(releases, tt.target, tt.answers...)
+			sink := b.forward(t, request("safe"))
+			is.Equal(sink.status, tt.status)
+			is.Equal(releases.sent, tt.sent)
+			is.Equal(releases.asks, tt.asks)
+			is.Equal(releases.declined, tt.declined)
+			is.Equal(len(releases.samples), len(tt.sent)) // whatever was sent is told to have ended
+		})
+	}
+}
+
+// Rather is a request refused than sent to a release that it may not go to.
+func TestNoAttemptGoesToAForbiddenRelease(t *testing.T) {
+	is := is.New(t)
+	forbidden := backend.Releases{Not: []ident.Release{"v1", "v2"}}
+	releases := &fakeReleases{first: forbidden, later: forbidden}
+	b := newReleaseBench(releases, true, genuine(200, "ok"))
+	sink := b.forward(t, request("unsafe"))
+	is.True(sink.refusal != nil)
+	is.Equal(len(releases.sent), 0)
+	firsts := 0
+	for _, ask := range releases.asks {
+		if ask.First {
+			firsts++
+		}
+	}
+	is.Equal(firsts, 1) // a request that waits is counted once
+	is.True(len(releases.asks) > 1)
+}
+
+// What an attempt says of its release. The route's target is 300ms, its patience 210ms.
+func TestWhatIsToldOfAnAttempt(t *testing.T) {
+	slow := func(wait time.Duration) answer {
+		return func(ctx context.Context, attempt *forward.Attempt) (*forward.Reply, error) {
+			time.Sleep(wait)
+			return genuine(200, "ok")(ctx, attempt)
+		}
+	}
+	tests := []struct {
+		name    string
+		route   string
+		answer  answer
+		outcome canary.Outcome
+		least   time.Duration
+	}{
+		{"a whole answer", "safe", genuine(200, "ok"), canary.Answered, 0},
+		{"a late one", "unsafe", slow(60 * time.Millisecond), canary.Answered, 60 * time.Millisecond},
+		{"an answer that is the client's fault", "safe", genuine(404, "no"), canary.Answered, 0},
+		{"a failed one", "safe", genuine(500, "no"), canary.Failed, 0},
+		{"one that broke off", "safe", breaking("part"), canary.NoAnswer, 0},
+		{"a refusal", "safe", refusing(forward.NotExecuted), canary.NoAnswer, 0},
+		{"none in time", "safe", hanging(""), canary.Answered, 200 * time.Millisecond},
+		{"none before the connection broke", "safe", failing(true), canary.NoAnswer, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			releases := &fakeReleases{first: onlyNew, later: notNew}
+			b := newReleaseBench(releases, true, tt.answer, genuine(200, "ok"))
+			b.forward(t, request(tt.route))
+			sample := releases.samples[0]
+			is.Equal(sample.Route, tt.route)
+			is.Equal(sample.Outcome, tt.outcome)
+			is.True(sample.Elapsed >= tt.least)
+			is.True(sample.Elapsed < 2*time.Second)
+			is.True(sample.Predicted > 0) // a request without a model has its usual time
+		})
+	}
+}
+
+// The time of a stream is that to its first event, and the one predicted counts the whole
+// prompt: the back end of a new release has nothing of it.
+func TestTheTimeOfAStreamIsThatToItsFirstEvent(t *testing.T) {
+	is := is.New(t)
+	releases := &fakeReleases{first: onlyNew, later: notNew}
+	b := newReleaseBench(releases, true, genuine(200, "id: 0\ndata: x\n\n"))
+	wanted := request("stream")
+	wanted.Prompt = &forward.Prompt{Model: "m", Parts: []forward.Part{{ID: "a", Tokens: 6000}, {ID: "b", Tokens: 1000}}}
+	b.forward(t, wanted)
+	is.Equal(len(releases.samples), 1)
+	is.Equal(releases.samples[0].Outcome, canary.Answered)
+	is.True(releases.samples[0].Predicted >= 7000*20*time.Microsecond)
+}
--- a/internal/node/events.go
+++ b/internal/node/events.go
@@ -16,7 +16,10 @@
 // The fields that every event about a request has, and those of an attempt.
 var (
 	requestFields = []string{"request", "elapsed_ms", "route", "config_version", "config_age_ms"}
-	attemptFields = []string{"attempt", "instance", "record_revision", "home", "predicted_ms", "candidates", "weights"}
+	attemptFields = []string{"attempt", "instance", "record_revision", "home", "predicted_ms", "candidates", "weights", "release", "releases"}
+	// Those of events about rollouts, and about the writing of their states.
+	rolloutFields = []string{"service", "target", "order"}
+	stateFields   = []string{"service", "phase", "version"}
 )
 
 func with(fields []string, more ...string) []string {
@@ -53,6 +56,16 @@
 		{"engines_change", []string{"model", "version", "loading", "loaded", "unsettled"}, "The holder of the lease told which engines are about to take a version, which have it, and which did not say that they take it."},
 		{"quota_leader_changed", []string{"from", "to"}, "Another router grants what tenants with limits may use here; from and to are addresses, to is this router's own if it reaches no older one."},
 		{"order", []string{"instance", "model", "version", "fence", "sequence", "result"}, "An order was sent to an engine."},
+		{"rollout_ordered", with(rolloutFields, "duration_ms"), "An operator's order to move a service to another release was seen here; order is its revision."},
+		{"rollout_decided", with(rolloutFields, "phase", "reason", "ceiling", "fence"), "This router, which holds the lease, has written how the rollout stands; ceiling is the number of requests that may be permitted to the target."},
+		{"rollout_phase", with(rolloutFields, "phase", "reason", "requests", "sent"), "This router acts upon another phase of the rollout; requests and sent are its own, of the service and to the target."},
+		{"rollout_permit", with(rolloutFields, "permitted"), "This router has a permit of the holder that is young enough, or has lost it and sends nothing to the target."},
+		{"rollout_state_unanswered", with(stateFields, "cause"), "A write of the state had no answer: it may have been done, and is read before it is repeated."},
+		{"rollout_state_conflict", stateFields, "The state was not written, since another holder wrote it meanwhile."},
+		{"rollout_state_not_written", with(stateFields, "cause"), "The state could not be encoded."},
+		{"rollout_state_not_read", []string{"service", "cause"}, "The state could not be read for a decision; it is read again."},
+		{"rollout_states_not_read", []string{"cause"}, "The states of rollouts could not be read for all routers; they are read again with the configuration."},
+		{"rollout_state_unreadable", []string{"row", "cause"}, "The row of a state is malformed; the rollout begins anew."},
 		{"sent", with(requestFields, attemptFields...), "An attempt leaves for a back end; predicted_ms is the expected time to its first byte."},
 		{"attempt_ended", with(requestFields, append(attemptFields, "outcome", "cause")...), "An attempt is over."},
 		{"answered", with(requestFields, "status", "events", "cause"), "The whole answer was passed on."},
--- a/internal/node/follower.go
+++ b/internal/node/follower.go
@@ -24,8 +24,11 @@
 	config  FollowConfig
 	namings *namings
 	roster  *roster
-	client  puller
-	chain   *chainGuard
+	// states reads the states of rollouts; it is nil where no service is moved to another
+	// release under guard.
+	states *rolloutStates
+	client puller
+	chain  *chainGuard
 	// joined is called with this router's row and those of all, once it is written.
 	joined func(self upstream.Peer, peers []upstream.Peer)
 	// lost is called each time a dependency is lost.
@@ -105,7 +108,43 @@
 		return err
 	}
 	f.readNamings(ctx, askedAt, &reading)
-	return f.replica.takeConfiguration(f.replica.node, askedAt, reading.Revision, reading.Body)
+	rollouts := f.orders(askedAt, f.replica.holder.View().ConfirmedAt, &reading)
+	err = f.replica.takeConfiguration(f.replica.node, askedAt, reading.Revision, reading.Body, rollouts)
+	if err == nil && f.replica.ordered().pending() {
+		f.readStates(ctx)
+	}
+	return err
+}
+
+// orders returns the orders of a read with the states that are known, or nil if there is
+// none. A rollout whose order is withdrawn stays known until it is over.
+func (f *follower) orders(askedAt, confirmedAt time.Time, reading *Reading) *knownRollouts {
+	known := f.replica.ordered()
+	if f.states == nil || (len(reading.Orders) == 0 && !known.pending()) {
+		return nil
+	}
+	orders := &knownRollouts{orders: reading.Orders, storeTime: reading.StoreTime, readAt: askedAt}
+	switch {
+	case orders.newest() <= known.newest():
+		orders.absent = known.absent
+	case !confirmedAt.IsZero():
+		// When the configuration was last confirmed, by whichever router, the order was
+		// not there.
+		orders.absent = max(reading.StoreTime-askedAt.Sub(confirmedAt), 0)
+	}
+	return orders
+}
+
+// readStates reads the states of rollouts. Only orders without a final state are asked
+// for, so that a rollout that is over costs nothing.
+func (f *follower) readStates(ctx context.Context) {
+	askedAt := time.Now()
+	states, err := f.states.list(ctx)
+	if err != nil {
+		log.WithFields(log.Fields{"cause": err.Error()}).Warn("rollout_states_not_read")
+		return
+	}
+	f.replica.takeStates(askedAt, states)
 }
 
 // readNamings takes in the versions of weights that are named. One that is
--- a/internal/node/log.go
+++ b/internal/node/log.go
@@ -1,11 +1,13 @@
 package node
 
 import (
+	"fmt"
 	"io"
 	stdlog "log"
 
 	"github.com/apex/log"
 
+	"github.com/fieldpond/fieldpond/internal/backend"
 	"github.com/fieldpond/fieldpond/internal/forward"
 )
 
@@ -38,6 +40,10 @@
 		if step.Choice.Version > 0 {
 			fields["weights"] = step.Choice.Version
 		}
+		if releases := &step.Choice.Releases; releases.Bounded() {
+			fields["release"] = step.Choice.Release
+			fields["releases"] = describeReleases(releases)
+		}
 	}
 	if step.Outcome != 0 {
 		fields["outcome"] = step.Outcome.String()
@@ -58,3 +64,15 @@
 	}
 	log.WithFields(fields).Info(string(step.Kind))
 }
+
+// describeReleases says which releases an attempt was allowed to go to.
+func describeReleases(releases *backend.Releases) string {
+	switch {
+	case releases.Only == "":
+		return fmt.Sprintf("all but %v", releases.Not)
+	case releases.Among > 0:
+		return fmt.Sprintf("only %s, %d of its back ends", releases.Only, releases.Among)
+	default:
+		return fmt.Sprintf("only %s", releases.Only)
+	}
+}
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -41,6 +41,7 @@
 	pulls        *prometheus.CounterVec
 	// What requests of tenants with limits would use, by what came of their claims.
 	tenantGranted, tenantDenied, tenantUnconfirmed *prometheus.CounterVec
+	releaseAttempts, rolloutPhases                 *prometheus.CounterVec
 }
 
 // reading is the state of a node at one moment.
@@ -70,6 +71,9 @@
 		tenantGranted:     registry.Counter("edge_tenant_granted_total", "Requests or tokens of tenants with limits that were granted.", "tenant"),
 		tenantDenied:      registry.Counter("edge_tenant_denied_total", "Requests or tokens that were denied, since the tenant had used its limit.", "tenant"),
 		tenantUnconfirmed: registry.Counter("edge_tenant_unconfirmed_total", "Requests or tokens for which no router confirmed in time that the tenant is within its limit.", "tenant"),
+
+		releaseAttempts: registry.Counter("edge_release_attempts_total", "Attempts at back ends of a service that is being moved to another release, by release and outcome.", "service", "release", "outcome"),
+		rolloutPhases:   registry.Counter("edge_rollout_phases_total", "Changes of the phase of a rollout, as this router acts upon it.", "service", "phase"),
 	}
 	group := telemetry.NewGroup(registry, func() (reading, bool) { return read(), true })
 	group.Gauge("edge_configuration_version", "Version of the configuration in force, 0 for none.", func(r reading) int { return int(r.configurationVersion) })
@@ -101,6 +105,7 @@
 func (m *metrics) step(step *forward.Step) {
 	if step.Kind == forward.StepAttemptEnded {
 		m.attempts.WithLabelValues(step.Outcome.String()).Inc()
+		m.release(step)
 	}
 	if !ends[step.Kind] {
 		return
@@ -112,6 +117,13 @@
 	}
 }
 
+// release counts an attempt by the release of its back end while releases are bounded.
+func (m *metrics) release(step *forward.Step) {
+	if choice := &step.Choice; choice.Releases.Bounded() {
+		m.releaseAttempts.WithLabelValues(string(choice.Service), string(choice.Release), step.Outcome.String()).Inc()
+	}
+}
+
 func (m *metrics) order(result rollout.Result) { m.orders.WithLabelValues(result.String()).Inc() }
 
 func (m *metrics) handler() http.Handler { return m.registry.Handler() }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -66,6 +66,8 @@
 	Engines rollout.Engines
 	// Caches may be nil: what the stores of kept prompt caches hold is unknown then.
 	Caches CacheReader
+	// Rollouts writes how rollouts stand; it may be nil where Config.Canary is not set.
+	Rollouts RolloutStore
 	// Front returns the handler of client requests. closing reports whether
 	// connections are to end after their answer.
 	Front func(forwarder *forward.Forwarder, holder *catalog.Holder, closing func() bool) http.Handler
@@ -88,6 +90,7 @@
 	metrics  *metrics
 	follower *follower
 	quotas   *quotas
+	canaries *canaries
 	stopping atomic.Bool
 }
 
@@ -104,9 +107,24 @@
 	n.follower = n.newFollower()
 	n.quotas = n.newQuotas()
 	n.follower.joined = n.quotas.know
+	n.guardReleases()
 	return n
 }
 
+// guardReleases sets up what moves services to other releases, if that is asked for.
+func (n *Node) guardReleases() {
+	if !n.config.Canary.Enabled() || n.ports.Rollouts == nil {
+		return
+	}
+	states := &rolloutStates{table: n.ports.Table, writer: n.ports.Rollouts, timeout: n.config.Follow.ReadTimeout}
+	n.canaries = newCanaries(n.config.Canary, &canaries{
+		self: n.config.PeerAddr, peers: n.follower.roster.others, refresh: n.follower.readRoster,
+		lease: n.lease, backends: n.backends, states: states, metrics: n.metrics,
+		send: func(netip.AddrPort, datagram) {},
+	})
+	n.follower.states, n.follower.replica.canaries = states, n.canaries
+}
+
 func (n *Node) newFollower() *follower {
 	follow := n.config.Follow
 	return &follower{
@@ -172,6 +190,7 @@
 	if announcer != nil {
 		announcer.quotas = n.quotas
 		n.quotas.send = announcer.sendQuota
+		n.canaries.connect(announcer)
 	}
 	work, stopWork := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopWork()
@@ -217,6 +236,9 @@
 		}
 		loops = append(loops, watcher.run)
 	}
+	if n.canaries != nil {
+		loops = append(loops, n.canaries.run)
+	}
 	if n.ports.Caches != nil && n.config.Off.On(mechanism.CacheIndex) {
 		caches := &cacheFollower{reads: follower.chain.leads, reader: n.ports.Caches, index: follower.replica.caches, holder: n.holder}
 		loops = append(loops, caches.run)
--- a/internal/node/notices.go
+++ b/internal/node/notices.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/fieldpond/fieldpond/internal/backend"
+	"github.com/fieldpond/fieldpond/internal/canary"
 	"github.com/fieldpond/fieldpond/internal/health"
 	"github.com/fieldpond/fieldpond/internal/quota"
 	"github.com/fieldpond/fieldpond/internal/rollout"
@@ -19,6 +20,9 @@
 const (
 	// maxNoticeBytes bounds one datagram of a notice.
 	maxNoticeBytes = 1400
+	// maxDatagramBytes bounds what is read of a datagram: a report of answers by route
+	// and back end may be longer than a notice (canary.Report).
+	maxDatagramBytes = 4096
 	// noticeEngines bounds the engines named in one datagram.
 	noticeEngines = 40
 )
@@ -33,6 +37,8 @@
 	peers func() []netip.AddrPort
 	// quotas takes in what other routers tell of limits; it may be nil.
 	quotas *quotas
+	// canaries takes in permits and reports of rollouts; it may be nil.
+	canaries *canaries
 }
 
 var _ rollout.Announcer = (*notices)(nil)
@@ -42,6 +48,8 @@
 	Rollout *rollout.Notice `cbor:"1,keyasint,omitempty"`
 	Health  *health.Notice  `cbor:"2,keyasint,omitempty"`
 	Quota   *quota.Datagram `cbor:"3,keyasint,omitempty"`
+	Permit  *canary.Permit  `cbor:"4,keyasint,omitempty"`
+	Report  *canary.Report  `cbor:"5,keyasint,omitempty"`
 }
 
 // listenNotices opens the socket for notices at an address.
@@ -84,13 +92,18 @@
 
 // sendQuota sends a message about the limits of tenants to one router.
 func (n *notices) sendQuota(envelope quota.Envelope) {
-	encoded, err := cbor.Marshal(datagram{Quota: quota.Pack(envelope.Message)})
+	n.sendTo(envelope.To, datagram{Quota: quota.Pack(envelope.Message)})
+}
+
+// sendTo sends a datagram to one router.
+func (n *notices) sendTo(to netip.AddrPort, told datagram) {
+	encoded, err := cbor.Marshal(told)
 	if err != nil {
 		log.WithFields(log.Fields{"cause": err.Error()}).Warn("notice_not_sent")
 		return
 	}
 	// What is lost is sent again, or missed by its receiver.
-	_, _ = n.socket.WriteToUDPAddrPort(encoded, envelope.To)
+	_, _ = n.socket.WriteToUDPAddrPort(encoded, to)
 }
 
 // splitHealth returns notices that fit into a datagram each.
@@ -131,7 +144,7 @@
 func (n *notices) listen(ctx context.Context) {
 	stop := context.AfterFunc(ctx, func() { _ = n.socket.Close() })
 	defer stop()
-	buffer := make([]byte, maxNoticeBytes)
+	buffer := make([]byte, maxDatagramBytes)
 	for ctx.Err() == nil {
 		count, from, err := n.socket.ReadFromUDPAddrPort(buffer)
 		if err != nil {
@@ -156,11 +169,15 @@
 	if told.Health != nil {
 		n.takeHealth(told.Health)
 	}
+	from = netip.AddrPortFrom(from.Addr().Unmap(), from.Port())
 	if told.Quota != nil && n.quotas != nil {
 		if msg := told.Quota.Message(); msg != nil {
-			n.quotas.receive(netip.AddrPortFrom(from.Addr().Unmap(), from.Port()), msg)
+			n.quotas.receive(from, msg)
 		}
 	}
+	if n.canaries != nil {
+		n.canaries.receive(from, &told)
+	}
 }
 
 // takeHealth takes in which engines are silent and at which requests wait.
--- a/internal/node/pull.go
+++ b/internal/node/pull.go
@@ -197,7 +197,9 @@
 		f.takeNaming(&naming, at)
 	}
 	configuration := &update.Configuration
-	err := f.replica.takeConfiguration(update.Origin, at.Add(-configuration.Age), configuration.Revision, configuration.Body)
+	err := f.replica.takeConfiguration(
+		update.Origin, at.Add(-configuration.Age), configuration.Revision, configuration.Body, rolloutsOf(configuration.Rollouts, at),
+	)
 	if err != nil {
 		return err
 	}
@@ -227,12 +229,17 @@
 		if !f.chain.reads() && !holds() && !changed {
 			return
 		}
-		peers, routers, err := f.roster.read(ctx)
-		if err != nil {
-			log.WithFields(log.Fields{"cause": err.Error()}).Warn("routers_not_counted")
-			return
-		}
-		f.replica.counted(routers)
-		f.roster.know(peers)
+		f.readRoster(ctx)
 	})
 }
+
+// readRoster reads the rows of the routers.
+func (f *follower) readRoster(ctx context.Context) {
+	peers, routers, err := f.roster.read(ctx)
+	if err != nil {
+		log.WithFields(log.Fields{"cause": err.Error()}).Warn("routers_not_counted")
+		return
+	}
+	f.replica.counted(routers)
+	f.roster.know(peers)
+}
--- a/internal/node/replica.go
+++ b/internal/node/replica.go
@@ -9,6 +9,7 @@
 	"github.com/apex/log"
 
 	"github.com/fieldpond/fieldpond/internal/backend"
+	"github.com/fieldpond/fieldpond/internal/canary"
 	"github.com/fieldpond/fieldpond/internal/catalog"
 	"github.com/fieldpond/fieldpond/internal/ident"
 	"github.com/fieldpond/fieldpond/internal/promptcache"
@@ -25,6 +26,9 @@
 	decode   func(body []byte) (*catalog.Snapshot, error)
 	// caches is what stores of prompt caches hold; it is passed on, not read here.
 	caches *promptcache.Index
+	// canaries takes in orders, states and releases; it is nil where no service is moved
+	// to another release under guard.
+	canaries *canaries
 
 	mu           sync.Mutex
 	self         upstream.Peer
@@ -40,6 +44,9 @@
 	listedAt time.Time
 	// routers is the number of routers in all zones, 0 if not known.
 	routers int
+	// rollouts is what is known of rollouts, nil where there is no order. Orders and
+	// states may have been read by different routers.
+	rollouts *knownRollouts
 }
 
 func newReplica(node ident.Node, holder *catalog.Holder, backends *backend.Registry, decode func([]byte) (*catalog.Snapshot, error)) *replica {
@@ -91,6 +98,7 @@
 	if r.revision != 0 {
 		update.Configuration.Age = view.Age(now)
 		update.Configuration.Namings = toldNamings(now, view)
+		update.Configuration.Rollouts = r.rollouts.told(now)
 	}
 	if r.revision != pull.Configuration {
 		update.Configuration.Body = r.body
@@ -156,8 +164,11 @@
 }
 
 // takeConfiguration takes in a configuration that was the newest at
-// confirmedAt, as a router read it. An empty body stands for the one held.
-func (r *replica) takeConfiguration(origin ident.Node, confirmedAt time.Time, revision uint64, body []byte) error {
+// confirmedAt, as a router read it with the orders of rollouts. An empty body stands for the
+// one held.
+func (r *replica) takeConfiguration(
+	origin ident.Node, confirmedAt time.Time, revision uint64, body []byte, rollouts *knownRollouts,
+) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if revision == 0 || revision < r.revision || (revision > r.revision && len(body) == 0) {
@@ -173,6 +184,9 @@
 		snapshot = decoded
 		r.revision, r.body = revision, body
 	}
+	// Orders are known before the confirmation is: a release that waits for one must not
+	// pass between the two.
+	r.takeRollouts(confirmedAt, rollouts)
 	adopted := r.holder.Adopt(snapshot, confirmedAt)
 	if adopted {
 		log.WithFields(log.Fields{
@@ -186,6 +200,39 @@
 	return nil
 }
 
+// takeRollouts takes in what a configuration that was confirmed at a time told of rollouts;
+// the caller holds the mutex.
+func (r *replica) takeRollouts(confirmedAt time.Time, told *knownRollouts) {
+	if r.canaries == nil {
+		return
+	}
+	if told != nil || r.rollouts == nil || confirmedAt.After(r.rollouts.readAt) {
+		r.rollouts = r.rollouts.joined(told)
+	}
+	r.canaries.know(confirmedAt, r.rollouts)
+}
+
+// takeStates takes in the states of rollouts as they were read at a time.
+func (r *replica) takeStates(readAt time.Time, states []canary.State) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.rollouts == nil {
+		return
+	}
+	told := *r.rollouts
+	told.states, told.statesAt = states, readAt
+	r.rollouts = r.rollouts.joined(&told)
+	r.canaries.know(r.rollouts.readAt, r.rollouts)
+	r.confirmed(r.origin)
+}
+
+// ordered returns the rollouts that are known.
+func (r *replica) ordered() *knownRollouts {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.rollouts
+}
+
 // takeList takes in the list of back ends as a router read it at a time.
 func (r *replica) takeList(origin ident.Node, listedAt time.Time, list *upstream.List) {
 	r.mu.Lock()
@@ -200,6 +247,7 @@
 		return
 	default:
 		logBackends(r.backends.Update(listedAt, r.list.records))
+		r.canaries.listed(listedAt, r.list.records)
 	}
 	r.listedAt = listedAt
 	r.confirmed(origin)
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -33,6 +33,7 @@
 	forwarder := forward.New(n.config.Forward, forward.Dependencies{
 		Holder: n.holder, Backends: n.backends, Caller: n.ports.Caller, Record: recordTo(n.metrics),
 		Routers: n.follower.replica.Routers, Caches: n.follower.replica.caches, Quotas: n.quotas,
+		Releases: n.releases(),
 	})
 	var front http.Handler
 	if n.ports.Front != nil {
@@ -54,6 +55,14 @@
 	return all
 }
 
+// releases returns what guards services that are moved to another release, if anything.
+func (n *Node) releases() forward.Releases {
+	if n.canaries == nil {
+		return nil
+	}
+	return n.canaries
+}
+
 func newServer(purpose, address string, handler http.Handler) *server {
 	return &server{purpose: purpose, Server: &http.Server{
 		Addr: address, Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ErrorLog: quietLog,
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -68,6 +68,9 @@
 	if u.Held < 0 || u.Held > elapsed || u.Configuration.Age < 0 || u.List.Age < 0 {
 		return errors.New("the peer's times are not possible")
 	}
+	if rollouts := u.Configuration.Rollouts; rollouts != nil && rollouts.Age < 0 {
+		return errors.New("the peer's times are not possible")
+	}
 	for _, naming := range u.Configuration.Namings {
 		if naming.Age < 0 {
 			return errors.New("the peer's times are not possible")
--- a/internal/upstream/update.go
+++ b/internal/upstream/update.go
@@ -1,7 +1,6 @@
 package upstream
 
 import (
-	"slices"
 	"time"
 
 	"github.com/fieldpond/fieldpond/internal/backend"
@@ -61,23 +60,17 @@
 	Rollouts *Rollouts `cbor:"5,keyasint,omitempty"`
 }
 
-// Rollouts is what the store tells of rollouts, as it was read with a configuration.
+// Rollouts is what the store tells of rollouts.
 type Rollouts struct {
 	Known canary.Known `cbor:"1,keyasint"`
-	// StoreTime is the store's own steady time at the read of the orders.
+	// StoreTime is the store's own steady time at the read of the orders; at Absent the
+	// newest of them was not there yet, 0 if that is not known.
 	StoreTime time.Duration `cbor:"2,keyasint"`
-	// Age is the time since the orders were read, StatesAge since the states were.
-	Age       time.Duration `cbor:"3,keyasint"`
-	StatesAge time.Duration `cbor:"4,keyasint"`
-}
-
-// Pending reports whether an order has no final state yet.
-func (r *Rollouts) Pending() bool {
-	return slices.ContainsFunc(r.Known.Orders, func(order canary.Order) bool {
-		return !slices.ContainsFunc(r.Known.States, func(state canary.State) bool {
-			return state.Phase.Final() && state.Order.Service == order.Service && state.Order.Revision >= order.Revision
-		})
-	})
+	Absent    time.Duration `cbor:"3,keyasint,omitempty"`
+	// Age is the time since the orders were read, StatesAge since the states were, below
+	// zero if they were not.
+	Age       time.Duration `cbor:"4,keyasint"`
+	StatesAge time.Duration `cbor:"5,keyasint"`
 }
 
 // Naming is a named version of a model's weights.
