--- a/internal/canary/director.go
+++ b/internal/canary/director.go
@@ -58,33 +58,143 @@
 func (Conflict) writeResult()   {}
 func (Unanswered) writeResult() {}
 
+const (
+	// defaultTick is the time between two permits: four in the time for which one is valid.
+	defaultTick = 250 * time.Millisecond
+	// largeFleet is the number of routers above which permits are sent half as often.
+	largeFleet = 250
+	// firstLookBack is how long before its first look at the orders a router takes one
+	// that it finds to have been written, at most: a lease is vacant for about as long.
+	firstLookBack = 3 * time.Second
+)
+
 // Director directs all rollouts while its router holds the lease for them. It is not safe
 // for concurrent use.
 type Director struct {
-	cfg   DirectorConfig
-	hooks hooks
+	cfg      DirectorConfig
+	hooks    hooks
+	fence    uint64
+	rollouts []*rollout
+	// origin is the local time of the store's time 0, the earliest that was seen.
+	origin time.Time
+	// looked says that orders were observed, last at the store's time lookedAt.
+	looked   bool
+	lookedAt time.Duration
+	routers  []netip.AddrPort
 }
 
 // NewDirector returns a director that holds no lease.
-func NewDirector(cfg DirectorConfig) *Director { return &Director{cfg: cfg} }
+func NewDirector(cfg DirectorConfig) *Director {
+	if cfg.Tick == 0 {
+		cfg.Tick = defaultTick
+	}
+	return &Director{cfg: cfg}
+}
 
 // Hold says that the lease is held under a fence, or is not held any more if that is 0.
-func (d *Director) Hold(now time.Time, fence uint64) {}
+func (d *Director) Hold(now time.Time, fence uint64) {
+	if fence == d.fence {
+		return
+	}
+	d.fence = fence
+	for _, rollout := range d.rollouts {
+		rollout.hold(now, fence)
+	}
+}
 
 // Observe takes in the orders, all back ends and all routers as they were read, and the
 // store's own time at that moment. It is called whether the lease is held or not, so that
 // a new holder knows since when an order can have been there.
 func (d *Director) Observe(now time.Time, storeNow time.Duration, orders []Order, engines []backend.Record, routers []netip.AddrPort) {
+	if origin := now.Add(-storeNow); d.origin.IsZero() || origin.Before(d.origin) {
+		d.origin = origin
+	}
+	d.routers = routers
+	listed := map[ident.Service]bool{}
+	for _, order := range orders {
+		listed[order.Service] = true
+		d.observeOrder(now, storeNow, order)
+	}
+	for _, rollout := range d.rollouts {
+		rollout.observe(now, d.origin, listed[rollout.service], engines, routers)
+	}
+	d.looked, d.lookedAt = true, storeNow
+}
+
+// observeOrder takes in an order that is listed.
+func (d *Director) observeOrder(now time.Time, storeNow time.Duration, order Order) {
+	known := d.rollout(order.Service)
+	if known == nil {
+		known = d.add(now, order)
+	} else if order.Revision <= known.order.Revision {
+		return
+	}
+	known.order = order
+	known.orderedAt = max(0, storeNow-firstLookBack)
+	if d.looked {
+		known.orderedAt = d.lookedAt
+	}
+}
+
+// rollout returns the rollout of a service, or nil.
+func (d *Director) rollout(service ident.Service) *rollout {
+	for _, known := range d.rollouts {
+		if known.service == service {
+			return known
+		}
+	}
+	return nil
+}
+
+// Read takes in the row of a service's state as it lies in the store. A new holder is told
+// also those rows that it has not asked for: their orders may have been withdrawn.
+func (d *Director) Read(now time.Time, state State, version uint64) {
+	if d.fence == 0 {
+		return
+	}
+	known := d.rollout(state.Order.Service)
+	if known == nil && state.Phase != 0 && !state.Phase.Final() {
+		known = d.add(now, state.Order)
+	}
+	if known != nil {
+		known.read(now, state, version)
+	}
 }
 
-// Read takes in the row of a service's state as it lies in the store.
-func (d *Director) Read(now time.Time, state State, version uint64) {}
+// add begins to direct the rollout of an order.
+func (d *Director) add(now time.Time, order Order) *rollout {
+	added := &rollout{service: order.Service, cfg: d.cfg, hooks: d.hooks, order: order, routers: d.routers, origin: d.origin}
+	added.hold(now, d.fence)
+	d.rollouts = append(d.rollouts, added)
+	return added
+}
 
 // Reported takes in a report of a router.
-func (d *Director) Reported(now time.Time, from netip.AddrPort, report *Report) {}
+func (d *Director) Reported(now time.Time, from netip.AddrPort, report *Report) {
+	if !report.sound() {
+		return
+	}
+	known := d.rollout(report.Service)
+	if known != nil && d.fence != 0 && known.state.Order.Revision == report.Revision {
+		known.fleet.reported(now, from, report)
+	}
+}
 
 // Step returns what is to be done now. It is called a few times in each tick.
-func (d *Director) Step(now time.Time) []Action { return nil }
+func (d *Director) Step(now time.Time) []Action {
+	if d.fence == 0 {
+		return nil
+	}
+	var actions []Action
+	for _, rollout := range d.rollouts {
+		actions = append(actions, rollout.step(now)...)
+	}
+	return actions
+}
 
 // Written takes in what came of the Write of a service's state.
-func (d *Director) Written(now time.Time, service ident.Service, result WriteResult) {}
+func (d *Director) Written(now time.Time, service ident.Service, result WriteResult) {
+	if known := d.rollout(service); known != nil {
+		known.written(now, result)
+	}
+}
--- a/internal/canary/gate.go
+++ b/internal/canary/gate.go
@@ -25,16 +25,11 @@
 	// confirmedAt is the time at which the orders that are known were the newest ones.
 	confirmedAt time.Time
 	services    map[ident.Service]*traffic
-	// bound is the number of services of which a release must not be used, or is bound.
+	// bound is the number of services for which Choose has to be asked.
 	bound int
 	hooks hooks
 }
 
-// hooks switch guards off in tests, which show that each of them is needed.
-type hooks struct {
-	ignoreClock, ignoreFence, ignoreLife, ignoreCeiling bool
-}
-
 // NewGate returns a gate that knows of nothing.
 func NewGate(cfg GateConfig) *Gate {
 	return &Gate{cfg: cfg, services: map[ident.Service]*traffic{}}
@@ -46,8 +41,9 @@
 		return
 	}
 	g.start(now)
-	if confirmedAt.After(g.confirmedAt) {
+	if !confirmedAt.Before(g.confirmedAt) {
 		g.confirmedAt = confirmedAt
+		g.dropWithdrawn(known.Orders)
 	}
 	for _, order := range known.Orders {
 		g.guard(order)
@@ -61,6 +57,17 @@
 	g.countBound()
 }
 
+// dropWithdrawn drops the guards of orders that are not listed any more and that no holder
+// has taken up.
+func (g *Gate) dropWithdrawn(orders []Order) {
+	for service, traffic := range g.services {
+		listed := slices.ContainsFunc(orders, func(order Order) bool { return order.Service == service })
+		if guard := traffic.guard; guard != nil && !listed && guard.fence == 0 && guard.phase == 0 {
+			traffic.guard = nil
+		}
+	}
+}
+
 // start begins the gate's clock.
 func (g *Gate) start(now time.Time) {
 	if g.epoch.IsZero() {
@@ -75,7 +82,7 @@
 	known := traffic.guard
 	switch {
 	case known == nil || known.order.Revision < order.Revision:
-		traffic.begin(order)
+		traffic.begin(order, g.cfg.Life)
 	case known.order.Revision > order.Revision:
 		return nil
 	}
@@ -113,7 +120,7 @@
 	}
 }
 
-// Active reports whether any service is bound: if not, Choose need not be asked.
+// Active reports whether any attempt may have to be kept from a release: if not, Choose need not be asked.
 func (g *Gate) Active() bool { return g.bound > 0 }
 
 // Choose returns where an attempt may go. If it names the only release allowed and no
@@ -125,9 +132,9 @@
 		return backend.Releases{}
 	}
 	if traffic.guard == nil {
-		return backend.Releases{Not: traffic.unconfirmed}
+		return backend.Releases{Not: traffic.forbidden}
 	}
-	return traffic.guard.releases(now, ask)
+	return traffic.guard.releases(now, ask, traffic.forbidden)
 }
 
 // Declined says that a request for which Choose named only the target of a rollout will
--- a/internal/canary/guard.go
+++ b/internal/canary/guard.go
@@ -1,6 +1,7 @@
 package canary
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -19,14 +20,21 @@
 	// fewParts is the number of parts into which back ends of the target are put together
 	// once half of the tallies of a report are taken.
 	fewParts = 8
+	// mostRarePart is how much greater the part of a rare route's requests may be that go
+	// to the target: its callers are not to bear the test alone.
+	mostRarePart = 2
 )
 
 // guard is what a Gate knows and counts of one rollout.
 type guard struct {
 	order Order
 	phase Phase
-	// others are the releases that served before the target, notTarget is the target.
-	others, notTarget []ident.Release
+	// others are the releases that served before the target.
+	others []ident.Release
+	// spurned is the target of the rollout before, if it proved bad.
+	spurned ident.Release
+	// spread differs from router to router.
+	spread uint64
 	// fence is the highest that a permit or state has carried.
 	fence  uint64
 	permit Permit
@@ -36,11 +44,7 @@
 	// target, and requests that were told to go there and are not yet sent.
 	requests, sent, pending uint64
 	tallies                 []Tally
-}
-
-// newGuard returns the guard of an order of which no state is known.
-func newGuard(order Order) *guard {
-	return &guard{order: order, notTarget: []ident.Release{order.Target}}
+	routes                  []routeShare
 }
 
 // learn takes in a phase and its releases; a final phase stays.
@@ -56,36 +60,71 @@
 	}
 }
 
-// releases returns where an attempt may go.
-func (g *guard) releases(now time.Time, ask Ask) backend.Releases {
+// releases returns where an attempt may go. Forbidden are the releases that it may not go to
+// without a permit.
+func (g *guard) releases(now time.Time, ask Ask, forbidden []ident.Release) backend.Releases {
 	if ask.First {
 		g.requests++
 	}
+	turn := ask.First && g.turn(ask.Route)
 	switch {
-	case g.phase == Succeeded:
-		return backend.Releases{Not: g.others}
-	case g.phase == RolledBack || !g.permitted(now):
-		return backend.Releases{Not: g.notTarget}
+	case g.phase.Final() || !g.permitted(now):
+		return backend.Releases{Not: forbidden}
 	case g.permit.Phase == Promoting:
 		return backend.Releases{Only: g.order.Target}
-	case !ask.First || g.sent+g.pending >= g.permit.Sends:
-		return backend.Releases{Not: g.notTarget}
+	case !turn || g.sent+g.pending >= g.permit.Sends:
+		return backend.Releases{Not: forbidden}
 	}
 	g.pending++
+	g.routes[g.route(ask.Route)].credit--
 	return backend.Releases{Only: g.order.Target, Among: g.permit.Among, Seed: g.permit.Seed}
 }
 
-// forbids reports whether a final phase forbids a release.
+// forbids reports whether a release may not be used without a permit.
 func (g *guard) forbids(release ident.Release) bool {
 	if g.phase == Succeeded {
 		return slices.Contains(g.others, release)
 	}
-	return g.phase == RolledBack && release == g.order.Target
+	return release == g.order.Target || (g.spurned != "" && release == g.spurned)
 }
 
 // permitted reports whether there is a permit that is still valid.
 func (g *guard) permitted(now time.Time) bool { return !g.permit.Halted && now.Before(g.until) }
 
+// routeShare spreads the requests of one route that go to the target.
+type routeShare struct {
+	name     string
+	requests uint64
+	// credit is the part of a request that may go to the target; at 1 the next one may.
+	credit float64
+}
+
+// route returns the index of a route, which is added if it is new.
+func (g *guard) route(name string) int {
+	for index := range g.routes {
+		if g.routes[index].name == name {
+			return index
+		}
+	}
+	// Routers begin at different credits, so that their first requests to the target come
+	// one after the other.
+	begin := float64(xxhash.Sum64String(name)^g.spread) / math.MaxUint64
+	g.routes = append(g.routes, routeShare{name: name, credit: begin})
+	return len(g.routes) - 1
+}
+
+// turn counts a request, and reports whether it is its route's turn to send one to the
+// target. Routes with few requests send a greater part of them, up to mostRarePart times,
+// so that what is bad on one of them alone is found about as soon.
+func (g *guard) turn(name string) bool {
+	route := &g.routes[g.route(name)]
+	route.requests++
+	even := float64(g.requests) / float64(len(g.routes))
+	weight := min(max(even/float64(route.requests), 1/mostRarePart), mostRarePart)
+	route.credit = min(route.credit+g.permit.Part*weight, 1)
+	return route.credit >= 1
+}
+
 // sending counts an attempt that goes to the target.
 func (g *guard) sending() {
 	g.sent++
--- a/internal/canary/histogram.go
+++ b/internal/canary/histogram.go
@@ -7,18 +7,18 @@
 
 const (
 	// timeBins is the number of bins of a Histogram. With steps of the square root of two
-	// they reach from firstBin to 90 times the predicted time; what lies beyond falls
+	// they reach from firstBin to 128 times the predicted time; what lies beyond falls
 	// into the last one.
 	timeBins = 15
-	// firstBin is the end of the first bin, as a multiple of the predicted time. Answers
-	// that make use of a cached prompt come in a third of the time that is predicted
-	// without one, and a new back end has none cached: what is faster than this counts as
-	// equally fast, so that a cold cache is not taken for a slow release.
-	firstBin = 0.7
+	// firstBin is the end of the first bin, as a multiple of the predicted time. What is
+	// faster counts as equally fast: answers that make use of a cached prompt come in a
+	// third of the time that is predicted without one, and those of a new back end, which
+	// has none cached, are no slower for that.
+	firstBin = 1
 )
 
 // Histogram counts answers by the time that they took, in bins of its ratio to the time
-// that was predicted for them with nothing cached. Bins at its end that are empty may be
+// that was predicted for them (Sample.Predicted). Bins at its end that are empty may be
 // missing.
 type Histogram []uint32
 
--- /dev/null
+++ b/internal/canary/histories_test.go
@@ -0,0 +1,327 @@
+package canary
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"runtime"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/fieldpond/fieldpond/internal/backend"
+)
+
+// ms is a time of a history, from its begin.
+func ms(from, until int) [2]time.Duration {
+	return [2]time.Duration{time.Duration(from) * time.Millisecond, time.Duration(until) * time.Millisecond}
+}
+
+const forever = time.Hour
+
+// drawHistory draws a fleet and an order without any trouble.
+func drawHistory(seed uint64, random *rand.Rand) history {
+	fleets := []struct{ routers, old int }{{12, 8}, {12, 24}, {30, 40}, {83, 70}}
+	fleet := fleets[random.IntN(len(fleets))]
+	return history{
+		seed: seed, routers: fleet.routers, old: fleet.old, new: fleet.old,
+		rate: 450 + 150*random.Float64(), duration: time.Duration(12+random.IntN(9)) * time.Second,
+		routes: []modelRoute{
+			{name: "draft", part: 0.4, usual: 150 * time.Millisecond, failures: 0.002, cached: 0.35},
+			{name: "commit", part: 0.3, usual: 60 * time.Millisecond, failures: 0.01},
+			{name: "lookup", part: 0.3, usual: 80 * time.Millisecond},
+		},
+		lookEvery:    500 * time.Millisecond,
+		targetListed: time.Duration(random.IntN(1500)) * time.Millisecond,
+	}
+}
+
+// within returns a time in some part of the order's duration.
+func (h *history) within(random *rand.Rand, from, until float64) time.Duration {
+	part := from + (until-from)*random.Float64()
+	return modelStart + scale(h.duration, part).Truncate(modelStep)
+}
+
+// trouble is something that a history may meet.
+type trouble struct {
+	name string
+	add  func(h *history, random *rand.Rand)
+}
+
+// some returns a few indexes below a number.
+func some(random *rand.Rand, count, below int) []int {
+	return random.Perm(below)[:min(count, below)]
+}
+
+// inUse returns the index of a back end of the target that is in use.
+func (h *history) inUse(random *rand.Rand) []int {
+	m := newModel(*h)
+	releases := permitReleases(h)
+	chosen := releases.Narrow(append(m.instances[:0:0], m.instances...))
+	for index, instance := range m.instances {
+		if instance == chosen[random.IntN(len(chosen))] {
+			return []int{index}
+		}
+	}
+	return []int{0}
+}
+
+// badKinds are the ways in which a target is bad.
+var badKinds = []trouble{
+	{"10 in 100 fail on one route", func(h *history, random *rand.Rand) {
+		h.addBad(fault{route: h.anyRoute(random), failures: 0.1})
+	}},
+	{"3 times slower on one route", func(h *history, random *rand.Rand) {
+		h.addBad(fault{route: h.anyRoute(random), times: 3})
+	}},
+	{"30 in 100 fail at once", func(h *history, random *rand.Rand) { h.addBad(fault{failures: 0.3}) }},
+	{"30 in 100 are 4 times slower", func(h *history, random *rand.Rand) { h.addBad(fault{times: 4, part: 0.3}) }},
+	{"late, 30 in 100 fail on one route", func(h *history, random *rand.Rand) {
+		h.addBad(fault{from: h.within(random, 0.2, 0.4), route: h.anyRoute(random), failures: 0.3})
+	}},
+	{"late, 4 times slower", func(h *history, random *rand.Rand) {
+		h.addBad(fault{from: h.within(random, 0.2, 0.4), times: 4})
+	}},
+	{"under load, 30 in 100 fail", func(h *history, random *rand.Rand) {
+		h.addBad(fault{failures: 0.3, load: h.usualLoad()})
+	}},
+	{"under load, 3 times slower", func(h *history, random *rand.Rand) {
+		h.addBad(fault{times: 3, load: h.usualLoad()})
+	}},
+}
+
+func (h *history) addBad(bad fault) {
+	bad.target, bad.bad, bad.until = true, true, forever
+	h.faults = append(h.faults, bad)
+}
+
+func (h *history) anyRoute(random *rand.Rand) string {
+	return h.routes[random.IntN(len(h.routes))].name
+}
+
+// usualLoad returns the mean number of runs under way at a back end of the others.
+func (h *history) usualLoad() int {
+	mean := 0.0
+	for _, route := range h.routes {
+		mean += route.part * route.usual.Seconds()
+	}
+	return max(1, int(mean*h.rate/float64(h.old)+0.5))
+}
+
+// troubles are what also may happen, whether the target is good or bad.
+var troubles = []trouble{
+	{"one of its back ends in use is grey", func(h *history, random *rand.Rand) {
+		h.faults = append(h.faults, fault{until: forever, target: true, on: h.inUse(random), failures: 0.3})
+	}},
+	{"one of its back ends in use is 5 times slower", func(h *history, random *rand.Rand) {
+		h.faults = append(h.faults, fault{until: forever, target: true, on: h.inUse(random), times: 5})
+	}},
+	{"one of its back ends crashes", func(h *history, random *rand.Rand) {
+		h.faults = append(h.faults, fault{from: h.within(random, 0.1, 0.6), until: forever, target: true, on: h.inUse(random), silent: true})
+	}},
+	{"old back ends turn grey", func(h *history, random *rand.Rand) {
+		h.faults = append(h.faults, fault{from: h.within(random, 0, 0.5), until: forever, on: some(random, 2, h.old), failures: 0.3})
+	}},
+	{"old back ends turn slow", func(h *history, random *rand.Rand) {
+		h.faults = append(h.faults, fault{from: h.within(random, 0, 0.5), until: forever, on: some(random, max(1, h.old/10), h.old), times: 5})
+	}},
+	{"requests that every back end fails", func(h *history, random *rand.Rand) {
+		from, route := h.within(random, 0, 0.6), h.anyRoute(random)
+		for _, target := range []bool{false, true} {
+			h.faults = append(h.faults, fault{from: from, until: from + time.Second, target: target, route: route, failures: 0.4})
+		}
+	}},
+	{"a burst that makes all slower", func(h *history, random *rand.Rand) {
+		from := h.within(random, 0, 0.6)
+		h.burst = [2]time.Duration{from, from + 3*time.Second}
+		for _, target := range []bool{false, true} {
+			h.faults = append(h.faults, fault{from: from, until: from + 3*time.Second, target: target, times: 4})
+		}
+	}},
+	{"new weights", func(h *history, random *rand.Rand) {
+		from := h.within(random, 0.1, 0.5)
+		h.faults = append(h.faults, fault{from: from, until: from + 570*time.Millisecond, target: true, paused: true})
+		for index := range h.old {
+			begin := from + time.Duration(random.IntN(2000))*time.Millisecond
+			h.faults = append(h.faults, fault{from: begin, until: begin + 570*time.Millisecond, on: []int{index}, paused: true})
+		}
+	}},
+	{"holder killed", func(h *history, random *rand.Rand) {
+		from := h.within(random, 0.05, 0.7)
+		h.outages = append(h.outages, outage{from: from, until: from + 2*time.Second, router: -1, killed: true})
+	}},
+	{"holder frozen", func(h *history, random *rand.Rand) {
+		from := h.within(random, 0.05, 0.7)
+		h.outages = append(h.outages, outage{from: from, until: from + 4*time.Second, router: -1, frozen: true})
+	}},
+	{"holder cut off", func(h *history, random *rand.Rand) {
+		from := h.within(random, 0.05, 0.7)
+		h.outages = append(h.outages, outage{from: from, until: from + 4*time.Second, router: -1, cut: true})
+	}},
+	{"routers killed, frozen and cut off", func(h *history, random *rand.Rand) {
+		for _, index := range some(random, h.routers/4, h.routers) {
+			from := h.within(random, 0, 0.9)
+			kind := random.IntN(3)
+			h.outages = append(h.outages, outage{
+				from: from, until: from + time.Duration(1+random.IntN(4))*time.Second, router: index,
+				killed: kind == 0, frozen: kind == 1, cut: kind == 2,
+			})
+		}
+	}},
+	{"one in ten datagrams is lost", func(h *history, _ *rand.Rand) { h.loss = 0.1 }},
+	{"store slow", func(h *history, random *rand.Rand) {
+		from := h.within(random, 0, 0.8)
+		h.slowStore = [2]time.Duration{from, from + 3*time.Second}
+	}},
+}
+
+// tally counts what came of many histories.
+type outcomes struct {
+	mutex                                   sync.Mutex
+	histories, succeeded, rolledBack, open  int
+	late, promotedOnce, bad, sent, requests int
+	seconds                                 float64
+	broken, reasons                         []string
+	missed                                  []string
+}
+
+// add counts one history.
+func (o *outcomes) add(h *history, name string, got result) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	o.histories++
+	o.bad += got.bad
+	o.sent += got.sent
+	o.requests += got.requests
+	o.seconds += got.at.Seconds()
+	if got.promoted > 0 {
+		o.promotedOnce++
+	}
+	if len(got.broken) > 0 {
+		o.broken = append(o.broken, fmt.Sprintf("seed %d (%s): %s", h.seed, name, got.broken[0]))
+	}
+	if len(got.verdicts) != 1 {
+		o.open++
+		o.missed = append(o.missed, fmt.Sprintf("seed %d (%s): verdicts %v", h.seed, name, got.verdicts))
+		return
+	}
+	if got.at > h.duration {
+		o.late++
+		o.missed = append(o.missed, fmt.Sprintf("seed %d (%s): %v at %v of %v: %s", h.seed, name, got.verdicts[0], got.at, h.duration, got.reason))
+	}
+	if len(h.faults) > 0 && h.faults[0].bad && got.promoted > 0 {
+		o.reasons = append(o.reasons, fmt.Sprintf("seed %d (%s): %v of %v, %d old, %v", h.seed, name, got.verdicts[0], h.duration, h.old, h.faults[:min(len(h.faults), 1)]))
+	}
+	if got.verdicts[0] == Succeeded {
+		o.succeeded++
+		return
+	}
+	o.reasons = append(o.reasons, fmt.Sprintf("seed %d (%s): %s", h.seed, name, got.reason))
+	o.rolledBack++
+}
+
+func (o *outcomes) String() string {
+	count := float64(max(o.histories, 1))
+	return fmt.Sprintf("%d histories: %d succeeded, %d rolled back, %d without one verdict, %d late, %d promoted; %.1f s to the verdict, exposure %.3f, %.1f bad answers",
+		o.histories, o.succeeded, o.rolledBack, o.open, o.late, o.promotedOnce, o.seconds/count, float64(o.sent)/float64(max(o.requests, 1)), float64(o.bad)/count)
+}
+
+// playAll plays histories on all processors.
+func playAll(count int, draw func(seed uint64) (history, string)) *outcomes {
+	sum := &outcomes{}
+	seeds := make(chan uint64)
+	var done sync.WaitGroup
+	for range min(runtime.GOMAXPROCS(0), 4) {
+		done.Go(func() {
+			for seed := range seeds {
+				h, name := draw(seed)
+				sum.add(&h, name, newModel(h).play())
+			}
+		})
+	}
+	for seed := range count {
+		seeds <- uint64(seed)
+	}
+	close(seeds)
+	done.Wait()
+	return sum
+}
+
+// histories returns how many histories of a kind are played: a few by default, more if the
+// environment says so.
+func histories(few int) int {
+	if count, err := strconv.Atoi(os.Getenv("FIELDPOND_CANARY_HISTORIES")); err == nil {
+		return count
+	}
+	return few
+}
+
+// report prints what came of histories, and fails if a promise was broken.
+func (o *outcomes) report(t *testing.T, name string) {
+	t.Logf("%s: %v", name, o)
+	for index, broken := range o.broken {
+		if index < 4 {
+			t.Errorf("%s: broken: %s", name, broken)
+		}
+	}
+	for index, missed := range o.missed {
+		if index < 4 {
+			t.Logf("%s: missed: %s", name, missed)
+		}
+	}
+}
+
+func TestGoodTargetsSucceed(t *testing.T) {
+	for _, tt := range append([]trouble{{"no trouble", func(*history, *rand.Rand) {}}}, troubles...) {
+		got := playAll(histories(3), func(seed uint64) (history, string) {
+			random := rand.New(rand.NewPCG(seed, 1))
+			h := drawHistory(seed, random)
+			tt.add(&h, random)
+			return h, tt.name
+		})
+		got.report(t, tt.name)
+		for index, reason := range got.reasons {
+			if index < 2 {
+				t.Logf("rolled back: %s", reason)
+			}
+		}
+		if float64(got.succeeded) < 0.995*float64(got.histories) || got.late > 0 {
+			t.Errorf("%s: %v", tt.name, got)
+		}
+	}
+}
+
+func TestBadTargetsAreRolledBack(t *testing.T) {
+	for _, tt := range badKinds {
+		got := playAll(histories(4), func(seed uint64) (history, string) {
+			random := rand.New(rand.NewPCG(seed, 2))
+			h := drawHistory(seed, random)
+			tt.add(&h, random)
+			also := troubles[random.IntN(len(troubles))]
+			if seed%2 == 1 {
+				also.add(&h, random)
+				return h, tt.name + ", " + also.name
+			}
+			return h, tt.name
+		})
+		got.report(t, tt.name)
+		promoted := 0
+		for _, reason := range got.reasons {
+			if strings.Contains(reason, " old, ") && promoted < 3 {
+				t.Logf("promoted: %s", reason)
+				promoted++
+			}
+		}
+		if float64(got.rolledBack) < 0.995*float64(got.histories) {
+			t.Errorf("%s: %v", tt.name, got)
+		}
+	}
+}
+
+// permitReleases returns the choice of the target's back ends that a permit names.
+func permitReleases(h *history) backend.Releases {
+	count := engines{others: h.old}
+	return backend.Releases{Among: count.among(modelBounds.Share), Seed: 7}
+}
--- a/internal/canary/message.go
+++ b/internal/canary/message.go
@@ -32,6 +32,9 @@
 	// Sends is the number of requests that this life may have sent to the target in all
 	// while the phase is Observing.
 	Sends uint64 `cbor:"7,keyasint,omitempty"`
+	// Part is the part of the requests that are to go to the target while Sends allows it,
+	// so that they are spread over the time.
+	Part float64 `cbor:"12,keyasint,omitempty"`
 	// Halted says that nothing may be sent to the target for now, whatever the phase: a
 	// verdict against it is being written.
 	Halted bool `cbor:"8,keyasint,omitempty"`
@@ -48,6 +51,9 @@
 	if len(p.Order.Service) > maxNameBytes || len(p.Order.Target) > maxNameBytes {
 		return false
 	}
+	if !(p.Part >= 0 && p.Part <= 1) {
+		return false
+	}
 	return p.Order.Target != "" && p.Phase >= Observing && p.Phase <= RolledBack && p.Among >= 0
 }
 
--- a/internal/canary/sample.go
+++ b/internal/canary/sample.go
@@ -50,7 +50,9 @@
 	Outcome Outcome
 	// Elapsed is the time from sending to the first byte of the answer.
 	Elapsed time.Duration
-	// Predicted is the time that was predicted for Elapsed if the back end were idle and
-	// had nothing of the prompt cached; 0 if there is no prediction.
+	// Predicted is the time that was predicted for Elapsed if the back end were idle; 0 if
+	// there is no prediction. For back ends of a rollout's target it is the one with
+	// nothing of the prompt cached, so that a cold cache is not taken for a slow release;
+	// for others the one with what is believed to be cached there.
 	Predicted time.Duration
 }
--- a/internal/canary/traffic.go
+++ b/internal/canary/traffic.go
@@ -13,9 +13,10 @@
 	// present are the releases that are listed or have runs under way. There are few, so
 	// that they are searched one by one.
 	present []presence
-	// unconfirmed are listed releases for which an order may be on its way.
-	unconfirmed []ident.Release
-	guard       *guard
+	// forbidden are listed releases that may not be used without a permit. The slice is
+	// handed out, and is replaced as a whole.
+	forbidden []ident.Release
+	guard     *guard
 }
 
 // presence is one release of a service.
@@ -60,23 +61,29 @@
 	})
 }
 
-// settle marks the releases that were listed before the orders were confirmed.
+// settle works out which releases are forbidden: those that the guard forbids, and those
+// that were listed since the orders were confirmed, as an order may be on its way.
 func (t *traffic) settle(confirmedAt time.Time) {
-	t.unconfirmed = nil
+	t.forbidden = nil
 	for index := range t.present {
 		known := &t.present[index]
 		if known.listedAt.Before(confirmedAt) {
 			known.settled = true
 		}
-		if known.listed && !known.settled {
-			t.unconfirmed = append(t.unconfirmed, known.release)
+		ordered := t.guard != nil && t.guard.order.Target == known.release
+		unsure := known.listed && !known.settled && !ordered
+		if unsure || (t.guard != nil && t.guard.forbids(known.release)) {
+			t.forbidden = append(t.forbidden, known.release)
 		}
 	}
+	if guard := t.guard; guard != nil && guard.phase != Succeeded && !slices.Contains(t.forbidden, guard.order.Target) {
+		t.forbidden = append(t.forbidden, guard.order.Target)
+	}
 }
 
 // begin makes an order the newest one of the service.
-func (t *traffic) begin(order Order) {
-	begun := newGuard(order)
+func (t *traffic) begin(order Order, spread uint64) {
+	begun := &guard{order: order, spread: spread}
 	for index := range t.present {
 		// Releases that are listed beside the target when the order is learned can
 		// have served before it.
@@ -84,23 +91,20 @@
 			begun.others = append(begun.others, release)
 		}
 	}
-	if last := t.guard; last != nil && last.phase == RolledBack && last.order.Target != order.Target {
+	if last := t.guard; last != nil && last.phase == RolledBack {
 		// The target that proved bad gets nothing while its back ends drain.
-		begun.notTarget = append(begun.notTarget, last.order.Target)
+		begun.spurned = last.order.Target
 	}
 	t.guard = begun
 }
 
-// binding reports whether any listed release must not be used, or is bound.
+// binding reports whether an attempt may have to be kept from any listed release.
 func (t *traffic) binding() bool {
-	if t.guard == nil {
-		return len(t.unconfirmed) > 0
-	}
-	if !t.guard.phase.Final() {
+	if t.guard != nil && !t.guard.phase.Final() {
 		return true
 	}
 	for index := range t.present {
-		if t.present[index].listed && t.guard.forbids(t.present[index].release) {
+		if t.present[index].listed && slices.Contains(t.forbidden, t.present[index].release) {
 			return true
 		}
 	}
