--- a/internal/node/canary.go
+++ b/internal/node/canary.go
@@ -18,8 +18,11 @@
 )
 
 const (
-	// canaryTick is the time between two looks at what is due while a rollout runs.
-	canaryTick = 100 * time.Millisecond
+	// directTick is the time between two looks at what is due while this router directs a
+	// rollout: a few in the time between two permits. canaryTick is that at the others,
+	// whose looks only log what has changed.
+	directTick = 100 * time.Millisecond
+	canaryTick = 250 * time.Millisecond
 	// canaryLinger is how long routers are told a final phase, so that it reaches those
 	// that miss datagrams or start meanwhile; it is as long as a canary.Director tells it.
 	canaryLinger = 10 * time.Second
@@ -230,8 +233,11 @@
 			case <-c.awake:
 			}
 		}
-		c.tick(ctx, time.Now())
-		wait.For(ctx, canaryTick)
+		pause := canaryTick
+		if c.tick(ctx, time.Now()) {
+			pause = directTick
+		}
+		wait.For(ctx, pause)
 	}
 }
 
@@ -242,8 +248,8 @@
 	return now.Before(c.busyUntil) || c.wanted
 }
 
-// tick does what is due.
-func (c *canaries) tick(ctx context.Context, now time.Time) {
+// tick does what is due, and reports whether this router directs.
+func (c *canaries) tick(ctx context.Context, now time.Time) (directs bool) {
 	fence := uint64(0)
 	if grant, err := c.lease.Held(); err == nil {
 		fence = grant.Fence
@@ -262,6 +268,7 @@
 	}
 	c.readRoster(ctx, now)
 	c.changed(now)
+	return c.directing != nil
 }
 
 // readRoster reads the routers' rows if that is wanted and was not done lately; the caller
--- a/internal/node/canary_test.go
+++ b/internal/node/canary_test.go
@@ -211,6 +211,76 @@
 	})
 }
 
+// An order that is withdrawn is rolled back, also by a holder that comes after that.
+func TestAWithdrawnOrderIsRolledBack(t *testing.T) {
+	tests := []struct {
+		name     string
+		takeover bool
+	}{
+		{"by its holder", false},
+		{"by the next one", true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newGuardedFleet(t, 6)
+				f.order(guardedDuration)
+				f.sleepUntil(3 * time.Second)
+				f.store.change(func() { f.store.reading.Orders = nil })
+				if tt.takeover {
+					time.Sleep(1500 * time.Millisecond)
+					f.hold("r2", 2)
+				}
+				f.sleepUntil(guardedDuration + 6*time.Second)
+				is.New(t).Equal(f.judge(guardedDuration, true), canary.RolledBack)
+			})
+		})
+	}
+}
+
+// An order that is written again while its rollout runs goes on under the earlier deadline.
+func TestAnOrderThatIsWrittenAgainGoesOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newGuardedFleet(t, 6)
+		f.order(guardedDuration)
+		f.sleepUntil(3 * time.Second)
+		f.store.change(func() {
+			f.store.version++
+			f.store.reading.Orders[0].Revision = f.store.version
+			f.store.reading.Orders[0].Duration = time.Minute
+		})
+		f.sleepUntil(guardedDuration + 6*time.Second)
+		is.Equal(f.judge(guardedDuration, false), canary.Succeeded)
+		is.True(!f.routers["r4"].follower.replica.ordered().pending())
+	})
+}
+
+// An order for another release ends the one that runs, and has a verdict of its own.
+func TestAnOrderForAnotherReleaseBeginsAnew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newGuardedFleet(t, 6)
+		f.order(guardedDuration)
+		f.sleepUntil(3 * time.Second)
+		f.store.change(func() {
+			f.store.version++
+			f.store.reading.Orders = []canary.Order{{Service: "s", Target: "v3", Duration: guardedDuration, Revision: f.store.version}}
+		})
+		f.list(oldRelease, newRelease, "v3")
+		f.sleepUntil(guardedDuration + 9*time.Second)
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		verdicts := map[ident.Release]canary.Phase{}
+		for _, told := range f.told {
+			target := told.state.Order.Target
+			is.True(!verdicts[target].Final() || verdicts[target] == told.state.Phase) // a verdict stays
+			verdicts[target] = told.state.Phase
+		}
+		is.Equal(verdicts, map[ident.Release]canary.Phase{newRelease: canary.RolledBack, "v3": canary.Succeeded})
+	})
+}
+
 func TestGuardsAllocateNothingForARequest(t *testing.T) {
 	is := is.New(t)
 	c := newCanaries(guardedBounds, &canaries{metrics: newMetrics(func() reading { return reading{} })})
--- a/internal/node/canaryfleet_test.go
+++ b/internal/node/canaryfleet_test.go
@@ -105,7 +105,7 @@
 	f := &guardedFleet{
 		zone: newZone(), t: t, lives: map[ident.Node]*guardedRouter{}, holders: map[ident.Node]uint64{"r0": 1},
 		cut: map[ident.Node]bool{}, slow: 1,
-		open: map[ident.Release]map[ident.Node]int{oldRelease: {}, newRelease: {}},
+		open: map[ident.Release]map[ident.Node]int{oldRelease: {}, newRelease: {}, "v3": {}},
 	}
 	f.guard = f.prepare
 	f.list(oldRelease)
@@ -122,6 +122,15 @@
 	f.store.change(func() { f.store.records = recordsOf(releases...) })
 }
 
+// unlist drops the back ends of a release.
+func (f *guardedFleet) unlist(release ident.Release) {
+	f.store.change(func() {
+		f.store.records = slices.DeleteFunc(slices.Clone(f.store.records), func(record backend.Record) bool {
+			return record.Release == release
+		})
+	})
+}
+
 // recordsOf returns four back ends of each of some releases.
 func recordsOf(releases ...ident.Release) []backend.Record {
 	var records []backend.Record
@@ -345,9 +354,9 @@
 		if left > 0 {
 			f.t.Errorf("%d runs on the old release were cut off", left)
 		}
-		f.list(newRelease)
+		f.list(state.Order.Target)
 	case canary.RolledBack:
-		time.AfterFunc(3*time.Second, func() { f.list(oldRelease) })
+		time.AfterFunc(3*time.Second, func() { f.unlist(state.Order.Target) })
 	}
 	return result, nil
 }
