--- /dev/null
+++ b/internal/node/canaryjudge_test.go
@@ -0,0 +1,98 @@
+package node
+
+import (
+	"slices"
+	"time"
+
+	"github.com/fieldpond/fieldpond/internal/canary"
+	"github.com/fieldpond/fieldpond/internal/ident"
+)
+
+// judge checks what holds whatever goes wrong, and returns the verdict.
+func (f *guardedFleet) judge(duration time.Duration, bad bool) canary.Phase {
+	f.t.Helper()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	verdict, finals := canary.Phase(0), 0
+	for _, told := range f.told {
+		if told.state.Phase.Final() {
+			finals++
+			verdict = told.state.Phase
+			if after := told.at.Sub(f.orderedAt); after > duration {
+				f.t.Errorf("the verdict came %v after the order", after)
+			}
+		}
+	}
+	if finals != 1 {
+		f.t.Errorf("%d verdicts: %v", finals, f.told)
+	}
+	if len(f.told) == 0 || f.told[0].state.Phase != canary.Observing {
+		f.t.Errorf("the operator was not told that the rollout runs: %v", f.told)
+	}
+	if bad {
+		f.judgeExposure(duration)
+	}
+	if verdict == canary.Succeeded {
+		f.judgeSwitch()
+	}
+	return verdict
+}
+
+// judgeExposure checks how many requests the target got, and when.
+func (f *guardedFleet) judgeExposure(duration time.Duration) {
+	sent, all := 0, 0
+	for _, one := range f.arrivals {
+		if one.at.Before(f.orderedAt) || one.at.After(f.orderedAt.Add(duration)) {
+			continue
+		}
+		all++
+		if one.release == newRelease {
+			sent++
+		}
+	}
+	if most := guardedBounds.Share*float64(all) + guardedBounds.Slack; float64(sent) > most {
+		f.t.Errorf("%d of %d requests went to the bad release, more than %.0f", sent, all, most)
+	}
+	slices.SortFunc(f.badAt, time.Time.Compare)
+	if len(f.badAt) < 50 {
+		return
+	}
+	for _, one := range f.arrivals {
+		if late := one.at.Sub(f.badAt[49]); one.release == newRelease && late > guardedBounds.Rollback {
+			f.t.Errorf("%s sent to the bad release %v after its 50th bad answer", one.node, late)
+			return
+		}
+	}
+}
+
+// cutOffFor is the time within which a router that hears nothing of the holder learns of a
+// verdict from the shared state: two reads of the configuration, and two pulls.
+const cutOffFor = 2 * time.Second
+
+// judgeSwitch checks that nothing went to the old release once its back ends had ended.
+func (f *guardedFleet) judgeSwitch() {
+	last := f.told[len(f.told)-1].at
+	for _, one := range f.arrivals {
+		allowed := time.Duration(0)
+		if f.cut[one.node] {
+			allowed = cutOffFor
+		}
+		if one.release == oldRelease && one.at.Sub(last) > allowed {
+			f.t.Errorf("%s sent to the old release %v after the verdict", one.node, one.at.Sub(last))
+			return
+		}
+	}
+}
+
+// sentTo returns how many requests a router sent to the target in a span.
+func (f *guardedFleet) sentTo(node ident.Node, from, to time.Time) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	count := 0
+	for _, one := range f.arrivals {
+		if one.node == node && one.release == newRelease && one.at.After(from) && one.at.Before(to) {
+			count++
+		}
+	}
+	return count
+}
