--- a/internal/node/canary_test.go
+++ b/internal/node/canary_test.go
@@ -247,8 +247,7 @@
 		f.sleepUntil(3 * time.Second)
 		f.store.change(func() {
 			f.store.version++
-			f.store.reading.Orders[0].Revision = f.store.version
-			f.store.reading.Orders[0].Duration = time.Minute
+			f.store.reading.Orders = []canary.Order{{Service: "s", Target: newRelease, Duration: time.Minute, Revision: f.store.version}}
 		})
 		f.sleepUntil(guardedDuration + 6*time.Second)
 		is.Equal(f.judge(guardedDuration, false), canary.Succeeded)
--- a/internal/node/notices.go
+++ b/internal/node/notices.go
@@ -18,12 +18,10 @@
 )
 
 const (
-	// maxNoticeBytes bounds one datagram of a notice.
-	maxNoticeBytes = 1400
 	// maxDatagramBytes bounds what is read of a datagram: a report of answers by route
-	// and back end may be longer than a notice (canary.Report).
+	// and back end (canary.Report) may be longer than a notice, which takes 1,400.
 	maxDatagramBytes = 4096
-	// noticeEngines bounds the engines named in one datagram.
+	// noticeEngines bounds the engines named in one notice.
 	noticeEngines = 40
 )
 
