--- a/internal/canary/account.go
+++ b/internal/canary/account.go
@@ -51,7 +51,7 @@
 func (a *account) room(requests uint64, answered bool) uint64 {
 	allowed := a.allowance(requests, slackPart)
 	if !answered {
-		allowed = min(allowed, a.allowance(0, trickle))
+		allowed = min(allowed, a.carried+a.allowance(0, trickle))
 	}
 	if !a.hooks.ignoreCeiling {
 		allowed = min(allowed, a.ceiling)
--- a/internal/canary/adopt.go
+++ b/internal/canary/adopt.go
@@ -18,6 +18,7 @@
 	reasonTooFew         = "too few back ends of the target to carry the load"
 	reasonUnheard        = "too few routers are heard"
 	reasonNotObserved    = "the deadline came before the target was observed"
+	reasonNotMoved       = "the deadline came before all routers sent to the target only"
 	reasonMoved          = "all requests go to the target, and none runs elsewhere"
 	reasonDeadline       = "the target stood the test up to the deadline"
 )
--- a/internal/canary/fleet.go
+++ b/internal/canary/fleet.go
@@ -182,27 +182,39 @@
 }
 
 // moved reports whether no router that is heard can send anything to other releases until
-// it learns of a verdict, and none has a run there. Routers that were not heard for long
-// are not waited for.
+// it learns of a verdict, and none has a run there. Routers that were not heard for long are
+// not waited for.
 func (f *fleet) moved(now time.Time) bool {
 	for _, router := range f.routers {
 		if router.quiet(now) >= deadAfter {
 			continue
 		}
-		if router.current == nil || !router.current.moved(now) {
+		if life := router.current; life == nil || !life.turned(now) || life.newest.Others > 0 {
 			return false
 		}
 	}
 	return true
 }
 
-// moved reports whether the life sends to the target only, and for long enough.
-func (l *life) moved(now time.Time) bool {
-	age := now.Sub(l.heardAt)
-	if age > freshFor || l.newest.Phase != Promoting {
-		return false
+// turned reports whether most routers that are heard send to the target only. The rest has
+// come back lately.
+func (f *fleet) turned(now time.Time) bool {
+	heard, turned := 0, 0
+	for _, router := range f.routers {
+		if router.quiet(now) >= deadAfter {
+			continue
+		}
+		heard++
+		if router.current != nil && router.current.turned(now) {
+			turned++
+		}
 	}
-	return l.newest.Others == 0 && l.newest.Left-age >= coveredFor
+	return float64(turned) >= turnedPart*float64(heard)
+}
+
+// turned reports whether the life sends to the target only, and will for long enough.
+func (l *life) turned(now time.Time) bool {
+	return l.newest.Phase == Promoting && l.newest.Left-now.Sub(l.heardAt) >= coveredFor
 }
 
 // grant gives routers a number of requests, in proportion to what they are asked for, and
--- a/internal/canary/gate.go
+++ b/internal/canary/gate.go
@@ -203,9 +203,13 @@
 		return
 	}
 	guard.permit = *permit
-	guard.until = g.epoch.Add(permit.Clock + permitFor)
+	valid := permitFor
+	if permit.Phase == Promoting {
+		valid = promotingPermitFor
+	}
+	guard.until = g.epoch.Add(permit.Clock + valid)
 	if g.hooks.ignoreClock {
-		guard.until = now.Add(permitFor)
+		guard.until = now.Add(valid)
 	}
 }
 
--- a/internal/canary/guard.go
+++ b/internal/canary/guard.go
@@ -17,6 +17,9 @@
 	// two of them in a row may be lost, and a fifth of the time that the users allow for
 	// stopping after the 50th bad answer.
 	permitFor = time.Second
+	// promotingPermitFor is the same while the target gets all requests: a router that
+	// misses permits would begin to send to the releases that are to end.
+	promotingPermitFor = 2 * time.Second
 	// fewParts is the number of parts into which back ends of the target are put together
 	// once half of the tallies of a report are taken.
 	fewParts = 8
--- a/internal/canary/plan.go
+++ b/internal/canary/plan.go
@@ -23,6 +23,8 @@
 	// writeMargin is the time before the deadline at which a verdict is written at the
 	// latest: a write that waits for its turn behind others, once repeated.
 	writeMargin = 800 * time.Millisecond
+	// lastWrite is the time before the deadline at which a verdict is written in any case.
+	lastWrite = 200 * time.Millisecond
 	// shortest is the least time in which a target is tried at all: two seconds of
 	// observation, the least for Promoting, and the write.
 	shortest = 6 * time.Second
@@ -36,7 +38,10 @@
 	// deadAfter is the time after which a router that is not heard is taken for dead or
 	// cut off, and is not waited for.
 	deadAfter = 2 * time.Second
-	// freshFor is the age up to which a report tells what a router does now: two
+	// turnedPart is the part of the routers that have to send to the target only if the
+	// verdict has come to its last moment.
+	turnedPart = 0.9
+	// freshFor is the age up to which a report tells that a router still runs: two
 	// permits long.
 	freshFor = 600 * time.Millisecond
 	// coveredFor is the time for which a router's permit to promote has to remain valid
--- a/internal/canary/rollout.go
+++ b/internal/canary/rollout.go
@@ -253,7 +253,7 @@
 	if now.Before(plan.promoteAt) {
 		return Observing, ""
 	}
-	if !now.Before(plan.verdictAt.Add(-switchFor)) {
+	if !now.Before(r.deadline(&r.state).Add(-lastWrite - switchFor)) {
 		return RolledBack, reasonNotObserved
 	}
 	owned := now.Sub(r.ownedAt)
@@ -288,14 +288,11 @@
 // decidePromoting decides whether the target has succeeded.
 func (r *rollout) decidePromoting(now time.Time) (Phase, string) {
 	plan := r.plan()
-	late := !now.Before(plan.verdictAt)
 	switch {
 	case r.engines.target == 0:
 		return RolledBack, reasonNoBackEnds
-	case late && r.fleet.reaches(now):
-		return Succeeded, reasonDeadline
-	case late:
-		return RolledBack, reasonUnheard
+	case !now.Before(plan.verdictAt):
+		return r.decideLast(now)
 	case now.Sub(r.promotedAt) < promotingFor || !r.fleet.reaches(now):
 		return Promoting, ""
 	case r.fleet.moved(now):
@@ -304,6 +301,20 @@
 	return Promoting, ""
 }
 
+// decideLast decides in the last moment before the deadline. Runs on other releases are not
+// waited for any more, nor are a few routers that have only come back.
+func (r *rollout) decideLast(now time.Time) (Phase, string) {
+	switch {
+	case r.fleet.reaches(now) && r.fleet.turned(now):
+		return Succeeded, reasonDeadline
+	case now.Before(r.deadline(&r.state).Add(-lastWrite)):
+		return Promoting, ""
+	case !r.fleet.reaches(now):
+		return RolledBack, reasonUnheard
+	}
+	return RolledBack, reasonNotMoved
+}
+
 // plan returns when the rollout goes on.
 func (r *rollout) plan() plan {
 	var length time.Duration
--- a/internal/canary/verdict.go
+++ b/internal/canary/verdict.go
@@ -47,10 +47,13 @@
 	// by kind: a handful of failures is no proof where there were none before.
 	leastFailing, leastSlow = 0.005, 0.01
 	// priorAnswers is the weight of the long-run rate of the other releases in that of a
-	// window, in answers.
-	priorAnswers = 20
+	// window, in answers; burstPrior is the one for a window in which they had more bad
+	// answers than chance explains, by burstSigmas standard deviations.
+	priorAnswers = 200.0
+	burstPrior   = 10.0
+	burstSigmas  = 3.0
 	// decay is the weight that earlier windows keep in the long-run rate and median.
-	decay = 0.9
+	decay = 0.93
 	// guilty is the logarithm of the likelihood ratio from which a target is bad. Good
 	// ones reach it in under 1 in 200 histories (table in the design note).
 	guilty = 11.0
@@ -83,8 +86,8 @@
 // cumulative sum of the logarithms of likelihood ratios that never falls below zero.
 type test struct {
 	full float64
-	// parts is the same for each part of the target by itself.
-	parts []float64
+	// only is the same for each part of the target by itself, without for all but it.
+	only, without []float64
 }
 
 // stream weighs one kind of bad answers on one route, or on all together.
@@ -175,15 +178,18 @@
 			continue
 		}
 		step := evidenceOf(bad, answers, rate, excess)
-		for _, weighed := range []*stream{own, all} {
-			test, scale := &weighed.tests[index], weighed.scale(step, len(s.medians))
-			test.add(step * scale)
-			for at := range seen.parts {
-				partBad, partAnswers := count(&seen.parts[at].cell)
-				part := s.part(seen.parts[at].part)
-				test.addPart(part, scale*evidenceOf(partBad, partAnswers, rate, excess))
-			}
+		only, without := make([]float64, len(s.parts)), make([]float64, len(s.parts))
+		for part := range without {
+			without[part] = step
 		}
+		for at := range seen.parts {
+			part := s.part(seen.parts[at].part)
+			partBad, partAnswers := count(&seen.parts[at].cell)
+			only[part] = evidenceOf(partBad, partAnswers, rate, excess)
+			without[part] = evidenceOf(bad-partBad, answers-partAnswers, rate, excess)
+		}
+		own.tests[index].add(own.scale(step, len(s.medians)), step, only, without)
+		all.tests[index].add(all.scale(step, len(s.medians)), step, only, without)
 	}
 }
 
@@ -208,28 +214,36 @@
 	return float64(bad)*math.Log(higher/rate) + good*math.Log((1-higher)/(1-rate))
 }
 
-// add takes in the weight of one window.
-func (t *test) add(step float64) { t.full = max(0, t.full+step) }
-
-// addPart takes in the weight of one window of a part.
-func (t *test) addPart(part int, step float64) {
-	for len(t.parts) <= part {
-		t.parts = append(t.parts, 0)
+// add takes in the weights of one window, multiplied by a scale.
+func (t *test) add(scale, full float64, only, without []float64) {
+	for len(t.only) < len(only) {
+		// A part that is new has added nothing so far.
+		t.only, t.without = append(t.only, 0), append(t.without, t.full)
+	}
+	t.full = max(0, t.full+scale*full)
+	for part := range only {
+		t.only[part] = max(0, t.only[part]+scale*only[part])
+		t.without[part] = max(0, t.without[part]+scale*without[part])
 	}
-	t.parts[part] = max(0, t.parts[part]+step)
 }
 
 // weight returns the most weight against the target of all tests, and how much of it is
-// left when it is held against the chance that one of its back ends is broken.
+// left when it is held against the chance that one of its back ends is broken: what exceeds
+// the weight against that back end alone, or what the others weigh without it.
 func (s *stream) weight(several bool) (full, left float64) {
-	single := 0.0
+	single, others := 0.0, 0.0
 	for index := range s.tests {
-		full = max(full, s.tests[index].full)
-		if several && len(s.tests[index].parts) > 0 {
-			single = max(single, slices.Max(s.tests[index].parts))
+		test := &s.tests[index]
+		full = max(full, test.full)
+		if len(test.only) > 0 {
+			single = max(single, slices.Max(test.only))
+			others = max(others, slices.Min(test.without))
 		}
 	}
-	return full, full - max(0, single-singlePrior)
+	if !several {
+		return full, full
+	}
+	return full, max(full-max(0, single-singlePrior), others)
 }
 
 // rate returns the rate of bad answers of the other releases in a window.
@@ -242,7 +256,11 @@
 	if s.answers > 0 {
 		usual = s.bad / s.answers
 	}
-	rate := (float64(bad) + priorAnswers*usual) / (float64(answers) + priorAnswers)
+	prior := priorAnswers
+	if expected := float64(answers) * usual; float64(bad) > expected+burstSigmas*math.Sqrt(expected)+1 {
+		prior = burstPrior
+	}
+	rate := (float64(bad) + prior*usual) / (float64(answers) + prior)
 	return min(max(rate, least), 1-least)
 }
 
