Hold slow answers against a pause of the target, and reports by the clock of their sender

Cause: what one window could add for slow answers was bounded, so that targets which are slow under load only were found 5 s too late; a holder that was frozen took the reports that had waited in its socket for new.

--- a/internal/canary/fleet.go
+++ b/internal/canary/fleet.go
@@ -23,8 +23,10 @@
 type life struct {
 	newest *Report
 	// judged is the report up to which its answers were taken in.
-	judged  *Report
-	heardAt time.Time
+	judged *Report
+	// epoch is the earliest time at which its clock can have been 0, and heardAt the time
+	// of the newest report by that: reports may have waited on their way.
+	epoch, heardAt time.Time
 	// base is what it had sent to the target when this holder heard of it first, granted
 	// what this holder granted it since.
 	base, granted uint64
@@ -109,7 +111,10 @@
 		}
 		known.smooth(report.Clock-last.Clock, less(report.Requests, last.Requests))
 	}
-	known.newest, known.heardAt = report, now
+	if epoch := now.Add(-report.Clock); known.newest == nil || epoch.Before(known.epoch) {
+		known.epoch = epoch
+	}
+	known.newest, known.heardAt = report, known.epoch.Add(report.Clock)
 	router.current = known
 }
 
@@ -196,9 +201,8 @@
 	return true
 }
 
-// turned reports whether most routers that are heard send to the target only. The rest has
-// come back lately.
-func (f *fleet) turned(now time.Time) bool {
+// turned reports whether a part of the routers that are heard send to the target only.
+func (f *fleet) turned(now time.Time, part float64) bool {
 	heard, turned := 0, 0
 	for _, router := range f.routers {
 		if router.quiet(now) >= deadAfter {
@@ -209,7 +213,7 @@
 			turned++
 		}
 	}
-	return float64(turned) >= turnedPart*float64(heard)
+	return float64(turned) >= part*float64(heard)
 }
 
 // turned reports whether the life sends to the target only, and will for long enough.
--- a/internal/canary/plan.go
+++ b/internal/canary/plan.go
@@ -19,7 +19,7 @@
 	runMargin = 1500 * time.Millisecond
 	// doubtPart is the part of what is kept for Promoting that may be given to further
 	// observation while the evidence is in doubt.
-	doubtPart = 0.25
+	doubtPart = 0.4
 	// writeMargin is the time before the deadline at which a verdict is written at the
 	// latest: a write that waits for its turn behind others, once repeated.
 	writeMargin = 800 * time.Millisecond
--- a/internal/canary/rollout.go
+++ b/internal/canary/rollout.go
@@ -302,12 +302,16 @@
 }
 
 // decideLast decides in the last moment before the deadline. Runs on other releases are not
-// waited for any more, nor are a few routers that have only come back.
+// waited for any more, nor at its end a few routers that have only come back.
 func (r *rollout) decideLast(now time.Time) (Phase, string) {
+	part, last := 1.0, !now.Before(r.deadline(&r.state).Add(-lastWrite))
+	if last {
+		part = turnedPart
+	}
 	switch {
-	case r.fleet.reaches(now) && r.fleet.turned(now):
+	case r.fleet.reaches(now) && r.fleet.turned(now, part):
 		return Succeeded, reasonDeadline
-	case now.Before(r.deadline(&r.state).Add(-lastWrite)):
+	case !last:
 		return Promoting, ""
 	case !r.fleet.reaches(now):
 		return RolledBack, reasonUnheard
--- a/internal/canary/verdict.go
+++ b/internal/canary/verdict.go
@@ -65,9 +65,11 @@
 	// doubtful is the one up to which a target is promoted, doubtfulAtLast up to which it
 	// is when there is no time for more evidence.
 	doubtful, doubtfulAtLast = 3.0, 4.5
-	// mostSlowStep bounds what one window adds for slow answers, so that a pause of all
-	// back ends in use, as when they load weights, is no proof.
-	mostSlowStep = 4.0
+	// doubtPrior is the same when it is asked whether there is doubt.
+	doubtPrior = 10.0
+	// leastLasting is what slow answers have to weigh without the two windows that weigh
+	// most: a pause of all back ends in use shows in no more.
+	leastLasting = 2.0
 	// aloneRate is the least rate of failures that is taken for granted while there are
 	// hardly any answers of other releases to compare with, and aloneAnswers the number
 	// below which that is so.
@@ -88,6 +90,8 @@
 	full float64
 	// only is the same for each part of the target by itself, without for all but it.
 	only, without []float64
+	// largest are the two windows that have added most since the sum was zero.
+	largest [2]float64
 }
 
 // stream weighs one kind of bad answers on one route, or on all together.
@@ -188,22 +192,11 @@
 			only[part] = evidenceOf(partBad, partAnswers, rate, excess)
 			without[part] = evidenceOf(bad-partBad, answers-partAnswers, rate, excess)
 		}
-		own.tests[index].add(own.scale(step, len(s.medians)), step, only, without)
-		all.tests[index].add(all.scale(step, len(s.medians)), step, only, without)
-	}
-}
-
-// scale returns by what the weight of a window is multiplied, so that a pause of the target
-// is no proof. On all routes together it counts once.
-func (s *stream) scale(step float64, routes int) float64 {
-	most := mostSlowStep
-	if s.route == "" {
-		most /= float64(routes)
-	}
-	if s.kind != slow || step <= most {
-		return 1
+		own.tests[index].add(step, only, without)
+		if kind != slow {
+			all.tests[index].add(step, only, without)
+		}
 	}
-	return most / step
 }
 
 // evidenceOf returns the logarithm of the ratio of how likely some bad answers are if the
@@ -214,36 +207,54 @@
 	return float64(bad)*math.Log(higher/rate) + good*math.Log((1-higher)/(1-rate))
 }
 
-// add takes in the weights of one window, multiplied by a scale.
-func (t *test) add(scale, full float64, only, without []float64) {
+// add takes in the weights of one window.
+func (t *test) add(full float64, only, without []float64) {
 	for len(t.only) < len(only) {
 		// A part that is new has added nothing so far.
 		t.only, t.without = append(t.only, 0), append(t.without, t.full)
 	}
-	t.full = max(0, t.full+scale*full)
+	t.full = max(0, t.full+full)
 	for part := range only {
-		t.only[part] = max(0, t.only[part]+scale*only[part])
-		t.without[part] = max(0, t.without[part]+scale*without[part])
+		t.only[part] = max(0, t.only[part]+only[part])
+		t.without[part] = max(0, t.without[part]+without[part])
+	}
+	switch {
+	case t.full == 0:
+		t.largest = [2]float64{}
+	case full > t.largest[0]:
+		t.largest = [2]float64{full, t.largest[0]}
+	case full > t.largest[1]:
+		t.largest[1] = full
 	}
 }
 
+// lasting returns the weight without the two windows that weigh most.
+func (t *test) lasting() float64 { return t.full - t.largest[0] - t.largest[1] }
+
 // weight returns the most weight against the target of all tests, and how much of it is
-// left when it is held against the chance that one of its back ends is broken: what exceeds
-// the weight against that back end alone, or what the others weigh without it.
-func (s *stream) weight(several bool) (full, left float64) {
-	single, others := 0.0, 0.0
+// left when it is held against other causes: that one of its back ends is broken, which
+// is less likely by prior, so that what counts is by how much the weight exceeds the one
+// against that back end alone, or what the others weigh without it; and, for slow
+// answers, that all paused once, as when they load weights.
+func (s *stream) weight(several bool, prior float64) (full, left float64) {
+	single, others, lasting := 0.0, 0.0, 0.0
 	for index := range s.tests {
 		test := &s.tests[index]
 		full = max(full, test.full)
+		lasting = max(lasting, test.lasting())
 		if len(test.only) > 0 {
 			single = max(single, slices.Max(test.only))
 			others = max(others, slices.Min(test.without))
 		}
 	}
-	if !several {
-		return full, full
+	left = full
+	if several {
+		left = max(full-max(0, single-prior), others)
+	}
+	if s.kind == slow && lasting < leastLasting {
+		left = 0
 	}
-	return full, max(full-max(0, single-singlePrior), others)
+	return full, left
 }
 
 // rate returns the rate of bad answers of the other releases in a window.
@@ -307,7 +318,7 @@
 // bad implements verdict.
 func (s *sequential) bad(several bool) string {
 	for _, stream := range s.streams {
-		if full, left := stream.weight(several); full >= guilty && left >= guiltyLeft {
+		if full, left := stream.weight(several, singlePrior); full >= guilty && left >= guiltyLeft {
 			return stream.reason()
 		}
 	}
@@ -321,7 +332,7 @@
 		limit = doubtfulAtLast
 	}
 	for _, stream := range s.streams {
-		if _, left := stream.weight(several); left >= limit {
+		if _, left := stream.weight(several, doubtPrior); left >= limit {
 			return "in doubt at the end of its observation: " + stream.reason()
 		}
 	}
