--- a/internal/canary/fleet.go
+++ b/internal/canary/fleet.go
@@ -23,8 +23,10 @@
 type life struct {
 	newest *Report
 	// judged is the report up to which its answers were taken in.
-	judged  *Report
-	heardAt time.Time
+	judged *Report
+	// epoch is the earliest time at which its clock can have been 0, and heardAt the time
+	// of the newest report by that: reports may have waited on their way.
+	epoch, heardAt time.Time
 	// base is what it had sent to the target when this holder heard of it first, granted
 	// what this holder granted it since.
 	base, granted uint64
@@ -109,7 +111,10 @@
 		}
 		known.smooth(report.Clock-last.Clock, less(report.Requests, last.Requests))
 	}
-	known.newest, known.heardAt = report, now
+	if epoch := now.Add(-report.Clock); known.newest == nil || epoch.Before(known.epoch) {
+		known.epoch = epoch
+	}
+	known.newest, known.heardAt = report, known.epoch.Add(report.Clock)
 	router.current = known
 }
 
@@ -182,27 +187,38 @@
 }
 
 // moved reports whether no router that is heard can send anything to other releases until
-// it learns of a verdict, and none has a run there. Routers that were not heard for long
-// are not waited for.
+// it learns of a verdict, and none has a run there. Routers that were not heard for long are
+// not waited for.
 func (f *fleet) moved(now time.Time) bool {
 	for _, router := range f.routers {
 		if router.quiet(now) >= deadAfter {
 			continue
 		}
-		if router.current == nil || !router.current.moved(now) {
+		if life := router.current; life == nil || !life.turned(now) || life.newest.Others > 0 {
 			return false
 		}
 	}
 	return true
 }
 
-// moved reports whether the life sends to the target only, and for long enough.
-func (l *life) moved(now time.Time) bool {
-	age := now.Sub(l.heardAt)
-	if age > freshFor || l.newest.Phase != Promoting {
-		return false
+// turned reports whether a part of the routers that are heard send to the target only.
+func (f *fleet) turned(now time.Time, part float64) bool {
+	heard, turned := 0, 0
+	for _, router := range f.routers {
+		if router.quiet(now) >= deadAfter {
+			continue
+		}
+		heard++
+		if router.current != nil && router.current.turned(now) {
+			turned++
+		}
 	}
-	return l.newest.Others == 0 && l.newest.Left-age >= coveredFor
+	return float64(turned) >= part*float64(heard)
+}
+
+// turned reports whether the life sends to the target only, and will for long enough.
+func (l *life) turned(now time.Time) bool {
+	return l.newest.Phase == Promoting && l.newest.Left-now.Sub(l.heardAt) >= coveredFor
 }
 
 // grant gives routers a number of requests, in proportion to what they are asked for, and
