Test each outcome of an order, and show each guard of a rollout failing without it

Found by the table: a target that serves alone got nothing between the order and its state (now it goes on serving); an order for another target let the one before it be used as a proved release (now both are held back). TestGuardsOfGate, TestHolderGrantsAfterItsOwnWrite and TestCeilingBoundsSuccessors take out clock, life, fence and ceiling by a hook and see the promise broken.

--- a/Makefile
+++ b/Makefile
@@ -16,7 +16,7 @@
 
 # Looks for inputs that break a parser of outside bytes, FUZZTIME for each.
 FUZZTIME ?= 20s
-FUZZ := ./internal/api:FuzzCallerBody ./internal/fleet:FuzzParse ./internal/membership:FuzzDecodeDatagram \
+FUZZ := ./internal/api:FuzzCallerBody ./internal/canary:FuzzMessages ./internal/fleet:FuzzParse ./internal/membership:FuzzDecodeDatagram \
 	./internal/node:FuzzDatagram ./internal/prefix/directory:FuzzDecode ./internal/resume:FuzzOpen ./internal/sse:FuzzReader
 fuzz:
 	@set -e; for target in $(FUZZ); do \
--- /dev/null
+++ b/internal/canary/director_test.go
@@ -0,0 +1,283 @@
+package canary
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/fieldpond/fieldpond/internal/backend"
+	"github.com/fieldpond/fieldpond/internal/ident"
+)
+
+// calmHistory is a small fleet with a good target and no trouble.
+func calmHistory() history {
+	return history{
+		seed: 5, routers: 8, old: 12, new: 12, rate: 500, duration: 12 * time.Second, lookEvery: 200 * time.Millisecond,
+		routes: []modelRoute{
+			{name: "draft", part: 0.5, usual: 150 * time.Millisecond},
+			{name: "commit", part: 0.5, usual: 60 * time.Millisecond},
+		},
+	}
+}
+
+// TestOutcomes plays every case in which an order does not just run to its end.
+func TestOutcomes(t *testing.T) {
+	third := ident.Release("v3")
+	order := func(target ident.Release, revision uint64, duration time.Duration) Order {
+		return Order{Service: modelService, Target: target, Duration: duration, Revision: revision}
+	}
+	from := func(begin time.Duration, orders ...Order) func(time.Duration) []Order {
+		return func(since time.Duration) []Order {
+			if since < 0 {
+				return nil
+			}
+			if since < begin {
+				return orders[:1]
+			}
+			return orders[1:]
+		}
+	}
+	always := func(old, fresh int) func(time.Duration) (int, int) {
+		return func(since time.Duration) (int, int) {
+			if since < 0 && old > 0 {
+				return old, 0
+			}
+			return old, fresh
+		}
+	}
+	until := func(end time.Duration) func(time.Duration) (int, int) {
+		return func(since time.Duration) (int, int) {
+			if since < 0 || since > end {
+				return 12, 0
+			}
+			return 12, 12
+		}
+	}
+	tests := []struct {
+		name   string
+		change func(h *history)
+		want   []string
+	}{
+		{"a good target", func(*history) {}, []string{"v2 succeeded: " + reasonMoved}},
+		{"no back end of it ever", func(h *history) { h.backEnds = always(12, 0) }, []string{"v2 rolled_back: " + reasonNoBackEnds}},
+		{"too few of them", func(h *history) { h.backEnds = always(12, 5) }, []string{"v2 rolled_back: " + reasonTooFew}},
+		{"all of them go while it is observed", func(h *history) { h.backEnds = until(5 * time.Second) }, []string{"v2 rolled_back: " + reasonNoBackEnds}},
+		{"all of them go while it is promoted", func(h *history) { h.backEnds = until(9 * time.Second) }, []string{"v2 rolled_back: " + reasonNoBackEnds}},
+		{"it serves alone already", func(h *history) { h.backEnds = always(0, 12) }, []string{"v2 succeeded: " + reasonAlreadyServing}},
+		{"all are unreachable", func(h *history) {
+			h.faults = []fault{{until: forever, target: true, silent: true}}
+		}, []string{"v2 rolled_back: too little evidence: 0 answers of the target"}},
+		{"few requests", func(h *history) { h.rate = 10 }, []string{"v2 rolled_back: too little evidence: 20 answers of the target"}},
+		{"a short time", func(h *history) { h.duration = 5 * time.Second }, []string{"v2 rolled_back: " + reasonTooLate}},
+		{"a time that is over", func(h *history) { h.duration = 0 }, []string{"v2 rolled_back: " + reasonTooLate}},
+		{"written twice", func(h *history) {
+			h.ordersAt = from(4*time.Second, order(modelNew, 7, 12*time.Second), order(modelNew, 8, 20*time.Second))
+		}, []string{"v2 succeeded: " + reasonMoved}},
+		{"replaced by one for another target", func(h *history) {
+			h.duration = 20 * time.Second
+			h.ordersAt = from(4*time.Second, order(modelNew, 7, 12*time.Second), order(third, 8, 8*time.Second))
+		}, []string{"v2 rolled_back: " + reasonReplaced, "v3 rolled_back: " + reasonNoBackEnds}},
+		{"withdrawn", func(h *history) {
+			h.ordersAt = from(2*time.Second, order(modelNew, 7, 12*time.Second))
+		}, []string{"v2 rolled_back: " + reasonWithdrawn}},
+		{"again after it was rolled back", func(h *history) {
+			h.duration = 20 * time.Second
+			h.ordersAt = from(6*time.Second, order(modelNew, 7, 5*time.Second), order(modelNew, 8, 12*time.Second))
+		}, []string{"v2 rolled_back: " + reasonTooLate, "v2 succeeded: " + reasonMoved}},
+		{"read late since the store was down", func(h *history) {
+			h.outages = []outage{{from: modelStart - 500*time.Millisecond, until: modelStart + 9*time.Second, router: 0, cut: true}}
+			for router := 1; router < h.routers; router++ {
+				h.outages = append(h.outages, outage{from: modelStart - 500*time.Millisecond, until: modelStart + 9*time.Second, router: router, cut: true})
+			}
+		}, []string{"v2 rolled_back: " + reasonTooLate}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			h := calmHistory()
+			tt.change(&h)
+			got := newModel(h).play()
+			var finals []string
+			for _, state := range got.finals {
+				finals = append(finals, string(state.Order.Target)+" "+state.Phase.String()+": "+state.Reason)
+			}
+			is.Equal(finals, tt.want)
+			if tt.name != "it serves alone already" { // that is asked to get all requests
+				is.Equal(got.broken, nil)
+			}
+		})
+	}
+}
+
+// TestCeilingBoundsSuccessors shows that exposure stays bounded when holders change, and that
+// it does not without the ceiling in the store.
+func TestCeilingBoundsSuccessors(t *testing.T) {
+	is := is.New(t)
+	for _, off := range []bool{false, true} {
+		broken := 0
+		for seed := range uint64(4) {
+			h := calmHistory()
+			h.seed, h.duration, h.hooks.ignoreCeiling = seed, 30*time.Second, off
+			h.outages = []outage{{from: modelStart + 4*time.Second, until: modelStart + 7*time.Second, router: -1, killed: true}}
+			broken += len(newModel(h).play().broken)
+		}
+		is.Equal(broken > 0, off) // broken only without the ceiling
+	}
+}
+
+// desk is a director whose store and routers answer at once.
+type desk struct {
+	director *Director
+	now      time.Duration
+	states   map[ident.Service]State
+	versions map[ident.Service]uint64
+	// deaf stands for writes of which nothing is heard.
+	deaf bool
+	told []Tell
+}
+
+func newDesk(off hooks) *desk {
+	d := &desk{director: NewDirector(DirectorConfig{Bounds: modelBounds}), states: map[ident.Service]State{}, versions: map[ident.Service]uint64{}}
+	d.director.hooks = off
+	return d
+}
+
+var testRouter = netip.MustParseAddrPort("10.0.0.1:7000")
+
+// step lets the director act, and its store answer.
+func (d *desk) step() {
+	d.now += 50 * time.Millisecond
+	for _, action := range d.director.Step(at(d.now)) {
+		switch action := action.(type) {
+		case Fetch:
+			state := d.states[action.Service]
+			state.Order.Service = action.Service
+			d.director.Read(at(d.now), state, d.versions[action.Service])
+		case Write:
+			if d.deaf {
+				continue
+			}
+			service := action.State.Order.Service
+			d.versions[service]++
+			d.states[service] = action.State
+			d.director.Written(at(d.now), service, Stored{Version: d.versions[service]})
+		case Tell:
+			d.told = append(d.told, action)
+		}
+	}
+}
+
+// observe lists orders with twelve back ends of each release for every service.
+func (d *desk) observe(orders ...Order) {
+	var records []backend.Record
+	for _, order := range orders {
+		for index := range 12 {
+			for _, release := range []ident.Release{modelOld, modelNew} {
+				listed := record(release, index)
+				listed.Service = order.Service
+				records = append(records, listed)
+			}
+		}
+	}
+	d.director.Observe(at(d.now), d.now, orders, records, []netip.AddrPort{testRouter})
+}
+
+func TestTwoServicesAtOnce(t *testing.T) {
+	is := is.New(t)
+	d := newDesk(hooks{})
+	other := testOrder
+	other.Service, other.Revision = "checkout", 8
+	d.observe()
+	d.observe(testOrder, other)
+	d.director.Hold(at(d.now), 1)
+	for range 10 {
+		d.step()
+	}
+	for _, order := range []Order{testOrder, other} {
+		state := d.states[order.Service]
+		is.Equal(state.Phase, Observing)
+		is.Equal(state.Order, order)
+		is.Equal(state.Proved, []ident.Release{modelOld})
+	}
+}
+
+// TestHolderGrantsAfterItsOwnWrite shows the guard of the fence: a holder grants nothing until
+// its own write lies in the store, as the one before may still raise the ceiling.
+func TestHolderGrantsAfterItsOwnWrite(t *testing.T) {
+	is := is.New(t)
+	for _, off := range []bool{false, true} {
+		d := newDesk(hooks{ignoreFence: off})
+		d.observe(testOrder)
+		d.states[modelService] = State{Order: testOrder, Phase: Observing, Ceiling: 100, Fence: 4}
+		d.versions[modelService], d.deaf = 3, true
+		d.director.Hold(at(d.now), 5)
+		for range 20 {
+			d.step()
+		}
+		last := d.told[len(d.told)-1].Permit
+		is.Equal(last.Halted, !off)
+		is.Equal(last.Fence, uint64(5))
+	}
+}
+
+func TestLoserOfLeaseFallsSilent(t *testing.T) {
+	is := is.New(t)
+	d := newDesk(hooks{})
+	d.observe(testOrder)
+	d.director.Hold(at(d.now), 1)
+	for range 10 {
+		d.step()
+	}
+	is.True(len(d.told) > 0)
+	d.director.Hold(at(d.now), 0)
+	is.Equal(d.director.Step(at(d.now+time.Second)), nil)
+
+	// A state of a newer holder is left alone as well.
+	d.director.Hold(at(d.now), 2)
+	d.states[modelService] = State{Order: testOrder, Phase: Observing, Fence: 3}
+	d.told = nil
+	for range 10 {
+		d.step()
+	}
+	is.Equal(len(d.told), 0)
+	is.Equal(d.states[modelService].Fence, uint64(3))
+}
+
+func TestAnotherReleaseIsAmongTheOthers(t *testing.T) {
+	is := is.New(t)
+	records := []backend.Record{record("v0", 0), record(modelOld, 0), record(modelOld, 1), record(modelNew, 0)}
+	records[0].Draining = true
+	count := countEngines(append(records, record("v3", 0)), modelService, modelNew)
+	is.Equal(count.releases, []ident.Release{modelOld, "v3"}) // nothing new runs on what drains
+	is.Equal(count.others, 3)
+	is.Equal(count.target, 1)
+}
+
+func TestAccountNeverExceedsItsBound(t *testing.T) {
+	is := is.New(t)
+	sum := account{bounds: modelBounds, hooks: &hooks{}}
+	sum.takeOver(30)
+	for requests := uint64(0); requests < 5000; requests += 37 {
+		sum.ceiling = sum.raise(requests, 500, 40)
+		sum.granted += sum.room(requests, requests > 300)
+		is.True(sum.spent() <= max(30, sum.ceiling))
+		is.True(float64(less(sum.spent(), 30)) <= modelBounds.Share*float64(requests)+modelBounds.Slack)
+	}
+}
+
+func TestReportsAreTakenByTheClockOfTheirLife(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(1)
+	f.list(at(0), []netip.AddrPort{testRouter})
+	f.reported(at(0), testRouter, &Report{Life: 1, Clock: 10 * time.Second, Requests: 5})
+	f.reported(at(time.Second), testRouter, &Report{Life: 1, Clock: 9 * time.Second, Requests: 4})
+	is.Equal(f.requests(), uint64(5)) // a late one changes nothing
+	f.reported(at(3*time.Second), testRouter, &Report{Life: 1, Clock: 11 * time.Second, Requests: 7})
+	is.Equal(f.routers[0].current.heardAt, at(time.Second)) // it waited for two seconds
+	f.reported(at(3*time.Second), testRouter, &Report{Life: 2, Clock: time.Second, Requests: 3})
+	is.Equal(f.requests(), uint64(10)) // both lives count
+	f.reported(at(3*time.Second), netip.MustParseAddrPort("10.9.9.9:7000"), &Report{Life: 3, Requests: 100})
+	is.Equal(f.requests(), uint64(10)) // a stranger does not
+}
--- /dev/null
+++ b/internal/canary/fuzz_test.go
@@ -0,0 +1,45 @@
+package canary
+
+import (
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// FuzzMessages hands whatever decodes as a report or permit to a director and a gate, which
+// must neither panic nor exceed the bounds of what they keep.
+func FuzzMessages(f *testing.F) {
+	report := Report{Service: modelService, Revision: testOrder.Revision, Life: 3, Tallies: []Tally{{Route: "draft", Part: 1, Answers: 2, Failures: 1, Times: Histogram{1}}}}
+	for _, seed := range []any{&report, allowing()} {
+		encoded, err := cbor.Marshal(seed)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(encoded)
+	}
+	f.Fuzz(func(t *testing.T, encoded []byte) {
+		d := newDesk(hooks{})
+		d.observe(testOrder)
+		d.director.Hold(at(0), 1)
+		for range 3 {
+			d.step()
+		}
+		var told Report
+		if cbor.Unmarshal(encoded, &told) == nil {
+			d.director.Reported(at(d.now), testRouter, &told)
+			for range 30 {
+				d.step()
+			}
+		}
+		gate := guarded()
+		var permit Permit
+		if cbor.Unmarshal(encoded, &permit) == nil {
+			gate.Permitted(at(time.Second), &permit)
+		}
+		gate.Choose(at(time.Second), testAsk)
+		if made := gate.Report(at(time.Second), modelService); made != nil && !made.sound() {
+			t.Fatalf("unsound report: %+v", made)
+		}
+	})
+}
--- a/internal/canary/gate.go
+++ b/internal/canary/gate.go
@@ -45,15 +45,16 @@
 		g.confirmedAt = confirmedAt
 		g.dropWithdrawn(known.Orders)
 	}
-	for _, order := range known.Orders {
-		g.guard(order)
-	}
 	for index := range known.States {
 		state := &known.States[index]
 		if guard := g.guard(state.Order); guard != nil {
 			guard.learn(state.Phase, state.Proved)
 		}
 	}
+	// An order may be newer than the state, whose target is then known to be unproved.
+	for _, order := range known.Orders {
+		g.guard(order)
+	}
 	g.countBound()
 }
 
--- /dev/null
+++ b/internal/canary/gate_test.go
@@ -0,0 +1,288 @@
+package canary
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/fieldpond/fieldpond/internal/backend"
+	"github.com/fieldpond/fieldpond/internal/ident"
+)
+
+const testLife = 99
+
+var (
+	testEpoch = time.Unix(1_700_000_000, 0)
+	testOrder = Order{Service: modelService, Target: modelNew, Duration: 12 * time.Second, Revision: 7}
+	testAsk   = Ask{Service: modelService, Route: "draft", First: true}
+)
+
+// at returns a time of the test's gates, whose clock begins at 0.
+func at(clock time.Duration) time.Time { return testEpoch.Add(clock) }
+
+// guarded returns a gate at its time 0 that knows of the order, with both releases listed.
+func guarded() *Gate {
+	gate := NewGate(GateConfig{Life: testLife, Bounds: modelBounds})
+	gate.Listed(at(0), modelService, []ident.Release{modelOld})
+	gate.Listed(at(0), modelService, []ident.Release{modelOld, modelNew})
+	gate.Know(at(0), at(time.Millisecond), Known{Orders: []Order{testOrder}})
+	return gate
+}
+
+// allowing returns a permit for ten requests.
+func allowing() *Permit {
+	return &Permit{Order: testOrder, Fence: 2, Phase: Observing, Life: testLife, Clock: time.Second, Sends: 10, Part: 1, Among: 3}
+}
+
+// sends returns how many of a number of first requests go to the target.
+func sends(gate *Gate, now time.Time, requests int) int {
+	count := 0
+	for range requests {
+		if releases := gate.Choose(now, testAsk); releases.Only == modelNew {
+			gate.Sent(now, modelService, record(modelNew, 0))
+			count++
+		}
+	}
+	return count
+}
+
+func TestPermitsAllowSends(t *testing.T) {
+	tests := []struct {
+		name    string
+		permits []*Permit
+		at      time.Duration
+		want    int
+	}{
+		{"none", nil, time.Second, 0},
+		{"one", []*Permit{allowing()}, time.Second, 10},
+		{"repeated", []*Permit{allowing(), allowing()}, time.Second, 10},
+		{"shortly before its end", []*Permit{allowing()}, 1999 * time.Millisecond, 10},
+		{"after its end", []*Permit{allowing()}, 2 * time.Second, 0},
+		{"more", []*Permit{allowing(), changed(func(p *Permit) { p.Clock, p.Sends = 2*time.Second, 25 })}, 2 * time.Second, 25},
+		{"an older one late", []*Permit{changed(func(p *Permit) { p.Clock, p.Sends = 2*time.Second, 5 }), allowing()}, 2 * time.Second, 5},
+		{"halted", []*Permit{allowing(), changed(func(p *Permit) { p.Clock, p.Halted = 2*time.Second, true })}, time.Second, 0},
+		{"rolled back", []*Permit{allowing(), changed(func(p *Permit) { p.Phase = RolledBack })}, time.Second, 0},
+		{"promoting", []*Permit{changed(func(p *Permit) { p.Phase = Promoting })}, time.Second, 40},
+		{"promoting, after its end", []*Permit{changed(func(p *Permit) { p.Phase = Promoting })}, 3 * time.Second, 0},
+		{"of an older order", []*Permit{changed(func(p *Permit) { p.Order.Revision = 6 })}, time.Second, 0},
+		{"half of the requests", []*Permit{changed(func(p *Permit) { p.Part, p.Sends = 0.5, 100 })}, time.Second, 20},
+		{"unsound", []*Permit{changed(func(p *Permit) { p.Part = -1 })}, time.Second, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			gate := guarded()
+			for _, permit := range tt.permits {
+				gate.Permitted(at(tt.at), permit)
+			}
+			is.Equal(sends(gate, at(tt.at), 40), tt.want)
+		})
+	}
+}
+
+// changed returns a permit for ten requests with a change.
+func changed(change func(*Permit)) *Permit {
+	permit := allowing()
+	change(permit)
+	return permit
+}
+
+// TestGuardsOfGate shows for each guard of a gate what it keeps out, and that it is let in
+// without it.
+func TestGuardsOfGate(t *testing.T) {
+	tests := []struct {
+		name    string
+		off     hooks
+		permits []*Permit
+		at      time.Duration
+	}{
+		{"clock: a permit that waited in the socket of a frozen router", hooks{ignoreClock: true}, []*Permit{allowing()}, 5 * time.Second},
+		{"fence: the holder before grants what the next one has halted", hooks{ignoreFence: true}, []*Permit{
+			changed(func(p *Permit) { p.Fence, p.Halted = 3, true }), allowing(),
+		}, time.Second},
+		{"life: a permit for the life before", hooks{ignoreLife: true}, []*Permit{changed(func(p *Permit) { p.Life = testLife - 1 })}, time.Second},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			for _, off := range []bool{false, true} {
+				gate := guarded()
+				if off {
+					gate.hooks = tt.off
+				}
+				for _, permit := range tt.permits {
+					gate.Permitted(at(tt.at), permit)
+				}
+				is.Equal(sends(gate, at(tt.at), 40) > 0, off) // sent only without the guard
+			}
+		})
+	}
+}
+
+func TestReleasesWithoutPermit(t *testing.T) {
+	other, third := ident.Release("v0"), ident.Release("v3")
+	state := func(phase Phase, proved ...ident.Release) State {
+		return State{Order: testOrder, Phase: phase, Proved: proved}
+	}
+	tests := []struct {
+		name   string
+		first  []ident.Release
+		listed []ident.Release
+		known  Known
+		stale  bool
+		want   []ident.Release
+		active bool
+	}{
+		{"no order", []ident.Release{modelOld}, []ident.Release{modelOld}, Known{}, false, []ident.Release{modelOld}, false},
+		{"two releases, no order", nil, []ident.Release{modelOld, modelNew}, Known{}, false, []ident.Release{modelOld, modelNew}, false},
+		{"a release that an order may follow", []ident.Release{modelOld}, []ident.Release{modelOld, modelNew}, Known{}, true, []ident.Release{modelOld}, true},
+		{"order", nil, []ident.Release{modelOld, modelNew}, Known{Orders: []Order{testOrder}}, false, []ident.Release{modelOld}, true},
+		{"order, three releases", nil, []ident.Release{other, modelOld, modelNew}, Known{Orders: []Order{testOrder}}, false, []ident.Release{other, modelOld}, true},
+		{"promoting", nil, []ident.Release{modelOld, modelNew}, Known{States: []State{state(Promoting, modelOld)}}, false, []ident.Release{modelOld}, true},
+		{"succeeded", nil, []ident.Release{modelOld, modelNew}, Known{States: []State{state(Succeeded, modelOld)}}, false, []ident.Release{modelNew}, true},
+		{"succeeded, the others gone", nil, []ident.Release{modelNew}, Known{States: []State{state(Succeeded, modelOld)}}, false, []ident.Release{modelNew}, false},
+		{"succeeded, a later release without order", nil, []ident.Release{modelNew, third}, Known{States: []State{state(Succeeded, modelOld)}}, false, []ident.Release{modelNew, third}, false},
+		{"rolled back", nil, []ident.Release{modelOld, modelNew}, Known{States: []State{state(RolledBack, modelOld)}}, false, []ident.Release{modelOld}, true},
+		{"rolled back, target gone", nil, []ident.Release{modelOld}, Known{States: []State{state(RolledBack, modelOld)}}, false, []ident.Release{modelOld}, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			gate := NewGate(GateConfig{Life: testLife, Bounds: modelBounds})
+			if tt.first != nil {
+				gate.Listed(at(0), modelService, tt.first)
+				gate.Know(at(0), at(time.Millisecond), Known{})
+			}
+			gate.Listed(at(time.Second), modelService, tt.listed)
+			confirmed := at(2 * time.Second)
+			if tt.stale {
+				confirmed = at(time.Second)
+			}
+			gate.Know(at(2*time.Second), confirmed, tt.known)
+			releases := gate.Choose(at(3*time.Second), testAsk)
+			var allowed []ident.Release
+			for _, release := range tt.listed {
+				if releases.Allows(release) {
+					allowed = append(allowed, release)
+				}
+			}
+			is.Equal(allowed, tt.want)
+			is.Equal(gate.Active(), tt.active)
+		})
+	}
+}
+
+func TestFinalPhaseStays(t *testing.T) {
+	for _, final := range []Phase{Succeeded, RolledBack} {
+		is := is.New(t)
+		gate := guarded()
+		gate.Permitted(at(time.Second), changed(func(p *Permit) { p.Phase, p.Proved = final, []ident.Release{modelOld} }))
+		gate.Permitted(at(time.Second), changed(func(p *Permit) { p.Fence, p.Phase, p.Clock = 9, Promoting, time.Second }))
+		is.Equal(gate.Report(at(time.Second), modelService).Phase, final)
+	}
+}
+
+func TestNextOrderBeginsAnew(t *testing.T) {
+	is := is.New(t)
+	third := ident.Release("v3")
+	gate := guarded()
+	gate.Know(at(time.Second), at(time.Second), Known{States: []State{{Order: testOrder, Phase: RolledBack}}})
+	next := Order{Service: modelService, Target: third, Duration: time.Minute, Revision: 8}
+	gate.Know(at(2*time.Second), at(2*time.Second), Known{Orders: []Order{next}})
+	releases := gate.Choose(at(2*time.Second), testAsk)
+	is.True(releases.Allows(modelOld))
+	is.True(!releases.Allows(modelNew)) // it was rolled back
+	is.True(!releases.Allows(third))    // it is not proved
+}
+
+func TestWithdrawnOrderBindsNothing(t *testing.T) {
+	is := is.New(t)
+	gate := guarded()
+	is.True(gate.Active())
+	gate.Know(at(time.Second), at(time.Second), Known{})
+	is.True(!gate.Active())
+}
+
+func TestReportCounts(t *testing.T) {
+	is := is.New(t)
+	gate := NewGate(GateConfig{Life: testLife, Bounds: modelBounds})
+	early := gate.Sent(at(0), modelService, record(modelOld, 0))
+	gate.Listed(at(0), modelService, []ident.Release{modelOld, modelNew})
+	gate.Know(at(0), at(time.Millisecond), Known{Orders: []Order{testOrder}})
+	gate.Permitted(at(time.Second), allowing())
+	gate.Choose(at(time.Second), testAsk)
+	toNew := gate.Sent(at(time.Second), modelService, record(modelNew, 1))
+	gate.Choose(at(time.Second), testAsk)
+	toOld := gate.Sent(at(time.Second), modelService, record(modelOld, 1))
+	is.Equal(gate.Report(at(time.Second), modelService).Others, uint64(2)) // also that from before the order
+
+	gate.Ended(at(time.Second), early, Sample{Route: "draft", Outcome: Failed})
+	gate.Ended(at(time.Second), toNew, Sample{Route: "draft", Outcome: Failed})
+	gate.Ended(at(time.Second), toOld, Sample{Route: "draft", Outcome: Answered, Elapsed: 3 * time.Second, Predicted: time.Second})
+	report := gate.Report(at(1500*time.Millisecond), modelService)
+	is.Equal(report.Requests, uint64(2))
+	is.Equal(report.Sent, uint64(1))
+	is.Equal(report.Others, uint64(0))
+	is.Equal(report.Left, 500*time.Millisecond)
+	is.True(slices.EqualFunc(report.Tallies, []Tally{
+		{Route: "draft", Part: partOf("v2-1"), Answers: 1, Failures: 1},
+		{Route: "draft", Answers: 1, Times: Histogram{0, 0, 0, 0, 1}},
+	}, func(a, b Tally) bool {
+		return a.Part == b.Part && a.Answers == b.Answers && a.Failures == b.Failures && slices.Equal(a.Times, b.Times)
+	}))
+}
+
+func TestDeclinedGrantIsUsedLater(t *testing.T) {
+	is := is.New(t)
+	gate := guarded()
+	gate.Permitted(at(time.Second), changed(func(p *Permit) { p.Sends = 1 }))
+	is.Equal(gate.Choose(at(time.Second), testAsk).Only, modelNew)
+	is.Equal(gate.Choose(at(time.Second), testAsk).Only, ident.Release("")) // the only grant is taken
+	gate.Declined(modelService)
+	is.Equal(gate.Choose(at(time.Second), testAsk).Only, modelNew)
+}
+
+func TestTalliesAreBounded(t *testing.T) {
+	is := is.New(t)
+	gate := guarded()
+	for route := range 10 {
+		for instance := range 50 {
+			run := gate.Sent(at(time.Second), modelService, record(modelNew, instance))
+			gate.Ended(at(time.Second), run, Sample{Route: string(rune('a' + route)), Outcome: Answered})
+		}
+	}
+	report := gate.Report(at(time.Second), modelService)
+	is.True(len(report.Tallies) <= maxTallies)
+	is.True(report.sound())
+}
+
+func TestRepeatsAvoidTheTarget(t *testing.T) {
+	is := is.New(t)
+	gate := guarded()
+	gate.Permitted(at(time.Second), allowing())
+	releases := gate.Choose(at(time.Second), Ask{Service: modelService, Route: "draft", Excluded: 1})
+	is.True(!releases.Allows(modelNew))
+}
+
+func TestUnguardedFleetPaysNothing(t *testing.T) {
+	is := is.New(t)
+	gate := NewGate(GateConfig{Life: testLife})
+	gate.Know(at(0), at(0), Known{Orders: []Order{testOrder}})
+	gate.Listed(at(0), modelService, []ident.Release{modelOld, modelNew})
+	is.True(!gate.Active())
+	is.Equal(gate.Sent(at(0), modelService, record(modelNew, 0)), Run{})
+	is.Equal(gate.Report(at(0), modelService), nil)
+}
+
+func TestNarrowIsTheSameEverywhere(t *testing.T) {
+	is := is.New(t)
+	releases := backend.Releases{Only: modelNew, Among: 3, Seed: 7}
+	names := []ident.Incarnation{"a", "b", "c", "d", "e", "f"}
+	reversed := slices.Clone(names)
+	slices.Reverse(reversed)
+	first, second := releases.Narrow(slices.Clone(names)), releases.Narrow(reversed)
+	is.Equal(len(first), 3)
+	is.Equal(first, second)
+}
--- a/internal/canary/guard.go
+++ b/internal/canary/guard.go
@@ -34,8 +34,10 @@
 	phase Phase
 	// others are the releases that served before the target.
 	others []ident.Release
-	// spurned is the target of the rollout before, if it proved bad.
-	spurned ident.Release
+	// unproved are the targets of earlier orders that did not succeed.
+	unproved []ident.Release
+	// alone says that the target served alone before the order came: nothing else can.
+	alone bool
 	// spread differs from router to router.
 	spread uint64
 	// fence is the highest that a permit or state has carried.
@@ -88,7 +90,10 @@
 	if g.phase == Succeeded {
 		return slices.Contains(g.others, release)
 	}
-	return release == g.order.Target || (g.spurned != "" && release == g.spurned)
+	if release == g.order.Target {
+		return g.phase == RolledBack || !g.alone
+	}
+	return slices.Contains(g.unproved, release)
 }
 
 // permitted reports whether there is a permit that is still valid.
--- a/internal/canary/model_test.go
+++ b/internal/canary/model_test.go
@@ -158,7 +158,7 @@
 	// state is the row in the store.
 	state   State
 	version uint64
-	// directors are those of the routers that have ever held the lease.
+	// directors are those of all routers, by index.
 	directors   map[int]*Director
 	holder      int
 	fence       uint64
@@ -188,6 +188,7 @@
 		router := &modelRouter{address: address, lookAt: time.Duration(m.random.IntN(1000)) * time.Millisecond}
 		m.routers = append(m.routers, router)
 		m.live(router)
+		m.directors[index] = m.newDirector()
 	}
 	return m
 }
@@ -225,17 +226,22 @@
 func (m *model) play() result {
 	end := modelStart + m.duration + 7*time.Second
 	for ; m.now < end; m.now += modelStep {
-		for len(m.events) > 0 && m.events[0].at <= m.now {
-			heap.Pop(&m.events).(event).do()
-		}
-		m.trouble()
-		m.lease()
-		for index, router := range m.routers {
-			m.look(index, router)
-			m.receive(index, router)
-		}
-		m.direct()
-		m.arrive()
+		m.step()
 	}
 	return m.result
 }
+
+// step lets everything happen that happens now.
+func (m *model) step() {
+	for len(m.events) > 0 && m.events[0].at <= m.now {
+		heap.Pop(&m.events).(event).do()
+	}
+	m.trouble()
+	m.lease()
+	for index, router := range m.routers {
+		m.look(index, router)
+		m.receive(index, router)
+	}
+	m.direct()
+	m.arrive()
+}
--- a/internal/canary/modelstore_test.go
+++ b/internal/canary/modelstore_test.go
@@ -24,7 +24,7 @@
 		if m.now == outage.until && outage.killed {
 			m.live(router)
 			router.lookAt = m.now
-			delete(m.directors, outage.router)
+			m.directors[outage.router] = m.newDirector()
 			if m.holder == outage.router {
 				m.holder = -1
 			}
@@ -83,11 +83,6 @@
 	}
 	m.holder, m.leaseUntil = next, m.now+modelLease
 	m.fence++
-	if m.directors[next] == nil {
-		m.directors[next] = NewDirector(DirectorConfig{Bounds: modelBounds})
-		m.directors[next].hooks = m.hooks
-		m.observe(m.directors[next])
-	}
 	m.directors[next].Hold(m.time(), m.fence)
 }
 
@@ -116,6 +111,13 @@
 	return Order{Service: modelService, Target: modelNew, Duration: m.duration, Revision: revision}
 }
 
+// newDirector returns the director of a router's new life.
+func (m *model) newDirector() *Director {
+	director := NewDirector(DirectorConfig{Bounds: modelBounds})
+	director.hooks = m.hooks
+	return director
+}
+
 func (m *model) observe(director *Director) {
 	orders, records := m.listed()
 	addresses := make([]netip.AddrPort, 0, len(m.routers))
@@ -152,9 +154,7 @@
 		router.gate.Listed(m.time(), modelService, releases)
 		router.gate.Know(m.time(), confirmedAt, known)
 	})
-	if director := m.directors[index]; director != nil {
-		m.observe(director)
-	}
+	m.observe(m.directors[index])
 }
 
 func (m *model) storeDelay() time.Duration {
--- a/internal/canary/traffic.go
+++ b/internal/canary/traffic.go
@@ -27,6 +27,8 @@
 	listedAt time.Time
 	// settled says that no order for it was on its way when it was listed.
 	settled bool
+	// served says that it was there while no order for it was.
+	served bool
 	// running is the number of attempts that are under way there.
 	running int
 }
@@ -67,33 +69,38 @@
 	t.forbidden = nil
 	for index := range t.present {
 		known := &t.present[index]
+		ordered := t.guard != nil && t.guard.order.Target == known.release
 		if known.listedAt.Before(confirmedAt) {
 			known.settled = true
+			known.served = known.served || !ordered
 		}
-		ordered := t.guard != nil && t.guard.order.Target == known.release
 		unsure := known.listed && !known.settled && !ordered
 		if unsure || (t.guard != nil && t.guard.forbids(known.release)) {
 			t.forbidden = append(t.forbidden, known.release)
 		}
 	}
-	if guard := t.guard; guard != nil && guard.phase != Succeeded && !slices.Contains(t.forbidden, guard.order.Target) {
-		t.forbidden = append(t.forbidden, guard.order.Target)
+	if t.guard == nil {
+		return
+	}
+	if target := t.guard.order.Target; t.guard.forbids(target) && !slices.Contains(t.forbidden, target) {
+		t.forbidden = append(t.forbidden, target)
 	}
 }
 
-// begin makes an order the newest one of the service.
+// begin makes an order the newest one of the service. Spread differs from router to router.
 func (t *traffic) begin(order Order, spread uint64) {
 	begun := &guard{order: order, spread: spread}
+	target := t.presence(order.Target)
+	begun.alone = target.listed && target.served
 	for index := range t.present {
 		// Releases that are listed beside the target when the order is learned can
 		// have served before it.
 		if release := t.present[index].release; t.present[index].listed && release != order.Target {
-			begun.others = append(begun.others, release)
+			begun.others, begun.alone = append(begun.others, release), false
 		}
 	}
-	if last := t.guard; last != nil && last.phase == RolledBack {
-		// The target that proved bad gets nothing while its back ends drain.
-		begun.spurned = last.order.Target
+	if last := t.guard; last != nil && last.phase != Succeeded {
+		begun.unproved = append(slices.Clone(last.unproved), last.order.Target)
 	}
 	t.guard = begun
 }
