--- /dev/null
+++ b/internal/canary/model_test.go
@@ -0,0 +1,247 @@
+package canary
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"github.com/fieldpond/fieldpond/internal/backend"
+	"github.com/fieldpond/fieldpond/internal/ident"
+)
+
+// The model joins one Director per holder and many Gates by a network that loses, delays
+// and repeats datagrams, and a store that may be slow. Its own counts judge the promises.
+
+const (
+	modelStep     = 10 * time.Millisecond
+	modelService  = ident.Service("search")
+	modelOld      = ident.Release("v1")
+	modelNew      = ident.Release("v2")
+	modelRollback = 5 * time.Second
+	modelLease    = 3 * time.Second
+)
+
+var modelBounds = Bounds{Share: 0.1, Slack: 50, Rollback: modelRollback}
+
+// modelRoute is a kind of request.
+type modelRoute struct {
+	name     string
+	part     float64
+	usual    time.Duration
+	failures float64
+	// cached is the part of the usual time in which a back end answers that has the
+	// prompt; the target's have none.
+	cached float64
+}
+
+// fault makes back ends of either release answer badly for some time.
+type fault struct {
+	from, until time.Duration
+	// on are the back ends, by index, of the target or of the others; nil means all.
+	target bool
+	on     []int
+	route  string
+	// failures is the part of the answers that fail, times by what the rest is slower.
+	failures, times float64
+	// part is the part of the answers that are slower; 0 means all.
+	part float64
+	// silent back ends give no answer; paused ones give it when the fault is over.
+	silent, paused bool
+	// load is the number of runs under way at a back end from which the fault shows.
+	load int
+	// bad says that the answers are those of a bad release.
+	bad bool
+}
+
+// outage is a trouble of a router, or of the holder if router is negative.
+type outage struct {
+	from, until time.Duration
+	router      int
+	// killed routers come back with a new life, frozen ones as they were; cut ones reach
+	// nobody but back ends and clients. A cut holder goes on until its lease is over.
+	killed, frozen, cut bool
+}
+
+// history is what happens in one play of the model.
+type history struct {
+	seed         uint64
+	routers      int
+	rate         float64
+	duration     time.Duration
+	old, new     int
+	routes       []modelRoute
+	faults       []fault
+	outages      []outage
+	loss         float64
+	slowStore    [2]time.Duration
+	burst        [2]time.Duration
+	lookEvery    time.Duration
+	hooks        hooks
+	targetListed time.Duration
+	// ordersAt and backEnds tell what is listed at a time after the first order, if they
+	// are set.
+	ordersAt func(since time.Duration) []Order
+	backEnds func(since time.Duration) (old, fresh int)
+}
+
+// modelRouter is one router of the model.
+type modelRouter struct {
+	address netip.AddrPort
+	gate    *Gate
+	life    uint64
+	// lookAt is when it reads orders and back ends next.
+	lookAt time.Duration
+	// troubledUntil is the end of its last outage.
+	troubledUntil time.Duration
+	inbox         []datagram
+	// listed says that it knows of the target's back ends.
+	listed bool
+}
+
+// datagram is a permit or report on its way.
+type datagram struct {
+	at     time.Duration
+	from   netip.AddrPort
+	to     int
+	permit *Permit
+	report *Report
+}
+
+// result is what the model has counted.
+type result struct {
+	verdicts []Phase
+	finals   []State
+	reason   string
+	at       time.Duration
+	promoted time.Duration
+	// holderLost is when the holder was last lost, before the verdict.
+	holderLost time.Duration
+	requests   int
+	sent       int
+	bad        int
+	fiftieth   time.Duration
+	broken     []string
+}
+
+// event is something that happens later.
+type event struct {
+	at    time.Duration
+	order int
+	do    func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return e[i].at < e[j].at || (e[i].at == e[j].at && e[i].order < e[j].order)
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	last := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return last
+}
+
+// model plays one history.
+type model struct {
+	history
+	random  *rand.Rand
+	epoch   time.Time
+	now     time.Duration
+	routers []*modelRouter
+	events  events
+	queued  int
+	// state is the row in the store.
+	state   State
+	version uint64
+	// directors are those of all routers, by index.
+	directors   map[int]*Director
+	holder      int
+	fence       uint64
+	leaseUntil  time.Duration
+	busy        map[ident.Incarnation]int
+	oldOnes     []backend.Record
+	newOnes     []backend.Record
+	instances   []ident.Incarnation
+	result      result
+	othersAfter time.Duration
+}
+
+func newModel(h history) *model {
+	m := &model{
+		history: h, random: rand.New(rand.NewPCG(h.seed, 31)), epoch: time.Unix(1_700_000_000, 0), leaseUntil: -1,
+		directors: map[int]*Director{}, holder: -1, busy: map[ident.Incarnation]int{},
+	}
+	for index := range h.old {
+		m.oldOnes = append(m.oldOnes, record(modelOld, index))
+	}
+	for index := range h.new {
+		m.newOnes = append(m.newOnes, record(modelNew, index))
+		m.instances = append(m.instances, m.newOnes[index].Instance)
+	}
+	for index := range h.routers {
+		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(index / 250), byte(index%250 + 1)}), 7000)
+		router := &modelRouter{address: address, lookAt: time.Duration(m.random.IntN(1000)) * time.Millisecond}
+		m.routers = append(m.routers, router)
+		m.live(router)
+		m.directors[index] = m.newDirector()
+	}
+	return m
+}
+
+func record(release ident.Release, index int) backend.Record {
+	instance := ident.Incarnation(fmt.Sprintf("%s-%d", release, index))
+	return backend.Record{Instance: instance, Service: modelService, Release: release, Slots: 24}
+}
+
+// live gives a router a new life.
+func (m *model) live(router *modelRouter) {
+	router.life = m.random.Uint64()
+	router.gate = NewGate(GateConfig{Life: router.life, Bounds: modelBounds})
+	router.gate.hooks = m.hooks
+	router.inbox, router.listed = nil, false
+}
+
+func (m *model) time() time.Time { return m.epoch.Add(m.now) }
+
+func (m *model) later(after time.Duration, do func()) {
+	m.queued++
+	heap.Push(&m.events, event{at: m.now + after, order: m.queued, do: do})
+}
+
+func (m *model) brokenf(format string, args ...any) {
+	if len(m.result.broken) < 3 {
+		m.result.broken = append(m.result.broken, fmt.Sprintf("%v: ", m.now)+fmt.Sprintf(format, args...))
+	}
+}
+
+// modelStart is when the order is written: everything runs for a while before.
+const modelStart = 2 * time.Second
+
+// play runs the history to some seconds after its deadline.
+func (m *model) play() result {
+	end := modelStart + m.duration + 7*time.Second
+	for ; m.now < end; m.now += modelStep {
+		m.step()
+	}
+	return m.result
+}
+
+// step lets everything happen that happens now.
+func (m *model) step() {
+	for len(m.events) > 0 && m.events[0].at <= m.now {
+		heap.Pop(&m.events).(event).do()
+	}
+	m.trouble()
+	m.lease()
+	for index, router := range m.routers {
+		m.look(index, router)
+		m.receive(index, router)
+	}
+	m.direct()
+	m.arrive()
+}
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/fieldpond/fieldpond/internal/backend"
+	"github.com/fieldpond/fieldpond/internal/canary"
 	"github.com/fieldpond/fieldpond/internal/catalog"
 	"github.com/fieldpond/fieldpond/internal/fault"
 )
@@ -35,6 +36,13 @@
 	patience *time.Timer
 	// heldUntil ends the patience with a back end that is known to be busy.
 	heldUntil time.Time
+	// sentAt is when the request was sent, heardAt when the first byte of the answer was
+	// there; it is zero before.
+	sentAt, heardAt time.Time
+	// unsound says that the back end gave an answer that may not be passed on.
+	unsound bool
+	// counted is the attempt as the guard of releases counts it.
+	counted canary.Run
 }
 
 // attempt sends the request to the chosen back end. It returns true if the
@@ -43,7 +51,8 @@
 	described := r.describe(&choice)
 	attemptContext, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	current := &attempt{run: r, choice: choice, flight: flight, ctx: attemptContext, cancel: cancel}
+	current := &attempt{run: r, choice: choice, flight: flight, ctx: attemptContext, cancel: cancel, sentAt: time.Now()}
+	current.count()
 	r.note(StepSent, func(step *Step) { step.Choice = choice })
 	if patience := r.patience(&choice); patience > 0 {
 		current.heldUntil = time.Now().Add(busyFactor * patience)
@@ -93,6 +102,7 @@
 		}
 	}
 	a.flight.Ended(time.Now(), outcome)
+	a.settle(outcome)
 	a.note(StepAttemptEnded, func(step *Step) {
 		step.Choice, step.Outcome = a.choice, outcome
 		if failed != nil {
@@ -134,7 +144,9 @@
 // patience returns how long the first byte of an answer is awaited before the
 // request is sent elsewhere; 0 means until its time is over.
 func (r *run) patience(choice *backend.Choice) time.Duration {
-	if !r.route.Repeatable() || r.ran+1 >= r.route.MaxAttempts || choice.Candidates < 2 {
+	// A release on trial has other back ends beside it that were not compared.
+	alone := choice.Candidates < 2 && choice.Releases.Among == 0
+	if !r.route.Repeatable() || r.ran+1 >= r.route.MaxAttempts || alone {
 		return 0
 	}
 	if r.route.Kind == catalog.Streaming {
@@ -161,6 +173,7 @@
 	case OtherVersion:
 		return a.refused(reply, backend.WrongVersion)
 	case Unsound:
+		a.unsound = true
 		return &failure{ran: fault.RanUnknown, outcome: backend.Broken, cause: errors.Errorf("unsound answer with status %d", reply.Status)}
 	}
 	if a.route.Kind == catalog.Streaming && reply.Status == http.StatusOK {
@@ -205,7 +218,7 @@
 	if err != nil {
 		return &failure{ran: fault.RanUnknown, outcome: backend.Broken, cause: err}
 	}
-	a.flight.Heard(time.Now())
+	a.heard()
 	buffered := &bufferedReply{status: reply.Status, header: reply.Header, body: body}
 	if len(body) > maxBufferedBytes {
 		return a.long(reply, buffered)
--- a/internal/upstream/update.go
+++ b/internal/upstream/update.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/fieldpond/fieldpond/internal/backend"
+	"github.com/fieldpond/fieldpond/internal/canary"
 	"github.com/fieldpond/fieldpond/internal/ident"
 	"github.com/fieldpond/fieldpond/internal/promptcache"
 )
@@ -55,6 +56,21 @@
 	// Namings are the versions of weights that were named, oldest first for
 	// each model.
 	Namings []Naming `cbor:"4,keyasint,omitempty"`
+	// Rollouts is nil where no service is being moved to another release, or was.
+	Rollouts *Rollouts `cbor:"5,keyasint,omitempty"`
+}
+
+// Rollouts is what the store tells of rollouts.
+type Rollouts struct {
+	Known canary.Known `cbor:"1,keyasint"`
+	// StoreTime is the store's own steady time at the read of the orders; at Absent the
+	// newest of them was not there yet, 0 if that is not known.
+	StoreTime time.Duration `cbor:"2,keyasint"`
+	Absent    time.Duration `cbor:"3,keyasint,omitempty"`
+	// Age is the time since the orders were read, StatesAge since the states were, below
+	// zero if they were not.
+	Age       time.Duration `cbor:"4,keyasint"`
+	StatesAge time.Duration `cbor:"5,keyasint"`
 }
 
 // Naming is a named version of a model's weights.
