Find connections that fell silent by keep-alive probes and by the aim, and suspect those of their time

Cause: a connection that falls silent without a reset was found only 3 s after bytes were sent on it, and one that rested never before its next use; each router paid for each of its connections.

Ruled out: polling what is unacknowledged at a part of the aim (the patience with a back end ends as early, and what one lost packet costs is 200 ms); closing resting connections after a shorter time (new ones to engines are dear).

Change: keep-alive probes of the kernel each second on all connections that routers open; TCP_USER_TIMEOUT by half of the route's target (250 ms to 1 s) for attempts, 500 ms to the store and to other routers, 1 s else. A connection found silent closes the resting ones to its address that were not heard since; two addresses that take new connections close all of that time. A pull on a silent connection is asked once more. Metric and log events.

--- a/internal/exchange/connection.go
+++ b/internal/exchange/connection.go
@@ -3,6 +3,10 @@
 // process, tells answers in excess from the one that is due, and never reuses
 // a connection that carries bytes which belong to no request.
 //
+// Connections may fall silent without a reset. The kernel finds that out by
+// bytes and probes that nobody acknowledges; connections that were open at the
+// time of one found silent are not used again.
+//
 // net/http's Transport reads answers in the background and repeats some
 // requests by itself; both lose what this package has to know. Requests and
 // answers are still written and parsed by net/http.
@@ -11,13 +15,9 @@
 import (
 	"bufio"
 	"net"
-	"syscall"
 	"time"
 )
 
-// tcpUserTimeout is the socket option TCP_USER_TIMEOUT of Linux.
-const tcpUserTimeout = 0x12
-
 // connection is one TCP connection to a back end; one exchange uses it at a
 // time.
 type connection struct {
@@ -25,46 +25,9 @@
 	address string
 	reader  *bufio.Reader
 	// idleSince and idleUntil bound the rest between two exchanges; told says
-	// that the peer named the time.
+	// that the peer named the time. The peer was last heard at idleSince.
 	idleSince, idleUntil time.Time
 	told                 bool
-}
-
-// setUserTimeout makes the kernel give up a connection whose peer does not
-// acknowledge what was sent for so long.
-func setUserTimeout(timeout time.Duration) func(network, address string, raw syscall.RawConn) error {
-	return func(_, _ string, raw syscall.RawConn) error {
-		var failed error
-		err := raw.Control(func(descriptor uintptr) {
-			failed = syscall.SetsockoptInt(int(descriptor), syscall.IPPROTO_TCP, tcpUserTimeout, int(timeout.Milliseconds()))
-		})
-		if err != nil {
-			return err
-		}
-		return failed
-	}
-}
-
-// quiet reports whether a resting connection is open and has nothing to read.
-// Anything to read on it is either its end or bytes that no request asked for.
-func (c *connection) quiet() bool {
-	if c.reader.Buffered() > 0 {
-		return false
-	}
-	socket, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	raw, err := socket.SyscallConn()
-	if err != nil {
-		return false
-	}
-	quiet := false
-	var peeked [1]byte
-	err = raw.Read(func(descriptor uintptr) bool {
-		_, _, err := syscall.Recvfrom(int(descriptor), peeked[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		quiet = err == syscall.EAGAIN
-		return true
-	})
-	return err == nil && quiet
+	// ackWithin is how long sent bytes may stay unacknowledged.
+	ackWithin time.Duration
 }
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"io"
 	"net/http"
@@ -28,13 +29,19 @@
 	Due func(header http.Header) bool
 	// MaxConnections bounds the connections to the address; 0 means no bound.
 	MaxConnections int
+	// AckWithin is how long bytes of the request may stay unacknowledged before the
+	// connection counts as silent; 0 means the pool's UserTimeout.
+	AckWithin time.Duration
 }
 
 // Error is a failed exchange: no answer to the request arrived.
 type Error struct {
 	// Sent is false only if no byte of the request left this process.
-	Sent  bool
-	Cause error
+	Sent bool
+	// Silent is true if the peer acknowledged nothing any more. The request may have
+	// arrived all the same.
+	Silent bool
+	Cause  error
 }
 
 // Error implements error.
@@ -75,24 +82,54 @@
 	if err != nil {
 		return nil, &Error{Cause: err}
 	}
-	exchange := &running{pool: p, connection: used}
-	exchange.stop = context.AfterFunc(ctx, func() { _ = used.Close() })
+	used.expectAcks(cmp.Or(request.AckWithin, p.options.UserTimeout))
+	exchange := &running{pool: p, connection: used, begunAt: time.Now()}
+	exchange.stop = context.AfterFunc(ctx, exchange.giveUp)
 	response, err := exchange.run(request)
 	if err != nil {
+		failed := &Error{Sent: exchange.sent.Load(), Silent: silent(err), Cause: err}
+		exchange.failed(err)
 		exchange.abort()
 		if ctx.Err() != nil {
-			err = errors.Wrap(context.Cause(ctx), err.Error())
+			failed.Cause = errors.Wrap(context.Cause(ctx), err.Error())
 		}
-		return nil, &Error{Sent: exchange.sent.Load(), Cause: err}
+		return nil, failed
 	}
 	return response, nil
 }
 
+// leastUnacknowledged is how long the bytes of a request that is given up must be
+// without an acknowledgement for its connection to count as silent: a lost packet
+// is sent again after 200 ms at least.
+const leastUnacknowledged = 250 * time.Millisecond
+
+// giveUp ends the connection of an exchange that nobody waits for.
+func (r *running) giveUp() {
+	unheard := time.Since(r.begunAt) >= leastUnacknowledged && r.connection.unacknowledged()
+	_ = r.connection.Close()
+	if unheard {
+		r.pool.foundSilent(r.connection.address, r.begunAt)
+	}
+}
+
+// failed takes in why an exchange broke off.
+func (r *running) failed(err error) {
+	if !silent(err) {
+		return
+	}
+	since := r.begunAt
+	if probed := time.Now().Add(-probeInterval); probed.After(since) {
+		since = probed
+	}
+	r.pool.foundSilent(r.connection.address, since)
+}
+
 // running is one exchange under way.
 type running struct {
 	pool       *Pool
 	connection *connection
 	stop       func() bool
+	begunAt    time.Time
 	// sent is true once a byte may have left, written once all have.
 	sent, written atomic.Bool
 	excess        bool
@@ -186,14 +223,19 @@
 type answerBody struct {
 	running *running
 	answer  *http.Response
-	whole   bool
+	// whole is true once the proven end was read, broken once a read failed.
+	whole, broken bool
 }
 
 // Read implements io.Reader.
 func (b *answerBody) Read(buffer []byte) (int, error) {
 	count, err := b.answer.Body.Read(buffer)
-	if err == io.EOF {
+	switch {
+	case err == io.EOF:
 		b.whole = true
+	case err != nil && !b.broken:
+		b.broken = true
+		b.running.failed(err)
 	}
 	return count, err
 }
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -6,6 +6,7 @@
 	"context"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -15,7 +16,8 @@
 type Options struct {
 	// ConnectTimeout bounds opening a connection. Default: 300ms.
 	ConnectTimeout time.Duration
-	// UserTimeout is how long sent bytes may stay unacknowledged. Default: 3s.
+	// UserTimeout is how long sent bytes may stay unacknowledged, and how long
+	// probes may where nothing is sent, besides the time between two of them. Default: 1s.
 	UserTimeout time.Duration
 	// IdleTimeout is how long a connection rests at most whose peer told no
 	// time; it rests shorter once peers were seen to end such rests.
@@ -29,7 +31,7 @@
 
 const (
 	defaultConnectTimeout = 300 * time.Millisecond
-	defaultUserTimeout    = 3 * time.Second
+	defaultUserTimeout    = time.Second
 	defaultIdleTimeout    = 15 * time.Second
 	defaultMaxHeaderBytes = 64 << 10
 	defaultMaxIdle        = 64
@@ -51,6 +53,9 @@
 	mutex   sync.Mutex
 	targets map[string]*target
 	opened  uint64
+	// silent counts the connections that were found silent.
+	silent   uint64
+	suspects suspicion
 	// idle bounds rests that no peer bounds.
 	idle idleLimit
 }
@@ -71,8 +76,11 @@
 	return &Pool{
 		options: options,
 		dialer: net.Dialer{
-			Timeout: options.ConnectTimeout,
-			Control: setUserTimeout(options.UserTimeout),
+			Timeout:         options.ConnectTimeout,
+			KeepAliveConfig: proofOfLife,
+			Control: func(_, _ string, raw syscall.RawConn) error {
+				return setUserTimeout(raw, options.UserTimeout)
+			},
 		},
 		targets: make(map[string]*target),
 		idle:    newIdleLimit(options.IdleTimeout),
@@ -97,27 +105,32 @@
 		if resting == nil {
 			return p.dial(ctx, address)
 		}
-		quiet := resting.quiet()
-		p.rested(resting, quiet)
-		if quiet {
+		found := resting.look()
+		p.rested(resting, found)
+		switch found {
+		case restOpen:
 			return resting, nil
+		case restSilent:
+			p.drop(resting)
+			p.foundSilent(address, time.Now().Add(-probeInterval))
+		default:
+			p.drop(resting)
 		}
-		p.drop(resting)
 	}
 }
 
-// rested takes in whether a connection was still open after its rest.
-func (p *Pool) rested(used *connection, open bool) {
-	if used.told {
+// rested takes in what became of a connection during its rest.
+func (p *Pool) rested(used *connection, found rest) {
+	if used.told || found == restSilent {
 		return
 	}
-	rest := time.Since(used.idleSince)
+	lasted := time.Since(used.idleSince)
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	if open {
-		p.idle.borne(rest)
+	if found == restOpen {
+		p.idle.borne(lasted)
 	} else {
-		p.idle.ended(rest)
+		p.idle.ended(lasted)
 	}
 }
 
@@ -161,10 +174,11 @@
 		p.forget(address)
 		return nil, errors.Wrap(err, "open a connection")
 	}
-	p.mutex.Lock()
-	p.opened++
-	p.mutex.Unlock()
-	return &connection{Conn: opened, address: address, reader: bufio.NewReaderSize(opened, readerBytes)}, nil
+	p.connected(address)
+	return &connection{
+		Conn: opened, address: address, reader: bufio.NewReaderSize(opened, readerBytes),
+		ackWithin: p.options.UserTimeout,
+	}, nil
 }
 
 // put takes back a connection whose exchange is whole. keep is how long the
--- /dev/null
+++ b/internal/exchange/silence_test.go
@@ -0,0 +1,178 @@
+package exchange_test
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+
+	"github.com/fieldpond/fieldpond/internal/exchange"
+	"github.com/fieldpond/fieldpond/internal/relaytest"
+)
+
+// ackBound is the shortest bound that the tests use; foundWithin is far above what
+// the kernel takes to find a silent connection with it (0.7 s under way, 2.1 s at rest).
+const (
+	ackBound    = 250 * time.Millisecond
+	foundWithin = 15 * time.Second
+)
+
+// behindRelay starts a back end whose connections can be made silent.
+func behindRelay(t *testing.T, serve func(net.Conn, *bufio.Reader)) *relaytest.Relay {
+	t.Helper()
+	return relaytest.New(t, netip.MustParseAddrPort(listen(t, serve).address()))
+}
+
+// exchangeWhole makes one whole exchange.
+func exchangeWhole(t *testing.T, pool *exchange.Pool, relay *relaytest.Relay) error {
+	t.Helper()
+	response, err := pool.Do(t.Context(), relay.Addr().String(), ask("1"))
+	if err != nil {
+		return err
+	}
+	if _, err := io.ReadAll(response.Body); err != nil {
+		return err
+	}
+	return response.Body.Close()
+}
+
+// restingPair leaves two resting connections to the relay.
+func restingPair(t *testing.T, pool *exchange.Pool, relay *relaytest.Relay) {
+	t.Helper()
+	is := is.New(t)
+	var open []*exchange.Response
+	for range 2 {
+		response, err := pool.Do(t.Context(), relay.Addr().String(), ask("1"))
+		is.NoErr(err)
+		_, err = io.ReadAll(response.Body)
+		is.NoErr(err)
+		open = append(open, response)
+	}
+	for _, response := range open {
+		is.NoErr(response.Body.Close())
+	}
+	is.Equal(relay.Taken(), 2)
+}
+
+// silentWithin checks that an error tells of a silent connection, in time.
+func silentWithin(t *testing.T, begun time.Time, err error) {
+	t.Helper()
+	is := is.New(t)
+	var failed *exchange.Error
+	is.True(errors.As(err, &failed))
+	is.True(failed.Sent)
+	is.True(failed.Silent)
+	is.True(time.Since(begun) < foundWithin)
+}
+
+func TestARequestOnASilentConnectionFailsInTime(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	relay := behindRelay(t, answering(whole))
+	pool := exchange.NewPool(exchange.Options{UserTimeout: ackBound})
+	defer pool.CloseIdle(true)
+	restingPair(t, pool, relay)
+	is.NoErr(relay.Silence())
+	begun := time.Now()
+	silentWithin(t, begun, exchangeWhole(t, pool, relay))
+	is.NoErr(exchangeWhole(t, pool, relay)) // the other resting one is not tried
+	is.Equal(relay.Taken(), 3)
+
+}
+
+func TestTheBoundOfARequestCounts(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	relay := behindRelay(t, answering(whole))
+	pool := exchange.NewPool(exchange.Options{UserTimeout: time.Hour})
+	defer pool.CloseIdle(true)
+	is.NoErr(exchangeWhole(t, pool, relay))
+	is.NoErr(relay.Silence())
+	request := ask("1")
+
+	begun := time.Now()
+	_, err := pool.Do(t.Context(), relay.Addr().String(), request)
+	silentWithin(t, begun, err)
+}
+
+func TestAnAnswerUnderWayThatFallsSilentFailsInTime(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	relay := behindRelay(t, func(connection net.Conn, reader *bufio.Reader) {
+		_, _, _ = readRequest(reader)
+		_, _ = io.WriteString(connection, "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 9\r\n\r\nok")
+		_, _ = reader.ReadByte()
+	})
+	pool := exchange.NewPool(exchange.Options{UserTimeout: ackBound})
+	response, err := pool.Do(t.Context(), relay.Addr().String(), ask("1"))
+	is.NoErr(err)
+	begun := make([]byte, 2)
+	_, err = io.ReadFull(response.Body, begun)
+	is.NoErr(err)
+	is.NoErr(relay.Silence())
+	at := time.Now()
+	_, err = io.ReadAll(response.Body)
+	is.True(err != nil)
+	is.True(time.Since(at) < foundWithin)
+	is.NoErr(response.Body.Close())
+
+}
+
+func TestASlowAnswerIsNotTakenForSilence(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	relay := behindRelay(t, func(connection net.Conn, reader *bufio.Reader) {
+		_, _, _ = readRequest(reader)
+		time.Sleep(3 * time.Second) // longer than the kernel takes to find a silent peer
+		_, _ = io.WriteString(connection, whole)
+	})
+	pool := exchange.NewPool(exchange.Options{UserTimeout: ackBound})
+	defer pool.CloseIdle(true)
+	is.NoErr(exchangeWhole(t, pool, relay))
+}
+
+func TestARestingConnectionThatFellSilentIsNotUsed(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	relay := behindRelay(t, answering(whole))
+	pool := exchange.NewPool(exchange.Options{UserTimeout: ackBound})
+	defer pool.CloseIdle(true)
+	restingPair(t, pool, relay)
+	is.NoErr(relay.Silence())
+	time.Sleep(4 * time.Second) // twice what the kernel takes
+	is.NoErr(exchangeWhole(t, pool, relay))
+	is.Equal(relay.Taken(), 3)
+
+}
+
+func TestSilenceAtTwoAddressesIsTakenForThatOfAll(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	pool := exchange.NewPool(exchange.Options{UserTimeout: ackBound})
+	defer pool.CloseIdle(true)
+	var relays []*relaytest.Relay
+	for range 3 {
+		relay := behindRelay(t, answering(whole))
+		is.NoErr(exchangeWhole(t, pool, relay))
+		relays = append(relays, relay)
+	}
+	for _, relay := range relays {
+		is.NoErr(relay.Silence())
+	}
+	failed := make(chan error, 2)
+	for _, relay := range relays[:2] {
+		go func() { failed <- exchangeWhole(t, pool, relay) }()
+	}
+	begun := time.Now()
+	silentWithin(t, begun, <-failed)
+	silentWithin(t, begun, <-failed)
+	for _, relay := range relays {
+		is.NoErr(exchangeWhole(t, pool, relay)) // the third one without a failure before
+		is.Equal(relay.Taken(), 2)
+	}
+}
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -96,6 +96,9 @@
 	LastEvent string
 	// MaxConnections bounds this router's connections to the back end.
 	MaxConnections int
+	// AckWithin is how long bytes sent may stay unacknowledged by the back end's
+	// machine before the connection counts as silent.
+	AckWithin time.Duration
 }
 
 // Verdict says what an answer of a back end proves.
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -303,7 +303,7 @@
 func (r *run) describe(choice *backend.Choice) *Attempt {
 	attempt := &Attempt{
 		Request: r.request, Target: choice.Record, Version: choice.Version,
-		Remaining: time.Until(r.endsAt), LastEvent: r.lastEvent,
+		Remaining: time.Until(r.endsAt), LastEvent: r.lastEvent, AckWithin: r.ackWithin(),
 	}
 	if r.tenant != nil {
 		attempt.Tenant = r.tenant.Name
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -69,6 +69,9 @@
 	Loops []func(ctx context.Context)
 	// LinesDropped returns the number of log lines dropped; it may be nil.
 	LinesDropped func() uint64
+	// SilentConnections returns how many connections of the other ports were found
+	// silent; it may be nil.
+	SilentConnections func() uint64
 }
 
 // rolloutLease names the lease under which one node changes engines.
@@ -84,6 +87,7 @@
 	metrics  *metrics
 	follower *follower
 	quotas   *quotas
+	peers    *upstream.Client
 	stopping atomic.Bool
 }
 
@@ -94,6 +98,7 @@
 		ports:    ports,
 		holder:   &catalog.Holder{},
 		backends: backend.NewRegistry(backend.Config{Zone: config.Zone, Off: config.Off}),
+		peers:    upstream.NewClient(),
 		lease:    lease.NewElector(ports.Table, config.Lease, rolloutLease, config.Node),
 	}
 	n.metrics = newMetrics(n.read)
@@ -114,7 +119,7 @@
 			table: n.ports.Table, timeout: follow.ReadTimeout / 2,
 			node: n.config.Node, zone: n.config.Zone, addr: n.config.PeerAddr, life: ident.NewUnique(),
 		},
-		client:    upstream.NewClient(),
+		client:    n.peers,
 		chain:     newChainGuard(follow.Chain),
 		lost:      func(name string) { n.metrics.dependencies.WithLabelValues(name).Inc() },
 		pulled:    func(result string) { n.metrics.pulls.WithLabelValues(result).Inc() },
@@ -149,6 +154,10 @@
 	if n.ports.LinesDropped != nil {
 		now.linesDropped = n.ports.LinesDropped()
 	}
+	now.silentConnections = n.peers.SilentConnections()
+	if n.ports.SilentConnections != nil {
+		now.silentConnections += n.ports.SilentConnections()
+	}
 	return now
 }
 
--- /dev/null
+++ b/internal/relaytest/relay.go
@@ -0,0 +1,155 @@
+// Package relaytest has a loopback relay for tests whose open connections can
+// be made silent: nothing that either side sends is acknowledged any more and no
+// reset follows, while new connections work.
+package relaytest
+
+import (
+	"io"
+	"net"
+	"net/netip"
+	"sync"
+	"syscall"
+	"testing"
+	"unsafe"
+)
+
+// soAttachFilter is the socket option SO_ATTACH_FILTER of Linux.
+const soAttachFilter = 26
+
+// Relay passes connections on to one address.
+type Relay struct {
+	listener net.Listener
+	target   netip.AddrPort
+	pipes    sync.WaitGroup
+
+	mu     sync.Mutex
+	open   []*net.TCPConn
+	taken  int
+	closed bool
+}
+
+// New starts a relay to target that ends with the test.
+func New(t *testing.T, target netip.AddrPort) *Relay {
+	t.Helper()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	relay := &Relay{listener: listener, target: target}
+	relay.pipes.Go(relay.accept)
+	t.Cleanup(relay.close)
+	return relay
+}
+
+// Addr returns where the relay listens.
+func (r *Relay) Addr() netip.AddrPort { return netip.MustParseAddrPort(r.listener.Addr().String()) }
+
+// Taken returns how many connections the relay has taken.
+func (r *Relay) Taken() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.taken
+}
+
+// Silence makes all open connections silent.
+func (r *Relay) Silence() error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, conn := range r.open {
+		if err := dropAll(conn); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (r *Relay) accept() {
+	for {
+		client, err := r.listener.Accept()
+		if err != nil {
+			return
+		}
+		server, err := net.Dial("tcp4", r.target.String())
+		if err != nil {
+			_ = client.Close()
+			continue
+		}
+		r.join(client.(*net.TCPConn), server.(*net.TCPConn))
+	}
+}
+
+// join passes bytes on in both directions.
+func (r *Relay) join(client, server *net.TCPConn) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.taken++
+	r.open = append(r.open, client, server)
+	r.pipes.Go(func() { pipe(client, server) })
+	r.pipes.Go(func() { pipe(server, client) })
+	if r.closed {
+		_ = client.Close()
+		_ = server.Close()
+	}
+}
+
+// pipe passes the bytes of one direction on, and its end.
+func pipe(from, to *net.TCPConn) {
+	if _, err := io.Copy(to, from); err != nil {
+		// The other side sees the end as a reset.
+		_ = to.SetLinger(0)
+		_ = to.Close()
+		return
+	}
+	_ = to.CloseWrite()
+}
+
+func (r *Relay) close() {
+	_ = r.listener.Close()
+	r.mu.Lock()
+	r.closed = true
+	for _, conn := range r.open {
+		_ = conn.SetLinger(0)
+		_ = conn.Close()
+	}
+	r.mu.Unlock()
+	r.pipes.Wait()
+}
+
+// instruction is one instruction of a classic packet filter, program a whole one,
+// as the kernel reads them.
+type instruction struct {
+	code                uint16
+	whenTrue, whenFalse uint8
+	operand             uint32
+}
+
+type program struct {
+	length uint16
+	first  *instruction
+}
+
+// returnConstant ends a packet filter; the operand is the number of bytes kept.
+const returnConstant = 0x06
+
+// dropAll lets the kernel drop every packet that arrives for a connection.
+func dropAll(conn *net.TCPConn) error {
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return err
+	}
+	filter := program{length: 1, first: &instruction{code: returnConstant}}
+	var errno syscall.Errno
+	err = raw.Control(func(descriptor uintptr) {
+		_, _, errno = syscall.Syscall6(
+			syscall.SYS_SETSOCKOPT, descriptor, syscall.SOL_SOCKET, soAttachFilter,
+			uintptr(unsafe.Pointer(&filter)), unsafe.Sizeof(filter), 0,
+		)
+	})
+	if err != nil {
+		return err
+	}
+	if errno != 0 {
+		return errno
+	}
+	return nil
+}
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -15,6 +15,9 @@
 const (
 	// pullTimeout bounds one pull, the time it is held back included.
 	pullTimeout = holdFor + 500*time.Millisecond
+	// ackWithin is how long the bytes of a pull may stay unacknowledged: a silent
+	// connection is found in time for another question within pullTimeout.
+	ackWithin = 500 * time.Millisecond
 	// connectTimeout bounds opening a connection; peers are in one zone.
 	connectTimeout = 250 * time.Millisecond
 )
@@ -26,12 +29,15 @@
 
 // NewClient returns a client without connections.
 func NewClient() *Client {
-	return &Client{pool: exchange.NewPool(exchange.Options{ConnectTimeout: connectTimeout, UserTimeout: pullTimeout})}
+	return &Client{pool: exchange.NewPool(exchange.Options{ConnectTimeout: connectTimeout, UserTimeout: ackWithin})}
 }
 
-// Pull asks a peer once. State of age A in the answer was true at the returned
-// time less A, or later: the time counts from the question, which was asked
-// before the peer began to hold its answer back.
+// SilentConnections returns how many connections were found silent so far.
+func (c *Client) SilentConnections() uint64 { return c.pool.Silent() }
+
+// Pull asks a peer, and once more if the connection turns out to be silent. State of
+// age A in the answer was true at the returned time less A, or later: the time counts
+// from the question, which was asked before the peer began to hold its answer back.
 func (c *Client) Pull(ctx context.Context, peer Peer, pull *Pull) (*Update, time.Time, error) {
 	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
 	defer cancel()
@@ -39,6 +45,16 @@
 	if err != nil {
 		return nil, time.Time{}, errors.Wrap(err, "encode the pull")
 	}
+	update, askedAt, err := c.ask(ctx, peer, body)
+	var failed *exchange.Error
+	if errors.As(err, &failed) && failed.Silent && ctx.Err() == nil {
+		update, askedAt, err = c.ask(ctx, peer, body)
+	}
+	return update, askedAt, err
+}
+
+// ask asks a peer once.
+func (c *Client) ask(ctx context.Context, peer Peer, body []byte) (*Update, time.Time, error) {
 	askedAt := time.Now()
 	rsp, err := c.pool.Do(ctx, peer.Addr.String(), &exchange.Request{
 		Method: http.MethodPost, Target: Path, Host: peer.Addr.String(), Body: body,
