Bound the connections of clients, and begin nothing for those who have left

Cause: requests that waited unread (a freeze, a full queue) were sent to engines after their clients had left; a client that fell silent, or took nothing of its stream, held an engine until the request's time was over, and one that sent half a body held memory without end; nothing bounded connections or bodies by the descriptors and the memory of the process; the configuration's header and idle limits were not read. An answer that could not be written was tried at another back end.

Before each attempt the socket is asked whether the client has closed it. Bodies have the time that the client waits, and a part of the memory; writes that a client does not take end after 10 s.

Existing tests are changed by the new parameter of NewFront and Ports.Front only.

--- a/internal/exchange/silence_test.go
+++ b/internal/exchange/silence_test.go
@@ -82,7 +82,7 @@
 	silentWithin(t, begun, exchangeWhole(t, pool, relay))
 	is.NoErr(exchangeWhole(t, pool, relay)) // the other resting one is not tried
 	is.Equal(relay.Taken(), 3)
-
+	is.Equal(pool.Silent(), uint64(1))
 }
 
 func TestTheBoundOfARequestCounts(t *testing.T) {
@@ -94,7 +94,7 @@
 	is.NoErr(exchangeWhole(t, pool, relay))
 	is.NoErr(relay.Silence())
 	request := ask("1")
-
+	request.AckWithin = ackBound
 	begun := time.Now()
 	_, err := pool.Do(t.Context(), relay.Addr().String(), request)
 	silentWithin(t, begun, err)
@@ -120,7 +120,7 @@
 	is.True(err != nil)
 	is.True(time.Since(at) < foundWithin)
 	is.NoErr(response.Body.Close())
-
+	is.Equal(pool.Silent(), uint64(1))
 }
 
 func TestASlowAnswerIsNotTakenForSilence(t *testing.T) {
@@ -147,7 +147,7 @@
 	time.Sleep(4 * time.Second) // twice what the kernel takes
 	is.NoErr(exchangeWhole(t, pool, relay))
 	is.Equal(relay.Taken(), 3)
-
+	is.Equal(pool.Silent(), uint64(1))
 }
 
 func TestSilenceAtTwoAddressesIsTakenForThatOfAll(t *testing.T) {
--- /dev/null
+++ b/internal/forward/leave.go
@@ -0,0 +1,36 @@
+package forward
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/fieldpond/fieldpond/internal/backend"
+)
+
+// errClientLeft says that nobody waits for an answer any more.
+var errClientLeft = errors.New("the client has closed its connection")
+
+// clientLeft reports whether the client is gone, so that no attempt is to begin.
+// Requests that waited unread, such as during a freeze of the process, may be read
+// after their client has left.
+func (r *run) clientLeft(ctx context.Context) bool {
+	if errors.Is(context.Cause(ctx), context.Canceled) {
+		return true
+	}
+	return r.request.Left != nil && r.request.Left()
+}
+
+// abandon gives up an attempt that has not begun.
+func (r *run) abandon(flight *backend.Flight) {
+	flight.Ended(time.Now(), backend.Abandoned)
+	r.giveBack()
+	r.leave(errClientLeft)
+}
+
+// leave ends a request whose client takes no answer.
+func (r *run) leave(cause error) {
+	r.note(StepClientGone, func(step *Step) { step.Cause = cause })
+	r.sink.Abort()
+}
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -34,6 +34,9 @@
 	// it did not say.
 	Wait       time.Duration
 	ReceivedAt time.Time
+	// Left reports whether the client has closed its side; it may be nil. It knows
+	// that at once, a context that ends with the client only a moment later.
+	Left func() bool
 	// LastEvent is the id of the last event that the client has, or empty.
 	LastEvent string
 	// Prompt is nil for requests that run no model.
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -93,11 +93,20 @@
 			r.finish(ctx, refusal)
 			return
 		}
+		if r.clientLeft(timed) {
+			r.abandon(flight)
+			return
+		}
 		r.sends++
 		done, failure := r.attempt(timed, choice, flight)
 		if done {
 			return
 		}
+		if failure.outcome == backend.Abandoned && timed.Err() == nil {
+			// The client does not take what was written.
+			r.leave(failure.cause)
+			return
+		}
 		if failure.ran != fault.RanNo {
 			r.grant = nil
 		}
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -54,6 +54,8 @@
 	quotaMembers         int
 	linesDropped         uint64
 	silentConnections    uint64
+	clients              int
+	clientsRefused       uint64
 }
 
 func newMetrics(read func() reading) *metrics {
@@ -81,6 +83,8 @@
 	group.Gauge("edge_reads_store", "1 while this router reads the store for all.", func(r reading) int { return oneIf(r.readsStore) })
 	group.Gauge("edge_routers", "Routers in all zones, as counted last; 0 for not known.", func(r reading) int { return r.routers })
 	group.Gauge("edge_quota_members", "Routers whose claims on the limits of tenants this router grants.", func(r reading) int { return r.quotaMembers })
+	group.Gauge("edge_client_connections", "Open connections of clients.", func(r reading) int { return r.clients })
+	group.Counter("edge_clients_refused_total", "Connections and bodies of clients turned away because a bound of connections or memory was reached.", func(r reading) uint64 { return r.clientsRefused })
 	group.Counter("edge_connections_silent_total", "Connections to back ends, the store, caches and other routers that were found silent: nothing sent on them was acknowledged.", func(r reading) uint64 { return r.silentConnections })
 	group.Counter("edge_log_lines_dropped_total", "Log lines that were not written.", func(r reading) uint64 { return r.linesDropped })
 	group.Register()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -15,6 +15,7 @@
 	"github.com/fieldpond/fieldpond/internal/catalog"
 	"github.com/fieldpond/fieldpond/internal/forward"
 	"github.com/fieldpond/fieldpond/internal/ident"
+	"github.com/fieldpond/fieldpond/internal/inbound"
 	"github.com/fieldpond/fieldpond/internal/lease"
 	"github.com/fieldpond/fieldpond/internal/mechanism"
 	"github.com/fieldpond/fieldpond/internal/quota"
@@ -44,6 +45,8 @@
 	Off     mechanism.Off
 	Lease   lease.Config
 	Rollout rollout.ControllerConfig
+	// Clients bounds the connections of clients; its Limits are set by the node.
+	Clients inbound.Config
 	// Quota says by how much tenants may be above their limits.
 	Quota quota.Bounds
 	// Grace is the time from the request to stop until the process is killed.
@@ -63,8 +66,8 @@
 	// Caches may be nil: what the stores of kept prompt caches hold is unknown then.
 	Caches CacheReader
 	// Front returns the handler of client requests. closing reports whether
-	// connections are to end after their answer.
-	Front func(forwarder *forward.Forwarder, holder *catalog.Holder, closing func() bool) http.Handler
+	// connections are to end after their answer; clients holds the bounds of bodies.
+	Front func(forwarder *forward.Forwarder, holder *catalog.Holder, closing func() bool, clients *inbound.Clients) http.Handler
 	// Loops run until the node has stopped.
 	Loops []func(ctx context.Context)
 	// LinesDropped returns the number of log lines dropped; it may be nil.
@@ -88,6 +91,7 @@
 	follower *follower
 	quotas   *quotas
 	peers    *upstream.Client
+	clients  *inbound.Clients
 	stopping atomic.Bool
 }
 
@@ -101,6 +105,8 @@
 		peers:    upstream.NewClient(),
 		lease:    lease.NewElector(ports.Table, config.Lease, rolloutLease, config.Node),
 	}
+	config.Clients.Limits = n.clientLimits
+	n.clients = inbound.New(config.Clients)
 	n.metrics = newMetrics(n.read)
 	n.follower = n.newFollower()
 	n.quotas = n.newQuotas()
@@ -154,6 +160,7 @@
 	if n.ports.LinesDropped != nil {
 		now.linesDropped = n.ports.LinesDropped()
 	}
+	now.clients, now.clientsRefused = n.clients.Open()
 	now.silentConnections = n.peers.SilentConnections()
 	if n.ports.SilentConnections != nil {
 		now.silentConnections += n.ports.SilentConnections()
@@ -210,7 +217,7 @@
 	follower := n.follower
 	loops := []func(context.Context){
 		follower.followConfiguration, follower.followBackends, follower.followPeers,
-		func(ctx context.Context) { follower.countRouters(ctx, n.holdsLease) }, n.contend, n.lease.Run, controller.Run, n.quotas.run,
+		func(ctx context.Context) { follower.countRouters(ctx, n.holdsLease) }, n.contend, n.lease.Run, controller.Run, n.quotas.run, n.sweepClients,
 	}
 	if announcer != nil {
 		loops = append(loops, announcer.listen)
@@ -263,10 +270,10 @@
 }
 
 // Ready reports whether the node can serve: it knows a configuration that may
-// still be acted on and a list of back ends, and is not stopping.
+// still be acted on and a list of back ends, has room for clients, and is not stopping.
 func (n *Node) Ready() bool {
 	view := n.holder.View()
-	return !n.stopping.Load() && view.Snapshot != nil && !n.backends.ListedAt().IsZero() &&
+	return !n.stopping.Load() && !n.clients.Full() && view.Snapshot != nil && !n.backends.ListedAt().IsZero() &&
 		view.Age(time.Now()) <= n.config.Forward.Freshness.Keyed
 }
 
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -14,6 +14,7 @@
 	"github.com/fieldpond/fieldpond/internal/backend"
 	"github.com/fieldpond/fieldpond/internal/catalog"
 	"github.com/fieldpond/fieldpond/internal/forward"
+	"github.com/fieldpond/fieldpond/internal/inbound"
 	"github.com/fieldpond/fieldpond/internal/rollout"
 )
 
@@ -61,7 +62,7 @@
 	}
 	running := New(config, Ports{
 		Source: store, Table: store, Engines: idleEngines{},
-		Front: func(_ *forward.Forwarder, _ *catalog.Holder, closing func() bool) http.Handler {
+		Front: func(_ *forward.Forwarder, _ *catalog.Holder, closing func() bool, _ *inbound.Clients) http.Handler {
 			return http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
 				time.Sleep(pause)
 				if closing() {
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"time"
@@ -8,12 +9,13 @@
 	"github.com/pkg/errors"
 
 	"github.com/fieldpond/fieldpond/internal/forward"
+	"github.com/fieldpond/fieldpond/internal/inbound"
 	"github.com/fieldpond/fieldpond/internal/upstream"
+	"github.com/fieldpond/fieldpond/internal/wait"
 )
 
 const (
-	// idleTimeout is how long a resting connection of a client is kept. It is
-	// longer than any client lets one rest.
+	// idleTimeout is how long a resting connection is kept that is not a client's.
 	idleTimeout = 2 * time.Minute
 	// headerTimeout bounds the reading of a request's header.
 	headerTimeout = 30 * time.Second
@@ -24,6 +26,8 @@
 	*http.Server
 	purpose  string
 	listener net.Listener
+	// clients bounds the connections; it is nil at servers that clients do not reach.
+	clients *inbound.Clients
 }
 
 // servers are the HTTP servers of a node; the first takes client requests.
@@ -34,12 +38,8 @@
 		Holder: n.holder, Backends: n.backends, Caller: n.ports.Caller, Record: recordTo(n.metrics),
 		Routers: n.follower.replica.Routers, Caches: n.follower.replica.caches, Quotas: n.quotas,
 	})
-	var front http.Handler
-	if n.ports.Front != nil {
-		front = n.ports.Front(forwarder, n.holder, n.stopping.Load)
-	}
 	all := servers{
-		newServer("client requests", n.config.FrontAddress, front),
+		n.newFront(forwarder),
 		newServer("readiness checks", n.config.ReadyAddress, http.HandlerFunc(n.answerReady)),
 	}
 	if n.config.PeerAddr.IsValid() {
@@ -54,6 +54,37 @@
 	return all
 }
 
+// newFront returns the server of client requests. Its connections are bounded by
+// what keeps them, so that net/http sets no deadlines on them.
+func (n *Node) newFront(forwarder *forward.Forwarder) *server {
+	var handler http.Handler
+	if n.ports.Front != nil {
+		handler = n.clients.Handler(n.ports.Front(forwarder, n.holder, n.stopping.Load, n.clients))
+	}
+	return &server{
+		purpose: "client requests", clients: n.clients,
+		Server: &http.Server{
+			Addr: n.config.FrontAddress, Handler: handler, ErrorLog: quietLog,
+			ConnContext: n.clients.ConnContext, ConnState: n.clients.ConnState,
+		},
+	}
+}
+
+// sweepClients closes the connections of clients that rest for too long, until ctx
+// ends.
+func (n *Node) sweepClients(ctx context.Context) {
+	wait.Every(ctx, inbound.SweepInterval, func() { n.clients.Sweep(time.Now()) })
+}
+
+// clientLimits returns the bounds that the configuration in force sets on clients.
+func (n *Node) clientLimits() inbound.Limits {
+	snapshot := n.holder.View().Snapshot
+	if snapshot == nil {
+		return inbound.Limits{}
+	}
+	return inbound.Limits{Header: snapshot.Limits.HeaderTimeout, Idle: snapshot.Limits.IdleTimeout}
+}
+
 func newServer(purpose, address string, handler http.Handler) *server {
 	return &server{purpose: purpose, Server: &http.Server{
 		Addr: address, Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ErrorLog: quietLog,
@@ -69,6 +100,9 @@
 			return errors.Wrap(err, "listen for "+opening.purpose)
 		}
 		opening.listener = listener
+		if opening.clients != nil {
+			opening.listener = opening.clients.Listener(listener)
+		}
 	}
 	return nil
 }
