Suspect all connections of a time once one address lives, and let the soak silence connections

Cause: after one connection was found silent, the resting ones to other addresses were trusted until a second address was found.

Change: a new connection to the address of one that was found silent is enough. The soak has relays before the store and the engines and makes their open connections silent.

--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -234,6 +234,7 @@
 	now := time.Now()
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
+	p.suspects.prune(now)
 	for address, known := range p.targets {
 		kept := known.idle[:0]
 		for _, resting := range known.idle {
--- a/internal/exchange/silence.go
+++ b/internal/exchange/silence.go
@@ -27,8 +27,9 @@
 	log.WithFields(log.Fields{"address": address, "closed": closed}).Info("connection_silent")
 }
 
-// connected counts a new connection. If it confirms that connections of many
-// addresses fell silent, all resting ones of that time are closed.
+// connected counts a new connection. If it shows that an address lives to which a
+// connection fell silent, all resting ones of that time are closed, to whatever
+// address.
 func (p *Pool) connected(address string) {
 	p.mutex.Lock()
 	p.opened++
--- a/internal/node/events.go
+++ b/internal/node/events.go
@@ -37,7 +37,7 @@
 		{"configuration_adopted", []string{"version", "routes", "revision", "read_ms", "origin"}, "A newer configuration is in force here; origin is the router that read it from the store."},
 		{"backend_changed", []string{"instance", "service", "address", "change", "revision", "models"}, "The list of back ends differs: appeared, draining, gone or reloaded."},
 		{"connection_silent", []string{"address", "closed"}, "Nothing was acknowledged on a connection any more; closed: resting ones to the same address that were closed with it."},
-		{"connections_suspected", []string{"closed"}, "Connections to several addresses that take new ones were silent; closed: all resting ones that were not heard since."},
+		{"connections_suspected", []string{"closed"}, "A connection was silent while its address takes new ones; closed: the resting ones to all addresses that were not heard since."},
 		{"joined", []string{"revision", "peers", "routers"}, "This router has a row in the store; peers are the routers whose rows are sound."},
 		{"router_row_not_removed", []string{"cause"}, "The row could not be removed at a planned stop."},
 		{"routers_not_counted", []string{"cause"}, "The routers' rows could not be read."},
--- a/internal/relaytest/relay.go
+++ b/internal/relaytest/relay.go
@@ -37,7 +37,7 @@
 	}
 	relay := &Relay{listener: listener, target: target}
 	relay.pipes.Go(relay.accept)
-	t.Cleanup(relay.close)
+	t.Cleanup(relay.Close)
 	return relay
 }
 
@@ -103,7 +103,8 @@
 	_ = to.CloseWrite()
 }
 
-func (r *Relay) close() {
+// Close resets all connections and takes no new ones.
+func (r *Relay) Close() {
 	_ = r.listener.Close()
 	r.mu.Lock()
 	r.closed = true
