--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -95,11 +95,20 @@
 			r.finish(ctx, refusal)
 			return
 		}
+		if r.clientLeft(timed) {
+			r.abandon(flight)
+			return
+		}
 		r.sends++
 		done, failure := r.attempt(timed, choice, flight)
 		if done {
 			return
 		}
+		if failure.outcome == backend.Abandoned && timed.Err() == nil {
+			// The client does not take what was written.
+			r.leave(failure.cause)
+			return
+		}
 		if failure.ran != fault.RanNo {
 			r.grant = nil
 		}
@@ -304,7 +313,7 @@
 func (r *run) describe(choice *backend.Choice) *Attempt {
 	attempt := &Attempt{
 		Request: r.request, Target: choice.Record, Version: choice.Version,
-		Remaining: time.Until(r.endsAt), LastEvent: r.lastEvent,
+		Remaining: time.Until(r.endsAt), LastEvent: r.lastEvent, AckWithin: r.ackWithin(),
 	}
 	if r.tenant != nil {
 		attempt.Tenant = r.tenant.Name
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -16,6 +16,7 @@
 	"github.com/fieldpond/fieldpond/internal/catalog"
 	"github.com/fieldpond/fieldpond/internal/forward"
 	"github.com/fieldpond/fieldpond/internal/ident"
+	"github.com/fieldpond/fieldpond/internal/inbound"
 	"github.com/fieldpond/fieldpond/internal/lease"
 	"github.com/fieldpond/fieldpond/internal/mechanism"
 	"github.com/fieldpond/fieldpond/internal/quota"
@@ -48,6 +49,8 @@
 	// Canary bounds what a release that is being tried may get; the zero value means that
 	// no service is moved to another release under guard.
 	Canary canary.Bounds
+	// Clients bounds the connections of clients; its Limits are set by the node.
+	Clients inbound.Config
 	// Quota says by how much tenants may be above their limits.
 	Quota quota.Bounds
 	// Grace is the time from the request to stop until the process is killed.
@@ -69,12 +72,15 @@
 	// Rollouts writes how rollouts stand; it may be nil where Config.Canary is not set.
 	Rollouts RolloutStore
 	// Front returns the handler of client requests. closing reports whether
-	// connections are to end after their answer.
-	Front func(forwarder *forward.Forwarder, holder *catalog.Holder, closing func() bool) http.Handler
+	// connections are to end after their answer; clients holds the bounds of bodies.
+	Front func(forwarder *forward.Forwarder, holder *catalog.Holder, closing func() bool, clients *inbound.Clients) http.Handler
 	// Loops run until the node has stopped.
 	Loops []func(ctx context.Context)
 	// LinesDropped returns the number of log lines dropped; it may be nil.
 	LinesDropped func() uint64
+	// SilentConnections returns how many connections of the other ports were found
+	// silent; it may be nil.
+	SilentConnections func() uint64
 }
 
 // rolloutLease names the lease under which one node changes engines.
@@ -91,6 +97,8 @@
 	follower *follower
 	quotas   *quotas
 	canaries *canaries
+	peers    *upstream.Client
+	clients  *inbound.Clients
 	stopping atomic.Bool
 }
 
@@ -101,8 +109,11 @@
 		ports:    ports,
 		holder:   &catalog.Holder{},
 		backends: backend.NewRegistry(backend.Config{Zone: config.Zone, Off: config.Off}),
+		peers:    upstream.NewClient(),
 		lease:    lease.NewElector(ports.Table, config.Lease, rolloutLease, config.Node),
 	}
+	config.Clients.Limits = n.clientLimits
+	n.clients = inbound.New(config.Clients)
 	n.metrics = newMetrics(n.read)
 	n.follower = n.newFollower()
 	n.quotas = n.newQuotas()
@@ -136,7 +147,7 @@
 			table: n.ports.Table, timeout: follow.ReadTimeout / 2,
 			node: n.config.Node, zone: n.config.Zone, addr: n.config.PeerAddr, life: ident.NewUnique(),
 		},
-		client:    upstream.NewClient(),
+		client:    n.peers,
 		chain:     newChainGuard(follow.Chain),
 		lost:      func(name string) { n.metrics.dependencies.WithLabelValues(name).Inc() },
 		pulled:    func(result string) { n.metrics.pulls.WithLabelValues(result).Inc() },
@@ -171,6 +182,11 @@
 	if n.ports.LinesDropped != nil {
 		now.linesDropped = n.ports.LinesDropped()
 	}
+	now.clients, now.clientsRefused = n.clients.Open()
+	now.silentConnections = n.peers.SilentConnections()
+	if n.ports.SilentConnections != nil {
+		now.silentConnections += n.ports.SilentConnections()
+	}
 	return now
 }
 
@@ -224,7 +240,7 @@
 	follower := n.follower
 	loops := []func(context.Context){
 		follower.followConfiguration, follower.followBackends, follower.followPeers,
-		func(ctx context.Context) { follower.countRouters(ctx, n.holdsLease) }, n.contend, n.lease.Run, controller.Run, n.quotas.run,
+		func(ctx context.Context) { follower.countRouters(ctx, n.holdsLease) }, n.contend, n.lease.Run, controller.Run, n.quotas.run, n.sweepClients,
 	}
 	if announcer != nil {
 		loops = append(loops, announcer.listen)
@@ -280,10 +296,10 @@
 }
 
 // Ready reports whether the node can serve: it knows a configuration that may
-// still be acted on and a list of back ends, and is not stopping.
+// still be acted on and a list of back ends, has room for clients, and is not stopping.
 func (n *Node) Ready() bool {
 	view := n.holder.View()
-	return !n.stopping.Load() && view.Snapshot != nil && !n.backends.ListedAt().IsZero() &&
+	return !n.stopping.Load() && !n.clients.Full() && view.Snapshot != nil && !n.backends.ListedAt().IsZero() &&
 		view.Age(time.Now()) <= n.config.Forward.Freshness.Keyed
 }
 
