--- a/internal/canary/director_test.go
+++ b/internal/canary/director_test.go
@@ -61,37 +61,37 @@
 		want   []string
 	}{
 		{"a good target", func(*history) {}, []string{"v2 succeeded: " + reasonMoved}},
-		{"no back end of it ever", func(h *history) { h.backEnds = always(12, 0) }, []string{"v2 rolled_back: " + reasonNoBackEnds}},
-		{"too few of them", func(h *history) { h.backEnds = always(12, 5) }, []string{"v2 rolled_back: " + reasonTooFew}},
-		{"all of them go while it is observed", func(h *history) { h.backEnds = until(5 * time.Second) }, []string{"v2 rolled_back: " + reasonNoBackEnds}},
-		{"all of them go while it is promoted", func(h *history) { h.backEnds = until(9 * time.Second) }, []string{"v2 rolled_back: " + reasonNoBackEnds}},
+		{"no back end of it ever", func(h *history) { h.backEnds = always(12, 0) }, []string{"v2 rolled back: " + reasonNoBackEnds}},
+		{"too few of them", func(h *history) { h.backEnds = always(12, 5) }, []string{"v2 rolled back: " + reasonTooFew}},
+		{"all of them go while it is observed", func(h *history) { h.backEnds = until(5 * time.Second) }, []string{"v2 rolled back: " + reasonNoBackEnds}},
+		{"all of them go while it is promoted", func(h *history) { h.backEnds = until(9 * time.Second) }, []string{"v2 rolled back: " + reasonNoBackEnds}},
 		{"it serves alone already", func(h *history) { h.backEnds = always(0, 12) }, []string{"v2 succeeded: " + reasonAlreadyServing}},
 		{"all are unreachable", func(h *history) {
 			h.faults = []fault{{until: forever, target: true, silent: true}}
-		}, []string{"v2 rolled_back: too little evidence: 0 answers of the target"}},
-		{"few requests", func(h *history) { h.rate = 10 }, []string{"v2 rolled_back: too little evidence: 20 answers of the target"}},
-		{"a short time", func(h *history) { h.duration = 5 * time.Second }, []string{"v2 rolled_back: " + reasonTooLate}},
-		{"a time that is over", func(h *history) { h.duration = 0 }, []string{"v2 rolled_back: " + reasonTooLate}},
+		}, []string{"v2 rolled back: too little evidence: 0 answers of the target"}},
+		{"few requests", func(h *history) { h.rate = 10 }, []string{"v2 rolled back: too little evidence: 20 answers of the target"}},
+		{"a short time", func(h *history) { h.duration = 5 * time.Second }, []string{"v2 rolled back: " + reasonTooLate}},
+		{"a time that is over", func(h *history) { h.duration = 0 }, []string{"v2 rolled back: " + reasonTooLate}},
 		{"written twice", func(h *history) {
 			h.ordersAt = from(4*time.Second, order(modelNew, 7, 12*time.Second), order(modelNew, 8, 20*time.Second))
 		}, []string{"v2 succeeded: " + reasonMoved}},
 		{"replaced by one for another target", func(h *history) {
 			h.duration = 20 * time.Second
 			h.ordersAt = from(4*time.Second, order(modelNew, 7, 12*time.Second), order(third, 8, 8*time.Second))
-		}, []string{"v2 rolled_back: " + reasonReplaced, "v3 rolled_back: " + reasonNoBackEnds}},
+		}, []string{"v2 rolled back: " + reasonReplaced, "v3 rolled back: " + reasonNoBackEnds}},
 		{"withdrawn", func(h *history) {
 			h.ordersAt = from(2*time.Second, order(modelNew, 7, 12*time.Second))
-		}, []string{"v2 rolled_back: " + reasonWithdrawn}},
+		}, []string{"v2 rolled back: " + reasonWithdrawn}},
 		{"again after it was rolled back", func(h *history) {
 			h.duration = 20 * time.Second
 			h.ordersAt = from(6*time.Second, order(modelNew, 7, 5*time.Second), order(modelNew, 8, 12*time.Second))
-		}, []string{"v2 rolled_back: " + reasonTooLate, "v2 succeeded: " + reasonMoved}},
+		}, []string{"v2 rolled back: " + reasonTooLate, "v2 succeeded: " + reasonMoved}},
 		{"read late since the store was down", func(h *history) {
 			h.outages = []outage{{from: modelStart - 500*time.Millisecond, until: modelStart + 9*time.Second, router: 0, cut: true}}
 			for router := 1; router < h.routers; router++ {
 				h.outages = append(h.outages, outage{from: modelStart - 500*time.Millisecond, until: modelStart + 9*time.Second, router: router, cut: true})
 			}
-		}, []string{"v2 rolled_back: " + reasonTooLate}},
+		}, []string{"v2 rolled back: " + reasonTooLate}},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
--- a/internal/canary/evidence.go
+++ b/internal/canary/evidence.go
@@ -50,6 +50,9 @@
 	since  time.Time
 	others cell
 	parts  []partCell
+	// carried says that it holds all that a router has counted before this holder heard
+	// of it, which is more than one moment tells.
+	carried bool
 }
 
 // add adds what a report's tally counts beyond an earlier report's.
@@ -100,7 +103,9 @@
 			before = earlier.tally(tally.Route, tally.Part, none)
 		}
 		if tally.Answers > before.Answers {
-			e.window(now, tally.Route).add(tally, before)
+			open := e.window(now, tally.Route)
+			open.add(tally, before)
+			open.carried = open.carried || earlier == nil
 		}
 	}
 }
--- a/internal/canary/verdict.go
+++ b/internal/canary/verdict.go
@@ -199,9 +199,9 @@
 			only[part] = evidenceOf(partBad, partAnswers, rate, excess)
 			without[part] = evidenceOf(bad-partBad, answers-partAnswers, rate, excess)
 		}
-		own.tests[index].add(step, only, without)
+		own.tests[index].add(step, only, without, seen.carried)
 		if kind != slow {
-			all.tests[index].add(step, only, without)
+			all.tests[index].add(step, only, without, seen.carried)
 		}
 	}
 }
@@ -214,8 +214,9 @@
 	return float64(bad)*math.Log(higher/rate) + good*math.Log((1-higher)/(1-rate))
 }
 
-// add takes in the weights of one window.
-func (t *test) add(full float64, only, without []float64) {
+// add takes in the weights of one window. One that a former holder has left tells of its
+// whole time, so that a pause does not explain it.
+func (t *test) add(full float64, only, without []float64, carried bool) {
 	for len(t.only) < len(only) {
 		// A part that is new has added nothing so far.
 		t.only, t.without = append(t.only, 0), append(t.without, t.full)
@@ -228,6 +229,7 @@
 	switch {
 	case t.full == 0:
 		t.largest = [2]float64{}
+	case carried:
 	case full > t.largest[0]:
 		t.largest = [2]float64{full, t.largest[0]}
 	case full > t.largest[1]:
--- a/internal/node/canary_test.go
+++ b/internal/node/canary_test.go
@@ -68,6 +68,7 @@
 		{"good", 0, 1, canary.Succeeded},
 		{"failing", 0.3, 1, canary.RolledBack},
 		{"slow", 0, 5, canary.RolledBack},
+		{"very slow", 0, 16, canary.RolledBack},
 	}
 	for _, tt := range tests {
 		for _, release := range releases {
--- a/internal/node/canaryfleet_test.go
+++ b/internal/node/canaryfleet_test.go
@@ -54,6 +54,8 @@
 	// failing is the part of the target's answers that are failures, slow how many times
 	// as long it takes.
 	failing, slow float64
+	// pause is the time between two requests at one router.
+	pause time.Duration
 
 	orderedAt time.Time
 	told      []toldState
@@ -103,7 +105,7 @@
 func newGuardedFleet(t *testing.T, routers int) *guardedFleet {
 	t.Helper()
 	f := &guardedFleet{
-		zone: newZone(), t: t, lives: map[ident.Node]*guardedRouter{}, holders: map[ident.Node]uint64{"r0": 1},
+		zone: newZone(), t: t, lives: map[ident.Node]*guardedRouter{}, holders: map[ident.Node]uint64{"r0": 1}, pause: guardedPause,
 		cut: map[ident.Node]bool{}, slow: 1,
 		open: map[ident.Release]map[ident.Node]int{oldRelease: {}, newRelease: {}, "v3": {}},
 	}
@@ -240,7 +242,10 @@
 func (r *guardedRouter) clients(ctx context.Context) {
 	for ctx.Err() == nil {
 		r.request(ctx)
-		wait.For(ctx, guardedPause/2+time.Duration(r.random.Int64N(int64(guardedPause))))
+		r.fleet.mu.Lock()
+		pause := r.fleet.pause
+		r.fleet.mu.Unlock()
+		wait.For(ctx, pause/2+time.Duration(r.random.Int64N(int64(pause))))
 	}
 }
 
--- /dev/null
+++ b/internal/node/canaryslow_test.go
@@ -0,0 +1,37 @@
+package node
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/fieldpond/fieldpond/internal/canary"
+	"github.com/fieldpond/fieldpond/internal/ident"
+)
+
+// A release that is slow at each answer does not pass because its holder was killed, also
+// where few requests come.
+func TestASlowReleaseIsFoundByTheNextHolder(t *testing.T) {
+	for _, killedAfter := range []time.Duration{2 * time.Second, 3 * time.Second, 4 * time.Second, 5 * time.Second} {
+		for _, pause := range []time.Duration{40 * time.Millisecond, 80 * time.Millisecond, 160 * time.Millisecond} {
+			t.Run(killedAfter.String()+" "+pause.String(), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					f := newGuardedFleet(t, 5)
+					f.mu.Lock()
+					f.slow, f.pause = 5, pause
+					f.mu.Unlock()
+					f.order(guardedDuration)
+					time.Sleep(killedAfter)
+					f.kill("r0")
+					f.hold("", 0)
+					time.Sleep(3500 * time.Millisecond)
+					f.hold(ident.Node("r1"), 2)
+					f.sleepUntil(guardedDuration + 6*time.Second)
+					is.New(t).Equal(f.judge(guardedDuration, true).String(), canary.RolledBack.String())
+				})
+			})
+		}
+	}
+}
