Keep pulses apart, judge what routers had to report before a takeover grants, and stop at many bad answers

A target that is slow under load only gave its 50 in one burst and was then taken to have paused; a new holder granted before it had judged the reports of the routers. Also: the rate of requests rises at once, not over 2 s, so that the share is used from the first second.

--- a/internal/canary/evidence.go
+++ b/internal/canary/evidence.go
@@ -46,10 +46,13 @@
 // window holds the answers of one route within about a second, so that the target is
 // compared with the other releases under the same conditions.
 type window struct {
-	route  string
-	since  time.Time
-	others cell
-	parts  []partCell
+	route string
+	since time.Time
+	// inherited says that answers are among it which came over a longer time, under an
+	// earlier holder.
+	inherited bool
+	others    cell
+	parts     []partCell
 }
 
 // add adds what a report's tally counts beyond an earlier report's.
@@ -90,8 +93,9 @@
 	windows []*window
 }
 
-// add takes in the difference of two reports of the same life; earlier may be nil.
-func (e *evidence) add(now time.Time, report, earlier *Report) {
+// add takes in the difference of two reports of the same life; earlier may be nil. Inherited
+// says that the life sent to the target under an earlier holder.
+func (e *evidence) add(now time.Time, report, earlier *Report, inherited bool) {
 	none := &Tally{}
 	for index := range report.Tallies {
 		tally := &report.Tallies[index]
@@ -100,7 +104,9 @@
 			before = earlier.tally(tally.Route, tally.Part, none)
 		}
 		if tally.Answers > before.Answers {
-			e.window(now, tally.Route).add(tally, before)
+			open := e.window(now, tally.Route)
+			open.add(tally, before)
+			open.inherited = open.inherited || inherited
 		}
 	}
 }
@@ -127,11 +133,11 @@
 	return open
 }
 
-// due removes and returns the windows that are to be judged.
-func (e *evidence) due(now time.Time) []*window {
+// due removes and returns the windows that are to be judged, or all.
+func (e *evidence) due(now time.Time, all bool) []*window {
 	var due []*window
 	e.windows = slices.DeleteFunc(e.windows, func(open *window) bool {
-		if open.due(now) {
+		if all || open.due(now) {
 			due = append(due, open)
 			return true
 		}
--- a/internal/canary/fleet.go
+++ b/internal/canary/fleet.go
@@ -30,8 +30,9 @@
 	// base is what it had sent to the target when this holder heard of it first, granted
 	// what this holder granted it since.
 	base, granted uint64
-	// rate is its requests a second.
-	rate float64
+	// rate is its requests a second, watched the time over which they were counted.
+	rate    float64
+	watched time.Duration
 }
 
 // sends returns the number of requests that it may have sent in all.
@@ -118,9 +119,11 @@
 	router.current = known
 }
 
-// smooth takes in the requests of some time.
+// smooth takes in the requests of some time: the mean at first, later ones counting more once
+// there is enough of it.
 func (l *life) smooth(span time.Duration, requests uint64) {
-	weight := min(1, span.Seconds()/rateFor.Seconds())
+	l.watched += span
+	weight := span.Seconds() / min(l.watched, max(rateFor, span)).Seconds()
 	l.rate += weight * (float64(requests)/span.Seconds() - l.rate)
 }
 
--- a/internal/canary/rollout.go
+++ b/internal/canary/rollout.go
@@ -56,8 +56,12 @@
 	verdict verdict
 	// halted is why the target is bad, from the moment at which that was found.
 	halted string
-	// pulsing says that grants which were saved up are given.
-	pulsing bool
+	// settled says that what routers had to report at a takeover was judged.
+	settled bool
+	// pulsed is the number of grants that are left of those that were saved up, and
+	// pulsedAt when they began to be given.
+	pulsed   uint64
+	pulsedAt time.Time
 	// ownedAt is when this holder's first write was stored, promotedAt and finalAt when
 	// those phases were.
 	ownedAt, promotedAt, finalAt time.Time
@@ -193,12 +197,15 @@
 		if life == nil || life.judged == life.newest {
 			continue
 		}
-		r.open.add(now, life.newest, life.judged)
+		r.open.add(now, life.newest, life.judged, life.judged == nil && life.base > 0)
 		life.judged = life.newest
 	}
-	for _, window := range r.open.due(now) {
+	// What most routers had to report is judged before anything is granted.
+	settled := !r.ownedAt.IsZero() && now.Sub(r.ownedAt) >= settleFor
+	for _, window := range r.open.due(now, settled && !r.settled) {
 		r.verdict.weigh(window)
 	}
+	r.settled = settled
 	if r.halted == "" && !r.state.Phase.Final() {
 		r.halted = r.verdict.bad(r.engines.target > 1)
 	}
@@ -240,97 +247,3 @@
 	}
 	return max(next.Ceiling, leastCeiling)
 }
-
-// decide returns the phase that the rollout should be in, and why.
-func (r *rollout) decide(now time.Time) (Phase, string) {
-	switch {
-	case r.halted != "":
-		return RolledBack, r.halted
-	case !r.missingSince.IsZero() && now.Sub(r.missingSince) >= withdrawnAfter:
-		return RolledBack, reasonWithdrawn
-	case r.state.Phase == Promoting:
-		return r.decidePromoting(now)
-	}
-	return r.decideObserving(now)
-}
-
-// decideObserving decides whether the target is promoted.
-func (r *rollout) decideObserving(now time.Time) (Phase, string) {
-	plan := r.plan()
-	if now.Before(plan.promoteAt) {
-		return Observing, ""
-	}
-	if !now.Before(r.deadline(&r.state).Add(-lastWrite - switchFor)) {
-		return RolledBack, reasonNotObserved
-	}
-	owned := now.Sub(r.ownedAt)
-	if !r.fleet.reaches(now) || owned < settleFor || (owned < settleFor+windowFor && r.verdict.scarce() != "") {
-		// A new holder knows nothing until most routers have reported to it.
-		return Observing, ""
-	}
-	last := !now.Before(plan.lastPromoteAt)
-	switch why := r.against(last); {
-	case why == "":
-		return Promoting, ""
-	case last:
-		return RolledBack, why
-	}
-	return Observing, ""
-}
-
-// against returns what speaks against promoting the target now, or nothing.
-func (r *rollout) against(last bool) string {
-	switch {
-	case r.engines.target == 0:
-		return reasonNoBackEnds
-	case !r.engines.carries():
-		return reasonTooFew
-	}
-	if scarce := r.verdict.scarce(); scarce != "" {
-		return scarce
-	}
-	return r.verdict.doubt(r.engines.target > 1, last)
-}
-
-// decidePromoting decides whether the target has succeeded.
-func (r *rollout) decidePromoting(now time.Time) (Phase, string) {
-	plan := r.plan()
-	switch {
-	case r.engines.target == 0:
-		return RolledBack, reasonNoBackEnds
-	case !now.Before(plan.verdictAt):
-		return r.decideLast(now)
-	case now.Sub(r.promotedAt) < promotingFor || !r.fleet.reaches(now):
-		return Promoting, ""
-	case r.fleet.moved(now):
-		return Succeeded, reasonMoved
-	}
-	return Promoting, ""
-}
-
-// decideLast decides in the last moment before the deadline. Runs on other releases are not
-// waited for any more, nor at its end a few routers that have only come back.
-func (r *rollout) decideLast(now time.Time) (Phase, string) {
-	part, last := 1.0, !now.Before(r.deadline(&r.state).Add(-lastWrite))
-	if last {
-		part = turnedPart
-	}
-	switch {
-	case r.fleet.reaches(now) && r.fleet.turned(now, part):
-		return Succeeded, reasonDeadline
-	case !last:
-		return Promoting, ""
-	case !r.fleet.reaches(now):
-		return RolledBack, reasonUnheard
-	}
-	return RolledBack, reasonNotMoved
-}
-
-// plan returns when the rollout goes on.
-func (r *rollout) plan() plan {
-	var length time.Duration
-	if r.state.Phase == Observing {
-		length = r.fleet.runLength()
-	}
-	return newPlan(r.deadline(&r.state), r.state.Order.Duration, length)
-}
--- a/internal/canary/tell.go
+++ b/internal/canary/tell.go
@@ -16,9 +16,8 @@
 	pulseRuns     = 3
 	shortestPulse = 250 * time.Millisecond
 	longestPulse  = 750 * time.Millisecond
-	// pulseParts is the divisor of a pulse below which what is left of it is saved for
-	// the next one.
-	pulseParts = 6
+	// catchUp is the most that is given in pulses, in units of the share.
+	catchUp = 2.0
 )
 
 // tell returns the permits that are due.
@@ -55,15 +54,17 @@
 
 // grant gives routers more requests that may go to the target, while it is observed.
 func (r *rollout) grant(now time.Time) {
-	if r.state.Phase != Observing || !r.permitting() || r.engines.target == 0 || now.Sub(r.ownedAt) < settleFor {
+	if r.state.Phase != Observing || !r.permitting() || r.engines.target == 0 || !r.settled {
 		return
 	}
 	answered := r.verdict.total() > 0
 	room := r.account.room(r.fleet.requests(), answered)
-	if answered && !r.pulse(room) {
-		return
+	if burst := r.burst(); answered && burst > 0 {
+		room = r.pulse(now, room, burst)
 	}
-	r.account.granted += r.fleet.grant(now, room, r.part())
+	given := r.fleet.grant(now, room, r.part())
+	r.account.granted += given
+	r.pulsed = less(r.pulsed, given)
 }
 
 // part returns the part of the requests that go to the target while there are grants, which
@@ -86,20 +87,16 @@
 	return uint64(r.part() * r.fleet.rate() * length.Seconds())
 }
 
-// pulse reports whether anything is granted now. If the share gives the back ends in use
+// pulse returns how much of the room is granted now. If the share gives the back ends in use
 // much less than the usual load, grants are saved up and then given for some time at a
-// rate that is the usual load, so that a target shows that is bad under load only.
-func (r *rollout) pulse(room uint64) bool {
-	burst := r.burst()
-	switch {
-	case burst == 0:
-		return true
-	case room >= burst:
-		r.pulsing = true
-	case room < burst/pulseParts:
-		r.pulsing = false
+// rate that is the usual load, so that a target shows that is bad under load only. Pulses
+// are kept apart, so that no single moment decides on the target.
+func (r *rollout) pulse(now time.Time, room, burst uint64) uint64 {
+	apart := float64(burst) / (catchUp * r.cfg.Bounds.Share * r.fleet.rate())
+	if room >= burst && now.Sub(r.pulsedAt).Seconds() >= apart {
+		r.pulsed, r.pulsedAt = burst, now
 	}
-	return r.pulsing
+	return min(room, r.pulsed)
 }
 
 // permitting reports whether anything may be sent to the target.
--- a/internal/canary/verdict.go
+++ b/internal/canary/verdict.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"math"
 	"slices"
 )
 
@@ -86,29 +85,6 @@
 	routePart = 0.1
 )
 
-// test weighs whether a target has an excess of bad answers from some moment on: a
-// cumulative sum of the logarithms of likelihood ratios that never falls below zero.
-type test struct {
-	full float64
-	// only is the same for each part of the target by itself, without for all but it.
-	only, without []float64
-	// largest are the two windows that have added most since the sum was zero.
-	largest [2]float64
-}
-
-// stream weighs one kind of bad answers on one route, or on all together.
-type stream struct {
-	route string
-	kind  kind
-	// answers and bad are those of the other releases, earlier ones counting less.
-	answers, bad float64
-	// targetAnswers and targetBad, othersAnswers and othersBad are counts for reasons.
-	targetAnswers, targetBad, othersAnswers, othersBad uint64
-	// windows is the number of windows with answers of the target.
-	windows int
-	tests   [len(excesses)]test
-}
-
 // sequential is the verdict by likelihood ratios: it compares the answers of the target
 // with those of the other releases in the same seconds, by route.
 type sequential struct {
@@ -116,6 +92,7 @@
 	parts   []uint32
 	answers []uint64
 	streams []*stream
+	many    many
 	// medians are the decayed times of the other releases by route.
 	medians []*median
 }
@@ -162,6 +139,7 @@
 	s.weighKind(seen, slow, alone, func(c *cell) (bad, answers uint64) {
 		return c.slowFrom(from), c.answers - c.failures
 	})
+	s.many.weighed(seen.since)
 }
 
 // weighKind takes in one kind of bad answers of a window.
@@ -184,6 +162,10 @@
 	if answers > 0 {
 		own.windows++
 	}
+	for at := range seen.parts {
+		partBad, partAnswers := count(&seen.parts[at].cell)
+		s.many.add(s.part(seen.parts[at].part), float64(partBad)-rate*float64(partAnswers))
+	}
 	for index, excess := range excesses {
 		if alone && excess < aloneExcess {
 			continue
@@ -199,95 +181,11 @@
 			only[part] = evidenceOf(partBad, partAnswers, rate, excess)
 			without[part] = evidenceOf(bad-partBad, answers-partAnswers, rate, excess)
 		}
-		own.tests[index].add(step, only, without)
+		own.tests[index].add(step, only, without, seen.inherited)
 		if kind != slow {
-			all.tests[index].add(step, only, without)
-		}
-	}
-}
-
-// evidenceOf returns the logarithm of the ratio of how likely some bad answers are if the
-// target has an excess of them, and if it has the rate of the other releases.
-func evidenceOf(bad, answers uint64, rate, excess float64) float64 {
-	higher := rate + excess*(1-rate)
-	good := float64(answers - bad)
-	return float64(bad)*math.Log(higher/rate) + good*math.Log((1-higher)/(1-rate))
-}
-
-// add takes in the weights of one window.
-func (t *test) add(full float64, only, without []float64) {
-	for len(t.only) < len(only) {
-		// A part that is new has added nothing so far.
-		t.only, t.without = append(t.only, 0), append(t.without, t.full)
-	}
-	t.full = max(0, t.full+full)
-	for part := range only {
-		t.only[part] = max(0, t.only[part]+only[part])
-		t.without[part] = max(0, t.without[part]+without[part])
-	}
-	switch {
-	case t.full == 0:
-		t.largest = [2]float64{}
-	case full > t.largest[0]:
-		t.largest = [2]float64{full, t.largest[0]}
-	case full > t.largest[1]:
-		t.largest[1] = full
-	}
-}
-
-// lasting returns the weight without the two windows that weigh most.
-func (t *test) lasting() float64 { return t.full - t.largest[0] - t.largest[1] }
-
-// weight returns the most weight against the target of all tests, and how much of it is
-// left when it is held against other causes: that one of its back ends is broken, which
-// is less likely by prior, so that what counts is by how much the weight exceeds the one
-// against that back end alone, or what the others weigh without it; and, for slow
-// answers, that all paused once, as when they load weights.
-func (s *stream) weight(several bool, prior float64) (full, left float64) {
-	single, others, lasting := 0.0, 0.0, 0.0
-	for index := range s.tests {
-		test := &s.tests[index]
-		full = max(full, test.full)
-		lasting = max(lasting, test.lasting())
-		if len(test.only) > 0 {
-			single = max(single, slices.Max(test.only))
-			others = max(others, slices.Min(test.without))
+			all.tests[index].add(step, only, without, seen.inherited)
 		}
 	}
-	left = full
-	if several {
-		left = max(full-max(0, single-prior), others)
-	}
-	if s.kind == slow && lasting < leastLasting {
-		left = 0
-	}
-	return full, left
-}
-
-// rate returns the rate of bad answers of the other releases in a window.
-func (s *stream) rate(bad, answers uint64) float64 {
-	least := leastFailing
-	if s.kind == slow {
-		least = leastSlow
-	}
-	usual := least
-	if s.answers > 0 {
-		usual = s.bad / s.answers
-	}
-	prior := priorAnswers
-	if expected := float64(answers) * usual; float64(bad) > expected+burstSigmas*math.Sqrt(expected)+1 {
-		prior = burstPrior
-	}
-	rate := (float64(bad) + prior*usual) / (float64(answers) + prior)
-	return min(max(rate, least), 1-least)
-}
-
-// learn adds a window of the other releases to their long-run rate.
-func (s *stream) learn(bad, answers uint64) {
-	s.answers = s.answers*decay + float64(answers)
-	s.bad = s.bad*decay + float64(bad)
-	s.othersAnswers += answers
-	s.othersBad += bad
 }
 
 // part returns the index of a part, which is added if it is new.
@@ -325,7 +223,11 @@
 // bad implements verdict.
 func (s *sequential) bad(several bool) string {
 	for _, stream := range s.streams {
-		if full, left := stream.weight(several, singlePrior); full >= guilty && left >= guiltyLeft {
+		full, left, paused := stream.weight(several, singlePrior)
+		if full < guilty || left < guiltyLeft {
+			continue
+		}
+		if !paused || s.many.tooLong() {
 			return stream.reason()
 		}
 	}
@@ -339,13 +241,13 @@
 		limit = doubtfulAtLast
 	}
 	for _, stream := range s.streams {
-		full, left := stream.weight(several, doubtPrior)
-		if stream.kind == slow && stream.windows < leastWindows {
+		full, left, paused := stream.weight(several, doubtPrior)
+		if paused && stream.windows < leastWindows {
 			// A new holder sees all that came before it in a few windows, and cannot
 			// tell a pause from a target that is slow.
-			left = full
+			left, paused = full, false
 		}
-		if left >= limit {
+		if left >= limit && !paused {
 			return "in doubt at the end of its observation: " + stream.reason()
 		}
 	}
@@ -378,13 +280,3 @@
 	}
 	return ""
 }
-
-// reason says what the stream has counted.
-func (s *stream) reason() string {
-	route := "all routes"
-	if s.route != "" {
-		route = "route " + s.route
-	}
-	return fmt.Sprintf("%s: %d of %d answers %s, %d of %d of other releases",
-		route, s.targetBad, s.targetAnswers, kindNames[s.kind], s.othersBad, s.othersAnswers)
-}
