--- a/internal/canary/gate.go
+++ b/internal/canary/gate.go
@@ -204,10 +204,7 @@
 		return
 	}
 	guard.permit = *permit
-	valid := permitFor
-	if permit.Phase == Promoting {
-		valid = promotingPermitFor
-	}
+	valid := g.cfg.Bounds.validity(permit.Phase)
 	guard.until = g.epoch.Add(permit.Clock + valid)
 	if g.hooks.ignoreClock {
 		guard.until = now.Add(valid)
--- a/internal/canary/guard.go
+++ b/internal/canary/guard.go
@@ -14,12 +14,14 @@
 const (
 	// permitFor is the time for which a permit is valid, from the moment at which the
 	// router sent the report whose clock it carries. It is four permits long, so that
-	// two of them in a row may be lost, and a fifth of the time that the users allow for
-	// stopping after the 50th bad answer.
+	// two of them in a row may be lost.
 	permitFor = time.Second
 	// promotingPermitFor is the same while the target gets all requests: a router that
 	// misses permits would begin to send to the releases that are to end.
 	promotingPermitFor = 2 * time.Second
+	// rollbackParts is the divisor of Bounds.Rollback that bounds both (the second one to
+	// two parts): finding out and telling take the rest.
+	rollbackParts = 5
 	// fewParts is the number of parts into which back ends of the target are put together
 	// once half of the tallies of a report are taken.
 	fewParts = 8
@@ -52,6 +54,14 @@
 	routes                  []routeShare
 }
 
+// validity returns the time for which a permit is valid.
+func (b *Bounds) validity(phase Phase) time.Duration {
+	if phase == Promoting {
+		return min(promotingPermitFor, 2*b.Rollback/rollbackParts)
+	}
+	return min(permitFor, b.Rollback/rollbackParts)
+}
+
 // learn takes in a phase and its releases; a final phase stays.
 func (g *guard) learn(phase Phase, proved []ident.Release) {
 	if g.phase.Final() {
