Ask more of what back ends weigh beside a broken one

Cause: with one of its back ends grey 8 of 300 good targets were rolled back, half of them as the others' few failures by chance weighed above 6.

--- a/internal/canary/stream.go
+++ b/internal/canary/stream.go
@@ -66,7 +66,8 @@
 // weight returns the most weight against the target of all tests, and how much of it is
 // left when it is held against the chance that one of its back ends is broken, which is
 // less likely by prior: what counts is by how much the weight exceeds the one against that
-// back end alone, or what the others weigh without it. Paused says that slow answers came
+// back end alone, or what the others weigh without it, less what chance may add to that.
+// Paused says that slow answers came
 // within so short a time that all back ends may have paused once, as when they load
 // weights.
 func (s *stream) weight(several bool, prior float64) (full, left float64, paused bool) {
@@ -82,7 +83,7 @@
 	}
 	left = full
 	if several {
-		left = max(full-max(0, single-prior), others)
+		left = max(full-max(0, single-prior), others-othersPrior)
 	}
 	return full, left, s.kind == slow && lasting < leastLasting
 }
--- a/internal/canary/verdict.go
+++ b/internal/canary/verdict.go
@@ -64,6 +64,9 @@
 	// doubtful is the one up to which a target is promoted, doubtfulAtLast up to which it
 	// is when there is no time for more evidence.
 	doubtful, doubtfulAtLast = 3.0, 4.5
+	// othersPrior is what the others may weigh by chance while one back end is broken: in
+	// 8 of 300 histories more than 6 without it.
+	othersPrior = 3.0
 	// doubtPrior is the same when it is asked whether there is doubt.
 	doubtPrior = 10.0
 	// leastLasting is what slow answers have to weigh without the two windows that weigh
