--- a/internal/relaytest/relay.go
+++ b/internal/relaytest/relay.go
@@ -4,6 +4,7 @@
 package relaytest
 
 import (
+	"encoding/binary"
 	"io"
 	"net"
 	"net/netip"
@@ -11,6 +12,8 @@
 	"syscall"
 	"testing"
 	"unsafe"
+
+	"github.com/pkg/errors"
 )
 
 // soAttachFilter is the socket option SO_ATTACH_FILTER of Linux.
@@ -51,12 +54,12 @@
 	return r.taken
 }
 
-// Silence makes all open connections silent.
+// Silence makes all open connections silent; those that just ended stay ended.
 func (r *Relay) Silence() error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, conn := range r.open {
-		if err := dropAll(conn); err != nil {
+		if err := dropAll(conn); err != nil && !errors.Is(err, net.ErrClosed) {
 			return err
 		}
 	}
@@ -116,20 +119,15 @@
 	r.pipes.Wait()
 }
 
-// instruction is one instruction of a classic packet filter, program a whole one,
-// as the kernel reads them.
-type instruction struct {
-	code                uint16
-	whenTrue, whenFalse uint8
-	operand             uint32
-}
-
+// program is a classic packet filter as the kernel reads it; an instruction is its
+// code, in two bytes, two jumps and an operand.
 type program struct {
 	length uint16
-	first  *instruction
+	first  *[8]byte
 }
 
-// returnConstant ends a packet filter; the operand is the number of bytes kept.
+// returnConstant is the code that ends a packet filter; its operand is the number of
+// bytes kept of the packet.
 const returnConstant = 0x06
 
 // dropAll lets the kernel drop every packet that arrives for a connection.
@@ -138,7 +136,9 @@
 	if err != nil {
 		return err
 	}
-	filter := program{length: 1, first: &instruction{code: returnConstant}}
+	var keepNothing [8]byte
+	binary.NativeEndian.PutUint16(keepNothing[:], returnConstant)
+	filter := program{length: 1, first: &keepNothing}
 	var errno syscall.Errno
 	err = raw.Control(func(descriptor uintptr) {
 		_, _, errno = syscall.Syscall6(
