Read zones and regions from the settings; price the way to another region

Cause: no line of the code knew a region. A back end 20 ms away cost as much as one in the next zone (3 ms), and a third of all prompts fetched kept parts from a store in another region, where a move takes ten times as long in place of two.

--- a/internal/backend/choose.go
+++ b/internal/backend/choose.go
@@ -169,9 +169,7 @@
 	case versionUncertain:
 		cost += uncertainPenalty.Seconds()
 	}
-	if candidate.record.Zone != r.config.Zone {
-		cost += r.config.ZoneHop.Seconds()
-	}
+	cost += r.hop(candidate).Seconds()
 	candidate.decay(now)
 	// One failure in few attempts says less than many in a row.
 	cost += candidate.failed / (candidate.tried + 2) * failurePenalty.Seconds()
--- a/internal/backend/config.go
+++ b/internal/backend/config.go
@@ -5,14 +5,19 @@
 
 	"github.com/fieldpond/fieldpond/internal/ident"
 	"github.com/fieldpond/fieldpond/internal/mechanism"
+	"github.com/fieldpond/fieldpond/internal/region"
 )
 
 // Config holds the constants of the choice. Zero fields take the defaults.
 type Config struct {
 	// Zone is where this router is.
 	Zone ident.Zone
-	// ZoneHop is the price of a back end in another zone. Default: 3ms.
+	// Regions tells which zones lie in one region. Default: all do.
+	Regions region.Map
+	// ZoneHop is the price of a back end in another zone of the same region. Default: 3ms.
 	ZoneHop time.Duration
+	// RegionHop is the price of a back end in another region. Default: 40ms.
+	RegionHop time.Duration
 	// ReadPerToken is the time an engine is taken to need for one token of a
 	// prompt until its service was seen to need another. Default: 26µs.
 	ReadPerToken time.Duration
@@ -25,6 +30,7 @@
 
 const (
 	defaultZoneHop      = 3 * time.Millisecond
+	defaultRegionHop    = 40 * time.Millisecond
 	defaultReadPerToken = 26 * time.Microsecond
 	defaultSilentAfter  = 500 * time.Millisecond
 	// spillPrice is the price of a shared part at an engine that is not the home
@@ -77,6 +83,9 @@
 	if c.ZoneHop <= 0 {
 		c.ZoneHop = defaultZoneHop
 	}
+	if c.RegionHop <= 0 {
+		c.RegionHop = defaultRegionHop
+	}
 	if c.ReadPerToken <= 0 {
 		c.ReadPerToken = defaultReadPerToken
 	}
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -15,6 +15,7 @@
 
 	"github.com/fieldpond/fieldpond/internal/ident"
 	"github.com/fieldpond/fieldpond/internal/quota"
+	"github.com/fieldpond/fieldpond/internal/region"
 	"github.com/fieldpond/fieldpond/internal/routing/rendezvous"
 )
 
@@ -201,23 +202,25 @@
 
 // CacheStore returns the service that keeps the caches of the prompts with a
 // key, the same at every router, or nil if there is none. Stores in the zone of
-// the prompt's home engine go first, since moves between zones take longer;
-// several stores share the prompts, and so the load on their links.
-func (s *Snapshot) CacheStore(zone ident.Zone, key uint64) *Service {
+// the prompt's home engine go first, and then those in its region, since moves take
+// longer between zones, and far longer between regions; several stores share the
+// prompts, and so the load on their links.
+func (s *Snapshot) CacheStore(regions region.Map, zone ident.Zone, key uint64) *Service {
 	var best *Service
 	var bestScore uint64
+	bestDistance := region.OtherRegion
 	for _, store := range s.stores {
 		name := ident.Engine(store.Name)
 		score := rendezvous.Score(key, name)
-		near := store.Zone == zone
+		distance := regions.Between(zone, store.Zone)
 		switch {
-		case best == nil || (near && best.Zone != zone):
-		case !near && best.Zone == zone:
+		case best == nil || distance < bestDistance:
+		case distance > bestDistance:
 			continue
 		case !rendezvous.Better(score, name, bestScore, ident.Engine(best.Name)):
 			continue
 		}
-		best, bestScore = store, score
+		best, bestScore, bestDistance = store, score, distance
 	}
 	return best
 }
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/fieldpond/fieldpond/internal/catalog"
 	"github.com/fieldpond/fieldpond/internal/ident"
+	"github.com/fieldpond/fieldpond/internal/region"
 )
 
 func snapshot(version uint64) *catalog.Snapshot {
@@ -127,17 +128,17 @@
 	const prompts = 3000
 	counts := map[ident.Service]int{}
 	for key := range uint64(prompts) {
-		name := three.CacheStore("", key).Name
+		name := three.CacheStore(region.Map{}, "", key).Name
 		counts[name]++
-		is.Equal(other.CacheStore("", key).Name, name)
+		is.Equal(other.CacheStore(region.Map{}, "", key).Name, name)
 		if name != "c" {
-			is.Equal(two.CacheStore("", key).Name, name)
+			is.Equal(two.CacheStore(region.Map{}, "", key).Name, name)
 		}
 	}
 	for _, name := range []ident.Service{"a", "b", "c"} {
 		is.True(counts[name] > prompts/4)
 	}
-	is.True(of(catalog.Service{Name: "engines"}).CacheStore("", 1) == nil)
+	is.True(of(catalog.Service{Name: "engines"}).CacheStore(region.Map{}, "", 1) == nil)
 }
 
 func TestAStoreInTheHomeZoneGoesFirst(t *testing.T) {
@@ -160,7 +161,7 @@
 			is := is.New(t)
 			used := map[ident.Service]bool{}
 			for key := range uint64(100) {
-				used[snapshot.CacheStore(tt.zone, key).Name] = true
+				used[snapshot.CacheStore(region.Map{}, tt.zone, key).Name] = true
 			}
 			is.Equal(len(used), len(tt.want))
 			for _, name := range tt.want {
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -13,6 +13,7 @@
 	"github.com/fieldpond/fieldpond/internal/ident"
 	"github.com/fieldpond/fieldpond/internal/mechanism"
 	"github.com/fieldpond/fieldpond/internal/promptcache"
+	"github.com/fieldpond/fieldpond/internal/region"
 )
 
 // Config bounds what a Forwarder does. Zero fields take the defaults.
@@ -27,6 +28,8 @@
 	// Slack is the number of repeats that all routers together may make of each
 	// service in a window without any request; it may be a fraction. Default: 0.
 	Slack float64
+	// Regions tells which zones lie in one region. Default: all do.
+	Regions region.Map
 	// Off are the mechanisms that are switched off. Default: none.
 	Off mechanism.Off
 	// RetryAfter is told with refusals. Default: 300ms.
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -323,7 +323,7 @@
 // describeCache names the store of kept prompt caches that the attempt uses.
 func (r *run) describeCache(attempt *Attempt, homeZone ident.Zone) {
 	key, shared := r.homeKey()
-	store := r.view.Snapshot.CacheStore(homeZone, key)
+	store := r.view.Snapshot.CacheStore(r.forwarder.config.Regions, homeZone, key)
 	if store == nil || !r.forwarder.config.Off.On(mechanism.CacheStore) {
 		return
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -18,6 +18,7 @@
 	"github.com/fieldpond/fieldpond/internal/lease"
 	"github.com/fieldpond/fieldpond/internal/mechanism"
 	"github.com/fieldpond/fieldpond/internal/quota"
+	"github.com/fieldpond/fieldpond/internal/region"
 	"github.com/fieldpond/fieldpond/internal/rollout"
 	"github.com/fieldpond/fieldpond/internal/store"
 	"github.com/fieldpond/fieldpond/internal/upstream"
@@ -28,6 +29,8 @@
 type Config struct {
 	Node ident.Node
 	Zone ident.Zone
+	// Regions tells the region of each zone; the zero Map means that there is one.
+	Regions region.Map
 	// FrontAddress takes client requests, ReadyAddress the readiness checks of
 	// whatever hands clients to this node; both are host:port.
 	FrontAddress, ReadyAddress string
@@ -93,7 +96,7 @@
 		config:   config,
 		ports:    ports,
 		holder:   &catalog.Holder{},
-		backends: backend.NewRegistry(backend.Config{Zone: config.Zone, Off: config.Off}),
+		backends: backend.NewRegistry(backend.Config{Zone: config.Zone, Regions: config.Regions, Off: config.Off}),
 		lease:    lease.NewElector(ports.Table, config.Lease, rolloutLease, config.Node),
 	}
 	n.metrics = newMetrics(n.read)
--- /dev/null
+++ b/internal/region/region.go
@@ -0,0 +1,72 @@
+// Package region tells which zones lie in one region, as the settings of a router name
+// them. It holds no figure: what the way between two places costs is learned elsewhere.
+package region
+
+import (
+	"maps"
+
+	"github.com/fieldpond/fieldpond/internal/ident"
+)
+
+// Map tells the region of each zone. The zero Map is that of a fleet in one region. It
+// never changes, and is safe for concurrent use.
+type Map struct {
+	zones map[ident.Zone]ident.Region
+}
+
+// NewMap returns the map of these zones.
+func NewMap(zones map[ident.Zone]ident.Region) Map { return Map{zones: maps.Clone(zones)} }
+
+// Of returns the region of a zone. All zones that are not named lie in one region,
+// which has no name.
+func (m Map) Of(zone ident.Zone) ident.Region { return m.zones[zone] }
+
+// Same reports whether two zones lie in one region.
+func (m Map) Same(a, b ident.Zone) bool { return a == b || m.Of(a) == m.Of(b) }
+
+// Several reports whether the zones that are named lie in more than one region.
+func (m Map) Several() bool {
+	var first ident.Region
+	known := false
+	for _, region := range m.zones {
+		if known && region != first {
+			return true
+		}
+		first, known = region, true
+	}
+	return false
+}
+
+// Distance is how far apart two places are, in steps of what a way between them costs.
+type Distance uint8
+
+// The distances, from the nearest.
+const (
+	SameZone Distance = iota
+	SameRegion
+	OtherRegion
+)
+
+// Between returns the distance of two zones.
+func (m Map) Between(a, b ident.Zone) Distance {
+	switch {
+	case a == b:
+		return SameZone
+	case m.Same(a, b):
+		return SameRegion
+	default:
+		return OtherRegion
+	}
+}
+
+// String implements fmt.Stringer.
+func (d Distance) String() string {
+	switch d {
+	case SameZone:
+		return "zone"
+	case SameRegion:
+		return "region"
+	default:
+		return "other_region"
+	}
+}
