Keep a prompt's home in one region, and measure the ways between regions

Cause: homes were ranked over all engines.

Change: the region of a home is drawn by the share of engines, and keeps its prompts while the shares stand; stand-ins elsewhere are dearer (farSpillPrice). A way over a border costs the round trip that openings of connections took, 40 ms until one was measured. One region: as before.

--- a/internal/backend/choose.go
+++ b/internal/backend/choose.go
@@ -19,7 +19,7 @@
 	if best == nil {
 		return Choice{}, nil, false
 	}
-	predicted, queued := r.predict(best, query, best == home), r.queued(best, query)
+	predicted, queued := r.predict(best, query, home), r.queued(best, query)
 	flight := &Flight{
 		registry: r, target: best, dueAt: now.Add(predicted),
 		model: query.Model, version: best.version(now, query.Model),
@@ -52,7 +52,7 @@
 		if !candidate.eligible(now, query) {
 			continue
 		}
-		cost := r.cost(now, candidate, query, candidate == home)
+		cost := r.cost(now, candidate, query, home)
 		if math.IsInf(cost, 1) {
 			continue
 		}
@@ -66,48 +66,16 @@
 	return best, candidates
 }
 
-// home returns the back end that ranks first for the shared part of the prompt among
-// all that serve it, whether it is usable now or not. One that was told silent is passed
-// over: as all routers are told so, they agree on the next one.
-func (r *Registry) home(now time.Time, query *Query) *state {
-	if query.HomeKey == 0 || !r.config.Off.On(mechanism.HomeEngines) {
-		return nil
-	}
-	heard := func(known *state) bool { return !known.record.Draining && !known.toldSilent(now) }
-	if best := r.firstRanked(query, heard); best != nil {
-		return best
-	}
-	return r.firstRanked(query, func(known *state) bool { return !known.record.Draining })
-}
-
-// firstRanked returns the back end that ranks first for the shared part of the prompt
-// among those that fit, or nil.
-func (r *Registry) firstRanked(query *Query, fits func(*state) bool) *state {
-	var best *state
-	var bestScore uint64
-	for _, candidate := range r.services[query.Service] {
-		if !fits(candidate) {
-			continue
-		}
-		name := ident.Engine(candidate.record.Instance)
-		score := rendezvous.Score(query.HomeKey, name)
-		if best == nil || rendezvous.Better(score, name, bestScore, ident.Engine(best.record.Instance)) {
-			best, bestScore = candidate, score
-		}
-	}
-	return best
-}
-
 // predict returns the expected time to the first byte of the answer.
-func (r *Registry) predict(candidate *state, query *Query, home bool) time.Duration {
+func (r *Registry) predict(candidate *state, query *Query, home *state) time.Duration {
 	if query.Model == "" {
 		ahead := float64(len(candidate.flights)) / float64(max(candidate.record.Slots, 1))
 		return query.Expected + time.Duration(ahead*float64(query.Expected))
 	}
 	learned := r.reading(query.Service)
 	predicted := learned.of(candidate.waitingTokens() + query.OwnTokens)
-	if !home {
-		predicted += time.Duration(spillPrice * float64(learned.of(query.SharedTokens)))
+	if candidate != home {
+		predicted += time.Duration(r.spillPrice(candidate, home) * float64(learned.of(query.SharedTokens)))
 	}
 	return predicted
 }
@@ -160,7 +128,7 @@
 
 // cost returns the expected time, in seconds, with the risks of the back end
 // added to it.
-func (r *Registry) cost(now time.Time, candidate *state, query *Query, home bool) float64 {
+func (r *Registry) cost(now time.Time, candidate *state, query *Query, home *state) float64 {
 	predicted := r.predict(candidate, query, home)
 	cost := (predicted + candidate.excessAt(now) + candidate.told.wait(now)).Seconds()
 	switch candidate.versionRisk(now, query, predicted) {
--- a/internal/backend/config.go
+++ b/internal/backend/config.go
@@ -16,7 +16,8 @@
 	Regions region.Map
 	// ZoneHop is the price of a back end in another zone of the same region. Default: 3ms.
 	ZoneHop time.Duration
-	// RegionHop is the price of a back end in another region. Default: 40ms.
+	// RegionHop is the price of a back end in another region until a round trip there
+	// was measured, which is the price from then on. Default: 40ms.
 	RegionHop time.Duration
 	// ReadPerToken is the time an engine is taken to need for one token of a
 	// prompt until its service was seen to need another. Default: 26µs.
@@ -37,6 +38,9 @@
 	// of its prompt, in times that it takes to read it there: it may have to be
 	// fetched or read again.
 	spillPrice = 1.6
+	// farSpillPrice is that price in another region than the home's: what was kept of
+	// the part takes five times as long from there as from another zone.
+	farSpillPrice = 3.2
 	// congestedAt is the mean lateness of a service's answers at which its
 	// congestion is 1.
 	congestedAt = 100 * time.Millisecond
--- a/internal/backend/registry.go
+++ b/internal/backend/registry.go
@@ -22,6 +22,7 @@
 	byID       map[ident.Incarnation]*state
 	listedAt   time.Time
 	lapses     lapses
+	trips      trips
 }
 
 // NewRegistry returns a registry that knows no back end.
@@ -32,6 +33,7 @@
 		readings:   make(map[ident.Service]*reading),
 		latenesses: make(map[ident.Service]*serviceLateness),
 		byID:       make(map[ident.Incarnation]*state),
+		trips:      make(trips),
 	}
 }
 
--- a/internal/exchange/connection.go
+++ b/internal/exchange/connection.go
@@ -28,6 +28,8 @@
 	// that the peer named the time.
 	idleSince, idleUntil time.Time
 	told                 bool
+	// opening is how long it took to open, until the first exchange has told it.
+	opening time.Duration
 }
 
 // setUserTimeout makes the kernel give up a connection whose peer does not
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -49,6 +49,8 @@
 	Header http.Header
 	// Length is the length of the body in bytes, or -1 if it is not told.
 	Length int64
+	// Opening is how long it took to open the connection; 0 if an open one was used.
+	Opening time.Duration
 	// Body gives io.EOF only at the proven end of the answer; an answer that
 	// breaks off gives another error. It may be closed at any time, which ends
 	// the connection if the answer is not whole.
@@ -114,7 +116,8 @@
 	if err != nil {
 		return nil, err
 	}
-	response := &Response{Status: answer.StatusCode, Header: answer.Header, Length: answer.ContentLength}
+	response := &Response{Status: answer.StatusCode, Header: answer.Header, Length: answer.ContentLength, Opening: r.connection.opening}
+	r.connection.opening = 0
 	response.Body = &answerBody{running: r, answer: answer}
 	return response, nil
 }
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -156,6 +156,7 @@
 }
 
 func (p *Pool) dial(ctx context.Context, address string) (*connection, error) {
+	begun := time.Now()
 	opened, err := p.dialer.DialContext(ctx, "tcp4", address)
 	if err != nil {
 		p.forget(address)
@@ -164,7 +165,9 @@
 	p.mutex.Lock()
 	p.opened++
 	p.mutex.Unlock()
-	return &connection{Conn: opened, address: address, reader: bufio.NewReaderSize(opened, readerBytes)}, nil
+	return &connection{
+		Conn: opened, address: address, reader: bufio.NewReaderSize(opened, readerBytes), opening: time.Since(begun),
+	}, nil
 }
 
 // put takes back a connection whose exchange is whole. keep is how long the
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -150,6 +150,7 @@
 	if a.patience != nil && a.route.Kind != catalog.Streaming {
 		a.patience.Stop()
 	}
+	a.flight.Connected(reply.Opening)
 	if reply.Version > 0 && a.request.Prompt != nil {
 		a.forwarder.Backends.VersionSeen(a.choice.Instance, a.request.Prompt.Model, reply.Version)
 	}
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -124,6 +124,8 @@
 	Verdict Verdict
 	// Version is the version of the weights that answer, 0 if not told.
 	Version int
+	// Opening is how long it took to open the connection; 0 if an open one was used.
+	Opening time.Duration
 }
 
 // Caller sends attempts. An error is an *exchange.Error.
