Carry state and notices across to each region once

Cause: the first router of each zone pulled from the first of all (four of five pulls across a border), contended for the lease and read what all stores of kept prompts hold; notices of engines went to each router, 50 of 75 of them across a border.

Change: the first ones of zones pull from the first of their region, and that from the first of all; one router of a region contends for the lease and reads the stores of caches; a notice crosses to each region and each zone once, by relays that its tellers take in turn (orders by two of them). Where there is one region nothing changes.

Tests of notices give an audience in place of a function that returns addresses, as the constructor does now; what they ask for is as before.

--- a/internal/node/caches.go
+++ b/internal/node/caches.go
@@ -25,11 +25,11 @@
 	cacheTimeout = 300 * time.Millisecond
 )
 
-// cacheFollower reads the stores of kept prompt caches for all routers of its zone,
-// which pull what it learns. A store that cannot be read is taken for unknown after a
+// cacheFollower reads the stores of kept prompt caches for all routers of its region (of
+// its zone, if there is one region), which pull what it learns. A store that cannot be read is taken for unknown after a
 // while.
 type cacheFollower struct {
-	// reads reports whether this router reads for its zone.
+	// reads reports whether this router reads for them.
 	reads  func() bool
 	reader CacheReader
 	index  *promptcache.Index
--- a/internal/node/follower.go
+++ b/internal/node/follower.go
@@ -26,6 +26,8 @@
 	roster  *roster
 	client  puller
 	chain   *chainGuard
+	// audience is kept up to date with the routers there are.
+	audience *audience
 	// joined is called with this router's row and those of all, once it is written.
 	joined func(self upstream.Peer, peers []upstream.Peer)
 	// lost is called each time a dependency is lost.
--- a/internal/node/fuzz_test.go
+++ b/internal/node/fuzz_test.go
@@ -37,7 +37,7 @@
 		known.Update(now, []backend.Record{
 			{Instance: "a", Service: "s", Models: models}, {Instance: "b", Service: "s", Models: models},
 		})
-		(&notices{backends: known}).receive(netip.AddrPort{}, encoded)
+		(&notices{audience: &audience{}, backends: known}).receive(netip.AddrPort{}, encoded)
 		_, flight, found := known.Pick(now, &backend.Query{Service: "s", Model: model})
 		if found {
 			flight.Ended(now, backend.Abandoned)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -117,6 +117,7 @@
 			table: n.ports.Table, timeout: follow.ReadTimeout / 2,
 			node: n.config.Node, zone: n.config.Zone, addr: n.config.PeerAddr, life: ident.NewUnique(),
 		},
+		audience:  &audience{node: n.config.Node, zone: n.config.Zone, regions: n.config.Regions},
 		client:    upstream.NewClient(),
 		chain:     newChainGuard(follow.Chain),
 		lost:      func(name string) { n.metrics.dependencies.WithLabelValues(name).Inc() },
@@ -217,7 +218,7 @@
 		loops = append(loops, watcher.run)
 	}
 	if n.ports.Caches != nil && n.config.Off.On(mechanism.CacheIndex) {
-		caches := &cacheFollower{reads: follower.chain.leads, reader: n.ports.Caches, index: follower.replica.caches, holder: n.holder}
+		caches := &cacheFollower{reads: follower.chain.leadsRegion, reader: n.ports.Caches, index: follower.replica.caches, holder: n.holder}
 		loops = append(loops, caches.run)
 	}
 	return append(loops, n.ports.Loops...)
@@ -227,11 +228,11 @@
 const contendInterval = 200 * time.Millisecond
 
 // contend lets this router contend for the lease while it is the first of its
-// zone: a few routers are enough, and each contender costs calls. A holder goes
+// region, or of its zone if there is one region: a few routers are enough, and each contender costs calls. A holder goes
 // on, so that the lease does not change hands without need.
 func (n *Node) contend(ctx context.Context) {
 	wait.Every(ctx, contendInterval, func() {
-		n.lease.Contend(!n.stopping.Load() && (n.holdsLease() || n.follower.chain.leads()))
+		n.lease.Contend(!n.stopping.Load() && (n.holdsLease() || n.follower.chain.leadsRegion()))
 	})
 }
 
@@ -246,7 +247,7 @@
 	if !n.config.PeerAddr.IsValid() {
 		return nil, nil
 	}
-	return listenNotices(n.config.PeerAddr, n.backends, n.follower.roster.others)
+	return listenNotices(n.config.PeerAddr, n.backends, n.follower.audience)
 }
 
 func logOrder(order *rollout.Order, result rollout.Result) {
--- a/internal/node/notices.go
+++ b/internal/node/notices.go
@@ -29,35 +29,39 @@
 type notices struct {
 	socket   *net.UDPConn
 	backends *backend.Registry
-	// peers returns the addresses of all other routers.
-	peers func() []netip.AddrPort
+	// audience are the routers that are told.
+	audience *audience
 	// quotas takes in what other routers tell of limits; it may be nil.
 	quotas *quotas
 }
 
 var _ rollout.Announcer = (*notices)(nil)
 
-// datagram is what routers tell each other; one field is set.
+// datagram is what routers tell each other; one of the first three fields is set.
 type datagram struct {
 	Rollout *rollout.Notice `cbor:"1,keyasint,omitempty"`
 	Health  *health.Notice  `cbor:"2,keyasint,omitempty"`
 	Quota   *quota.Datagram `cbor:"3,keyasint,omitempty"`
+	// Scope says to whom the receiver passes the notice on.
+	Scope scope `cbor:"4,keyasint,omitempty"`
 }
 
 // listenNotices opens the socket for notices at an address.
-func listenNotices(addr netip.AddrPort, backends *backend.Registry, peers func() []netip.AddrPort) (*notices, error) {
+func listenNotices(addr netip.AddrPort, backends *backend.Registry, told *audience) (*notices, error) {
 	socket, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(addr))
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for notices")
 	}
-	return &notices{socket: socket, backends: backends, peers: peers}, nil
+	return &notices{socket: socket, backends: backends, audience: told}, nil
 }
 
 // Announce implements rollout.Announcer.
 func (n *notices) Announce(notice rollout.Notice) {
 	n.take(&notice)
 	for _, part := range splitNotice(notice) {
+		// It is told once only, so that it goes by two relays where there are some.
 		n.send(datagram{Rollout: &part})
+		n.carry(datagram{Rollout: &part}, n.audience.again())
 	}
 }
 
@@ -70,15 +74,23 @@
 }
 
 // send sends a datagram to all other routers.
-func (n *notices) send(told datagram) {
-	encoded, err := cbor.Marshal(told)
-	if err != nil {
-		log.WithFields(log.Fields{"cause": err.Error()}).Warn("notice_not_sent")
-		return
-	}
-	for _, addr := range n.peers() {
+func (n *notices) send(told datagram) { n.carry(told, n.audience.tell()) }
+
+// carry sends a datagram as the messages say.
+func (n *notices) carry(told datagram, messages []message) {
+	var encoded [toRegion + 1][]byte
+	for _, message := range messages {
+		if encoded[message.scope] == nil {
+			told.Scope = message.scope
+			data, err := cbor.Marshal(told)
+			if err != nil {
+				log.WithFields(log.Fields{"cause": err.Error()}).Warn("notice_not_sent")
+				return
+			}
+			encoded[message.scope] = data
+		}
 		// A datagram that cannot be sent is a notice that is lost.
-		_, _ = n.socket.WriteToUDPAddrPort(encoded, addr)
+		_, _ = n.socket.WriteToUDPAddrPort(encoded[message.scope], message.to)
 	}
 }
 
@@ -150,6 +162,7 @@
 	if cbor.Unmarshal(encoded, &told) != nil {
 		return
 	}
+	n.carry(told, n.audience.passOn(told.Scope))
 	if told.Rollout != nil {
 		n.take(told.Rollout)
 	}
--- a/internal/node/notices_test.go
+++ b/internal/node/notices_test.go
@@ -12,6 +12,7 @@
 	"github.com/fieldpond/fieldpond/internal/health"
 	"github.com/fieldpond/fieldpond/internal/ident"
 	"github.com/fieldpond/fieldpond/internal/rollout"
+	"github.com/fieldpond/fieldpond/internal/upstream"
 )
 
 func TestNoticesReachTheOtherRouters(t *testing.T) {
@@ -28,7 +29,7 @@
 		return known
 	}
 	open := func(known *backend.Registry, peers ...netip.AddrPort) *notices {
-		opened, err := listenNotices(netip.MustParseAddrPort("127.0.0.1:0"), known, func() []netip.AddrPort { return peers })
+		opened, err := listenNotices(netip.MustParseAddrPort("127.0.0.1:0"), known, audienceOf(peers...))
 		is.NoErr(err)
 		go opened.listen(t.Context())
 		return opened
@@ -80,11 +81,11 @@
 		})
 		return known
 	}
-	other, err := listenNotices(netip.MustParseAddrPort("127.0.0.1:0"), listed(), func() []netip.AddrPort { return nil })
+	other, err := listenNotices(netip.MustParseAddrPort("127.0.0.1:0"), listed(), audienceOf())
 	is.NoErr(err)
 	go other.listen(t.Context())
 	addr := other.socket.LocalAddr().(interface{ AddrPort() netip.AddrPort }).AddrPort()
-	teller, err := listenNotices(netip.MustParseAddrPort("127.0.0.1:0"), listed(), func() []netip.AddrPort { return []netip.AddrPort{addr} })
+	teller, err := listenNotices(netip.MustParseAddrPort("127.0.0.1:0"), listed(), audienceOf(addr))
 	is.NoErr(err)
 	defer func() { _ = teller.socket.Close() }()
 	tests := []struct {
@@ -111,6 +112,17 @@
 	}
 }
 
+// audienceOf returns the audience that routers at these addresses are.
+func audienceOf(addrs ...netip.AddrPort) *audience {
+	var peers []upstream.Peer
+	for index, addr := range addrs {
+		peers = append(peers, upstream.Peer{Node: ident.Node(fmt.Sprint("n", index)), Addr: addr})
+	}
+	told := &audience{}
+	told.know(peers)
+	return told
+}
+
 // eventually waits until a condition holds.
 func eventually(t *testing.T, holds func() bool) {
 	t.Helper()
--- a/internal/node/pull.go
+++ b/internal/node/pull.go
@@ -47,6 +47,26 @@
 	return leads
 }
 
+// relays reports whether this router is the first of its zone or, where there are several
+// regions, may pass notices on in its zone.
+func (g *chainGuard) relays() (relays bool) {
+	g.use(func(chain *upstream.Chain) {
+		most := 1
+		if chain.Regional() {
+			most = relaysPerZone
+		}
+		relays = chain.Joined() && chain.Rank() < most
+	})
+	return relays
+}
+
+// leadsRegion reports whether this router is the first of its region, or of its zone if
+// there is one region.
+func (g *chainGuard) leadsRegion() (leads bool) {
+	g.use(func(chain *upstream.Chain) { leads = chain.Joined() && chain.FirstOfRegion() })
+	return leads
+}
+
 // followed takes in that a peer pulls from this router.
 func (g *chainGuard) followed(peer upstream.Peer) {
 	g.use(func(chain *upstream.Chain) { chain.Followed(peer) })
@@ -111,7 +131,7 @@
 		seen.saw(err)
 		if err == nil {
 			f.replica.joined(self)
-			f.roster.know(peers)
+			f.audience.know(peers)
 			f.replica.counted(routers)
 			if f.joined != nil {
 				f.joined(self, peers)
@@ -219,11 +239,11 @@
 }
 
 // countRouters keeps the rows of the routers up to date while this router reads the
-// store for all or holds the lease, until ctx ends. The first of a zone, which tells
-// others what becomes of engines, reads them when their number is another one.
+// store for all or holds the lease, until ctx ends. Those that tell others what becomes of
+// engines, or pass that on, read them when their number is another one.
 func (f *follower) countRouters(ctx context.Context, holds func() bool) {
 	wait.Every(ctx, f.config.RosterInterval, func() {
-		changed := f.chain.leads() && f.replica.Routers() != len(f.roster.others())+1
+		changed := f.chain.relays() && f.replica.Routers() != f.audience.count()+1
 		if !f.chain.reads() && !holds() && !changed {
 			return
 		}
@@ -233,6 +253,6 @@
 			return
 		}
 		f.replica.counted(routers)
-		f.roster.know(peers)
+		f.audience.know(peers)
 	})
 }
--- a/internal/node/pull_test.go
+++ b/internal/node/pull_test.go
@@ -63,6 +63,7 @@
 			table: z.store, timeout: time.Second, node: node, zone: ident.Zone("z" + place),
 			addr: netip.MustParseAddrPort("10.0.0.1:1"), life: fmt.Sprint(time.Now()),
 		},
+		audience:  &audience{node: node},
 		client:    running,
 		chain:     newChainGuard(upstream.Config{Stagger: 700 * time.Millisecond, StaleAfter: 1400 * time.Millisecond}),
 		lost:      func(string) {},
--- a/internal/node/quotas_test.go
+++ b/internal/node/quotas_test.go
@@ -28,7 +28,7 @@
 	var routers []*quotaRouter
 	var peers []upstream.Peer
 	for index := range count {
-		socket, err := listenNotices(netip.MustParseAddrPort("127.0.0.1:0"), backend.NewRegistry(backend.Config{}), func() []netip.AddrPort { return nil })
+		socket, err := listenNotices(netip.MustParseAddrPort("127.0.0.1:0"), backend.NewRegistry(backend.Config{}), audienceOf())
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/node/roster.go
+++ b/internal/node/roster.go
@@ -42,9 +42,8 @@
 	addr    netip.AddrPort
 	life    string
 
-	mu    sync.Mutex
-	row   protocol.Row
-	addrs []netip.AddrPort
+	mu  sync.Mutex
+	row protocol.Row
 }
 
 func (r *roster) key() string { return routerPrefix + string(r.zone) + "/" + string(r.node) }
@@ -93,26 +92,6 @@
 	return peers, len(list.Rows), nil
 }
 
-// know takes in the other routers.
-func (r *roster) know(peers []upstream.Peer) {
-	var addrs []netip.AddrPort
-	for _, peer := range peers {
-		if peer.Node != r.node {
-			addrs = append(addrs, peer.Addr)
-		}
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.addrs = addrs
-}
-
-// others returns the addresses of the other routers, as read last.
-func (r *roster) others() []netip.AddrPort {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.addrs
-}
-
 // leave removes this router's row, unless a later life has written it anew.
 func (r *roster) leave(ctx context.Context) {
 	r.mu.Lock()
--- a/internal/upstream/chain.go
+++ b/internal/upstream/chain.go
@@ -3,8 +3,9 @@
 // Each router has a row in the store, and the revisions of these rows order the
 // routers, the longest running first. A router pulls the shared state from a peer
 // before it that is alive and has fresh state; the one that has no such peer reads
-// the store. The routers of a zone form a tree under its first one, which pulls
-// from the first router of all. State travels with its age, so that it is never
+// the store. The routers of a zone form a tree under its first one. The first ones of
+// zones pull from the first of their region, and those from the first router of all, so
+// that state crosses to each region once. State travels with its age, so that it is never
 // taken for newer than it is, however many peers it came through.
 //
 // Chain decides without I/O or clock; Client and Server carry the pulls.
@@ -17,6 +18,7 @@
 	"time"
 
 	"github.com/fieldpond/fieldpond/internal/ident"
+	"github.com/fieldpond/fieldpond/internal/region"
 )
 
 // Peer is a router, as its row in the store tells.
@@ -68,6 +70,8 @@
 	// StaleAfter is the age at which state of a peer counts as stale.
 	// Default: 2s.
 	StaleAfter time.Duration
+	// Regions tells which zones lie in one region. Default: all do.
+	Regions region.Map
 }
 
 const (
@@ -105,10 +109,11 @@
 	cfg    Config
 	self   Peer
 	joined bool
-	// near are the peers of this zone before this router, far those of other
-	// zones, each by revision.
-	near, far []*link
-	followers []*link
+	// near are the peers of this zone before this router, regional those of other
+	// zones of its region if there are several regions, and far all others, each by
+	// revision.
+	near, regional, far []*link
+	followers           []*link
 	// supplied is true if the last pull brought fresh state.
 	supplied bool
 }
@@ -128,18 +133,21 @@
 // written.
 func (c *Chain) Join(self Peer, peers []Peer) {
 	c.self, c.joined = self, true
-	c.near, c.far = nil, nil
+	c.near, c.regional, c.far = nil, nil, nil
 	for _, peer := range peers {
 		switch {
 		case peer.Revision >= self.Revision || peer.Node == self.Node:
 		case peer.Zone == self.Zone:
 			c.near = append(c.near, &link{peer: peer})
+		case c.cfg.Regions.Several() && c.cfg.Regions.Same(peer.Zone, self.Zone):
+			c.regional = append(c.regional, &link{peer: peer})
 		default:
 			c.far = append(c.far, &link{peer: peer})
 		}
 	}
-	slices.SortFunc(c.near, byRevision)
-	slices.SortFunc(c.far, byRevision)
+	for _, links := range [][]*link{c.near, c.regional, c.far} {
+		slices.SortFunc(links, byRevision)
+	}
 }
 
 // ByRevision compares two routers: the one that joined first comes first.
@@ -169,12 +177,12 @@
 // Next returns where to read the shared state, whose present copy has an age.
 func (c *Chain) Next(now time.Time, age time.Duration) Source {
 	usable := func(known *link) bool { return !now.Before(known.retryAt) }
-	for _, group := range [][]*link{c.ancestors(), c.near, c.far} {
+	for _, group := range [][]*link{c.ancestors(), c.near, c.regional, c.far} {
 		if index := slices.IndexFunc(group, usable); index >= 0 {
 			return group[index].peer
 		}
 	}
-	retryAt := soonest(soonest(time.Time{}, c.near), c.far)
+	retryAt := soonest(soonest(soonest(time.Time{}, c.near), c.regional), c.far)
 	if age <= c.cfg.StaleAfter {
 		return Store{RetryAt: earliest(retryAt, now.Add(c.cfg.StaleAfter-age))}
 	}
@@ -247,11 +255,12 @@
 	}
 	other := func(link *link) bool { return link == known }
 	c.near, c.far = slices.DeleteFunc(c.near, other), slices.DeleteFunc(c.far, other)
+	c.regional = slices.DeleteFunc(c.regional, other)
 	c.Followed(known.peer)
 }
 
 func (c *Chain) find(node ident.Node) *link {
-	for _, links := range [][]*link{c.near, c.far, c.followers} {
+	for _, links := range [][]*link{c.near, c.regional, c.far, c.followers} {
 		for _, known := range links {
 			if known.peer.Node == node {
 				return known
@@ -267,7 +276,12 @@
 
 // First reports whether no peer before this router is known to be up: it reads
 // the store for all.
-func (c *Chain) First() bool { return alive(c.near) == 0 && alive(c.far) == 0 }
+func (c *Chain) First() bool { return c.FirstOfRegion() && alive(c.far) == 0 }
+
+// FirstOfRegion reports whether no peer of its region before this router is known to be
+// up. Where there is one region, that is the first of each zone, as its zones share no
+// router that speaks for them.
+func (c *Chain) FirstOfRegion() bool { return alive(c.near) == 0 && alive(c.regional) == 0 }
 
 func alive(links []*link) int {
 	count := 0
@@ -279,6 +293,9 @@
 	return count
 }
 
+// Regional reports whether the routers are in several regions.
+func (c *Chain) Regional() bool { return c.cfg.Regions.Several() }
+
 // Joined reports whether this router has a row.
 func (c *Chain) Joined() bool { return c.joined }
 
