--- a/internal/node/pull_test.go
+++ b/internal/node/pull_test.go
@@ -17,6 +17,7 @@
 	"github.com/fieldpond/fieldpond/internal/catalog"
 	"github.com/fieldpond/fieldpond/internal/ident"
 	"github.com/fieldpond/fieldpond/internal/promptcache"
+	"github.com/fieldpond/fieldpond/internal/region"
 	"github.com/fieldpond/fieldpond/internal/store"
 	"github.com/fieldpond/fieldpond/internal/upstream"
 	"github.com/fieldpond/fieldpond/internal/wait"
@@ -27,8 +28,13 @@
 type zone struct {
 	store *fakeStore
 
+	// regions tells the regions of the routers' zones.
+	regions region.Map
+
 	mu      sync.Mutex
 	routers map[ident.Node]*zoneRouter
+	// apart tells which zones do not reach each other; nil means that all do.
+	apart func(a, b ident.Zone) bool
 }
 
 type zoneRouter struct {
@@ -65,7 +71,7 @@
 		},
 		audience:  &audience{node: node},
 		client:    running,
-		chain:     newChainGuard(upstream.Config{Stagger: 700 * time.Millisecond, StaleAfter: 1400 * time.Millisecond}),
+		chain:     newChainGuard(upstream.Config{Stagger: 700 * time.Millisecond, StaleAfter: 1400 * time.Millisecond, Regions: z.regions}),
 		lost:      func(string) {},
 		pulled:    func(string) {},
 		startedAt: time.Now(),
@@ -145,7 +151,12 @@
 	r.zone.mu.Lock()
 	asked := r.zone.routers[peer.Node]
 	dead := asked == nil || asked.dead
+	apart := r.zone.apart != nil && r.zone.apart(pull.From.Zone, peer.Zone)
 	r.zone.mu.Unlock()
+	if apart {
+		wait.For(ctx, 250*time.Millisecond)
+		return nil, time.Time{}, errors.New("timed out")
+	}
 	if dead {
 		wait.For(ctx, 10*time.Millisecond)
 		return nil, time.Time{}, errors.New("refused")
