Pass over a region that cannot be reached, and show choices across regions

Cause: cut off from another region, a router waited out the opening of a connection (300 ms) for each prompt with its home there, engine by engine.

Attempts tell their distance in log and metrics; regions_lost tells which regions are not reached.

The test of stores of caches keeps its cases and has four more.

--- a/internal/backend/choose.go
+++ b/internal/backend/choose.go
@@ -35,6 +35,7 @@
 		Record: best.record, Version: flight.version, Home: best == home,
 		Predicted: predicted, Queued: queued, Late: r.usualLateness(now, best),
 		Told: best.told.wait(now), Congestion: r.congestion(now, query.Service), Candidates: candidates,
+		Distance: r.config.Regions.Between(r.config.Zone, best.record.Zone),
 	}
 	if home != nil {
 		choice.HomeZone = home.record.Zone
@@ -138,6 +139,9 @@
 		cost += uncertainPenalty.Seconds()
 	}
 	cost += r.hop(candidate).Seconds()
+	if r.lost(now, candidate) {
+		cost += failurePenalty.Seconds()
+	}
 	candidate.decay(now)
 	// One failure in few attempts says less than many in a row.
 	cost += candidate.failed / (candidate.tried + 2) * failurePenalty.Seconds()
--- a/internal/backend/flight.go
+++ b/internal/backend/flight.go
@@ -35,6 +35,7 @@
 	}
 	f.first = true
 	f.target.heardAt = now
+	f.registry.answered(f.target)
 }
 
 // ToldBusy reports whether another router lately found that the back end answers and
@@ -54,15 +55,23 @@
 	target.decay(now)
 	switch outcome {
 	case Answered:
+		f.registry.answered(target)
 		target.tried++
 		target.pause = 0
 	case Failed:
+		f.registry.answered(target)
 		target.tried++
 		target.failed += 0.5
 	case Broken, Silent:
+		if outcome == Silent {
+			f.registry.unanswered(now, target)
+		}
 		target.tried++
 		target.failed++
 	case Unreachable, Misdirected:
+		if outcome == Unreachable {
+			f.registry.unanswered(now, target)
+		}
 		target.tried++
 		target.failed++
 		target.pause = min(max(2*target.pause, firstPause), maxPause)
--- a/internal/backend/home.go
+++ b/internal/backend/home.go
@@ -17,9 +17,9 @@
 		return nil
 	}
 	serves := func(known *state) bool { return !known.record.Draining }
-	heard := func(known *state) bool { return serves(known) && !known.toldSilent(now) }
+	heard := func(known *state) bool { return serves(known) && !known.toldSilent(now) && !r.lost(now, known) }
 	if r.config.Regions.Several() {
-		place := r.homeRegion(query)
+		place := r.homeRegion(now, query)
 		near := func(known *state) bool { return heard(known) && r.config.Regions.Of(known.record.Zone) == place }
 		if best := r.firstRanked(query, near); best != nil {
 			return best
@@ -34,11 +34,12 @@
 // homeRegion returns the region of the home of a prompt, the same at every router.
 // Regions get prompts in proportion to their back ends, silent ones included. A prompt
 // keeps its region while the shares do, whichever back ends come and go, so that whoever
-// stands in for its home fetches what was kept of it within the region.
-func (r *Registry) homeRegion(query *Query) ident.Region {
+// stands in for its home fetches what was kept of it within the region. Regions that
+// cannot be reached from here have no share.
+func (r *Registry) homeRegion(now time.Time, query *Query) ident.Region {
 	counts := make(map[ident.Region]int)
 	for _, known := range r.services[query.Service] {
-		if !known.record.Draining {
+		if !known.record.Draining && !r.lost(now, known) {
 			counts[r.config.Regions.Of(known.record.Zone)]++
 		}
 	}
--- a/internal/backend/record.go
+++ b/internal/backend/record.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/fieldpond/fieldpond/internal/ident"
+	"github.com/fieldpond/fieldpond/internal/region"
 )
 
 // Record is what the list of back ends says of one.
@@ -45,6 +46,8 @@
 	// HomeZone is the zone of the back end that does, whichever was chosen; it is
 	// empty if the prompt has no home.
 	HomeZone ident.Zone
+	// Distance is how far the back end is from this router.
+	Distance region.Distance
 	// Predicted is the expected time to the first byte of the answer.
 	Predicted time.Duration
 	// Queued is the part of Predicted that is due to other attempts of this router.
--- a/internal/backend/registry.go
+++ b/internal/backend/registry.go
@@ -23,6 +23,8 @@
 	listedAt   time.Time
 	lapses     lapses
 	trips      trips
+	// reaches are those of other regions with back ends that failed lately.
+	reaches map[ident.Region]*reach
 }
 
 // NewRegistry returns a registry that knows no back end.
@@ -34,6 +36,7 @@
 		latenesses: make(map[ident.Service]*serviceLateness),
 		byID:       make(map[ident.Incarnation]*state),
 		trips:      make(trips),
+		reaches:    make(map[ident.Region]*reach),
 	}
 }
 
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -141,27 +141,35 @@
 	is.True(of(catalog.Service{Name: "engines"}).CacheStore(region.Map{}, "", 1) == nil)
 }
 
-func TestAStoreInTheHomeZoneGoesFirst(t *testing.T) {
+// The store of a prompt is in the zone of its home, else in its region, else anywhere.
+func TestTheNearestStoreGoesFirst(t *testing.T) {
 	store := func(name ident.Service, zone ident.Zone) catalog.Service {
 		return catalog.Service{Name: name, CacheStore: netip.MustParseAddrPort("10.0.0.1:1"), Zone: zone}
 	}
 	snapshot := catalog.NewSnapshot(catalog.Content{
 		Version: 1, Services: []catalog.Service{store("a", "x"), store("b", "y"), store("c", "y")},
 	})
+	regions := region.NewMap(map[ident.Zone]ident.Region{"x": "west", "y": "east", "x2": "west", "y2": "east", "far": "north"})
 	tests := []struct {
-		zone ident.Zone
-		want []ident.Service
+		name    string
+		regions region.Map
+		zone    ident.Zone
+		want    []ident.Service
 	}{
-		{"x", []ident.Service{"a"}},
-		{"y", []ident.Service{"b", "c"}},
-		{"z", []ident.Service{"a", "b", "c"}},
+		{"in the zone", region.Map{}, "x", []ident.Service{"a"}},
+		{"two in the zone", region.Map{}, "y", []ident.Service{"b", "c"}},
+		{"none in the zone", region.Map{}, "z", []ident.Service{"a", "b", "c"}},
+		{"in the zone, of several regions", regions, "x", []ident.Service{"a"}},
+		{"in the region", regions, "x2", []ident.Service{"a"}},
+		{"two in the region", regions, "y2", []ident.Service{"b", "c"}},
+		{"none in the region", regions, "far", []ident.Service{"a", "b", "c"}},
 	}
 	for _, tt := range tests {
-		t.Run(string(tt.zone), func(t *testing.T) {
+		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
 			used := map[ident.Service]bool{}
 			for key := range uint64(100) {
-				used[snapshot.CacheStore(region.Map{}, tt.zone, key).Name] = true
+				used[snapshot.CacheStore(tt.regions, tt.zone, key).Name] = true
 			}
 			is.Equal(len(used), len(tt.want))
 			for _, name := range tt.want {
--- a/internal/node/events.go
+++ b/internal/node/events.go
@@ -16,7 +16,7 @@
 // The fields that every event about a request has, and those of an attempt.
 var (
 	requestFields = []string{"request", "elapsed_ms", "route", "config_version", "config_age_ms"}
-	attemptFields = []string{"attempt", "instance", "record_revision", "home", "predicted_ms", "candidates", "weights"}
+	attemptFields = []string{"attempt", "instance", "record_revision", "home", "distance", "predicted_ms", "candidates", "weights"}
 )
 
 func with(fields []string, more ...string) []string {
@@ -48,12 +48,13 @@
 		{"namings_not_found", []string{"model", "cause"}, "The times of namings could not be read."},
 		{"lease is held", []string{"lease", "fence"}, "This router may order from now on."},
 		{"lease is not held any more", []string{"lease", "fence"}, "This router may not order any more."},
+		{"regions_lost", []string{"lost", "before"}, "The regions whose back ends this router does not reach now, and those that it did not reach before."},
 		{"engines_silent", []string{"silent", "answering"}, "The first router of a zone told which of its engines do not answer its checks, and which do again."},
 		{"notice_not_sent", []string{"cause"}, "A notice could not be encoded; the other routers learn of the engines from the list."},
 		{"engines_change", []string{"model", "version", "loading", "loaded", "unsettled"}, "The holder of the lease told which engines are about to take a version, which have it, and which did not say that they take it."},
 		{"quota_leader_changed", []string{"from", "to"}, "Another router grants what tenants with limits may use here; from and to are addresses, to is this router's own if it reaches no older one."},
 		{"order", []string{"instance", "model", "version", "fence", "sequence", "result"}, "An order was sent to an engine."},
-		{"sent", with(requestFields, attemptFields...), "An attempt leaves for a back end; predicted_ms is the expected time to its first byte."},
+		{"sent", with(requestFields, attemptFields...), "An attempt leaves for a back end; predicted_ms is the expected time to its first byte, distance says whether it is in this zone, in this region or in another region."},
 		{"attempt_ended", with(requestFields, append(attemptFields, "outcome", "cause")...), "An attempt is over."},
 		{"answered", with(requestFields, "status", "events", "cause"), "The whole answer was passed on."},
 		{"refused", with(requestFields, "fault", "detail", "ran", "cause"), "The final answer is the router's own; ran says whether the request may have run."},
--- a/internal/node/log.go
+++ b/internal/node/log.go
@@ -33,6 +33,7 @@
 		fields["instance"] = step.Choice.Instance
 		fields["record_revision"] = step.Choice.Revision
 		fields["home"] = step.Choice.Home
+		fields["distance"] = step.Choice.Distance.String()
 		fields["predicted_ms"] = step.Choice.Predicted.Milliseconds()
 		fields["candidates"] = step.Choice.Candidates
 		if step.Choice.Version > 0 {
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -34,6 +34,7 @@
 	registry     *telemetry.Registry
 	requests     *prometheus.CounterVec
 	attempts     *prometheus.CounterVec
+	distances    *prometheus.CounterVec
 	refusals     *prometheus.CounterVec
 	answerTime   *prometheus.HistogramVec
 	orders       *prometheus.CounterVec
@@ -52,6 +53,7 @@
 	readsStore           bool
 	routers              int
 	quotaMembers         int
+	regionsLost          int
 	linesDropped         uint64
 }
 
@@ -61,6 +63,7 @@
 		registry:     registry,
 		requests:     registry.Counter("edge_requests_total", "Requests by their end: answered, refused, broken or client_gone.", "end"),
 		attempts:     registry.Counter("edge_attempts_total", "Attempts at back ends, by outcome.", "outcome"),
+		distances:    registry.Counter("edge_attempt_distances_total", "Attempts at back ends, by their distance: zone, region or other_region.", "distance"),
 		refusals:     registry.Counter("edge_refusals_total", "Final answers of the router's own, by kind and by what ran.", "kind", "ran"),
 		answerTime:   registry.Histogram("edge_answer_seconds", "Time from the arrival of a request to the end of its answer, in seconds.", answerBuckets, "end"),
 		orders:       registry.Counter("edge_orders_total", "Orders to engines, by result.", "result"),
@@ -80,6 +83,7 @@
 	group.Gauge("edge_reads_store", "1 while this router reads the store for all.", func(r reading) int { return oneIf(r.readsStore) })
 	group.Gauge("edge_routers", "Routers in all zones, as counted last; 0 for not known.", func(r reading) int { return r.routers })
 	group.Gauge("edge_quota_members", "Routers whose claims on the limits of tenants this router grants.", func(r reading) int { return r.quotaMembers })
+	group.Gauge("edge_regions_lost", "Other regions whose back ends this router does not reach now.", func(r reading) int { return r.regionsLost })
 	group.Counter("edge_log_lines_dropped_total", "Log lines that were not written.", func(r reading) uint64 { return r.linesDropped })
 	group.Register()
 	return m
@@ -101,6 +105,7 @@
 func (m *metrics) step(step *forward.Step) {
 	if step.Kind == forward.StepAttemptEnded {
 		m.attempts.WithLabelValues(step.Outcome.String()).Inc()
+		m.distances.WithLabelValues(step.Choice.Distance.String()).Inc()
 	}
 	if !ends[step.Kind] {
 		return
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -150,6 +151,7 @@
 	now.readsStore = n.follower.chain.reads()
 	now.routers = n.follower.replica.Routers()
 	now.quotaMembers = n.quotas.members()
+	now.regionsLost = len(n.backends.Lost(time.Now()))
 	if n.ports.LinesDropped != nil {
 		now.linesDropped = n.ports.LinesDropped()
 	}
@@ -221,9 +223,28 @@
 		caches := &cacheFollower{reads: follower.chain.leadsRegion, reader: n.ports.Caches, index: follower.replica.caches, holder: n.holder}
 		loops = append(loops, caches.run)
 	}
+	if n.config.Regions.Several() {
+		loops = append(loops, n.watchRegions)
+	}
 	return append(loops, n.ports.Loops...)
 }
 
+// regionInterval is the time between two looks at which regions are lost; it is shorter
+// than a region is passed over.
+const regionInterval = 500 * time.Millisecond
+
+// watchRegions logs which regions are lost, whenever that changes, until ctx ends.
+func (n *Node) watchRegions(ctx context.Context) {
+	var before []ident.Region
+	wait.Every(ctx, regionInterval, func() {
+		lost := n.backends.Lost(time.Now())
+		if !slices.Equal(lost, before) {
+			log.WithFields(log.Fields{"lost": lost, "before": before}).Warn("regions_lost")
+		}
+		before = lost
+	})
+}
+
 // contendInterval is the time between two decisions to contend for the lease.
 const contendInterval = 200 * time.Millisecond
 
