Keep what isolated tenants' prompts begin with in one region

Cause: no other tenant brings the first part of an isolated tenant's prompts to an engine or a store; with homes in three regions it was read three times for each version of the weights.

Change: the region of such a home is drawn by the tenant and the first part, its engine there by the whole shared part.

--- a/internal/backend/distance_test.go
+++ b/internal/backend/distance_test.go
@@ -287,3 +287,32 @@
 		})
 	}
 }
+
+// Prompts with one region key have their homes in one region, at several of its engines;
+// those with others are spread over all.
+func TestARegionKeyDrawsTheRegionOfHomes(t *testing.T) {
+	is := is.New(t)
+	records := fleet(map[ident.Zone]int{"a1": 3, "a2": 3, "b1": 3, "b2": 3, "c1": 3, "c2": 3})
+	places := map[ident.Region]bool{}
+	for family := uint64(1); family <= 12; family++ {
+		engines, regionsOfFamily := map[ident.Incarnation]bool{}, map[ident.Region]bool{}
+		known := regional("a1", records...)
+		for key := uint64(1); key <= 30; key++ {
+			wanted := &backend.Query{
+				Service: "s", Model: model, HomeKey: key * 0x9e3779b97f4a7c15, RegionKey: family * 0x9e3779b97f4a7c15,
+				SharedTokens: 60_000, OwnTokens: 1,
+			}
+			choice, flight := pick(t, known, start, wanted)
+			is.True(choice.Home)
+			flight.Ended(start, backend.Answered)
+			engines[choice.Instance] = true
+			regionsOfFamily[regions.Of(choice.Zone)] = true
+		}
+		is.Equal(len(regionsOfFamily), 1)
+		is.True(len(engines) >= 4) // of six
+		for place := range regionsOfFamily {
+			places[place] = true
+		}
+	}
+	is.Equal(len(places), 3)
+}
--- a/internal/backend/home.go
+++ b/internal/backend/home.go
@@ -1,6 +1,7 @@
 package backend
 
 import (
+	"cmp"
 	"math"
 	"time"
 
@@ -43,10 +44,11 @@
 			counts[r.config.Regions.Of(known.record.Zone)]++
 		}
 	}
+	key := cmp.Or(query.RegionKey, query.HomeKey)
 	var best ident.Region
 	bestDraw := math.Inf(1)
 	for place, count := range counts {
-		draw := weightedDraw(rendezvous.Score(query.HomeKey, ident.Engine(place)), count)
+		draw := weightedDraw(rendezvous.Score(key, ident.Engine(place)), count)
 		if draw < bestDraw || (draw == bestDraw && place < best) {
 			best, bestDraw = place, draw
 		}
--- a/internal/backend/record.go
+++ b/internal/backend/record.go
@@ -108,6 +108,8 @@
 	// HomeKey ranks back ends by the shared part of the prompt; 0 means that
 	// nothing is shared.
 	HomeKey uint64
+	// RegionKey draws the region of the home; 0 means that HomeKey does.
+	RegionKey uint64
 	// SpreadKey orders back ends of equal cost.
 	SpreadKey uint64
 	// SharedTokens and OwnTokens are the lengths of the prompt's shared and
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -286,7 +286,7 @@
 	}
 	query.SharedTokens, query.OwnTokens = prompt.lengths()
 	if key, shared := r.homeKey(); shared {
-		query.HomeKey, query.SpreadKey = key, key
+		query.HomeKey, query.SpreadKey, query.RegionKey = key, key, r.regionKey()
 	}
 	return query
 }
@@ -367,6 +367,17 @@
 	return xxhash.Sum64String(r.wall() + r.request.Prompt.Parts[last].ID), true
 }
 
+// regionKey draws the region of the prompt's home. Prompts of an isolated tenant that
+// begin with the same part lie in one region: nobody else brings that part to another one,
+// where it would be read once more. Others are spread by the whole shared part, as what
+// they begin with is soon kept everywhere.
+func (r *run) regionKey() uint64 {
+	if r.wall() == "" {
+		return 0
+	}
+	return xxhash.Sum64String(r.wall() + r.request.Prompt.Parts[0].ID)
+}
+
 const (
 	// priorityStep leaves room for the route's priority under the tenant's.
 	priorityStep = 3
