--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -142,7 +142,7 @@
 }
 
 // The store of a prompt is in the zone of its home, else in its region, else anywhere.
-func TestTheNearestStoreGoesFirst(t *testing.T) {
+func TestAStoreInTheHomeZoneGoesFirst(t *testing.T) {
 	store := func(name ident.Service, zone ident.Zone) catalog.Service {
 		return catalog.Service{Name: name, CacheStore: netip.MustParseAddrPort("10.0.0.1:1"), Zone: zone}
 	}
