Tell notices of orders once where there is one region

Cause: the second telling of orders by other relays was not bound to several regions: in a fleet of one region each router got them twice.

The test failed before.

--- a/internal/node/audience.go
+++ b/internal/node/audience.go
@@ -101,10 +101,14 @@
 	return messages
 }
 
-// again returns the messages that carry the notice that was told last to the next relays.
+// again returns the messages that carry the notice that was told last to the next relays,
+// if there are any.
 func (a *audience) again() []message {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if !a.regions.Several() {
+		return nil
+	}
 	a.turn++
 	var messages []message
 	for _, relays := range a.zones {
--- a/internal/node/audience_test.go
+++ b/internal/node/audience_test.go
@@ -133,3 +133,31 @@
 		})
 	}
 }
+
+// Where there is one region each router was told directly, and nothing is told again.
+func TestWhoIsToldAgain(t *testing.T) {
+	three := region.NewMap(map[ident.Zone]ident.Region{"a1": "a", "a2": "a", "b1": "b", "c1": "c"})
+	tests := []struct {
+		name    string
+		regions region.Map
+		want    int
+	}{
+		{"one region", region.Map{}, 0},
+		{"three regions", three, 3}, // the other zone of the region, and two regions
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			routers := fleetOf(tt.regions, 2, "a1", "a2", "b1", "c1")
+			first := routers[0].audience.tell()
+			again := routers[0].audience.again()
+			is.Equal(len(again), tt.want)
+			for _, message := range again {
+				is.True(message.scope != toNobody)
+				for _, earlier := range first {
+					is.True(earlier.to != message.to) // by another relay
+				}
+			}
+		})
+	}
+}
