--- a/internal/backend/choose.go
+++ b/internal/backend/choose.go
@@ -21,7 +21,7 @@
 	if best == nil {
 		return Choice{}, nil, false
 	}
-	predicted, queued := r.predict(best, query, best == home), r.queued(best, query)
+	predicted, queued := r.predict(best, query, home), r.queued(best, query)
 	flight := &Flight{
 		registry: r, target: best, dueAt: now.Add(predicted),
 		model: query.Model, version: best.version(now, query.Model),
@@ -39,6 +39,7 @@
 		Predicted: predicted, Queued: queued, Late: r.usualLateness(now, best),
 		Told: best.told.wait(now), Congestion: r.congestion(now, query.Service), Candidates: candidates,
 		Uncached: r.uncached(query), Releases: query.Releases,
+		Distance: r.config.Regions.Between(r.config.Zone, best.record.Zone),
 	}
 	if home != nil {
 		choice.HomeZone = home.record.Zone
@@ -87,7 +88,7 @@
 		if !candidate.eligible(now, query) {
 			continue
 		}
-		cost := r.cost(now, candidate, query, candidate == home)
+		cost := r.cost(now, candidate, query, home)
 		if math.IsInf(cost, 1) {
 			continue
 		}
@@ -101,48 +102,16 @@
 	return best, candidates
 }
 
-// home returns the back end that ranks first for the shared part of the prompt among
-// those allowed, whether it is usable now or not. One that was told silent is passed
-// over: as all routers are told so, they agree on the next one.
-func (r *Registry) home(now time.Time, query *Query, allowed []*state) *state {
-	if query.HomeKey == 0 || !r.config.Off.On(mechanism.HomeEngines) {
-		return nil
-	}
-	heard := func(known *state) bool { return !known.record.Draining && !known.toldSilent(now) && !known.gone(now) }
-	if best := firstRanked(query, allowed, heard); best != nil {
-		return best
-	}
-	return firstRanked(query, allowed, func(known *state) bool { return !known.record.Draining })
-}
-
-// firstRanked returns the back end that ranks first for the shared part of the prompt
-// among those that fit, or nil.
-func firstRanked(query *Query, allowed []*state, fits func(*state) bool) *state {
-	var best *state
-	var bestScore uint64
-	for _, candidate := range allowed {
-		if !fits(candidate) {
-			continue
-		}
-		name := ident.Engine(candidate.record.Instance)
-		score := rendezvous.Score(query.HomeKey, name)
-		if best == nil || rendezvous.Better(score, name, bestScore, ident.Engine(best.record.Instance)) {
-			best, bestScore = candidate, score
-		}
-	}
-	return best
-}
-
 // predict returns the expected time to the first byte of the answer.
-func (r *Registry) predict(candidate *state, query *Query, home bool) time.Duration {
+func (r *Registry) predict(candidate *state, query *Query, home *state) time.Duration {
 	if query.Model == "" {
 		ahead := float64(len(candidate.flights)) / float64(max(candidate.record.Slots, 1))
 		return query.Expected + time.Duration(ahead*float64(query.Expected))
 	}
 	learned := r.reading(query.Service)
 	predicted := learned.of(candidate.waitingTokens() + query.OwnTokens)
-	if !home {
-		predicted += time.Duration(spillPrice * float64(learned.of(query.SharedTokens)))
+	if candidate != home {
+		predicted += time.Duration(r.spillPrice(candidate, home) * float64(learned.of(query.SharedTokens)))
 	}
 	return predicted
 }
@@ -210,7 +179,7 @@
 
 // cost returns the expected time, in seconds, with the risks of the back end
 // added to it.
-func (r *Registry) cost(now time.Time, candidate *state, query *Query, home bool) float64 {
+func (r *Registry) cost(now time.Time, candidate *state, query *Query, home *state) float64 {
 	predicted := r.predict(candidate, query, home)
 	cost := (predicted + candidate.excessAt(now) + candidate.told.wait(now)).Seconds()
 	switch candidate.versionRisk(now, query, predicted) {
@@ -219,8 +188,9 @@
 	case versionUncertain:
 		cost += uncertainPenalty.Seconds()
 	}
-	if candidate.record.Zone != r.config.Zone {
-		cost += r.config.ZoneHop.Seconds()
+	cost += r.hop(candidate).Seconds()
+	if r.lost(now, candidate) {
+		cost += failurePenalty.Seconds()
 	}
 	candidate.decay(now)
 	// One failure in few attempts says less than many in a row.
--- a/internal/backend/registry.go
+++ b/internal/backend/registry.go
@@ -24,6 +24,9 @@
 	lapses     lapses
 	// newlyGone are the back ends that this router found gone and has not told yet.
 	newlyGone []ident.Incarnation
+	trips     trips
+	// reaches are those of other regions with back ends that failed lately.
+	reaches map[ident.Region]*reach
 }
 
 // NewRegistry returns a registry that knows no back end.
@@ -34,6 +37,8 @@
 		readings:   make(map[ident.Service]*reading),
 		latenesses: make(map[ident.Service]*serviceLateness),
 		byID:       make(map[ident.Incarnation]*state),
+		trips:      make(trips),
+		reaches:    make(map[ident.Region]*reach),
 	}
 }
 
--- a/internal/exchange/connection.go
+++ b/internal/exchange/connection.go
@@ -30,4 +30,6 @@
 	told                 bool
 	// ackWithin is how long sent bytes may stay unacknowledged.
 	ackWithin time.Duration
+	// opening is how long it took to open, until the first exchange has told it.
+	opening time.Duration
 }
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -169,6 +169,7 @@
 }
 
 func (p *Pool) dial(ctx context.Context, address string) (*connection, error) {
+	begun := time.Now()
 	opened, err := p.dialer.DialContext(ctx, "tcp4", address)
 	if err != nil {
 		p.forget(address)
@@ -177,7 +178,7 @@
 	p.connected(address)
 	return &connection{
 		Conn: opened, address: address, reader: bufio.NewReaderSize(opened, readerBytes),
-		ackWithin: p.options.UserTimeout,
+		ackWithin: p.options.UserTimeout, opening: time.Since(begun),
 	}, nil
 }
 
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -296,7 +296,7 @@
 	}
 	query.SharedTokens, query.OwnTokens = prompt.lengths()
 	if key, shared := r.homeKey(); shared {
-		query.HomeKey, query.SpreadKey = key, key
+		query.HomeKey, query.SpreadKey, query.RegionKey = key, key, r.regionKey()
 	}
 	return query
 }
@@ -333,7 +333,7 @@
 // describeCache names the store of kept prompt caches that the attempt uses.
 func (r *run) describeCache(attempt *Attempt, homeZone ident.Zone) {
 	key, shared := r.homeKey()
-	store := r.view.Snapshot.CacheStore(homeZone, key)
+	store := r.view.Snapshot.CacheStore(r.forwarder.config.Regions, homeZone, key)
 	if store == nil || !r.forwarder.config.Off.On(mechanism.CacheStore) {
 		return
 	}
@@ -377,6 +377,17 @@
 	return xxhash.Sum64String(r.wall() + r.request.Prompt.Parts[last].ID), true
 }
 
+// regionKey draws the region of the prompt's home. Prompts of an isolated tenant that
+// begin with the same part lie in one region: nobody else brings that part to another one,
+// where it would be read once more. Others are spread by the whole shared part, as what
+// they begin with is soon kept everywhere.
+func (r *run) regionKey() uint64 {
+	if r.wall() == "" {
+		return 0
+	}
+	return xxhash.Sum64String(r.wall() + r.request.Prompt.Parts[0].ID)
+}
+
 const (
 	// priorityStep leaves room for the route's priority under the tenant's.
 	priorityStep = 3
--- a/internal/node/canaryfleet_test.go
+++ b/internal/node/canaryfleet_test.go
@@ -180,7 +180,7 @@
 	follower.roster.addr = life.addr
 	states := &rolloutStates{table: blindTable{f.store, f}, writer: f, timeout: time.Second}
 	life.canaries = newCanaries(guardedBounds, &canaries{
-		self: life.addr, peers: follower.roster.others, refresh: follower.readRoster, lease: life,
+		self: life.addr, peers: follower.audience.others, refresh: follower.readRoster, lease: life,
 		backends: life.backends, states: states, metrics: newMetrics(func() reading { return reading{} }),
 		send: life.send,
 	})
@@ -219,7 +219,8 @@
 	}
 	time.AfterFunc(time.Millisecond, func() {
 		if receiver := r.fleet.receiver(r.node, to); receiver != nil {
-			(&notices{backends: receiver.backends, canaries: receiver.canaries}).receive(r.addr, encoded)
+			arriving := &notices{audience: &audience{}, backends: receiver.backends, canaries: receiver.canaries}
+			arriving.receive(r.addr, encoded)
 		}
 	})
 }
--- a/internal/node/events.go
+++ b/internal/node/events.go
@@ -16,7 +16,7 @@
 // The fields that every event about a request has, and those of an attempt.
 var (
 	requestFields = []string{"request", "elapsed_ms", "route", "config_version", "config_age_ms"}
-	attemptFields = []string{"attempt", "instance", "record_revision", "home", "predicted_ms", "candidates", "weights", "release", "releases"}
+	attemptFields = []string{"attempt", "instance", "record_revision", "home", "distance", "predicted_ms", "candidates", "weights", "release", "releases"}
 	// Those of events about rollouts, and about the writing of their states.
 	rolloutFields = []string{"service", "target", "order"}
 	stateFields   = []string{"service", "phase", "version"}
@@ -53,6 +53,7 @@
 		{"namings_not_found", []string{"model", "cause"}, "The times of namings could not be read."},
 		{"lease is held", []string{"lease", "fence"}, "This router may order from now on."},
 		{"lease is not held any more", []string{"lease", "fence"}, "This router may not order any more."},
+		{"regions_lost", []string{"lost", "before"}, "The regions whose back ends this router does not reach now, and those that it did not reach before."},
 		{"engines_silent", []string{"silent", "answering"}, "The first router of a zone told which of its engines do not answer its checks, and which do again."},
 		{"engines_gone", []string{"gone"}, "Requests or checks of this router found other back ends at the addresses of these, which have ended; the other routers are told."},
 		{"notice_not_sent", []string{"cause"}, "A notice could not be encoded; the other routers learn of the engines from the list."},
@@ -69,7 +70,7 @@
 		{"rollout_state_not_read", []string{"service", "cause"}, "The state could not be read for a decision; it is read again."},
 		{"rollout_states_not_read", []string{"cause"}, "The states of rollouts could not be read for all routers; they are read again with the configuration."},
 		{"rollout_state_unreadable", []string{"row", "cause"}, "The row of a state is malformed; the rollout begins anew."},
-		{"sent", with(requestFields, attemptFields...), "An attempt leaves for a back end; predicted_ms is the expected time to its first byte."},
+		{"sent", with(requestFields, attemptFields...), "An attempt leaves for a back end; predicted_ms is the expected time to its first byte, distance says whether it is in this zone, in this region or in another region."},
 		{"attempt_ended", with(requestFields, append(attemptFields, "outcome", "cause")...), "An attempt is over."},
 		{"answered", with(requestFields, "status", "events", "cause"), "The whole answer was passed on."},
 		{"refused", with(requestFields, "fault", "detail", "ran", "cause"), "The final answer is the router's own; ran says whether the request may have run."},
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -34,6 +34,7 @@
 	registry     *telemetry.Registry
 	requests     *prometheus.CounterVec
 	attempts     *prometheus.CounterVec
+	distances    *prometheus.CounterVec
 	refusals     *prometheus.CounterVec
 	answerTime   *prometheus.HistogramVec
 	orders       *prometheus.CounterVec
@@ -53,6 +54,7 @@
 	readsStore           bool
 	routers              int
 	quotaMembers         int
+	regionsLost          int
 	linesDropped         uint64
 	silentConnections    uint64
 	clients              int
@@ -65,6 +67,7 @@
 		registry:     registry,
 		requests:     registry.Counter("edge_requests_total", "Requests by their end: answered, refused, broken or client_gone.", "end"),
 		attempts:     registry.Counter("edge_attempts_total", "Attempts at back ends, by outcome.", "outcome"),
+		distances:    registry.Counter("edge_attempt_distances_total", "Attempts at back ends, by their distance: zone, region or other_region.", "distance"),
 		refusals:     registry.Counter("edge_refusals_total", "Final answers of the router's own, by kind and by what ran.", "kind", "ran"),
 		answerTime:   registry.Histogram("edge_answer_seconds", "Time from the arrival of a request to the end of its answer, in seconds.", answerBuckets, "end"),
 		orders:       registry.Counter("edge_orders_total", "Orders to engines, by result.", "result"),
@@ -90,6 +93,7 @@
 	group.Gauge("edge_client_connections", "Open connections of clients.", func(r reading) int { return r.clients })
 	group.Counter("edge_clients_refused_total", "Connections and bodies of clients turned away because a bound of connections or memory was reached.", func(r reading) uint64 { return r.clientsRefused })
 	group.Counter("edge_connections_silent_total", "Connections to back ends, the store, caches and other routers that were found silent: nothing sent on them was acknowledged.", func(r reading) uint64 { return r.silentConnections })
+	group.Gauge("edge_regions_lost", "Other regions whose back ends this router does not reach now.", func(r reading) int { return r.regionsLost })
 	group.Counter("edge_log_lines_dropped_total", "Log lines that were not written.", func(r reading) uint64 { return r.linesDropped })
 	group.Register()
 	return m
@@ -112,6 +116,7 @@
 	if step.Kind == forward.StepAttemptEnded {
 		m.attempts.WithLabelValues(step.Outcome.String()).Inc()
 		m.release(step)
+		m.distances.WithLabelValues(step.Choice.Distance.String()).Inc()
 	}
 	if !ends[step.Kind] {
 		return
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -20,6 +21,7 @@
 	"github.com/fieldpond/fieldpond/internal/lease"
 	"github.com/fieldpond/fieldpond/internal/mechanism"
 	"github.com/fieldpond/fieldpond/internal/quota"
+	"github.com/fieldpond/fieldpond/internal/region"
 	"github.com/fieldpond/fieldpond/internal/rollout"
 	"github.com/fieldpond/fieldpond/internal/store"
 	"github.com/fieldpond/fieldpond/internal/upstream"
@@ -30,6 +32,8 @@
 type Config struct {
 	Node ident.Node
 	Zone ident.Zone
+	// Regions tells the region of each zone; the zero Map means that there is one.
+	Regions region.Map
 	// FrontAddress takes client requests, ReadyAddress the readiness checks of
 	// whatever hands clients to this node; both are host:port.
 	FrontAddress, ReadyAddress string
@@ -108,7 +112,7 @@
 		config:   config,
 		ports:    ports,
 		holder:   &catalog.Holder{},
-		backends: backend.NewRegistry(backend.Config{Zone: config.Zone, Off: config.Off}),
+		backends: backend.NewRegistry(backend.Config{Zone: config.Zone, Regions: config.Regions, Off: config.Off}),
 		peers:    upstream.NewClient(),
 		lease:    lease.NewElector(ports.Table, config.Lease, rolloutLease, config.Node),
 	}
@@ -129,7 +133,7 @@
 	}
 	states := &rolloutStates{table: n.ports.Table, writer: n.ports.Rollouts, timeout: n.config.Follow.ReadTimeout}
 	n.canaries = newCanaries(n.config.Canary, &canaries{
-		self: n.config.PeerAddr, peers: n.follower.roster.others, refresh: n.follower.readRoster,
+		self: n.config.PeerAddr, peers: n.follower.audience.others, refresh: n.follower.readRoster,
 		lease: n.lease, backends: n.backends, states: states, metrics: n.metrics,
 		send: func(netip.AddrPort, datagram) {},
 	})
@@ -147,6 +151,7 @@
 			table: n.ports.Table, timeout: follow.ReadTimeout / 2,
 			node: n.config.Node, zone: n.config.Zone, addr: n.config.PeerAddr, life: ident.NewUnique(),
 		},
+		audience:  &audience{node: n.config.Node, zone: n.config.Zone, regions: n.config.Regions},
 		client:    n.peers,
 		chain:     newChainGuard(follow.Chain),
 		lost:      func(name string) { n.metrics.dependencies.WithLabelValues(name).Inc() },
@@ -179,6 +184,7 @@
 	now.readsStore = n.follower.chain.reads()
 	now.routers = n.follower.replica.Routers()
 	now.quotaMembers = n.quotas.members()
+	now.regionsLost = len(n.backends.Lost(time.Now()))
 	if n.ports.LinesDropped != nil {
 		now.linesDropped = n.ports.LinesDropped()
 	}
@@ -256,21 +262,40 @@
 		loops = append(loops, n.canaries.run)
 	}
 	if n.ports.Caches != nil && n.config.Off.On(mechanism.CacheIndex) {
-		caches := &cacheFollower{reads: follower.chain.leads, reader: n.ports.Caches, index: follower.replica.caches, holder: n.holder}
+		caches := &cacheFollower{reads: follower.chain.leadsRegion, reader: n.ports.Caches, index: follower.replica.caches, holder: n.holder}
 		loops = append(loops, caches.run)
 	}
+	if n.config.Regions.Several() {
+		loops = append(loops, n.watchRegions)
+	}
 	return append(loops, n.ports.Loops...)
 }
 
+// regionInterval is the time between two looks at which regions are lost; it is shorter
+// than a region is passed over.
+const regionInterval = 500 * time.Millisecond
+
+// watchRegions logs which regions are lost, whenever that changes, until ctx ends.
+func (n *Node) watchRegions(ctx context.Context) {
+	var before []ident.Region
+	wait.Every(ctx, regionInterval, func() {
+		lost := n.backends.Lost(time.Now())
+		if !slices.Equal(lost, before) {
+			log.WithFields(log.Fields{"lost": lost, "before": before}).Warn("regions_lost")
+		}
+		before = lost
+	})
+}
+
 // contendInterval is the time between two decisions to contend for the lease.
 const contendInterval = 200 * time.Millisecond
 
 // contend lets this router contend for the lease while it is the first of its
-// zone: a few routers are enough, and each contender costs calls. A holder goes
+// region, or of its zone if there is one region: a few routers are enough, and each contender costs calls. A holder goes
 // on, so that the lease does not change hands without need.
 func (n *Node) contend(ctx context.Context) {
 	wait.Every(ctx, contendInterval, func() {
-		n.lease.Contend(!n.stopping.Load() && (n.holdsLease() || n.follower.chain.leads()))
+		n.lease.Contend(!n.stopping.Load() && (n.holdsLease() || n.follower.chain.leadsRegion()))
 	})
 }
 
@@ -285,7 +310,7 @@
 	if !n.config.PeerAddr.IsValid() {
 		return nil, nil
 	}
-	return listenNotices(n.config.PeerAddr, n.backends, n.follower.roster.others)
+	return listenNotices(n.config.PeerAddr, n.backends, n.follower.audience)
 }
 
 func logOrder(order *rollout.Order, result rollout.Result) {
--- a/internal/node/pull_test.go
+++ b/internal/node/pull_test.go
@@ -17,6 +17,7 @@
 	"github.com/fieldpond/fieldpond/internal/catalog"
 	"github.com/fieldpond/fieldpond/internal/ident"
 	"github.com/fieldpond/fieldpond/internal/promptcache"
+	"github.com/fieldpond/fieldpond/internal/region"
 	"github.com/fieldpond/fieldpond/internal/store"
 	"github.com/fieldpond/fieldpond/internal/upstream"
 	"github.com/fieldpond/fieldpond/internal/wait"
@@ -29,8 +30,13 @@
 	// guard, if set, prepares each life of a router before it runs.
 	guard func(ctx context.Context, running *zoneRouter)
 
+	// regions tells the regions of the routers' zones.
+	regions region.Map
+
 	mu      sync.Mutex
 	routers map[ident.Node]*zoneRouter
+	// apart tells which zones do not reach each other; nil means that all do.
+	apart func(a, b ident.Zone) bool
 }
 
 type zoneRouter struct {
@@ -65,8 +71,9 @@
 			table: z.store, timeout: time.Second, node: node, zone: ident.Zone("z" + place),
 			addr: netip.MustParseAddrPort("10.0.0.1:1"), life: fmt.Sprint(time.Now()),
 		},
+		audience:  &audience{node: node},
 		client:    running,
-		chain:     newChainGuard(upstream.Config{Stagger: 700 * time.Millisecond, StaleAfter: 1400 * time.Millisecond}),
+		chain:     newChainGuard(upstream.Config{Stagger: 700 * time.Millisecond, StaleAfter: 1400 * time.Millisecond, Regions: z.regions}),
 		lost:      func(string) {},
 		pulled:    func(string) {},
 		startedAt: time.Now(),
@@ -149,7 +156,12 @@
 	r.zone.mu.Lock()
 	asked := r.zone.routers[peer.Node]
 	dead := asked == nil || asked.dead
+	apart := r.zone.apart != nil && r.zone.apart(pull.From.Zone, peer.Zone)
 	r.zone.mu.Unlock()
+	if apart {
+		wait.For(ctx, 250*time.Millisecond)
+		return nil, time.Time{}, errors.New("timed out")
+	}
 	if dead {
 		wait.For(ctx, 10*time.Millisecond)
 		return nil, time.Time{}, errors.New("refused")
