--- a/internal/backend/registry.go
+++ b/internal/backend/registry.go
@@ -1,6 +1,7 @@
 package backend
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"sync"
@@ -213,14 +214,15 @@
 }
 
 // Loading takes in that a back end is about to take a version of a model's
-// weights. It gets no work of that model for the usual time of that, and is then
-// taken to have the version, until the list must have told it.
-func (r *Registry) Loading(now time.Time, instance ident.Incarnation, model ident.Model, version int) {
+// weights. It gets no work of that model for the time that this takes, 0 meaning that
+// it was not told, and is then taken to have the version, until the list must have
+// told it.
+func (r *Registry) Loading(now time.Time, instance ident.Incarnation, model ident.Model, version int, takes time.Duration) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	if known := r.byID[instance]; known != nil {
 		known.loading, known.loadingModel = version, model
-		known.loadingUntil = now.Add(loadingFor)
+		known.loadingUntil = now.Add(cmp.Or(takes, loadingFor))
 	}
 }
 
--- a/internal/backend/registry_test.go
+++ b/internal/backend/registry_test.go
@@ -295,7 +295,7 @@
 		{"once it has them", func(known *backend.Registry) { known.VersionSeen("a", model, 2) }, 0, 2},
 		{"once that was taken back", func(known *backend.Registry) { known.NotLoading("a", model, 2) }, 0, 1},
 		{"once an older notice was taken back", func(known *backend.Registry) { known.NotLoading("a", model, 1) }, 0, 0},
-		{"for another model", func(known *backend.Registry) { known.Loading(start, "a", "other", 2) }, 0, 1},
+		{"for another model", func(known *backend.Registry) { known.Loading(start, "a", "other", 2, 0) }, 0, 1},
 		{"after it proved not to have them", func(known *backend.Registry) {
 			_, flight, _ := known.Pick(start.Add(time.Second), query())
 			flight.Ended(start.Add(time.Second), backend.WrongVersion)
@@ -304,8 +304,8 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			known := registry(engine("a", 1))
-			known.Loading(start, "a", model, 2)
-			known.Loading(start, "unknown", model, 2)
+			known.Loading(start, "a", model, 2, 0)
+			known.Loading(start, "unknown", model, 2, 0)
 			tt.after(known)
 			choice, _, _ := known.Pick(start.Add(tt.at), query())
 			is.New(t).Equal(choice.Version, tt.version)
--- a/internal/node/notices.go
+++ b/internal/node/notices.go
@@ -111,7 +111,7 @@
 func splitNotice(notice rollout.Notice) []rollout.Notice {
 	var parts []rollout.Notice
 	for len(notice.Loading)+len(notice.Loaded)+len(notice.Unsettled) > 0 {
-		part := rollout.Notice{Model: notice.Model, Version: notice.Version}
+		part := rollout.Notice{Model: notice.Model, Version: notice.Version, LoadTime: notice.LoadTime}
 		room := noticeEngines
 		part.Loading, notice.Loading, room = splitOff(notice.Loading, room)
 		part.Loaded, notice.Loaded, room = splitOff(notice.Loaded, room)
@@ -177,7 +177,7 @@
 func (n *notices) take(notice *rollout.Notice) {
 	now := time.Now()
 	for _, instance := range notice.Loading {
-		n.backends.Loading(now, instance, notice.Model, notice.Version)
+		n.backends.Loading(now, instance, notice.Model, notice.Version, notice.LoadTime)
 	}
 	for _, instance := range notice.Loaded {
 		n.backends.VersionSeen(instance, notice.Model, notice.Version)
--- a/internal/rollout/controller.go
+++ b/internal/rollout/controller.go
@@ -88,12 +88,26 @@
 			return
 		case take := <-c.results:
 			take(time.Now())
+			c.takeResults()
+			c.step(ctx, time.Now())
 		case <-ticker.C:
 			c.step(ctx, time.Now())
 		}
 	}
 }
 
+// takeResults takes in all results there are.
+func (c *Controller) takeResults() {
+	for {
+		select {
+		case take := <-c.results:
+			take(time.Now())
+		default:
+			return
+		}
+	}
+}
+
 func (c *Controller) step(ctx context.Context, now time.Time) {
 	grant, err := c.lease.Held()
 	if err != nil {
@@ -122,7 +136,7 @@
 	if c.config.Announcer == nil {
 		return
 	}
-	var gathered notices
+	gathered := notices{loadTime: c.planner.LoadTime() + announcePause}
 	gathered.loading(actions)
 	for _, engine := range loaded {
 		notice := gathered.of(engine.Model, engine.Version)
--- a/internal/rollout/notice.go
+++ b/internal/rollout/notice.go
@@ -1,6 +1,8 @@
 package rollout
 
 import (
+	"time"
+
 	"github.com/fieldpond/fieldpond/internal/ident"
 )
 
@@ -16,6 +18,8 @@
 	// Unsettled did not say that they take it: they go on as before, as far as is
 	// known.
 	Unsettled []ident.Incarnation `cbor:"5,keyasint,omitempty"`
+	// LoadTime is how long those that load mostly take; 0 means that it is not told.
+	LoadTime time.Duration `cbor:"6,keyasint,omitempty"`
 }
 
 // Announcer tells notices to all routers, this one included. It must not block.
@@ -27,6 +31,8 @@
 type notices struct {
 	order []noticeKey
 	by    map[noticeKey]*Notice
+	// loadTime is how long engines that load mostly take.
+	loadTime time.Duration
 }
 
 type noticeKey struct {
@@ -52,6 +58,7 @@
 		if order := action.Order; order != nil {
 			notice := n.of(order.Model, order.Version)
 			notice.Loading = append(notice.Loading, order.Target.Instance)
+			notice.LoadTime = n.loadTime
 		}
 	}
 }
--- a/internal/rollout/planner.go
+++ b/internal/rollout/planner.go
@@ -40,8 +40,9 @@
 	defaultDeadline = 8 * time.Second
 	defaultLoadTime = time.Second
 	defaultMargin   = 2 * time.Second
-	// reportPause is the time between two reports of an engine that changes.
-	reportPause = 250 * time.Millisecond
+	// reportPause is the time between two reports of an engine that changes, from
+	// the time on at which the fastest loads are over.
+	reportPause = 100 * time.Millisecond
 	// settleAfter is how old an order must be before a report without any sign
 	// of it shows that it was not taken; reports lag by some hundred ms.
 	settleAfter = 700 * time.Millisecond
@@ -138,6 +139,9 @@
 	ordered      int
 	orderedModel ident.Model
 	orderedAt    time.Time
+	// acceptedAt is when the engine said that it takes the version, zero if it did
+	// not.
+	acceptedAt time.Time
 	// asking is true while an order or a report is under way.
 	asking bool
 	notNow time.Time
@@ -161,6 +165,7 @@
 	counters Counters
 	// loaded are the engines whose orders were settled since the last Loaded.
 	loaded []Loaded
+	loads  loadTimes
 }
 
 // Loaded is an engine that has the version it was ordered to take.
@@ -172,7 +177,8 @@
 
 // NewPlanner returns a planner that knows no engine.
 func NewPlanner(config Config) *Planner {
-	return &Planner{config: config.withDefaults(), engines: make(map[ident.Incarnation]*progress)}
+	config = config.withDefaults()
+	return &Planner{config: config, engines: make(map[ident.Incarnation]*progress), loads: newLoadTimes(config.LoadTime)}
 }
 
 // Counters returns what was counted so far.
@@ -350,7 +356,7 @@
 	engine := wanted.engine
 	engine.ordered = p.models[wanted.model].Version
 	engine.orderedModel = wanted.model
-	engine.orderedAt = now
+	engine.orderedAt, engine.acceptedAt = now, time.Time{}
 	engine.asking = true
 	p.counters.Orders++
 	if now.After(wanted.deadline) {
@@ -373,6 +379,8 @@
 	switch result {
 	case Accepted:
 		p.counters.Accepted++
+		engine.acceptedAt = now
+		engine.reportAt = now.Add(p.loads.shortest())
 	case Unanswered:
 		p.counters.Unanswered++
 	case Conflicting:
@@ -405,6 +413,7 @@
 	engine.learn(report.Versions)
 	engine.reportedAt = askedAt
 	engine.sequence = report.Sequence
+	p.observeLoad(askedAt, engine)
 	p.settle(engine)
 	if engine.ordered > 0 && !report.Busy && askedAt.Sub(engine.orderedAt) >= settleAfter {
 		engine.ordered = 0
