--- a/internal/node/notices.go
+++ b/internal/node/notices.go
@@ -110,12 +110,15 @@
 // splitNotice returns notices that fit into a datagram each.
 func splitNotice(notice rollout.Notice) []rollout.Notice {
 	var parts []rollout.Notice
-	for len(notice.Loading)+len(notice.Loaded)+len(notice.Unsettled) > 0 {
-		part := rollout.Notice{Model: notice.Model, Version: notice.Version, LoadTime: notice.LoadTime}
+	for len(notice.Loading)+len(notice.Loaded)+len(notice.Unsettled)+len(notice.Emptying) > 0 {
+		part := rollout.Notice{
+			Model: notice.Model, Version: notice.Version, LoadTime: notice.LoadTime, EmptyTime: notice.EmptyTime,
+		}
 		room := noticeEngines
 		part.Loading, notice.Loading, room = splitOff(notice.Loading, room)
 		part.Loaded, notice.Loaded, room = splitOff(notice.Loaded, room)
-		part.Unsettled, notice.Unsettled, _ = splitOff(notice.Unsettled, room)
+		part.Unsettled, notice.Unsettled, room = splitOff(notice.Unsettled, room)
+		part.Emptying, notice.Emptying, _ = splitOff(notice.Emptying, room)
 		parts = append(parts, part)
 	}
 	return parts
@@ -179,6 +182,9 @@
 	for _, instance := range notice.Loading {
 		n.backends.Loading(now, instance, notice.Model, notice.Version, notice.LoadTime)
 	}
+	for _, instance := range notice.Emptying {
+		n.backends.Loading(now, instance, notice.Model, notice.Version, notice.EmptyTime+notice.LoadTime)
+	}
 	for _, instance := range notice.Loaded {
 		n.backends.VersionSeen(instance, notice.Model, notice.Version)
 	}
@@ -187,6 +193,6 @@
 	}
 	log.WithFields(log.Fields{
 		"model": notice.Model, "version": notice.Version, "loading": notice.Loading, "loaded": notice.Loaded,
-		"unsettled": notice.Unsettled,
+		"unsettled": notice.Unsettled, "emptying": notice.Emptying,
 	}).Info("engines_change")
 }
--- a/internal/rollout/controller.go
+++ b/internal/rollout/controller.go
@@ -132,7 +132,7 @@
 // announce tells the engines that the actions change, and those that have their
 // version since the last look.
 func (c *Controller) announce(actions []Action) {
-	loaded := c.planner.Loaded()
+	loaded, emptying := c.planner.Loaded(), c.planner.Emptying()
 	if c.config.Announcer == nil {
 		return
 	}
@@ -142,6 +142,11 @@
 		notice := gathered.of(engine.Model, engine.Version)
 		notice.Loaded = append(notice.Loaded, engine.Instance)
 	}
+	for _, engine := range emptying {
+		notice := gathered.of(engine.Model, engine.Version)
+		notice.Emptying = append(notice.Emptying, engine.Instance)
+		notice.EmptyTime, notice.LoadTime = c.planner.config.Emptying, gathered.loadTime
+	}
 	gathered.announce(c.config.Announcer)
 }
 
--- a/internal/rollout/notice.go
+++ b/internal/rollout/notice.go
@@ -20,6 +20,9 @@
 	Unsettled []ident.Incarnation `cbor:"5,keyasint,omitempty"`
 	// LoadTime is how long those that load mostly take; 0 means that it is not told.
 	LoadTime time.Duration `cbor:"6,keyasint,omitempty"`
+	// Emptying engines get no new work, since they are to load in EmptyTime or before.
+	Emptying  []ident.Incarnation `cbor:"7,keyasint,omitempty"`
+	EmptyTime time.Duration       `cbor:"8,keyasint,omitempty"`
 }
 
 // Announcer tells notices to all routers, this one included. It must not block.
--- a/internal/rollout/planner.go
+++ b/internal/rollout/planner.go
@@ -34,12 +34,16 @@
 	// Margin is the time kept before the deadline for orders that are lost and
 	// holders that change. Default: 2s.
 	Margin time.Duration
+	// Emptying is how long an engine gets no new work before its order, unless no
+	// request is left there before. Default: EMPTYING.
+	Emptying time.Duration
 }
 
 const (
 	defaultDeadline = 8 * time.Second
 	defaultLoadTime = time.Second
 	defaultMargin   = 2 * time.Second
+	defaultEmptying = 600 * time.Millisecond
 	// reportPause is the time between two reports of an engine that changes, from
 	// the time on at which the fastest loads are over.
 	reportPause = 100 * time.Millisecond
@@ -67,6 +71,7 @@
 	c.Deadline = cmp.Or(c.Deadline, defaultDeadline)
 	c.LoadTime = cmp.Or(c.LoadTime, defaultLoadTime)
 	c.Margin = cmp.Or(c.Margin, defaultMargin)
+	c.Emptying = cmp.Or(c.Emptying, defaultEmptying)
 	return c
 }
 
@@ -112,8 +117,9 @@
 	Versions map[ident.Model]int
 	Busy     bool
 	Sequence uint64
-	// Queued is the number of requests that wait for a place.
-	Queued int
+	// Queued is the number of requests that wait for a place, Active that of those
+	// that have one.
+	Queued, Active int
 }
 
 // Action is one thing for the shell to do: an order, or a report to read.
@@ -151,6 +157,11 @@
 	// reportAt is when the next report is due, reportedAt when the last one
 	// that came was asked for.
 	reportAt, reportedAt time.Time
+	// requests is the number of requests at the engine in the last report.
+	requests int
+	// emptyingFrom is when routers were told to send no new work, zero if they were
+	// not.
+	emptyingFrom time.Time
 }
 
 // Planner decides on orders. It is not safe for concurrent use.
@@ -166,6 +177,8 @@
 	// loaded are the engines whose orders were settled since the last Loaded.
 	loaded []Loaded
 	loads  loadTimes
+	// emptying are the engines that are to get no new work since the last Emptying.
+	emptying []Loaded
 }
 
 // Loaded is an engine that has the version it was ordered to take.
@@ -214,6 +227,7 @@
 func (p *Planner) Forget() {
 	for _, engine := range p.engines {
 		engine.ordered, engine.asking = 0, false
+		engine.emptyingFrom = time.Time{}
 	}
 }
 
@@ -231,20 +245,25 @@
 	if len(needs) == 0 || !p.due(now, needs) {
 		return actions
 	}
+	loading := p.loading()
 	most := p.parallel(len(needs)+active, needs[0].deadline.Sub(now)-p.config.Margin)
+	extra := p.emptyingMost(most)
 	for _, wanted := range needs {
 		if now.Before(wanted.engine.notNow) {
 			continue
 		}
 		// An engine that does not answer must not keep others waiting.
 		if wanted.engine.silent == 0 {
-			if active >= most {
+			if active >= most+extra {
 				continue
 			}
 			active++
 		}
-		if action, due := p.change(now, wanted, fence); due {
+		if action, due := p.change(now, wanted, fence, loading < most); due {
 			actions = append(actions, action)
+			if action.Order != nil {
+				loading++
+			}
 		}
 	}
 	return actions
@@ -261,9 +280,12 @@
 	for _, engine := range p.engines {
 		p.settle(engine)
 		if engine.ordered == 0 && !engine.asking {
-			if wanted, behind := p.needOf(engine); behind {
-				needs = append(needs, wanted)
+			wanted, behind := p.needOf(engine)
+			if !behind {
+				engine.emptyingFrom = time.Time{}
+				continue
 			}
+			needs = append(needs, wanted)
 			continue
 		}
 		if engine.silent == 0 {
@@ -274,16 +296,24 @@
 		}
 	}
 	slices.SortFunc(needs, func(a, b need) int {
-		return cmp.Or(a.deadline.Compare(b.deadline), cmp.Compare(a.engine.record.Instance, b.engine.record.Instance))
+		return cmp.Or(
+			emptyingFirst(a.engine, b.engine), a.deadline.Compare(b.deadline), cmp.Compare(a.engine.record.Instance, b.engine.record.Instance),
+		)
 	})
 	return actions, active, needs
 }
 
 // change orders an engine whose report was read right before, or reads it.
-func (p *Planner) change(now time.Time, wanted need, fence uint64) (Action, bool) {
+func (p *Planner) change(now time.Time, wanted need, fence uint64, room bool) (Action, bool) {
 	if now.Sub(wanted.engine.reportedAt) > preparedFor {
 		return p.follow(now, wanted.engine)
 	}
+	if p.empties(now, wanted) {
+		return p.follow(now, wanted.engine)
+	}
+	if !room {
+		return Action{}, false
+	}
 	return p.order(now, wanted, fence), true
 }
 
@@ -354,6 +384,7 @@
 
 func (p *Planner) order(now time.Time, wanted need, fence uint64) Action {
 	engine := wanted.engine
+	engine.emptyingFrom = time.Time{}
 	engine.ordered = p.models[wanted.model].Version
 	engine.orderedModel = wanted.model
 	engine.orderedAt, engine.acceptedAt = now, time.Time{}
@@ -404,6 +435,7 @@
 	engine.asking = false
 	engine.reportAt = askedAt.Add(reportPause)
 	if report == nil {
+		engine.emptyingFrom = time.Time{}
 		engine.silent = min(max(2*engine.silent, silentPause), maxSilentPause)
 		engine.notNow = askedAt.Add(engine.silent)
 		engine.reportAt = engine.notNow
@@ -413,6 +445,7 @@
 	engine.learn(report.Versions)
 	engine.reportedAt = askedAt
 	engine.sequence = report.Sequence
+	engine.requests = report.Queued + report.Active
 	p.observeLoad(askedAt, engine)
 	p.settle(engine)
 	if engine.ordered > 0 && !report.Busy && askedAt.Sub(engine.orderedAt) >= settleAfter {
