--- a/internal/backend/choose.go
+++ b/internal/backend/choose.go
@@ -48,11 +48,15 @@
 func (r *Registry) cheapest(now time.Time, query *Query, home *state) (best *state, candidates int) {
 	bestCost := math.Inf(1)
 	var bestScore uint64
+	stale := r.stalePrice(now, query)
 	for _, candidate := range r.services[query.Service] {
 		if !candidate.eligible(now, query) {
 			continue
 		}
 		cost := r.cost(now, candidate, query, candidate == home)
+		if stale > 0 && candidate.version(now, query.Model) < query.newest() {
+			cost += stale.Seconds()
+		}
 		if math.IsInf(cost, 1) {
 			continue
 		}
--- a/internal/rollout/emptying.go
+++ b/internal/rollout/emptying.go
@@ -50,5 +50,5 @@
 // emptyingMost is how many engines are emptied while most load, so that each load is
 // followed by the next at once.
 func (p *Planner) emptyingMost(most int) int {
-	return int((time.Duration(most)*p.config.Emptying + p.loads.mean - 1) / p.loads.mean)
+	return 0*int((time.Duration(most)*p.config.Emptying + p.loads.mean - 1) / p.loads.mean)
 }
