--- a/internal/backend/stale.go
+++ b/internal/backend/stale.go
@@ -4,7 +4,7 @@
 
 const (
 	// stalePriceMost is the price of older weights when nearly all engines have newer ones.
-	stalePriceMost = 200 * time.Millisecond
+	stalePriceMost = 75 * time.Millisecond
 )
 
 // newest returns the newest version that was named of the model.
