--- a/internal/backend/registry_test.go
+++ b/internal/backend/registry_test.go
@@ -296,6 +296,12 @@
 		{"once that was taken back", func(known *backend.Registry) { known.NotLoading("a", model, 2) }, 0, 1},
 		{"once an older notice was taken back", func(known *backend.Registry) { known.NotLoading("a", model, 1) }, 0, 0},
 		{"for another model", func(known *backend.Registry) { known.Loading(start, "a", "other", 2, 0) }, 0, 1},
+		{"while it takes longer, as was told", func(known *backend.Registry) {
+			known.Loading(start, "a", model, 2, 1400*time.Millisecond)
+		}, 1300 * time.Millisecond, 0},
+		{"after the longer time that was told", func(known *backend.Registry) {
+			known.Loading(start, "a", model, 2, 1400*time.Millisecond)
+		}, 1500 * time.Millisecond, 2},
 		{"after it proved not to have them", func(known *backend.Registry) {
 			_, flight, _ := known.Pick(start.Add(time.Second), query())
 			flight.Ended(start.Add(time.Second), backend.WrongVersion)
--- /dev/null
+++ b/internal/backend/stale_test.go
@@ -0,0 +1,66 @@
+package backend_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/fieldpond/fieldpond/internal/backend"
+	"github.com/fieldpond/fieldpond/internal/ident"
+	"github.com/fieldpond/fieldpond/internal/mechanism"
+)
+
+// Short prompts leave engines with replaced weights for those with the newest, the more
+// readily the more engines have those; long shared parts stay at home.
+func TestNewerWeightsArePreferred(t *testing.T) {
+	const engines = 10
+	short := func() *backend.Query {
+		return &backend.Query{Service: "s", Model: model, HomeKey: 42, SharedTokens: 200, OwnTokens: 100}
+	}
+	tests := []struct {
+		name    string
+		query   *backend.Query
+		newer   int
+		named   int
+		without []string
+		// newest says that an engine with the newest weights is chosen.
+		newest bool
+	}{
+		{"a short prompt, most have them", short(), engines - 1, 2, nil, true},
+		{"a short prompt, half have them", short(), engines / 2, 2, nil, true},
+		{"a short prompt, none has them", short(), 0, 2, nil, false},
+		{"a long shared part", query(), engines - 1, 2, nil, false},
+		{"no version was named", short(), engines - 1, 0, nil, false},
+		{"switched off", short(), engines - 1, 2, []string{string(mechanism.NewerWeights)}, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			off, fault := mechanism.Without(tt.without)
+			is.True(fault == nil)
+			var records []backend.Record
+			for index := range engines {
+				records = append(records, engine(ident.Incarnation(fmt.Sprintf("i-%d", index)), 1))
+			}
+			known := backend.NewRegistry(backend.Config{Zone: "z", Off: off})
+			known.Update(start, records)
+			home, flight := pick(t, known, start, tt.query)
+			flight.Ended(start, backend.Answered)
+			newer := 0
+			for _, record := range records {
+				if record.Instance != home.Instance && newer < tt.newer {
+					known.VersionSeen(record.Instance, model, 2)
+					newer++
+				}
+			}
+			if tt.named > 0 {
+				tt.query.Expiries = []backend.Expiry{{Version: tt.named, At: start.Add(time.Minute)}}
+			}
+			choice, _ := pick(t, known, start, tt.query)
+			is.Equal(choice.Version == 2, tt.newest)
+			is.Equal(choice.Instance == home.Instance, !tt.newest)
+		})
+	}
+}
--- a/internal/node/events.go
+++ b/internal/node/events.go
@@ -50,7 +50,7 @@
 		{"lease is not held any more", []string{"lease", "fence"}, "This router may not order any more."},
 		{"engines_silent", []string{"silent", "answering"}, "The first router of a zone told which of its engines do not answer its checks, and which do again."},
 		{"notice_not_sent", []string{"cause"}, "A notice could not be encoded; the other routers learn of the engines from the list."},
-		{"engines_change", []string{"model", "version", "loading", "loaded", "unsettled"}, "The holder of the lease told which engines are about to take a version, which have it, and which did not say that they take it."},
+		{"engines_change", []string{"model", "version", "loading", "loaded", "unsettled", "emptying"}, "The holder of the lease told which engines are about to take a version, which have it, which did not say that they take it, and which get no new work before their order."},
 		{"quota_leader_changed", []string{"from", "to"}, "Another router grants what tenants with limits may use here; from and to are addresses, to is this router's own if it reaches no older one."},
 		{"order", []string{"instance", "model", "version", "fence", "sequence", "result"}, "An order was sent to an engine."},
 		{"sent", with(requestFields, attemptFields...), "An attempt leaves for a back end; predicted_ms is the expected time to its first byte."},
--- a/internal/node/notices_test.go
+++ b/internal/node/notices_test.go
@@ -111,6 +111,31 @@
 	}
 }
 
+// Engines that are emptied get no new work until they have had the time for that and
+// for their load.
+func TestEmptiedEnginesGetNoNewWork(t *testing.T) {
+	is := is.New(t)
+	known := backend.NewRegistry(backend.Config{})
+	known.Update(time.Now(), []backend.Record{{Instance: "a", Service: "s", Models: map[ident.Model]int{model: 1}}})
+	told := &notices{backends: known, peers: func() []netip.AddrPort { return nil }}
+	told.Announce(rollout.Notice{
+		Model: model, Version: 2, Emptying: []ident.Incarnation{"a"}, EmptyTime: time.Minute, LoadTime: time.Hour,
+	})
+	tests := []struct {
+		name  string
+		after time.Duration
+		found bool
+	}{
+		{"at once", 0, false},
+		{"while it loads", 59 * time.Minute, false},
+		{"when it mostly has the version", 62 * time.Minute, true},
+	}
+	for _, tt := range tests {
+		_, _, found := known.Pick(time.Now().Add(tt.after), &backend.Query{Service: "s", Model: model})
+		is.Equal(found, tt.found) // tt.name
+	}
+}
+
 // eventually waits until a condition holds.
 func eventually(t *testing.T, holds func() bool) {
 	t.Helper()
@@ -125,7 +150,7 @@
 
 func TestALongNoticeIsSplit(t *testing.T) {
 	is := is.New(t)
-	notice := rollout.Notice{Model: model, Version: 2}
+	notice := rollout.Notice{Model: model, Version: 2, LoadTime: time.Second, EmptyTime: time.Millisecond}
 	for index := range 95 {
 		notice.Loading = append(notice.Loading, ident.Incarnation(fmt.Sprint("l", index)))
 	}
@@ -135,9 +160,15 @@
 	for index := range 45 {
 		notice.Unsettled = append(notice.Unsettled, ident.Incarnation(fmt.Sprint("u", index)))
 	}
+	for index := range 55 {
+		notice.Emptying = append(notice.Emptying, ident.Incarnation(fmt.Sprint("e", index)))
+	}
 	var joined rollout.Notice
 	for _, part := range splitNotice(notice) {
-		is.True(len(part.Loading)+len(part.Loaded)+len(part.Unsettled) <= noticeEngines)
+		is.True(len(part.Loading)+len(part.Loaded)+len(part.Unsettled)+len(part.Emptying) <= noticeEngines)
+		is.Equal(part.LoadTime, notice.LoadTime)
+		is.Equal(part.EmptyTime, notice.EmptyTime)
+		joined.Emptying = append(joined.Emptying, part.Emptying...)
 		joined.Unsettled = append(joined.Unsettled, part.Unsettled...)
 		joined.Loading = append(joined.Loading, part.Loading...)
 		joined.Loaded = append(joined.Loaded, part.Loaded...)
@@ -145,5 +176,6 @@
 	is.Equal(joined.Loading, notice.Loading)
 	is.Equal(joined.Loaded, notice.Loaded)
 	is.Equal(joined.Unsettled, notice.Unsettled)
+	is.Equal(joined.Emptying, notice.Emptying)
 	is.Equal(len(splitNotice(rollout.Notice{})), 0)
 }
--- a/internal/rollout/controller_test.go
+++ b/internal/rollout/controller_test.go
@@ -34,6 +34,8 @@
 	history []string
 	// silent leaves its first order unanswered.
 	silent ident.Incarnation
+	// loadTime and emptyTime are the times last told.
+	loadTime, emptyTime time.Duration
 }
 
 func (e *fleetEngines) Order(_ context.Context, order *rollout.Order) rollout.Result {
@@ -56,9 +58,14 @@
 func (e *fleetEngines) Announce(notice rollout.Notice) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.loadTime = max(e.loadTime, notice.LoadTime)
+	e.emptyTime = max(e.emptyTime, notice.EmptyTime)
 	for _, instance := range notice.Loading {
 		e.history = append(e.history, "loading "+string(instance))
 	}
+	for _, instance := range notice.Emptying {
+		e.history = append(e.history, "emptying "+string(instance))
+	}
 	for _, instance := range notice.Unsettled {
 		e.history = append(e.history, "unsettled "+string(instance))
 	}
@@ -96,3 +103,39 @@
 		}
 	})
 }
+
+// An engine that runs requests is announced before it is emptied, and again right
+// before its order, with the times that routers need.
+func TestEmptiedEnginesAreAnnounced(t *testing.T) {
+	tests := []struct {
+		name     string
+		emptying bool
+		want     []string
+	}{
+		{"on", true, []string{"emptying i-00", "loading i-00", "order i-00", "loaded i-00"}},
+		{"off", false, []string{"loading i-00", "order i-00", "loaded i-00"}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				engines := &fleetEngines{fleet: newFleet(1)}
+				engines.fleet.active = 2
+				holder := &catalog.Holder{}
+				holder.Named(model, catalog.Naming{Version: 2, SeenAt: time.Now()})
+				known := backend.NewRegistry(backend.Config{})
+				known.Update(time.Now(), engines.fleet.records())
+				controller := rollout.NewController(rollout.ControllerConfig{
+					Planner: config, Announcer: engines, Emptying: tt.emptying, OnOrder: func(*rollout.Order, rollout.Result) {},
+				}, heldLease{}, engines, holder, known)
+				go controller.Run(t.Context())
+				time.Sleep(5 * time.Second)
+				engines.mu.Lock()
+				defer engines.mu.Unlock()
+				is.Equal(engines.history, tt.want)
+				is.True(engines.loadTime > time.Second) // the expected second and what it may take longer
+				is.Equal(engines.emptyTime > 0, tt.emptying)
+			})
+		})
+	}
+}
--- /dev/null
+++ b/internal/rollout/emptying_test.go
@@ -0,0 +1,137 @@
+package rollout_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/fieldpond/fieldpond/internal/catalog"
+	"github.com/fieldpond/fieldpond/internal/ident"
+	"github.com/fieldpond/fieldpond/internal/rollout"
+)
+
+// An engine is ordered once no request is left there, and at the latest when the time
+// for that is over.
+func TestAnEngineIsEmptiedBeforeItsOrder(t *testing.T) {
+	const emptying = 600 * time.Millisecond
+	tests := []struct {
+		name string
+		// runs and waits tell until when a request runs, or waits, at the engine.
+		runs, waits time.Duration
+		emptying    time.Duration
+		// ordered is when the order leaves, announced says that it was told before.
+		ordered   time.Duration
+		announced bool
+	}{
+		{"without a request", 0, 0, emptying, 100 * time.Millisecond, false},
+		{"a run that ends", 250 * time.Millisecond, 0, emptying, 400 * time.Millisecond, true},
+		{"a request that waits", 0, 350 * time.Millisecond, emptying, 500 * time.Millisecond, true},
+		{"a run that goes on", time.Minute, 0, emptying, 700 * time.Millisecond, true},
+		{"emptying is off", time.Minute, 0, 0, 100 * time.Millisecond, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			engines := newFleet(1)
+			config := config
+			config.Emptying = tt.emptying
+			planner := rollout.NewPlanner(config)
+			models := named(catalog.Naming{Version: 2, SeenAt: start})
+			ordered := time.Duration(-1)
+			var told []rollout.Emptying
+			for at := time.Duration(0); at < 2*time.Second && ordered < 0; at += 100 * time.Millisecond {
+				planner.Observe(engines.records(), models)
+				for _, action := range planner.Plan(start.Add(at), 7) {
+					if action.Order != nil {
+						ordered = at
+						is.Equal(action.Emptied, tt.announced)
+						continue
+					}
+					report := engines.report("i-00")
+					if at < tt.runs {
+						report.Active = 1
+					}
+					if at < tt.waits {
+						report.Queued = 1
+					}
+					planner.Reported(start.Add(at), "i-00", report)
+				}
+				told = append(told, planner.Emptying()...)
+			}
+			is.Equal(ordered, tt.ordered)
+			if !tt.announced {
+				is.Equal(len(told), 0)
+				return
+			}
+			is.Equal(told, []rollout.Emptying{{Instance: "i-00", Model: model, Version: 2}})
+		})
+	}
+}
+
+// An engine that is emptied counts among those that are changed at one time, so that
+// enough of them serve.
+func TestEmptiedEnginesCountAmongThoseThatChange(t *testing.T) {
+	is := is.New(t)
+	engines := newFleet(10)
+	config := config
+	config.Deadline = time.Minute
+	config.Emptying = 600 * time.Millisecond
+	planner := rollout.NewPlanner(config)
+	models := named(catalog.Naming{Version: 2, SeenAt: start})
+	away := map[ident.Incarnation]bool{}
+	for at := time.Duration(0); at < 600*time.Millisecond; at += 100 * time.Millisecond {
+		planner.Observe(engines.records(), models)
+		for _, action := range planner.Plan(start.Add(at), 7) {
+			is.True(action.Order == nil)
+			away[action.Target.Instance] = true
+			report := engines.report(action.Target.Instance)
+			report.Active = 3
+			planner.Reported(start.Add(at), action.Target.Instance, report)
+		}
+	}
+	is.Equal(len(away), config.Parallel)
+}
+
+// Emptying ends without an order if the engine got the version by other means or does
+// not answer; a new holder begins anew.
+func TestEmptyingEndsWithoutAnOrder(t *testing.T) {
+	busy := &rollout.Report{Versions: map[ident.Model]int{model: 1}, Active: 1}
+	tests := []struct {
+		name  string
+		after func(planner *rollout.Planner, now time.Time)
+		// again says that the engine is emptied once more.
+		again bool
+	}{
+		{"it has the version", func(planner *rollout.Planner, now time.Time) {
+			planner.Reported(now, "i-00", &rollout.Report{Versions: map[ident.Model]int{model: 2}, Active: 1})
+		}, false},
+		{"it does not answer", func(planner *rollout.Planner, now time.Time) { planner.Reported(now, "i-00", nil) }, true},
+		{"another holder", func(planner *rollout.Planner, _ time.Time) { planner.Forget() }, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			engines := newFleet(1)
+			config := config
+			config.Emptying = 600 * time.Millisecond
+			planner := rollout.NewPlanner(config)
+			models := named(catalog.Naming{Version: 2, SeenAt: start})
+			told := 0
+			for at := time.Duration(0); at < 1500*time.Millisecond; at += 100 * time.Millisecond {
+				now := start.Add(at)
+				planner.Observe(engines.records(), models)
+				for _, action := range planner.Plan(now, 7) {
+					if action.Order == nil {
+						planner.Reported(now, "i-00", busy)
+					}
+				}
+				told += len(planner.Emptying())
+				if at == 200*time.Millisecond {
+					tt.after(planner, now)
+				}
+			}
+			is.Equal(told == 2, tt.again)
+		})
+	}
+}
--- a/internal/rollout/loadtimes.go
+++ b/internal/rollout/loadtimes.go
@@ -21,7 +21,7 @@
 )
 
 // loadTimes learns how long engines take to load weights, from the answer to an order
-// until a report that tells the version.
+// until the version is seen.
 type loadTimes struct{ mean, spread time.Duration }
 
 func newLoadTimes(mean time.Duration) loadTimes {
@@ -47,12 +47,3 @@
 // LoadTime is the time after which an engine that takes an order now mostly has its
 // version.
 func (p *Planner) LoadTime() time.Duration { return p.loads.longest() }
-
-// observeLoad takes in that a report asked for at a time shows the version that the
-// engine was ordered to take.
-func (p *Planner) observeLoad(askedAt time.Time, engine *progress) {
-	if engine.ordered == 0 || engine.acceptedAt.IsZero() || engine.versions[engine.orderedModel] < engine.ordered {
-		return
-	}
-	p.loads.observe(askedAt.Sub(engine.acceptedAt))
-}
--- /dev/null
+++ b/internal/rollout/loadtimes_test.go
@@ -0,0 +1,88 @@
+package rollout_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/fieldpond/fieldpond/internal/catalog"
+	"github.com/fieldpond/fieldpond/internal/ident"
+	"github.com/fieldpond/fieldpond/internal/rollout"
+)
+
+// The time of a load is learned from the loads that were seen, and sets when an engine
+// is asked whether it has its version.
+func TestTheTimeOfLoadsIsLearned(t *testing.T) {
+	tests := []struct {
+		name        string
+		load        time.Duration
+		least, most time.Duration
+		// reports is the most that are read for one of the later loads.
+		reports int
+	}{
+		{"fast", 300 * time.Millisecond, 300 * time.Millisecond, 600 * time.Millisecond, 4},
+		{"as expected", time.Second, time.Second, 1300 * time.Millisecond, 4},
+		{"slow", 2 * time.Second, 2 * time.Second, 2500 * time.Millisecond, 4},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			engines := newFleet(1)
+			planner := rollout.NewPlanner(config)
+			is.Equal(planner.LoadTime(), 1500*time.Millisecond) // before the first load
+			reports := 0
+			for version := 2; version <= 30; version++ {
+				reports = change(planner, engines, version, tt.load)
+			}
+			is.True(planner.LoadTime() >= tt.least)
+			is.True(planner.LoadTime() <= tt.most)
+			is.True(reports <= tt.reports)
+		})
+	}
+}
+
+// A load that lasted beyond all reason, as at an engine that froze, changes nothing.
+func TestALoadBeyondAllReasonIsNotLearned(t *testing.T) {
+	is := is.New(t)
+	engines := newFleet(1)
+	planner := rollout.NewPlanner(config)
+	change(planner, engines, 2, 6*time.Second)
+	is.Equal(planner.LoadTime(), 1500*time.Millisecond)
+}
+
+// change has one engine take a version that it loads for a time. It returns the number
+// of reports that were read after the order.
+func change(planner *rollout.Planner, engines *fleet, version int, load time.Duration) int {
+	const name = ident.Incarnation("i-00")
+	from := start.Add(time.Duration(version) * time.Minute)
+	models := named(catalog.Naming{Version: version, SeenAt: from})
+	var order *rollout.Order
+	var orderedAt time.Time
+	reports := 0
+	for at := time.Duration(0); at < 10*time.Second; at += 10 * time.Millisecond {
+		now := from.Add(at)
+		if order != nil && now.Sub(orderedAt) >= load {
+			engines.take(order)
+			order = nil
+		}
+		planner.Observe(engines.records(), models)
+		for _, action := range planner.Plan(now, 7) {
+			if action.Order != nil {
+				order, orderedAt = action.Order, now
+				planner.Ordered(now, order, rollout.Accepted)
+				continue
+			}
+			if !orderedAt.IsZero() {
+				reports++
+			}
+			report := engines.report(name)
+			report.Busy = order != nil
+			planner.Reported(now, name, report)
+		}
+		if len(planner.Loaded()) > 0 {
+			break
+		}
+	}
+	return reports
+}
--- a/internal/rollout/planner.go
+++ b/internal/rollout/planner.go
@@ -206,7 +206,7 @@
 // and returns the others that are behind, the most urgent first.
 func (p *Planner) survey(now time.Time) (actions []Action, active int, needs []need) {
 	for _, engine := range p.engines {
-		p.settle(engine)
+		p.settle(now, engine)
 		if engine.ordered == 0 && !engine.asking {
 			wanted, behind := p.needOf(engine)
 			if !behind {
@@ -241,12 +241,15 @@
 	return p.order(now, wanted, fence), true
 }
 
-// settle closes an order whose version the engine has.
-func (p *Planner) settle(engine *progress) {
+// settle closes an order whose version the engine was seen to have by a time.
+func (p *Planner) settle(seenAt time.Time, engine *progress) {
 	version := engine.versions[engine.orderedModel]
 	if engine.ordered == 0 || version < engine.ordered {
 		return
 	}
+	if !engine.acceptedAt.IsZero() {
+		p.loads.observe(seenAt.Sub(engine.acceptedAt))
+	}
 	engine.ordered = 0
 	p.loaded = append(p.loaded, Loaded{Instance: engine.record.Instance, Model: engine.orderedModel, Version: version})
 }
@@ -354,8 +357,7 @@
 	engine.reportedAt = askedAt
 	engine.sequence = report.Sequence
 	engine.requests = report.Queued + report.Active
-	p.observeLoad(askedAt, engine)
-	p.settle(engine)
+	p.settle(askedAt, engine)
 	if engine.ordered > 0 && !report.Busy && askedAt.Sub(engine.orderedAt) >= settleAfter {
 		engine.ordered = 0
 	}
--- a/internal/rollout/planner_test.go
+++ b/internal/rollout/planner_test.go
@@ -26,6 +26,8 @@
 	orders   map[ident.Incarnation]uint64
 	loads    int
 	fences   []uint64
+	// active is the number of runs that each engine reports.
+	active int
 }
 
 func newFleet(count int) *fleet {
@@ -58,7 +60,7 @@
 }
 
 func (f *fleet) report(name ident.Incarnation) *rollout.Report {
-	return &rollout.Report{Versions: map[ident.Model]int{model: f.versions[name]}, Sequence: f.orders[name]}
+	return &rollout.Report{Versions: map[ident.Model]int{model: f.versions[name]}, Sequence: f.orders[name], Active: f.active}
 }
 
 func named(namings ...catalog.Naming) map[ident.Model]catalog.NamedVersion {
