--- a/internal/backend/stale.go
+++ b/internal/backend/stale.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/fieldpond/fieldpond/internal/ident"
 	"github.com/fieldpond/fieldpond/internal/mechanism"
 )
 
@@ -41,7 +42,16 @@
 	if have == all {
 		return 0
 	}
-	return stalePriceMost * time.Duration(have) / time.Duration(all)
+	calm := max(1-r.congestion(now, query.Service)/overloadedFrom, 0)
+	return time.Duration(calm * float64(stalePriceMost*time.Duration(have)/time.Duration(all)))
+}
+
+// Congestion returns by how much answers of a service lately came late on the mean, in
+// parts of the lateness at which prompts are refused.
+func (r *Registry) Congestion(now time.Time, service ident.Service) float64 {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.congestion(now, service) / overloadedFrom
 }
 
 // stale reports whether an engine has older weights than the newest.
--- a/internal/rollout/controller.go
+++ b/internal/rollout/controller.go
@@ -128,7 +128,9 @@
 	if now.Before(grant.QuietUntil) || !now.Before(grant.ActUntil) {
 		return
 	}
-	c.planner.Observe(c.backends.Records(), c.holder.View().Models)
+	records := c.backends.Records()
+	c.planner.Observe(records, c.holder.View().Models)
+	c.planner.Congested(c.congestion(now, records))
 	actions := c.planner.Plan(now, grant.Fence)
 	c.announce(actions)
 	for _, action := range actions {
@@ -136,6 +138,17 @@
 	}
 }
 
+// congestion returns that of the services of engines.
+func (c *Controller) congestion(now time.Time, records []backend.Record) map[ident.Service]float64 {
+	congestion := make(map[ident.Service]float64)
+	for _, record := range records {
+		if _, known := congestion[record.Service]; !known && len(record.Models) > 0 {
+			congestion[record.Service] = c.backends.Congestion(now, record.Service)
+		}
+	}
+	return congestion
+}
+
 // announce tells the engines that the actions change, those that are emptied, and
 // those that have their version since the last look.
 func (c *Controller) announce(actions []Action) {
--- a/internal/rollout/emptying.go
+++ b/internal/rollout/emptying.go
@@ -31,7 +31,8 @@
 // An engine without a request waits for nothing.
 func (p *Planner) empties(now time.Time, wanted need) bool {
 	engine := wanted.engine
-	if p.config.Emptying <= 0 || engine.requests == 0 {
+	emptying := p.emptyingTime(engine.record.Service)
+	if emptying <= 0 || engine.requests == 0 {
 		return false
 	}
 	if engine.emptyingFrom.IsZero() {
@@ -40,7 +41,18 @@
 			Instance: engine.record.Instance, Model: wanted.model, Version: p.models[wanted.model].Version,
 		})
 	}
-	return now.Sub(engine.emptyingFrom) < p.config.Emptying
+	return now.Sub(engine.emptyingFrom) < emptying
+}
+
+// Congested takes in the congestion of services, in parts of the one at which prompts
+// are refused.
+func (p *Planner) Congested(congestion map[ident.Service]float64) { p.congestion = congestion }
+
+// emptyingTime is for how long an engine of a service is emptied at most. The more
+// congested the service is, the more its engines are missed.
+func (p *Planner) emptyingTime(service ident.Service) time.Duration {
+	calm := max(1-p.congestion[service], 0)
+	return time.Duration(calm * float64(p.config.Emptying))
 }
 
 // emptyingFirst orders engines that are being emptied before others.
--- a/internal/rollout/pace.go
+++ b/internal/rollout/pace.go
@@ -41,4 +41,4 @@
 }
 
 // changeTime is how long an engine is mostly away for a change.
-func (p *Planner) changeTime() time.Duration { return p.config.Emptying + p.loads.mean }
+func (p *Planner) changeTime() time.Duration { return p.changes.mean }
--- a/internal/rollout/planner.go
+++ b/internal/rollout/planner.go
@@ -100,6 +100,8 @@
 	// emptyingFrom is when routers were told to send the engine no new work, zero if
 	// they were not.
 	emptyingFrom time.Time
+	// awayFrom is when the change under order began: when emptying did, or the order.
+	awayFrom time.Time
 }
 
 // Planner decides on orders. It is not safe for concurrent use.
@@ -114,7 +116,10 @@
 	counters Counters
 	// loaded are the engines whose orders were settled since the last Loaded.
 	loaded []Loaded
-	loads  loadTimes
+	// loads are the times from orders on, changes those for which engines were away.
+	loads, changes loadTimes
+	// congestion is that of services, in parts of the one at which prompts are refused.
+	congestion map[ident.Service]float64
 	// emptying are the engines that got to be emptied since the last call of Emptying.
 	emptying []Emptying
 }
@@ -129,7 +134,10 @@
 // NewPlanner returns a planner that knows no engine.
 func NewPlanner(config Config) *Planner {
 	config = config.withDefaults()
-	return &Planner{config: config, engines: make(map[ident.Incarnation]*progress), loads: newLoadTimes(config.LoadTime)}
+	return &Planner{
+		config: config, engines: make(map[ident.Incarnation]*progress), loads: newLoadTimes(config.LoadTime),
+		changes: newLoadTimes(config.LoadTime),
+	}
 }
 
 // Counters returns what was counted so far.
@@ -249,6 +257,7 @@
 	}
 	if !engine.acceptedAt.IsZero() {
 		p.loads.observe(seenAt.Sub(engine.acceptedAt))
+		p.changes.observe(seenAt.Sub(engine.awayFrom))
 	}
 	engine.ordered = 0
 	p.loaded = append(p.loaded, Loaded{Instance: engine.record.Instance, Model: engine.orderedModel, Version: version})
@@ -295,6 +304,10 @@
 func (p *Planner) order(now time.Time, wanted need, fence uint64) Action {
 	engine := wanted.engine
 	emptied := !engine.emptyingFrom.IsZero()
+	engine.awayFrom = now
+	if emptied {
+		engine.awayFrom = engine.emptyingFrom
+	}
 	engine.emptyingFrom = time.Time{}
 	engine.ordered = p.models[wanted.model].Version
 	engine.orderedModel = wanted.model
