--- a/internal/backend/config.go
+++ b/internal/backend/config.go
@@ -66,7 +66,7 @@
 	// assumedFor is how long an assumed version stands: the list lags by less.
 	assumedFor = 2 * time.Second
 	// loadingFor is how long a back end gets no work after it was said to take
-	// new weights, unless it is known to have them before.
+	// new weights, if no time was told, unless it is known to have them before.
 	loadingFor = 700 * time.Millisecond
 	// versionPause is how long a back end whose version was not as believed
 	// rests, unless the list tells a newer one before.
--- a/internal/rollout/emptying.go
+++ b/internal/rollout/emptying.go
@@ -8,8 +8,8 @@
 
 // defaultEmptying is the longest time for which an engine gets no new work before its
 // order: most runs of up to 60 tokens end within it. What a run makes after its engine
-// changed weights is lost. That took 0.018 of the worth without emptying, 0.008 with
-// 300 ms and 0.006 with 600 ms (mean of eight days on small twins of three sites).
+// changed weights is lost: 0.020 of the worth at 0 ms, 0.013 at 300 ms and 0.009 at
+// 600 ms (mean of eight days on small twins of three sites).
 const defaultEmptying = 600 * time.Millisecond
 
 // Emptying is an engine that is to get no new work, since it will be ordered to take
