--- a/internal/backend/choose.go
+++ b/internal/backend/choose.go
@@ -84,11 +84,15 @@
 func (r *Registry) cheapest(now time.Time, query *Query, home *state, allowed []*state) (best *state, candidates int) {
 	bestCost := math.Inf(1)
 	var bestScore uint64
+	stale := r.stalePrice(now, query)
 	for _, candidate := range allowed {
 		if !candidate.eligible(now, query) {
 			continue
 		}
 		cost := r.cost(now, candidate, query, home)
+		if stale > 0 && candidate.stale(now, query) {
+			cost += stale.Seconds()
+		}
 		if math.IsInf(cost, 1) {
 			continue
 		}
--- a/internal/node/events.go
+++ b/internal/node/events.go
@@ -57,7 +57,7 @@
 		{"engines_silent", []string{"silent", "answering"}, "The first router of a zone told which of its engines do not answer its checks, and which do again."},
 		{"engines_gone", []string{"gone"}, "Requests or checks of this router found other back ends at the addresses of these, which have ended; the other routers are told."},
 		{"notice_not_sent", []string{"cause"}, "A notice could not be encoded; the other routers learn of the engines from the list."},
-		{"engines_change", []string{"model", "version", "loading", "loaded", "unsettled"}, "The holder of the lease told which engines are about to take a version, which have it, and which did not say that they take it."},
+		{"engines_change", []string{"model", "version", "loading", "loaded", "unsettled", "emptying"}, "The holder of the lease told which engines are about to take a version, which have it, which did not say that they take it, and which get no new work before their order."},
 		{"quota_leader_changed", []string{"from", "to"}, "Another router grants what tenants with limits may use here; from and to are addresses, to is this router's own if it reaches no older one."},
 		{"order", []string{"instance", "model", "version", "fence", "sequence", "result"}, "An order was sent to an engine."},
 		{"rollout_ordered", with(rolloutFields, "duration_ms"), "An operator's order to move a service to another release was seen here; order is its revision."},
--- a/internal/rollout/controller.go
+++ b/internal/rollout/controller.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -37,6 +38,8 @@
 	ExchangeTimeout time.Duration
 	// OnOrder is told each order with its result. It must not block.
 	OnOrder func(order *Order, result Result)
+	// Emptying has engines emptied before their orders; it needs an Announcer.
+	Emptying bool
 	// Announcer tells other routers which engines are about to change; nil tells
 	// nobody.
 	Announcer Announcer
@@ -72,6 +75,10 @@
 	if config.ExchangeTimeout <= 0 {
 		config.ExchangeTimeout = defaultExchangeTimeout
 	}
+	// Only routers that are told send no new work.
+	if config.Announcer != nil && config.Emptying {
+		config.Planner.Emptying = cmp.Or(config.Planner.Emptying, defaultEmptying)
+	}
 	return &Controller{
 		config: config, planner: NewPlanner(config.Planner), lease: held, engines: engines,
 		holder: holder, backends: backends, results: make(chan func(time.Time), resultCapacity),
@@ -88,12 +95,26 @@
 			return
 		case take := <-c.results:
 			take(time.Now())
+			c.takeResults()
+			c.step(ctx, time.Now())
 		case <-ticker.C:
 			c.step(ctx, time.Now())
 		}
 	}
 }
 
+// takeResults takes in all results there are.
+func (c *Controller) takeResults() {
+	for {
+		select {
+		case take := <-c.results:
+			take(time.Now())
+		default:
+			return
+		}
+	}
+}
+
 func (c *Controller) step(ctx context.Context, now time.Time) {
 	grant, err := c.lease.Held()
 	if err != nil {
@@ -107,7 +128,9 @@
 	if now.Before(grant.QuietUntil) || !now.Before(grant.ActUntil) {
 		return
 	}
-	c.planner.Observe(c.backends.Records(), c.holder.View().Models)
+	records := c.backends.Records()
+	c.planner.Observe(records, c.holder.View().Models)
+	c.planner.Calm(c.calm(now, records))
 	actions := c.planner.Plan(now, grant.Fence)
 	c.announce(actions)
 	for _, action := range actions {
@@ -115,19 +138,31 @@
 	}
 }
 
-// announce tells the engines that the actions change, and those that have their
-// version since the last look.
+// calm returns how calm the services of engines are, from 0 to 1.
+func (c *Controller) calm(now time.Time, records []backend.Record) map[ident.Service]float64 {
+	calm := make(map[ident.Service]float64)
+	for _, record := range records {
+		if _, known := calm[record.Service]; !known && len(record.Models) > 0 {
+			calm[record.Service] = c.backends.Calm(now, record.Service)
+		}
+	}
+	return calm
+}
+
+// announce tells the engines that the actions change, those that are emptied, and
+// those that have their version since the last look.
 func (c *Controller) announce(actions []Action) {
-	loaded := c.planner.Loaded()
+	loaded, emptying := c.planner.Loaded(), c.planner.Emptying()
 	if c.config.Announcer == nil {
 		return
 	}
-	var gathered notices
+	gathered := notices{loadTime: c.planner.LoadTime() + announcePause}
 	gathered.loading(actions)
 	for _, engine := range loaded {
 		notice := gathered.of(engine.Model, engine.Version)
 		notice.Loaded = append(notice.Loaded, engine.Instance)
 	}
+	gathered.emptying(emptying, c.config.Planner.Emptying)
 	gathered.announce(c.config.Announcer)
 }
 
@@ -156,7 +191,7 @@
 		}
 		return
 	}
-	if c.config.Announcer != nil {
+	if c.config.Announcer != nil && !action.Emptied {
 		wait.For(ctx, announcePause)
 	}
 	// The lease is asked once more right before the order leaves.
--- a/internal/rollout/notice.go
+++ b/internal/rollout/notice.go
@@ -1,6 +1,8 @@
 package rollout
 
 import (
+	"time"
+
 	"github.com/fieldpond/fieldpond/internal/ident"
 )
 
@@ -16,6 +18,12 @@
 	// Unsettled did not say that they take it: they go on as before, as far as is
 	// known.
 	Unsettled []ident.Incarnation `cbor:"5,keyasint,omitempty"`
+	// LoadTime is how long a load mostly takes; 0 means that it is not told.
+	LoadTime time.Duration `cbor:"6,keyasint,omitempty"`
+	// Emptying engines get no new work, since they begin to load in EmptyTime or
+	// before.
+	Emptying  []ident.Incarnation `cbor:"7,keyasint,omitempty"`
+	EmptyTime time.Duration       `cbor:"8,keyasint,omitempty"`
 }
 
 // Announcer tells notices to all routers, this one included. It must not block.
@@ -27,6 +35,8 @@
 type notices struct {
 	order []noticeKey
 	by    map[noticeKey]*Notice
+	// loadTime is how long engines that load mostly take.
+	loadTime time.Duration
 }
 
 type noticeKey struct {
@@ -52,10 +62,20 @@
 		if order := action.Order; order != nil {
 			notice := n.of(order.Model, order.Version)
 			notice.Loading = append(notice.Loading, order.Target.Instance)
+			notice.LoadTime = n.loadTime
 		}
 	}
 }
 
+// emptying gathers the engines that are emptied for some time at most.
+func (n *notices) emptying(engines []Emptying, most time.Duration) {
+	for _, engine := range engines {
+		notice := n.of(engine.Model, engine.Version)
+		notice.Emptying = append(notice.Emptying, engine.Instance)
+		notice.EmptyTime, notice.LoadTime = most, n.loadTime
+	}
+}
+
 // announce tells what was gathered.
 func (n *notices) announce(to Announcer) {
 	for _, key := range n.order {
--- a/internal/rollout/planner.go
+++ b/internal/rollout/planner.go
@@ -9,8 +9,6 @@
 	"slices"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"github.com/fieldpond/fieldpond/internal/backend"
 	"github.com/fieldpond/fieldpond/internal/catalog"
 	"github.com/fieldpond/fieldpond/internal/ident"
@@ -21,8 +19,8 @@
 	// Deadline is how long after a version was named no request may begin on an
 	// older one. Default: 8s.
 	Deadline time.Duration
-	// LoadTime is the usual time from the decision to change an engine until its
-	// report shows the change. Default: 1s.
+	// LoadTime is the time from an order until a report shows the change that is
+	// taken until loads were seen. Default: 1s.
 	LoadTime time.Duration
 	// Parallel is the least number of engines that may be changed at one time;
 	// there are more if the deadline could not be kept otherwise. Default: one in
@@ -36,14 +34,18 @@
 	// Margin is the time kept before the deadline for orders that are lost and
 	// holders that change. Default: 2s.
 	Margin time.Duration
+	// Emptying is the longest time for which an engine gets no new work before its
+	// order, so that the requests there can end. Default: none.
+	Emptying time.Duration
 }
 
 const (
 	defaultDeadline = 8 * time.Second
 	defaultLoadTime = time.Second
 	defaultMargin   = 2 * time.Second
-	// reportPause is the time between two reports of an engine that changes.
-	reportPause = 250 * time.Millisecond
+	// reportPause is the time between two reports of an engine that changes, from
+	// the time on at which the fastest loads are over.
+	reportPause = 100 * time.Millisecond
 	// settleAfter is how old an order must be before a report without any sign
 	// of it shows that it was not taken; reports lag by some hundred ms.
 	settleAfter = 700 * time.Millisecond
@@ -52,12 +54,6 @@
 	preparedFor = time.Second
 	// refusedPause is the pause after an engine refused an order.
 	refusedPause = 300 * time.Millisecond
-	// parallelShare changes one in so many engines at one time, rounded to the
-	// nearest number.
-	parallelShare = 5
-	// leastServing keeps all but one in so many engines serving while others
-	// change, whatever the deadline.
-	leastServing = 3
 	// silentPause and maxSilentPause bound the pause after a report that did not
 	// come; it doubles with each one in a row.
 	silentPause    = 300 * time.Millisecond
@@ -71,63 +67,6 @@
 	return c
 }
 
-// Order asks one engine to take a version of a model's weights. It is carried
-// out only if the engine has taken Sequence orders before.
-type Order struct {
-	Target   backend.Record
-	Model    ident.Model
-	Version  int
-	Sequence uint64
-	Fence    uint64
-}
-
-// Result is what an engine answered to an order.
-type Result uint8
-
-const (
-	// Accepted orders are carried out, or hold already.
-	Accepted Result = iota + 1
-	// Conflicting orders met another one, or another sequence number.
-	Conflicting
-	// Outdated orders carried an older fence than the engine has seen.
-	Outdated
-	// Gone is an order to an engine that is no longer at its address.
-	Gone
-	// Unanswered orders may have been taken, or may be taken later.
-	Unanswered
-	// NotSent orders never left this process.
-	NotSent
-)
-
-// resultNames are the names of results in logs and metrics.
-var resultNames = map[Result]string{
-	Accepted: "accepted", Conflicting: "conflicting", Outdated: "outdated", Gone: "gone",
-	Unanswered: "unanswered", NotSent: "not_sent",
-}
-
-// String implements fmt.Stringer.
-func (r Result) String() string { return resultNames[r] }
-
-// ErrOtherInstance says that another engine answered at the address of the one asked for,
-// which has therefore ended.
-var ErrOtherInstance = errors.New("another engine answers at the address")
-
-// Report is what an engine told about itself.
-type Report struct {
-	Versions map[ident.Model]int
-	Busy     bool
-	Sequence uint64
-	// Queued is the number of requests that wait for a place.
-	Queued int
-}
-
-// Action is one thing for the shell to do: an order, or a report to read.
-type Action struct {
-	// Order is nil if the report of Target is to be read.
-	Order  *Order
-	Target backend.Record
-}
-
 // Counters counts what a Planner did.
 type Counters struct {
 	Orders, Accepted, Refused, Unanswered, Reports uint64
@@ -144,6 +83,9 @@
 	ordered      int
 	orderedModel ident.Model
 	orderedAt    time.Time
+	// acceptedAt is when the engine said that it takes the version, zero if it did
+	// not.
+	acceptedAt time.Time
 	// asking is true while an order or a report is under way.
 	asking bool
 	notNow time.Time
@@ -153,6 +95,13 @@
 	// reportAt is when the next report is due, reportedAt when the last one
 	// that came was asked for.
 	reportAt, reportedAt time.Time
+	// requests is the number of requests at the engine in the last report.
+	requests int
+	// emptyingFrom is when routers were told to send the engine no new work, zero if
+	// they were not.
+	emptyingFrom time.Time
+	// awayFrom is when the change under order began: when emptying did, or the order.
+	awayFrom time.Time
 }
 
 // Planner decides on orders. It is not safe for concurrent use.
@@ -167,6 +116,12 @@
 	counters Counters
 	// loaded are the engines whose orders were settled since the last Loaded.
 	loaded []Loaded
+	// loads are the times from orders on, changes those for which engines were away.
+	loads, changes loadTimes
+	// calm is how calm services are, from 0 to 1.
+	calm map[ident.Service]float64
+	// emptying are the engines that got to be emptied since the last call of Emptying.
+	emptying []Emptying
 }
 
 // Loaded is an engine that has the version it was ordered to take.
@@ -178,7 +133,11 @@
 
 // NewPlanner returns a planner that knows no engine.
 func NewPlanner(config Config) *Planner {
-	return &Planner{config: config.withDefaults(), engines: make(map[ident.Incarnation]*progress)}
+	config = config.withDefaults()
+	return &Planner{
+		config: config, engines: make(map[ident.Incarnation]*progress), loads: newLoadTimes(config.LoadTime),
+		changes: newLoadTimes(config.LoadTime),
+	}
 }
 
 // Counters returns what was counted so far.
@@ -214,6 +173,7 @@
 func (p *Planner) Forget() {
 	for _, engine := range p.engines {
 		engine.ordered, engine.asking = 0, false
+		engine.emptyingFrom = time.Time{}
 	}
 }
 
@@ -250,20 +210,18 @@
 	return actions
 }
 
-// due reports whether orders may leave by now.
-func (p *Planner) due(now time.Time, needs []need) bool {
-	return !p.config.Patient || !now.Before(needs[0].deadline.Add(-p.lead(len(needs))))
-}
-
 // survey follows the engines that change, counts those of them that answer,
 // and returns the others that are behind, the most urgent first.
 func (p *Planner) survey(now time.Time) (actions []Action, active int, needs []need) {
 	for _, engine := range p.engines {
-		p.settle(engine)
+		p.settle(now, engine)
 		if engine.ordered == 0 && !engine.asking {
-			if wanted, behind := p.needOf(engine); behind {
-				needs = append(needs, wanted)
+			wanted, behind := p.needOf(engine)
+			if !behind {
+				engine.emptyingFrom = time.Time{}
+				continue
 			}
+			needs = append(needs, wanted)
 			continue
 		}
 		if engine.silent == 0 {
@@ -274,42 +232,33 @@
 		}
 	}
 	slices.SortFunc(needs, func(a, b need) int {
-		return cmp.Or(a.deadline.Compare(b.deadline), cmp.Compare(a.engine.record.Instance, b.engine.record.Instance))
+		return cmp.Or(
+			emptyingFirst(a.engine, b.engine), a.deadline.Compare(b.deadline),
+			cmp.Compare(a.engine.record.Instance, b.engine.record.Instance),
+		)
 	})
 	return actions, active, needs
 }
 
-// change orders an engine whose report was read right before, or reads it.
+// change orders an engine whose report was read right before and which is emptied, or
+// reads its report.
 func (p *Planner) change(now time.Time, wanted need, fence uint64) (Action, bool) {
-	if now.Sub(wanted.engine.reportedAt) > preparedFor {
+	if now.Sub(wanted.engine.reportedAt) > preparedFor || p.empties(now, wanted) {
 		return p.follow(now, wanted.engine)
 	}
 	return p.order(now, wanted, fence), true
 }
 
-// parallel is how many of count engines are changed at one time, so that all are
-// within a span if most engines can go on serving meanwhile.
-func (p *Planner) parallel(count int, span time.Duration) int {
-	span = max(span, p.config.LoadTime)
-	needed := (time.Duration(count)*p.config.LoadTime + span - 1) / span
-	usual := cmp.Or(p.config.Parallel, max((len(p.engines)+parallelShare/2)/parallelShare, 1))
-	return max(usual, min(int(needed), len(p.engines)/leastServing))
-}
-
-// lead is how long before the first deadline the change of count engines has
-// to begin.
-func (p *Planner) lead(count int) time.Duration {
-	parallel := p.parallel(count, p.config.Deadline-p.config.Margin-p.config.LoadTime)
-	rounds := (count + parallel - 1) / parallel
-	return time.Duration(rounds)*p.config.LoadTime + p.config.Margin
-}
-
-// settle closes an order whose version the engine has.
-func (p *Planner) settle(engine *progress) {
+// settle closes an order whose version the engine was seen to have by a time.
+func (p *Planner) settle(seenAt time.Time, engine *progress) {
 	version := engine.versions[engine.orderedModel]
 	if engine.ordered == 0 || version < engine.ordered {
 		return
 	}
+	if !engine.acceptedAt.IsZero() {
+		p.loads.observe(seenAt.Sub(engine.acceptedAt))
+		p.changes.observe(seenAt.Sub(engine.awayFrom))
+	}
 	engine.ordered = 0
 	p.loaded = append(p.loaded, Loaded{Instance: engine.record.Instance, Model: engine.orderedModel, Version: version})
 }
@@ -354,15 +303,21 @@
 
 func (p *Planner) order(now time.Time, wanted need, fence uint64) Action {
 	engine := wanted.engine
+	emptied := !engine.emptyingFrom.IsZero()
+	engine.awayFrom = now
+	if emptied {
+		engine.awayFrom = engine.emptyingFrom
+	}
+	engine.emptyingFrom = time.Time{}
 	engine.ordered = p.models[wanted.model].Version
 	engine.orderedModel = wanted.model
-	engine.orderedAt = now
+	engine.orderedAt, engine.acceptedAt = now, time.Time{}
 	engine.asking = true
 	p.counters.Orders++
 	if now.After(wanted.deadline) {
 		p.counters.Late++
 	}
-	return Action{Target: engine.record, Order: &Order{
+	return Action{Target: engine.record, Emptied: emptied, Order: &Order{
 		Target: engine.record, Model: wanted.model, Version: engine.ordered,
 		Sequence: engine.sequence, Fence: fence,
 	}}
@@ -379,6 +334,8 @@
 	switch result {
 	case Accepted:
 		p.counters.Accepted++
+		engine.acceptedAt = now
+		engine.reportAt = now.Add(p.loads.shortest())
 	case Unanswered:
 		p.counters.Unanswered++
 	case Conflicting:
@@ -402,6 +359,7 @@
 	engine.asking = false
 	engine.reportAt = askedAt.Add(reportPause)
 	if report == nil {
+		engine.emptyingFrom = time.Time{}
 		engine.silent = min(max(2*engine.silent, silentPause), maxSilentPause)
 		engine.notNow = askedAt.Add(engine.silent)
 		engine.reportAt = engine.notNow
@@ -411,7 +369,8 @@
 	engine.learn(report.Versions)
 	engine.reportedAt = askedAt
 	engine.sequence = report.Sequence
-	p.settle(engine)
+	engine.requests = report.Queued + report.Active
+	p.settle(askedAt, engine)
 	if engine.ordered > 0 && !report.Busy && askedAt.Sub(engine.orderedAt) >= settleAfter {
 		engine.ordered = 0
 	}
