Serve releases that wait for a confirmation if no other is left

Cause: a router that starts with a list of back ends a moment younger than the orders held back every release of a service with two, and refused its requests until the next confirmation, also while the store was down and none could come. During a rollout it held back the old release and the target alike. Ruled out: holding back less where a settled release is listed; there the new one still waits. Change: releases that only wait for a confirmation are forbidden only while another one may be used. What an order or a verdict forbids stays forbidden.

--- a/internal/canary/traffic.go
+++ b/internal/canary/traffic.go
@@ -64,9 +64,14 @@
 }
 
 // settle works out which releases are forbidden: those that the guard forbids, and those
-// that were listed since the orders were confirmed, as an order may be on its way.
+// that were listed since the orders were confirmed, as an order may be on its way. The
+// latter are used all the same if no other is left, as at the start of a router whose list
+// is a moment younger than its orders: it would serve nothing until the next confirmation,
+// which is far off while the store is down.
 func (t *traffic) settle(confirmedAt time.Time) {
 	t.forbidden = nil
+	var unsure []ident.Release
+	left := false
 	for index := range t.present {
 		known := &t.present[index]
 		ordered := t.guard != nil && t.guard.order.Target == known.release
@@ -74,11 +79,18 @@
 			known.settled = true
 			known.served = known.served || !ordered
 		}
-		unsure := known.listed && !known.settled && !ordered
-		if unsure || (t.guard != nil && t.guard.forbids(known.release)) {
+		switch {
+		case t.guard != nil && t.guard.forbids(known.release):
 			t.forbidden = append(t.forbidden, known.release)
+		case known.listed && !known.settled && !ordered:
+			unsure = append(unsure, known.release)
+		case known.listed:
+			left = true
 		}
 	}
+	if left || confirmedAt.IsZero() {
+		t.forbidden = append(t.forbidden, unsure...)
+	}
 	if t.guard == nil {
 		return
 	}
