Pass on notices only, not what counts by its sender

Cause: a datagram with a scope was passed on whole, whoever sent it. A permit, report or message about limits of a stranger so came from a relay, which is of the roster, and was taken in by all routers of its zone or region: a stranger could have a release succeed there. Change: only notices of rollouts and of health are passed on; the others are always sent directly.

--- a/internal/node/notices.go
+++ b/internal/node/notices.go
@@ -177,7 +177,9 @@
 	if cbor.Unmarshal(encoded, &told) != nil {
 		return
 	}
-	n.carry(told, n.audience.passOn(told.Scope))
+	// Only notices are passed on: permits, reports and messages about limits count by their
+	// sender, and would come from a router of the roster once this one has sent them.
+	n.carry(datagram{Rollout: told.Rollout, Health: told.Health}, n.audience.passOn(told.Scope))
 	if told.Rollout != nil {
 		n.take(told.Rollout)
 	}
--- a/internal/node/notices_test.go
+++ b/internal/node/notices_test.go
@@ -2,15 +2,19 @@
 
 import (
 	"fmt"
+	"net"
 	"net/netip"
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/matryer/is"
 
 	"github.com/fieldpond/fieldpond/internal/backend"
+	"github.com/fieldpond/fieldpond/internal/canary"
 	"github.com/fieldpond/fieldpond/internal/health"
 	"github.com/fieldpond/fieldpond/internal/ident"
+	"github.com/fieldpond/fieldpond/internal/quota"
 	"github.com/fieldpond/fieldpond/internal/rollout"
 	"github.com/fieldpond/fieldpond/internal/upstream"
 )
@@ -126,6 +130,36 @@
 
 // Engines that are emptied get no new work until they have had the time for that and
 // for their load.
+// What counts by its sender is not passed on: a stranger's permit would come from a router.
+func TestOnlyNoticesArePassedOn(t *testing.T) {
+	is := is.New(t)
+	local := netip.MustParseAddrPort("127.0.0.1:0")
+	peer, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(local))
+	is.NoErr(err)
+	defer func() { _ = peer.Close() }()
+	addr := peer.LocalAddr().(*net.UDPAddr).AddrPort()
+	relay, err := listenNotices(local, backend.NewRegistry(backend.Config{}), audienceOf(addr))
+	is.NoErr(err)
+	defer func() { _ = relay.socket.Close() }()
+	encoded, err := cbor.Marshal(datagram{
+		Health: &health.Notice{Silent: []ident.Incarnation{"i-001"}},
+		Permit: &canary.Permit{Fence: 1, Phase: canary.Succeeded}, Report: &canary.Report{Service: "s"},
+		Quota: &quota.Datagram{}, Scope: toZone,
+	})
+	is.NoErr(err)
+	relay.receive(netip.MustParseAddrPort("127.0.0.9:9"), encoded)
+	is.NoErr(peer.SetReadDeadline(time.Now().Add(5 * time.Second)))
+	buffer := make([]byte, maxDatagramBytes)
+	count, err := peer.Read(buffer)
+	is.NoErr(err)
+	var passed datagram
+	is.NoErr(cbor.Unmarshal(buffer[:count], &passed))
+	is.True(passed.Health != nil)
+	is.True(passed.Permit == nil)
+	is.True(passed.Report == nil)
+	is.True(passed.Quota == nil)
+}
+
 func TestEmptiedEnginesGetNoNewWork(t *testing.T) {
 	is := is.New(t)
 	known := backend.NewRegistry(backend.Config{})
