Take back the choice of a release on trial when its client has left

Cause: an attempt that was given up since its client had left kept its grant: it counted as about to be sent for as long as the order ran. A router is given grants while at most one or so is unused, so that one such client could end its part in the trial, and clients that leave early could leave a good release with too few answers. Ruled out: requests that are refused as overloaded; those took their choice back. Change: such an attempt is declined as well.

--- a/internal/forward/leave.go
+++ b/internal/forward/leave.go
@@ -22,9 +22,10 @@
 	return r.request.Left != nil && r.request.Left()
 }
 
-// abandon gives up an attempt that has not begun.
-func (r *run) abandon(flight *backend.Flight) {
-	flight.Ended(time.Now(), backend.Abandoned)
+// abandon gives up an attempt that has not begun. Its place at a release on trial is taken
+// back: else each client that leaves would use up a grant that nothing was sent for.
+func (r *run) abandon(choice *backend.Choice, flight *backend.Flight) {
+	r.decline(time.Now(), choice, flight)
 	r.giveBack()
 	r.leave(errClientLeft)
 }
--- a/internal/forward/releases_test.go
+++ b/internal/forward/releases_test.go
@@ -136,6 +136,19 @@
 	}
 }
 
+// A choice of the target is taken back if the client left before anything was sent.
+func TestAClientThatLeftTakesNoGrant(t *testing.T) {
+	is := is.New(t)
+	releases := &fakeReleases{first: onlyNew, later: notNew}
+	b := newReleaseBench(releases, true, genuine(200, "ok"))
+	wanted := request("safe")
+	wanted.Left = func() bool { return true }
+	b.forward(t, wanted)
+	is.Equal(len(releases.asks), 1)
+	is.Equal(len(releases.sent), 0)
+	is.Equal(releases.declined, 1)
+}
+
 // Rather is a request refused than sent to a release that it may not go to.
 func TestNoAttemptGoesToAForbiddenRelease(t *testing.T) {
 	is := is.New(t)
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -96,7 +96,7 @@
 			return
 		}
 		if r.clientLeft(timed) {
-			r.abandon(flight)
+			r.abandon(&choice, flight)
 			return
 		}
 		r.sends++
