Learn a verdict that was missed from the releases that the next order names as proved

Cause: a router that was cut off during a verdict kept the order's target as unproved under the next order, and the state of the first is written over by then. If the target had succeeded, its release was the only one that served, and the router refused every request. Change: a target whose verdict was not learned serves once the next order's state names it among the proved releases, which a target that was rolled back is never one of. A rollback that was learned stays.

--- a/internal/canary/gate_test.go
+++ b/internal/canary/gate_test.go
@@ -200,6 +200,38 @@
 	is.True(!releases.Allows(third))    // it is not proved
 }
 
+// A router that was cut off during a verdict learns from the next order's state whether its
+// target has succeeded; one that was rolled back is never among the proved ones.
+func TestMissedVerdictIsLearnedFromTheNextOrder(t *testing.T) {
+	third := ident.Release("v3")
+	tests := []struct {
+		name   string
+		proved []ident.Release
+		missed bool
+		want   bool
+	}{
+		{"it succeeded", []ident.Release{modelNew}, true, true},
+		{"it was rolled back", []ident.Release{modelOld}, true, false},
+		{"its rollback was not missed", []ident.Release{modelOld, modelNew}, false, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			gate := guarded()
+			if !tt.missed {
+				gate.Know(at(time.Second), at(time.Second), Known{States: []State{{Order: testOrder, Phase: RolledBack}}})
+			}
+			next := Order{Service: modelService, Target: third, Duration: time.Minute, Revision: 8}
+			gate.Know(at(2*time.Second), at(2*time.Second), Known{Orders: []Order{next}, States: []State{
+				{Order: next, Phase: Observing, Proved: tt.proved},
+			}})
+			releases := gate.Choose(at(2*time.Second), testAsk)
+			is.Equal(releases.Allows(modelNew), tt.want)
+			is.True(!releases.Allows(third))
+		})
+	}
+}
+
 func TestWithdrawnOrderBindsNothing(t *testing.T) {
 	is := is.New(t)
 	gate := guarded()
--- a/internal/canary/guard.go
+++ b/internal/canary/guard.go
@@ -38,6 +38,8 @@
 	others []ident.Release
 	// unproved are the targets of earlier orders that did not succeed.
 	unproved []ident.Release
+	// doubted is that of them of whose order no verdict was learned; empty if there is none.
+	doubted ident.Release
 	// alone says that the target served alone before the order came: nothing else can.
 	alone bool
 	// spread differs from router to router.
@@ -73,6 +75,20 @@
 	if !slices.Equal(g.others, proved) {
 		g.others = slices.Clone(proved)
 	}
+	if phase == Observing {
+		// Later states name all other releases that are listed.
+		g.believe(proved)
+	}
+}
+
+// believe lets a release serve that is proved, though its verdict was not learned: a router
+// that was cut off meanwhile would forbid the one release that serves.
+func (g *guard) believe(proved []ident.Release) {
+	if g.doubted == "" || !slices.Contains(proved, g.doubted) {
+		return
+	}
+	g.unproved = slices.DeleteFunc(g.unproved, func(release ident.Release) bool { return release == g.doubted })
+	g.doubted = ""
 }
 
 // releases returns where an attempt may go. Forbidden are the releases that it may not go to
--- a/internal/canary/traffic.go
+++ b/internal/canary/traffic.go
@@ -113,6 +113,9 @@
 	}
 	if last := t.guard; last != nil && last.phase != Succeeded {
 		begun.unproved = append(slices.Clone(last.unproved), last.order.Target)
+		if !last.phase.Final() {
+			begun.doubted = last.order.Target
+		}
 	}
 	t.guard = begun
 }
