Drop reads of a rollout's state that are older than what was written since

Cause: the state of a withdrawn order is also read without being asked for. Such a read that was under way while a verdict was stored took the phase back, and one during a write made the holder forget that write, until the next one failed. Change: a row older than the one that this holder has stored is dropped, unless it was asked for since nothing is known of a write.

--- a/internal/canary/director_test.go
+++ b/internal/canary/director_test.go
@@ -237,6 +237,28 @@
 	}
 }
 
+// A read that was under way while a verdict was stored does not take the verdict back.
+func TestLateReadTakesNothingBack(t *testing.T) {
+	is := is.New(t)
+	d := newDesk(hooks{})
+	d.observe(testOrder)
+	d.director.Hold(at(d.now), 1)
+	for range 10 {
+		d.step()
+	}
+	known := d.director.rollout(modelService)
+	earlier, version := known.state, known.version
+	is.Equal(earlier.Phase, Observing)
+	verdict := earlier
+	verdict.Phase = RolledBack
+	known.writing = &verdict
+	d.director.Written(at(d.now), modelService, Stored{Version: version + 1})
+	is.Equal(known.state.Phase, RolledBack)
+	d.director.Read(at(d.now), earlier, version)
+	is.Equal(known.state.Phase, RolledBack)
+	is.Equal(known.version, version+1)
+}
+
 func TestLoserOfLeaseFallsSilent(t *testing.T) {
 	is := is.New(t)
 	d := newDesk(hooks{})
--- a/internal/canary/rollout.go
+++ b/internal/canary/rollout.go
@@ -97,8 +97,13 @@
 	}
 }
 
-// read takes in the row as it lies in the store.
+// read takes in the row as it lies in the store. One that was read before this holder's last
+// write was stored is dropped, as a read that nobody asked for may be: it would take back a
+// phase, a final one too, until the next write fails.
 func (r *rollout) read(now time.Time, state State, version uint64) {
+	if r.known && !r.refetch && version < r.version {
+		return
+	}
 	same := state.Order.Revision == r.state.Order.Revision
 	if !same {
 		r.reset(now)
