Send what would wait too long at a release on trial to the others

Cause: under congestion a request is refused when even the best back end would let it wait too long, but one that was to try a release on trial was only compared among its few back ends: a slow target refused requests that the other releases would have served, and left no trace of it. Change: its choice is taken back, and the request is placed among the other releases.

--- a/internal/forward/releases_test.go
+++ b/internal/forward/releases_test.go
@@ -5,6 +5,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -149,6 +150,25 @@
 	is.Equal(releases.declined, 1)
 }
 
+// A request that would wait too long at a release on trial goes to the others.
+func TestAnOverloadedTargetRefusesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		releases := &fakeReleases{first: onlyNew, later: notNew}
+		b := newReleaseBench(releases, true, genuine(200, "id: 1\n\n"))
+		b.lateEngines(150 * time.Millisecond)
+		b.backends.ToldQueue(time.Now(), "new", 2000)
+		wanted := request("resumable")
+		wanted.Wait = 9 * time.Second
+		wanted.Prompt = &forward.Prompt{Model: "m", Parts: []forward.Part{{ID: "y", Tokens: 20}, {ID: "z", Tokens: 5}}}
+		sink := b.forward(t, wanted)
+		is.True(sink.refusal == nil)
+		is.Equal(releases.sent, []ident.Release{"v1"})
+		is.Equal(releases.declined, 1)
+		is.Equal(b.backends.InFlight(), 0)
+	})
+}
+
 // Rather is a request refused than sent to a release that it may not go to.
 func TestNoAttemptGoesToAForbiddenRelease(t *testing.T) {
 	is := is.New(t)
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -227,6 +227,10 @@
 		if choice, flight, found := r.pick(now); found {
 			if r.overloadedBy(&choice, now) {
 				r.decline(now, &choice, flight)
+				if choice.Releases.Among > 0 {
+					// It was the best of a release on trial; the next look is at the others.
+					continue
+				}
 				return backend.Choice{}, nil, r.overloaded(&choice, now)
 			}
 			return choice, flight, nil
