Leave time to back ends that read a long body late

Cause: the kernel's user timeout also counts while a living peer keeps its window closed. With the bound by the target (250 ms to 1 s) a back end that read a body of 16 MiB after 2s was given up after 0.5s; found by review, with a test that failed before.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -77,6 +77,25 @@
 // errExcess says that too many answers to other requests came.
 var errExcess = errors.New("too many answers to other requests on one connection")
 
+const (
+	// windowBytes is the longest body that the window of a back end takes whole, so that
+	// its machine acknowledges it before the back end reads it.
+	windowBytes = 32 << 10
+	// longBodyAck bounds a closed window for longer bodies: the kernel counts the time for
+	// which a living back end reads nothing as if nothing were acknowledged. With a bound
+	// of 250 ms a back end that read a body of 16 MiB after 2 s was given up after 0.5 s.
+	longBodyAck = 3 * time.Second
+)
+
+// ackWithin returns how long bytes of a request may stay unacknowledged.
+func (p *Pool) ackWithin(request *Request) time.Duration {
+	within := cmp.Or(request.AckWithin, p.options.UserTimeout)
+	if len(request.Body) > windowBytes {
+		return max(within, longBodyAck)
+	}
+	return within
+}
+
 // Do sends a request once. An error is an *Error. When ctx ends, the
 // connection is closed, also while the body of the answer is read.
 func (p *Pool) Do(ctx context.Context, address string, request *Request) (*Response, error) {
@@ -84,7 +103,7 @@
 	if err != nil {
 		return nil, &Error{Cause: err}
 	}
-	used.expectAcks(cmp.Or(request.AckWithin, p.options.UserTimeout))
+	used.expectAcks(p.ackWithin(request))
 	exchange := &running{pool: p, connection: used, begunAt: time.Now()}
 	exchange.stop = context.AfterFunc(ctx, exchange.giveUp)
 	response, err := exchange.run(request)
--- a/internal/exchange/silence_test.go
+++ b/internal/exchange/silence_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
+	"net/http"
 	"net/netip"
 	"testing"
 	"time"
@@ -136,6 +138,42 @@
 	is.NoErr(exchangeWhole(t, pool, relay))
 }
 
+// The window of a back end that reads a long body late is closed for a time; its machine
+// answers all the while, so that the request must not fail.
+func TestABackEndThatReadsALongBodyLateIsNotSilent(t *testing.T) {
+	t.Parallel()
+	tests := []struct {
+		name  string
+		bytes int
+	}{
+		{"a body that the window takes", 32 << 10},
+		{"one that it does not", 16 << 20},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			answer := answering("HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 0\r\n\r\n")
+			late := listen(t, func(connection net.Conn, reader *bufio.Reader) {
+				time.Sleep(8 * ackBound)
+				answer(connection, reader)
+			})
+			pool := exchange.NewPool(exchange.Options{})
+			t.Cleanup(func() { pool.CloseIdle(true) })
+			request := ask("1")
+			request.Method, request.Body, request.AckWithin = http.MethodPost, make([]byte, tt.bytes), ackBound
+			ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+			defer cancel()
+			response, err := pool.Do(ctx, late.address(), request)
+			is.NoErr(err)
+			_, err = io.ReadAll(response.Body)
+			is.NoErr(err)
+			is.NoErr(response.Body.Close())
+			is.Equal(pool.Silent(), uint64(0))
+		})
+	}
+}
+
 func TestARestingConnectionThatFellSilentIsNotUsed(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
