Ask the store what the row of the configuration held

Cause: the store carries a write out late at times, after newer ones.

Ruled out: telling it by the revision of the row, which rises with a late write too.

Nothing calls it yet.

--- a/internal/node/source.go
+++ b/internal/node/source.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/fieldpond/fieldpond/internal/backend"
@@ -29,11 +30,19 @@
 	StoreTime time.Duration
 }
 
+// ErrHistoryGone says that the store has forgotten what its rows held.
+var ErrHistoryGone = errors.New("the history of the store's rows is gone")
+
 // Source is where the configuration and the list of back ends are read. Each
 // method returns the newest state at some time between its call and its
 // return. Errors are *fault.Fault.
 type Source interface {
 	Configuration(ctx context.Context) (Reading, error)
+	// Configurations returns what the row of the configuration held after a revision until
+	// another one, oldest first. The store carries a write out late at times, after newer
+	// ones, so that what a reading tells need not be the newest. If the store has
+	// forgotten it, errors.Is finds ErrHistoryGone. Only revisions and bodies are set.
+	Configurations(ctx context.Context, after, until uint64) ([]Reading, error)
 	// Decode reads the body of a Reading.
 	Decode(body []byte) (*catalog.Snapshot, error)
 	Backends(ctx context.Context) ([]backend.Record, error)
