Show what a late write of an older configuration does to routers

Ruled out: that the held configuration is never confirmed again after a late write. The next read finds the revision unchanged and confirms what is held, whatever the row says: routers don't turn unready, they act on a configuration, and on its keys, that may have been replaced.

--- /dev/null
+++ b/internal/node/latewrites_test.go
@@ -0,0 +1,270 @@
+// A write that the store did not answer may be carried out seconds later, after newer
+// ones, and gets the highest revision then. So the content of a row is not always the
+// newest that was written, and a newer one may have stood there between two reads only.
+//
+// Evidence: the rows of an operator who repeated unanswered writes went v7, v6, v8, v6
+// with rising revisions, and no read saw v8. With the configuration's row that means: a
+// router that met the older one told it to peers that had just started; and one that
+// stood for an instant was missed for good, while the one before it, with keys that were
+// taken away, was confirmed at each read.
+package node
+
+import (
+	"bytes"
+	"context"
+	"strconv"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/memory"
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+
+	"github.com/fieldpond/fieldpond/internal/catalog"
+	"github.com/fieldpond/fieldpond/internal/upstream"
+)
+
+// lateStore is a store whose row of the configuration holds a version number, and that
+// remembers what the row held.
+type lateStore struct {
+	*fakeStore
+	written []Reading
+	// failure, if set, is the answer to questions about what the row held, which are counted.
+	failure error
+	asked   int
+}
+
+func newLateStore() *lateStore { return &lateStore{fakeStore: newFakeStore()} }
+
+// write makes versions the contents of the row, one right after the other, so that no
+// read sees any but the last.
+func (s *lateStore) write(versions ...uint64) {
+	s.change(func() {
+		for _, version := range versions {
+			s.reading.Revision += 2
+			s.reading.Body = strconv.AppendUint(nil, version, 10)
+			s.written = append(s.written, Reading{Revision: s.reading.Revision, Body: s.reading.Body})
+		}
+	})
+}
+
+func (s *lateStore) fail(err error) { s.change(func() { s.failure = err }) }
+
+// Configurations implements Source.
+func (s *lateStore) Configurations(_ context.Context, after, until uint64) ([]Reading, error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.asked++
+	if s.failure != nil {
+		return nil, s.failure
+	}
+	var between []Reading
+	for _, written := range s.written {
+		if written.Revision > after && written.Revision <= until {
+			between = append(between, written)
+		}
+	}
+	return between, nil
+}
+
+// Decode implements Source.
+func (s *lateStore) Decode(body []byte) (*catalog.Snapshot, error) {
+	version, err := strconv.ParseUint(string(bytes.TrimSpace(body)), 10, 64)
+	if err != nil {
+		return nil, err
+	}
+	return catalog.NewSnapshot(catalog.Content{Version: version}), nil
+}
+
+// router returns a router that reads the store.
+func (s *lateStore) router() *follower {
+	reader := newFollower(s.fakeStore)
+	reader.source, reader.replica.decode = s, s.Decode
+	return reader
+}
+
+// started returns a router that follows the configuration and has seen the list once.
+func (s *lateStore) started(t *testing.T) *follower {
+	reader := s.router()
+	reader.replica.takeList("n", time.Now(), wholeList(nil))
+	go reader.followConfiguration(t.Context())
+	time.Sleep(10 * time.Millisecond)
+	return reader
+}
+
+func versionAt(router *follower) uint64 {
+	if snapshot := router.replica.holder.View().Snapshot; snapshot != nil {
+		return snapshot.Version
+	}
+	return 0
+}
+
+func ageAt(router *follower) time.Duration { return router.replica.holder.View().Age(time.Now()) }
+
+// directly pulls from one router.
+type directly struct{ from *follower }
+
+// Pull implements puller.
+func (d directly) Pull(_ context.Context, _ upstream.Peer, pull *upstream.Pull) (*upstream.Update, time.Time, error) {
+	return d.from.replica.Update(time.Now(), pull), time.Now(), nil
+}
+
+// pullFrom lets a router pull once from another.
+func pullFrom(t *testing.T, puller, from *follower) {
+	t.Helper()
+	puller.client = directly{from: from}
+	puller.pull(t.Context(), upstream.Peer{}, 0)
+}
+
+// warnings returns the events that were warned of while a test runs.
+func warnings(t *testing.T) func() []string {
+	t.Helper()
+	kept := memory.New()
+	log.SetHandler(kept)
+	t.Cleanup(func() { log.SetHandler(log.HandlerFunc(func(*log.Entry) error { return nil })) })
+	return func() (events []string) {
+		for _, entry := range kept.Entries {
+			if entry.Level == log.WarnLevel {
+				events = append(events, entry.Message)
+			}
+		}
+		return events
+	}
+}
+
+const interval = 600 * time.Millisecond
+
+func TestALateWriteOfAnOlderConfigurationChangesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		warned := warnings(t)
+		store := newLateStore()
+		store.write(10)
+		reader := store.started(t)
+		store.write(9)
+		time.Sleep(time.Minute)
+		is.Equal(versionAt(reader), uint64(10))
+		is.True(ageAt(reader) <= interval) // what the row held since tells that 10 is the newest
+		is.Equal(warned(), []string{"configuration_row_outdated"})
+		is.True(store.asked <= 1) // what is known is not asked again
+
+		started := store.router()
+		pullFrom(t, started, reader)
+		is.Equal(versionAt(started), uint64(10)) // peers get the newest, not the last
+	})
+}
+
+func TestAConfigurationThatStoodForAnInstant(t *testing.T) {
+	t.Run("is adopted", testInstantIsAdopted)
+	t.Run("is suspected when it is forgotten", testForgottenIsSuspected)
+	t.Run("is asked for until it is told", testAskedUntilTold)
+}
+
+func testInstantIsAdopted(t *testing.T) {
+	for _, tt := range []struct {
+		name string
+		last uint64
+	}{
+		{"and an older one after it", 9},
+		{"and the one before it once more", 10},
+		{"and one between the two after it", 11},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				warned := warnings(t)
+				store := newLateStore()
+				store.write(10)
+				reader := store.started(t)
+				store.write(12, tt.last)
+				time.Sleep(interval)
+				is.Equal(versionAt(reader), uint64(12))
+				time.Sleep(time.Minute)
+				is.Equal(versionAt(reader), uint64(12))
+				is.True(ageAt(reader) <= interval)
+				is.Equal(warned(), []string{"configuration_row_outdated"})
+			})
+		})
+	}
+}
+
+// What the row held may be forgotten. Then the configuration that is held may have been
+// replaced, with its keys, by one that nobody saw.
+func testForgottenIsSuspected(t *testing.T) {
+	for _, tt := range []struct {
+		name string
+		last uint64
+	}{{"an older one", 9}, {"the same once more", 10}} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				warned := warnings(t)
+				store := newLateStore()
+				store.write(10)
+				reader := store.started(t)
+				store.fail(ErrHistoryGone)
+				store.write(12, tt.last)
+				time.Sleep(time.Minute)
+				is.Equal(versionAt(reader), uint64(10))
+				is.True(ageAt(reader) > 59*time.Second)
+				is.Equal(warned(), []string{"configuration_row_outdated"})
+				is.Equal(store.asked, 1) // what is forgotten is not asked again
+				store.write(13)
+				time.Sleep(interval)
+				is.Equal(versionAt(reader), uint64(13)) // a newer one ends it
+				is.True(ageAt(reader) <= interval)
+			})
+		})
+	}
+}
+
+func testAskedUntilTold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := newLateStore()
+		store.write(10)
+		reader := store.started(t)
+		store.fail(errors.New("no answer"))
+		store.write(12, 11)
+		time.Sleep(10 * time.Second)
+		is.Equal(versionAt(reader), uint64(11)) // the row's content does not wait for it
+		is.True(ageAt(reader) > 9*time.Second)
+		store.fail(nil)
+		time.Sleep(time.Second)
+		is.Equal(versionAt(reader), uint64(12))
+		is.True(ageAt(reader) <= interval)
+	})
+}
+
+// A router that starts after the late write finds the older configuration in the row.
+func TestARouterThatMetTheOlderConfigurationLearnsTheNewestFromPeers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := newLateStore()
+		store.write(10)
+		reader := store.started(t)
+		store.change(func() { store.down = true })
+		time.Sleep(2 * time.Second)
+		readAt := reader.replica.holder.View().ConfirmedAt
+		store.write(9)
+		store.change(func() { store.down = false })
+		started := store.router()
+		started.replica.takeList("n", time.Now(), wholeList(nil))
+		is.NoErr(started.readConfiguration(t.Context()))
+		is.Equal(versionAt(started), uint64(9))
+
+		pullFrom(t, reader, started)
+		is.Equal(versionAt(reader), uint64(10))
+		is.Equal(reader.replica.holder.View().ConfirmedAt, readAt) // 9 confirms nothing
+
+		pullFrom(t, started, reader)
+		is.Equal(versionAt(started), uint64(10))
+		// Its own read found another one: it does not tell that 10 was the newest then.
+		is.Equal(started.replica.holder.View().ConfirmedAt, readAt)
+		is.NoErr(started.readConfiguration(t.Context()))
+		is.Equal(versionAt(started), uint64(10))
+		is.Equal(ageAt(started), time.Duration(0))
+	})
+}
