Order configurations by their version, and look at what the row held

Cause: a router took the last content of the configuration's row for the newest that was written, and ordered copies by the revision of the row. A late write of an older one has the highest revision: it was told to peers that started, and a newer one that stood in the row between two reads was missed, while the one before it, with its keys, was confirmed.

Ruled out: confirming the held configuration by a read that shows an older one: another one may have stood there meanwhile and have taken keys away. Never confirming it: routers would turn unready while the store is sound. Doing either for good where the history is forgotten: there the held one acts on unconfirmed, until revokeMs forbids it; a newer one ends that.

Change: copies are named and ordered by the configuration's own version, and the revision only says up to where the row was seen through. When it has changed, the reader asks the feed of changes what the row held, takes the newest, and confirms it; that is a call for each change of the row, by the router that reads. A peer that tells an older one confirms nothing; a newer one is taken at any age, and what confirmed the older one doesn't count for it. configuration_row_outdated warns once a revision.

--- a/internal/catalog/holder.go
+++ b/internal/catalog/holder.go
@@ -69,7 +69,8 @@
 
 // Adopt takes in a configuration that was the newest at confirmedAt. It
 // reports whether a newer version than before is now in force. An older
-// version than the one held is never taken, and confirms nothing.
+// version than the one held is never taken, and confirms nothing. What
+// confirmed the one before a newer one does not confirm the newer one.
 func (h *Holder) Adopt(snapshot *Snapshot, confirmedAt time.Time) bool {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
@@ -80,7 +81,7 @@
 	if newer {
 		h.view.Snapshot = snapshot
 	}
-	if confirmedAt.After(h.view.ConfirmedAt) {
+	if newer || confirmedAt.After(h.view.ConfirmedAt) {
 		h.view.ConfirmedAt = confirmedAt
 	}
 	return newer
--- a/internal/eventlog/trail.go
+++ b/internal/eventlog/trail.go
@@ -29,7 +29,7 @@
 
 // configurationEvents are the events about configurations and versions.
 var configurationEvents = map[string]bool{
-	"configuration_adopted": true, "version_named": true, "version_recalled": true,
+	"configuration_adopted": true, "configuration_row_outdated": true, "version_named": true, "version_recalled": true,
 	"dependency_lost": true, "dependency_regained": true,
 }
 
--- /dev/null
+++ b/internal/node/configuration.go
@@ -0,0 +1,232 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/fieldpond/fieldpond/internal/catalog"
+	"github.com/fieldpond/fieldpond/internal/fault"
+	"github.com/fieldpond/fieldpond/internal/ident"
+	"github.com/fieldpond/fieldpond/internal/upstream"
+)
+
+// heldConfiguration is the newest configuration that a router knows. Configurations are
+// ordered by their own version: the revision of the store's row rises also with an older
+// one that the store writes late.
+type heldConfiguration struct {
+	// version is 0 for none.
+	version uint64
+	body    []byte
+	// seenThrough is the revision of the row up to which none that the row held is newer.
+	seenThrough uint64
+	// suspect is a later revision at which the row held none that is newer, while what it
+	// held in between is forgotten.
+	suspect uint64
+}
+
+// written is one content of the row of the configuration.
+type written struct {
+	revision uint64
+	body     []byte
+	snapshot *catalog.Snapshot
+}
+
+// configurationRead is what a read of the store, with the history that it asked for, tells
+// of the configuration.
+type configurationRead struct {
+	askedAt time.Time
+	// after is the revision up to which the row was seen through before, 0 for none; row is
+	// its content now, and newest the newest one since.
+	after       uint64
+	row, newest written
+	// history is nil if all that the row held since is known.
+	history  error
+	rollouts *knownRollouts
+}
+
+// takeReading takes in a read of the store that was asked for at a time. What the row held
+// since it was last seen is asked for, since a read shows the last write that was carried
+// out, and a newer one may have stood there before it.
+func (f *follower) takeReading(ctx context.Context, askedAt time.Time, reading *Reading, rollouts *knownRollouts) error {
+	after, changed := f.replica.unseen(reading.Revision)
+	if !changed {
+		f.replica.confirmRow(askedAt, reading.Revision, rollouts)
+		return nil
+	}
+	row, err := f.replica.decoded(reading)
+	if err != nil {
+		return err
+	}
+	read := &configurationRead{askedAt: askedAt, after: after, row: row, newest: row, rollouts: rollouts}
+	if after != 0 {
+		read.newest, read.history = f.newestSince(ctx, after, row)
+	}
+	f.replica.takeRead(read)
+	if errors.Is(read.history, ErrHistoryGone) {
+		return nil
+	}
+	return read.history
+}
+
+// newestSince returns the newest configuration that the row held after a revision until
+// its present content, and whether that is known.
+func (f *follower) newestSince(ctx context.Context, after uint64, row written) (written, error) {
+	bounded, cancel := context.WithTimeout(ctx, f.config.ReadTimeout)
+	defer cancel()
+	held, err := f.source.Configurations(bounded, after, row.revision)
+	if err != nil {
+		return row, err
+	}
+	newest, complete := row, false
+	for _, reading := range held {
+		if reading.Revision >= row.revision {
+			complete = true
+			continue
+		}
+		content, err := f.replica.decoded(&reading)
+		if err != nil {
+			return row, err
+		}
+		if content.snapshot.Version > newest.snapshot.Version {
+			newest = content
+		}
+	}
+	if !complete {
+		return newest, fault.New(fault.StoreUnavailable, "the store did not tell all that the configuration's row held")
+	}
+	return newest, nil
+}
+
+// decoded reads a content of the row.
+func (r *replica) decoded(reading *Reading) (written, error) {
+	snapshot, err := r.decode(reading.Body)
+	return written{revision: reading.Revision, body: reading.Body, snapshot: snapshot}, err
+}
+
+// unseen returns the revision up to which the row is seen through, and whether the row
+// has a later one about which something is to be found out.
+func (r *replica) unseen(revision uint64) (after uint64, changed bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.config.seenThrough, revision > r.config.seenThrough && revision != r.config.suspect
+}
+
+// confirmRow takes in that the row had a revision which was met before.
+func (r *replica) confirmRow(askedAt time.Time, revision uint64, rollouts *knownRollouts) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if revision == 0 || revision < r.config.seenThrough {
+		return
+	}
+	r.takeRollouts(askedAt, rollouts)
+	if revision == r.config.seenThrough {
+		r.confirmHeld(r.node, askedAt)
+	}
+}
+
+// takeRead takes in what a read tells.
+func (r *replica) takeRead(read *configurationRead) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	held := &r.config
+	if held.seenThrough < read.after || held.seenThrough >= read.row.revision {
+		// A peer told of another one meanwhile: what this read asked for doesn't fit on.
+		return
+	}
+	// Orders are known before the confirmation is: a release that waits for one must not
+	// pass between the two.
+	r.takeRollouts(read.askedAt, read.rollouts)
+	newer := read.newest.snapshot.Version > held.version
+	switch {
+	case read.history == nil, newer && errors.Is(read.history, ErrHistoryGone):
+		// Without a history the row is believed as by a router that has just started.
+		held.seenThrough = read.row.revision
+		if newer {
+			r.hold(r.node, read.askedAt, read.newest)
+		}
+		r.confirmHeld(r.node, read.askedAt)
+		r.noteOutdated(&read.row, true)
+	case errors.Is(read.history, ErrHistoryGone):
+		// One that nobody saw may have replaced the one held, and taken keys away.
+		held.suspect = read.row.revision
+		r.noteOutdated(&read.row, false)
+	case newer:
+		// The newer one is acted upon, but whether it is the newest is still asked.
+		r.hold(r.node, r.holder.View().ConfirmedAt, read.newest)
+	}
+}
+
+// takeConfiguration takes in a configuration that was the newest at confirmedAt, as a peer
+// tells. An empty body stands for the one held. A peer that holds an older one is behind,
+// whichever revision of the row it has met, and confirms nothing.
+func (r *replica) takeConfiguration(
+	origin ident.Node, confirmedAt time.Time, told *upstream.Configuration, rollouts *knownRollouts,
+) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	held := &r.config
+	newer := told.Version > held.version
+	if told.Revision == 0 || told.Version < max(held.version, 1) || (newer && len(told.Body) == 0) {
+		return nil
+	}
+	newest := written{}
+	if newer {
+		decoded, err := r.decoded(&Reading{Revision: told.Revision, Body: told.Body})
+		if err != nil {
+			return err
+		}
+		newest = decoded
+	}
+	r.takeRollouts(confirmedAt, rollouts)
+	if newer {
+		// What its row held until then, an own read of a later one did not see through.
+		held.seenThrough = told.Revision
+		r.hold(origin, confirmedAt, newest)
+	}
+	held.seenThrough = max(held.seenThrough, told.Revision)
+	r.confirmHeld(origin, confirmedAt)
+	return nil
+}
+
+// behind reports whether a peer holds a newer configuration than this router.
+func (r *replica) behind(told *upstream.Configuration) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return told.Version > r.config.version
+}
+
+// hold puts a newer configuration in force; the caller holds the mutex, and sets up to
+// which revision the row is seen through.
+func (r *replica) hold(origin ident.Node, confirmedAt time.Time, newest written) {
+	r.config.version, r.config.body, r.config.suspect = newest.snapshot.Version, newest.body, 0
+	r.holder.Adopt(newest.snapshot, confirmedAt)
+	log.WithFields(log.Fields{
+		"version": newest.snapshot.Version, "routes": newest.snapshot.RouteCount(), "revision": newest.revision,
+		"read_ms": time.Since(confirmedAt).Milliseconds(), "origin": origin,
+	}).Info("configuration_adopted")
+	r.confirmed(origin)
+}
+
+// confirmHeld takes in that the configuration held was the newest at a time; the caller
+// holds the mutex.
+func (r *replica) confirmHeld(origin ident.Node, confirmedAt time.Time) {
+	view := r.holder.View()
+	r.holder.Adopt(view.Snapshot, confirmedAt)
+	if confirmedAt.After(view.ConfirmedAt) {
+		r.confirmed(origin)
+	}
+}
+
+// noteOutdated logs that the row holds another configuration than the one in force; the
+// caller holds the mutex. Each revision is met once.
+func (r *replica) noteOutdated(row *written, confirmed bool) {
+	if confirmed && row.snapshot.Version == r.config.version {
+		return
+	}
+	log.WithFields(log.Fields{
+		"version": row.snapshot.Version, "known": r.config.version, "revision": row.revision, "confirmed": confirmed,
+	}).Warn("configuration_row_outdated")
+}
--- a/internal/node/follower.go
+++ b/internal/node/follower.go
@@ -111,7 +111,7 @@
 	}
 	f.readNamings(ctx, askedAt, &reading)
 	rollouts := f.orders(askedAt, f.replica.holder.View().ConfirmedAt, &reading)
-	err = f.replica.takeConfiguration(f.replica.node, askedAt, reading.Revision, reading.Body, rollouts)
+	err = f.takeReading(ctx, askedAt, &reading, rollouts)
 	if err == nil && f.replica.ordered().pending() {
 		f.readStates(ctx)
 	}
--- a/internal/node/latewrites_test.go
+++ b/internal/node/latewrites_test.go
@@ -69,6 +69,13 @@
 	return between, nil
 }
 
+// questions returns how often the store was asked what the row held.
+func (s *lateStore) questions() int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.asked
+}
+
 // Decode implements Source.
 func (s *lateStore) Decode(body []byte) (*catalog.Snapshot, error) {
 	version, err := strconv.ParseUint(string(bytes.TrimSpace(body)), 10, 64)
@@ -118,13 +125,14 @@
 	puller.pull(t.Context(), upstream.Peer{}, 0)
 }
 
-// warnings returns the events that were warned of while a test runs.
+// warnings returns the events that were warned of so far, in a synctest bubble.
 func warnings(t *testing.T) func() []string {
 	t.Helper()
 	kept := memory.New()
 	log.SetHandler(kept)
 	t.Cleanup(func() { log.SetHandler(log.HandlerFunc(func(*log.Entry) error { return nil })) })
 	return func() (events []string) {
+		synctest.Wait()
 		for _, entry := range kept.Entries {
 			if entry.Level == log.WarnLevel {
 				events = append(events, entry.Message)
@@ -148,7 +156,7 @@
 		is.Equal(versionAt(reader), uint64(10))
 		is.True(ageAt(reader) <= interval) // what the row held since tells that 10 is the newest
 		is.Equal(warned(), []string{"configuration_row_outdated"})
-		is.True(store.asked <= 1) // what is known is not asked again
+		is.Equal(store.questions(), 1) // what is known is not asked again
 
 		started := store.router()
 		pullFrom(t, started, reader)
@@ -210,7 +218,7 @@
 				is.Equal(versionAt(reader), uint64(10))
 				is.True(ageAt(reader) > 59*time.Second)
 				is.Equal(warned(), []string{"configuration_row_outdated"})
-				is.Equal(store.asked, 1) // what is forgotten is not asked again
+				is.Equal(store.questions(), 1) // what is forgotten is not asked again
 				store.write(13)
 				time.Sleep(interval)
 				is.Equal(versionAt(reader), uint64(13)) // a newer one ends it
--- a/internal/node/pull.go
+++ b/internal/node/pull.go
@@ -182,12 +182,13 @@
 }
 
 // wants reports whether an update is to be taken in. A router that knows nothing
-// yet takes the state of any peer; ages and revisions guard what is believed.
+// yet takes the state of any peer, and one that met an older configuration, as the store
+// wrote it late, any newer one; ages and versions guard what is believed.
 func (f *follower) wants(update *upstream.Update, result upstream.Result) bool {
 	if _, fresh := result.(upstream.Fresh); fresh {
 		return true
 	}
-	return update != nil && update.Complete() && !f.replica.knows()
+	return update != nil && update.Complete() && (!f.replica.knows() || f.replica.behind(&update.Configuration))
 }
 
 // resultName is the name of a result in metrics.
@@ -218,7 +219,7 @@
 	}
 	configuration := &update.Configuration
 	err := f.replica.takeConfiguration(
-		update.Origin, at.Add(-configuration.Age), configuration.Revision, configuration.Body, rolloutsOf(configuration.Rollouts, at),
+		update.Origin, at.Add(-configuration.Age), configuration, rolloutsOf(configuration.Rollouts, at),
 	)
 	if err != nil {
 		return err
--- a/internal/node/replica.go
+++ b/internal/node/replica.go
@@ -36,9 +36,8 @@
 	changed      chan struct{}
 	// origin is the router that read the store for the newest confirmation.
 	origin ident.Node
-	// revision and body are those of the configuration in force.
-	revision uint64
-	body     []byte
+	// config is the configuration in force.
+	config heldConfiguration
 	// list was read at listedAt.
 	list     recordList
 	listedAt time.Time
@@ -75,7 +74,7 @@
 
 // known reports whether both the configuration and the list of back ends are held
 // here; the caller holds the mutex.
-func (r *replica) known() bool { return r.revision != 0 && r.list.digest != 0 }
+func (r *replica) known() bool { return r.config.version != 0 && r.list.digest != 0 }
 
 // knows reports whether both the configuration and the list of back ends are held.
 func (r *replica) knows() bool {
@@ -92,16 +91,16 @@
 	view := r.holder.View()
 	update := &upstream.Update{
 		Revision: r.self.Revision, Confirmation: r.confirmation, Origin: r.origin, Routers: r.routers,
-		Configuration: upstream.Configuration{Revision: r.revision},
+		Configuration: upstream.Configuration{Revision: r.config.seenThrough, Version: r.config.version},
 		List:          upstream.List{Digest: r.list.digest},
 	}
-	if r.revision != 0 {
+	if r.config.version != 0 {
 		update.Configuration.Age = view.Age(now)
 		update.Configuration.Namings = toldNamings(now, view)
 		update.Configuration.Rollouts = r.rollouts.told(now)
 	}
-	if r.revision != pull.Configuration {
-		update.Configuration.Body = r.body
+	if r.config.version != pull.Configuration {
+		update.Configuration.Body = r.config.body
 	}
 	if r.list.digest != 0 {
 		update.List.Age = now.Sub(r.listedAt)
@@ -132,7 +131,7 @@
 func (r *replica) holds() (configuration, list uint64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.revision, r.list.digest
+	return r.config.version, r.list.digest
 }
 
 // joined takes in this router's own row.
@@ -163,43 +162,6 @@
 	return r.routers
 }
 
-// takeConfiguration takes in a configuration that was the newest at
-// confirmedAt, as a router read it with the orders of rollouts. An empty body stands for the
-// one held.
-func (r *replica) takeConfiguration(
-	origin ident.Node, confirmedAt time.Time, revision uint64, body []byte, rollouts *knownRollouts,
-) error {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if revision == 0 || revision < r.revision || (revision > r.revision && len(body) == 0) {
-		return nil
-	}
-	view := r.holder.View()
-	snapshot := view.Snapshot
-	if revision != r.revision {
-		decoded, err := r.decode(body)
-		if err != nil {
-			return err
-		}
-		snapshot = decoded
-		r.revision, r.body = revision, body
-	}
-	// Orders are known before the confirmation is: a release that waits for one must not
-	// pass between the two.
-	r.takeRollouts(confirmedAt, rollouts)
-	adopted := r.holder.Adopt(snapshot, confirmedAt)
-	if adopted {
-		log.WithFields(log.Fields{
-			"version": snapshot.Version, "routes": snapshot.RouteCount(), "revision": revision,
-			"read_ms": time.Since(confirmedAt).Milliseconds(), "origin": origin,
-		}).Info("configuration_adopted")
-	}
-	if adopted || confirmedAt.After(view.ConfirmedAt) {
-		r.confirmed(origin)
-	}
-	return nil
-}
-
 // takeRollouts takes in what a configuration that was confirmed at a time told of rollouts;
 // the caller holds the mutex.
 func (r *replica) takeRollouts(confirmedAt time.Time, told *knownRollouts) {
--- a/internal/upstream/update.go
+++ b/internal/upstream/update.go
@@ -17,7 +17,8 @@
 	// Confirmation is that of the last Update from this life of the peer; 0 asks
 	// for an answer at once.
 	Confirmation uint64 `cbor:"2,keyasint,omitempty"`
-	// Configuration and List name the copies that the asker holds, 0 for none.
+	// Configuration and List name the copies that the asker holds, 0 for none: the
+	// configuration by its own version.
 	Configuration uint64 `cbor:"3,keyasint,omitempty"`
 	List          uint64 `cbor:"4,keyasint,omitempty"`
 	// Caches asks for what stores of prompt caches hold, beyond the copies named.
@@ -48,9 +49,12 @@
 
 // Configuration is a configuration with the time since it was confirmed.
 type Configuration struct {
-	// Revision is that of the store's row, 0 if none is known.
+	// Revision is that of the store's row up to which the row held none that is newer, 0 if
+	// none is known. It does not order configurations: a late write raises it.
 	Revision uint64 `cbor:"1,keyasint"`
-	// Body is empty if the asker holds this revision.
+	// Version is the configuration's own.
+	Version uint64 `cbor:"6,keyasint"`
+	// Body is empty if the asker holds this version.
 	Body []byte        `cbor:"2,keyasint,omitempty"`
 	Age  time.Duration `cbor:"3,keyasint"`
 	// Namings are the versions of weights that were named, oldest first for
