--- a/internal/node/latewrites_test.go
+++ b/internal/node/latewrites_test.go
@@ -22,6 +22,7 @@
 	"github.com/matryer/is"
 	"github.com/pkg/errors"
 
+	"github.com/fieldpond/fieldpond/internal/backend"
 	"github.com/fieldpond/fieldpond/internal/catalog"
 	"github.com/fieldpond/fieldpond/internal/upstream"
 )
@@ -276,3 +277,28 @@
 		is.Equal(ageAt(started), time.Duration(0))
 	})
 }
+
+// A router that starts after a late write of an engine learns from the others that the
+// engine drains.
+func TestARouterThatStartsLearnsThatABackEndDrains(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := newLateStore()
+		store.write(10)
+		reader := store.started(t)
+		go reader.followBackends(t.Context())
+		list := func(revision uint64, draining bool) {
+			records := []backend.Record{{Instance: "a", Service: "s", Revision: revision, Draining: draining}}
+			store.change(func() { store.records = records })
+			time.Sleep(time.Second)
+		}
+		list(1, false)
+		list(2, true)
+		list(3, false)
+		started := store.router()
+		pullFrom(t, started, reader)
+		records := started.replica.backends.Records()
+		is.Equal(len(records), 1)
+		is.True(records[0].Draining)
+	})
+}
