Remember draining and weights of an engine whose row is gone

Cause: the store carries out a write of an engine seconds late, after newer ones, and a row that nobody writes for three heartbeats is removed. A list took a draining engine for ready again, and one whose row came back for a new one.

Ruled out: refusing engines that come back: they live in most cases, with writes that were late. Telling them apart by the revision: a late write raises it too. Keeping what is known for good: a life never returns after a while, and a minute is longer than any late write.

Change: a back end doesn't go back from draining nor to older weights within one life, also over a gap of up to a minute in which its row is gone; the router that reads the list passes that on, as one that starts later can't know.

--- /dev/null
+++ b/internal/backend/former.go
@@ -0,0 +1,57 @@
+package backend
+
+import (
+	"time"
+
+	"github.com/fieldpond/fieldpond/internal/ident"
+)
+
+// formerKept is how long a back end is remembered whose row is gone. The store carries
+// writes out some seconds late, and removes a row that nobody writes after about 4s more.
+const formerKept = time.Minute
+
+// former is what was known of a back end whose row is gone. The row of one that lives comes
+// back if its writes were late, and a late write brings that of one that has ended back for
+// a while: neither is a new life.
+type former struct {
+	record Record
+	goneAt time.Time
+}
+
+// formers are the back ends that are gone, by life.
+type formers map[ident.Incarnation]former
+
+// add remembers a back end that is gone.
+func (f formers) add(goneAt time.Time, record *Record) {
+	f[record.Instance] = former{record: *record, goneAt: goneAt}
+}
+
+// forget drops those that are gone for long.
+func (f formers) forget(now time.Time) {
+	for instance, known := range f {
+		if now.Sub(known.goneAt) > formerKept {
+			delete(f, instance)
+		}
+	}
+}
+
+// settled returns a record as it must be, given an earlier one of the same life: a back end
+// never goes back from draining, nor to older weights, while a row may be written late.
+func settled(earlier *Record, record Record) Record {
+	record.Draining = record.Draining || earlier.Draining
+	record.Models = newestOf(earlier.Models, record.Models)
+	return record
+}
+
+// KeepDraining marks those records as draining whose back ends were known to drain. It is
+// for lists that are passed on: whoever starts later can't know.
+func (r *Registry) KeepDraining(records []Record) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	for index := range records {
+		record := &records[index]
+		known := r.byID[record.Instance]
+		drained := known != nil && known.record.Draining
+		record.Draining = record.Draining || drained || r.formers[record.Instance].record.Draining
+	}
+}
--- a/internal/backend/registry.go
+++ b/internal/backend/registry.go
@@ -21,6 +21,7 @@
 	// latenesses are those of the answers of whole services.
 	latenesses map[ident.Service]*serviceLateness
 	byID       map[ident.Incarnation]*state
+	formers    formers
 	listedAt   time.Time
 	lapses     lapses
 	// newlyGone are the back ends that this router found gone and has not told yet.
@@ -38,6 +39,7 @@
 		readings:   make(map[ident.Service]*reading),
 		latenesses: make(map[ident.Service]*serviceLateness),
 		byID:       make(map[ident.Incarnation]*state),
+		formers:    make(formers),
 		trips:      make(trips),
 		reaches:    make(map[ident.Region]*reach),
 	}
@@ -116,9 +118,11 @@
 			listed[instance] = known
 			services[known.record.Service] = append(services[known.record.Service], known)
 		default:
+			r.formers.add(listedAt, &known.record)
 			changes = append(changes, Change{Kind: Gone, Record: known.record})
 		}
 	}
+	r.formers.forget(listedAt)
 	r.byID, r.services = listed, services
 	return changes
 }
@@ -147,6 +151,7 @@
 			continue
 		}
 		delete(r.byID, instance)
+		r.formers.add(r.listedAt, &known.record)
 		service := known.record.Service
 		r.services[service] = slices.DeleteFunc(r.services[service], func(other *state) bool { return other == known })
 		changes = append(changes, Change{Kind: Gone, Record: known.record})
@@ -161,13 +166,17 @@
 		known.missing = false
 	}
 	if known == nil {
+		if earlier, gone := r.formers[record.Instance]; gone {
+			delete(r.formers, record.Instance)
+			record = settled(&earlier.record, record)
+		}
 		return &state{record: record, flights: make(map[*Flight]struct{})}, Appeared
 	}
 	if record.Revision < known.record.Revision {
 		return known, ""
 	}
 	var change ChangeKind
-	record.Models = newestOf(known.record.Models, record.Models)
+	record = settled(&known.record, record)
 	for model, version := range record.Models {
 		if known.record.Models[model] != version {
 			change = Reloaded
--- a/internal/node/follower.go
+++ b/internal/node/follower.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -201,6 +202,8 @@
 		if err != nil {
 			return err
 		}
+		records = slices.Clone(records)
+		f.replica.backends.KeepDraining(records)
 		f.replica.takeList(f.replica.node, askedAt, wholeList(records))
 		return nil
 	})
