Don't let a late notice of older weights replace a newer one

Cause: whatever notice came last said which weights an engine takes. Notices are datagrams: a router that stood still reads them late, and two ways aren't equally long.

Ruled out: numbers in notices: the version orders them within a model, and versions only rise. A late notice that the same version is loaded again, or isn't, can't be told apart by it; it costs attempts that engines turn away for 0.7 s at most.

Change: a notice of an older version than was told is dropped until the list must have told the newer one.

--- a/internal/backend/registry.go
+++ b/internal/backend/registry.go
@@ -232,14 +232,16 @@
 // Loading takes in that a back end is about to take a version of a model's
 // weights. It gets no work of that model for the time that this takes, 0 meaning that
 // it was not told, and is then taken to have the version, until the list must have
-// told it.
+// told it. Versions only rise: a notice of an older one than was told before is late.
 func (r *Registry) Loading(now time.Time, instance ident.Incarnation, model ident.Model, version int, takes time.Duration) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	if known := r.byID[instance]; known != nil {
-		known.loading, known.loadingModel = version, model
-		known.loadingUntil = now.Add(cmp.Or(takes, loadingFor))
+	known := r.byID[instance]
+	if known == nil || known.takesNewer(now, model, version) {
+		return
 	}
+	known.loading, known.loadingModel = version, model
+	known.loadingUntil = now.Add(cmp.Or(takes, loadingFor))
 }
 
 // NotLoading takes back that a back end is about to take a version.
--- a/internal/backend/state.go
+++ b/internal/backend/state.go
@@ -51,6 +51,12 @@
 	return model == s.loadingModel && now.Before(s.loadingUntil) && s.record.Models[model] < s.loading
 }
 
+// takesNewer reports whether the back end was told to take newer weights of a model than a
+// version, and the list need not have told them yet.
+func (s *state) takesNewer(now time.Time, model ident.Model, version int) bool {
+	return model == s.loadingModel && version < s.loading && now.Before(s.loadingUntil.Add(assumedFor))
+}
+
 // version returns the version of a model's weights that an attempt is meant for.
 func (s *state) version(now time.Time, model ident.Model) int {
 	version := s.record.Models[model]
