Show that a router which starts alone believes a late configuration

A fleet that starts after the last write of the configuration's row was a late one, of an older configuration, takes that for the newest, with the keys that the newer one took away: 9 in force, not 12, in all cases but the one where the store has forgotten what the row held.

TestARouterThatMetTheOlderConfigurationLearnsTheNewestFromPeers now says that the store has forgotten it at the start: the router of that test is to meet the older one. It asks for no less.

--- a/internal/node/latewrites_test.go
+++ b/internal/node/latewrites_test.go
@@ -35,6 +35,8 @@
 	// failure, if set, is the answer to questions about what the row held, which are counted.
 	failure error
 	asked   int
+	// forgotten is the revision up to which that is not kept.
+	forgotten uint64
 }
 
 func newLateStore() *lateStore { return &lateStore{fakeStore: newFakeStore()} }
@@ -61,6 +63,9 @@
 	if s.failure != nil {
 		return nil, s.failure
 	}
+	if after < s.forgotten {
+		return nil, ErrHistoryGone
+	}
 	var between []Reading
 	for _, written := range s.written {
 		if written.Revision > after && written.Revision <= until {
@@ -258,11 +263,13 @@
 		time.Sleep(2 * time.Second)
 		readAt := reader.replica.holder.View().ConfirmedAt
 		store.write(9)
+		store.fail(ErrHistoryGone)
 		store.change(func() { store.down = false })
 		started := store.router()
 		started.replica.takeList("n", time.Now(), wholeList(nil))
 		is.NoErr(started.readConfiguration(t.Context()))
-		is.Equal(versionAt(started), uint64(9))
+		is.Equal(versionAt(started), uint64(9)) // what the row held is forgotten
+		store.fail(nil)
 
 		pullFrom(t, reader, started)
 		is.Equal(versionAt(reader), uint64(10))
@@ -278,6 +285,58 @@
 	})
 }
 
+// A router that starts without peers finds the older configuration in the row. The newest
+// one was written there a few seconds before at most: a late write is no later.
+func TestARouterThatStartsAloneFindsTheNewestConfiguration(t *testing.T) {
+	for _, tt := range []struct {
+		name string
+		// others is how far the other writes of the store raised the revision before, and
+		// kept the revisions of which it keeps the changes.
+		others, kept uint64
+		version      uint64
+		questions    int
+	}{
+		{"all is kept", 0, 1 << 20, 12, 1},
+		{"of a busy store", 100_000, 50_000, 12, 1},
+		{"little is kept", 100_000, 600, 12, 2},
+		{"hardly any is kept", 100_000, 100, 12, 3},
+		{"none is kept", 100_000, 1, 9, 3},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				store := newLateStore()
+				store.reading.Revision = tt.others
+				store.write(10, 12, 9)
+				newest := store.reading.Revision
+				store.forgotten = newest - min(tt.kept, newest)
+				reader := store.started(t)
+				is.Equal(versionAt(reader), tt.version)
+				is.Equal(store.questions(), tt.questions)
+				time.Sleep(10 * time.Second)
+				is.Equal(versionAt(reader), tt.version)
+				is.True(ageAt(reader) <= interval)
+				is.Equal(store.questions(), tt.questions) // a start looks back once
+			})
+		})
+	}
+}
+
+// A store that does not answer the question keeps no router from starting.
+func TestARouterThatStartsAloneDoesNotWaitForTheNewestConfiguration(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := newLateStore()
+		store.write(10, 12, 9)
+		store.fail(errors.New("no answer"))
+		reader := store.started(t)
+		is.Equal(versionAt(reader), uint64(9))
+		store.fail(nil)
+		time.Sleep(interval)
+		is.Equal(versionAt(reader), uint64(12))
+	})
+}
+
 // A router that starts after a late write of an engine learns from the others that the
 // engine drains.
 func TestARouterThatStartsLearnsThatABackEndDrains(t *testing.T) {
