Look back once in the history of a configuration that nobody confirmed

Cause: a router that knows no configuration, with no peer that does, believed the last write of the row, which may be a late one of an older configuration.

Ruled out: keeping the newest configuration in a row of our own: a write for each change, for what the store tells anyhow. Looking back before the first configuration is in force: a slow store would keep all routers from starting. Every router looking back: those that don't read for all learn it from the one that does, at once and at any age.

Change: the router that reads for all asks once what the row held over the last 4,096 revisions of the store, 512 or 64 if it has forgotten those, and takes the newest. A late write comes a few seconds after it was sent, and the newer one lies in between. Until then, and where nothing is kept, the row is believed as before.

--- a/internal/node/configuration.go
+++ b/internal/node/configuration.go
@@ -25,8 +25,16 @@
 	// suspect is a later revision at which the row held none that is newer, while what it
 	// held in between is forgotten.
 	suspect uint64
+	// unseen says that the row was believed by a router that knew none: what it held before
+	// is not known.
+	unseen bool
 }
 
+// lookBacks are how many revisions of the store a router that knew no configuration looks
+// back in the row's history, from as far as a late write can matter (some seconds of a
+// busy store) to as little as a store may keep.
+var lookBacks = []uint64{4096, 512, 64}
+
 // written is one content of the row of the configuration.
 type written struct {
 	revision uint64
@@ -71,6 +79,30 @@
 	return read.history
 }
 
+// lookBack asks what the row held before this router believed it without knowing any other
+// configuration: the last write may be a late one of an older configuration. It is for the
+// router that reads the store for all, since the others learn it from that one, and does
+// not keep a router from starting.
+func (f *follower) lookBack(ctx context.Context, askedAt time.Time, reading *Reading) {
+	if !f.chain.reads() {
+		return
+	}
+	row, due := f.replica.unseenRow(reading)
+	if !due {
+		return
+	}
+	newest, err := row, error(nil)
+	for _, back := range lookBacks {
+		newest, err = f.newestSince(ctx, row.revision-min(back, row.revision), row)
+		if !errors.Is(err, ErrHistoryGone) {
+			break
+		}
+	}
+	if err == nil || errors.Is(err, ErrHistoryGone) {
+		f.replica.lookedBack(askedAt, row, newest)
+	}
+}
+
 // newestSince returns the newest configuration that the row held after a revision until
 // its present content, and whether that is known.
 func (f *follower) newestSince(ctx context.Context, after uint64, row written) (written, error) {
@@ -114,6 +146,28 @@
 	return r.config.seenThrough, revision > r.config.seenThrough && revision != r.config.suspect
 }
 
+// unseenRow returns the row of a reading, and whether it was believed without a look back.
+func (r *replica) unseenRow(reading *Reading) (row written, due bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	row = written{revision: reading.Revision, body: reading.Body, snapshot: r.holder.View().Snapshot}
+	return row, r.config.unseen && reading.Revision == r.config.seenThrough
+}
+
+// lookedBack takes in the newest configuration that the row held before a revision.
+func (r *replica) lookedBack(askedAt time.Time, row, newest written) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.config.seenThrough != row.revision || !r.config.unseen {
+		return
+	}
+	r.config.unseen = false
+	if newest.snapshot.Version > r.config.version {
+		r.hold(r.node, askedAt, newest)
+		r.noteOutdated(&row, true)
+	}
+}
+
 // confirmRow takes in that the row had a revision which was met before.
 func (r *replica) confirmRow(askedAt time.Time, revision uint64, rollouts *knownRollouts) {
 	r.mu.Lock()
@@ -146,6 +200,7 @@
 		held.seenThrough = read.row.revision
 		if newer {
 			r.hold(r.node, read.askedAt, read.newest)
+			held.unseen = read.after == 0
 		}
 		r.confirmHeld(r.node, read.askedAt)
 		r.noteOutdated(&read.row, true)
@@ -201,7 +256,8 @@
 // hold puts a newer configuration in force; the caller holds the mutex, and sets up to
 // which revision the row is seen through.
 func (r *replica) hold(origin ident.Node, confirmedAt time.Time, newest written) {
-	r.config.version, r.config.body, r.config.suspect = newest.snapshot.Version, newest.body, 0
+	r.config.version, r.config.body = newest.snapshot.Version, newest.body
+	r.config.suspect, r.config.unseen = 0, false
 	r.holder.Adopt(newest.snapshot, confirmedAt)
 	log.WithFields(log.Fields{
 		"version": newest.snapshot.Version, "routes": newest.snapshot.RouteCount(), "revision": newest.revision,
--- a/internal/node/follower.go
+++ b/internal/node/follower.go
@@ -113,6 +113,9 @@
 	f.readNamings(ctx, askedAt, &reading)
 	rollouts := f.orders(askedAt, f.replica.holder.View().ConfirmedAt, &reading)
 	err = f.takeReading(ctx, askedAt, &reading, rollouts)
+	if err == nil {
+		f.lookBack(ctx, askedAt, &reading)
+	}
 	if err == nil && f.replica.ordered().pending() {
 		f.readStates(ctx)
 	}
--- a/internal/node/latewrites_test.go
+++ b/internal/node/latewrites_test.go
@@ -157,12 +157,13 @@
 		store := newLateStore()
 		store.write(10)
 		reader := store.started(t)
+		before := store.questions()
 		store.write(9)
 		time.Sleep(time.Minute)
 		is.Equal(versionAt(reader), uint64(10))
 		is.True(ageAt(reader) <= interval) // what the row held since tells that 10 is the newest
 		is.Equal(warned(), []string{"configuration_row_outdated"})
-		is.Equal(store.questions(), 1) // what is known is not asked again
+		is.Equal(store.questions()-before, 1) // what is known is not asked again
 
 		started := store.router()
 		pullFrom(t, started, reader)
@@ -218,13 +219,14 @@
 				store := newLateStore()
 				store.write(10)
 				reader := store.started(t)
+				before := store.questions()
 				store.fail(ErrHistoryGone)
 				store.write(12, tt.last)
 				time.Sleep(time.Minute)
 				is.Equal(versionAt(reader), uint64(10))
 				is.True(ageAt(reader) > 59*time.Second)
 				is.Equal(warned(), []string{"configuration_row_outdated"})
-				is.Equal(store.questions(), 1) // what is forgotten is not asked again
+				is.Equal(store.questions()-before, 1) // what is forgotten is not asked again
 				store.write(13)
 				time.Sleep(interval)
 				is.Equal(versionAt(reader), uint64(13)) // a newer one ends it
