Log when a row names older weights than are known

Sight for requests on old weights: whether routers know the newest version could not be told from the logs. version_row_outdated says that a row went back, and the trail of versions now has the namings that were not kept or found too.

--- a/internal/eventlog/trail.go
+++ b/internal/eventlog/trail.go
@@ -30,6 +30,7 @@
 // configurationEvents are the events about configurations and versions.
 var configurationEvents = map[string]bool{
 	"configuration_adopted": true, "version_named": true, "version_recalled": true,
+	"version_row_outdated": true, "naming_not_kept": true, "namings_not_found": true,
 	"dependency_lost": true, "dependency_regained": true,
 }
 
--- a/internal/node/events.go
+++ b/internal/node/events.go
@@ -48,6 +48,7 @@
 		{"state_from_store", nil, "No peer supplies the shared state now: this router reads the store."},
 		{"pull_failed", []string{"peer", "cause"}, "A pull from a peer brought no sound answer."},
 		{"version_named", []string{"model", "version", "met", "age_ms"}, "A version of weights was named; met: it was there at the first look; age_ms: how long ago, if a peer told."},
+		{"version_row_outdated", []string{"model", "version", "known"}, "The row of a model names an older version than is known: an older write was carried out after a newer one. Known stays in force."},
 		{"version_recalled", []string{"model", "version", "age_ms"}, "The age of a version was learnt from what other routers kept."},
 		{"naming_not_kept", []string{"model", "version", "cause"}, "The time of a naming could not be written."},
 		{"namings_not_found", []string{"model", "cause"}, "The times of namings could not be read."},
--- a/internal/node/follower.go
+++ b/internal/node/follower.go
@@ -41,6 +41,8 @@
 	startedAt time.Time
 	// looked is true after the first read of the configuration.
 	looked atomic.Bool
+	// outdated are the versions below the newest that rows named last, by model.
+	outdated map[ident.Model]int
 }
 
 // FollowConfig fixes how often the store is read.
@@ -157,6 +159,7 @@
 		if !looked {
 			f.recallNamings(ctx, askedAt, reading.StoreTime, model)
 		}
+		f.noteOutdated(model, version)
 		naming := catalog.Naming{Version: version, SeenAt: time.Now(), Met: !looked}
 		if !f.replica.holder.Named(model, naming) {
 			continue
@@ -168,6 +171,24 @@
 	}
 }
 
+// noteOutdated logs, once for each content, that a row names an older version than is
+// known: an older write was carried out after a newer one.
+func (f *follower) noteOutdated(model ident.Model, version int) {
+	known := f.replica.holder.View().Models[model].Version
+	if version >= known {
+		delete(f.outdated, model)
+		return
+	}
+	if f.outdated[model] == version {
+		return
+	}
+	if f.outdated == nil {
+		f.outdated = make(map[ident.Model]int)
+	}
+	f.outdated[model] = version
+	log.WithFields(log.Fields{"model": model, "version": version, "known": known}).Warn("version_row_outdated")
+}
+
 // recallNamings takes in what other routers kept of the versions of a model.
 func (f *follower) recallNamings(ctx context.Context, askedAt time.Time, storeTime time.Duration, model ident.Model) {
 	kept, err := f.namings.find(ctx, model, storeTime, askedAt)
