Learn every version of weights from the changes of the store, not from its rows

Cause: the row of a model was taken to name the newest version. A write that the store did not answer may be carried out seconds later, over a newer one; a version that stood in its row between two reads (0.67 s) only was never known to any router, and no engine was ordered to take it. Class: the last write that was carried out is taken for the newest one that was written.

Ruled out: a lease that is not taken again (all requests were answered, though routers refuse those of expired versions), and engines believed to be newer than they are (no engine turned a request away for its version).

Change: the router that reads the store for all waits for the changes of the operator's rows and takes in each version that any write named, in order. It goes on at the revision up to which all namings are known, which routers tell each other and keep beside each naming; a revision that the store has forgotten is skipped over by halves. A naming is kept in a row of our own until that succeeds (it was given up after 1.5 s), and by the next router that watches if need be: after a restart of all it is the only place that still tells the version. A version counts as old as it may be, by the store's own time.

--- a/internal/node/follower.go
+++ b/internal/node/follower.go
@@ -35,8 +35,8 @@
 	joined func(self upstream.Peer, peers []upstream.Peer)
 	// lost is called each time a dependency is lost.
 	lost func(name string)
-	// pulled is called with the result of each pull.
-	pulled func(result string)
+	// pulled is called with the result of each pull, watchResult with that of each watch.
+	pulled, watchResult func(result string)
 	// startedAt is when this router began to follow.
 	startedAt time.Time
 	// looked is true after the first read of the configuration.
@@ -112,6 +112,7 @@
 		return err
 	}
 	f.readNamings(ctx, askedAt, &reading)
+	f.replica.rowsReadTo(reading.StoreRevision)
 	rollouts := f.orders(askedAt, f.replica.holder.View().ConfirmedAt, &reading)
 	err = f.replica.takeConfiguration(f.replica.node, askedAt, reading.Revision, reading.Body, rollouts)
 	if err == nil && f.replica.ordered().pending() {
@@ -166,7 +167,7 @@
 		}
 		log.WithFields(log.Fields{"model": model, "version": version, "met": naming.Met}).Info("version_named")
 		if looked {
-			go f.namings.keep(ctx, model, version, reading.StoreTime)
+			go f.namings.keep(ctx, model, version, namingRow{FirstSeen: reading.StoreTime})
 		}
 	}
 }
@@ -191,12 +192,13 @@
 
 // recallNamings takes in what other routers kept of the versions of a model.
 func (f *follower) recallNamings(ctx context.Context, askedAt time.Time, storeTime time.Duration, model ident.Model) {
-	kept, err := f.namings.find(ctx, model, storeTime, askedAt)
+	found, err := f.namings.find(ctx, model, storeTime, askedAt)
 	if err != nil {
 		log.WithFields(log.Fields{"model": model, "cause": err.Error()}).Warn("namings_not_found")
 		return
 	}
-	for _, naming := range kept {
+	f.replica.watchedUpTo(watched{revision: found.watched}, false)
+	for _, naming := range found.namings {
 		if f.replica.holder.Named(model, naming) {
 			log.WithFields(log.Fields{
 				"model": model, "version": naming.Version, "age_ms": time.Since(naming.SeenAt).Milliseconds(),
--- a/internal/node/follower_test.go
+++ b/internal/node/follower_test.go
@@ -33,10 +33,21 @@
 	delay    time.Duration
 	decoded  int
 	snapshot catalog.Content
+	// history holds the namings in order, but for those up to the forgotten revision.
+	history   []fakeNaming
+	forgotten uint64
+	// changed is closed at the next change.
+	changed chan struct{}
+}
+
+// fakeNaming is a change of the store that named a version.
+type fakeNaming struct {
+	NamedWeights
+	revision uint64
 }
 
 func newFakeStore() *fakeStore {
-	return &fakeStore{reading: Reading{Body: []byte("body")}, rows: map[string]protocol.Row{}, started: time.Now(), snapshot: catalog.Content{Version: 1}}
+	return &fakeStore{reading: Reading{Body: []byte("body")}, rows: map[string]protocol.Row{}, started: time.Now(), snapshot: catalog.Content{Version: 1}, changed: make(chan struct{})}
 }
 
 func (s *fakeStore) change(change func()) {
@@ -72,10 +83,67 @@
 	for name, version := range s.reading.Models {
 		reading.Models[name] = version
 	}
-	reading.StoreTime = time.Since(s.started)
+	reading.StoreTime, reading.StoreRevision = time.Since(s.started), s.version
 	return reading, nil
 }
 
+// name has the operator name versions of the model, one right after the other: only the
+// last one stands in the row when it is read.
+func (s *fakeStore) name(versions ...int) {
+	s.change(func() {
+		close(s.changed)
+		s.changed = make(chan struct{})
+		for _, version := range versions {
+			s.version++
+			s.history = append(s.history, fakeNaming{NamedWeights{Model: model, Version: version}, s.version})
+			s.reading.Models = map[ident.Model]int{model: version}
+		}
+	})
+}
+
+// forget drops the oldest changes.
+func (s *fakeStore) forget(upTo uint64) {
+	s.change(func() { s.forgotten = upTo })
+}
+
+// Changes implements Source.
+func (s *fakeStore) Changes(ctx context.Context, after uint64, hold time.Duration) (Changes, error) {
+	timer := time.NewTimer(hold)
+	defer timer.Stop()
+	for waited := false; ; {
+		if err := s.answer(ctx); err != nil {
+			return Changes{}, err
+		}
+		changes, changed, err := s.changesAfter(after)
+		if err != nil || len(changes.Named) > 0 || waited {
+			return changes, err
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			waited = true
+		case <-ctx.Done():
+			return Changes{}, fault.New(fault.StoreUnavailable, "no answer")
+		}
+	}
+}
+
+// changesAfter returns the changes that are there, and what is closed at the next one.
+func (s *fakeStore) changesAfter(after uint64) (Changes, <-chan struct{}, error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if after < s.forgotten {
+		return Changes{}, nil, ErrHistoryGone
+	}
+	changes := Changes{StoreRevision: s.version, StoreTime: time.Since(s.started)}
+	for _, named := range s.history {
+		if named.revision > after {
+			changes.Named = append(changes.Named, named.NamedWeights)
+		}
+	}
+	return changes, s.changed, nil
+}
+
 // Decode implements Source.
 func (s *fakeStore) Decode([]byte) (*catalog.Snapshot, error) {
 	s.mutex.Lock()
@@ -147,12 +215,12 @@
 	chain := newChainGuard(upstream.Config{})
 	chain.use(func(chain *upstream.Chain) { chain.Join(upstream.Peer{Node: "n", Revision: 1}, nil) })
 	return &follower{
-		source:    store,
-		replica:   newReplica("n", &catalog.Holder{}, backend.NewRegistry(backend.Config{}), store.Decode),
-		namings:   &namings{table: store, timeout: time.Second},
-		chain:     chain,
-		lost:      func(string) {},
-		pulled:    func(string) {},
+		source:  store,
+		replica: newReplica("n", &catalog.Holder{}, backend.NewRegistry(backend.Config{}), store.Decode),
+		namings: &namings{table: store, timeout: time.Second},
+		chain:   chain,
+		lost:    func(string) {},
+		pulled:  func(string) {}, watchResult: func(string) {},
 		startedAt: time.Now(),
 		config: FollowConfig{
 			ConfigurationInterval: 600 * time.Millisecond, BackendInterval: 500 * time.Millisecond,
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -40,6 +40,7 @@
 	orders       *prometheus.CounterVec
 	dependencies *prometheus.CounterVec
 	pulls        *prometheus.CounterVec
+	watches      *prometheus.CounterVec
 	// What requests of tenants with limits would use, by what came of their claims.
 	tenantGranted, tenantDenied, tenantUnconfirmed *prometheus.CounterVec
 	releaseAttempts, rolloutPhases                 *prometheus.CounterVec
@@ -72,6 +73,7 @@
 		answerTime:   registry.Histogram("edge_answer_seconds", "Time from the arrival of a request to the end of its answer, in seconds.", answerBuckets, "end"),
 		orders:       registry.Counter("edge_orders_total", "Orders to engines, by result.", "result"),
 		dependencies: registry.Counter("edge_dependency_lost_total", "Times that reads of a dependency began to fail.", "dependency"),
+		watches:      registry.Counter("edge_naming_watches_total", "Watches of the store for versions of weights that are named, by result: news, quiet, history_gone or failed.", "result"),
 		pulls:        registry.Counter("edge_pulls_total", "Pulls of the shared state from other routers, by result.", "result"),
 
 		tenantGranted:     registry.Counter("edge_tenant_granted_total", "Requests or tokens of tenants with limits that were granted.", "tenant"),
--- a/internal/node/namings.go
+++ b/internal/node/namings.go
@@ -15,6 +15,7 @@
 	"github.com/fieldpond/fieldpond/internal/ident"
 	"github.com/fieldpond/fieldpond/internal/store"
 	"github.com/fieldpond/fieldpond/internal/store/protocol"
+	"github.com/fieldpond/fieldpond/internal/wait"
 )
 
 // namingPrefix is the begin of the keys of naming rows. There is one row for
@@ -26,12 +27,19 @@
 type namingRow struct {
 	// FirstSeen is the store's own time at which the version was first seen.
 	FirstSeen time.Duration `cbor:"1,keyasint"`
+	// Watched is the store's revision up to which all earlier namings were known then, 0 if
+	// that was not known.
+	Watched uint64 `cbor:"2,keyasint,omitempty"`
+	// Met is true if the version may have been named long before FirstSeen.
+	Met bool `cbor:"3,keyasint,omitempty"`
 }
 
 const (
-	// namingTries and namingPause bound the writing of one row.
-	namingTries = 5
-	namingPause = 300 * time.Millisecond
+	// namingPause is the pause after a failed write of a row; it doubles up to
+	// maxNamingPause. A write is tried until it succeeds: the row of the operator may not
+	// tell the version any more, and routers that start later then know it by this row only.
+	namingPause    = 300 * time.Millisecond
+	maxNamingPause = 2400 * time.Millisecond
 	// maxNamings bounds the rows read at the start.
 	maxNamings = 500
 )
@@ -47,9 +55,9 @@
 }
 
 // keep writes the row of a version that this router saw being named, unless
-// another router did before.
-func (n *namings) keep(ctx context.Context, model ident.Model, version int, firstSeen time.Duration) {
-	value, err := cbor.Marshal(namingRow{FirstSeen: firstSeen})
+// another router did before. It returns when that is done, or ctx ends.
+func (n *namings) keep(ctx context.Context, model ident.Model, version int, row namingRow) {
+	value, err := cbor.Marshal(row)
 	if err != nil {
 		return
 	}
@@ -58,42 +66,59 @@
 		Conditions: []protocol.Condition{{Key: key}},
 		Writes:     []protocol.Write{{Key: key, Value: value}},
 	}
-	for range namingTries {
+	for pause := namingPause; ; pause = min(2*pause, maxNamingPause) {
 		bounded, cancel := context.WithTimeout(ctx, n.timeout)
 		_, err = n.table.Commit(bounded, transaction)
 		cancel()
 		if err == nil {
 			return
 		}
-		select {
-		case <-ctx.Done():
+		if pause == namingPause {
+			log.WithFields(log.Fields{"model": model, "version": version, "cause": err.Error()}).Warn("naming_not_kept")
+		}
+		if !wait.For(ctx, pause) {
 			return
-		case <-time.After(namingPause):
 		}
 	}
-	log.WithFields(log.Fields{"model": model, "version": version, "cause": err.Error()}).Warn("naming_not_kept")
 }
 
-// find returns the kept namings of a model, oldest first. storeTime is the
-// store's time at the moment localTime here.
-func (n *namings) find(ctx context.Context, model ident.Model, storeTime time.Duration, localTime time.Time) ([]catalog.Naming, error) {
+// kept is what the rows of a model's versions tell.
+type kept struct {
+	// namings are the versions, oldest first.
+	namings []catalog.Naming
+	// watched is the store's revision up to which all namings are among them, as far as the
+	// rows tell.
+	watched uint64
+}
+
+// lacks returns those of the known versions of which there is no row.
+func (k *kept) lacks(known []catalog.Naming) []catalog.Naming {
+	return slices.DeleteFunc(slices.Clone(known), func(naming catalog.Naming) bool {
+		return slices.ContainsFunc(k.namings, func(found catalog.Naming) bool { return found.Version == naming.Version })
+	})
+}
+
+// find returns the kept namings of a model. storeTime is the store's time at the moment
+// localTime here.
+func (n *namings) find(ctx context.Context, model ident.Model, storeTime time.Duration, localTime time.Time) (kept, error) {
 	bounded, cancel := context.WithTimeout(ctx, n.timeout)
 	defer cancel()
 	prefix := namingPrefix + string(model) + "/"
 	list, err := n.table.List(bounded, prefix, maxNamings)
 	if err != nil {
-		return nil, err
+		return kept{}, err
 	}
-	var found []catalog.Naming
+	var found kept
 	for _, row := range list.Rows {
 		version, err := strconv.Atoi(strings.TrimPrefix(row.Key, prefix))
-		var kept namingRow
-		if err != nil || cbor.Unmarshal(row.Value, &kept) != nil {
+		var read namingRow
+		if err != nil || cbor.Unmarshal(row.Value, &read) != nil {
 			continue
 		}
-		age := max(storeTime-kept.FirstSeen, 0)
-		found = append(found, catalog.Naming{Version: version, SeenAt: localTime.Add(-age)})
+		age := max(storeTime-read.FirstSeen, 0)
+		found.namings = append(found.namings, catalog.Naming{Version: version, SeenAt: localTime.Add(-age), Met: read.Met})
+		found.watched = max(found.watched, read.Watched)
 	}
-	slices.SortFunc(found, func(a, b catalog.Naming) int { return cmp.Compare(a.Version, b.Version) })
+	slices.SortFunc(found.namings, func(a, b catalog.Naming) int { return cmp.Compare(a.Version, b.Version) })
 	return found, nil
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -151,12 +151,13 @@
 			table: n.ports.Table, timeout: follow.ReadTimeout / 2,
 			node: n.config.Node, zone: n.config.Zone, addr: n.config.PeerAddr, life: ident.NewUnique(),
 		},
-		audience:  &audience{node: n.config.Node, zone: n.config.Zone, regions: n.config.Regions},
-		client:    n.peers,
-		chain:     newChainGuard(follow.Chain),
-		lost:      func(name string) { n.metrics.dependencies.WithLabelValues(name).Inc() },
-		pulled:    func(result string) { n.metrics.pulls.WithLabelValues(result).Inc() },
-		startedAt: time.Now(),
+		audience:    &audience{node: n.config.Node, zone: n.config.Zone, regions: n.config.Regions},
+		client:      n.peers,
+		chain:       newChainGuard(follow.Chain),
+		lost:        func(name string) { n.metrics.dependencies.WithLabelValues(name).Inc() },
+		pulled:      func(result string) { n.metrics.pulls.WithLabelValues(result).Inc() },
+		watchResult: func(result string) { n.metrics.watches.WithLabelValues(result).Inc() },
+		startedAt:   time.Now(),
 	}
 }
 
@@ -245,7 +246,7 @@
 	controller := rollout.NewController(config, n.lease, n.ports.Engines, n.holder, n.backends)
 	follower := n.follower
 	loops := []func(context.Context){
-		follower.followConfiguration, follower.followBackends, follower.followPeers,
+		follower.followConfiguration, follower.followBackends, follower.followPeers, follower.watchNamings,
 		func(ctx context.Context) { follower.countRouters(ctx, n.holdsLease) }, n.contend, n.lease.Run, controller.Run, n.quotas.run, n.sweepClients,
 	}
 	if announcer != nil {
--- a/internal/node/pull.go
+++ b/internal/node/pull.go
@@ -225,6 +225,10 @@
 	}
 	f.replica.takeList(update.Origin, at.Add(-update.List.Age), &update.List)
 	f.replica.caches.Take(at, update.Caches)
+	if told := configuration.Watched; told != nil {
+		// The namings up to this revision were taken in before it is.
+		f.replica.watchedUpTo(watched{revision: told.Revision, storeTime: told.StoreTime}, false)
+	}
 	if update.Routers > 0 {
 		f.replica.counted(update.Routers)
 	}
--- a/internal/node/replica.go
+++ b/internal/node/replica.go
@@ -44,6 +44,10 @@
 	listedAt time.Time
 	// routers is the number of routers in all zones, 0 if not known.
 	routers int
+	// watched is up to where every version of weights that was named is known here, readTo
+	// the store's revision at this router's last read of the rows.
+	watched watched
+	readTo  uint64
 	// rollouts is what is known of rollouts, nil where there is no order. Orders and
 	// states may have been read by different routers.
 	rollouts *knownRollouts
@@ -88,7 +92,7 @@
 func (r *replica) Update(now time.Time, pull *upstream.Pull) *upstream.Update {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	// The view must not be older than the confirmation that it is told with.
+	// The view must not be older than the confirmation and the revision that it is told with.
 	view := r.holder.View()
 	update := &upstream.Update{
 		Revision: r.self.Revision, Confirmation: r.confirmation, Origin: r.origin, Routers: r.routers,
@@ -99,6 +103,7 @@
 		update.Configuration.Age = view.Age(now)
 		update.Configuration.Namings = toldNamings(now, view)
 		update.Configuration.Rollouts = r.rollouts.told(now)
+		update.Configuration.Watched = toldWatched(r.watched)
 	}
 	if r.revision != pull.Configuration {
 		update.Configuration.Body = r.body
@@ -200,6 +205,54 @@
 	return nil
 }
 
+// toldWatched returns what is told to a peer.
+func toldWatched(known watched) *upstream.Watched {
+	if known.revision == 0 {
+		return nil
+	}
+	return &upstream.Watched{Revision: known.revision, StoreTime: known.storeTime}
+}
+
+// watchedTo returns up to where every named version is known.
+func (r *replica) watchedTo() watched {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.watched
+}
+
+// watchedUpTo takes in up to where every named version is known. News are told to the peers
+// that wait.
+func (r *replica) watchedUpTo(known watched, news bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if known.revision >= r.watched.revision {
+		r.watched = watched{revision: known.revision, storeTime: max(known.storeTime, r.watched.storeTime)}
+	}
+	if news {
+		r.confirmed(r.origin)
+	}
+}
+
+// rowsReadTo takes in that this router has read the rows as of a revision.
+func (r *replica) rowsReadTo(revision uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.readTo = max(r.readTo, revision)
+}
+
+// skipForgotten takes in that the store has forgotten changes after the watched revision.
+// It goes half of the way to what the rows told, so that the oldest changes that are kept
+// are found in a few steps.
+func (r *replica) skipForgotten() (from, to uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	from = r.watched.revision
+	if r.readTo > from {
+		r.watched = watched{revision: from + (r.readTo-from+1)/2}
+	}
+	return from, r.watched.revision
+}
+
 // takeRollouts takes in what a configuration that was confirmed at a time told of rollouts;
 // the caller holds the mutex.
 func (r *replica) takeRollouts(confirmedAt time.Time, told *knownRollouts) {
--- a/internal/node/source.go
+++ b/internal/node/source.go
@@ -8,6 +8,8 @@
 	"context"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/fieldpond/fieldpond/internal/backend"
 	"github.com/fieldpond/fieldpond/internal/canary"
 	"github.com/fieldpond/fieldpond/internal/catalog"
@@ -27,13 +29,40 @@
 	Orders []canary.Order
 	// StoreTime is the store's own steady time at the read.
 	StoreTime time.Duration
+	// StoreRevision is the store's newest revision at the read or before it: the effects of
+	// all writes up to it are read.
+	StoreRevision uint64
+}
+
+// NamedWeights is a version of a model's weights that a write of the operator named.
+type NamedWeights struct {
+	Model   ident.Model
+	Version int
 }
 
+// Changes are writes of the operator, in the order in which the store carried them out.
+type Changes struct {
+	// Named holds each version of weights that was named, also those whose rows were
+	// written over since.
+	Named []NamedWeights
+	// StoreRevision is the store's newest revision: all changes up to it were told.
+	StoreRevision uint64
+	// StoreTime is the store's own steady time at the answer.
+	StoreTime time.Duration
+}
+
+// ErrHistoryGone says that the store has forgotten changes that were asked for: later
+// ones, or the rows as they are now, are to be read in their place.
+var ErrHistoryGone = errors.New("the store has forgotten these changes")
+
 // Source is where the configuration and the list of back ends are read. Each
 // method returns the newest state at some time between its call and its
 // return. Errors are *fault.Fault.
 type Source interface {
 	Configuration(ctx context.Context) (Reading, error)
+	// Changes returns all changes after a revision. Its answer is held back until there is
+	// one, for a time at most. It returns ErrHistoryGone if not all are kept any more.
+	Changes(ctx context.Context, after uint64, hold time.Duration) (Changes, error)
 	// Decode reads the body of a Reading.
 	Decode(body []byte) (*catalog.Snapshot, error)
 	Backends(ctx context.Context) ([]backend.Record, error)
--- /dev/null
+++ b/internal/node/zone_test.go
@@ -0,0 +1,245 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/fieldpond/fieldpond/internal/backend"
+	"github.com/fieldpond/fieldpond/internal/catalog"
+	"github.com/fieldpond/fieldpond/internal/ident"
+	"github.com/fieldpond/fieldpond/internal/region"
+	"github.com/fieldpond/fieldpond/internal/store"
+	"github.com/fieldpond/fieldpond/internal/upstream"
+	"github.com/fieldpond/fieldpond/internal/wait"
+)
+
+// zone is a group of routers before one store, in virtual time. Pulls are
+// direct calls, held back for as long as a Server would.
+type zone struct {
+	store *fakeStore
+	// namingTable is where routers that start keep namings.
+	namingTable store.Table
+	// guard, if set, prepares each life of a router before it runs.
+	guard func(ctx context.Context, running *zoneRouter)
+
+	// regions tells the regions of the routers' zones.
+	regions region.Map
+
+	mu      sync.Mutex
+	routers map[ident.Node]*zoneRouter
+	// apart tells which zones do not reach each other; nil means that all do.
+	apart func(a, b ident.Zone) bool
+}
+
+type zoneRouter struct {
+	zone     *zone
+	node     ident.Node
+	follower *follower
+	stop     context.CancelFunc
+	// reads counts the calls to the store that this router made, watches those that wait for
+	// its changes.
+	reads, watches int
+	// cut routers do not reach the store, dead ones answer no pull.
+	cut, dead bool
+}
+
+func newZone() *zone {
+	z := &zone{store: newFakeStore(), routers: map[ident.Node]*zoneRouter{}}
+	z.namingTable = z.store
+	z.store.reading.Revision = 1
+	z.store.records = []backend.Record{{Instance: "a", Service: "s", Revision: 1}}
+	return z
+}
+
+// start starts a life of a router; its zone is named by the first letter after a
+// dash, if there is one.
+func (z *zone) start(ctx context.Context, node ident.Node) *zoneRouter {
+	_, place, _ := strings.Cut(string(node), "-")
+	running := &zoneRouter{zone: z, node: node}
+	ctx, running.stop = context.WithCancel(ctx)
+	running.follower = &follower{
+		source:  running,
+		replica: newReplica(node, &catalog.Holder{}, backend.NewRegistry(backend.Config{}), z.store.Decode),
+		namings: &namings{table: z.namingTable, timeout: time.Second},
+		roster: &roster{
+			table: z.store, timeout: time.Second, node: node, zone: ident.Zone("z" + place),
+			addr: netip.MustParseAddrPort("10.0.0.1:1"), life: fmt.Sprint(time.Now()),
+		},
+		audience: &audience{node: node},
+		client:   running,
+		chain:    newChainGuard(upstream.Config{Stagger: 700 * time.Millisecond, StaleAfter: 1400 * time.Millisecond, Regions: z.regions}),
+		lost:     func(string) {},
+		pulled:   func(string) {}, watchResult: func(string) {},
+		startedAt: time.Now(),
+		config: FollowConfig{
+			ConfigurationInterval: 700 * time.Millisecond, BackendInterval: 500 * time.Millisecond,
+			ReadTimeout: time.Second, RetryPause: 100 * time.Millisecond, RosterInterval: 5 * time.Second,
+		},
+	}
+	z.mu.Lock()
+	z.routers[node] = running
+	z.mu.Unlock()
+	if z.guard != nil {
+		z.guard(ctx, running)
+	}
+	go running.follower.followConfiguration(ctx)
+	go running.follower.followBackends(ctx)
+	go running.follower.followPeers(ctx)
+	go running.follower.watchNamings(ctx)
+	go running.follower.countRouters(ctx, func() bool { return false })
+	return running
+}
+
+func (z *zone) set(node ident.Node, change func(*zoneRouter)) {
+	z.mu.Lock()
+	defer z.mu.Unlock()
+	change(z.routers[node])
+}
+
+// kill ends a router without a planned stop.
+func (z *zone) kill(node ident.Node) {
+	z.set(node, func(r *zoneRouter) {
+		r.dead = true
+		r.stop()
+	})
+}
+
+// reads returns the calls to the store since the last look.
+func (z *zone) reads() (total int, by map[ident.Node]int) {
+	z.mu.Lock()
+	defer z.mu.Unlock()
+	by = map[ident.Node]int{}
+	for node, running := range z.routers {
+		total += running.reads
+		by[node] = running.reads
+		running.reads = 0
+	}
+	return total, by
+}
+
+// watches returns the calls that waited for changes of the store since the last look.
+func (z *zone) watches() int {
+	z.mu.Lock()
+	defer z.mu.Unlock()
+	total := 0
+	for _, running := range z.routers {
+		total += running.watches
+		running.watches = 0
+	}
+	return total
+}
+
+func (r *zoneRouter) ask() error { return r.call(&r.reads) }
+
+// call counts a call to the store.
+func (r *zoneRouter) call(count *int) error {
+	r.zone.mu.Lock()
+	defer r.zone.mu.Unlock()
+	*count++
+	if r.cut {
+		return errors.New("cut off")
+	}
+	return nil
+}
+
+// Configuration implements Source.
+func (r *zoneRouter) Configuration(ctx context.Context) (Reading, error) {
+	if err := r.ask(); err != nil {
+		return Reading{}, err
+	}
+	return r.zone.store.Configuration(ctx)
+}
+
+// Decode implements Source.
+func (r *zoneRouter) Decode(body []byte) (*catalog.Snapshot, error) { return r.zone.store.Decode(body) }
+
+// Changes implements Source.
+func (r *zoneRouter) Changes(ctx context.Context, after uint64, hold time.Duration) (Changes, error) {
+	if err := r.call(&r.watches); err != nil {
+		return Changes{}, err
+	}
+	return r.zone.store.Changes(ctx, after, hold)
+}
+
+// Backends implements Source.
+func (r *zoneRouter) Backends(ctx context.Context) ([]backend.Record, error) {
+	if err := r.ask(); err != nil {
+		return nil, err
+	}
+	return r.zone.store.Backends(ctx)
+}
+
+// Pull implements puller.
+func (r *zoneRouter) Pull(ctx context.Context, peer upstream.Peer, pull *upstream.Pull) (*upstream.Update, time.Time, error) {
+	r.zone.mu.Lock()
+	asked := r.zone.routers[peer.Node]
+	dead := asked == nil || asked.dead
+	apart := r.zone.apart != nil && r.zone.apart(pull.From.Zone, peer.Zone)
+	r.zone.mu.Unlock()
+	if apart {
+		wait.For(ctx, 250*time.Millisecond)
+		return nil, time.Time{}, errors.New("timed out")
+	}
+	if dead {
+		wait.For(ctx, 10*time.Millisecond)
+		return nil, time.Time{}, errors.New("refused")
+	}
+	askedAt := time.Now()
+	asked.follower.chain.followed(pull.From)
+	if !upstream.Hold(ctx, asked.follower.replica, pull) {
+		return nil, time.Time{}, ctx.Err()
+	}
+	now := time.Now()
+	update := asked.follower.replica.Update(now, pull)
+	update.Held = now.Sub(askedAt)
+	return update, askedAt.Add(update.Held), nil
+}
+
+var _ store.Table = (*fakeStore)(nil)
+
+// version returns the version in force at a router.
+func (r *zoneRouter) version() uint64 {
+	snapshot := r.follower.replica.holder.View().Snapshot
+	if snapshot == nil {
+		return 0
+	}
+	return snapshot.Version
+}
+
+// startZone starts routers one after the other and lets them settle.
+func startZone(t *testing.T, nodes ...ident.Node) *zone {
+	t.Helper()
+	z := newZone()
+	for _, node := range nodes {
+		z.start(t.Context(), node)
+		time.Sleep(20 * time.Millisecond)
+	}
+	time.Sleep(5 * time.Second)
+	z.reads()
+	return z
+}
+
+func (z *zone) adopt(version uint64) {
+	z.store.change(func() {
+		z.store.reading.Revision, z.store.snapshot.Version = z.store.reading.Revision+1, version
+	})
+}
+
+// adopted fails unless all routers that are up have a version.
+func (z *zone) adopted(t *testing.T, version uint64) {
+	t.Helper()
+	z.mu.Lock()
+	defer z.mu.Unlock()
+	for node, running := range z.routers {
+		if !running.dead && running.version() != version {
+			t.Errorf("%s has version %d, not %d", node, running.version(), version)
+		}
+	}
+}
--- a/internal/upstream/update.go
+++ b/internal/upstream/update.go
@@ -58,6 +58,17 @@
 	Namings []Naming `cbor:"4,keyasint,omitempty"`
 	// Rollouts is nil where no service is being moved to another release, or was.
 	Rollouts *Rollouts `cbor:"5,keyasint,omitempty"`
+	// Watched is nil if it is not known up to where Namings holds every version.
+	Watched *Watched `cbor:"6,keyasint,omitempty"`
+}
+
+// Watched tells up to where every version of weights that was named is known, also those
+// whose rows were written over.
+type Watched struct {
+	// Revision is that of the store. StoreTime is the store's own steady time at which no
+	// naming was unknown, 0 if it is not known.
+	Revision  uint64        `cbor:"1,keyasint"`
+	StoreTime time.Duration `cbor:"2,keyasint,omitempty"`
 }
 
 // Rollouts is what the store tells of rollouts.
