--- a/internal/node/follower.go
+++ b/internal/node/follower.go
@@ -36,12 +36,14 @@
 	joined func(self upstream.Peer, peers []upstream.Peer)
 	// lost is called each time a dependency is lost.
 	lost func(name string)
-	// pulled is called with the result of each pull.
-	pulled func(result string)
+	// pulled is called with the result of each pull, watchResult with that of each watch.
+	pulled, watchResult func(result string)
 	// startedAt is when this router began to follow.
 	startedAt time.Time
 	// looked is true after the first read of the configuration.
 	looked atomic.Bool
+	// outdated are the versions below the newest that rows named last, by model.
+	outdated map[ident.Model]int
 }
 
 // FollowConfig fixes how often the store is read.
@@ -111,6 +113,7 @@
 		return err
 	}
 	f.readNamings(ctx, askedAt, &reading)
+	f.replica.rowsReadTo(reading.StoreRevision)
 	rollouts := f.orders(askedAt, f.replica.holder.View().ConfirmedAt, &reading)
 	err = f.takeReading(ctx, askedAt, &reading, rollouts)
 	if err == nil {
@@ -161,25 +164,45 @@
 		if !looked {
 			f.recallNamings(ctx, askedAt, reading.StoreTime, model)
 		}
+		f.noteOutdated(model, version)
 		naming := catalog.Naming{Version: version, SeenAt: time.Now(), Met: !looked}
 		if !f.replica.holder.Named(model, naming) {
 			continue
 		}
 		log.WithFields(log.Fields{"model": model, "version": version, "met": naming.Met}).Info("version_named")
 		if looked {
-			go f.namings.keep(ctx, model, version, reading.StoreTime)
+			go f.namings.keep(ctx, model, version, namingRow{FirstSeen: reading.StoreTime})
 		}
 	}
 }
 
+// noteOutdated logs, once for each content, that a row names an older version than is
+// known: an older write was carried out after a newer one.
+func (f *follower) noteOutdated(model ident.Model, version int) {
+	known := f.replica.holder.View().Models[model].Version
+	if version >= known {
+		delete(f.outdated, model)
+		return
+	}
+	if f.outdated[model] == version {
+		return
+	}
+	if f.outdated == nil {
+		f.outdated = make(map[ident.Model]int)
+	}
+	f.outdated[model] = version
+	log.WithFields(log.Fields{"model": model, "version": version, "known": known}).Warn("version_row_outdated")
+}
+
 // recallNamings takes in what other routers kept of the versions of a model.
 func (f *follower) recallNamings(ctx context.Context, askedAt time.Time, storeTime time.Duration, model ident.Model) {
-	kept, err := f.namings.find(ctx, model, storeTime, askedAt)
+	found, err := f.namings.find(ctx, model, storeTime, askedAt)
 	if err != nil {
 		log.WithFields(log.Fields{"model": model, "cause": err.Error()}).Warn("namings_not_found")
 		return
 	}
-	for _, naming := range kept {
+	f.replica.watchedUpTo(watched{revision: found.watched}, false)
+	for _, naming := range found.namings {
 		if f.replica.holder.Named(model, naming) {
 			log.WithFields(log.Fields{
 				"model": model, "version": naming.Version, "age_ms": time.Since(naming.SeenAt).Milliseconds(),
