Ask what the row of the configuration held since it was confirmed last

A late write of the configuration was asked about from the revision of the row on. A store keeps its changes for some seconds, while configurations are minutes apart: after 20 s the question came back as forgotten, the configuration held counted as suspect, and nothing confirmed it until a newer one was written. TestALateWriteIsSeenThroughHoweverOldTheLastOneIs failed before.

--- a/internal/node/configuration.go
+++ b/internal/node/configuration.go
@@ -22,6 +22,9 @@
 	body    []byte
 	// seenThrough is the revision of the row up to which none that the row held is newer.
 	seenThrough uint64
+	// confirmedTo is the revision of the store at the own read that confirmed seenThrough
+	// last: the row had no other content until then. It is 0 if there was none.
+	confirmedTo uint64
 	// suspect is a later revision at which the row held none that is newer, while what it
 	// held in between is forgotten.
 	suspect uint64
@@ -46,10 +49,12 @@
 // of the configuration.
 type configurationRead struct {
 	askedAt time.Time
-	// after is the revision up to which the row was seen through before, 0 for none; row is
-	// its content now, and newest the newest one since.
-	after       uint64
+	// seenThrough is the revision up to which the row was seen through before, 0 for none;
+	// row is its content now, and newest the newest one since.
+	seenThrough uint64
 	row, newest written
+	// storeRevision is that of the store at the read.
+	storeRevision uint64
 	// history is nil if all that the row held since is known.
 	history  error
 	rollouts *knownRollouts
@@ -59,17 +64,19 @@
 // since it was last seen is asked for, since a read shows the last write that was carried
 // out, and a newer one may have stood there before it.
 func (f *follower) takeReading(ctx context.Context, askedAt time.Time, reading *Reading, rollouts *knownRollouts) error {
-	after, changed := f.replica.unseen(reading.Revision)
+	seenThrough, after, changed := f.replica.unseen(reading.Revision)
 	if !changed {
-		f.replica.confirmRow(askedAt, reading.Revision, rollouts)
+		f.replica.confirmRow(askedAt, reading, rollouts)
 		return nil
 	}
 	row, err := f.replica.decoded(reading)
 	if err != nil {
 		return err
 	}
-	read := &configurationRead{askedAt: askedAt, after: after, row: row, newest: row, rollouts: rollouts}
-	if after != 0 {
+	read := &configurationRead{
+		askedAt: askedAt, seenThrough: seenThrough, row: row, newest: row, storeRevision: reading.StoreRevision, rollouts: rollouts,
+	}
+	if seenThrough != 0 {
 		read.newest, read.history = f.newestSince(ctx, after, row)
 	}
 	f.replica.takeRead(read)
@@ -138,12 +145,16 @@
 	return written{revision: reading.Revision, body: reading.Body, snapshot: snapshot}, err
 }
 
-// unseen returns the revision up to which the row is seen through, and whether the row
-// has a later one about which something is to be found out.
-func (r *replica) unseen(revision uint64) (after uint64, changed bool) {
+// unseen returns the revision up to which the row is seen through, the one after which it
+// may have held others, and whether something is to be found out about them. The second is
+// as late as possible: a store keeps its changes for some seconds, while configurations may
+// be minutes apart.
+func (r *replica) unseen(revision uint64) (seenThrough, after uint64, changed bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.config.seenThrough, revision > r.config.seenThrough && revision != r.config.suspect
+	held := &r.config
+	changed = revision > held.seenThrough && revision != held.suspect
+	return held.seenThrough, max(held.seenThrough, held.confirmedTo), changed
 }
 
 // unseenRow returns the row of a reading, and whether it was believed without a look back.
@@ -169,14 +180,15 @@
 }
 
 // confirmRow takes in that the row had a revision which was met before.
-func (r *replica) confirmRow(askedAt time.Time, revision uint64, rollouts *knownRollouts) {
+func (r *replica) confirmRow(askedAt time.Time, reading *Reading, rollouts *knownRollouts) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if revision == 0 || revision < r.config.seenThrough {
+	if reading.Revision == 0 || reading.Revision < r.config.seenThrough {
 		return
 	}
 	r.takeRollouts(askedAt, rollouts)
-	if revision == r.config.seenThrough {
+	if reading.Revision == r.config.seenThrough {
+		r.config.confirmedTo = max(r.config.confirmedTo, reading.StoreRevision)
 		r.confirmHeld(r.node, askedAt)
 	}
 }
@@ -186,7 +198,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	held := &r.config
-	if held.seenThrough < read.after || held.seenThrough >= read.row.revision {
+	if held.seenThrough < read.seenThrough || held.seenThrough >= read.row.revision {
 		// A peer told of another one meanwhile: what this read asked for doesn't fit on.
 		return
 	}
@@ -200,8 +212,9 @@
 		held.seenThrough = read.row.revision
 		if newer {
 			r.hold(r.node, read.askedAt, read.newest)
-			held.unseen = read.after == 0
+			held.unseen = read.seenThrough == 0
 		}
+		held.confirmedTo = read.storeRevision
 		r.confirmHeld(r.node, read.askedAt)
 		r.noteOutdated(&read.row, true)
 	case errors.Is(read.history, ErrHistoryGone):
@@ -238,7 +251,7 @@
 	r.takeRollouts(confirmedAt, rollouts)
 	if newer {
 		// What its row held until then, an own read of a later one did not see through.
-		held.seenThrough = told.Revision
+		held.seenThrough, held.confirmedTo = told.Revision, 0
 		r.hold(origin, confirmedAt, newest)
 	}
 	held.seenThrough = max(held.seenThrough, told.Revision)
--- a/internal/node/latewrites_test.go
+++ b/internal/node/latewrites_test.go
@@ -37,6 +37,8 @@
 	asked   int
 	// forgotten is the revision up to which that is not kept.
 	forgotten uint64
+	// others is by how much writes of other rows raised the revision since the last one.
+	others uint64
 }
 
 func newLateStore() *lateStore { return &lateStore{fakeStore: newFakeStore()} }
@@ -46,13 +48,29 @@
 func (s *lateStore) write(versions ...uint64) {
 	s.change(func() {
 		for _, version := range versions {
-			s.reading.Revision += 2
+			s.reading.Revision += 2 + s.others
+			s.others = 0
 			s.reading.Body = strconv.AppendUint(nil, version, 10)
 			s.written = append(s.written, Reading{Revision: s.reading.Revision, Body: s.reading.Body})
 		}
 	})
 }
 
+// pass has others write rows, and the store forget all that was written before.
+func (s *lateStore) pass(writes uint64) {
+	s.change(func() {
+		s.others += writes
+		s.forgotten = s.reading.Revision + s.others
+	})
+}
+
+// Configuration implements Source.
+func (s *lateStore) Configuration(ctx context.Context) (Reading, error) {
+	reading, err := s.fakeStore.Configuration(ctx)
+	s.change(func() { reading.StoreRevision = reading.Revision + s.others })
+	return reading, err
+}
+
 func (s *lateStore) fail(err error) { s.change(func() { s.failure = err }) }
 
 // Configurations implements Source.
@@ -205,6 +223,29 @@
 	}
 }
 
+// The store keeps its changes for some seconds, and configurations change less often.
+func TestALateWriteIsSeenThroughHoweverOldTheLastOneIs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := newLateStore()
+		store.write(10)
+		reader := store.started(t)
+		time.Sleep(time.Minute)
+		store.pass(1000)
+		time.Sleep(interval)
+		store.write(12, 10)
+		time.Sleep(interval)
+		is.Equal(versionAt(reader), uint64(12))
+		is.True(ageAt(reader) <= interval)
+		time.Sleep(time.Minute)
+		store.pass(1000)
+		time.Sleep(interval)
+		store.write(12) // the operator writes it once more
+		time.Sleep(time.Minute)
+		is.True(ageAt(reader) <= interval)
+	})
+}
+
 // What the row held may be forgotten. Then the configuration that is held may have been
 // replaced, with its keys, by one that nobody saw.
 func testForgottenIsSuspected(t *testing.T) {
