Tell what repeats are granted and denied on

The logs did not show how many repeats the budget granted, on how many requests, and among how many routers the slack was divided: the hypotheses on the repeats beyond the budget could only be told apart by counting sendings. Each decision of the budget is now a step of its request's trail, and counted by service (edge_repeats_total). No decision changes.

--- a/internal/admission/windowbudget.go
+++ b/internal/admission/windowbudget.go
@@ -40,8 +40,17 @@
 // the number of repeats granted in each window without any request; it may be a
 // fraction, and may change from call to call.
 func (b *WindowBudget) Allow(now time.Time, slack float64) bool {
+	requests, repeats := b.Counted(now)
+	if float64(repeats+1) > b.config.Share*float64(requests)+slack {
+		return false
+	}
+	b.repeats[b.current%(windowSlots+1)]++
+	return true
+}
+
+// Counted returns the requests of the window, and the repeats that it may hold.
+func (b *WindowBudget) Counted(now time.Time) (requests, repeats int) {
 	b.advance(now)
-	requests, repeats := 0, 0
 	oldest := (b.current + 1) % (windowSlots + 1)
 	for slot := range b.requests {
 		if int64(slot) != oldest {
@@ -49,11 +58,7 @@
 		}
 		repeats += b.repeats[slot]
 	}
-	if float64(repeats+1) > b.config.Share*float64(requests)+slack {
-		return false
-	}
-	b.repeats[b.current%(windowSlots+1)]++
-	return true
+	return requests, repeats
 }
 
 // advance clears the pieces that the window has moved past.
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -77,7 +77,7 @@
 		a.patience.Reset(busyPoll)
 		return
 	}
-	if a.forwarder.allowRepeat(a.service) {
+	if a.forwarder.allowRepeat(a.request, a.service) {
 		a.cancel(errSilent)
 	}
 }
--- a/internal/forward/budget_test.go
+++ b/internal/forward/budget_test.go
@@ -7,6 +7,7 @@
 	"github.com/matryer/is"
 
 	"github.com/fieldpond/fieldpond/internal/forward"
+	"github.com/fieldpond/fieldpond/internal/ident"
 )
 
 // The slack of the repeat budget is that of the whole system: however many
@@ -39,3 +40,34 @@
 		})
 	}
 }
+
+// What a repeat was granted or denied on is told, so that logs show whose share was used.
+func TestDecisionsOnRepeatsAreTold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := newBench(refusing(forward.NotExecuted))
+		b.routers = 7
+		for range 10 {
+			b.relist()
+			b.forward(t, request("safe"))
+		}
+		granted, denied := 0, 0
+		for _, step := range b.steps {
+			switch step.Kind {
+			case forward.StepRepeatGranted:
+				granted++
+				is.Equal(step.Repeat.Repeats, granted)
+			case forward.StepRepeatDenied:
+				denied++
+			default:
+				continue
+			}
+			is.Equal(step.Repeat.Service, ident.Service("s"))
+			is.Equal(step.Repeat.Sharers, 8)
+			is.Equal(step.Repeat.Slack, float64(benchSlack)/8)
+			is.True(step.Repeat.Requests >= 1 && step.Repeat.Requests <= 10)
+		}
+		is.Equal(granted, len(b.caller.sent())-10)
+		is.True(denied > 0)
+	})
+}
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -163,11 +163,21 @@
 	return fault.New(fault.NotReady, "%s", detail).WithRetryAfter(f.config.RetryAfter)
 }
 
-// allowRepeat takes one repeat out of the budget of a service.
-func (f *Forwarder) allowRepeat(service ident.Service) bool {
+// allowRepeat takes one repeat out of the budget of a request's service.
+func (f *Forwarder) allowRepeat(request *Request, service ident.Service) bool {
 	allowed := false
-	slack := f.config.Slack / float64(f.sharers())
-	f.withBudget(service, func(budget *admission.WindowBudget) { allowed = budget.Allow(time.Now(), slack) })
+	repeat := Repeat{Service: service, Sharers: f.sharers()}
+	repeat.Slack = f.config.Slack / float64(repeat.Sharers)
+	f.withBudget(service, func(budget *admission.WindowBudget) {
+		now := time.Now()
+		allowed = budget.Allow(now, repeat.Slack)
+		repeat.Requests, repeat.Repeats = budget.Counted(now)
+	})
+	kind := StepRepeatDenied
+	if allowed {
+		kind = StepRepeatGranted
+	}
+	f.record(request, kind, func(step *Step) { step.Repeat = repeat })
 	return allowed
 }
 
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -154,7 +154,7 @@
 		return true
 	}
 	r.noRepeat = "no repeat is left in the budget"
-	return r.forwarder.allowRepeat(r.service)
+	return r.forwarder.allowRepeat(r.request, r.service)
 }
 
 // final returns the fault that ends the request.
--- a/internal/forward/step.go
+++ b/internal/forward/step.go
@@ -25,6 +25,9 @@
 	StepBroken StepKind = "broken"
 	// StepClientGone is a request whose client left.
 	StepClientGone StepKind = "client_gone"
+	// StepRepeatGranted and StepRepeatDenied tell what the budget of repeats said.
+	StepRepeatGranted StepKind = "repeat_granted"
+	StepRepeatDenied  StepKind = "repeat_denied"
 )
 
 // Step is one decision about a request, with what decided it.
@@ -45,10 +48,22 @@
 	Elapsed time.Duration
 	// Events is the number of stream events passed on.
 	Events int
+	// Repeat is what a repeat was granted or denied on.
+	Repeat Repeat
 	Fault  *fault.Fault
 	Cause  error
 }
 
+// Repeat is the state of a service's budget of repeats at this router at one moment.
+type Repeat struct {
+	Service ident.Service
+	// Requests and Repeats are those in the window, a repeat just granted among them.
+	Requests, Repeats int
+	// Slack is this router's part of the slack, of which each of Sharers has one.
+	Slack   float64
+	Sharers int
+}
+
 func (f *Forwarder) record(request *Request, kind StepKind, fill func(*Step)) {
 	step := Step{Kind: kind, Request: request.ID, Elapsed: time.Since(request.ReceivedAt)}
 	fill(&step)
--- a/internal/node/events.go
+++ b/internal/node/events.go
@@ -17,6 +17,8 @@
 var (
 	requestFields = []string{"request", "elapsed_ms", "route", "config_version", "config_age_ms"}
 	attemptFields = []string{"attempt", "instance", "record_revision", "home", "distance", "predicted_ms", "candidates", "weights", "release", "releases"}
+	// Those of decisions of the budget of repeats.
+	repeatFields = []string{"request", "elapsed_ms", "service", "window_requests", "window_repeats", "slack", "sharers"}
 	// Those of events about rollouts, and about the writing of their states.
 	rolloutFields = []string{"service", "target", "order"}
 	stateFields   = []string{"service", "phase", "version"}
@@ -75,6 +77,8 @@
 		{"answered", with(requestFields, "status", "events", "cause"), "The whole answer was passed on."},
 		{"refused", with(requestFields, "fault", "detail", "ran", "cause"), "The final answer is the router's own; ran says whether the request may have run."},
 		{"broken", with(requestFields, "events", "fault", "detail", "ran"), "An answer broke off after a part of it was passed on."},
+		{"repeat_granted", repeatFields, "The budget of repeats granted one; window_requests and window_repeats are those of this router's window, and sharers have one part of the slack each."},
+		{"repeat_denied", repeatFields, "The budget of repeats granted none."},
 		{"client_gone", with(requestFields, "events", "cause"), "The client left."},
 		{"log_lines_dropped", []string{"count"}, "Lines were dropped because the reader is slow."},
 	}
--- a/internal/node/log.go
+++ b/internal/node/log.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	stdlog "log"
+	"math"
 
 	"github.com/apex/log"
 
@@ -55,6 +56,11 @@
 	if step.Events != 0 {
 		fields["events"] = step.Events
 	}
+	if repeat := &step.Repeat; repeat.Service != "" {
+		fields["service"] = repeat.Service
+		fields["window_requests"], fields["window_repeats"] = repeat.Requests, repeat.Repeats
+		fields["slack"], fields["sharers"] = math.Round(repeat.Slack*100)/100, repeat.Sharers
+	}
 	if step.Fault != nil {
 		fields["fault"] = step.Fault.Kind
 		fields["detail"] = step.Fault.Detail
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -40,6 +40,7 @@
 	orders       *prometheus.CounterVec
 	dependencies *prometheus.CounterVec
 	pulls        *prometheus.CounterVec
+	repeats      *prometheus.CounterVec
 	// What requests of tenants with limits would use, by what came of their claims.
 	tenantGranted, tenantDenied, tenantUnconfirmed *prometheus.CounterVec
 	releaseAttempts, rolloutPhases                 *prometheus.CounterVec
@@ -73,6 +74,7 @@
 		orders:       registry.Counter("edge_orders_total", "Orders to engines, by result.", "result"),
 		dependencies: registry.Counter("edge_dependency_lost_total", "Times that reads of a dependency began to fail.", "dependency"),
 		pulls:        registry.Counter("edge_pulls_total", "Pulls of the shared state from other routers, by result.", "result"),
+		repeats:      registry.Counter("edge_repeats_total", "Repeats that were asked of the budget, by service and verdict: granted or denied.", "service", "verdict"),
 
 		tenantGranted:     registry.Counter("edge_tenant_granted_total", "Requests or tokens of tenants with limits that were granted.", "tenant"),
 		tenantDenied:      registry.Counter("edge_tenant_denied_total", "Requests or tokens that were denied, since the tenant had used its limit.", "tenant"),
@@ -118,6 +120,12 @@
 		m.release(step)
 		m.distances.WithLabelValues(step.Choice.Distance.String()).Inc()
 	}
+	switch step.Kind {
+	case forward.StepRepeatGranted:
+		m.repeats.WithLabelValues(string(step.Repeat.Service), "granted").Inc()
+	case forward.StepRepeatDenied:
+		m.repeats.WithLabelValues(string(step.Repeat.Service), "denied").Inc()
+	}
 	if !ends[step.Kind] {
 		return
 	}
