Ask among how many routers the slack of repeats is divided

A seam without a change of decisions: the number that divides the slack is asked for apart from the number of routers, so that tests of the whole fleet can reach it.

--- a/internal/forward/fake_test.go
+++ b/internal/forward/fake_test.go
@@ -196,7 +196,7 @@
 		Repeats:   admission.WindowConfig{Window: 10 * time.Second, Share: 0.2},
 		Slack:     benchSlack,
 	}, forward.Dependencies{
-		Holder: b.holder, Backends: b.backends, Caller: b.caller, Record: b.record, Routers: func() int { return b.routers }, Caches: b.caches,
+		Holder: b.holder, Backends: b.backends, Caller: b.caller, Record: b.record, Routers: func() int { return b.routers }, Sharers: func() int { return b.routers }, Caches: b.caches,
 	})
 	return b
 }
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -65,6 +65,9 @@
 	// Routers returns the number of routers that share bounds of the whole
 	// system, 0 if it is not known.
 	Routers func() int
+	// Sharers returns the number of routers that may use a part of the slack of
+	// repeats in one window, 0 if it is not known.
+	Sharers func() int
 	// Caches tells what stores of kept prompt caches hold.
 	Caches *promptcache.Index
 	// Quotas keeps tenants within their limits; it may be nil where none has one.
@@ -166,7 +169,7 @@
 // allowRepeat takes one repeat out of the budget of a request's service.
 func (f *Forwarder) allowRepeat(request *Request, service ident.Service) bool {
 	allowed := false
-	repeat := Repeat{Service: service, Sharers: f.sharers()}
+	repeat := Repeat{Service: service, Sharers: withSpare(f.Sharers())}
 	repeat.Slack = f.config.Slack / float64(repeat.Sharers)
 	f.withBudget(service, func(budget *admission.WindowBudget) {
 		now := time.Now()
@@ -181,10 +184,9 @@
 	return allowed
 }
 
-// sharers returns the number of routers by which a bound of the whole system is
-// divided.
-func (f *Forwarder) sharers() int {
-	routers := f.Routers()
+// withSpare returns the number by which a bound of the whole system is divided that
+// a number of routers share.
+func withSpare(routers int) int {
 	if routers <= 0 {
 		return unknownRouters
 	}
--- a/internal/forward/releases_test.go
+++ b/internal/forward/releases_test.go
@@ -80,7 +80,7 @@
 		Freshness: catalog.Freshness{Keyed: 4 * time.Second, Denial: time.Second}, Slack: benchSlack,
 		Repeats: admission.WindowConfig{Window: 10 * time.Second, Share: 0.2},
 	}, forward.Dependencies{
-		Holder: b.holder, Backends: b.backends, Caller: b.caller, Record: b.record, Routers: func() int { return 1 },
+		Holder: b.holder, Backends: b.backends, Caller: b.caller, Record: b.record, Routers: func() int { return 1 }, Sharers: func() int { return 1 },
 		Caches: b.caches, Releases: releases,
 	})
 	return b
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -323,7 +323,7 @@
 		attempt.Tenant = r.tenant.Name
 	}
 	if service := r.view.Snapshot.Service(r.service); service != nil && service.MaxConnections > 0 {
-		attempt.MaxConnections = max(service.MaxConnections/r.forwarder.sharers(), 1)
+		attempt.MaxConnections = max(service.MaxConnections/withSpare(r.forwarder.Routers()), 1)
 	}
 	if r.request.Prompt == nil {
 		return attempt
--- a/internal/forward/start_test.go
+++ b/internal/forward/start_test.go
@@ -23,7 +23,7 @@
 		Freshness: catalog.Freshness{Keyed: 4 * time.Second, Denial: time.Second}, Off: off,
 		Repeats: admission.WindowConfig{Window: 10 * time.Second, Share: 0.2},
 	}, forward.Dependencies{
-		Holder: b.holder, Backends: b.backends, Caller: b.caller, Record: b.record, Routers: func() int { return 1 }, Caches: b.caches,
+		Holder: b.holder, Backends: b.backends, Caller: b.caller, Record: b.record, Routers: func() int { return 1 }, Sharers: func() int { return 1 }, Caches: b.caches,
 	})
 	return b
 }
--- a/internal/node/replica.go
+++ b/internal/node/replica.go
@@ -163,6 +163,10 @@
 	return r.routers
 }
 
+// Sharers returns the number of routers that may use a part of a bound of the whole
+// system in one window, 0 if it is not known.
+func (r *replica) Sharers() int { return r.Routers() }
+
 // takeConfiguration takes in a configuration that was the newest at
 // confirmedAt, as a router read it with the orders of rollouts. An empty body stands for the
 // one held.
