Keep a router's row until its planned stop has ended

Cause: the row was removed when the stop began, while the router served on for up to the grace period. Whatever is divided among the routers (the slack of repeats, connections to an engine, limits of tenants) was divided among too few by those that started meanwhile.

Ruled out: marking the row as left, to be removed later: a call to the store more for each stop, and nobody who surely removes it. What the early removal was good for is small: routers that start during the stop may ask the stopping one first, as those do that started before it; a failed pull takes 10 ms to notice, and the next peer is asked.

Change: the row is removed last, within the margin before the kill.

--- a/internal/node/events.go
+++ b/internal/node/events.go
@@ -44,7 +44,7 @@
 		{"connection_silent", []string{"address", "closed"}, "Nothing was acknowledged on a connection any more; closed: resting ones to the same address that were closed with it."},
 		{"connections_suspected", []string{"closed"}, "A connection was silent while its address takes new ones; closed: the resting ones to all addresses that were not heard since."},
 		{"joined", []string{"revision", "peers", "routers"}, "This router has a row in the store; peers are the routers whose rows are sound."},
-		{"router_row_not_removed", []string{"cause"}, "The row could not be removed at a planned stop."},
+		{"router_row_not_removed", []string{"cause"}, "The row could not be removed at the end of a planned stop."},
 		{"routers_not_counted", []string{"cause"}, "The routers' rows could not be read."},
 		{"state_from_peer", []string{"peer", "address"}, "From now on the shared state is pulled from this peer."},
 		{"state_from_store", nil, "No peer supplies the shared state now: this router reads the store."},
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -339,17 +339,19 @@
 	}
 }
 
-// closeMargin is kept before the end of the grace period.
-const closeMargin = 500 * time.Millisecond
+const (
+	// closeMargin is kept before the end of the grace period.
+	closeMargin = 500 * time.Millisecond
+	// leaveMargin is the part of closeMargin in which the row may still be removed; the
+	// rest is for the process to end.
+	leaveMargin = 350 * time.Millisecond
+)
 
 // stop ends the servers as planned.
 func (n *Node) stop(servers servers) {
 	killAt := time.Now().Add(n.config.Grace - closeMargin)
 	n.stopping.Store(true)
 	n.lease.Contend(false)
-	leave, cancelLeave := context.WithTimeout(context.Background(), n.config.Follow.ReadTimeout)
-	defer cancelLeave()
-	n.follower.roster.leave(leave)
 	log.WithFields(log.Fields{"in_flight": n.backends.InFlight()}).Info("stopping")
 	time.Sleep(n.config.Unready)
 	ctx, cancel := context.WithDeadline(context.Background(), killAt)
@@ -360,4 +362,9 @@
 	for _, server := range servers {
 		_ = server.Close()
 	}
+	// The row goes last: bounds of the whole system are divided among the routers that may
+	// still send, and those that start meanwhile count the rows.
+	leave, cancelLeave := context.WithDeadline(context.Background(), killAt.Add(leaveMargin))
+	defer cancelLeave()
+	n.follower.roster.leave(leave)
 }
--- a/internal/node/roster.go
+++ b/internal/node/roster.go
@@ -19,7 +19,7 @@
 
 // routerPrefix is the begin of the keys of the routers' rows, which go on with
 // the zone and the name: each router writes its own at its start, and removes it
-// at a planned stop.
+// at the end of a planned stop.
 const routerPrefix = "router/"
 
 // maxRouters bounds the rows of routers that are read.
--- a/internal/node/sharers_test.go
+++ b/internal/node/sharers_test.go
@@ -95,9 +95,9 @@
 // restart ends a life of a router as a planned stop does, which serves on for a while, and
 // starts the next one.
 func (f *fleet) restart(t *testing.T, running *zoneRouter, end func(), serves, pause time.Duration) {
-	running.follower.roster.leave(t.Context())
 	time.Sleep(serves)
 	end()
+	running.follower.roster.leave(t.Context())
 	time.Sleep(pause)
 	f.up(t, running.node)
 }
