Give a router a part of the slack once all have counted it for a window

Cause: the budget of repeats bounds a window of the whole system, but was kept by state that a restart and a changed count forget. A life was granted its router's part at once, whatever former lives had been granted in the same window, and divided by the rows of the moment, or by the smaller count of the peer that it pulled from.

Ways weighed: a bucket that starts empty and holds half of the slack grants something to a young life at once, but half as much to every router in a burst, and it does not mend the division; so the slack is withheld from young lives, whose requests earn their share as before.

Change: a router has a part of the slack once it has been listed for a count of the routers to reach all, and a window; the largest count that it held in the last window divides.

The tests fail with the lag at 0, with the settling taken out and with former counts forgotten.

--- /dev/null
+++ b/internal/admission/sharers.go
@@ -0,0 +1,77 @@
+package admission
+
+import "time"
+
+// SharersConfig sets a Sharers.
+type SharersConfig struct {
+	// Window is the length of the window in which a bound of the whole system holds.
+	Window time.Duration
+	// Lag is how long it may take until every router has counted one that joined.
+	Lag time.Duration
+}
+
+// Sharers tells among how many routers a bound of the whole system over a window is
+// divided. It is not safe for concurrent use.
+//
+// Invariant: routers that take a part in the same window have counted each other. A router
+// takes a part only once it has been listed for Lag and Window, so that each of the others
+// had counted it when the window began; none leaves the list before it has taken its last
+// part. The largest number that a router held in its window is therefore as large as the
+// number of those that take a part in it, and what a router's former life took, which
+// nobody remembers, has left the window before the next life takes a part.
+type Sharers struct {
+	cfg      SharersConfig
+	joinedAt time.Time
+	// current was counted last; former are the numbers held before.
+	current int
+	former  []formerCount
+}
+
+// formerCount is a number of routers that was held until another one was counted.
+type formerCount struct {
+	routers int
+	until   time.Time
+}
+
+// NewSharers returns the sharers as a router knows them that has not joined the others.
+func NewSharers(cfg SharersConfig) *Sharers { return &Sharers{cfg: cfg} }
+
+// Joined takes in that this router is surely listed since now.
+func (s *Sharers) Joined(now time.Time) { s.joinedAt = now }
+
+// Counted takes in the number of routers that are listed.
+func (s *Sharers) Counted(now time.Time, routers int) {
+	if routers == s.current {
+		return
+	}
+	if s.current > 0 {
+		s.former = append(s.former, formerCount{routers: s.current, until: now})
+	}
+	s.current = routers
+	s.forget(now)
+}
+
+// Among returns the number of routers that have a part each, or 0 while this router has
+// none.
+func (s *Sharers) Among(now time.Time) int {
+	if s.joinedAt.IsZero() || now.Sub(s.joinedAt) < s.cfg.Lag+s.cfg.Window {
+		return 0
+	}
+	s.forget(now)
+	most := s.current
+	for _, former := range s.former {
+		most = max(most, former.routers)
+	}
+	return most
+}
+
+// forget drops what was not held in the window any more.
+func (s *Sharers) forget(now time.Time) {
+	kept := s.former[:0]
+	for _, former := range s.former {
+		if now.Sub(former.until) <= s.cfg.Window {
+			kept = append(kept, former)
+		}
+	}
+	s.former = kept
+}
--- a/internal/forward/budget_test.go
+++ b/internal/forward/budget_test.go
@@ -17,11 +17,12 @@
 		name    string
 		routers int
 		granted int
+		slack   int
 	}{
-		{"one", 1, benchSlack / 2},
-		{"seven", 7, 5},
-		{"seventy-nine", 79, 4},
-		{"not counted yet", 0, 4},
+		{"one", 1, benchSlack / 2, benchSlack},
+		{"seven", 7, 5, 1},
+		{"seventy-nine", 79, 4, 0},
+		{"no part of it yet", 0, 4, 0},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -35,7 +36,7 @@
 				}
 				repeats := len(b.caller.sent()) - requests
 				is.New(t).True(repeats >= min(tt.granted, requests/2))
-				is.New(t).True(repeats <= requests/5+benchSlack/max(tt.routers, 1))
+				is.New(t).True(repeats <= requests/5+tt.slack)
 			})
 		})
 	}
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -65,8 +65,8 @@
 	// Routers returns the number of routers that share bounds of the whole
 	// system, 0 if it is not known.
 	Routers func() int
-	// Sharers returns the number of routers that may use a part of the slack of
-	// repeats in one window, 0 if it is not known.
+	// Sharers returns the number of routers that have a part of the slack of repeats in
+	// one window, 0 while this one has none.
 	Sharers func() int
 	// Caches tells what stores of kept prompt caches hold.
 	Caches *promptcache.Index
@@ -169,8 +169,11 @@
 // allowRepeat takes one repeat out of the budget of a request's service.
 func (f *Forwarder) allowRepeat(request *Request, service ident.Service) bool {
 	allowed := false
-	repeat := Repeat{Service: service, Sharers: withSpare(f.Sharers())}
-	repeat.Slack = f.config.Slack / float64(repeat.Sharers)
+	repeat := Repeat{Service: service}
+	if sharers := f.Sharers(); sharers > 0 {
+		repeat.Sharers = withSpare(sharers)
+		repeat.Slack = f.config.Slack / float64(repeat.Sharers)
+	}
 	f.withBudget(service, func(budget *admission.WindowBudget) {
 		now := time.Now()
 		allowed = budget.Allow(now, repeat.Slack)
--- a/internal/forward/step.go
+++ b/internal/forward/step.go
@@ -59,7 +59,8 @@
 	Service ident.Service
 	// Requests and Repeats are those in the window, a repeat just granted among them.
 	Requests, Repeats int
-	// Slack is this router's part of the slack, of which each of Sharers has one.
+	// Slack is this router's part of the slack, of which each of Sharers has one; both are
+	// 0 while it has none.
 	Slack   float64
 	Sharers int
 }
--- a/internal/node/follower_test.go
+++ b/internal/node/follower_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/fieldpond/fieldpond/internal/admission"
 	"github.com/fieldpond/fieldpond/internal/backend"
 	"github.com/fieldpond/fieldpond/internal/catalog"
 	"github.com/fieldpond/fieldpond/internal/fault"
@@ -148,7 +149,7 @@
 	chain.use(func(chain *upstream.Chain) { chain.Join(upstream.Peer{Node: "n", Revision: 1}, nil) })
 	return &follower{
 		source:    store,
-		replica:   newReplica("n", &catalog.Holder{}, backend.NewRegistry(backend.Config{}), store.Decode),
+		replica:   newReplica("n", &catalog.Holder{}, backend.NewRegistry(backend.Config{}), store.Decode, admission.SharersConfig{}),
 		namings:   &namings{table: store, timeout: time.Second},
 		chain:     chain,
 		lost:      func(string) {},
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -53,7 +53,7 @@
 	backends, inFlight   int
 	leaseHeld            bool
 	readsStore           bool
-	routers              int
+	routers, sharers     int
 	quotaMembers         int
 	regionsLost          int
 	linesDropped         uint64
@@ -91,6 +91,7 @@
 	group.Gauge("edge_lease_held", "1 while this router holds the rollout lease.", func(r reading) int { return oneIf(r.leaseHeld) })
 	group.Gauge("edge_reads_store", "1 while this router reads the store for all.", func(r reading) int { return oneIf(r.readsStore) })
 	group.Gauge("edge_routers", "Routers in all zones, as counted last; 0 for not known.", func(r reading) int { return r.routers })
+	group.Gauge("edge_slack_sharers", "Routers among which the slack of the budget of repeats is divided; 0 while this router has no part of it.", func(r reading) int { return r.sharers })
 	group.Gauge("edge_quota_members", "Routers whose claims on the limits of tenants this router grants.", func(r reading) int { return r.quotaMembers })
 	group.Gauge("edge_client_connections", "Open connections of clients.", func(r reading) int { return r.clients })
 	group.Counter("edge_clients_refused_total", "Connections and bodies of clients turned away because a bound of connections or memory was reached.", func(r reading) uint64 { return r.clientsRefused })
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -12,6 +12,7 @@
 	"github.com/apex/log"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/fieldpond/fieldpond/internal/admission"
 	"github.com/fieldpond/fieldpond/internal/backend"
 	"github.com/fieldpond/fieldpond/internal/canary"
 	"github.com/fieldpond/fieldpond/internal/catalog"
@@ -140,11 +141,19 @@
 	n.follower.states, n.follower.replica.canaries = states, n.canaries
 }
 
+// sharers returns how the slack of repeats is divided. A router that joined is counted at
+// the next count, and state older than StaleAfter is not lived on.
+func (c *Config) sharers() admission.SharersConfig {
+	return admission.SharersConfig{
+		Window: c.Forward.Repeats.Window, Lag: c.Follow.RosterInterval + c.Follow.Chain.StaleAfter,
+	}
+}
+
 func (n *Node) newFollower() *follower {
 	follow := n.config.Follow
 	return &follower{
 		source:  n.ports.Source,
-		replica: newReplica(n.config.Node, n.holder, n.backends, n.ports.Source.Decode),
+		replica: newReplica(n.config.Node, n.holder, n.backends, n.ports.Source.Decode, n.config.sharers()),
 		config:  follow,
 		namings: &namings{table: n.ports.Table, timeout: follow.ReadTimeout},
 		roster: &roster{
@@ -183,6 +192,7 @@
 	now.leaseHeld = n.holdsLease()
 	now.readsStore = n.follower.chain.reads()
 	now.routers = n.follower.replica.Routers()
+	now.sharers = n.follower.replica.Sharers()
 	now.quotaMembers = n.quotas.members()
 	now.regionsLost = len(n.backends.Lost(time.Now()))
 	if n.ports.LinesDropped != nil {
--- a/internal/node/pull_test.go
+++ b/internal/node/pull_test.go
@@ -13,6 +13,7 @@
 	"github.com/matryer/is"
 	"github.com/pkg/errors"
 
+	"github.com/fieldpond/fieldpond/internal/admission"
 	"github.com/fieldpond/fieldpond/internal/backend"
 	"github.com/fieldpond/fieldpond/internal/catalog"
 	"github.com/fieldpond/fieldpond/internal/ident"
@@ -39,6 +40,9 @@
 	apart func(a, b ident.Zone) bool
 }
 
+// zoneSharers are those of a zone's routers: a count each 5s, and state of 1.4s at most.
+var zoneSharers = admission.SharersConfig{Window: 10 * time.Second, Lag: 6400 * time.Millisecond}
+
 type zoneRouter struct {
 	zone     *zone
 	node     ident.Node
@@ -65,7 +69,7 @@
 	ctx, running.stop = context.WithCancel(ctx)
 	running.follower = &follower{
 		source:  running,
-		replica: newReplica(node, &catalog.Holder{}, backend.NewRegistry(backend.Config{}), z.store.Decode),
+		replica: newReplica(node, &catalog.Holder{}, backend.NewRegistry(backend.Config{}), z.store.Decode, zoneSharers),
 		namings: &namings{table: z.store, timeout: time.Second},
 		roster: &roster{
 			table: z.store, timeout: time.Second, node: node, zone: ident.Zone("z" + place),
--- a/internal/node/replica.go
+++ b/internal/node/replica.go
@@ -8,6 +8,7 @@
 
 	"github.com/apex/log"
 
+	"github.com/fieldpond/fieldpond/internal/admission"
 	"github.com/fieldpond/fieldpond/internal/backend"
 	"github.com/fieldpond/fieldpond/internal/canary"
 	"github.com/fieldpond/fieldpond/internal/catalog"
@@ -42,16 +43,20 @@
 	// list was read at listedAt.
 	list     recordList
 	listedAt time.Time
-	// routers is the number of routers in all zones, 0 if not known.
+	// routers is the number of routers in all zones, 0 if not known; sharers tells among
+	// how many the slack of repeats is divided.
 	routers int
+	sharers *admission.Sharers
 	// rollouts is what is known of rollouts, nil where there is no order. Orders and
 	// states may have been read by different routers.
 	rollouts *knownRollouts
 }
 
-func newReplica(node ident.Node, holder *catalog.Holder, backends *backend.Registry, decode func([]byte) (*catalog.Snapshot, error)) *replica {
+func newReplica(
+	node ident.Node, holder *catalog.Holder, backends *backend.Registry, decode func([]byte) (*catalog.Snapshot, error), sharers admission.SharersConfig,
+) *replica {
 	return &replica{
-		node: node, holder: holder, backends: backends, decode: decode,
+		node: node, holder: holder, backends: backends, decode: decode, sharers: admission.NewSharers(sharers),
 		caches: promptcache.NewIndex(), changed: make(chan struct{}),
 	}
 }
@@ -140,6 +145,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.self = self
+	r.sharers.Joined(time.Now())
 }
 
 // ownOrigin reports whether the newest confirmation was read by this router.
@@ -154,6 +160,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.routers = routers
+	r.sharers.Counted(time.Now(), routers)
 }
 
 // Routers returns the number of routers in all zones, 0 if not known.
@@ -163,9 +170,13 @@
 	return r.routers
 }
 
-// Sharers returns the number of routers that may use a part of a bound of the whole
-// system in one window, 0 if it is not known.
-func (r *replica) Sharers() int { return r.Routers() }
+// Sharers returns the number of routers among which the slack of repeats is divided, 0
+// while this router has no part of it.
+func (r *replica) Sharers() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.sharers.Among(time.Now())
+}
 
 // takeConfiguration takes in a configuration that was the newest at
 // confirmedAt, as a router read it with the orders of rollouts. An empty body stands for the
--- a/internal/node/sharers_test.go
+++ b/internal/node/sharers_test.go
@@ -13,6 +13,8 @@
 
 import (
 	"context"
+	"fmt"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"testing"
@@ -22,7 +24,9 @@
 	"github.com/matryer/is"
 
 	"github.com/fieldpond/fieldpond/internal/admission"
+	"github.com/fieldpond/fieldpond/internal/forward"
 	"github.com/fieldpond/fieldpond/internal/ident"
+	"github.com/fieldpond/fieldpond/internal/upstream"
 	"github.com/fieldpond/fieldpond/internal/wait"
 )
 
@@ -57,7 +61,7 @@
 const greedySlack = 54
 
 // greedyWindow is the window that the slack is granted in.
-var greedyWindow = admission.WindowConfig{Window: 10 * time.Second}
+var greedyWindow = admission.WindowConfig{Window: zoneSharers.Window}
 
 // fleet is a zone whose routers are greedy and are restarted.
 type fleet struct {
@@ -164,3 +168,78 @@
 		f.keepsTheSlack(t)
 	})
 }
+
+// A router has no part of the slack until all have counted it for a window of repeats.
+func TestASettledRouterHasAPartOfTheSlack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		config := Config{
+			Forward: forward.Config{Repeats: admission.WindowConfig{Window: 10 * time.Second}},
+			Follow:  FollowConfig{RosterInterval: 5 * time.Second, Chain: upstream.Config{StaleAfter: time.Second}},
+		}
+		replica := New(config, Ports{Source: newFakeStore()}).follower.replica
+		replica.counted(7)
+		is.Equal(replica.Sharers(), 0)
+		replica.joined(upstream.Peer{})
+		time.Sleep(16*time.Second - time.Nanosecond)
+		is.Equal(replica.Sharers(), 0)
+		time.Sleep(time.Nanosecond)
+		is.Equal(replica.Sharers(), 7)
+	})
+}
+
+// disturbed is a fleet whose routers are started and ended at random.
+type disturbed struct {
+	fleet
+	random *rand.Rand
+	// ends end the life of each router that is up.
+	ends [12]func()
+}
+
+func (d *disturbed) upAt(t *testing.T, index int) {
+	running, end := d.up(t, ident.Node(fmt.Sprint("n", index)))
+	d.ends[index] = func() {
+		planned := d.random.IntN(2) == 0
+		if planned {
+			time.Sleep(time.Duration(d.random.IntN(8000)) * time.Millisecond)
+		}
+		end()
+		if planned {
+			running.follower.roster.leave(t.Context())
+		}
+	}
+}
+
+// change ends a router that is up, or starts one that is not.
+func (d *disturbed) change(t *testing.T) {
+	index := d.random.IntN(len(d.ends))
+	if end := d.ends[index]; end != nil {
+		d.ends[index] = nil
+		end()
+	} else {
+		d.upAt(t, index)
+	}
+	if d.random.IntN(3) > 0 {
+		time.Sleep(time.Duration(d.random.IntN(20000)) * time.Millisecond)
+	}
+}
+
+// Whatever is done to the routers, in whatever order, they have one slack.
+func TestRoutersHaveOneSlackWhateverIsDoneToThem(t *testing.T) {
+	for seed := range uint64(6) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				d := &disturbed{fleet: fleet{zone: newZone()}, random: rand.New(rand.NewPCG(seed, 1))}
+				for index := range 7 {
+					d.upAt(t, index)
+				}
+				time.Sleep(time.Minute)
+				for range 40 {
+					d.change(t)
+				}
+				time.Sleep(time.Minute)
+				d.keepsTheSlack(t)
+			})
+		})
+	}
+}
