Count the window of repeats by the time since it began

Cause: the pieces of the window were counted by the wall clock. Set ahead, it forgot repeats that had just been granted; set back, requests of long ago stayed in the window and paid for repeats.

The same class: a bound over a window kept by state that a set clock forgets.

Change: pieces are counted by the time since the budget was made, which the monotonic clock tells. No other window of the platform path reads the wall clock (grep for UnixNano, UnixMilli and Unix in internal and platform).

--- a/internal/admission/clock_test.go
+++ b/internal/admission/clock_test.go
@@ -45,7 +45,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
 			start := time.Now()
-			budget := admission.NewWindowBudget(window)
+			budget := admission.NewWindowBudget(window, start)
 			now := start.Add(time.Minute)
 			granted := 0
 			for range 20 {
@@ -64,7 +64,7 @@
 func TestRequestsLeaveTheWindowWhenTheClockIsSetBack(t *testing.T) {
 	is := is.New(t)
 	start := time.Now()
-	budget := admission.NewWindowBudget(window)
+	budget := admission.NewWindowBudget(window, start)
 	now := start.Add(time.Minute)
 	for range 1000 {
 		budget.Requested(now)
--- a/internal/admission/windowbudget.go
+++ b/internal/admission/windowbudget.go
@@ -23,12 +23,15 @@
 	config   WindowConfig
 	requests [windowSlots + 1]int
 	repeats  [windowSlots + 1]int
-	// current is the number of the newest piece since the zero time.
+	// beganAt is when the budget was made, current the number of the newest piece since.
+	beganAt time.Time
 	current int64
 }
 
-// NewWindowBudget returns a budget that has seen nothing.
-func NewWindowBudget(config WindowConfig) *WindowBudget { return &WindowBudget{config: config} }
+// NewWindowBudget returns a budget that has seen nothing until now.
+func NewWindowBudget(config WindowConfig, now time.Time) *WindowBudget {
+	return &WindowBudget{config: config, beganAt: now}
+}
 
 // Requested counts a request that a client made.
 func (b *WindowBudget) Requested(now time.Time) {
@@ -63,7 +66,9 @@
 
 // advance clears the pieces that the window has moved past.
 func (b *WindowBudget) advance(now time.Time) {
-	piece := now.UnixNano() / int64(b.config.Window/windowSlots)
+	// The time since the begin does not change when the wall clock is set: that must neither
+	// forget repeats that were just granted nor keep requests of long ago.
+	piece := int64(now.Sub(b.beganAt) / (b.config.Window / windowSlots))
 	if piece <= b.current {
 		return
 	}
--- a/internal/admission/windowbudget_test.go
+++ b/internal/admission/windowbudget_test.go
@@ -18,8 +18,8 @@
 
 func TestOnlyTheSlackIsGrantedWithoutRequests(t *testing.T) {
 	is := is.New(t)
-	budget := admission.NewWindowBudget(window)
 	start := time.Unix(1000, 0)
+	budget := admission.NewWindowBudget(window, start)
 	for range 3 {
 		is.True(budget.Allow(start, slack))
 	}
@@ -31,8 +31,8 @@
 // A fraction of a repeat is granted only together with requests.
 func TestAFractionOfSlackIsNoRepeat(t *testing.T) {
 	is := is.New(t)
-	budget := admission.NewWindowBudget(window)
 	start := time.Unix(1000, 0)
+	budget := admission.NewWindowBudget(window, start)
 	is.True(!budget.Allow(start, 0.6))
 	budget.Requested(start)
 	budget.Requested(start)
@@ -44,8 +44,8 @@
 // its own requests, or of those of the window before, and the slack.
 func TestEverySlidingWindowKeepsTheBound(t *testing.T) {
 	random := rand.New(rand.NewPCG(1, 2))
-	budget := admission.NewWindowBudget(window)
 	start := time.Unix(1000, 0)
+	budget := admission.NewWindowBudget(window, start)
 	var requests, repeats []time.Time
 	now := start
 	for range 20_000 {
--- a/internal/node/sharers_test.go
+++ b/internal/node/sharers_test.go
@@ -84,7 +84,7 @@
 
 // grab sends all repeats that a router may send without a request.
 func (f *fleet) grab(ctx context.Context, running *zoneRouter) {
-	budget := admission.NewWindowBudget(greedyWindow)
+	budget := admission.NewWindowBudget(greedyWindow, time.Now())
 	wait.Every(ctx, 50*time.Millisecond, func() {
 		now := time.Now()
 		sharers := running.follower.replica.Sharers()
