--- a/internal/admission/windowbudget.go
+++ b/internal/admission/windowbudget.go
@@ -23,12 +23,15 @@
 	config   WindowConfig
 	requests [windowSlots + 1]int
 	repeats  [windowSlots + 1]int
-	// current is the number of the newest piece since the zero time.
+	// beganAt is when the budget was made, current the number of the newest piece since.
+	beganAt time.Time
 	current int64
 }
 
-// NewWindowBudget returns a budget that has seen nothing.
-func NewWindowBudget(config WindowConfig) *WindowBudget { return &WindowBudget{config: config} }
+// NewWindowBudget returns a budget that has seen nothing until now.
+func NewWindowBudget(config WindowConfig, now time.Time) *WindowBudget {
+	return &WindowBudget{config: config, beganAt: now}
+}
 
 // Requested counts a request that a client made.
 func (b *WindowBudget) Requested(now time.Time) {
@@ -40,8 +43,17 @@
 // the number of repeats granted in each window without any request; it may be a
 // fraction, and may change from call to call.
 func (b *WindowBudget) Allow(now time.Time, slack float64) bool {
+	requests, repeats := b.Counted(now)
+	if float64(repeats+1) > b.config.Share*float64(requests)+slack {
+		return false
+	}
+	b.repeats[b.current%(windowSlots+1)]++
+	return true
+}
+
+// Counted returns the requests of the window, and the repeats that it may hold.
+func (b *WindowBudget) Counted(now time.Time) (requests, repeats int) {
 	b.advance(now)
-	requests, repeats := 0, 0
 	oldest := (b.current + 1) % (windowSlots + 1)
 	for slot := range b.requests {
 		if int64(slot) != oldest {
@@ -49,16 +61,14 @@
 		}
 		repeats += b.repeats[slot]
 	}
-	if float64(repeats+1) > b.config.Share*float64(requests)+slack {
-		return false
-	}
-	b.repeats[b.current%(windowSlots+1)]++
-	return true
+	return requests, repeats
 }
 
 // advance clears the pieces that the window has moved past.
 func (b *WindowBudget) advance(now time.Time) {
-	piece := now.UnixNano() / int64(b.config.Window/windowSlots)
+	// The time since the begin does not change when the wall clock is set: that must neither
+	// forget repeats that were just granted nor keep requests of long ago.
+	piece := int64(now.Sub(b.beganAt) / (b.config.Window / windowSlots))
 	if piece <= b.current {
 		return
 	}
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -65,6 +65,9 @@
 	// Routers returns the number of routers that share bounds of the whole
 	// system, 0 if it is not known.
 	Routers func() int
+	// Sharers returns the number of routers that have a part of the slack of repeats in
+	// one window, 0 while this one has none.
+	Sharers func() int
 	// Caches tells what stores of kept prompt caches hold.
 	Caches *promptcache.Index
 	// Quotas keeps tenants within their limits; it may be nil where none has one.
@@ -163,18 +166,30 @@
 	return fault.New(fault.NotReady, "%s", detail).WithRetryAfter(f.config.RetryAfter)
 }
 
-// allowRepeat takes one repeat out of the budget of a service.
-func (f *Forwarder) allowRepeat(service ident.Service) bool {
+// allowRepeat takes one repeat out of the budget of a request's service.
+func (f *Forwarder) allowRepeat(request *Request, service ident.Service) bool {
 	allowed := false
-	slack := f.config.Slack / float64(f.sharers())
-	f.withBudget(service, func(budget *admission.WindowBudget) { allowed = budget.Allow(time.Now(), slack) })
+	repeat := Repeat{Service: service}
+	if sharers := f.Sharers(); sharers > 0 {
+		repeat.Sharers = withSpare(sharers)
+		repeat.Slack = f.config.Slack / float64(repeat.Sharers)
+	}
+	f.withBudget(service, func(budget *admission.WindowBudget) {
+		now := time.Now()
+		allowed = budget.Allow(now, repeat.Slack)
+		repeat.Requests, repeat.Repeats = budget.Counted(now)
+	})
+	kind := StepRepeatDenied
+	if allowed {
+		kind = StepRepeatGranted
+	}
+	f.record(request, kind, func(step *Step) { step.Repeat = repeat })
 	return allowed
 }
 
-// sharers returns the number of routers by which a bound of the whole system is
-// divided.
-func (f *Forwarder) sharers() int {
-	routers := f.Routers()
+// withSpare returns the number by which a bound of the whole system is divided that
+// a number of routers share.
+func withSpare(routers int) int {
 	if routers <= 0 {
 		return unknownRouters
 	}
@@ -186,7 +201,7 @@
 	defer f.mutex.Unlock()
 	budget := f.budgets[service]
 	if budget == nil {
-		budget = admission.NewWindowBudget(f.config.Repeats)
+		budget = admission.NewWindowBudget(f.config.Repeats, time.Now())
 		f.budgets[service] = budget
 	}
 	use(budget)
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -154,7 +154,7 @@
 		return true
 	}
 	r.noRepeat = "no repeat is left in the budget"
-	return r.forwarder.allowRepeat(r.service)
+	return r.forwarder.allowRepeat(r.request, r.service)
 }
 
 // final returns the fault that ends the request.
@@ -323,7 +323,7 @@
 		attempt.Tenant = r.tenant.Name
 	}
 	if service := r.view.Snapshot.Service(r.service); service != nil && service.MaxConnections > 0 {
-		attempt.MaxConnections = max(service.MaxConnections/r.forwarder.sharers(), 1)
+		attempt.MaxConnections = max(service.MaxConnections/withSpare(r.forwarder.Routers()), 1)
 	}
 	if r.request.Prompt == nil {
 		return attempt
--- a/internal/node/events.go
+++ b/internal/node/events.go
@@ -17,6 +17,8 @@
 var (
 	requestFields = []string{"request", "elapsed_ms", "route", "config_version", "config_age_ms"}
 	attemptFields = []string{"attempt", "instance", "record_revision", "home", "distance", "predicted_ms", "candidates", "weights", "release", "releases"}
+	// Those of decisions of the budget of repeats.
+	repeatFields = []string{"request", "elapsed_ms", "service", "window_requests", "window_repeats", "slack", "sharers"}
 	// Those of events about rollouts, and about the writing of their states.
 	rolloutFields = []string{"service", "target", "order"}
 	stateFields   = []string{"service", "phase", "version"}
@@ -43,7 +45,7 @@
 		{"connection_silent", []string{"address", "closed"}, "Nothing was acknowledged on a connection any more; closed: resting ones to the same address that were closed with it."},
 		{"connections_suspected", []string{"closed"}, "A connection was silent while its address takes new ones; closed: the resting ones to all addresses that were not heard since."},
 		{"joined", []string{"revision", "peers", "routers"}, "This router has a row in the store; peers are the routers whose rows are sound."},
-		{"router_row_not_removed", []string{"cause"}, "The row could not be removed at a planned stop."},
+		{"router_row_not_removed", []string{"cause"}, "The row could not be removed at the end of a planned stop."},
 		{"routers_not_counted", []string{"cause"}, "The routers' rows could not be read."},
 		{"state_from_peer", []string{"peer", "address"}, "From now on the shared state is pulled from this peer."},
 		{"state_from_store", nil, "No peer supplies the shared state now: this router reads the store."},
@@ -78,6 +80,8 @@
 		{"answered", with(requestFields, "status", "events", "cause"), "The whole answer was passed on."},
 		{"refused", with(requestFields, "fault", "detail", "ran", "cause"), "The final answer is the router's own; ran says whether the request may have run."},
 		{"broken", with(requestFields, "events", "fault", "detail", "ran"), "An answer broke off after a part of it was passed on."},
+		{"repeat_granted", repeatFields, "The budget of repeats granted one; window_requests and window_repeats are those of this router's window, and sharers have one part of the slack each."},
+		{"repeat_denied", repeatFields, "The budget of repeats granted none."},
 		{"client_gone", with(requestFields, "events", "cause"), "The client left."},
 		{"log_lines_dropped", []string{"count"}, "Lines were dropped because the reader is slow."},
 	}
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -41,6 +41,7 @@
 	dependencies *prometheus.CounterVec
 	pulls        *prometheus.CounterVec
 	watches      *prometheus.CounterVec
+	repeats      *prometheus.CounterVec
 	// What requests of tenants with limits would use, by what came of their claims.
 	tenantGranted, tenantDenied, tenantUnconfirmed *prometheus.CounterVec
 	releaseAttempts, rolloutPhases                 *prometheus.CounterVec
@@ -53,7 +54,7 @@
 	backends, inFlight   int
 	leaseHeld            bool
 	readsStore           bool
-	routers              int
+	routers, sharers     int
 	quotaMembers         int
 	regionsLost          int
 	linesDropped         uint64
@@ -75,6 +76,7 @@
 		dependencies: registry.Counter("edge_dependency_lost_total", "Times that reads of a dependency began to fail.", "dependency"),
 		watches:      registry.Counter("edge_naming_watches_total", "Watches of the store for versions of weights that are named, by result: news, quiet, history_gone or failed.", "result"),
 		pulls:        registry.Counter("edge_pulls_total", "Pulls of the shared state from other routers, by result.", "result"),
+		repeats:      registry.Counter("edge_repeats_total", "Repeats that were asked of the budget, by service and verdict: granted or denied.", "service", "verdict"),
 
 		tenantGranted:     registry.Counter("edge_tenant_granted_total", "Requests or tokens of tenants with limits that were granted.", "tenant"),
 		tenantDenied:      registry.Counter("edge_tenant_denied_total", "Requests or tokens that were denied, since the tenant had used its limit.", "tenant"),
@@ -91,6 +93,7 @@
 	group.Gauge("edge_lease_held", "1 while this router holds the rollout lease.", func(r reading) int { return oneIf(r.leaseHeld) })
 	group.Gauge("edge_reads_store", "1 while this router reads the store for all.", func(r reading) int { return oneIf(r.readsStore) })
 	group.Gauge("edge_routers", "Routers in all zones, as counted last; 0 for not known.", func(r reading) int { return r.routers })
+	group.Gauge("edge_slack_sharers", "Routers among which the slack of the budget of repeats is divided; 0 while this router has no part of it.", func(r reading) int { return r.sharers })
 	group.Gauge("edge_quota_members", "Routers whose claims on the limits of tenants this router grants.", func(r reading) int { return r.quotaMembers })
 	group.Gauge("edge_client_connections", "Open connections of clients.", func(r reading) int { return r.clients })
 	group.Counter("edge_clients_refused_total", "Connections and bodies of clients turned away because a bound of connections or memory was reached.", func(r reading) uint64 { return r.clientsRefused })
@@ -120,6 +123,12 @@
 		m.release(step)
 		m.distances.WithLabelValues(step.Choice.Distance.String()).Inc()
 	}
+	switch step.Kind {
+	case forward.StepRepeatGranted:
+		m.repeats.WithLabelValues(string(step.Repeat.Service), "granted").Inc()
+	case forward.StepRepeatDenied:
+		m.repeats.WithLabelValues(string(step.Repeat.Service), "denied").Inc()
+	}
 	if !ends[step.Kind] {
 		return
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -12,6 +12,7 @@
 	"github.com/apex/log"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/fieldpond/fieldpond/internal/admission"
 	"github.com/fieldpond/fieldpond/internal/backend"
 	"github.com/fieldpond/fieldpond/internal/canary"
 	"github.com/fieldpond/fieldpond/internal/catalog"
@@ -140,11 +141,19 @@
 	n.follower.states, n.follower.replica.canaries = states, n.canaries
 }
 
+// sharers returns how the slack of repeats is divided. A router that joined is counted at
+// the next count, and state older than StaleAfter is not lived on.
+func (c *Config) sharers() admission.SharersConfig {
+	return admission.SharersConfig{
+		Window: c.Forward.Repeats.Window, Lag: c.Follow.RosterInterval + c.Follow.Chain.StaleAfter,
+	}
+}
+
 func (n *Node) newFollower() *follower {
 	follow := n.config.Follow
 	return &follower{
 		source:  n.ports.Source,
-		replica: newReplica(n.config.Node, n.holder, n.backends, n.ports.Source.Decode),
+		replica: newReplica(n.config.Node, n.holder, n.backends, n.ports.Source.Decode, n.config.sharers()),
 		config:  follow,
 		namings: &namings{table: n.ports.Table, timeout: follow.ReadTimeout},
 		roster: &roster{
@@ -184,6 +193,7 @@
 	now.leaseHeld = n.holdsLease()
 	now.readsStore = n.follower.chain.reads()
 	now.routers = n.follower.replica.Routers()
+	now.sharers = n.follower.replica.Sharers()
 	now.quotaMembers = n.quotas.members()
 	now.regionsLost = len(n.backends.Lost(time.Now()))
 	if n.ports.LinesDropped != nil {
@@ -340,17 +350,19 @@
 	}
 }
 
-// closeMargin is kept before the end of the grace period.
-const closeMargin = 500 * time.Millisecond
+const (
+	// closeMargin is kept before the end of the grace period.
+	closeMargin = 500 * time.Millisecond
+	// leaveMargin is the part of closeMargin in which the row may still be removed; the
+	// rest is for the process to end.
+	leaveMargin = 350 * time.Millisecond
+)
 
 // stop ends the servers as planned.
 func (n *Node) stop(servers servers) {
 	killAt := time.Now().Add(n.config.Grace - closeMargin)
 	n.stopping.Store(true)
 	n.lease.Contend(false)
-	leave, cancelLeave := context.WithTimeout(context.Background(), n.config.Follow.ReadTimeout)
-	defer cancelLeave()
-	n.follower.roster.leave(leave)
 	log.WithFields(log.Fields{"in_flight": n.backends.InFlight()}).Info("stopping")
 	time.Sleep(n.config.Unready)
 	ctx, cancel := context.WithDeadline(context.Background(), killAt)
@@ -361,4 +373,9 @@
 	for _, server := range servers {
 		_ = server.Close()
 	}
+	// The row goes last: bounds of the whole system are divided among the routers that may
+	// still send, and those that start meanwhile count the rows.
+	leave, cancelLeave := context.WithDeadline(context.Background(), killAt.Add(leaveMargin))
+	defer cancelLeave()
+	n.follower.roster.leave(leave)
 }
