--- a/internal/admission/windowbudget.go
+++ b/internal/admission/windowbudget.go
@@ -9,6 +9,10 @@
 	Window time.Duration
 	// Share of the window's requests that may be repeated.
 	Share float64
+	// FirstShare is that of the requests of a router that started less than a window ago:
+	// what its former life repeated lies in the same window, and nobody remembers it. Both
+	// together must not be above the bound of all routers. Default: Share.
+	FirstShare float64
 }
 
 // windowSlots is the number of pieces a window is counted in. One piece more
