Remove a router's row although a late write of its own changed its revision

Cause: the row is removed at the revision that the write at the start was answered with, and a refusal was ignored. A write that was tried again, as its answer was lost, may be carried out once more later: the row then has a revision that the router does not know, and stayed after a planned stop. Whatever is divided among the routers was divided by one too many until the next life of that router.

Ruled out: removing it without a condition, which takes the row of a later life away.

Change: a refusal tells the row as it is; if this life wrote it, it is removed at that revision, once.

--- a/internal/node/roster.go
+++ b/internal/node/roster.go
@@ -92,7 +92,9 @@
 	return peers, len(list.Rows), nil
 }
 
-// leave removes this router's row, unless a later life has written it anew.
+// leave removes this router's row, unless a later life has written it anew. A write of its
+// own that was carried out late may have changed the row's revision: then it is removed as
+// the refusal tells it.
 func (r *roster) leave(ctx context.Context) {
 	r.mu.Lock()
 	row := r.row
@@ -102,11 +104,33 @@
 	}
 	bounded, cancel := context.WithTimeout(ctx, r.timeout)
 	defer cancel()
-	_, err := r.table.Commit(bounded, protocol.Transaction{
+	result, err := r.remove(bounded, row)
+	if current := refusedBy(result); err == nil && r.owns(current) {
+		_, err = r.remove(bounded, current)
+	}
+	if err != nil {
+		log.WithFields(log.Fields{"cause": err.Error()}).Warn("router_row_not_removed")
+	}
+}
+
+// remove removes a row at its revision.
+func (r *roster) remove(ctx context.Context, row protocol.Row) (protocol.TransactionResult, error) {
+	return r.table.Commit(ctx, protocol.Transaction{
 		Conditions: []protocol.Condition{{Key: row.Key, Version: row.Version}},
 		Writes:     []protocol.Write{{Key: row.Key, Delete: true}},
 	})
-	if err != nil {
-		log.WithFields(log.Fields{"cause": err.Error()}).Warn("router_row_not_removed")
+}
+
+// refusedBy returns the row whose revision refused a transaction, if one did.
+func refusedBy(result protocol.TransactionResult) protocol.Row {
+	if result.Committed || len(result.Rows) == 0 {
+		return protocol.Row{}
 	}
+	return result.Rows[0]
+}
+
+// owns reports whether a row is there and was written by this life of the router.
+func (r *roster) owns(row protocol.Row) bool {
+	var written routerRow
+	return row.Version != 0 && cbor.Unmarshal(row.Value, &written) == nil && written.Life == r.life
 }
