Let those that pull from a stopping router count on it no more

Cause: a router keeps its row until its planned stop has ended, so that all that may still send are counted, and it answers pulls until then. A router that joins meanwhile takes it for a peer before it that is up: it is not the first of its region and does not contend for the lease, nor does the stopping one.

Change: a stopping router says in its answers to pulls that it leaves, at once to those that wait. Who hears that counts on it no more and asks the next peer, so that one after the other is found out; it is asked last, where nobody else is left. Who leaves itself goes on in its place: of routers that all stop one reads the store. Rows, counts and quotas are untouched.

Tests: a router that joins while the first ones stop leads at once, still counts them, and supplies the rest; one that was there leads as well; both failed before, as did that a stopping node says so. Besides: a stop of all is no storm, one cut from the store is supplied by those that leave, no circle whoever leaves. startNode of the tests can take pulls now.

--- /dev/null
+++ b/internal/node/leave_test.go
@@ -0,0 +1,120 @@
+package node
+
+// Users lost requests on days on which routers are restarted in turn: a router that
+// joined while the first one of its zone stopped took that one for a peer that is up, since
+// it answers pulls to its end. It did not contend for the lease, and the one that stopped
+// did not either: nobody gave orders for seconds.
+
+import (
+	"net/netip"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/fieldpond/fieldpond/internal/ident"
+	"github.com/fieldpond/fieldpond/internal/upstream"
+)
+
+func (z *zone) leave(nodes ...ident.Node) {
+	for _, node := range nodes {
+		z.routers[node].follower.leave()
+	}
+}
+
+func TestARouterThatJoinsWhileTheFirstOnesStopLeadsAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		z := startZone(t, "a", "b")
+		z.leave("a", "b")
+		joined := z.start(t.Context(), "c").follower
+		time.Sleep(100 * time.Millisecond)
+		is.True(joined.chain.leadsRegion())
+		is.True(joined.chain.reads())
+		z.adopted(t, 1)
+		z.adopt(5)
+		time.Sleep(750 * time.Millisecond)
+		z.adopted(t, 5)
+		time.Sleep(zoneSharers.Lag)
+		is.Equal(joined.replica.Routers(), 3) // those that stop may still send
+	})
+}
+
+func TestARouterThatWasThereLeadsOnceTheFirstOnesStop(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		z := startZone(t, "a", "b", "c", "d")
+		z.leave("a", "b")
+		time.Sleep(100 * time.Millisecond)
+		is.True(z.routers["c"].follower.chain.leadsRegion())
+		is.True(!z.routers["d"].follower.chain.leadsRegion())
+		is.Equal(z.routers["c"].follower.replica.Routers(), 4)
+		for _, node := range []ident.Node{"a", "b"} {
+			z.kill(node)
+			z.start(t.Context(), node)
+		}
+		time.Sleep(time.Second)
+		z.reads()
+		time.Sleep(10 * time.Second)
+		total, by := z.reads()
+		is.True(total > 0)
+		is.Equal(by["a"]+by["b"]+by["d"], 0)
+		z.kill("c")
+		time.Sleep(3 * time.Second)
+		is.True(z.routers["d"].follower.chain.reads())
+	})
+}
+
+// Of routers that stop together one goes on reading the store.
+func TestAStopOfAllRoutersIsNoStorm(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		z := startZone(t, "a", "b", "c", "d", "e", "f", "g", "h")
+		for _, node := range []ident.Node{"a", "c", "e", "g", "h", "f", "d", "b"} {
+			z.leave(node)
+			time.Sleep(20 * time.Millisecond)
+		}
+		time.Sleep(time.Second)
+		z.reads()
+		time.Sleep(5 * time.Second)
+		total, by := z.reads()
+		is.True(total > 0)
+		is.Equal(by["a"], total)
+	})
+}
+
+// A router whose only peers leave is supplied by them while it does not reach the store.
+func TestThoseThatLeaveSupplyARouterThatIsCutFromTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		z := startZone(t, "a", "b")
+		z.set("b", func(r *zoneRouter) { r.cut = true })
+		z.leave("a")
+		time.Sleep(3 * time.Second)
+		z.adopt(5)
+		time.Sleep(750 * time.Millisecond)
+		z.adopted(t, 5)
+	})
+}
+
+// A node that is told to stop says so to those that pull from it, until it ends.
+func TestAStoppingNodeTellsThoseThatPull(t *testing.T) {
+	is := is.New(t)
+	store := newFakeStore()
+	store.reading.Revision = 1
+	peer := upstream.Peer{Node: "n", Addr: netip.MustParseAddrPort(freeAddress(t))}
+	config, stop, ended := startNodeAt(t, store, 0, peer.Addr)
+	becomes(t, config, 200)
+	leaving := func() bool {
+		update, _, err := upstream.NewClient().Pull(t.Context(), peer, &upstream.Pull{From: upstream.Peer{Node: "o", Revision: 1 << 40}})
+		is.NoErr(err)
+		return update.Leaving
+	}
+	is.True(!leaving())
+	stop()
+	becomes(t, config, 503)
+	for tries := 0; !leaving(); tries++ {
+		is.True(tries < 100)
+	}
+	is.NoErr(<-ended)
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -363,6 +363,7 @@
 	killAt := time.Now().Add(n.config.Grace - closeMargin)
 	n.stopping.Store(true)
 	n.lease.Contend(false)
+	n.follower.leave()
 	log.WithFields(log.Fields{"in_flight": n.backends.InFlight()}).Info("stopping")
 	time.Sleep(n.config.Unready)
 	ctx, cancel := context.WithDeadline(context.Background(), killAt)
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -49,10 +50,16 @@
 
 // startNode runs a node whose front answers after a pause.
 func startNode(t *testing.T, store *fakeStore, pause time.Duration) (config Config, stop func(), ended chan error) {
+	t.Helper()
+	return startNodeAt(t, store, pause, netip.AddrPort{})
+}
+
+// startNodeAt runs such a node that takes pulls at an address.
+func startNodeAt(t *testing.T, store *fakeStore, pause time.Duration, peerAddr netip.AddrPort) (config Config, stop func(), ended chan error) {
 	t.Helper()
 	config = Config{
 		Node: "n", Zone: "z", FrontAddress: freeAddress(t), ReadyAddress: freeAddress(t), ReadyPath: "/ready",
-		MetricsAddress: freeAddress(t), MetricsPath: "/metrics",
+		MetricsAddress: freeAddress(t), MetricsPath: "/metrics", PeerAddr: peerAddr,
 		Follow: FollowConfig{
 			ConfigurationInterval: 20 * time.Millisecond, BackendInterval: 20 * time.Millisecond,
 			ReadTimeout: time.Second, RetryPause: 10 * time.Millisecond, RosterInterval: time.Second,
--- a/internal/node/pull.go
+++ b/internal/node/pull.go
@@ -145,6 +145,13 @@
 	return false
 }
 
+// leave takes in that this router is about to end: those that pull from it learn that, and
+// the first one of them that stays takes its place.
+func (f *follower) leave() {
+	f.chain.use(func(chain *upstream.Chain) { chain.Leave() })
+	f.replica.leave()
+}
+
 func (f *follower) next(now time.Time) (next upstream.Source) {
 	age := max(f.replica.holder.View().Age(now), f.replica.listAge(now, f.startedAt))
 	f.chain.use(func(chain *upstream.Chain) { next = chain.Next(now, age) })
@@ -174,7 +181,12 @@
 		log.WithFields(log.Fields{"peer": peer.Node, "cause": err.Error()}).Warn("pull_failed")
 		result = upstream.Failed{}
 	}
-	f.chain.use(func(chain *upstream.Chain) { chain.Pulled(time.Now(), peer.Node, result) })
+	f.chain.use(func(chain *upstream.Chain) {
+		if update != nil {
+			chain.Told(peer.Node, update.Leaving)
+		}
+		chain.Pulled(time.Now(), peer.Node, result)
+	})
 	if update == nil {
 		return 0
 	}
--- a/internal/node/replica.go
+++ b/internal/node/replica.go
@@ -31,8 +31,10 @@
 	// to another release under guard.
 	canaries *canaries
 
-	mu           sync.Mutex
-	self         upstream.Peer
+	mu   sync.Mutex
+	self upstream.Peer
+	// leaving is true once this router is about to end.
+	leaving      bool
 	confirmation uint64
 	changed      chan struct{}
 	// origin is the router that read the store for the newest confirmation.
@@ -102,6 +104,7 @@
 		Revision: r.self.Revision, Confirmation: r.confirmation, Origin: r.origin, Routers: r.routers,
 		Configuration: upstream.Configuration{Revision: r.config.seenThrough, Version: r.config.version},
 		List:          upstream.List{Digest: r.list.digest},
+		Leaving:       r.leaving,
 	}
 	if r.config.version != 0 {
 		update.Configuration.Age = view.Age(now)
@@ -152,6 +155,14 @@
 	r.sharers.Joined(time.Now())
 }
 
+// leave tells the peers, those that wait at once, that this router is about to end.
+func (r *replica) leave() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.leaving = true
+	r.confirmed(r.origin)
+}
+
 // ownOrigin reports whether the newest confirmation was read by this router.
 func (r *replica) ownOrigin() bool {
 	r.mu.Lock()
--- a/internal/upstream/chain.go
+++ b/internal/upstream/chain.go
@@ -99,6 +99,8 @@
 	down time.Duration
 	// retryAt is when the peer may be asked again.
 	retryAt time.Time
+	// leaving is true once the peer said that it is about to end.
+	leaving bool
 }
 
 // Chain orders the peers of one router. It is not safe for concurrent use.
@@ -116,6 +118,9 @@
 	followers           []*link
 	// supplied is true if the last pull brought fresh state.
 	supplied bool
+	// leaving is true once this router is about to end. It goes on in its place then, and
+	// takes over nothing of others that leave: of routers that all leave, one reads.
+	leaving bool
 }
 
 // NewChain returns the chain of a router that has no row yet.
@@ -174,12 +179,28 @@
 	}
 }
 
-// Next returns where to read the shared state, whose present copy has an age.
+// Leave takes in that this router is about to end.
+func (c *Chain) Leave() { c.leaving = true }
+
+// Told takes in whether a peer that answered is about to end.
+func (c *Chain) Told(node ident.Node, leaving bool) {
+	if known := c.find(node); known != nil {
+		known.leaving = leaving
+	}
+}
+
+// stays reports whether a peer is to be counted on.
+func (c *Chain) stays(known *link) bool { return c.leaving || !known.leaving }
+
+// Next returns where to read the shared state, whose present copy has an age. Peers that
+// leave are asked after all others.
 func (c *Chain) Next(now time.Time, age time.Duration) Source {
 	usable := func(known *link) bool { return !now.Before(known.retryAt) }
-	for _, group := range [][]*link{c.ancestors(), c.near, c.regional, c.far} {
-		if index := slices.IndexFunc(group, usable); index >= 0 {
-			return group[index].peer
+	stays := func(known *link) bool { return usable(known) && c.stays(known) }
+	groups := [][]*link{c.ancestors(), c.near, c.regional, c.far}
+	for _, wanted := range []func(*link) bool{stays, usable} {
+		if peer := firstOf(groups, wanted); peer != nil {
+			return *peer
 		}
 	}
 	retryAt := soonest(soonest(soonest(time.Time{}, c.near), c.regional), c.far)
@@ -192,6 +213,16 @@
 	return Store{RetryAt: soonest(retryAt, c.followers)}
 }
 
+// firstOf returns the first peer of the groups that is wanted, nil if there is none.
+func firstOf(groups [][]*link, wanted func(*link) bool) *Peer {
+	for _, group := range groups {
+		if index := slices.IndexFunc(group, wanted); index >= 0 {
+			return &group[index].peer
+		}
+	}
+	return nil
+}
+
 // ancestors returns the peers that supply this router in the tree of its zone,
 // the nearest first.
 func (c *Chain) ancestors() []*link {
@@ -249,7 +280,7 @@
 
 // restarted moves a peer behind this router.
 func (c *Chain) restarted(known *link, revision uint64) {
-	known.peer.Revision, known.down, known.retryAt = revision, 0, time.Time{}
+	known.peer.Revision, known.down, known.retryAt, known.leaving = revision, 0, time.Time{}, false
 	if revision <= c.self.Revision {
 		return
 	}
@@ -271,22 +302,22 @@
 }
 
 // Rank returns the number of peers of this zone before this router that are not
-// known to be down. The router of rank 0 speaks for its zone.
-func (c *Chain) Rank() int { return alive(c.near) }
+// known to be down or to leave. The router of rank 0 speaks for its zone.
+func (c *Chain) Rank() int { return c.alive(c.near) }
 
-// First reports whether no peer before this router is known to be up: it reads
-// the store for all.
-func (c *Chain) First() bool { return c.FirstOfRegion() && alive(c.far) == 0 }
+// First reports whether no peer before this router is known to be up and to stay: it
+// reads the store for all.
+func (c *Chain) First() bool { return c.FirstOfRegion() && c.alive(c.far) == 0 }
 
 // FirstOfRegion reports whether no peer of its region before this router is known to be
-// up. Where there is one region, that is the first of each zone, as its zones share no
-// router that speaks for them.
-func (c *Chain) FirstOfRegion() bool { return alive(c.near) == 0 && alive(c.regional) == 0 }
+// up and to stay. Where there is one region, that is the first of each zone, as its zones
+// share no router that speaks for them.
+func (c *Chain) FirstOfRegion() bool { return c.alive(c.near) == 0 && c.alive(c.regional) == 0 }
 
-func alive(links []*link) int {
+func (c *Chain) alive(links []*link) int {
 	count := 0
 	for _, known := range links {
-		if known.down == 0 {
+		if known.down == 0 && c.stays(known) {
 			count++
 		}
 	}
--- a/internal/upstream/chain_test.go
+++ b/internal/upstream/chain_test.go
@@ -100,6 +100,61 @@
 	}
 }
 
+// A peer that leaves is not counted on, and supplies those that nobody else does.
+func TestAPeerThatLeavesIsAskedLast(t *testing.T) {
+	is := is.New(t)
+	c := chain(3, 1, 2)
+	is.Equal(c.Rank(), 2)
+	c.Told("n1", true)
+	is.Equal(c.Next(start, 0), upstream.Source(peer(2)))
+	is.Equal(c.Rank(), 1)
+	is.True(!c.First())
+	c.Told("n2", true)
+	is.True(c.First())
+	is.Equal(c.Next(start, 0), upstream.Source(peer(1)))
+	c.Leave() // it takes over nothing any more
+	is.Equal(c.Rank(), 2)
+	is.True(!c.First())
+}
+
+// A peer that left and started again comes after those that were up meanwhile.
+func TestAPeerThatLeftComesBackBehind(t *testing.T) {
+	is := is.New(t)
+	c := chain(3, 1, 2)
+	c.Told("n1", true)
+	c.Pulled(start, "n1", upstream.Restarted{Revision: 9})
+	is.Equal(c.Rank(), 1)
+	c.Told("n2", true)
+	c.Told("n2", false)
+	is.Equal(c.Rank(), 1)
+}
+
+// Whoever leaves, following has no circle, and one that stays reads, if one does.
+func TestFollowingHasNoCircleWhoeverLeaves(t *testing.T) {
+	is := is.New(t)
+	const routers = 6
+	for leaving := range 1 << routers {
+		readers := 0
+		for self := range routers {
+			c := chain(uint64(self+1), 1, 2, 3, 4, 5, 6)
+			for node := range routers {
+				c.Told(peer(uint64(node+1)).Node, leaving&(1<<node) != 0)
+			}
+			if leaving&(1<<self) != 0 {
+				c.Leave()
+			}
+			if next, pulls := c.Next(start, 0).(upstream.Peer); pulls {
+				is.True(next.Revision < uint64(self+1))
+			}
+			if c.First() {
+				readers++
+				is.True(self == 0 || leaving&(1<<self) == 0)
+			}
+		}
+		is.True(readers == 1 || (readers == 2 && leaving&1 != 0))
+	}
+}
+
 // A zone is supplied over a tree: no router has more than a few children, all of
 // its own zone, and only the first one pulls from another zone.
 func TestAZoneIsATreeUnderItsFirstRouter(t *testing.T) {
--- a/internal/upstream/update.go
+++ b/internal/upstream/update.go
@@ -42,6 +42,8 @@
 	Routers int `cbor:"7,keyasint"`
 	// Caches tell what stores of prompt caches hold, to those who asked.
 	Caches []promptcache.Update `cbor:"8,keyasint,omitempty"`
+	// Leaving says that the peer serves on for a while, and is about to end.
+	Leaving bool `cbor:"9,keyasint,omitempty"`
 }
 
 // Complete reports whether the peer knows both the configuration and the list.
