Raise the ceiling of a target when it keeps back a burst

Cause: grants that are saved up for a burst are given only once there is room for the whole burst, and the ceiling is raised only if that is worth half of what it is kept ahead by. Between the two the ceiling could stay less than a burst above what was spent, and nothing was granted any more: with 12 back ends, 500 requests a second and a tenth of the runs 2 s long, a good target was rolled back for "too little evidence: 15 answers of the target". It takes few back ends beside the target and long runs.

Change: the ceiling is raised also when it is below what was spent and a burst, and the raise reaches that; not while a pulse is under way, which has its room already, so that a pulse costs one write at most.

Ruled out: raising it at every step while it is too low, which writes with every tick.

--- a/internal/canary/account.go
+++ b/internal/canary/account.go
@@ -60,14 +60,16 @@
 }
 
 // raise returns the ceiling that should lie in the store, which is the present one while
-// that suffices. Rate is the number of requests a second, burst the number of grants that
+// that suffices, also for a burst. Rate is the number of requests a second, burst the number of grants that
 // are given within a short time. The ceiling is not above what may be granted soon, as a
 // successor has to take it for granted.
 func (a *account) raise(requests uint64, rate float64, burst uint64) uint64 {
 	growth := a.bounds.Share * rate * ceilingAhead
 	ahead := max(uint64(growth), burst) + leastCeiling
 	wanted := min(a.spent()+ahead, a.allowance(requests, slackPart)+uint64(growth))
-	if wanted < a.ceiling+max(uint64(growth)/2, leastCeiling/2) {
+	need := a.spent() + burst
+	short := a.ceiling < need && wanted >= need
+	if !short && wanted < a.ceiling+max(uint64(growth)/2, leastCeiling/2) {
 		return a.ceiling
 	}
 	return wanted
--- a/internal/canary/rollout.go
+++ b/internal/canary/rollout.go
@@ -240,7 +240,11 @@
 		return state, true
 	}
 	if state.Phase == Observing {
-		state.Ceiling = r.account.raise(r.fleet.requests(), r.fleet.rate(), r.burst())
+		saved := r.burst()
+		if r.pulsed > 0 {
+			saved = 0 // the ceiling has room for the pulse that is under way
+		}
+		state.Ceiling = r.account.raise(r.fleet.requests(), r.fleet.rate(), saved)
 	}
 	return state, state.Ceiling != r.state.Ceiling || state.Fence != r.fence
 }
