Let no target succeed while a router that is heard may send elsewhere

Cause: in the last 0.2 s before the deadline a tenth of the routers was not waited for.

Change: all routers that were heard within 2 s have to have turned, also in the last moment; else the target is rolled back, and the order can be written again.

Ruled out: leaving out only those that have just come back. A holder that has taken over cannot tell them from those that its first datagrams did not reach.

TestLastMomentWaitsForAllRouters fails without the change.

--- a/internal/canary/decide.go
+++ b/internal/canary/decide.go
@@ -69,16 +69,13 @@
 }
 
 // decideLast decides in the last moment before the deadline. Runs on other releases are not
-// waited for any more, nor at its end a few routers that have only come back.
+// waited for any more, but all routers that are heard: what they sent there once the target
+// has succeeded would be lost.
 func (r *rollout) decideLast(now time.Time) (Phase, string) {
-	part, last := 1.0, !now.Before(r.deadline(&r.state).Add(-lastWrite))
-	if last {
-		part = turnedPart
-	}
 	switch {
-	case r.fleet.reaches(now) && r.fleet.turned(now, part):
+	case r.fleet.reaches(now) && r.fleet.turned(now):
 		return Succeeded, reasonDeadline
-	case !last:
+	case now.Before(r.deadline(&r.state).Add(-lastWrite)):
 		return Promoting, ""
 	case !r.fleet.reaches(now):
 		return RolledBack, reasonUnheard
--- a/internal/canary/director_test.go
+++ b/internal/canary/director_test.go
@@ -142,6 +142,24 @@
 	}
 }
 
+// A holder that takes over in the last second promotes no target for good while a router that
+// has heard nothing of it may still send to the releases that end: the routers of this
+// history are killed, frozen and cut off, the holder among them.
+func TestLastMomentWaitsForAllRouters(t *testing.T) {
+	is := is.New(t)
+	const lateTakeover = 50
+	for _, tt := range troubles {
+		if tt.name != "routers killed, frozen and cut off" {
+			continue
+		}
+		got := newModel(drawGood(lateTakeover, tt)).play()
+		is.Equal(got.broken, nil)
+		is.Equal(len(got.verdicts), 1)
+		return
+	}
+	t.Error("no such trouble")
+}
+
 // TestCeilingBoundsSuccessors shows that exposure stays bounded when holders change, and that
 // it does not without the ceiling in the store.
 func TestCeilingBoundsSuccessors(t *testing.T) {
--- a/internal/canary/fleet.go
+++ b/internal/canary/fleet.go
@@ -204,19 +204,17 @@
 	return true
 }
 
-// turned reports whether a part of the routers that are heard send to the target only.
-func (f *fleet) turned(now time.Time, part float64) bool {
-	heard, turned := 0, 0
+// turned reports whether all routers that are heard send to the target only.
+func (f *fleet) turned(now time.Time) bool {
 	for _, router := range f.routers {
 		if router.quiet(now) >= deadAfter {
 			continue
 		}
-		heard++
-		if router.current != nil && router.current.turned(now) {
-			turned++
+		if router.current == nil || !router.current.turned(now) {
+			return false
 		}
 	}
-	return float64(turned) >= part*float64(heard)
+	return true
 }
 
 // turned reports whether the life sends to the target only, and will for long enough.
--- a/internal/canary/plan.go
+++ b/internal/canary/plan.go
@@ -38,9 +38,6 @@
 	// deadAfter is the time after which a router that is not heard is taken for dead or
 	// cut off, and is not waited for.
 	deadAfter = 2 * time.Second
-	// turnedPart is the part of the routers that have to send to the target only if the
-	// verdict has come to its last moment.
-	turnedPart = 0.9
 	// freshFor is the age up to which a report tells that a router still runs: two
 	// permits long.
 	freshFor = 600 * time.Millisecond
