Ask from the new holder's own write on what a takeover may grant

Cause: TestTakeoverJudgesBeforeItGrants counted from the begin of the lease, which is a tick of permits earlier, and passed with the guard taken out.

Change: it counts from the write under the new fence, and fails without the guard ("not true"). It asks more than before. No product code is changed.

--- a/internal/canary/takeover_test.go
+++ b/internal/canary/takeover_test.go
@@ -71,9 +71,12 @@
 	d.states[modelService] = State{Order: testOrder, Phase: Observing, Ceiling: 10, Fence: 4}
 	d.versions[modelService] = 3
 	d.director.Hold(at(d.now), 5)
-	taken := d.now
 	const sent = 6
-	for d.now < taken+2*time.Second {
+	owned := time.Duration(0)
+	for d.now < 2*time.Second {
+		if d.states[modelService].Fence == 5 && owned == 0 {
+			owned = d.now
+		}
 		d.director.Reported(at(d.now), testRouter, &Report{
 			Service: modelService, Revision: testOrder.Revision, Life: 1, Clock: time.Minute + d.now, Phase: Observing,
 			Requests: 1_000 + uint64(d.now/time.Millisecond), Sent: sent,
@@ -81,7 +84,7 @@
 		})
 		d.step()
 		for _, told := range d.told {
-			is.True(told.Permit.Sends <= sent || d.now-taken >= settleFor)
+			is.True(told.Permit.Sends <= sent || (owned > 0 && d.now-owned >= settleFor))
 		}
 	}
 	is.True(d.told[len(d.told)-1].Permit.Sends > sent)
