Show that a target that is bad under load only needs pulses to be found

Change: 24 histories in which 30 in 100 answers fail at a back end that has the usual load. The tests of guards of the director stand in a file named after them. No product code is changed.

--- a/internal/canary/takeover_test.go
+++ b/internal/canary/guards_test.go
@@ -89,3 +89,19 @@
 	}
 	is.True(d.told[len(d.told)-1].Permit.Sends > sent)
 }
+
+// TestPulsesShowWhatIsBadUnderLoad shows that few back ends of the target get the usual load
+// for long enough: one that fails from that load on only would otherwise be promoted.
+func TestPulsesShowWhatIsBadUnderLoad(t *testing.T) {
+	is := is.New(t)
+	for seed := range uint64(24) {
+		h := calmHistory()
+		h.seed, h.rate = seed, 400
+		h.routes = []modelRoute{{name: "draft", part: 1, usual: 400 * time.Millisecond}}
+		h.addBad(fault{failures: 0.3, load: h.usualLoad()})
+		got := newModel(h).play()
+		is.Equal(got.verdicts, []Phase{RolledBack})
+		is.Equal(got.promoted, time.Duration(0))
+		is.Equal(got.broken, nil)
+	}
+}
