--- a/internal/admission/lives_test.go
+++ b/internal/admission/lives_test.go
@@ -52,16 +52,7 @@
 					repeats = append(repeats, now)
 				}
 			}
-			most := 0
-			for first := range repeats {
-				count := 0
-				for _, at := range repeats[first:] {
-					if at.Sub(repeats[first]) < livesWindow.Window {
-						count++
-					}
-				}
-				most = max(most, count)
-			}
+			most := mostInWindow(repeats)
 			requests := int(livesWindow.Window / pause)
 			is.True(most > 0)
 			is.True(most <= requests/5)
@@ -69,6 +60,20 @@
 	}
 }
 
+// mostInWindow returns the most repeats that lie in one window.
+func mostInWindow(repeats []time.Time) (most int) {
+	for first := range repeats {
+		count := 0
+		for _, at := range repeats[first:] {
+			if at.Sub(repeats[first]) < livesWindow.Window {
+				count++
+			}
+		}
+		most = max(most, count)
+	}
+	return most
+}
+
 func TestARouterThatHasJustStartedRepeatsLess(t *testing.T) {
 	is := is.New(t)
 	start := time.Unix(1000, 0)
