--- a/internal/node/namingfaults_test.go
+++ b/internal/node/namingfaults_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"strings"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -10,68 +9,15 @@
 
 	"github.com/matryer/is"
 
-	"github.com/fieldpond/fieldpond/internal/fault"
 	"github.com/fieldpond/fieldpond/internal/ident"
-	"github.com/fieldpond/fieldpond/internal/store/protocol"
 )
 
-// Tests of a cold review of the mend of issue 36. Each says what should hold.
-
-const otherModel = ident.Model("b")
-
-// nameOf has the operator name versions of any model; the other rows stay.
-func (s *fakeStore) nameOf(named ident.Model, versions ...int) {
-	s.change(func() {
-		close(s.changed)
-		s.changed = make(chan struct{})
-		models := map[ident.Model]int{}
-		for m, v := range s.reading.Models {
-			models[m] = v
-		}
-		for _, version := range versions {
-			s.version++
-			s.history = append(s.history, fakeNaming{NamedWeights{Model: named, Version: version}, s.version})
-			models[named] = version
-		}
-		s.reading.Models = models
-	})
-}
-
-// refusingTable fails the writes whose key has a prefix, and the lists of prefixes, as long
-// as the counters say.
-type refusingTable struct {
-	*fakeStore
-	noWrite   string
-	noList    string
-	failLists *atomic.Int32
-}
-
-func (t *refusingTable) Commit(ctx context.Context, tx protocol.Transaction) (protocol.TransactionResult, error) {
-	if t.noWrite != "" && len(tx.Writes) > 0 && strings.HasPrefix(tx.Writes[0].Key, t.noWrite) {
-		return protocol.TransactionResult{}, fault.New(fault.StoreUnavailable, "no answer")
-	}
-	return t.fakeStore.Commit(ctx, tx)
-}
-
-func (t *refusingTable) List(ctx context.Context, prefix string, limit int) (protocol.RowList, error) {
-	if t.failLists != nil && strings.HasPrefix(prefix, t.noList) && t.failLists.Add(-1) >= 0 {
-		return protocol.RowList{}, fault.New(fault.StoreUnavailable, "no answer")
-	}
-	return t.fakeStore.List(ctx, prefix, limit)
-}
-
-// newestOf returns the newest version of a model that a router knows.
-func (r *zoneRouter) newestOf(m ident.Model) int {
-	return r.follower.replica.holder.View().Models[m].Version
-}
-
-// The first find of a router that starts gets no answer, and the history is gone: the
-// naming row stands in the store, and is read again by keepMissing, but not taken in.
+// The first read of the naming rows by a router that starts gets no answer, and the history
+// is gone: the rows are read again at the begin of the watch.
 func TestNamingRowsAreTakenInThoughTheFirstReadFailed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		z := newZone()
-		z.store.name(2)
+		z := newNamedZone()
 		z.start(t.Context(), "a")
 		time.Sleep(3 * time.Second)
 		z.store.name(3, 2)
@@ -93,8 +39,7 @@
 func TestARouterThatWasCutOffFindsTheNamingRow(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		z := newZone()
-		z.store.name(2)
+		z := newNamedZone()
 		z.start(t.Context(), "a-1")
 		time.Sleep(20 * time.Millisecond)
 		second := z.start(t.Context(), "b-2")
@@ -118,7 +63,7 @@
 }
 
 // Two models. The row of one model's naming cannot be written until its router ends; the
-// row of the other's names a position beyond it. The history is whole.
+// row of the other's must name no revision beyond it. The history is whole.
 func TestAKeptRevisionClaimsOnlyWhatIsKept(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -141,8 +86,8 @@
 	})
 }
 
-// Two models, both kept. A router that starts finds the rows of one; the find of the
-// other gets no answer. The history is whole.
+// Two models, both kept. A router that starts reads the rows of one; the read of the other's
+// gets no answer. The history is whole.
 func TestAReadThatFailsDoesNotHideTheOtherModel(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -212,7 +157,7 @@
 	}
 }
 
-// Many routers read the store themselves when it fails. The watches do not slow down.
+// Many routers read the store themselves when it fails: it is not watched more often.
 func TestFailingWatchesAreNoMoreThanReads(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -238,8 +183,7 @@
 func TestWritersOfNamingsDoNotPileUp(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		z := newZone()
-		z.store.name(2)
+		z := newNamedZone()
 		commits := &atomic.Int32{}
 		z.namingTable = &countingTable{refusingTable{fakeStore: z.store, noWrite: namingPrefix}, commits}
 		running := z.start(t.Context(), "a")
@@ -265,24 +209,12 @@
 	})
 }
 
-// countingTable counts writes.
-type countingTable struct {
-	refusingTable
-	commits *atomic.Int32
-}
-
-func (t *countingTable) Commit(ctx context.Context, tx protocol.Transaction) (protocol.TransactionResult, error) {
-	t.commits.Add(1)
-	return t.refusingTable.Commit(ctx, tx)
-}
-
 // The store answers each watch at once, with nothing new (it does not hold answers back,
 // or tells no revision). Each call is paid for.
 func TestWatchesThatAreNotHeldBackAreBounded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		z := newZone()
-		z.store.name(2)
+		z := newNamedZone()
 		z.guard = func(_ context.Context, running *zoneRouter) {
 			running.follower.source = &hastyAnswers{running}
 		}
@@ -294,20 +226,12 @@
 	})
 }
 
-// hastyAnswers answers each watch after 4 ms.
-type hastyAnswers struct{ *zoneRouter }
-
-func (h *hastyAnswers) Changes(ctx context.Context, after uint64, _ time.Duration) (Changes, error) {
-	return h.zoneRouter.Changes(ctx, after, 4*time.Millisecond)
-}
-
 // The watching router is frozen: it answers no pull, and a version whose row stands is
 // named meanwhile.
 func TestAVersionNamedWhileTheWatcherIsFrozen(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		z := newZone()
-		z.store.name(2)
+		z := newNamedZone()
 		z.start(t.Context(), "a-1")
 		time.Sleep(20 * time.Millisecond)
 		second := z.start(t.Context(), "b-1")
@@ -333,8 +257,7 @@
 func TestAWatchThatIsRefusedCatchesUp(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		z := newZone()
-		z.store.name(2)
+		z := newNamedZone()
 		refuse := &atomic.Bool{}
 		z.guard = func(_ context.Context, running *zoneRouter) {
 			running.follower.source = &refusedWatch{running, refuse}
@@ -355,27 +278,13 @@
 	})
 }
 
-// refusedWatch is a source that refuses the watch of the router "a" at times.
-type refusedWatch struct {
-	*zoneRouter
-	refuse *atomic.Bool
-}
-
-func (r *refusedWatch) Changes(ctx context.Context, after uint64, hold time.Duration) (Changes, error) {
-	if r.refuse.Load() && r.node == "a" {
-		return Changes{}, fault.New(fault.RateLimited, "refused")
-	}
-	return r.zoneRouter.Changes(ctx, after, hold)
-}
-
 // The store says for a second that it has forgotten what was changed, and tells it again
 // afterwards. Evidence: a router that started later, from an older revision, was told a
 // version that the watch had passed over 17 s before.
 func TestAHistoryThatComesBackIsAskedForAgain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		z := newZone()
-		z.store.name(2)
+		z := newNamedZone()
 		gone := &atomic.Bool{}
 		z.guard = func(_ context.Context, running *zoneRouter) {
 			running.follower.source = &goneAtTimes{running, gone}
@@ -391,40 +300,11 @@
 	})
 }
 
-// goneAtTimes refuses positions before the newest revision at times.
-type goneAtTimes struct {
-	*zoneRouter
-	gone *atomic.Bool
-}
-
-func (g *goneAtTimes) Changes(ctx context.Context, after uint64, hold time.Duration) (Changes, error) {
-	changes, err := g.zoneRouter.Changes(ctx, after, hold)
-	if err == nil && g.gone.Load() && after < changes.StoreRevision {
-		return Changes{}, ErrHistoryGone
-	}
-	return changes, err
-}
-
-// deafForAWhile is a source whose watch leaves out, for a while, what was changed.
-type deafForAWhile struct {
-	*zoneRouter
-	deaf *atomic.Bool
-}
-
-func (d *deafForAWhile) Changes(ctx context.Context, after uint64, hold time.Duration) (Changes, error) {
-	changes, err := d.zoneRouter.Changes(ctx, after, hold)
-	if err == nil && d.deaf.Load() {
-		changes.Named = nil
-	}
-	return changes, err
-}
-
 // A store that is about to drop its history leaves changes out for a second.
 func TestChangesThatWereLeftOutAreAskedForAgain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		z := newZone()
-		z.store.name(2)
+		z := newNamedZone()
 		deaf := &atomic.Bool{}
 		z.guard = func(_ context.Context, running *zoneRouter) {
 			running.follower.source = &deafForAWhile{running, deaf}
@@ -445,8 +325,7 @@
 func TestAStartAsksForTheChangesSinceTheLastNamingThatWasKept(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		z := newZone()
-		z.store.name(2)
+		z := newNamedZone()
 		z.start(t.Context(), "a")
 		time.Sleep(3 * time.Second)
 		before := z.store.revision()
@@ -469,8 +348,7 @@
 func TestAnUnknownAgeStaysUnknown(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		z := newZone()
-		z.store.name(2)
+		z := newNamedZone()
 		z.start(t.Context(), "a")
 		time.Sleep(3 * time.Second)
 		z.kill("a")
--- a/internal/node/namingwatch_test.go
+++ b/internal/node/namingwatch_test.go
@@ -41,8 +41,7 @@
 func TestEachNamingReachesAllRoutersThoughItsRowIsWrittenOver(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		z := newZone()
-		z.store.name(2)
+		z := newNamedZone()
 		routers := []*zoneRouter{z.start(t.Context(), "a"), z.start(t.Context(), "b"), z.start(t.Context(), "c")}
 		time.Sleep(3 * time.Second)
 		z.store.name(3, 2)
@@ -65,8 +64,7 @@
 func TestANamingOutlivesAllRouters(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		z := newZone()
-		z.store.name(2)
+		z := newNamedZone()
 		z.start(t.Context(), "a")
 		time.Sleep(3 * time.Second)
 		z.store.name(3, 2)
@@ -110,8 +108,7 @@
 func TestAWatcherThatTakesOverMissesNothing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		z := newZone()
-		z.store.name(2)
+		z := newNamedZone()
 		z.start(t.Context(), "a")
 		time.Sleep(20 * time.Millisecond) // a is the first
 		second := z.start(t.Context(), "b")
@@ -134,8 +131,7 @@
 func TestTheNextWatcherKeepsWhatTheLastOneSaw(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		z := newZone()
-		z.store.name(2)
+		z := newNamedZone()
 		z.namingTable = &lateTable{fakeStore: z.store, downUntil: time.Now().Add(time.Hour)}
 		z.start(t.Context(), "a")
 		z.namingTable = z.store
