--- a/internal/node/namingwatch.go
+++ b/internal/node/namingwatch.go
@@ -47,8 +47,9 @@
 
 // age returns how long ago at the most a version was named that is told in an answer of the
 // store, after it was asked for so long, and reports whether that is known. An answer that
-// was held back comes at the moment of the change, and a store that does not answer takes
-// no writes either, so that only the time counts during which nobody asked.
+// was held back comes at the moment of the change, and a store that answers nobody takes no
+// writes either, so that only the time counts during which nobody asked. A version that was
+// named while the store turned away this router alone counts as younger by that time.
 func (w watched) age(answeredAt, asked time.Duration) (age time.Duration, known bool) {
 	if w.storeTime == 0 || answeredAt == 0 {
 		return 0, false
