Ask the store less often about namings

Most were halvings for the oldest changes that are kept, by each router that reads the store while its peers come and go, and reads of the naming rows at each begin of a watch.

Change: answers are held back for 10 s while there is nothing to ask twice; only the router that reads the store for all asks twice; it looks for the oldest changes when they are first gone and when it gives them up, not each 2 s between; naming rows are read once in 10 s at most; a question that fails is asked again after 0.2 to 1 s.

--- a/internal/node/follower.go
+++ b/internal/node/follower.go
@@ -42,6 +42,8 @@
 	startedAt time.Time
 	// looked is true after the first read of the configuration.
 	looked atomic.Bool
+	// recalledAt is when the watch last read the naming rows.
+	recalledAt time.Time
 	// outdated are the versions below the newest that rows named last, by model.
 	outdated map[ident.Model]int
 }
--- a/internal/node/namingrecheck.go
+++ b/internal/node/namingrecheck.go
@@ -9,8 +9,8 @@
 )
 
 const (
-	// recheckInterval is the time between two questions about changes that were told before.
-	recheckInterval = 2 * time.Second
+	// recheckAfter is the time from a change to the question whether others were left out.
+	recheckAfter = 2 * time.Second
 	// recheckHold is how long such a question may be held back: it asks for what is there.
 	recheckHold = time.Millisecond
 	// recheckFor is how long forgotten changes are asked for again. A store that drops its
@@ -25,27 +25,49 @@
 // With six versions named beside such a fault, 1 of 30 plays ended on older weights.
 type recheck struct {
 	// after is the revision up to which everything was told twice, next the one up to which
-	// it was told once at the last recheck, at checkedAt.
+	// it was told once at the last recheck.
 	after, next uint64
-	checkedAt   time.Time
+	// dueAt is when the next one is due, zero if nothing was told since the last one.
+	dueAt time.Time
 	// goneSince is when the store first said that it has forgotten what is asked for, zero
 	// if it tells it.
 	goneSince time.Time
 }
 
-func newRecheck(after uint64) recheck {
-	return recheck{after: after, next: after, checkedAt: time.Now()}
+// newRecheck returns the recheck of a watch that begins after a revision: it asks at once.
+func newRecheck(now time.Time, after uint64) recheck {
+	return recheck{after: after, next: after, dueAt: now}
+}
+
+// hold returns how long the next question of the watch may be held back.
+func (r *recheck) hold(now time.Time) time.Duration {
+	if r.dueAt.IsZero() {
+		return watchHold
+	}
+	return min(max(r.dueAt.Sub(now), leastHold), watchHold)
+}
+
+// answered takes in that the watch was answered, early if there were changes.
+func (r *recheck) answered(now time.Time, early bool) {
+	switch {
+	case !r.dueAt.IsZero():
+	case early:
+		r.dueAt = now.Add(recheckAfter)
+	default:
+		r.dueAt = now
+	}
 }
 
 // checkAgain asks once more for what was told before, if that is due. All changes up to a
-// revision were told by now.
+// revision were told by now. Only the router that reads the store for all does so: calls are
+// dear in large fleets, where many read while their peers come and go.
 func (s *namingSession) checkAgain(ctx context.Context, told uint64) {
 	check := &s.recheck
-	if time.Since(check.checkedAt) < recheckInterval {
+	if time.Now().Before(check.dueAt) {
 		return
 	}
-	check.checkedAt = time.Now()
-	if check.after >= told {
+	check.dueAt = time.Time{}
+	if check.after >= told || !s.chain.reads() {
 		return
 	}
 	changes, err := s.changes(ctx, check.after, recheckHold)
@@ -59,17 +81,22 @@
 	}
 }
 
-// checkForgotten asks for the oldest changes that the store still keeps. It gives those
-// before them up after a while.
+// checkForgotten asks for the oldest changes that the store still keeps, when it has just
+// forgotten those that are asked for, and once more when these are given up.
 func (s *namingSession) checkForgotten(ctx context.Context, told uint64) {
 	check := &s.recheck
-	if check.goneSince.IsZero() {
+	check.dueAt = time.Now().Add(recheckAfter)
+	first := check.goneSince.IsZero()
+	if first {
 		check.goneSince = time.Now()
 	}
-	s.oldestKept(ctx, check.after, told)
-	if time.Since(check.goneSince) >= recheckFor {
+	last := time.Since(check.goneSince) >= recheckFor
+	if first || last {
+		s.oldestKept(ctx, check.after, told)
+	}
+	if last {
 		log.WithFields(log.Fields{"from": check.after, "to": told}).Warn("namings_given_up")
-		*check = newRecheck(told)
+		*check = recheck{after: told, next: told}
 	}
 }
 
--- a/internal/node/namingwatch.go
+++ b/internal/node/namingwatch.go
@@ -13,9 +13,17 @@
 )
 
 const (
-	// watchHold is how long the store holds back an answer that tells no change. It bounds
-	// the time for which a connection that fell silent goes unnoticed; each costs one call.
-	watchHold = 2 * time.Second
+	// watchHold is how long the store holds back an answer that tells no change; each costs a
+	// call. A connection that falls silent meanwhile is found by keep-alive probes. With 2 s
+	// the calls of a fleet of 23 routers rose from 649 to 830 in a day, 0.013 of its worth.
+	watchHold = 10 * time.Second
+	// leastHold keeps the questions apart that are held back for a shorter time.
+	leastHold = 200 * time.Millisecond
+	// recallInterval is the least time between two reads of the naming rows: they are read
+	// when the watch begins, which may be often while peers come and go.
+	recallInterval = 10 * time.Second
+	// maxWatchPause bounds the pause after a question that failed, which doubles each time.
+	maxWatchPause = time.Second
 	// watchPause is the time between two looks whether this router is to watch.
 	watchPause = 200 * time.Millisecond
 	// watchTolerance is the gap in the watch that does not make a version count as older: in
@@ -82,7 +90,9 @@
 
 // watchWhileReading watches for as long as this router is to.
 func (f *follower) watchWhileReading(ctx context.Context) {
-	session := &namingSession{follower: f, askingSince: time.Now(), recheck: newRecheck(f.replica.watchedTo().revision)}
+	session := &namingSession{
+		follower: f, askingSince: time.Now(), pause: watchPause, recheck: newRecheck(time.Now(), f.replica.watchedTo().revision),
+	}
 	for ctx.Err() == nil && f.watches() {
 		session.watch(ctx)
 	}
@@ -94,31 +104,35 @@
 	// askingSince is when the question began that is not answered yet; one that failed is
 	// asked again.
 	askingSince time.Time
-	// recalled says that the rows of namings were read since the watch began.
+	// pause follows the next question that fails.
+	pause time.Duration
+	// recalled says that the rows of namings were read in this session.
 	recalled bool
 	recheck  recheck
 }
 
 // watch asks once for the changes after what is known.
 func (s *namingSession) watch(ctx context.Context) {
-	from := s.replica.watchedTo()
-	askedAt := time.Now()
-	changes, err := s.changes(ctx, from.revision, watchHold)
+	from, hold, askedAt := s.replica.watchedTo(), s.recheck.hold(time.Now()), time.Now()
+	changes, err := s.changes(ctx, from.revision, hold)
 	if err != nil {
 		s.failed(ctx, err)
 		return
 	}
+	took := time.Since(askedAt)
 	news := s.takeChanges(ctx, from, time.Since(s.askingSince), &changes)
 	s.watchResult(watchResults[news])
-	if !s.recalled {
+	if !s.recalled && time.Since(s.recalledAt) >= recallInterval {
 		s.recalled = s.recall(ctx, time.Now(), changes.StoreTime)
+		s.recalledAt = time.Now()
 	}
+	s.recheck.answered(time.Now(), took < hold)
 	s.checkAgain(ctx, changes.StoreRevision)
-	if !news && time.Since(askedAt) < watchPause {
+	if !news && took < leastHold {
 		// The store does not hold its answers back.
-		wait.For(ctx, watchPause)
+		wait.For(ctx, leastHold-took)
 	}
-	s.askingSince = time.Now()
+	s.askingSince, s.pause = time.Now(), watchPause
 }
 
 // changes asks for the changes after a revision.
@@ -136,12 +150,13 @@
 	}
 	if !errors.Is(err, ErrHistoryGone) {
 		s.watchResult(watchFailed)
-		wait.For(ctx, s.config.RetryPause)
+		wait.For(ctx, s.pause)
+		s.pause = min(2*s.pause, maxWatchPause)
 		return
 	}
 	s.watchResult(watchGone)
 	from, to := s.replica.passForgotten()
-	s.recalled = false
+	s.recalled, s.recheck.dueAt = false, time.Now()
 	log.WithFields(log.Fields{"from": from, "to": to}).Info("namings_forgotten")
 	wait.For(ctx, watchPause)
 }
