--- a/internal/node/namingfakes_test.go
+++ b/internal/node/namingfakes_test.go
@@ -4,8 +4,11 @@
 	"context"
 	"strings"
 	"sync/atomic"
+	"testing"
 	"time"
 
+	"github.com/matryer/is"
+
 	"github.com/fieldpond/fieldpond/internal/fault"
 	"github.com/fieldpond/fieldpond/internal/ident"
 	"github.com/fieldpond/fieldpond/internal/store/protocol"
@@ -18,10 +21,29 @@
 	return z
 }
 
-// Tests of a cold review of the mend of issue 36. Each says what should hold.
-
+// otherModel is a second model, whose namings have rows of their own.
 const otherModel = ident.Model("b")
 
+// learnsAfterAFault has a version named and written over while the store is at fault for a
+// second, as a source of the test's plays it, and fails unless it is known some time after.
+func learnsAfterAFault(t *testing.T, source func(*zoneRouter, *atomic.Bool) Source, after time.Duration) {
+	t.Helper()
+	is := is.New(t)
+	z := newNamedZone()
+	fault := &atomic.Bool{}
+	z.guard = func(_ context.Context, running *zoneRouter) {
+		running.follower.source = source(running, fault)
+	}
+	first := z.start(t.Context(), "a")
+	time.Sleep(5 * time.Second)
+	fault.Store(true)
+	z.store.name(3, 2)
+	time.Sleep(time.Second)
+	fault.Store(false)
+	time.Sleep(after)
+	is.Equal(first.newest().Version, 3)
+}
+
 // nameOf has the operator name versions of any model; the other rows stay.
 func (s *fakeStore) nameOf(named ident.Model, versions ...int) {
 	s.change(func() {
--- a/internal/node/namingfaults_test.go
+++ b/internal/node/namingfaults_test.go
@@ -283,40 +283,14 @@
 // version that the watch had passed over 17 s before.
 func TestAHistoryThatComesBackIsAskedForAgain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		z := newNamedZone()
-		gone := &atomic.Bool{}
-		z.guard = func(_ context.Context, running *zoneRouter) {
-			running.follower.source = &goneAtTimes{running, gone}
-		}
-		first := z.start(t.Context(), "a")
-		time.Sleep(5 * time.Second)
-		gone.Store(true)
-		z.store.name(3, 2)
-		time.Sleep(time.Second)
-		gone.Store(false)
-		time.Sleep(time.Minute)
-		is.Equal(first.newest().Version, 3)
+		learnsAfterAFault(t, func(running *zoneRouter, at *atomic.Bool) Source { return &goneAtTimes{running, at} }, time.Minute)
 	})
 }
 
 // A store that is about to drop its history leaves changes out for a second.
 func TestChangesThatWereLeftOutAreAskedForAgain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		z := newNamedZone()
-		deaf := &atomic.Bool{}
-		z.guard = func(_ context.Context, running *zoneRouter) {
-			running.follower.source = &deafForAWhile{running, deaf}
-		}
-		first := z.start(t.Context(), "a")
-		time.Sleep(5 * time.Second)
-		deaf.Store(true)
-		z.store.name(3, 2)
-		time.Sleep(time.Second)
-		deaf.Store(false)
-		time.Sleep(10 * time.Second)
-		is.Equal(first.newest().Version, 3)
+		learnsAfterAFault(t, func(running *zoneRouter, at *atomic.Bool) Source { return &deafForAWhile{running, at} }, 10*time.Second)
 	})
 }
 
