Let a test wait until an outcome is recorded before it asks another router

Cause: a router answers those who wait and records the outcome after that. TestRefusalIsNotRepeatedOnceTheKeyIsFree asked the first router again as soon as the second one had answered; if the table did not know of the outcome yet, it said truthfully that the first sending goes on. The test then failed, and left its routers open, which the bubble reported as a deadlock.

Ruled out: a fault of the product. The answer that the caller got is true, and that it goes out before the table knows is as designed.

Change: the test waits until all goroutines are idle. Its assertions stay.

--- a/internal/dispatch/application_test.go
+++ b/internal/dispatch/application_test.go
@@ -224,6 +224,7 @@
 		synctest.Wait() // the key is free, and the first router does not know yet
 		_, err = routers[1].RunApplication(t.Context(), booking())
 		is.NoErr(err)
+		synctest.Wait() // an answer goes out before the table knows of it
 		answer, err := routers[0].RunApplication(t.Context(), booking())
 		is.NoErr(err) // in place of the old "not run"
 		is.True(answer.Repeated)
