Show which holder of the lease counts the routers that join while the first one is cut off

A holder of the lease counts as well, but its count reaches the others only if it is the one that they pull from meanwhile.

--- a/internal/node/firstcut_test.go
+++ b/internal/node/firstcut_test.go
@@ -39,23 +39,33 @@
 }
 
 func TestRoutersThatJoinWhileTheFirstOneIsCutOffAreCounted(t *testing.T) {
+	oneZone := [][]ident.Node{{"a", "b", "c", "d", "e", "f", "g"}, {"h", "i", "j"}}
+	zones := [][]ident.Node{{"a-1", "b-2", "c-3", "d-1", "e-2", "f-3", "g-1"}, {"h-2", "i-3", "j-1"}}
 	tests := []struct {
 		name string
-		// cut is the router that does not reach the store.
-		cut ident.Node
+		// nodes run first, and join while one is cut off.
+		nodes [][]ident.Node
+		// cut is the router that does not reach the store, holder the one that holds the
+		// lease, if there is one: a holder counts as well.
+		cut, holder ident.Node
 	}{
-		{"the last one is cut off", "g"},
-		{"the first one is cut off", "a"},
+		{"the last one is cut off", oneZone, "g", ""},
+		{"the first one is cut off", oneZone, "a", ""},
+		{"the first one of three zones is cut off, the one that reads in its place holds the lease", zones, "a-1", "b-2"},
+		{"the first one of three zones is cut off, the first of another one holds the lease", zones, "a-1", "c-3"},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				f := &fleet{zone: newZone()}
-				f.guard = func(_ context.Context, running *zoneRouter) {
+				f.guard = func(ctx context.Context, running *zoneRouter) {
+					if running.node == tt.holder {
+						go running.follower.countRouters(ctx, func() bool { return true })
+					}
 					running.follower.roster.table = &reachedTable{f.store, running}
 				}
-				for _, node := range []ident.Node{"a", "b", "c", "d", "e", "f", "g"} {
+				for _, node := range tt.nodes[0] {
 					f.up(t, node)
 					time.Sleep(20 * time.Millisecond)
 				}
@@ -63,7 +73,7 @@
 				f.set(tt.cut, func(r *zoneRouter) { r.cut = true })
 				time.Sleep(3 * time.Second)
 				f.adopt(5)
-				for _, node := range []ident.Node{"h", "i", "j"} {
+				for _, node := range tt.nodes[1] {
 					f.up(t, node)
 					time.Sleep(20 * time.Millisecond)
 				}
