Show that a router's row stays for good if the store turns its removal away once

Red: TestARouterWhoseRemovalIsTurnedAwayAsksAgain. No rule of the users breaks by it; what it costs is worth: all bounds that are divided by the number of routers are too small for good.

Order of events: a router that does not come back stops as planned and asks once for the removal of its row, at the end of its stop, with seconds left of its grace time; the store answers 429 or 503 (nothing was done), or not at all; roster.leave logs router_row_not_removed and gives up.

Evidence (virtual time): one refused removal, 5 s left; a minute later the other router still counts two.

--- /dev/null
+++ b/internal/node/leaveagain_test.go
@@ -0,0 +1,53 @@
+package node
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/fieldpond/fieldpond/internal/fault"
+	"github.com/fieldpond/fieldpond/internal/store/protocol"
+)
+
+// refusedOnce refuses the first removal of a row, as a store does that gets too many calls
+// for a moment; nothing was done then.
+type refusedOnce struct {
+	*fakeStore
+	refused bool
+}
+
+func (t *refusedOnce) Commit(ctx context.Context, tx protocol.Transaction) (protocol.TransactionResult, error) {
+	if tx.Writes[0].Delete && !t.refused {
+		t.refused = true
+		return protocol.TransactionResult{}, fault.New(fault.RateLimited, "turned away")
+	}
+	return t.fakeStore.Commit(ctx, tx)
+}
+
+// A router that stops for good has seconds left when the store turns the removal of its row
+// away. The row must not stay: all others would count the router for good.
+func TestARouterWhoseRemovalIsTurnedAwayAsksAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		z := newZone()
+		z.guard = func(_ context.Context, running *zoneRouter) {
+			running.follower.roster.table = &refusedOnce{fakeStore: z.store}
+		}
+		z.start(t.Context(), "a")
+		time.Sleep(time.Second)
+		stopping := z.start(t.Context(), "b")
+		time.Sleep(10 * time.Second)
+		is.Equal(z.routers["a"].follower.replica.Routers(), 2)
+		leave, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		defer cancel()
+		z.kill("b")
+		stopping.follower.roster.leave(leave)
+		time.Sleep(time.Minute)
+		if routers := z.routers["a"].follower.replica.Routers(); routers != 1 {
+			t.Errorf("%d routers are counted a minute after the other one has ended", routers)
+		}
+	})
+}
