Try again to remove the row of a router that stops

Cause: a planned stop asked once for the removal of its row. One refusal (429 or 503) left the row for good, and all bounds that are divided by the number of routers were too small from then on.

Evidence: TestARouterWhoseRemovalIsTurnedAwayAsksAgain: a minute after one refused removal the other router still counted two.

Change: the removal is tried again each 0.2 s, for 2 s at most and within the time that is left to stop, so that a store that is away holds up no restart. The test passes; the tests of stops, rows and late writes pass with it.

--- a/internal/node/roster.go
+++ b/internal/node/roster.go
@@ -15,6 +15,7 @@
 	"github.com/fieldpond/fieldpond/internal/store"
 	"github.com/fieldpond/fieldpond/internal/store/protocol"
 	"github.com/fieldpond/fieldpond/internal/upstream"
+	"github.com/fieldpond/fieldpond/internal/wait"
 )
 
 // routerPrefix is the begin of the keys of the routers' rows, which go on with
@@ -92,15 +93,40 @@
 	return peers, len(list.Rows), nil
 }
 
-// leave removes this router's row, unless a later life has written it anew. A write of its
-// own that was carried out late may have changed the row's revision: then it is removed as
-// the refusal tells it.
+const (
+	// leaveFor bounds the tries to remove a row, so that a store that is away does not hold
+	// up the end of a router for longer than two calls may take.
+	leaveFor = 2 * time.Second
+	// leavePause follows a removal that failed.
+	leavePause = 200 * time.Millisecond
+)
+
+// leave removes this router's row, unless a later life has written it anew. A removal that
+// the store turns away is tried again: others would count the router for good, and all
+// bounds that are divided by their number would be too small.
 func (r *roster) leave(ctx context.Context) {
+	bounded, cancel := context.WithTimeout(ctx, leaveFor)
+	defer cancel()
+	for {
+		err := r.removeOwn(bounded)
+		if err == nil {
+			return
+		}
+		if !wait.For(bounded, leavePause) {
+			log.WithFields(log.Fields{"cause": err.Error()}).Warn("router_row_not_removed")
+			return
+		}
+	}
+}
+
+// removeOwn removes this router's row once. A write of its own that was carried out late may
+// have changed the row's revision: then it is removed as the refusal tells it.
+func (r *roster) removeOwn(ctx context.Context) error {
 	r.mu.Lock()
 	row := r.row
 	r.mu.Unlock()
 	if row.Version == 0 {
-		return
+		return nil
 	}
 	bounded, cancel := context.WithTimeout(ctx, r.timeout)
 	defer cancel()
@@ -108,9 +134,7 @@
 	if current := refusedBy(result); err == nil && r.owns(current) {
 		_, err = r.remove(bounded, current)
 	}
-	if err != nil {
-		log.WithFields(log.Fields{"cause": err.Error()}).Warn("router_row_not_removed")
-	}
+	return err
 }
 
 // remove removes a row at its revision.
