Let the router that reads in place of a first one that is cut off do what is done once

Cause: the first router of all, cut off from the store alone, still answers its peers, with stale state. It counts as up, so that no other router takes itself for the first one: another one reads the store in its place, but nobody counted the routers that joined, nor asked the store a second time for what it may have left out. Class: a duty that hangs on who is listed first, not on who does it.

Ruled out: taking a stale peer for one that is down. While the store is away all peers are stale, and every router would read for all.

Change: a router whose state was its own read for 2 s counts the routers, asks twice, and looks back in the row of the configuration.

--- a/internal/node/configuration.go
+++ b/internal/node/configuration.go
@@ -91,7 +91,7 @@
 // router that reads the store for all, since the others learn it from that one, and does
 // not keep a router from starting.
 func (f *follower) lookBack(ctx context.Context, askedAt time.Time, reading *Reading) {
-	if !f.chain.reads() {
+	if !f.readsForOthers() {
 		return
 	}
 	row, due := f.replica.unseenRow(reading)
--- a/internal/node/follower.go
+++ b/internal/node/follower.go
@@ -238,6 +238,19 @@
 	return due
 }
 
+// settledOrigin is how long a router that is not the first of all reads the store itself
+// before it takes over what the first does once for all. Where peers come and go, many read
+// for less: each would make calls for nothing.
+const settledOrigin = 2 * time.Second
+
+// readsForOthers reports whether this router does what is done once for all: it is the first
+// of all, or no peer supplies it for a while. A first router that is cut off from the store
+// alone still answers pulls, so that nobody else becomes the first one; without this nobody
+// counted the routers that joined then, nor asked a second time for changes of the store.
+func (f *follower) readsForOthers() bool {
+	return f.chain.reads() || f.replica.ownOriginFor() >= settledOrigin
+}
+
 const (
 	// startPatience is how long a starting router waits for its peers to supply it
 	// before it reads the store itself: some hops of a few ms each, and a late row.
--- a/internal/node/namingrecheck.go
+++ b/internal/node/namingrecheck.go
@@ -59,7 +59,7 @@
 }
 
 // checkAgain asks once more for what was told before, if that is due. All changes up to a
-// revision were told by now. Only the router that reads the store for all does so: calls are
+// revision were told by now. Only a router that reads the store for others does so: calls are
 // dear in large fleets, where many read while their peers come and go.
 func (s *namingSession) checkAgain(ctx context.Context, told uint64) {
 	check := &s.recheck
@@ -67,7 +67,7 @@
 		return
 	}
 	check.dueAt = time.Time{}
-	if check.after >= told || !s.chain.reads() {
+	if check.after >= told || !s.readsForOthers() {
 		return
 	}
 	changes, err := s.changes(ctx, check.after, recheckHold)
--- a/internal/node/pull.go
+++ b/internal/node/pull.go
@@ -258,12 +258,12 @@
 }
 
 // countRouters keeps the rows of the routers up to date while this router reads the
-// store for all or holds the lease, until ctx ends. Those that tell others what becomes of
+// store for others or holds the lease, until ctx ends. Those that tell others what becomes of
 // engines, or pass that on, read them when their number is another one.
 func (f *follower) countRouters(ctx context.Context, holds func() bool) {
 	wait.Every(ctx, f.config.RosterInterval, func() {
 		changed := f.chain.relays() && f.replica.Routers() != f.audience.count()+1
-		if !f.chain.reads() && !holds() && !changed {
+		if !f.readsForOthers() && !holds() && !changed {
 			return
 		}
 		f.readRoster(ctx)
--- a/internal/node/replica.go
+++ b/internal/node/replica.go
@@ -39,6 +39,8 @@
 	changed      chan struct{}
 	// origin is the router that read the store for the newest confirmation.
 	origin ident.Node
+	// originSince is since when that router has done so without another one.
+	originSince time.Time
 	// config is the configuration in force.
 	config heldConfiguration
 	// list was read at listedAt.
@@ -170,6 +172,17 @@
 	return r.origin == r.node
 }
 
+// ownOriginFor returns for how long this router has read every confirmation itself, 0 if it
+// did not read the newest one.
+func (r *replica) ownOriginFor() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.origin != r.node {
+		return 0
+	}
+	return time.Since(r.originSince)
+}
+
 // counted takes in the number of routers in all zones.
 func (r *replica) counted(routers int) {
 	r.mu.Lock()
@@ -295,7 +308,9 @@
 
 // confirmed tells the peers that wait; the caller holds the mutex.
 func (r *replica) confirmed(origin ident.Node) {
-	r.origin = origin
+	if r.origin != origin {
+		r.origin, r.originSince = origin, time.Now()
+	}
 	r.confirmation++
 	close(r.changed)
 	r.changed = make(chan struct{})
