Let the router that reads in place of a first one that is cut off contend for the lease

Where there is one zone, nobody else contended for the lease of weights, and no engine was ordered to take new ones.

Ruled out: more than one holder; the lease decides that, whoever contends.

--- a/internal/node/firstcut_test.go
+++ b/internal/node/firstcut_test.go
@@ -8,6 +8,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -90,3 +92,28 @@
 		})
 	}
 }
+
+func TestAnotherRouterContendsWhileTheFirstOneIsCutOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		z := startZone(t, "a", "b", "c", "d")
+		z.adopt(5)
+		time.Sleep(10 * time.Second)
+		z.set("a", func(r *zoneRouter) { r.cut = true })
+		time.Sleep(5 * time.Second)
+		is.Equal(z.contenders(), []ident.Node{"a", "b"})
+		z.set("a", func(r *zoneRouter) { r.cut = false })
+		time.Sleep(5 * time.Second)
+		is.Equal(z.contenders(), []ident.Node{"a"})
+	})
+}
+
+// contenders returns the routers that are to hold the lease, in the order of their names.
+func (z *zone) contenders() (nodes []ident.Node) {
+	for _, node := range slices.Sorted(maps.Keys(z.routers)) {
+		if z.routers[node].follower.contends() {
+			nodes = append(nodes, node)
+		}
+	}
+	return nodes
+}
--- a/internal/node/follower.go
+++ b/internal/node/follower.go
@@ -251,6 +251,11 @@
 	return f.chain.reads() || f.replica.ownOriginFor() >= settledOrigin
 }
 
+// contends reports whether this router is to hold the lease of weights if nobody else does.
+// In a deployment of one zone nobody else took it for 30 s while its first router was cut off
+// from the store alone, and no engine was ordered to take new weights.
+func (f *follower) contends() bool { return f.chain.leadsRegion() || f.readsForOthers() }
+
 const (
 	// startPatience is how long a starting router waits for its peers to supply it
 	// before it reads the store itself: some hops of a few ms each, and a late row.
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -91,7 +91,7 @@
 	group.Gauge("edge_backends", "Back ends in the list.", func(r reading) int { return r.backends })
 	group.Gauge("edge_attempts_in_flight", "Attempts under way.", func(r reading) int { return r.inFlight })
 	group.Gauge("edge_lease_held", "1 while this router holds the rollout lease.", func(r reading) int { return oneIf(r.leaseHeld) })
-	group.Gauge("edge_reads_store", "1 while this router reads the store for all.", func(r reading) int { return oneIf(r.readsStore) })
+	group.Gauge("edge_reads_store", "1 while this router reads the store for others.", func(r reading) int { return oneIf(r.readsStore) })
 	group.Gauge("edge_routers", "Routers in all zones, as counted last; 0 for not known.", func(r reading) int { return r.routers })
 	group.Gauge("edge_slack_sharers", "Routers among which the slack of the budget of repeats is divided; 0 while this router has no part of it.", func(r reading) int { return r.sharers })
 	group.Gauge("edge_quota_members", "Routers whose claims on the limits of tenants this router grants.", func(r reading) int { return r.quotaMembers })
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -191,7 +191,7 @@
 		now.configurationAge = view.Age(time.Now())
 	}
 	now.leaseHeld = n.holdsLease()
-	now.readsStore = n.follower.chain.reads()
+	now.readsStore = n.follower.readsForOthers()
 	now.routers = n.follower.replica.Routers()
 	now.sharers = n.follower.replica.Sharers()
 	now.quotaMembers = n.quotas.members()
@@ -301,12 +301,13 @@
 // contendInterval is the time between two decisions to contend for the lease.
 const contendInterval = 200 * time.Millisecond
 
-// contend lets this router contend for the lease while it is the first of its
-// region, or of its zone if there is one region: a few routers are enough, and each contender costs calls. A holder goes
-// on, so that the lease does not change hands without need.
+// contend lets this router contend for the lease while it is the first of its region, or of
+// its zone if there is one region, or reads in place of one that is cut off: a few routers
+// are enough, and each contender costs calls. A holder goes on, so that the lease does not
+// change hands without need.
 func (n *Node) contend(ctx context.Context) {
 	wait.Every(ctx, contendInterval, func() {
-		n.lease.Contend(!n.stopping.Load() && (n.holdsLease() || n.follower.chain.leadsRegion()))
+		n.lease.Contend(!n.stopping.Load() && (n.holdsLease() || n.follower.contends()))
 	})
 }
 
