Show that a router that joins takes an older count of its peer

It counts the rows itself when it joins, and takes the number that its peer counted seconds before instead: 1 where 7 are listed.

--- a/internal/node/stalecount_test.go
+++ b/internal/node/stalecount_test.go
@@ -135,3 +135,24 @@
 		})
 	}
 }
+
+// A router that joins counts the rows itself; what the peer that it pulls from counted some
+// seconds before has fewer. Connections and limits of tenants are divided by that number.
+func TestARouterThatJoinsKeepsItsOwnCount(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newCutFleet()
+		f.up(t, "a")
+		time.Sleep(time.Minute + time.Second)
+		var last *zoneRouter
+		for index := range 6 {
+			last, _ = f.up(t, ident.Node(fmt.Sprint("new", index)))
+			time.Sleep(100 * time.Millisecond)
+		}
+		for range 50 {
+			if routers := last.follower.replica.Routers(); routers != 7 {
+				t.Fatalf("the router that joined last divides by %d, not by 7", routers)
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+	})
+}
