Take no part of the slack on a count that is older than all rely on

Cause: the number of routers by which the slack of repeats is divided had no age. A router that was cut off from the store and its peers kept its old number for good, and one whose reader died just before a count waited for an interval of its own, while machines joined. A router that joined also took the older number of the peer that it pulls from.

Ruled out: waiting only until the next count.

Change: the number travels with its age (upstream.Update.RoutersAge), and an older one changes nothing. While the newest count is older than Lag, and for a window after, a router has no part of the slack; the share of its requests stays. Whoever reads for all looks twice a second whether a count is due, so that one that takes over, or whose count failed, does not wait for an interval of its own. An update of an older release, without an age, counts as new.

--- a/internal/admission/sharers.go
+++ b/internal/admission/sharers.go
@@ -6,7 +6,8 @@
 type SharersConfig struct {
 	// Window is the length of the window in which a bound of the whole system holds.
 	Window time.Duration
-	// Lag is how long it may take until every router has counted one that joined.
+	// Lag is how long it may take until every router has counted one that joined, and the
+	// age up to which a count divides the bound.
 	Lag time.Duration
 }
 
@@ -14,17 +15,21 @@
 // divided. It is not safe for concurrent use.
 //
 // Invariant: routers that take a part in the same window have counted each other. A router
-// takes a part only once it has been listed for Lag and Window, so that each of the others
-// had counted it when the window began; none leaves the list before it has taken its last
-// part. The largest number that a router held in its window is therefore as large as the
-// number of those that take a part in it, and what a router's former life took, which
+// takes a part only once it has been listed for Lag and Window, and only if at no moment of
+// the last window its newest count was older than Lag. The count that it held when a window
+// began therefore has all that take a part in that window: they were listed before it was
+// read, and none leaves the list before it has taken its last part. The largest number that
+// a router held in its window is as large, and what a router's former life took, which
 // nobody remembers, has left the window before the next life takes a part.
 type Sharers struct {
 	cfg      SharersConfig
 	joinedAt time.Time
-	// current was counted last; former are the numbers held before.
-	current int
-	former  []formerCount
+	// current was counted last, as of countedAt; former are the numbers held before.
+	current   int
+	countedAt time.Time
+	former    []formerCount
+	// staleUntil is when a count that was too old was last replaced by another one.
+	staleUntil time.Time
 }
 
 // formerCount is a number of routers that was held until another one was counted.
@@ -39,8 +44,16 @@
 // Joined takes in that this router is surely listed since now.
 func (s *Sharers) Joined(now time.Time) { s.joinedAt = now }
 
-// Counted takes in the number of routers that are listed.
-func (s *Sharers) Counted(now time.Time, routers int) {
+// Counted takes in the number of routers that were listed at a time, or later. A count that
+// is not newer than the last one changes nothing.
+func (s *Sharers) Counted(now, countedAt time.Time, routers int) {
+	if !countedAt.After(s.countedAt) {
+		return
+	}
+	if s.stale(now) {
+		s.staleUntil = now
+	}
+	s.countedAt = countedAt
 	if routers == s.current {
 		return
 	}
@@ -57,6 +70,11 @@
 	if s.joinedAt.IsZero() || now.Sub(s.joinedAt) < s.cfg.Lag+s.cfg.Window {
 		return 0
 	}
+	// Routers may have joined that an old count does not have. Some of them may have left
+	// before it was replaced, and are in no count: their parts leave the window first.
+	if s.stale(now) || now.Sub(s.staleUntil) < s.cfg.Window {
+		return 0
+	}
 	s.forget(now)
 	most := s.current
 	for _, former := range s.former {
@@ -65,6 +83,9 @@
 	return most
 }
 
+// stale reports whether the newest count is older than the others rely on.
+func (s *Sharers) stale(now time.Time) bool { return now.Sub(s.countedAt) > s.cfg.Lag }
+
 // forget drops what was not held in the window any more.
 func (s *Sharers) forget(now time.Time) {
 	kept := s.former[:0]
--- a/internal/node/pull.go
+++ b/internal/node/pull.go
@@ -77,6 +77,8 @@
 	joinPause = 250 * time.Millisecond
 	// chainPause bounds the time between two looks at the chain.
 	chainPause = 500 * time.Millisecond
+	// countLook is the time between two looks at whether the routers are to be counted.
+	countLook = 500 * time.Millisecond
 	// leastPull is the least time between two pulls, whatever the peer answers.
 	leastPull = 20 * time.Millisecond
 )
@@ -127,12 +129,13 @@
 func (f *follower) join(ctx context.Context) bool {
 	seen := &dependency{name: "router row", count: f.lost}
 	for ctx.Err() == nil {
+		askedAt := time.Now()
 		self, peers, routers, err := f.roster.join(ctx)
 		seen.saw(err)
 		if err == nil {
 			f.replica.joined(self)
 			f.audience.know(peers)
-			f.replica.counted(routers)
+			f.replica.counted(askedAt, routers)
 			if f.joined != nil {
 				f.joined(self, peers)
 			}
@@ -243,7 +246,7 @@
 		f.replica.watchedUpTo(watched{revision: told.Revision, storeTime: told.StoreTime}, false)
 	}
 	if update.Routers > 0 {
-		f.replica.counted(update.Routers)
+		f.replica.counted(at.Add(-update.RoutersAge), update.Routers)
 	}
 	return nil
 }
@@ -261,22 +264,32 @@
 // store for all or holds the lease, until ctx ends. Those that tell others what becomes of
 // engines, or pass that on, read them when their number is another one.
 func (f *follower) countRouters(ctx context.Context, holds func() bool) {
-	wait.Every(ctx, f.config.RosterInterval, func() {
+	least := f.config.RosterInterval - countLook/2
+	triedAt := time.Now()
+	wait.Every(ctx, countLook, func() {
+		now := time.Now()
+		rested := now.Sub(triedAt) >= least
+		// A router that takes over from one that died before its next count, and one whose
+		// count failed, must not wait for an interval of its own: the others take no part of
+		// the slack of repeats while their count is old.
+		due := f.chain.reads() && (rested || f.replica.countAge(now) >= least)
 		changed := f.chain.relays() && f.replica.Routers() != f.audience.count()+1
-		if !f.chain.reads() && !holds() && !changed {
+		if !due && !(rested && (holds() || changed)) {
 			return
 		}
+		triedAt = now
 		f.readRoster(ctx)
 	})
 }
 
 // readRoster reads the rows of the routers.
 func (f *follower) readRoster(ctx context.Context) {
+	readAt := time.Now()
 	peers, routers, err := f.roster.read(ctx)
 	if err != nil {
 		log.WithFields(log.Fields{"cause": err.Error()}).Warn("routers_not_counted")
 		return
 	}
-	f.replica.counted(routers)
+	f.replica.counted(readAt, routers)
 	f.audience.know(peers)
 }
--- a/internal/node/replica.go
+++ b/internal/node/replica.go
@@ -44,9 +44,10 @@
 	// list was read at listedAt.
 	list     recordList
 	listedAt time.Time
-	// routers is the number of routers in all zones, 0 if not known; sharers tells among
-	// how many the slack of repeats is divided.
-	routers int
+	// routers is the number of routers in all zones as of countedAt, 0 if not known;
+	// sharers tells among how many the slack of repeats is divided.
+	routers   int
+	countedAt time.Time
 	// watched is up to where every version of weights that was named is known here, readTo
 	// the store's revision at this router's last read of the rows.
 	watched watched
@@ -106,6 +107,9 @@
 		List:          upstream.List{Digest: r.list.digest},
 		Leaving:       r.leaving,
 	}
+	if r.routers > 0 {
+		update.RoutersAge = now.Sub(r.countedAt)
+	}
 	if r.config.version != 0 {
 		update.Configuration.Age = view.Age(now)
 		update.Configuration.Namings = toldNamings(now, view)
@@ -170,12 +174,23 @@
 	return r.origin == r.node
 }
 
-// counted takes in the number of routers in all zones.
-func (r *replica) counted(routers int) {
+// counted takes in the number of routers in all zones, as read at a time. What a peer tells
+// may be older than what is known here.
+func (r *replica) counted(readAt time.Time, routers int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !readAt.After(r.countedAt) {
+		return
+	}
+	r.routers, r.countedAt = routers, readAt
+	r.sharers.Counted(time.Now(), readAt, routers)
+}
+
+// countAge returns the age of the number of routers.
+func (r *replica) countAge(now time.Time) time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.routers = routers
-	r.sharers.Counted(time.Now(), routers)
+	return now.Sub(r.countedAt)
 }
 
 // Routers returns the number of routers in all zones, 0 if not known.
--- a/internal/node/sharers_test.go
+++ b/internal/node/sharers_test.go
@@ -178,10 +178,16 @@
 			Follow:  FollowConfig{RosterInterval: 5 * time.Second, Chain: upstream.Config{StaleAfter: time.Second}},
 		}
 		replica := New(config, Ports{Source: newFakeStore()}).follower.replica
-		replica.counted(7)
+		count := func() { replica.counted(time.Now(), 7) }
+		count()
 		is.Equal(replica.Sharers(), 0)
 		replica.joined(upstream.Peer{})
-		time.Sleep(16*time.Second - time.Nanosecond)
+		for range 3 {
+			time.Sleep(5 * time.Second)
+			count()
+			is.Equal(replica.Sharers(), 0)
+		}
+		time.Sleep(time.Second - time.Nanosecond)
 		is.Equal(replica.Sharers(), 0)
 		time.Sleep(time.Nanosecond)
 		is.Equal(replica.Sharers(), 7)
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -81,7 +81,7 @@
 
 // check refuses an update that claims more than its time allows.
 func (u *Update) check(elapsed time.Duration) error {
-	if u.Held < 0 || u.Held > elapsed || u.Configuration.Age < 0 || u.List.Age < 0 {
+	if u.Held < 0 || u.Held > elapsed || u.Configuration.Age < 0 || u.List.Age < 0 || u.RoutersAge < 0 {
 		return errors.New("the peer's times are not possible")
 	}
 	if rollouts := u.Configuration.Rollouts; rollouts != nil && rollouts.Age < 0 {
--- a/internal/upstream/update.go
+++ b/internal/upstream/update.go
@@ -38,8 +38,10 @@
 	Held          time.Duration `cbor:"4,keyasint"`
 	Configuration Configuration `cbor:"5,keyasint"`
 	List          List          `cbor:"6,keyasint"`
-	// Routers is the number of routers in all zones, 0 if not known.
-	Routers int `cbor:"7,keyasint"`
+	// Routers is the number of routers in all zones, 0 if not known, and RoutersAge the time
+	// since it was read.
+	Routers    int           `cbor:"7,keyasint"`
+	RoutersAge time.Duration `cbor:"10,keyasint,omitempty"`
 	// Caches tell what stores of prompt caches hold, to those who asked.
 	Caches []promptcache.Update `cbor:"8,keyasint,omitempty"`
 	// Leaving says that the peer serves on for a while, and is about to end.
