Earn repeats only by requests that count in every window to come

Cause: a router granted repeats on the requests of the window just past. The rule judges each window by its own requests, those of the window before, or those of half a window before, whichever has most; a repeat lies in many windows, and in some of them only a part of those requests counts. Two bursts 5.5 to 9.5 s apart earned 1.55 times what may be repeated.

Ruled out: a smaller share, which costs steady traffic as well, and earning by the window before only, which grants nothing for two windows after a start (worked out, not built).

Change: WindowBudget keeps the requests of two windows, and takes the least of what counts in the windows that end now or until a window later, as far as it is known. A window is counted in 20 pieces, not 10: pieces that lie in a window in part do not count. The field window_requests of repeat_granted and repeat_denied tells the requests that earn.

--- a/internal/admission/windowbudget.go
+++ b/internal/admission/windowbudget.go
@@ -18,18 +18,28 @@
 	FirstShare float64
 }
 
-// windowSlots is the number of pieces a window is counted in. One piece more
-// than the window is kept, so that a repeat leaves the count only after it has
-// left every window that it lay in.
-const windowSlots = 10
+const (
+	// windowSlots is the number of pieces a window is counted in; it is even.
+	windowSlots = 20
+	// repeatSlots are kept of repeats: one piece more than the window, so that a repeat
+	// leaves the count only after it has left every window that it lay in.
+	repeatSlots = windowSlots + 1
+	// requestSlots are kept of requests: the window and the one before it.
+	requestSlots = 2*windowSlots + 1
+)
 
-// WindowBudget counts requests and repeats in a sliding window. Requests count
-// from the window just past only, repeats from a piece more, so that the
-// budget errs towards fewer repeats. It is not safe for concurrent use.
+// WindowBudget counts requests and repeats in a sliding window. It is not safe for
+// concurrent use.
+//
+// Invariant: a repeat is granted on requests that count in every window that it will lie
+// in, whenever that ends. In each one those count that lie in it, in the window before it
+// or in the one half a window before it, whichever has most. Pieces that are only in part
+// in a window do not count for requests, and count for repeats, so that the budget errs
+// towards fewer repeats.
 type WindowBudget struct {
 	config   WindowConfig
-	requests [windowSlots + 1]int
-	repeats  [windowSlots + 1]int
+	requests [requestSlots]int
+	repeats  [repeatSlots]int
 	// beganAt is when the router started, current the number of the newest piece since.
 	beganAt time.Time
 	current int64
@@ -43,7 +53,7 @@
 // Requested counts a request that a client made.
 func (b *WindowBudget) Requested(now time.Time) {
 	b.advance(now)
-	b.requests[b.current%(windowSlots+1)]++
+	b.requests[b.current%requestSlots]++
 }
 
 // Allow reports whether a repeat may leave now, and if so counts it. slack is
@@ -54,7 +64,7 @@
 	if float64(repeats+1) > b.share(now)*float64(requests)+slack {
 		return false
 	}
-	b.repeats[b.current%(windowSlots+1)]++
+	b.repeats[b.current%repeatSlots]++
 	return true
 }
 
@@ -66,19 +76,53 @@
 	return b.config.Share
 }
 
-// Counted returns the requests of the window, and the repeats that it may hold.
+// Counted returns the requests that earn a share of repeats now, and the repeats that the
+// window may hold.
 func (b *WindowBudget) Counted(now time.Time) (requests, repeats int) {
 	b.advance(now)
-	oldest := (b.current + 1) % (windowSlots + 1)
-	for slot := range b.requests {
-		if int64(slot) != oldest {
-			requests += b.requests[slot]
-		}
-		repeats += b.repeats[slot]
+	for _, count := range b.repeats {
+		repeats += count
+	}
+	known := b.history()
+	requests = known.judged(0)
+	for later := 1; later <= windowSlots; later++ {
+		requests = min(requests, known.judged(later))
 	}
 	return requests, repeats
 }
 
+// history holds sums of the requests of the last pieces, from the oldest on: the first of
+// them is 0, and the last one has the newest piece.
+type history [requestSlots + 1]int
+
+// history returns the sums of what is known now.
+func (b *WindowBudget) history() (sums history) {
+	for index := range b.requests {
+		piece := b.current + 1 + int64(index)
+		sums[index+1] = sums[index] + b.requests[piece%requestSlots]
+	}
+	return sums
+}
+
+// judged returns the requests known so far that count in a window that ends so many pieces
+// later than now.
+func (h *history) judged(later int) int {
+	half := windowSlots / 2
+	return max(h.until(later), h.before(later-half), h.before(later-windowSlots))
+}
+
+// until returns the requests of a window that ends now or so many pieces later.
+func (h *history) until(later int) int {
+	return h[requestSlots] - h[requestSlots+min(later-windowSlots, 0)]
+}
+
+// before returns the requests of a window that ends within a piece, so many after the newest
+// one. Those of the piece itself may have come after its end.
+func (h *history) before(later int) int {
+	last := requestSlots + min(later-1, 0)
+	return h[last] - h[requestSlots+later-windowSlots]
+}
+
 // advance clears the pieces that the window has moved past.
 func (b *WindowBudget) advance(now time.Time) {
 	// The time since the begin does not change when the wall clock is set: that must neither
@@ -87,9 +131,9 @@
 	if piece <= b.current {
 		return
 	}
-	for step := max(b.current+1, piece-windowSlots); step <= piece; step++ {
-		b.requests[step%(windowSlots+1)] = 0
-		b.repeats[step%(windowSlots+1)] = 0
+	for step := max(b.current+1, piece-requestSlots+1); step <= piece; step++ {
+		b.requests[step%requestSlots] = 0
+		b.repeats[step%repeatSlots] = 0
 	}
 	b.current = piece
 }
--- a/internal/forward/step.go
+++ b/internal/forward/step.go
@@ -57,7 +57,8 @@
 // Repeat is the state of a service's budget of repeats at this router at one moment.
 type Repeat struct {
 	Service ident.Service
-	// Requests and Repeats are those in the window, a repeat just granted among them.
+	// Requests earn a share of repeats now, Repeats are those in the window, one just granted
+	// among them.
 	Requests, Repeats int
 	// Slack is this router's part of the slack, of which each of Sharers has one; both are
 	// 0 while it has none.
--- a/internal/node/events.go
+++ b/internal/node/events.go
@@ -83,7 +83,7 @@
 		{"answered", with(requestFields, "status", "events", "cause"), "The whole answer was passed on."},
 		{"refused", with(requestFields, "fault", "detail", "ran", "cause"), "The final answer is the router's own; ran says whether the request may have run."},
 		{"broken", with(requestFields, "events", "fault", "detail", "ran"), "An answer broke off after a part of it was passed on."},
-		{"repeat_granted", repeatFields, "The budget of repeats granted one; window_requests and window_repeats are those of this router's window, and sharers have one part of the slack each."},
+		{"repeat_granted", repeatFields, "The budget of repeats granted one; window_requests earn a share of repeats at this router, window_repeats are those in its window, and sharers have one part of the slack each."},
 		{"repeat_denied", repeatFields, "The budget of repeats granted none."},
 		{"client_gone", with(requestFields, "events", "cause"), "The client left."},
 		{"log_lines_dropped", []string{"count"}, "Lines were dropped because the reader is slow."},
