Show that namings told out of order are not remembered, nor their ages

A router that starts while its read of the naming rows gets no answer meets the newest version in the row of the operator.

--- /dev/null
+++ b/internal/node/namingages_test.go
@@ -0,0 +1,60 @@
+package node
+
+import (
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/fieldpond/fieldpond/internal/backend"
+	"github.com/fieldpond/fieldpond/internal/ident"
+)
+
+// sendsTo reports whether a router whose requests may begin on older weights for a grace
+// sends one to an engine with a version of them.
+func (r *zoneRouter) sendsTo(version int, grace time.Duration) bool {
+	known := backend.NewRegistry(backend.Config{})
+	known.Update(time.Now(), []backend.Record{{Instance: "e", Service: "s", Revision: 1, Models: map[ident.Model]int{model: version}}})
+	query := &backend.Query{Service: "s", Model: model}
+	for _, naming := range r.follower.replica.holder.View().Models[model].Named {
+		query.Expiries = append(query.Expiries, backend.Expiry{
+			Version: naming.Version, At: naming.SeenAt.Add(grace), Uncertain: naming.Met,
+		})
+	}
+	_, _, found := known.Pick(time.Now(), query)
+	return found
+}
+
+// A router starts, and its first read of the naming rows gets no answer: it meets the newest
+// version in the row of the operator. The naming rows, which it reads later, tell that
+// requests may not begin on older weights any more.
+func TestNamingRowsThatAreReadLateTellTheAgeOfAVersion(t *testing.T) {
+	const grace = 6 * time.Second
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		z := newNamedZone()
+		z.start(t.Context(), "a")
+		time.Sleep(3 * time.Second)
+		z.store.name(3)
+		time.Sleep(time.Second)
+		z.store.name(4)
+		time.Sleep(time.Second)
+		z.kill("a")
+		time.Sleep(4 * time.Second)
+		lists := &atomic.Int32{}
+		lists.Store(1)
+		z.namingTable = &refusingTable{fakeStore: z.store, noList: namingPrefix, failLists: lists}
+		started := z.start(t.Context(), "b")
+		time.Sleep(500 * time.Millisecond)
+		is.Equal(started.newest().Version, 4)
+		is.True(!started.newest().Met)
+		is.True(time.Since(started.newest().SeenAt) >= 5*time.Second)
+		is.True(!started.sendsTo(2, grace)) // version 3 was named 6.5 s ago
+		is.True(started.sendsTo(3, grace))
+		time.Sleep(time.Second)
+		is.True(!started.sendsTo(3, grace))
+		is.True(started.sendsTo(4, grace))
+	})
+}
