Show that a search for the oldest changes ends at the first question without an answer

A router that finds changes forgotten looks by halves for the oldest ones that are told. One question without an answer ended that until the changes were given up 15 s later, and what was named meanwhile stayed unknown for good if that search met one as well.

--- a/internal/node/namingfakes_test.go
+++ b/internal/node/namingfakes_test.go
@@ -148,3 +148,18 @@
 	}
 	return changes, err
 }
+
+// slowSearch is a source that answers the first of the questions for the oldest changes too
+// late. Those are the ones for changes that are not forgotten, held back for an instant only.
+type slowSearch struct {
+	*zoneRouter
+	late *atomic.Int32
+}
+
+func (s *slowSearch) Changes(ctx context.Context, after uint64, hold time.Duration) (Changes, error) {
+	changes, err := s.zoneRouter.Changes(ctx, after, hold)
+	if err == nil && hold == recheckHold && s.late.Add(-1) >= 0 {
+		return Changes{}, fault.New(fault.StoreUnavailable, "no answer")
+	}
+	return changes, err
+}
