Go on behind changes that are too many to be told

Cause: an answer about changes of more than 4 MB (maxStoreAnswer) was an error like any other, after which the watch asks from the same revision again. The answer only grows, so that nothing that was named was learned from the changes until the store dropped them.

Ruled out: a larger bound (the next one blocks as well), and smaller questions (the store takes a begin, but neither an end nor a number).

Change: such changes count as forgotten. The log line tells which of the two it was.

--- a/internal/node/events.go
+++ b/internal/node/events.go
@@ -53,7 +53,7 @@
 		{"version_named", []string{"model", "version", "met", "age_ms"}, "A version of weights was named; met: it was there at the first look; age_ms: how long ago, if a peer told."},
 		{"rollout_order_refused", []string{"row", "revision", "cause"}, "An order to move a service to another release cannot be carried out; told once for each revision."},
 		{"naming_unreadable", []string{"row", "revision", "cause"}, "A change that names a version cannot be read, and is passed over."},
-		{"namings_forgotten", []string{"from", "to"}, "The store says that it has forgotten its changes between two revisions; they are asked for again for a while."},
+		{"namings_forgotten", []string{"from", "to", "cause"}, "The store does not tell its changes between two revisions any more, or they are too many for one answer (cause); they are asked for again for a while."},
 		{"namings_given_up", []string{"from", "to"}, "The store still has forgotten them: a version whose row was written over then stays unknown."},
 		{"version_row_outdated", []string{"model", "version", "known"}, "The row of a model names an older version than is known: an older write was carried out after a newer one. Known stays in force."},
 		{"version_recalled", []string{"model", "version", "age_ms"}, "The age of a version was learnt from what other routers kept."},
--- a/internal/node/namingrecheck.go
+++ b/internal/node/namingrecheck.go
@@ -32,6 +32,8 @@
 	// goneSince is when the store first said that it has forgotten what is asked for, zero
 	// if it tells it.
 	goneSince time.Time
+	// searched says that the oldest changes that are still told were found since then.
+	searched bool
 }
 
 // newRecheck returns the recheck of a watch that begins after a revision: it asks at once.
@@ -82,17 +84,18 @@
 }
 
 // checkForgotten asks for the oldest changes that the store still keeps, when it has just
-// forgotten those that are asked for, and once more when these are given up.
+// forgotten those that are asked for, and once more when these are given up. A search that
+// gets no answer is made again each time: answers are large where there are too many changes,
+// and slow then, and what is not found stays unknown for good.
 func (s *namingSession) checkForgotten(ctx context.Context, told uint64) {
 	check := &s.recheck
 	check.dueAt = time.Now().Add(recheckAfter)
-	first := check.goneSince.IsZero()
-	if first {
-		check.goneSince = time.Now()
+	if check.goneSince.IsZero() {
+		check.goneSince, check.searched = time.Now(), false
 	}
 	last := time.Since(check.goneSince) >= recheckFor
-	if first || last {
-		s.oldestKept(ctx, check.after, told)
+	if !check.searched || last {
+		check.searched = s.oldestKept(ctx, check.after, told)
 	}
 	if last {
 		log.WithFields(log.Fields{"from": check.after, "to": told}).Warn("namings_given_up")
@@ -101,8 +104,9 @@
 }
 
 // oldestKept finds the oldest revision between two others after which the store still knows
-// all changes, and takes these in: a question for each halving.
-func (s *namingSession) oldestKept(ctx context.Context, forgotten, known uint64) {
+// all changes, and takes these in: a question for each halving. It reports whether all were
+// answered.
+func (s *namingSession) oldestKept(ctx context.Context, forgotten, known uint64) bool {
 	for known-forgotten > 1 && ctx.Err() == nil {
 		middle := forgotten + (known-forgotten)/2
 		changes, err := s.changes(ctx, middle, recheckHold)
@@ -110,12 +114,13 @@
 		case errors.Is(err, ErrHistoryGone):
 			forgotten = middle
 		case err != nil:
-			return
+			return false
 		default:
 			s.takeOld(ctx, middle, &changes)
 			known = middle
 		}
 	}
+	return true
 }
 
 // takeOld takes in changes that were told before, or should have been: when a version was
--- a/internal/node/namingwatch.go
+++ b/internal/node/namingwatch.go
@@ -142,8 +142,8 @@
 	return f.source.Changes(bounded, after, hold)
 }
 
-// failed pauses after a question without an answer. Changes that the store has forgotten are
-// passed over by the watch, but asked for again.
+// failed pauses after a question without an answer. Changes that the store has forgotten, or
+// that are too many, are passed over by the watch, but asked for again.
 func (s *namingSession) failed(ctx context.Context, err error) {
 	if ctx.Err() != nil {
 		return
@@ -157,7 +157,7 @@
 	s.watchResult(watchGone)
 	from, to := s.replica.passForgotten()
 	s.recalled, s.recheck.dueAt = false, time.Now()
-	log.WithFields(log.Fields{"from": from, "to": to}).Info("namings_forgotten")
+	log.WithFields(log.Fields{"from": from, "to": to, "cause": err.Error()}).Info("namings_forgotten")
 	wait.For(ctx, watchPause)
 }
 
--- a/internal/node/source.go
+++ b/internal/node/source.go
@@ -51,8 +51,9 @@
 	StoreTime time.Duration
 }
 
-// ErrHistoryGone says that the store has forgotten changes that were asked for: later
-// ones, or the rows as they are now, are to be read in their place.
+// ErrHistoryGone says that the store has forgotten changes that were asked for, or that they
+// are too many to be told: later ones, or the rows as they are now, are to be read in their
+// place.
 var ErrHistoryGone = errors.New("the store has forgotten these changes")
 
 // Source is where the configuration and the list of back ends are read. Each
@@ -61,7 +62,7 @@
 type Source interface {
 	Configuration(ctx context.Context) (Reading, error)
 	// Changes returns all changes after a revision. Its answer is held back until there is
-	// one, for a time at most. It returns ErrHistoryGone if not all are kept any more.
+	// one, for a time at most. It returns ErrHistoryGone if not all can be told any more.
 	Changes(ctx context.Context, after uint64, hold time.Duration) (Changes, error)
 	// Configurations returns what the row of the configuration held after a revision until
 	// another one, oldest first. The store carries a write out late at times, after newer
