Show that the second question about changes hides the age of a version

A version that is named between an answer of the watch and the second question is told by the latter first, without its age. The test fails on this code; the mend is next.

--- a/internal/node/namingfakes_test.go
+++ b/internal/node/namingfakes_test.go
@@ -163,3 +163,17 @@
 	}
 	return changes, err
 }
+
+// namedAmidRecheck is a source whose operator names version 3 right before the first question
+// that asks for what was told before.
+type namedAmidRecheck struct {
+	*zoneRouter
+	named *atomic.Bool
+}
+
+func (n *namedAmidRecheck) Changes(ctx context.Context, after uint64, hold time.Duration) (Changes, error) {
+	if hold == recheckHold && !n.named.Swap(true) {
+		n.zone.store.name(3, 2)
+	}
+	return n.zoneRouter.Changes(ctx, after, hold)
+}
--- a/internal/node/namingsearch_test.go
+++ b/internal/node/namingsearch_test.go
@@ -34,3 +34,21 @@
 		})
 	}
 }
+
+// A version is named between an answer of the watch and the second question about what was
+// told: the watch tells it next, with its age.
+func TestTheSecondQuestionLeavesNewChangesToTheWatch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		z := newNamedZone()
+		named := &atomic.Bool{}
+		z.guard = func(_ context.Context, running *zoneRouter) {
+			running.follower.source = &namedAmidRecheck{running, named}
+		}
+		first := z.start(t.Context(), "a")
+		time.Sleep(5 * time.Second)
+		is.True(named.Load())
+		is.Equal(first.newest().Version, 3)
+		is.True(!first.newest().Met)
+	})
+}
