Have the store of tests tell a time from its first instant on

Its time was 0 in the first instant, which says that the store tells none: a version that the watch learned after an answer of that instant counted as one of unknown age. No test asks for less than before.

--- a/internal/node/follower_test.go
+++ b/internal/node/follower_test.go
@@ -84,10 +84,13 @@
 	for name, version := range s.reading.Models {
 		reading.Models[name] = version
 	}
-	reading.StoreTime, reading.StoreRevision = time.Since(s.started), s.version
+	reading.StoreTime, reading.StoreRevision = s.now(), s.version
 	return reading, nil
 }
 
+// now returns the store's own time; 0 would say that it tells none.
+func (s *fakeStore) now() time.Duration { return time.Since(s.started) + time.Millisecond }
+
 // name has the operator name versions of the model, one right after the other: only the
 // last one stands in the row when it is read.
 func (s *fakeStore) name(versions ...int) {
@@ -143,7 +146,7 @@
 	if after < s.forgotten {
 		return Changes{}, nil, ErrHistoryGone
 	}
-	changes := Changes{StoreRevision: s.version, StoreTime: time.Since(s.started)}
+	changes := Changes{StoreRevision: s.version, StoreTime: s.now()}
 	for _, named := range s.history {
 		if named.revision > after {
 			changes.Named = append(changes.Named, named.NamedWeights)
