Date a version by when the store told it, not by when that was read

Cause: versions were dated back from the moment at which the watch went on after an answer, or a read of the rows did. A process that was paused in between goes on long after the answer was given, so that requests began on older weights for the length of the pause longer than they may, at this router and at those that it tells. And a question that was lost in a pause counted as time in which the store was asked, during which nothing can be missed.

Ruled out: to date by the moment at which the question was sent. It is safe, but answers are held back for up to 10 s, and each version would count as that much older.

Change: the store's own time at the last read of the rows relates its clock to that of this router, which goes on while the process is paused; an answer counts from the earliest moment at which it can have been given by that, not before it was asked for. The rows count from the moment at which they were asked for, as their configuration does. A question that ended a second or more later than it may is not counted as time in which the store was asked.

--- a/internal/node/follower.go
+++ b/internal/node/follower.go
@@ -115,7 +115,7 @@
 		return err
 	}
 	f.readNamings(ctx, askedAt, &reading)
-	f.replica.rowsReadTo(reading.StoreRevision)
+	f.replica.rowsRead(askedAt, &reading)
 	rollouts := f.orders(askedAt, f.replica.holder.View().ConfirmedAt, &reading)
 	err = f.takeReading(ctx, askedAt, &reading, rollouts)
 	if err == nil {
@@ -167,7 +167,8 @@
 			f.recallNamings(ctx, askedAt, reading.StoreTime, model)
 		}
 		f.noteOutdated(model, version)
-		naming := catalog.Naming{Version: version, SeenAt: time.Now(), Met: !looked}
+		// The answer may be read long after it was given, by a process that was paused.
+		naming := catalog.Naming{Version: version, SeenAt: askedAt, Met: !looked}
 		if !f.replica.holder.Named(model, naming) {
 			continue
 		}
--- a/internal/node/namingpause_test.go
+++ b/internal/node/namingpause_test.go
@@ -126,3 +126,28 @@
 		is.True(started.newest().SeenAt.Sub(namedAt).Abs() <= 20*time.Millisecond)
 	})
 }
+
+func TestTheEarliestMomentOfAnAnswer(t *testing.T) {
+	start := time.Now()
+	read := storeMoment{storeTime: time.Minute, askedAt: start}
+	tests := []struct {
+		name      string
+		read      storeMoment
+		askedAt   time.Duration
+		storeTime time.Duration
+		earliest  time.Duration
+	}{
+		{"held back", read, time.Second, time.Minute + 4*time.Second, 4 * time.Second},
+		{"given before the read", read, -3 * time.Second, time.Minute - time.Second, -time.Second},
+		{"given before it was asked for, by a slow read", read, 5 * time.Second, time.Minute + 4*time.Second, 5 * time.Second},
+		{"a store whose clock is fast", read, time.Second, 2 * time.Minute, 9 * time.Second},
+		{"no read", storeMoment{}, time.Second, time.Minute, time.Second},
+		{"no time of the store", read, time.Second, 0, time.Second},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(tt.read.earliest(start.Add(tt.askedAt), tt.storeTime, start.Add(9*time.Second)), start.Add(tt.earliest))
+		})
+	}
+}
--- a/internal/node/namingrecheck.go
+++ b/internal/node/namingrecheck.go
@@ -141,7 +141,7 @@
 // takeOld takes in changes that were told before, or should have been: when a version was
 // named that was left out then is not known.
 func (s *namingSession) takeOld(ctx context.Context, after uint64, changes *Changes) {
-	if s.takeNamed(ctx, after, 0, false, changes) {
+	if s.takeNamed(ctx, after, time.Now(), 0, false, changes) {
 		s.replica.watchedUpTo(s.replica.watchedTo(), true)
 	}
 }
--- a/internal/node/namingwatch.go
+++ b/internal/node/namingwatch.go
@@ -24,6 +24,9 @@
 	recallInterval = 10 * time.Second
 	// maxWatchPause bounds the pause after a question that failed, which doubles each time.
 	maxWatchPause = time.Second
+	// leastPaused is by how much a question that ends late shows that the process was paused.
+	// Timers that fire late on a busy machine are off by less.
+	leastPaused = time.Second
 	// watchPause is the time between two looks whether this router is to watch.
 	watchPause = 200 * time.Millisecond
 	// watchTolerance is the gap in the watch that does not make a version count as older: in
@@ -116,14 +119,14 @@
 	from, hold, askedAt := s.replica.watchedTo(), s.recheck.hold(time.Now()), time.Now()
 	changes, err := s.changes(ctx, from.revision, hold)
 	if err != nil {
-		s.failed(ctx, err)
+		s.failed(ctx, err, time.Since(askedAt)-hold-s.config.ReadTimeout)
 		return
 	}
-	took := time.Since(askedAt)
-	news := s.takeChanges(ctx, from, time.Since(s.askingSince), &changes)
+	took, toldAt := time.Since(askedAt), s.replica.toldAt(askedAt, changes.StoreTime)
+	news := s.takeChanges(ctx, from, toldAt, time.Since(s.askingSince), &changes)
 	s.watchResult(watchResults[news])
 	if !s.recalled && time.Since(s.recalledAt) >= recallInterval {
-		s.recalled = s.recall(ctx, time.Now(), changes.StoreTime)
+		s.recalled = s.recall(ctx, toldAt, changes.StoreTime)
 		s.recalledAt = time.Now()
 	}
 	s.recheck.answered(time.Now(), took < hold)
@@ -143,11 +146,17 @@
 }
 
 // failed pauses after a question without an answer. Changes that the store has forgotten, or
-// that are too many, are passed over by the watch, but asked for again.
-func (s *namingSession) failed(ctx context.Context, err error) {
+// that are too many, are passed over by the watch, but asked for again. late is by how much
+// the question took longer than it may.
+func (s *namingSession) failed(ctx context.Context, err error, late time.Duration) {
 	if ctx.Err() != nil {
 		return
 	}
+	if late > leastPaused {
+		// The process was paused: the answer may have been given, and lost, long before, so
+		// that nobody asked since then as far as is known.
+		s.askingSince = time.Now()
+	}
 	if !errors.Is(err, ErrHistoryGone) {
 		s.watchResult(watchFailed)
 		wait.For(ctx, s.pause)
@@ -161,21 +170,23 @@
 	wait.For(ctx, watchPause)
 }
 
-// takeChanges takes in what a watch told that began where all was known, and was asked for
-// some time. It reports whether there was news.
-func (f *follower) takeChanges(ctx context.Context, from watched, asked time.Duration, changes *Changes) bool {
+// takeChanges takes in what a watch told at a moment that began where all was known, and was
+// asked for some time. It reports whether there was news.
+func (f *follower) takeChanges(ctx context.Context, from watched, toldAt time.Time, asked time.Duration, changes *Changes) bool {
 	// A version counts as old as it may be, so that no request begins on older weights for
 	// longer than it may.
 	age, known := from.age(changes.StoreTime, asked)
-	news := f.takeNamed(ctx, from.revision, age, known, changes)
+	news := f.takeNamed(ctx, from.revision, toldAt, age, known, changes)
 	f.replica.watchedUpTo(watched{revision: changes.StoreRevision, storeTime: changes.StoreTime}, news)
 	return news
 }
 
-// takeNamed takes in versions that were named after a revision, as long ago as age if that is
-// known, and reports whether any is news.
-func (f *follower) takeNamed(ctx context.Context, after uint64, age time.Duration, known bool, changes *Changes) bool {
-	naming := catalog.Naming{SeenAt: time.Now().Add(-age), Met: !known}
+// takeNamed takes in versions that were named after a revision, as long before they were told
+// as age if that is known, and reports whether any is news.
+func (f *follower) takeNamed(
+	ctx context.Context, after uint64, toldAt time.Time, age time.Duration, known bool, changes *Changes,
+) bool {
+	naming := catalog.Naming{SeenAt: toldAt.Add(-age), Met: !known}
 	row := namingRow{FirstSeen: changes.StoreTime - age, Watched: after, Met: naming.Met}
 	news := false
 	for _, named := range changes.Named {
@@ -185,7 +196,7 @@
 		}
 		news = true
 		log.WithFields(log.Fields{
-			"model": named.Model, "version": named.Version, "met": naming.Met, "age_ms": age.Milliseconds(),
+			"model": named.Model, "version": named.Version, "met": naming.Met, "age_ms": time.Since(naming.SeenAt).Milliseconds(),
 		}).Info("version_named")
 		f.namings.keep(ctx, named.Model, named.Version, row)
 	}
--- a/internal/node/replica.go
+++ b/internal/node/replica.go
@@ -51,6 +51,8 @@
 	// the store's revision at this router's last read of the rows.
 	watched watched
 	readTo  uint64
+	// read relates the store's time to this router's clock, as of the same read.
+	read    storeMoment
 	sharers *admission.Sharers
 	// rollouts is what is known of rollouts, nil where there is no order. Orders and
 	// states may have been read by different routers.
@@ -221,11 +223,20 @@
 	}
 }
 
-// rowsReadTo takes in that this router has read the rows as of a revision.
-func (r *replica) rowsReadTo(revision uint64) {
+// rowsRead takes in that this router has read the rows, as it asked for at a time.
+func (r *replica) rowsRead(askedAt time.Time, reading *Reading) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.readTo = max(r.readTo, revision)
+	r.readTo = max(r.readTo, reading.StoreRevision)
+	r.read = storeMoment{storeTime: reading.StoreTime, askedAt: askedAt}
+}
+
+// toldAt returns the earliest moment at which the store can have given an answer that this
+// router asked for at a time.
+func (r *replica) toldAt(askedAt time.Time, storeTime time.Duration) time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.read.earliest(askedAt, storeTime, time.Now())
 }
 
 // passForgotten takes in that the store has forgotten changes after the watched revision: it
