--- a/internal/node/namingfakes_test.go
+++ b/internal/node/namingfakes_test.go
@@ -148,3 +148,32 @@
 	}
 	return changes, err
 }
+
+// slowSearch is a source that answers the first of the questions for the oldest changes too
+// late. Those are the ones for changes that are not forgotten, held back for an instant only.
+type slowSearch struct {
+	*zoneRouter
+	late *atomic.Int32
+}
+
+func (s *slowSearch) Changes(ctx context.Context, after uint64, hold time.Duration) (Changes, error) {
+	changes, err := s.zoneRouter.Changes(ctx, after, hold)
+	if err == nil && hold == recheckHold && s.late.Add(-1) >= 0 {
+		return Changes{}, fault.New(fault.StoreUnavailable, "no answer")
+	}
+	return changes, err
+}
+
+// namedAmidRecheck is a source whose operator names version 3 right before the first question
+// that asks for what was told before.
+type namedAmidRecheck struct {
+	*zoneRouter
+	named *atomic.Bool
+}
+
+func (n *namedAmidRecheck) Changes(ctx context.Context, after uint64, hold time.Duration) (Changes, error) {
+	if hold == recheckHold && !n.named.Swap(true) {
+		n.zone.store.name(3, 2)
+	}
+	return n.zoneRouter.Changes(ctx, after, hold)
+}
--- a/internal/node/namingrecheck.go
+++ b/internal/node/namingrecheck.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/apex/log"
@@ -32,6 +33,10 @@
 	// goneSince is when the store first said that it has forgotten what is asked for, zero
 	// if it tells it.
 	goneSince time.Time
+	// searched says that the oldest changes that are still told were found since then.
+	searched bool
+	// deferred says that the last one told a version first and was put off.
+	deferred bool
 }
 
 // newRecheck returns the recheck of a watch that begins after a revision: it asks at once.
@@ -74,25 +79,38 @@
 	switch {
 	case errors.Is(err, ErrHistoryGone):
 		s.checkForgotten(ctx, told)
+	case err == nil && !check.deferred && changes.StoreRevision > told && s.tellsNewer(&changes):
+		// The watch is asked first: it knows how old at the most the version is, while this
+		// question would tell it as one of unknown age. Once only, as other writes go on.
+		check.deferred, check.dueAt = true, time.Now()
 	case err == nil:
-		check.goneSince = time.Time{}
+		check.goneSince, check.deferred = time.Time{}, false
 		s.takeOld(ctx, check.after, &changes)
 		check.after, check.next = check.next, told
 	}
 }
 
+// tellsNewer reports whether changes tell a newer version than the newest known one.
+func (s *namingSession) tellsNewer(changes *Changes) bool {
+	models := s.replica.holder.View().Models
+	return slices.ContainsFunc(changes.Named, func(named NamedWeights) bool {
+		return named.Version > models[named.Model].Version
+	})
+}
+
 // checkForgotten asks for the oldest changes that the store still keeps, when it has just
-// forgotten those that are asked for, and once more when these are given up.
+// forgotten those that are asked for, and once more when these are given up. A search that
+// gets no answer is made again each time: answers are large where there are too many changes,
+// and slow then, and what is not found stays unknown for good.
 func (s *namingSession) checkForgotten(ctx context.Context, told uint64) {
 	check := &s.recheck
 	check.dueAt = time.Now().Add(recheckAfter)
-	first := check.goneSince.IsZero()
-	if first {
-		check.goneSince = time.Now()
+	if check.goneSince.IsZero() {
+		check.goneSince, check.searched = time.Now(), false
 	}
 	last := time.Since(check.goneSince) >= recheckFor
-	if first || last {
-		s.oldestKept(ctx, check.after, told)
+	if !check.searched || last {
+		check.searched = s.oldestKept(ctx, check.after, told)
 	}
 	if last {
 		log.WithFields(log.Fields{"from": check.after, "to": told}).Warn("namings_given_up")
@@ -101,8 +119,9 @@
 }
 
 // oldestKept finds the oldest revision between two others after which the store still knows
-// all changes, and takes these in: a question for each halving.
-func (s *namingSession) oldestKept(ctx context.Context, forgotten, known uint64) {
+// all changes, and takes these in: a question for each halving. It reports whether all were
+// answered.
+func (s *namingSession) oldestKept(ctx context.Context, forgotten, known uint64) bool {
 	for known-forgotten > 1 && ctx.Err() == nil {
 		middle := forgotten + (known-forgotten)/2
 		changes, err := s.changes(ctx, middle, recheckHold)
@@ -110,18 +129,19 @@
 		case errors.Is(err, ErrHistoryGone):
 			forgotten = middle
 		case err != nil:
-			return
+			return false
 		default:
 			s.takeOld(ctx, middle, &changes)
 			known = middle
 		}
 	}
+	return true
 }
 
 // takeOld takes in changes that were told before, or should have been: when a version was
 // named that was left out then is not known.
 func (s *namingSession) takeOld(ctx context.Context, after uint64, changes *Changes) {
-	if s.takeNamed(ctx, after, 0, false, changes) {
+	if s.takeNamed(ctx, after, time.Now(), 0, false, changes) {
 		s.replica.watchedUpTo(s.replica.watchedTo(), true)
 	}
 }
