Let a test wait until a connection rests before the next client comes

Cause: an answer is out before the server takes its connection to rest. The next client of TestANewClientTakesThePlaceOfTheLongestRest could come in between, so that another connection than the first one rested longest, and the test waited 30 s for the wrong one to close. A race of the test; the bound and which connection goes are as documented.

The assertions stay.

--- a/internal/inbound/clients_test.go
+++ b/internal/inbound/clients_test.go
@@ -25,7 +25,9 @@
 	addr    netip.AddrPort
 	// holding counts the requests that wait, left those whose client left.
 	holding, left atomic.Int64
-	release       chan struct{}
+	// rested counts how often a connection began to rest after an answer.
+	rested  atomic.Int64
+	release chan struct{}
 }
 
 func newFront(t *testing.T, cfg inbound.Config) *front {
@@ -38,7 +40,7 @@
 	f.addr = netip.MustParseAddrPort(listener.Addr().String())
 	server := &http.Server{
 		Handler: f.clients.Handler(http.HandlerFunc(f.serve)), ReadHeaderTimeout: time.Minute,
-		ConnContext: f.clients.ConnContext, ConnState: f.clients.ConnState,
+		ConnContext: f.clients.ConnContext, ConnState: f.changed,
 	}
 	go func() { _ = server.Serve(f.clients.Listener(listener)) }()
 	t.Cleanup(func() {
@@ -48,6 +50,13 @@
 	return f
 }
 
+func (f *front) changed(conn net.Conn, state http.ConnState) {
+	f.clients.ConnState(conn, state)
+	if state == http.StateIdle {
+		f.rested.Add(1)
+	}
+}
+
 func (f *front) serve(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path != "/hold" {
 		_, _ = io.WriteString(w, "ok")
@@ -110,9 +119,11 @@
 	is := is.New(t)
 	f := newFront(t, inbound.Config{MaxConnections: 3})
 	var conns []net.Conn
-	for range 4 {
+	for asked := range int64(4) {
 		conn := dial(t, f.addr, asking("/"))
 		is.Equal(answer(t, conn).StatusCode, http.StatusOK)
+		// The answer is out before the server takes the connection to rest.
+		eventually(t, "it rests", func() bool { return f.rested.Load() == asked+1 })
 		conns = append(conns, conn)
 	}
 	eventually(t, "the first one is closed", func() bool { return f.open() == 3 })
