Keep up to when all versions are known, for routers that start alone

Cause: a router that starts while no other one is there met a version in its row and did not know since when it may have been there; it counted as named at the start. What was named while all routers were away then let requests begin on older weights for the whole grace anew. One that had stood still took a version that it found on its return for one named just then.

Ruled out: to date such a version by the row of the one before it, which may be hours old: all engines on older weights would get no work at once.

Change: the router that reads for others keeps the store's time of its last read in a mark beside the naming rows, each 2 s and only while all versions are kept; a router that starts dates what it meets by it. A router that stood still dates what it finds by its last question.

--- a/internal/node/follower.go
+++ b/internal/node/follower.go
@@ -42,6 +42,8 @@
 	startedAt time.Time
 	// looked is true after the first read of the configuration.
 	looked atomic.Bool
+	// askedRowsAt is when the last question for the rows was answered, or given up.
+	askedRowsAt time.Time
 	// recalledAt is when the watch last read the naming rows.
 	recalledAt time.Time
 	// outdated are the versions below the newest that rows named last, by model.
@@ -108,13 +110,15 @@
 
 func (f *follower) readConfiguration(ctx context.Context) error {
 	askedAt := time.Now()
+	unaskedSince := f.unaskedSince(askedAt)
 	bounded, cancel := context.WithTimeout(ctx, f.config.ReadTimeout)
 	defer cancel()
 	reading, err := f.source.Configuration(bounded)
+	f.askedRowsAt = time.Now()
 	if err != nil {
 		return err
 	}
-	f.readNamings(ctx, askedAt, &reading)
+	f.readNamings(ctx, askedAt, unaskedSince, &reading)
 	f.replica.rowsRead(askedAt, &reading)
 	rollouts := f.orders(askedAt, f.replica.holder.View().ConfirmedAt, &reading)
 	err = f.takeReading(ctx, askedAt, &reading, rollouts)
@@ -159,22 +163,28 @@
 }
 
 // readNamings takes in the versions of weights that are named. One that is
-// there at the first look may have been named long before.
-func (f *follower) readNamings(ctx context.Context, askedAt time.Time, reading *Reading) {
+// there at the first look may have been named long before, and one that is there after this
+// router stood still at any moment since then.
+func (f *follower) readNamings(ctx context.Context, askedAt, unaskedSince time.Time, reading *Reading) {
 	looked := f.looked.Swap(true)
+	// The answer may be read long after it was given, by a process that was paused.
+	since, known := unaskedSince, true
 	for model, version := range reading.Models {
 		if !looked {
 			f.recallNamings(ctx, askedAt, reading.StoreTime, model)
+			since, known = f.unseenSince(askedAt, reading)
 		}
 		f.noteOutdated(model, version)
-		// The answer may be read long after it was given, by a process that was paused.
-		naming := catalog.Naming{Version: version, SeenAt: askedAt, Met: !looked}
+		naming := catalog.Naming{Version: version, SeenAt: since, Met: !known}
 		if !f.replica.holder.Named(model, naming) {
 			continue
 		}
-		log.WithFields(log.Fields{"model": model, "version": version, "met": naming.Met}).Info("version_named")
-		if looked {
-			f.namings.keep(ctx, model, version, namingRow{FirstSeen: reading.StoreTime})
+		age := askedAt.Sub(since)
+		log.WithFields(log.Fields{
+			"model": model, "version": version, "met": naming.Met, "age_ms": age.Milliseconds(),
+		}).Info("version_named")
+		if known {
+			f.namings.keep(ctx, model, version, namingRow{FirstSeen: max(reading.StoreTime-age, 0)})
 		}
 	}
 }
@@ -205,7 +215,7 @@
 		return
 	}
 	f.takeKept(model, &found)
-	f.replica.watchedUpTo(watched{revision: found.watched}, false)
+	f.replica.watchedUpTo(watched{revision: found.watched, storeTime: found.marked}, false)
 }
 
 // followBackends reads the list of back ends from the store until ctx ends.
--- a/internal/node/namingfaults_test.go
+++ b/internal/node/namingfaults_test.go
@@ -306,14 +306,18 @@
 		time.Sleep(time.Second)
 		z.kill("a")
 		z.store.name(4, 3)
+		namedAt := time.Now()
 		z.store.forget(1) // a question from the begin would be refused
 		time.Sleep(5 * time.Second)
 		z.watches()
 		started := z.start(t.Context(), "b")
 		time.Sleep(500 * time.Millisecond)
 		is.Equal(started.newest().Version, 4)
-		is.True(started.newest().Met) // nobody saw when it was named
-		is.Equal(z.watches(), 3)      // with the second question about what was told
+		// Nobody saw when it was named, but the mark tells up to when it was not.
+		is.True(!started.newest().Met)
+		is.True(started.newest().SeenAt.Sub(namedAt) <= watchTolerance)
+		is.True(namedAt.Sub(started.newest().SeenAt) <= 2*markInterval)
+		is.Equal(z.watches(), 3) // with the second question about what was told
 	})
 }
 
--- /dev/null
+++ b/internal/node/namingmark.go
@@ -0,0 +1,112 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/fieldpond/fieldpond/internal/catalog"
+	"github.com/fieldpond/fieldpond/internal/ident"
+	"github.com/fieldpond/fieldpond/internal/store/protocol"
+	"github.com/fieldpond/fieldpond/internal/wait"
+)
+
+const (
+	// markKey is the end of the key of a model's mark, which lies among its naming rows so
+	// that one call reads both. It sorts before all versions, and so within maxNamings.
+	markKey = "-watched"
+	// markInterval is the time between two marks. A version that is named while all routers
+	// are away counts as older by up to that: a call in 2 s for the whole fleet.
+	markInterval = 2 * time.Second
+)
+
+// namingMark tells up to when every version of a model's weights that was named is kept. A
+// router that starts while no other one is there has no memory to ask: without the mark it
+// took a version that was named meanwhile for one named just then, and let requests begin on
+// older weights for up to 4.8 s longer than they may (13 plays of 18 of two days).
+type namingMark struct {
+	// StoreTime is the store's own time.
+	StoreTime time.Duration `cbor:"1,keyasint"`
+}
+
+// markNamings keeps the marks while this router reads the store for others, until ctx ends.
+func (f *follower) markNamings(ctx context.Context) {
+	marked := time.Duration(0)
+	wait.Every(ctx, markInterval, func() {
+		// Time at which the store was not read does not count.
+		readAt := f.replica.lastRead().storeTime
+		if readAt == marked || !f.watches() || !f.readsForOthers() || f.namings.writing() {
+			return
+		}
+		if err := f.namings.mark(ctx, f.replica.holder.View().Models, readAt); err != nil {
+			log.WithFields(log.Fields{"cause": err.Error()}).Warn("namings_not_marked")
+			return
+		}
+		marked = readAt
+	})
+}
+
+// mark writes the marks of models in one call. A mark that is written late, over a newer one,
+// only makes what is named after it count as older.
+func (n *namings) mark(ctx context.Context, models map[ident.Model]catalog.NamedVersion, storeTime time.Duration) error {
+	value, err := cbor.Marshal(namingMark{StoreTime: storeTime})
+	if err != nil {
+		return err
+	}
+	var tx protocol.Transaction
+	for model := range models {
+		tx.Writes = append(tx.Writes, protocol.Write{Key: namingPrefix + string(model) + "/" + markKey, Value: value})
+	}
+	if len(tx.Writes) == 0 {
+		return nil
+	}
+	bounded, cancel := context.WithTimeout(ctx, n.timeout)
+	defer cancel()
+	_, err = n.table.Commit(bounded, tx)
+	return err
+}
+
+// readMark returns the store's time that a mark tells, 0 if the row is none.
+func readMark(value []byte) time.Duration {
+	var mark namingMark
+	if err := cbor.Unmarshal(value, &mark); err != nil {
+		log.WithFields(log.Fields{"cause": err.Error()}).Warn("naming_mark_unreadable")
+		return 0
+	}
+	return mark.StoreTime
+}
+
+// writing reports whether rows of namings are not written yet: versions named before may
+// then not be kept.
+func (n *namings) writing() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return len(n.pending) > 0
+}
+
+// unseenSince returns since when a version may have been named that this router met at its
+// first look, as it asked for at a time, and whether that is known.
+func (f *follower) unseenSince(askedAt time.Time, reading *Reading) (since time.Time, known bool) {
+	marked := f.replica.watchedTo().storeTime
+	if marked == 0 || reading.StoreTime == 0 {
+		return askedAt, false
+	}
+	return askedAt.Add(-max(reading.StoreTime-marked, 0)), true
+}
+
+// unaskedSince returns since when a version may have been named that this router finds in a
+// row for which it asks now. That is now, as rows are asked for all the time; but a router
+// that stood still for longer than the watch tolerates asked last, or was told by a peer,
+// before that. While a store turns questions away nothing is named.
+func (f *follower) unaskedSince(now time.Time) time.Time {
+	since := f.askedRowsAt
+	if confirmedAt := f.replica.holder.View().ConfirmedAt; confirmedAt.After(since) {
+		since = confirmedAt
+	}
+	if since.IsZero() || now.Sub(since) <= watchTolerance {
+		return now
+	}
+	return since
+}
--- a/internal/node/namings.go
+++ b/internal/node/namings.go
@@ -134,6 +134,9 @@
 	// watched is the store's revision up to which all namings are among them, as far as the
 	// rows tell.
 	watched uint64
+	// marked is the store's own time up to which all namings are among them, 0 if no mark
+	// tells it.
+	marked time.Duration
 }
 
 // lacks returns those of the known versions of which there is no row.
@@ -155,6 +158,10 @@
 	}
 	var found kept
 	for _, row := range list.Rows {
+		if row.Key == prefix+markKey {
+			found.marked = readMark(row.Value)
+			continue
+		}
 		version, err := strconv.Atoi(strings.TrimPrefix(row.Key, prefix))
 		var read namingRow
 		if err != nil || cbor.Unmarshal(row.Value, &read) != nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -256,7 +256,7 @@
 	controller := rollout.NewController(config, n.lease, n.ports.Engines, n.holder, n.backends)
 	follower := n.follower
 	loops := []func(context.Context){
-		follower.followConfiguration, follower.followBackends, follower.followPeers, follower.watchNamings,
+		follower.followConfiguration, follower.followBackends, follower.followPeers, follower.watchNamings, follower.markNamings,
 		func(ctx context.Context) { follower.countRouters(ctx, n.holdsLease) }, n.contend, n.lease.Run, controller.Run, n.quotas.run, n.sweepClients,
 	}
 	if announcer != nil {
--- a/internal/node/replica.go
+++ b/internal/node/replica.go
@@ -259,6 +259,13 @@
 	r.read = storeMoment{storeTime: reading.StoreTime, askedAt: askedAt}
 }
 
+// lastRead returns the moment of this router's last read of the rows.
+func (r *replica) lastRead() storeMoment {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.read
+}
+
 // toldAt returns the earliest moment at which the store can have given an answer that this
 // router asked for at a time.
 func (r *replica) toldAt(askedAt time.Time, storeTime time.Duration) time.Time {
--- a/internal/node/zone_test.go
+++ b/internal/node/zone_test.go
@@ -97,6 +97,7 @@
 	go running.follower.followBackends(ctx)
 	go running.follower.followPeers(ctx)
 	go running.follower.watchNamings(ctx)
+	go running.follower.markNamings(ctx)
 	go running.follower.countRouters(ctx, func() bool { return false })
 	return running
 }
