--- a/internal/admission/moved_test.go
+++ b/internal/admission/moved_test.go
@@ -20,7 +20,7 @@
 	movedRatio    = 0.2
 	movedSlack    = 54
 	movedPart     = float64(movedSlack) / (movedRouters + 1)
-	movedPause    = 16 * time.Millisecond // 62.5 requests a second in all, as muldenring's
+	movedPause    = 16 * time.Millisecond // 62.5 requests a second in all
 	movedTries    = 3                     // repeats of one request, as forward.maxSends allows
 	movedRefusals = 60 * time.Second      // when two thirds of the sendings begin to be refused
 )
@@ -50,46 +50,15 @@
 		{"nobody is killed", 7, time.Hour},
 		{"one is killed", 6, 2 * time.Second},
 		{"two are killed", 5, 2 * time.Second},
-		{"four are killed, as in shed-amid-a-kill, and stay away", 3, 2500 * time.Millisecond},
+		{"four are killed and stay away", 3, 2500 * time.Millisecond},
 		{"four are killed later", 3, 5 * time.Second},
 		{"all but one are killed", 1, 2 * time.Second},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			start := time.Unix(1000, 0)
-			var budgets [movedRouters]*admission.WindowBudget
-			for index := range budgets {
-				budgets[index] = admission.NewWindowBudget(movedWindow, start)
-			}
-			var requests, repeats times
-			number := 0
-			for now := start; now.Before(start.Add(90 * time.Second)); now = now.Add(movedPause) {
-				number++
-				up := movedRouters
-				if now.Sub(start) >= movedRefusals+tt.after {
-					up = tt.left
-				}
-				budget := budgets[number%up]
-				budget.Requested(now)
-				requests = append(requests, now)
-				// Engines shed two thirds of what is sent to them.
-				for try := 0; try < movedTries && now.Sub(start) >= movedRefusals; try++ {
-					if (number*7+try*5)%9 >= 6 || !budget.Allow(now, movedPart) {
-						break
-					}
-					repeats = append(repeats, now)
-				}
-			}
-			worst, at := 0.0, time.Time{}
-			for _, end := range repeats {
-				begin := end.Add(-movedWindow.Window)
-				half := movedWindow.Window / 2
-				most := max(requests.in(begin, end), requests.in(begin.Add(-half), end.Add(-half)), requests.in(begin.Add(-2*half), begin))
-				above := float64(repeats.in(begin, end)) - movedRatio*float64(most) - movedSlack
-				if at.IsZero() || above > worst {
-					worst, at = above, end
-				}
-			}
+			requests, repeats := movedTraffic(start, tt.left, tt.after)
+			worst, at := worstAbove(requests, repeats)
 			t.Logf("at most %.1f repeats above the bound, %v after refusals began", worst, at.Sub(start.Add(movedRefusals)))
 			if worst > 0 {
 				t.Errorf("%.1f repeats above the bound of all routers", worst)
@@ -97,3 +66,56 @@
 		})
 	}
 }
+
+// movedTraffic plays the fleet. Refusals begin after a minute; some time later only the left
+// routers serve all clients. It returns the requests and the repeats.
+func movedTraffic(start time.Time, left int, after time.Duration) (requests, repeats times) {
+	var budgets [movedRouters]*admission.WindowBudget
+	for index := range budgets {
+		budgets[index] = admission.NewWindowBudget(movedWindow, start)
+	}
+	number := 0
+	for now := start; now.Before(start.Add(90 * time.Second)); now = now.Add(movedPause) {
+		number++
+		up := movedRouters
+		if now.Sub(start) >= movedRefusals+after {
+			up = left
+		}
+		budget := budgets[number%up]
+		budget.Requested(now)
+		requests = append(requests, now)
+		if now.Sub(start) < movedRefusals {
+			continue
+		}
+		for range repeatsOf(number, budget, now) {
+			repeats = append(repeats, now)
+		}
+	}
+	return requests, repeats
+}
+
+// repeatsOf returns how often a request is repeated, of which engines shed two thirds.
+func repeatsOf(number int, budget *admission.WindowBudget, now time.Time) int {
+	for try := range movedTries {
+		if (number*7+try*5)%9 >= 6 || !budget.Allow(now, movedPart) {
+			return try
+		}
+	}
+	return movedTries
+}
+
+// worstAbove returns by how much repeats are above the bound in the worst window, and when
+// that ends: the most requests count of the window, of the one before it and of the one half
+// a window before it.
+func worstAbove(requests, repeats times) (worst float64, at time.Time) {
+	for _, end := range repeats {
+		begin := end.Add(-movedWindow.Window)
+		half := movedWindow.Window / 2
+		most := max(requests.in(begin, end), requests.in(begin.Add(-half), end.Add(-half)), requests.in(begin.Add(-2*half), begin))
+		above := float64(repeats.in(begin, end)) - movedRatio*float64(most) - movedSlack
+		if at.IsZero() || above > worst {
+			worst, at = above, end
+		}
+	}
+	return worst, at
+}
--- a/internal/node/firstcut_test.go
+++ b/internal/node/firstcut_test.go
@@ -60,32 +60,16 @@
 		t.Run(tt.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
-				f := &fleet{zone: newZone()}
-				f.guard = func(ctx context.Context, running *zoneRouter) {
-					if running.node == tt.holder {
-						go running.follower.countRouters(ctx, func() bool { return true })
-					}
-					running.follower.roster.table = &reachedTable{f.store, running}
-				}
-				for _, node := range tt.nodes[0] {
-					f.up(t, node)
-					time.Sleep(20 * time.Millisecond)
-				}
+				f := newReachedFleet(tt.holder)
+				f.upInTurn(t, tt.nodes[0])
 				time.Sleep(time.Minute)
 				f.set(tt.cut, func(r *zoneRouter) { r.cut = true })
 				time.Sleep(3 * time.Second)
 				f.adopt(5)
-				for _, node := range tt.nodes[1] {
-					f.up(t, node)
-					time.Sleep(20 * time.Millisecond)
-				}
+				f.upInTurn(t, tt.nodes[1])
 				time.Sleep(30 * time.Second)
 				f.adopted(t, 5) // all are supplied meanwhile
-				for node, running := range f.routers {
-					if routers := running.follower.replica.Routers(); routers != 10 {
-						t.Errorf("%s counts %d routers, not 10", node, routers)
-					}
-				}
+				f.count(t, 10)
 				t.Logf("at most %d repeats in a window, %d may be", f.most(), greedySlack)
 				is.True(f.most() <= greedySlack)
 			})
@@ -93,6 +77,36 @@
 	}
 }
 
+// newReachedFleet returns a fleet whose routers reach the table of the store as they reach
+// the store. The holder of the lease, if there is one, counts the routers as well.
+func newReachedFleet(holder ident.Node) *fleet {
+	f := &fleet{zone: newZone()}
+	f.guard = func(ctx context.Context, running *zoneRouter) {
+		if running.node == holder {
+			go running.follower.countRouters(ctx, func() bool { return true })
+		}
+		running.follower.roster.table = &reachedTable{f.store, running}
+	}
+	return f
+}
+
+// upInTurn starts routers one after the other.
+func (f *fleet) upInTurn(t *testing.T, nodes []ident.Node) {
+	for _, node := range nodes {
+		f.up(t, node)
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// count fails the test unless each router counts so many.
+func (f *fleet) count(t *testing.T, want int) {
+	for node, running := range f.routers {
+		if routers := running.follower.replica.Routers(); routers != want {
+			t.Errorf("%s counts %d routers, not %d", node, routers, want)
+		}
+	}
+}
+
 func TestAnotherRouterContendsWhileTheFirstOneIsCutOff(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/internal/node/firstcutnaming_test.go
+++ b/internal/node/firstcutnaming_test.go
@@ -39,14 +39,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				z := newNamedZone()
 				fault, kept := &atomic.Bool{}, &atomic.Uint64{}
-				z.guard = func(_ context.Context, running *zoneRouter) {
-					running.follower.source = &forgetfulStore{deafForAWhile{running, fault}, kept}
-					running.follower.roster.table = &reachedTable{z.store, running}
-				}
-				for _, node := range []ident.Node{"a", "b", "c"} {
-					z.start(t.Context(), node)
-					time.Sleep(20 * time.Millisecond)
-				}
+				startForgetful(t, z, fault, kept)
 				time.Sleep(10 * time.Second)
 				z.set(cut, func(r *zoneRouter) { r.cut = true })
 				time.Sleep(5 * time.Second)
@@ -61,12 +54,30 @@
 				kept.Store(changes.StoreRevision)
 				z.set(cut, func(r *zoneRouter) { r.cut = false })
 				time.Sleep(time.Minute)
-				for node, running := range z.routers {
-					if newest := running.newest().Version; newest != 3 {
-						t.Errorf("%s knows version %d a minute after the cut, not 3", node, newest)
-					}
-				}
+				z.know(t, 3)
 			})
 		})
 	}
 }
+
+// startForgetful starts three routers before a store that leaves changes out while it is at
+// fault, and keeps none of before a revision.
+func startForgetful(t *testing.T, z *zone, fault *atomic.Bool, kept *atomic.Uint64) {
+	z.guard = func(_ context.Context, running *zoneRouter) {
+		running.follower.source = &forgetfulStore{deafForAWhile{running, fault}, kept}
+		running.follower.roster.table = &reachedTable{z.store, running}
+	}
+	for _, node := range []ident.Node{"a", "b", "c"} {
+		z.start(t.Context(), node)
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// know fails the test unless each router knows a version as the newest.
+func (z *zone) know(t *testing.T, want int) {
+	for node, running := range z.routers {
+		if newest := running.newest().Version; newest != want {
+			t.Errorf("%s knows version %d as the newest, not %d", node, newest, want)
+		}
+	}
+}
