Read a mark again that was turned away, and date by the last question asked

Change: the rows are looked for again at the next read, all before versions are dated; the moment of asking counts, not of the answer; a mark of later than now tells nothing; marks go in calls of 100.

--- a/internal/node/follower.go
+++ b/internal/node/follower.go
@@ -42,7 +42,7 @@
 	startedAt time.Time
 	// looked is true after the first read of the configuration.
 	looked atomic.Bool
-	// askedRowsAt is when the last question for the rows was answered, or given up.
+	// askedRowsAt is when this router last asked for the rows.
 	askedRowsAt time.Time
 	// recalledAt is when the watch last read the naming rows.
 	recalledAt time.Time
@@ -114,7 +114,8 @@
 	bounded, cancel := context.WithTimeout(ctx, f.config.ReadTimeout)
 	defer cancel()
 	reading, err := f.source.Configuration(bounded)
-	f.askedRowsAt = time.Now()
+	// When the answer is read says nothing, as the process may have stood still meanwhile.
+	f.askedRowsAt = askedAt
 	if err != nil {
 		return err
 	}
@@ -169,11 +170,10 @@
 	looked := f.looked.Swap(true)
 	// The answer may be read long after it was given, by a process that was paused.
 	since, known := unaskedSince, true
+	if !looked {
+		since, known = unseenSince(f.recallAll(ctx, askedAt, reading), askedAt, reading.StoreTime)
+	}
 	for model, version := range reading.Models {
-		if !looked {
-			f.recallNamings(ctx, askedAt, reading.StoreTime, model)
-			since, known = f.unseenSince(askedAt, reading)
-		}
 		f.noteOutdated(model, version)
 		naming := catalog.Naming{Version: version, SeenAt: since, Met: !known}
 		if !f.replica.holder.Named(model, naming) {
@@ -207,15 +207,32 @@
 	log.WithFields(log.Fields{"model": model, "version": version, "known": known}).Warn("version_row_outdated")
 }
 
+// recallAll takes in what other routers kept of the versions of all models, and returns the
+// store's time up to which they kept all, 0 if nothing tells it. If the rows of one model are
+// not read, the next read of the configuration looks for them again, as nothing else tells
+// then how old a version is that was named while all routers were away.
+func (f *follower) recallAll(ctx context.Context, askedAt time.Time, reading *Reading) (marked time.Duration) {
+	for model := range reading.Models {
+		found, err := f.recallNamings(ctx, askedAt, reading.StoreTime, model)
+		if err != nil {
+			log.WithFields(log.Fields{"model": model, "cause": err.Error()}).Warn("namings_not_found")
+			f.looked.Store(false)
+			continue
+		}
+		marked = max(marked, found.marked)
+	}
+	return marked
+}
+
 // recallNamings takes in what other routers kept of the versions of a model.
-func (f *follower) recallNamings(ctx context.Context, askedAt time.Time, storeTime time.Duration, model ident.Model) {
+func (f *follower) recallNamings(ctx context.Context, askedAt time.Time, storeTime time.Duration, model ident.Model) (kept, error) {
 	found, err := f.namings.find(ctx, model, storeTime, askedAt)
 	if err != nil {
-		log.WithFields(log.Fields{"model": model, "cause": err.Error()}).Warn("namings_not_found")
-		return
+		return kept{}, err
 	}
 	f.takeKept(model, &found)
 	f.replica.watchedUpTo(watched{revision: found.watched, storeTime: found.marked}, false)
+	return found, nil
 }
 
 // followBackends reads the list of back ends from the store until ctx ends.
--- a/internal/node/namingmark.go
+++ b/internal/node/namingmark.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/apex/log"
@@ -20,6 +21,8 @@
 	// markInterval is the time between two marks. A version that is named while all routers
 	// are away counts as older by up to that: a call in 2 s for the whole fleet.
 	markInterval = 2 * time.Second
+	// maxMarks bounds the marks that are written in one call: a store takes 100 rows.
+	maxMarks = 100
 )
 
 // namingMark tells up to when every version of a model's weights that was named is kept. A
@@ -48,23 +51,29 @@
 	})
 }
 
-// mark writes the marks of models in one call. A mark that is written late, over a newer one,
-// only makes what is named after it count as older.
+// mark writes the marks of models, as many in one call as it may hold. A mark that is written
+// late, over a newer one, only makes what is named after it count as older.
 func (n *namings) mark(ctx context.Context, models map[ident.Model]catalog.NamedVersion, storeTime time.Duration) error {
 	value, err := cbor.Marshal(namingMark{StoreTime: storeTime})
 	if err != nil {
 		return err
 	}
-	var tx protocol.Transaction
+	var writes []protocol.Write
 	for model := range models {
-		tx.Writes = append(tx.Writes, protocol.Write{Key: namingPrefix + string(model) + "/" + markKey, Value: value})
+		writes = append(writes, protocol.Write{Key: namingPrefix + string(model) + "/" + markKey, Value: value})
 	}
-	if len(tx.Writes) == 0 {
-		return nil
+	for some := range slices.Chunk(writes, maxMarks) {
+		if err := n.commit(ctx, some); err != nil {
+			return err
+		}
 	}
+	return nil
+}
+
+func (n *namings) commit(ctx context.Context, writes []protocol.Write) error {
 	bounded, cancel := context.WithTimeout(ctx, n.timeout)
 	defer cancel()
-	_, err = n.table.Commit(bounded, tx)
+	_, err := n.table.Commit(bounded, protocol.Transaction{Writes: writes})
 	return err
 }
 
@@ -86,14 +95,15 @@
 	return len(n.pending) > 0
 }
 
-// unseenSince returns since when a version may have been named that this router met at its
-// first look, as it asked for at a time, and whether that is known.
-func (f *follower) unseenSince(askedAt time.Time, reading *Reading) (since time.Time, known bool) {
-	marked := f.replica.watchedTo().storeTime
-	if marked == 0 || reading.StoreTime == 0 {
+// unseenSince returns since when a version may have been named that a router met at its first
+// look, for which it asked at a time, and whether that is known. All versions were kept up to
+// the marked time; the store's own time is the one of the look.
+func unseenSince(marked time.Duration, askedAt time.Time, storeTime time.Duration) (since time.Time, known bool) {
+	// A mark of later than now was written before the store's time began anew.
+	if marked == 0 || storeTime < marked {
 		return askedAt, false
 	}
-	return askedAt.Add(-max(reading.StoreTime-marked, 0)), true
+	return askedAt.Add(marked - storeTime), true
 }
 
 // unaskedSince returns since when a version may have been named that this router finds in a
