Keep no mark while the kept versions could not be read

Cause: what a peer told of a version may be kept by nobody, if that peer ended first. The router that takes over reads the rows to find out; if that is turned away, it went on keeping marks, which claim that all is kept.

Change: no marks from a read of the rows that failed until one succeeds. An older mark only makes what is named later count as older.

--- a/internal/node/follower.go
+++ b/internal/node/follower.go
@@ -44,8 +44,9 @@
 	looked atomic.Bool
 	// askedRowsAt is when this router last asked for the rows.
 	askedRowsAt time.Time
-	// recalledAt is when the watch last read the naming rows.
-	recalledAt time.Time
+	// recalledAt is when the watch last read the naming rows, notRecalled whether that failed.
+	recalledAt  time.Time
+	notRecalled atomic.Bool
 	// outdated are the versions below the newest that rows named last, by model.
 	outdated map[ident.Model]int
 }
--- a/internal/node/namingmark.go
+++ b/internal/node/namingmark.go
@@ -40,7 +40,7 @@
 	wait.Every(ctx, markInterval, func() {
 		// Time at which the store was not read does not count.
 		readAt := f.replica.lastRead().storeTime
-		if readAt == marked || !f.watches() || !f.readsForOthers() || f.namings.writing() {
+		if readAt == marked || !f.watches() || !f.readsForOthers() || !f.allKept() {
 			return
 		}
 		if err := f.namings.mark(ctx, f.replica.holder.View().Models, readAt); err != nil {
@@ -51,6 +51,10 @@
 	})
 }
 
+// allKept reports whether there are rows of all versions that are known, as far as this router
+// knows: what a peer told may have been kept by nobody, if that ended, until the rows are read.
+func (f *follower) allKept() bool { return !f.notRecalled.Load() && !f.namings.writing() }
+
 // mark writes the marks of models, as many in one call as it may hold. A mark that is written
 // late, over a newer one, only makes what is named after it count as older.
 func (n *namings) mark(ctx context.Context, models map[ident.Model]catalog.NamedVersion, storeTime time.Duration) error {
--- a/internal/node/namingmarkfaults_test.go
+++ b/internal/node/namingmarkfaults_test.go
@@ -64,7 +64,6 @@
 				})
 			}
 			started := []*zoneRouter{z.start(t.Context(), "c"), z.start(t.Context(), "d"), z.start(t.Context(), "e")}
-			_ = started
 			fault(true)
 			time.Sleep(10 * time.Second)
 			fault(false)
--- a/internal/node/namingwatch.go
+++ b/internal/node/namingwatch.go
@@ -128,6 +128,7 @@
 	if !s.recalled && time.Since(s.recalledAt) >= recallInterval {
 		s.recalled = s.recall(ctx, toldAt, changes.StoreTime)
 		s.recalledAt = time.Now()
+		s.notRecalled.Store(!s.recalled)
 	}
 	s.recheck.answered(time.Now(), took < hold)
 	s.checkAgain(ctx, changes.StoreRevision)
