--- a/internal/node/namingages_test.go
+++ b/internal/node/namingages_test.go
@@ -58,3 +58,32 @@
 		is.True(started.sendsTo(4, grace))
 	})
 }
+
+// A router that starts alone is turned away when it asks for the naming rows, and meets the
+// version. A moment later its watch reads the rows: they tell how old the version is, and
+// requests may not begin on older weights for as long as if it were named just now.
+func TestAnAgeThatIsLearntLaterCounts(t *testing.T) {
+	for _, refusals := range []int32{0, 1} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			z := newNamedZone()
+			z.start(t.Context(), "a")
+			time.Sleep(3 * time.Second)
+			z.store.name(3)
+			time.Sleep(time.Second)
+			z.kill("a")
+			time.Sleep(6 * time.Second)
+			lists := &atomic.Int32{}
+			lists.Store(refusals)
+			z.namingTable = &refusingTable{fakeStore: z.store, noList: namingPrefix, failLists: lists}
+			started := z.start(t.Context(), "b")
+			time.Sleep(4 * time.Second)
+			naming := started.newest()
+			is.Equal(naming.Version, 3)
+			is.True(lists.Load() < 0) // the rows were read
+			if age := time.Since(naming.SeenAt); naming.Met || age < 10*time.Second {
+				t.Errorf("with %d refusals the version, named 11 s ago, counts as %v old, met: %t", refusals, age, naming.Met)
+			}
+		})
+	}
+}
