Tell in the log which attempts that broke off were tries of one request

The logs of the incident could not tell a request that comes again from crashes that bring crashes: ids are new with each try. A fingerprint of tenant, method, host, target and body stands in attempt_ended where an attempt broke off. It is made only then, so that a request that is answered costs no hash.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -105,6 +105,9 @@
 	a.settle(outcome)
 	a.note(StepAttemptEnded, func(step *Step) {
 		step.Choice, step.Outcome = a.choice, outcome
+		if outcome == backend.Broken {
+			step.Fingerprint = a.fingerprint()
+		}
 		if failed != nil {
 			step.Cause = failed.cause
 		}
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -16,6 +16,7 @@
 	"github.com/fieldpond/fieldpond/internal/ident"
 	"github.com/fieldpond/fieldpond/internal/mechanism"
 	"github.com/fieldpond/fieldpond/internal/promptcache"
+	"github.com/fieldpond/fieldpond/internal/quarantine"
 	"github.com/fieldpond/fieldpond/internal/quota"
 	"github.com/fieldpond/fieldpond/internal/wait"
 )
@@ -305,6 +306,17 @@
 	return query
 }
 
+// fingerprint names what the request asks for, whichever try of its client it is.
+func (r *run) fingerprint() quarantine.Fingerprint {
+	identity := quarantine.Identity{
+		Method: r.request.Method, Host: r.request.Host, Target: r.request.Target, Body: r.request.Body,
+	}
+	if r.tenant != nil {
+		identity.Tenant = r.tenant.Name
+	}
+	return identity.Fingerprint()
+}
+
 // wall separates the cached prompts of isolated tenants.
 func (r *run) wall() string {
 	if r.tenant != nil && r.tenant.Isolated {
--- a/internal/forward/step.go
+++ b/internal/forward/step.go
@@ -6,6 +6,7 @@
 	"github.com/fieldpond/fieldpond/internal/backend"
 	"github.com/fieldpond/fieldpond/internal/fault"
 	"github.com/fieldpond/fieldpond/internal/ident"
+	"github.com/fieldpond/fieldpond/internal/quarantine"
 )
 
 // StepKind names a decision about a request.
@@ -43,7 +44,9 @@
 	Attempt int
 	Choice  backend.Choice
 	Outcome backend.Outcome
-	Status  int
+	// Fingerprint names what was asked for, of attempts that broke off; else it is zero.
+	Fingerprint quarantine.Fingerprint
+	Status      int
 	// Elapsed is the time since the request was received.
 	Elapsed time.Duration
 	// Events is the number of stream events passed on.
--- a/internal/node/events.go
+++ b/internal/node/events.go
@@ -81,7 +81,7 @@
 		{"rollout_states_not_read", []string{"cause"}, "The states of rollouts could not be read for all routers; they are read again with the configuration."},
 		{"rollout_state_unreadable", []string{"row", "cause"}, "The row of a state is malformed; the rollout begins anew."},
 		{"sent", with(requestFields, attemptFields...), "An attempt leaves for a back end; predicted_ms is the expected time to its first byte, distance says whether it is in this zone, in this region or in another region."},
-		{"attempt_ended", with(requestFields, append(attemptFields, "outcome", "cause")...), "An attempt is over."},
+		{"attempt_ended", with(requestFields, append(attemptFields, "outcome", "fingerprint", "cause")...), "An attempt is over; fingerprint, of those that broke off, is the same for each try of one request."},
 		{"answered", with(requestFields, "status", "events", "cause"), "The whole answer was passed on."},
 		{"refused", with(requestFields, "fault", "detail", "ran", "cause"), "The final answer is the router's own; ran says whether the request may have run."},
 		{"broken", with(requestFields, "events", "fault", "detail", "ran"), "An answer broke off after a part of it was passed on."},
--- a/internal/node/log.go
+++ b/internal/node/log.go
@@ -50,6 +50,9 @@
 	if step.Outcome != 0 {
 		fields["outcome"] = step.Outcome.String()
 	}
+	if step.Outcome == backend.Broken {
+		fields["fingerprint"] = step.Fingerprint.String()
+	}
 	if step.Status != 0 {
 		fields["status"] = step.Status
 	}
