Hold requests back under which engines crash, over all routers

Cause: routers booked an engine's crash against the engine only, and sent the request that ran there on to the next one, whenever its client tried again and at whichever router.

Ruled out: further attempts of one request (all but a few attempts that broke off were first ones); crashes that bring crashes (the test needs no load at all).

--- a/internal/backend/choose.go
+++ b/internal/backend/choose.go
@@ -23,7 +23,7 @@
 	}
 	predicted, queued := r.predict(best, query, home), r.queued(best, query)
 	flight := &Flight{
-		registry: r, target: best, dueAt: now.Add(predicted),
+		registry: r, target: best, dueAt: now.Add(predicted), begunAt: now,
 		model: query.Model, version: best.version(now, query.Model),
 	}
 	flight.trial = query.Releases.Among > 0
--- a/internal/backend/flight.go
+++ b/internal/backend/flight.go
@@ -16,6 +16,7 @@
 	// version is that of the model's weights when the back end was chosen.
 	version int
 	dueAt   time.Time
+	begunAt time.Time
 	// sentAt is set if the answer tells how fast the engine reads: no other attempt
 	// of this router waits there, and the engine is the prompt's home.
 	sentAt time.Time
--- a/internal/backend/registry.go
+++ b/internal/backend/registry.go
@@ -296,6 +296,30 @@
 	}
 }
 
+// Leaving reports whether a back end drains or is not listed.
+func (r *Registry) Leaving(instance ident.Incarnation) bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	known := r.byID[instance]
+	return known == nil || known.missing || known.record.Draining
+}
+
+// InFlightSince reports whether an attempt is under way at a back end that began before a time.
+func (r *Registry) InFlightSince(instance ident.Incarnation, before time.Time) bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	known := r.byID[instance]
+	if known == nil {
+		return false
+	}
+	for flight := range known.flights {
+		if flight.begunAt.Before(before) {
+			return true
+		}
+	}
+	return false
+}
+
 // InFlight returns the number of attempts under way at all back ends.
 func (r *Registry) InFlight() int {
 	r.mutex.Lock()
--- a/internal/fault/kinds.go
+++ b/internal/fault/kinds.go
@@ -38,6 +38,8 @@
 	StoreUnavailable Kind = "store_unavailable"
 	// BackendLost is a back end that broke off after the attempt left.
 	BackendLost Kind = "backend_lost"
+	// Quarantined is a request under which back ends crashed, so that it is not sent on.
+	Quarantined Kind = "quarantined"
 	// BackendRefused is an explicit refusal by a back end before execution.
 	BackendRefused Kind = "backend_refused"
 	// OutcomeUnknown is a non-repeatable request whose fate is not known.
@@ -98,6 +100,7 @@
 	DeadlineExceeded:      {http.StatusServiceUnavailable, exitTimeout, "retry after the stated time, or ask the operator for a longer maxHold in the class"},
 	StoreUnavailable:      {http.StatusServiceUnavailable, exitUnavailable, "retry after the stated time with the same Idempotency-Key; the operator should check the platform's table service"},
 	BackendLost:           {http.StatusBadGateway, exitUnavailable, "retry a repeatable request after the stated time"},
+	Quarantined:           {http.StatusServiceUnavailable, exitUnavailable, "change the request, or ask the operator to look at the back ends named and to lift the quarantine"},
 	BackendRefused:        {http.StatusServiceUnavailable, exitUnavailable, "retry after the stated time"},
 	OutcomeUnknown:        {http.StatusBadGateway, exitUnavailable, "do not send the work under another key; repeat with the same Idempotency-Key to learn the outcome"},
 	StreamBroken:          {http.StatusBadGateway, exitUnavailable, "send the request again; the text received so far is correct but incomplete"},
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -39,6 +39,8 @@
 	// sentAt is when the request was sent, heardAt when the first byte of the answer was
 	// there; it is zero before.
 	sentAt, heardAt time.Time
+	// status is that of the answer, 0 before its head came.
+	status int
 	// unsound says that the back end gave an answer that may not be passed on.
 	unsound bool
 	// counted is the attempt as the guard of releases counts it.
@@ -103,10 +105,11 @@
 	}
 	a.flight.Ended(time.Now(), outcome)
 	a.settle(outcome)
+	a.judged(time.Now(), outcome)
 	a.note(StepAttemptEnded, func(step *Step) {
 		step.Choice, step.Outcome = a.choice, outcome
 		if outcome == backend.Broken {
-			step.Fingerprint = a.fingerprint()
+			step.Fingerprint = a.subject().Fingerprint()
 		}
 		if failed != nil {
 			step.Cause = failed.cause
@@ -165,6 +168,7 @@
 	if a.patience != nil && a.route.Kind != catalog.Streaming {
 		a.patience.Stop()
 	}
+	a.status = reply.Status
 	a.flight.Connected(reply.Opening)
 	if reply.Version > 0 && a.request.Prompt != nil {
 		a.forwarder.Backends.VersionSeen(a.choice.Instance, a.request.Prompt.Model, reply.Version)
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -75,6 +75,8 @@
 	// Releases bounds the releases that attempts may go to; it may be nil where no service
 	// is moved to another release under guard.
 	Releases Releases
+	// Quarantine keeps requests from back ends under which these crash; it may be nil.
+	Quarantine Quarantine
 	// Record takes in what was decided about requests. It must not block.
 	Record func(Step)
 }
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -53,6 +53,10 @@
 	// grant allows the next attempt, if the tenant has a limit; it is nil before it was
 	// granted, and once a back end may have run the request.
 	grant *quota.Grant
+	// named tells the request apart from others, onTrial says that it was held, and a trial
+	// was granted.
+	named   *quarantine.Subject
+	onTrial bool
 	// begun is true once the head of an answer was passed on.
 	begun  bool
 	events int
@@ -90,7 +94,7 @@
 		return
 	}
 	for {
-		choice, flight, refusal := r.place(timed)
+		choice, flight, refusal := r.next(timed)
 		if refusal != nil {
 			r.giveBack()
 			r.finish(ctx, refusal)
@@ -121,6 +125,23 @@
 	}
 }
 
+// next chooses the back end for the next attempt, if the request may be sent.
+func (r *run) next(ctx context.Context) (backend.Choice, *backend.Flight, *fault.Fault) {
+	if refusal := r.quarantined(ctx, time.Now()); refusal != nil {
+		return backend.Choice{}, nil, refusal
+	}
+	choice, flight, refusal := r.place(ctx)
+	if refusal != nil {
+		return choice, flight, refusal
+	}
+	now := time.Now()
+	if refusal := r.quarantined(ctx, now); refusal != nil {
+		r.decline(now, &choice, flight)
+		return backend.Choice{}, nil, refusal
+	}
+	return choice, flight, nil
+}
+
 // failure is what an attempt came to that gave no final answer.
 type failure struct {
 	// ran says whether the back end may have run the request.
@@ -306,17 +327,6 @@
 	return query
 }
 
-// fingerprint names what the request asks for, whichever try of its client it is.
-func (r *run) fingerprint() quarantine.Fingerprint {
-	identity := quarantine.Identity{
-		Method: r.request.Method, Host: r.request.Host, Target: r.request.Target, Body: r.request.Body,
-	}
-	if r.tenant != nil {
-		identity.Tenant = r.tenant.Name
-	}
-	return identity.Fingerprint()
-}
-
 // wall separates the cached prompts of isolated tenants.
 func (r *run) wall() string {
 	if r.tenant != nil && r.tenant.Isolated {
--- /dev/null
+++ b/internal/node/crashchecks.go
@@ -0,0 +1,177 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/fieldpond/fieldpond/internal/backend"
+	"github.com/fieldpond/fieldpond/internal/quarantine"
+	"github.com/fieldpond/fieldpond/internal/rollout"
+	"github.com/fieldpond/fieldpond/internal/wait"
+)
+
+// checkAt are the times, since an attempt broke off, at which its back end is asked whether
+// that life goes on. A crash shows in the first two, as the address refuses connections until
+// the next life; a back end that is back before is known by its start or its name. One that
+// answers neither way by the last has crashed as little as any that is cut off.
+var checkAt = []time.Duration{
+	10 * time.Millisecond, 110 * time.Millisecond, 300 * time.Millisecond, 700 * time.Millisecond,
+	1500 * time.Millisecond, 3 * time.Second, 6 * time.Second,
+}
+
+const (
+	// refusalsToEnd is the number of refused connections in a row that prove that no process
+	// listens any more. One may be due to a bound of connections.
+	refusalsToEnd = 2
+	// maxCrashChecks bounds the checks under way, and with them the evidence of one router.
+	maxCrashChecks = 256
+	// endedKept is how long it is remembered that a life has ended, for attempts that learn of
+	// it late.
+	endedKept = 30 * time.Second
+)
+
+// lifeSign is what a check found.
+type lifeSign uint8
+
+const (
+	// signNone proves nothing: no answer, or one that does not tell.
+	signNone lifeSign = iota
+	// signAlive is an answer of the same life.
+	signAlive
+	// signRefused is a refused connection.
+	signRefused
+	// signEnded is an answer of another life.
+	signEnded
+)
+
+// crashCheck is the question whether one life of a back end has ended.
+type crashCheck struct {
+	record  backend.Record
+	brokeAt time.Time
+	// requests were running there, as far as their attempts have broken off so far.
+	requests map[quarantine.Fingerprint]struct{}
+}
+
+// crashChecks finds out whether back ends have crashed at which attempts broke off. It is
+// safe for concurrent use.
+type crashChecks struct {
+	engines  rollout.Engines
+	backends *backend.Registry
+	// crashed is told which requests were running on a life that crashed.
+	crashed func(now time.Time, life quarantine.Life, requests []quarantine.Fingerprint)
+	// result is told what came of each check: crashed, alive or unknown.
+	result func(string)
+
+	mu    sync.Mutex
+	ctx   context.Context
+	wait  sync.WaitGroup
+	open  map[quarantine.Life]*crashCheck
+	ended map[quarantine.Life]time.Time
+}
+
+// run lets checks run until ctx ends.
+func (c *crashChecks) run(ctx context.Context) {
+	c.mu.Lock()
+	c.ctx = ctx
+	c.mu.Unlock()
+	<-ctx.Done()
+	c.wait.Wait()
+}
+
+// broke takes in that an attempt broke off at a back end, and checks it. One that was leaving
+// has ended as planned: that says nothing against what ran there.
+func (c *crashChecks) broke(now time.Time, request quarantine.Fingerprint, at backend.Record) {
+	if c.backends.Leaving(at.Instance) {
+		return
+	}
+	life := lifeOf(&at)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if endedAt, ended := c.ended[life]; ended && now.Sub(endedAt) < endedKept {
+		go c.crashed(now, life, []quarantine.Fingerprint{request})
+		return
+	}
+	if check := c.open[life]; check != nil {
+		check.requests[request] = struct{}{}
+		return
+	}
+	if c.ctx == nil || c.ctx.Err() != nil || len(c.open) >= maxCrashChecks {
+		return
+	}
+	check := &crashCheck{record: at, brokeAt: now, requests: map[quarantine.Fingerprint]struct{}{request: {}}}
+	c.open[life] = check
+	c.wait.Go(func() { c.check(c.ctx, life, check) })
+}
+
+func lifeOf(record *backend.Record) quarantine.Life {
+	return quarantine.Life{Instance: record.Instance}
+}
+
+// check asks the back end until it is known whether that life has ended.
+func (c *crashChecks) check(ctx context.Context, life quarantine.Life, check *crashCheck) {
+	refusals := 0
+	for _, after := range checkAt {
+		if !wait.For(ctx, max(time.Until(check.brokeAt.Add(after)), time.Millisecond)) {
+			break
+		}
+		switch c.look(ctx, check) {
+		case signAlive:
+			c.close(life, "alive", false)
+			return
+		case signEnded:
+			refusals = refusalsToEnd
+		case signRefused:
+			refusals++
+		case signNone:
+			refusals = 0
+		}
+		if refusals >= refusalsToEnd {
+			requests := c.close(life, "crashed", true)
+			c.crashed(time.Now(), life, requests)
+			return
+		}
+	}
+	c.close(life, "unknown", false)
+}
+
+// look asks the back end once. While older attempts of this router are open there, its process
+// runs: a crash breaks all connections.
+func (c *crashChecks) look(ctx context.Context, check *crashCheck) lifeSign {
+	bounded, cancel := context.WithTimeout(ctx, checkTimeout)
+	defer cancel()
+	_, err := c.engines.Report(bounded, check.record)
+	switch {
+	case err == nil:
+		return signAlive
+	case errors.Is(err, rollout.ErrOtherInstance):
+		return signEnded
+	case errors.Is(err, syscall.ECONNREFUSED) && !c.backends.InFlightSince(check.record.Instance, check.brokeAt):
+		return signRefused
+	default:
+		return signNone
+	}
+}
+
+// close ends a check, and returns the requests that ran on the life.
+func (c *crashChecks) close(life quarantine.Life, result string, ended bool) []quarantine.Fingerprint {
+	c.result(result)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	requests := make([]quarantine.Fingerprint, 0, len(c.open[life].requests))
+	for request := range c.open[life].requests {
+		requests = append(requests, request)
+	}
+	delete(c.open, life)
+	if ended {
+		c.ended[life] = time.Now()
+	}
+	for life, at := range c.ended {
+		if time.Since(at) > endedKept {
+			delete(c.ended, life)
+		}
+	}
+	return requests
+}
--- a/internal/node/follower.go
+++ b/internal/node/follower.go
@@ -28,8 +28,10 @@
 	// states reads the states of rollouts; it is nil where no service is moved to another
 	// release under guard.
 	states *rolloutStates
-	client puller
-	chain  *chainGuard
+	// quarantines reads the requests that are held; it may be nil.
+	quarantines *quarantines
+	client      puller
+	chain       *chainGuard
 	// audience is kept up to date with the routers there are.
 	audience *audience
 	// joined is called with this router's row and those of all, once it is written.
@@ -120,6 +122,7 @@
 	if err != nil {
 		return err
 	}
+	f.quarantines.load(ctx)
 	f.readNamings(ctx, askedAt, unaskedSince, &reading)
 	f.replica.rowsRead(askedAt, &reading)
 	rollouts := f.orders(askedAt, f.replica.holder.View().ConfirmedAt, &reading)
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -44,7 +44,10 @@
 	repeats      *prometheus.CounterVec
 	// What requests of tenants with limits would use, by what came of their claims.
 	tenantGranted, tenantDenied, tenantUnconfirmed *prometheus.CounterVec
-	releaseAttempts, rolloutPhases                 *prometheus.CounterVec
+	// What came of checks whether back ends crashed, and of questions for trials.
+	crashChecks, trials *prometheus.CounterVec
+
+	releaseAttempts, rolloutPhases *prometheus.CounterVec
 }
 
 // reading is the state of a node at one moment.
@@ -61,6 +64,8 @@
 	silentConnections    uint64
 	clients              int
 	clientsRefused       uint64
+	quarantined          int
+	crashSuspects        int
 }
 
 func newMetrics(read func() reading) *metrics {
@@ -82,6 +87,9 @@
 		tenantDenied:      registry.Counter("edge_tenant_denied_total", "Requests or tokens that were denied, since the tenant had used its limit.", "tenant"),
 		tenantUnconfirmed: registry.Counter("edge_tenant_unconfirmed_total", "Requests or tokens for which no router confirmed in time that the tenant is within its limit.", "tenant"),
 
+		crashChecks: registry.Counter("edge_crash_checks_total", "Checks of back ends at which attempts broke off, by result: crashed, alive or unknown.", "result"),
+		trials:      registry.Counter("edge_quarantine_trials_total", "Questions whether a quarantined request may be tried once more, by result: granted, denied or failed.", "result"),
+
 		releaseAttempts: registry.Counter("edge_release_attempts_total", "Attempts at back ends of a service that is being moved to another release, by release and outcome.", "service", "release", "outcome"),
 		rolloutPhases:   registry.Counter("edge_rollout_phases_total", "Changes of the phase of a rollout, as this router acts upon it.", "service", "phase"),
 	}
@@ -95,6 +103,8 @@
 	group.Gauge("edge_routers", "Routers in all zones, as counted last; 0 for not known.", func(r reading) int { return r.routers })
 	group.Gauge("edge_slack_sharers", "Routers among which the slack of the budget of repeats is divided; 0 while this router has no part of it.", func(r reading) int { return r.sharers })
 	group.Gauge("edge_quota_members", "Routers whose claims on the limits of tenants this router grants.", func(r reading) int { return r.quotaMembers })
+	group.Gauge("edge_quarantined_requests", "Requests that are not sent on, since back ends crashed under them.", func(r reading) int { return r.quarantined })
+	group.Gauge("edge_crash_suspects", "Requests that ran on back ends which crashed, those that are quarantined among them.", func(r reading) int { return r.crashSuspects })
 	group.Gauge("edge_client_connections", "Open connections of clients.", func(r reading) int { return r.clients })
 	group.Counter("edge_clients_refused_total", "Connections and bodies of clients turned away because a bound of connections or memory was reached.", func(r reading) uint64 { return r.clientsRefused })
 	group.Counter("edge_connections_silent_total", "Connections to back ends, the store, caches and other routers that were found silent: nothing sent on them was acknowledged.", func(r reading) uint64 { return r.silentConnections })
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -101,10 +101,12 @@
 	metrics  *metrics
 	follower *follower
 	quotas   *quotas
-	canaries *canaries
-	peers    *upstream.Client
-	clients  *inbound.Clients
-	stopping atomic.Bool
+	// quarantines keeps requests from back ends under which these crash.
+	quarantines *quarantines
+	canaries    *canaries
+	peers       *upstream.Client
+	clients     *inbound.Clients
+	stopping    atomic.Bool
 }
 
 // New returns a node that has not started.
@@ -123,6 +125,11 @@
 	n.follower = n.newFollower()
 	n.quotas = n.newQuotas()
 	n.follower.joined = n.quotas.know
+	n.quarantines = newQuarantines(
+		ports.Engines, n.backends, newQuarantineRows(ports.Table, config.Follow.ReadTimeout), n.metrics,
+	)
+	n.quarantines.keeps = n.follower.readsForOthers
+	n.follower.quarantines, n.follower.replica.quarantines = n.quarantines, n.quarantines
 	n.guardReleases()
 	return n
 }
@@ -195,6 +202,7 @@
 	now.routers = n.follower.replica.Routers()
 	now.sharers = n.follower.replica.Sharers()
 	now.quotaMembers = n.quotas.members()
+	now.quarantined, now.crashSuspects = n.quarantines.ledger.Counts()
 	now.regionsLost = len(n.backends.Lost(time.Now()))
 	if n.ports.LinesDropped != nil {
 		now.linesDropped = n.ports.LinesDropped()
@@ -221,7 +229,8 @@
 		return err
 	}
 	if announcer != nil {
-		announcer.quotas = n.quotas
+		announcer.quotas, announcer.quarantines = n.quotas, n.quarantines
+		n.quarantines.send = announcer.tellQuarantine
 		n.quotas.send = announcer.sendQuota
 		n.canaries.connect(announcer)
 	}
@@ -258,6 +267,7 @@
 	loops := []func(context.Context){
 		follower.followConfiguration, follower.followBackends, follower.followPeers, follower.watchNamings, follower.markNamings,
 		func(ctx context.Context) { follower.countRouters(ctx, n.holdsLease) }, n.contend, n.lease.Run, controller.Run, n.quotas.run, n.sweepClients,
+		n.quarantines.run, n.quarantines.checks.run,
 	}
 	if announcer != nil {
 		loops = append(loops, announcer.listen)
--- a/internal/node/notices.go
+++ b/internal/node/notices.go
@@ -13,6 +13,7 @@
 	"github.com/fieldpond/fieldpond/internal/backend"
 	"github.com/fieldpond/fieldpond/internal/canary"
 	"github.com/fieldpond/fieldpond/internal/health"
+	"github.com/fieldpond/fieldpond/internal/quarantine"
 	"github.com/fieldpond/fieldpond/internal/quota"
 	"github.com/fieldpond/fieldpond/internal/rollout"
 )
@@ -35,6 +36,8 @@
 	audience *audience
 	// quotas takes in what other routers tell of limits; it may be nil.
 	quotas *quotas
+	// quarantines takes in evidence of crashes; it may be nil.
+	quarantines *quarantines
 	// canaries takes in permits and reports of rollouts; it may be nil.
 	canaries *canaries
 }
@@ -48,6 +51,8 @@
 	Quota   *quota.Datagram `cbor:"3,keyasint,omitempty"`
 	Permit  *canary.Permit  `cbor:"4,keyasint,omitempty"`
 	Report  *canary.Report  `cbor:"5,keyasint,omitempty"`
+	// Quarantine tells of requests under which back ends crashed.
+	Quarantine []quarantine.Told `cbor:"7,keyasint,omitempty"`
 	// Scope says to whom the receiver passes the notice on.
 	Scope scope `cbor:"6,keyasint,omitempty"`
 }
@@ -79,6 +84,9 @@
 	}
 }
 
+// tellQuarantine tells all other routers of requests under which back ends crashed.
+func (n *notices) tellQuarantine(told []quarantine.Told) { n.send(datagram{Quarantine: told}) }
+
 // send sends a datagram to all other routers.
 func (n *notices) send(told datagram) { n.carry(told, n.audience.tell()) }
 
@@ -179,13 +187,14 @@
 	}
 	// Only notices are passed on: permits, reports and messages about limits count by their
 	// sender, and would come from a router of the roster once this one has sent them.
-	n.carry(datagram{Rollout: told.Rollout, Health: told.Health}, n.audience.passOn(told.Scope))
+	n.carry(datagram{Rollout: told.Rollout, Health: told.Health, Quarantine: told.Quarantine}, n.audience.passOn(told.Scope))
 	if told.Rollout != nil {
 		n.take(told.Rollout)
 	}
 	if told.Health != nil {
 		n.takeHealth(told.Health)
 	}
+	n.quarantines.take(time.Now(), told.Quarantine)
 	from = netip.AddrPortFrom(from.Addr().Unmap(), from.Port())
 	if told.Quota != nil && n.quotas != nil {
 		if msg := told.Quota.Message(); msg != nil {
--- /dev/null
+++ b/internal/node/quarantinerows.go
@@ -0,0 +1,264 @@
+package node
+
+import (
+	"context"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+
+	"github.com/fieldpond/fieldpond/internal/quarantine"
+	"github.com/fieldpond/fieldpond/internal/store"
+	"github.com/fieldpond/fieldpond/internal/store/protocol"
+)
+
+const (
+	// quarantinePrefix is the begin of the keys of the rows of requests that are held, one row
+	// each. They outlive all routers.
+	quarantinePrefix = "quarantine/"
+	// maxQuarantineRows bounds the rows read.
+	maxQuarantineRows = 2000
+	// trialPause is the least time between two questions of this router for a trial of one
+	// request, whatever came of the last one.
+	trialPause = 2 * time.Second
+	// trialTimeout bounds such a question, for which a request waits.
+	trialTimeout = 300 * time.Millisecond
+)
+
+// trialResult is what came of a question for a trial.
+type trialResult string
+
+const (
+	trialGranted trialResult = "granted"
+	trialDenied  trialResult = "denied"
+	trialFailed  trialResult = "failed"
+)
+
+// quarantineRow is the value of a row.
+type quarantineRow struct {
+	// StoreTime is the store's own time as of which the ages in Told count.
+	StoreTime time.Duration   `cbor:"1,keyasint"`
+	Told      quarantine.Told `cbor:"2,keyasint"`
+}
+
+// quarantineRows keeps requests that are held in the store, and grants trials by conditional
+// writes, so that all routers together try each as often as it may be. It is safe for
+// concurrent use.
+type quarantineRows struct {
+	table   store.Table
+	timeout time.Duration
+	ledger  *quarantine.Ledger
+
+	mu sync.Mutex
+	// read is true once the rows were read, kept holds those that are there.
+	read bool
+	kept map[quarantine.Fingerprint]struct{}
+	// triedAt is when this router last asked for a trial.
+	triedAt map[quarantine.Fingerprint]time.Time
+}
+
+func newQuarantineRows(table store.Table, timeout time.Duration) *quarantineRows {
+	return &quarantineRows{
+		table: table, timeout: timeout,
+		kept: make(map[quarantine.Fingerprint]struct{}), triedAt: make(map[quarantine.Fingerprint]time.Time),
+	}
+}
+
+// loaded reports whether the rows were read.
+func (r *quarantineRows) loaded() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.read
+}
+
+// missing returns the requests that are held and have no row, as far as this router knows.
+func (r *quarantineRows) missing(now time.Time) []quarantine.Fingerprint {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var missing []quarantine.Fingerprint
+	for _, told := range r.ledger.TellHeld(now) {
+		if _, kept := r.kept[told.Request]; !kept && r.ledger.Judge(now, told.Request) != nil {
+			missing = append(missing, told.Request)
+		}
+	}
+	return missing
+}
+
+// list reads all rows and takes them in. It returns the requests whose rows are gone that this
+// router knew, and those that are held from now on.
+func (r *quarantineRows) list(ctx context.Context) (gone, held []quarantine.Fingerprint, err error) {
+	bounded, cancel := context.WithTimeout(ctx, r.timeout)
+	defer cancel()
+	list, err := r.table.List(bounded, quarantinePrefix, maxQuarantineRows)
+	if err != nil {
+		return nil, nil, err
+	}
+	now := time.Now()
+	found := make(map[quarantine.Fingerprint]struct{}, len(list.Rows))
+	for _, row := range list.Rows {
+		kept, err := readQuarantineRow(&row)
+		if err != nil {
+			log.WithFields(log.Fields{"row": row.Key, "cause": err.Error()}).Warn("quarantine_row_unreadable")
+			continue
+		}
+		found[kept.Told.Request] = struct{}{}
+		held = append(held, r.takeRow(now, row.StoreTime, kept)...)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for request := range r.kept {
+		if _, there := found[request]; !there && !list.More {
+			gone = append(gone, request)
+		}
+	}
+	r.read, r.kept = true, found
+	return gone, held, nil
+}
+
+// takeRow takes in a row as of now, the store's time being as told; a list tells none.
+func (r *quarantineRows) takeRow(now time.Time, storeTime time.Duration, kept *quarantineRow) []quarantine.Fingerprint {
+	at := now
+	if storeTime > kept.StoreTime {
+		at = now.Add(kept.StoreTime - storeTime)
+	}
+	return r.ledger.Take(at, []quarantine.Told{kept.Told})
+}
+
+func readQuarantineRow(row *protocol.Row) (*quarantineRow, error) {
+	var kept quarantineRow
+	if err := cbor.Unmarshal(row.Value, &kept); err != nil {
+		return nil, errors.Wrap(err, "read the row")
+	}
+	if quarantineKey(kept.Told.Request) != row.Key {
+		return nil, errors.Errorf("the row tells of the request %s", kept.Told.Request)
+	}
+	return &kept, nil
+}
+
+func quarantineKey(request quarantine.Fingerprint) string {
+	var key strings.Builder
+	key.WriteString(quarantinePrefix)
+	key.WriteString(request.String())
+	return key.String()
+}
+
+// update brings the row of a request up to date: it is there while the request is held.
+func (r *quarantineRows) update(ctx context.Context, request quarantine.Fingerprint) error {
+	bounded, cancel := context.WithTimeout(ctx, r.timeout)
+	defer cancel()
+	row, found, err := r.table.Read(bounded, quarantineKey(request))
+	if err != nil {
+		return err
+	}
+	now := time.Now()
+	held := r.ledger.Judge(now, request) != nil
+	if found == held {
+		r.know(request, held)
+		return nil
+	}
+	write := protocol.Write{Key: row.Key, Delete: true}
+	if held {
+		told, _ := r.ledger.Tell(now, request)
+		if write, err = quarantineWrite(row.StoreTime, told); err != nil {
+			return err
+		}
+	}
+	return r.commit(bounded, &row, write, request, held)
+}
+
+func quarantineWrite(storeTime time.Duration, told quarantine.Told) (protocol.Write, error) {
+	value, err := cbor.Marshal(quarantineRow{StoreTime: storeTime, Told: told})
+	return protocol.Write{Key: quarantineKey(told.Request), Value: value}, err
+}
+
+// errRowChanged says that another router wrote the row meanwhile.
+var errRowChanged = errors.New("another router wrote the row meanwhile")
+
+// commit writes a row on condition that it is as it was read.
+func (r *quarantineRows) commit(ctx context.Context, read *protocol.Row, write protocol.Write, request quarantine.Fingerprint, held bool) error {
+	result, err := r.table.Commit(ctx, protocol.Transaction{
+		Conditions: []protocol.Condition{{Key: write.Key, Version: read.Version}}, Writes: []protocol.Write{write},
+	})
+	if err != nil {
+		return err
+	}
+	if !result.Committed {
+		return errRowChanged
+	}
+	r.know(request, held)
+	return nil
+}
+
+func (r *quarantineRows) know(request quarantine.Fingerprint, kept bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if kept {
+		r.kept[request] = struct{}{}
+		return
+	}
+	delete(r.kept, request)
+}
+
+// claimTrial asks for the grant of a trial, and returns the number of those granted so far.
+// One whose write has no answer counts as granted to nobody.
+func (r *quarantineRows) claimTrial(ctx context.Context, request quarantine.Fingerprint) (trialResult, int) {
+	if !r.mayClaim(time.Now(), request) {
+		return trialDenied, 0
+	}
+	bounded, cancel := context.WithTimeout(ctx, trialTimeout)
+	defer cancel()
+	row, found, err := r.table.Read(bounded, quarantineKey(request))
+	if err != nil {
+		return trialFailed, 0
+	}
+	// A verdict that is not kept yet cannot bound the trials of all.
+	if !found {
+		return trialDenied, 0
+	}
+	kept, err := readQuarantineRow(&row)
+	if err != nil {
+		return trialFailed, 0
+	}
+	r.takeRow(time.Now(), row.StoreTime, kept)
+	since := row.StoreTime - kept.StoreTime + kept.Told.TrialAge
+	if !quarantine.GrantTrial(kept.Told.Trials, since) {
+		return trialDenied, kept.Told.Trials
+	}
+	return r.grantTrial(bounded, &row, request, kept.Told.Trials+1)
+}
+
+// mayClaim reports whether this router may ask for a trial now.
+func (r *quarantineRows) mayClaim(now time.Time, request quarantine.Fingerprint) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if now.Sub(r.triedAt[request]) < trialPause {
+		return false
+	}
+	if len(r.triedAt) > maxQuarantineRows {
+		clear(r.triedAt)
+	}
+	r.triedAt[request] = now
+	return true
+}
+
+// grantTrial writes that one more trial is granted.
+func (r *quarantineRows) grantTrial(ctx context.Context, row *protocol.Row, request quarantine.Fingerprint, trials int) (trialResult, int) {
+	now := time.Now()
+	r.ledger.Tried(request, trials, now)
+	told, known := r.ledger.Tell(now, request)
+	if !known {
+		return trialDenied, 0
+	}
+	told.Trials, told.TrialAge = trials, 0
+	write, err := quarantineWrite(row.StoreTime, told)
+	if err != nil {
+		return trialFailed, trials
+	}
+	if err := r.commit(ctx, row, write, request, true); err != nil {
+		return trialFailed, trials
+	}
+	return trialGranted, trials
+}
--- a/internal/node/replica.go
+++ b/internal/node/replica.go
@@ -30,6 +30,8 @@
 	// canaries takes in orders, states and releases; it is nil where no service is moved
 	// to another release under guard.
 	canaries *canaries
+	// quarantines knows the requests that are held; it may be nil.
+	quarantines *quarantines
 
 	mu   sync.Mutex
 	self upstream.Peer
@@ -130,6 +132,9 @@
 		update.List.Told = true
 		update.List.Base, update.List.Records, update.List.Removed = r.list.since(pull.List)
 	}
+	if r.quarantines != nil {
+		update.Quarantine = r.quarantines.toldSince(now, pull.Quarantine)
+	}
 	if pull.Caches {
 		update.Caches = r.caches.Updates(now, pull.CacheHeld)
 	}
--- /dev/null
+++ b/internal/quarantine/subject.go
@@ -0,0 +1,17 @@
+package quarantine
+
+// Subject is a request that is being judged. Its fingerprint is made when it is first asked
+// for. It is not safe for concurrent use.
+type Subject struct {
+	Identity
+	fingerprint Fingerprint
+	made        bool
+}
+
+// Fingerprint returns the fingerprint of the request.
+func (s *Subject) Fingerprint() Fingerprint {
+	if !s.made {
+		s.fingerprint, s.made = s.Identity.Fingerprint(), true
+	}
+	return s.fingerprint
+}
--- /dev/null
+++ b/internal/quarantine/successes.go
@@ -0,0 +1,62 @@
+package quarantine
+
+import (
+	"hash/maphash"
+	"sync"
+	"time"
+)
+
+// successSlots is the number of requests remembered, one in each slot: at 100 answers a second
+// a slot is rarely overwritten within VouchFor. They take 128 kB.
+const successSlots = 8192
+
+// Successes remembers which requests were lately answered. A keyed hash stands for a request,
+// as it takes a few microseconds less than a fingerprint and no client can aim it. It is
+// safe for concurrent use.
+type Successes struct {
+	seed  maphash.Seed
+	epoch time.Time
+
+	mu    sync.Mutex
+	slots [successSlots]success
+}
+
+// success is the last answer to a request.
+type success struct {
+	key uint64
+	// at is the time since the epoch.
+	at time.Duration
+}
+
+// NewSuccesses returns a memory without any.
+func NewSuccesses() *Successes { return &Successes{seed: maphash.MakeSeed(), epoch: time.Now()} }
+
+// Add takes in that a request was answered.
+func (s *Successes) Add(now time.Time, request *Identity) {
+	key := request.key(s.seed)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.slots[key%successSlots] = success{key: key, at: now.Sub(s.epoch)}
+}
+
+// Last returns when a request was answered last, if it was within VouchFor.
+func (s *Successes) Last(now time.Time, request *Identity) (at time.Time, found bool) {
+	key := request.key(s.seed)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	slot := s.slots[key%successSlots]
+	at = s.epoch.Add(slot.at)
+	return at, slot.key == key && slot.at > 0 && now.Sub(at) <= VouchFor
+}
+
+// key returns the keyed hash of what makes two requests the same one.
+func (i *Identity) key(seed maphash.Seed) uint64 {
+	var digest maphash.Hash
+	digest.SetSeed(seed)
+	for _, text := range []string{string(i.Tenant), i.Method, i.Host, i.Target} {
+		_, _ = digest.WriteString(text)
+		_ = digest.WriteByte(0)
+	}
+	_, _ = digest.Write(i.Body)
+	return digest.Sum64()
+}
--- /dev/null
+++ b/internal/quarantine/told.go
@@ -0,0 +1,110 @@
+package quarantine
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/fieldpond/fieldpond/internal/ident"
+)
+
+// Told is what one router tells others of a request, and what is kept of it. Ages count up to
+// the moment it was told.
+type Told struct {
+	_       struct{} `cbor:",toarray"`
+	Request Fingerprint
+	Crashes []ToldCrash
+	// Cleared says that the request was answered, or lifted, ClearedAge ago.
+	Cleared    bool
+	ClearedAge time.Duration
+	Trials     int
+	TrialAge   time.Duration
+}
+
+// ToldCrash is a crash as it is told.
+type ToldCrash struct {
+	_        struct{} `cbor:",toarray"`
+	Instance ident.Incarnation
+	Born     int64
+	Age      time.Duration
+}
+
+// Tell returns what is known of a request; it is false if nothing is.
+func (l *Ledger) Tell(now time.Time, request Fingerprint) (Told, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	known := l.suspects[request]
+	if known == nil {
+		return Told{}, false
+	}
+	return known.tell(now, request), true
+}
+
+// TellHeld returns what is known of all requests that are held, or were held and are cleared.
+func (l *Ledger) TellHeld(now time.Time) []Told {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var all []Told
+	for request, known := range l.suspects {
+		if len(known.crashes) >= crashesToHold {
+			all = append(all, known.tell(now, request))
+		}
+	}
+	return all
+}
+
+// Digest names what TellHeld tells, apart from ages; it is 0 if that is nothing.
+func (l *Ledger) Digest() uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	digest := uint64(0)
+	for request, known := range l.suspects {
+		if len(known.crashes) >= crashesToHold {
+			digest ^= known.digest(request)
+		}
+	}
+	return digest
+}
+
+func (s *suspect) digest(request Fingerprint) uint64 {
+	hash := xxhash.New()
+	_, _ = hash.Write(request[:])
+	for _, crash := range s.crashes {
+		_, _ = fmt.Fprint(hash, crash.Instance, " ", crash.Born, ";")
+	}
+	_, _ = fmt.Fprint(hash, s.trials, s.held())
+	return hash.Sum64()
+}
+
+func (s *suspect) tell(now time.Time, request Fingerprint) Told {
+	told := Told{Request: request, Trials: s.trials}
+	for _, crash := range s.crashes {
+		told.Crashes = append(told.Crashes, ToldCrash{Instance: crash.Instance, Born: crash.Born, Age: now.Sub(crash.At)})
+	}
+	if !s.clearedAt.IsZero() {
+		told.Cleared, told.ClearedAge = true, now.Sub(s.clearedAt)
+	}
+	if !s.trialAt.IsZero() {
+		told.TrialAge = now.Sub(s.trialAt)
+	}
+	return told
+}
+
+// Take merges what was told as of a time, and returns the requests that are held from now on.
+func (l *Ledger) Take(at time.Time, all []Told) (held []Fingerprint) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, told := range all {
+		known := l.known(at, told.Request)
+		for _, crash := range told.Crashes {
+			known.add(Crash{Life: Life{Instance: crash.Instance, Born: crash.Born}, At: at.Add(-crash.Age)})
+		}
+		if told.Cleared {
+			known.clear(at.Add(-told.ClearedAge))
+		}
+		known.tried(told.Trials, at.Add(-told.TrialAge))
+		held = l.announce(told.Request, held)
+	}
+	return held
+}
--- a/internal/upstream/update.go
+++ b/internal/upstream/update.go
@@ -7,6 +7,7 @@
 	"github.com/fieldpond/fieldpond/internal/canary"
 	"github.com/fieldpond/fieldpond/internal/ident"
 	"github.com/fieldpond/fieldpond/internal/promptcache"
+	"github.com/fieldpond/fieldpond/internal/quarantine"
 )
 
 // Pull asks a peer for what changed since the last pull. Pull and Update are
@@ -24,6 +25,8 @@
 	// Caches asks for what stores of prompt caches hold, beyond the copies named.
 	Caches    bool                   `cbor:"5,keyasint,omitempty"`
 	CacheHeld []promptcache.Position `cbor:"6,keyasint,omitempty"`
+	// Quarantine names what the asker knows of requests that are held, 0 for nothing.
+	Quarantine uint64 `cbor:"7,keyasint,omitempty"`
 }
 
 // Update is the state of a peer. Ages count up to the moment it was answered.
@@ -44,6 +47,8 @@
 	RoutersAge time.Duration `cbor:"10,keyasint,omitempty"`
 	// Caches tell what stores of prompt caches hold, to those who asked.
 	Caches []promptcache.Update `cbor:"8,keyasint,omitempty"`
+	// Quarantine tells of requests that are held, if the asker knows something else of them.
+	Quarantine []quarantine.Told `cbor:"11,keyasint,omitempty"`
 	// Leaving says that the peer serves on for a while, and is about to end.
 	Leaving bool `cbor:"9,keyasint,omitempty"`
 }
