Tell lives of engines apart by their start, and pass over entries that name none

Cause: an incarnation was named by the engine's id alone, which a later life may carry too; one entry that could not be read failed the read of the whole list.

Entries that lack a field, have one of another type or a state that there is not are left out and logged once. What a crash check finds ended gets no more work under the old name.

--- a/internal/node/crashchecks.go
+++ b/internal/node/crashchecks.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/fieldpond/fieldpond/internal/backend"
+	"github.com/fieldpond/fieldpond/internal/ident"
 	"github.com/fieldpond/fieldpond/internal/quarantine"
 	"github.com/fieldpond/fieldpond/internal/rollout"
 	"github.com/fieldpond/fieldpond/internal/wait"
@@ -61,15 +62,15 @@
 	engines  rollout.Engines
 	backends *backend.Registry
 	// crashed is told which requests were running on a life that crashed.
-	crashed func(now time.Time, life quarantine.Life, requests []quarantine.Fingerprint)
+	crashed func(now time.Time, life ident.Incarnation, requests []quarantine.Fingerprint)
 	// result is told what came of each check: crashed, alive or unknown.
 	result func(string)
 
 	mu    sync.Mutex
 	ctx   context.Context
 	wait  sync.WaitGroup
-	open  map[quarantine.Life]*crashCheck
-	ended map[quarantine.Life]time.Time
+	open  map[ident.Incarnation]*crashCheck
+	ended map[ident.Incarnation]time.Time
 }
 
 // run lets checks run until ctx ends.
@@ -87,7 +88,7 @@
 	if c.backends.Leaving(at.Instance) {
 		return
 	}
-	life := lifeOf(&at)
+	life := at.Instance
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if endedAt, ended := c.ended[life]; ended && now.Sub(endedAt) < endedKept {
@@ -106,12 +107,8 @@
 	c.wait.Go(func() { c.check(c.ctx, life, check) })
 }
 
-func lifeOf(record *backend.Record) quarantine.Life {
-	return quarantine.Life{Instance: record.Instance}
-}
-
 // check asks the back end until it is known whether that life has ended.
-func (c *crashChecks) check(ctx context.Context, life quarantine.Life, check *crashCheck) {
+func (c *crashChecks) check(ctx context.Context, life ident.Incarnation, check *crashCheck) {
 	refusals := 0
 	for _, after := range checkAt {
 		if !wait.For(ctx, max(time.Until(check.brokeAt.Add(after)), time.Millisecond)) {
@@ -130,6 +127,9 @@
 		}
 		if refusals >= refusalsToEnd {
 			requests := c.close(life, "crashed", true)
+			// Nothing more is sent to that life. What reached the next one under the old name
+			// would count as running on the life that has ended.
+			c.backends.SawGone(time.Now(), life)
 			c.crashed(time.Now(), life, requests)
 			return
 		}
@@ -156,7 +156,7 @@
 }
 
 // close ends a check, and returns the requests that ran on the life.
-func (c *crashChecks) close(life quarantine.Life, result string, ended bool) []quarantine.Fingerprint {
+func (c *crashChecks) close(life ident.Incarnation, result string, ended bool) []quarantine.Fingerprint {
 	c.result(result)
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/node/events.go
+++ b/internal/node/events.go
@@ -42,6 +42,7 @@
 		{"configuration_adopted", []string{"version", "routes", "revision", "read_ms", "origin"}, "A newer configuration is in force here; origin is the router that read it from the store."},
 		{"configuration_row_outdated", []string{"version", "known", "revision", "confirmed"}, "The row of the configuration holds another one than the newest: the store carried out an older write after it. Known stays in force. It is not confirmed, and ends in unready routers, where the store has forgotten what the row held meanwhile: write a newer configuration."},
 		{"backend_changed", []string{"instance", "service", "address", "change", "revision", "models"}, "The list of back ends differs: appeared, draining, gone or reloaded."},
+		{"backend_unreadable", []string{"row", "revision", "cause"}, "A row of the list names no back end: another writer left it, or it cannot be read. It is passed over, and logged once."},
 		{"connection_silent", []string{"address", "closed"}, "Nothing was acknowledged on a connection any more; closed: resting ones to the same address that were closed with it."},
 		{"connections_suspected", []string{"closed"}, "A connection was silent while its address takes new ones; closed: the resting ones to all addresses that were not heard since."},
 		{"joined", []string{"revision", "peers", "routers"}, "This router has a row in the store; peers are the routers whose rows are sound."},
--- a/internal/node/quarantine.go
+++ b/internal/node/quarantine.go
@@ -9,6 +9,7 @@
 
 	"github.com/fieldpond/fieldpond/internal/backend"
 	"github.com/fieldpond/fieldpond/internal/forward"
+	"github.com/fieldpond/fieldpond/internal/ident"
 	"github.com/fieldpond/fieldpond/internal/quarantine"
 	"github.com/fieldpond/fieldpond/internal/rollout"
 	"github.com/fieldpond/fieldpond/internal/wait"
@@ -66,7 +67,7 @@
 	q.checks = &crashChecks{
 		engines: engines, backends: backends, crashed: q.crashed,
 		result: func(result string) { counters.crashChecks.WithLabelValues(result).Inc() },
-		open:   make(map[quarantine.Life]*crashCheck), ended: make(map[quarantine.Life]time.Time),
+		open:   make(map[ident.Incarnation]*crashCheck), ended: make(map[ident.Incarnation]time.Time),
 	}
 	rows.ledger = q.ledger
 	return q
@@ -113,8 +114,8 @@
 }
 
 // crashed takes in that a life of a back end crashed on which requests ran.
-func (q *quarantines) crashed(now time.Time, life quarantine.Life, requests []quarantine.Fingerprint) {
-	log.WithFields(log.Fields{"instance": life.Instance, "requests": len(requests)}).Warn("backend_crashed")
+func (q *quarantines) crashed(now time.Time, life ident.Incarnation, requests []quarantine.Fingerprint) {
+	log.WithFields(log.Fields{"instance": life, "requests": len(requests)}).Warn("backend_crashed")
 	held := q.ledger.Crashed(now, life, requests)
 	q.tell(requests...)
 	q.logHeld(now, held)
@@ -155,7 +156,7 @@
 		var instances []string
 		var ages []int64
 		for _, crash := range verdict.Crashes {
-			instances = append(instances, string(crash.Instance))
+			instances = append(instances, string(crash.Life))
 			ages = append(ages, now.Sub(crash.At).Milliseconds())
 		}
 		log.WithFields(log.Fields{"fingerprint": request.String(), "instances": instances, "ages_ms": ages}).Warn("quarantine_began")
--- a/internal/quarantine/ledger.go
+++ b/internal/quarantine/ledger.go
@@ -29,17 +29,10 @@
 	maxCrashes = 6
 )
 
-// Life is one life of a back end.
-type Life struct {
-	Instance ident.Incarnation
-	// Born is its start in Unix milliseconds, 0 if not told.
-	Born int64
-}
-
 // Crash is the end of a life that a request ran on.
 type Crash struct {
-	Life
-	At time.Time
+	Life ident.Incarnation
+	At   time.Time
 }
 
 // suspect is what is known of one request.
@@ -136,7 +129,7 @@
 
 // Crashed takes in that a life ended that requests ran on, and returns those that are held
 // from now on.
-func (l *Ledger) Crashed(now time.Time, life Life, requests []Fingerprint) (held []Fingerprint) {
+func (l *Ledger) Crashed(now time.Time, life ident.Incarnation, requests []Fingerprint) (held []Fingerprint) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, request := range requests {
--- a/internal/quarantine/ledger_test.go
+++ b/internal/quarantine/ledger_test.go
@@ -19,9 +19,7 @@
 	return identity.Fingerprint()
 }
 
-func life(number int) quarantine.Life {
-	return quarantine.Life{Instance: ident.Incarnation(fmt.Sprint("e", number)), Born: int64(number)}
-}
+func life(number int) ident.Incarnation { return ident.Incarnation(fmt.Sprint("e", number)) }
 
 // event is something that happens to request 0 some seconds after the begin.
 type event struct {
--- a/internal/quarantine/told.go
+++ b/internal/quarantine/told.go
@@ -24,10 +24,9 @@
 
 // ToldCrash is a crash as it is told.
 type ToldCrash struct {
-	_        struct{} `cbor:",toarray"`
-	Instance ident.Incarnation
-	Born     int64
-	Age      time.Duration
+	_    struct{} `cbor:",toarray"`
+	Life ident.Incarnation
+	Age  time.Duration
 }
 
 // Tell returns what is known of a request; it is false if nothing is.
@@ -71,7 +70,7 @@
 	hash := xxhash.New()
 	_, _ = hash.Write(request[:])
 	for _, crash := range s.crashes {
-		_, _ = fmt.Fprint(hash, crash.Instance, " ", crash.Born, ";")
+		_, _ = fmt.Fprint(hash, crash.Life, ";")
 	}
 	_, _ = fmt.Fprint(hash, s.trials, s.held())
 	return hash.Sum64()
@@ -80,7 +79,7 @@
 func (s *suspect) tell(now time.Time, request Fingerprint) Told {
 	told := Told{Request: request, Trials: s.trials}
 	for _, crash := range s.crashes {
-		told.Crashes = append(told.Crashes, ToldCrash{Instance: crash.Instance, Born: crash.Born, Age: now.Sub(crash.At)})
+		told.Crashes = append(told.Crashes, ToldCrash{Life: crash.Life, Age: now.Sub(crash.At)})
 	}
 	if !s.clearedAt.IsZero() {
 		told.Cleared, told.ClearedAge = true, now.Sub(s.clearedAt)
@@ -98,7 +97,7 @@
 	for _, told := range all {
 		known := l.known(at, told.Request)
 		for _, crash := range told.Crashes {
-			known.add(Crash{Life: Life{Instance: crash.Instance, Born: crash.Born}, At: at.Add(-crash.Age)})
+			known.add(Crash{Life: crash.Life, At: at.Add(-crash.Age)})
 		}
 		if told.Cleared {
 			known.clear(at.Add(-told.ClearedAge))
