--- a/internal/node/crashchecks.go
+++ b/internal/node/crashchecks.go
@@ -61,8 +61,8 @@
 type crashChecks struct {
 	engines  rollout.Engines
 	backends *backend.Registry
-	// crashed is told which requests were running on a life that crashed.
-	crashed func(now time.Time, life ident.Incarnation, requests []quarantine.Fingerprint)
+	// crashed is told which requests were running on a life that crashed at a time.
+	crashed func(at time.Time, life ident.Incarnation, requests []quarantine.Fingerprint)
 	// result is told what came of each check: crashed, alive or unknown.
 	result func(string)
 
@@ -130,7 +130,7 @@
 			// Nothing more is sent to that life. What reached the next one under the old name
 			// would count as running on the life that has ended.
 			c.backends.SawGone(time.Now(), life)
-			c.crashed(time.Now(), life, requests)
+			c.crashed(check.brokeAt, life, requests)
 			return
 		}
 	}
--- a/internal/node/quarantine.go
+++ b/internal/node/quarantine.go
@@ -113,12 +113,12 @@
 	q.checks.broke(now, request.Fingerprint(), at)
 }
 
-// crashed takes in that a life of a back end crashed on which requests ran.
-func (q *quarantines) crashed(now time.Time, life ident.Incarnation, requests []quarantine.Fingerprint) {
+// crashed takes in that a life of a back end crashed at a time on which requests ran.
+func (q *quarantines) crashed(at time.Time, life ident.Incarnation, requests []quarantine.Fingerprint) {
 	log.WithFields(log.Fields{"instance": life, "requests": len(requests)}).Warn("backend_crashed")
-	held := q.ledger.Crashed(now, life, requests)
+	held := q.ledger.Crashed(at, life, requests)
 	q.tell(requests...)
-	q.logHeld(now, held)
+	q.logHeld(time.Now(), held)
 	q.keep(held...)
 }
 
@@ -227,15 +227,20 @@
 	if len(requests) == 0 {
 		return
 	}
+	q.note(requests)
+	select {
+	case q.wake <- struct{}{}:
+	default:
+	}
+}
+
+// note notes that the rows of requests are to be brought up to date at the next look.
+func (q *quarantines) note(requests []quarantine.Fingerprint) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	for _, request := range requests {
 		q.unkept[request] = struct{}{}
 	}
-	select {
-	case q.wake <- struct{}{}:
-	default:
-	}
 }
 
 // run tells news and keeps the rows until ctx ends.
@@ -262,7 +267,8 @@
 				listedAt = time.Now()
 				q.relist(ctx)
 			}
-			q.keep(q.rows.missing(time.Now())...)
+			// Without waking: a store that is down is asked again at the next look.
+			q.note(q.rows.missing(time.Now()))
 		}
 		q.writeRows(ctx)
 	}
--- a/internal/quarantine/ledger.go
+++ b/internal/quarantine/ledger.go
@@ -127,13 +127,13 @@
 	return len(l.suspects) == 0
 }
 
-// Crashed takes in that a life ended that requests ran on, and returns those that are held
-// from now on.
-func (l *Ledger) Crashed(now time.Time, life ident.Incarnation, requests []Fingerprint) (held []Fingerprint) {
+// Crashed takes in that a life ended at a time that requests ran on, and returns those that
+// are held from now on.
+func (l *Ledger) Crashed(at time.Time, life ident.Incarnation, requests []Fingerprint) (held []Fingerprint) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, request := range requests {
-		l.known(now, request).add(Crash{Life: life, At: now})
+		l.known(at, request).add(Crash{Life: life, At: at})
 		held = l.announce(request, held)
 	}
 	return held
