Make a trial of a quarantined request one attempt

A request that was not answered is judged again. Nine cases of what the forwarder does with verdicts; that one failed before.

--- /dev/null
+++ b/internal/forward/quarantine_test.go
@@ -0,0 +1,89 @@
+package forward_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/fieldpond/fieldpond/internal/backend"
+	"github.com/fieldpond/fieldpond/internal/fault"
+	"github.com/fieldpond/fieldpond/internal/forward"
+	"github.com/fieldpond/fieldpond/internal/quarantine"
+)
+
+// fakeQuarantine gives verdicts in turn; the last one is repeated.
+type fakeQuarantine struct {
+	verdicts []*quarantine.Verdict
+	asked    int
+	granted  bool
+	answered int
+	broke    []backend.Record
+}
+
+// Judge implements forward.Quarantine.
+func (f *fakeQuarantine) Judge(time.Time, *quarantine.Subject) *quarantine.Verdict {
+	f.asked++
+	return f.verdicts[min(f.asked, len(f.verdicts))-1]
+}
+
+// Try implements forward.Quarantine.
+func (f *fakeQuarantine) Try(context.Context, *quarantine.Subject) bool { return f.granted }
+
+// Answered implements forward.Quarantine.
+func (f *fakeQuarantine) Answered(time.Time, *quarantine.Subject) { f.answered++ }
+
+// Broke implements forward.Quarantine.
+func (f *fakeQuarantine) Broke(_ time.Time, _ *quarantine.Subject, at backend.Record) {
+	f.broke = append(f.broke, at)
+}
+
+func TestAQuarantinedRequestIsNotSent(t *testing.T) {
+	held := &quarantine.Verdict{RetryAfter: time.Minute}
+	due := &quarantine.Verdict{RetryAfter: time.Minute, TrialDue: true}
+	tests := []struct {
+		name     string
+		route    string
+		verdicts []*quarantine.Verdict
+		granted  bool
+		answers  []answer
+		sends    int
+		kind     fault.Kind
+		ran      fault.Ran
+		broke    int
+		answered int
+	}{
+		{"free", "safe", []*quarantine.Verdict{nil}, false, []answer{genuine(200, "x")}, 1, "", "", 0, 1},
+		{"a failure is no success", "unsafe", []*quarantine.Verdict{nil}, false, []answer{genuine(500, "x")}, 1, "", "", 0, 0},
+		{"held", "safe", []*quarantine.Verdict{held}, false, []answer{genuine(200, "x")}, 0, fault.Quarantined, fault.RanNo, 0, 0},
+		{"held while a place was looked for", "safe", []*quarantine.Verdict{nil, held}, false, []answer{genuine(200, "x")}, 0, fault.Quarantined, fault.RanNo, 0, 0},
+		{"held after it broke off", "safe", []*quarantine.Verdict{nil, nil, held}, false, []answer{failing(true)}, 1, fault.BackendLost, fault.RanUnknown, 1, 0},
+		{"a trial that is not granted", "safe", []*quarantine.Verdict{due}, false, []answer{genuine(200, "x")}, 0, fault.Quarantined, fault.RanNo, 0, 0},
+		{"a trial that is answered", "safe", []*quarantine.Verdict{due}, true, []answer{genuine(200, "x")}, 1, "", "", 0, 1},
+		{"a trial is one attempt", "safe", []*quarantine.Verdict{due, held}, true, []answer{failing(true)}, 1, fault.BackendLost, fault.RanUnknown, 1, 0},
+		{"a trial that was refused unrun goes on", "safe", []*quarantine.Verdict{due, held}, true, []answer{refusing(forward.NotExecuted), genuine(200, "x")}, 2, "", "", 0, 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				b := newBench(tt.answers...)
+				guard := &fakeQuarantine{verdicts: tt.verdicts, granted: tt.granted}
+				b.forwarder.Quarantine = guard
+				sink := b.forward(t, request(tt.route))
+				is.Equal(len(b.caller.sent()), tt.sends)
+				is.Equal(len(guard.broke), tt.broke)
+				is.Equal(guard.answered, tt.answered)
+				is.Equal(b.backends.InFlight(), 0)
+				if tt.kind == "" {
+					is.True(sink.refusal == nil)
+					return
+				}
+				is.Equal(sink.refusal.Kind, tt.kind)
+				is.Equal(sink.refusal.Ran, tt.ran)
+			})
+		})
+	}
+}
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -115,7 +115,8 @@
 			return
 		}
 		if failure.ran != fault.RanNo {
-			r.grant = nil
+			// A trial is one attempt: a request that was not answered is judged again.
+			r.grant, r.onTrial = nil, false
 		}
 		if timed.Err() != nil || !r.mayRepeat(failure) || !r.chargeRepeat(timed) {
 			r.giveBack()
