--- /dev/null
+++ b/internal/clock/clock.go
@@ -0,0 +1,97 @@
+// Package clock tells the time that has really passed.
+//
+// A machine may be suspended, and the steady clock of the system, which package time goes by,
+// does not count that: after five seconds of it a lease that has run out looks held, and a key
+// that was taken away looks confirmed. Now counts such spans from the first Sync that sees
+// them. Sync is called where a decision is made on the age of what is known; Now costs no
+// system call.
+//
+// Times of this package are compared with each other only. Deadlines of contexts, timers and
+// connections go by the steady clock: they take durations, such as Until returns.
+package clock
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// noise is the least difference that counts as a suspension. The two clocks are read one after
+// the other, and a process may have to wait between.
+const noise = 50 * time.Millisecond
+
+// Source returns for how long the machine has been suspended since some moment.
+type Source func() time.Duration
+
+var (
+	// suspended is the time suspended since the process started, as Sync saw it last.
+	suspended atomic.Int64
+	// woke is when Sync saw a suspension last, nil for never.
+	woke atomic.Pointer[time.Time]
+
+	mu     sync.Mutex
+	source Source = fromSystem
+	base          = fromSystem()
+)
+
+// fromSystem compares the clock that counts suspensions with the one that does not.
+func fromSystem() time.Duration {
+	var boot, steady unix.Timespec
+	if unix.ClockGettime(unix.CLOCK_MONOTONIC, &steady) != nil || unix.ClockGettime(unix.CLOCK_BOOTTIME, &boot) != nil {
+		return 0
+	}
+	return time.Duration(boot.Nano() - steady.Nano())
+}
+
+// Replace has another source tell suspensions, and returns what restores the one before. It is
+// for tests.
+func Replace(other Source) (restore func()) {
+	mu.Lock()
+	defer mu.Unlock()
+	formerSource, formerBase, formerSuspended, formerWoke := source, base, suspended.Load(), woke.Load()
+	source, base = other, other()-time.Duration(formerSuspended)
+	return func() {
+		mu.Lock()
+		defer mu.Unlock()
+		source, base = formerSource, formerBase
+		suspended.Store(formerSuspended)
+		woke.Store(formerWoke)
+	}
+}
+
+// Sync looks whether the machine was suspended, and returns the time.
+func Sync() time.Time {
+	mu.Lock()
+	defer mu.Unlock()
+	total := source() - base
+	if total-time.Duration(suspended.Load()) >= noise {
+		suspended.Store(int64(total))
+		now := Now()
+		woke.Store(&now)
+	}
+	return Now()
+}
+
+// Now returns the time, with the suspensions that Sync has seen.
+func Now() time.Time { return time.Now().Add(time.Duration(suspended.Load())) }
+
+// Since returns the time since a moment that this package told.
+func Since(at time.Time) time.Duration { return Now().Sub(at) }
+
+// Until returns the time until a moment that this package told.
+func Until(at time.Time) time.Duration { return at.Sub(Now()) }
+
+// WokeAt returns when the machine was last found to have been suspended; found is false if it
+// never was.
+func WokeAt() (at time.Time, found bool) {
+	last := woke.Load()
+	if last == nil {
+		return time.Time{}, false
+	}
+	return *last, true
+}
+
+// Suspended returns for how long the machine has been suspended since the process started.
+func Suspended() time.Duration { return time.Duration(suspended.Load()) }
--- /dev/null
+++ b/internal/clock/clock_test.go
@@ -0,0 +1,35 @@
+package clock_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/fieldpond/fieldpond/internal/clock"
+)
+
+func TestSuspensionsCount(t *testing.T) {
+	is := is.New(t)
+	asleep := time.Duration(0)
+	defer clock.Replace(func() time.Duration { return asleep })()
+	before := clock.Sync()
+	asleep = 5 * time.Second
+	is.True(clock.Since(before) < 4*time.Second) // nobody has looked yet
+	is.True(clock.Sync().Sub(before) >= 5*time.Second)
+	is.True(clock.Since(before) >= 5*time.Second)
+	woke, found := clock.WokeAt()
+	is.True(found)
+	is.True(clock.Since(woke) < time.Second)
+	// What lies between two looks at the clocks is no suspension.
+	asleep += 10 * time.Millisecond
+	clock.Sync()
+	is.Equal(clock.Suspended(), 5*time.Second)
+}
+
+func TestTheSystemTellsSuspensions(t *testing.T) {
+	is := is.New(t)
+	before := clock.Sync()
+	time.Sleep(time.Millisecond)
+	is.True(clock.Sync().After(before))
+}
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -11,6 +11,7 @@
 	"github.com/fieldpond/fieldpond/internal/backend"
 	"github.com/fieldpond/fieldpond/internal/canary"
 	"github.com/fieldpond/fieldpond/internal/catalog"
+	"github.com/fieldpond/fieldpond/internal/clock"
 	"github.com/fieldpond/fieldpond/internal/fault"
 )
 
@@ -53,11 +54,11 @@
 	described := r.describe(&choice)
 	attemptContext, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	current := &attempt{run: r, choice: choice, flight: flight, ctx: attemptContext, cancel: cancel, sentAt: time.Now()}
+	current := &attempt{run: r, choice: choice, flight: flight, ctx: attemptContext, cancel: cancel, sentAt: clock.Now()}
 	current.count()
 	r.note(StepSent, func(step *Step) { step.Choice = choice })
 	if patience := r.patience(&choice); patience > 0 {
-		current.heldUntil = time.Now().Add(busyFactor * patience)
+		current.heldUntil = clock.Now().Add(busyFactor * patience)
 		current.patience = time.AfterFunc(time.Hour, current.impatient)
 		current.patience.Reset(patience)
 		defer current.patience.Stop()
@@ -74,7 +75,7 @@
 // impatient gives the attempt up for another one, if there is a repeat left in
 // the budget; else the answer is awaited to the end of the request's time.
 func (a *attempt) impatient() {
-	now := time.Now()
+	now := clock.Now()
 	if now.Before(a.heldUntil) && a.flight.ToldBusy(now) {
 		a.patience.Reset(busyPoll)
 		return
@@ -103,9 +104,9 @@
 			a.unproven = true
 		}
 	}
-	a.flight.Ended(time.Now(), outcome)
+	a.flight.Ended(clock.Now(), outcome)
 	a.settle(outcome)
-	a.judged(time.Now(), outcome)
+	a.judged(clock.Now(), outcome)
 	a.note(StepAttemptEnded, func(step *Step) {
 		step.Choice, step.Outcome = a.choice, outcome
 		if outcome == backend.Broken {
@@ -212,7 +213,7 @@
 	if newest <= a.choice.Version {
 		return false
 	}
-	a.forwarder.Backends.AssumeVersion(time.Now(), a.choice.Instance, model, newest)
+	a.forwarder.Backends.AssumeVersion(clock.Now(), a.choice.Instance, model, newest)
 	return true
 }
 
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -10,6 +10,7 @@
 	"github.com/fieldpond/fieldpond/internal/admission"
 	"github.com/fieldpond/fieldpond/internal/backend"
 	"github.com/fieldpond/fieldpond/internal/catalog"
+	"github.com/fieldpond/fieldpond/internal/clock"
 	"github.com/fieldpond/fieldpond/internal/fault"
 	"github.com/fieldpond/fieldpond/internal/ident"
 	"github.com/fieldpond/fieldpond/internal/mechanism"
@@ -103,7 +104,7 @@
 		config:       config.withDefaults(),
 		splitter:     catalog.NewSplitter(),
 		recent:       newRecentPrompts(),
-		startedAt:    time.Now(),
+		startedAt:    clock.Now(),
 		budgets:      make(map[ident.Service]*admission.WindowBudget),
 	}
 }
@@ -112,6 +113,8 @@
 // taken to be gone.
 func (f *Forwarder) Forward(ctx context.Context, request *Request, sink Sink) {
 	f.awaitStart(ctx, request)
+	clock.Sync()
+	f.awaitNews(ctx, request)
 	run, refusal := f.admit(request)
 	if refusal != nil {
 		f.record(request, StepRefused, func(step *Step) { step.Fault = refusal })
@@ -125,7 +128,7 @@
 // admit finds the route and tenant of a request. Its fault says why there is
 // none, as far as the configuration held here can tell.
 func (f *Forwarder) admit(request *Request) (*run, *fault.Fault) {
-	now := time.Now()
+	now := clock.Sync()
 	view := f.Holder.View()
 	if view.Snapshot == nil {
 		return nil, f.notReady("no configuration is known yet")
@@ -177,7 +180,7 @@
 		repeat.Slack = f.config.Slack / float64(repeat.Sharers)
 	}
 	f.withBudget(service, func(budget *admission.WindowBudget) {
-		now := time.Now()
+		now := clock.Now()
 		allowed = budget.Allow(now, repeat.Slack)
 		repeat.Requests, repeat.Repeats = budget.Counted(now)
 	})
--- a/internal/forward/leave.go
+++ b/internal/forward/leave.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/pkg/errors"
 
 	"github.com/fieldpond/fieldpond/internal/backend"
+	"github.com/fieldpond/fieldpond/internal/clock"
 )
 
 // errClientLeft says that nobody waits for an answer any more.
@@ -25,7 +25,7 @@
 // abandon gives up an attempt that has not begun. Its place at a release on trial is taken
 // back: else each client that leaves would use up a grant that nothing was sent for.
 func (r *run) abandon(choice *backend.Choice, flight *backend.Flight) {
-	r.decline(time.Now(), choice, flight)
+	r.decline(clock.Now(), choice, flight)
 	r.giveBack()
 	r.leave(errClientLeft)
 }
--- a/internal/forward/releases.go
+++ b/internal/forward/releases.go
@@ -6,6 +6,7 @@
 
 	"github.com/fieldpond/fieldpond/internal/backend"
 	"github.com/fieldpond/fieldpond/internal/canary"
+	"github.com/fieldpond/fieldpond/internal/clock"
 	"github.com/fieldpond/fieldpond/internal/ident"
 )
 
@@ -67,7 +68,7 @@
 
 // heard takes in that bytes of the answer came.
 func (a *attempt) heard() {
-	now := time.Now()
+	now := clock.Now()
 	a.flight.Heard(now)
 	if a.heardAt.IsZero() {
 		a.heardAt = now
@@ -79,7 +80,7 @@
 	if a.forwarder.Releases == nil {
 		return
 	}
-	now := time.Now()
+	now := clock.Now()
 	sample := canary.Sample{
 		Route: a.route.Name, Outcome: a.sampled(outcome), Elapsed: now.Sub(a.sentAt), Predicted: a.choice.Uncached,
 	}
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -11,6 +11,7 @@
 
 	"github.com/fieldpond/fieldpond/internal/backend"
 	"github.com/fieldpond/fieldpond/internal/catalog"
+	"github.com/fieldpond/fieldpond/internal/clock"
 	"github.com/fieldpond/fieldpond/internal/exchange"
 	"github.com/fieldpond/fieldpond/internal/fault"
 	"github.com/fieldpond/fieldpond/internal/ident"
@@ -87,7 +88,7 @@
 
 // run makes attempts until one of them gives the final answer.
 func (r *run) run(ctx context.Context) {
-	timed, cancel := context.WithDeadlineCause(ctx, r.endsAt, errTimeUp)
+	timed, cancel := context.WithTimeoutCause(ctx, clock.Until(r.endsAt), errTimeUp)
 	defer cancel()
 	if refusal := r.charge(timed); refusal != nil {
 		r.finish(ctx, refusal)
@@ -128,14 +129,14 @@
 
 // next chooses the back end for the next attempt, if the request may be sent.
 func (r *run) next(ctx context.Context) (backend.Choice, *backend.Flight, *fault.Fault) {
-	if refusal := r.quarantined(ctx, time.Now()); refusal != nil {
+	if refusal := r.quarantined(ctx, clock.Now()); refusal != nil {
 		return backend.Choice{}, nil, refusal
 	}
 	choice, flight, refusal := r.place(ctx)
 	if refusal != nil {
 		return choice, flight, refusal
 	}
-	now := time.Now()
+	now := clock.Sync()
 	if refusal := r.quarantined(ctx, now); refusal != nil {
 		r.decline(now, &choice, flight)
 		return backend.Choice{}, nil, refusal
@@ -212,7 +213,7 @@
 		r.sink.Abort()
 		return
 	}
-	if !time.Now().Before(r.endsAt) && r.unproven {
+	if !clock.Now().Before(r.endsAt) && r.unproven {
 		refusal = fault.New(fault.Timeout, "the time of the request is over").WithRan(fault.RanUnknown)
 	}
 	r.note(StepRefused, func(step *Step) { step.Fault = refusal })
@@ -223,7 +224,7 @@
 	r.forwarder.record(r.request, kind, func(step *Step) {
 		step.Route = r.route.Name
 		step.ConfigurationVersion = r.view.Snapshot.Version
-		step.ConfigurationAge = r.view.Age(time.Now())
+		step.ConfigurationAge = r.view.Age(clock.Now())
 		step.Attempt = r.sends
 		step.Events = r.events
 		fill(step)
@@ -241,9 +242,9 @@
 // place chooses the back end for the next attempt. If none may be used it
 // waits a short while, and refuses the request then.
 func (r *run) place(ctx context.Context) (backend.Choice, *backend.Flight, *fault.Fault) {
-	heldUntil := time.Now().Add(r.route.Target / holdPart)
+	heldUntil := clock.Now().Add(r.route.Target / holdPart)
 	for {
-		now := time.Now()
+		now := clock.Sync()
 		if refusal := r.confirm(now); refusal != nil {
 			return backend.Choice{}, nil, refusal
 		}
@@ -340,7 +341,7 @@
 func (r *run) describe(choice *backend.Choice) *Attempt {
 	attempt := &Attempt{
 		Request: r.request, Target: choice.Record, Version: choice.Version,
-		Remaining: time.Until(r.endsAt), LastEvent: r.lastEvent, AckWithin: r.ackWithin(),
+		Remaining: clock.Until(r.endsAt), LastEvent: r.lastEvent, AckWithin: r.ackWithin(),
 	}
 	if r.tenant != nil {
 		attempt.Tenant = r.tenant.Name
@@ -382,7 +383,7 @@
 // prompt caches. A save sends the whole prompt, so that saving what is there
 // already drives out other parts.
 func (r *run) wantsSave(store netip.AddrPort, part promptcache.Part, tokens int) bool {
-	now := time.Now()
+	now := clock.Now()
 	unseen := !r.forwarder.recent.use(now, part)
 	switch r.forwarder.Caches.Holds(now, store, part, tokens) {
 	case promptcache.Held:
--- a/internal/forward/start.go
+++ b/internal/forward/start.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/fieldpond/fieldpond/internal/clock"
 	"github.com/fieldpond/fieldpond/internal/mechanism"
 	"github.com/fieldpond/fieldpond/internal/wait"
 )
@@ -30,7 +31,7 @@
 	if f.Holder.View().Snapshot != nil || !f.config.Off.On(mechanism.StartHold) {
 		return
 	}
-	now := time.Now()
+	now := clock.Now()
 	until := now.Add(startHold)
 	if request.Wait > 0 {
 		until = earlier(until, request.ReceivedAt.Add(request.Wait/startHoldPart))
@@ -40,7 +41,27 @@
 	if f.held.Add(1) > startHeld {
 		return
 	}
-	for f.Holder.View().Snapshot == nil && time.Now().Before(until) {
+	for f.Holder.View().Snapshot == nil && clock.Now().Before(until) {
+		if !wait.For(ctx, placePause) {
+			return
+		}
+	}
+}
+
+// awaitNews lets a request wait for news while all that is known was confirmed before the
+// machine was suspended, for a bounded time. Keys, versions, engines and quarantines may have
+// changed meanwhile also where no bound on their age says so; routers have news within some
+// 20 ms if they reach a peer.
+func (f *Forwarder) awaitNews(ctx context.Context, request *Request) {
+	wokeAt, found := clock.WokeAt()
+	if !found || f.Holder.View().Snapshot == nil {
+		return
+	}
+	until := wokeAt.Add(startHold)
+	if request.Wait > 0 {
+		until = earlier(until, wokeAt.Add(request.Wait/startHoldPart))
+	}
+	for f.Holder.View().ConfirmedAt.Before(wokeAt) && clock.Now().Before(until) {
 		if !wait.For(ctx, placePause) {
 			return
 		}
--- a/internal/forward/step.go
+++ b/internal/forward/step.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/fieldpond/fieldpond/internal/backend"
+	"github.com/fieldpond/fieldpond/internal/clock"
 	"github.com/fieldpond/fieldpond/internal/fault"
 	"github.com/fieldpond/fieldpond/internal/ident"
 	"github.com/fieldpond/fieldpond/internal/quarantine"
@@ -70,7 +71,7 @@
 }
 
 func (f *Forwarder) record(request *Request, kind StepKind, fill func(*Step)) {
-	step := Step{Kind: kind, Request: request.ID, Elapsed: time.Since(request.ReceivedAt)}
+	step := Step{Kind: kind, Request: request.ID, Elapsed: clock.Since(request.ReceivedAt)}
 	fill(&step)
 	f.Record(step)
 }
--- a/internal/lease/elector.go
+++ b/internal/lease/elector.go
@@ -7,6 +7,7 @@
 
 	"github.com/apex/log"
 
+	"github.com/fieldpond/fieldpond/internal/clock"
 	"github.com/fieldpond/fieldpond/internal/fault"
 	"github.com/fieldpond/fieldpond/internal/ident"
 	"github.com/fieldpond/fieldpond/internal/store"
@@ -55,14 +56,14 @@
 func (e *Elector) Held() (Grant, error) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	return e.machine.Held(time.Now())
+	return e.machine.Held(clock.Sync())
 }
 
 // Act returns the grant for an action that begins now; see Machine.Act.
 func (e *Elector) Act() (Grant, error) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	return e.machine.Act(time.Now())
+	return e.machine.Act(clock.Sync())
 }
 
 // Holder returns the holder as last seen; see Machine.Holder.
@@ -81,7 +82,7 @@
 
 func (e *Elector) update(change func(now time.Time)) {
 	e.mutex.Lock()
-	change(time.Now())
+	change(clock.Now())
 	e.mutex.Unlock()
 	select {
 	case e.changed <- struct{}{}:
@@ -139,16 +140,16 @@
 func (e *Elector) step(ctx context.Context) (time.Duration, bool) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	exchange, due := e.machine.Advance(time.Now())
+	exchange, due := e.machine.Advance(clock.Sync())
 	if due {
 		e.mutex.Unlock()
 		outcome := e.execute(ctx, exchange)
 		e.mutex.Lock()
-		e.machine.Done(time.Now(), outcome)
+		e.machine.Done(clock.Now(), outcome)
 	}
 	e.logChange()
 	next, pending := e.machine.Next()
-	return max(time.Until(next), 0), pending
+	return max(clock.Until(next), 0), pending
 }
 
 // execute makes one exchange.
@@ -165,7 +166,7 @@
 
 // logChange writes a line when the lease was gained or given up.
 func (e *Elector) logChange() {
-	grant, err := e.machine.Held(time.Now())
+	grant, err := e.machine.Held(clock.Now())
 	holds := err == nil
 	if holds == e.was {
 		return
--- a/internal/node/caches.go
+++ b/internal/node/caches.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/fieldpond/fieldpond/internal/catalog"
+	"github.com/fieldpond/fieldpond/internal/clock"
 	"github.com/fieldpond/fieldpond/internal/promptcache"
 	"github.com/fieldpond/fieldpond/internal/wait"
 )
@@ -59,7 +60,7 @@
 func (f *cacheFollower) read(ctx context.Context, store netip.AddrPort) {
 	ctx, cancel := context.WithTimeout(ctx, cacheTimeout)
 	defer cancel()
-	askedAt := time.Now()
+	askedAt := clock.Now()
 	since, known := f.index.Position(store)
 	if !known {
 		if listing, err := f.reader.List(ctx, store); err == nil {
--- a/internal/node/canary.go
+++ b/internal/node/canary.go
@@ -11,6 +11,7 @@
 
 	"github.com/fieldpond/fieldpond/internal/backend"
 	"github.com/fieldpond/fieldpond/internal/canary"
+	"github.com/fieldpond/fieldpond/internal/clock"
 	"github.com/fieldpond/fieldpond/internal/forward"
 	"github.com/fieldpond/fieldpond/internal/ident"
 	"github.com/fieldpond/fieldpond/internal/lease"
@@ -128,7 +129,7 @@
 func (c *canaries) know(confirmedAt time.Time, rollouts *knownRollouts) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	now := time.Now()
+	now := clock.Now()
 	c.rollouts = rollouts
 	c.gate.Know(now, confirmedAt, rollouts.known())
 	c.changed(now)
@@ -153,7 +154,7 @@
 		}
 	}
 	c.listedReleases = releases
-	c.changed(time.Now())
+	c.changed(clock.Now())
 }
 
 // releasesOf returns the releases of each service, in order.
@@ -182,7 +183,7 @@
 		c.wantRoster()
 		return
 	}
-	now := time.Now()
+	now := clock.Now()
 	if told.Permit != nil {
 		if report := c.permitted(now, told.Permit); report != nil {
 			c.send(from, datagram{Report: report})
@@ -227,14 +228,14 @@
 // run looks after rollouts until ctx ends. Without one it sleeps.
 func (c *canaries) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		if !c.busy(time.Now()) {
+		if !c.busy(clock.Now()) {
 			select {
 			case <-ctx.Done():
 			case <-c.awake:
 			}
 		}
 		pause := canaryTick
-		if c.tick(ctx, time.Now()) {
+		if c.tick(ctx, clock.Now()) {
 			pause = directTick
 		}
 		wait.For(ctx, pause)
--- a/internal/node/configuration.go
+++ b/internal/node/configuration.go
@@ -8,6 +8,7 @@
 	"github.com/apex/log"
 
 	"github.com/fieldpond/fieldpond/internal/catalog"
+	"github.com/fieldpond/fieldpond/internal/clock"
 	"github.com/fieldpond/fieldpond/internal/fault"
 	"github.com/fieldpond/fieldpond/internal/ident"
 	"github.com/fieldpond/fieldpond/internal/upstream"
@@ -274,7 +275,7 @@
 	r.holder.Adopt(newest.snapshot, confirmedAt)
 	log.WithFields(log.Fields{
 		"version": newest.snapshot.Version, "routes": newest.snapshot.RouteCount(), "revision": newest.revision,
-		"read_ms": time.Since(confirmedAt).Milliseconds(), "origin": origin,
+		"read_ms": clock.Since(confirmedAt).Milliseconds(), "origin": origin,
 	}).Info("configuration_adopted")
 	r.confirmed(origin)
 }
--- a/internal/node/crashchecks.go
+++ b/internal/node/crashchecks.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/fieldpond/fieldpond/internal/backend"
+	"github.com/fieldpond/fieldpond/internal/clock"
 	"github.com/fieldpond/fieldpond/internal/ident"
 	"github.com/fieldpond/fieldpond/internal/quarantine"
 	"github.com/fieldpond/fieldpond/internal/rollout"
@@ -111,7 +112,7 @@
 func (c *crashChecks) check(ctx context.Context, life ident.Incarnation, check *crashCheck) {
 	refusals := 0
 	for _, after := range checkAt {
-		if !wait.For(ctx, max(time.Until(check.brokeAt.Add(after)), time.Millisecond)) {
+		if !wait.For(ctx, max(clock.Until(check.brokeAt.Add(after)), time.Millisecond)) {
 			break
 		}
 		switch c.look(ctx, check) {
@@ -129,7 +130,7 @@
 			requests := c.close(life, "crashed", true)
 			// Nothing more is sent to that life. What reached the next one under the old name
 			// would count as running on the life that has ended.
-			c.backends.SawGone(time.Now(), life)
+			c.backends.SawGone(clock.Now(), life)
 			c.crashed(check.brokeAt, life, requests)
 			return
 		}
@@ -166,10 +167,10 @@
 	}
 	delete(c.open, life)
 	if ended {
-		c.ended[life] = time.Now()
+		c.ended[life] = clock.Now()
 	}
 	for life, at := range c.ended {
-		if time.Since(at) > endedKept {
+		if clock.Since(at) > endedKept {
 			delete(c.ended, life)
 		}
 	}
--- a/internal/node/director.go
+++ b/internal/node/director.go
@@ -10,6 +10,7 @@
 
 	"github.com/fieldpond/fieldpond/internal/backend"
 	"github.com/fieldpond/fieldpond/internal/canary"
+	"github.com/fieldpond/fieldpond/internal/clock"
 	"github.com/fieldpond/fieldpond/internal/ident"
 )
 
@@ -115,7 +116,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	held.director.Read(time.Now(), state, version)
+	held.director.Read(clock.Now(), state, version)
 }
 
 // write writes a state for the director, if the lease is still held.
@@ -130,5 +131,5 @@
 	if _, stored := result.(canary.Stored); stored {
 		c.wrote(held.fence, &action.State)
 	}
-	held.director.Written(time.Now(), service, result)
+	held.director.Written(clock.Now(), service, result)
 }
--- a/internal/node/events.go
+++ b/internal/node/events.go
@@ -39,6 +39,7 @@
 		{"reload_refused", []string{"cause"}, "SIGHUP: the settings file is not sound; nothing changes."},
 		{"dependency_lost", []string{"dependency", "cause"}, "Reads of a dependency begin to fail."},
 		{"dependency_regained", []string{"dependency", "lost_ms"}, "Reads work again."},
+		{"machine_was_suspended", []string{"suspended_ms"}, "The machine stood still for this long, which the steady clock did not count; what was known before is as much older."},
 		{"configuration_adopted", []string{"version", "routes", "revision", "read_ms", "origin"}, "A newer configuration is in force here; origin is the router that read it from the store."},
 		{"configuration_row_outdated", []string{"version", "known", "revision", "confirmed"}, "The row of the configuration holds another one than the newest: the store carried out an older write after it. Known stays in force. It is not confirmed, and ends in unready routers, where the store has forgotten what the row held meanwhile: write a newer configuration."},
 		{"backend_changed", []string{"instance", "service", "address", "change", "revision", "models"}, "The list of back ends differs: appeared, draining, gone or reloaded."},
--- a/internal/node/follower.go
+++ b/internal/node/follower.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/fieldpond/fieldpond/internal/catalog"
+	"github.com/fieldpond/fieldpond/internal/clock"
 	"github.com/fieldpond/fieldpond/internal/ident"
 	"github.com/fieldpond/fieldpond/internal/upstream"
 	"github.com/fieldpond/fieldpond/internal/wait"
@@ -83,12 +84,12 @@
 func (d *dependency) saw(err error) {
 	switch {
 	case err != nil && !d.lost:
-		d.lost, d.lostAt = true, time.Now()
+		d.lost, d.lostAt = true, clock.Now()
 		d.count(d.name)
 		log.WithFields(log.Fields{"dependency": d.name, "cause": err.Error()}).Warn("dependency_lost")
 	case err == nil && d.lost:
 		d.lost = false
-		log.WithFields(log.Fields{"dependency": d.name, "lost_ms": time.Since(d.lostAt).Milliseconds()}).Info("dependency_regained")
+		log.WithFields(log.Fields{"dependency": d.name, "lost_ms": clock.Since(d.lostAt).Milliseconds()}).Info("dependency_regained")
 	}
 }
 
@@ -112,7 +113,7 @@
 }
 
 func (f *follower) readConfiguration(ctx context.Context) error {
-	askedAt := time.Now()
+	askedAt := clock.Sync()
 	unaskedSince := f.unaskedSince(askedAt)
 	bounded, cancel := context.WithTimeout(ctx, f.config.ReadTimeout)
 	defer cancel()
@@ -158,7 +159,7 @@
 // readStates reads the states of rollouts. Only orders without a final state are asked
 // for, so that a rollout that is over costs nothing.
 func (f *follower) readStates(ctx context.Context) {
-	askedAt := time.Now()
+	askedAt := clock.Now()
 	states, err := f.states.list(ctx)
 	if err != nil {
 		log.WithFields(log.Fields{"cause": err.Error()}).Warn("rollout_states_not_read")
@@ -246,7 +247,7 @@
 		return f.due(f.config.BackendInterval) - f.replica.listAge(now, f.startedAt)
 	}
 	f.poll(ctx, f.config.BackendInterval, due, func() error {
-		askedAt := time.Now()
+		askedAt := clock.Now()
 		bounded, cancel := context.WithTimeout(ctx, f.config.ReadTimeout)
 		defer cancel()
 		records, err := f.source.Backends(bounded)
@@ -304,7 +305,7 @@
 func (f *follower) awaitPeers(ctx context.Context) bool {
 	part := xxhash.Sum64String(string(f.replica.node)) % uint64(startStagger)
 	readAt := f.startedAt.Add(startPatience + time.Duration(part))
-	for time.Now().Before(readAt) && !f.chain.reads() && !f.replica.knows() {
+	for clock.Now().Before(readAt) && !f.chain.reads() && !f.replica.knows() {
 		if !wait.For(ctx, startPause) {
 			return false
 		}
@@ -321,7 +322,7 @@
 		return
 	}
 	for ctx.Err() == nil {
-		begun := time.Now()
+		begun := clock.Now()
 		if read() == nil {
 			pause = 0
 		} else {
@@ -329,7 +330,7 @@
 		}
 		least := pause
 		if pause == 0 {
-			least = interval - time.Since(begun)
+			least = interval - clock.Since(begun)
 		}
 		if !rest(ctx, least, due) {
 			return
@@ -354,7 +355,7 @@
 		if !wait.For(ctx, max(left, time.Millisecond)) {
 			return false
 		}
-		left = due(time.Now())
+		left = due(clock.Sync())
 		if left <= 0 {
 			return true
 		}
--- a/internal/node/health.go
+++ b/internal/node/health.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/fieldpond/fieldpond/internal/backend"
+	"github.com/fieldpond/fieldpond/internal/clock"
 	"github.com/fieldpond/fieldpond/internal/health"
 	"github.com/fieldpond/fieldpond/internal/ident"
 	"github.com/fieldpond/fieldpond/internal/rollout"
@@ -68,9 +69,9 @@
 		case <-ctx.Done():
 			return
 		case result := <-w.results:
-			w.take(time.Now(), result)
-		case now := <-ticker.C:
-			w.tick(ctx, now)
+			w.take(clock.Now(), result)
+		case <-ticker.C:
+			w.tick(ctx, clock.Now())
 		}
 	}
 }
--- a/internal/node/namingrecheck.go
+++ b/internal/node/namingrecheck.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/apex/log"
+
+	"github.com/fieldpond/fieldpond/internal/clock"
 )
 
 const (
@@ -68,7 +70,7 @@
 // dear in large fleets, where many read while their peers come and go.
 func (s *namingSession) checkAgain(ctx context.Context, told uint64) {
 	check := &s.recheck
-	if time.Now().Before(check.dueAt) {
+	if clock.Now().Before(check.dueAt) {
 		return
 	}
 	check.dueAt = time.Time{}
@@ -82,7 +84,7 @@
 	case err == nil && !check.deferred && changes.StoreRevision > told && s.tellsNewer(&changes):
 		// The watch is asked first: it knows how old at the most the version is, while this
 		// question would tell it as one of unknown age. Once only, as other writes go on.
-		check.deferred, check.dueAt = true, time.Now()
+		check.deferred, check.dueAt = true, clock.Now()
 	case err == nil:
 		check.goneSince, check.deferred = time.Time{}, false
 		s.takeOld(ctx, check.after, &changes)
@@ -104,11 +106,11 @@
 // and slow then, and what is not found stays unknown for good.
 func (s *namingSession) checkForgotten(ctx context.Context, told uint64) {
 	check := &s.recheck
-	check.dueAt = time.Now().Add(recheckAfter)
+	check.dueAt = clock.Now().Add(recheckAfter)
 	if check.goneSince.IsZero() {
-		check.goneSince, check.searched = time.Now(), false
+		check.goneSince, check.searched = clock.Now(), false
 	}
-	last := time.Since(check.goneSince) >= recheckFor
+	last := clock.Since(check.goneSince) >= recheckFor
 	if !check.searched || last {
 		check.searched = s.oldestKept(ctx, check.after, told)
 	}
@@ -141,7 +143,7 @@
 // takeOld takes in changes that were told before, or should have been: when a version was
 // named that was left out then is not known.
 func (s *namingSession) takeOld(ctx context.Context, after uint64, changes *Changes) {
-	if s.takeNamed(ctx, after, time.Now(), 0, false, changes) {
+	if s.takeNamed(ctx, after, clock.Now(), 0, false, changes) {
 		s.replica.watchedUpTo(s.replica.watchedTo(), true)
 	}
 }
--- a/internal/node/namingwatch.go
+++ b/internal/node/namingwatch.go
@@ -8,6 +8,7 @@
 	"github.com/apex/log"
 
 	"github.com/fieldpond/fieldpond/internal/catalog"
+	"github.com/fieldpond/fieldpond/internal/clock"
 	"github.com/fieldpond/fieldpond/internal/ident"
 	"github.com/fieldpond/fieldpond/internal/wait"
 )
@@ -94,7 +95,7 @@
 // watchWhileReading watches for as long as this router is to.
 func (f *follower) watchWhileReading(ctx context.Context) {
 	session := &namingSession{
-		follower: f, askingSince: time.Now(), pause: watchPause, recheck: newRecheck(time.Now(), f.replica.watchedTo().revision),
+		follower: f, askingSince: clock.Now(), pause: watchPause, recheck: newRecheck(clock.Now(), f.replica.watchedTo().revision),
 	}
 	for ctx.Err() == nil && f.watches() {
 		session.watch(ctx)
@@ -116,27 +117,27 @@
 
 // watch asks once for the changes after what is known.
 func (s *namingSession) watch(ctx context.Context) {
-	from, hold, askedAt := s.replica.watchedTo(), s.recheck.hold(time.Now()), time.Now()
+	from, hold, askedAt := s.replica.watchedTo(), s.recheck.hold(clock.Now()), clock.Now()
 	changes, err := s.changes(ctx, from.revision, hold)
 	if err != nil {
-		s.failed(ctx, err, time.Since(askedAt)-hold-s.config.ReadTimeout)
+		s.failed(ctx, err, clock.Since(askedAt)-hold-s.config.ReadTimeout)
 		return
 	}
-	took, toldAt := time.Since(askedAt), s.replica.toldAt(askedAt, changes.StoreTime)
-	news := s.takeChanges(ctx, from, toldAt, time.Since(s.askingSince), &changes)
+	took, toldAt := clock.Since(askedAt), s.replica.toldAt(askedAt, changes.StoreTime)
+	news := s.takeChanges(ctx, from, toldAt, clock.Since(s.askingSince), &changes)
 	s.watchResult(watchResults[news])
-	if !s.recalled && time.Since(s.recalledAt) >= recallInterval {
+	if !s.recalled && clock.Since(s.recalledAt) >= recallInterval {
 		s.recalled = s.recall(ctx, toldAt, changes.StoreTime)
-		s.recalledAt = time.Now()
+		s.recalledAt = clock.Now()
 		s.notRecalled.Store(!s.recalled)
 	}
-	s.recheck.answered(time.Now(), took < hold)
+	s.recheck.answered(clock.Now(), took < hold)
 	s.checkAgain(ctx, changes.StoreRevision)
 	if !news && took < leastHold {
 		// The store does not hold its answers back.
 		wait.For(ctx, leastHold-took)
 	}
-	s.askingSince, s.pause = time.Now(), watchPause
+	s.askingSince, s.pause = clock.Now(), watchPause
 }
 
 // changes asks for the changes after a revision.
@@ -156,7 +157,7 @@
 	if late > leastPaused {
 		// The process was paused: the answer may have been given, and lost, long before, so
 		// that nobody asked since then as far as is known.
-		s.askingSince = time.Now()
+		s.askingSince = clock.Now()
 	}
 	if !errors.Is(err, ErrHistoryGone) {
 		s.watchResult(watchFailed)
@@ -166,7 +167,7 @@
 	}
 	s.watchResult(watchGone)
 	from, to := s.replica.passForgotten()
-	s.recalled, s.recheck.dueAt = false, time.Now()
+	s.recalled, s.recheck.dueAt = false, clock.Now()
 	log.WithFields(log.Fields{"from": from, "to": to, "cause": err.Error()}).Info("namings_forgotten")
 	wait.For(ctx, watchPause)
 }
@@ -197,7 +198,7 @@
 		}
 		news = true
 		log.WithFields(log.Fields{
-			"model": named.Model, "version": named.Version, "met": naming.Met, "age_ms": time.Since(naming.SeenAt).Milliseconds(),
+			"model": named.Model, "version": named.Version, "met": naming.Met, "age_ms": clock.Since(naming.SeenAt).Milliseconds(),
 		}).Info("version_named")
 		f.namings.keep(ctx, named.Model, named.Version, row)
 	}
@@ -229,7 +230,7 @@
 	for _, naming := range found.namings {
 		if f.replica.holder.Named(model, naming) {
 			log.WithFields(log.Fields{
-				"model": model, "version": naming.Version, "age_ms": time.Since(naming.SeenAt).Milliseconds(),
+				"model": model, "version": naming.Version, "age_ms": clock.Since(naming.SeenAt).Milliseconds(),
 			}).Info("version_recalled")
 		}
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -16,6 +16,7 @@
 	"github.com/fieldpond/fieldpond/internal/backend"
 	"github.com/fieldpond/fieldpond/internal/canary"
 	"github.com/fieldpond/fieldpond/internal/catalog"
+	"github.com/fieldpond/fieldpond/internal/clock"
 	"github.com/fieldpond/fieldpond/internal/forward"
 	"github.com/fieldpond/fieldpond/internal/ident"
 	"github.com/fieldpond/fieldpond/internal/inbound"
@@ -173,7 +174,7 @@
 		lost:        func(name string) { n.metrics.dependencies.WithLabelValues(name).Inc() },
 		pulled:      func(result string) { n.metrics.pulls.WithLabelValues(result).Inc() },
 		watchResult: func(result string) { n.metrics.watches.WithLabelValues(result).Inc() },
-		startedAt:   time.Now(),
+		startedAt:   clock.Now(),
 	}
 }
 
@@ -195,7 +196,7 @@
 	now := reading{backends: len(n.backends.Records()), inFlight: n.backends.InFlight()}
 	if view.Snapshot != nil {
 		now.configurationVersion = view.Snapshot.Version
-		now.configurationAge = view.Age(time.Now())
+		now.configurationAge = view.Age(clock.Now())
 	}
 	now.leaseHeld = n.holdsLease()
 	now.readsStore = n.follower.readsForOthers()
@@ -203,7 +204,7 @@
 	now.sharers = n.follower.replica.Sharers()
 	now.quotaMembers = n.quotas.members()
 	now.quarantined, now.crashSuspects = n.quarantines.ledger.Counts()
-	now.regionsLost = len(n.backends.Lost(time.Now()))
+	now.regionsLost = len(n.backends.Lost(clock.Now()))
 	if n.ports.LinesDropped != nil {
 		now.linesDropped = n.ports.LinesDropped()
 	}
@@ -267,7 +268,7 @@
 	loops := []func(context.Context){
 		follower.followConfiguration, follower.followBackends, follower.followPeers, follower.watchNamings, follower.markNamings,
 		func(ctx context.Context) { follower.countRouters(ctx, n.holdsLease) }, n.contend, n.lease.Run, controller.Run, n.quotas.run, n.sweepClients,
-		n.quarantines.run, n.quarantines.checks.run,
+		n.quarantines.run, n.quarantines.checks.run, watchSuspensions,
 	}
 	if announcer != nil {
 		loops = append(loops, announcer.listen)
@@ -300,7 +301,7 @@
 func (n *Node) watchRegions(ctx context.Context) {
 	var before []ident.Region
 	wait.Every(ctx, regionInterval, func() {
-		lost := n.backends.Lost(time.Now())
+		lost := n.backends.Lost(clock.Now())
 		if !slices.Equal(lost, before) {
 			log.WithFields(log.Fields{"lost": lost, "before": before}).Warn("regions_lost")
 		}
@@ -308,6 +309,22 @@
 	})
 }
 
+// suspensionInterval is the time between two looks whether the machine was suspended, beside
+// those that are made before decisions.
+const suspensionInterval = 200 * time.Millisecond
+
+// watchSuspensions logs suspensions of the machine until ctx ends.
+func watchSuspensions(ctx context.Context) {
+	before := clock.Suspended()
+	wait.Every(ctx, suspensionInterval, func() {
+		clock.Sync()
+		if total := clock.Suspended(); total > before {
+			log.WithFields(log.Fields{"suspended_ms": (total - before).Milliseconds()}).Warn("machine_was_suspended")
+			before = total
+		}
+	})
+}
+
 // contendInterval is the time between two decisions to contend for the lease.
 const contendInterval = 200 * time.Millisecond
 
@@ -347,7 +364,7 @@
 func (n *Node) Ready() bool {
 	view := n.holder.View()
 	return !n.stopping.Load() && !n.clients.Full() && view.Snapshot != nil && !n.backends.ListedAt().IsZero() &&
-		view.Age(time.Now()) <= n.config.Forward.Freshness.Keyed
+		view.Age(clock.Sync()) <= n.config.Forward.Freshness.Keyed
 }
 
 func (n *Node) answerReady(writer http.ResponseWriter, request *http.Request) {
--- a/internal/node/notices.go
+++ b/internal/node/notices.go
@@ -4,7 +4,6 @@
 	"context"
 	"net"
 	"net/netip"
-	"time"
 
 	"github.com/apex/log"
 	"github.com/fxamacker/cbor/v2"
@@ -12,6 +11,7 @@
 
 	"github.com/fieldpond/fieldpond/internal/backend"
 	"github.com/fieldpond/fieldpond/internal/canary"
+	"github.com/fieldpond/fieldpond/internal/clock"
 	"github.com/fieldpond/fieldpond/internal/health"
 	"github.com/fieldpond/fieldpond/internal/quarantine"
 	"github.com/fieldpond/fieldpond/internal/quota"
@@ -197,7 +197,7 @@
 	from = netip.AddrPortFrom(from.Addr().Unmap(), from.Port())
 	// Routers that started together know each other a count of the routers later: what they
 	// could not tell is answered to who can tell them.
-	if lacks := n.quarantines.take(time.Now(), told.Quarantine); len(lacks) > 0 {
+	if lacks := n.quarantines.take(clock.Now(), told.Quarantine); len(lacks) > 0 {
 		n.sendTo(from, datagram{Quarantine: lacks})
 	}
 	if told.Quota != nil && n.quotas != nil {
@@ -212,7 +212,7 @@
 
 // takeHealth takes in which engines are silent and at which requests wait.
 func (n *notices) takeHealth(notice *health.Notice) {
-	now := time.Now()
+	now := clock.Now()
 	n.backends.ToldSilent(now, notice.Silent)
 	n.backends.ToldAnswering(notice.Answering)
 	n.backends.ToldGone(now, notice.Gone)
@@ -223,7 +223,7 @@
 
 // take takes in a notice.
 func (n *notices) take(notice *rollout.Notice) {
-	now := time.Now()
+	now := clock.Now()
 	for _, instance := range notice.Loading {
 		n.backends.Loading(now, instance, notice.Model, notice.Version, notice.LoadTime)
 	}
--- a/internal/node/pull.go
+++ b/internal/node/pull.go
@@ -10,6 +10,7 @@
 	"github.com/apex/log"
 
 	"github.com/fieldpond/fieldpond/internal/catalog"
+	"github.com/fieldpond/fieldpond/internal/clock"
 	"github.com/fieldpond/fieldpond/internal/upstream"
 	"github.com/fieldpond/fieldpond/internal/wait"
 )
@@ -92,7 +93,7 @@
 	source := upstream.Source(upstream.Store{})
 	confirmation := uint64(0)
 	for ctx.Err() == nil {
-		next := f.next(time.Now())
+		next := f.next(clock.Sync())
 		if !sameSource(next, source) {
 			logSource(next)
 			confirmation = 0
@@ -100,11 +101,11 @@
 		source = next
 		switch next := next.(type) {
 		case upstream.Peer:
-			begun := time.Now()
+			begun := clock.Now()
 			confirmation = f.pull(ctx, next, confirmation)
-			wait.For(ctx, max(leastPull-time.Since(begun), time.Millisecond))
+			wait.For(ctx, max(leastPull-clock.Since(begun), time.Millisecond))
 		case upstream.Store:
-			wait.For(ctx, min(max(time.Until(next.RetryAt), leastPull), chainPause))
+			wait.For(ctx, min(max(clock.Until(next.RetryAt), leastPull), chainPause))
 		}
 	}
 }
@@ -129,7 +130,7 @@
 func (f *follower) join(ctx context.Context) bool {
 	seen := &dependency{name: "router row", count: f.lost}
 	for ctx.Err() == nil {
-		askedAt := time.Now()
+		askedAt := clock.Now()
 		self, peers, routers, err := f.roster.join(ctx)
 		seen.saw(err)
 		if err == nil {
@@ -189,7 +190,7 @@
 		if update != nil {
 			chain.Told(peer.Node, update.Leaving)
 		}
-		chain.Pulled(time.Now(), peer.Node, result)
+		chain.Pulled(clock.Now(), peer.Node, result)
 	})
 	if update == nil {
 		return 0
@@ -268,9 +269,9 @@
 // engines, or pass that on, read them when their number is another one.
 func (f *follower) countRouters(ctx context.Context, holds func() bool) {
 	least := f.config.RosterInterval - countLook/2
-	triedAt := time.Now()
+	triedAt := clock.Now()
 	wait.Every(ctx, countLook, func() {
-		now := time.Now()
+		now := clock.Now()
 		rested := now.Sub(triedAt) >= least
 		// A router that takes over from one that died before its next count, and one whose
 		// count failed, must not wait for an interval of its own: the others take no part of
@@ -287,7 +288,7 @@
 
 // readRoster reads the rows of the routers.
 func (f *follower) readRoster(ctx context.Context) {
-	readAt := time.Now()
+	readAt := clock.Now()
 	peers, routers, err := f.roster.read(ctx)
 	if err != nil {
 		log.WithFields(log.Fields{"cause": err.Error()}).Warn("routers_not_counted")
--- a/internal/node/quarantine.go
+++ b/internal/node/quarantine.go
@@ -8,6 +8,7 @@
 	"github.com/apex/log"
 
 	"github.com/fieldpond/fieldpond/internal/backend"
+	"github.com/fieldpond/fieldpond/internal/clock"
 	"github.com/fieldpond/fieldpond/internal/forward"
 	"github.com/fieldpond/fieldpond/internal/ident"
 	"github.com/fieldpond/fieldpond/internal/quarantine"
@@ -118,7 +119,7 @@
 	log.WithFields(log.Fields{"instance": life, "requests": len(requests)}).Warn("backend_crashed")
 	held := q.ledger.Crashed(at, life, requests)
 	q.tell(requests...)
-	q.logHeld(time.Now(), held)
+	q.logHeld(clock.Now(), held)
 	q.keep(held...)
 }
 
@@ -190,7 +191,7 @@
 
 // sendNews sends what is known of requests.
 func (q *quarantines) sendNews(requests []quarantine.Fingerprint) {
-	now := time.Now()
+	now := clock.Now()
 	var part []quarantine.Told
 	for _, request := range requests[:min(len(requests), newsMost)] {
 		if told, known := q.ledger.Tell(now, request); known {
@@ -248,13 +249,13 @@
 	go q.keepRows(ctx)
 	wait.Every(ctx, newsInterval, func() {
 		q.tellAgain()
-		q.ledger.Forget(time.Now())
+		q.ledger.Forget(clock.Now())
 	})
 }
 
 // keepRows keeps the rows up to date until ctx ends.
 func (q *quarantines) keepRows(ctx context.Context) {
-	listedAt := time.Now()
+	listedAt := clock.Now()
 	for ctx.Err() == nil {
 		select {
 		case <-ctx.Done():
@@ -263,12 +264,12 @@
 		case <-time.After(keepInterval):
 		}
 		if held, _ := q.ledger.Counts(); held > 0 && q.keeps() {
-			if time.Since(listedAt) >= relistInterval {
-				listedAt = time.Now()
+			if clock.Since(listedAt) >= relistInterval {
+				listedAt = clock.Now()
 				q.relist(ctx)
 			}
 			// Without waking: a store that is down is asked again at the next look.
-			q.note(q.rows.missing(time.Now()))
+			q.note(q.rows.missing(clock.Now()))
 		}
 		q.writeRows(ctx)
 	}
@@ -281,7 +282,7 @@
 		log.WithFields(log.Fields{"cause": err.Error()}).Warn("quarantine_rows_not_read")
 		return
 	}
-	now := time.Now()
+	now := clock.Now()
 	q.logHeld(now, held)
 	for _, request := range lifted {
 		q.ledger.Lift(now, request)
@@ -301,7 +302,7 @@
 		log.WithFields(log.Fields{"cause": err.Error()}).Warn("quarantine_rows_not_read")
 		return
 	}
-	q.logHeld(time.Now(), held)
+	q.logHeld(clock.Now(), held)
 }
 
 // writeRows brings the rows up to date that this router has to; what fails is tried again.
--- a/internal/node/quarantinerows.go
+++ b/internal/node/quarantinerows.go
@@ -10,6 +10,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 
+	"github.com/fieldpond/fieldpond/internal/clock"
 	"github.com/fieldpond/fieldpond/internal/quarantine"
 	"github.com/fieldpond/fieldpond/internal/store"
 	"github.com/fieldpond/fieldpond/internal/store/protocol"
@@ -96,7 +97,7 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	now := time.Now()
+	now := clock.Now()
 	found := make(map[quarantine.Fingerprint]struct{}, len(list.Rows))
 	for _, row := range list.Rows {
 		kept, err := readQuarantineRow(&row)
@@ -154,7 +155,7 @@
 	if err != nil {
 		return err
 	}
-	now := time.Now()
+	now := clock.Now()
 	held := r.ledger.Judge(now, request) != nil
 	if found == held {
 		r.know(request, held)
@@ -206,7 +207,7 @@
 // claimTrial asks for the grant of a trial, and returns the number of those granted so far.
 // One whose write has no answer counts as granted to nobody.
 func (r *quarantineRows) claimTrial(ctx context.Context, request quarantine.Fingerprint) (trialResult, int) {
-	if !r.mayClaim(time.Now(), request) {
+	if !r.mayClaim(clock.Now(), request) {
 		return trialDenied, 0
 	}
 	bounded, cancel := context.WithTimeout(ctx, trialTimeout)
@@ -223,7 +224,7 @@
 	if err != nil {
 		return trialFailed, 0
 	}
-	r.takeRow(time.Now(), row.StoreTime, kept)
+	r.takeRow(clock.Now(), row.StoreTime, kept)
 	since := row.StoreTime - kept.StoreTime + kept.Told.TrialAge
 	if !quarantine.GrantTrial(kept.Told.Trials, since) {
 		return trialDenied, kept.Told.Trials
@@ -247,7 +248,7 @@
 
 // grantTrial writes that one more trial is granted.
 func (r *quarantineRows) grantTrial(ctx context.Context, row *protocol.Row, request quarantine.Fingerprint, trials int) (trialResult, int) {
-	now := time.Now()
+	now := clock.Now()
 	r.ledger.Tried(request, trials, now)
 	told, known := r.ledger.Tell(now, request)
 	if !known {
--- a/internal/node/quotas.go
+++ b/internal/node/quotas.go
@@ -10,6 +10,7 @@
 
 	"github.com/apex/log"
 
+	"github.com/fieldpond/fieldpond/internal/clock"
 	"github.com/fieldpond/fieldpond/internal/forward"
 	"github.com/fieldpond/fieldpond/internal/quota"
 	"github.com/fieldpond/fieldpond/internal/upstream"
@@ -132,7 +133,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.agent.Counted(q.routers())
-	use(time.Now())
+	use(clock.Now())
 	out, done := q.agent.Flush()
 	for _, decision := range done {
 		if decided := q.waiting[decision.ID]; decided != nil {
--- a/internal/node/replica.go
+++ b/internal/node/replica.go
@@ -12,6 +12,7 @@
 	"github.com/fieldpond/fieldpond/internal/backend"
 	"github.com/fieldpond/fieldpond/internal/canary"
 	"github.com/fieldpond/fieldpond/internal/catalog"
+	"github.com/fieldpond/fieldpond/internal/clock"
 	"github.com/fieldpond/fieldpond/internal/ident"
 	"github.com/fieldpond/fieldpond/internal/promptcache"
 	"github.com/fieldpond/fieldpond/internal/upstream"
@@ -165,7 +166,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.self = self
-	r.sharers.Joined(time.Now())
+	r.sharers.Joined(clock.Now())
 }
 
 // leave tells the peers, those that wait at once, that this router is about to end.
@@ -191,7 +192,7 @@
 	if r.origin != r.node {
 		return 0
 	}
-	return time.Since(r.originSince)
+	return clock.Since(r.originSince)
 }
 
 // counted takes in the number of routers in all zones, as read at a time. What a peer tells
@@ -203,7 +204,7 @@
 		return
 	}
 	r.routers, r.countedAt = routers, readAt
-	r.sharers.Counted(time.Now(), readAt, routers)
+	r.sharers.Counted(clock.Now(), readAt, routers)
 }
 
 // countAge returns the age of the number of routers.
@@ -225,7 +226,7 @@
 func (r *replica) Sharers() int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.sharers.Among(time.Now())
+	return r.sharers.Among(clock.Now())
 }
 
 // toldWatched returns what is told to a peer.
@@ -276,7 +277,7 @@
 func (r *replica) toldAt(askedAt time.Time, storeTime time.Duration) time.Time {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.read.earliest(askedAt, storeTime, time.Now())
+	return r.read.earliest(askedAt, storeTime, clock.Now())
 }
 
 // passForgotten takes in that the store has forgotten changes after the watched revision: it
@@ -347,7 +348,7 @@
 // confirmed tells the peers that wait; the caller holds the mutex.
 func (r *replica) confirmed(origin ident.Node) {
 	if r.origin != origin {
-		r.origin, r.originSince = origin, time.Now()
+		r.origin, r.originSince = origin, clock.Now()
 	}
 	r.confirmation++
 	close(r.changed)
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/fieldpond/fieldpond/internal/clock"
 	"github.com/fieldpond/fieldpond/internal/forward"
 	"github.com/fieldpond/fieldpond/internal/inbound"
 	"github.com/fieldpond/fieldpond/internal/upstream"
@@ -82,7 +83,7 @@
 // sweepClients closes the connections of clients that rest for too long, until ctx
 // ends.
 func (n *Node) sweepClients(ctx context.Context) {
-	wait.Every(ctx, inbound.SweepInterval, func() { n.clients.Sweep(time.Now()) })
+	wait.Every(ctx, inbound.SweepInterval, func() { n.clients.Sweep(clock.Now()) })
 }
 
 // clientLimits returns the bounds that the configuration in force sets on clients.
--- a/internal/rollout/controller.go
+++ b/internal/rollout/controller.go
@@ -7,6 +7,7 @@
 
 	"github.com/fieldpond/fieldpond/internal/backend"
 	"github.com/fieldpond/fieldpond/internal/catalog"
+	"github.com/fieldpond/fieldpond/internal/clock"
 	"github.com/fieldpond/fieldpond/internal/ident"
 	"github.com/fieldpond/fieldpond/internal/lease"
 	"github.com/fieldpond/fieldpond/internal/wait"
@@ -94,11 +95,11 @@
 		case <-ctx.Done():
 			return
 		case take := <-c.results:
-			take(time.Now())
+			take(clock.Now())
 			c.takeResults()
-			c.step(ctx, time.Now())
+			c.step(ctx, clock.Now())
 		case <-ticker.C:
-			c.step(ctx, time.Now())
+			c.step(ctx, clock.Now())
 		}
 	}
 }
@@ -108,7 +109,7 @@
 	for {
 		select {
 		case take := <-c.results:
-			take(time.Now())
+			take(clock.Now())
 		default:
 			return
 		}
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -8,6 +8,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 
+	"github.com/fieldpond/fieldpond/internal/clock"
 	"github.com/fieldpond/fieldpond/internal/exchange"
 	"github.com/fieldpond/fieldpond/internal/httpclient"
 )
@@ -55,7 +56,7 @@
 
 // ask asks a peer once.
 func (c *Client) ask(ctx context.Context, peer Peer, body []byte) (*Update, time.Time, error) {
-	askedAt := time.Now()
+	askedAt := clock.Now()
 	rsp, err := c.pool.Do(ctx, peer.Addr.String(), &exchange.Request{
 		Method: http.MethodPost, Target: Path, Host: peer.Addr.String(), Body: body,
 	})
@@ -73,7 +74,7 @@
 	if err := cbor.Unmarshal(data, &update); err != nil {
 		return nil, time.Time{}, errors.Wrap(err, "decode the update of a peer")
 	}
-	if err := update.check(time.Since(askedAt)); err != nil {
+	if err := update.check(clock.Since(askedAt)); err != nil {
 		return nil, time.Time{}, err
 	}
 	return &update, askedAt.Add(update.Held), nil
--- a/internal/upstream/server.go
+++ b/internal/upstream/server.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
+
+	"github.com/fieldpond/fieldpond/internal/clock"
 )
 
 // Path is where a Server takes pulls.
@@ -52,7 +54,7 @@
 // ServeHTTP implements http.Handler. An answer is held back until there is
 // something new, for a bounded time.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	askedAt := time.Now()
+	askedAt := clock.Now()
 	body, err := io.ReadAll(io.LimitReader(r.Body, maxPull))
 	var pull Pull
 	if err != nil || r.URL.Path != Path || cbor.Unmarshal(body, &pull) != nil {
@@ -63,7 +65,7 @@
 	if !Hold(r.Context(), s.state, &pull) {
 		return
 	}
-	now := time.Now()
+	now := clock.Now()
 	update := s.state.Update(now, &pull)
 	update.Held = now.Sub(askedAt)
 	encoded, err := cbor.Marshal(update)
