Look again where an attempt may go once it is placed

Cause: a request asked which releases are allowed and was placed a moment later; an order and the back ends of the new release could become known between, so that it went to a release that nothing had proved.

Change: the answer is checked again after the placing (the back ends of a release become known after its order, never before). The fleet of that test, which models the forwarder, asks again as the forwarder does.

--- a/internal/canary/gate.go
+++ b/internal/canary/gate.go
@@ -138,6 +138,16 @@
 	return traffic.guard.releases(now, ask, traffic.forbidden)
 }
 
+// Stands reports whether an attempt that Choose allowed to go to some releases may still go to
+// one of them.
+func (g *Gate) Stands(service ident.Service, allowed *backend.Releases, release ident.Release) bool {
+	traffic := g.services[service]
+	if traffic == nil || allowed.Only == release {
+		return true
+	}
+	return !slices.Contains(traffic.forbidden, release)
+}
+
 // Declined says that a request for which Choose named only the target of a rollout will
 // not be sent there after all.
 func (g *Gate) Declined(service ident.Service) {
--- a/internal/forward/releases.go
+++ b/internal/forward/releases.go
@@ -15,6 +15,9 @@
 type Releases interface {
 	// Choose returns the releases that an attempt may go to.
 	Choose(now time.Time, ask canary.Ask) backend.Releases
+	// Stands reports whether an attempt that was allowed to go to some releases may still go to
+	// one of them.
+	Stands(service ident.Service, allowed *backend.Releases, release ident.Release) bool
 	// Declined takes back a choice that named the only release allowed, since nothing was
 	// sent there.
 	Declined(service ident.Service)
@@ -44,6 +47,13 @@
 	return choice, flight, found
 }
 
+// stands reports whether the attempt may still go to its back end. An order or a verdict may
+// have become known, with the back ends of a new release, after it was asked where the attempt
+// may go: it would be placed at a release that nothing has proved.
+func (r *run) stands(choice *backend.Choice) bool {
+	return r.forwarder.Releases == nil || r.forwarder.Releases.Stands(r.service, &choice.Releases, choice.Release)
+}
+
 // decline gives up an attempt that was placed and is not sent.
 func (r *run) decline(now time.Time, choice *backend.Choice, flight *backend.Flight) {
 	flight.Ended(now, backend.Abandoned)
--- a/internal/forward/releases_test.go
+++ b/internal/forward/releases_test.go
@@ -20,13 +20,15 @@
 
 // fakeReleases allows first asks one release, and later ones all but that.
 type fakeReleases struct {
-	mutex    sync.Mutex
-	first    backend.Releases
-	later    backend.Releases
-	asks     []canary.Ask
-	declined int
-	sent     []ident.Release
-	samples  []canary.Sample
+	mutex sync.Mutex
+	first backend.Releases
+	later backend.Releases
+	asks  []canary.Ask
+	// withdrawn is a release that attempts may not go to any more once they were placed.
+	withdrawn ident.Release
+	declined  int
+	sent      []ident.Release
+	samples   []canary.Sample
 }
 
 // Choose implements forward.Releases.
@@ -40,6 +42,11 @@
 	return f.later
 }
 
+// Stands implements forward.Releases.
+func (f *fakeReleases) Stands(_ ident.Service, _ *backend.Releases, release ident.Release) bool {
+	return f.withdrawn == "" || release != f.withdrawn
+}
+
 // Declined implements forward.Releases.
 func (f *fakeReleases) Declined(ident.Service) {
 	f.mutex.Lock()
@@ -242,3 +249,16 @@
 	is.Equal(releases.samples[0].Outcome, canary.Answered)
 	is.True(releases.samples[0].Predicted >= 7000*20*time.Microsecond)
 }
+
+// An order may become known between the question where an attempt may go and its placing.
+func TestAnAttemptKeepsToWhatBecameKnownMeanwhile(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		releases := &fakeReleases{first: onlyNew, later: notNew, withdrawn: "v2"}
+		b := newReleaseBench(releases, true, genuine(200, "x"))
+		is.True(b.forward(t, request("safe")).refusal == nil)
+		is.Equal(releases.sent, []ident.Release{"v1"})
+		is.Equal(releases.declined, 1)
+		is.Equal(b.backends.InFlight(), 0)
+	})
+}
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -249,6 +249,10 @@
 			return backend.Choice{}, nil, refusal
 		}
 		if choice, flight, found := r.pick(now); found {
+			if !r.stands(&choice) {
+				r.decline(now, &choice, flight)
+				continue
+			}
 			if r.overloadedBy(&choice, now) {
 				r.decline(now, &choice, flight)
 				if choice.Releases.Among > 0 {
--- a/internal/node/canary.go
+++ b/internal/node/canary.go
@@ -104,6 +104,16 @@
 	return c.gate.Choose(now, ask)
 }
 
+// Stands implements forward.Releases.
+func (c *canaries) Stands(service ident.Service, allowed *backend.Releases, release ident.Release) bool {
+	if !c.bound.Load() {
+		return true
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.gate.Stands(service, allowed, release)
+}
+
 // Declined implements forward.Releases.
 func (c *canaries) Declined(service ident.Service) {
 	c.mu.Lock()
--- a/internal/node/canaryfleet_test.go
+++ b/internal/node/canaryfleet_test.go
@@ -267,6 +267,14 @@
 		r.fleet.refuse()
 		return
 	}
+	if !r.canaries.Stands("s", &query.Releases, choice.Release) {
+		flight.Ended(now, backend.Abandoned)
+		if query.Releases.Only != "" {
+			r.canaries.Declined("s")
+		}
+		r.request(ctx)
+		return
+	}
 	run := r.canaries.Sent(now, "s", choice.Record)
 	sample := canary.Sample{Route: "route", Outcome: canary.Answered, Elapsed: guardedWork, Predicted: choice.Uncached}
 	bad := r.fleet.arrive(r.node, choice.Release, r.random.Float64())
