Let an engine finish the order of a former holder, and order none of services that there are not

Cause of the first: an order that names the right sequence may be carried out late, after the order of a former holder which is under way, and take the engine back from a newer version; nobody orders it again, as engines are believed never to go back. A report that says busy is now read again in place of an order. TestAnEngineIsNotOrderedWhileItCarriesOutAnotherOrder failed before. The fake of TestTheDeadlineSetsThePace said busy always, also of engines without an order; it says so now while it carries one out.

The second: an entry that another writer left may name any service; it is neither ordered nor checked (TestOnlyEnginesOfServicesThatThereAreAreOrdered).

--- a/internal/catalog/holder.go
+++ b/internal/catalog/holder.go
@@ -50,6 +50,12 @@
 // Age returns how old the confirmation is.
 func (v View) Age(now time.Time) time.Duration { return now.Sub(v.ConfirmedAt) }
 
+// Serves reports whether the configuration names a service; without one nothing tells that it
+// does not. An entry that another writer left in the list of back ends may name any service.
+func (v View) Serves(service ident.Service) bool {
+	return v.Snapshot == nil || v.Snapshot.Service(service) != nil
+}
+
 // Holder keeps the newest configuration. Versions only rise within the life of
 // a process. It is safe for concurrent use.
 type Holder struct {
--- a/internal/node/health.go
+++ b/internal/node/health.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/fieldpond/fieldpond/internal/backend"
+	"github.com/fieldpond/fieldpond/internal/catalog"
 	"github.com/fieldpond/fieldpond/internal/clock"
 	"github.com/fieldpond/fieldpond/internal/health"
 	"github.com/fieldpond/fieldpond/internal/ident"
@@ -37,7 +38,9 @@
 	leads    func() bool
 	engines  rollout.Engines
 	backends *backend.Registry
-	tell     func(health.Notice)
+	// holder tells the services that there are.
+	holder *catalog.Holder
+	tell   func(health.Notice)
 
 	tracker   *health.Tracker
 	results   chan checkResult
@@ -108,8 +111,9 @@
 	if !w.leads() {
 		return nil
 	}
+	view := w.holder.View()
 	return slices.DeleteFunc(w.backends.Records(), func(record backend.Record) bool {
-		return record.Zone != w.zone || len(record.Models) == 0 || record.Draining
+		return !view.Serves(record.Service) || record.Zone != w.zone || len(record.Models) == 0 || record.Draining
 	})
 }
 
--- a/internal/node/health_test.go
+++ b/internal/node/health_test.go
@@ -11,6 +11,7 @@
 	"github.com/matryer/is"
 
 	"github.com/fieldpond/fieldpond/internal/backend"
+	"github.com/fieldpond/fieldpond/internal/catalog"
 	"github.com/fieldpond/fieldpond/internal/health"
 	"github.com/fieldpond/fieldpond/internal/ident"
 	"github.com/fieldpond/fieldpond/internal/rollout"
@@ -60,7 +61,7 @@
 	known := backend.NewRegistry(backend.Config{})
 	known.Update(time.Now(), checkedRecords())
 	watcher := &healthWatcher{
-		zone: "z", leads: func() bool { return leads }, engines: engines, backends: known,
+		zone: "z", leads: func() bool { return leads }, engines: engines, backends: known, holder: &catalog.Holder{},
 		tell: func(notice health.Notice) {
 			if notice.Silent != nil {
 				silent = notice.Silent
@@ -116,7 +117,7 @@
 		known.Update(time.Now(), checkedRecords())
 		var gone []ident.Incarnation
 		watcher := &healthWatcher{
-			zone: "z", leads: func() bool { return true }, backends: known,
+			zone: "z", leads: func() bool { return true }, backends: known, holder: &catalog.Holder{},
 			engines: &checkedEngines{ended: "b", checks: map[ident.Incarnation]int{}},
 			tell:    func(notice health.Notice) { gone = append(gone, notice.Gone...) },
 		}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -276,7 +276,7 @@
 	if announcer != nil && n.config.Off.On(mechanism.SharedHealth) {
 		watcher := &healthWatcher{
 			zone: n.config.Zone, leads: follower.chain.leads, engines: n.ports.Engines,
-			backends: n.backends, tell: announcer.tellHealth,
+			backends: n.backends, holder: n.holder, tell: announcer.tellHealth,
 		}
 		loops = append(loops, watcher.run)
 	}
--- a/internal/rollout/controller.go
+++ b/internal/rollout/controller.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"slices"
 	"time"
 
 	"github.com/fieldpond/fieldpond/internal/backend"
@@ -129,8 +130,11 @@
 	if now.Before(grant.QuietUntil) || !now.Before(grant.ActUntil) {
 		return
 	}
-	records := c.backends.Records()
-	c.planner.Observe(records, c.holder.View().Models)
+	view := c.holder.View()
+	records := slices.DeleteFunc(c.backends.Records(), func(record backend.Record) bool {
+		return !view.Serves(record.Service)
+	})
+	c.planner.Observe(records, view.Models)
 	c.planner.Calm(c.calm(now, records))
 	actions := c.planner.Plan(now, grant.Fence)
 	c.announce(actions)
--- a/internal/rollout/controller_test.go
+++ b/internal/rollout/controller_test.go
@@ -139,3 +139,33 @@
 		})
 	}
 }
+
+// An entry that another writer left in the list may name a service that there is not: nothing
+// is sent to what it names.
+func TestOnlyEnginesOfServicesThatThereAreAreOrdered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		engines := &fleetEngines{fleet: newFleet(2)}
+		holder := &catalog.Holder{}
+		holder.Adopt(catalog.NewSnapshot(catalog.Content{Version: 1, Services: []catalog.Service{{Name: "s"}}}), time.Now())
+		holder.Named(model, catalog.Naming{Version: 2, SeenAt: time.Now()})
+		records := engines.fleet.records()
+		for index := range records {
+			records[index].Service = "s"
+			if records[index].Instance == "i-01" {
+				records[index].Service = "no such service"
+			}
+		}
+		known := backend.NewRegistry(backend.Config{})
+		known.Update(time.Now(), records)
+		controller := rollout.NewController(rollout.ControllerConfig{
+			Planner: config, OnOrder: func(*rollout.Order, rollout.Result) {},
+		}, heldLease{}, engines, holder, known)
+		go controller.Run(t.Context())
+		time.Sleep(20 * time.Second)
+		engines.mu.Lock()
+		defer engines.mu.Unlock()
+		is.Equal(engines.fleet.versions["i-00"], 2)
+		is.Equal(engines.fleet.versions["i-01"], 1)
+	})
+}
--- a/internal/rollout/planner.go
+++ b/internal/rollout/planner.go
@@ -95,8 +95,10 @@
 	// reportAt is when the next report is due, reportedAt when the last one
 	// that came was asked for.
 	reportAt, reportedAt time.Time
-	// requests is the number of requests at the engine in the last report.
+	// requests is the number of requests at the engine in the last report, busy whether it
+	// carried out an order then.
 	requests int
+	busy     bool
 	// emptyingFrom is when routers were told to send the engine no new work, zero if
 	// they were not.
 	emptyingFrom time.Time
@@ -241,9 +243,11 @@
 }
 
 // change orders an engine whose report was read right before and which is emptied, or
-// reads its report.
+// reads its report. One that carries out the order of a former holder is let finish: that may
+// have known a newer version, and an order which is carried out after it, late, would take the
+// engine back for good, as engines are believed never to go back.
 func (p *Planner) change(now time.Time, wanted need, fence uint64) (Action, bool) {
-	if now.Sub(wanted.engine.reportedAt) > preparedFor || p.empties(now, wanted) {
+	if wanted.engine.busy || now.Sub(wanted.engine.reportedAt) > preparedFor || p.empties(now, wanted) {
 		return p.follow(now, wanted.engine)
 	}
 	return p.order(now, wanted, fence), true
@@ -369,7 +373,7 @@
 	engine.learn(report.Versions)
 	engine.reportedAt = askedAt
 	engine.sequence = report.Sequence
-	engine.requests = report.Queued + report.Active
+	engine.requests, engine.busy = report.Queued+report.Active, report.Busy
 	p.settle(askedAt, engine)
 	if engine.ordered > 0 && !report.Busy && askedAt.Sub(engine.orderedAt) >= settleAfter {
 		engine.ordered = 0
--- a/internal/rollout/planner_test.go
+++ b/internal/rollout/planner_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -291,7 +292,9 @@
 		for _, action := range planner.Plan(now, 7) {
 			if action.Order == nil {
 				report := engines.report(action.Target.Instance)
-				report.Busy = true
+				report.Busy = slices.ContainsFunc(running, func(current change) bool {
+					return current.order.Target.Instance == action.Target.Instance
+				})
 				planner.Reported(now, action.Target.Instance, report)
 				continue
 			}
@@ -303,3 +306,26 @@
 		is.Equal(version, 2)
 	}
 }
+
+// A former holder of the lease may have known a newer version, and its order may still be
+// carried out: an order of the next holder that is carried out late would take the engine back.
+func TestAnEngineIsNotOrderedWhileItCarriesOutAnotherOrder(t *testing.T) {
+	is := is.New(t)
+	planner := rollout.NewPlanner(config)
+	models := named(catalog.Naming{Version: 2, SeenAt: start})
+	records := []backend.Record{{Instance: "i", Models: map[ident.Model]int{model: 1}}}
+	report := &rollout.Report{Versions: map[ident.Model]int{model: 1}, Sequence: 1, Busy: true}
+	for at := time.Duration(0); at < 4*time.Second; at += 100 * time.Millisecond {
+		now := start.Add(at)
+		if at == 2*time.Second {
+			report = &rollout.Report{Versions: map[ident.Model]int{model: 3}, Sequence: 1}
+		}
+		planner.Observe(records, models)
+		for _, action := range planner.Plan(now, 7) {
+			is.True(action.Order == nil)
+			planner.Reported(now, "i", report)
+		}
+	}
+	is.Equal(planner.Counters().Orders, uint64(0))
+	is.True(planner.Counters().Reports > 5)
+}
