Read the rows of the quarantine again after a router was cut off or suspended

A router that reads the store itself pulls from nobody: it missed what the others learnt while it was away, and would have sent a held request on.

--- a/internal/node/follower.go
+++ b/internal/node/follower.go
@@ -123,7 +123,7 @@
 	if err != nil {
 		return err
 	}
-	f.quarantines.load(ctx)
+	f.quarantines.load(ctx, askedAt.Sub(f.replica.holder.View().ConfirmedAt))
 	f.readNamings(ctx, askedAt, unaskedSince, &reading)
 	f.replica.rowsRead(askedAt, &reading)
 	rollouts := f.orders(askedAt, f.replica.holder.View().ConfirmedAt, &reading)
--- a/internal/node/quarantine.go
+++ b/internal/node/quarantine.go
@@ -30,6 +30,9 @@
 	// between two reads of the rows while a request is held.
 	keepInterval   = 2 * time.Second
 	relistInterval = 5 * time.Second
+	// reloadAfter is how long nothing may have been confirmed here before the rows are read
+	// once more: three reads of the configuration that failed, or were not made.
+	reloadAfter = 2400 * time.Millisecond
 )
 
 // quarantines keeps requests from back ends under which these crash, together with the other
@@ -291,10 +294,12 @@
 	q.tell(lifted...)
 }
 
-// load reads the rows before this router serves, unless that was done. Without the rows a
-// router that starts alone would send each held request to three back ends once more.
-func (q *quarantines) load(ctx context.Context) {
-	if q == nil || q.rows.loaded() {
+// load reads the rows before this router serves, unless that was done, and again when nothing
+// was confirmed here for a while. Without the rows a router that starts alone, or one that
+// reads the store itself and was cut off or suspended while others learnt of a request, would
+// send it to three back ends once more.
+func (q *quarantines) load(ctx context.Context, unconfirmedFor time.Duration) {
+	if q == nil || (q.rows.loaded() && unconfirmedFor < reloadAfter) {
 		return
 	}
 	_, held, err := q.rows.list(ctx)
--- a/internal/node/quarantine_test.go
+++ b/internal/node/quarantine_test.go
@@ -208,7 +208,7 @@
 		// One router learns nothing of what the others try.
 		w.deaf[3] = true
 		w.crash(0, "guilty", 0, 1, 2)
-		w.all[3].load(t.Context())
+		w.all[3].load(t.Context(), 0)
 		w.crash(3, "guilty", 3, 4, 5)
 		trials := 0
 		for range 600 {
@@ -273,7 +273,7 @@
 			w.store.rows[row.Key] = row
 		})
 		next := w.start(t.Context(), refused)
-		next.load(t.Context())
+		next.load(t.Context(), 0)
 		is.True(next.Judge(time.Now(), asked("x")) != nil)
 		is.True(next.Judge(time.Now(), asked("y")) == nil)
 	})
@@ -292,3 +292,20 @@
 	}
 	return f.fakeStore.Read(ctx, key)
 }
+
+// A router that reads the store itself, and was cut off while others learnt of a request, hears
+// of it when it is back.
+func TestARouterThatWasCutOffReadsTheRowsAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWards(t, 3, refused)
+		w.all[1].load(t.Context(), 0)
+		w.deaf[1] = true
+		w.crash(0, "guilty", 0, 1, 2)
+		time.Sleep(time.Second)
+		w.all[1].load(t.Context(), time.Second)
+		is.True(w.all[1].Judge(time.Now(), asked("guilty")) == nil)
+		w.all[1].load(t.Context(), 5*time.Second)
+		is.True(w.all[1].Judge(time.Now(), asked("guilty")) != nil)
+	})
+}
