--- /dev/null
+++ b/internal/quarantine/size_test.go
@@ -0,0 +1,55 @@
+package quarantine_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/fieldpond/fieldpond/internal/ident"
+	"github.com/fieldpond/fieldpond/internal/quarantine"
+)
+
+// BenchmarkTold encodes what one router tells of a request, with one crash and with as many as
+// are kept. The metric is its length: 61 and 251 bytes.
+func BenchmarkTold(b *testing.B) {
+	for _, crashes := range []int{1, 6} {
+		ledger := quarantine.NewLedger()
+		for index := range crashes {
+			at := begin.Add(time.Duration(index) * time.Second)
+			life := ident.Incarnation("i-405d13ae6" + string(rune('a'+index)) + "@1769988000000")
+			ledger.Crashed(at, life, []quarantine.Fingerprint{fingerprint(0)})
+		}
+		name := map[int]string{1: "one crash", 6: "six crashes"}[crashes]
+		b.Run(name, func(b *testing.B) {
+			length := 0
+			for b.Loop() {
+				told, _ := ledger.Tell(begin.Add(20*time.Second), fingerprint(0))
+				encoded, err := cbor.Marshal(told)
+				if err != nil {
+					b.Fatal(err)
+				}
+				length = len(encoded)
+			}
+			b.ReportMetric(float64(length), "B/told")
+		})
+	}
+}
+
+// BenchmarkIdentity compares what an answered request costs (the keyed hash that remembers it)
+// with what one that breaks off does, for a body of 36 kB: a prompt of 9,000 tokens.
+func BenchmarkIdentity(b *testing.B) {
+	asked := &quarantine.Identity{Tenant: "t", Method: "POST", Host: "h", Target: "/a", Body: make([]byte, 36_000)}
+	successes := quarantine.NewSuccesses()
+	now := time.Now()
+	b.Run("remember", func(b *testing.B) {
+		for b.Loop() {
+			successes.Add(now, asked)
+		}
+	})
+	b.Run("fingerprint", func(b *testing.B) {
+		for b.Loop() {
+			_ = asked.Fingerprint()
+		}
+	})
+}
