Let a process that was frozen wait for news as one on a suspended machine does

A request that waited unread while its router was frozen was sent on what the router knew before. A span of 1.2 s without a look at the clocks, which are looked at each 0.2 s, tells it.

--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -28,14 +28,37 @@
 var (
 	// suspended is the time suspended since the process started, as Sync saw it last.
 	suspended atomic.Int64
-	// woke is when Sync saw a suspension last, nil for never.
+	// woke is when Sync saw last that this process had stood still, nil for never.
 	woke atomic.Pointer[time.Time]
 
 	mu     sync.Mutex
 	source Source = fromSystem
 	base          = fromSystem()
+	// watched is true while Sync is called all the time, last when it was called last.
+	watched bool
+	last    time.Time
 )
 
+// WatchInterval is the longest time between two calls of Sync under Watch. frozenFrom is how
+// much longer tells that the process stood still, rather than waited for its processor.
+const (
+	WatchInterval = 200 * time.Millisecond
+	frozenFrom    = 1200 * time.Millisecond
+)
+
+// Watch says that Sync is called every WatchInterval from now on, so that a longer span without
+// a call means that the process was frozen. It returns what ends that.
+func Watch() (end func()) {
+	mu.Lock()
+	defer mu.Unlock()
+	watched, last = true, time.Now()
+	return func() {
+		mu.Lock()
+		defer mu.Unlock()
+		watched = false
+	}
+}
+
 // fromSystem compares the clock that counts suspensions with the one that does not.
 func fromSystem() time.Duration {
 	var boot, steady unix.Timespec
@@ -61,17 +84,23 @@
 	}
 }
 
-// Sync looks whether the machine was suspended, and returns the time.
+// Sync looks whether the machine was suspended, or the process frozen, and returns the time.
 func Sync() time.Time {
 	mu.Lock()
 	defer mu.Unlock()
+	steady := time.Now()
+	frozen := watched && steady.Sub(last) >= frozenFrom
+	last = steady
 	total := source() - base
-	if total-time.Duration(suspended.Load()) >= noise {
+	slept := total-time.Duration(suspended.Load()) >= noise
+	if slept {
 		suspended.Store(int64(total))
-		now := Now()
+	}
+	now := Now()
+	if slept || frozen {
 		woke.Store(&now)
 	}
-	return Now()
+	return now
 }
 
 // Now returns the time, with the suspensions that Sync has seen.
@@ -83,8 +112,8 @@
 // Until returns the time until a moment that this package told.
 func Until(at time.Time) time.Duration { return at.Sub(Now()) }
 
-// WokeAt returns when the machine was last found to have been suspended; found is false if it
-// never was.
+// WokeAt returns when this process was last found to have stood still, as its machine was
+// suspended or it was frozen; found is false if it never was.
 func WokeAt() (at time.Time, found bool) {
 	last := woke.Load()
 	if last == nil {
--- a/internal/clock/clock_test.go
+++ b/internal/clock/clock_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -33,3 +34,26 @@
 	time.Sleep(time.Millisecond)
 	is.True(clock.Sync().After(before))
 }
+
+// A process that is frozen, while the clocks of its machine go on, has stood still too.
+func TestAFrozenProcessWakes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		defer clock.Replace(func() time.Duration { return 0 })()
+		clock.Sync()
+		time.Sleep(time.Minute)
+		clock.Sync()
+		_, found := clock.WokeAt()
+		is.True(!found) // nobody looks all the time
+		defer clock.Watch()()
+		time.Sleep(clock.WatchInterval)
+		clock.Sync()
+		_, found = clock.WokeAt()
+		is.True(!found)
+		time.Sleep(3 * time.Second)
+		now := clock.Sync()
+		woke, found := clock.WokeAt()
+		is.True(found)
+		is.Equal(woke, now)
+	})
+}
--- a/internal/forward/start.go
+++ b/internal/forward/start.go
@@ -48,8 +48,8 @@
 	}
 }
 
-// awaitNews lets a request wait for news while all that is known was confirmed before the
-// machine was suspended, for a bounded time. Keys, versions, engines and quarantines may have
+// awaitNews lets a request wait for news while all that is known was confirmed before this
+// process stood still, for a bounded time. Keys, versions, engines and quarantines may have
 // changed meanwhile also where no bound on their age says so; routers have news within some
 // 20 ms if they reach a peer.
 func (f *Forwarder) awaitNews(ctx context.Context, request *Request) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -309,14 +309,12 @@
 	})
 }
 
-// suspensionInterval is the time between two looks whether the machine was suspended, beside
-// those that are made before decisions.
-const suspensionInterval = 200 * time.Millisecond
-
-// watchSuspensions logs suspensions of the machine until ctx ends.
+// watchSuspensions looks whether this process stood still, beside the looks that are made before
+// decisions, and logs suspensions of the machine, until ctx ends.
 func watchSuspensions(ctx context.Context) {
 	before := clock.Suspended()
-	wait.Every(ctx, suspensionInterval, func() {
+	defer clock.Watch()()
+	wait.Every(ctx, clock.WatchInterval, func() {
 		clock.Sync()
 		if total := clock.Suspended(); total > before {
 			log.WithFields(log.Fields{"suspended_ms": (total - before).Milliseconds()}).Warn("machine_was_suspended")
