--- a/internal/node/crashchecks.go
+++ b/internal/node/crashchecks.go
@@ -93,7 +93,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if endedAt, ended := c.ended[life]; ended && now.Sub(endedAt) < endedKept {
-		go c.crashed(now, life, []quarantine.Fingerprint{request})
+		// The mutex is held, and the caller's request waits for its answer.
+		go c.crashed(endedAt, life, []quarantine.Fingerprint{request})
 		return
 	}
 	if check := c.open[life]; check != nil {
@@ -117,7 +118,7 @@
 		}
 		switch c.look(ctx, check) {
 		case signAlive:
-			c.close(life, "alive", false)
+			c.finish(life, "alive", false)
 			return
 		case signEnded:
 			refusals = refusalsToEnd
@@ -127,7 +128,7 @@
 			refusals = 0
 		}
 		if refusals >= refusalsToEnd {
-			requests := c.close(life, "crashed", true)
+			requests := c.finish(life, "crashed", true)
 			// Nothing more is sent to that life. What reached the next one under the old name
 			// would count as running on the life that has ended.
 			c.backends.SawGone(clock.Now(), life)
@@ -135,7 +136,7 @@
 			return
 		}
 	}
-	c.close(life, "unknown", false)
+	c.finish(life, "unknown", false)
 }
 
 // look asks the back end once. While older attempts of this router are open there, its process
@@ -156,8 +157,8 @@
 	}
 }
 
-// close ends a check, and returns the requests that ran on the life.
-func (c *crashChecks) close(life ident.Incarnation, result string, ended bool) []quarantine.Fingerprint {
+// finish ends a check, and returns the requests that ran on the life.
+func (c *crashChecks) finish(life ident.Incarnation, result string, ended bool) []quarantine.Fingerprint {
 	c.result(result)
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/node/quarantine.go
+++ b/internal/node/quarantine.go
@@ -22,7 +22,7 @@
 	// the next pull if the request is held.
 	newsInterval = 250 * time.Millisecond
 	newsTimes    = 4
-	// newsParts bounds the requests told in one datagram, which takes 200 bytes for each at
+	// newsParts bounds the requests told in one datagram, which takes 251 bytes for each at
 	// most, newsMost the requests told at once.
 	newsParts = 10
 	newsMost  = 200
@@ -266,13 +266,13 @@
 		case <-q.wake:
 		case <-time.After(keepInterval):
 		}
-		if held, _ := q.ledger.Counts(); held > 0 && q.keeps() {
-			if clock.Since(listedAt) >= relistInterval {
+		if q.keeps() {
+			if held, _ := q.ledger.Counts(); held > 0 && clock.Since(listedAt) >= relistInterval {
 				listedAt = clock.Now()
 				q.relist(ctx)
 			}
 			// Without waking: a store that is down is asked again at the next look.
-			q.note(q.rows.missing(clock.Now()))
+			q.note(q.rows.outdated(clock.Now()))
 		}
 		q.writeRows(ctx)
 	}
--- a/internal/node/quarantine_test.go
+++ b/internal/node/quarantine_test.go
@@ -309,3 +309,19 @@
 		is.True(w.all[1].Judge(time.Now(), asked("guilty")) != nil)
 	})
 }
+
+// A router that ends right after it learnt that a request is innocent leaves a row behind,
+// which the router that keeps the rows removes.
+func TestTheKeeperRemovesARowThatWasLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWards(t, 2, refused)
+		w.crash(0, "innocent", 0, 1, 2)
+		time.Sleep(time.Second)
+		is.Equal(w.rows(), 1)
+		w.all[1].ledger.Answered(time.Now(), asked("innocent").Fingerprint())
+		w.all[1].tell(asked("innocent").Fingerprint())
+		time.Sleep(5 * time.Second)
+		is.Equal(w.rows(), 0)
+	})
+}
--- a/internal/node/quarantinerows.go
+++ b/internal/node/quarantinerows.go
@@ -75,17 +75,20 @@
 	return r.read
 }
 
-// missing returns the requests that are held and have no row, as far as this router knows.
-func (r *quarantineRows) missing(now time.Time) []quarantine.Fingerprint {
+// outdated returns the requests that are held and have no row, and those that are not held any
+// more and have one, as far as this router knows. Who learnt of either first may have ended
+// before it brought the row up to date.
+func (r *quarantineRows) outdated(now time.Time) []quarantine.Fingerprint {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var missing []quarantine.Fingerprint
+	var outdated []quarantine.Fingerprint
 	for _, told := range r.ledger.TellHeld(now) {
-		if _, kept := r.kept[told.Request]; !kept && r.ledger.Judge(now, told.Request) != nil {
-			missing = append(missing, told.Request)
+		_, kept := r.kept[told.Request]
+		if held := r.ledger.Judge(now, told.Request) != nil; held != kept {
+			outdated = append(outdated, told.Request)
 		}
 	}
-	return missing
+	return outdated
 }
 
 // list reads all rows and takes them in. It returns the requests whose rows are gone that this
