--- a/internal/quarantine/ledger.go
+++ b/internal/quarantine/ledger.go
@@ -11,8 +11,9 @@
 
 const (
 	// crashesToHold is the number of lives of back ends that must have crashed under a
-	// request before it is held. Fewer would hold innocent ones: while 22 engines of 18 places
-	// crashed in 11 s, one request in six ran on an engine that did.
+	// request before it is held. Fewer would hold innocent ones: while 18 engines crashed again
+	// and again, 75 of 314 requests of one route broke off within 8 s (record of a deployment),
+	// and clients try these again.
 	crashesToHold = 3
 	// VouchFor is how long after a success crashes are no evidence: a request that was just
 	// answered does not crash each back end that runs it. An often asked prompt is answered
@@ -23,7 +24,8 @@
 	learnFor = 3 * time.Second
 	// suspectFor is how long evidence is kept that did not suffice.
 	suspectFor = 10 * time.Minute
-	// maxSuspects bounds the requests known; each takes some 400 bytes.
+	// maxSuspects bounds the requests known; each takes some 500 bytes, by the sizes of its
+	// fields.
 	maxSuspects = 2048
 	// maxCrashes bounds the crashes kept for each, the newest.
 	maxCrashes = 6
--- a/internal/quarantine/successes.go
+++ b/internal/quarantine/successes.go
@@ -7,12 +7,12 @@
 )
 
 // successSlots is the number of requests remembered, one in each slot: at 100 answers a second
-// a slot is rarely overwritten within VouchFor. They take 128 kB.
+// one in nine is overwritten by another one within VouchFor. They take 128 kB.
 const successSlots = 8192
 
-// Successes remembers which requests were lately answered. A keyed hash stands for a request,
-// as it takes a few microseconds less than a fingerprint and no client can aim it. It is
-// safe for concurrent use.
+// Successes remembers which requests were lately answered. A keyed hash stands for a request:
+// no client can aim it, and it takes 4.6 us where a fingerprint takes 31 us, for a body of
+// 36 kB (BenchmarkIdentity). It is safe for concurrent use.
 type Successes struct {
 	seed  maphash.Seed
 	epoch time.Time
