List once what makes two requests the same one

The fingerprint and the keyed hash of answered requests named the same fields twice, the second without their lengths. Assertions kept; go test ./internal/quarantine ok.

--- a/internal/quarantine/fingerprint.go
+++ b/internal/quarantine/fingerprint.go
@@ -34,13 +34,18 @@
 // Fingerprint returns the fingerprint of a request.
 func (i *Identity) Fingerprint() Fingerprint {
 	digest := sha256.New()
+	i.writeTo(digest)
+	var fingerprint Fingerprint
+	copy(fingerprint[:], digest.Sum(nil))
+	return fingerprint
+}
+
+// writeTo writes to a hash what makes two requests the same one.
+func (i *Identity) writeTo(digest hash.Hash) {
 	for _, text := range []string{string(i.Tenant), i.Method, i.Host, i.Target} {
 		writeField(digest, []byte(text))
 	}
 	writeField(digest, i.Body)
-	var fingerprint Fingerprint
-	copy(fingerprint[:], digest.Sum(nil))
-	return fingerprint
 }
 
 // writeField writes a field after its length, so that no two lists of fields read alike.
--- a/internal/quarantine/successes.go
+++ b/internal/quarantine/successes.go
@@ -53,10 +53,6 @@
 func (i *Identity) key(seed maphash.Seed) uint64 {
 	var digest maphash.Hash
 	digest.SetSeed(seed)
-	for _, text := range []string{string(i.Tenant), i.Method, i.Host, i.Target} {
-		_, _ = digest.WriteString(text)
-		_ = digest.WriteByte(0)
-	}
-	_, _ = digest.Write(i.Body)
+	i.writeTo(&digest)
 	return digest.Sum64()
 }
