Test a request that comes to all routers at once, and a store that is down for rows too

A crash counts for each request under way there that crashes engines, not for the first only, so that the bound is judged for each. Product code is as it was.

--- a/internal/node/crashing_test.go
+++ b/internal/node/crashing_test.go
@@ -16,6 +16,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -54,6 +55,8 @@
 type crashEngine struct {
 	record backend.Record
 	up     bool
+	// guilty are the bodies under way under which this life crashes.
+	guilty []string
 	// ended is closed when this life crashes.
 	ended chan struct{}
 }
@@ -63,6 +66,8 @@
 type crashFleet struct {
 	t     *testing.T
 	store *fakeStore
+	// table is where routers keep their rows.
+	table *failingTable
 
 	mu      sync.Mutex
 	engines map[string]*crashEngine
@@ -71,6 +76,8 @@
 	crashes  map[string][]time.Time
 	arrivals map[string][]time.Time
 	routers  []*crashRouter
+	// ended is the number of lives that crashed, for whichever reason.
+	ended int
 	// work is the longest time that an engine works on a request under which none crashes.
 	work time.Duration
 	// breaks has engines cut attempts off without crashing.
@@ -88,7 +95,8 @@
 
 func newCrashFleet(t *testing.T, engines, routers int) *crashFleet {
 	t.Helper()
-	f := &crashFleet{t: t, work: crashWork, store: newFakeStore(), engines: map[string]*crashEngine{}, crashes: map[string][]time.Time{}, arrivals: map[string][]time.Time{}}
+	store := newFakeStore()
+	f := &crashFleet{t: t, work: crashWork, store: store, table: &failingTable{fakeStore: store}, engines: map[string]*crashEngine{}, crashes: map[string][]time.Time{}, arrivals: map[string][]time.Time{}}
 	f.store.reading.Revision = 1
 	f.store.snapshot = catalog.Content{
 		Version: 1, Services: []catalog.Service{{Name: "s", MaxConnections: 1000}},
@@ -124,7 +132,7 @@
 	}
 	var forwarder *forward.Forwarder
 	running := New(config, Ports{
-		Source: f.store, Table: f.store, Engines: f, Caller: f,
+		Source: f.store, Table: f.table, Engines: f, Caller: f,
 		Front: func(made *forward.Forwarder, _ *catalog.Holder, _ func() bool, _ *inbound.Clients) http.Handler {
 			forwarder = made
 			return http.NotFoundHandler()
@@ -179,8 +187,9 @@
 	f.store.change(func() { f.store.records = records })
 }
 
-// crash ends the life of an engine under a body; the next one begins some time later.
-func (f *crashFleet) crash(engine *crashEngine, body string) {
+// crash ends the life of an engine under the bodies that run there; the next one begins some
+// time later.
+func (f *crashFleet) crash(engine *crashEngine) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if !engine.up {
@@ -188,7 +197,11 @@
 	}
 	engine.up = false
 	close(engine.ended)
-	f.crashes[body] = append(f.crashes[body], time.Now())
+	slices.Sort(engine.guilty)
+	for _, body := range slices.Compact(engine.guilty) {
+		f.crashes[body] = append(f.crashes[body], time.Now())
+	}
+	f.ended++
 	time.AfterFunc(crashDown, func() { f.begin(engine.record.Address) })
 }
 
@@ -199,6 +212,7 @@
 	engine := f.engines[address]
 	if engine.up && crashes(body) {
 		f.arrivals[body] = append(f.arrivals[body], time.Now())
+		engine.guilty = append(engine.guilty, body)
 	}
 	return *engine, engine
 }
@@ -227,7 +241,7 @@
 		return nil, &exchange.Error{Sent: true, Cause: context.Cause(ctx)}
 	}
 	if crashes(body) {
-		f.crash(engine, body)
+		f.crash(engine)
 	}
 	if crashes(body) || f.breaks {
 		return nil, errCrashed
@@ -360,3 +374,16 @@
 	f.repeatCrash(crashBody, crashLearnt+2*time.Second)
 	f.bounded(crashBody)
 }
+
+// rowsUnder returns the number of rows whose keys begin with a prefix.
+func (s *fakeStore) rowsUnder(prefix string) int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	count := 0
+	for key := range s.rows {
+		if strings.HasPrefix(key, prefix) {
+			count++
+		}
+	}
+	return count
+}
--- a/internal/node/crashingfaults_test.go
+++ b/internal/node/crashingfaults_test.go
@@ -98,11 +98,11 @@
 			f.mu.Lock()
 			engine := f.engines[fmt.Sprintf("10.0.0.%d:1", (5*round+index)%15+1)]
 			f.mu.Unlock()
-			f.crash(engine, "")
+			f.crash(engine)
 		}
 	}
 	asking.Wait()
-	t.Logf("%d requests, %.3f served; %d held; %d crashes", hot.asked.Load(), hot.share(), hot.held.Load(), len(f.crashes[""]))
+	t.Logf("%d requests, %.3f served; %d held; %d crashes", hot.asked.Load(), hot.share(), hot.held.Load(), f.ended)
 	if hot.share() < 0.95 || hot.held.Load() > 0 {
 		t.Error("a request that is often asked was held for guilty")
 	}
@@ -135,13 +135,29 @@
 	is.New(t).Equal(f.arrivedAfter(crashBody, joined), 0)
 }
 
-// Routers tell each other while the store is down.
+// The request comes to all routers at the same moment, again and again.
+func TestTheBoundHoldsWhenARequestComesToAllRoutersAtOnce(t *testing.T) {
+	t.Parallel()
+	f := newCrashFleet(t, 24, 4)
+	for begun := time.Now(); time.Since(begun) < crashLearnt+2*time.Second; time.Sleep(crashPause) {
+		var asking sync.WaitGroup
+		for router := range 4 {
+			asking.Go(func() { f.ask(router, crashBody) })
+		}
+		asking.Wait()
+	}
+	f.bounded(crashBody)
+}
+
+// Routers tell each other while the store is down, for reads and for their own rows.
 func TestTheBoundHoldsWhileTheStoreIsDown(t *testing.T) {
 	t.Parallel()
 	f := newCrashFleet(t, 16, 4)
 	f.store.change(func() { f.store.down = true })
+	f.table.down.Store(true)
 	f.repeatCrash(crashBody, crashLearnt+time.Second)
 	f.bounded(crashBody)
+	is.New(t).Equal(f.store.rowsUnder(quarantinePrefix), 0) // nothing could be kept
 }
 
 // Attempts that break off at engines which live on are no evidence, however many they are.
--- a/internal/node/quarantine_test.go
+++ b/internal/node/quarantine_test.go
@@ -285,10 +285,28 @@
 	down atomic.Bool
 }
 
+var errTableDown = fault.New(fault.StoreUnavailable, "down")
+
+// Commit implements store.Table.
+func (f *failingTable) Commit(ctx context.Context, transaction protocol.Transaction) (protocol.TransactionResult, error) {
+	if f.down.Load() {
+		return protocol.TransactionResult{}, errTableDown
+	}
+	return f.fakeStore.Commit(ctx, transaction)
+}
+
+// List implements store.Table.
+func (f *failingTable) List(ctx context.Context, prefix string, limit int) (protocol.RowList, error) {
+	if f.down.Load() {
+		return protocol.RowList{}, errTableDown
+	}
+	return f.fakeStore.List(ctx, prefix, limit)
+}
+
 // Read implements store.Table.
 func (f *failingTable) Read(ctx context.Context, key string) (protocol.Row, bool, error) {
 	if f.down.Load() {
-		return protocol.Row{}, false, fault.New(fault.StoreUnavailable, "down")
+		return protocol.Row{}, false, errTableDown
 	}
 	return f.fakeStore.Read(ctx, key)
 }
