--- a/internal/quarantine/ledger_test.go
+++ b/internal/quarantine/ledger_test.go
@@ -184,3 +184,13 @@
 	_, found = successes.Last(now, &quarantine.Identity{Tenant: "u", Target: "/x", Body: []byte("hot")})
 	is.True(!found)
 }
+
+// A verdict is read while further crashes are told, which are sorted in.
+func TestAVerdictDoesNotChangeOnceItWasGiven(t *testing.T) {
+	is := is.New(t)
+	ledger := quarantine.NewLedger()
+	play(ledger, []event{{at: 3, crash: 1}, {at: 4, crash: 2}, {at: 5, crash: 3}, {at: 6, crash: 4}, {at: 7, crash: 5}, {at: 8, crash: 6}})
+	verdict := ledger.Judge(begin.Add(time.Minute), fingerprint(0))
+	play(ledger, []event{{at: 2, crash: 6}})
+	is.Equal(verdict.Crashes[0].Life, life(1))
+}
--- a/internal/quarantine/verdict.go
+++ b/internal/quarantine/verdict.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 )
 
@@ -45,7 +46,7 @@
 	if known == nil || !known.held() {
 		return nil
 	}
-	verdict := &Verdict{Request: request, Crashes: known.counted(), Trials: known.trials, RetryAfter: HeldRetryAfter}
+	verdict := &Verdict{Request: request, Crashes: slices.Clone(known.counted()), Trials: known.trials, RetryAfter: HeldRetryAfter}
 	if due, more := known.trialAfter(); more {
 		verdict.TrialDue = !now.Before(due)
 		verdict.RetryAfter = max(due.Sub(now), leastRetryAfter)
