Count a trial of a quarantined request as over once it reached a back end

Cause: a trial that a back end refused unrun (full, another instance, other weights) went on to the next one, up to four in all, so that two trials could reach eight back ends where three sendings may follow the third crash. Ruled out: a grant per sending, which would ask the store again while a caller waits. Change: the trial ends with the first sending that a back end may have taken; what did not leave goes on. A case of TestAQuarantinedRequestIsNotSent asked for two sendings of such a trial and is replaced by stricter ones: one sending, refused by the back end or by another instance; both failed before.

--- a/internal/forward/quarantine_test.go
+++ b/internal/forward/quarantine_test.go
@@ -63,7 +63,9 @@
 		{"a trial that is not granted", "safe", []*quarantine.Verdict{due}, false, []answer{genuine(200, "x")}, 0, fault.Quarantined, fault.RanNo, 0, 0},
 		{"a trial that is answered", "safe", []*quarantine.Verdict{due}, true, []answer{genuine(200, "x")}, 1, "", "", 0, 1},
 		{"a trial is one attempt", "safe", []*quarantine.Verdict{due, held}, true, []answer{failing(true)}, 1, fault.BackendLost, fault.RanUnknown, 1, 0},
-		{"a trial that was refused unrun goes on", "safe", []*quarantine.Verdict{due, held}, true, []answer{refusing(forward.NotExecuted), genuine(200, "x")}, 2, "", "", 0, 1},
+		{"a trial that a back end refused is over", "safe", []*quarantine.Verdict{due, held}, true, []answer{refusing(forward.NotExecuted), genuine(200, "x")}, 1, fault.Quarantined, fault.RanNo, 0, 0},
+		{"a trial that another instance refused is over", "safe", []*quarantine.Verdict{due, held}, true, []answer{refusing(forward.OtherInstance), genuine(200, "x")}, 1, fault.Quarantined, fault.RanNo, 0, 0},
+		{"a trial that did not leave goes on", "safe", []*quarantine.Verdict{due, held}, true, []answer{failing(false), genuine(200, "x")}, 2, "", "", 0, 1},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -116,8 +116,12 @@
 			return
 		}
 		if failure.ran != fault.RanNo {
-			// A trial is one attempt: a request that was not answered is judged again.
-			r.grant, r.onTrial = nil, false
+			r.grant = nil
+		}
+		if failure.outcome != backend.Unreachable {
+			// A trial reaches one back end, also one that refuses: what is bounded is how often
+			// the request arrives. It is judged again then.
+			r.onTrial = false
 		}
 		if timed.Err() != nil || !r.mayRepeat(failure) || !r.chargeRepeat(timed) {
 			r.giveBack()
