Lift no verdict whose row is newer than the list that lacks it

Cause: a router that read the rows of quarantined requests took each row that it knew and the list lacked for removed by an operator. A row that another router wrote while the list was on its way, and that a trial here had met meanwhile, was such a one: the request was free again, at all routers. Ruled out: two lists in a row before a verdict is lifted, which would let an operator wait for 5 s more. Change: only rows that were known before the list was asked for can be gone. TestARowThatIsNewerThanTheListLiftsNothing failed before (0 of 2 routers held the request). Read, not seen in a play.

--- a/internal/node/quarantine_test.go
+++ b/internal/node/quarantine_test.go
@@ -258,6 +258,28 @@
 	})
 }
 
+// A row that was written, and met by a trial, after the rows were listed was not removed by an
+// operator.
+func TestARowThatIsNewerThanTheListLiftsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWards(t, 2, refused)
+		w.table.down.Store(true)
+		w.crash(1, "guilty", 0, 1, 2)
+		time.Sleep(11 * time.Second)
+		var granted atomic.Bool
+		meanwhile := func() {
+			w.table.down.Store(false)
+			is.NoErr(w.all[1].rows.update(t.Context(), asked("guilty").Fingerprint()))
+			granted.Store(w.all[0].Try(t.Context(), asked("guilty")))
+		}
+		w.table.listed.Store(&meanwhile)
+		time.Sleep(6 * time.Second)
+		is.True(granted.Load())
+		is.Equal(w.held("guilty"), 2)
+	})
+}
+
 // A row that cannot be read is passed over; the others hold.
 func TestARowThatCannotBeReadIsPassedOver(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -283,6 +305,9 @@
 type failingTable struct {
 	*fakeStore
 	down atomic.Bool
+	// listed, if there is one, is called once, between a list that is made although the table is
+	// down and its return.
+	listed atomic.Pointer[func()]
 }
 
 var errTableDown = fault.New(fault.StoreUnavailable, "down")
@@ -297,10 +322,15 @@
 
 // List implements store.Table.
 func (f *failingTable) List(ctx context.Context, prefix string, limit int) (protocol.RowList, error) {
-	if f.down.Load() {
+	listed := f.listed.Swap(nil)
+	if listed == nil && f.down.Load() {
 		return protocol.RowList{}, errTableDown
 	}
-	return f.fakeStore.List(ctx, prefix, limit)
+	list, err := f.fakeStore.List(ctx, prefix, limit)
+	if listed != nil {
+		(*listed)()
+	}
+	return list, err
 }
 
 // Read implements store.Table.
--- a/internal/node/quarantinerows.go
+++ b/internal/node/quarantinerows.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"strings"
 	"sync"
 	"time"
@@ -96,6 +97,7 @@
 func (r *quarantineRows) list(ctx context.Context) (gone, held []quarantine.Fingerprint, err error) {
 	bounded, cancel := context.WithTimeout(ctx, r.timeout)
 	defer cancel()
+	before := r.knownRows()
 	list, err := r.table.List(bounded, quarantinePrefix, maxQuarantineRows)
 	if err != nil {
 		return nil, nil, err
@@ -113,15 +115,25 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for request := range r.kept {
+	for request := range before {
 		if _, there := found[request]; !there && !list.More {
 			gone = append(gone, request)
+			delete(r.kept, request)
 		}
 	}
-	r.read, r.kept = true, found
+	r.read = true
+	maps.Copy(r.kept, found)
 	return gone, held, nil
 }
 
+// knownRows returns the requests of the rows that this router knows. What a list lacks is gone
+// only if it was known before: a row that is written while the list is on its way is newer.
+func (r *quarantineRows) knownRows() map[quarantine.Fingerprint]struct{} {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return maps.Clone(r.kept)
+}
+
 // takeRow takes in a row as of now, the store's time being as told; a list tells none.
 func (r *quarantineRows) takeRow(now time.Time, storeTime time.Duration, kept *quarantineRow) []quarantine.Fingerprint {
 	at := now
