Hand out addresses in tests that nobody else can take

Tests asked the system for a free port, closed it and let a router listen there some time later; between the two another test or an outgoing connection got the same port. Proved by sight: a router of a test that ends with an error says so, and the last status of a readiness check is told. Ruled out: a router that cannot serve.

--- a/cmd/fieldpond/secrets_test.go
+++ b/cmd/fieldpond/secrets_test.go
@@ -22,6 +22,7 @@
 	"github.com/apex/log/handlers/discard"
 	"github.com/matryer/is"
 
+	"github.com/fieldpond/fieldpond/internal/addrtest"
 	"github.com/fieldpond/fieldpond/internal/engine/protocol"
 	"github.com/fieldpond/fieldpond/internal/store"
 	"github.com/fieldpond/fieldpond/standin/application"
@@ -136,12 +137,7 @@
 
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
+	return addrtest.Free(t).String()
 }
 
 // ask sends a request and returns status and body.
--- /dev/null
+++ b/internal/addrtest/addr_test.go
@@ -0,0 +1,42 @@
+package addrtest
+
+import (
+	"net/netip"
+	"sync"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// Many tests of one process ask at once.
+func TestNoAddressIsHandedOutTwice(t *testing.T) {
+	is := is.New(t)
+	var mu sync.Mutex
+	seen := make(map[netip.AddrPort]bool)
+	var asking sync.WaitGroup
+	for range 8 {
+		asking.Go(func() {
+			for range 100 {
+				addr := Free(t)
+				mu.Lock()
+				seen[addr] = true
+				mu.Unlock()
+			}
+		})
+	}
+	asking.Wait()
+	is.Equal(len(seen), 800)
+}
+
+func TestEachProcessHasAnIPOfItsOwn(t *testing.T) {
+	is := is.New(t)
+	loopback := netip.MustParsePrefix("127.64.0.0/10")
+	seen := make(map[netip.Addr]bool)
+	pids := []int{1, 255, 256, 32767, 65535, 65536, 1<<22 - 1}
+	for _, pid := range pids {
+		ip := ownIP(pid)
+		is.True(loopback.Contains(ip))
+		seen[ip] = true
+	}
+	is.Equal(len(seen), len(pids))
+}
--- a/internal/node/crashing_test.go
+++ b/internal/node/crashing_test.go
@@ -140,7 +140,13 @@
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
-	go func() { ended <- running.Run(ctx) }()
+	go func() {
+		err := running.Run(ctx)
+		if err != nil {
+			f.t.Errorf("the router %s ended: %v", node, err)
+		}
+		ended <- err
+	}()
 	stop := sync.OnceFunc(func() {
 		cancel()
 		<-ended
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/fieldpond/fieldpond/internal/addrtest"
 	"github.com/fieldpond/fieldpond/internal/backend"
 	"github.com/fieldpond/fieldpond/internal/catalog"
 	"github.com/fieldpond/fieldpond/internal/forward"
@@ -40,12 +41,7 @@
 // freeAddress returns an address that nothing listens on.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
+	return addrtest.Free(t).String()
 }
 
 // startNode runs a node whose front answers after a pause.
@@ -104,13 +100,14 @@
 // becomes waits until the readiness check answers with a status.
 func becomes(t *testing.T, config Config, wanted int) {
 	t.Helper()
+	last := 0
 	for range 400 {
-		if status(t, config.ReadyAddress, config.ReadyPath) == wanted {
+		if last = status(t, config.ReadyAddress, config.ReadyPath); last == wanted {
 			return
 		}
 		time.Sleep(5 * time.Millisecond)
 	}
-	t.Fatalf("the readiness check never answered %d", wanted)
+	t.Fatalf("the readiness check of %s never answered %d but %d", config.Node, wanted, last)
 }
 
 func TestANodeIsReadyOnceItKnowsEnough(t *testing.T) {
