Take what was given up at a back end that crashes for evidence

Cause: only attempts that broke off counted as having run on a life that crashed. One that the router gave up before (its client left, it was mute and was sent elsewhere) left no trace, although a back end may go on with it or begin it later. Change: a router remembers what it gave up for 2 s, 512 attempts at most; when a life is known to have crashed, seen here or told by another router, they are evidence like the others. A refused connection at a back end where something was just given up starts a check, for when nothing else was open there. TestWhatWasGivenUpAtALifeThatCrashedIsEvidence, TestAttemptsThatAreGivenUpAreTold.

--- a/internal/forward/quarantine.go
+++ b/internal/forward/quarantine.go
@@ -17,9 +17,13 @@
 	Judge(now time.Time, request *quarantine.Subject) *quarantine.Verdict
 	// Try asks for the grant of a trial that is due, and waits for it for a short time.
 	Try(ctx context.Context, request *quarantine.Subject) bool
-	// Answered takes in a whole success, Broke an attempt that broke off at a back end.
+	// Answered takes in a whole success, Broke an attempt that broke off at a back end, Left one
+	// that was given up by this side and may be at work there still.
 	Answered(now time.Time, request *quarantine.Subject)
 	Broke(now time.Time, request *quarantine.Subject, at backend.Record)
+	Left(now time.Time, request *quarantine.Subject, at backend.Record)
+	// Unreached takes in that a back end took no connection.
+	Unreached(now time.Time, at backend.Record)
 }
 
 // subject names what the request asks for, whichever try of its client it is.
@@ -65,6 +69,10 @@
 	switch {
 	case outcome == backend.Broken && !a.unsound:
 		a.forwarder.Quarantine.Broke(now, a.subject(), a.choice.Record)
+	case outcome == backend.Silent, outcome == backend.Abandoned:
+		a.forwarder.Quarantine.Left(now, a.subject(), a.choice.Record)
+	case outcome == backend.Unreachable:
+		a.forwarder.Quarantine.Unreached(now, a.choice.Record)
 	case outcome == backend.Answered && a.status < http.StatusMultipleChoices:
 		a.forwarder.Quarantine.Answered(now, a.subject())
 	}
--- a/internal/forward/quarantine_test.go
+++ b/internal/forward/quarantine_test.go
@@ -21,6 +21,9 @@
 	granted  bool
 	answered int
 	broke    []backend.Record
+	left     []backend.Record
+	// unreached counts the attempts that did not leave.
+	unreached int
 }
 
 // Judge implements forward.Quarantine.
@@ -40,6 +43,49 @@
 	f.broke = append(f.broke, at)
 }
 
+// Left implements forward.Quarantine.
+func (f *fakeQuarantine) Left(_ time.Time, _ *quarantine.Subject, at backend.Record) {
+	f.left = append(f.left, at)
+}
+
+// Unreached implements forward.Quarantine.
+func (f *fakeQuarantine) Unreached(time.Time, backend.Record) { f.unreached++ }
+
+// An engine may begin a request that was given up, and crash of it.
+func TestAttemptsThatAreGivenUpAreTold(t *testing.T) {
+	tests := []struct {
+		name    string
+		answers []answer
+		wait    time.Duration
+		sends   int
+		left    int
+		// unreached is the number of attempts that did not leave.
+		unreached int
+	}{
+		{"mute, and sent elsewhere", []answer{hanging(""), genuine(200, "x")}, 20 * time.Second, 2, 1, 0},
+		{"the client's time is over", []answer{hanging("")}, 50 * time.Millisecond, 1, 1, 0},
+		{"answered", []answer{genuine(200, "x")}, 20 * time.Second, 1, 0, 0},
+		{"broken off", []answer{failing(true), genuine(200, "x")}, 20 * time.Second, 2, 0, 0},
+		{"not reached", []answer{failing(false), genuine(200, "x")}, 20 * time.Second, 2, 0, 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				b := newBench(tt.answers...)
+				guard := &fakeQuarantine{verdicts: []*quarantine.Verdict{nil}}
+				b.forwarder.Quarantine = guard
+				wanted := request("safe")
+				wanted.Wait = tt.wait
+				b.forward(t, wanted)
+				is.Equal(len(b.caller.sent()), tt.sends)
+				is.Equal(len(guard.left), tt.left)
+				is.Equal(guard.unreached, tt.unreached)
+			})
+		})
+	}
+}
+
 func TestAQuarantinedRequestIsNotSent(t *testing.T) {
 	held := &quarantine.Verdict{RetryAfter: time.Minute}
 	due := &quarantine.Verdict{RetryAfter: time.Minute, TrialDue: true}
--- a/internal/node/crashchecks.go
+++ b/internal/node/crashchecks.go
@@ -35,6 +35,68 @@
 	endedKept = 30 * time.Second
 )
 
+const (
+	// leftFor is how long before its crash a back end may have begun a request that was given
+	// up. Most drop what is given up; the others begin it once a place is free.
+	leftFor = 2 * time.Second
+	// maxLeft bounds the attempts remembered that were given up, the newest: 250 a second,
+	// in some 50 kB.
+	maxLeft = 512
+)
+
+// leftAttempt is an attempt that was given up while its back end may have been at work on it.
+type leftAttempt struct {
+	life    ident.Incarnation
+	request quarantine.Fingerprint
+	at      time.Time
+}
+
+// leftAttempts remembers the newest attempts that were given up. It is safe for concurrent use.
+type leftAttempts struct {
+	mu   sync.Mutex
+	all  [maxLeft]leftAttempt
+	next int
+}
+
+// add takes in an attempt that was given up.
+func (l *leftAttempts) add(left leftAttempt) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.all[l.next] = left
+	l.next = (l.next + 1) % maxLeft
+}
+
+// take returns the requests that were given up at a life of a back end shortly before it crashed
+// at a time, and forgets them.
+func (l *leftAttempts) take(life ident.Incarnation, crashedAt time.Time) []quarantine.Fingerprint {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var requests []quarantine.Fingerprint
+	for index := range l.all {
+		left := &l.all[index]
+		if left.life != life {
+			continue
+		}
+		if crashedAt.Sub(left.at) <= leftFor {
+			requests = append(requests, left.request)
+		}
+		*left = leftAttempt{}
+	}
+	return requests
+}
+
+// has reports whether a request was given up at a life of a back end shortly before a time.
+func (l *leftAttempts) has(life ident.Incarnation, now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for index := range l.all {
+		if left := &l.all[index]; left.life == life && now.Sub(left.at) <= leftFor {
+			return true
+		}
+	}
+	return false
+}
+
 // lifeSign is what a check found.
 type lifeSign uint8
 
@@ -57,6 +119,12 @@
 	requests map[quarantine.Fingerprint]struct{}
 }
 
+func (c *crashCheck) add(requests []quarantine.Fingerprint) {
+	for _, request := range requests {
+		c.requests[request] = struct{}{}
+	}
+}
+
 // crashChecks finds out whether back ends have crashed at which attempts broke off. It is
 // safe for concurrent use.
 type crashChecks struct {
@@ -83,9 +151,9 @@
 	c.wait.Wait()
 }
 
-// broke takes in that an attempt broke off at a back end, and checks it. One that was leaving
+// broke takes in that attempts of requests broke off at a back end, and checks it. One that was leaving
 // has ended as planned: that says nothing against what ran there.
-func (c *crashChecks) broke(now time.Time, request quarantine.Fingerprint, at backend.Record) {
+func (c *crashChecks) broke(now time.Time, at backend.Record, requests ...quarantine.Fingerprint) {
 	if c.backends.Leaving(at.Instance) {
 		return
 	}
@@ -94,17 +162,18 @@
 	defer c.mu.Unlock()
 	if endedAt, ended := c.ended[life]; ended && now.Sub(endedAt) < endedKept {
 		// The mutex is held, and the caller's request waits for its answer.
-		go c.crashed(endedAt, life, []quarantine.Fingerprint{request})
+		go c.crashed(endedAt, life, requests)
 		return
 	}
 	if check := c.open[life]; check != nil {
-		check.requests[request] = struct{}{}
+		check.add(requests)
 		return
 	}
 	if c.ctx == nil || c.ctx.Err() != nil || len(c.open) >= maxCrashChecks {
 		return
 	}
-	check := &crashCheck{record: at, brokeAt: now, requests: map[quarantine.Fingerprint]struct{}{request: {}}}
+	check := &crashCheck{record: at, brokeAt: now, requests: make(map[quarantine.Fingerprint]struct{})}
+	check.add(requests)
 	c.open[life] = check
 	c.wait.Go(func() { c.check(c.ctx, life, check) })
 }
--- a/internal/node/crashing_test.go
+++ b/internal/node/crashing_test.go
@@ -82,6 +82,10 @@
 	work time.Duration
 	// breaks has engines cut attempts off without crashing.
 	breaks bool
+	// stubborn engines go on with what is given up; patience is how long clients wait for a
+	// request under which engines crash, 0 for as long as it takes.
+	stubborn bool
+	patience time.Duration
 }
 
 // crashRouter is one life of a router.
@@ -244,6 +248,9 @@
 	case <-found.ended:
 		return nil, errCrashed
 	case <-ctx.Done():
+		if f.stubborn && crashes(body) {
+			time.AfterFunc(crashAfter, func() { f.crash(engine) })
+		}
 		return nil, &exchange.Error{Sent: true, Cause: context.Cause(ctx)}
 	}
 	if crashes(body) {
@@ -305,7 +312,13 @@
 	forwarder := f.routers[router%len(f.routers)].forwarder
 	f.mu.Unlock()
 	sink := &crashSink{}
-	forwarder.Forward(f.t.Context(), &forward.Request{
+	ctx := f.t.Context()
+	if f.patience > 0 && crashes(body) {
+		bounded, cancel := context.WithTimeout(ctx, f.patience)
+		defer cancel()
+		ctx = bounded
+	}
+	forwarder.Forward(ctx, &forward.Request{
 		ID: ident.Request(ident.NewUnique()), Method: http.MethodPost, Target: "/x", Path: "/x", Host: "h", Header: http.Header{},
 		Body: []byte(body), Wait: 4 * time.Second, ReceivedAt: time.Now(),
 		Prompt: &forward.Prompt{Model: model, Parts: []forward.Part{{ID: body, Tokens: 10}}},
--- a/internal/node/crashingfaults_test.go
+++ b/internal/node/crashingfaults_test.go
@@ -171,3 +171,24 @@
 		is.True(sink.refusal == nil || sink.refusal.Kind != fault.Quarantined)
 	}
 }
+
+// Clients leave before the engine crashes, which goes on with what was given up: no attempt of
+// the request breaks off. Other requests that run there do.
+func TestTheBoundHoldsWhenClientsLeave(t *testing.T) {
+	t.Parallel()
+	f := newCrashFleet(t, 16, 4)
+	f.stubborn, f.patience = true, crashAfter/2
+	ctx, cancel := context.WithCancel(t.Context())
+	innocent := &callers{}
+	asking := innocent.ask(ctx, f, 24, time.Now().Add(3*time.Second), func(client, count int) string {
+		return fmt.Sprint("innocent ", client, " ", count)
+	})
+	f.repeatCrash(crashBody, crashLearnt+2*time.Second)
+	cancel()
+	asking.Wait()
+	f.bounded(crashBody)
+	t.Logf("%d innocent requests after 3 s, %.3f served; %d held", innocent.asked.Load(), innocent.share(), innocent.held.Load())
+	if innocent.share() < 0.97 || innocent.held.Load() > 0 {
+		t.Error("innocent requests were not served")
+	}
+}
--- a/internal/node/quarantine.go
+++ b/internal/node/quarantine.go
@@ -41,7 +41,9 @@
 	ledger    *quarantine.Ledger
 	successes *quarantine.Successes
 	checks    *crashChecks
-	rows      *quarantineRows
+	// left are the attempts that were given up: others may have seen that a life crashed.
+	left *leftAttempts
+	rows *quarantineRows
 	// send sends news to all other routers.
 	send func([]quarantine.Told)
 	// keeps reports whether this router writes and reads the rows for all.
@@ -62,7 +64,7 @@
 
 func newQuarantines(engines rollout.Engines, backends *backend.Registry, rows *quarantineRows, counters *metrics) *quarantines {
 	q := &quarantines{
-		ledger: quarantine.NewLedger(), successes: quarantine.NewSuccesses(), rows: rows,
+		ledger: quarantine.NewLedger(), successes: quarantine.NewSuccesses(), left: &leftAttempts{}, rows: rows,
 		send: func([]quarantine.Told) {}, keeps: func() bool { return false },
 		trial: func(result string) { counters.trials.WithLabelValues(result).Inc() },
 		news:  make(map[quarantine.Fingerprint]int), unkept: make(map[quarantine.Fingerprint]struct{}),
@@ -114,12 +116,35 @@
 	if _, vouched := q.successes.Last(now, &request.Identity); vouched {
 		return
 	}
-	q.checks.broke(now, request.Fingerprint(), at)
+	q.checks.broke(now, at, request.Fingerprint())
 }
 
-// crashed takes in that a life of a back end crashed at a time on which requests ran.
+// Left implements forward.Quarantine.
+func (q *quarantines) Left(now time.Time, request *quarantine.Subject, at backend.Record) {
+	if _, vouched := q.successes.Last(now, &request.Identity); vouched {
+		return
+	}
+	q.left.add(leftAttempt{life: at.Instance, request: request.Fingerprint(), at: now})
+}
+
+// Unreached implements forward.Quarantine. Where requests were given up shortly before, and no
+// other attempt was open that could break off, this is what shows that the back end crashed.
+func (q *quarantines) Unreached(now time.Time, at backend.Record) {
+	if q.left.has(at.Instance, now) {
+		q.checks.broke(now, at)
+	}
+}
+
+// crashed takes in that a life of a back end crashed at a time on which requests ran. Those that
+// were given up there may have run as well.
 func (q *quarantines) crashed(at time.Time, life ident.Incarnation, requests []quarantine.Fingerprint) {
+	requests = append(requests, q.left.take(life, at)...)
 	log.WithFields(log.Fields{"instance": life, "requests": len(requests)}).Warn("backend_crashed")
+	q.book(at, life, requests)
+}
+
+// book takes in evidence against requests, and tells the other routers.
+func (q *quarantines) book(at time.Time, life ident.Incarnation, requests []quarantine.Fingerprint) {
 	held := q.ledger.Crashed(at, life, requests)
 	q.tell(requests...)
 	q.logHeld(clock.Now(), held)
@@ -134,6 +159,7 @@
 		return nil
 	}
 	held, more := q.ledger.Take(at, told)
+	q.crashedElsewhere(at, told)
 	q.logHeld(at, held)
 	if q.keeps() {
 		q.keep(held...)
@@ -146,6 +172,22 @@
 	return lacks
 }
 
+// crashedElsewhere books crashes of which another router told as of a time on the requests that
+// were given up here at the same lives.
+func (q *quarantines) crashedElsewhere(at time.Time, told []quarantine.Told) {
+	for _, one := range told {
+		for _, crash := range one.Crashes {
+			if crash.Age > leftFor {
+				continue
+			}
+			crashedAt := at.Add(-crash.Age)
+			if requests := q.left.take(crash.Life, crashedAt); len(requests) > 0 {
+				q.book(crashedAt, crash.Life, requests)
+			}
+		}
+	}
+}
+
 // digest names what is known of requests that are held.
 func (q *quarantines) digest() uint64 {
 	if q == nil {
--- a/internal/node/quarantine_test.go
+++ b/internal/node/quarantine_test.go
@@ -164,6 +164,49 @@
 	}
 }
 
+// What was given up at an engine that crashes may be why it did, whichever router sees the crash
+// and by whichever sign. It is no evidence once it is longer ago, or where the engine lives on.
+func TestWhatWasGivenUpAtALifeThatCrashedIsEvidence(t *testing.T) {
+	is := is.New(t)
+	tests := []struct {
+		name string
+		// seen has the end of a life show, some time after the request was given up there.
+		seen  func(w *wards, record backend.Record)
+		after time.Duration
+		held  int
+	}{
+		{"an attempt of another request breaks off", func(w *wards, record backend.Record) {
+			w.all[0].Broke(time.Now(), asked(fmt.Sprint("beside ", record.Instance)), record)
+		}, 100 * time.Millisecond, 2},
+		{"it breaks off at another router", func(w *wards, record backend.Record) {
+			w.all[1].Broke(time.Now(), asked(fmt.Sprint("beside ", record.Instance)), record)
+		}, 100 * time.Millisecond, 2},
+		{"it takes no connection", func(w *wards, record backend.Record) { w.all[0].Unreached(time.Now(), record) }, 100 * time.Millisecond, 2},
+		{"another one takes no connection", func(w *wards, _ backend.Record) {
+			w.all[0].Unreached(time.Now(), backend.Record{Instance: "e7", Service: "s"})
+		}, 100 * time.Millisecond, 0},
+		{"long after", func(w *wards, record backend.Record) {
+			w.all[0].Broke(time.Now(), asked(fmt.Sprint("beside ", record.Instance)), record)
+		}, 5 * time.Second, 0},
+		{"nothing shows", func(*wards, backend.Record) {}, 100 * time.Millisecond, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWards(t, 2, refused)
+				for engine := range 3 {
+					record := backend.Record{Instance: ident.Incarnation(fmt.Sprint("e", engine)), Service: "s"}
+					w.all[0].Left(time.Now(), asked("x"), record)
+					time.Sleep(tt.after)
+					tt.seen(w, record)
+					time.Sleep(time.Second)
+				}
+				is.Equal(w.held("x"), tt.held)
+			})
+		})
+	}
+}
+
 // A request that was just answered does not crash what runs it, although it ran on each of
 // the engines that crashed.
 func TestAnAnswerVouchesForItsRequest(t *testing.T) {
