Keep evidence in the store from the second crash on

Cause: a row was written once a request was held. When all routers lost power as the third back end crashed, what they knew went with them, and the request took three more back ends and two trials: four or more sendings late for one that comes each few seconds. Ruled out: fewer trials, which are the way back of innocent requests; rows from the first crash on, which each request beside a crash would cost. Change: the evidence is kept from two crashes on, and again when it is whole; a row goes with a success, or when the evidence is forgotten. Rows are read again each 10 minutes while nothing is held, so that none stays. A row that lacks is an operator's doing only while there is evidence. TestAllRoutersEndAtTheThirdCrash failed before (more than 3 late); TestEvidenceThatDidNotSufficeLeavesNoRow came with the change.

--- a/internal/node/quarantine.go
+++ b/internal/node/quarantine.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -27,9 +28,10 @@
 	newsParts = 10
 	newsMost  = 200
 	// keepInterval is the time between two looks at which rows are to be written, relistInterval
-	// between two reads of the rows while a request is held.
-	keepInterval   = 2 * time.Second
-	relistInterval = 5 * time.Second
+	// between two reads of the rows while a request is held, quietRelistInterval else.
+	keepInterval        = 2 * time.Second
+	relistInterval      = 5 * time.Second
+	quietRelistInterval = 10 * time.Minute
 	// reloadAfter is how long nothing may have been confirmed here before the rows are read
 	// once more: three reads of the configuration that failed, or were not made.
 	reloadAfter = 2400 * time.Millisecond
@@ -148,7 +150,9 @@
 	held := q.ledger.Crashed(at, life, requests)
 	q.tell(requests...)
 	q.logHeld(clock.Now(), held)
-	q.keep(held...)
+	q.keep(slices.DeleteFunc(slices.Clone(requests), func(request quarantine.Fingerprint) bool {
+		return q.ledger.ToKeep(request) == 0
+	})...)
 }
 
 // take takes in what another router told as of a time, and returns what that one lacks. The
@@ -300,7 +304,6 @@
 
 // keepRows keeps the rows up to date until ctx ends.
 func (q *quarantines) keepRows(ctx context.Context) {
-	listedAt := clock.Now()
 	for ctx.Err() == nil {
 		select {
 		case <-ctx.Done():
@@ -309,12 +312,11 @@
 		case <-time.After(keepInterval):
 		}
 		if q.keeps() {
-			if held, _ := q.ledger.Counts(); held > 0 && clock.Since(listedAt) >= relistInterval {
-				listedAt = clock.Now()
+			if q.rows.relistDue(clock.Now()) {
 				q.relist(ctx)
 			}
 			// Without waking: a store that is down is asked again at the next look.
-			q.note(q.rows.outdated(clock.Now()))
+			q.note(q.rows.outdated())
 		}
 		q.writeRows(ctx)
 	}
@@ -330,7 +332,11 @@
 	now := clock.Now()
 	q.logHeld(now, held)
 	for _, request := range lifted {
+		ended := q.ledger.Judge(now, request) != nil
 		q.ledger.Lift(now, request)
+		if !ended {
+			continue
+		}
 		log.WithFields(log.Fields{"fingerprint": request.String(), "cause": "row removed"}).Info("quarantine_ended")
 	}
 	q.tell(lifted...)
--- a/internal/node/quarantine_test.go
+++ b/internal/node/quarantine_test.go
@@ -269,6 +269,71 @@
 	})
 }
 
+// All routers end as the third back end crashes, before any of them could tell or write that.
+// The request comes again each 4 s: whatever they knew, it may reach back ends three times more.
+func TestAllRoutersEndAtTheThirdCrash(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWards(t, 3, refused)
+		ctx, kill := context.WithCancel(t.Context())
+		former := newWards(t, 0, refused)
+		former.store, former.table = w.store, &failingTable{fakeStore: w.store}
+		for range 3 {
+			former.start(ctx, refused)
+		}
+		for engine := range 3 {
+			former.table.down.Store(engine == 2)
+			former.crash(engine, "guilty", engine)
+			time.Sleep(4 * time.Second)
+		}
+		kill()
+		for _, q := range w.all {
+			q.load(t.Context(), 0)
+		}
+		late, engine := 0, 3
+		for range 60 {
+			q := w.all[late%3]
+			verdict := q.Judge(time.Now(), asked("guilty"))
+			if verdict == nil || (verdict.TrialDue && q.Try(t.Context(), asked("guilty"))) {
+				late++
+				w.crash(late%3, "guilty", engine)
+				engine++
+			}
+			time.Sleep(4 * time.Second)
+		}
+		is.True(late <= 3)
+	})
+}
+
+// The row of evidence that did not suffice goes once a success wipes it, or once it is forgotten.
+func TestEvidenceThatDidNotSufficeLeavesNoRow(t *testing.T) {
+	tests := []struct {
+		name string
+		then func(w *wards)
+	}{
+		{"answered", func(w *wards) { w.all[1].Answered(time.Now(), asked("x")) }},
+		{"forgotten", func(*wards) { time.Sleep(11 * time.Minute) }},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				w := newWards(t, 2, refused)
+				w.crash(1, "x", 0)
+				time.Sleep(3 * time.Second)
+				is.Equal(w.rows(), 0)
+				w.crash(1, "x", 1)
+				time.Sleep(time.Second)
+				is.Equal(w.rows(), 1)
+				tt.then(w)
+				time.Sleep(5 * time.Second)
+				is.Equal(w.rows(), 0)
+				is.Equal(w.held("x"), 0)
+			})
+		})
+	}
+}
+
 func TestNoTrialIsGrantedWithoutTheStore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/internal/node/quarantinerows.go
+++ b/internal/node/quarantinerows.go
@@ -18,8 +18,8 @@
 )
 
 const (
-	// quarantinePrefix is the begin of the keys of the rows of requests that are held, one row
-	// each. They outlive all routers.
+	// quarantinePrefix is the begin of the keys of the rows of requests that are held or will be
+	// by the next crash, one row each. They outlive all routers.
 	quarantinePrefix = "quarantine/"
 	// maxQuarantineRows bounds the rows read.
 	maxQuarantineRows = 2000
@@ -46,7 +46,7 @@
 	Told      quarantine.Told `cbor:"2,keyasint"`
 }
 
-// quarantineRows keeps requests that are held in the store, and grants trials by conditional
+// quarantineRows keeps the evidence against requests in the store, and grants trials by conditional
 // writes, so that all routers together try each as often as it may be. It is safe for
 // concurrent use.
 type quarantineRows struct {
@@ -55,9 +55,11 @@
 	ledger  *quarantine.Ledger
 
 	mu sync.Mutex
-	// read is true once the rows were read, kept holds those that are there.
-	read bool
-	kept map[quarantine.Fingerprint]struct{}
+	// read is true once the rows were read. kept holds those that are there, and for how many
+	// crashes each has the evidence; listedAt is when all of them were asked for last.
+	read     bool
+	kept     map[quarantine.Fingerprint]int
+	listedAt time.Time
 	// triedAt is when this router last asked for a trial.
 	triedAt map[quarantine.Fingerprint]time.Time
 }
@@ -65,7 +67,7 @@
 func newQuarantineRows(table store.Table, timeout time.Duration) *quarantineRows {
 	return &quarantineRows{
 		table: table, timeout: timeout,
-		kept: make(map[quarantine.Fingerprint]struct{}), triedAt: make(map[quarantine.Fingerprint]time.Time),
+		kept: make(map[quarantine.Fingerprint]int), triedAt: make(map[quarantine.Fingerprint]time.Time), listedAt: clock.Now(),
 	}
 }
 
@@ -76,49 +78,57 @@
 	return r.read
 }
 
-// outdated returns the requests that are held and have no row, and those that are not held any
-// more and have one, as far as this router knows. Who learnt of either first may have ended
+// outdated returns the requests whose rows lack what they should have, and those that need none
+// any more and have one, as far as this router knows. Who learnt of either first may have ended
 // before it brought the row up to date.
-func (r *quarantineRows) outdated(now time.Time) []quarantine.Fingerprint {
+func (r *quarantineRows) outdated() []quarantine.Fingerprint {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var outdated []quarantine.Fingerprint
-	for _, told := range r.ledger.TellHeld(now) {
-		_, kept := r.kept[told.Request]
-		if held := r.ledger.Judge(now, told.Request) != nil; held != kept {
-			outdated = append(outdated, told.Request)
+	for _, request := range r.ledger.AllToKeep() {
+		if r.kept[request] < r.ledger.ToKeep(request) {
+			outdated = append(outdated, request)
+		}
+	}
+	for request := range r.kept {
+		if r.ledger.ToKeep(request) == 0 {
+			outdated = append(outdated, request)
 		}
 	}
 	return outdated
 }
 
-// list reads all rows and takes them in. It returns the requests whose rows are gone that this
-// router knew, and those that are held from now on.
+// list reads all rows and takes them in. It returns the requests whose rows were removed though
+// there is evidence, and those that are held from now on.
 func (r *quarantineRows) list(ctx context.Context) (gone, held []quarantine.Fingerprint, err error) {
 	bounded, cancel := context.WithTimeout(ctx, r.timeout)
 	defer cancel()
-	before := r.knownRows()
+	before := r.beginList()
 	list, err := r.table.List(bounded, quarantinePrefix, maxQuarantineRows)
 	if err != nil {
 		return nil, nil, err
 	}
 	now := clock.Now()
-	found := make(map[quarantine.Fingerprint]struct{}, len(list.Rows))
+	found := make(map[quarantine.Fingerprint]int, len(list.Rows))
 	for _, row := range list.Rows {
 		kept, err := readQuarantineRow(&row)
 		if err != nil {
 			log.WithFields(log.Fields{"row": row.Key, "cause": err.Error()}).Warn("quarantine_row_unreadable")
 			continue
 		}
-		found[kept.Told.Request] = struct{}{}
+		found[kept.Told.Request] = kept.Told.Kept()
 		held = append(held, r.takeRow(now, row.StoreTime, kept)...)
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for request := range before {
-		if _, there := found[request]; !there && !list.More {
+		if _, there := found[request]; there || list.More {
+			continue
+		}
+		delete(r.kept, request)
+		// What needs no row was removed by a router.
+		if r.ledger.ToKeep(request) > 0 {
 			gone = append(gone, request)
-			delete(r.kept, request)
 		}
 	}
 	r.read = true
@@ -126,14 +136,28 @@
 	return gone, held, nil
 }
 
-// knownRows returns the requests of the rows that this router knows. What a list lacks is gone
-// only if it was known before: a row that is written while the list is on its way is newer.
-func (r *quarantineRows) knownRows() map[quarantine.Fingerprint]struct{} {
+// beginList notes that the rows are asked for, and returns those that this router knows. What a
+// list lacks is gone only if it was known before: a row that is written while the list is on its
+// way is newer.
+func (r *quarantineRows) beginList() map[quarantine.Fingerprint]int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.listedAt = clock.Now()
 	return maps.Clone(r.kept)
 }
 
+// relistDue reports whether the rows are to be read again: often while an operator may want to
+// end a quarantine, else as often as evidence that did not suffice is forgotten.
+func (r *quarantineRows) relistDue(now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	interval := quietRelistInterval
+	if held, _ := r.ledger.Counts(); held > 0 {
+		interval = relistInterval
+	}
+	return now.Sub(r.listedAt) >= interval
+}
+
 // takeRow takes in a row as of now, the store's time being as told; a list tells none.
 func (r *quarantineRows) takeRow(now time.Time, storeTime time.Duration, kept *quarantineRow) []quarantine.Fingerprint {
 	at := now
@@ -162,7 +186,7 @@
 	return key.String()
 }
 
-// update brings the row of a request up to date: it is there while the request is held.
+// update brings the row of a request up to date: it has the evidence while that is to be kept.
 func (r *quarantineRows) update(ctx context.Context, request quarantine.Fingerprint) error {
 	bounded, cancel := context.WithTimeout(ctx, r.timeout)
 	defer cancel()
@@ -170,20 +194,33 @@
 	if err != nil {
 		return err
 	}
+	has := 0
+	if found {
+		has = evidenceOf(&row)
+	}
 	now := clock.Now()
-	held := r.ledger.Judge(now, request) != nil
-	if found == held {
-		r.know(request, held)
+	told, _ := r.ledger.Tell(now, request)
+	wanted := r.ledger.ToKeep(request)
+	if found == (wanted > 0) && has >= wanted {
+		r.know(request, has)
 		return nil
 	}
-	write := protocol.Write{Key: row.Key, Delete: true}
-	if held {
-		told, _ := r.ledger.Tell(now, request)
+	write := protocol.Write{Key: quarantineKey(request), Delete: true}
+	if wanted > 0 {
 		if write, err = quarantineWrite(row.StoreTime, told); err != nil {
 			return err
 		}
 	}
-	return r.commit(bounded, &row, write, request, held)
+	return r.commit(bounded, &row, write, request, wanted)
+}
+
+// evidenceOf returns for how many crashes a row has the evidence, 0 if it cannot be read.
+func evidenceOf(row *protocol.Row) int {
+	kept, err := readQuarantineRow(row)
+	if err != nil {
+		return 0
+	}
+	return kept.Told.Kept()
 }
 
 func quarantineWrite(storeTime time.Duration, told quarantine.Told) (protocol.Write, error) {
@@ -195,7 +232,7 @@
 var errRowChanged = errors.New("another router wrote the row meanwhile")
 
 // commit writes a row on condition that it is as it was read.
-func (r *quarantineRows) commit(ctx context.Context, read *protocol.Row, write protocol.Write, request quarantine.Fingerprint, held bool) error {
+func (r *quarantineRows) commit(ctx context.Context, read *protocol.Row, write protocol.Write, request quarantine.Fingerprint, evidence int) error {
 	result, err := r.table.Commit(ctx, protocol.Transaction{
 		Conditions: []protocol.Condition{{Key: write.Key, Version: read.Version}}, Writes: []protocol.Write{write},
 	})
@@ -205,15 +242,16 @@
 	if !result.Committed {
 		return errRowChanged
 	}
-	r.know(request, held)
+	r.know(request, evidence)
 	return nil
 }
 
-func (r *quarantineRows) know(request quarantine.Fingerprint, kept bool) {
+// know takes in for how many crashes a row has the evidence, 0 if it is not there.
+func (r *quarantineRows) know(request quarantine.Fingerprint, evidence int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if kept {
-		r.kept[request] = struct{}{}
+	if evidence > 0 {
+		r.kept[request] = evidence
 		return
 	}
 	delete(r.kept, request)
@@ -274,7 +312,7 @@
 	if err != nil {
 		return trialFailed, trials
 	}
-	if err := r.commit(ctx, row, write, request, true); err != nil {
+	if err := r.commit(ctx, row, write, request, told.Kept()); err != nil {
 		return trialFailed, trials
 	}
 	return trialGranted, trials
--- a/internal/quarantine/ledger.go
+++ b/internal/quarantine/ledger.go
@@ -15,6 +15,9 @@
 	// and again, 75 of 314 requests of one route broke off within 8 s (record of a deployment),
 	// and clients try these again.
 	crashesToHold = 3
+	// crashesToKeep is the number from which on the evidence is to outlive all routers: one
+	// more crash completes it, and whoever saw that may have no time to write it down.
+	crashesToKeep = crashesToHold - 1
 	// VouchFor is how long after a success crashes are no evidence: a request that was just
 	// answered does not crash each back end that runs it. An often asked prompt is answered
 	// several times in that span.
@@ -64,6 +67,16 @@
 
 func (s *suspect) held() bool { return len(s.counted()) >= crashesToHold }
 
+// toKeep returns for how many crashes the evidence is to be kept. What is beyond a verdict
+// changes nothing that must be known.
+func (s *suspect) toKeep() int {
+	count := len(s.counted())
+	if count < crashesToKeep {
+		return 0
+	}
+	return min(count, crashesToHold)
+}
+
 // add takes in a crash. A life ends once, when the first router saw it.
 func (s *suspect) add(crash Crash) {
 	place := slices.IndexFunc(s.crashes, func(known Crash) bool { return known.Life == crash.Life })
@@ -175,6 +188,31 @@
 	}
 }
 
+// ToKeep returns for how many crashes under a request a place that outlives all routers is to
+// have the evidence, 0 if it is to have none.
+func (l *Ledger) ToKeep(request Fingerprint) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	known := l.suspects[request]
+	if known == nil {
+		return 0
+	}
+	return known.toKeep()
+}
+
+// AllToKeep returns the requests for which ToKeep is above 0.
+func (l *Ledger) AllToKeep() []Fingerprint {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var all []Fingerprint
+	for request, known := range l.suspects {
+		if known.toKeep() > 0 {
+			all = append(all, request)
+		}
+	}
+	return all
+}
+
 // Counts returns the number of requests that are held, and of all that are known.
 func (l *Ledger) Counts() (held, suspects int) {
 	l.mu.Lock()
--- a/internal/quarantine/told.go
+++ b/internal/quarantine/told.go
@@ -29,6 +29,13 @@
 	Age  time.Duration
 }
 
+// Kept returns for how many crashes evidence was told, as Ledger.ToKeep counts them.
+func (t *Told) Kept() int {
+	taken := NewLedger()
+	taken.Take(time.Unix(0, 0), []Told{*t})
+	return taken.ToKeep(t.Request)
+}
+
 // Tell returns what is known of a request; it is false if nothing is.
 func (l *Ledger) Tell(now time.Time, request Fingerprint) (Told, bool) {
 	l.mu.Lock()
