Load weights by one engine at a time once engines ended while they loaded them

An engine that ends while it loads a version is back with the one that it had and is ordered again; nothing tied its end to the version. Ruled out: no further order of such a version, which three crashes of other causes would hold up for good; a row in the store, as each holder of the lease that forgets costs three engines. Change: three engines that ended while they loaded a version which no engine has make it doubted: it is loaded by one engine at a time, with pauses that double up to a minute, until one has it or a newer one is named. Told in the log (version_doubted) and counted.

--- a/internal/node/events.go
+++ b/internal/node/events.go
@@ -78,6 +78,7 @@
 		{"quarantine_rows_not_read", []string{"cause"}, "The rows of quarantined requests could not be read; that is tried again."},
 		{"quarantine_row_unreadable", []string{"row", "cause"}, "The row of a quarantined request cannot be read, and is passed over."},
 		{"quota_leader_changed", []string{"from", "to"}, "Another router grants what tenants with limits may use here; from and to are addresses, to is this router's own if it reaches no older one."},
+		{"version_doubted", []string{"model", "version", "ended"}, "This many engines ended while they loaded a version that no engine has: it is loaded by one engine at a time, with growing pauses, until one has it."},
 		{"order", []string{"instance", "model", "version", "fence", "sequence", "result"}, "An order was sent to an engine."},
 		{"rollout_ordered", with(rolloutFields, "duration_ms"), "An operator's order to move a service to another release was seen here; order is its revision."},
 		{"rollout_decided", with(rolloutFields, "phase", "reason", "ceiling", "fence"), "This router, which holds the lease, has written how the rollout stands; ceiling is the number of requests that may be permitted to the target."},
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -38,6 +38,7 @@
 	refusals     *prometheus.CounterVec
 	answerTime   *prometheus.HistogramVec
 	orders       *prometheus.CounterVec
+	doubts       *prometheus.CounterVec
 	dependencies *prometheus.CounterVec
 	pulls        *prometheus.CounterVec
 	watches      *prometheus.CounterVec
@@ -78,6 +79,7 @@
 		refusals:     registry.Counter("edge_refusals_total", "Final answers of the router's own, by kind and by what ran.", "kind", "ran"),
 		answerTime:   registry.Histogram("edge_answer_seconds", "Time from the arrival of a request to the end of its answer, in seconds.", answerBuckets, "end"),
 		orders:       registry.Counter("edge_orders_total", "Orders to engines, by result.", "result"),
+		doubts:       registry.Counter("edge_versions_doubted_total", "Versions of weights under which engines ended while they loaded them, by model.", "model"),
 		dependencies: registry.Counter("edge_dependency_lost_total", "Times that reads of a dependency began to fail.", "dependency"),
 		watches:      registry.Counter("edge_naming_watches_total", "Watches of the store for versions of weights that are named, by result: news, quiet, history_gone or failed.", "result"),
 		pulls:        registry.Counter("edge_pulls_total", "Pulls of the shared state from other routers, by result.", "result"),
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -260,6 +260,10 @@
 		n.metrics.order(result)
 		logOrder(order, result)
 	}
+	config.OnDoubt = func(doubt rollout.Doubt) {
+		n.metrics.doubts.WithLabelValues(string(doubt.Model)).Inc()
+		log.WithFields(log.Fields{"model": doubt.Model, "version": doubt.Version, "ended": doubt.Ended}).Warn("version_doubted")
+	}
 	if announcer != nil && n.config.Off.On(mechanism.Notices) {
 		config.Announcer = announcer
 	}
--- a/internal/rollout/controller.go
+++ b/internal/rollout/controller.go
@@ -40,6 +40,8 @@
 	ExchangeTimeout time.Duration
 	// OnOrder is told each order with its result. It must not block.
 	OnOrder func(order *Order, result Result)
+	// OnDoubt is told each version that came to be doubted. It must not block; nil tells nobody.
+	OnDoubt func(doubt Doubt)
 	// Emptying has engines emptied before their orders; it needs an Announcer.
 	Emptying bool
 	// Announcer tells other routers which engines are about to change; nil tells
@@ -137,6 +139,11 @@
 	c.planner.Observe(records, view.Models)
 	c.planner.Calm(c.calm(now, records))
 	actions := c.planner.Plan(now, grant.Fence)
+	for _, doubt := range c.planner.Doubts() {
+		if c.config.OnDoubt != nil {
+			c.config.OnDoubt(doubt)
+		}
+	}
 	c.announce(actions)
 	for _, action := range actions {
 		go c.execute(ctx, now, action, grant.Fence)
--- a/internal/rollout/planner.go
+++ b/internal/rollout/planner.go
@@ -124,6 +124,8 @@
 	calm map[ident.Service]float64
 	// emptying are the engines that got to be emptied since the last call of Emptying.
 	emptying []Emptying
+	// doubts are the versions under which engines ended while they loaded them.
+	doubts map[weights]*doubt
 }
 
 // Loaded is an engine that has the version it was ordered to take.
@@ -138,7 +140,7 @@
 	config = config.withDefaults()
 	return &Planner{
 		config: config, engines: make(map[ident.Incarnation]*progress), loads: newLoadTimes(config.LoadTime),
-		changes: newLoadTimes(config.LoadTime),
+		changes: newLoadTimes(config.LoadTime), doubts: make(map[weights]*doubt),
 	}
 }
 
@@ -148,6 +150,7 @@
 // Observe takes in the newest list of back ends and the named versions.
 func (p *Planner) Observe(records []backend.Record, models map[ident.Model]catalog.NamedVersion) {
 	p.models = models
+	p.noteEnds(records)
 	engines := make(map[ident.Incarnation]*progress, len(records))
 	for _, record := range records {
 		if len(record.Models) == 0 || record.Draining {
@@ -189,13 +192,14 @@
 // Plan returns what to do now under a fence. Each order must be answered by
 // Ordered, each report by Reported.
 func (p *Planner) Plan(now time.Time, fence uint64) []Action {
+	p.review(now)
 	actions, active, needs := p.survey(now)
 	if len(needs) == 0 || !p.due(now, needs) {
 		return actions
 	}
 	most := p.parallel(len(needs)+active, needs[0].deadline.Sub(now)-p.config.Margin)
 	for _, wanted := range needs {
-		if now.Before(wanted.engine.notNow) {
+		if now.Before(wanted.engine.notNow) || p.doubted(now, wanted.model) {
 			continue
 		}
 		// An engine that does not answer must not keep others waiting.
