--- a/internal/node/crashchecks.go
+++ b/internal/node/crashchecks.go
@@ -39,8 +39,8 @@
 	// leftFor is how long before its crash a back end may have begun a request that was given
 	// up. Most drop what is given up; the others begin it once a place is free.
 	leftFor = 2 * time.Second
-	// maxLeft bounds the attempts remembered that were given up, the newest: 250 a second,
-	// in some 50 kB.
+	// maxLeft bounds the attempts remembered that were given up, the newest: 250 a second, in
+	// 30 kB.
 	maxLeft = 512
 )
 
@@ -151,8 +151,8 @@
 	c.wait.Wait()
 }
 
-// broke takes in that attempts of requests broke off at a back end, and checks it. One that was leaving
-// has ended as planned: that says nothing against what ran there.
+// broke takes in that attempts of requests broke off at a back end, and checks it. One that was
+// leaving has ended as planned: that says nothing against what ran there.
 func (c *crashChecks) broke(now time.Time, at backend.Record, requests ...quarantine.Fingerprint) {
 	if c.backends.Leaving(at.Instance) {
 		return
