Move the shell of the quarantine into a package of its own, and have rows written at once

One router had seen the one crash, another one the other; the second learnt of the first by the answer to its own news, and whoever takes in news wrote no row unless the request was held. And a row that another router had just written ended the writing of all others for up to 2 s. Ruled out: rows by every router that hears of evidence, which is a call each. Change: routers that just told of evidence, and the one that keeps the rows, write what news complete; a row that changed meanwhile is read again at once, and holds up no other. The shell (checks, news, rows) is internal/quarantine/guard now, with what a router knows of back ends as an interface; internal/node translates.

--- a/internal/node/crashing_test.go
+++ b/internal/node/crashing_test.go
@@ -19,6 +19,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -32,6 +33,7 @@
 	"github.com/fieldpond/fieldpond/internal/ident"
 	"github.com/fieldpond/fieldpond/internal/inbound"
 	"github.com/fieldpond/fieldpond/internal/rollout"
+	"github.com/fieldpond/fieldpond/internal/store/protocol"
 )
 
 const (
@@ -406,3 +408,35 @@
 	}
 	return count
 }
+
+// failingTable is a table that may be down.
+type failingTable struct {
+	*fakeStore
+	down atomic.Bool
+}
+
+var errTableDown = fault.New(fault.StoreUnavailable, "down")
+
+// Commit implements store.Table.
+func (f *failingTable) Commit(ctx context.Context, transaction protocol.Transaction) (protocol.TransactionResult, error) {
+	if f.down.Load() {
+		return protocol.TransactionResult{}, errTableDown
+	}
+	return f.fakeStore.Commit(ctx, transaction)
+}
+
+// List implements store.Table.
+func (f *failingTable) List(ctx context.Context, prefix string, limit int) (protocol.RowList, error) {
+	if f.down.Load() {
+		return protocol.RowList{}, errTableDown
+	}
+	return f.fakeStore.List(ctx, prefix, limit)
+}
+
+// Read implements store.Table.
+func (f *failingTable) Read(ctx context.Context, key string) (protocol.Row, bool, error) {
+	if f.down.Load() {
+		return protocol.Row{}, false, errTableDown
+	}
+	return f.fakeStore.Read(ctx, key)
+}
--- a/internal/node/crashingfaults_test.go
+++ b/internal/node/crashingfaults_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/fieldpond/fieldpond/internal/fault"
 	"github.com/fieldpond/fieldpond/internal/ident"
+	"github.com/fieldpond/fieldpond/internal/quarantine/guard"
 )
 
 // callers counts what became of the requests of some clients.
@@ -157,7 +158,7 @@
 	f.table.down.Store(true)
 	f.repeatCrash(crashBody, crashLearnt+time.Second)
 	f.bounded(crashBody)
-	is.New(t).Equal(f.store.rowsUnder(quarantinePrefix), 0) // nothing could be kept
+	is.New(t).Equal(f.store.rowsUnder(guard.RowPrefix), 0) // nothing could be kept
 }
 
 // Attempts that break off at engines which live on are no evidence, however many they are.
--- a/internal/node/follower.go
+++ b/internal/node/follower.go
@@ -12,6 +12,7 @@
 	"github.com/fieldpond/fieldpond/internal/catalog"
 	"github.com/fieldpond/fieldpond/internal/clock"
 	"github.com/fieldpond/fieldpond/internal/ident"
+	"github.com/fieldpond/fieldpond/internal/quarantine/guard"
 	"github.com/fieldpond/fieldpond/internal/upstream"
 	"github.com/fieldpond/fieldpond/internal/wait"
 )
@@ -29,10 +30,10 @@
 	// states reads the states of rollouts; it is nil where no service is moved to another
 	// release under guard.
 	states *rolloutStates
-	// quarantines reads the requests that are held; it may be nil.
-	quarantines *quarantines
-	client      puller
-	chain       *chainGuard
+	// guard reads the requests that are held; it may be nil.
+	guard  *guard.Guard
+	client puller
+	chain  *chainGuard
 	// audience is kept up to date with the routers there are.
 	audience *audience
 	// joined is called with this router's row and those of all, once it is written.
@@ -123,7 +124,7 @@
 	if err != nil {
 		return err
 	}
-	f.quarantines.load(ctx, askedAt.Sub(f.replica.holder.View().ConfirmedAt))
+	f.guard.Load(ctx, askedAt.Sub(f.replica.holder.View().ConfirmedAt))
 	f.readNamings(ctx, askedAt, unaskedSince, &reading)
 	f.replica.rowsRead(askedAt, &reading)
 	rollouts := f.orders(askedAt, f.replica.holder.View().ConfirmedAt, &reading)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -22,6 +22,8 @@
 	"github.com/fieldpond/fieldpond/internal/inbound"
 	"github.com/fieldpond/fieldpond/internal/lease"
 	"github.com/fieldpond/fieldpond/internal/mechanism"
+	"github.com/fieldpond/fieldpond/internal/quarantine"
+	"github.com/fieldpond/fieldpond/internal/quarantine/guard"
 	"github.com/fieldpond/fieldpond/internal/quota"
 	"github.com/fieldpond/fieldpond/internal/region"
 	"github.com/fieldpond/fieldpond/internal/rollout"
@@ -104,10 +106,12 @@
 	quotas   *quotas
 	// quarantines keeps requests from back ends under which these crash.
 	quarantines *quarantines
-	canaries    *canaries
-	peers       *upstream.Client
-	clients     *inbound.Clients
-	stopping    atomic.Bool
+	// announcer tells other routers news, nil before this one runs.
+	announcer atomic.Pointer[notices]
+	canaries  *canaries
+	peers     *upstream.Client
+	clients   *inbound.Clients
+	stopping  atomic.Bool
 }
 
 // New returns a node that has not started.
@@ -126,11 +130,8 @@
 	n.follower = n.newFollower()
 	n.quotas = n.newQuotas()
 	n.follower.joined = n.quotas.know
-	n.quarantines = newQuarantines(
-		ports.Engines, n.backends, newQuarantineRows(ports.Table, config.Follow.ReadTimeout), n.metrics,
-	)
-	n.quarantines.keeps = n.follower.readsForOthers
-	n.follower.quarantines, n.follower.replica.quarantines = n.quarantines, n.quarantines
+	n.quarantines = n.newQuarantines()
+	n.follower.guard, n.follower.replica.guard = n.quarantines.Guard, n.quarantines.Guard
 	n.guardReleases()
 	return n
 }
@@ -178,6 +179,19 @@
 	}
 }
 
+func (n *Node) newQuarantines() *quarantines {
+	return &quarantines{engines: n.ports.Engines, backends: n.backends, Guard: guard.New(guard.Config{
+		Table: n.ports.Table, Timeout: n.config.Follow.ReadTimeout, Backends: n.backends, Keeps: n.follower.readsForOthers,
+		Send: func(told []quarantine.Told) {
+			if announcer := n.announcer.Load(); announcer != nil {
+				announcer.tellQuarantine(told)
+			}
+		},
+		OnTrial: func(result string) { n.metrics.trials.WithLabelValues(result).Inc() },
+		OnCheck: func(result string) { n.metrics.crashChecks.WithLabelValues(result).Inc() },
+	})}
+}
+
 func (n *Node) newQuotas() *quotas {
 	cfg := quota.Config{Self: n.config.PeerAddr, Bounds: n.config.Quota}
 	cfg.Alone = !n.config.PeerAddr.IsValid() || !n.config.Off.On(mechanism.SharedQuotas)
@@ -203,7 +217,7 @@
 	now.routers = n.follower.replica.Routers()
 	now.sharers = n.follower.replica.Sharers()
 	now.quotaMembers = n.quotas.members()
-	now.quarantined, now.crashSuspects = n.quarantines.ledger.Counts()
+	now.quarantined, now.crashSuspects = n.quarantines.Counts()
 	now.regionsLost = len(n.backends.Lost(clock.Now()))
 	if n.ports.LinesDropped != nil {
 		now.linesDropped = n.ports.LinesDropped()
@@ -230,8 +244,8 @@
 		return err
 	}
 	if announcer != nil {
-		announcer.quotas, announcer.quarantines = n.quotas, n.quarantines
-		n.quarantines.send = announcer.tellQuarantine
+		announcer.quotas, announcer.guard = n.quotas, n.quarantines.Guard
+		n.announcer.Store(announcer)
 		n.quotas.send = announcer.sendQuota
 		n.canaries.connect(announcer)
 	}
@@ -272,7 +286,7 @@
 	loops := []func(context.Context){
 		follower.followConfiguration, follower.followBackends, follower.followPeers, follower.watchNamings, follower.markNamings,
 		func(ctx context.Context) { follower.countRouters(ctx, n.holdsLease) }, n.contend, n.lease.Run, controller.Run, n.quotas.run, n.sweepClients,
-		n.quarantines.run, n.quarantines.checks.run, watchSuspensions,
+		n.quarantines.Run, watchSuspensions,
 	}
 	if announcer != nil {
 		loops = append(loops, announcer.listen)
--- a/internal/node/notices.go
+++ b/internal/node/notices.go
@@ -14,6 +14,7 @@
 	"github.com/fieldpond/fieldpond/internal/clock"
 	"github.com/fieldpond/fieldpond/internal/health"
 	"github.com/fieldpond/fieldpond/internal/quarantine"
+	"github.com/fieldpond/fieldpond/internal/quarantine/guard"
 	"github.com/fieldpond/fieldpond/internal/quota"
 	"github.com/fieldpond/fieldpond/internal/rollout"
 )
@@ -36,8 +37,8 @@
 	audience *audience
 	// quotas takes in what other routers tell of limits; it may be nil.
 	quotas *quotas
-	// quarantines takes in evidence of crashes; it may be nil.
-	quarantines *quarantines
+	// guard takes in evidence of crashes; it may be nil.
+	guard *guard.Guard
 	// canaries takes in permits and reports of rollouts; it may be nil.
 	canaries *canaries
 }
@@ -197,7 +198,7 @@
 	from = netip.AddrPortFrom(from.Addr().Unmap(), from.Port())
 	// Routers that started together know each other a count of the routers later: what they
 	// could not tell is answered to who can tell them.
-	if lacks := n.quarantines.take(clock.Now(), told.Quarantine); len(lacks) > 0 {
+	if lacks := n.guard.Take(clock.Now(), told.Quarantine); len(lacks) > 0 {
 		n.sendTo(from, datagram{Quarantine: lacks})
 	}
 	if told.Quota != nil && n.quotas != nil {
--- a/internal/node/pull.go
+++ b/internal/node/pull.go
@@ -167,7 +167,7 @@
 func (f *follower) pull(ctx context.Context, peer upstream.Peer, confirmation uint64) uint64 {
 	pull := &upstream.Pull{Confirmation: confirmation}
 	pull.Configuration, pull.List = f.replica.holds()
-	pull.Quarantine = f.quarantines.digest()
+	pull.Quarantine = f.guard.Digest()
 	// What caches hold can wait until this router can serve.
 	if f.replica.knows() {
 		pull.Caches, pull.CacheHeld = true, f.replica.caches.Positions()
@@ -232,7 +232,7 @@
 func (f *follower) take(update *upstream.Update, at time.Time) error {
 	f.looked.Store(true)
 	// It comes first, so that a router that starts knows it before it serves.
-	f.quarantines.take(at, update.Quarantine)
+	f.guard.Take(at, update.Quarantine)
 	for _, naming := range update.Configuration.Namings {
 		f.takeNaming(&naming, at)
 	}
--- a/internal/node/replica.go
+++ b/internal/node/replica.go
@@ -15,6 +15,7 @@
 	"github.com/fieldpond/fieldpond/internal/clock"
 	"github.com/fieldpond/fieldpond/internal/ident"
 	"github.com/fieldpond/fieldpond/internal/promptcache"
+	"github.com/fieldpond/fieldpond/internal/quarantine/guard"
 	"github.com/fieldpond/fieldpond/internal/upstream"
 )
 
@@ -31,8 +32,8 @@
 	// canaries takes in orders, states and releases; it is nil where no service is moved
 	// to another release under guard.
 	canaries *canaries
-	// quarantines knows the requests that are held; it may be nil.
-	quarantines *quarantines
+	// guard knows the requests that are held; it may be nil.
+	guard *guard.Guard
 
 	mu   sync.Mutex
 	self upstream.Peer
@@ -133,8 +134,8 @@
 		update.List.Told = true
 		update.List.Base, update.List.Records, update.List.Removed = r.list.since(pull.List)
 	}
-	if r.quarantines != nil {
-		update.Quarantine = r.quarantines.toldSince(now, pull.Quarantine)
+	if r.guard != nil {
+		update.Quarantine = r.guard.ToldSince(now, pull.Quarantine)
 	}
 	if pull.Caches {
 		update.Caches = r.caches.Updates(now, pull.CacheHeld)
--- a/internal/node/crashchecks.go
+++ b/internal/quarantine/guard/checks.go
@@ -1,17 +1,13 @@
-package node
+package guard
 
 import (
 	"context"
-	"errors"
 	"sync"
-	"syscall"
 	"time"
 
-	"github.com/fieldpond/fieldpond/internal/backend"
 	"github.com/fieldpond/fieldpond/internal/clock"
 	"github.com/fieldpond/fieldpond/internal/ident"
 	"github.com/fieldpond/fieldpond/internal/quarantine"
-	"github.com/fieldpond/fieldpond/internal/rollout"
 	"github.com/fieldpond/fieldpond/internal/wait"
 )
 
@@ -28,6 +24,8 @@
 	// refusalsToEnd is the number of refused connections in a row that prove that no process
 	// listens any more. One may be due to a bound of connections.
 	refusalsToEnd = 2
+	// lookTimeout bounds one look: back ends report without a slot, within a few ms.
+	lookTimeout = 300 * time.Millisecond
 	// maxCrashChecks bounds the checks under way, and with them the evidence of one router.
 	maxCrashChecks = 256
 	// endedKept is how long it is remembered that a life has ended, for attempts that learn of
@@ -35,90 +33,52 @@
 	endedKept = 30 * time.Second
 )
 
+// Sign is what one look at a back end found of a life of it.
+type Sign uint8
+
 const (
-	// leftFor is how long before its crash a back end may have begun a request that was given
-	// up. Most drop what is given up; the others begin it once a place is free.
-	leftFor = 2 * time.Second
-	// maxLeft bounds the attempts remembered that were given up, the newest: 250 a second, in
-	// 30 kB.
-	maxLeft = 512
+	// SignNone proves nothing: no answer, or one that does not tell.
+	SignNone Sign = iota
+	// SignAlive is an answer of the same life.
+	SignAlive
+	// SignRefused is a refused connection, while no attempt of this router from before the
+	// break is open there: a crash breaks all connections.
+	SignRefused
+	// SignEnded is an answer of another life.
+	SignEnded
 )
 
-// leftAttempt is an attempt that was given up while its back end may have been at work on it.
-type leftAttempt struct {
-	life    ident.Incarnation
-	request quarantine.Fingerprint
-	at      time.Time
-}
-
-// leftAttempts remembers the newest attempts that were given up. It is safe for concurrent use.
-type leftAttempts struct {
-	mu   sync.Mutex
-	all  [maxLeft]leftAttempt
-	next int
-}
-
-// add takes in an attempt that was given up.
-func (l *leftAttempts) add(left leftAttempt) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.all[l.next] = left
-	l.next = (l.next + 1) % maxLeft
-}
-
-// take returns the requests that were given up at a life of a back end shortly before it crashed
-// at a time, and forgets them.
-func (l *leftAttempts) take(life ident.Incarnation, crashedAt time.Time) []quarantine.Fingerprint {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	var requests []quarantine.Fingerprint
-	for index := range l.all {
-		left := &l.all[index]
-		if left.life != life {
-			continue
-		}
-		if crashedAt.Sub(left.at) <= leftFor {
-			requests = append(requests, left.request)
-		}
-		*left = leftAttempt{}
-	}
-	return requests
+// Place is one life of a back end at which an attempt was made.
+type Place struct {
+	Life ident.Incarnation
+	// Look asks the back end once what became of that life, where an attempt broke off at a
+	// time. It must come back once ctx ends.
+	Look func(ctx context.Context, brokeAt time.Time) Sign
 }
 
-// has reports whether a request was given up at a life of a back end shortly before a time.
-func (l *leftAttempts) has(life ident.Incarnation, now time.Time) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for index := range l.all {
-		if left := &l.all[index]; left.life == life && now.Sub(left.at) <= leftFor {
-			return true
-		}
-	}
-	return false
+// Backends is what a router knows of its back ends. Its methods are safe for concurrent use.
+type Backends interface {
+	// Leaving reports whether a life has ended as planned or is about to.
+	Leaving(life ident.Incarnation) bool
+	// SawGone takes in that a life has ended.
+	SawGone(now time.Time, life ident.Incarnation)
 }
 
-// lifeSign is what a check found.
-type lifeSign uint8
-
-const (
-	// signNone proves nothing: no answer, or one that does not tell.
-	signNone lifeSign = iota
-	// signAlive is an answer of the same life.
-	signAlive
-	// signRefused is a refused connection.
-	signRefused
-	// signEnded is an answer of another life.
-	signEnded
-)
-
 // crashCheck is the question whether one life of a back end has ended.
 type crashCheck struct {
-	record  backend.Record
+	place   Place
 	brokeAt time.Time
 	// requests were running there, as far as their attempts have broken off so far.
 	requests map[quarantine.Fingerprint]struct{}
 }
 
+// look asks the back end once.
+func (c *crashCheck) look(ctx context.Context) Sign {
+	bounded, cancel := context.WithTimeout(ctx, lookTimeout)
+	defer cancel()
+	return c.place.Look(bounded, c.brokeAt)
+}
+
 func (c *crashCheck) add(requests []quarantine.Fingerprint) {
 	for _, request := range requests {
 		c.requests[request] = struct{}{}
@@ -128,8 +88,7 @@
 // crashChecks finds out whether back ends have crashed at which attempts broke off. It is
 // safe for concurrent use.
 type crashChecks struct {
-	engines  rollout.Engines
-	backends *backend.Registry
+	backends Backends
 	// crashed is told which requests were running on a life that crashed at a time.
 	crashed func(at time.Time, life ident.Incarnation, requests []quarantine.Fingerprint)
 	// result is told what came of each check: crashed, alive or unknown.
@@ -153,11 +112,11 @@
 
 // broke takes in that attempts of requests broke off at a back end, and checks it. One that was
 // leaving has ended as planned: that says nothing against what ran there.
-func (c *crashChecks) broke(now time.Time, at backend.Record, requests ...quarantine.Fingerprint) {
-	if c.backends.Leaving(at.Instance) {
+func (c *crashChecks) broke(now time.Time, at Place, requests ...quarantine.Fingerprint) {
+	if c.backends.Leaving(at.Life) {
 		return
 	}
-	life := at.Instance
+	life := at.Life
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if endedAt, ended := c.ended[life]; ended && now.Sub(endedAt) < endedKept {
@@ -172,7 +131,7 @@
 	if c.ctx == nil || c.ctx.Err() != nil || len(c.open) >= maxCrashChecks {
 		return
 	}
-	check := &crashCheck{record: at, brokeAt: now, requests: make(map[quarantine.Fingerprint]struct{})}
+	check := &crashCheck{place: at, brokeAt: now, requests: make(map[quarantine.Fingerprint]struct{})}
 	check.add(requests)
 	c.open[life] = check
 	c.wait.Go(func() { c.check(c.ctx, life, check) })
@@ -185,15 +144,15 @@
 		if !wait.For(ctx, max(clock.Until(check.brokeAt.Add(after)), time.Millisecond)) {
 			break
 		}
-		switch c.look(ctx, check) {
-		case signAlive:
+		switch check.look(ctx) {
+		case SignAlive:
 			c.finish(life, "alive", false)
 			return
-		case signEnded:
+		case SignEnded:
 			refusals = refusalsToEnd
-		case signRefused:
+		case SignRefused:
 			refusals++
-		case signNone:
+		case SignNone:
 			refusals = 0
 		}
 		if refusals >= refusalsToEnd {
@@ -208,24 +167,6 @@
 	c.finish(life, "unknown", false)
 }
 
-// look asks the back end once. While older attempts of this router are open there, its process
-// runs: a crash breaks all connections.
-func (c *crashChecks) look(ctx context.Context, check *crashCheck) lifeSign {
-	bounded, cancel := context.WithTimeout(ctx, checkTimeout)
-	defer cancel()
-	_, err := c.engines.Report(bounded, check.record)
-	switch {
-	case err == nil:
-		return signAlive
-	case errors.Is(err, rollout.ErrOtherInstance):
-		return signEnded
-	case errors.Is(err, syscall.ECONNREFUSED) && !c.backends.InFlightSince(check.record.Instance, check.brokeAt):
-		return signRefused
-	default:
-		return signNone
-	}
-}
-
 // finish ends a check, and returns the requests that ran on the life.
 func (c *crashChecks) finish(life ident.Incarnation, result string, ended bool) []quarantine.Fingerprint {
 	c.result(result)
--- a/internal/node/quarantinerows.go
+++ b/internal/quarantine/guard/rows.go
@@ -1,4 +1,4 @@
-package node
+package guard
 
 import (
 	"context"
@@ -18,11 +18,11 @@
 )
 
 const (
-	// quarantinePrefix is the begin of the keys of the rows of requests that are held or will be
+	// RowPrefix is the begin of the keys of the rows of requests that are held or will be
 	// by the next crash, one row each. They outlive all routers.
-	quarantinePrefix = "quarantine/"
-	// maxQuarantineRows bounds the rows read.
-	maxQuarantineRows = 2000
+	RowPrefix = "quarantine/"
+	// maxRows bounds the rows read.
+	maxRows = 2000
 	// trialPause is the least time between two questions of this router for a trial of one
 	// request, whatever came of the last one.
 	trialPause = 2 * time.Second
@@ -39,17 +39,17 @@
 	trialFailed  trialResult = "failed"
 )
 
-// quarantineRow is the value of a row.
-type quarantineRow struct {
+// rowValue is the value of a row.
+type rowValue struct {
 	// StoreTime is the store's own time as of which the ages in Told count.
 	StoreTime time.Duration   `cbor:"1,keyasint"`
 	Told      quarantine.Told `cbor:"2,keyasint"`
 }
 
-// quarantineRows keeps the evidence against requests in the store, and grants trials by conditional
+// rows keeps the evidence against requests in the store, and grants trials by conditional
 // writes, so that all routers together try each as often as it may be. It is safe for
 // concurrent use.
-type quarantineRows struct {
+type rows struct {
 	table   store.Table
 	timeout time.Duration
 	ledger  *quarantine.Ledger
@@ -64,15 +64,15 @@
 	triedAt map[quarantine.Fingerprint]time.Time
 }
 
-func newQuarantineRows(table store.Table, timeout time.Duration) *quarantineRows {
-	return &quarantineRows{
-		table: table, timeout: timeout,
+func newRows(table store.Table, timeout time.Duration, ledger *quarantine.Ledger) *rows {
+	return &rows{
+		table: table, timeout: timeout, ledger: ledger,
 		kept: make(map[quarantine.Fingerprint]int), triedAt: make(map[quarantine.Fingerprint]time.Time), listedAt: clock.Now(),
 	}
 }
 
 // loaded reports whether the rows were read.
-func (r *quarantineRows) loaded() bool {
+func (r *rows) loaded() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.read
@@ -81,7 +81,7 @@
 // outdated returns the requests whose rows lack what they should have, and those that need none
 // any more and have one, as far as this router knows. Who learnt of either first may have ended
 // before it brought the row up to date.
-func (r *quarantineRows) outdated() []quarantine.Fingerprint {
+func (r *rows) outdated() []quarantine.Fingerprint {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var outdated []quarantine.Fingerprint
@@ -100,18 +100,18 @@
 
 // list reads all rows and takes them in. It returns the requests whose rows were removed though
 // there is evidence, and those that are held from now on.
-func (r *quarantineRows) list(ctx context.Context) (gone, held []quarantine.Fingerprint, err error) {
+func (r *rows) list(ctx context.Context) (gone, held []quarantine.Fingerprint, err error) {
 	bounded, cancel := context.WithTimeout(ctx, r.timeout)
 	defer cancel()
 	before := r.beginList()
-	list, err := r.table.List(bounded, quarantinePrefix, maxQuarantineRows)
+	list, err := r.table.List(bounded, RowPrefix, maxRows)
 	if err != nil {
 		return nil, nil, err
 	}
 	now := clock.Now()
 	found := make(map[quarantine.Fingerprint]int, len(list.Rows))
 	for _, row := range list.Rows {
-		kept, err := readQuarantineRow(&row)
+		kept, err := readRow(&row)
 		if err != nil {
 			log.WithFields(log.Fields{"row": row.Key, "cause": err.Error()}).Warn("quarantine_row_unreadable")
 			continue
@@ -139,7 +139,7 @@
 // beginList notes that the rows are asked for, and returns those that this router knows. What a
 // list lacks is gone only if it was known before: a row that is written while the list is on its
 // way is newer.
-func (r *quarantineRows) beginList() map[quarantine.Fingerprint]int {
+func (r *rows) beginList() map[quarantine.Fingerprint]int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.listedAt = clock.Now()
@@ -148,7 +148,7 @@
 
 // relistDue reports whether the rows are to be read again: often while an operator may want to
 // end a quarantine, else as often as evidence that did not suffice is forgotten.
-func (r *quarantineRows) relistDue(now time.Time) bool {
+func (r *rows) relistDue(now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	interval := quietRelistInterval
@@ -159,7 +159,7 @@
 }
 
 // takeRow takes in a row as of now, the store's time being as told; a list tells none.
-func (r *quarantineRows) takeRow(now time.Time, storeTime time.Duration, kept *quarantineRow) []quarantine.Fingerprint {
+func (r *rows) takeRow(now time.Time, storeTime time.Duration, kept *rowValue) []quarantine.Fingerprint {
 	at := now
 	if storeTime > kept.StoreTime {
 		at = now.Add(kept.StoreTime - storeTime)
@@ -168,29 +168,49 @@
 	return held
 }
 
-func readQuarantineRow(row *protocol.Row) (*quarantineRow, error) {
-	var kept quarantineRow
+func readRow(row *protocol.Row) (*rowValue, error) {
+	var kept rowValue
 	if err := cbor.Unmarshal(row.Value, &kept); err != nil {
 		return nil, errors.Wrap(err, "read the row")
 	}
-	if quarantineKey(kept.Told.Request) != row.Key {
+	if rowKey(kept.Told.Request) != row.Key {
 		return nil, errors.Errorf("the row tells of the request %s", kept.Told.Request)
 	}
 	return &kept, nil
 }
 
-func quarantineKey(request quarantine.Fingerprint) string {
+func rowKey(request quarantine.Fingerprint) string {
 	var key strings.Builder
-	key.WriteString(quarantinePrefix)
+	key.WriteString(RowPrefix)
 	key.WriteString(request.String())
 	return key.String()
 }
 
+// lacks reports whether the row of a request lacks evidence, as far as this router knows.
+func (r *rows) lacks(request quarantine.Fingerprint) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.kept[request] < r.ledger.ToKeep(request)
+}
+
+// updateTries bounds the tries to write one row: routers that saw one crash write the same rows at
+// the same moment, and what another one wrote may have less evidence.
+const updateTries = 4
+
 // update brings the row of a request up to date: it has the evidence while that is to be kept.
-func (r *quarantineRows) update(ctx context.Context, request quarantine.Fingerprint) error {
+func (r *rows) update(ctx context.Context, request quarantine.Fingerprint) error {
 	bounded, cancel := context.WithTimeout(ctx, r.timeout)
 	defer cancel()
-	row, found, err := r.table.Read(bounded, quarantineKey(request))
+	err := errRowChanged
+	for try := 0; try < updateTries && errors.Is(err, errRowChanged); try++ {
+		err = r.updateOnce(bounded, request)
+	}
+	return err
+}
+
+// updateOnce tries that once.
+func (r *rows) updateOnce(ctx context.Context, request quarantine.Fingerprint) error {
+	row, found, err := r.table.Read(ctx, rowKey(request))
 	if err != nil {
 		return err
 	}
@@ -205,34 +225,34 @@
 		r.know(request, has)
 		return nil
 	}
-	write := protocol.Write{Key: quarantineKey(request), Delete: true}
+	write := protocol.Write{Key: rowKey(request), Delete: true}
 	if wanted > 0 {
-		if write, err = quarantineWrite(row.StoreTime, told); err != nil {
+		if write, err = writeOf(row.StoreTime, told); err != nil {
 			return err
 		}
 	}
-	return r.commit(bounded, &row, write, request, wanted)
+	return r.commit(ctx, &row, write, request, wanted)
 }
 
 // evidenceOf returns for how many crashes a row has the evidence, 0 if it cannot be read.
 func evidenceOf(row *protocol.Row) int {
-	kept, err := readQuarantineRow(row)
+	kept, err := readRow(row)
 	if err != nil {
 		return 0
 	}
 	return kept.Told.Kept()
 }
 
-func quarantineWrite(storeTime time.Duration, told quarantine.Told) (protocol.Write, error) {
-	value, err := cbor.Marshal(quarantineRow{StoreTime: storeTime, Told: told})
-	return protocol.Write{Key: quarantineKey(told.Request), Value: value}, err
+func writeOf(storeTime time.Duration, told quarantine.Told) (protocol.Write, error) {
+	value, err := cbor.Marshal(rowValue{StoreTime: storeTime, Told: told})
+	return protocol.Write{Key: rowKey(told.Request), Value: value}, err
 }
 
 // errRowChanged says that another router wrote the row meanwhile.
 var errRowChanged = errors.New("another router wrote the row meanwhile")
 
 // commit writes a row on condition that it is as it was read.
-func (r *quarantineRows) commit(ctx context.Context, read *protocol.Row, write protocol.Write, request quarantine.Fingerprint, evidence int) error {
+func (r *rows) commit(ctx context.Context, read *protocol.Row, write protocol.Write, request quarantine.Fingerprint, evidence int) error {
 	result, err := r.table.Commit(ctx, protocol.Transaction{
 		Conditions: []protocol.Condition{{Key: write.Key, Version: read.Version}}, Writes: []protocol.Write{write},
 	})
@@ -247,7 +267,7 @@
 }
 
 // know takes in for how many crashes a row has the evidence, 0 if it is not there.
-func (r *quarantineRows) know(request quarantine.Fingerprint, evidence int) {
+func (r *rows) know(request quarantine.Fingerprint, evidence int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if evidence > 0 {
@@ -259,13 +279,13 @@
 
 // claimTrial asks for the grant of a trial, and returns the number of those granted so far.
 // One whose write has no answer counts as granted to nobody.
-func (r *quarantineRows) claimTrial(ctx context.Context, request quarantine.Fingerprint) (trialResult, int) {
+func (r *rows) claimTrial(ctx context.Context, request quarantine.Fingerprint) (trialResult, int) {
 	if !r.mayClaim(clock.Now(), request) {
 		return trialDenied, 0
 	}
 	bounded, cancel := context.WithTimeout(ctx, trialTimeout)
 	defer cancel()
-	row, found, err := r.table.Read(bounded, quarantineKey(request))
+	row, found, err := r.table.Read(bounded, rowKey(request))
 	if err != nil {
 		return trialFailed, 0
 	}
@@ -273,7 +293,7 @@
 	if !found {
 		return trialDenied, 0
 	}
-	kept, err := readQuarantineRow(&row)
+	kept, err := readRow(&row)
 	if err != nil {
 		return trialFailed, 0
 	}
@@ -286,13 +306,13 @@
 }
 
 // mayClaim reports whether this router may ask for a trial now.
-func (r *quarantineRows) mayClaim(now time.Time, request quarantine.Fingerprint) bool {
+func (r *rows) mayClaim(now time.Time, request quarantine.Fingerprint) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if now.Sub(r.triedAt[request]) < trialPause {
 		return false
 	}
-	if len(r.triedAt) > maxQuarantineRows {
+	if len(r.triedAt) > maxRows {
 		clear(r.triedAt)
 	}
 	r.triedAt[request] = now
@@ -300,7 +320,7 @@
 }
 
 // grantTrial writes that one more trial is granted.
-func (r *quarantineRows) grantTrial(ctx context.Context, row *protocol.Row, request quarantine.Fingerprint, trials int) (trialResult, int) {
+func (r *rows) grantTrial(ctx context.Context, row *protocol.Row, request quarantine.Fingerprint, trials int) (trialResult, int) {
 	now := clock.Now()
 	r.ledger.Tried(request, trials, now)
 	told, known := r.ledger.Tell(now, request)
@@ -308,7 +328,7 @@
 		return trialDenied, 0
 	}
 	told.Trials, told.TrialAge = trials, 0
-	write, err := quarantineWrite(row.StoreTime, told)
+	write, err := writeOf(row.StoreTime, told)
 	if err != nil {
 		return trialFailed, trials
 	}
