Guard the product's own way in against requests under which engines crash

On the product's own way in one model request was sent to up to six engines, each of which might crash of it, and its next try, under another id, to six more, at each router. Ruled out: a bound within one request only, which a caller that comes again passes by; a ledger of each router alone. Change: dispatch asks the same guard as the platform path before each attempt and tells it how each ended; routers tell each other by authenticated calls, and ask one another in turn for what is held. A load report shows which life answers. Applications are not guarded there. No proof on real processes.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -83,7 +83,7 @@
 
 // Dependencies are what a Dispatcher works with. All are required, except
 // that Claimer, Applications, ApplicationPlacer and Answers are needed only
-// for application requests.
+// for application requests, and that Quarantine may be nil.
 type Dependencies struct {
 	Engines           engine.Generator
 	Placer            Placer
@@ -93,6 +93,8 @@
 	ApplicationPlacer ApplicationPlacer
 	Claimer           claim.Claimer
 	Answers           AnswerStore
+	// Quarantine keeps model requests from engines under which these crash.
+	Quarantine Quarantine
 }
 
 // Counters counts what dispatch dropped, resumed and retried.
--- a/internal/dispatch/generation.go
+++ b/internal/dispatch/generation.go
@@ -11,6 +11,7 @@
 	"github.com/fieldpond/fieldpond/internal/engine/protocol"
 	"github.com/fieldpond/fieldpond/internal/fault"
 	"github.com/fieldpond/fieldpond/internal/ident"
+	"github.com/fieldpond/fieldpond/internal/quarantine"
 )
 
 // generation is one model request on its way through its attempts.
@@ -27,6 +28,10 @@
 	emitted  strings.Builder
 	tokens   int
 	usage    protocol.Usage
+	// subject tells the request apart from others, onTrial says that it is quarantined, and a
+	// trial was granted.
+	subject *quarantine.Subject
+	onTrial bool
 	// relearned holds engines that told a new incarnation once already.
 	relearned map[ident.Engine]bool
 }
@@ -35,7 +40,9 @@
 // returns the proven end, or a *fault.Fault that says what ran. The job is not
 // changed. When ctx ends, the caller is taken to be gone.
 func (d *Dispatcher) Run(ctx context.Context, job *Job, sink Sink) (Completion, error) {
-	g := &generation{dispatcher: d, job: *job, sink: sink, chart: d.NewChart(true), relearned: map[ident.Engine]bool{}}
+	g := &generation{
+		dispatcher: d, job: *job, sink: sink, chart: d.NewChart(true), subject: subjectOf(job), relearned: map[ident.Engine]bool{},
+	}
 	g.job.Excluded = map[ident.Engine]bool{}
 	for engineName := range job.Excluded {
 		g.job.Excluded[engineName] = true
@@ -72,11 +79,8 @@
 
 func (g *generation) run(ctx context.Context) (Completion, error) {
 	for {
-		placement, err := g.dispatcher.Placer.Place(ctx, &g.job)
+		placement, err := g.place(ctx)
 		if err != nil {
-			if ctx.Err() != nil {
-				err = errors.Wrap(errCallerGone, "while waiting for an engine")
-			}
 			return Completion{}, err
 		}
 		if g.attempts == 0 {
@@ -93,6 +97,27 @@
 	}
 }
 
+// place chooses the engine for the next attempt, if the request may be sent.
+func (g *generation) place(ctx context.Context) (Placement, error) {
+	if err := g.quarantined(ctx); err != nil {
+		return Placement{}, err
+	}
+	placement, err := g.dispatcher.Placer.Place(ctx, &g.job)
+	if err != nil && ctx.Err() != nil {
+		err = errors.Wrap(errCallerGone, "while waiting for an engine")
+	}
+	if err != nil {
+		return Placement{}, err
+	}
+	if err := g.quarantined(ctx); err != nil {
+		if placement.Release != nil {
+			placement.Release(Result{Outcome: OutcomeAbandoned})
+		}
+		return Placement{}, err
+	}
+	return placement, nil
+}
+
 // prepareRetry readies the job for one more attempt, or returns the fault that
 // ends the request.
 func (g *generation) prepareRetry(placement Placement, cause error) error {
@@ -160,6 +185,7 @@
 			placement.Release(run.result)
 		}()
 	}
+	defer func() { run.judged(time.Now()) }()
 	return run.run(ctx)
 }
 
--- a/internal/quarantine/guard/guard.go
+++ b/internal/quarantine/guard/guard.go
@@ -339,12 +339,14 @@
 
 // Run tells news and keeps the rows until ctx ends.
 func (g *Guard) Run(ctx context.Context) {
-	go g.checks.run(ctx)
-	go g.keepRows(ctx)
+	var loops sync.WaitGroup
+	loops.Go(func() { g.checks.run(ctx) })
+	loops.Go(func() { g.keepRows(ctx) })
 	wait.Every(ctx, newsInterval, func() {
 		g.tellAgain()
 		g.ledger.Forget(clock.Now())
 	})
+	loops.Wait()
 }
 
 // keepRows keeps the rows up to date until ctx ends.
--- a/internal/quarantine/guard/guard_test.go
+++ b/internal/quarantine/guard/guard_test.go
@@ -323,7 +323,7 @@
 		w := newWards(t, 2, always(SignRefused))
 		w.deafen(0, true)
 		conflicts := 0
-		w.table.refuse = func(key string) bool {
+		w.table.refuse = func(string) bool {
 			conflicts++
 			return conflicts <= 2
 		}
--- a/internal/router/engines.go
+++ b/internal/router/engines.go
@@ -70,6 +70,7 @@
 // engineChanged reports a change of an engine's state: once in the log, and to
 // the other routers where they should know before they find out.
 func (r *Router) engineChanged(change endpoint.Change) {
+	r.quarantines.engineChanged(change)
 	entry := log.WithField("engine", change.Engine).WithField("incarnation", change.Incarnation)
 	switch change.Kind {
 	case endpoint.ChangeIncarnation:
--- a/internal/router/metrics.go
+++ b/internal/router/metrics.go
@@ -27,6 +27,7 @@
 	r.registerDirectory()
 	r.registerApplications()
 	r.registerDispatch()
+	r.registerQuarantine()
 	r.registerClaims()
 	r.registerSweep()
 	r.registerMembership()
@@ -39,7 +40,7 @@
 // are told apart by their place only; /metrics adds them up.
 func (r *Router) rings() []func() ring.Counters {
 	rings := append(r.duty.Rings(), r.appPoller.Rings()...)
-	rings = append(rings, r.directoryMessages.messages.Counters)
+	rings = append(rings, r.directoryMessages.messages.Counters, r.quarantines.calls.Counters)
 	rings = append(rings, r.control.Rings()...)
 	rings = append(rings, each(r.syncer.Rings)...)
 	return append(rings, each(func() []ring.Counters { return r.members.Counters().Rings })...)
@@ -75,6 +76,13 @@
 	group.Register()
 }
 
+func (r *Router) registerQuarantine() {
+	group := telemetry.NewGroup(r.telemetry, func() (quarantineCounts, bool) { return r.quarantines.counts(), true })
+	group.Gauge("quarantined_requests", "Requests that are held, since engines crashed while they ran them.", func(c quarantineCounts) int { return c.held })
+	group.Gauge("crash_suspects", "Requests that ran on an engine as it crashed, and were not answered since.", func(c quarantineCounts) int { return c.suspects })
+	group.Register()
+}
+
 func (r *Router) registerClaims() {
 	group := telemetry.NewGroup(r.telemetry, func() (claim.Counters, bool) { return r.claims.Counters(), true })
 	group.Counter("claims_granted_total", "Claims won by this router.", func(c claim.Counters) uint64 { return c.Granted })
--- a/internal/router/peers.go
+++ b/internal/router/peers.go
@@ -83,6 +83,9 @@
 	if err := peer.Handle(server, methodDirectory, r.serveDirectory); err != nil {
 		return nil, err
 	}
+	if err := peer.Handle(server, methodQuarantine, r.quarantines.serve); err != nil {
+		return nil, err
+	}
 	return server, peer.Handle(server, methodStreamKeep, r.serveKeep)
 }
 
--- /dev/null
+++ b/internal/router/quarantine_test.go
@@ -0,0 +1,202 @@
+package router
+
+// Each router of the product's own way in sent a request on under which engines crash: one request
+// took up to six engines by itself, and its next try, under another id, six more. Nobody kept what
+// the engines had crashed of.
+
+import (
+	"context"
+	"fmt"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/fieldpond/fieldpond/internal/addrtest"
+	"github.com/fieldpond/fieldpond/internal/dispatch"
+	"github.com/fieldpond/fieldpond/internal/endpoint"
+	"github.com/fieldpond/fieldpond/internal/engine"
+	"github.com/fieldpond/fieldpond/internal/engine/protocol"
+	"github.com/fieldpond/fieldpond/internal/fault"
+	"github.com/fieldpond/fieldpond/internal/ident"
+	"github.com/fieldpond/fieldpond/internal/membership"
+	"github.com/fieldpond/fieldpond/internal/peer"
+	"github.com/fieldpond/fieldpond/internal/quarantine"
+	"github.com/fieldpond/fieldpond/internal/quarantine/guard"
+	storeprotocol "github.com/fieldpond/fieldpond/internal/store/protocol"
+)
+
+// awayTable is a table that is down.
+type awayTable struct{}
+
+var errAway = fault.New(fault.StoreUnavailable, "down")
+
+// Commit implements store.Table.
+func (awayTable) Commit(context.Context, storeprotocol.Transaction) (storeprotocol.TransactionResult, error) {
+	return storeprotocol.TransactionResult{}, errAway
+}
+
+// Read implements store.Table.
+func (awayTable) Read(context.Context, string) (storeprotocol.Row, bool, error) {
+	return storeprotocol.Row{}, false, errAway
+}
+
+// List implements store.Table.
+func (awayTable) List(context.Context, string, int) (storeprotocol.RowList, error) {
+	return storeprotocol.RowList{}, errAway
+}
+
+// reports are engines that answer a look in one way.
+type reports struct {
+	engine.Observer
+	incarnation ident.Incarnation
+	err         error
+}
+
+// Load implements engine.Observer.
+func (r reports) Load(context.Context, string) (protocol.LoadReport, error) {
+	return protocol.LoadReport{Incarnation: r.incarnation}, r.err
+}
+
+// quarantineFleet are the quarantines of some routers that call each other.
+type quarantineFleet struct {
+	t   *testing.T
+	all []*quarantines
+
+	mu      sync.Mutex
+	members []membership.Member
+}
+
+// view returns the routers there are.
+func (f *quarantineFleet) view() membership.View {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return membership.View{Members: slices.Clone(f.members)}
+}
+
+func (f *quarantineFleet) start(looks reports) *quarantines {
+	f.t.Helper()
+	key := []byte(strings.Repeat("k", 32))
+	client, err := peer.NewClient(key, 0)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	self := ident.Node(fmt.Sprint("n", len(f.all)))
+	q := newQuarantines(guard.Config{Table: awayTable{}, Timeout: time.Second}, looks, client, self, f.view)
+	server, err := peer.NewServer(key, 0)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	if err := peer.Handle(server, methodQuarantine, q.serve); err != nil {
+		f.t.Fatal(err)
+	}
+	listening := httptest.NewServer(server)
+	f.all = append(f.all, q)
+	f.mu.Lock()
+	f.members = append(f.members, membership.Member{Node: self, HTTPAddress: strings.TrimPrefix(listening.URL, "http://")})
+	f.mu.Unlock()
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{}, 3)
+	for _, duty := range []func(context.Context){q.Run, q.runCalls, q.ask} {
+		go func() {
+			duty(ctx)
+			ended <- struct{}{}
+		}()
+	}
+	f.t.Cleanup(func() {
+		cancel()
+		for range cap(ended) {
+			<-ended
+		}
+		client.Close()
+		listening.Close()
+	})
+	return q
+}
+
+func crashSubject(body string) *quarantine.Subject {
+	return &quarantine.Subject{Identity: quarantine.Identity{Tenant: "t", Body: []byte(body)}}
+}
+
+// heldBy waits for a short time until a router holds a request, and does something meanwhile.
+func heldBy(q *quarantines, body string, meanwhile func()) bool {
+	for range 300 {
+		meanwhile()
+		if q.Judge(time.Now(), crashSubject(body)) != nil {
+			return true
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	return false
+}
+
+func crashPlacement(name string) dispatch.Placement {
+	return dispatch.Placement{Engine: ident.Engine(name), Address: name, Incarnation: "1"}
+}
+
+// Three routers each saw one engine crash: all of them hold the request, and so does one that
+// starts later. The table is down all the time.
+func TestRoutersTellEachOtherOfCrashes(t *testing.T) {
+	is := is.New(t)
+	f := &quarantineFleet{t: t}
+	for range 3 {
+		f.start(reports{err: fault.Wrap(syscall.ECONNREFUSED, fault.BackendLost, "refused")})
+	}
+	for _, q := range f.all {
+		is.True(heldBy(q, "guilty", func() {
+			// Again and again, as the duties of a router may not have begun.
+			for index, teller := range f.all {
+				teller.Broke(time.Now(), crashSubject("guilty"), crashPlacement(fmt.Sprint("e", index)))
+			}
+		}))
+		is.True(q.Judge(time.Now(), crashSubject("other")) == nil)
+	}
+	late := f.start(reports{})
+	is.True(heldBy(late, "guilty", func() {}))
+}
+
+func TestWhatALoadReportSaysOfALife(t *testing.T) {
+	refused := fault.Wrap(syscall.ECONNREFUSED, fault.BackendLost, "refused")
+	tests := []struct {
+		name  string
+		looks reports
+		want  guard.Sign
+	}{
+		{"the same life", reports{incarnation: "1"}, guard.SignAlive},
+		{"another life", reports{incarnation: "2"}, guard.SignEnded},
+		{"refused", reports{err: refused}, guard.SignRefused},
+		{"silence", reports{err: context.DeadlineExceeded}, guard.SignNone},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			q := &quarantines{engines: tt.looks}
+			placement := crashPlacement("e")
+			is.New(t).Equal(q.place(&placement).Look(t.Context(), time.Now()), tt.want)
+		})
+	}
+}
+
+// A connection that is refused for real shows as such through all layers of the client.
+func TestARefusedConnectionIsASign(t *testing.T) {
+	client := engine.NewHTTPClient(engine.Options{})
+	defer client.CloseIdle()
+	q := &quarantines{engines: client}
+	placement := crashPlacement(addrtest.Free(t).String())
+	is.New(t).Equal(q.place(&placement).Look(t.Context(), time.Now()), guard.SignRefused)
+}
+
+// An engine that told that it leaves has ended as planned.
+func TestAnEngineThatLeavesHasNotCrashed(t *testing.T) {
+	is := is.New(t)
+	q := &quarantines{leaving: make(map[ident.Engine]ident.Incarnation)}
+	q.engineChanged(endpoint.Change{Kind: endpoint.ChangeLeaving, Engine: "e", Incarnation: "1"})
+	is.True(q.Leaving(lifeOf("e", "1")))
+	is.True(!q.Leaving(lifeOf("e", "2")))
+	q.engineChanged(endpoint.Change{Kind: endpoint.ChangeRemoved, Engine: "e"})
+	is.True(!q.Leaving(lifeOf("e", "1")))
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -23,6 +23,7 @@
 	"github.com/fieldpond/fieldpond/internal/placement"
 	"github.com/fieldpond/fieldpond/internal/prefix/beliefs"
 	"github.com/fieldpond/fieldpond/internal/prefix/directory"
+	"github.com/fieldpond/fieldpond/internal/quarantine/guard"
 	"github.com/fieldpond/fieldpond/internal/resume"
 	"github.com/fieldpond/fieldpond/internal/routing"
 	"github.com/fieldpond/fieldpond/internal/settings"
@@ -69,9 +70,11 @@
 	streams    *streamReaders
 	// directoryMessages are on their way to other routers.
 	directoryMessages *directorySender
-	dispatch          *dispatch.Dispatcher
-	api               *api.Server
-	work              sync.WaitGroup
+	// quarantines keeps requests from engines under which these crash.
+	quarantines *quarantines
+	dispatch    *dispatch.Dispatcher
+	api         *api.Server
+	work        sync.WaitGroup
 }
 
 // Run runs a router until ctx ends, then stops it as planned: no new work,
@@ -129,6 +132,10 @@
 			MaxLoadsPerZone: configured.Control.MaxLoadsPerZone,
 		},
 	})
+	r.quarantines = newQuarantines(
+		guard.Config{Table: r.platform, Timeout: configured.Table.Timeout},
+		r.engines, r.peers, ident.Node(configured.Node), r.view,
+	)
 	if err := r.buildPlacement(); err != nil {
 		return nil, err
 	}
@@ -199,6 +206,7 @@
 		ApplicationPlacer: r.apps,
 		Claimer:           r.claims,
 		Answers:           answerStore{r.platform},
+		Quarantine:        r.quarantines,
 	})
 	r.api = api.NewServer(api.Config{
 		MaxBodyBytes:   r.settings.Limits.MaxBodyBytes,
@@ -288,6 +296,13 @@
 	for range directorySenders {
 		r.work.Go(func() { r.directoryMessages.run(ctx) })
 	}
+	for range quarantineSenders {
+		r.work.Go(func() { r.quarantines.runCalls(ctx) })
+	}
+	r.work.Go(func() { r.quarantines.ask(ctx) })
+	r.work.Go(func() { r.quarantines.Run(ctx) })
+	// Beside the start: a router serves while the table is down.
+	r.work.Go(func() { r.quarantines.Load(ctx, 0) })
 	r.work.Go(func() { r.syncer.Run(ctx) })
 	r.work.Go(func() { r.claims.Run(ctx) })
 	r.work.Go(func() { r.sweeper.Run(ctx) })
