--- a/internal/router/quarantine.go
+++ b/internal/router/quarantine.go
@@ -28,7 +28,7 @@
 	// quarantineTimeout bounds one call.
 	quarantineTimeout = time.Second
 	// quarantineInterval is the time between two questions to one other router for what is held,
-	// for a router that started later or missed the news: some 60 bytes while nothing is.
+	// for a router that started later or missed the news; the call is empty while nothing is.
 	quarantineInterval = 2 * time.Second
 	// methodQuarantine tells another router of crashes, and asks for what it holds.
 	methodQuarantine = "quarantine.news"
@@ -73,7 +73,8 @@
 	_ guard.Backends      = (*quarantines)(nil)
 )
 
-// newQuarantines returns the quarantines of a router; Guard is set up with its Send and Backends.
+// newQuarantines returns the quarantines of a router. It sets what of the config concerns other
+// routers and back ends itself.
 func newQuarantines(config guard.Config, engines engine.Observer, peers *peer.Client, self ident.Node, view func() membership.View) *quarantines {
 	q := &quarantines{
 		engines: engines, peers: peers, self: self, view: view,
