--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -12,6 +12,7 @@
 	"github.com/fieldpond/fieldpond/internal/canary"
 	"github.com/fieldpond/fieldpond/internal/catalog"
 	"github.com/fieldpond/fieldpond/internal/clock"
+	"github.com/fieldpond/fieldpond/internal/exchange"
 	"github.com/fieldpond/fieldpond/internal/fault"
 )
 
@@ -271,3 +272,15 @@
 		}
 	}
 }
+
+// sentFailure reads what a failed exchange proves.
+func sentFailure(err error) (ran fault.Ran, outcome backend.Outcome) {
+	var failed *exchange.Error
+	if errors.As(err, &failed) && !failed.Sent {
+		if errors.Is(err, exchange.ErrConnectionLimit) {
+			return fault.RanNo, backend.Refused
+		}
+		return fault.RanNo, backend.Unreachable
+	}
+	return fault.RanUnknown, backend.Broken
+}
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -12,7 +12,6 @@
 	"github.com/fieldpond/fieldpond/internal/backend"
 	"github.com/fieldpond/fieldpond/internal/catalog"
 	"github.com/fieldpond/fieldpond/internal/clock"
-	"github.com/fieldpond/fieldpond/internal/exchange"
 	"github.com/fieldpond/fieldpond/internal/fault"
 	"github.com/fieldpond/fieldpond/internal/ident"
 	"github.com/fieldpond/fieldpond/internal/mechanism"
@@ -439,15 +438,3 @@
 	}
 	return min(priority, leastUrgent)
 }
-
-// sentFailure reads what a failed exchange proves.
-func sentFailure(err error) (ran fault.Ran, outcome backend.Outcome) {
-	var failed *exchange.Error
-	if errors.As(err, &failed) && !failed.Sent {
-		if errors.Is(err, exchange.ErrConnectionLimit) {
-			return fault.RanNo, backend.Refused
-		}
-		return fault.RanNo, backend.Unreachable
-	}
-	return fault.RanUnknown, backend.Broken
-}
