--- a/internal/quarantine/guard/checks.go
+++ b/internal/quarantine/guard/checks.go
@@ -41,8 +41,9 @@
 	SignNone Sign = iota
 	// SignAlive is an answer of the same life.
 	SignAlive
-	// SignRefused is a refused connection, while no attempt of this router from before the
-	// break is open there: a crash breaks all connections.
+	// SignRefused is a connection that was refused as none is to a process that runs. Where a
+	// back end bounds its connections, it is SignNone while an attempt of this router from before
+	// the break is open there: a crash breaks all connections.
 	SignRefused
 	// SignEnded is an answer of another life.
 	SignEnded
--- a/internal/quarantine/guard/guard.go
+++ b/internal/quarantine/guard/guard.go
@@ -89,8 +89,8 @@
 // Counts returns the number of requests that are held, and of all that are known.
 func (g *Guard) Counts() (held, suspects int) { return g.ledger.Counts() }
 
-// Judge returns why a request may not be sent, nil if it may. A router that lately had an answer to the request
-// vouches for it.
+// Judge returns why a request may not be sent, nil if it may. A router that lately had an answer
+// to the request vouches for it.
 func (g *Guard) Judge(now time.Time, request *quarantine.Subject) *quarantine.Verdict {
 	if g.ledger.Empty() {
 		return nil
@@ -137,8 +137,9 @@
 	g.left.add(leftAttempt{life: at.Life, request: request.Fingerprint(), at: now})
 }
 
-// Unreached takes in that a back end took no connection. Where requests were given up shortly before, and no
-// other attempt was open that could break off, this is what shows that the back end crashed.
+// Unreached takes in that a back end took no connection. Where requests were given up shortly
+// before, and no other attempt was open that could break off, this is what shows that the back end
+// crashed.
 func (g *Guard) Unreached(now time.Time, at Place) {
 	if g.left.has(at.Life, now) {
 		g.checks.broke(now, at)
@@ -180,7 +181,8 @@
 	}
 }
 
-// Run tells news and keeps the rows until ctx ends.
+// Run checks back ends, tells news and keeps the rows until ctx ends. What breaks off before it
+// runs is not taken in.
 func (g *Guard) Run(ctx context.Context) {
 	var loops sync.WaitGroup
 	loops.Go(func() { g.checks.run(ctx) })
--- a/internal/router/quarantine.go
+++ b/internal/router/quarantine.go
@@ -118,6 +118,8 @@
 	q.Guard.Unreached(now, q.place(&at))
 }
 
+// place returns the life of an engine that a placement names. Engines bound their work, not their
+// connections, so that a refused one means that no process listens, whatever is open there.
 func (q *quarantines) place(at *dispatch.Placement) guard.Place {
 	address, incarnation := at.Address, at.Incarnation
 	return guard.Place{Life: lifeOf(at.Engine, incarnation), Look: func(ctx context.Context, _ time.Time) guard.Sign {
