End a connection of the tests' relay whose reader is gone

The dump of goroutines shows one writer, of a 6 MB answer under that lock, into a connection of the relay. A relay that could not write to the reader closed that side only; where the reader had ended its own side before, nobody ended the writer's. Ruled out: a router that stands still; five ran, and none waited for anything but the store. That a router had closed after its bound of 4 MB is read, not seen. Change: a direction that fails ends both connections. TestAWriterSeesThatItsReaderIsGone failed before (10 s), 0 of 2 after. Tests only; the product is unchanged.

--- a/internal/relaytest/relay.go
+++ b/internal/relaytest/relay.go
@@ -98,9 +98,12 @@
 // pipe passes the bytes of one direction on, and its end.
 func pipe(from, to *net.TCPConn) {
 	if _, err := io.Copy(to, from); err != nil {
-		// The other side sees the end as a reset.
-		_ = to.SetLinger(0)
-		_ = to.Close()
+		// Both sides see the end as a reset: one that writes would wait for ever for a reader
+		// that is gone.
+		for _, conn := range []*net.TCPConn{to, from} {
+			_ = conn.SetLinger(0)
+			_ = conn.Close()
+		}
 		return
 	}
 	_ = to.CloseWrite()
