Read, log and count the limits that engines name

Sight for the incident of engines that get more than they name: nothing told whether routers knew of a limit. No decision uses it yet.

--- a/internal/backend/state.go
+++ b/internal/backend/state.go
@@ -27,6 +27,8 @@
 	goneUntil time.Time
 	// told is the queue that another router saw there.
 	told queue
+	// limit is the one that the back end names in its answers.
+	limit limit
 	// tried and failed count recent attempts, halved every failureHalfLife.
 	tried, failed float64
 	decayedAt     time.Time
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -175,6 +175,7 @@
 	if reply.Version > 0 && a.request.Prompt != nil {
 		a.forwarder.Backends.VersionSeen(a.choice.Instance, a.request.Prompt.Model, reply.Version)
 	}
+	a.takeLimit(reply)
 	switch reply.Verdict {
 	case NotExecuted:
 		return a.refused(reply, backend.Refused)
@@ -192,6 +193,14 @@
 	return a.whole(reply)
 }
 
+// takeLimit takes in what an answer says of its back end's limit.
+func (a *attempt) takeLimit(reply *Reply) {
+	change, changed := a.forwarder.Backends.TakeLimit(clock.Now(), a.choice.Instance, a.sentAt, reply.Limit)
+	if changed {
+		a.note(StepBackendLimit, func(step *Step) { step.Choice, step.Limit = a.choice, change })
+	}
+}
+
 // refused reads past the body of a refusal, so that the connection is kept.
 func (a *attempt) refused(reply *Reply, outcome backend.Outcome) *failure {
 	_, _ = io.Copy(io.Discard, io.LimitReader(reply.Body, maxBufferedBytes))
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -132,6 +132,8 @@
 	Version int
 	// Opening is how long it took to open the connection; 0 if an open one was used.
 	Opening time.Duration
+	// Limit is what the answer says of a limit of the back end; nil is LimitUntold.
+	Limit backend.ToldLimit
 }
 
 // Caller sends attempts. An error is an *exchange.Error.
--- a/internal/forward/step.go
+++ b/internal/forward/step.go
@@ -30,6 +30,8 @@
 	// StepRepeatGranted and StepRepeatDenied tell what the budget of repeats said.
 	StepRepeatGranted StepKind = "repeat_granted"
 	StepRepeatDenied  StepKind = "repeat_denied"
+	// StepBackendLimit is an answer that changes what is believed of its back end's limit.
+	StepBackendLimit StepKind = "backend_limit"
 )
 
 // Step is one decision about a request, with what decided it.
@@ -54,8 +56,10 @@
 	Events int
 	// Repeat is what a repeat was granted or denied on.
 	Repeat Repeat
-	Fault  *fault.Fault
-	Cause  error
+	// Limit is the change of a back end's limit that an answer told.
+	Limit backend.LimitChange
+	Fault *fault.Fault
+	Cause error
 }
 
 // Repeat is the state of a service's budget of repeats at this router at one moment.
--- a/internal/node/log.go
+++ b/internal/node/log.go
@@ -64,6 +64,9 @@
 		fields["window_requests"], fields["window_repeats"] = repeat.Requests, repeat.Repeats
 		fields["slack"], fields["sharers"] = math.Round(repeat.Slack*100)/100, repeat.Sharers
 	}
+	if step.Kind == forward.StepBackendLimit {
+		fields["limited"], fields["rate"], fields["rate_before"] = step.Limit.Limited, step.Limit.Rate, step.Limit.Before
+	}
 	if step.Fault != nil {
 		fields["fault"] = step.Fault.Kind
 		fields["detail"] = step.Fault.Detail
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -208,6 +208,7 @@
 func (n *Node) read() reading {
 	view := n.holder.View()
 	now := reading{backends: len(n.backends.Records()), inFlight: n.backends.InFlight()}
+	now.limitedBackends = n.backends.Limited()
 	if view.Snapshot != nil {
 		now.configurationVersion = view.Snapshot.Version
 		now.configurationAge = view.Age(clock.Now())
