--- a/internal/node/crashing_test.go
+++ b/internal/node/crashing_test.go
@@ -77,7 +77,7 @@
 	// crashes and arrivals are those of each body under which engines crash.
 	crashes  map[string][]time.Time
 	arrivals map[string][]time.Time
-	routers  []*crashRouter
+	routers  []*testRouter
 	// ended is the number of lives that crashed, for whichever reason.
 	ended int
 	// work is the longest time that an engine works on a request under which none crashes.
@@ -90,8 +90,8 @@
 	patience time.Duration
 }
 
-// crashRouter is one life of a router.
-type crashRouter struct {
+// testRouter is one life of a router.
+type testRouter struct {
 	forwarder *forward.Forwarder
 	stop      func()
 }
@@ -123,9 +123,19 @@
 // startRouter runs a router until the test ends, and returns once it can serve.
 func (f *crashFleet) startRouter(node ident.Node) {
 	f.t.Helper()
+	started := startRouter(f.t, node, Ports{Source: f.store, Table: f.table, Engines: f, Caller: f})
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.routers = append(f.routers, started)
+}
+
+// startRouter runs a router until the test ends, and returns once it can serve. It takes
+// requests by its forwarder, and none from the network.
+func startRouter(t *testing.T, node ident.Node, ports Ports) *testRouter {
+	t.Helper()
 	config := Config{
-		Node: node, Zone: "z", FrontAddress: freeAddress(f.t), ReadyAddress: freeAddress(f.t), ReadyPath: "/ready",
-		PeerAddr: netip.MustParseAddrPort(freeAddress(f.t)),
+		Node: node, Zone: "z", FrontAddress: freeAddress(t), ReadyAddress: freeAddress(t), ReadyPath: "/ready",
+		PeerAddr: netip.MustParseAddrPort(freeAddress(t)),
 		Follow: FollowConfig{
 			ConfigurationInterval: 200 * time.Millisecond, BackendInterval: 200 * time.Millisecond,
 			ReadTimeout: time.Second, RetryPause: 10 * time.Millisecond, RosterInterval: time.Second,
@@ -137,19 +147,17 @@
 		Grace: time.Second, Unready: time.Millisecond,
 	}
 	var forwarder *forward.Forwarder
-	running := New(config, Ports{
-		Source: f.store, Table: f.table, Engines: f, Caller: f,
-		Front: func(made *forward.Forwarder, _ *catalog.Holder, _ func() bool, _ *inbound.Clients) http.Handler {
-			forwarder = made
-			return http.NotFoundHandler()
-		},
-	})
+	ports.Front = func(made *forward.Forwarder, _ *catalog.Holder, _ func() bool, _ *inbound.Clients) http.Handler {
+		forwarder = made
+		return http.NotFoundHandler()
+	}
+	running := New(config, ports)
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
 	go func() {
 		err := running.Run(ctx)
 		if err != nil {
-			f.t.Errorf("the router %s ended: %v", node, err)
+			t.Errorf("the router %s ended: %v", node, err)
 		}
 		ended <- err
 	}()
@@ -157,11 +165,9 @@
 		cancel()
 		<-ended
 	})
-	f.t.Cleanup(stop)
-	becomes(f.t, config, http.StatusOK)
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.routers = append(f.routers, &crashRouter{forwarder: forwarder, stop: stop})
+	t.Cleanup(stop)
+	becomes(t, config, http.StatusOK)
+	return &testRouter{forwarder: forwarder, stop: stop}
 }
 
 // stopRouters ends all routers.
--- /dev/null
+++ b/internal/node/limitfleet_test.go
@@ -0,0 +1,273 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/fieldpond/fieldpond/internal/backend"
+	"github.com/fieldpond/fieldpond/internal/catalog"
+	"github.com/fieldpond/fieldpond/internal/exchange"
+	"github.com/fieldpond/fieldpond/internal/forward"
+	"github.com/fieldpond/fieldpond/internal/ident"
+	"github.com/fieldpond/fieldpond/internal/rollout"
+)
+
+// What an engine with a limit may get in a window of limitWindow: limitFactor times what its
+// limit allows, and limitSlack requests, from routers that passed on an answer with a limit
+// limitLearnt before. It is judged from limitFrom after the first such answer.
+const (
+	limitWindow = 4 * time.Second
+	limitFactor = 1.5
+	limitSlack  = 5
+	limitLearnt = 500 * time.Millisecond
+	limitFrom   = 3 * time.Second
+)
+
+// unlimited is the rate of an engine that names no limit.
+const unlimited = -1
+
+// limitedEngine is an engine that may name a limit, and what reached it.
+type limitedEngine struct {
+	record backend.Record
+	rate   float64
+	// namedAt is when the first answer with a limit was given, toldAt when each router got
+	// its first.
+	namedAt  time.Time
+	toldAt   map[int]time.Time
+	arrivals []limitedArrival
+}
+
+type limitedArrival struct {
+	router int
+	at     time.Time
+}
+
+// limitFleet is a service whose engines name limits, and its routers. It implements
+// rollout.Engines.
+type limitFleet struct {
+	t     *testing.T
+	store *fakeStore
+
+	mu      sync.Mutex
+	engines []*limitedEngine
+	routers []*testRouter
+	work    time.Duration
+}
+
+func newLimitFleet(t *testing.T, engines, routers int) *limitFleet {
+	t.Helper()
+	f := &limitFleet{t: t, store: newFakeStore(), work: 30 * time.Millisecond}
+	f.store.reading.Revision = 1
+	f.store.snapshot = catalog.Content{
+		Version: 1, Services: []catalog.Service{{Name: "s", MaxConnections: 1000}},
+		Routes: []catalog.Route{{
+			Name: "stream", Host: "h", PathPrefix: "/", Kind: catalog.Streaming, MaxAttempts: 2, Timeout: 5 * time.Second,
+			Target: 300 * time.Millisecond, GapTarget: 500 * time.Millisecond, Split: []catalog.Share{{Service: "s", Weight: 1}},
+		}},
+	}
+	for index := range engines {
+		f.engines = append(f.engines, &limitedEngine{rate: unlimited, toldAt: map[int]time.Time{}, record: backend.Record{
+			Instance: ident.Incarnation(fmt.Sprint("e", index)), Service: "s", Zone: "z", Address: fmt.Sprintf("10.0.0.%d:1", index+1),
+			Slots: 16, Models: map[ident.Model]int{model: 1}, Revision: uint64(index + 1),
+		}})
+	}
+	f.store.change(func() {
+		for _, engine := range f.engines {
+			f.store.records = append(f.store.records, engine.record)
+		}
+	})
+	for index := range routers {
+		f.startRouter(index)
+	}
+	return f
+}
+
+// startRouter starts the router with an index, also one that was stopped.
+func (f *limitFleet) startRouter(index int) {
+	f.t.Helper()
+	caller := limitCaller{fleet: f, router: index}
+	started := startRouter(f.t, ident.Node(fmt.Sprint("r", index)), Ports{Source: f.store, Table: f.store, Engines: f, Caller: caller})
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for len(f.routers) <= index {
+		f.routers = append(f.routers, nil)
+	}
+	f.routers[index] = started
+}
+
+// limit has engines name a limit from their next answers on, or none.
+func (f *limitFleet) limit(rate float64, engines ...int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, index := range engines {
+		f.engines[index].rate = rate
+	}
+}
+
+// limitCaller sends the attempts of one router. It implements forward.Caller.
+type limitCaller struct {
+	fleet  *limitFleet
+	router int
+}
+
+// Send implements forward.Caller.
+func (c limitCaller) Send(ctx context.Context, attempt *forward.Attempt) (*forward.Reply, error) {
+	engine := c.fleet.arrived(c.router, attempt.Target.Address)
+	select {
+	case <-time.After(rand.N(c.fleet.work)):
+	case <-ctx.Done():
+		return nil, &exchange.Error{Sent: true, Cause: context.Cause(ctx)}
+	}
+	return &forward.Reply{
+		Status: http.StatusOK, Header: http.Header{}, Length: -1, Body: io.NopCloser(strings.NewReader("id: 1\ndata: a\n\n")),
+		Verdict: forward.Genuine, Limit: c.fleet.told(c.router, engine),
+	}, nil
+}
+
+// arrived takes in that a request reaches an engine.
+func (f *limitFleet) arrived(router int, address string) *limitedEngine {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	index := slices.IndexFunc(f.engines, func(engine *limitedEngine) bool { return engine.record.Address == address })
+	engine := f.engines[index]
+	engine.arrivals = append(engine.arrivals, limitedArrival{router: router, at: time.Now()})
+	return engine
+}
+
+// told returns the limit that an answer to a router names.
+func (f *limitFleet) told(router int, engine *limitedEngine) backend.ToldLimit {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if engine.rate == unlimited {
+		return backend.Unlimited{}
+	}
+	if engine.namedAt.IsZero() {
+		engine.namedAt = time.Now()
+	}
+	if _, before := engine.toldAt[router]; !before {
+		engine.toldAt[router] = time.Now()
+	}
+	return backend.LimitedTo{Rate: engine.rate}
+}
+
+// Order implements rollout.Engines.
+func (f *limitFleet) Order(context.Context, *rollout.Order) rollout.Result { return rollout.NotSent }
+
+// Report implements rollout.Engines.
+func (f *limitFleet) Report(context.Context, backend.Record) (*rollout.Report, error) {
+	return &rollout.Report{Versions: map[ident.Model]int{model: 1}}, nil
+}
+
+// limitLoad is what came of requests that clients sent.
+type limitLoad struct {
+	mu               sync.Mutex
+	answered, broken int
+	refusals         []limitRefusal
+}
+
+// limitRefusal is a refusal of the routers' own.
+type limitRefusal struct {
+	after, retryAfter time.Duration
+}
+
+// load sends requests at a rate a second, each through the next router that runs, until a
+// time has passed, and returns once all have ended.
+func (f *limitFleet) load(rate float64, lasting time.Duration) *limitLoad {
+	result := &limitLoad{}
+	var open sync.WaitGroup
+	ticker := time.NewTicker(time.Duration(float64(time.Second) / rate))
+	defer ticker.Stop()
+	begun := time.Now()
+	for sent := 0; time.Since(begun) < lasting; sent++ {
+		<-ticker.C
+		if router := f.router(sent); router != nil {
+			open.Go(func() { result.ask(f.t.Context(), router.forwarder) })
+		}
+	}
+	open.Wait()
+	return result
+}
+
+// router returns the router for a request, nil while that does not run.
+func (f *limitFleet) router(request int) *testRouter {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.routers[request%len(f.routers)]
+}
+
+// ask sends one request, each with a prompt of its own.
+func (l *limitLoad) ask(ctx context.Context, forwarder *forward.Forwarder) {
+	sink, begun := &crashSink{}, time.Now()
+	id := ident.NewUnique()
+	forwarder.Forward(ctx, &forward.Request{
+		ID: ident.Request(id), Method: http.MethodPost, Target: "/x", Path: "/x", Host: "h", Header: http.Header{}, Body: []byte(id),
+		Wait: 4 * time.Second, ReceivedAt: begun,
+		Prompt: &forward.Prompt{Model: model, Parts: []forward.Part{{ID: string(id), Tokens: 10}}},
+	}, sink)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch {
+	case sink.refusal != nil:
+		l.refusals = append(l.refusals, limitRefusal{after: time.Since(begun), retryAfter: sink.refusal.RetryAfter})
+	case sink.aborted:
+		l.broken++
+	default:
+		l.answered++
+	}
+}
+
+// largestWindow returns the most requests that reached an engine in a window which ends
+// after a time, from routers that were told its limit.
+func (e *limitedEngine) largestWindow(from time.Time) int {
+	var counted []time.Time
+	largest := 0
+	for _, arrival := range e.arrivals {
+		told, known := e.toldAt[arrival.router]
+		if !known || arrival.at.Before(told.Add(limitLearnt)) {
+			continue
+		}
+		counted = append(counted, arrival.at)
+		for arrival.at.Sub(counted[0]) > limitWindow {
+			counted = counted[1:]
+		}
+		if arrival.at.After(from) {
+			largest = max(largest, len(counted))
+		}
+	}
+	return largest
+}
+
+// bounded fails if an engine got more than its limit allows, as it was at most.
+func (f *limitFleet) bounded(index int, rate float64) {
+	f.t.Helper()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	engine := f.engines[index]
+	allowed := limitFactor*rate*limitWindow.Seconds() + limitSlack
+	largest := engine.largestWindow(engine.namedAt.Add(limitFrom))
+	f.t.Logf("engine %d with a limit of %.2f got %d in %v, allowed %.1f", index, rate, largest, limitWindow, allowed)
+	if float64(largest) > allowed {
+		f.t.Errorf("engine %d with a limit of %.2f got %d in %v, allowed %.1f", index, rate, largest, limitWindow, allowed)
+	}
+}
+
+// arrivedSince returns the number of requests that reached an engine since a time.
+func (f *limitFleet) arrivedSince(index int, from time.Time) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	count := 0
+	for _, arrival := range f.engines[index].arrivals {
+		if arrival.at.After(from) {
+			count++
+		}
+	}
+	return count
+}
