--- a/internal/node/backendlimits.go
+++ b/internal/node/backendlimits.go
@@ -129,14 +129,12 @@
 	b.wake(instance)
 }
 
-// reported takes in what a report of a back end says of its limit. One that names none says
-// nothing: only answers to requests must.
+// reported takes in what a report of a back end says of its limit.
 func (b *backendLimits) reported(now time.Time, instance ident.Incarnation, sentAt time.Time, told backend.ToldLimit) {
-	named, names := told.(backend.LimitedTo)
-	if b == nil || !names {
+	if b == nil {
 		return
 	}
-	if change, changed := b.backends.TakeLimit(now, instance, sentAt, named); changed {
+	if change, changed := b.backends.TakeLimit(now, instance, sentAt, told); changed {
 		log.WithFields(log.Fields{
 			"instance": instance, "limited": change.Limited, "rate": change.Rate, "rate_before": change.Before,
 		}).Info("backend_limit_reported")
