Don't refuse at once where a back end rests for a moment only

Cause: a back end that rests counted as one that can't take the request. Change: it counts as left, so that the request is held as before, a quarter of its target at most. Why it holds: only a back end whose limit is used up stays out for long. TestABackEndThatRestsIsLeft failed before.

--- a/internal/backend/limit.go
+++ b/internal/backend/limit.go
@@ -273,7 +273,8 @@
 }
 
 // FreeAgain returns when a request may be granted to a back end of a query whose limit is
-// used up; it reports whether just such back ends are left.
+// used up; it reports whether just such back ends are left. One that rests for a moment after a
+// refusal is left as well.
 func (r *Registry) FreeAgain(now time.Time, query *Query) (time.Time, bool) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
--- a/internal/backend/limit_test.go
+++ b/internal/backend/limit_test.go
@@ -211,3 +211,23 @@
 	is.True(found)
 	is.True(!choice.AllLimited)
 }
+
+// A back end that rests after a refusal is worth a short wait, though all others are used up.
+func TestABackEndThatRestsIsLeft(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	r := limited(now, 2)
+	r.Update(now.Add(time.Millisecond), []Record{
+		{Instance: "e", Service: "s", Models: map[ident.Model]int{"m": 1}}, {Instance: "f", Service: "s", Models: map[ident.Model]int{"m": 1}},
+	})
+	r.LimitUsedUp("e", now.Add(time.Second))
+	query := Query{Service: "s", Model: "m", SpreadKey: 1}
+	choice, flight, found := r.Pick(now, &query)
+	is.True(found)
+	is.Equal(choice.Instance, ident.Incarnation("f"))
+	flight.Ended(now, Refused)
+	_, _, found = r.Pick(now, &query)
+	is.True(!found)
+	_, only := r.FreeAgain(now, &query)
+	is.True(!only)
+}
--- a/internal/backend/state.go
+++ b/internal/backend/state.go
@@ -78,12 +78,12 @@
 
 // eligible reports whether the back end may get the attempt.
 func (s *state) eligible(now time.Time, query *Query) bool {
-	return !s.limit.usedUp(now) && s.fit(now, query)
+	return !s.limit.usedUp(now) && !now.Before(s.pausedUntil) && s.fit(now, query)
 }
 
-// fit reports whether the back end could take the attempt, its limit aside.
+// fit reports whether the back end could take the attempt, its limit and pauses aside.
 func (s *state) fit(now time.Time, query *Query) bool {
-	if s.record.Draining || query.excludes(s.record.Instance) || now.Before(s.pausedUntil) || s.gone(now) {
+	if s.record.Draining || query.excludes(s.record.Instance) || s.gone(now) {
 		return false
 	}
 	if query.Model == "" {
