Order what is read of the store over its returns from older copies

What callers saw: a key that the operator had taken away was served at all routers for as long as the test played, 5 s allowed, after the store had come back from an older copy. Cause: routers compare versions of rows, and the store gives them out again. A configuration that none of them had read lay under the version of the one that they held, and was confirmed as it. Change: a revision of the core is (epoch, version) in one number, the epoch counted from the era that the store names. Conditions and questions of an earlier epoch don't hold. Leases wait a whole duration after the first sight of a new epoch and take fences above all earlier ones; routers write again the rows that are lost; a lost row of a quarantine lifts nothing; counts of routers don't fall meanwhile; back ends get time to be listed again. Why it holds: each comparison goes on as before, and any revision of a later epoch is newer.

--- a/internal/backend/lapses.go
+++ b/internal/backend/lapses.go
@@ -24,6 +24,10 @@
 	}
 }
 
+// cameBack takes in that the store of the list came back from an older copy, which lacks the
+// entries of back ends that began since.
+func (l *lapses) cameBack(now time.Time) { l.until = now.Add(returnWithin) }
+
 // mayReturn reports whether an entry that is missing from a list may still come
 // back.
 func (l *lapses) mayReturn(listedAt time.Time) bool { return listedAt.Before(l.until) }
--- a/internal/backend/registry.go
+++ b/internal/backend/registry.go
@@ -127,6 +127,13 @@
 	return changes
 }
 
+// CameBack takes in that the store of the list came back from an older copy.
+func (r *Registry) CameBack(now time.Time) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.lapses.cameBack(now)
+}
+
 // Confirm takes in that the newest list still held at a time. It returns what
 // changed: back ends that did not come back after an outage.
 func (r *Registry) Confirm(listedAt time.Time) []Change {
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -21,6 +21,11 @@
 // row for all leases, raised in the same transaction that takes a lease. Fences
 // are therefore unique and rise over all leases, whatever becomes of one row.
 //
+// A table may come back from an older copy, and tells the epoch then. What the row shows may be
+// older than what the holder was told of its last write. So nobody but a holder whose time is
+// not over takes the lease or renews it before a whole duration has passed since its first sight
+// of the new epoch, also if the row names nobody or is missing.
+//
 // Machine holds the logic without I/O or clock; Elector is the shell around it.
 package lease
 
@@ -132,8 +137,15 @@
 	// SentBy is the table's own time by which the row had been sent, 0 if the
 	// writer did not know it.
 	SentBy time.Duration `cbor:"7,keyasint,omitempty"`
+	// Epoch is that of the table when the row was sent, as far as the writer knew.
+	Epoch uint64 `cbor:"8,keyasint,omitempty"`
 }
 
+// fenceStep is the number of fences of one epoch of the table. When the table comes back from
+// an older copy, the counter may go back too: fences of a later epoch are above all of an
+// earlier one, however many of them the copy has lost.
+const fenceStep = 1 << 20
+
 // counterRecord is the value of the counter row.
 type counterRecord struct {
 	Fence uint64 `cbor:"1,keyasint"`
--- a/internal/lease/machine.go
+++ b/internal/lease/machine.go
@@ -65,7 +65,10 @@
 	seenAt   time.Time
 	counter  protocol.Row
 
+	// held is true until a time, under a fence: a table that came back from an older copy may
+	// show a record of this session with an earlier one.
 	held  bool
+	fence uint64
 	until time.Time
 	// actUntil ends the time in which actions may begin.
 	actUntil time.Time
@@ -76,6 +79,10 @@
 	nextAt             time.Time
 	counters           Counters
 	clock              storeClock
+	// epoch is the newest of the table, cameBackAt when that was first seen; it is zero if
+	// nobody may have lost the lease with it.
+	epoch      tableEpoch
+	cameBackAt time.Time
 }
 
 // NewMachine returns a machine that does not contend yet. The session must
@@ -103,7 +110,7 @@
 		m.floor = floor
 		m.counters.StaleFences++
 	}
-	if m.held && m.record.Fence <= m.floor {
+	if m.held && m.fence <= m.floor {
 		m.held = false
 		m.nextAt = now
 	}
@@ -114,7 +121,7 @@
 	if !m.held || !now.Before(m.until) {
 		return Grant{}, ErrNotHeld
 	}
-	return Grant{Fence: m.record.Fence, Until: m.until, QuietUntil: m.quietUntil, ActUntil: m.actUntil}, nil
+	return Grant{Fence: m.fence, Until: m.until, QuietUntil: m.quietUntil, ActUntil: m.actUntil}, nil
 }
 
 // Act returns the grant for an action that begins now, and takes it in.
@@ -139,21 +146,36 @@
 	return max(left.Sub(now), 0)
 }
 
-// quietAfter returns until when the actions of the holder last seen forbid
-// others: a row that names no holder says it itself; under one that ran out
-// actions may have begun for the whole act window after it was written.
+// quietAfter returns until when the actions of the holder last seen forbid others, and those of
+// one that the table has forgotten.
 func (m *Machine) quietAfter(now time.Time) time.Time {
+	quiet := m.quietByRow(now)
+	if forgotten := m.cameBackAt.Add(m.longestActions()); !m.cameBackAt.IsZero() && forgotten.After(quiet) {
+		return forgotten
+	}
+	return quiet
+}
+
+// quietByRow returns until when the actions of the holder last seen forbid others: a row that
+// names no holder says it itself; under one that ran out actions may have begun for the whole
+// act window after it was written.
+func (m *Machine) quietByRow(now time.Time) time.Time {
 	switch {
 	case m.row.Version == 0:
 		return now
 	case m.free():
 		return m.seenAt.Add(m.record.Quiet)
 	default:
-		drift := time.Duration(m.config.DriftMargin * float64(m.config.ActWindow))
-		return m.seenAt.Add(m.config.ActWindow + drift + m.config.Quiet)
+		return m.seenAt.Add(m.longestActions())
 	}
 }
 
+// longestActions is how long after a write of its row the actions of a holder forbid others.
+func (m *Machine) longestActions() time.Duration {
+	drift := time.Duration(m.config.DriftMargin * float64(m.config.ActWindow))
+	return m.config.ActWindow + drift + m.config.Quiet
+}
+
 // Holder returns the node that the row last seen names as holder, or "". Only
 // one that contends looks at the row, and may see a change late by the time
 // between two looks.
@@ -211,7 +233,7 @@
 
 func (m *Machine) choose(now time.Time) Exchange {
 	switch {
-	case !m.observed:
+	case !m.observed, m.awaitsHolder(now):
 		return m.observe()
 	case m.mine() && !m.contends:
 		return m.write(now, Release, Record{Fence: m.record.Fence, Duration: m.config.Duration, Quiet: m.quietLeft(now)})
@@ -222,6 +244,9 @@
 		return m.write(now, Renew, renewed)
 	case m.mine() || m.free() || !now.Before(m.seenAt.Add(m.record.Duration)):
 		m.quietUntil = m.quietAfter(now)
+		if used := m.usedAt.Add(m.config.Quiet); !m.usedAt.IsZero() && used.After(m.quietUntil) {
+			m.quietUntil = used
+		}
 		return m.acquire(now)
 	}
 	return m.observe()
@@ -230,7 +255,7 @@
 func (m *Machine) observe() Exchange { return Exchange{Kind: Observe, Key: RowKey(m.name)} }
 
 func (m *Machine) write(now time.Time, kind Kind, record Record) Exchange {
-	record.SentBy = m.clock.latest(now, m.config.DriftMargin)
+	record.SentBy, record.Epoch = m.clock.latest(now, m.config.DriftMargin), m.epoch.newest
 	return Exchange{Kind: kind, Transaction: protocol.Transaction{
 		Conditions: []protocol.Condition{{Key: RowKey(m.name), Version: m.row.Version}},
 		Writes:     []protocol.Write{{Key: RowKey(m.name), Value: encode(record)}},
@@ -241,7 +266,7 @@
 // lease, both or neither. With an outdated view of the counter it fails and
 // brings back the current one.
 func (m *Machine) acquire(now time.Time) Exchange {
-	fence := max(decodeCounter(m.counter.Value), m.record.Fence, m.floor) + 1
+	fence := max(decodeCounter(m.counter.Value), m.record.Fence, m.floor, m.epoch.newest*fenceStep) + 1
 	record := Record{Node: m.node, Session: m.session, Fence: fence, Duration: m.config.Duration}
 	exchange := m.write(now, Acquire, record)
 	transaction := &exchange.Transaction
@@ -298,6 +323,7 @@
 	if !m.observed || row.Version != m.row.Version {
 		m.adopt(now, row)
 	}
+	m.noteEpoch(now, &row)
 	m.observed = true
 	if m.held && !m.mine() {
 		m.held = false
@@ -309,6 +335,9 @@
 		watch := now.Add(m.config.Duration / renewals)
 		m.nextAt = earlier(takeover, watch)
 	}
+	if m.awaitsHolder(now) {
+		m.nextAt = earlier(m.cameBackAt.Add(m.config.Duration), now.Add(m.config.Duration/renewals))
+	}
 }
 
 // adopt replaces the row seen. An unchanged version keeps the time of its
@@ -324,7 +353,7 @@
 		record = Record{Session: "malformed", Duration: m.config.Duration, Fence: m.record.Fence}
 	}
 	m.record = record
-	if age := row.StoreTime - record.SentBy; first && record.SentBy > 0 && age > 0 {
+	if age := row.StoreTime - record.SentBy; first && record.SentBy > 0 && age > 0 && record.Epoch == row.Epoch {
 		// The row was sent this long ago, at least, by the slowest clock.
 		m.seenAt = now.Add(-time.Duration((1 - m.config.DriftMargin) * float64(age)))
 	}
@@ -334,7 +363,8 @@
 // before it was sent.
 func (m *Machine) committed(now time.Time, sent Exchange, rows []protocol.Row) {
 	m.adopt(now, rows[0])
-	m.observed = true
+	m.epoch.saw(rows[0].Epoch)
+	m.observed, m.cameBackAt = true, time.Time{}
 	m.nextAt = now
 	switch sent.Kind {
 	case Release:
@@ -350,7 +380,7 @@
 	margin := time.Duration(m.config.DriftMargin * float64(m.config.Duration))
 	m.until = sent.SentAt.Add(m.config.Duration - margin)
 	m.actUntil = sent.SentAt.Add(m.config.ActWindow)
-	m.held = m.contends && m.record.Fence > m.floor
+	m.held, m.fence = m.contends && m.record.Fence > m.floor, m.record.Fence
 	if m.held {
 		m.nextAt = sent.SentAt.Add(m.config.Duration / renewals)
 	}
--- a/internal/lease/machine_test.go
+++ b/internal/lease/machine_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/fieldpond/fieldpond/internal/fault"
 	"github.com/fieldpond/fieldpond/internal/ident"
+	"github.com/fieldpond/fieldpond/internal/store/storetest"
 )
 
 func TestMain(m *testing.M) {
@@ -71,6 +72,10 @@
 	engine   uint64
 	executed []uint64
 	deletes  bool
+	// comesBack says that the table comes back from older copies; copied is the last one.
+	comesBack bool
+	copied    storetest.Copy
+	cameBack  int
 	// tellsTime says that the table tells its own time.
 	tellsTime bool
 	// actedAt and actedFence are those of the last order decided.
@@ -82,6 +87,7 @@
 func newWorld(t *rapid.T) *world {
 	w := &world{t: t, now: epoch, table: newTableModel(), owners: map[uint64]int{}, deletes: rapid.Bool().Draw(t, "deletes")}
 	w.tellsTime = rapid.Bool().Draw(t, "tells time")
+	w.comesBack, w.copied = rapid.Bool().Draw(t, "comes back"), w.table.Copy()
 	for index := range 3 {
 		one := &node{rate: rapid.Float64Range(0.95, 1.05).Draw(t, "rate")}
 		one.machine = NewMachine(Config{Duration: duration, Quiet: quiet, ActWindow: actWindow}, "x", ident.Node(fmt.Sprint(index)), fmt.Sprint("session-", index))
@@ -130,9 +136,24 @@
 	if w.deletes && w.oneIn("delete", 100) {
 		delete(w.table.Current, RowKey("x"))
 	}
+	w.comeBack()
 	w.check()
 }
 
+// comeBack lets the table come back from an older copy at times.
+func (w *world) comeBack() {
+	if !w.comesBack {
+		return
+	}
+	if w.oneIn("copied", 20) {
+		w.copied = w.table.Copy()
+	}
+	if w.oneIn("comes back", 100) {
+		w.table.ComeBack(w.copied)
+		w.cameBack++
+	}
+}
+
 // effect lets an exchange take effect at the table once it is due.
 func (w *world) effect(pending *call) {
 	if pending.effected || w.now.Before(pending.effectAt) {
@@ -140,8 +161,15 @@
 	}
 	pending.effected = true
 	pending.outcome = w.table.run(pending.exchange)
-	if pending.outcome.Committed && pending.exchange.Kind == Acquire {
-		record, _ := DecodeRecord(pending.exchange.Transaction.Writes[0].Value)
+	if pending.exchange.Kind == Observe {
+		return
+	}
+	record, _ := DecodeRecord(pending.exchange.Transaction.Writes[0].Value)
+	switch {
+	case record.Epoch != w.table.Epoch():
+		// A client takes what was committed after the table came back as unanswered.
+		pending.outcome = Outcome{Fault: fault.New(fault.StoreUnavailable, "came back").WithRan(fault.RanUnknown)}
+	case pending.outcome.Committed && pending.exchange.Kind == Acquire:
 		w.taken = append(w.taken, record.Fence)
 	}
 }
@@ -233,7 +261,7 @@
 }
 
 func TestOneHolderAndRisingFencesInAnyHistory(t *testing.T) {
-	acquired, refused, turns := 0, 0, 0
+	acquired, refused, turns, cameBack := 0, 0, 0, 0
 	rapid.Check(t, func(t *rapid.T) {
 		w := newWorld(t)
 		for range ticks {
@@ -242,10 +270,12 @@
 		acquired += len(w.taken)
 		refused += len(w.orders) - len(w.executed)
 		turns += w.turns
+		cameBack += w.cameBack
 	})
 	t.Logf("%d acquisitions, %d orders refused or under way", acquired, refused)
 	t.Logf("%d times another holder ordered next", turns)
-	if acquired < 1000 || refused < 1000 || turns < 1000 {
+	t.Logf("%d times the table came back from an older copy", cameBack)
+	if acquired < 1000 || refused < 1000 || turns < 1000 || cameBack < 300 {
 		t.Fatal("the histories hardly change holders or refuse no order: the test sees nothing")
 	}
 }
--- a/internal/lease/table_test.go
+++ b/internal/lease/table_test.go
@@ -29,7 +29,7 @@
 		outcome.Committed, outcome.Rows = result.Committed, result.Rows
 	}
 	for index := range outcome.Rows {
-		outcome.Rows[index].StoreTime = m.now
+		outcome.Rows[index].StoreTime, outcome.Rows[index].Epoch = m.now, m.Epoch()
 	}
 	return outcome
 }
--- a/internal/node/configuration.go
+++ b/internal/node/configuration.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"time"
@@ -11,6 +12,7 @@
 	"github.com/fieldpond/fieldpond/internal/clock"
 	"github.com/fieldpond/fieldpond/internal/fault"
 	"github.com/fieldpond/fieldpond/internal/ident"
+	"github.com/fieldpond/fieldpond/internal/store"
 	"github.com/fieldpond/fieldpond/internal/upstream"
 )
 
@@ -101,7 +103,7 @@
 	}
 	newest, err := row, error(nil)
 	for _, back := range lookBacks {
-		newest, err = f.newestSince(ctx, row.revision-min(back, row.revision), row)
+		newest, err = f.newestSince(ctx, store.Back(row.revision, back), row)
 		if !errors.Is(err, ErrHistoryGone) {
 			break
 		}
@@ -206,15 +208,22 @@
 	// Orders are known before the confirmation is: a release that waits for one must not
 	// pass between the two.
 	r.takeRollouts(read.askedAt, read.rollouts)
-	newer := read.newest.snapshot.Version > held.version
+	cameBack := store.Epoch(read.row.revision) > store.Epoch(read.seenThrough)
+	again := cameBack && read.newest.snapshot.Version == held.version
+	newer := read.newest.snapshot.Version > held.version || (again && !bytes.Equal(read.newest.body, held.body))
 	switch {
-	case read.history == nil, newer && errors.Is(read.history, ErrHistoryGone):
-		// Without a history the row is believed as by a router that has just started.
+	case read.history == nil, (newer || again) && errors.Is(read.history, ErrHistoryGone):
+		// Without a history the row is believed as by a router that has just started. That is
+		// so as well where the store came back from an older copy: what the operator wrote
+		// since is written again, so that an older one than is held here confirms nothing.
 		held.seenThrough = read.row.revision
 		if newer {
 			r.hold(r.node, read.askedAt, read.newest)
 			held.unseen = read.seenThrough == 0
 		}
+		if cameBack {
+			held.suspect, held.unseen = 0, true
+		}
 		held.confirmedTo = read.storeRevision
 		r.confirmHeld(r.node, read.askedAt)
 		r.noteOutdated(&read.row, true)
--- a/internal/node/follower.go
+++ b/internal/node/follower.go
@@ -51,6 +51,10 @@
 	// recalledAt is when the watch last read the naming rows, notRecalled whether that failed.
 	recalledAt  time.Time
 	notRecalled atomic.Bool
+	// epochs counts the returns of the store from an older copy; peersEpoch is the newest one
+	// that a peer told, seenEpoch the newest of which this router took notice.
+	epochs                epochCount
+	peersEpoch, seenEpoch atomic.Uint64
 	// outdated are the versions below the newest that rows named last, by model.
 	outdated map[ident.Model]int
 }
@@ -124,6 +128,7 @@
 	if err != nil {
 		return err
 	}
+	f.noteEpoch()
 	f.guard.Load(ctx, askedAt.Sub(f.replica.holder.View().ConfirmedAt))
 	f.readNamings(ctx, askedAt, unaskedSince, &reading)
 	f.replica.rowsRead(askedAt, &reading)
@@ -258,6 +263,7 @@
 		if err != nil {
 			return err
 		}
+		f.noteEpoch()
 		records = slices.Clone(records)
 		f.replica.backends.KeepDraining(records)
 		f.replica.takeList(f.replica.node, askedAt, wholeList(records))
--- a/internal/node/namingrecheck.go
+++ b/internal/node/namingrecheck.go
@@ -9,6 +9,7 @@
 	"github.com/apex/log"
 
 	"github.com/fieldpond/fieldpond/internal/clock"
+	"github.com/fieldpond/fieldpond/internal/store"
 )
 
 const (
@@ -124,6 +125,10 @@
 // all changes, and takes these in: a question for each halving. It reports whether all were
 // answered.
 func (s *namingSession) oldestKept(ctx context.Context, forgotten, known uint64) bool {
+	if store.Epoch(forgotten) != store.Epoch(known) {
+		// Of before it came back from an older copy a store tells nothing.
+		forgotten = store.Revision(store.Epoch(known), 0)
+	}
 	for known-forgotten > 1 && ctx.Err() == nil {
 		middle := forgotten + (known-forgotten)/2
 		changes, err := s.changes(ctx, middle, recheckHold)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -77,6 +77,8 @@
 	Engines rollout.Engines
 	// Caches may be nil: what the stores of kept prompt caches hold is unknown then.
 	Caches CacheReader
+	// Epochs may be nil: the store never comes back from an older copy then.
+	Epochs Epochs
 	// Rollouts writes how rollouts stand; it may be nil where Config.Canary is not set.
 	Rollouts RolloutStore
 	// Front returns the handler of client requests. closing reports whether
@@ -166,14 +168,18 @@
 
 func (n *Node) newFollower() *follower {
 	follow := n.config.Follow
+	epochs := epochCount{port: n.ports.Epochs}
+	replica := newReplica(n.config.Node, n.holder, n.backends, n.ports.Source.Decode, n.config.sharers())
+	replica.epochs = epochs
 	return &follower{
+		epochs:  epochs,
 		source:  n.ports.Source,
-		replica: newReplica(n.config.Node, n.holder, n.backends, n.ports.Source.Decode, n.config.sharers()),
+		replica: replica,
 		config:  follow,
 		namings: &namings{table: n.ports.Table, timeout: follow.ReadTimeout},
 		roster: &roster{
 			table: n.ports.Table, timeout: follow.ReadTimeout / 2,
-			node: n.config.Node, zone: n.config.Zone, addr: n.config.PeerAddr, life: ident.NewUnique(),
+			node: n.config.Node, zone: n.config.Zone, addr: n.config.PeerAddr, life: ident.NewUnique(), epochs: epochs,
 		},
 		audience:    &audience{node: n.config.Node, zone: n.config.Zone, regions: n.config.Regions},
 		client:      n.peers,
@@ -302,7 +308,7 @@
 	controller := rollout.NewController(config, n.lease, n.ports.Engines, n.holder, n.backends)
 	follower := n.follower
 	loops := []func(context.Context){
-		follower.followConfiguration, follower.followBackends, follower.followPeers, follower.watchNamings, follower.markNamings,
+		follower.followConfiguration, follower.followBackends, follower.followPeers, follower.watchNamings, follower.markNamings, follower.keepRow,
 		func(ctx context.Context) { follower.countRouters(ctx, n.holdsLease) }, n.contend, n.lease.Run, controller.Run, n.quotas.run, n.limits.run, n.sweepClients,
 		n.quarantines.Run, watchSuspensions,
 	}
--- a/internal/node/pull.go
+++ b/internal/node/pull.go
@@ -69,6 +69,12 @@
 	return leads
 }
 
+// joined reports whether this router has a row.
+func (g *chainGuard) joined() (joined bool) {
+	g.use(func(chain *upstream.Chain) { joined = chain.Joined() })
+	return joined
+}
+
 // followed takes in that a peer pulls from this router.
 func (g *chainGuard) followed(peer upstream.Peer) {
 	g.use(func(chain *upstream.Chain) { chain.Followed(peer) })
@@ -135,13 +141,9 @@
 		self, peers, routers, err := f.roster.join(ctx)
 		seen.saw(err)
 		if err == nil {
+			f.noteEpoch()
 			f.replica.joined(self)
-			f.audience.know(peers)
-			f.replica.counted(askedAt, routers)
-			if f.joined != nil {
-				f.joined(self, peers)
-			}
-			f.chain.use(func(chain *upstream.Chain) { chain.Join(self, peers) })
+			f.takeRoster(askedAt, self, peers, routers)
 			log.WithFields(log.Fields{"revision": self.Revision, "peers": len(peers), "routers": routers}).Info("joined")
 			return true
 		}
@@ -233,6 +235,7 @@
 // take takes in the state of a peer as of a time.
 func (f *follower) take(update *upstream.Update, at time.Time) error {
 	f.looked.Store(true)
+	f.takeEpoch(update)
 	// It comes first, so that a router that starts knows it before it serves.
 	f.guard.Take(at, update.Quarantine)
 	for _, naming := range update.Configuration.Namings {
@@ -298,6 +301,7 @@
 		log.WithFields(log.Fields{"cause": err.Error()}).Warn("routers_not_counted")
 		return
 	}
+	f.noteEpoch()
 	f.replica.counted(readAt, routers)
 	f.audience.know(peers)
 }
--- a/internal/node/replica.go
+++ b/internal/node/replica.go
@@ -32,6 +32,8 @@
 	// canaries takes in orders, states and releases; it is nil where no service is moved
 	// to another release under guard.
 	canaries *canaries
+	// epochs counts the returns of the store from an older copy.
+	epochs epochCount
 	// guard knows the requests that are held; it may be nil.
 	guard *guard.Guard
 	// limits takes in the limits that back ends name; it may be nil.
@@ -56,6 +58,9 @@
 	// sharers tells among how many the slack of repeats is divided.
 	routers   int
 	countedAt time.Time
+	// leastUntil ends the time in which routers may be missing from a count, since the store
+	// came back from an older copy.
+	leastUntil time.Time
 	// watched is up to where every version of weights that was named is known here, readTo
 	// the store's revision at this router's last read of the rows.
 	watched watched
@@ -116,6 +121,10 @@
 		Configuration: upstream.Configuration{Revision: r.config.seenThrough, Version: r.config.version},
 		List:          upstream.List{Digest: r.list.digest},
 		Leaving:       r.leaving,
+		Epoch:         r.epochs.Epoch(),
+	}
+	if first, known := r.epochs.First(); known {
+		update.FirstEra = first + 1
 	}
 	if r.routers > 0 {
 		update.RoutersAge = now.Sub(r.countedAt)
@@ -175,6 +184,21 @@
 	r.sharers.Joined(clock.Now())
 }
 
+// rejoined takes in this router's own row as it is in a store that came back from an older copy.
+func (r *replica) rejoined(self upstream.Peer) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.self = self
+}
+
+// cameBack takes in that the store came back from an older copy: rows of routers may be missing.
+func (r *replica) cameBack(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.leastUntil = now.Add(rejoinedWithin)
+	r.confirmed(r.origin)
+}
+
 // leave tells the peers, those that wait at once, that this router is about to end.
 func (r *replica) leave() {
 	r.mu.Lock()
@@ -209,6 +233,9 @@
 	if !readAt.After(r.countedAt) {
 		return
 	}
+	if readAt.Before(r.leastUntil) {
+		routers = max(routers, r.routers)
+	}
 	r.routers, r.countedAt = routers, readAt
 	r.sharers.Counted(clock.Now(), readAt, routers)
 }
--- a/internal/node/roster.go
+++ b/internal/node/roster.go
@@ -32,6 +32,8 @@
 	Addr netip.AddrPort `cbor:"1,keyasint"`
 	// Life tells the lives of one router apart.
 	Life string `cbor:"2,keyasint"`
+	// FirstEra is one more than Epochs.First, 0 if that was not known.
+	FirstEra uint64 `cbor:"3,keyasint,omitempty"`
 }
 
 // roster keeps this router's row, and reads those of the others.
@@ -42,6 +44,7 @@
 	zone    ident.Zone
 	addr    netip.AddrPort
 	life    string
+	epochs  epochCount
 
 	mu  sync.Mutex
 	row protocol.Row
@@ -52,21 +55,66 @@
 // join writes this router's row and returns it with those of all routers and
 // their number, read after the write.
 func (r *roster) join(ctx context.Context) (self upstream.Peer, peers []upstream.Peer, routers int, err error) {
-	value, err := cbor.Marshal(routerRow{Addr: r.addr, Life: r.life})
+	if _, known := r.epochs.First(); !known {
+		// From when on epochs are counted stands in the rows of those that joined before.
+		if _, _, err := r.read(ctx); err != nil {
+			return self, nil, 0, err
+		}
+	}
+	row, err := r.write(ctx)
 	if err != nil {
-		return self, nil, 0, errors.Wrap(err, "encode the row of this router")
+		return self, nil, 0, err
 	}
+	return r.written(ctx, row)
+}
+
+// rejoin is join for a router whose row the store may have lost: it is written only then, so
+// that the order of the routers stays.
+func (r *roster) rejoin(ctx context.Context) (self upstream.Peer, peers []upstream.Peer, routers int, err error) {
 	bounded, cancel := context.WithTimeout(ctx, r.timeout)
 	defer cancel()
-	write := protocol.Transaction{Writes: []protocol.Write{{Key: r.key(), Value: value}}}
-	written, err := r.table.Commit(bounded, write)
+	row, _, err := r.table.Read(bounded, r.key())
+	if err == nil && !r.owns(row) {
+		row, err = r.write(ctx)
+	}
 	if err != nil {
 		return self, nil, 0, err
 	}
+	return r.written(ctx, row)
+}
+
+// current reports whether this router's row was seen since the store came back.
+func (r *roster) current(epoch uint64) bool {
 	r.mu.Lock()
-	r.row = written.Rows[0]
+	defer r.mu.Unlock()
+	return store.Epoch(r.row.Version) >= epoch
+}
+
+// write writes this router's row.
+func (r *roster) write(ctx context.Context) (protocol.Row, error) {
+	row := routerRow{Addr: r.addr, Life: r.life}
+	if first, known := r.epochs.First(); known {
+		row.FirstEra = first + 1
+	}
+	value, err := cbor.Marshal(row)
+	if err != nil {
+		return protocol.Row{}, errors.Wrap(err, "encode the row of this router")
+	}
+	bounded, cancel := context.WithTimeout(ctx, r.timeout)
+	defer cancel()
+	written, err := r.table.Commit(bounded, protocol.Transaction{Writes: []protocol.Write{{Key: r.key(), Value: value}}})
+	if err != nil {
+		return protocol.Row{}, err
+	}
+	return written.Rows[0], nil
+}
+
+// written takes in this router's row, and reads those of all routers.
+func (r *roster) written(ctx context.Context, row protocol.Row) (self upstream.Peer, peers []upstream.Peer, routers int, err error) {
+	r.mu.Lock()
+	r.row = row
 	r.mu.Unlock()
-	self = upstream.Peer{Node: r.node, Zone: r.zone, Addr: r.addr, Revision: written.Rows[0].Version}
+	self = upstream.Peer{Node: r.node, Zone: r.zone, Addr: r.addr, Revision: row.Version}
 	peers, routers, err = r.read(ctx)
 	return self, peers, routers, err
 }
@@ -86,6 +134,9 @@
 		if !named || cbor.Unmarshal(row.Value, &read) != nil {
 			continue
 		}
+		if read.FirstEra > 0 {
+			r.epochs.Begin(read.FirstEra - 1)
+		}
 		peers = append(peers, upstream.Peer{
 			Node: ident.Node(name), Zone: ident.Zone(zone), Addr: read.Addr, Revision: row.Version,
 		})
--- a/internal/node/source.go
+++ b/internal/node/source.go
@@ -74,6 +74,18 @@
 	Backends(ctx context.Context) ([]backend.Record, error)
 }
 
+// Epochs counts how often the store came back from an older copy since this system began; see
+// store.Revision. Its methods are safe for concurrent use.
+type Epochs interface {
+	// Epoch returns the newest epoch that an answer of the store showed.
+	Epoch() uint64
+	// First names the beginning of epoch 0, in the store's own count; it is known once an
+	// answer showed one.
+	First() (first uint64, known bool)
+	// Begin takes in the first of another router. The lowest is that of all.
+	Begin(first uint64)
+}
+
 // RolloutStore writes how rollouts stand.
 type RolloutStore interface {
 	// CommitRollout commits a transaction on this system's own rows, and with it tells the
--- a/internal/quarantine/guard/rows.go
+++ b/internal/quarantine/guard/rows.go
@@ -60,6 +60,8 @@
 	read     bool
 	kept     map[quarantine.Fingerprint]int
 	listedAt time.Time
+	// epoch is that of the store at the last list.
+	epoch uint64
 	// triedAt is when this router last asked for a trial.
 	triedAt map[quarantine.Fingerprint]time.Time
 }
@@ -121,13 +123,17 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	// What a store lacks that came back from an older copy was removed by nobody: it is
+	// written again.
+	cameBack := r.read && list.Epoch > r.epoch
+	r.epoch = max(r.epoch, list.Epoch)
 	for request := range before {
 		if _, there := found[request]; there || list.More {
 			continue
 		}
 		delete(r.kept, request)
 		// What needs no row was removed by a router.
-		if r.ledger.ToKeep(request) > 0 {
+		if r.ledger.ToKeep(request) > 0 && !cameBack {
 			gone = append(gone, request)
 		}
 	}
--- a/internal/quarantine/guard/rows_test.go
+++ b/internal/quarantine/guard/rows_test.go
@@ -128,6 +128,26 @@
 	})
 }
 
+// A row that a store lacks which came back from an older copy was removed by nobody.
+func TestAStoreThatComesBackWithoutARowLiftsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWards(t, 2, always(SignRefused))
+		empty := w.store.Copy()
+		for engine := range 3 {
+			w.crash(0, "guilty", engine)
+		}
+		time.Sleep(2 * relistInterval)
+		is.Equal(w.held("guilty"), 2)
+		is.Equal(w.store.count(), 1)
+		w.store.change(func() { w.store.ComeBack(empty) })
+		is.Equal(w.store.count(), 0)
+		time.Sleep(2 * relistInterval)
+		is.Equal(w.held("guilty"), 2)
+		is.Equal(w.store.count(), 1) // written again
+	})
+}
+
 // An operator ends a quarantine by removing its row.
 func TestAnOperatorLiftsAVerdict(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/quarantine/guard/table_test.go
+++ b/internal/quarantine/guard/table_test.go
@@ -89,7 +89,7 @@
 func (f *fakeTable) list(prefix string) protocol.RowList {
 	f.rows.mu.Lock()
 	defer f.rows.mu.Unlock()
-	var list protocol.RowList
+	list := protocol.RowList{Epoch: f.rows.Epoch()}
 	for _, row := range f.rows.Current {
 		if strings.HasPrefix(row.Key, prefix) {
 			list.Rows = append(list.Rows, row)
--- a/internal/store/protocol/protocol.go
+++ b/internal/store/protocol/protocol.go
@@ -31,6 +31,9 @@
 	// StoreTime is the table's own steady time when it answered, 0 if it tells
 	// none. It is not part of the row, and no time of day.
 	StoreTime time.Duration `json:"-"`
+	// Epoch is how often the table had come back from an older copy when it answered, 0 if
+	// it tells none. It is not part of the row.
+	Epoch uint64 `json:"-"`
 }
 
 // Condition must hold for a transaction to commit.
@@ -67,6 +70,8 @@
 	Rows []Row `json:"rows"`
 	// More says that the limit cut the list.
 	More bool `json:"more"`
+	// Epoch is that of Row, of the whole list.
+	Epoch uint64 `json:"-"`
 }
 
 // MachineKind names what runs on a machine of the list.
--- a/internal/store/storetest/rows.go
+++ b/internal/store/storetest/rows.go
@@ -2,8 +2,10 @@
 package storetest
 
 import (
+	"maps"
 	"slices"
 
+	"github.com/fieldpond/fieldpond/internal/store"
 	"github.com/fieldpond/fieldpond/internal/store/protocol"
 )
 
@@ -15,8 +17,39 @@
 
 	// versions outlive the rows, as they do at the table.
 	versions map[string]uint64
+	// epoch is the number of returns from an older copy.
+	epoch uint64
 }
 
+// Copy is what the rows were at one moment.
+type Copy struct {
+	current  map[string]protocol.Row
+	versions map[string]uint64
+}
+
+// Copy returns a copy of the rows.
+func (r *Rows) Copy() Copy {
+	return Copy{current: maps.Clone(r.Current), versions: maps.Clone(r.versions)}
+}
+
+// ComeBack has the table come back from a copy. All revisions are of a later epoch then, and
+// those after the copy are given out again.
+func (r *Rows) ComeBack(from Copy) {
+	r.epoch++
+	r.versions = make(map[string]uint64)
+	for key, revision := range from.versions {
+		r.versions[key] = store.Revision(r.epoch, store.Version(revision))
+	}
+	r.Current = make(map[string]protocol.Row)
+	for key, row := range from.current {
+		row.Version = r.versions[key]
+		r.Current[key] = row
+	}
+}
+
+// Epoch returns the number of returns from an older copy.
+func (r *Rows) Epoch() uint64 { return r.epoch }
+
 // NewRows returns no rows.
 func NewRows() *Rows {
 	return &Rows{Current: make(map[string]protocol.Row), versions: make(map[string]uint64)}
@@ -36,6 +69,9 @@
 	}
 	result.Rows = nil
 	for _, write := range transaction.Writes {
+		if r.versions[write.Key] == 0 {
+			r.versions[write.Key] = store.Revision(r.epoch, 0)
+		}
 		r.versions[write.Key]++
 		row := protocol.Row{Key: write.Key, Value: slices.Clone(write.Value), Version: r.versions[write.Key]}
 		r.Current[write.Key] = row
--- a/internal/upstream/update.go
+++ b/internal/upstream/update.go
@@ -53,6 +53,10 @@
 	Quarantine []quarantine.Told `cbor:"11,keyasint,omitempty"`
 	// Limits tells of limits that back ends name, if the asker knows something else of them.
 	Limits []backend.LimitNews `cbor:"12,keyasint,omitempty"`
+	// Epoch is the newest of the store that the peer saw (store.Revision), FirstEra one more
+	// than the beginning of epoch 0 in the store's own count, 0 if that is not known.
+	Epoch    uint64 `cbor:"13,keyasint,omitempty"`
+	FirstEra uint64 `cbor:"14,keyasint,omitempty"`
 	// Leaving says that the peer serves on for a while, and is about to end.
 	Leaving bool `cbor:"9,keyasint,omitempty"`
 }
