Take no word of a peer that cannot know of the store's return

Cause: an older build confirms a configuration by a version that the store gave out again, and a router that only pulls from such peers hears of no return. Change: state of a peer that tells no epoch, or an earlier one, counts as stale where the store names eras; the router asks another peer or reads the store. Why it holds: what counts as fresh was confirmed by a router that knows all returns that this one knows. Messages and rows as the older build encodes them are kept as test data: they are read whole, and encoded again with all that they had.

--- /dev/null
+++ b/internal/node/builds_test.go
@@ -0,0 +1,123 @@
+package node
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/matryer/is"
+
+	"github.com/fieldpond/fieldpond/internal/canary"
+	"github.com/fieldpond/fieldpond/internal/lease"
+	"github.com/fieldpond/fieldpond/internal/upstream"
+)
+
+// buildSamples are messages and rows as routers of an older build encode them.
+const buildSamples = "testdata/build-ab711e7"
+
+// sampleOf returns where a sample is decoded, by its name; datagrams have many names.
+func sampleOf(name string) any {
+	switch name {
+	case "pull":
+		return new(upstream.Pull)
+	case "update":
+		return new(upstream.Update)
+	case "router_row":
+		return new(routerRow)
+	case "naming_row":
+		return new(namingRow)
+	case "naming_mark":
+		return new(namingMark)
+	case "lease_row":
+		return new(lease.Record)
+	case "state_row":
+		return new(canary.State)
+	default:
+		return new(datagram)
+	}
+}
+
+// What an older build sends and writes is read whole, and what it would read of the same message
+// of this build is what it sent: fields were only added.
+func TestMessagesOfAnOlderBuild(t *testing.T) {
+	paths, err := filepath.Glob(filepath.Join(buildSamples, "*.cbor"))
+	if err != nil || len(paths) < 15 {
+		t.Fatalf("%d samples, %v", len(paths), err)
+	}
+	strict, err := cbor.DecOptions{ExtraReturnErrors: cbor.ExtraDecErrorUnknownField}.DecMode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, path := range paths {
+		name := strings.TrimSuffix(filepath.Base(path), ".cbor")
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			sample, err := os.ReadFile(path)
+			is.NoErr(err)
+			message := sampleOf(name)
+			is.NoErr(strict.Unmarshal(sample, message))
+			encoded, err := cbor.Marshal(message)
+			is.NoErr(err)
+			var before, after any
+			is.NoErr(cbor.Unmarshal(sample, &before))
+			is.NoErr(cbor.Unmarshal(encoded, &after))
+			keeps(t, name, before, after)
+		})
+	}
+}
+
+// keeps fails if a value lacks what an earlier one has, or has it changed. Zero values that are
+// left out are the same.
+func keeps(t *testing.T, place string, before, after any) {
+	t.Helper()
+	switch before := before.(type) {
+	case map[any]any:
+		found, is := after.(map[any]any)
+		if !is {
+			t.Errorf("%s: %v became %v", place, before, after)
+			return
+		}
+		for key, value := range before {
+			keeps(t, place+"/"+cborKey(key), value, found[key])
+		}
+	case []any:
+		found, is := after.([]any)
+		if !is || len(found) != len(before) {
+			t.Errorf("%s: %v became %v", place, before, after)
+			return
+		}
+		for index, value := range before {
+			keeps(t, place, value, found[index])
+		}
+	default:
+		first, _ := cbor.Marshal(before)
+		second, _ := cbor.Marshal(after)
+		if string(first) != string(second) {
+			t.Errorf("%s: %v became %v", place, before, after)
+		}
+	}
+}
+
+func cborKey(key any) string {
+	text, _ := cbor.Diagnose(must(cbor.Marshal(key)))
+	return text
+}
+
+func must(encoded []byte, err error) []byte {
+	if err != nil {
+		panic(err)
+	}
+	return encoded
+}
+
+// A datagram with fields that this build does not know is read as far as it does.
+func TestMessagesOfALaterBuild(t *testing.T) {
+	is := is.New(t)
+	encoded, err := cbor.Marshal(map[int]any{2: map[int]any{1: []string{"e"}, 99: "later"}, 98: "later", 97: []int{1}})
+	is.NoErr(err)
+	var told datagram
+	is.NoErr(cbor.Unmarshal(encoded, &told))
+	is.Equal(len(told.Health.Silent), 1)
+}
--- a/internal/node/epoch.go
+++ b/internal/node/epoch.go
@@ -25,6 +25,9 @@
 // copy if there is none.
 type epochCount struct{ port Epochs }
 
+// counts reports whether there is a port.
+func (e epochCount) counts() bool { return e.port != nil }
+
 // Epoch returns the newest epoch.
 func (e epochCount) Epoch() uint64 {
 	if e.port == nil {
@@ -36,7 +39,7 @@
 // First is that of Epochs.
 func (e epochCount) First() (first uint64, known bool) {
 	if e.port == nil {
-		return 0, true
+		return 0, false
 	}
 	return e.port.First()
 }
--- a/internal/node/epoch_test.go
+++ b/internal/node/epoch_test.go
@@ -160,6 +160,11 @@
 	is.Equal(f.seenEpoch.Load(), uint64(2))
 	f.takeEpoch(&upstream.Update{}) // of an older build, or one that has not heard of it
 	is.Equal(f.seenEpoch.Load(), uint64(2))
+	is.True(!f.knowsReturns(&upstream.Update{Epoch: 1}))
+	is.True(f.knowsReturns(&upstream.Update{Epoch: 2})) // this router knows of no era itself
+	f.epochs = epochCount{&countedEpochs{}}
+	is.True(!f.knowsReturns(&upstream.Update{Epoch: 2}))
+	is.True(f.knowsReturns(&upstream.Update{Epoch: 2, FirstEra: 4}))
 	f.replica.epochs = epochCount{&countedEpochs{}}
 	told := f.replica.Update(time.Now(), &upstream.Pull{From: upstream.Peer{Node: ident.Node("m")}})
 	is.Equal(told.FirstEra, uint64(4))
--- a/internal/node/pull.go
+++ b/internal/node/pull.go
@@ -226,12 +226,22 @@
 		return upstream.Restarted{Revision: update.Revision}
 	case !update.Complete():
 		return upstream.Stale{}
+	case !f.knowsReturns(update):
+		return upstream.Stale{}
 	}
 	age := max(update.Configuration.Age, update.List.Age)
 	f.chain.use(func(chain *upstream.Chain) { result = chain.Judge(update.Origin, age) })
 	return result
 }
 
+// knowsReturns reports whether a peer can know all that this router does of the store's returns
+// from older copies. One that does not may have confirmed what it holds by a version that was
+// given out again. Older builds never know, and those that only pull from them hear of none.
+func (f *follower) knowsReturns(update *upstream.Update) bool {
+	_, told := f.epochs.First()
+	return update.Epoch >= f.seenEpoch.Load() && (update.FirstEra > 0 || !told)
+}
+
 // take takes in the state of a peer as of a time.
 func (f *follower) take(update *upstream.Update, at time.Time) error {
 	f.looked.Store(true)
--- a/internal/node/roster.go
+++ b/internal/node/roster.go
@@ -55,7 +55,7 @@
 // join writes this router's row and returns it with those of all routers and
 // their number, read after the write.
 func (r *roster) join(ctx context.Context) (self upstream.Peer, peers []upstream.Peer, routers int, err error) {
-	if _, known := r.epochs.First(); !known {
+	if _, known := r.epochs.First(); !known && r.epochs.counts() {
 		// From when on epochs are counted stands in the rows of those that joined before.
 		if _, _, err := r.read(ctx); err != nil {
 			return self, nil, 0, err
