--- a/internal/node/backendlimit_test.go
+++ b/internal/node/backendlimit_test.go
@@ -9,10 +9,13 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/fieldpond/fieldpond/internal/clock"
 )
 
 func TestAnEngineThatNamesALimitGetsNoMore(t *testing.T) {
@@ -140,3 +143,27 @@
 	t.Logf("%d of %d refusals took longer than 200 ms", slow, len(result.refusals))
 	is.True(slow <= len(result.refusals)/50)
 }
+
+// Routers hear of a limit before an answer tells each of them, and one that joins knows it before
+// it serves.
+func TestRoutersHearOfLimitsFromEachOther(t *testing.T) {
+	t.Parallel()
+	f := newLimitFleet(t, 2, 3)
+	f.limit(1.3, 0)
+	knows := func(index int) bool {
+		return slices.Contains(f.router(index).forwarder.Backends.Limited(clock.Now()), f.engines[0].record.Instance)
+	}
+	result := &limitLoad{}
+	eventually(t, func() bool {
+		result.ask(t.Context(), f.router(0).forwarder)
+		return knows(0)
+	})
+	eventually(t, func() bool { return knows(1) && knows(2) })
+	f.startRouter(3)
+	if !knows(3) {
+		t.Error("a router serves before it knows a limit that its peers know")
+	}
+	if count := len(f.engines[0].toldAt); count != 1 {
+		t.Errorf("%d routers were told by the engine", count)
+	}
+}
