--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -56,6 +56,8 @@
 	// permit allows the next attempt at one back end, if that names a limit; it is nil once
 	// the request may have reached it.
 	permit *permit
+	// claims counts the back ends with limits that the present attempt was denied.
+	claims int
 	// named tells the request apart from others, onTrial says that it was held, and a trial
 	// was granted.
 	named   *quarantine.Subject
@@ -254,33 +256,22 @@
 // waits a short while, and refuses the request then.
 func (r *run) place(ctx context.Context) (backend.Choice, *backend.Flight, *fault.Fault) {
 	heldUntil := clock.Now().Add(r.route.Target / holdPart)
-	claims := 0
+	r.claims = 0
 	for {
 		now := clock.Sync()
 		if refusal := r.confirm(now); refusal != nil {
 			return backend.Choice{}, nil, refusal
 		}
 		if choice, flight, found := r.pick(now); found {
-			if !r.stands(&choice) {
-				r.decline(now, &choice, flight)
-				continue
+			accepted, refusal := r.accept(ctx, now, &choice)
+			if accepted {
+				return choice, flight, nil
 			}
-			if r.overloadedBy(&choice, now) {
-				r.decline(now, &choice, flight)
-				if choice.Releases.Among > 0 {
-					// It was the best of a release on trial; the next look is at the others.
-					continue
-				}
-				return backend.Choice{}, nil, r.overloaded(&choice, now)
+			r.decline(now, &choice, flight)
+			if refusal != nil {
+				return backend.Choice{}, nil, refusal
 			}
-			if !r.permitted(ctx, &choice) {
-				r.decline(now, &choice, flight)
-				if claims++; claims >= maxClaims || ctx.Err() != nil {
-					return backend.Choice{}, nil, r.unclaimed(now)
-				}
-				continue
-			}
-			return choice, flight, nil
+			continue
 		}
 		if refusal := r.limited(now, heldUntil); refusal != nil {
 			return backend.Choice{}, nil, refusal
@@ -291,6 +282,26 @@
 	}
 }
 
+// accept reports whether the attempt may go to the back end that was chosen for it. If not,
+// another one is looked for, unless a fault says that the request is refused.
+func (r *run) accept(ctx context.Context, now time.Time, choice *backend.Choice) (bool, *fault.Fault) {
+	switch {
+	case !r.stands(choice):
+		return false, nil
+	case r.overloadedBy(choice, now) && choice.Releases.Among > 0:
+		// It was the best of a release on trial; the next look is at the others.
+		return false, nil
+	case r.overloadedBy(choice, now):
+		return false, r.overloaded(choice, now)
+	case r.permitted(ctx, choice):
+		return true, nil
+	}
+	if r.claims++; r.claims >= maxClaims || ctx.Err() != nil {
+		return false, r.unclaimed(now)
+	}
+	return false, nil
+}
+
 // overloadedBy reports whether the request is refused rather than sent to the best
 // back end there is.
 func (r *run) overloadedBy(choice *backend.Choice, now time.Time) bool {
--- a/internal/node/events.go
+++ b/internal/node/events.go
@@ -30,6 +30,28 @@
 
 // Events returns every event of a node's log.
 func Events() []EventDescription {
+	return append(events(), limitAndReturnEvents()...)
+}
+
+// limitAndReturnEvents are those about limits of back ends and returns of the store.
+func limitAndReturnEvents() []EventDescription {
+	return []EventDescription{
+		{"backend_limit", with(requestFields, append(attemptFields, "limited", "rate", "rate_before")...), "An answer names another limit of its back end than was known here, or none any more (limited); rate and rate_before are requests a second, of all routers together."},
+		{"limit_denied", with(requestFields, append(attemptFields, "rate", "after_ms")...), "The back end was the best for the request, and its limit (rate, requests a second) is used up: the request goes elsewhere, and this router asks for none there for after_ms."},
+		{"backend_limit_unreadable", []string{"instance", "limit"}, "An answer names a limit of its back end that is no number of requests; what was known before holds on."},
+		{"backend_limit_reported", []string{"instance", "limited", "rate", "rate_before"}, "The report of a back end names another limit than was known here."},
+		{"backend_limit_told", []string{"instance", "limited", "rate", "age_ms"}, "Another router told of a limit of a back end, or of its end; age_ms: since an answer last confirmed it."},
+		{"rejoined", []string{"revision", "peers", "routers"}, "The store came back from an older copy, and this router's row is there (again)."},
+		{"router_row_not_written_again", []string{"cause"}, "The store came back from an older copy, and this router's row could not be looked for, or written; it is tried again."},
+		{"store_came_back_older", []string{"era", "before"}, "The store came back from an older copy: versions are given out again, and what was written last may be lost."},
+		{"store_epoch_seen", []string{"epoch"}, "This router, or a peer, saw that the store came back from an older copy; epoch counts that."},
+		{"store_epochs_counted_from", []string{"first", "before"}, "Another router counts the returns of the store from an earlier era on."},
+		{"store_era_unreadable", []string{"era"}, "An answer of the store names no number as its era; it counts as of the newest."},
+	}
+}
+
+// events are all others.
+func events() []EventDescription {
 	return []EventDescription{
 		{"started", []string{"zone", "front"}, "The process listens."},
 		{"stopping", []string{"in_flight"}, "The process was told to stop; it is unready from now on."},
@@ -44,18 +66,9 @@
 		{"configuration_row_outdated", []string{"version", "known", "revision", "confirmed"}, "The row of the configuration holds another one than the newest: the store carried out an older write after it. Known stays in force. It is not confirmed, and ends in unready routers, where the store has forgotten what the row held meanwhile: write a newer configuration."},
 		{"backend_changed", []string{"instance", "service", "address", "change", "revision", "models"}, "The list of back ends differs: appeared, draining, gone or reloaded."},
 		{"backend_unreadable", []string{"row", "revision", "cause"}, "A row of the list names no back end: another writer left it, or it cannot be read. It is passed over, and logged once."},
-		{"backend_limit_unreadable", []string{"instance", "limit"}, "An answer names a limit of its back end that is no number of requests; what was known before holds on."},
-		{"backend_limit_reported", []string{"instance", "limited", "rate", "rate_before"}, "The report of a back end names another limit than was known here."},
-		{"backend_limit_told", []string{"instance", "limited", "rate", "age_ms"}, "Another router told of a limit of a back end, or of its end; age_ms: since an answer last confirmed it."},
 		{"connection_silent", []string{"address", "closed"}, "Nothing was acknowledged on a connection any more; closed: resting ones to the same address that were closed with it."},
 		{"connections_suspected", []string{"closed"}, "A connection was silent while its address takes new ones; closed: the resting ones to all addresses that were not heard since."},
 		{"joined", []string{"revision", "peers", "routers"}, "This router has a row in the store; peers are the routers whose rows are sound."},
-		{"rejoined", []string{"revision", "peers", "routers"}, "The store came back from an older copy, and this router's row is there (again)."},
-		{"router_row_not_written_again", []string{"cause"}, "The store came back from an older copy, and this router's row could not be looked for, or written; it is tried again."},
-		{"store_came_back_older", []string{"era", "before"}, "The store came back from an older copy: versions are given out again, and what was written last may be lost."},
-		{"store_epoch_seen", []string{"epoch"}, "This router, or a peer, saw that the store came back from an older copy; epoch counts that."},
-		{"store_epochs_counted_from", []string{"first", "before"}, "Another router counts the returns of the store from an earlier era on."},
-		{"store_era_unreadable", []string{"era"}, "An answer of the store names no number as its era; it counts as of the newest."},
 		{"router_row_not_removed", []string{"cause"}, "The row could not be removed at the end of a planned stop."},
 		{"routers_not_counted", []string{"cause"}, "The routers' rows could not be read."},
 		{"state_from_peer", []string{"peer", "address"}, "From now on the shared state is pulled from this peer."},
@@ -100,8 +113,6 @@
 		{"rollout_states_not_read", []string{"cause"}, "The states of rollouts could not be read for all routers; they are read again with the configuration."},
 		{"rollout_state_unreadable", []string{"row", "cause"}, "The row of a state is malformed; the rollout begins anew."},
 		{"sent", with(requestFields, attemptFields...), "An attempt leaves for a back end; predicted_ms is the expected time to its first byte, distance says whether it is in this zone, in this region or in another region."},
-		{"backend_limit", with(requestFields, append(attemptFields, "limited", "rate", "rate_before")...), "An answer names another limit of its back end than was known here, or none any more (limited); rate and rate_before are requests a second, of all routers together."},
-		{"limit_denied", with(requestFields, append(attemptFields, "rate", "after_ms")...), "The back end was the best for the request, and its limit (rate, requests a second) is used up: the request goes elsewhere, and this router asks for none there for after_ms."},
 		{"attempt_ended", with(requestFields, append(attemptFields, "outcome", "fingerprint", "cause")...), "An attempt is over; fingerprint, of those that broke off, is the same for each try of one request."},
 		{"answered", with(requestFields, "status", "events", "cause"), "The whole answer was passed on."},
 		{"refused", with(requestFields, "fault", "detail", "ran", "cause"), "The final answer is the router's own; ran says whether the request may have run."},
