Confirm a key once more after the wait for a grant

Found by reading the change: a request waits up to an eighth of its target for the grant of a back end with a limit. A process that stands still meanwhile would send it on a key that was taken away. TestARequestThatWaitedTooLongForAGrantIsNotSent failed before (one request sent after 5 s, 4 s allowed).

--- a/internal/forward/backendlimit_test.go
+++ b/internal/forward/backendlimit_test.go
@@ -165,6 +165,25 @@
 	}
 }
 
+// A request whose process stood still while it waited for a grant is not sent on what was true
+// before: its key may have been taken away.
+func TestARequestThatWaitedTooLongForAGrantIsNotSent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := newBench(genuine(200, "ok"))
+		limits := &fakeLimits{verdict: func(int, ident.Incarnation) quota.Verdict {
+			time.Sleep(5 * time.Second) // a key may be acted upon for 4 s
+			return grant(1)
+		}}
+		b.limitBackEnds(limits, "a", "b", "c")
+		req := request("resumable")
+		sink := b.forward(t, req)
+		is.Equal(len(b.caller.sent()), 0)
+		is.Equal(len(limits.returned), 1)
+		is.Equal(sink.refusal.Kind, fault.NotReady)
+	})
+}
+
 // What answers say of limits is heard at each kind of answer.
 func TestEachAnswerIsHeardOfLimits(t *testing.T) {
 	naming := func(given answer) answer {
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -149,7 +149,12 @@
 		return choice, flight, refusal
 	}
 	now := clock.Sync()
-	if refusal := r.quarantined(ctx, now); refusal != nil {
+	// The process may have stood still while the request waited for a grant.
+	refusal = r.confirm(now)
+	if refusal == nil {
+		refusal = r.quarantined(ctx, now)
+	}
+	if refusal != nil {
 		r.decline(now, &choice, flight)
 		return backend.Choice{}, nil, refusal
 	}
