--- a/internal/node/quotas_test.go
+++ b/internal/node/quotas_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/netip"
+	"sync"
 	"testing"
 	"time"
 
@@ -44,8 +45,14 @@
 		ctx, stop := context.WithCancel(t.Context())
 		router.stop = stop
 		router.quotas.know(peer, peers)
-		go socket.listen(ctx)
-		go router.quotas.run(ctx)
+		var running sync.WaitGroup
+		running.Go(func() { socket.listen(ctx) })
+		running.Go(func() { router.quotas.run(ctx) })
+		// What they log must not meet another test's log.
+		t.Cleanup(func() {
+			stop()
+			running.Wait()
+		})
 		routers = append(routers, router)
 	}
 	return routers
