--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -18,7 +18,6 @@
 	"github.com/fieldpond/fieldpond/internal/promptcache"
 	"github.com/fieldpond/fieldpond/internal/quarantine"
 	"github.com/fieldpond/fieldpond/internal/quota"
-	"github.com/fieldpond/fieldpond/internal/wait"
 )
 
 var (
@@ -249,64 +248,6 @@
 	})
 }
 
-const (
-	// placePause is the time between two looks for a back end.
-	placePause = 10 * time.Millisecond
-	// holdPart is the part of a route's target time for which a request waits
-	// for a back end.
-	holdPart = 4
-)
-
-// place chooses the back end for the next attempt. If none may be used it
-// waits a short while, and refuses the request then.
-func (r *run) place(ctx context.Context) (backend.Choice, *backend.Flight, *fault.Fault) {
-	heldUntil := clock.Now().Add(r.route.Target / holdPart)
-	r.claims = 0
-	for {
-		now := clock.Sync()
-		if refusal := r.confirm(now); refusal != nil {
-			return backend.Choice{}, nil, refusal
-		}
-		if choice, flight, found := r.pick(now); found {
-			accepted, refusal := r.accept(ctx, now, &choice)
-			if accepted {
-				return choice, flight, nil
-			}
-			r.decline(now, &choice, flight)
-			if refusal != nil {
-				return backend.Choice{}, nil, refusal
-			}
-			continue
-		}
-		if refusal := r.limited(now, heldUntil); refusal != nil {
-			return backend.Choice{}, nil, refusal
-		}
-		if !now.Before(heldUntil) || !wait.For(ctx, placePause) {
-			return backend.Choice{}, nil, r.unplaced()
-		}
-	}
-}
-
-// accept reports whether the attempt may go to the back end that was chosen for it. If not,
-// another one is looked for, unless a fault says that the request is refused.
-func (r *run) accept(ctx context.Context, now time.Time, choice *backend.Choice) (bool, *fault.Fault) {
-	switch {
-	case !r.stands(choice):
-		return false, nil
-	case r.overloadedBy(choice, now) && choice.Releases.Among > 0:
-		// It was the best of a release on trial; the next look is at the others.
-		return false, nil
-	case r.overloadedBy(choice, now):
-		return false, r.overloaded(choice, now)
-	case r.permitted(ctx, choice):
-		return true, nil
-	}
-	if r.claims++; r.claims >= maxClaims || ctx.Err() != nil {
-		return false, r.unclaimed(now)
-	}
-	return false, nil
-}
-
 // overloadedBy reports whether the request is refused rather than sent to the best
 // back end there is.
 func (r *run) overloadedBy(choice *backend.Choice, now time.Time) bool {
