--- a/internal/backend/state.go
+++ b/internal/backend/state.go
@@ -29,6 +29,10 @@
 	told queue
 	// limit is the one that the back end names in its answers.
 	limit limit
+	// saysLeaving says that an answer told that the back end leaves.
+	saysLeaving bool
+	// restUntil ends the time for which the back end wants nothing from this router.
+	restUntil time.Time
 	// tried and failed count recent attempts, halved every failureHalfLife.
 	tried, failed float64
 	decayedAt     time.Time
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -176,6 +176,7 @@
 		a.forwarder.Backends.VersionSeen(a.choice.Instance, a.request.Prompt.Model, reply.Version)
 	}
 	a.takeLimit(reply)
+	a.takeWishes(reply)
 	switch reply.Verdict {
 	case NotExecuted:
 		return a.refused(reply, backend.Refused)
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -134,6 +134,10 @@
 	Opening time.Duration
 	// Limit is what the answer says of a limit of the back end; nil is LimitUntold.
 	Limit backend.ToldLimit
+	// Leaving says that the back end is about to end and wants no new work.
+	Leaving bool
+	// Rest is for how long the back end wants nothing from this router; 0 if it did not ask.
+	Rest time.Duration
 }
 
 // Caller sends attempts. An error is an *exchange.Error.
--- a/internal/forward/step.go
+++ b/internal/forward/step.go
@@ -34,6 +34,10 @@
 	StepBackendLimit StepKind = "backend_limit"
 	// StepLimitDenied is a back end that was passed over since its limit is used up.
 	StepLimitDenied StepKind = "limit_denied"
+	// StepBackendLeaving is the first answer that says that its back end leaves.
+	StepBackendLeaving StepKind = "backend_leaving"
+	// StepBackendRest is a refusal whose back end wants nothing from this router for a time.
+	StepBackendRest StepKind = "backend_rest"
 )
 
 // Step is one decision about a request, with what decided it.
@@ -62,6 +66,8 @@
 	Limit backend.LimitChange
 	// After is for how long a back end is passed over whose limit is used up.
 	After time.Duration
+	// Rest is for how long a back end wants nothing from this router.
+	Rest  time.Duration
 	Fault *fault.Fault
 	Cause error
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -230,6 +230,7 @@
 	view := n.holder.View()
 	now := reading{backends: len(n.backends.Records()), inFlight: n.backends.InFlight()}
 	now.limitedBackends = len(n.backends.Limited(clock.Now()))
+	now.leavingBackends, now.restingBackends = n.backends.Wishes(clock.Now())
 	if view.Snapshot != nil {
 		now.configurationVersion = view.Snapshot.Version
 		now.configurationAge = view.Age(clock.Now())
--- a/internal/node/reference_test.go
+++ b/internal/node/reference_test.go
@@ -42,6 +42,7 @@
 	for _, kind := range []forward.StepKind{
 		forward.StepRefused, forward.StepSent, forward.StepAttemptEnded, forward.StepAnswered, forward.StepBroken, forward.StepClientGone,
 		forward.StepRepeatGranted, forward.StepRepeatDenied, forward.StepBackendLimit, forward.StepLimitDenied,
+		forward.StepBackendLeaving, forward.StepBackendRest,
 	} {
 		logged[string(kind)] = true
 	}
