Show that engines that leave or want rest get requests all the same

Of four engines behind five routers one says that it leaves, and gets 37 to 43 requests in 6 s beyond the 2 s that are allowed; one asks for 3 s of rest, and gets 3 requests of one router within them, 2 allowed; while all rest, clients are not told when the first is back (231 of 231 refusals).

--- a/internal/node/backendlimit_test.go
+++ b/internal/node/backendlimit_test.go
@@ -163,7 +163,7 @@
 	}
 	result := &limitLoad{}
 	eventually(t, func() bool {
-		result.ask(t.Context(), f.router(0).forwarder)
+		result.ask(t.Context(), 0, f.router(0).forwarder)
 		return knows(0)
 	})
 	eventually(t, func() bool { return knows(1) && knows(2) })
--- a/internal/node/limitfleet_test.go
+++ b/internal/node/limitfleet_test.go
@@ -34,10 +34,18 @@
 // unlimited is the rate of an engine that names no limit.
 const unlimited = -1
 
-// limitedEngine is an engine that may name a limit, and what reached it.
+// limitedEngine is an engine that may name a limit, say that it leaves or refuse what reaches
+// it, and what reached it.
 type limitedEngine struct {
 	record backend.Record
 	rate   float64
+	// leaving says that answers tell that the engine leaves.
+	leaving bool
+	// refuses says that nothing is run, rest is what refusals ask for.
+	refuses bool
+	rest    time.Duration
+	// answers are all that were given.
+	answers []fleetAnswer
 	// namedAt is when the first answer with a limit was given, toldAt when each router got
 	// its first.
 	namedAt  time.Time
@@ -48,6 +56,16 @@
 type limitedArrival struct {
 	router int
 	at     time.Time
+	// receivedAt is when the request came from its client.
+	receivedAt time.Time
+}
+
+// fleetAnswer is an answer to a router, and what it said of its engine.
+type fleetAnswer struct {
+	router  int
+	at      time.Time
+	leaving bool
+	rest    time.Duration
 }
 
 // limitFleet is a service whose engines name limits, and its routers. It implements
@@ -132,25 +150,38 @@
 
 // Send implements forward.Caller.
 func (c limitCaller) Send(ctx context.Context, attempt *forward.Attempt) (*forward.Reply, error) {
-	engine := c.fleet.arrived(c.router, attempt.Target.Address)
+	engine := c.fleet.arrived(c.router, attempt)
 	select {
 	case <-time.After(rand.N(c.fleet.work)):
 	case <-ctx.Done():
 		return nil, &exchange.Error{Sent: true, Cause: context.Cause(ctx)}
 	}
-	return &forward.Reply{
+	return c.fleet.answer(c.router, engine), nil
+}
+
+// answer returns what an engine answers to a router.
+func (f *limitFleet) answer(router int, engine *limitedEngine) *forward.Reply {
+	reply := &forward.Reply{
 		Status: http.StatusOK, Header: http.Header{}, Length: -1, Body: io.NopCloser(strings.NewReader("id: 1\ndata: a\n\n")),
-		Verdict: forward.Genuine, Limit: c.fleet.told(c.router, engine),
-	}, nil
+		Verdict: forward.Genuine, Limit: f.told(router, engine),
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	reply.Leaving = engine.leaving
+	if engine.refuses {
+		reply.Status, reply.Verdict, reply.Rest = http.StatusServiceUnavailable, forward.NotExecuted, engine.rest
+	}
+	engine.answers = append(engine.answers, fleetAnswer{router: router, at: time.Now(), leaving: reply.Leaving, rest: reply.Rest})
+	return reply
 }
 
 // arrived takes in that a request reaches an engine.
-func (f *limitFleet) arrived(router int, address string) *limitedEngine {
+func (f *limitFleet) arrived(router int, attempt *forward.Attempt) *limitedEngine {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	index := slices.IndexFunc(f.engines, func(engine *limitedEngine) bool { return engine.record.Address == address })
+	index := slices.IndexFunc(f.engines, func(engine *limitedEngine) bool { return engine.record.Address == attempt.Target.Address })
 	engine := f.engines[index]
-	engine.arrivals = append(engine.arrivals, limitedArrival{router: router, at: time.Now()})
+	engine.arrivals = append(engine.arrivals, limitedArrival{router: router, at: time.Now(), receivedAt: attempt.Request.ReceivedAt})
 	return engine
 }
 
@@ -187,6 +218,8 @@
 
 // limitRefusal is a refusal of the routers' own.
 type limitRefusal struct {
+	router            int
+	at                time.Time
 	after, retryAfter time.Duration
 }
 
@@ -201,7 +234,7 @@
 	for sent := 0; time.Since(begun) < lasting; sent++ {
 		<-ticker.C
 		if router := f.router(sent); router != nil {
-			open.Go(func() { result.ask(f.t.Context(), router.forwarder) })
+			open.Go(func() { result.ask(f.t.Context(), sent%len(f.routers), router.forwarder) })
 		}
 	}
 	open.Wait()
@@ -215,8 +248,8 @@
 	return f.routers[request%len(f.routers)]
 }
 
-// ask sends one request, each with a prompt of its own.
-func (l *limitLoad) ask(ctx context.Context, forwarder *forward.Forwarder) {
+// ask sends one request to a router, each with a prompt of its own.
+func (l *limitLoad) ask(ctx context.Context, router int, forwarder *forward.Forwarder) {
 	sink, begun := &crashSink{}, time.Now()
 	id := ident.NewUnique()
 	forwarder.Forward(ctx, &forward.Request{
@@ -228,7 +261,9 @@
 	defer l.mu.Unlock()
 	switch {
 	case sink.refusal != nil:
-		l.refusals = append(l.refusals, limitRefusal{after: time.Since(begun), retryAfter: sink.refusal.RetryAfter})
+		l.refusals = append(l.refusals, limitRefusal{
+			router: router, at: time.Now(), after: time.Since(begun), retryAfter: sink.refusal.RetryAfter,
+		})
 	case sink.aborted:
 		l.broken++
 	default:
