--- a/internal/backend/choose.go
+++ b/internal/backend/choose.go
@@ -18,6 +18,12 @@
 	allowed := r.allowed(query)
 	home := r.home(now, query, allowed)
 	best, compared := r.cheapest(now, query, home, allowed)
+	if best == nil {
+		// What came before their routers must know may still go to back ends that leave.
+		last := *query
+		last.leavingServes = r.config.LeavingServes
+		best, compared = r.cheapest(now, &last, home, allowed)
+	}
 	if best == nil {
 		return Choice{}, nil, false
 	}
@@ -27,6 +33,9 @@
 		model: query.Model, version: best.version(now, query.Model),
 	}
 	flight.trial = query.Releases.Among > 0
+	if best.leaving.begun() {
+		flight.servesUntil = best.leaving.since.Add(r.config.LeavingServes)
+	}
 	flight.tokens = query.OwnTokens
 	if best != home {
 		flight.tokens += query.SharedTokens
@@ -74,7 +83,7 @@
 func narrowed(allowed []*state, releases *Releases) []*state {
 	var staying []ident.Incarnation
 	for _, known := range allowed {
-		if !known.record.Draining {
+		if !known.leaving.begun() {
 			staying = append(staying, known.record.Instance)
 		}
 	}
--- a/internal/backend/config.go
+++ b/internal/backend/config.go
@@ -1,6 +1,7 @@
 package backend
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/fieldpond/fieldpond/internal/ident"
@@ -27,6 +28,9 @@
 	// SilentAfter is how long a back end with open attempts may be silent,
 	// beyond what was predicted, before it gets no new work. Default: 500ms.
 	SilentAfter time.Duration
+	// LeavingServes is how long a back end that says that it leaves may get an attempt that no
+	// other one can take, counted from when this router first heard so. Default: 1s.
+	LeavingServes time.Duration
 }
 
 const (
@@ -34,6 +38,8 @@
 	defaultRegionHop    = 40 * time.Millisecond
 	defaultReadPerToken = 26 * time.Microsecond
 	defaultSilentAfter  = 500 * time.Millisecond
+	// Back ends that leave serve for two seconds after they said so.
+	defaultLeavingServes = time.Second
 	// spillPrice is the price of a shared part at an engine that is not the home
 	// of its prompt, in times that it takes to read it there: it may have to be
 	// fetched or read again.
@@ -96,5 +102,6 @@
 	if c.SilentAfter <= 0 {
 		c.SilentAfter = defaultSilentAfter
 	}
+	c.LeavingServes = cmp.Or(c.LeavingServes, defaultLeavingServes)
 	return c
 }
--- a/internal/backend/flight.go
+++ b/internal/backend/flight.go
@@ -24,6 +24,17 @@
 	// trial says that the back end is one of a few of a release that is being tried: how
 	// fast it answers tells nothing of the service's other back ends.
 	trial bool
+	// servesUntil bounds an attempt that was placed at a back end which leaves; it is zero for
+	// others.
+	servesUntil time.Time
+}
+
+// Withdrawn reports whether the back end wants no new work any more, so that the attempt is not
+// to leave.
+func (f *Flight) Withdrawn(now time.Time) bool {
+	f.registry.mutex.Lock()
+	defer f.registry.mutex.Unlock()
+	return f.target.leaving.begun() && !now.Before(f.servesUntil)
 }
 
 // Heard takes in that bytes of the attempt's answer came.
@@ -107,6 +118,6 @@
 		if target.version(now, f.model) <= f.version {
 			target.pausedUntil = now.Add(versionPause)
 		}
-	case Abandoned:
+	case Withdrawn, Abandoned:
 	}
 }
--- a/internal/backend/former.go
+++ b/internal/backend/former.go
@@ -15,15 +15,31 @@
 // a while: neither is a new life.
 type former struct {
 	record Record
+	// words are what it said of itself.
+	words  *words
 	goneAt time.Time
 }
 
 // formers are the back ends that are gone, by life.
 type formers map[ident.Incarnation]former
 
+// maxFormers bounds the back ends that are remembered, whatever other routers tell of.
+const maxFormers = 4096
+
 // add remembers a back end that is gone.
-func (f formers) add(goneAt time.Time, record *Record) {
-	f[record.Instance] = former{record: *record, goneAt: goneAt}
+func (f formers) add(goneAt time.Time, known *state) {
+	f[known.record.Instance] = former{record: known.record, words: known.words, goneAt: goneAt}
+}
+
+// expect returns the words of a back end that others know and whose row was not read here yet,
+// nil if there is no room.
+func (f formers) expect(now time.Time, instance ident.Incarnation) *words {
+	if len(f) >= maxFormers {
+		return nil
+	}
+	expected := former{record: Record{Instance: instance}, words: &words{}, goneAt: now}
+	f[instance] = expected
+	return expected.words
 }
 
 // forget drops those that are gone for long.
@@ -36,22 +52,20 @@
 }
 
 // settled returns a record as it must be, given an earlier one of the same life: a back end
-// never goes back from draining, nor to older weights, while a row may be written late.
+// never goes back to older weights, while a row may be written late.
 func settled(earlier *Record, record Record) Record {
-	record.Draining = record.Draining || earlier.Draining
 	record.Models = newestOf(earlier.Models, record.Models)
 	return record
 }
 
-// KeepDraining marks those records as draining whose back ends were known to drain. It is
+// KeepDraining marks those records as draining whose back ends were known to leave. It is
 // for lists that are passed on: whoever starts later can't know.
 func (r *Registry) KeepDraining(records []Record) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	for index := range records {
 		record := &records[index]
-		known := r.byID[record.Instance]
-		drained := known != nil && known.record.Draining
-		record.Draining = record.Draining || drained || r.formers[record.Instance].record.Draining
+		known := r.wordsOf(record.Instance)
+		record.Draining = record.Draining || (known != nil && known.leaving.begun())
 	}
 }
--- a/internal/backend/home.go
+++ b/internal/backend/home.go
@@ -17,7 +17,7 @@
 	if query.HomeKey == 0 || !r.config.Off.On(mechanism.HomeEngines) {
 		return nil
 	}
-	serves := func(known *state) bool { return !known.record.Draining }
+	serves := func(known *state) bool { return !known.leaving.begun() }
 	heard := func(known *state) bool {
 		return serves(known) && !known.toldSilent(now) && !known.gone(now) && !r.lost(now, known)
 	}
@@ -42,7 +42,7 @@
 func (r *Registry) homeRegion(now time.Time, query *Query, allowed []*state) ident.Region {
 	counts := make(map[ident.Region]int)
 	for _, known := range allowed {
-		if !known.record.Draining && !r.lost(now, known) {
+		if !known.leaving.begun() && !r.lost(now, known) {
 			counts[r.config.Regions.Of(known.record.Zone)]++
 		}
 	}
--- a/internal/backend/limit.go
+++ b/internal/backend/limit.go
@@ -1,11 +1,7 @@
 package backend
 
 import (
-	"cmp"
-	"hash/fnv"
 	"math"
-	"slices"
-	"strconv"
 	"time"
 
 	"github.com/fieldpond/fieldpond/internal/ident"
@@ -98,31 +94,25 @@
 	Rate, Before float64
 }
 
-// TakeLimit takes in what an answer says of its back end's limit; the attempt was sent at a
-// time. It reports whether that changes what was believed.
+// take takes in what an answer says of the limit; the call was sent at a time. It reports
+// whether that changes what was believed.
 //
-// A lower limit counts at once. A higher one, or none, counts only if the attempt was sent
-// after the one in force was learnt: answers on several connections overtake one another.
-func (r *Registry) TakeLimit(now time.Time, instance ident.Incarnation, sentAt time.Time, told ToldLimit) (LimitChange, bool) {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	known := r.byID[instance]
-	if known == nil {
-		return LimitChange{}, false
-	}
-	before := known.limit
+// A lower limit counts at once. A higher one, or none, counts only if the call was sent after
+// the one in force was learnt: answers on several connections overtake one another.
+func (l *limit) take(now, sentAt time.Time, told ToldLimit) (LimitChange, bool) {
+	before := *l
 	next, said := before.after(now, told)
 	switch {
 	case !said:
 		return LimitChange{}, false
 	case next.near(&before):
-		known.limit.heardAt = now
+		l.heardAt = now
 		return LimitChange{}, false
 	case before.inForce(now) && !next.tighter(&before) && sentAt.Before(before.since):
 		return LimitChange{}, false
 	}
 	next.sequence = before.sequence + 1
-	known.limit = next
+	*l = next
 	return LimitChange{Limited: next.limited, Rate: next.rate, Before: before.rate}, true
 }
 
@@ -142,104 +132,6 @@
 	return next, true
 }
 
-// LimitNews is what one router tells others of a back end's limit.
-type LimitNews struct {
-	Instance ident.Incarnation `cbor:"1,keyasint"`
-	Sequence uint64            `cbor:"2,keyasint"`
-	Limited  bool              `cbor:"3,keyasint,omitempty"`
-	Rate     float64           `cbor:"4,keyasint,omitempty"`
-	// Age is the time since an answer last confirmed it.
-	Age time.Duration `cbor:"5,keyasint,omitempty"`
-}
-
-// sound reports whether the news may be taken in: what another router tells may be anything.
-func (n *LimitNews) sound() bool {
-	return n.Sequence < maxLimitSequence && n.Age >= 0 && n.Age <= limitKept && n.Rate >= 0 && n.Rate <= mostLimit
-}
-
-// ToldLimits takes in what other routers know of limits, and returns what that changes. The
-// highest sequence counts; of two that are alike, as two routers saw changes at once, the
-// tighter limit does.
-func (r *Registry) ToldLimits(now time.Time, news []LimitNews) []LimitNews {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	var changed []LimitNews
-	for _, told := range news {
-		known := r.byID[told.Instance]
-		if known == nil || !told.sound() {
-			continue
-		}
-		if known.limit.takes(now, &told) {
-			changed = append(changed, told)
-		}
-	}
-	return changed
-}
-
-// takes takes in one piece of news, and reports whether it changes anything.
-func (l *limit) takes(now time.Time, told *LimitNews) bool {
-	next := limit{limited: told.Limited, sequence: told.Sequence, since: now, heardAt: now.Add(-told.Age)}
-	if told.Limited {
-		next.rate = max(told.Rate, leastLimit)
-	}
-	if told.Sequence == l.sequence && next.limited == l.limited && next.rate == l.rate {
-		if next.heardAt.After(l.heardAt) {
-			l.heardAt = next.heardAt
-		}
-		return false
-	}
-	if told.Sequence < l.sequence || (told.Sequence == l.sequence && !next.tighter(l)) {
-		return false
-	}
-	*l = next
-	return true
-}
-
-// Limits returns what is known of limits, ordered by back end, those that ended among them.
-func (r *Registry) Limits(now time.Time) []LimitNews {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	var news []LimitNews
-	for instance, known := range r.byID {
-		if known.limit.sequence > 0 && now.Sub(known.limit.heardAt) <= limitKept {
-			news = append(news, known.limit.news(now, instance))
-		}
-	}
-	slices.SortFunc(news, func(a, b LimitNews) int { return cmp.Compare(a.Instance, b.Instance) })
-	return news
-}
-
-// LimitOf returns what is known of one back end's limit.
-func (r *Registry) LimitOf(now time.Time, instance ident.Incarnation) (LimitNews, bool) {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	known := r.byID[instance]
-	if known == nil || known.limit.sequence == 0 {
-		return LimitNews{}, false
-	}
-	return known.limit.news(now, instance), true
-}
-
-func (l *limit) news(now time.Time, instance ident.Incarnation) LimitNews {
-	return LimitNews{
-		Instance: instance, Sequence: l.sequence, Limited: l.limited, Rate: l.rate, Age: max(now.Sub(l.heardAt), 0),
-	}
-}
-
-// LimitsDigest names what is known of limits, ages aside; it is 0 if that is nothing.
-func LimitsDigest(news []LimitNews) uint64 {
-	if len(news) == 0 {
-		return 0
-	}
-	sum := fnv.New64a()
-	for _, one := range news {
-		line := string(one.Instance) + " " + strconv.FormatUint(one.Sequence, 10) + " " + strconv.FormatFloat(one.Rate, 'g', -1, 64) + "\n"
-		// A hash takes in everything.
-		_, _ = sum.Write([]byte(line))
-	}
-	return max(sum.Sum64(), 1)
-}
-
 // Limited returns the back ends that have a limit.
 func (r *Registry) Limited(now time.Time) []ident.Incarnation {
 	r.mutex.Lock()
@@ -271,24 +163,3 @@
 		known.limit.usedUpUntil = until
 	}
 }
-
-// FreeAgain returns when a request may be granted to a back end of a query whose limit is
-// used up; it reports whether just such back ends are left. One that rests for a moment after a
-// refusal is left as well.
-func (r *Registry) FreeAgain(now time.Time, query *Query) (time.Time, bool) {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	var earliest time.Time
-	for _, known := range r.allowed(query) {
-		if !known.fit(now, query) {
-			continue
-		}
-		if !known.limit.usedUp(now) {
-			return time.Time{}, false
-		}
-		if until := known.limit.usedUpUntil; earliest.IsZero() || until.Before(earliest) {
-			earliest = until
-		}
-	}
-	return earliest, !earliest.IsZero()
-}
--- a/internal/backend/limit_test.go
+++ b/internal/backend/limit_test.go
@@ -46,7 +46,7 @@
 			r.Update(at, []Record{{Instance: "e", Service: "s"}})
 			take := func(step int, given answer) (LimitChange, bool) {
 				now := at.Add(time.Duration(step) * time.Second)
-				return r.TakeLimit(now, "e", at.Add(given.sent*time.Second), given.told)
+				return takeLimit(r, now, "e", at.Add(given.sent*time.Second), given.told)
 			}
 			for step, given := range tt.before {
 				take(step+1, given)
@@ -66,7 +66,7 @@
 	at := time.Unix(1000, 0)
 	r := NewRegistry(Config{})
 	r.Update(at, []Record{{Instance: "e@1", Service: "s"}})
-	_, changed := r.TakeLimit(at, "e@1", at, LimitedTo{Rate: 1})
+	_, changed := takeLimit(r, at, "e@1", at, LimitedTo{Rate: 1})
 	is.True(changed)
 	is.Equal(len(r.Limited(at)), 1)
 	r.Update(at.Add(time.Second), []Record{{Instance: "e@2", Service: "s"}})
@@ -77,7 +77,7 @@
 func limited(at time.Time, rate float64) *Registry {
 	r := NewRegistry(Config{})
 	r.Update(at, []Record{{Instance: "e", Service: "s", Models: map[ident.Model]int{"m": 1}}})
-	r.TakeLimit(at, "e", at, LimitedTo{Rate: rate})
+	takeLimit(r, at, "e", at, LimitedTo{Rate: rate})
 	return r
 }
 
@@ -96,7 +96,7 @@
 			for answer := range tt.answers {
 				is.Equal(len(r.Limited(now)), 1)
 				now = now.Add(time.Second)
-				change, changed := r.TakeLimit(now, "e", now, Unlimited{})
+				change, changed := takeLimit(r, now, "e", now, Unlimited{})
 				is.True(changed)
 				is.Equal(change.Limited, answer < tt.answers-1)
 			}
@@ -109,8 +109,8 @@
 	is := is.New(t)
 	now := time.Unix(1000, 0)
 	r := limited(now, 1.3)
-	r.TakeLimit(now.Add(time.Second), "e", now.Add(time.Second), Unlimited{})
-	change, changed := r.TakeLimit(now.Add(2*time.Second), "e", now, LimitedTo{Rate: 1.3})
+	takeLimit(r, now.Add(time.Second), "e", now.Add(time.Second), Unlimited{})
+	change, changed := takeLimit(r, now.Add(2*time.Second), "e", now, LimitedTo{Rate: 1.3})
 	is.True(changed)
 	is.Equal(change, LimitChange{Limited: true, Rate: 1.3, Before: 4.6})
 }
@@ -122,14 +122,14 @@
 		kept    bool
 	}{
 		{"nothing", func(*Registry, time.Time) {}, false},
-		{"an answer", func(r *Registry, at time.Time) { r.TakeLimit(at, "e", at, LimitedTo{Rate: 2}) }, true},
-		{"an answer that can't be read", func(r *Registry, at time.Time) { r.TakeLimit(at, "e", at, LimitUntold{}) }, false},
+		{"an answer", func(r *Registry, at time.Time) { takeLimit(r, at, "e", at, LimitedTo{Rate: 2}) }, true},
+		{"an answer that can't be read", func(r *Registry, at time.Time) { takeLimit(r, at, "e", at, LimitUntold{}) }, false},
 		{"a claim at another router", func(r *Registry, at time.Time) { r.LimitConfirmed(at, "e") }, true},
 		{"news", func(r *Registry, at time.Time) {
-			r.ToldLimits(at, []LimitNews{{Instance: "e", Sequence: 1, Limited: true, Rate: 2}})
+			r.TakeNews(at, []News{{Instance: "e", Sequence: 1, Limited: true, Rate: 2}})
 		}, true},
 		{"old news", func(r *Registry, at time.Time) {
-			r.ToldLimits(at, []LimitNews{{Instance: "e", Sequence: 1, Limited: true, Rate: 2, Age: 40 * time.Second}})
+			r.TakeNews(at, []News{{Instance: "e", Sequence: 1, Limited: true, Rate: 2, Age: 40 * time.Second}})
 		}, false},
 	}
 	for _, tt := range tests {
@@ -147,22 +147,22 @@
 func TestNewsOfLimits(t *testing.T) {
 	tests := []struct {
 		name    string
-		told    LimitNews
+		told    News
 		changed bool
 		rate    float64
 	}{
-		{"the same", LimitNews{Sequence: 1, Limited: true, Rate: 2}, false, 2},
-		{"newer and higher", LimitNews{Sequence: 2, Limited: true, Rate: 9}, true, 9},
-		{"newer, none", LimitNews{Sequence: 2}, true, 0},
-		{"late", LimitNews{Sequence: 0, Limited: true, Rate: 1}, false, 2},
-		{"as new and lower", LimitNews{Sequence: 1, Limited: true, Rate: 1}, true, 1},
-		{"as new and higher", LimitNews{Sequence: 1, Limited: true, Rate: 3}, false, 2},
-		{"as new, none", LimitNews{Sequence: 1}, false, 2},
-		{"not a number", LimitNews{Sequence: 2, Limited: true, Rate: math.NaN()}, false, 2},
-		{"less than nothing", LimitNews{Sequence: 2, Limited: true, Rate: -1}, false, 2},
-		{"without end", LimitNews{Sequence: 2, Limited: true, Rate: math.Inf(1)}, false, 2},
-		{"from the future", LimitNews{Sequence: 2, Limited: true, Rate: 1, Age: -time.Second}, false, 2},
-		{"a sequence that leaves no room", LimitNews{Sequence: math.MaxUint64, Limited: true, Rate: 1}, false, 2},
+		{"the same", News{Sequence: 1, Limited: true, Rate: 2}, false, 2},
+		{"newer and higher", News{Sequence: 2, Limited: true, Rate: 9}, true, 9},
+		{"newer, none", News{Sequence: 2}, true, 0},
+		{"late", News{Sequence: 0, Limited: true, Rate: 1}, false, 2},
+		{"as new and lower", News{Sequence: 1, Limited: true, Rate: 1}, true, 1},
+		{"as new and higher", News{Sequence: 1, Limited: true, Rate: 3}, false, 2},
+		{"as new, none", News{Sequence: 1}, false, 2},
+		{"not a number", News{Sequence: 2, Limited: true, Rate: math.NaN()}, false, 2},
+		{"less than nothing", News{Sequence: 2, Limited: true, Rate: -1}, false, 2},
+		{"without end", News{Sequence: 2, Limited: true, Rate: math.Inf(1)}, false, 2},
+		{"from the future", News{Sequence: 2, Limited: true, Rate: 1, Age: -time.Second}, false, 2},
+		{"a sequence that leaves no room", News{Sequence: math.MaxUint64, Limited: true, Rate: 1}, false, 2},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -170,7 +170,7 @@
 			at := time.Unix(1000, 0)
 			r := limited(at, 2)
 			tt.told.Instance = "e"
-			is.Equal(len(r.ToldLimits(at, []LimitNews{tt.told})) == 1, tt.changed)
+			is.Equal(len(r.TakeNews(at, []News{tt.told})) == 1, tt.changed)
 			is.Equal(r.byID["e"].limit.rate, tt.rate)
 		})
 	}
@@ -178,7 +178,7 @@
 
 func TestNewsOfUnknownBackEndsArePassedOver(t *testing.T) {
 	r := limited(time.Unix(1000, 0), 2)
-	is.New(t).Equal(r.ToldLimits(time.Unix(1000, 0), []LimitNews{{Instance: "other", Sequence: 1, Limited: true, Rate: 1}}), nil)
+	is.New(t).Equal(r.TakeNews(time.Unix(1000, 0), []News{{Instance: "other", Sequence: 1, Limited: true, Rate: 1}}), nil)
 }
 
 func TestABackEndWhoseLimitIsUsedUpIsPassedOver(t *testing.T) {
@@ -195,9 +195,7 @@
 	r.LimitUsedUp("e", until)
 	_, _, found = r.Pick(now, &query)
 	is.True(!found)
-	free, only := r.FreeAgain(now, &query)
-	is.True(only)
-	is.Equal(free, until)
+	is.Equal(r.Outlook(now, &query), NotBefore{At: until})
 	r.Update(now.Add(time.Millisecond), []Record{
 		{Instance: "e", Service: "s", Models: map[ident.Model]int{"m": 1}}, {Instance: "f", Service: "s", Models: map[ident.Model]int{"m": 1}},
 	})
@@ -205,8 +203,7 @@
 	is.True(found)
 	is.Equal(choice.Instance, ident.Incarnation("f"))
 	is.Equal(choice.UsedUp, 1)
-	_, only = r.FreeAgain(now, &query)
-	is.True(!only)
+	is.Equal(r.Outlook(now, &query), MaySoon{})
 	choice, _, found = r.Pick(until, &query)
 	is.True(found)
 	is.True(!choice.AllLimited)
@@ -228,6 +225,11 @@
 	flight.Ended(now, Refused)
 	_, _, found = r.Pick(now, &query)
 	is.True(!found)
-	_, only := r.FreeAgain(now, &query)
-	is.True(!only)
+	is.Equal(r.Outlook(now, &query), MaySoon{})
+}
+
+// takeLimit takes in what an answer to an attempt that was sent at a time says of a limit.
+func takeLimit(r *Registry, now time.Time, instance ident.Incarnation, sentAt time.Time, told ToldLimit) (LimitChange, bool) {
+	heard := r.TakeSaid(now, instance, sentAt, Said{Limit: told}, ByAnswer)
+	return heard.Limit, heard.LimitChanged
 }
--- a/internal/backend/record.go
+++ b/internal/backend/record.go
@@ -142,6 +142,8 @@
 	// Releases bounds where the attempt may go while a service is moved to another
 	// release.
 	Releases Releases
+	// leavingServes is how long after its first word a back end that leaves may be chosen.
+	leavingServes time.Duration
 }
 
 func (q *Query) excludes(instance ident.Incarnation) bool {
@@ -167,6 +169,9 @@
 	Broken
 	// Silent is an attempt given up because nothing came.
 	Silent
+	// Withdrawn is an attempt of which no byte left, since the back end wanted no new work by
+	// then.
+	Withdrawn
 	// Abandoned is an attempt whose client left, or whose time was over.
 	Abandoned
 	// Failed is an answer of the back end that says that its work failed.
@@ -176,7 +181,7 @@
 // outcomeNames are the names of outcomes in logs.
 var outcomeNames = map[Outcome]string{
 	Answered: "answered", Refused: "refused", Misdirected: "misdirected", WrongVersion: "wrong_version",
-	Unreachable: "unreachable", Broken: "broken", Silent: "silent", Abandoned: "abandoned", Failed: "failed",
+	Unreachable: "unreachable", Broken: "broken", Silent: "silent", Withdrawn: "withdrawn", Abandoned: "abandoned", Failed: "failed",
 }
 
 // String implements fmt.Stringer.
--- a/internal/backend/registry.go
+++ b/internal/backend/registry.go
@@ -58,7 +58,9 @@
 	defer r.mutex.Unlock()
 	records := make([]Record, 0, len(r.byID))
 	for _, known := range r.byID {
-		records = append(records, known.record)
+		record := known.record
+		record.Draining = known.leaving.begun()
+		records = append(records, record)
 	}
 	slices.SortFunc(records, func(a, b Record) int {
 		switch {
@@ -103,7 +105,7 @@
 	listed := make(map[ident.Incarnation]*state, len(records))
 	services := make(map[ident.Service][]*state)
 	for _, record := range records {
-		known, change := r.listed(record)
+		known, change := r.listed(listedAt, record)
 		if change != "" {
 			changes = append(changes, Change{Kind: change, Record: record})
 		}
@@ -118,7 +120,7 @@
 			listed[instance] = known
 			services[known.record.Service] = append(services[known.record.Service], known)
 		default:
-			r.formers.add(listedAt, &known.record)
+			r.formers.add(listedAt, known)
 			changes = append(changes, Change{Kind: Gone, Record: known.record})
 		}
 	}
@@ -158,7 +160,7 @@
 			continue
 		}
 		delete(r.byID, instance)
-		r.formers.add(r.listedAt, &known.record)
+		r.formers.add(r.listedAt, known)
 		service := known.record.Service
 		r.services[service] = slices.DeleteFunc(r.services[service], func(other *state) bool { return other == known })
 		changes = append(changes, Change{Kind: Gone, Record: known.record})
@@ -166,19 +168,17 @@
 	return changes
 }
 
-// listed takes in one record and tells what changed, if anything.
-func (r *Registry) listed(record Record) (*state, ChangeKind) {
+// listed takes in one record of a list as it was at a time, and tells what changed, if anything.
+func (r *Registry) listed(listedAt time.Time, record Record) (*state, ChangeKind) {
 	known := r.byID[record.Instance]
-	if known != nil {
-		known.missing = false
-	}
 	if known == nil {
-		if earlier, gone := r.formers[record.Instance]; gone {
-			delete(r.formers, record.Instance)
-			record = settled(&earlier.record, record)
+		known = r.appeared(record)
+		if record.Draining {
+			known.leaving.begins(listedAt, ByList)
 		}
-		return &state{record: record, flights: make(map[*Flight]struct{})}, Appeared
+		return known, Appeared
 	}
+	known.missing = false
 	if record.Revision < known.record.Revision {
 		return known, ""
 	}
@@ -190,13 +190,25 @@
 			known.pausedUntil = time.Time{}
 		}
 	}
-	if record.Draining && !known.record.Draining {
+	if record.Draining && known.leaving.begins(listedAt, ByList) {
 		change = Drained
 	}
 	known.record = record
 	return known, change
 }
 
+// appeared returns the state of a back end that the last list did not hold. One that was known
+// before goes on with what it said then.
+func (r *Registry) appeared(record Record) *state {
+	said := &words{}
+	if earlier, gone := r.formers[record.Instance]; gone {
+		delete(r.formers, record.Instance)
+		record = settled(&earlier.record, record)
+		said = earlier.words
+	}
+	return &state{record: record, words: said, flights: make(map[*Flight]struct{})}
+}
+
 // newestOf returns the versions that a list tells, but for those of which newer
 // ones were seen before: a back end never goes back within one life, and the list
 // lags.
@@ -308,7 +320,7 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	known := r.byID[instance]
-	return known == nil || known.missing || known.record.Draining
+	return known == nil || known.missing || known.leaving.begun()
 }
 
 // InFlightSince reports whether an attempt is under way at a back end that began before a time.
--- a/internal/backend/state.go
+++ b/internal/backend/state.go
@@ -10,6 +10,7 @@
 // state is what is believed of one back end.
 type state struct {
 	record Record
+	*words
 	// missing says that the newest list lacks the back end, which may come back.
 	missing bool
 	// flights are the attempts under way.
@@ -27,12 +28,6 @@
 	goneUntil time.Time
 	// told is the queue that another router saw there.
 	told queue
-	// limit is the one that the back end names in its answers.
-	limit limit
-	// saysLeaving says that an answer told that the back end leaves.
-	saysLeaving bool
-	// restUntil ends the time for which the back end wants nothing from this router.
-	restUntil time.Time
 	// tried and failed count recent attempts, halved every failureHalfLife.
 	tried, failed float64
 	decayedAt     time.Time
@@ -87,7 +82,7 @@
 
 // fit reports whether the back end could take the attempt, its limit and pauses aside.
 func (s *state) fit(now time.Time, query *Query) bool {
-	if s.record.Draining || query.excludes(s.record.Instance) || s.gone(now) {
+	if !s.serves(now, query) || query.excludes(s.record.Instance) || s.gone(now) {
 		return false
 	}
 	if query.Model == "" {
@@ -97,6 +92,12 @@
 	return holds && !s.takesWeights(now, query.Model)
 }
 
+// serves reports whether the back end does not leave, or may take an attempt for which there is
+// no other one.
+func (s *state) serves(now time.Time, query *Query) bool {
+	return !s.leaving.begun() || (s.leaving.own() && now.Before(s.leaving.since.Add(query.leavingServes)))
+}
+
 // versionRisk says whether the attempt may begin on the back end's weights
 // before they expire, given the time it is expected to wait.
 func (s *state) versionRisk(now time.Time, query *Query, predicted time.Duration) versionRisk {
--- /dev/null
+++ b/internal/backend/words.go
@@ -0,0 +1,140 @@
+package backend
+
+import (
+	"time"
+
+	"github.com/fieldpond/fieldpond/internal/ident"
+	"github.com/fieldpond/fieldpond/internal/mechanism"
+)
+
+// Said is what one answer of a back end says of that back end, whichever call it answers.
+type Said struct {
+	// Limit is nil if nothing is said of a limit.
+	Limit ToldLimit
+	// Leaving says that the back end is about to end and wants no new work.
+	Leaving bool
+	// Rest is for how long the back end wants nothing from this router; 0 if it did not ask.
+	Rest time.Duration
+}
+
+// Ear takes in what the answer to a call that was sent at a time says of its back end.
+type Ear func(instance ident.Incarnation, sentAt time.Time, said Said, by Source)
+
+// Source is where a word of a back end came from.
+type Source string
+
+// The sources of words.
+const (
+	ByAnswer Source = "answer"
+	ByReport Source = "report"
+	ByOrder  Source = "order"
+	ByRouter Source = "router"
+	ByList   Source = "list"
+)
+
+// words are what one life of a back end said of itself, by whichever way it was heard. They
+// outlast its row, and end with that life.
+//
+// No source goes before another: each word has an order of its own, in which it does not matter
+// when a source is heard. That a back end leaves only ever begins. Of limits the one with the
+// highest sequence holds, of rests the one that ends last. So a row that is written late, an
+// answer that was overtaken or a router that knows less takes nothing back.
+type words struct {
+	limit   limit
+	leaving leaving
+	// restUntil ends the time for which the back end wants nothing from this router.
+	restUntil time.Time
+}
+
+// leaving is that a back end is about to end; the zero value means that it isn't.
+type leaving struct {
+	// since is when this router first heard so, from by.
+	since time.Time
+	by    Source
+}
+
+// begun reports whether the back end leaves.
+func (l *leaving) begun() bool { return !l.since.IsZero() }
+
+// begins takes in that the back end leaves, and reports whether that is news.
+func (l *leaving) begins(now time.Time, by Source) bool {
+	if l.begun() {
+		return false
+	}
+	l.since, l.by = now, by
+	return true
+}
+
+// own reports whether the back end said so itself, to this router or to another one.
+func (l *leaving) own() bool { return l.begun() && l.by != ByList }
+
+// Heard is what an answer of a back end changed in what is believed of it.
+type Heard struct {
+	// Limit is the change of its limit, if LimitChanged.
+	Limit        LimitChange
+	LimitChanged bool
+	// Leaving says that it was not known to leave before.
+	Leaving bool
+	// Rest is for how long it wants nothing from this router from now on; 0 if it did not ask.
+	Rest time.Duration
+}
+
+// News reports whether other routers are to be told.
+func (h *Heard) News() bool { return h.LimitChanged || h.Leaving }
+
+// TakeSaid takes in what an answer says of its back end; the call was sent at a time.
+func (r *Registry) TakeSaid(now time.Time, instance ident.Incarnation, sentAt time.Time, said Said, by Source) Heard {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	heard := Heard{}
+	known := r.wordsOf(instance)
+	if known == nil {
+		return heard
+	}
+	heard.Limit, heard.LimitChanged = known.limit.take(now, sentAt, said.Limit)
+	if said.Leaving && r.config.Off.On(mechanism.BackendWords) {
+		heard.Leaving = known.leaving.begins(now, by)
+	}
+	if said.Rest > 0 {
+		heard.Rest = said.Rest
+		known.rest(now, said.Rest)
+	}
+	return heard
+}
+
+// wordsOf returns the words of a life, nil if it is not known; the caller holds the mutex.
+func (r *Registry) wordsOf(instance ident.Incarnation) *words {
+	if known := r.byID[instance]; known != nil {
+		return known.words
+	}
+	if known, gone := r.formers[instance]; gone {
+		return known.words
+	}
+	return nil
+}
+
+// rest takes in that the back end wants nothing from this router for a time.
+func (w *words) rest(now time.Time, asked time.Duration) {
+	if until := now.Add(asked); until.After(w.restUntil) {
+		w.restUntil = until
+	}
+}
+
+// resting reports whether the back end wants nothing from this router.
+func (w *words) resting(now time.Time) bool { return now.Before(w.restUntil) }
+
+// Wishes returns the numbers of the back ends in the list that leave, and of those that want
+// nothing from this router now.
+func (r *Registry) Wishes(now time.Time) (leaving, resting int) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	for _, known := range r.byID {
+		if known.leaving.begun() {
+			leaving++
+		}
+		if known.resting(now) {
+			resting++
+		}
+	}
+	return leaving, resting
+}
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -32,8 +32,14 @@
 	// AckWithin is how long bytes of the request may stay unacknowledged before the
 	// connection counts as silent; 0 means the pool's UserTimeout.
 	AckWithin time.Duration
+	// Withdrawn reports, right before the first byte leaves, that the request is not to be sent
+	// any more: time passes while a connection is opened. It may be nil.
+	Withdrawn func() bool
 }
 
+// ErrWithdrawn says that a request was withdrawn before a byte of it left.
+var ErrWithdrawn = errors.New("the request was withdrawn before it was sent")
+
 // Error is a failed exchange: no answer to the request arrived.
 type Error struct {
 	// Sent is false only if no byte of the request left this process.
@@ -103,6 +109,10 @@
 	if err != nil {
 		return nil, &Error{Cause: err}
 	}
+	if request.Withdrawn != nil && request.Withdrawn() {
+		p.drop(used)
+		return nil, &Error{Cause: ErrWithdrawn}
+	}
 	used.expectAcks(p.ackWithin(request))
 	exchange := &running{pool: p, connection: used, begunAt: time.Now()}
 	exchange.stop = context.AfterFunc(ctx, exchange.giveUp)
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -239,6 +239,28 @@
 	is.True(!failed.Sent)
 }
 
+// A request that is withdrawn while its connection is opened never arrives.
+func TestAWithdrawnRequestNeverLeaves(t *testing.T) {
+	is := is.New(t)
+	arrived := make(chan struct{}, 1)
+	server := listen(t, func(_ net.Conn, reader *bufio.Reader) {
+		if _, _, err := readRequest(reader); err == nil {
+			arrived <- struct{}{}
+		}
+	})
+	pool := exchange.NewPool(exchange.Options{})
+	_, err := pool.Do(t.Context(), server.address(), &exchange.Request{Method: "GET", Target: "/", Host: "h", Withdrawn: func() bool { return true }})
+	var failed *exchange.Error
+	is.True(errors.As(err, &failed))
+	is.True(!failed.Sent)
+	is.True(errors.Is(err, exchange.ErrWithdrawn))
+	select {
+	case <-arrived:
+		t.Error("the request arrived")
+	case <-time.After(50 * time.Millisecond):
+	}
+}
+
 func TestConnectionsToAnAddressAreBounded(t *testing.T) {
 	is := is.New(t)
 	server := listen(t, answering(whole))
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -53,6 +53,7 @@
 // final answer was given, else what the attempt came to.
 func (r *run) attempt(ctx context.Context, choice backend.Choice, flight *backend.Flight) (done bool, failed *failure) {
 	described := r.describe(&choice)
+	described.Withdrawn = func() bool { return flight.Withdrawn(clock.Sync()) }
 	attemptContext, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	current := &attempt{run: r, choice: choice, flight: flight, ctx: attemptContext, cancel: cancel, sentAt: clock.Now()}
@@ -175,8 +176,7 @@
 	if reply.Version > 0 && a.request.Prompt != nil {
 		a.forwarder.Backends.VersionSeen(a.choice.Instance, a.request.Prompt.Model, reply.Version)
 	}
-	a.takeLimit(reply)
-	a.takeWishes(reply)
+	a.takeSaid(reply)
 	switch reply.Verdict {
 	case NotExecuted:
 		return a.refused(reply, backend.Refused)
@@ -283,11 +283,14 @@
 
 // sentFailure reads what a failed exchange proves.
 func sentFailure(err error) (ran fault.Ran, outcome backend.Outcome) {
-	if unsent(err) {
-		if errors.Is(err, exchange.ErrConnectionLimit) {
-			return fault.RanNo, backend.Refused
-		}
+	switch {
+	case !unsent(err):
+		return fault.RanUnknown, backend.Broken
+	case errors.Is(err, exchange.ErrConnectionLimit):
+		return fault.RanNo, backend.Refused
+	case errors.Is(err, exchange.ErrWithdrawn):
+		return fault.RanNo, backend.Withdrawn
+	default:
 		return fault.RanNo, backend.Unreachable
 	}
-	return fault.RanUnknown, backend.Broken
 }
--- a/internal/forward/backendlimit.go
+++ b/internal/forward/backendlimit.go
@@ -19,8 +19,6 @@
 	Take(ctx context.Context, choice *backend.Choice, preferred bool) quota.Verdict
 	// Return gives back a grant whose request did not reach the back end.
 	Return(to ident.Incarnation, grant quota.Grant)
-	// Changed takes in that this router has learnt another limit of a back end.
-	Changed(instance ident.Incarnation)
 }
 
 const (
@@ -88,39 +86,10 @@
 	}
 }
 
-// limited returns the fault of a request that just back ends could take whose limits are used
-// up for longer than it may wait; nil if there is none.
-func (r *run) limited(now, heldUntil time.Time) *fault.Fault {
-	if r.forwarder.Limits == nil || r.unproven {
-		return nil
-	}
-	query := r.query()
-	free, only := r.forwarder.Backends.FreeAgain(now, &query)
-	if !only || free.Before(heldUntil) {
-		return nil
-	}
-	after := free.Sub(now)
-	return fault.New(
-		fault.Overloaded, "all back ends that could take the request name limits, which are used up for %v", after.Round(time.Millisecond),
-	).WithRetryAfter(after)
-}
-
 // unclaimed is the fault of a request that many back ends were claimed for in vain.
 func (r *run) unclaimed(now time.Time) *fault.Fault {
-	if refusal := r.limited(now, now); refusal != nil {
+	if refusal := r.hopeless(now, now); refusal != nil {
 		return refusal
 	}
 	return r.unplaced()
 }
-
-// takeLimit takes in what an answer says of its back end's limit.
-func (a *attempt) takeLimit(reply *Reply) {
-	change, changed := a.forwarder.Backends.TakeLimit(clock.Now(), a.choice.Instance, a.sentAt, reply.Limit)
-	if !changed {
-		return
-	}
-	a.note(StepBackendLimit, func(step *Step) { step.Choice, step.Limit = a.choice, change })
-	if a.forwarder.Limits != nil {
-		a.forwarder.Limits.Changed(a.choice.Instance)
-	}
-}
--- a/internal/forward/backendlimit_test.go
+++ b/internal/forward/backendlimit_test.go
@@ -25,7 +25,6 @@
 	verdict  func(claim int, to ident.Incarnation) quota.Verdict
 	claimed  []ident.Incarnation
 	returned []ident.Incarnation
-	changed  []ident.Incarnation
 }
 
 // Take implements forward.BackendLimits.
@@ -43,13 +42,6 @@
 	f.returned = append(f.returned, to)
 }
 
-// Changed implements forward.BackendLimits.
-func (f *fakeLimits) Changed(instance ident.Incarnation) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.changed = append(f.changed, instance)
-}
-
 // always gives one verdict.
 func always(verdict quota.Verdict) func(int, ident.Incarnation) quota.Verdict {
 	return func(int, ident.Incarnation) quota.Verdict { return verdict }
@@ -59,7 +51,7 @@
 func (b *bench) limitBackEnds(limits *fakeLimits, instances ...ident.Incarnation) {
 	b.forwarder.Limits = limits
 	for _, instance := range instances {
-		b.backends.TakeLimit(time.Now(), instance, time.Now(), backend.LimitedTo{Rate: 1})
+		b.backends.TakeSaid(time.Now(), instance, time.Now(), backend.Said{Limit: backend.LimitedTo{Rate: 1}}, backend.ByAnswer)
 	}
 }
 
@@ -183,43 +175,3 @@
 		is.Equal(sink.refusal.Kind, fault.NotReady)
 	})
 }
-
-// What answers say of limits is heard at each kind of answer.
-func TestEachAnswerIsHeardOfLimits(t *testing.T) {
-	naming := func(given answer) answer {
-		return func(ctx context.Context, attempt *forward.Attempt) (*forward.Reply, error) {
-			reply, err := given(ctx, attempt)
-			if reply != nil {
-				reply.Limit = backend.LimitedTo{Rate: 3}
-			}
-			return reply, err
-		}
-	}
-	tests := []struct {
-		name  string
-		route string
-		given answer
-	}{
-		{"a success", "safe", genuine(200, "ok")},
-		{"a failure", "safe", genuine(500, "no")},
-		{"a refusal", "unsafe", refusing(forward.NotExecuted)},
-		{"another version", "unsafe", refusing(forward.OtherVersion)},
-		{"one that may not be passed on", "safe", refusing(forward.Unsound)},
-		{"the head of a stream", "stream", genuine(200, "id: 1\ndata: a\n\n")},
-		{"a stream that breaks off", "stream", breaking("id: 1\ndata: a\n\n")},
-	}
-	for _, tt := range tests {
-		t.Run(tt.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				is := is.New(t)
-				b := newBench(naming(tt.given), genuine(200, "ok"))
-				limits := &fakeLimits{verdict: always(grant(1))}
-				b.forwarder.Limits = limits
-				b.forward(t, request(tt.route))
-				first := b.caller.sent()[0].Target.Instance
-				is.Equal(limits.changed[0], first)
-				is.True(slices.Contains(b.backends.Limited(time.Now()), first))
-			})
-		})
-	}
-}
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -78,6 +78,8 @@
 	Releases Releases
 	// Limits keeps back ends within the limits that they name; it may be nil.
 	Limits BackendLimits
+	// News tells other routers of back ends; it may be nil.
+	News BackendNews
 	// Quarantine keeps requests from back ends under which these crash; it may be nil.
 	Quarantine Quarantine
 	// Record takes in what was decided about requests. It must not block.
--- a/internal/forward/place.go
+++ b/internal/forward/place.go
@@ -39,7 +39,7 @@
 			}
 			continue
 		}
-		if refusal := r.limited(now, heldUntil); refusal != nil {
+		if refusal := r.hopeless(now, heldUntil); refusal != nil {
 			return backend.Choice{}, nil, refusal
 		}
 		if !now.Before(heldUntil) || !wait.For(ctx, placePause) {
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -102,6 +102,9 @@
 	// AckWithin is how long bytes sent may stay unacknowledged by the back end's
 	// machine before the connection counts as silent.
 	AckWithin time.Duration
+	// Withdrawn reports, right before the attempt leaves, that its back end wants no new work
+	// any more.
+	Withdrawn func() bool
 }
 
 // Verdict says what an answer of a back end proves.
@@ -132,12 +135,8 @@
 	Version int
 	// Opening is how long it took to open the connection; 0 if an open one was used.
 	Opening time.Duration
-	// Limit is what the answer says of a limit of the back end; nil is LimitUntold.
-	Limit backend.ToldLimit
-	// Leaving says that the back end is about to end and wants no new work.
-	Leaving bool
-	// Rest is for how long the back end wants nothing from this router; 0 if it did not ask.
-	Rest time.Duration
+	// Said is what the answer says of the back end.
+	Said backend.Said
 }
 
 // Caller sends attempts. An error is an *exchange.Error.
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -125,7 +125,7 @@
 		if failure.ran != fault.RanNo {
 			r.grant = nil
 		}
-		if failure.outcome != backend.Unreachable {
+		if failure.outcome != backend.Unreachable && failure.outcome != backend.Withdrawn {
 			// A trial reaches one back end, also one that refuses: what is bounded is how often
 			// the request arrives. It is judged again then.
 			r.onTrial = false
@@ -190,8 +190,11 @@
 		r.noRepeat = "it may have run on as many back ends as its route allows"
 		return false
 	}
-	// A silent attempt was given up only after its repeat was granted.
-	if failed.outcome == backend.Unreachable || failed.outcome == backend.Silent {
+	switch failed.outcome {
+	case backend.Unreachable, backend.Withdrawn:
+		return true
+	case backend.Silent:
+		// It was given up only after its repeat was granted.
 		return true
 	}
 	r.noRepeat = "no repeat is left in the budget"
--- a/internal/mechanism/mechanism.go
+++ b/internal/mechanism/mechanism.go
@@ -49,6 +49,9 @@
 	// BackendLimits keeps back ends within the limits that they name; without it routers
 	// choose as if there were none.
 	BackendLimits Name = "backend-limits"
+	// BackendWords keeps requests from back ends that say in their answers that they leave, or
+	// want rest; without it routers choose as if they had not.
+	BackendWords Name = "backend-words"
 	// StartHold lets requests wait a short while for the first configuration of a router
 	// that has just started; without it they are refused at once.
 	StartHold Name = "start-hold"
@@ -60,7 +63,7 @@
 		HomeEngines, CacheStore, CacheIndex, SharedSaves, LongIdle, EarlyOrders, Notices, EmptyFirst,
 		NewerWeights, ReadingRate,
 		EarlyRefusal, LatePatience, LapseGrace, SharedHealth, SharedQuotas,
-		StartHold, BackendLimits,
+		StartHold, BackendLimits, BackendWords,
 	}
 }
 
--- a/internal/node/backendlimits.go
+++ b/internal/node/backendlimits.go
@@ -5,7 +5,6 @@
 	"net/netip"
 	"time"
 
-	"github.com/apex/log"
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/fieldpond/fieldpond/internal/backend"
@@ -28,8 +27,6 @@
 	limitHello = 300 * time.Millisecond
 	// limitWindow is the window in which what back ends get is judged.
 	limitWindow = 4 * time.Second
-	// limitNewsPart bounds the back ends in one datagram.
-	limitNewsPart = 20
 )
 
 // limitMessage is a message between the agents that grant for a part of the back ends.
@@ -39,15 +36,13 @@
 	Quota quota.Datagram `cbor:"2,keyasint"`
 }
 
-// backendLimits keeps back ends within the limits that they name: it tells other routers of
-// these limits, and claims each request from the router that grants for its back end. It
-// sends nothing while no limit is known. It implements forward.BackendLimits.
+// backendLimits keeps back ends within the limits that they name: it claims each request from
+// the router that grants for its back end. It sends nothing while no limit is known. It
+// implements forward.BackendLimits.
 type backendLimits struct {
 	backends *backend.Registry
 	metrics  *metrics
 	places   [limitPlaces]*quotas
-	// tell tells all other routers of limits; it does nothing before this one runs.
-	tell func([]backend.LimitNews)
 }
 
 var _ forward.BackendLimits = (*backendLimits)(nil)
@@ -55,7 +50,7 @@
 // newBackendLimits returns the limits of back ends as the router at an address keeps them;
 // routers returns the number of all routers, 0 if it is not known.
 func newBackendLimits(self netip.AddrPort, backends *backend.Registry, routers func() int, counters *metrics) *backendLimits {
-	b := &backendLimits{backends: backends, metrics: counters, tell: func([]backend.LimitNews) {}}
+	b := &backendLimits{backends: backends, metrics: counters}
 	for place := range b.places {
 		cfg := quota.Config{
 			Self: self, Bounds: quota.Bounds{Window: limitWindow, Unit: 1}, Place: place, HelloInterval: limitHello,
@@ -69,7 +64,7 @@
 	return b
 }
 
-// connect sends messages and news by the socket of this router.
+// connect sends messages by the socket of this router.
 func (b *backendLimits) connect(announcer *notices) {
 	for place, pool := range b.places {
 		pool.send = func(envelope quota.Envelope) {
@@ -77,7 +72,6 @@
 			announcer.sendTo(envelope.To, datagram{Limit: &message})
 		}
 	}
-	b.tell = announcer.tellLimits
 }
 
 // know takes in this router's row and those of the others.
@@ -119,39 +113,6 @@
 	b.places[placeOf(to)].Return(grant)
 }
 
-// Changed implements forward.BackendLimits.
-func (b *backendLimits) Changed(instance ident.Incarnation) {
-	news, known := b.backends.LimitOf(clock.Now(), instance)
-	if !known {
-		return
-	}
-	b.tell([]backend.LimitNews{news})
-	b.wake(instance)
-}
-
-// reported takes in what a report of a back end says of its limit.
-func (b *backendLimits) reported(now time.Time, instance ident.Incarnation, sentAt time.Time, told backend.ToldLimit) {
-	if b == nil {
-		return
-	}
-	if change, changed := b.backends.TakeLimit(now, instance, sentAt, told); changed {
-		log.WithFields(log.Fields{
-			"instance": instance, "limited": change.Limited, "rate": change.Rate, "rate_before": change.Before,
-		}).Info("backend_limit_reported")
-		b.Changed(instance)
-	}
-}
-
-// told takes in what other routers tell of limits.
-func (b *backendLimits) told(news []backend.LimitNews) {
-	for _, changed := range b.backends.ToldLimits(clock.Now(), news) {
-		log.WithFields(log.Fields{
-			"instance": changed.Instance, "limited": changed.Limited, "rate": changed.Rate, "age_ms": changed.Age.Milliseconds(),
-		}).Info("backend_limit_told")
-		b.wake(changed.Instance)
-	}
-}
-
 // wake joins the pool for a back end at once, so that it is formed when requests come.
 func (b *backendLimits) wake(instance ident.Incarnation) {
 	pool := b.places[placeOf(instance)]
--- a/internal/node/health.go
+++ b/internal/node/health.go
@@ -41,8 +41,6 @@
 	// holder tells the services that there are.
 	holder *catalog.Holder
 	tell   func(health.Notice)
-	// limits takes in the limits that reports name; it may be nil.
-	limits *backendLimits
 
 	tracker   *health.Tracker
 	results   chan checkResult
@@ -56,9 +54,8 @@
 // checkResult is what came of one check.
 type checkResult struct {
 	instance ident.Incarnation
-	// report is nil if none came to the check that was sent at a time.
+	// report is nil if none came.
 	report *rollout.Report
-	sentAt time.Time
 	// gone says that another back end answered.
 	gone bool
 }
@@ -105,7 +102,6 @@
 		w.tracker.Missed(now, result.instance)
 		return
 	}
-	w.limits.reported(now, result.instance, result.sentAt, result.report.Limit)
 	w.tracker.Answered(now, result.instance, result.report.Queued)
 }
 
@@ -124,14 +120,13 @@
 func (w *healthWatcher) check(ctx context.Context, record backend.Record) {
 	bounded, cancel := context.WithTimeout(ctx, checkTimeout)
 	defer cancel()
-	sentAt := clock.Now()
 	report, err := w.engines.Report(bounded, record)
 	if err != nil {
 		// Why does not matter here; announce logs which engines are silent.
 		report = nil
 	}
 	select {
-	case w.results <- checkResult{instance: record.Instance, report: report, sentAt: sentAt, gone: errors.Is(err, rollout.ErrOtherInstance)}:
+	case w.results <- checkResult{instance: record.Instance, report: report, gone: errors.Is(err, rollout.ErrOtherInstance)}:
 	case <-ctx.Done():
 	}
 }
--- a/internal/node/limitfleet_test.go
+++ b/internal/node/limitfleet_test.go
@@ -163,15 +163,15 @@
 func (f *limitFleet) answer(router int, engine *limitedEngine) *forward.Reply {
 	reply := &forward.Reply{
 		Status: http.StatusOK, Header: http.Header{}, Length: -1, Body: io.NopCloser(strings.NewReader("id: 1\ndata: a\n\n")),
-		Verdict: forward.Genuine, Limit: f.told(router, engine),
+		Verdict: forward.Genuine, Said: backend.Said{Limit: f.told(router, engine)},
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	reply.Leaving = engine.leaving
+	reply.Said.Leaving = engine.leaving
 	if engine.refuses {
-		reply.Status, reply.Verdict, reply.Rest = http.StatusServiceUnavailable, forward.NotExecuted, engine.rest
+		reply.Status, reply.Verdict, reply.Said.Rest = http.StatusServiceUnavailable, forward.NotExecuted, engine.rest
 	}
-	engine.answers = append(engine.answers, fleetAnswer{router: router, at: time.Now(), leaving: reply.Leaving, rest: reply.Rest})
+	engine.answers = append(engine.answers, fleetAnswer{router: router, at: time.Now(), leaving: engine.leaving, rest: reply.Said.Rest})
 	return reply
 }
 
--- a/internal/node/log.go
+++ b/internal/node/log.go
@@ -73,6 +73,9 @@
 	if step.Kind == forward.StepLimitDenied {
 		fields["after_ms"], fields["rate"] = step.After.Milliseconds(), step.Choice.Limit.Rate
 	}
+	if step.Kind == forward.StepBackendLeaving || step.Kind == forward.StepBackendRest {
+		fields["by"] = backend.ByAnswer
+	}
 	if step.Kind == forward.StepBackendRest {
 		fields["rest_ms"] = step.Rest.Milliseconds()
 	}
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -108,7 +108,7 @@
 	group.Gauge("edge_configuration_age_milliseconds", "Time since the configuration was last confirmed, in milliseconds.", func(r reading) int { return int(r.configurationAge.Milliseconds()) })
 	group.Gauge("edge_backends", "Back ends in the list.", func(r reading) int { return r.backends })
 	group.Gauge("edge_backends_limited", "Back ends that name a limit of the requests which they take from all routers together.", func(r reading) int { return r.limitedBackends })
-	group.Gauge("edge_backends_leaving", "Back ends in the list that said in an answer to this router that they are about to end.", func(r reading) int { return r.leavingBackends })
+	group.Gauge("edge_backends_leaving", "Back ends in the list that are about to end, by the list's word, their own or another router's.", func(r reading) int { return r.leavingBackends })
 	group.Gauge("edge_backends_resting", "Back ends that want nothing from this router now.", func(r reading) int { return r.restingBackends })
 	group.Gauge("edge_attempts_in_flight", "Attempts under way.", func(r reading) int { return r.inFlight })
 	group.Gauge("edge_lease_held", "1 while this router holds the rollout lease.", func(r reading) int { return oneIf(r.leaseHeld) })
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -48,8 +48,10 @@
 	MetricsAddress, MetricsPath string
 	// PeerAddr is where other routers pull the shared state.
 	PeerAddr netip.AddrPort
-	Follow   FollowConfig
-	Forward  forward.Config
+	// LeavingServes is backend.Config.LeavingServes.
+	LeavingServes time.Duration
+	Follow        FollowConfig
+	Forward       forward.Config
 	// Off are the mechanisms that are switched off.
 	Off     mechanism.Off
 	Lease   lease.Config
@@ -75,6 +77,9 @@
 	Table   store.Table
 	Caller  forward.Caller
 	Engines rollout.Engines
+	// Hear has what answers to reports and orders say of their back ends told to an ear; it may
+	// be nil.
+	Hear func(ear backend.Ear)
 	// Caches may be nil: what the stores of kept prompt caches hold is unknown then.
 	Caches CacheReader
 	// Epochs may be nil: the store never comes back from an older copy then.
@@ -112,6 +117,7 @@
 	announcer atomic.Pointer[notices]
 	canaries  *canaries
 	limits    *backendLimits
+	news      *backendNews
 	peers     *upstream.Client
 	clients   *inbound.Clients
 	stopping  atomic.Bool
@@ -120,12 +126,14 @@
 // New returns a node that has not started.
 func New(config Config, ports Ports) *Node {
 	n := &Node{
-		config:   config,
-		ports:    ports,
-		holder:   &catalog.Holder{},
-		backends: backend.NewRegistry(backend.Config{Zone: config.Zone, Regions: config.Regions, Off: config.Off}),
-		peers:    upstream.NewClient(),
-		lease:    lease.NewElector(ports.Table, config.Lease, rolloutLease, config.Node),
+		config: config,
+		ports:  ports,
+		holder: &catalog.Holder{},
+		backends: backend.NewRegistry(backend.Config{
+			Zone: config.Zone, Regions: config.Regions, Off: config.Off, LeavingServes: config.LeavingServes,
+		}),
+		peers: upstream.NewClient(),
+		lease: lease.NewElector(ports.Table, config.Lease, rolloutLease, config.Node),
 	}
 	config.Clients.Limits = n.clientLimits
 	n.clients = inbound.New(config.Clients)
@@ -137,7 +145,11 @@
 		n.quotas.know(self, peers)
 		n.limits.know(self, peers)
 	}
-	n.follower.replica.limits = n.limits
+	n.news = newBackendNews(n.backends, n.limits)
+	n.follower.replica.news = n.news
+	if ports.Hear != nil {
+		ports.Hear(n.news.hear)
+	}
 	n.quarantines = n.newQuarantines()
 	n.follower.guard, n.follower.replica.guard = n.quarantines.Guard, n.quarantines.Guard
 	n.guardReleases()
@@ -270,8 +282,9 @@
 		announcer.quotas, announcer.guard = n.quotas, n.quarantines.Guard
 		n.announcer.Store(announcer)
 		n.quotas.send = announcer.sendQuota
-		announcer.limits = n.limits
+		announcer.limits, announcer.news = n.limits, n.news
 		n.limits.connect(announcer)
+		n.news.tell = announcer.tellNews
 		n.canaries.connect(announcer)
 	}
 	work, stopWork := context.WithCancel(context.WithoutCancel(ctx))
@@ -319,7 +332,7 @@
 	if announcer != nil && n.config.Off.On(mechanism.SharedHealth) {
 		watcher := &healthWatcher{
 			zone: n.config.Zone, leads: follower.chain.leads, engines: n.ports.Engines,
-			backends: n.backends, holder: n.holder, tell: announcer.tellHealth, limits: n.limits,
+			backends: n.backends, holder: n.holder, tell: announcer.tellHealth,
 		}
 		loops = append(loops, watcher.run)
 	}
--- a/internal/node/notices.go
+++ b/internal/node/notices.go
@@ -38,8 +38,10 @@
 	audience *audience
 	// quotas takes in what other routers tell of limits; it may be nil.
 	quotas *quotas
-	// limits takes in what other routers tell of the limits of back ends; it may be nil.
+	// limits takes in messages about grants of requests to back ends; it may be nil.
 	limits *backendLimits
+	// news takes in what other routers know of back ends; it may be nil.
+	news *backendNews
 	// guard takes in evidence of crashes; it may be nil.
 	guard *guard.Guard
 	// canaries takes in permits and reports of rollouts; it may be nil.
@@ -57,9 +59,9 @@
 	Report  *canary.Report  `cbor:"5,keyasint,omitempty"`
 	// Quarantine tells of requests under which back ends crashed.
 	Quarantine []quarantine.Told `cbor:"7,keyasint,omitempty"`
-	// Limits tells of limits that back ends name, Limit is about grants of requests to them.
-	Limits []backend.LimitNews `cbor:"8,keyasint,omitempty"`
-	Limit  *limitMessage       `cbor:"9,keyasint,omitempty"`
+	// News tells what back ends said of themselves, Limit is about grants of requests to them.
+	News  []backend.News `cbor:"8,keyasint,omitempty"`
+	Limit *limitMessage  `cbor:"9,keyasint,omitempty"`
 	// Scope says to whom the receiver passes the notice on.
 	Scope scope `cbor:"6,keyasint,omitempty"`
 }
@@ -94,10 +96,10 @@
 // tellQuarantine tells all other routers of requests under which back ends crashed.
 func (n *notices) tellQuarantine(told []quarantine.Told) { n.send(datagram{Quarantine: told}) }
 
-// tellLimits tells all other routers of limits that back ends name.
-func (n *notices) tellLimits(news []backend.LimitNews) {
-	for part := range slices.Chunk(news, limitNewsPart) {
-		n.send(datagram{Limits: part})
+// tellNews tells all other routers what back ends said of themselves.
+func (n *notices) tellNews(news []backend.News) {
+	for part := range slices.Chunk(news, newsPart) {
+		n.send(datagram{News: part})
 	}
 }
 
@@ -201,7 +203,7 @@
 	}
 	// Only notices are passed on: permits, reports and messages about limits count by their
 	// sender, and would come from a router of the roster once this one has sent them.
-	n.carry(datagram{Rollout: told.Rollout, Health: told.Health, Quarantine: told.Quarantine, Limits: told.Limits}, n.audience.passOn(told.Scope))
+	n.carry(datagram{Rollout: told.Rollout, Health: told.Health, Quarantine: told.Quarantine, News: told.News}, n.audience.passOn(told.Scope))
 	if told.Rollout != nil {
 		n.take(told.Rollout)
 	}
@@ -219,11 +221,9 @@
 			n.quotas.receive(from, msg)
 		}
 	}
-	if n.limits != nil {
-		n.limits.told(told.Limits)
-		if told.Limit != nil {
-			n.limits.receive(from, told.Limit)
-		}
+	n.news.told(told.News)
+	if n.limits != nil && told.Limit != nil {
+		n.limits.receive(from, told.Limit)
 	}
 	if n.canaries != nil {
 		n.canaries.receive(from, &told)
--- a/internal/node/pull.go
+++ b/internal/node/pull.go
@@ -171,7 +171,7 @@
 	pull := &upstream.Pull{Confirmation: confirmation}
 	pull.Configuration, pull.List = f.replica.holds()
 	pull.Quarantine = f.guard.Digest()
-	pull.Limits = backend.LimitsDigest(f.replica.backends.Limits(clock.Now()))
+	pull.News = backend.NewsDigest(f.replica.backends.News(clock.Now()))
 	// What caches hold can wait until this router can serve.
 	if f.replica.knows() {
 		pull.Caches, pull.CacheHeld = true, f.replica.caches.Positions()
@@ -261,7 +261,7 @@
 	f.replica.takeList(update.Origin, at.Add(-update.List.Age), &update.List)
 	f.replica.caches.Take(at, update.Caches)
 	// The list of back ends comes first: a limit of one that is not listed is passed over.
-	f.replica.takeLimits(update.Limits)
+	f.replica.news.told(update.News)
 	if told := configuration.Watched; told != nil {
 		// The namings up to this revision were taken in before it is.
 		f.replica.watchedUpTo(watched{revision: told.Revision, storeTime: told.StoreTime}, false)
--- a/internal/node/replica.go
+++ b/internal/node/replica.go
@@ -36,8 +36,8 @@
 	epochs epochCount
 	// guard knows the requests that are held; it may be nil.
 	guard *guard.Guard
-	// limits takes in the limits that back ends name; it may be nil.
-	limits *backendLimits
+	// news takes in what back ends said of themselves; it may be nil.
+	news *backendNews
 
 	mu   sync.Mutex
 	self upstream.Peer
@@ -148,8 +148,8 @@
 	if r.guard != nil {
 		update.Quarantine = r.guard.ToldSince(now, pull.Quarantine)
 	}
-	if news := r.backends.Limits(now); backend.LimitsDigest(news) != pull.Limits {
-		update.Limits = news
+	if news := r.backends.News(now); backend.NewsDigest(news) != pull.News {
+		update.News = news
 	}
 	if pull.Caches {
 		update.Caches = r.caches.Updates(now, pull.CacheHeld)
@@ -378,13 +378,6 @@
 	r.confirmed(origin)
 }
 
-// takeLimits takes in what a peer knows of limits that back ends name.
-func (r *replica) takeLimits(news []backend.LimitNews) {
-	if r.limits != nil {
-		r.limits.told(news)
-	}
-}
-
 // confirmed tells the peers that wait; the caller holds the mutex.
 func (r *replica) confirmed(origin ident.Node) {
 	if r.origin != origin {
--- a/internal/node/wishes_test.go
+++ b/internal/node/words_test.go
@@ -6,6 +6,9 @@
 // said that it was ready. And an engine that turns requests away may ask for some seconds of
 // rest: routers sent it a request about each second all the same, and it turned away each of
 // them, so that requests for whose repeat nothing was left were lost.
+//
+// No router read either word. Once answers were read for them, the logs of these tests proved it:
+// each router knew that the engine leaves within a second, and sent it as many requests as before.
 
 import (
 	"testing"
@@ -14,6 +17,7 @@
 	"github.com/matryer/is"
 
 	"github.com/fieldpond/fieldpond/internal/backend"
+	"github.com/fieldpond/fieldpond/internal/clock"
 )
 
 const (
@@ -148,10 +152,65 @@
 			}
 			is.Equal(result.broken, 0)
 			is.True(float64(result.answered) >= tt.served*float64(total))
+			slow := 0
+			for _, refusal := range result.refusals {
+				is.True(refusal.retryAfter > 0)
+				if refusal.after > atOnce {
+					slow++
+				}
+			}
+			is.True(slow <= len(result.refusals)/50) // nothing waits for what does not come
 		})
 	}
 }
 
+// Routers hear from each other that an engine leaves before an answer tells each of them, and one
+// that joins knows it before it serves.
+func TestRoutersHearFromEachOtherThatAnEngineLeaves(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := newLimitFleet(t, 2, 3)
+	f.change(0, func(engine *limitedEngine) { engine.leaving = true })
+	leaving := f.engines[0].record.Instance
+	knows := func(index int) bool { return f.router(index).forwarder.Backends.Leaving(leaving) }
+	result := &limitLoad{}
+	eventually(t, func() bool {
+		result.ask(t.Context(), 0, f.router(0).forwarder)
+		return knows(0)
+	})
+	eventually(t, func() bool { return knows(1) && knows(2) })
+	f.startRouter(3)
+	is.True(knows(3))
+	is.Equal(len(f.engines[0].answers), 1) // no other router was told by the engine
+}
+
+// An engine that starts again is used by all routers, though words of its former life come late.
+func TestTheNextLifeOfAnEngineThatLeftIsUsed(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := newLimitFleet(t, 2, 3)
+	f.change(0, func(engine *limitedEngine) { engine.leaving = true })
+	former := f.engines[0].record
+	f.load(30, time.Second)
+	f.change(0, func(engine *limitedEngine) { engine.leaving = false })
+	f.store.change(func() {
+		f.store.records[0].Instance, f.store.records[0].Revision = "e0@2", 100
+	})
+	begun := time.Now()
+	f.load(30, time.Second)
+	for index := range 3 {
+		f.router(index).forwarder.Backends.TakeSaid(clock.Now(), former.Instance, clock.Now(), backend.Said{Leaving: true}, backend.ByAnswer)
+	}
+	f.load(30, 3*time.Second)
+	routers := make(map[int]bool)
+	for _, arrival := range f.engines[0].arrivals {
+		if arrival.at.After(begun.Add(2 * time.Second)) {
+			routers[arrival.router] = true
+		}
+	}
+	is.Equal(len(routers), 3)
+}
+
 // An engine that wants rest gets it, and what it would have got is served by the others.
 func TestAnEngineThatWantsRestGetsIt(t *testing.T) {
 	tests := []struct {
--- a/internal/rollout/order.go
+++ b/internal/rollout/order.go
@@ -56,8 +56,6 @@
 	// Queued is the number of requests that wait for a place, Active that of those
 	// that have one.
 	Queued, Active int
-	// Limit is what the report names as the back end's limit; nil says nothing of it.
-	Limit backend.ToldLimit
 }
 
 // Action is one thing for the shell to do: an order, or a report to read.
--- a/internal/upstream/update.go
+++ b/internal/upstream/update.go
@@ -27,8 +27,8 @@
 	CacheHeld []promptcache.Position `cbor:"6,keyasint,omitempty"`
 	// Quarantine names what the asker knows of requests that are held, 0 for nothing.
 	Quarantine uint64 `cbor:"7,keyasint,omitempty"`
-	// Limits names what the asker knows of limits that back ends name, 0 for nothing.
-	Limits uint64 `cbor:"8,keyasint,omitempty"`
+	// News names what the asker knows of what back ends said of themselves, 0 for nothing.
+	News uint64 `cbor:"8,keyasint,omitempty"`
 }
 
 // Update is the state of a peer. Ages count up to the moment it was answered.
@@ -51,8 +51,8 @@
 	Caches []promptcache.Update `cbor:"8,keyasint,omitempty"`
 	// Quarantine tells of requests that are held, if the asker knows something else of them.
 	Quarantine []quarantine.Told `cbor:"11,keyasint,omitempty"`
-	// Limits tells of limits that back ends name, if the asker knows something else of them.
-	Limits []backend.LimitNews `cbor:"12,keyasint,omitempty"`
+	// News tells what back ends said of themselves, if the asker knows something else of them.
+	News []backend.News `cbor:"12,keyasint,omitempty"`
 	// Epoch is the newest of the store that the peer saw (store.Revision), FirstEra one more
 	// than the beginning of epoch 0 in the store's own count, 0 if that is not known.
 	Epoch    uint64 `cbor:"13,keyasint,omitempty"`
