Count a version from when its row was last known, also if a peer tells that late

Cause: since when a version may have been named was worked out from what a router knew when it asked for the rows, and whether it had looked before from when the answer was there. One that started, and was told by a peer meanwhile what that knew 8.7 s before, did neither ask for the mark nor count from the peer's knowledge. A question without an answer after a pause hid it as well.

Change: both are taken when the answer is there; the rows are known up to their last answer here or confirmation by a peer, and a question without an answer carries that on only if they were known shortly before. Why it holds: what is found in a row was named after the moment up to which the rows were known, and no later moment is taken for that without an answer or a chain of questions.

--- a/internal/node/follower.go
+++ b/internal/node/follower.go
@@ -46,8 +46,8 @@
 	startedAt time.Time
 	// looked is true after the first read of the configuration.
 	looked atomic.Bool
-	// askedRowsAt is when this router last asked for the rows.
-	askedRowsAt time.Time
+	// rowsKnownAt is up to when the rows were last known here by this router's own questions.
+	rowsKnownAt time.Time
 	// recalledAt is when the watch last read the naming rows, notRecalled whether that failed.
 	recalledAt  time.Time
 	notRecalled atomic.Bool
@@ -119,18 +119,18 @@
 
 func (f *follower) readConfiguration(ctx context.Context) error {
 	askedAt := clock.Sync()
-	unaskedSince := f.unaskedSince(askedAt)
 	bounded, cancel := context.WithTimeout(ctx, f.config.ReadTimeout)
 	defer cancel()
 	reading, err := f.source.Configuration(bounded)
-	// When the answer is read says nothing, as the process may have stood still meanwhile.
-	f.askedRowsAt = askedAt
 	if err != nil {
+		f.rowsUnanswered(askedAt)
 		return err
 	}
 	f.noteEpoch()
 	f.guard.Load(ctx, askedAt.Sub(f.replica.holder.View().ConfirmedAt))
-	f.readNamings(ctx, askedAt, unaskedSince, &reading)
+	f.readNamings(ctx, askedAt, &reading)
+	// When the answer is read says nothing, as the process may have stood still meanwhile.
+	f.rowsKnownAt = askedAt
 	f.replica.rowsRead(askedAt, &reading)
 	rollouts := f.orders(askedAt, f.replica.holder.View().ConfirmedAt, &reading)
 	err = f.takeReading(ctx, askedAt, &reading, rollouts)
@@ -175,12 +175,12 @@
 }
 
 // readNamings takes in the versions of weights that are named. One that is
-// there at the first look may have been named long before, and one that is there after this
-// router stood still at any moment since then.
-func (f *follower) readNamings(ctx context.Context, askedAt, unaskedSince time.Time, reading *Reading) {
+// there at the first look may have been named long before, and one that is there after a time in
+// which the rows were not known at any moment since then.
+func (f *follower) readNamings(ctx context.Context, askedAt time.Time, reading *Reading) {
 	looked := f.looked.Swap(true)
 	// The answer may be read long after it was given, by a process that was paused.
-	since, known := unaskedSince, true
+	since, known := f.unaskedSince(askedAt), true
 	if !looked {
 		since, known = unseenSince(f.recallAll(ctx, askedAt, reading), askedAt, reading.StoreTime)
 	}
--- a/internal/node/namingmark.go
+++ b/internal/node/namingmark.go
@@ -113,16 +113,31 @@
 }
 
 // unaskedSince returns since when a version may have been named that this router finds in a
-// row for which it asks now. That is now, since rows are asked for all the time. A router that
-// stood still for longer than the watch tolerates last knew them when it asked before that, or
-// was told by a peer. While a store turns questions away nothing is named.
-func (f *follower) unaskedSince(now time.Time) time.Time {
-	since := f.askedRowsAt
-	if confirmedAt := f.replica.holder.View().ConfirmedAt; confirmedAt.After(since) {
-		since = confirmedAt
+// row for which it asked at a time. That is then, if the rows were known shortly before, as they
+// are asked for all the time. Else it is when they were known last: a router that stood still, or
+// that was told by a peer which did, knows nothing of the time since. It is asked when the answer
+// is there, as a peer may tell what it knew while the question is open.
+func (f *follower) unaskedSince(askedAt time.Time) time.Time {
+	known := f.rowsKnownTo()
+	if known.IsZero() || askedAt.Sub(known) <= watchTolerance {
+		return askedAt
 	}
-	if since.IsZero() || now.Sub(since) <= watchTolerance {
-		return now
+	return known
+}
+
+// rowsKnownTo returns up to when this router, or a peer that told it, knew the rows.
+func (f *follower) rowsKnownTo() time.Time {
+	if confirmedAt := f.replica.holder.View().ConfirmedAt; confirmedAt.After(f.rowsKnownAt) {
+		return confirmedAt
+	}
+	return f.rowsKnownAt
+}
+
+// rowsUnanswered takes in a question for the rows without an answer. While a store turns questions
+// away nothing is named, so that the rows are as they were; those that were not known shortly
+// before stay unknown.
+func (f *follower) rowsUnanswered(askedAt time.Time) {
+	if known := f.rowsKnownTo(); !known.IsZero() && askedAt.Sub(known) <= watchTolerance {
+		f.rowsKnownAt = askedAt
 	}
-	return since
 }
--- a/internal/node/namingstale_test.go
+++ b/internal/node/namingstale_test.go
@@ -4,7 +4,10 @@
 // acknowledged. Five of seven routers lost power, two stood still for 8.3 s, and the version was
 // named in between. Then the five started, and pulled from one that had just gone on and knew what
 // there was 8.7 s before. A router that had asked the store meanwhile met the version in its row,
-// and told all others that it was named at that moment.
+// and told all others that it was named at that moment: since when it might have been named was
+// taken at the question, when this router knew nothing, and that it knew nothing when the answer
+// was there, when the peer had told it. The log proved it: version 2 with the peer's age, and 3 ms
+// later version 3 with age 0, not met at a first look.
 
 import (
 	"context"
