--- a/internal/backend/choose.go
+++ b/internal/backend/choose.go
@@ -18,8 +18,8 @@
 	allowed := r.allowed(query)
 	home := r.home(now, query, allowed)
 	best, compared := r.cheapest(now, query, home, allowed)
-	if best == nil {
-		// What came before their routers must know may still go to back ends that leave.
+	if best == nil && compared.passedOver.leaving > 0 {
+		// What comes soon after the first word may still go to back ends that leave.
 		last := *query
 		last.leavingServes = r.config.LeavingServes
 		best, compared = r.cheapest(now, &last, home, allowed)
