--- a/internal/backend/news.go
+++ b/internal/backend/news.go
@@ -91,7 +91,7 @@
 	defer r.mutex.Unlock()
 	var news []News
 	for instance, known := range r.byID {
-		if told, known := known.news(now, instance); known {
+		if told, some := known.news(now, instance); some {
 			news = append(news, told)
 		}
 	}
@@ -112,7 +112,7 @@
 
 // news returns what others are told, and whether there is anything. That a back end leaves they
 // read in the list as well, unless it was the back end itself that said so.
-func (w *words) news(now time.Time, instance ident.Incarnation) (told News, known bool) {
+func (w *words) news(now time.Time, instance ident.Incarnation) (told News, some bool) {
 	told = News{Instance: instance, Leaving: w.leaving.own()}
 	if w.limit.sequence > 0 && now.Sub(w.limit.heardAt) <= limitKept {
 		told.Sequence, told.Limited, told.Rate = w.limit.sequence, w.limit.limited, w.limit.rate
