--- a/internal/node/limitfleet_test.go
+++ b/internal/node/limitfleet_test.go
@@ -44,8 +44,8 @@
 	rate   float64
 	// leaving says that answers tell that the engine leaves.
 	leaving bool
-	// refuses says that nothing is run, rest is what refusals ask for.
-	refuses bool
+	// refuses is the part of the requests that are not run, rest is what refusals ask for.
+	refuses float64
 	rest    time.Duration
 	// answers are all that were given.
 	answers []fleetAnswer
@@ -172,7 +172,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	reply.Said.Leaving = engine.leaving
-	if engine.refuses {
+	if rand.Float64() < engine.refuses {
 		reply.Status, reply.Verdict, reply.Said.Rest = http.StatusServiceUnavailable, forward.NotExecuted, engine.rest
 	}
 	engine.answers = append(engine.answers, fleetAnswer{router: router, at: time.Now(), leaving: engine.leaving, rest: reply.Said.Rest})
--- a/internal/node/words_test.go
+++ b/internal/node/words_test.go
@@ -224,25 +224,30 @@
 func TestAnEngineThatWantsRestGetsIt(t *testing.T) {
 	tests := []struct {
 		name    string
+		engines int
+		// part is the part of the requests that the resting ones refuse.
+		part    float64
 		resting []int
 		rest    time.Duration
 		// served is the part of all requests that is answered at least.
 		served float64
 	}{
-		{name: "one", resting: []int{0}, rest: 3 * time.Second, served: servedAim},
-		{name: "for long", resting: []int{0}, rest: time.Minute, served: servedAim},
-		{name: "a fraction", resting: []int{0}, rest: 1700 * time.Millisecond, served: servedAim},
-		{name: "half of them", resting: []int{0, 1}, rest: 3 * time.Second, served: servedAim},
-		{name: "all", resting: []int{0, 1, 2, 3}, rest: 3 * time.Second},
+		{name: "one", engines: 4, part: 1, resting: []int{0}, rest: 3 * time.Second, served: servedAim},
+		{name: "for long", engines: 4, part: 1, resting: []int{0}, rest: time.Minute, served: servedAim},
+		{name: "a fraction", engines: 4, part: 1, resting: []int{0}, rest: 1700 * time.Millisecond, served: servedAim},
+		{name: "half of them", engines: 4, part: 1, resting: []int{0, 1}, rest: 3 * time.Second, served: servedAim},
+		{name: "half of six, for most requests", engines: 6, part: 0.7, resting: []int{0, 1, 2}, rest: 1700 * time.Millisecond, served: servedAim},
+		{name: "half of six, for a short time", engines: 6, part: 0.7, resting: []int{0, 1, 2}, rest: 800 * time.Millisecond, served: servedAim},
+		{name: "all", engines: 4, part: 1, resting: []int{0, 1, 2, 3}, rest: 3 * time.Second},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			t.Parallel()
 			is := is.New(t)
-			f := newLimitFleet(t, 4, 5)
+			f := newLimitFleet(t, tt.engines, 5)
 			f.load(40, 3*time.Second) // repeats are earned by requests
 			for _, index := range tt.resting {
-				f.change(index, func(engine *limitedEngine) { engine.refuses, engine.rest = true, tt.rest })
+				f.change(index, func(engine *limitedEngine) { engine.refuses, engine.rest = tt.part, tt.rest })
 			}
 			result := f.load(40, 8*time.Second)
 			total := result.answered + result.broken + len(result.refusals)
@@ -263,9 +268,9 @@
 	is := is.New(t)
 	f := newLimitFleet(t, 3, 5)
 	f.load(40, 2*time.Second)
-	f.change(0, func(engine *limitedEngine) { engine.refuses, engine.rest = true, time.Second })
+	f.change(0, func(engine *limitedEngine) { engine.refuses, engine.rest = 1, time.Second })
 	f.load(40, 3*time.Second)
-	f.change(0, func(engine *limitedEngine) { engine.refuses = false })
+	f.change(0, func(engine *limitedEngine) { engine.refuses = 0 })
 	f.load(40, 1500*time.Millisecond)
 	back := time.Now()
 	f.load(40, 3*time.Second)
@@ -281,7 +286,7 @@
 	is := is.New(t)
 	f := newLimitFleet(t, 3, 3)
 	for index := range f.engines {
-		f.change(index, func(engine *limitedEngine) { engine.refuses, engine.rest = true, 3*time.Second })
+		f.change(index, func(engine *limitedEngine) { engine.refuses, engine.rest = 1, 3*time.Second })
 	}
 	result := f.load(30, 8*time.Second)
 	judged, slow, wrong := 0, 0, 0
