Spend just half of the repeats on back ends that asked for rest lately

What callers saw: where some engines refuse most requests and ask for a short rest each time, 16 of 100 requests were refused though others had room. Cause: each end of a rest brings an attempt that is likely to be refused, and each of those takes a repeat; once none was left, what such an engine refused was lost.

Change: for 5 s after a rest a back end gets an attempt only while less than half of the repeats are used, or if there is no other one. Why it holds: what is refused there has a repeat left, and the bound of repeats is as it was.

--- a/internal/admission/windowbudget.go
+++ b/internal/admission/windowbudget.go
@@ -71,6 +71,14 @@
 	return true
 }
 
+// SpareForTrials reports whether less than half of the repeats that are granted now are used, so
+// that something may be tried that is likely to need one. The other half is for what nobody
+// foresees.
+func (b *WindowBudget) SpareForTrials(now time.Time, slack float64) bool {
+	requests, repeats := b.Counted(now)
+	return float64(2*(repeats+1)) <= b.earned(requests)+slack
+}
+
 // earned returns how many of the requests that count now may be repeated.
 func (b *WindowBudget) earned(requests int) float64 {
 	known := b.history()
--- a/internal/admission/windowbudget_test.go
+++ b/internal/admission/windowbudget_test.go
@@ -75,3 +75,21 @@
 		}
 	}
 }
+
+// Trials that are likely to need a repeat may use half of those that are granted.
+func TestHalfOfTheRepeatsAreKeptFromTrials(t *testing.T) {
+	is := is.New(t)
+	start := time.Unix(1000, 0)
+	budget := admission.NewWindowBudget(window, start)
+	granted := 0
+	for budget.SpareForTrials(start, 2*slack) {
+		is.True(budget.Allow(start, 2*slack))
+		granted++
+	}
+	is.Equal(granted, slack)
+	for range slack {
+		is.True(budget.Allow(start, 2*slack))
+	}
+	is.True(!budget.Allow(start, 2*slack))
+	is.True(!admission.NewWindowBudget(window, start).SpareForTrials(start, 1))
+}
--- a/internal/backend/choose.go
+++ b/internal/backend/choose.go
@@ -18,6 +18,11 @@
 	allowed := r.allowed(query)
 	home := r.home(now, query, allowed)
 	best, compared := r.cheapest(now, query, home, allowed)
+	if best == nil && query.AvoidDoubted {
+		all := *query
+		all.AvoidDoubted = false
+		best, compared = r.cheapest(now, &all, home, allowed)
+	}
 	if best == nil && compared.passedOver.leaving > 0 {
 		// What comes soon after the first word may still go to back ends that leave.
 		last := *query
@@ -49,6 +54,7 @@
 		Told: best.told.wait(now), Congestion: r.congestion(now, query.Service), Candidates: compared.eligible,
 		Uncached: r.uncached(query), Releases: query.Releases,
 		Distance: r.config.Regions.Between(r.config.Zone, best.record.Zone),
+		Doubted:  best.rest.doubted(now) && compared.eligible > 1,
 		Resting:  compared.passedOver.resting, Leaving: compared.passedOver.leaving, Instead: compared.instead,
 		UsedUp: compared.usedUp, AllLimited: compared.limited == compared.eligible,
 	}
--- a/internal/backend/record.go
+++ b/internal/backend/record.go
@@ -78,6 +78,8 @@
 	// was expected to be faster; it is empty if none was.
 	Resting, Leaving int
 	Instead          PassedOver
+	// Doubted says that the back end asked for rest lately, and that there are others.
+	Doubted bool
 }
 
 // Limit is one that a back end names.
@@ -147,6 +149,9 @@
 	// Releases bounds where the attempt may go while a service is moved to another
 	// release.
 	Releases Releases
+	// AvoidDoubted passes over back ends that asked for rest lately, if there are others: no repeat
+	// is to spare, and they may refuse again.
+	AvoidDoubted bool
 	// leavingServes is how long after its first word a back end that leaves may be chosen.
 	leavingServes time.Duration
 }
--- a/internal/backend/rest.go
+++ b/internal/backend/rest.go
@@ -16,6 +16,8 @@
 	allRoom   = 32
 	// reopening bounds the time for which there is such a bound, as answers may be slow.
 	reopening = 2 * time.Second
+	// doubtedFor is how long after its rest a back end may well refuse again.
+	doubtedFor = 5 * time.Second
 )
 
 // rest is the time for which a back end wants nothing from this router; the zero value means that
@@ -50,6 +52,9 @@
 	return r.room > 0 && !r.on(now) && now.Before(r.until.Add(reopening))
 }
 
+// doubted reports whether the back end asked for rest lately.
+func (r *rest) doubted(now time.Time) bool { return now.Before(r.until.Add(doubtedFor)) }
+
 // answered takes in an answer to an attempt that began at a time.
 func (r *rest) answered(begunAt time.Time) {
 	if r.room == 0 || begunAt.Before(r.until) {
--- a/internal/backend/rest_test.go
+++ b/internal/backend/rest_test.go
@@ -201,3 +201,33 @@
 	is.Equal(choice.Instead, PassedOverLeft)
 	is.Equal(choice.Leaving, 1)
 }
+
+// Where no repeat is to spare, back ends that asked for rest lately are passed over as long as there
+// are others.
+func TestBackEndsThatMayRefuseAgainAreAvoided(t *testing.T) {
+	is := is.New(t)
+	at := time.Unix(1000, 0)
+	r := NewRegistry(Config{})
+	r.Update(at, listOf(1, "e@1", "f"))
+	askRest(r, at, time.Second)
+	after := at.Add(time.Second)
+	doubted := 0
+	for key := range uint64(20) {
+		choice, flight, _ := r.Pick(after, &Query{Service: "s", Model: "m", SpreadKey: key})
+		is.Equal(choice.Doubted, choice.Instance == "e@1")
+		if choice.Doubted {
+			doubted++
+		}
+		flight.Ended(after, Abandoned)
+		choice, flight, _ = r.Pick(after, &Query{Service: "s", Model: "m", SpreadKey: key, AvoidDoubted: true})
+		is.True(choice.Instance != "e@1")
+		flight.Ended(after, Abandoned)
+	}
+	is.True(doubted > 0)
+	r.TakeSaid(after, "f", after, Said{Leaving: true}, ByAnswer)
+	query := wordsQuery
+	query.AvoidDoubted = true
+	choice, _, found := r.Pick(after.Add(time.Second), &query)
+	is.True(found)
+	is.True(!choice.Doubted) // there is no other
+}
--- a/internal/backend/state.go
+++ b/internal/backend/state.go
@@ -77,6 +77,9 @@
 
 // eligible reports whether the back end may get the attempt.
 func (s *state) eligible(now time.Time, query *Query) bool {
+	if query.AvoidDoubted && s.rest.doubted(now) {
+		return false
+	}
 	return s.hasRoom(now) && !s.limit.usedUp(now) && !now.Before(s.pausedUntil) && s.fit(now, query)
 }
 
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -175,14 +175,28 @@
 	return fault.New(fault.NotReady, "%s", detail).WithRetryAfter(f.config.RetryAfter)
 }
 
-// allowRepeat takes one repeat out of the budget of a request's service.
-func (f *Forwarder) allowRepeat(request *Request, service ident.Service) bool {
-	allowed := false
+// repeatsToSpare reports whether repeats of a service are left for attempts that are likely to be
+// refused.
+func (f *Forwarder) repeatsToSpare(service ident.Service) (spare bool) {
+	repeat := f.repeat(service)
+	f.withBudget(service, func(budget *admission.WindowBudget) { spare = budget.SpareForTrials(clock.Now(), repeat.Slack) })
+	return spare
+}
+
+// repeat returns the part of the slack that this router has for repeats of a service.
+func (f *Forwarder) repeat(service ident.Service) Repeat {
 	repeat := Repeat{Service: service}
 	if sharers := f.Sharers(); sharers > 0 {
 		repeat.Sharers = withSpare(sharers)
 		repeat.Slack = f.config.Slack / float64(repeat.Sharers)
 	}
+	return repeat
+}
+
+// allowRepeat takes one repeat out of the budget of a request's service.
+func (f *Forwarder) allowRepeat(request *Request, service ident.Service) bool {
+	allowed := false
+	repeat := f.repeat(service)
 	f.withBudget(service, func(budget *admission.WindowBudget) {
 		now := clock.Now()
 		allowed = budget.Allow(now, repeat.Slack)
--- a/internal/forward/place.go
+++ b/internal/forward/place.go
@@ -22,7 +22,7 @@
 // waits a short while, and refuses the request then.
 func (r *run) place(ctx context.Context) (backend.Choice, *backend.Flight, *fault.Fault) {
 	heldUntil := clock.Now().Add(r.route.Target / holdPart)
-	r.claims = 0
+	r.claims, r.avoidDoubted = 0, false
 	for {
 		now := clock.Sync()
 		if refusal := r.confirm(now); refusal != nil {
@@ -59,6 +59,10 @@
 		return false, nil
 	case r.overloadedBy(choice, now):
 		return false, r.overloaded(choice, now)
+	case choice.Doubted && !r.avoidDoubted && !r.forwarder.repeatsToSpare(r.service):
+		// A refusal there would cost a request that another back end can serve.
+		r.avoidDoubted = true
+		return false, nil
 	case r.permitted(ctx, choice):
 		return true, nil
 	}
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -55,6 +55,8 @@
 	// permit allows the next attempt at one back end, if that names a limit; it is nil once
 	// the request may have reached it.
 	permit *permit
+	// avoidDoubted keeps the present attempt from back ends that may refuse again.
+	avoidDoubted bool
 	// claims counts the back ends with limits that the present attempt was denied.
 	claims int
 	// named tells the request apart from others, onTrial says that it was held, and a trial
@@ -296,7 +298,7 @@
 func (r *run) query() backend.Query {
 	query := backend.Query{
 		Service: r.service, Excluded: r.excluded, Expected: r.route.Target / usualWork,
-		SpreadKey: xxhash.Sum64String(string(r.request.ID)),
+		SpreadKey: xxhash.Sum64String(string(r.request.ID)), AvoidDoubted: r.avoidDoubted,
 	}
 	prompt := r.request.Prompt
 	if prompt == nil {
--- a/internal/node/limitfleet_test.go
+++ b/internal/node/limitfleet_test.go
@@ -225,6 +225,7 @@
 	router            int
 	at                time.Time
 	after, retryAfter time.Duration
+	detail            string
 }
 
 // load sends requests at a rate a second, each through the next router that runs, until a
@@ -267,6 +268,7 @@
 	case sink.refusal != nil:
 		l.refusals = append(l.refusals, limitRefusal{
 			router: router, at: time.Now(), after: time.Since(begun), retryAfter: sink.refusal.RetryAfter,
+			detail: sink.refusal.Detail,
 		})
 	case sink.aborted:
 		l.broken++
--- a/internal/node/words_test.go
+++ b/internal/node/words_test.go
@@ -256,6 +256,11 @@
 				t.Logf("at most %d requests of one router within a rest of engine %d; %d of %d answered", most, index, result.answered, total)
 				is.True(most <= restSlack)
 			}
+			if tt.served > 0 {
+				for _, refusal := range result.refusals {
+					t.Log(refusal.detail)
+				}
+			}
 			is.Equal(result.broken, 0)
 			is.True(float64(result.answered) >= tt.served*float64(total))
 		})
