--- a/internal/node/namingstale_test.go
+++ b/internal/node/namingstale_test.go
@@ -11,6 +11,8 @@
 
 import (
 	"context"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -25,16 +27,33 @@
 // store. Its watch is never answered.
 type scriptedRows struct {
 	*zoneRouter
+
+	mu    sync.Mutex
 	reads []func() error
 }
 
+// script sets the next reads.
+func (s *scriptedRows) script(reads ...func() error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reads = reads
+}
+
+// next returns the next read that is played, if there is one.
+func (s *scriptedRows) next() func() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.reads) == 0 {
+		return func() error { return nil }
+	}
+	read := s.reads[0]
+	s.reads = s.reads[1:]
+	return read
+}
+
 func (s *scriptedRows) Configuration(ctx context.Context) (Reading, error) {
-	if len(s.reads) > 0 {
-		read := s.reads[0]
-		s.reads = s.reads[1:]
-		if err := read(); err != nil {
-			return Reading{}, err
-		}
+	if err := s.next()(); err != nil {
+		return Reading{}, err
 	}
 	return s.zoneRouter.Configuration(ctx)
 }
@@ -105,13 +124,14 @@
 		}
 		running := z.start(t.Context(), "a")
 		time.Sleep(10 * time.Second)
-		var namedAt time.Time
-		source.reads = []func() error{
+		var namedAt atomic.Pointer[time.Time]
+		source.script(
 			func() error {
 				// The process stands still right after this answer.
 				time.AfterFunc(time.Second, func() {
 					z.store.name(3)
-					namedAt = time.Now()
+					now := time.Now()
+					namedAt.Store(&now)
 				})
 				return nil
 			},
@@ -120,9 +140,9 @@
 				return fault.New(fault.StoreUnavailable, "no answer")
 			},
 			func() error { return fault.New(fault.StoreUnavailable, "no answer") },
-		}
+		)
 		time.Sleep(15 * time.Second)
 		is.Equal(running.newest().Version, 3)
-		is.True(running.newest().SeenAt.Sub(namedAt) <= 0)
+		is.True(running.newest().SeenAt.Sub(*namedAt.Load()) <= 0)
 	})
 }
