--- a/internal/node/crashing_test.go
+++ b/internal/node/crashing_test.go
@@ -15,7 +15,6 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
-	"net/netip"
 	"slices"
 	"strings"
 	"sync"
@@ -24,14 +23,12 @@
 	"testing"
 	"time"
 
-	"github.com/fieldpond/fieldpond/internal/admission"
 	"github.com/fieldpond/fieldpond/internal/backend"
 	"github.com/fieldpond/fieldpond/internal/catalog"
 	"github.com/fieldpond/fieldpond/internal/exchange"
 	"github.com/fieldpond/fieldpond/internal/fault"
 	"github.com/fieldpond/fieldpond/internal/forward"
 	"github.com/fieldpond/fieldpond/internal/ident"
-	"github.com/fieldpond/fieldpond/internal/inbound"
 	"github.com/fieldpond/fieldpond/internal/rollout"
 	"github.com/fieldpond/fieldpond/internal/store/protocol"
 )
@@ -129,50 +126,6 @@
 	f.routers = append(f.routers, started)
 }
 
-// startRouter runs a router until the test ends, and returns once it can serve. It takes
-// requests by its forwarder, and none from the network. Changes are made to its configuration.
-func startRouter(t *testing.T, node ident.Node, ports Ports, changes ...func(*Config)) *testRouter {
-	t.Helper()
-	config := Config{
-		Node: node, Zone: "z", FrontAddress: freeAddress(t), ReadyAddress: freeAddress(t), ReadyPath: "/ready",
-		PeerAddr: netip.MustParseAddrPort(freeAddress(t)),
-		Follow: FollowConfig{
-			ConfigurationInterval: 200 * time.Millisecond, BackendInterval: 200 * time.Millisecond,
-			ReadTimeout: time.Second, RetryPause: 10 * time.Millisecond, RosterInterval: time.Second,
-		},
-		Forward: forward.Config{
-			Freshness: catalog.Freshness{Keyed: time.Minute, Denial: time.Minute},
-			Repeats:   admission.WindowConfig{Window: 10 * time.Second, Share: 0.2},
-		},
-		Grace: time.Second, Unready: time.Millisecond,
-	}
-	for _, change := range changes {
-		change(&config)
-	}
-	var forwarder *forward.Forwarder
-	ports.Front = func(made *forward.Forwarder, _ *catalog.Holder, _ func() bool, _ *inbound.Clients) http.Handler {
-		forwarder = made
-		return http.NotFoundHandler()
-	}
-	running := New(config, ports)
-	ctx, cancel := context.WithCancel(context.Background())
-	ended := make(chan error, 1)
-	go func() {
-		err := running.Run(ctx)
-		if err != nil {
-			t.Errorf("the router %s ended: %v", node, err)
-		}
-		ended <- err
-	}()
-	stop := sync.OnceFunc(func() {
-		cancel()
-		<-ended
-	})
-	t.Cleanup(stop)
-	becomes(t, config, http.StatusOK)
-	return &testRouter{forwarder: forwarder, stop: stop}
-}
-
 // stopRouters ends all routers.
 func (f *crashFleet) stopRouters() {
 	f.mu.Lock()
