Check that refusals promise only what is true, on all sequences of three attempts

A request that may not run twice may be answered 429, 503, 408 or 421 only if no attempt of it may have run or may run later. The test plays all sequences of ten endings of an attempt on both kinds of routes: 2,000 requests.

--- /dev/null
+++ b/internal/forward/refused_test.go
@@ -0,0 +1,88 @@
+package forward_test
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+
+	"github.com/matryer/is"
+
+	"github.com/fieldpond/fieldpond/internal/forward"
+)
+
+// ending is how one attempt may end.
+type ending struct {
+	name   string
+	answer answer
+	// mayRun is whether the back end may have run the request, or may run it later.
+	mayRun bool
+}
+
+// endings are the ways in which an attempt may end without a complete success.
+var endings = []ending{
+	{"refused before execution", refusing(forward.NotExecuted), false},
+	{"refused by another instance", refusing(forward.OtherInstance), false},
+	{"refused with other weights", refusing(forward.OtherVersion), false},
+	{"not sent", failing(false), false},
+	{"sent, connection reset", failing(true), true},
+	{"sent, nothing answered", hanging(""), true},
+	{"an invalid answer", reply(forward.InvalidAnswer, http.StatusOK, strings.NewReader("x")), true},
+	{"failed by the back end", genuine(http.StatusInternalServerError, "failed"), true},
+	{"answer cut off", breaking("id: 0\ndata: x\n\n"), true},
+	{"answer stalled", hanging("id: 0\ndata: x\n\n"), true},
+}
+
+// promisesNotRun are the statuses that tell a client that its request has not run and never will.
+var promisesNotRun = []int{http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest}
+
+// A request that may not run twice must be refused with a status that promises that it has not run
+// only if no attempt of it may have run, whatever its attempts ended with.
+func TestRefusalPromisesOnlyWhatIsTrue(t *testing.T) {
+	for _, route := range []string{"unsafe", "stream"} {
+		for _, first := range endings {
+			for _, second := range endings {
+				for _, third := range endings {
+					name := fmt.Sprintf("%s: %s; %s; %s", route, first.name, second.name, third.name)
+					synctest.Test(t, func(t *testing.T) {
+						is := is.New(t)
+						sequence := []ending{first, second, third}
+						b := newFixture(first.answer, second.answer, third.answer)
+						sink := b.forward(t, request(route))
+						mayRun := false
+						for index := range b.caller.sent() {
+							mayRun = mayRun || sequence[min(index, 2)].mayRun
+						}
+						if sink.refusal == nil {
+							return
+						}
+						for _, status := range promisesNotRun {
+							if mayRun && sink.refusal.Kind.Status() == status {
+								t.Errorf("%s: status %d, but it may have run", name, status)
+							}
+						}
+						is.True(sink.refusal.Kind.Status() >= 400)
+					})
+				}
+			}
+		}
+	}
+}
+
+// After an attempt that may have run, no other may begin.
+func TestRequestThatMayHaveRunIsNotSentAgain(t *testing.T) {
+	for _, first := range endings {
+		if !first.mayRun {
+			continue
+		}
+		t.Run(first.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				b := newFixture(first.answer, genuine(http.StatusOK, "again"))
+				b.forward(t, request("unsafe"))
+				is.Equal(len(b.caller.sent()), 1)
+			})
+		})
+	}
+}
