--- a/internal/health/tracker.go
+++ b/internal/health/tracker.go
@@ -16,7 +16,7 @@
 
 // Config configures a Tracker. Zero fields take the defaults.
 type Config struct {
-	// Interval is the time between two checks of an engine that answers. Default: 400ms.
+	// Interval is the least time between two checks of an engine that answers. Default: 400ms.
 	Interval time.Duration
 	// Retry is the time between two checks of an engine that did not answer the
 	// last one. Default: 100ms.
@@ -24,6 +24,9 @@
 }
 
 const (
+	// minCheckGap is the mean time between two checks of a router, so that their cost does not
+	// follow the number of engines: beyond that, each engine is checked less often.
+	minCheckGap     = 10 * time.Millisecond
 	defaultInterval = 400 * time.Millisecond
 	defaultRetry    = 100 * time.Millisecond
 	// silentAfterMisses is the number of checks in a row without an answer after which an
@@ -51,25 +54,28 @@
 // Tracker decides which engines to check and which count as silent. It is not safe for
 // concurrent use.
 type Tracker struct {
-	cfg     Config
-	engines map[ident.Incarnation]*engine
+	cfg Config
+	// interval is the time between two checks of an engine that answers.
+	interval time.Duration
+	engines  map[ident.Incarnation]*engine
 }
 
 // NewTracker returns a tracker that watches no engine.
 func NewTracker(cfg Config) *Tracker {
 	cfg.Interval = cmp.Or(cfg.Interval, defaultInterval)
 	cfg.Retry = cmp.Or(cfg.Retry, defaultRetry)
-	return &Tracker{cfg: cfg, engines: make(map[ident.Incarnation]*engine)}
+	return &Tracker{cfg: cfg, interval: cfg.Interval, engines: make(map[ident.Incarnation]*engine)}
 }
 
 // Watch replaces the watched engines. New ones are checked within an interval, spread over it
 // by their place in the list.
 func (t *Tracker) Watch(now time.Time, records []backend.Record) {
 	engines := make(map[ident.Incarnation]*engine, len(records))
+	t.interval = max(t.cfg.Interval, minCheckGap*time.Duration(len(records)))
 	for index, record := range records {
 		known := t.engines[record.Instance]
 		if known == nil {
-			spread := t.cfg.Interval * time.Duration(index) / time.Duration(len(records))
+			spread := t.interval * time.Duration(index) / time.Duration(len(records))
 			known = &engine{checkAt: now.Add(spread)}
 		}
 		known.record = record
@@ -99,7 +105,7 @@
 		return
 	}
 	known.checking, known.misses, known.waiting = false, 0, waiting
-	known.checkAt = now.Add(t.cfg.Interval)
+	known.checkAt = now.Add(t.interval)
 }
 
 // Postpone records that an engine that is backing off was not checked, which is no evidence
@@ -110,7 +116,7 @@
 		return
 	}
 	known.checking = false
-	known.checkAt = now.Add(t.cfg.Interval)
+	known.checkAt = now.Add(t.interval)
 }
 
 // ObserveMiss records that an engine did not answer a check.
@@ -123,7 +129,7 @@
 	known.misses++
 	known.checkAt = now.Add(t.cfg.Retry)
 	if known.misses > silentAfterMisses {
-		known.checkAt = now.Add(t.cfg.Interval)
+		known.checkAt = now.Add(t.interval)
 	}
 }
 
--- a/internal/health/tracker_test.go
+++ b/internal/health/tracker_test.go
@@ -142,3 +142,26 @@
 	is.True(due >= 6*watched)
 	is.Equal(len(tracked.QueueUpdates()), 0)
 }
+
+// The checks of one router must not grow with the engines that it checks.
+func TestChecksPerSecondAreBounded(t *testing.T) {
+	is := is.New(t)
+	for _, engines := range []int{40, 200, 2000} {
+		var records []backend.Record
+		for index := range engines {
+			records = append(records, backend.Record{Instance: ident.Incarnation(fmt.Sprint(index))})
+		}
+		tracked := health.NewTracker(health.Config{})
+		tracked.Watch(start, records)
+		checks := 0
+		const seconds = 40
+		for now := start; now.Before(start.Add(seconds * time.Second)); now = now.Add(50 * time.Millisecond) {
+			for _, due := range tracked.Due(now) {
+				checks++
+				tracked.ObserveAnswer(now, due.Instance, 0)
+			}
+		}
+		is.True(checks <= 110*seconds)
+		is.True(checks >= 70*seconds)
+	}
+}
