--- a/internal/backend/advertised.go
+++ b/internal/backend/advertised.go
@@ -97,6 +97,9 @@
 	if advertised.Draining && r.config.Disabled.Enabled(mechanism.BackendAdvertised) {
 		change.DrainBegan = known.drain.begin(now, by)
 	}
+	if change.ConcernsPeers() {
+		r.advertising[instance] = struct{}{}
+	}
 	if advertised.Backoff > 0 && r.config.Disabled.Enabled(mechanism.BackendAdvertised) {
 		change.Backoff = advertised.Backoff
 		known.backoff.extend(now, advertised.Backoff)
@@ -116,6 +119,22 @@
 	return nil
 }
 
+// advertisingStates returns the listed back ends that have advertised a limit or a drain, so that
+// reading them costs as much as there are. The caller holds the mutex.
+func (r *Registry) advertisingStates() map[ident.Incarnation]*state {
+	states := make(map[ident.Incarnation]*state, len(r.advertising))
+	for instance := range r.advertising {
+		if known := r.byID[instance]; known != nil {
+			states[instance] = known
+			continue
+		}
+		if _, removed := r.removed[instance]; !removed {
+			delete(r.advertising, instance)
+		}
+	}
+	return states
+}
+
 // UnavailableCounts returns the numbers of listed back ends that are draining, and that are
 // backing off.
 func (r *Registry) UnavailableCounts(now time.Time) (draining, backingOff int) {
--- a/internal/backend/limit.go
+++ b/internal/backend/limit.go
@@ -131,7 +131,7 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	var limited []ident.Incarnation
-	for instance, known := range r.byID {
+	for instance, known := range r.advertisingStates() {
 		if known.limit.inForce(now) {
 			limited = append(limited, instance)
 		}
--- a/internal/backend/registry.go
+++ b/internal/backend/registry.go
@@ -21,8 +21,10 @@
 	serviceLateness map[ident.Service]*serviceLateness
 	byID            map[ident.Incarnation]*state
 	removed         removedBackends
-	listedAt        time.Time
-	listOutage      listOutage
+	// advertising are the back ends that have advertised a limit or a drain: few of many.
+	advertising map[ident.Incarnation]struct{}
+	listedAt    time.Time
+	listOutage  listOutage
 	// newlyGone are the back ends that this router found gone and has not returned from
 	// NewlyGone yet.
 	newlyGone  []ident.Incarnation
@@ -40,6 +42,7 @@
 		serviceLateness: make(map[ident.Service]*serviceLateness),
 		byID:            make(map[ident.Incarnation]*state),
 		removed:         make(removedBackends),
+		advertising:     make(map[ident.Incarnation]struct{}),
 		roundTrips:      make(roundTrips),
 		reachability:    make(map[ident.Region]*reachability),
 	}
@@ -54,23 +57,34 @@
 
 // Records returns the newest list, ordered by instance. Draining includes advertised drains.
 func (r *Registry) Records() []Record {
+	return r.records(func(*Record) bool { return true })
+}
+
+// RecordsOf returns the records of a zone as Records does.
+func (r *Registry) RecordsOf(zone ident.Zone) []Record {
+	return r.records(func(record *Record) bool { return record.Zone == zone })
+}
+
+// Count returns the number of back ends.
+func (r *Registry) Count() int {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	records := make([]Record, 0, len(r.byID))
+	return len(r.byID)
+}
+
+func (r *Registry) records(wanted func(*Record) bool) []Record {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	var records []Record
 	for _, known := range r.byID {
+		if !wanted(&known.record) {
+			continue
+		}
 		record := known.record
 		record.Draining = known.drain.active()
 		records = append(records, record)
 	}
-	slices.SortFunc(records, func(a, b Record) int {
-		switch {
-		case a.Instance < b.Instance:
-			return -1
-		case a.Instance > b.Instance:
-			return 1
-		}
-		return 0
-	})
+	slices.SortFunc(records, func(a, b Record) int { return cmp.Compare(a.Instance, b.Instance) })
 	return records
 }
 
@@ -125,10 +139,63 @@
 		}
 	}
 	r.removed.expire(listedAt)
+	for _, states := range services {
+		slices.SortFunc(states, byInstance)
+	}
 	r.byID, r.services = listed, services
 	return changes
 }
 
+// ApplyChanges applies the changes of the newest list as of a time: records that were added or
+// replaced, and instances that were removed. It returns what changed. Changes older than the
+// newest list are ignored.
+func (r *Registry) ApplyChanges(listedAt time.Time, changed []Record, removed []ident.Incarnation) []Change {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if listedAt.Before(r.listedAt) {
+		return nil
+	}
+	r.listOutage.observeRead(r.listedAt, listedAt)
+	r.listedAt = listedAt
+	var changes []Change
+	for _, record := range changed {
+		if earlier := r.byID[record.Instance]; earlier != nil && earlier.record.Service != record.Service {
+			r.dropFromService(earlier.record.Service, earlier)
+		}
+		known, change := r.applyRecord(listedAt, record)
+		if change != "" {
+			changes = append(changes, Change{Kind: change, Record: record})
+		}
+		r.byID[record.Instance] = known
+		r.addToService(known)
+	}
+	for _, instance := range removed {
+		if known := r.byID[instance]; known != nil {
+			known.missing = true
+		}
+	}
+	if !r.listOutage.mayReturn(listedAt) || !r.config.Disabled.Enabled(mechanism.ExpiryGrace) {
+		changes = append(changes, r.dropMissing()...)
+	}
+	r.removed.expire(listedAt)
+	return changes
+}
+
+// addToService adds a back end to those of its service, in the order of their instances.
+func (r *Registry) addToService(known *state) {
+	states := r.services[known.record.Service]
+	place, found := slices.BinarySearchFunc(states, known, byInstance)
+	if !found {
+		r.services[known.record.Service] = slices.Insert(states, place, known)
+	}
+}
+
+func byInstance(a, b *state) int { return cmp.Compare(a.record.Instance, b.record.Instance) }
+
+func (r *Registry) dropFromService(service ident.Service, known *state) {
+	r.services[service] = slices.DeleteFunc(r.services[service], func(other *state) bool { return other == known })
+}
+
 // StoreRestored records that the store of the instance list was restored from an older copy.
 func (r *Registry) StoreRestored(now time.Time) {
 	r.mutex.Lock()
@@ -161,8 +228,7 @@
 		}
 		delete(r.byID, instance)
 		r.removed.add(r.listedAt, known)
-		service := known.record.Service
-		r.services[service] = slices.DeleteFunc(r.services[service], func(other *state) bool { return other == known })
+		r.dropFromService(known.record.Service, known)
 		changes = append(changes, Change{Kind: Gone, Record: known.record})
 	}
 	return changes
--- a/internal/backend/stateupdate.go
+++ b/internal/backend/stateupdate.go
@@ -57,6 +57,7 @@
 		change := AppliedUpdate{StateUpdate: update, LimitChanged: known.limit.merge(now, &update)}
 		change.DrainBegan = draining && known.drain.begin(now, SourcePeer)
 		if change.LimitChanged || change.DrainBegan {
+			r.advertising[update.Instance] = struct{}{}
 			applied = append(applied, change)
 		}
 	}
@@ -90,7 +91,7 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	var updates []StateUpdate
-	for instance, known := range r.byID {
+	for instance, known := range r.advertisingStates() {
 		if update, found := known.stateUpdate(now, instance); found {
 			updates = append(updates, update)
 		}
--- a/internal/flood/flood.go
+++ b/internal/flood/flood.go
@@ -82,6 +82,19 @@
 	}
 }
 
+// Children returns the number of routers that pulled from this one recently.
+func (r *Router) Children(now time.Time) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	count := 0
+	for _, known := range r.children {
+		if now.Sub(known.pulledAt) <= childTTL {
+			count++
+		}
+	}
+	return count
+}
+
 // Send returns the header of a new notification of this router, and the routers to send it to.
 func (r *Router) Send(now time.Time) (Header, []netip.AddrPort) {
 	r.mu.Lock()
--- a/internal/health/tracker.go
+++ b/internal/health/tracker.go
@@ -84,6 +84,9 @@
 	t.engines = engines
 }
 
+// Idle reports whether no engine is watched.
+func (t *Tracker) Idle() bool { return len(t.engines) == 0 }
+
 // Due returns the engines to check now. Each check ends with ObserveAnswer, ObserveMiss or
 // Postpone.
 func (t *Tracker) Due(now time.Time) []backend.Record {
--- a/internal/node/backendlimits.go
+++ b/internal/node/backendlimits.go
@@ -118,15 +118,19 @@
 
 // run keeps this router in the pools of the back ends that have limits, until ctx ends.
 func (b *backendLimits) run(ctx context.Context) {
-	wait.Every(ctx, quotaTick, func() {
+	for {
 		var limited [limitPools]bool
-		for _, instance := range b.backends.LimitedInstances(clock.Now()) {
+		instances := b.backends.LimitedInstances(clock.Now())
+		for _, instance := range instances {
 			limited[poolOf(instance)] = true
 		}
 		for index, pool := range b.pools {
 			pool.updateMembership(limited[index])
 		}
-	})
+		if !wait.For(ctx, quotaPause(len(instances) > 0)) {
+			break
+		}
+	}
 	for _, pool := range b.pools {
 		pool.updateMembership(false)
 	}
--- a/internal/node/configuration.go
+++ b/internal/node/configuration.go
@@ -23,6 +23,8 @@
 	// version is 0 for none.
 	version uint64
 	body    []byte
+	// packed is the compressed body, nil until a peer needs it.
+	packed []byte
 	// checkedRevision is the row's revision up to which it held no newer configuration.
 	checkedRevision uint64
 	// confirmedStoreRevision is the store's revision at the last read of this router that found
@@ -36,6 +38,22 @@
 	historyUnknown bool
 }
 
+// bodyFor returns the body for a peer, compressed if the peer reads that.
+func (h *heldConfiguration) bodyFor(readsPacked bool) (plain, packed []byte) {
+	if !readsPacked || len(h.body) == 0 {
+		return h.body, nil
+	}
+	if h.packed == nil {
+		compressed, err := upstream.Compress(h.body)
+		if err != nil {
+			log.WithFields(log.Fields{"cause": err.Error()}).Warn("configuration_not_packed")
+			return h.body, nil
+		}
+		h.packed = compressed
+	}
+	return nil, h.packed
+}
+
 // historyDepths are the numbers of revisions of the store, tried in turn, for which checkHistory
 // reads the row's history: from as far back as a late write can matter (some seconds of a
 // busy store) to as little as a store may keep.
@@ -274,7 +292,7 @@
 // adopt puts a newer configuration in force; the caller holds the mutex and sets
 // checkedRevision.
 func (r *replica) adopt(origin ident.Node, confirmedAt time.Time, newest rowContent) {
-	r.config.version, r.config.body = newest.snapshot.Version, newest.body
+	r.config.version, r.config.body, r.config.packed = newest.snapshot.Version, newest.body, nil
 	r.config.suspectRevision, r.config.historyUnknown = 0, false
 	r.holder.Adopt(newest.snapshot, confirmedAt)
 	log.WithFields(log.Fields{
--- a/internal/node/epoch.go
+++ b/internal/node/epoch.go
@@ -1,14 +1,12 @@
 package node
 
 import (
-	"context"
 	"time"
 
 	"github.com/apex/log"
 
 	"github.com/fieldpond/fieldpond/internal/clock"
 	"github.com/fieldpond/fieldpond/internal/upstream"
-	"github.com/fieldpond/fieldpond/internal/wait"
 )
 
 const (
@@ -73,33 +71,3 @@
 	}
 	f.observeEpoch()
 }
-
-// maintainRow writes this router's row again when a restored store lacks it, until ctx ends.
-func (f *follower) maintainRow(ctx context.Context) {
-	wait.Every(ctx, rejoinCheckInterval, func() {
-		f.observeEpoch()
-		if !f.chain.joined() || f.routerList.current(f.handledEpoch.Load()) {
-			return
-		}
-		askedAt := clock.Now()
-		self, peers, routers, err := f.routerList.rejoin(ctx)
-		if err != nil {
-			log.WithFields(log.Fields{"cause": err.Error()}).Warn("router_row_not_written_again")
-			return
-		}
-		f.observeEpoch()
-		f.replica.rejoined(self)
-		f.applyRouters(askedAt, self, peers, routers)
-		log.WithFields(log.Fields{"revision": self.Revision, "peers": len(peers), "routers": routers}).Info("rejoined")
-	})
-}
-
-// applyRouters applies this router's row and those of the others.
-func (f *follower) applyRouters(askedAt time.Time, self upstream.Peer, peers []upstream.Peer, routers int) {
-	f.recipients.set(peers)
-	f.replica.observeRouterCount(askedAt, routers)
-	if f.onJoined != nil {
-		f.onJoined(self, peers)
-	}
-	f.chain.use(func(chain *upstream.Chain) { chain.Join(self, peers) })
-}
--- a/internal/node/epoch_test.go
+++ b/internal/node/epoch_test.go
@@ -85,7 +85,7 @@
 			is := is.New(t)
 			table := &epochTable{fakeStore: newFakeStore()}
 			r := &routerList{table: table, timeout: time.Second, node: "n", zone: "z", incarnation: "1", epochs: optionalEpochs{&fakeEpochs{}}}
-			self, _, _, err := r.join(t.Context())
+			joined, err := r.join(t.Context())
 			is.NoErr(err)
 			is.True(r.current(0))
 			is.True(!r.current(1))
@@ -94,14 +94,14 @@
 				delete(table.rows, r.key())
 			}
 			before := table.writes
-			again, peers, routers, err := r.rejoin(t.Context())
+			again, err := r.rejoin(t.Context())
 			is.NoErr(err)
 			is.True(r.current(1))
 			is.Equal(table.writes > before, tt.lost)
-			is.Equal(store.Epoch(again.Revision), uint64(1))
-			is.True(again.Revision > self.Revision)
-			is.Equal(len(peers), 1)
-			is.Equal(routers, 1)
+			is.Equal(store.Epoch(again.self.Revision), uint64(1))
+			is.True(again.self.Revision > joined.self.Revision)
+			is.Equal(len(again.peers), 1)
+			is.Equal(again.routers, 1)
 		})
 	}
 }
--- a/internal/node/follower.go
+++ b/internal/node/follower.go
@@ -2,15 +2,14 @@
 
 import (
 	"context"
-	"slices"
 	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
-	"github.com/cespare/xxhash/v2"
 
 	"github.com/fieldpond/fieldpond/internal/catalog"
 	"github.com/fieldpond/fieldpond/internal/clock"
+	"github.com/fieldpond/fieldpond/internal/flood"
 	"github.com/fieldpond/fieldpond/internal/ident"
 	"github.com/fieldpond/fieldpond/internal/quarantine/guard"
 	"github.com/fieldpond/fieldpond/internal/upstream"
@@ -22,7 +21,9 @@
 // time of its request, so that a slow answer or a paused process doesn't make old state
 // count as current.
 type follower struct {
-	source       Source
+	source Source
+	// feed reads a long instance list by its changes; it may be nil.
+	feed         BackendFeed
 	replica      *replica
 	config       FollowConfig
 	publications *publicationStore
@@ -42,6 +43,25 @@
 	// onPulled is called with the result of each pull, onWatched with that of each watch.
 	onPulled, onWatched func(result string)
 	startedAt           time.Time
+	// zones are all zones, if they are known.
+	zones []ident.Zone
+	// zoneBackbone has the names of the backbone of this router's zone, if it belongs to it.
+	zoneBackbone atomic.Pointer[[]ident.Node]
+	// flood passes notifications on in a large fleet.
+	flood *flood.Router
+	// joinRefused is whether the store refused the last attempt to write this router's row, as
+	// there were too many.
+	joinRefused atomic.Bool
+	// longList is whether this router knows that the instance list takes several calls.
+	longList atomic.Bool
+	// viewedAt is when this router read its peers last, restartSeen whether one of them has
+	// restarted since. They are used by one goroutine after the start.
+	viewedAt    time.Time
+	restartSeen bool
+	// viewedRouters is the number of rows that this router read then, 0 in a large fleet.
+	viewedRouters int
+	// viewProvisional is whether the backbone was not known yet.
+	viewProvisional bool
 	// configurationSeen is true once the configuration was read here or received from a peer.
 	configurationSeen atomic.Bool
 	// rowsReadAt is up to when the operator's rows are known by this router's own reads.
@@ -248,24 +268,14 @@
 func (f *follower) followBackends(ctx context.Context) {
 	dep := &dependency{name: "backends", onLost: f.onLost}
 	due := func(now time.Time) time.Duration {
-		return f.due(f.config.BackendInterval) - f.replica.listAge(now, f.startedAt)
+		return f.listDue(f.config.BackendInterval) - f.replica.listAge(now, f.startedAt)
 	}
 	f.poll(ctx, f.config.BackendInterval, due, func() error {
-		askedAt := clock.Now()
-		bounded, cancel := context.WithTimeout(ctx, f.config.ReadTimeout)
-		defer cancel()
-		records, err := f.source.Backends(bounded)
+		err := f.readBackends(ctx)
 		if ctx.Err() == nil {
 			dep.observe(err)
 		}
-		if err != nil {
-			return err
-		}
-		f.observeEpoch()
-		records = slices.Clone(records)
-		f.replica.backends.MarkDraining(records)
-		f.replica.applyList(f.replica.node, askedAt, fullList(records))
-		return nil
+		return err
 	})
 }
 
@@ -276,6 +286,13 @@
 	return due
 }
 
+// listDue is due for the instance list.
+func (f *follower) listDue(interval time.Duration) (due time.Duration) {
+	own := f.replica.ownOrigin()
+	f.chain.use(func(chain *upstream.Chain) { due = chain.ListReadAge(interval, own) })
+	return due
+}
+
 // minOwnOriginTime is how long a router that is not the first of all reads the store itself
 // before it takes over the first one's duties. While peers come and go many routers read for a
 // shorter time, and would make needless calls.
@@ -286,37 +303,13 @@
 // the store still answers pulls and stays the first, so another one must count the routers and
 // recheck changes.
 func (f *follower) readsForOthers() bool {
-	return f.chain.reads() || f.replica.ownOriginFor() >= minOwnOriginTime
+	return f.chain.reads() || (f.replica.ownOriginFor() >= minOwnOriginTime && !f.chain.leaf())
 }
 
 // contends reports whether this router should take the rollout lease if it is free. The first
 // router of a region may be cut off from the store, so those that read in its place contend too.
 func (f *follower) contends() bool { return f.chain.leadsRegion() || f.readsForOthers() }
 
-const (
-	// startPeerWait is how long a starting router waits for its peers to supply it
-	// before it reads the store itself; it covers some hops and a late row.
-	startPeerWait = 200 * time.Millisecond
-	// startStagger spreads the first reads of unsupplied routers after that, so that the
-	// first one can supply the others.
-	startStagger = 400 * time.Millisecond
-	// startCheckInterval is the time between two checks whether a starting router is supplied.
-	startCheckInterval = 10 * time.Millisecond
-)
-
-// awaitPeers waits for peers to supply a starting router, and reports whether ctx is still
-// open. The first router of all does not wait.
-func (f *follower) awaitPeers(ctx context.Context) bool {
-	part := xxhash.Sum64String(string(f.replica.node)) % uint64(startStagger)
-	readAt := f.startedAt.Add(startPeerWait + time.Duration(part))
-	for clock.Now().Before(readAt) && !f.chain.reads() && !f.replica.initialized() {
-		if !wait.For(ctx, startCheckInterval) {
-			return false
-		}
-	}
-	return true
-}
-
 // poll calls read whenever due returns no time left, until ctx ends; the first time at
 // once, unless peers supply this router. It pauses after a failed read, longer each time.
 func (f *follower) poll(ctx context.Context, interval time.Duration, due func(now time.Time) time.Duration, read func() error) {
--- a/internal/node/follower_test.go
+++ b/internal/node/follower_test.go
@@ -210,7 +210,7 @@
 }
 
 // List implements platform.Table.
-func (s *fakeStore) List(_ context.Context, prefix string, _ int) (protocol.RowList, error) {
+func (s *fakeStore) List(_ context.Context, prefix string, limit int) (protocol.RowList, error) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	var list protocol.RowList
@@ -219,6 +219,9 @@
 			list.Rows = append(list.Rows, row)
 		}
 	}
+	slices.SortFunc(list.Rows, func(a, b protocol.Row) int { return strings.Compare(a.Key, b.Key) })
+	list.More = len(list.Rows) > limit
+	list.Rows = list.Rows[:min(len(list.Rows), limit)]
 	return list, nil
 }
 
--- /dev/null
+++ b/internal/node/gauges.go
@@ -0,0 +1,33 @@
+package node
+
+import "github.com/fieldpond/fieldpond/internal/clock"
+
+// readGauges returns the state of the node.
+func (n *Node) readGauges() gaugeValues {
+	view := n.holder.View()
+	now := gaugeValues{backends: n.backends.Count(), inFlight: n.backends.InFlight()}
+	now.limitedBackends = len(n.backends.LimitedInstances(clock.Now()))
+	now.drainingBackends, now.backingOffBackends = n.backends.UnavailableCounts(clock.Now())
+	if view.Snapshot != nil {
+		now.configurationVersion = view.Snapshot.Version
+		now.configurationAge = view.Age(clock.Now())
+	}
+	now.leaseHeld = n.holdsLease()
+	now.readsStore = n.follower.readsForOthers()
+	now.leaf, now.children = n.follower.chain.leaf(), n.follower.flood.Children(clock.Now())
+	now.listAge = n.follower.replica.listAge(clock.Now(), n.follower.startedAt)
+	now.routers = n.follower.replica.Routers()
+	now.sharers = n.follower.replica.Sharers()
+	now.quotaMembers, now.limitMembers = n.quotas.members(), n.limits.members()
+	now.quarantined, now.crashSuspects = n.quarantines.Counts()
+	now.unreachableRegions = len(n.backends.UnreachableRegions(clock.Now()))
+	if n.ports.LinesDropped != nil {
+		now.linesDropped = n.ports.LinesDropped()
+	}
+	now.clients, now.clientsRefused = n.clients.Counts()
+	now.silentConnections = n.peers.SilentConnections()
+	if n.ports.SilentConnections != nil {
+		now.silentConnections += n.ports.SilentConnections()
+	}
+	return now
+}
--- a/internal/node/health.go
+++ b/internal/node/health.go
@@ -20,6 +20,8 @@
 const (
 	// healthTick is the time between two searches for due checks.
 	healthTick = 50 * time.Millisecond
+	// idleHealthTick replaces healthTick while this router checks no engine.
+	idleHealthTick = 200 * time.Millisecond
 	// checkTimeout bounds one check: engines report without a slot, within a few ms.
 	checkTimeout = 300 * time.Millisecond
 	// silentResend is the time between two notifications of the same silent engines; it is
@@ -31,11 +33,13 @@
 	watchInterval = time.Second
 )
 
-// healthWatcher checks the engines of its zone, for all routers, while this router is
-// the first of the zone.
+// healthWatcher checks engines of its zone for all routers: all of them while this router is the
+// first of the zone, in a large fleet those for which it ranks among the first checkers.
 type healthWatcher struct {
-	zone     ident.Zone
-	leads    func() bool
+	node ident.Node
+	zone ident.Zone
+	// checkers returns the routers that check the engines of the zone.
+	checkers func() []ident.Node
 	engines  rollout.Engines
 	backends *backend.Registry
 	// holder holds the configured services.
@@ -64,8 +68,8 @@
 func (w *healthWatcher) run(ctx context.Context) {
 	w.results = make(chan checkResult)
 	w.tracker = health.NewTracker(health.Config{})
-	ticker := time.NewTicker(healthTick)
-	defer ticker.Stop()
+	timer := time.NewTimer(healthTick)
+	defer timer.Stop()
 	defer w.checks.Wait()
 	for {
 		select {
@@ -73,8 +77,13 @@
 			return
 		case result := <-w.results:
 			w.recordResult(clock.Now(), result)
-		case <-ticker.C:
+		case <-timer.C:
 			w.tick(ctx, clock.Now())
+			pause := healthTick
+			if w.tracker.Idle() {
+				pause = idleHealthTick
+			}
+			timer.Reset(pause)
 		}
 	}
 }
@@ -108,15 +117,16 @@
 	w.tracker.ObserveAnswer(now, result.instance, result.report.Queued)
 }
 
-// enginesToCheck returns the engines to check; there are none while this router is not the
-// first of its zone.
+// enginesToCheck returns the engines that this router checks.
 func (w *healthWatcher) enginesToCheck() []backend.Record {
-	if !w.leads() {
+	checkers := w.checkers()
+	if !slices.Contains(checkers, w.node) {
 		return nil
 	}
 	view := w.holder.View()
-	return slices.DeleteFunc(w.backends.Records(), func(record backend.Record) bool {
-		return !view.Serves(record.Service) || record.Zone != w.zone || len(record.Models) == 0 || record.Draining
+	return slices.DeleteFunc(w.backends.RecordsOf(w.zone), func(record backend.Record) bool {
+		return !view.Serves(record.Service) || len(record.Models) == 0 || record.Draining ||
+			!health.Checks(w.node, checkers, record.Instance)
 	})
 }
 
--- a/internal/node/health_test.go
+++ b/internal/node/health_test.go
@@ -55,8 +55,16 @@
 	}
 }
 
-// runWatcher runs a watcher of zone z for a time, and returns what its last notifications held.
 // setUp prepares the registry.
+// checkersOf returns the checkers of a zone that this router leads, or does not.
+func checkersOf(leads bool) func() []ident.Node {
+	if !leads {
+		return func() []ident.Node { return nil }
+	}
+	return func() []ident.Node { return []ident.Node{"n"} }
+}
+
+// runWatcher runs a watcher of zone z for a time, and returns what its last notifications held.
 func runWatcher(
 	t *testing.T, span time.Duration, engines *checkedEngines, leads bool, setUp ...func(*backend.Registry),
 ) (silent []ident.Incarnation, queues []health.Queue) {
@@ -67,7 +75,7 @@
 		prepare(known)
 	}
 	watcher := &healthWatcher{
-		zone: "z", leads: func() bool { return leads }, engines: engines, backends: known, holder: &catalog.Holder{},
+		node: "n", zone: "z", checkers: checkersOf(leads), engines: engines, backends: known, holder: &catalog.Holder{},
 		notify: func(notification health.Notification) {
 			if notification.Silent != nil {
 				silent = notification.Silent
@@ -123,7 +131,7 @@
 		known.ApplyList(time.Now(), checkedRecords())
 		var gone []ident.Incarnation
 		watcher := &healthWatcher{
-			zone: "z", leads: func() bool { return true }, backends: known, holder: &catalog.Holder{},
+			node: "n", zone: "z", checkers: checkersOf(true), backends: known, holder: &catalog.Holder{},
 			engines: &checkedEngines{replaced: "b", checks: map[ident.Incarnation]int{}},
 			notify:  func(notification health.Notification) { gone = append(gone, notification.Gone...) },
 		}
--- a/internal/node/laterow_test.go
+++ b/internal/node/laterow_test.go
@@ -50,7 +50,7 @@
 				_, err := table.Commit(t.Context(), protocol.Transaction{Writes: []protocol.Write{{Key: first.key(), Value: value}}})
 				is.NoErr(err)
 			}
-			_, _, _, err = first.join(t.Context())
+			_, err = first.join(t.Context())
 			is.NoErr(err)
 			first.leave(t.Context())
 			_, routers, err := first.read(t.Context())
--- a/internal/node/latewrites_test.go
+++ b/internal/node/latewrites_test.go
@@ -130,7 +130,8 @@
 
 // Pull implements puller.
 func (p directPuller) Pull(_ context.Context, _ upstream.Peer, pull *upstream.Pull) (*upstream.Update, time.Time, error) {
-	return p.from.replica.Update(time.Now(), pull), time.Now(), nil
+	update := p.from.replica.Update(time.Now(), pull)
+	return update, time.Now(), update.Unpack()
 }
 
 // pullFrom makes a router pull once from another.
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -65,6 +65,9 @@
 	backingOffBackends   int
 	leaseHeld            bool
 	readsStore           bool
+	leaf                 bool
+	children             int
+	listAge              time.Duration
 	routers, sharers     int
 	quotaMembers         int
 	limitMembers         int
@@ -116,6 +119,9 @@
 	group.Gauge("edge_attempts_in_flight", "Attempts under way.", func(r gaugeValues) int { return r.inFlight })
 	group.Gauge("edge_lease_held", "1 while this router holds the rollout lease.", func(r gaugeValues) int { return oneIf(r.leaseHeld) })
 	group.Gauge("edge_reads_store", "1 while this router reads the store for others.", func(r gaugeValues) int { return oneIf(r.readsStore) })
+	group.Gauge("edge_leaf", "1 while this router is a leaf of a large fleet: it pulls from the backbone of its zone, and no router counts on it.", func(r gaugeValues) int { return oneIf(r.leaf) })
+	group.Gauge("edge_children", "Routers that pulled the shared state from this one in the last seconds.", func(r gaugeValues) int { return r.children })
+	group.Gauge("edge_list_age_milliseconds", "Time since the instance list was last confirmed by the store, or since the start without a list, in milliseconds.", func(r gaugeValues) int { return int(r.listAge.Milliseconds()) })
 	group.Gauge("edge_routers", "Routers in all zones, as counted last; 0 for not known.", func(r gaugeValues) int { return r.routers })
 	group.Gauge("edge_slack_sharers", "Routers among which the slack of the budget of repeats is divided; 0 while this router has no part of it.", func(r gaugeValues) int { return r.sharers })
 	group.Gauge("edge_quota_members", "Routers whose claims on the limits of tenants this router grants.", func(r gaugeValues) int { return r.quotaMembers })
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"net/netip"
 	"sync"
@@ -16,6 +17,7 @@
 	"github.com/fieldpond/fieldpond/internal/canary"
 	"github.com/fieldpond/fieldpond/internal/catalog"
 	"github.com/fieldpond/fieldpond/internal/clock"
+	"github.com/fieldpond/fieldpond/internal/flood"
 	"github.com/fieldpond/fieldpond/internal/forward"
 	"github.com/fieldpond/fieldpond/internal/ident"
 	"github.com/fieldpond/fieldpond/internal/inbound"
@@ -71,6 +73,8 @@
 // Ports are the external dependencies of a node.
 type Ports struct {
 	Source Source
+	// Feed may be nil: the instance list is always read whole then, by Source.
+	Feed BackendFeed
 	// Table's row versions increase with every transaction, across all keys.
 	Table   store.Table
 	Caller  forward.Caller
@@ -184,19 +188,25 @@
 	epochs := optionalEpochs{port: n.ports.Epochs}
 	replica := newReplica(n.config.Node, n.holder, n.backends, n.ports.Source.Decode, n.config.sharers())
 	replica.epochs = epochs
+	chain := newChainGuard(follow.Chain)
+	zones := n.config.Regions.Zones()
 	return &follower{
 		epochs:       epochs,
+		zones:        zones,
+		flood:        flood.NewRouter(rand.Uint64()),
 		source:       n.ports.Source,
+		feed:         n.ports.Feed,
 		replica:      replica,
 		config:       follow,
 		publications: &publicationStore{table: n.ports.Table, timeout: follow.ReadTimeout},
 		routerList: &routerList{
 			table: n.ports.Table, timeout: follow.ReadTimeout / 2,
 			node: n.config.Node, zone: n.config.Zone, addr: n.config.PeerAddr, incarnation: ident.NewUniqueID(), epochs: epochs,
+			zones: zones, down: chain.down,
 		},
 		recipients: &recipients{node: n.config.Node, zone: n.config.Zone, regions: n.config.Regions},
 		client:     n.peers,
-		chain:      newChainGuard(follow.Chain),
+		chain:      chain,
 		onLost:     func(name string) { n.metrics.dependencies.WithLabelValues(name).Inc() },
 		onPulled:   func(result string) { n.metrics.pulls.WithLabelValues(result).Inc() },
 		onWatched:  func(result string) { n.metrics.watches.WithLabelValues(result).Inc() },
@@ -238,33 +248,6 @@
 	return n.limits
 }
 
-func (n *Node) readGauges() gaugeValues {
-	view := n.holder.View()
-	now := gaugeValues{backends: len(n.backends.Records()), inFlight: n.backends.InFlight()}
-	now.limitedBackends = len(n.backends.LimitedInstances(clock.Now()))
-	now.drainingBackends, now.backingOffBackends = n.backends.UnavailableCounts(clock.Now())
-	if view.Snapshot != nil {
-		now.configurationVersion = view.Snapshot.Version
-		now.configurationAge = view.Age(clock.Now())
-	}
-	now.leaseHeld = n.holdsLease()
-	now.readsStore = n.follower.readsForOthers()
-	now.routers = n.follower.replica.Routers()
-	now.sharers = n.follower.replica.Sharers()
-	now.quotaMembers, now.limitMembers = n.quotas.members(), n.limits.members()
-	now.quarantined, now.crashSuspects = n.quarantines.Counts()
-	now.unreachableRegions = len(n.backends.UnreachableRegions(clock.Now()))
-	if n.ports.LinesDropped != nil {
-		now.linesDropped = n.ports.LinesDropped()
-	}
-	now.clients, now.clientsRefused = n.clients.Counts()
-	now.silentConnections = n.peers.SilentConnections()
-	if n.ports.SilentConnections != nil {
-		now.silentConnections += n.ports.SilentConnections()
-	}
-	return now
-}
-
 // Run runs the node until ctx ends, then stops it: the node turns unready, serves for
 // ShutdownDelay, and finishes the open requests.
 func (n *Node) Run(ctx context.Context) error {
@@ -331,7 +314,7 @@
 	}
 	if socket != nil && n.config.Disabled.Enabled(mechanism.SharedHealth) {
 		watcher := &healthWatcher{
-			zone: n.config.Zone, leads: follower.chain.leads, engines: n.engines,
+			node: n.config.Node, zone: n.config.Zone, checkers: follower.checkers, engines: n.engines,
 			backends: n.backends, holder: n.holder, notify: socket.notifyHealth,
 		}
 		loops = append(loops, watcher.run)
@@ -372,7 +355,12 @@
 	if !n.config.PeerAddr.IsValid() {
 		return nil, nil
 	}
-	return listenNotifications(n.config.PeerAddr, n.backends, n.follower.recipients)
+	socket, err := listenNotifications(n.config.PeerAddr, n.backends, n.follower.recipients)
+	if err != nil {
+		return nil, err
+	}
+	socket.flood, socket.floods = n.follower.flood, n.follower.chain.large
+	return socket, nil
 }
 
 func logOrder(order *rollout.Order, result rollout.Result) {
--- a/internal/node/notifier.go
+++ b/internal/node/notifier.go
@@ -13,6 +13,7 @@
 	"github.com/fieldpond/fieldpond/internal/backend"
 	"github.com/fieldpond/fieldpond/internal/canary"
 	"github.com/fieldpond/fieldpond/internal/clock"
+	"github.com/fieldpond/fieldpond/internal/flood"
 	"github.com/fieldpond/fieldpond/internal/health"
 	"github.com/fieldpond/fieldpond/internal/quarantine"
 	"github.com/fieldpond/fieldpond/internal/quarantine/guard"
@@ -34,6 +35,9 @@
 	socket     *net.UDPConn
 	backends   *backend.Registry
 	recipients *recipients
+	// flood passes notifications on while floods, which may be nil, reports a large fleet.
+	flood  *flood.Router
+	floods func() bool
 	// quotas receives messages about tenants' limits; it may be nil.
 	quotas *quotas
 	// limits receives messages about grants of requests to back ends; it may be nil.
@@ -60,6 +64,8 @@
 	// Updates are state updates of back ends, Limit is about grants of requests to them.
 	Updates []backend.StateUpdate `cbor:"8,keyasint,omitempty"`
 	Limit   *limitMessage         `cbor:"9,keyasint,omitempty"`
+	// Flood is set if the receiver passes the notification on to its neighbors.
+	Flood *flood.Header `cbor:"10,keyasint,omitempty"`
 	// Scope is to which routers the receiver relays the notification.
 	Scope scope `cbor:"6,keyasint,omitempty"`
 }
@@ -79,7 +85,7 @@
 	for _, part := range splitRollout(notification) {
 		// It is not sent again later, so it is sent through two relays if there are any.
 		n.send(datagram{Rollout: &part})
-		n.sendAll(datagram{Rollout: &part}, n.recipients.toNextRelays())
+		n.sendAgain(datagram{Rollout: &part})
 	}
 }
 
@@ -103,8 +109,33 @@
 	}
 }
 
-// send sends a datagram to all other routers.
-func (n *notifier) send(packet datagram) { n.sendAll(packet, n.recipients.toAll()) }
+// send sends a notification to all other routers.
+func (n *notifier) send(packet datagram) {
+	if n.floods != nil && n.floods() {
+		header, to := n.flood.Send(clock.Now())
+		n.sendFlood(packet, header, to)
+		return
+	}
+	n.sendAll(packet, n.recipients.toAll())
+}
+
+// sendAgain sends a notification another way than send has.
+func (n *notifier) sendAgain(packet datagram) {
+	if n.floods != nil && n.floods() {
+		n.send(packet)
+		return
+	}
+	n.sendAll(packet, n.recipients.toNextRelays())
+}
+
+// sendFlood sends a notification that its receivers pass on.
+func (n *notifier) sendFlood(packet datagram, header flood.Header, to []netip.AddrPort) {
+	if len(to) == 0 {
+		return
+	}
+	packet.Flood = &header
+	n.sendAll(packet, direct(to))
+}
 
 // sendAll sends a datagram to the address of each message, with the message's scope.
 func (n *notifier) sendAll(packet datagram, messages []message) {
@@ -201,16 +232,16 @@
 	if cbor.Unmarshal(encoded, &packet) != nil {
 		return
 	}
-	// Only notifications are relayed: permits, reports and messages about limits are trusted by
-	// their sender's address, and a relayed one would seem to come from this router.
-	n.sendAll(datagram{Rollout: packet.Rollout, Health: packet.Health, Quarantine: packet.Quarantine, Updates: packet.Updates}, n.recipients.relay(packet.Scope))
+	from = netip.AddrPortFrom(from.Addr().Unmap(), from.Port())
+	if !n.relay(from, &packet) {
+		return
+	}
 	if packet.Rollout != nil {
 		n.applyRollout(packet.Rollout)
 	}
 	if packet.Health != nil {
 		n.applyHealth(packet.Health)
 	}
-	from = netip.AddrPortFrom(from.Addr().Unmap(), from.Port())
 	// Routers that started together have each other's address only after the next count, so
 	// evidence that the sender lacks is returned to it.
 	if missing := n.guard.Merge(clock.Now(), packet.Quarantine); len(missing) > 0 {
@@ -230,6 +261,20 @@
 	}
 }
 
+// relay passes a notification on, and reports whether it is new. Only notifications are relayed:
+// permits, reports and messages about limits are trusted by their sender's address, and a relayed
+// one would seem to come from this router.
+func (n *notifier) relay(from netip.AddrPort, packet *datagram) (isNew bool) {
+	notification := datagram{Rollout: packet.Rollout, Health: packet.Health, Quarantine: packet.Quarantine, Updates: packet.Updates}
+	if packet.Flood == nil || n.flood == nil {
+		n.sendAll(notification, n.recipients.relay(packet.Scope))
+		return true
+	}
+	header, to, isNew := n.flood.Receive(clock.Now(), from, *packet.Flood)
+	n.sendFlood(notification, header, to)
+	return isNew
+}
+
 // applyHealth applies health results and queue lengths of engines.
 func (n *notifier) applyHealth(notification *health.Notification) {
 	now := clock.Now()
--- a/internal/node/pull.go
+++ b/internal/node/pull.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/netip"
 	"strings"
 	"sync"
 	"time"
@@ -12,6 +13,7 @@
 	"github.com/fieldpond/fieldpond/internal/backend"
 	"github.com/fieldpond/fieldpond/internal/catalog"
 	"github.com/fieldpond/fieldpond/internal/clock"
+	"github.com/fieldpond/fieldpond/internal/ident"
 	"github.com/fieldpond/fieldpond/internal/upstream"
 	"github.com/fieldpond/fieldpond/internal/wait"
 )
@@ -69,7 +71,25 @@
 	return leads
 }
 
-// joined reports whether this router has written its row.
+// leaf reports whether this router is a leaf.
+func (g *chainGuard) leaf() (leaf bool) {
+	g.use(func(chain *upstream.Chain) { leaf = chain.Leaf() })
+	return leaf
+}
+
+// large reports whether this router knows only the backbone of a large fleet.
+func (g *chainGuard) large() (large bool) {
+	g.use(func(chain *upstream.Chain) { large = chain.Large() })
+	return large
+}
+
+// down reports whether a peer did not answer repeatedly.
+func (g *chainGuard) down(node ident.Node) (down bool) {
+	g.use(func(chain *upstream.Chain) { down = chain.Down(node) })
+	return down
+}
+
+// joined reports whether this router has written its row, or is a leaf.
 func (g *chainGuard) joined() (joined bool) {
 	g.use(func(chain *upstream.Chain) { joined = chain.Joined() })
 	return joined
@@ -81,8 +101,6 @@
 }
 
 const (
-	// joinRetryPause is the time between two attempts to write this router's row.
-	joinRetryPause = 250 * time.Millisecond
 	// maxChainPause bounds the time between two evaluations of the chain.
 	maxChainPause = 500 * time.Millisecond
 	// countCheckInterval is the time between two checks whether the routers must be counted.
@@ -101,11 +119,16 @@
 	confirmation := uint64(0)
 	for ctx.Err() == nil {
 		next := f.next(clock.Sync())
+		if f.refreshDue(clock.Now(), next) {
+			f.refresh(ctx)
+			next = f.next(clock.Sync())
+		}
 		if !sameSource(next, source) {
 			logSource(next)
 			confirmation = 0
 		}
 		source = next
+		f.flood.SetParent(parentOf(next))
 		switch next := next.(type) {
 		case upstream.Peer:
 			begun := clock.Now()
@@ -117,6 +140,20 @@
 	}
 }
 
+// parentOf returns the address of the router that state comes from, the zero address for the store.
+func parentOf(source upstream.Source) netip.AddrPort {
+	if peer, ok := source.(upstream.Peer); ok {
+		return peer.Addr
+	}
+	return netip.AddrPort{}
+}
+
+// observePull records that a peer pulls from this router.
+func (f *follower) observePull(peer upstream.Peer) {
+	f.chain.observeFollower(peer)
+	f.flood.ObserveChild(clock.Now(), peer.Addr)
+}
+
 // sameSource reports whether two sources are the same peer, or both the store.
 func sameSource(a, b upstream.Source) bool {
 	first, peer := a.(upstream.Peer)
@@ -133,25 +170,6 @@
 	}
 }
 
-// join writes this router's row, and reports whether ctx is still open.
-func (f *follower) join(ctx context.Context) bool {
-	dep := &dependency{name: "router row", onLost: f.onLost}
-	for ctx.Err() == nil {
-		askedAt := clock.Now()
-		self, peers, routers, err := f.routerList.join(ctx)
-		dep.observe(err)
-		if err == nil {
-			f.observeEpoch()
-			f.replica.joined(self)
-			f.applyRouters(askedAt, self, peers, routers)
-			log.WithFields(log.Fields{"revision": self.Revision, "peers": len(peers), "routers": routers}).Info("joined")
-			return true
-		}
-		wait.For(ctx, joinRetryPause)
-	}
-	return false
-}
-
 // advertiseShutdown reports to the routers that pull from this one that it is shutting down, so
 // that another one takes its place in the chain.
 func (f *follower) advertiseShutdown() {
@@ -168,20 +186,28 @@
 // pull requests the state of a peer once, applies it, and returns the number of the
 // peer's confirmation, 0 if there is none.
 func (f *follower) pull(ctx context.Context, peer upstream.Peer, confirmation uint64) uint64 {
-	pull := &upstream.Pull{Confirmation: confirmation}
+	pull := &upstream.Pull{Confirmation: confirmation, Packed: true}
 	pull.Configuration, pull.List = f.replica.copyVersions()
 	pull.Quarantine = f.guard.Digest()
+	pull.Elders = f.replica.eldersDigest()
 	pull.UpdatesDigest = backend.UpdatesDigest(f.replica.backends.StateUpdates(clock.Now()))
 	// The contents of prompt caches can wait until this router can serve.
 	if f.replica.initialized() {
 		pull.Caches, pull.CachePositions = true, f.replica.caches.Positions()
 	}
+	pull.Pending = f.replica.Pending(clock.Now())
 	f.chain.use(func(chain *upstream.Chain) { pull.From = chain.Self() })
 	update, at, err := f.client.Pull(ctx, peer, pull)
 	if ctx.Err() != nil {
 		return 0
 	}
 	result := f.evaluate(peer, update, err)
+	switch result.(type) {
+	case upstream.Restarted:
+		f.restartSeen = true
+	case upstream.Pending:
+		f.replica.setReadingSince(at.Add(-update.ReadingFor))
+	}
 	if f.shouldApply(update, result) {
 		err = f.apply(update, at)
 	}
@@ -224,6 +250,8 @@
 		return upstream.Failed{}
 	case update.Revision != peer.Revision:
 		return upstream.Restarted{Revision: update.Revision}
+	case !update.Complete() && update.ReadingFor > 0 && update.ReadingFor <= maxListRead:
+		return upstream.Pending{}
 	case !update.Complete():
 		return upstream.Stale{}
 	case !f.epochsCurrent(update):
@@ -269,6 +297,9 @@
 	if update.Routers > 0 {
 		f.replica.observeRouterCount(at.Add(-update.RoutersAge), update.Routers)
 	}
+	if f.chain.large() && len(update.Elders) > 0 {
+		f.setElders(update.Elders)
+	}
 	return nil
 }
 
@@ -294,7 +325,9 @@
 		// share of the retry slack while their count is old.
 		due := f.readsForOthers() && (intervalOver || f.replica.routerCountAge(now) >= minAge)
 		changed := f.chain.relays() && f.replica.Routers() != f.recipients.count()+1
-		if !due && !(intervalOver && (holdsLease() || changed)) {
+		// In a large fleet only a holder that sends permits needs to know all routers.
+		sends := (holdsLease() && (f.states != nil || !f.chain.large())) || (changed && !f.chain.large())
+		if !due && !(intervalOver && sends) {
 			return
 		}
 		triedAt = now
@@ -313,4 +346,17 @@
 	f.observeEpoch()
 	f.replica.observeRouterCount(readAt, routers)
 	f.recipients.set(peers)
+	if f.chain.large() {
+		f.setElders(upstream.Elders(peers))
+	}
+}
+
+// setElders sets the routers of a large fleet that may lead pools of limits.
+func (f *follower) setElders(elders []upstream.Peer) {
+	if !f.replica.setElders(elders) || f.onJoined == nil {
+		return
+	}
+	var self upstream.Peer
+	f.chain.use(func(chain *upstream.Chain) { self = chain.Self() })
+	f.onJoined(self, elders)
 }
--- a/internal/node/pull_test.go
+++ b/internal/node/pull_test.go
@@ -224,13 +224,13 @@
 	table := newFakeStore()
 	first := &routerList{table: table, timeout: time.Second, node: "n", zone: "z", incarnation: "1"}
 	second := &routerList{table: table, timeout: time.Second, node: "n", zone: "z", incarnation: "2"}
-	_, _, _, err := first.join(t.Context())
+	_, err := first.join(t.Context())
 	is.NoErr(err)
-	_, _, routers, err := second.join(t.Context())
+	view, err := second.join(t.Context())
 	is.NoErr(err)
-	is.Equal(routers, 1)
+	is.Equal(view.routers, 1)
 	first.leave(t.Context()) // its row was overwritten
-	_, routers, err = second.read(t.Context())
+	_, routers, err := second.read(t.Context())
 	is.NoErr(err)
 	is.Equal(routers, 1)
 	second.leave(t.Context())
--- a/internal/node/quotas.go
+++ b/internal/node/quotas.go
@@ -20,6 +20,8 @@
 const (
 	// quotaTick is the time between two checks which hellos are due.
 	quotaTick = 50 * time.Millisecond
+	// idleQuotaTick replaces quotaTick while nothing has a limit.
+	idleQuotaTick = 200 * time.Millisecond
 	// pendingTick is the time between two checks whether an unanswered reservation is to be
 	// requested again.
 	pendingTick = 15 * time.Millisecond
@@ -111,10 +113,24 @@
 
 // run keeps this router in a pool until ctx ends, while anything has a limit.
 func (q *quotas) run(ctx context.Context) {
-	wait.Every(ctx, quotaTick, func() { q.updateMembership(q.limited()) })
+	for {
+		limited := q.limited()
+		q.updateMembership(limited)
+		if !wait.For(ctx, quotaPause(limited)) {
+			break
+		}
+	}
 	q.updateMembership(false)
 }
 
+// quotaPause returns the time until the next check whether anything is limited.
+func quotaPause(limited bool) time.Duration {
+	if limited {
+		return quotaTick
+	}
+	return idleQuotaTick
+}
+
 // updateMembership keeps this router in a pool while anything is limited, and leaves the pool
 // after that. It is called by one goroutine.
 func (q *quotas) updateMembership(limited bool) {
--- a/internal/node/recordlist.go
+++ b/internal/node/recordlist.go
@@ -6,6 +6,7 @@
 	"maps"
 	"slices"
 
+	"github.com/apex/log"
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/fieldpond/fieldpond/internal/backend"
@@ -16,13 +17,16 @@
 // maxListChanges bounds the changes that are kept for peers with an older copy.
 const maxListChanges = 32
 
-// recordList is an instance list, ordered by instance, with its last changes. It is not
-// safe for concurrent use.
+// recordList is an instance list, ordered by instance, with its last changes. Applying a change
+// costs as much as the change, not the list. It is not safe for concurrent use.
 type recordList struct {
 	// digest identifies the content of records; 0 means no list.
 	digest  uint64
 	records []backend.Record
 	changes []listChange
+	// packed has what peers need as PackRecords encodes it, by the digest of their copy, 0 for
+	// the whole list. It is filled as peers ask.
+	packed map[uint64][]byte
 }
 
 // listChange is the change from the list with the digest base to the next one.
@@ -41,11 +45,11 @@
 func byInstance(a, b backend.Record) int { return cmp.Compare(a.Instance, b.Instance) }
 
 // changesSince returns the changes since the list with a digest; if they are unknown or
-// not shorter, it returns the full list, with a base of 0.
+// not shorter, it returns a base of 0, and the full list is to be sent.
 func (l *recordList) changesSince(digest uint64) (base uint64, records []backend.Record, removed []ident.Incarnation) {
 	first := slices.IndexFunc(l.changes, func(change listChange) bool { return change.base == digest })
 	if first < 0 || digest == 0 {
-		return 0, l.records, nil
+		return 0, nil, nil
 	}
 	changed := map[ident.Incarnation]backend.Record{}
 	gone := map[ident.Incarnation]bool{}
@@ -60,48 +64,151 @@
 		}
 	}
 	if len(changed) >= len(l.records) {
-		return 0, l.records, nil
+		return 0, nil, nil
 	}
 	return digest, slices.SortedFunc(maps.Values(changed), byInstance), slices.Sorted(maps.Keys(gone))
 }
 
-// apply applies an update, and reports whether it fits this copy.
-func (l *recordList) apply(list *upstream.List) bool {
-	records := list.Records
-	if list.Base != 0 {
+// minPackedRecords is the number of records from which they are packed for a peer.
+const minPackedRecords = 32
+
+// update returns what a peer with the copy of a digest lacks. packed means that the peer reads
+// packed lists.
+func (l *recordList) update(held uint64, packed bool) upstream.List {
+	list := upstream.List{Digest: l.digest}
+	if l.digest == held {
+		return list
+	}
+	list.Included = true
+	list.Base, list.Records, list.Removed = l.changesSince(held)
+	if list.Base == 0 {
+		list.Records = l.records
+	}
+	if packed && len(list.Records) >= minPackedRecords {
+		list.Packed = l.pack(list.Base, list.Records)
+	}
+	switch {
+	case list.Packed != nil:
+		list.Records = nil
+	case list.Base == 0:
+		// A copy, as later changes replace records in place.
+		list.Records = slices.Clone(l.records)
+	}
+	return list
+}
+
+// pack returns packed records for peers with the copy of a digest, nil if they cannot be encoded.
+func (l *recordList) pack(base uint64, records []backend.Record) []byte {
+	if packed := l.packed[base]; packed != nil {
+		return packed
+	}
+	packed, err := upstream.PackRecords(records)
+	if err != nil {
+		log.WithFields(log.Fields{"cause": err.Error()}).Warn("list_not_packed")
+		return nil
+	}
+	if l.packed == nil {
+		l.packed = make(map[uint64][]byte)
+	}
+	l.packed[base] = packed
+	return packed
+}
+
+// apply applies an update. It returns the change and whether the update fits this copy.
+func (l *recordList) apply(list *upstream.List) (change listChange, fits bool) {
+	change.base = l.digest
+	if list.Base == 0 {
+		change.records, change.removed = difference(l.records, list.Records)
+		l.records = list.Records
+	} else {
+		change.records, change.removed = list.Records, list.Removed
 		if list.Base != l.digest {
-			return false
+			return listChange{}, false
 		}
-		records = l.mergedWith(list.Records, list.Removed)
-		if digestOf(records) != list.Digest {
+		if digestOfSum(l.sumWith(&change)) != list.Digest {
 			// The copies differ despite equal digests: drop this one to get the full list.
 			*l = recordList{}
-			return false
+			return listChange{}, false
 		}
+		l.merge(&change)
+	}
+	l.digest, l.packed = list.Digest, nil
+	l.keepChange(change)
+	return change, true
+}
+
+// keepChange keeps a change for peers with an older copy, and drops the oldest ones beyond the
+// bound or larger than the list.
+func (l *recordList) keepChange(change listChange) {
+	if change.base == 0 {
+		return
 	}
-	change := listChange{base: l.digest}
-	change.records, change.removed = difference(l.records, records)
 	l.changes = append(l.changes, change)
-	if extra := len(l.changes) - maxListChanges; extra > 0 {
-		l.changes = slices.Delete(l.changes, 0, extra)
+	size, first := 0, len(l.changes)
+	for first > 0 && len(l.changes)-first < maxListChanges {
+		older := &l.changes[first-1]
+		size += len(older.records) + len(older.removed)
+		if size > len(l.records) {
+			break
+		}
+		first--
 	}
-	l.digest, l.records = list.Digest, records
-	return true
+	l.changes = slices.Delete(l.changes, 0, first)
+}
+
+// find returns the place of an instance in the list, and whether it is there.
+func (l *recordList) find(instance ident.Incarnation) (place int, found bool) {
+	return slices.BinarySearchFunc(l.records, instance, func(record backend.Record, instance ident.Incarnation) int {
+		return cmp.Compare(record.Instance, instance)
+	})
 }
 
-// mergedWith returns this list with some records added or replaced and others removed.
-func (l *recordList) mergedWith(records []backend.Record, removed []ident.Incarnation) []backend.Record {
-	merged := make(map[ident.Incarnation]backend.Record, len(l.records)+len(records))
-	for _, record := range l.records {
-		merged[record.Instance] = record
+// withNewContent returns those of some records that the list lacks or has with other content,
+// ordered by instance.
+func (l *recordList) withNewContent(records []backend.Record) []backend.Record {
+	differ := slices.DeleteFunc(records, func(record backend.Record) bool {
+		place, found := l.find(record.Instance)
+		return found && sameContent(&l.records[place], &record)
+	})
+	slices.SortFunc(differ, byInstance)
+	return differ
+}
+
+// sumWith returns the sum of the records' hashes after a change.
+func (l *recordList) sumWith(change *listChange) uint64 {
+	sum := l.digest
+	if len(l.records) == 0 {
+		sum = 0
+	}
+	for index := range change.records {
+		if place, found := l.find(change.records[index].Instance); found {
+			sum -= hashOf(&l.records[place])
+		}
+		sum += hashOf(&change.records[index])
+	}
+	for _, instance := range change.removed {
+		if place, found := l.find(instance); found {
+			sum -= hashOf(&l.records[place])
+		}
 	}
-	for _, record := range records {
-		merged[record.Instance] = record
+	return sum
+}
+
+// merge replaces, adds and removes the records of a change.
+func (l *recordList) merge(change *listChange) {
+	for _, record := range change.records {
+		place, found := l.find(record.Instance)
+		if found {
+			l.records[place] = record
+			continue
+		}
+		l.records = slices.Insert(l.records, place, record)
 	}
-	for _, instance := range removed {
-		delete(merged, instance)
+	for _, instance := range change.removed {
+		if place, found := l.find(instance); found {
+			l.records = slices.Delete(l.records, place, place+1)
+		}
 	}
-	return slices.SortedFunc(maps.Values(merged), byInstance)
 }
 
 // difference returns the records that were added or changed since an older list, and the
@@ -135,9 +242,23 @@
 		a.Release == b.Release && a.Slots == b.Slots && a.Draining == b.Draining && maps.Equal(a.Models, b.Models)
 }
 
-// digestOf returns a hash of a list ordered by instance, without the revisions of its
-// records. It is never 0.
+// emptyDigest is the digest of a list without records.
+const emptyDigest = 1
+
+// digestOf returns a digest of a list, without the revisions of its records. It is never 0. It
+// is the sum of the records' hashes, so that a change of the list costs as much as the change.
 func digestOf(records []backend.Record) uint64 {
+	var sum uint64
+	for index := range records {
+		sum += hashOf(&records[index])
+	}
+	return digestOfSum(sum)
+}
+
+func digestOfSum(sum uint64) uint64 { return max(sum, emptyDigest) }
+
+// hashOf returns a hash of a record without its revision.
+func hashOf(record *backend.Record) uint64 {
 	digest := xxhash.New()
 	number := func(value int) {
 		var bytes [8]byte
@@ -148,21 +269,19 @@
 		number(len(value))
 		_, _ = digest.WriteString(value)
 	}
-	for _, record := range records {
-		text(string(record.Instance))
-		text(string(record.Service))
-		text(record.Address)
-		text(string(record.Zone))
-		text(string(record.Release))
-		number(record.Slots)
-		if record.Draining {
-			text("draining")
-		}
-		number(len(record.Models))
-		for _, model := range slices.Sorted(maps.Keys(record.Models)) {
-			text(string(model))
-			number(record.Models[model])
-		}
+	text(string(record.Instance))
+	text(string(record.Service))
+	text(record.Address)
+	text(string(record.Zone))
+	text(string(record.Release))
+	number(record.Slots)
+	if record.Draining {
+		text("draining")
+	}
+	number(len(record.Models))
+	for _, model := range slices.Sorted(maps.Keys(record.Models)) {
+		text(string(model))
+		number(record.Models[model])
 	}
-	return max(digest.Sum64(), 1)
+	return digest.Sum64()
 }
--- a/internal/node/recordlist_test.go
+++ b/internal/node/recordlist_test.go
@@ -14,9 +14,8 @@
 
 // updateFor returns the update that a router with the list sends to one with a copy.
 func updateFor(list *recordList, held uint64) *upstream.List {
-	update := &upstream.List{Digest: list.digest, Included: true}
-	update.Base, update.Records, update.Removed = list.changesSince(held)
-	return update
+	update := list.update(held, false)
+	return &update
 }
 
 // editRecords returns a changed list with some of the same back ends.
@@ -52,7 +51,8 @@
 	for round := range uint64(400) {
 		records = editRecords(random, records, round+1)
 		if read := fullList(records); read.Digest != list.digest {
-			is.True(list.apply(read))
+			_, fits := list.apply(read)
+			is.True(fits)
 		}
 		for index := range copies {
 			// A copy lags by a number of rounds that grows with its index.
@@ -67,7 +67,8 @@
 				changes++
 				is.True(len(update.Records) < len(list.records))
 			}
-			is.True(behind.apply(update))
+			_, fits := behind.apply(update)
+			is.True(fits)
 			is.Equal(behind.digest, list.digest)
 			is.Equal(digestOf(behind.records), list.digest)
 		}
@@ -98,8 +99,10 @@
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
 			var list recordList
-			is.True(list.apply(base))
-			is.True(!list.apply(tt.list))
+			_, fits := list.apply(base)
+			is.True(fits)
+			_, fits = list.apply(tt.list)
+			is.True(!fits)
 			is.Equal(list.digest, tt.held) // 0 requests the full list
 		})
 	}
--- a/internal/node/replica.go
+++ b/internal/node/replica.go
@@ -6,8 +6,6 @@
 	"sync"
 	"time"
 
-	"github.com/apex/log"
-
 	"github.com/fieldpond/fieldpond/internal/admission"
 	"github.com/fieldpond/fieldpond/internal/backend"
 	"github.com/fieldpond/fieldpond/internal/canary"
@@ -37,8 +35,14 @@
 	// updates applies state updates of back ends; it may be nil.
 	updates *backendUpdates
 
-	mu           sync.Mutex
-	self         upstream.Peer
+	mu   sync.Mutex
+	self upstream.Peer
+	// elders are the routers of a large fleet that may lead pools of limits, eldersSum is their
+	// digest.
+	elders    []upstream.Peer
+	eldersSum uint64
+	// leafListed is whether this router is a leaf whose row was written.
+	leafListed   bool
 	shuttingDown bool
 	confirmation uint64
 	changed      chan struct{}
@@ -49,8 +53,11 @@
 	// config is the configuration in force.
 	config heldConfiguration
 	// list was read at listedAt.
-	list     recordList
-	listedAt time.Time
+	list         recordList
+	listedAt     time.Time
+	listPosition listPosition
+	// readingSince is since when a router that supplies this one reads a long list.
+	readingSince time.Time
 	// routers is the number of routers in all zones as of countedAt, 0 if unknown; sharers
 	// derives from it the number among which the retry slack is divided.
 	routers   int
@@ -115,8 +122,9 @@
 	update := &upstream.Update{
 		Revision: r.self.Revision, Confirmation: r.confirmation, Origin: r.origin, Routers: r.routers,
 		Configuration: upstream.Configuration{Revision: r.config.checkedRevision, Version: r.config.version},
-		List:          upstream.List{Digest: r.list.digest},
+		List:          r.list.update(pull.List, pull.Packed),
 		ShuttingDown:  r.shuttingDown,
+		ReadingFor:    r.readingFor(now),
 		Epoch:         r.epochs.Epoch(),
 	}
 	if first, known := r.epochs.First(); known {
@@ -132,14 +140,10 @@
 		update.Configuration.WatchPosition = watchUpdate(r.watched)
 	}
 	if r.config.version != pull.Configuration {
-		update.Configuration.Body = r.config.body
+		update.Configuration.Body, update.Configuration.PackedBody = r.config.bodyFor(pull.Packed)
 	}
 	if r.list.digest != 0 {
-		update.List.Age = now.Sub(r.listedAt)
-	}
-	if r.list.digest != pull.List {
-		update.List.Included = true
-		update.List.Base, update.List.Records, update.List.Removed = r.list.changesSince(pull.List)
+		update.List.Age, update.List.StoreRevision = now.Sub(r.listedAt), r.listPosition.revision
 	}
 	if r.guard != nil {
 		update.Quarantine = r.guard.EvidenceSince(now, pull.Quarantine)
@@ -147,6 +151,9 @@
 	if updates := r.backends.StateUpdates(now); backend.UpdatesDigest(updates) != pull.UpdatesDigest {
 		update.StateUpdates = updates
 	}
+	if r.eldersSum != pull.Elders {
+		update.Elders = r.elders
+	}
 	if pull.Caches {
 		update.Caches = r.caches.Updates(now, pull.CachePositions)
 	}
@@ -172,12 +179,41 @@
 	return r.config.version, r.list.digest
 }
 
-// joined sets this router's own row.
+// joined sets this router's own row. A leaf has none yet.
 func (r *replica) joined(self upstream.Peer) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.self = self
-	r.sharers.SetJoined(clock.Now())
+	if !upstream.IsLeaf(self.Revision) {
+		r.sharers.SetJoined(clock.Now())
+	}
+}
+
+// listed records that the row of this router, a leaf, is written.
+func (r *replica) listed() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.leafListed {
+		r.leafListed = true
+		r.sharers.SetJoined(clock.Now())
+	}
+}
+
+// setElders sets the elders, and reports whether they have changed.
+func (r *replica) setElders(elders []upstream.Peer) (changed bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	sum := upstream.EldersDigest(elders)
+	changed = sum != r.eldersSum
+	r.elders, r.eldersSum = elders, sum
+	return changed
+}
+
+// eldersDigest returns the digest of the known elders.
+func (r *replica) eldersDigest() uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.eldersSum
 }
 
 // rejoined sets this router's own row after a restore of the store.
@@ -354,26 +390,6 @@
 	return r.rollouts
 }
 
-// applyList applies the instance list as the origin read it at a time.
-func (r *replica) applyList(origin ident.Node, listedAt time.Time, list *upstream.List) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if !listedAt.After(r.listedAt) {
-		return
-	}
-	switch {
-	case list.Digest == r.list.digest:
-		logBackends(r.backends.ConfirmList(listedAt))
-	case !list.Included || !r.list.apply(list):
-		return
-	default:
-		logBackends(r.backends.ApplyList(listedAt, r.list.records))
-		r.canaries.applyList(listedAt, r.list.records)
-	}
-	r.listedAt = listedAt
-	r.bumpConfirmation(origin)
-}
-
 // bumpConfirmation starts a new confirmation, which wakes waiting peers; the caller holds the
 // mutex.
 func (r *replica) bumpConfirmation(origin ident.Node) {
@@ -384,22 +400,3 @@
 	close(r.changed)
 	r.changed = make(chan struct{})
 }
-
-// listAge returns the age of the instance list, or of the process if there is no list.
-func (r *replica) listAge(now, startedAt time.Time) time.Duration {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.listedAt.IsZero() {
-		return now.Sub(startedAt)
-	}
-	return now.Sub(r.listedAt)
-}
-
-func logBackends(changes []backend.Change) {
-	for _, change := range changes {
-		log.WithFields(log.Fields{
-			"instance": change.Record.Instance, "service": change.Record.Service, "address": change.Record.Address,
-			"change": change.Kind, "revision": change.Record.Revision, "models": change.Record.Models,
-		}).Info("backend_changed")
-	}
-}
--- a/internal/node/routerlist.go
+++ b/internal/node/routerlist.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -11,6 +12,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 
+	"github.com/fieldpond/fieldpond/internal/fault"
 	"github.com/fieldpond/fieldpond/internal/ident"
 	"github.com/fieldpond/fieldpond/internal/store"
 	"github.com/fieldpond/fieldpond/internal/store/protocol"
@@ -22,8 +24,12 @@
 // router writes its own row at its start and removes it at the end of a planned stop.
 const routerPrefix = "router/"
 
-// maxRouters bounds the number of router rows that are read.
-const maxRouters = 4000
+const (
+	// maxRouters bounds the number of router rows that are read.
+	maxRouters = 4000
+	// smallFleet is the number of routers up to which each router reads the rows of all.
+	smallFleet = 128
+)
 
 // routerRow is the value of a router's row.
 type routerRow struct {
@@ -44,6 +50,13 @@
 	addr        netip.AddrPort
 	incarnation string
 	epochs      optionalEpochs
+	// zones are all zones, if they are known.
+	zones []ident.Zone
+	// down reports whether a peer is known to be down; it may be nil.
+	down func(ident.Node) bool
+	// refused is whether the store refused the last write of the row, as there were too many.
+	// It is used by one goroutine.
+	refused bool
 
 	mu  sync.Mutex
 	row protocol.Row
@@ -51,25 +64,76 @@
 
 func (r *routerList) key() string { return routerPrefix + string(r.zone) + "/" + string(r.node) }
 
-// join writes this router's row and returns it, with the routers and the number of rows
-// as read after the write.
-func (r *routerList) join(ctx context.Context) (self upstream.Peer, peers []upstream.Peer, routers int, err error) {
-	if _, known := r.epochs.First(); !known && r.epochs.enabled() {
-		// The rows of earlier routers have the first epoch.
-		if _, _, err := r.read(ctx); err != nil {
-			return self, nil, 0, err
+// fleetView is what a router reads of its peers when it joins.
+type fleetView struct {
+	// self is this router's row, or a leaf.
+	self upstream.Peer
+	// peers are all routers with readable rows, in a large fleet only those of the backbone.
+	peers []upstream.Peer
+	// routers is the number of rows, 0 in a large fleet.
+	routers int
+	// large is whether this router's zone is large.
+	large bool
+	// provisional is whether the rows of other routers were still being written, so that the
+	// backbone is not known yet.
+	provisional bool
+}
+
+// join writes this router's row and reads those of its peers after that. A leaf writes none.
+func (r *routerList) join(ctx context.Context) (fleetView, error) {
+	if _, known := r.epochs.First(); r.refused || (!known && r.epochs.enabled()) {
+		// The rows of earlier routers have the first epoch, and tell whether this is a leaf.
+		leaf, isLeaf, err := r.readBeforeJoin(ctx)
+		if err != nil || isLeaf {
+			return leaf, err
 		}
 	}
 	row, err := r.write(ctx)
+	// When a large fleet starts at once, the rows of routers that were faster are there by now.
+	r.refused = fault.Is(err, fault.RateLimited)
 	if err != nil {
-		return self, nil, 0, err
+		return fleetView{}, err
 	}
 	return r.recordRow(ctx, row)
 }
 
+// readBeforeJoin reads rows of earlier routers, and returns the view of this router if it is a
+// leaf. A refusal of its row alone shows that the fleet is large.
+func (r *routerList) readBeforeJoin(ctx context.Context) (leaf fleetView, isLeaf bool, err error) {
+	limit := upstream.LargeZone
+	if r.refused {
+		limit = upstream.BackboneSize
+	}
+	zone, err := r.readZone(ctx, r.zone, limit+1)
+	if err != nil {
+		return fleetView{}, false, err
+	}
+	if len(zone) == 0 {
+		_, _, _, err = r.list(ctx, routerPrefix, smallFleet)
+		return fleetView{}, false, err
+	}
+	backbone := upstream.Backbone(zone, r.isDown)
+	if len(zone) <= limit || r.isIn(backbone) {
+		return fleetView{}, false, nil
+	}
+	leaf = r.leafView(backbone)
+	leaf.provisional = r.refused
+	return leaf, true, nil
+}
+
+// leafView returns the view of this router as a leaf.
+func (r *routerList) leafView(backbone []upstream.Peer) fleetView {
+	return fleetView{self: upstream.Leaf(r.peer(0), r.incarnation), peers: backbone, large: true}
+}
+
+// isIn reports whether this router is one of some routers.
+func (r *routerList) isIn(routers []upstream.Peer) bool {
+	return slices.ContainsFunc(routers, func(peer upstream.Peer) bool { return peer.Node == r.node })
+}
+
 // rejoin is join for a router whose row a restore may have lost. It writes the row only if it is
 // lost, so that the order of the routers stays.
-func (r *routerList) rejoin(ctx context.Context) (self upstream.Peer, peers []upstream.Peer, routers int, err error) {
+func (r *routerList) rejoin(ctx context.Context) (fleetView, error) {
 	bounded, cancel := context.WithTimeout(ctx, r.timeout)
 	defer cancel()
 	row, _, err := r.table.Read(bounded, r.key())
@@ -77,16 +141,28 @@
 		row, err = r.write(ctx)
 	}
 	if err != nil {
-		return self, nil, 0, err
+		return fleetView{}, err
 	}
 	return r.recordRow(ctx, row)
 }
 
-// current reports whether this router's row was seen in an epoch or later.
+// writeLeaf writes the row of a leaf, which only serves to count it.
+func (r *routerList) writeLeaf(ctx context.Context) error {
+	row, err := r.write(ctx)
+	if err != nil {
+		return err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.row = row
+	return nil
+}
+
+// current reports whether this router's row was written and seen in an epoch or later.
 func (r *routerList) current(epoch uint64) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return store.Epoch(r.row.Version) >= epoch
+	return r.row.Version != 0 && store.Epoch(r.row.Version) >= epoch
 }
 
 func (r *routerList) write(ctx context.Context) (protocol.Row, error) {
@@ -107,23 +183,96 @@
 	return written.Rows[0], nil
 }
 
-// recordRow stores this router's row and reads those of all routers.
-func (r *routerList) recordRow(ctx context.Context, row protocol.Row) (self upstream.Peer, peers []upstream.Peer, routers int, err error) {
+// recordRow stores this router's row and reads those of its peers.
+func (r *routerList) recordRow(ctx context.Context, row protocol.Row) (fleetView, error) {
 	r.mu.Lock()
 	r.row = row
 	r.mu.Unlock()
-	self = upstream.Peer{Node: r.node, Zone: r.zone, Addr: r.addr, Revision: row.Version}
-	peers, routers, err = r.read(ctx)
-	return self, peers, routers, err
+	return r.view(ctx, r.peer(row.Version))
+}
+
+func (r *routerList) peer(revision uint64) upstream.Peer {
+	return upstream.Peer{Node: r.node, Zone: r.zone, Addr: r.addr, Revision: revision}
+}
+
+// reread reads the peers of a router in a large fleet again, with its row if it has one.
+func (r *routerList) reread(ctx context.Context) (fleetView, error) {
+	r.mu.Lock()
+	revision := r.row.Version
+	r.mu.Unlock()
+	zone, err := r.readZone(ctx, r.zone, upstream.LargeZone+1)
+	if err != nil {
+		return fleetView{}, err
+	}
+	return r.zoneView(ctx, r.peer(revision), zone)
+}
+
+// view reads the peers of this router, whose row is self.
+func (r *routerList) view(ctx context.Context, self upstream.Peer) (fleetView, error) {
+	peers, routers, more, err := r.list(ctx, routerPrefix, smallFleet)
+	if err != nil || !more {
+		return fleetView{self: self, peers: peers, routers: routers}, err
+	}
+	zone, err := r.readZone(ctx, r.zone, upstream.LargeZone+1)
+	if err != nil {
+		return fleetView{}, err
+	}
+	return r.zoneView(ctx, self, zone)
+}
+
+// zoneView reads the peers of this router, whose row is self, given the first routers of its
+// zone. If the zone is large it reads only the backbone, and a router that is not of it is a leaf.
+func (r *routerList) zoneView(ctx context.Context, self upstream.Peer, zone []upstream.Peer) (fleetView, error) {
+	if len(zone) <= upstream.LargeZone {
+		peers, routers, err := r.read(ctx)
+		return fleetView{self: self, peers: peers, routers: routers}, err
+	}
+	backbone := upstream.Backbone(zone, r.isDown)
+	if !r.isIn(backbone) {
+		return r.leafView(backbone), nil
+	}
+	others, err := r.readOtherZones(ctx)
+	return fleetView{self: self, peers: append(backbone, others...), large: true}, err
+}
+
+func (r *routerList) isDown(node ident.Node) bool { return r.down != nil && r.down(node) }
+
+// readOtherZones returns the backbones of the other zones.
+func (r *routerList) readOtherZones(ctx context.Context) ([]upstream.Peer, error) {
+	var peers []upstream.Peer
+	for _, zone := range r.zones {
+		if zone == r.zone {
+			continue
+		}
+		backbone, err := r.readZone(ctx, zone, upstream.BackboneSize)
+		if err != nil {
+			return nil, err
+		}
+		peers = append(peers, backbone...)
+	}
+	return peers, nil
+}
+
+// readZone returns the first routers of a zone by name.
+func (r *routerList) readZone(ctx context.Context, zone ident.Zone, limit int) ([]upstream.Peer, error) {
+	peers, _, _, err := r.list(ctx, routerPrefix+string(zone)+"/", limit)
+	return peers, err
 }
 
 // read returns the routers of all zones with readable rows, and the number of rows.
 func (r *routerList) read(ctx context.Context) (peers []upstream.Peer, routers int, err error) {
+	peers, routers, _, err = r.list(ctx, routerPrefix, maxRouters)
+	return peers, routers, err
+}
+
+// list returns the routers with readable rows, at most limit, the number of rows, and whether
+// there are more.
+func (r *routerList) list(ctx context.Context, prefix string, limit int) (peers []upstream.Peer, routers int, more bool, err error) {
 	bounded, cancel := context.WithTimeout(ctx, r.timeout)
 	defer cancel()
-	list, err := r.table.List(bounded, routerPrefix, maxRouters)
+	list, err := r.table.List(bounded, prefix, limit)
 	if err != nil {
-		return nil, 0, err
+		return nil, 0, false, err
 	}
 	for _, row := range list.Rows {
 		zone, name, valid := strings.Cut(strings.TrimPrefix(row.Key, routerPrefix), "/")
@@ -138,7 +287,7 @@
 			Node: ident.Node(name), Zone: ident.Zone(zone), Addr: read.Addr, Revision: row.Version,
 		})
 	}
-	return peers, len(list.Rows), nil
+	return peers, len(list.Rows), list.More, nil
 }
 
 const (
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -45,7 +45,7 @@
 		newServer("readiness checks", n.config.ReadyAddress, http.HandlerFunc(n.serveReady)),
 	}
 	if n.config.PeerAddr.IsValid() {
-		peers := upstream.NewServer(n.follower.replica, n.follower.chain.observeFollower)
+		peers := upstream.NewServer(n.follower.replica, n.follower.observePull)
 		all = append(all, newServer("pulls of other routers", n.config.PeerAddr.String(), peers))
 	}
 	if n.config.MetricsAddress != "" {
--- a/internal/node/source.go
+++ b/internal/node/source.go
@@ -72,6 +72,37 @@
 	Backends(ctx context.Context) ([]backend.Record, error)
 }
 
+// BackendRow is one row of the instance list.
+type BackendRow struct {
+	// Key is the key of the row.
+	Key string
+	// Listed is false if the row is gone or names no back end that can be used; Record is not
+	// set then.
+	Listed bool
+	Record backend.Record
+}
+
+// BackendRows are rows of the instance list.
+type BackendRows struct {
+	Rows []BackendRow
+	// Revision is a revision of the store at or before the read: the rows include all writes up
+	// to it.
+	Revision uint64
+}
+
+// BackendFeed reads a long instance list whole, and from then on its changes. Errors are
+// *fault.Fault.
+type BackendFeed interface {
+	// BackendRows reads all rows, in several calls of at most callTimeout each. It calls onMore
+	// once, as soon as it knows that one call is not enough, and stops if that returns an error.
+	BackendRows(ctx context.Context, callTimeout time.Duration, onMore func() error) (BackendRows, error)
+	// BackendChanges returns the rows that changed after a revision, in the order of the
+	// changes. It returns ErrHistoryGone if the store cannot return all of them.
+	BackendChanges(ctx context.Context, after uint64) (BackendRows, error)
+	// KeyOf returns the key of a back end's row.
+	KeyOf(instance ident.Incarnation) string
+}
+
 // Epochs counts how often the store was restored from an older copy since this system started;
 // see store.Revision. Its methods are safe for concurrent use.
 type Epochs interface {
--- a/internal/node/zone_test.go
+++ b/internal/node/zone_test.go
@@ -9,11 +9,13 @@
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
 	"github.com/fieldpond/fieldpond/internal/admission"
 	"github.com/fieldpond/fieldpond/internal/backend"
 	"github.com/fieldpond/fieldpond/internal/catalog"
+	"github.com/fieldpond/fieldpond/internal/flood"
 	"github.com/fieldpond/fieldpond/internal/ident"
 	"github.com/fieldpond/fieldpond/internal/region"
 	"github.com/fieldpond/fieldpond/internal/store"
@@ -32,6 +34,13 @@
 
 	// regions are the regions of the routers' zones.
 	regions region.Map
+	// zones are all zones, as the routers' settings tell them; it may be nil.
+	zones []ident.Zone
+	// routerTable is the table for the rows of routers that start, if it is set.
+	routerTable store.Table
+	// wholeListTime, if set, is how long the store takes to return a list, whose changes are
+	// then read.
+	wholeListTime time.Duration
 
 	mu      sync.Mutex
 	routers map[ident.Node]*zoneRouter
@@ -50,10 +59,19 @@
 	// reads counts the calls of this router to the store, watches those that wait for
 	// changes.
 	reads, watches int
+	// wholeLists counts its reads of the whole list, served the pulls that it answered.
+	wholeLists, served int
 	// A cutOff router does not reach the store, a dead one answers no pull.
 	cutOff, dead bool
 }
 
+// unknownEpochs are those of a store whose answers tell no epoch.
+type unknownEpochs struct{}
+
+func (unknownEpochs) Epoch() uint64         { return 0 }
+func (unknownEpochs) First() (uint64, bool) { return 0, false }
+func (unknownEpochs) ObserveFirst(uint64)   {}
+
 func newZone() *zone {
 	z := &zone{store: newFakeStore(), routers: map[ident.Node]*zoneRouter{}}
 	z.publicationTable = z.store
@@ -68,17 +86,21 @@
 	_, suffix, _ := strings.Cut(string(node), "-")
 	running := &zoneRouter{zone: z, node: node}
 	ctx, running.stop = context.WithCancel(ctx)
+	chain := newChainGuard(upstream.Config{Stagger: 700 * time.Millisecond, StaleAfter: 1400 * time.Millisecond, Regions: z.regions})
 	running.follower = &follower{
 		source:       running,
+		flood:        flood.NewRouter(xxhash.Sum64String(string(node))),
+		zones:        z.zones,
 		replica:      newReplica(node, &catalog.Holder{}, backend.NewRegistry(backend.Config{}), z.store.Decode, zoneSharers),
 		publications: &publicationStore{table: z.publicationTable, timeout: time.Second},
 		routerList: &routerList{
 			table: z.store, timeout: time.Second, node: node, zone: ident.Zone("z" + suffix),
 			addr: netip.MustParseAddrPort("10.0.0.1:1"), incarnation: fmt.Sprint(time.Now()),
+			zones: z.zones, down: chain.down,
 		},
 		recipients: &recipients{node: node},
 		client:     running,
-		chain:      newChainGuard(upstream.Config{Stagger: 700 * time.Millisecond, StaleAfter: 1400 * time.Millisecond, Regions: z.regions}),
+		chain:      chain,
 		onLost:     func(string) {},
 		onPulled:   func(string) {}, onWatched: func(string) {},
 		startedAt: time.Now(),
@@ -87,6 +109,14 @@
 			ReadTimeout: time.Second, RetryPause: 100 * time.Millisecond, RouterListInterval: 5 * time.Second,
 		},
 	}
+	if z.routerTable != nil {
+		running.follower.routerList.table = z.routerTable
+		running.follower.routerList.epochs = optionalEpochs{unknownEpochs{}}
+		go running.follower.maintainRow(ctx)
+	}
+	if z.wholeListTime > 0 {
+		running.follower.feed = running
+	}
 	z.mu.Lock()
 	z.routers[node] = running
 	z.mu.Unlock()
@@ -181,6 +211,39 @@
 	return r.zone.store.Backends(ctx)
 }
 
+// BackendRows implements BackendFeed.
+func (r *zoneRouter) BackendRows(ctx context.Context, _ time.Duration, onMore func() error) (BackendRows, error) {
+	if err := onMore(); err != nil {
+		return BackendRows{}, err
+	}
+	if err := r.countCall(&r.wholeLists); err != nil {
+		return BackendRows{}, err
+	}
+	wait.For(ctx, r.zone.wholeListTime)
+	records, err := r.zone.store.Backends(ctx)
+	rows := BackendRows{Revision: 1}
+	for _, record := range records {
+		rows.Rows = append(rows.Rows, BackendRow{Key: r.KeyOf(record.Instance), Listed: true, Record: record})
+	}
+	return rows, err
+}
+
+// BackendChanges implements BackendFeed.
+func (r *zoneRouter) BackendChanges(ctx context.Context, after uint64) (BackendRows, error) {
+	if err := r.countRead(); err != nil {
+		return BackendRows{}, err
+	}
+	records, err := r.zone.store.Backends(ctx)
+	rows := BackendRows{Revision: after + 1}
+	for _, record := range records {
+		rows.Rows = append(rows.Rows, BackendRow{Key: r.KeyOf(record.Instance), Listed: true, Record: record})
+	}
+	return rows, err
+}
+
+// KeyOf implements BackendFeed.
+func (r *zoneRouter) KeyOf(instance ident.Incarnation) string { return string(instance) }
+
 // Pull implements puller.
 func (r *zoneRouter) Pull(ctx context.Context, peer upstream.Peer, pull *upstream.Pull) (*upstream.Update, time.Time, error) {
 	r.zone.mu.Lock()
@@ -197,14 +260,15 @@
 		return nil, time.Time{}, errors.New("refused")
 	}
 	askedAt := time.Now()
-	asked.follower.chain.observeFollower(pull.From)
+	_ = asked.countCall(&asked.served)
+	asked.follower.observePull(pull.From)
 	if !upstream.AwaitConfirmation(ctx, asked.follower.replica, pull) {
 		return nil, time.Time{}, ctx.Err()
 	}
 	now := time.Now()
 	update := asked.follower.replica.Update(now, pull)
 	update.HeldFor = now.Sub(askedAt)
-	return update, askedAt.Add(update.HeldFor), nil
+	return update, askedAt.Add(update.HeldFor), update.Unpack()
 }
 
 var _ store.Table = (*fakeStore)(nil)
--- a/internal/region/region.go
+++ b/internal/region/region.go
@@ -4,6 +4,7 @@
 
 import (
 	"maps"
+	"slices"
 
 	"github.com/fieldpond/fieldpond/internal/ident"
 )
@@ -21,6 +22,9 @@
 // a name.
 func (m Map) Of(zone ident.Zone) ident.Region { return m.zones[zone] }
 
+// Zones returns the zones in the map, sorted.
+func (m Map) Zones() []ident.Zone { return slices.Sorted(maps.Keys(m.zones)) }
+
 // Same reports whether two zones lie in one region.
 func (m Map) Same(a, b ident.Zone) bool { return a == b || m.Of(a) == m.Of(b) }
 
--- a/internal/rollout/controller.go
+++ b/internal/rollout/controller.go
@@ -92,8 +92,8 @@
 
 // Run sends orders while the lease is held, until ctx ends.
 func (c *Controller) Run(ctx context.Context) {
-	ticker := time.NewTicker(c.config.Tick)
-	defer ticker.Stop()
+	timer := time.NewTimer(c.config.Tick)
+	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
@@ -102,12 +102,24 @@
 			apply(clock.Now())
 			c.applyResults()
 			c.step(ctx, clock.Now())
-		case <-ticker.C:
+		case <-timer.C:
 			c.step(ctx, clock.Now())
+			timer.Reset(c.pause())
 		}
 	}
 }
 
+// idleTicks is the number of ticks between two checks whether the lease is held while it is not.
+const idleTicks = 2
+
+// pause returns the time until the next step.
+func (c *Controller) pause() time.Duration {
+	if _, err := c.lease.Held(); err != nil {
+		return idleTicks * c.config.Tick
+	}
+	return c.config.Tick
+}
+
 // applyResults applies the results that are available without blocking.
 func (c *Controller) applyResults() {
 	for {
--- a/internal/upstream/chain.go
+++ b/internal/upstream/chain.go
@@ -41,12 +41,15 @@
 func (Peer) source()  {}
 func (Store) source() {}
 
-// Result is the outcome of a pull: Fresh, Stale, Failed or Restarted.
+// Result is the outcome of a pull: Fresh, Pending, Stale, Failed or Restarted.
 type Result interface{ result() }
 
 // Fresh is state that is recent enough to be used.
 type Fresh struct{}
 
+// Pending means that the peer has no state yet, but is about to be supplied.
+type Pending struct{}
+
 // Stale is state that is too old, or that originates from this router itself.
 type Stale struct{}
 
@@ -57,6 +60,7 @@
 type Restarted struct{ Revision uint64 }
 
 func (Fresh) result()     {}
+func (Pending) result()   {}
 func (Stale) result()     {}
 func (Failed) result()    {}
 func (Restarted) result() {}
@@ -113,6 +117,9 @@
 	// region if there are several regions, and others the rest, each sorted by revision.
 	sameZone, sameRegion, others []*peerState
 	followers                    []*peerState
+	// large is whether the zone is so large that the earlier peers are only those of the
+	// backbone.
+	large bool
 	// supplied is true if the last pull returned fresh state.
 	supplied bool
 	// shuttingDown is true once this router shuts down. It then keeps its place and takes over
@@ -131,10 +138,17 @@
 	return &Chain{cfg: cfg}
 }
 
+// JoinBackbone is Join in a large fleet, where peers are those of the backbone. A leaf needs no
+// row of its own.
+func (c *Chain) JoinBackbone(self Peer, peers []Peer) {
+	c.Join(self, peers)
+	c.large = true
+}
+
 // Join sets this router's own row and those of its peers, which must be read after the
 // own row was written.
 func (c *Chain) Join(self Peer, peers []Peer) {
-	c.self, c.joined = self, true
+	c.self, c.joined, c.large = self, true, false
 	c.sameZone, c.sameRegion, c.others = nil, nil, nil
 	for _, peer := range peers {
 		switch {
@@ -221,10 +235,28 @@
 	return nil
 }
 
+// Leaf reports whether this router is a leaf.
+func (c *Chain) Leaf() bool { return IsLeaf(c.self.Revision) }
+
+// place returns this router's place in the tree of the zone, 0 for the root. The places of leaves
+// spread them over those routers of the backbone that have no children in it.
+func (c *Chain) place() int {
+	earlier := len(c.sameZone)
+	if !c.Leaf() || earlier == 0 {
+		return earlier
+	}
+	firstParent := (earlier-1)/fanout + 1
+	if firstParent >= earlier {
+		firstParent = 0
+	}
+	parents := earlier - firstParent
+	return fanout*(firstParent+int(c.self.Revision%uint64(parents))) + 1
+}
+
 // ancestors returns the path to the root in the tree of the zone, the parent first.
 func (c *Chain) ancestors() []*peerState {
 	var path []*peerState
-	for place := len(c.sameZone); place > 0; {
+	for place := c.place(); place > 0; {
 		place = (place - 1) / fanout
 		path = append(path, c.sameZone[place])
 	}
@@ -262,7 +294,7 @@
 	}
 	_, c.supplied = result.(Fresh)
 	switch result := result.(type) {
-	case Fresh:
+	case Fresh, Pending:
 		known.backoff, known.retryAt = 0, time.Time{}
 	case Stale:
 		known.backoff, known.retryAt = 0, now.Add(staleBackoff)
@@ -299,8 +331,13 @@
 }
 
 // Rank returns the number of earlier peers of this zone that are not known to be down or
-// shutting down. The router of rank 0 acts for its zone.
-func (c *Chain) Rank() int { return c.countUp(c.sameZone) }
+// shutting down. The router of rank 0 acts for its zone, which a leaf never does.
+func (c *Chain) Rank() int {
+	if c.Leaf() {
+		return max(len(c.sameZone), 1)
+	}
+	return c.countUp(c.sameZone)
+}
 
 // First reports whether no earlier peer is up and stays up: this router reads the store
 // for all.
@@ -309,7 +346,7 @@
 // FirstOfRegion reports whether no earlier peer of the region is up and stays up. If there
 // is only one region, it reports this for the zone.
 func (c *Chain) FirstOfRegion() bool {
-	return c.countUp(c.sameZone) == 0 && c.countUp(c.sameRegion) == 0
+	return !c.Leaf() && c.countUp(c.sameZone) == 0 && c.countUp(c.sameRegion) == 0
 }
 
 func (c *Chain) countUp(peers []*peerState) int {
@@ -325,7 +362,16 @@
 // Regional reports whether the routers are in several regions.
 func (c *Chain) Regional() bool { return c.cfg.Regions.HasMultiple() }
 
-// Joined reports whether this router has a row.
+// Large reports whether this router knows only the backbone of a large fleet.
+func (c *Chain) Large() bool { return c.large }
+
+// Down reports whether a peer did not answer repeatedly.
+func (c *Chain) Down(node ident.Node) bool {
+	known := c.find(node)
+	return known != nil && known.backoff > minBackoff
+}
+
+// Joined reports whether this router has a row, or is a leaf.
 func (c *Chain) Joined() bool { return c.joined }
 
 // ReadAge returns the age at which this router itself reads state from the store that is
@@ -336,5 +382,41 @@
 		return interval
 	}
 	extra := time.Duration(peerSlack * float64(interval))
-	return interval + extra + time.Duration(c.Rank())*c.cfg.Stagger/time.Duration(len(c.sameZone)+1)
+	return interval + extra + c.turn()
+}
+
+// turn returns this router's part of the stagger, which grows with its rank and is spread over
+// the leaves.
+func (c *Chain) turn() time.Duration {
+	if c.Leaf() {
+		return c.cfg.Stagger/4 + time.Duration(c.spread()*float64(c.cfg.Stagger*3/4))
+	}
+	return time.Duration(c.Rank()) * c.cfg.Stagger / time.Duration(len(c.sameZone)+1)
+}
+
+// spread returns a number from 0 to below 1 that differs between leaves.
+func (c *Chain) spread() float64 {
+	return float64(c.self.Revision<<1>>1) / leafRevision
+}
+
+const (
+	// backboneListDelay is the time between two ranks of a backbone after which they read the
+	// instance list themselves: a whole list is hundreds of times larger than a configuration.
+	backboneListDelay = time.Second
+	// leafListDelay and leafListSpread are when leaves begin to do so and the span over which
+	// they do. Until then they serve by the list that they have.
+	leafListDelay  = 4 * time.Second
+	leafListSpread = 16 * time.Second
+)
+
+// ListReadAge is ReadAge for the instance list.
+func (c *Chain) ListReadAge(interval time.Duration, own bool) time.Duration {
+	switch {
+	case c.Leaf():
+		return interval + leafListDelay + time.Duration(c.spread()*float64(leafListSpread))
+	case c.large && !c.First():
+		return interval + time.Duration(1+c.Rank())*backboneListDelay
+	default:
+		return c.ReadAge(interval, own)
+	}
 }
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -16,6 +16,9 @@
 const (
 	// pullTimeout bounds one pull, including the delay at the peer.
 	pullTimeout = maxHold + 500*time.Millisecond
+	// wholeListTime is the time by which a pull of a whole list may take longer: a peer sends it
+	// to all its children at once, over a link that may be slow.
+	wholeListTime = 4 * time.Second
 	// ackTimeout is how long sent bytes may stay unacknowledged; a silent connection is
 	// detected early enough for a retry within pullTimeout.
 	ackTimeout = 500 * time.Millisecond
@@ -40,7 +43,11 @@
 // of age A in the answer was true at the returned time minus A, or later: the returned time
 // is that of the request plus the delay at the peer.
 func (c *Client) Pull(ctx context.Context, peer Peer, pull *Pull) (*Update, time.Time, error) {
-	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
+	timeout := pullTimeout
+	if pull.List == 0 {
+		timeout += wholeListTime
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	body, err := cbor.Marshal(pull)
 	if err != nil {
@@ -76,12 +83,15 @@
 	if err := update.validate(clock.Since(requestedAt)); err != nil {
 		return nil, time.Time{}, err
 	}
+	if err := update.Unpack(); err != nil {
+		return nil, time.Time{}, err
+	}
 	return &update, requestedAt.Add(update.HeldFor), nil
 }
 
 // validate rejects an update with negative ages or a longer delay than the pull took.
 func (u *Update) validate(elapsed time.Duration) error {
-	if u.HeldFor < 0 || u.HeldFor > elapsed || u.Configuration.Age < 0 || u.List.Age < 0 || u.RoutersAge < 0 {
+	if u.HeldFor < 0 || u.HeldFor > elapsed || u.Configuration.Age < 0 || u.List.Age < 0 || u.RoutersAge < 0 || u.ReadingFor < 0 {
 		return errors.New("the peer's update contains an impossible age or delay")
 	}
 	if rollouts := u.Configuration.Rollouts; rollouts != nil && rollouts.Age < 0 {
--- a/internal/upstream/pull_test.go
+++ b/internal/upstream/pull_test.go
@@ -49,6 +49,8 @@
 	return s.confirmation, s.changed
 }
 
+func (s *fakeState) Pending(time.Time) bool { return false }
+
 func (s *fakeState) Revision() uint64 { return fakeRevision }
 
 // fakeRevision is the revision of the router that has a fakeState.
--- a/internal/upstream/server.go
+++ b/internal/upstream/server.go
@@ -32,6 +32,9 @@
 	// Confirmation returns the number of the newest confirmation, 0 while the state
 	// is incomplete, and a channel that is closed at the next one.
 	Confirmation() (uint64, <-chan struct{})
+	// Pending reports whether this router has no state yet, but is about to be supplied. A change
+	// closes the channel of Confirmation.
+	Pending(now time.Time) bool
 	// Revision returns the revision of this router's row, 0 if it has none yet.
 	Revision() uint64
 }
@@ -82,7 +85,7 @@
 // other to supply it.
 func AwaitConfirmation(ctx context.Context, state State, pull *Pull) bool {
 	bound := maxHold
-	if newest, _ := state.Confirmation(); newest == 0 {
+	if newest, _ := state.Confirmation(); newest == 0 && !pull.Pending {
 		bound = maxHoldUnsupplied
 	}
 	timer := time.NewTimer(bound)
@@ -92,6 +95,9 @@
 		if newest != pull.Confirmation || (newest == 0 && !isFollower(state, pull)) {
 			return true
 		}
+		if newest == 0 && state.Pending(clock.Now()) != pull.Pending {
+			return true
+		}
 		select {
 		case <-changed:
 		case <-timer.C:
--- a/internal/upstream/update.go
+++ b/internal/upstream/update.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/fieldpond/fieldpond/internal/backend"
 	"github.com/fieldpond/fieldpond/internal/canary"
 	"github.com/fieldpond/fieldpond/internal/ident"
@@ -28,6 +30,12 @@
 	Quarantine uint64 `cbor:"7,keyasint,omitempty"`
 	// UpdatesDigest is the digest of the sender's state updates of back ends, 0 for none.
 	UpdatesDigest uint64 `cbor:"8,keyasint,omitempty"`
+	// Packed means that the sender reads Configuration.PackedBody and List.Packed.
+	Packed bool `cbor:"9,keyasint,omitempty"`
+	// Pending means that the sender knows that it is about to be supplied.
+	Pending bool `cbor:"11,keyasint,omitempty"`
+	// Elders is EldersDigest of the elders that the sender knows.
+	Elders uint64 `cbor:"10,keyasint,omitempty"`
 }
 
 // Update is the state of a peer. Ages are as of the answer.
@@ -56,6 +64,11 @@
 	// FirstEra is one more than the start of epoch 0 in the store's own count, 0 if unknown.
 	Epoch    uint64 `cbor:"13,keyasint,omitempty"`
 	FirstEra uint64 `cbor:"14,keyasint,omitempty"`
+	// ReadingFor is for how long a router that supplies this one has been reading a long list,
+	// 0 if this one has state or no such router is known.
+	ReadingFor time.Duration `cbor:"16,keyasint,omitempty"`
+	// Elders are those of a large fleet, if their digest differs from the pull's.
+	Elders []Peer `cbor:"15,keyasint,omitempty"`
 	// ShuttingDown means that the peer still serves requests but ends soon.
 	ShuttingDown bool `cbor:"9,keyasint,omitempty"`
 }
@@ -70,9 +83,11 @@
 	Revision uint64 `cbor:"1,keyasint"`
 	// Version is the configuration's own version.
 	Version uint64 `cbor:"7,keyasint"`
-	// Body is empty if the pulling router has this version.
-	Body []byte        `cbor:"2,keyasint,omitempty"`
-	Age  time.Duration `cbor:"3,keyasint"`
+	// Body is empty if the pulling router has this version. Routers that read PackedBody get
+	// the body there, compressed by Compress.
+	Body       []byte        `cbor:"2,keyasint,omitempty"`
+	PackedBody []byte        `cbor:"8,keyasint,omitempty"`
+	Age        time.Duration `cbor:"3,keyasint"`
 	// Publications are the published versions of weights, oldest first for each model.
 	Publications []Publication `cbor:"4,keyasint,omitempty"`
 	// Rollouts is nil if there is and was no rollout.
@@ -125,4 +140,28 @@
 	Records []backend.Record    `cbor:"2,keyasint,omitempty"`
 	Removed []ident.Incarnation `cbor:"6,keyasint,omitempty"`
 	Age     time.Duration       `cbor:"3,keyasint"`
+	// Packed has many records in place of Records, encoded by PackRecords, for routers that read
+	// it.
+	Packed []byte `cbor:"7,keyasint,omitempty"`
+	// StoreRevision is a revision of the store that the list includes, 0 if unknown.
+	StoreRevision uint64 `cbor:"8,keyasint,omitempty"`
+}
+
+// Unpack replaces packed content by what it contains. Malformed content gives ErrPacked.
+func (u *Update) Unpack() error {
+	if len(u.Configuration.PackedBody) > 0 {
+		body, err := Decompress(u.Configuration.PackedBody)
+		if err != nil {
+			return errors.Wrap(err, "unpack the configuration")
+		}
+		u.Configuration.Body, u.Configuration.PackedBody = body, nil
+	}
+	if len(u.List.Packed) > 0 {
+		records, err := UnpackRecords(u.List.Packed)
+		if err != nil {
+			return errors.Wrap(err, "unpack the instance list")
+		}
+		u.List.Records, u.List.Packed = records, nil
+	}
+	return nil
 }
