Guard what a router remembers of its peers with a mutex

A restore of the store has the rows of all routers read again by the goroutine that maintains the own row, while the one that pulls checks when that was done last: a data race, found by reading the change again.

--- a/internal/node/follower.go
+++ b/internal/node/follower.go
@@ -54,14 +54,8 @@
 	joinRefused atomic.Bool
 	// longList is whether this router knows that the instance list takes several calls.
 	longList atomic.Bool
-	// viewedAt is when this router read its peers last, restartSeen whether one of them has
-	// restarted since. They are used by one goroutine after the start.
-	viewedAt    time.Time
-	restartSeen bool
-	// viewedRouters is the number of rows that this router read then, 0 in a large fleet.
-	viewedRouters int
-	// viewProvisional is whether the backbone was not known yet.
-	viewProvisional bool
+	// view is what is known of the last read of the peers.
+	view viewState
 	// configurationSeen is true once the configuration was read here or received from a peer.
 	configurationSeen atomic.Bool
 	// rowsReadAt is up to when the operator's rows are known by this router's own reads.
--- a/internal/node/joining.go
+++ b/internal/node/joining.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/apex/log"
@@ -38,6 +39,38 @@
 	leafRowsPerSecond = 100
 )
 
+// viewState is what a router remembers of the last read of its peers. It is safe for concurrent
+// use.
+type viewState struct {
+	mu     sync.Mutex
+	readAt time.Time
+	// routers is the number of rows that were read, 0 in a large fleet.
+	routers int
+	// provisional is whether the backbone was not known yet.
+	provisional bool
+	// restartSeen is whether a peer has restarted since.
+	restartSeen bool
+}
+
+func (v *viewState) set(readAt time.Time, routers int, provisional bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.readAt, v.routers, v.provisional, v.restartSeen = readAt, routers, provisional, false
+}
+
+func (v *viewState) observeRestart() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.restartSeen = true
+}
+
+// postpone records a failed read of the peers.
+func (v *viewState) postpone(triedAt time.Time) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.readAt = triedAt
+}
+
 // join writes this router's row, unless it is a leaf, and reports whether ctx is still open.
 func (f *follower) join(ctx context.Context) bool {
 	dep := &dependency{name: "router row", onLost: f.onLost}
@@ -68,7 +101,7 @@
 
 // applyView applies this router's row and those of its peers, as read at askedAt.
 func (f *follower) applyView(askedAt time.Time, view *fleetView) {
-	f.viewedAt, f.viewedRouters, f.viewProvisional = askedAt, view.routers, view.provisional
+	f.view.set(askedAt, view.routers, view.provisional)
 	names := zoneBackbone(view)
 	f.zoneBackbone.Store(&names)
 	if view.large {
@@ -112,19 +145,21 @@
 // refreshDue reports whether to read the peers again: this router does not know the backbone of
 // a large fleet yet, none of the peers that it knows can be used, or they have restarted.
 func (f *follower) refreshDue(now time.Time, next upstream.Source) bool {
-	age := now.Sub(f.viewedAt)
+	f.view.mu.Lock()
+	defer f.view.mu.Unlock()
+	age := now.Sub(f.view.readAt)
 	settled := age >= leafRowDelay+f.leafRowSpread()+f.turn(settleSpread)
 	if !f.chain.large() {
 		large := len(f.zones) * upstream.LargeZone
-		return large > 0 && settled && f.replica.Routers() > max(large, 2*f.viewedRouters)
+		return large > 0 && settled && f.replica.Routers() > max(large, 2*f.view.routers)
 	}
 	_, orphan := next.(upstream.Store)
 	switch {
-	case f.viewProvisional && settled:
+	case f.view.provisional && settled:
 		return true
 	case f.chain.reads():
 		return age >= refreshInterval
-	case !f.replica.initialized() && f.restartSeen && !f.chain.leaf():
+	case !f.replica.initialized() && f.view.restartSeen && !f.chain.leaf():
 		return age >= minRefreshInterval+f.turn(minRefreshInterval)
 	case orphan:
 		return age >= orphanRefreshInterval+f.turn(orphanRefreshInterval)
@@ -141,12 +176,11 @@
 		view, err = f.routerList.rejoin(ctx)
 	}
 	if err != nil {
-		f.viewedAt = askedAt
+		f.view.postpone(askedAt)
 		log.WithFields(log.Fields{"cause": err.Error()}).Warn("peers_not_read")
 		return
 	}
 	f.observeEpoch()
-	f.restartSeen = false
 	f.replica.rejoined(view.self)
 	f.applyView(askedAt, &view)
 	log.WithFields(view.logFields()).Info("peers_read")
--- a/internal/node/pull.go
+++ b/internal/node/pull.go
@@ -204,7 +204,7 @@
 	result := f.evaluate(peer, update, err)
 	switch result.(type) {
 	case upstream.Restarted:
-		f.restartSeen = true
+		f.view.observeRestart()
 	case upstream.Pending:
 		f.replica.setReadingSince(at.Add(-update.ReadingFor))
 	}
