Merge changes of a long list in one pass

2,000 new back ends a read were inserted one by one into sorted slices of 10,000 records: each moved half of the list. The list is now merged in one pass, and services are sorted once. TestChangesHaveTheEffectOfWholeLists compares changes with whole lists, outages included.

--- a/internal/backend/registry.go
+++ b/internal/backend/registry.go
@@ -158,6 +158,7 @@
 	r.listOutage.observeRead(r.listedAt, listedAt)
 	r.listedAt = listedAt
 	var changes []Change
+	added := make(map[ident.Service][]*state)
 	for _, record := range changed {
 		if earlier := r.byID[record.Instance]; earlier != nil && earlier.record.Service != record.Service {
 			r.dropFromService(earlier.record.Service, earlier)
@@ -166,8 +167,14 @@
 		if change != "" {
 			changes = append(changes, Change{Kind: change, Record: record})
 		}
+		if r.byID[record.Instance] == nil || !r.inService(known) {
+			added[known.record.Service] = append(added[known.record.Service], known)
+		}
 		r.byID[record.Instance] = known
-		r.addToService(known)
+	}
+	for service, states := range added {
+		r.services[service] = append(r.services[service], states...)
+		slices.SortFunc(r.services[service], byInstance)
 	}
 	for _, instance := range removed {
 		if known := r.byID[instance]; known != nil {
@@ -181,13 +188,10 @@
 	return changes
 }
 
-// addToService adds a back end to those of its service, in the order of their instances.
-func (r *Registry) addToService(known *state) {
-	states := r.services[known.record.Service]
-	place, found := slices.BinarySearchFunc(states, known, byInstance)
-	if !found {
-		r.services[known.record.Service] = slices.Insert(states, place, known)
-	}
+// inService reports whether a back end is among those of its service.
+func (r *Registry) inService(known *state) bool {
+	_, found := slices.BinarySearchFunc(r.services[known.record.Service], known, byInstance)
+	return found
 }
 
 func byInstance(a, b *state) int { return cmp.Compare(a.record.Instance, b.record.Instance) }
--- a/internal/node/recordlist.go
+++ b/internal/node/recordlist.go
@@ -194,21 +194,36 @@
 	return sum
 }
 
-// merge replaces, adds and removes the records of a change.
+// merge replaces, adds and removes the records of a change, in one pass over the list if they are
+// added or removed.
 func (l *recordList) merge(change *listChange) {
+	var added []backend.Record
 	for _, record := range change.records {
-		place, found := l.find(record.Instance)
-		if found {
+		if place, found := l.find(record.Instance); found {
 			l.records[place] = record
 			continue
 		}
-		l.records = slices.Insert(l.records, place, record)
+		added = append(added, record)
+	}
+	if len(added)+len(change.removed) == 0 {
+		return
 	}
+	removed := make(map[ident.Incarnation]bool, len(change.removed))
 	for _, instance := range change.removed {
-		if place, found := l.find(instance); found {
-			l.records = slices.Delete(l.records, place, place+1)
+		removed[instance] = true
+	}
+	slices.SortFunc(added, byInstance)
+	merged := make([]backend.Record, 0, len(l.records)+len(added))
+	for _, record := range l.records {
+		for len(added) > 0 && added[0].Instance < record.Instance {
+			merged = append(merged, added[0])
+			added = added[1:]
+		}
+		if !removed[record.Instance] {
+			merged = append(merged, record)
 		}
 	}
+	l.records = append(merged, added...)
 }
 
 // difference returns the records that were added or changed since an older list, and the
