Check idle engines that several routers share less often

An engine that runs nothing has no queue and gets next to nothing from a router, so that its silence costs little: in a zone whose engines are shared among checkers it is now checked a quarter as often. Engines at work, and engines that one router checks alone, are checked as before. TestSharedIdleEnginesAreCheckedLessOften.

--- a/internal/health/tracker.go
+++ b/internal/health/tracker.go
@@ -57,14 +57,28 @@
 	cfg Config
 	// interval is the time between two checks of an engine that answers.
 	interval time.Duration
-	engines  map[ident.Incarnation]*engine
+	// idleFactor multiplies the interval for engines that run nothing.
+	idleFactor int
+	engines    map[ident.Incarnation]*engine
 }
 
 // NewTracker returns a tracker that watches no engine.
 func NewTracker(cfg Config) *Tracker {
 	cfg.Interval = cmp.Or(cfg.Interval, defaultInterval)
 	cfg.Retry = cmp.Or(cfg.Retry, defaultRetry)
-	return &Tracker{cfg: cfg, interval: cfg.Interval, engines: make(map[ident.Incarnation]*engine)}
+	return &Tracker{cfg: cfg, interval: cfg.Interval, idleFactor: 1, engines: make(map[ident.Incarnation]*engine)}
+}
+
+// idleFactorOfShared is the idle factor of engines that several routers check. There are so many
+// of them that most run nothing, and a router sends next to nothing to each.
+const idleFactorOfShared = 4
+
+// SetShared sets whether several routers check the engines.
+func (t *Tracker) SetShared(shared bool) {
+	t.idleFactor = 1
+	if shared {
+		t.idleFactor = idleFactorOfShared
+	}
 }
 
 // Watch replaces the watched engines. New ones are checked within an interval, spread over it
@@ -101,14 +115,18 @@
 	return due
 }
 
-// ObserveAnswer records that an engine answered a check, and how many requests wait there.
-func (t *Tracker) ObserveAnswer(now time.Time, instance ident.Incarnation, waiting int) {
+// ObserveAnswer records that an engine answered a check, and how many requests wait and run there.
+func (t *Tracker) ObserveAnswer(now time.Time, instance ident.Incarnation, waiting, running int) {
 	known := t.engines[instance]
 	if known == nil {
 		return
 	}
 	known.checking, known.misses, known.waiting = false, 0, waiting
-	known.checkAt = now.Add(t.interval)
+	interval := t.interval
+	if waiting+running == 0 {
+		interval *= time.Duration(t.idleFactor)
+	}
+	known.checkAt = now.Add(interval)
 }
 
 // Postpone records that an engine that is backing off was not checked, which is no evidence
--- a/internal/health/tracker_test.go
+++ b/internal/health/tracker_test.go
@@ -48,7 +48,7 @@
 			var index int
 			_, _ = fmt.Sscanf(string(record.Instance), "i-%d", &index)
 			if answers(index, after) {
-				tracked.ObserveAnswer(now, record.Instance, 0)
+				tracked.ObserveAnswer(now, record.Instance, 0, 1)
 			} else {
 				missedAt[record.Instance] = after + timeout
 			}
@@ -107,21 +107,21 @@
 	now := start.Add(time.Second)
 	before := tracked.Silent(now)
 	is.Equal(before, []ident.Incarnation{name(3)})
-	tracked.ObserveAnswer(now, name(3), 0)
+	tracked.ObserveAnswer(now, name(3), 0, 1)
 	is.Equal(health.NewNotification(before, tracked.Silent(now)), health.Notification{Answering: []ident.Incarnation{name(3)}})
 	is.Equal(health.NewNotification(nil, before), health.Notification{Silent: before})
 	tracked.ObserveMiss(start, "gone")
-	tracked.ObserveAnswer(start, "gone", 4)
+	tracked.ObserveAnswer(start, "gone", 4, 1)
 	is.Equal(len(tracked.QueueUpdates()), 0)
 }
 
 func TestQueuesAreReportedUntilEmpty(t *testing.T) {
 	is := is.New(t)
 	tracked := tracker()
-	tracked.ObserveAnswer(start, name(4), 7)
-	tracked.ObserveAnswer(start, name(1), 2)
+	tracked.ObserveAnswer(start, name(4), 7, 1)
+	tracked.ObserveAnswer(start, name(1), 2, 1)
 	is.Equal(tracked.QueueUpdates(), []health.Queue{{Instance: name(1), Waiting: 2}, {Instance: name(4), Waiting: 7}})
-	tracked.ObserveAnswer(start, name(4), 0)
+	tracked.ObserveAnswer(start, name(4), 0, 1)
 	tracked.ObserveMiss(start, name(1))
 	is.Equal(tracked.QueueUpdates(), []health.Queue{{Instance: name(1)}, {Instance: name(4)}})
 	is.Equal(len(tracked.QueueUpdates()), 0)
@@ -158,10 +158,35 @@
 		for now := start; now.Before(start.Add(seconds * time.Second)); now = now.Add(50 * time.Millisecond) {
 			for _, due := range tracked.Due(now) {
 				checks++
-				tracked.ObserveAnswer(now, due.Instance, 0)
+				tracked.ObserveAnswer(now, due.Instance, 0, 1)
 			}
 		}
 		is.True(checks <= 110*seconds)
 		is.True(checks >= 70*seconds)
 	}
 }
+
+// Idle engines that several routers check are checked less often, busy ones are not.
+func TestSharedIdleEnginesAreCheckedLessOften(t *testing.T) {
+	tests := []struct {
+		name    string
+		shared  bool
+		running int
+		after   time.Duration
+	}{
+		{"alone, idle", false, 0, 400 * time.Millisecond}, {"alone, busy", false, 1, 400 * time.Millisecond},
+		{"shared, idle", true, 0, 1600 * time.Millisecond}, {"shared, busy", true, 1, 400 * time.Millisecond},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			tracked := health.NewTracker(health.Config{})
+			tracked.SetShared(tt.shared)
+			tracked.Watch(start, []backend.Record{{Instance: name(1)}})
+			is.Equal(len(tracked.Due(start)), 1)
+			tracked.ObserveAnswer(start, name(1), 0, tt.running)
+			is.Equal(len(tracked.Due(start.Add(tt.after-time.Millisecond))), 0)
+			is.Equal(len(tracked.Due(start.Add(tt.after))), 1)
+		})
+	}
+}
--- a/internal/node/health.go
+++ b/internal/node/health.go
@@ -114,12 +114,13 @@
 		w.tracker.ObserveMiss(now, result.instance)
 		return
 	}
-	w.tracker.ObserveAnswer(now, result.instance, result.report.Queued)
+	w.tracker.ObserveAnswer(now, result.instance, result.report.Queued, result.report.Active)
 }
 
 // enginesToCheck returns the engines that this router checks.
 func (w *healthWatcher) enginesToCheck() []backend.Record {
 	checkers := w.checkers()
+	w.tracker.SetShared(len(checkers) > 1)
 	if !slices.Contains(checkers, w.node) {
 		return nil
 	}
