Tell a store that refuses rows from one that refuses everything

A refused write of a router's row made it wait for peers as in a large fleet that starts: 6 s and up to 20 s more before it reads the store, also where a small fleet restarts while the store turns it away, and for good, since a later success did not undo it. Now that counts only if the store answered the read right before the write, and until the row is written. A leaf that becomes part of the backbone counts as listed; it had no part of the slack of repeats before.

Found by reading the change again. TestOnlyRefusedRowsShowALargeFleet failed before.

--- a/internal/node/joining.go
+++ b/internal/node/joining.go
@@ -9,7 +9,6 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/fieldpond/fieldpond/internal/clock"
-	"github.com/fieldpond/fieldpond/internal/fault"
 	"github.com/fieldpond/fieldpond/internal/ident"
 	"github.com/fieldpond/fieldpond/internal/upstream"
 	"github.com/fieldpond/fieldpond/internal/wait"
@@ -78,6 +77,7 @@
 		askedAt := clock.Now()
 		view, err := f.routerList.join(ctx)
 		dep.observe(err)
+		f.joinRefused.Store(err != nil && f.routerList.refused)
 		if err == nil {
 			f.observeEpoch()
 			f.replica.joined(view.self)
@@ -85,7 +85,6 @@
 			log.WithFields(view.logFields()).Info("joined")
 			return true
 		}
-		f.joinRefused.Store(fault.Is(err, fault.RateLimited))
 		pause := joinRetryPause
 		if f.joinRefused.Load() {
 			pause = refusedRetryPause + f.turn(refusedRetryPause)
@@ -182,6 +181,9 @@
 	}
 	f.observeEpoch()
 	f.replica.rejoined(view.self)
+	if !upstream.IsLeaf(view.self.Revision) {
+		f.replica.listed()
+	}
 	f.applyView(askedAt, &view)
 	log.WithFields(view.logFields()).Info("peers_read")
 }
--- a/internal/node/largefleet_test.go
+++ b/internal/node/largefleet_test.go
@@ -231,3 +231,36 @@
 	is.True(after.startCalls <= 8*larger)
 	is.True(after.startRows <= 128*larger)
 }
+
+// busyTable refuses writes, and reads as well if it is busy.
+type busyTable struct {
+	*fakeStore
+	busy bool
+}
+
+// Commit implements store.Table.
+func (b *busyTable) Commit(context.Context, protocol.Transaction) (protocol.TransactionResult, error) {
+	return protocol.TransactionResult{}, fault.New(fault.RateLimited, "refused")
+}
+
+// List implements store.Table.
+func (b *busyTable) List(ctx context.Context, prefix string, limit int) (protocol.RowList, error) {
+	if b.busy {
+		return protocol.RowList{}, fault.New(fault.RateLimited, "refused")
+	}
+	return b.fakeStore.List(ctx, prefix, limit)
+}
+
+// A store that refuses every call must not make a small fleet wait as a large one that starts.
+func TestOnlyRefusedRowsShowALargeFleet(t *testing.T) {
+	for _, busy := range []bool{true, false} {
+		is := is.New(t)
+		r := &routerList{
+			table: &busyTable{fakeStore: newFakeStore(), busy: busy}, timeout: time.Second, node: "n", zone: "z", incarnation: "1",
+			epochs: optionalEpochs{unknownEpochs{}},
+		}
+		_, err := r.join(t.Context())
+		is.True(err != nil)
+		is.Equal(r.refused, !busy)
+	}
+}
--- a/internal/node/replica.go
+++ b/internal/node/replica.go
@@ -41,8 +41,8 @@
 	// digest.
 	elders    []upstream.Peer
 	eldersSum uint64
-	// leafListed is whether this router is a leaf whose row was written.
-	leafListed   bool
+	// isListed is whether this router's row was written.
+	isListed     bool
 	shuttingDown bool
 	confirmation uint64
 	changed      chan struct{}
@@ -181,20 +181,18 @@
 
 // joined sets this router's own row. A leaf has none yet.
 func (r *replica) joined(self upstream.Peer) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.self = self
+	r.rejoined(self)
 	if !upstream.IsLeaf(self.Revision) {
-		r.sharers.SetJoined(clock.Now())
+		r.listed()
 	}
 }
 
-// listed records that the row of this router, a leaf, is written.
+// listed records that the row of this router is written: other routers count it.
 func (r *replica) listed() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !r.leafListed {
-		r.leafListed = true
+	if !r.isListed {
+		r.isListed = true
 		r.sharers.SetJoined(clock.Now())
 	}
 }
--- a/internal/node/routerlist.go
+++ b/internal/node/routerlist.go
@@ -57,8 +57,9 @@
 	zones []ident.Zone
 	// down reports whether a peer is known to be down; it may be nil.
 	down func(ident.Node) bool
-	// refused is whether the store refused the last write of the row, as there were too many.
-	// It is used by one goroutine.
+	// refused is whether the store refused the last write of the row but not the read before it:
+	// too many routers write rows, as when a large fleet starts at once. It is used by one
+	// goroutine.
 	refused bool
 
 	mu  sync.Mutex
@@ -84,16 +85,18 @@
 
 // join writes this router's row and reads those of its peers after that. A leaf writes none.
 func (r *routerList) join(ctx context.Context) (fleetView, error) {
-	if _, known := r.epochs.First(); r.refused || (!known && r.epochs.enabled()) {
+	_, known := r.epochs.First()
+	reads := r.refused || (!known && r.epochs.enabled())
+	if reads {
 		// The rows of earlier routers have the first epoch, and tell whether this is a leaf.
 		leaf, isLeaf, err := r.readBeforeJoin(ctx)
 		if err != nil || isLeaf {
+			r.refused = false
 			return leaf, err
 		}
 	}
 	row, err := r.write(ctx)
-	// When a large fleet starts at once, the rows of routers that were faster are there by now.
-	r.refused = fault.Is(err, fault.RateLimited)
+	r.refused = reads && fault.Is(err, fault.RateLimited)
 	if err != nil {
 		return fleetView{}, err
 	}
