Show the refused row in a test that fails without its mend

The test of did not fail on the code before, against what its message says: a router that has not read yet meets the refusal in the read before its write. The case of one that has read before does, with the mend taken out.

--- a/internal/node/largefleet_test.go
+++ b/internal/node/largefleet_test.go
@@ -253,14 +253,26 @@
 
 // A store that refuses every call must not make a small fleet wait as a large one that starts.
 func TestOnlyRefusedRowsShowALargeFleet(t *testing.T) {
-	for _, busy := range []bool{true, false} {
-		is := is.New(t)
-		r := &routerList{
-			table: &busyTable{fakeStore: newFakeStore(), busy: busy}, timeout: time.Second, node: "n", zone: "z", incarnation: "1",
-			epochs: optionalEpochs{unknownEpochs{}},
-		}
-		_, err := r.join(t.Context())
-		is.True(err != nil)
-		is.Equal(r.refused, !busy)
+	tests := []struct {
+		name    string
+		epochs  Epochs
+		busy    bool
+		refused bool
+	}{
+		{"all calls of a router that starts", unknownEpochs{}, true, false},
+		{"all calls of one that has read before", &fakeEpochs{}, true, false},
+		{"rows only", unknownEpochs{}, false, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			r := &routerList{
+				table: &busyTable{fakeStore: newFakeStore(), busy: tt.busy}, timeout: time.Second, node: "n", zone: "z", incarnation: "1",
+				epochs: optionalEpochs{tt.epochs},
+			}
+			_, err := r.join(t.Context())
+			is.True(err != nil)
+			is.Equal(r.refused, tt.refused)
+		})
 	}
 }
