--- a/internal/node/largefleet_test.go
+++ b/internal/node/largefleet_test.go
@@ -184,7 +184,8 @@
 		is.True(f.wholeListReads() <= fleetZones)
 		result.startCalls, result.startRows = f.table.takeCounts()
 
-		time.Sleep(20 * time.Second) // all leaves have written their rows
+		// All leaves have written their rows, and all routers have read the backbone again.
+		time.Sleep(leafRowDelay + time.Duration(routers)*time.Second/leafRowsPerSecond + 2*settleSpread)
 		is.Equal(len(f.readers()), 1)
 		is.True(!f.readers()[0].follower.routerList.slowLink)
 		f.busiest(time.Second)
