Reproduce what routers refuse that are partitioned from all engines

Routers that lose all engines refuse nearly all requests while the others serve them. No decision changes: the pool of connections takes a function for new sockets, which only the test sets.

--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -27,6 +27,8 @@
 	MaxHeaderBytes int
 	// MaxIdlePerAddress limits idle connections to one address. Default: 64.
 	MaxIdlePerAddress int
+	// Control is called with each new socket before it connects, as that of net.Dialer. Default: none.
+	Control func(network, address string, socket syscall.RawConn) error
 }
 
 const (
@@ -78,8 +80,11 @@
 		dialer: net.Dialer{
 			Timeout:         options.ConnectTimeout,
 			KeepAliveConfig: keepAliveProbes,
-			Control: func(_, _ string, raw syscall.RawConn) error {
-				return setUserTimeout(raw, options.UserTimeout)
+			Control: func(network, address string, socket syscall.RawConn) error {
+				if err := setUserTimeout(socket, options.UserTimeout); err != nil || options.Control == nil {
+					return err
+				}
+				return options.Control(network, address, socket)
 			},
 		},
 		targets: make(map[string]*target),
--- a/internal/relaytest/relay.go
+++ b/internal/relaytest/relay.go
@@ -4,21 +4,15 @@
 package relaytest
 
 import (
-	"encoding/binary"
 	"io"
 	"net"
 	"net/netip"
 	"sync"
-	"syscall"
 	"testing"
-	"unsafe"
 
 	"github.com/pkg/errors"
 )
 
-// soAttachFilter is the socket option SO_ATTACH_FILTER of Linux.
-const soAttachFilter = 26
-
 // Relay forwards connections to one address.
 type Relay struct {
 	listener net.Listener
@@ -122,37 +116,11 @@
 	r.pipes.Wait()
 }
 
-// packetFilter is the kernel's struct sock_fprog of a classic BPF program. An instruction
-// is a two-byte code, two jumps and an operand.
-type packetFilter struct {
-	length uint16
-	first  *[8]byte
-}
-
-// returnConstant is BPF_RET|BPF_K; its operand is the number of bytes kept of the packet.
-const returnConstant = 0x06
-
 // dropIncoming makes the kernel drop every packet received for a connection.
 func dropIncoming(conn *net.TCPConn) error {
 	raw, err := conn.SyscallConn()
 	if err != nil {
 		return err
 	}
-	var keepNothing [8]byte
-	binary.NativeEndian.PutUint16(keepNothing[:], returnConstant)
-	filter := packetFilter{length: 1, first: &keepNothing}
-	var errno syscall.Errno
-	err = raw.Control(func(descriptor uintptr) {
-		_, _, errno = syscall.Syscall6(
-			syscall.SYS_SETSOCKOPT, descriptor, syscall.SOL_SOCKET, soAttachFilter,
-			uintptr(unsafe.Pointer(&filter)), unsafe.Sizeof(filter), 0,
-		)
-	})
-	if err != nil {
-		return err
-	}
-	if errno != 0 {
-		return errno
-	}
-	return nil
+	return DropIncoming(raw)
 }
