Connect to back ends through other routers when the own links are lost

Callers of a router that had lost all engines were refused (503) or got 502, while clients, the store and the other routers reached it.

Cause: a router had no way to a back end but its own links, and went on as if the back ends were down.

A refused connection proves a crash only if other routers find it too; a router whose last attempts failed at two back ends does not testify. Orders stay direct, and a lease holder without links steps down. Ruled out: reporting unready (clients keep connections, and a zone may have no router left) and handing requests over (a second place that counts and decides).

--- a/internal/backend/registry.go
+++ b/internal/backend/registry.go
@@ -65,6 +65,18 @@
 	return r.records(func(record *Record) bool { return record.Zone == zone })
 }
 
+// HasAddress reports whether a back end has an address.
+func (r *Registry) HasAddress(address string) bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	for _, known := range r.byID {
+		if known.record.Address == address {
+			return true
+		}
+	}
+	return false
+}
+
 // Count returns the number of back ends.
 func (r *Registry) Count() int {
 	r.mutex.Lock()
--- /dev/null
+++ b/internal/detour/dialer.go
@@ -0,0 +1,250 @@
+package detour
+
+import (
+	"bufio"
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/pkg/errors"
+
+	"github.com/fieldpond/fieldpond/internal/clock"
+	"github.com/fieldpond/fieldpond/internal/exchange"
+)
+
+const (
+	// maxHelpers is how many routers are asked for one connection.
+	maxHelpers = 3
+	// helperStagger is how long one router is awaited before another one is asked as well: longer
+	// than a back end takes to accept, and so short that two have found out whether it does soon
+	// after a direct attempt has failed.
+	helperStagger = 80 * time.Millisecond
+	// connectTimeout and ackTimeout bound the connection to a helper as those between routers.
+	connectTimeout = 250 * time.Millisecond
+	ackTimeout     = 500 * time.Millisecond
+	// dialTimeout bounds all attempts for one connection.
+	dialTimeout = 700 * time.Millisecond
+	// headBytes is the size of the read buffer of a connection through a helper.
+	headBytes = 2 << 10
+)
+
+// Routers are the other routers as a Dialer needs them; all fields are required.
+type Routers struct {
+	// Peers returns those that may help.
+	Peers func() []Peer
+	// OnFailed is called when a connection failed; proven is whether other routers found the back
+	// end down.
+	OnFailed func(proven bool)
+	// OnAllLost is called when no back end is reached directly any more.
+	OnAllLost func()
+}
+
+// Dialer opens connections to back ends, through another router if need be. It is safe for
+// concurrent use.
+type Dialer struct {
+	dialer  net.Dialer
+	routers atomic.Pointer[Routers]
+	opened  atomic.Uint64
+
+	mu      sync.Mutex
+	paths   *Paths
+	helpers *Helpers
+	random  *rand.Rand
+	// verifiedAt is when Verify last did something.
+	verifiedAt time.Time
+}
+
+var _ exchange.Detour = (*Dialer)(nil)
+
+// NewDialer returns a dialer that knows no other router. Others know this one by its address self,
+// which may be invalid.
+func NewDialer(self netip.Addr) *Dialer {
+	dialer := exchange.NewDialer(connectTimeout, ackTimeout, nil)
+	if self.IsValid() {
+		dialer.LocalAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(self, 0))
+	}
+	return &Dialer{
+		dialer: dialer, paths: NewPaths(), helpers: NewHelpers(),
+		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	}
+}
+
+// SetRouters sets the other routers; before, all connections are direct.
+func (d *Dialer) SetRouters(routers *Routers) { d.routers.Store(routers) }
+
+// Opened returns the number of connections opened through other routers.
+func (d *Dialer) Opened() uint64 { return d.opened.Load() }
+
+// AllLost reports whether no back end is reached directly, while other routers reach some.
+func (d *Dialer) AllLost() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.paths.AllLost()
+}
+
+// Lost implements exchange.Detour.
+func (d *Dialer) Lost(address string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.paths.Lost(clock.Now(), address)
+}
+
+// ObserveSilent implements exchange.Detour.
+func (d *Dialer) ObserveSilent(helper netip.AddrPort) { d.avoid(helper) }
+
+// Dial implements exchange.Detour.
+func (d *Dialer) Dial(ctx context.Context, address string, direct exchange.DialFunc) (exchange.Opened, error) {
+	routers := d.routers.Load()
+	if routers == nil {
+		conn, err := direct(ctx, address)
+		return exchange.Opened{Conn: conn}, err
+	}
+	peers := routers.Peers()
+	if len(peers) == 0 {
+		conn, err := direct(ctx, address)
+		if err != nil {
+			routers.OnFailed(false)
+		}
+		return exchange.Opened{Conn: conn}, err
+	}
+	d.mu.Lock()
+	plan := d.paths.Plan(clock.Now(), address)
+	d.mu.Unlock()
+	bounded, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	race := &race{dialer: d, address: address, direct: direct, peers: peers, results: make(chan result, maxHelpers+1)}
+	opened, err := race.run(bounded, plan)
+	if err != nil {
+		routers.OnFailed(race.proofs > 0)
+	}
+	return opened, err
+}
+
+// verifyInterval is the least time between two calls of Verify that do something.
+const verifyInterval = 100 * time.Millisecond
+
+// Verify finds out in the background whether a back end that this router failed to reach for
+// another one is down, or this router's link to it.
+func (d *Dialer) Verify(address string, direct exchange.DialFunc) {
+	now := clock.Now()
+	d.mu.Lock()
+	due := now.Sub(d.verifiedAt) >= verifyInterval
+	if due {
+		d.verifiedAt = now
+	}
+	d.mu.Unlock()
+	if !due {
+		return
+	}
+	go func() {
+		opened, err := d.Dial(context.Background(), address, direct)
+		if err == nil {
+			_ = opened.Conn.Close()
+		}
+	}()
+}
+
+// order returns the routers to ask for one connection, in order.
+func (d *Dialer) order(peers []Peer) []netip.AddrPort {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	ordered := d.helpers.Order(clock.Now(), d.random, peers)
+	return ordered[:min(len(ordered), maxHelpers)]
+}
+
+func (d *Dialer) avoid(helper netip.AddrPort) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.helpers.Avoid(clock.Now(), helper)
+}
+
+// observeLost records that a helper reached an address that a direct attempt did not.
+func (d *Dialer) observeLost(address string) {
+	d.mu.Lock()
+	allLost := d.paths.ObserveLost(clock.Now(), address)
+	d.mu.Unlock()
+	if !allLost {
+		return
+	}
+	log.WithFields(log.Fields{"address": address}).Warn("backends_not_reached")
+	d.routers.Load().OnAllLost()
+}
+
+// DialDirect opens a direct connection and remembers whether that worked.
+func (d *Dialer) DialDirect(ctx context.Context, address string, direct exchange.DialFunc) (net.Conn, error) {
+	conn, err := direct(ctx, address)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if err != nil {
+		d.paths.ObserveFailed(address)
+		return nil, err
+	}
+	if d.paths.ObserveDirect(clock.Now(), address) {
+		log.WithFields(log.Fields{"address": address}).Info("backends_reached")
+	}
+	return conn, nil
+}
+
+// Credible reports whether a failed direct attempt of this router says anything about the back end.
+func (d *Dialer) Credible() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.paths.Credible()
+}
+
+// through opens a connection to an address through a helper.
+func (d *Dialer) through(ctx context.Context, helper netip.AddrPort, address string) (exchange.Opened, error) {
+	conn, err := d.dialer.DialContext(ctx, "tcp4", helper.String())
+	if err != nil {
+		// Not wrapped: a router that refuses says nothing about the back end.
+		return exchange.Opened{}, errors.Errorf("connect to a router: %v", err)
+	}
+	stop := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
+	reader := bufio.NewReaderSize(conn, headBytes)
+	err = ask(conn, reader, address)
+	// stop returns false if the context has ended, after which the deadline stays over.
+	if !stop() && err == nil {
+		err = context.Cause(ctx)
+	}
+	if err != nil {
+		_ = conn.Close()
+		return exchange.Opened{}, err
+	}
+	d.opened.Add(1)
+	return exchange.Opened{Conn: conn, Reader: reader, Through: helper}, nil
+}
+
+// ask asks the router at the other end of a connection to connect it to an address.
+func ask(conn net.Conn, reader *bufio.Reader, address string) error {
+	if _, err := conn.Write([]byte("CONNECT " + address + " HTTP/1.1\r\nHost: " + address + "\r\n\r\n")); err != nil {
+		return errors.Wrap(err, "ask a router for a connection")
+	}
+	answer, err := http.ReadResponse(reader, &http.Request{Method: http.MethodConnect})
+	if err != nil {
+		return errors.Wrap(err, "read a router's answer")
+	}
+	switch answer.StatusCode {
+	case http.StatusOK:
+		return nil
+	case statusRefused:
+		return errors.Wrap(syscall.ECONNREFUSED, "another router connects to the back end")
+	case statusNoAnswer:
+		return errBackendSilent
+	}
+	return errors.Errorf("a router does not help: status %d", answer.StatusCode)
+}
+
+// errBackendSilent means that the back end accepts no connection of a helper.
+var errBackendSilent = errors.New("the back end does not answer another router")
+
+// provesDown reports whether a helper's error is that of the back end.
+func provesDown(err error) bool {
+	return errors.Is(err, errBackendSilent) || errors.Is(err, syscall.ECONNREFUSED)
+}
--- a/internal/exchange/connection.go
+++ b/internal/exchange/connection.go
@@ -15,6 +15,7 @@
 import (
 	"bufio"
 	"net"
+	"net/netip"
 	"time"
 )
 
@@ -32,4 +33,7 @@
 	ackTimeout time.Duration
 	// connectTime is how long opening took; 0 once the first exchange reported it.
 	connectTime time.Duration
+	// through is the router that relays the connection, the zero value for a direct one.
+	through  netip.AddrPort
+	openedAt time.Time
 }
--- /dev/null
+++ b/internal/exchange/detour.go
@@ -0,0 +1,111 @@
+package exchange
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"net/netip"
+	"syscall"
+	"time"
+)
+
+// DialFunc opens a direct connection to an address.
+type DialFunc func(ctx context.Context, address string) (net.Conn, error)
+
+// Opened is a new connection.
+type Opened struct {
+	Conn net.Conn
+	// Reader reads from Conn if bytes may have been read from it already; else it is nil.
+	Reader *bufio.Reader
+	// Through is the router that relays the connection, the zero value for a direct one.
+	Through netip.AddrPort
+}
+
+// Detour opens connections directly or, where that fails, through another router. Its methods are
+// safe for concurrent use.
+type Detour interface {
+	// Dial opens a connection to an address; direct opens a direct one.
+	Dial(ctx context.Context, address string, direct DialFunc) (Opened, error)
+	// Lost reports whether an address is not reached directly.
+	Lost(address string) bool
+	// ObserveSilent records that a router that relays connections fell silent.
+	ObserveSilent(through netip.AddrPort)
+}
+
+// maxRelayedAge is how long a connection through another router is used for further requests: that
+// router may shut down, and the direct way may be open again.
+const maxRelayedAge = time.Second
+
+// NewDialer returns a dialer whose connections probe idle peers, and end when sent bytes stay
+// unacknowledged for ackTimeout. control may be nil.
+func NewDialer(connectTimeout, ackTimeout time.Duration, control func(network, address string, socket syscall.RawConn) error) net.Dialer {
+	return net.Dialer{
+		Timeout:         connectTimeout,
+		KeepAliveConfig: keepAliveProbes,
+		Control: func(network, address string, socket syscall.RawConn) error {
+			if err := setUserTimeout(socket, ackTimeout); err != nil || control == nil {
+				return err
+			}
+			return control(network, address, socket)
+		},
+	}
+}
+
+// SetTimeouts makes the kernel probe the peer of an idle connection, and end the connection when
+// sent bytes stay unacknowledged for ackTimeout. Other connections than those of TCP stay as they
+// are.
+func SetTimeouts(conn net.Conn, ackTimeout time.Duration) error {
+	tcp, ok := conn.(*net.TCPConn)
+	if !ok {
+		return nil
+	}
+	if err := tcp.SetKeepAliveConfig(keepAliveProbes); err != nil {
+		return err
+	}
+	socket, err := tcp.SyscallConn()
+	if err != nil {
+		return err
+	}
+	return setUserTimeout(socket, ackTimeout)
+}
+
+// DialDirect opens a direct connection that the pool does not manage.
+func (p *Pool) DialDirect(ctx context.Context, address string) (net.Conn, error) {
+	return p.dialer.DialContext(ctx, "tcp4", address)
+}
+
+// open opens a connection, through another router if that is allowed and needed.
+func (p *Pool) open(ctx context.Context, address string, directOnly bool) (Opened, error) {
+	if p.options.Detour == nil || directOnly {
+		conn, err := p.DialDirect(ctx, address)
+		return Opened{Conn: conn}, err
+	}
+	return p.options.Detour.Dial(ctx, address, p.DialDirect)
+}
+
+// outdated reports whether an idle connection may not be used any more: a relayed one that is old
+// or whose back end is reached directly again, or one that this exchange may not use.
+func (p *Pool) outdated(conn *connection, directOnly bool) bool {
+	if !conn.through.IsValid() {
+		return false
+	}
+	return directOnly || time.Since(conn.openedAt) > maxRelayedAge || !p.options.Detour.Lost(conn.address)
+}
+
+// CloseIdleDirect closes the idle direct connections, since back ends are not reached directly.
+func (p *Pool) CloseIdleDirect() {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	for _, known := range p.targets {
+		kept := known.idle[:0]
+		for _, conn := range known.idle {
+			if conn.through.IsValid() {
+				kept = append(kept, conn)
+				continue
+			}
+			_ = conn.Close()
+			known.open--
+		}
+		known.idle = kept
+	}
+}
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -6,6 +6,7 @@
 	"context"
 	"io"
 	"net/http"
+	"net/netip"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -35,6 +36,8 @@
 	// Withdrawn is called right before the first byte is sent, since opening a
 	// connection takes time; true cancels the request. It may be nil.
 	Withdrawn func() bool
+	// DirectOnly forbids connections through other routers.
+	DirectOnly bool
 }
 
 // ErrWithdrawn is the cause if a request was withdrawn before a byte of it was sent.
@@ -64,6 +67,8 @@
 	Length int64
 	// ConnectTime is how long opening the connection took; 0 if it was reused.
 	ConnectTime time.Duration
+	// Through is the router that relayed the connection, the zero value for a direct one.
+	Through netip.AddrPort
 	// Body returns io.EOF only at the proven end of the answer, and another error
 	// if the answer is cut off. Closing it early closes the connection.
 	Body io.ReadCloser
@@ -102,7 +107,7 @@
 // Do sends a request once. An error is an *Error. When ctx ends, the
 // connection is closed, also during reads of the answer's body.
 func (p *Pool) Do(ctx context.Context, address string, request *Request) (*Response, error) {
-	conn, err := p.get(ctx, address, request.MaxConnections)
+	conn, err := p.get(ctx, address, request.MaxConnections, request.DirectOnly)
 	if err != nil {
 		return nil, &Error{Cause: err}
 	}
@@ -136,7 +141,7 @@
 	silent := time.Since(c.startedAt) >= minUnacknowledged && c.connection.unacknowledged()
 	_ = c.connection.Close()
 	if silent {
-		c.pool.recordSilent(c.connection.address, c.startedAt)
+		c.pool.recordSilent(c.connection, c.startedAt)
 	}
 }
 
@@ -149,7 +154,7 @@
 	if probed := time.Now().Add(-probeInterval); probed.After(since) {
 		since = probed
 	}
-	c.pool.recordSilent(c.connection.address, since)
+	c.pool.recordSilent(c.connection, since)
 }
 
 // call is one exchange in progress.
@@ -179,7 +184,7 @@
 	if err != nil {
 		return nil, err
 	}
-	response := &Response{Status: answer.StatusCode, Header: answer.Header, Length: answer.ContentLength, ConnectTime: c.connection.connectTime}
+	response := &Response{Status: answer.StatusCode, Header: answer.Header, Length: answer.ContentLength, ConnectTime: c.connection.connectTime, Through: c.connection.through}
 	c.connection.connectTime = 0
 	response.Body = &answerBody{call: c, answer: answer}
 	return response, nil
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -29,6 +29,8 @@
 	MaxIdlePerAddress int
 	// Control is called with each new socket before it connects, as that of net.Dialer. Default: none.
 	Control func(network, address string, socket syscall.RawConn) error
+	// Detour opens the connections. Default: all are direct.
+	Detour Detour
 }
 
 const (
@@ -77,16 +79,7 @@
 	options.MaxIdlePerAddress = cmp.Or(options.MaxIdlePerAddress, defaultMaxIdle)
 	return &Pool{
 		options: options,
-		dialer: net.Dialer{
-			Timeout:         options.ConnectTimeout,
-			KeepAliveConfig: keepAliveProbes,
-			Control: func(network, address string, socket syscall.RawConn) error {
-				if err := setUserTimeout(socket, options.UserTimeout); err != nil || options.Control == nil {
-					return err
-				}
-				return options.Control(network, address, socket)
-			},
-		},
+		dialer:  NewDialer(options.ConnectTimeout, options.UserTimeout, options.Control),
 		targets: make(map[string]*target),
 		idle:    newIdleLimit(options.IdleTimeout),
 	}
@@ -100,15 +93,20 @@
 }
 
 // get returns a connection for one exchange: the one idle for the shortest time,
-// or a new one. limit bounds the connections to the address; 0 means no limit.
-func (p *Pool) get(ctx context.Context, address string, limit int) (*connection, error) {
+// or a new one. limit bounds the connections to the address; 0 means no limit. directOnly forbids
+// connections through other routers.
+func (p *Pool) get(ctx context.Context, address string, limit int, directOnly bool) (*connection, error) {
 	for {
 		conn, full := p.acquire(address, limit)
 		if full {
 			return nil, ErrConnectionLimit
 		}
 		if conn == nil {
-			return p.dial(ctx, address)
+			return p.dial(ctx, address, directOnly)
+		}
+		if p.outdated(conn, directOnly) {
+			p.drop(conn)
+			continue
 		}
 		state := conn.checkIdle()
 		p.observeIdle(conn, state)
@@ -117,7 +115,7 @@
 			return conn, nil
 		case idleSilent:
 			p.drop(conn)
-			p.recordSilent(address, time.Now().Add(-probeInterval))
+			p.recordSilent(conn, time.Now().Add(-probeInterval))
 		default:
 			p.drop(conn)
 		}
@@ -173,18 +171,33 @@
 	known.idle = known.idle[:0]
 }
 
-func (p *Pool) dial(ctx context.Context, address string) (*connection, error) {
+func (p *Pool) dial(ctx context.Context, address string, directOnly bool) (*connection, error) {
 	start := time.Now()
-	opened, err := p.dialer.DialContext(ctx, "tcp4", address)
+	opened, err := p.open(ctx, address, directOnly)
 	if err != nil {
 		p.release(address)
 		return nil, errors.Wrap(err, "open a connection")
 	}
+	conn := &connection{
+		Conn: opened.Conn, address: address, reader: opened.Reader, through: opened.Through, openedAt: start,
+		ackTimeout: p.options.UserTimeout,
+	}
+	if conn.reader == nil {
+		conn.reader = bufio.NewReaderSize(conn.Conn, readerBytes)
+	}
+	if conn.through.IsValid() {
+		p.countOpened()
+		return conn, nil
+	}
 	p.recordConnected(address)
-	return &connection{
-		Conn: opened, address: address, reader: bufio.NewReaderSize(opened, readerBytes),
-		ackTimeout: p.options.UserTimeout, connectTime: time.Since(start),
-	}, nil
+	conn.connectTime = time.Since(start)
+	return conn, nil
+}
+
+func (p *Pool) countOpened() {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.opened++
 }
 
 // put returns a connection to the pool after a complete exchange. idleTimeout is
--- a/internal/exchange/silence.go
+++ b/internal/exchange/silence.go
@@ -14,8 +14,14 @@
 }
 
 // recordSilent records that a connection has been silent since a time. It closes
-// the idle connections to the same address that received nothing since.
-func (p *Pool) recordSilent(address string, since time.Time) {
+// the idle connections to the same address that received nothing since. One that another
+// router relays is evidence about that router, not about the address.
+func (p *Pool) recordSilent(conn *connection, since time.Time) {
+	if conn.through.IsValid() {
+		p.options.Detour.ObserveSilent(conn.through)
+		return
+	}
+	address := conn.address
 	p.mutex.Lock()
 	p.silent++
 	p.silences.recordSilent(time.Now(), address, since)
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"net/netip"
 	"time"
 
 	"github.com/pkg/errors"
@@ -41,6 +42,8 @@
 	// sentAt is when the request was sent, firstByteAt when the first byte of the answer
 	// arrived, zero until then.
 	sentAt, firstByteAt time.Time
+	// through is the router that relayed the attempt, the zero value before its answer.
+	through netip.AddrPort
 	// status is that of the answer, 0 before its head arrived.
 	status int
 	// invalid is true if the answer may not be passed on.
@@ -111,7 +114,7 @@
 	a.reportSample(outcome)
 	a.reportToQuarantine(clock.Now(), outcome)
 	a.recordStep(StepAttemptEnded, func(step *Step) {
-		step.Choice, step.Outcome = a.choice, outcome
+		step.Choice, step.Outcome, step.Through = a.choice, outcome, a.through
 		if outcome == backend.Broken {
 			step.Fingerprint = a.subject().Fingerprint()
 		}
@@ -171,7 +174,7 @@
 	if a.idleTimer != nil && a.route.Kind != catalog.Streaming {
 		a.idleTimer.Stop()
 	}
-	a.status = reply.Status
+	a.status, a.through = reply.Status, reply.Through
 	a.backendAttempt.ObserveConnect(reply.ConnectTime)
 	if reply.Version > 0 && a.request.Prompt != nil {
 		a.forwarder.Backends.ObserveVersion(a.choice.Instance, a.request.Prompt.Model, reply.Version)
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -135,6 +135,8 @@
 	Version int
 	// ConnectTime is how long it took to open the connection; 0 if an open one was used.
 	ConnectTime time.Duration
+	// Through is the router that relayed the connection, the zero value for a direct one.
+	Through netip.AddrPort
 	// Advertised is what the answer advertises about the back end.
 	Advertised backend.Advertised
 }
--- a/internal/forward/step.go
+++ b/internal/forward/step.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"net/netip"
 	"time"
 
 	"github.com/fieldpond/fieldpond/internal/backend"
@@ -56,6 +57,8 @@
 	// Fingerprint identifies the request of an attempt that broke off; otherwise it is zero.
 	Fingerprint quarantine.Fingerprint
 	Status      int
+	// Through is the router that relayed the attempt, the zero value for a direct one.
+	Through netip.AddrPort
 	// Elapsed is the time since the request was received.
 	Elapsed time.Duration
 	// Events is the number of stream events passed on.
--- a/internal/mechanism/mechanism.go
+++ b/internal/mechanism/mechanism.go
@@ -53,6 +53,9 @@
 	// BackendAdvertised sends no requests to back ends that advertise a drain or a
 	// back-off in their answers; without it routers ignore both.
 	BackendAdvertised Name = "backend-words"
+	// PeerDetours opens connections to back ends through other routers when they cannot be opened
+	// directly.
+	PeerDetours Name = "peer-detours"
 	// StartHold has requests wait a short time for the first configuration of a router
 	// that has just started; without it they are refused at once.
 	StartHold Name = "start-hold"
@@ -64,7 +67,7 @@
 		HomeEngines, CacheStore, CacheIndex, SharedSaves, LongIdle, EarlyOrders, Notifications, QuiesceFirst,
 		NewerWeights, PrefillRate,
 		EarlyRefusal, LatenessAllowance, ExpiryGrace, SharedHealth, SharedQuotas,
-		StartHold, BackendLimits, BackendAdvertised,
+		PeerDetours, StartHold, BackendLimits, BackendAdvertised,
 	}
 }
 
--- /dev/null
+++ b/internal/node/detours.go
@@ -0,0 +1,126 @@
+package node
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/fieldpond/fieldpond/internal/clock"
+	"github.com/fieldpond/fieldpond/internal/detour"
+	"github.com/fieldpond/fieldpond/internal/exchange"
+	"github.com/fieldpond/fieldpond/internal/upstream"
+)
+
+// DetourPorts open connections to back ends.
+type DetourPorts struct {
+	// Dialer asks other routers for connections.
+	Dialer *detour.Dialer
+	// Dial opens a direct connection.
+	Dial exchange.DialFunc
+	// CloseIdleDirect closes the idle direct connections.
+	CloseIdleDirect func()
+}
+
+// routersRefreshInterval is the least time between two reads of the router list for detours.
+const routersRefreshInterval = 2 * time.Second
+
+// detours lets this router open connections through others, and others through this one.
+type detours struct {
+	ports    *DetourPorts
+	follower *follower
+	server   *detour.Server
+	// refresh asks for a read of the router list; it never blocks.
+	refresh chan struct{}
+}
+
+// newDetours returns nil if detours are disabled.
+func (n *Node) newDetours() *detours {
+	if n.ports.Detours == nil || !n.config.PeerAddr.IsValid() {
+		return nil
+	}
+	d := &detours{ports: n.ports.Detours, follower: n.follower, refresh: make(chan struct{}, 1)}
+	d.server = detour.NewServer(detour.ServerConfig{
+		Dial: func(ctx context.Context, address string) (net.Conn, error) {
+			return d.ports.Dialer.DialDirect(ctx, address, d.ports.Dial)
+		},
+		Credible: func(address string) bool {
+			d.ports.Dialer.Verify(address, d.ports.Dial)
+			return d.ports.Dialer.Credible()
+		},
+		Available: func() bool { return !n.stopping.Load() && !d.allLost() },
+		IsRouter:  d.isRouter,
+		IsBackend: n.backends.HasAddress,
+	})
+	d.ports.Dialer.SetRouters(&detour.Routers{Peers: d.helpers, OnFailed: d.observeFailed, OnAllLost: func() {
+		d.ports.CloseIdleDirect()
+		d.requestRefresh()
+	}})
+	return d
+}
+
+// allLost reports whether this router reaches no back end directly while others do.
+func (d *detours) allLost() bool { return d != nil && d.ports.Dialer.AllLost() }
+
+// helpers returns the routers that may open connections for this one. Those of a large fleet know
+// only the backbone of their zone.
+func (d *detours) helpers() []detour.Peer {
+	if helpers := d.follower.recipients.helpersNow(); len(helpers) > 0 {
+		return helpers
+	}
+	var helpers []detour.Peer
+	for _, peer := range d.peers() {
+		helpers = append(helpers, d.follower.recipients.helper(&peer))
+	}
+	return helpers
+}
+
+// observeFailed requests a read of the router list if routers may be missing that could have helped.
+func (d *detours) observeFailed(proven bool) {
+	if !proven || d.follower.replica.Routers() != d.follower.recipients.count()+1 {
+		d.requestRefresh()
+	}
+}
+
+// isRouter reports whether an address is that of another router. An unknown one may have started
+// since the list was read, which is then read again.
+func (d *detours) isRouter(addr netip.Addr) bool {
+	addr = addr.Unmap()
+	known := slices.ContainsFunc(d.follower.recipients.helpersNow(), func(peer detour.Peer) bool { return peer.Addr.Addr() == addr }) ||
+		slices.ContainsFunc(d.peers(), func(peer upstream.Peer) bool { return peer.Addr.Addr() == addr })
+	if !known {
+		d.requestRefresh()
+	}
+	return known
+}
+
+// peers returns the peers that the chain knows.
+func (d *detours) peers() (peers []upstream.Peer) {
+	d.follower.chain.use(func(chain *upstream.Chain) { peers = chain.Peers() })
+	return peers
+}
+
+func (d *detours) requestRefresh() {
+	select {
+	case d.refresh <- struct{}{}:
+	default:
+	}
+}
+
+// run reads the router list when that is requested, until ctx ends.
+func (d *detours) run(ctx context.Context) {
+	var readAt time.Time
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-d.refresh:
+		}
+		if clock.Since(readAt) < routersRefreshInterval || d.follower.chain.large() {
+			continue
+		}
+		readAt = clock.Now()
+		d.follower.readRouters(ctx)
+	}
+}
--- a/internal/node/gauges.go
+++ b/internal/node/gauges.go
@@ -21,6 +21,10 @@
 	now.quotaMembers, now.limitMembers = n.quotas.members(), n.limits.members()
 	now.quarantined, now.crashSuspects = n.quarantines.Counts()
 	now.unreachableRegions = len(n.backends.UnreachableRegions(clock.Now()))
+	if n.detours != nil {
+		now.backendsLost, now.detours = n.detours.allLost(), n.detours.ports.Dialer.Opened()
+		now.relayed = n.detours.server.Count()
+	}
 	if n.ports.LinesDropped != nil {
 		now.linesDropped = n.ports.LinesDropped()
 	}
--- a/internal/node/log.go
+++ b/internal/node/log.go
@@ -57,6 +57,9 @@
 	if step.Outcome == backend.Broken {
 		fields["fingerprint"] = step.Fingerprint.String()
 	}
+	if step.Through.IsValid() {
+		fields["through"] = step.Through.String()
+	}
 	if step.Status != 0 {
 		fields["status"] = step.Status
 	}
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -72,6 +72,9 @@
 	quotaMembers         int
 	limitMembers         int
 	unreachableRegions   int
+	backendsLost         bool
+	relayed              int
+	detours              uint64
 	linesDropped         uint64
 	silentConnections    uint64
 	clients              int
@@ -132,6 +135,9 @@
 	group.Counter("edge_clients_refused_total", "Connections and bodies of clients turned away because a bound of connections or memory was reached.", func(r gaugeValues) uint64 { return r.clientsRefused })
 	group.Counter("edge_connections_silent_total", "Connections to back ends, the store, caches and other routers that were found silent: nothing sent on them was acknowledged.", func(r gaugeValues) uint64 { return r.silentConnections })
 	group.Gauge("edge_regions_lost", "Other regions whose back ends this router does not reach now.", func(r gaugeValues) int { return r.unreachableRegions })
+	group.Gauge("edge_backends_not_reached", "1 while this router reaches no back end directly, and other routers do.", func(r gaugeValues) int { return oneIf(r.backendsLost) })
+	group.Counter("edge_detours_total", "Connections to back ends that were opened through another router.", func(r gaugeValues) uint64 { return r.detours })
+	group.Gauge("edge_relayed_connections", "Connections to back ends that this router relays for other routers.", func(r gaugeValues) int { return r.relayed })
 	group.Counter("edge_log_lines_dropped_total", "Log lines that were not written.", func(r gaugeValues) uint64 { return r.linesDropped })
 	group.Register()
 	return m
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -85,6 +85,8 @@
 	// OnAdvertised sets a function that is called with what back ends advertise in answers
 	// to reports and orders; it may be nil.
 	OnAdvertised func(observer backend.AdvertisedFunc)
+	// Detours may be nil: all connections to back ends are direct then.
+	Detours *DetourPorts
 	// Caches may be nil: the content of stores of prompt caches is unknown then.
 	Caches CacheReader
 	// Epochs may be nil if the store is never restored from an older copy.
@@ -124,9 +126,11 @@
 	limits   *backendLimits
 	updates  *backendUpdates
 	// engines sends reports and orders.
-	engines  *engineCalls
-	peers    *upstream.Client
-	clients  *inbound.Clients
+	engines *engineCalls
+	peers   *upstream.Client
+	clients *inbound.Clients
+	// detours is nil if connections to back ends are all direct.
+	detours  *detours
 	stopping atomic.Bool
 }
 
@@ -158,6 +162,7 @@
 	if ports.OnAdvertised != nil {
 		ports.OnAdvertised(n.updates.observeAdvertised)
 	}
+	n.detours = n.newDetours()
 	n.quarantines = n.newQuarantines()
 	n.follower.guard, n.follower.replica.guard = n.quarantines.Guard, n.quarantines.Guard
 	n.setUpCanaries()
@@ -325,6 +330,9 @@
 	if n.canaries != nil {
 		loops = append(loops, n.canaries.run)
 	}
+	if n.detours != nil {
+		loops = append(loops, n.detours.run)
+	}
 	if n.ports.Caches != nil && n.config.Disabled.Enabled(mechanism.CacheIndex) {
 		caches := &cacheFollower{reads: follower.chain.leadsRegion, reader: n.ports.Caches, index: follower.replica.caches, holder: n.holder}
 		loops = append(loops, caches.run)
@@ -341,10 +349,11 @@
 // contend lets this router contend for the lease while it is the first of its region (of its
 // zone if there is one region), or reads the store in place of a partitioned one: each
 // contender costs calls, and a few are enough. A holder keeps contending, so that the lease
-// does not change hands needlessly.
+// does not change hands needlessly, unless it reaches no back end: orders are sent directly, as
+// engines tell holders apart by where orders come from.
 func (n *Node) contend(ctx context.Context) {
 	wait.Every(ctx, contendInterval, func() {
-		n.lease.Contend(!n.stopping.Load() && (n.holdsLease() || n.follower.contends()))
+		n.lease.Contend(!n.stopping.Load() && !n.detours.allLost() && (n.holdsLease() || n.follower.contends()))
 	})
 }
 
@@ -412,6 +421,9 @@
 	if err := servers[0].Shutdown(ctx); err != nil {
 		log.WithFields(log.Fields{"in_flight": n.backends.InFlight(), "cause": err.Error()}).Warn("stop_cut_requests")
 	}
+	if n.detours != nil {
+		n.detours.server.Shutdown(ctx)
+	}
 	for _, server := range servers {
 		_ = server.Close()
 	}
--- a/internal/node/recipients.go
+++ b/internal/node/recipients.go
@@ -5,6 +5,7 @@
 	"slices"
 	"sync"
 
+	"github.com/fieldpond/fieldpond/internal/detour"
 	"github.com/fieldpond/fieldpond/internal/ident"
 	"github.com/fieldpond/fieldpond/internal/region"
 	"github.com/fieldpond/fieldpond/internal/upstream"
@@ -43,6 +44,8 @@
 	mu sync.Mutex
 	// all are the other routers, sameZone those of this zone.
 	all, sameZone []netip.AddrPort
+	// helpers are all of them, as this router may ask them for connections.
+	helpers []detour.Peer
 	// otherZones are the relays of the other zones of this region, otherRegions those of the
 	// other regions.
 	otherZones   map[ident.Zone][]netip.AddrPort
@@ -57,11 +60,12 @@
 	slices.SortFunc(peers, upstream.ByRevision)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.all, r.sameZone = nil, nil
+	r.all, r.sameZone, r.helpers = nil, nil, make([]detour.Peer, 0, len(peers))
 	r.otherZones, r.otherRegions = make(map[ident.Zone][]netip.AddrPort), make(map[ident.Region][]netip.AddrPort)
 	relays := make(map[ident.Zone]int)
 	for _, peer := range peers {
 		r.all = append(r.all, peer.Addr)
+		r.helpers = append(r.helpers, r.helper(&peer))
 		if peer.Zone == r.zone {
 			r.sameZone = append(r.sameZone, peer.Addr)
 			continue
@@ -77,6 +81,19 @@
 	}
 }
 
+// helper returns a router as one to ask for connections.
+func (r *recipients) helper(peer *upstream.Peer) detour.Peer {
+	return detour.Peer{Addr: peer.Addr, Near: r.regions.Same(r.zone, peer.Zone)}
+}
+
+// helpersNow returns the other routers as those to ask for connections. The caller must not change
+// them.
+func (r *recipients) helpersNow() []detour.Peer {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.helpers
+}
+
 // others returns the addresses of the other routers.
 func (r *recipients) others() []netip.AddrPort {
 	r.mu.Lock()
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -45,8 +45,11 @@
 		newServer("readiness checks", n.config.ReadyAddress, http.HandlerFunc(n.serveReady)),
 	}
 	if n.config.PeerAddr.IsValid() {
-		peers := upstream.NewServer(n.follower.replica, n.follower.observePull)
-		all = append(all, newServer("pulls of other routers", n.config.PeerAddr.String(), peers))
+		var peers http.Handler = upstream.NewServer(n.follower.replica, n.follower.observePull)
+		if n.detours != nil {
+			peers = n.detours.server.Handler(peers)
+		}
+		all = append(all, newServer("requests of other routers", n.config.PeerAddr.String(), peers))
 	}
 	if n.config.MetricsAddress != "" {
 		mux := http.NewServeMux()
--- a/internal/upstream/chain.go
+++ b/internal/upstream/chain.go
@@ -191,6 +191,17 @@
 	}
 }
 
+// Peers returns the peers that this router knows, in no particular order.
+func (c *Chain) Peers() []Peer {
+	var peers []Peer
+	for _, known := range [][]*peerState{c.sameZone, c.sameRegion, c.others, c.followers} {
+		for _, peer := range known {
+			peers = append(peers, peer.peer)
+		}
+	}
+	return peers
+}
+
 // SetShuttingDown records that this router shuts down.
 func (c *Chain) SetShuttingDown() { c.shuttingDown = true }
 
