Bound what is in flight at back ends that fail when they refuse too much

Back ends may say that they fall over after a number of refusals in a second (Server-Brittle). Nobody read it: one that fell sent its load to the others, which refused it and fell in turn.

Cause: what routers send to a back end at once has no bound over all of them but its connections. Change: while a service is brittle each router uses a part of each back end's room (0.9 of slots and half of the refusals borne, over the routers); the first refusal cuts the room at all routers to 0.6 at most each 300 ms, and it grows back by a twentieth a second. Ruled out: pools of a rate (no bound on what runs at a time) and backing off by own refusals only (with more routers than refusals borne the first of each are too many).

--- a/internal/backend/advertised.go
+++ b/internal/backend/advertised.go
@@ -15,6 +15,8 @@
 	Draining bool
 	// Backoff is how long this router must send nothing; 0 if the back end did not ask for it.
 	Backoff time.Duration
+	// Brittleness is how the back end bears overload.
+	Brittleness Brittleness
 }
 
 // AdvertisedFunc receives what the answer to a call sent at sentAt advertises about its back
@@ -93,6 +95,9 @@
 	if known == nil {
 		return change
 	}
+	if listed := r.byID[instance]; listed != nil {
+		r.observeBrittleness(now, listed.record.Service, advertised.Brittleness)
+	}
 	change.Limit, change.LimitChanged = known.limit.observe(now, sentAt, advertised.Limit)
 	if advertised.Draining && r.config.Disabled.Enabled(mechanism.BackendAdvertised) {
 		change.DrainBegan = known.drain.begin(now, by)
--- a/internal/backend/choose.go
+++ b/internal/backend/choose.go
@@ -117,7 +117,7 @@
 	var bestScore uint64
 	staleCost := r.staleCost(now, query)
 	for _, candidate := range allowed {
-		if !candidate.eligible(now, query) {
+		if !candidate.eligible(now, query) || !r.roomLeft(now, candidate, query.Routers) {
 			if candidate.limit.usedUp(now) {
 				counts.limitSkips++
 			}
--- a/internal/backend/record.go
+++ b/internal/backend/record.go
@@ -122,6 +122,8 @@
 
 // Query describes an attempt that needs a back end.
 type Query struct {
+	// Routers is the number of routers that share the back ends, 0 if it is not known.
+	Routers int
 	Service ident.Service
 	// Model is empty for requests that run no model.
 	Model ident.Model
--- a/internal/backend/registry.go
+++ b/internal/backend/registry.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -13,6 +14,10 @@
 
 // Registry tracks the back ends of the newest instance list and chooses among them.
 type Registry struct {
+	brittleServices map[ident.Service]brittleService
+	// seed makes this router's hashes differ from those of others.
+	seed uint64
+
 	config Config
 
 	mutex           sync.Mutex
@@ -45,6 +50,8 @@
 		advertising:     make(map[ident.Incarnation]struct{}),
 		roundTrips:      make(roundTrips),
 		reachability:    make(map[ident.Region]*reachability),
+		brittleServices: make(map[ident.Service]brittleService),
+		seed:            rand.Uint64(),
 	}
 }
 
--- a/internal/backend/state.go
+++ b/internal/backend/state.go
@@ -27,6 +27,7 @@
 	// at its address.
 	goneUntil time.Time
 	peerQueue peerQueue
+	room      room
 	// tried and failed count recent attempts, halved every failureHalfLife.
 	tried, failed float64
 	decayedAt     time.Time
--- a/internal/forward/advertised.go
+++ b/internal/forward/advertised.go
@@ -10,6 +10,16 @@
 type BackendNotifier interface {
 	// Notify reports a back end whose advertised state has changed for all routers.
 	Notify(instance ident.Incarnation)
+	// NotifyFull reports a brittle back end that refused a request for want of room.
+	NotifyFull(instance ident.Incarnation)
+}
+
+// observeNoRoom records that the back end refused the request for want of room, and notifies other
+// routers if it is brittle.
+func (a *attempt) observeNoRoom() {
+	if a.forwarder.Backends.ObserveNoRoom(clock.Now(), a.choice.Instance) && a.forwarder.Notifier != nil {
+		a.forwarder.Notifier.NotifyFull(a.choice.Instance)
+	}
 }
 
 // applyAdvertised applies what an answer advertises about its back end.
--- a/internal/forward/advertised_test.go
+++ b/internal/forward/advertised_test.go
@@ -20,6 +20,7 @@
 type fakeNotifier struct {
 	mu       sync.Mutex
 	notified []ident.Incarnation
+	full     []ident.Incarnation
 }
 
 // Notify implements forward.BackendNotifier.
@@ -29,6 +30,13 @@
 	f.notified = append(f.notified, instance)
 }
 
+// NotifyFull implements forward.BackendNotifier.
+func (f *fakeNotifier) NotifyFull(instance ident.Incarnation) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.full = append(f.full, instance)
+}
+
 // advertising adds an advertisement to an answer.
 func advertising(advertised backend.Advertised, given answer) answer {
 	return func(ctx context.Context, attempt *forward.Attempt) (*forward.Reply, error) {
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -182,6 +182,7 @@
 	a.applyAdvertised(reply)
 	switch reply.Execution {
 	case NotExecuted:
+		a.observeNoRoom()
 		return a.refused(reply, backend.Refused)
 	case OtherInstance:
 		return a.refused(reply, backend.Misdirected)
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -296,7 +296,7 @@
 func (r *run) query() backend.Query {
 	query := backend.Query{
 		Service: r.service, Excluded: r.excluded, Expected: r.route.Target / expectedWorkDivisor,
-		SpreadKey: xxhash.Sum64String(string(r.request.ID)), AvoidRecentBackoff: r.avoidRecentBackoff,
+		SpreadKey: xxhash.Sum64String(string(r.request.ID)), AvoidRecentBackoff: r.avoidRecentBackoff, Routers: r.forwarder.Routers(),
 	}
 	prompt := r.request.Prompt
 	if prompt == nil {
--- a/internal/health/tracker.go
+++ b/internal/health/tracker.go
@@ -205,6 +205,8 @@
 	Queues    []Queue             `cbor:"3,keyasint,omitempty"`
 	// Gone back ends have ended: another one answers at their address.
 	Gone []ident.Incarnation `cbor:"4,keyasint,omitempty"`
+	// Full back ends, which are brittle, have just refused a request for want of room.
+	Full []ident.Incarnation `cbor:"5,keyasint,omitempty"`
 }
 
 // NewNotification returns the notification of the change from one set of silent engines to
--- a/internal/mechanism/mechanism.go
+++ b/internal/mechanism/mechanism.go
@@ -53,6 +53,9 @@
 	// BackendAdvertised sends no requests to back ends that advertise a drain or a
 	// back-off in their answers; without it routers ignore both.
 	BackendAdvertised Name = "backend-words"
+	// BrittleRoom bounds what is in flight at back ends that advertise that they fail when they
+	// refuse too much.
+	BrittleRoom Name = "brittle-room"
 	// PeerDetours opens connections to back ends through other routers when they cannot be opened
 	// directly.
 	PeerDetours Name = "peer-detours"
@@ -67,7 +70,7 @@
 		HomeEngines, CacheStore, CacheIndex, SharedSaves, LongIdle, EarlyOrders, Notifications, QuiesceFirst,
 		NewerWeights, PrefillRate,
 		EarlyRefusal, LatenessAllowance, ExpiryGrace, SharedHealth, SharedQuotas,
-		PeerDetours, StartHold, BackendLimits, BackendAdvertised,
+		BrittleRoom, PeerDetours, StartHold, BackendLimits, BackendAdvertised,
 	}
 }
 
--- a/internal/node/backendupdates.go
+++ b/internal/node/backendupdates.go
@@ -20,12 +20,14 @@
 	limits   *backendLimits
 	// send sends updates to all other routers; it does nothing before this one runs.
 	send func([]backend.StateUpdate)
+	// sendFull notifies all other routers that a brittle back end refused for want of room.
+	sendFull func(ident.Incarnation)
 }
 
 var _ forward.BackendNotifier = (*backendUpdates)(nil)
 
 func newBackendUpdates(backends *backend.Registry, limits *backendLimits) *backendUpdates {
-	return &backendUpdates{backends: backends, limits: limits, send: func([]backend.StateUpdate) {}}
+	return &backendUpdates{backends: backends, limits: limits, send: func([]backend.StateUpdate) {}, sendFull: func(ident.Incarnation) {}}
 }
 
 // Notify implements forward.BackendNotifier.
@@ -40,6 +42,12 @@
 	}
 }
 
+// NotifyFull implements forward.BackendNotifier.
+func (b *backendUpdates) NotifyFull(instance ident.Incarnation) {
+	log.WithFields(log.Fields{"instance": instance}).Info("backend_full")
+	b.sendFull(instance)
+}
+
 // observeAdvertised applies what a back end advertised in an answer to a report or an order.
 func (b *backendUpdates) observeAdvertised(instance ident.Incarnation, sentAt time.Time, advertised backend.Advertised, by backend.Source) {
 	observed := b.backends.ObserveAdvertised(clock.Now(), instance, sentAt, advertised, by)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -19,6 +19,7 @@
 	"github.com/fieldpond/fieldpond/internal/clock"
 	"github.com/fieldpond/fieldpond/internal/flood"
 	"github.com/fieldpond/fieldpond/internal/forward"
+	"github.com/fieldpond/fieldpond/internal/health"
 	"github.com/fieldpond/fieldpond/internal/ident"
 	"github.com/fieldpond/fieldpond/internal/inbound"
 	"github.com/fieldpond/fieldpond/internal/lease"
@@ -276,6 +277,9 @@
 		socket.limits, socket.updates = n.limits, n.updates
 		n.limits.connect(socket)
 		n.updates.send = socket.sendStateUpdates
+		n.updates.sendFull = func(instance ident.Incarnation) {
+			socket.send(datagram{Health: &health.Notification{Full: []ident.Incarnation{instance}}})
+		}
 		n.canaries.connect(socket)
 	}
 	work, stopWork := context.WithCancel(context.WithoutCancel(ctx))
--- a/internal/node/notifier.go
+++ b/internal/node/notifier.go
@@ -174,13 +174,14 @@
 // splitHealth splits a notification into ones that fit into a datagram each.
 func splitHealth(notification health.Notification) []health.Notification {
 	var parts []health.Notification
-	for len(notification.Silent)+len(notification.Answering)+len(notification.Queues)+len(notification.Gone) > 0 {
+	for len(notification.Silent)+len(notification.Answering)+len(notification.Queues)+len(notification.Gone)+len(notification.Full) > 0 {
 		var part health.Notification
 		room := enginesPerNotification
 		part.Silent, notification.Silent, room = splitOff(notification.Silent, room)
 		part.Answering, notification.Answering, room = splitOff(notification.Answering, room)
 		part.Queues, notification.Queues, room = splitOff(notification.Queues, room)
-		part.Gone, notification.Gone, _ = splitOff(notification.Gone, room)
+		part.Gone, notification.Gone, room = splitOff(notification.Gone, room)
+		part.Full, notification.Full, _ = splitOff(notification.Full, room)
 		parts = append(parts, part)
 	}
 	return parts
@@ -281,6 +282,9 @@
 	n.backends.PeerSilent(now, notification.Silent)
 	n.backends.PeerAnswering(notification.Answering)
 	n.backends.PeerGone(now, notification.Gone)
+	for _, instance := range notification.Full {
+		n.backends.ObserveNoRoom(now, instance)
+	}
 	for _, queue := range notification.Queues {
 		n.backends.PeerQueue(now, queue.Instance, queue.Waiting)
 	}
