Keep a request whose back end is unreachable for a second

A sound back end that was unreachable for 1.2 s lost the requests it worked on: callers of requests that may not run twice got 502.

Cause: with TCP_USER_TIMEOUT set the kernel gives up at the first keep-alive probe after it has passed, whatever the number of probes. At 250 ms to 1 s that is one unanswered probe, two seconds after the last byte. Change: once a request is acknowledged, the timeout of its connection is 2.5 s for the rest of the exchange, which takes two unanswered probes; the timeout for unacknowledged bytes of the request stays.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -117,6 +118,7 @@
 	}
 	conn.setAckTimeout(p.ackTimeout(request))
 	exchange := &call{pool: p, connection: conn, startedAt: time.Now()}
+	exchange.waiting = time.AfterFunc(conn.ackTimeout+ackMargin, exchange.extendAckTimeout)
 	exchange.stop = context.AfterFunc(ctx, exchange.cancel)
 	response, err := exchange.run(request)
 	if err != nil {
@@ -131,6 +133,10 @@
 	return response, nil
 }
 
+// ackMargin is the time after the ack timeout by which the kernel has ended a connection whose peer
+// does not acknowledge.
+const ackMargin = 100 * time.Millisecond
+
 // minUnacknowledged is the least age of a cancelled request with unacknowledged
 // bytes for its connection to count as silent: a lost packet is retransmitted
 // after 200 ms at the earliest.
@@ -166,7 +172,38 @@
 	// sent is true once a byte may have been sent, written once all were.
 	sent, written atomic.Bool
 	excess        bool
-	ended         bool
+	// waiting extends the ack timeout once the request is acknowledged.
+	waiting *time.Timer
+
+	mu    sync.Mutex
+	ended bool
+}
+
+// waitTimeout is how long a back end that works on an acknowledged request may leave keep-alive
+// probes unanswered: more than two of them, since a sound one may be unreachable for a second. The
+// user timeout decides that in place of the number of probes.
+const waitTimeout = 2*probeInterval + probeInterval/2
+
+// extendAckTimeout applies waitTimeout to the rest of the exchange, unless bytes of the request are
+// still unacknowledged, in which case the kernel is about to end the connection.
+func (c *call) extendAckTimeout() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.ended && !c.connection.unacknowledged() {
+		c.connection.setAckTimeout(max(waitTimeout, c.connection.ackTimeout))
+	}
+}
+
+// end ends the exchange, and reports whether it had not ended yet.
+func (c *call) end() bool {
+	c.waiting.Stop()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.ended {
+		return false
+	}
+	c.ended = true
+	return true
 }
 
 func (c *call) run(request *Request) (*Response, error) {
@@ -228,10 +265,9 @@
 
 // abort ends the exchange and its connection.
 func (c *call) abort() {
-	if c.ended {
+	if !c.end() {
 		return
 	}
-	c.ended = true
 	c.stop()
 	c.pool.drop(c.connection)
 }
@@ -239,9 +275,6 @@
 // finish ends an exchange whose answer was read completely, and keeps the
 // connection if it is reusable.
 func (c *call) finish(answer *http.Response) {
-	if c.ended {
-		return
-	}
 	reusable := !c.excess && c.written.Load() && !answer.Close && c.connection.reader.Buffered() == 0 &&
 		(answer.ContentLength >= 0 || len(answer.TransferEncoding) > 0)
 	// stop returns false if the context has ended, which closes the connection.
@@ -249,8 +282,9 @@
 		c.abort()
 		return
 	}
-	c.ended = true
-	c.pool.put(c.connection, keepAlive(answer.Header))
+	if c.end() {
+		c.pool.put(c.connection, keepAlive(answer.Header))
+	}
 }
 
 // answerBody is the body of an answer.
--- a/internal/exchange/silence_test.go
+++ b/internal/exchange/silence_test.go
@@ -208,3 +208,43 @@
 		is.Equal(relay.Accepted(), 2)
 	}
 }
+
+// A back end that is unreachable for a second must not lose the request that it works on.
+func TestWaitOutlivesASecondOfSilence(t *testing.T) {
+	const (
+		work    = 3500 * time.Millisecond
+		begin   = 700 * time.Millisecond
+		silence = 1200 * time.Millisecond
+	)
+	for _, ackTimeout := range []time.Duration{ackBound, time.Second} {
+		t.Run(ackTimeout.String(), func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			relay := behindRelay(t, func(conn net.Conn, reader *bufio.Reader) {
+				if _, err := http.ReadRequest(reader); err != nil {
+					return
+				}
+				time.Sleep(work)
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 2\r\n\r\nok")
+			})
+			time.AfterFunc(begin, func() {
+				if err := relay.Silence(); err != nil {
+					t.Error(err)
+				}
+			})
+			time.AfterFunc(begin+silence, func() {
+				if err := relay.Resume(); err != nil {
+					t.Error(err)
+				}
+			})
+			request := requestWithID("1")
+			request.AckTimeout = ackTimeout
+			response, err := exchange.NewPool(exchange.Options{}).Do(t.Context(), relay.Addr().String(), request)
+			is.NoErr(err)
+			body, err := io.ReadAll(response.Body)
+			is.NoErr(err)
+			is.Equal(string(body), "ok")
+			is.NoErr(response.Body.Close())
+		})
+	}
+}
--- a/internal/relaytest/relay.go
+++ b/internal/relaytest/relay.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"syscall"
 	"testing"
 
 	"github.com/pkg/errors"
@@ -61,6 +62,22 @@
 	return nil
 }
 
+// Resume ends the effect of Silence on the connections that are still open.
+func (r *Relay) Resume() error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, conn := range r.conns {
+		raw, err := conn.SyscallConn()
+		if err == nil {
+			err = AcceptIncoming(raw)
+		}
+		if err != nil && !errors.Is(err, net.ErrClosed) && !errors.Is(err, syscall.ENOENT) {
+			return err
+		}
+	}
+	return nil
+}
+
 func (r *Relay) accept() {
 	for {
 		client, err := r.listener.Accept()
