Read cache stores through other routers, and count answers as proof of links

A router that had lost its links let its copy of what cache stores hold age, and one that reached its back ends on open connections only did not testify that another back end is down while two were: crashes of several at once would be confirmed late. Both were found by reading. Readers of cache stores now use the same detours, and an answer on a direct connection clears the failures that make a router doubt its links; new connections still decide where its own requests go. TestFailuresAtSeveralBackEndsAreNoProof covers the second.

--- a/internal/detour/dialer.go
+++ b/internal/detour/dialer.go
@@ -96,6 +96,13 @@
 	return d.paths.Lost(clock.Now(), address)
 }
 
+// ObserveAnswer implements exchange.Detour.
+func (d *Dialer) ObserveAnswer() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.paths.ObserveAnswer()
+}
+
 // ObserveSilent implements exchange.Detour.
 func (d *Dialer) ObserveSilent(helper netip.AddrPort) { d.avoid(helper) }
 
--- a/internal/detour/paths.go
+++ b/internal/detour/paths.go
@@ -49,7 +49,8 @@
 	lost map[string]lostAddress
 	// sinceDirect are the addresses lost since the last direct connection.
 	sinceDirect map[string]struct{}
-	// failed are the addresses at which a direct attempt failed since then.
+	// failed are the addresses at which a direct attempt failed since the last direct connection or
+	// answer.
 	failed  map[string]struct{}
 	probeAt time.Time
 }
@@ -94,6 +95,10 @@
 // ObserveFailed records that a direct attempt failed.
 func (p *Paths) ObserveFailed(address string) { p.failed[address] = struct{}{} }
 
+// ObserveAnswer records an answer on a connection opened before. It does not show that new
+// connections work.
+func (p *Paths) ObserveAnswer() { clear(p.failed) }
+
 // Credible reports whether a failure of this router says anything about the back end: not if the
 // last attempts failed at several, which rather means that its links are down.
 func (p *Paths) Credible() bool { return len(p.failed) < minLostAddresses }
--- a/internal/detour/paths_test.go
+++ b/internal/detour/paths_test.go
@@ -83,6 +83,10 @@
 	is.True(!paths.Credible())
 	paths.ObserveDirect(time.Unix(1000, 0), "c")
 	is.True(paths.Credible())
+	paths.ObserveFailed("a")
+	paths.ObserveFailed("b")
+	paths.ObserveAnswer()
+	is.True(paths.Credible())
 }
 
 // The begin and the end of the loss of all back ends must each be reported once.
--- a/internal/exchange/detour.go
+++ b/internal/exchange/detour.go
@@ -28,6 +28,8 @@
 	Dial(ctx context.Context, address string, direct DialFunc) (Opened, error)
 	// Lost reports whether an address is not reached directly.
 	Lost(address string) bool
+	// ObserveAnswer records that an answer arrived on a direct connection.
+	ObserveAnswer()
 	// ObserveSilent records that a router that relays connections fell silent.
 	ObserveSilent(through netip.AddrPort)
 }
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -221,6 +221,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if c.pool.options.Detour != nil && !c.connection.through.IsValid() {
+		c.pool.options.Detour.ObserveAnswer()
+	}
 	response := &Response{Status: answer.StatusCode, Header: answer.Header, Length: answer.ContentLength, ConnectTime: c.connection.connectTime, Through: c.connection.through}
 	c.connection.connectTime = 0
 	response.Body = &answerBody{call: c, answer: answer}
--- a/internal/node/detours.go
+++ b/internal/node/detours.go
@@ -51,7 +51,7 @@
 		},
 		Available: func() bool { return !n.stopping.Load() && !d.allLost() },
 		IsRouter:  d.isRouter,
-		IsBackend: n.backends.HasAddress,
+		IsBackend: func(address string) bool { return n.backends.HasAddress(address) || n.isCacheStore(address) },
 	})
 	d.ports.Dialer.SetRouters(&detour.Routers{Peers: d.helpers, OnFailed: d.observeFailed, OnAllLost: func() {
 		d.ports.CloseIdleDirect()
@@ -60,6 +60,12 @@
 	return d
 }
 
+// isCacheStore reports whether an address is that of a configured prompt cache store.
+func (n *Node) isCacheStore(address string) bool {
+	snapshot := n.holder.View().Snapshot
+	return snapshot != nil && slices.ContainsFunc(snapshot.CacheStores(), func(store netip.AddrPort) bool { return store.String() == address })
+}
+
 // allLost reports whether this router reaches no back end directly while others do.
 func (d *detours) allLost() bool { return d != nil && d.ports.Dialer.AllLost() }
 
