--- a/internal/backend/brittle.go
+++ b/internal/backend/brittle.go
@@ -22,7 +22,7 @@
 	// maxRoomShare is the part of a brittle back end's room that is used at most, since routers'
 	// counts of each other lag, and minRoomShare the least after refusals.
 	maxRoomShare = 0.9
-	minRoomShare = 0.1
+	minRoomShare = 0.25
 	// brittleTTL is how long a service counts as brittle after one of its back ends said so.
 	brittleTTL = 10 * time.Second
 	// roomCut multiplies the room of a brittle back end that refused, at most once in
@@ -30,7 +30,7 @@
 	roomCut         = 0.6
 	roomCutInterval = 300 * time.Millisecond
 	// roomGrowth is the part of a back end's room that it gets back in a second.
-	roomGrowth = 0.05
+	roomGrowth = 0.1
 )
 
 // room is the part of a brittle back end's room that all routers together use; the zero value
--- a/internal/relaytest/relay.go
+++ b/internal/relaytest/relay.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"syscall"
 	"testing"
@@ -99,14 +100,26 @@
 	defer r.mu.Unlock()
 	r.accepted++
 	r.conns = append(r.conns, client, server)
-	r.pipes.Go(func() { pipe(client, server) })
-	r.pipes.Go(func() { pipe(server, client) })
+	r.pipes.Go(func() { r.relay(client, server) })
 	if r.closed {
 		_ = client.Close()
 		_ = server.Close()
 	}
 }
 
+// relay forwards both directions, and closes the connections once both have ended.
+func (r *Relay) relay(client, server *net.TCPConn) {
+	var answers sync.WaitGroup
+	answers.Go(func() { pipe(server, client) })
+	pipe(client, server)
+	answers.Wait()
+	_ = client.Close()
+	_ = server.Close()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.conns = slices.DeleteFunc(r.conns, func(conn *net.TCPConn) bool { return conn == client || conn == server })
+}
+
 // pipe forwards the bytes and the end of one direction.
 func pipe(from, to *net.TCPConn) {
 	if _, err := io.Copy(to, from); err != nil {
