Take only an answer that names the back end for a relayed connection

A server that is no router and answers 200 to everything, at an address that a router had before, would have got clients' requests. Found by FuzzAnswerOfHelper (a status line of HTTP/0.0 passed) and reading. Routers that relay now name the back end in their answer; the test case "another server at its address" failed before.

--- a/internal/detour/dialer.go
+++ b/internal/detour/dialer.go
@@ -239,6 +239,9 @@
 	}
 	switch answer.StatusCode {
 	case http.StatusOK:
+		if answer.Header.Get(headerRelayedTo) != address {
+			return errors.New("another server than a router answers there")
+		}
 		return nil
 	case statusRefused:
 		return errors.Wrap(syscall.ECONNREFUSED, "another router connects to the back end")
--- a/internal/detour/dialer_test.go
+++ b/internal/detour/dialer_test.go
@@ -70,7 +70,13 @@
 // startOldRouter starts a router that knows no detours.
 func startOldRouter(t *testing.T) Peer {
 	t.Helper()
-	front := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusBadRequest) }))
+	return startServer(t, http.StatusBadRequest)
+}
+
+// startServer starts a server that answers everything with a status.
+func startServer(t *testing.T, status int) Peer {
+	t.Helper()
+	front := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(status) }))
 	t.Cleanup(front.Close)
 	return Peer{Addr: netip.MustParseAddrPort(strings.TrimPrefix(front.URL, "http://")), Near: true}
 }
@@ -200,6 +206,7 @@
 		peer func(t *testing.T) Peer
 	}{
 		{"of an older build", startOldRouter},
+		{"another server at its address", func(t *testing.T) Peer { return startServer(t, http.StatusOK) }},
 		{"not credible", func(t *testing.T) Peer {
 			return startHelper(t, func(cfg *ServerConfig) {
 				cfg.Dial, cfg.Credible = cutDial, func(string) bool { return false }
--- /dev/null
+++ b/internal/detour/fuzz_test.go
@@ -0,0 +1,37 @@
+package detour
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"net"
+	"testing"
+	"time"
+)
+
+// answering is a connection whose other end sends fixed bytes.
+type answering struct {
+	net.Conn
+	sent bytes.Buffer
+	io.Reader
+}
+
+func (a *answering) Read(data []byte) (int, error)  { return a.Reader.Read(data) }
+func (a *answering) Write(data []byte) (int, error) { return a.sent.Write(data) }
+func (a *answering) SetDeadline(time.Time) error    { return nil }
+
+// Whatever answers on a peer's port must not be taken for a connection unless it says so.
+func FuzzAnswerOfHelper(f *testing.F) {
+	f.Add([]byte("HTTP/1.1 200 OK\r\nRelayed-To: 10.0.0.1:80\r\n\r\n"))
+	f.Add([]byte("HTTP/1.1 200 OK\r\n\r\n"))
+	f.Add([]byte("HTTP/1.1 502 Bad Gateway\r\nContent-Length: 0\r\n\r\n"))
+	f.Add([]byte("HTTP/1.1 400 Bad Request\r\n\r\n"))
+	f.Add([]byte("\x16\x03\x01"))
+	f.Fuzz(func(t *testing.T, answer []byte) {
+		conn := &answering{Reader: bytes.NewReader(answer)}
+		err := ask(conn, bufio.NewReader(conn), "10.0.0.1:80")
+		if err == nil && !bytes.Contains(answer, []byte("10.0.0.1:80")) {
+			t.Errorf("%q was taken for a connection", answer)
+		}
+	})
+}
--- a/internal/detour/server.go
+++ b/internal/detour/server.go
@@ -26,6 +26,9 @@
 	statusNoAnswer = http.StatusGatewayTimeout
 )
 
+// headerRelayedTo names the back end in the answer to a router that is connected to it.
+const headerRelayedTo = "Relayed-To"
+
 const (
 	// backendTimeout bounds opening a connection for another router, which by then asks a third.
 	backendTimeout = 200 * time.Millisecond
@@ -112,7 +115,7 @@
 		w.WriteHeader(http.StatusInternalServerError)
 		return
 	}
-	s.relay(caller, backend)
+	s.relay(r.Host, caller, backend)
 }
 
 // failureStatus returns the status for a connection that failed.
@@ -143,14 +146,14 @@
 	s.mu.Unlock()
 }
 
-// relay copies bytes between a router and a back end until either side ends.
-func (s *Server) relay(caller, backend net.Conn) {
+// relay copies bytes between a router and the back end at an address until either side ends.
+func (s *Server) relay(address string, caller, backend net.Conn) {
 	s.track(caller, backend)
 	defer s.untrack(caller, backend)
 	// On an error the kernel's defaults stay, which detect a silent peer later.
 	_ = exchange.SetTimeouts(backend, backendAckTimeout)
 	_ = exchange.SetTimeouts(caller, callerAckTimeout)
-	if _, err := caller.Write([]byte("HTTP/1.1 200 OK\r\n\r\n")); err != nil {
+	if _, err := caller.Write([]byte("HTTP/1.1 200 OK\r\n" + headerRelayedTo + ": " + address + "\r\n\r\n")); err != nil {
 		reset(caller, backend)
 		return
 	}
