Keep the rollout lease through short and partial losses of links

Cause: two lost addresses in a row stand for all, and a holder stepped down at once. Now three do, and a holder steps down after a second without a direct connection.

--- a/internal/detour/dialer.go
+++ b/internal/detour/dialer.go
@@ -89,6 +89,13 @@
 	return d.paths.AllLost()
 }
 
+// AllLostFor returns for how long no back end has been reached directly, 0 if some are.
+func (d *Dialer) AllLostFor() time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.paths.AllLostFor(clock.Now())
+}
+
 // Lost implements exchange.Detour.
 func (d *Dialer) Lost(address string) bool {
 	d.mu.Lock()
--- a/internal/detour/paths.go
+++ b/internal/detour/paths.go
@@ -18,8 +18,11 @@
 	// lostTTL is how long an address counts as lost without a further failed attempt.
 	lostTTL = 5 * time.Second
 	// minLostAddresses is the number of addresses that must be lost, with no direct connection to
-	// any in between, for all to count as lost.
-	minLostAddresses = 2
+	// any in between, for all to count as lost: one or two are down in any fleet.
+	minLostAddresses = 3
+	// maxCredibleFailures is the number of addresses at which the last direct attempts may have
+	// failed while a failure still counts as that of the back end.
+	maxCredibleFailures = 1
 	// hedgeDelay is how long a direct connection is awaited before another router is asked as
 	// well: several round trips within a region.
 	hedgeDelay = 60 * time.Millisecond
@@ -49,6 +52,8 @@
 	lost map[string]lostAddress
 	// sinceDirect are the addresses lost since the last direct connection.
 	sinceDirect map[string]struct{}
+	// allLostAt is when they became so many that all count as lost.
+	allLostAt time.Time
 	// failed are the addresses at which a direct attempt failed since the last direct connection or
 	// answer.
 	failed  map[string]struct{}
@@ -89,7 +94,11 @@
 	}
 	p.lost[address] = lostAddress{until: now.Add(lostTTL), probeAt: probeAt}
 	p.sinceDirect[address] = struct{}{}
-	return p.AllLost() && !before
+	if !p.AllLost() || before {
+		return false
+	}
+	p.allLostAt = now
+	return true
 }
 
 // ObserveFailed records that a direct attempt failed.
@@ -101,7 +110,7 @@
 
 // Credible reports whether a failure of this router says anything about the back end: not if the
 // last attempts failed at several, which rather means that its links are down.
-func (p *Paths) Credible() bool { return len(p.failed) < minLostAddresses }
+func (p *Paths) Credible() bool { return len(p.failed) <= maxCredibleFailures }
 
 // ObserveDirect records a direct connection. It reports whether all addresses counted as lost.
 func (p *Paths) ObserveDirect(now time.Time, address string) (allWereLost bool) {
@@ -120,6 +129,14 @@
 // AllLost reports whether no address is reached directly, while other routers reach some.
 func (p *Paths) AllLost() bool { return len(p.sinceDirect) >= minLostAddresses }
 
+// AllLostFor returns for how long no address has been reached directly, 0 if some are.
+func (p *Paths) AllLostFor(now time.Time) time.Duration {
+	if !p.AllLost() {
+		return 0
+	}
+	return now.Sub(p.allLostAt)
+}
+
 // Lost reports whether an address is not reached directly.
 func (p *Paths) Lost(now time.Time, address string) bool {
 	entry, known := p.lost[address]
--- a/internal/node/detours.go
+++ b/internal/node/detours.go
@@ -69,6 +69,13 @@
 // allLost reports whether this router reaches no back end directly while others do.
 func (d *detours) allLost() bool { return d != nil && d.ports.Dialer.AllLost() }
 
+// minOrderLoss is how long a router must reach no back end directly to leave orders to another one:
+// a lease that changes hands costs more time than a short loss.
+const minOrderLoss = time.Second
+
+// mayOrder reports whether this router reaches back ends directly, as orders must be sent.
+func (d *detours) mayOrder() bool { return d == nil || d.ports.Dialer.AllLostFor() < minOrderLoss }
+
 // helpers returns the routers that may open connections for this one. Those of a large fleet know
 // only the backbone of their zone.
 func (d *detours) helpers() []detour.Peer {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -353,11 +353,11 @@
 // contend lets this router contend for the lease while it is the first of its region (of its
 // zone if there is one region), or reads the store in place of a partitioned one: each
 // contender costs calls, and a few are enough. A holder keeps contending, so that the lease
-// does not change hands needlessly, unless it reaches no back end: orders are sent directly, as
+// does not change hands needlessly, unless it has reached no back end for a time: orders are sent directly, as
 // engines tell holders apart by where orders come from.
 func (n *Node) contend(ctx context.Context) {
 	wait.Every(ctx, contendInterval, func() {
-		n.lease.Contend(!n.stopping.Load() && !n.detours.allLost() && (n.holdsLease() || n.follower.contends()))
+		n.lease.Contend(!n.stopping.Load() && n.detours.mayOrder() && (n.holdsLease() || n.follower.contends()))
 	})
 }
 
