--- a/internal/backend/brittle_test.go
+++ b/internal/backend/brittle_test.go
@@ -27,6 +27,10 @@
 	brittlePlaceInterval      = 10 * time.Millisecond
 	brittleNotice             = 2 * time.Millisecond
 	brittleAttempts           = 3
+	// brittleRestarts is the time between two restarts of routers, brittleRestartTime how long one
+	// takes, after which all clients that waited come at once.
+	brittleRestarts    = 1500 * time.Millisecond
+	brittleRestartTime = 500 * time.Millisecond
 	// maxFalls and maxFallsShare are the falls allowed from brittleRoomAfter on: a number, and a
 	// share of the back ends.
 	maxFalls, maxFallsShare = 2, 0.1
@@ -64,11 +68,14 @@
 	routers     []*Registry
 	backends    []*brittleBackend
 	held        []*brittleRequest
-	notices     []brittleEvent
-	now         time.Duration
-	sent        int
-	served      int
-	refused     int
+	// start returns the registry of a router that starts; startsAt is when each is up again.
+	start    func() *Registry
+	startsAt []time.Duration
+	notices  []brittleEvent
+	now      time.Duration
+	sent     int
+	served   int
+	refused  int
 }
 
 // brittleEvent is a notice to all routers but one that a back end refused.
@@ -95,19 +102,37 @@
 			Instance: brittleInstance(index), Service: "s", Zone: "z", Slots: brittleSlots, Models: map[ident.Model]int{"m": 1},
 		})
 	}
-	for range routers {
+	m.start = func() *Registry {
 		registry := NewRegistry(Config{Zone: "z", Disabled: disabled})
 		registry.seed = m.random.Uint64()
-		registry.ApplyList(modelStart, records)
-		m.routers = append(m.routers, registry)
+		registry.ApplyList(m.time(), records)
+		return registry
+	}
+	for range routers {
+		m.routers = append(m.routers, m.start())
 	}
+	m.startsAt = make([]time.Duration, routers)
 	return m
 }
 
+// restart ends a router with all that it has under way.
+func (m *brittleModel) restart(router int) {
+	m.routers[router] = m.start()
+	m.startsAt[router] = m.now + brittleRestartTime
+	gone := func(run *brittleRun) bool { return run.router == router }
+	for _, target := range m.backends {
+		target.running = slices.DeleteFunc(target.running, gone)
+		target.waiting = slices.DeleteFunc(target.waiting, gone)
+	}
+}
+
 // run plays arrivals at a multiple of what the back ends can serve.
-func (m *brittleModel) run(load float64) {
+func (m *brittleModel) run(load float64, restarts bool) {
 	perTick := load * brittleBackends * brittleSlots * brittleTick.Seconds() / brittleWork.Seconds()
 	for ; m.now < brittleRunTime; m.now += brittleTick {
+		if restarts && m.now > 0 && m.now%brittleRestarts == 0 {
+			m.restart(m.random.IntN(len(m.routers)))
+		}
 		m.endRuns()
 		m.deliverNotices()
 		if m.now%brittlePlaceInterval == 0 {
@@ -134,6 +159,11 @@
 
 // place sends a request to the back end that its router chooses, holds it, or refuses it.
 func (m *brittleModel) place(request *brittleRequest) {
+	if startsAt := m.startsAt[request.router]; m.now < startsAt {
+		request.placeUntil = startsAt + brittleHold
+		m.held = append(m.held, request)
+		return
+	}
 	query := Query{Service: "s", Model: "m", OwnTokens: 500, Excluded: request.excluded, SpreadKey: m.random.Uint64(), Expected: 100 * time.Millisecond, Routers: len(m.routers)}
 	choice, attempt, found := m.routers[request.router].Pick(m.time(), &query)
 	switch {
@@ -248,14 +278,16 @@
 		load        float64
 		routers     int
 		maxRefusals int
+		restarts    bool
 	}{
-		{0.4, 7, 8}, {0.75, 7, 8}, {1.5, 7, 8}, {3, 7, 8}, {1.5, 7, 2}, {1.5, 3, 8}, {1.5, 40, 8}, {0.75, 7, 100},
+		{0.4, 7, 8, false}, {0.75, 7, 8, false}, {1.5, 7, 8, false}, {3, 7, 8, false}, {1.5, 7, 2, false}, {1.5, 3, 8, false},
+		{1.5, 40, 8, false}, {0.75, 7, 100, false}, {0.75, 7, 8, true}, {1.5, 7, 8, true}, {1.5, 3, 8, true}, {3, 7, 4, true},
 	}
 	for _, tt := range tests {
-		t.Run(fmt.Sprintf("load %.2f, %d routers, %d refusals", tt.load, tt.routers, tt.maxRefusals), func(t *testing.T) {
+		t.Run(fmt.Sprintf("load %.2f, %d routers, %d refusals, restarts %t", tt.load, tt.routers, tt.maxRefusals, tt.restarts), func(t *testing.T) {
 			for seed := range uint64(5) {
 				m := newBrittleModel(seed, tt.routers, tt.maxRefusals, mechanism.Disabled{})
-				m.run(tt.load)
+				m.run(tt.load, tt.restarts)
 				falls := 0
 				for _, target := range m.backends {
 					falls += target.falls
--- a/internal/node/reference_test.go
+++ b/internal/node/reference_test.go
@@ -46,7 +46,7 @@
 	} {
 		logged[string(kind)] = true
 	}
-	for _, pattern := range []string{"*.go", "../lease/*.go", "../quarantine/guard/*.go", "../exchange/*.go", "../../platform/*.go", "../../cmd/fieldpond/edge.go"} {
+	for _, pattern := range []string{"*.go", "../lease/*.go", "../quarantine/guard/*.go", "../exchange/*.go", "../detour/*.go", "../../platform/*.go", "../../cmd/fieldpond/edge.go"} {
 		paths, err := filepath.Glob(pattern)
 		is.NoErr(err)
 		for _, path := range paths {
