Log the release of each attempt, and which request a stream continues

The logs could not tell whether a stream went on at another release because the choice ignored it, because another router had begun it, or because the list was wrong. Events about requests now name the request whose stream they continue (resumes), sent names the last event that the client has (after_event) and every attempt the release of its back end. No decision changes.

--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -39,6 +39,9 @@
 	ClientGone func() bool
 	// LastEventID is the id of the last event that the client has, or empty.
 	LastEventID string
+	// Resumes is the request that brought the client the first event of the stream that this one
+	// continues, or empty.
+	Resumes ident.Request
 	// Prompt is nil for requests that run no model.
 	Prompt *Prompt
 	// Tokens is the number of prompt tokens plus the most that may be generated, 0 if
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -247,6 +247,7 @@
 		step.ConfigurationAge = r.view.Age(clock.Now())
 		step.Attempt = r.attempts
 		step.Events = r.events
+		step.LastEvent = r.lastEventID
 		fill(step)
 	})
 }
--- a/internal/forward/step.go
+++ b/internal/forward/step.go
@@ -45,6 +45,8 @@
 type Step struct {
 	Kind    StepKind
 	Request ident.Request
+	// Resumes is the request whose stream this one continues, or empty.
+	Resumes ident.Request
 	// Route, ConfigurationVersion and ConfigurationAge are empty if the request
 	// was refused before it had a route.
 	Route                string
@@ -61,8 +63,10 @@
 	Through netip.AddrPort
 	// Elapsed is the time since the request was received.
 	Elapsed time.Duration
-	// Events is the number of stream events passed on.
-	Events int
+	// Events is the number of stream events passed on, LastEvent the id of the last one that the
+	// client has, or empty.
+	Events    int
+	LastEvent string
 	// Retry is the state on which a retry was granted or denied.
 	Retry RetryState
 	// Limit is the change of a back end's limit that an answer advertised.
@@ -88,7 +92,7 @@
 }
 
 func (f *Forwarder) record(request *Request, kind StepKind, fill func(*Step)) {
-	step := Step{Kind: kind, Request: request.ID, Elapsed: clock.Since(request.ReceivedAt)}
+	step := Step{Kind: kind, Request: request.ID, Resumes: request.Resumes, Elapsed: clock.Since(request.ReceivedAt)}
 	fill(&step)
 	f.Record(step)
 }
--- a/internal/node/events.go
+++ b/internal/node/events.go
@@ -15,7 +15,7 @@
 
 // The fields that every event about a request has, and those of an attempt.
 var (
-	requestFields = []string{"request", "elapsed_ms", "route", "config_version", "config_age_ms"}
+	requestFields = []string{"request", "resumes", "elapsed_ms", "route", "config_version", "config_age_ms"}
 	attemptFields = []string{"attempt", "instance", "record_revision", "home", "distance", "predicted_ms", "candidates", "limits_used_up", "resting", "leaving", "elsewhere_for", "weights", "release", "releases"}
 	// Those of decisions of the retry budget.
 	retryFields = []string{"request", "elapsed_ms", "service", "window_requests", "window_repeats", "slack", "sharers"}
@@ -126,7 +126,7 @@
 		{"rollout_state_not_read", []string{"service", "cause"}, "The state could not be read for a decision; that is retried."},
 		{"rollout_states_not_read", []string{"cause"}, "The states of rollouts could not be read for all routers; they are read again with the configuration."},
 		{"rollout_state_unreadable", []string{"row", "cause"}, "The row of a state is malformed; the rollout starts again."},
-		{"sent", appendFields(requestFields, attemptFields...), "An attempt is sent to a back end; predicted_ms is the expected time to its first byte, distance is whether it is in this zone, in this region or in another region."},
+		{"sent", appendFields(requestFields, append(attemptFields, "after_event")...), "An attempt is sent to a back end; resumes is the request that brought the first event of the stream that it continues, after_event the last event that the client has; predicted_ms is the expected time to its first byte, distance is whether it is in this zone, in this region or in another region."},
 		{"attempt_ended", appendFields(requestFields, append(attemptFields, "outcome", "fingerprint", "through", "cause")...), "An attempt ended; through is the router that relayed its connection, if one did; fingerprint, of those that broke off, is the same for each attempt of one request."},
 		{"answered", appendFields(requestFields, "status", "events", "cause"), "The whole answer was forwarded."},
 		{"refused", appendFields(requestFields, "fault", "detail", "ran", "cause"), "The final answer is the router's own; ran is whether the request may have run."},
--- a/internal/node/log.go
+++ b/internal/node/log.go
@@ -26,6 +26,12 @@
 // logStep logs one decision about a request.
 func logStep(step *forward.Step) {
 	fields := log.Fields{"request": step.Request, "elapsed_ms": step.Elapsed.Milliseconds()}
+	if step.Resumes != "" {
+		fields["resumes"] = step.Resumes
+	}
+	if step.Kind == forward.StepSent && step.LastEvent != "" {
+		fields["after_event"] = step.LastEvent
+	}
 	if step.Route != "" {
 		fields["route"] = step.Route
 		fields["config_version"] = step.ConfigurationVersion
@@ -46,8 +52,10 @@
 		if step.Choice.Version > 0 {
 			fields["weights"] = step.Choice.Version
 		}
-		if releases := &step.Choice.Releases; releases.Restricted() {
+		if step.Choice.Release != "" {
 			fields["release"] = step.Choice.Release
+		}
+		if releases := &step.Choice.Releases; releases.Restricted() {
 			fields["releases"] = describeReleases(releases)
 		}
 	}
