Continue streams only at the release that began them

What two versions write does not fit together, and back ends do not check it.

Cause: a stream was continued wherever there was room. The release of a back end was read and used for guarded rollouts only; no router told another one where a stream began. Class: two things are taken for the same because they bear the same name.

Change: a stream is bound to the release whose back end brought its first event. While a service has several releases, or had within two minutes, the router sends a record to three others, found by hashing the stream's key, before the client gets the event. A router at which a client takes a stream up asks them, then all.

With one release nothing is sent, kept or asked. Within a rollout the bound of the exposure holds before the stream.

--- a/internal/backend/availability.go
+++ b/internal/backend/availability.go
@@ -27,9 +27,17 @@
 func (r *Registry) Availability(now time.Time, query *Query) Availability {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
+	// New releases are avoided only while there are others.
+	allowed := *query
+	allowed.AvoidNewReleases = false
+	backends := r.allowed(now, &allowed)
+	total := len(r.services[query.Service])
+	if query.Continues {
+		total = len(backends)
+	}
 	var earliest AvailableAfter
 	suitable, draining := 0, 0
-	for _, known := range r.allowed(query) {
+	for _, known := range backends {
 		if known.drain.active() {
 			draining++
 			continue
@@ -50,7 +58,7 @@
 	switch {
 	case suitable > 0:
 		return earliest
-	case draining > 0 && draining == len(r.services[query.Service]):
+	case draining > 0 && draining == total:
 		return AllDraining{}
 	default:
 		return AvailableSoon{}
--- a/internal/backend/choose.go
+++ b/internal/backend/choose.go
@@ -15,9 +15,16 @@
 func (r *Registry) Pick(now time.Time, query *Query) (Choice, *Attempt, bool) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	allowed := r.allowed(query)
+	allowed := r.allowed(now, query)
 	home := r.home(now, query, allowed)
 	best, compared := r.cheapest(now, query, home, allowed)
+	if best == nil && query.AvoidNewReleases {
+		relaxed := *query
+		relaxed.AvoidNewReleases = false
+		query = &relaxed
+		allowed = r.allowed(now, query)
+		best, compared = r.cheapest(now, query, home, allowed)
+	}
 	if best == nil && query.AvoidRecentBackoff {
 		relaxed := *query
 		relaxed.AvoidRecentBackoff = false
@@ -53,9 +60,10 @@
 		Predicted: predicted, Queued: queued, Lateness: r.recentLateness(now, best),
 		PeerQueueWait: best.peerQueue.wait(now), Congestion: r.congestion(now, query.Service), Candidates: compared.eligible,
 		PredictedUncached: r.predictUncached(query), Releases: query.Releases,
-		Distance:      r.config.Regions.Between(r.config.Zone, best.record.Zone),
-		RecentBackoff: best.backoff.recent(now) && compared.eligible > 1,
-		BackoffSkips:  compared.skips.backoff, DrainingSkips: compared.skips.draining, FasterSkip: compared.fasterSkip,
+		Distance:       r.config.Regions.Between(r.config.Zone, best.record.Zone),
+		ReleaseChanged: best.releaseChanged,
+		RecentBackoff:  best.backoff.recent(now) && compared.eligible > 1,
+		BackoffSkips:   compared.skips.backoff, DrainingSkips: compared.skips.draining, FasterSkip: compared.fasterSkip,
 		LimitSkips: compared.limitSkips, AllLimited: compared.limited == compared.eligible,
 	}
 	if best.limit.inForce(now) {
@@ -68,13 +76,20 @@
 }
 
 // allowed returns the back ends of the service whose releases the query allows.
-func (r *Registry) allowed(query *Query) []*state {
+func (r *Registry) allowed(now time.Time, query *Query) []*state {
 	all := r.services[query.Service]
-	if !query.Releases.Restricted() {
+	avoidNew := query.AvoidNewReleases && r.severalReleases.Load() && !query.Continues
+	if !query.Releases.Restricted() && !query.Continues && !avoidNew {
 		return all
 	}
 	var allowed []*state
 	for _, known := range all {
+		if query.Continues && known.record.Release != query.Release {
+			continue
+		}
+		if avoidNew && !r.settled(now, query.Service, known.record.Release) {
+			continue
+		}
 		if query.Releases.Allows(known.record.Release) {
 			allowed = append(allowed, known)
 		}
--- a/internal/backend/record.go
+++ b/internal/backend/record.go
@@ -76,6 +76,8 @@
 	// skipped; it is empty if none was.
 	BackoffSkips, DrainingSkips int
 	FasterSkip                  SkipReason
+	// ReleaseChanged is whether the list has named several releases of this incarnation.
+	ReleaseChanged bool
 	// RecentBackoff is whether the back end recently backed off, and there are others.
 	RecentBackoff bool
 }
@@ -145,6 +147,13 @@
 	Expected time.Duration
 	// Releases restricts where the attempt may go during the rollout of another release.
 	Releases Releases
+	// Continues is whether the attempt continues a stream that began at Release, so that it may
+	// only go to a back end of that.
+	Continues bool
+	Release   ident.Release
+	// AvoidNewReleases skips releases that were listed less than ReleaseSettleTime ago, if there are
+	// others.
+	AvoidNewReleases bool
 	// AvoidRecentBackoff skips back ends that recently backed off, if there are others: they
 	// may refuse again, and no retry is to spare.
 	AvoidRecentBackoff bool
--- a/internal/backend/registry.go
+++ b/internal/backend/registry.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/fieldpond/fieldpond/internal/ident"
@@ -36,6 +37,9 @@
 	roundTrips roundTrips
 	// reachability is that of other regions with recent failures.
 	reachability map[ident.Region]*reachability
+	// releaseHistories has the releases of each service, severalReleases is whether any has several.
+	releaseHistories map[ident.Service]*releaseHistory
+	severalReleases  atomic.Bool
 }
 
 // NewRegistry returns a registry without back ends.
@@ -52,6 +56,8 @@
 		reachability:    make(map[ident.Region]*reachability),
 		brittleServices: make(map[ident.Service]brittleService),
 		seed:            rand.Uint64(),
+
+		releaseHistories: make(map[ident.Service]*releaseHistory),
 	}
 }
 
@@ -107,23 +113,6 @@
 	return records
 }
 
-// Change is one difference between two lists.
-type Change struct {
-	Kind   ChangeKind
-	Record Record
-}
-
-// ChangeKind is what changed about a back end.
-type ChangeKind string
-
-// The kinds of change.
-const (
-	Appeared   ChangeKind = "appeared"
-	DrainBegan ChangeKind = "draining"
-	Gone       ChangeKind = "gone"
-	Reloaded   ChangeKind = "reloaded"
-)
-
 // ApplyList applies a whole list as of a time and returns what changed. Lists older than the
 // newest one are ignored.
 func (r *Registry) ApplyList(listedAt time.Time, records []Record) []Change {
@@ -161,7 +150,9 @@
 	for _, states := range services {
 		slices.SortFunc(states, byInstance)
 	}
+	earlier := r.services
 	r.byID, r.services = listed, services
+	r.observeReleases(listedAt, slices.Concat(slices.Collect(maps.Keys(earlier)), slices.Collect(maps.Keys(services))))
 	return changes
 }
 
@@ -178,6 +169,7 @@
 	r.listedAt = listedAt
 	var changes []Change
 	added := make(map[ident.Service][]*state)
+	affected := r.releasesAffectedBy(changed)
 	for _, record := range changed {
 		if earlier := r.byID[record.Instance]; earlier != nil && earlier.record.Service != record.Service {
 			r.dropFromService(earlier.record.Service, earlier)
@@ -203,6 +195,7 @@
 	if !r.listOutage.mayReturn(listedAt) || !r.config.Disabled.Enabled(mechanism.ExpiryGrace) {
 		changes = append(changes, r.dropMissing()...)
 	}
+	r.observeReleases(listedAt, append(affected, servicesOfGone(changes)...))
 	r.removed.expire(listedAt)
 	return changes
 }
@@ -239,7 +232,9 @@
 	if r.listOutage.mayReturn(listedAt) {
 		return nil
 	}
-	return r.dropMissing()
+	changes := r.dropMissing()
+	r.observeReleases(listedAt, servicesOfGone(changes))
+	return changes
 }
 
 // dropMissing removes the back ends that the list lacks.
@@ -272,6 +267,7 @@
 		return known, ""
 	}
 	var change ChangeKind
+	known.releaseChanged = known.releaseChanged || record.Release != known.record.Release
 	record = mergeRecord(&known.record, record)
 	for model, version := range record.Models {
 		if known.record.Models[model] != version {
--- a/internal/backend/state.go
+++ b/internal/backend/state.go
@@ -13,6 +13,9 @@
 	*advertisedState
 	// missing is whether the newest list lacks the back end, which may return.
 	missing bool
+	// releaseChanged is whether the list has named several releases of this incarnation, so that
+	// it is not known which of them began a stream there.
+	releaseChanged bool
 	// attempts are those in flight.
 	attempts   map[*Attempt]struct{}
 	lastByteAt time.Time
@@ -84,6 +87,9 @@
 // suitable reports whether the back end could take the attempt, ignoring its limit, back-off
 // and pauses.
 func (s *state) suitable(now time.Time, query *Query) bool {
+	if query.Continues && s.releaseChanged {
+		return false
+	}
 	if !s.serves(now, query) || query.excludes(s.record.Instance) || s.gone(now) {
 		return false
 	}
--- a/internal/canary/gate.go
+++ b/internal/canary/gate.go
@@ -133,6 +133,9 @@
 	if traffic.guard == nil {
 		return backend.Releases{Excluded: traffic.forbidden}
 	}
+	if request.Continues {
+		return traffic.guard.releasesToContinue(now, request.Release, traffic.forbidden)
+	}
 	return traffic.guard.releases(now, request, traffic.forbidden)
 }
 
@@ -180,7 +183,7 @@
 	}
 	traffic := g.services[run.service]
 	traffic.release(run.release).running--
-	if traffic.guard != nil && traffic.guard.order.Revision == run.revision {
+	if traffic.guard != nil && traffic.guard.order.Revision == run.revision && !sample.Continues {
 		traffic.guard.countAnswer(run.group, &sample)
 	}
 }
--- a/internal/canary/guard.go
+++ b/internal/canary/guard.go
@@ -110,6 +110,20 @@
 	return backend.Releases{Only: g.order.Target, MaxBackends: g.permit.MaxBackends, Seed: g.permit.Seed}
 }
 
+// releasesToContinue returns where a stream that began at a release may go on. At the target of a
+// rollout that takes a permitted request: the bound of the exposure holds before the stream does.
+func (g *guard) releasesToContinue(now time.Time, release ident.Release, forbidden []ident.Release) backend.Releases {
+	trial := release == g.order.Target && !g.phase.Final()
+	if !trial || !g.permitted(now) || (g.permit.Phase != Promoting && g.sent+g.pending >= g.permit.MaxSends) {
+		return backend.Releases{Excluded: forbidden}
+	}
+	if g.permit.Phase == Promoting {
+		return backend.Releases{Only: release}
+	}
+	g.pending++
+	return backend.Releases{Only: release, MaxBackends: g.permit.MaxBackends, Seed: g.permit.Seed}
+}
+
 // forbids reports whether a release may not be used without a permit.
 func (g *guard) forbids(release ident.Release) bool {
 	if g.phase == Succeeded {
--- a/internal/canary/sample.go
+++ b/internal/canary/sample.go
@@ -17,6 +17,10 @@
 	First bool
 	// Excluded is the number of back ends that were tried before.
 	Excluded int
+	// Continues is whether the request continues a stream that began at Release, so that it may only
+	// go there.
+	Continues bool
+	Release   ident.Release
 }
 
 // Run is one attempt that was sent, to be passed to Gate.Ended when it is over. The zero
@@ -54,4 +58,7 @@
 	// For back ends of a rollout's target it assumes an empty prompt cache, so that a cold
 	// cache does not count as a slow release; for others the cache as estimated.
 	Predicted time.Duration
+	// Continues is that of ChooseRequest: what is left of a stream is no evidence for or against a
+	// release.
+	Continues bool
 }
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -64,6 +64,11 @@
 	return r.Kind == Safe || (r.Kind == Streaming && r.Resumable)
 }
 
+// LeadsTo reports whether requests of the route may go to a service.
+func (r *Route) LeadsTo(service ident.Service) bool {
+	return slices.ContainsFunc(r.Split, func(share Share) bool { return share.Service == service && share.Weight > 0 })
+}
+
 // EngineProfile describes the model engines of a service.
 type EngineProfile struct {
 	// Slots is the number of requests that an engine batches.
--- a/internal/fault/kinds.go
+++ b/internal/fault/kinds.go
@@ -39,6 +39,9 @@
 	BackendLost Kind = "backend_lost"
 	// Quarantined is a request that is not forwarded, since back ends crashed while they ran it.
 	Quarantined Kind = "quarantined"
+	// StreamNotContinued is a stream that cannot go on, since the release that began it is not known
+	// or has no back end.
+	StreamNotContinued Kind = "stream_not_continued"
 	// BackendRefused is an explicit refusal by a back end before execution.
 	BackendRefused Kind = "backend_refused"
 	// OutcomeUnknown is a non-repeatable request whose outcome is not known.
@@ -100,6 +103,7 @@
 	StoreUnavailable:      {http.StatusServiceUnavailable, exitUnavailable, "retry after the stated time with the same Idempotency-Key; the operator should check the platform's table service"},
 	BackendLost:           {http.StatusBadGateway, exitUnavailable, "retry a repeatable request after the stated time"},
 	Quarantined:           {http.StatusServiceUnavailable, exitUnavailable, "change the request, or ask the operator to check the back ends named and to release the request"},
+	StreamNotContinued:    {http.StatusServiceUnavailable, exitUnavailable, "send the request anew, without the id of the last event"},
 	BackendRefused:        {http.StatusServiceUnavailable, exitUnavailable, "retry after the stated time"},
 	OutcomeUnknown:        {http.StatusBadGateway, exitUnavailable, "do not send the request with another key; retry with the same Idempotency-Key to get the outcome"},
 	StreamBroken:          {http.StatusBadGateway, exitUnavailable, "send the request again; the text received so far is correct but incomplete"},
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -48,6 +48,8 @@
 	status int
 	// invalid is true if the answer may not be passed on.
 	invalid bool
+	// continues is whether the attempt continues a stream that began before it.
+	continues bool
 	// releaseRun identifies the attempt to Releases.
 	releaseRun canary.Run
 }
@@ -59,7 +61,7 @@
 	outgoing.Withdrawn = func() bool { return backendAttempt.MustWithdraw(clock.Sync()) }
 	attemptContext, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	current := &attempt{run: r, choice: choice, backendAttempt: backendAttempt, ctx: attemptContext, cancel: cancel, sentAt: clock.Now()}
+	current := &attempt{run: r, choice: choice, backendAttempt: backendAttempt, ctx: attemptContext, cancel: cancel, sentAt: clock.Now(), continues: r.bound}
 	current.countForRelease()
 	r.recordStep(StepSent, func(step *Step) { step.Choice = choice })
 	if timeout := r.firstByteTimeout(&choice); timeout > 0 {
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -81,6 +81,8 @@
 	Notifier BackendNotifier
 	// Quarantine withholds requests that crash back ends; it may be nil.
 	Quarantine Quarantine
+	// Streams knows at which releases streams began; nil leaves streams to any release.
+	Streams Streams
 	// Record receives each decision about a request. It must not block.
 	Record func(Step)
 }
@@ -125,6 +127,10 @@
 		return
 	}
 	run.sink = sink
+	if refusal := run.findOrigin(ctx); refusal != nil {
+		run.finish(ctx, refusal)
+		return
+	}
 	run.run(ctx)
 }
 
--- a/internal/forward/place.go
+++ b/internal/forward/place.go
@@ -20,7 +20,7 @@
 // place chooses the back end for the next attempt. If none may be used, it waits
 // a short time before it returns a fault.
 func (r *run) place(ctx context.Context) (backend.Choice, *backend.Attempt, *fault.Fault) {
-	waitUntil := clock.Now().Add(r.route.Target / placeWaitDivisor)
+	waitUntil := clock.Now().Add(r.placeWait())
 	r.limitDenials, r.avoidRecentBackoff = 0, false
 	for {
 		now := clock.Sync()
@@ -38,6 +38,9 @@
 			}
 			continue
 		}
+		if r.bound && !r.executionUnknown && !r.forwarder.Backends.HasRelease(r.service, r.release) {
+			return backend.Choice{}, nil, r.releaseGoneFault()
+		}
 		if refusal := r.unavailableFault(now, waitUntil); refusal != nil {
 			return backend.Choice{}, nil, refusal
 		}
--- a/internal/forward/releases.go
+++ b/internal/forward/releases.go
@@ -38,6 +38,9 @@
 		return choice, backendAttempt, found
 	}
 	r.forwarder.Releases.Declined(r.service)
+	if r.bound {
+		return choice, backendAttempt, false
+	}
 	query.Releases = r.chooseReleases(now)
 	choice, backendAttempt, found = r.forwarder.Backends.Pick(now, &query)
 	if !found && query.Releases.Only != "" {
@@ -63,7 +66,7 @@
 
 // chooseReleases returns the releases for the next attempt. Only the first call counts the request.
 func (r *run) chooseReleases(now time.Time) backend.Releases {
-	request := canary.ChooseRequest{Service: r.service, Route: r.route.Name, First: !r.counted, Excluded: len(r.excluded)}
+	request := canary.ChooseRequest{Service: r.service, Route: r.route.Name, First: !r.counted, Excluded: len(r.excluded), Continues: r.bound, Release: r.release}
 	r.counted = true
 	return r.forwarder.Releases.Choose(now, request)
 }
@@ -92,6 +95,7 @@
 	now := clock.Now()
 	sample := canary.Sample{
 		Route: a.route.Name, Outcome: a.sampleOutcome(outcome), Elapsed: now.Sub(a.sentAt), Predicted: a.choice.PredictedUncached,
+		Continues: a.continues,
 	}
 	if !a.firstByteAt.IsZero() {
 		sample.Elapsed = a.firstByteAt.Sub(a.sentAt)
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -69,6 +69,7 @@
 	lastEventID     string
 	lastEventNumber int64
 	hasLastEvent    bool
+	streamOrigin
 }
 
 // prepare sets the deadline of the request and the event that it resumes after.
@@ -273,6 +274,9 @@
 	if r.executionUnknown {
 		return fault.New(fault.BackendLost, "the answer was lost and no other back end is left").WithRan(fault.RanUnknown)
 	}
+	if r.bound {
+		return r.releaseUnavailableFault()
+	}
 	return fault.New(fault.NoPermittedEngine, "no back end can take the request now").
 		WithRetryAfter(r.retryAfter(clock.Now()))
 }
@@ -298,6 +302,7 @@
 	query := backend.Query{
 		Service: r.service, Excluded: r.excluded, Expected: r.route.Target / expectedWorkDivisor,
 		SpreadKey: xxhash.Sum64String(string(r.request.ID)), AvoidRecentBackoff: r.avoidRecentBackoff, Routers: r.forwarder.Routers(),
+		Continues: r.bound, Release: r.release, AvoidNewReleases: r.resumable(),
 	}
 	prompt := r.request.Prompt
 	if prompt == nil {
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -63,6 +63,7 @@
 }
 
 func (a *attempt) passEvent(reply *Reply, next *event, flush bool) error {
+	a.recordOrigin()
 	if !a.headSent {
 		a.headSent = true
 		a.sink.Head(reply.Status, reply.Header, -1)
--- a/internal/mechanism/mechanism.go
+++ b/internal/mechanism/mechanism.go
@@ -59,6 +59,8 @@
 	// PeerDetours opens connections to back ends through other routers when they cannot be opened
 	// directly.
 	PeerDetours Name = "peer-detours"
+	// StreamAffinity continues streams only at the release that began them.
+	StreamAffinity Name = "stream-affinity"
 	// StartHold has requests wait a short time for the first configuration of a router
 	// that has just started; without it they are refused at once.
 	StartHold Name = "start-hold"
@@ -70,7 +72,7 @@
 		HomeEngines, CacheStore, CacheIndex, SharedSaves, LongIdle, EarlyOrders, Notifications, QuiesceFirst,
 		NewerWeights, PrefillRate,
 		EarlyRefusal, LatenessAllowance, ExpiryGrace, SharedHealth, SharedQuotas,
-		BrittleRoom, PeerDetours, StartHold, BackendLimits, BackendAdvertised,
+		BrittleRoom, PeerDetours, StreamAffinity, StartHold, BackendLimits, BackendAdvertised,
 	}
 }
 
--- a/internal/node/fuzz_test.go
+++ b/internal/node/fuzz_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/fieldpond/fieldpond/internal/affinity"
 	"github.com/fieldpond/fieldpond/internal/backend"
 	"github.com/fieldpond/fieldpond/internal/canary"
 	"github.com/fieldpond/fieldpond/internal/health"
@@ -23,6 +24,10 @@
 		{Rollout: &rollout.Notification{Model: model, Version: 2, Loaded: []ident.Incarnation{"x"}}},
 		{Permit: &canary.Permit{Order: fuzzOrder, Fence: 1, Phase: canary.Promoting, Clock: time.Hour, MaxSends: 1 << 63, MaxBackends: 1 << 30}},
 		{Report: &canary.Report{Service: "s", Revision: 1, Incarnation: 7, Sent: 1 << 63, Tallies: []canary.Tally{{Route: "r", Answers: 2, Failures: 3}}}},
+		{Streams: &affinity.Message{
+			Records: []affinity.Record{{Origin: affinity.Origin{Service: "s", Release: "v1"}, TTL: 1 << 62}},
+			Asks:    []affinity.Ask{{Service: "s"}}, Answers: []affinity.Answer{{Known: true, TTL: -1}},
+		}},
 		{},
 	}
 	for _, seed := range seeds {
@@ -40,7 +45,11 @@
 		known.ApplyList(now, []backend.Record{
 			{Instance: "a", Service: "s", Models: models}, {Instance: "b", Service: "s", Models: models},
 		})
-		(&notifier{recipients: &recipients{}, backends: known, canaries: newFuzzCanaries(now)}).receive(netip.AddrPort{}, encoded)
+		streamsOfRouter := newStreams(&streams{backends: known})
+		(&notifier{recipients: &recipients{}, backends: known, canaries: newFuzzCanaries(now), streams: streamsOfRouter}).receive(netip.AddrPort{}, encoded)
+		if kept, _ := streamsOfRouter.counts(); kept > affinity.RecordsPerMessage {
+			t.Fatalf("a datagram left %d records", kept)
+		}
 		_, attempt, found := known.Pick(now, &backend.Query{Service: "s", Model: model})
 		if found {
 			attempt.End(now, backend.Abandoned)
--- a/internal/node/gauges.go
+++ b/internal/node/gauges.go
@@ -28,6 +28,7 @@
 	if n.ports.LinesDropped != nil {
 		now.linesDropped = n.ports.LinesDropped()
 	}
+	now.streamRecords, now.streamRecordsDropped = n.streams.counts()
 	now.clients, now.clientsRefused = n.clients.Counts()
 	now.silentConnections = n.peers.SilentConnections()
 	if n.ports.SilentConnections != nil {
--- a/internal/node/log.go
+++ b/internal/node/log.go
@@ -26,12 +26,7 @@
 // logStep logs one decision about a request.
 func logStep(step *forward.Step) {
 	fields := log.Fields{"request": step.Request, "elapsed_ms": step.Elapsed.Milliseconds()}
-	if step.Resumes != "" {
-		fields["resumes"] = step.Resumes
-	}
-	if step.Kind == forward.StepSent && step.LastEvent != "" {
-		fields["after_event"] = step.LastEvent
-	}
+	addStreamFields(fields, step)
 	if step.Route != "" {
 		fields["route"] = step.Route
 		fields["config_version"] = step.ConfigurationVersion
@@ -52,9 +47,6 @@
 		if step.Choice.Version > 0 {
 			fields["weights"] = step.Choice.Version
 		}
-		if step.Choice.Release != "" {
-			fields["release"] = step.Choice.Release
-		}
 		if releases := &step.Choice.Releases; releases.Restricted() {
 			fields["releases"] = describeReleases(releases)
 		}
@@ -102,6 +94,23 @@
 	log.WithFields(fields).Info(string(step.Kind))
 }
 
+// maxLoggedID bounds an identifier in the log that a client has chosen.
+const maxLoggedID = 64
+
+// addStreamFields adds which stream a request continues, after which event, and the release of the
+// back end of an attempt.
+func addStreamFields(fields log.Fields, step *forward.Step) {
+	if step.Resumes != "" {
+		fields["resumes"] = step.Resumes[:min(len(step.Resumes), maxLoggedID)]
+	}
+	if step.Kind == forward.StepSent && step.LastEvent != "" {
+		fields["after_event"] = step.LastEvent
+	}
+	if step.Choice.Release != "" {
+		fields["release"] = step.Choice.Release
+	}
+}
+
 // addSkipFields adds how many back ends were skipped as backing off or draining, and why a
 // faster one was, if any.
 func addSkipFields(fields log.Fields, choice *backend.Choice) {
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -53,6 +53,10 @@
 	crashChecks, trials *prometheus.CounterVec
 
 	releaseAttempts, rolloutPhases *prometheus.CounterVec
+	// Records sent of the releases at which streams began, and streams taken up by result of the
+	// search.
+	streamRecords prometheus.Counter
+	streamsFound  *prometheus.CounterVec
 }
 
 // gaugeValues is the state of a node at one moment.
@@ -81,6 +85,8 @@
 	clientsRefused       uint64
 	quarantined          int
 	crashSuspects        int
+	streamRecords        int
+	streamRecordsDropped uint64
 }
 
 func newMetrics(read func() gaugeValues) *metrics {
@@ -110,7 +116,10 @@
 		trials:      registry.Counter("edge_quarantine_trials_total", "Questions whether a quarantined request may be tried once more, by result: granted, denied or failed.", "result"),
 
 		releaseAttempts: registry.Counter("edge_release_attempts_total", "Attempts at back ends of a service that is being moved to another release, by release and outcome.", "service", "release", "outcome"),
-		rolloutPhases:   registry.Counter("edge_rollout_phases_total", "Changes of the phase of a rollout, as this router acts upon it.", "service", "phase"),
+		streamRecords:   registry.Counter("edge_stream_records_sent_total", "Records sent to other routers of the release at which a stream began.").WithLabelValues(),
+		streamsFound:    registry.Counter("edge_streams_taken_up_total", "Streams that clients take up again while a service has several releases, by what is known of the release that began them: found, unknown, unanswered (not all routers answered) or conflicting.", "result"),
+
+		rolloutPhases: registry.Counter("edge_rollout_phases_total", "Changes of the phase of a rollout, as this router acts upon it.", "service", "phase"),
 	}
 	group := telemetry.NewGroup(registry, func() (gaugeValues, bool) { return read(), true })
 	group.Gauge("edge_configuration_version", "Version of the configuration in force, 0 for none.", func(r gaugeValues) int { return int(r.configurationVersion) })
@@ -131,6 +140,8 @@
 	group.Gauge("edge_limit_members", "Routers whose claims on the limits of back ends this router grants, over the parts of the back ends that it grants for.", func(r gaugeValues) int { return r.limitMembers })
 	group.Gauge("edge_quarantined_requests", "Requests that are not sent on, since back ends crashed under them.", func(r gaugeValues) int { return r.quarantined })
 	group.Gauge("edge_crash_suspects", "Requests that ran on back ends which crashed, those that are quarantined among them.", func(r gaugeValues) int { return r.crashSuspects })
+	group.Gauge("edge_stream_records", "Streams of which this router keeps at which release they began, while a service has several.", func(r gaugeValues) int { return r.streamRecords })
+	group.Counter("edge_stream_records_dropped_total", "Records of streams for which this router had no room.", func(r gaugeValues) uint64 { return r.streamRecordsDropped })
 	group.Gauge("edge_client_connections", "Open connections of clients.", func(r gaugeValues) int { return r.clients })
 	group.Counter("edge_clients_refused_total", "Connections and bodies of clients turned away because a bound of connections or memory was reached.", func(r gaugeValues) uint64 { return r.clientsRefused })
 	group.Counter("edge_connections_silent_total", "Connections to back ends, the store, caches and other routers that were found silent: nothing sent on them was acknowledged.", func(r gaugeValues) uint64 { return r.silentConnections })
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -126,6 +126,8 @@
 	canaries *canaries
 	limits   *backendLimits
 	updates  *backendUpdates
+	// streams is nil if streams may go on at any release.
+	streams *streams
 	// engines sends reports and orders.
 	engines *engineCalls
 	peers   *upstream.Client
@@ -167,6 +169,7 @@
 	n.quarantines = n.newQuarantines()
 	n.follower.guard, n.follower.replica.guard = n.quarantines.Guard, n.quarantines.Guard
 	n.setUpCanaries()
+	n.setUpStreams()
 	return n
 }
 
@@ -281,6 +284,7 @@
 			socket.send(datagram{Health: &health.Notification{Full: []ident.Incarnation{instance}}})
 		}
 		n.canaries.connect(socket)
+		n.streams.connect(socket)
 	}
 	work, stopWork := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopWork()
@@ -331,6 +335,9 @@
 		}
 		loops = append(loops, watcher.run)
 	}
+	if n.streams != nil {
+		loops = append(loops, n.streams.run)
+	}
 	if n.canaries != nil {
 		loops = append(loops, n.canaries.run)
 	}
@@ -418,6 +425,7 @@
 	n.stopping.Store(true)
 	n.lease.Contend(false)
 	n.follower.advertiseShutdown()
+	n.streams.handOver()
 	log.WithFields(log.Fields{"in_flight": n.backends.InFlight()}).Info("stopping")
 	time.Sleep(n.config.ShutdownDelay)
 	ctx, cancel := context.WithDeadline(context.Background(), killAt)
--- a/internal/node/notifier.go
+++ b/internal/node/notifier.go
@@ -10,6 +10,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 
+	"github.com/fieldpond/fieldpond/internal/affinity"
 	"github.com/fieldpond/fieldpond/internal/backend"
 	"github.com/fieldpond/fieldpond/internal/canary"
 	"github.com/fieldpond/fieldpond/internal/clock"
@@ -46,6 +47,8 @@
 	updates *backendUpdates
 	// guard merges evidence of crashes; it may be nil.
 	guard *guard.Guard
+	// streams receives records of streams; it may be nil.
+	streams *streams
 	// canaries receives permits and reports of rollouts; it may be nil.
 	canaries *canaries
 }
@@ -66,6 +69,8 @@
 	Limit   *limitMessage         `cbor:"9,keyasint,omitempty"`
 	// Flood is set if the receiver passes the notification on to its neighbors.
 	Flood *flood.Header `cbor:"10,keyasint,omitempty"`
+	// Streams is about the releases at which streams began.
+	Streams *affinity.Message `cbor:"11,keyasint,omitempty"`
 	// Scope is to which routers the receiver relays the notification.
 	Scope scope `cbor:"6,keyasint,omitempty"`
 }
@@ -257,6 +262,9 @@
 	if n.limits != nil && packet.Limit != nil {
 		n.limits.receive(from, packet.Limit)
 	}
+	if n.streams != nil && packet.Streams != nil {
+		n.streams.receive(from, packet.Streams)
+	}
 	if n.canaries != nil {
 		n.canaries.receive(from, &packet)
 	}
--- a/internal/node/replica.go
+++ b/internal/node/replica.go
@@ -151,6 +151,7 @@
 	if updates := r.backends.StateUpdates(now); backend.UpdatesDigest(updates) != pull.UpdatesDigest {
 		update.StateUpdates = updates
 	}
+	update.GoneReleases = r.backends.GoneReleases(now)
 	if r.eldersSum != pull.Elders {
 		update.Elders = r.elders
 	}
--- a/internal/upstream/update.go
+++ b/internal/upstream/update.go
@@ -67,6 +67,8 @@
 	// ReadingFor is for how long a router that supplies this one has been reading a long list,
 	// 0 if this one has state or no such router is known.
 	ReadingFor time.Duration `cbor:"16,keyasint,omitempty"`
+	// GoneReleases are the releases that began streams and are no longer listed.
+	GoneReleases []backend.GoneRelease `cbor:"17,keyasint,omitempty"`
 	// Elders are those of a large fleet, if their digest differs from the pull's.
 	Elders []Peer `cbor:"15,keyasint,omitempty"`
 	// ShuttingDown means that the peer still serves requests but ends soon.
