Keep records of streams in the store for an end of all routers

When all routers ended at once their records of streams were lost, so that every stream that a client took up then was refused while several releases served, and would have gone on at the only release left if the others had gone meanwhile.

--- a/internal/affinity/message.go
+++ b/internal/affinity/message.go
@@ -51,18 +51,19 @@
 		return false
 	}
 	for index := range m.Records {
-		if !m.Records[index].Origin.valid() {
+		if !m.Records[index].Origin.Valid() {
 			return false
 		}
 	}
 	for index := range m.Answers {
-		if !m.Answers[index].Origin.valid() || len(m.Answers[index].Prior) > maxNameBytes {
+		if !m.Answers[index].Origin.Valid() || len(m.Answers[index].Prior) > maxNameBytes {
 			return false
 		}
 	}
 	return len(m.Asks) == 0 || len(m.Asks[0].Service) <= maxNameBytes
 }
 
-func (o *Origin) valid() bool {
+// Valid reports whether the names of an origin have a length that this package sends.
+func (o *Origin) Valid() bool {
 	return len(o.Service) <= maxNameBytes && len(o.Release) <= maxNameBytes
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -336,7 +336,7 @@
 		loops = append(loops, watcher.run)
 	}
 	if n.streams != nil {
-		loops = append(loops, n.streams.run)
+		loops = append(loops, n.streams.run, n.streams.keepRows)
 	}
 	if n.canaries != nil {
 		loops = append(loops, n.canaries.run)
--- a/internal/node/streams.go
+++ b/internal/node/streams.go
@@ -36,6 +36,12 @@
 	refresh func(ctx context.Context)
 	send    func(to netip.AddrPort, message *affinity.Message)
 	metrics *metrics
+	// rows keeps records in the store, and loaded is closed once they were read; rows may be nil.
+	rows   *streamRows
+	loaded chan struct{}
+	// large reports whether the fleet is too large for rows, count the number of routers.
+	large func() bool
+	count func() int
 
 	mu       sync.Mutex
 	table    *affinity.Table
@@ -55,6 +61,7 @@
 func newStreams(s *streams) *streams {
 	s.table, s.searches = affinity.NewTable(), make(map[affinity.Key][]*streamSearch)
 	s.send = func(netip.AddrPort, *affinity.Message) {}
+	s.loaded = make(chan struct{})
 	return s
 }
 
@@ -74,6 +81,8 @@
 	n.streams = newStreams(&streams{
 		backends: n.backends, metrics: n.metrics, refresh: n.follower.refreshStreamRouters,
 		routers: func() ([]netip.AddrPort, bool) { return n.follower.streamRouters(n.config.PeerAddr) },
+		large:   n.follower.chain.large, count: n.follower.replica.Routers,
+		rows: &streamRows{table: n.ports.Table, timeout: n.config.Follow.ReadTimeout / 2, node: n.config.Node},
 	})
 }
 
@@ -90,6 +99,9 @@
 	record := affinity.Record{Key: key, Origin: origin, TTL: ttl}
 	s.put(&record)
 	s.sendRecords([]affinity.Record{record})
+	if s.rows != nil {
+		s.rows.add(clock.Now(), &record)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if len(s.repeated) < maxRepeated {
@@ -128,6 +140,7 @@
 }
 
 func (s *streams) find(ctx context.Context, key affinity.Key, service ident.Service) affinity.Result {
+	s.awaitRows(ctx)
 	now := clock.Now()
 	if known, found := s.known(now, key); found {
 		return known
