--- a/internal/node/streams_test.go
+++ b/internal/node/streams_test.go
@@ -24,6 +24,8 @@
 type streamNetwork struct {
 	delay time.Duration
 	loss  float64
+	// metrics are those of all routers.
+	metrics *metrics
 
 	mu      sync.Mutex
 	random  *rand.Rand
@@ -38,7 +40,7 @@
 // newStreamNetwork returns a network of routers that know an engine of each of some releases; all
 // of them know each other unless the fleet is large.
 func newStreamNetwork(count int, large bool, releases ...ident.Release) *streamNetwork {
-	n := &streamNetwork{delay: 2 * time.Millisecond, random: rand.New(rand.NewPCG(1, 2)), routers: map[netip.AddrPort]*streams{}}
+	n := &streamNetwork{delay: 2 * time.Millisecond, metrics: newMetrics(func() gaugeValues { return gaugeValues{} }), random: rand.New(rand.NewPCG(1, 2)), routers: map[netip.AddrPort]*streams{}}
 	for index := range count {
 		n.addrs = append(n.addrs, netip.MustParseAddrPort(fmt.Sprintf("10.%d.%d.1:7", index/250, index%250)))
 	}
@@ -60,7 +62,7 @@
 	}
 	known.ApplyList(time.Now(), records)
 	router := newStreams(&streams{
-		backends: known, metrics: newMetrics(func() gaugeValues { return gaugeValues{} }), refresh: func(context.Context) {},
+		backends: known, metrics: n.metrics, refresh: func(context.Context) {},
 		routers: func() ([]netip.AddrPort, bool) { return n.others(addr) },
 	})
 	router.send = func(to netip.AddrPort, message *affinity.Message) { n.send(addr, to, message) }
