Count the routers again a second after the reader of the store has started

Routers that start together each counted only those that had written their rows before; the router that reads the store for others counted again after five seconds, and the others learned the number from it. Now that router, and no other one, counts again after a second, and not in a large fleet: one read more at a start.

TestRoutersThatStartTogetherCountEachOtherSoon: 1 to 5 of 6 routers counted after 3 s before, 6 at all now.

--- a/internal/node/pull.go
+++ b/internal/node/pull.go
@@ -105,6 +105,10 @@
 	maxChainPause = 500 * time.Millisecond
 	// countCheckInterval is the time between two checks whether the routers must be counted.
 	countCheckInterval = 500 * time.Millisecond
+	// firstRecountDelay is the time from the start of the router that reads the store for others to
+	// its second count: routers that start together have written their rows by then, and each of
+	// them counted only those before it.
+	firstRecountDelay = time.Second
 	// minPullInterval is the least time between two pulls, even if the peer answers at once.
 	minPullInterval = 20 * time.Millisecond
 )
@@ -318,10 +322,14 @@
 // the number of routers changes.
 func (f *follower) countRouters(ctx context.Context, holdsLease func() bool) {
 	minAge := f.config.RouterListInterval - countCheckInterval/2
-	triedAt := clock.Now()
+	triedAt, recounted := clock.Now(), false
 	wait.Every(ctx, countCheckInterval, func() {
 		now := clock.Now()
 		intervalOver := now.Sub(triedAt) >= minAge
+		if !recounted && f.chain.joined() && clock.Since(f.startedAt) >= firstRecountDelay {
+			recounted = true
+			intervalOver = intervalOver || (f.readsForOthers() && !f.chain.large())
+		}
 		// After a takeover or a failed count don't wait a whole interval: the others get no
 		// share of the retry slack while their count is old.
 		due := f.readsForOthers() && (intervalOver || f.replica.routerCountAge(now) >= minAge)
--- a/internal/node/stalecount_test.go
+++ b/internal/node/stalecount_test.go
@@ -155,3 +155,23 @@
 		}
 	})
 }
+
+// Guards against bounds that are divided by the few routers that each counted before itself, after
+// all routers started at once.
+func TestRoutersThatStartTogetherCountEachOtherSoon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newCutOffFleet()
+		var routers []*zoneRouter
+		for index := range 6 {
+			running, _ := f.startRouter(t, ident.Node(fmt.Sprint("r", index)))
+			routers = append(routers, running)
+			time.Sleep(30 * time.Millisecond)
+		}
+		time.Sleep(3 * time.Second)
+		for _, running := range routers {
+			if count := running.follower.replica.Routers(); count != 6 {
+				t.Errorf("%s counts %d routers, not 6", running.node, count)
+			}
+		}
+	})
+}
