Write no rows of streams while one release serves, and pause after a failed write

With one release and a store that is away for over three seconds each router would have called it twice a second for records that nobody needs; a write that failed was not repeated until the next stream. TestOneReleaseNeedsNoRows, TestStreamRowsAreWrittenAfterAnOutage (at most 9 calls in 20 s).

--- a/internal/node/streamrows.go
+++ b/internal/node/streamrows.go
@@ -28,6 +28,8 @@
 	// times a second.
 	minStreamRowInterval       = 500 * time.Millisecond
 	streamRowIntervalPerRouter = 25 * time.Millisecond
+	// streamRowRetryPause is added to that time after a write that failed.
+	streamRowRetryPause = 2 * time.Second
 	// maxStreamRowRecords bounds the records of a row, of some 60 bytes each.
 	maxStreamRowRecords = 400
 )
@@ -117,13 +119,14 @@
 	bounded, cancel := context.WithTimeout(ctx, r.timeout)
 	defer cancel()
 	written, err := r.table.Commit(bounded, protocol.Transaction{Writes: []protocol.Write{write}})
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	if err != nil {
 		log.WithFields(log.Fields{"cause": err.Error()}).Warn("streams_not_kept")
+		r.writtenAt, r.changed, r.written = now.Add(streamRowRetryPause), true, true
 		return
 	}
 	if len(written.Rows) > 0 && written.Rows[0].StoreTime > 0 {
-		r.mu.Lock()
-		defer r.mu.Unlock()
 		r.storeTime, r.storeTimeAt = written.Rows[0].StoreTime, now
 	}
 }
--- a/internal/node/streamrows_test.go
+++ b/internal/node/streamrows_test.go
@@ -147,6 +147,48 @@
 	})
 }
 
+// Guards against calls of a store that is away, and against records that are never written after.
+func TestStreamRowsAreWrittenAfterAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var commits atomic.Int32
+		table := &countingTable{refusingTable{fakeStore: newFakeStore()}, &commits}
+		n := newStreamNetwork(3, false, "v1", "v2")
+		ctx, end := context.WithCancel(t.Context())
+		router := n.withRows(ctx, n.addrs[0], table)
+		time.Sleep(time.Second)
+		table.change(func() { table.down = true })
+		router.Began(streamKeyOf(1), originOf("v1"), time.Minute)
+		time.Sleep(20 * time.Second)
+		is.True(commits.Load() <= 9)
+		table.change(func() { table.down = false })
+		time.Sleep(3 * time.Second)
+		records, err := router.rows.read(ctx)
+		is.NoErr(err)
+		is.Equal(len(records), 1)
+		end()
+		synctest.Wait()
+	})
+}
+
+// Guards against writes while one release serves and the list is old.
+func TestOneReleaseNeedsNoRows(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var commits atomic.Int32
+		table := &countingTable{refusingTable{fakeStore: newFakeStore()}, &commits}
+		n := newStreamNetwork(3, false, "v1")
+		ctx, end := context.WithCancel(t.Context())
+		router := n.withRows(ctx, n.addrs[0], table)
+		time.Sleep(10 * time.Second)
+		router.Began(streamKeyOf(1), originOf("v1"), time.Minute)
+		time.Sleep(5 * time.Second)
+		is.Equal(int(commits.Load()), 0)
+		end()
+		synctest.Wait()
+	})
+}
+
 func TestUnreadableStreamRowsAreSkipped(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/internal/node/streams.go
+++ b/internal/node/streams.go
@@ -99,8 +99,8 @@
 	record := affinity.Record{Key: key, Origin: origin, TTL: ttl}
 	s.put(&record)
 	s.sendRecords([]affinity.Record{record})
-	if s.rows != nil {
-		s.rows.add(clock.Now(), &record)
+	if now := clock.Now(); s.rows != nil && s.backends.HasSeveralReleases(now, origin.Service) {
+		s.rows.add(now, &record)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
