--- a/internal/backend/choose.go
+++ b/internal/backend/choose.go
@@ -23,6 +23,7 @@
 		relaxed.AvoidNewReleases = false
 		query = &relaxed
 		allowed = r.allowed(now, query)
+		home = r.home(now, query, allowed)
 		best, compared = r.cheapest(now, query, home, allowed)
 	}
 	if best == nil && query.AvoidRecentBackoff {
