Take no preemption between reads of two clocks for a suspension

Cause: the router compares CLOCK_BOOTTIME with CLOCK_MONOTONIC in two reads; a process preempted for over 50 ms between them took the difference for a suspension of the machine, and kept it for good. Now the steady clock is read before and after the other one, again until both reads are within 1 ms (10 times at the most), and the nearest reads count.

--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -17,8 +17,7 @@
 	"golang.org/x/sys/unix"
 )
 
-// minSuspension is the least difference that counts as a suspension: the process may be
-// preempted between its reads of the two clocks.
+// minSuspension is the least difference that counts as a suspension.
 const minSuspension = 50 * time.Millisecond
 
 // Source returns the total time of suspensions since some fixed moment.
@@ -58,13 +57,44 @@
 	}
 }
 
+const (
+	// maxReadTime is the time between two reads of the steady clock within which a read of the other
+	// one is exact enough, maxReads the number of tries.
+	maxReadTime = time.Millisecond
+	maxReads    = 10
+)
+
+// reading is the clock that includes suspensions, read between two reads of the one that does not.
+type reading struct{ before, boot, after time.Duration }
+
 // fromSystem compares the clock that includes suspensions with the one that does not.
-func fromSystem() time.Duration {
-	var boot, steady unix.Timespec
-	if unix.ClockGettime(unix.CLOCK_MONOTONIC, &steady) != nil || unix.ClockGettime(unix.CLOCK_BOOTTIME, &boot) != nil {
-		return 0
+func fromSystem() time.Duration { return compare(readClocks) }
+
+// readClocks reads the clocks of the system; ok is false if it lacks one.
+func readClocks() (read reading, ok bool) {
+	var before, boot, after unix.Timespec
+	ok = unix.ClockGettime(unix.CLOCK_MONOTONIC, &before) == nil && unix.ClockGettime(unix.CLOCK_BOOTTIME, &boot) == nil &&
+		unix.ClockGettime(unix.CLOCK_MONOTONIC, &after) == nil
+	return reading{time.Duration(before.Nano()), time.Duration(boot.Nano()), time.Duration(after.Nano())}, ok
+}
+
+// compare returns the difference of the clocks. A process that is preempted between two reads would
+// see a difference that is no suspension, so that the reads nearest to each other count.
+func compare(read func() (reading, bool)) time.Duration {
+	var best reading
+	for try := range maxReads {
+		next, ok := read()
+		if !ok {
+			return 0
+		}
+		if try == 0 || next.after-next.before < best.after-best.before {
+			best = next
+		}
+		if best.after-best.before <= maxReadTime {
+			break
+		}
 	}
-	return time.Duration(boot.Nano() - steady.Nano())
+	return best.boot - best.after
 }
 
 // ReplaceSource replaces the source of suspensions until restore is called. It is for tests.
