--- a/internal/node/streams_test.go
+++ b/internal/node/streams_test.go
@@ -114,6 +114,12 @@
 	return n.routers[addr]
 }
 
+func (n *streamNetwork) setLoss(loss float64) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.loss = loss
+}
+
 func (n *streamNetwork) kill(addr netip.AddrPort) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -159,7 +165,7 @@
 			t.Run(fmt.Sprintf("%d routers, loss %v", size, loss), func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
 					n := newStreamNetwork(size, size > 128, "v1", "v2")
-					n.loss = loss
+					n.setLoss(loss)
 					n.checkKilledOwners(t, 400)
 				})
 			})
@@ -275,9 +281,9 @@
 		n := newStreamNetwork(7, false, "v1", "v2")
 		ctx, cancel := context.WithCancel(t.Context())
 		go n.at(n.addrs[0]).run(ctx)
-		n.loss = 1
+		n.setLoss(1)
 		n.at(n.addrs[0]).Began(streamKeyOf(1), originOf("v2"), time.Minute)
-		n.loss = 0
+		n.setLoss(0)
 		time.Sleep(2 * streamsTick)
 		n.kill(n.addrs[0])
 		_, found := n.at(n.addrs[1]).Find(t.Context(), streamKeyOf(1), "s").(affinity.Found)
