Log counts of routers, and the room that was used where a brittle back end refused

The logs could not tell why brittle back ends fall after a start of routers: a count of routers that is too low, room that is learned late, or shares that add up to more than the room. New events routers_counted and backends_brittle; backend_full has the router's attempts there, its places, the share of the room and the number of routers.

--- a/internal/backend/advertised.go
+++ b/internal/backend/advertised.go
@@ -80,6 +80,8 @@
 	// Backoff is how long this router must send nothing from now on; 0 if the back end did not
 	// ask for it.
 	Backoff time.Duration
+	// BecameBrittle is whether the back ends of its service were not known to be brittle before.
+	BecameBrittle bool
 }
 
 // ConcernsPeers reports whether peers must be notified of the change.
@@ -96,7 +98,7 @@
 		return change
 	}
 	if listed := r.byID[instance]; listed != nil {
-		r.observeBrittleness(now, listed.record.Service, advertised.Brittleness)
+		change.BecameBrittle = r.observeBrittleness(now, listed.record.Service, advertised.Brittleness)
 	}
 	change.Limit, change.LimitChanged = known.limit.observe(now, sentAt, advertised.Limit)
 	if advertised.Draining && r.config.Disabled.Enabled(mechanism.BackendAdvertised) {
--- a/internal/backend/brittle.go
+++ b/internal/backend/brittle.go
@@ -64,11 +64,15 @@
 	maxRefusals int
 }
 
-// observeBrittleness records what an answer states; the caller holds the mutex.
-func (r *Registry) observeBrittleness(now time.Time, service ident.Service, stated Brittleness) {
-	if stated.Brittle && r.config.Disabled.Enabled(mechanism.BrittleRoom) {
-		r.brittleServices[service] = brittleService{until: now.Add(brittleTTL), maxRefusals: stated.MaxRefusals}
+// observeBrittleness records what an answer states, and reports whether the service was not known to
+// be brittle; the caller holds the mutex.
+func (r *Registry) observeBrittleness(now time.Time, service ident.Service, stated Brittleness) bool {
+	if !stated.Brittle || !r.config.Disabled.Enabled(mechanism.BrittleRoom) {
+		return false
 	}
+	known := r.brittle(now, service)
+	r.brittleServices[service] = brittleService{until: now.Add(brittleTTL), maxRefusals: stated.MaxRefusals}
+	return !known
 }
 
 // brittle reports whether the back ends of a service are brittle; the caller holds the mutex.
@@ -85,6 +89,25 @@
 	return known != nil && r.brittle(now, known.record.Service) && known.room.cut(now)
 }
 
+// Room is how much of a brittle back end's room this router may use.
+type Room struct {
+	// InFlight is the number of this router's attempts there, Places how many it may have.
+	InFlight, Places int
+	// Share is the part of the room that all routers together use.
+	Share float64
+}
+
+// Room returns this router's room at a back end, the zero value for an unknown one.
+func (r *Registry) Room(now time.Time, instance ident.Incarnation, routers int) Room {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	known := r.byID[instance]
+	if known == nil {
+		return Room{}
+	}
+	return Room{InFlight: len(known.attempts), Places: r.roomOf(now, known, routers), Share: known.room.shareAt(now)}
+}
+
 // roomLeft reports whether a back end may get one more attempt of this router; the caller holds
 // the mutex. A brittle one may have as many in flight as this router's part of its room: its slots,
 // and half of the refusals that it bears, which lets busy routers use what others leave.
--- a/internal/forward/advertised.go
+++ b/internal/forward/advertised.go
@@ -31,6 +31,9 @@
 	if change.DrainBegan {
 		a.recordStep(StepBackendDraining, func(step *Step) { step.Choice = a.choice })
 	}
+	if change.BecameBrittle {
+		a.recordStep(StepBackendsBrittle, func(step *Step) { step.Choice, step.MaxRefusals = a.choice, reply.Advertised.Brittleness.MaxRefusals })
+	}
 	if change.Backoff > 0 {
 		a.recordStep(StepBackendBackoff, func(step *Step) { step.Choice, step.Backoff = a.choice, change.Backoff })
 	}
--- a/internal/forward/step.go
+++ b/internal/forward/step.go
@@ -39,6 +39,9 @@
 	StepBackendDraining StepKind = "backend_leaving"
 	// StepBackendBackoff is a refusal whose back end asked this router to back off.
 	StepBackendBackoff StepKind = "backend_rest"
+	// StepBackendsBrittle is an answer that advertises that the back ends of its service are
+	// brittle, which was not known.
+	StepBackendsBrittle StepKind = "backends_brittle"
 )
 
 // Step is one decision about a request, with its reasons.
@@ -75,8 +78,10 @@
 	SkippedFor time.Duration
 	// Backoff is how long a back end asked this router to send nothing.
 	Backoff time.Duration
-	Fault   *fault.Fault
-	Cause   error
+	// MaxRefusals is the number of refusals in a second that the back ends of a brittle service bear.
+	MaxRefusals int
+	Fault       *fault.Fault
+	Cause       error
 }
 
 // RetryState is the state of a service's retry budget at this router at one moment.
--- a/internal/node/backendupdates.go
+++ b/internal/node/backendupdates.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"math"
 	"time"
 
 	"github.com/apex/log"
@@ -22,12 +23,17 @@
 	send func([]backend.StateUpdate)
 	// sendFull notifies all other routers that a brittle back end refused for want of room.
 	sendFull func(ident.Incarnation)
+	// routers returns the number of all routers, 0 if unknown.
+	routers func() int
 }
 
 var _ forward.BackendNotifier = (*backendUpdates)(nil)
 
-func newBackendUpdates(backends *backend.Registry, limits *backendLimits) *backendUpdates {
-	return &backendUpdates{backends: backends, limits: limits, send: func([]backend.StateUpdate) {}, sendFull: func(ident.Incarnation) {}}
+func newBackendUpdates(backends *backend.Registry, limits *backendLimits, routers func() int) *backendUpdates {
+	return &backendUpdates{
+		backends: backends, limits: limits, routers: routers,
+		send: func([]backend.StateUpdate) {}, sendFull: func(ident.Incarnation) {},
+	}
 }
 
 // Notify implements forward.BackendNotifier.
@@ -44,7 +50,12 @@
 
 // NotifyFull implements forward.BackendNotifier.
 func (b *backendUpdates) NotifyFull(instance ident.Incarnation) {
-	log.WithFields(log.Fields{"instance": instance}).Info("backend_full")
+	routers := b.routers()
+	room := b.backends.Room(clock.Now(), instance, routers)
+	log.WithFields(log.Fields{
+		"instance": instance, "in_flight": room.InFlight, "places": room.Places, "room_share": math.Round(room.Share*100) / 100,
+		"routers": routers,
+	}).Info("backend_full")
 	b.sendFull(instance)
 }
 
@@ -63,6 +74,9 @@
 	if observed.Backoff > 0 {
 		log.WithFields(log.Fields{"instance": instance, "by": by, "rest_ms": observed.Backoff.Milliseconds()}).Info("backend_rest")
 	}
+	if observed.BecameBrittle {
+		log.WithFields(log.Fields{"instance": instance, "refusals": advertised.Brittleness.MaxRefusals}).Info("backends_brittle")
+	}
 	if observed.ConcernsPeers() {
 		b.Notify(instance)
 	}
--- a/internal/node/log.go
+++ b/internal/node/log.go
@@ -83,6 +83,9 @@
 	if step.Kind == forward.StepBackendBackoff {
 		fields["rest_ms"] = step.Backoff.Milliseconds()
 	}
+	if step.Kind == forward.StepBackendsBrittle {
+		fields["service"], fields["refusals"] = step.Choice.Service, step.MaxRefusals
+	}
 	if step.Fault != nil {
 		fields["fault"] = step.Fault.Kind
 		fields["detail"] = step.Fault.Detail
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -160,7 +160,7 @@
 		n.quotas.setRouters(self, peers)
 		n.limits.setRouters(self, peers)
 	}
-	n.updates = newBackendUpdates(n.backends, n.limits)
+	n.updates = newBackendUpdates(n.backends, n.limits, n.follower.replica.Routers)
 	n.follower.replica.updates = n.updates
 	if ports.OnAdvertised != nil {
 		ports.OnAdvertised(n.updates.observeAdvertised)
--- a/internal/node/reference_test.go
+++ b/internal/node/reference_test.go
@@ -42,7 +42,7 @@
 	for _, kind := range []forward.StepKind{
 		forward.StepRefused, forward.StepSent, forward.StepAttemptEnded, forward.StepAnswered, forward.StepBroken, forward.StepClientGone,
 		forward.StepRetryGranted, forward.StepRetryDenied, forward.StepBackendLimit, forward.StepLimitDenied,
-		forward.StepBackendDraining, forward.StepBackendBackoff,
+		forward.StepBackendDraining, forward.StepBackendBackoff, forward.StepBackendsBrittle,
 	} {
 		logged[string(kind)] = true
 	}
--- a/internal/node/replica.go
+++ b/internal/node/replica.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/apex/log"
+
 	"github.com/fieldpond/fieldpond/internal/admission"
 	"github.com/fieldpond/fieldpond/internal/backend"
 	"github.com/fieldpond/fieldpond/internal/canary"
@@ -267,6 +269,9 @@
 	if readAt.Before(r.noDecreaseUntil) {
 		routers = max(routers, r.routers)
 	}
+	if routers != r.routers {
+		log.WithFields(log.Fields{"routers": routers, "before": r.routers, "age_ms": clock.Since(readAt).Milliseconds()}).Info("routers_counted")
+	}
 	r.routers, r.countedAt = routers, readAt
 	r.sharers.RecordCount(clock.Now(), readAt, routers)
 }
