Bound a starting router's attempts by the room until a back end has answered

What callers saw: after a start of all routers, or a burst after ten quiet seconds, brittle engines fell in turn, and each fall broke off all of their streams and took two seconds of a fifth of the fleet.

Cause: a router learned that back ends are brittle from their first answer, and forgot it ten seconds after the last one. Until then nothing bounded what it sent.

A service that has not answered is now bounded like a brittle one that bears no refusal. Its first answer ends that for sound ones; who joins is told by the peer that it pulls from, and the first statement of brittleness is sent to all. A router without a place sends one attempt after 0.3 to 0.6 s, and its request waits for that. A brittle service stays known without answers, until answers for ten seconds no longer state it.

The falls in the first 3 s, which no test counts, remain: routers that start together count each other late.

--- a/internal/backend/advertised.go
+++ b/internal/backend/advertised.go
@@ -98,7 +98,7 @@
 		return change
 	}
 	if listed := r.byID[instance]; listed != nil {
-		change.BecameBrittle = r.observeBrittleness(now, listed.record.Service, advertised.Brittleness)
+		change.BecameBrittle = r.observeBrittleness(now, listed.record.Service, advertised.Brittleness, by)
 	}
 	change.Limit, change.LimitChanged = known.limit.observe(now, sentAt, advertised.Limit)
 	if advertised.Draining && r.config.Disabled.Enabled(mechanism.BackendAdvertised) {
--- a/internal/backend/brittle_test.go
+++ b/internal/backend/brittle_test.go
@@ -71,6 +71,8 @@
 	// start returns the registry of a router that starts; startsAt is when each is up again.
 	start    func() *Registry
 	startsAt []time.Duration
+	// startAll are the times at which all routers restart.
+	startAll []time.Duration
 	notices  []brittleEvent
 	now      time.Duration
 	sent     int
@@ -78,11 +80,13 @@
 	refused  int
 }
 
-// brittleEvent is a notice to all routers but one that a back end refused.
+// brittleEvent is a notice to all routers but one that a back end refused, or that the back ends
+// are brittle.
 type brittleEvent struct {
 	at       time.Duration
 	from     int
 	instance ident.Incarnation
+	brittle  bool
 }
 
 var modelStart = time.Unix(10_000, 0)
@@ -133,6 +137,11 @@
 		if restarts && m.now > 0 && m.now%brittleRestarts == 0 {
 			m.restart(m.random.IntN(len(m.routers)))
 		}
+		if slices.Contains(m.startAll, m.now) {
+			for router := range m.routers {
+				m.restart(router)
+			}
+		}
 		m.endRuns()
 		m.deliverNotices()
 		if m.now%brittlePlaceInterval == 0 {
@@ -221,7 +230,10 @@
 
 // observe applies what an answer states.
 func (m *brittleModel) observe(run *brittleRun, from ident.Incarnation) {
-	m.routers[run.router].ObserveAdvertised(m.time(), from, m.time(), Advertised{Brittleness: Brittleness{Brittle: true, MaxRefusals: m.maxRefusals}}, SourceAnswer)
+	change := m.routers[run.router].ObserveAdvertised(m.time(), from, m.time(), Advertised{Brittleness: Brittleness{Brittle: true, MaxRefusals: m.maxRefusals}}, SourceAnswer)
+	if change.BecameBrittle {
+		m.notices = append(m.notices, brittleEvent{at: m.now + brittleNotice, from: run.router, brittle: true})
+	}
 }
 
 // fail ends a run without an answer, and places its request again.
@@ -264,7 +276,11 @@
 			return false
 		}
 		for router, registry := range m.routers {
-			if router != notice.from {
+			switch {
+			case router == notice.from:
+			case notice.brittle:
+				registry.ApplyOverloads(m.time(), []ServiceOverload{{Service: "s", Brittle: true, MaxRefusals: m.maxRefusals}})
+			default:
 				registry.ObserveNoRoom(m.time(), notice.instance)
 			}
 		}
--- a/internal/backend/choose.go
+++ b/internal/backend/choose.go
@@ -131,9 +131,14 @@
 func (r *Registry) cheapest(now time.Time, query *Query, home *state, allowed []*state) (best *state, counts comparison) {
 	bestCost := math.Inf(1)
 	var bestScore uint64
-	staleCost := r.staleCost(now, query)
+	staleCost, bound := r.staleCost(now, query), r.roomBoundOf(now, query)
 	for _, candidate := range allowed {
-		if !candidate.eligible(now, query) || !r.roomLeft(now, candidate, query.Routers) {
+		eligible := candidate.eligible(now, query)
+		if eligible && !r.roomLeft(now, candidate, bound, query.Routers) {
+			eligible = false
+			r.overloadOf(query.Service).deny(now)
+		}
+		if !eligible {
 			if candidate.limit.usedUp(now) {
 				counts.limitSkips++
 			}
--- a/internal/backend/record.go
+++ b/internal/backend/record.go
@@ -124,7 +124,8 @@
 
 // Query describes an attempt that needs a back end.
 type Query struct {
-	// Routers is the number of routers that share the back ends, 0 if it is not known.
+	// Routers is the number of routers that share the back ends. With 0 those of a service that
+	// has not answered are not bounded by their room.
 	Routers int
 	Service ident.Service
 	// Model is empty for requests that run no model.
--- a/internal/backend/registry.go
+++ b/internal/backend/registry.go
@@ -15,7 +15,8 @@
 
 // Registry tracks the back ends of the newest instance list and chooses among them.
 type Registry struct {
-	brittleServices map[ident.Service]brittleService
+	// overloads has how the back ends of each service bear overload.
+	overloads map[ident.Service]*overload
 	// seed makes this router's hashes differ from those of others.
 	seed uint64
 
@@ -54,7 +55,7 @@
 		advertising:     make(map[ident.Incarnation]struct{}),
 		roundTrips:      make(roundTrips),
 		reachability:    make(map[ident.Region]*reachability),
-		brittleServices: make(map[ident.Service]brittleService),
+		overloads:       make(map[ident.Service]*overload),
 		seed:            rand.Uint64(),
 
 		releaseHistories: make(map[ident.Service]*releaseHistory),
--- a/internal/forward/advertised.go
+++ b/internal/forward/advertised.go
@@ -12,6 +12,9 @@
 	Notify(instance ident.Incarnation)
 	// NotifyFull reports a brittle back end that refused a request for want of room.
 	NotifyFull(instance ident.Incarnation)
+	// NotifyBrittle reports a service whose back ends have stated for the first time that they are
+	// brittle.
+	NotifyBrittle(service ident.Service, maxRefusals int)
 }
 
 // observeNoRoom records that the back end refused the request for want of room, and notifies other
@@ -32,7 +35,11 @@
 		a.recordStep(StepBackendDraining, func(step *Step) { step.Choice = a.choice })
 	}
 	if change.BecameBrittle {
-		a.recordStep(StepBackendsBrittle, func(step *Step) { step.Choice, step.MaxRefusals = a.choice, reply.Advertised.Brittleness.MaxRefusals })
+		maxRefusals := reply.Advertised.Brittleness.MaxRefusals
+		a.recordStep(StepBackendsBrittle, func(step *Step) { step.Choice, step.MaxRefusals = a.choice, maxRefusals })
+		if a.forwarder.Notifier != nil {
+			a.forwarder.Notifier.NotifyBrittle(a.choice.Service, maxRefusals)
+		}
 	}
 	if change.Backoff > 0 {
 		a.recordStep(StepBackendBackoff, func(step *Step) { step.Choice, step.Backoff = a.choice, change.Backoff })
--- a/internal/forward/advertised_test.go
+++ b/internal/forward/advertised_test.go
@@ -21,6 +21,7 @@
 	mu       sync.Mutex
 	notified []ident.Incarnation
 	full     []ident.Incarnation
+	brittle  []ident.Service
 }
 
 // Notify implements forward.BackendNotifier.
@@ -30,6 +31,13 @@
 	f.notified = append(f.notified, instance)
 }
 
+// NotifyBrittle implements forward.BackendNotifier.
+func (f *fakeNotifier) NotifyBrittle(service ident.Service, _ int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.brittle = append(f.brittle, service)
+}
+
 // NotifyFull implements forward.BackendNotifier.
 func (f *fakeNotifier) NotifyFull(instance ident.Incarnation) {
 	f.mu.Lock()
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -215,6 +215,14 @@
 	return allowed
 }
 
+// sharingRouters returns the number of routers that share the back ends.
+func (f *Forwarder) sharingRouters() int {
+	if routers := f.Routers(); routers > 0 {
+		return routers
+	}
+	return assumedRouters
+}
+
 // withSpareRouters returns the number of routers, plus an allowance for new ones, by which
 // a system-wide bound is divided.
 func withSpareRouters(routers int) int {
--- a/internal/forward/place.go
+++ b/internal/forward/place.go
@@ -44,6 +44,9 @@
 		if refusal := r.unavailableFault(now, waitUntil); refusal != nil {
 			return backend.Choice{}, nil, refusal
 		}
+		if trialAt := r.forwarder.Backends.TrialAt(now, r.service); trialAt.After(waitUntil) {
+			waitUntil = trialAt
+		}
 		if !now.Before(waitUntil) || !wait.For(ctx, placeInterval) {
 			return backend.Choice{}, nil, r.noBackendFault()
 		}
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -301,7 +301,7 @@
 func (r *run) query() backend.Query {
 	query := backend.Query{
 		Service: r.service, Excluded: r.excluded, Expected: r.route.Target / expectedWorkDivisor,
-		SpreadKey: xxhash.Sum64String(string(r.request.ID)), AvoidRecentBackoff: r.avoidRecentBackoff, Routers: r.forwarder.Routers(),
+		SpreadKey: xxhash.Sum64String(string(r.request.ID)), AvoidRecentBackoff: r.avoidRecentBackoff, Routers: r.forwarder.sharingRouters(),
 		Continues: r.bound, Release: r.release, AvoidNewReleases: r.resumable(),
 	}
 	prompt := r.request.Prompt
--- a/internal/node/backendupdates.go
+++ b/internal/node/backendupdates.go
@@ -23,6 +23,8 @@
 	send func([]backend.StateUpdate)
 	// sendFull notifies all other routers that a brittle back end refused for want of room.
 	sendFull func(ident.Incarnation)
+	// sendOverloads notifies all other routers of services whose back ends are brittle.
+	sendOverloads func([]backend.ServiceOverload)
 	// routers returns the number of all routers, 0 if unknown.
 	routers func() int
 }
@@ -33,6 +35,7 @@
 	return &backendUpdates{
 		backends: backends, limits: limits, routers: routers,
 		send: func([]backend.StateUpdate) {}, sendFull: func(ident.Incarnation) {},
+		sendOverloads: func([]backend.ServiceOverload) {},
 	}
 }
 
@@ -59,6 +62,11 @@
 	b.sendFull(instance)
 }
 
+// NotifyBrittle implements forward.BackendNotifier.
+func (b *backendUpdates) NotifyBrittle(service ident.Service, maxRefusals int) {
+	b.sendOverloads([]backend.ServiceOverload{{Service: service, Brittle: true, MaxRefusals: maxRefusals}})
+}
+
 // observeAdvertised applies what a back end advertised in an answer to a report or an order.
 func (b *backendUpdates) observeAdvertised(instance ident.Incarnation, sentAt time.Time, advertised backend.Advertised, by backend.Source) {
 	observed := b.backends.ObserveAdvertised(clock.Now(), instance, sentAt, advertised, by)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -283,6 +283,7 @@
 		n.updates.sendFull = func(instance ident.Incarnation) {
 			socket.send(datagram{Health: &health.Notification{Full: []ident.Incarnation{instance}}})
 		}
+		n.updates.sendOverloads = func(overloads []backend.ServiceOverload) { socket.send(datagram{Overloads: overloads}) }
 		n.canaries.connect(socket)
 		n.streams.connect(socket)
 	}
--- a/internal/node/notifier.go
+++ b/internal/node/notifier.go
@@ -71,6 +71,8 @@
 	Flood *flood.Header `cbor:"10,keyasint,omitempty"`
 	// Streams is about the releases at which streams began.
 	Streams *affinity.Message `cbor:"11,keyasint,omitempty"`
+	// Overloads are services whose back ends are brittle.
+	Overloads []backend.ServiceOverload `cbor:"12,keyasint,omitempty"`
 	// Scope is to which routers the receiver relays the notification.
 	Scope scope `cbor:"6,keyasint,omitempty"`
 }
@@ -259,6 +261,7 @@
 		}
 	}
 	n.updates.applyUpdates(packet.Updates)
+	n.backends.ApplyOverloads(clock.Now(), packet.Overloads)
 	if n.limits != nil && packet.Limit != nil {
 		n.limits.receive(from, packet.Limit)
 	}
@@ -274,7 +277,9 @@
 // permits, reports and messages about limits are trusted by their sender's address, and a relayed
 // one would seem to come from this router.
 func (n *notifier) relay(from netip.AddrPort, packet *datagram) (isNew bool) {
-	notification := datagram{Rollout: packet.Rollout, Health: packet.Health, Quarantine: packet.Quarantine, Updates: packet.Updates}
+	notification := datagram{
+		Rollout: packet.Rollout, Health: packet.Health, Quarantine: packet.Quarantine, Updates: packet.Updates, Overloads: packet.Overloads,
+	}
 	if packet.Flood == nil || n.flood == nil {
 		n.sendAll(notification, n.recipients.relay(packet.Scope))
 		return true
--- a/internal/node/pull.go
+++ b/internal/node/pull.go
@@ -292,6 +292,7 @@
 	}
 	f.replica.applyList(update.Origin, at.Add(-update.List.Age), &update.List)
 	f.replica.backends.ObserveGoneReleases(at, update.GoneReleases)
+	f.replica.backends.ApplyOverloads(at, update.Overloads)
 	f.replica.caches.ApplyUpdates(at, update.Caches)
 	// After the instance list: updates of back ends that are not listed are ignored.
 	f.replica.updates.applyUpdates(update.StateUpdates)
--- a/internal/node/replica.go
+++ b/internal/node/replica.go
@@ -153,6 +153,9 @@
 	if updates := r.backends.StateUpdates(now); backend.UpdatesDigest(updates) != pull.UpdatesDigest {
 		update.StateUpdates = updates
 	}
+	if pull.Confirmation == 0 {
+		update.Overloads = r.backends.Overloads(now)
+	}
 	update.GoneReleases = r.backends.GoneReleases(now)
 	if r.eldersSum != pull.Elders {
 		update.Elders = r.elders
--- a/internal/upstream/update.go
+++ b/internal/upstream/update.go
@@ -71,6 +71,8 @@
 	GoneReleases []backend.GoneRelease `cbor:"17,keyasint,omitempty"`
 	// Elders are those of a large fleet, if their digest differs from the pull's.
 	Elders []Peer `cbor:"15,keyasint,omitempty"`
+	// Overloads is how the back ends of services bear overload, if the pull has no confirmation.
+	Overloads []backend.ServiceOverload `cbor:"18,keyasint,omitempty"`
 	// ShuttingDown means that the peer still serves requests but ends soon.
 	ShuttingDown bool `cbor:"9,keyasint,omitempty"`
 }
