Count routers when they join, and divide bounds by all that start together

Cause: each router counted the rows that were written before its own, and learned of later ones from the next count of the reader of the store, one to five seconds later. Evidence (routers_counted, backend_full): with five routers the first counted 1 for a second and had 18 attempts at an engine of 18 places, three others counted 2. One that had counted 5 went back to 2: its count was dated from before the write of its row, so that an older and lower one of a peer looked newer. A count that is not known yet made a router take the whole room.

A router reports to those whose rows it has read that it has joined; they count it at once and read the rows again within half a second, which also completes their lists of peers. A count is dated by its read. Lost reports are made up by the counts as before.

--- a/internal/node/follower.go
+++ b/internal/node/follower.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"sync/atomic"
 	"time"
 
@@ -38,6 +39,10 @@
 	recipients *recipients
 	// onJoined is called with this router's row and those of all routers, once it is written.
 	onJoined func(self upstream.Peer, peers []upstream.Peer)
+	// announce reports to other routers that this one has joined; it may be nil.
+	announce func(others []netip.AddrPort)
+	// newRouters is whether a router has joined whose row was not read yet.
+	newRouters atomic.Bool
 	// onLost is called each time a dependency is lost.
 	onLost func(name string)
 	// onPulled is called with the result of each pull, onWatched with that of each watch.
--- a/internal/node/joining.go
+++ b/internal/node/joining.go
@@ -81,6 +81,7 @@
 		if err == nil {
 			f.observeEpoch()
 			f.replica.joined(view.self)
+			f.announceJoin(&view)
 			f.applyView(askedAt, &view)
 			log.WithFields(view.logFields()).Info("joined")
 			return true
@@ -108,7 +109,7 @@
 		return
 	}
 	f.recipients.set(view.peers)
-	f.replica.observeRouterCount(askedAt, view.routers)
+	f.replica.observeRouterCount(view.countedAt, view.routers)
 	if f.onJoined != nil {
 		f.onJoined(view.self, view.peers)
 	}
@@ -232,6 +233,7 @@
 	}
 	f.observeEpoch()
 	f.replica.rejoined(view.self)
+	f.announceJoin(&view)
 	f.applyView(askedAt, &view)
 	log.WithFields(view.logFields()).Info("rejoined")
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -19,7 +19,6 @@
 	"github.com/fieldpond/fieldpond/internal/clock"
 	"github.com/fieldpond/fieldpond/internal/flood"
 	"github.com/fieldpond/fieldpond/internal/forward"
-	"github.com/fieldpond/fieldpond/internal/health"
 	"github.com/fieldpond/fieldpond/internal/ident"
 	"github.com/fieldpond/fieldpond/internal/inbound"
 	"github.com/fieldpond/fieldpond/internal/lease"
@@ -155,12 +154,12 @@
 	n.engines = &engineCalls{engines: ports.Engines, backends: n.backends}
 	n.follower = n.newFollower()
 	n.quotas = n.newQuotas()
-	n.limits = newBackendLimits(config.PeerAddr, n.backends, n.follower.replica.Routers, n.metrics)
+	n.limits = newBackendLimits(config.PeerAddr, n.backends, n.follower.sharingRouters, n.metrics)
 	n.follower.onJoined = func(self upstream.Peer, peers []upstream.Peer) {
 		n.quotas.setRouters(self, peers)
 		n.limits.setRouters(self, peers)
 	}
-	n.updates = newBackendUpdates(n.backends, n.limits, n.follower.replica.Routers)
+	n.updates = newBackendUpdates(n.backends, n.limits, n.follower.sharingRouters)
 	n.follower.replica.updates = n.updates
 	if ports.OnAdvertised != nil {
 		ports.OnAdvertised(n.updates.observeAdvertised)
@@ -243,7 +242,7 @@
 	cfg := quota.Config{Self: n.config.PeerAddr, Bounds: n.config.Quota}
 	cfg.Standalone = !n.config.PeerAddr.IsValid() || !n.config.Disabled.Enabled(mechanism.SharedQuotas)
 	return newQuotas(cfg, &quotas{
-		name: "tenants", send: func(quota.Envelope) {}, routers: n.follower.replica.Routers,
+		name: "tenants", send: func(quota.Envelope) {}, routers: n.follower.sharingRouters,
 		limited: func() bool {
 			snapshot := n.holder.View().Snapshot
 			return snapshot != nil && snapshot.HasTenantLimits()
@@ -274,18 +273,7 @@
 		return err
 	}
 	if socket != nil {
-		socket.quotas, socket.guard = n.quotas, n.quarantines.Guard
-		n.notifier.Store(socket)
-		n.quotas.send = socket.sendQuota
-		socket.limits, socket.updates = n.limits, n.updates
-		n.limits.connect(socket)
-		n.updates.send = socket.sendStateUpdates
-		n.updates.sendFull = func(instance ident.Incarnation) {
-			socket.send(datagram{Health: &health.Notification{Full: []ident.Incarnation{instance}}})
-		}
-		n.updates.sendOverloads = func(overloads []backend.ServiceOverload) { socket.send(datagram{Overloads: overloads}) }
-		n.canaries.connect(socket)
-		n.streams.connect(socket)
+		n.connect(socket)
 	}
 	work, stopWork := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopWork()
--- a/internal/node/notifier.go
+++ b/internal/node/notifier.go
@@ -49,6 +49,8 @@
 	guard *guard.Guard
 	// streams receives records of streams; it may be nil.
 	streams *streams
+	// onJoined is called with the address of a router that has joined; it may be nil.
+	onJoined func(router netip.AddrPort)
 	// canaries receives permits and reports of rollouts; it may be nil.
 	canaries *canaries
 }
@@ -73,6 +75,8 @@
 	Streams *affinity.Message `cbor:"11,keyasint,omitempty"`
 	// Overloads are services whose back ends are brittle.
 	Overloads []backend.ServiceOverload `cbor:"12,keyasint,omitempty"`
+	// Joined means that the sender has joined the routers.
+	Joined bool `cbor:"13,keyasint,omitempty"`
 	// Scope is to which routers the receiver relays the notification.
 	Scope scope `cbor:"6,keyasint,omitempty"`
 }
@@ -167,6 +171,11 @@
 	n.sendTo(envelope.To, datagram{Quota: quota.Pack(envelope.Message)})
 }
 
+// announceJoin reports to other routers that this one has joined.
+func (n *notifier) announceJoin(others []netip.AddrPort) {
+	n.sendAll(datagram{Joined: true}, direct(others))
+}
+
 // sendTo sends a datagram to one router.
 func (n *notifier) sendTo(to netip.AddrPort, packet datagram) {
 	encoded, err := cbor.Marshal(packet)
@@ -265,6 +274,9 @@
 	if n.limits != nil && packet.Limit != nil {
 		n.limits.receive(from, packet.Limit)
 	}
+	if n.onJoined != nil && packet.Joined {
+		n.onJoined(from)
+	}
 	if n.streams != nil && packet.Streams != nil {
 		n.streams.receive(from, packet.Streams)
 	}
--- a/internal/node/pull.go
+++ b/internal/node/pull.go
@@ -320,7 +320,7 @@
 
 // countRouters reads the router list regularly while this router reads the store for others or
 // holds the lease, until ctx ends. Routers that send or relay notifications also read it when
-// the number of routers changes.
+// the number of routers changes, and all do after a router has joined.
 func (f *follower) countRouters(ctx context.Context, holdsLease func() bool) {
 	minAge := f.config.RouterListInterval - countCheckInterval/2
 	triedAt, recounted := clock.Now(), false
@@ -337,7 +337,7 @@
 		changed := f.chain.relays() && f.replica.Routers() != f.recipients.count()+1
 		// In a large fleet only a holder that sends permits needs to know all routers.
 		sends := (holdsLease() && (f.states != nil || !f.chain.large())) || (changed && !f.chain.large())
-		if !due && !(intervalOver && sends) {
+		if !due && !(intervalOver && sends) && !f.newRouters.Load() {
 			return
 		}
 		triedAt = now
@@ -347,9 +347,13 @@
 
 // readRouters reads the router list.
 func (f *follower) readRouters(ctx context.Context) {
+	newRouters := f.newRouters.Swap(false)
 	readAt := clock.Now()
 	peers, routers, err := f.routerList.readAll(ctx, f.chain.large())
 	if err != nil {
+		if newRouters {
+			f.newRouters.Store(true)
+		}
 		log.WithFields(log.Fields{"cause": err.Error()}).Warn("routers_not_counted")
 		return
 	}
--- a/internal/node/recipients.go
+++ b/internal/node/recipients.go
@@ -101,6 +101,13 @@
 	return r.all
 }
 
+// has reports whether an address is that of one of the other routers.
+func (r *recipients) has(router netip.AddrPort) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Contains(r.all, router)
+}
+
 // count returns the number of the other routers.
 func (r *recipients) count() int {
 	r.mu.Lock()
--- a/internal/node/replica.go
+++ b/internal/node/replica.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"net/netip"
 	"slices"
 	"sync"
 	"time"
@@ -64,6 +65,10 @@
 	// derives from it the number among which the retry slack is divided.
 	routers   int
 	countedAt time.Time
+	// newRouters are routers that have joined since then.
+	newRouters joinedRouters
+	// joinedAt is when this router's row was first written.
+	joinedAt time.Time
 	// noDecreaseUntil is until when routers may not decrease, since a restored store may lack
 	// rows of routers.
 	noDecreaseUntil time.Time
@@ -198,8 +203,8 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if !r.isListed {
-		r.isListed = true
-		r.sharers.SetJoined(clock.Now())
+		r.isListed, r.joinedAt = true, clock.Now()
+		r.sharers.SetJoined(r.joinedAt)
 	}
 }
 
@@ -276,6 +281,7 @@
 		log.WithFields(log.Fields{"routers": routers, "before": r.routers, "age_ms": clock.Since(readAt).Milliseconds()}).Info("routers_counted")
 	}
 	r.routers, r.countedAt = routers, readAt
+	r.newRouters.removeCounted(readAt)
 	r.sharers.RecordCount(clock.Now(), readAt, routers)
 }
 
@@ -286,11 +292,35 @@
 	return now.Sub(r.countedAt)
 }
 
+// observeJoined counts a router that has joined and is in no count yet, and reports whether it is new.
+func (r *replica) observeJoined(now time.Time, router netip.AddrPort) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	isNew := r.newRouters.add(now, router)
+	if isNew {
+		log.WithFields(log.Fields{"router": router.String(), "counted": r.routers, "new": r.newRouters.count()}).Info("router_joined")
+	}
+	return isNew
+}
+
+// joinedSince returns the time since this router's row was first written, 0 if it was not.
+func (r *replica) joinedSince() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.joinedAt.IsZero() {
+		return 0
+	}
+	return clock.Since(r.joinedAt)
+}
+
 // Routers returns the number of routers in all zones, 0 if unknown.
 func (r *replica) Routers() int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.routers
+	if r.routers == 0 {
+		return 0
+	}
+	return r.routers + r.newRouters.count()
 }
 
 // Sharers returns the number of routers among which the retry slack is divided, 0 while
--- a/internal/node/routerlist.go
+++ b/internal/node/routerlist.go
@@ -12,6 +12,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 
+	"github.com/fieldpond/fieldpond/internal/clock"
 	"github.com/fieldpond/fieldpond/internal/fault"
 	"github.com/fieldpond/fieldpond/internal/ident"
 	"github.com/fieldpond/fieldpond/internal/store"
@@ -74,8 +75,9 @@
 	self upstream.Peer
 	// peers are all routers with readable rows, in a large fleet only those of the backbone.
 	peers []upstream.Peer
-	// routers is the number of rows, 0 in a large fleet.
-	routers int
+	// routers is the number of rows, as requested at countedAt; 0 in a large fleet.
+	routers   int
+	countedAt time.Time
 	// large is whether this router's zone is large.
 	large bool
 	// provisional is whether the rows of other routers were still being written, so that the
@@ -215,9 +217,10 @@
 
 // view reads the peers of this router, whose row is self.
 func (r *routerList) view(ctx context.Context, self upstream.Peer) (fleetView, error) {
+	countedAt := clock.Now()
 	peers, routers, more, err := r.list(ctx, routerPrefix, smallFleet, false)
 	if err != nil || !more {
-		return fleetView{self: self, peers: peers, routers: routers}, err
+		return fleetView{self: self, peers: peers, routers: routers, countedAt: countedAt}, err
 	}
 	zone, err := r.readZone(ctx, r.zone, upstream.LargeZone+1)
 	if err != nil {
@@ -230,8 +233,9 @@
 // zone. If the zone is large it reads only the backbone, and a router that is not of it is a leaf.
 func (r *routerList) zoneView(ctx context.Context, self upstream.Peer, zone []upstream.Peer) (fleetView, error) {
 	if len(zone) <= upstream.LargeZone {
+		countedAt := clock.Now()
 		peers, routers, err := r.read(ctx)
-		return fleetView{self: self, peers: peers, routers: routers}, err
+		return fleetView{self: self, peers: peers, routers: routers, countedAt: countedAt}, err
 	}
 	backbone := upstream.Backbone(zone, r.isDown)
 	if !r.isIn(backbone) {
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -37,7 +37,7 @@
 func (n *Node) servers() servers {
 	forwarder := forward.New(n.config.Forward, forward.Dependencies{
 		Holder: n.holder, Backends: n.backends, Caller: n.ports.Caller, Record: stepRecorder(n.metrics),
-		Routers: n.follower.replica.Routers, Sharers: n.follower.replica.Sharers, Caches: n.follower.replica.caches, Quotas: n.quotas,
+		Routers: n.follower.sharingRouters, Sharers: n.follower.replica.Sharers, Caches: n.follower.replica.caches, Quotas: n.quotas,
 		Releases: n.releases(), Quarantine: n.quarantines, Limits: n.backendLimits(), Notifier: n.updates, Streams: n.streamOrigins(),
 	})
 	all := servers{
