Use what has arrived of a slow answer of the store, and ask for the rest

What callers saw: engines on old weights for as long as the store is slow, so that requests ended with 421 or ran on old weights; TestAVersionAmidManyChangesReachesTheEngines, 5 engines without the newest version after 20 s.

Cause: a request for changes that could not be answered in time was repeated unchanged. The watch asked again from the same revision after its timeout; a recheck and each step of its search had one second in all, and a failed recheck was not repeated until the next change or ten seconds later. The store has no limit on the size of an answer with changes, so only a later revision makes it smaller. Evidence: throttled to 200,000 bytes a second the untouched code fails each time; with changes_partly_read, new, the log shows each answer, how long it took and how far it came.

Reads of the store now go on while bytes arrive (wait.WithSilence: a limit on the silence, and a longer one on the whole). Changes that arrive for more than a second, or break off, are used up to the last whole version, and the next request starts there. While the watch is behind, a binary search finds the earliest revision whose changes arrive in time, so that the newest versions are known before the rest. A recheck keeps its progress, and is repeated after a failure. The time in which an answer arrives no longer counts as one in which the store had no change. The same for the configuration, its history and the list of back ends, which waited one second for the whole answer.

--- a/internal/node/backendfeed.go
+++ b/internal/node/backendfeed.go
@@ -28,7 +28,7 @@
 func (f *follower) readBackends(ctx context.Context) error {
 	askedAt := clock.Now()
 	if f.feed == nil {
-		bounded, cancel := context.WithTimeout(ctx, f.config.ReadTimeout)
+		bounded, cancel := f.readContext(ctx)
 		defer cancel()
 		records, err := f.source.Backends(bounded)
 		if err != nil {
@@ -88,7 +88,7 @@
 
 // readBackendChanges reads the changes of the instance list after a revision.
 func (f *follower) readBackendChanges(ctx context.Context, askedAt time.Time, after uint64) error {
-	bounded, cancel := context.WithTimeout(ctx, f.config.ReadTimeout)
+	bounded, cancel := f.readContext(ctx)
 	defer cancel()
 	rows, err := f.feed.BackendChanges(bounded, after)
 	if err != nil {
--- a/internal/node/configuration.go
+++ b/internal/node/configuration.go
@@ -132,7 +132,7 @@
 // newestSince returns the newest configuration that the row held after a revision, its present
 // content included, and an error unless the whole history is known.
 func (f *follower) newestSince(ctx context.Context, after uint64, row rowContent) (rowContent, error) {
-	bounded, cancel := context.WithTimeout(ctx, f.config.ReadTimeout)
+	bounded, cancel := f.readContext(ctx)
 	defer cancel()
 	history, err := f.source.Configurations(bounded, after, row.revision)
 	if err != nil {
--- a/internal/node/events.go
+++ b/internal/node/events.go
@@ -97,6 +97,7 @@
 		{"version_named", []string{"model", "version", "met", "age_ms"}, "A version of weights was published; met: it was there at the first read, and its age is unknown; age_ms is its greatest possible age."},
 		{"rollout_order_refused", []string{"row", "revision", "cause"}, "An order to move a service to another release cannot be carried out; logged once for each revision."},
 		{"naming_unreadable", []string{"row", "revision", "cause"}, "A change that publishes a version cannot be read, and is skipped."},
+		{"changes_partly_read", []string{"after", "to", "read_ms", "cause"}, "An answer of the store with the changes after a revision was slow or broke off: the changes up to revision to are used and the rest is requested again, or, with a cause, nothing of it arrived whole."},
 		{"namings_forgotten", []string{"from", "to", "cause"}, "The store has forgotten its changes between two revisions, or they are too many for one answer (cause); the request is retried for a while."},
 		{"namings_given_up", []string{"from", "to"}, "The store still does not return them: a version whose row was overwritten during them stays unknown."},
 		{"version_row_outdated", []string{"model", "version", "known"}, "The row of a model holds an older version than is known, since the store applied an older write late. The known one stays in force."},
--- a/internal/node/follower.go
+++ b/internal/node/follower.go
@@ -83,7 +83,7 @@
 	ConfigurationInterval time.Duration
 	// BackendInterval is the time between two reads of the back ends.
 	BackendInterval time.Duration
-	// ReadTimeout bounds one read.
+	// ReadTimeout bounds one read, and the silence in an answer that arrives slowly.
 	ReadTimeout time.Duration
 	// RetryPause follows a failed read. At routers that do not read the store for
 	// others it doubles with each failure in a row, up to the interval.
@@ -135,9 +135,19 @@
 	})
 }
 
+// maxReadTime bounds a read whose answer arrives slowly, within the time for which a configuration
+// stays valid.
+const maxReadTime = 4 * time.Second
+
+// readContext returns the context of one read of the store: the same read would not be faster later,
+// so that it goes on while its answer arrives.
+func (f *follower) readContext(ctx context.Context) (context.Context, context.CancelFunc) {
+	return wait.WithSilence(ctx, f.config.ReadTimeout, f.config.ReadTimeout, max(maxReadTime, f.config.ReadTimeout))
+}
+
 func (f *follower) readConfiguration(ctx context.Context) error {
 	askedAt := clock.Sync()
-	bounded, cancel := context.WithTimeout(ctx, f.config.ReadTimeout)
+	bounded, cancel := f.readContext(ctx)
 	defer cancel()
 	reading, err := f.source.Configuration(bounded)
 	if err != nil {
--- a/internal/node/joinedrouters.go
+++ b/internal/node/joinedrouters.go
@@ -4,6 +4,8 @@
 	"net/netip"
 	"time"
 
+	"github.com/apex/log"
+
 	"github.com/fieldpond/fieldpond/internal/clock"
 	"github.com/fieldpond/fieldpond/internal/upstream"
 )
@@ -60,6 +62,27 @@
 	}
 }
 
+// observeJoined counts a router that has joined and is in no count yet, and reports whether it is new.
+func (r *replica) observeJoined(now time.Time, router netip.AddrPort) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	isNew := r.newRouters.add(now, router)
+	if isNew {
+		log.WithFields(log.Fields{"router": router.String(), "counted": r.routers, "new": r.newRouters.count()}).Info("router_joined")
+	}
+	return isNew
+}
+
+// joinedSince returns the time since this router's row was first written, 0 if it was not.
+func (r *replica) joinedSince() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.joinedAt.IsZero() {
+		return 0
+	}
+	return clock.Since(r.joinedAt)
+}
+
 // announceJoin reports to the peers that this router has joined.
 func (f *follower) announceJoin(view *fleetView) {
 	if f.announce == nil || view.large {
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -101,7 +101,7 @@
 		orders:          registry.Counter("edge_orders_total", "Orders to engines, by result.", "result"),
 		suspectVersions: registry.Counter("edge_versions_doubted_total", "Versions of weights under which engines ended while they loaded them, by model.", "model"),
 		dependencies:    registry.Counter("edge_dependency_lost_total", "Times that reads of a dependency began to fail.", "dependency"),
-		watches:         registry.Counter("edge_naming_watches_total", "Watches of the store for versions of weights that are named, by result: news, quiet, history_gone or failed.", "result"),
+		watches:         registry.Counter("edge_naming_watches_total", "Watches of the store for versions of weights that are named, by result: news, quiet, partial, history_gone or failed.", "result"),
 		pulls:           registry.Counter("edge_pulls_total", "Pulls of the shared state from other routers, by result.", "result"),
 		retries:         registry.Counter("edge_repeats_total", "Repeats that were asked of the budget, by service and verdict: granted or denied.", "service", "verdict"),
 
--- /dev/null
+++ b/internal/node/publicationnewest.go
@@ -0,0 +1,36 @@
+package node
+
+import (
+	"context"
+
+	"github.com/fieldpond/fieldpond/internal/store"
+)
+
+// readNewest reads as many of the newest changes as the store returns in time, up to its revision at
+// the last read of the operator's rows. The watch has received the changes up to revision from, and
+// can't read all that follow at once: a version that counts now may be among the last of them.
+func (s *watchSession) readNewest(ctx context.Context, from uint64) {
+	newest := s.replica.newestRead()
+	if store.Epoch(newest) != store.Epoch(from) {
+		return
+	}
+	// Binary search for the earliest revision after which all changes arrive in time; those after
+	// newestSought did so before.
+	early, late := max(from, s.newestSought), newest
+	after := early
+	for late > early && ctx.Err() == nil {
+		changes, err := s.changes(ctx, after, recheckHold)
+		switch {
+		case err != nil:
+			return
+		case changes.Partial:
+			s.applyRechecked(ctx, after, &changes)
+			early = max(changes.StoreRevision, after+1)
+		default:
+			s.applyRechecked(ctx, after, &changes)
+			late = after
+		}
+		after = early + (late-early)/2
+	}
+	s.newestSought = newest
+}
--- a/internal/node/publicationrecheck.go
+++ b/internal/node/publicationrecheck.go
@@ -86,7 +86,15 @@
 		// The watch goes first, as it can bound the version's age and a recheck can't. Once
 		// only, since other writes continue.
 		check.deferred, check.dueAt = true, clock.Now()
-	case err == nil:
+	case err == nil && changes.Partial:
+		// The rest follows at once.
+		check.forgottenSince, check.dueAt = time.Time{}, clock.Now()
+		s.applyRechecked(ctx, check.after, &changes)
+		check.after = changes.StoreRevision
+		check.next = max(check.next, check.after)
+	case err != nil:
+		check.dueAt = clock.Now().Add(recheckAfter)
+	default:
 		check.forgottenSince, check.deferred = time.Time{}, false
 		s.applyRechecked(ctx, check.after, &changes)
 		check.after, check.next = check.next, to
--- a/internal/node/publicationwatch.go
+++ b/internal/node/publicationwatch.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"time"
@@ -27,6 +28,8 @@
 	// minProcessPause is how late a request must end to show that the process was paused; late
 	// timers of a busy machine are off by less.
 	minProcessPause = time.Second
+	// maxChangesTime bounds how long an answer with changes may take to arrive.
+	maxChangesTime = 10 * time.Second
 	// watchPause is the time between two checks whether this router must watch.
 	watchPause = 200 * time.Millisecond
 	// watchTolerance is the gap in the watch that does not make a version count as older: about
@@ -40,11 +43,21 @@
 	watchNewVersion = "news"
 	watchQuiet      = "quiet"
 	watchGone       = "history_gone"
+	watchPartial    = "partial"
 	watchFailed     = "failed"
 )
 
-// watchResults maps whether an answer had a new version to the result.
-var watchResults = map[bool]string{true: watchNewVersion, false: watchQuiet}
+// watchResultOf returns the result of an answer, given whether it had a new version.
+func watchResultOf(anyNew bool, changes *Changes) string {
+	switch {
+	case changes.Partial:
+		return watchPartial
+	case anyNew:
+		return watchNewVersion
+	default:
+		return watchQuiet
+	}
+}
 
 // watchPosition is the point up to which all publications are known.
 type watchPosition struct {
@@ -107,6 +120,8 @@
 	// rowsLoaded is whether the publication rows were read in this session.
 	rowsLoaded bool
 	recheck    recheck
+	// newestSought is the revision up to which the newest changes were read ahead of the watch.
+	newestSought uint64
 }
 
 // watch makes one request for the changes after the watch position.
@@ -118,8 +133,15 @@
 		return
 	}
 	elapsed, changedAt := clock.Since(askedAt), s.replica.earliestAnswer(askedAt, changes.StoreTime)
-	anyNew := s.applyChanges(ctx, from, changedAt, clock.Since(s.pendingSince), &changes)
-	s.onWatched(watchResults[anyNew])
+	// The time in which the answer arrived is not one in which the store waited for a change.
+	anyNew := s.applyChanges(ctx, from, changedAt, clock.Since(s.pendingSince)-changes.ReadFor, &changes)
+	s.onWatched(watchResultOf(anyNew, &changes))
+	if changes.Partial {
+		// The rest is requested at once, before a recheck.
+		s.readNewest(ctx, changes.StoreRevision)
+		s.pendingSince, s.pause = clock.Now(), watchPause
+		return
+	}
 	if !s.rowsLoaded && clock.Since(s.rowsLoadedAt) >= rowsLoadInterval {
 		s.rowsLoaded = s.loadRows(ctx, changedAt, changes.StoreTime)
 		s.rowsLoadedAt = clock.Now()
@@ -134,10 +156,20 @@
 	s.pendingSince, s.pause = clock.Now(), watchPause
 }
 
+// changes requests the changes after a revision. It waits on while the answer arrives.
 func (f *follower) changes(ctx context.Context, after uint64, hold time.Duration) (Changes, error) {
-	bounded, cancel := context.WithTimeout(ctx, hold+f.config.ReadTimeout)
+	askedAt := clock.Now()
+	bounded, cancel := wait.WithSilence(ctx, hold+f.config.ReadTimeout, f.config.ReadTimeout, hold+maxChangesTime)
 	defer cancel()
-	return f.source.Changes(bounded, after, hold)
+	changes, err := f.source.Changes(bounded, after, hold)
+	if changes.Partial || errors.Is(err, ErrAnswerCut) {
+		fields := log.Fields{"after": after, "to": changes.StoreRevision, "read_ms": clock.Since(askedAt).Milliseconds()}
+		if err != nil {
+			fields["cause"] = err.Error()
+		}
+		log.WithFields(fields).Warn("changes_partly_read")
+	}
+	return changes, err
 }
 
 // handleFailure pauses after a failed request. The watch skips changes that the store has
@@ -154,6 +186,9 @@
 	}
 	if !errors.Is(err, ErrHistoryGone) {
 		s.onWatched(watchFailed)
+		if errors.Is(err, ErrAnswerCut) {
+			s.readNewest(ctx, s.replica.watchedUntil().revision)
+		}
 		wait.For(ctx, s.pause)
 		s.pause = min(2*s.pause, maxWatchPause)
 		return
@@ -181,7 +216,8 @@
 	ctx context.Context, after uint64, changedAt time.Time, age time.Duration, known bool, changes *Changes,
 ) bool {
 	publication := catalog.Publication{SeenAt: changedAt.Add(-age), SeenAtStart: !known}
-	row := publicationRow{FirstSeen: changes.StoreTime - age, CompleteTo: after, SeenAtStart: publication.SeenAtStart}
+	storeTime := cmp.Or(changes.StoreTime, f.replica.storeTimeAt(clock.Now()))
+	row := publicationRow{FirstSeen: max(storeTime-age, 0), CompleteTo: after, SeenAtStart: publication.SeenAtStart}
 	anyNew := false
 	for _, published := range changes.Published {
 		publication.Version = published.Version
--- a/internal/node/replica.go
+++ b/internal/node/replica.go
@@ -2,7 +2,6 @@
 
 import (
 	"maps"
-	"net/netip"
 	"slices"
 	"sync"
 	"time"
@@ -292,27 +291,6 @@
 	return now.Sub(r.countedAt)
 }
 
-// observeJoined counts a router that has joined and is in no count yet, and reports whether it is new.
-func (r *replica) observeJoined(now time.Time, router netip.AddrPort) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	isNew := r.newRouters.add(now, router)
-	if isNew {
-		log.WithFields(log.Fields{"router": router.String(), "counted": r.routers, "new": r.newRouters.count()}).Info("router_joined")
-	}
-	return isNew
-}
-
-// joinedSince returns the time since this router's row was first written, 0 if it was not.
-func (r *replica) joinedSince() time.Duration {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.joinedAt.IsZero() {
-		return 0
-	}
-	return clock.Since(r.joinedAt)
-}
-
 // Routers returns the number of routers in all zones, 0 if unknown.
 func (r *replica) Routers() int {
 	r.mu.Lock()
@@ -374,6 +352,23 @@
 	return r.lastReadClock
 }
 
+// newestRead returns the store's revision at this router's last read of the rows, 0 if unknown.
+func (r *replica) newestRead() uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.readRevision
+}
+
+// storeTimeAt returns the store's own time at a local time, 0 if unknown.
+func (r *replica) storeTimeAt(at time.Time) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.lastReadClock.storeTime == 0 {
+		return 0
+	}
+	return r.lastReadClock.storeTime + at.Sub(r.lastReadClock.askedAt)
+}
+
 // earliestAnswer returns the earliest time at which the store can have sent an answer that was
 // requested at askedAt and has the store's own time storeTime.
 func (r *replica) earliestAnswer(askedAt time.Time, storeTime time.Duration) time.Time {
--- a/internal/node/source.go
+++ b/internal/node/source.go
@@ -46,10 +46,18 @@
 	Published []PublishedWeights
 	// StoreRevision is the store's newest revision: all changes up to it are included.
 	StoreRevision uint64
-	// StoreTime is the store's own monotonic time at the answer.
+	// StoreTime is the store's own monotonic time at the answer, 0 if unknown.
 	StoreTime time.Duration
+	// Partial is whether changes after StoreRevision are missing, since the answer was slow or broke
+	// off; StoreTime is then unknown.
+	Partial bool
+	// ReadFor is how long the answer took to arrive after its first byte.
+	ReadFor time.Duration
 }
 
+// ErrAnswerCut means that an answer began and did not arrive, nor a usable part of it.
+var ErrAnswerCut = errors.New("the answer did not arrive whole")
+
 // ErrHistoryGone means that the store has forgotten the requested changes, or that they are too
 // many for one answer: read later ones, or the current rows, instead.
 var ErrHistoryGone = errors.New("the store has forgotten these changes")
@@ -59,8 +67,9 @@
 // *fault.Fault.
 type Source interface {
 	Configuration(ctx context.Context) (Reading, error)
-	// Changes returns all changes after a revision. It waits for one for at most hold. It
-	// returns ErrHistoryGone if the store cannot return all of them.
+	// Changes returns the changes after a revision, in order. It waits for one for at most hold. It
+	// returns ErrHistoryGone if the store cannot return all of them, and ErrAnswerCut if its
+	// answer does not arrive.
 	Changes(ctx context.Context, after uint64, hold time.Duration) (Changes, error)
 	// Configurations returns the contents of the configuration's row after one revision up to
 	// another, oldest first, with only revisions and bodies set. The current content need not
