--- a/internal/node/joinedrouters_test.go
+++ b/internal/node/joinedrouters_test.go
@@ -44,15 +44,20 @@
 	lost bool
 	// beforeCommit is that of the routers that start from now on.
 	beforeCommit time.Duration
+	// members are the routers by address, guarded by the zone's mutex.
+	members map[netip.AddrPort]*zoneRouter
 }
 
 func newJoiningFleet() *joiningFleet {
-	f := &joiningFleet{slackFleet: &slackFleet{zone: newZone()}}
+	f := &joiningFleet{slackFleet: &slackFleet{zone: newZone()}, members: map[netip.AddrPort]*zoneRouter{}}
 	f.beforeStart = func(_ context.Context, running *zoneRouter) {
 		follower := running.follower
 		follower.routerList.table = &slowTable{Table: f.store, beforeCommit: f.beforeCommit}
-		follower.routerList.addr = joiningAddr(len(f.routers))
-		follower.announce = func(others []netip.AddrPort) { f.announce(follower.routerList.addr, others) }
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		addr := joiningAddr(len(f.members))
+		follower.routerList.addr, f.members[addr] = addr, running
+		follower.announce = func(others []netip.AddrPort) { f.announce(addr, others) }
 	}
 	return f
 }
@@ -67,11 +72,9 @@
 	}
 	f.mu.Lock()
 	var receivers []*follower
-	for _, running := range f.routers {
-		for _, other := range others {
-			if running.follower.routerList.addr == other && !running.dead {
-				receivers = append(receivers, running.follower)
-			}
+	for _, other := range others {
+		if running := f.members[other]; running != nil && !running.dead {
+			receivers = append(receivers, running.follower)
 		}
 	}
 	f.mu.Unlock()
@@ -84,7 +87,7 @@
 func (f *joiningFleet) shares() (sum float64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for _, running := range f.routers {
+	for _, running := range f.members {
 		if routers := running.follower.sharingRouters(); !running.dead && routers > 0 {
 			sum += 1 / float64(routers)
 		}
--- a/internal/node/log.go
+++ b/internal/node/log.go
@@ -71,21 +71,7 @@
 		fields["window_requests"], fields["window_repeats"] = retry.Requests, retry.Retries
 		fields["slack"], fields["sharers"] = math.Round(retry.Slack*100)/100, retry.Sharers
 	}
-	if step.Kind == forward.StepBackendLimit {
-		fields["limited"], fields["rate"], fields["rate_before"] = step.Limit.Limited, step.Limit.Rate, step.Limit.PreviousRate
-	}
-	if step.Kind == forward.StepLimitDenied {
-		fields["after_ms"], fields["rate"] = step.SkippedFor.Milliseconds(), step.Choice.Limit.Rate
-	}
-	if step.Kind == forward.StepBackendDraining || step.Kind == forward.StepBackendBackoff {
-		fields["by"] = backend.SourceAnswer
-	}
-	if step.Kind == forward.StepBackendBackoff {
-		fields["rest_ms"] = step.Backoff.Milliseconds()
-	}
-	if step.Kind == forward.StepBackendsBrittle {
-		fields["service"], fields["refusals"] = step.Choice.Service, step.MaxRefusals
-	}
+	addAdvertisedFields(fields, step)
 	if step.Fault != nil {
 		fields["fault"] = step.Fault.Kind
 		fields["detail"] = step.Fault.Detail
@@ -114,6 +100,22 @@
 	}
 }
 
+// addAdvertisedFields adds what a back end advertised.
+func addAdvertisedFields(fields log.Fields, step *forward.Step) {
+	switch step.Kind {
+	case forward.StepBackendLimit:
+		fields["limited"], fields["rate"], fields["rate_before"] = step.Limit.Limited, step.Limit.Rate, step.Limit.PreviousRate
+	case forward.StepLimitDenied:
+		fields["after_ms"], fields["rate"] = step.SkippedFor.Milliseconds(), step.Choice.Limit.Rate
+	case forward.StepBackendDraining:
+		fields["by"] = backend.SourceAnswer
+	case forward.StepBackendBackoff:
+		fields["by"], fields["rest_ms"] = backend.SourceAnswer, step.Backoff.Milliseconds()
+	case forward.StepBackendsBrittle:
+		fields["service"], fields["refusals"] = step.Choice.Service, step.MaxRefusals
+	}
+}
+
 // addSkipFields adds how many back ends were skipped as backing off or draining, and why a
 // faster one was, if any.
 func addSkipFields(fields log.Fields, choice *backend.Choice) {
