Keep the position of the watch in rows of versions that were read ahead of it

A router that started later took the changes before it for known, and never learned a version among them whose own row had been overwritten.

The row now has the position of the watch.

--- a/internal/node/publicationnewest.go
+++ b/internal/node/publicationnewest.go
@@ -24,10 +24,11 @@
 		case err != nil:
 			return
 		case changes.Partial:
-			s.applyRechecked(ctx, after, &changes)
+			s.applyRechecked(ctx, from, &changes)
 			early = max(changes.StoreRevision, after+1)
 		default:
-			s.applyRechecked(ctx, after, &changes)
+			// Those between from and after are not known yet.
+			s.applyRechecked(ctx, from, &changes)
 			late = after
 		}
 		after = early + (late-early)/2
--- a/internal/node/publicationrecheck.go
+++ b/internal/node/publicationrecheck.go
@@ -152,7 +152,7 @@
 }
 
 // applyRechecked applies changes that the watch received or should have received; when an omitted
-// version was published is unknown.
+// version was published is unknown. All publications up to revision after are known.
 func (s *watchSession) applyRechecked(ctx context.Context, after uint64, changes *Changes) {
 	if s.applyPublished(ctx, after, clock.Now(), 0, false, changes) {
 		s.replica.advanceWatch(s.replica.watchedUntil(), true)
