--- a/internal/node/publicationnewest.go
+++ b/internal/node/publicationnewest.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 
 	"github.com/fieldpond/fieldpond/internal/store"
 )
@@ -19,11 +20,11 @@
 	early, late := max(from, s.newestSought), newest
 	after := early
 	for late > early && ctx.Err() == nil {
-		changes, err := s.changes(ctx, after, recheckHold)
+		changes, err := s.changesInTime(ctx, after)
 		switch {
-		case err != nil:
+		case err != nil && !errors.Is(err, ErrAnswerCut):
 			return
-		case changes.Partial:
+		case err != nil || changes.Partial:
 			s.applyRechecked(ctx, from, &changes)
 			early = max(changes.StoreRevision, after+1)
 		default:
@@ -35,3 +36,11 @@
 	}
 	s.newestSought = newest
 }
+
+// changesInTime requests the changes after a revision, and does not wait on for a slow answer: fewer
+// changes are requested instead.
+func (f *follower) changesInTime(ctx context.Context, after uint64) (Changes, error) {
+	bounded, cancel := context.WithTimeout(ctx, recheckHold+f.config.ReadTimeout)
+	defer cancel()
+	return f.source.Changes(bounded, after, recheckHold)
+}
