Say why a read of the configuration did not confirm it

A refusal for the age of the configuration named neither the version, nor its age, nor the cause, and the lines of lost dependencies and outdated rows are written once, when the state begins: the record of the incident could not tell its hypotheses apart.

Each read that confirms nothing is now counted by reason (edge_configuration_unconfirmed_total), logged at first and every five seconds after (configuration_not_confirmed), and named in the refusals that follow (unconfirmed, config_version, config_age_ms).

--- a/internal/catalog/holder.go
+++ b/internal/catalog/holder.go
@@ -32,6 +32,34 @@
 	SeenAtStart bool
 }
 
+// UnconfirmedReason is why a read of the configuration did not confirm the one in force.
+type UnconfirmedReason string
+
+const (
+	// ReadFailed means that the store did not answer, or refused the read.
+	ReadFailed UnconfirmedReason = "read_failed"
+	// RowMissing means that the store has no configuration.
+	RowMissing UnconfirmedReason = "row_missing"
+	// RowUnreadable means that the configuration cannot be decoded.
+	RowUnreadable UnconfirmedReason = "row_unreadable"
+	// HistoryNotRead means that the row has changed and its earlier content could not be read.
+	HistoryNotRead UnconfirmedReason = "history_not_read"
+	// HistoryGone means that the row has changed and the store has forgotten its earlier content.
+	HistoryGone UnconfirmedReason = "history_gone"
+	// RevisionReturned means that the row has an earlier revision than before.
+	RevisionReturned UnconfirmedReason = "revision_returned"
+)
+
+// Unconfirmed describes a read of the configuration that did not confirm the one in force.
+type Unconfirmed struct {
+	// Reason is empty if the last read confirmed the configuration.
+	Reason UnconfirmedReason
+	// AskedAt is when the read began.
+	AskedAt time.Time
+	// RowRevision is the row's revision, and RowVersion the version of its content; 0 if unknown.
+	RowRevision, RowVersion uint64
+}
+
 // View is an immutable copy of the state of a Holder.
 type View struct {
 	// Snapshot is nil until the first configuration is adopted.
@@ -41,6 +69,8 @@
 	ConfirmedAt time.Time
 	// Models holds the newest published version of each model.
 	Models map[ident.Model]PublishedVersion
+	// Unconfirmed describes the last read of this router if it confirmed nothing.
+	Unconfirmed Unconfirmed
 }
 
 // Age returns the time since the last confirmation.
@@ -82,5 +112,15 @@
 	if newer || confirmedAt.After(h.view.ConfirmedAt) {
 		h.view.ConfirmedAt = confirmedAt
 	}
+	if h.view.ConfirmedAt.After(h.view.Unconfirmed.AskedAt) {
+		h.view.Unconfirmed = Unconfirmed{}
+	}
 	return newer
 }
+
+// SetUnconfirmed records a read that did not confirm the configuration.
+func (h *Holder) SetUnconfirmed(unconfirmed Unconfirmed) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	h.view.Unconfirmed = unconfirmed
+}
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -122,7 +122,7 @@
 	f.awaitConfirmation(ctx, request)
 	run, refusal := f.admit(request)
 	if refusal != nil {
-		f.record(request, StepRefused, func(step *Step) { step.Fault = refusal })
+		f.recordRefusal(request, refusal)
 		sink.Refuse(refusal)
 		return
 	}
@@ -134,6 +134,20 @@
 	run.run(ctx)
 }
 
+// recordRefusal records a refusal by admit. Those due to the age of the configuration name its
+// version, its age and why it is not confirmed.
+func (f *Forwarder) recordRefusal(request *Request, refusal *fault.Fault) {
+	view := f.Holder.View()
+	f.record(request, StepRefused, func(step *Step) {
+		step.Fault = refusal
+		if refusal.Kind != fault.NotReady || view.Snapshot == nil {
+			return
+		}
+		step.ConfigurationVersion, step.ConfigurationAge = view.Snapshot.Version, view.Age(clock.Now())
+		step.Unconfirmed = view.Unconfirmed.Reason
+	})
+}
+
 // admit finds the route and tenant of a request. It returns a fault if this
 // router's configuration has none.
 func (f *Forwarder) admit(request *Request) (*run, *fault.Fault) {
--- a/internal/forward/step.go
+++ b/internal/forward/step.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/fieldpond/fieldpond/internal/backend"
+	"github.com/fieldpond/fieldpond/internal/catalog"
 	"github.com/fieldpond/fieldpond/internal/clock"
 	"github.com/fieldpond/fieldpond/internal/fault"
 	"github.com/fieldpond/fieldpond/internal/ident"
@@ -51,10 +52,13 @@
 	// Resumes is the request whose stream this one continues, or empty.
 	Resumes ident.Request
 	// Route, ConfigurationVersion and ConfigurationAge are empty if the request
-	// was refused before it had a route.
+	// was refused before it had a route. The last two are set also then if the reason is the
+	// age of the configuration.
 	Route                string
 	ConfigurationVersion uint64
 	ConfigurationAge     time.Duration
+	// Unconfirmed is set if the request was refused since the configuration is not confirmed.
+	Unconfirmed catalog.UnconfirmedReason
 	// Attempt is the number of attempts so far.
 	Attempt int
 	Choice  backend.Choice
--- a/internal/node/follower.go
+++ b/internal/node/follower.go
@@ -47,7 +47,9 @@
 	onLost func(name string)
 	// onPulled is called with the result of each pull, onWatched with that of each watch.
 	onPulled, onWatched func(result string)
-	startedAt           time.Time
+	// reads reports reads that do not confirm the configuration.
+	reads     unconfirmedReads
+	startedAt time.Time
 	// zones are all zones, if they are known.
 	zones []ident.Zone
 	// zoneBackbone has the names of the backbone of this router's zone, if it belongs to it.
@@ -152,6 +154,9 @@
 	reading, err := f.source.Configuration(bounded)
 	if err != nil {
 		f.rowsReadFailed(askedAt)
+		if ctx.Err() == nil {
+			f.reads.observe(f.replica.holder, catalog.Unconfirmed{Reason: catalog.ReadFailed, AskedAt: askedAt}, err)
+		}
 		return err
 	}
 	f.observeEpoch()
@@ -162,6 +167,9 @@
 	f.replica.recordRead(askedAt, &reading)
 	rollouts := f.orders(askedAt, f.replica.holder.View().ConfirmedAt, &reading)
 	err = f.applyReading(ctx, askedAt, &reading, rollouts)
+	if ctx.Err() == nil {
+		f.reads.observe(f.replica.holder, f.replica.unconfirmedBy(askedAt, &reading, err), err)
+	}
 	if err == nil {
 		f.checkHistory(ctx, askedAt, &reading)
 	}
--- a/internal/node/log.go
+++ b/internal/node/log.go
@@ -27,11 +27,7 @@
 func logStep(step *forward.Step) {
 	fields := log.Fields{"request": step.Request, "elapsed_ms": step.Elapsed.Milliseconds()}
 	addStreamFields(fields, step)
-	if step.Route != "" {
-		fields["route"] = step.Route
-		fields["config_version"] = step.ConfigurationVersion
-		fields["config_age_ms"] = step.ConfigurationAge.Milliseconds()
-	}
+	addConfigurationFields(fields, step)
 	if step.Choice.Instance != "" {
 		fields["attempt"] = step.Attempt
 		fields["instance"] = step.Choice.Instance
@@ -83,6 +79,20 @@
 	log.WithFields(fields).Info(string(step.Kind))
 }
 
+// addConfigurationFields adds the route and the configuration by which a request is handled.
+func addConfigurationFields(fields log.Fields, step *forward.Step) {
+	if step.Route != "" {
+		fields["route"] = step.Route
+	}
+	if step.ConfigurationVersion != 0 {
+		fields["config_version"] = step.ConfigurationVersion
+		fields["config_age_ms"] = step.ConfigurationAge.Milliseconds()
+	}
+	if step.Unconfirmed != "" {
+		fields["unconfirmed"] = step.Unconfirmed
+	}
+}
+
 // maxLoggedID bounds an identifier in the log that a client has chosen.
 const maxLoggedID = 64
 
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -42,6 +42,7 @@
 	orders          *prometheus.CounterVec
 	suspectVersions *prometheus.CounterVec
 	dependencies    *prometheus.CounterVec
+	unconfirmed     *prometheus.CounterVec
 	pulls           *prometheus.CounterVec
 	watches         *prometheus.CounterVec
 	retries         *prometheus.CounterVec
@@ -101,6 +102,7 @@
 		orders:          registry.Counter("edge_orders_total", "Orders to engines, by result.", "result"),
 		suspectVersions: registry.Counter("edge_versions_doubted_total", "Versions of weights under which engines ended while they loaded them, by model.", "model"),
 		dependencies:    registry.Counter("edge_dependency_lost_total", "Times that reads of a dependency began to fail.", "dependency"),
+		unconfirmed:     registry.Counter("edge_configuration_unconfirmed_total", "Reads that did not confirm the configuration in force, by reason: read_failed, row_missing, row_unreadable, history_not_read, history_gone or revision_returned.", "reason"),
 		watches:         registry.Counter("edge_naming_watches_total", "Watches of the store for versions of weights that are named, by result: news, quiet, partial, history_gone or failed.", "result"),
 		pulls:           registry.Counter("edge_pulls_total", "Pulls of the shared state from other routers, by result.", "result"),
 		retries:         registry.Counter("edge_repeats_total", "Repeats that were asked of the budget, by service and verdict: granted or denied.", "service", "verdict"),
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -221,7 +221,10 @@
 		onLost:     func(name string) { n.metrics.dependencies.WithLabelValues(name).Inc() },
 		onPulled:   func(result string) { n.metrics.pulls.WithLabelValues(result).Inc() },
 		onWatched:  func(result string) { n.metrics.watches.WithLabelValues(result).Inc() },
-		startedAt:  clock.Now(),
+		reads: unconfirmedReads{
+			onRead: func(reason catalog.UnconfirmedReason) { n.metrics.unconfirmed.WithLabelValues(string(reason)).Inc() },
+		},
+		startedAt: clock.Now(),
 	}
 }
 
