Confirm the configuration after a bounded gap in the history of its row

What callers saw: from five seconds after a change on, all routers refuse every request with a key (503, the configuration could not be confirmed for too long), while the store answers; until the operator writes again, or all routers are killed.

Cause, from the logs (configuration_not_confirmed, reasons history_gone and history_not_read): the row had changed, and what it held before was forgotten, or requests for it were silent, failed or were refused. The revision was held suspect for good (suspectRevision), or the request was repeated for good. With four reads of five refused, the call after each read that is answered is always refused, and that is the one for the history. An answer that proves less than hoped was treated as no answer, for ever, by all routers at once.

Only reads without an answer confirm nothing.

--- a/internal/node/configuration.go
+++ b/internal/node/configuration.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"time"
@@ -30,14 +31,22 @@
 	// confirmedStoreRevision is the store's revision at the last read of this router that found
 	// the row at checkedRevision, 0 for none.
 	confirmedStoreRevision uint64
-	// suspectRevision is a later revision at which the row held no newer configuration, while
-	// the store has forgotten what it held in between.
-	suspectRevision uint64
+	// assumed is a row that is taken to hold no newer configuration after a gap, though it is
+	// missing or has an earlier revision than checkedRevision.
+	assumed assumedRow
+	// outdatedRevision is the newest revision that was logged as outdated without confirmation.
+	outdatedRevision uint64
 	// historyUnknown is true if the configuration was adopted without the row's earlier content,
 	// since this router knew none before.
 	historyUnknown bool
 }
 
+// assumedRow is a revision of the row, 0 for a missing one.
+type assumedRow struct {
+	known    bool
+	revision uint64
+}
+
 // bodyFor returns the body for a peer, compressed if the peer reads that.
 func (h *heldConfiguration) bodyFor(readsPacked bool) (plain, packed []byte) {
 	if !readsPacked || len(h.body) == 0 {
@@ -73,6 +82,10 @@
 	// row's content at the read, and newest the newest content since checkedRevision.
 	checkedRevision uint64
 	row, newest     rowContent
+	// unreadable is whether the row cannot be decoded; row has the content held then.
+	unreadable bool
+	// adopted is whether the row's content was adopted before its history was read.
+	adopted bool
 	// storeRevision is the store's revision at the read.
 	storeRevision uint64
 	// historyErr is nil if all content since checkedRevision is known.
@@ -80,30 +93,80 @@
 	rollouts   *knownRollouts
 }
 
-// applyReading applies a read of the store that began at askedAt. If the row has changed, its
-// history since the last read is read as well: the last write may be a late one of an older
-// configuration.
-func (f *follower) applyReading(ctx context.Context, askedAt time.Time, reading *Reading, rollouts *knownRollouts) error {
+// errHistoryNotRequested is the error of a history that is not requested any more, since the gap
+// that it would close is over.
+var errHistoryNotRequested = fault.New(fault.StoreUnavailable, "the history of the configuration's row was not read in time")
+
+// applyReading applies a read of the store that began at askedAt, and returns why it does not
+// confirm the configuration in force; the reason is empty if it does.
+//
+// A store in contact confirms the configuration after a bounded gap even if its answers prove
+// less: the content that it has lost stays unknown however long routers wait, and a router that
+// starts uses the row as it is.
+func (f *follower) applyReading(
+	ctx context.Context, askedAt time.Time, reading *Reading, rollouts *knownRollouts,
+) (catalog.Unconfirmed, error) {
+	due := f.gap.Due(askedAt, f.historyWait())
+	unconfirmed, err := f.applyRow(ctx, askedAt, reading, rollouts, due)
+	switch {
+	case unconfirmed.Reason == "" || f.replica.configurationVersion() == 0:
+		f.gap.Close()
+	case due:
+		f.replica.skipGap(&unconfirmed, reading, f.gap.Length(askedAt))
+		f.gap.Close()
+		return catalog.Unconfirmed{}, nil
+	default:
+		f.gap.Observe(askedAt)
+	}
+	return unconfirmed, err
+}
+
+// historyWait is how long a gap may last.
+func (f *follower) historyWait() time.Duration {
+	return cmp.Or(f.config.HistoryWait, defaultHistoryWait)
+}
+
+// applyRow applies the configuration's row. If it has changed, its history since the last read is
+// read as well, unless the gap is over: the last write may be a late one of an older
+// configuration. A newer configuration is in force before its history is known.
+func (f *follower) applyRow(
+	ctx context.Context, askedAt time.Time, reading *Reading, rollouts *knownRollouts, gapOver bool,
+) (catalog.Unconfirmed, error) {
+	unconfirmed := catalog.Unconfirmed{AskedAt: askedAt, RowRevision: reading.Revision}
 	checkedRevision, after, changed := f.replica.historyToCheck(reading.Revision)
 	if !changed {
-		f.replica.confirmRow(askedAt, reading, rollouts)
-		return nil
+		unconfirmed.Reason = f.replica.confirmRow(askedAt, reading, rollouts)
+		return unconfirmed, nil
 	}
-	row, err := f.replica.decodeRow(reading)
-	if err != nil {
-		return err
+	row, decodeErr := f.replica.decodeRow(reading)
+	if decodeErr != nil {
+		if row = f.replica.heldRow(reading.Revision); row.snapshot == nil {
+			unconfirmed.Reason = catalog.RowUnreadable
+			return unconfirmed, decodeErr
+		}
+	} else {
+		unconfirmed.RowVersion = row.snapshot.Version
 	}
 	read := &configurationRead{
-		askedAt: askedAt, checkedRevision: checkedRevision, row: row, newest: row, storeRevision: reading.StoreRevision, rollouts: rollouts,
+		askedAt: askedAt, checkedRevision: checkedRevision, row: row, newest: row, unreadable: decodeErr != nil,
+		storeRevision: reading.StoreRevision, rollouts: rollouts,
 	}
-	if checkedRevision != 0 {
+	switch {
+	case checkedRevision == 0:
+	case gapOver:
+		read.historyErr = errHistoryNotRequested
+	default:
+		read.adopted = f.replica.adoptUnconfirmed(read)
 		read.newest, read.historyErr = f.newestSince(ctx, after, row)
 	}
-	f.replica.applyRead(read)
-	if errors.Is(read.historyErr, ErrHistoryGone) {
-		return nil
+	unconfirmed.Reason = f.replica.applyRead(read)
+	switch {
+	case unconfirmed.Reason == catalog.RowUnreadable:
+		return unconfirmed, decodeErr
+	case errors.Is(read.historyErr, ErrHistoryGone):
+		return unconfirmed, nil
 	}
-	return read.historyErr
+	return unconfirmed, read.historyErr
 }
 
 // checkHistory reads what the row held before this router adopted it without knowing another
@@ -146,7 +209,9 @@
 		}
 		content, err := f.replica.decodeRow(&reading)
 		if err != nil {
-			return row, err
+			// It cannot be in force, and must not hide those after it.
+			log.WithFields(log.Fields{"revision": reading.Revision, "cause": err.Error()}).Warn("configuration_unreadable")
+			continue
 		}
 		if content.snapshot.Version > newest.snapshot.Version {
 			newest = content
@@ -170,10 +235,25 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	held := &r.config
-	changed = revision > held.checkedRevision && revision != held.suspectRevision
+	changed = revision > held.checkedRevision
 	return held.checkedRevision, max(held.checkedRevision, held.confirmedStoreRevision), changed
 }
 
+// configurationVersion returns the version of the configuration in force, 0 for none.
+func (r *replica) configurationVersion() uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.config.version
+}
+
+// heldRow returns the configuration held as the content of the row at a revision. Its snapshot is
+// nil if none is held.
+func (r *replica) heldRow(revision uint64) rowContent {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return rowContent{revision: revision, body: r.config.body, snapshot: r.holder.View().Snapshot}
+}
+
 // rowToCheck returns the row of a reading, and whether it was adopted with unknown history.
 func (r *replica) rowToCheck(reading *Reading) (row rowContent, due bool) {
 	r.mu.Lock()
@@ -196,36 +276,58 @@
 	}
 }
 
-// confirmRow applies a reading of a row whose revision is known.
-func (r *replica) confirmRow(askedAt time.Time, reading *Reading, rollouts *knownRollouts) {
+// confirmRow applies a reading of a row whose revision is known, and returns why it does not
+// confirm the configuration in force.
+func (r *replica) confirmRow(askedAt time.Time, reading *Reading, rollouts *knownRollouts) catalog.UnconfirmedReason {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if reading.Revision == 0 || reading.Revision < r.config.checkedRevision {
-		return
+	held := &r.config
+	assumed := held.assumed == assumedRow{known: true, revision: reading.Revision}
+	switch {
+	case reading.Revision == held.checkedRevision && reading.Revision != 0:
+		held.confirmedStoreRevision = max(held.confirmedStoreRevision, reading.StoreRevision)
+	case assumed:
+	case reading.Revision == 0:
+		return catalog.RowMissing
+	default:
+		return catalog.RevisionReturned
 	}
 	r.applyRollouts(askedAt, rollouts)
-	if reading.Revision == r.config.checkedRevision {
-		r.config.confirmedStoreRevision = max(r.config.confirmedStoreRevision, reading.StoreRevision)
-		r.confirmConfiguration(r.node, askedAt)
+	r.confirmConfiguration(r.node, askedAt)
+	return ""
+}
+
+// adoptUnconfirmed puts the row's configuration in force if it is newer, without confirming it, and
+// reports whether it is.
+func (r *replica) adoptUnconfirmed(read *configurationRead) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if read.row.snapshot.Version <= r.config.version || r.config.checkedRevision >= read.row.revision {
+		return false
 	}
+	r.applyRollouts(read.askedAt, read.rollouts)
+	r.adopt(r.node, r.holder.View().ConfirmedAt, read.row)
+	return true
 }
 
-func (r *replica) applyRead(read *configurationRead) {
+// applyRead applies a changed row, and returns why it does not confirm the configuration in force.
+func (r *replica) applyRead(read *configurationRead) catalog.UnconfirmedReason {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	held := &r.config
 	if held.checkedRevision < read.checkedRevision || held.checkedRevision >= read.row.revision {
 		// A peer supplied another one during the read, whose history is not the one read.
-		return
+		return ""
 	}
 	// Orders go first: a release that waits for the confirmation must not be used before
 	// its order is known.
 	r.applyRollouts(read.askedAt, read.rollouts)
 	restored := store.Epoch(read.row.revision) > store.Epoch(read.checkedRevision)
-	sameVersion := restored && read.newest.snapshot.Version == held.version
+	sameVersion := restored && !read.unreadable && read.newest.snapshot.Version == held.version
 	newer := read.newest.snapshot.Version > held.version || (sameVersion && !bytes.Equal(read.newest.body, held.body))
+	gone := errors.Is(read.historyErr, ErrHistoryGone)
 	switch {
-	case read.historyErr == nil, (newer || sameVersion) && errors.Is(read.historyErr, ErrHistoryGone):
+	case !read.unreadable && (read.historyErr == nil || (gone && (newer || sameVersion || read.adopted))):
 		// A newer row is adopted even without its history, as by a router that has just
 		// started. So is one of the same version from a restored store; an older one confirms
 		// nothing, since the operator writes the lost ones again.
@@ -235,19 +337,44 @@
 			held.historyUnknown = read.checkedRevision == 0
 		}
 		if restored {
-			held.suspectRevision, held.historyUnknown = 0, true
+			held.historyUnknown = true
 		}
 		held.confirmedStoreRevision = read.storeRevision
 		r.confirmConfiguration(r.node, read.askedAt)
 		r.logOutdatedRow(&read.row, true)
-	case errors.Is(read.historyErr, ErrHistoryGone):
-		// An unobserved configuration may have replaced the held one and revoked keys.
-		held.suspectRevision = read.row.revision
-		r.logOutdatedRow(&read.row, false)
+		return ""
 	case newer:
 		// The newer one is used, but not confirmed: its history is read again.
 		r.adopt(r.node, r.holder.View().ConfirmedAt, read.newest)
 	}
+	switch {
+	case read.unreadable:
+		return catalog.RowUnreadable
+	case gone:
+		// An unobserved configuration may have replaced the held one and revoked keys.
+		r.logOutdatedRow(&read.row, false)
+		return catalog.HistoryGone
+	default:
+		return catalog.HistoryNotRead
+	}
+}
+
+// skipGap confirms the configuration in force by a read that was answered, though unconfirmed says
+// that it proves less. The history is read later, if it is there again.
+func (r *replica) skipGap(unconfirmed *catalog.Unconfirmed, reading *Reading, length time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	held := &r.config
+	log.WithFields(log.Fields{
+		"version": held.version, "row_version": unconfirmed.RowVersion, "from": held.checkedRevision, "to": reading.Revision,
+		"reason": unconfirmed.Reason, "gap_ms": length.Milliseconds(),
+	}).Warn("configuration_gap_skipped")
+	if reading.Revision > held.checkedRevision {
+		held.checkedRevision, held.confirmedStoreRevision, held.historyUnknown = reading.Revision, reading.StoreRevision, true
+	} else {
+		held.assumed = assumedRow{known: true, revision: reading.Revision}
+	}
+	r.confirmConfiguration(r.node, unconfirmed.AskedAt)
 }
 
 // applyConfiguration applies a peer's configuration, which was the newest at confirmedAt. An
@@ -293,7 +420,7 @@
 // checkedRevision.
 func (r *replica) adopt(origin ident.Node, confirmedAt time.Time, newest rowContent) {
 	r.config.version, r.config.body, r.config.packed = newest.snapshot.Version, newest.body, nil
-	r.config.suspectRevision, r.config.historyUnknown = 0, false
+	r.config.assumed, r.config.historyUnknown = assumedRow{}, false
 	r.holder.Adopt(newest.snapshot, confirmedAt)
 	log.WithFields(log.Fields{
 		"version": newest.snapshot.Version, "routes": newest.snapshot.RouteCount(), "revision": newest.revision,
@@ -318,6 +445,12 @@
 	if confirmed && row.snapshot.Version == r.config.version {
 		return
 	}
+	if !confirmed {
+		if r.config.outdatedRevision == row.revision {
+			return
+		}
+		r.config.outdatedRevision = row.revision
+	}
 	log.WithFields(log.Fields{
 		"version": row.snapshot.Version, "known": r.config.version, "revision": row.revision, "confirmed": confirmed,
 	}).Warn("configuration_row_outdated")
--- a/internal/node/follower.go
+++ b/internal/node/follower.go
@@ -48,7 +48,9 @@
 	// onPulled is called with the result of each pull, onWatched with that of each watch.
 	onPulled, onWatched func(result string)
 	// reads reports reads that do not confirm the configuration.
-	reads     unconfirmedReads
+	reads unconfirmedReads
+	// gap is the time in which reads are answered and do not confirm the configuration.
+	gap       catalog.Gap
 	startedAt time.Time
 	// zones are all zones, if they are known.
 	zones []ident.Zone
@@ -87,6 +89,10 @@
 	BackendInterval time.Duration
 	// ReadTimeout bounds one read, and the silence in an answer that arrives slowly.
 	ReadTimeout time.Duration
+	// HistoryWait is how long answered reads may leave the configuration unconfirmed, since what
+	// its row held before is not known; 0 means two seconds. It must be well below the time for
+	// which keys stay valid without a confirmation.
+	HistoryWait time.Duration
 	// RetryPause follows a failed read. At routers that do not read the store for
 	// others it doubles with each failure in a row, up to the interval.
 	RetryPause time.Duration
@@ -137,6 +143,10 @@
 	})
 }
 
+// defaultHistoryWait is the default of FollowConfig.HistoryWait: a store that drops its history may
+// return it a second later.
+const defaultHistoryWait = 2 * time.Second
+
 // maxReadTime bounds a read whose answer arrives slowly, within the time for which a configuration
 // stays valid.
 const maxReadTime = 4 * time.Second
@@ -166,9 +176,9 @@
 	f.rowsReadAt = askedAt
 	f.replica.recordRead(askedAt, &reading)
 	rollouts := f.orders(askedAt, f.replica.holder.View().ConfirmedAt, &reading)
-	err = f.applyReading(ctx, askedAt, &reading, rollouts)
+	unconfirmed, err := f.applyReading(ctx, askedAt, &reading, rollouts)
 	if ctx.Err() == nil {
-		f.reads.observe(f.replica.holder, f.replica.unconfirmedBy(askedAt, &reading, err), err)
+		f.reads.observe(f.replica.holder, unconfirmed, err)
 	}
 	if err == nil {
 		f.checkHistory(ctx, askedAt, &reading)
--- a/internal/node/unconfirmed.go
+++ b/internal/node/unconfirmed.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"errors"
 	"time"
 
 	"github.com/apex/log"
@@ -54,33 +53,3 @@
 	}
 	log.WithFields(fields).Warn("configuration_not_confirmed")
 }
-
-// unconfirmedBy returns why a read that began at askedAt did not confirm the configuration in force,
-// given the error with which it was applied. The reason is empty if it did.
-func (r *replica) unconfirmedBy(askedAt time.Time, reading *Reading, err error) catalog.Unconfirmed {
-	view := r.holder.View()
-	if view.Snapshot != nil && !view.ConfirmedAt.Before(askedAt) {
-		return catalog.Unconfirmed{}
-	}
-	unconfirmed := catalog.Unconfirmed{AskedAt: askedAt, RowRevision: reading.Revision}
-	row, decodeErr := r.decodeRow(reading)
-	if decodeErr == nil {
-		unconfirmed.RowVersion = row.snapshot.Version
-	}
-	r.mu.Lock()
-	checked, suspect := r.config.checkedRevision, r.config.suspectRevision
-	r.mu.Unlock()
-	switch {
-	case reading.Revision == 0:
-		unconfirmed.Reason = catalog.RowMissing
-	case decodeErr != nil:
-		unconfirmed.Reason = catalog.RowUnreadable
-	case reading.Revision < checked:
-		unconfirmed.Reason = catalog.RevisionReturned
-	case reading.Revision == suspect || errors.Is(err, ErrHistoryGone):
-		unconfirmed.Reason = catalog.HistoryGone
-	default:
-		unconfirmed.Reason = catalog.HistoryNotRead
-	}
-	return unconfirmed
-}
--- a/internal/node/unconfirmed_test.go
+++ b/internal/node/unconfirmed_test.go
@@ -57,3 +57,81 @@
 		})
 	}
 }
+
+// A read that proves less than hoped must not leave all routers without a confirmation until the
+// next write; nor may a version go back.
+func TestAnsweredReadsConfirmAfterBoundedGap(t *testing.T) {
+	for _, tt := range []struct {
+		name  string
+		fault func(store *lateStore)
+		// version is the one in force afterwards.
+		version uint64
+	}{
+		{"the row is missing", func(store *lateStore) {
+			store.change(func() { store.reading.Revision, store.reading.Body = 0, nil })
+		}, 10},
+		{"the row is unreadable", func(store *lateStore) {
+			store.change(func() { store.reading.Revision, store.reading.Body = store.reading.Revision+2, []byte("x") })
+		}, 10},
+		{"the row has an earlier revision", func(store *lateStore) {
+			store.change(func() { store.reading.Revision-- })
+		}, 10},
+		{"no history", func(store *lateStore) {
+			store.fail(errors.New("no answer"))
+			store.write(9)
+		}, 10},
+		{"no history of a newer one", func(store *lateStore) {
+			store.fail(errors.New("no answer"))
+			store.write(12)
+		}, 12},
+		{"a forgotten history", func(store *lateStore) {
+			store.fail(ErrHistoryGone)
+			store.write(9)
+		}, 10},
+		{"an unreadable content in the history", func(store *lateStore) {
+			store.write(10)
+			store.change(func() { store.written[len(store.written)-1].Body = []byte("x") })
+			store.write(12)
+		}, 12},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				store := newLateStore()
+				store.write(10)
+				reader := store.started(t)
+				time.Sleep(time.Second)
+				tt.fault(store)
+				var oldest time.Duration
+				for range 100 {
+					time.Sleep(100 * time.Millisecond)
+					oldest = max(oldest, ageAt(reader))
+				}
+				is.Equal(versionAt(reader), tt.version)
+				is.True(oldest <= defaultHistoryWait+3*configurationInterval)
+				is.True(ageAt(reader) <= configurationInterval)
+				store.change(func() { store.reading.Revision = 100 }) // revisions only rise
+				store.write(20)
+				time.Sleep(2 * configurationInterval)
+				is.Equal(versionAt(reader), uint64(20))
+			})
+		})
+	}
+}
+
+// Writes of the row that keep coming must not put the end of the gap off.
+func TestGapEndsAmidFurtherWrites(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := newLateStore()
+		store.write(10)
+		reader := store.started(t)
+		store.fail(errors.New("no answer"))
+		for version := range uint64(100) {
+			store.write(11 + version/2)
+			time.Sleep(300 * time.Millisecond)
+			is.True(ageAt(reader) <= defaultHistoryWait+3*configurationInterval)
+			is.True(versionAt(reader)+2 >= 11+version/2)
+		}
+	})
+}
