Decode the parts of a configuration that can be decoded

What callers saw: a configuration that the store had taken was never in force, and from five seconds on all requests with keys were refused at all routers, since one of its fields could not be decoded: a route of an unknown kind, a weight of 0.7, a version written 2.0, a name for the address of a cache store, a list of keys that is none. An unreadable row of a version of weights, which is read in the same call, did the same.

Cause, from the logs (configuration_not_confirmed, reasons row_unreadable and read_failed): package json fails the whole of a structure for one field, and Store.Configuration failed for one row.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -134,6 +134,10 @@
 	// Keys maps each API key to its tenant; nil means that no route needs one.
 	Keys   map[string]*Tenant
 	Limits Limits
+	// RoutesIncomplete and KeysIncomplete are whether some routes or keys could not be decoded.
+	RoutesIncomplete, KeysIncomplete bool
+	// Problems describe the parts that could not be decoded.
+	Problems []string
 }
 
 // Snapshot is one version of the configuration. It is immutable.
@@ -148,6 +152,9 @@
 	stores []*Service
 	// limited is true if any tenant has a limit.
 	limited bool
+	// routesIncomplete and keysIncomplete are whether some routes or keys could not be decoded.
+	routesIncomplete, keysIncomplete bool
+	problems                         []string
 }
 
 // NewSnapshot indexes a configuration.
@@ -158,6 +165,8 @@
 		keys:     content.Keys,
 		services: make(map[ident.Service]*Service, len(content.Services)),
 		routes:   make(map[string][]*Route),
+
+		routesIncomplete: content.RoutesIncomplete, keysIncomplete: content.KeysIncomplete, problems: content.Problems,
 	}
 	for index := range content.Services {
 		service := &content.Services[index]
@@ -181,6 +190,15 @@
 	return snapshot
 }
 
+// Problems describes the parts of the configuration that could not be decoded.
+func (s *Snapshot) Problems() []string { return s.problems }
+
+// KnowsRoutes reports whether there are no other routes than those of the snapshot.
+func (s *Snapshot) KnowsRoutes() bool { return !s.routesIncomplete }
+
+// KnowsKeys reports whether there are no other keys than those of the snapshot.
+func (s *Snapshot) KnowsKeys() bool { return !s.keysIncomplete }
+
 // Match returns the route of a host and path, or nil.
 func (s *Snapshot) Match(host, path string) *Route {
 	for _, route := range s.routes[host] {
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -158,13 +158,13 @@
 	}
 	route := view.Snapshot.Match(request.Host, request.Path)
 	if route == nil {
-		return nil, f.denied(now, view, fault.UnknownRoute, "no route has this host and path")
+		return nil, f.denied(now, view, view.Snapshot.KnowsRoutes(), fault.UnknownRoute, "no route has this host and path")
 	}
 	run := &run{forwarder: f, request: request, view: view, route: route}
 	if view.Snapshot.Authenticates() && !route.Public {
 		run.tenant = view.Snapshot.Tenant(request.Key)
 		if run.tenant == nil {
-			return nil, f.denied(now, view, fault.Unauthorized, "the API key is not known")
+			return nil, f.denied(now, view, view.Snapshot.KnowsKeys(), fault.Unauthorized, "the API key is not known")
 		}
 		run.authenticated = true
 	}
@@ -182,9 +182,9 @@
 }
 
 // denied returns a fault of the kind, or a temporary one if this router's
-// configuration may be outdated.
-func (f *Forwarder) denied(now time.Time, view catalog.View, kind fault.Kind, detail string) *fault.Fault {
-	if view.Age(now) > f.config.Freshness.Denial {
+// configuration may be outdated or lacks some of them.
+func (f *Forwarder) denied(now time.Time, view catalog.View, complete bool, kind fault.Kind, detail string) *fault.Fault {
+	if !complete || view.Age(now) > f.config.Freshness.Denial {
 		return f.notReady("this router cannot confirm that " + detail)
 	}
 	return fault.New(kind, "%s", detail)
--- a/internal/forward/unconfirmed_test.go
+++ b/internal/forward/unconfirmed_test.go
@@ -1,6 +1,7 @@
 package forward_test
 
 import (
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -8,6 +9,7 @@
 	"github.com/matryer/is"
 
 	"github.com/fieldpond/fieldpond/internal/catalog"
+	"github.com/fieldpond/fieldpond/internal/fault"
 	"github.com/fieldpond/fieldpond/internal/forward"
 )
 
@@ -37,3 +39,34 @@
 		})
 	}
 }
+
+// A route or key that could not be decoded must not be reported as one that does not exist.
+func TestPartsThatWereNotDecodedAreNotDenied(t *testing.T) {
+	for _, tt := range []struct {
+		name                             string
+		routesIncomplete, keysIncomplete bool
+		route, key                       string
+		want                             fault.Kind
+	}{
+		{"an unknown route", false, true, "none", "key", fault.UnknownRoute},
+		{"a route that may not have been decoded", true, false, "none", "key", fault.NotReady},
+		{"an unknown key", true, false, "safe", "other", fault.Unauthorized},
+		{"a key that may not have been decoded", false, true, "safe", "other", fault.NotReady},
+		{"a route without services", false, false, "bare", "key", fault.NotReady},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			b := newFixture(genuine(200, "ok"))
+			content := configuration
+			content.Version++
+			content.Routes = append(slices.Clone(content.Routes), catalog.Route{Name: "bare", Host: "h", PathPrefix: "/bare/", Kind: catalog.Safe})
+			content.RoutesIncomplete, content.KeysIncomplete = tt.routesIncomplete, tt.keysIncomplete
+			b.holder.Adopt(catalog.NewSnapshot(content), time.Now())
+			wanted := request(tt.route)
+			wanted.Key = tt.key
+			sink := b.forward(t, wanted)
+			is.Equal(sink.refusal.Kind, tt.want)
+			is.Equal(sink.refusal.RetryAfter > 0, tt.want == fault.NotReady)
+		})
+	}
+}
--- a/internal/node/configuration.go
+++ b/internal/node/configuration.go
@@ -416,6 +416,9 @@
 	return received.Version > r.config.version
 }
 
+// maxLoggedProblems bounds the problems of a configuration in one log line.
+const maxLoggedProblems = 20
+
 // adopt puts a newer configuration in force; the caller holds the mutex and sets
 // checkedRevision.
 func (r *replica) adopt(origin ident.Node, confirmedAt time.Time, newest rowContent) {
@@ -426,6 +429,11 @@
 		"version": newest.snapshot.Version, "routes": newest.snapshot.RouteCount(), "revision": newest.revision,
 		"read_ms": clock.Since(confirmedAt).Milliseconds(), "origin": origin,
 	}).Info("configuration_adopted")
+	if problems := newest.snapshot.Problems(); len(problems) > 0 {
+		log.WithFields(log.Fields{
+			"version": newest.snapshot.Version, "count": len(problems), "problems": problems[:min(len(problems), maxLoggedProblems)],
+		}).Warn("configuration_partly_unreadable")
+	}
 	r.bumpConfirmation(origin)
 }
 
--- a/internal/node/events.go
+++ b/internal/node/events.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"slices"
 	"strings"
 )
 
@@ -30,7 +31,22 @@
 
 // Events returns every event of a node's log.
 func Events() []EventDescription {
-	return append(events(), backendAndStoreEvents()...)
+	return slices.Concat(events(), configurationEvents(), backendAndStoreEvents())
+}
+
+// configurationEvents are the events about the configuration and the rows that it is read with.
+func configurationEvents() []EventDescription {
+	return []EventDescription{
+		{"configuration_adopted", []string{"version", "routes", "revision", "read_ms", "origin"}, "A newer configuration is in force here; origin is the router that read it from the store."},
+		{"configuration_row_outdated", []string{"version", "known", "revision", "confirmed"}, "The configuration's row holds another configuration than the newest, since the store applied an older write late. The known one stays in force. If the store has forgotten what the row held in between (confirmed is false), it is confirmed after a wait, see configuration_gap_skipped."},
+		{"configuration_not_confirmed", []string{"reason", "cause", "version", "age_ms", "row_version", "row_revision", "reads"}, "Reads of this router do not confirm the configuration in force, which has this version and was confirmed age_ms ago; logged at the first such read and every few seconds after. The reason is read_failed, row_missing, row_unreadable, history_not_read, history_gone or revision_returned; row_version and row_revision are what the row holds, reads is the number of such reads in a row."},
+		{"configuration_gap_skipped", []string{"version", "row_version", "from", "to", "reason", "gap_ms"}, "Answered reads did not confirm the configuration in force for gap_ms, for this reason, and do now: what its row held between the revisions from and to stays unknown. A configuration that was written and overwritten in between is not in force here; if there was one, write it again under a higher version."},
+		{"rows_partly_unreadable", []string{"fields"}, "Some fields of rows in an answer of the store cannot be decoded; these rows are left out or have no value."},
+		{"configuration_partly_unreadable", []string{"version", "count", "problems"}, "Some fields of a configuration that is in force cannot be decoded; problems names the first of them. Routes without a readable host or path, and tenants without readable keys, are left out; requests that match nothing else get 503 in place of 404 or 401."},
+		{"configuration_unreadable", []string{"revision", "cause"}, "A content that the configuration's row held cannot be decoded, and is skipped."},
+		{"configuration_confirmed_again", []string{"version", "reads"}, "A read confirms the configuration again, after this number of reads that did not."},
+		{"configuration_not_packed", []string{"cause"}, "The configuration cannot be compressed, and is sent to peers as it is."},
+	}
 }
 
 // backendAndStoreEvents are the events about what back ends advertise, and about restores of the store.
@@ -77,15 +93,8 @@
 		{"dependency_lost", []string{"dependency", "cause"}, "Reads of a dependency begin to fail."},
 		{"dependency_regained", []string{"dependency", "lost_ms"}, "Reads work again."},
 		{"machine_was_suspended", []string{"suspended_ms"}, "The machine was suspended for this long, which the monotonic clock did not count; all state is that much older."},
-		{"configuration_adopted", []string{"version", "routes", "revision", "read_ms", "origin"}, "A newer configuration is in force here; origin is the router that read it from the store."},
-		{"configuration_row_outdated", []string{"version", "known", "revision", "confirmed"}, "The configuration's row holds another configuration than the newest, since the store applied an older write late. The known one stays in force. If the store has forgotten what the row held in between (confirmed is false), it is confirmed after a wait, see configuration_gap_skipped."},
-		{"configuration_not_confirmed", []string{"reason", "cause", "version", "age_ms", "row_version", "row_revision", "reads"}, "Reads of this router do not confirm the configuration in force, which has this version and was confirmed age_ms ago; logged at the first such read and every few seconds after. The reason is read_failed, row_missing, row_unreadable, history_not_read, history_gone or revision_returned; row_version and row_revision are what the row holds, reads is the number of such reads in a row."},
-		{"configuration_gap_skipped", []string{"version", "row_version", "from", "to", "reason", "gap_ms"}, "Answered reads did not confirm the configuration in force for gap_ms, for this reason, and do now: what its row held between the revisions from and to stays unknown. A configuration that was written and overwritten in between is not in force here; if there was one, write it again under a higher version."},
-		{"configuration_unreadable", []string{"revision", "cause"}, "A content that the configuration's row held cannot be decoded, and is skipped."},
-		{"configuration_confirmed_again", []string{"version", "reads"}, "A read confirms the configuration again, after this number of reads that did not."},
 		{"backends_changed", []string{"appeared", "draining", "gone", "reloaded"}, "The instance list has changed so much that only the numbers of changes are logged."},
 		{"list_not_packed", []string{"cause"}, "The instance list cannot be packed, and is sent to peers record by record."},
-		{"configuration_not_packed", []string{"cause"}, "The configuration cannot be compressed, and is sent to peers as it is."},
 		{"peers_read", []string{"revision", "peers", "routers", "leaf"}, "This router has read again which routers it may pull from."},
 		{"peers_not_read", []string{"cause"}, "This router could not read again which routers it may pull from."},
 		{"backend_changed", []string{"instance", "service", "address", "change", "revision", "models"}, "The instance list has changed: appeared, draining, gone or reloaded."},
--- a/internal/node/gauges.go
+++ b/internal/node/gauges.go
@@ -11,6 +11,7 @@
 	if view.Snapshot != nil {
 		now.configurationVersion = view.Snapshot.Version
 		now.configurationAge = view.Age(clock.Now())
+		now.configurationProblems = len(view.Snapshot.Problems())
 	}
 	now.leaseHeld = n.holdsLease()
 	now.readsStore = n.follower.readsForOthers()
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -64,30 +64,32 @@
 type gaugeValues struct {
 	configurationVersion uint64
 	configurationAge     time.Duration
-	backends, inFlight   int
-	limitedBackends      int
-	drainingBackends     int
-	backingOffBackends   int
-	leaseHeld            bool
-	readsStore           bool
-	leaf                 bool
-	children             int
-	listAge              time.Duration
-	routers, sharers     int
-	quotaMembers         int
-	limitMembers         int
-	unreachableRegions   int
-	backendsLost         bool
-	relayed              int
-	detours              uint64
-	linesDropped         uint64
-	silentConnections    uint64
-	clients              int
-	clientsRefused       uint64
-	quarantined          int
-	crashSuspects        int
-	streamRecords        int
-	streamRecordsDropped uint64
+	// configurationProblems is the number of fields that could not be decoded.
+	configurationProblems int
+	backends, inFlight    int
+	limitedBackends       int
+	drainingBackends      int
+	backingOffBackends    int
+	leaseHeld             bool
+	readsStore            bool
+	leaf                  bool
+	children              int
+	listAge               time.Duration
+	routers, sharers      int
+	quotaMembers          int
+	limitMembers          int
+	unreachableRegions    int
+	backendsLost          bool
+	relayed               int
+	detours               uint64
+	linesDropped          uint64
+	silentConnections     uint64
+	clients               int
+	clientsRefused        uint64
+	quarantined           int
+	crashSuspects         int
+	streamRecords         int
+	streamRecordsDropped  uint64
 }
 
 func newMetrics(read func() gaugeValues) *metrics {
@@ -126,6 +128,7 @@
 	group := telemetry.NewGroup(registry, func() (gaugeValues, bool) { return read(), true })
 	group.Gauge("edge_configuration_version", "Version of the configuration in force, 0 for none.", func(r gaugeValues) int { return int(r.configurationVersion) })
 	group.Gauge("edge_configuration_age_milliseconds", "Time since the configuration was last confirmed, in milliseconds.", func(r gaugeValues) int { return int(r.configurationAge.Milliseconds()) })
+	group.Gauge("edge_configuration_problems", "Fields of the configuration in force that cannot be decoded.", func(r gaugeValues) int { return r.configurationProblems })
 	group.Gauge("edge_backends", "Back ends in the list.", func(r gaugeValues) int { return r.backends })
 	group.Gauge("edge_backends_limited", "Back ends that name a limit of the requests which they take from all routers together.", func(r gaugeValues) int { return r.limitedBackends })
 	group.Gauge("edge_backends_leaving", "Back ends in the list that are about to end, by the list's word, their own or another router's.", func(r gaugeValues) int { return r.drainingBackends })
