Keep the newest configuration in the store

Cause: a router that starts has the operator's row alone, and no memory of the newest version survives an end of all routers.

The router that reads the store now writes each newer configuration to rows of its own, under a condition, and routers that start read them before they use the operator's row; a gap reads them too.

--- a/internal/node/configuration.go
+++ b/internal/node/configuration.go
@@ -107,6 +107,9 @@
 	ctx context.Context, askedAt time.Time, reading *Reading, rollouts *knownRollouts,
 ) (catalog.Unconfirmed, error) {
 	due := f.gap.Due(askedAt, f.historyWait())
+	if due {
+		f.adoptKept(ctx, askedAt)
+	}
 	unconfirmed, err := f.applyRow(ctx, askedAt, reading, rollouts, due)
 	switch {
 	case unconfirmed.Reason == "" || f.replica.configurationVersion() == 0:
@@ -334,9 +337,8 @@
 		held.checkedRevision = read.row.revision
 		if newer {
 			r.adopt(r.node, read.askedAt, read.newest)
-			held.historyUnknown = read.checkedRevision == 0
 		}
-		if restored {
+		if read.checkedRevision == 0 || restored {
 			held.historyUnknown = true
 		}
 		held.confirmedStoreRevision = read.storeRevision
--- a/internal/node/follower.go
+++ b/internal/node/follower.go
@@ -49,6 +49,10 @@
 	onPulled, onWatched func(result string)
 	// reads reports reads that do not confirm the configuration.
 	reads unconfirmedReads
+	// kept holds the newest configuration that a router has adopted; it may be nil. keptRead is
+	// whether it was read by this router.
+	kept     *configurationKeeper
+	keptRead bool
 	// gap is the time in which reads are answered and do not confirm the configuration.
 	gap       catalog.Gap
 	startedAt time.Time
@@ -176,6 +180,9 @@
 	f.rowsReadAt = askedAt
 	f.replica.recordRead(askedAt, &reading)
 	rollouts := f.orders(askedAt, f.replica.holder.View().ConfirmedAt, &reading)
+	if f.replica.configurationVersion() == 0 || (!f.keptRead && f.readsForOthers()) {
+		f.adoptKept(ctx, askedAt)
+	}
 	unconfirmed, err := f.applyReading(ctx, askedAt, &reading, rollouts)
 	if ctx.Err() == nil {
 		f.reads.observe(f.replica.holder, unconfirmed, err)
