Adopt configurations from the feed of changes

What callers saw: an added route is answered 404 by all routers, and the key revoked with it is served, when a late write of the older configuration follows at once and the store forgets its history before the next read (a third of configApplyMs later).

Cause: the reader's request for changes, which is answered within milliseconds, has each content of the configuration's row, and only versions of weights were taken from it.

A newer configuration among the changes is in force at once. It confirms nothing, since a store that is about to forget its history omits changes.

--- a/internal/node/configuration.go
+++ b/internal/node/configuration.go
@@ -300,6 +300,35 @@
 	return ""
 }
 
+// adoptWatched puts the newest configuration among changes in force if it is newer, without
+// confirming it: the row may hold an older one again before the next read, and its history may be
+// forgotten by then.
+func (f *follower) adoptWatched(changes *Changes) {
+	var newest rowContent
+	for index := range changes.Configurations {
+		content, err := f.replica.decodeRow(&changes.Configurations[index])
+		if err == nil && (newest.snapshot == nil || content.snapshot.Version > newest.snapshot.Version) {
+			newest = content
+		}
+	}
+	if newest.snapshot != nil {
+		f.replica.adoptChange(newest)
+	}
+}
+
+// adoptChange adopts a newer content of the row that a change had.
+func (r *replica) adoptChange(content rowContent) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.config.version == 0 || content.snapshot.Version <= r.config.version {
+		return
+	}
+	// What is known of the row's history stays as it is.
+	historyUnknown := r.config.historyUnknown
+	r.adopt(r.node, r.holder.View().ConfirmedAt, content)
+	r.config.historyUnknown = historyUnknown
+}
+
 // adoptUnconfirmed puts the row's configuration in force if it is newer, without confirming it, and
 // reports whether it is.
 func (r *replica) adoptUnconfirmed(read *configurationRead) bool {
--- a/internal/node/publicationwatch.go
+++ b/internal/node/publicationwatch.go
@@ -132,6 +132,7 @@
 		s.handleFailure(ctx, err, clock.Since(askedAt)-hold-s.config.ReadTimeout)
 		return
 	}
+	s.adoptWatched(&changes)
 	elapsed, changedAt := clock.Since(askedAt), s.replica.earliestAnswer(askedAt, changes.StoreTime)
 	// The time in which the answer arrived is not one in which the store waited for a change.
 	anyNew := s.applyChanges(ctx, from, changedAt, clock.Since(s.pendingSince)-changes.ReadFor, &changes)
--- a/internal/node/source.go
+++ b/internal/node/source.go
@@ -44,6 +44,8 @@
 type Changes struct {
 	// Published has each published version, also those whose rows were overwritten since.
 	Published []PublishedWeights
+	// Configurations has each content of the configuration's row, with only revisions and bodies set.
+	Configurations []Reading
 	// StoreRevision is the store's newest revision: all changes up to it are included.
 	StoreRevision uint64
 	// StoreTime is the store's own monotonic time at the answer, 0 if unknown.
--- a/internal/node/unconfirmed_test.go
+++ b/internal/node/unconfirmed_test.go
@@ -135,3 +135,25 @@
 		}
 	})
 }
+
+// A configuration that stands for less than a read interval must be adopted from the feed of
+// changes: the next read finds an older one, and the history may be forgotten by then.
+func TestConfigurationIsAdoptedFromChanges(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := newLateStore()
+		store.write(10)
+		reader := store.started(t)
+		before := reader.replica.holder.View().ConfirmedAt
+		reader.adoptWatched(&Changes{Configurations: []Reading{
+			{Revision: 4, Body: []byte("11")}, {Revision: 6, Body: []byte("12")}, {Revision: 8, Body: []byte("x")}, {Revision: 10, Body: []byte("9")},
+		}})
+		is.Equal(versionAt(reader), uint64(12))
+		is.Equal(reader.replica.holder.View().ConfirmedAt, before) // a change confirms nothing
+		store.fail(ErrHistoryGone)
+		store.write(12, 9)
+		time.Sleep(10 * time.Second)
+		is.Equal(versionAt(reader), uint64(12))
+		is.True(ageAt(reader) <= configurationInterval)
+	})
+}
