Confirm the configuration by changes while reads of its row fail

What callers saw: as long as reads of the operator's rows are silent, refused or do not end, all routers refuse requests with keys and routes added meanwhile, though the store answers requests for its changes.

The same fault in the other direction, found in the list of back ends: a list of over 500 was followed by its changes alone, for ever if these were not answered. It is read whole once it is four seconds old (TestWholeListIsReadWhileChangesAreNotAnswered).

--- a/internal/node/backendfeed.go
+++ b/internal/node/backendfeed.go
@@ -15,6 +15,10 @@
 // up to that it is read in one call, so that changes would save none.
 const longList = 500
 
+// maxListChangesAge is the age of a long list from which it is read whole if its changes are not
+// answered.
+const maxListChangesAge = 4 * time.Second
+
 // listPosition is up to where the changes of the instance list are known.
 type listPosition struct {
 	// revision is the store's revision that the list includes, 0 if unknown.
@@ -40,7 +44,7 @@
 	}
 	if revision := f.replica.feedRevision(); revision != 0 {
 		err := f.readBackendChanges(ctx, askedAt, revision)
-		if !errors.Is(err, ErrHistoryGone) {
+		if err == nil || (!errors.Is(err, ErrHistoryGone) && f.replica.listAge(askedAt, f.startedAt) < maxListChangesAge) {
 			return err
 		}
 	}
--- a/internal/node/backendfeed_test.go
+++ b/internal/node/backendfeed_test.go
@@ -153,3 +153,24 @@
 		is.True(!found)
 	})
 }
+
+// A long list whose changes are never answered must be read whole, or engines that appear or leave
+// stay unknown until the feed works.
+func TestWholeListIsReadWhileChangesAreNotAnswered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f, feed := newFeedFollower(t)
+		feed.err = errors.New("no answer")
+		feed.rows = append(feed.rows, listed("j@1", 15))
+		feed.revision = 20
+		time.Sleep(maxListChangesAge - time.Second)
+		is.True(f.readBackends(t.Context()) != nil)
+		is.Equal(feed.whole, 1)
+		time.Sleep(time.Second)
+		is.NoErr(f.readBackends(t.Context()))
+		is.Equal(feed.whole, 2)
+		_, found := f.replica.list.find("j@1")
+		is.True(found)
+		is.Equal(f.replica.listAge(time.Now(), time.Time{}), time.Duration(0))
+	})
+}
--- a/internal/node/configuration.go
+++ b/internal/node/configuration.go
@@ -302,18 +302,23 @@
 
 // adoptWatched puts the newest configuration among changes in force if it is newer, without
 // confirming it: the row may hold an older one again before the next read, and its history may be
-// forgotten by then.
-func (f *follower) adoptWatched(changes *Changes) {
+// forgotten by then. It reports whether all of them could be decoded.
+func (f *follower) adoptWatched(changes *Changes) (readable bool) {
 	var newest rowContent
+	readable = true
 	for index := range changes.Configurations {
 		content, err := f.replica.decodeRow(&changes.Configurations[index])
-		if err == nil && (newest.snapshot == nil || content.snapshot.Version > newest.snapshot.Version) {
+		switch {
+		case err != nil:
+			readable = false
+		case newest.snapshot == nil || content.snapshot.Version > newest.snapshot.Version:
 			newest = content
 		}
 	}
 	if newest.snapshot != nil {
 		f.replica.adoptChange(newest)
 	}
+	return readable
 }
 
 // adoptChange adopts a newer content of the row that a change had.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -314,7 +314,7 @@
 	controller := rollout.NewController(config, n.lease, n.engines, n.holder, n.backends)
 	follower := n.follower
 	loops := []func(context.Context){
-		follower.followConfiguration, follower.keepConfiguration, follower.followBackends, follower.followPeers, follower.watchPublications, follower.markPublications, follower.maintainRow,
+		follower.followConfiguration, follower.keepConfiguration, follower.confirmByChanges, follower.followBackends, follower.followPeers, follower.watchPublications, follower.markPublications, follower.maintainRow,
 		func(ctx context.Context) { follower.countRouters(ctx, n.holdsLease) }, n.contend, n.lease.Run, controller.Run, n.quotas.run, n.limits.run, n.sweepClients,
 		n.quarantines.Run, logSuspensions,
 	}
