--- a/internal/node/configuration.go
+++ b/internal/node/configuration.go
@@ -68,6 +68,14 @@
 // busy store) to as little as a store may keep.
 var historyDepths = []uint64{4096, 512, 64}
 
+const (
+	// expiringWaits and expiredWaits are the ages, in waits for the history, between which a
+	// configuration is about to become invalid.
+	expiringWaits, expiredWaits = 2, 3
+	// minHistoryTime is the least time for one request for the history.
+	minHistoryTime = 300 * time.Millisecond
+)
+
 // rowContent is one content of the row of the configuration.
 type rowContent struct {
 	revision uint64
@@ -107,21 +115,19 @@
 	ctx context.Context, askedAt time.Time, reading *Reading, rollouts *knownRollouts,
 ) (catalog.Unconfirmed, error) {
 	due := f.gap.Due(askedAt, f.historyWait())
-	if due {
-		f.adoptKept(ctx, askedAt)
-	}
 	unconfirmed, err := f.applyRow(ctx, askedAt, reading, rollouts, due)
-	switch {
-	case unconfirmed.Reason == "" || f.replica.configurationVersion() == 0:
-		f.gap.Close()
-	case due:
-		f.replica.skipGap(&unconfirmed, reading, f.gap.Length(askedAt))
+	if unconfirmed.Reason == "" || f.replica.configurationVersion() == 0 {
 		f.gap.Close()
-		return catalog.Unconfirmed{}, nil
-	default:
-		f.gap.Observe(askedAt)
+		return unconfirmed, err
 	}
-	return unconfirmed, err
+	f.gap.Observe(askedAt)
+	if !due && !f.expiring(clock.Now()) {
+		return unconfirmed, err
+	}
+	f.adoptKept(ctx, askedAt)
+	f.replica.skipGap(&unconfirmed, reading, f.gap.Length(askedAt))
+	f.gap.Close()
+	return catalog.Unconfirmed{}, nil
 }
 
 // historyWait is how long a gap may last.
@@ -129,6 +135,23 @@
 	return cmp.Or(f.config.HistoryWait, defaultHistoryWait)
 }
 
+// expiring reports whether the configuration would not stay valid for another wait, since the gap
+// follows other failures of the store. One that is not valid any more can wait.
+func (f *follower) expiring(now time.Time) bool {
+	age := f.replica.holder.View().Age(now)
+	return age >= expiringWaits*f.historyWait() && age < expiredWaits*f.historyWait()
+}
+
+// historyTime returns the time for one request for the history, within the validity of the
+// configuration.
+func (f *follower) historyTime(now time.Time) time.Duration {
+	left := expiringWaits*f.historyWait() - f.replica.holder.View().Age(now)
+	if left <= 0 && !f.expiring(now) {
+		return f.historyWait()
+	}
+	return max(left, minHistoryTime)
+}
+
 // applyRow applies the configuration's row. If it has changed, its history since the last read is
 // read as well, unless the gap is over: the last write may be a late one of an older
 // configuration. A newer configuration is in force before its history is known.
@@ -200,6 +223,8 @@
 func (f *follower) newestSince(ctx context.Context, after uint64, row rowContent) (rowContent, error) {
 	bounded, cancel := f.readContext(ctx)
 	defer cancel()
+	bounded, cancelBound := context.WithTimeout(bounded, f.historyTime(clock.Now()))
+	defer cancelBound()
 	history, err := f.source.Configurations(bounded, after, row.revision)
 	if err != nil {
 		return row, err
--- a/internal/node/follower.go
+++ b/internal/node/follower.go
@@ -94,7 +94,7 @@
 	// ReadTimeout bounds one read, and the silence in an answer that arrives slowly.
 	ReadTimeout time.Duration
 	// HistoryWait is how long answered reads may leave the configuration unconfirmed, since what
-	// its row held before is not known; 0 means two seconds. It must be well below the time for
+	// its row held before is not known; 0 means two seconds. Twice that must be below the time for
 	// which keys stay valid without a confirmation.
 	HistoryWait time.Duration
 	// RetryPause follows a failed read. At routers that do not read the store for
--- a/internal/node/unconfirmed_test.go
+++ b/internal/node/unconfirmed_test.go
@@ -157,3 +157,36 @@
 		is.True(ageAt(reader) <= configurationInterval)
 	})
 }
+
+// A gap that follows other failures of the store must not outlast the validity of the
+// configuration; one after a long outage must wait for the history.
+func TestGapAfterOtherFailures(t *testing.T) {
+	for _, tt := range []struct {
+		name      string
+		outage    time.Duration
+		confirmed bool
+	}{
+		{"a short outage", 3900 * time.Millisecond, true},
+		{"a long outage", 10 * time.Second, false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				store := newLateStore()
+				store.write(10)
+				reader := store.started(t)
+				time.Sleep(time.Second)
+				store.change(func() { store.down = true })
+				time.Sleep(tt.outage)
+				store.fail(ErrHistoryGone)
+				store.write(9)
+				store.change(func() { store.down = false })
+				time.Sleep(configurationInterval)
+				is.Equal(ageAt(reader) <= configurationInterval, tt.confirmed)
+				time.Sleep(defaultHistoryWait + configurationInterval)
+				is.True(ageAt(reader) <= configurationInterval)
+				is.Equal(versionAt(reader), uint64(10))
+			})
+		})
+	}
+}
