Let requests wait for the read that follows a pause of the process

After a suspension of the machine requests wait for a confirmation; after a pause of the process they did not, since it can't be told from a store without an answer. What the last read found tells the two apart now: without a failed read since the last confirmation, a request with a key waits 80 ms at most for the one that is under way. After a failed read it is refused at once, as before.

TestRequestWaitsForNextReadAfterPause fails without the change.

--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -95,7 +95,7 @@
 	recent   *recentPrompts
 	// startedAt is when this Forwarder was created.
 	startedAt time.Time
-	// waiting counts the requests that wait for the first configuration.
+	// waiting counts the requests that wait for a configuration.
 	waiting atomic.Int64
 
 	mutex   sync.Mutex
@@ -120,6 +120,7 @@
 	f.awaitConfiguration(ctx, request)
 	clock.Sync()
 	f.awaitConfirmation(ctx, request)
+	f.awaitNextRead(ctx, request)
 	run, refusal := f.admit(request)
 	if refusal != nil {
 		f.recordRefusal(request, refusal)
--- a/internal/forward/start.go
+++ b/internal/forward/start.go
@@ -13,6 +13,8 @@
 	// configurationWait bounds the wait of a request for a configuration: after a restart of the
 	// whole fleet, clients reconnect before the routers have one.
 	configurationWait = 500 * time.Millisecond
+	// nextReadWait bounds the wait for a read of the store that is under way.
+	nextReadWait = 80 * time.Millisecond
 	// configurationWaitDivisor divides a client's timeout into the longest wait of its request.
 	configurationWaitDivisor = 4
 	// startupPeriod is the time after the start of a router in which requests wait; a router
@@ -63,6 +65,29 @@
 	}
 }
 
+// awaitNextRead waits a bounded time if the configuration is not valid any more, and no read of the
+// store has failed since it was confirmed: the process was paused, and a read is under way. After a
+// failed read the request is refused at once.
+func (f *Forwarder) awaitNextRead(ctx context.Context, request *Request) {
+	expired := func() bool {
+		view := f.Holder.View()
+		return view.Snapshot != nil && view.Unconfirmed.Reason == "" && view.Age(clock.Now()) > f.config.Freshness.Keyed
+	}
+	if !expired() {
+		return
+	}
+	until := clock.Now().Add(nextReadWait)
+	defer f.waiting.Add(-1)
+	if f.waiting.Add(1) > maxWaiting {
+		return
+	}
+	for expired() && clock.Now().Before(until) {
+		if !wait.For(ctx, placeInterval) {
+			return
+		}
+	}
+}
+
 func earlier(a, b time.Time) time.Time {
 	if b.Before(a) {
 		return b
--- a/internal/forward/unconfirmed_test.go
+++ b/internal/forward/unconfirmed_test.go
@@ -70,3 +70,41 @@
 		})
 	}
 }
+
+// A process that was paused must not refuse the requests that arrive before its next read, nor hold
+// those that a failed read has decided.
+func TestRequestWaitsForNextReadAfterPause(t *testing.T) {
+	for _, tt := range []struct {
+		name string
+		// confirmed is when a read confirms the configuration, failed when one fails; 0 for never.
+		confirmed, failed time.Duration
+		served            bool
+		within            time.Duration
+	}{
+		{"a read that confirms", 40 * time.Millisecond, 0, true, 60 * time.Millisecond},
+		{"a read that fails", 0, 40 * time.Millisecond, false, 60 * time.Millisecond},
+		{"no read", 0, 0, false, 100 * time.Millisecond},
+		{"a read that had failed before", 0, -time.Second, false, 0},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				b := newFixture(genuine(200, "ok"))
+				time.Sleep(5 * time.Second)
+				if tt.confirmed > 0 {
+					time.AfterFunc(tt.confirmed, func() { b.holder.Adopt(b.holder.View().Snapshot, time.Now()) })
+				}
+				fail := func() { b.holder.SetUnconfirmed(catalog.Unconfirmed{Reason: catalog.ReadFailed, AskedAt: time.Now()}) }
+				if tt.failed < 0 {
+					fail()
+				} else if tt.failed > 0 {
+					time.AfterFunc(tt.failed, fail)
+				}
+				sent := time.Now()
+				sink := b.forward(t, request("safe"))
+				is.Equal(sink.refusal == nil, tt.served)
+				is.True(time.Since(sent) <= tt.within)
+			})
+		})
+	}
+}
