--- a/internal/node/configuration.go
+++ b/internal/node/configuration.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"cmp"
 	"context"
 	"errors"
 	"time"
@@ -11,7 +10,6 @@
 
 	"github.com/fieldpond/fieldpond/internal/catalog"
 	"github.com/fieldpond/fieldpond/internal/clock"
-	"github.com/fieldpond/fieldpond/internal/fault"
 	"github.com/fieldpond/fieldpond/internal/ident"
 	"github.com/fieldpond/fieldpond/internal/store"
 	"github.com/fieldpond/fieldpond/internal/upstream"
@@ -41,12 +39,6 @@
 	historyUnknown bool
 }
 
-// assumedRow is a revision of the row, 0 for a missing one.
-type assumedRow struct {
-	known    bool
-	revision uint64
-}
-
 // bodyFor returns the body for a peer, compressed if the peer reads that.
 func (h *heldConfiguration) bodyFor(readsPacked bool) (plain, packed []byte) {
 	if !readsPacked || len(h.body) == 0 {
@@ -63,19 +55,6 @@
 	return nil, h.packed
 }
 
-// historyDepths are the numbers of revisions of the store, tried in turn, for which checkHistory
-// reads the row's history: from as far back as a late write can matter (some seconds of a
-// busy store) to as little as a store may keep.
-var historyDepths = []uint64{4096, 512, 64}
-
-const (
-	// expiringWaits and expiredWaits are the ages, in waits for the history, between which a
-	// configuration is about to become invalid.
-	expiringWaits, expiredWaits = 2, 3
-	// minHistoryTime is the least time for one request for the history.
-	minHistoryTime = 300 * time.Millisecond
-)
-
 // rowContent is one content of the row of the configuration.
 type rowContent struct {
 	revision uint64
@@ -101,57 +80,6 @@
 	rollouts   *knownRollouts
 }
 
-// errHistoryNotRequested is the error of a history that is not requested any more, since the gap
-// that it would close is over.
-var errHistoryNotRequested = fault.New(fault.StoreUnavailable, "the history of the configuration's row was not read in time")
-
-// applyReading applies a read of the store that began at askedAt, and returns why it does not
-// confirm the configuration in force; the reason is empty if it does.
-//
-// A store in contact confirms the configuration after a bounded gap even if its answers prove
-// less: the content that it has lost stays unknown however long routers wait, and a router that
-// starts uses the row as it is.
-func (f *follower) applyReading(
-	ctx context.Context, askedAt time.Time, reading *Reading, rollouts *knownRollouts,
-) (catalog.Unconfirmed, error) {
-	due := f.gap.Due(askedAt, f.historyWait())
-	unconfirmed, err := f.applyRow(ctx, askedAt, reading, rollouts, due)
-	if unconfirmed.Reason == "" || f.replica.configurationVersion() == 0 {
-		f.gap.Close()
-		return unconfirmed, err
-	}
-	f.gap.Observe(askedAt)
-	if !due && !f.expiring(clock.Now()) {
-		return unconfirmed, err
-	}
-	f.adoptKept(ctx, askedAt)
-	f.replica.skipGap(&unconfirmed, reading, f.gap.Length(askedAt))
-	f.gap.Close()
-	return catalog.Unconfirmed{}, nil
-}
-
-// historyWait is how long a gap may last.
-func (f *follower) historyWait() time.Duration {
-	return cmp.Or(f.config.HistoryWait, defaultHistoryWait)
-}
-
-// expiring reports whether the configuration would not stay valid for another wait, since the gap
-// follows other failures of the store. One that is not valid any more can wait.
-func (f *follower) expiring(now time.Time) bool {
-	age := f.replica.holder.View().Age(now)
-	return age >= expiringWaits*f.historyWait() && age < expiredWaits*f.historyWait()
-}
-
-// historyTime returns the time for one request for the history, within the validity of the
-// configuration.
-func (f *follower) historyTime(now time.Time) time.Duration {
-	left := expiringWaits*f.historyWait() - f.replica.holder.View().Age(now)
-	if left <= 0 && !f.expiring(now) {
-		return f.historyWait()
-	}
-	return max(left, minHistoryTime)
-}
-
 // applyRow applies the configuration's row. If it has changed, its history since the last read is
 // read as well, unless the gap is over: the last write may be a late one of an older
 // configuration. A newer configuration is in force before its history is known.
@@ -195,78 +123,11 @@
 	return unconfirmed, read.historyErr
 }
 
-// checkHistory reads what the row held before this router adopted it without knowing another
-// configuration: the last write may be a late one of an older configuration. Only the router
-// that reads the store for others does so. An error does not keep a router from starting.
-func (f *follower) checkHistory(ctx context.Context, askedAt time.Time, reading *Reading) {
-	if !f.readsForOthers() {
-		return
-	}
-	row, due := f.replica.rowToCheck(reading)
-	if !due {
-		return
-	}
-	newest, err := row, error(nil)
-	for _, depth := range historyDepths {
-		newest, err = f.newestSince(ctx, store.RevisionBefore(row.revision, depth), row)
-		if !errors.Is(err, ErrHistoryGone) {
-			break
-		}
-	}
-	if err == nil || errors.Is(err, ErrHistoryGone) {
-		f.replica.applyHistory(askedAt, row, newest)
-	}
-}
-
-// newestSince returns the newest configuration that the row held after a revision, its present
-// content included, and an error unless the whole history is known.
-func (f *follower) newestSince(ctx context.Context, after uint64, row rowContent) (rowContent, error) {
-	bounded, cancel := f.readContext(ctx)
-	defer cancel()
-	bounded, cancelBound := context.WithTimeout(bounded, f.historyTime(clock.Now()))
-	defer cancelBound()
-	history, err := f.source.Configurations(bounded, after, row.revision)
-	if err != nil {
-		return row, err
-	}
-	newest, complete := row, false
-	for _, reading := range history {
-		if reading.Revision >= row.revision {
-			complete = true
-			continue
-		}
-		content, err := f.replica.decodeRow(&reading)
-		if err != nil {
-			// It cannot be in force, and must not hide those after it.
-			log.WithFields(log.Fields{"revision": reading.Revision, "cause": err.Error()}).Warn("configuration_unreadable")
-			continue
-		}
-		if content.snapshot.Version > newest.snapshot.Version {
-			newest = content
-		}
-	}
-	if !complete {
-		return newest, fault.New(fault.StoreUnavailable, "the store returned an incomplete history of the configuration's row")
-	}
-	return newest, nil
-}
-
 func (r *replica) decodeRow(reading *Reading) (rowContent, error) {
 	snapshot, err := r.decode(reading.Body)
 	return rowContent{revision: reading.Revision, body: reading.Body, snapshot: snapshot}, err
 }
 
-// historyToCheck returns the checked revision, the revision after which the history is to be
-// read, and whether the row has changed. The second is as late as possible: a store keeps its
-// changes for some seconds, while configurations may be minutes apart.
-func (r *replica) historyToCheck(revision uint64) (checkedRevision, after uint64, changed bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	held := &r.config
-	changed = revision > held.checkedRevision
-	return held.checkedRevision, max(held.checkedRevision, held.confirmedStoreRevision), changed
-}
-
 // configurationVersion returns the version of the configuration in force, 0 for none.
 func (r *replica) configurationVersion() uint64 {
 	r.mu.Lock()
@@ -282,28 +143,6 @@
 	return rowContent{revision: revision, body: r.config.body, snapshot: r.holder.View().Snapshot}
 }
 
-// rowToCheck returns the row of a reading, and whether it was adopted with unknown history.
-func (r *replica) rowToCheck(reading *Reading) (row rowContent, due bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	row = rowContent{revision: reading.Revision, body: reading.Body, snapshot: r.holder.View().Snapshot}
-	return row, r.config.historyUnknown && reading.Revision == r.config.checkedRevision
-}
-
-// applyHistory applies the newest configuration of the history of a row.
-func (r *replica) applyHistory(askedAt time.Time, row, newest rowContent) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.config.checkedRevision != row.revision || !r.config.historyUnknown {
-		return
-	}
-	r.config.historyUnknown = false
-	if newest.snapshot.Version > r.config.version {
-		r.adopt(r.node, askedAt, newest)
-		r.logOutdatedRow(&row, true)
-	}
-}
-
 // confirmRow applies a reading of a row whose revision is known, and returns why it does not
 // confirm the configuration in force.
 func (r *replica) confirmRow(askedAt time.Time, reading *Reading, rollouts *knownRollouts) catalog.UnconfirmedReason {
@@ -420,24 +259,6 @@
 	}
 }
 
-// skipGap confirms the configuration in force by a read that was answered, though unconfirmed says
-// that it proves less. The history is read later, if it is there again.
-func (r *replica) skipGap(unconfirmed *catalog.Unconfirmed, reading *Reading, length time.Duration) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	held := &r.config
-	log.WithFields(log.Fields{
-		"version": held.version, "row_version": unconfirmed.RowVersion, "from": held.checkedRevision, "to": reading.Revision,
-		"reason": unconfirmed.Reason, "gap_ms": length.Milliseconds(),
-	}).Warn("configuration_gap_skipped")
-	if reading.Revision > held.checkedRevision {
-		held.checkedRevision, held.confirmedStoreRevision, held.historyUnknown = reading.Revision, reading.StoreRevision, true
-	} else {
-		held.assumed = assumedRow{known: true, revision: reading.Revision}
-	}
-	r.confirmConfiguration(r.node, unconfirmed.AskedAt)
-}
-
 // applyConfiguration applies a peer's configuration, which was the newest at confirmedAt. An
 // empty body means the version held here. An older one confirms nothing, whatever its row's
 // revision.
@@ -507,20 +328,3 @@
 		r.bumpConfirmation(origin)
 	}
 }
-
-// logOutdatedRow logs that the row holds another configuration than the one in force, once
-// for each revision; the caller holds the mutex.
-func (r *replica) logOutdatedRow(row *rowContent, confirmed bool) {
-	if confirmed && row.snapshot.Version == r.config.version {
-		return
-	}
-	if !confirmed {
-		if r.config.outdatedRevision == row.revision {
-			return
-		}
-		r.config.outdatedRevision = row.revision
-	}
-	log.WithFields(log.Fields{
-		"version": row.snapshot.Version, "known": r.config.version, "revision": row.revision, "confirmed": confirmed,
-	}).Warn("configuration_row_outdated")
-}
