--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -120,7 +120,7 @@
 	f.awaitConfiguration(ctx, request)
 	clock.Sync()
 	f.awaitConfirmation(ctx, request)
-	f.awaitNextRead(ctx, request)
+	f.awaitNextRead(ctx)
 	run, refusal := f.admit(request)
 	if refusal != nil {
 		f.recordRefusal(request, refusal)
--- a/internal/forward/start.go
+++ b/internal/forward/start.go
@@ -68,7 +68,7 @@
 // awaitNextRead waits a bounded time if the configuration is not valid any more, and no read of the
 // store has failed since it was confirmed: the process was paused, and a read is under way. After a
 // failed read the request is refused at once.
-func (f *Forwarder) awaitNextRead(ctx context.Context, request *Request) {
+func (f *Forwarder) awaitNextRead(ctx context.Context) {
 	expired := func() bool {
 		view := f.Holder.View()
 		return view.Snapshot != nil && view.Unconfirmed.Reason == "" && view.Age(clock.Now()) > f.config.Freshness.Keyed
