Confirm a change that was adopted from the feed without a wait

A newer row whose history is gone is confirmed at once. One that had been adopted from the feed before the read was not newer any more, and waited for configApplyMs; callers got 503 in place of 404 for unknown routes meanwhile. The revision of the content in force tells that it is the same. TestAdoptedChangeIsConfirmedWithoutHistory fails without the change.

--- a/internal/node/configuration.go
+++ b/internal/node/configuration.go
@@ -22,6 +22,8 @@
 	// version is 0 for none.
 	version uint64
 	body    []byte
+	// contentRevision is the row's revision with this content, 0 if it was not read from the row.
+	contentRevision uint64
 	// packed is the compressed body, nil until a peer needs it.
 	packed []byte
 	// checkedRevision is the row's revision up to which it held no newer configuration.
@@ -71,7 +73,8 @@
 	row, newest     rowContent
 	// unreadable is whether the row cannot be decoded; row has the content held then.
 	unreadable bool
-	// adopted is whether the row's content was adopted before its history was read.
+	// adopted is whether the row's content was adopted before its history was read, by this read or
+	// from a change.
 	adopted bool
 	// storeRevision is the store's revision at the read.
 	storeRevision uint64
@@ -199,13 +202,16 @@
 }
 
 // adoptUnconfirmed puts the row's configuration in force if it is newer, without confirming it, and
-// reports whether it is.
+// reports whether it is in force.
 func (r *replica) adoptUnconfirmed(read *configurationRead) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if read.row.snapshot.Version <= r.config.version || r.config.checkedRevision >= read.row.revision {
+	if r.config.checkedRevision >= read.row.revision {
 		return false
 	}
+	if read.row.snapshot.Version <= r.config.version {
+		return r.config.contentRevision == read.row.revision
+	}
 	r.applyRollouts(read.askedAt, read.rollouts)
 	r.adopt(r.node, r.holder.View().ConfirmedAt, read.row)
 	return true
@@ -305,6 +311,7 @@
 // checkedRevision.
 func (r *replica) adopt(origin ident.Node, confirmedAt time.Time, newest rowContent) {
 	r.config.version, r.config.body, r.config.packed = newest.snapshot.Version, newest.body, nil
+	r.config.contentRevision = newest.revision
 	r.config.assumed, r.config.historyUnknown = assumedRow{}, false
 	r.holder.Adopt(newest.snapshot, confirmedAt)
 	log.WithFields(log.Fields{
--- a/internal/node/unconfirmed_test.go
+++ b/internal/node/unconfirmed_test.go
@@ -190,3 +190,21 @@
 		})
 	}
 }
+
+// A change that was adopted from the feed must be confirmed by the next read without a wait, as a
+// newer row is, though the store has forgotten its history by then.
+func TestAdoptedChangeIsConfirmedWithoutHistory(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := newLateStore()
+		store.write(10)
+		reader := store.started(t)
+		store.fail(ErrHistoryGone)
+		store.write(12)
+		newest := store.written[len(store.written)-1]
+		reader.adoptWatched(&Changes{Configurations: []Reading{newest}})
+		time.Sleep(configurationInterval)
+		is.Equal(versionAt(reader), uint64(12))
+		is.True(ageAt(reader) <= configurationInterval)
+	})
+}
