Guard the faults of a test's store

The race detector found that two new tests, TestChangesConfirmWhileReadsFail and TestOmittedChangeIsNotConfirmedOver, set the faults of their store without its mutex; nothing else failed. They pass with the detector now.

--- a/internal/node/confirmbychanges_test.go
+++ b/internal/node/confirmbychanges_test.go
@@ -21,7 +21,10 @@
 
 // Configuration implements Source.
 func (s *changesStore) Configuration(ctx context.Context) (Reading, error) {
-	if s.rowsFail {
+	s.mutex.Lock()
+	fail := s.rowsFail
+	s.mutex.Unlock()
+	if fail {
 		return Reading{}, errors.New("no answer")
 	}
 	return s.lateStore.Configuration(ctx)
@@ -64,7 +67,7 @@
 			store.change(func() { store.written[len(store.written)-1].Body = []byte("x") })
 		}, 10, false},
 		{"a forgotten history", func(store *changesStore) { store.advance(100) }, 10, false},
-		{"no answer either", func(store *changesStore) { store.unanswered = true }, 10, false},
+		{"no answer either", func(store *changesStore) { store.change(func() { store.unanswered = true }) }, 10, false},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -78,7 +81,7 @@
 				go reader.confirmByChanges(t.Context())
 				time.Sleep(2 * time.Second)
 				is.True(ageAt(reader) <= configurationInterval)
-				store.rowsFail = true
+				store.change(func() { store.rowsFail = true })
 				tt.during(store)
 				time.Sleep(10 * time.Second)
 				is.Equal(versionAt(reader), tt.version)
@@ -102,11 +105,11 @@
 		go reader.followConfiguration(t.Context())
 		go reader.confirmByChanges(t.Context())
 		time.Sleep(2 * time.Second)
-		store.rowsFail, store.omits = true, true
+		store.change(func() { store.rowsFail, store.omits = true, true })
 		store.write(12)
 		writtenAt := time.Now()
 		time.Sleep(changesOmittedFor)
-		store.omits = false
+		store.change(func() { store.omits = false })
 		store.advance(100)
 		time.Sleep(10 * time.Second)
 		is.True(!reader.replica.holder.View().ConfirmedAt.After(writtenAt))
