Apply a peer's later confirmation though it is not fresh

A complete state whose configuration was confirmed later than the one held is applied; the router goes on to look for fresher state as before. TestLaterConfirmationOfStalePeerIsApplied fails without the change.

--- a/internal/node/pull.go
+++ b/internal/node/pull.go
@@ -212,7 +212,7 @@
 	case upstream.Pending:
 		f.replica.setReadingSince(at.Add(-update.ReadingFor))
 	}
-	if f.shouldApply(update, result) {
+	if f.shouldApply(update, result, at) {
 		err = f.apply(update, at)
 	}
 	f.onPulled(resultName(result))
@@ -232,14 +232,23 @@
 	return update.Confirmation
 }
 
-// shouldApply reports whether an update should be applied: it is fresh, or complete while this
-// router has no state yet or an older configuration. Ages and versions prevent that older state
-// replaces newer.
-func (f *follower) shouldApply(update *upstream.Update, result upstream.Result) bool {
+// shouldApply reports whether an update as of a time should be applied: it is fresh, or complete
+// while this router has no state yet, an older configuration or an older confirmation of it. Ages
+// and versions prevent that older state replaces newer.
+func (f *follower) shouldApply(update *upstream.Update, result upstream.Result, at time.Time) bool {
 	if _, fresh := result.(upstream.Fresh); fresh {
 		return true
 	}
-	return update != nil && update.Complete() && (!f.replica.initialized() || f.replica.behind(&update.Configuration))
+	if update == nil || !update.Complete() {
+		return false
+	}
+	if !f.replica.initialized() || f.replica.behind(&update.Configuration) {
+		return true
+	}
+	// While most reads of the store fail, each router is served by those of the others.
+	_, stale := result.(upstream.Stale)
+	confirmedAt := at.Add(-update.Configuration.Age)
+	return stale && f.epochsCurrent(update) && confirmedAt.After(f.replica.holder.View().ConfirmedAt)
 }
 
 // resultName returns the metric label of a result: its type's name in lower case.
--- a/internal/node/unconfirmed_test.go
+++ b/internal/node/unconfirmed_test.go
@@ -208,3 +208,27 @@
 		is.True(ageAt(reader) <= configurationInterval)
 	})
 }
+
+// While most reads of the store fail, a router must use the last one that succeeded at a peer, though
+// that is too old to go on without reads of its own.
+func TestLaterConfirmationOfStalePeerIsApplied(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := newLateStore()
+		store.write(10)
+		peer, router := store.router(), store.router()
+		peer.replica.applyList("n", time.Now(), fullList(nil))
+		is.NoErr(peer.readConfiguration(t.Context()))
+		pullFrom(t, router, peer)
+		first := router.replica.holder.View().ConfirmedAt
+		time.Sleep(3 * time.Second)
+		is.NoErr(peer.readConfiguration(t.Context()))
+		read := time.Now()
+		time.Sleep(2 * time.Second)
+		pullFrom(t, router, peer)
+		is.Equal(router.replica.holder.View().ConfirmedAt, read)
+		pullFrom(t, peer, router)
+		is.Equal(peer.replica.holder.View().ConfirmedAt, read) // nor does it come back younger
+		is.True(first.Before(read))
+	})
+}
