--- a/internal/node/configurationgap.go
+++ b/internal/node/configurationgap.go
@@ -21,7 +21,7 @@
 const (
 	// expiringWaits and expiredWaits are the ages, in waits for the history, between which a
 	// configuration is about to become invalid.
-	expiringWaits, expiredWaits = 2, 3
+	expiringWaits, expiredWaits = 2, 4
 	// minHistoryTime is the least time for one request for the history.
 	minHistoryTime = 300 * time.Millisecond
 )
