Log the caller and the prompt parts of attempts that break off

An attempt that broke off was logged with the fingerprint of its whole request only. Where engines crash one after the other under requests that differ, that can't tell whether they have a caller or a part of their prompts in common.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -119,6 +119,10 @@
 		step.Choice, step.Outcome, step.Through = a.choice, outcome, a.through
 		if outcome == backend.Broken {
 			step.Fingerprint = a.subject().Fingerprint()
+			step.SharedParts = a.request.Prompt.shared()
+			if a.tenant != nil {
+				step.Tenant = a.tenant.Name
+			}
 		}
 		if failed != nil {
 			step.Cause = failed.cause
--- a/internal/forward/quarantine_test.go
+++ b/internal/forward/quarantine_test.go
@@ -11,6 +11,7 @@
 	"github.com/fieldpond/fieldpond/internal/backend"
 	"github.com/fieldpond/fieldpond/internal/fault"
 	"github.com/fieldpond/fieldpond/internal/forward"
+	"github.com/fieldpond/fieldpond/internal/ident"
 	"github.com/fieldpond/fieldpond/internal/quarantine"
 )
 
@@ -135,3 +136,23 @@
 		})
 	}
 }
+
+// An attempt that broke off is logged with its caller and the shared parts of its prompt.
+func TestBrokenAttemptNamesCallerAndParts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := newFixture(failing(true))
+		wanted := request("unsafe")
+		wanted.Prompt = &forward.Prompt{Model: "m", Parts: []forward.Part{{ID: "aa", Tokens: 10}, {ID: "bb", Tokens: 5}, {ID: "own", Tokens: 3}}}
+		b.forward(t, wanted)
+		var ended []forward.Step
+		for _, step := range b.steps {
+			if step.Kind == forward.StepAttemptEnded {
+				ended = append(ended, step)
+			}
+		}
+		is.Equal(len(ended), 1)
+		is.Equal(ended[0].SharedParts, wanted.Prompt.Parts[:2])
+		is.Equal(ended[0].Tenant, ident.Tenant("tenant"))
+	})
+}
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -62,6 +62,14 @@
 	Parts []Part
 }
 
+// shared returns the parts that other requests may have as well, in order.
+func (p *Prompt) shared() []Part {
+	if p == nil || len(p.Parts) == 0 {
+		return nil
+	}
+	return p.Parts[:len(p.Parts)-1]
+}
+
 // tokenCounts returns the token counts of the shared and unshared parts.
 func (p *Prompt) tokenCounts() (shared, own int) {
 	last := len(p.Parts) - 1
--- a/internal/forward/step.go
+++ b/internal/forward/step.go
@@ -65,6 +65,10 @@
 	Outcome backend.Outcome
 	// Fingerprint identifies the request of an attempt that broke off; otherwise it is zero.
 	Fingerprint quarantine.Fingerprint
+	// Tenant and SharedParts are the caller and the shared parts of the prompt of an attempt that
+	// broke off.
+	Tenant      ident.Tenant
+	SharedParts []Part
 	Status      int
 	// Through is the router that relayed the attempt, the zero value for a direct one.
 	Through netip.AddrPort
--- a/internal/node/log.go
+++ b/internal/node/log.go
@@ -52,6 +52,7 @@
 	}
 	if step.Outcome == backend.Broken {
 		fields["fingerprint"] = step.Fingerprint.String()
+		addPromptFields(fields, step)
 	}
 	if step.Through.IsValid() {
 		fields["through"] = step.Through.String()
@@ -93,8 +94,26 @@
 	}
 }
 
-// maxLoggedID bounds an identifier in the log that a client has chosen.
-const maxLoggedID = 64
+const (
+	// maxLoggedID bounds an identifier in the log that a client has chosen.
+	maxLoggedID = 64
+	// maxLoggedParts is the number of parts of a prompt in one log line.
+	maxLoggedParts = 16
+)
+
+// addPromptFields adds the caller of a request and the ids of the shared parts of its prompt.
+func addPromptFields(fields log.Fields, step *forward.Step) {
+	if step.Tenant != "" {
+		fields["tenant"] = step.Tenant
+	}
+	var parts []string
+	for _, part := range step.SharedParts[:min(len(step.SharedParts), maxLoggedParts)] {
+		parts = append(parts, part.ID[:min(len(part.ID), maxLoggedID)])
+	}
+	if len(parts) > 0 {
+		fields["parts"] = parts
+	}
+}
 
 // addStreamFields adds which stream a request continues, after which event, and the release of the
 // back end of an attempt.
