--- a/internal/node/crashing_test.go
+++ b/internal/node/crashing_test.go
@@ -48,7 +48,7 @@
 type crashEngine struct {
 	record backend.Record
 	up     bool
-	// crashBodies are the bodies in flight that make this incarnation crash.
+	// crashBodies are the bodies and parts of prompts in flight that make this incarnation crash.
 	crashBodies []string
 	// ended is closed when this incarnation crashes.
 	ended chan struct{}
@@ -65,7 +65,7 @@
 	mu      sync.Mutex
 	engines map[string]*crashEngine
 	starts  int
-	// crashes and arrivals are the times of each body that makes engines crash.
+	// crashes and arrivals are the times of each body or part of a prompt that makes engines crash.
 	crashes  map[string][]time.Time
 	arrivals map[string][]time.Time
 	routers  []*testRouter
@@ -75,6 +75,8 @@
 	work time.Duration
 	// breaksAttempts makes engines break attempts without crashing.
 	breaksAttempts bool
+	// brokenAnswer is what arrives of the answer to a request that makes an engine crash, if any does.
+	brokenAnswer string
 	// ignoresCancel makes engines continue cancelled requests; clientTimeout is that of clients
 	// for a request that makes engines crash, 0 for none.
 	ignoresCancel bool
@@ -173,14 +175,18 @@
 	time.AfterFunc(crashDown, func() { f.startEngine(engine.record.Address) })
 }
 
-// arrive records a request at an address, and returns a copy of the engine there and the engine.
-func (f *crashFleet) arrive(address, body string) (crashEngine, *crashEngine) {
+// arrive records what makes engines crash in a request at an address, and returns a copy of the
+// engine there and the engine.
+func (f *crashFleet) arrive(address string, causes []string) (crashEngine, *crashEngine) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	engine := f.engines[address]
-	if engine.up && causesCrash(body) {
-		f.arrivals[body] = append(f.arrivals[body], time.Now())
-		engine.crashBodies = append(engine.crashBodies, body)
+	if !engine.up {
+		return *engine, engine
+	}
+	for _, cause := range causes {
+		f.arrivals[cause] = append(f.arrivals[cause], time.Now())
+		engine.crashBodies = append(engine.crashBodies, cause)
 	}
 	return *engine, engine
 }
@@ -189,8 +195,11 @@
 
 // Send implements forward.Caller.
 func (f *crashFleet) Send(ctx context.Context, attempt *forward.Attempt) (*forward.Reply, error) {
-	body := string(attempt.Request.Body)
-	found, engine := f.arrive(attempt.Target.Address, body)
+	causes := crashParts(attempt)
+	if body := string(attempt.Request.Body); causesCrash(body) {
+		causes = append(causes, body)
+	}
+	found, engine := f.arrive(attempt.Target.Address, causes)
 	if !found.up {
 		return nil, &exchange.Error{Cause: syscall.ECONNREFUSED}
 	}
@@ -198,7 +207,7 @@
 		return f.reply(http.StatusMisdirectedRequest, forward.OtherInstance), nil
 	}
 	work := crashAfter
-	if !causesCrash(body) {
+	if len(causes) == 0 {
 		work += rand.N(f.work)
 	}
 	select {
@@ -206,23 +215,33 @@
 	case <-found.ended:
 		return nil, errBroken
 	case <-ctx.Done():
-		if f.ignoresCancel && causesCrash(body) {
+		if f.ignoresCancel && len(causes) > 0 {
 			time.AfterFunc(crashAfter, func() { f.crash(engine) })
 		}
 		return nil, &exchange.Error{Sent: true, Cause: context.Cause(ctx)}
 	}
-	if causesCrash(body) {
+	if len(causes) > 0 {
 		f.crash(engine)
 	}
-	if causesCrash(body) || f.breaksAttempts {
+	if len(causes) > 0 && f.brokenAnswer != "" {
+		return f.replyWith(f.brokenAnswer), nil
+	}
+	if len(causes) > 0 || f.breaksAttempts {
 		return nil, errBroken
 	}
 	return f.reply(http.StatusOK, forward.Genuine), nil
 }
 
 func (f *crashFleet) reply(status int, execution forward.Execution) *forward.Reply {
+	reply := f.replyWith("id: 1\ndata: a\n\n")
+	reply.Status, reply.Execution = status, execution
+	return reply
+}
+
+// replyWith returns a success with a body.
+func (f *crashFleet) replyWith(body string) *forward.Reply {
 	return &forward.Reply{
-		Status: status, Header: http.Header{}, Length: -1, Body: io.NopCloser(strings.NewReader("id: 1\ndata: a\n\n")), Execution: execution,
+		Status: http.StatusOK, Header: http.Header{}, Length: -1, Body: io.NopCloser(strings.NewReader(body)), Execution: forward.Genuine,
 	}
 }
 
@@ -231,7 +250,7 @@
 
 // Report implements rollout.Engines.
 func (f *crashFleet) Report(_ context.Context, target backend.Record) (*rollout.Report, error) {
-	found, _ := f.arrive(target.Address, "")
+	found, _ := f.arrive(target.Address, nil)
 	switch {
 	case !found.up:
 		return nil, &exchange.Error{Cause: syscall.ECONNREFUSED}
