Quarantine parts of prompts under which engines crash

What callers saw: requests with one part in common in their prompts crashed engine after engine, 42 and 51 of them in a minute; the streams of other callers broke off with each, and a fifth to a third of the requests of the route failed.

Cause: evidence was kept for whole requests (tenant, method, host, target and body). Requests that share a part and nothing else have a fingerprint each, so none got the three crashes that hold a request.

Now evidence is kept for each shared part of a prompt as well, by tenant and model, in the same ledger, messages, pulls and rows. A part is held from four crash times on that no answer has cleared since. A crash does not count where engines without the part crashed within 50 ms, nor where the answer had been arriving for 3 s; an answer clears the crashes until 2.5 s after it. Another tenant's crashes hold a part only together with one of one's own. Of two parts that crashed the same engines, a prompt with one of them only is tried at once. A request lost with its engine is not repeated while a part of it has two crashes.

An answer with neither a length nor chunks is a success for the quarantine only once its engine was found alive after it, and a broken one if it has no byte.

Why it holds: a part that crashes engines is in each crash and in no answer; parts that are merely beside it are answered, here or at another router, which tells the others.

TestHarmlessPartsAreNotQuarantined fails with the rule on other engines or that on long answers taken out.

Adapted tests: AcquireTrial takes the decision, ledger.Counts has parts as well; no check became weaker.

--- a/internal/dispatch/quarantine.go
+++ b/internal/dispatch/quarantine.go
@@ -16,7 +16,7 @@
 	Check(now time.Time, request *quarantine.Subject) *quarantine.Decision
 	// AcquireTrial requests the grant of a trial that is due, waits a short time for it, and
 	// reports whether it was granted.
-	AcquireTrial(ctx context.Context, request *quarantine.Subject) bool
+	AcquireTrial(ctx context.Context, decision *quarantine.Decision) bool
 	// ObserveAnswered records a complete answer.
 	ObserveAnswered(now time.Time, request *quarantine.Subject)
 	// ObserveBroken records an attempt that broke off at an engine, ObserveAbandoned one whose
@@ -46,7 +46,7 @@
 	if decision == nil {
 		return nil
 	}
-	if decision.TrialDue && guard.AcquireTrial(ctx, g.subject) {
+	if decision.TrialDue && guard.AcquireTrial(ctx, decision) {
 		g.onTrial = true
 		return nil
 	}
--- a/internal/dispatch/quarantine_test.go
+++ b/internal/dispatch/quarantine_test.go
@@ -28,7 +28,7 @@
 }
 
 // AcquireTrial implements Quarantine.
-func (f *fakeQuarantine) AcquireTrial(context.Context, *quarantine.Subject) bool { return f.granted }
+func (f *fakeQuarantine) AcquireTrial(context.Context, *quarantine.Decision) bool { return f.granted }
 
 // ObserveAnswered implements Quarantine.
 func (f *fakeQuarantine) ObserveAnswered(time.Time, *quarantine.Subject) { f.answered++ }
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -66,12 +66,15 @@
 	Header http.Header
 	// Length is the length of the body in bytes, or -1 if unknown.
 	Length int64
+	// Unframed is whether the body has neither a length nor chunks, so that the end of the connection
+	// is its end.
+	Unframed bool
 	// ConnectTime is how long opening the connection took; 0 if it was reused.
 	ConnectTime time.Duration
 	// Through is the router that relayed the connection, the zero value for a direct one.
 	Through netip.AddrPort
-	// Body returns io.EOF only at the proven end of the answer, and another error
-	// if the answer is cut off. Closing it early closes the connection.
+	// Body returns io.EOF only at the end of the answer, which is proven unless it is Unframed, and
+	// another error if the answer is cut off. Closing it early closes the connection.
 	Body io.ReadCloser
 }
 
@@ -226,11 +229,17 @@
 		c.pool.options.Detour.ObserveAnswer()
 	}
 	response := &Response{Status: answer.StatusCode, Header: answer.Header, Length: answer.ContentLength, ConnectTime: c.connection.connectTime, Through: c.connection.through}
+	response.Unframed = isUnframed(answer)
 	c.connection.connectTime = 0
 	response.Body = &answerBody{call: c, answer: answer}
 	return response, nil
 }
 
+// isUnframed reports whether the body of an answer ends with its connection.
+func isUnframed(answer *http.Response) bool {
+	return answer.ContentLength < 0 && len(answer.TransferEncoding) == 0
+}
+
 // write sends a long request while its answer is awaited. Errors are ignored: the
 // back end may still answer.
 func (c *call) write(head, body []byte) {
@@ -257,7 +266,7 @@
 			return answer, nil
 		}
 		c.excess = true
-		if answer.ContentLength < 0 && len(answer.TransferEncoding) == 0 {
+		if isUnframed(answer) {
 			return nil, errExcessAnswers
 		}
 		if _, err := io.Copy(io.Discard, io.LimitReader(answer.Body, maxExcessBytes)); err != nil {
@@ -280,7 +289,7 @@
 // connection if it is reusable.
 func (c *call) finish(answer *http.Response) {
 	reusable := !c.excess && c.written.Load() && !answer.Close && c.connection.reader.Buffered() == 0 &&
-		(answer.ContentLength >= 0 || len(answer.TransferEncoding) > 0)
+		!isUnframed(answer)
 	// stop returns false if the context has ended, which closes the connection.
 	if !reusable || !c.stop() {
 		c.abort()
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -20,6 +20,9 @@
 // maxBufferedBytes is the largest answer that is buffered whole before it is passed on.
 const maxBufferedBytes = 256 << 10
 
+// errUnframedEmpty is an answer that ended with its connection before its first byte.
+var errUnframedEmpty = errors.New("the connection ended before the body began")
+
 // bufferedReply is a complete answer of a back end.
 type bufferedReply struct {
 	status int
@@ -46,6 +49,8 @@
 	through netip.AddrPort
 	// status is that of the answer, 0 before its head arrived.
 	status int
+	// unframed is whether the answer ends with its connection.
+	unframed bool
 	// invalid is true if the answer may not be passed on.
 	invalid bool
 	// continues is whether the attempt continues a stream that began before it.
@@ -180,7 +185,7 @@
 	if a.idleTimer != nil && a.route.Kind != catalog.Streaming {
 		a.idleTimer.Stop()
 	}
-	a.status, a.through = reply.Status, reply.Through
+	a.status, a.through, a.unframed = reply.Status, reply.Through, reply.Unframed
 	a.backendAttempt.ObserveConnect(reply.ConnectTime)
 	if reply.Version > 0 && a.request.Prompt != nil {
 		a.forwarder.Backends.ObserveVersion(a.choice.Instance, a.request.Prompt.Model, reply.Version)
@@ -240,6 +245,9 @@
 	if err != nil {
 		return &failure{ran: fault.RanUnknown, outcome: backend.Broken, cause: err}
 	}
+	if reply.Unframed && len(body) == 0 {
+		return &failure{ran: fault.RanUnknown, outcome: backend.Broken, cause: errUnframedEmpty}
+	}
 	a.recordReceived()
 	buffered := &bufferedReply{status: reply.Status, header: reply.Header, body: body}
 	if len(body) > maxBufferedBytes {
--- a/internal/forward/quarantine.go
+++ b/internal/forward/quarantine.go
@@ -14,16 +14,22 @@
 type Quarantine interface {
 	// Check returns why a request may not be sent, nil if it may.
 	Check(now time.Time, request *quarantine.Subject) *quarantine.Decision
+	// Suspected reports whether a part of the prompt has crashed back ends repeatedly, so that a
+	// request that was lost with its back end must not be sent again.
+	Suspected(request *quarantine.Subject) bool
 	// AcquireTrial requests the grant of a trial that is due, waits a short time for it, and
 	// reports whether it was granted.
-	AcquireTrial(ctx context.Context, request *quarantine.Subject) bool
-	// ObserveAnswered records a complete successful answer.
+	AcquireTrial(ctx context.Context, decision *quarantine.Decision) bool
+	// ObserveAnswered records a complete successful answer, ObserveUnproven one that ended with its
+	// connection, without a length or chunks.
 	ObserveAnswered(now time.Time, request *quarantine.Subject)
-	// ObserveBroken records an attempt that broke off at a back end, ObserveAbandoned one that
-	// this router cancelled and the back end may still run.
-	ObserveBroken(now time.Time, request *quarantine.Subject, at backend.Record)
+	ObserveUnproven(now time.Time, request *quarantine.Subject, at backend.Record)
+	// ObserveBroken records an attempt that broke off at a back end after its answer had been
+	// arriving for some time, ObserveAbandoned one that this router cancelled and the back end may
+	// still run.
+	ObserveBroken(now time.Time, request *quarantine.Subject, at backend.Record, arriving time.Duration)
 	ObserveAbandoned(now time.Time, request *quarantine.Subject, at backend.Record)
-	// ObserveUnreachable records that a back end accepted no connection.
+	// ObserveUnreachable records that a back end accepted no connection, or is another incarnation.
 	ObserveUnreachable(now time.Time, at backend.Record)
 }
 
@@ -37,6 +43,9 @@
 			identity.Tenant = r.tenant.Name
 		}
 		r.quarantineSubject = &quarantine.Subject{Identity: identity}
+		if prompt := r.request.Prompt; prompt != nil {
+			r.quarantineSubject.Model, r.quarantineSubject.SharedParts = prompt.Model, prompt.sharedIDs
+		}
 	}
 	return r.quarantineSubject
 }
@@ -52,7 +61,7 @@
 	if decision == nil {
 		return nil
 	}
-	if decision.TrialDue && r.forwarder.Quarantine.AcquireTrial(ctx, r.subject()) {
+	if decision.TrialDue && r.forwarder.Quarantine.AcquireTrial(ctx, decision) {
 		r.onTrial = true
 		return nil
 	}
@@ -69,12 +78,27 @@
 	}
 	switch {
 	case outcome == backend.Broken && !a.invalid:
-		a.forwarder.Quarantine.ObserveBroken(now, a.subject(), a.choice.Record)
+		a.forwarder.Quarantine.ObserveBroken(now, a.subject(), a.choice.Record, a.arriving(now))
 	case outcome == backend.Silent, outcome == backend.Abandoned:
 		a.forwarder.Quarantine.ObserveAbandoned(now, a.subject(), a.choice.Record)
-	case outcome == backend.Unreachable:
+	case outcome == backend.Unreachable, outcome == backend.Misdirected:
 		a.forwarder.Quarantine.ObserveUnreachable(now, a.choice.Record)
+	case outcome == backend.Answered && a.status < http.StatusMultipleChoices && a.unframed:
+		a.forwarder.Quarantine.ObserveUnproven(now, a.subject(), a.choice.Record)
 	case outcome == backend.Answered && a.status < http.StatusMultipleChoices:
 		a.forwarder.Quarantine.ObserveAnswered(now, a.subject())
 	}
 }
+
+// arriving returns how long the answer has been arriving, 0 if no byte has.
+func (a *attempt) arriving(now time.Time) time.Duration {
+	if a.firstByteAt.IsZero() {
+		return 0
+	}
+	return now.Sub(a.firstByteAt)
+}
+
+// suspected reports whether a part of the prompt has crashed back ends repeatedly.
+func (r *run) suspected() bool {
+	return r.forwarder.Quarantine != nil && r.forwarder.Quarantine.Suspected(r.subject())
+}
--- a/internal/forward/quarantine_test.go
+++ b/internal/forward/quarantine_test.go
@@ -20,6 +20,8 @@
 	decisions []*quarantine.Decision
 	checks    int
 	granted   bool
+	suspected bool
+	unproven  int
 	answered  int
 	broken    []backend.Record
 	abandoned []backend.Record
@@ -34,13 +36,21 @@
 }
 
 // AcquireTrial implements forward.Quarantine.
-func (f *fakeQuarantine) AcquireTrial(context.Context, *quarantine.Subject) bool { return f.granted }
+func (f *fakeQuarantine) AcquireTrial(context.Context, *quarantine.Decision) bool { return f.granted }
+
+// Suspected implements forward.Quarantine.
+func (f *fakeQuarantine) Suspected(*quarantine.Subject) bool { return f.suspected }
+
+// ObserveUnproven implements forward.Quarantine.
+func (f *fakeQuarantine) ObserveUnproven(time.Time, *quarantine.Subject, backend.Record) {
+	f.unproven++
+}
 
 // ObserveAnswered implements forward.Quarantine.
 func (f *fakeQuarantine) ObserveAnswered(time.Time, *quarantine.Subject) { f.answered++ }
 
 // ObserveBroken implements forward.Quarantine.
-func (f *fakeQuarantine) ObserveBroken(_ time.Time, _ *quarantine.Subject, at backend.Record) {
+func (f *fakeQuarantine) ObserveBroken(_ time.Time, _ *quarantine.Subject, at backend.Record, _ time.Duration) {
 	f.broken = append(f.broken, at)
 }
 
@@ -156,3 +166,58 @@
 		is.Equal(ended[0].Tenant, ident.Tenant("tenant"))
 	})
 }
+
+// A request that was lost with its back end is not sent to another one while a part of its prompt is under
+// suspicion.
+func TestSuspectedRequestIsNotRetried(t *testing.T) {
+	for _, suspected := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			b := newFixture(failing(true), genuine(200, "x"))
+			b.forwarder.Quarantine = &fakeQuarantine{decisions: []*quarantine.Decision{nil}, suspected: suspected}
+			sink := b.forward(t, request("safe"))
+			is.Equal(len(b.caller.sent()) == 1, suspected)
+			is.Equal(sink.refusal != nil, suspected)
+			if suspected {
+				is.Equal(sink.refusal.Kind, fault.BackendLost)
+			}
+		})
+	}
+}
+
+// An answer that ends with its connection may have been cut off by a crash: it is no proof for the prompt,
+// and without a byte it is no answer.
+func TestUnframedAnswerIsNoProof(t *testing.T) {
+	tests := []struct {
+		name, route, body string
+		unframed          bool
+		answered          int
+		unproven, broken  int
+	}{
+		{"a stream with a length", "stream", "id: 1\ndata: a\n\n", false, 1, 0, 0},
+		{"a stream", "stream", "id: 1\ndata: a\n\n", true, 0, 1, 0},
+		{"a stream that ends within an event", "stream", "id: 1\ndata: a\n\nid: 2", true, 0, 0, 1},
+		{"a stream without an event", "stream", "", true, 0, 0, 1},
+		{"a body", "unsafe", "x", true, 0, 1, 0},
+		{"a body without a byte", "unsafe", "", true, 0, 0, 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				reply := func(ctx context.Context, attempt *forward.Attempt) (*forward.Reply, error) {
+					reply, err := genuine(200, tt.body)(ctx, attempt)
+					reply.Unframed = tt.unframed
+					return reply, err
+				}
+				b := newFixture(reply, reply)
+				guard := &fakeQuarantine{decisions: []*quarantine.Decision{nil}}
+				b.forwarder.Quarantine = guard
+				b.forward(t, request(tt.route))
+				is.Equal(guard.answered, tt.answered)
+				is.Equal(guard.unproven, tt.unproven)
+				is.Equal(min(len(guard.broken), 1), tt.broken)
+			})
+		})
+	}
+}
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -70,6 +70,15 @@
 	return p.Parts[:len(p.Parts)-1]
 }
 
+// sharedIDs yields the ids of the shared parts, in order.
+func (p *Prompt) sharedIDs(yield func(string) bool) {
+	for _, part := range p.shared() {
+		if !yield(part.ID) {
+			return
+		}
+	}
+}
+
 // tokenCounts returns the token counts of the shared and unshared parts.
 func (p *Prompt) tokenCounts() (shared, own int) {
 	last := len(p.Parts) - 1
@@ -142,6 +151,9 @@
 	Length    int64
 	Body      io.ReadCloser
 	Execution Execution
+	// Unframed is whether the body has neither a length nor chunks: its end is that of its
+	// connection, and proves little.
+	Unframed bool
 	// Version is the version of the weights that answered, 0 if unknown.
 	Version int
 	// ConnectTime is how long it took to open the connection; 0 if an open one was used.
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -191,6 +191,10 @@
 		r.noRetryReason = "its route allows it to run on no more back ends"
 		return false
 	}
+	if failed.outcome == backend.Broken && r.suspected() {
+		r.noRetryReason = "back ends crashed under a part of its prompt"
+		return false
+	}
 	switch failed.outcome {
 	case backend.Unreachable, backend.Withdrawn:
 		return true
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -24,6 +24,9 @@
 	timeout := a.stallTimeout()
 	for {
 		next, err := events.next()
+		if err == io.EOF && reply.Unframed && a.firstByteAt.IsZero() {
+			return a.streamFailure(errUnframedEmpty)
+		}
 		if err == io.EOF {
 			return a.streamEnded(reply)
 		}
--- a/internal/node/crashing_test.go
+++ b/internal/node/crashing_test.go
@@ -77,6 +77,8 @@
 	breaksAttempts bool
 	// brokenAnswer is what arrives of the answer to a request that makes an engine crash, if any does.
 	brokenAnswer string
+	// unframed is whether answers end with their connections.
+	unframed bool
 	// ignoresCancel makes engines continue cancelled requests; clientTimeout is that of clients
 	// for a request that makes engines crash, 0 for none.
 	ignoresCancel bool
@@ -210,6 +212,9 @@
 	if len(causes) == 0 {
 		work += rand.N(f.work)
 	}
+	if reply := longReply(attempt, found.ended); reply != nil {
+		return reply, nil
+	}
 	select {
 	case <-time.After(work):
 	case <-found.ended:
@@ -242,6 +247,7 @@
 func (f *crashFleet) replyWith(body string) *forward.Reply {
 	return &forward.Reply{
 		Status: http.StatusOK, Header: http.Header{}, Length: -1, Body: io.NopCloser(strings.NewReader(body)), Execution: forward.Genuine,
+		Unframed: f.unframed,
 	}
 }
 
--- a/internal/node/crashingparts_test.go
+++ b/internal/node/crashingparts_test.go
@@ -134,6 +134,18 @@
 	}
 }
 
+// startOthers starts clients whose prompts crash no engine, with the keys and the other parts of those that
+// do, and a pause after each request.
+func (l *partLoad) startOthers(working *sync.WaitGroup, pause time.Duration) {
+	for client := range 24 {
+		working.Go(func() {
+			l.sendOthers(pause, func(count int) int { return client + count }, func(count int) prompt {
+				return prompt{[]string{"key-a", "key-b"}[client%2], []string{"first", []string{"second", "third"}[count%2]}, ""}
+			})
+		})
+	}
+}
+
 // lateParts returns how often a part reached engines later than partPropagation after the fifth crash.
 func (f *crashFleet) lateParts(part string) (crashes, late int) {
 	f.mu.Lock()
@@ -194,22 +206,17 @@
 			return prompt{[]string{"key-a", "key-b"}[count%2], []string{"first", bad}, ""}
 		}, []string{bad}, ""},
 		{"and cuts the answer within an event", func(int) prompt { return prompt{"key-a", []string{"first", bad}, ""} }, []string{bad}, "id: 1\ndata"},
+		{"and ends an unframed answer between events", func(int) prompt { return prompt{"key-a", []string{"first", bad}, ""} }, []string{bad}, "id: 1\ndata: a\n\n"},
 		{"beside a companion", func(int) prompt { return prompt{"key-a", []string{"first", "companion", bad}, ""} }, []string{bad}, ""},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			t.Parallel()
 			l := newPartFleet(t)
-			l.f.brokenAnswer = tt.brokenAnswer
+			l.f.brokenAnswer, l.f.unframed = tt.brokenAnswer, tt.brokenAnswer != ""
 			var working sync.WaitGroup
 			working.Go(func() { l.sendCrashing(tt.next) })
-			for client := range 24 {
-				working.Go(func() {
-					l.sendOthers(50*time.Millisecond, func(count int) int { return client + count }, func(count int) prompt {
-						return prompt{[]string{"key-a", "key-b"}[client%2], []string{"first", []string{"second", "third"}[count%2]}, ""}
-					})
-				})
-			}
+			l.startOthers(&working, 50*time.Millisecond)
 			// The companion comes without the bad part as well, always at one router.
 			working.Go(func() {
 				l.sendOthers(time.Second, func(int) int { return 3 }, func(int) prompt { return prompt{"key-a", []string{"first", "companion"}, ""} })
--- a/internal/node/gauges.go
+++ b/internal/node/gauges.go
@@ -20,7 +20,7 @@
 	now.routers = n.follower.replica.Routers()
 	now.sharers = n.follower.replica.Sharers()
 	now.quotaMembers, now.limitMembers = n.quotas.members(), n.limits.members()
-	now.quarantined, now.crashSuspects = n.quarantines.Counts()
+	now.crashes = n.quarantines.Counts()
 	now.unreachableRegions = len(n.backends.UnreachableRegions(clock.Now()))
 	if n.detours != nil {
 		now.backendsLost, now.detours = n.detours.allLost(), n.detours.ports.Dialer.Opened()
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -10,6 +10,7 @@
 
 	"github.com/fieldpond/fieldpond/internal/backend"
 	"github.com/fieldpond/fieldpond/internal/forward"
+	"github.com/fieldpond/fieldpond/internal/quarantine"
 	"github.com/fieldpond/fieldpond/internal/quota"
 	"github.com/fieldpond/fieldpond/internal/rollout"
 	"github.com/fieldpond/fieldpond/internal/telemetry"
@@ -52,6 +53,7 @@
 	attemptsElsewhere                              *prometheus.CounterVec
 	// Checks whether back ends crashed, and requests for trials, by result.
 	crashChecks, trials *prometheus.CounterVec
+	partsCleared        prometheus.Counter
 
 	releaseAttempts, rolloutPhases *prometheus.CounterVec
 	// Records sent of the releases at which streams began, and streams taken up by result of the
@@ -86,8 +88,7 @@
 	silentConnections     uint64
 	clients               int
 	clientsRefused        uint64
-	quarantined           int
-	crashSuspects         int
+	crashes               quarantine.Counts
 	streamRecords         int
 	streamRecordsDropped  uint64
 }
@@ -116,8 +117,9 @@
 		attemptsElsewhere: registry.Counter("edge_attempts_elsewhere_total", "Attempts that did not go to the back end that was expected to be the fastest, since that said that it wants rest or leaves, by reason: rest or leaving.", "reason"),
 		limitReservations: registry.Counter("edge_limit_claims_total", "Requests that were asked for at back ends with limits, by verdict: granted, denied or unconfirmed.", "verdict"),
 
-		crashChecks: registry.Counter("edge_crash_checks_total", "Checks of back ends at which attempts broke off, by result: crashed, alive or unknown.", "result"),
-		trials:      registry.Counter("edge_quarantine_trials_total", "Questions whether a quarantined request may be tried once more, by result: granted, denied or failed.", "result"),
+		crashChecks:  registry.Counter("edge_crash_checks_total", "Checks of back ends at which attempts broke off, by result: crashed, alive or unknown.", "result"),
+		trials:       registry.Counter("edge_quarantine_trials_total", "Questions whether a quarantined request may be tried once more, by result: granted, denied or failed.", "result"),
+		partsCleared: registry.Counter("edge_parts_cleared_total", "Parts of prompts against which crashes counted until an answer cleared them.").WithLabelValues(),
 
 		releaseAttempts: registry.Counter("edge_release_attempts_total", "Attempts at back ends of a service that is being moved to another release, by release and outcome.", "service", "release", "outcome"),
 		streamRecords:   registry.Counter("edge_stream_records_sent_total", "Records sent to other routers of the release at which a stream began.").WithLabelValues(),
@@ -143,8 +145,10 @@
 	group.Gauge("edge_slack_sharers", "Routers among which the slack of the budget of repeats is divided; 0 while this router has no part of it.", func(r gaugeValues) int { return r.sharers })
 	group.Gauge("edge_quota_members", "Routers whose claims on the limits of tenants this router grants.", func(r gaugeValues) int { return r.quotaMembers })
 	group.Gauge("edge_limit_members", "Routers whose claims on the limits of back ends this router grants, over the parts of the back ends that it grants for.", func(r gaugeValues) int { return r.limitMembers })
-	group.Gauge("edge_quarantined_requests", "Requests that are not sent on, since back ends crashed under them.", func(r gaugeValues) int { return r.quarantined })
-	group.Gauge("edge_crash_suspects", "Requests that ran on back ends which crashed, those that are quarantined among them.", func(r gaugeValues) int { return r.crashSuspects })
+	group.Gauge("edge_quarantined_requests", "Requests that are not sent on, since back ends crashed under them.", func(r gaugeValues) int { return r.crashes.Requests })
+	group.Gauge("edge_crash_suspects", "Requests that ran on back ends which crashed, those that are quarantined among them.", func(r gaugeValues) int { return r.crashes.SuspectRequests })
+	group.Gauge("edge_quarantined_parts", "Parts of prompts that are not sent on, by tenant and model, since back ends crashed under them.", func(r gaugeValues) int { return r.crashes.Parts })
+	group.Gauge("edge_crash_suspect_parts", "Parts of prompts that ran on back ends which crashed, those that are quarantined among them.", func(r gaugeValues) int { return r.crashes.SuspectParts })
 	group.Gauge("edge_stream_records", "Streams of which this router keeps at which release they began, while a service has several.", func(r gaugeValues) int { return r.streamRecords })
 	group.Counter("edge_stream_records_dropped_total", "Records of streams for which this router had no room.", func(r gaugeValues) uint64 { return r.streamRecordsDropped })
 	group.Gauge("edge_client_connections", "Open connections of clients.", func(r gaugeValues) int { return r.clients })
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -237,8 +237,9 @@
 				socket.sendCrashEvidence(evidence)
 			}
 		},
-		OnTrial: func(result string) { n.metrics.trials.WithLabelValues(result).Inc() },
-		OnCheck: func(result string) { n.metrics.crashChecks.WithLabelValues(result).Inc() },
+		OnTrial:       func(result string) { n.metrics.trials.WithLabelValues(result).Inc() },
+		OnCheck:       func(result string) { n.metrics.crashChecks.WithLabelValues(result).Inc() },
+		OnPartCleared: n.metrics.partsCleared.Inc,
 	})}
 }
 
--- a/internal/node/quarantine.go
+++ b/internal/node/quarantine.go
@@ -23,8 +23,15 @@
 var _ forward.Quarantine = (*quarantines)(nil)
 
 // ObserveBroken implements forward.Quarantine.
-func (q *quarantines) ObserveBroken(now time.Time, request *quarantine.Subject, at backend.Record) {
-	q.Guard.ObserveBroken(now, request, q.target(at))
+func (q *quarantines) ObserveBroken(now time.Time, request *quarantine.Subject, at backend.Record, arriving time.Duration) {
+	target := q.target(at)
+	target.Arriving = arriving
+	q.Guard.ObserveBroken(now, request, target)
+}
+
+// ObserveUnproven implements forward.Quarantine.
+func (q *quarantines) ObserveUnproven(now time.Time, request *quarantine.Subject, at backend.Record) {
+	q.Guard.ObserveUnproven(now, request, q.target(at))
 }
 
 // ObserveAbandoned implements forward.Quarantine.
--- a/internal/quarantine/decision.go
+++ b/internal/quarantine/decision.go
@@ -23,10 +23,16 @@
 
 // Decision states why a request may not be sent.
 type Decision struct {
+	// Request is the fingerprint of the request, or of the quarantined part of its prompt.
 	Request Fingerprint
+	// PartID is the id of that part, empty if the request itself is quarantined.
+	PartID string
+	// Quarantined are the fingerprints for each of which a trial must be granted.
+	Quarantined []Fingerprint
 	// Crashes are those of incarnations that ran the request, since its last success.
 	Crashes []Crash
-	Trials  int
+	// Trials is the number of trials used up.
+	Trials int
 	// TrialDue is true if a trial of the request may be granted.
 	TrialDue bool
 	// RetryAfter is the time after which the client may retry.
@@ -35,43 +41,79 @@
 
 // String returns the reason for the quarantine, as sent to clients.
 func (d *Decision) String() string {
+	if d.PartID != "" {
+		return fmt.Sprintf(
+			"%d back ends crashed while they ran prompts with the part %s, which has the fingerprint %s", len(d.Crashes), d.PartID, d.Request,
+		)
+	}
 	return fmt.Sprintf("%d back ends crashed while they ran this request, which has the fingerprint %s", len(d.Crashes), d.Request)
 }
 
-// Check returns the decision on a quarantined request, nil if the request may be sent.
+// Check returns the decision on a quarantined request or part, nil if it may be sent.
 func (l *Ledger) Check(now time.Time, request Fingerprint) *Decision {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	return l.decide(now, request)
+}
+
+// decide is Check; the mutex is held.
+func (l *Ledger) decide(now time.Time, request Fingerprint) *Decision {
 	known := l.suspects[request]
-	if known == nil || !known.quarantined() {
+	if known == nil || !l.quarantined(request, known) {
 		return nil
 	}
-	decision := &Decision{Request: request, Crashes: slices.Clone(known.countedCrashes()), Trials: known.trials, RetryAfter: QuarantinedRetryAfter}
-	if due, more := known.nextTrial(); more {
+	record := l.trialRecordOf(request, known)
+	decision := &Decision{
+		Request: request, Quarantined: []Fingerprint{request}, Crashes: slices.Clone(record.crashes), Trials: record.used(),
+		RetryAfter: QuarantinedRetryAfter,
+	}
+	if due, more := record.next(); more {
 		decision.TrialDue = !now.Before(due)
 		decision.RetryAfter = max(due.Sub(now), minRetryAfter)
 	}
 	return decision
 }
 
-// nextTrial returns when a quarantined request may be tried again, if ever. A crash after
-// propagationTime counts as a trial: a router that was cut off or paused has sent the request.
-func (s *suspect) nextTrial() (due time.Time, more bool) {
-	crashes := s.countedCrashes()
-	propagatedAt := crashes[crashesToQuarantine-1].At.Add(propagationTime)
+// trialRecord is what decides when a quarantined request or part may be tried again.
+type trialRecord struct {
+	crashes []Crash
+	// needed is the number of crashes that led to the quarantine.
+	needed int
+	trials int
+	lastAt time.Time
+}
+
+// trialRecordOf returns the record of a quarantined request, or of a part in all scopes; the mutex is held.
+func (l *Ledger) trialRecordOf(request Fingerprint, known *suspect) trialRecord {
+	if group := l.groupOf(request); request.IsPart() && group != nil {
+		trials, lastAt := group.trials()
+		return trialRecord{crashes: group.crashes, needed: partCrashesToQuarantine, trials: trials, lastAt: lastAt}
+	}
+	return trialRecord{crashes: known.countedCrashes(), needed: crashesToQuarantine, trials: known.trials, lastAt: known.trialAt}
+}
+
+// used returns the number of trials used up. A crash after propagationTime counts as a trial: a router that
+// was cut off or paused has sent the request.
+func (r *trialRecord) used() int {
+	propagatedAt := r.crashes[r.needed-1].At.Add(propagationTime)
 	late := 0
-	for _, crash := range crashes {
+	for _, crash := range r.crashes {
 		if crash.At.After(propagatedAt) {
 			late++
 		}
 	}
-	used := max(s.trials, late)
+	return max(r.trials, late)
+}
+
+// next returns when a trial may be granted, if ever.
+func (r *trialRecord) next() (due time.Time, more bool) {
+	used := r.used()
 	if used >= maxTrials {
 		return time.Time{}, false
 	}
-	last := crashes[len(crashes)-1].At
-	if s.trialAt.After(last) {
-		last = s.trialAt
+	last := r.crashes[len(r.crashes)-1].At
+	if r.lastAt.After(last) {
+		last = r.lastAt
 	}
 	return last.Add(trialPauses[used]), true
 }
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -33,6 +33,10 @@
 func (e *Evidence) ToStore() int {
 	merged := NewLedger()
 	merged.Merge(time.Unix(0, 0), []Evidence{*e})
+	if e.Request.IsPart() {
+		// Whether it is to be stored depends on the evidence in all scopes.
+		return merged.countedPartCrashes(e.Request)
+	}
 	return merged.ToStore(e.Request)
 }
 
@@ -53,7 +57,7 @@
 	defer l.mu.Unlock()
 	var all []Evidence
 	for request, known := range l.suspects {
-		if len(known.crashes) >= crashesToQuarantine {
+		if l.mayBeQuarantined(request, known) {
 			all = append(all, known.evidence(now, request))
 		}
 	}
@@ -66,20 +70,30 @@
 	defer l.mu.Unlock()
 	digest := uint64(0)
 	for request, known := range l.suspects {
-		if len(known.crashes) >= crashesToQuarantine {
-			digest ^= known.digest(request)
+		if l.mayBeQuarantined(request, known) {
+			digest ^= known.digest(request, l.quarantined(request, known))
 		}
 	}
 	return digest
 }
 
-func (s *suspect) digest(request Fingerprint) uint64 {
+// mayBeQuarantined reports whether a request or part is or was quarantined, here or at another router;
+// the mutex is held.
+func (l *Ledger) mayBeQuarantined(request Fingerprint, known *suspect) bool {
+	if !request.IsPart() {
+		return len(known.crashes) >= crashesToQuarantine
+	}
+	l.groupOf(request)
+	return known.wasQuarantined
+}
+
+func (s *suspect) digest(request Fingerprint, quarantined bool) uint64 {
 	hash := xxhash.New()
 	_, _ = hash.Write(request[:])
 	for _, crash := range s.crashes {
 		_, _ = fmt.Fprint(hash, crash.Incarnation, ";")
 	}
-	_, _ = fmt.Fprint(hash, s.trials, s.quarantined())
+	_, _ = fmt.Fprint(hash, s.trials, quarantined)
 	return hash.Sum64()
 }
 
@@ -97,24 +111,42 @@
 	return evidence
 }
 
-// Merge adds evidence as of a time. It returns the requests that are quarantined from now on,
+// Merge adds evidence as of a time. It returns the requests and parts that are quarantined from now on,
 // and those on which this ledger has more evidence than was received.
 func (l *Ledger) Merge(at time.Time, all []Evidence) (quarantined, more []Fingerprint) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, evidence := range all {
-		known := l.suspectOf(at, evidence.Request)
+		known := l.suspectOf(evidence.Request)
 		for _, crash := range evidence.Crashes {
-			known.add(Crash{Incarnation: crash.Incarnation, At: at.Add(-crash.Age)})
+			merged := Crash{Incarnation: crash.Incarnation, At: at.Add(-crash.Age)}
+			known.add(merged)
+			l.recordLife(merged)
 		}
 		if evidence.Cleared {
 			known.clear(at.Add(-evidence.ClearedAge))
 		}
 		known.recordTrials(evidence.Trials, at.Add(-evidence.TrialAge))
-		quarantined = l.reportOnce(evidence.Request, quarantined)
-		if len(known.crashes) > len(evidence.Crashes) || (!known.clearedAt.IsZero() && !evidence.Cleared) {
+		if known.exceeds(&evidence) {
 			more = append(more, evidence.Request)
 		}
 	}
+	l.revision++
+	for _, evidence := range all {
+		quarantined = l.reportOnce(evidence.Request, quarantined)
+	}
 	return quarantined, more
 }
+
+// exceeds reports whether there is more evidence than was received.
+func (s *suspect) exceeds(received *Evidence) bool {
+	if len(s.crashes) > len(received.Crashes) {
+		return true
+	}
+	cleared := !s.clearedAt.IsZero() && !received.Cleared
+	if received.Request.IsPart() {
+		// Most routers have had a success of a frequent part at some time.
+		return cleared && len(s.countedCrashes()) < len(received.Crashes)
+	}
+	return cleared
+}
--- a/internal/quarantine/fingerprint.go
+++ b/internal/quarantine/fingerprint.go
@@ -14,8 +14,8 @@
 // request with the fingerprint of another one.
 const FingerprintBytes = 16
 
-// Fingerprint identifies what a request asks for; it is the same for all retries of a client.
-// It may be logged, as the request cannot be recovered from it.
+// Fingerprint identifies what a request asks for; it is the same for all retries of a client. Others
+// identify a part of prompts in one scope. It may be logged, as the request cannot be recovered from it.
 type Fingerprint [FingerprintBytes]byte
 
 // String returns the fingerprint as hexadecimal digits.
@@ -36,6 +36,9 @@
 	i.writeTo(digest)
 	var fingerprint Fingerprint
 	copy(fingerprint[:], digest.Sum(nil))
+	if fingerprint.IsPart() {
+		fingerprint[0] = ^fingerprint[0]
+	}
 	return fingerprint
 }
 
--- a/internal/quarantine/guard/abandoned.go
+++ b/internal/quarantine/guard/abandoned.go
@@ -12,12 +12,12 @@
 	// abandonedWindow is how long before its crash a back end may have begun an abandoned
 	// request. Most drop those; the others begin them once a slot is free.
 	abandonedWindow = 2 * time.Second
-	// maxAbandoned is the number of the newest abandoned attempts remembered.
-	maxAbandoned = 512
+	// maxAbandoned is the number of the newest suspects of abandoned attempts remembered.
+	maxAbandoned = 2048
 )
 
-// abandonedAttempt is an attempt given up by this router while the back end may have been
-// running it.
+// abandonedAttempt is a request, or a part of its prompt, of an attempt given up by this router while the
+// back end may have been running it.
 type abandonedAttempt struct {
 	incarnation ident.Incarnation
 	request     quarantine.Fingerprint
--- a/internal/quarantine/guard/crashchecks.go
+++ b/internal/quarantine/guard/crashchecks.go
@@ -52,6 +52,8 @@
 // Target is an incarnation of a back end at which an attempt was made.
 type Target struct {
 	Incarnation ident.Incarnation
+	// Arriving is how long the answer had been arriving when the attempt ended, 0 if no byte had.
+	Arriving time.Duration
 	// Probe probes the back end once after an attempt broke off at a time. It must return once
 	// ctx ends.
 	Probe func(ctx context.Context, brokeAt time.Time) ProbeResult
@@ -91,6 +93,8 @@
 	backends Backends
 	// onCrash is called with the requests that ran on a crashed incarnation.
 	onCrash func(at time.Time, incarnation ident.Incarnation, requests []quarantine.Fingerprint)
+	// onAlive is called with an incarnation that answered a probe, and when that was sent.
+	onAlive func(incarnation ident.Incarnation, probedAt time.Time)
 	// onResult is called with the result of each check: crashed, alive or unknown.
 	onResult func(string)
 
@@ -144,8 +148,10 @@
 		if !wait.For(ctx, max(clock.Until(check.brokeAt.Add(after)), time.Millisecond)) {
 			break
 		}
+		probedAt := clock.Now()
 		switch check.probe(ctx) {
 		case ProbeAlive:
+			c.onAlive(incarnation, probedAt)
 			c.finish(incarnation, "alive", false)
 			return
 		case ProbeEnded:
--- a/internal/quarantine/guard/guard.go
+++ b/internal/quarantine/guard/guard.go
@@ -31,6 +31,8 @@
 	// OnTrial is called with the result of each request for a trial: granted, denied or failed;
 	// OnCheck with that of each check of a back end: crashed, alive or unknown.
 	OnTrial, OnCheck func(result string)
+	// OnPartCleared is called for each part of prompts that a success cleared of crashes.
+	OnPartCleared func()
 }
 
 func (c Config) withDefaults() Config {
@@ -46,6 +48,9 @@
 	if c.OnCheck == nil {
 		c.OnCheck = func(string) {}
 	}
+	if c.OnPartCleared == nil {
+		c.OnPartCleared = func() {}
+	}
 	return c
 }
 
@@ -55,7 +60,11 @@
 	config    Config
 	ledger    *quarantine.Ledger
 	successes *quarantine.Successes
-	checks    *crashChecks
+	// partSuccesses are those of the parts of prompts.
+	partSuccesses *quarantine.PartSuccesses
+	checks        *crashChecks
+	// unproven are answers whose ends may be those of crashes.
+	unproven unprovenAnswers
 	// abandoned attempts count if another request or router observes the crash.
 	abandoned *abandonedAttempts
 	rows      *rows
@@ -74,20 +83,20 @@
 	config = config.withDefaults()
 	ledger := quarantine.NewLedger()
 	g := &Guard{
-		config: config, ledger: ledger, successes: quarantine.NewSuccesses(), abandoned: &abandonedAttempts{},
+		config: config, ledger: ledger, successes: quarantine.NewSuccesses(), partSuccesses: quarantine.NewPartSuccesses(), abandoned: &abandonedAttempts{},
 		rows:    newRows(config.Table, config.Timeout, ledger),
 		updates: make(map[quarantine.Fingerprint]int), staleRows: make(map[quarantine.Fingerprint]struct{}),
 		wake: make(chan struct{}, 1),
 	}
 	g.checks = &crashChecks{
-		backends: config.Backends, onCrash: g.recordCrash, onResult: config.OnCheck,
+		backends: config.Backends, onCrash: g.recordCrash, onAlive: g.recordAlive, onResult: config.OnCheck,
 		open: make(map[ident.Incarnation]*crashCheck), ended: make(map[ident.Incarnation]time.Time),
 	}
 	return g
 }
 
-// Counts returns the number of quarantined requests and of all suspects.
-func (g *Guard) Counts() (quarantined, suspects int) { return g.ledger.Counts() }
+// Counts returns the numbers of quarantined requests and parts of prompts, and of all suspects.
+func (g *Guard) Counts() quarantine.Counts { return g.ledger.Counts() }
 
 // Check returns why a request may not be sent, nil if it may. A recent success at this router
 // clears it.
@@ -96,48 +105,95 @@
 		return nil
 	}
 	if at, found := g.successes.Last(now, &request.Identity); found {
-		g.recordSuccess(at, request)
+		g.recordSuccess(at, request.Fingerprint())
+	}
+	if decision := g.ledger.Check(now, request.Fingerprint()); decision != nil {
+		return decision
 	}
-	return g.ledger.Check(now, request.Fingerprint())
+	return g.ledger.CheckParts(now, request.Parts())
+}
+
+// Suspected reports whether a part of the prompt has crashed back ends repeatedly, so that the request must
+// not be sent again after it was lost with a back end.
+func (g *Guard) Suspected(request *quarantine.Subject) bool {
+	return !g.ledger.Empty() && g.ledger.Suspected(request.Parts())
 }
 
 // ObserveAnswered records a complete success.
 func (g *Guard) ObserveAnswered(now time.Time, request *quarantine.Subject) {
 	g.successes.Add(now, &request.Identity)
+	g.partSuccesses.Add(now, request)
 	if !g.ledger.Empty() {
-		g.recordSuccess(now, request)
+		g.recordSuccesses(now, request.Fingerprint(), request.Parts())
+	}
+}
+
+// recordSuccesses records a success of a request with the shared parts of its prompt.
+func (g *Guard) recordSuccesses(at time.Time, request quarantine.Fingerprint, parts []quarantine.Part) {
+	g.recordSuccess(at, request)
+	for _, part := range parts {
+		g.recordSuccess(at, part.Fingerprint)
 	}
 }
 
-func (g *Guard) recordSuccess(at time.Time, request *quarantine.Subject) {
-	changed, released := g.ledger.RecordSuccess(at, request.Fingerprint())
+func (g *Guard) recordSuccess(at time.Time, request quarantine.Fingerprint) {
+	changed, released := g.ledger.RecordSuccess(at, request)
 	if changed {
-		g.announce(request.Fingerprint())
+		g.announce(request)
+		if request.IsPart() {
+			g.config.OnPartCleared()
+		}
 	}
 	if released {
-		log.WithFields(log.Fields{"fingerprint": request.Fingerprint().String(), "cause": "answered"}).Info("quarantine_ended")
-		g.scheduleWrite(request.Fingerprint())
+		log.WithFields(log.Fields{"fingerprint": request.String(), "cause": "answered"}).Info("quarantine_ended")
+		g.scheduleWrite(request)
 	}
 }
 
 // ObserveBroken records an attempt that broke off.
 func (g *Guard) ObserveBroken(now time.Time, request *quarantine.Subject, target Target) {
-	if _, succeeded := g.successes.Last(now, &request.Identity); succeeded {
-		return
+	if suspects := g.suspectsOf(now, request, target.Arriving); len(suspects) > 0 {
+		g.checks.observeBroken(now, target, suspects...)
 	}
-	g.checks.observeBroken(now, target, request.Fingerprint())
 }
 
 // ObserveAbandoned records an attempt that this router gave up and that the back end may still run.
 func (g *Guard) ObserveAbandoned(now time.Time, request *quarantine.Subject, target Target) {
-	if _, succeeded := g.successes.Last(now, &request.Identity); succeeded {
-		return
+	for _, suspect := range g.suspectsOf(now, request, 0) {
+		g.abandoned.add(abandonedAttempt{incarnation: target.Incarnation, request: suspect, at: now})
 	}
-	g.abandoned.add(abandonedAttempt{incarnation: target.Incarnation, request: request.Fingerprint(), at: now})
 }
 
-// ObserveUnreachable records that a back end accepted no connection. After abandoned requests this may
-// be the only sign of a crash.
+// maxCrashAge is the time since the first byte of an answer after which its prompt is no suspect of a
+// crash: its parts were read long before.
+const maxCrashAge = 3 * time.Second
+
+// suspectsOf returns the fingerprints of a request and of the parts of its prompt, without those that have
+// just succeeded.
+func (g *Guard) suspectsOf(now time.Time, request *quarantine.Subject, arriving time.Duration) []quarantine.Fingerprint {
+	var suspects []quarantine.Fingerprint
+	if _, succeeded := g.successes.Last(now, &request.Identity); !succeeded {
+		suspects = append(suspects, request.Fingerprint())
+	}
+	if arriving > maxCrashAge {
+		return suspects
+	}
+	return append(suspects, g.suspectParts(now, request.Parts())...)
+}
+
+// suspectParts returns the fingerprints of the parts of a prompt that have not just succeeded.
+func (g *Guard) suspectParts(now time.Time, parts []quarantine.Part) []quarantine.Fingerprint {
+	var suspects []quarantine.Fingerprint
+	for _, part := range parts {
+		if _, succeeded := g.partSuccesses.Last(now, part.Fingerprint); !succeeded {
+			suspects = append(suspects, part.Fingerprint)
+		}
+	}
+	return suspects
+}
+
+// ObserveUnreachable records that a back end accepted no connection, or is another incarnation. After
+// abandoned requests this may be the only sign of a crash.
 func (g *Guard) ObserveUnreachable(now time.Time, target Target) {
 	if g.abandoned.has(target.Incarnation, now) {
 		g.checks.observeBroken(now, target)
@@ -185,20 +241,39 @@
 	loops.Go(func() { g.checks.run(ctx) })
 	loops.Go(func() { g.maintainRows(ctx) })
 	wait.Every(ctx, updateInterval, func() {
+		now := clock.Now()
+		g.checkUnproven(now)
+		g.clearSucceededParts(now)
 		g.resendUpdates()
-		g.ledger.Expire(clock.Now())
+		g.ledger.Expire(now)
 	})
 	loops.Wait()
 }
 
-// AcquireTrial requests a trial that is due, and waits a short time for it.
-func (g *Guard) AcquireTrial(ctx context.Context, request *quarantine.Subject) bool {
-	result, trials := g.rows.acquireTrial(ctx, request.Fingerprint())
-	g.config.OnTrial(string(result))
-	if result != trialGranted {
-		return false
+// clearSucceededParts clears the parts that recently succeeded at this router, though crashes of others
+// count against them.
+func (g *Guard) clearSucceededParts(now time.Time) {
+	if g.ledger.Empty() {
+		return
+	}
+	for _, part := range g.ledger.CrashedParts() {
+		if at, found := g.partSuccesses.Last(now, part); found {
+			g.recordSuccess(at, part)
+		}
+	}
+}
+
+// AcquireTrial requests a trial that is due, and waits a short time for it. Each quarantined part of the
+// prompt needs one.
+func (g *Guard) AcquireTrial(ctx context.Context, decision *quarantine.Decision) bool {
+	for _, request := range decision.Quarantined {
+		result, trials := g.rows.acquireTrial(ctx, request)
+		g.config.OnTrial(string(result))
+		if result != trialGranted {
+			return false
+		}
+		log.WithFields(log.Fields{"fingerprint": request.String(), "trials": trials}).Info("quarantine_trial")
+		g.announce(request)
 	}
-	log.WithFields(log.Fields{"fingerprint": request.Fingerprint().String(), "trials": trials}).Info("quarantine_trial")
-	g.announce(request.Fingerprint())
 	return true
 }
--- a/internal/quarantine/guard/guard_test.go
+++ b/internal/quarantine/guard/guard_test.go
@@ -118,8 +118,8 @@
 		is.True(!w.all[1].Check(time.Now(), subject("innocent")).TrialDue)
 		time.Sleep(10 * time.Second)
 		is.True(w.all[1].Check(time.Now(), subject("innocent")).TrialDue)
-		is.True(w.all[1].AcquireTrial(t.Context(), subject("innocent")))
-		is.True(!w.all[2].AcquireTrial(t.Context(), subject("innocent")))
+		is.True(w.acquireTrial(1, "innocent"))
+		is.True(!w.acquireTrial(2, "innocent"))
 		w.all[1].ObserveAnswered(time.Now(), subject("innocent"))
 		is.Equal(w.quarantinedAt("innocent"), 0)
 		time.Sleep(3 * time.Second)
@@ -143,7 +143,7 @@
 			for _, q := range w.all {
 				decision := q.Check(time.Now(), subject("guilty"))
 				is.True(decision != nil)
-				if decision.TrialDue && q.AcquireTrial(t.Context(), subject("guilty")) {
+				if decision.TrialDue && q.AcquireTrial(t.Context(), decision) {
 					trials++
 				}
 			}
--- a/internal/quarantine/guard/harness_test.go
+++ b/internal/quarantine/guard/harness_test.go
@@ -116,3 +116,8 @@
 	}
 	return count
 }
+
+// acquireTrial requests a trial of a quarantined request at a router.
+func (w *harness) acquireTrial(router int, body string) bool {
+	return w.all[router].AcquireTrial(context.Background(), w.all[router].Check(time.Now(), subject(body)))
+}
--- a/internal/quarantine/guard/rows.go
+++ b/internal/quarantine/guard/rows.go
@@ -153,7 +153,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	interval := quietRelistInterval
-	if quarantined, _ := r.ledger.Counts(); quarantined > 0 {
+	if r.ledger.Counts().Quarantined() {
 		interval = relistInterval
 	}
 	return now.Sub(r.listedAt) >= interval
--- a/internal/quarantine/guard/rows_test.go
+++ b/internal/quarantine/guard/rows_test.go
@@ -35,7 +35,7 @@
 		for range 60 {
 			q := w.all[sent%3]
 			decision := q.Check(time.Now(), subject("guilty"))
-			if decision == nil || (decision.TrialDue && q.AcquireTrial(t.Context(), subject("guilty"))) {
+			if decision == nil || (decision.TrialDue && q.AcquireTrial(t.Context(), decision)) {
 				sent++
 				w.crash(sent%3, "guilty", engine)
 				engine++
@@ -121,7 +121,7 @@
 		w.crash(0, "guilty", 0, 1, 2)
 		time.Sleep(time.Minute)
 		is.Equal(w.quarantinedAt("guilty"), 2)
-		is.True(!w.all[0].AcquireTrial(t.Context(), subject("guilty")))
+		is.True(!w.acquireTrial(0, "guilty"))
 		w.table.down.Store(false)
 		time.Sleep(5 * time.Second)
 		is.Equal(w.store.count(), 1)
@@ -178,7 +178,7 @@
 		duringList := func() {
 			w.table.down.Store(false)
 			is.NoErr(w.all[1].rows.update(t.Context(), subject("guilty").Fingerprint()))
-			granted.Store(w.all[0].AcquireTrial(t.Context(), subject("guilty")))
+			granted.Store(w.acquireTrial(0, "guilty"))
 		}
 		w.table.listed.Store(&duringList)
 		time.Sleep(6 * time.Second)
--- a/internal/quarantine/ledger_test.go
+++ b/internal/quarantine/ledger_test.go
@@ -159,13 +159,9 @@
 	for number := range 10_000 {
 		ledger.RecordCrash(startTime.Add(time.Second), incarnation(4), []quarantine.Fingerprint{fingerprint(1 + number)})
 	}
-	quarantined, suspects := ledger.Counts()
-	is.Equal(quarantined, 1)
-	is.Equal(suspects, 2048)
+	is.Equal(ledger.Counts(), quarantine.Counts{Requests: 1, SuspectRequests: 2048})
 	ledger.Expire(startTime.Add(time.Hour))
-	quarantined, suspects = ledger.Counts()
-	is.Equal(quarantined, 1)
-	is.Equal(suspects, 1)
+	is.Equal(ledger.Counts(), quarantine.Counts{Requests: 1, SuspectRequests: 1})
 }
 
 func TestRecentSuccessIsFound(t *testing.T) {
--- a/internal/quarantine/successes.go
+++ b/internal/quarantine/successes.go
@@ -29,12 +29,20 @@
 // NewSuccesses returns an empty Successes.
 func NewSuccesses() *Successes { return &Successes{seed: maphash.MakeSeed(), epoch: time.Now()} }
 
+// SuccessKey identifies a request in Successes.
+type SuccessKey uint64
+
+// Key returns the key of a request.
+func (s *Successes) Key(request *Identity) SuccessKey { return SuccessKey(request.key(s.seed)) }
+
 // Add records the success of a request.
-func (s *Successes) Add(now time.Time, request *Identity) {
-	key := request.key(s.seed)
+func (s *Successes) Add(now time.Time, request *Identity) { s.AddKey(now, s.Key(request)) }
+
+// AddKey records the success of a request with a key.
+func (s *Successes) AddKey(now time.Time, key SuccessKey) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.slots[key%successSlots] = success{key: key, at: now.Sub(s.epoch)}
+	s.slots[key%successSlots] = success{key: uint64(key), at: now.Sub(s.epoch)}
 }
 
 // Last returns the time of the last success of a request, if it was within SuccessTTL.
--- a/internal/router/quarantine.go
+++ b/internal/router/quarantine.go
@@ -94,8 +94,8 @@
 type quarantineCounts struct{ quarantined, suspects int }
 
 func (q *quarantines) counts() quarantineCounts {
-	quarantined, suspects := q.Counts()
-	return quarantineCounts{quarantined, suspects}
+	counts := q.Counts()
+	return quarantineCounts{counts.Requests, counts.SuspectRequests}
 }
 
 // incarnationKey returns a name that is unique among engines; an incarnation is unique only
