Clear the parts of prompts whose answers keep arriving

Answers younger than three seconds counted against the part, and none of the client's ended whole in between.

Engines crash as they begin to write an answer on such a part. So an answer that still arrives a second after its first event clears the shared parts of its prompt, once a second while it lasts, and no longer counts against them if its engine crashes. It does not clear the request as a whole.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -45,6 +45,8 @@
 	// sentAt is when the request was sent, firstByteAt when the first byte of the answer
 	// arrived, zero until then.
 	sentAt, firstByteAt time.Time
+	// progressAt is when progress was last reported to the quarantine, at first firstByteAt.
+	progressAt time.Time
 	// through is the router that relayed the attempt, the zero value before its answer.
 	through netip.AddrPort
 	// status is that of the answer, 0 before its head arrived.
--- a/internal/forward/quarantine.go
+++ b/internal/forward/quarantine.go
@@ -24,6 +24,8 @@
 	// connection, without a length or chunks.
 	ObserveAnswered(now time.Time, request *quarantine.Subject)
 	ObserveUnproven(now time.Time, request *quarantine.Subject, at backend.Record)
+	// ObserveProgress records an answer that has been arriving for quarantine.PartProgress.
+	ObserveProgress(now time.Time, request *quarantine.Subject)
 	// ObserveBroken records an attempt that broke off at a back end after its answer had been
 	// arriving for some time, ObserveAbandoned one that this router cancelled and the back end may
 	// still run.
@@ -98,6 +100,18 @@
 	return now.Sub(a.firstByteAt)
 }
 
+// reportProgress reports to the quarantine, once in quarantine.PartProgress, that the answer is still
+// arriving.
+func (a *attempt) reportProgress(now time.Time) {
+	if a.forwarder.Quarantine == nil || now.Sub(a.progressAt) < quarantine.PartProgress {
+		return
+	}
+	if !a.progressAt.IsZero() {
+		a.forwarder.Quarantine.ObserveProgress(now, a.subject())
+	}
+	a.progressAt = now
+}
+
 // suspected reports whether a part of the prompt has crashed back ends repeatedly.
 func (r *run) suspected() bool {
 	return r.forwarder.Quarantine != nil && r.forwarder.Quarantine.Suspected(r.subject())
--- a/internal/forward/quarantine_test.go
+++ b/internal/forward/quarantine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -22,6 +23,7 @@
 	granted   bool
 	suspected bool
 	unproven  int
+	progress  int
 	answered  int
 	broken    []backend.Record
 	abandoned []backend.Record
@@ -41,6 +43,9 @@
 // Suspected implements forward.Quarantine.
 func (f *fakeQuarantine) Suspected(*quarantine.Subject) bool { return f.suspected }
 
+// ObserveProgress implements forward.Quarantine.
+func (f *fakeQuarantine) ObserveProgress(time.Time, *quarantine.Subject) { f.progress++ }
+
 // ObserveUnproven implements forward.Quarantine.
 func (f *fakeQuarantine) ObserveUnproven(time.Time, *quarantine.Subject, backend.Record) {
 	f.unproven++
@@ -221,3 +226,35 @@
 		})
 	}
 }
+
+// steadyBody is a stream of some events, a pause before each.
+type steadyBody struct {
+	events int
+	pause  time.Duration
+}
+
+// Read implements io.Reader.
+func (b *steadyBody) Read(buffer []byte) (int, error) {
+	if b.events == 0 {
+		return 0, io.EOF
+	}
+	time.Sleep(b.pause)
+	b.events--
+	return copy(buffer, "data: a\n\n"), nil
+}
+
+// A stream that still arrives a second after its first event is reported, since its engine has not crashed
+// on the prompt.
+func TestProgressOfStreamIsReported(t *testing.T) {
+	for events, reports := range map[int]int{4: 0, 8: 1, 16: 3} {
+		synctest.Test(t, func(t *testing.T) {
+			b := newFixture(func(ctx context.Context, attempt *forward.Attempt) (*forward.Reply, error) {
+				return reply(forward.Genuine, 200, &steadyBody{events, 200 * time.Millisecond})(ctx, attempt)
+			})
+			guard := &fakeQuarantine{decisions: []*quarantine.Decision{nil}}
+			b.forwarder.Quarantine = guard
+			b.forward(t, request("stream"))
+			is.New(t).Equal(guard.progress, reports)
+		})
+	}
+}
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/fieldpond/fieldpond/internal/backend"
+	"github.com/fieldpond/fieldpond/internal/clock"
 	"github.com/fieldpond/fieldpond/internal/fault"
 )
 
@@ -34,6 +35,7 @@
 			return a.streamFailure(err)
 		}
 		a.recordReceived()
+		a.reportProgress(clock.Now())
 		a.resetIdleTimer(timeout)
 		if next.hasID && a.hasLastEvent {
 			if next.id <= a.lastEventNumber {
--- a/internal/quarantine/guard/guard.go
+++ b/internal/quarantine/guard/guard.go
@@ -128,6 +128,18 @@
 	}
 }
 
+// ObserveProgress records that an answer has been arriving for PartProgress or longer, which clears the
+// parts of the prompt, but not the request.
+func (g *Guard) ObserveProgress(now time.Time, request *quarantine.Subject) {
+	g.partSuccesses.Add(now, request)
+	if g.ledger.Empty() {
+		return
+	}
+	for _, part := range request.Parts() {
+		g.recordSuccess(now, part.Fingerprint)
+	}
+}
+
 // recordSuccesses records a success of a request with the shared parts of its prompt.
 func (g *Guard) recordSuccesses(at time.Time, request quarantine.Fingerprint, parts []quarantine.Part) {
 	g.recordSuccess(at, request)
@@ -164,10 +176,6 @@
 	}
 }
 
-// maxCrashAge is the time since the first byte of an answer after which its prompt is no suspect of a
-// crash: its parts were read long before.
-const maxCrashAge = 3 * time.Second
-
 // suspectsOf returns the fingerprints of a request and of the parts of its prompt, without those that have
 // just succeeded.
 func (g *Guard) suspectsOf(now time.Time, request *quarantine.Subject, arriving time.Duration) []quarantine.Fingerprint {
@@ -175,7 +183,7 @@
 	if _, succeeded := g.successes.Last(now, &request.Identity); !succeeded {
 		suspects = append(suspects, request.Fingerprint())
 	}
-	if arriving > maxCrashAge {
+	if arriving >= quarantine.PartProgress {
 		return suspects
 	}
 	return append(suspects, g.suspectParts(now, request.Parts())...)
--- a/internal/quarantine/guard/parts_test.go
+++ b/internal/quarantine/guard/parts_test.go
@@ -72,6 +72,21 @@
 	})
 }
 
+// Answers that have been arriving for long clear the parts of their prompts, and not the request.
+func TestProgressClearsParts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newHarness(t, 2, always(ProbeRefused))
+		for engine := range 5 {
+			w.all[0].ObserveBroken(time.Now(), prompt(0, "long"), w.target(engine))
+			time.Sleep(time.Second)
+			w.all[1].ObserveProgress(time.Now(), prompt(1, "long"))
+		}
+		is.Equal(w.held(0, "long"), "")
+		is.True(w.all[0].Check(time.Now(), prompt(0, "long")) != nil)
+	})
+}
+
 // An answer that ended with its connection is a success only if its back end did not crash, and evidence if
 // it did.
 func TestUnprovenAnswersCountByFateOfBackend(t *testing.T) {
--- a/internal/quarantine/partgroup.go
+++ b/internal/quarantine/partgroup.go
@@ -14,6 +14,9 @@
 	// PartSuccessTTL is the time after a success of a part during which crashes are no evidence. It
 	// is short, as a part that was answered for long may crash back ends from now on.
 	PartSuccessTTL = 2500 * time.Millisecond
+	// PartProgress is the time since the first byte of an answer after which its parts are no cause of
+	// a crash: back ends crash as they begin to write. It is also the time between two reports of progress.
+	PartProgress = time.Second
 	// simultaneity is the time within which crashes of several incarnations count as one. If the
 	// part did not run on all of them, they have another cause.
 	simultaneity = 50 * time.Millisecond
