Borrow connections to back ends from routers that do not use theirs

What callers saw: while most new connections go to one router, it refused four of five requests, though the engines had room: each router may open an even part of the connections that an engine takes of all, and the others left theirs unused. A router without a free connection took that for a refusal of the engine: it paused the engine, and spent its budget of repeats.

Cause, from its log: 1,337 requests ended with "no back end can take the request now" after 82 ms, 148 attempts with "all connections allowed to the back end are in use", and 15 with a refusal of an engine.

Now such a router asks others for a connection of theirs (LEND, next to CONNECT). One that lends opens it, counts it as its own until it ends, and keeps a quarter of its part for itself; so the parts never add up to more than before. A router of an older build refuses the method. An attempt that found no connection is withdrawn: it costs nothing of the budget, does not pause the engine, and others are tried, for as long as a request may wait for a back end.

--- a/internal/backend/registry.go
+++ b/internal/backend/registry.go
@@ -81,14 +81,20 @@
 
 // HasAddress reports whether a back end has an address.
 func (r *Registry) HasAddress(address string) bool {
+	_, known := r.ServiceAt(address)
+	return known
+}
+
+// ServiceAt returns the service of the back end at an address; it is false if there is none.
+func (r *Registry) ServiceAt(address string) (service ident.Service, known bool) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	for _, known := range r.byID {
 		if known.record.Address == address {
-			return true
+			return known.record.Service, true
 		}
 	}
-	return false
+	return "", false
 }
 
 // Count returns the number of back ends.
--- a/internal/detour/dialer.go
+++ b/internal/detour/dialer.go
@@ -31,6 +31,8 @@
 	ackTimeout     = 500 * time.Millisecond
 	// dialTimeout bounds all attempts for one connection.
 	dialTimeout = 700 * time.Millisecond
+	// borrowTimeout bounds the attempts to borrow a connection: another back end may have a free one.
+	borrowTimeout = 150 * time.Millisecond
 	// headBytes is the size of the read buffer of a connection through a helper.
 	headBytes = 2 << 10
 )
@@ -141,6 +143,29 @@
 	return opened, err
 }
 
+// errNoLender is returned when no router has a connection to lend.
+var errNoLender = errors.New("no other router has a connection to spare")
+
+// Borrow implements exchange.Detour. Routers are asked one after the other.
+func (d *Dialer) Borrow(ctx context.Context, address string) (exchange.Opened, error) {
+	routers := d.routers.Load()
+	if routers == nil {
+		return exchange.Opened{}, errNoLender
+	}
+	bounded, cancel := context.WithTimeout(ctx, borrowTimeout)
+	defer cancel()
+	for _, helper := range d.order(routers.Peers()) {
+		opened, err := d.through(bounded, helper, methodLend, address)
+		if err == nil {
+			return opened, nil
+		}
+		if bounded.Err() != nil {
+			break
+		}
+	}
+	return exchange.Opened{}, errNoLender
+}
+
 // verifyInterval is the least time between two calls of Verify that do something.
 const verifyInterval = 100 * time.Millisecond
 
@@ -213,8 +238,8 @@
 	return d.paths.Credible()
 }
 
-// through opens a connection to an address through a helper.
-func (d *Dialer) through(ctx context.Context, helper netip.AddrPort, address string) (exchange.Opened, error) {
+// through opens a connection to an address through a helper, which is asked by a method.
+func (d *Dialer) through(ctx context.Context, helper netip.AddrPort, method, address string) (exchange.Opened, error) {
 	conn, err := d.dialer.DialContext(ctx, "tcp4", helper.String())
 	if err != nil {
 		// Not wrapped: a router that refuses says nothing about the back end.
@@ -222,7 +247,7 @@
 	}
 	stop := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
 	reader := bufio.NewReaderSize(conn, headBytes)
-	err = ask(conn, reader, address)
+	err = ask(conn, reader, method, address)
 	// stop returns false if the context has ended, after which the deadline stays over.
 	if !stop() && err == nil {
 		err = context.Cause(ctx)
@@ -236,8 +261,12 @@
 }
 
 // ask asks the router at the other end of a connection to connect it to an address.
-func ask(conn net.Conn, reader *bufio.Reader, address string) error {
-	if _, err := conn.Write([]byte("CONNECT " + address + " HTTP/1.1\r\nHost: " + address + "\r\n\r\n")); err != nil {
+func ask(conn net.Conn, reader *bufio.Reader, method, address string) error {
+	target := address
+	if method == methodLend {
+		target = "/"
+	}
+	if _, err := conn.Write([]byte(method + " " + target + " HTTP/1.1\r\nHost: " + address + "\r\n\r\n")); err != nil {
 		return errors.Wrap(err, "ask a router for a connection")
 	}
 	answer, err := http.ReadResponse(reader, &http.Request{Method: http.MethodConnect})
--- a/internal/detour/fuzz_test.go
+++ b/internal/detour/fuzz_test.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"io"
 	"net"
+	"net/http"
 	"testing"
 	"time"
 )
@@ -29,7 +30,7 @@
 	f.Add([]byte("\x16\x03\x01"))
 	f.Fuzz(func(t *testing.T, answer []byte) {
 		conn := &answering{Reader: bytes.NewReader(answer)}
-		err := ask(conn, bufio.NewReader(conn), "10.0.0.1:80")
+		err := ask(conn, bufio.NewReader(conn), http.MethodConnect, "10.0.0.1:80")
 		if err == nil && !bytes.Contains(answer, []byte("10.0.0.1:80")) {
 			t.Errorf("%q was taken for a connection", answer)
 		}
--- a/internal/detour/race.go
+++ b/internal/detour/race.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"net/netip"
 	"time"
 
@@ -91,7 +92,7 @@
 	r.helpers = r.helpers[1:]
 	r.running++
 	go func() {
-		opened, err := r.dialer.through(ctx, helper, r.address)
+		opened, err := r.dialer.through(ctx, helper, http.MethodConnect, r.address)
 		if err != nil && ctx.Err() == nil && !provesDown(err) {
 			r.dialer.avoid(helper)
 		}
--- a/internal/detour/server.go
+++ b/internal/detour/server.go
@@ -55,6 +55,9 @@
 	// back end.
 	IsRouter  func(netip.Addr) bool
 	IsBackend func(address string) bool
+	// Lend reserves one of this router's connections to a back end for another router, until done is
+	// called. It is false if this router may need all.
+	Lend func(address string) (done func(), lent bool)
 }
 
 // Server opens connections to back ends for other routers and copies their bytes. It never asks
@@ -79,14 +82,19 @@
 	return s.count
 }
 
-// Handler returns a handler of CONNECT requests that passes all others to next.
+// methodLend asks for one of the connections that the router asked may open itself. A router that knows
+// no such method refuses it, while it would not count a connection that was asked for by CONNECT.
+const methodLend = "LEND"
+
+// Handler returns a handler of CONNECT and methodLend requests that passes all others to next.
 func (s *Server) Handler(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.Method != http.MethodConnect {
+		switch r.Method {
+		case http.MethodConnect, methodLend:
+			s.connect(w, r)
+		default:
 			next.ServeHTTP(w, r)
-			return
 		}
-		s.connect(w, r)
 	})
 }
 
@@ -102,6 +110,14 @@
 		return
 	}
 	defer s.release()
+	if r.Method == methodLend {
+		done, lent := s.config.Lend(r.Host)
+		if !lent {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		defer done()
+	}
 	ctx, cancel := context.WithTimeout(r.Context(), backendTimeout)
 	defer cancel()
 	backend, err := s.config.Dial(ctx, r.Host)
--- a/internal/exchange/connection.go
+++ b/internal/exchange/connection.go
@@ -36,4 +36,6 @@
 	// through is the router that relays the connection, the zero value for a direct one.
 	through  netip.AddrPort
 	openedAt time.Time
+	// borrowed is whether the connection is one of those that another router may open.
+	borrowed bool
 }
--- a/internal/exchange/detour.go
+++ b/internal/exchange/detour.go
@@ -26,6 +26,9 @@
 type Detour interface {
 	// Dial opens a connection to an address; direct opens a direct one.
 	Dial(ctx context.Context, address string, direct DialFunc) (Opened, error)
+	// Borrow opens a connection to an address through another router that has more connections to it
+	// than it uses.
+	Borrow(ctx context.Context, address string) (Opened, error)
 	// Lost reports whether an address is not reached directly.
 	Lost(address string) bool
 	// ObserveAnswer records that an answer arrived on a direct connection.
@@ -85,6 +88,50 @@
 	return p.options.Detour.Dial(ctx, address, p.DialDirect)
 }
 
+// borrow opens a connection through a router that does not use all that it may open. It serves one
+// exchange.
+func (p *Pool) borrow(ctx context.Context, address string, directOnly bool) (*connection, error) {
+	if p.options.Detour == nil || directOnly {
+		return nil, ErrConnectionLimit
+	}
+	start := time.Now()
+	opened, err := p.options.Detour.Borrow(ctx, address)
+	if err != nil {
+		return nil, ErrConnectionLimit
+	}
+	p.countOpened()
+	return &connection{
+		Conn: opened.Conn, address: address, reader: opened.Reader, through: opened.Through, openedAt: start, borrowed: true,
+		ackTimeout: p.options.UserTimeout,
+	}, nil
+}
+
+// Lend reserves a connection to an address for another router, and reports whether it did. spare of the
+// connections that this router may open are kept for itself. The caller calls Return once it is closed.
+func (p *Pool) Lend(address string, limit, spare int) bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	known := p.targets[address]
+	if known == nil {
+		known = &target{}
+		p.targets[address] = known
+	}
+	if known.open-len(known.idle) >= limit-spare {
+		p.forgetUnused(address)
+		return false
+	}
+	if known.open >= limit {
+		_ = known.idle[0].Close()
+		known.idle = known.idle[1:]
+		known.open--
+	}
+	known.open++
+	return true
+}
+
+// Return ends the reservation of a connection lent to another router.
+func (p *Pool) Return(address string) { p.release(address) }
+
 // outdated reports whether an idle connection may not be used any more: a relayed one that is old
 // or whose back end is reached directly again, or one that this exchange may not use.
 func (p *Pool) outdated(conn *connection, directOnly bool) bool {
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -99,7 +99,7 @@
 	for {
 		conn, full := p.acquire(address, limit)
 		if full {
-			return nil, ErrConnectionLimit
+			return p.borrow(ctx, address, directOnly)
 		}
 		if conn == nil {
 			return p.dial(ctx, address, directOnly)
@@ -203,6 +203,10 @@
 // put returns a connection to the pool after a complete exchange. idleTimeout is
 // the one that the peer advertised, 0 if none.
 func (p *Pool) put(used *connection, idleTimeout time.Duration) {
+	if used.borrowed {
+		p.drop(used)
+		return
+	}
 	used.timeoutAdvertised = idleTimeout > 0
 	if used.timeoutAdvertised && idleTimeout <= idleMargin {
 		p.drop(used)
@@ -227,7 +231,9 @@
 // drop closes a connection instead of reusing it.
 func (p *Pool) drop(used *connection) {
 	_ = used.Close()
-	p.release(used.address)
+	if !used.borrowed {
+		p.release(used.address)
+	}
 }
 
 func (p *Pool) release(address string) {
@@ -243,7 +249,12 @@
 		return
 	}
 	known.open--
-	if known.open <= 0 && len(known.idle) == 0 {
+	p.forgetUnused(address)
+}
+
+// forgetUnused drops the state of an address without connections; the caller holds the mutex.
+func (p *Pool) forgetUnused(address string) {
+	if known := p.targets[address]; known.open <= 0 && len(known.idle) == 0 {
 		delete(p.targets, address)
 	}
 }
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -80,7 +80,9 @@
 	reply, err := r.forwarder.Caller.Send(attemptContext, outgoing)
 	if err != nil {
 		ran, outcome := classifySendError(err)
-		return false, current.conclude(&failure{ran: ran, outcome: outcome, cause: err, notSent: notSent(err)})
+		return false, current.conclude(&failure{
+			ran: ran, outcome: outcome, cause: err, notSent: notSent(err), connectionLimit: errors.Is(err, exchange.ErrConnectionLimit),
+		})
 	}
 	failed = current.receive(reply)
 	return failed == nil, current.conclude(failed)
@@ -108,8 +110,9 @@
 			failed.outcome = a.interruptionOutcome(failed.outcome)
 		}
 		outcome = failed.outcome
-		// A back end with newer weights can serve under them.
-		if !failed.newVersion {
+		// A back end with newer weights can serve under them, one without a free connection once it has
+		// one.
+		if !failed.newVersion && !failed.connectionLimit {
 			a.excluded = append(a.excluded, a.choice.Instance)
 		}
 		if failed.ran != fault.RanNo {
@@ -306,9 +309,7 @@
 	switch {
 	case !notSent(err):
 		return fault.RanUnknown, backend.Broken
-	case errors.Is(err, exchange.ErrConnectionLimit):
-		return fault.RanNo, backend.Refused
-	case errors.Is(err, exchange.ErrWithdrawn):
+	case errors.Is(err, exchange.ErrConnectionLimit), errors.Is(err, exchange.ErrWithdrawn):
 		return fault.RanNo, backend.Withdrawn
 	default:
 		return fault.RanNo, backend.Unreachable
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -238,6 +238,10 @@
 	return assumedRouters
 }
 
+// ConnectionShare returns how many of the connections that a back end takes from all routers one of them
+// may open.
+func ConnectionShare(all, routers int) int { return max(all/withSpareRouters(routers), 1) }
+
 // withSpareRouters returns the number of routers, plus an allowance for new ones, by which
 // a system-wide bound is divided.
 func withSpareRouters(routers int) int {
--- a/internal/forward/place.go
+++ b/internal/forward/place.go
@@ -38,6 +38,10 @@
 			}
 			continue
 		}
+		if len(r.full) > 0 && now.Before(waitUntil) && wait.For(ctx, placeInterval) {
+			r.full = nil
+			continue
+		}
 		if r.bound && !r.executionUnknown && !r.forwarder.Backends.HasRelease(r.service, r.release) {
 			return backend.Choice{}, nil, r.releaseGoneFault()
 		}
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"strconv"
 	"time"
 
@@ -46,6 +47,10 @@
 	// executionUnknown is true once an attempt ended without proof whether the request ran.
 	executionUnknown bool
 	excluded         []ident.Incarnation
+	// full are back ends to which all connections allowed were in use since the last wait, fullSince
+	// is when that happened first.
+	full      []ident.Incarnation
+	fullSince time.Time
 	// counted is true once the request was counted by Releases.
 	counted bool
 	// grant allows the next attempt if the tenant has a limit; it is nil before it is
@@ -124,6 +129,9 @@
 			r.releaseBackendGrant()
 		}
 		r.backendGrant = nil
+		if failure.connectionLimit && r.mayAwaitConnection(choice.Instance) {
+			continue
+		}
 		if failure.ran != fault.RanNo {
 			r.grant = nil
 		}
@@ -169,6 +177,8 @@
 	notSent bool
 	outcome backend.Outcome
 	cause   error
+	// connectionLimit is true if all connections allowed to the back end were in use.
+	connectionLimit bool
 	// newVersion is true if the back end refused because of its version and is now
 	// assumed to have a newer one.
 	newVersion bool
@@ -206,6 +216,21 @@
 	return r.forwarder.allowRetry(r.request, r.service)
 }
 
+// mayAwaitConnection records that all connections allowed to a back end are in use, and reports whether
+// others may be tried, and this one again. Nothing was sent, so this is no attempt.
+func (r *run) mayAwaitConnection(instance ident.Incarnation) bool {
+	now := clock.Now()
+	if r.fullSince.IsZero() {
+		r.fullSince = now
+	}
+	if !now.Before(r.deadline) || now.Sub(r.fullSince) > r.placeWait() {
+		return false
+	}
+	r.attempts--
+	r.full = append(r.full, instance)
+	return true
+}
+
 // finalFault returns the fault that ends the request.
 func (r *run) finalFault(failed *failure) *fault.Fault {
 	if failed.reply != nil && !r.headSent {
@@ -304,7 +329,7 @@
 
 func (r *run) query() backend.Query {
 	query := backend.Query{
-		Service: r.service, Excluded: r.excluded, Expected: r.route.Target / expectedWorkDivisor,
+		Service: r.service, Excluded: slices.Concat(r.excluded, r.full), Expected: r.route.Target / expectedWorkDivisor,
 		SpreadKey: xxhash.Sum64String(string(r.request.ID)), AvoidRecentBackoff: r.avoidRecentBackoff, Routers: r.forwarder.sharingRouters(),
 		Continues: r.bound, Release: r.release, AvoidNewReleases: r.resumable(),
 	}
@@ -343,7 +368,7 @@
 		attempt.Tenant = r.tenant.Name
 	}
 	if service := r.view.Snapshot.Service(r.service); service != nil && service.MaxConnections > 0 {
-		attempt.MaxConnections = max(service.MaxConnections/withSpareRouters(r.forwarder.Routers()), 1)
+		attempt.MaxConnections = ConnectionShare(service.MaxConnections, r.forwarder.Routers())
 	}
 	if r.request.Prompt == nil {
 		return attempt
--- a/internal/node/detours.go
+++ b/internal/node/detours.go
@@ -10,6 +10,7 @@
 	"github.com/fieldpond/fieldpond/internal/clock"
 	"github.com/fieldpond/fieldpond/internal/detour"
 	"github.com/fieldpond/fieldpond/internal/exchange"
+	"github.com/fieldpond/fieldpond/internal/forward"
 	"github.com/fieldpond/fieldpond/internal/upstream"
 )
 
@@ -21,6 +22,10 @@
 	Dial exchange.DialFunc
 	// CloseIdleDirect closes the idle direct connections.
 	CloseIdleDirect func()
+	// Lend reserves a connection to a back end for another router, of the limit of this router's own,
+	// and keeps spare ones; Return ends that.
+	Lend   func(address string, limit, spare int) bool
+	Return func(address string)
 }
 
 // routersRefreshInterval is the least time between two reads of the router list for detours.
@@ -52,6 +57,7 @@
 		Available: func() bool { return !n.stopping.Load() && !d.allLost() },
 		IsRouter:  d.isRouter,
 		IsBackend: func(address string) bool { return n.backends.HasAddress(address) || n.isCacheStore(address) },
+		Lend:      n.lendConnection,
 	})
 	d.ports.Dialer.SetRouters(&detour.Routers{Peers: d.helpers, OnFailed: d.observeFailed, OnAllLost: func() {
 		d.ports.CloseIdleDirect()
@@ -60,6 +66,28 @@
 	return d
 }
 
+// keptConnectionsDivisor divides this router's share of the connections to a back end into those that it
+// does not lend.
+const keptConnectionsDivisor = 4
+
+// lendConnection reserves one of this router's connections to a back end for another router.
+func (n *Node) lendConnection(address string) (done func(), lent bool) {
+	name, known := n.backends.ServiceAt(address)
+	snapshot := n.holder.View().Snapshot
+	if !known || snapshot == nil {
+		return nil, false
+	}
+	service := snapshot.Service(name)
+	if service == nil || service.MaxConnections <= 0 {
+		return nil, false
+	}
+	share := forward.ConnectionShare(service.MaxConnections, n.follower.sharingRouters())
+	if !n.ports.Detours.Lend(address, share, max(share/keptConnectionsDivisor, 1)) {
+		return nil, false
+	}
+	return func() { n.ports.Detours.Return(address) }, true
+}
+
 // isCacheStore reports whether an address is that of a configured prompt cache store.
 func (n *Node) isCacheStore(address string) bool {
 	snapshot := n.holder.View().Snapshot
