--- a/internal/detour/dialer.go
+++ b/internal/detour/dialer.go
@@ -31,8 +31,6 @@
 	ackTimeout     = 500 * time.Millisecond
 	// dialTimeout bounds all attempts for one connection.
 	dialTimeout = 700 * time.Millisecond
-	// borrowTimeout bounds the attempts to borrow a connection: another back end may have a free one.
-	borrowTimeout = 150 * time.Millisecond
 	// headBytes is the size of the read buffer of a connection through a helper.
 	headBytes = 2 << 10
 )
@@ -59,6 +57,8 @@
 	paths   *Paths
 	helpers *Helpers
 	random  *rand.Rand
+	// lenders remembers where no router had a connection to lend.
+	lenders lenders
 	// verifiedAt is when Verify last did something.
 	verifiedAt time.Time
 }
@@ -73,7 +73,7 @@
 		dialer.LocalAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(self, 0))
 	}
 	return &Dialer{
-		dialer: dialer, paths: NewPaths(), helpers: NewHelpers(),
+		dialer: dialer, paths: NewPaths(), helpers: NewHelpers(), lenders: lenders{until: make(map[string]time.Time)},
 		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 }
@@ -143,29 +143,6 @@
 	return opened, err
 }
 
-// errNoLender is returned when no router has a connection to lend.
-var errNoLender = errors.New("no other router has a connection to spare")
-
-// Borrow implements exchange.Detour. Routers are asked one after the other.
-func (d *Dialer) Borrow(ctx context.Context, address string) (exchange.Opened, error) {
-	routers := d.routers.Load()
-	if routers == nil {
-		return exchange.Opened{}, errNoLender
-	}
-	bounded, cancel := context.WithTimeout(ctx, borrowTimeout)
-	defer cancel()
-	for _, helper := range d.order(routers.Peers()) {
-		opened, err := d.through(bounded, helper, methodLend, address)
-		if err == nil {
-			return opened, nil
-		}
-		if bounded.Err() != nil {
-			break
-		}
-	}
-	return exchange.Opened{}, errNoLender
-}
-
 // verifyInterval is the least time between two calls of Verify that do something.
 const verifyInterval = 100 * time.Millisecond
 
--- a/internal/exchange/detour.go
+++ b/internal/exchange/detour.go
@@ -100,10 +100,7 @@
 		return nil, ErrConnectionLimit
 	}
 	p.countOpened()
-	return &connection{
-		Conn: opened.Conn, address: address, reader: opened.Reader, through: opened.Through, openedAt: start, borrowed: true,
-		ackTimeout: p.options.UserTimeout,
-	}, nil
+	return p.newConnection(&opened, address, start, true), nil
 }
 
 // Lend reserves a connection to an address for another router, and reports whether it did. spare of the
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -278,6 +279,88 @@
 	is.NoErr(second.Body.Close())
 }
 
+// lender is a detour that lends direct connections, none at first.
+type lender struct {
+	lends   bool
+	address string
+}
+
+// Dial implements exchange.Detour.
+func (l *lender) Dial(ctx context.Context, address string, direct exchange.DialFunc) (exchange.Opened, error) {
+	conn, err := direct(ctx, address)
+	return exchange.Opened{Conn: conn}, err
+}
+
+// Borrow implements exchange.Detour.
+func (l *lender) Borrow(ctx context.Context, address string) (exchange.Opened, error) {
+	if !l.lends {
+		return exchange.Opened{}, errors.New("none to spare")
+	}
+	var dialer net.Dialer
+	conn, err := dialer.DialContext(ctx, "tcp4", address)
+	return exchange.Opened{Conn: conn, Through: netip.MustParseAddrPort("127.0.0.1:1")}, err
+}
+
+// Lost implements exchange.Detour.
+func (l *lender) Lost(string) bool { return false }
+
+// ObserveAnswer implements exchange.Detour.
+func (l *lender) ObserveAnswer() {}
+
+// ObserveSilent implements exchange.Detour.
+func (l *lender) ObserveSilent(netip.AddrPort) {}
+
+// A router whose connections are all in use borrows one for a single exchange, which does not count as its
+// own.
+func TestConnectionAboveLimitIsBorrowed(t *testing.T) {
+	is := is.New(t)
+	server := listen(t, respondWith(completeAnswer))
+	others := &lender{}
+	pool := exchange.NewPool(exchange.Options{Detour: others})
+	defer pool.CloseIdle(true)
+	bounded := requestWithID("1")
+	bounded.MaxConnections = 1
+	own, err := pool.Do(t.Context(), server.address(), bounded)
+	is.NoErr(err)
+	_, err = pool.Do(t.Context(), server.address(), bounded)
+	is.True(errors.Is(err, exchange.ErrConnectionLimit))
+	others.lends = true
+	for range 2 {
+		borrowed, err := pool.Do(t.Context(), server.address(), bounded)
+		is.NoErr(err)
+		is.True(borrowed.Through.IsValid())
+		_, err = io.ReadAll(borrowed.Body)
+		is.NoErr(err)
+		is.NoErr(borrowed.Body.Close())
+	}
+	is.NoErr(own.Body.Close())
+	again, err := pool.Do(t.Context(), server.address(), bounded)
+	is.NoErr(err)
+	is.True(!again.Through.IsValid())
+	is.NoErr(again.Body.Close())
+}
+
+// What a router lends counts as its own until it is returned, and a part is kept.
+func TestLentConnectionsCountAsOwn(t *testing.T) {
+	is := is.New(t)
+	server := listen(t, respondWith(completeAnswer))
+	pool := exchange.NewPool(exchange.Options{})
+	defer pool.CloseIdle(true)
+	is.True(pool.Lend(server.address(), 3, 1))
+	is.True(pool.Lend(server.address(), 3, 1))
+	is.True(!pool.Lend(server.address(), 3, 1)) // the last one is kept
+	bounded := requestWithID("1")
+	bounded.MaxConnections = 2
+	_, err := pool.Do(t.Context(), server.address(), bounded)
+	is.True(errors.Is(err, exchange.ErrConnectionLimit))
+	pool.Return(server.address())
+	response, err := pool.Do(t.Context(), server.address(), bounded)
+	is.NoErr(err)
+	is.NoErr(response.Body.Close())
+	pool.Return(server.address())
+	is.True(pool.Lend(server.address(), 2, 1))
+}
+
 func TestCancelledExchangeClosesConnection(t *testing.T) {
 	is := is.New(t)
 	closed := make(chan struct{})
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -178,13 +178,7 @@
 		p.release(address)
 		return nil, errors.Wrap(err, "open a connection")
 	}
-	conn := &connection{
-		Conn: opened.Conn, address: address, reader: opened.Reader, through: opened.Through, openedAt: start,
-		ackTimeout: p.options.UserTimeout,
-	}
-	if conn.reader == nil {
-		conn.reader = bufio.NewReaderSize(conn.Conn, readerBytes)
-	}
+	conn := p.newConnection(&opened, address, start, false)
 	if conn.through.IsValid() {
 		p.countOpened()
 		return conn, nil
@@ -194,6 +188,18 @@
 	return conn, nil
 }
 
+// newConnection returns the connection that was opened to an address at a time.
+func (p *Pool) newConnection(opened *Opened, address string, at time.Time, borrowed bool) *connection {
+	conn := &connection{
+		Conn: opened.Conn, address: address, reader: opened.Reader, through: opened.Through, openedAt: at, borrowed: borrowed,
+		ackTimeout: p.options.UserTimeout,
+	}
+	if conn.reader == nil {
+		conn.reader = bufio.NewReaderSize(conn.Conn, readerBytes)
+	}
+	return conn
+}
+
 func (p *Pool) countOpened() {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
