--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -250,7 +250,7 @@
 	if err != nil {
 		return &failure{ran: fault.RanUnknown, outcome: backend.Broken, cause: err}
 	}
-	if reply.Unframed && len(body) == 0 {
+	if reply.Unframed && len(body) == 0 && reply.Status < http.StatusMultipleChoices {
 		return &failure{ran: fault.RanUnknown, outcome: backend.Broken, cause: errUnframedEmpty}
 	}
 	a.recordReceived()
--- a/internal/quarantine/bench_test.go
+++ b/internal/quarantine/bench_test.go
@@ -53,3 +53,34 @@
 		}
 	})
 }
+
+// BenchmarkParts shows the cost of an answer to a prompt with five shared parts, and that of a check while
+// there is no suspect.
+func BenchmarkParts(b *testing.B) {
+	asked := prompt("tenant", "5c1e07a2", "91bd3f06", "e4402b7d", "0a1b2c3d", "ffee0011")
+	successes, ledger := quarantine.NewPartSuccesses(), quarantine.NewLedger()
+	now := time.Now()
+	b.Run("answer", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			successes.Add(now, asked)
+		}
+	})
+	b.Run("no suspect", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			_ = ledger.Empty()
+		}
+	})
+	parts := asked.Parts()
+	b.Run("check beside 2,048 suspects", func(b *testing.B) {
+		for number := range 2048 {
+			crashed := prompt("tenant", string(rune('a'+number%26))+string(rune('a'+number/26)))
+			ledger.RecordCrash(now, incarnation(number%16), []quarantine.Fingerprint{crashed.Parts()[0].Fingerprint})
+		}
+		b.ReportAllocs()
+		for b.Loop() {
+			_ = ledger.CheckParts(now, parts)
+		}
+	})
+}
--- a/internal/quarantine/ledger.go
+++ b/internal/quarantine/ledger.go
@@ -388,7 +388,7 @@
 		}
 		if now.Sub(known.changedAt()) > suspectTTL {
 			l.drop(request)
-		} else if request.IsPart() {
+		} else if request.IsPart() && slices.ContainsFunc(known.crashes, old) {
 			known.crashes = slices.DeleteFunc(known.crashes, old)
 			l.revision++
 		}
