Let a quarantine of a part last until a success, whatever crashes are reported late

A crash time did not count if one engine without the part had crashed within 50 ms.

Now a crash time is left out only if two engines or more without the part crashed then, and a part that is held stays held until a success or an operator ends that.

The case "at the same time as others that have other causes" has two others each time now, as a single one may be due to a second part: the new case "two such parts at the same time" demands that these are held. TestHarmlessPartsAreNotQuarantined is unchanged.

--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -280,10 +280,7 @@
 }
 
 // lender is a detour that lends direct connections, none at first.
-type lender struct {
-	lends   bool
-	address string
-}
+type lender struct{ lends bool }
 
 // Dial implements exchange.Detour.
 func (l *lender) Dial(ctx context.Context, address string, direct exchange.DialFunc) (exchange.Opened, error) {
--- a/internal/quarantine/decision.go
+++ b/internal/quarantine/decision.go
@@ -87,7 +87,11 @@
 func (l *Ledger) trialRecordOf(request Fingerprint, known *suspect) trialRecord {
 	if group := l.groupOf(request); request.IsPart() && group != nil {
 		trials, lastAt := group.trials()
-		return trialRecord{crashes: group.crashes, needed: partCrashesToQuarantine, trials: trials, lastAt: lastAt}
+		crashes := group.crashes
+		if len(crashes) < partCrashesToQuarantine {
+			crashes = known.countedCrashes()
+		}
+		return trialRecord{crashes: crashes, needed: partCrashesToQuarantine, trials: trials, lastAt: lastAt}
 	}
 	return trialRecord{crashes: known.countedCrashes(), needed: crashesToQuarantine, trials: known.trials, lastAt: known.trialAt}
 }
@@ -95,6 +99,9 @@
 // used returns the number of trials used up. A crash after propagationTime counts as a trial: a router that
 // was cut off or paused has sent the request.
 func (r *trialRecord) used() int {
+	if len(r.crashes) < r.needed {
+		return r.trials
+	}
 	propagatedAt := r.crashes[r.needed-1].At.Add(propagationTime)
 	late := 0
 	for _, crash := range r.crashes {
@@ -111,9 +118,11 @@
 	if used >= maxTrials {
 		return time.Time{}, false
 	}
-	last := r.crashes[len(r.crashes)-1].At
-	if r.lastAt.After(last) {
-		last = r.lastAt
+	last := r.lastAt
+	for _, crash := range r.crashes {
+		if crash.At.After(last) {
+			last = crash.At
+		}
 	}
 	return last.Add(trialPauses[used]), true
 }
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -84,7 +84,7 @@
 		return len(known.crashes) >= crashesToQuarantine
 	}
 	l.groupOf(request)
-	return known.wasQuarantined
+	return known.wasHeld
 }
 
 func (s *suspect) digest(request Fingerprint, quarantined bool) uint64 {
--- a/internal/quarantine/ledger.go
+++ b/internal/quarantine/ledger.go
@@ -53,8 +53,8 @@
 	trialAt time.Time
 	// reported is true once the caller got the request as quarantined.
 	reported bool
-	// wasQuarantined is true once a part was quarantined.
-	wasQuarantined bool
+	// held is whether a part is quarantined, wasHeld whether it ever was; see updatePart.
+	held, wasHeld bool
 }
 
 // countedCrashes returns the crashes after the last success and its SuccessTTL, in order of
@@ -74,11 +74,11 @@
 // quarantined reports whether a request, or a part in one scope, is quarantined; the mutex is held. A part
 // that no crash counts against in a scope is not quarantined there, whatever it did in others.
 func (l *Ledger) quarantined(request Fingerprint, known *suspect) bool {
-	count := len(known.countedCrashes())
 	if !request.IsPart() {
-		return count >= crashesToQuarantine
+		return len(known.countedCrashes()) >= crashesToQuarantine
 	}
-	return count > 0 && l.groupOf(request).quarantined()
+	l.groupOf(request)
+	return known.held
 }
 
 // toStore returns the number of crashes to store; the mutex is held. More than a quarantine needs add
@@ -86,7 +86,7 @@
 func (l *Ledger) toStore(request Fingerprint, known *suspect) int {
 	count := len(known.countedCrashes())
 	if request.IsPart() {
-		if len(l.groupOf(request).crashes) < partCrashesToQuarantine-1 {
+		if len(l.groupOf(request).crashes) < partCrashesToQuarantine-1 && !known.held {
 			return 0
 		}
 		return min(count, partCrashesToQuarantine)
@@ -130,7 +130,11 @@
 	if !at.After(s.clearedAt) {
 		return
 	}
+	before := len(s.countedCrashes())
 	s.clearedAt = at
+	if len(s.countedCrashes()) < before {
+		s.held = false
+	}
 	if !s.trialAt.After(at) {
 		s.trials, s.trialAt = 0, time.Time{}
 	}
--- a/internal/quarantine/partgroup.go
+++ b/internal/quarantine/partgroup.go
@@ -17,9 +17,11 @@
 	// PartProgress is the time since the first byte of an answer after which its parts are no cause of
 	// a crash: back ends crash as they begin to write. It is also the time between two reports of progress.
 	PartProgress = time.Second
-	// simultaneity is the time within which crashes of several incarnations count as one. If the
-	// part did not run on all of them, they have another cause.
+	// simultaneity is the time within which crashes of several incarnations count as one. They have
+	// another cause if the part did not run on otherCrashes of them or more; a single one may be due to
+	// a second such part.
 	simultaneity = 50 * time.Millisecond
+	otherCrashes = 2
 	// crashesToSuspect is the number of crashes from which on a part is under suspicion.
 	crashesToSuspect = 2
 )
@@ -34,8 +36,19 @@
 	lives   map[ident.Incarnation]struct{}
 }
 
+// quarantined reports whether enough crashes count against the part.
 func (g *partGroup) quarantined() bool { return len(g.crashes) >= partCrashesToQuarantine }
 
+// heldInAny reports whether the part is quarantined in a scope.
+func (g *partGroup) heldInAny() bool {
+	for _, known := range g.scopes {
+		if known.held {
+			return true
+		}
+	}
+	return false
+}
+
 // explains reports whether all crashes that count against another part occurred under this one.
 func (g *partGroup) explains(other *partGroup) bool {
 	return !slices.ContainsFunc(other.crashes, func(crash Crash) bool {
@@ -73,14 +86,19 @@
 		}
 	}
 	group.crashes = l.attributed(group, counted)
-	if group.quarantined() {
-		for _, known := range group.scopes {
-			known.wasQuarantined = true
-		}
+	for _, known := range group.scopes {
+		known.updatePart(group)
 	}
 	return group
 }
 
+// updatePart records whether the part is quarantined in one scope. That lasts until a success: crashes of
+// others that are reported late do not end it.
+func (s *suspect) updatePart(group *partGroup) {
+	s.held = len(s.countedCrashes()) > 0 && (s.held || group.quarantined())
+	s.wasHeld = s.wasHeld || s.held
+}
+
 // attributed returns the crashes that count against a part, one for each time, in order of time; the mutex
 // is held.
 func (l *Ledger) attributed(group *partGroup, crashes []Crash) []Crash {
@@ -99,15 +117,16 @@
 	return attributed
 }
 
-// othersCrashed reports whether incarnations that did not run the part crashed at about a time; the
+// othersCrashed reports whether several incarnations that did not run the part crashed at about a time; the
 // mutex is held.
 func (l *Ledger) othersCrashed(group *partGroup, at time.Time) bool {
+	others := 0
 	for incarnation, crashedAt := range l.lives {
 		if _, ran := group.lives[incarnation]; !ran && crashedAt.Sub(at).Abs() < simultaneity {
-			return true
+			others++
 		}
 	}
-	return false
+	return others >= otherCrashes
 }
 
 // recordLife records when an incarnation crashed; the mutex is held.
@@ -186,7 +205,7 @@
 		if slices.ContainsFunc(prompt, func(p Part) bool { return p.Fingerprint.partKey() == key }) {
 			continue
 		}
-		if other := l.group(key); other.quarantined() && other.explains(group) {
+		if other := l.group(key); other.heldInAny() && other.explains(group) {
 			return true
 		}
 	}
--- a/internal/quarantine/parts_test.go
+++ b/internal/quarantine/parts_test.go
@@ -54,7 +54,7 @@
 
 func TestPartIsQuarantinedWhereItCrashesBackends(t *testing.T) {
 	bad, companion := prompt("a", "first", "bad"), prompt("a", "first", "companion", "bad")
-	sound := prompt("a", "first", "other")
+	sound, worse := prompt("a", "first", "other"), prompt("a", "worse")
 	tests := []struct {
 		name   string
 		events []partEvent
@@ -70,8 +70,12 @@
 		{"answered before, and from then on no more", append([]partEvent{{at: 1, prompt: bad}}, crashSeries(4, 4, bad)...), bad, "first"},
 		{"a companion that was answered alone", append(crashSeries(1, 4, companion), partEvent{at: 4.2, prompt: prompt("a", "companion")}), prompt("a", "companion"), ""},
 		{"at the same time as others that have other causes", []partEvent{
-			{1, 1, bad}, {1.001, 2, sound}, {2, 3, bad}, {2.001, 4, sound}, {3, 5, bad}, {3.001, 6, sound}, {4, 7, bad}, {4.001, 8, sound},
+			{1, 1, bad}, {1.001, 2, sound}, {1.002, 9, sound}, {2, 3, bad}, {2.001, 4, sound}, {2.002, 10, sound},
+			{3, 5, bad}, {3.001, 6, sound}, {3.002, 11, sound}, {4, 7, bad}, {4.001, 8, sound}, {4.002, 12, sound},
 		}, bad, ""},
+		{"two such parts at the same time", []partEvent{
+			{1, 1, bad}, {1.001, 2, worse}, {2, 3, bad}, {2.001, 4, worse}, {3, 5, bad}, {3.001, 6, worse}, {4, 7, bad}, {4.001, 8, worse},
+		}, worse, "worse"},
 		{"several incarnations at once, all with the part", []partEvent{{1, 1, bad}, {1.001, 2, bad}, {1.002, 3, bad}, {1.003, 4, bad}}, bad, ""},
 		{"another tenant's", crashSeries(1, 6, prompt("a", "bad")), prompt("b", "bad"), ""},
 		{"another tenant's, and one crash under one's own", append(crashSeries(1, 6, prompt("a", "bad")), partEvent{8, 99, prompt("b", "bad")}), prompt("b", "bad"), "bad"},
@@ -124,6 +128,24 @@
 	}
 }
 
+// Crashes of others that are reported late do not end a quarantine; a success does.
+func TestQuarantineOfPartLasts(t *testing.T) {
+	is := is.New(t)
+	ledger := quarantine.NewLedger()
+	bad, now := prompt("a", "bad"), startTime.Add(9*time.Second)
+	applyParts(ledger, crashSeries(1, 4, bad))
+	is.True(ledger.CheckParts(now, bad.Parts()) != nil)
+	for number := range 4 {
+		at := float64(1 + number)
+		applyParts(ledger, []partEvent{{at, 200 + number, prompt("a", "other")}, {at, 300 + number, prompt("a", "another")}})
+	}
+	decision := ledger.CheckParts(now, bad.Parts())
+	is.True(decision != nil)
+	is.True(!decision.TrialDue)
+	applyParts(ledger, []partEvent{{at: 8, prompt: bad}})
+	is.True(ledger.CheckParts(now, bad.Parts()) == nil)
+}
+
 // Of two parts that crashed the same back ends, a prompt with one of them only is tried at once; a prompt
 // with both is not.
 func TestTrialTellsTwoPartsApart(t *testing.T) {
