--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -216,21 +216,6 @@
 	return r.forwarder.allowRetry(r.request, r.service)
 }
 
-// mayAwaitConnection records that all connections allowed to a back end are in use, and reports whether
-// others may be tried, and this one again. Nothing was sent, so this is no attempt.
-func (r *run) mayAwaitConnection(instance ident.Incarnation) bool {
-	now := clock.Now()
-	if r.fullSince.IsZero() {
-		r.fullSince = now
-	}
-	if !now.Before(r.deadline) || now.Sub(r.fullSince) > r.placeWait() {
-		return false
-	}
-	r.attempts--
-	r.full = append(r.full, instance)
-	return true
-}
-
 // finalFault returns the fault that ends the request.
 func (r *run) finalFault(failed *failure) *fault.Fault {
 	if failed.reply != nil && !r.headSent {
