--- a/review/harness/harness.go
+++ b/review/harness/harness.go
@@ -11,6 +11,8 @@
 	"os/exec"
 	"os/signal"
 	"path/filepath"
+	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -137,7 +139,7 @@
 		Front: fmt.Sprintf("%s:%d", ip, frontPort), ready: fmt.Sprintf("%s:%d", ip, readyPort),
 	}
 	router.settings = filepath.Join(d.directory, router.Name+".toml")
-	text := fmt.Sprintf(settingsText, router.Name, ip, zone, peerPort, peerPort+15, router.Front, router.ready, d.storeAddr)
+	text := fmt.Sprintf(settingsText, router.Name, ip, zone, peerPort, peerPort+15, router.Front, router.ready, MemoryMb, d.storeAddr)
 	if err := os.WriteFile(router.settings, []byte(text), 0o600); err != nil {
 		return nil, err
 	}
@@ -167,7 +169,7 @@
 [limits]
 cpuShare = 0.4
 cores = 1
-memoryMb = 284
+memoryMb = %d
 maxFds = 4100
 linkMbps = 1000.0
 diskMb = 0
@@ -241,6 +243,27 @@
 	<-ended
 }
 
+// MemoryMb is the memory of a router in MiB above which the platform kills it.
+const MemoryMb = 284
+
+// UsedMb returns the resident memory of the router's process in MiB, 0 if it has ended.
+func (r *Router) UsedMb() int {
+	r.mu.Lock()
+	process := r.command.Process.Pid
+	r.mu.Unlock()
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", process))
+	if err != nil {
+		return 0
+	}
+	_, after, _ := strings.Cut(string(text), "VmRSS:")
+	fields := strings.Fields(after)
+	if len(fields) == 0 {
+		return 0
+	}
+	kib, _ := strconv.Atoi(fields[0])
+	return kib >> 10
+}
+
 // Log returns what the router has logged so far.
 func (r *Router) Log() string {
 	text, err := os.ReadFile(r.settings + ".log")
