--- a/review/harness/harness.go
+++ b/review/harness/harness.go
@@ -264,58 +264,6 @@
 	return kib >> 10
 }
 
-// tableReads is how often the table of sockets is read for one of them.
-const tableReads = 5
-
-// Owns reports whether the other end of an accepted connection is a socket of the router's process.
-func (r *Router) Owns(conn net.Conn) bool {
-	peer, ok := conn.RemoteAddr().(*net.TCPAddr)
-	own, isTCP := conn.LocalAddr().(*net.TCPAddr)
-	if !ok || !isTCP {
-		return false
-	}
-	r.mu.Lock()
-	process := r.command.Process.Pid
-	r.mu.Unlock()
-	// A read of the table beside changes of it may miss a line.
-	inode := socketInode(peer, own)
-	for try := 0; inode == "" && try < tableReads; try++ {
-		inode = socketInode(peer, own)
-	}
-	links, err := filepath.Glob(fmt.Sprintf("/proc/%d/fd/*", process))
-	if err != nil {
-		return false
-	}
-	for _, link := range links {
-		if target, err := os.Readlink(link); err == nil && target == "socket:["+inode+"]" {
-			return true
-		}
-	}
-	return false
-}
-
-// socketInode returns the inode of the TCP socket with these addresses, empty if there is none.
-func socketInode(local, remote *net.TCPAddr) string {
-	text, err := os.ReadFile("/proc/net/tcp")
-	if err != nil {
-		return ""
-	}
-	const localField, remoteField, inodeField = 1, 2, 9
-	for line := range strings.Lines(string(text)) {
-		fields := strings.Fields(line)
-		if len(fields) > inodeField && fields[localField] == inTable(local) && fields[remoteField] == inTable(remote) {
-			return fields[inodeField]
-		}
-	}
-	return ""
-}
-
-// inTable returns an address as the kernel's table of sockets has it.
-func inTable(address *net.TCPAddr) string {
-	ip := address.IP.To4()
-	return fmt.Sprintf("%02X%02X%02X%02X:%04X", ip[3], ip[2], ip[1], ip[0], address.Port)
-}
-
 // Log returns what the router has logged so far.
 func (r *Router) Log() string {
 	text, err := os.ReadFile(r.settings + ".log")
