--- a/review/harness/harness.go
+++ b/review/harness/harness.go
@@ -25,12 +25,8 @@
 	CannotRun = 2
 )
 
-// The ports of a machine, the same on all of them.
-const (
-	frontPort = 8782
-	readyPort = 8789
-	peerPort  = 7340
-)
+// ports are those of a machine, the same on all of them.
+type ports struct{ front, ready, peers int }
 
 // routerBinary is what the build line of the deploy file makes.
 const routerBinary = "target/fieldpond"
@@ -40,6 +36,7 @@
 	Store *Store
 
 	network   string
+	ports     ports
 	directory string
 	storeAddr string
 	started   time.Time
@@ -63,6 +60,11 @@
 		Store: NewStore(), directory: directory, record: record, started: time.Now(),
 		network: fmt.Sprintf("127.%d.%d", 16+rand.IntN(200), 1+rand.IntN(250)),
 	}
+	for _, port := range []*int{&d.ports.front, &d.ports.ready, &d.ports.peers} {
+		if *port, err = freePort(d.Address(1)); err != nil {
+			return nil, err
+		}
+	}
 	listener, err := net.Listen("tcp4", d.Address(250)+":0")
 	if err != nil {
 		return nil, err
@@ -73,6 +75,16 @@
 	return d, nil
 }
 
+// freePort returns a port that is free on an address.
+func freePort(ip string) (int, error) {
+	listener, err := net.Listen("tcp4", ip+":0")
+	if err != nil {
+		return 0, err
+	}
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().(*net.TCPAddr).Port, nil
+}
+
 // Address returns the address of one of the deployment's machines.
 func (d *Deployment) Address(machine int) string { return fmt.Sprintf("%s.%d", d.network, machine) }
 
@@ -136,10 +148,10 @@
 	ip := d.Address(machine)
 	router := &Router{
 		Name: fmt.Sprintf("edge-%s-%d", zone, machine), deployment: d,
-		Front: fmt.Sprintf("%s:%d", ip, frontPort), ready: fmt.Sprintf("%s:%d", ip, readyPort),
+		Front: fmt.Sprintf("%s:%d", ip, d.ports.front), ready: fmt.Sprintf("%s:%d", ip, d.ports.ready),
 	}
 	router.settings = filepath.Join(d.directory, router.Name+".toml")
-	text := fmt.Sprintf(settingsText, router.Name, ip, zone, peerPort, peerPort+15, router.Front, router.ready, MemoryMb, d.storeAddr)
+	text := fmt.Sprintf(settingsText, router.Name, ip, zone, d.ports.peers, d.ports.peers+15, router.Front, router.ready, MemoryMb, d.storeAddr)
 	if err := os.WriteFile(router.settings, []byte(text), 0o600); err != nil {
 		return nil, err
 	}
