--- a/review/1/main.go
+++ b/review/1/main.go
@@ -17,16 +17,14 @@
 )
 
 const (
-	rounds = 3
 	// The stream and the booking last longer than it takes to kill a process.
-	events        = 12
-	eventPause    = 80 * time.Millisecond
-	bookingBytes  = 800
-	bookingPause  = 800 * time.Millisecond
-	firstHalf     = bookingBytes / 2
-	queueFullTime = 45 * time.Millisecond
-	killAfter     = 450 * time.Millisecond
-	readyWithin   = 15 * time.Second
+	events       = 12
+	eventPause   = 80 * time.Millisecond
+	bookingBytes = 800
+	bookingPause = 800 * time.Millisecond
+	firstHalf    = bookingBytes / 2
+	killAfter    = 400 * time.Millisecond
+	readyWithin  = 15 * time.Second
 	// settleTime is the time in which routers learn of each other.
 	settleTime  = 6 * time.Second
 	heartbeat   = 1200 * time.Millisecond
@@ -36,6 +34,10 @@
 	model       = "daka510000"
 )
 
+// queueFullTimes are for how long the queues of new connections are full, one for each round: long enough for
+// the first opening packet to be dropped, and shorter than the 60 ms after which another router is asked.
+var queueFullTimes = []time.Duration{40 * time.Millisecond, 25 * time.Millisecond, 50 * time.Millisecond}
+
 // engine is a stand-in of an engine or an application. Its answers end with their connections.
 type engine struct {
 	id, service string
@@ -242,19 +244,15 @@
 	var results [2]outcome
 	var clients sync.WaitGroup
 	clients.Go(func() {
-		results[0] = send(r.Deployment, r.asking.Front, fmt.Sprintf("stream-%d", number), "/note/2f", true)
+		results[0] = send(r.Deployment, r.asking.Front, fmt.Sprintf("stream-%d", number+1), "/note/2f", true)
 	})
 	clients.Go(func() {
-		results[1] = send(r.Deployment, r.asking.Front, fmt.Sprintf("booking-%d", number), "/booking/2f", false)
+		results[1] = send(r.Deployment, r.asking.Front, fmt.Sprintf("booking-%d", number+1), "/booking/2f", false)
 	})
 	if trouble {
-		time.Sleep(queueFullTime)
-		if err := r.llm.listener.Drain(); err != nil {
-			r.Record("the queue cannot be drained: %v", err)
-		}
-		if err := r.app.listener.Drain(); err != nil {
-			r.Record("the queue cannot be drained: %v", err)
-		}
+		time.Sleep(queueFullTimes[number])
+		r.drain(r.llm)
+		r.drain(r.app)
 		r.Record("the queues of new connections have room again")
 		time.Sleep(killAfter)
 		r.helping.Kill()
@@ -267,6 +265,13 @@
 	r.judge(r.app, &results[1])
 }
 
+// drain lets the engine accept connections again.
+func (r *run) drain(e *engine) {
+	if err := e.listener.Drain(); err != nil {
+		r.Record("the queue of %s cannot be drained: %v", e.id, err)
+	}
+}
+
 // judge compares what the client got with what the engine wrote.
 func (r *run) judge(e *engine, got *outcome) {
 	e.mu.Lock()
@@ -287,8 +292,8 @@
 		return harness.CannotRun
 	}
 	trouble := harness.Trouble()
-	for number := range rounds {
-		r.round(number+1, trouble)
+	for number := range queueFullTimes {
+		r.round(number, trouble)
 		if !trouble {
 			continue
 		}
