Free the beginning of long answers, and count the memory of events

Cause, one of three: the first 256 KiB of an answer that is too long to be held stayed in memory while the rest was passed on, beside a buffer of 32 KiB for each; an event counted with its length, not with the buffer that append had grown to twice that, and the buffer of a large event stayed for the rest of the stream. The body of a failure was held without a reservation once it was read.

Change: the beginning is freed once it is passed on; the rest goes through buffers of 16 KiB that are used again; the buffer of an event grows by what is reserved, and one above 4 KiB is freed before the next event; the body of a failure keeps its reservation until it is passed on or dropped.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"net/netip"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -20,14 +21,20 @@
 // maxBufferedBytes is the largest answer that is buffered whole before it is passed on.
 const maxBufferedBytes = 256 << 10
 
+// copyBytes is the size of a read of an answer that is passed on as it arrives.
+const copyBytes = 16 << 10
+
+// copyBuffers keeps the buffers of such answers.
+var copyBuffers = sync.Pool{New: func() any { return new([copyBytes]byte) }}
+
 // errUnframedEmpty is an answer that ended with its connection before its first byte.
 var errUnframedEmpty = errors.New("the connection ended before the body began")
 
-// bufferedReply is a complete answer of a back end.
+// bufferedReply is a complete answer of a back end. Its owner frees held, which has its body.
 type bufferedReply struct {
 	status int
 	header http.Header
-	body   []byte
+	held   heldBuffer
 }
 
 // attempt is one attempt of a request at a back end.
@@ -250,20 +257,27 @@
 	if a.headSent {
 		return &failure{ran: fault.RanYes, outcome: backend.Failed, cause: errors.Errorf("the continued stream was answered with status %d", reply.Status)}
 	}
-	held := &heldBuffer{held: &a.forwarder.held}
-	defer held.free()
+	buffered := &bufferedReply{status: reply.Status, header: reply.Header, held: heldBuffer{held: &a.forwarder.held}}
+	failed := a.sendWhole(reply, buffered)
+	if failed == nil || failed.reply == nil {
+		buffered.held.free()
+	}
+	return failed
+}
+
+// sendWhole reads an answer, and passes it on once it is whole or too long to be held.
+func (a *attempt) sendWhole(reply *Reply, buffered *bufferedReply) *failure {
+	held := &buffered.held
 	whole, err := held.readFrom(reply.Body, maxBufferedBytes)
 	if err != nil {
 		return &failure{ran: fault.RanUnknown, outcome: backend.Broken, cause: err}
 	}
-	body := held.data
-	if reply.Unframed && len(body) == 0 && reply.Status < http.StatusMultipleChoices {
+	if reply.Unframed && len(held.data) == 0 && reply.Status < http.StatusMultipleChoices {
 		return &failure{ran: fault.RanUnknown, outcome: backend.Broken, cause: errUnframedEmpty}
 	}
 	a.recordReceived()
-	buffered := &bufferedReply{status: reply.Status, header: reply.Header, body: body}
 	if !whole {
-		return a.sendUnbuffered(reply, buffered)
+		return a.sendUnbuffered(reply, held)
 	}
 	if reply.Status >= http.StatusInternalServerError {
 		return &failure{ran: fault.RanYes, outcome: backend.Failed, cause: errors.Errorf("answered with status %d", reply.Status), reply: buffered}
@@ -275,21 +289,23 @@
 // sendBuffered sends a buffered answer to the client.
 func (r *run) sendBuffered(reply *bufferedReply) {
 	r.headSent = true
-	r.sink.Head(reply.status, reply.header, int64(len(reply.body)))
-	err := r.sink.Write(reply.body)
+	r.sink.Head(reply.status, reply.header, int64(len(reply.held.data)))
+	err := r.sink.Write(reply.held.data)
 	r.recordStep(StepAnswered, func(step *Step) { step.Status, step.Cause = reply.status, err })
 }
 
-// sendUnbuffered passes on an answer that is too long to be buffered.
-func (a *attempt) sendUnbuffered(reply *Reply, beginning *bufferedReply) *failure {
+// sendUnbuffered passes on an answer that is too long to be buffered, whose beginning is held.
+func (a *attempt) sendUnbuffered(reply *Reply, held *heldBuffer) *failure {
 	a.headSent = true
 	a.sink.Head(reply.Status, reply.Header, reply.Length)
-	if err := a.sink.Write(beginning.body); err != nil {
+	if err := a.sink.Write(held.data); err != nil {
 		return &failure{ran: fault.RanYes, outcome: backend.Abandoned, cause: err}
 	}
-	buffer := make([]byte, 32<<10)
+	held.free()
+	buffer := copyBuffers.Get().(*[copyBytes]byte)
+	defer copyBuffers.Put(buffer)
 	for {
-		count, err := reply.Body.Read(buffer)
+		count, err := reply.Body.Read(buffer[:])
 		if count > 0 {
 			if failed := a.sink.Write(buffer[:count]); failed != nil {
 				return &failure{ran: fault.RanYes, outcome: backend.Abandoned, cause: failed}
--- a/internal/forward/events.go
+++ b/internal/forward/events.go
@@ -9,8 +9,12 @@
 	"github.com/pkg/errors"
 )
 
-// maxEventBytes bounds one event of a stream.
-const maxEventBytes = 1 << 20
+const (
+	// maxEventBytes bounds one event of a stream.
+	maxEventBytes = 1 << 20
+	// minEventBytes is the size of the first buffer for events.
+	minEventBytes = 512
+)
 
 var (
 	errEventTooLarge  = errors.New("an event of the stream is too large")
@@ -42,16 +46,18 @@
 // next returns the next complete event. It returns io.EOF only if the stream
 // ended between two events.
 func (r *eventReader) next() (event, error) {
+	if r.block.reserved > 0 {
+		r.block.free()
+	}
 	r.block.data = r.block.data[:0]
 	var read event
 	// inLine is whether the next bytes continue a line.
 	inLine := false
 	for {
 		line, err := r.source.ReadSlice('\n')
-		if size := len(r.block.data) + len(line); size > maxEventBytes || !r.block.reserveTo(size) {
+		if !r.add(line) {
 			return event{}, errEventTooLarge
 		}
-		r.block.data = append(r.block.data, line...)
 		if err == bufio.ErrBufferFull {
 			inLine = true
 			continue
@@ -78,5 +84,15 @@
 	}
 }
 
+// add adds a part of a line to the block, and reports whether the limits allow that.
+func (r *eventReader) add(part []byte) bool {
+	size := len(r.block.data) + len(part)
+	if size > maxEventBytes || size > cap(r.block.data) && !r.block.grow(max(size, minEventBytes)) {
+		return false
+	}
+	r.block.data = append(r.block.data, part...)
+	return true
+}
+
 // buffered reports whether another event may already have arrived.
 func (r *eventReader) buffered() bool { return r.source.Buffered() > 0 }
--- a/internal/forward/heldanswers.go
+++ b/internal/forward/heldanswers.go
@@ -30,7 +30,7 @@
 
 func (h *heldAnswers) release(count int) { h.bytes.Add(-int64(count)) }
 
-// heldBuffer is what is held of one answer. Its owner calls free at the end.
+// heldBuffer is what is held of one answer. Its owner calls free once that is passed on.
 type heldBuffer struct {
 	held *heldAnswers
 	data []byte
@@ -38,9 +38,12 @@
 	reserved int
 }
 
-// grow makes room for at least one more byte, and reports whether the memory allows that.
-func (b *heldBuffer) grow() bool {
-	size := max(2*cap(b.data), unreservedBytes)
+// grow makes room for at least a number of bytes in all, and reports whether the memory allows that.
+func (b *heldBuffer) grow(bytes int) bool {
+	size := max(2*cap(b.data), bytes)
+	if bytes <= unreservedBytes {
+		size = min(size, unreservedBytes)
+	}
 	if !b.reserveTo(size) {
 		return false
 	}
@@ -65,7 +68,7 @@
 // whether it reached the end.
 func (b *heldBuffer) readFrom(body io.Reader, most int) (whole bool, err error) {
 	for len(b.data) <= most {
-		if len(b.data) == cap(b.data) && !b.grow() {
+		if len(b.data) == cap(b.data) && !b.grow(max(cap(b.data)+1, unreservedBytes)) {
 			return false, nil
 		}
 		count, err := body.Read(b.data[len(b.data):cap(b.data)])
@@ -80,8 +83,8 @@
 	return false, nil
 }
 
-// free ends the reservation.
+// free ends the reservation and drops what is held.
 func (b *heldBuffer) free() {
 	b.held.release(b.reserved)
-	b.reserved = 0
+	b.reserved, b.data = 0, nil
 }
--- a/internal/forward/heldanswers_test.go
+++ b/internal/forward/heldanswers_test.go
@@ -120,3 +120,20 @@
 	}
 	is.Equal(held.bytes.Load(), int64(0))
 }
+
+// After a large event, the memory for it must be free for those of other streams.
+func TestLargeEventHoldsNoMemoryAfterwards(t *testing.T) {
+	is := is.New(t)
+	held := &heldAnswers{limit: 1 << 20}
+	large, small := "data: "+strings.Repeat("x", 100<<10)+"\n\n", "data: x\n\n"
+	events := newEventReader(strings.NewReader(large+small+large), held)
+	for _, want := range []string{large, small, large} {
+		next, err := events.next()
+		is.NoErr(err)
+		is.Equal(string(next.raw), want)
+		is.True(held.bytes.Load() >= int64(cap(next.raw)-unreservedBytes)) // counted as allocated
+		is.True(held.bytes.Load() > 0 == (want == large))
+	}
+	events.close()
+	is.Equal(held.bytes.Load(), int64(0))
+}
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -146,8 +146,10 @@
 		if timed.Err() != nil || !r.mayRetry(failure) || !r.chargeRetry(timed) {
 			r.releaseGrant()
 			r.finish(ctx, r.finalFault(failure))
+			failure.free()
 			return
 		}
+		failure.free()
 	}
 }
 
@@ -189,6 +191,13 @@
 	reply *bufferedReply
 }
 
+// free drops the answer.
+func (f *failure) free() {
+	if f.reply != nil {
+		f.reply.held.free()
+	}
+}
+
 // mayRetry reports whether the request may be sent again, and spends a retry of
 // the budget if needed.
 func (r *run) mayRetry(failed *failure) bool {
