Hold answers for slow clients in chunks that count with their size

Cause: what a client has not read was counted by its length, while append had grown its buffer to up to twice that and left the earlier ones as garbage, at the rate of the sender; and the memory was first come, first served.

Change: answers are held in chunks of 1, 4 and 16 KiB, reserved by their size and used again. An answer of which nothing is held needs no reservation for 4 KiB, so that a client that reads is never delayed by those that do not.

Tests, failing before: TestFastClientIsServedBesideSlowOnes (ErrSlowClient), TestSmallWritesCountWithTheirMemory.

--- a/internal/inbound/readahead.go
+++ b/internal/inbound/readahead.go
@@ -13,6 +13,8 @@
 const (
 	// maxAheadBytes bounds what is held of one answer.
 	maxAheadBytes = 1 << 20
+	// unreservedClass is the class of the chunk that each answer may hold without a reservation.
+	unreservedClass = 1
 	// slowClientTimeout is how long a write waits for memory. It is shorter than the time after
 	// which back ends cut off an answer that is not read.
 	slowClientTimeout = 1500 * time.Millisecond
@@ -35,20 +37,22 @@
 	clients *Clients
 	to      AnswerWriter
 	written chan struct{}
+	// room receives a value once something that was queued is written, or the answer has failed.
+	room chan struct{}
 
 	mu      sync.Mutex
 	changed *sync.Cond
-	pending []byte
-	// writing is the number of bytes that are being written.
-	writing int
-	flush   bool
-	closed  bool
-	err     error
+	pending []*chunk
+	// held is the memory of pending and of what is being written, in bytes.
+	held   int
+	flush  bool
+	closed bool
+	err    error
 }
 
 // NewReadAhead returns a ReadAhead that writes to a client. Close must be called.
 func (c *Clients) NewReadAhead(to AnswerWriter) *ReadAhead {
-	r := &ReadAhead{clients: c, to: to, written: make(chan struct{})}
+	r := &ReadAhead{clients: c, to: to, written: make(chan struct{}), room: make(chan struct{}, 1)}
 	r.changed = sync.NewCond(&r.mu)
 	go r.run()
 	return r
@@ -57,32 +61,91 @@
 // Write queues a copy of data. While there is no memory it waits, and returns ErrSlowClient if the
 // client does not read for too long.
 func (r *ReadAhead) Write(data []byte) error {
-	for begun := time.Now(); ; {
-		queued, err := r.queue(data)
-		if queued || err != nil {
+	var begun time.Time
+	for {
+		count, err := r.queue(data)
+		if err != nil {
 			return err
 		}
+		data = data[count:]
+		if len(data) == 0 {
+			return nil
+		}
+		if count > 0 {
+			continue
+		}
+		if begun.IsZero() {
+			begun = time.Now()
+		}
 		if time.Since(begun) >= slowClientTimeout {
 			return ErrSlowClient
 		}
-		time.Sleep(roomCheckInterval)
+		r.awaitRoom()
+	}
+}
+
+// awaitRoom waits until something was written, or for roomCheckInterval.
+func (r *ReadAhead) awaitRoom() {
+	timer := time.NewTimer(roomCheckInterval)
+	defer timer.Stop()
+	select {
+	case <-r.room:
+	case <-timer.C:
 	}
 }
 
-// queue queues a copy of data if there is memory for it.
-func (r *ReadAhead) queue(data []byte) (queued bool, err error) {
+// queue queues a copy of the first bytes of data for which there is memory, and returns their number.
+func (r *ReadAhead) queue(data []byte) (count int, err error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.err != nil {
-		return false, r.err
+		return 0, r.err
 	}
-	held := len(r.pending) + r.writing
-	if (held > 0 && held+len(data) > maxAheadBytes) || !r.clients.reserveAnswer(int64(len(data))) {
-		return false, nil
+	last := r.lastWithRoom()
+	if last == nil {
+		last = r.addChunk(len(data))
 	}
-	r.pending = append(r.pending, data...)
+	if last == nil {
+		return 0, nil
+	}
+	count = last.append(data)
 	r.changed.Signal()
-	return true, nil
+	return count, nil
+}
+
+// lastWithRoom returns the last pending chunk if there is room in it, or nil; the caller holds the mutex.
+func (r *ReadAhead) lastWithRoom() *chunk {
+	if len(r.pending) == 0 {
+		return nil
+	}
+	last := r.pending[len(r.pending)-1]
+	if len(last.data) == cap(last.data) {
+		return nil
+	}
+	return last
+}
+
+// addChunk adds a chunk for a number of bytes, or for fewer, and returns nil if there is no memory; the caller
+// holds the mutex.
+func (r *ReadAhead) addChunk(bytes int) *chunk {
+	class := chunkClass(bytes)
+	size := chunkSizes[class]
+	if r.held > 0 && r.held+size > maxAheadBytes {
+		return nil
+	}
+	reserved := int64(size)
+	if !r.clients.reserveAnswer(reserved) {
+		if r.held > 0 {
+			return nil
+		}
+		// The client has read everything so far, and must not wait for those that do not.
+		class, reserved = min(class, unreservedClass), 0
+		size = chunkSizes[class]
+	}
+	added := newChunk(class, reserved)
+	r.pending = append(r.pending, added)
+	r.held += size
+	return added
 }
 
 // Flush flushes the answer once everything queued is written.
@@ -117,7 +180,9 @@
 	if r.err == nil {
 		r.err = err
 	}
-	r.clients.Release(int64(len(r.pending)))
+	for _, dropped := range r.pending {
+		r.releaseLocked(dropped)
+	}
 	r.pending = nil
 	r.changed.Signal()
 }
@@ -125,27 +190,35 @@
 // run writes what is queued until the answer is closed or its connection has failed.
 func (r *ReadAhead) run() {
 	defer close(r.written)
+	var taken []*chunk
 	for {
-		data, flush, ended := r.next()
+		var flush, ended bool
+		taken, flush, ended = r.next(taken[:0])
 		if ended {
 			return
 		}
-		err := error(nil)
-		if len(data) > 0 {
-			_, err = r.to.Write(data)
-		}
-		if err == nil && flush {
-			err = r.to.Flush()
-		}
-		r.done(len(data))
-		if err != nil {
+		if err := r.write(taken, flush); err != nil {
 			r.fail(err)
 		}
 	}
 }
 
-// next waits for something to write or to flush.
-func (r *ReadAhead) next() (data []byte, flush, ended bool) {
+// write writes chunks and releases them.
+func (r *ReadAhead) write(chunks []*chunk, flush bool) (err error) {
+	for _, next := range chunks {
+		if err == nil {
+			_, err = r.to.Write(next.data)
+		}
+		r.release(next)
+	}
+	if err == nil && flush {
+		err = r.to.Flush()
+	}
+	return err
+}
+
+// next waits for something to write or to flush, and appends it to chunks.
+func (r *ReadAhead) next(chunks []*chunk) (taken []*chunk, flush, ended bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for len(r.pending) == 0 && !r.closed && r.err == nil && !r.flush {
@@ -154,17 +227,29 @@
 	if r.err != nil || (len(r.pending) == 0 && !r.flush) {
 		return nil, false, true
 	}
-	data, r.pending, r.writing = r.pending, nil, len(r.pending)
+	taken = append(chunks, r.pending...)
+	clear(r.pending)
+	r.pending = r.pending[:0]
 	flush, r.flush = r.flush, false
-	return data, flush, false
+	return taken, flush, false
 }
 
-// done releases the memory of what was written.
-func (r *ReadAhead) done(bytes int) {
+// release frees a chunk that was written.
+func (r *ReadAhead) release(written *chunk) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.writing = 0
-	r.clients.Release(int64(bytes))
+	r.releaseLocked(written)
+}
+
+// releaseLocked frees a chunk; the caller holds the mutex.
+func (r *ReadAhead) releaseLocked(freed *chunk) {
+	r.held -= cap(freed.data)
+	r.clients.Release(freed.reserved)
+	freed.recycle()
+	select {
+	case r.room <- struct{}{}:
+	default:
+	}
 }
 
 // reserveAnswer reserves memory for a part of an answer. Half of the memory is kept for the bodies
--- a/internal/inbound/readahead_test.go
+++ b/internal/inbound/readahead_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -134,3 +135,53 @@
 		ahead.Close()
 	})
 }
+
+// A client that reads at once must get its answer while others, which read nothing, use up the memory.
+func TestFastClientIsServedBesideSlowOnes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		all := inbound.New(inbound.Config{MaxBodyBytes: 256 << 10})
+		var slow []*inbound.ReadAhead
+		for range 20 {
+			ahead := all.NewReadAhead(newSlowClient(0))
+			slow = append(slow, ahead)
+			go func() { _ = ahead.Write(make([]byte, 64<<10)) }()
+		}
+		synctest.Wait()
+		client := newSlowClient(100 << 20)
+		ahead := all.NewReadAhead(client)
+		begun := time.Now()
+		body := bytes.Repeat([]byte("0123456789"), 100<<10)
+		for piece := range slices.Chunk(body, 16<<10) {
+			is.NoErr(ahead.Write(piece))
+		}
+		ahead.Close()
+		is.True(bytes.Equal(client.got.Bytes(), body))
+		is.True(time.Since(begun) < time.Second)
+		for _, ahead := range slow {
+			ahead.Interrupt()
+		}
+		is.True(all.Reserve(256 << 10)) // everything was released
+	})
+}
+
+// Many small writes that a client has not read must count with the memory that they take.
+func TestSmallWritesCountWithTheirMemory(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const memory = 1 << 20
+		all := inbound.New(inbound.Config{MaxBodyBytes: memory})
+		ahead := all.NewReadAhead(newSlowClient(0))
+		is.NoErr(ahead.Write(make([]byte, 5<<10)))
+		synctest.Wait()
+		for range 10 {
+			is.NoErr(ahead.Write([]byte("event")))
+		}
+		const taken = 17 << 10 // one chunk that is being written, and one
+		is.True(!all.Reserve(memory - taken + 1))
+		is.True(all.Reserve(memory - taken))
+		all.Release(memory - taken)
+		ahead.Interrupt()
+		is.True(all.Reserve(memory))
+	})
+}
