Bound what lies unread in the kernel for each connection to a back end

Bytes that have arrived and were not read count for the memory of a process.

Cause, found by counting them from outside (processmemory_test.go): the kernel grows the window of a connection that is read fast, up to 32 MiB here; once the caller stops, the back end fills it.

--- a/internal/detour/dialer.go
+++ b/internal/detour/dialer.go
@@ -70,9 +70,10 @@
 var _ exchange.Detour = (*Dialer)(nil)
 
 // NewDialer returns a dialer that knows no other router. Others know this one by its address self,
-// which may be invalid.
-func NewDialer(self netip.Addr) *Dialer {
-	dialer := exchange.NewDialer(connectTimeout, ackTimeout, nil)
+// which may be invalid. receiveBytes bounds the bytes that lie unread in the kernel for each connection, 0
+// means no bound.
+func NewDialer(self netip.Addr, receiveBytes int) *Dialer {
+	dialer := exchange.NewDialer(exchange.DialerConfig{ConnectTimeout: connectTimeout, AckTimeout: ackTimeout, ReceiveBytes: receiveBytes})
 	if self.IsValid() {
 		dialer.LocalAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(self, 0))
 	}
--- a/internal/detour/dialer_test.go
+++ b/internal/detour/dialer_test.go
@@ -109,7 +109,7 @@
 }
 
 func dialerOf(peers ...Peer) *Dialer {
-	dialer := NewDialer(netip.Addr{})
+	dialer := NewDialer(netip.Addr{}, 0)
 	dialer.SetRouters(&Routers{Peers: func() []Peer { return peers }, OnFailed: func(bool) {}, OnAllLost: func() {}})
 	return dialer
 }
--- a/internal/exchange/detour.go
+++ b/internal/exchange/detour.go
@@ -68,17 +68,36 @@
 // router may shut down, and the direct way may be open again.
 const maxRelayedAge = time.Second
 
+// DialerConfig configures NewDialer.
+type DialerConfig struct {
+	// ConnectTimeout limits opening a connection.
+	ConnectTimeout time.Duration
+	// AckTimeout is how long sent bytes may stay unacknowledged.
+	AckTimeout time.Duration
+	// ReceiveBytes bounds the bytes that lie unread in the kernel. 0 means no bound.
+	ReceiveBytes int
+	// Control is that of net.Dialer; it may be nil.
+	Control func(network, address string, socket syscall.RawConn) error
+}
+
 // NewDialer returns a dialer whose connections probe idle peers, and end when sent bytes stay
-// unacknowledged for ackTimeout. control may be nil.
-func NewDialer(connectTimeout, ackTimeout time.Duration, control func(network, address string, socket syscall.RawConn) error) net.Dialer {
+// unacknowledged.
+func NewDialer(config DialerConfig) net.Dialer {
 	return net.Dialer{
-		Timeout:         connectTimeout,
+		Timeout:         config.ConnectTimeout,
 		KeepAliveConfig: keepAliveProbes,
 		Control: func(network, address string, socket syscall.RawConn) error {
-			if err := setUserTimeout(socket, ackTimeout); err != nil || control == nil {
+			if err := setUserTimeout(socket, config.AckTimeout); err != nil {
 				return err
 			}
-			return control(network, address, socket)
+			if config.ReceiveBytes > 0 {
+				// On an error the kernel's bound stays.
+				_ = setReceiveBuffer(socket, config.ReceiveBytes)
+			}
+			if config.Control == nil {
+				return nil
+			}
+			return config.Control(network, address, socket)
 		},
 	}
 }
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -29,6 +29,8 @@
 	MaxHeaderBytes int
 	// MaxIdlePerAddress limits idle connections to one address. Default: 64.
 	MaxIdlePerAddress int
+	// ReceiveBytes bounds the bytes that lie unread in the kernel for each direct connection. Default: 256 KiB.
+	ReceiveBytes int
 	// Control is called with each new socket before it connects, as that of net.Dialer. Default: none.
 	Control func(network, address string, socket syscall.RawConn) error
 	// Detour opens the connections. Default: all are direct.
@@ -41,6 +43,7 @@
 	defaultIdleTimeout    = 15 * time.Second
 	defaultMaxHeaderBytes = 64 << 10
 	defaultMaxIdle        = 64
+	defaultReceiveBytes   = 256 << 10
 	// readerBytes is the size of a connection's read buffer.
 	readerBytes = 2 << 10
 	// idleMargin is how long before the peer's idle timeout a connection is no
@@ -84,9 +87,12 @@
 	options.IdleTimeout = cmp.Or(options.IdleTimeout, defaultIdleTimeout)
 	options.MaxHeaderBytes = cmp.Or(options.MaxHeaderBytes, defaultMaxHeaderBytes)
 	options.MaxIdlePerAddress = cmp.Or(options.MaxIdlePerAddress, defaultMaxIdle)
+	options.ReceiveBytes = cmp.Or(options.ReceiveBytes, defaultReceiveBytes)
 	return &Pool{
 		options: options,
-		dialer:  NewDialer(options.ConnectTimeout, options.UserTimeout, options.Control),
+		dialer: NewDialer(DialerConfig{
+			ConnectTimeout: options.ConnectTimeout, AckTimeout: options.UserTimeout, ReceiveBytes: options.ReceiveBytes, Control: options.Control,
+		}),
 		targets: make(map[string]*target),
 		idle:    newIdleLimit(options.IdleTimeout),
 	}
--- a/internal/exchange/socket.go
+++ b/internal/exchange/socket.go
@@ -45,6 +45,19 @@
 	return failed
 }
 
+// setReceiveBuffer bounds the bytes that lie unread in the kernel. The window that a peer may fill is about as
+// large, so it must be called before the connection is opened.
+func setReceiveBuffer(raw syscall.RawConn, bytes int) error {
+	var failed error
+	err := raw.Control(func(descriptor uintptr) {
+		failed = syscall.SetsockoptInt(int(descriptor), syscall.SOL_SOCKET, syscall.SO_RCVBUF, bytes)
+	})
+	if err != nil {
+		return err
+	}
+	return failed
+}
+
 // idleState is the state of a connection after its idle time.
 type idleState uint8
 
