Bound the time of a head, and the log lines about heads that are too large

What callers saw: a head of which a byte arrived now and then occupied its connection, and the request, until the deadline of the request (30 s in the test); likewise the body of an answer to another request.

Cause: only the bytes of a head were bounded, not its time.

Change: what follows the first bytes of a head has 2 s, and so has an answer to another request that is skipped. Heads that arrive in one piece, which is usual, set no deadline. answer_too_large is logged once a second at most, with the count so far: 200 callers caused thousands of lines in two seconds.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -291,8 +291,8 @@
 		if isUnframed(answer) {
 			return nil, errExcessAnswers
 		}
-		if _, err := io.Copy(io.Discard, io.LimitReader(answer.Body, maxExcessBytes)); err != nil {
-			return nil, errors.Wrap(err, "skip an answer to another request")
+		if err := c.skip(answer); err != nil {
+			return nil, err
 		}
 	}
 	return nil, errExcessAnswers
--- a/internal/exchange/head.go
+++ b/internal/exchange/head.go
@@ -2,8 +2,11 @@
 
 import (
 	"io"
+	"net"
 	"net/http"
+	"os"
 	"sync/atomic"
+	"time"
 
 	"github.com/apex/log"
 	"github.com/pkg/errors"
@@ -15,15 +18,24 @@
 	// maxPoolHeadBytes bounds the bytes of all heads that a pool reads at a time, beside those that fit the
 	// buffer of their connection.
 	maxPoolHeadBytes = 4 << 20
+	// headTimeout is how long the rest of a head may take after its first bytes, and likewise an answer to
+	// another request that is skipped.
+	headTimeout = 2 * time.Second
+	// tooLargeLogInterval is the least time between two log lines on answers that exceed a limit.
+	tooLargeLogInterval = time.Second
 )
 
 // ErrHeadTooLarge is the cause if the first line and the header of an answer exceed their limit, or those of
 // all answers that arrive at a time exceed theirs.
 var ErrHeadTooLarge = errors.New("the header of an answer exceeds its limit")
 
+// ErrHeadTooSlow is the cause if the rest of a head does not follow its first bytes in time.
+var ErrHeadTooSlow = errors.New("the header of an answer arrives too slowly")
+
 // headReader reads from a connection, and bounds what it reads of the head of an answer.
 type headReader struct {
 	from io.Reader
+	conn net.Conn
 	// total counts the bytes of all heads that the pool reads now.
 	total *atomic.Int64
 	// reading is true while a head is read, taken the number of its bytes, limit their bound; exceeded is
@@ -31,6 +43,8 @@
 	reading      bool
 	taken, limit int
 	exceeded     bool
+	// timed is whether reads of the connection have a deadline.
+	timed bool
 }
 
 // Read implements io.Reader.
@@ -43,6 +57,9 @@
 		r.exceeded = true
 		return 0, ErrHeadTooLarge
 	}
+	if r.taken > 0 {
+		r.startTimeout()
+	}
 	count, err := r.from.Read(buffer[:min(len(buffer), left)])
 	r.taken += count
 	r.total.Add(int64(count))
@@ -58,6 +75,23 @@
 func (r *headReader) end() {
 	r.total.Add(-int64(r.taken))
 	r.reading, r.taken = false, 0
+	r.stopTimeout()
+}
+
+// startTimeout ends reads after headTimeout, unless that has begun.
+func (r *headReader) startTimeout() {
+	if !r.timed {
+		r.timed = true
+		// Fails only for a connection that is closed already.
+		_ = r.conn.SetReadDeadline(time.Now().Add(headTimeout))
+	}
+}
+
+func (r *headReader) stopTimeout() {
+	if r.timed {
+		r.timed = false
+		_ = r.conn.SetReadDeadline(time.Time{})
+	}
 }
 
 // readHead reads the first line and the header of an answer.
@@ -71,9 +105,21 @@
 		c.pool.recordTooLarge(c.connection)
 		return nil, ErrHeadTooLarge
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return nil, ErrHeadTooSlow
+	}
 	return answer, err
 }
 
+// skip reads the body of an answer to another request.
+func (c *call) skip(answer *http.Response) error {
+	head := &c.connection.head
+	head.startTimeout()
+	defer head.stopTimeout()
+	_, err := io.Copy(io.Discard, io.LimitReader(answer.Body, maxExcessBytes))
+	return errors.Wrap(err, "skip an answer to another request")
+}
+
 func countFields(header http.Header) (count int) {
 	for _, values := range header {
 		count += len(values)
@@ -81,10 +127,19 @@
 	return count
 }
 
-// recordTooLarge counts and logs an answer that is too large.
+// recordTooLarge counts an answer that is too large, and logs it unless another one was logged just before.
 func (p *Pool) recordTooLarge(conn *connection) {
-	p.tooLarge.Add(1)
-	log.WithFields(log.Fields{"address": conn.address, "limit": p.options.MaxHeaderBytes}).Warn("answer_too_large")
+	count := p.tooLarge.Add(1)
+	now := time.Now()
+	p.mutex.Lock()
+	due := now.Sub(p.tooLargeLoggedAt) >= tooLargeLogInterval
+	if due {
+		p.tooLargeLoggedAt = now
+	}
+	p.mutex.Unlock()
+	if due {
+		log.WithFields(log.Fields{"address": conn.address, "limit": p.options.MaxHeaderBytes, "count": count}).Warn("answer_too_large")
+	}
 }
 
 // TooLarge returns how many answers exceeded a limit so far.
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -67,6 +67,8 @@
 	// tooLarge counts the answers that exceeded a limit, headBytes the bytes of the heads that are read now.
 	tooLarge  atomic.Uint64
 	headBytes atomic.Int64
+	// tooLargeLoggedAt is when such an answer was logged last.
+	tooLargeLoggedAt time.Time
 	// silent counts the connections detected as silent.
 	silent   uint64
 	silences silenceDetector
@@ -232,7 +234,7 @@
 		Conn: opened.Conn, address: address, number: p.created.Add(1), received: opened.Received, framed: opened.Framed, through: opened.Through, openedAt: at, borrowed: borrowed,
 		ackTimeout: p.options.UserTimeout,
 	}
-	conn.head = headReader{from: conn.Conn, total: &p.headBytes}
+	conn.head = headReader{from: conn.Conn, conn: conn.Conn, total: &p.headBytes}
 	if opened.Reader != nil {
 		conn.head.from = opened.Reader
 	}
