Pass a refusal on though its body does not end

Cause: the body was read to its end, so that its connection can be used again.

Change: it is read for 20 ms and up to 16 KiB; then the connection is closed.

Test, failing before: TestRefusalWithoutEndIsPassedOnAtOnce.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -224,10 +224,24 @@
 	return a.buffer(reply)
 }
 
+const (
+	// maxDiscardedBytes and discardTimeout bound what is read of the body of a refusal. Beyond them it is
+	// cheaper to open another connection.
+	maxDiscardedBytes = 16 << 10
+	discardTimeout    = 20 * time.Millisecond
+)
+
+// errRefusalNotWhole ends the connection of a refusal whose body is long or late.
+var errRefusalNotWhole = errors.New("the body of a refusal is too long or too late")
+
 // refused discards the body of a refusal, so that the connection can be reused by other requests.
 func (a *attempt) refused(reply *Reply, outcome backend.Outcome) *failure {
 	a.refusedOn = append(a.refusedOn, reply.Carrier.Connection)
-	_, _ = io.Copy(io.Discard, io.LimitReader(reply.Body, maxBufferedBytes))
+	if reply.Length != 0 {
+		late := time.AfterFunc(discardTimeout, func() { a.cancel(errRefusalNotWhole) })
+		defer late.Stop()
+	}
+	_, _ = io.Copy(io.Discard, io.LimitReader(reply.Body, maxDiscardedBytes))
 	return &failure{
 		ran: fault.RanNo, outcome: outcome, newVersion: outcome == backend.WrongVersion && a.assumeNewestVersion(),
 		cause: errors.Errorf("refused with status %d", reply.Status),
--- a/internal/forward/refused_test.go
+++ b/internal/forward/refused_test.go
@@ -1,14 +1,18 @@
 package forward_test
 
 import (
+	"context"
+	"io"
 	"net/http"
 	"slices"
 	"strings"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"github.com/matryer/is"
 
+	"github.com/fieldpond/fieldpond/internal/fault"
 	"github.com/fieldpond/fieldpond/internal/forward"
 )
 
@@ -91,3 +95,37 @@
 		})
 	}
 }
+
+// A refusal whose body does not end must be passed on at once: it is true, and its caller can go on.
+func TestRefusalWithoutEndIsPassedOnAtOnce(t *testing.T) {
+	tests := []struct {
+		name string
+		body func(ctx context.Context) io.Reader
+	}{
+		{"slow", func(ctx context.Context) io.Reader {
+			return io.MultiReader(strings.NewReader("no"), &waitingReader{ctx: ctx})
+		}},
+		{"endless", func(context.Context) io.Reader { return endlessReader{} }},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				b := newFixture(func(ctx context.Context, attempt *forward.Attempt) (*forward.Reply, error) {
+					return reply(forward.NotExecuted, http.StatusServiceUnavailable, tt.body(ctx))(ctx, attempt)
+				})
+				wanted := request("unsafe")
+				sink := b.forward(t, wanted)
+				is.True(sink.refusal != nil)
+				is.Equal(sink.refusal.Ran, fault.RanNo)
+				is.True(sink.at.Sub(wanted.ReceivedAt) <= time.Second)
+			})
+		})
+	}
+}
+
+// endlessReader is a body without an end.
+type endlessReader struct{}
+
+// Read implements io.Reader.
+func (endlessReader) Read(buffer []byte) (int, error) { return len(buffer), nil }
