Close idle connections that receive bytes in excess

Cause: an idle connection was looked at only before its next use.

Change: it is checked 50 ms, 0.5 s and 3 s after it became idle, by one timer for the pool and without a goroutine for each connection; what arrives later is bounded by the receive buffer, and found before the next use as before. One closed by its peer is closed here as well, and shortens the idle limit as before. A silent one stays for its next use, which draws conclusions about others.

Ways weighed: a goroutine for each connection (memory), an epoll set of our own (two system calls for each exchange), a check of all idle connections at an interval (system calls for each connection). This one costs three for a connection that stays idle, and at most one each 50 ms for one in use.

Left: bytes that arrive after the check before a use and before the answer still break that exchange off.

--- a/internal/exchange/connection.go
+++ b/internal/exchange/connection.go
@@ -37,6 +37,12 @@
 	// received at idleSince.
 	idleSince, idleUntil time.Time
 	timeoutAdvertised    bool
+	// idleCount is how often the connection became idle, checkPending whether it will be checked while it is
+	// idle. The mutex of the pool guards both.
+	idleCount    int
+	checkPending bool
+	// foundSilent is whether a check found the connection silent: the kernel tells that once.
+	foundSilent bool
 	// ackTimeout is how long sent bytes may stay unacknowledged.
 	ackTimeout time.Duration
 	// connectTime is how long opening took; 0 once the first exchange reported it.
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -73,7 +73,8 @@
 	silent   uint64
 	silences silenceDetector
 	// idle limits idle times for which the peer advertises no timeout.
-	idle idleLimit
+	idle   idleLimit
+	checks idleChecks
 }
 
 // target is the state of the connections to one address.
@@ -138,12 +139,17 @@
 
 // observeIdle adapts the idle limit to the state of a connection after its idle time.
 func (p *Pool) observeIdle(used *connection, state idleState) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.observeIdleLocked(used, state)
+}
+
+// observeIdleLocked is observeIdle for a caller that holds the mutex.
+func (p *Pool) observeIdleLocked(used *connection, state idleState) {
 	if used.timeoutAdvertised || state == idleSilent {
 		return
 	}
 	duration := time.Since(used.idleSince)
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
 	if state == idleOpen {
 		p.idle.extend(duration)
 	} else {
@@ -274,6 +280,7 @@
 		return
 	}
 	known.idle = append(known.idle, used)
+	p.scheduleIdleCheck(used)
 }
 
 // drop closes a connection instead of reusing it.
--- a/internal/exchange/socket.go
+++ b/internal/exchange/socket.go
@@ -73,6 +73,9 @@
 
 // checkIdle returns the state of an idle connection without reading from it.
 func (c *connection) checkIdle() idleState {
+	if c.foundSilent {
+		return idleSilent
+	}
 	if c.buffered() > 0 {
 		return idleClosed
 	}
