--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -16,6 +16,7 @@
 	"github.com/fieldpond/fieldpond/internal/clock"
 	"github.com/fieldpond/fieldpond/internal/exchange"
 	"github.com/fieldpond/fieldpond/internal/fault"
+	"github.com/fieldpond/fieldpond/internal/memory"
 )
 
 // maxBufferedBytes is the largest answer that is buffered whole before it is passed on.
@@ -34,7 +35,7 @@
 type bufferedReply struct {
 	status int
 	header http.Header
-	held   heldBuffer
+	held   memory.Buffer
 }
 
 // attempt is one attempt of a request at a back end.
@@ -271,10 +272,10 @@
 	if a.headSent {
 		return &failure{ran: fault.RanYes, outcome: backend.Failed, cause: errors.Errorf("the continued stream was answered with status %d", reply.Status)}
 	}
-	buffered := &bufferedReply{status: reply.Status, header: reply.Header, held: heldBuffer{held: &a.forwarder.held}}
+	buffered := &bufferedReply{status: reply.Status, header: reply.Header, held: a.forwarder.held.NewBuffer()}
 	failed := a.sendWhole(reply, buffered)
 	if failed == nil || failed.reply == nil {
-		buffered.held.free()
+		buffered.held.Free()
 	}
 	return failed
 }
@@ -282,11 +283,11 @@
 // sendWhole reads an answer, and passes it on once it is whole or too long to be held.
 func (a *attempt) sendWhole(reply *Reply, buffered *bufferedReply) *failure {
 	held := &buffered.held
-	whole, err := held.readFrom(reply.Body, maxBufferedBytes)
+	whole, err := held.ReadFrom(reply.Body, maxBufferedBytes)
 	if err != nil {
 		return &failure{ran: fault.RanUnknown, outcome: backend.Broken, cause: err}
 	}
-	if reply.Unframed && len(held.data) == 0 && reply.Status < http.StatusMultipleChoices {
+	if reply.Unframed && len(held.Data) == 0 && reply.Status < http.StatusMultipleChoices {
 		return &failure{ran: fault.RanUnknown, outcome: backend.Broken, cause: errUnframedEmpty}
 	}
 	a.recordReceived()
@@ -303,19 +304,19 @@
 // sendBuffered sends a buffered answer to the client.
 func (r *run) sendBuffered(reply *bufferedReply) {
 	r.headSent = true
-	r.sink.Head(reply.status, reply.header, int64(len(reply.held.data)))
-	err := r.sink.Write(reply.held.data)
+	r.sink.Head(reply.status, reply.header, int64(len(reply.held.Data)))
+	err := r.sink.Write(reply.held.Data)
 	r.recordStep(StepAnswered, func(step *Step) { step.Status, step.Cause = reply.status, err })
 }
 
 // sendUnbuffered passes on an answer that is too long to be buffered, whose beginning is held.
-func (a *attempt) sendUnbuffered(reply *Reply, held *heldBuffer) *failure {
+func (a *attempt) sendUnbuffered(reply *Reply, held *memory.Buffer) *failure {
 	a.headSent = true
 	a.sink.Head(reply.Status, reply.Header, reply.Length)
-	if err := a.sink.Write(held.data); err != nil {
+	if err := a.sink.Write(held.Data); err != nil {
 		return &failure{ran: fault.RanYes, outcome: backend.Abandoned, cause: err}
 	}
-	held.free()
+	held.Free()
 	buffer := copyBuffers.Get().(*[copyBytes]byte)
 	defer copyBuffers.Put(buffer)
 	for {
--- a/internal/forward/events.go
+++ b/internal/forward/events.go
@@ -7,6 +7,8 @@
 	"strconv"
 
 	"github.com/pkg/errors"
+
+	"github.com/fieldpond/fieldpond/internal/memory"
 )
 
 const (
@@ -24,15 +26,15 @@
 // eventReader reads a stream of events as complete, unchanged blocks of bytes.
 type eventReader struct {
 	source *bufio.Reader
-	block  heldBuffer
+	block  memory.Buffer
 }
 
 // newEventReader returns a reader whose owner calls close at the end.
-func newEventReader(source io.Reader, held *heldAnswers) *eventReader {
-	return &eventReader{source: bufio.NewReaderSize(source, 2<<10), block: heldBuffer{held: held}}
+func newEventReader(source io.Reader, held *memory.Budget) *eventReader {
+	return &eventReader{source: bufio.NewReaderSize(source, 2<<10), block: held.NewBuffer()}
 }
 
-func (r *eventReader) close() { r.block.free() }
+func (r *eventReader) close() { r.block.Free() }
 
 // event is one block of a stream, with the blank line that ends it. Its bytes
 // are valid until the next call of next.
@@ -46,10 +48,10 @@
 // next returns the next complete event. It returns io.EOF only if the stream
 // ended between two events.
 func (r *eventReader) next() (event, error) {
-	if r.block.reserved > 0 {
-		r.block.free()
+	if r.block.Reserved() > 0 {
+		r.block.Free()
 	}
-	r.block.data = r.block.data[:0]
+	r.block.Data = r.block.Data[:0]
 	var read event
 	// inLine is whether the next bytes continue a line.
 	inLine := false
@@ -62,7 +64,7 @@
 			inLine = true
 			continue
 		}
-		if err == io.EOF && len(r.block.data) > 0 {
+		if err == io.EOF && len(r.block.Data) > 0 {
 			return event{}, errEventTruncated
 		}
 		if err != nil {
@@ -74,7 +76,7 @@
 		}
 		line = bytes.TrimRight(line, "\r\n")
 		if len(line) == 0 {
-			read.raw = r.block.data
+			read.raw = r.block.Data
 			return read, nil
 		}
 		if value, found := bytes.CutPrefix(line, []byte("id:")); found {
@@ -86,11 +88,11 @@
 
 // add adds a part of a line to the block, and reports whether the limits allow that.
 func (r *eventReader) add(part []byte) bool {
-	size := len(r.block.data) + len(part)
-	if size > maxEventBytes || size > cap(r.block.data) && !r.block.grow(max(size, minEventBytes)) {
+	size := len(r.block.Data) + len(part)
+	if size > maxEventBytes || size > cap(r.block.Data) && !r.block.Grow(max(size, minEventBytes)) {
 		return false
 	}
-	r.block.data = append(r.block.data, part...)
+	r.block.Data = append(r.block.Data, part...)
 	return true
 }
 
--- a/internal/forward/events_test.go
+++ b/internal/forward/events_test.go
@@ -6,6 +6,8 @@
 	"testing"
 
 	"github.com/matryer/is"
+
+	"github.com/fieldpond/fieldpond/internal/memory"
 )
 
 // An event must not end, or get another id, in the middle of a line that is longer than the buffer.
@@ -24,7 +26,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
 			first, second := tt.line+"\nid: 1\n\n", "id: 2\ndata: y\n\n"
-			events := newEventReader(strings.NewReader(first+second), &heldAnswers{limit: 1 << 20})
+			events := newEventReader(strings.NewReader(first+second), memory.NewBudget(1<<20))
 			defer events.close()
 			for id, want := range []string{first, second} {
 				next, err := events.next()
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -14,6 +14,7 @@
 	"github.com/fieldpond/fieldpond/internal/fault"
 	"github.com/fieldpond/fieldpond/internal/ident"
 	"github.com/fieldpond/fieldpond/internal/mechanism"
+	"github.com/fieldpond/fieldpond/internal/memory"
 	"github.com/fieldpond/fieldpond/internal/promptcache"
 	"github.com/fieldpond/fieldpond/internal/region"
 )
@@ -42,6 +43,9 @@
 }
 
 const (
+	// defaultHeldAnswerBytes is the default of Config.HeldAnswerBytes.
+	defaultHeldAnswerBytes = 32 << 20
+
 	defaultVersionGrace = 7 * time.Second
 	// assumedRouters is the number of routers assumed while it is not known.
 	assumedRouters = 100
@@ -99,7 +103,7 @@
 	recent   *recentPrompts
 	// startedAt is when this Forwarder was created.
 	startedAt time.Time
-	held      heldAnswers
+	held      *memory.Budget
 	// waiting counts the requests that wait for a configuration.
 	waiting atomic.Int64
 
@@ -113,7 +117,7 @@
 	return &Forwarder{
 		Dependencies: dependencies,
 		config:       config,
-		held:         heldAnswers{limit: config.HeldAnswerBytes},
+		held:         memory.NewBudget(config.HeldAnswerBytes),
 		splitter:     catalog.NewSplitter(),
 		recent:       newRecentPrompts(),
 		startedAt:    clock.Now(),
--- a/internal/forward/longanswers_test.go
+++ b/internal/forward/longanswers_test.go
@@ -9,11 +9,12 @@
 
 	"github.com/fieldpond/fieldpond/internal/catalog"
 	"github.com/fieldpond/fieldpond/internal/fault"
+	"github.com/fieldpond/fieldpond/internal/memory"
 )
 
 // reservationSink records the memory that is reserved for answers at each write.
 type reservationSink struct {
-	held     *heldAnswers
+	held     *memory.Budget
 	reserved []int64
 	bytes    int
 }
@@ -24,7 +25,7 @@
 // Write implements Sink.
 func (s *reservationSink) Write(data []byte) error {
 	s.bytes += len(data)
-	s.reserved = append(s.reserved, s.held.bytes.Load())
+	s.reserved = append(s.reserved, s.held.Used())
 	return nil
 }
 
@@ -41,17 +42,17 @@
 func TestLongAnswerHoldsNoMemory(t *testing.T) {
 	is := is.New(t)
 	const size = 4 << 20
-	forwarder := &Forwarder{held: heldAnswers{limit: 1 << 20}, Dependencies: Dependencies{Record: func(Step) {}}}
-	sink := &reservationSink{held: &forwarder.held}
+	forwarder := &Forwarder{held: memory.NewBudget(1 << 20), Dependencies: Dependencies{Record: func(Step) {}}}
+	sink := &reservationSink{held: forwarder.held}
 	current := &attempt{run: &run{
 		forwarder: forwarder, sink: sink, request: &Request{}, route: &catalog.Route{}, view: catalog.View{Snapshot: catalog.NewSnapshot(catalog.Content{})},
 	}}
-	held := &heldBuffer{held: &forwarder.held}
+	held := forwarder.held.NewBuffer()
 	body := io.LimitReader(zeros{}, size)
-	whole, err := held.readFrom(body, maxBufferedBytes)
+	whole, err := held.ReadFrom(body, maxBufferedBytes)
 	is.NoErr(err)
 	is.True(!whole)
-	failed := current.sendUnbuffered(&Reply{Status: http.StatusOK, Body: io.NopCloser(body), Length: size}, held)
+	failed := current.sendUnbuffered(&Reply{Status: http.StatusOK, Body: io.NopCloser(body), Length: size}, &held)
 	is.True(failed == nil)
 	is.Equal(sink.bytes, size)
 	is.True(sink.reserved[0] > 0)
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -194,7 +194,7 @@
 // free drops the answer.
 func (f *failure) free() {
 	if f.reply != nil {
-		f.reply.held.free()
+		f.reply.held.Free()
 	}
 }
 
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -21,7 +21,7 @@
 // stream passes on events, each complete and in order. The head of the first
 // answer is passed on with its first event.
 func (a *attempt) stream(reply *Reply) *failure {
-	events := newEventReader(reply.Body, &a.forwarder.held)
+	events := newEventReader(reply.Body, a.forwarder.held)
 	defer events.close()
 	timeout := a.stallTimeout()
 	for {
