Bound what a pull unpacks to by what a small machine bears

Seen by reading, not by a run: a pull may unpack to 32 MiB, which with the copies made while it grows is above 112 MiB together with what a router uses idle.

Change: 8 MiB. 20,000 back ends unpack to less than a quarter of that; a configuration has 4 MiB at most, the limit of an answer of the store.

Test, failing before: TestUnpackedContentIsBounded.

--- a/internal/upstream/pack.go
+++ b/internal/upstream/pack.go
@@ -18,7 +18,7 @@
 )
 
 // maxUnpackedBytes bounds packed content after decompression.
-const maxUnpackedBytes = 32 << 20
+const maxUnpackedBytes = 8 << 20
 
 // ErrPacked means that packed content is malformed or too large.
 var ErrPacked = errors.New("the packed content is malformed or too large")
--- a/internal/upstream/pack_test.go
+++ b/internal/upstream/pack_test.go
@@ -114,3 +114,19 @@
 		}
 	})
 }
+
+// What a pull unpacks to must leave room on a small machine, and the longest lists must stay far below that.
+func TestUnpackedContentIsBounded(t *testing.T) {
+	is := is.New(t)
+	const limit = 8 << 20
+	large, err := upstream.Compress(make([]byte, limit+1))
+	is.NoErr(err)
+	_, err = upstream.Decompress(large)
+	is.True(errors.Is(err, upstream.ErrPacked))
+	list, err := upstream.PackRecords(randomRecords(20_000))
+	is.NoErr(err)
+	content, err := upstream.Decompress(list)
+	is.NoErr(err)
+	t.Logf("20,000 records unpack to %d bytes", len(content))
+	is.True(len(content) <= limit/4)
+}
