Continue no stream after an event without an id

What callers saw: a stream of 139,421 events without ids, then, after its engine fell silent, 8 events of another engine's answer to the same request, and a proper end: two answers that look like a whole one.

Cause: a stream is continued after the last event that has an id; where none had one, the next engine begins anew, and what was passed on before stays.

Change: after an event with content and without an id the stream is not continued, nor is its attempt given up for silence. Comments may come in between.

Test, failing before: TestStreamsAreCompleteAndInOrder (three new cases; a fourth holds that a stream with comments is continued).

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -106,7 +106,7 @@
 		a.idleTimer.Reset(busyPollInterval)
 		return
 	}
-	if a.forwarder.allowRetry(a.request, a.service) {
+	if !a.unnumbered.Load() && a.forwarder.allowRetry(a.request, a.service) {
 		a.cancel(errBackendSilent)
 	}
 }
--- a/internal/forward/events.go
+++ b/internal/forward/events.go
@@ -43,6 +43,8 @@
 	// id is the number in the event's id line; hasID is false if there is none.
 	id    int64
 	hasID bool
+	// hasContent is whether a line is not a comment.
+	hasContent bool
 }
 
 // next returns the next complete event. It returns io.EOF only if the stream
@@ -60,6 +62,7 @@
 		if !r.add(line) {
 			return event{}, errEventTooLarge
 		}
+		read.hasContent = read.hasContent || !inLine && len(line) > 0 && isContent(line[0])
 		if err == bufio.ErrBufferFull {
 			inLine = true
 			continue
@@ -86,6 +89,9 @@
 	}
 }
 
+// isContent reports whether a line that begins with a byte is neither a comment nor empty.
+func isContent(first byte) bool { return first != ':' && first != '\r' && first != '\n' }
+
 // add adds a part of a line to the block, and reports whether the limits allow that.
 func (r *eventReader) add(part []byte) bool {
 	size := len(r.block.Data) + len(part)
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"slices"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -77,6 +78,9 @@
 	lastEventID     string
 	lastEventNumber int64
 	hasLastEvent    bool
+	// unnumbered is whether an event without an id was passed on: nothing tells another back end where to
+	// go on.
+	unnumbered atomic.Bool
 	streamOrigin
 }
 
@@ -213,6 +217,10 @@
 		r.noRetryReason = "its route allows it to run on no more back ends"
 		return false
 	}
+	if r.unnumbered.Load() {
+		r.noRetryReason = "an event without an id was passed on"
+		return false
+	}
 	if failed.outcome == backend.Broken && r.suspected() {
 		r.noRetryReason = "back ends crashed under a part of its prompt"
 		return false
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -81,6 +81,8 @@
 	if next.hasID {
 		a.lastEventNumber, a.hasLastEvent = next.id, true
 		a.lastEventID = strconv.FormatInt(next.id, 10)
+	} else if next.hasContent {
+		a.unnumbered.Store(true)
 	}
 	if flush {
 		return a.sink.Flush()
--- a/internal/forward/stream_test.go
+++ b/internal/forward/stream_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -15,8 +16,14 @@
 	one   = "id: 1\ndata: a\n\n"
 	two   = "id: 2\ndata: b\n\n"
 	three = "id: 3\ndata: c\n\n"
+
+	unnumbered = "data: a\n\n"
+	comment    = ": alive\n\n"
 )
 
+// longUnnumbered is an event without an id that is longer than the buffer of a connection.
+var longUnnumbered = "data: " + strings.Repeat("x", 5000) + "\n\n"
+
 func TestStreamsAreCompleteAndInOrder(t *testing.T) {
 	cases := []struct {
 		name    string
@@ -37,6 +44,10 @@
 		{"a refused continuation", "resumable", []answer{breaking(one), genuine(500, "no")}, one, false, 2, "1"},
 		{"broken again", "resumable", []answer{breaking(one), breaking(two)}, one + two, false, 2, "1"},
 		{"restarted when nothing was passed on", "resumable", []answer{breaking(""), genuine(200, one+two)}, one + two, true, 2, ""},
+		{"an event without an id", "resumable", []answer{breaking(unnumbered), genuine(200, unnumbered+one)}, unnumbered, false, 1, ""},
+		{"a long event without an id", "resumable", []answer{breaking(longUnnumbered), genuine(200, one)}, longUnnumbered, false, 1, ""},
+		{"stalled after an event without an id", "resumable", []answer{hanging(one + unnumbered), genuine(200, two)}, one + unnumbered, false, 1, ""},
+		{"continued after a comment", "resumable", []answer{breaking(one + comment), genuine(200, two)}, one + comment + two, true, 2, "1"},
 		{"stalled", "resumable", []answer{hanging(one), genuine(200, two)}, one + two, true, 2, "1"},
 	}
 	for _, c := range cases {
