--- a/internal/node/events.go
+++ b/internal/node/events.go
@@ -105,7 +105,7 @@
 		{"peers_not_read", []string{"cause"}, "This router could not read again which routers it may pull from."},
 		{"backend_changed", []string{"instance", "service", "address", "change", "revision", "models"}, "The instance list has changed: appeared, draining, gone or reloaded."},
 		{"backend_unreadable", []string{"row", "revision", "cause"}, "A row of the instance list cannot be read, or describes no back end, as another writer left it. It is skipped, and logged once."},
-		{"answer_too_large", []string{"address", "limit"}, "The first line and the header of an answer exceeded a limit in bytes or fields, or those of all answers together did, and its connection was closed; limit is that in bytes."},
+		{"answer_too_large", []string{"address", "limit", "count"}, "The first line and the header of an answer exceeded a limit in bytes or fields, or those of all answers together did, and its connection was closed; limit is that in bytes, count the number of such answers so far. Logged once a second at most."},
 		{"connection_silent", []string{"address", "closed"}, "Nothing was acknowledged on a connection any more; closed: idle connections to the same address that were closed with it."},
 		{"connections_suspected", []string{"closed"}, "A connection was silent while its address accepts new ones; closed: idle connections to all addresses on which nothing was received since."},
 		{"joined", []string{"revision", "peers", "routers", "leaf"}, "This router has a row in the store, or is a leaf of a large fleet; peers are the routers whose rows are readable, in a large fleet those of the backbone."},
