--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -283,7 +283,7 @@
 // sendWhole reads an answer, and passes it on once it is whole or too long to be held.
 func (a *attempt) sendWhole(reply *Reply, buffered *bufferedReply) *failure {
 	held := &buffered.held
-	whole, err := held.ReadFrom(reply.Body, maxBufferedBytes)
+	whole, err := held.Fill(reply.Body, maxBufferedBytes)
 	if err != nil {
 		return &failure{ran: fault.RanUnknown, outcome: backend.Broken, cause: err}
 	}
--- a/internal/forward/longanswers_test.go
+++ b/internal/forward/longanswers_test.go
@@ -49,7 +49,7 @@
 	}}
 	held := forwarder.held.NewBuffer()
 	body := io.LimitReader(zeros{}, size)
-	whole, err := held.ReadFrom(body, maxBufferedBytes)
+	whole, err := held.Fill(body, maxBufferedBytes)
 	is.NoErr(err)
 	is.True(!whole)
 	failed := current.sendUnbuffered(&Reply{Status: http.StatusOK, Body: io.NopCloser(body), Length: size}, &held)
--- a/internal/memory/budget.go
+++ b/internal/memory/budget.go
@@ -74,9 +74,9 @@
 	return true
 }
 
-// ReadFrom reads from a body until its end, more than a number of bytes, or the limit of the budget. whole is
+// Fill reads from a body until its end, more than a number of bytes, or the limit of the budget. whole is
 // whether it reached the end.
-func (b *Buffer) ReadFrom(body io.Reader, most int) (whole bool, err error) {
+func (b *Buffer) Fill(body io.Reader, most int) (whole bool, err error) {
 	for len(b.Data) <= most {
 		if len(b.Data) == cap(b.Data) && !b.Grow(max(cap(b.Data)+1, UnreservedBytes)) {
 			return false, nil
--- a/internal/memory/budget_test.go
+++ b/internal/memory/budget_test.go
@@ -20,7 +20,7 @@
 	whole := 0
 	for range 10 {
 		buffer := budget.NewBuffer()
-		isWhole, err := buffer.ReadFrom(strings.NewReader(strings.Repeat("x", size)), 256<<10)
+		isWhole, err := buffer.Fill(strings.NewReader(strings.Repeat("x", size)), 256<<10)
 		is.NoErr(err)
 		if isWhole {
 			whole++
@@ -47,7 +47,7 @@
 	budget := memory.NewBudget(1)
 	buffer := budget.NewBuffer()
 	defer buffer.Free()
-	whole, err := buffer.ReadFrom(strings.NewReader(strings.Repeat("x", memory.UnreservedBytes-1)), 256<<10)
+	whole, err := buffer.Fill(strings.NewReader(strings.Repeat("x", memory.UnreservedBytes-1)), 256<<10)
 	is.NoErr(err)
 	is.True(whole)
 }
@@ -73,7 +73,7 @@
 			budget := memory.NewBudget(1 << 20)
 			buffer := budget.NewBuffer()
 			body := io.MultiReader(strings.NewReader(strings.Repeat("x", tt.size)), failing{tt.err})
-			whole, err := buffer.ReadFrom(body, 9000)
+			whole, err := buffer.Fill(body, 9000)
 			is.Equal(whole, tt.whole)
 			if tt.err == errBroken && tt.size <= 9000 {
 				is.Equal(err, errBroken)
