Make checks of idle connections in time beside later ones

A check that was due in seconds, of a connection idle for long, kept the timer, so that one due in 50 ms waited for it. The timer now ends earlier if a check does.

Test, failing before: TestChecksOfOthersDelayNoCheck.

--- a/internal/exchange/idlecheck.go
+++ b/internal/exchange/idlecheck.go
@@ -22,9 +22,9 @@
 // idleChecks are the checks to come, for each delay in the order of their times. A connection has one at most.
 type idleChecks struct {
 	queues [len(idleCheckDelays)][]idleCheck
-	// timer runs while armed is true.
-	timer *time.Timer
-	armed bool
+	// timer runs until timerAt, which is the zero time while it does not run.
+	timer   *time.Timer
+	timerAt time.Time
 }
 
 // add adds a check after the delay of a queue.
@@ -67,19 +67,25 @@
 	}
 }
 
-// armIdleChecks starts the timer for the next check; the caller holds the mutex.
+// armIdleChecks starts the timer for the next check, or makes it end earlier; the caller holds the mutex.
 func (p *Pool) armIdleChecks(now time.Time) {
 	at, found := p.checks.next()
-	if !found || p.checks.armed {
+	if !found {
 		return
 	}
-	p.checks.armed = true
-	delay := max(at.Sub(now), idleCheckDelays[0])
+	// Checks that are due shortly after each other are made together.
+	if earliest := now.Add(idleCheckDelays[0]); at.Before(earliest) {
+		at = earliest
+	}
+	if !p.checks.timerAt.IsZero() && !at.Before(p.checks.timerAt) {
+		return
+	}
+	p.checks.timerAt = at
 	if p.checks.timer == nil {
-		p.checks.timer = time.AfterFunc(delay, p.checkIdle)
+		p.checks.timer = time.AfterFunc(at.Sub(now), p.checkIdle)
 		return
 	}
-	p.checks.timer.Reset(delay)
+	p.checks.timer.Reset(at.Sub(now))
 }
 
 // checkIdle makes the checks that are due.
@@ -87,7 +93,7 @@
 	now := time.Now()
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	p.checks.armed = false
+	p.checks.timerAt = time.Time{}
 	for queue, checks := range p.checks.due(now) {
 		for _, due := range checks {
 			p.check(due, queue, now)
--- a/internal/exchange/idlecheck_test.go
+++ b/internal/exchange/idlecheck_test.go
@@ -68,6 +68,29 @@
 	}
 }
 
+// A connection that has been idle for long must not delay the check of one that was used just now.
+func TestChecksOfOthersDelayNoCheck(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	pool := exchange.NewPool(exchange.Options{IdleTimeout: time.Hour})
+	defer pool.CloseIdle(true)
+	relay := behindRelay(t, respondWith(completeAnswer))
+	is.NoErr(doExchange(t, pool, relay))
+	time.Sleep(700 * time.Millisecond) // its next check is the last one, seconds later
+	closed := make(chan time.Duration, 1)
+	server := listen(t, closedAfter(20*time.Millisecond, strings.Repeat("x", 64<<10), closed))
+	response, err := pool.Do(t.Context(), server.address(), requestWithID("1"))
+	is.NoErr(err)
+	_, err = io.ReadAll(response.Body)
+	is.NoErr(err)
+	is.NoErr(response.Body.Close())
+	select {
+	case <-closed:
+	case <-time.After(1500 * time.Millisecond):
+		t.Error("the connection is still open")
+	}
+}
+
 // Sound connections must stay in the pool, however long they are idle, and those in use must not be checked.
 func TestChecksKeepSoundConnections(t *testing.T) {
 	t.Parallel()
