--- a/internal/node/limitfleet_test.go
+++ b/internal/node/limitfleet_test.go
@@ -237,8 +237,8 @@
 	begun := time.Now()
 	for sent := 0; time.Since(begun) < lasting; sent++ {
 		<-ticker.C
-		if router := f.router(sent); router != nil {
-			open.Go(func() { result.send(f.t.Context(), sent%len(f.routers), router.forwarder) })
+		if index, router := f.nextRouter(sent); router != nil {
+			open.Go(func() { result.send(f.t.Context(), index, router.forwarder) })
 		}
 	}
 	open.Wait()
@@ -247,9 +247,16 @@
 
 // router returns the router for a request, nil if it is stopped.
 func (f *limitFleet) router(request int) *testRouter {
+	_, router := f.nextRouter(request)
+	return router
+}
+
+// nextRouter returns the router for a request with its index, nil if it is stopped.
+func (f *limitFleet) nextRouter(request int) (int, *testRouter) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.routers[request%len(f.routers)]
+	index := request % len(f.routers)
+	return index, f.routers[index]
 }
 
 // send sends one request with a unique prompt to a router.
