Test the memory of a router amid clients that do not behave

The tests start a router with 64 MiB and 900 descriptors and send crowds of 300 to 1200 clients against it. They check that resident memory and unread bytes stay below memoryMb and descriptors below maxFds, and that an ordinary request with a length and one in chunks are answered amid the crowd and after it. Bytes on connections that are not accepted yet count as unread.

make test runs them after all others, one at a time.

--- a/Makefile
+++ b/Makefile
@@ -15,12 +15,15 @@
 SKIP ?=
 # BESIDE are long tests of packages whose tests run one after the other; a second process runs them beside the rest.
 BESIDE := ^(TestLargeFleetIsSuppliedByItsBackbone|TestMemoryAmidEndlessAnswers|TestAVersionReachesTheEnginesThroughASlowStore|TestSoakOfPartitionedRouters)$$
+# ALONE are tests of memory and descriptors amid crowds of clients; they run after the others, one at a time.
+ALONE := ^(TestMemoryAmid(HeadsAboveTheLimit|EndlessHeads|ManyHeads|EmptyLines|BytesBehindRequests|BytesBeforeConnectionsAreAccepted|RequestsForReadiness|Bodies|LongNames)|TestOrdinaryClientsAmidHeldConnections)$$
 empty :=
 space := $(empty) $(empty)
 test:
 	@$(GO) test -race -count=1 $(if $(SKIP),-skip '$(SKIP)') -run '$(BESIDE)' ./internal/node ./platform & beside=$$!; \
-	$(GO) test -race -count=1 -skip '$(subst $(space),|,$(strip $(SKIP) $(BESIDE)))' ./...; rest=$$?; \
-	wait $$beside && exit $$rest
+	$(GO) test -race -count=1 -skip '$(subst $(space),|,$(strip $(SKIP) $(BESIDE) $(ALONE)))' ./...; rest=$$?; \
+	wait $$beside && [ $$rest = 0 ] && \
+	$(GO) test -race -count=1 $(if $(SKIP),-skip '$(SKIP)') -run '$(ALONE)' ./platform
 
 # Looks for inputs that break a parser of outside bytes, FUZZTIME for each.
 FUZZTIME ?= 20s
