Bound the first line and header of requests, each and together

Callers saw: processes ended while clients sent heads above the limit or without an end, also many within the limit, as these filled their memory.

Cause: the front set no limit, so net/http read up to 1 MiB of each head at any number of connections, and the configured maxHeaderBytes was read but not used. A head of short fields takes some 15 times its bytes once it is parsed, so that even heads within the limit were too much together: 300 of 15 KiB took 97 MiB.

Now the connection counts a head as it is read. Lines of bodies count for no head.

--- a/internal/inbound/clients.go
+++ b/internal/inbound/clients.go
@@ -7,20 +7,22 @@
 	"cmp"
 	"net"
 	"net/http"
-	"strconv"
 	"sync"
 	"time"
 
 	"github.com/pkg/errors"
 )
 
-// Limits are the time limits of the current configuration. Zero fields take the
+// Limits are the limits of the current configuration. Zero fields take the
 // defaults.
 type Limits struct {
 	// Header is how long the header of a request may take. Default: 30s.
 	Header time.Duration
 	// Idle is how long a connection may be idle. Default: 2m.
 	Idle time.Duration
+	// HeaderBytes is the size of the header of a request; the first line may have as many bytes beside.
+	// Default: 32 KiB.
+	HeaderBytes int
 }
 
 // Config limits the connections of clients. Zero fields take the defaults.
@@ -29,7 +31,10 @@
 	MaxConnections int
 	// MaxBodyBytes limits the memory of request bodies. Default: 64 MiB.
 	MaxBodyBytes int64
-	// RetryAfter is sent to clients above MaxConnections. Default: 300ms.
+	// MaxHeadMemory limits the memory of all first lines and headers of requests that are read or served, beside
+	// what ordinary ones take. Default: 8 MiB.
+	MaxHeadMemory int64
+	// RetryAfter is sent to clients above MaxConnections or MaxHeadMemory. Default: 300ms.
 	RetryAfter time.Duration
 	// Limits returns the current limits; nil means the defaults.
 	Limits func() Limits
@@ -38,6 +43,7 @@
 const (
 	defaultConnections = 2000
 	defaultBodyBytes   = 64 << 20
+	defaultHeadMemory  = 8 << 20
 	defaultRetryAfter  = 300 * time.Millisecond
 	defaultHeader      = 30 * time.Second
 	defaultIdle        = 2 * time.Minute
@@ -57,14 +63,18 @@
 	open      map[*Conn]struct{}
 	busy      int
 	bodyBytes int64
-	// refused counts the connections and bodies refused because of a limit.
-	refused uint64
+	// headMemory is the memory reserved for heads, in bytes.
+	headMemory int64
+	// refused counts the connections and bodies refused because of a limit, headsRefused the heads.
+	refused, headsRefused uint64
+	headLoggedAt          time.Time
 }
 
 // New returns Clients without connections.
 func New(cfg Config) *Clients {
 	cfg.MaxConnections = cmp.Or(cfg.MaxConnections, defaultConnections)
 	cfg.MaxBodyBytes = cmp.Or(cfg.MaxBodyBytes, defaultBodyBytes)
+	cfg.MaxHeadMemory = cmp.Or(cfg.MaxHeadMemory, defaultHeadMemory)
 	cfg.RetryAfter = cmp.Or(cfg.RetryAfter, defaultRetryAfter)
 	if cfg.Limits == nil {
 		cfg.Limits = func() Limits { return Limits{} }
@@ -153,17 +163,6 @@
 	return longest
 }
 
-// recordRead records that bytes were received on a connection.
-func (c *Clients) recordRead(conn *Conn) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if conn.phase != phaseIdle || conn.closed {
-		return
-	}
-	c.setPhaseLocked(conn, phaseHeader)
-	conn.phaseSince = time.Now()
-}
-
 // setPhase sets the phase of a connection and its start.
 func (c *Clients) setPhase(conn *Conn, next phase) {
 	idleLimit := time.Duration(0)
@@ -178,6 +177,15 @@
 	}
 	c.setPhaseLocked(conn, next)
 	conn.phaseSince, conn.idleLimit = now, idleLimit
+	switch next {
+	case phaseServing:
+		conn.headRefused = !c.reserveHeadLocked(conn)
+		if conn.headRefused {
+			c.headsRefused++
+		}
+	case phaseIdle:
+		c.releaseHeadLocked(conn)
+	}
 }
 
 // setPhaseLocked updates the phase and the busy count; the caller holds the mutex.
@@ -198,6 +206,7 @@
 		return
 	}
 	c.setPhaseLocked(conn, phaseIdle)
+	c.releaseHeadLocked(conn)
 	conn.closed = true
 	delete(c.open, conn)
 }
@@ -207,6 +216,7 @@
 	limits := c.cfg.Limits()
 	limits.Header = cmp.Or(limits.Header, defaultHeader)
 	limits.Idle = cmp.Or(limits.Idle, defaultIdle)
+	limits.HeaderBytes = cmp.Or(limits.HeaderBytes, defaultHeadBytes)
 	return limits
 }
 
@@ -253,30 +263,38 @@
 	return c.busy >= c.cfg.MaxConnections
 }
 
-// Counts returns how many connections are open, and how many connections and bodies
-// were refused so far because of a limit.
-func (c *Clients) Counts() (open int, refused uint64) {
+// Counts are the connections of clients and what was refused.
+type Counts struct {
+	// Open is the number of open connections.
+	Open int
+	// Refused is the number of connections and bodies that were refused so far because of a limit, HeadsRefused
+	// that of requests whose head was not read to its end or took too much memory.
+	Refused, HeadsRefused uint64
+}
+
+// Counts returns the current counts.
+func (c *Clients) Counts() Counts {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return len(c.open), c.refused
+	return Counts{Open: len(c.open), Refused: c.refused, HeadsRefused: c.headsRefused}
 }
 
-// Handler forwards the requests of connections within MaxConnections, and answers
-// the others with 503 and Retry-After.
+// Handler forwards the requests of connections within MaxConnections whose heads are within MaxHeadMemory, and
+// answers the others with 503 and Retry-After.
 func (c *Clients) Handler(next http.Handler) http.Handler {
-	retryAfter := strconv.FormatFloat(c.cfg.RetryAfter.Seconds(), 'f', -1, 64)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		conn := ConnFromContext(r.Context())
 		if conn == nil {
 			next.ServeHTTP(w, r)
 			return
 		}
-		if !conn.overLimit {
+		conn.bodyBytes = r.ContentLength
+		if !conn.overLimit && !conn.headRefused {
 			next.ServeHTTP(w, r)
 			return
 		}
 		w.Header().Set("Connection", "close")
-		w.Header().Set("Retry-After", retryAfter)
+		w.Header().Set("Retry-After", c.retryAfter())
 		w.WriteHeader(http.StatusServiceUnavailable)
 	})
 }
--- a/internal/inbound/clients_test.go
+++ b/internal/inbound/clients_test.go
@@ -111,8 +111,7 @@
 }
 
 func (s *testServer) open() int {
-	open, _ := s.clients.Counts()
-	return open
+	return s.clients.Counts().Open
 }
 
 func TestNewClientReplacesLongestIdle(t *testing.T) {
@@ -147,7 +146,7 @@
 	is.Equal(rsp.StatusCode, http.StatusServiceUnavailable)
 	is.Equal(rsp.Header.Get("Retry-After"), "0.3")
 	is.True(rsp.Close)
-	_, refused := s.clients.Counts()
+	refused := s.clients.Counts().Refused
 	is.Equal(refused, uint64(1))
 }
 
@@ -234,7 +233,7 @@
 	is.True(!conn.ClientClosed())
 	is.NoErr(sent.Close())
 	eventually(t, "the close arrives", conn.ClientClosed)
-	open, _ := clients.Counts()
+	open := clients.Counts().Open
 	is.Equal(open, 1)
 }
 
--- a/internal/inbound/conn.go
+++ b/internal/inbound/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"syscall"
@@ -28,24 +29,52 @@
 	raw     syscall.RawConn
 	// overLimit is true for a connection above MaxConnections.
 	overLimit bool
+	// head is the head that is read now, or was read last; serving is whether its request is served, and bodyBytes
+	// the length of its body, negative if that is not known. They are used by the goroutine that reads.
+	head      head
+	serving   bool
+	bodyBytes int64
 
 	phase      phase
 	phaseSince time.Time
 	// idleLimit is the limit of the idle time as configured at its start.
 	idleLimit time.Duration
 	closed    bool
+	// headMemory is the memory reserved for the head, in bytes; headRefused is whether that was too little for a
+	// head that net/http had read.
+	headMemory  int64
+	headRefused bool
 }
 
-// Read implements net.Conn. The first bytes on an idle connection start a header;
-// net/http reports them only once the header is complete.
+// Read implements net.Conn. The first bytes on an idle connection start a head; net/http reports them only once the
+// head is complete. A head that is refused is answered here and ends the connection.
 func (c *Conn) Read(buffer []byte) (int, error) {
 	count, err := c.TCPConn.Read(buffer)
-	if count > 0 {
-		c.clients.recordRead(c)
+	if count == 0 {
+		return count, err
+	}
+	if c.serving {
+		c.readServing(buffer[:count], len(buffer))
+		return count, err
+	}
+	c.head.read(buffer[:count])
+	if refusal := c.clients.recordHead(c); refusal != headAccepted {
+		c.refuseHead(refusal)
+		return 0, io.EOF
 	}
 	return count, err
 }
 
+// readServing counts what was read while a request is served; room is the size of the buffer. net/http reads single
+// bytes to detect that the client leaves.
+func (c *Conn) readServing(data []byte, room int) {
+	if room == 1 {
+		c.head.readSingle(data)
+		return
+	}
+	c.head.readBehind(data)
+}
+
 // Close implements net.Conn.
 func (c *Conn) Close() error {
 	c.clients.remove(c)
@@ -97,8 +126,10 @@
 	}
 	switch state {
 	case http.StateActive:
+		known.serving = true
 		c.setPhase(known, phaseServing)
 	case http.StateIdle:
+		known.head, known.serving = known.head.next(known.bodyBytes), false
 		c.setPhase(known, phaseIdle)
 	case http.StateHijacked, http.StateClosed:
 		c.remove(known)
--- a/internal/node/events.go
+++ b/internal/node/events.go
@@ -160,6 +160,7 @@
 		{"broken", appendFields(requestFields, "events", "fault", "detail", "ran"), "An answer broke off after a part of it was forwarded."},
 		{"repeat_granted", retryFields, "The retry budget granted a retry; window_requests earn a share of retries at this router, window_repeats are those in its window, and sharers are the routers that divide the slack."},
 		{"repeat_denied", retryFields, "The retry budget denied a retry."},
+		{"client_head_refused", []string{"client", "reason", "bytes", "count"}, "The first line and the header of a request exceeded the configured limit (reason too_large; bytes were read of it), or those of all requests together their memory (reason memory). The client got 431 or 503 and its connection was closed; count is the number of such requests so far. Logged once a second at most."},
 		{"client_gone", appendFields(requestFields, "events", "cause"), "The client disconnected."},
 		{"log_lines_dropped", []string{"count"}, "Lines were dropped because the reader is slow."},
 	}
--- a/internal/node/gauges.go
+++ b/internal/node/gauges.go
@@ -30,7 +30,7 @@
 		now.linesDropped = n.ports.LinesDropped()
 	}
 	now.streamRecords, now.streamRecordsDropped = n.streams.counts()
-	now.clients, now.clientsRefused = n.clients.Counts()
+	now.clients = n.clients.Counts()
 	now.silentConnections = n.peers.SilentConnections()
 	if n.ports.SilentConnections != nil {
 		now.silentConnections += n.ports.SilentConnections()
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -12,6 +12,7 @@
 	"github.com/fieldpond/fieldpond/internal/backend"
 	"github.com/fieldpond/fieldpond/internal/exchange"
 	"github.com/fieldpond/fieldpond/internal/forward"
+	"github.com/fieldpond/fieldpond/internal/inbound"
 	"github.com/fieldpond/fieldpond/internal/quarantine"
 	"github.com/fieldpond/fieldpond/internal/quota"
 	"github.com/fieldpond/fieldpond/internal/rollout"
@@ -90,8 +91,7 @@
 	linesDropped          uint64
 	silentConnections     uint64
 	tooLargeAnswers       uint64
-	clients               int
-	clientsRefused        uint64
+	clients               inbound.Counts
 	crashes               quarantine.Counts
 	streamRecords         int
 	streamRecordsDropped  uint64
@@ -157,8 +157,9 @@
 	group.Gauge("edge_crash_suspect_parts", "Parts of prompts that ran on back ends which crashed, those that are quarantined among them.", func(r gaugeValues) int { return r.crashes.SuspectParts })
 	group.Gauge("edge_stream_records", "Streams of which this router keeps at which release they began, while a service has several.", func(r gaugeValues) int { return r.streamRecords })
 	group.Counter("edge_stream_records_dropped_total", "Records of streams for which this router had no room.", func(r gaugeValues) uint64 { return r.streamRecordsDropped })
-	group.Gauge("edge_client_connections", "Open connections of clients.", func(r gaugeValues) int { return r.clients })
-	group.Counter("edge_clients_refused_total", "Connections and bodies of clients turned away because a bound of connections or memory was reached.", func(r gaugeValues) uint64 { return r.clientsRefused })
+	group.Gauge("edge_client_connections", "Open connections of clients.", func(r gaugeValues) int { return r.clients.Open })
+	group.Counter("edge_clients_refused_total", "Connections and bodies of clients turned away because a bound of connections or memory was reached.", func(r gaugeValues) uint64 { return r.clients.Refused })
+	group.Counter("edge_client_heads_refused_total", "Requests of clients whose first line and header exceeded their limit, or for which there was no memory beside those of others.", func(r gaugeValues) uint64 { return r.clients.HeadsRefused })
 	group.Counter("edge_connections_silent_total", "Connections to back ends, the store, caches and other routers that were found silent: nothing sent on them was acknowledged.", func(r gaugeValues) uint64 { return r.silentConnections })
 	group.Counter("edge_answers_too_large_total", "Answers of back ends, the store, caches and other routers whose first line and header exceeded their limit, and whose connections were closed.", func(r gaugeValues) uint64 { return r.tooLargeAnswers })
 	group.Gauge("edge_regions_lost", "Other regions whose back ends this router does not reach now.", func(r gaugeValues) int { return r.unreachableRegions })
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -287,7 +287,7 @@
 	work, stopWork := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopWork()
 	var loops sync.WaitGroup
-	for _, loop := range n.loops(socket) {
+	for _, loop := range append(n.loops(socket), servers.sweep) {
 		loops.Go(func() { loop(work) })
 	}
 	group, failed := errgroup.WithContext(ctx)
@@ -320,7 +320,7 @@
 	follower := n.follower
 	loops := []func(context.Context){
 		follower.followConfiguration, follower.keepConfiguration, follower.confirmByChanges, follower.followBackends, follower.followPeers, follower.watchPublications, follower.markPublications, follower.maintainRow,
-		func(ctx context.Context) { follower.countRouters(ctx, n.holdsLease) }, n.contend, n.lease.Run, controller.Run, n.quotas.run, n.limits.run, n.sweepClients,
+		func(ctx context.Context) { follower.countRouters(ctx, n.holdsLease) }, n.contend, n.lease.Run, controller.Run, n.quotas.run, n.limits.run,
 		n.quarantines.Run, logSuspensions, follower.pauses.run,
 	}
 	if socket != nil {
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -20,6 +20,8 @@
 	idleTimeout = 2 * time.Minute
 	// headerTimeout bounds the reading of a request's header.
 	headerTimeout = 30 * time.Second
+	// unlimitedHeader is for net/http where the listener limits headers.
+	unlimitedHeader = 1 << 30
 )
 
 // server is one HTTP server of a node and its listener.
@@ -72,20 +74,29 @@
 func (n *Node) newFront(forwarder *forward.Forwarder) *server {
 	var handler http.Handler
 	if n.ports.Front != nil {
-		handler = n.clients.Handler(n.ports.Front(forwarder, n.holder, n.stopping.Load, n.clients))
-	}
-	return &server{
-		purpose: "client requests", clients: n.clients,
-		Server: &http.Server{
-			Addr: n.config.FrontAddress, Handler: handler, ErrorLog: discardLog,
-			ConnContext: n.clients.ConnContext, ConnState: n.clients.ConnState,
-		},
+		handler = n.ports.Front(forwarder, n.holder, n.stopping.Load, n.clients)
 	}
+	return newBoundedServer("client requests", n.config.FrontAddress, handler, n.clients)
+}
+
+// newBoundedServer returns a server whose connections are bounded by clients.
+func newBoundedServer(purpose, address string, handler http.Handler, clients *inbound.Clients) *server {
+	return &server{purpose: purpose, clients: clients, Server: &http.Server{
+		Addr: address, Handler: clients.Handler(handler), ErrorLog: discardLog,
+		ConnContext: clients.ConnContext, ConnState: clients.ConnState, MaxHeaderBytes: unlimitedHeader,
+	}}
 }
 
-// sweepClients closes client connections that are idle for too long, until ctx ends.
-func (n *Node) sweepClients(ctx context.Context) {
-	wait.Every(ctx, inbound.SweepInterval, func() { n.clients.Sweep(clock.Now()) })
+// sweep closes connections that are idle for too long, until ctx ends.
+func (s servers) sweep(ctx context.Context) {
+	wait.Every(ctx, inbound.SweepInterval, func() {
+		now := clock.Now()
+		for _, server := range s {
+			if server.clients != nil {
+				server.clients.Sweep(now)
+			}
+		}
+	})
 }
 
 // clientLimits returns the limits of clients in the configuration in force.
@@ -94,7 +105,8 @@
 	if snapshot == nil {
 		return inbound.Limits{}
 	}
-	return inbound.Limits{Header: snapshot.Limits.HeaderTimeout, Idle: snapshot.Limits.IdleTimeout}
+	limits := &snapshot.Limits
+	return inbound.Limits{Header: limits.HeaderTimeout, Idle: limits.IdleTimeout, HeaderBytes: limits.HeaderBytes}
 }
 
 func newServer(purpose, address string, handler http.Handler) *server {
