Bound what lies unread on connections of clients

Callers saw: a process ended amid empty lines without an end before a request.

Cause: bytes that arrived and were not read count as memory, and the kernel takes 64 KiB and more of them on each connection: on those that are not accepted yet, behind a request that is served, and on those that net/http keeps for half a second after it refused a request. net/http itself closes at an empty line, so a router that keeps up holds none of them; one that does not run for 2 s had 145 MiB of empty lines unread on 1200 connections.

--- a/internal/inbound/clients.go
+++ b/internal/inbound/clients.go
@@ -5,6 +5,7 @@
 
 import (
 	"cmp"
+	"context"
 	"net"
 	"net/http"
 	"sync"
@@ -34,6 +35,9 @@
 	// MaxHeadMemory limits the memory of all first lines and headers of requests that are read or served, beside
 	// what ordinary ones take. Default: 8 MiB.
 	MaxHeadMemory int64
+	// ReceiveBytes limits the bytes that lie unread in the kernel for each connection, those that are not accepted
+	// yet included. Default: 64 KiB.
+	ReceiveBytes int
 	// RetryAfter is sent to clients above MaxConnections or MaxHeadMemory. Default: 300ms.
 	RetryAfter time.Duration
 	// Limits returns the current limits; nil means the defaults.
@@ -44,6 +48,7 @@
 	defaultConnections = 2000
 	defaultBodyBytes   = 64 << 20
 	defaultHeadMemory  = 8 << 20
+	defaultReceive     = 64 << 10
 	defaultRetryAfter  = 300 * time.Millisecond
 	defaultHeader      = 30 * time.Second
 	defaultIdle        = 2 * time.Minute
@@ -74,6 +79,7 @@
 func New(cfg Config) *Clients {
 	cfg.MaxConnections = cmp.Or(cfg.MaxConnections, defaultConnections)
 	cfg.MaxBodyBytes = cmp.Or(cfg.MaxBodyBytes, defaultBodyBytes)
+	cfg.ReceiveBytes = cmp.Or(cfg.ReceiveBytes, defaultReceive)
 	cfg.MaxHeadMemory = cmp.Or(cfg.MaxHeadMemory, defaultHeadMemory)
 	cfg.RetryAfter = cmp.Or(cfg.RetryAfter, defaultRetryAfter)
 	if cfg.Limits == nil {
@@ -82,10 +88,19 @@
 	return &Clients{cfg: cfg, open: make(map[*Conn]struct{})}
 }
 
-// Listener wraps a TCP listener. Its Accept waits only for connections: one above
+// Listen listens on an IPv4 address for connections of clients. Accept waits only for connections: one above
 // MaxConnections replaces the longest idle one, or gets a 503, or is closed.
-func (c *Clients) Listener(listener net.Listener) net.Listener {
-	return &boundedListener{Listener: listener, clients: c}
+func (c *Clients) Listen(address string) (net.Listener, error) {
+	config := net.ListenConfig{Control: c.boundUnread}
+	listener, err := config.Listen(context.Background(), "tcp4", address)
+	if err != nil {
+		return nil, err
+	}
+	if err := c.boundPending(listener); err != nil {
+		_ = listener.Close()
+		return nil, errors.Wrap(err, "limit the connections that are not accepted yet")
+	}
+	return &boundedListener{Listener: listener, clients: c}, nil
 }
 
 type boundedListener struct {
--- a/internal/inbound/clients_test.go
+++ b/internal/inbound/clients_test.go
@@ -33,7 +33,7 @@
 func newTestServer(t *testing.T, cfg inbound.Config) *testServer {
 	t.Helper()
 	s := &testServer{clients: inbound.New(cfg), release: make(chan struct{})}
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	listener, err := s.clients.Listen("127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -42,7 +42,7 @@
 		Handler: s.clients.Handler(http.HandlerFunc(s.serve)), ReadHeaderTimeout: time.Minute,
 		ConnContext: s.clients.ConnContext, ConnState: s.connState,
 	}
-	go func() { _ = server.Serve(s.clients.Listener(listener)) }()
+	go func() { _ = server.Serve(listener) }()
 	t.Cleanup(func() {
 		close(s.release)
 		_ = server.Close()
@@ -221,12 +221,11 @@
 func TestClientCloseIsDetectedBeforeRead(t *testing.T) {
 	is := is.New(t)
 	clients := inbound.New(inbound.Config{})
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	listener, err := clients.Listen("127.0.0.1:0")
 	is.NoErr(err)
-	bounded := clients.Listener(listener)
-	defer func() { _ = bounded.Close() }()
+	defer func() { _ = listener.Close() }()
 	sent := dial(t, netip.MustParseAddrPort(listener.Addr().String()), "")
-	accepted, err := bounded.Accept()
+	accepted, err := listener.Accept()
 	is.NoErr(err)
 	conn := accepted.(*inbound.Conn)
 	defer func() { _ = conn.Close() }()
--- a/internal/inbound/keepalive.go
+++ b/internal/inbound/keepalive.go
@@ -26,12 +26,7 @@
 	if err != nil {
 		return err
 	}
-	var failed error
-	err = raw.Control(func(descriptor uintptr) {
-		failed = syscall.SetsockoptInt(int(descriptor), syscall.IPPROTO_TCP, tcpUserTimeout, int(ackTimeout.Milliseconds()))
+	return control(raw, func(descriptor int) error {
+		return syscall.SetsockoptInt(descriptor, syscall.IPPROTO_TCP, tcpUserTimeout, int(ackTimeout.Milliseconds()))
 	})
-	if err != nil {
-		return err
-	}
-	return failed
 }
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -118,19 +118,23 @@
 // listen opens all listeners; if one fails it closes the others.
 func (s servers) listen() error {
 	for index, opening := range s {
-		listener, err := net.Listen("tcp4", opening.Addr)
+		listener, err := opening.listenTCP()
 		if err != nil {
 			s[:index].close()
 			return errors.Wrap(err, "listen for "+opening.purpose)
 		}
 		opening.listener = listener
-		if opening.clients != nil {
-			opening.listener = opening.clients.Listener(listener)
-		}
 	}
 	return nil
 }
 
+func (s *server) listenTCP() (net.Listener, error) {
+	if s.clients != nil {
+		return s.clients.Listen(s.Addr)
+	}
+	return net.Listen("tcp4", s.Addr)
+}
+
 // close closes the listeners of servers that are not serving yet.
 func (s servers) close() {
 	for _, opened := range s {
