--- a/internal/inbound/clients.go
+++ b/internal/inbound/clients.go
@@ -68,6 +68,8 @@
 	open      map[*Conn]struct{}
 	busy      int
 	bodyBytes int64
+	// bodies are the bodies for which memory is reserved.
+	bodies map[*Body]struct{}
 	// headMemory is the memory reserved for heads, in bytes.
 	headMemory int64
 	// refused counts the connections and bodies refused because of a limit, headsRefused the heads.
@@ -85,7 +87,7 @@
 	if cfg.Limits == nil {
 		cfg.Limits = func() Limits { return Limits{} }
 	}
-	return &Clients{cfg: cfg, open: make(map[*Conn]struct{})}
+	return &Clients{cfg: cfg, open: make(map[*Conn]struct{}), bodies: make(map[*Body]struct{})}
 }
 
 // Listen listens on an IPv4 address for connections of clients. Accept waits only for connections: one above
@@ -314,14 +316,22 @@
 	})
 }
 
-// Reserve reserves memory for a body, and reports whether the limit allows it.
+// Reserve reserves memory for a request beside its body, and reports whether the limit of bodies allows it.
 func (c *Clients) Reserve(bytes int64) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.bodyBytes+bytes > c.cfg.MaxBodyBytes {
+	if !c.reserveLocked(bytes) {
 		c.refused++
 		return false
 	}
+	return true
+}
+
+// reserveLocked reserves memory if the limit of bodies allows it; the caller holds the mutex.
+func (c *Clients) reserveLocked(bytes int64) bool {
+	if c.bodyBytes+bytes > c.cfg.MaxBodyBytes {
+		return false
+	}
 	c.bodyBytes += bytes
 	return true
 }
--- a/internal/inbound/clients_test.go
+++ b/internal/inbound/clients_test.go
@@ -19,7 +19,7 @@
 // waitTimeout limits waits; it is far above what any of them takes.
 const waitTimeout = 30 * time.Second
 
-// testServer serves clients; requests to /hold wait.
+// testServer serves clients; requests to /hold wait, and the bodies of those to /body are read.
 type testServer struct {
 	clients *inbound.Clients
 	addr    netip.AddrPort
@@ -58,6 +58,13 @@
 }
 
 func (s *testServer) serve(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/body" {
+		var body inbound.Body
+		body.Begin(s.clients, inbound.ConnFromContext(r.Context()), &interruptedReader{})
+		defer body.Release()
+		_, _ = io.Copy(io.Discard, r.Body)
+		return
+	}
 	if r.URL.Path != "/hold" {
 		_, _ = io.WriteString(w, "ok")
 		return
--- a/internal/inbound/unread_test.go
+++ b/internal/inbound/unread_test.go
@@ -1,6 +1,7 @@
 package inbound_test
 
 import (
+	"io"
 	"net"
 	"net/netip"
 	"testing"
@@ -44,3 +45,28 @@
 	defer func() { _ = accepted.Close() }()
 	is.True(sendUnread(t, conn) < bound+slack)
 }
+
+// A long body must get a larger window while it arrives: with the small one it comes slowly from far away.
+func TestLongBodyGetsAWiderWindow(t *testing.T) {
+	is := is.New(t)
+	const bound, wide = 16 << 10, 128 << 10
+	clients := inbound.New(inbound.Config{ReceiveBytes: bound})
+	listener, err := clients.Listen("127.0.0.1:0")
+	is.NoErr(err)
+	defer func() { _ = listener.Close() }()
+	conn := dial(t, netip.MustParseAddrPort(listener.Addr().String()), "")
+	accepted, err := listener.Accept()
+	is.NoErr(err)
+	defer func() { _ = accepted.Close() }()
+	served := accepted.(*inbound.Conn)
+	var body inbound.Body
+	body.Begin(clients, served, &interruptedReader{})
+	body.Widen()
+
+	// The window grows as bytes are read.
+	go func() { _, _ = conn.Write(make([]byte, 2<<20)) }()
+	_, err = io.CopyN(io.Discard, served.TCPConn, 2<<20)
+	is.NoErr(err)
+	is.True(sendUnread(t, conn) > wide)
+	body.Release()
+}
