Let connections on which nothing whole arrives give way to new ones

Callers saw: while clients held all connections by heads or bodies that do not come, ordinary ones were closed or refused for as long as that went on.

Cause: a router with MaxConnections closed only idle connections for new ones. An unfinished head kept its place for headerTimeoutMs and a body up to 30 s; a connection above the limit whose body did not come had no limit at all, as the phase of its request was asked first.

Now a new connection replaces, in this order, one that has not sent a whole head for a second, an idle one, one on which a body has been arriving for a second, or one on which a head has been arriving for 100 ms: idle connections of clients that were served stay as long as there are useless ones. A search that finds none is not repeated for 10 ms, as it goes through all connections. Connections above the limit end after a second in all phases.

--- a/internal/inbound/body.go
+++ b/internal/inbound/body.go
@@ -39,6 +39,11 @@
 // Begin begins the memory of a body that arrives on a connection, which may be nil. Release must be called.
 func (b *Body) Begin(clients *Clients, conn *Conn, reader BodyReader) {
 	*b = Body{clients: clients, conn: conn, reader: reader, begunAt: time.Now(), arriving: true}
+	if conn != nil {
+		clients.mu.Lock()
+		defer clients.mu.Unlock()
+		conn.bodySince = b.begunAt
+	}
 }
 
 // Reserve reserves memory, and reports whether the limit allows it. If need be it takes that of bodies that have been
@@ -105,6 +110,9 @@
 		b.wide = 0
 		_ = b.conn.SetReadBuffer(b.clients.cfg.ReceiveBytes)
 	}
+	if b.conn != nil {
+		b.conn.bodySince = time.Time{}
+	}
 }
 
 // Release returns all memory.
--- a/internal/inbound/body_test.go
+++ b/internal/inbound/body_test.go
@@ -1,6 +1,8 @@
 package inbound_test
 
 import (
+	"io"
+	"net/http"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -44,3 +46,45 @@
 		is.True(begin(4).Reserve(100))
 	})
 }
+
+// Connections on which nothing whole arrives must give way to new ones, and idle ones that were used stay as long as
+// there are others.
+func TestStalledConnectionsGiveWay(t *testing.T) {
+	tests := []struct{ name, text string }{
+		{"silent", ""},
+		{"unfinished heads", "GET / HTTP/1.1\r\n"},
+		{"bodies that do not come", "POST /body HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\n"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			s := newTestServer(t, inbound.Config{MaxConnections: 4})
+			used := dial(t, s.addr, getRequest("/"))
+			is.Equal(answer(t, used).StatusCode, http.StatusOK)
+			for range 3 {
+				dial(t, s.addr, tt.text)
+			}
+			eventually(t, "all are open", func() bool { return s.open() == 4 })
+			// Older than the time for which a connection may stall.
+			time.Sleep(1200 * time.Millisecond)
+			is.Equal(answer(t, dial(t, s.addr, getRequest("/"))).StatusCode, http.StatusOK)
+			if tt.name == "bodies that do not come" {
+				return // the idle connection gives way first
+			}
+			_, err := io.WriteString(used, getRequest("/"))
+			is.NoErr(err)
+			is.Equal(answer(t, used).StatusCode, http.StatusOK)
+		})
+	}
+}
+
+// A connection above the limit whose body does not come must end like the others.
+func TestBodyAboveConnectionLimitEnds(t *testing.T) {
+	is := is.New(t)
+	s := newTestServer(t, inbound.Config{MaxConnections: 1})
+	dial(t, s.addr, getRequest("/hold"))
+	eventually(t, "the request waits", func() bool { return s.holding.Load() == 1 })
+	conn := dial(t, s.addr, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\n")
+	is.Equal(answer(t, conn).StatusCode, http.StatusServiceUnavailable)
+	eventually(t, "the connection is closed", func() bool { return s.open() == 1 })
+}
--- a/internal/inbound/clients.go
+++ b/internal/inbound/clients.go
@@ -54,7 +54,7 @@
 	defaultIdle        = 2 * time.Minute
 	// maxOverLimit limits the connections above MaxConnections, which only get a 503.
 	maxOverLimit = 64
-	// overLimitHeader is how long such a connection may take to send its header.
+	// overLimitHeader is how long such a connection may take to send its header, and then its body.
 	overLimitHeader = time.Second
 	// SweepInterval is the time between two calls of Clients.Sweep.
 	SweepInterval = 500 * time.Millisecond
@@ -64,10 +64,12 @@
 type Clients struct {
 	cfg Config
 
-	mu        sync.Mutex
-	open      map[*Conn]struct{}
-	busy      int
-	bodyBytes int64
+	mu   sync.Mutex
+	open map[*Conn]struct{}
+	// noneReplaceableAt is when no connection was found that a new one may replace.
+	noneReplaceableAt time.Time
+	busy              int
+	bodyBytes         int64
 	// bodies are the bodies for which memory is reserved.
 	bodies map[*Body]struct{}
 	// headMemory is the memory reserved for heads, in bytes.
@@ -91,7 +93,7 @@
 }
 
 // Listen listens on an IPv4 address for connections of clients. Accept waits only for connections: one above
-// MaxConnections replaces the longest idle one, or gets a 503, or is closed.
+// MaxConnections replaces one that is idle or on which a request arrives slowly, or gets a 503, or is closed.
 func (c *Clients) Listen(address string) (net.Listener, error) {
 	config := net.ListenConfig{Control: c.boundUnread}
 	listener, err := config.Listen(context.Background(), "tcp4", address)
@@ -134,7 +136,7 @@
 	var longest *Conn
 	over := len(c.open) - c.cfg.MaxConnections
 	if over >= 0 {
-		longest = c.longestIdle()
+		longest = c.replaceable(conn.phaseSince)
 	}
 	conn.overLimit = over >= 0 && longest == nil
 	admitted := longest != nil || over < maxOverLimit
@@ -169,17 +171,6 @@
 	return enableKeepAlive(tcp, raw)
 }
 
-// longestIdle returns the connection idle for the longest time, or nil; the caller
-// holds the mutex.
-func (c *Clients) longestIdle() (longest *Conn) {
-	for conn := range c.open {
-		if conn.phase == phaseIdle && (longest == nil || conn.phaseSince.Before(longest.phaseSince)) {
-			longest = conn
-		}
-	}
-	return longest
-}
-
 // setPhase sets the phase of a connection and its start.
 func (c *Clients) setPhase(conn *Conn, next phase) {
 	idleLimit := time.Duration(0)
@@ -196,6 +187,7 @@
 	conn.phaseSince, conn.idleLimit = now, idleLimit
 	switch next {
 	case phaseServing:
+		conn.served = true
 		conn.headRefused = !c.reserveHeadLocked(conn)
 		if conn.headRefused {
 			c.headsRefused++
@@ -262,10 +254,10 @@
 // the mutex.
 func (c *Conn) timeLimit(limits Limits) time.Duration {
 	switch {
-	case c.phase == phaseServing:
-		return unbounded
 	case c.overLimit:
 		return overLimitHeader
+	case c.phase == phaseServing:
+		return unbounded
 	case c.phase == phaseHeader:
 		return limits.Header
 	default:
@@ -310,6 +302,8 @@
 			next.ServeHTTP(w, r)
 			return
 		}
+		// Fails only for a connection that is closed already.
+		_ = conn.SetDeadline(time.Now().Add(overLimitHeader))
 		w.Header().Set("Connection", "close")
 		w.Header().Set("Retry-After", c.retryAfter())
 		w.WriteHeader(http.StatusServiceUnavailable)
--- a/internal/inbound/conn.go
+++ b/internal/inbound/conn.go
@@ -37,9 +37,13 @@
 
 	phase      phase
 	phaseSince time.Time
+	// served is whether a whole head was received.
+	served bool
 	// idleLimit is the limit of the idle time as configured at its start.
 	idleLimit time.Duration
 	closed    bool
+	// bodySince is when a body began to arrive that is not whole yet, else zero.
+	bodySince time.Time
 	// headMemory is the memory reserved for the head, in bytes; headRefused is whether that was too little for a
 	// head that net/http had read.
 	headMemory  int64
