--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -1,6 +1,6 @@
 // Package eventlog writes log entries as JSON lines without blocking the caller.
 // Entries pass through a bounded ring to one writer; as the ring fills up, debug
-// lines are dropped first. The number of dropped lines is itself logged.
+// lines are dropped first, and the volume of all lines is bounded. The number of dropped lines is itself logged.
 package eventlog
 
 import (
@@ -28,6 +28,10 @@
 	flushInterval = 200 * time.Millisecond
 	// maxWriteBytes bounds the bytes of one write.
 	maxWriteBytes = 64 << 10
+	// bytesPerSecond and burstBytes bound the volume of the log, which clients could fill a disk with. Further entries
+	// are dropped.
+	bytesPerSecond = 1 << 20
+	burstBytes     = 4 << 20
 )
 
 // Log is an apex/log handler, safe for concurrent use.
@@ -38,13 +42,19 @@
 	waiting         atomic.Int64
 	dropped         atomic.Uint64
 	reportedDropped uint64
+	// volume is the number of bytes that may be written now, as of refilledAt.
+	volume     int
+	refilledAt time.Time
 }
 
 var _ log.Handler = (*Log)(nil)
 
 // New returns a log for a node; Run writes its entries.
 func New(writer io.Writer, node string) *Log {
-	return &Log{writer: writer, node: node, entries: ring.New[*log.Entry]("log", capacity, ring.RefuseNew)}
+	return &Log{
+		writer: writer, node: node, entries: ring.New[*log.Entry]("log", capacity, ring.RefuseNew),
+		volume: burstBytes, refilledAt: time.Now(),
+	}
 }
 
 // HandleLog implements log.Handler. It never blocks.
@@ -73,8 +83,13 @@
 // flush writes all waiting entries.
 func (l *Log) flush() {
 	var lines bytes.Buffer
+	l.refill(time.Now())
 	for entry, found := l.entries.Pop(); found; entry, found = l.entries.Pop() {
 		l.waiting.Add(-1)
+		if l.volume <= 0 {
+			l.dropped.Add(1)
+			continue
+		}
 		l.append(&lines, entry)
 		if lines.Len() >= maxWriteBytes {
 			l.write(&lines)
@@ -90,6 +105,12 @@
 	l.write(&lines)
 }
 
+// refill adds the volume of the time that has passed.
+func (l *Log) refill(now time.Time) {
+	l.volume = min(l.volume+int(now.Sub(l.refilledAt).Seconds()*bytesPerSecond), burstBytes)
+	l.refilledAt = now
+}
+
 func (l *Log) append(lines *bytes.Buffer, entry *log.Entry) {
 	line := make(map[string]any, len(entry.Fields)+4)
 	maps.Copy(line, entry.Fields)
@@ -102,6 +123,7 @@
 		l.dropped.Add(1)
 		return
 	}
+	l.volume -= len(encoded) + 1
 	lines.Write(encoded)
 	lines.WriteByte('\n')
 }
--- a/internal/eventlog/eventlog_test.go
+++ b/internal/eventlog/eventlog_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -85,3 +86,28 @@
 	is.NoErr(events.HandleLog(entry(log.WarnLevel, "refused")))
 	is.Equal(events.Dropped(), uint64(1))
 }
+
+// Clients must not be able to make a router write without a bound.
+func TestVolumeIsBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var output lockedBuffer
+		events := eventlog.New(&output, "node-1")
+		ctx, stop := context.WithCancel(t.Context())
+		go events.Run(ctx)
+		const seconds, mebibyte = 20, 1 << 20
+		text := strings.Repeat("x", 4<<10)
+		for range seconds * 100 {
+			for range 20 {
+				is.NoErr(events.HandleLog(entry(log.InfoLevel, text)))
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		stop()
+		synctest.Wait()
+		is.True(events.Dropped() > 0)
+		is.True(output.Len() < (seconds+5)*mebibyte)
+		is.True(output.Len() > seconds*mebibyte/2)
+		is.True(bytes.Contains(output.Bytes(), []byte("log_lines_dropped")))
+	})
+}
--- a/internal/eventlog/timeline.go
+++ b/internal/eventlog/timeline.go
@@ -36,7 +36,7 @@
 func (f Filter) matches(line map[string]any) bool {
 	switch {
 	case f.Request != "":
-		return line["request"] == f.Request
+		return line["request"] == ID(f.Request)
 	case f.Instance != "":
 		return line["instance"] == f.Instance && line["request"] == nil
 	case f.Rollout != "":
--- a/internal/eventlog/timeline_test.go
+++ b/internal/eventlog/timeline_test.go
@@ -54,3 +54,13 @@
 		})
 	}
 }
+
+// Requests with long ids, which the log shortens, must be found by the whole id.
+func TestTimelineFindsLongIDs(t *testing.T) {
+	is := is.New(t)
+	id := strings.Repeat("x", 1000)
+	timeline := eventlog.NewTimeline(eventlog.Filter{Request: id})
+	is.NoErr(timeline.Read(strings.NewReader(`{"at":"1970-01-01T00:00:00.000Z","event":"answered","request":"` + eventlog.ID(id) + `"}`)))
+	is.True(len(eventlog.ID(id)) < 200)
+	is.Equal(len(timeline.Lines()), 1)
+}
--- a/internal/node/log.go
+++ b/internal/node/log.go
@@ -9,6 +9,7 @@
 	"github.com/apex/log"
 
 	"github.com/fieldpond/fieldpond/internal/backend"
+	"github.com/fieldpond/fieldpond/internal/eventlog"
 	"github.com/fieldpond/fieldpond/internal/forward"
 )
 
@@ -25,7 +26,7 @@
 
 // logStep logs one decision about a request.
 func logStep(step *forward.Step) {
-	fields := log.Fields{"request": step.Request, "elapsed_ms": step.Elapsed.Milliseconds()}
+	fields := log.Fields{"request": eventlog.ID(step.Request), "elapsed_ms": step.Elapsed.Milliseconds()}
 	addStreamFields(fields, step)
 	addConfigurationFields(fields, step)
 	if step.Choice.Instance != "" {
@@ -108,12 +109,8 @@
 	}
 }
 
-const (
-	// maxLoggedID bounds an identifier in the log that a client has chosen.
-	maxLoggedID = 64
-	// maxLoggedParts is the number of parts of a prompt in one log line.
-	maxLoggedParts = 16
-)
+// maxLoggedParts is the number of parts of a prompt in one log line.
+const maxLoggedParts = 16
 
 // addPromptFields adds the caller of a request and the ids of the shared parts of its prompt.
 func addPromptFields(fields log.Fields, step *forward.Step) {
@@ -122,7 +119,7 @@
 	}
 	var parts []string
 	for _, part := range step.SharedParts[:min(len(step.SharedParts), maxLoggedParts)] {
-		parts = append(parts, part.ID[:min(len(part.ID), maxLoggedID)])
+		parts = append(parts, eventlog.ID(part.ID))
 	}
 	if len(parts) > 0 {
 		fields["parts"] = parts
@@ -133,10 +130,10 @@
 // back end of an attempt.
 func addStreamFields(fields log.Fields, step *forward.Step) {
 	if step.Resumes != "" {
-		fields["resumes"] = step.Resumes[:min(len(step.Resumes), maxLoggedID)]
+		fields["resumes"] = eventlog.ID(step.Resumes)
 	}
 	if step.Kind == forward.StepSent && step.LastEvent != "" {
-		fields["after_event"] = step.LastEvent
+		fields["after_event"] = eventlog.ID(step.LastEvent)
 	}
 	if step.Choice.Release != "" {
 		fields["release"] = step.Choice.Release
