Bound requests at the addresses of readiness checks and metrics

Cause: the same as at the front: these servers had the limits of net/http, 1 MiB a head, and none on their connections.

Now they have the bounds of the front with 64 connections, 8 KiB a header, 512 KiB for all heads and 8 KiB unread on each; a new connection replaces the one that is the longest without a whole request, so that checks get through. Heads of requests of other routers are bounded to 16 KiB; their number is not, as the size of a fleet decides it, and no client reaches that address.

--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -20,6 +20,14 @@
 	idleTimeout = 2 * time.Minute
 	// headerTimeout bounds the reading of a request's header.
 	headerTimeout = 30 * time.Second
+	// Limits of a server for readiness checks or metrics: its connections, and in bytes the header of a request, the
+	// memory of all headers, and what lies unread for each connection.
+	smallConnections  = 64
+	smallHeaderBytes  = 8 << 10
+	smallHeadMemory   = 512 << 10
+	smallReceiveBytes = 8 << 10
+	// peerHeaderBytes limits the header of a request of another router.
+	peerHeaderBytes = 16 << 10
 	// unlimitedHeader is for net/http where the listener limits headers.
 	unlimitedHeader = 1 << 30
 )
@@ -44,7 +52,7 @@
 	})
 	all := servers{
 		n.newFront(forwarder),
-		newServer("readiness checks", n.config.ReadyAddress, http.HandlerFunc(n.serveReady)),
+		newSmallServer("readiness checks", n.config.ReadyAddress, http.HandlerFunc(n.serveReady)),
 	}
 	if n.config.PeerAddr.IsValid() {
 		var peers http.Handler = upstream.NewServer(n.follower.replica, n.follower.observePull)
@@ -56,7 +64,7 @@
 	if n.config.MetricsAddress != "" {
 		mux := http.NewServeMux()
 		mux.Handle("GET "+n.config.MetricsPath, n.metrics.handler())
-		all = append(all, newServer("metrics", n.config.MetricsAddress, mux))
+		all = append(all, newSmallServer("metrics", n.config.MetricsAddress, mux))
 	}
 	return all
 }
@@ -87,6 +95,15 @@
 	}}
 }
 
+// newSmallServer returns a server for a few connections and small requests.
+func newSmallServer(purpose, address string, handler http.Handler) *server {
+	clients := inbound.New(inbound.Config{
+		MaxConnections: smallConnections, MaxHeadMemory: smallHeadMemory, ReceiveBytes: smallReceiveBytes,
+		Limits: func() inbound.Limits { return inbound.Limits{Idle: idleTimeout, HeaderBytes: smallHeaderBytes} },
+	})
+	return newBoundedServer(purpose, address, handler, clients)
+}
+
 // sweep closes connections that are idle for too long, until ctx ends.
 func (s servers) sweep(ctx context.Context) {
 	wait.Every(ctx, inbound.SweepInterval, func() {
@@ -111,7 +128,7 @@
 
 func newServer(purpose, address string, handler http.Handler) *server {
 	return &server{purpose: purpose, Server: &http.Server{
-		Addr: address, Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ErrorLog: discardLog,
+		Addr: address, Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: peerHeaderBytes, ErrorLog: discardLog,
 	}}
 }
 
