--- a/internal/node/reference_test.go
+++ b/internal/node/reference_test.go
@@ -48,7 +48,7 @@
 	} {
 		logged[string(kind)] = true
 	}
-	for _, pattern := range []string{"*.go", "../lease/*.go", "../quarantine/guard/*.go", "../exchange/*.go", "../detour/*.go", "../../platform/*.go", "../../cmd/fieldpond/edge.go"} {
+	for _, pattern := range []string{"*.go", "../lease/*.go", "../quarantine/guard/*.go", "../exchange/*.go", "../inbound/*.go", "../detour/*.go", "../../platform/*.go", "../../cmd/fieldpond/edge.go"} {
 		paths, err := filepath.Glob(pattern)
 		is.NoErr(err)
 		for _, path := range paths {
