Soak a router amid clients that do not behave and faults

The router must keep to its memory and descriptors and end only by these faults, ordinary callers must be answered, and no request may have run that was refused with 429, 503, 408 or 421.

--- a/Makefile
+++ b/Makefile
@@ -16,7 +16,7 @@
 # BESIDE are long tests of packages whose tests run one after the other; a second process runs them beside the rest.
 BESIDE := ^(TestLargeFleetIsSuppliedByItsBackbone|TestMemoryAmidEndlessAnswers|TestAVersionReachesTheEnginesThroughASlowStore|TestSoakOfPartitionedRouters)$$
 # ALONE are tests of memory and descriptors amid crowds of clients; they run after the others, one at a time.
-ALONE := ^(TestMemoryAmid(HeadsAboveTheLimit|EndlessHeads|ManyHeads|EmptyLines|BytesBehindRequests|BytesBeforeConnectionsAreAccepted|RequestsForReadiness|Bodies|LongNames)|TestOrdinaryClientsAmidHeldConnections)$$
+ALONE := ^(TestMemoryAmid(HeadsAboveTheLimit|EndlessHeads|ManyHeads|EmptyLines|BytesBehindRequests|BytesBeforeConnectionsAreAccepted|RequestsForReadiness|Bodies|LongNames)|TestOrdinaryClientsAmidHeldConnections|TestSoakOfUnrulyClients)$$
 empty :=
 space := $(empty) $(empty)
 test:
