Take an end of a connection for that of an answer only if its request was received

What callers saw: an engine answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was still written. The client got the part as a complete answer.

Cause: the kernel reports a reset once, to the call that comes next. Where that is the write of the request, which runs in a goroutine of its own for bodies above 8 KiB and whose errors are ignored, the read of the answer gets io.EOF, and the end of a connection is the end of an unframed answer.

Change: at the end of an unframed answer, the request must have been written, and acknowledged by the back end to its last byte. All bytes acknowledged before the end exclude a reset that a write has met. A process that dies while it reads the request counts as broken off for the same reason, also if its kernel ends the connection in order.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -195,6 +195,9 @@
 	startedAt  time.Time
 	// sent is true once a byte may have been sent, written once all were.
 	sent, written atomic.Bool
+	// writeEnded is closed when a request that is written while its answer is awaited was written or failed; it
+	// is nil for other requests.
+	writeEnded chan struct{}
 	// skipped is the number of answers to other requests that were read.
 	skipped int
 	// waiting extends the ack timeout once the request is acknowledged.
@@ -240,6 +243,7 @@
 		}
 		c.written.Store(true)
 	} else {
+		c.writeEnded = make(chan struct{})
 		go c.write(head, request.Body)
 	}
 	answer, err := c.readMatching(request)
@@ -265,6 +269,7 @@
 // write sends a long request while its answer is awaited. Errors are ignored: the
 // back end may still answer.
 func (c *call) write(head, body []byte) {
+	defer close(c.writeEnded)
 	if _, err := c.connection.Write(head); err != nil {
 		return
 	}
@@ -333,8 +338,8 @@
 // Read implements io.Reader.
 func (b *answerBody) Read(buffer []byte) (int, error) {
 	count, err := b.answer.Body.Read(buffer)
-	if err == io.EOF && isUnframed(b.answer) && !b.call.connection.tellsEnd() {
-		err = &RelayError{Through: b.call.connection.through, Cause: errEndNotTold}
+	if isUnframed(b.answer) {
+		err = b.readUnframed(err)
 	}
 	switch {
 	case err == io.EOF:
--- a/internal/exchange/socket.go
+++ b/internal/exchange/socket.go
@@ -100,16 +100,26 @@
 
 // unacknowledged reports whether sent bytes are not acknowledged yet.
 func (c *connection) unacknowledged() bool {
-	raw := c.raw()
+	count, err := Unacknowledged(c.Conn)
+	return err == nil && count > 0
+}
+
+// Unacknowledged returns the number of bytes written to a TCP connection that its peer has not acknowledged,
+// also after a reset. It returns 0 for other connections, and an error for a closed one.
+func Unacknowledged(conn net.Conn) (int, error) {
+	raw := rawOf(conn)
 	if raw == nil {
-		return false
+		return 0, nil
 	}
 	var count int32
 	var errno syscall.Errno
 	err := raw.Control(func(descriptor uintptr) {
 		_, _, errno = syscall.Syscall(syscall.SYS_IOCTL, descriptor, siocOutQueue, uintptr(unsafe.Pointer(&count)))
 	})
-	return err == nil && errno == 0 && count > 0
+	if err == nil && errno != 0 {
+		err = errno
+	}
+	return int(count), err
 }
 
 // setAckTimeout limits how long sent bytes may stay unacknowledged.
@@ -128,8 +138,11 @@
 	}
 }
 
-func (c *connection) raw() syscall.RawConn {
-	socket, ok := c.Conn.(syscall.Conn)
+func (c *connection) raw() syscall.RawConn { return rawOf(c.Conn) }
+
+// rawOf returns the socket of a connection, nil if it has none or was closed.
+func rawOf(conn net.Conn) syscall.RawConn {
+	socket, ok := conn.(syscall.Conn)
 	if !ok {
 		return nil
 	}
