Tell behind a relay what the back end has received before its connection ended

What callers could see: as before for a direct connection, a part of an answer without a length as the whole one, by way of a router that relays the connection.

Cause: a router that relays copies the request and the answer in two goroutines. If the one that writes to the back end meets the reset, the other reads io.EOF and tells an orderly end. And where the back end ends its side early in order, the router that asked knows only what the relay has taken, not what the back end has received.

Change: a relayed connection to a back end ends with io.EOF only if all that was written was acknowledged, and after the last chunk the relay tells the number of bytes that the back end had received, if asked to. The router that asked compares it with what it wrote. Behind relays of older builds the end of an answer without a length counts only for requests that are sent in one piece.

--- a/internal/detour/dialer.go
+++ b/internal/detour/dialer.go
@@ -246,7 +246,8 @@
 	d.opened.Add(1)
 	opened := exchange.Opened{Conn: conn, Reader: reader, Received: reader, Framed: framed, Through: helper}
 	if framed {
-		opened.Reader = newFramedReader(reader, helper)
+		decoder := newFramedReader(reader, helper)
+		opened.Reader, opened.Receipt = decoder, decoder
 	}
 	return opened, nil
 }
@@ -258,7 +259,8 @@
 	if method == methodLend {
 		target = "/"
 	}
-	head := method + " " + target + " HTTP/1.1" + lineEnd + "Host: " + address + lineEnd + headerFraming + ": " + framingChunked + lineEnd
+	head := method + " " + target + " HTTP/1.1" + lineEnd + "Host: " + address + lineEnd + headerFraming + ": " + framingChunked + lineEnd +
+		headerReceipt + ": " + receiptBytes + lineEnd
 	if _, err := io.WriteString(conn, head+lineEnd); err != nil {
 		return false, errors.Wrap(err, "ask a router for a connection")
 	}
--- a/internal/detour/framing.go
+++ b/internal/detour/framing.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http/httputil"
 	"net/netip"
+	"strconv"
 	"strings"
 
 	"github.com/pkg/errors"
@@ -23,6 +24,15 @@
 // trailerReset follows the last chunk if the back end did not end its side, but broke off.
 const trailerReset = "Relay-End: reset"
 
+const (
+	// headerReceipt asks a router to tell after the last chunk how many bytes the back end has received. Routers of
+	// older builds ignore it.
+	headerReceipt = "Relay-Receipt"
+	receiptBytes  = "bytes"
+	// trailerReceived precedes that number.
+	trailerReceived = "Relay-Received: "
+)
+
 const (
 	lineEnd   = "\r\n"
 	lastChunk = "0" + lineEnd
@@ -66,8 +76,12 @@
 
 // trailer returns the trailer that tells why reads from a back end ended.
 func trailer(err error) string {
-	if err == io.EOF {
+	var ended *endedError
+	switch {
+	case err == io.EOF:
 		return ""
+	case errors.As(err, &ended):
+		return trailerReceived + strconv.FormatInt(ended.received, 10) + lineEnd
 	}
 	return trailerReset + lineEnd
 }
@@ -80,12 +94,17 @@
 	chunks  io.Reader
 	// end is why reads ended, nil before.
 	end error
+	// received is the number of bytes that the back end has received, -1 if the router did not tell.
+	received int64
 }
 
 func newFramedReader(source *bufio.Reader, through netip.AddrPort) *framedReader {
-	return &framedReader{through: through, source: source, chunks: httputil.NewChunkedReader(source)}
+	return &framedReader{through: through, source: source, chunks: httputil.NewChunkedReader(source), received: -1}
 }
 
+// Received implements exchange.Receipt.
+func (r *framedReader) Received() (int64, bool) { return r.received, r.received >= 0 }
+
 // Read implements io.Reader.
 func (r *framedReader) Read(buffer []byte) (int, error) {
 	if r.end != nil {
@@ -107,16 +126,35 @@
 	if err != nil {
 		return r.broken(err)
 	}
-	switch line {
-	case "":
+	switch {
+	case line == "":
 		return io.EOF
-	case trailerReset:
+	case line == trailerReset:
 		return errBackendReset
+	case strings.HasPrefix(line, trailerReceived):
+		return r.readReceipt(line)
 	default:
 		return r.broken(errors.Errorf("unknown trailer %.40q", line))
 	}
 }
 
+// readReceipt takes the number of received bytes from a trailer, which must be the last one.
+func (r *framedReader) readReceipt(line string) error {
+	received, err := strconv.ParseUint(strings.TrimPrefix(line, trailerReceived), 10, 63)
+	if err != nil {
+		return r.broken(errors.Wrap(err, "read a trailer"))
+	}
+	last, err := r.readLine()
+	if err != nil {
+		return r.broken(err)
+	}
+	if last != "" {
+		return r.broken(errors.Errorf("unknown trailer %.40q", last))
+	}
+	r.received = int64(received)
+	return io.EOF
+}
+
 // readLine reads a line, which must fit the buffer of the source.
 func (r *framedReader) readLine() (string, error) {
 	line, err := r.source.ReadSlice('\n')
--- a/internal/detour/framing_test.go
+++ b/internal/detour/framing_test.go
@@ -61,12 +61,18 @@
 }
 
 // startUnframed starts a router of a build that knows no framing.
-func startUnframed(t testing.TB) Peer {
+func startUnframed(t testing.TB) Peer { return startIgnoring(t, "Relay-Framing") }
+
+// startWithoutReceipts starts a router of a build that frames and knows no receipts.
+func startWithoutReceipts(t *testing.T) Peer { return startIgnoring(t, "Relay-Receipt") }
+
+// startIgnoring starts a router of a build that does not know a header of those that ask for connections.
+func startIgnoring(t testing.TB, header string) Peer {
 	t.Helper()
 	h := startHelper(t)
 	connect := h.server.Handler(http.NotFoundHandler())
 	front := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		r.Header.Del("Relay-Framing")
+		r.Header.Del(header)
 		connect.ServeHTTP(w, r)
 	}))
 	t.Cleanup(front.Close)
--- a/internal/detour/server.go
+++ b/internal/detour/server.go
@@ -131,7 +131,9 @@
 		w.WriteHeader(http.StatusInternalServerError)
 		return
 	}
-	s.relay(&tunnel{address: r.Host, caller: caller, backend: backend, framed: r.Header.Get(headerFraming) == framingChunked})
+	framed := r.Header.Get(headerFraming) == framingChunked
+	counted := framed && r.Header.Get(headerReceipt) == receiptBytes
+	s.relay(&tunnel{address: r.Host, caller: caller, backend: &backendConn{Conn: backend, counted: counted}, framed: framed})
 }
 
 // failureStatus returns the status for a connection that failed.
@@ -165,21 +167,22 @@
 // tunnel joins the connection of a router that asked to the one opened for it.
 type tunnel struct {
 	// address is that of the back end.
-	address         string
-	caller, backend net.Conn
+	address string
+	caller  net.Conn
+	backend *backendConn
 	// framed is whether the caller takes the back end's bytes in the framing framingChunked.
 	framed bool
 }
 
 // relay copies bytes between both sides of a tunnel until either ends.
 func (s *Server) relay(t *tunnel) {
-	s.track(t.caller, t.backend)
-	defer s.untrack(t.caller, t.backend)
+	s.track(t.caller, t.backend.Conn)
+	defer s.untrack(t.caller, t.backend.Conn)
 	// On an error the kernel's defaults stay, which detect a silent peer later.
-	_ = exchange.SetTimeouts(t.backend, backendAckTimeout)
+	_ = exchange.SetTimeouts(t.backend.Conn, backendAckTimeout)
 	_ = exchange.SetTimeouts(t.caller, callerAckTimeout)
 	if err := t.confirm(); err != nil {
-		reset(t.caller, t.backend)
+		reset(t.caller, t.backend.Conn)
 		return
 	}
 	answered := make(chan struct{})
@@ -189,7 +192,7 @@
 	}()
 	// A caller that closes its side has given up: the back end must notice at once.
 	_ = copyBytesTo(t.backend, t.caller)
-	reset(t.caller, t.backend)
+	reset(t.caller, t.backend.Conn)
 	<-answered
 }
 
@@ -213,7 +216,7 @@
 		copyAll = relayFramed
 	}
 	if err := copyAll(t.caller, t.backend); err != nil {
-		reset(t.caller, t.backend)
+		reset(t.caller, t.backend.Conn)
 		return
 	}
 	if closer, ok := t.caller.(interface{ CloseWrite() error }); ok {
--- a/internal/exchange/connection.go
+++ b/internal/exchange/connection.go
@@ -16,6 +16,7 @@
 	"bufio"
 	"net"
 	"net/netip"
+	"sync/atomic"
 	"time"
 )
 
@@ -32,6 +33,9 @@
 	received *bufio.Reader
 	// framed is whether the end of the back end's side is told, see Opened.
 	framed bool
+	// receipt is that of Opened, written the number of bytes written so far.
+	receipt Receipt
+	written atomic.Int64
 	// idleSince and idleUntil bound the idle time between two exchanges;
 	// timeoutAdvertised is true if the peer advertised it. The last byte was
 	// received at idleSince.
@@ -58,6 +62,13 @@
 // a connection to a router that relays it may be that of the router.
 func (c *connection) tellsEnd() bool { return !c.through.IsValid() || c.framed }
 
+// Write implements io.Writer.
+func (c *connection) Write(data []byte) (int, error) {
+	count, err := c.Conn.Write(data)
+	c.written.Add(int64(count))
+	return count, err
+}
+
 // buffered returns the number of bytes that were received and not read yet.
 func (c *connection) buffered() int {
 	count := c.reader.Buffered()
--- a/internal/exchange/detour.go
+++ b/internal/exchange/detour.go
@@ -25,10 +25,19 @@
 	// Framed is whether Reader decodes frames, in which the router that relays the connection tells how the
 	// back end ended its side.
 	Framed bool
+	// Receipt tells what the back end has received, nil if the router can't.
+	Receipt Receipt
 	// Through is the router that relays the connection, the zero value for a direct one.
 	Through netip.AddrPort
 }
 
+// Receipt tells how many of the bytes that were written to a relayed connection the back end has received.
+type Receipt interface {
+	// Received returns that number once reads of the connection have ended; known is false if the router that
+	// relays it did not tell.
+	Received() (count int64, known bool)
+}
+
 // Detour opens connections directly or, where that fails, through another router. Its methods are
 // safe for concurrent use.
 type Detour interface {
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -237,7 +237,7 @@
 // newConnection returns the connection that was opened to an address at a time.
 func (p *Pool) newConnection(opened *Opened, address string, at time.Time, borrowed bool) *connection {
 	conn := &connection{
-		Conn: opened.Conn, address: address, number: p.created.Add(1), received: opened.Received, framed: opened.Framed, through: opened.Through, openedAt: at, borrowed: borrowed,
+		Conn: opened.Conn, address: address, number: p.created.Add(1), received: opened.Received, framed: opened.Framed, receipt: opened.Receipt, through: opened.Through, openedAt: at, borrowed: borrowed,
 		ackTimeout: p.options.UserTimeout,
 	}
 	conn.head = headReader{from: conn.Conn, conn: conn.Conn, total: &p.headBytes}
--- a/internal/exchange/unframed.go
+++ b/internal/exchange/unframed.go
@@ -28,14 +28,41 @@
 // request; reads then return io.EOF.
 func (c *call) proveEnd() error {
 	if !c.connection.tellsEnd() {
-		return &RelayError{Through: c.connection.through, Cause: errEndNotTold}
+		return c.connection.endNotTold()
 	}
 	if err := c.awaitWritten(); err != nil {
 		return err
 	}
+	if c.connection.through.IsValid() {
+		return c.proveRelayedEnd()
+	}
 	return c.connection.awaitReceived(receiptTimeout)
 }
 
+// proveRelayedEnd is proveEnd for a connection that a router relays, once the request was written.
+func (c *call) proveRelayedEnd() error {
+	var received int64
+	known := false
+	if c.connection.receipt != nil {
+		received, known = c.connection.receipt.Received()
+	}
+	switch {
+	case known && received == c.connection.written.Load():
+		return nil
+	case known:
+		return errRequestNotReceived
+	case c.writeEnded != nil:
+		// A router of an older build may have met a reset in its writes of a long request.
+		return c.connection.endNotTold()
+	}
+	return nil
+}
+
+// endNotTold returns the error of a router that did not tell how the back end ended its side.
+func (c *connection) endNotTold() error {
+	return &RelayError{Through: c.through, Cause: errEndNotTold}
+}
+
 // awaitWritten waits until the whole request was passed to the kernel.
 func (c *call) awaitWritten() error {
 	if c.writeEnded == nil {
