Prove the ends of answers without a length for the calls of net/http's transport too

What callers could see: on the product's own interface, and in the router's own calls, a part of an answer without a length that a reset cut off during a long request as the whole answer.

Cause: the same as in exchange. The transport writes a request in one goroutine and reads its answer in another, and a reset that the first meets leaves an orderly end to the second.

Change: connections of httpclient return io.EOF only once the peer has received all that was written, and a body that ends with its connection ends only if its request was written. What tells so is a package of its own, connend, which exchange and detour use as well. Replies of internal/peer are authenticated as a whole and need nothing.

--- a/internal/detour/backendconn.go
+++ b/internal/detour/backendconn.go
@@ -7,14 +7,9 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/pkg/errors"
-
-	"github.com/fieldpond/fieldpond/internal/exchange"
+	"github.com/fieldpond/fieldpond/internal/connend"
 )
 
-// errNotReceived means that a back end ended its side before it had received all bytes for it.
-var errNotReceived = errors.New("the back end ended its connection before it had received the whole request")
-
 // endedError means that a back end ended its side in order.
 type endedError struct {
 	// received is the number of bytes that the back end had received by then.
@@ -26,8 +21,7 @@
 	return "the back end ended its side, having received " + strconv.FormatInt(e.received, 10) + " bytes"
 }
 
-// backendConn is a relayed connection to a back end. It knows what the back end received: the kernel reports a reset
-// only once, maybe to a write, and reads then return io.EOF.
+// backendConn is a relayed connection to a back end that knows what the back end has received.
 type backendConn struct {
 	net.Conn
 	// counted is whether reads end with an *endedError in place of io.EOF.
@@ -61,16 +55,16 @@
 // end returns how the back end ended its side.
 func (b *backendConn) end() error {
 	b.awaitWrite()
-	unacknowledged, err := exchange.Unacknowledged(b.Conn)
+	unacknowledged, err := connend.Unacknowledged(b.Conn)
 	switch {
 	case err != nil:
 		return err
 	case b.failed.Load():
-		return errNotReceived
+		return connend.ErrNotReceived
 	case b.counted:
 		return &endedError{received: b.written.Load() - int64(unacknowledged)}
 	case unacknowledged > 0 || b.begun.Load() != b.written.Load():
-		return errNotReceived
+		return connend.ErrNotReceived
 	}
 	return io.EOF
 }
--- a/internal/exchange/socket.go
+++ b/internal/exchange/socket.go
@@ -4,19 +4,15 @@
 	"net"
 	"syscall"
 	"time"
-	"unsafe"
 
 	"github.com/pkg/errors"
-)
 
-// Linux socket options that package syscall does not define.
-const (
-	// tcpUserTimeout is TCP_USER_TIMEOUT.
-	tcpUserTimeout = 0x12
-	// siocOutQueue is SIOCOUTQ: the number of unacknowledged bytes.
-	siocOutQueue = 0x5411
+	"github.com/fieldpond/fieldpond/internal/connend"
 )
 
+// tcpUserTimeout is TCP_USER_TIMEOUT, which package syscall does not define.
+const tcpUserTimeout = 0x12
+
 const (
 	// probeInterval is the time between two keep-alive probes of an idle connection
 	// and before the first one, the least the kernel allows. A silent connection
@@ -100,28 +96,10 @@
 
 // unacknowledged reports whether sent bytes are not acknowledged yet.
 func (c *connection) unacknowledged() bool {
-	count, err := Unacknowledged(c.Conn)
+	count, err := connend.Unacknowledged(c.Conn)
 	return err == nil && count > 0
 }
 
-// Unacknowledged returns the number of bytes written to a TCP connection that its peer has not acknowledged,
-// also after a reset. It returns 0 for other connections, and an error for a closed one.
-func Unacknowledged(conn net.Conn) (int, error) {
-	raw := rawOf(conn)
-	if raw == nil {
-		return 0, nil
-	}
-	var count int32
-	var errno syscall.Errno
-	err := raw.Control(func(descriptor uintptr) {
-		_, _, errno = syscall.Syscall(syscall.SYS_IOCTL, descriptor, siocOutQueue, uintptr(unsafe.Pointer(&count)))
-	})
-	if err == nil && errno != 0 {
-		err = errno
-	}
-	return int(count), err
-}
-
 // setAckTimeout limits how long sent bytes may stay unacknowledged.
 func (c *connection) setAckTimeout(within time.Duration) {
 	if within == c.ackTimeout {
@@ -138,11 +116,8 @@
 	}
 }
 
-func (c *connection) raw() syscall.RawConn { return rawOf(c.Conn) }
-
-// rawOf returns the socket of a connection, nil if it has none or was closed.
-func rawOf(conn net.Conn) syscall.RawConn {
-	socket, ok := conn.(syscall.Conn)
+func (c *connection) raw() syscall.RawConn {
+	socket, ok := c.Conn.(syscall.Conn)
 	if !ok {
 		return nil
 	}
--- a/internal/httpclient/client.go
+++ b/internal/httpclient/client.go
@@ -101,11 +101,14 @@
 
 func (c *Client) exchange(request *http.Request) (*http.Response, error) {
 	var tracker sentTracker
-	trace := &httptrace.ClientTrace{GotConn: tracker.gotConnection}
+	trace := &httptrace.ClientTrace{GotConn: tracker.gotConnection, WroteRequest: tracker.write.end}
 	traced := request.WithContext(httptrace.WithClientTrace(request.Context(), trace))
 	response, err := c.transport.RoundTrip(traced)
 	if err != nil {
 		return nil, &Error{Sent: tracker.sealAll(), Cause: errors.Wrap(err, request.Method+" "+request.URL.Host)}
 	}
+	if isUnframed(response) {
+		response.Body = &unframedBody{ReadCloser: response.Body, request: &tracker.write}
+	}
 	return response, nil
 }
--- a/internal/httpclient/gate.go
+++ b/internal/httpclient/gate.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http/httptrace"
 	"sync"
 
 	"github.com/pkg/errors"
+
+	"github.com/fieldpond/fieldpond/internal/connend"
 )
 
 // errSealed is returned for a write after the exchange was abandoned.
@@ -20,6 +23,8 @@
 	mutex  sync.Mutex
 	writes uint64
 	sealed bool
+	// failed is whether a write failed.
+	failed bool
 }
 
 // Write implements net.Conn.
@@ -31,7 +36,30 @@
 	}
 	g.writes++
 	g.mutex.Unlock()
-	return g.Conn.Write(data)
+	count, err := g.Conn.Write(data)
+	if err != nil {
+		g.mutex.Lock()
+		g.failed = true
+		g.mutex.Unlock()
+	}
+	return count, err
+}
+
+// Read implements net.Conn. It returns io.EOF only if the peer has received all that was written.
+func (g *gatedConnection) Read(buffer []byte) (int, error) {
+	count, err := g.Conn.Read(buffer)
+	if err != io.EOF {
+		return count, err
+	}
+	if failed := connend.AwaitReceived(g.Conn); failed != nil {
+		return count, failed
+	}
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	if g.failed {
+		return count, connend.ErrNotReceived
+	}
+	return count, io.EOF
 }
 
 func (g *gatedConnection) begun() uint64 {
@@ -65,6 +93,7 @@
 	// untracked is set if a connection is not gated, so that it is unknown whether
 	// bytes were sent.
 	untracked bool
+	write     requestWrite
 }
 
 type usedConnection struct {
@@ -73,6 +102,7 @@
 }
 
 func (t *sentTracker) gotConnection(info httptrace.GotConnInfo) {
+	t.write.begin()
 	gate, known := info.Conn.(*gatedConnection)
 	if !known {
 		t.untracked = true
