Accept as an answer only what the grammar of HTTP/1 allows

What callers saw: an answer with status 000 or with a blank in the name of a field, though it was none; that field passed on; or a body that was not the engine's: the sizes of chunks in it, or another answer out of the body of the first.

Cause: http.ReadResponse takes any number for the status, any version, two blanks before the status, and keeps names with blanks as they are, so that "Content-Length : 4" frames nothing. A status below 200 counted as informational, and what followed was read as the next head.

Change: package answer reads heads byte by byte by the grammar and rejects at the first that no answer has there; names in trailers are checked too. Such an attempt breaks off with an unknown outcome, and its connection is closed. They are counted by cause and logged once a second at most.

TestEndlessHeadsAreGivenUp: zeros without end and a value that goes on over lines without end are no answers at their first bad byte now, and no longer reach the limit of the head, which the test asked for in these two rows. They now ask for the error of a malformed answer and its count; the other four rows are as before.

--- a/Makefile
+++ b/Makefile
@@ -27,7 +27,7 @@
 
 # Looks for inputs that break a parser of outside bytes, FUZZTIME for each.
 FUZZTIME ?= 20s
-FUZZ := ./internal/api:FuzzCallerBody ./internal/canary:FuzzMessages ./internal/detour:FuzzAnswerOfHelper ./internal/detour:FuzzFramedReader ./internal/fleet:FuzzParse ./internal/forward:FuzzEventReader ./internal/membership:FuzzDecodeDatagram \
+FUZZ := ./internal/answer:FuzzAnswer ./internal/api:FuzzCallerBody ./internal/canary:FuzzMessages ./internal/detour:FuzzAnswerOfHelper ./internal/detour:FuzzFramedReader ./internal/fleet:FuzzParse ./internal/forward:FuzzEventReader ./internal/membership:FuzzDecodeDatagram \
 	./internal/node:FuzzDatagram ./internal/prefix/directory:FuzzDecode ./internal/resume:FuzzOpen ./internal/sse:FuzzReader ./internal/upstream:FuzzUnpackRecords ./platform:FuzzChangesPrefix ./platform:FuzzConfiguration
 fuzz:
 	@set -e; for target in $(FUZZ); do \
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/fieldpond/fieldpond/internal/answer"
 )
 
 // Request is one request to a back end.
@@ -235,37 +237,31 @@
 }
 
 func (c *call) run(request *Request) (*Response, error) {
-	head := requestHead(request)
+	sent := requestHead(request)
 	c.sent.Store(true)
 	if len(request.Body) <= inlineBodyBytes {
-		if _, err := c.connection.Write(append(head, request.Body...)); err != nil {
+		if _, err := c.connection.Write(append(sent, request.Body...)); err != nil {
 			return nil, errors.Wrap(err, "send the request")
 		}
 		c.written.Store(true)
 	} else {
 		c.writeEnded = make(chan struct{})
-		go c.write(head, request.Body)
+		go c.write(sent, request.Body)
 	}
-	answer, err := c.readMatching(request)
+	head, err := c.readMatching(request)
 	if err != nil {
 		return nil, err
 	}
 	if c.pool.options.Detour != nil && !c.connection.through.IsValid() {
 		c.pool.options.Detour.ObserveAnswer()
 	}
-	response := &Response{Status: answer.StatusCode, Header: answer.Header, Length: answer.ContentLength, ConnectTime: c.connection.connectTime, Through: c.connection.through}
-	response.Unframed = isUnframed(answer)
+	response := &Response{Status: head.Status, Header: head.Header, Length: head.Length, Unframed: head.Unframed(), ConnectTime: c.connection.connectTime, Through: c.connection.through}
 	response.Carrier = Carrier{Connection: c.connection.number, Exchange: c.connection.exchanges, Skipped: c.skipped}
 	c.connection.connectTime = 0
-	response.Body = &answerBody{call: c, answer: answer}
+	response.Body = &answerBody{call: c, head: head, content: answer.NewBody(head, c.connection.reader)}
 	return response, nil
 }
 
-// isUnframed reports whether the body of an answer ends with its connection.
-func isUnframed(answer *http.Response) bool {
-	return answer.ContentLength < 0 && len(answer.TransferEncoding) == 0 && answer.Body != http.NoBody
-}
-
 // write sends a long request while its answer is awaited. Errors are ignored: the
 // back end may still answer.
 func (c *call) write(head, body []byte) {
@@ -279,24 +275,23 @@
 }
 
 // readMatching reads the answer to the request and skips answers to others.
-func (c *call) readMatching(request *Request) (*http.Response, error) {
-	methodOnly := &http.Request{Method: request.Method}
+func (c *call) readMatching(request *Request) (*answer.Head, error) {
 	for range maxExcessAnswers {
-		answer, err := c.readHead(methodOnly)
+		head, err := c.readHead(request.Method)
 		if err != nil {
 			return nil, errors.Wrap(err, "read the answer")
 		}
-		if answer.StatusCode < http.StatusOK {
+		if head.IsInterim() {
 			continue
 		}
-		if request.Matches == nil || request.Matches(answer.Header) {
-			return answer, nil
+		if request.Matches == nil || request.Matches(head.Header) {
+			return head, nil
 		}
 		c.skipped++
-		if isUnframed(answer) {
+		if head.Unframed() {
 			return nil, errExcessAnswers
 		}
-		if err := c.skip(answer); err != nil {
+		if err := c.skip(head); err != nil {
 			return nil, err
 		}
 	}
@@ -314,31 +309,32 @@
 
 // finish ends an exchange whose answer was read completely, and keeps the
 // connection if it is reusable.
-func (c *call) finish(answer *http.Response) {
-	reusable := c.skipped == 0 && c.written.Load() && !answer.Close && c.connection.buffered() == 0 &&
-		!isUnframed(answer)
+func (c *call) finish(head *answer.Head) {
+	reusable := c.skipped == 0 && c.written.Load() && !head.Close && c.connection.buffered() == 0 && !head.Unframed()
 	// stop returns false if the context has ended, which closes the connection.
 	if !reusable || !c.stop() {
 		c.abort()
 		return
 	}
 	if c.end() {
-		c.pool.put(c.connection, keepAlive(answer.Header))
+		c.pool.put(c.connection, keepAlive(head.Header))
 	}
 }
 
 // answerBody is the body of an answer.
 type answerBody struct {
-	call   *call
-	answer *http.Response
+	call *call
+	head *answer.Head
+	// content is what the connection carries of the body.
+	content io.Reader
 	// complete is true once the proven end was read, failed once a read failed.
 	complete, failed bool
 }
 
 // Read implements io.Reader.
 func (b *answerBody) Read(buffer []byte) (int, error) {
-	count, err := b.answer.Body.Read(buffer)
-	if isUnframed(b.answer) {
+	count, err := b.content.Read(buffer)
+	if b.head.Unframed() {
 		err = b.readUnframed(err)
 	}
 	switch {
@@ -347,6 +343,7 @@
 	case err != nil && !b.failed:
 		b.failed = true
 		b.call.recordFailure(err)
+		b.call.recordMalformed(err)
 	}
 	return count, err
 }
@@ -354,7 +351,7 @@
 // Close implements io.Closer.
 func (b *answerBody) Close() error {
 	if b.complete {
-		b.call.finish(b.answer)
+		b.call.finish(b.head)
 	} else {
 		b.call.abort()
 	}
--- a/internal/exchange/head.go
+++ b/internal/exchange/head.go
@@ -8,8 +8,9 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/apex/log"
 	"github.com/pkg/errors"
+
+	"github.com/fieldpond/fieldpond/internal/answer"
 )
 
 const (
@@ -21,8 +22,9 @@
 	// headTimeout is how long the rest of a head may take after its first bytes, and likewise an answer to
 	// another request that is skipped.
 	headTimeout = 2 * time.Second
-	// tooLargeLogInterval is the least time between two log lines on answers that exceed a limit.
-	tooLargeLogInterval = time.Second
+	// badAnswerLogInterval is the least time between two log lines on answers that exceed a limit, and likewise on
+	// malformed ones.
+	badAnswerLogInterval = time.Second
 )
 
 // ErrHeadTooLarge is the cause if the first line and the header of an answer exceed their limit, or those of
@@ -95,28 +97,36 @@
 }
 
 // readHead reads the first line and the header of an answer.
-func (c *call) readHead(request *http.Request) (*http.Response, error) {
-	head := &c.connection.head
-	head.begin(c.pool.options.MaxHeaderBytes)
-	defer head.end()
-	answer, err := http.ReadResponse(c.connection.reader, request)
-	// A field that the limit cuts off may be found malformed first.
-	if head.exceeded || err == nil && countFields(answer.Header) > maxHeaderFields {
+func (c *call) readHead(method string) (*answer.Head, error) {
+	reader := &c.connection.head
+	reader.begin(c.pool.options.MaxHeaderBytes)
+	defer reader.end()
+	head, err := answer.ReadHead(c.connection.reader, method)
+	if reader.exceeded || err == nil && countFields(head.Header) > maxHeaderFields {
 		c.pool.recordTooLarge(c.connection)
 		return nil, ErrHeadTooLarge
 	}
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		return nil, ErrHeadTooSlow
 	}
-	return answer, err
+	c.recordMalformed(err)
+	return head, err
+}
+
+// recordMalformed counts an answer that is none, if that is what an error means.
+func (c *call) recordMalformed(err error) {
+	var malformed *answer.MalformedError
+	if errors.As(err, &malformed) {
+		c.pool.recordMalformed(c.connection, malformed.Cause)
+	}
 }
 
 // skip reads the body of an answer to another request.
-func (c *call) skip(answer *http.Response) error {
-	head := &c.connection.head
-	head.startTimeout()
-	defer head.stopTimeout()
-	_, err := io.Copy(io.Discard, io.LimitReader(answer.Body, maxExcessBytes))
+func (c *call) skip(head *answer.Head) error {
+	reader := &c.connection.head
+	reader.startTimeout()
+	defer reader.stopTimeout()
+	_, err := io.Copy(io.Discard, io.LimitReader(answer.NewBody(head, c.connection.reader), maxExcessBytes))
 	return errors.Wrap(err, "skip an answer to another request")
 }
 
@@ -126,21 +136,3 @@
 	}
 	return count
 }
-
-// recordTooLarge counts an answer that is too large, and logs it unless another one was logged just before.
-func (p *Pool) recordTooLarge(conn *connection) {
-	count := p.tooLarge.Add(1)
-	now := time.Now()
-	p.mutex.Lock()
-	due := now.Sub(p.tooLargeLoggedAt) >= tooLargeLogInterval
-	if due {
-		p.tooLargeLoggedAt = now
-	}
-	p.mutex.Unlock()
-	if due {
-		log.WithFields(log.Fields{"address": conn.address, "limit": p.options.MaxHeaderBytes, "count": count}).Warn("answer_too_large")
-	}
-}
-
-// TooLarge returns how many answers exceeded a limit so far.
-func (p *Pool) TooLarge() uint64 { return p.tooLarge.Load() }
--- a/internal/exchange/head_test.go
+++ b/internal/exchange/head_test.go
@@ -15,6 +15,7 @@
 	"github.com/matryer/is"
 	"github.com/pkg/errors"
 
+	"github.com/fieldpond/fieldpond/internal/answer"
 	"github.com/fieldpond/fieldpond/internal/exchange"
 )
 
@@ -36,13 +37,17 @@
 // An answer whose first line or header does not end must not fill the memory of the router.
 func TestEndlessHeadsAreGivenUp(t *testing.T) {
 	const limit = 16 << 10
-	tests := []struct{ name, begin, piece string }{
-		{"first line", "HTTP/1.1 200 ", strings.Repeat("x", 1<<10)},
-		{"no answer at all", "", strings.Repeat("\x00", 1<<10)},
-		{"one field", "HTTP/1.1 200 OK\r\nName: ", strings.Repeat("x", 1<<10)},
-		{"one field over many lines", "HTTP/1.1 200 OK\r\nName: x\r\n", " x\r\n"},
-		{"many fields", "HTTP/1.1 200 OK\r\n", "Name: x\r\n"},
-		{"a header that is only informational", "HTTP/1.1 103 Early\r\n", "Name: x\r\n"},
+	tests := []struct {
+		name, begin, piece string
+		// cause is what is wrong before the limit is reached.
+		cause answer.Cause
+	}{
+		{"first line", "HTTP/1.1 200 ", strings.Repeat("x", 1<<10), ""},
+		{"no answer at all", "", strings.Repeat("\x00", 1<<10), answer.CauseVersion},
+		{"one field", "HTTP/1.1 200 OK\r\nName: ", strings.Repeat("x", 1<<10), ""},
+		{"one field over many lines", "HTTP/1.1 200 OK\r\nName: x\r\n", " x\r\n", answer.CauseName},
+		{"many fields", "HTTP/1.1 200 OK\r\n", "Name: x\r\n", ""},
+		{"a header that is only informational", "HTTP/1.1 103 Early\r\n", "Name: x\r\n", ""},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -52,9 +57,15 @@
 			pool := exchange.NewPool(exchange.Options{MaxHeaderBytes: limit})
 			defer pool.CloseIdle(true)
 			_, err := pool.Do(t.Context(), server.address(), requestWithID("1"))
-			is.True(errors.Is(err, exchange.ErrHeadTooLarge))
 			var failed *exchange.Error
 			is.True(errors.As(err, &failed) && failed.Sent)
+			if tt.cause != "" {
+				var malformed *answer.MalformedError
+				is.True(errors.As(err, &malformed) && malformed.Cause == tt.cause)
+				is.Equal(pool.Malformed()[tt.cause], uint64(1))
+				return
+			}
+			is.True(errors.Is(err, exchange.ErrHeadTooLarge))
 			is.Equal(pool.TooLarge(), uint64(1))
 		})
 	}
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -64,11 +64,9 @@
 	opened  uint64
 	// created counts all connections of the pool, the relayed ones included.
 	created atomic.Uint64
-	// tooLarge counts the answers that exceeded a limit, headBytes the bytes of the heads that are read now.
-	tooLarge  atomic.Uint64
+	// headBytes counts the bytes of the heads that are read now.
 	headBytes atomic.Int64
-	// tooLargeLoggedAt is when such an answer was logged last.
-	tooLargeLoggedAt time.Time
+	bad       badAnswers
 	// silent counts the connections detected as silent.
 	silent   uint64
 	silences silenceDetector
--- a/internal/node/gauges.go
+++ b/internal/node/gauges.go
@@ -1,6 +1,9 @@
 package node
 
-import "github.com/fieldpond/fieldpond/internal/clock"
+import (
+	"github.com/fieldpond/fieldpond/internal/answer"
+	"github.com/fieldpond/fieldpond/internal/clock"
+)
 
 // readGauges returns the state of the node.
 func (n *Node) readGauges() gaugeValues {
@@ -39,5 +42,23 @@
 	if n.ports.TooLargeAnswers != nil {
 		now.tooLargeAnswers += n.ports.TooLargeAnswers()
 	}
+	now.malformedAnswers = n.malformedAnswers()
 	return now
 }
+
+// malformedAnswers returns the number of malformed answers on all connections, by cause.
+func (n *Node) malformedAnswers() map[string]float64 {
+	counts := []map[answer.Cause]uint64{n.peers.MalformedAnswers()}
+	if n.ports.MalformedAnswers != nil {
+		counts = append(counts, n.ports.MalformedAnswers()...)
+	}
+	sums := make(map[string]float64, len(answer.Causes))
+	for _, cause := range answer.Causes {
+		sum := uint64(0)
+		for _, count := range counts {
+			sum += count[cause]
+		}
+		sums[string(cause)] = float64(sum)
+	}
+	return sums
+}
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -91,6 +91,7 @@
 	linesDropped          uint64
 	silentConnections     uint64
 	tooLargeAnswers       uint64
+	malformedAnswers      map[string]float64
 	clients               inbound.Counts
 	crashes               quarantine.Counts
 	streamRecords         int
@@ -162,6 +163,7 @@
 	group.Counter("edge_client_heads_refused_total", "Requests of clients whose first line and header exceeded their limit, or for which there was no memory beside those of others.", func(r gaugeValues) uint64 { return r.clients.HeadsRefused })
 	group.Counter("edge_connections_silent_total", "Connections to back ends, the store, caches and other routers that were found silent: nothing sent on them was acknowledged.", func(r gaugeValues) uint64 { return r.silentConnections })
 	group.Counter("edge_answers_too_large_total", "Answers of back ends, the store, caches and other routers whose first line and header exceeded their limit, and whose connections were closed.", func(r gaugeValues) uint64 { return r.tooLargeAnswers })
+	group.Labelled(telemetry.KindCounter, "edge_answers_malformed_total", "Answers of back ends, the store, caches and other routers that were none of HTTP/1 and whose connections were closed, by what was wrong: version, status, field_name, field_value, line_end, framing or trailer.", "cause", func(r gaugeValues) map[string]float64 { return r.malformedAnswers })
 	group.Gauge("edge_regions_lost", "Other regions whose back ends this router does not reach now.", func(r gaugeValues) int { return r.unreachableRegions })
 	group.Gauge("edge_backends_not_reached", "1 while this router reaches no back end directly, and other routers do.", func(r gaugeValues) int { return oneIf(r.backendsLost) })
 	group.Counter("edge_detours_total", "Connections to back ends that were opened through another router.", func(r gaugeValues) uint64 { return r.detours })
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -13,6 +13,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/fieldpond/fieldpond/internal/admission"
+	"github.com/fieldpond/fieldpond/internal/answer"
 	"github.com/fieldpond/fieldpond/internal/backend"
 	"github.com/fieldpond/fieldpond/internal/canary"
 	"github.com/fieldpond/fieldpond/internal/catalog"
@@ -106,6 +107,9 @@
 	// TooLargeAnswers returns how many answers on the connections of the other ports exceeded a limit;
 	// it may be nil.
 	TooLargeAnswers func() uint64
+	// MalformedAnswers returns how many answers on the connections of the other ports were none of HTTP/1, by
+	// what was wrong, each in a map of its own; it may be nil.
+	MalformedAnswers func() []map[answer.Cause]uint64
 }
 
 // rolloutLease is the name of the lease under which one node sends orders to engines.
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -8,6 +8,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 
+	"github.com/fieldpond/fieldpond/internal/answer"
 	"github.com/fieldpond/fieldpond/internal/clock"
 	"github.com/fieldpond/fieldpond/internal/exchange"
 	"github.com/fieldpond/fieldpond/internal/httpclient"
@@ -42,6 +43,9 @@
 // TooLargeAnswers returns the number of answers of peers that exceeded a limit.
 func (c *Client) TooLargeAnswers() uint64 { return c.pool.TooLarge() }
 
+// MalformedAnswers returns the number of answers of peers that were none of HTTP/1, by what was wrong.
+func (c *Client) MalformedAnswers() map[answer.Cause]uint64 { return c.pool.Malformed() }
+
 // Pull pulls from a peer, and retries once if the connection turns out to be silent. State
 // of age A in the answer was true at the returned time minus A, or later: the returned time
 // is that of the request plus the delay at the peer.
