Read the answers of routers to CONNECT and LEND by the grammar

Cause: they were read by http.ReadResponse, which takes answers of any version, with several blanks before the status and blanks in the names of fields, "Relay-Framing : chunked" among them, for those of a router that relays.

--- a/internal/detour/dialer.go
+++ b/internal/detour/dialer.go
@@ -17,6 +17,7 @@
 	"github.com/apex/log"
 	"github.com/pkg/errors"
 
+	"github.com/fieldpond/fieldpond/internal/answer"
 	"github.com/fieldpond/fieldpond/internal/clock"
 	"github.com/fieldpond/fieldpond/internal/exchange"
 )
@@ -259,27 +260,27 @@
 	if method == methodLend {
 		target = "/"
 	}
-	head := method + " " + target + " HTTP/1.1" + lineEnd + "Host: " + address + lineEnd + headerFraming + ": " + framingChunked + lineEnd +
+	request := method + " " + target + " HTTP/1.1" + lineEnd + "Host: " + address + lineEnd + headerFraming + ": " + framingChunked + lineEnd +
 		headerReceipt + ": " + receiptBytes + lineEnd
-	if _, err := io.WriteString(conn, head+lineEnd); err != nil {
+	if _, err := io.WriteString(conn, request+lineEnd); err != nil {
 		return false, errors.Wrap(err, "ask a router for a connection")
 	}
-	answer, err := http.ReadResponse(reader, &http.Request{Method: http.MethodConnect})
+	head, err := answer.ReadHead(reader, http.MethodConnect)
 	if err != nil {
 		return false, errors.Wrap(err, "read a router's answer")
 	}
-	switch answer.StatusCode {
+	switch head.Status {
 	case http.StatusOK:
-		if answer.Header.Get(headerRelayedTo) != address {
+		if head.Header.Get(headerRelayedTo) != address {
 			return false, errors.New("another server than a router answers there")
 		}
-		return confirmedFraming(answer.Header)
+		return confirmedFraming(head.Header)
 	case statusRefused:
 		return false, errors.Wrap(syscall.ECONNREFUSED, "another router connects to the back end")
 	case statusNoAnswer:
 		return false, errBackendSilent
 	}
-	return false, errors.Errorf("a router does not help: status %d", answer.StatusCode)
+	return false, errors.Errorf("a router does not help: status %d", head.Status)
 }
 
 // confirmedFraming reports whether a router's answer confirms the framing that was asked for.
