Check the answers that net/http's transport has read

What callers could see: on the product's own interface, an answer with status 000 or 999 or a body without its framing. A status of 000 or 999 counted as an answer of the store, an engine or an application.

Cause: the transport reads answers by http.ReadResponse. Change: httpclient checks what is still told of the version, the status and the names of fields, and fails with an error that says that the request was sent.

--- a/internal/httpclient/client.go
+++ b/internal/httpclient/client.go
@@ -17,6 +17,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/fieldpond/fieldpond/internal/answer"
 )
 
 // Options configures a Client. Zero values take the defaults.
@@ -107,6 +109,10 @@
 	if err != nil {
 		return nil, &Error{Sent: tracker.sealAll(), Cause: errors.Wrap(err, request.Method+" "+request.URL.Host)}
 	}
+	if err := answer.Check(response); err != nil {
+		_ = response.Body.Close()
+		return nil, &Error{Sent: true, Cause: errors.Wrap(err, request.Method+" "+request.URL.Host)}
+	}
 	if isUnframed(response) {
 		response.Body = &unframedBody{ReadCloser: response.Body, request: &tracker.write}
 	}
