Give up connections on which an answer to another request is too long to be skipped

What callers could see: bytes of the body of an answer to another request as the answer to theirs.

Cause: at most 1 MiB of such a body is skipped, and then the next head was read, also where the body went on.

TestBodyOfALongAnswerToAnotherRequestIsNoAnswer fails in 3 of 3 runs before, and passes in 3 of 3 with the change and the race detector.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -109,7 +109,7 @@
 	inlineBodyBytes = 8 << 10
 )
 
-var errExcessAnswers = errors.New("too many answers to other requests on one connection")
+var errExcessAnswers = errors.New("too many or too long answers to other requests on one connection")
 
 const (
 	// receiveWindowBytes is the longest body that fits a back end's receive window,
--- a/internal/exchange/head.go
+++ b/internal/exchange/head.go
@@ -126,7 +126,10 @@
 	reader := &c.connection.head
 	reader.startTimeout()
 	defer reader.stopTimeout()
-	_, err := io.Copy(io.Discard, io.LimitReader(answer.NewBody(head, c.connection.reader), maxExcessBytes))
+	count, err := io.Copy(io.Discard, io.LimitReader(answer.NewBody(head, c.connection.reader), maxExcessBytes+1))
+	if count > maxExcessBytes {
+		return errExcessAnswers
+	}
 	return errors.Wrap(err, "skip an answer to another request")
 }
 
--- a/internal/exchange/malformed_test.go
+++ b/internal/exchange/malformed_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"io"
 	"net"
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
@@ -70,6 +71,23 @@
 	}
 }
 
+// What stands in the body of a long answer to another request must not be read as the next head.
+func TestBodyOfALongAnswerToAnotherRequestIsNoAnswer(t *testing.T) {
+	const skippedBytes = 1 << 20
+	for _, framing := range []string{"Content-Length: 2097152\r\n\r\n", "Transfer-Encoding: chunked\r\n\r\n200000\r\n"} {
+		is := is.New(t)
+		server := listen(t, func(connection net.Conn, reader *bufio.Reader) {
+			if _, _, err := readRequest(reader); err == nil {
+				_, _ = io.WriteString(connection, "HTTP/1.1 200 OK\r\nId: 7\r\n"+framing+strings.Repeat("x", skippedBytes)+inner)
+			}
+		})
+		pool := exchange.NewPool(exchange.Options{})
+		_, err := pool.Do(t.Context(), server.address(), requestWithID("1"))
+		is.True(err != nil)
+		pool.CloseIdle(true)
+	}
+}
+
 // Sound answers that look unusual must arrive.
 func TestUnusualAnswersArrive(t *testing.T) {
 	tests := []struct{ name, sent string }{
