Ask the holders of a stream before the only release of the list is taken for its own

What callers could see: a stream joined from two releases, with nothing in the answer to show it. A router had stood still for one to three seconds while engines of a new release joined and those of the old one took nothing; streams that had begun at the new ones through other routers broke off, were taken up there and went on at the old release.

Cause: a router whose list shows one release and is younger than three seconds asked nobody, since a new release gets no streams for three seconds. But it does where no engine of the old one can take them. Besides, a router that had just started concluded from the answers of the few routers that it knew, or of none, that a stream without a record had begun at the only release before.

Change: a stream that is taken up is asked for among the three routers that would keep its record, for 80 ms at most. A record decides; a router that knows of several releases, or no answer at all on a list older than a second, makes it a refusal with a Retry-After of 0.5 s. Answers tell how many routers their sender knows: one that knows fewer does not conclude from them, nor does one that started before the routers were counted.

TestOnlyReleaseOfTheListIsConfirmedByOthers, TestHoldersTellARouterThatIsOutOfStep, TestRouterThatHasNotCountedTheOthersDoesNotConclude, TestRoutersThatAreNotKnownMayHaveARecord and TestResultOfSearchAmongHolders are in virtual time, of methods that are new.

--- a/internal/affinity/message.go
+++ b/internal/affinity/message.go
@@ -30,6 +30,10 @@
 	// Prior is SearchConfig.Prior of the answering router.
 	Prior    ident.Release `cbor:"6,keyasint,omitempty"`
 	HasPrior bool          `cbor:"7,keyasint,omitempty"`
+	// Several is whether streams of the service may have begun at several releases, as far as the answering
+	// router knows, Routers the number of routers that it knows, itself included. Older builds tell neither.
+	Several bool `cbor:"8,keyasint,omitempty"`
+	Routers int  `cbor:"9,keyasint,omitempty"`
 }
 
 // Message is what routers send each other, as CBOR in a datagram.
--- a/internal/affinity/search.go
+++ b/internal/affinity/search.go
@@ -19,8 +19,9 @@
 	}
 	// Conflicting are several streams of the same key with different origins.
 	Conflicting struct{}
-	// Unknown is a stream that no router knows. Complete is false if some did not answer.
-	Unknown struct{ Complete bool }
+	// Unknown is a stream that no router knows. Complete is false if some did not answer, Several true if one of
+	// the holders knows that the service has several releases.
+	Unknown struct{ Complete, Several bool }
 )
 
 func (Found) result()       {}
@@ -34,6 +35,8 @@
 	askInterval = 40 * time.Millisecond
 	// SearchTime bounds a search. It covers two round trips between regions.
 	SearchTime = 300 * time.Millisecond
+	// HoldersSearchTime bounds a search among the holders alone: they are asked twice.
+	HoldersSearchTime = 80 * time.Millisecond
 	// maxAsked bounds the routers that are asked in one search.
 	maxAsked = 32
 )
@@ -52,6 +55,10 @@
 	holders   int
 	peers     []peer
 	quorum    bool
+	// holdersOnly is whether no others are asked, several whether one of them knows of several releases.
+	holdersOnly, several bool
+	// routers is the number of routers that this one knows, itself included.
+	routers int
 	// prior is the release that all routers so far knew as the only one before; noPrior is set
 	// once one of them does not agree, or if not all are asked.
 	prior   ident.Release
@@ -72,15 +79,21 @@
 	Prior    ident.Release
 	HasPrior bool
 	Quorum   bool
+	// HoldersOnly is whether only those routers are asked that keep the record if there is one. Then Prior
+	// does not count, and Unknown is complete if one of them has answered. It is incomplete if there are none.
+	HoldersOnly bool
 }
 
 // NewSearch returns a search that has asked no router yet.
 func NewSearch(now time.Time, config SearchConfig) *Search {
 	routers := slices.Clone(config.Routers)
 	s := &Search{
-		service: config.Service, startedAt: now, holders: len(Holders(config.Key, routers)), prior: config.Prior,
+		routers: len(routers) + 1, service: config.Service, startedAt: now, holders: len(Holders(config.Key, routers)), prior: config.Prior,
 		noPrior: !config.HasPrior || !(config.Quorum || config.All && len(routers) <= maxAsked), quorum: config.Quorum,
 	}
+	if config.HoldersOnly {
+		routers, s.holdersOnly, s.noPrior = routers[:s.holders], true, true
+	}
 	for _, addr := range routers[:min(len(routers), maxAsked)] {
 		s.peers = append(s.peers, peer{addr: addr})
 	}
@@ -118,7 +131,9 @@
 	case answer.Known:
 		s.result = Found{Origin: answer.Origin, TTL: answer.TTL}
 	default:
-		s.noPrior = s.noPrior || !answer.HasPrior || answer.Prior != s.prior
+		// One of the routers that this one does not know may have a record.
+		s.noPrior = s.noPrior || !answer.HasPrior || answer.Prior != s.prior || answer.Routers > s.routers
+		s.several = s.several || answer.Several
 		s.conclude()
 	}
 }
@@ -128,6 +143,11 @@
 	if !allAnswered(s.peers) {
 		return
 	}
+	if s.holdersOnly {
+		// A router that knows no others may just not know them yet.
+		s.result = Unknown{Complete: len(s.peers) > 0, Several: s.several}
+		return
+	}
 	if s.noPrior {
 		s.result = Unknown{Complete: true}
 		return
@@ -150,10 +170,22 @@
 	return 2*answered > len(s.peers)+1
 }
 
+// limit returns how long the search may take.
+func (s *Search) limit() time.Duration {
+	if s.holdersOnly {
+		return HoldersSearchTime
+	}
+	return SearchTime
+}
+
+func anyAnswered(peers []peer) bool {
+	return slices.ContainsFunc(peers, func(known peer) bool { return known.answered })
+}
+
 // Result returns the result of the search, nil while it goes on.
 func (s *Search) Result(now time.Time) Result {
-	if s.result == nil && now.Sub(s.startedAt) >= SearchTime {
-		s.result = Unknown{}
+	if s.result == nil && now.Sub(s.startedAt) >= s.limit() {
+		s.result = Unknown{Complete: s.holdersOnly && anyAnswered(s.peers), Several: s.holdersOnly && s.several}
 		if s.quorum && !s.noPrior && s.hasQuorum() {
 			s.result = s.foundPrior()
 		}
@@ -163,7 +195,7 @@
 
 // Next returns when Due and Result are to be called again, without an answer.
 func (s *Search) Next(now time.Time) time.Time {
-	next := s.startedAt.Add(SearchTime)
+	next := s.startedAt.Add(s.limit())
 	for index := range s.peers {
 		known := &s.peers[index]
 		switch {
--- a/internal/affinity/search_test.go
+++ b/internal/affinity/search_test.go
@@ -127,6 +127,54 @@
 	}
 }
 
+// Where only the holders are asked, the search must tell what they know, and whether any of them did.
+func TestResultOfSearchAmongHolders(t *testing.T) {
+	tests := []struct {
+		name             string
+		known, answering int
+		answer           affinity.Answer
+		want             affinity.Result
+	}{
+		{"one has a record", 7, 7, affinity.Answer{Known: true, Origin: affinity.Origin{Service: "s", Release: "v2"}, TTL: time.Minute}, affinity.Found{Origin: affinity.Origin{Service: "s", Release: "v2"}, TTL: time.Minute}},
+		{"none has one", 7, 7, affinity.Answer{Prior: "v1", HasPrior: true}, affinity.Unknown{Complete: true}},
+		{"one knows of several releases", 7, 7, affinity.Answer{Several: true}, affinity.Unknown{Complete: true, Several: true}},
+		{"none answers", 7, 0, affinity.Answer{}, affinity.Unknown{}},
+		{"there are no others", 0, 0, affinity.Answer{}, affinity.Unknown{}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			s, all := search(tt.known, func(cfg *affinity.SearchConfig) { cfg.HoldersOnly, cfg.Prior, cfg.HasPrior = true, "v1", true })
+			asked := map[netip.AddrPort]bool{}
+			for now := start; now.Before(start.Add(affinity.HoldersSearchTime)); now = now.Add(10 * time.Millisecond) {
+				for _, addr := range s.Due(now) {
+					asked[addr] = true
+					if slices.Index(all, addr) < tt.answering {
+						s.Answer(addr, &tt.answer)
+					}
+				}
+			}
+			is.Equal(s.Result(start.Add(affinity.HoldersSearchTime)), tt.want)
+			is.True(len(asked) <= affinity.HolderCount)
+		})
+	}
+}
+
+// A router that knows fewer routers than another one must not conclude from the answers of those.
+func TestRoutersThatAreNotKnownMayHaveARecord(t *testing.T) {
+	for _, tt := range []struct {
+		routers int
+		found   bool
+	}{{8, true}, {9, false}} {
+		s, _ := search(7, func(cfg *affinity.SearchConfig) { cfg.Prior, cfg.HasPrior = "v1", true })
+		for _, now := range []time.Time{start, start.Add(50 * time.Millisecond)} {
+			answerAll(s, now, affinity.Answer{Prior: "v1", HasPrior: true, Routers: tt.routers})
+		}
+		_, found := s.Result(start.Add(affinity.SearchTime)).(affinity.Found)
+		is.New(t).Equal(found, tt.found)
+	}
+}
+
 func TestSearchEndsOnceAllHaveAnswered(t *testing.T) {
 	is := is.New(t)
 	s, _ := search(7, none)
--- a/internal/forward/origin.go
+++ b/internal/forward/origin.go
@@ -21,6 +21,10 @@
 	// Find returns where a stream of a service began. It asks other routers if need be, for a
 	// bounded time.
 	Find(ctx context.Context, key affinity.Key, service ident.Service) affinity.Result
+	// AskHolders returns where a stream of a service began if this router has a record of it, or one of the
+	// few that others would have sent it to. It takes a shorter time than Find, and Unknown is complete
+	// if one of those has answered.
+	AskHolders(ctx context.Context, key affinity.Key, service ident.Service) affinity.Result
 }
 
 // streamOrigin is the release that a stream must go on at: what two releases write does not fit
@@ -44,6 +48,9 @@
 	// unansweredRetryAfter is when a client may come back if not all routers answered: they may be
 	// restarting.
 	unansweredRetryAfter = 500 * time.Millisecond
+	// aloneListAge is the oldest list on which the only release that it shows is taken for the one that began a
+	// stream if no other router answers.
+	aloneListAge = time.Second
 )
 
 // resumable reports whether another attempt or request may continue the answer.
@@ -57,25 +64,60 @@
 	if !r.resumable() || r.request.LastEventID == "" {
 		return nil
 	}
+	timed, cancel := context.WithTimeout(ctx, max(clock.Until(r.deadline), 0))
+	defer cancel()
 	if !r.onAnyService(r.forwarder.Backends.MayHaveSeveralReleases) {
-		release, listed := r.forwarder.Backends.SoleRelease(clock.Now(), r.service)
-		if !listed {
+		if refused := r.findRecord(timed); refused != nil || r.bound {
+			return refused
+		}
+		if r.bindToSole() {
+			return nil
+		}
+		// The list may have changed while others were asked.
+		if !r.onAnyService(r.forwarder.Backends.MayHaveSeveralReleases) {
 			return r.forwarder.notReady("no back end of the service is known")
 		}
-		r.bound, r.release = true, release
+	}
+	return r.searchOrigin(timed)
+}
+
+// findRecord binds a stream to the release at which other routers know that it began, though this one knows only one
+// release: others may have known of a new one earlier. It returns a fault if they can't be asked and the list is
+// not young enough to rule that out.
+func (r *run) findRecord(ctx context.Context) *fault.Fault {
+	if r.request.Resumes == "" {
 		return nil
 	}
+	switch result := r.forwarder.Streams.AskHolders(ctx, r.streamKey(), r.service).(type) {
+	case affinity.Found:
+		refused := r.bind(result.Origin)
+		if refused != nil {
+			// The list of this router may be behind.
+			refused = refused.WithRetryAfter(unansweredRetryAfter)
+		}
+		return refused
+	case affinity.Conflicting:
+		return conflictingFault()
+	case affinity.Unknown:
+		alone := !result.Complete && clock.Since(r.forwarder.Backends.ListedAt()) > aloneListAge
+		if alone || result.Several && !r.onAnyService(r.forwarder.Backends.MayHaveSeveralReleases) {
+			return unansweredFault()
+		}
+	}
+	return nil
+}
+
+// searchOrigin is findOrigin where the service may have several releases.
+func (r *run) searchOrigin(ctx context.Context) *fault.Fault {
 	if r.request.Resumes == "" && r.onAnyService(r.forwarder.Backends.HasSeveralReleases) {
 		return fault.New(fault.StreamNotContinued, "the request does not name the one that began the stream, and several releases may have")
 	}
-	timed, cancel := context.WithTimeout(ctx, max(clock.Until(r.deadline), 0))
-	defer cancel()
 	pastUnknown := !r.forwarder.Backends.PastReleasesKnown()
-	switch result := r.forwarder.Streams.Find(timed, r.streamKey(), r.service).(type) {
+	switch result := r.forwarder.Streams.Find(ctx, r.streamKey(), r.service).(type) {
 	case affinity.Found:
 		return r.bind(result.Origin)
 	case affinity.Conflicting:
-		return fault.New(fault.StreamNotContinued, "several streams began as the request named, at different releases")
+		return conflictingFault()
 	case affinity.Unknown:
 		if pastUnknown && r.bindToSole() {
 			return nil
@@ -85,13 +127,21 @@
 				WithRetryAfter(unansweredRetryAfter)
 		}
 		if !result.Complete {
-			return fault.New(fault.StreamNotContinued, "not all routers could be asked which release began the stream").
-				WithRetryAfter(unansweredRetryAfter)
+			return unansweredFault()
 		}
 	}
 	return fault.New(fault.StreamNotContinued, "no router knows the stream, and several releases may have begun it")
 }
 
+func conflictingFault() *fault.Fault {
+	return fault.New(fault.StreamNotContinued, "several streams began as the request named, at different releases")
+}
+
+func unansweredFault() *fault.Fault {
+	return fault.New(fault.StreamNotContinued, "not all routers could be asked which release began the stream").
+		WithRetryAfter(unansweredRetryAfter)
+}
+
 // bindToSole binds the stream to the only release at which it can have begun, and reports whether there is
 // one.
 func (r *run) bindToSole() bool {
--- a/internal/forward/origin_test.go
+++ b/internal/forward/origin_test.go
@@ -20,11 +20,14 @@
 
 // fakeStreams returns found for each stream, and records those that began.
 type fakeStreams struct {
-	found   affinity.Result
-	asked   []affinity.Key
-	began   map[affinity.Key]affinity.Origin
-	onBegan func()
-	onFind  func()
+	found affinity.Result
+	asked []affinity.Key
+	// held is what the holders know, nil for nothing.
+	held         affinity.Result
+	askedHolders []affinity.Key
+	began        map[affinity.Key]affinity.Origin
+	onBegan      func()
+	onFind       func()
 }
 
 // Began implements forward.Streams.
@@ -44,6 +47,15 @@
 	return f.found
 }
 
+// AskHolders implements forward.Streams.
+func (f *fakeStreams) AskHolders(_ context.Context, key affinity.Key, _ ident.Service) affinity.Result {
+	f.askedHolders = append(f.askedHolders, key)
+	if f.held == nil {
+		return affinity.Unknown{Complete: true}
+	}
+	return f.held
+}
+
 // newStreamFixture returns a fixture with an engine of each of some releases, in this order.
 func newStreamFixture(streams *fakeStreams, releases []ident.Release, answers ...answer) *fixture {
 	b := newFixture(answers...)
@@ -159,6 +171,44 @@
 	}
 }
 
+// A router that knows one release may be out of step: others may have begun the stream at a new one.
+func TestOnlyReleaseOfTheListIsConfirmedByOthers(t *testing.T) {
+	unknown, unanswered := affinity.Unknown{Complete: true}, affinity.Unknown{}
+	tests := []struct {
+		name string
+		held affinity.Result
+		// age is that of the list.
+		age    time.Duration
+		goesOn bool
+	}{
+		{"no holder has a record", unknown, 0, true},
+		{"no holder has a record, and the list is older", unknown, 2 * time.Second, true},
+		{"it began at the release", found("v1"), 0, true},
+		{"it began at another release", found("v2"), 0, false},
+		{"it began at different releases", affinity.Conflicting{}, 0, false},
+		{"a holder knows of another release", affinity.Unknown{Complete: true, Several: true}, 0, false},
+		{"no router answers", unanswered, 0, true},
+		{"no router answers, and the list is older", unanswered, 2 * time.Second, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				b := newStreamFixture(&fakeStreams{held: tt.held}, []ident.Release{"v1"}, genuine(200, two))
+				time.Sleep(tt.age)
+				sink := b.forward(t, takenUp("r1"))
+				is.Equal(len(b.caller.sent()) == 1, tt.goesOn)
+				if tt.goesOn {
+					is.Equal(sink.body.String(), two)
+					return
+				}
+				is.Equal(sink.refusal.Kind, fault.StreamNotContinued)
+				is.Equal(sink.refusal.Ran, fault.RanNo)
+			})
+		})
+	}
+}
+
 // Guards against work for records while one release serves.
 func TestOneReleaseNeedsNoRecords(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/node/streams.go
+++ b/internal/node/streams.go
@@ -32,6 +32,9 @@
 	backends *backend.Registry
 	// routers returns the other routers that keep records, and whether these are all.
 	routers func() (routers []netip.AddrPort, all bool)
+	// counted reports whether the routers were counted since this one started, so that it knows those that started
+	// with it. Nil means that they were.
+	counted func() bool
 	// refresh reads the routers again if some may be missing.
 	refresh func(ctx context.Context)
 	send    func(to netip.AddrPort, message *affinity.Message)
@@ -83,6 +86,7 @@
 	n.streams = newStreams(&streams{
 		backends: n.backends, metrics: n.metrics, refresh: n.follower.refreshStreamRouters,
 		routers: func() ([]netip.AddrPort, bool) { return n.follower.streamRouters(n.config.PeerAddr) },
+		counted: n.follower.routersCounted,
 		large:   n.follower.chain.large, count: n.follower.replica.Routers,
 		rows: &streamRows{table: n.ports.Table, timeout: n.config.Follow.ReadTimeout / 2, node: n.config.Node},
 		releases: &releaseKeeper{
@@ -145,13 +149,38 @@
 	return result
 }
 
+// AskHolders implements forward.Streams.
+func (s *streams) AskHolders(ctx context.Context, key affinity.Key, service ident.Service) affinity.Result {
+	if known, found := s.known(clock.Now(), key); found {
+		return known
+	}
+	config := s.searchConfig(clock.Now(), key, service)
+	config.HoldersOnly = true
+	return s.search(ctx, &config)
+}
+
 func (s *streams) find(ctx context.Context, key affinity.Key, service ident.Service) affinity.Result {
 	s.awaitRows(ctx)
 	now := clock.Now()
 	if known, found := s.known(now, key); found {
 		return known
 	}
-	search := s.begin(now, key, service)
+	config := s.searchConfig(now, key, service)
+	if s.counted == nil || s.counted() {
+		return s.search(ctx, &config)
+	}
+	config.HasPrior = false
+	result := s.search(ctx, &config)
+	if _, unknown := result.(affinity.Unknown); unknown {
+		return affinity.Unknown{}
+	}
+	return result
+}
+
+// search asks other routers until they have answered, or their time is over.
+func (s *streams) search(ctx context.Context, config *affinity.SearchConfig) affinity.Result {
+	key, service := config.Key, config.Service
+	search := s.begin(config)
 	defer s.end(key, search)
 	for {
 		now := clock.Now()
@@ -186,15 +215,20 @@
 	return affinity.Found{Origin: entry.Origin, TTL: entry.ExpiresAt.Sub(now)}, found
 }
 
-func (s *streams) begin(now time.Time, key affinity.Key, service ident.Service) *streamSearch {
+// searchConfig returns how to search for the origin of a stream among all routers.
+func (s *streams) searchConfig(now time.Time, key affinity.Key, service ident.Service) affinity.SearchConfig {
 	config := affinity.SearchConfig{Key: key, Service: service}
 	config.Routers, config.All = s.routers()
 	config.Prior, config.HasPrior = s.backends.PriorRelease(now, service)
 	config.Quorum = !s.backends.HasSeveralReleases(now, service)
-	search := &streamSearch{Search: affinity.NewSearch(now, config), changed: make(chan struct{}, 1)}
+	return config
+}
+
+func (s *streams) begin(config *affinity.SearchConfig) *streamSearch {
+	search := &streamSearch{Search: affinity.NewSearch(clock.Now(), *config), changed: make(chan struct{}, 1)}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.searches[key] = append(s.searches[key], search)
+	s.searches[config.Key] = append(s.searches[config.Key], search)
 	return search
 }
 
@@ -265,7 +299,9 @@
 	}
 	if !answer.Known {
 		answer.Prior, answer.HasPrior = s.backends.PriorRelease(now, ask.Service)
-		answer.TTL = 0
+		answer.Several = s.backends.HasSeveralReleases(now, ask.Service)
+		routers, _ := s.routers()
+		answer.Routers, answer.TTL = len(routers)+1, 0
 	}
 	return answer
 }
@@ -340,6 +376,14 @@
 	return routers, false
 }
 
+// routersCounted reports whether the number of routers that this one knows was counted once those that started with it
+// had joined.
+func (f *follower) routersCounted() bool {
+	now := clock.Now()
+	countedAt := now.Add(-f.replica.routerCountAge(now))
+	return f.chain.large() || countedAt.Sub(f.startedAt) >= firstRecountDelay && f.replica.Routers() == f.recipients.count()+1
+}
+
 // refreshStreamRouters reads the routers again if some may be missing.
 func (f *follower) refreshStreamRouters(ctx context.Context) {
 	if !f.chain.large() && f.replica.Routers() != f.recipients.count()+1 {
--- a/internal/node/streams_test.go
+++ b/internal/node/streams_test.go
@@ -257,6 +257,39 @@
 	})
 }
 
+// Guards against a router that is out of step and takes the release it knows for the only one: the holders tell.
+func TestHoldersTellARouterThatIsOutOfStep(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n := newStreamNetwork(7, false, "v1", "v2")
+		behind := n.start(n.addrs[6], "v1")
+		n.at(n.addrs[0]).Began(streamKeyOf(1), originOf("v2"), time.Minute)
+		time.Sleep(10 * time.Millisecond)
+		is.Equal(behind.AskHolders(t.Context(), streamKeyOf(1), "s").(affinity.Found).Origin, originOf("v2"))
+		is.Equal(behind.AskHolders(t.Context(), streamKeyOf(2), "s"), affinity.Unknown{Complete: true, Several: true})
+		for _, addr := range n.addrs[:6] {
+			n.kill(addr)
+		}
+		begun := time.Now()
+		is.Equal(behind.AskHolders(t.Context(), streamKeyOf(3), "s"), affinity.Unknown{})
+		is.Equal(time.Since(begun), affinity.HoldersSearchTime)
+	})
+}
+
+// Guards against a conclusion from the answers of few routers, by one that has not counted those that started with it.
+func TestRouterThatHasNotCountedTheOthersDoesNotConclude(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n := newStreamNetwork(3, false, "v1")
+		started := n.at(n.addrs[0])
+		counted := false
+		started.counted = func() bool { return counted }
+		is.Equal(started.Find(t.Context(), streamKeyOf(1), "s"), affinity.Unknown{})
+		counted = true
+		is.Equal(started.Find(t.Context(), streamKeyOf(1), "s").(affinity.Found).Origin, originOf("v1"))
+	})
+}
+
 func TestSearchEndsWithItsRequest(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
