--- a/review/standin/options.go
+++ b/review/standin/options.go
@@ -24,12 +24,14 @@
 	}
 	held = true
 	for _, asked := range requests {
-		for _, r := range w.routers {
-			got := send(r.front, asked)
-			runs := len(w.runsOf(asked.id))
-			w.note("answer id=%s %s %s from=%s status=%d seal=%q runs=%d error=%v", asked.id, asked.method, asked.path, r.name, got.status, got.seal, runs, got.err)
+		for number, r := range w.routers {
+			attempt := *asked
+			attempt.id = fmt.Sprintf("%s-%d", asked.id, number)
+			got := send(r.front, &attempt)
+			runs := len(w.runsOf(attempt.id))
+			w.note("answer id=%s %s %s from=%s status=%d seal=%q runs=%d error=%v", attempt.id, asked.method, asked.path, r.name, got.status, got.seal, runs, got.err)
 			if got.status >= 200 && got.status < 300 && got.seal == "" {
-				w.note("a success without the seal of an engine: %s", asked.id)
+				w.note("a success without the seal of an engine: %s", attempt.id)
 				held = false
 			}
 			if !trouble && got.status != http.StatusOK {
