--- a/review/standin/engine.go
+++ b/review/standin/engine.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -21,6 +22,8 @@
 type engine struct {
 	id, service, model, address string
 	world                       *world
+	// listed is the address in the engine's row, if that is not its own.
+	listed string
 	// work is how long a request takes before its answer begins.
 	work time.Duration
 	// events is the number of events of a stream, gap the time between two.
@@ -52,6 +55,14 @@
 	mux.HandleFunc("GET /health", e.health)
 	mux.HandleFunc("/", e.serve)
 	go func() { _ = http.Serve(listener, mux) }()
+	if w.relayed {
+		before, err := newRelay(w, e.address)
+		if err != nil {
+			return nil, err
+		}
+		w.relays = append(w.relays, before)
+		e.listed = before.address()
+	}
 	w.engines = append(w.engines, e)
 	e.beat()
 	go e.keepBeating()
@@ -88,7 +99,7 @@
 		state = "draining"
 	}
 	row := map[string]any{
-		"service": e.service, "address": e.address, "zone": "east", "version": "v1", "slots": 64, "state": state,
+		"service": e.service, "address": cmp.Or(e.listed, e.address), "zone": "east", "version": "v1", "slots": 64, "state": state,
 		"coldRemainingMs": 0, "stage": "unified", "models": e.models(), "callSeq": e.beats,
 	}
 	e.mu.Unlock()
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -9,7 +9,7 @@
 
 // cases are the cases by name. Each returns whether the rule held.
 var cases = map[string]func(w *world, trouble bool) (held bool, err error){
-	"crowd": playCrowd, "tokens": playTokens, "early": playEarly, "options": playOptions,
+	"crowd": playCrowd, "tokens": playTokens, "early": playEarly, "options": playOptions, "cut": playCut,
 }
 
 func main() {
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -30,6 +30,9 @@
 	runs    []run
 	routers []*router
 	engines []*engine
+	// relayed is whether a relay stands before each engine; relays are these.
+	relayed bool
+	relays  []*relay
 	// begun is when the requests of a case begin.
 	begun time.Time
 }
@@ -287,6 +290,13 @@
 	}
 }
 
+// setCut cuts a router off from all engines, or ends that.
+func (w *world) setCut(r *router) {
+	for _, y := range w.relays {
+		y.setCut(r)
+	}
+}
+
 // close ends all routers.
 func (w *world) close() {
 	for _, r := range w.routers {
